Add the frame: layout, build, style checks and the contracts between layers

Cause: an empty repository. The contracts (ids, outcome, clock, result; engine messages; net interfaces; outside protocols) come first so that core, net, platform and stand-ins can be written side by side. Ruled out: one big daemon library (no seam for a deterministic core); GLOB-free CMake lists (every unit would touch one file). No behaviour to measure yet; 2 tests pass.

--- /dev/null
+++ b/include/orchidlead/ids.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace orchidlead {
+
+/// A name that can't be mistaken for a name of another kind of thing.
+template <class Tag>
+struct strong_id
+{
+    std::string value;
+
+    strong_id() = default;
+    explicit strong_id(std::string text)
+        : value(std::move(text))
+    { }
+
+    [[nodiscard]] bool empty() const { return value.empty(); }
+    friend auto operator<=>(const strong_id &, const strong_id &) = default;
+};
+
+using vm_id = strong_id<struct vm_id_tag>;
+using region_id = strong_id<struct region_id_tag>;
+using data_center_id = strong_id<struct data_center_id_tag>;
+using customer_id = strong_id<struct customer_id_tag>;
+using backend_server_id = strong_id<struct backend_server_id_tag>;
+using service_id = strong_id<struct service_id_tag>;
+using template_id = strong_id<struct template_id_tag>;
+using pipeline_id = strong_id<struct pipeline_id_tag>;
+using stage_id = strong_id<struct stage_id_tag>;
+
+/// Names one request in the whole system: `<vm>-<incarnation>-<sequence>`.
+using request_id = strong_id<struct request_id_tag>;
+
+/// Tells two starts of a process on the same VM apart; drawn once at start, unique for each.
+using incarnation = std::uint64_t;
+
+/// Names one try of one stage of one request. Every answer is matched against it.
+struct attempt_key
+{
+    request_id request;
+    std::uint32_t stage = 0; ///< index of the stage in the pipeline
+    std::uint32_t attempt = 0; ///< 1 for the first try
+
+    friend auto operator<=>(const attempt_key &, const attempt_key &) = default;
+};
+
+/// An IP number with a port. Names are never resolved.
+struct socket_address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const socket_address &, const socket_address &) = default;
+};
+
+} // namespace orchidlead
+
+template <class Tag>
+struct std::hash<orchidlead::strong_id<Tag>>
+{
+    std::size_t operator()(const orchidlead::strong_id<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>{}(id.value);
+    }
+};
+
+template <>
+struct std::hash<orchidlead::attempt_key>
+{
+    std::size_t operator()(const orchidlead::attempt_key &key) const noexcept
+    {
+        constexpr std::size_t StageBits = 16;
+        const std::size_t low = (std::size_t{key.stage} << StageBits) ^ key.attempt;
+        return std::hash<std::string>{}(key.request.value) ^ (low * 0x9e3779b97f4a7c15ULL);
+    }
+};
--- /dev/null
+++ b/src/core/engine_types.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "core/pipeline.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+#include <orchidlead/outcome.h>
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The typed messages between the request engine (decisions) and the shell that carries them out.
+namespace orchidlead {
+
+/// A request that has passed the caller's interface and the at-most-once gate.
+struct pipeline_request
+{
+    request_id id;
+    std::shared_ptr<const pipeline_plan> plan;
+    payload input; ///< JSON value, as text
+    steady_time deadline;
+    bool stream = false; ///< hand out the last stage's tokens as they come
+};
+
+/// One output of an earlier stage, handed to a later one.
+struct stage_input
+{
+    stage_id stage;
+    payload output; ///< JSON value, as text
+};
+
+/// Action: send one attempt to a backend server.
+struct send_attempt
+{
+    attempt_key key;
+    stage_plan stage;
+    customer_id customer;
+    orchidlead::priority priority = priority::Normal;
+    backend_server_id server;
+    socket_address address;
+    payload input;
+    std::vector<stage_input> previous;
+    steady_time deadline; ///< checked again by the shell immediately before the send
+    bool stream = false;
+};
+
+/// Action: give up an attempt; whatever still comes of it is dropped.
+struct cancel_attempt
+{
+    attempt_key key;
+    backend_server_id server;
+};
+
+/// What one stage did for a request; part of the caller's answer and of `orchidctl trace`.
+struct stage_report
+{
+    stage_id stage;
+    backend_server_id server; ///< of the attempt that counted, or of the last one
+    std::uint32_t attempts = 0;
+    std::uint32_t hedges = 0;
+    milliseconds queued{0};
+    milliseconds elapsed{0};
+    milliseconds busy{0}; ///< cost: backend server time of all attempts, lost ones included
+    std::uint64_t tokens = 0;
+    bool finished = false;
+};
+
+/// The end of a request.
+struct final_answer
+{
+    request_id request;
+    orchidlead::outcome outcome = outcome::NotRun;
+    refusal_reason reason = refusal_reason::None;
+    std::string detail; ///< for people
+    payload output; ///< JSON value; only with `Answered`
+    std::optional<milliseconds> retryAfter;
+    std::vector<stage_report> stages;
+};
+
+/// Action: tell the caller how its request ended. Exactly one for each request.
+struct deliver_answer
+{
+    final_answer answer;
+};
+
+/// Action: hand a part of a streamed answer to the caller.
+struct deliver_chunk
+{
+    request_id request;
+    std::string text;
+};
+
+enum class decision_kind { Admit, Refuse, Route, Retry, Hedge, Cancel, Drop, Eject, Restore };
+
+template <>
+inline constexpr std::array enumNames<decision_kind>{
+    enum_name<decision_kind>{decision_kind::Admit, "admit"},
+    enum_name<decision_kind>{decision_kind::Refuse, "refuse"},
+    enum_name<decision_kind>{decision_kind::Route, "route"},
+    enum_name<decision_kind>{decision_kind::Retry, "retry"},
+    enum_name<decision_kind>{decision_kind::Hedge, "hedge"},
+    enum_name<decision_kind>{decision_kind::Cancel, "cancel"},
+    enum_name<decision_kind>{decision_kind::Drop, "drop"},
+    enum_name<decision_kind>{decision_kind::Eject, "eject"},
+    enum_name<decision_kind>{decision_kind::Restore, "restore"},
+};
+
+/// Action: one line of the decision log.
+struct log_decision
+{
+    decision_kind kind = decision_kind::Route;
+    attempt_key key;
+    customer_id customer;
+    stage_id stage;
+    std::vector<backend_server_id> candidates;
+    backend_server_id chosen;
+    std::string reason;
+    milliseconds remaining{0};
+};
+
+using engine_action =
+    std::variant<send_attempt, cancel_attempt, deliver_answer, deliver_chunk, log_decision>;
+
+/// How an attempt ended without a usable answer.
+enum class attempt_failure {
+    NotSent, ///< no byte left this process: connection refused or the pre-send check failed
+    Refused, ///< the backend server said that it didn't run it (HTTP 429 or 503)
+    Leaving, ///< as `Refused`, and the server says that it is leaving
+    Broken, ///< bytes left, and no whole answer came back
+    TimedOut,
+    BadAnswer, ///< malformed, or names another request
+    ServerError, ///< HTTP 4xx or 5xx other than the above: it may have run
+};
+
+template <>
+inline constexpr std::array enumNames<attempt_failure>{
+    enum_name<attempt_failure>{attempt_failure::NotSent, "not_sent"},
+    enum_name<attempt_failure>{attempt_failure::Refused, "refused"},
+    enum_name<attempt_failure>{attempt_failure::Leaving, "leaving"},
+    enum_name<attempt_failure>{attempt_failure::Broken, "broken"},
+    enum_name<attempt_failure>{attempt_failure::TimedOut, "timed_out"},
+    enum_name<attempt_failure>{attempt_failure::BadAnswer, "bad_answer"},
+    enum_name<attempt_failure>{attempt_failure::ServerError, "server_error"},
+};
+
+/// Event: an attempt's whole answer arrived. `echoed` is what the answer itself says it is for.
+struct attempt_answer
+{
+    attempt_key key;
+    attempt_key echoed;
+    payload output; ///< JSON value
+    std::uint64_t tokens = 0;
+};
+
+/// Event: a backend server's own load report; lags.
+struct load_report
+{
+    backend_server_id server;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    bool leaving = false;
+};
+
+} // namespace orchidlead
--- /dev/null
+++ b/tests/core/enum_names_test.cpp
@@ -0,0 +1,19 @@
+#include <orchidlead/outcome.h>
+
+#include <catch2/catch.hpp>
+
+using namespace orchidlead;
+
+TEST_CASE("every outcome has a name that leads back to it")
+{
+    for (const auto &row : enumNames<outcome>) {
+        CAPTURE(row.name);
+        CHECK(toName(row.value) == row.name);
+        CHECK(fromName<outcome>(row.name) == row.value);
+    }
+}
+
+TEST_CASE("a name that is in no table finds nothing")
+{
+    CHECK_FALSE(fromName<outcome>("perhaps").has_value());
+}
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
