--- a/src/core/engine_types.h
+++ b/src/core/engine_types.h
@@ -125,6 +125,9 @@
 using engine_action =
     std::variant<send_attempt, cancel_attempt, deliver_answer, deliver_chunk, log_decision>;
 
+/// The actions that one event led to, in order.
+using engine_actions = std::vector<engine_action>;
+
 /// How an attempt ended without a usable answer.
 enum class attempt_failure {
     NotSent, ///< no byte left this process: connection refused or the pre-send check failed
@@ -154,6 +157,7 @@
     attempt_key echoed;
     payload output; ///< JSON value
     std::uint64_t tokens = 0;
+    milliseconds busy{0}; ///< backend server time, as it says itself; 0: it doesn't
 };
 
 /// Event: a backend server's own load report; lags.
