--- /dev/null
+++ b/src/platform/json_text.cpp
@@ -0,0 +1,178 @@
+#include "platform/json_text.h"
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <array>
+#include <exception>
+#include <limits>
+#include <memory>
+
+namespace orchidlead::platform {
+
+namespace {
+
+Json::CharReaderBuilder strictReader(const json_bounds &bounds)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["stackLimit"] = bounds.maxDepth;
+    return builder;
+}
+
+constexpr std::size_t MaxErrorBytes = 200;
+
+json_error shortened(std::string text)
+{
+    if (text.size() > MaxErrorBytes)
+        text.resize(MaxErrorBytes);
+    return {std::move(text)};
+}
+
+/// Gives the length of the well-formed UTF-8 sequence at the start of `text`; 0: there is none.
+std::size_t utf8Length(std::string_view text)
+{
+    const auto byteAt = [&](std::size_t at) { return static_cast<unsigned char>(text[at]); };
+    const auto continues = [&](std::size_t at) {
+        return at < text.size() && (byteAt(at) & 0xc0U) == 0x80U;
+    };
+    const unsigned char lead = byteAt(0);
+    if (lead < 0x80)
+        return 1;
+    if (lead >= 0xc2 && lead <= 0xdf)
+        return continues(1) ? 2 : 0;
+    if (lead >= 0xe0 && lead <= 0xef) {
+        if (!continues(1) || !continues(2))
+            return 0;
+        const bool overlong = lead == 0xe0 && byteAt(1) < 0xa0;
+        const bool surrogate = lead == 0xed && byteAt(1) > 0x9f;
+        return overlong || surrogate ? 0 : 3;
+    }
+    if (lead >= 0xf0 && lead <= 0xf4) {
+        if (!continues(1) || !continues(2) || !continues(3))
+            return 0;
+        const bool overlong = lead == 0xf0 && byteAt(1) < 0x90;
+        const bool tooHigh = lead == 0xf4 && byteAt(1) > 0x8f;
+        return overlong || tooHigh ? 0 : 4;
+    }
+    return 0;
+}
+
+void appendControl(std::string &out, unsigned char byte)
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    out += "\\u00";
+    out += Digits[byte >> 4U];
+    out += Digits[byte & 0xfU];
+}
+
+void appendAscii(std::string &out, char byte)
+{
+    constexpr unsigned char Delete = 0x7f;
+    const auto code = static_cast<unsigned char>(byte);
+    if (byte == '"' || byte == '\\') {
+        out += '\\';
+        out += byte;
+    } else if (byte == '\n') {
+        out += "\\n";
+    } else if (code < ' ' || code == Delete) {
+        appendControl(out, code);
+    } else {
+        out += byte;
+    }
+}
+
+} // namespace
+
+result<Json::Value, json_error> parseJson(std::string_view text, const json_bounds &bounds)
+{
+    if (text.size() > bounds.maxBytes)
+        return failure(json_error{"larger than " + std::to_string(bounds.maxBytes) + " bytes"});
+    const std::unique_ptr<Json::CharReader> reader(strictReader(bounds).newCharReader());
+    Json::Value value;
+    std::string errors;
+    // The library throws when its nesting limit is passed; nothing else of it is let through.
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors))
+            return failure(shortened(std::move(errors)));
+    } catch (const std::exception &error) {
+        return failure(shortened(error.what()));
+    }
+    return value;
+}
+
+std::string writeJson(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return Json::writeString(builder, value);
+}
+
+void appendJsonString(std::string &out, std::string_view text)
+{
+    constexpr std::string_view Replacement = "\xef\xbf\xbd";
+    out.reserve(out.size() + text.size() + 2);
+    out += '"';
+    while (!text.empty()) {
+        const std::size_t length = utf8Length(text);
+        if (length == 1)
+            appendAscii(out, text.front());
+        else if (length == 0)
+            out += Replacement;
+        else
+            out += text.substr(0, length);
+        text.remove_prefix(length == 0 ? 1 : length);
+    }
+    out += '"';
+}
+
+std::string_view sourceText(std::string_view text, const Json::Value &value)
+{
+    const auto begin = static_cast<std::size_t>(value.getOffsetStart());
+    const auto end = static_cast<std::size_t>(value.getOffsetLimit());
+    if (begin > end || end > text.size())
+        return {};
+    return text.substr(begin, end - begin);
+}
+
+const Json::Value *findMember(const Json::Value &object, std::string_view name)
+{
+    if (!object.isObject())
+        return nullptr;
+    return object.find(name.data(), name.data() + name.size());
+}
+
+std::optional<std::string> stringMember(const Json::Value &object, std::string_view name)
+{
+    const Json::Value *member = findMember(object, name);
+    if (member == nullptr || !member->isString())
+        return std::nullopt;
+    return member->asString();
+}
+
+std::optional<std::uint64_t> unsignedMember(const Json::Value &object, std::string_view name)
+{
+    const Json::Value *member = findMember(object, name);
+    if (member == nullptr || !member->isUInt64())
+        return std::nullopt;
+    return member->asUInt64();
+}
+
+std::optional<std::uint32_t> unsigned32Member(const Json::Value &object, std::string_view name)
+{
+    const auto value = unsignedMember(object, name);
+    if (!value || *value > std::numeric_limits<std::uint32_t>::max())
+        return std::nullopt;
+    return static_cast<std::uint32_t>(*value);
+}
+
+std::optional<bool> boolMember(const Json::Value &object, std::string_view name)
+{
+    const Json::Value *member = findMember(object, name);
+    if (member == nullptr || !member->isBool())
+        return std::nullopt;
+    return member->asBool();
+}
+
+} // namespace orchidlead::platform
--- /dev/null
+++ b/src/platform/stage_wire.cpp
@@ -0,0 +1,14 @@
+#include "platform/stage_wire.h"
+
+namespace orchidlead::platform {
+
+std::optional<wire_load> parseLoad(const Json::Value &value)
+{
+    const auto running = unsigned32Member(value, "running");
+    const auto queued = unsigned32Member(value, "queued");
+    if (!running || !queued)
+        return std::nullopt;
+    return wire_load{*running, *queued, boolMember(value, "leaving").value_or(false)};
+}
+
+} // namespace orchidlead::platform
