Read and check published configurations, and render pipelines

Cause: services, templates and customers come as one published document that every node has to accept or refuse alike.

Ruled out: YAML::Load, which takes doubled keys and aliases silently and builds large nodes before any bound can be checked; a record for each customer with its own pipelines, since 21,000 of them fit neither the service's megabyte nor a node's budget.

Change: yaml-cpp's events fill a bounded tree with places; readers on top refuse unknown and doubled keys, wrong types, ranges and references, and collect up to 50 errors with line, column and key path. An entry may name many customers that share everything else. A published text has to end with the line `...`, because one that was cut off at the end of a line is often valid YAML. Plans are rendered on demand; parsing renders each entry once, so rendering a parsed configuration doesn't fail on parameters.

--- /dev/null
+++ b/src/core/parse_published_configuration.cpp
@@ -0,0 +1,312 @@
+#include "core/parse_template.h"
+#include "core/published_configuration.h"
+#include "core/yaml_document.h"
+#include "core/yaml_reader.h"
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+#include <unordered_set>
+
+/// The format is described in docs/CONFIGURATION.md.
+namespace orchidlead {
+
+namespace {
+
+constexpr std::int64_t FormatVersion = 1;
+constexpr std::size_t MaxDataCenters = 64;
+constexpr std::size_t MaxServices = 256;
+constexpr std::size_t MaxServersOfService = 4096;
+constexpr std::size_t MaxModels = 256;
+constexpr std::size_t MaxTemplates = 256;
+constexpr std::size_t MaxCustomers = 100'000;
+constexpr std::size_t MaxPipelinesOfCustomer = 64;
+constexpr std::int64_t MaxWeight = 1000;
+constexpr std::int64_t MaxCustomerLimit = 1'000'000;
+
+/// Names that have to be unique in one list, or in several.
+class unique_names
+{
+public:
+    explicit unique_names(std::string_view what)
+        : m_what(what)
+    { }
+
+    /// Reads the key `key` of a mapping as a new name.
+    std::optional<std::string> read(mapping_reader &mapping, std::string_view key)
+    {
+        const auto found = mapping.find(key, presence::Required);
+        return found ? read(*found) : std::nullopt;
+    }
+
+    std::optional<std::string> read(const value_reader &reader)
+    {
+        auto name = reader.name();
+        if (name && !m_seen.insert(*name).second) {
+            reader.fail("a name that no other " + std::string(m_what) + " has");
+            return std::nullopt;
+        }
+        return name;
+    }
+
+private:
+    std::string_view m_what;
+    std::unordered_set<std::string> m_seen;
+};
+
+/// Reads the lists in the order in which they refer to each other.
+class published_configuration_parser
+{
+public:
+    published_configuration_parser(published_configuration &configuration)
+        : m_configuration(configuration)
+    { }
+
+    void parse(const value_reader &root)
+    {
+        mapping_reader mapping(root);
+        if (const auto format = mapping.find("format", presence::Required))
+            (void)format->integer({FormatVersion, FormatVersion});
+        parseDataCenters(mapping);
+        parseServices(mapping);
+        parseTemplates(mapping);
+        // Customers refer to all of the above: errors there would only be repeated here.
+        const auto customers = mapping.find("customers", presence::Required);
+        if (!customers || !root.errors().empty())
+            return;
+        customers->forEach(0, MaxCustomers, [&](const value_reader &each) { parseEntry(each); });
+    }
+
+private:
+    void parseDataCenters(mapping_reader &mapping)
+    {
+        const auto list = mapping.find("data_centers", presence::Required);
+        if (!list)
+            return;
+        unique_names names("data centre");
+        list->forEach(1, MaxDataCenters, [&](const value_reader &each) {
+            mapping_reader entry(each);
+            data_center &added = m_configuration.dataCenters.emplace_back();
+            if (auto name = names.read(entry, "name"))
+                added.id = data_center_id(std::move(*name));
+            entry.read("region", presence::Required, added.region, &value_reader::name);
+        });
+    }
+
+    std::optional<data_center_id> dataCenter(const value_reader &reader) const
+    {
+        const auto name = reader.name();
+        if (!name)
+            return std::nullopt;
+        data_center_id id(*name);
+        if (m_configuration.findDataCenter(id) != nullptr)
+            return id;
+        reader.fail("the name of a data centre in `data_centers`");
+        return std::nullopt;
+    }
+
+    void parseServices(mapping_reader &mapping)
+    {
+        const auto list = mapping.find("services", presence::Required);
+        if (!list)
+            return;
+        list->forEach(1, MaxServices, [&](const value_reader &each) { parseService(each); });
+    }
+
+    void parseService(const value_reader &reader)
+    {
+        mapping_reader mapping(reader);
+        service &added = m_configuration.services.emplace_back();
+        if (auto name = m_serviceNames.read(mapping, "name"))
+            added.id = service_id(std::move(*name));
+        mapping.read("kind", presence::Required, added.kind,
+                     &value_reader::enumerator<service_kind>);
+        added.repeatable = added.kind != service_kind::Plain;
+        mapping.read("repeatable", presence::Optional, added.repeatable, &value_reader::boolean);
+        parseModels(mapping, added);
+        if (const auto servers = mapping.find("servers", presence::Required)) {
+            servers->forEach(0, MaxServersOfService,
+                             [&](const value_reader &each) { parseServer(each, added); });
+        }
+    }
+
+    static void parseModels(mapping_reader &mapping, service &target)
+    {
+        const bool isEngine = target.kind == service_kind::Engine;
+        const auto models =
+            mapping.find("models", isEngine ? presence::Required : presence::Optional);
+        if (!models)
+            return;
+        if (!isEngine) {
+            models->fail("no models: only the kind engine has them");
+            return;
+        }
+        unique_names names("model of this service");
+        models->forEach(1, MaxModels, [&](const value_reader &each) {
+            if (auto name = names.read(each))
+                target.models.push_back(std::move(*name));
+        });
+    }
+
+    void parseServer(const value_reader &reader, service &target)
+    {
+        mapping_reader mapping(reader);
+        backend_server &added = target.servers.emplace_back();
+        if (auto name = m_serverNames.read(mapping, "name"))
+            added.id = backend_server_id(std::move(*name));
+        mapping.read("address", presence::Required, added.address, &value_reader::address);
+        mapping.read("data_center", presence::Required, added.dataCenter,
+                     [&](const value_reader &each) { return dataCenter(each); });
+    }
+
+    void parseTemplates(mapping_reader &mapping)
+    {
+        const auto list = mapping.find("templates", presence::Required);
+        if (!list)
+            return;
+        unique_names names("template");
+        list->forEach(0, MaxTemplates, [&](const value_reader &each) {
+            mapping_reader entry(each);
+            auto name = names.read(entry, "name");
+            pipeline_template added = parseTemplate(entry, m_configuration.services);
+            if (name)
+                added.id = template_id(std::move(*name));
+            m_configuration.templates.push_back(std::move(added));
+        });
+    }
+
+    // One entry names one customer or many that share everything else, so that 21,000 customers
+    // fit a document and a node's memory.
+    void parseEntry(const value_reader &reader)
+    {
+        mapping_reader mapping(reader);
+        auto settings = std::make_shared<customer_settings>();
+        const auto one = mapping.find("name");
+        const auto many = mapping.find("names");
+        if (one.has_value() == many.has_value())
+            reader.fail("either `name` or `names`");
+        parseSettings(mapping, *settings);
+        if (one)
+            addCustomer(*one, settings);
+        if (many) {
+            many->forEach(1, MaxCustomers,
+                          [&](const value_reader &each) { addCustomer(each, settings); });
+        }
+    }
+
+    void addCustomer(const value_reader &reader, std::shared_ptr<const customer_settings> settings)
+    {
+        if (m_configuration.customers.size() >= MaxCustomers)
+            reader.fail("at most " + std::to_string(MaxCustomers) + " customers");
+        else if (auto name = m_customerNames.read(reader))
+            m_configuration.customers.push_back(
+                customer{customer_id(std::move(*name)), std::move(settings)});
+    }
+
+    void parseSettings(mapping_reader &mapping, customer_settings &settings)
+    {
+        mapping.read("home_data_center", presence::Required, settings.homeDataCenter,
+                     [&](const value_reader &each) { return dataCenter(each); });
+        mapping.readInteger("weight", settings.weight, {1, MaxWeight});
+        if (const auto limits = mapping.find("limits")) {
+            mapping_reader entry(*limits);
+            entry.readInteger("max_running", settings.limits.maxRunning, {1, MaxCustomerLimit});
+            entry.readInteger("max_queued", settings.limits.maxQueued, {1, MaxCustomerLimit});
+        }
+        const auto pipelines = mapping.find("pipelines", presence::Required);
+        if (!pipelines)
+            return;
+        unique_names names("pipeline of this customer");
+        pipelines->forEach(0, MaxPipelinesOfCustomer, [&](const value_reader &each) {
+            parsePipeline(each, names, settings.pipelines);
+        });
+    }
+
+    void parsePipeline(const value_reader &reader, unique_names &names,
+                       std::vector<customer_pipeline> &pipelines)
+    {
+        const std::size_t errorsBefore = reader.errors().size();
+        mapping_reader mapping(reader);
+        customer_pipeline added;
+        if (auto name = names.read(mapping, "name"))
+            added.id = pipeline_id(std::move(*name));
+        mapping.read("template", presence::Required, added.templateIndex,
+                     [&](const value_reader &each) { return findTemplate(each); });
+        const auto parameters = mapping.find("parameters");
+        if (reader.errors().size() != errorsBefore)
+            return;
+        const pipeline_template &used = m_configuration.templates[added.templateIndex];
+        added.values = parseParameterValues(reader, parameters, used);
+        if (reader.errors().size() != errorsBefore)
+            return;
+        checkRendering(reader, parameters, used, added);
+        pipelines.push_back(std::move(added));
+    }
+
+    [[nodiscard]] std::optional<std::uint32_t> findTemplate(const value_reader &reader) const
+    {
+        const auto name = reader.name();
+        if (!name)
+            return std::nullopt;
+        for (std::uint32_t i = 0; i < m_configuration.templates.size(); ++i) {
+            if (m_configuration.templates[i].id.value == *name)
+                return i;
+        }
+        reader.fail("the name of a template in `templates`");
+        return std::nullopt;
+    }
+
+    // Blames the parameter where it was given, else the pipeline.
+    void checkRendering(const value_reader &reader, const std::optional<value_reader> &parameters,
+                        const pipeline_template &used, const customer_pipeline &pipeline) const
+    {
+        const auto rendered = renderTemplate(m_configuration, pipeline);
+        if (rendered)
+            return;
+        const render_error &error = rendered.error();
+        if (error.parameter && parameters) {
+            const std::string &name = used.parameters[*error.parameter].name;
+            if (const yaml_value *given = findKey(parameters->value(), name)) {
+                const value_reader blamed(*given, *parameters, std::string_view(name));
+                reader.errors().add(*given, blamed.path(), error.value, error.expected);
+                return;
+            }
+        }
+        reader.errors().add(reader.value(), reader.path(), error.value, error.expected);
+    }
+
+    published_configuration &m_configuration;
+    unique_names m_serviceNames{"service"};
+    unique_names m_serverNames{"backend server"};
+    unique_names m_customerNames{"customer"};
+};
+
+std::vector<configuration_error> sorted(std::vector<configuration_error> errors)
+{
+    std::stable_sort(errors.begin(), errors.end(),
+                     [](const configuration_error &left, const configuration_error &right) {
+                         return std::tie(left.line, left.column)
+                             < std::tie(right.line, right.column);
+                     });
+    return errors;
+}
+
+} // namespace
+
+result<configuration_ptr, std::vector<configuration_error>>
+parsePublishedConfiguration(std::string_view yaml, std::string_view fileName, std::uint64_t version)
+{
+    const auto root = parseYaml(yaml, fileName, end_marker::Required);
+    if (!root)
+        return std::vector{root.error()};
+    error_list errors{std::string(fileName)};
+    auto configuration = std::make_shared<published_configuration>();
+    configuration->version = version;
+    published_configuration_parser(*configuration).parse(value_reader(root.value(), errors));
+    if (!errors.empty())
+        return sorted(errors.take());
+    configuration->buildIndex();
+    return configuration_ptr(std::move(configuration));
+}
+
+} // namespace orchidlead
--- a/src/core/pipeline.h
+++ b/src/core/pipeline.h
@@ -62,6 +62,7 @@
     std::vector<stage_plan> stages; ///< in topological order; the last one gives the answer
     milliseconds deadline{0}; ///< default and upper bound of a request's deadline
     orchidlead::priority priority = priority::Normal;
+    std::uint32_t weight = 1; ///< the customer's share of the capacity against other customers
 
     /// Tells whether every stage may be run again.
     [[nodiscard]] bool repeatable() const
--- /dev/null
+++ b/src/core/yaml_document.cpp
@@ -0,0 +1,208 @@
+#include "core/yaml_document.h"
+
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/exceptions.h>
+#include <yaml-cpp/parser.h>
+
+#include <algorithm>
+#include <istream>
+#include <streambuf>
+
+namespace orchidlead {
+
+namespace {
+
+constexpr std::string_view EndMarker = "...";
+constexpr std::string_view WhiteSpace = " \t\r\n";
+constexpr int FirstLine = 1;
+
+/// Ends the parse of a document that breaks a bound; yaml-cpp lets it through to `parseYaml`.
+struct parse_stopped
+{
+    configuration_error error;
+};
+
+/// Builds the tree out of yaml-cpp's events.
+///
+/// Events are used, and not `YAML::Load`, because the bounds then hold while the text is being
+/// read, and because a node of ours is several times smaller than a `YAML::Node`.
+class tree_builder final : public YAML::EventHandler
+{
+public:
+    explicit tree_builder(const yaml_limits &limits)
+        : m_limits(limits)
+    { }
+
+    void OnDocumentStart(const YAML::Mark & /*mark*/) override { }
+    void OnDocumentEnd() override { }
+
+    void OnNull(const YAML::Mark &mark, YAML::anchor_t anchor) override
+    {
+        refuseAnchor(mark, anchor);
+        add(mark, yaml_kind::Null);
+    }
+
+    void OnAlias(const YAML::Mark &mark, YAML::anchor_t /*anchor*/) override
+    {
+        stop(mark, "no alias (`*name`): the value itself");
+    }
+
+    void OnScalar(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t anchor,
+                  const std::string &value) override
+    {
+        refuseAnchor(mark, anchor);
+        refuseTag(mark, tag);
+        yaml_value &scalar = add(mark, yaml_kind::Scalar);
+        scalar.quoted = tag == QuotedTag;
+        scalar.scalar = value;
+    }
+
+    void OnSequenceStart(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t anchor,
+                         YAML::EmitterStyle::value /*style*/) override
+    {
+        open(mark, tag, anchor, yaml_kind::Sequence);
+    }
+
+    void OnSequenceEnd() override { m_open.pop_back(); }
+
+    void OnMapStart(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t anchor,
+                    YAML::EmitterStyle::value /*style*/) override
+    {
+        open(mark, tag, anchor, yaml_kind::Mapping);
+    }
+
+    void OnMapEnd() override { m_open.pop_back(); }
+
+    [[nodiscard]] yaml_value takeRoot() { return std::move(m_root); }
+
+private:
+    // yaml-cpp's tags for scalars without one of their own: plain and quoted.
+    static constexpr std::string_view PlainTag = "?";
+    static constexpr std::string_view QuotedTag = "!";
+
+    [[noreturn]] static void stop(const YAML::Mark &mark, std::string expected)
+    {
+        throw parse_stopped{
+            configuration_error{"", mark.line + 1, mark.column + 1, "", "", std::move(expected)}};
+    }
+
+    static void refuseAnchor(const YAML::Mark &mark, YAML::anchor_t anchor)
+    {
+        if (anchor != 0)
+            stop(mark, "no anchor (`&name`)");
+    }
+
+    static void refuseTag(const YAML::Mark &mark, const std::string &tag)
+    {
+        if (!tag.empty() && tag != PlainTag && tag != QuotedTag)
+            stop(mark, "no tag (`!name`)");
+    }
+
+    void open(const YAML::Mark &mark, const std::string &tag, YAML::anchor_t anchor, yaml_kind kind)
+    {
+        refuseAnchor(mark, anchor);
+        refuseTag(mark, tag);
+        if (m_open.size() >= m_limits.maxDepth)
+            stop(mark, "at most " + std::to_string(m_limits.maxDepth) + " levels of nesting");
+        m_open.push_back(&add(mark, kind));
+    }
+
+    // Pointers into `items` stay valid: a list grows only while its last item is complete.
+    yaml_value &add(const YAML::Mark &mark, yaml_kind kind)
+    {
+        if (++m_count > m_limits.maxValues)
+            stop(mark, "at most " + std::to_string(m_limits.maxValues) + " values");
+        yaml_value &value = m_open.empty() ? m_root : m_open.back()->items.emplace_back();
+        value.kind = kind;
+        value.line = mark.line + 1;
+        value.column = mark.column + 1;
+        return value;
+    }
+
+    yaml_limits m_limits;
+    std::size_t m_count = 0;
+    yaml_value m_root;
+    std::vector<yaml_value *> m_open;
+};
+
+/// Reads from a text that it doesn't own.
+class view_buffer final : public std::streambuf
+{
+public:
+    explicit view_buffer(std::string_view text)
+    {
+        // The buffer is only read from; std::streambuf has no const interface.
+        char *begin = const_cast<char *>(text.data());
+        setg(begin, begin, begin + text.size());
+    }
+};
+
+int lineCount(std::string_view text)
+{
+    return FirstLine + static_cast<int>(std::count(text.begin(), text.end(), '\n'));
+}
+
+bool endsWithMarker(std::string_view text)
+{
+    const auto last = text.find_last_not_of(WhiteSpace);
+    if (last == std::string_view::npos)
+        return false;
+    const std::string_view body = text.substr(0, last + 1);
+    const auto lineStart = body.find_last_of('\n');
+    return body.substr(lineStart == std::string_view::npos ? 0 : lineStart + 1) == EndMarker;
+}
+
+configuration_error errorAt(int line, int column, std::string expected)
+{
+    return configuration_error{"", line, column, "", "", std::move(expected)};
+}
+
+result<yaml_value, configuration_error> parseBounded(std::string_view text,
+                                                     const yaml_limits &limits)
+{
+    view_buffer buffer(text);
+    std::istream stream(&buffer);
+    tree_builder builder(limits);
+    try {
+        YAML::Parser parser(stream);
+        if (!parser.HandleNextDocument(builder))
+            return errorAt(FirstLine, 1, "a document; it is empty");
+        tree_builder rest(limits);
+        if (parser.HandleNextDocument(rest))
+            return errorAt(rest.takeRoot().line, 1, "one document; this is a second one");
+    } catch (const parse_stopped &stopped) {
+        return stopped.error;
+    } catch (const YAML::Exception &error) {
+        return errorAt(error.mark.line + 1, error.mark.column + 1, "YAML: " + error.msg);
+    }
+    return builder.takeRoot();
+}
+
+result<yaml_value, configuration_error> parseChecked(std::string_view text, end_marker marker,
+                                                     const yaml_limits &limits)
+{
+    if (text.size() > limits.maxBytes)
+        return errorAt(FirstLine, 1, "at most " + std::to_string(limits.maxBytes) + " bytes");
+    if (text.find('\0') != std::string_view::npos)
+        return errorAt(lineCount(text.substr(0, text.find('\0'))), 1, "a text without NUL bytes");
+    auto root = parseBounded(text, limits);
+    // A text cut off at the end of a line is often valid YAML with a shorter list.
+    if (root && marker == end_marker::Required && !endsWithMarker(text))
+        return errorAt(lineCount(text), 1, "the line `...` at the end; the text is cut off");
+    return root;
+}
+
+} // namespace
+
+result<yaml_value, configuration_error> parseYaml(std::string_view text, std::string_view file,
+                                                  end_marker marker, const yaml_limits &limits)
+{
+    auto root = parseChecked(text, marker, limits);
+    if (root)
+        return root;
+    configuration_error error = root.error();
+    error.file = file;
+    return error;
+}
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/yaml_reader.cpp
@@ -0,0 +1,331 @@
+#include "core/yaml_reader.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+#include <unordered_set>
+
+namespace orchidlead {
+
+namespace {
+
+constexpr std::size_t MaxNameLength = 64;
+constexpr std::size_t MaxTextLength = 1024;
+constexpr std::size_t MaxShownLength = 60;
+constexpr std::string_view NameCharacters =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+constexpr std::size_t FirstPunctuation = 62; // of NameCharacters
+constexpr std::string_view Digits = "0123456789";
+
+struct duration_unit
+{
+    std::string_view name;
+    std::int64_t milliseconds;
+};
+
+// "ms" comes before "s" and "m": a unit is matched at the end of the text.
+constexpr std::array DurationUnits{
+    duration_unit{"ms", 1},
+    duration_unit{"s", 1000},
+    duration_unit{"m", 60 * 1000},
+    duration_unit{"h", 60 * 60 * 1000},
+};
+
+std::string shortened(std::string_view text)
+{
+    if (text.size() <= MaxShownLength)
+        return std::string(text);
+    return std::string(text.substr(0, MaxShownLength)) + "…";
+}
+
+std::string shown(const yaml_value &value)
+{
+    switch (value.kind) {
+    case yaml_kind::Null:
+        return "null";
+    case yaml_kind::Scalar:
+        return shortened(value.scalar);
+    case yaml_kind::Sequence:
+        return "[…]";
+    case yaml_kind::Mapping:
+        return "{…}";
+    }
+    return "";
+}
+
+bool isName(std::string_view text)
+{
+    if (text.empty() || text.size() > MaxNameLength)
+        return false;
+    if (text.find_first_not_of(NameCharacters) != std::string_view::npos)
+        return false;
+    return NameCharacters.substr(0, FirstPunctuation).find(text.front()) != std::string_view::npos;
+}
+
+bool isDigits(std::string_view text)
+{
+    return !text.empty() && text.find_first_not_of(Digits) == std::string_view::npos;
+}
+
+bool isIp(const std::string &text, int family)
+{
+    std::array<unsigned char, sizeof(in6_addr)> bytes{};
+    return inet_pton(family, text.c_str(), bytes.data()) == 1;
+}
+
+std::string rangeText(std::int64_t minimum, std::int64_t maximum,
+                      std::string (*format)(std::int64_t))
+{
+    if (maximum == std::numeric_limits<std::int64_t>::max())
+        return minimum == std::numeric_limits<std::int64_t>::min()
+            ? ""
+            : " of at least " + format(minimum);
+    if (minimum == std::numeric_limits<std::int64_t>::min())
+        return " of at most " + format(maximum);
+    return " from " + format(minimum) + " to " + format(maximum);
+}
+
+std::string formatInteger(std::int64_t number)
+{
+    return std::to_string(number);
+}
+
+std::string formatMilliseconds(std::int64_t count)
+{
+    return formatDuration(milliseconds(count));
+}
+
+// Multiplies `digits`.`fraction` by the unit without floating point, so that each machine reads
+// the same number.
+std::optional<milliseconds> scaled(std::string_view digits, std::string_view fraction,
+                                   std::int64_t unit)
+{
+    constexpr std::int64_t MaxWhole = 1'000'000'000;
+    constexpr std::size_t MaxFractionDigits = 6;
+    const auto whole = parseInteger(digits);
+    if (!whole || *whole > MaxWhole || fraction.size() > MaxFractionDigits)
+        return std::nullopt;
+    std::int64_t part = fraction.empty() ? 0 : *parseInteger(fraction);
+    std::int64_t divisor = 1;
+    for (std::size_t i = 0; i < fraction.size(); ++i)
+        divisor *= 10;
+    part *= unit;
+    if (part % divisor != 0)
+        return std::nullopt;
+    return milliseconds(*whole * unit + part / divisor);
+}
+
+std::optional<milliseconds> parseAmount(std::string_view amount, std::int64_t unit)
+{
+    const auto point = amount.find('.');
+    if (point == std::string_view::npos)
+        return isDigits(amount) ? scaled(amount, "", unit) : std::nullopt;
+    const std::string_view digits = amount.substr(0, point);
+    const std::string_view fraction = amount.substr(point + 1);
+    return isDigits(digits) && isDigits(fraction) ? scaled(digits, fraction, unit) : std::nullopt;
+}
+
+} // namespace
+
+void error_list::add(const yaml_value &value, std::string key, std::string text,
+                     std::string expected)
+{
+    if (full())
+        return;
+    m_errors.push_back(configuration_error{m_file, value.line, value.column, std::move(key),
+                                           std::move(text), std::move(expected)});
+}
+
+std::optional<milliseconds> parseDuration(std::string_view text)
+{
+    for (const auto &unit : DurationUnits) {
+        if (text.ends_with(unit.name))
+            return parseAmount(text.substr(0, text.size() - unit.name.size()), unit.milliseconds);
+    }
+    return std::nullopt;
+}
+
+std::string formatDuration(milliseconds duration)
+{
+    const duration_unit *best = &DurationUnits.front();
+    for (const auto &unit : DurationUnits) {
+        if (duration.count() != 0 && duration.count() % unit.milliseconds == 0)
+            best = &unit;
+    }
+    return std::to_string(duration.count() / best->milliseconds) + std::string(best->name);
+}
+
+std::optional<std::int64_t> parseInteger(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+std::optional<socket_address> parseAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || !isDigits(text.substr(colon + 1)))
+        return std::nullopt;
+    const auto port = parseInteger(text.substr(colon + 1));
+    if (!port || *port < 1 || *port > std::numeric_limits<std::uint16_t>::max())
+        return std::nullopt;
+    std::string_view host = text.substr(0, colon);
+    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed)
+        host = host.substr(1, host.size() - 2);
+    const std::string ip(host);
+    if (!isIp(ip, bracketed ? AF_INET6 : AF_INET))
+        return std::nullopt;
+    return socket_address{ip, static_cast<std::uint16_t>(*port)};
+}
+
+std::string value_reader::path() const
+{
+    if (m_parent == nullptr)
+        return "";
+    const std::string parent = m_parent->path();
+    if (m_key.empty())
+        return parent + '[' + std::to_string(m_index) + ']';
+    return parent.empty() ? std::string(m_key) : parent + '.' + std::string(m_key);
+}
+
+void value_reader::fail(std::string expected) const
+{
+    m_errors->add(*m_value, path(), shown(*m_value), std::move(expected));
+}
+
+std::optional<std::string> value_reader::text() const
+{
+    const bool fits = m_value->kind == yaml_kind::Scalar && !m_value->scalar.empty()
+        && m_value->scalar.size() <= MaxTextLength;
+    if (fits)
+        return m_value->scalar;
+    fail("a text of 1 to " + std::to_string(MaxTextLength) + " bytes");
+    return std::nullopt;
+}
+
+std::optional<std::string> value_reader::name() const
+{
+    if (m_value->kind == yaml_kind::Scalar && isName(m_value->scalar))
+        return m_value->scalar;
+    fail("a name of at most " + std::to_string(MaxNameLength)
+         + " letters, digits, '.', '_' or '-', starting with a letter or digit");
+    return std::nullopt;
+}
+
+std::optional<bool> value_reader::boolean() const
+{
+    if (m_value->kind == yaml_kind::Scalar && !m_value->quoted) {
+        if (m_value->scalar == "true")
+            return true;
+        if (m_value->scalar == "false")
+            return false;
+    }
+    fail("true or false");
+    return std::nullopt;
+}
+
+std::optional<std::int64_t> value_reader::integer(integer_range range) const
+{
+    if (m_value->kind == yaml_kind::Scalar && !m_value->quoted) {
+        const auto number = parseInteger(m_value->scalar);
+        if (number && *number >= range.minimum && *number <= range.maximum)
+            return number;
+    }
+    fail("a whole number" + rangeText(range.minimum, range.maximum, formatInteger));
+    return std::nullopt;
+}
+
+std::optional<milliseconds> value_reader::duration(duration_range range) const
+{
+    if (m_value->kind == yaml_kind::Scalar) {
+        const auto read = parseDuration(m_value->scalar);
+        if (read && *read >= range.minimum && *read <= range.maximum)
+            return read;
+    }
+    fail("a duration such as 200ms, 1.5s or 2m"
+         + rangeText(range.minimum.count(), range.maximum.count(), formatMilliseconds));
+    return std::nullopt;
+}
+
+std::optional<socket_address> value_reader::address() const
+{
+    if (m_value->kind == yaml_kind::Scalar) {
+        if (auto read = parseAddress(m_value->scalar))
+            return read;
+    }
+    fail("an IP number with a port, such as 127.0.0.1:8080 or [::1]:8080");
+    return std::nullopt;
+}
+
+bool value_reader::isList(std::size_t minimum, std::size_t maximum) const
+{
+    const bool fits = m_value->kind == yaml_kind::Sequence && m_value->items.size() >= minimum
+        && m_value->items.size() <= maximum;
+    if (!fits)
+        fail("a list of " + std::to_string(minimum) + " to " + std::to_string(maximum) + " items");
+    return fits;
+}
+
+mapping_reader::mapping_reader(const value_reader &reader)
+    : m_reader(reader)
+{
+    if (reader.value().kind == yaml_kind::Mapping)
+        checkKeys();
+    else
+        reader.fail("a mapping (`key: value`)");
+}
+
+mapping_reader::~mapping_reader()
+{
+    const yaml_value &value = m_reader.value();
+    if (value.kind != yaml_kind::Mapping)
+        return;
+    for (std::size_t i = 0; i < value.items.size(); i += 2) {
+        const yaml_value &key = value.items[i];
+        if (std::find(m_asked.begin(), m_asked.end(), key.scalar) != m_asked.end())
+            continue;
+        std::string known;
+        for (const std::string_view each : m_asked)
+            known += (known.empty() ? "" : ", ") + std::string(each);
+        value_reader(key, m_reader, key.scalar).fail("a known key: " + known);
+    }
+}
+
+std::optional<value_reader> mapping_reader::find(std::string_view key, presence wanted)
+{
+    m_asked.push_back(key);
+    const yaml_value &value = m_reader.value();
+    if (value.kind != yaml_kind::Mapping)
+        return std::nullopt;
+    for (std::size_t i = 0; i + 1 < value.items.size(); i += 2) {
+        if (value.items[i].scalar == key)
+            return value_reader(value.items[i + 1], m_reader, key);
+    }
+    if (wanted == presence::Required) {
+        const value_reader missing(value, m_reader, key);
+        m_reader.errors().add(value, missing.path(), "", "this key");
+    }
+    return std::nullopt;
+}
+
+void mapping_reader::checkKeys()
+{
+    const auto &items = m_reader.value().items;
+    std::unordered_set<std::string_view> seen;
+    for (std::size_t i = 0; i < items.size(); i += 2) {
+        const yaml_value &key = items[i];
+        if (key.kind != yaml_kind::Scalar || key.scalar.empty())
+            value_reader(key, m_reader, "?").fail("a text as the key");
+        else if (!seen.insert(key.scalar).second)
+            value_reader(key, m_reader, key.scalar).fail("each key once");
+    }
+}
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/yaml_reader.h
@@ -0,0 +1,208 @@
+#pragma once
+
+#include "core/configuration_error.h"
+#include "core/yaml_document.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/enum_names.h>
+#include <orchidlead/ids.h>
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace orchidlead {
+
+/// Collects what is wrong with a document, up to a bound.
+class error_list
+{
+public:
+    explicit error_list(std::string file)
+        : m_file(std::move(file))
+    { }
+
+    /// Adds an error at `value`; drops it once there are `MaxErrors`.
+    void add(const yaml_value &value, std::string key, std::string text, std::string expected);
+
+    [[nodiscard]] bool empty() const { return m_errors.empty(); }
+    [[nodiscard]] std::size_t size() const { return m_errors.size(); }
+    [[nodiscard]] bool full() const { return m_errors.size() >= MaxErrors; }
+    [[nodiscard]] std::vector<configuration_error> take() { return std::move(m_errors); }
+
+    static constexpr std::size_t MaxErrors = 50;
+
+private:
+    std::string m_file;
+    std::vector<configuration_error> m_errors;
+};
+
+/// Bounds of a whole number, both included.
+struct integer_range
+{
+    std::int64_t minimum = std::numeric_limits<std::int64_t>::min();
+    std::int64_t maximum = std::numeric_limits<std::int64_t>::max();
+};
+
+/// Bounds of a duration, both included.
+struct duration_range
+{
+    milliseconds minimum{0};
+    milliseconds maximum{std::chrono::hours{24}};
+};
+
+/// Reads a duration such as `200ms`, `1.5s`, `2m` or `1h`. Gives nothing where the text isn't one
+/// or isn't a whole number of milliseconds.
+[[nodiscard]] std::optional<milliseconds> parseDuration(std::string_view text);
+
+/// Writes a duration in the largest unit that keeps it whole.
+[[nodiscard]] std::string formatDuration(milliseconds duration);
+
+/// Reads a whole decimal number.
+[[nodiscard]] std::optional<std::int64_t> parseInteger(std::string_view text);
+
+/// Reads `127.0.0.1:8080` or `[::1]:8080`; the port is from 1.
+[[nodiscard]] std::optional<socket_address> parseAddress(std::string_view text);
+
+/// Reads one value of a document, as the type that is asked for.
+///
+/// Each read gives nothing where the value doesn't fit, and then has added an error. A reader
+/// refers to its parent, which must outlive it; the path is only put together for an error.
+class value_reader
+{
+public:
+    value_reader(const yaml_value &value, error_list &errors)
+        : m_value(&value)
+        , m_errors(&errors)
+    { }
+
+    value_reader(const yaml_value &value, const value_reader &parent, std::string_view key)
+        : m_value(&value)
+        , m_errors(parent.m_errors)
+        , m_parent(&parent)
+        , m_key(key)
+    { }
+
+    value_reader(const yaml_value &value, const value_reader &parent, std::size_t index)
+        : m_value(&value)
+        , m_errors(parent.m_errors)
+        , m_parent(&parent)
+        , m_index(index)
+    { }
+
+    [[nodiscard]] const yaml_value &value() const { return *m_value; }
+    [[nodiscard]] error_list &errors() const { return *m_errors; }
+    [[nodiscard]] std::string path() const;
+
+    /// Adds an error about this value.
+    void fail(std::string expected) const;
+
+    /// Any text but an empty one.
+    [[nodiscard]] std::optional<std::string> text() const;
+    /// A name: letters, digits, `.`, `_` and `-`, the first a letter or digit; at most 64.
+    [[nodiscard]] std::optional<std::string> name() const;
+    [[nodiscard]] std::optional<bool> boolean() const;
+    [[nodiscard]] std::optional<std::int64_t> integer(integer_range range = {}) const;
+    [[nodiscard]] std::optional<milliseconds> duration(duration_range range = {}) const;
+    [[nodiscard]] std::optional<socket_address> address() const;
+
+    template <class Enum>
+    [[nodiscard]] std::optional<Enum> enumerator() const
+    {
+        if (m_value->kind == yaml_kind::Scalar) {
+            if (const auto found = fromName<Enum>(m_value->scalar))
+                return found;
+        }
+        std::string names;
+        for (const auto &row : enumNames<Enum>)
+            names += (names.empty() ? "" : ", ") + std::string(row.name);
+        fail("one of " + names);
+        return std::nullopt;
+    }
+
+    /// Calls `each` with a reader for every item of a list of `minimum` to `maximum` items; stops
+    /// when there are too many errors.
+    template <class Each>
+    void forEach(std::size_t minimum, std::size_t maximum, Each each) const
+    {
+        if (!isList(minimum, maximum))
+            return;
+        for (std::size_t i = 0; i < m_value->items.size() && !m_errors->full(); ++i)
+            each(value_reader(m_value->items[i], *this, i));
+    }
+
+private:
+    [[nodiscard]] bool isList(std::size_t minimum, std::size_t maximum) const;
+
+    const yaml_value *m_value;
+    error_list *m_errors;
+    const value_reader *m_parent = nullptr;
+    std::string_view m_key;
+    std::size_t m_index = 0;
+};
+
+enum class presence { Optional, Required };
+
+/// Reads a mapping key by key, and knows which keys nobody asked for.
+class mapping_reader
+{
+public:
+    /// Adds errors where the value is no mapping or has a key twice.
+    explicit mapping_reader(const value_reader &reader);
+    mapping_reader(const mapping_reader &) = delete;
+    mapping_reader &operator=(const mapping_reader &) = delete;
+
+    /// Adds an error for each key that was never asked for.
+    ~mapping_reader();
+
+    [[nodiscard]] const value_reader &reader() const { return m_reader; }
+
+    /// Gives a reader for the key's value; adds an error where a required key is missing.
+    [[nodiscard]] std::optional<value_reader> find(std::string_view key,
+                                                   presence wanted = presence::Optional);
+
+    /// Sets `target` to what `parse` reads from the key's value; leaves it alone where the key is
+    /// absent or wrong.
+    template <class Target, class Parse>
+    void read(std::string_view key, presence wanted, Target &target, Parse parse)
+    {
+        const auto found = find(key, wanted);
+        if (!found)
+            return;
+        if (auto value = std::invoke(parse, *found))
+            target = Target(std::move(*value));
+    }
+
+    void readInteger(std::string_view key, std::int64_t &target, integer_range range)
+    {
+        read(key, presence::Optional, target,
+             [&](const value_reader &each) { return each.integer(range); });
+    }
+
+    template <class Integer>
+    void readInteger(std::string_view key, Integer &target, integer_range range)
+    {
+        read(key, presence::Optional, target, [&](const value_reader &each) {
+            const auto number = each.integer(range);
+            return number ? std::optional(static_cast<Integer>(*number)) : std::nullopt;
+        });
+    }
+
+    void readDuration(std::string_view key, milliseconds &target, duration_range range)
+    {
+        read(key, presence::Optional, target,
+             [&](const value_reader &each) { return each.duration(range); });
+    }
+
+private:
+    void checkKeys();
+
+    value_reader m_reader;
+    std::vector<std::string_view> m_asked;
+};
+
+} // namespace orchidlead
