--- a/src/platform/json_text.cpp
+++ b/src/platform/json_text.cpp
@@ -109,6 +109,17 @@
     return Json::writeString(builder, value);
 }
 
+bool isUtf8(std::string_view text)
+{
+    while (!text.empty()) {
+        const std::size_t length = utf8Length(text);
+        if (length == 0)
+            return false;
+        text.remove_prefix(length);
+    }
+    return true;
+}
+
 void appendJsonString(std::string &out, std::string_view text)
 {
     constexpr std::string_view Replacement = "\xef\xbf\xbd";
