Refuse what jsoncpp accepts although it isn't JSON

Cause: a test of the caller API showed that strict jsoncpp takes comments inside objects; a trial showed 01, 1., -, +1, raw control characters and byte order marks as well. Parts of a text are handed on to backend servers as they were read, so such text would reach them, and after a byte order mark jsoncpp's offsets point beside the values. Ruled out: writing the parsed value anew, which changes long numbers; another JSON library. Conclusion: parseJson accepts only JSON.

--- a/src/platform/json_text.cpp
+++ b/src/platform/json_text.cpp
@@ -1,5 +1,7 @@
 #include "platform/json_text.h"
 
+#include "platform/json_strictness.h"
+
 #include <json/reader.h>
 #include <json/writer.h>
 
@@ -88,6 +90,8 @@
 {
     if (text.size() > bounds.maxBytes)
         return failure(json_error{"larger than " + std::to_string(bounds.maxBytes) + " bytes"});
+    if (const auto fault = findLenientJson(text))
+        return failure(json_error{std::string(*fault)});
     const std::unique_ptr<Json::CharReader> reader(strictReader(bounds).newCharReader());
     Json::Value value;
     std::string errors;
--- a/src/platform/json_text.h
+++ b/src/platform/json_text.h
@@ -32,7 +32,7 @@
 /// Writes a value on one line.
 [[nodiscard]] std::string writeJson(const Json::Value &value);
 
-/// Tells whether `text` is well-formed UTF-8.
+/// Tells whether all of `text` is well-formed UTF-8.
 [[nodiscard]] bool isUtf8(std::string_view text);
 
 /// Appends `text` as a JSON string, quotes included. Bytes that aren't UTF-8 become U+FFFD.
