Add the caller API, the operator API and the node that composes the cores

Cause: the thin path needs the daemon's half before net and engine are there. Ruled out: parsing the input and writing it anew; an HTTP status of 504 for an unknown fate. Change: core/node (plans, bounds on inputs, traces), daemon/node_shell (carries actions out), caller_api, caller_connection (streams with backpressure), operator_api with its views; docs/API.md follows.

--- /dev/null
+++ b/src/daemon/node_shell.cpp
@@ -0,0 +1,132 @@
+#include "daemon/node_shell.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orchidlead::daemon {
+
+node_shell::node_shell(net::event_loop &loop, net::http_client &client, const clock_source &clock,
+                       const node_settings &settings, std::uint64_t seed, decision_sink onDecision)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_node(settings, clock, seed)
+    , m_backends(loop, client, clock, backendEvents())
+    , m_onDecision(std::move(onDecision))
+{ }
+
+node_shell::~node_shell()
+{
+    if (m_timer)
+        m_loop.cancelTimer(*m_timer);
+}
+
+platform::stage_client_events node_shell::backendEvents()
+{
+    platform::stage_client_events events;
+    events.onSent = [this](const attempt_key &key) { m_node.onSent(key); };
+    events.onAnswer = [this](const attempt_answer &answer) {
+        feed([&](engine_actions &out) { m_node.onAnswer(answer, out); });
+    };
+    events.onChunk = [this](platform::attempt_chunk chunk) {
+        feed([&](engine_actions &out) { m_node.onChunk(chunk.key, std::move(chunk.text), out); });
+    };
+    events.onFailure = [this](const platform::attempt_failed &failed) {
+        feed([&](engine_actions &out) {
+            m_node.onFailure(failed.key, failed.failure, failed.retryAfter, out);
+        });
+    };
+    events.onLoad = [this](const load_report &report) {
+        feed([&](engine_actions &out) { m_node.onLoadReport(report, out); });
+    };
+    return events;
+}
+
+void node_shell::setConfiguration(configuration_ptr configuration)
+{
+    feed([&](engine_actions &out) { m_node.setConfiguration(std::move(configuration), out); });
+}
+
+request_id node_shell::submit(caller_request request, answer_sink sink)
+{
+    engine_actions actions;
+    const request_id id = m_node.submit(std::move(request), actions);
+    // The answer may be among the actions already, so the sink is in place before they are done.
+    m_sinks.emplace(id, std::move(sink));
+    carryOut(actions);
+    scheduleWake();
+    return id;
+}
+
+void node_shell::cancel(const request_id &request)
+{
+    feed([&](engine_actions &out) { m_node.cancel(request, out); });
+}
+
+void node_shell::setReading(const request_id &request, bool reading)
+{
+    m_backends.setReading(request, reading);
+}
+
+void node_shell::carryOut(const engine_actions &actions)
+{
+    for (const auto &action : actions)
+        std::visit([this](const auto &typed) { perform(typed); }, action);
+}
+
+void node_shell::perform(const send_attempt &action)
+{
+    m_backends.send(action, [this, key = action.key] { return m_node.mayDispatch(key); });
+}
+
+void node_shell::perform(const cancel_attempt &action)
+{
+    m_backends.cancel(action.key);
+}
+
+void node_shell::perform(const deliver_answer &action)
+{
+    const auto found = m_sinks.find(action.answer.request);
+    if (found == m_sinks.end())
+        return;
+    const answer_sink sink = std::move(found->second);
+    m_sinks.erase(found);
+    sink.onAnswer(action.answer);
+}
+
+void node_shell::perform(const deliver_chunk &action)
+{
+    const auto found = m_sinks.find(action.request);
+    if (found != m_sinks.end() && found->second.onChunk)
+        found->second.onChunk(action.text);
+}
+
+void node_shell::perform(const log_decision &action)
+{
+    if (m_onDecision)
+        m_onDecision(action);
+}
+
+void node_shell::scheduleWake()
+{
+    const auto due = m_node.nextWake();
+    if (m_timer) {
+        if (due && m_timerDue <= *due)
+            return;
+        m_loop.cancelTimer(*m_timer);
+        m_timer.reset();
+    }
+    if (!due)
+        return;
+    const auto delay = std::max(*due - m_clock.now(), steady_time::duration::zero());
+    m_timerDue = *due;
+    m_timer =
+        m_loop.callAfter(std::chrono::ceil<std::chrono::microseconds>(delay), [this] { wake(); });
+}
+
+void node_shell::wake()
+{
+    m_timer.reset();
+    feed([&](engine_actions &out) { m_node.tick(out); });
+}
+
+} // namespace orchidlead::daemon
--- /dev/null
+++ b/src/daemon/node_shell.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "core/node.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "platform/stage_client.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+
+namespace orchidlead::daemon {
+
+/// Where a request's answer goes.
+struct answer_sink
+{
+    std::function<void(const std::string &text)> onChunk; ///< streams only
+    std::function<void(const final_answer &answer)> onAnswer; ///< exactly once, last
+};
+
+/// Takes the lines of the decision log.
+using decision_sink = std::function<void(const log_decision &)>;
+
+/// Feeds events into the node and carries its actions out.
+class node_shell
+{
+public:
+    node_shell(net::event_loop &loop, net::http_client &client, const clock_source &clock,
+               const node_settings &settings, std::uint64_t seed, decision_sink onDecision);
+    ~node_shell();
+    node_shell(const node_shell &) = delete;
+    node_shell &operator=(const node_shell &) = delete;
+
+    void setConfiguration(configuration_ptr configuration);
+
+    /// Takes a caller's request. The sink may be called before this returns.
+    request_id submit(caller_request request, answer_sink sink);
+    void cancel(const request_id &request);
+
+    /// Stops or goes on reading what backend servers send for a request.
+    void setReading(const request_id &request, bool reading);
+
+    /// Refuses new requests from now on.
+    void stopAccepting() { m_node.stopAccepting(); }
+
+    [[nodiscard]] const node &state() const { return m_node; }
+
+private:
+    [[nodiscard]] platform::stage_client_events backendEvents();
+    void carryOut(const engine_actions &actions);
+    void perform(const send_attempt &action);
+    void perform(const cancel_attempt &action);
+    void perform(const deliver_answer &action);
+    void perform(const deliver_chunk &action);
+    void perform(const log_decision &action);
+    void scheduleWake();
+    void wake();
+
+    /// Runs one event function of the node and carries out what comes of it.
+    template <class Event>
+    void feed(Event &&event)
+    {
+        engine_actions actions;
+        event(actions);
+        carryOut(actions);
+        scheduleWake();
+    }
+
+    net::event_loop &m_loop;
+    const clock_source &m_clock;
+    node m_node;
+    platform::stage_client m_backends;
+    decision_sink m_onDecision;
+    std::unordered_map<request_id, answer_sink> m_sinks;
+    std::optional<net::timer_id> m_timer;
+    steady_time m_timerDue;
+};
+
+} // namespace orchidlead::daemon
--- /dev/null
+++ b/src/daemon/operator_api.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/node.h"
+#include "net/http_server.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/enum_names.h>
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace orchidlead::daemon {
+
+/// Where a node is between its start and its exit.
+enum class node_phase {
+    Starting, ///< has no configuration that it may serve with
+    Serving,
+    Paused, ///< noticed that it was paused, and asks what it missed
+    Stopping,
+};
+
+/// What the operators see of the process itself.
+struct process_status
+{
+    node_phase phase = node_phase::Starting;
+    std::string reason; ///< empty: ready
+    milliseconds uptime{0};
+    std::size_t connections = 0; ///< of callers
+};
+
+/// What the operator API asks of the daemon.
+struct operator_hooks
+{
+    std::function<process_status()> status;
+    std::function<std::string()> metrics; ///< Prometheus text
+    std::function<void()> drain;
+};
+
+/// Serves docs/API.md's operator API.
+class operator_api
+{
+public:
+    operator_api(const node &state, const clock_source &clock, operator_hooks hooks);
+
+    void handle(net::http_request &&request, const net::response_ptr &response) const;
+
+private:
+    const node &m_node;
+    const clock_source &m_clock;
+    operator_hooks m_hooks;
+};
+
+} // namespace orchidlead::daemon
+
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::daemon::node_phase>{
+    orchidlead::enum_name<orchidlead::daemon::node_phase>{orchidlead::daemon::node_phase::Starting,
+                                                          "starting"},
+    orchidlead::enum_name<orchidlead::daemon::node_phase>{orchidlead::daemon::node_phase::Serving,
+                                                          "serving"},
+    orchidlead::enum_name<orchidlead::daemon::node_phase>{orchidlead::daemon::node_phase::Paused,
+                                                          "paused"},
+    orchidlead::enum_name<orchidlead::daemon::node_phase>{orchidlead::daemon::node_phase::Stopping,
+                                                          "stopping"},
+};
