Carry requests through their stages, with policies to choose from

Cause: the daemon needs the decisions between a request's arrival and its one final answer. Ruled out: matching answers by request alone (a cancelled attempt's late answer would pass), and saying not_run from the absence of an answer (only NotSent and refusals prove it). Change: admission, fair queueing, routing, limits, retries, hedges, detection and cost accounts as modules of their own behind concepts, with the plain baselines beside them; the engine composes them. Guards against foreign answers and second runs are policies too, so that tests can take them out. A breaker for each pool answers callers at once where every server fails.

--- /dev/null
+++ b/include/orchidlead/fair_queue.h
@@ -0,0 +1,364 @@
+#pragma once
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+
+#include <algorithm>
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace orchidlead {
+
+/// Where an item waits; also the handle to take it out again.
+struct queue_place
+{
+    std::uint32_t lane = 0; ///< 0 goes first
+    bool paid = false; ///< earlier work was done for it already; goes before new work in its lane
+    customer_id customer;
+    steady_time latestStart; ///< least slack goes first among the items of one customer
+    std::uint64_t sequence = 0; ///< given by the queue
+};
+
+/// Orders waiting work: by lane, then paid work by slack, then customers by weighted fair share,
+/// then each customer's items by slack. A lower lane is served at least once in `LowLaneEvery`
+/// items, so that it is late but not lost.
+///
+/// Start-time fair queueing: an item's cost advances its customer's tag, and the customer with
+/// the lowest tag is next. A customer's memory ends when it has nothing queued and the others
+/// have caught up.
+template <class Item>
+class fair_queue
+{
+public:
+    static constexpr std::uint32_t Lanes = 3;
+    static constexpr std::uint32_t LowLaneEvery = 16;
+
+    /// Adds an item; `cost` is in units of the caller's choice, the same for all.
+    queue_place push(Item item, queue_place place, double cost = 1.0);
+
+    /// Takes out the next item.
+    [[nodiscard]] std::optional<Item> pop();
+
+    /// Takes out an item that no longer waits; false where it isn't there.
+    bool remove(const queue_place &place);
+
+    /// Takes out the item with the most slack of the customer with the most items, from the
+    /// lowest lane that has new work and isn't above `lane`. Nothing if that customer would be
+    /// the one asking, or has no more items than it.
+    [[nodiscard]] std::optional<Item> evictFor(std::uint32_t lane, const customer_id &customer);
+
+    [[nodiscard]] std::size_t size() const { return m_size; }
+    [[nodiscard]] bool empty() const { return m_size == 0; }
+
+    /// Estimates how many items would go before a new one.
+    [[nodiscard]] std::size_t ahead(std::uint32_t lane, const customer_id &customer) const;
+
+private:
+    using slack_key = std::pair<steady_time, std::uint64_t>;
+
+    struct queued_item
+    {
+        Item item;
+        double cost = 1.0;
+    };
+
+    struct customer_queue
+    {
+        customer_id customer;
+        std::uint64_t index = 0; ///< breaks ties the same way in every run
+        double start = 0.0;
+        double finish = 0.0;
+        std::map<slack_key, queued_item> items;
+    };
+
+    struct tagged_customer
+    {
+        double tag = 0.0;
+        std::uint64_t index = 0;
+        customer_queue *queue = nullptr;
+
+        friend bool operator<(const tagged_customer &a, const tagged_customer &b)
+        {
+            return a.tag != b.tag ? a.tag < b.tag : a.index < b.index;
+        }
+    };
+
+    struct lane_state
+    {
+        std::map<slack_key, queued_item> paid;
+        std::unordered_map<customer_id, customer_queue> customers;
+        std::set<tagged_customer> active; ///< by start tag
+        std::set<tagged_customer> bySize;
+        std::set<tagged_customer> idle; ///< by finish tag
+        std::size_t size = 0;
+        double virtualTime = 0.0;
+    };
+
+    static tagged_customer byStart(customer_queue &queue)
+    {
+        return {queue.start, queue.index, &queue};
+    }
+    static tagged_customer byFinish(customer_queue &queue)
+    {
+        return {queue.finish, queue.index, &queue};
+    }
+    static tagged_customer byItems(customer_queue &queue)
+    {
+        return {static_cast<double>(queue.items.size()), queue.index, &queue};
+    }
+
+    customer_queue &customerQueue(lane_state &lane, const customer_id &customer);
+    void activate(lane_state &lane, customer_queue &queue);
+    void deactivate(lane_state &lane, customer_queue &queue);
+    Item takeFirst(lane_state &lane, customer_queue &queue);
+    Item popFrom(lane_state &lane);
+    void forgetIdle(lane_state &lane);
+    [[nodiscard]] lane_state *nextLane();
+
+    std::array<lane_state, Lanes> m_lanes;
+    std::size_t m_size = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_customers = 0;
+    std::uint64_t m_pops = 0;
+};
+
+/// Baseline: first come, first served, without regard to priority, slack or customer.
+template <class Item>
+class fifo_queue
+{
+public:
+    queue_place push(Item item, queue_place place, double = 1.0)
+    {
+        place.sequence = ++m_sequence;
+        m_items.emplace(place.sequence, std::move(item));
+        return place;
+    }
+
+    [[nodiscard]] std::optional<Item> pop()
+    {
+        if (m_items.empty())
+            return std::nullopt;
+        std::optional<Item> first{std::move(m_items.begin()->second)};
+        m_items.erase(m_items.begin());
+        return first;
+    }
+
+    bool remove(const queue_place &place) { return m_items.erase(place.sequence) > 0; }
+    [[nodiscard]] std::optional<Item> evictFor(std::uint32_t, const customer_id &)
+    {
+        return std::nullopt;
+    }
+    [[nodiscard]] std::size_t size() const { return m_items.size(); }
+    [[nodiscard]] bool empty() const { return m_items.empty(); }
+    [[nodiscard]] std::size_t ahead(std::uint32_t, const customer_id &) const
+    {
+        return m_items.size();
+    }
+
+private:
+    std::map<std::uint64_t, Item> m_items;
+    std::uint64_t m_sequence = 0;
+};
+
+template <class Item>
+auto fair_queue<Item>::customerQueue(lane_state &lane, const customer_id &customer)
+    -> customer_queue &
+{
+    const auto [it, isNew] = lane.customers.try_emplace(customer);
+    if (isNew) {
+        it->second.customer = customer;
+        it->second.index = ++m_customers;
+    }
+    return it->second;
+}
+
+template <class Item>
+void fair_queue<Item>::activate(lane_state &lane, customer_queue &queue)
+{
+    queue.start = std::max(lane.virtualTime, queue.finish);
+    lane.active.insert(byStart(queue));
+}
+
+template <class Item>
+void fair_queue<Item>::deactivate(lane_state &lane, customer_queue &queue)
+{
+    lane.idle.insert(byFinish(queue));
+    forgetIdle(lane);
+}
+
+template <class Item>
+queue_place fair_queue<Item>::push(Item item, queue_place place, double cost)
+{
+    place.lane = std::min(place.lane, Lanes - 1);
+    place.sequence = ++m_sequence;
+    lane_state &lane = m_lanes[place.lane];
+    const slack_key key{place.latestStart, place.sequence};
+    ++lane.size;
+    ++m_size;
+    if (place.paid) {
+        lane.paid.emplace(key, queued_item{std::move(item), cost});
+        return place;
+    }
+    customer_queue &queue = customerQueue(lane, place.customer);
+    if (queue.items.empty()) {
+        lane.idle.erase(byFinish(queue));
+        activate(lane, queue);
+    }
+    lane.bySize.erase(byItems(queue));
+    queue.items.emplace(key, queued_item{std::move(item), cost});
+    lane.bySize.insert(byItems(queue));
+    return place;
+}
+
+template <class Item>
+auto fair_queue<Item>::nextLane() -> lane_state *
+{
+    ++m_pops;
+    if (m_pops % LowLaneEvery == 0) {
+        // The two lower lanes take turns at the reserved place.
+        const std::size_t first = (m_pops / LowLaneEvery) % 2 == 0 ? 1 : 2;
+        for (const std::size_t lane : {first, Lanes - first}) {
+            if (m_lanes[lane].size > 0)
+                return &m_lanes[lane];
+        }
+    }
+    for (lane_state &lane : m_lanes) {
+        if (lane.size > 0)
+            return &lane;
+    }
+    return nullptr;
+}
+
+template <class Item>
+std::optional<Item> fair_queue<Item>::pop()
+{
+    lane_state *lane = nextLane();
+    if (lane == nullptr)
+        return std::nullopt;
+    --lane->size;
+    --m_size;
+    return popFrom(*lane);
+}
+
+template <class Item>
+Item fair_queue<Item>::popFrom(lane_state &lane)
+{
+    if (!lane.paid.empty()) {
+        Item item = std::move(lane.paid.begin()->second.item);
+        lane.paid.erase(lane.paid.begin());
+        return item;
+    }
+    customer_queue &queue = *lane.active.begin()->queue;
+    lane.active.erase(lane.active.begin());
+    lane.virtualTime = queue.start;
+    lane.bySize.erase(byItems(queue));
+    Item item = takeFirst(lane, queue);
+    if (queue.items.empty()) {
+        deactivate(lane, queue);
+        return item;
+    }
+    lane.bySize.insert(byItems(queue));
+    activate(lane, queue);
+    return item;
+}
+
+template <class Item>
+Item fair_queue<Item>::takeFirst(lane_state &, customer_queue &queue)
+{
+    const auto first = queue.items.begin();
+    queue.finish = queue.start + first->second.cost;
+    Item item = std::move(first->second.item);
+    queue.items.erase(first);
+    return item;
+}
+
+template <class Item>
+bool fair_queue<Item>::remove(const queue_place &place)
+{
+    lane_state &lane = m_lanes[std::min(place.lane, Lanes - 1)];
+    const slack_key key{place.latestStart, place.sequence};
+    if (place.paid) {
+        const std::size_t erased = lane.paid.erase(key);
+        lane.size -= erased;
+        m_size -= erased;
+        return erased > 0;
+    }
+    const auto it = lane.customers.find(place.customer);
+    if (it == lane.customers.end() || it->second.items.count(key) == 0)
+        return false;
+    customer_queue &queue = it->second;
+    lane.bySize.erase(byItems(queue));
+    queue.items.erase(key);
+    --lane.size;
+    --m_size;
+    if (!queue.items.empty()) {
+        lane.bySize.insert(byItems(queue));
+        return true;
+    }
+    lane.active.erase(byStart(queue));
+    deactivate(lane, queue);
+    return true;
+}
+
+template <class Item>
+std::optional<Item> fair_queue<Item>::evictFor(std::uint32_t laneNumber,
+                                               const customer_id &customer)
+{
+    laneNumber = std::min(laneNumber, Lanes - 1);
+    for (std::uint32_t number = Lanes; number-- > laneNumber;) {
+        lane_state &lane = m_lanes[number];
+        if (lane.bySize.empty())
+            continue;
+        customer_queue &largest = *lane.bySize.rbegin()->queue;
+        const auto own = lane.customers.find(customer);
+        const std::size_t ownItems = own == lane.customers.end() ? 0 : own->second.items.size();
+        const bool sameLane = number == laneNumber;
+        if (sameLane && largest.items.size() <= ownItems + 1)
+            return std::nullopt;
+        const auto last = std::prev(largest.items.end());
+        queue_place place{number, false, largest.customer, last->first.first, last->first.second};
+        std::optional<Item> item{std::move(last->second.item)};
+        remove(place);
+        return item;
+    }
+    return std::nullopt;
+}
+
+// A customer's own items wait behind one another; of each other customer, fair sharing lets at
+// most as many go first. Lanes above go first whole.
+template <class Item>
+std::size_t fair_queue<Item>::ahead(std::uint32_t laneNumber, const customer_id &customer) const
+{
+    laneNumber = std::min(laneNumber, Lanes - 1);
+    std::size_t count = 0;
+    for (std::uint32_t above = 0; above < laneNumber; ++above)
+        count += m_lanes[above].size;
+    const lane_state &lane = m_lanes[laneNumber];
+    const auto own = lane.customers.find(customer);
+    const std::size_t ownItems = own == lane.customers.end() ? 0 : own->second.items.size();
+    const std::size_t isNew = ownItems == 0 ? 1 : 0;
+    const std::size_t fair = (ownItems + 1) * (lane.active.size() + isNew) - 1;
+    return count + lane.paid.size() + std::min(lane.size - lane.paid.size(), fair);
+}
+
+template <class Item>
+void fair_queue<Item>::forgetIdle(lane_state &lane)
+{
+    while (!lane.idle.empty()) {
+        const tagged_customer oldest = *lane.idle.begin();
+        const bool caughtUp = lane.active.empty() || oldest.tag <= lane.virtualTime;
+        if (!caughtUp)
+            return;
+        lane.idle.erase(lane.idle.begin());
+        lane.customers.erase(customer_id{oldest.queue->customer});
+    }
+}
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/cost_ledger.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/engine_stats.h"
+#include "core/pipeline.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace orchidlead {
+
+/// What one ended attempt cost.
+struct attempt_cost
+{
+    std::chrono::microseconds busy{0}; ///< as the server says, or the time it was held
+    std::uint64_t tokens = 0;
+    bool used = false; ///< its output went into the answer
+};
+
+/// Accounts busy time and tokens by pipeline and stage and by customer, lost work included, and
+/// outcomes by customer. Bounded: customers beyond the bound share one entry without a name.
+class cost_ledger
+{
+public:
+    explicit cost_ledger(std::size_t maxCustomers)
+        : m_maxCustomers(maxCustomers)
+    { }
+
+    void charge(const pipeline_plan &plan, std::uint32_t stage, const attempt_cost &cost);
+    void submitted(const customer_id &customer);
+    void ended(const customer_id &customer, outcome result, bool attained);
+
+    [[nodiscard]] const outcome_counts &total() const { return m_total; }
+    [[nodiscard]] std::vector<pipeline_stage_stats> stages() const;
+    [[nodiscard]] std::vector<customer_stats> customers() const;
+
+private:
+    static constexpr std::size_t MaxStages = 1'024;
+    using stage_key = std::pair<pipeline_id, stage_id>;
+
+    struct cost_total
+    {
+        std::uint64_t attempts = 0;
+        std::chrono::microseconds busy{0};
+        std::chrono::microseconds lostBusy{0};
+        std::uint64_t tokens = 0;
+
+        void add(const attempt_cost &cost);
+        [[nodiscard]] stage_cost view() const;
+    };
+
+    struct customer_entry
+    {
+        outcome_counts outcomes;
+        cost_total cost;
+    };
+
+    customer_entry &entry(const customer_id &customer);
+
+    std::size_t m_maxCustomers;
+    outcome_counts m_total;
+    std::map<stage_key, cost_total> m_stages;
+    std::unordered_map<customer_id, customer_entry> m_customers;
+    customer_entry m_otherCustomers;
+};
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/engine_policies.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/admission.h"
+#include "core/guards.h"
+#include "core/hedging.h"
+
+#include <orchidlead/concurrency_limit.h>
+#include <orchidlead/failure_detector.h>
+#include <orchidlead/fair_queue.h>
+#include <orchidlead/retry_budget.h>
+#include <orchidlead/router.h>
+
+#include <concepts>
+
+namespace orchidlead {
+
+/// The set of policies that an engine is made of.
+template <class Set>
+concept engine_policy_set =
+    answer_guard<typename Set::answers> && repeat_guard<typename Set::repeats> && routing_policy<typename Set::router> && concurrency_limit_policy<
+        typename Set::
+            limit> && admission_policy<typename Set::
+                                           admission> && retry_budget_policy<typename Set::
+                                                                                 budget> && hedging_policy<typename Set::
+                                                                                                               hedging> && silence_threshold<typename Set::
+                                                                                                                                                 silence> && std::
+        default_initializable<typename Set::template queue<int>>;
+
+/// What the daemon runs.
+struct default_engine_policies
+{
+    using answers = echo_guard;
+    using repeats = at_most_once_guard;
+    using router = load_router;
+    using limit = aimd_limit;
+    using admission = deadline_admission;
+    using budget = retry_budget;
+    using hedging = slack_hedging;
+    using silence = risk_aware_silence_threshold;
+    template <class Item>
+    using queue = fair_queue<Item>;
+};
+
+/// The plain baseline of every policy, with the same guards: round robin, no hedges or retries, no
+/// admission control, first come first served.
+struct baseline_engine_policies
+{
+    using answers = echo_guard;
+    using repeats = at_most_once_guard;
+    using router = round_robin_router;
+    using limit = fixed_limit<>;
+    using admission = admit_all;
+    using budget = no_retries;
+    using hedging = no_hedging;
+    using silence = fixed_silence_threshold;
+    template <class Item>
+    using queue = fifo_queue<Item>;
+};
+
+static_assert(engine_policy_set<default_engine_policies>);
+static_assert(engine_policy_set<baseline_engine_policies>);
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/engine_state.h
@@ -0,0 +1,171 @@
+#pragma once
+
+#include "core/cost_ledger.h"
+#include "core/engine_policies.h"
+#include "core/engine_stats.h"
+#include "core/engine_timers.h"
+#include "core/engine_types.h"
+#include "core/request_engine.h"
+#include "core/request_state.h"
+#include "core/service_pool.h"
+#include "core/stage_estimates.h"
+
+#include <orchidlead/random_source.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace orchidlead {
+
+/// The state machine behind basic_request_engine.
+///
+/// Event functions end with `settle`, which hands freed capacity to waiting work; `finish` forgets
+/// a request, so nothing of it may be touched afterwards.
+template <class Policies>
+class engine_state
+{
+    static_assert(engine_policy_set<Policies>);
+
+public:
+    engine_state(const engine_settings &settings, const clock_source &clock, std::uint64_t seed)
+        : m_settings(settings)
+        , m_clock(clock)
+        , m_random(seed)
+        , m_ledger(settings.maxCustomersCounted)
+    { }
+
+    void setServices(const std::vector<service> &services, engine_actions &out);
+    void setListedLeaving(const std::vector<backend_server_id> &servers, engine_actions &out);
+    void onLoadReport(const load_report &report, engine_actions &out);
+    void submit(pipeline_request request, engine_actions &out);
+    void onSent(const attempt_key &key);
+    void onChunk(const attempt_key &key, std::string text, engine_actions &out);
+    void onAnswer(const attempt_answer &answer, engine_actions &out);
+    void onFailure(const attempt_key &key, attempt_failure failure,
+                   std::optional<milliseconds> retryAfter, engine_actions &out);
+    void cancel(const request_id &request, engine_actions &out);
+    void tick(engine_actions &out);
+    [[nodiscard]] std::optional<steady_time> nextWake() const;
+    void drain() { m_draining = true; }
+    [[nodiscard]] bool idle() const { return m_requests.empty(); }
+    [[nodiscard]] engine_stats stats() const;
+
+private:
+    using pool_type = service_pool<Policies>;
+    using duration = std::chrono::microseconds;
+
+    /// A refusal, before it is worded for the caller.
+    struct refusal
+    {
+        refusal_reason reason = refusal_reason::None;
+        std::string detail;
+        std::optional<milliseconds> retryAfter;
+    };
+
+    /// One attempt that an event names, if it is still live.
+    struct live_attempt
+    {
+        request_state *state = nullptr;
+        std::uint32_t stage = 0;
+        attempt_state *attempt = nullptr;
+    };
+
+    // Admission.
+    [[nodiscard]] std::optional<refusal> refuse(request_state &state);
+    [[nodiscard]] std::optional<refusal> refuseByPools(request_state &state);
+    [[nodiscard]] std::optional<refusal> refuseByTime(request_state &state);
+    [[nodiscard]] duration firstQueueWait(const request_state &state);
+    void refuseNow(const request_state &state, const refusal &why, engine_actions &out);
+
+    // Stages.
+    void startReady(request_state &state, engine_actions &out);
+    [[nodiscard]] bool inputsDone(const request_state &state, std::uint32_t stage) const;
+    [[nodiscard]] bool enqueue(request_state &state, std::uint32_t stage, engine_actions &out);
+    [[nodiscard]] bool makeRoom(pool_type &pool, const request_state &state, engine_actions &out);
+    [[nodiscard]] steady_time latestStart(const request_state &state, std::uint32_t stage,
+                                          bool paid) const;
+    void settle(engine_actions &out);
+    void pump(pool_type &pool, engine_actions &out);
+    void startQueued(pool_type &pool, const queued_stage &item, engine_actions &out);
+    void failQueue(pool_type &pool, engine_actions &out);
+    void giveUpQueued(request_state &state, std::uint32_t stage, engine_actions &out);
+
+    // Attempts.
+    [[nodiscard]] std::optional<routing_choice> route(pool_type &pool, const request_state &state,
+                                                      std::uint32_t stage, bool onlyUntried);
+    void dispatch(pool_type &pool, request_state &state, std::uint32_t stage,
+                  const routing_choice &choice, bool hedge, engine_actions &out);
+    void countDispatch(pool_type &pool, stage_state &stage, bool hedge);
+    void armTimers(pool_type &pool, const request_state &state, std::uint32_t stage,
+                   const attempt_state &attempt);
+    [[nodiscard]] send_attempt sendAction(pool_type &pool, const request_state &state,
+                                          std::uint32_t stage, const attempt_state &attempt) const;
+    [[nodiscard]] live_attempt find(const attempt_key &key);
+    void dropAnswer(const attempt_key &key, std::string_view why, engine_actions &out);
+    void complete(request_state &state, std::uint32_t stage, attempt_state &attempt,
+                  const attempt_answer &answer, engine_actions &out);
+    void fail(request_state &state, std::uint32_t stage, attempt_state &attempt,
+              attempt_failure failure, std::optional<milliseconds> retryAfter, engine_actions &out);
+    void retryOrFinish(request_state &state, std::uint32_t stage, const attempt_end &end,
+                       std::optional<milliseconds> retryAfter, engine_actions &out);
+    void release(request_state &state, std::uint32_t stage, attempt_state &attempt, bool outrun,
+                 std::string_view why, engine_actions &out);
+    void releaseOthers(request_state &state, std::uint32_t stage, std::uint32_t winner,
+                       std::string_view why, engine_actions &out);
+    void tryHedge(request_state &state, std::uint32_t stage, std::string_view why,
+                  engine_actions &out);
+
+    // Timers.
+    void onTimer(const engine_timer &timer, engine_actions &out);
+    void onSilence(request_state &state, std::uint32_t stage, attempt_state &attempt,
+                   engine_actions &out);
+    void addTimer(timer_kind kind, steady_time at, const request_state &state,
+                  std::uint32_t stage = 0, std::uint32_t attempt = 0);
+
+    // Ends.
+    void finish(request_state &state, outcome result, const refusal &why, engine_actions &out);
+    void finishUnanswered(request_state &state, const refusal &why, engine_actions &out);
+    [[nodiscard]] std::vector<stage_report> reports(const request_state &state) const;
+
+    // Logs and accounts.
+    void log(decision_kind kind, const request_state &state, std::uint32_t stage,
+             std::uint32_t attempt, std::string reason, engine_actions &out,
+             const backend_server_id &chosen = {});
+    void logHealth(const pool_type &pool, std::uint32_t slot, health_change change,
+                   engine_actions &out);
+    void charge(request_state &state, std::uint32_t stage, const attempt_cost &cost);
+
+    [[nodiscard]] pool_type *poolOf(const request_state &state, std::uint32_t stage);
+    [[nodiscard]] request_state *findSerial(std::uint64_t serial);
+    [[nodiscard]] steady_time sendDeadline(const request_state &state) const
+    {
+        return state.request.deadline - m_settings.hopMargin;
+    }
+    void touch(pool_type &pool) { m_touched.push_back(&pool); }
+    [[nodiscard]] milliseconds spread(milliseconds wait);
+
+    engine_settings m_settings;
+    const clock_source &m_clock;
+    random_source m_random;
+    typename Policies::admission m_admission;
+    typename Policies::hedging m_hedging;
+    typename Policies::silence m_silence;
+    stage_estimates m_estimates;
+    cost_ledger m_ledger;
+    engine_timers m_timers;
+    std::map<service_id, std::unique_ptr<pool_type>> m_pools;
+    std::unordered_map<std::uint64_t, std::unique_ptr<request_state>> m_requests; ///< by serial
+    std::unordered_map<request_id, std::uint64_t> m_serials;
+    std::vector<pool_type *> m_touched; ///< may have work to hand out
+    std::uint64_t m_lastSerial = 0;
+    std::uint64_t m_lateRefusals = 0;
+    std::uint64_t m_droppedAnswers = 0;
+    bool m_draining = false;
+};
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/guards.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "core/engine_types.h"
+
+#include <concepts>
+
+/// Rules that must hold whatever the load. They are policies so that tests can take one out and
+/// show what it prevents; the daemon knows only the guarded ones.
+namespace orchidlead {
+
+/// Whether an answer belongs to the attempt that it arrived for.
+template <class Guard>
+concept answer_guard = requires(const attempt_key &sent, const attempt_key &echoed)
+{
+    {
+        Guard::accepts(sent, echoed)
+        } -> std::same_as<bool>;
+};
+
+struct echo_guard
+{
+    static bool accepts(const attempt_key &sent, const attempt_key &echoed)
+    {
+        return sent == echoed;
+    }
+};
+
+/// What is known of an attempt that ended without an answer.
+struct attempt_end
+{
+    attempt_failure failure = attempt_failure::Broken;
+    bool sent = false; ///< a byte may have left this process
+};
+
+/// Tells whether the end of an attempt proves that the backend server didn't run it.
+[[nodiscard]] constexpr bool provesNotRun(const attempt_end &end)
+{
+    switch (end.failure) {
+    case attempt_failure::NotSent:
+        return !end.sent;
+    case attempt_failure::Refused:
+    case attempt_failure::Leaving:
+        return true;
+    case attempt_failure::Broken:
+    case attempt_failure::TimedOut:
+    case attempt_failure::BadAnswer:
+    case attempt_failure::ServerError:
+        return false;
+    }
+    return false;
+}
+
+/// Whether a stage may be tried again, and what an ended attempt proves.
+template <class Guard>
+concept repeat_guard = requires(const stage_plan &stage, const attempt_end &end)
+{
+    {
+        Guard::mayTryAgain(stage, end)
+        } -> std::same_as<bool>;
+    {
+        Guard::mayHedge(stage)
+        } -> std::same_as<bool>;
+    {
+        Guard::provesNotRun(end)
+        } -> std::same_as<bool>;
+};
+
+struct at_most_once_guard
+{
+    static bool mayTryAgain(const stage_plan &stage, const attempt_end &end)
+    {
+        return stage.repeatable || orchidlead::provesNotRun(end);
+    }
+    static bool mayHedge(const stage_plan &stage) { return stage.repeatable; }
+    static bool provesNotRun(const attempt_end &end) { return orchidlead::provesNotRun(end); }
+};
+
+static_assert(answer_guard<echo_guard>);
+static_assert(repeat_guard<at_most_once_guard>);
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/request_engine.cpp
@@ -0,0 +1,8 @@
+#include "core/engine_policies.h"
+#include "core/request_engine_impl.h"
+
+namespace orchidlead {
+
+template class basic_request_engine<default_engine_policies>;
+
+} // namespace orchidlead
--- a/src/core/request_engine.h
+++ b/src/core/request_engine.h
@@ -5,6 +5,8 @@
 #include "core/published_configuration.h"
 
 #include <orchidlead/clock.h>
+#include <orchidlead/failure_detector.h>
+#include <orchidlead/router.h>
 
 #include <cstdint>
 #include <memory>
@@ -22,9 +24,9 @@
     std::uint32_t maxQueuePerService = 2'000;
     std::uint32_t maxAttemptsPerStage = 4;
     milliseconds hopMargin{10}; ///< taken off the deadline at each send, for the way back
-    milliseconds remoteLatency{2}; ///< cost of a backend server in another data centre
     std::uint32_t maxCustomersCounted = 256;
-    std::uint32_t maxCandidatesLogged = 8;
+    routing_settings routing;
+    failure_detector_settings detection;
 };
 
 struct default_engine_policies;
@@ -88,7 +90,8 @@
     std::unique_ptr<engine_state<Policies>> m_state;
 };
 
-/// The engine that the daemon runs; defined in request_engine.cpp.
+/// The engine that the daemon runs; instantiated in request_engine.cpp. Engines with other policies
+/// need core/request_engine_impl.h.
 extern template class basic_request_engine<default_engine_policies>;
 using request_engine = basic_request_engine<default_engine_policies>;
 
--- /dev/null
+++ b/src/core/service_pool_impl.h
@@ -0,0 +1,428 @@
+#pragma once
+
+// Definitions of service_pool, whose behaviour varies with its policies.
+
+#include "core/service_pool.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace orchidlead {
+
+namespace pool_constants {
+inline constexpr double LatencyWeight = 1.0 / 6;
+inline constexpr double UsualWeight = 1.0 / 32;
+inline constexpr double FadePerSecond = 0.1;
+inline constexpr std::chrono::seconds FadeEvery{1};
+inline constexpr milliseconds DefaultPause{100};
+inline constexpr milliseconds LongestPause{5'000};
+inline constexpr std::chrono::seconds LeavingSticks{5};
+inline constexpr double WaitWeight = 1.0 / 16;
+} // namespace pool_constants
+
+template <class Policies>
+std::uint32_t service_pool<Policies>::addServer(const backend_server &server)
+{
+    std::uint32_t slot = 0;
+    if (!m_free.empty()) {
+        slot = m_free.back();
+        m_free.pop_back();
+    } else {
+        slot = static_cast<std::uint32_t>(m_servers.size());
+        m_servers.emplace_back();
+        m_entries.emplace_back();
+        m_positions.push_back(NoPosition);
+    }
+    m_servers[slot] = server_entry{};
+    m_entries[slot] = routing_entry{};
+    m_entries[slot].nameHash = XXH64(server.id.value.data(), server.id.value.size(), 0);
+    m_slots[server.id] = slot;
+    return slot;
+}
+
+template <class Policies>
+void service_pool<Policies>::setMembers(const std::vector<backend_server> &servers, steady_time now)
+{
+    for (server_entry &entry : m_servers)
+        entry.member = false;
+    for (const backend_server &server : servers) {
+        const auto known = m_slots.find(server.id);
+        const std::uint32_t slot = known == m_slots.end() ? addServer(server) : known->second;
+        m_servers[slot].server = server;
+        m_servers[slot].member = true;
+        m_servers[slot].listedLeaving = m_listedLeaving.count(server.id) > 0;
+        m_entries[slot].local = server.dataCenter == m_dataCenter;
+    }
+    std::vector<std::uint32_t> members;
+    for (std::uint32_t slot = 0; slot < m_servers.size(); ++slot) {
+        m_detector.setMember(slot, m_servers[slot].member);
+        if (m_servers[slot].member)
+            members.push_back(slot);
+        // A server may have moved to the other list with its data center.
+        unlist(slot);
+    }
+    m_members = static_cast<std::uint32_t>(members.size());
+    m_router.onMembers(m_entries, members);
+    refreshAll(now);
+    for (std::uint32_t slot = 0; slot < m_servers.size(); ++slot)
+        forgetIfGone(slot);
+}
+
+template <class Policies>
+void service_pool<Policies>::forgetIfGone(std::uint32_t slot)
+{
+    const server_entry &entry = m_servers[slot];
+    if (entry.member || m_entries[slot].outstanding > 0)
+        return;
+    const auto known = m_slots.find(entry.server.id);
+    if (known == m_slots.end() || known->second != slot)
+        return;
+    m_slots.erase(known);
+    m_free.push_back(slot);
+}
+
+template <class Policies>
+void service_pool<Policies>::setListedLeaving(const std::unordered_set<backend_server_id> &leaving,
+                                              steady_time now)
+{
+    m_listedLeaving.clear();
+    for (server_entry &entry : m_servers) {
+        entry.listedLeaving = leaving.count(entry.server.id) > 0;
+        if (entry.listedLeaving)
+            m_listedLeaving.insert(entry.server.id);
+    }
+    refreshAll(now);
+}
+
+// A report may be older than the refusal by which the server said that it leaves.
+template <class Policies>
+void service_pool<Policies>::onReport(const load_report &report, steady_time now)
+{
+    const auto known = m_slots.find(report.server);
+    if (known == m_slots.end())
+        return;
+    server_entry &entry = m_servers[known->second];
+    m_entries[known->second].reported = report.running + report.queued;
+    const bool sticks =
+        entry.saidLeaving && now - entry.saidLeavingAt < pool_constants::LeavingSticks;
+    if (report.leaving || !sticks)
+        entry.saidLeaving = report.leaving;
+    if (report.leaving)
+        entry.saidLeavingAt = now;
+    refreshAll(now);
+}
+
+template <class Policies>
+std::optional<routing_choice> service_pool<Policies>::pick(const routing_request &request,
+                                                           random_source &random)
+{
+    routing_view view;
+    view.entries = m_entries;
+    view.local = m_local;
+    view.remote = m_remote;
+    view.meanOutstanding = m_members == 0 ? 0.0 : static_cast<double>(m_inFlight) / m_members;
+    view.usualLatency = m_usualLatency;
+    return m_router.pick(view, request, random);
+}
+
+template <class Policies>
+void service_pool<Policies>::onDispatched(std::uint32_t slot, steady_time now)
+{
+    ++m_entries[slot].outstanding;
+    ++m_inFlight;
+    refresh(slot, now);
+}
+
+template <class Policies>
+void service_pool<Policies>::onReleased(std::uint32_t slot, steady_time now)
+{
+    --m_entries[slot].outstanding;
+    --m_inFlight;
+    refresh(slot, now);
+    forgetIfGone(slot);
+}
+
+// Takes the size of the input out of an attempt's time, so that it tells of the server.
+template <class Policies>
+double service_pool<Policies>::comparable(duration elapsed, duration typical) const
+{
+    const double time = std::chrono::duration<double, std::milli>(elapsed).count();
+    const double usual = std::chrono::duration<double, std::milli>(typical).count();
+    return usual > 0.0 && m_usualLatency > 0.0 ? time / usual * m_usualLatency : time;
+}
+
+template <class Policies>
+void service_pool<Policies>::observe(std::uint32_t slot, duration elapsed, duration typical)
+{
+    using namespace pool_constants;
+    const double time = std::chrono::duration<double, std::milli>(elapsed).count();
+    m_meanTime = m_meanTime == 0.0 ? time : m_meanTime + (time - m_meanTime) * UsualWeight;
+    const double sample = comparable(elapsed, typical);
+    m_usualLatency = m_usualLatency == 0.0
+        ? sample
+        : m_usualLatency + (std::min(sample, 4 * m_usualLatency) - m_usualLatency) * UsualWeight;
+    double &latency = m_entries[slot].latency;
+    latency = latency == 0.0 ? sample : latency + (sample - latency) * LatencyWeight;
+}
+
+template <class Policies>
+health_change service_pool<Policies>::onAnswered(std::uint32_t slot, duration elapsed,
+                                                 duration typical, steady_time now)
+{
+    server_entry &entry = m_servers[slot];
+    ++entry.answers;
+    entry.lastSample = now;
+    m_latencies.observe(elapsed);
+    observe(slot, elapsed, typical);
+    fadeOldLatencies(now);
+    const duration sample{static_cast<std::int64_t>(m_entries[slot].latency * 1000.0)};
+    entry.limit.onAnswer(sample, m_entries[slot].outstanding - 1, now);
+    breaker.onSuccess();
+    const health_change change = onHealth(slot, m_detector.onSuccess(slot), now);
+    onReleased(slot, now);
+    return change;
+}
+
+template <class Policies>
+health_change service_pool<Policies>::onFailed(std::uint32_t slot, attempt_failure failure,
+                                               std::optional<milliseconds> retryAfter,
+                                               steady_time now)
+{
+    server_entry &entry = m_servers[slot];
+    ++entry.failures;
+    breaker.onFailure(m_members, now);
+    health_change change = health_change::None;
+    switch (failure) {
+    case attempt_failure::Leaving:
+        entry.saidLeaving = true;
+        entry.saidLeavingAt = now;
+        break;
+    case attempt_failure::Refused:
+        entry.limit.onRefused(now);
+        pause(entry, retryAfter, now);
+        break;
+    case attempt_failure::NotSent:
+    case attempt_failure::Broken:
+    case attempt_failure::TimedOut:
+    case attempt_failure::BadAnswer:
+    case attempt_failure::ServerError:
+        change = onHealth(slot, m_detector.onFailure(slot, now), now);
+        break;
+    }
+    onReleased(slot, now);
+    if (failure == attempt_failure::Leaving)
+        refreshAll(now);
+    return change;
+}
+
+template <class Policies>
+health_change service_pool<Policies>::onSilent(std::uint32_t slot, duration elapsed,
+                                               duration typical, steady_time now)
+{
+    onOutrun(slot, elapsed, typical, now);
+    breaker.onFailure(m_members, now);
+    const health_change change = onHealth(slot, m_detector.onFailure(slot, now), now);
+    refresh(slot, now);
+    return change;
+}
+
+template <class Policies>
+void service_pool<Policies>::onOutrun(std::uint32_t slot, duration elapsed, duration typical,
+                                      steady_time now)
+{
+    double &latency = m_entries[slot].latency;
+    latency = std::max(latency, comparable(elapsed, typical));
+    m_servers[slot].lastSample = now;
+}
+
+template <class Policies>
+health_change service_pool<Policies>::onHealth(std::uint32_t slot, health_change change,
+                                               steady_time now)
+{
+    if (change == health_change::Restored) {
+        m_entries[slot].returnedAt = now;
+        m_servers[slot].limit = limit_type{};
+    }
+    if (change == health_change::Ejected)
+        wakeAt(m_detector.nextDue().value_or(now));
+    return change;
+}
+
+template <class Policies>
+void service_pool<Policies>::pause(server_entry &entry, std::optional<milliseconds> retryAfter,
+                                   steady_time now)
+{
+    using namespace pool_constants;
+    const milliseconds asked = retryAfter.value_or(DefaultPause);
+    entry.pausedUntil = now + std::clamp(asked, milliseconds{1}, LongestPause);
+    wakeAt(entry.pausedUntil);
+}
+
+template <class Policies>
+void service_pool<Policies>::wakeAt(steady_time at)
+{
+    m_nextWake = m_nextWake ? std::min(*m_nextWake, at) : at;
+}
+
+template <class Policies>
+void service_pool<Policies>::onWake(steady_time now)
+{
+    if (!m_nextWake || *m_nextWake > now)
+        return;
+    m_nextWake.reset();
+    (void)m_detector.takeDue(now);
+    if (const auto due = m_detector.nextDue())
+        wakeAt(*due);
+    for (const server_entry &entry : m_servers) {
+        if (entry.member && entry.pausedUntil > now)
+            wakeAt(entry.pausedUntil);
+    }
+    refreshAll(now);
+}
+
+// A server that is avoided gives no new samples; without fading it would be avoided for ever.
+template <class Policies>
+void service_pool<Policies>::fadeOldLatencies(steady_time now)
+{
+    using namespace pool_constants;
+    if (now - m_lastFade < FadeEvery)
+        return;
+    m_lastFade = now;
+    for (std::uint32_t slot = 0; slot < m_servers.size(); ++slot) {
+        double &latency = m_entries[slot].latency;
+        if (latency > 0.0 && now - m_servers[slot].lastSample >= FadeEvery)
+            latency += (m_usualLatency - latency) * FadePerSecond;
+    }
+}
+
+template <class Policies>
+std::uint32_t service_pool<Policies>::effectiveLimit(std::uint32_t slot) const
+{
+    if (m_detector.health(slot) == server_health::Probing)
+        return 1;
+    return std::max<std::uint32_t>(1, m_servers[slot].limit.limit());
+}
+
+template <class Policies>
+bool service_pool<Policies>::isAvailable(std::uint32_t slot, steady_time now) const
+{
+    const server_entry &entry = m_servers[slot];
+    if (!entry.member || entry.leaving() || entry.pausedUntil > now)
+        return false;
+    if (m_detector.health(slot) == server_health::Ejected)
+        return false;
+    return m_entries[slot].outstanding < effectiveLimit(slot);
+}
+
+template <class Policies>
+void service_pool<Policies>::refresh(std::uint32_t slot, steady_time now)
+{
+    routing_entry &entry = m_entries[slot];
+    entry.limit = effectiveLimit(slot);
+    entry.probing = m_detector.health(slot) == server_health::Probing;
+    const bool available = isAvailable(slot, now);
+    if (available == entry.available)
+        return;
+    available ? list(slot) : unlist(slot);
+}
+
+template <class Policies>
+void service_pool<Policies>::refreshAll(steady_time now)
+{
+    m_usable = 0;
+    for (std::uint32_t slot = 0; slot < m_servers.size(); ++slot) {
+        refresh(slot, now);
+        const server_entry &entry = m_servers[slot];
+        m_usable += entry.member && !entry.leaving() ? 1 : 0;
+    }
+}
+
+template <class Policies>
+void service_pool<Policies>::list(std::uint32_t slot)
+{
+    std::vector<std::uint32_t> &slots = m_entries[slot].local ? m_local : m_remote;
+    m_entries[slot].available = true;
+    m_positions[slot] = static_cast<std::uint32_t>(slots.size());
+    slots.push_back(slot);
+}
+
+template <class Policies>
+void service_pool<Policies>::unlist(std::uint32_t slot)
+{
+    if (!m_entries[slot].available)
+        return;
+    const std::uint32_t position = m_positions[slot];
+    const bool isLocal = position < m_local.size() && m_local[position] == slot;
+    std::vector<std::uint32_t> &slots = isLocal ? m_local : m_remote;
+    m_positions[slots.back()] = position;
+    slots[position] = slots.back();
+    slots.pop_back();
+    m_positions[slot] = NoPosition;
+    m_entries[slot].available = false;
+}
+
+template <class Policies>
+auto service_pool<Policies>::queueWait(std::size_t ahead) const -> duration
+{
+    if (ahead == 0 && hasAvailable())
+        return duration{0};
+    const double inParallel = std::max<std::uint32_t>(1, m_inFlight);
+    const double wait = static_cast<double>(ahead + 1) * m_meanTime / inParallel;
+    return duration{static_cast<std::int64_t>(wait * 1000.0)};
+}
+
+template <class Policies>
+service_stats service_pool<Policies>::stats() const
+{
+    using std::chrono::duration_cast;
+    service_stats view;
+    view.service = m_id;
+    view.servers = m_members;
+    for (std::uint32_t slot = 0; slot < m_servers.size(); ++slot) {
+        const server_entry &entry = m_servers[slot];
+        const bool ejected = m_detector.health(slot) == server_health::Ejected;
+        view.usableServers += entry.member && !entry.leaving() && !ejected ? 1 : 0;
+        view.failures += entry.failures;
+    }
+    view.queued = static_cast<std::uint32_t>(queue.size());
+    view.inFlight = m_inFlight;
+    view.firstTries = firstTries;
+    view.retries = retries;
+    view.hedges = hedges;
+    view.refused = refused;
+    view.p50 = duration_cast<milliseconds>(m_latencies.quantile(0.5));
+    view.p95 = duration_cast<milliseconds>(m_latencies.quantile(0.95));
+    view.p99 = duration_cast<milliseconds>(m_latencies.quantile(0.99));
+    view.queueWait = milliseconds{static_cast<std::int64_t>(smoothedQueueWait)};
+    return view;
+}
+
+template <class Policies>
+void service_pool<Policies>::appendServerStats(std::vector<backend_server_stats> &views) const
+{
+    for (std::uint32_t slot = 0; slot < m_servers.size(); ++slot) {
+        const server_entry &entry = m_servers[slot];
+        if (!entry.member)
+            continue;
+        backend_server_stats view;
+        view.server = entry.server.id;
+        view.service = m_id;
+        const server_health health = m_detector.health(slot);
+        if (entry.leaving())
+            view.state = server_state::Leaving;
+        else if (health == server_health::Ejected)
+            view.state = server_state::Suspected;
+        else if (health == server_health::Probing)
+            view.state = server_state::Probing;
+        view.outstanding = m_entries[slot].outstanding;
+        view.limit = m_entries[slot].limit;
+        view.reportedRunning = m_entries[slot].reported;
+        view.latency = milliseconds{static_cast<std::int64_t>(m_entries[slot].latency)};
+        view.answers = entry.answers;
+        view.failures = entry.failures;
+        views.push_back(view);
+    }
+}
+
+} // namespace orchidlead
