Add tickets, their ledger and idempotency keys

Cause: calls that may not be repeated need a name that says who may run them (ticket) or when it was issued (key). Change: bounded parse functions with typed errors, one text for one value; a ledger whose floor only rises, so that forgetting a ticket never lets it run again.

--- /dev/null
+++ b/include/orchidlead/ticket_ledger.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <orchidlead/clock.h>
+#include <orchidlead/enum_names.h>
+#include <orchidlead/ids.h>
+#include <orchidlead/ticket.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace orchidlead {
+
+/// What a ledger knows of a ticket.
+enum class ticket_standing {
+    Valid, ///< minted by this process, and young enough to run
+    OtherVm,
+    OtherIncarnation, ///< minted by an earlier or later process on this VM
+    NeverMinted,
+    Expired, ///< below the floor: whether it ran is forgotten, so that it never runs
+};
+
+template <>
+inline constexpr std::array enumNames<ticket_standing>{
+    enum_name<ticket_standing>{ticket_standing::Valid, "valid"},
+    enum_name<ticket_standing>{ticket_standing::OtherVm, "other_vm"},
+    enum_name<ticket_standing>{ticket_standing::OtherIncarnation, "other_incarnation"},
+    enum_name<ticket_standing>{ticket_standing::NeverMinted, "never_minted"},
+    enum_name<ticket_standing>{ticket_standing::Expired, "expired"},
+};
+
+/// Mints the tickets of one process and tells which of them may still run.
+///
+/// Sequence numbers below a floor that only rises are expired, so that forgetting a ticket never
+/// lets it run again.
+class ticket_ledger
+{
+public:
+    /// A ticket is valid for `window` after minting; at most `capacity` are valid at once.
+    ticket_ledger(vm_id vm, incarnation self, milliseconds window, std::size_t capacity,
+                  const clock_source &clock);
+
+    /// Mints the next ticket; nothing while `capacity` are valid.
+    [[nodiscard]] std::optional<ticket> mint();
+
+    [[nodiscard]] ticket_standing standing(const ticket &value) const;
+
+    /// Raises the floor over all that have expired.
+    void tick();
+
+    /// Gives when a valid ticket expires.
+    [[nodiscard]] steady_time expiry(const ticket &value) const;
+
+private:
+    [[nodiscard]] bool expired(std::uint64_t sequence) const;
+
+    vm_id m_vm;
+    incarnation m_self;
+    milliseconds m_window;
+    std::size_t m_capacity;
+    const clock_source &m_clock;
+    std::uint64_t m_floor = 1;
+    std::deque<steady_time> m_mintedAt; // of the sequence numbers from m_floor on
+};
+
+} // namespace orchidlead
--- /dev/null
+++ b/tests/core/ticket_test.cpp
@@ -0,0 +1,76 @@
+#include <orchidlead/idempotency_key.h>
+#include <orchidlead/ticket.h>
+#include <orchidlead/ticket_ledger.h>
+
+#include <catch2/catch.hpp>
+
+using namespace orchidlead;
+using namespace std::chrono_literals;
+
+TEST_CASE("a ticket's text leads back to it, also where the VM's name holds dots")
+{
+    const ticket minted{vm_id{"vm-1.rack.2"}, 0xfeedULL, 42};
+    CHECK(toText(minted) == "t.vm-1.rack.2.feed.42");
+    CHECK(parseTicket(toText(minted)).value() == minted);
+}
+
+TEST_CASE("a text that is no ticket is refused with the part that is wrong")
+{
+    CHECK(parseTicket("x.vm.1.1").error() == ticket_error::BadPrefix);
+    CHECK(parseTicket("t.vm.1.").error() == ticket_error::BadSequence);
+    CHECK(parseTicket("t.vm.1.01").error() == ticket_error::BadSequence);
+    CHECK(parseTicket("t.vm.1.99999999999999999999").error() == ticket_error::BadSequence);
+    CHECK(parseTicket("t.vm.xyz.1").error() == ticket_error::BadIncarnation);
+    CHECK(parseTicket("t.vm.FF.1").error() == ticket_error::BadIncarnation);
+    CHECK(parseTicket("t.v m.1.1").error() == ticket_error::BadVm);
+    CHECK(parseTicket("t.1.1").error() == ticket_error::BadIncarnation);
+    CHECK(parseTicket("t." + std::string(MaxTicketLength, 'a')).error() == ticket_error::TooLong);
+}
+
+TEST_CASE("a ticket is valid for its own process alone and never again after its window")
+{
+    manual_clock clock;
+    ticket_ledger ledger{vm_id{"a"}, 7, 1000ms, 10, clock};
+    const ticket minted = ledger.mint().value();
+    CHECK(ledger.standing(minted) == ticket_standing::Valid);
+    CHECK(ledger.standing({vm_id{"b"}, 7, 1}) == ticket_standing::OtherVm);
+    CHECK(ledger.standing({vm_id{"a"}, 8, 1}) == ticket_standing::OtherIncarnation);
+    CHECK(ledger.standing({vm_id{"a"}, 7, 2}) == ticket_standing::NeverMinted);
+    clock.advance(1000ms);
+    CHECK(ledger.standing(minted) == ticket_standing::Expired);
+    ledger.tick();
+    CHECK(ledger.standing(minted) == ticket_standing::Expired);
+}
+
+TEST_CASE("a ledger at its capacity mints nothing until a ticket expires")
+{
+    manual_clock clock;
+    ticket_ledger ledger{vm_id{"a"}, 7, 1000ms, 2, clock};
+    CHECK(ledger.mint().has_value());
+    CHECK(ledger.mint().has_value());
+    CHECK_FALSE(ledger.mint().has_value());
+    clock.advance(1000ms);
+    CHECK(ledger.mint().value().sequence == 3);
+}
+
+TEST_CASE("a key says when it was issued")
+{
+    const auto key = parseIdempotencyKey("1790000000123-a1b2c3d4").value();
+    CHECK(key.issued == wall_time{1790000000123ms});
+}
+
+TEST_CASE("a key without a time, or with too little after it, is refused")
+{
+    CHECK(parseIdempotencyKey("a1b2c3d4").error() == idempotency_key_error::NoTime);
+    CHECK(parseIdempotencyKey("-a1b2c3d4").error() == idempotency_key_error::NoTime);
+    CHECK(parseIdempotencyKey("12x-a1b2c3d4").error() == idempotency_key_error::BadTime);
+    CHECK(parseIdempotencyKey("01-a1b2c3d4").error() == idempotency_key_error::BadTime);
+    CHECK(parseIdempotencyKey("99999999999999999999-a1b2c3d4").error()
+          == idempotency_key_error::BadTime);
+    CHECK(parseIdempotencyKey("1790000000123-a1b2").error()
+          == idempotency_key_error::BadRandomText);
+    CHECK(parseIdempotencyKey("1790000000123-a1b2 c3d4").error()
+          == idempotency_key_error::BadRandomText);
+    CHECK(parseIdempotencyKey(std::string(MaxIdempotencyKeyLength + 1, '1')).error()
+          == idempotency_key_error::TooLong);
+}
