Add the at-most-once gate and the key homes behind it

Cause: calls that may not be repeated come with a ticket or a bare key, to any node, again and again. Ruled out: rendezvous over the VM list alone (two lists, two homes); a check of the lease before the send (once a key is accepted under a valid lease, its time of issue keeps every later home from it). Change: shard leases by votes of more than half of each recent VM list, a rule on the time of issue, records with bounded answers, and a handover of records and coverage when a node leaves. Conclusion: lets the node link; not to be trusted before its tests are in.

--- a/include/orchidlead/at_most_once_guards.h
+++ b/include/orchidlead/at_most_once_guards.h
@@ -4,56 +4,24 @@
 
 namespace orchidlead {
 
+/// A guard is a constant that is true or false when the program is built.
+template <class... Types>
+concept guard_constants = (std::same_as<Types, const bool> && ...);
+
 /// Says which guards of the at-most-once protocol are in place.
 ///
 /// The daemon is built with `every_guard` alone; there is no run-time switch. Tests put a policy
 /// with one guard missing in its place, to show that the guard carries weight.
 template <class Guards>
-concept at_most_once_guards = requires
-{
-    {
-        Guards::LeaseIsChecked
-        } -> std::convertible_to<bool>;
-    {
-        Guards::IssuedAfterLeaseBegan
-        } -> std::convertible_to<bool>;
-    {
-        Guards::FutureKeysAreRefused
-        } -> std::convertible_to<bool>;
-    {
-        Guards::OldKeysAreRefused
-        } -> std::convertible_to<bool>;
-    {
-        Guards::MajorityOfVoters
-        } -> std::convertible_to<bool>;
-    {
-        Guards::FreshVoterWaits
-        } -> std::convertible_to<bool>;
-    {
-        Guards::LeaseCountsFromRequest
-        } -> std::convertible_to<bool>;
-    {
-        Guards::EveryRecentListAgrees
-        } -> std::convertible_to<bool>;
-    {
-        Guards::ListMustBeFresh
-        } -> std::convertible_to<bool>;
-    {
-        Guards::HandoverWithinLease
-        } -> std::convertible_to<bool>;
-    {
-        Guards::UncertainMeansUnknown
-        } -> std::convertible_to<bool>;
-    {
-        Guards::RefusalIsFinal
-        } -> std::convertible_to<bool>;
-    {
-        Guards::TicketNamesIncarnation
-        } -> std::convertible_to<bool>;
-    {
-        Guards::TicketRunsOnce
-        } -> std::convertible_to<bool>;
-};
+concept at_most_once_guards =
+    guard_constants<decltype(Guards::LeaseIsChecked), decltype(Guards::IssuedAfterLeaseBegan),
+                    decltype(Guards::FutureKeysAreRefused), decltype(Guards::OldKeysAreRefused),
+                    decltype(Guards::MajorityOfVoters), decltype(Guards::FreshVoterWaits),
+                    decltype(Guards::LeaseCountsFromRequest),
+                    decltype(Guards::EveryRecentListAgrees), decltype(Guards::ListMustBeFresh),
+                    decltype(Guards::LateReleaseIsIgnored), decltype(Guards::HandoverWithinLease),
+                    decltype(Guards::UncertainMeansUnknown), decltype(Guards::RefusalIsFinal),
+                    decltype(Guards::TicketNamesIncarnation), decltype(Guards::TicketRunsOnce)>;
 
 /// All guards: what the daemon ships with.
 struct every_guard
@@ -76,6 +44,8 @@
     static constexpr bool EveryRecentListAgrees = true;
     /// A node whose VM list is unconfirmed for too long holds no lease.
     static constexpr bool ListMustBeFresh = true;
+    /// A release that was overtaken by a later vote doesn't end that vote.
+    static constexpr bool LateReleaseIsIgnored = true;
     /// A handed over shard keeps its coverage only if the leases overlap.
     static constexpr bool HandoverWithinLease = true;
     /// A node that isn't certain to be the home doesn't say `not_run`.
--- /dev/null
+++ b/src/core/at_most_once.cpp
@@ -0,0 +1,7 @@
+#include "core/at_most_once_definitions.h"
+
+namespace orchidlead {
+
+template class basic_at_most_once<every_guard>;
+
+} // namespace orchidlead
--- a/src/core/at_most_once.h
+++ b/src/core/at_most_once.h
@@ -1,16 +1,23 @@
 #pragma once
 
+#include "core/call_records.h"
 #include "core/engine_types.h"
+#include "core/handover_sender.h"
 
 #include <orchidlead/at_most_once_guards.h>
 #include <orchidlead/clock.h>
+#include <orchidlead/idempotency_key.h>
 #include <orchidlead/ids.h>
+#include <orchidlead/key_home.h>
+#include <orchidlead/key_home_messages.h>
 #include <orchidlead/membership.h>
 #include <orchidlead/outcome.h>
+#include <orchidlead/ticket.h>
+#include <orchidlead/ticket_ledger.h>
 
 #include <array>
 #include <cstdint>
-#include <memory>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -21,14 +28,6 @@
 /// The gate in front of the request engine for calls that may not be repeated.
 namespace orchidlead {
 
-/// Names a record of the gate; valid until the record is dropped, and never reused.
-struct record_handle
-{
-    std::uint64_t value = 0;
-
-    friend auto operator<=>(const record_handle &, const record_handle &) = default;
-};
-
 /// A call that may not be repeated, as it came in.
 struct once_request
 {
@@ -125,10 +124,6 @@
 {
 public:
     basic_at_most_once(at_most_once_settings settings, const clock_source &clock);
-    ~basic_at_most_once();
-
-    basic_at_most_once(const basic_at_most_once &) = delete;
-    basic_at_most_once &operator=(const basic_at_most_once &) = delete;
 
     /// Mints a ticket for the caller; nothing while too many are out.
     [[nodiscard]] std::optional<std::string> mintTicket();
@@ -161,11 +156,63 @@
     /// Tells whether nothing is left to hand over.
     [[nodiscard]] bool handedOver() const;
 
+    /// Gives the shards whose keys this node accepts now; for the operator's view.
+    [[nodiscard]] shard_bits heldShards() const { return m_home.held(); }
+
+    [[nodiscard]] std::size_t recordCount() const { return m_records.size(); }
+
+    /// Counts peers' messages that were dropped as malformed.
+    [[nodiscard]] std::uint64_t malformedMessages() const { return m_malformed; }
+
 private:
-    struct state;
-    std::unique_ptr<state> m_state;
+    struct incoming_handover
+    {
+        vm_id from;
+        orchidlead::incarnation holder = 0;
+        std::vector<bool> parts;
+    };
+
+    [[nodiscard]] once_verdict onTicket(const once_request &request);
+    [[nodiscard]] once_verdict onKey(const once_request &request);
+    [[nodiscard]] once_verdict onNewTicket(const once_request &request, const ticket &value);
+    [[nodiscard]] once_verdict onNewKey(const once_request &request, const idempotency_key &key,
+                                        const std::string &id);
+    [[nodiscard]] once_verdict onUncertain(const once_request &request, std::size_t shard,
+                                           home_standing standing) const;
+    [[nodiscard]] once_verdict accept(const once_request &request, const std::string &id,
+                                      steady_time keepUntil);
+    [[nodiscard]] static once_verdict known(const call_record &record, const once_request &request);
+    void beginHandover(std::size_t shard);
+    [[nodiscard]] std::vector<shard_handover> handoverParts(std::size_t shard,
+                                                            const lease_cover &cover) const;
+    [[nodiscard]] handed_record handed(const call_record &record) const;
+    void updateSuccessor(const call_record &record);
+    void endHandover(const handover_sender::ended &handover, std::vector<key_home_outgoing> &out);
+    void onHandover(const vm_id &from, const shard_handover &message,
+                    std::vector<key_home_outgoing> &out);
+    [[nodiscard]] bool takeRecords(const shard_handover &message);
+    [[nodiscard]] bool completes(const vm_id &from, const shard_handover &message);
+    void onReply(const vm_id &from, const handover_reply &message,
+                 std::vector<key_home_outgoing> &out);
+    static void encode(const std::vector<key_home_outgoing> &messages,
+                       std::vector<peer_message> &out);
+
+    at_most_once_settings m_settings;
+    const clock_source &m_clock;
+    ticket_ledger m_ledger;
+    call_records m_records;
+    basic_key_home<Guards> m_home;
+    handover_sender m_sender;
+    shard_bits m_frozen = 0; // no new key is accepted: being handed over, or handed over
+    std::map<std::size_t, vm_id> m_successors; // of shards that were handed over
+    std::map<std::size_t, incoming_handover> m_incoming;
+    std::vector<key_home_outgoing> m_queued; // until the next tick
+    std::uint64_t m_malformed = 0;
+    bool m_leaving = false;
 };
 
 using at_most_once = basic_at_most_once<every_guard>;
 
+extern template class basic_at_most_once<every_guard>;
+
 } // namespace orchidlead
--- /dev/null
+++ b/src/core/at_most_once_definitions.h
@@ -0,0 +1,497 @@
+#pragma once
+
+#include "core/answer_codec.h"
+#include "core/at_most_once.h"
+#include "core/key_home_definitions.h"
+
+#include <algorithm>
+#include <utility>
+
+/// The member functions of `basic_at_most_once`, for those who instantiate it with guards of their
+/// own.
+namespace orchidlead {
+
+namespace at_most_once_detail {
+
+inline constexpr std::size_t MaxCustomerLength = 128;
+inline constexpr std::size_t MaxHandedOutput = 256U << 10U;
+inline constexpr std::size_t PartBytes = 64U << 10U;
+inline constexpr std::size_t MaxSuccessors = 3;
+inline constexpr std::size_t DatagramBytes = 1'200;
+
+inline refuse_call refusal(outcome ended, refusal_reason reason, std::string detail,
+                           std::optional<milliseconds> retryAfter = std::nullopt)
+{
+    return {ended, reason, std::move(detail), retryAfter};
+}
+
+// A customer's name and a key can't run into each other: neither holds a zero byte.
+inline std::string keyId(const customer_id &customer, const idempotency_key &key)
+{
+    return "k" + customer.value + '\0' + key.text;
+}
+
+inline bool isKeyId(std::string_view id)
+{
+    return id.starts_with('k');
+}
+
+inline std::uint64_t scopedDigest(const once_request &request)
+{
+    return request.digest ^ rendezvousWeight("digest", request.customer.value);
+}
+
+inline std::int64_t unixMilliseconds(wall_time time)
+{
+    return std::chrono::duration_cast<milliseconds>(time.time_since_epoch()).count();
+}
+
+inline key_home_settings homeSettings(const at_most_once_settings &settings)
+{
+    return {settings.vm,        settings.incarnation, settings.lease,     settings.renewal,
+            settings.clockSkew, settings.maxListAge,  settings.listMemory};
+}
+
+} // namespace at_most_once_detail
+
+template <at_most_once_guards Guards>
+basic_at_most_once<Guards>::basic_at_most_once(at_most_once_settings settings,
+                                               const clock_source &clock)
+    : m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_ledger(m_settings.vm, m_settings.incarnation, m_settings.window, m_settings.maxTickets,
+               clock)
+    , m_records(m_settings.maxRecords, m_settings.maxAnswerBytes)
+    , m_home(at_most_once_detail::homeSettings(m_settings), clock)
+    , m_sender(clock)
+{ }
+
+template <at_most_once_guards Guards>
+std::optional<std::string> basic_at_most_once<Guards>::mintTicket()
+{
+    const auto minted = m_ledger.mint();
+    if (!minted)
+        return std::nullopt;
+    return toText(*minted);
+}
+
+template <at_most_once_guards Guards>
+once_verdict basic_at_most_once<Guards>::onRequest(const once_request &request)
+{
+    if (request.ticket)
+        return onTicket(request);
+    if (request.key)
+        return onKey(request);
+    return accept(request, {}, m_clock.now());
+}
+
+template <at_most_once_guards Guards>
+once_verdict basic_at_most_once<Guards>::onTicket(const once_request &request)
+{
+    const auto parsed = parseTicket(*request.ticket);
+    if (!parsed) {
+        return at_most_once_detail::refusal(outcome::NotRun, refusal_reason::InvalidRequest,
+                                            "ticket: " + std::string{toName(parsed.error())});
+    }
+    const ticket &value = parsed.value();
+    const call_record *record = m_records.find(toText(value));
+    if (record != nullptr && Guards::TicketRunsOnce)
+        return known(*record, request);
+    return onNewTicket(request, value);
+}
+
+// A ticket that isn't valid here may have run, or may run yet where it is valid: all that can be
+// said of it is that it is unknown.
+template <at_most_once_guards Guards>
+once_verdict basic_at_most_once<Guards>::onNewTicket(const once_request &request,
+                                                     const ticket &value)
+{
+    using at_most_once_detail::refusal;
+    switch (m_ledger.standing(value)) {
+    case ticket_standing::Valid:
+        return accept(request, toText(value), m_ledger.expiry(value));
+    case ticket_standing::OtherVm:
+        if (!request.forwarded)
+            return forward_to{value.vm, {}, forward_kind::Ticket};
+        return refusal(outcome::Unknown, refusal_reason::HomeUnreachable,
+                       "the ticket belongs to another VM");
+    case ticket_standing::OtherIncarnation:
+        if (!Guards::TicketNamesIncarnation)
+            return accept(request, toText(value), m_clock.now() + m_settings.window);
+        return refusal(outcome::Unknown, refusal_reason::HomeUnreachable,
+                       "the process that minted the ticket is gone");
+    case ticket_standing::NeverMinted:
+        return refusal(outcome::Unknown, refusal_reason::InvalidRequest,
+                       "the ticket was never minted");
+    case ticket_standing::Expired:
+        return refusal(outcome::Unknown, refusal_reason::KeyExpired, "the ticket has expired");
+    }
+    return refusal(outcome::Unknown, refusal_reason::Internal, {});
+}
+
+template <at_most_once_guards Guards>
+once_verdict basic_at_most_once<Guards>::onKey(const once_request &request)
+{
+    using at_most_once_detail::refusal;
+    const auto key = parseIdempotencyKey(*request.key);
+    if (!key) {
+        return refusal(outcome::NotRun, refusal_reason::InvalidRequest,
+                       "idempotency key: " + std::string{toName(key.error())});
+    }
+    if (request.customer.value.size() > at_most_once_detail::MaxCustomerLength)
+        return refusal(outcome::NotRun, refusal_reason::InvalidRequest, "customer: too long");
+    const auto id = at_most_once_detail::keyId(request.customer, key.value());
+    if (const call_record *record = m_records.find(id))
+        return known(*record, request);
+    return onNewKey(request, key.value(), id);
+}
+
+template <at_most_once_guards Guards>
+once_verdict basic_at_most_once<Guards>::onNewKey(const once_request &request,
+                                                  const idempotency_key &key, const std::string &id)
+{
+    using at_most_once_detail::refusal;
+    const auto wall = m_clock.wallNow();
+    if (Guards::OldKeysAreRefused && key.issued + m_settings.window <= wall)
+        return refusal(outcome::Unknown, refusal_reason::KeyExpired, "the key is too old");
+    const bool elsewhere =
+        !request.homeDataCenter.empty() && request.homeDataCenter != m_settings.dataCenter;
+    if (elsewhere && !request.forwarded)
+        return forward_to{{}, request.homeDataCenter, forward_kind::Key};
+    const std::size_t shard = shardOf(id);
+    auto standing = m_home.standing(shard, key.issued);
+    if (elsewhere || (m_frozen & shardBit(shard)) != 0)
+        standing = home_standing::NoLease;
+    if (standing != home_standing::Certain)
+        return onUncertain(request, shard, standing);
+    const auto left = key.issued + m_settings.window - wall + 2 * m_settings.clockSkew;
+    return accept(request, id,
+                  m_clock.now() + std::chrono::duration_cast<steady_time::duration>(left));
+}
+
+// The request may be a resend of one that another node ran, or is about to run: `NotRun` can't be
+// proved here.
+template <at_most_once_guards Guards>
+once_verdict basic_at_most_once<Guards>::onUncertain(const once_request &request, std::size_t shard,
+                                                     home_standing standing) const
+{
+    using at_most_once_detail::refusal;
+    const outcome ended = Guards::UncertainMeansUnknown ? outcome::Unknown : outcome::NotRun;
+    if (standing == home_standing::IssuedInFuture) {
+        return refusal(ended, refusal_reason::InvalidRequest,
+                       "the key's time of issue is in the future");
+    }
+    if (standing == home_standing::IssuedBeforeLease) {
+        return refusal(ended, refusal_reason::HomeUncertain,
+                       "an earlier home of the key may have run it; it won't be run any more");
+    }
+    const auto successor = m_successors.find(shard);
+    const auto home =
+        successor == m_successors.end() ? m_home.likelyHome(shard) : successor->second;
+    if (!request.forwarded && !home.empty() && home != m_settings.vm)
+        return forward_to{home, m_settings.dataCenter, forward_kind::Key};
+    return refusal(ended, refusal_reason::HomeUncertain, "no node is sure to be the key's home",
+                   m_settings.renewal);
+}
+
+// With all places taken, the refusal can't be remembered, so that a delayed copy of the request
+// could run later: `NotRun` would promise too much for a call that has a name.
+template <at_most_once_guards Guards>
+once_verdict basic_at_most_once<Guards>::accept(const once_request &request, const std::string &id,
+                                                steady_time keepUntil)
+{
+    call_record record;
+    record.id = id;
+    record.digest = at_most_once_detail::scopedDigest(request);
+    record.deadline = request.deadline;
+    record.keepUntil = keepUntil;
+    if (const call_record *added = m_records.add(std::move(record)))
+        return run_here{added->handle};
+    const outcome ended = id.empty() ? outcome::NotRun : outcome::Unknown;
+    return at_most_once_detail::refusal(ended, refusal_reason::Overloaded,
+                                        "too many calls are remembered", m_settings.renewal);
+}
+
+template <at_most_once_guards Guards>
+once_verdict basic_at_most_once<Guards>::known(const call_record &record,
+                                               const once_request &request)
+{
+    using at_most_once_detail::refusal;
+    if (record.digest != at_most_once_detail::scopedDigest(request)) {
+        return refusal(outcome::NotRun, refusal_reason::InvalidRequest,
+                       "the key or ticket was used for another request");
+    }
+    switch (record.state) {
+    case call_state::Accepted:
+    case call_state::Dispatched:
+        return attach_to{record.handle};
+    case call_state::HandedOver:
+        return refusal(outcome::Unknown, refusal_reason::KeyInUse,
+                       "in flight at the key's previous home", milliseconds{1'000});
+    case call_state::Finished:
+        break;
+    }
+    if (record.answerable())
+        return give_answer{record.answer};
+    return refusal(outcome::Failed, refusal_reason::KeyInUse,
+                   "the call was answered, and the answer is no longer kept");
+}
+
+// Nothing but the own record is asked: once a key is accepted, no other node ever accepts it, so
+// that a pause between this check and the send does no harm (docs/DESIGN.md).
+template <at_most_once_guards Guards>
+bool basic_at_most_once<Guards>::mayDispatch(record_handle record) const
+{
+    const call_record *found = m_records.find(record);
+    if (found == nullptr || m_clock.now() >= found->deadline)
+        return false;
+    return found->state == call_state::Accepted || found->state == call_state::Dispatched;
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::onDispatched(record_handle record)
+{
+    call_record *found = m_records.find(record);
+    if (found != nullptr && found->state == call_state::Accepted)
+        found->state = call_state::Dispatched;
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::onFinished(record_handle record, const final_answer &answer)
+{
+    call_record *found = m_records.find(record);
+    if (found == nullptr)
+        return;
+    const bool forget = answer.outcome == outcome::NotRun && !Guards::RefusalIsFinal;
+    if (found->id.empty() || forget) {
+        m_records.drop(record);
+        return;
+    }
+    m_records.finish(*found, answer);
+    updateSuccessor(*found);
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::tick(std::vector<peer_message> &out)
+{
+    m_ledger.tick();
+    m_records.expire(m_clock.now());
+    std::vector<key_home_outgoing> messages = std::move(m_queued);
+    m_queued.clear();
+    m_home.tick(messages);
+    for (const auto &failed : m_sender.tick(messages))
+        endHandover(failed, messages);
+    encode(messages, out);
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::onPeerMessage(const vm_id &from, std::string_view bytes,
+                                               std::vector<peer_message> &out)
+{
+    const auto decoded = decodeKeyHomeMessage(bytes);
+    if (!decoded) {
+        ++m_malformed;
+        return;
+    }
+    std::vector<key_home_outgoing> messages;
+    const key_home_message &message = decoded.value();
+    if (const auto *request = std::get_if<lease_request>(&message))
+        m_home.onRequest(from, *request, messages);
+    else if (const auto *vote = std::get_if<lease_vote>(&message))
+        m_home.onVote(from, *vote);
+    else if (const auto *release = std::get_if<lease_release>(&message))
+        m_home.onRelease(from, *release);
+    else if (const auto *handover = std::get_if<shard_handover>(&message))
+        onHandover(from, *handover, messages);
+    else if (const auto *reply = std::get_if<handover_reply>(&message))
+        onReply(from, *reply, messages);
+    encode(messages, out);
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::encode(const std::vector<key_home_outgoing> &messages,
+                                        std::vector<peer_message> &out)
+{
+    for (const auto &each : messages) {
+        std::string bytes = encodeKeyHomeMessage(each.message);
+        const bool bulk = bytes.size() > at_most_once_detail::DatagramBytes;
+        out.push_back({each.to, std::move(bytes), bulk});
+    }
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::setMembers(std::span<const member> members,
+                                            steady_time listConfirmedAt)
+{
+    m_home.setMembers(members, listConfirmedAt);
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::startLeaving()
+{
+    if (m_leaving)
+        return;
+    m_leaving = true;
+    m_home.startLeaving();
+    for (std::size_t shard = 0; shard < ShardCount; ++shard)
+        beginHandover(shard);
+}
+
+// From here on no new key of the shard is accepted, so that the records and the coverage that are
+// handed over are the last word on it.
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::beginHandover(std::size_t shard)
+{
+    m_frozen |= shardBit(shard);
+    const auto cover = m_home.cover(shard);
+    if (!cover)
+        return;
+    auto parts = handoverParts(shard, *cover);
+    auto successors = m_home.successors(shard);
+    if (successors.size() > at_most_once_detail::MaxSuccessors)
+        successors.resize(at_most_once_detail::MaxSuccessors);
+    if (parts.size() > MaxHandoverParts)
+        successors.clear();
+    m_sender.begin(shard, std::move(parts), std::move(successors));
+}
+
+template <at_most_once_guards Guards>
+std::vector<shard_handover>
+basic_at_most_once<Guards>::handoverParts(std::size_t shard, const lease_cover &cover) const
+{
+    const shard_handover head{m_settings.incarnation,
+                              static_cast<std::uint32_t>(shard),
+                              0,
+                              1,
+                              at_most_once_detail::unixMilliseconds(cover.since),
+                              at_most_once_detail::unixMilliseconds(cover.until),
+                              {}};
+    std::vector<shard_handover> parts{head};
+    std::size_t bytes = 0;
+    m_records.forEach([&](const call_record &record) {
+        if (!at_most_once_detail::isKeyId(record.id) || shardOf(record.id) != shard)
+            return;
+        if (bytes > at_most_once_detail::PartBytes
+            || parts.back().records.size() >= MaxRecordsInPart) {
+            parts.push_back(head);
+            bytes = 0;
+        }
+        parts.back().records.push_back(handed(record));
+        bytes += record.id.size() + parts.back().records.back().answer.size();
+    });
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        parts[i].part = static_cast<std::uint32_t>(i);
+        parts[i].parts = static_cast<std::uint32_t>(parts.size());
+    }
+    return parts;
+}
+
+template <at_most_once_guards Guards>
+handed_record basic_at_most_once<Guards>::handed(const call_record &record) const
+{
+    const auto left = std::chrono::ceil<milliseconds>(record.keepUntil - m_clock.now());
+    handed_record out;
+    out.id = record.id;
+    out.digest = record.digest;
+    out.keepMilliseconds = std::max(left, milliseconds{0}).count();
+    out.finished = record.state == call_state::Finished;
+    if (out.finished)
+        out.answer = encodeAnswer(record.answer, at_most_once_detail::MaxHandedOutput);
+    return out;
+}
+
+// A call that was in flight at the handover ends here; the next home learns how. If this message is
+// lost, the next home goes on answering `Unknown`, which is true.
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::updateSuccessor(const call_record &record)
+{
+    if (!at_most_once_detail::isKeyId(record.id))
+        return;
+    const std::size_t shard = shardOf(record.id);
+    const auto successor = m_successors.find(shard);
+    if (successor == m_successors.end())
+        return;
+    shard_handover update;
+    update.holder = m_settings.incarnation;
+    update.shard = static_cast<std::uint32_t>(shard);
+    update.records.push_back(handed(record));
+    m_queued.push_back({successor->second, std::move(update)});
+}
+
+template <at_most_once_guards Guards>
+bool basic_at_most_once<Guards>::handedOver() const
+{
+    return m_leaving && m_sender.idle() && m_queued.empty();
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::endHandover(const handover_sender::ended &handover,
+                                             std::vector<key_home_outgoing> &out)
+{
+    m_home.giveUp(handover.shard, handover.successor, out);
+    if (handover.successor)
+        m_successors[handover.shard] = handover.successor->holder.vm;
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::onReply(const vm_id &from, const handover_reply &message,
+                                         std::vector<key_home_outgoing> &out)
+{
+    if (const auto done = m_sender.onReply(from, message))
+        endHandover(*done, out);
+}
+
+template <at_most_once_guards Guards>
+void basic_at_most_once<Guards>::onHandover(const vm_id &from, const shard_handover &message,
+                                            std::vector<key_home_outgoing> &out)
+{
+    const bool update = message.leaseEnd == 0;
+    const bool taken = takeRecords(message) && (update || m_home.eligible());
+    if (update)
+        return;
+    out.push_back({from,
+                   handover_reply{message.holder, message.shard, message.part,
+                                  m_settings.incarnation, m_home.nextRound(), taken}});
+    if (!taken || !completes(from, message))
+        return;
+    const lease_cover cover{wall_time{milliseconds{message.coveredSince}},
+                            wall_time{milliseconds{message.leaseEnd}}};
+    m_home.inherit(message.shard, cover);
+}
+
+// Records are taken even if the handover fails later: to know of a call is never wrong.
+template <at_most_once_guards Guards>
+bool basic_at_most_once<Guards>::takeRecords(const shard_handover &message)
+{
+    for (const auto &each : message.records) {
+        call_record *record = m_records.find(each.id);
+        if (record == nullptr) {
+            call_record added;
+            added.id = each.id;
+            added.digest = each.digest;
+            added.state = call_state::HandedOver;
+            added.keepUntil = m_clock.now() + milliseconds{each.keepMilliseconds};
+            record = m_records.add(std::move(added));
+        }
+        if (record == nullptr)
+            return false;
+        const auto answer = decodeAnswer(each.answer);
+        if (each.finished && answer && record->state == call_state::HandedOver)
+            m_records.finish(*record, *answer);
+    }
+    return true;
+}
+
+template <at_most_once_guards Guards>
+bool basic_at_most_once<Guards>::completes(const vm_id &from, const shard_handover &message)
+{
+    incoming_handover &incoming = m_incoming[message.shard];
+    const bool same = incoming.from == from && incoming.holder == message.holder
+        && incoming.parts.size() == message.parts;
+    if (!same)
+        incoming = {from, message.holder, std::vector<bool>(message.parts, false)};
+    incoming.parts[message.part] = true;
+    return std::find(incoming.parts.begin(), incoming.parts.end(), false) == incoming.parts.end();
+}
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/key_home_definitions.h
@@ -0,0 +1,377 @@
+#pragma once
+
+#include <orchidlead/key_home.h>
+#include <orchidlead/rendezvous.h>
+
+#include <algorithm>
+#include <utility>
+
+/// The member functions of `basic_key_home`, for those who instantiate it with guards of their own.
+namespace orchidlead {
+
+namespace key_home_detail {
+
+// Two monotonic clocks drift apart by far less than this share of a lease.
+inline constexpr int DriftDivisor = 100;
+
+// Spreads the new tries of candidates that stood in each other's way.
+inline constexpr std::uint64_t MaxBackoffRounds = 4;
+
+inline milliseconds holderLease(milliseconds lease)
+{
+    return lease - lease / DriftDivisor;
+}
+
+inline std::string shardName(std::size_t shard)
+{
+    return "shard-" + std::to_string(shard);
+}
+
+} // namespace key_home_detail
+
+template <at_most_once_guards Guards>
+basic_key_home<Guards>::basic_key_home(key_home_settings settings, const clock_source &clock)
+    : m_settings(std::move(settings))
+    , m_clock(clock)
+    , m_voter(m_settings.lease, clock)
+    , m_lists(m_settings.maxListAge, m_settings.listMemory)
+{ }
+
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::setMembers(std::span<const member> members, steady_time confirmedAt)
+{
+    std::vector<vm_id> listed;
+    m_live.clear();
+    for (const auto &each : members) {
+        listed.push_back(each.vm.vm);
+        const bool own = each.vm.vm == m_settings.vm;
+        const bool stays = !each.vm.leaving && each.state != member_state::Leaving;
+        if (stays && (own || each.state == member_state::Alive))
+            m_live.push_back(each.vm.vm);
+    }
+    const auto now = m_clock.now();
+    m_lists.tick(now);
+    m_lists.set(std::move(listed), confirmedAt, now);
+    std::erase_if(m_votes, [this](const auto &entry) { return !m_lists.contains(entry.first); });
+    for (std::size_t shard = 0; shard < ShardCount; ++shard)
+        refresh(shard);
+}
+
+template <at_most_once_guards Guards>
+bool basic_key_home<Guards>::eligible() const
+{
+    const auto &current = m_lists.current();
+    const bool listed = std::find(current.begin(), current.end(), m_settings.vm) != current.end();
+    return listed && !m_leaving && listsUsable(m_clock.now());
+}
+
+template <at_most_once_guards Guards>
+bool basic_key_home<Guards>::listsUsable(steady_time now) const
+{
+    if (Guards::EveryRecentListAgrees && !m_lists.complete(now))
+        return false;
+    return !Guards::ListMustBeFresh || now < m_lists.freshUntil();
+}
+
+// The lease ends with the votes or with the list's freshness, whichever comes first.
+template <at_most_once_guards Guards>
+steady_time basic_key_home<Guards>::usableUntil(std::size_t shard, steady_time now) const
+{
+    if (!listsUsable(now))
+        return steady_time::min();
+    const auto voteOf = [this, shard](const vm_id &voter) {
+        const auto found = m_votes.find(voter);
+        return found == m_votes.end() ? steady_time::min() : found->second[shard];
+    };
+    steady_time until = steady_time::min();
+    if (Guards::MajorityOfVoters)
+        until = m_lists.majorityUntil(voteOf, Guards::EveryRecentListAgrees);
+    else
+        until = voteOf(m_settings.vm);
+    return Guards::ListMustBeFresh ? std::min(until, m_lists.freshUntil()) : until;
+}
+
+// A lease that lapsed, be it for a moment, begins anew: another node may have held it in between.
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::refresh(std::size_t shard)
+{
+    const auto now = m_clock.now();
+    shard_state &state = m_shards[shard];
+    const auto until = usableUntil(shard, now);
+    const bool begins = state.leaseUntil <= now && until > now;
+    if (begins) {
+        const auto wall = m_clock.wallNow();
+        state.since = inheritable(state) ? state.inherited->since : wall;
+        state.inherited.reset();
+        state.failures = 0;
+    }
+    state.leaseUntil = until;
+}
+
+// Coverage may be taken over only if no third node can have held the lease in between, so while
+// the previous home's lease still lasts by any clock within the bound.
+template <at_most_once_guards Guards>
+bool basic_key_home<Guards>::inheritable(const shard_state &state) const
+{
+    if (!state.inherited)
+        return false;
+    const auto limit = state.inherited->until - m_settings.clockSkew;
+    return !Guards::HandoverWithinLease || m_clock.wallNow() < limit;
+}
+
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::tick(std::vector<key_home_outgoing> &out)
+{
+    const auto now = m_clock.now();
+    m_lists.tick(now);
+    if (now < m_nextRound) {
+        startRound(wantedShards(true), out);
+        return;
+    }
+    m_nextRound = now + m_settings.renewal;
+    failCandidacies(out);
+    startRound(wantedShards(false), out);
+}
+
+template <at_most_once_guards Guards>
+shard_bits basic_key_home<Guards>::wantedShards(bool inheritedOnly)
+{
+    const auto now = m_clock.now();
+    shard_bits wanted = 0;
+    for (std::size_t shard = 0; shard < ShardCount; ++shard) {
+        shard_state &state = m_shards[shard];
+        if (state.inherited && !inheritable(state))
+            state.inherited.reset();
+        const bool inherits = state.inherited && eligible();
+        if (inherits || (!inheritedOnly && wants(shard, now)))
+            wanted |= shardBit(shard);
+    }
+    return wanted;
+}
+
+// A holder goes on; others wait their turn in the order of the rendezvous hash, so that they don't
+// split the votes.
+template <at_most_once_guards Guards>
+bool basic_key_home<Guards>::wants(std::size_t shard, steady_time now)
+{
+    shard_state &state = m_shards[shard];
+    if (now < state.leaseUntil)
+        return true;
+    const lease_holder *promised = m_voter.promisedTo(shard);
+    if (promised != nullptr && *promised != self()) {
+        state.freeSince.reset();
+        return false;
+    }
+    if (!state.freeSince)
+        state.freeSince = now;
+    if (!eligible() || now < state.quietUntil)
+        return false;
+    return now >= *state.freeSince + m_settings.renewal * static_cast<int>(rank(shard));
+}
+
+template <at_most_once_guards Guards>
+std::size_t basic_key_home<Guards>::rank(std::size_t shard) const
+{
+    const auto order = rendezvousPick(key_home_detail::shardName(shard), m_live, m_live.size());
+    const auto found = std::find(order.begin(), order.end(), m_settings.vm);
+    return static_cast<std::size_t>(found - order.begin());
+}
+
+// A candidate that got too few votes gives them back, so that they don't stand in another's way.
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::failCandidacies(std::vector<key_home_outgoing> &out)
+{
+    const auto now = m_clock.now();
+    shard_bits failed = 0;
+    for (std::size_t shard = 0; shard < ShardCount; ++shard) {
+        shard_state &state = m_shards[shard];
+        if (!state.asked || now < state.leaseUntil || state.inherited)
+            continue;
+        state.asked = false;
+        ++state.failures;
+        const auto draw = rendezvousWeight(key_home_detail::shardName(shard) + "/"
+                                               + std::to_string(state.failures),
+                                           m_settings.vm.value);
+        const auto rounds = static_cast<int>(draw % key_home_detail::MaxBackoffRounds);
+        state.quietUntil = now + m_settings.renewal * rounds;
+        state.firstRound = m_round + 1;
+        for (auto &[voter, ends] : m_votes)
+            ends[shard] = steady_time::min();
+        failed |= shardBit(shard);
+    }
+    if (failed != 0)
+        sendRelease({m_settings.incarnation, m_round, failed, {}, 0, 0}, out);
+}
+
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::sendRelease(const lease_release &message,
+                                         std::vector<key_home_outgoing> &out)
+{
+    for (const auto &voter : m_lists.voters()) {
+        if (voter == m_settings.vm)
+            onRelease(voter, message);
+        else
+            out.push_back({voter, message});
+    }
+}
+
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::startRound(shard_bits shards, std::vector<key_home_outgoing> &out)
+{
+    if (shards == 0)
+        return;
+    ++m_round;
+    m_sentAt[m_round % RememberedRounds] = m_clock.now();
+    for (std::size_t shard = 0; shard < ShardCount; ++shard) {
+        if ((shards & shardBit(shard)) != 0)
+            m_shards[shard].asked = true;
+    }
+    const auto voters = m_lists.voters();
+    for (const auto &voter : voters) {
+        if (voter == m_settings.vm)
+            recordVotes(voter, m_round, m_voter.grant(self(), m_round, shards));
+        else
+            out.push_back({voter, lease_request{m_settings.incarnation, m_round, shards}});
+    }
+}
+
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::onRequest(const vm_id &from, const lease_request &message,
+                                       std::vector<key_home_outgoing> &out)
+{
+    if (!m_lists.contains(from))
+        return;
+    const auto granted = m_voter.grant({from, message.holder}, message.round, message.shards);
+    out.push_back({from, lease_vote{message.holder, message.round, granted}});
+}
+
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::onVote(const vm_id &from, const lease_vote &message)
+{
+    const bool remembered = message.round <= m_round && message.round + RememberedRounds > m_round;
+    if (message.holder != m_settings.incarnation || !remembered || !m_lists.contains(from))
+        return;
+    recordVotes(from, message.round, message.granted);
+}
+
+// The voter counts its promise from the receipt, this node from the sending: the promise outlasts
+// the lease whatever the delay.
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::recordVotes(const vm_id &voter, std::uint64_t round,
+                                         shard_bits granted)
+{
+    const auto sentAt = m_sentAt[round % RememberedRounds];
+    const auto from = Guards::LeaseCountsFromRequest ? sentAt : m_clock.now();
+    const auto until = from + key_home_detail::holderLease(m_settings.lease);
+    const auto [entry, fresh] = m_votes.try_emplace(voter);
+    if (fresh)
+        entry->second.fill(steady_time::min());
+    for (std::size_t shard = 0; shard < ShardCount; ++shard) {
+        if ((granted & shardBit(shard)) == 0 || round < m_shards[shard].firstRound)
+            continue;
+        entry->second[shard] = std::max(entry->second[shard], until);
+        refresh(shard);
+    }
+}
+
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::onRelease(const vm_id &from, const lease_release &message)
+{
+    m_voter.release(from, message);
+}
+
+// Reads the time of day first: were the process paused between the two readings, a key issued
+// meanwhile would otherwise pass for one issued before the lease was checked.
+template <at_most_once_guards Guards>
+home_standing basic_key_home<Guards>::standing(std::size_t shard, wall_time issued) const
+{
+    const auto wall = m_clock.wallNow();
+    const auto now = m_clock.now();
+    const shard_state &state = m_shards[shard];
+    if (Guards::LeaseIsChecked && now >= state.leaseUntil)
+        return home_standing::NoLease;
+    if (Guards::IssuedAfterLeaseBegan && issued <= state.since + 2 * m_settings.clockSkew)
+        return home_standing::IssuedBeforeLease;
+    if (Guards::FutureKeysAreRefused && issued >= wall + m_settings.clockSkew)
+        return home_standing::IssuedInFuture;
+    return home_standing::Certain;
+}
+
+template <at_most_once_guards Guards>
+vm_id basic_key_home<Guards>::likelyHome(std::size_t shard) const
+{
+    if (holdsLease(shard))
+        return m_settings.vm;
+    if (const lease_holder *promised = m_voter.promisedTo(shard))
+        return promised->vm;
+    const auto best = rendezvousPick(key_home_detail::shardName(shard), m_live, 1);
+    return best.empty() ? vm_id{} : best.front();
+}
+
+template <at_most_once_guards Guards>
+bool basic_key_home<Guards>::holdsLease(std::size_t shard) const
+{
+    return m_clock.now() < m_shards[shard].leaseUntil;
+}
+
+template <at_most_once_guards Guards>
+shard_bits basic_key_home<Guards>::held() const
+{
+    shard_bits bits = 0;
+    for (std::size_t shard = 0; shard < ShardCount; ++shard) {
+        if (holdsLease(shard))
+            bits |= shardBit(shard);
+    }
+    return bits;
+}
+
+template <at_most_once_guards Guards>
+std::vector<vm_id> basic_key_home<Guards>::successors(std::size_t shard) const
+{
+    auto order = rendezvousPick(key_home_detail::shardName(shard), m_live, m_live.size());
+    std::erase(order, m_settings.vm);
+    return order;
+}
+
+template <at_most_once_guards Guards>
+std::optional<lease_cover> basic_key_home<Guards>::cover(std::size_t shard) const
+{
+    const auto wall = m_clock.wallNow();
+    const auto now = m_clock.now();
+    const shard_state &state = m_shards[shard];
+    if (now >= state.leaseUntil)
+        return std::nullopt;
+    return lease_cover{
+        state.since,
+        wall + std::chrono::duration_cast<wall_time::duration>(state.leaseUntil - now)};
+}
+
+// Without a successor the votes run out by themselves: were they given back, a node that still
+// waits to take over an earlier home's coverage could overlook what this one accepted.
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::giveUp(std::size_t shard,
+                                    const std::optional<successor_holder> &successor,
+                                    std::vector<key_home_outgoing> &out)
+{
+    shard_state &state = m_shards[shard];
+    state.leaseUntil = steady_time::min();
+    state.firstRound = m_round + 1;
+    for (auto &[voter, ends] : m_votes)
+        ends[shard] = steady_time::min();
+    if (!successor)
+        return;
+    const lease_release message{
+        m_settings.incarnation,        m_round,         shardBit(shard), successor->holder.vm,
+        successor->holder.incarnation, successor->round};
+    sendRelease(message, out);
+}
+
+template <at_most_once_guards Guards>
+void basic_key_home<Guards>::inherit(std::size_t shard, const lease_cover &cover)
+{
+    shard_state &state = m_shards[shard];
+    if (!holdsLease(shard))
+        state.inherited = cover;
+}
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/recent_lists.cpp
@@ -0,0 +1,94 @@
+#include <orchidlead/recent_lists.h>
+
+#include <algorithm>
+
+namespace orchidlead {
+
+namespace {
+
+steady_time majorityOfOne(const std::vector<vm_id> &vms, const recent_lists::vote_end &voteOf)
+{
+    if (vms.empty())
+        return steady_time::min();
+    std::vector<steady_time> ends;
+    ends.reserve(vms.size());
+    for (const auto &vm : vms)
+        ends.push_back(voteOf(vm));
+    // With n voters, the vote number n/2 (from 0, latest first) is the one that makes more than
+    // half.
+    const auto middle = ends.begin() + static_cast<std::ptrdiff_t>(vms.size() / 2);
+    std::nth_element(ends.begin(), middle, ends.end(), std::greater<>{});
+    return *middle;
+}
+
+} // namespace
+
+recent_lists::recent_lists(milliseconds maxAge, milliseconds memory)
+    : m_maxAge(maxAge)
+    , m_memory(memory)
+{ }
+
+// Knowledge is complete only as long as confirmations follow each other closely: after a gap, lists
+// may have come and gone unseen, and the memory has to fill again.
+void recent_lists::set(std::vector<vm_id> vms, steady_time confirmedAt, steady_time now)
+{
+    std::sort(vms.begin(), vms.end());
+    vms.erase(std::unique(vms.begin(), vms.end()), vms.end());
+    const bool gap = !m_known || confirmedAt > freshUntil();
+    if (gap) {
+        m_completeSince = confirmedAt;
+        m_confirmedAt = confirmedAt;
+    }
+    m_known = true;
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
+    if (vms == m_current)
+        return;
+    if (!m_current.empty())
+        m_past.push_back({std::move(m_current), now});
+    if (m_past.size() > MaxLists) {
+        m_past.erase(m_past.begin());
+        m_completeSince = now;
+    }
+    m_current = std::move(vms);
+}
+
+bool recent_lists::contains(const vm_id &vm) const
+{
+    if (std::binary_search(m_current.begin(), m_current.end(), vm))
+        return true;
+    return std::any_of(m_past.begin(), m_past.end(), [&vm](const past_list &list) {
+        return std::binary_search(list.vms.begin(), list.vms.end(), vm);
+    });
+}
+
+std::vector<vm_id> recent_lists::voters() const
+{
+    std::vector<vm_id> all = m_current;
+    for (const auto &list : m_past)
+        all.insert(all.end(), list.vms.begin(), list.vms.end());
+    std::sort(all.begin(), all.end());
+    all.erase(std::unique(all.begin(), all.end()), all.end());
+    return all;
+}
+
+bool recent_lists::complete(steady_time now) const
+{
+    return m_known && now >= m_completeSince + m_memory;
+}
+
+steady_time recent_lists::majorityUntil(const vote_end &voteOf, bool everyList) const
+{
+    steady_time until = majorityOfOne(m_current, voteOf);
+    if (!everyList)
+        return until;
+    for (const auto &list : m_past)
+        until = std::min(until, majorityOfOne(list.vms, voteOf));
+    return until;
+}
+
+void recent_lists::tick(steady_time now)
+{
+    std::erase_if(m_past, [&](const past_list &list) { return now >= list.replacedAt + m_memory; });
+}
+
+} // namespace orchidlead
