--- a/src/core/parse_published_configuration.cpp
+++ b/src/core/parse_published_configuration.cpp
@@ -3,9 +3,7 @@
 #include "core/yaml_document.h"
 #include "core/yaml_reader.h"
 
-#include <algorithm>
 #include <string>
-#include <tuple>
 #include <unordered_set>
 
 /// The format is described in docs/CONFIGURATION.md.
@@ -281,16 +279,6 @@
     unique_names m_customerNames{"customer"};
 };
 
-std::vector<configuration_error> sorted(std::vector<configuration_error> errors)
-{
-    std::stable_sort(errors.begin(), errors.end(),
-                     [](const configuration_error &left, const configuration_error &right) {
-                         return std::tie(left.line, left.column)
-                             < std::tie(right.line, right.column);
-                     });
-    return errors;
-}
-
 } // namespace
 
 result<configuration_ptr, std::vector<configuration_error>>
@@ -304,7 +292,7 @@
     configuration->version = version;
     published_configuration_parser(*configuration).parse(value_reader(root.value(), errors));
     if (!errors.empty())
-        return sorted(errors.take());
+        return errors.takeSorted();
     configuration->buildIndex();
     return configuration_ptr(std::move(configuration));
 }
--- a/src/core/yaml_document.cpp
+++ b/src/core/yaml_document.cpp
@@ -39,7 +39,13 @@
     void OnNull(const YAML::Mark &mark, YAML::anchor_t anchor) override
     {
         refuseAnchor(mark, anchor);
-        add(mark, yaml_kind::Null);
+        // yaml-cpp gives the place of whatever follows; the key is what people look for.
+        YAML::Mark place = mark;
+        if (const yaml_value *key = openKey()) {
+            place.line = key->line - 1;
+            place.column = key->column - 1;
+        }
+        add(place, yaml_kind::Null);
     }
 
     void OnAlias(const YAML::Mark &mark, YAML::anchor_t /*anchor*/) override
@@ -107,6 +113,15 @@
         m_open.push_back(&add(mark, kind));
     }
 
+    /// Gives the key whose value comes next, or null.
+    [[nodiscard]] const yaml_value *openKey() const
+    {
+        if (m_open.empty() || m_open.back()->kind != yaml_kind::Mapping)
+            return nullptr;
+        const auto &items = m_open.back()->items;
+        return items.size() % 2 == 1 ? &items.back() : nullptr;
+    }
+
     // Pointers into `items` stay valid: a list grows only while its last item is complete.
     yaml_value &add(const YAML::Mark &mark, yaml_kind kind)
     {
--- a/src/core/yaml_reader.cpp
+++ b/src/core/yaml_reader.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 #include <limits>
+#include <tuple>
 #include <unordered_set>
 
 namespace orchidlead {
@@ -34,6 +35,18 @@
     duration_unit{"h", 60 * 60 * 1000},
 };
 
+struct byte_unit
+{
+    std::string_view name;
+    std::int64_t bytes;
+};
+
+constexpr std::array ByteUnits{
+    byte_unit{"KiB", std::int64_t{1} << 10},
+    byte_unit{"MiB", std::int64_t{1} << 20},
+    byte_unit{"GiB", std::int64_t{1} << 30},
+};
+
 std::string shortened(std::string_view text)
 {
     if (text.size() <= MaxShownLength)
@@ -93,6 +106,15 @@
     return std::to_string(number);
 }
 
+std::string formatBytes(std::int64_t count)
+{
+    for (auto unit = ByteUnits.rbegin(); unit != ByteUnits.rend(); ++unit) {
+        if (count != 0 && count % unit->bytes == 0)
+            return std::to_string(count / unit->bytes) + std::string(unit->name);
+    }
+    return std::to_string(count);
+}
+
 std::string formatMilliseconds(std::int64_t count)
 {
     return formatDuration(milliseconds(count));
@@ -139,6 +161,16 @@
                                            std::move(text), std::move(expected)});
 }
 
+std::vector<configuration_error> error_list::takeSorted()
+{
+    std::stable_sort(m_errors.begin(), m_errors.end(),
+                     [](const configuration_error &left, const configuration_error &right) {
+                         return std::tie(left.line, left.column)
+                             < std::tie(right.line, right.column);
+                     });
+    return std::move(m_errors);
+}
+
 std::optional<milliseconds> parseDuration(std::string_view text)
 {
     for (const auto &unit : DurationUnits) {
@@ -158,6 +190,23 @@
     return std::to_string(duration.count() / best->milliseconds) + std::string(best->name);
 }
 
+std::optional<std::int64_t> parseBytes(std::string_view text)
+{
+    constexpr std::int64_t MaxCount = std::int64_t{1} << 32;
+    std::int64_t factor = 1;
+    for (const auto &unit : ByteUnits) {
+        if (!text.ends_with(unit.name))
+            continue;
+        factor = unit.bytes;
+        text.remove_suffix(unit.name.size());
+        break;
+    }
+    const auto count = parseInteger(text);
+    if (!count || *count < 0 || *count > MaxCount)
+        return std::nullopt;
+    return *count * factor;
+}
+
 std::optional<std::int64_t> parseInteger(std::string_view text)
 {
     std::int64_t number = 0;
@@ -242,6 +291,18 @@
     return std::nullopt;
 }
 
+std::optional<std::int64_t> value_reader::bytes(integer_range range) const
+{
+    if (m_value->kind == yaml_kind::Scalar) {
+        const auto read = parseBytes(m_value->scalar);
+        if (read && *read >= range.minimum && *read <= range.maximum)
+            return read;
+    }
+    fail("a number of bytes such as 65536, 64KiB or 16MiB"
+         + rangeText(range.minimum, range.maximum, formatBytes));
+    return std::nullopt;
+}
+
 std::optional<milliseconds> value_reader::duration(duration_range range) const
 {
     if (m_value->kind == yaml_kind::Scalar) {
--- a/src/core/yaml_reader.h
+++ b/src/core/yaml_reader.h
@@ -32,7 +32,8 @@
     [[nodiscard]] bool empty() const { return m_errors.empty(); }
     [[nodiscard]] std::size_t size() const { return m_errors.size(); }
     [[nodiscard]] bool full() const { return m_errors.size() >= MaxErrors; }
-    [[nodiscard]] std::vector<configuration_error> take() { return std::move(m_errors); }
+    /// Gives the errors in the order of the text.
+    [[nodiscard]] std::vector<configuration_error> takeSorted();
 
     static constexpr std::size_t MaxErrors = 50;
 
@@ -62,6 +63,9 @@
 /// Writes a duration in the largest unit that keeps it whole.
 [[nodiscard]] std::string formatDuration(milliseconds duration);
 
+/// Reads a number of bytes: `65536`, `64KiB`, `16MiB` or `1GiB`.
+[[nodiscard]] std::optional<std::int64_t> parseBytes(std::string_view text);
+
 /// Reads a whole decimal number.
 [[nodiscard]] std::optional<std::int64_t> parseInteger(std::string_view text);
 
@@ -107,6 +111,7 @@
     [[nodiscard]] std::optional<std::string> name() const;
     [[nodiscard]] std::optional<bool> boolean() const;
     [[nodiscard]] std::optional<std::int64_t> integer(integer_range range = {}) const;
+    [[nodiscard]] std::optional<std::int64_t> bytes(integer_range range) const;
     [[nodiscard]] std::optional<milliseconds> duration(duration_range range = {}) const;
     [[nodiscard]] std::optional<socket_address> address() const;
 
@@ -177,12 +182,6 @@
             target = Target(std::move(*value));
     }
 
-    void readInteger(std::string_view key, std::int64_t &target, integer_range range)
-    {
-        read(key, presence::Optional, target,
-             [&](const value_reader &each) { return each.integer(range); });
-    }
-
     template <class Integer>
     void readInteger(std::string_view key, Integer &target, integer_range range)
     {
@@ -192,6 +191,12 @@
         });
     }
 
+    void readBytes(std::string_view key, std::size_t &target, integer_range range)
+    {
+        read(key, presence::Optional, target,
+             [&](const value_reader &each) { return each.bytes(range); });
+    }
+
     void readDuration(std::string_view key, milliseconds &target, duration_range range)
     {
         read(key, presence::Optional, target,
