--- a/src/core/parse_template.cpp
+++ b/src/core/parse_template.cpp
@@ -118,14 +118,9 @@
     parameter.allowed = std::move(values);
 }
 
-template_parameter parseParameter(const value_reader &reader)
+/// Reads what the type decides about.
+void parseTyped(const value_reader &reader, mapping_reader &mapping, template_parameter &parameter)
 {
-    mapping_reader mapping(reader);
-    template_parameter parameter;
-    mapping.read("name", presence::Required, parameter.name, &value_reader::name);
-    mapping.read("type", presence::Required, parameter.type,
-                 &value_reader::enumerator<parameter_type>);
-    mapping.read("required", presence::Optional, parameter.required, &value_reader::boolean);
     parseBounds(mapping, parameter);
     parseAllowed(mapping, parameter);
     const auto defaultValue = mapping.find("default");
@@ -136,6 +131,23 @@
     else if (!parameter.required)
         reader.errors().add(reader.value(), reader.path() + ".default", "",
                             "a default, or `required: true`");
+}
+
+template_parameter parseParameter(const value_reader &reader)
+{
+    mapping_reader mapping(reader);
+    template_parameter parameter;
+    mapping.read("name", presence::Required, parameter.name, &value_reader::name);
+    std::optional<parameter_type> type;
+    mapping.read("type", presence::Required, type, &value_reader::enumerator<parameter_type>);
+    mapping.read("required", presence::Optional, parameter.required, &value_reader::boolean);
+    parameter.type = type.value_or(parameter_type::String);
+    if (type) {
+        parseTyped(reader, mapping, parameter);
+    } else {
+        for (const std::string_view key : {"min", "max", "allowed", "default"})
+            (void)mapping.find(key);
+    }
     return parameter;
 }
 
@@ -424,7 +436,14 @@
 pipeline_template parseTemplate(mapping_reader &mapping, const std::vector<service> &services)
 {
     pipeline_template parsed;
+    const std::size_t errorsBefore = mapping.reader().errors().size();
     parsed.parameters = parseParameters(mapping);
+    // References to parameters that weren't understood would only repeat their errors.
+    if (mapping.reader().errors().size() != errorsBefore) {
+        for (const std::string_view key : {"deadline", "priority", "run", "stages"})
+            (void)mapping.find(key);
+        return parsed;
+    }
     const template_value_reader values(parsed.parameters);
     mapping.read("deadline", presence::Required, parsed.deadline, [&](const value_reader &each) {
         return values.read<milliseconds>(
