--- a/src/platform/configuration_service_client.cpp
+++ b/src/platform/configuration_service_client.cpp
@@ -20,8 +20,8 @@
     auto content = stringMember(parsed.value(), "content");
     if (!version || *version == 0)
         return failure(malformed("version: expected an integer from 1"));
-    if (!content)
-        return failure(malformed("content: expected a string"));
+    if (!content || !isUtf8(*content))
+        return failure(malformed("content: expected a string in UTF-8"));
     if (content->size() > MaxConfigurationBytes)
         return failure(read_error{read_failure::TooLarge, "content"});
     return configuration_content{*version, std::move(*content)};
