Read addresses of configurations with the shared function

Cause: yaml_reader had an address parser of its own beside parseSocketAddress.

Change: the reader's own parser is gone.

Tests: the tables of bad addresses pass unchanged.

--- a/src/core/yaml_reader.cpp
+++ b/src/core/yaml_reader.cpp
@@ -1,6 +1,6 @@
 #include "core/yaml_reader.h"
 
-#include <arpa/inet.h>
+#include "core/socket_address_text.h"
 
 #include <algorithm>
 #include <array>
@@ -83,12 +83,6 @@
     return !text.empty() && text.find_first_not_of(Digits) == std::string_view::npos;
 }
 
-bool isIp(const std::string &text, int family)
-{
-    std::array<unsigned char, sizeof(in6_addr)> bytes{};
-    return inet_pton(family, text.c_str(), bytes.data()) == 1;
-}
-
 std::string rangeText(std::int64_t minimum, std::int64_t maximum,
                       std::string (*format)(std::int64_t))
 {
@@ -216,24 +210,6 @@
     return number;
 }
 
-std::optional<socket_address> parseAddress(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos || !isDigits(text.substr(colon + 1)))
-        return std::nullopt;
-    const auto port = parseInteger(text.substr(colon + 1));
-    if (!port || *port < 1 || *port > std::numeric_limits<std::uint16_t>::max())
-        return std::nullopt;
-    std::string_view host = text.substr(0, colon);
-    const bool bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
-    if (bracketed)
-        host = host.substr(1, host.size() - 2);
-    const std::string ip(host);
-    if (!isIp(ip, bracketed ? AF_INET6 : AF_INET))
-        return std::nullopt;
-    return socket_address{ip, static_cast<std::uint16_t>(*port)};
-}
-
 std::string value_reader::path() const
 {
     if (m_parent == nullptr)
@@ -318,7 +294,7 @@
 std::optional<socket_address> value_reader::address() const
 {
     if (m_value->kind == yaml_kind::Scalar) {
-        if (auto read = parseAddress(m_value->scalar))
+        if (auto read = parseSocketAddress(m_value->scalar))
             return read;
     }
     fail("an IP number with a port, such as 127.0.0.1:8080 or [::1]:8080");
--- a/src/core/yaml_reader.h
+++ b/src/core/yaml_reader.h
@@ -69,9 +69,6 @@
 /// Reads a whole decimal number.
 [[nodiscard]] std::optional<std::int64_t> parseInteger(std::string_view text);
 
-/// Reads `127.0.0.1:8080` or `[::1]:8080`; the port is from 1.
-[[nodiscard]] std::optional<socket_address> parseAddress(std::string_view text);
-
 /// Reads one value of a document, as the type that is asked for.
 ///
 /// Each read gives nothing where the value doesn't fit, and then has added an error. A reader
