Carry a customer's limits in the rendered plan

Cause: the request engine enforces them and sees a plan, not the configuration.

Change: customer_limits moves to pipeline.h and is filled in at rendering.

Tests: the test of rendering checks it.

--- a/src/core/pipeline.h
+++ b/src/core/pipeline.h
@@ -52,6 +52,13 @@
     std::uint32_t maxTokens = 0; ///< engines only
 };
 
+/// Bounds on what one customer may have in the system, on each node. 0: none but the node's own.
+struct customer_limits
+{
+    std::uint32_t maxRunning = 0; ///< requests that hold backend servers
+    std::uint32_t maxQueued = 0; ///< requests that wait for admission
+};
+
 /// A pipeline template rendered with one customer's parameters. Immutable; a request keeps the
 /// plan that it began with.
 struct pipeline_plan
@@ -63,6 +70,7 @@
     milliseconds deadline{0}; ///< default and upper bound of a request's deadline
     orchidlead::priority priority = priority::Normal;
     std::uint32_t weight = 1; ///< the customer's share of the capacity against other customers
+    customer_limits limits; ///< of the customer, over all its pipelines
 
     /// Tells whether every stage may be run again.
     [[nodiscard]] bool repeatable() const
--- a/src/core/published_configuration.h
+++ b/src/core/published_configuration.h
@@ -125,13 +125,6 @@
     std::vector<parameter_value> values; ///< one for each parameter, defaults filled in
 };
 
-/// Bounds on what one customer may have in the system, on each node. 0: none but the node's own.
-struct customer_limits
-{
-    std::uint32_t maxRunning = 0; ///< requests that hold backend servers
-    std::uint32_t maxQueued = 0; ///< requests that wait for admission
-};
-
 /// What one entry of `customers` says; shared by all customers that it names.
 struct customer_settings
 {
--- a/src/core/render_pipeline.cpp
+++ b/src/core/render_pipeline.cpp
@@ -233,6 +233,7 @@
     plan.customer = customer;
     plan.configurationVersion = configuration.version;
     plan.weight = found->settings->weight;
+    plan.limits = found->settings->limits;
     return std::make_shared<const pipeline_plan>(std::move(plan));
 }
 
--- a/tests/core/published_configuration_test.cpp
+++ b/tests/core/published_configuration_test.cpp
@@ -176,6 +176,7 @@
     CHECK(without.stages[1].inputs == std::vector<std::uint32_t>{0});
     const auto &with = plan(configuration, "beta", keep);
     REQUIRE(with.stages.size() == 3);
+    CHECK(with.limits.maxRunning == 5);
     CHECK(with.stages[1].timeout == milliseconds(1500));
     CHECK(with.stages[2].inputs == std::vector<std::uint32_t>{1});
 }
