Add the event loop, HTTP server and client, and UDP sockets on libwebsockets

Cause: every other part needs a shell that doesn't block.

Ruled out: libwebsockets' own listener (it can't be closed without its connections, and it tells servers apart by port alone), its UDP sockets (one datagram a round, room for IPv4 only), its client connection reuse (it may move a queued call to another connection), its end-of-answer callback alone (it also comes when a chunked answer is cut off).

Change: one context and one plain vhost for each loop; accepted sockets, the listening socket, an epoll descriptor that notices callers that close, and UDP sockets are handed to it. Timers are a heap behind one libwebsockets timer.

Conclusion: what the other parts link against is there; refusals of malformed and slow requests have no tests yet.

--- /dev/null
+++ b/src/net/header_fields.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "net/http_server.h"
+
+#include <libwebsockets.h>
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace orchidlead::net {
+
+/// Copies the fields that libwebsockets knows, and of the others those named in `custom`.
+[[nodiscard]] header_list copyHeaders(lws *wsi, std::span<const std::string> custom);
+
+/// Bytes of names and values.
+[[nodiscard]] std::size_t headerBytes(const header_list &headers);
+
+/// Copies one field that libwebsockets knows; empty when it isn't there.
+[[nodiscard]] std::string copyHeader(lws *wsi, lws_token_indexes token);
+
+/// Whether the field can be sent without breaking the lines of the head.
+[[nodiscard]] bool isValidField(const http_header &header);
+
+/// Compares without regard to the case of ASCII letters.
+[[nodiscard]] bool equalsIgnoringCase(std::string_view a, std::string_view b);
+
+/// The text of a status, such as "Not Found".
+[[nodiscard]] std::string_view statusText(int status);
+
+} // namespace orchidlead::net
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace orchidlead::net {
 
@@ -39,9 +40,12 @@
     std::chrono::milliseconds connectTimeout{1000};
     std::chrono::milliseconds timeout{10000}; ///< for the whole call
     std::size_t maxResponseBytes = 64U << 20U;
-    /// Whether the library may put it on a connection that was used before. A kept connection may
-    /// die under a call after bytes left, so calls that may not be repeated never use one.
+    /// Whether the library may put it on a connection that was used before. It is a permission: at
+    /// present every call has a fresh connection. A kept connection may die under a call after
+    /// bytes left, so calls that may not be repeated never allow it.
     bool reuseConnection = true;
+    /// Header fields (lower case) of the answer to report beside the registered ones.
+    std::vector<std::string> customHeaders{"x-request-id"};
     /// Asked immediately before the first byte is sent; false: the call ends with `NotSent`.
     std::function<bool()> mayStillSend;
 };
@@ -54,7 +58,10 @@
     std::function<void(call_end end)> onEnd; ///< exactly once, last; not after `cancel`
 };
 
-/// Makes HTTP/1.1 calls without blocking. A call is never sent twice by the library.
+/// Makes HTTP/1.1 calls without blocking, each on a connection of its own. A call is never sent
+/// twice.
+///
+/// Destroying it cancels its calls. It must go before the loop, as everything that is made with it.
 class http_client
 {
 public:
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -34,11 +34,14 @@
     std::string method;
     std::string path;
     std::string query; ///< without the question mark
-    header_list headers; ///< those that the server was told to keep
+    header_list headers; ///< the registered ones and `http_server_options::customHeaders`
     std::string body;
 };
 
 /// Writes one answer. Kept alive by whoever holds it; writes after the connection's end do nothing.
+///
+/// When the last holder lets go of an answer that isn't finished, the connection is closed after
+/// what was written has been sent.
 class response_writer
 {
 public:
@@ -47,7 +50,9 @@
     /// Sends a whole answer.
     virtual void respond(int status, const header_list &headers, std::string body) = 0;
 
-    /// Starts an answer of unknown length; then `write`, then `finish`.
+    /// Starts an answer that is written in parts; then `write`, then `finish`. With a
+    /// `content-length` among the headers that is its length, and fewer bytes end in a closed
+    /// connection; without, it is sent in chunks.
     virtual void begin(int status, const header_list &headers) = 0;
     virtual void write(std::string chunk) = 0;
     virtual void finish() = 0;
@@ -75,11 +80,16 @@
     std::chrono::milliseconds requestTimeout{15000}; ///< whole request must be here by then: 408
     std::chrono::milliseconds idleTimeout{60000}; ///< keep-alive connections without a request
     std::size_t maxQueuedResponseBytes = 64U << 20U; ///< a reader slower than this is cut off
-    std::string tlsCertificateFile; ///< PEM; empty: no TLS. With TLS, HTTP/2 is offered by ALPN
+    std::string tlsCertificateFile; ///< PEM; empty: no TLS
     std::string tlsKeyFile;
+    /// Header fields (lower case) to keep beside the registered ones, which are all kept.
+    std::vector<std::string> customHeaders{"x-request-id", "idempotency-key"};
 };
 
-/// Serves HTTP/1.1, and HTTP/2 where TLS is on. Several servers may share one loop.
+/// Serves HTTP/1.1, with or without TLS. Several servers may share one loop.
+///
+/// Destroying it, which must not be done inside its handler, closes its sockets at once and reports
+/// nothing more.
 class http_server
 {
 public:
--- /dev/null
+++ b/src/net/server_connection.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include "net/http_server.h"
+#include "net/lws_event_loop.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace orchidlead::net {
+
+class server_connection;
+
+/// Refusals that the server makes by itself.
+struct refusal
+{
+    int status;
+    std::string_view reason;
+    std::string_view detail;
+};
+
+/// A whole answer that refuses a request, with the body that callers expect of a refusal.
+[[nodiscard]] std::string refusalText(const refusal &why);
+
+/// What connections need from their server.
+class connection_owner
+{
+public:
+    virtual ~connection_owner() = default;
+    [[nodiscard]] virtual const http_server_options &options() const = 0;
+    [[nodiscard]] virtual bool keepAlive() const = 0;
+    virtual void handle(http_request &&request, response_ptr response) = 0;
+    /// The socket is gone; the connection may be forgotten.
+    virtual void forget(server_connection &connection) = 0;
+};
+
+/// The handle that the users of an answer hold. Its connection may be gone already.
+class connection_response final : public response_writer
+{
+public:
+    explicit connection_response(std::weak_ptr<server_connection> connection);
+    ~connection_response() override;
+    connection_response(const connection_response &) = delete;
+    connection_response &operator=(const connection_response &) = delete;
+
+    void respond(int status, const header_list &headers, std::string body) override;
+    void begin(int status, const header_list &headers) override;
+    void write(std::string chunk) override;
+    void finish() override;
+    [[nodiscard]] bool open() const override { return !m_over && !m_connection.expired(); }
+    [[nodiscard]] std::size_t queuedBytes() const override;
+    void onDrained(std::function<void()> handler) override;
+    void onClosed(std::function<void()> handler) override;
+
+    /// The queue has become empty.
+    void drained();
+    /// Everything was sent.
+    void sent();
+    /// The connection ended before that.
+    void closed();
+
+private:
+    /// How far the user has come.
+    enum class stage { Unanswered, Begun, Finished };
+
+    std::weak_ptr<server_connection> m_connection;
+    std::function<void()> m_onDrained;
+    std::function<void()> m_onClosed;
+    stage m_stage = stage::Unanswered;
+    bool m_over = false; ///< sent or closed
+};
+
+/// One accepted connection: reads requests one at a time and sends their answers in order.
+class server_connection final
+    : public lws_endpoint
+    , public std::enable_shared_from_this<server_connection>
+{
+public:
+    server_connection(lws_event_loop &loop, connection_owner &owner, std::uint64_t id, int fd,
+                      bool tls);
+
+    [[nodiscard]] std::uint64_t id() const { return m_id; }
+
+    /// Starts to wait for a request; libwebsockets has taken the socket.
+    void start(lws *wsi);
+    /// Closes the socket; the owner is being destroyed.
+    void detach();
+    /// The kernel says that the caller closed its side.
+    void callerGone();
+
+    int onEvent(lws *wsi, lws_callback_reasons reason, void *in, std::size_t length) override;
+
+    void sendWhole(int status, const header_list &headers, std::string body);
+    void sendHead(int status, const header_list &headers);
+    void sendPart(std::string_view bytes);
+    void sendEnd();
+    /// The last holder of the answer let it go unfinished.
+    void dropped();
+    [[nodiscard]] std::size_t queuedBytes() const { return m_out.size() - m_outBegin; }
+
+private:
+    /// What the connection is doing.
+    enum class phase {
+        Head, ///< waits for or reads a request's head
+        Body,
+        Answering, ///< the handler has the request
+        Refusing, ///< sends a refusal of its own, then closes
+        Lingering, ///< the answer is out; drops what the caller still sends
+        Closed,
+    };
+
+    int onHead();
+    int onBody(std::string_view bytes);
+    int onBodyComplete();
+    int onWriteable();
+    void onUnparsedClose();
+    void onClose(lws *wsi);
+    void onTick(const std::shared_ptr<server_connection> &self);
+    void onHeadTick();
+    void prepareNextRequest();
+
+    [[nodiscard]] std::optional<refusal> readHead();
+    [[nodiscard]] std::optional<refusal> readFraming();
+    void dispatch();
+    void refuse(const refusal &why);
+    void refuseAndClose(const refusal &why);
+    [[nodiscard]] int finishAnswer();
+    void queue(std::string_view bytes);
+    void writeHead(int status, const header_list &headers, std::optional<std::size_t> length);
+    void restartTick(std::chrono::milliseconds delay);
+    void stopTick();
+
+    lws_event_loop &m_loop;
+    connection_owner *m_owner; ///< null once that is destroyed
+    std::uint64_t m_id;
+    int m_fd;
+    bool m_tls;
+    lws *m_wsi = nullptr;
+    bool m_insideEvent = false;
+    phase m_phase = phase::Head;
+    bool m_headParsed = false;
+    bool m_served = false; ///< has answered a request before
+
+    http_request m_request;
+    std::size_t m_bodyBytes = 0; ///< length that the head declares
+    bool m_bodyUnread = false; ///< the caller may still be sending the body
+    bool m_http10 = false;
+    bool m_closeAfter = false;
+
+    std::weak_ptr<connection_response> m_response;
+    std::string m_out; ///< bytes from `m_outBegin` wait to be sent
+    std::size_t m_outBegin = 0;
+    bool m_chunked = false;
+    bool m_noBody = false; ///< the answer may have none: HEAD, 204, 304
+    std::optional<std::size_t> m_promised; ///< bytes still owed of a declared length
+    bool m_answerEnded = false;
+    bool m_truncated = false; ///< to be closed without its end, once the rest is sent
+
+    timer_id m_tick = 0;
+    std::uint64_t m_receivedBefore = 0; ///< received when the last answer was finished
+    std::uint64_t m_sentTotal = 0;
+    std::uint64_t m_sentAtTick = 0;
+    bool m_partialSeen = false; ///< at the last tick, a part of a head was here
+    std::chrono::milliseconds m_idle{0};
+};
+
+} // namespace orchidlead::net
--- a/src/net/udp_socket.h
+++ b/src/net/udp_socket.h
@@ -5,6 +5,7 @@
 #include <orchidlead/ids.h>
 #include <orchidlead/result.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string_view>
@@ -21,6 +22,9 @@
     create(event_loop &loop, const socket_address &bind, handler onDatagram);
     virtual ~udp_socket() = default;
 
+    /// The port that is bound; differs from the one asked for when that was 0.
+    [[nodiscard]] virtual std::uint16_t port() const = 0;
+
     /// Hands one datagram to the kernel; a full buffer drops it, as the network may.
     virtual void send(const socket_address &to, std::string_view bytes) = 0;
 };
