--- /dev/null
+++ b/tests/standins/fleet_test.cpp
@@ -0,0 +1,93 @@
+#include "core/published_configuration.h"
+#include "core/settings.h"
+#include "standins/backend_process.h"
+#include "standins/demo_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace orchidlead;
+using namespace orchidlead::standins;
+
+namespace {
+
+demo_size twoDataCenters()
+{
+    return {{{"north-1", "north"}, {"south-1", "south"}}, 2, 1};
+}
+
+std::string messages(const std::vector<configuration_error> &errors)
+{
+    std::string text;
+    for (const configuration_error &error : errors)
+        text += error.message() + "\n";
+    return text;
+}
+
+// As a process of stand-ins announces them.
+Json::Value announcedAddresses(const fleet_layout &layout)
+{
+    Json::Value announced;
+    std::uint16_t port = 9000;
+    for (const fleet_service &service : layout.services) {
+        for (const fleet_server &server : service.servers) {
+            Json::Value row;
+            row["name"] = server.name;
+            row["address"] = "127.0.0.1:" + std::to_string(++port);
+            announced["servers"].append(row);
+        }
+    }
+    return announced;
+}
+
+// The marks that a plan's stages leave: the model's name for engines, the stage's for others.
+std::vector<std::string> marksOf(const pipeline_plan &plan)
+{
+    std::vector<std::string> marks;
+    for (const stage_plan &stage : plan.stages)
+        marks.push_back(stage.kind == service_kind::Engine ? stage.model : stage.id.value);
+    return marks;
+}
+
+} // namespace
+
+TEST_CASE("the fleet's configuration is accepted and has the pipelines that its callers ask for")
+{
+    fleet_layout layout = makeDemoLayout(twoDataCenters());
+    REQUIRE(takeAddresses(announcedAddresses(layout), layout));
+    const auto configuration = parsePublishedConfiguration(
+        configurationYaml(layout, demoTemplatesAndCustomers(twoDataCenters())), "fleet", 1);
+    INFO((configuration ? std::string() : messages(configuration.error())));
+    REQUIRE(configuration);
+    for (const work_class &kind : makeDemoWorkload(10.0).classes) {
+        CAPTURE(kind.name);
+        const auto plan = renderPipeline(*configuration.value(), customer_id(kind.customer),
+                                         pipeline_id(kind.pipeline));
+        REQUIRE(plan);
+        std::vector<std::string> marks = kind.stages;
+        marks.insert(marks.end(), kind.models.begin(), kind.models.end());
+        CHECK(marksOf(*plan.value()) == marks);
+        CHECK(plan.value()->repeatable() == kind.repeatable);
+        CHECK(plan.value()->deadline >= kind.deadline);
+    }
+}
+
+TEST_CASE("the fleet's settings and stand-ins' description are accepted, with ports of their own")
+{
+    const fleet_layout layout = makeDemoLayout(twoDataCenters());
+    const fleet_platform platform{{"127.0.0.1", 1}, {"127.0.0.1", 2}};
+    std::set<std::uint16_t> ports;
+    for (const fleet_vm &vm : layout.vms) {
+        const auto settings = parseSettings(settingsYaml(vm, platform), vm.name);
+        INFO((settings ? std::string() : messages(settings.error())));
+        REQUIRE(settings);
+        CHECK(settings.value().vm.value == vm.name);
+        ports.insert({vm.caller.port, vm.operators.port, vm.peer.port});
+    }
+    CHECK(ports.size() == 3 * layout.vms.size());
+    const auto process = parseBackendProcess(backendProcessYaml(layout, 1));
+    INFO((process ? std::string() : process.error().what));
+    REQUIRE(process);
+    CHECK(process.value().servers.size() == 2 * layout.services.size());
+}
