Find out which VMs are there by probes, suspicion and gossip

Cause: the platform's list lags and may be frozen, and key homes, readers and readiness need to know who lives. A death that wasn't preceded by a suspicion is probed first; each node asks a suspect once by itself. A pause is noticed on both clocks before any input is believed. Stamps of the configuration and the age of the VM list ride along.

--- a/include/orchidlead/membership.h
+++ b/include/orchidlead/membership.h
@@ -145,7 +145,7 @@
     milliseconds syncInterval{2000}; ///< between pages, while tables differ
     std::size_t maxDatagramBytes = 1200;
     std::size_t maxMembers = 1024;
-    std::size_t maxUnlisted = 64; ///< members that aren't on the platform's list
+    std::size_t maxUnlisted = 512; ///< members that aren't on the platform's list
     milliseconds forgetAfter{60000}; ///< dead and unlisted
     milliseconds pauseThreshold{1000}; ///< a longer gap between inputs counts as a pause
     milliseconds joinWindow{10000}; ///< a new start outbids an old one of its VM until then
@@ -180,10 +180,16 @@
     membership(membership &&) noexcept;
     membership &operator=(membership &&) noexcept = delete;
 
-    /// Takes the platform's list; older versions than the last one are ignored. Without calls the
+    /// Takes the platform's list; version 0 is a list of first contacts from the settings, which
+    /// confirms nothing. Older versions than the last one are ignored. Without calls the
     /// last list stays.
     void setListed(std::uint64_t version, const std::vector<listed_vm> &vms,
                    membership_actions &out);
+    /// The platform said that its list is still this one (an unchanged watch).
+    void confirmListed(std::uint64_t version);
+    /// When the platform is known to have last vouched for the list that this node holds, to it or
+    /// to a peer with the same list. The error is on the old side. Empty: never.
+    [[nodiscard]] std::optional<steady_time> listConfirmedAt() const;
     void onDatagram(const socket_address &from, std::string_view bytes, membership_actions &out);
     /// Runs timers; call every 50 to 100 ms.
     void tick(membership_actions &out);
--- /dev/null
+++ b/src/core/gossip_message.cpp
@@ -0,0 +1,209 @@
+#include "core/gossip_message.h"
+
+// The codec needs nothing of Boost.
+#define MSGPACK_NO_BOOST
+#include <msgpack.hpp>
+
+namespace orchidlead {
+
+namespace {
+
+constexpr std::uint64_t FormatVersion = 1;
+constexpr std::uint32_t MessageFields = 14;
+constexpr std::uint32_t UpdateFields = 6;
+constexpr std::uint32_t DescribedUpdateFields = 10;
+constexpr std::uint64_t LeavingBit = 4;
+constexpr std::uint64_t StatusMask = 3;
+
+using buffer = msgpack::sbuffer;
+using packer = msgpack::packer<buffer>;
+
+void packText(packer &out, const std::string &text)
+{
+    out.pack_str(static_cast<std::uint32_t>(text.size()));
+    out.pack_str_body(text.data(), static_cast<std::uint32_t>(text.size()));
+}
+
+void packUpdate(packer &out, const gossip_update &update)
+{
+    out.pack_array(update.description ? DescribedUpdateFields : UpdateFields);
+    packText(out, update.vm.value);
+    out.pack(update.incarnation);
+    out.pack(update.generation);
+    out.pack(static_cast<std::uint64_t>(update.status) | (update.leaving ? LeavingBit : 0));
+    out.pack(update.accuser);
+    // Kept for later formats of the same version; readers skip it.
+    out.pack_nil();
+    if (!update.description)
+        return;
+    packText(out, update.description->dataCenter.value);
+    packText(out, update.description->region.value);
+    packText(out, update.description->address.ip);
+    out.pack(update.description->address.port);
+}
+
+/// Reads the fields of one array in order; the first wrong one makes all further reads fail.
+class field_reader
+{
+public:
+    explicit field_reader(const msgpack::object &object)
+    {
+        m_good = object.type == msgpack::type::ARRAY;
+        if (m_good)
+            m_array = object.via.array;
+    }
+
+    [[nodiscard]] bool good() const { return m_good; }
+    [[nodiscard]] std::uint32_t size() const { return m_good ? m_array.size : 0; }
+
+    const msgpack::object *next()
+    {
+        m_good = m_good && m_index < m_array.size;
+        return m_good ? &m_array.ptr[m_index++] : nullptr;
+    }
+
+    std::uint64_t number(std::uint64_t bound = std::numeric_limits<std::uint64_t>::max())
+    {
+        const auto *object = next();
+        m_good =
+            object && object->type == msgpack::type::POSITIVE_INTEGER && object->via.u64 <= bound;
+        return m_good ? object->via.u64 : 0;
+    }
+
+    std::string text()
+    {
+        const auto *object = next();
+        m_good =
+            object && object->type == msgpack::type::STR && object->via.str.size <= MaxGossipText;
+        return m_good ? std::string(object->via.str.ptr, object->via.str.size) : std::string();
+    }
+
+private:
+    msgpack::object_array m_array{};
+    std::uint32_t m_index = 0;
+    bool m_good = false;
+};
+
+bool readUpdate(const msgpack::object &object, gossip_update &update)
+{
+    field_reader fields(object);
+    const bool described = fields.size() == DescribedUpdateFields;
+    update.vm = vm_id{fields.text()};
+    update.incarnation = fields.number();
+    update.generation = fields.number();
+    const auto status = fields.number(LeavingBit | StatusMask);
+    update.accuser =
+        static_cast<std::uint32_t>(fields.number(std::numeric_limits<std::uint32_t>::max()));
+    fields.next();
+    if ((status & StatusMask) > static_cast<std::uint64_t>(member_status::Dead))
+        return false;
+    update.status = static_cast<member_status>(status & StatusMask);
+    update.leaving = (status & LeavingBit) != 0;
+    if (described) {
+        member_description description;
+        description.dataCenter = data_center_id{fields.text()};
+        description.region = region_id{fields.text()};
+        description.address.ip = fields.text();
+        description.address.port =
+            static_cast<std::uint16_t>(fields.number(std::numeric_limits<std::uint16_t>::max()));
+        update.description = std::move(description);
+    }
+    return fields.good() && !update.vm.empty();
+}
+
+bool readUpdates(const msgpack::object &object, std::vector<gossip_update> &updates)
+{
+    field_reader fields(object);
+    if (!fields.good() || fields.size() > MaxGossipUpdates)
+        return false;
+    updates.resize(fields.size());
+    for (auto &update : updates) {
+        if (!readUpdate(*fields.next(), update))
+            return false;
+    }
+    return true;
+}
+
+result<gossip_message, gossip_error> readMessage(const msgpack::object &object)
+{
+    field_reader fields(object);
+    if (fields.number() != FormatVersion)
+        return fields.good() ? gossip_error::UnknownFormat : gossip_error::Malformed;
+    gossip_message message;
+    message.kind =
+        static_cast<gossip_kind>(fields.number(static_cast<std::uint64_t>(gossip_kind::SyncReply)));
+    message.sequence =
+        static_cast<std::uint32_t>(fields.number(std::numeric_limits<std::uint32_t>::max()));
+    const auto *sender = fields.next();
+    if (!sender || !readUpdate(*sender, message.sender))
+        return gossip_error::Malformed;
+    message.configuration.version = fields.number();
+    message.configuration.hash = fields.number();
+    message.digest =
+        static_cast<std::uint32_t>(fields.number(std::numeric_limits<std::uint32_t>::max()));
+    message.listVersion = fields.number();
+    message.listAge = milliseconds{fields.number(MaxListAge.count())};
+    message.application = fields.text();
+    message.target = vm_id{fields.text()};
+    message.after = vm_id{fields.text()};
+    message.through = vm_id{fields.text()};
+    const auto *updates = fields.next();
+    if (!updates || !readUpdates(*updates, message.updates))
+        return gossip_error::Malformed;
+    return message;
+}
+
+} // namespace
+
+std::string encodeGossip(const gossip_message &message)
+{
+    buffer bytes;
+    packer out(bytes);
+    out.pack_array(MessageFields);
+    out.pack(FormatVersion);
+    out.pack(static_cast<std::uint8_t>(message.kind));
+    out.pack(message.sequence);
+    packUpdate(out, message.sender);
+    out.pack(message.configuration.version);
+    out.pack(message.configuration.hash);
+    out.pack(message.digest);
+    out.pack(message.listVersion);
+    out.pack(static_cast<std::uint32_t>(message.listAge.count()));
+    packText(out, message.application);
+    packText(out, message.target.value);
+    packText(out, message.after.value);
+    packText(out, message.through.value);
+    out.pack_array(static_cast<std::uint32_t>(message.updates.size()));
+    for (const auto &update : message.updates)
+        packUpdate(out, update);
+    return {bytes.data(), bytes.size()};
+}
+
+// The library throws on broken input, and its limits bound what it allocates before we look.
+result<gossip_message, gossip_error> decodeGossip(std::string_view bytes)
+{
+    if (bytes.size() > MaxGossipBytes)
+        return gossip_error::TooLarge;
+    constexpr std::size_t MaxDepth = 4;
+    const msgpack::unpack_limit limit(MaxGossipUpdates, 0, MaxGossipText, 0, 0, MaxDepth);
+    try {
+        std::size_t offset = 0;
+        const auto handle =
+            msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
+        if (offset != bytes.size())
+            return gossip_error::Malformed;
+        return readMessage(handle.get());
+    } catch (const std::exception &) {
+        return gossip_error::Malformed;
+    }
+}
+
+std::size_t encodedSize(const gossip_update &update)
+{
+    buffer bytes;
+    packer out(bytes);
+    packUpdate(out, update);
+    return bytes.size();
+}
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/member_table.cpp
@@ -0,0 +1,144 @@
+#include "core/member_table.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace orchidlead {
+
+namespace {
+
+auto order(orchidlead::incarnation incarnation, std::uint64_t generation, member_status status)
+{
+    return std::make_tuple(generation, incarnation, status);
+}
+
+} // namespace
+
+member_state member_record::state() const
+{
+    if (status == member_status::Dead)
+        return member_state::Dead;
+    if (status == member_status::Suspect || generation == 0)
+        return member_state::Suspect;
+    return leaving || vm.leaving ? member_state::Leaving : member_state::Alive;
+}
+
+member member_record::toMember() const
+{
+    return {vm, incarnation, state(), lastHeard, listed};
+}
+
+const member_record *member_table::find(const vm_id &vm) const
+{
+    const auto found = m_records.find(vm);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+member_record *member_table::edit(const vm_id &vm)
+{
+    m_digest.reset();
+    const auto found = m_records.find(vm);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+member_record &member_table::add(member_record record)
+{
+    m_digest.reset();
+    const vm_id vm = record.vm.vm;
+    return m_records.insert_or_assign(vm, std::move(record)).first->second;
+}
+
+void member_table::erase(const vm_id &vm)
+{
+    m_digest.reset();
+    m_records.erase(vm);
+}
+
+bool member_table::isNewer(const gossip_update &update, const member_record &record)
+{
+    const auto offered = order(update.incarnation, update.generation, update.status);
+    const auto known = order(record.incarnation, record.generation, record.status);
+    // A member that was never heard of starts as suspected: any word of its own is news.
+    if (record.generation == 0 && update.generation > 0)
+        return true;
+    return offered > known || (offered == known && update.leaving && !record.leaving);
+}
+
+merge_effect member_table::merge(const gossip_update &update, std::size_t maxAccusers)
+{
+    member_record *record = edit(update.vm);
+    if (!record)
+        return merge_effect::Older;
+    const bool suspicion = update.status == member_status::Suspect;
+    if (!isNewer(update, *record)) {
+        const bool same = suspicion && record->status == member_status::Suspect
+            && update.generation == record->generation && update.incarnation == record->incarnation;
+        if (!same || record->accusers.size() >= maxAccusers)
+            return merge_effect::Older;
+        if (!record->accusers.insert(update.accuser).second)
+            return merge_effect::Older;
+        record->lastAccuser = update.accuser;
+        return merge_effect::Confirmed;
+    }
+    const bool sameStart = record->incarnation == update.incarnation;
+    record->leaving = update.leaving || (sameStart && record->leaving);
+    record->incarnation = update.incarnation;
+    record->generation = update.generation;
+    record->status = update.status;
+    record->deadAt.reset();
+    record->accusers.clear();
+    if (suspicion)
+        record->accusers.insert(update.accuser);
+    record->lastAccuser = update.accuser;
+    return merge_effect::Changed;
+}
+
+gossip_update member_table::toUpdate(const member_record &record)
+{
+    gossip_update update;
+    update.vm = record.vm.vm;
+    update.incarnation = record.incarnation;
+    update.generation = record.generation;
+    update.status = record.status;
+    update.leaving = record.leaving;
+    update.accuser = record.status == member_status::Suspect ? record.lastAccuser : 0;
+    if (!record.listed)
+        update.description =
+            member_description{record.vm.dataCenter, record.vm.region, record.vm.peerAddress};
+    return update;
+}
+
+// Records of members that nobody has heard of, and of dead ones that are about to be forgotten,
+// differ between nodes for as long as their lists do; they are left out.
+std::uint32_t member_table::digest() const
+{
+    if (m_digest)
+        return *m_digest;
+    std::uint64_t sum = 0;
+    for (const auto &[vm, record] : m_records) {
+        const bool dead = record.status == member_status::Dead;
+        if (record.generation == 0 || (dead && !record.listed))
+            continue;
+        const std::array<std::uint64_t, 3> words{record.incarnation, record.generation,
+                                                 dead ? 1ULL : 0ULL};
+        sum ^= XXH64(words.data(), sizeof(words), XXH64(vm.value.data(), vm.value.size(), 0));
+    }
+    m_digest = static_cast<std::uint32_t>(sum);
+    return *m_digest;
+}
+
+std::size_t member_table::unlisted() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_records.begin(), m_records.end(),
+                      [](const auto &entry) { return !entry.second.listed; }));
+}
+
+std::uint32_t accuserHash(const vm_id &vm)
+{
+    return static_cast<std::uint32_t>(XXH64(vm.value.data(), vm.value.size(), 0));
+}
+
+} // namespace orchidlead
--- /dev/null
+++ b/tests/core/membership_test.cpp
@@ -0,0 +1,292 @@
+#include "core/control_fake_network.h"
+#include "core/gossip_message.h"
+
+#include <orchidlead/membership.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace orchidlead;
+using namespace orchidlead::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+using network = control_fake_network<>;
+
+constexpr std::uint64_t Seed = 20261202;
+
+/// Starts a fleet and lets all see all.
+void settle(network &net, std::size_t count, std::size_t dataCenters)
+{
+    net.publish(1, "one");
+    net.addFleet(count, dataCenters);
+    const auto taken = net.runUntil([&] { return net.agreed(); }, 60s);
+    CAPTURE(taken.count());
+    REQUIRE(net.agreed());
+}
+
+std::uint64_t deathsSeen(network &net)
+{
+    std::uint64_t deaths = 0;
+    for (std::size_t i = 0; i < net.size(); ++i)
+        deaths += net.at(i).deathsSeen;
+    return deaths;
+}
+
+gossip_message makeMessage()
+{
+    gossip_message message;
+    message.kind = gossip_kind::Sync;
+    message.sequence = 7;
+    message.sender = {vm_id{"vm-1"}, 11, 12, member_status::Alive, true, 0, {}};
+    message.configuration = {13, 14};
+    message.digest = 15;
+    message.listVersion = 16;
+    message.listAge = 17ms;
+    message.application = std::string("\0\xff", 2);
+    message.target = vm_id{"vm-2"};
+    message.through = vm_id{"vm-9"};
+    member_description description{data_center_id{"dc"}, region_id{"r"}, {"10.0.0.1", 9}};
+    message.updates.push_back(
+        {vm_id{"vm-3"}, 21, 22, member_status::Suspect, false, 23, description});
+    return message;
+}
+
+} // namespace
+
+TEST_CASE("a gossip message comes back from its bytes as it was")
+{
+    const auto message = makeMessage();
+    const auto decoded = decodeGossip(encodeGossip(message));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == message);
+}
+
+TEST_CASE("a cut, lengthened, damaged or too large datagram never breaks the decoder")
+{
+    const std::string good = encodeGossip(makeMessage());
+    CHECK(decodeGossip(good + "x").error() == gossip_error::Malformed);
+    CHECK(decodeGossip(std::string(MaxGossipBytes + 1, 'x')).error() == gossip_error::TooLarge);
+    for (std::size_t length = 0; length < good.size(); ++length) {
+        CAPTURE(length);
+        CHECK_FALSE(decodeGossip(good.substr(0, length)));
+    }
+    rc::prop("damaged", [&good] {
+        std::string bytes = good;
+        for (int i = *rc::gen::inRange(1, 5); i > 0; --i)
+            bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+        const auto decoded = decodeGossip(bytes);
+        if (decoded)
+            RC_ASSERT(decoded.value().updates.size() <= MaxGossipUpdates);
+    });
+}
+
+TEST_CASE("a datagram from an address that isn't the member's is dropped and counted")
+{
+    network net(Seed);
+    settle(net, 4, 2);
+    membership_actions out;
+    auto message = makeMessage();
+    message.kind = gossip_kind::Gossip;
+    message.sender.vm = vm_id{"vm-2"};
+    message.sender.status = member_status::Dead;
+    message.sender.generation = ~0ULL;
+    net.at(0).members->onDatagram({"10.9.9.9", 1}, encodeGossip(message), out);
+    net.at(0).members->onDatagram({"10.0.0.1", 1002}, "nonsense", out);
+    CHECK(net.at(0).members->counters().malformed == 2);
+    CHECK(net.seenBy(0, 2) == member_state::Alive);
+}
+
+TEST_CASE("a dead member is given up by all, though it stays on the list")
+{
+    const auto nodes = GENERATE(8, 40);
+    network net(Seed + nodes);
+    settle(net, nodes, 4);
+    net.kill(3);
+    const auto taken = net.runUntil([&] { return net.agreed(); }, 60s);
+    CAPTURE(nodes, taken.count());
+    CHECK(net.agreed());
+    CHECK(taken <= 20s);
+}
+
+TEST_CASE("losing a fifth of all datagrams makes no member dead")
+{
+    network net(Seed);
+    settle(net, 40, 4);
+    net.faults = {0.2, 0.05, 1ms, 30ms};
+    const auto before = deathsSeen(net);
+    net.run(5min);
+    CHECK(deathsSeen(net) - before == 0);
+}
+
+TEST_CASE("a member that answers late is slow, not dead")
+{
+    network net(Seed);
+    settle(net, 8, 4);
+    net.faults.leastDelay = 100ms;
+    net.faults.mostDelay = 220ms;
+    const auto before = deathsSeen(net);
+    net.run(3min);
+    CHECK(deathsSeen(net) - before == 0);
+}
+
+TEST_CASE("a paused node notices before it believes anything, and is taken back")
+{
+    network net(Seed);
+    settle(net, 8, 4);
+    net.pause(2);
+    net.runUntil([&] { return net.seenBy(0, 2) == member_state::Dead; }, 60s);
+    REQUIRE(net.seenBy(0, 2) == member_state::Dead);
+    net.run(30s);
+    REQUIRE(net.at(2).pausesNoticed == 0);
+    net.wake(2);
+    CHECK(net.at(2).pausesNoticed == 1);
+    CHECK(net.at(2).keeper->mustReconfirm());
+    CHECK(net.at(2).members->pausedSince().has_value());
+    const auto taken = net.runUntil([&] { return net.agreed(); }, 30s);
+    CAPTURE(taken.count());
+    CHECK(net.agreed());
+    CHECK(net.at(2).deathsSeen == 0);
+    CHECK(net.at(2).keeper->readyToServe());
+}
+
+TEST_CASE("a new process on the same VM takes the place of the old one")
+{
+    network net(Seed);
+    settle(net, 8, 4);
+    const auto old = net.at(5).incarnation;
+    net.kill(5);
+    net.run(500ms);
+    net.clock.skewWall(-1h);
+    INFO("the new process's time of day is an hour behind");
+    net.start(5);
+    const auto allKnow = [&] {
+        for (std::size_t i = 0; i < net.size(); ++i) {
+            if (net.at(i).members->find(net.at(5).vm.vm)->incarnation == old)
+                return false;
+        }
+        return net.agreed();
+    };
+    const auto taken = net.runUntil(allKnow, 30s);
+    CAPTURE(taken.count());
+    CHECK(net.agreed());
+    for (std::size_t i = 0; i < net.size(); ++i) {
+        CAPTURE(i);
+        CHECK(net.at(i).members->find(net.at(5).vm.vm)->incarnation == net.at(5).incarnation);
+    }
+    CHECK_FALSE(net.at(5).supersededSeen);
+}
+
+TEST_CASE("data centres that were cut off come back after healing without flapping")
+{
+    network net(Seed);
+    settle(net, 24, 4);
+    net.cut({{"dc-3", 1}});
+    net.runUntil([&] { return net.agreed(0) && net.agreed(1); }, 120s);
+    REQUIRE(net.agreed(0));
+    REQUIRE(net.agreed(1));
+    net.run(10min);
+    const auto before = deathsSeen(net);
+    std::uint64_t changesBefore = 0;
+    for (std::size_t i = 0; i < net.size(); ++i)
+        changesBefore += net.at(i).changesSeen;
+    net.heal();
+    const auto taken = net.runUntil([&] { return net.agreed(); }, 60s);
+    CAPTURE(taken.count());
+    REQUIRE(net.agreed());
+    CHECK(taken <= 30s);
+    net.run(2min);
+    std::uint64_t changes = 0;
+    for (std::size_t i = 0; i < net.size(); ++i)
+        changes += net.at(i).changesSeen;
+    INFO("each of 18 nodes takes back 6, and each of 6 takes back 18; nothing else changes");
+    CHECK(deathsSeen(net) - before == 0);
+    CHECK(changes - changesBefore == 2 * 18 * 6);
+}
+
+TEST_CASE("leaving and stopping are announced, so that nobody has to find out")
+{
+    network net(Seed);
+    settle(net, 16, 4);
+    const auto act = [&](auto call) {
+        membership_actions out;
+        call(*net.at(4).members, out);
+        for (const auto &action : out) {
+            if (const auto *datagram = std::get_if<gossip_datagram>(&action)) {
+                membership_actions ignored;
+                for (std::size_t i = 0; i < net.size(); ++i) {
+                    if (net.at(i).vm.peerAddress == datagram->to)
+                        net.at(i).members->onDatagram(net.at(4).vm.peerAddress, datagram->bytes,
+                                                      ignored);
+                }
+            }
+        }
+    };
+    act([](auto &members, auto &out) { members.announceLeaving(out); });
+    CHECK(net.seenBy(0, 4) == member_state::Leaving);
+    net.run(5s);
+    for (std::size_t i = 0; i < net.size(); ++i)
+        CHECK(net.seenBy(i, 4) == member_state::Leaving);
+    act([](auto &members, auto &out) { members.announceStopped(out); });
+    net.kill(4);
+    CHECK(net.seenBy(0, 4) == member_state::Dead);
+    net.runUntil([&] { return net.agreed(); }, 10s);
+    CHECK(net.agreed());
+}
+
+TEST_CASE("a VM that the lagging list doesn't have yet is found, but marked unlisted")
+{
+    network net(Seed);
+    settle(net, 8, 4);
+    const auto added = net.add("vm-new", "dc-1");
+    net.cutPlatform({0});
+    net.start(added);
+    membership_actions out;
+    std::vector<listed_vm> seeds;
+    for (std::size_t i = 0; i < 3; ++i)
+        seeds.push_back(net.at(i).vm);
+    net.at(added).members->setListed(1, seeds, out);
+    net.runUntil([&] { return net.agreed(); }, 30s);
+    REQUIRE(net.agreed());
+    const auto seen = net.at(0).members->find(vm_id{"vm-new"});
+    REQUIRE(seen.has_value());
+    CHECK_FALSE(seen->listed);
+    CHECK(seen->vm.dataCenter == data_center_id{"dc-1"});
+}
+
+TEST_CASE("the age of the VM list is learnt from peers with the same list, never too young")
+{
+    network net(Seed);
+    settle(net, 8, 4);
+    net.run(30s);
+    membership_actions out;
+    const auto vouched = net.clock.now();
+    net.at(1).members->confirmListed(1);
+    net.run(10s);
+    for (std::size_t i = 0; i < net.size(); ++i) {
+        const auto confirmed = net.at(i).members->listConfirmedAt();
+        REQUIRE(confirmed.has_value());
+        CHECK(*confirmed <= vouched);
+    }
+    CHECK(*net.at(5).members->listConfirmedAt() > vouched - 1s);
+}
+
+TEST_CASE("in quiet times a node of 56 stays within 2.5 KB/s for membership")
+{
+    network net(Seed);
+    settle(net, 56, 7);
+    net.run(60s);
+    std::vector<std::uint64_t> before;
+    for (std::size_t i = 0; i < net.size(); ++i) {
+        const auto &counters = net.at(i).members->counters();
+        before.push_back(counters.sentBytes + counters.receivedBytes);
+    }
+    net.run(60s);
+    for (std::size_t i = 0; i < net.size(); ++i) {
+        const auto &counters = net.at(i).members->counters();
+        const auto perSecond = (counters.sentBytes + counters.receivedBytes - before[i]) / 60;
+        CAPTURE(i, perSecond);
+        CHECK(perSecond < 2500);
+    }
+}
