Read load and cache events of a few backend servers

Cause: servers that don't tell their load with their answers must be asked, and every node asking every server would cost nodes times servers.

Change: a poller that is chosen by the concept polled_document; it picks a few servers by rendezvous for the node's name and asks them in turn, leaving out those that were heard of.

--- /dev/null
+++ b/src/platform/load_reader.cpp
@@ -0,0 +1,22 @@
+#include "platform/load_reader.h"
+
+#include "platform/json_text.h"
+#include "platform/stage_wire.h"
+
+namespace orchidlead::platform {
+
+std::optional<load_report> load_document::parse(const backend_server_id &server, state & /*state*/,
+                                                std::string_view body)
+{
+    const auto parsed = parseJson(body, {MaxAnswerBytes});
+    if (!parsed)
+        return std::nullopt;
+    const auto load = parseLoad(parsed.value());
+    if (!load)
+        return std::nullopt;
+    return load_report{server, load->running, load->queued, load->leaving};
+}
+
+template class server_poller<load_document>;
+
+} // namespace orchidlead::platform
--- /dev/null
+++ b/src/platform/server_poller.cpp
@@ -0,0 +1,23 @@
+#include "platform/server_poller.h"
+
+#include <orchidlead/rendezvous.h>
+
+namespace orchidlead::platform {
+
+std::vector<backend_server> pickPolled(const std::vector<backend_server> &servers,
+                                       const vm_id &self, std::size_t count)
+{
+    std::vector<std::pair<std::uint64_t, std::size_t>> weights;
+    weights.reserve(servers.size());
+    for (std::size_t at = 0; at < servers.size(); ++at)
+        weights.emplace_back(rendezvousWeight(self.value, servers[at].id.value), at);
+    std::sort(weights.begin(), weights.end(), std::greater<>{});
+    weights.resize(std::min(count, weights.size()));
+    std::vector<backend_server> picked;
+    picked.reserve(weights.size());
+    for (const auto &[weight, at] : weights)
+        picked.push_back(servers[at]);
+    return picked;
+}
+
+} // namespace orchidlead::platform
