--- /dev/null
+++ b/src/core/attached_callers.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/at_most_once.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace orchidlead {
+
+/// Keeps the callers that wait for the answer to a call that another copy of their request began;
+/// bounded for each call.
+class attached_callers
+{
+public:
+    /// Adds a caller; false where too many wait already.
+    bool add(record_handle record, const request_id &request, steady_time deadline);
+
+    /// Removes one caller; false where it isn't attached.
+    bool remove(const request_id &request);
+
+    /// Removes and returns the callers of a call.
+    [[nodiscard]] std::vector<request_id> take(record_handle record);
+
+    /// Removes and returns the callers whose deadline has passed.
+    [[nodiscard]] std::vector<request_id> takeExpired(steady_time now);
+
+    [[nodiscard]] std::optional<steady_time> nextDeadline() const;
+    [[nodiscard]] bool empty() const { return m_callers.empty(); }
+
+private:
+    struct caller
+    {
+        record_handle record;
+        steady_time deadline;
+    };
+
+    std::unordered_map<request_id, caller> m_callers;
+    std::map<record_handle, std::vector<request_id>> m_records;
+    std::multimap<steady_time, request_id> m_deadlines;
+};
+
+} // namespace orchidlead
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -1,10 +1,14 @@
 #include "core/node.h"
 
 #include <orchidlead/enum_names.h>
+#include <orchidlead/rendezvous.h>
+
+#include <xxhash.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace orchidlead {
 
@@ -13,6 +17,16 @@
 constexpr milliseconds ConfigurationRetry{1000};
 constexpr milliseconds StoppingRetry{1000};
 constexpr milliseconds OverloadRetry{500};
+// Of a named request whose plan isn't known: only to be refused or handed on.
+constexpr milliseconds UnplannedDeadline{5000};
+
+template <class... Handlers>
+struct overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
 
 std::string hexadecimal(std::uint64_t value)
 {
@@ -22,10 +36,20 @@
     return {digits.data(), end};
 }
 
-engine_settings withDataCenter(engine_settings settings, const data_center_id &dataCenter)
+engine_settings engineSettings(const node_settings &settings)
 {
-    settings.dataCenter = dataCenter;
-    return settings;
+    engine_settings engine = settings.engine;
+    engine.dataCenter = settings.dataCenter;
+    return engine;
+}
+
+at_most_once_settings gateSettings(const node_settings &settings)
+{
+    at_most_once_settings once = settings.once;
+    once.vm = settings.vm;
+    once.incarnation = settings.incarnation;
+    once.dataCenter = settings.dataCenter;
+    return once;
 }
 
 std::string describe(const render_error &error, const caller_request &request)
@@ -62,133 +86,364 @@
     return std::min(*request.deadline, plan.deadline);
 }
 
+/// Tells two requests apart by all that decides what runs.
+std::uint64_t digestOf(const caller_request &request)
+{
+    const std::uint64_t pipeline =
+        XXH64(request.pipeline.value.data(), request.pipeline.value.size(), 0);
+    return XXH64(request.input->data(), request.input->size(), pipeline);
+}
+
+final_answer answerOf(outcome end, refusal_reason reason, std::string detail,
+                      std::optional<milliseconds> retryAfter = {})
+{
+    final_answer answer;
+    answer.outcome = end;
+    answer.reason = reason;
+    answer.detail = std::move(detail);
+    answer.retryAfter = retryAfter;
+    return answer;
+}
+
+log_decision refusalLine(const request_id &id, const final_answer &answer)
+{
+    log_decision line;
+    line.kind = decision_kind::Refuse;
+    line.key.request = id;
+    line.reason = std::string(toName(answer.reason)) + ": " + answer.detail;
+    return line;
+}
+
 } // namespace
 
 node::node(const node_settings &settings, const clock_source &clock, std::uint64_t seed)
     : m_settings(settings)
     , m_clock(clock)
-    , m_engine(withDataCenter(settings.engine, settings.dataCenter), clock, seed)
+    , m_engine(engineSettings(settings), clock, seed)
+    , m_gate(gateSettings(settings), clock)
     , m_traces(settings.recentRequests, clock)
 { }
 
-void node::setConfiguration(configuration_ptr configuration, engine_actions &out)
+void node::setConfiguration(configuration_ptr configuration, node_actions &out)
 {
-    const std::size_t from = out.size();
     m_configuration = std::move(configuration);
-    m_engine.setServices(m_configuration->version, m_configuration->services, out);
-    observe(out, from);
+    feed(
+        [&](auto &actions) {
+            m_engine.setServices(m_configuration->version, m_configuration->services, actions);
+        },
+        out);
+}
+
+void node::setMembers(std::vector<member> members, steady_time listConfirmedAt)
+{
+    m_members = std::move(members);
+    std::vector<member> own;
+    for (const auto &entry : m_members) {
+        if (entry.vm.dataCenter == m_settings.dataCenter)
+            own.push_back(entry);
+    }
+    m_gate.setMembers(own, listConfirmedAt);
+}
+
+void node::setAdmission(admission_state state)
+{
+    m_admission = state;
+    if (state == admission_state::Stopping)
+        m_engine.drain();
 }
 
-request_id node::submit(caller_request request, engine_actions &out)
+request_id node::submit(caller_request request, node_actions &out)
 {
     const request_id id = nextId();
     m_traces.begin(id, request.customer, request.pipeline);
-    if (!m_accepting) {
-        refuse(id, refusal_reason::Stopping, "this node is stopping", StoppingRetry, out);
-        return id;
-    }
+    const plan_or_refusal plan = planFor(request);
+    const bool once = request.named() || (plan && !plan.value()->repeatable());
+    if (once)
+        submitOnce(id, std::move(request), plan, out);
+    else
+        runOrRefuse(id, std::move(request), plan, std::nullopt, out);
+    return id;
+}
+
+node::plan_or_refusal node::planFor(const caller_request &request) const
+{
     if (!m_configuration) {
-        refuse(id, refusal_reason::NoConfiguration, "no configuration yet", ConfigurationRetry,
-               out);
-        return id;
+        return failure(
+            refusal{refusal_reason::NoConfiguration, "no configuration yet", ConfigurationRetry});
     }
-    const auto plan = renderPipeline(*m_configuration, request.customer, request.pipeline);
+    auto plan = renderPipeline(*m_configuration, request.customer, request.pipeline);
     if (!plan) {
-        refuse(id, refusal_reason::InvalidRequest, describe(plan.error(), request), {}, out);
-        return id;
+        return failure(
+            refusal{refusal_reason::InvalidRequest, describe(plan.error(), request), {}});
+    }
+    return honourMark(std::move(plan).value(), request);
+}
+
+std::optional<node::refusal> node::refusalOf(const caller_request &request) const
+{
+    if (m_admission == admission_state::Stopping)
+        return refusal{refusal_reason::Stopping, "this node is stopping", StoppingRetry};
+    if (m_admission == admission_state::Unconfirmed) {
+        return refusal{refusal_reason::NoConfiguration, "the configuration isn't confirmed yet",
+                       ConfigurationRetry};
     }
     if (m_inputBytes + request.input->size() > m_settings.maxInputBytes) {
-        refuse(id, refusal_reason::Overloaded, "too many bytes of input in flight", OverloadRetry,
-               out);
-        return id;
+        return refusal{refusal_reason::Overloaded, "too many bytes of input in flight",
+                       OverloadRetry};
     }
-    start(id, std::move(request), plan.value(), out);
-    return id;
+    return std::nullopt;
+}
+
+once_request node::describeOnce(const caller_request &request, steady_time deadline) const
+{
+    once_request once;
+    once.customer = request.customer;
+    const auto *known = m_configuration ? m_configuration->findCustomer(request.customer) : nullptr;
+    if (known != nullptr)
+        once.homeDataCenter = known->settings->homeDataCenter;
+    once.ticket = request.ticket;
+    once.key = request.idempotencyKey;
+    once.digest = digestOf(request);
+    once.deadline = deadline;
+    once.forwarded = cameFromOwnDataCenter(request);
+    return once;
+}
+
+// The gate goes first: what else may refuse a request with a ticket or key does so only when the
+// gate has taken it, so that the refusal is remembered and a delayed copy doesn't run.
+void node::submitOnce(const request_id &id, caller_request request, const plan_or_refusal &plan,
+                      node_actions &out)
+{
+    const milliseconds time =
+        plan ? allowedTime(*plan.value(), request) : request.deadline.value_or(UnplannedDeadline);
+    const steady_time deadline = m_clock.now() + time;
+    const once_verdict verdict = m_gate.onRequest(describeOnce(request, deadline));
+    std::visit(
+        overloaded{
+            [&](const run_here &run) {
+                runOrRefuse(id, std::move(request), plan, run.record, out);
+            },
+            [&](const attach_to &running) { attach(id, running.record, deadline, out); },
+            [&](const give_answer &ended) { deliver(id, ended.answer, out); },
+            [&](const forward_to &elsewhere) { forward(id, request, elsewhere, deadline, out); },
+            [&](const refuse_call &refused) {
+                deliver(
+                    id,
+                    answerOf(refused.outcome, refused.reason, refused.detail, refused.retryAfter),
+                    out);
+            },
+        },
+        verdict);
 }
 
-void node::start(const request_id &id, caller_request request,
-                 std::shared_ptr<const pipeline_plan> plan, engine_actions &out)
+void node::runOrRefuse(const request_id &id, caller_request request, const plan_or_refusal &plan,
+                       std::optional<record_handle> record, node_actions &out)
 {
-    const std::size_t from = out.size();
-    m_open.emplace(id, open_request{request.input->size()});
-    m_inputBytes += request.input->size();
+    auto refused = refusalOf(request);
+    if (!refused && !plan)
+        refused = plan.error();
+    if (!refused) {
+        start(id, std::move(request), plan.value(), record, out);
+        return;
+    }
+    final_answer answer =
+        answerOf(outcome::NotRun, refused->reason, refused->detail, refused->retryAfter);
+    answer.request = id;
+    if (record)
+        m_gate.onFinished(*record, answer);
+    deliver(id, std::move(answer), out);
+}
+
+void node::start(const request_id &id, caller_request request, const plan_ptr &plan,
+                 std::optional<record_handle> record, node_actions &out)
+{
+    const std::size_t bytes = request.input->size();
+    m_open.emplace(id, open_request{bytes, record, request.named()});
+    m_inputBytes += bytes;
     pipeline_request work;
     work.id = id;
+    work.plan = plan;
     work.deadline = m_clock.now() + allowedTime(*plan, request);
-    work.plan = honourMark(std::move(plan), request);
     work.input = std::move(request.input);
     work.stream = request.stream;
-    m_engine.submit(std::move(work), out);
-    observe(out, from);
+    feed([&](auto &actions) { m_engine.submit(std::move(work), actions); }, out);
 }
 
-void node::cancel(const request_id &request, engine_actions &out)
+void node::attach(const request_id &id, record_handle record, steady_time deadline,
+                  node_actions &out)
 {
-    const std::size_t from = out.size();
-    m_engine.cancel(request, out);
-    observe(out, from);
+    if (m_attached.add(record, id, deadline))
+        return;
+    deliver(id,
+            answerOf(outcome::Unknown, refusal_reason::Overloaded,
+                     "too many copies of this request wait for its answer", OverloadRetry),
+            out);
+}
+
+void node::forward(const request_id &id, const caller_request &request, const forward_to &verdict,
+                   steady_time deadline, node_actions &out)
+{
+    const member *target = mayForward(request, verdict) ? targetOf(id, verdict) : nullptr;
+    if (target == nullptr || m_forwarded.size() >= m_settings.maxForwarded) {
+        deliver(id,
+                answerOf(outcome::Unknown, refusal_reason::HomeUnreachable,
+                         "the node that decides about the ticket or key can't be reached",
+                         OverloadRetry),
+                out);
+        return;
+    }
+    m_forwarded.insert(id);
+    out.emplace_back(
+        forward_call{id, target->vm.vm, target->vm.peerAddress, request.body, deadline});
+}
+
+// One hop to another data centre and one within it: a longer way could only be a circle of nodes
+// whose configurations disagree.
+bool node::mayForward(const caller_request &request, const forward_to &verdict) const
+{
+    if (request.forwardedBy.empty())
+        return true;
+    return verdict.kind == forward_kind::Key && verdict.dataCenter == m_settings.dataCenter;
+}
+
+bool node::cameFromOwnDataCenter(const caller_request &request) const
+{
+    if (request.forwardedBy.empty())
+        return false;
+    const auto isSender = [&](const member &entry) { return entry.vm.vm == request.forwardedBy; };
+    const auto sender = std::find_if(m_members.begin(), m_members.end(), isSender);
+    return sender == m_members.end() || sender->vm.dataCenter == m_settings.dataCenter;
+}
+
+const member *node::targetOf(const request_id &id, const forward_to &verdict) const
+{
+    std::vector<vm_id> candidates{verdict.vm};
+    if (verdict.vm.empty()) {
+        candidates.clear();
+        for (const auto &entry : m_members) {
+            if (entry.vm.dataCenter == verdict.dataCenter && entry.state == member_state::Alive)
+                candidates.push_back(entry.vm.vm);
+        }
+    }
+    const auto chosen = rendezvousPick(id.value, candidates, 1);
+    if (chosen.empty())
+        return nullptr;
+    const auto isChosen = [&](const member &entry) { return entry.vm.vm == chosen.front(); };
+    const auto found = std::find_if(m_members.begin(), m_members.end(), isChosen);
+    return found == m_members.end() ? nullptr : &*found;
+}
+
+void node::onForwardAnswer(const request_id &request, final_answer answer, node_actions &out)
+{
+    if (m_forwarded.erase(request) != 0)
+        deliver(request, std::move(answer), out);
+}
+
+void node::onForwardFailed(const request_id &request, const std::string &detail, node_actions &out)
+{
+    if (m_forwarded.erase(request) == 0)
+        return;
+    deliver(request,
+            answerOf(outcome::Unknown, refusal_reason::HomeUnreachable,
+                     "the node that decides about the ticket or key: " + detail, OverloadRetry),
+            out);
+}
+
+std::optional<std::string> node::mintTicket()
+{
+    if (m_admission == admission_state::Stopping)
+        return std::nullopt;
+    return m_gate.mintTicket();
+}
+
+void node::cancel(const request_id &request, node_actions &out)
+{
+    if (m_attached.remove(request) || m_forwarded.erase(request) != 0) {
+        deliver(request,
+                answerOf(outcome::Unknown, refusal_reason::Cancelled, "the caller went away"), out);
+        return;
+    }
+    const auto open = m_open.find(request);
+    if (open == m_open.end() || open->second.named)
+        return;
+    feed([&](auto &actions) { m_engine.cancel(request, actions); }, out);
 }
 
 bool node::mayDispatch(const attempt_key &key) const
 {
-    return m_open.contains(key.request);
+    const auto open = m_open.find(key.request);
+    if (open == m_open.end())
+        return false;
+    return !open->second.record || m_gate.mayDispatch(*open->second.record);
 }
 
 void node::onSent(const attempt_key &key)
 {
     m_engine.onSent(key);
+    const auto open = m_open.find(key.request);
+    if (open != m_open.end() && open->second.record)
+        m_gate.onDispatched(*open->second.record);
 }
 
-void node::onChunk(const attempt_key &key, std::string text, engine_actions &out)
+void node::onChunk(const attempt_key &key, std::string text, node_actions &out)
 {
-    const std::size_t from = out.size();
-    m_engine.onChunk(key, std::move(text), out);
-    observe(out, from);
+    feed([&](auto &actions) { m_engine.onChunk(key, std::move(text), actions); }, out);
 }
 
-void node::onAnswer(const attempt_answer &answer, engine_actions &out)
+void node::onAnswer(const attempt_answer &answer, node_actions &out)
 {
-    const std::size_t from = out.size();
-    m_engine.onAnswer(answer, out);
-    observe(out, from);
+    feed([&](auto &actions) { m_engine.onAnswer(answer, actions); }, out);
 }
 
 void node::onFailure(const attempt_key &key, attempt_failure failure,
-                     std::optional<milliseconds> retryAfter, engine_actions &out)
+                     std::optional<milliseconds> retryAfter, node_actions &out)
 {
-    const std::size_t from = out.size();
-    m_engine.onFailure(key, failure, retryAfter, out);
-    observe(out, from);
+    feed([&](auto &actions) { m_engine.onFailure(key, failure, retryAfter, actions); }, out);
 }
 
-void node::onLoadReport(const load_report &report, engine_actions &out)
+void node::onLoadReport(const load_report &report, node_actions &out)
 {
-    const std::size_t from = out.size();
-    m_engine.onLoadReport(report, out);
-    observe(out, from);
+    feed([&](auto &actions) { m_engine.onLoadReport(report, actions); }, out);
 }
 
-void node::tick(engine_actions &out)
+void node::tick(node_actions &out)
 {
-    const std::size_t from = out.size();
-    m_engine.tick(out);
-    observe(out, from);
+    feed([&](auto &actions) { m_engine.tick(actions); }, out);
+    expireAttached(out);
+}
+
+void node::expireAttached(node_actions &out)
+{
+    for (const auto &request : m_attached.takeExpired(m_clock.now())) {
+        deliver(request,
+                answerOf(outcome::Unknown, refusal_reason::DeadlinePassed,
+                         "another copy of this request still runs"),
+                out);
+    }
 }
 
 std::optional<steady_time> node::nextWake() const
 {
-    return m_engine.nextWake();
+    const auto engine = m_engine.nextWake();
+    const auto attached = m_attached.nextDeadline();
+    if (!engine || !attached)
+        return engine ? engine : attached;
+    return std::min(*engine, *attached);
 }
 
-void node::stopAccepting()
+void node::tickGate(std::vector<peer_message> &out)
 {
-    m_accepting = false;
-    m_engine.drain();
+    m_gate.tick(out);
+}
+
+void node::onGateMessage(const vm_id &from, std::string_view bytes, std::vector<peer_message> &out)
+{
+    m_gate.onPeerMessage(from, bytes, out);
 }
 
 bool node::idle() const
 {
-    return m_open.empty();
+    return m_open.empty() && m_attached.empty() && m_forwarded.empty();
 }
 
 request_id node::nextId()
@@ -198,43 +453,50 @@
                       + std::to_string(m_sequence)};
 }
 
-void node::refuse(const request_id &id, refusal_reason reason, std::string detail,
-                  std::optional<milliseconds> retryAfter, engine_actions &out)
+void node::passOn(engine_actions &actions, node_actions &out)
 {
-    log_decision decision;
-    decision.kind = decision_kind::Refuse;
-    decision.key.request = id;
-    decision.reason = std::string(toName(reason)) + ": " + detail;
-    m_traces.addDecision(decision);
-    out.emplace_back(std::move(decision));
-
-    final_answer answer;
-    answer.request = id;
-    answer.reason = reason;
-    answer.detail = std::move(detail);
-    answer.retryAfter = retryAfter;
-    m_traces.end(answer);
-    out.emplace_back(deliver_answer{std::move(answer)});
+    for (auto &action : actions) {
+        std::visit(overloaded{
+                       [&](deliver_answer &end) { finish(std::move(end.answer), out); },
+                       [&](log_decision &line) {
+                           m_traces.addDecision(line);
+                           out.emplace_back(std::move(line));
+                       },
+                       [&](auto &other) { out.emplace_back(std::move(other)); },
+                   },
+                   action);
+    }
 }
 
-void node::observe(const engine_actions &out, std::size_t from)
+/// Ends a request that the engine had, for its caller and for all that wait with it.
+void node::finish(final_answer answer, node_actions &out)
 {
-    for (std::size_t at = from; at < out.size(); ++at) {
-        if (const auto *decision = std::get_if<log_decision>(&out[at]))
-            m_traces.addDecision(*decision);
-        else if (const auto *end = std::get_if<deliver_answer>(&out[at]))
-            close(end->answer);
+    const auto open = m_open.find(answer.request);
+    if (open == m_open.end())
+        return;
+    const open_request ended = open->second;
+    m_open.erase(open);
+    m_inputBytes -= ended.inputBytes;
+    if (ended.record) {
+        m_gate.onFinished(*ended.record, answer);
+        for (const auto &attached : m_attached.take(*ended.record))
+            deliver(attached, answer, out);
     }
+    m_traces.end(answer);
+    out.emplace_back(deliver_answer{std::move(answer)});
 }
 
-void node::close(const final_answer &answer)
+/// Ends a request that the engine never had.
+void node::deliver(const request_id &id, final_answer answer, node_actions &out)
 {
+    answer.request = id;
+    if (answer.outcome != outcome::Answered) {
+        log_decision line = refusalLine(id, answer);
+        m_traces.addDecision(line);
+        out.emplace_back(std::move(line));
+    }
     m_traces.end(answer);
-    const auto found = m_open.find(answer.request);
-    if (found == m_open.end())
-        return;
-    m_inputBytes -= found->second.inputBytes;
-    m_open.erase(found);
+    out.emplace_back(deliver_answer{std::move(answer)});
 }
 
 } // namespace orchidlead
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -1,18 +1,24 @@
 #pragma once
 
+#include "core/at_most_once.h"
+#include "core/attached_callers.h"
 #include "core/caller_request.h"
-#include "core/engine_types.h"
+#include "core/node_actions.h"
 #include "core/published_configuration.h"
 #include "core/recent_requests.h"
 #include "core/request_engine.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
+#include <orchidlead/membership.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace orchidlead {
@@ -26,11 +32,20 @@
     orchidlead::incarnation incarnation = 0;
     std::size_t maxInputBytes = 256U << 20U; ///< inputs of all open requests together
     std::size_t recentRequests = 1000; ///< traces that are kept
+    std::size_t maxForwarded = 1000; ///< requests that wait for another node's answer
     engine_settings engine;
+    at_most_once_settings once; ///< its own names are filled in by the node
 };
 
-/// Composes the decisions of one node: which plan a request gets, whether it may run here, and how
-/// it goes through its stages. Deterministic, without I/O.
+/// Whether new requests are taken, and why not.
+enum class admission_state {
+    Open,
+    Unconfirmed, ///< the configuration must be confirmed first: after the start or a pause
+    Stopping,
+};
+
+/// Composes the request side of one node: which plan a request gets, whether it may run here, and
+/// how it goes through its stages. Deterministic, without I/O.
 ///
 /// Every event function appends to `out`; the shell carries the actions out in order.
 class node
@@ -41,65 +56,123 @@
     node &operator=(const node &) = delete;
 
     /// Puts a configuration in force for new requests.
-    void setConfiguration(configuration_ptr configuration, engine_actions &out);
+    void setConfiguration(configuration_ptr configuration, node_actions &out);
+    /// Takes the members as they are now, and when the platform last vouched for its list.
+    void setMembers(std::vector<member> members, steady_time listConfirmedAt);
+    void setAdmission(admission_state state);
 
     /// Takes a caller's request and gives it its number. Exactly one `deliver_answer` follows, now
     /// or later.
-    request_id submit(caller_request request, engine_actions &out);
+    request_id submit(caller_request request, node_actions &out);
+
+    /// Takes that a caller went away. Its answer still comes out. What runs is given up, but for
+    /// calls with a ticket or key: their answer may be asked for again.
+    void cancel(const request_id &request, node_actions &out);
 
-    /// Ends a request whose caller went away. Its answer still comes out.
-    void cancel(const request_id &request, engine_actions &out);
+    /// Takes the answer of the node that a request was handed to.
+    void onForwardAnswer(const request_id &request, final_answer answer, node_actions &out);
+    void onForwardFailed(const request_id &request, const std::string &detail, node_actions &out);
+
+    /// Mints a ticket; nothing while the node stops or too many are out.
+    [[nodiscard]] std::optional<std::string> mintTicket();
 
     /// Tells whether the first byte of an attempt may leave now.
     [[nodiscard]] bool mayDispatch(const attempt_key &key) const;
 
     void onSent(const attempt_key &key);
-    void onChunk(const attempt_key &key, std::string text, engine_actions &out);
-    void onAnswer(const attempt_answer &answer, engine_actions &out);
+    void onChunk(const attempt_key &key, std::string text, node_actions &out);
+    void onAnswer(const attempt_answer &answer, node_actions &out);
     void onFailure(const attempt_key &key, attempt_failure failure,
-                   std::optional<milliseconds> retryAfter, engine_actions &out);
-    void onLoadReport(const load_report &report, engine_actions &out);
+                   std::optional<milliseconds> retryAfter, node_actions &out);
+    void onLoadReport(const load_report &report, node_actions &out);
 
     /// Does what is due; call it at `nextWake` or later.
-    void tick(engine_actions &out);
+    void tick(node_actions &out);
     [[nodiscard]] std::optional<steady_time> nextWake() const;
 
-    /// Refuses new requests from now on; open ones are finished.
-    void stopAccepting();
-    /// Tells whether no request is open.
+    /// The gate's own messages to its peers; `tickGate` is to be called about every 250 ms.
+    void tickGate(std::vector<peer_message> &out);
+    void onGateMessage(const vm_id &from, std::string_view bytes, std::vector<peer_message> &out);
+    /// Begins to hand the keys over; part of a planned stop.
+    void startLeaving() { m_gate.startLeaving(); }
+    [[nodiscard]] bool handedOver() const { return m_gate.handedOver(); }
+
+    /// Tells whether no caller waits and nothing runs.
     [[nodiscard]] bool idle() const;
 
     [[nodiscard]] const node_settings &settings() const { return m_settings; }
     [[nodiscard]] const configuration_ptr &configuration() const { return m_configuration; }
+    [[nodiscard]] const std::vector<member> &members() const { return m_members; }
     [[nodiscard]] const recent_requests &traces() const { return m_traces; }
     [[nodiscard]] engine_stats stats() const { return m_engine.stats(); }
     [[nodiscard]] std::size_t openRequests() const { return m_open.size(); }
     [[nodiscard]] std::size_t inputBytes() const { return m_inputBytes; }
 
 private:
+    /// A request that the engine has.
     struct open_request
     {
         std::size_t inputBytes = 0;
+        std::optional<record_handle> record;
+        bool named = false; ///< has a ticket or key
     };
 
+    /// Why a request isn't run.
+    struct refusal
+    {
+        refusal_reason reason = refusal_reason::None;
+        std::string detail;
+        std::optional<milliseconds> retryAfter;
+    };
+
+    using plan_ptr = std::shared_ptr<const pipeline_plan>;
+    using plan_or_refusal = result<plan_ptr, refusal>;
+
     [[nodiscard]] request_id nextId();
-    void refuse(const request_id &id, refusal_reason reason, std::string detail,
-                std::optional<milliseconds> retryAfter, engine_actions &out);
-    void start(const request_id &id, caller_request request,
-               std::shared_ptr<const pipeline_plan> plan, engine_actions &out);
-    /// Notes in the node's own books what the engine decided.
-    void observe(const engine_actions &out, std::size_t from);
-    void close(const final_answer &answer);
+    [[nodiscard]] plan_or_refusal planFor(const caller_request &request) const;
+    [[nodiscard]] std::optional<refusal> refusalOf(const caller_request &request) const;
+    [[nodiscard]] once_request describeOnce(const caller_request &request,
+                                            steady_time deadline) const;
+    void submitOnce(const request_id &id, caller_request request, const plan_or_refusal &plan,
+                    node_actions &out);
+    void runOrRefuse(const request_id &id, caller_request request, const plan_or_refusal &plan,
+                     std::optional<record_handle> record, node_actions &out);
+    void start(const request_id &id, caller_request request, const plan_ptr &plan,
+               std::optional<record_handle> record, node_actions &out);
+    void attach(const request_id &id, record_handle record, steady_time deadline,
+                node_actions &out);
+    void forward(const request_id &id, const caller_request &request, const forward_to &verdict,
+                 steady_time deadline, node_actions &out);
+    [[nodiscard]] const member *targetOf(const request_id &id, const forward_to &verdict) const;
+    [[nodiscard]] bool mayForward(const caller_request &request, const forward_to &verdict) const;
+    [[nodiscard]] bool cameFromOwnDataCenter(const caller_request &request) const;
+    void finish(final_answer answer, node_actions &out);
+    void deliver(const request_id &id, final_answer answer, node_actions &out);
+    void expireAttached(node_actions &out);
+
+    /// Runs one event function of the engine and passes on what comes of it.
+    template <class Event>
+    void feed(Event &&event, node_actions &out)
+    {
+        engine_actions actions;
+        event(actions);
+        passOn(actions, out);
+    }
+    void passOn(engine_actions &actions, node_actions &out);
 
     node_settings m_settings;
     const clock_source &m_clock;
     request_engine m_engine;
+    at_most_once m_gate;
     recent_requests m_traces;
     configuration_ptr m_configuration;
+    std::vector<member> m_members;
     std::unordered_map<request_id, open_request> m_open;
+    attached_callers m_attached;
+    std::unordered_set<request_id> m_forwarded;
     std::uint64_t m_sequence = 0;
     std::size_t m_inputBytes = 0;
-    bool m_accepting = true;
+    admission_state m_admission = admission_state::Unconfirmed;
 };
 
 } // namespace orchidlead
--- /dev/null
+++ b/src/core/node_control.cpp
@@ -0,0 +1,167 @@
+#include "core/node_control.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orchidlead {
+
+namespace {
+
+template <class... Handlers>
+struct overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+constexpr milliseconds ConfirmationReportStep{500};
+
+bool changesMembers(const membership_action &action)
+{
+    return std::holds_alternative<member_changed>(action)
+        || std::holds_alternative<member_forgotten>(action);
+}
+
+} // namespace
+
+node_control::node_control(const control_options &options, const clock_source &clock,
+                           published_keeper::validator validate)
+    : m_members(clock, options.members)
+    , m_keeper(clock, options.keeper, std::move(validate))
+{ }
+
+void node_control::setListed(std::uint64_t version, const std::vector<listed_vm> &vms,
+                             control_actions &out)
+{
+    feedMembers([&](auto &actions) { m_members.setListed(version, vms, actions); }, out);
+    reportMembers(out);
+}
+
+void node_control::onListConfirmed(std::uint64_t version, control_actions &out)
+{
+    m_members.confirmListed(version);
+    reportMembers(out);
+}
+
+void node_control::onDatagram(const socket_address &from, std::string_view bytes,
+                              control_actions &out)
+{
+    feedMembers([&](auto &actions) { m_members.onDatagram(from, bytes, actions); }, out);
+}
+
+void node_control::onServiceRead(service_call_id call, std::uint64_t version, std::string content,
+                                 control_actions &out)
+{
+    feedKeeper(
+        [&](auto &actions) { m_keeper.onServiceRead(call, version, std::move(content), actions); },
+        out);
+}
+
+void node_control::onServiceUnchanged(service_call_id call, control_actions &out)
+{
+    feedKeeper([&](auto &actions) { m_keeper.onServiceUnchanged(call, actions); }, out);
+}
+
+void node_control::onServiceFailed(service_call_id call, control_actions &out)
+{
+    feedKeeper([&](auto &actions) { m_keeper.onServiceFailed(call, actions); }, out);
+}
+
+void node_control::onPeerContent(const vm_id &vm, std::uint64_t version, std::string content,
+                                 control_actions &out)
+{
+    feedKeeper(
+        [&](auto &actions) { m_keeper.onPeerContent(vm, version, std::move(content), actions); },
+        out);
+}
+
+void node_control::onPeerFailed(const vm_id &vm, control_actions &out)
+{
+    feedKeeper([&](auto &actions) { m_keeper.onPeerFailed(vm, actions); }, out);
+}
+
+void node_control::tick(control_actions &out)
+{
+    feedMembers([&](auto &actions) { m_members.tick(actions); }, out);
+    feedKeeper([&](auto &actions) { m_keeper.tick(actions); }, out);
+    // Peers vouch for the list too, and no action tells when one did.
+    if (confirmedAt() >= m_reportedConfirmation + ConfirmationReportStep)
+        reportMembers(out);
+}
+
+steady_time node_control::confirmedAt() const
+{
+    return m_members.listConfirmedAt().value_or(steady_time{});
+}
+
+void node_control::noticePause(control_actions &out)
+{
+    feedMembers([&](auto &actions) { m_members.noticePause(actions); }, out);
+}
+
+void node_control::announceLeaving(control_actions &out)
+{
+    feedMembers([&](auto &actions) { m_members.announceLeaving(actions); }, out);
+}
+
+void node_control::announceStopped(control_actions &out)
+{
+    feedMembers([&](auto &actions) { m_members.announceStopped(actions); }, out);
+}
+
+void node_control::passOn(const membership_actions &actions, control_actions &out)
+{
+    // Before the others: what the keeper makes of a peer's report depends on the members.
+    if (std::any_of(actions.begin(), actions.end(), changesMembers))
+        reportMembers(out);
+    for (const auto &action : actions) {
+        std::visit(overloaded{
+                       [](const member_forgotten &) {},
+                       [&](const peer_report &report) {
+                           feedKeeper(
+                               [&](auto &next) {
+                                   m_keeper.onPeerVersion(report.vm, report.configuration,
+                                                          report.askedAt, next);
+                               },
+                               out);
+                       },
+                       [&](const paused &pause) {
+                           out.emplace_back(pause);
+                           feedKeeper([&](auto &next) { m_keeper.onPaused(next); }, out);
+                       },
+                       [&](const auto &other) { out.emplace_back(other); },
+                   },
+                   action);
+    }
+}
+
+void node_control::passOn(published_keeper::actions &actions, control_actions &out)
+{
+    for (auto &action : actions) {
+        std::visit(overloaded{
+                       [&](const ask_peers &ask) {
+                           feedMembers([&](auto &next) { m_members.probeNow(ask.count, next); },
+                                       out);
+                       },
+                       [&](const adopt_configuration<published_configuration> &adopted) {
+                           m_members.setConfiguration(adopted.stamp);
+                           out.emplace_back(adopted);
+                           if (adopted.announce)
+                               feedMembers([&](auto &next) { m_members.announce(next); }, out);
+                       },
+                       [&](const auto &other) { out.emplace_back(other); },
+                   },
+                   action);
+    }
+}
+
+void node_control::reportMembers(control_actions &out)
+{
+    m_reportedConfirmation = confirmedAt();
+    auto members = m_members.members();
+    m_keeper.setMembers(members);
+    out.emplace_back(members_updated{std::move(members), confirmedAt()});
+}
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/node_control.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "core/published_configuration.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/configuration_keeper.h>
+#include <orchidlead/ids.h>
+#include <orchidlead/membership.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace orchidlead {
+
+using published_keeper = configuration_keeper<published_configuration>;
+
+/// Action: the members changed, or the platform vouched for its list anew.
+struct members_updated
+{
+    std::vector<member> members;
+    steady_time listConfirmedAt;
+};
+
+using control_action =
+    std::variant<gossip_datagram, member_changed, paused, superseded, members_updated,
+                 fetch_from_service, fetch_from_peer, adopt_configuration<published_configuration>,
+                 reject_configuration, keeper_report>;
+using control_actions = std::vector<control_action>;
+
+/// Settings of a node's control part.
+struct control_options
+{
+    membership_options members;
+    keeper_options keeper;
+};
+
+/// Joins membership and the configuration keeper: what gossip brings goes to the keeper, and what
+/// the keeper decides goes out with the gossip. Deterministic, without I/O.
+class node_control
+{
+public:
+    node_control(const control_options &options, const clock_source &clock,
+                 published_keeper::validator validate);
+
+    void setListed(std::uint64_t version, const std::vector<listed_vm> &vms, control_actions &out);
+    /// Takes that the platform said that its list is still that one.
+    void onListConfirmed(std::uint64_t version, control_actions &out);
+    void onDatagram(const socket_address &from, std::string_view bytes, control_actions &out);
+
+    void onServiceRead(service_call_id call, std::uint64_t version, std::string content,
+                       control_actions &out);
+    void onServiceUnchanged(service_call_id call, control_actions &out);
+    void onServiceFailed(service_call_id call, control_actions &out);
+    void onPeerContent(const vm_id &vm, std::uint64_t version, std::string content,
+                       control_actions &out);
+    void onPeerFailed(const vm_id &vm, control_actions &out);
+
+    /// Runs timers; call every 50 to 100 ms.
+    void tick(control_actions &out);
+    /// Notices a pause; call before acting on anything that was known before.
+    void noticePause(control_actions &out);
+
+    void announceLeaving(control_actions &out);
+    void announceStopped(control_actions &out);
+
+    /// Whether a configuration is in force that peers or the service confirmed since the start and
+    /// since the last pause.
+    [[nodiscard]] bool readyToServe() const { return m_keeper.readyToServe(); }
+    [[nodiscard]] const published_keeper &keeper() const { return m_keeper; }
+    [[nodiscard]] const membership &members() const { return m_members; }
+
+private:
+    void passOn(const membership_actions &actions, control_actions &out);
+    void passOn(published_keeper::actions &actions, control_actions &out);
+    void reportMembers(control_actions &out);
+    [[nodiscard]] steady_time confirmedAt() const;
+
+    /// Runs one input of the membership and passes on what comes of it.
+    template <class Input>
+    void feedMembers(Input &&input, control_actions &out)
+    {
+        membership_actions actions;
+        input(actions);
+        passOn(actions, out);
+    }
+
+    /// Runs one input of the keeper and passes on what comes of it.
+    template <class Input>
+    void feedKeeper(Input &&input, control_actions &out)
+    {
+        published_keeper::actions actions;
+        input(actions);
+        passOn(actions, out);
+    }
+
+    membership m_members;
+    published_keeper m_keeper;
+    steady_time m_reportedConfirmation;
+};
+
+} // namespace orchidlead
--- /dev/null
+++ b/src/core/planned_stop.cpp
@@ -0,0 +1,58 @@
+#include "core/planned_stop.h"
+
+namespace orchidlead {
+
+planned_stop::planned_stop(const planned_stop_options &options, const clock_source &clock)
+    : m_options(options)
+    , m_clock(clock)
+{ }
+
+void planned_stop::begin()
+{
+    if (m_phase == stop_phase::Running)
+        enter(stop_phase::Noticing);
+}
+
+std::optional<stop_phase> planned_stop::tick(const stop_progress &progress)
+{
+    if (!phaseOver(progress))
+        return std::nullopt;
+    switch (m_phase) {
+    case stop_phase::Noticing:
+        enter(stop_phase::Draining);
+        break;
+    case stop_phase::Draining:
+        enter(stop_phase::Closing);
+        break;
+    default:
+        enter(stop_phase::Stopped);
+        break;
+    }
+    return m_phase;
+}
+
+// The whole notice is waited for even when the node is idle: the balancer may still send.
+bool planned_stop::phaseOver(const stop_progress &progress) const
+{
+    const auto spent = m_clock.now() - m_entered;
+    switch (m_phase) {
+    case stop_phase::Noticing:
+        return spent >= m_options.notice;
+    case stop_phase::Draining:
+        return (progress.idle && progress.handedOver) || spent >= m_options.drain;
+    case stop_phase::Closing:
+        return progress.connectionsClosed || spent >= m_options.close;
+    case stop_phase::Running:
+    case stop_phase::Stopped:
+        break;
+    }
+    return false;
+}
+
+void planned_stop::enter(stop_phase phase)
+{
+    m_phase = phase;
+    m_entered = m_clock.now();
+}
+
+} // namespace orchidlead
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -106,7 +106,7 @@
     }
 }
 
-void parseRouting(mapping_reader &section, routing_settings &routing)
+void parseRouting(mapping_reader &section, stage_settings &routing)
 {
     section.readInteger("max_attempts_per_stage", routing.maxAttemptsPerStage, AttemptRange);
     section.readDuration("hop_margin", routing.hopMargin, MarginRange);
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -59,7 +59,7 @@
 };
 
 /// How requests are taken through their stages.
-struct routing_settings
+struct stage_settings
 {
     std::uint32_t maxAttemptsPerStage = 4;
     milliseconds hopMargin{10}; ///< kept back at each send for the way back
@@ -120,7 +120,7 @@
     tls_settings tls;
     platform_settings platform;
     limit_settings limits;
-    routing_settings routing;
+    stage_settings routing;
     membership_settings membership;
     stop_settings stop;
     log_settings log;
--- a/src/daemon/caller_request_json.cpp
+++ b/src/daemon/caller_request_json.cpp
@@ -145,6 +145,8 @@
     request.ticket = std::move(ticket);
     request.idempotencyKey = std::move(key);
     request.stream = stream.value_or(false);
+    if (request.named())
+        request.body = std::make_shared<const std::string>(body);
     return request;
 }
 
--- /dev/null
+++ b/src/daemon/control_shell.cpp
@@ -0,0 +1,168 @@
+#include "daemon/control_shell.h"
+
+#include <utility>
+
+namespace orchidlead::daemon {
+
+namespace {
+
+constexpr milliseconds TickInterval{50};
+
+result<configuration_ptr, std::vector<std::string>> validate(std::uint64_t version,
+                                                             std::string_view content)
+{
+    auto parsed = parsePublishedConfiguration(content, "configuration", version);
+    if (parsed)
+        return std::move(parsed).value();
+    std::vector<std::string> lines;
+    for (const auto &error : parsed.error())
+        lines.push_back(error.message());
+    return failure(std::move(lines));
+}
+
+} // namespace
+
+control_shell::control_shell(net::event_loop &loop, net::http_client &client,
+                             const clock_source &clock, control_shell_options options,
+                             control_events events)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_events(std::move(events))
+    , m_control(m_options.control, clock, validate)
+    , m_service(client, {m_options.configurationService})
+    , m_vmList(loop, client, clock, {m_options.vmList}, m_options.vmListWatch,
+               {[this](const platform::vm_list &list) {
+                    m_listVersion = list.version;
+                    feed([&](auto &out) { m_control.setListed(list.version, list.vms, out); });
+                },
+                [this](steady_time) {
+                    feed([&](auto &out) { m_control.onListConfirmed(m_listVersion, out); });
+                },
+                {}})
+{ }
+
+control_shell::~control_shell()
+{
+    m_loop.cancelTimer(m_timer);
+}
+
+result<void, net::net_error> control_shell::start()
+{
+    auto socket = net::udp_socket::create(
+        m_loop, m_options.peerListen, [this](const socket_address &from, std::string_view bytes) {
+            feed([&](auto &out) { m_control.onDatagram(from, bytes, out); });
+        });
+    if (!socket)
+        return failure(std::move(socket).error());
+    m_socket = std::move(socket).value();
+    m_vmList.start();
+    tick();
+    return success();
+}
+
+void control_shell::noticePause()
+{
+    feed([&](auto &out) { m_control.noticePause(out); });
+}
+
+void control_shell::announceLeaving()
+{
+    feed([&](auto &out) { m_control.announceLeaving(out); });
+}
+
+void control_shell::announceStopped()
+{
+    feed([&](auto &out) { m_control.announceStopped(out); });
+}
+
+void control_shell::onPeerContent(const vm_id &vm, std::uint64_t version, std::string content)
+{
+    feed([&](auto &out) { m_control.onPeerContent(vm, version, std::move(content), out); });
+}
+
+void control_shell::onPeerFailed(const vm_id &vm)
+{
+    feed([&](auto &out) { m_control.onPeerFailed(vm, out); });
+}
+
+void control_shell::carryOut(const control_actions &actions)
+{
+    for (const auto &action : actions)
+        std::visit([this](const auto &typed) { perform(typed); }, action);
+}
+
+void control_shell::perform(const gossip_datagram &action)
+{
+    if (m_socket)
+        m_socket->send(action.to, action.bytes);
+}
+
+void control_shell::perform(const fetch_from_service &action)
+{
+    m_service.read({action.after, action.wait}, [this, call = action.call](auto outcome) {
+        onServiceResult(call, std::move(outcome));
+    });
+}
+
+void control_shell::onServiceResult(service_call_id call,
+                                    platform::configuration_service_client::outcome_type outcome)
+{
+    feed([&](control_actions &out) {
+        if (!outcome) {
+            m_control.onServiceFailed(call, out);
+        } else if (auto &content = outcome.value()) {
+            m_control.onServiceRead(call, content->version, std::move(content->content), out);
+        } else {
+            m_control.onServiceUnchanged(call, out);
+        }
+    });
+}
+
+void control_shell::perform(const adopt_configuration<published_configuration> &action)
+{
+    m_events.onConfiguration(action);
+}
+
+void control_shell::perform(const reject_configuration &action)
+{
+    m_events.onRefused(action);
+}
+
+void control_shell::perform(const keeper_report &action)
+{
+    m_events.onKeeperReport(action);
+}
+
+void control_shell::perform(const members_updated &action)
+{
+    m_events.onMembers(action);
+}
+
+void control_shell::perform(const member_changed &action)
+{
+    m_events.onMemberChanged(action);
+}
+
+void control_shell::perform(const paused &action)
+{
+    m_vmList.restart();
+    m_events.onPaused(action);
+}
+
+void control_shell::perform(const superseded &action)
+{
+    m_events.onSuperseded(action);
+}
+
+void control_shell::perform(const fetch_from_peer &action)
+{
+    m_events.fetchFromPeer(action);
+}
+
+void control_shell::tick()
+{
+    feed([&](auto &out) { m_control.tick(out); });
+    m_timer = m_loop.callAfter(TickInterval, [this] { tick(); });
+}
+
+} // namespace orchidlead::daemon
--- /dev/null
+++ b/src/daemon/control_shell.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "core/node_control.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/udp_socket.h"
+#include "platform/configuration_service_client.h"
+#include "platform/vm_list_client.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/result.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace orchidlead::daemon {
+
+/// Where a node finds the platform and listens for its peers.
+struct control_shell_options
+{
+    control_options control;
+    socket_address peerListen;
+    socket_address configurationService;
+    socket_address vmList;
+    platform::published_watch_options vmListWatch;
+};
+
+/// What the control part reports to the rest of the daemon.
+struct control_events
+{
+    std::function<void(const adopt_configuration<published_configuration> &)> onConfiguration;
+    std::function<void(const reject_configuration &)> onRefused;
+    std::function<void(const keeper_report &)> onKeeperReport;
+    std::function<void(const members_updated &)> onMembers;
+    std::function<void(const member_changed &)> onMemberChanged;
+    std::function<void(const paused &)> onPaused;
+    std::function<void(const superseded &)> onSuperseded;
+    std::function<void(const fetch_from_peer &)> fetchFromPeer;
+};
+
+/// Feeds gossip, the platform's documents and the time into the control part, and carries out what
+/// it decides.
+class control_shell
+{
+public:
+    control_shell(net::event_loop &loop, net::http_client &client, const clock_source &clock,
+                  control_shell_options options, control_events events);
+    ~control_shell();
+    control_shell(const control_shell &) = delete;
+    control_shell &operator=(const control_shell &) = delete;
+
+    /// Binds the gossip port and begins to read what the platform publishes.
+    [[nodiscard]] result<void, net::net_error> start();
+
+    /// Notices a pause of the process; to be called before a request is taken.
+    void noticePause();
+    void announceLeaving();
+    void announceStopped();
+    void onPeerContent(const vm_id &vm, std::uint64_t version, std::string content);
+    void onPeerFailed(const vm_id &vm);
+
+    [[nodiscard]] const node_control &state() const { return m_control; }
+
+private:
+    void carryOut(const control_actions &actions);
+    void perform(const gossip_datagram &action);
+    void perform(const fetch_from_service &action);
+    void perform(const adopt_configuration<published_configuration> &action);
+    void perform(const reject_configuration &action);
+    void perform(const keeper_report &action);
+    void perform(const members_updated &action);
+    void perform(const member_changed &action);
+    void perform(const paused &action);
+    void perform(const superseded &action);
+    void perform(const fetch_from_peer &action);
+    void onServiceResult(service_call_id call,
+                         platform::configuration_service_client::outcome_type outcome);
+    void tick();
+
+    template <class Event>
+    void feed(Event &&event)
+    {
+        control_actions actions;
+        event(actions);
+        carryOut(actions);
+    }
+
+    net::event_loop &m_loop;
+    const control_shell_options m_options;
+    control_events m_events;
+    node_control m_control;
+    platform::configuration_service_client m_service;
+    platform::vm_list_watch m_vmList;
+    std::unique_ptr<net::udp_socket> m_socket;
+    std::uint64_t m_listVersion = 0;
+    net::timer_id m_timer = 0;
+};
+
+} // namespace orchidlead::daemon
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "core/planned_stop.h"
+#include "core/settings.h"
+#include "daemon/caller_api.h"
+#include "daemon/control_shell.h"
+#include "daemon/node_shell.h"
+#include "daemon/operator_api.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/result.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace orchidlead::daemon {
+
+/// Says why the daemon couldn't start.
+struct daemon_error
+{
+    std::string what;
+};
+
+/// Assembles one node from its settings and runs it until its planned stop is over.
+class orchidlead_daemon
+{
+public:
+    orchidlead_daemon(net::event_loop &loop, const clock_source &clock,
+                      const process_settings &settings, incarnation start);
+    ~orchidlead_daemon();
+    orchidlead_daemon(const orchidlead_daemon &) = delete;
+    orchidlead_daemon &operator=(const orchidlead_daemon &) = delete;
+
+    /// Binds all addresses.
+    [[nodiscard]] result<void, daemon_error> start();
+
+    /// Begins the planned stop; the loop ends when it is over.
+    void beginStop();
+
+    /// Addresses that are listened on, for people and tests: one line.
+    [[nodiscard]] std::string addresses() const;
+
+private:
+    [[nodiscard]] node_hooks nodeHooks();
+    [[nodiscard]] control_events controlEvents();
+    [[nodiscard]] operator_hooks operatorHooks();
+    [[nodiscard]] std::optional<std::string> notReady() const;
+    [[nodiscard]] node_phase phase() const;
+    [[nodiscard]] process_status status() const;
+    [[nodiscard]] stop_progress progress() const;
+    [[nodiscard]] result<void, daemon_error> listen();
+    void refreshAdmission();
+    void tickStop();
+    void enter(stop_phase phase);
+
+    net::event_loop &m_loop;
+    const clock_source &m_clock;
+    const process_settings m_settings;
+    const steady_time m_started;
+    std::unique_ptr<net::http_client> m_client;
+    node_shell m_shell;
+    control_shell m_control;
+    caller_api m_callerApi;
+    operator_api m_operatorApi;
+    planned_stop m_stop;
+    std::unique_ptr<net::http_server> m_callerServer;
+    std::unique_ptr<net::http_server> m_operatorServer;
+    net::timer_id m_stopTimer = 0;
+};
+
+} // namespace orchidlead::daemon
--- /dev/null
+++ b/src/daemon/daemon_options.cpp
@@ -0,0 +1,124 @@
+#include "daemon/daemon_options.h"
+
+namespace orchidlead::daemon {
+
+namespace {
+
+// Operators are few and their requests small.
+constexpr std::size_t OperatorBodyBytes = 64U << 10U;
+constexpr std::size_t OperatorConnections = 64;
+
+listed_vm selfOf(const process_settings &settings)
+{
+    listed_vm self;
+    self.vm = settings.vm;
+    self.dataCenter = settings.dataCenter;
+    self.region = settings.region;
+    self.peerAddress = settings.listen.peer;
+    return self;
+}
+
+membership_options memberOptions(const process_settings &settings, incarnation start)
+{
+    membership_options options;
+    options.self = selfOf(settings);
+    options.incarnation = start;
+    options.seed = start;
+    options.probeInterval = settings.membership.probeInterval;
+    options.remoteProbeInterval = settings.membership.remoteProbeInterval;
+    options.probeTimeout = settings.membership.probeTimeout;
+    options.suspicionMin = settings.membership.suspicionMin;
+    options.suspicionMax = settings.membership.suspicionMax;
+    return options;
+}
+
+keeper_options keeperOptions(const process_settings &settings, incarnation start)
+{
+    keeper_options options;
+    options.self = selfOf(settings);
+    options.seed = start;
+    options.readersPerDataCenter = settings.platform.readersPerDataCenter;
+    options.watchTime = settings.platform.readWait;
+    options.minReadInterval = settings.platform.minReadInterval;
+    options.maxBackoff = settings.platform.maxBackoff;
+    return options;
+}
+
+} // namespace
+
+node_settings nodeSettings(const process_settings &settings, incarnation start)
+{
+    node_settings options;
+    options.vm = settings.vm;
+    options.dataCenter = settings.dataCenter;
+    options.region = settings.region;
+    options.incarnation = start;
+    options.maxInputBytes = settings.limits.maxInputBytes;
+    options.recentRequests = settings.limits.recentRequests;
+    options.engine.maxOpenRequests = settings.limits.maxOpenRequests;
+    options.engine.maxQueuePerService = settings.limits.maxQueuedPerService;
+    options.engine.maxAttemptsPerStage = settings.routing.maxAttemptsPerStage;
+    options.engine.hopMargin = settings.routing.hopMargin;
+    options.engine.routing.remoteLatency =
+        static_cast<double>(settings.routing.remoteLatency.count());
+    return options;
+}
+
+control_shell_options controlOptions(const process_settings &settings, incarnation start)
+{
+    control_shell_options options;
+    options.control.members = memberOptions(settings, start);
+    options.control.keeper = keeperOptions(settings, start);
+    options.peerListen = settings.listen.peer;
+    options.configurationService = settings.platform.configurationService;
+    options.vmList = settings.platform.vmList;
+    options.vmListWatch.wait = settings.platform.readWait;
+    options.vmListWatch.minInterval = settings.platform.minReadInterval;
+    options.vmListWatch.maxBackoff = settings.platform.maxBackoff;
+    options.vmListWatch.seed = start;
+    return options;
+}
+
+caller_api_options callerOptions(const process_settings &settings)
+{
+    caller_api_options options;
+    options.bounds.maxBodyBytes = settings.limits.maxBodyBytes;
+    options.maxStreamQueueBytes = settings.limits.maxStreamBytes;
+    return options;
+}
+
+planned_stop_options stopOptions(const process_settings &settings)
+{
+    planned_stop_options options;
+    options.notice = settings.stop.notice;
+    options.drain = settings.stop.drain;
+    return options;
+}
+
+net::http_server_options callerServerOptions(const process_settings &settings)
+{
+    net::http_server_options options;
+    options.listen = settings.listen.caller;
+    options.maxBodyBytes = settings.limits.maxBodyBytes;
+    options.maxHeaderBytes = settings.limits.maxHeaderBytes;
+    options.maxConnections = settings.limits.maxConnections;
+    options.requestTimeout = settings.limits.requestTimeout;
+    options.idleTimeout = settings.limits.idleTimeout;
+    options.tlsCertificateFile = settings.tls.certificateFile;
+    options.tlsKeyFile = settings.tls.keyFile;
+    return options;
+}
+
+net::http_server_options operatorServerOptions(const process_settings &settings)
+{
+    net::http_server_options options;
+    options.listen = settings.listen.operators;
+    options.maxBodyBytes = OperatorBodyBytes;
+    options.maxHeaderBytes = settings.limits.maxHeaderBytes;
+    options.maxConnections = OperatorConnections;
+    options.requestTimeout = settings.limits.requestTimeout;
+    options.idleTimeout = settings.limits.idleTimeout;
+    return options;
+}
+
+} // namespace orchidlead::daemon
--- a/src/daemon/node_shell.cpp
+++ b/src/daemon/node_shell.cpp
@@ -6,12 +6,12 @@
 namespace orchidlead::daemon {
 
 node_shell::node_shell(net::event_loop &loop, net::http_client &client, const clock_source &clock,
-                       const node_settings &settings, std::uint64_t seed, decision_sink onDecision)
+                       const node_settings &settings, std::uint64_t seed, node_hooks hooks)
     : m_loop(loop)
     , m_clock(clock)
     , m_node(settings, clock, seed)
     , m_backends(loop, client, clock, backendEvents())
-    , m_onDecision(std::move(onDecision))
+    , m_hooks(std::move(hooks))
 { }
 
 node_shell::~node_shell()
@@ -25,30 +25,30 @@
     platform::stage_client_events events;
     events.onSent = [this](const attempt_key &key) { m_node.onSent(key); };
     events.onAnswer = [this](const attempt_answer &answer) {
-        feed([&](engine_actions &out) { m_node.onAnswer(answer, out); });
+        feed([&](node_actions &out) { m_node.onAnswer(answer, out); });
     };
     events.onChunk = [this](platform::attempt_chunk chunk) {
-        feed([&](engine_actions &out) { m_node.onChunk(chunk.key, std::move(chunk.text), out); });
+        feed([&](node_actions &out) { m_node.onChunk(chunk.key, std::move(chunk.text), out); });
     };
     events.onFailure = [this](const platform::attempt_failed &failed) {
-        feed([&](engine_actions &out) {
+        feed([&](node_actions &out) {
             m_node.onFailure(failed.key, failed.failure, failed.retryAfter, out);
         });
     };
     events.onLoad = [this](const load_report &report) {
-        feed([&](engine_actions &out) { m_node.onLoadReport(report, out); });
+        feed([&](node_actions &out) { m_node.onLoadReport(report, out); });
     };
     return events;
 }
 
 void node_shell::setConfiguration(configuration_ptr configuration)
 {
-    feed([&](engine_actions &out) { m_node.setConfiguration(std::move(configuration), out); });
+    feed([&](node_actions &out) { m_node.setConfiguration(std::move(configuration), out); });
 }
 
 request_id node_shell::submit(caller_request request, answer_sink sink)
 {
-    engine_actions actions;
+    node_actions actions;
     const request_id id = m_node.submit(std::move(request), actions);
     // The answer may be among the actions already, so the sink is in place before they are done.
     m_sinks.emplace(id, std::move(sink));
@@ -59,7 +59,22 @@
 
 void node_shell::cancel(const request_id &request)
 {
-    feed([&](engine_actions &out) { m_node.cancel(request, out); });
+    feed([&](node_actions &out) { m_node.cancel(request, out); });
+}
+
+void node_shell::setMembers(const members_updated &update)
+{
+    m_node.setMembers(update.members, update.listConfirmedAt);
+}
+
+void node_shell::onForwardAnswer(const request_id &request, final_answer answer)
+{
+    feed([&](node_actions &out) { m_node.onForwardAnswer(request, std::move(answer), out); });
+}
+
+void node_shell::onForwardFailed(const request_id &request, const std::string &detail)
+{
+    feed([&](node_actions &out) { m_node.onForwardFailed(request, detail, out); });
 }
 
 void node_shell::setReading(const request_id &request, bool reading)
@@ -67,7 +82,7 @@
     m_backends.setReading(request, reading);
 }
 
-void node_shell::carryOut(const engine_actions &actions)
+void node_shell::carryOut(const node_actions &actions)
 {
     for (const auto &action : actions)
         std::visit([this](const auto &typed) { perform(typed); }, action);
@@ -102,8 +117,12 @@
 
 void node_shell::perform(const log_decision &action)
 {
-    if (m_onDecision)
-        m_onDecision(action);
+    m_hooks.onDecision(action);
+}
+
+void node_shell::perform(const forward_call &action)
+{
+    m_hooks.forward(action);
 }
 
 void node_shell::scheduleWake()
@@ -126,7 +145,7 @@
 void node_shell::wake()
 {
     m_timer.reset();
-    feed([&](engine_actions &out) { m_node.tick(out); });
+    feed([&](node_actions &out) { m_node.tick(out); });
 }
 
 } // namespace orchidlead::daemon
--- a/src/daemon/node_shell.h
+++ b/src/daemon/node_shell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/node.h"
+#include "core/node_control.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "platform/stage_client.h"
@@ -21,15 +22,19 @@
     std::function<void(const final_answer &answer)> onAnswer; ///< exactly once, last
 };
 
-/// Takes the lines of the decision log.
-using decision_sink = std::function<void(const log_decision &)>;
+/// What the node asks of other parts of the daemon.
+struct node_hooks
+{
+    std::function<void(const log_decision &)> onDecision;
+    std::function<void(const forward_call &)> forward;
+};
 
 /// Feeds events into the node and carries its actions out.
 class node_shell
 {
 public:
     node_shell(net::event_loop &loop, net::http_client &client, const clock_source &clock,
-               const node_settings &settings, std::uint64_t seed, decision_sink onDecision);
+               const node_settings &settings, std::uint64_t seed, node_hooks hooks);
     ~node_shell();
     node_shell(const node_shell &) = delete;
     node_shell &operator=(const node_shell &) = delete;
@@ -40,22 +45,33 @@
     request_id submit(caller_request request, answer_sink sink);
     void cancel(const request_id &request);
 
+    void onForwardAnswer(const request_id &request, final_answer answer);
+    void onForwardFailed(const request_id &request, const std::string &detail);
+    [[nodiscard]] std::optional<std::string> mintTicket() { return m_node.mintTicket(); }
+    void tickGate(std::vector<peer_message> &out) { m_node.tickGate(out); }
+    void onGateMessage(const vm_id &from, std::string_view bytes, std::vector<peer_message> &out)
+    {
+        m_node.onGateMessage(from, bytes, out);
+    }
+    void startLeaving() { m_node.startLeaving(); }
+
     /// Stops or goes on reading what backend servers send for a request.
     void setReading(const request_id &request, bool reading);
 
-    /// Refuses new requests from now on.
-    void stopAccepting() { m_node.stopAccepting(); }
+    void setMembers(const members_updated &update);
+    void setAdmission(admission_state state) { m_node.setAdmission(state); }
 
     [[nodiscard]] const node &state() const { return m_node; }
 
 private:
     [[nodiscard]] platform::stage_client_events backendEvents();
-    void carryOut(const engine_actions &actions);
+    void carryOut(const node_actions &actions);
     void perform(const send_attempt &action);
     void perform(const cancel_attempt &action);
     void perform(const deliver_answer &action);
     void perform(const deliver_chunk &action);
     void perform(const log_decision &action);
+    void perform(const forward_call &action);
     void scheduleWake();
     void wake();
 
@@ -63,7 +79,7 @@
     template <class Event>
     void feed(Event &&event)
     {
-        engine_actions actions;
+        node_actions actions;
         event(actions);
         carryOut(actions);
         scheduleWake();
@@ -73,7 +89,7 @@
     const clock_source &m_clock;
     node m_node;
     platform::stage_client m_backends;
-    decision_sink m_onDecision;
+    node_hooks m_hooks;
     std::unordered_map<request_id, answer_sink> m_sinks;
     std::optional<net::timer_id> m_timer;
     steady_time m_timerDue;
--- a/src/daemon/operator_views.cpp
+++ b/src/daemon/operator_views.cpp
@@ -1,5 +1,7 @@
 #include "daemon/operator_views.h"
 
+#include "core/socket_address_text.h"
+
 #include <orchidlead/enum_names.h>
 
 #include <algorithm>
@@ -24,11 +26,6 @@
     return Json::Value{static_cast<Json::Int64>(value.count())};
 }
 
-std::string addressText(const socket_address &address)
-{
-    return address.ip + ":" + std::to_string(address.port);
-}
-
 /// Cuts one page out of named rows, and says where the next one begins.
 Json::Value paged(std::string_view listName, const std::map<std::string, Json::Value> &rows,
                   const page &wanted)
@@ -61,7 +58,7 @@
     out["failures"] = count(server.failures);
     const backend_server *listed = published ? published->findServer(server.server) : nullptr;
     out["data_center"] = listed ? text(listed->dataCenter.value) : Json::Value{};
-    out["address"] = listed ? text(addressText(listed->address)) : Json::Value{};
+    out["address"] = listed ? text(toText(listed->address)) : Json::Value{};
     const service *pool = published ? published->findService(server.service) : nullptr;
     out["kind"] = pool ? text(toName(pool->kind)) : Json::Value{};
     return out;
