Add orchidctl: check, render, ask a node, send a request

Cause: operators need the daemon's own checks before they publish, and a view into nodes that doesn't need curl and a JSON reader.

Ruled out: absl::ParseCommandLine, which ends the process with status 1 on a wrong flag, where 1 means an invalid file; absl::FlagSaver, which logs a line for each flag. Flags are Abseil's, and so is the parsing of their values.

The JSON of a rendered plan is in platform/plan_json, for the operator API as well.

--- /dev/null
+++ b/src/platform/plan_json.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "core/pipeline.h"
+
+#include <json/value.h>
+
+namespace orchidlead::platform {
+
+/// Writes a rendered pipeline as the operator API and `orchidctl render` show it.
+[[nodiscard]] Json::Value planToJson(const pipeline_plan &plan);
+
+} // namespace orchidlead::platform
