Serve tickets and keys over peers, write the log and the metrics

Ruled out: the gate's small messages over TCP, since at 50 peers a data centre the calls alone would pass the bound on control traffic; a second pair of log enumerations beside those of the settings. Change: daemon/peer_link (forwarded requests, configuration contents, bulk messages of the gate over TCP; small ones share the gossip port), daemon/reporter (log and metrics), POST /v1/tickets, end_request in place of deliver_answer so that every end is counted once.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -156,6 +156,7 @@
 {
     const request_id id = nextId();
     m_traces.begin(id, request.customer, request.pipeline);
+    m_pending.emplace(id, pending_request{request.customer, request.pipeline, m_clock.now()});
     const plan_or_refusal plan = planFor(request);
     const bool once = request.named() || (plan && !plan.value()->repeatable());
     if (once)
@@ -443,7 +444,7 @@
 
 bool node::idle() const
 {
-    return m_open.empty() && m_attached.empty() && m_forwarded.empty();
+    return m_pending.empty();
 }
 
 request_id node::nextId()
@@ -482,8 +483,7 @@
         for (const auto &attached : m_attached.take(*ended.record))
             deliver(attached, answer, out);
     }
-    m_traces.end(answer);
-    out.emplace_back(deliver_answer{std::move(answer)});
+    end(std::move(answer), out);
 }
 
 /// Ends a request that the engine never had.
@@ -495,8 +495,19 @@
         m_traces.addDecision(line);
         out.emplace_back(std::move(line));
     }
+    end(std::move(answer), out);
+}
+
+void node::end(final_answer answer, node_actions &out)
+{
+    const auto pending = m_pending.extract(answer.request);
+    if (pending.empty())
+        return;
     m_traces.end(answer);
-    out.emplace_back(deliver_answer{std::move(answer)});
+    const pending_request &request = pending.mapped();
+    const auto elapsed = m_clock.now() - request.started;
+    out.emplace_back(end_request{std::move(answer), request.customer, request.pipeline,
+                                 std::chrono::duration_cast<milliseconds>(elapsed)});
 }
 
 } // namespace orchidlead
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -61,8 +61,8 @@
     void setMembers(std::vector<member> members, steady_time listConfirmedAt);
     void setAdmission(admission_state state);
 
-    /// Takes a caller's request and gives it its number. Exactly one `deliver_answer` follows, now
-    /// or later.
+    /// Takes a caller's request and gives it its number. Exactly one `end_request` follows, now or
+    /// later.
     request_id submit(caller_request request, node_actions &out);
 
     /// Takes that a caller went away. Its answer still comes out. What runs is given up, but for
@@ -105,10 +105,18 @@
     [[nodiscard]] const std::vector<member> &members() const { return m_members; }
     [[nodiscard]] const recent_requests &traces() const { return m_traces; }
     [[nodiscard]] engine_stats stats() const { return m_engine.stats(); }
-    [[nodiscard]] std::size_t openRequests() const { return m_open.size(); }
+    [[nodiscard]] std::size_t openRequests() const { return m_pending.size(); }
     [[nodiscard]] std::size_t inputBytes() const { return m_inputBytes; }
 
 private:
+    /// A request that has no end yet.
+    struct pending_request
+    {
+        customer_id customer;
+        pipeline_id pipeline;
+        steady_time started;
+    };
+
     /// A request that the engine has.
     struct open_request
     {
@@ -148,6 +156,7 @@
     [[nodiscard]] bool cameFromOwnDataCenter(const caller_request &request) const;
     void finish(final_answer answer, node_actions &out);
     void deliver(const request_id &id, final_answer answer, node_actions &out);
+    void end(final_answer answer, node_actions &out);
     void expireAttached(node_actions &out);
 
     /// Runs one event function of the engine and passes on what comes of it.
@@ -167,6 +176,7 @@
     recent_requests m_traces;
     configuration_ptr m_configuration;
     std::vector<member> m_members;
+    std::unordered_map<request_id, pending_request> m_pending;
     std::unordered_map<request_id, open_request> m_open;
     attached_callers m_attached;
     std::unordered_set<request_id> m_forwarded;
--- a/src/core/node_actions.h
+++ b/src/core/node_actions.h
@@ -22,8 +22,17 @@
     steady_time deadline;
 };
 
+/// Action: tell the caller how its request ended, and count it. Exactly one for each request.
+struct end_request
+{
+    final_answer answer;
+    customer_id customer;
+    pipeline_id pipeline;
+    milliseconds elapsed{0}; ///< since it was read
+};
+
 /// What the request side of a node asks the shell to do.
-using node_action = std::variant<send_attempt, cancel_attempt, deliver_answer, deliver_chunk,
+using node_action = std::variant<send_attempt, cancel_attempt, end_request, deliver_chunk,
                                  log_decision, forward_call>;
 using node_actions = std::vector<node_action>;
 
--- a/src/daemon/answer_json.cpp
+++ b/src/daemon/answer_json.cpp
@@ -87,6 +87,27 @@
     object.end();
 }
 
+milliseconds timeMember(const Json::Value &object, std::string_view name)
+{
+    return milliseconds{
+        static_cast<std::int64_t>(platform::unsigned32Member(object, name).value_or(0))};
+}
+
+stage_report readStage(const Json::Value &object)
+{
+    stage_report stage;
+    stage.stage = stage_id{platform::stringMember(object, "stage").value_or("")};
+    stage.server = backend_server_id{platform::stringMember(object, "server").value_or("")};
+    stage.attempts = platform::unsigned32Member(object, "attempts").value_or(0);
+    stage.hedges = platform::unsigned32Member(object, "hedges").value_or(0);
+    stage.queued = timeMember(object, "queued_ms");
+    stage.elapsed = timeMember(object, "elapsed_ms");
+    stage.busy = timeMember(object, "busy_ms");
+    stage.tokens = platform::unsignedMember(object, "tokens").value_or(0);
+    stage.finished = platform::boolMember(object, "finished").value_or(false);
+    return stage;
+}
+
 std::int64_t wholeSeconds(milliseconds time)
 {
     return std::chrono::ceil<std::chrono::seconds>(time).count();
@@ -140,6 +161,34 @@
     return out;
 }
 
+std::optional<final_answer> readAnswer(std::string_view text)
+{
+    const auto parsed = platform::parseJson(text, {text.size()});
+    if (!parsed)
+        return std::nullopt;
+    const Json::Value &root = parsed.value();
+    const auto end = fromName<outcome>(platform::stringMember(root, "outcome").value_or(""));
+    const auto reason =
+        fromName<refusal_reason>(platform::stringMember(root, "reason").value_or(""));
+    const Json::Value *output = platform::findMember(root, "output");
+    if (!end || !reason || output == nullptr)
+        return std::nullopt;
+    final_answer answer;
+    answer.outcome = *end;
+    answer.reason = *reason;
+    answer.detail = platform::stringMember(root, "detail").value_or("");
+    if (*end == outcome::Answered)
+        answer.output = std::make_shared<const std::string>(platform::sourceText(text, *output));
+    if (platform::unsigned32Member(root, "retry_after_ms"))
+        answer.retryAfter = timeMember(root, "retry_after_ms");
+    if (const Json::Value *stages = platform::findMember(root, "stages");
+        stages && stages->isArray()) {
+        for (const auto &stage : *stages)
+            answer.stages.push_back(readStage(stage));
+    }
+    return answer;
+}
+
 net::header_list answerHeaders(const final_answer &answer)
 {
     net::header_list headers{{"content-type", "application/json"}};
--- a/src/daemon/answer_json.h
+++ b/src/daemon/answer_json.h
@@ -5,8 +5,10 @@
 
 #include <orchidlead/outcome.h>
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace orchidlead::daemon {
 
@@ -16,6 +18,9 @@
 /// Writes a request's end as the caller API's object.
 [[nodiscard]] std::string writeAnswer(const final_answer &answer);
 
+/// Reads what `writeAnswer` wrote on another node; nothing where it isn't of that form.
+[[nodiscard]] std::optional<final_answer> readAnswer(std::string_view text);
+
 /// Writes the stages of an answer as a JSON array.
 [[nodiscard]] std::string writeStages(const std::vector<stage_report> &stages);
 
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -15,6 +15,7 @@
 constexpr int StatusNotFound = 404;
 constexpr int StatusMethodNotAllowed = 405;
 constexpr int StatusUnavailable = 503;
+constexpr milliseconds TicketRetry{1000};
 
 struct route
 {
@@ -23,9 +24,10 @@
 };
 
 constexpr route RunRequest{"POST", "/v1/requests"};
+constexpr route MintTicket{"POST", "/v1/tickets"};
 constexpr route Health{"GET", "/healthz"};
 constexpr route Ready{"GET", "/readyz"};
-constexpr std::array Routes{RunRequest, Health, Ready};
+constexpr std::array Routes{RunRequest, MintTicket, Health, Ready};
 
 bool matches(const net::http_request &request, const route &wanted)
 {
@@ -63,6 +65,8 @@
 {
     if (matches(request, RunRequest))
         runRequest(request, response);
+    else if (matches(request, MintTicket))
+        mintTicket(response);
     else if (matches(request, Health))
         response->respond(StatusOk, {{"content-type", "application/json"}}, R"({"alive":true})");
     else if (matches(request, Ready))
@@ -91,6 +95,21 @@
     response->onClosed([this, id] { m_shell.cancel(*id); });
 }
 
+void caller_api::mintTicket(const net::response_ptr &response)
+{
+    const auto ticket = m_shell.mintTicket();
+    if (!ticket) {
+        const final_answer answer =
+            refusal(refusal_reason::Overloaded, "no ticket can be given now", TicketRetry);
+        response->respond(StatusUnavailable, answerHeaders(answer), writeAnswer(answer));
+        return;
+    }
+    std::string body = R"({"ticket":)";
+    platform::appendJsonString(body, *ticket);
+    body += R"(,"expires_ms":)" + std::to_string(m_options.ticketWindow.count()) + "}";
+    response->respond(StatusOk, {{"content-type", "application/json"}}, std::move(body));
+}
+
 void caller_api::reportReadiness(const net::response_ptr &response) const
 {
     const auto reason = m_notReady();
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -15,6 +15,7 @@
 struct caller_api_options
 {
     caller_bounds bounds;
+    milliseconds ticketWindow{600'000}; ///< how long a ticket may be used
     std::size_t maxStreamQueueBytes = 256U
         << 10U; ///< waiting for one caller; beyond, reading stops
 };
@@ -32,6 +33,7 @@
 
 private:
     void runRequest(const net::http_request &request, const net::response_ptr &response);
+    void mintTicket(const net::response_ptr &response);
     void reportReadiness(const net::response_ptr &response) const;
 
     node_shell &m_shell;
--- a/src/daemon/control_shell.cpp
+++ b/src/daemon/control_shell.cpp
@@ -8,6 +8,9 @@
 
 constexpr milliseconds TickInterval{50};
 
+// Gossip is packed and begins with a number or an array, never with these letters.
+constexpr std::string_view GateMark = "OLG1";
+
 result<configuration_ptr, std::vector<std::string>> validate(std::uint64_t version,
                                                              std::string_view content)
 {
@@ -49,9 +52,8 @@
 result<void, net::net_error> control_shell::start()
 {
     auto socket = net::udp_socket::create(
-        m_loop, m_options.peerListen, [this](const socket_address &from, std::string_view bytes) {
-            feed([&](auto &out) { m_control.onDatagram(from, bytes, out); });
-        });
+        m_loop, m_options.peerListen,
+        [this](const socket_address &from, std::string_view bytes) { onDatagram(from, bytes); });
     if (!socket)
         return failure(std::move(socket).error());
     m_socket = std::move(socket).value();
@@ -60,6 +62,22 @@
     return success();
 }
 
+void control_shell::onDatagram(const socket_address &from, std::string_view bytes)
+{
+    if (bytes.starts_with(GateMark))
+        m_events.onGateDatagram(from, bytes.substr(GateMark.size()));
+    else
+        feed([&](auto &out) { m_control.onDatagram(from, bytes, out); });
+}
+
+void control_shell::sendGateDatagram(const socket_address &to, std::string_view bytes)
+{
+    std::string datagram(GateMark);
+    datagram += bytes;
+    if (m_socket)
+        m_socket->send(to, datagram);
+}
+
 void control_shell::noticePause()
 {
     feed([&](auto &out) { m_control.noticePause(out); });
--- a/src/daemon/control_shell.h
+++ b/src/daemon/control_shell.h
@@ -37,6 +37,8 @@
     std::function<void(const paused &)> onPaused;
     std::function<void(const superseded &)> onSuperseded;
     std::function<void(const fetch_from_peer &)> fetchFromPeer;
+    /// A datagram of the peer's gate, without its mark.
+    std::function<void(const socket_address &from, std::string_view bytes)> onGateDatagram;
 };
 
 /// Feeds gossip, the platform's documents and the time into the control part, and carries out what
@@ -57,10 +59,17 @@
     void noticePause();
     void announceLeaving();
     void announceStopped();
+    /// Sends a message of the gate as a datagram of the gossip port.
+    void sendGateDatagram(const socket_address &to, std::string_view bytes);
     void onPeerContent(const vm_id &vm, std::uint64_t version, std::string content);
     void onPeerFailed(const vm_id &vm);
 
     [[nodiscard]] const node_control &state() const { return m_control; }
+    [[nodiscard]] const platform::read_counts &configurationReads() const
+    {
+        return m_service.counts();
+    }
+    [[nodiscard]] const platform::read_counts &vmListReads() const { return m_vmList.counts(); }
 
 private:
     void carryOut(const control_actions &actions);
@@ -76,6 +85,7 @@
     void perform(const fetch_from_peer &action);
     void onServiceResult(service_call_id call,
                          platform::configuration_service_client::outcome_type outcome);
+    void onDatagram(const socket_address &from, std::string_view bytes);
     void tick();
 
     template <class Event>
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds StopTickInterval{20};
+constexpr milliseconds GateTickInterval{250};
+constexpr std::size_t MaxGateDatagramBytes = 1100;
 
 socket_address withPort(socket_address address, std::uint16_t port)
 {
@@ -20,14 +22,17 @@
 } // namespace
 
 orchidlead_daemon::orchidlead_daemon(net::event_loop &loop, const clock_source &clock,
-                                     const process_settings &settings, incarnation start)
+                                     const process_settings &settings, incarnation start,
+                                     platform::log &log)
     : m_loop(loop)
     , m_clock(clock)
     , m_settings(settings)
     , m_started(clock.now())
     , m_client(net::http_client::create(loop))
+    , m_reporter(log)
     , m_shell(loop, *m_client, clock, nodeSettings(settings, start), start, nodeHooks())
     , m_control(loop, *m_client, clock, controlOptions(settings, start), controlEvents())
+    , m_peers(loop, *m_client, clock, settings.vm, callerOptions(settings).bounds, peerEvents())
     , m_callerApi(m_shell, callerOptions(settings), [this] { return notReady(); })
     , m_operatorApi(m_shell.state(), clock, operatorHooks())
     , m_stop(stopOptions(settings), clock)
@@ -36,6 +41,7 @@
 orchidlead_daemon::~orchidlead_daemon()
 {
     m_loop.cancelTimer(m_stopTimer);
+    m_loop.cancelTimer(m_gateTimer);
 }
 
 result<void, daemon_error> orchidlead_daemon::start()
@@ -44,6 +50,7 @@
         return listening;
     if (auto started = m_control.start(); !started)
         return failure(daemon_error{"peer address: " + started.error().what});
+    tickGate();
     return success();
 }
 
@@ -66,6 +73,8 @@
     if (!operators)
         return failure(daemon_error{"operator address: " + operators.error().what});
     m_operatorServer = std::move(operators).value();
+    if (auto peers = m_peers.listen(peerServerOptions(m_settings)); !peers)
+        return failure(daemon_error{"peer address: " + peers.error().what});
     return success();
 }
 
@@ -80,10 +89,9 @@
 node_hooks orchidlead_daemon::nodeHooks()
 {
     node_hooks hooks;
-    hooks.onDecision = [](const log_decision &) {};
-    hooks.forward = [this](const forward_call &call) {
-        m_loop.post([this, id = call.request] { m_shell.onForwardFailed(id, "unreachable"); });
-    };
+    hooks.onDecision = [this](const auto &decision) { m_reporter.onDecision(decision); };
+    hooks.onEnded = [this](const auto &ended) { m_reporter.onEnded(ended); };
+    hooks.forward = [this](const forward_call &call) { m_peers.forward(call); };
     return hooks;
 }
 
@@ -91,20 +99,107 @@
 {
     control_events events;
     events.onConfiguration = [this](const auto &adopted) {
+        m_reporter.onConfiguration(adopted);
         m_shell.setConfiguration(adopted.configuration);
     };
-    events.onRefused = [](const reject_configuration &) {};
-    events.onKeeperReport = [](const keeper_report &) {};
-    events.onMembers = [this](const members_updated &update) { m_shell.setMembers(update); };
-    events.onMemberChanged = [](const member_changed &) {};
-    events.onPaused = [](const paused &) {};
+    events.onRefused = [this](const auto &refused) { m_reporter.onRefused(refused); };
+    events.onKeeperReport = [this](const auto &report) { m_reporter.onKeeperReport(report); };
+    events.onMembers = [this](const auto &update) { m_shell.setMembers(update); };
+    events.onMemberChanged = [this](const auto &changed) { m_reporter.onMemberChanged(changed); };
+    events.onPaused = [this](const auto &pause) { m_reporter.onPaused(pause); };
     events.onSuperseded = [this](const superseded &) { beginStop(); };
-    events.fetchFromPeer = [this](const fetch_from_peer &fetch) {
-        m_loop.post([this, vm = fetch.vm] { m_control.onPeerFailed(vm); });
+    events.fetchFromPeer = [this](const auto &fetch) { fetchFromPeer(fetch); };
+    events.onGateDatagram = [this](const socket_address &from, std::string_view bytes) {
+        onGateMessage(vmAt(from), bytes);
+    };
+    return events;
+}
+
+peer_link_events orchidlead_daemon::peerEvents()
+{
+    peer_link_events events;
+    events.fetchConfiguration =
+        [this](std::uint64_t version) -> std::optional<platform::configuration_content> {
+        const auto &keeper = m_control.state().keeper();
+        if (keeper.stamp().version == 0 || keeper.stamp().version < version)
+            return std::nullopt;
+        return platform::configuration_content{keeper.stamp().version, keeper.content()};
+    };
+    events.onGateMessage = [this](const vm_id &from, const std::string &bytes) {
+        onGateMessage(from, bytes);
+    };
+    events.onForwarded = [this](caller_request request, peer_answer onEnd) {
+        refreshAdmission();
+        m_shell.submit(std::move(request), {{}, std::move(onEnd)});
     };
+    events.onForwardAnswer = [this](const request_id &request, final_answer answer) {
+        m_shell.onForwardAnswer(request, std::move(answer));
+    };
+    events.onForwardFailed = [this](const request_id &request, const std::string &detail) {
+        m_shell.onForwardFailed(request, detail);
+    };
+    events.onContent = [this](const vm_id &vm, std::uint64_t version, std::string content) {
+        m_control.onPeerContent(vm, version, std::move(content));
+    };
+    events.onContentFailed = [this](const vm_id &vm) { m_control.onPeerFailed(vm); };
     return events;
 }
 
+std::optional<socket_address> orchidlead_daemon::addressOf(const vm_id &vm) const
+{
+    const auto found = m_control.state().members().find(vm);
+    if (!found)
+        return std::nullopt;
+    return found->vm.peerAddress;
+}
+
+vm_id orchidlead_daemon::vmAt(const socket_address &address) const
+{
+    for (const auto &entry : m_shell.state().members()) {
+        if (entry.vm.peerAddress == address)
+            return entry.vm.vm;
+    }
+    return {};
+}
+
+void orchidlead_daemon::fetchFromPeer(const fetch_from_peer &fetch)
+{
+    if (const auto address = addressOf(fetch.vm))
+        m_peers.fetchConfiguration(*address, fetch);
+    else
+        m_loop.post([this, vm = fetch.vm] { m_control.onPeerFailed(vm); });
+}
+
+void orchidlead_daemon::onGateMessage(const vm_id &from, std::string_view bytes)
+{
+    if (from.empty())
+        return;
+    std::vector<peer_message> answers;
+    m_shell.onGateMessage(from, bytes, answers);
+    send(answers);
+}
+
+void orchidlead_daemon::send(const std::vector<peer_message> &messages)
+{
+    for (const auto &message : messages) {
+        const auto address = addressOf(message.to);
+        if (!address)
+            continue;
+        if (message.bulk || message.bytes.size() > MaxGateDatagramBytes)
+            m_peers.sendGateMessage(*address, message.bytes);
+        else
+            m_control.sendGateDatagram(*address, message.bytes);
+    }
+}
+
+void orchidlead_daemon::tickGate()
+{
+    std::vector<peer_message> messages;
+    m_shell.tickGate(messages);
+    send(messages);
+    m_gateTimer = m_loop.callAfter(GateTickInterval, [this] { tickGate(); });
+}
+
 // A pause is noticed before anything is taken on, so that nothing is routed by what was true
 // before.
 void orchidlead_daemon::refreshAdmission()
@@ -123,11 +218,25 @@
 {
     operator_hooks hooks;
     hooks.status = [this] { return status(); };
-    hooks.metrics = [] { return std::string{}; };
+    hooks.metrics = [this] { return m_reporter.metricsText(metricSources()); };
     hooks.drain = [this] { beginStop(); };
     return hooks;
 }
 
+metric_sources orchidlead_daemon::metricSources() const
+{
+    metric_sources sources{m_shell.state(), m_control.state()};
+    sources.ready = !notReady();
+    sources.connections = m_callerServer->connections();
+    const platform::peer_client &client = m_peers.client();
+    const platform::peer_counts &served = m_peers.served();
+    sources.peerCalls = {client.calls(), served.messages, client.bytesOut() + served.bytesOut,
+                         client.bytesIn() + served.bytesIn};
+    sources.configurationReads = m_control.configurationReads();
+    sources.vmListReads = m_control.vmListReads();
+    return sources;
+}
+
 std::optional<std::string> orchidlead_daemon::notReady() const
 {
     if (m_stop.stopping())
@@ -171,7 +280,7 @@
 {
     stop_progress out;
     out.idle = m_shell.state().idle();
-    out.handedOver = true;
+    out.handedOver = m_shell.state().handedOver();
     out.connectionsClosed = m_callerServer->connections() == 0;
     return out;
 }
@@ -186,6 +295,7 @@
 
 void orchidlead_daemon::enter(stop_phase phase)
 {
+    m_reporter.onEvent(platform::log_level::Info, platform::node_event::Stopping, toName(phase));
     switch (phase) {
     case stop_phase::Running:
         break;
@@ -195,6 +305,7 @@
         break;
     case stop_phase::Draining:
         refreshAdmission();
+        m_shell.startLeaving();
         break;
     case stop_phase::Closing:
         m_callerServer->stopListening();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -6,6 +6,8 @@
 #include "daemon/control_shell.h"
 #include "daemon/node_shell.h"
 #include "daemon/operator_api.h"
+#include "daemon/peer_link.h"
+#include "daemon/reporter.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -17,6 +19,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace orchidlead::daemon {
 
@@ -31,7 +35,7 @@
 {
 public:
     orchidlead_daemon(net::event_loop &loop, const clock_source &clock,
-                      const process_settings &settings, incarnation start);
+                      const process_settings &settings, incarnation start, platform::log &log);
     ~orchidlead_daemon();
     orchidlead_daemon(const orchidlead_daemon &) = delete;
     orchidlead_daemon &operator=(const orchidlead_daemon &) = delete;
@@ -54,6 +58,14 @@
     [[nodiscard]] process_status status() const;
     [[nodiscard]] stop_progress progress() const;
     [[nodiscard]] result<void, daemon_error> listen();
+    [[nodiscard]] peer_link_events peerEvents();
+    [[nodiscard]] metric_sources metricSources() const;
+    [[nodiscard]] std::optional<socket_address> addressOf(const vm_id &vm) const;
+    [[nodiscard]] vm_id vmAt(const socket_address &address) const;
+    void fetchFromPeer(const fetch_from_peer &fetch);
+    void onGateMessage(const vm_id &from, std::string_view bytes);
+    void send(const std::vector<peer_message> &messages);
+    void tickGate();
     void refreshAdmission();
     void tickStop();
     void enter(stop_phase phase);
@@ -63,14 +75,17 @@
     const process_settings m_settings;
     const steady_time m_started;
     std::unique_ptr<net::http_client> m_client;
+    reporter m_reporter;
     node_shell m_shell;
     control_shell m_control;
+    peer_link m_peers;
     caller_api m_callerApi;
     operator_api m_operatorApi;
     planned_stop m_stop;
     std::unique_ptr<net::http_server> m_callerServer;
     std::unique_ptr<net::http_server> m_operatorServer;
     net::timer_id m_stopTimer = 0;
+    net::timer_id m_gateTimer = 0;
 };
 
 } // namespace orchidlead::daemon
--- a/src/daemon/daemon_options.cpp
+++ b/src/daemon/daemon_options.cpp
@@ -7,6 +7,8 @@
 // Operators are few and their requests small.
 constexpr std::size_t OperatorBodyBytes = 64U << 10U;
 constexpr std::size_t OperatorConnections = 64;
+constexpr std::size_t PeerEnvelopeBytes = 4U << 20U;
+constexpr std::size_t PeerConnections = 2048;
 
 listed_vm selfOf(const process_settings &settings)
 {
@@ -84,6 +86,7 @@
     caller_api_options options;
     options.bounds.maxBodyBytes = settings.limits.maxBodyBytes;
     options.maxStreamQueueBytes = settings.limits.maxStreamBytes;
+    options.ticketWindow = at_most_once_settings{}.window;
     return options;
 }
 
@@ -109,6 +112,18 @@
     return options;
 }
 
+net::http_server_options peerServerOptions(const process_settings &settings)
+{
+    net::http_server_options options;
+    options.listen = settings.listen.peer;
+    // A forwarded request is a caller's body as it came; contents and handed over keys are smaller.
+    options.maxBodyBytes = settings.limits.maxBodyBytes + PeerEnvelopeBytes;
+    options.maxConnections = PeerConnections;
+    options.requestTimeout = settings.limits.requestTimeout;
+    options.idleTimeout = settings.limits.idleTimeout;
+    return options;
+}
+
 net::http_server_options operatorServerOptions(const process_settings &settings)
 {
     net::http_server_options options;
--- a/src/daemon/daemon_options.h
+++ b/src/daemon/daemon_options.h
@@ -16,6 +16,7 @@
 [[nodiscard]] caller_api_options callerOptions(const process_settings &settings);
 [[nodiscard]] planned_stop_options stopOptions(const process_settings &settings);
 [[nodiscard]] net::http_server_options callerServerOptions(const process_settings &settings);
+[[nodiscard]] net::http_server_options peerServerOptions(const process_settings &settings);
 [[nodiscard]] net::http_server_options operatorServerOptions(const process_settings &settings);
 
 } // namespace orchidlead::daemon
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include "daemon/daemon.h"
 #include "daemon/stop_signals.h"
 #include "net/event_loop.h"
+#include "platform/log.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -52,6 +53,24 @@
     return (static_cast<std::uint64_t>(micros) << RandomBits) | low;
 }
 
+/// Gives the stream that the log goes to; null where its file can't be opened.
+std::ostream *openLog(const log_settings &settings, std::ofstream &file)
+{
+    if (settings.file.empty())
+        return &std::cout;
+    file.open(settings.file, std::ios::app);
+    return file ? &file : nullptr;
+}
+
+platform::log_options logOptions(const process_settings &settings)
+{
+    platform::log_options options;
+    options.vm = settings.vm;
+    options.format = settings.log.format;
+    options.level = settings.log.level;
+    return options;
+}
+
 int runDaemon(const process_settings &settings)
 {
     auto loop = net::event_loop::create();
@@ -59,8 +78,15 @@
         std::cerr << "orchidleadd: " << loop.error().what << '\n';
         return EXIT_FAILURE;
     }
+    std::ofstream logFile;
+    std::ostream *out = openLog(settings.log, logFile);
+    if (out == nullptr) {
+        std::cerr << "orchidleadd: can't open the log \"" << settings.log.file << "\"\n";
+        return EXIT_FAILURE;
+    }
     const system_clock_source clock;
-    daemon::orchidlead_daemon daemon(*loop.value(), clock, settings, drawIncarnation());
+    platform::log log(logOptions(settings), *out, clock);
+    daemon::orchidlead_daemon daemon(*loop.value(), clock, settings, drawIncarnation(), log);
     if (const auto started = daemon.start(); !started) {
         std::cerr << "orchidleadd: " << started.error().what << '\n';
         return EXIT_FAILURE;
--- a/src/daemon/node_shell.cpp
+++ b/src/daemon/node_shell.cpp
@@ -98,8 +98,9 @@
     m_backends.cancel(action.key);
 }
 
-void node_shell::perform(const deliver_answer &action)
+void node_shell::perform(const end_request &action)
 {
+    m_hooks.onEnded(action);
     const auto found = m_sinks.find(action.answer.request);
     if (found == m_sinks.end())
         return;
--- a/src/daemon/node_shell.h
+++ b/src/daemon/node_shell.h
@@ -27,6 +27,7 @@
 {
     std::function<void(const log_decision &)> onDecision;
     std::function<void(const forward_call &)> forward;
+    std::function<void(const end_request &)> onEnded;
 };
 
 /// Feeds events into the node and carries its actions out.
@@ -68,7 +69,7 @@
     void carryOut(const node_actions &actions);
     void perform(const send_attempt &action);
     void perform(const cancel_attempt &action);
-    void perform(const deliver_answer &action);
+    void perform(const end_request &action);
     void perform(const deliver_chunk &action);
     void perform(const log_decision &action);
     void perform(const forward_call &action);
--- a/src/daemon/operator_views.cpp
+++ b/src/daemon/operator_views.cpp
@@ -1,6 +1,7 @@
 #include "daemon/operator_views.h"
 
 #include "core/socket_address_text.h"
+#include "platform/plan_json.h"
 
 #include <orchidlead/enum_names.h>
 
@@ -104,38 +105,6 @@
     return out;
 }
 
-Json::Value viewStagePlan(const pipeline_plan &plan, const stage_plan &stage)
-{
-    Json::Value out{Json::objectValue};
-    out["stage"] = text(stage.id.value);
-    out["service"] = text(stage.service.value);
-    out["kind"] = text(toName(stage.kind));
-    out["path"] = text(stage.path);
-    out["repeatable"] = stage.repeatable;
-    out["timeout_ms"] = time(stage.timeout);
-    out["model"] = text(stage.model);
-    out["max_tokens"] = stage.maxTokens;
-    out["inputs"] = Json::Value{Json::arrayValue};
-    for (const std::uint32_t input : stage.inputs)
-        out["inputs"].append(text(plan.stages[input].id.value));
-    return out;
-}
-
-Json::Value viewPlan(const pipeline_plan &plan)
-{
-    Json::Value out{Json::objectValue};
-    out["pipeline"] = text(plan.id.value);
-    out["customer"] = text(plan.customer.value);
-    out["configuration_version"] = count(plan.configurationVersion);
-    out["deadline_ms"] = time(plan.deadline);
-    out["priority"] = text(toName(plan.priority));
-    out["repeatable"] = plan.repeatable();
-    out["stages"] = Json::Value{Json::arrayValue};
-    for (const auto &stage : plan.stages)
-        out["stages"].append(viewStagePlan(plan, stage));
-    return out;
-}
-
 Json::Value viewReport(const stage_report &report)
 {
     Json::Value out{Json::objectValue};
@@ -281,7 +250,7 @@
     out["next"] = Json::Value{};
     for (const auto &pipeline : found->settings->pipelines) {
         if (const auto plan = renderPipeline(*configuration, customer, pipeline.id))
-            out["pipelines"].append(viewPlan(*plan.value()));
+            out["pipelines"].append(platform::planToJson(*plan.value()));
     }
     return out;
 }
--- /dev/null
+++ b/src/daemon/peer_link.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/node_actions.h"
+#include "core/node_control.h"
+#include "daemon/caller_request_json.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/peer_client.h"
+#include "platform/peer_server.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+#include <orchidlead/result.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace orchidlead::daemon {
+
+/// A peer's call for a request that it doesn't decide about itself.
+using peer_answer = std::function<void(const final_answer &answer)>;
+
+/// What the calls of peers, and the answers to own calls, are handed to.
+struct peer_link_events
+{
+    std::function<std::optional<platform::configuration_content>(std::uint64_t version)>
+        fetchConfiguration;
+    std::function<void(const vm_id &from, const std::string &bytes)> onGateMessage;
+    /// Runs a peer's request; `onEnd` is to be called once.
+    std::function<void(caller_request request, peer_answer onEnd)> onForwarded;
+    std::function<void(const request_id &request, final_answer answer)> onForwardAnswer;
+    std::function<void(const request_id &request, const std::string &detail)> onForwardFailed;
+    std::function<void(const vm_id &vm, std::uint64_t version, std::string content)> onContent;
+    std::function<void(const vm_id &vm)> onContentFailed;
+};
+
+/// Talks to the other nodes over TCP: configuration contents, forwarded requests, and the gate's
+/// messages that don't fit a datagram.
+class peer_link
+{
+public:
+    peer_link(net::event_loop &loop, net::http_client &client, const clock_source &clock,
+              vm_id self, const caller_bounds &bounds, peer_link_events events);
+
+    [[nodiscard]] result<void, net::net_error> listen(const net::http_server_options &options);
+
+    void forward(const forward_call &call);
+    void fetchConfiguration(const socket_address &peer, const fetch_from_peer &fetch);
+    void sendGateMessage(const socket_address &peer, const std::string &bytes);
+
+    [[nodiscard]] const platform::peer_client &client() const { return m_client; }
+    [[nodiscard]] const platform::peer_counts &served() const { return m_server.counts(); }
+
+private:
+    [[nodiscard]] platform::peer_handlers handlers();
+    void onForward(platform::forward_request request,
+                   const std::shared_ptr<platform::forward_reply> &reply);
+
+    net::event_loop &m_loop;
+    const clock_source &m_clock;
+    vm_id m_self;
+    caller_bounds m_bounds;
+    peer_link_events m_events;
+    platform::peer_client m_client;
+    platform::peer_server m_server;
+    std::unique_ptr<net::http_server> m_listener;
+};
+
+} // namespace orchidlead::daemon
--- /dev/null
+++ b/src/daemon/reporter.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/node.h"
+#include "core/node_control.h"
+#include "platform/log.h"
+#include "platform/metrics.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace orchidlead::daemon {
+
+/// What is read from the daemon's parts when the metrics are asked for.
+struct metric_sources
+{
+    const node &requests;
+    const node_control &control;
+    bool ready = false;
+    std::size_t connections = 0;
+    platform::control_totals peerCalls{};
+    platform::read_counts configurationReads{};
+    platform::read_counts vmListReads{};
+};
+
+/// Writes what happens to the log and counts it.
+class reporter
+{
+public:
+    explicit reporter(platform::log &log)
+        : m_log(log)
+    { }
+
+    void onDecision(const log_decision &decision);
+    void onEnded(const end_request &ended);
+    void onConfiguration(const adopt_configuration<published_configuration> &adopted);
+    void onRefused(const reject_configuration &refused);
+    void onKeeperReport(const keeper_report &report);
+    void onMemberChanged(const member_changed &changed);
+    void onPaused(const paused &pause);
+    void onEvent(platform::log_level level, platform::node_event event, std::string_view detail);
+
+    /// Writes the Prometheus text.
+    [[nodiscard]] std::string metricsText(const metric_sources &sources);
+
+private:
+    platform::log &m_log;
+    platform::metrics m_metrics;
+};
+
+} // namespace orchidlead::daemon
--- a/src/platform/log_line.h
+++ b/src/platform/log_line.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "core/settings.h"
+
 #include <orchidlead/clock.h>
-#include <orchidlead/enum_names.h>
 
-#include <array>
 #include <concepts>
 #include <cstddef>
 #include <string>
@@ -11,12 +11,8 @@
 
 namespace orchidlead::platform {
 
-enum class log_format {
-    KeyValue, ///< `time=… level=info event=route request=…`
-    Json, ///< one object a line
-};
-
-enum class log_level { Debug, Info, Warning, Error };
+using orchidlead::log_format;
+using orchidlead::log_level;
 
 /// One line of the log, built up field by field.
 ///
@@ -74,23 +70,3 @@
 inline constexpr std::size_t MaxLogListItems = 16;
 
 } // namespace orchidlead::platform
-
-template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::platform::log_format>{
-    orchidlead::enum_name<orchidlead::platform::log_format>{
-        orchidlead::platform::log_format::KeyValue, "key_value"},
-    orchidlead::enum_name<orchidlead::platform::log_format>{orchidlead::platform::log_format::Json,
-                                                            "json"},
-};
-
-template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::platform::log_level>{
-    orchidlead::enum_name<orchidlead::platform::log_level>{orchidlead::platform::log_level::Debug,
-                                                           "debug"},
-    orchidlead::enum_name<orchidlead::platform::log_level>{orchidlead::platform::log_level::Info,
-                                                           "info"},
-    orchidlead::enum_name<orchidlead::platform::log_level>{orchidlead::platform::log_level::Warning,
-                                                           "warning"},
-    orchidlead::enum_name<orchidlead::platform::log_level>{orchidlead::platform::log_level::Error,
-                                                           "error"},
-};
