Show for which reasons requests went without an answer

Cause: the demo's first run against the thin path showed sign-ups and pickups without an answer, and not why. Change: a line for each class, outcome and reason.

--- a/standins/caller_main.cpp
+++ b/standins/caller_main.cpp
@@ -75,7 +75,9 @@
     loop->callAfter(FirstProbes, [&] { caller.start(plan, [&loop] { loop->stop(); }); });
     loop->run();
     writeHistory(caller.records(), absl::GetFlag(FLAGS_history));
-    std::cout << summaryByClass(caller.records()) << '\n' << summaryByStage(caller.records());
+    std::cout << summaryByClass(caller.records()) << '\n'
+              << summaryByStage(caller.records()) << '\n'
+              << summaryOfReasons(caller.records());
     const caller_totals totals = countEnds(caller.records());
     return totals.lost + totals.foreign + totals.incomplete == 0 ? 0 : 1;
 }
--- a/standins/caller_summary.cpp
+++ b/standins/caller_summary.cpp
@@ -110,6 +110,20 @@
     return table;
 }
 
+std::string summaryOfReasons(const std::vector<caller_record> &records)
+{
+    std::map<std::string, std::size_t> lines;
+    for (const caller_record &record : records) {
+        if (record.end != caller_end::Answered)
+            ++lines[record.workClass + ": " + std::string(toName(record.end)) + ", "
+                    + record.reason];
+    }
+    std::string table;
+    for (const auto &[reason, requests] : lines)
+        appendLine(table, "%zu %s", requests, reason.c_str());
+    return table;
+}
+
 std::string summaryByStage(const std::vector<caller_record> &records)
 {
     std::map<std::string, stage_line> lines;
--- a/standins/caller_summary.h
+++ b/standins/caller_summary.h
@@ -14,6 +14,9 @@
 /// Writes a table with a line for each stage: attempts, hedges, times and cost.
 [[nodiscard]] std::string summaryByStage(const std::vector<caller_record> &records);
 
+/// Writes a line for each reason for which requests of a class went without an answer.
+[[nodiscard]] std::string summaryOfReasons(const std::vector<caller_record> &records);
+
 /// Counts how requests ended.
 struct caller_totals
 {
--- a/standins/demo_main.cpp
+++ b/standins/demo_main.cpp
@@ -97,7 +97,8 @@
         const auto breaches = checkHistories(m_evidence);
         std::cout << '\n'
                   << summaryByClass(m_evidence.requests) << '\n'
-                  << summaryByStage(m_evidence.requests) << '\n';
+                  << summaryByStage(m_evidence.requests) << '\n'
+                  << summaryOfReasons(m_evidence.requests);
         for (const proof_breach &breach : breaches)
             std::cout << toName(breach.kind) << ": " << breach.what << '\n';
         return printVerdict(breaches);
