--- a/standins/loop_driver.cpp
+++ b/standins/loop_driver.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollInterval{20};
-constexpr std::chrono::milliseconds CallTimeout{3000};
 constexpr int StatusOk = 200;
 constexpr int StatusRedirect = 300;
 
@@ -41,7 +40,8 @@
 
 std::optional<Json::Value> loop_driver::call(const socket_address &address,
                                              const std::string &method, const std::string &path,
-                                             const std::string &body)
+                                             const std::string &body,
+                                             std::chrono::milliseconds timeout)
 {
     pending_call pending;
     net::http_call call;
@@ -49,7 +49,7 @@
     call.method = method;
     call.path = path;
     call.body = body;
-    call.timeout = CallTimeout;
+    call.timeout = timeout;
     call.reuseConnection = false;
     net::call_events events;
     events.onHead = [&pending](int status, const net::header_list &) { pending.status = status; };
--- a/standins/loop_driver.h
+++ b/standins/loop_driver.h
@@ -30,9 +30,12 @@
 
     /// Makes a call and gives its JSON answer; nothing where it failed or was refused.
     std::optional<Json::Value> call(const socket_address &address, const std::string &method,
-                                    const std::string &path, const std::string &body = "");
+                                    const std::string &path, const std::string &body = "",
+                                    std::chrono::milliseconds timeout = DefaultTimeout);
 
 private:
+    static constexpr std::chrono::milliseconds DefaultTimeout{3000};
+
     net::event_loop &m_loop;
     net::http_client &m_client;
 };
