--- a/standins/caller_record.cpp
+++ b/standins/caller_record.cpp
@@ -14,6 +14,7 @@
     json["ended_us"] = Json::Int64{toMicros(send.ended)};
     json["end"] = std::string(toName(send.end));
     json["status"] = send.status;
+    json["hurried"] = send.hurried;
     json["request"] = send.request;
     json["outcome"] = send.outcome;
     return json;
--- a/standins/caller_record.h
+++ b/standins/caller_record.h
@@ -42,6 +42,7 @@
     steady_time ended;
     net::call_end end = net::call_end::NotSent;
     int status = 0;
+    bool hurried = false; ///< the caller gave this send up early, and sent again
     std::string request; ///< the system's name for it, where it answered
     std::string outcome; ///< as answered
 };
--- a/standins/demo_fleet.cpp
+++ b/standins/demo_fleet.cpp
@@ -126,7 +126,7 @@
     for (const fleet_data_center &one : size.dataCenters) {
         for (std::uint32_t i = 0; i < size.vmsOfDataCenter; ++i)
             layout.vms.push_back(
-                {"vm-" + std::to_string(++number), one.name, one.region, {}, {}, {}});
+                {"vm-" + std::to_string(++number), one.name, one.region, {}, {}, {}, {}});
     }
     fleet_service runners = makeService(size, "runners", "runner", service_kind::Engine);
     runners.models = {"small", "large"};
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -76,14 +76,16 @@
     return list;
 }
 
-std::string settingsYaml(const fleet_vm &vm, const fleet_platform &platform)
+std::string settingsYaml(const fleet_vm &vm, const fleet_platform &platform,
+                         const std::string &more)
 {
     std::ostringstream yaml;
     yaml << "vm: " << vm.name << "\ndata_center: " << vm.dataCenter << "\nregion: " << vm.region
          << "\nlisten:\n  caller: " << toText(vm.caller) << "\n  operator: " << toText(vm.operators)
-         << "\n  peer: " << toText(vm.peer)
+         << "\n  peer: " << toText(vm.peerListen)
          << "\nplatform:\n  configuration_service: " << toText(platform.configuration)
-         << "\n  vm_list: " << toText(platform.vms) << '\n';
+         << "\n  vm_list: " << toText(platform.vms) << '\n'
+         << more;
     return yaml.str();
 }
 
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -21,7 +21,8 @@
     std::string region;
     socket_address caller;
     socket_address operators;
-    socket_address peer;
+    socket_address peer; ///< as the VM list gives it
+    socket_address peerListen; ///< differs from `peer` where a relay stands between
     bool leaving = false; ///< in the VM list
 };
 
@@ -76,8 +77,9 @@
 /// Writes the VM list.
 [[nodiscard]] Json::Value vmListJson(const fleet_layout &layout);
 
-/// Writes the settings of one entry VM.
-[[nodiscard]] std::string settingsYaml(const fleet_vm &vm, const fleet_platform &platform);
+/// Writes the settings of one entry VM; `more` is added as it is.
+[[nodiscard]] std::string settingsYaml(const fleet_vm &vm, const fleet_platform &platform,
+                                       const std::string &more = "");
 
 /// Writes the description of the process that takes the place of all backend servers.
 [[nodiscard]] std::string backendProcessYaml(const fleet_layout &layout, std::uint64_t seed);
--- a/standins/load_caller.cpp
+++ b/standins/load_caller.cpp
@@ -221,9 +221,20 @@
     call.body = requestBody(request);
     call.connectTimeout = ConnectTimeout;
     call.timeout = std::max(remaining(request), AskingTime) + AskingTime;
+    if (hurries(number, request)) {
+        request.record.sends.back().hurried = true;
+        call.timeout = m_options.hurry;
+    }
     startCall(number, std::move(call), [this, number](net::call_end end) { onEnd(number, end); });
 }
 
+// Only the first send of a request, so that it comes to an end.
+bool load_caller::hurries(std::size_t number, const open_request &request) const
+{
+    return m_options.hurryOneIn > 0 && number % m_options.hurryOneIn == 0
+        && request.record.identity != request_identity::None && request.record.sends.size() == 1;
+}
+
 void load_caller::startCall(std::size_t number, net::http_call call,
                             std::function<void(net::call_end end)> onEnd)
 {
--- a/standins/load_caller.h
+++ b/standins/load_caller.h
@@ -20,6 +20,8 @@
     milliseconds grace{3000}; ///< how long after its deadline a caller still asks for its fate
     milliseconds retryInterval{100}; ///< between tries to reach an entry VM
     std::uint32_t maxSends = 8; ///< of one request
+    std::uint32_t hurryOneIn = 0; ///< one in so many sends with ticket or key; 0: none
+    milliseconds hurry{40}; ///< until a hurried send is given up and sent again
     bool sendAgainAfterAnswer = false; ///< asks once more, and compares; with ticket or key only
 };
 
@@ -71,6 +73,7 @@
     void fetchTicket(std::size_t number, const socket_address &entry);
     void onTicket(std::size_t number, net::call_end end);
     void send(std::size_t number, const socket_address &entry);
+    [[nodiscard]] bool hurries(std::size_t number, const open_request &request) const;
     void startCall(std::size_t number, net::http_call call,
                    std::function<void(net::call_end end)> onEnd);
     void onEnd(std::size_t number, net::call_end end);
