Prove configuration over drawn faults, and let a node without a list join

The drawn faults found that a process which starts while the platform is away, so without any list, was never known to anyone: its peers' probes came from addresses that it didn't know. Ruled out: asking for a list at every start (the platform may be away for hours). Change: probes of members that were never heard of, or are dead, introduce the sender with its address.

--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -553,6 +553,11 @@
     const auto *record = table.find(vm);
     if (!record)
         return;
+    // A process that has just started may have no list, because the platform can't be reached: it
+    // learns from whoever probes it.
+    if (record->generation == 0 || record->status == member_status::Dead)
+        message.sender.description = member_description{
+            options.self.dataCenter, options.self.region, options.self.peerAddress};
     addNews(message, vm);
     send(record->vm.peerAddress, message);
 }
--- a/tests/core/configuration_keeper_test.cpp
+++ b/tests/core/configuration_keeper_test.cpp
@@ -1,3 +1,5 @@
+#include "core/control_fake_network.h"
+
 #include <orchidlead/configuration_keeper.h>
 
 #include <catch2/catch.hpp>
@@ -5,35 +7,13 @@
 #include <memory>
 
 using namespace orchidlead;
+using namespace orchidlead::tests;
 using namespace std::chrono_literals;
 
 namespace {
 
-struct text_configuration
-{
-    std::string text;
-};
-
 using text_keeper = configuration_keeper<text_configuration>;
 
-result<std::shared_ptr<const text_configuration>, std::vector<std::string>>
-parseText(std::uint64_t, std::string_view content)
-{
-    if (content.starts_with("invalid"))
-        return std::vector<std::string>{"starts with invalid"};
-    return std::make_shared<const text_configuration>(text_configuration{std::string(content)});
-}
-
-/// Takes whatever is offered, as a cache of the service would.
-struct trusting_policy
-{
-    static bool supersedes(const configuration_stamp &offered, const configuration_stamp &current)
-    {
-        return offered != current;
-    }
-    static constexpr bool ConfirmBeforeServing = false;
-};
-
 listed_vm makeVm(const std::string &name, const std::string &dataCenter = "dc-1")
 {
     return {vm_id{name}, data_center_id{dataCenter}, region_id{"r-1"}, {"10.0.0.1", 1}, false};
--- a/tests/core/control_fake_network.h
+++ b/tests/core/control_fake_network.h
@@ -30,6 +30,16 @@
     return std::make_shared<const text_configuration>(text_configuration{std::string(content)});
 }
 
+/// Takes whatever is offered, as a cache of the service would; shows what the guards prevent.
+struct trusting_policy
+{
+    static bool supersedes(const configuration_stamp &offered, const configuration_stamp &current)
+    {
+        return offered != current;
+    }
+    static constexpr bool ConfirmBeforeServing = false;
+};
+
 /// What the network does to each datagram.
 struct network_faults
 {
@@ -396,7 +406,7 @@
             const auto version = at(peer).keeper->stamp().version;
             const auto content = at(peer).keeper->content();
             scheduleFor(index, delay() + delay(), [this, index, vm = fetch.vm, version, content] {
-                withKeeper(index, [&](auto &keeper, auto &out) {
+                withKeeper(index, [=](auto &keeper, auto &out) {
                     keeper.onPeerContent(vm, version, content, out);
                 });
             });
@@ -408,7 +418,7 @@
         ++m_serviceCalls;
         if (!m_serviceUp || !platformReaches(index)) {
             scheduleFor(index, milliseconds{5}, [this, index, fetch] {
-                withKeeper(index, [&](auto &keeper, auto &out) {
+                withKeeper(index, [=](auto &keeper, auto &out) {
                     keeper.onServiceFailed(fetch.call, out);
                 });
             });
@@ -425,7 +435,7 @@
     void answerRead(std::size_t index, const fetch_from_service &fetch)
     {
         scheduleFor(index, delay(), [this, index, fetch, version = m_version, content = m_content] {
-            withKeeper(index, [&](auto &keeper, auto &out) {
+            withKeeper(index, [=](auto &keeper, auto &out) {
                 keeper.onServiceRead(fetch.call, version, content, out);
             });
         });
@@ -451,7 +461,7 @@
         });
         if (ended == 0 || !at(index).running)
             return;
-        withKeeper(index, [&](auto &keeper, auto &out) { keeper.onServiceUnchanged(call, out); });
+        withKeeper(index, [=](auto &keeper, auto &out) { keeper.onServiceUnchanged(call, out); });
     }
 
     /// Gives an input to a node's keeper; a paused node gets it when it wakes, late and first.
