--- a/src/platform/json_strictness.cpp
+++ b/src/platform/json_strictness.cpp
@@ -2,7 +2,9 @@
 
 #include "platform/json_text.h"
 
+#include <charconv>
 #include <cstddef>
+#include <cstdint>
 
 namespace orchidlead::platform {
 
@@ -51,17 +53,65 @@
     return text.empty();
 }
 
+/// Reads `\uXXXX` at the start of `text`.
+std::optional<std::uint32_t> escapedUnit(std::string_view text)
+{
+    constexpr std::size_t Length = 6;
+    constexpr int Hexadecimal = 16;
+    if (!text.starts_with("\\u") || text.size() < Length)
+        return std::nullopt;
+    std::uint32_t unit = 0;
+    const auto *last = text.data() + Length;
+    const auto [end, error] = std::from_chars(text.data() + 2, last, unit, Hexadecimal);
+    if (error != std::errc{} || end != last)
+        return std::nullopt;
+    return unit;
+}
+
+bool isHighSurrogate(std::uint32_t unit)
+{
+    return unit >= 0xd800 && unit <= 0xdbff;
+}
+
+bool isLowSurrogate(std::uint32_t unit)
+{
+    return unit >= 0xdc00 && unit <= 0xdfff;
+}
+
+/// Gives the length of the escape at the start of `text`; nothing for half a surrogate pair, which
+/// jsoncpp would turn into bytes that aren't UTF-8.
+std::optional<std::size_t> escapeLength(std::string_view text)
+{
+    constexpr std::size_t ShortLength = 2;
+    constexpr std::size_t UnitLength = 6;
+    const auto unit = escapedUnit(text);
+    if (!unit)
+        return ShortLength;
+    if (isLowSurrogate(*unit))
+        return std::nullopt;
+    if (!isHighSurrogate(*unit))
+        return UnitLength;
+    const auto second = escapedUnit(text.substr(UnitLength));
+    if (!second || !isLowSurrogate(*second))
+        return std::nullopt;
+    return 2 * UnitLength;
+}
+
 /// Gives the length of the string literal at the start of `text`; nothing where a raw control
-/// character is in it.
+/// character or half a surrogate pair is in it.
 std::optional<std::size_t> stringLength(std::string_view text)
 {
-    for (std::size_t at = 1; at < text.size(); ++at) {
+    std::size_t at = 1;
+    while (at < text.size()) {
         if (static_cast<unsigned char>(text[at]) < ' ')
             return std::nullopt;
         if (text[at] == '"')
             return at + 1;
-        if (text[at] == '\\')
-            ++at;
+        const auto length =
+            text[at] == '\\' ? escapeLength(text.substr(at)) : std::optional<std::size_t>{1};
+        if (!length)
+            return std::nullopt;
+        at += *length;
     }
     return text.size();
 }
@@ -99,7 +149,7 @@
             continue;
         }
         if (text.front() == '"')
-            return "control character in a string";
+            return "control character or half a surrogate pair in a string";
         return text.front() == '/' ? "comment" : "malformed number";
     }
     return std::nullopt;
--- a/src/platform/json_strictness.h
+++ b/src/platform/json_strictness.h
@@ -6,7 +6,8 @@
 namespace orchidlead::platform {
 
 /// Finds what jsoncpp lets pass although JSON forbids it: comments, numbers such as `01`, `1.` and
-/// `+1`, raw control characters in strings, a byte order mark, bytes that aren't UTF-8.
+/// `+1`, raw control characters in strings, half a surrogate pair, a byte order mark, bytes that
+/// aren't UTF-8.
 ///
 /// Returns what is wrong; nothing where it finds none. Only together with jsoncpp's own checks does
 /// it prove that a text is JSON.
