Bound the log's queue by a setting, and count drops for each log

Cause: the settings have log.queue, but the library's bounded queue takes its bound at compile time, and the drop counter had to be one for the process. Change: the unbounded queue with a count of waiting lines in front of it.

--- a/src/platform/log.cpp
+++ b/src/platform/log.cpp
@@ -1,11 +1,10 @@
 #include "platform/log.h"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
-#include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unbounded_fifo_queue.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
@@ -18,45 +17,42 @@
 
 namespace {
 
-/// Drops what doesn't fit and counts it. The library's own strategy doesn't count, and makes the
-/// strategy itself, so that the counter has no other place than the process.
-class counting_drop
+namespace sinks = boost::log::sinks;
+
+/// Writes lines and counts down those that wait.
+class line_backend : public sinks::basic_formatted_sink_backend<char, sinks::synchronized_feeding>
 {
 public:
-    template <class Lock>
-    static bool on_overflow(const boost::log::record_view & /*record*/, Lock & /*lock*/)
-    {
-        s_dropped.fetch_add(1, std::memory_order_relaxed);
-        return false;
-    }
-    static void on_queue_space_available() { }
-    static void interrupt() { }
+    line_backend(std::ostream &out, std::atomic<std::uint32_t> &waiting)
+        : m_out(out)
+        , m_waiting(waiting)
+    { }
 
-    [[nodiscard]] static std::uint64_t dropped()
+    void consume(const boost::log::record_view & /*record*/, const std::string &text)
     {
-        return s_dropped.load(std::memory_order_relaxed);
+        m_out << text << '\n' << std::flush;
+        m_waiting.fetch_sub(1, std::memory_order_relaxed);
     }
 
 private:
-    static inline std::atomic<std::uint64_t> s_dropped{0};
+    std::ostream &m_out;
+    std::atomic<std::uint32_t> &m_waiting;
 };
 
-using line_backend = boost::log::sinks::text_ostream_backend;
-using line_queue = boost::log::sinks::bounded_fifo_queue<MaxQueuedLogLines, counting_drop>;
-using line_frontend = boost::log::sinks::asynchronous_sink<line_backend, line_queue>;
+using line_frontend = sinks::asynchronous_sink<line_backend, sinks::unbounded_fifo_queue>;
 
 } // namespace
 
-/// The library's side of the log: a frontend with its queue and thread.
+// The library's bounded queue takes its bound at compile time, and its strategies for a full queue
+// don't count what they drop. So its unbounded one is used, and no line enters it beyond the bound.
 class log::sink
 {
 public:
-    explicit sink(std::ostream &out)
+    sink(std::ostream &out, std::uint32_t bound)
+        : m_bound(bound)
+        , m_frontend(
+              boost::make_shared<line_frontend>(boost::make_shared<line_backend>(out, m_waiting)))
     {
-        const auto backend = boost::make_shared<line_backend>();
-        backend->add_stream(boost::shared_ptr<std::ostream>(&out, boost::null_deleter{}));
-        backend->auto_flush(true);
-        m_frontend = boost::make_shared<line_frontend>(backend);
         m_frontend->set_formatter(boost::log::expressions::stream
                                   << boost::log::expressions::smessage);
         boost::log::core::get()->add_sink(m_frontend);
@@ -72,10 +68,22 @@
     sink(const sink &) = delete;
     sink &operator=(const sink &) = delete;
 
-    void write(const std::string &text) { BOOST_LOG(m_logger) << text; }
+    void write(const std::string &text)
+    {
+        if (m_waiting.load(std::memory_order_relaxed) >= m_bound) {
+            ++m_dropped;
+            return;
+        }
+        m_waiting.fetch_add(1, std::memory_order_relaxed);
+        BOOST_LOG(m_logger) << text;
+    }
     void flush() { m_frontend->flush(); }
+    [[nodiscard]] std::uint64_t dropped() const { return m_dropped; }
 
 private:
+    std::uint32_t m_bound;
+    std::atomic<std::uint32_t> m_waiting{0};
+    std::uint64_t m_dropped = 0; ///< of the one thread that writes lines
     boost::shared_ptr<line_frontend> m_frontend;
     boost::log::sources::logger m_logger;
 };
@@ -83,7 +91,7 @@
 log::log(log_options options, std::ostream &out, const clock_source &clock)
     : m_options(std::move(options))
     , m_clock(clock)
-    , m_sink(std::make_unique<sink>(out))
+    , m_sink(std::make_unique<sink>(out, m_options.queue))
 { }
 
 log::~log() = default;
@@ -135,7 +143,7 @@
 
 std::uint64_t log::dropped() const
 {
-    return counting_drop::dropped();
+    return m_sink->dropped();
 }
 
 } // namespace orchidlead::platform
--- a/src/platform/log.h
+++ b/src/platform/log.h
@@ -40,6 +40,7 @@
     vm_id vm; ///< named on each line
     log_format format = log_format::KeyValue;
     log_level level = log_level::Info; ///< lines below aren't written
+    std::uint32_t queue = 10'000; ///< lines that wait to be written; beyond, they are dropped
 };
 
 /// Writes one line for each decision and event, without blocking: lines go through a bounded queue
@@ -66,7 +67,7 @@
     /// Waits until what is queued is written; for the end of a process and for tests.
     void flush();
 
-    /// Lines dropped since the process began, because the queue was full.
+    /// Lines dropped because the queue was full.
     [[nodiscard]] std::uint64_t dropped() const;
 
 private:
@@ -77,9 +78,6 @@
     std::unique_ptr<sink> m_sink;
 };
 
-/// Lines that may wait to be written.
-inline constexpr std::size_t MaxQueuedLogLines = 8192;
-
 } // namespace orchidlead::platform
 
 template <>
--- a/tests/platform/log_test.cpp
+++ b/tests/platform/log_test.cpp
@@ -132,23 +132,25 @@
 
 TEST_CASE("A writer that is stuck blocks nobody; what doesn't fit is dropped and counted")
 {
-    constexpr std::size_t Lines = 2 * MaxQueuedLogLines;
+    constexpr std::uint32_t Queue = 1000;
+    constexpr std::size_t Lines = 2 * Queue;
     stuck_buffer buffer;
     std::ostream out(&buffer);
     const manual_clock clock;
     std::uint64_t dropped = 0;
     {
-        log lines({vm_id{"vm-1"}}, out, clock);
-        const std::uint64_t before = lines.dropped();
+        log_options options{vm_id{"vm-1"}};
+        options.queue = Queue;
+        log lines(options, out, clock);
         for (std::size_t line = 0; line < Lines; ++line)
             lines.write(log_level::Info, node_event::Ready, "x");
-        dropped = lines.dropped() - before;
+        dropped = lines.dropped();
         buffer.release();
     }
     const std::string text = buffer.str();
     const auto written = static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
     CAPTURE(dropped, written);
-    CHECK(dropped > 0);
+    CHECK(dropped == Lines - Queue);
     CHECK(written + dropped == Lines);
 }
 
