Prove the at-most-once gate by randomised runs, with each guard taken out

Cause: the gate was in without tests. Ruled out: shrinking over single messages (slow, and the seeds replay anyway); run-time switches for the guards. Each of the 15 guards has a test that finds a schedule which breaks an invariant without it, and runs the same schedule with it. Found by the tests: when a whole data centre starts, the first eligible node took all shards; the wait by rank now counts from eligibility.

--- a/src/core/key_home_definitions.h
+++ b/src/core/key_home_definitions.h
@@ -158,13 +158,14 @@
     if (now < state.leaseUntil)
         return true;
     const lease_holder *promised = m_voter.promisedTo(shard);
-    if (promised != nullptr && *promised != self()) {
+    const bool taken = promised != nullptr && *promised != self();
+    if (taken || !eligible()) {
         state.freeSince.reset();
         return false;
     }
     if (!state.freeSince)
         state.freeSince = now;
-    if (!eligible() || now < state.quietUntil)
+    if (now < state.quietUntil)
         return false;
     return now >= *state.freeSince + m_settings.renewal * static_cast<int>(rank(shard));
 }
--- /dev/null
+++ b/tests/core/at_most_once_guards_test.cpp
@@ -0,0 +1,168 @@
+#include "core/at_most_once_definitions.h"
+#include "tests/core/at_most_once_world.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdint>
+#include <iostream>
+#include <random>
+#include <vector>
+
+using namespace orchidlead;
+using namespace orchidlead::testing;
+
+namespace {
+
+// Each policy leaves one guard out.
+#define WITHOUT(Guard) \
+    struct without_##Guard : every_guard \
+    { \
+        static constexpr bool Guard = false; \
+    }
+
+WITHOUT(LeaseIsChecked);
+WITHOUT(IssuedAfterLeaseBegan);
+WITHOUT(FutureKeysAreRefused);
+WITHOUT(OldKeysAreRefused);
+WITHOUT(MajorityOfVoters);
+WITHOUT(FreshVoterWaits);
+WITHOUT(LeaseCountsFromRequest);
+WITHOUT(EveryRecentListAgrees);
+WITHOUT(ListMustBeFresh);
+WITHOUT(LateReleaseIsIgnored);
+WITHOUT(HandoverWithinLease);
+WITHOUT(UncertainMeansUnknown);
+WITHOUT(RefusalIsFinal);
+WITHOUT(TicketNamesIncarnation);
+WITHOUT(TicketRunsOnce);
+
+constexpr std::uint64_t MaxSeeds = 400;
+
+// What kind of schedule brings the missing guard out soonest.
+struct schedule
+{
+    std::vector<fault_kind> kinds; ///< empty: all
+    std::uint32_t faults = 14;
+    std::uint32_t vms = 0; ///< 0: drawn
+    std::uint32_t callsPerSecond = 8;
+    double slowRate = 0.03;
+};
+
+world_settings drawWorld(const schedule &wanted, std::uint64_t seed)
+{
+    constexpr std::uint32_t Begin = 17; // leases begin then
+    std::mt19937_64 random{seed};
+    const auto below = [&random](std::uint64_t n) {
+        return static_cast<std::uint32_t>(random() % n);
+    };
+    world_settings settings;
+    settings.seed = seed;
+    settings.vms = wanted.vms != 0 ? wanted.vms : 2 + below(4);
+    settings.callsPerSecond = wanted.callsPerSecond;
+    settings.slowRate = wanted.slowRate;
+    for (std::uint32_t i = 0; i < wanted.faults; ++i) {
+        fault drawn;
+        drawn.kind = wanted.kinds.empty() ? static_cast<fault_kind>(below(FaultKinds))
+                                          : wanted.kinds[below(wanted.kinds.size())];
+        drawn.second = Begin + below(settings.seconds - Begin);
+        drawn.target = below(16);
+        drawn.length = 1 + below(wanted.kinds.empty() ? 25 : 6);
+        settings.faults.push_back(drawn);
+    }
+    return settings;
+}
+
+// Finds a schedule that breaks an invariant without the guard, and runs the same one with it.
+template <at_most_once_guards Guards>
+void checkGuard(const schedule &wanted)
+{
+    for (std::uint64_t seed = 1; seed <= MaxSeeds; ++seed) {
+        const auto settings = drawWorld(wanted, seed);
+        const auto without = runWorld(settings, gatesWith<Guards>());
+        if (without.violation.empty())
+            continue;
+        const auto with = runWorld(settings, gatesWith<every_guard>());
+        std::cout << "without it, seed " << seed << ": " << without.violation << '\n';
+        CAPTURE(seed, with.violation);
+        CHECK(with.violation.empty());
+        return;
+    }
+    FAIL("no schedule of " << MaxSeeds << " broke an invariant: the guard carries no weight");
+}
+
+} // namespace
+
+TEST_CASE("without the lease check a call runs twice")
+{
+    checkGuard<without_LeaseIsChecked>({});
+}
+
+TEST_CASE("without the rule that a key is younger than the lease a call runs twice")
+{
+    checkGuard<without_IssuedAfterLeaseBegan>({});
+}
+
+TEST_CASE("without the refusal of keys from the future a call runs twice")
+{
+    checkGuard<without_FutureKeysAreRefused>({});
+}
+
+TEST_CASE("without the refusal of old keys a call runs twice")
+{
+    checkGuard<without_OldKeysAreRefused>({});
+}
+
+TEST_CASE("without a majority of votes a call runs twice")
+{
+    checkGuard<without_MajorityOfVoters>({});
+}
+
+TEST_CASE("without the fresh voter's wait a call runs twice")
+{
+    checkGuard<without_FreshVoterWaits>({{fault_kind::Cut, fault_kind::Restart}, 60, 5, 40});
+}
+
+TEST_CASE("without counting the lease from the request a call runs twice")
+{
+    checkGuard<without_LeaseCountsFromRequest>({{fault_kind::Pause}, 60, 3, 40, 0.4});
+}
+
+TEST_CASE("without a majority of every recent list a call runs twice")
+{
+    checkGuard<without_EveryRecentListAgrees>({});
+}
+
+TEST_CASE("without the bound on the age of the list a call runs twice")
+{
+    checkGuard<without_ListMustBeFresh>({});
+}
+
+TEST_CASE("without the check of a late release a call runs twice")
+{
+    checkGuard<without_LateReleaseIsIgnored>({});
+}
+
+TEST_CASE("without the overlap of leases at a handover a call runs twice")
+{
+    checkGuard<without_HandoverWithinLease>({});
+}
+
+TEST_CASE("without the unknown outcome not_run is said of a call that runs")
+{
+    checkGuard<without_UncertainMeansUnknown>({});
+}
+
+TEST_CASE("without final refusals a call runs after not_run")
+{
+    checkGuard<without_RefusalIsFinal>({});
+}
+
+TEST_CASE("without the incarnation in a ticket a call runs twice")
+{
+    checkGuard<without_TicketNamesIncarnation>({});
+}
+
+TEST_CASE("without the record of a ticket a call runs twice")
+{
+    checkGuard<without_TicketRunsOnce>({});
+}
