--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -23,19 +23,20 @@
 
 orchidlead_daemon::orchidlead_daemon(net::event_loop &loop, const clock_source &clock,
                                      const process_settings &settings, incarnation start,
-                                     platform::log &log)
+                                     platform::log &log, std::function<void()> onStopped)
     : m_loop(loop)
     , m_clock(clock)
     , m_settings(settings)
     , m_started(clock.now())
     , m_client(net::http_client::create(loop))
     , m_reporter(log)
-    , m_shell(loop, *m_client, clock, nodeSettings(settings, start), start, nodeHooks())
+    , m_shell(loop, *m_client, clock, nodeOptions(settings, start), start, nodeHooks())
     , m_control(loop, *m_client, clock, controlOptions(settings, start), controlEvents())
     , m_peers(loop, *m_client, clock, settings.vm, callerOptions(settings).bounds, peerEvents())
     , m_callerApi(m_shell, callerOptions(settings), [this] { return notReady(); })
-    , m_operatorApi(m_shell.state(), clock, operatorHooks())
+    , m_operatorApi(m_shell.state(), m_control.state(), clock, operatorHooks())
     , m_stop(stopOptions(settings), clock)
+    , m_onStopped(std::move(onStopped))
 { }
 
 orchidlead_daemon::~orchidlead_daemon()
@@ -91,6 +92,7 @@
     node_hooks hooks;
     hooks.onDecision = [this](const auto &decision) { m_reporter.onDecision(decision); };
     hooks.onEnded = [this](const auto &ended) { m_reporter.onEnded(ended); };
+    hooks.noticePause = [this] { m_control.noticePause(); };
     hooks.forward = [this](const forward_call &call) { m_peers.forward(call); };
     return hooks;
 }
@@ -103,10 +105,16 @@
         m_shell.setConfiguration(adopted.configuration);
     };
     events.onRefused = [this](const auto &refused) { m_reporter.onRefused(refused); };
-    events.onKeeperReport = [this](const auto &report) { m_reporter.onKeeperReport(report); };
+    events.onKeeperReport = [this](const auto &report) {
+        m_reporter.onKeeperReport(report);
+        applyAdmission();
+    };
     events.onMembers = [this](const auto &update) { m_shell.setMembers(update); };
     events.onMemberChanged = [this](const auto &changed) { m_reporter.onMemberChanged(changed); };
-    events.onPaused = [this](const auto &pause) { m_reporter.onPaused(pause); };
+    events.onPaused = [this](const auto &pause) {
+        m_reporter.onPaused(pause);
+        applyAdmission();
+    };
     events.onSuperseded = [this](const superseded &) { beginStop(); };
     events.fetchFromPeer = [this](const auto &fetch) { fetchFromPeer(fetch); };
     events.onGateDatagram = [this](const socket_address &from, std::string_view bytes) {
@@ -205,13 +213,18 @@
 void orchidlead_daemon::refreshAdmission()
 {
     m_control.noticePause();
+    applyAdmission();
+}
+
+void orchidlead_daemon::applyAdmission()
+{
+    const bool confirmed = m_control.state().readyToServe();
     const bool refuses = m_stop.stopping() && m_stop.phase() != stop_phase::Noticing;
     if (refuses)
         m_shell.setAdmission(admission_state::Stopping);
-    else if (m_control.state().readyToServe())
-        m_shell.setAdmission(admission_state::Open);
     else
-        m_shell.setAdmission(admission_state::Unconfirmed);
+        m_shell.setAdmission(confirmed ? admission_state::Open : admission_state::Unconfirmed);
+    m_shell.setConfirmed(confirmed);
 }
 
 operator_hooks orchidlead_daemon::operatorHooks()
@@ -312,7 +325,7 @@
         break;
     case stop_phase::Stopped:
         m_control.announceStopped();
-        m_loop.stop();
+        m_onStopped();
         break;
     }
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -16,6 +16,7 @@
 #include <orchidlead/result.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,7 +36,8 @@
 {
 public:
     orchidlead_daemon(net::event_loop &loop, const clock_source &clock,
-                      const process_settings &settings, incarnation start, platform::log &log);
+                      const process_settings &settings, incarnation start, platform::log &log,
+                      std::function<void()> onStopped);
     ~orchidlead_daemon();
     orchidlead_daemon(const orchidlead_daemon &) = delete;
     orchidlead_daemon &operator=(const orchidlead_daemon &) = delete;
@@ -43,9 +45,12 @@
     /// Binds all addresses.
     [[nodiscard]] result<void, daemon_error> start();
 
-    /// Begins the planned stop; the loop ends when it is over.
+    /// Begins the planned stop; `onStopped` is called when it is over.
     void beginStop();
 
+    /// Why the balancer shouldn't send requests here now; nothing: it should.
+    [[nodiscard]] std::optional<std::string> notReady() const;
+
     /// Addresses that are listened on, for people and tests: one line.
     [[nodiscard]] std::string addresses() const;
 
@@ -53,7 +58,6 @@
     [[nodiscard]] node_hooks nodeHooks();
     [[nodiscard]] control_events controlEvents();
     [[nodiscard]] operator_hooks operatorHooks();
-    [[nodiscard]] std::optional<std::string> notReady() const;
     [[nodiscard]] node_phase phase() const;
     [[nodiscard]] process_status status() const;
     [[nodiscard]] stop_progress progress() const;
@@ -67,6 +71,7 @@
     void send(const std::vector<peer_message> &messages);
     void tickGate();
     void refreshAdmission();
+    void applyAdmission();
     void tickStop();
     void enter(stop_phase phase);
 
@@ -82,6 +87,7 @@
     caller_api m_callerApi;
     operator_api m_operatorApi;
     planned_stop m_stop;
+    std::function<void()> m_onStopped;
     std::unique_ptr<net::http_server> m_callerServer;
     std::unique_ptr<net::http_server> m_operatorServer;
     net::timer_id m_stopTimer = 0;
--- a/src/daemon/daemon_options.cpp
+++ b/src/daemon/daemon_options.cpp
@@ -46,8 +46,6 @@
     return options;
 }
 
-} // namespace
-
 node_settings nodeSettings(const process_settings &settings, incarnation start)
 {
     node_settings options;
@@ -66,6 +64,18 @@
     return options;
 }
 
+} // namespace
+
+node_shell_options nodeOptions(const process_settings &settings, incarnation start)
+{
+    node_shell_options options;
+    options.node = nodeSettings(settings, start);
+    options.backends.connectTimeout = settings.routing.connectTimeout;
+    options.backends.bounds.json.maxBytes = settings.limits.maxAnswerBytes;
+    options.loadReports.self = settings.vm;
+    return options;
+}
+
 control_shell_options controlOptions(const process_settings &settings, incarnation start)
 {
     control_shell_options options;
--- a/src/daemon/daemon_options.h
+++ b/src/daemon/daemon_options.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "core/node.h"
 #include "core/planned_stop.h"
 #include "core/settings.h"
 #include "daemon/caller_api.h"
 #include "daemon/control_shell.h"
+#include "daemon/node_shell.h"
 #include "net/http_server.h"
 
 /// Turns the settings of the process into the options of its parts.
 namespace orchidlead::daemon {
 
-[[nodiscard]] node_settings nodeSettings(const process_settings &settings, incarnation start);
+[[nodiscard]] node_shell_options nodeOptions(const process_settings &settings, incarnation start);
 [[nodiscard]] control_shell_options controlOptions(const process_settings &settings,
                                                    incarnation start);
 [[nodiscard]] caller_api_options callerOptions(const process_settings &settings);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -86,7 +86,8 @@
     }
     const system_clock_source clock;
     platform::log log(logOptions(settings), *out, clock);
-    daemon::orchidlead_daemon daemon(*loop.value(), clock, settings, drawIncarnation(), log);
+    daemon::orchidlead_daemon daemon(*loop.value(), clock, settings, drawIncarnation(), log,
+                                     [&] { loop.value()->stop(); });
     if (const auto started = daemon.start(); !started) {
         std::cerr << "orchidleadd: " << started.error().what << '\n';
         return EXIT_FAILURE;
--- a/src/daemon/node_shell.cpp
+++ b/src/daemon/node_shell.cpp
@@ -6,11 +6,15 @@
 namespace orchidlead::daemon {
 
 node_shell::node_shell(net::event_loop &loop, net::http_client &client, const clock_source &clock,
-                       const node_settings &settings, std::uint64_t seed, node_hooks hooks)
+                       const node_shell_options &options, std::uint64_t seed, node_hooks hooks)
     : m_loop(loop)
     , m_clock(clock)
-    , m_node(settings, clock, seed)
-    , m_backends(loop, client, clock, backendEvents())
+    , m_node(options.node, clock, seed)
+    , m_backends(loop, client, clock, backendEvents(), options.backends)
+    , m_loads(loop, client, clock, options.loadReports,
+              [this](const load_report &report) {
+                  feed([&](node_actions &out) { m_node.onLoadReport(report, out); });
+              })
     , m_hooks(std::move(hooks))
 { }
 
@@ -36,6 +40,7 @@
         });
     };
     events.onLoad = [this](const load_report &report) {
+        m_loads.onHeard(report.server);
         feed([&](node_actions &out) { m_node.onLoadReport(report, out); });
     };
     return events;
@@ -43,9 +48,23 @@
 
 void node_shell::setConfiguration(configuration_ptr configuration)
 {
+    std::vector<backend_server> servers;
+    for (const auto &pool : configuration->services)
+        servers.insert(servers.end(), pool.servers.begin(), pool.servers.end());
+    m_loads.setServers(servers);
+    m_loads.start();
     feed([&](node_actions &out) { m_node.setConfiguration(std::move(configuration), out); });
 }
 
+// What was held back is late at worst: its deadline is checked again before the first byte.
+void node_shell::setConfirmed(bool confirmed)
+{
+    if (std::exchange(m_confirmed, confirmed) || !confirmed)
+        return;
+    for (const auto &held : std::exchange(m_held, {}))
+        perform(held);
+}
+
 request_id node_shell::submit(caller_request request, answer_sink sink)
 {
     node_actions actions;
@@ -90,12 +109,24 @@
 
 void node_shell::perform(const send_attempt &action)
 {
-    m_backends.send(action, [this, key = action.key] { return m_node.mayDispatch(key); });
+    m_hooks.noticePause();
+    if (m_confirmed)
+        m_backends.send(action, [this, key = action.key] { return mayDispatch(key); });
+    else
+        m_held.push_back(action);
+}
+
+bool node_shell::mayDispatch(const attempt_key &key)
+{
+    m_hooks.noticePause();
+    return m_confirmed && m_node.mayDispatch(key);
 }
 
 void node_shell::perform(const cancel_attempt &action)
 {
-    m_backends.cancel(action.key);
+    const auto isCancelled = [&](const send_attempt &held) { return held.key == action.key; };
+    if (std::erase_if(m_held, isCancelled) == 0)
+        m_backends.cancel(action.key);
 }
 
 void node_shell::perform(const end_request &action)
--- a/src/daemon/node_shell.h
+++ b/src/daemon/node_shell.h
@@ -4,6 +4,7 @@
 #include "core/node_control.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
+#include "platform/load_reader.h"
 #include "platform/stage_client.h"
 
 #include <orchidlead/clock.h>
@@ -12,6 +13,7 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace orchidlead::daemon {
 
@@ -28,6 +30,17 @@
     std::function<void(const log_decision &)> onDecision;
     std::function<void(const forward_call &)> forward;
     std::function<void(const end_request &)> onEnded;
+    /// Asked before anything is sent to a backend server; notices a pause of the process, which
+    /// may call `setConfirmed(false)`.
+    std::function<void()> noticePause;
+};
+
+/// Settings of the node and of the calls to backend servers.
+struct node_shell_options
+{
+    node_settings node;
+    platform::stage_client_options backends;
+    platform::server_poller_options loadReports;
 };
 
 /// Feeds events into the node and carries its actions out.
@@ -35,7 +48,7 @@
 {
 public:
     node_shell(net::event_loop &loop, net::http_client &client, const clock_source &clock,
-               const node_settings &settings, std::uint64_t seed, node_hooks hooks);
+               const node_shell_options &options, std::uint64_t seed, node_hooks hooks);
     ~node_shell();
     node_shell(const node_shell &) = delete;
     node_shell &operator=(const node_shell &) = delete;
@@ -61,6 +74,8 @@
 
     void setMembers(const members_updated &update);
     void setAdmission(admission_state state) { m_node.setAdmission(state); }
+    /// Holds back what would be sent to backend servers until the configuration is confirmed.
+    void setConfirmed(bool confirmed);
 
     [[nodiscard]] const node &state() const { return m_node; }
 
@@ -73,6 +88,7 @@
     void perform(const deliver_chunk &action);
     void perform(const log_decision &action);
     void perform(const forward_call &action);
+    [[nodiscard]] bool mayDispatch(const attempt_key &key);
     void scheduleWake();
     void wake();
 
@@ -90,7 +106,10 @@
     const clock_source &m_clock;
     node m_node;
     platform::stage_client m_backends;
+    platform::load_reader m_loads;
     node_hooks m_hooks;
+    std::vector<send_attempt> m_held; ///< until the configuration is confirmed
+    bool m_confirmed = false;
     std::unordered_map<request_id, answer_sink> m_sinks;
     std::optional<net::timer_id> m_timer;
     steady_time m_timerDue;
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -5,6 +5,8 @@
 #include "platform/json_text.h"
 
 #include <charconv>
+#include <map>
+#include <string_view>
 #include <utility>
 
 namespace orchidlead::daemon {
@@ -46,36 +48,6 @@
     return wanted;
 }
 
-using list_view = Json::Value (*)(const node &, const page &);
-
-struct list_route
-{
-    std::string_view path;
-    list_view view;
-};
-
-constexpr std::array ListRoutes{
-    list_route{"/v1/servers", viewServers},
-    list_route{"/v1/stages", viewStages},
-    list_route{"/v1/customers", viewCustomers},
-};
-
-/// Answers when the path is one of the lists.
-bool replyList(const node &state, const net::http_request &request,
-               const net::response_ptr &response)
-{
-    for (const auto &route : ListRoutes) {
-        if (request.path != route.path)
-            continue;
-        if (const auto wanted = readPage(request.query))
-            reply(response, StatusOk, route.view(state, *wanted));
-        else
-            refuse(response, StatusBadRequest, "limit: expected a whole number from 1 to 1000");
-        return true;
-    }
-    return false;
-}
-
 void replyPipelines(const node &state, const net::http_request &request,
                     const net::response_ptr &response)
 {
@@ -100,8 +72,10 @@
 
 } // namespace
 
-operator_api::operator_api(const node &state, const clock_source &clock, operator_hooks hooks)
+operator_api::operator_api(const node &state, const node_control &control,
+                           const clock_source &clock, operator_hooks hooks)
     : m_node(state)
+    , m_control(control)
     , m_clock(clock)
     , m_hooks(std::move(hooks))
 { }
@@ -109,17 +83,30 @@
 void operator_api::handle(net::http_request &&request, const net::response_ptr &response) const
 {
     const bool isDrain = request.path == "/v1/drain";
-    if (request.method != (isDrain ? "POST" : "GET")) {
+    if (request.method != (isDrain ? "POST" : "GET"))
         refuse(response, StatusMethodNotAllowed, isDrain ? "expected POST" : "expected GET");
-    } else if (isDrain) {
-        m_hooks.drain();
-        Json::Value state{Json::objectValue};
-        state["state"] = std::string(toName(node_phase::Stopping));
-        reply(response, StatusAccepted, state);
-    } else if (request.path == "/v1/status") {
+    else if (isDrain)
+        handleDrain(response);
+    else if (!replyList(request, response))
+        handleGet(request, response);
+}
+
+void operator_api::handleDrain(const net::response_ptr &response) const
+{
+    m_hooks.drain();
+    Json::Value state{Json::objectValue};
+    state["state"] = std::string(toName(node_phase::Stopping));
+    reply(response, StatusAccepted, state);
+}
+
+void operator_api::handleGet(const net::http_request &request,
+                             const net::response_ptr &response) const
+{
+    if (request.path == "/v1/status") {
         reply(response, StatusOk, viewStatus(m_node, m_hooks.status()));
     } else if (request.path == "/v1/configuration") {
-        reply(response, StatusOk, viewConfiguration(m_node));
+        const bool withContent = queryParameter(request.query, "content") == "1";
+        reply(response, StatusOk, viewConfiguration(m_control, withContent));
     } else if (request.path == "/v1/pipelines") {
         replyPipelines(m_node, request, response);
     } else if (request.path == "/metrics") {
@@ -127,9 +114,29 @@
                           m_hooks.metrics());
     } else if (request.path.starts_with(RequestPrefix)) {
         replyRequest(m_node, request.path.substr(RequestPrefix.size()), response);
-    } else if (!replyList(m_node, request, response)) {
+    } else {
         refuse(response, StatusNotFound, "path: unknown");
     }
 }
 
+bool operator_api::replyList(const net::http_request &request,
+                             const net::response_ptr &response) const
+{
+    using view = std::function<Json::Value(const page &)>;
+    const std::map<std::string_view, view> views{
+        {"/v1/vms", [this](const page &wanted) { return viewVms(m_node, wanted, m_clock.now()); }},
+        {"/v1/servers", [this](const page &wanted) { return viewServers(m_node, wanted); }},
+        {"/v1/stages", [this](const page &wanted) { return viewStages(m_node, wanted); }},
+        {"/v1/customers", [this](const page &wanted) { return viewCustomers(m_node, wanted); }},
+    };
+    const auto found = views.find(request.path);
+    if (found == views.end())
+        return false;
+    if (const auto wanted = readPage(request.query))
+        reply(response, StatusOk, found->second(*wanted));
+    else
+        refuse(response, StatusBadRequest, "limit: expected a whole number from 1 to 1000");
+    return true;
+}
+
 } // namespace orchidlead::daemon
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/node.h"
+#include "core/node_control.h"
 #include "net/http_server.h"
 
 #include <orchidlead/clock.h>
@@ -42,12 +43,19 @@
 class operator_api
 {
 public:
-    operator_api(const node &state, const clock_source &clock, operator_hooks hooks);
+    operator_api(const node &state, const node_control &control, const clock_source &clock,
+                 operator_hooks hooks);
 
     void handle(net::http_request &&request, const net::response_ptr &response) const;
 
 private:
+    void handleDrain(const net::response_ptr &response) const;
+    void handleGet(const net::http_request &request, const net::response_ptr &response) const;
+    [[nodiscard]] bool replyList(const net::http_request &request,
+                                 const net::response_ptr &response) const;
+
     const node &m_node;
+    const node_control &m_control;
     const clock_source &m_clock;
     operator_hooks m_hooks;
 };
--- a/src/daemon/operator_views.cpp
+++ b/src/daemon/operator_views.cpp
@@ -175,6 +175,25 @@
     return out;
 }
 
+Json::Value viewVms(const node &state, const page &wanted, steady_time now)
+{
+    std::map<std::string, Json::Value> rows;
+    for (const auto &entry : state.members()) {
+        Json::Value row{Json::objectValue};
+        row["vm"] = text(entry.vm.vm.value);
+        row["data_center"] = text(entry.vm.dataCenter.value);
+        row["region"] = text(entry.vm.region.value);
+        row["peer_address"] = text(toText(entry.vm.peerAddress));
+        row["state"] = text(toName(entry.state));
+        row["listed"] = entry.listed;
+        row["incarnation"] = count(entry.incarnation);
+        const auto since = std::chrono::duration_cast<milliseconds>(now - entry.lastHeard);
+        row["last_heard_ms"] = entry.incarnation == 0 ? Json::Value{} : time(since);
+        rows.emplace(entry.vm.vm.value, std::move(row));
+    }
+    return paged("vms", rows, wanted);
+}
+
 Json::Value viewServers(const node &state, const page &wanted)
 {
     std::map<std::string, Json::Value> rows;
@@ -231,11 +250,20 @@
     return out;
 }
 
-Json::Value viewConfiguration(const node &state)
+Json::Value viewConfiguration(const node_control &control, bool withContent)
 {
-    const configuration_ptr &configuration = state.configuration();
+    const published_keeper &keeper = control.keeper();
     Json::Value out{Json::objectValue};
-    out["version"] = count(configuration ? configuration->version : 0);
+    out["version"] = count(keeper.stamp().version);
+    out["hash"] = count(keeper.stamp().hash);
+    out["reader"] = keeper.isReader();
+    out["confirmed"] = keeper.readyToServe();
+    out["service_calls"] = count(keeper.serviceCalls());
+    out["refused"] = Json::Value{Json::arrayValue};
+    for (const auto &refused : keeper.refused())
+        out["refused"].append(count(refused.version));
+    if (withContent)
+        out["content"] = text(keeper.content());
     return out;
 }
 
--- a/src/daemon/operator_views.h
+++ b/src/daemon/operator_views.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/node.h"
+#include "core/node_control.h"
 #include "daemon/operator_api.h"
 
 #include <json/value.h>
@@ -19,10 +20,11 @@
 };
 
 [[nodiscard]] Json::Value viewStatus(const node &state, const process_status &process);
+[[nodiscard]] Json::Value viewVms(const node &state, const page &wanted, steady_time now);
 [[nodiscard]] Json::Value viewServers(const node &state, const page &wanted);
 [[nodiscard]] Json::Value viewStages(const node &state, const page &wanted);
 [[nodiscard]] Json::Value viewCustomers(const node &state, const page &wanted);
-[[nodiscard]] Json::Value viewConfiguration(const node &state);
+[[nodiscard]] Json::Value viewConfiguration(const node_control &control, bool withContent);
 
 /// Gives a customer's rendered pipelines; nothing where the customer isn't known.
 [[nodiscard]] std::optional<Json::Value> viewPipelines(const node &state,
