Suspect only after two failed probes, and tell news less often

Ruled out: a larger allowance (the budget is 6 KB/s for all control). Change: a member is suspected after a second probe fails in a row; news that a node hears again counts as told; while there is much news each is told less often, and pages of the table make up for the misses.

--- a/src/core/gossip_queue.cpp
+++ b/src/core/gossip_queue.cpp
@@ -27,11 +27,19 @@
     return taken;
 }
 
-std::uint32_t retransmitLimit(std::size_t members)
+void gossip_queue::heard(const vm_id &vm, std::uint32_t limit)
+{
+    const auto found = m_told.find(vm);
+    if (found != m_told.end() && ++found->second >= limit)
+        m_told.erase(found);
+}
+
+std::uint32_t retransmitLimit(std::size_t members, std::size_t news)
 {
     constexpr std::uint32_t Least = 3;
+    constexpr std::size_t Much = 32;
     const auto doublings = static_cast<std::uint32_t>(std::bit_width(members));
-    return Least + doublings + doublings / 2;
+    return news > Much ? Least + doublings / 2 : Least + doublings + doublings / 2;
 }
 
 bool byte_allowance::open(steady_time now)
--- a/src/core/gossip_queue.h
+++ b/src/core/gossip_queue.h
@@ -17,6 +17,8 @@
     /// Puts a member at the head: news of it has been told to nobody yet.
     void add(const vm_id &vm) { m_told[vm] = 0; }
     void remove(const vm_id &vm) { m_told.erase(vm); }
+    /// Counts news that another node told as told: it spreads without this one.
+    void heard(const vm_id &vm, std::uint32_t limit);
     [[nodiscard]] bool empty() const { return m_told.empty(); }
     [[nodiscard]] std::size_t size() const { return m_told.size(); }
 
@@ -30,7 +32,8 @@
 
 /// Gives how often news is told by each node, so that it reaches all `members` with few misses:
 /// logarithmic, with a factor for lost datagrams.
-[[nodiscard]] std::uint32_t retransmitLimit(std::size_t members);
+/// While there is much news the limit is lower, and synchronisation makes up for the misses.
+[[nodiscard]] std::uint32_t retransmitLimit(std::size_t members, std::size_t news);
 
 /// Lets a bounded number of bytes a second through, with a burst.
 class byte_allowance
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -39,6 +39,12 @@
     std::size_t index = 0;
 };
 
+enum class probe_kind {
+    First,
+    Second, ///< after a first one that failed; only then is the member suspected
+    Extra, ///< asks for an answer; its failure means nothing
+};
+
 /// A probe whose answer is awaited.
 struct probe
 {
@@ -46,6 +52,7 @@
     steady_time sentAt;
     steady_time indirectAt; ///< when others are asked
     steady_time deadline;
+    probe_kind kind = probe_kind::First;
     std::size_t helpers = 0;
     std::size_t nacks = 0;
 };
@@ -108,6 +115,10 @@
     [[nodiscard]] bool isSelf(const vm_id &vm) const { return vm == options.self.vm; }
     [[nodiscard]] milliseconds scaled(milliseconds time) const { return time * (health + 1); }
     [[nodiscard]] std::size_t random(std::size_t bound);
+    [[nodiscard]] std::uint32_t newsLimit() const
+    {
+        return retransmitLimit(table.all().size(), m_news.size());
+    }
 
     void addListed(const listed_vm &vm);
     void dropUnlisted();
@@ -143,7 +154,7 @@
 
     void runRound(probe_round &round);
     std::optional<vm_id> nextTarget(probe_round &round);
-    void startProbe(const vm_id &target, bool extra);
+    void startProbe(const vm_id &target, probe_kind kind);
     void checkProbes();
     void askHelpers(std::uint32_t sequence, probe &pending);
     void failProbe(const probe &pending);
@@ -373,8 +384,12 @@
     else if (!admit(update))
         return;
     const auto effect = table.merge(update, options.confirmations);
-    if (effect == merge_effect::Older)
+    if (effect == merge_effect::Older) {
+        const auto *known = table.find(update.vm);
+        if (known->generation == update.generation && known->status == update.status)
+            m_news.heard(update.vm, newsLimit());
         return;
+    }
     m_news.add(update.vm);
     m_syncInterval = options.syncInterval;
     auto &record = *table.edit(update.vm);
@@ -402,7 +417,7 @@
         return entry.second.target == update.vm;
     });
     if (!pending && m_probes.size() < MaxVerifications)
-        startProbe(update.vm, false);
+        startProbe(update.vm, probe_kind::First);
 }
 
 // A suspicion of this start is refuted. Another start of the same VM is either an older one, which
@@ -471,7 +486,7 @@
             continue;
         pending.checked = true;
         if (m_allowance.open(now))
-            startProbe(vm, true);
+            startProbe(vm, probe_kind::Extra);
     }
 }
 
@@ -525,7 +540,7 @@
     if (m_news.empty() || !m_allowance.open(clock.now()))
         return;
     std::size_t bytes = 0;
-    for (const auto &vm : m_news.take(options.maxUpdates, retransmitLimit(table.all().size()))) {
+    for (const auto &vm : m_news.take(options.maxUpdates, newsLimit())) {
         const auto *record = table.find(vm);
         if (!record || vm == to || isSelf(vm))
             continue;
@@ -733,18 +748,22 @@
         return;
     round.next = now + scaled(round.interval);
     if (const auto target = nextTarget(round))
-        startProbe(*target, false);
+        startProbe(*target, probe_kind::First);
 }
 
-void membership::implementation::startProbe(const vm_id &target, bool extra)
+void membership::implementation::startProbe(const vm_id &target, probe_kind kind)
 {
     const auto *record = table.find(target);
     const auto now = clock.now();
     const std::uint32_t sequence = ++m_sequence;
-    probe pending{
-        target, now, now + scaled(options.probeTimeout), now + scaled(options.probeInterval), 0, 0};
+    probe pending;
+    pending.target = target;
+    pending.sentAt = now;
+    pending.indirectAt = now + scaled(options.probeTimeout);
+    pending.deadline = now + scaled(options.probeInterval);
+    pending.kind = kind;
     // Helpers don't try what is given up already, nor where the answer alone is wanted.
-    if (extra || record->status == member_status::Dead)
+    if (kind == probe_kind::Extra || record->status == member_status::Dead)
         pending.indirectAt = steady_time::max();
     m_probes[sequence] = pending;
     counters.probes++;
@@ -803,17 +822,19 @@
 void membership::implementation::failProbe(const probe &pending)
 {
     const auto *record = table.find(pending.target);
-    if (!record || record->status == member_status::Dead)
+    const bool counts = record && record->status != member_status::Dead;
+    if (!counts || pending.kind == probe_kind::Extra)
         return;
-    const bool extra =
-        pending.indirectAt == steady_time::max() && pending.helpers == 0 && record->generation > 0;
     counters.failedProbes++;
     // No helper answered either: the fault is likely on this side.
     if (pending.helpers > 0 && pending.nacks == 0)
         health = std::min(health + 1, options.maxHealth);
-    const bool hadHelpers = pending.helpers > 0;
-    if (hadHelpers || !extra || table.all().size() <= 2)
+    // One failure in a row is common on a lossy network, and each suspicion costs the whole fleet
+    // datagrams; a member that was never heard of isn't known to be there at all.
+    if (pending.kind == probe_kind::Second || record->status == member_status::Suspect)
         suspect(pending.target);
+    else
+        startProbe(pending.target, probe_kind::Second);
 }
 
 std::vector<vm_id> membership::implementation::pickMembers(std::size_t count, bool localFirst,
@@ -841,7 +862,7 @@
 void membership::implementation::probeNow(std::size_t count)
 {
     for (const auto &vm : pickMembers(count, true, vm_id{}))
-        startProbe(vm, true);
+        startProbe(vm, probe_kind::Extra);
 }
 
 // Between probes, news goes to a few members at once; without news nothing is sent. Every second
