--- /dev/null
+++ b/tests/core/planned_stop_test.cpp
@@ -0,0 +1,80 @@
+#include "core/planned_stop.h"
+
+#include <catch2/catch.hpp>
+
+using namespace orchidlead;
+
+namespace {
+
+constexpr milliseconds Notice{5000};
+constexpr milliseconds Drain{30000};
+constexpr milliseconds Close{1000};
+
+struct stop_harness
+{
+    void tickAfter(milliseconds time)
+    {
+        clock.advance(time);
+        (void)stop.tick(progress);
+    }
+
+    manual_clock clock;
+    planned_stop stop{{Notice, Drain, Close}, clock};
+    stop_progress progress;
+};
+
+} // namespace
+
+TEST_CASE("a node that isn't asked to stop goes on")
+{
+    stop_harness harness;
+    harness.progress = {true, true, true};
+    harness.tickAfter(std::chrono::hours{10});
+    CHECK(harness.stop.phase() == stop_phase::Running);
+}
+
+TEST_CASE("even an idle node serves until the balancer has noticed")
+{
+    stop_harness harness;
+    harness.progress = {true, true, true};
+    harness.stop.begin();
+    harness.tickAfter(Notice - milliseconds{1});
+    CHECK(harness.stop.phase() == stop_phase::Noticing);
+    harness.tickAfter(milliseconds{1});
+    CHECK(harness.stop.phase() == stop_phase::Draining);
+}
+
+TEST_CASE("a node waits for requests, keys and last answers, each within its bound")
+{
+    stop_harness harness;
+    harness.stop.begin();
+    harness.tickAfter(Notice);
+    harness.progress.idle = true;
+    harness.tickAfter(milliseconds{1});
+    CHECK(harness.stop.phase() == stop_phase::Draining);
+    harness.progress.handedOver = true;
+    harness.tickAfter(milliseconds{1});
+    CHECK(harness.stop.phase() == stop_phase::Closing);
+    harness.tickAfter(Close);
+    CHECK(harness.stop.phase() == stop_phase::Stopped);
+}
+
+TEST_CASE("a request that never ends doesn't keep the node for ever")
+{
+    stop_harness harness;
+    harness.stop.begin();
+    harness.tickAfter(Notice);
+    harness.tickAfter(Drain - milliseconds{1});
+    CHECK(harness.stop.phase() == stop_phase::Draining);
+    harness.tickAfter(milliseconds{1});
+    CHECK(harness.stop.phase() == stop_phase::Closing);
+}
+
+TEST_CASE("a second order to stop doesn't begin anew")
+{
+    stop_harness harness;
+    harness.stop.begin();
+    harness.tickAfter(Notice);
+    harness.stop.begin();
+    CHECK(harness.stop.phase() == stop_phase::Draining);
+}
