Refuse what a caller may not send, and test it from raw sockets

Cause: the refusals of the HTTP server were written but not tried, and the client's reports only against our own server.

Found by the new tests, each failing first: - A request with a body that is sent ahead of an answer is handled by libwebsockets 4.1.6 with the start of its own head as its body, and then loops for ever (the test run was ended after 300 s). Such a request is now refused with 400 unhandled; requests without a body may still be sent ahead. - While it holds input that was sent ahead, libwebsockets clears the timeout by which a connection is to be closed. Closing is now asked for at every event. - Header fields that aren't kept weren't counted. The bytes that the kernel received are counted as well. Ruled out: answering 431 beyond what libwebsockets can parse (60 KiB) on the first request of a connection: it shuts the socket down before its first callback. The connection is closed there.

--- a/src/net/connection_response.cpp
+++ b/src/net/connection_response.cpp
@@ -22,7 +22,7 @@
         return;
     m_stage = stage::Finished;
     if (const auto connection = m_connection.lock())
-        connection->sendWhole(status, headers, std::move(body));
+        connection->sendWhole(status, headers, body);
 }
 
 void connection_response::begin(int status, const header_list &headers)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -75,7 +75,7 @@
 {
     socket_address listen; ///< port 0: the system picks one, see `http_server::port`
     std::size_t maxBodyBytes = 16U << 20U; ///< beyond: 413
-    std::size_t maxHeaderBytes = 16U << 10U; ///< beyond: 431
+    std::size_t maxHeaderBytes = 16U << 10U; ///< beyond: 431; beyond 60 KiB: closed
     std::size_t maxConnections = 4096; ///< beyond: 503 and close
     std::chrono::milliseconds requestTimeout{15000}; ///< whole request must be here by then: 408
     std::chrono::milliseconds idleTimeout{60000}; ///< keep-alive connections without a request
--- a/src/net/lws_event_loop.h
+++ b/src/net/lws_event_loop.h
@@ -14,8 +14,8 @@
 
 /// The one libwebsockets protocol, which every socket of the loop is bound to.
 inline constexpr char ProtocolName[] = "orchidlead";
-/// Largest request or answer head that is parsed, in bytes.
-inline constexpr std::size_t MaxParsedHeaderBytes = 32U << 10U;
+/// Largest request or answer head that is parsed, in bytes; libwebsockets counts in 16 bits.
+inline constexpr std::size_t MaxParsedHeaderBytes = 60U << 10U;
 /// Bytes that are read from or written to a socket at once.
 inline constexpr std::size_t TransferBytes = 32U << 10U;
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -41,6 +41,7 @@
 constexpr refusal NoLength{411, "invalid_request", "a request body needs a content-length"};
 constexpr refusal BodyTooLarge{413, "too_large", "the request body is too large"};
 constexpr refusal HeadTooLarge{431, "too_large", "the request head is too large"};
+constexpr refusal SentAhead{400, "invalid_request", "a request with a body may not be sent ahead"};
 constexpr refusal TooSlow{408, "invalid_request", "the request did not arrive in time"};
 constexpr refusal NoUpgrade{501, "invalid_request", "upgrades are not served"};
 
@@ -77,6 +78,16 @@
     return value;
 }
 
+// Whether libwebsockets holds input that it has read but not parsed. It says so only by keeping its
+// header memory after a request, and by clearing the place of a copy only when it has that.
+bool holdsInput(lws *wsi)
+{
+    char probe = 'x';
+    constexpr std::string_view Name = "x:";
+    lws_hdr_custom_copy(wsi, &probe, 1, Name.data(), Name.size());
+    return probe == '\0';
+}
+
 std::optional<tcp_info> readTcpInfo(int fd)
 {
     tcp_info info{};
@@ -133,7 +144,7 @@
 void server_connection::callerGone()
 {
     if (m_phase == phase::Answering && m_wsi)
-        closeSoon(m_wsi);
+        doom();
 }
 
 int server_connection::onEvent(lws *wsi, lws_callback_reasons reason, void *in, std::size_t length)
@@ -183,7 +194,15 @@
     }
     if (outermost)
         m_insideEvent = false;
-    return m_wsi ? result : -1;
+    return m_wsi && !m_doomed ? result : -1;
+}
+
+// libwebsockets forgets the closing when it clears its own timeout, as it does at the end of a
+// body; so every later event asks for it again.
+void server_connection::doom()
+{
+    m_doomed = true;
+    closeSoon(m_wsi);
 }
 
 int server_connection::onHead()
@@ -191,6 +210,11 @@
     if (!m_owner)
         return -1;
     if (const auto why = readHead()) {
+        // libwebsockets would take the head for the body that follows it.
+        if (m_sentAhead) {
+            refuseAndClose(*why);
+            return -1;
+        }
         refuse(*why);
         return 0;
     }
@@ -228,7 +252,11 @@
     const bool wantsClose = connection && equalsIgnoringCase(*connection, "close");
     const bool wantsOpen = connection && equalsIgnoringCase(*connection, "keep-alive");
     m_closeAfter = wantsClose || (m_http10 && !wantsOpen);
-    return readFraming();
+    if (const auto why = readFraming())
+        return why;
+    if (headTooLarge())
+        return HeadTooLarge;
+    return std::nullopt;
 }
 
 // Without a length, libwebsockets takes a POST to be a body of 100 MB, and it knows no chunked
@@ -251,10 +279,26 @@
         return BodyTooLarge;
     }
     m_bodyBytes = *bytes;
+    if (m_sentAhead && m_bodyBytes > 0)
+        return SentAhead;
     m_request.body.reserve(std::min<std::size_t>(m_bodyBytes, TransferBytes));
     return std::nullopt;
 }
 
+// Fields that aren't kept can't be counted, but everything that came since the last answer can: no
+// more than a body of the declared length may be among it beside the head. A caller that sends
+// requests ahead may thereby be refused for their sum.
+bool server_connection::headTooLarge() const
+{
+    const std::size_t kept =
+        headerBytes(m_request.headers) + m_request.path.size() + m_request.query.size();
+    const std::size_t bound = m_owner->options().maxHeaderBytes;
+    if (kept > bound || m_tls)
+        return kept > bound;
+    const auto info = readTcpInfo(m_fd);
+    return info && info->tcpi_bytes_received > m_receivedBefore + m_bodyBytes + bound;
+}
+
 int server_connection::onBody(std::string_view bytes)
 {
     if (m_phase != phase::Body)
@@ -336,7 +380,7 @@
         owner->forget(*this);
 }
 
-void server_connection::sendWhole(int status, const header_list &headers, std::string body)
+void server_connection::sendWhole(int status, const header_list &headers, std::string_view body)
 {
     if (m_phase != phase::Answering)
         return;
@@ -434,7 +478,7 @@
     const auto &options = m_owner->options();
     if (!m_answerEnded && queuedBytes() > options.maxQueuedResponseBytes) {
         m_phase = phase::Refusing;
-        closeSoon(m_wsi);
+        doom();
         return;
     }
     if (m_phase == phase::Answering && m_tick == 0)
@@ -490,6 +534,7 @@
     }
     if (lws_http_transaction_completed(m_wsi) != 0)
         return -1;
+    m_sentAhead = holdsInput(m_wsi);
     prepareNextRequest();
     return 0;
 }
@@ -541,14 +586,14 @@
         break;
     case phase::Answering:
         if (m_sentTotal == m_sentAtTick)
-            closeSoon(m_wsi);
+            doom();
         else
             restartTick(m_owner->options().idleTimeout);
         break;
     case phase::Refusing:
     case phase::Lingering:
     case phase::Closed:
-        closeSoon(m_wsi);
+        doom();
         break;
     }
 }
@@ -562,13 +607,13 @@
     const bool partial = info && info->tcpi_bytes_received > m_receivedBefore;
     if (partial && (!m_served || std::exchange(m_partialSeen, true))) {
         refuseAndClose(TooSlow);
-        closeSoon(m_wsi);
+        doom();
         return;
     }
     const auto tick = std::min(options.requestTimeout, options.idleTimeout);
     m_idle += tick;
     if (!partial && (!m_served || m_idle >= options.idleTimeout)) {
-        closeSoon(m_wsi);
+        doom();
         return;
     }
     restartTick(tick);
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -92,7 +92,7 @@
 
     int onEvent(lws *wsi, lws_callback_reasons reason, void *in, std::size_t length) override;
 
-    void sendWhole(int status, const header_list &headers, std::string body);
+    void sendWhole(int status, const header_list &headers, std::string_view body);
     void sendHead(int status, const header_list &headers);
     void sendPart(std::string_view bytes);
     void sendEnd();
@@ -119,10 +119,12 @@
     void onClose(lws *wsi);
     void onTick(const std::shared_ptr<server_connection> &self);
     void onHeadTick();
+    void doom();
     void prepareNextRequest();
 
     [[nodiscard]] std::optional<refusal> readHead();
     [[nodiscard]] std::optional<refusal> readFraming();
+    [[nodiscard]] bool headTooLarge() const;
     void dispatch();
     void refuse(const refusal &why);
     void refuseAndClose(const refusal &why);
@@ -140,8 +142,10 @@
     lws *m_wsi = nullptr;
     bool m_insideEvent = false;
     phase m_phase = phase::Head;
+    bool m_doomed = false; ///< to be closed without another word
     bool m_headParsed = false;
     bool m_served = false; ///< has answered a request before
+    bool m_sentAhead = false; ///< the next request came with the one before
 
     http_request m_request;
     std::size_t m_bodyBytes = 0; ///< length that the head declares
--- a/src/net/timer_heap.h
+++ b/src/net/timer_heap.h
@@ -25,6 +25,8 @@
 
     /// Timers that have neither run nor been cancelled.
     [[nodiscard]] std::size_t size() const { return m_tasks.size(); }
+    /// Entries held, those of cancelled timers included.
+    [[nodiscard]] std::size_t entries() const { return m_heap.size(); }
 
 private:
     struct entry
--- /dev/null
+++ b/tests/net/event_loop_test.cpp
@@ -0,0 +1,163 @@
+#include "net/timer_heap.h"
+#include "net/udp_socket.h"
+#include "net_test_support.h"
+
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace orchidlead::net;
+using std::chrono::milliseconds;
+
+namespace {
+
+event_loop *signalledLoop = nullptr;
+
+void stopSignalledLoop(int)
+{
+    signalledLoop->stop();
+}
+
+} // namespace
+
+TEST_CASE("Timers run in the order of their times")
+{
+    test_loop loop;
+    std::string order;
+    loop->callAfter(milliseconds{9}, [&] {
+        order += 'd';
+        loop->stop();
+    });
+    loop->callAfter(milliseconds{6}, [&] { order += 'c'; });
+    const auto cancelled = loop->callAfter(milliseconds{4}, [&] { order += 'x'; });
+    loop->callAfter(milliseconds{2}, [&] {
+        order += 'a';
+        loop->cancelTimer(cancelled);
+        loop->callAfter(milliseconds{1}, [&] { order += 'b'; });
+    });
+
+    REQUIRE(loop.run());
+    CHECK(order == "abcd");
+}
+
+TEST_CASE("Cancelled timers don't pile up")
+{
+    timer_heap heap;
+    const orchidlead::steady_time start{std::chrono::hours{1}};
+    const int rounds = 100000;
+    int run = 0;
+    for (int i = 0; i < rounds; ++i) {
+        const auto id = heap.add(start + milliseconds{rounds - i}, [&] { ++run; });
+        if (i % 1000 != 0)
+            heap.cancel(id);
+    }
+    CHECK(heap.size() == 100);
+    CHECK(heap.entries() < 400);
+    orchidlead::steady_time last = start;
+    while (const auto next = heap.next()) {
+        CHECK(*next >= last);
+        last = *next;
+        heap.takeDue (*next)();
+    }
+    CHECK(run == 100);
+}
+
+TEST_CASE("Other threads hand over tasks, which run in order on the loop's thread")
+{
+    test_loop loop;
+    constexpr int Tasks = 1000;
+    std::vector<int> seen;
+    const auto here = std::this_thread::get_id();
+    bool elsewhere = false;
+    std::thread other([&] {
+        for (int i = 0; i < Tasks; ++i) {
+            loop->post([&, i] {
+                elsewhere = elsewhere || std::this_thread::get_id() != here;
+                seen.push_back(i);
+            });
+        }
+        loop->post([&] { loop->stop(); });
+    });
+    const bool stopped = loop.run();
+    other.join();
+
+    REQUIRE(stopped);
+    CHECK_FALSE(elsewhere);
+    REQUIRE(seen.size() == Tasks);
+    CHECK(std::is_sorted(seen.begin(), seen.end()));
+}
+
+TEST_CASE("A signal handler may stop the loop")
+{
+    test_loop loop;
+    signalledLoop = &*loop;
+    const auto before = std::signal(SIGUSR1, stopSignalledLoop);
+    loop->callAfter(milliseconds{1}, [] { std::raise(SIGUSR1); });
+
+    CHECK(loop.run());
+    std::signal(SIGUSR1, before);
+}
+
+TEST_CASE("Datagrams go there and back")
+{
+    test_loop loop;
+    std::unique_ptr<udp_socket> server;
+    server =
+        std::move(udp_socket::create(*loop, {"127.0.0.1", 0},
+                                     [&](const orchidlead::socket_address &from,
+                                         std::string_view bytes) { server->send(from, bytes); }))
+            .value();
+    std::vector<std::string> got;
+    const std::vector<std::string> sent{"a", "", std::string(1400, 'b'), std::string(20000, 'c')};
+    auto client =
+        udp_socket::create(*loop, {"127.0.0.1", 0},
+                           [&](const orchidlead::socket_address &from, std::string_view bytes) {
+                               CHECK(from.port == server->port());
+                               got.emplace_back(bytes);
+                               if (got.size() == sent.size())
+                                   loop->stop();
+                           });
+    REQUIRE(client.has_value());
+    for (const auto &bytes : sent)
+        client.value()->send({"127.0.0.1", server->port()}, bytes);
+
+    REQUIRE(loop.run());
+    CHECK((got == sent));
+}
+
+TEST_CASE("A datagram socket may be destroyed by its own handler, and its port is free then")
+{
+    test_loop loop;
+    std::unique_ptr<udp_socket> socket;
+    int got = 0;
+    socket =
+        std::move(udp_socket::create(*loop, {"127.0.0.1", 0},
+                                     [&](const orchidlead::socket_address &, std::string_view) {
+                                         ++got;
+                                         socket.reset();
+                                     }))
+            .value();
+    const auto port = socket->port();
+    socket->send({"127.0.0.1", port}, "one");
+    socket->send({"127.0.0.1", port}, "two");
+
+    REQUIRE(loop.runUntil([&] { return got > 0; }));
+    CHECK(got == 1);
+    CHECK(loop.runUntil([&] {
+        return udp_socket::create(*loop, {"127.0.0.1", port}, {}).has_value();
+    }));
+}
+
+TEST_CASE("An address that is taken is reported")
+{
+    test_loop loop;
+    const auto server = serve(loop, [](http_request &&, const response_ptr &) {});
+    http_server_options options;
+    options.listen = {"127.0.0.1", server->port()};
+
+    const auto second = http_server::create(*loop, options, {});
+
+    REQUIRE_FALSE(second.has_value());
+    CHECK_THAT(second.error().what, Catch::Matchers::Contains("in use"));
+}
--- /dev/null
+++ b/tests/net/http_client_faults_test.cpp
@@ -0,0 +1,236 @@
+#include "raw_peer.h"
+
+#include <string>
+
+using namespace orchidlead::net;
+using Catch::Matchers::Contains;
+using orchidlead::toName;
+
+namespace {
+
+/// How a served connection ends.
+enum class ending { Close, Reset, StayOpen };
+
+/// Answers one call with exactly these bytes.
+answer answerWith(const std::string &bytes, ending how, http_call call = {})
+{
+    test_loop loop;
+    raw_listener listener;
+    const auto client = http_client::create(*loop);
+    call.address = {"127.0.0.1", listener.port()};
+    call.timeout = std::chrono::milliseconds{500};
+    answer got;
+    client->start(std::move(call), collect(got));
+    std::optional<raw_peer> peer;
+    REQUIRE(loop.runUntil([&] {
+        if (!peer) {
+            if (auto accepted = listener.accept())
+                peer.emplace(std::move(*accepted));
+        }
+        return peer && peer->got().find("\r\n\r\n") != std::string::npos;
+    }));
+    peer->send(bytes);
+    if (how == ending::Reset)
+        loop.runUntil([&] { return bytes.empty() || got.status != 0; });
+    if (how == ending::Reset)
+        peer->reset();
+    if (how == ending::Close)
+        peer->hangUp();
+    REQUIRE(loop.runUntil([&] { return got.end.has_value(); }));
+    return got;
+}
+
+/// One way to answer, and the only truthful report of it.
+struct answer_case
+{
+    std::string bytes;
+    ending how;
+    call_end end;
+};
+
+} // namespace
+
+TEST_CASE("A call reports whether its answer is whole")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const auto given = GENERATE_COPY(values<answer_case>({
+        {"", ending::Close, call_end::Broken},
+        {"", ending::Reset, call_end::Broken},
+        {"", ending::StayOpen, call_end::TimedOut},
+        {"HTTP/1.1 20", ending::Close, call_end::Broken},
+        {"nonsense\r\n\r\n", ending::Close, call_end::Broken},
+        {head + "content-length: 3\r\n\r\nabc", ending::StayOpen, call_end::Complete},
+        {head + "content-length: 3\r\n\r\nab", ending::Close, call_end::Broken},
+        {head + "content-length: 3\r\n\r\nab", ending::Reset, call_end::Broken},
+        {head + "content-length: 3\r\n\r\nab", ending::StayOpen, call_end::TimedOut},
+        {head + "content-length: 0\r\n\r\n", ending::StayOpen, call_end::Complete},
+        {head + "content-length: x\r\n\r\n", ending::Close, call_end::Broken},
+        {head + "content-length: 3, 3\r\n\r\nabc", ending::Close, call_end::Broken},
+        {head + "content-length: 99999999999\r\n\r\nabc", ending::Close, call_end::TooLarge},
+        {head + "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", ending::StayOpen,
+         call_end::Complete},
+        {head + "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", ending::Close,
+         call_end::Complete},
+        {head + "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n", ending::Close, call_end::Broken},
+        {head + "transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", ending::Close,
+         call_end::Broken},
+        {head + "transfer-encoding: chunked\r\n\r\n5\r\nabc", ending::Close, call_end::Broken},
+        {head + "transfer-encoding: chunked\r\n\r\nfffffff0\r\nabc", ending::Close,
+         call_end::Broken},
+        {head + "transfer-encoding: chunked\r\ncontent-length: 3\r\n\r\nabc", ending::Close,
+         call_end::Broken},
+        {head + "transfer-encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", ending::Close,
+         call_end::Broken},
+        {head + "\r\nabc", ending::Close, call_end::Complete},
+        {head + "\r\nabc", ending::Reset, call_end::Broken},
+        {"HTTP/1.1 304 Not Modified\r\n\r\n", ending::StayOpen, call_end::Complete},
+        {"HTTP/1.1 204 No Content\r\n\r\n", ending::StayOpen, call_end::Complete},
+        {"HTTP/1.1 302 Found\r\nlocation: /other\r\ncontent-length: 0\r\n\r\n", ending::StayOpen,
+         call_end::Complete},
+        {head + "x-long: " + std::string(70000, 'v') + "\r\n\r\n", ending::Close, call_end::Broken},
+    }));
+    CAPTURE(given.bytes.substr(0, 200), static_cast<int>(given.how));
+
+    const auto got = answerWith(given.bytes, given.how);
+
+    CAPTURE(toName(*got.end));
+    CHECK(*got.end == given.end);
+    if (got.end == call_end::Complete && got.status == 200 && given.bytes.ends_with("abc"))
+        CHECK(got.body == "abc");
+}
+
+TEST_CASE("A call that can't be put into a head wasn't sent")
+{
+    test_loop loop;
+    raw_listener listener;
+    auto call = callTo(listener.port());
+    SECTION("line break in a value")
+    {
+        call.headers = {{"a", "b\r\nc: d"}};
+    }
+    SECTION("line break in a name")
+    {
+        call.headers = {{"a\r\nb", "c"}};
+    }
+    SECTION("space in the path")
+    {
+        call.path = "/a b";
+    }
+    SECTION("path too long")
+    {
+        call.path = "/" + std::string(3000, 'p');
+    }
+    SECTION("headers too long")
+    {
+        call.headers = {{"a", std::string(60000, 'v')}};
+    }
+    SECTION("not an address")
+    {
+        call.address.ip = "localhost";
+    }
+
+    CHECK(callAndWait(loop, call).end == call_end::NotSent);
+    if (auto peer = listener.accept())
+        CHECK(peer->got().empty());
+}
+
+TEST_CASE("A connection that isn't accepted in time carried nothing")
+{
+    test_loop loop;
+    auto call = callTo(9);
+    // Reserved for documentation: nothing answers there, with or without a route.
+    call.address.ip = "192.0.2.1";
+    call.connectTimeout = std::chrono::milliseconds{50};
+
+    CHECK(callAndWait(loop, call).end == call_end::NotSent);
+}
+
+TEST_CASE("A server that closes while a large body is being sent breaks the call")
+{
+    test_loop loop;
+    raw_listener listener;
+    const auto client = http_client::create(*loop);
+    answer got;
+    client->start(callTo(listener.port(), std::string(20U << 20U, 'x')), collect(got));
+    std::optional<raw_peer> peer;
+    REQUIRE(loop.runUntil([&] {
+        if (auto accepted = listener.accept())
+            peer.emplace(std::move(*accepted));
+        return peer.has_value();
+    }));
+
+    peer->reset();
+
+    REQUIRE(loop.runUntil([&] { return got.end.has_value(); }));
+    CHECK(got.end == call_end::Broken);
+}
+
+TEST_CASE("A call may be cancelled from any of its events")
+{
+    test_loop loop;
+    const auto server = serve(loop, [&](http_request &&, const response_ptr &response) {
+        response->begin(200, {});
+        response->write("some");
+        loop->callAfter(std::chrono::milliseconds{1}, [response] {
+            response->write("more");
+            response->finish();
+        });
+    });
+    const auto client = http_client::create(*loop);
+    const int when = GENERATE(0, 1, 2, 3);
+    CAPTURE(when);
+    int ends = 0;
+    int reported = 0;
+    call_id id = 0;
+    auto call = callTo(server->port(), "x");
+    call.mayStillSend = [&] {
+        if (when == 0)
+            client->cancel(id);
+        return true;
+    };
+    call_events events;
+    events.onHead = [&](int, const header_list &) {
+        ++reported;
+        if (when == 1)
+            client->cancel(id);
+    };
+    events.onBody = [&](std::string_view) {
+        ++reported;
+        if (when == 2)
+            client->cancel(id);
+    };
+    events.onEnd = [&](call_end) {
+        ++ends;
+        client->cancel(id);
+    };
+    id = client->start(call, events);
+    loop.runFor(std::chrono::milliseconds{60});
+
+    CHECK(ends == (when == 3 ? 1 : 0));
+    if (when < 3)
+        CHECK(reported == when);
+    CHECK(server->connections() == 0);
+}
+
+TEST_CASE("A client that is destroyed cancels its calls")
+{
+    test_loop loop;
+    int closed = 0;
+    std::vector<response_ptr> held;
+    const auto server = serve(loop, [&](http_request &&, const response_ptr &response) {
+        response->onClosed([&] { ++closed; });
+        held.push_back(response);
+    });
+    auto client = http_client::create(*loop);
+    answer first;
+    answer second;
+    client->start(callTo(server->port(), "x"), collect(first));
+    client->start(callTo(server->port(), "y"), collect(second));
+    REQUIRE(loop.runUntil([&] { return held.size() == 2; }));
+
+    client.reset();
+
+    CHECK(loop.runUntil([&] { return closed == 2; }));
+    CHECK_FALSE(first.end.has_value());
+    CHECK_FALSE(second.end.has_value());
+}
--- /dev/null
+++ b/tests/net/http_server_bounds_test.cpp
@@ -0,0 +1,390 @@
+#include "raw_peer.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace orchidlead::net;
+using Catch::Matchers::Contains;
+using Catch::Matchers::StartsWith;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Answers with method, path and body.
+void describe(http_request &&request, const response_ptr &response)
+{
+    response->respond(200, {}, request.method + " " + request.path + " " + request.body);
+}
+
+/// Sends the bytes one at a time, a few milliseconds apart, until they or the test end.
+class trickle
+{
+public:
+    trickle(test_loop &loop, raw_peer &peer, std::string bytes)
+        : m_loop(loop)
+        , m_peer(peer)
+        , m_bytes(std::move(bytes))
+    {
+        next();
+    }
+    ~trickle() { m_loop->cancelTimer(m_timer); }
+    trickle(const trickle &) = delete;
+    trickle &operator=(const trickle &) = delete;
+
+private:
+    void next()
+    {
+        if (m_sent == m_bytes.size())
+            return;
+        m_peer.send(m_bytes.substr(m_sent++, 1));
+        m_timer = m_loop->callAfter(milliseconds{10}, [this] { next(); });
+    }
+
+    test_loop &m_loop;
+    raw_peer &m_peer;
+    std::string m_bytes;
+    std::size_t m_sent = 0;
+    timer_id m_timer = 0;
+};
+
+bool hasBody(raw_peer &peer, const std::string &body)
+{
+    return peer.got().ends_with(body);
+}
+
+} // namespace
+
+TEST_CASE("A body beyond the bound is refused before it is sent")
+{
+    test_loop loop;
+    http_server_options options;
+    options.maxBodyBytes = 1000;
+    int handled = 0;
+    const auto server = serve(
+        loop, [&](http_request &&, const response_ptr &) { ++handled; }, options);
+    raw_peer caller(server->port());
+
+    caller.send("POST /run HTTP/1.1\r\nhost: x\r\ncontent-length: 100000000\r\n\r\nfirst bytes");
+
+    REQUIRE(loop.runUntil([&] { return caller.got().ends_with("}"); }));
+    CHECK_THAT(caller.got(), StartsWith("HTTP/1.1 413 "));
+    CHECK_THAT(caller.got(), Contains(R"("outcome":"not_run","reason":"too_large")"));
+    CHECK(handled == 0);
+    CHECK(loop.runUntil([&] { return server->connections() == 0; }));
+}
+
+TEST_CASE("A caller that goes on sending a refused body is dropped")
+{
+    test_loop loop;
+    http_server_options options;
+    options.maxBodyBytes = 1000;
+    const auto server = serve(loop, describe, options);
+    raw_peer caller(server->port());
+    caller.send("POST /run HTTP/1.1\r\nhost: x\r\ncontent-length: 100000000\r\n\r\n");
+    const trickle more(loop, caller, std::string(10000, 'x'));
+
+    CHECK(loop.runUntil([&] { return caller.ended(); }));
+    CHECK_THAT(caller.got(), StartsWith("HTTP/1.1 413 "));
+}
+
+TEST_CASE("A head beyond the bound is refused")
+{
+    test_loop loop;
+    http_server_options options;
+    options.maxHeaderBytes = 4000;
+    const std::size_t size = GENERATE(4100, 31000, 50000);
+    const std::string name = GENERATE("cookie", "x-unheard-of", "x-request-id");
+    CAPTURE(size, name);
+    const auto server = serve(loop, describe, options);
+    raw_peer caller(server->port());
+
+    caller.send("GET / HTTP/1.1\r\nhost: x\r\n" + name + ": " + std::string(size, 'v')
+                + "\r\n\r\n");
+
+    REQUIRE(loop.runUntil([&] { return caller.ended(); }));
+    CHECK_THAT(caller.got(), StartsWith("HTTP/1.1 431 "));
+    CHECK(server->connections() == 0);
+}
+
+TEST_CASE("A head beyond what can be parsed ends its connection")
+{
+    test_loop loop;
+    int handled = 0;
+    const auto server = serve(loop, [&](http_request &&, const response_ptr &) { ++handled; });
+    raw_peer caller(server->port());
+
+    caller.send("GET / HTTP/1.1\r\nhost: x\r\ncookie: " + std::string(100000, 'v'));
+
+    REQUIRE(loop.runUntil([&] { return caller.ended(); }));
+    CHECK(handled == 0);
+    CHECK(server->connections() == 0);
+}
+
+TEST_CASE("A caller that sends a byte at a time is refused when its time is up")
+{
+    test_loop loop;
+    http_server_options options;
+    options.requestTimeout = milliseconds{100};
+    const auto server = serve(loop, describe, options);
+    raw_peer caller(server->port());
+    std::string slow;
+    SECTION("in the head")
+    {
+        slow = "GET / HTTP/1.1\r\nx-long: " + std::string(5000, 'v');
+    }
+    SECTION("in the body")
+    {
+        caller.send("POST / HTTP/1.1\r\ncontent-length: 5000\r\n\r\n");
+        slow = std::string(5000, 'b');
+    }
+    SECTION("in its second request")
+    {
+        caller.send("GET /1 HTTP/1.1\r\n\r\n");
+        REQUIRE(loop.runUntil([&] { return hasBody(caller, "GET /1 "); }));
+        slow = "GET / HTTP/1.1\r\nx-long: " + std::string(5000, 'v');
+    }
+    const trickle bytes(loop, caller, slow);
+
+    REQUIRE(loop.runUntil([&] { return caller.ended(); }));
+    CHECK_THAT(caller.got(), Contains("HTTP/1.1 408 "));
+}
+
+TEST_CASE("A connection without a request is closed")
+{
+    test_loop loop;
+    http_server_options options;
+    options.requestTimeout = milliseconds{40};
+    options.idleTimeout = milliseconds{80};
+    const auto server = serve(loop, describe, options);
+    raw_peer caller(server->port());
+    if (GENERATE(false, true)) {
+        caller.send("GET /1 HTTP/1.1\r\n\r\n");
+        REQUIRE(loop.runUntil([&] { return hasBody(caller, "GET /1 "); }));
+    }
+
+    CHECK(loop.runUntil([&] { return caller.ended(); }));
+    CHECK_THAT(caller.got(), !Contains("408"));
+}
+
+TEST_CASE("A request that isn't HTTP is refused")
+{
+    test_loop loop;
+    int handled = 0;
+    const auto server = serve(loop, [&](http_request &&, const response_ptr &) { ++handled; });
+    const std::string bytes = GENERATE(
+        as<std::string>{}, "BREW / HTTP/1.1\r\nhost: x\r\n\r\n", "\x01\x02\x03 garbage\r\n\r\n",
+        "POST / HTTP/1.1\r\ncontent-length: 3, 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\ncontent-length: -3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabc",
+        "CONNECT x:1 HTTP/1.1\r\n\r\n");
+    CAPTURE(bytes);
+    raw_peer caller(server->port());
+
+    caller.send(bytes);
+
+    REQUIRE(loop.runUntil([&] { return caller.ended(); }));
+    CHECK_THAT(caller.got(), StartsWith("HTTP/1.1 40"));
+    CHECK(handled == 0);
+    CHECK(server->connections() == 0);
+}
+
+TEST_CASE("A request in chunks is refused, since libwebsockets can't read it")
+{
+    test_loop loop;
+    int handled = 0;
+    const auto server = serve(loop, [&](http_request &&, const response_ptr &) { ++handled; });
+    raw_peer caller(server->port());
+
+    caller.send("POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+
+    REQUIRE(loop.runUntil([&] { return caller.ended(); }));
+    CHECK_THAT(caller.got(), StartsWith("HTTP/1.1 411 "));
+    CHECK(handled == 0);
+}
+
+TEST_CASE("A request without a length has no body")
+{
+    test_loop loop;
+    const auto server = serve(loop, describe);
+    raw_peer caller(server->port());
+
+    caller.send("POST /drain HTTP/1.1\r\nhost: x\r\n\r\n");
+
+    REQUIRE(loop.runUntil([&] { return caller.ended(); }));
+    CHECK_THAT(caller.got(), StartsWith("HTTP/1.1 200 "));
+    CHECK(hasBody(caller, "POST /drain "));
+}
+
+TEST_CASE("An upgrade is refused")
+{
+    test_loop loop;
+    const auto server = serve(loop, describe);
+    const std::string to = GENERATE("websocket", "h2c");
+    raw_peer caller(server->port());
+
+    caller.send("GET / HTTP/1.1\r\nhost: x\r\nconnection: upgrade\r\nupgrade: " + to + "\r\n\r\n");
+
+    REQUIRE(loop.runUntil([&] { return caller.ended(); }));
+    CHECK_THAT(caller.got(), StartsWith("HTTP/1.1 501 "));
+}
+
+TEST_CASE("A caller that waits to be told to send its body is told")
+{
+    test_loop loop;
+    const auto server = serve(loop, describe);
+    raw_peer caller(server->port());
+
+    caller.send("POST /a HTTP/1.1\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n");
+    REQUIRE(loop.runUntil([&] { return caller.got() == "HTTP/1.1 100 Continue\r\n\r\n"; }));
+    caller.send("abc");
+
+    CHECK(loop.runUntil([&] { return hasBody(caller, "POST /a abc"); }));
+}
+
+TEST_CASE("Connections beyond the bound are refused")
+{
+    test_loop loop;
+    http_server_options options;
+    options.maxConnections = 2;
+    const auto server = serve(loop, describe, options);
+    raw_peer first(server->port());
+    raw_peer second(server->port());
+    REQUIRE(loop.runUntil([&] { return server->connections() == 2; }));
+
+    raw_peer third(server->port());
+
+    REQUIRE(loop.runUntil([&] { return third.ended(); }));
+    CHECK_THAT(third.got(), StartsWith("HTTP/1.1 503 "));
+    first.hangUp();
+    REQUIRE(loop.runUntil([&] { return server->connections() == 1; }));
+    raw_peer fourth(server->port());
+    fourth.send("GET /4 HTTP/1.1\r\n\r\n");
+    CHECK(loop.runUntil([&] { return hasBody(fourth, "GET /4 "); }));
+}
+
+TEST_CASE("Requests sent ahead are answered in order, each with its own answer")
+{
+    test_loop loop;
+    // Later requests would be ready sooner.
+    int delay = 9;
+    std::vector<std::string> seen;
+    const auto server = serve(loop, [&](http_request &&request, const response_ptr &response) {
+        seen.push_back(request.path);
+        const auto text = "<" + request.path + request.body + ">";
+        delay -= 2;
+        loop->callAfter(milliseconds{delay},
+                        [response, text] { response->respond(200, {}, text); });
+    });
+    raw_peer caller(server->port());
+
+    caller.send("POST /1 HTTP/1.1\r\ncontent-length: 3\r\n\r\nabcGET /2 HTTP/1.1\r\n\r\n"
+                "DELETE /3 HTTP/1.1\r\n\r\nGET /4 HTTP/1.1\r\n\r\n");
+
+    REQUIRE(loop.runUntil([&] { return hasBody(caller, "</4>"); }));
+    CHECK(seen == std::vector<std::string>{"/1", "/2", "/3", "/4"});
+    const auto &got = caller.got();
+    CHECK(got.find("</1abc>") < got.find("</2>"));
+    CHECK(got.find("</2>") < got.find("</3>"));
+    CHECK(got.find("</3>") < got.find("</4>"));
+}
+
+// libwebsockets 4.1.6 hands out the start of such a request's own head as its body, and then loops.
+TEST_CASE("A request with a body that is sent ahead isn't handled")
+{
+    test_loop loop;
+    std::vector<std::string> seen;
+    const auto server = serve(loop, [&](http_request &&request, const response_ptr &response) {
+        seen.push_back(request.path + " " + request.body);
+        response->respond(200, {}, "<" + request.path + ">");
+    });
+    raw_peer caller(server->port());
+    const std::string first = GENERATE(as<std::string>{}, "GET /1 HTTP/1.1\r\n\r\n",
+                                       "POST /1 HTTP/1.1\r\ncontent-length: 0\r\n\r\n");
+
+    caller.send(first + "POST /2 HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc");
+
+    REQUIRE(loop.runUntil([&] { return caller.ended(); }));
+    CHECK(seen == std::vector<std::string>{"/1 "});
+    CHECK_THAT(caller.got(), Contains("</1>"));
+    CHECK_THAT(caller.got(), Contains("HTTP/1.1 400 "));
+}
+
+TEST_CASE("A caller that goes away is noticed although it sent more")
+{
+    test_loop loop;
+    bool closed = false;
+    response_ptr held;
+    const auto server = serve(loop, [&](http_request &&, response_ptr response) {
+        held = std::move(response);
+        held->onClosed([&] { closed = true; });
+    });
+    raw_peer caller(server->port());
+    const std::string first = GENERATE(as<std::string>{}, "GET /1 HTTP/1.1\r\n\r\n",
+                                       "POST /1 HTTP/1.1\r\ncontent-length: 1\r\n\r\nx");
+    CAPTURE(first);
+    caller.send(first + "GET /2 HTTP/1.1\r\n\r\n");
+    REQUIRE(loop.runUntil([&] { return held != nullptr; }));
+
+    caller.hangUp();
+
+    CHECK(loop.runUntil([&] { return closed; }));
+}
+
+TEST_CASE("A server that is told to stop closes each connection after its answer")
+{
+    test_loop loop;
+    const auto server = serve(loop, describe);
+    raw_peer caller(server->port());
+    caller.send("GET /1 HTTP/1.1\r\n\r\n");
+    REQUIRE(loop.runUntil([&] { return hasBody(caller, "GET /1 "); }));
+    CHECK_FALSE(caller.ended());
+
+    server->stopKeepAlive();
+    server->stopListening();
+    caller.send("GET /2 HTTP/1.1\r\n\r\n");
+
+    REQUIRE(loop.runUntil([&] { return caller.ended(); }));
+    CHECK_THAT(caller.got(), Contains("connection: close"));
+    CHECK(hasBody(caller, "GET /2 "));
+    CHECK(callAndWait(loop, callTo(server->port())).end == call_end::NotSent);
+}
+
+TEST_CASE("A server's port is free as soon as it is gone")
+{
+    test_loop loop;
+    auto server = serve(loop, describe);
+    const auto port = server->port();
+    raw_peer caller(port);
+    caller.send("GET /1 HTTP/1.1\r\n\r\n");
+    REQUIRE(loop.runUntil([&] { return hasBody(caller, "GET /1 "); }));
+
+    server.reset();
+    http_server_options options;
+    options.listen = {"127.0.0.1", port};
+    auto next = http_server::create(*loop, options, describe);
+
+    REQUIRE(next.has_value());
+    CHECK(loop.runUntil([&] { return caller.ended(); }));
+    CHECK(callAndWait(loop, callTo(port)).end == call_end::Complete);
+}
+
+TEST_CASE("Servers of one loop on the same port of two addresses don't mix")
+{
+    test_loop loop;
+    const auto first = serve(loop, [](http_request &&, const response_ptr &response) {
+        response->respond(200, {}, "first");
+    });
+    http_server_options options;
+    options.listen = {"127.0.0.2", first->port()};
+    auto second =
+        http_server::create(*loop, options, [](http_request &&, const response_ptr &response) {
+            response->respond(200, {}, "second");
+        });
+    REQUIRE(second.has_value());
+    auto call = callTo(first->port());
+    CHECK(callAndWait(loop, call).body == "first");
+    call.address.ip = "127.0.0.2";
+    CHECK(callAndWait(loop, call).body == "second");
+}
