--- a/standins/demo_fleet.cpp
+++ b/standins/demo_fleet.cpp
@@ -156,7 +156,7 @@
     return text + "...\n";
 }
 
-workload makeDemoWorkload(double rate)
+workload makeDemoWorkload(double rate, request_identity signUpIdentity)
 {
     workload work;
     work_class minutes = makeClass("minutes", "tartu-alumni", "summary", 0.10);
@@ -171,7 +171,7 @@
                     chat,
                     makeQuestion("phone", "tank-clerks", 0.15),
                     makePage("events", "tartu-alumni", 0.20),
-                    makeConfirmation("sign-up", "tartu-alumni", 0.10, request_identity::Key),
+                    makeConfirmation("sign-up", "tartu-alumni", 0.10, signUpIdentity),
                     makeConfirmation("pickup", "collectors", 0.15, request_identity::Ticket)};
     for (work_class &kind : work.classes)
         kind.rate *= rate;
--- a/standins/demo_fleet.h
+++ b/standins/demo_fleet.h
@@ -22,7 +22,9 @@
 /// Gives the pipeline templates and customers; customers' home data centres are taken in turn.
 [[nodiscard]] std::string demoTemplatesAndCustomers(const demo_size &size);
 
-/// Gives the requests of both kinds of users, `rate` a second in all.
-[[nodiscard]] workload makeDemoWorkload(double rate);
+/// Gives the requests of both kinds of users, `rate` a second in all. Sign-ups have
+/// `signUpIdentity`: key homes are sure of themselves only in a fleet of some age, tickets are good
+/// at once.
+[[nodiscard]] workload makeDemoWorkload(double rate, request_identity signUpIdentity);
 
 } // namespace orchidlead::standins
--- a/standins/demo_main.cpp
+++ b/standins/demo_main.cpp
@@ -64,12 +64,12 @@
         }
         exitOnError(m_fleet.awaitReady(names, ReadyPatience));
         std::cout << names.size() << " daemons are ready; logs in "
-                  << m_fleet.processes().logFile("") << '\n';
+                  << m_fleet.processes().directory() << '\n';
     }
 
     void sendRequests()
     {
-        const workload work = makeDemoWorkload(RequestsPerSecond);
+        const workload work = makeDemoWorkload(RequestsPerSecond, request_identity::Ticket);
         entry_pool entries(m_loop, *m_client, m_fleet.entries());
         if (!m_driver.runUntil([&] { return entries.ready() == m_fleet.entries().size(); },
                                ReadyPatience))
@@ -149,12 +149,13 @@
 
     void leave()
     {
-        m_evidence.leaving.push_back({LeavingServer, m_clock.now()});
+        m_evidence.leaving.push_back({LeavingServer, m_clock.now(), steady_time::max(), {}});
         if (!m_fleet.setServerFaults(LeavingServer, R"({"fault":"leaving"})"))
             exitWith("the fault can't be set");
         removeServer(LeavingServer, m_fleet.layout());
         if (!m_fleet.publishConfiguration())
             exitWith("the configuration can't be published");
+        m_evidence.leaving.back().listedAt = m_clock.now();
         std::cout << LeavingServer << " is leaving\n";
     }
 
--- a/standins/fleet_runner.cpp
+++ b/standins/fleet_runner.cpp
@@ -82,7 +82,7 @@
     return success();
 }
 
-result<void, fleet_error> fleet_runner::startVm(const std::string &name)
+result<pid_t, fleet_error> fleet_runner::startVm(const std::string &name)
 {
     const fleet_vm *vm = findVm(name);
     if (vm == nullptr)
@@ -92,7 +92,7 @@
     const auto started = m_processes.start(name, {m_options.daemon, "--settings=" + settings});
     if (!started)
         return fleet_error{started.error().what};
-    return success();
+    return started.value();
 }
 
 result<void, fleet_error> fleet_runner::awaitReady(const std::vector<std::string> &names,
--- a/standins/fleet_runner.h
+++ b/standins/fleet_runner.h
@@ -35,8 +35,8 @@
 
     /// Starts the stand-ins; nothing is published yet.
     result<void, fleet_error> startStandIns(std::uint64_t seed);
-    /// Starts the daemon of one VM.
-    result<void, fleet_error> startVm(const std::string &name);
+    /// Starts the daemon of one VM; gives its process.
+    result<pid_t, fleet_error> startVm(const std::string &name);
     /// Waits until each of these VMs says that it is ready.
     result<void, fleet_error> awaitReady(const std::vector<std::string> &names,
                                          std::chrono::milliseconds patience);
--- a/standins/history_checker.h
+++ b/standins/history_checker.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,12 +61,13 @@
     }
 };
 
-/// A backend server that began to leave.
+/// A backend server that was leaving for a time.
 struct server_leaving
 {
     std::string server;
-    steady_time at; ///< when the list or the server itself first said so
+    steady_time at; ///< since when the server refuses
     steady_time until = steady_time::max(); ///< when it came back
+    std::optional<steady_time> listedAt; ///< since when what the platform publishes says so
 };
 
 /// The configuration version of a node at a time.
@@ -93,6 +95,7 @@
     std::map<std::string, std::vector<disturbance>> disturbedEntries; ///< by `ip:port`
     std::map<std::string, std::vector<disturbance>> plannedStops; ///< by `ip:port`
     std::map<std::string, std::vector<disturbance>> disturbedVms; ///< by name: killed, cut, frozen
+    std::map<std::string, std::string> dataCenters; ///< of VMs, by name
     std::vector<server_leaving> leaving;
     std::vector<version_sample> versions;
     std::vector<version_published> published;
--- a/standins/process_group.h
+++ b/standins/process_group.h
@@ -41,6 +41,7 @@
     void stopAll(std::chrono::milliseconds patience);
 
     [[nodiscard]] std::string logFile(const std::string &name) const;
+    [[nodiscard]] const std::string &directory() const { return m_directory; }
 
 private:
     struct child
