--- a/src/core/engine_attempts_impl.h
+++ b/src/core/engine_attempts_impl.h
@@ -343,6 +343,9 @@
         && stage.attempts.size() < m_settings.maxAttemptsPerStage;
     if (!allowed || pool == nullptr || pool->breaker.isOpen() || !pool->hasAvailable())
         return;
+    // A timer may be noticed late.
+    if (latestStart(state, index, true) <= m_clock.now())
+        return;
     auto choice = route(*pool, state, index, true);
     if (!choice || !pool->budget.tryTake())
         return;
--- a/src/core/engine_stages_impl.h
+++ b/src/core/engine_stages_impl.h
@@ -21,11 +21,11 @@
             pool = std::make_unique<pool_type>(id, m_settings.dataCenter, m_settings.routing,
                                                m_settings.detection);
         }
-        pool->setMembers(entry->servers, now);
+        pool->setMembers(entry->servers, m_listedLeaving, now);
     }
     for (auto &[id, pool] : m_pools) {
         if (published.count(id) == 0)
-            pool->setMembers({}, now);
+            pool->setMembers({}, m_listedLeaving, now);
         touch(*pool);
     }
     settle(out);
@@ -39,9 +39,9 @@
 void engine_state<Policies>::setListedLeaving(const std::vector<backend_server_id> &servers,
                                               engine_actions &out)
 {
-    const std::unordered_set<backend_server_id> leaving(servers.begin(), servers.end());
+    m_listedLeaving = {servers.begin(), servers.end()};
     for (auto &[id, pool] : m_pools) {
-        pool->setListedLeaving(leaving, m_clock.now());
+        pool->setListedLeaving(m_listedLeaving, m_clock.now());
         touch(*pool);
     }
     settle(out);
--- a/src/core/engine_state.h
+++ b/src/core/engine_state.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace orchidlead {
@@ -161,6 +162,8 @@
     std::map<service_id, std::unique_ptr<pool_type>> m_pools;
     std::unordered_map<std::uint64_t, std::unique_ptr<request_state>> m_requests; ///< by serial
     std::unordered_map<request_id, std::uint64_t> m_serials;
+    /// Also names servers that no pool has now: they may be published again while they leave.
+    std::unordered_set<backend_server_id> m_listedLeaving;
     std::vector<pool_type *> m_touched; ///< may have work to hand out
     std::uint64_t m_lastSerial = 0;
     std::uint64_t m_lateRefusals = 0;
--- a/src/core/service_pool.h
+++ b/src/core/service_pool.h
@@ -63,7 +63,8 @@
     { }
 
     /// Takes the published members; vanished ones get no new work and are forgotten when idle.
-    void setMembers(const std::vector<backend_server> &servers, steady_time now);
+    void setMembers(const std::vector<backend_server> &servers,
+                    const std::unordered_set<backend_server_id> &leaving, steady_time now);
     void setListedLeaving(const std::unordered_set<backend_server_id> &leaving, steady_time now);
     void onReport(const load_report &report, steady_time now);
 
@@ -146,7 +147,6 @@
     std::vector<std::uint32_t> m_remote; ///< available
     std::vector<std::uint32_t> m_free; ///< slots without a server
     std::unordered_map<backend_server_id, std::uint32_t> m_slots;
-    std::unordered_set<backend_server_id> m_listedLeaving;
     std::uint32_t m_members = 0;
     std::uint32_t m_usable = 0; ///< members that aren't leaving
     std::uint32_t m_inFlight = 0;
--- a/src/core/service_pool_impl.h
+++ b/src/core/service_pool_impl.h
@@ -42,7 +42,9 @@
 }
 
 template <class Policies>
-void service_pool<Policies>::setMembers(const std::vector<backend_server> &servers, steady_time now)
+void service_pool<Policies>::setMembers(const std::vector<backend_server> &servers,
+                                        const std::unordered_set<backend_server_id> &leaving,
+                                        steady_time now)
 {
     for (server_entry &entry : m_servers)
         entry.member = false;
@@ -51,7 +53,7 @@
         const std::uint32_t slot = known == m_slots.end() ? addServer(server) : known->second;
         m_servers[slot].server = server;
         m_servers[slot].member = true;
-        m_servers[slot].listedLeaving = m_listedLeaving.count(server.id) > 0;
+        m_servers[slot].listedLeaving = leaving.count(server.id) > 0;
         m_entries[slot].local = server.dataCenter == m_dataCenter;
     }
     std::vector<std::uint32_t> members;
@@ -86,12 +88,8 @@
 void service_pool<Policies>::setListedLeaving(const std::unordered_set<backend_server_id> &leaving,
                                               steady_time now)
 {
-    m_listedLeaving.clear();
-    for (server_entry &entry : m_servers) {
+    for (server_entry &entry : m_servers)
         entry.listedLeaving = leaving.count(entry.server.id) > 0;
-        if (entry.listedLeaving)
-            m_listedLeaving.insert(entry.server.id);
-    }
     refreshAll(now);
 }
 
