--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -218,6 +218,7 @@
     const milliseconds time =
         plan ? allowedTime(*plan.value(), request) : request.deadline.value_or(UnplannedDeadline);
     const steady_time deadline = m_clock.now() + time;
+    m_lastDeadline = std::max(m_lastDeadline, deadline);
     const once_verdict verdict = m_gate.onRequest(describeOnce(request, deadline));
     std::visit(
         overloaded{
@@ -265,6 +266,7 @@
     work.id = id;
     work.plan = plan;
     work.deadline = m_clock.now() + allowedTime(*plan, request);
+    m_lastDeadline = std::max(m_lastDeadline, work.deadline);
     work.input = std::move(request.input);
     work.stream = request.stream;
     feed([&](auto &actions) { m_engine.submit(std::move(work), actions); }, out);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -100,6 +100,9 @@
     /// Tells whether no caller waits and nothing runs.
     [[nodiscard]] bool idle() const;
 
+    /// Gives a time that is no earlier than any open request's deadline.
+    [[nodiscard]] steady_time lastDeadline() const { return m_lastDeadline; }
+
     [[nodiscard]] const node_settings &settings() const { return m_settings; }
     [[nodiscard]] const configuration_ptr &configuration() const { return m_configuration; }
     [[nodiscard]] const std::vector<member> &members() const { return m_members; }
@@ -180,6 +183,7 @@
     std::unordered_map<request_id, open_request> m_open;
     attached_callers m_attached;
     std::unordered_set<request_id> m_forwarded;
+    steady_time m_lastDeadline; ///< of all requests since the start
     std::uint64_t m_sequence = 0;
     std::size_t m_inputBytes = 0;
     admission_state m_admission = admission_state::Unconfirmed;
--- a/src/core/planned_stop.cpp
+++ b/src/core/planned_stop.cpp
@@ -2,6 +2,13 @@
 
 namespace orchidlead {
 
+namespace {
+
+// For the answers of requests that end at their deadline.
+constexpr milliseconds DeadlineGrace{1000};
+
+} // namespace
+
 planned_stop::planned_stop(const planned_stop_options &options, const clock_source &clock)
     : m_options(options)
     , m_clock(clock)
@@ -31,7 +38,9 @@
     return m_phase;
 }
 
-// The whole notice is waited for even when the node is idle: the balancer may still send.
+// The whole notice is waited for even when the node is idle: the balancer may still send. Every
+// request ends by its deadline, so that waiting for the last one cuts off none, whatever the
+// setting.
 bool planned_stop::phaseOver(const stop_progress &progress) const
 {
     const auto spent = m_clock.now() - m_entered;
@@ -39,7 +48,9 @@
     case stop_phase::Noticing:
         return spent >= m_options.notice;
     case stop_phase::Draining:
-        return (progress.idle && progress.handedOver) || spent >= m_options.drain;
+        if (progress.idle)
+            return progress.handedOver || spent >= m_options.drain;
+        return spent >= m_options.drain && m_clock.now() >= progress.lastDeadline + DeadlineGrace;
     case stop_phase::Closing:
         return progress.connectionsClosed || spent >= m_options.close;
     case stop_phase::Running:
--- a/src/core/planned_stop.h
+++ b/src/core/planned_stop.h
@@ -30,7 +30,7 @@
 struct planned_stop_options
 {
     milliseconds notice{5000}; ///< longer than the balancer's check interval times its failures
-    milliseconds drain{30000}; ///< longer than the longest deadline of a request
+    milliseconds drain{30000}; ///< or until the last deadline of an open request, if that is later
     milliseconds close{1000}; ///< for connections that are kept open by callers
 };
 
@@ -40,6 +40,7 @@
     bool idle = false; ///< no request is open
     bool handedOver = false; ///< no key is left to hand over
     bool connectionsClosed = false;
+    steady_time lastDeadline; ///< no open request's is later
 };
 
 /// Leads a node through its planned stop.
--- a/src/ctl/console.cpp
+++ b/src/ctl/console.cpp
@@ -11,9 +11,9 @@
 constexpr std::array GoodStates{std::string_view("alive"), std::string_view("usable"),
                                 std::string_view("serving"), std::string_view("answered")};
 constexpr std::array WarningStates{
-    std::string_view("suspect"), std::string_view("suspected"), std::string_view("probing"),
-    std::string_view("leaving"), std::string_view("starting"),  std::string_view("stopping"),
-    std::string_view("paused"),  std::string_view("not_run"),
+    std::string_view("suspect"),    std::string_view("suspected"), std::string_view("probing"),
+    std::string_view("leaving"),    std::string_view("starting"),  std::string_view("stopping"),
+    std::string_view("confirming"), std::string_view("not_run"),
 };
 constexpr std::array BadStates{std::string_view("dead"), std::string_view("ejected"),
                                std::string_view("failed"), std::string_view("unknown"),
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -257,7 +257,7 @@
     if (!m_shell.state().configuration())
         return "no_configuration";
     if (!m_control.state().readyToServe())
-        return "paused";
+        return "confirming";
     return std::nullopt;
 }
 
@@ -267,7 +267,7 @@
         return node_phase::Stopping;
     if (!m_shell.state().configuration())
         return node_phase::Starting;
-    return m_control.state().readyToServe() ? node_phase::Serving : node_phase::Paused;
+    return m_control.state().readyToServe() ? node_phase::Serving : node_phase::Confirming;
 }
 
 process_status orchidlead_daemon::status() const
@@ -294,6 +294,7 @@
     stop_progress out;
     out.idle = m_shell.state().idle();
     out.handedOver = m_shell.state().handedOver();
+    out.lastDeadline = m_shell.state().lastDeadline();
     out.connectionsClosed = m_callerServer->connections() == 0;
     return out;
 }
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -18,7 +18,7 @@
 enum class node_phase {
     Starting, ///< has no configuration that it may serve with
     Serving,
-    Paused, ///< noticed that it was paused, and asks what it missed
+    Confirming, ///< asks whether its configuration still holds: after the start or a pause
     Stopping,
 };
 
@@ -68,8 +68,8 @@
                                                           "starting"},
     orchidlead::enum_name<orchidlead::daemon::node_phase>{orchidlead::daemon::node_phase::Serving,
                                                           "serving"},
-    orchidlead::enum_name<orchidlead::daemon::node_phase>{orchidlead::daemon::node_phase::Paused,
-                                                          "paused"},
+    orchidlead::enum_name<orchidlead::daemon::node_phase>{
+        orchidlead::daemon::node_phase::Confirming, "confirming"},
     orchidlead::enum_name<orchidlead::daemon::node_phase>{orchidlead::daemon::node_phase::Stopping,
                                                           "stopping"},
 };
--- a/tests/core/planned_stop_test.cpp
+++ b/tests/core/planned_stop_test.cpp
@@ -28,7 +28,7 @@
 TEST_CASE("a node that isn't asked to stop goes on")
 {
     stop_harness harness;
-    harness.progress = {true, true, true};
+    harness.progress = {true, true, true, {}};
     harness.tickAfter(std::chrono::hours{10});
     CHECK(harness.stop.phase() == stop_phase::Running);
 }
@@ -36,7 +36,7 @@
 TEST_CASE("even an idle node serves until the balancer has noticed")
 {
     stop_harness harness;
-    harness.progress = {true, true, true};
+    harness.progress = {true, true, true, {}};
     harness.stop.begin();
     harness.tickAfter(Notice - milliseconds{1});
     CHECK(harness.stop.phase() == stop_phase::Noticing);
@@ -59,7 +59,17 @@
     CHECK(harness.stop.phase() == stop_phase::Stopped);
 }
 
-TEST_CASE("a request that never ends doesn't keep the node for ever")
+TEST_CASE("a request is waited for until its deadline, even beyond the bound")
+{
+    stop_harness harness;
+    harness.progress.lastDeadline = harness.clock.now() + Notice + 2 * Drain;
+    harness.stop.begin();
+    harness.tickAfter(Notice);
+    harness.tickAfter(2 * Drain);
+    CHECK(harness.stop.phase() == stop_phase::Draining);
+}
+
+TEST_CASE("a request that goes on after its deadline doesn't keep the node for ever")
 {
     stop_harness harness;
     harness.stop.begin();
@@ -70,6 +80,16 @@
     CHECK(harness.stop.phase() == stop_phase::Closing);
 }
 
+TEST_CASE("keys that nobody takes over don't keep an idle node for ever")
+{
+    stop_harness harness;
+    harness.progress = {true, false, false, {}};
+    harness.stop.begin();
+    harness.tickAfter(Notice);
+    harness.tickAfter(Drain);
+    CHECK(harness.stop.phase() == stop_phase::Closing);
+}
+
 TEST_CASE("a second order to stop doesn't begin anew")
 {
     stop_harness harness;
--- a/tests/daemon/planned_stop_test.cpp
+++ b/tests/daemon/planned_stop_test.cpp
@@ -1,5 +1,6 @@
 #include "daemon/test_fleet.h"
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -47,6 +48,68 @@
     net::response_ptr m_response;
 };
 
+/// A caller's connection that is kept open, written to and read from without waiting.
+class kept_connection
+{
+public:
+    explicit kept_connection(const socket_address &to)
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        REQUIRE(::inet_pton(AF_INET, to.ip.c_str(), &address.sin_addr) == 1);
+        REQUIRE(::connect(m_socket, reinterpret_cast<const sockaddr *>(&address), sizeof address)
+                == 0);
+    }
+    ~kept_connection() { ::close(m_socket); }
+    kept_connection(const kept_connection &) = delete;
+    kept_connection &operator=(const kept_connection &) = delete;
+
+    void send(const std::string &method, const std::string &path, const std::string &body)
+    {
+        const std::string request = method + " " + path + " HTTP/1.1\r\nHost: entry\r\n"
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        REQUIRE(::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL)
+                == static_cast<ssize_t>(request.size()));
+    }
+
+    /// Counts whole answers that told how a request ended.
+    [[nodiscard]] std::size_t answers()
+    {
+        read();
+        std::size_t count = 0;
+        const std::string end = "\"finished\":true}]}";
+        for (auto at = m_received.find(end); at != std::string::npos;
+             at = m_received.find(end, at + 1))
+            ++count;
+        return count;
+    }
+    [[nodiscard]] const std::string &received() const { return m_received; }
+    [[nodiscard]] bool closed()
+    {
+        read();
+        return m_closed;
+    }
+
+private:
+    void read()
+    {
+        char buffer[4096];
+        for (;;) {
+            const ssize_t got = ::recv(m_socket, buffer, sizeof buffer, MSG_DONTWAIT);
+            m_closed = m_closed || got == 0;
+            if (got <= 0)
+                return;
+            m_received.append(buffer, static_cast<std::size_t>(got));
+        }
+    }
+
+    int m_socket;
+    std::string m_received;
+    bool m_closed = false;
+};
+
 } // namespace
 
 TEST_CASE("a planned stop fails readiness first and goes on serving until the balancer noticed")
@@ -135,6 +198,21 @@
     CHECK(answered + refused + unsent == sent);
 }
 
+TEST_CASE("a planned stop answers what comes on kept connections, and then closes them")
+{
+    test_fleet fleet;
+    kept_connection kept(fleet.callerAddress());
+    kept.send("POST", "/v1/requests", Ask);
+    REQUIRE(fleet.loop().runUntil([&] { return kept.answers() == 1; }));
+    CHECK_THAT(kept.received(), !Catch::Contains("connection: close", Catch::CaseSensitive::No));
+    fleet.node().beginStop();
+    kept.send("POST", "/v1/requests", Ask);
+    REQUIRE(fleet.loop().runUntil([&] { return kept.answers() == 2; }));
+    CHECK_THAT(kept.received(), Catch::Contains("connection: close", Catch::CaseSensitive::No));
+    CHECK(fleet.loop().runUntil([&] { return kept.closed(); }));
+    CHECK(fleet.loop().runUntil([&] { return fleet.stopped(); }));
+}
+
 TEST_CASE("SIGTERM ends the process with success after its planned stop")
 {
     const char *build = std::getenv("ORCHIDLEAD_BUILD");
