--- a/include/orchidlead/ids.h
+++ b/include/orchidlead/ids.h
@@ -21,6 +21,8 @@
     { }
 
     [[nodiscard]] bool empty() const { return value.empty(); }
+    // clang-tidy 14 takes the comparison with 0 that the compiler writes for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const strong_id &, const strong_id &) = default;
 };
 
--- a/src/core/parse_template.cpp
+++ b/src/core/parse_template.cpp
@@ -179,8 +179,8 @@
 
     /// Reads a reference to a parameter of `type`, or else what `parse` reads.
     template <class T, class Parse>
-    std::optional<template_value<T>> read(const value_reader &reader, parameter_type type,
-                                          Parse parse) const
+    [[nodiscard]] std::optional<template_value<T>> read(const value_reader &reader,
+                                                        parameter_type type, Parse parse) const
     {
         if (isReference(reader.value())) {
             const auto found = findReference(reader, type);
@@ -348,7 +348,7 @@
         refuseCycles(list);
     }
 
-    std::vector<std::uint32_t> readInputs(const value_reader &reader) const
+    [[nodiscard]] std::vector<std::uint32_t> readInputs(const value_reader &reader) const
     {
         std::vector<std::uint32_t> inputs;
         reader.forEach(0, MaxStages, [&](const value_reader &each) {
--- a/src/core/render_pipeline.cpp
+++ b/src/core/render_pipeline.cpp
@@ -99,7 +99,7 @@
         m_order.push_back(stage);
     }
 
-    result<stage_plan, render_error> renderStage(std::uint32_t index) const
+    [[nodiscard]] result<stage_plan, render_error> renderStage(std::uint32_t index) const
     {
         const template_stage &stage = m_template.stages[index];
         const service &called = m_services[stage.service];
@@ -118,8 +118,8 @@
         return plan;
     }
 
-    result<void, render_error> renderEngineCall(const template_stage &stage, const service &called,
-                                                stage_plan &plan) const
+    [[nodiscard]] result<void, render_error>
+    renderEngineCall(const template_stage &stage, const service &called, stage_plan &plan) const
     {
         auto model = resolve(stage.model, m_pipeline);
         if (std::find(called.models.begin(), called.models.end(), model.value)
@@ -136,7 +136,8 @@
     }
 
     /// Gives the positions of the running stages whose outputs a running stage takes.
-    result<std::vector<std::uint32_t>, render_error> inputsOf(std::uint32_t index) const
+    [[nodiscard]] result<std::vector<std::uint32_t>, render_error>
+    inputsOf(std::uint32_t index) const
     {
         std::vector<std::uint32_t> inputs;
         const auto &after = m_template.stages[index].after;
@@ -180,7 +181,7 @@
         }
     }
 
-    result<void, render_error> checkGraph(const pipeline_plan &plan) const
+    [[nodiscard]] result<void, render_error> checkGraph(const pipeline_plan &plan) const
     {
         std::vector<bool> used(plan.stages.size(), false);
         used.back() = true;
--- a/src/core/yaml_reader.cpp
+++ b/src/core/yaml_reader.cpp
@@ -31,8 +31,8 @@
 constexpr std::array DurationUnits{
     duration_unit{"ms", 1},
     duration_unit{"s", 1000},
-    duration_unit{"m", 60 * 1000},
-    duration_unit{"h", 60 * 60 * 1000},
+    duration_unit{"m", std::int64_t{60} * 1000},
+    duration_unit{"h", std::int64_t{60} * 60 * 1000},
 };
 
 struct byte_unit
--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -6,6 +6,7 @@
 #include "ctl/send_command.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <optional>
 
@@ -13,112 +14,108 @@
 
 namespace {
 
+using namespace std::string_view_literals;
+
 constexpr std::size_t AnyNumber = std::numeric_limits<std::size_t>::max();
 constexpr std::string_view HelpCommand = "help";
 
-std::vector<command> makeCommands()
-{
-    return {
-        {"check",
-         "FILE…",
-         "check settings or published configurations, as the daemon does",
-         "orchidctl check examples/settings.yaml examples/vilistlasvork.yaml",
-         1,
-         AnyNumber,
-         {"kind"},
-         runCheck},
-        {"render",
-         "",
-         "render a customer's pipeline from a published configuration",
-         "orchidctl render --file examples/vilistlasvork.yaml --customer tartu-alumni "
-         "--pipeline chat",
-         0,
-         0,
-         {"file", "customer", "pipeline"},
-         runRender},
-        {"status",
-         "",
-         "show a node's state, configuration version and request counts",
-         "orchidctl status --server 127.0.0.1:7201",
-         0,
-         0,
-         {"server", "timeout"},
-         runStatus},
-        {"vms",
-         "",
-         "show the VMs as the node sees them",
-         "orchidctl vms",
-         0,
-         0,
-         {"server", "timeout", "limit"},
-         runVms},
-        {"servers",
-         "",
-         "show backend servers with state, load and limit",
-         "orchidctl servers",
-         0,
-         0,
-         {"server", "timeout", "limit"},
-         runServers},
-        {"stages",
-         "",
-         "show services with queue and latency, and stages with their cost",
-         "orchidctl stages",
-         0,
-         0,
-         {"server", "timeout", "limit"},
-         runStages},
-        {"customers",
-         "",
-         "show customers with what became of their requests",
-         "orchidctl customers --limit 20",
-         0,
-         0,
-         {"server", "timeout", "limit"},
-         runCustomers},
-        {"pipelines",
-         "CUSTOMER",
-         "show a customer's pipelines as the node renders them",
-         "orchidctl pipelines tartu-alumni",
-         1,
-         1,
-         {"server", "timeout"},
-         runPipelines},
-        {"config",
-         "",
-         "show the configuration in force, or with --content the document itself",
-         "orchidctl config --content > current.yaml",
-         0,
-         0,
-         {"server", "timeout", "content"},
-         runConfig},
-        {"trace",
-         "REQUEST",
-         "follow one of the node's last requests through its stages",
-         "orchidctl trace vm-1-5f3a9c0e11d2b3a4-17",
-         1,
-         1,
-         {"server", "timeout"},
-         runTrace},
-        {"drain",
-         "",
-         "start the planned stop of a node",
-         "orchidctl drain --server 127.0.0.1:7201",
-         0,
-         0,
-         {"server", "timeout"},
-         runDrain},
-        {"send",
-         "",
-         "send a request and show how it ended; the exit status tells the outcome",
-         "orchidctl send --customer tartu-alumni --pipeline chat --input '{\"text\": \"Hello\"}'",
-         0,
-         0,
-         {"caller", "timeout", "customer", "pipeline", "input", "deadline", "ticket",
-          "idempotency_key", "once", "stream"},
-         runSend},
-    };
-}
+constexpr std::array CheckFlags{"kind"sv};
+constexpr std::array RenderFlags{"file"sv, "customer"sv, "pipeline"sv};
+constexpr std::array NodeFlags{"server"sv, "timeout"sv};
+constexpr std::array ListFlags{"server"sv, "timeout"sv, "limit"sv};
+constexpr std::array ConfigFlags{"server"sv, "timeout"sv, "content"sv};
+constexpr std::array SendFlags{"caller"sv, "timeout"sv,  "customer"sv, "pipeline"sv,
+                               "input"sv,  "deadline"sv, "ticket"sv,   "idempotency_key"sv,
+                               "once"sv,   "stream"sv};
+
+constexpr std::array Commands{
+    command{.name = "check",
+            .arguments = "FILE…",
+            .count = {1, AnyNumber},
+            .summary = "check settings or published configurations, as the daemon does",
+            .example = "orchidctl check examples/settings.yaml examples/vilistlasvork.yaml",
+            .flags = CheckFlags,
+            .run = runCheck},
+    command{.name = "render",
+            .arguments = "",
+            .count = {},
+            .summary = "render a customer's pipeline from a published configuration",
+            .example = "orchidctl render --file examples/vilistlasvork.yaml --customer "
+                       "tartu-alumni --pipeline chat",
+            .flags = RenderFlags,
+            .run = runRender},
+    command{.name = "status",
+            .arguments = "",
+            .count = {},
+            .summary = "show a node's state, configuration version and request counts",
+            .example = "orchidctl status --server 127.0.0.1:7201",
+            .flags = NodeFlags,
+            .run = runStatus},
+    command{.name = "vms",
+            .arguments = "",
+            .count = {},
+            .summary = "show the VMs as the node sees them",
+            .example = "orchidctl vms",
+            .flags = ListFlags,
+            .run = runVms},
+    command{.name = "servers",
+            .arguments = "",
+            .count = {},
+            .summary = "show backend servers with state, load and limit",
+            .example = "orchidctl servers",
+            .flags = ListFlags,
+            .run = runServers},
+    command{.name = "stages",
+            .arguments = "",
+            .count = {},
+            .summary = "show services with queue and latency, and stages with their cost",
+            .example = "orchidctl stages",
+            .flags = ListFlags,
+            .run = runStages},
+    command{.name = "customers",
+            .arguments = "",
+            .count = {},
+            .summary = "show customers with what became of their requests",
+            .example = "orchidctl customers --limit 20",
+            .flags = ListFlags,
+            .run = runCustomers},
+    command{.name = "pipelines",
+            .arguments = "CUSTOMER",
+            .count = {1, 1},
+            .summary = "show a customer's pipelines as the node renders them",
+            .example = "orchidctl pipelines tartu-alumni",
+            .flags = NodeFlags,
+            .run = runPipelines},
+    command{.name = "config",
+            .arguments = "",
+            .count = {},
+            .summary = "show the configuration in force, or with --content the document itself",
+            .example = "orchidctl config --content > current.yaml",
+            .flags = ConfigFlags,
+            .run = runConfig},
+    command{.name = "trace",
+            .arguments = "REQUEST",
+            .count = {1, 1},
+            .summary = "follow one of the node's last requests through its stages",
+            .example = "orchidctl trace vm-1-5f3a9c0e11d2b3a4-17",
+            .flags = NodeFlags,
+            .run = runTrace},
+    command{.name = "drain",
+            .arguments = "",
+            .count = {},
+            .summary = "start the planned stop of a node",
+            .example = "orchidctl drain --server 127.0.0.1:7201",
+            .flags = NodeFlags,
+            .run = runDrain},
+    command{.name = "send",
+            .arguments = "",
+            .count = {},
+            .summary = "send a request and show how it ended; the exit status tells the outcome",
+            .example = "orchidctl send --customer tartu-alumni --pipeline chat --input "
+                       "'{\"text\": \"Hello\"}'",
+            .flags = SendFlags,
+            .run = runSend},
+};
 
 const command *findCommand(std::string_view name)
 {
@@ -180,9 +177,9 @@
         if (!takesFlag(asked, flag))
             return "`" + std::string(asked.name) + "` takes no --" + flag;
     }
-    if (line.arguments.size() < asked.minArguments || line.arguments.size() > asked.maxArguments)
+    if (line.arguments.size() < asked.count.minimum || line.arguments.size() > asked.count.maximum)
         return "`" + std::string(asked.name) + "` takes "
-            + (asked.maxArguments == 0 ? "no arguments" : std::string(asked.arguments));
+            + (asked.count.maximum == 0 ? "no arguments" : std::string(asked.arguments));
     const flag_values &flags = line.flags;
     const bool renders = asked.run == runRender;
     const bool sends = asked.run == runSend;
@@ -228,8 +225,7 @@
 
 std::span<const command> commands()
 {
-    static const std::vector<command> all = makeCommands();
-    return all;
+    return Commands;
 }
 
 exit_code runCommandLine(const std::vector<std::string> &arguments, std::istream &in,
--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -22,16 +22,22 @@
     const api_call &call;
 };
 
+/// How many arguments a command takes.
+struct argument_count
+{
+    std::size_t minimum = 0;
+    std::size_t maximum = 0;
+};
+
 /// One subcommand.
 struct command
 {
     std::string_view name;
     std::string_view arguments; ///< for the usage line
+    argument_count count;
     std::string_view summary;
     std::string_view example;
-    std::size_t minArguments = 0;
-    std::size_t maxArguments = 0;
-    std::vector<std::string_view> flags; ///< that it takes, besides --json and --color
+    std::span<const std::string_view> flags; ///< that it takes, besides --json and --color
     exit_code (*run)(const command_context &context) = nullptr;
 };
 
