--- /dev/null
+++ b/src/core/default_engine_policies.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/engine_policies.h"
+
+namespace orchidlead {
+
+/// What the daemon runs.
+struct default_engine_policies
+{
+    using answers = echo_guard;
+    using repeats = at_most_once_guard;
+    using router = load_router;
+    using limit = aimd_limit;
+    using admission = deadline_admission;
+    using budget = retry_budget;
+    using hedging = slack_hedging;
+    using silence = risk_aware_silence_threshold;
+    template <class Item>
+    using queue = fair_queue<Item>;
+};
+
+static_assert(engine_policy_set<default_engine_policies>);
+
+} // namespace orchidlead
--- a/src/core/engine_policies.h
+++ b/src/core/engine_policies.h
@@ -14,7 +14,8 @@
 
 namespace orchidlead {
 
-/// The set of policies that an engine is made of.
+/// The set of policies that an engine is made of. The one that the daemon runs is in
+/// default_engine_policies.h, which a program that measures another set leaves out.
 template <class Set>
 concept engine_policy_set =
     answer_guard<typename Set::answers> && repeat_guard<typename Set::repeats> && routing_policy<typename Set::router> && concurrency_limit_policy<
@@ -26,21 +27,6 @@
                                                                                                                                                  silence> && std::
         default_initializable<typename Set::template queue<int>>;
 
-/// What the daemon runs.
-struct default_engine_policies
-{
-    using answers = echo_guard;
-    using repeats = at_most_once_guard;
-    using router = load_router;
-    using limit = aimd_limit;
-    using admission = deadline_admission;
-    using budget = retry_budget;
-    using hedging = slack_hedging;
-    using silence = risk_aware_silence_threshold;
-    template <class Item>
-    using queue = fair_queue<Item>;
-};
-
 /// The plain baseline of every policy, with the same guards: round robin, no hedges or retries, no
 /// admission control, first come first served.
 struct baseline_engine_policies
@@ -57,7 +43,6 @@
     using queue = fifo_queue<Item>;
 };
 
-static_assert(engine_policy_set<default_engine_policies>);
 static_assert(engine_policy_set<baseline_engine_policies>);
 
 } // namespace orchidlead
--- a/src/core/request_engine.cpp
+++ b/src/core/request_engine.cpp
@@ -1,4 +1,4 @@
-#include "core/engine_policies.h"
+#include "core/default_engine_policies.h"
 #include "core/request_engine_impl.h"
 
 namespace orchidlead {
--- a/tests/core/engine_harness.h
+++ b/tests/core/engine_harness.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/engine_policies.h"
+#include "core/default_engine_policies.h"
 #include "core/request_engine_impl.h"
 
 #include <memory>
