--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -21,9 +21,9 @@
 
 constexpr std::array CheckFlags{"kind"sv};
 constexpr std::array RenderFlags{"file"sv, "customer"sv, "pipeline"sv};
-constexpr std::array NodeFlags{"server"sv, "timeout"sv};
-constexpr std::array ListFlags{"server"sv, "timeout"sv, "limit"sv};
-constexpr std::array ConfigFlags{"server"sv, "timeout"sv, "content"sv};
+constexpr std::array NodeFlags{"operator"sv, "timeout"sv};
+constexpr std::array ListFlags{"operator"sv, "timeout"sv, "limit"sv};
+constexpr std::array ConfigFlags{"operator"sv, "timeout"sv, "content"sv};
 constexpr std::array SendFlags{"caller"sv, "timeout"sv,  "customer"sv, "pipeline"sv,
                                "input"sv,  "deadline"sv, "ticket"sv,   "idempotency_key"sv,
                                "once"sv,   "stream"sv};
@@ -48,7 +48,7 @@
             .arguments = "",
             .count = {},
             .summary = "show a node's state, configuration version and request counts",
-            .example = "orchidctl status --server 127.0.0.1:7201",
+            .example = "orchidctl status --operator 127.0.0.1:7201",
             .flags = NodeFlags,
             .run = runStatus},
     command{.name = "vms",
@@ -104,7 +104,7 @@
             .arguments = "",
             .count = {},
             .summary = "start the planned stop of a node",
-            .example = "orchidctl drain --server 127.0.0.1:7201",
+            .example = "orchidctl drain --operator 127.0.0.1:7201",
             .flags = NodeFlags,
             .run = runDrain},
     command{.name = "send",
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -9,7 +9,7 @@
 #include <algorithm>
 #include <optional>
 
-ABSL_FLAG(std::string, server, "127.0.0.1:7201", "operator address of the node, IP:PORT");
+ABSL_FLAG(std::string, operator, "127.0.0.1:7201", "operator address of the node, IP:PORT");
 ABSL_FLAG(std::string, caller, "127.0.0.1:7001", "caller address of the node, IP:PORT");
 ABSL_FLAG(absl::Duration, timeout, absl::Seconds(5), "longest wait for an answer, such as 5s");
 ABSL_FLAG(bool, json, false, "write JSON for machines");
@@ -161,13 +161,13 @@
 result<flag_values, usage_error> readFlagValues()
 {
     flag_values values;
-    BOOST_OUTCOME_TRY(server, addressFlag("server", absl::GetFlag(FLAGS_server)));
+    BOOST_OUTCOME_TRY(operators, addressFlag("operator", absl::GetFlag(FLAGS_operator)));
     BOOST_OUTCOME_TRY(caller, addressFlag("caller", absl::GetFlag(FLAGS_caller)));
     BOOST_OUTCOME_TRY(timeout, durationFlag("timeout", absl::GetFlag(FLAGS_timeout)));
     BOOST_OUTCOME_TRY(deadline, durationFlag("deadline", absl::GetFlag(FLAGS_deadline)));
     BOOST_OUTCOME_TRY(color, enumFlag<color_mode>("color", absl::GetFlag(FLAGS_color)));
     BOOST_OUTCOME_TRY(kind, enumFlag<document_kind>("kind", absl::GetFlag(FLAGS_kind)));
-    values.server = std::move(server);
+    values.operators = std::move(operators);
     values.caller = std::move(caller);
     values.timeout = timeout;
     values.deadline = deadline;
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -22,7 +22,7 @@
 /// Values of all flags; docs/ORCHIDCTL.md has the table.
 struct flag_values
 {
-    socket_address server; ///< operator address
+    socket_address operators; ///< operator address
     socket_address caller; ///< caller address
     milliseconds timeout{0};
     bool json = false;
--- a/src/ctl/json_table.cpp
+++ b/src/ctl/json_table.cpp
@@ -53,7 +53,8 @@
 {
     std::string text;
     for (const auto &item : list)
-        text += (text.empty() ? "" : ",") + (item.isString() ? item.asString() : "?");
+        text += (text.empty() ? "" : ",")
+            + (item.isConvertibleTo(Json::stringValue) ? item.asString() : "?");
     return text.empty() ? std::string(Absent) : text;
 }
 
--- a/src/ctl/json_table.h
+++ b/src/ctl/json_table.h
@@ -19,7 +19,7 @@
     Duration, ///< milliseconds
     OptionalDuration, ///< 0: none
     Boolean,
-    List, ///< of texts
+    List, ///< of texts or numbers
 };
 
 /// One column or line: a heading, and where its value stands (`requests.answered`).
--- a/src/ctl/node_commands.cpp
+++ b/src/ctl/node_commands.cpp
@@ -34,10 +34,6 @@
     column_spec{"unknown", "requests.unknown", Number},
     column_spec{"expired", "requests.expired", Number},
     column_spec{"dropped answers", "requests.dropped_answers", Number},
-    column_spec{"VMs alive", "vms.alive", Number},
-    column_spec{"VMs suspect", "vms.suspect", Number},
-    column_spec{"VMs leaving", "vms.leaving", Number},
-    column_spec{"VMs dead", "vms.dead", Number},
 };
 
 constexpr std::array VmColumns{
@@ -45,6 +41,7 @@
     column_spec{"DATA CENTRE", "data_center", Text},
     column_spec{"REGION", "region", Text},
     column_spec{"STATE", "state", Text},
+    column_spec{"LISTED", "listed", cell_format::Boolean},
     column_spec{"PEER ADDRESS", "peer_address", Text},
     column_spec{"LAST HEARD", "last_heard_ms", Duration},
 };
@@ -92,6 +89,7 @@
     column_spec{"HOME", "home_data_center", Text},
     column_spec{"PIPELINES", "pipelines", Number},
     column_spec{"SUBMITTED", "requests.submitted", Number},
+    column_spec{"ATTAINED", "requests.attained", Number},
     column_spec{"ANSWERED", "requests.answered", Number},
     column_spec{"NOT RUN", "requests.not_run", Number},
     column_spec{"FAILED", "requests.failed", Number},
@@ -103,11 +101,11 @@
 
 constexpr std::array ConfigurationFields{
     column_spec{"version", "version", Number},
-    column_spec{"highest heard", "highest_heard", Number},
+    column_spec{"hash", "hash", Text},
     column_spec{"reader", "reader", cell_format::Boolean},
-    column_spec{"service reachable", "service_reachable", cell_format::Boolean},
-    column_spec{"refused version", "refused.version", Number},
-    column_spec{"refused because", "refused.message", Text},
+    column_spec{"confirmed", "confirmed", cell_format::Boolean},
+    column_spec{"service calls", "service_calls", Number},
+    column_spec{"refused", "refused", cell_format::List},
 };
 
 constexpr std::array TraceFields{
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -58,20 +58,20 @@
 {
     const flag_values &flags = context.line.flags;
     api_request request;
-    request.address = flags.server;
+    request.address = flags.operators;
     request.method = method;
     request.path = path;
     request.timeout = flags.timeout;
     const auto answer = context.call(request);
     if (!answer)
         return operator_error{exit_code::Unreachable,
-                              toText(flags.server) + ": " + answer.error().what};
+                              toText(flags.operators) + ": " + answer.error().what};
     if (answer.value().status < FirstSuccess || answer.value().status >= FirstRedirect)
         return operator_error{exit_code::Refused, errorText(answer.value())};
     auto value = platform::parseJson(answer.value().body);
     if (!value)
         return operator_error{exit_code::Unreachable,
-                              toText(flags.server)
+                              toText(flags.operators)
                                   + ": the answer isn't JSON: " + value.error().what};
     return std::move(value).value();
 }
--- a/tests/ctl/command_test.cpp
+++ b/tests/ctl/command_test.cpp
@@ -81,14 +81,15 @@
         {{}, "a command is missing"},
         {{"stat"}, "unknown command stat"},
         {{"help", "stat"}, "unknown command stat"},
-        {{"status", "--sever", "127.0.0.1:1"}, "unknown flag --sever"},
+        {{"status", "--operater", "127.0.0.1:1"}, "unknown flag --operater"},
         {{"status", "-s"}, "unknown flag -s"},
-        {{"status", "--server"}, "--server needs a value"},
-        {{"status", "--server", "localhost:1"}, "--server=localhost:1: expected operator address"},
+        {{"status", "--operator"}, "--operator needs a value"},
+        {{"status", "--operator", "localhost:1"},
+         "--operator=localhost:1: expected operator address"},
         {{"status", "--timeout", "5"}, "--timeout=5: expected longest wait"},
         {{"status", "--timeout", "-5s"}, "expected 0 to 1h"},
         {{"status", "--color", "blue"}, "--color=blue: expected auto"},
-        {{"status", "--noserver"}, "unknown flag --noserver"},
+        {{"status", "--nooperator"}, "unknown flag --nooperator"},
         {{"status", "--customer", "a"}, "`status` takes no --customer"},
         {{"status", "more"}, "`status` takes no arguments"},
         {{"check"}, "`check` takes FILE"},
@@ -184,6 +185,17 @@
     CHECK_THAT(one.out, Contains("vm-1") && !Contains("vm-2"));
 }
 
+TEST_CASE("the configuration in force is shown, and its document is given byte for byte")
+{
+    fake_node node;
+    node.answers["GET /v1/configuration"] = {
+        200, R"({"version": 12, "hash": "9f", "confirmed": true, "refused": [13, 14]})"};
+    node.answers["GET /v1/configuration?content=1"] = {
+        200, R"({"version": 12, "content": "format: 1\n...\n"})"};
+    CHECK_THAT(runTool({"config"}, node).out, Contains("13,14") && Contains("confirmed"));
+    CHECK(runTool({"config", "--content"}, node).out == "format: 1\n...\n");
+}
+
 TEST_CASE("a node that doesn't answer, refuses or talks nonsense has a status of its own")
 {
     fake_node node;
