Show the key homes in the status, and split the reading of a request

Cause: operators and demos couldn't tell when a data centre serves idempotency keys; clang-tidy found a long function and needless copies; a list watch of 30 s left the key homes little room. Ruled out: a time of certainty in the status, since shards become certain one by one. Change: key_homes {shards, held, certain, records}; parseCallerRequest in three readers; the VM list is watched for 20 s at most. Conclusion: wait for certain = shards.

--- a/include/orchidlead/key_home.h
+++ b/include/orchidlead/key_home.h
@@ -101,6 +101,9 @@
     /// Gives all shards whose lease is valid now.
     [[nodiscard]] shard_bits held() const;
 
+    /// Gives all shards of which a key that is issued now would be accepted.
+    [[nodiscard]] shard_bits certain() const;
+
     /// Asks for no further shard.
     void startLeaving() { m_leaving = true; }
 
--- a/src/core/at_most_once.h
+++ b/src/core/at_most_once.h
@@ -159,6 +159,9 @@
     /// Gives the shards whose keys this node accepts now; for the operator's view.
     [[nodiscard]] shard_bits heldShards() const { return m_home.held(); }
 
+    /// Gives the shards of which a key that is issued now would be accepted here.
+    [[nodiscard]] shard_bits certainShards() const { return m_home.certain(); }
+
     [[nodiscard]] std::size_t recordCount() const { return m_records.size(); }
 
     /// Counts peers' messages that were dropped as malformed.
--- a/src/core/attached_callers.cpp
+++ b/src/core/attached_callers.cpp
@@ -41,7 +41,7 @@
     const auto found = m_records.find(record);
     if (found == m_records.end())
         return {};
-    const std::vector<request_id> callers = found->second;
+    std::vector<request_id> callers = found->second;
     for (const auto &request : callers)
         remove(request);
     return callers;
--- a/src/core/key_home_definitions.h
+++ b/src/core/key_home_definitions.h
@@ -298,6 +298,17 @@
     return home_standing::Certain;
 }
 
+template <at_most_once_guards Guards>
+shard_bits basic_key_home<Guards>::certain() const
+{
+    shard_bits bits = 0;
+    for (std::size_t shard = 0; shard < ShardCount; ++shard) {
+        if (standing(shard, m_clock.wallNow()) == home_standing::Certain)
+            bits |= shardBit(shard);
+    }
+    return bits;
+}
+
 template <at_most_once_guards Guards>
 vm_id basic_key_home<Guards>::likelyHome(std::size_t shard) const
 {
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -154,7 +154,7 @@
 
 request_id node::submit(caller_request request, node_actions &out)
 {
-    const request_id id = nextId();
+    request_id id = nextId();
     m_traces.begin(id, request.customer, request.pipeline);
     m_pending.emplace(id, pending_request{request.customer, request.pipeline, m_clock.now()});
     const plan_or_refusal plan = planFor(request);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -96,6 +96,7 @@
     /// Begins to hand the keys over; part of a planned stop.
     void startLeaving() { m_gate.startLeaving(); }
     [[nodiscard]] bool handedOver() const { return m_gate.handedOver(); }
+    [[nodiscard]] const at_most_once &gate() const { return m_gate; }
 
     /// Tells whether no caller waits and nothing runs.
     [[nodiscard]] bool idle() const;
--- a/src/daemon/caller_request_json.cpp
+++ b/src/daemon/caller_request_json.cpp
@@ -119,35 +119,55 @@
     return std::move(parsed.value());
 }
 
-} // namespace
-
-result<caller_request, caller_error> parseCallerRequest(std::string_view body,
-                                                        const caller_bounds &bounds)
+/// Reads what is to be run.
+result<caller_request, caller_error> readWork(std::string_view body, const Json::Value &root)
 {
-    BOOST_OUTCOME_TRY(root, parseBody(body, bounds));
-    BOOST_OUTCOME_TRY(checkFields(root));
     BOOST_OUTCOME_TRY(customer, requiredText(root, "customer"));
     BOOST_OUTCOME_TRY(pipeline, requiredText(root, "pipeline"));
+    BOOST_OUTCOME_TRY(input, requiredInput(body, root));
     caller_request request;
     request.customer = customer_id{std::move(customer)};
     request.pipeline = pipeline_id{std::move(pipeline)};
-    BOOST_OUTCOME_TRY(input, requiredInput(body, root));
-    BOOST_OUTCOME_TRY(deadline, optionalDeadline(root));
-    BOOST_OUTCOME_TRY(repeatable, optionalFlag(root, "repeatable"));
+    request.input = std::move(input);
+    return request;
+}
+
+/// Reads the name that makes copies of a request one.
+checked readIdentity(const Json::Value &root, caller_request &request)
+{
     BOOST_OUTCOME_TRY(ticket, optionalText(root, "ticket", MaxTicketBytes));
     BOOST_OUTCOME_TRY(key, optionalText(root, "idempotency_key", MaxIdempotencyKeyBytes));
-    BOOST_OUTCOME_TRY(stream, optionalFlag(root, "stream"));
     if (ticket && key)
         return failure(invalid("idempotency_key: not together with ticket"));
-    request.input = std::move(input);
-    request.deadline = deadline;
-    request.repeatable = repeatable;
     request.ticket = std::move(ticket);
     request.idempotencyKey = std::move(key);
+    return success();
+}
+
+/// Reads how it is to be run.
+checked readTerms(const Json::Value &root, caller_request &request)
+{
+    BOOST_OUTCOME_TRY(deadline, optionalDeadline(root));
+    BOOST_OUTCOME_TRY(repeatable, optionalFlag(root, "repeatable"));
+    BOOST_OUTCOME_TRY(stream, optionalFlag(root, "stream"));
+    request.deadline = deadline;
+    request.repeatable = repeatable;
     request.stream = stream.value_or(false);
+    return readIdentity(root, request);
+}
+
+} // namespace
+
+result<caller_request, caller_error> parseCallerRequest(std::string_view body,
+                                                        const caller_bounds &bounds)
+{
+    BOOST_OUTCOME_TRY(root, parseBody(body, bounds));
+    BOOST_OUTCOME_TRY(checkFields(root));
+    BOOST_OUTCOME_TRY(request, readWork(body, root));
+    BOOST_OUTCOME_TRY(readTerms(root, request));
     if (request.named())
         request.body = std::make_shared<const std::string>(body);
-    return request;
+    return std::move(request);
 }
 
 } // namespace orchidlead::daemon
--- a/src/daemon/daemon_options.cpp
+++ b/src/daemon/daemon_options.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon_options.h"
 
+#include <algorithm>
+
 namespace orchidlead::daemon {
 
 namespace {
@@ -7,6 +9,8 @@
 // Operators are few and their requests small.
 constexpr std::size_t OperatorBodyBytes = 64U << 10U;
 constexpr std::size_t OperatorConnections = 64;
+// The list must be vouched for well within the time after which the key homes distrust it.
+constexpr milliseconds MaxVmListWait{20'000};
 constexpr std::size_t PeerEnvelopeBytes = 4U << 20U;
 constexpr std::size_t PeerConnections = 2048;
 
@@ -84,7 +88,7 @@
     options.peerListen = settings.listen.peer;
     options.configurationService = settings.platform.configurationService;
     options.vmList = settings.platform.vmList;
-    options.vmListWatch.wait = settings.platform.readWait;
+    options.vmListWatch.wait = std::min(settings.platform.readWait, MaxVmListWait);
     options.vmListWatch.minInterval = settings.platform.minReadInterval;
     options.vmListWatch.maxBackoff = settings.platform.maxBackoff;
     options.vmListWatch.seed = start;
--- a/src/daemon/node_shell.cpp
+++ b/src/daemon/node_shell.cpp
@@ -68,7 +68,7 @@
 request_id node_shell::submit(caller_request request, answer_sink sink)
 {
     node_actions actions;
-    const request_id id = m_node.submit(std::move(request), actions);
+    request_id id = m_node.submit(std::move(request), actions);
     // The answer may be among the actions already, so the sink is in place before they are done.
     m_sinks.emplace(id, std::move(sink));
     carryOut(actions);
--- a/src/daemon/operator_views.cpp
+++ b/src/daemon/operator_views.cpp
@@ -6,6 +6,7 @@
 #include <orchidlead/enum_names.h>
 
 #include <algorithm>
+#include <bit>
 #include <map>
 
 namespace orchidlead::daemon {
@@ -151,6 +152,20 @@
 
 } // namespace
 
+namespace {
+
+Json::Value viewKeyHomes(const at_most_once &gate)
+{
+    Json::Value out{Json::objectValue};
+    out["shards"] = count(ShardCount);
+    out["held"] = std::popcount(gate.heldShards());
+    out["certain"] = std::popcount(gate.certainShards());
+    out["records"] = count(gate.recordCount());
+    return out;
+}
+
+} // namespace
+
 Json::Value viewStatus(const node &state, const process_status &process)
 {
     const node_settings &settings = state.settings();
@@ -167,6 +182,7 @@
     out["configuration_version"] = count(configuration ? configuration->version : 0);
     out["uptime_ms"] = time(process.uptime);
     out["connections"] = count(process.connections);
+    out["key_homes"] = viewKeyHomes(state.gate());
     Json::Value &requests = out["requests"];
     requests = viewOutcomes(stats.outcomes);
     requests["open"] = count(state.openRequests());
--- a/src/daemon/peer_link.cpp
+++ b/src/daemon/peer_link.cpp
@@ -51,15 +51,15 @@
     out.onGateMessage = [this](const platform::gate_message &message) {
         m_events.onGateMessage(message.from, message.bytes);
     };
-    out.onForward = [this](platform::forward_request request,
+    out.onForward = [this](const platform::forward_request &request,
                            const std::shared_ptr<platform::forward_reply> &to) {
-        onForward(std::move(request), to);
+        onForward(request, to);
     };
     return out;
 }
 
 // The peer waits for one whole answer, so that a stream asked for isn't one here.
-void peer_link::onForward(platform::forward_request forwarded,
+void peer_link::onForward(const platform::forward_request &forwarded,
                           const std::shared_ptr<platform::forward_reply> &to)
 {
     auto parsed = parseCallerRequest(forwarded.call, m_bounds);
--- a/src/daemon/peer_link.h
+++ b/src/daemon/peer_link.h
@@ -56,7 +56,7 @@
 
 private:
     [[nodiscard]] platform::peer_handlers handlers();
-    void onForward(platform::forward_request request,
+    void onForward(const platform::forward_request &request,
                    const std::shared_ptr<platform::forward_reply> &reply);
 
     net::event_loop &m_loop;
