Spread a content by a tree in each data centre

Ruled out: pushing contents with gossip (datagrams, no bound on what is sent twice); random holders alone, since only the three announcers are known as holders when all ask. Change: the readers and the others, in an order drawn anew for each version, form a heap; a node first asks its parent, a quarter of a second later for each level, then any holder. A new or paused node doesn't wait.

--- a/include/orchidlead/configuration_keeper.h
+++ b/include/orchidlead/configuration_keeper.h
@@ -36,6 +36,19 @@
 [[nodiscard]] bool isConfigurationReader(const listed_vm &self, std::span<const member> members,
                                          std::size_t count);
 
+/// Where a node stands in the tree by which a content spreads in its data centre.
+struct fetch_position
+{
+    vm_id parent; ///< empty: the node is a reader, at the root
+    std::uint32_t depth = 0; ///< of the parent; readers have 0
+};
+
+/// Gives the place of `self`: the readers are the roots, each node serves at most `fanout` others,
+/// and who stands where changes with the version, so that the load does too.
+[[nodiscard]] fetch_position fetchPosition(const listed_vm &self, std::span<const member> members,
+                                           std::size_t readers, std::size_t fanout,
+                                           std::uint64_t version);
+
 /// Settings of a configuration keeper.
 struct keeper_options
 {
@@ -50,6 +63,8 @@
     milliseconds minReadInterval{500}; ///< between the starts of two service calls
     milliseconds maxBackoff{2000}; ///< after failed service calls
     milliseconds peerFetchTimeout{1000};
+    std::size_t fetchFanout = 2; ///< nodes that fetch a content from the same one, as a rule
+    milliseconds fetchStage{250}; ///< between the levels of the tree
     std::size_t maxContentBytes = 1U << 20U;
     std::size_t maxRefused = 16; ///< refused stamps that are remembered
     std::size_t maxHolders = 8; ///< peers remembered as holding an offered version
@@ -221,6 +236,8 @@
     {
         configuration_stamp stamp;
         std::vector<vm_id> holders;
+        vm_id parent; ///< to be asked first; empty: any holder
+        steady_time notBefore; ///< the parent has it by then
     };
 
     struct peer_fetch
@@ -241,6 +258,7 @@
     [[nodiscard]] std::size_t alivePeers() const;
     [[nodiscard]] std::size_t possiblePeers() const;
     [[nodiscard]] bool inOtherDataCenter(const vm_id &vm) const;
+    [[nodiscard]] bool isHolder(const vm_id &vm) const;
     [[nodiscard]] bool isRefused(const configuration_stamp &stamp) const;
     void take(std::uint64_t version, std::string content, configuration_source source,
               const vm_id &from, actions &out);
@@ -251,6 +269,7 @@
                std::string content, configuration_source source, const vm_id &from, actions &out);
     void startServiceCall(actions &out);
     void endServiceCall(service_call_id call, bool answered, actions &out);
+    void placeOffer();
     void startPeerFetch(actions &out);
     void dropHolder(const vm_id &vm);
     void confirm(actions &out);
@@ -317,6 +336,7 @@
         if (alivePeers() > 0 || !m_members.empty())
             out.push_back(ask_peers{m_options.confirmPeers});
     }
+    startPeerFetch(out);
     confirm(out);
     if (!m_serviceCall && now >= m_nextServiceCall && mayReadService())
         startServiceCall(out);
@@ -484,25 +504,47 @@
         m_confirmation->answered.insert(vm);
     const bool wanted =
         stamp.version > 0 && Policy::supersedes(stamp, m_stamp) && !isRefused(stamp);
-    if (wanted && (!m_offer || stamp > m_offer->stamp))
-        m_offer = offer{stamp, {}};
+    if (wanted && (!m_offer || stamp > m_offer->stamp)) {
+        m_offer = offer{stamp, {}, {}, m_clock.now()};
+        placeOffer();
+    }
     if (wanted && stamp == m_offer->stamp) {
-        auto &holders = m_offer->holders;
-        const bool known = std::find(holders.begin(), holders.end(), vm) != holders.end();
-        if (!known && holders.size() < m_options.maxHolders)
-            holders.push_back(vm);
+        if (!isHolder(vm) && m_offer->holders.size() < m_options.maxHolders)
+            m_offer->holders.push_back(vm);
     }
     startPeerFetch(out);
     confirm(out);
 }
 
+// A content of a megabyte that all nodes of a data centre took from the three that announced it
+// would keep those busy. Where the parent doesn't have it after all, any holder is asked. A node
+// that mustn't serve yet doesn't wait.
+template <class Configuration, class Policy>
+void configuration_keeper<Configuration, Policy>::placeOffer()
+{
+    if (m_confirmation)
+        return;
+    const auto position = fetchPosition(m_options.self, m_members, m_options.readersPerDataCenter,
+                                        m_options.fetchFanout, m_offer->stamp.version);
+    m_offer->parent = position.parent;
+    // A reader's own watch comes back at the same time as those of the others.
+    const auto stages = position.parent.empty() ? 1 : position.depth;
+    m_offer->notBefore += stages * m_options.fetchStage;
+}
+
 template <class Configuration, class Policy>
 void configuration_keeper<Configuration, Policy>::startPeerFetch(actions &out)
 {
-    if (!m_offer || m_offer->holders.empty())
+    if (!m_offer || m_offer->holders.empty() || m_clock.now() < m_offer->notBefore)
         return;
     if (m_peerFetch && m_peerFetch->stamp >= m_offer->stamp)
         return;
+    if (!m_offer->parent.empty()) {
+        m_peerFetch = peer_fetch{m_offer->parent, m_offer->stamp, m_clock.now()};
+        m_offer->parent = vm_id{};
+        out.push_back(fetch_from_peer{m_peerFetch->vm, m_peerFetch->stamp});
+        return;
+    }
     std::uniform_int_distribution<std::size_t> pick(0, m_offer->holders.size() - 1);
     m_peerFetch = peer_fetch{m_offer->holders[pick(m_random)], m_offer->stamp, m_clock.now()};
     out.push_back(fetch_from_peer{m_peerFetch->vm, m_peerFetch->stamp});
@@ -520,7 +562,8 @@
     const auto expected = m_peerFetch->stamp;
     const configuration_stamp offered{version, configurationHash(content)};
     if (offered < expected) {
-        out.push_back(keeper_report{keeper_event::ContentMismatch, offered});
+        if (isHolder(vm))
+            out.push_back(keeper_report{keeper_event::ContentMismatch, offered});
         return onPeerFailed(vm, out);
     }
     m_peerFetch.reset();
@@ -599,6 +642,14 @@
     return false;
 }
 
+template <class Configuration, class Policy>
+bool configuration_keeper<Configuration, Policy>::isHolder(const vm_id &vm) const
+{
+    return m_offer
+        && std::find(m_offer->holders.begin(), m_offer->holders.end(), vm)
+        != m_offer->holders.end();
+}
+
 template <class Configuration, class Policy>
 bool configuration_keeper<Configuration, Policy>::isRefused(const configuration_stamp &stamp) const
 {
--- a/tests/core/configuration_keeper_test.cpp
+++ b/tests/core/configuration_keeper_test.cpp
@@ -281,3 +281,65 @@
     CHECK(std::find(after.begin(), after.end(), before[1]) != after.end());
     CHECK(std::find(after.begin(), after.end(), before[2]) != after.end());
 }
+
+TEST_CASE("a content spreads by a tree: no node is the parent of more than the fanout")
+{
+    std::vector<member> members;
+    for (int i = 0; i < 50; ++i)
+        members.push_back(makeMember("vm-" + std::to_string(i)));
+    std::map<vm_id, int> children;
+    int roots = 0;
+    std::uint32_t deepest = 0;
+    for (const auto &one : members) {
+        const auto position = fetchPosition(one.vm, members, 3, 2, 7);
+        roots += position.parent.empty() ? 1 : 0;
+        children[position.parent]++;
+        deepest = std::max(deepest, position.depth);
+    }
+    CHECK(roots == 3);
+    children.erase(vm_id{});
+    for (const auto &[vm, count] : children) {
+        CAPTURE(vm.value);
+        CHECK(count <= 2);
+    }
+    CHECK(deepest == 3);
+}
+
+TEST_CASE("a node whose parent doesn't have the content yet takes it from one that announced it")
+{
+    std::vector<member> members;
+    for (int i = 0; i < 5; ++i)
+        members.push_back(makeMember("vm-" + std::to_string(i)));
+    keeper_options options;
+    std::optional<fetch_position> position;
+    for (const auto &one : members) {
+        const auto found = fetchPosition(one.vm, members, 3, 2, 2);
+        if (!found.parent.empty()) {
+            options.self = one.vm;
+            position = found;
+        }
+    }
+    REQUIRE(position);
+    manual_clock clock;
+    text_keeper keeper(clock, options, parseText);
+    keeper.setMembers(members);
+    text_keeper::actions out;
+    const vm_id holder =
+        isConfigurationReader(members[0].vm, members, 3) && members[0].vm.vm != position->parent
+        ? members[0].vm.vm
+        : members[1].vm.vm;
+    keeper.onPeerVersion(holder, makeStamp(1, "one"), std::nullopt, out);
+    keeper.onPeerContent(holder, 1, "one", out);
+    clock.advance(3s);
+    keeper.tick(out);
+    REQUIRE(keeper.readyToServe());
+    out.clear();
+    keeper.onPeerVersion(holder, makeStamp(2, "two"), std::nullopt, out);
+    REQUIRE(out.size() == 1);
+    CHECK(std::get<fetch_from_peer>(out[0]).vm == position->parent);
+    keeper.onPeerContent(position->parent, 1, "one", out);
+    REQUIRE(out.size() == 2);
+    CHECK(std::get<fetch_from_peer>(out[1]).vm == holder);
+    keeper.onPeerContent(holder, 2, "two", out);
+    CHECK(keeper.stamp().version == 2);
+}
