--- /dev/null
+++ b/bench/allocation_counter.cpp
@@ -0,0 +1,74 @@
+#include "bench/allocation_counter.h"
+
+#include <malloc.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <ctime>
+#include <new>
+
+namespace {
+
+std::atomic<std::size_t> live{0};
+std::atomic<std::size_t> peak{0};
+
+void *counted(void *memory)
+{
+    if (!memory)
+        std::abort();
+    const std::size_t now = live += malloc_usable_size(memory);
+    if (now > peak)
+        peak = now;
+    return memory;
+}
+
+void release(void *memory)
+{
+    if (memory)
+        live -= malloc_usable_size(memory);
+    std::free(memory);
+}
+
+} // namespace
+
+void *operator new(std::size_t size)
+{
+    return counted(std::malloc(size > 0 ? size : 1));
+}
+
+void operator delete(void *memory) noexcept
+{
+    release(memory);
+}
+
+void operator delete(void *memory, std::size_t) noexcept
+{
+    release(memory);
+}
+
+namespace orchidlead::bench {
+
+std::size_t liveBytes()
+{
+    return live;
+}
+
+std::size_t peakBytes()
+{
+    return peak;
+}
+
+void resetPeak()
+{
+    peak = live.load();
+}
+
+double processorSeconds()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    constexpr double Nano = 1e-9;
+    return static_cast<double>(time.tv_sec) + Nano * static_cast<double>(time.tv_nsec);
+}
+
+} // namespace orchidlead::bench
