Work out the readers once for each change of members

Cause: the capacity run at 256 nodes spent much of its time on every tick's question whether the node is a reader. Conclusion: no behaviour changes.

--- a/bench/node_parts.cpp
+++ b/bench/node_parts.cpp
@@ -213,7 +213,7 @@
     const auto before = liveBytes();
     service_pool<default_engine_policies> pool(service_id{"runners"}, data_center_id{"dc-0"}, {},
                                                {});
-    pool.setMembers(members, clock.now());
+    pool.setMembers(members, {}, clock.now());
     cost.poolBytes = static_cast<double>(liveBytes() - before);
     const double begun = processorSeconds();
     for (int i = 0; i < Picks; ++i) {
--- a/include/orchidlead/configuration_keeper.h
+++ b/include/orchidlead/configuration_keeper.h
@@ -185,7 +185,11 @@
     configuration_keeper(const clock_source &clock, keeper_options options, validator validate);
 
     /// Takes the members as they are now; to be called on every membership change.
-    void setMembers(std::vector<member> members) { m_members = std::move(members); }
+    void setMembers(std::vector<member> members)
+    {
+        m_members = std::move(members);
+        m_reader = isConfigurationReader(m_options.self, m_members, m_options.readersPerDataCenter);
+    }
     /// Starts asking again before anything may be routed; the node was paused.
     void onPaused(actions &out);
     /// Runs timers; call every 50 to 200 ms.
@@ -215,10 +219,7 @@
     {
         return Policy::ConfirmBeforeServing && m_confirmation.has_value();
     }
-    [[nodiscard]] bool isReader() const
-    {
-        return isConfigurationReader(m_options.self, m_members, m_options.readersPerDataCenter);
-    }
+    [[nodiscard]] bool isReader() const { return m_reader; }
     /// Refused stamps, oldest first; for the operator.
     [[nodiscard]] const std::deque<configuration_stamp> &refused() const { return m_refused; }
     [[nodiscard]] std::uint64_t serviceCalls() const { return m_lastCall; }
@@ -280,6 +281,7 @@
     validator m_validate;
     std::mt19937_64 m_random;
     std::vector<member> m_members;
+    bool m_reader = true; ///< a node that knows nobody reads for itself
 
     configuration_ptr m_current;
     configuration_stamp m_stamp;
