--- a/bench/node_parts.cpp
+++ b/bench/node_parts.cpp
@@ -3,7 +3,7 @@
 #include "bench/allocation_counter.h"
 #include "core/at_most_once.h"
 #include "core/call_records.h"
-#include "core/engine_policies.h"
+#include "core/default_engine_policies.h"
 #include "core/published_configuration.h"
 #include "core/service_pool.h"
 
