Refuse a doubled address in one service, and damage documents at random

Cause: two backend servers of one service with one address are one process that would get twice its share of the work; and the tables of faults only have the faults that somebody thought of.

Change: the check; a random test that damages a document, reads it twice and wants the same verdict, errors with places inside the text, and a plan for every pipeline of what was accepted; a test of stages that a parameter switches off.

The row for a doubled name has another address now, since its line had both faults.

--- a/src/core/parse_published_configuration.cpp
+++ b/src/core/parse_published_configuration.cpp
@@ -3,6 +3,7 @@
 #include "core/yaml_document.h"
 #include "core/yaml_reader.h"
 
+#include <algorithm>
 #include <string>
 #include <unordered_set>
 
@@ -152,11 +153,27 @@
         backend_server &added = target.servers.emplace_back();
         if (auto name = m_serverNames.read(mapping, "name"))
             added.id = backend_server_id(std::move(*name));
-        mapping.read("address", presence::Required, added.address, &value_reader::address);
+        mapping.read("address", presence::Required, added.address,
+                     [&](const value_reader &each) { return newAddress(each, target); });
         mapping.read("data_center", presence::Required, added.dataCenter,
                      [&](const value_reader &each) { return dataCenter(each); });
     }
 
+    // The same process may serve two services, but in one it would get twice its share.
+    static std::optional<socket_address> newAddress(const value_reader &reader,
+                                                    const service &target)
+    {
+        auto address = reader.address();
+        const auto &servers = target.servers;
+        const bool taken = address
+            && std::any_of(servers.begin(), servers.end(),
+                           [&](const backend_server &each) { return each.address == *address; });
+        if (!taken)
+            return address;
+        reader.fail("an address that no other backend server of this service has");
+        return std::nullopt;
+    }
+
     void parseTemplates(mapping_reader &mapping)
     {
         const auto list = mapping.find("templates", presence::Required);
--- a/tests/core/published_configuration_test.cpp
+++ b/tests/core/published_configuration_test.cpp
@@ -1,7 +1,9 @@
 #include "core/published_configuration.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <string>
 
 namespace orchidlead {
@@ -198,6 +200,21 @@
     CHECK_FALSE(chat.repeatable());
 }
 
+TEST_CASE("a stage may be switched off by a parameter, and hands its inputs on as well")
+{
+    auto lines = GoodLines;
+    lines[23] = "      - {name: search, type: boolean, default: false}";
+    lines[25] = "    priority: low";
+    lines[29] = "      - {name: lookup, service: encoders, after: [encode], enabled: '${search}'}";
+    lines[40] = "        parameters: {model: large, search: true}";
+    const auto configuration = parsed(join(lines));
+    std::shared_ptr<const pipeline_plan> keep;
+    CHECK(plan(configuration, "alpha", keep).stages.size() == 3);
+    const auto &without = plan(configuration, "beta", keep);
+    REQUIRE(without.stages.size() == 2);
+    CHECK(without.stages[1].inputs == std::vector<std::uint32_t>{0});
+}
+
 TEST_CASE("an unknown customer or pipeline has no plan")
 {
     const auto configuration = parsed(join(GoodLines));
@@ -234,8 +251,12 @@
          "services[0].servers[0].address", "an IP number with a port"},
         {withLine(9, "      - {name: e1, address: '127.0.0.1:9001', data_center: east}"), 9, 60,
          "services[0].servers[0].data_center", "a data centre in `data_centers`"},
-        {withLine(9, server + "\n" + server), 10, 16, "services[0].servers[1].name",
-         "no other backend server"},
+        {withLine(9,
+                  server + "\n      - {name: e1, address: '127.0.0.1:9009', data_center: north-1}"),
+         10, 16, "services[0].servers[1].name", "no other backend server"},
+        {withLine(9,
+                  server + "\n      - {name: e2, address: '127.0.0.1:9001', data_center: north-1}"),
+         10, 29, "services[0].servers[1].address", "no other backend server of this service"},
         {withLine(13, "    servers: [{name: e1, address: '[::1]:9002', data_center: south-1}]"), 13,
          22, "services[1].servers[0].name", "no other backend server"},
         {withLine(12, "    models: [small, large, small]"), 12, 28, "services[1].models[2]",
@@ -363,6 +384,38 @@
     });
 }
 
+TEST_CASE("a damaged document is refused with places in it, or serves every pipeline it names")
+{
+    rc::prop("a damaged document", [] {
+        std::string text = join(GoodLines);
+        const auto edits = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < edits; ++i) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+            const auto length = *rc::gen::inRange<std::size_t>(0, 12);
+            const auto from = *rc::gen::inRange<std::size_t>(0, text.size());
+            const std::string piece = *rc::gen::element(
+                text.substr(from, length), std::string("\n"), std::string(" "), std::string("[{"),
+                std::string("${steps}"), std::string("'"), std::string("\t"), std::string("\xc3"));
+            text.replace(at, length, piece);
+        }
+        const auto read = parse(text);
+        const auto again = parse(text);
+        RC_ASSERT(read.has_value() == again.has_value());
+        RC_CLASSIFY(read.has_value(), "accepted");
+        if (!read) {
+            RC_ASSERT(messages(read.error()) == messages(again.error()));
+            const auto lines = std::count(text.begin(), text.end(), '\n') + 1;
+            for (const auto &error : read.error())
+                RC_ASSERT(error.line >= 1 && error.line <= lines && error.column >= 1);
+            return;
+        }
+        for (const auto &customer : read.value()->customers) {
+            for (const auto &pipeline : customer.settings->pipelines)
+                RC_ASSERT(renderPipeline(*read.value(), customer.id, pipeline.id).has_value());
+        }
+    });
+}
+
 TEST_CASE("a document full of faults gives a bounded number of errors")
 {
     std::string text = "format: 1\ndata_centers:\n";
