--- a/src/ctl/node_commands.cpp
+++ b/src/ctl/node_commands.cpp
@@ -101,7 +101,7 @@
 
 constexpr std::array ConfigurationFields{
     column_spec{"version", "version", Number},
-    column_spec{"hash", "hash", Text},
+    column_spec{"hash", "hash", Number},
     column_spec{"reader", "reader", cell_format::Boolean},
     column_spec{"confirmed", "confirmed", cell_format::Boolean},
     column_spec{"service calls", "service_calls", Number},
--- a/src/ctl/send_command.cpp
+++ b/src/ctl/send_command.cpp
@@ -126,7 +126,7 @@
     bool m_broken = false;
 };
 
-void print(const Json::Value &answer, const console &to, bool outputShown)
+void print(const Json::Value &answer, const std::string &text, const console &to, bool outputShown)
 {
     const std::string end = platform::stringMember(answer, "outcome").value_or("");
     to.out << to.styled(printable(end), styleOf(end));
@@ -139,8 +139,9 @@
         to.out << printable(*detail) << '\n';
     if (const auto again = platform::unsignedMember(answer, "retry_after_ms"))
         to.out << "come back in " << *again << " ms\n";
+    // As the node wrote it: a number must not lose digits on its way.
     if (!outputShown && !answer["output"].isNull())
-        to.out << platform::writeJson(answer["output"]) << '\n';
+        to.out << printable(platform::sourceText(text, answer["output"])) << '\n';
 }
 
 exit_code show(const command_context &context, const std::string &text, bool outputShown)
@@ -155,7 +156,7 @@
     if (context.line.flags.json)
         context.to.out << text << '\n';
     else
-        print(answer.value(), context.to, outputShown);
+        print(answer.value(), text, context.to, outputShown);
     return exitCodeOf(*end);
 }
 
--- a/tests/ctl/command_test.cpp
+++ b/tests/ctl/command_test.cpp
@@ -228,10 +228,12 @@
     };
     for (const auto &[outcome, code] : cases) {
         fake_node node;
-        node.answers[Send] = {200, R"({"outcome": ")" + outcome + R"(", "output": {"x": 1}})"};
+        node.answers[Send] = {200, R"({"outcome": ")" + outcome + R"(", "output": {"x": 1.10}})"};
         const tool_run ran = runTool(sendArguments({"--deadline=1.5s", "--once"}), node);
         CAPTURE(outcome, ran.out, ran.error);
         CHECK(ran.code == code);
+        CHECK(
+            (code == exit_code::Unreachable || ran.out.find("{\"x\": 1.10}") != std::string::npos));
         REQUIRE(node.calls.size() == 1);
         CHECK(node.calls[0].body
               == R"({"customer": "a", "pipeline": "b", "input": {"n": 1.0}, )"
