Ask the kernel for one socket's owner instead of reading them all

Also: ports of stand-ins were picked from those of outgoing connections, and could be taken while a stand-in was down; they now lie below. Change: one sock_diag question for each connection; ports from one range that outgoing connections don't use.

--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -2,7 +2,6 @@
 
 #include "standins/json_http.h"
 
-#include <map>
 #include <sstream>
 
 namespace orchidlead::standins {
@@ -39,9 +38,9 @@
 void writeStandIn(std::ostream &yaml, const fleet_service &service, const fleet_server &server)
 {
     const bool engine = service.kind == service_kind::Engine;
-    yaml << "  - {name: " << server.name << ", kind: " << toName(service.kind)
-         << ", capacity: " << service.capacity << (engine ? ", step_ms: " : ", base_ms: ")
-         << service.baseMs;
+    yaml << "  - {name: " << server.name << ", kind: " << toName(service.kind) << ", listen: '"
+         << toText(server.address) << "', capacity: " << service.capacity
+         << (engine ? ", step_ms: " : ", base_ms: ") << service.baseMs;
     if (!engine)
         yaml << ", per_kib_ms: " << service.perKibMs;
     yaml << "}\n";
@@ -100,24 +99,6 @@
     return yaml.str();
 }
 
-bool takeAddresses(const Json::Value &announced, fleet_layout &layout)
-{
-    std::map<std::string, socket_address> addresses;
-    for (const Json::Value &row : announced["servers"]) {
-        if (const auto address = parseAddress(row["address"].asString()))
-            addresses[row["name"].asString()] = *address;
-    }
-    for (fleet_service &service : layout.services) {
-        for (fleet_server &server : service.servers) {
-            const auto found = addresses.find(server.name);
-            if (found == addresses.end())
-                return false;
-            server.address = found->second;
-        }
-    }
-    return true;
-}
-
 void removeServer(const std::string &name, fleet_layout &layout)
 {
     for (fleet_service &service : layout.services)
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -31,7 +31,7 @@
 {
     std::string name;
     std::string dataCenter;
-    socket_address address; ///< filled once the stand-in runs
+    socket_address address;
 };
 
 /// A pool of backend servers and how their stand-ins behave.
@@ -84,10 +84,6 @@
 /// Writes the description of the process that takes the place of all backend servers.
 [[nodiscard]] std::string backendProcessYaml(const fleet_layout &layout, std::uint64_t seed);
 
-/// Fills the servers' addresses in from what the stand-ins' process announced; false where one is
-/// missing.
-[[nodiscard]] bool takeAddresses(const Json::Value &announced, fleet_layout &layout);
-
 /// Takes a server out of its service, as a configuration without it would.
 void removeServer(const std::string &name, fleet_layout &layout);
 
--- a/standins/fleet_runner.cpp
+++ b/standins/fleet_runner.cpp
@@ -72,9 +72,11 @@
     if (!backend)
         return backend.error();
     m_backendControl = addressIn(backend.value(), "control");
-    if (!takeAddresses(backend.value(), m_layout))
-        return fleet_error{"a backend server has no address"};
-    const auto platform = startStandIn("standin-platform", {});
+    const auto ports = findFreePorts(2);
+    const auto platform =
+        startStandIn("standin-platform",
+                     {"--listen_configuration=" + toText(socket_address{Loopback, ports[0]}),
+                      "--listen_vms=" + toText(socket_address{Loopback, ports[1]})});
     if (!platform)
         return platform.error();
     m_platform = {addressIn(platform.value(), "configuration"), addressIn(platform.value(), "vms")};
@@ -183,10 +185,14 @@
     return addresses;
 }
 
+// Stand-ins get ports too: one that is down must find its port free when it comes back.
 void assignPorts(fleet_layout &layout)
 {
     constexpr std::size_t PortsOfVm = 3;
-    const auto ports = findFreePorts(layout.vms.size() * PortsOfVm);
+    std::size_t servers = 0;
+    for (const fleet_service &service : layout.services)
+        servers += service.servers.size();
+    const auto ports = findFreePorts(layout.vms.size() * PortsOfVm + servers);
     std::size_t next = 0;
     for (fleet_vm &vm : layout.vms) {
         vm.caller = {Loopback, ports[next++]};
@@ -194,6 +200,10 @@
         vm.peer = {Loopback, ports[next++]};
         vm.peerListen = vm.peer;
     }
+    for (fleet_service &service : layout.services) {
+        for (fleet_server &server : service.servers)
+            server.address = {Loopback, ports[next++]};
+    }
 }
 
 std::string makeWorkDirectory(const std::string &prefix)
--- a/standins/fleet_runner.h
+++ b/standins/fleet_runner.h
@@ -77,7 +77,7 @@
     socket_address m_backendControl;
 };
 
-/// Gives each VM of the layout free ports on the loopback interface.
+/// Gives each VM and backend server of the layout free ports on the loopback interface.
 void assignPorts(fleet_layout &layout);
 
 /// Makes an empty directory of its own for a run; throws where that fails.
--- a/standins/process_group.cpp
+++ b/standins/process_group.cpp
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <random>
 #include <thread>
 
 namespace orchidlead::standins {
@@ -54,16 +55,12 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof address;
         auto *generic = reinterpret_cast<sockaddr *>(&address);
-        m_bound = ::bind(m_descriptor, generic, length) == 0
-            && ::getsockname(m_descriptor, generic, &length) == 0;
-        m_port = ntohs(address.sin_port);
+        m_bound = ::bind(m_descriptor, generic, sizeof address) == 0;
     }
     bound_socket(bound_socket &&other) noexcept
         : m_descriptor(std::exchange(other.m_descriptor, -1))
         , m_bound(other.m_bound)
-        , m_port(other.m_port)
     { }
     bound_socket &operator=(bound_socket &&) = delete;
     ~bound_socket()
@@ -73,12 +70,10 @@
     }
 
     [[nodiscard]] bool bound() const { return m_bound; }
-    [[nodiscard]] std::uint16_t port() const { return m_port; }
 
 private:
     int m_descriptor;
     bool m_bound = false;
-    std::uint16_t m_port = 0;
 };
 
 } // namespace
@@ -169,15 +164,21 @@
         std::this_thread::sleep_for(PollInterval);
 }
 
-// The ports stay bound until all are found, so that none is found twice.
+// Tries start at a drawn port, so that runs side by side seldom meet. The ports stay bound until
+// all are found, so that none is found twice.
 std::vector<std::uint16_t> findFreePorts(std::size_t count)
 {
+    constexpr std::uint16_t LowestPort = 10'000;
+    constexpr std::uint16_t HighestPort = 32'000;
+    std::uniform_int_distribution<std::uint16_t> draw(LowestPort, HighestPort);
+    std::random_device device;
+    std::uint16_t port = draw(device);
     std::vector<std::uint16_t> ports;
     std::vector<bound_socket> held;
     while (ports.size() < count) {
-        bound_socket &stream = held.emplace_back(SOCK_STREAM, 0);
-        const std::uint16_t port = stream.port();
-        const bool both = stream.bound() && held.emplace_back(SOCK_DGRAM, port).bound();
+        port = port >= HighestPort ? LowestPort : static_cast<std::uint16_t>(port + 1);
+        const bool both = held.emplace_back(SOCK_STREAM, port).bound()
+            && held.emplace_back(SOCK_DGRAM, port).bound();
         if (both)
             ports.push_back(port);
     }
--- a/standins/process_group.h
+++ b/standins/process_group.h
@@ -59,7 +59,8 @@
     std::vector<child> m_children;
 };
 
-/// Finds TCP ports on which nothing listens, free for UDP too, all different.
+/// Finds TCP ports on which nothing listens, free for UDP too, all different. They lie below those
+/// that the system gives to outgoing connections, so that none is taken before it is used.
 [[nodiscard]] std::vector<std::uint16_t> findFreePorts(std::size_t count);
 
 } // namespace orchidlead::standins
--- a/standins/prover.cpp
+++ b/standins/prover.cpp
@@ -3,6 +3,7 @@
 #include "standins/json_http.h"
 
 #include <csignal>
+#include <iostream>
 
 namespace orchidlead::standins {
 
@@ -217,8 +218,10 @@
 
 void prover::note(bool done, const std::string &what)
 {
-    if (!done && m_failure.empty())
-        m_failure = what;
+    if (done)
+        return;
+    std::cout << "failed: " << what << std::endl;
+    m_failure = what;
 }
 
 // Open at its end until the VM is well again.
--- a/standins/socket_owner.cpp
+++ b/standins/socket_owner.cpp
@@ -1,54 +1,83 @@
 #include "standins/socket_owner.h"
 
 #include <arpa/inet.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
-#include <cstdio>
+#include <cstring>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 
 namespace orchidlead::standins {
 
 namespace {
 
-// The kernel writes addresses in hex, the number in the machine's byte order.
-std::string toKernelText(const socket_address &address)
+/// The question for one socket, as the kernel reads it.
+struct socket_question
+{
+    nlmsghdr header{};
+    inet_diag_req_v2 request{};
+};
+
+std::uint32_t toNumber(const std::string &ip)
 {
     in_addr number{};
-    ::inet_pton(AF_INET, address.ip.c_str(), &number);
-    std::array<char, 16> text{};
-    std::snprintf(text.data(), text.size(), "%08X:%04X", number.s_addr, unsigned{address.port});
-    return text.data();
+    ::inet_pton(AF_INET, ip.c_str(), &number);
+    return number.s_addr;
 }
 
-/// One line of the kernel's table of sockets.
-struct socket_line
+socket_question makeQuestion(const socket_address &local, const socket_address &remote)
 {
-    std::string slot, local, remote, state, queues, timer, retransmits, user, timeout, inode;
-};
+    socket_question question;
+    question.header.nlmsg_len = sizeof question;
+    question.header.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+    question.header.nlmsg_flags = NLM_F_REQUEST;
+    question.request.sdiag_family = AF_INET;
+    question.request.sdiag_protocol = IPPROTO_TCP;
+    question.request.idiag_states = ~0U;
+    inet_diag_sockid &id = question.request.id;
+    id.idiag_sport = htons(local.port);
+    id.idiag_dport = htons(remote.port);
+    id.idiag_src[0] = toNumber(local.ip);
+    id.idiag_dst[0] = toNumber(remote.ip);
+    id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+    id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+    return question;
+}
 
-std::istream &operator>>(std::istream &in, socket_line &line)
+std::optional<std::string> readAnswer(int netlink)
 {
-    return in >> line.slot >> line.local >> line.remote >> line.state >> line.queues >> line.timer
-        >> line.retransmits >> line.user >> line.timeout >> line.inode;
+    alignas(nlmsghdr) std::array<char, 4096> buffer{};
+    const ssize_t size = ::recv(netlink, buffer.data(), buffer.size(), 0);
+    nlmsghdr header{};
+    inet_diag_msg answer{};
+    if (size < static_cast<ssize_t>(NLMSG_LENGTH(sizeof answer)))
+        return std::nullopt;
+    std::memcpy(&header, buffer.data(), sizeof header);
+    if (header.nlmsg_type != SOCK_DIAG_BY_FAMILY)
+        return std::nullopt;
+    std::memcpy(&answer, buffer.data() + NLMSG_HDRLEN, sizeof answer);
+    return std::to_string(answer.idiag_inode);
 }
 
 } // namespace
 
+// Asks for the one socket: reading the table of all of them takes long on a busy machine.
 std::optional<std::string> findSocket(const socket_address &local, const socket_address &remote)
 {
-    const std::string localText = toKernelText(local);
-    const std::string remoteText = toKernelText(remote);
-    std::ifstream table("/proc/net/tcp");
-    std::string text;
-    while (std::getline(table, text)) {
-        std::istringstream row(text);
-        socket_line line;
-        if (row >> line && line.local == localText && line.remote == remoteText)
-            return line.inode;
-    }
-    return std::nullopt;
+    const int netlink = ::socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+    if (netlink < 0)
+        return std::nullopt;
+    const socket_question question = makeQuestion(local, remote);
+    std::optional<std::string> inode;
+    if (::send(netlink, &question, sizeof question, 0) == ssize_t{sizeof question})
+        inode = readAnswer(netlink);
+    ::close(netlink);
+    return inode;
 }
 
 bool hasSocket(pid_t pid, const std::string &socket)
--- a/standins/socket_owner.h
+++ b/standins/socket_owner.h
@@ -9,7 +9,7 @@
 
 namespace orchidlead::standins {
 
-/// Gives the number of the TCP socket of this machine (IPv4) that has these ends, as /proc tells.
+/// Gives the inode of the TCP socket of this machine (IPv4) that has these ends.
 [[nodiscard]] std::optional<std::string> findSocket(const socket_address &local,
                                                     const socket_address &remote);
 
--- a/tests/standins/fleet_test.cpp
+++ b/tests/standins/fleet_test.cpp
@@ -25,22 +25,6 @@
     return text;
 }
 
-// As a process of stand-ins announces them.
-Json::Value announcedAddresses(const fleet_layout &layout)
-{
-    Json::Value announced;
-    std::uint16_t port = 9000;
-    for (const fleet_service &service : layout.services) {
-        for (const fleet_server &server : service.servers) {
-            Json::Value row;
-            row["name"] = server.name;
-            row["address"] = "127.0.0.1:" + std::to_string(++port);
-            announced["servers"].append(row);
-        }
-    }
-    return announced;
-}
-
 // The marks that a plan's stages leave: the model's name for engines, the stage's for others.
 std::vector<std::string> marksOf(const pipeline_plan &plan)
 {
@@ -54,8 +38,7 @@
 
 TEST_CASE("the fleet's configuration is accepted and has the pipelines that its callers ask for")
 {
-    fleet_layout layout = makeDemoLayout(twoDataCenters());
-    REQUIRE(takeAddresses(announcedAddresses(layout), layout));
+    const fleet_layout layout = makeDemoLayout(twoDataCenters());
     const auto configuration = parsePublishedConfiguration(
         configurationYaml(layout, demoTemplatesAndCustomers(twoDataCenters())), "fleet", 1);
     INFO((configuration ? std::string() : messages(configuration.error())));
