Test a pause and a new configuration through whole daemons

Cause: that sends are held back after a pause, and that a version reaches nodes that don't read the service, was tested in parts alone. Ruled out: stopping a real process for seconds in the test; the clock that is passed in can jump.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -225,6 +225,20 @@
     else
         m_shell.setAdmission(confirmed ? admission_state::Open : admission_state::Unconfirmed);
     m_shell.setConfirmed(confirmed);
+    reportReadiness();
+}
+
+void orchidlead_daemon::reportReadiness()
+{
+    const auto reason = notReady();
+    const std::string now = reason.value_or("");
+    if (now == m_reportedReason)
+        return;
+    m_reportedReason = now;
+    if (reason)
+        m_reporter.onEvent(platform::log_level::Warning, platform::node_event::NotReady, now);
+    else
+        m_reporter.onEvent(platform::log_level::Info, platform::node_event::Ready, "");
 }
 
 operator_hooks orchidlead_daemon::operatorHooks()
@@ -314,6 +328,7 @@
     case stop_phase::Running:
         break;
     case stop_phase::Noticing:
+        reportReadiness();
         m_callerServer->stopKeepAlive();
         m_control.announceLeaving();
         break;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -72,6 +72,7 @@
     void tickGate();
     void refreshAdmission();
     void applyAdmission();
+    void reportReadiness();
     void tickStop();
     void enter(stop_phase phase);
 
@@ -90,6 +91,7 @@
     std::function<void()> m_onStopped;
     std::unique_ptr<net::http_server> m_callerServer;
     std::unique_ptr<net::http_server> m_operatorServer;
+    std::string m_reportedReason = "starting"; ///< why the node wasn't ready, when last logged
     net::timer_id m_stopTimer = 0;
     net::timer_id m_gateTimer = 0;
 };
--- a/tests/daemon/test_fleet.h
+++ b/tests/daemon/test_fleet.h
@@ -18,6 +18,19 @@
 
 namespace orchidlead::daemon {
 
+/// The system's clocks, which the test can set forward as a pause of the process does.
+class jumping_clock final : public clock_source
+{
+public:
+    [[nodiscard]] steady_time now() const override { return m_system.now() + m_ahead; }
+    [[nodiscard]] wall_time wallNow() const override { return m_system.wallNow() + m_ahead; }
+    void jump(milliseconds by) { m_ahead += by; }
+
+private:
+    system_clock_source m_system;
+    milliseconds m_ahead{0};
+};
+
 /// Daemons of one data centre in this process, on loopback, before a backend server that the test
 /// holds in its hands.
 ///
@@ -78,6 +91,29 @@
         return m_logText.str();
     }
 
+    [[nodiscard]] jumping_clock &clock() { return m_clock; }
+    [[nodiscard]] bool allReady() const
+    {
+        for (const auto &each : m_nodes) {
+            if (each.running->notReady())
+                return false;
+        }
+        return true;
+    }
+
+    /// Takes the platform away.
+    void stopPlatform() { m_platform.reset(); }
+    /// Publishes the configuration again, under the next version.
+    void publishAgain()
+    {
+        net::http_call call;
+        call.address = *parseSocketAddress(m_platform->addresses()["control"].asString());
+        call.method = "PUT";
+        call.path = "/control/configuration";
+        call.body = configuration();
+        REQUIRE(net::callAndWait(m_loop, std::move(call)).status == 200);
+    }
+
     /// Stops a daemon at once, as a crash would.
     void crash(std::size_t at) { m_nodes[at].running.reset(); }
 
@@ -184,15 +220,6 @@
         REQUIRE(started.has_value());
     }
 
-    [[nodiscard]] bool allReady() const
-    {
-        for (const auto &each : m_nodes) {
-            if (each.running->notReady())
-                return false;
-        }
-        return true;
-    }
-
     [[nodiscard]] std::string configuration() const
     {
         const std::string port = std::to_string(m_backend->port());
@@ -231,7 +258,7 @@
     }
 
     net::test_loop m_loop;
-    const system_clock_source m_clock;
+    jumping_clock m_clock;
     std::unique_ptr<net::http_server> m_backend;
     std::ostringstream m_logText;
     platform::log m_log;
