Let every node of a small fleet poll every backend server

Change: the number polled follows from the numbers of servers and nodes, so that about six nodes poll each server; never fewer than 8. With 350 nodes and 600 servers that is 10 a node, with 6 nodes every server, each 3 times a second. Ruled out: polling all everywhere (105,000 calls a second at the coming size).

--- a/src/daemon/node_shell.cpp
+++ b/src/daemon/node_shell.cpp
@@ -83,6 +83,7 @@
 
 void node_shell::setMembers(const members_updated &update)
 {
+    m_loads.setNodes(update.members.size());
     m_node.setMembers(update.members, update.listConfirmedAt);
 }
 
--- a/src/platform/server_poller.cpp
+++ b/src/platform/server_poller.cpp
@@ -20,4 +20,13 @@
     return picked;
 }
 
+std::size_t polledCount(const server_poller_options &options, std::size_t servers,
+                        std::size_t nodes)
+{
+    if (nodes == 0)
+        return std::min(options.maxServers, servers);
+    const std::size_t share = options.pollersOfServer * servers / nodes;
+    return std::min(std::max(options.maxServers, share), servers);
+}
+
 } // namespace orchidlead::platform
--- a/src/platform/server_poller.h
+++ b/src/platform/server_poller.h
@@ -25,7 +25,8 @@
 struct server_poller_options
 {
     vm_id self; ///< picks the servers together with their names
-    std::size_t maxServers = 8;
+    std::size_t maxServers = 8; ///< at least so many, and more where there are few nodes
+    std::size_t pollersOfServer = 6; ///< about so many nodes poll each server
     milliseconds interval{2000}; ///< between two calls to the same server
     milliseconds timeout{500};
 };
@@ -35,6 +36,11 @@
 [[nodiscard]] std::vector<backend_server> pickPolled(const std::vector<backend_server> &servers,
                                                      const vm_id &self, std::size_t count);
 
+/// Returns how many servers a node polls, so that each is polled by about as many nodes as the
+/// options say. In a small fleet that is every server: a server that leaves is soon known to all.
+[[nodiscard]] std::size_t polledCount(const server_poller_options &options, std::size_t servers,
+                                      std::size_t nodes);
+
 /// Something that backend servers tell about themselves when asked.
 template <class Document>
 concept polled_document = requires(const backend_server_id &server, typename Document::state state,
@@ -80,6 +86,8 @@
 
     /// Replaces the servers to pick from; what is known of those that stay is kept.
     void setServers(const std::vector<backend_server> &servers);
+    /// Notes how many nodes share the servers out; 0: unknown.
+    void setNodes(std::size_t nodes);
     /// Notes that a server told of itself otherwise, as in an answer.
     void onHeard(const backend_server_id &server);
 
@@ -99,6 +107,7 @@
         std::string body;
     };
 
+    void pick();
     void pollNext();
     void poll(const backend_server_id &id, polled_server &server);
     void onEnd(const backend_server_id &id, net::call_end end);
@@ -108,6 +117,8 @@
     const clock_source &m_clock;
     server_poller_options m_options;
     report_handler m_onReport;
+    std::vector<backend_server> m_all; ///< to pick from
+    std::size_t m_nodes = 0;
     std::map<backend_server_id, polled_server> m_servers;
     backend_server_id m_last; ///< polled last
     net::timer_id m_timer = 0;
@@ -117,9 +128,26 @@
 
 template <polled_document Document>
 void server_poller<Document>::setServers(const std::vector<backend_server> &servers)
+{
+    m_all = servers;
+    pick();
+}
+
+template <polled_document Document>
+void server_poller<Document>::setNodes(std::size_t nodes)
+{
+    const std::size_t before = polledCount(m_options, m_all.size(), m_nodes);
+    m_nodes = nodes;
+    if (polledCount(m_options, m_all.size(), m_nodes) != before)
+        pick();
+}
+
+template <polled_document Document>
+void server_poller<Document>::pick()
 {
     std::map<backend_server_id, polled_server> kept;
-    for (const auto &server : pickPolled(servers, m_options.self, m_options.maxServers)) {
+    const std::size_t count = polledCount(m_options, m_all.size(), m_nodes);
+    for (const auto &server : pickPolled(m_all, m_options.self, count)) {
         const auto known = m_servers.find(server.id);
         if (known != m_servers.end() && known->second.address == server.address)
             kept.insert(m_servers.extract(known));
--- a/tests/platform/server_poller_test.cpp
+++ b/tests/platform/server_poller_test.cpp
@@ -35,10 +35,19 @@
     CHECK(polled.size() > 90);
 }
 
+TEST_CASE("In a small fleet every node polls every server, in a large one each takes few")
+{
+    const server_poller_options options;
+    CHECK(polledCount(options, 24, 0) == 8);
+    CHECK(polledCount(options, 24, 6) == 24);
+    CHECK(polledCount(options, 600, 350) == 10);
+    CHECK(polledCount(options, 3, 350) == 3);
+}
+
 struct load_fixture
 {
     load_fixture()
-        : reader(loop, http, clock, {vm_id{"vm-1"}, 2, milliseconds{2000}},
+        : reader(loop, http, clock, {vm_id{"vm-1"}, 2, 6, milliseconds{2000}},
                  [this](const load_report &report) { reports.push_back(report); })
     {
         reader.setServers(servers(2));
@@ -76,6 +85,18 @@
     CHECK(fixture.http.calls.size() == 3);
 }
 
+TEST_CASE("Nodes that come make a node poll fewer servers")
+{
+    load_fixture fixture;
+    fixture.reader.setServers(servers(100));
+    fixture.reader.setNodes(6);
+    CHECK(fixture.loop.fireTimer() == milliseconds{1000}); // set before
+    CHECK(fixture.loop.timers.begin()->second.first == milliseconds{20});
+    fixture.reader.setNodes(1000);
+    fixture.loop.fireTimer();
+    CHECK(fixture.loop.timers.begin()->second.first == milliseconds{1000});
+}
+
 TEST_CASE("A server that is taken out has its call given up")
 {
     load_fixture fixture;
