Serve HTTP/2 on the caller address, and bound all bodies that arrive together

Ruled out: HTTP/2 everywhere (header fields are lost on it, see DESIGN); ending a cut off answer with RST_STREAM (libwebsockets keeps that to itself).

Change: http2_stream is the endpoint of a stream; the handle that users hold writes to it or to a connection of HTTP/1.1 through answer_sink. The refusals and the reading of heads, used by both, have their own units. maxBufferedBodyBytes bounds the bytes of bodies that haven't been handed over.

--- a/src/daemon/daemon_options.cpp
+++ b/src/daemon/daemon_options.cpp
@@ -123,6 +123,7 @@
     options.idleTimeout = settings.limits.idleTimeout;
     options.tlsCertificateFile = settings.tls.certificateFile;
     options.tlsKeyFile = settings.tls.keyFile;
+    options.offerHttp2 = true; // the caller API keeps nothing in header fields that HTTP/2 loses
     return options;
 }
 
--- a/src/net/connection_response.cpp
+++ b/src/net/connection_response.cpp
@@ -1,10 +1,10 @@
-#include "net/server_connection.h"
+#include "net/connection_response.h"
 
 #include <utility>
 
 namespace orchidlead::net {
 
-connection_response::connection_response(std::weak_ptr<server_connection> connection)
+connection_response::connection_response(std::weak_ptr<answer_sink> connection)
     : m_connection(std::move(connection))
 { }
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -81,7 +81,8 @@
 // The vhost outlives the server: libwebsockets may move a connection to another vhost by its host
 // header, and would close it when that other vhost goes. So no vhost goes before the loop.
 result<lws_vhost *, net_error> lws_event_loop::makeTlsVhost(const std::string &certificateFile,
-                                                            const std::string &keyFile)
+                                                            const std::string &keyFile,
+                                                            bool offerHttp2)
 {
     lws_context_creation_info info{};
     info.port = CONTEXT_PORT_NO_LISTEN_SERVER;
@@ -91,7 +92,8 @@
     info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
     info.ssl_cert_filepath = certificateFile.c_str();
     info.ssl_private_key_filepath = keyFile.c_str();
-    info.alpn = "http/1.1";
+    info.alpn = offerHttp2 ? "h2,http/1.1" : "http/1.1";
+    info.keepalive_timeout = LibraryTimeout;
     auto *vhost = lws_create_vhost(m_context, &info);
     if (!vhost)
         return failure(net_error{"no TLS with " + certificateFile + " and " + keyFile});
@@ -222,10 +224,25 @@
     nanosleep(&rest, nullptr);
 }
 
+// Streams of HTTP/2 are made by libwebsockets, without an endpoint. Streams whose endpoint is gone
+// have none either; those only see the events of their end.
+lws_endpoint *lws_event_loop::adoptedStream(lws *wsi, lws_callback_reasons reason)
+{
+    if (reason != LWS_CALLBACK_FILTER_HTTP_CONNECTION)
+        return nullptr;
+    auto *network = lws_get_network_wsi(wsi);
+    if (network == wsi)
+        return nullptr;
+    auto *connection = static_cast<lws_endpoint *>(lws_get_opaque_user_data(network));
+    return connection ? connection->adoptStream(wsi) : nullptr;
+}
+
 int lws_event_loop::dispatch(lws *wsi, lws_callback_reasons reason, void *user, void *in,
                              std::size_t length)
 {
     auto *endpoint = static_cast<lws_endpoint *>(lws_get_opaque_user_data(wsi));
+    if (!endpoint)
+        endpoint = adoptedStream(wsi, reason);
     if (!endpoint)
         return 0;
     auto *loop = static_cast<lws_event_loop *>(lws_context_user(lws_get_context(wsi)));
--- a/src/net/header_fields.cpp
+++ b/src/net/header_fields.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 
 namespace orchidlead::net {
 
@@ -109,6 +110,30 @@
     return headers;
 }
 
+std::string copyQuery(lws *wsi)
+{
+    std::string query;
+    for (int i = 0;; ++i) {
+        const int length = lws_hdr_fragment_length(wsi, WSI_TOKEN_HTTP_URI_ARGS, i);
+        if (length <= 0)
+            return query;
+        std::string part(static_cast<std::size_t>(length) + 1, '\0');
+        const int copied =
+            lws_hdr_copy_fragment(wsi, part.data(), length + 1, WSI_TOKEN_HTTP_URI_ARGS, i);
+        part.resize(static_cast<std::size_t>(std::max(copied, 0)));
+        query += (query.empty() ? "" : "&") + part;
+    }
+}
+
+std::optional<std::uint64_t> parseLength(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
 std::size_t headerBytes(const header_list &headers)
 {
     std::size_t bytes = 0;
--- a/src/net/header_fields.h
+++ b/src/net/header_fields.h
@@ -4,6 +4,8 @@
 
 #include <libwebsockets.h>
 
+#include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -13,6 +15,12 @@
 /// Copies the fields that libwebsockets knows, and of the others those named in `custom`.
 [[nodiscard]] header_list copyHeaders(lws *wsi, std::span<const std::string> custom);
 
+/// Copies the part of the path behind the question mark.
+[[nodiscard]] std::string copyQuery(lws *wsi);
+
+/// Takes digits only: no sign, no space, no list.
+[[nodiscard]] std::optional<std::uint64_t> parseLength(std::string_view text);
+
 /// Bytes of names and values.
 [[nodiscard]] std::size_t headerBytes(const header_list &headers);
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "net/address.h"
 #include "net/lws_event_loop.h"
+#include "net/refusal.h"
 #include "net/server_connection.h"
 
 #include <netinet/in.h>
@@ -20,7 +21,6 @@
 
 constexpr int MaxAcceptsPerEvent = 64;
 constexpr int MaxGonePerEvent = 64;
-constexpr refusal TooManyConnections{503, "overloaded", "too many connections"};
 
 /// Has libwebsockets watch one descriptor and calls a function when it is readable.
 class readable_watch final : public lws_endpoint
@@ -116,6 +116,12 @@
 
     [[nodiscard]] const http_server_options &options() const override { return m_options; }
     [[nodiscard]] bool keepAlive() const override { return m_keepAlive; }
+    [[nodiscard]] bool bufferBody(std::size_t bytes) override
+    {
+        m_bufferedBytes += bytes;
+        return m_bufferedBytes <= m_options.maxBufferedBodyBytes;
+    }
+    void releaseBody(std::size_t bytes) override { m_bufferedBytes -= bytes; }
     void handle(http_request &&request, response_ptr response) override;
     void forget(server_connection &connection) override;
 
@@ -138,6 +144,7 @@
     int m_goneFd = -1;
     std::unordered_map<std::uint64_t, std::shared_ptr<server_connection>> m_connections;
     std::uint64_t m_lastId = 0;
+    std::size_t m_bufferedBytes = 0; ///< of bodies that are being received
 };
 
 result<void, net_error> http_server_impl::open()
@@ -147,7 +154,8 @@
                                  + " bytes aren't parsed"});
     m_vhost = m_loop.plainVhost();
     if (!m_options.tlsCertificateFile.empty()) {
-        auto vhost = m_loop.makeTlsVhost(m_options.tlsCertificateFile, m_options.tlsKeyFile);
+        auto vhost = m_loop.makeTlsVhost(m_options.tlsCertificateFile, m_options.tlsKeyFile,
+                                         m_options.offerHttp2);
         if (!vhost)
             return failure(std::move(vhost).error());
         m_vhost = vhost.value();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -75,6 +75,7 @@
 {
     socket_address listen; ///< port 0: the system picks one, see `http_server::port`
     std::size_t maxBodyBytes = 16U << 20U; ///< beyond: 413
+    std::size_t maxBufferedBodyBytes = 256U << 20U; ///< of all bodies being received; beyond: 503
     std::size_t maxHeaderBytes = 16U << 10U; ///< beyond: 431; beyond 60 KiB: closed
     std::size_t maxConnections = 4096; ///< beyond: 503 and close
     std::chrono::milliseconds requestTimeout{15000}; ///< whole request must be here by then: 408
@@ -82,11 +83,15 @@
     std::size_t maxQueuedResponseBytes = 64U << 20U; ///< a reader slower than this is cut off
     std::string tlsCertificateFile; ///< PEM; empty: no TLS
     std::string tlsKeyFile;
+    /// Whether HTTP/2 is offered under TLS. It carries no `customHeaders`: libwebsockets drops
+    /// header fields there that it doesn't know.
+    bool offerHttp2 = false;
     /// Header fields (lower case) to keep beside the registered ones, which are all kept.
     std::vector<std::string> customHeaders{"x-request-id", "idempotency-key"};
 };
 
-/// Serves HTTP/1.1, with or without TLS. Several servers may share one loop.
+/// Serves HTTP/1.1, with or without TLS, and HTTP/2 where it is offered. Several servers may share
+/// one loop.
 ///
 /// Destroying it, which must not be done inside its handler, closes its sockets at once and reports
 /// nothing more.
--- a/src/net/lws_endpoint.h
+++ b/src/net/lws_endpoint.h
@@ -16,6 +16,14 @@
 
     /// Returns nonzero to have libwebsockets close the socket.
     virtual int onEvent(lws *wsi, lws_callback_reasons reason, void *in, std::size_t length) = 0;
+
+    /// Called on a connection for the first event of a stream that libwebsockets opened on it;
+    /// gives the stream's endpoint, or null.
+    virtual lws_endpoint *adoptStream(lws *stream)
+    {
+        static_cast<void>(stream);
+        return nullptr;
+    }
 };
 
 /// Has the socket closed in the next round; events still reach the endpoint.
--- a/src/net/lws_event_loop.h
+++ b/src/net/lws_event_loop.h
@@ -41,8 +41,8 @@
     /// The vhost of everything without TLS.
     [[nodiscard]] lws_vhost *plainVhost() { return m_plainVhost; }
     /// Makes a vhost that accepts TLS; it lives as long as the loop.
-    [[nodiscard]] result<lws_vhost *, net_error> makeTlsVhost(const std::string &certificateFile,
-                                                              const std::string &keyFile);
+    [[nodiscard]] result<lws_vhost *, net_error>
+    makeTlsVhost(const std::string &certificateFile, const std::string &keyFile, bool offerHttp2);
     /// Has `endpoint` told with `LWS_CALLBACK_RAW_RX_FILE` when the descriptor becomes readable.
     /// The descriptor then belongs to libwebsockets, which closes it.
     [[nodiscard]] lws *adoptFile(int fd, lws_endpoint &endpoint);
@@ -60,6 +60,7 @@
 private:
     static int dispatch(lws *wsi, lws_callback_reasons reason, void *user, void *in,
                         std::size_t length);
+    static lws_endpoint *adoptedStream(lws *wsi, lws_callback_reasons reason);
     static void onTimer(lws_sorted_usec_list_t *sul);
     static const lws_protocols *protocols();
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/server_connection.h"
 
 #include "net/header_fields.h"
+#include "net/refusal.h"
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
@@ -37,14 +38,6 @@
     method_token{WSI_TOKEN_OPTIONS_URI, "OPTIONS", false},
 };
 
-constexpr refusal Malformed{400, "invalid_request", "the request is not well-formed HTTP"};
-constexpr refusal NoLength{411, "invalid_request", "a request body needs a content-length"};
-constexpr refusal BodyTooLarge{413, "too_large", "the request body is too large"};
-constexpr refusal HeadTooLarge{431, "too_large", "the request head is too large"};
-constexpr refusal SentAhead{400, "invalid_request", "a request with a body may not be sent ahead"};
-constexpr refusal TooSlow{408, "invalid_request", "the request did not arrive in time"};
-constexpr refusal NoUpgrade{501, "invalid_request", "upgrades are not served"};
-
 const method_token *findMethod(lws *wsi)
 {
     const auto *found = std::ranges::find_if(MethodTokens, [wsi](const method_token &m) {
@@ -53,31 +46,6 @@
     return found == MethodTokens.end() ? nullptr : found;
 }
 
-std::string copyQuery(lws *wsi)
-{
-    std::string query;
-    for (int i = 0;; ++i) {
-        const int length = lws_hdr_fragment_length(wsi, WSI_TOKEN_HTTP_URI_ARGS, i);
-        if (length <= 0)
-            return query;
-        std::string part(static_cast<std::size_t>(length) + 1, '\0');
-        const int copied =
-            lws_hdr_copy_fragment(wsi, part.data(), length + 1, WSI_TOKEN_HTTP_URI_ARGS, i);
-        part.resize(static_cast<std::size_t>(std::max(copied, 0)));
-        query += (query.empty() ? "" : "&") + part;
-    }
-}
-
-// Takes digits only: no sign, no space, no list.
-std::optional<std::uint64_t> parseLength(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
 // Whether libwebsockets holds input that it has read but not parsed. It says so only by keeping its
 // header memory after a request, and by clearing the place of a copy only when it has that.
 bool holdsInput(lws *wsi)
@@ -105,16 +73,6 @@
 
 } // namespace
 
-std::string refusalText(const refusal &why)
-{
-    std::string body = R"({"outcome":"not_run","reason":")";
-    body.append(why.reason).append(R"(","detail":")").append(why.detail).append("\"}");
-    std::string text = "HTTP/1.1 " + std::to_string(why.status) + " ";
-    text.append(statusText(why.status)).append("\r\ncontent-type: application/json\r\n");
-    text.append("content-length: ").append(std::to_string(body.size()));
-    return text.append("\r\nconnection: close\r\n\r\n").append(body);
-}
-
 server_connection::server_connection(lws_event_loop &loop, connection_owner &owner,
                                      std::uint64_t id, int fd, bool tls)
     : m_loop(loop)
@@ -132,6 +90,8 @@
 
 void server_connection::detach()
 {
+    for (const auto &[key, stream] : std::exchange(m_streams, {}))
+        stream->detach();
     m_owner = nullptr;
     m_phase = phase::Closed;
     stopTick();
@@ -205,6 +165,22 @@
     closeSoon(m_wsi);
 }
 
+lws_endpoint *server_connection::adoptStream(lws *stream)
+{
+    if (!m_owner || m_doomed)
+        return nullptr;
+    m_http2 = true;
+    const auto made = std::make_shared<http2_stream>(m_loop, *m_owner, weak_from_this());
+    m_streams.emplace(made.get(), made);
+    made->start(stream);
+    return made.get();
+}
+
+void server_connection::forgetStream(http2_stream &stream)
+{
+    m_streams.erase(&stream);
+}
+
 int server_connection::onHead()
 {
     if (!m_owner)
@@ -301,8 +277,13 @@
 
 int server_connection::onBody(std::string_view bytes)
 {
-    if (m_phase != phase::Body)
+    if (m_phase != phase::Body || !m_owner)
         return 0;
+    m_buffered += bytes.size();
+    if (!m_owner->bufferBody(bytes.size())) {
+        refuse(TooManyBytes);
+        return 0;
+    }
     m_request.body.append(bytes);
     return 0;
 }
@@ -327,16 +308,24 @@
     stopTick();
     const auto response = std::make_shared<connection_response>(weak_from_this());
     m_response = response;
+    releaseBody();
     auto request = std::exchange(m_request, {});
     m_noBody = request.method == "HEAD";
     m_owner->handle(std::move(request), response);
 }
 
+void server_connection::releaseBody()
+{
+    if (const auto bytes = std::exchange(m_buffered, 0); m_owner && bytes > 0)
+        m_owner->releaseBody(bytes);
+}
+
 void server_connection::refuse(const refusal &why)
 {
     m_phase = phase::Refusing;
     m_closeAfter = true;
     m_answerEnded = true;
+    releaseBody();
     m_request = {};
     queue(refusalText(why));
 }
@@ -372,6 +361,7 @@
 {
     lws_set_opaque_user_data(wsi, nullptr);
     stopTick();
+    releaseBody();
     m_phase = phase::Closed;
     m_wsi = nullptr;
     if (const auto response = m_response.lock())
@@ -603,6 +593,14 @@
 void server_connection::onHeadTick()
 {
     const auto &options = m_owner->options();
+    if (m_http2) {
+        m_idle = m_streams.empty() ? m_idle + options.requestTimeout : milliseconds{0};
+        if (m_idle >= options.idleTimeout)
+            doom();
+        else
+            restartTick(options.requestTimeout);
+        return;
+    }
     const auto info = readTcpInfo(m_fd);
     const bool partial = info && info->tcpi_bytes_received > m_receivedBefore;
     if (partial && (!m_served || std::exchange(m_partialSeen, true))) {
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -1,80 +1,23 @@
 #pragma once
 
+#include "net/connection_owner.h"
+#include "net/connection_response.h"
+#include "net/http2_stream.h"
 #include "net/http_server.h"
 #include "net/lws_event_loop.h"
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace orchidlead::net {
 
-class server_connection;
-
-/// Refusals that the server makes by itself.
-struct refusal
-{
-    int status;
-    std::string_view reason;
-    std::string_view detail;
-};
-
-/// A whole answer that refuses a request, with the body that callers expect of a refusal.
-[[nodiscard]] std::string refusalText(const refusal &why);
-
-/// What connections need from their server.
-class connection_owner
-{
-public:
-    virtual ~connection_owner() = default;
-    [[nodiscard]] virtual const http_server_options &options() const = 0;
-    [[nodiscard]] virtual bool keepAlive() const = 0;
-    virtual void handle(http_request &&request, response_ptr response) = 0;
-    /// The socket is gone; the connection may be forgotten.
-    virtual void forget(server_connection &connection) = 0;
-};
-
-/// The handle that the users of an answer hold. Its connection may be gone already.
-class connection_response final : public response_writer
-{
-public:
-    explicit connection_response(std::weak_ptr<server_connection> connection);
-    ~connection_response() override;
-    connection_response(const connection_response &) = delete;
-    connection_response &operator=(const connection_response &) = delete;
-
-    void respond(int status, const header_list &headers, std::string body) override;
-    void begin(int status, const header_list &headers) override;
-    void write(std::string chunk) override;
-    void finish() override;
-    [[nodiscard]] bool open() const override { return !m_over && !m_connection.expired(); }
-    [[nodiscard]] std::size_t queuedBytes() const override;
-    void onDrained(std::function<void()> handler) override;
-    void onClosed(std::function<void()> handler) override;
-
-    /// The queue has become empty.
-    void drained();
-    /// Everything was sent.
-    void sent();
-    /// The connection ended before that.
-    void closed();
-
-private:
-    /// How far the user has come.
-    enum class stage { Unanswered, Begun, Finished };
-
-    std::weak_ptr<server_connection> m_connection;
-    std::function<void()> m_onDrained;
-    std::function<void()> m_onClosed;
-    stage m_stage = stage::Unanswered;
-    bool m_over = false; ///< sent or closed
-};
-
 /// One accepted connection: reads requests one at a time and sends their answers in order.
 class server_connection final
     : public lws_endpoint
+    , public answer_sink
     , public std::enable_shared_from_this<server_connection>
 {
 public:
@@ -91,14 +34,16 @@
     void callerGone();
 
     int onEvent(lws *wsi, lws_callback_reasons reason, void *in, std::size_t length) override;
+    /// Makes the endpoint of a stream that libwebsockets has opened on this connection.
+    lws_endpoint *adoptStream(lws *stream) override;
+    void forgetStream(http2_stream &stream);
 
-    void sendWhole(int status, const header_list &headers, std::string_view body);
-    void sendHead(int status, const header_list &headers);
-    void sendPart(std::string_view bytes);
-    void sendEnd();
-    /// The last holder of the answer let it go unfinished.
-    void dropped();
-    [[nodiscard]] std::size_t queuedBytes() const { return m_out.size() - m_outBegin; }
+    void sendWhole(int status, const header_list &headers, std::string_view body) override;
+    void sendHead(int status, const header_list &headers) override;
+    void sendPart(std::string_view bytes) override;
+    void sendEnd() override;
+    void dropped() override;
+    [[nodiscard]] std::size_t queuedBytes() const override { return m_out.size() - m_outBegin; }
 
 private:
     /// What the connection is doing.
@@ -120,6 +65,7 @@
     void onTick(const std::shared_ptr<server_connection> &self);
     void onHeadTick();
     void doom();
+    void releaseBody();
     void prepareNextRequest();
 
     [[nodiscard]] std::optional<refusal> readHead();
@@ -149,6 +95,7 @@
 
     http_request m_request;
     std::size_t m_bodyBytes = 0; ///< length that the head declares
+    std::size_t m_buffered = 0; ///< bytes of it that the owner counts
     bool m_bodyUnread = false; ///< the caller may still be sending the body
     bool m_http10 = false;
     bool m_closeAfter = false;
@@ -164,6 +111,9 @@
 
     timer_id m_tick = 0;
     std::uint64_t m_receivedBefore = 0; ///< received when the last answer was finished
+    std::unordered_map<http2_stream *, std::shared_ptr<http2_stream>> m_streams;
+    bool m_http2 = false;
+
     std::uint64_t m_sentTotal = 0;
     std::uint64_t m_sentAtTick = 0;
     bool m_partialSeen = false; ///< at the last tick, a part of a head was here
--- a/tests/net/http_server_bounds_test.cpp
+++ b/tests/net/http_server_bounds_test.cpp
@@ -89,6 +89,37 @@
     CHECK_THAT(caller.got(), StartsWith("HTTP/1.1 413 "));
 }
 
+TEST_CASE("Bodies that arrive together are bounded, and what was handed over counts no more")
+{
+    test_loop loop;
+    http_server_options options;
+    options.maxBufferedBodyBytes = 1000;
+    std::vector<response_ptr> held;
+    const auto server = serve(
+        loop, [&](http_request &&, response_ptr response) { held.push_back(std::move(response)); },
+        options);
+    const std::string head = "POST / HTTP/1.1\r\ncontent-length: 600\r\n\r\n";
+    raw_peer first(server->port());
+    first.send(head + std::string(599, 'a'));
+    loop.runFor(milliseconds{20});
+    raw_peer second(server->port());
+    second.send(head + std::string(599, 'b'));
+
+    REQUIRE(loop.runUntil([&] { return second.got().ends_with("}"); }));
+    CHECK_THAT(second.got(), StartsWith("HTTP/1.1 503 "));
+    CHECK_THAT(second.got(), Contains("retry-after: 1"));
+    first.send("a");
+    REQUIRE(loop.runUntil([&] { return held.size() == 1; }));
+    raw_peer third(server->port());
+    third.send(head + std::string(300, 'c'));
+    loop.runFor(milliseconds{20});
+    third.hangUp();
+    REQUIRE(loop.runUntil([&] { return server->connections() <= 2; }));
+    raw_peer fourth(server->port());
+    fourth.send(head + std::string(600, 'd'));
+    CHECK(loop.runUntil([&] { return held.size() == 2; }));
+}
+
 TEST_CASE("A head beyond the bound is refused")
 {
     test_loop loop;
