Split the parser of parameters from that of templates

Change: core/parse_parameters reads the parameters of templates and customers; core/parse_template the rest. findKey moves to the YAML document. Nothing else changes.

Tests: all of core's configuration tests pass unchanged.

--- a/src/core/parse_published_configuration.cpp
+++ b/src/core/parse_published_configuration.cpp
@@ -1,3 +1,4 @@
+#include "core/parse_parameters.h"
 #include "core/parse_template.h"
 #include "core/published_configuration.h"
 #include "core/yaml_document.h"
--- a/src/core/yaml_document.cpp
+++ b/src/core/yaml_document.cpp
@@ -213,6 +213,17 @@
 
 } // namespace
 
+const yaml_value *findKey(const yaml_value &mapping, std::string_view key)
+{
+    if (mapping.kind != yaml_kind::Mapping)
+        return nullptr;
+    for (std::size_t i = 0; i + 1 < mapping.items.size(); i += 2) {
+        if (mapping.items[i].scalar == key)
+            return &mapping.items[i + 1];
+    }
+    return nullptr;
+}
+
 result<yaml_value, configuration_error> parseYaml(std::string_view text, std::string_view file,
                                                   end_marker marker, const yaml_limits &limits)
 {
--- a/src/core/yaml_document.h
+++ b/src/core/yaml_document.h
@@ -24,6 +24,9 @@
     std::vector<yaml_value> items; ///< of a sequence; of a mapping: key, value, key, value …
 };
 
+/// Finds a key of a mapping, or returns null.
+[[nodiscard]] const yaml_value *findKey(const yaml_value &mapping, std::string_view key);
+
 /// Bounds on a document that arrives from outside.
 struct yaml_limits
 {
