Show the operator's tables in the demo, and mix answers up for real

Cause: the demo showed callers' figures alone; a foreign answer was the right answer under a wrong name, which no caller could have noticed.

--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -14,6 +14,12 @@
 constexpr std::size_t MaxSamples = 10'000;
 constexpr std::uint64_t GapOfCacheEvents = 7; // each seventh event is never reported
 
+std::string completionId(const run_call &call)
+{
+    return "cmpl-" + call.key.request.value + "/" + std::to_string(call.key.stage) + "/"
+        + std::to_string(call.key.attempt);
+}
+
 milliseconds since(steady_time start, steady_time now)
 {
     return std::chrono::duration_cast<milliseconds>(now - start);
@@ -208,7 +214,9 @@
     }
     if (token == 0)
         streaming.response->begin(200, {{"content-type", "text/event-stream"}});
-    const std::string id = namedCompletion(streaming.call);
+    if (token == 0)
+        streaming.foreign = m_faults.draw(fault_kind::ForeignRequest, m_random).has_value();
+    const std::string id = completionId(streaming.call) + (streaming.foreign ? "0" : "");
     streaming.response->write(completionEvent(streaming.call, id, token));
     ++streaming.tokensSent;
 }
@@ -292,7 +300,7 @@
     }
     if (m_faults.draw(fault_kind::Duplicate, m_random)) {
         for (std::size_t token = 0; token < ended.call.tokens.size(); ++token)
-            ended.response->write(completionEvent(ended.call, namedCompletion(ended.call), token));
+            ended.response->write(completionEvent(ended.call, completionId(ended.call), token));
     }
     ended.response->write(std::string(StreamEnd));
     ended.response->finish();
@@ -301,28 +309,24 @@
 
 std::string backend_server::wholeBody(const taken_call &ended)
 {
-    const run_call &call = ended.call;
-    const milliseconds busy = ended.busy;
+    const run_call call = answeredCall(ended);
     const Json::Value json = m_spec.kind == service_kind::Engine
-        ? completionAnswer(call, namedCompletion(call), busy)
-        : stageAnswer(call, namedKey(call), busy, loadJson());
+        ? completionAnswer(call, completionId(call), ended.busy)
+        : stageAnswer(call, call.key, ended.busy, loadJson());
     const std::string text = toCompactJson(json);
     return m_faults.draw(fault_kind::Duplicate, m_random) ? text + text : text;
 }
 
-attempt_key backend_server::namedKey(const run_call &call)
-{
-    attempt_key key = call.key;
-    if (m_faults.draw(fault_kind::ForeignRequest, m_random))
-        key.request.value += "0";
-    return key;
-}
-
-std::string backend_server::namedCompletion(const run_call &call)
+// A foreign answer is the whole answer to another request, as one that was mixed up would be.
+run_call backend_server::answeredCall(const taken_call &ended)
 {
-    const attempt_key key = namedKey(call);
-    return "cmpl-" + key.request.value + "/" + std::to_string(key.stage) + "/"
-        + std::to_string(key.attempt);
+    const bool foreign = m_faults.draw(fault_kind::ForeignRequest, m_random).has_value();
+    run_call other = m_earlier.value_or(ended.call);
+    if (!m_earlier)
+        other.key.request.value += "0";
+    if (!m_earlier || m_earlier->key.request != ended.call.key.request)
+        m_earlier = ended.call;
+    return foreign ? other : ended.call;
 }
 
 void backend_server::endRun(std::uint64_t sequence, run_end end)
--- a/standins/backend_server.h
+++ b/standins/backend_server.h
@@ -63,6 +63,7 @@
         steady_time started;
         milliseconds busy{0}; ///< once the work is done
         std::size_t tokensSent = 0;
+        bool foreign = false; ///< its stream answers another request
         bool spoiled = false; ///< a fault has ended the stream early
     };
 
@@ -93,8 +94,7 @@
     void endRun(std::uint64_t sequence, run_end end);
 
     [[nodiscard]] std::string wholeBody(const taken_call &ended);
-    [[nodiscard]] attempt_key namedKey(const run_call &call);
-    [[nodiscard]] std::string namedCompletion(const run_call &call);
+    [[nodiscard]] run_call answeredCall(const taken_call &ended);
     [[nodiscard]] Json::Value loadJson() const;
     [[nodiscard]] Json::Value cacheEventsJson(std::uint64_t after) const;
     /// What reports may know now.
@@ -110,6 +110,7 @@
     const prefix_cache *m_cache = nullptr; ///< engines only
     std::unordered_map<std::uint64_t, taken_call> m_calls; ///< by sequence in the history
     std::deque<load_sample> m_samples;
+    std::optional<run_call> m_earlier; ///< of another request, for answers that are foreign
     std::vector<net::response_ptr> m_stuck; ///< answers that a fault holds open
     std::unique_ptr<net::http_server> m_server;
 };
--- a/standins/demo_main.cpp
+++ b/standins/demo_main.cpp
@@ -101,6 +101,8 @@
                   << summaryByClass(m_evidence.requests) << '\n'
                   << summaryByStage(m_evidence.requests) << '\n'
                   << summaryOfReasons(m_evidence.requests);
+        showTable("stages");
+        showTable("servers");
         for (const proof_breach &breach : breaches)
             std::cout << toName(breach.kind) << ": " << breach.what << '\n';
         return printVerdict(breaches);
@@ -109,8 +111,8 @@
     void keepRunning()
     {
         const fleet_vm &vm = m_fleet.layout().vms.front();
-        const std::string ctl =
-            absl::GetFlag(FLAGS_build) + "/orchidctl --operator=" + toText(vm.operators);
+        const std::string ctl = ctlPath();
+        const std::string node = " --operator " + toText(vm.operators);
         std::cout << "the fleet stays up until Ctrl-C; try\n"
                   << "  curl -sS http://" << toText(vm.caller) << "/v1/requests -d "
                   << R"('{"customer": "tartu-alumni", "pipeline": "summary", )"
@@ -118,7 +120,9 @@
                   << "  curl -sS http://" << toText(vm.operators) << "/v1/status\n"
                   << "  curl -sS http://" << toText(m_fleet.backendControl())
                   << "/control/servers\n"
-                  << "  " << ctl << " status\n  " << ctl << " stages\n  " << ctl << " servers\n"
+                  << "  " << ctl << " status" << node << "\n  " << ctl << " stages" << node
+                  << "\n  " << ctl << " send --caller " << toText(vm.caller)
+                  << " --customer collectors --pipeline question --input '{\"text\": \"milk\"}'\n"
                   << std::flush;
         m_loop.run();
     }
@@ -126,6 +130,23 @@
     void stop() { m_fleet.processes().stopAll(StopPatience); }
 
 private:
+    static std::string ctlPath() { return absl::GetFlag(FLAGS_build) + "/orchidctl"; }
+
+    // What an operator would see at the first node.
+    void showTable(const std::string &command)
+    {
+        const std::string name = "orchidctl-" + command;
+        const auto started = m_fleet.processes().start(
+            name,
+            {ctlPath(), command, "--operator", toText(m_fleet.layout().vms.front().operators)});
+        if (!started)
+            exitWith("demo: " + started.error().what);
+        if (!m_driver.runUntil([&] { return !m_fleet.processes().running(name); }, StopPatience))
+            exitWith("demo: orchidctl does not end");
+        std::cout << "orchidctl " << command << '\n'
+                  << readFileOrExit(m_fleet.processes().logFile(name)) << '\n';
+    }
+
     template <class Value>
     static void exitOnError(const result<Value, fleet_error> &done)
     {
