Tell all nodes of a backend server that is leaving

Ruled out: gossip's free bytes (too few, log2(n) probe intervals); polling every server from every node.

--- /dev/null
+++ b/src/core/leaving_news.cpp
@@ -0,0 +1,38 @@
+#include "core/leaving_news.h"
+
+namespace orchidlead {
+
+namespace {
+
+constexpr std::size_t MaxServers = 4096;
+
+// Load reports lag: one that says otherwise so soon after the server itself is older than that.
+constexpr milliseconds ReportLag{6000};
+
+} // namespace
+
+std::vector<server_news> leaving_news::all() const
+{
+    std::vector<server_news> out;
+    out.reserve(m_leaving.size());
+    for (const auto &[server, since] : m_leaving)
+        out.push_back({server, true});
+    return out;
+}
+
+bool leaving_news::note(const server_news &news)
+{
+    const auto found = m_leaving.find(news.server);
+    if (news.leaving) {
+        if (found != m_leaving.end() || m_leaving.size() >= MaxServers)
+            return false;
+        m_leaving.emplace(news.server, m_clock.now());
+        return true;
+    }
+    if (found == m_leaving.end() || m_clock.now() - found->second < ReportLag)
+        return false;
+    m_leaving.erase(found);
+    return true;
+}
+
+} // namespace orchidlead
--- a/src/daemon/control_shell.cpp
+++ b/src/daemon/control_shell.cpp
@@ -1,5 +1,7 @@
 #include "daemon/control_shell.h"
 
+#include <array>
+#include <string>
 #include <utility>
 
 namespace orchidlead::daemon {
@@ -8,8 +10,17 @@
 
 constexpr milliseconds TickInterval{50};
 
+struct datagram_mark
+{
+    datagram_kind kind;
+    std::string_view mark;
+};
+
 // Gossip is packed and begins with a number or an array, never with these letters.
-constexpr std::string_view GateMark = "OLG1";
+constexpr std::array DatagramMarks{
+    datagram_mark{datagram_kind::Gate, "OLG1"},
+    datagram_mark{datagram_kind::ServerNews, "OLL1"},
+};
 
 } // namespace
 
@@ -56,15 +67,23 @@
 
 void control_shell::onDatagram(const socket_address &from, std::string_view bytes)
 {
-    if (bytes.starts_with(GateMark))
-        m_events.onGateDatagram(from, bytes.substr(GateMark.size()));
-    else
-        feed([&](auto &out) { m_control.onDatagram(from, bytes, out); });
+    for (const auto &[kind, mark] : DatagramMarks) {
+        if (bytes.starts_with(mark)) {
+            m_events.onDatagram(kind, from, bytes.substr(mark.size()));
+            return;
+        }
+    }
+    feed([&](auto &out) { m_control.onDatagram(from, bytes, out); });
 }
 
-void control_shell::sendGateDatagram(const socket_address &to, std::string_view bytes)
+void control_shell::sendDatagram(datagram_kind kind, const socket_address &to,
+                                 std::string_view bytes)
 {
-    std::string datagram(GateMark);
+    std::string datagram;
+    for (const auto &[known, mark] : DatagramMarks) {
+        if (known == kind)
+            datagram = mark;
+    }
     datagram += bytes;
     if (m_socket)
         m_socket->send(to, datagram);
--- a/src/daemon/control_shell.h
+++ b/src/daemon/control_shell.h
@@ -27,6 +27,12 @@
     platform::published_watch_options vmListWatch;
 };
 
+/// What shares the gossip port with the gossip.
+enum class datagram_kind {
+    Gate, ///< a message of the at-most-once gate
+    ServerNews, ///< which backend servers are leaving or back
+};
+
 /// What the control part reports to the rest of the daemon.
 struct control_events
 {
@@ -38,8 +44,9 @@
     std::function<void(const paused &)> onPaused;
     std::function<void(const superseded &)> onSuperseded;
     std::function<void(const fetch_from_peer &)> fetchFromPeer;
-    /// A datagram of the peer's gate, without its mark.
-    std::function<void(const socket_address &from, std::string_view bytes)> onGateDatagram;
+    /// A datagram that isn't gossip, without its mark.
+    std::function<void(datagram_kind kind, const socket_address &from, std::string_view bytes)>
+        onDatagram;
 };
 
 /// Feeds gossip, the platform's documents and the time into the control part, and carries out what
@@ -60,8 +67,8 @@
     void noticePause();
     void announceLeaving();
     void announceStopped();
-    /// Sends a message of the gate as a datagram of the gossip port.
-    void sendGateDatagram(const socket_address &to, std::string_view bytes);
+    /// Sends a datagram that isn't gossip from the gossip port.
+    void sendDatagram(datagram_kind kind, const socket_address &to, std::string_view bytes);
     void onPeerContent(const vm_id &vm, std::uint64_t version, std::string content);
     void onPeerFailed(const vm_id &vm);
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/leaving_news.h"
 #include "core/planned_stop.h"
 #include "core/settings.h"
 #include "daemon/caller_api.h"
@@ -69,6 +70,10 @@
     void fetchFromPeer(const fetch_from_peer &fetch);
     void onGateMessage(const vm_id &from, std::string_view bytes);
     void send(const std::vector<peer_message> &messages);
+    void tellPeers(const server_news &news);
+    void tellNewMember(const member_changed &changed);
+    void sendNews(const std::vector<server_news> &news, const member &to);
+    void onServerNews(std::string_view bytes);
     void tickGate();
     void refreshAdmission();
     void applyAdmission();
@@ -82,6 +87,8 @@
     const steady_time m_started;
     std::unique_ptr<net::http_client> m_client;
     reporter m_reporter;
+    leaving_news m_news;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< tells timers
     node_shell m_shell;
     control_shell m_control;
     peer_link m_peers;
--- a/src/daemon/node_shell.cpp
+++ b/src/daemon/node_shell.cpp
@@ -12,9 +12,7 @@
     , m_node(options.node, clock, seed)
     , m_backends(loop, client, clock, backendEvents(), options.backends)
     , m_loads(loop, client, clock, options.loadReports,
-              [this](const load_report &report) {
-                  feed([&](node_actions &out) { m_node.onLoadReport(report, out); });
-              })
+              [this](const load_report &report) { onLoad(report); })
     , m_hooks(std::move(hooks))
 { }
 
@@ -35,13 +33,15 @@
         feed([&](node_actions &out) { m_node.onChunk(chunk.key, std::move(chunk.text), out); });
     };
     events.onFailure = [this](const platform::attempt_failed &failed) {
+        if (failed.failure == attempt_failure::Leaving)
+            m_hooks.onServerNews({failed.server, true});
         feed([&](node_actions &out) {
             m_node.onFailure(failed.key, failed.failure, failed.retryAfter, out);
         });
     };
     events.onLoad = [this](const load_report &report) {
         m_loads.onHeard(report.server);
-        feed([&](node_actions &out) { m_node.onLoadReport(report, out); });
+        onLoad(report);
     };
     return events;
 }
@@ -81,6 +81,20 @@
     feed([&](node_actions &out) { m_node.cancel(request, out); });
 }
 
+void node_shell::onLoad(const load_report &report)
+{
+    m_hooks.onServerNews({report.server, report.leaving});
+    feed([&](node_actions &out) { m_node.onLoadReport(report, out); });
+}
+
+void node_shell::onHeard(const server_news &news)
+{
+    load_report report;
+    report.server = news.server;
+    report.leaving = news.leaving;
+    feed([&](node_actions &out) { m_node.onLoadReport(report, out); });
+}
+
 void node_shell::setMembers(const members_updated &update)
 {
     m_loads.setNodes(update.members.size());
--- a/src/daemon/node_shell.h
+++ b/src/daemon/node_shell.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/leaving_news.h"
 #include "core/node.h"
 #include "core/node_control.h"
 #include "net/event_loop.h"
@@ -30,6 +31,8 @@
     std::function<void(const log_decision &)> onDecision;
     std::function<void(const forward_call &)> forward;
     std::function<void(const end_request &)> onEnded;
+    /// A backend server told this node whether it is leaving.
+    std::function<void(const server_news &)> onServerNews;
     /// Asked before anything is sent to a backend server; notices a pause of the process, which
     /// may call `setConfirmed(false)`.
     std::function<void()> noticePause;
@@ -72,6 +75,8 @@
     /// Stops or goes on reading what backend servers send for a request.
     void setReading(const request_id &request, bool reading);
 
+    /// Takes what a backend server told a peer.
+    void onHeard(const server_news &news);
     void setMembers(const members_updated &update);
     void setAdmission(admission_state state) { m_node.setAdmission(state); }
     /// Holds back what would be sent to backend servers until the configuration is confirmed.
@@ -81,6 +86,7 @@
 
 private:
     [[nodiscard]] platform::stage_client_events backendEvents();
+    void onLoad(const load_report &report);
     void carryOut(const node_actions &actions);
     void perform(const send_attempt &action);
     void perform(const cancel_attempt &action);
--- /dev/null
+++ b/src/platform/server_news_json.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/leaving_news.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace orchidlead::platform {
+
+/// Writes news as datagrams of at most `maxBytes` each: `{"leaving": ["r-1"], "back": ["r-2"]}`.
+[[nodiscard]] std::vector<std::string> writeServerNews(const std::vector<server_news> &news,
+                                                       std::size_t maxBytes);
+
+/// Reads one datagram; nothing where it is of another form.
+[[nodiscard]] std::optional<std::vector<server_news>> readServerNews(std::string_view text);
+
+} // namespace orchidlead::platform
