--- a/bench/experiment_summary.h
+++ b/bench/experiment_summary.h
@@ -27,7 +27,7 @@
     double engineRate = 0; ///< runs that the engines finished, a second
     double attainedEngineRate =
         0; ///< requests attained that need an engine, a second, at their end
-    std::size_t attempts = 0; ///< that arrived at backend servers in the disturbed time
+    std::size_t attempts = 0; ///< of all stages, as the answers say; refused connections count
     std::size_t firstTries = 0; ///< of these
     double busyMs = 0; ///< cost: time of the backend servers, whole run
     double missedBusyMs = 0; ///< cost of requests that missed their deadline, whole run
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -65,7 +65,7 @@
     const disturbance_step isolate{From, disturbance_kind::IsolateDataCenter, "2", ""};
     const disturbance_step heal{To, disturbance_kind::HealNetwork, "", ""};
     const disturbance_step poolDown{From, disturbance_kind::ServerFault, "runners-",
-                                    R"({"fault":"close"})"};
+                                    R"({"fault":"down"})"};
     const disturbance_step poolUp{To, disturbance_kind::ServerWell, "runners-", ""};
     const disturbance_step serverDown{From, disturbance_kind::ServerFault, Straggler,
                                       R"({"fault":"down"})"};
