Make libwebsockets' table of descriptors no longer than is needed

Cause: a profile of the daemon showed 8 % in libwebsockets' insertion of a socket. The packaged build looks through its whole table there, which is as long as the process's limit of descriptors.

Ruled out: fd_limit_per_thread, which switches libwebsockets to a search through the table for every event.

Change: the soft limit is 10240 while the context is made, and as before after.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,7 +1,9 @@
 #include "net/lws_event_loop.h"
 
+#include <sys/resource.h>
 #include <time.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -16,6 +18,32 @@
 // Rounds without progress before the loop rests, and for how long.
 constexpr int MaxIdleRounds = 64;
 constexpr long RestNanoseconds = 200'000;
+// Descriptors that the loop can serve: callers and calls at the usual bounds, and some for the
+// rest. Beyond, connections are closed and calls end with `NotSent`.
+constexpr rlim_t MaxDescriptors = 10240;
+
+/// Lowers the soft limit of descriptors while libwebsockets reads it.
+///
+/// libwebsockets makes a table for as many descriptors as the process may open, and the packaged
+/// build looks through all of it for each new socket, as a check of its own. Limits of a million
+/// are usual on servers.
+class descriptor_limit
+{
+public:
+    descriptor_limit()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        rlimit lowered = m_before;
+        lowered.rlim_cur = std::min(m_before.rlim_cur, MaxDescriptors);
+        setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    ~descriptor_limit() { setrlimit(RLIMIT_NOFILE, &m_before); }
+    descriptor_limit(const descriptor_limit &) = delete;
+    descriptor_limit &operator=(const descriptor_limit &) = delete;
+
+private:
+    rlimit m_before{};
+};
 
 } // namespace
 
@@ -61,7 +89,10 @@
     info.max_http_header_data = MaxParsedHeaderBytes;
     info.pt_serv_buf_size = LWS_PRE + TransferBytes;
     info.timeout_secs = LibraryTimeout;
-    m_context = lws_create_context(&info);
+    {
+        const descriptor_limit limit;
+        m_context = lws_create_context(&info);
+    }
     if (!m_context)
         return failure(net_error{"libwebsockets made no context"});
 
