Test the order of timers on times that the test gives

Cause: the test added timers to a running loop and expected the order of their delays.

Change: the order, ties and cancelling are asserted on timer_heap with given times, which is stricter (ties, and what isn't due yet); the loop's test asserts what doesn't depend on time: timers added by timers run after them, cancelled ones don't.

--- a/tests/net/event_loop_test.cpp
+++ b/tests/net/event_loop_test.cpp
@@ -21,24 +21,50 @@
 
 } // namespace
 
-TEST_CASE("Timers run in the order of their times")
+TEST_CASE("Timers run in the order of their times, and of their adding where those are equal")
 {
-    test_loop loop;
+    timer_heap heap;
+    const orchidlead::steady_time start{std::chrono::hours{1}};
     std::string order;
-    loop->callAfter(milliseconds{9}, [&] {
-        order += 'd';
-        loop->stop();
+    heap.add(start + milliseconds{9}, [&] { order += 'e'; });
+    heap.add(start + milliseconds{6}, [&] { order += 'c'; });
+    heap.add(start + milliseconds{6}, [&] { order += 'd'; });
+    const auto cancelled = heap.add(start + milliseconds{4}, [&] { order += 'x'; });
+    heap.add(start + milliseconds{2}, [&] {
+        order += 'a';
+        heap.cancel(cancelled);
+        heap.add(start + milliseconds{3}, [&] { order += 'b'; });
     });
-    loop->callAfter(milliseconds{6}, [&] { order += 'c'; });
-    const auto cancelled = loop->callAfter(milliseconds{4}, [&] { order += 'x'; });
-    loop->callAfter(milliseconds{2}, [&] {
+
+    CHECK_FALSE(heap.takeDue(start + milliseconds{1}));
+    while (auto task = heap.takeDue(start + milliseconds{8}))
+        task();
+    CHECK(order == "abcd");
+    CHECK(heap.next() == start + milliseconds{9});
+    CHECK(heap.size() == 1);
+}
+
+TEST_CASE("The loop runs timers, also those that a timer adds, but none that was cancelled")
+{
+    test_loop loop;
+    std::string order;
+    const auto cancelled = loop->callAfter(std::chrono::hours{1}, [&] { order += 'x'; });
+    loop->callAfter(milliseconds{1}, [&] {
         order += 'a';
         loop->cancelTimer(cancelled);
-        loop->callAfter(milliseconds{1}, [&] { order += 'b'; });
+        loop->callAfter(milliseconds{1}, [&] {
+            order += 'b';
+            loop->callAfter(milliseconds{0}, [&] {
+                order += 'c';
+                loop->stop();
+            });
+        });
     });
+    const auto soonCancelled = loop->callAfter(milliseconds{0}, [&] { order += 'y'; });
+    loop->cancelTimer(soonCancelled);
 
     REQUIRE(loop.run());
-    CHECK(order == "abcd");
+    CHECK(order == "abc");
 }
 
 TEST_CASE("Cancelled timers don't pile up")
