Mend what the policy model showed under overload and outages

A retry now pauses 10 ms (doubling), in which the pool shows whether it is broken, and the breaker opens on how many different servers failed without a success in between. - 200 % load: stages refused by full engines failed although earlier stages were paid for. Refused work goes back to its queue outside the retry budget; refusals and reported queues cut the limit. - Work that was paid for was ordered by slack alone, so large customers filled the last stage. Customers share each stage fairly now; each lower lane has every eighth turn. - Admission knew nothing of requests on their way, nor of what a lower lane can count on. - Low priority starved in the engines' own queues after its turn had come here; what had to wait here is sent with high priority. - A hedge where no server of the pool answers meanwhile only adds load; it isn't sent any more. Customer limits of the configuration are kept: open requests beyond running and queued are refused.

--- a/bench/policy_model.cpp
+++ b/bench/policy_model.cpp
@@ -66,6 +66,16 @@
     return attained * 1'000.0 / static_cast<double>((to - from).count());
 }
 
+double run_result::usefulShare(double places, milliseconds from, milliseconds to) const
+{
+    double useful = 0.0;
+    for (const request_result &request : requests) {
+        const auto at = request.ended - started;
+        useful += request.attained && at >= from && at < to ? request.engineBusy : 0.0;
+    }
+    return useful / (places * static_cast<double>((to - from).count()));
+}
+
 double run_result::busyPerRequest() const
 {
     double busy = 0.0;
@@ -216,7 +226,7 @@
         return;
     job.running = false;
     --serverOf(job).running;
-    onBusy(job.request, msBetween(job.started, now));
+    onBusy(job, msBetween(job.started, now));
 }
 
 void pool_model::startNext(std::uint32_t pool, std::uint32_t number, steady_time now)
--- a/include/orchidlead/concurrency_limit.h
+++ b/include/orchidlead/concurrency_limit.h
@@ -18,7 +18,8 @@
         view.limit()
         } -> std::convertible_to<std::uint32_t>;
     limit.onAnswer(latency, outstanding, now);
-    limit.onRefused(now);
+    limit.onReport(outstanding, outstanding, now);
+    limit.onRefused(outstanding, now);
 };
 
 /// Baseline: the same limit for ever.
@@ -27,11 +28,13 @@
 {
     [[nodiscard]] std::uint32_t limit() const { return Limit; }
     void onAnswer(std::chrono::microseconds, std::uint32_t, steady_time) { }
-    void onRefused(steady_time) { }
+    void onReport(std::uint32_t, std::uint32_t, steady_time) { }
+    void onRefused(std::uint32_t, steady_time) { }
 };
 
 /// Grows by one for each limit's worth of answers while it is used up; shrinks by a factor when
-/// the server refuses, or when answers take more than a multiple of their long-term time.
+/// the server refuses or reports a queue, or when answers take more than a multiple of their
+/// long-term time.
 class aimd_limit
 {
 public:
@@ -39,7 +42,10 @@
 
     /// `outstanding` is the number before this answer.
     void onAnswer(std::chrono::microseconds latency, std::uint32_t outstanding, steady_time now);
-    void onRefused(steady_time now);
+
+    /// Takes the numbers of calls that run and wait at the server, of all nodes; may be old.
+    void onReport(std::uint32_t running, std::uint32_t queued, steady_time now);
+    void onRefused(std::uint32_t outstanding, steady_time now);
 
 private:
     void shrink(double factor, steady_time now);
@@ -57,7 +63,10 @@
 public:
     [[nodiscard]] std::uint32_t limit() const { return static_cast<std::uint32_t>(m_limit); }
     void onAnswer(std::chrono::microseconds latency, std::uint32_t outstanding, steady_time now);
-    void onRefused(steady_time now);
+
+    /// Takes the numbers of calls that run and wait at the server, of all nodes; may be old.
+    void onReport(std::uint32_t running, std::uint32_t queued, steady_time now);
+    void onRefused(std::uint32_t outstanding, steady_time now);
 
 private:
     double m_limit = 8.0;
--- a/include/orchidlead/fair_queue.h
+++ b/include/orchidlead/fair_queue.h
@@ -26,9 +26,9 @@
     std::uint64_t sequence = 0; ///< given by the queue
 };
 
-/// Orders waiting work: by lane, then paid work by slack, then customers by weighted fair share,
-/// then each customer's items by slack. A lower lane is served at least once in `LowLaneEvery`
-/// items, so that it is late but not lost.
+/// Orders waiting work: by lane, then customers by weighted fair share, then each customer's paid
+/// work before its new work, then by slack. Each lower lane is served at least once in
+/// `LowLaneEvery` items, so that it is late but not lost.
 ///
 /// Start-time fair queueing: an item's cost advances its customer's tag, and the customer with
 /// the lowest tag is next. A customer's memory ends when it has nothing queued and the others
@@ -38,7 +38,7 @@
 {
 public:
     static constexpr std::uint32_t Lanes = 3;
-    static constexpr std::uint32_t LowLaneEvery = 16;
+    static constexpr std::uint32_t LowLaneEvery = 8;
 
     /// Adds an item; `cost` is in units of the caller's choice, the same for all.
     queue_place push(Item item, queue_place place, double cost = 1.0);
@@ -49,19 +49,34 @@
     /// Takes out an item that no longer waits; false where it isn't there.
     bool remove(const queue_place &place);
 
-    /// Takes out the item with the most slack of the customer with the most items, from the
-    /// lowest lane that has new work and isn't above `lane`. Nothing if that customer would be
-    /// the one asking, or has no more items than it.
+    /// Takes out the new item with the most slack of the customer with the most items, from the
+    /// lowest lane that has work and isn't above `lane`. Nothing if that customer has no new work,
+    /// would be the one asking, or has no more items than it.
     [[nodiscard]] std::optional<Item> evictFor(std::uint32_t lane, const customer_id &customer);
 
     [[nodiscard]] std::size_t size() const { return m_size; }
     [[nodiscard]] bool empty() const { return m_size == 0; }
 
-    /// Estimates how many items would go before a new one.
-    [[nodiscard]] std::size_t ahead(std::uint32_t lane, const customer_id &customer) const;
+    /// Estimates how many items of its lane would go before a new one, if the customer had
+    /// `ownComing` and all customers together `coming` more in the queue.
+    [[nodiscard]] std::size_t ahead(std::uint32_t lane, const customer_id &customer,
+                                    std::size_t ownComing = 0, std::size_t coming = 0) const;
 
 private:
-    using slack_key = std::pair<steady_time, std::uint64_t>;
+    /// Orders the items of one customer.
+    struct slack_key
+    {
+        bool isNew = true; ///< paid work goes first
+        steady_time latestStart;
+        std::uint64_t sequence = 0;
+
+        friend auto operator<=>(const slack_key &, const slack_key &) = default;
+    };
+
+    static slack_key keyOf(const queue_place &place)
+    {
+        return {!place.paid, place.latestStart, place.sequence};
+    }
 
     struct queued_item
     {
@@ -92,7 +107,6 @@
 
     struct lane_state
     {
-        std::map<slack_key, queued_item> paid;
         std::unordered_map<customer_id, customer_queue> customers;
         std::set<tagged_customer> active; ///< by start tag
         std::set<tagged_customer> bySize;
@@ -157,9 +171,10 @@
     }
     [[nodiscard]] std::size_t size() const { return m_items.size(); }
     [[nodiscard]] bool empty() const { return m_items.empty(); }
-    [[nodiscard]] std::size_t ahead(std::uint32_t, const customer_id &) const
+    [[nodiscard]] std::size_t ahead(std::uint32_t, const customer_id &, std::size_t = 0,
+                                    std::size_t coming = 0) const
     {
-        return m_items.size();
+        return m_items.size() + coming;
     }
 
 private:
@@ -199,13 +214,9 @@
     place.lane = std::min(place.lane, Lanes - 1);
     place.sequence = ++m_sequence;
     lane_state &lane = m_lanes[place.lane];
-    const slack_key key{place.latestStart, place.sequence};
+    const slack_key key = keyOf(place);
     ++lane.size;
     ++m_size;
-    if (place.paid) {
-        lane.paid.emplace(key, queued_item{std::move(item), cost});
-        return place;
-    }
     customer_queue &queue = customerQueue(lane, place.customer);
     if (queue.items.empty()) {
         lane.idle.erase(byFinish(queue));
@@ -221,14 +232,12 @@
 auto fair_queue<Item>::nextLane() -> lane_state *
 {
     ++m_pops;
-    if (m_pops % LowLaneEvery == 0) {
-        // The two lower lanes take turns at the reserved place.
-        const std::size_t first = (m_pops / LowLaneEvery) % 2 == 0 ? 1 : 2;
-        for (const std::size_t lane : {first, Lanes - first}) {
-            if (m_lanes[lane].size > 0)
-                return &m_lanes[lane];
-        }
-    }
+    // Each lower lane has a turn of its own.
+    const std::uint64_t turn = m_pops % LowLaneEvery;
+    if (turn == 0 && m_lanes[2].size > 0)
+        return &m_lanes[2];
+    if (turn == LowLaneEvery / 2 && m_lanes[1].size > 0)
+        return &m_lanes[1];
     for (lane_state &lane : m_lanes) {
         if (lane.size > 0)
             return &lane;
@@ -250,11 +259,6 @@
 template <class Item>
 Item fair_queue<Item>::popFrom(lane_state &lane)
 {
-    if (!lane.paid.empty()) {
-        Item item = std::move(lane.paid.begin()->second.item);
-        lane.paid.erase(lane.paid.begin());
-        return item;
-    }
     customer_queue &queue = *lane.active.begin()->queue;
     lane.active.erase(lane.active.begin());
     lane.virtualTime = queue.start;
@@ -283,13 +287,7 @@
 bool fair_queue<Item>::remove(const queue_place &place)
 {
     lane_state &lane = m_lanes[std::min(place.lane, Lanes - 1)];
-    const slack_key key{place.latestStart, place.sequence};
-    if (place.paid) {
-        const std::size_t erased = lane.paid.erase(key);
-        lane.size -= erased;
-        m_size -= erased;
-        return erased > 0;
-    }
+    const slack_key key = keyOf(place);
     const auto it = lane.customers.find(place.customer);
     if (it == lane.customers.end() || it->second.items.count(key) == 0)
         return false;
@@ -323,7 +321,10 @@
         if (sameLane && largest.items.size() <= ownItems + 1)
             return std::nullopt;
         const auto last = std::prev(largest.items.end());
-        queue_place place{number, false, largest.customer, last->first.first, last->first.second};
+        if (!last->first.isNew)
+            return std::nullopt;
+        queue_place place{number, false, largest.customer, last->first.latestStart,
+                          last->first.sequence};
         std::optional<Item> item{std::move(last->second.item)};
         remove(place);
         return item;
@@ -332,20 +333,17 @@
 }
 
 // A customer's own items wait behind one another; of each other customer, fair sharing lets at
-// most as many go first. Lanes above go first whole.
+// most as many go first.
 template <class Item>
-std::size_t fair_queue<Item>::ahead(std::uint32_t laneNumber, const customer_id &customer) const
+std::size_t fair_queue<Item>::ahead(std::uint32_t laneNumber, const customer_id &customer,
+                                    std::size_t ownComing, std::size_t coming) const
 {
-    laneNumber = std::min(laneNumber, Lanes - 1);
-    std::size_t count = 0;
-    for (std::uint32_t above = 0; above < laneNumber; ++above)
-        count += m_lanes[above].size;
-    const lane_state &lane = m_lanes[laneNumber];
+    const lane_state &lane = m_lanes[std::min(laneNumber, Lanes - 1)];
     const auto own = lane.customers.find(customer);
     const std::size_t ownItems = own == lane.customers.end() ? 0 : own->second.items.size();
     const std::size_t isNew = ownItems == 0 ? 1 : 0;
-    const std::size_t fair = (ownItems + 1) * (lane.active.size() + isNew) - 1;
-    return count + lane.paid.size() + std::min(lane.size - lane.paid.size(), fair);
+    const std::size_t fair = (ownItems + ownComing + 1) * (lane.active.size() + isNew) - 1;
+    return std::min(lane.size + coming, fair);
 }
 
 template <class Item>
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -13,7 +13,8 @@
 {
     std::chrono::microseconds remaining{0}; ///< until the deadline
     std::chrono::microseconds likely{0}; ///< time of the stages to come, at the policy's quantile
-    std::chrono::microseconds queueWait{0}; ///< before the next stage starts
+    std::chrono::microseconds queueWait{0}; ///< expected, in the longest of the queues
+    bool underShare = false; ///< the customer has no more open than its equal share
 };
 
 /// Whether a request is taken, and whether queued work is still worth starting.
@@ -38,17 +39,21 @@
         } -> std::convertible_to<double>;
 };
 
-/// Takes only what is likely to be on time. Work that was paid for is given up only when even a
-/// quick run would be late.
+/// Takes only what is likely to be on time; where the load is others', the benefit of the doubt is
+/// the customer's. Queued work is given up when it would likely be late, paid for or not: running
+/// it would take the time of work that can still be on time.
 struct deadline_admission
 {
-    static constexpr double AdmitQuantile = 0.75;
+    static constexpr double AdmitQuantile = 0.9;
+    static constexpr double UnderShareQuantile = 0.5;
     static constexpr double NewWorkQuantile = 0.75;
-    static constexpr double PaidWorkQuantile = 0.1;
+    static constexpr double PaidWorkQuantile = 0.75;
 
     [[nodiscard]] bool admits(const admission_view &view) const
     {
-        return view.likely + view.queueWait <= view.remaining;
+        // The expected wait is a mean; half of the waits are longer.
+        const auto wait = view.underShare ? view.queueWait : 3 * view.queueWait / 2;
+        return view.likely + wait <= view.remaining;
     }
     [[nodiscard]] bool worthStarting(const admission_view &view) const
     {
@@ -60,6 +65,7 @@
 struct admit_all
 {
     static constexpr double AdmitQuantile = 0.0;
+    static constexpr double UnderShareQuantile = 0.0;
     static constexpr double NewWorkQuantile = 0.0;
     static constexpr double PaidWorkQuantile = 0.0;
 
--- a/src/core/concurrency_limit.cpp
+++ b/src/core/concurrency_limit.cpp
@@ -11,6 +11,8 @@
 constexpr double MaxLimit = 512.0;
 constexpr double RefusedFactor = 0.75;
 constexpr double SlowFactor = 0.9;
+constexpr double QueuedFactor = 0.9;
+constexpr double QueuedShare = 0.5; ///< of the running calls
 constexpr double SlowMultiple = 2.5; ///< of the long-term time
 constexpr double GradientTolerance = 1.5;
 constexpr double GradientSmoothing = 0.2;
@@ -55,8 +57,19 @@
         m_limit = std::min(MaxLimit, m_limit + 1.0 / m_limit);
 }
 
-void aimd_limit::onRefused(steady_time now)
+// Work that waits at the server is beyond the reach of priorities, fairness and cancelled plans;
+// a short queue there is all that keeps it busy.
+void aimd_limit::onReport(std::uint32_t running, std::uint32_t queued, steady_time now)
 {
+    if (queued > QueuedShare * running)
+        shrink(QueuedFactor, now);
+}
+
+void aimd_limit::onRefused(std::uint32_t outstanding, steady_time now)
+{
+    // A limit above what was outstanding had no part in it; cutting it alone would change nothing
+    // for a while, and the server would refuse on.
+    m_limit = std::clamp(static_cast<double>(outstanding), MinLimit, m_limit);
     shrink(RefusedFactor, now);
 }
 
@@ -74,7 +87,15 @@
         std::clamp(smoothed(m_limit, wanted, GradientSmoothing / m_limit), MinLimit, MaxLimit);
 }
 
-void gradient_limit::onRefused(steady_time now)
+void gradient_limit::onReport(std::uint32_t running, std::uint32_t queued, steady_time now)
+{
+    if (queued <= QueuedShare * running || !restedSince(m_lastShrunk, m_shortTerm, now))
+        return;
+    m_limit = std::max(MinLimit, m_limit * QueuedFactor);
+    m_lastShrunk = now;
+}
+
+void gradient_limit::onRefused(std::uint32_t, steady_time now)
 {
     if (!restedSince(m_lastShrunk, m_shortTerm, now))
         return;
--- a/src/core/engine_admission_impl.h
+++ b/src/core/engine_admission_impl.h
@@ -2,6 +2,7 @@
 
 // Definitions of engine_state: whether a request is taken, and how it ends.
 
+#include "core/engine_constants.h"
 #include "core/engine_state.h"
 
 #include <xxhash.h>
@@ -10,13 +11,6 @@
 
 namespace orchidlead {
 
-namespace engine_constants {
-inline constexpr std::size_t PrefixBytes = 256;
-inline constexpr std::uint64_t ExploreEvery = 16;
-inline constexpr milliseconds ShortestRetryAfter{100};
-inline constexpr milliseconds LongestRetryAfter{10'000};
-} // namespace engine_constants
-
 // Callers that were refused together must not come back together.
 template <class Policies>
 milliseconds engine_state<Policies>::spread(milliseconds wait)
@@ -61,8 +55,11 @@
     state.serial = ++m_lastSerial;
     m_serials[state.request.id] = state.serial;
     m_requests[state.serial] = std::move(owned);
+    ++m_openOf[state.plan().customer];
     log(decision_kind::Admit, state, 0, 0, state.exploring ? "exploring" : "in time", out);
     addTimer(timer_kind::Deadline, state.request.deadline, state);
+    for (std::uint32_t stage = 0; stage < state.stages.size(); ++stage)
+        poolOf(state, stage)->expect(state.plan().customer);
     startReady(state, out);
     settle(out);
 }
@@ -79,6 +76,12 @@
     if (m_requests.size() >= m_settings.maxOpenRequests)
         return refusal{refusal_reason::Overloaded, "too many open requests",
                        spread(milliseconds{1000})};
+    const customer_limits &limits = state.plan().limits;
+    const auto open = m_openOf.find(state.plan().customer);
+    const bool limited = limits.maxRunning > 0 && open != m_openOf.end();
+    if (limited && open->second >= limits.maxRunning + limits.maxQueued)
+        return refusal{refusal_reason::Overloaded, "too many open requests of this customer",
+                       spread(milliseconds{1000})};
     if (sendDeadline(state) <= state.submitted)
         return refusal{refusal_reason::DeadlineTooShort, "no time left", std::nullopt};
     // Time goes first: a probe of a broken pool is counted where it is granted.
@@ -114,7 +117,7 @@
 }
 
 template <class Policies>
-auto engine_state<Policies>::firstQueueWait(const request_state &state) -> duration
+auto engine_state<Policies>::longestQueueWait(const request_state &state) -> duration
 {
     duration longest{0};
     const auto lane = static_cast<std::uint32_t>(state.plan().priority);
@@ -124,25 +127,44 @@
             continue;
         // What waits before a later stage has moved on by the time the request gets there; the
         // longest of the queues, not their sum, is what stands in its way.
-        const std::size_t ahead = pool->queue.ahead(lane, state.plan().customer);
-        longest = std::max(longest, pool->queueWait(ahead));
+        const std::size_t ahead = pool->ahead(lane, state.plan().customer);
+        longest = std::max(longest, pool->queueWait(lane, ahead));
     }
     return longest;
 }
 
+template <class Policies>
+bool engine_state<Policies>::isUnderShare(const customer_id &customer) const
+{
+    const auto open = m_openOf.find(customer);
+    return open == m_openOf.end() || open->second * m_openOf.size() <= m_requests.size();
+}
+
+template <class Policies>
+void engine_state<Policies>::countClosed(const customer_id &customer)
+{
+    const auto open = m_openOf.find(customer);
+    if (open != m_openOf.end() && --open->second == 0)
+        m_openOf.erase(open);
+}
+
 template <class Policies>
 auto engine_state<Policies>::refuseByTime(request_state &state) -> std::optional<refusal>
 {
     using std::chrono::duration_cast;
-    const auto times =
-        m_estimates.timesToEnd(state.plan(), state.sizeClass, Policies::admission::AdmitQuantile);
+    using admission = typename Policies::admission;
+    const bool underShare = isUnderShare(state.plan().customer);
+    const double quantile = underShare ? admission::UnderShareQuantile : admission::AdmitQuantile;
+    const auto times = m_estimates.timesToEnd(state.plan(), state.sizeClass, quantile);
     admission_view view;
     view.remaining = duration_cast<duration>(sendDeadline(state) - state.submitted);
     view.likely = *std::max_element(times.begin(), times.end());
-    view.queueWait = firstQueueWait(state);
+    view.queueWait = longestQueueWait(state);
+    view.underShare = underShare;
     if (m_admission.admits(view))
         return std::nullopt;
-    const bool withoutQueue = m_admission.admits({view.remaining, view.likely, duration{0}});
+    const bool withoutQueue =
+        m_admission.admits({view.remaining, view.likely, duration{0}, underShare});
     if (withoutQueue) {
         if (pool_type *pool = poolOf(state, 0))
             ++pool->refused;
@@ -190,6 +212,8 @@
         pool_type *pool = poolOf(state, index);
         if (stage.status == stage_status::Queued && pool != nullptr)
             pool->queue.remove(stage.place);
+        if (stage.expected && pool != nullptr)
+            pool->unexpect(state.plan().customer);
         for (attempt_state &attempt : stage.attempts) {
             if (attempt.live)
                 release(state, index, attempt, false, "request ended", out);
@@ -209,6 +233,7 @@
     const bool attained = result == outcome::Answered && m_clock.now() <= state.request.deadline;
     m_ledger.ended(state.plan().customer, result, attained);
     out.emplace_back(deliver_answer{std::move(answer)});
+    countClosed(state.plan().customer);
     m_serials.erase(state.request.id);
     m_requests.erase(state.serial);
 }
--- a/src/core/engine_attempts_impl.h
+++ b/src/core/engine_attempts_impl.h
@@ -2,6 +2,7 @@
 
 // Definitions of engine_state: attempts, their ends, retries and hedges.
 
+#include "core/engine_constants.h"
 #include "core/engine_state.h"
 
 #include <algorithm>
@@ -81,7 +82,10 @@
     action.key = {state.request.id, index, attempt.number};
     action.stage = plan;
     action.customer = state.plan().customer;
-    action.priority = state.plan().priority;
+    // Where work waits here, this node's order is the fair one; the server's own order by
+    // priority would undo it and starve what is low.
+    const bool ordered = pool.smoothedQueueWait > engine_constants::NoticeableWait;
+    action.priority = ordered ? priority::High : state.plan().priority;
     action.server = attempt.server;
     action.address = pool.server(attempt.slot).address;
     action.input = state.request.input;
@@ -283,12 +287,24 @@
         && stage.streamOwner == 0 && stage.attempts.size() < m_settings.maxAttemptsPerStage;
     const bool sensible = pool != nullptr && pool->usable() > 0 && !pool->breaker.isOpen()
         && latestStart(state, index, true) > m_clock.now();
-    if (allowed && sensible && pool->budget.tryTake()) {
+    const bool refused =
+        end.failure == attempt_failure::Refused || end.failure == attempt_failure::Leaving;
+    if (allowed && sensible && refused) {
+        // It cost the server nothing, and what was paid for earlier stages must not be lost.
         log(decision_kind::Retry, state, index, static_cast<std::uint32_t>(stage.attempts.size()),
             std::string(toName(end.failure)), out);
         (void)enqueue(state, index, out);
         return;
     }
+    if (allowed && sensible && pool->budget.tryTake()) {
+        // A short pause lets the pool show whether one server failed or all did.
+        const milliseconds pause = m_settings.retryPause * (1U << (stage.attempts.size() - 1));
+        stage.status = stage_status::Pausing;
+        addTimer(timer_kind::Retry, m_clock.now() + pause, state, index);
+        log(decision_kind::Retry, state, index, static_cast<std::uint32_t>(stage.attempts.size()),
+            std::string(toName(end.failure)), out);
+        return;
+    }
     const bool noServer = pool == nullptr || pool->usable() == 0 || pool->breaker.isOpen();
     const bool busy = end.failure == attempt_failure::Refused;
     refusal why;
@@ -343,6 +359,10 @@
         && stage.attempts.size() < m_settings.maxAttemptsPerStage;
     if (!allowed || pool == nullptr || pool->breaker.isOpen() || !pool->hasAvailable())
         return;
+    // Where no server of the pool has answered since, it isn't this one that is slow.
+    const attempt_state &first = stage.attempts.back();
+    if (pool->inFlight() > 1 && !pool->answeredSince(first.started))
+        return;
     // A timer may be noticed late.
     if (latestStart(state, index, true) <= m_clock.now())
         return;
--- a/src/core/engine_stages_impl.h
+++ b/src/core/engine_stages_impl.h
@@ -2,6 +2,7 @@
 
 // Definitions of engine_state: pools, queues, timers and the way through the stages.
 
+#include "core/engine_constants.h"
 #include "core/engine_state.h"
 
 #include <algorithm>
@@ -98,6 +99,9 @@
 {
     stage_state &stage = state.stages[index];
     pool_type *pool = poolOf(state, index);
+    if (stage.expected && pool != nullptr)
+        pool->unexpect(state.plan().customer);
+    stage.expected = false;
     if (pool == nullptr || pool->usable() == 0) {
         finishUnanswered(state,
                          {refusal_reason::NoBackendServer, "no backend server is left",
@@ -117,7 +121,8 @@
     const bool paid = hasStarted(state);
     if (!paid && !makeRoom(*pool, state, out)) {
         ++pool->refused;
-        const duration wait = pool->queueWait(pool->queue.size());
+        const auto lane = static_cast<std::uint32_t>(state.plan().priority);
+        const duration wait = pool->queueWait(lane, pool->queue.size());
         finishUnanswered(state,
                          {refusal_reason::Overloaded, "the queue is full",
                           spread(std::chrono::duration_cast<milliseconds>(wait))},
@@ -220,6 +225,7 @@
     if (!choice)
         return;
     const auto waited = std::chrono::duration<double, std::milli>(now - stage.ready).count();
+    pool.onStarted(stage.place.lane, now);
     pool.smoothedQueueWait += (waited - pool.smoothedQueueWait) * pool_constants::WaitWeight;
     dispatch(pool, *state, item.stage, *choice, false, out);
 }
@@ -231,7 +237,8 @@
     std::optional<milliseconds> retryAfter;
     if (pool_type *pool = poolOf(state, stage)) {
         ++pool->refused;
-        const duration wait = pool->queueWait(pool->queue.size());
+        const auto lane = static_cast<std::uint32_t>(state.plan().priority);
+        const duration wait = pool->queueWait(lane, pool->queue.size());
         retryAfter = spread(std::chrono::duration_cast<milliseconds>(wait));
     }
     finishUnanswered(
@@ -314,6 +321,10 @@
         if (attempt != nullptr)
             tryHedge(*state, timer.stage, "late and little slack", out);
         return;
+    case timer_kind::Retry:
+        if (stage.status == stage_status::Pausing)
+            (void)enqueue(*state, timer.stage, out);
+        return;
     case timer_kind::Silence:
         if (attempt != nullptr)
             onSilence(*state, timer.stage, *attempt, out);
--- a/src/core/engine_state.h
+++ b/src/core/engine_state.h
@@ -80,7 +80,9 @@
     [[nodiscard]] std::optional<refusal> refuse(request_state &state);
     [[nodiscard]] std::optional<refusal> refuseByPools(request_state &state);
     [[nodiscard]] std::optional<refusal> refuseByTime(request_state &state);
-    [[nodiscard]] duration firstQueueWait(const request_state &state);
+    [[nodiscard]] duration longestQueueWait(const request_state &state);
+    [[nodiscard]] bool isUnderShare(const customer_id &customer) const;
+    void countClosed(const customer_id &customer);
     void refuseNow(const request_state &state, const refusal &why, engine_actions &out);
 
     // Stages.
@@ -162,6 +164,7 @@
     std::map<service_id, std::unique_ptr<pool_type>> m_pools;
     std::unordered_map<std::uint64_t, std::unique_ptr<request_state>> m_requests; ///< by serial
     std::unordered_map<request_id, std::uint64_t> m_serials;
+    std::unordered_map<customer_id, std::uint32_t> m_openOf; ///< open requests
     /// Also names servers that no pool has now: they may be published again while they leave.
     std::unordered_set<backend_server_id> m_listedLeaving;
     std::vector<pool_type *> m_touched; ///< may have work to hand out
--- a/src/core/engine_timers.h
+++ b/src/core/engine_timers.h
@@ -15,6 +15,7 @@
     AttemptTimeout,
     Hedge,
     Silence,
+    Retry, ///< end of the pause before another attempt
 };
 
 struct engine_timer
--- a/src/core/pool_breaker.cpp
+++ b/src/core/pool_breaker.cpp
@@ -5,8 +5,8 @@
 namespace orchidlead {
 
 namespace {
-constexpr std::uint32_t FewestFailures = 6;
-constexpr std::uint32_t MostFailures = 32;
+constexpr std::uint32_t FewestFailures = 4;
+constexpr std::uint32_t ManyServers = 16;
 constexpr milliseconds FirstInterval{100};
 constexpr milliseconds LongestInterval{800};
 } // namespace
@@ -16,13 +16,19 @@
     const bool wasOpen = m_open;
     m_open = false;
     m_failures = 0;
+    m_failed.clear();
     return wasOpen;
 }
 
-bool pool_breaker::onFailure(std::uint32_t servers, steady_time now)
+bool pool_breaker::onFailure(std::uint32_t slot, std::uint32_t servers, steady_time now)
 {
+    if (m_open)
+        return false;
     ++m_failures;
-    if (m_open || m_failures < std::clamp(servers, FewestFailures, MostFailures))
+    if (std::find(m_failed.begin(), m_failed.end(), slot) == m_failed.end())
+        m_failed.push_back(slot);
+    const std::uint32_t most = std::min(servers / 2, ManyServers);
+    if (m_failures < FewestFailures || m_failed.size() <= most)
         return false;
     m_open = true;
     m_interval = FirstInterval;
--- a/src/core/pool_breaker.h
+++ b/src/core/pool_breaker.h
@@ -3,6 +3,7 @@
 #include <orchidlead/clock.h>
 
 #include <cstdint>
+#include <vector>
 
 namespace orchidlead {
 
@@ -14,8 +15,10 @@
     /// Closes the breaker; returns whether it was open.
     bool onSuccess();
 
-    /// Counts a failure of any server; returns whether this one opened the breaker.
-    bool onFailure(std::uint32_t servers, steady_time now);
+    /// Counts a failure of a server, by its slot, in a pool of `servers`; returns whether this one
+    /// opened the breaker. It opens when most servers, or many, have failed without any success of
+    /// the pool in between; however often a few of them fail, it stays closed.
+    bool onFailure(std::uint32_t slot, std::uint32_t servers, steady_time now);
 
     [[nodiscard]] bool isOpen() const { return m_open; }
 
@@ -29,6 +32,7 @@
 private:
     bool m_open = false;
     std::uint32_t m_failures = 0; ///< in a row, over all servers
+    std::vector<std::uint32_t> m_failed; ///< slots that failed since the last success; bounded
     milliseconds m_interval{0}; ///< between probes
     steady_time m_nextProbe{};
 };
--- a/src/core/request_engine.h
+++ b/src/core/request_engine.h
@@ -22,7 +22,8 @@
     data_center_id dataCenter; ///< own; its backend servers are preferred
     std::uint32_t maxOpenRequests = 20'000;
     std::uint32_t maxQueuePerService = 2'000;
-    std::uint32_t maxAttemptsPerStage = 4;
+    std::uint32_t maxAttemptsPerStage = 8; ///< refused ones included
+    milliseconds retryPause{10}; ///< before the second attempt; doubles with each further one
     milliseconds hopMargin{10}; ///< taken off the deadline at each send, for the way back
     std::uint32_t maxCustomersCounted = 256;
     routing_settings routing;
--- a/src/core/request_state.h
+++ b/src/core/request_state.h
@@ -16,6 +16,7 @@
     Waiting, ///< for its inputs
     Queued,
     Running, ///< at least one attempt is out
+    Pausing, ///< before another attempt
     Done,
 };
 
@@ -38,6 +39,7 @@
     queue_place place; ///< while queued
     steady_time ready; ///< when it was queued first
     payload output;
+    bool expected = true; ///< by its pool, until it is queued first
     bool unproven = false; ///< an ended attempt may have run
     std::uint32_t streamOwner = 0; ///< the attempt whose parts the caller gets; 0: none yet
     stage_report report;
--- a/src/core/service_pool.h
+++ b/src/core/service_pool.h
@@ -9,6 +9,7 @@
 #include <orchidlead/latency_histogram.h>
 #include <orchidlead/router.h>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -103,7 +104,19 @@
         return m_servers[slot].server;
     }
     [[nodiscard]] double suspectedShare() const { return m_detector.suspectedShare(); }
-    [[nodiscard]] duration queueWait(std::size_t ahead) const;
+    /// Tells whether any server answered since then, so that a silent one stands out.
+    [[nodiscard]] bool answeredSince(steady_time then) const { return m_lastAnswer > then; }
+
+    /// Counts a stage that was taken out of the queue to be started.
+    void onStarted(std::uint32_t lane, steady_time now);
+
+    /// Counts an open request that will come to this pool later, until it is queued or ends.
+    void expect(const customer_id &customer);
+    void unexpect(const customer_id &customer);
+
+    /// Estimates how many of its lane, queued or still to come, go before a new one.
+    [[nodiscard]] std::size_t ahead(std::uint32_t lane, const customer_id &customer) const;
+    [[nodiscard]] duration queueWait(std::uint32_t lane, std::size_t ahead) const;
     [[nodiscard]] service_stats stats() const;
     void appendServerStats(std::vector<backend_server_stats> &views) const;
 
@@ -120,6 +133,7 @@
     using server_entry = pool_server<limit_type>;
 
     static constexpr std::uint32_t NoPosition = ~0U;
+    static constexpr std::uint32_t Lanes = 3;
 
     std::uint32_t addServer(const backend_server &server);
     void forgetIfGone(std::uint32_t slot);
@@ -132,6 +146,8 @@
     [[nodiscard]] double comparable(duration elapsed, duration typical) const;
     void observe(std::uint32_t slot, duration elapsed, duration typical);
     void fadeOldLatencies(steady_time now);
+    void fadeStartRates(steady_time now);
+    [[nodiscard]] double laneRate(std::uint32_t lane) const;
     void wakeAt(steady_time at);
     void pause(server_entry &entry, std::optional<milliseconds> retryAfter, steady_time now);
     health_change onHealth(std::uint32_t slot, health_change change, steady_time now);
@@ -153,6 +169,11 @@
     double m_usualLatency = 0.0; ///< ms, over all servers
     double m_meanTime = 0.0; ///< ms, of an attempt, sizes as they come
     steady_time m_lastFade{};
+    steady_time m_lastAnswer{};
+    steady_time m_lastStart{};
+    std::array<double, Lanes> m_startRates{}; ///< a second, fading
+    std::size_t m_coming = 0;
+    std::unordered_map<customer_id, std::uint32_t> m_comingOf;
     std::optional<steady_time> m_nextWake;
     latency_histogram m_latencies;
 };
--- a/src/core/service_pool_impl.h
+++ b/src/core/service_pool_impl.h
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace orchidlead {
 
@@ -15,10 +16,12 @@
 inline constexpr double UsualWeight = 1.0 / 32;
 inline constexpr double FadePerSecond = 0.1;
 inline constexpr std::chrono::seconds FadeEvery{1};
-inline constexpr milliseconds DefaultPause{100};
+inline constexpr milliseconds DefaultPause{50};
+inline constexpr std::chrono::seconds BusyWithoutAnswer{1};
 inline constexpr milliseconds LongestPause{5'000};
 inline constexpr std::chrono::seconds LeavingSticks{5};
 inline constexpr double WaitWeight = 1.0 / 16;
+inline constexpr double LowLaneShare = 1.0 / 8; ///< as the fair queue keeps it
 } // namespace pool_constants
 
 template <class Policies>
@@ -102,6 +105,7 @@
         return;
     server_entry &entry = m_servers[known->second];
     m_entries[known->second].reported = report.running + report.queued;
+    entry.limit.onReport(report.running, report.queued, now);
     const bool sticks =
         entry.saidLeaving && now - entry.saidLeavingAt < pool_constants::LeavingSticks;
     if (report.leaving || !sticks)
@@ -171,6 +175,7 @@
     server_entry &entry = m_servers[slot];
     ++entry.answers;
     entry.lastSample = now;
+    m_lastAnswer = now;
     m_latencies.observe(elapsed);
     observe(slot, elapsed, typical);
     fadeOldLatencies(now);
@@ -189,7 +194,11 @@
 {
     server_entry &entry = m_servers[slot];
     ++entry.failures;
-    breaker.onFailure(m_members, now);
+    // A pool that refuses for a while and answers in between is busy, not broken.
+    const bool busy = failure == attempt_failure::Refused
+        && now - m_lastAnswer < pool_constants::BusyWithoutAnswer;
+    if (!busy)
+        breaker.onFailure(slot, m_members, now);
     health_change change = health_change::None;
     switch (failure) {
     case attempt_failure::Leaving:
@@ -197,7 +206,7 @@
         entry.saidLeavingAt = now;
         break;
     case attempt_failure::Refused:
-        entry.limit.onRefused(now);
+        entry.limit.onRefused(m_entries[slot].outstanding - 1, now);
         pause(entry, retryAfter, now);
         break;
     case attempt_failure::NotSent:
@@ -219,7 +228,7 @@
                                                duration typical, steady_time now)
 {
     onOutrun(slot, elapsed, typical, now);
-    breaker.onFailure(m_members, now);
+    breaker.onFailure(slot, m_members, now);
     const health_change change = onHealth(slot, m_detector.onFailure(slot, now), now);
     refresh(slot, now);
     return change;
@@ -361,13 +370,69 @@
 }
 
 template <class Policies>
-auto service_pool<Policies>::queueWait(std::size_t ahead) const -> duration
+void service_pool<Policies>::onStarted(std::uint32_t lane, steady_time now)
 {
-    if (ahead == 0 && hasAvailable())
+    fadeStartRates(now);
+    m_startRates[std::min(lane, Lanes - 1)] += 1.0;
+}
+
+// The rates are starts in the last second or so: each start counts one and fades away.
+template <class Policies>
+void service_pool<Policies>::fadeStartRates(steady_time now)
+{
+    const double seconds = std::chrono::duration<double>(now - m_lastStart).count();
+    m_lastStart = now;
+    for (double &rate : m_startRates)
+        rate *= std::exp(-seconds);
+}
+
+// What a lane can count on: what the pool starts in a second, without what the lanes above take;
+// at least the share that the queue keeps for it.
+template <class Policies>
+double service_pool<Policies>::laneRate(std::uint32_t lane) const
+{
+    using namespace pool_constants;
+    const double total = 1000.0 * std::max<std::uint32_t>(1, m_inFlight) / m_meanTime;
+    double left = total;
+    for (std::uint32_t above = 0; above < std::min(lane, Lanes); ++above)
+        left -= m_startRates[above];
+    return std::max(left, LowLaneShare * total);
+}
+
+template <class Policies>
+auto service_pool<Policies>::queueWait(std::uint32_t lane, std::size_t ahead) const -> duration
+{
+    const bool idle = hasAvailable() && queue.empty();
+    if (idle || m_meanTime == 0.0)
         return duration{0};
-    const double inParallel = std::max<std::uint32_t>(1, m_inFlight);
-    const double wait = static_cast<double>(ahead + 1) * m_meanTime / inParallel;
-    return duration{static_cast<std::int64_t>(wait * 1000.0)};
+    const double seconds = static_cast<double>(ahead + 1) / laneRate(lane);
+    return duration{static_cast<std::int64_t>(seconds * 1e6)};
+}
+
+template <class Policies>
+void service_pool<Policies>::expect(const customer_id &customer)
+{
+    ++m_coming;
+    ++m_comingOf[customer];
+}
+
+template <class Policies>
+void service_pool<Policies>::unexpect(const customer_id &customer)
+{
+    const auto entry = m_comingOf.find(customer);
+    if (entry == m_comingOf.end())
+        return;
+    --m_coming;
+    if (--entry->second == 0)
+        m_comingOf.erase(entry);
+}
+
+template <class Policies>
+std::size_t service_pool<Policies>::ahead(std::uint32_t lane, const customer_id &customer) const
+{
+    const auto own = m_comingOf.find(customer);
+    const std::size_t ownComing = own == m_comingOf.end() ? 0 : own->second;
+    return queue.ahead(lane, customer, ownComing, m_coming);
 }
 
 template <class Policies>
--- a/tests/core/request_engine_test.cpp
+++ b/tests/core/request_engine_test.cpp
@@ -90,6 +90,7 @@
         harness.actions);
     CHECK(harness.engine.stats().droppedAnswers == 1);
 
+    harness.advance(milliseconds{10});
     const auto again = harness.take<send_attempt>();
     REQUIRE(again.size() == 1);
     CHECK(again[0].server != sent[0].server);
@@ -349,3 +350,53 @@
     harness.advance(milliseconds{195});
     CHECK(harness.take<send_attempt>().empty());
 }
+
+TEST_CASE("a refused stage goes back to its queue, whatever the retry budget")
+{
+    engine_harness<> harness;
+    harness.services({makeService("encode", 1), makeService("generate", 20)});
+    const pipeline_plan plan = makePlan({"encode", "generate"});
+    harness.warmUp(plan, 20, milliseconds{5});
+    for (int request = 0; request < 40; ++request) {
+        harness.submit(plan);
+        harness.answer(harness.take<send_attempt>()[0]);
+        harness.failAttempt(harness.take<send_attempt>()[0], attempt_failure::Refused);
+        const auto again = harness.take<send_attempt>();
+        REQUIRE(again.size() == 1);
+        harness.answer(again[0]);
+        harness.advance(milliseconds{60});
+    }
+    const auto ends = harness.take<deliver_answer>();
+    CHECK(ends.size() == 40);
+    for (const auto &end : ends)
+        CHECK(nameOf(end.answer.outcome) == nameOf(outcome::Answered));
+}
+
+TEST_CASE("where the whole pool is silent nothing is hedged")
+{
+    engine_harness<> harness;
+    harness.services({makeService("encode", 4)});
+    const pipeline_plan plan = makePlan({"encode"});
+    harness.warmUp(plan, 64, milliseconds{20});
+    for (int request = 0; request < 4; ++request)
+        harness.submit(plan, milliseconds{200});
+    REQUIRE(harness.take<send_attempt>().size() == 4);
+    harness.advance(milliseconds{155});
+    CHECK(harness.take<send_attempt>().empty());
+}
+
+TEST_CASE("a customer has no more open requests than its limits allow")
+{
+    engine_harness<> harness;
+    harness.services({makeService("encode", 4)});
+    pipeline_plan plan = makePlan({"encode"});
+    plan.limits = {2, 1};
+    for (int request = 0; request < 5; ++request)
+        harness.submit(plan);
+    harness.submit(makePlan({"encode"}, "other"));
+    const auto ends = harness.take<deliver_answer>();
+    CHECK(ends.size() == 2);
+    for (const auto &end : ends)
+        CHECK(end.answer.reason == refusal_reason::Overloaded);
+    CHECK(harness.take<send_attempt>().size() == 4);
+}
