--- a/bench/engine_variants.h
+++ b/bench/engine_variants.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 /// A set of policies by name.
 struct policy_variant
@@ -22,4 +22,4 @@
 [[nodiscard]] std::vector<policy_variant> loadVariants();
 [[nodiscard]] std::vector<policy_variant> retryVariants();
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
--- a/bench/engine_variants_load.cpp
+++ b/bench/engine_variants_load.cpp
@@ -1,7 +1,8 @@
-#include "policy_run.h"
+#include "core/default_engine_policies.h"
 #include "engine_variants.h"
+#include "policy_run.h"
 
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 namespace {
 
@@ -48,4 +49,4 @@
             variantOf<fifo_set>("first come first served")};
 }
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
--- a/bench/engine_variants_main.cpp
+++ b/bench/engine_variants_main.cpp
@@ -1,7 +1,8 @@
-#include "policy_run.h"
+#include "core/default_engine_policies.h"
 #include "engine_variants.h"
+#include "policy_run.h"
 
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 std::vector<policy_variant> mainVariants()
 {
@@ -17,4 +18,4 @@
     };
 }
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
--- a/bench/engine_variants_retry.cpp
+++ b/bench/engine_variants_retry.cpp
@@ -1,7 +1,8 @@
-#include "policy_run.h"
+#include "core/default_engine_policies.h"
 #include "engine_variants.h"
+#include "policy_run.h"
 
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 namespace {
 
@@ -43,4 +44,4 @@
             variantOf<no_retries_set>("no second tries")};
 }
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -1,6 +1,6 @@
 // Compares the policies of the request engine with their baselines over a model of stage pools.
-#include "policy_scenarios.h"
 #include "engine_variants.h"
+#include "policy_scenarios.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -15,7 +15,7 @@
 ABSL_FLAG(bool, all, false, "also try the policies one by one");
 ABSL_FLAG(int, engines, 18, "engines of the model; the other pools have half as many servers");
 
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 namespace {
 
@@ -190,11 +190,11 @@
 
 } // namespace
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
 
 int main(int argc, char **argv)
 {
     absl::SetProgramUsageMessage("Compares policies of the request engine over modelled pools.");
     absl::ParseCommandLine(argc, argv);
-    return orchidlead::bench::run();
+    return orchidlead::bench::model::run();
 }
--- a/bench/policy_model.cpp
+++ b/bench/policy_model.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <numbers>
 
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 namespace {
 
@@ -289,4 +289,4 @@
     return view;
 }
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -16,7 +16,7 @@
 
 /// A small queueing model of stage pools, for comparing policies of the request engine. It isn't a
 /// cluster simulator: servers have places and a queue, links a constant delay, and that is all.
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 /// How a server behaves from some moment on.
 struct server_condition
@@ -185,4 +185,4 @@
 /// Draws a factor with mean 1 and a long upper tail.
 [[nodiscard]] double logNormal(random_source &random, double sigma);
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -11,7 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 /// Runs one scenario with several nodes' engines of one set of policies over shared pools.
 template <class Policies>
@@ -334,4 +334,4 @@
     steady_time m_end{};
 };
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
--- a/bench/policy_scenarios.cpp
+++ b/bench/policy_scenarios.cpp
@@ -1,6 +1,6 @@
 #include "policy_scenarios.h"
 
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 namespace {
 
@@ -98,4 +98,4 @@
     return shape;
 }
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
--- a/bench/policy_scenarios.h
+++ b/bench/policy_scenarios.h
@@ -2,7 +2,7 @@
 
 #include "policy_model.h"
 
-namespace orchidlead::bench {
+namespace orchidlead::bench::model {
 
 /// Moments that the scenarios share, from the start of a run.
 inline constexpr milliseconds WarmUp{5'000};
@@ -32,4 +32,4 @@
 /// Index of the first small customer in the scenarios; the second follows.
 inline constexpr std::uint32_t FirstSmallCustomer = 3;
 
-} // namespace orchidlead::bench
+} // namespace orchidlead::bench::model
