Bound what open requests hold, stages' outputs included, and bodies that arrive

Cause: inputs were bounded, the outputs that stages hand on weren't: 20,000 open requests could hold 16 MiB for each stage; bodies that were still arriving weren't counted either. Ruled out: ending running requests when outputs grow, which would throw work away; refusing new ones bounds the sum. Change: node counts inputs and outputs and refuses above limits.max_input_bytes; the HTTP servers get the same bound for bodies in arrival; the status and the metric say held_bytes. Conclusion: memory of requests follows the settings.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -188,8 +188,8 @@
         return refusal{refusal_reason::NoConfiguration, "the configuration isn't confirmed yet",
                        ConfigurationRetry};
     }
-    if (m_inputBytes + request.input->size() > m_settings.maxInputBytes) {
-        return refusal{refusal_reason::Overloaded, "too many bytes of input in flight",
+    if (m_heldBytes + request.input->size() > m_settings.maxHeldBytes) {
+        return refusal{refusal_reason::Overloaded, "too many bytes of inputs and outputs are held",
                        OverloadRetry};
     }
     return std::nullopt;
@@ -261,7 +261,7 @@
 {
     const std::size_t bytes = request.input->size();
     m_open.emplace(id, open_request{bytes, record, request.named()});
-    m_inputBytes += bytes;
+    m_heldBytes += bytes;
     pipeline_request work;
     work.id = id;
     work.plan = plan;
@@ -395,6 +395,11 @@
 
 void node::onAnswer(const attempt_answer &answer, node_actions &out)
 {
+    const auto open = m_open.find(answer.key.request);
+    if (open != m_open.end() && answer.output) {
+        open->second.bytes += answer.output->size();
+        m_heldBytes += answer.output->size();
+    }
     feed([&](auto &actions) { m_engine.onAnswer(answer, actions); }, out);
 }
 
@@ -479,7 +484,7 @@
         return;
     const open_request ended = open->second;
     m_open.erase(open);
-    m_inputBytes -= ended.inputBytes;
+    m_heldBytes -= ended.bytes;
     if (ended.record) {
         m_gate.onFinished(*ended.record, answer);
         for (const auto &attached : m_attached.take(*ended.record))
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -30,7 +30,7 @@
     data_center_id dataCenter;
     region_id region;
     orchidlead::incarnation incarnation = 0;
-    std::size_t maxInputBytes = 256U << 20U; ///< inputs of all open requests together
+    std::size_t maxHeldBytes = 256U << 20U; ///< inputs and stages' outputs of all open requests
     std::size_t recentRequests = 1000; ///< traces that are kept
     std::size_t maxForwarded = 1000; ///< requests that wait for another node's answer
     engine_settings engine;
@@ -110,7 +110,7 @@
     [[nodiscard]] const recent_requests &traces() const { return m_traces; }
     [[nodiscard]] engine_stats stats() const { return m_engine.stats(); }
     [[nodiscard]] std::size_t openRequests() const { return m_pending.size(); }
-    [[nodiscard]] std::size_t inputBytes() const { return m_inputBytes; }
+    [[nodiscard]] std::size_t heldBytes() const { return m_heldBytes; }
 
 private:
     /// A request that has no end yet.
@@ -124,7 +124,7 @@
     /// A request that the engine has.
     struct open_request
     {
-        std::size_t inputBytes = 0;
+        std::size_t bytes = 0; ///< of its input and of its stages' outputs
         std::optional<record_handle> record;
         bool named = false; ///< has a ticket or key
     };
@@ -186,7 +186,7 @@
     std::unordered_set<request_id> m_forwarded;
     steady_time m_lastDeadline; ///< of all requests since the start
     std::uint64_t m_sequence = 0;
-    std::size_t m_inputBytes = 0;
+    std::size_t m_heldBytes = 0;
     admission_state m_admission = admission_state::Unconfirmed;
 };
 
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -50,7 +50,7 @@
     std::size_t maxConnections = 4096;
     milliseconds requestTimeout{15'000}; ///< until a request must be here whole
     milliseconds idleTimeout{60'000}; ///< of kept connections
-    std::size_t maxInputBytes = 64U << 20U; ///< inputs of all open requests together
+    std::size_t maxInputBytes = 64U << 20U; ///< inputs and stages' outputs of open requests
     std::size_t maxAnswerBytes = 16U << 20U; ///< of one backend server's answer
     std::size_t maxStreamBytes = 256U << 10U; ///< that wait for one slow reader of a stream
     std::uint32_t maxOpenRequests = 20'000;
--- a/src/ctl/node_commands.cpp
+++ b/src/ctl/node_commands.cpp
@@ -26,7 +26,7 @@
     column_spec{"uptime", "uptime_ms", Duration},
     column_spec{"connections", "connections", Number},
     column_spec{"open requests", "requests.open", Number},
-    column_spec{"input bytes", "requests.input_bytes", Number},
+    column_spec{"held bytes", "requests.held_bytes", Number},
     column_spec{"attained", "requests.attained", Number},
     column_spec{"answered", "requests.answered", Number},
     column_spec{"not run", "requests.not_run", Number},
--- a/src/daemon/daemon_options.cpp
+++ b/src/daemon/daemon_options.cpp
@@ -57,7 +57,7 @@
     options.dataCenter = settings.dataCenter;
     options.region = settings.region;
     options.incarnation = start;
-    options.maxInputBytes = settings.limits.maxInputBytes;
+    options.maxHeldBytes = settings.limits.maxInputBytes;
     options.recentRequests = settings.limits.recentRequests;
     options.engine.maxOpenRequests = settings.limits.maxOpenRequests;
     options.engine.maxQueuePerService = settings.limits.maxQueuedPerService;
@@ -117,6 +117,7 @@
     net::http_server_options options;
     options.listen = settings.listen.caller;
     options.maxBodyBytes = settings.limits.maxBodyBytes;
+    options.maxBufferedBodyBytes = settings.limits.maxInputBytes;
     options.maxHeaderBytes = settings.limits.maxHeaderBytes;
     options.maxConnections = settings.limits.maxConnections;
     options.requestTimeout = settings.limits.requestTimeout;
@@ -133,6 +134,7 @@
     options.listen = settings.listen.peer;
     // A forwarded request is a caller's body as it came; contents and handed over keys are smaller.
     options.maxBodyBytes = settings.limits.maxBodyBytes + PeerEnvelopeBytes;
+    options.maxBufferedBodyBytes = settings.limits.maxInputBytes + PeerEnvelopeBytes;
     options.maxConnections = PeerConnections;
     options.requestTimeout = settings.limits.requestTimeout;
     options.idleTimeout = settings.limits.idleTimeout;
--- a/src/daemon/operator_views.cpp
+++ b/src/daemon/operator_views.cpp
@@ -186,7 +186,7 @@
     Json::Value &requests = out["requests"];
     requests = viewOutcomes(stats.outcomes);
     requests["open"] = count(state.openRequests());
-    requests["input_bytes"] = count(state.inputBytes());
+    requests["held_bytes"] = count(state.heldBytes());
     requests["dropped_answers"] = count(stats.droppedAnswers);
     return out;
 }
--- a/src/daemon/reporter.cpp
+++ b/src/daemon/reporter.cpp
@@ -22,7 +22,7 @@
     gauges.ready = sources.ready;
     gauges.openRequests = sources.requests.openRequests();
     gauges.connections = sources.connections;
-    gauges.inputBytes = sources.requests.inputBytes();
+    gauges.heldBytes = sources.requests.heldBytes();
     gauges.configurationVersion = sources.control.keeper().stamp().version;
     gauges.configurationHeard = gauges.configurationVersion;
     for (const auto &member : sources.requests.members())
--- a/src/platform/metrics.cpp
+++ b/src/platform/metrics.cpp
@@ -171,8 +171,8 @@
                               {"orchidlead_open_requests", "Requests without their end.", {}, 1}};
     gauge_family connections{registry,
                              {"orchidlead_connections", "Connections of callers.", {}, 1}};
-    gauge_family inputBytes{registry,
-                            {"orchidlead_input_bytes", "Inputs of open requests.", {}, 1}};
+    gauge_family heldBytes{
+        registry, {"orchidlead_held_bytes", "Inputs and stage outputs of open requests.", {}, 1}};
     gauge_family configuration{registry,
                                {"orchidlead_configuration_version",
                                 "Version in force, and the highest heard of.",
@@ -283,7 +283,7 @@
     all.ready.at({}).Set(gauges.ready ? 1 : 0);
     all.openRequests.at({}).Set(static_cast<double>(gauges.openRequests));
     all.connections.at({}).Set(static_cast<double>(gauges.connections));
-    all.inputBytes.at({}).Set(static_cast<double>(gauges.inputBytes));
+    all.heldBytes.at({}).Set(static_cast<double>(gauges.heldBytes));
     all.configuration.at({"in_force"}).Set(static_cast<double>(gauges.configurationVersion));
     all.configuration.at({"heard"}).Set(static_cast<double>(gauges.configurationHeard));
     for (const auto &state : enumNames<member_state>) {
--- a/src/platform/metrics.h
+++ b/src/platform/metrics.h
@@ -38,7 +38,7 @@
     bool ready = false;
     std::uint64_t openRequests = 0;
     std::uint64_t connections = 0;
-    std::uint64_t inputBytes = 0; ///< inputs of all open requests
+    std::uint64_t heldBytes = 0; ///< inputs and stages' outputs of all open requests
     std::uint64_t configurationVersion = 0;
     std::uint64_t configurationHeard = 0; ///< highest version heard of
     std::array<std::uint64_t, enumNames<member_state>.size()> members{}; ///< by `member_state`
--- a/tests/core/node_test.cpp
+++ b/tests/core/node_test.cpp
@@ -32,6 +32,11 @@
     deadline: 4s
     stages:
       - {name: encode, service: encoders, path: /run, after: []}
+  - name: two
+    deadline: 4s
+    stages:
+      - {name: encode, service: encoders, path: /run, after: []}
+      - {name: again, service: encoders, path: /run, after: [encode]}
   - name: pay
     deadline: 4s
     stages:
@@ -41,6 +46,7 @@
     home_data_center: here
     pipelines:
       - {name: ask, template: ask}
+      - {name: two, template: two}
       - {name: pay, template: pay}
   - name: hiiu
     home_data_center: there
@@ -75,7 +81,7 @@
     settings.vm = vm_id{name};
     settings.dataCenter = data_center_id{"here"};
     settings.incarnation = 5;
-    settings.maxInputBytes = 1000;
+    settings.maxHeldBytes = 1000;
     return settings;
 }
 
@@ -168,11 +174,23 @@
     CHECK(refused.answer.retryAfter.has_value());
     harness.answer(sent);
     CHECK(harness.takeEnd().answer.outcome == outcome::Answered);
-    CHECK(harness.state.inputBytes() == 0);
+    CHECK(harness.state.heldBytes() == 0);
     harness.submit("ask", "", std::string(600, '1'));
     CHECK(harness.take<send_attempt>().size() == 1);
 }
 
+TEST_CASE("what stages have answered counts as held until the request has ended")
+{
+    node_harness harness;
+    harness.submit("two");
+    harness.answer(harness.takeSent(), '"' + std::string(990, 'x') + '"');
+    harness.submit("ask", "", std::string(100, '1'));
+    CHECK(harness.takeEnd().answer.reason == refusal_reason::Overloaded);
+    harness.answer(harness.takeSent());
+    CHECK(harness.takeEnd().answer.outcome == outcome::Answered);
+    CHECK(harness.state.heldBytes() == 0);
+}
+
 TEST_CASE("a request that its caller marks as not repeatable isn't sent again")
 {
     node_harness harness;
--- a/tests/daemon/configuration_test.cpp
+++ b/tests/daemon/configuration_test.cpp
@@ -83,6 +83,9 @@
     REQUIRE(fleet.loop().runUntil([&] { return fleet.allReady(); }));
     REQUIRE(fleet.loop().runUntil([&] { return held != nullptr; }));
     CHECK(fleet.backendCalls() == sentBefore + 1);
+    fleet.onRun = [](net::http_request &&, const net::response_ptr &response) {
+        response->respond(500, {}, "{}");
+    };
     held->respond(500, {}, "{}");
     CHECK(fleet.loop().runUntil([&] { return open.end.has_value(); }));
 }
