Count only listed VMs as voters, and promise nothing where the home data centre isn't known

Cause: the node passes all members it sees, also unlisted ones, and has no home data centre for a customer while it has no configuration; an empty one was taken for its own. Ruled out: filtering in the node, since the guard belongs to the lease. Change: unlisted members neither vote nor hold; an unknown home data centre gives unknown. Tests: two new ones; they weren't run against the code of before.

--- a/include/orchidlead/key_home.h
+++ b/include/orchidlead/key_home.h
@@ -79,7 +79,8 @@
 public:
     basic_key_home(key_home_settings settings, const clock_source &clock);
 
-    /// Takes the listed VMs of the data centre; see `recent_lists` for `confirmedAt`.
+    /// Takes the VMs of the data centre, of which only the listed ones count; see `recent_lists`
+    /// for `confirmedAt`.
     void setMembers(std::span<const member> members, steady_time confirmedAt);
 
     /// Asks for votes where it is time.
--- a/src/core/at_most_once.h
+++ b/src/core/at_most_once.h
@@ -32,7 +32,7 @@
 struct once_request
 {
     customer_id customer;
-    data_center_id homeDataCenter; ///< of the customer, as published; empty: the node's own
+    data_center_id homeDataCenter; ///< of the customer, as published; empty: not known here
     std::optional<std::string> ticket; ///< text form
     std::optional<std::string> key; ///< text form; ignored where there is a ticket
     std::uint64_t digest = 0; ///< of all that decides what runs: pipeline, input
--- a/src/core/at_most_once_definitions.h
+++ b/src/core/at_most_once_definitions.h
@@ -154,8 +154,11 @@
     const auto wall = m_clock.wallNow();
     if (Guards::OldKeysAreRefused && key.issued + m_settings.window <= wall)
         return refusal(outcome::Unknown, refusal_reason::KeyExpired, "the key is too old");
-    const bool elsewhere =
-        !request.homeDataCenter.empty() && request.homeDataCenter != m_settings.dataCenter;
+    if (request.homeDataCenter.empty()) {
+        return refusal(outcome::Unknown, refusal_reason::HomeUncertain,
+                       "the customer's home data centre isn't known here", m_settings.renewal);
+    }
+    const bool elsewhere = request.homeDataCenter != m_settings.dataCenter;
     if (elsewhere && !request.forwarded)
         return forward_to{{}, request.homeDataCenter, forward_kind::Key};
     const std::size_t shard = shardOf(id);
--- a/src/core/key_home_definitions.h
+++ b/src/core/key_home_definitions.h
@@ -43,6 +43,8 @@
     std::vector<vm_id> listed;
     m_live.clear();
     for (const auto &each : members) {
+        if (!each.listed)
+            continue;
         listed.push_back(each.vm.vm);
         const bool own = each.vm.vm == m_settings.vm;
         const bool stays = !each.vm.leaving && each.state != member_state::Leaving;
--- a/tests/core/at_most_once_test.cpp
+++ b/tests/core/at_most_once_test.cpp
@@ -29,6 +29,7 @@
     for (std::size_t i = 0; i < count; ++i) {
         members[i].vm.vm = vm_id{"vm-" + std::to_string(i)};
         members[i].state = member_state::Alive;
+        members[i].listed = true;
     }
     return members;
 }
@@ -55,6 +56,7 @@
         const auto issued = (clock.wallNow() - age).time_since_epoch();
         once_request made;
         made.customer = customer_id{"saare"};
+        made.homeDataCenter = data_center_id{"dc"};
         made.key =
             std::to_string(std::chrono::duration_cast<milliseconds>(issued).count()) + random;
         made.deadline = clock.now() + 4s;
@@ -184,6 +186,7 @@
     request.deadline = clock.now() + 4s;
     expect<run_here>(gate.onRequest(request));
     request.ticket.reset();
+    request.homeDataCenter = data_center_id{"dc"};
     const auto now =
         std::chrono::duration_cast<milliseconds>(clock.wallNow().time_since_epoch()).count();
     request.key = std::to_string(now) + "-a1b2c3d4";
@@ -192,6 +195,29 @@
     CHECK(refused.reason == refusal_reason::HomeUncertain);
 }
 
+TEST_CASE("a node that doesn't know the key's home data centre promises nothing")
+{
+    single_node node;
+    auto request = node.request("-a1b2c3d4");
+    request.homeDataCenter = {};
+    CHECK(expect<refuse_call>(node.gate.onRequest(request)).outcome == outcome::Unknown);
+}
+
+TEST_CASE("a VM that the platform doesn't list has no vote and no lease")
+{
+    manual_clock clock;
+    at_most_once gate{settingsOf("vm-0"), clock};
+    std::vector<peer_message> out;
+    auto members = membersOf(1);
+    members[0].listed = false;
+    for (int second = 0; second < 200; ++second) {
+        clock.advance(1s);
+        gate.setMembers(members, clock.now());
+        gate.tick(out);
+    }
+    CHECK(gate.heldShards() == 0);
+}
+
 TEST_CASE("malformed bytes of a peer are counted and dropped at every length")
 {
     single_node node;
--- a/tests/core/at_most_once_world.cpp
+++ b/tests/core/at_most_once_world.cpp
@@ -226,6 +226,7 @@
     member seen;
     seen.vm.vm = vm;
     seen.vm.dataCenter = Here;
+    seen.listed = true;
     const auto other = running(vm);
     const bool reached = other && connected(*by, *other) && other->pausedUntil <= m_now;
     seen.state = reached != chance(0.05) ? member_state::Alive : member_state::Suspect;
@@ -331,6 +332,7 @@
 {
     once_request asked;
     asked.customer = customer_id{"saare"};
+    asked.homeDataCenter = Here;
     (m_calls[index].isTicket ? asked.ticket : asked.key) = m_calls[index].name;
     asked.digest = index;
     asked.deadline = on->clock->now() + Deadline;
