Let a lease cover the time since the last promise to another holder

Cause: a lease that had lapsed, or began after a start of all nodes, left every key that was issued before it unknown, though no other node could have run it. Ruled out: not_run from a node without the lease (a copy on its way may still run). Change: each vote says for how long the voter had promised no other holder; the coverage begins with the latest of these, at most maxListAge back. New guard, with its negative, and in the model, which found at once that a restarted process must count as another holder (the code already did so).

--- a/include/orchidlead/at_most_once_guards.h
+++ b/include/orchidlead/at_most_once_guards.h
@@ -15,9 +15,9 @@
 template <class Guards>
 concept at_most_once_guards =
     guard_constants<decltype(Guards::LeaseIsChecked), decltype(Guards::IssuedAfterLeaseBegan),
-                    decltype(Guards::FutureKeysAreRefused), decltype(Guards::OldKeysAreRefused),
-                    decltype(Guards::MajorityOfVoters), decltype(Guards::FreshVoterWaits),
-                    decltype(Guards::LeaseCountsFromRequest),
+                    decltype(Guards::CoverageAfterPromises), decltype(Guards::FutureKeysAreRefused),
+                    decltype(Guards::OldKeysAreRefused), decltype(Guards::MajorityOfVoters),
+                    decltype(Guards::FreshVoterWaits), decltype(Guards::LeaseCountsFromRequest),
                     decltype(Guards::EveryRecentListAgrees), decltype(Guards::ListMustBeFresh),
                     decltype(Guards::LateReleaseIsIgnored), decltype(Guards::HandoverWithinLease),
                     decltype(Guards::UncertainMeansUnknown), decltype(Guards::RefusalIsFinal),
@@ -30,6 +30,8 @@
     static constexpr bool LeaseIsChecked = true;
     /// A key is accepted only if it was issued after the lease became continuous.
     static constexpr bool IssuedAfterLeaseBegan = true;
+    /// A lease covers the time before it only as far back as no other promise was live.
+    static constexpr bool CoverageAfterPromises = true;
     /// A key from the future could be accepted by a later home as well.
     static constexpr bool FutureKeysAreRefused = true;
     /// A key older than the window may have a record that is already dropped.
--- a/include/orchidlead/key_home.h
+++ b/include/orchidlead/key_home.h
@@ -139,7 +139,12 @@
         steady_time quietUntil = steady_time::min(); // after a failed candidacy
         std::uint32_t failures = 0;
     };
-    using voter_ends = std::array<steady_time, ShardCount>;
+    struct counted_vote
+    {
+        steady_time until = steady_time::min();
+        steady_time freeSince; // the voter had promised no other holder since
+    };
+    using voter_votes = std::array<counted_vote, ShardCount>;
 
     static constexpr std::size_t RememberedRounds = 16;
 
@@ -150,7 +155,9 @@
     [[nodiscard]] std::size_t rank(std::size_t shard) const;
     [[nodiscard]] bool inheritable(const shard_state &state) const;
     void refresh(std::size_t shard);
-    void recordVotes(const vm_id &voter, std::uint64_t round, shard_bits granted);
+    [[nodiscard]] wall_time coverageStart(std::size_t shard, steady_time now) const;
+    void recordVotes(const vm_id &voter, std::uint64_t round, shard_bits granted,
+                     steady_time freeSince);
     void startRound(shard_bits shards, std::vector<key_home_outgoing> &out);
     void failCandidacies(std::vector<key_home_outgoing> &out);
     void sendRelease(const lease_release &message, std::vector<key_home_outgoing> &out);
@@ -162,7 +169,7 @@
     recent_lists m_lists;
     std::vector<vm_id> m_live; // listed, alive and not leaving; with this node
     std::array<shard_state, ShardCount> m_shards;
-    std::unordered_map<vm_id, voter_ends> m_votes; // until when each voter's votes count
+    std::unordered_map<vm_id, voter_votes> m_votes;
     std::array<steady_time, RememberedRounds> m_sentAt{};
     std::uint64_t m_round = 0;
     steady_time m_nextRound = steady_time::min();
--- a/include/orchidlead/key_home_messages.h
+++ b/include/orchidlead/key_home_messages.h
@@ -44,6 +44,8 @@
     orchidlead::incarnation holder = 0;
     std::uint64_t round = 0;
     shard_bits granted = 0;
+    std::uint32_t freeMilliseconds =
+        0; ///< for how long no other holder had a promise for any of them
 };
 
 /// Gives votes up early, or passes them to a successor.
--- a/include/orchidlead/lease_voter.h
+++ b/include/orchidlead/lease_voter.h
@@ -33,18 +33,32 @@
         : m_lease(lease)
         , m_clock(clock)
         , m_quietUntil(clock.now() + lease)
-    { }
+    {
+        // What the predecessor promised ends with the quiet time.
+        for (promise &given : m_promises)
+            given.otherUntil = m_quietUntil;
+    }
 
-    /// Votes for `holder` on each shard that isn't promised to another; returns which.
-    shard_bits grant(const lease_holder &holder, std::uint64_t round, shard_bits shards)
+    /// What a voter grants.
+    struct granted_shards
+    {
+        shard_bits shards = 0;
+        steady_time freeSince; ///< no other holder had a promise for any of them since
+    };
+
+    /// Votes for `holder` on each shard that isn't promised to another.
+    granted_shards grant(const lease_holder &holder, std::uint64_t round, shard_bits shards)
     {
         const auto now = m_clock.now();
         if (Guards::FreshVoterWaits && now < m_quietUntil)
-            return 0;
-        shard_bits granted = 0;
+            return {0, now};
+        granted_shards granted{0, steady_time::min()};
         for (std::size_t shard = 0; shard < ShardCount; ++shard) {
-            if ((shards & shardBit(shard)) != 0 && grantOne(m_promises[shard], holder, round, now))
-                granted |= shardBit(shard);
+            promise &given = m_promises[shard];
+            if ((shards & shardBit(shard)) == 0 || !grantOne(given, holder, round, now))
+                continue;
+            granted.shards |= shardBit(shard);
+            granted.freeSince = std::max(granted.freeSince, given.otherUntil);
         }
         return granted;
     }
@@ -60,8 +74,9 @@
             if (!named || (Guards::LateReleaseIsIgnored && given.round > message.round))
                 continue;
             if (message.successor.empty()) {
-                given.until = steady_time::min();
+                given.until = std::min(given.until, m_clock.now());
             } else {
+                given.otherUntil = std::max(given.otherUntil, given.until);
                 given.holder = {message.successor, message.successorIncarnation};
                 given.round = message.successorRound;
             }
@@ -81,6 +96,7 @@
         lease_holder holder;
         std::uint64_t round = 0; // of the holder's requests; only rises
         steady_time until = steady_time::min();
+        steady_time otherUntil; // end of the last promise to another holder
     };
 
     bool grantOne(promise &given, const lease_holder &holder, std::uint64_t round, steady_time now)
@@ -88,7 +104,11 @@
         if (now < given.until && given.holder != holder)
             return false;
         const bool same = given.holder == holder;
-        given = {holder, same ? std::max(given.round, round) : round, now + m_lease};
+        if (!same)
+            given.otherUntil = std::max(given.otherUntil, given.until);
+        given.holder = holder;
+        given.round = same ? std::max(given.round, round) : round;
+        given.until = now + m_lease;
         return true;
     }
 
--- a/src/core/key_home_definitions.h
+++ b/src/core/key_home_definitions.h
@@ -83,7 +83,7 @@
         return steady_time::min();
     const auto voteOf = [this, shard](const vm_id &voter) {
         const auto found = m_votes.find(voter);
-        return found == m_votes.end() ? steady_time::min() : found->second[shard];
+        return found == m_votes.end() ? steady_time::min() : found->second[shard].until;
     };
     steady_time until = steady_time::min();
     if (Guards::MajorityOfVoters)
@@ -102,14 +102,29 @@
     const auto until = usableUntil(shard, now);
     const bool begins = state.leaseUntil <= now && until > now;
     if (begins) {
-        const auto wall = m_clock.wallNow();
-        state.since = inheritable(state) ? state.inherited->since : wall;
+        state.since = inheritable(state) ? state.inherited->since : coverageStart(shard, now);
         state.inherited.reset();
         state.failures = 0;
     }
     state.leaseUntil = until;
 }
 
+// A lease of another node would have needed one of the voters that vote now, since majorities meet:
+// it ended before that voter's last promise to another did. How far back the lists are known well
+// enough for that bounds it: a holder before may have used a list that was maxListAge old.
+template <at_most_once_guards Guards>
+wall_time basic_key_home<Guards>::coverageStart(std::size_t shard, steady_time now) const
+{
+    steady_time since = now - m_settings.maxListAge;
+    for (const auto &[voter, votes] : m_votes) {
+        const counted_vote &vote = votes[shard];
+        if (Guards::CoverageAfterPromises && vote.until > now)
+            since = std::max(since, vote.freeSince);
+    }
+    const auto ago = std::max(now - since, steady_time::duration::zero());
+    return m_clock.wallNow() - std::chrono::duration_cast<wall_time::duration>(ago);
+}
+
 // Coverage may be taken over only if no third node can have held the lease in between, so while
 // the previous home's lease still lasts by any clock within the bound.
 template <at_most_once_guards Guards>
@@ -198,8 +213,8 @@
         const auto rounds = static_cast<int>(draw % key_home_detail::MaxBackoffRounds);
         state.quietUntil = now + m_settings.renewal * rounds;
         state.firstRound = m_round + 1;
-        for (auto &[voter, ends] : m_votes)
-            ends[shard] = steady_time::min();
+        for (auto &[voter, votes] : m_votes)
+            votes[shard] = {};
         failed |= shardBit(shard);
     }
     if (failed != 0)
@@ -231,9 +246,10 @@
     }
     const auto voters = m_lists.voters();
     for (const auto &voter : voters) {
-        if (voter == m_settings.vm)
-            recordVotes(voter, m_round, m_voter.grant(self(), m_round, shards));
-        else
+        if (voter == m_settings.vm) {
+            const auto own = m_voter.grant(self(), m_round, shards);
+            recordVotes(voter, m_round, own.shards, own.freeSince);
+        } else
             out.push_back({voter, lease_request{m_settings.incarnation, m_round, shards}});
     }
 }
@@ -245,7 +261,11 @@
     if (!m_lists.contains(from))
         return;
     const auto granted = m_voter.grant({from, message.holder}, message.round, message.shards);
-    out.push_back({from, lease_vote{message.holder, message.round, granted}});
+    const auto free = std::chrono::floor<milliseconds>(m_clock.now() - granted.freeSince);
+    const auto bounded = std::clamp(free, milliseconds{0}, m_settings.maxListAge);
+    out.push_back({from,
+                   lease_vote{message.holder, message.round, granted.shards,
+                              static_cast<std::uint32_t>(bounded.count())}});
 }
 
 template <at_most_once_guards Guards>
@@ -254,25 +274,26 @@
     const bool remembered = message.round <= m_round && message.round + RememberedRounds > m_round;
     if (message.holder != m_settings.incarnation || !remembered || !m_lists.contains(from))
         return;
-    recordVotes(from, message.round, message.granted);
+    const auto freeSince = m_clock.now() - milliseconds{message.freeMilliseconds};
+    recordVotes(from, message.round, message.granted, freeSince);
 }
 
 // The voter counts its promise from the receipt, this node from the sending: the promise outlasts
 // the lease whatever the delay.
 template <at_most_once_guards Guards>
 void basic_key_home<Guards>::recordVotes(const vm_id &voter, std::uint64_t round,
-                                         shard_bits granted)
+                                         shard_bits granted, steady_time freeSince)
 {
     const auto sentAt = m_sentAt[round % RememberedRounds];
     const auto from = Guards::LeaseCountsFromRequest ? sentAt : m_clock.now();
     const auto until = from + key_home_detail::holderLease(m_settings.lease);
-    const auto [entry, fresh] = m_votes.try_emplace(voter);
-    if (fresh)
-        entry->second.fill(steady_time::min());
+    voter_votes &votes = m_votes[voter];
     for (std::size_t shard = 0; shard < ShardCount; ++shard) {
         if ((granted & shardBit(shard)) == 0 || round < m_shards[shard].firstRound)
             continue;
-        entry->second[shard] = std::max(entry->second[shard], until);
+        counted_vote &vote = votes[shard];
+        if (until > vote.until)
+            vote = {until, freeSince};
         refresh(shard);
     }
 }
@@ -370,8 +391,8 @@
     shard_state &state = m_shards[shard];
     state.leaseUntil = steady_time::min();
     state.firstRound = m_round + 1;
-    for (auto &[voter, ends] : m_votes)
-        ends[shard] = steady_time::min();
+    for (auto &[voter, votes] : m_votes)
+        votes[shard] = {};
     if (!successor)
         return;
     const lease_release message{
--- a/src/core/key_home_messages.cpp
+++ b/src/core/key_home_messages.cpp
@@ -20,6 +20,7 @@
 
 // Fields behind the type and the holder's incarnation.
 using request_wire = std::tuple<std::uint8_t, incarnation, std::uint64_t, shard_bits>;
+using vote_wire = std::tuple<std::uint8_t, incarnation, std::uint64_t, shard_bits, std::uint32_t>;
 using release_wire = std::tuple<std::uint8_t, incarnation, std::uint64_t, shard_bits, std::string,
                                 incarnation, std::uint64_t>;
 using record_wire = std::tuple<std::string, std::uint64_t, std::int64_t, bool, std::string>;
@@ -39,9 +40,10 @@
     return {tag(message_type::Request), message.holder, message.round, message.shards};
 }
 
-request_wire toWire(const lease_vote &message)
+vote_wire toWire(const lease_vote &message)
 {
-    return {tag(message_type::Vote), message.holder, message.round, message.granted};
+    return {tag(message_type::Vote), message.holder, message.round, message.granted,
+            message.freeMilliseconds};
 }
 
 release_wire toWire(const lease_release &message)
@@ -94,10 +96,10 @@
     return lease_request{holder, round, shards};
 }
 
-std::optional<key_home_message> fromVote(const request_wire &wire)
+std::optional<key_home_message> fromVote(const vote_wire &wire)
 {
-    const auto &[type, holder, round, granted] = wire;
-    return lease_vote{holder, round, granted};
+    const auto &[type, holder, round, granted, freeMilliseconds] = wire;
+    return lease_vote{holder, round, granted, freeMilliseconds};
 }
 
 std::optional<key_home_message> fromRelease(const release_wire &wire)
@@ -143,7 +145,7 @@
     case message_type::Request:
         return fromRequest(object.as<request_wire>());
     case message_type::Vote:
-        return fromVote(object.as<request_wire>());
+        return fromVote(object.as<vote_wire>());
     case message_type::Release:
         return fromRelease(object.as<release_wire>());
     case message_type::Handover:
--- a/tests/core/at_most_once_guards_test.cpp
+++ b/tests/core/at_most_once_guards_test.cpp
@@ -22,6 +22,7 @@
 
 WITHOUT(LeaseIsChecked);
 WITHOUT(IssuedAfterLeaseBegan);
+WITHOUT(CoverageAfterPromises);
 WITHOUT(FutureKeysAreRefused);
 WITHOUT(OldKeysAreRefused);
 WITHOUT(MajorityOfVoters);
@@ -102,6 +103,11 @@
     checkGuard<without_IssuedAfterLeaseBegan>({});
 }
 
+TEST_CASE("without the end of the last promise a lease covers too much and a call runs twice")
+{
+    checkGuard<without_CoverageAfterPromises>({});
+}
+
 TEST_CASE("without the refusal of keys from the future a call runs twice")
 {
     checkGuard<without_FutureKeysAreRefused>({});
@@ -139,12 +145,13 @@
 
 TEST_CASE("without the check of a late release a call runs twice")
 {
-    checkGuard<without_LateReleaseIsIgnored>({});
+    checkGuard<without_LateReleaseIsIgnored>(
+        {{fault_kind::Cut, fault_kind::Restart, fault_kind::Pause}, 40, 4, 20, 0.3});
 }
 
 TEST_CASE("without the overlap of leases at a handover a call runs twice")
 {
-    checkGuard<without_HandoverWithinLease>({});
+    checkGuard<without_HandoverWithinLease>({{fault_kind::Leave, fault_kind::Cut}, 40, 4, 20, 0.3});
 }
 
 TEST_CASE("without the unknown outcome not_run is said of a call that runs")
--- a/tests/models/key_home.pml
+++ b/tests/models/key_home.pml
@@ -33,16 +33,18 @@
 /* The voter: to whom the vote is promised, and until when. */
 byte holder = NOBODY;
 byte until = NEVER;
+byte otherUntil = NEVER; /* end of the last promise to another than the holder */
 byte quiet = NEVER; /* after a restart */
 bool restarted = false;
 
 /* Messages in flight: time of sending of the newest request, and of what the newest vote answers. */
 byte request[CANDIDATES] = NEVER;
 byte vote[CANDIDATES] = NEVER;
+byte freeSince[CANDIDATES] = NEVER; /* what that vote says: no promise to another since */
 
 /* Candidates. */
 byte counted[CANDIDATES] = NEVER; /* until when the vote counts */
-byte since[CANDIDATES] = NEVER; /* time of day when the lease became continuous */
+byte since[CANDIDATES] = NEVER; /* time of day since which the candidate knows all keys */
 bool accepted[CANDIDATES] = false;
 bool refused[CANDIDATES] = false;
 bool sent[CANDIDATES] = false;
@@ -92,6 +94,11 @@
 #else
 #define COUNT_FROM(sentAt) sentAt
 #endif
+#ifdef WITHOUT_COVERAGE_AFTER_PROMISES
+#define COVERED_SINCE(c) 1
+#else
+#define COVERED_SINCE(c) (freeSince[c] > now -> now : freeSince[c])
+#endif
 #ifdef WITHOUT_HANDOVER_WITHIN_LEASE
 #define INHERITS(c) (c == 1 && received)
 #else
@@ -137,10 +144,6 @@
         now < LAST ->
         now++;
         if
-        :: until <= now -> until = NEVER; holder = NOBODY
-        :: else
-        fi;
-        if
         :: quiet <= now -> quiet = NEVER
         :: else
         fi;
@@ -161,13 +164,19 @@
 {
     d_step {
         request[c] != NEVER && SPEAKS && (holder == c || until <= now) ->
+        if
+        :: holder != c && until > otherUntil -> otherUntil = until
+        :: else
+        fi;
         holder = c;
         until = now + LEASE;
-        vote[c] = request[c]
+        vote[c] = request[c];
+        freeSince[c] = otherUntil
     }
 }
 
-/* A lease that lapsed, be it for a moment, begins anew, unless the coverage is inherited. */
+/* A lease that lapsed, be it for a moment, begins anew; it covers the time since the last promise to
+ * another, or what it inherits. */
 inline count(c)
 {
     d_step {
@@ -179,7 +188,7 @@
         fi;
         if
         :: held == 0 && counted[c] > now && INHERITS(c) -> since[c] = passedSince; received = false
-        :: held == 0 && counted[c] > now && !INHERITS(c) -> since[c] = WALL(c); received = false
+        :: held == 0 && counted[c] > now && !INHERITS(c) -> since[c] = COVERED_SINCE(c) + ahead[c]; received = false
         :: else
         fi;
         held = 0;
@@ -266,27 +275,33 @@
 
 inline passOn()
 {
-    d_step { released && holder == 0 -> holder = 1 }
+    d_step { released && holder == 0 -> holder = 1; otherUntil = (until > otherUntil -> until : otherUntil) }
 }
 
 /* Another process starts on the voter's VM: its promises are forgotten. */
 inline restartVoter()
 {
     d_step {
-        !restarted && holder != NOBODY ->
+        !restarted && until > now ->
         restarted = true;
         holder = NOBODY;
         until = NEVER;
-        quiet = now + LEASE
+        quiet = now + LEASE;
+        otherUntil = quiet
     }
 }
 
 /* A candidate's process is replaced: all that it knew is lost. */
-inline restart(c)
+inline replaceProcess(c)
 {
     d_step {
         !restarted ->
         restarted = true;
+        if
+        :: holder == c -> holder = NOBODY /* the promise lives on; the new process is another holder */
+        :: else
+        fi;
+        freeSince[c] = NEVER;
         request[c] = NEVER;
         vote[c] = NEVER;
         counted[c] = NEVER;
@@ -333,7 +348,7 @@
     :: refuse(0)
     :: refuse(1)
     :: restartVoter()
-    :: restart(0)
+    :: replaceProcess(0)
 #endif
     /* The caller's clock is right, or ahead within the bound. */
     :: d_step { issued == 0 -> issued = now }
