--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -171,7 +171,7 @@
         double megabytes = 0;
     };
 
-    std::vector<sample> fleetSamples(const fleet_value &value) const
+    [[nodiscard]] std::vector<sample> fleetSamples(const fleet_value &value) const
     {
         std::vector<sample> samples;
         for (const auto &fleet : m_all.fleets)
--- a/bench/control_fleet.cpp
+++ b/bench/control_fleet.cpp
@@ -104,6 +104,9 @@
         constexpr milliseconds Pause{1000};
         constexpr milliseconds Bound{20000};
         const auto before = totalTraffic(*m_net);
+        std::vector<std::uint64_t> servedBefore;
+        for (std::size_t i = 0; i < m_net->size(); ++i)
+            servedBefore.push_back(m_net->at(i).contentsServed);
         std::chrono::duration<double> took{0};
         for (std::uint64_t version = 2; version < 2 + Versions; ++version) {
             m_net->publish(version, "version " + std::to_string(version));
@@ -118,7 +121,8 @@
         m_cost.announceBytes =
             std::max(0.0, ((after.bytes - before.bytes) / m_nodes - quietBytes) / Versions);
         for (std::size_t i = 0; i < m_net->size(); ++i) {
-            const auto served = static_cast<double>(m_net->at(i).contentsServed) / Versions;
+            const auto count = m_net->at(i).contentsServed - servedBefore[i];
+            const auto served = static_cast<double>(count) / Versions;
             m_cost.contentsFetched = std::max(m_cost.contentsFetched, served);
         }
     }
--- a/bench/node_parts.cpp
+++ b/bench/node_parts.cpp
@@ -31,7 +31,7 @@
 
 std::string numbered(const std::string &name, std::size_t number)
 {
-    return name + "-" + std::to_string(number);
+    return name + '-' + std::to_string(number);
 }
 
 std::string writeServices()
@@ -40,7 +40,9 @@
     for (const char *kind : {"encoder", "retriever", "reranker", "engine"}) {
         const std::string name = kind;
         const bool engine = name == "engine";
-        text += "  - name: " + name + "s\n    kind: " + name + "\n";
+        text += "  - name: " + name;
+        text += "s\n    kind: " + name;
+        text += "\n";
         if (engine)
             text += "    models: [small, large]\n";
         text += "    servers:\n";
--- a/include/orchidlead/membership.h
+++ b/include/orchidlead/membership.h
@@ -61,6 +61,7 @@
     std::uint64_t version = 0; ///< 0: none
     std::uint64_t hash = 0; ///< of the content
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): taken for a comparison with a null pointer
     friend auto operator<=>(const configuration_stamp &, const configuration_stamp &) = default;
 };
 
--- a/tests/core/control_fake_network.h
+++ b/tests/core/control_fake_network.h
@@ -320,7 +320,7 @@
         if (changed)
             at(index).keeper->setMembers(at(index).members->members());
         for (const auto &action : actions)
-            std::visit([this, index](const auto &one) { carry(index, one); }, action);
+            std::visit([this, index](const auto &one) { this->carry(index, one); }, action);
     }
 
     void carry(std::size_t index, const gossip_datagram &datagram)
@@ -368,7 +368,7 @@
     void carryOut(std::size_t index, const typename keeper_type::actions &actions)
     {
         for (const auto &action : actions)
-            std::visit([this, index](const auto &one) { carry(index, one); }, action);
+            std::visit([this, index](const auto &one) { this->carry(index, one); }, action);
     }
 
     void carry(std::size_t index, const adopt_configuration<text_configuration> &adopted)
