Bound a member's generation

Cause: a claim with the greatest number as the generation would have made the member's refutation begin again at nothing, so that it could never come back; found by reading. Change: datagrams with a generation above 2^62 are malformed, and a raised one stops there. Conclusion: done.

--- a/src/core/gossip_message.cpp
+++ b/src/core/gossip_message.cpp
@@ -90,7 +90,7 @@
     const bool described = fields.size() == DescribedUpdateFields;
     update.vm = vm_id{fields.text()};
     update.incarnation = fields.number();
-    update.generation = fields.number();
+    update.generation = fields.number(MaxGeneration);
     const auto status = fields.number(LeavingBit | StatusMask);
     update.accuser =
         static_cast<std::uint32_t>(fields.number(std::numeric_limits<std::uint32_t>::max()));
--- a/src/core/gossip_message.h
+++ b/src/core/gossip_message.h
@@ -108,6 +108,7 @@
 inline constexpr std::size_t MaxGossipBytes = 1400;
 inline constexpr std::size_t MaxGossipUpdates = 64;
 inline constexpr std::size_t MaxGossipText = 64;
+inline constexpr std::uint64_t MaxGeneration = std::uint64_t{1} << 62U;
 
 [[nodiscard]] std::string encodeGossip(const gossip_message &message);
 [[nodiscard]] result<gossip_message, gossip_error> decodeGossip(std::string_view bytes);
--- a/src/core/membership_claims.cpp
+++ b/src/core/membership_claims.cpp
@@ -16,7 +16,7 @@
 
 void membership::implementation::raiseGeneration(std::uint64_t above)
 {
-    self().generation = above + 1;
+    self().generation = std::min(above + 1, MaxGeneration);
     m_news.add(options.self.vm);
 }
 
