--- a/src/platform/bounded_family.h
+++ b/src/platform/bounded_family.h
@@ -28,7 +28,7 @@
 };
 
 /// Buckets of times, in seconds.
-inline const prometheus::Histogram::BucketBoundaries SecondsBuckets{
+inline const prometheus::Histogram::BucketBoundaries secondsBuckets{
     0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 4, 8, 16, 32};
 
 /// A metric with a bounded number of label sets; what goes beyond is kept under "other".
@@ -64,7 +64,7 @@
         for (std::size_t at = 0; at < values.size(); ++at)
             labels.emplace(m_description.labels[at], values[at]);
         if constexpr (std::is_same_v<Metric, prometheus::Histogram>)
-            return m_family.Add(labels, SecondsBuckets);
+            return m_family.Add(labels, secondsBuckets);
         else
             return m_family.Add(labels);
     }
--- a/src/platform/peer_server.cpp
+++ b/src/platform/peer_server.cpp
@@ -16,7 +16,7 @@
 constexpr int StatusNotFound = 404;
 constexpr int NotHeldCode = -32001; // the application's own range begins at -32000
 
-const net::header_list JsonHeaders{{"content-type", "application/json"}};
+const net::header_list jsonHeaders{{"content-type", "application/json"}};
 
 /// Feeds the library with texts and takes its answers; the transport is the HTTP server.
 class text_connector : public jsonrpc::AbstractServerConnector
@@ -100,7 +100,7 @@
         return refuse(StatusBadRequest, response);
     }
     m_counts.bytesOut += answer.size();
-    response->respond(StatusOk, JsonHeaders, std::move(answer));
+    response->respond(StatusOk, jsonHeaders, std::move(answer));
 }
 
 void peer_server::implementation::handleForward(net::http_request &&request,
@@ -115,7 +115,7 @@
 void peer_server::implementation::refuse(int status, const net::response_ptr &response)
 {
     ++m_counts.refused;
-    response->respond(status, JsonHeaders, "{}");
+    response->respond(status, jsonHeaders, "{}");
 }
 
 void peer_server::implementation::fetchConfiguration(const Json::Value &parameters,
