Move the exchange of news about leaving servers out of the daemon's assembly

Change: daemon/news_exchange; the node fills the customer in. Conclusion: daemon.cpp only joins parts again.

--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -499,6 +499,8 @@
     answer.request = id;
     if (answer.outcome != outcome::Answered) {
         log_decision line = refusalLine(id, answer);
+        if (const auto pending = m_pending.find(id); pending != m_pending.end())
+            line.customer = pending->second.customer;
         m_traces.addDecision(line);
         out.emplace_back(std::move(line));
     }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,9 +2,7 @@
 
 #include "core/socket_address_text.h"
 #include "daemon/daemon_options.h"
-#include "platform/server_news_json.h"
 
-#include <array>
 #include <utility>
 
 namespace orchidlead::daemon {
@@ -14,7 +12,6 @@
 constexpr milliseconds StopTickInterval{20};
 constexpr milliseconds GateTickInterval{250};
 constexpr std::size_t MaxDatagramBytes = 1100;
-constexpr std::array NewsRepeats{milliseconds{0}, milliseconds{250}, milliseconds{1000}};
 
 socket_address withPort(socket_address address, std::uint16_t port)
 {
@@ -33,7 +30,7 @@
     , m_started(clock.now())
     , m_client(net::http_client::create(loop))
     , m_reporter(log)
-    , m_news(clock)
+    , m_news(loop, clock, settings.vm, newsEvents())
     , m_shell(loop, *m_client, clock, nodeOptions(settings, start), start, nodeHooks())
     , m_control(loop, *m_client, clock, controlOptions(settings, start), controlEvents())
     , m_peers(loop, *m_client, clock, settings.vm, callerOptions(settings).bounds, peerEvents())
@@ -96,10 +93,7 @@
     node_hooks hooks;
     hooks.onDecision = [this](const auto &decision) { m_reporter.onDecision(decision); };
     hooks.onEnded = [this](const auto &ended) { m_reporter.onEnded(ended); };
-    hooks.onServerNews = [this](const server_news &news) {
-        if (m_news.note(news))
-            tellPeers(news);
-    };
+    hooks.onServerNews = [this](const server_news &news) { m_news.onTold(news); };
     hooks.noticePause = [this] { m_control.noticePause(); };
     hooks.forward = [this](const forward_call &call) { m_peers.forward(call); };
     return hooks;
@@ -120,7 +114,9 @@
     events.onMembers = [this](const auto &update) { m_shell.setMembers(update); };
     events.onMemberChanged = [this](const auto &changed) {
         m_reporter.onMemberChanged(changed);
-        tellNewMember(changed);
+        const bool near = changed.now.vm.dataCenter == m_settings.dataCenter;
+        if (near && changed.now.state == member_state::Alive)
+            m_news.tellNewcomer(changed.now);
     };
     events.onPaused = [this](const auto &pause) {
         m_reporter.onPaused(pause);
@@ -133,8 +129,22 @@
         if (kind == datagram_kind::Gate)
             onGateMessage(sender, bytes);
         else if (!sender.empty())
-            onServerNews(bytes);
+            m_news.onDatagram(bytes);
+    };
+    return events;
+}
+
+news_exchange_events orchidlead_daemon::newsEvents()
+{
+    news_exchange_events events;
+    events.members = [this]() -> const auto &
+    {
+        return m_shell.state().members();
     };
+    events.send = [this](const socket_address &to, std::string_view bytes) {
+        m_control.sendDatagram(datagram_kind::ServerNews, to, bytes);
+    };
+    events.onHeard = [this](const server_news &news) { m_shell.onHeard(news); };
     return events;
 }
 
@@ -215,48 +225,6 @@
     }
 }
 
-// One node hears it from the server, all others must within a few seconds; datagrams may be lost.
-void orchidlead_daemon::tellPeers(const server_news &news)
-{
-    for (const milliseconds delay : NewsRepeats) {
-        m_loop.callAfter(delay, [this, news, alive = std::weak_ptr<int>(m_alive)] {
-            if (alive.expired())
-                return;
-            for (const auto &peer : m_shell.state().members()) {
-                if (peer.state != member_state::Dead)
-                    sendNews({news}, peer);
-            }
-        });
-    }
-}
-
-void orchidlead_daemon::tellNewMember(const member_changed &changed)
-{
-    const bool appeared = changed.now.state == member_state::Alive
-        && changed.now.vm.dataCenter == m_settings.dataCenter;
-    if (appeared)
-        sendNews(m_news.all(), changed.now);
-}
-
-void orchidlead_daemon::sendNews(const std::vector<server_news> &news, const member &to)
-{
-    if (to.vm.vm == m_settings.vm)
-        return;
-    for (const auto &bytes : platform::writeServerNews(news, MaxDatagramBytes))
-        m_control.sendDatagram(datagram_kind::ServerNews, to.vm.peerAddress, bytes);
-}
-
-void orchidlead_daemon::onServerNews(std::string_view bytes)
-{
-    const auto heard = platform::readServerNews(bytes);
-    if (!heard)
-        return;
-    for (const auto &news : *heard) {
-        if (m_news.note(news))
-            m_shell.onHeard(news);
-    }
-}
-
 void orchidlead_daemon::tickGate()
 {
     std::vector<peer_message> messages;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "core/leaving_news.h"
 #include "core/planned_stop.h"
 #include "core/settings.h"
 #include "daemon/caller_api.h"
 #include "daemon/control_shell.h"
+#include "daemon/news_exchange.h"
 #include "daemon/node_shell.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_link.h"
@@ -63,6 +63,7 @@
     [[nodiscard]] process_status status() const;
     [[nodiscard]] stop_progress progress() const;
     [[nodiscard]] result<void, daemon_error> listen();
+    [[nodiscard]] news_exchange_events newsEvents();
     [[nodiscard]] peer_link_events peerEvents();
     [[nodiscard]] metric_sources metricSources() const;
     [[nodiscard]] std::optional<socket_address> addressOf(const vm_id &vm) const;
@@ -70,10 +71,6 @@
     void fetchFromPeer(const fetch_from_peer &fetch);
     void onGateMessage(const vm_id &from, std::string_view bytes);
     void send(const std::vector<peer_message> &messages);
-    void tellPeers(const server_news &news);
-    void tellNewMember(const member_changed &changed);
-    void sendNews(const std::vector<server_news> &news, const member &to);
-    void onServerNews(std::string_view bytes);
     void tickGate();
     void refreshAdmission();
     void applyAdmission();
@@ -87,8 +84,7 @@
     const steady_time m_started;
     std::unique_ptr<net::http_client> m_client;
     reporter m_reporter;
-    leaving_news m_news;
-    std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< tells timers
+    news_exchange m_news;
     node_shell m_shell;
     control_shell m_control;
     peer_link m_peers;
--- /dev/null
+++ b/src/daemon/news_exchange.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/leaving_news.h"
+#include "net/event_loop.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+#include <orchidlead/membership.h>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace orchidlead::daemon {
+
+/// What the exchange of news needs from the daemon.
+struct news_exchange_events
+{
+    std::function<const std::vector<member> &()> members;
+    std::function<void(const socket_address &to, std::string_view bytes)> send; ///< may be lost
+    std::function<void(const server_news &)> onHeard; ///< new here, from a peer
+};
+
+/// Tells the peers what backend servers say about leaving, and hears it from them.
+///
+/// One node hears it from the server itself; all others must within a few seconds.
+class news_exchange
+{
+public:
+    news_exchange(net::event_loop &loop, const clock_source &clock, vm_id self,
+                  news_exchange_events events);
+
+    /// Takes what a backend server told this node.
+    void onTold(const server_news &news);
+    /// Takes a peer's datagram.
+    void onDatagram(std::string_view bytes);
+    /// Tells a member that has just come what it missed.
+    void tellNewcomer(const member &newcomer);
+
+private:
+    void tellAll(const server_news &news);
+    void send(const std::vector<server_news> &news, const member &to);
+
+    net::event_loop &m_loop;
+    vm_id m_self;
+    news_exchange_events m_events;
+    leaving_news m_news;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< tells timers
+};
+
+} // namespace orchidlead::daemon
