--- a/include/orchidlead/concurrency_limit.h
+++ b/include/orchidlead/concurrency_limit.h
@@ -50,7 +50,7 @@
 private:
     void shrink(double factor, steady_time now);
 
-    double m_limit = 8.0;
+    double m_limit = 4.0; ///< many nodes start at once
     double m_longTerm = 0.0; ///< µs
     double m_shortTerm = 0.0; ///< µs
     steady_time m_lastShrunk{};
--- a/include/orchidlead/retry_budget.h
+++ b/include/orchidlead/retry_budget.h
@@ -40,7 +40,7 @@
 
 private:
     static constexpr double DefaultShare = 0.1;
-    static constexpr double DefaultReserve = 10.0;
+    static constexpr double DefaultReserve = 7.0;
 
     double m_share;
     double m_reserve;
--- a/src/core/concurrency_limit.cpp
+++ b/src/core/concurrency_limit.cpp
@@ -12,6 +12,7 @@
 constexpr double RefusedFactor = 0.75;
 constexpr double SlowFactor = 0.9;
 constexpr double QueuedFactor = 0.9;
+constexpr double LowestQueuedFactor = 0.4;
 constexpr double QueuedShare = 0.5; ///< of the running calls
 constexpr double SlowMultiple = 2.5; ///< of the long-term time
 constexpr double GradientTolerance = 1.5;
@@ -32,6 +33,14 @@
     return now - last >= std::max(rest, std::chrono::microseconds{1000});
 }
 
+// Reports come seldom where a server answers without them, so one that tells of a long queue must
+// count for more: what is left over keeps half as much waiting as runs.
+double queuedFactor(std::uint32_t running, std::uint32_t queued)
+{
+    const double wanted = (1.0 + QueuedShare) * running / (running + queued);
+    return std::clamp(wanted, LowestQueuedFactor, QueuedFactor);
+}
+
 } // namespace
 
 void aimd_limit::shrink(double factor, steady_time now)
@@ -62,7 +71,7 @@
 void aimd_limit::onReport(std::uint32_t running, std::uint32_t queued, steady_time now)
 {
     if (queued > QueuedShare * running)
-        shrink(QueuedFactor, now);
+        shrink(queuedFactor(running, queued), now);
 }
 
 void aimd_limit::onRefused(std::uint32_t outstanding, steady_time now)
--- a/src/core/engine_admission_impl.h
+++ b/src/core/engine_admission_impl.h
@@ -207,6 +207,8 @@
 void engine_state<Policies>::finish(request_state &state, outcome result, const refusal &why,
                                     engine_actions &out)
 {
+    // What is given up at the deadline tells that its server is slow; a cancelled call doesn't.
+    const bool late = m_clock.now() >= state.request.deadline;
     for (std::uint32_t index = 0; index < state.stages.size(); ++index) {
         stage_state &stage = state.stages[index];
         pool_type *pool = poolOf(state, index);
@@ -216,7 +218,7 @@
             pool->unexpect(state.plan().customer);
         for (attempt_state &attempt : stage.attempts) {
             if (attempt.live)
-                release(state, index, attempt, false, "request ended", out);
+                release(state, index, attempt, late, "request ended", out);
         }
     }
     if (result != outcome::Answered)
--- a/src/core/engine_attempts_impl.h
+++ b/src/core/engine_attempts_impl.h
@@ -359,6 +359,9 @@
         && stage.attempts.size() < m_settings.maxAttemptsPerStage;
     if (!allowed || pool == nullptr || pool->breaker.isOpen() || !pool->hasAvailable())
         return;
+    // A second attempt would take its place from work that waits for its first.
+    if (!pool->queue.empty())
+        return;
     // Where no server of the pool has answered since, it isn't this one that is slow.
     const attempt_state &first = stage.attempts.back();
     if (pool->inFlight() > 1 && !pool->answeredSince(first.started))
--- a/src/core/service_pool_impl.h
+++ b/src/core/service_pool_impl.h
@@ -239,8 +239,14 @@
                                       steady_time now)
 {
     double &latency = m_entries[slot].latency;
-    latency = std::max(latency, comparable(elapsed, typical));
+    const double atLeast = comparable(elapsed, typical);
+    if (atLeast <= latency)
+        return;
+    latency = atLeast;
     m_servers[slot].lastSample = now;
+    // Work that dies waiting gives no answer, and a limit that hears of answers alone would stay.
+    const duration sample{static_cast<std::int64_t>(atLeast * 1000.0)};
+    m_servers[slot].limit.onAnswer(sample, m_entries[slot].outstanding - 1, now);
 }
 
 template <class Policies>
--- a/tests/core/engine_world.h
+++ b/tests/core/engine_world.h
@@ -378,7 +378,7 @@
         ++m_tries;
         m_firstTries += first ? 1 : 0;
         const double allowed =
-            1.1 * static_cast<double>(m_firstTries) + 10.0 * static_cast<double>(Services) + 1e-6;
+            1.1 * static_cast<double>(m_firstTries) + 7.0 * static_cast<double>(Services) + 1e-6;
         check(static_cast<double>(m_tries) <= allowed, "more tries than the retry budget allows");
     }
 
--- a/tests/core/request_engine_test.cpp
+++ b/tests/core/request_engine_test.cpp
@@ -400,3 +400,40 @@
         CHECK(end.answer.reason == refusal_reason::Overloaded);
     CHECK(harness.take<send_attempt>().size() == 4);
 }
+
+TEST_CASE("attempts that die at the deadline shrink the limit of their server")
+{
+    engine_harness<> harness;
+    harness.services({makeService("encode", 1)});
+    const pipeline_plan plan = makePlan({"encode"});
+    harness.warmUp(plan, 64, milliseconds{20});
+    const std::uint32_t before = harness.engine.stats().servers[0].limit;
+    for (int round = 0; round < 20; ++round) {
+        harness.submit(plan, milliseconds{300});
+        harness.advance(milliseconds{300});
+    }
+    const std::uint32_t after = harness.engine.stats().servers[0].limit;
+    CAPTURE(before, after);
+    CHECK(after < before);
+}
+
+TEST_CASE("nothing is hedged while work waits for its first attempt")
+{
+    engine_harness<> harness;
+    harness.services({makeService("encode", 2)});
+    const pipeline_plan plan = makePlan({"encode"});
+    harness.warmUp(plan, 64, milliseconds{20});
+    harness.submit(plan, milliseconds{200});
+    const auto late = harness.take<send_attempt>();
+    harness.advance(milliseconds{1});
+    for (int request = 0; request < 40; ++request)
+        harness.submit(plan, milliseconds{4'000});
+    const auto others = harness.take<send_attempt>();
+    REQUIRE(others.size() < 40);
+    harness.advance(milliseconds{20});
+    harness.answer(others[0]);
+    harness.take<send_attempt>();
+    harness.advance(milliseconds{134});
+    for (const auto &sent : harness.take<send_attempt>())
+        CHECK(sent.key.request.value != late[0].key.request.value);
+}
