Give customers one limit, on their open requests

Cause: max_running and max_queued were two keys, but the engine bounds their sum, and a max_queued alone bounded nothing: keys without an effect of their own.

Ruled out: two counters in the engine, since a request may run in one stage and wait in another at the same time.

Tests: the engine's test gives the one limit and also wants a request to be taken again after one has ended; configuration tests follow the key.

--- a/src/core/engine_admission_impl.h
+++ b/src/core/engine_admission_impl.h
@@ -76,10 +76,9 @@
     if (m_requests.size() >= m_settings.maxOpenRequests)
         return refusal{refusal_reason::Overloaded, "too many open requests",
                        spread(milliseconds{1000})};
-    const customer_limits &limits = state.plan().limits;
+    const std::uint32_t limit = state.plan().limits.maxOpenRequests;
     const auto open = m_openOf.find(state.plan().customer);
-    const bool limited = limits.maxRunning > 0 && open != m_openOf.end();
-    if (limited && open->second >= limits.maxRunning + limits.maxQueued)
+    if (limit > 0 && open != m_openOf.end() && open->second >= limit)
         return refusal{refusal_reason::Overloaded, "too many open requests of this customer",
                        spread(milliseconds{1000})};
     if (sendDeadline(state) <= state.submitted)
--- a/src/core/parse_published_configuration.cpp
+++ b/src/core/parse_published_configuration.cpp
@@ -226,8 +226,8 @@
         mapping.readInteger("weight", settings.weight, {1, MaxWeight});
         if (const auto limits = mapping.find("limits")) {
             mapping_reader entry(*limits);
-            entry.readInteger("max_running", settings.limits.maxRunning, {1, MaxCustomerLimit});
-            entry.readInteger("max_queued", settings.limits.maxQueued, {1, MaxCustomerLimit});
+            entry.readInteger("max_open_requests", settings.limits.maxOpenRequests,
+                              {1, MaxCustomerLimit});
         }
         const auto pipelines = mapping.find("pipelines", presence::Required);
         if (!pipelines)
--- a/src/core/pipeline.h
+++ b/src/core/pipeline.h
@@ -55,8 +55,7 @@
 /// Bounds on what one customer may have in the system, on each node. 0: none but the node's own.
 struct customer_limits
 {
-    std::uint32_t maxRunning = 0; ///< requests that hold backend servers
-    std::uint32_t maxQueued = 0; ///< requests that wait for admission
+    std::uint32_t maxOpenRequests = 0; ///< running and waiting ones
 };
 
 /// A pipeline template rendered with one customer's parameters. Immutable; a request keeps the
--- a/tests/core/published_configuration_test.cpp
+++ b/tests/core/published_configuration_test.cpp
@@ -55,7 +55,7 @@
     /* 41 */ "        parameters: {model: large, steps: [encode, generate], urgency: high}",
     /* 42 */ "  - names: [beta, gamma]",
     /* 43 */ "    home_data_center: south-1",
-    /* 44 */ "    limits: {max_running: 5, max_queued: 9}",
+    /* 44 */ "    limits: {max_open_requests: 9}",
     /* 45 */ "    pipelines:",
     /* 46 */ "      - {name: chat, template: answer, parameters: {model: small}}",
     /* 47 */ "...",
@@ -149,7 +149,7 @@
     CHECK(configuration->findServer(backend_server_id("r2")) == nullptr);
     const customer *gamma = configuration->findCustomer(customer_id("gamma"));
     REQUIRE(gamma != nullptr);
-    CHECK(gamma->settings->limits.maxQueued == 9);
+    CHECK(gamma->settings->limits.maxOpenRequests == 9);
     CHECK(gamma->settings == configuration->findCustomer(customer_id("beta"))->settings);
     CHECK(configuration->findCustomer(customer_id("delta")) == nullptr);
 }
@@ -178,7 +178,7 @@
     CHECK(without.stages[1].inputs == std::vector<std::uint32_t>{0});
     const auto &with = plan(configuration, "beta", keep);
     REQUIRE(with.stages.size() == 3);
-    CHECK(with.limits.maxRunning == 5);
+    CHECK(with.limits.maxOpenRequests == 9);
     CHECK(with.stages[1].timeout == milliseconds(1500));
     CHECK(with.stages[2].inputs == std::vector<std::uint32_t>{1});
 }
--- a/tests/core/request_engine_test.cpp
+++ b/tests/core/request_engine_test.cpp
@@ -390,7 +390,7 @@
     engine_harness<> harness;
     harness.services({makeService("encode", 4)});
     pipeline_plan plan = makePlan({"encode"});
-    plan.limits = {2, 1};
+    plan.limits = {3};
     for (int request = 0; request < 5; ++request)
         harness.submit(plan);
     harness.submit(makePlan({"encode"}, "other"));
@@ -398,7 +398,12 @@
     CHECK(ends.size() == 2);
     for (const auto &end : ends)
         CHECK(end.answer.reason == refusal_reason::Overloaded);
-    CHECK(harness.take<send_attempt>().size() == 4);
+    const auto sent = harness.take<send_attempt>();
+    REQUIRE(sent.size() == 4);
+
+    harness.answer(sent[0]);
+    harness.submit(plan);
+    CHECK(harness.take<send_attempt>().size() == 1);
 }
 
 TEST_CASE("attempts that die at the deadline shrink the limit of their server")
