--- a/bench/policy_scenarios.cpp
+++ b/bench/policy_scenarios.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-const std::string EngineService = "generate";
+constexpr const char *EngineService = "generate";
 
 fault engineFault(milliseconds at, std::uint32_t first, std::uint32_t count,
                   const server_condition &condition)
--- a/include/orchidlead/fair_queue.h
+++ b/include/orchidlead/fair_queue.h
@@ -5,12 +5,12 @@
 
 #include <algorithm>
 #include <array>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -70,7 +70,11 @@
         steady_time latestStart;
         std::uint64_t sequence = 0;
 
-        friend auto operator<=>(const slack_key &, const slack_key &) = default;
+        friend bool operator<(const slack_key &a, const slack_key &b)
+        {
+            return std::tie(a.isNew, a.latestStart, a.sequence)
+                < std::tie(b.isNew, b.latestStart, b.sequence);
+        }
     };
 
     static slack_key keyOf(const queue_place &place)
