Make the tests of net independent of the machine's load

Cause: several tests gave the loop a fixed few milliseconds, or a timeout so short that a busy machine reaches it before the event that the test is about.

No assertion is dropped; that the refused caller of two is the only one is new. The linter's finding in http2_stream is mended.

--- a/src/net/http2_stream.cpp
+++ b/src/net/http2_stream.cpp
@@ -274,7 +274,7 @@
         lws_callback_on_writable(m_wsi);
         return 0;
     }
-    const int allowance = lws_get_peer_write_allowance(m_wsi);
+    const auto allowance = lws_get_peer_write_allowance(m_wsi);
     const std::size_t room = allowance > 0 ? static_cast<std::size_t>(allowance) : 0;
     const std::size_t size = std::min({queuedBytes(), MaxFrameBytes, room});
     const bool rest = size < queuedBytes();
--- a/tests/net/http2_test.cpp
+++ b/tests/net/http2_test.cpp
@@ -164,9 +164,10 @@
         held = std::move(response);
     });
 
-    const auto got = fixture.curl("--max-time 0.3 " + data + fixture.url("/wait"));
+    const auto got = fixture.curl("--max-time 2 " + data + fixture.url("/wait"));
 
     CHECK(got.exitCode != 0);
+    REQUIRE(held);
     CHECK(fixture.loop().runUntil([&] { return closed > 0; }));
     CHECK(closed == 1);
     held->write("into the void");
@@ -232,6 +233,6 @@
         fixture.curl("--max-time 4 --limit-rate 1000 -o /dev/null " + fixture.url("/run"));
 
     CHECK(got.exitCode != 0);
-    CHECK(closed);
+    CHECK(fixture.loop().runUntil([&] { return closed; }));
     CHECK(mostQueued <= (1U << 20U) + (1U << 17U));
 }
--- a/tests/net/http_client_faults_test.cpp
+++ b/tests/net/http_client_faults_test.cpp
@@ -18,7 +18,7 @@
     raw_listener listener;
     const auto client = http_client::create(*loop);
     call.address = {"127.0.0.1", listener.port()};
-    call.timeout = std::chrono::milliseconds{500};
+    call.timeout = std::chrono::milliseconds{1500};
     answer got;
     client->start(std::move(call), collect(got));
     std::optional<raw_peer> peer;
@@ -204,12 +204,14 @@
         client->cancel(id);
     };
     id = client->start(call, events);
-    loop.runFor(std::chrono::milliseconds{60});
+    const bool reached = loop.runUntil([&] { return when == 3 ? ends == 1 : reported == when; });
+    REQUIRE(reached);
+    loop.runFor(std::chrono::milliseconds{20});
 
     CHECK(ends == (when == 3 ? 1 : 0));
     if (when < 3)
         CHECK(reported == when);
-    CHECK(server->connections() == 0);
+    CHECK(loop.runUntil([&] { return server->connections() == 0; }));
 }
 
 TEST_CASE("A client that is destroyed cancels its calls")
--- a/tests/net/http_exchange_test.cpp
+++ b/tests/net/http_exchange_test.cpp
@@ -166,7 +166,7 @@
     const auto server =
         serve(loop, [&](http_request &&, response_ptr response) { held = std::move(response); });
     auto call = callTo(server->port(), "x");
-    call.timeout = std::chrono::milliseconds{60};
+    call.timeout = std::chrono::milliseconds{800};
 
     CHECK(callAndWait(loop, call).end == call_end::TimedOut);
     REQUIRE(held);
--- a/tests/net/http_server_bounds_test.cpp
+++ b/tests/net/http_server_bounds_test.cpp
@@ -101,20 +101,23 @@
     const std::string head = "POST / HTTP/1.1\r\ncontent-length: 600\r\n\r\n";
     raw_peer first(server->port());
     first.send(head + std::string(599, 'a'));
-    loop.runFor(milliseconds{20});
     raw_peer second(server->port());
     second.send(head + std::string(599, 'b'));
 
-    REQUIRE(loop.runUntil([&] { return second.got().ends_with("}"); }));
-    CHECK_THAT(second.got(), StartsWith("HTTP/1.1 503 "));
-    CHECK_THAT(second.got(), Contains("retry-after: 1"));
-    first.send("a");
+    // Whichever arrives later is refused.
+    REQUIRE(loop.runUntil([&] { return first.ended() || second.ended(); }));
+    raw_peer &refused = first.ended() ? first : second;
+    raw_peer &kept = first.ended() ? second : first;
+    CHECK_THAT(refused.got(), StartsWith("HTTP/1.1 503 "));
+    CHECK_THAT(refused.got(), Contains("retry-after: 1"));
+    CHECK(kept.got().empty());
+    kept.send("x");
     REQUIRE(loop.runUntil([&] { return held.size() == 1; }));
     raw_peer third(server->port());
     third.send(head + std::string(300, 'c'));
-    loop.runFor(milliseconds{20});
+    REQUIRE(loop.runUntil([&] { return server->connections() >= 2; }));
     third.hangUp();
-    REQUIRE(loop.runUntil([&] { return server->connections() <= 2; }));
+    REQUIRE(loop.runUntil([&] { return server->connections() == 1; }));
     raw_peer fourth(server->port());
     fourth.send(head + std::string(600, 'd'));
     CHECK(loop.runUntil([&] { return held.size() == 2; }));
@@ -157,7 +160,7 @@
 {
     test_loop loop;
     http_server_options options;
-    options.requestTimeout = milliseconds{100};
+    options.requestTimeout = milliseconds{500};
     const auto server = serve(loop, describe, options);
     raw_peer caller(server->port());
     std::string slow;
@@ -186,8 +189,8 @@
 {
     test_loop loop;
     http_server_options options;
-    options.requestTimeout = milliseconds{40};
-    options.idleTimeout = milliseconds{80};
+    options.requestTimeout = milliseconds{300};
+    options.idleTimeout = milliseconds{600};
     const auto server = serve(loop, describe, options);
     raw_peer caller(server->port());
     if (GENERATE(false, true)) {
