--- a/bench/experiment_bench.cpp
+++ b/bench/experiment_bench.cpp
@@ -73,7 +73,7 @@
 
 std::vector<std::string> policiesFor(const scenario &what)
 {
-    const auto named = absl::GetFlag(FLAGS_policies);
+    auto named = absl::GetFlag(FLAGS_policies);
     if (!named.empty())
         return named;
     if (needsBaseline(what))
@@ -129,6 +129,7 @@
 bool printTargets(const std::vector<finished_experiment> &finished)
 {
     std::vector<experiment_summary> summaries;
+    summaries.reserve(finished.size());
     for (const auto &each : finished)
         summaries.push_back(each.summary);
     const auto targets = judgeTargets(summaries);
--- a/bench/experiment_files.cpp
+++ b/bench/experiment_files.cpp
@@ -139,7 +139,8 @@
         const std::string name = setup.user + "-" + setup.what.name;
         if (!written.insert(name).second)
             continue;
-        const std::string path = directory + "/" + name;
+        std::string path = directory;
+        path.append("/").append(name);
         good =
             writeText(path + "-attainment.svg", drawSvg(plotOf(experiments, setup, false))) && good;
         good = writeText(path + "-latency.svg", drawSvg(plotOf(experiments, setup, true))) && good;
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -97,8 +97,8 @@
 
 const std::vector<scenario> &allScenarios()
 {
-    static const std::vector<scenario> Scenarios = makeScenarios();
-    return Scenarios;
+    static const std::vector<scenario> scenarios = makeScenarios();
+    return scenarios;
 }
 
 const scenario *findScenario(const std::string &name)
