--- a/include/orchidlead/lease_voter.h
+++ b/include/orchidlead/lease_voter.h
@@ -52,7 +52,7 @@
         const auto now = m_clock.now();
         if (Guards::FreshVoterWaits && now < m_quietUntil)
             return {0, now};
-        granted_shards granted{0, steady_time::min()};
+        granted_shards granted{0, m_quietUntil}; // no promise is known to have ended before
         for (std::size_t shard = 0; shard < ShardCount; ++shard) {
             promise &given = m_promises[shard];
             if ((shards & shardBit(shard)) == 0 || !grantOne(given, holder, round, now))
