Let a refused caller of HTTP/2 finish sending before its stream is closed

The stream was closed as soon as the refusal was written; libwebsockets takes the next DATA frame for a closed stream as a fault and ends the connection, with input unread, so that the kernel resets it. Ruled out: a slow test (the answer never arrived), a wrong bound (413 was written each time). Change: after a refusal the stream lingers until its body has ended, the caller has reset it, or 1 s has passed, as HTTP/1.1 connections already do; what comes meanwhile is dropped uncounted and unkept. Also the last findings of the linter: a reserve, a constant's name, and a mark on its false finding in attempt_key.

--- a/include/orchidlead/ids.h
+++ b/include/orchidlead/ids.h
@@ -49,6 +49,7 @@
     std::uint32_t stage = 0; ///< index of the stage in the pipeline
     std::uint32_t attempt = 0; ///< 1 for the first try
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): taken for a comparison with a null pointer
     friend auto operator<=>(const attempt_key &, const attempt_key &) = default;
 };
 
--- a/src/net/http2_stream.cpp
+++ b/src/net/http2_stream.cpp
@@ -14,6 +14,8 @@
 
 // The largest frame that every peer must take.
 constexpr std::size_t MaxFrameBytes = 16384;
+// How long a caller that was refused may go on sending before its stream is closed.
+constexpr std::chrono::milliseconds LingerTime{1000};
 
 bool takesBody(std::string_view method)
 {
@@ -92,7 +94,8 @@
         return 0;
     }
     lws_set_timeout(m_wsi, NO_PENDING_TIMEOUT, 0);
-    if (m_bodyBytes == 0)
+    m_bodyEnded = m_bodyBytes == 0;
+    if (m_bodyEnded)
         dispatch();
     else
         m_phase = phase::Body;
@@ -143,6 +146,9 @@
 
 void http2_stream::onBodyComplete()
 {
+    m_bodyEnded = true;
+    if (m_phase == phase::Lingering)
+        doom();
     if (m_phase != phase::Body)
         return;
     if (m_request.body.size() == m_bodyBytes)
@@ -266,7 +272,7 @@
 
 int http2_stream::onWriteable()
 {
-    if (m_phase == phase::Head || m_phase == phase::Body)
+    if (m_phase == phase::Head || m_phase == phase::Body || m_phase == phase::Lingering)
         return 0;
     if (m_status) {
         if (!writeHead())
@@ -295,13 +301,24 @@
     if (m_answerEnded) {
         if (response && !m_truncated)
             response->sent();
-        return -1;
+        return endStream();
     }
     if (response)
         response->drained();
     return 0;
 }
 
+// libwebsockets takes a frame for a stream that it has closed as a fault and ends the connection;
+// a caller that was still sending would find it reset before it has read why it was refused.
+int http2_stream::endStream()
+{
+    if (m_phase != phase::Refusing || m_bodyEnded)
+        return -1;
+    m_phase = phase::Lingering;
+    restartTick(LingerTime);
+    return 0;
+}
+
 bool http2_stream::writeHead()
 {
     const auto buffer = m_loop.scratch();
--- a/src/net/http2_stream.h
+++ b/src/net/http2_stream.h
@@ -40,12 +40,20 @@
 
 private:
     /// What the stream is doing.
-    enum class phase { Head, Body, Answering, Refusing, Closed };
+    enum class phase {
+        Head,
+        Body,
+        Answering,
+        Refusing,
+        Lingering, ///< the refusal is out; drops what the caller still sends
+        Closed,
+    };
 
     [[nodiscard]] int onHead(std::string_view path);
     [[nodiscard]] std::optional<refusal> readHead();
     [[nodiscard]] int onBody(std::string_view bytes);
     void onBodyComplete();
+    [[nodiscard]] int endStream();
     [[nodiscard]] int onWriteable();
     [[nodiscard]] bool writeHead();
     [[nodiscard]] bool writePart(std::size_t size, bool last);
@@ -65,6 +73,7 @@
     std::weak_ptr<server_connection> m_connection;
     lws *m_wsi = nullptr;
     phase m_phase = phase::Head;
+    bool m_bodyEnded = false; ///< the caller sends no more
     bool m_doomed = false; ///< to be closed without another word
 
     http_request m_request;
--- a/standins/history_checker.cpp
+++ b/standins/history_checker.cpp
@@ -66,9 +66,9 @@
 
     [[nodiscard]] const run_list &runsOf(const std::string &nonce) const
     {
-        static const run_list None;
+        static const run_list none;
         const auto found = m_runs.find(nonce);
-        return found == m_runs.end() ? None : found->second;
+        return found == m_runs.end() ? none : found->second;
     }
 
     void checkAnswer(const caller_record &request)
--- a/standins/process_group.cpp
+++ b/standins/process_group.cpp
@@ -38,6 +38,7 @@
 std::vector<char *> toArguments(std::vector<std::string> &command)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (std::string &word : command)
         arguments.push_back(word.data());
     arguments.push_back(nullptr);
