--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -59,7 +59,8 @@
     options.listen = m_spec.listen;
     options.maxBodyBytes = 64U << 20U;
     auto server = net::http_server::create(
-        m_around.loop, options, [this](net::http_request &&request, net::response_ptr response) {
+        m_around.loop, options,
+        [this](net::http_request &&request, const net::response_ptr &response) {
             handle(request, response);
         });
     if (!server)
