Let the service alone confirm a configuration only where the VM list names no other node

The configuration came before the VM list, and a node that knows no peer took itself for the only one. Ruled out: a wrong excuse of the checker (the log agrees with it), a peer that answered with the old version (none was asked).

--- a/include/orchidlead/configuration_keeper.h
+++ b/include/orchidlead/configuration_keeper.h
@@ -258,6 +258,7 @@
 
     [[nodiscard]] std::size_t alivePeers() const;
     [[nodiscard]] std::size_t possiblePeers() const;
+    [[nodiscard]] bool knownToBeAlone() const;
     [[nodiscard]] bool inOtherDataCenter(const vm_id &vm) const;
     [[nodiscard]] bool isHolder(const vm_id &vm) const;
     [[nodiscard]] bool isRefused(const configuration_stamp &stamp) const;
@@ -604,7 +605,7 @@
         return;
     const std::size_t needed = std::min(m_options.confirmPeers, possiblePeers());
     const bool byPeers = needed > 0 && m_confirmation->answered.size() >= needed;
-    const bool byService = m_members.size() <= 1 && m_confirmation->serviceAnswered;
+    const bool byService = knownToBeAlone() && m_confirmation->serviceAnswered;
     const bool late = m_clock.now() >= m_confirmation->since + m_options.confirmTimeout;
     if (!byPeers && !byService && !late)
         return;
@@ -634,6 +635,14 @@
         }));
 }
 
+// Before the VM list is here the node knows no peer either, and the service may be stale: only a
+// list that names this node, and no other, makes the service's answer enough.
+template <class Configuration, class Policy>
+bool configuration_keeper<Configuration, Policy>::knownToBeAlone() const
+{
+    return m_members.size() == 1 && m_members.front().listed;
+}
+
 template <class Configuration, class Policy>
 bool configuration_keeper<Configuration, Policy>::inOtherDataCenter(const vm_id &vm) const
 {
--- a/tests/core/configuration_keeper_test.cpp
+++ b/tests/core/configuration_keeper_test.cpp
@@ -169,6 +169,23 @@
     CHECK(node.keeper->stamp().version == 12);
 }
 
+TEST_CASE("a new node that has no VM list yet isn't content with a stale service's answer")
+{
+    member self = makeMember("vm-1");
+    self.listed = false;
+    keeper_fixture<> node({self});
+    node.serviceAnswers(9, "nine");
+    CHECK_FALSE(node.keeper->readyToServe());
+    node.keeper->setMembers({makeMember("vm-1"), makeMember("vm-2")});
+    node.wait(50ms);
+    CHECK_FALSE(node.keeper->readyToServe());
+    node.keeper->onPeerVersion(vm_id{"vm-2"}, makeStamp(12, "twelve"), node.clock.now(), node.out);
+    CHECK_FALSE(node.keeper->readyToServe());
+    node.keeper->onPeerContent(vm_id{"vm-2"}, 12, "twelve", node.out);
+    CHECK(node.keeper->readyToServe());
+    CHECK(node.keeper->stamp().version == 12);
+}
+
 TEST_CASE("without the guard a new node serves what a stale service gives")
 {
     keeper_fixture<configuration_keeper<text_configuration, trusting_policy>> node(
