Keep the time that a refused caller may go on sending in one place

Lingering on HTTP/2 wrote again the constant, and the reason for it, that HTTP/1.1 connections have. Change: LingerTime with its reason stands in refusal.h. No behaviour changes.

--- a/src/net/http2_stream.cpp
+++ b/src/net/http2_stream.cpp
@@ -14,8 +14,6 @@
 
 // The largest frame that every peer must take.
 constexpr std::size_t MaxFrameBytes = 16384;
-// How long a caller that was refused may go on sending before its stream is closed.
-constexpr std::chrono::milliseconds LingerTime{1000};
 
 bool takesBody(std::string_view method)
 {
--- a/src/net/refusal.h
+++ b/src/net/refusal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,10 @@
 inline constexpr refusal TooManyBytes{503, "overloaded", "too many request bodies are arriving"};
 inline constexpr refusal TooManyConnections{503, "overloaded", "too many connections"};
 
+/// How long a connection or stream that has been refused goes on dropping what its caller still
+/// sends. Closing at once would reset it, and the caller might lose the answer that says why.
+inline constexpr std::chrono::milliseconds LingerTime{1000};
+
 /// The body that callers expect of a refusal.
 [[nodiscard]] std::string refusalBody(const refusal &why);
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -17,10 +17,6 @@
 
 namespace {
 
-// How long a connection that has been refused goes on dropping what its caller still sends. Closing
-// at once would reset the connection, and the caller might lose the answer that says why.
-constexpr std::chrono::milliseconds LingerTime{1000};
-
 struct method_token
 {
     lws_token_indexes token;
