--- a/bench/experiment_files.cpp
+++ b/bench/experiment_files.cpp
@@ -1,7 +1,7 @@
 #include "bench/experiment_files.h"
 
 #include "bench/svg_plot.h"
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -74,7 +74,7 @@
             row[figure.name] = figure.value;
         rows.append(std::move(row));
     }
-    return platform::writeJson(rows) + "\n";
+    return wire::writeJson(rows) + "\n";
 }
 
 std::string courseCsv(const std::vector<finished_experiment> &experiments)
--- a/src/ctl/check_command.cpp
+++ b/src/ctl/check_command.cpp
@@ -5,7 +5,7 @@
 #include "core/yaml_document.h"
 #include "ctl/document_file.h"
 #include "ctl/table.h"
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <json/value.h>
 
@@ -123,7 +123,7 @@
             print(file, context.to);
     }
     if (context.line.flags.json)
-        context.to.out << platform::writeJson(all) << '\n';
+        context.to.out << wire::writeJson(all) << '\n';
     return valid ? exit_code::Success : exit_code::Invalid;
 }
 
--- a/src/ctl/node_commands.cpp
+++ b/src/ctl/node_commands.cpp
@@ -3,7 +3,7 @@
 #include "ctl/json_table.h"
 #include "ctl/operator_client.h"
 #include "ctl/plan_view.h"
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <array>
 
@@ -145,7 +145,7 @@
     if (!answer)
         return report(context, answer.error());
     if (context.line.flags.json)
-        context.to.out << platform::writeJson(answer.value()) << '\n';
+        context.to.out << wire::writeJson(answer.value()) << '\n';
     else
         print(answer.value());
     return exit_code::Success;
@@ -210,7 +210,7 @@
     return show(context, askNode(context, "GET", path), [&](const Json::Value &value) {
         // The document alone, so that it can be redirected to a file and checked.
         if (content)
-            context.to.out << platform::stringMember(value, "content").value_or("");
+            context.to.out << wire::stringMember(value, "content").value_or("");
         else
             printFields(value, ConfigurationFields, context.to);
     });
@@ -231,8 +231,8 @@
 exit_code runDrain(const command_context &context)
 {
     return show(context, askNode(context, "POST", "/v1/drain"), [&](const Json::Value &value) {
-        context.to.out << "the node is "
-                       << platform::stringMember(value, "state").value_or("stopping") << '\n';
+        context.to.out << "the node is " << wire::stringMember(value, "state").value_or("stopping")
+                       << '\n';
     });
 }
 
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -2,7 +2,7 @@
 
 #include "core/socket_address_text.h"
 #include "ctl/table.h"
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <algorithm>
 
@@ -17,9 +17,9 @@
 
 std::string errorText(const api_answer &answer)
 {
-    const auto value = platform::parseJson(answer.body);
+    const auto value = wire::parseJson(answer.body);
     const auto message =
-        value ? platform::stringMember(value.value(), "error") : std::optional<std::string>();
+        value ? wire::stringMember(value.value(), "error") : std::optional<std::string>();
     return "the node answered " + std::to_string(answer.status)
         + (message ? ": " + *message : std::string());
 }
@@ -68,7 +68,7 @@
                               toText(flags.operators) + ": " + answer.error().what};
     if (answer.value().status < FirstSuccess || answer.value().status >= FirstRedirect)
         return operator_error{exit_code::Refused, errorText(answer.value())};
-    auto value = platform::parseJson(answer.value().body);
+    auto value = wire::parseJson(answer.value().body);
     if (!value)
         return operator_error{exit_code::Unreachable,
                               toText(flags.operators)
@@ -88,7 +88,7 @@
                           askNode(context, "GET", pagePath(path, std::min(left, PageRows), after)));
         for (const auto &row : page[listName])
             rows.append(row);
-        const auto next = platform::stringMember(page, "next");
+        const auto next = wire::stringMember(page, "next");
         const bool enough = wanted != 0 && rows.size() >= wanted;
         if (!next || next->empty() || *next == after || enough) {
             page[listName] = std::move(rows);
--- a/src/ctl/render_command.cpp
+++ b/src/ctl/render_command.cpp
@@ -5,8 +5,8 @@
 #include "ctl/document_file.h"
 #include "ctl/plan_view.h"
 #include "ctl/table.h"
-#include "platform/json_text.h"
-#include "platform/plan_json.h"
+#include "wire/json_text.h"
+#include "wire/plan_json.h"
 
 namespace orchidlead::ctl {
 
@@ -42,9 +42,9 @@
         renderPipeline(*read.value(), customer_id(flags.customer), pipeline_id(flags.pipeline));
     if (!plan)
         return fail(context, describe(plan.error()));
-    const Json::Value value = platform::planToJson(*plan.value());
+    const Json::Value value = wire::planToJson(*plan.value());
     if (flags.json)
-        context.to.out << platform::writeJson(value) << '\n';
+        context.to.out << wire::writeJson(value) << '\n';
     else
         printPlan(value, context.to);
     return exit_code::Success;
--- a/src/ctl/send_command.cpp
+++ b/src/ctl/send_command.cpp
@@ -3,8 +3,8 @@
 #include "core/socket_address_text.h"
 #include "ctl/document_file.h"
 #include "ctl/table.h"
-#include "platform/json_text.h"
-#include "platform/sse_parser.h"
+#include "wire/json_text.h"
+#include "wire/sse_parser.h"
 
 #include <orchidlead/outcome.h>
 
@@ -57,7 +57,7 @@
 std::string quoted(std::string_view text)
 {
     std::string out;
-    platform::appendJsonString(out, text);
+    wire::appendJsonString(out, text);
     return out;
 }
 
@@ -105,22 +105,22 @@
     [[nodiscard]] bool hasTokens() const { return m_hasTokens; }
 
 private:
-    void take(const platform::sse_event &event)
+    void take(const wire::sse_event &event)
     {
         if (event.type == "outcome") {
             m_outcome = event.data;
         } else if (event.type == "token" && !m_context.line.flags.json) {
-            const auto value = platform::parseJson(event.data);
+            const auto value = wire::parseJson(event.data);
             if (!value)
                 return;
-            m_context.to.out << platform::stringMember(value.value(), "text").value_or("")
+            m_context.to.out << wire::stringMember(value.value(), "text").value_or("")
                              << std::flush;
             m_hasTokens = true;
         }
     }
 
     const command_context &m_context;
-    platform::sse_parser m_parser;
+    wire::sse_parser m_parser;
     std::optional<std::string> m_outcome;
     bool m_hasTokens = false;
     bool m_broken = false;
@@ -128,27 +128,27 @@
 
 void print(const Json::Value &answer, const std::string &text, const console &to, bool outputShown)
 {
-    const std::string end = platform::stringMember(answer, "outcome").value_or("");
+    const std::string end = wire::stringMember(answer, "outcome").value_or("");
     to.out << to.styled(printable(end), styleOf(end));
-    const auto reason = platform::stringMember(answer, "reason");
+    const auto reason = wire::stringMember(answer, "reason");
     if (reason && *reason != toName(refusal_reason::None))
         to.out << " (" << printable(*reason) << ')';
-    to.out << "  " << printable(platform::stringMember(answer, "request").value_or("")) << '\n';
-    const auto detail = platform::stringMember(answer, "detail");
+    to.out << "  " << printable(wire::stringMember(answer, "request").value_or("")) << '\n';
+    const auto detail = wire::stringMember(answer, "detail");
     if (detail && !detail->empty())
         to.out << printable(*detail) << '\n';
-    if (const auto again = platform::unsignedMember(answer, "retry_after_ms"))
+    if (const auto again = wire::unsignedMember(answer, "retry_after_ms"))
         to.out << "come back in " << *again << " ms\n";
     // As the node wrote it: a number must not lose digits on its way.
     if (!outputShown && !answer["output"].isNull())
-        to.out << printable(platform::sourceText(text, answer["output"])) << '\n';
+        to.out << printable(wire::sourceText(text, answer["output"])) << '\n';
 }
 
 exit_code show(const command_context &context, const std::string &text, bool outputShown)
 {
-    const auto answer = platform::parseJson(text, {MaxEventBytes});
+    const auto answer = wire::parseJson(text, {MaxEventBytes});
     const auto name =
-        answer ? platform::stringMember(answer.value(), "outcome") : std::optional<std::string>();
+        answer ? wire::stringMember(answer.value(), "outcome") : std::optional<std::string>();
     const auto end = name ? fromName<outcome>(*name) : std::nullopt;
     if (!end)
         return fail(context, exit_code::Unreachable,
--- a/src/daemon/answer_json.cpp
+++ b/src/daemon/answer_json.cpp
@@ -1,6 +1,6 @@
 #include "daemon/answer_json.h"
 
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <orchidlead/enum_names.h>
 
@@ -46,7 +46,7 @@
     void text(std::string_view name, std::string_view value)
     {
         start(name);
-        platform::appendJsonString(m_out, value);
+        wire::appendJsonString(m_out, value);
     }
     void number(std::string_view name, std::int64_t value) { raw(name, std::to_string(value)); }
     void flag(std::string_view name, bool value) { raw(name, value ? "true" : "false"); }
@@ -90,21 +90,21 @@
 milliseconds timeMember(const Json::Value &object, std::string_view name)
 {
     return milliseconds{
-        static_cast<std::int64_t>(platform::unsigned32Member(object, name).value_or(0))};
+        static_cast<std::int64_t>(wire::unsigned32Member(object, name).value_or(0))};
 }
 
 stage_report readStage(const Json::Value &object)
 {
     stage_report stage;
-    stage.stage = stage_id{platform::stringMember(object, "stage").value_or("")};
-    stage.server = backend_server_id{platform::stringMember(object, "server").value_or("")};
-    stage.attempts = platform::unsigned32Member(object, "attempts").value_or(0);
-    stage.hedges = platform::unsigned32Member(object, "hedges").value_or(0);
+    stage.stage = stage_id{wire::stringMember(object, "stage").value_or("")};
+    stage.server = backend_server_id{wire::stringMember(object, "server").value_or("")};
+    stage.attempts = wire::unsigned32Member(object, "attempts").value_or(0);
+    stage.hedges = wire::unsigned32Member(object, "hedges").value_or(0);
     stage.queued = timeMember(object, "queued_ms");
     stage.elapsed = timeMember(object, "elapsed_ms");
     stage.busy = timeMember(object, "busy_ms");
-    stage.tokens = platform::unsignedMember(object, "tokens").value_or(0);
-    stage.finished = platform::boolMember(object, "finished").value_or(false);
+    stage.tokens = wire::unsignedMember(object, "tokens").value_or(0);
+    stage.finished = wire::boolMember(object, "finished").value_or(false);
     return stage;
 }
 
@@ -163,26 +163,24 @@
 
 std::optional<final_answer> readAnswer(std::string_view text)
 {
-    const auto parsed = platform::parseJson(text, {text.size()});
+    const auto parsed = wire::parseJson(text, {text.size()});
     if (!parsed)
         return std::nullopt;
     const Json::Value &root = parsed.value();
-    const auto end = fromName<outcome>(platform::stringMember(root, "outcome").value_or(""));
-    const auto reason =
-        fromName<refusal_reason>(platform::stringMember(root, "reason").value_or(""));
-    const Json::Value *output = platform::findMember(root, "output");
+    const auto end = fromName<outcome>(wire::stringMember(root, "outcome").value_or(""));
+    const auto reason = fromName<refusal_reason>(wire::stringMember(root, "reason").value_or(""));
+    const Json::Value *output = wire::findMember(root, "output");
     if (!end || !reason || output == nullptr)
         return std::nullopt;
     final_answer answer;
     answer.outcome = *end;
     answer.reason = *reason;
-    answer.detail = platform::stringMember(root, "detail").value_or("");
+    answer.detail = wire::stringMember(root, "detail").value_or("");
     if (*end == outcome::Answered)
-        answer.output = std::make_shared<const std::string>(platform::sourceText(text, *output));
-    if (platform::unsigned32Member(root, "retry_after_ms"))
+        answer.output = std::make_shared<const std::string>(wire::sourceText(text, *output));
+    if (wire::unsigned32Member(root, "retry_after_ms"))
         answer.retryAfter = timeMember(root, "retry_after_ms");
-    if (const Json::Value *stages = platform::findMember(root, "stages");
-        stages && stages->isArray()) {
+    if (const Json::Value *stages = wire::findMember(root, "stages"); stages && stages->isArray()) {
         for (const auto &stage : *stages)
             answer.stages.push_back(readStage(stage));
     }
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/answer_json.h"
 #include "daemon/caller_connection.h"
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <array>
 #include <utility>
@@ -105,7 +105,7 @@
         return;
     }
     std::string body = R"({"ticket":)";
-    platform::appendJsonString(body, *ticket);
+    wire::appendJsonString(body, *ticket);
     body += R"(,"expires_ms":)" + std::to_string(m_options.ticketWindow.count()) + "}";
     response->respond(StatusOk, {{"content-type", "application/json"}}, std::move(body));
 }
@@ -116,7 +116,7 @@
     std::string body = R"({"ready":true})";
     if (reason) {
         body = R"({"ready":false,"reason":)";
-        platform::appendJsonString(body, *reason);
+        wire::appendJsonString(body, *reason);
         body += '}';
     }
     response->respond(reason ? StatusUnavailable : StatusOk, {{"content-type", "application/json"}},
--- a/src/daemon/caller_request_json.cpp
+++ b/src/daemon/caller_request_json.cpp
@@ -1,6 +1,6 @@
 #include "daemon/caller_request_json.h"
 
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <json/value.h>
 
@@ -28,7 +28,7 @@
 std::string quoted(std::string_view text)
 {
     std::string out;
-    platform::appendJsonString(out, text.substr(0, MaxQuotedBytes));
+    wire::appendJsonString(out, text.substr(0, MaxQuotedBytes));
     return out;
 }
 
@@ -45,7 +45,7 @@
 result<std::optional<std::string>, caller_error>
 optionalText(const Json::Value &root, std::string_view name, std::size_t maxBytes)
 {
-    const Json::Value *member = platform::findMember(root, name);
+    const Json::Value *member = wire::findMember(root, name);
     if (member == nullptr)
         return std::optional<std::string>{};
     if (!member->isString())
@@ -56,7 +56,7 @@
             invalid(std::string(name) + ": expected 1 to " + std::to_string(maxBytes) + " bytes"));
     }
     // An escaped lone surrogate passes the check of the body and decodes to bytes that aren't text.
-    if (!platform::isUtf8(text) || text.find('\0') != std::string::npos)
+    if (!wire::isUtf8(text) || text.find('\0') != std::string::npos)
         return failure(invalid(std::string(name) + ": expected Unicode text"));
     return std::optional<std::string>{std::move(text)};
 }
@@ -72,7 +72,7 @@
 result<std::optional<bool>, caller_error> optionalFlag(const Json::Value &root,
                                                        std::string_view name)
 {
-    const Json::Value *member = platform::findMember(root, name);
+    const Json::Value *member = wire::findMember(root, name);
     if (member == nullptr)
         return std::optional<bool>{};
     if (!member->isBool())
@@ -82,7 +82,7 @@
 
 result<std::optional<milliseconds>, caller_error> optionalDeadline(const Json::Value &root)
 {
-    const Json::Value *member = platform::findMember(root, "deadline_ms");
+    const Json::Value *member = wire::findMember(root, "deadline_ms");
     if (member == nullptr)
         return std::optional<milliseconds>{};
     // A double that happens to be whole, such as 1e3, isn't taken: what is meant must be plain.
@@ -97,11 +97,11 @@
 
 result<payload, caller_error> requiredInput(std::string_view body, const Json::Value &root)
 {
-    const Json::Value *member = platform::findMember(root, "input");
+    const Json::Value *member = wire::findMember(root, "input");
     if (member == nullptr)
         return failure(invalid("input: missing"));
     // The text is handed on as it was written: parsing and writing it anew would change numbers.
-    return payload{std::make_shared<const std::string>(platform::sourceText(body, *member))};
+    return payload{std::make_shared<const std::string>(wire::sourceText(body, *member))};
 }
 
 result<Json::Value, caller_error> parseBody(std::string_view body, const caller_bounds &bounds)
@@ -111,7 +111,7 @@
             caller_error{refusal_reason::TooLarge,
                          "body: larger than " + std::to_string(bounds.maxBodyBytes) + " bytes"});
     }
-    auto parsed = platform::parseJson(body, {bounds.maxBodyBytes, bounds.maxDepth});
+    auto parsed = wire::parseJson(body, {bounds.maxBodyBytes, bounds.maxDepth});
     if (!parsed)
         return failure(invalid("body: malformed JSON: " + parsed.error().what));
     if (!parsed.value().isObject())
--- a/src/daemon/control_shell.cpp
+++ b/src/daemon/control_shell.cpp
@@ -37,7 +37,7 @@
                 })
     , m_service(client, {m_options.configurationService})
     , m_vmList(loop, client, clock, {m_options.vmList}, m_options.vmListWatch,
-               {[this](const platform::vm_list &list) {
+               {[this](const wire::vm_list &list) {
                     m_listVersion = list.version;
                     feed([&](auto &out) { m_control.setListed(list.version, list.vms, out); });
                 },
@@ -136,7 +136,7 @@
 }
 
 void control_shell::onServiceResult(service_call_id call,
-                                    platform::configuration_service_client::outcome_type outcome)
+                                    wire::configuration_service_client::outcome_type outcome)
 {
     if (!outcome) {
         feed([&](auto &out) { m_control.onServiceFailed(call, out); });
--- a/src/daemon/control_shell.h
+++ b/src/daemon/control_shell.h
@@ -5,8 +5,8 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/udp_socket.h"
-#include "platform/configuration_service_client.h"
-#include "platform/vm_list_client.h"
+#include "wire/configuration_service_client.h"
+#include "wire/vm_list_client.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/result.h>
@@ -24,7 +24,7 @@
     socket_address peerListen;
     socket_address configurationService;
     socket_address vmList;
-    platform::published_watch_options vmListWatch;
+    wire::published_watch_options vmListWatch;
 };
 
 /// What shares the gossip port with the gossip.
@@ -73,11 +73,8 @@
     void onPeerFailed(const vm_id &vm);
 
     [[nodiscard]] const node_control &state() const { return m_control; }
-    [[nodiscard]] const platform::read_counts &configurationReads() const
-    {
-        return m_service.counts();
-    }
-    [[nodiscard]] const platform::read_counts &vmListReads() const { return m_vmList.counts(); }
+    [[nodiscard]] const wire::read_counts &configurationReads() const { return m_service.counts(); }
+    [[nodiscard]] const wire::read_counts &vmListReads() const { return m_vmList.counts(); }
 
 private:
     void carryOut(const control_actions &actions);
@@ -92,7 +89,7 @@
     void perform(const superseded &action);
     void perform(const fetch_from_peer &action);
     void onServiceResult(service_call_id call,
-                         platform::configuration_service_client::outcome_type outcome);
+                         wire::configuration_service_client::outcome_type outcome);
     void onDatagram(const socket_address &from, std::string_view bytes);
     void tick();
 
@@ -109,8 +106,8 @@
     control_events m_events;
     configuration_parser m_parser;
     node_control m_control;
-    platform::configuration_service_client m_service;
-    platform::vm_list_watch m_vmList;
+    wire::configuration_service_client m_service;
+    wire::vm_list_watch m_vmList;
     std::unique_ptr<net::udp_socket> m_socket;
     std::uint64_t m_listVersion = 0;
     net::timer_id m_timer = 0;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -23,7 +23,7 @@
 
 orchidlead_daemon::orchidlead_daemon(net::event_loop &loop, const clock_source &clock,
                                      const process_settings &settings, incarnation start,
-                                     platform::log &log, std::function<void()> onStopped)
+                                     wire::log &log, std::function<void()> onStopped)
     : m_loop(loop)
     , m_clock(clock)
     , m_settings(settings)
@@ -152,11 +152,11 @@
 {
     peer_link_events events;
     events.fetchConfiguration =
-        [this](std::uint64_t version) -> std::optional<platform::configuration_content> {
+        [this](std::uint64_t version) -> std::optional<wire::configuration_content> {
         const auto &keeper = m_control.state().keeper();
         if (keeper.stamp().version == 0 || keeper.stamp().version < version)
             return std::nullopt;
-        return platform::configuration_content{keeper.stamp().version, keeper.content()};
+        return wire::configuration_content{keeper.stamp().version, keeper.content()};
     };
     events.onGateMessage = [this](const vm_id &from, const std::string &bytes) {
         onGateMessage(from, bytes);
@@ -261,9 +261,9 @@
         return;
     m_reportedReason = now;
     if (reason)
-        m_reporter.onEvent(platform::log_level::Warning, platform::node_event::NotReady, now);
+        m_reporter.onEvent(wire::log_level::Warning, wire::node_event::NotReady, now);
     else
-        m_reporter.onEvent(platform::log_level::Info, platform::node_event::Ready, "");
+        m_reporter.onEvent(wire::log_level::Info, wire::node_event::Ready, "");
 }
 
 operator_hooks orchidlead_daemon::operatorHooks()
@@ -280,8 +280,8 @@
     metric_sources sources{m_shell.state(), m_control.state()};
     sources.ready = !notReady();
     sources.connections = m_callerServer->connections();
-    const platform::peer_client &client = m_peers.client();
-    const platform::peer_counts &served = m_peers.served();
+    const wire::peer_client &client = m_peers.client();
+    const wire::peer_counts &served = m_peers.served();
     sources.peerCalls = {client.calls(), served.messages, client.bytesOut() + served.bytesOut,
                          client.bytesIn() + served.bytesIn};
     sources.configurationReads = m_control.configurationReads();
@@ -348,7 +348,7 @@
 
 void orchidlead_daemon::enter(stop_phase phase)
 {
-    m_reporter.onEvent(platform::log_level::Info, platform::node_event::Stopping, toName(phase));
+    m_reporter.onEvent(wire::log_level::Info, wire::node_event::Stopping, toName(phase));
     switch (phase) {
     case stop_phase::Running:
         break;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -37,7 +37,7 @@
 {
 public:
     orchidlead_daemon(net::event_loop &loop, const clock_source &clock,
-                      const process_settings &settings, incarnation start, platform::log &log,
+                      const process_settings &settings, incarnation start, wire::log &log,
                       std::function<void()> onStopped);
     ~orchidlead_daemon();
     orchidlead_daemon(const orchidlead_daemon &) = delete;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,7 +2,7 @@
 #include "daemon/daemon.h"
 #include "daemon/stop_signals.h"
 #include "net/event_loop.h"
-#include "platform/log.h"
+#include "wire/log.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -62,9 +62,9 @@
     return file ? &file : nullptr;
 }
 
-platform::log_options logOptions(const process_settings &settings)
+wire::log_options logOptions(const process_settings &settings)
 {
-    platform::log_options options;
+    wire::log_options options;
     options.vm = settings.vm;
     options.format = settings.log.format;
     options.level = settings.log.level;
@@ -86,7 +86,7 @@
         return EXIT_FAILURE;
     }
     const system_clock_source clock;
-    platform::log log(logOptions(settings), *out, clock);
+    wire::log log(logOptions(settings), *out, clock);
     daemon::orchidlead_daemon daemon(*loop.value(), clock, settings, drawIncarnation(), log,
                                      [&] { loop.value()->stop(); });
     if (const auto started = daemon.start(); !started) {
--- a/src/daemon/news_exchange.cpp
+++ b/src/daemon/news_exchange.cpp
@@ -1,6 +1,6 @@
 #include "daemon/news_exchange.h"
 
-#include "platform/server_news_json.h"
+#include "wire/server_news_json.h"
 
 #include <array>
 #include <utility>
@@ -38,7 +38,7 @@
 
 void news_exchange::onDatagram(std::string_view bytes)
 {
-    const auto heard = platform::readServerNews(bytes);
+    const auto heard = wire::readServerNews(bytes);
     if (!heard)
         return;
     for (const auto &news : *heard) {
@@ -64,7 +64,7 @@
 {
     if (to.vm.vm == m_self)
         return;
-    for (const auto &bytes : platform::writeServerNews(news, MaxDatagramBytes))
+    for (const auto &bytes : wire::writeServerNews(news, MaxDatagramBytes))
         m_events.send(to.vm.peerAddress, bytes);
 }
 
--- a/src/daemon/node_shell.cpp
+++ b/src/daemon/node_shell.cpp
@@ -22,17 +22,17 @@
         m_loop.cancelTimer(*m_timer);
 }
 
-platform::stage_client_events node_shell::backendEvents()
+wire::stage_client_events node_shell::backendEvents()
 {
-    platform::stage_client_events events;
+    wire::stage_client_events events;
     events.onSent = [this](const attempt_key &key) { m_node.onSent(key); };
     events.onAnswer = [this](const attempt_answer &answer) {
         feed([&](node_actions &out) { m_node.onAnswer(answer, out); });
     };
-    events.onChunk = [this](platform::attempt_chunk chunk) {
+    events.onChunk = [this](wire::attempt_chunk chunk) {
         feed([&](node_actions &out) { m_node.onChunk(chunk.key, std::move(chunk.text), out); });
     };
-    events.onFailure = [this](const platform::attempt_failed &failed) {
+    events.onFailure = [this](const wire::attempt_failed &failed) {
         if (failed.failure == attempt_failure::Leaving)
             m_hooks.onServerNews({failed.server, true});
         feed([&](node_actions &out) {
--- a/src/daemon/node_shell.h
+++ b/src/daemon/node_shell.h
@@ -5,8 +5,8 @@
 #include "core/node_control.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
-#include "platform/load_reader.h"
-#include "platform/stage_client.h"
+#include "wire/load_reader.h"
+#include "wire/stage_client.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
@@ -42,8 +42,8 @@
 struct node_shell_options
 {
     node_settings node;
-    platform::stage_client_options backends;
-    platform::server_poller_options loadReports;
+    wire::stage_client_options backends;
+    wire::server_poller_options loadReports;
 };
 
 /// Feeds events into the node and carries its actions out.
@@ -85,7 +85,7 @@
     [[nodiscard]] const node &state() const { return m_node; }
 
 private:
-    [[nodiscard]] platform::stage_client_events backendEvents();
+    [[nodiscard]] wire::stage_client_events backendEvents();
     void onLoad(const load_report &report);
     void carryOut(const node_actions &actions);
     void perform(const send_attempt &action);
@@ -111,8 +111,8 @@
     net::event_loop &m_loop;
     const clock_source &m_clock;
     node m_node;
-    platform::stage_client m_backends;
-    platform::load_reader m_loads;
+    wire::stage_client m_backends;
+    wire::load_reader m_loads;
     node_hooks m_hooks;
     std::vector<send_attempt> m_held; ///< until the configuration is confirmed
     bool m_confirmed = false;
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/operator_views.h"
 #include "daemon/query_text.h"
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <charconv>
 #include <map>
@@ -24,7 +24,7 @@
 void reply(const net::response_ptr &response, int status, const Json::Value &value)
 {
     response->respond(status, {{"content-type", "application/json"}},
-                      platform::writeJson(value) + "\n");
+                      wire::writeJson(value) + "\n");
 }
 
 void refuse(const net::response_ptr &response, int status, const std::string &what)
--- a/src/daemon/operator_views.cpp
+++ b/src/daemon/operator_views.cpp
@@ -1,7 +1,7 @@
 #include "daemon/operator_views.h"
 
 #include "core/socket_address_text.h"
-#include "platform/plan_json.h"
+#include "wire/plan_json.h"
 
 #include <orchidlead/enum_names.h>
 
@@ -294,7 +294,7 @@
     out["next"] = Json::Value{};
     for (const auto &pipeline : found->settings->pipelines) {
         if (const auto plan = renderPipeline(*configuration, customer, pipeline.id))
-            out["pipelines"].append(platform::planToJson(*plan.value()));
+            out["pipelines"].append(wire::planToJson(*plan.value()));
     }
     return out;
 }
--- a/src/daemon/peer_link.cpp
+++ b/src/daemon/peer_link.cpp
@@ -12,7 +12,7 @@
 constexpr milliseconds ContentTimeout{1000};
 constexpr milliseconds GateMessageTimeout{1000};
 
-void reply(const std::shared_ptr<platform::forward_reply> &to, const final_answer &answer)
+void reply(const std::shared_ptr<wire::forward_reply> &to, const final_answer &answer)
 {
     to->answer({httpStatus(answer.outcome, answer.reason), writeAnswer(answer)});
 }
@@ -42,25 +42,25 @@
     return success();
 }
 
-platform::peer_handlers peer_link::handlers()
+wire::peer_handlers peer_link::handlers()
 {
-    platform::peer_handlers out;
-    out.fetchConfiguration = [this](const platform::configuration_fetch &fetch) {
+    wire::peer_handlers out;
+    out.fetchConfiguration = [this](const wire::configuration_fetch &fetch) {
         return m_events.fetchConfiguration(fetch.version);
     };
-    out.onGateMessage = [this](const platform::gate_message &message) {
+    out.onGateMessage = [this](const wire::gate_message &message) {
         m_events.onGateMessage(message.from, message.bytes);
     };
-    out.onForward = [this](const platform::forward_request &request,
-                           const std::shared_ptr<platform::forward_reply> &to) {
+    out.onForward = [this](const wire::forward_request &request,
+                           const std::shared_ptr<wire::forward_reply> &to) {
         onForward(request, to);
     };
     return out;
 }
 
 // The peer waits for one whole answer, so that a stream asked for isn't one here.
-void peer_link::onForward(const platform::forward_request &forwarded,
-                          const std::shared_ptr<platform::forward_reply> &to)
+void peer_link::onForward(const wire::forward_request &forwarded,
+                          const std::shared_ptr<wire::forward_reply> &to)
 {
     auto parsed = parseCallerRequest(forwarded.call, m_bounds);
     if (!parsed) {
@@ -77,7 +77,7 @@
 
 void peer_link::forward(const forward_call &call)
 {
-    platform::forward_request request;
+    wire::forward_request request;
     request.origin = m_self;
     request.remaining = std::chrono::duration_cast<milliseconds>(call.deadline - m_clock.now());
     request.call = *call.body;
--- a/src/daemon/peer_link.h
+++ b/src/daemon/peer_link.h
@@ -6,8 +6,8 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/peer_client.h"
-#include "platform/peer_server.h"
+#include "wire/peer_client.h"
+#include "wire/peer_server.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
@@ -26,7 +26,7 @@
 /// What the calls of peers, and the answers to own calls, are handed to.
 struct peer_link_events
 {
-    std::function<std::optional<platform::configuration_content>(std::uint64_t version)>
+    std::function<std::optional<wire::configuration_content>(std::uint64_t version)>
         fetchConfiguration;
     std::function<void(const vm_id &from, const std::string &bytes)> onGateMessage;
     /// Runs a peer's request; `onEnd` is to be called once.
@@ -51,21 +51,21 @@
     void fetchConfiguration(const socket_address &peer, const fetch_from_peer &fetch);
     void sendGateMessage(const socket_address &peer, const std::string &bytes);
 
-    [[nodiscard]] const platform::peer_client &client() const { return m_client; }
-    [[nodiscard]] const platform::peer_counts &served() const { return m_server.counts(); }
+    [[nodiscard]] const wire::peer_client &client() const { return m_client; }
+    [[nodiscard]] const wire::peer_counts &served() const { return m_server.counts(); }
 
 private:
-    [[nodiscard]] platform::peer_handlers handlers();
-    void onForward(const platform::forward_request &request,
-                   const std::shared_ptr<platform::forward_reply> &reply);
+    [[nodiscard]] wire::peer_handlers handlers();
+    void onForward(const wire::forward_request &request,
+                   const std::shared_ptr<wire::forward_reply> &reply);
 
     net::event_loop &m_loop;
     const clock_source &m_clock;
     vm_id m_self;
     caller_bounds m_bounds;
     peer_link_events m_events;
-    platform::peer_client m_client;
-    platform::peer_server m_server;
+    wire::peer_client m_client;
+    wire::peer_server m_server;
     std::unique_ptr<net::http_server> m_listener;
 };
 
--- a/src/daemon/reporter.cpp
+++ b/src/daemon/reporter.cpp
@@ -4,8 +4,8 @@
 
 namespace orchidlead::daemon {
 
-using platform::log_level;
-using platform::node_event;
+using wire::log_level;
+using wire::node_event;
 
 namespace {
 
@@ -16,9 +16,9 @@
     return "version=" + std::to_string(stamp.version);
 }
 
-platform::node_gauges gaugesOf(const metric_sources &sources)
+wire::node_gauges gaugesOf(const metric_sources &sources)
 {
-    platform::node_gauges gauges;
+    wire::node_gauges gauges;
     gauges.ready = sources.ready;
     gauges.openRequests = sources.requests.openRequests();
     gauges.connections = sources.connections;
@@ -30,7 +30,7 @@
     return gauges;
 }
 
-platform::control_totals gossipTotals(const membership_counters &counters)
+wire::control_totals gossipTotals(const membership_counters &counters)
 {
     return {counters.sentDatagrams, counters.receivedDatagrams, counters.sentBytes,
             counters.receivedBytes};
@@ -46,7 +46,7 @@
 
 void reporter::onEnded(const end_request &ended)
 {
-    platform::request_observation seen;
+    wire::request_observation seen;
     seen.pipeline = ended.pipeline;
     seen.customer = ended.customer;
     seen.outcome = ended.answer.outcome;
@@ -102,11 +102,11 @@
 {
     m_metrics.update(sources.requests.stats());
     m_metrics.update(gaugesOf(sources));
-    m_metrics.update(platform::control_channel::Gossip,
+    m_metrics.update(wire::control_channel::Gossip,
                      gossipTotals(sources.control.members().counters()));
-    m_metrics.update(platform::control_channel::PeerRpc, sources.peerCalls);
-    m_metrics.update(platform::published_kind::Configuration, sources.configurationReads);
-    m_metrics.update(platform::published_kind::VmList, sources.vmListReads);
+    m_metrics.update(wire::control_channel::PeerRpc, sources.peerCalls);
+    m_metrics.update(wire::published_kind::Configuration, sources.configurationReads);
+    m_metrics.update(wire::published_kind::VmList, sources.vmListReads);
     m_metrics.updateDroppedLogLines(m_log.dropped());
     return m_metrics.text();
 }
--- a/src/daemon/reporter.h
+++ b/src/daemon/reporter.h
@@ -2,8 +2,8 @@
 
 #include "core/node.h"
 #include "core/node_control.h"
-#include "platform/log.h"
-#include "platform/metrics.h"
+#include "wire/log.h"
+#include "wire/metrics.h"
 
 #include <cstddef>
 #include <string>
@@ -18,16 +18,16 @@
     const node_control &control;
     bool ready = false;
     std::size_t connections = 0;
-    platform::control_totals peerCalls{};
-    platform::read_counts configurationReads{};
-    platform::read_counts vmListReads{};
+    wire::control_totals peerCalls{};
+    wire::read_counts configurationReads{};
+    wire::read_counts vmListReads{};
 };
 
 /// Writes what happens to the log and counts it.
 class reporter
 {
 public:
-    explicit reporter(platform::log &log)
+    explicit reporter(wire::log &log)
         : m_log(log)
     { }
 
@@ -38,14 +38,14 @@
     void onKeeperReport(const keeper_report &report);
     void onMemberChanged(const member_changed &changed);
     void onPaused(const paused &pause);
-    void onEvent(platform::log_level level, platform::node_event event, std::string_view detail);
+    void onEvent(wire::log_level level, wire::node_event event, std::string_view detail);
 
     /// Writes the Prometheus text.
     [[nodiscard]] std::string metricsText(const metric_sources &sources);
 
 private:
-    platform::log &m_log;
-    platform::metrics m_metrics;
+    wire::log &m_log;
+    wire::metrics m_metrics;
 };
 
 } // namespace orchidlead::daemon
--- a/src/platform/attempt_header.cpp
+++ b/src/wire/attempt_header.cpp
@@ -1,9 +1,9 @@
-#include "platform/attempt_header.h"
+#include "wire/attempt_header.h"
 
 #include <charconv>
 #include <cstdint>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -45,4 +45,4 @@
     return attempt_key{request_id{std::string{text}}, *stage, *attempt};
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/attempt_header.h
+++ b/src/wire/attempt_header.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 inline constexpr std::string_view AttemptHeaderName = "x-request-id";
 
@@ -16,4 +16,4 @@
 /// Reads what `formatAttemptKey` wrote; nothing else is accepted.
 [[nodiscard]] std::optional<attempt_key> parseAttemptKey(std::string_view text);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/base64.cpp
+++ b/src/wire/base64.cpp
@@ -1,10 +1,10 @@
-#include "platform/base64.h"
+#include "wire/base64.h"
 
 #include <libwebsockets.h>
 
 #include <cstddef>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -46,4 +46,4 @@
     return bytes;
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/base64.h
+++ b/src/wire/base64.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Most bytes that are encoded.
 inline constexpr std::size_t MaxBase64Input = 16U << 20U;
@@ -16,4 +16,4 @@
 /// Gives nothing for a text that isn't base64.
 [[nodiscard]] std::optional<std::string> decodeBase64(std::string_view text);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/bounded_family.h
+++ b/src/wire/bounded_family.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/customer_labels.h"
+#include "wire/customer_labels.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Name, help text and labels of a metric, and how many label sets it may have.
 struct family_description
@@ -111,4 +111,4 @@
 using gauge_family = bounded_family<prometheus::Gauge>;
 using histogram_family = bounded_family<prometheus::Histogram>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/cache_event_reader.cpp
+++ b/src/wire/cache_event_reader.cpp
@@ -1,10 +1,10 @@
-#include "platform/cache_event_reader.h"
+#include "wire/cache_event_reader.h"
 
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <charconv>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -80,4 +80,4 @@
 
 template class server_poller<cache_document>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/cache_event_reader.h
+++ b/src/wire/cache_event_reader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/server_poller.h"
+#include "wire/server_poller.h"
 
 #include <orchidlead/enum_names.h>
 #include <orchidlead/ids.h>
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// What an engine's cache did with a prompt's prefix.
 enum class cache_change { Stored, Evicted };
@@ -56,12 +56,12 @@
 
 extern template class server_poller<cache_document>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
 
 template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::platform::cache_change>{
-    orchidlead::enum_name<orchidlead::platform::cache_change>{
-        orchidlead::platform::cache_change::Stored, "stored"},
-    orchidlead::enum_name<orchidlead::platform::cache_change>{
-        orchidlead::platform::cache_change::Evicted, "evicted"},
+inline constexpr std::array orchidlead::enumNames<orchidlead::wire::cache_change>{
+    orchidlead::enum_name<orchidlead::wire::cache_change>{orchidlead::wire::cache_change::Stored,
+                                                          "stored"},
+    orchidlead::enum_name<orchidlead::wire::cache_change>{orchidlead::wire::cache_change::Evicted,
+                                                          "evicted"},
 };
--- a/src/platform/completion_wire.cpp
+++ b/src/wire/completion_wire.cpp
@@ -1,8 +1,8 @@
-#include "platform/completion_wire.h"
+#include "wire/completion_wire.h"
 
-#include "platform/attempt_header.h"
+#include "wire/attempt_header.h"
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -182,4 +182,4 @@
     return std::move(m_answer);
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/completion_wire.h
+++ b/src/wire/completion_wire.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "platform/sse_parser.h"
-#include "platform/stage_wire.h"
+#include "wire/sse_parser.h"
+#include "wire/stage_wire.h"
 
 #include <string>
 #include <string_view>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Makes the prompt of an engine stage: the texts of the request's input and of the earlier stages'
 /// outputs, one a line.
@@ -49,4 +49,4 @@
 
 static_assert(stage_wire<completion_wire>);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/configuration_service_client.cpp
+++ b/src/wire/configuration_service_client.cpp
@@ -1,6 +1,6 @@
-#include "platform/configuration_service_client.h"
+#include "wire/configuration_service_client.h"
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -29,4 +29,4 @@
 
 template class published_reader<configuration_document>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/configuration_service_client.h
+++ b/src/wire/configuration_service_client.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "platform/published_reader.h"
+#include "wire/published_reader.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// One version of the published configuration, unchecked.
 struct configuration_content
@@ -36,4 +36,4 @@
 
 extern template class published_reader<configuration_document>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/customer_labels.cpp
+++ b/src/wire/customer_labels.cpp
@@ -1,8 +1,8 @@
-#include "platform/customer_labels.h"
+#include "wire/customer_labels.h"
 
 #include <algorithm>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 std::string_view customer_labels::labelFor(const customer_id &customer)
 {
@@ -42,4 +42,4 @@
     m_counts.emplace(customer, inherited + 1);
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/customer_labels.h
+++ b/src/wire/customer_labels.h
@@ -8,7 +8,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Label value of all that have none of their own.
 inline constexpr std::string_view OtherLabel = "other";
@@ -44,4 +44,4 @@
     std::uint64_t m_requests = 0;
 };
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/json_rpc.cpp
+++ b/src/wire/json_rpc.cpp
@@ -1,6 +1,6 @@
-#include "platform/json_rpc.h"
+#include "wire/json_rpc.h"
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -54,4 +54,4 @@
     return *value;
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/json_rpc.h
+++ b/src/wire/json_rpc.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <orchidlead/result.h>
 
@@ -10,7 +10,7 @@
 
 /// The client's half of JSON-RPC 2.0. The library's own client blocks, and its headers can't be
 /// compiled as C++20.
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 using rpc_id = std::uint64_t;
 
@@ -28,4 +28,4 @@
 /// Reads the answer to the call `id` and returns its result.
 [[nodiscard]] result<Json::Value, rpc_error> parseRpcAnswer(rpc_id id, std::string_view text);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/json_stage_wire.cpp
+++ b/src/wire/json_stage_wire.cpp
@@ -1,6 +1,6 @@
-#include "platform/json_stage_wire.h"
+#include "wire/json_stage_wire.h"
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -113,4 +113,4 @@
     return decoded;
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/json_stage_wire.h
+++ b/src/wire/json_stage_wire.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "platform/stage_wire.h"
+#include "wire/stage_wire.h"
 
 #include <string>
 #include <string_view>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// The JSON call of encoders, retrievers, rerankers and plain services.
 struct json_stage_wire
@@ -30,4 +30,4 @@
 
 static_assert(stage_wire<json_stage_wire>);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/json_strictness.cpp
+++ b/src/wire/json_strictness.cpp
@@ -1,12 +1,12 @@
-#include "platform/json_strictness.h"
+#include "wire/json_strictness.h"
 
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <charconv>
 #include <cstddef>
 #include <cstdint>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -155,4 +155,4 @@
     return std::nullopt;
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/json_strictness.h
+++ b/src/wire/json_strictness.h
@@ -3,7 +3,7 @@
 #include <optional>
 #include <string_view>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Finds what jsoncpp lets pass although JSON forbids it: comments, numbers such as `01`, `1.` and
 /// `+1`, raw control characters in strings, half a surrogate pair, a byte order mark, bytes that
@@ -13,4 +13,4 @@
 /// it prove that a text is JSON.
 [[nodiscard]] std::optional<std::string_view> findLenientJson(std::string_view text);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/json_text.cpp
+++ b/src/wire/json_text.cpp
@@ -1,6 +1,6 @@
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
-#include "platform/json_strictness.h"
+#include "wire/json_strictness.h"
 
 #include <json/reader.h>
 #include <json/writer.h>
@@ -10,7 +10,7 @@
 #include <limits>
 #include <memory>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -150,4 +150,4 @@
     return member->asBool();
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/json_text.h
+++ b/src/wire/json_text.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <string_view>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 using orchidlead::isUtf8;
 
@@ -52,4 +52,4 @@
                                                             std::string_view name);
 [[nodiscard]] std::optional<bool> boolMember(const Json::Value &object, std::string_view name);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/load_reader.cpp
+++ b/src/wire/load_reader.cpp
@@ -1,9 +1,9 @@
-#include "platform/load_reader.h"
+#include "wire/load_reader.h"
 
-#include "platform/json_text.h"
-#include "platform/stage_wire.h"
+#include "wire/json_text.h"
+#include "wire/stage_wire.h"
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 std::optional<load_report> load_document::parse(const backend_server_id &server, state & /*state*/,
                                                 std::string_view body)
@@ -19,4 +19,4 @@
 
 template class server_poller<load_document>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/load_reader.h
+++ b/src/wire/load_reader.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "core/engine_types.h"
-#include "platform/server_poller.h"
+#include "wire/server_poller.h"
 
 #include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// A backend server's load as a polled document.
 struct load_document
@@ -28,4 +28,4 @@
 
 extern template class server_poller<load_document>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/log.cpp
+++ b/src/wire/log.cpp
@@ -1,4 +1,4 @@
-#include "platform/log.h"
+#include "wire/log.h"
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -13,7 +13,7 @@
 #include <ostream>
 #include <utility>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -146,4 +146,4 @@
     return m_sink->dropped();
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/log_line.cpp
+++ b/src/wire/log_line.cpp
@@ -1,6 +1,6 @@
-#include "platform/log_line.h"
+#include "wire/log_line.h"
 
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <algorithm>
 #include <array>
@@ -9,7 +9,7 @@
 #include <cstdio>
 #include <ctime>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -170,4 +170,4 @@
     return std::move(m_text);
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/log_line.h
+++ b/src/wire/log_line.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 using orchidlead::log_format;
 using orchidlead::log_level;
@@ -69,4 +69,4 @@
 /// Most items of a list that are written.
 inline constexpr std::size_t MaxLogListItems = 16;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/metrics.cpp
+++ b/src/wire/metrics.cpp
@@ -1,14 +1,14 @@
-#include "platform/metrics.h"
+#include "wire/metrics.h"
 
-#include "platform/bounded_family.h"
-#include "platform/customer_labels.h"
+#include "wire/bounded_family.h"
+#include "wire/customer_labels.h"
 
 #include <prometheus/text_serializer.h>
 
 #include <map>
 #include <sstream>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -195,13 +195,13 @@
                                  enumNames<control_channel>.size() * 2}};
     counter_family platformCalls{
         registry,
-        {"orchidlead_platform_calls_total",
+        {"orchidlead_wire_calls_total",
          "Calls to what the platform publishes; each counts against its rate.",
          {"document"},
          enumNames<published_kind>.size()}};
     counter_family platformFailures{
         registry,
-        {"orchidlead_platform_failures_total",
+        {"orchidlead_wire_failures_total",
          "Calls to the platform that gave nothing.",
          {"document", "failure"},
          enumNames<published_kind>.size() * enumNames<read_failure>.size()}};
@@ -326,4 +326,4 @@
     return out.str();
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/metrics.h
+++ b/src/wire/metrics.h
@@ -2,7 +2,7 @@
 
 #include "core/engine_stats.h"
 #include "core/engine_types.h"
-#include "platform/published_reader.h"
+#include "wire/published_reader.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/enum_names.h>
@@ -18,7 +18,7 @@
 #include <string_view>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// How one request ended.
 struct request_observation
@@ -95,20 +95,20 @@
     std::unique_ptr<families> m_families;
 };
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
 
 template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::platform::control_channel>{
-    orchidlead::enum_name<orchidlead::platform::control_channel>{
-        orchidlead::platform::control_channel::Gossip, "gossip"},
-    orchidlead::enum_name<orchidlead::platform::control_channel>{
-        orchidlead::platform::control_channel::PeerRpc, "peer_rpc"},
+inline constexpr std::array orchidlead::enumNames<orchidlead::wire::control_channel>{
+    orchidlead::enum_name<orchidlead::wire::control_channel>{
+        orchidlead::wire::control_channel::Gossip, "gossip"},
+    orchidlead::enum_name<orchidlead::wire::control_channel>{
+        orchidlead::wire::control_channel::PeerRpc, "peer_rpc"},
 };
 
 template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::platform::published_kind>{
-    orchidlead::enum_name<orchidlead::platform::published_kind>{
-        orchidlead::platform::published_kind::Configuration, "configuration"},
-    orchidlead::enum_name<orchidlead::platform::published_kind>{
-        orchidlead::platform::published_kind::VmList, "vm_list"},
+inline constexpr std::array orchidlead::enumNames<orchidlead::wire::published_kind>{
+    orchidlead::enum_name<orchidlead::wire::published_kind>{
+        orchidlead::wire::published_kind::Configuration, "configuration"},
+    orchidlead::enum_name<orchidlead::wire::published_kind>{
+        orchidlead::wire::published_kind::VmList, "vm_list"},
 };
--- a/src/platform/peer_client.cpp
+++ b/src/wire/peer_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/peer_client.h"
+#include "wire/peer_client.h"
 
-#include "platform/base64.h"
+#include "wire/base64.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -197,4 +197,4 @@
         m_client.cancel(call);
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/peer_client.h
+++ b/src/wire/peer_client.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "net/http_client.h"
-#include "platform/json_rpc.h"
-#include "platform/peer_messages.h"
+#include "wire/json_rpc.h"
+#include "wire/peer_messages.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/enum_names.h>
@@ -16,7 +16,7 @@
 #include <set>
 #include <string>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// How a call to a peer failed.
 enum class peer_failure {
@@ -96,18 +96,18 @@
     std::uint64_t m_bytesIn = 0;
 };
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
 
 template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::platform::peer_failure>{
-    orchidlead::enum_name<orchidlead::platform::peer_failure>{
-        orchidlead::platform::peer_failure::NotSent, "not_sent"},
-    orchidlead::enum_name<orchidlead::platform::peer_failure>{
-        orchidlead::platform::peer_failure::Broken, "broken"},
-    orchidlead::enum_name<orchidlead::platform::peer_failure>{
-        orchidlead::platform::peer_failure::TimedOut, "timed_out"},
-    orchidlead::enum_name<orchidlead::platform::peer_failure>{
-        orchidlead::platform::peer_failure::BadAnswer, "bad_answer"},
-    orchidlead::enum_name<orchidlead::platform::peer_failure>{
-        orchidlead::platform::peer_failure::Refused, "refused"},
+inline constexpr std::array orchidlead::enumNames<orchidlead::wire::peer_failure>{
+    orchidlead::enum_name<orchidlead::wire::peer_failure>{orchidlead::wire::peer_failure::NotSent,
+                                                          "not_sent"},
+    orchidlead::enum_name<orchidlead::wire::peer_failure>{orchidlead::wire::peer_failure::Broken,
+                                                          "broken"},
+    orchidlead::enum_name<orchidlead::wire::peer_failure>{orchidlead::wire::peer_failure::TimedOut,
+                                                          "timed_out"},
+    orchidlead::enum_name<orchidlead::wire::peer_failure>{orchidlead::wire::peer_failure::BadAnswer,
+                                                          "bad_answer"},
+    orchidlead::enum_name<orchidlead::wire::peer_failure>{orchidlead::wire::peer_failure::Refused,
+                                                          "refused"},
 };
--- a/src/platform/peer_messages.cpp
+++ b/src/wire/peer_messages.cpp
@@ -1,11 +1,11 @@
-#include "platform/peer_messages.h"
+#include "wire/peer_messages.h"
 
-#include "platform/base64.h"
+#include "wire/base64.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -114,4 +114,4 @@
     return forward_request{vm_id{std::string{query.substr(0, split)}}, *remaining, std::move(body)};
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/peer_messages.h
+++ b/src/wire/peer_messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/configuration_service_client.h"
-#include "platform/json_text.h"
+#include "wire/configuration_service_client.h"
+#include "wire/json_text.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/enum_names.h>
@@ -14,7 +14,7 @@
 #include <string_view>
 
 /// What the nodes say to each other over TCP, and the forms in which it travels.
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 inline constexpr std::string_view RpcPath = "/rpc";
 inline constexpr std::string_view ForwardPath = "/forward";
@@ -72,4 +72,4 @@
 /// Reads such a query and takes over the body; nothing where the query isn't of that form.
 [[nodiscard]] std::optional<forward_request> parseForward(std::string_view query, std::string body);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -1,4 +1,4 @@
-#include "platform/peer_server.h"
+#include "wire/peer_server.h"
 
 #include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/exception.h>
@@ -7,7 +7,7 @@
 
 #include <exception>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -162,4 +162,4 @@
     return m_implementation->counts();
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/peer_server.h
+++ b/src/wire/peer_server.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/http_server.h"
-#include "platform/peer_messages.h"
+#include "wire/peer_messages.h"
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 #include <optional>
 #include <string>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Takes the answer to a forwarded request, whenever it is known.
 class forward_reply
@@ -67,4 +67,4 @@
     std::unique_ptr<implementation> m_implementation;
 };
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/plan_json.cpp
+++ b/src/wire/plan_json.cpp
@@ -1,8 +1,8 @@
-#include "platform/plan_json.h"
+#include "wire/plan_json.h"
 
 #include <string>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -45,4 +45,4 @@
     return out;
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/plan_json.h
+++ b/src/wire/plan_json.h
@@ -4,9 +4,9 @@
 
 #include <json/value.h>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Writes a rendered pipeline as the operator API and `orchidctl render` show it.
 [[nodiscard]] Json::Value planToJson(const pipeline_plan &plan);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/published_reader.cpp
+++ b/src/wire/published_reader.cpp
@@ -1,6 +1,6 @@
-#include "platform/published_reader.h"
+#include "wire/published_reader.h"
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 std::optional<read_error> readErrorOf(net::call_end end)
 {
@@ -36,4 +36,4 @@
     return call;
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/published_reader.h
+++ b/src/wire/published_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/http_client.h"
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/enum_names.h>
@@ -19,7 +19,7 @@
 #include <string_view>
 #include <utility>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Why a read of what the platform publishes gave nothing.
 enum class read_failure {
@@ -211,20 +211,20 @@
         ++m_counts.unchanged;
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
 
 template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::platform::read_failure>{
-    orchidlead::enum_name<orchidlead::platform::read_failure>{
-        orchidlead::platform::read_failure::Unreachable, "unreachable"},
-    orchidlead::enum_name<orchidlead::platform::read_failure>{
-        orchidlead::platform::read_failure::TimedOut, "timed_out"},
-    orchidlead::enum_name<orchidlead::platform::read_failure>{
-        orchidlead::platform::read_failure::Refused, "refused"},
-    orchidlead::enum_name<orchidlead::platform::read_failure>{
-        orchidlead::platform::read_failure::Malformed, "malformed"},
-    orchidlead::enum_name<orchidlead::platform::read_failure>{
-        orchidlead::platform::read_failure::TooLarge, "too_large"},
-    orchidlead::enum_name<orchidlead::platform::read_failure>{
-        orchidlead::platform::read_failure::Stale, "stale"},
+inline constexpr std::array orchidlead::enumNames<orchidlead::wire::read_failure>{
+    orchidlead::enum_name<orchidlead::wire::read_failure>{
+        orchidlead::wire::read_failure::Unreachable, "unreachable"},
+    orchidlead::enum_name<orchidlead::wire::read_failure>{orchidlead::wire::read_failure::TimedOut,
+                                                          "timed_out"},
+    orchidlead::enum_name<orchidlead::wire::read_failure>{orchidlead::wire::read_failure::Refused,
+                                                          "refused"},
+    orchidlead::enum_name<orchidlead::wire::read_failure>{orchidlead::wire::read_failure::Malformed,
+                                                          "malformed"},
+    orchidlead::enum_name<orchidlead::wire::read_failure>{orchidlead::wire::read_failure::TooLarge,
+                                                          "too_large"},
+    orchidlead::enum_name<orchidlead::wire::read_failure>{orchidlead::wire::read_failure::Stale,
+                                                          "stale"},
 };
--- a/src/platform/published_watch.cpp
+++ b/src/wire/published_watch.cpp
@@ -1,6 +1,6 @@
-#include "platform/published_watch.h"
+#include "wire/published_watch.h"
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 milliseconds backoffDelay(const published_watch_options &options, std::uint32_t failures,
                           std::mt19937_64 &random)
@@ -12,4 +12,4 @@
     return milliseconds{delay(random)};
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/published_watch.h
+++ b/src/wire/published_watch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/event_loop.h"
-#include "platform/published_reader.h"
+#include "wire/published_reader.h"
 
 #include <orchidlead/clock.h>
 
@@ -12,7 +12,7 @@
 #include <random>
 #include <utility>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// How a document is watched.
 struct published_watch_options
@@ -163,4 +163,4 @@
     });
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/retry_after.cpp
+++ b/src/wire/retry_after.cpp
@@ -1,10 +1,10 @@
-#include "platform/retry_after.h"
+#include "wire/retry_after.h"
 
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 std::optional<milliseconds> parseRetryAfter(const net::header_list &headers)
 {
@@ -18,4 +18,4 @@
     return std::min<milliseconds>(std::chrono::seconds{value}, MaxRetryAfter);
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/retry_after.h
+++ b/src/wire/retry_after.h
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Longest wait that a server may ask for.
 inline constexpr milliseconds MaxRetryAfter{3'600'000};
@@ -14,4 +14,4 @@
 /// Reads a `Retry-After` header in whole seconds, cut to `MaxRetryAfter`; dates aren't read.
 [[nodiscard]] std::optional<milliseconds> parseRetryAfter(const net::header_list &headers);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/server_news_json.cpp
+++ b/src/wire/server_news_json.cpp
@@ -1,10 +1,10 @@
-#include "platform/server_news_json.h"
+#include "wire/server_news_json.h"
 
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <json/value.h>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -71,4 +71,4 @@
     return out;
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/server_news_json.h
+++ b/src/wire/server_news_json.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Writes news as datagrams of at most `maxBytes` each: `{"leaving": ["r-1"], "back": ["r-2"]}`.
 [[nodiscard]] std::vector<std::string> writeServerNews(const std::vector<server_news> &news,
@@ -17,4 +17,4 @@
 /// Reads one datagram; nothing where it is of another form.
 [[nodiscard]] std::optional<std::vector<server_news>> readServerNews(std::string_view text);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/server_poller.cpp
+++ b/src/wire/server_poller.cpp
@@ -1,8 +1,8 @@
-#include "platform/server_poller.h"
+#include "wire/server_poller.h"
 
 #include <orchidlead/rendezvous.h>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 std::vector<backend_server> pickPolled(const std::vector<backend_server> &servers,
                                        const vm_id &self, std::size_t count)
@@ -29,4 +29,4 @@
     return std::min(std::max(options.maxServers, share), servers);
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/server_poller.h
+++ b/src/wire/server_poller.h
@@ -19,7 +19,7 @@
 #include <utility>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// How backend servers are polled.
 struct server_poller_options
@@ -246,4 +246,4 @@
     m_onReport(std::move(*report));
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/sse_parser.cpp
+++ b/src/wire/sse_parser.cpp
@@ -1,8 +1,8 @@
-#include "platform/sse_parser.h"
+#include "wire/sse_parser.h"
 
 #include <utility>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 result<std::vector<sse_event>, sse_error> sse_parser::feed(std::string_view bytes)
 {
@@ -61,4 +61,4 @@
     }
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/sse_parser.h
+++ b/src/wire/sse_parser.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// One server-sent event.
 struct sse_event
@@ -47,4 +47,4 @@
     bool m_skipLineFeed = false; ///< the last byte was a carriage return
 };
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/stage_client.cpp
+++ b/src/wire/stage_client.cpp
@@ -1,13 +1,13 @@
-#include "platform/stage_client.h"
+#include "wire/stage_client.h"
 
-#include "platform/attempt_header.h"
-#include "platform/retry_after.h"
+#include "wire/attempt_header.h"
+#include "wire/retry_after.h"
 
 #include <algorithm>
 #include <utility>
 #include <variant>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -338,4 +338,4 @@
 
 template class basic_stage_client<json_stage_wire, completion_wire>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/stage_client.h
+++ b/src/wire/stage_client.h
@@ -2,9 +2,9 @@
 
 #include "core/engine_types.h"
 #include "net/http_client.h"
-#include "platform/completion_wire.h"
-#include "platform/json_stage_wire.h"
-#include "platform/stage_wire.h"
+#include "wire/completion_wire.h"
+#include "wire/json_stage_wire.h"
+#include "wire/stage_wire.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
@@ -16,7 +16,7 @@
 #include <optional>
 #include <string>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Event: an attempt ended without a usable answer.
 struct attempt_failed
@@ -117,4 +117,4 @@
 
 extern template class basic_stage_client<json_stage_wire, completion_wire>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/stage_wire.cpp
+++ b/src/wire/stage_wire.cpp
@@ -1,6 +1,6 @@
-#include "platform/stage_wire.h"
+#include "wire/stage_wire.h"
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 std::optional<wire_load> parseLoad(const Json::Value &value)
 {
@@ -11,4 +11,4 @@
     return wire_load{*running, *queued, boolMember(value, "leaving").value_or(false)};
 }
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/stage_wire.h
+++ b/src/wire/stage_wire.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/engine_types.h"
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <orchidlead/ids.h>
 #include <orchidlead/result.h>
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Why the bytes of an answer aren't one.
 enum class wire_error {
@@ -77,16 +77,16 @@
 /// Reads `{"running", "queued", "leaving"}`; nothing where it isn't of that form.
 [[nodiscard]] std::optional<wire_load> parseLoad(const Json::Value &value);
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
 
 template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::platform::wire_error>{
-    orchidlead::enum_name<orchidlead::platform::wire_error>{
-        orchidlead::platform::wire_error::Malformed, "malformed"},
-    orchidlead::enum_name<orchidlead::platform::wire_error>{
-        orchidlead::platform::wire_error::Foreign, "foreign"},
-    orchidlead::enum_name<orchidlead::platform::wire_error>{
-        orchidlead::platform::wire_error::TooLarge, "too_large"},
-    orchidlead::enum_name<orchidlead::platform::wire_error>{
-        orchidlead::platform::wire_error::Incomplete, "incomplete"},
+inline constexpr std::array orchidlead::enumNames<orchidlead::wire::wire_error>{
+    orchidlead::enum_name<orchidlead::wire::wire_error>{orchidlead::wire::wire_error::Malformed,
+                                                        "malformed"},
+    orchidlead::enum_name<orchidlead::wire::wire_error>{orchidlead::wire::wire_error::Foreign,
+                                                        "foreign"},
+    orchidlead::enum_name<orchidlead::wire::wire_error>{orchidlead::wire::wire_error::TooLarge,
+                                                        "too_large"},
+    orchidlead::enum_name<orchidlead::wire::wire_error>{orchidlead::wire::wire_error::Incomplete,
+                                                        "incomplete"},
 };
--- a/src/platform/vm_list_client.cpp
+++ b/src/wire/vm_list_client.cpp
@@ -1,10 +1,10 @@
-#include "platform/vm_list_client.h"
+#include "wire/vm_list_client.h"
 
 #include "core/socket_address_text.h"
 
 #include <set>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 namespace {
 
@@ -76,4 +76,4 @@
 template class published_reader<vm_list_document>;
 template class published_watch<vm_list_document>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/src/platform/vm_list_client.h
+++ b/src/wire/vm_list_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/published_reader.h"
-#include "platform/published_watch.h"
+#include "wire/published_reader.h"
+#include "wire/published_watch.h"
 
 #include <orchidlead/membership.h>
 
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// One version of the platform's list of VMs.
 struct vm_list
@@ -41,4 +41,4 @@
 extern template class published_reader<vm_list_document>;
 extern template class published_watch<vm_list_document>;
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/daemon/answer_json_test.cpp
+++ b/tests/daemon/answer_json_test.cpp
@@ -1,5 +1,5 @@
 #include "daemon/answer_json.h"
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <orchidlead/enum_names.h>
 
@@ -38,7 +38,7 @@
     answer.stages.resize(2);
     const std::string text = writeAnswer(answer);
     INFO(text);
-    const auto parsed = platform::parseJson(text);
+    const auto parsed = wire::parseJson(text);
     REQUIRE(parsed.has_value());
     CHECK(parsed.value()["detail"].asString() == answer.detail);
     CHECK(parsed.value()["stages"].size() == 2);
--- a/tests/daemon/orchidctl_test.cpp
+++ b/tests/daemon/orchidctl_test.cpp
@@ -92,7 +92,7 @@
     test_fleet fleet;
     const tool_run sent =
         runTool(fleet, {"send", "--json", "--customer=saare", "--pipeline=ask", "--input=1"});
-    const auto answer = platform::parseJson(sent.out);
+    const auto answer = wire::parseJson(sent.out);
     REQUIRE(answer.has_value());
     const tool_run trace = runTool(fleet, {"trace", answer.value()["request"].asString()});
     CAPTURE(trace.out, trace.error);
--- a/tests/daemon/test_fleet.h
+++ b/tests/daemon/test_fleet.h
@@ -4,9 +4,9 @@
 #include "core/socket_address_text.h"
 #include "daemon/daemon.h"
 #include "net/net_test_support.h"
-#include "platform/json_text.h"
 #include "standins/platform_service.h"
 #include "standins/process_group.h"
+#include "wire/json_text.h"
 
 #include <catch2/catch.hpp>
 
@@ -145,14 +145,14 @@
     /// Gives the answer to a call of a pool's stage: its own input back, with the stage's name.
     static void answerStage(const net::http_request &request, const net::response_ptr &response)
     {
-        const auto call = platform::parseJson(request.body);
+        const auto call = wire::parseJson(request.body);
         REQUIRE(call.has_value());
         Json::Value answer{Json::objectValue};
         for (const char *name : {"request", "stage_index", "attempt"})
             answer[name] = call.value()[name];
         answer["output"]["stage"] = call.value()["stage"];
         answer["output"]["input"] = call.value()["input"];
-        response->respond(200, {{"content-type", "application/json"}}, platform::writeJson(answer));
+        response->respond(200, {{"content-type", "application/json"}}, wire::writeJson(answer));
     }
 
 private:
@@ -261,7 +261,7 @@
     jumping_clock m_clock;
     std::unique_ptr<net::http_server> m_backend;
     std::ostringstream m_logText;
-    platform::log m_log;
+    wire::log m_log;
     std::unique_ptr<standins::platform_service> m_platform;
     std::vector<running_node> m_nodes;
     std::size_t m_backendCalls = 0;
@@ -271,7 +271,7 @@
 /// Reads a JSON body of an answer.
 inline Json::Value parsedBody(const net::answer &got)
 {
-    const auto parsed = platform::parseJson(got.body);
+    const auto parsed = wire::parseJson(got.body);
     INFO("body: " << got.body);
     REQUIRE(parsed.has_value());
     return parsed.value();
--- a/tests/platform/fake_net.h
+++ b/tests/wire/fake_net.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 /// Stands in for src/net where a test wants to order the events itself.
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 
 /// Runs posted tasks when told to; timers are kept, not run.
 class fake_loop final : public net::event_loop
@@ -122,4 +122,4 @@
     std::function<void()> closed;
 };
 
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/fuzz_test.cpp
+++ b/tests/wire/fuzz_test.cpp
@@ -2,17 +2,17 @@
 #include "core/gossip_message.h"
 #include "core/published_configuration.h"
 #include "core/settings.h"
-#include "platform/attempt_header.h"
-#include "platform/cache_event_reader.h"
-#include "platform/completion_wire.h"
-#include "platform/configuration_service_client.h"
-#include "platform/json_rpc.h"
-#include "platform/json_stage_wire.h"
-#include "platform/load_reader.h"
-#include "platform/peer_messages.h"
-#include "platform/sse_parser.h"
-#include "platform/vm_list_client.h"
-#include "tests/platform/byte_mutator.h"
+#include "tests/wire/byte_mutator.h"
+#include "wire/attempt_header.h"
+#include "wire/cache_event_reader.h"
+#include "wire/completion_wire.h"
+#include "wire/configuration_service_client.h"
+#include "wire/json_rpc.h"
+#include "wire/json_stage_wire.h"
+#include "wire/load_reader.h"
+#include "wire/peer_messages.h"
+#include "wire/sse_parser.h"
+#include "wire/vm_list_client.h"
 
 #include <orchidlead/key_home_messages.h>
 
@@ -26,7 +26,7 @@
 
 /// Feeds every parser of bytes from outside with damaged texts. Each must come back, and what it
 /// accepts must hold together. The seed is fixed; ORCHIDLEAD_FUZZ_ROUNDS lengthens the runs.
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 constexpr std::uint64_t Seed = 20261202;
@@ -316,4 +316,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/json_strictness_test.cpp
+++ b/tests/wire/json_strictness_test.cpp
@@ -1,10 +1,10 @@
-#include "platform/json_text.h"
+#include "wire/json_text.h"
 
 #include <catch2/catch.hpp>
 
 #include <string>
 
-using namespace orchidlead::platform;
+using namespace orchidlead::wire;
 
 TEST_CASE("text that jsoncpp alone would accept isn't JSON")
 {
--- a/tests/platform/log_test.cpp
+++ b/tests/wire/log_test.cpp
@@ -1,5 +1,5 @@
-#include "platform/json_text.h"
-#include "platform/log.h"
+#include "wire/json_text.h"
+#include "wire/log.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 /// Values that would break a line, forge a field or end a string.
@@ -155,4 +155,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/metrics_test.cpp
+++ b/tests/wire/metrics_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/metrics.h"
+#include "wire/metrics.h"
 
 #include <catch2/catch.hpp>
 
@@ -6,7 +6,7 @@
 #include <sstream>
 #include <string>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 request_observation answered(const std::string &pipeline, const std::string &customer)
@@ -98,4 +98,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/peer_rpc_test.cpp
+++ b/tests/wire/peer_rpc_test.cpp
@@ -1,14 +1,14 @@
-#include "platform/base64.h"
-#include "platform/peer_client.h"
-#include "platform/peer_server.h"
-#include "tests/platform/fake_net.h"
+#include "tests/wire/fake_net.h"
+#include "wire/base64.h"
+#include "wire/peer_client.h"
+#include "wire/peer_server.h"
 
 #include <catch2/catch.hpp>
 
 #include <string>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 const socket_address Peer{"127.0.0.1", 7101};
@@ -236,4 +236,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/published_documents_test.cpp
+++ b/tests/wire/published_documents_test.cpp
@@ -1,13 +1,13 @@
 #include "core/socket_address_text.h"
-#include "platform/configuration_service_client.h"
-#include "platform/vm_list_client.h"
+#include "wire/configuration_service_client.h"
+#include "wire/vm_list_client.h"
 
 #include <catch2/catch.hpp>
 
 #include <string>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 std::string vmEntry(const std::string &name, const std::string &address = "127.0.0.1:7101",
@@ -87,4 +87,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/published_watch_test.cpp
+++ b/tests/wire/published_watch_test.cpp
@@ -1,12 +1,12 @@
-#include "platform/vm_list_client.h"
-#include "tests/platform/fake_net.h"
+#include "tests/wire/fake_net.h"
+#include "wire/vm_list_client.h"
 
 #include <catch2/catch.hpp>
 
 #include <string>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 std::string listOf(int version)
@@ -138,4 +138,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/server_news_json_test.cpp
+++ b/tests/wire/server_news_json_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/server_news_json.h"
+#include "wire/server_news_json.h"
 
 #include <catch2/catch.hpp>
 
@@ -6,7 +6,7 @@
 #include <string>
 
 using namespace orchidlead;
-using namespace orchidlead::platform;
+using namespace orchidlead::wire;
 
 TEST_CASE("news of many servers fit datagrams and come back whole")
 {
--- a/tests/platform/server_poller_test.cpp
+++ b/tests/wire/server_poller_test.cpp
@@ -1,6 +1,6 @@
-#include "platform/cache_event_reader.h"
-#include "platform/load_reader.h"
-#include "tests/platform/fake_net.h"
+#include "tests/wire/fake_net.h"
+#include "wire/cache_event_reader.h"
+#include "wire/load_reader.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 std::vector<backend_server> servers(int count)
@@ -151,4 +151,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/sse_parser_test.cpp
+++ b/tests/wire/sse_parser_test.cpp
@@ -1,11 +1,11 @@
-#include "platform/sse_parser.h"
+#include "wire/sse_parser.h"
 
 #include <catch2/catch.hpp>
 
 #include <string>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 constexpr std::size_t EventBound = 64;
@@ -48,4 +48,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/stage_client_test.cpp
+++ b/tests/wire/stage_client_test.cpp
@@ -1,7 +1,7 @@
-#include "platform/retry_after.h"
-#include "platform/stage_client.h"
 #include "tests/net/net_test_support.h"
-#include "tests/platform/fake_net.h"
+#include "tests/wire/fake_net.h"
+#include "wire/retry_after.h"
+#include "wire/stage_client.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 const attempt_key Key{request_id{"vm1-5f3a-17"}, 2, 1};
@@ -352,4 +352,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
--- a/tests/platform/stage_wire_test.cpp
+++ b/tests/wire/stage_wire_test.cpp
@@ -1,13 +1,13 @@
-#include "platform/attempt_header.h"
-#include "platform/completion_wire.h"
-#include "platform/json_stage_wire.h"
+#include "wire/attempt_header.h"
+#include "wire/completion_wire.h"
+#include "wire/json_stage_wire.h"
 
 #include <catch2/catch.hpp>
 
 #include <memory>
 #include <string>
 
-namespace orchidlead::platform {
+namespace orchidlead::wire {
 namespace {
 
 payload text(std::string value)
@@ -207,4 +207,4 @@
 }
 
 } // namespace
-} // namespace orchidlead::platform
+} // namespace orchidlead::wire
