--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "gateway/codec.h"
+#include "gateway/event_splitter.h"
+#include "gateway/retry_allowance.h"
+#include "gateway/server_directory.h"
+#include "gateway/stage_host.h"
+#include "gateway/stage_work.h"
+#include "http/connection_pool.h"
+#include "http/inbound_connection.h"
+#include "wire/log.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// What all requests of a node share.
+template <gateway_codec Codec>
+struct gateway_context
+{
+    http::io_loop &loop;
+    http::connection_pool &pool;
+    server_directory &directory;
+    retry_allowance &allowance;
+    stage_host<Codec> &stages;
+    wire::log &log;
+    data_center_id dataCenter;
+    configuration_ptr configuration; ///< null until one is known
+    std::minstd_rand random; ///< for the shares of routes
+};
+
+/// One client request, from its head to the end of its answer.
+///
+/// Does the stages, sends the request to a server, passes the answer on, and tries again elsewhere
+/// where that is allowed. Whatever happens, the client gets one answer, which is true: 503 says
+/// that no server has run the request or will, 502 and 504 that one may have.
+template <gateway_codec Codec>
+class exchange final : public std::enable_shared_from_this<exchange<Codec>>
+{
+public:
+    exchange(gateway_context<Codec> &context, http::inbound_ptr client, http::request_head head,
+             std::string body);
+
+    void start();
+
+private:
+    /// How an attempt ended, as far as trying again is concerned.
+    enum class fate {
+        NotSent, ///< no server got it
+        NotRun, ///< a server refused it
+        Unknown, ///< a server may have run it
+        Failed, ///< a server ran it and answered with a failure
+    };
+    /// How the answer of the attempt is passed on.
+    enum class passing {
+        Nothing, ///< no head yet, or one that isn't passed on
+        Buffered, ///< held until it is whole
+        Bytes, ///< as they come
+        Events, ///< whole events, as they come
+    };
+
+    [[nodiscard]] bool findRoute();
+    void startStages();
+    void submitReadyPieces();
+    void onPiece(std::uint32_t stage, std::uint32_t piece, piece_result result);
+    void onStagesDone();
+    void withdrawPieces();
+    void freeResults();
+
+    void attempt();
+    [[nodiscard]] server_ptr chooseServer();
+    [[nodiscard]] service_id pickService();
+    [[nodiscard]] std::optional<std::string> writeHead();
+    void onHead(const http::response_head &head);
+    void onBody(std::string_view bytes);
+    void onEvents(std::string_view bytes);
+    void onEnd(http::call_end how);
+    void onBufferedEnd();
+    void endAttempt();
+    void onFate(fate what);
+    [[nodiscard]] bool mayTryAgain(fate what);
+    void watchSilence(milliseconds limit);
+    void onSilence();
+
+    void beginAnswer();
+    void passBackpressure();
+    void answerOwn(int status, std::string_view reason);
+    void refuse(std::string_view reason);
+    void giveUp(std::string_view reason);
+    void onClientGone();
+    void onTimeout();
+    void finish(std::string_view outcome);
+    void logEnd(std::string_view outcome);
+
+    [[nodiscard]] milliseconds left() const;
+
+    gateway_context<Codec> &m_context;
+    http::inbound_ptr m_client;
+    http::request_head m_head;
+    std::string m_body;
+    configuration_ptr m_configuration;
+    const route *m_route = nullptr;
+    const customer_spec *m_customer = nullptr;
+    request_marks m_marks;
+    steady_time m_arrival;
+    steady_time m_end; ///< the final answer is given by then
+    std::uint32_t m_priority = 0;
+    service_id m_service;
+    bool m_done = false;
+
+    std::optional<stage_work> m_work;
+    std::vector<piece_token> m_pieces; ///< submitted and open
+    bool m_stagesRestarted = false;
+    bool m_needsStages = false; ///< results were freed or lost
+
+    server_ptr m_server; ///< of the current attempt
+    std::vector<backend_server_id> m_tried;
+    http::pool_call m_call = 0;
+    std::uint32_t m_attempts = 0; ///< that reached a server
+    std::uint32_t m_unsent = 0;
+    bool m_mayHaveRun = false;
+    passing m_passing = passing::Nothing;
+    http::response_head m_answer;
+    answer_marks m_answerMarks;
+    std::string m_buffered;
+    event_splitter m_splitter;
+    bool m_begun = false; ///< the client got a head
+    steady_time m_sentAt{};
+    http::timer_id m_endTimer = 0;
+    http::timer_id m_silenceTimer = 0;
+    steady_time m_lastHeard{};
+};
+
+} // namespace orchidlead::gateway
+
+#include "gateway/exchange_impl.h"
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "gateway/exchange.h"
+#include "gateway/published_state.h"
+#include "gateway/settings.h"
+#include "gateway/stage_host.h"
+#include "gateway/store_follower.h"
+#include "http/listener.h"
+
+#include <memory>
+#include <string>
+
+namespace orchidlead::gateway {
+
+/// A whole node: takes requests, follows what is published, stops as planned.
+template <gateway_codec Codec>
+class gateway
+{
+public:
+    gateway(http::io_loop &loop, wire::log &log, gateway_settings settings);
+
+    /// Listens and begins to read the store. Gives what the operating system refused.
+    [[nodiscard]] std::optional<http::listen_error> start();
+    /// Begins a planned stop: not ready at once, the loop ends when nothing is open, or shortly
+    /// before the platform would kill the process.
+    void stop();
+    [[nodiscard]] bool ready() const;
+
+private:
+    [[nodiscard]] std::optional<http::listen_error> listen();
+    void onRequest(const http::inbound_ptr &client, http::request_head &&head, std::string &&body);
+    void onReadinessRequest(const http::inbound_ptr &client, const http::request_head &head);
+    void onConfiguration(const configuration_ptr &configuration);
+    void onNews(const publication_news &news);
+    void tick();
+    void checkStopped();
+
+    http::io_loop &m_loop;
+    wire::log &m_log;
+    gateway_settings m_settings;
+    http::connection_pool m_pool;
+    server_directory m_directory;
+    retry_allowance m_allowance;
+    stage_host<Codec> m_stages;
+    published_state m_state;
+    store_follower<Codec> m_follower;
+    gateway_context<Codec> m_context;
+    std::shared_ptr<http::inbound_shared> m_clients;
+    std::shared_ptr<http::inbound_shared> m_probes;
+    std::unique_ptr<http::listener> m_clientListener;
+    std::unique_ptr<http::listener> m_readinessListener;
+    bool m_wasReady = false;
+    bool m_stopping = false;
+    steady_time m_stopBegan{};
+};
+
+} // namespace orchidlead::gateway
+
+#include "gateway/gateway_impl.h"
--- /dev/null
+++ b/src/gateway/gateway_impl.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orchidlead::gateway {
+
+/// Removals that are read this long after the store came back are believed only then: entries of
+/// living servers are back within about 2 s.
+inline constexpr milliseconds RemovalDelay{2300};
+/// How often deferred removals and readiness are looked at.
+inline constexpr milliseconds TickInterval{200};
+/// After the signal to stop, new connections still come until the balancer has asked for readiness
+/// twice, once a second; then idle connections are closed.
+inline constexpr milliseconds StopNotice{2600};
+/// The process ends this long before it would be killed.
+inline constexpr milliseconds StopMargin{500};
+/// Among how many nodes the reserve of second tries is divided while their number isn't known.
+inline constexpr std::size_t AssumedNodes = 8;
+
+template <gateway_codec Codec>
+gateway<Codec>::gateway(http::io_loop &loop, wire::log &log, gateway_settings settings)
+    : m_loop(loop)
+    , m_log(log)
+    , m_settings(std::move(settings))
+    , m_pool(loop)
+    , m_directory(loop.clock())
+    , m_allowance(loop.clock(),
+                  {m_settings.bounds.retryShare, m_settings.bounds.retryReserve,
+                   m_settings.bounds.retryWindow})
+    , m_stages(loop, m_pool, m_directory, m_allowance, log)
+    , m_state(loop.clock(), m_directory, RemovalDelay)
+    , m_follower(
+          loop, m_pool, m_settings.store, m_state,
+          [this](const publication_news &news) { onNews(news); }, log)
+    , m_context{loop,
+                m_pool,
+                m_directory,
+                m_allowance,
+                m_stages,
+                log,
+                m_settings.dataCenter,
+                nullptr,
+                std::minstd_rand{
+                    static_cast<std::uint32_t>(std::hash<std::string>{}(m_settings.vm.value))}}
+    , m_clients(std::make_shared<http::inbound_shared>())
+    , m_probes(std::make_shared<http::inbound_shared>())
+{
+    m_allowance.setNodes(AssumedNodes);
+    m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
+    m_directory.onChange([this](const service_id &service) { m_stages.onServersChanged(service); });
+    m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
+                                  std::string &&body) {
+        onRequest(client, std::move(head), std::move(body));
+    };
+    m_probes->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
+                                 std::string && /*body*/) { onReadinessRequest(client, head); };
+}
+
+template <gateway_codec Codec>
+std::optional<http::listen_error> gateway<Codec>::start()
+{
+    if (auto error = listen())
+        return error;
+    m_follower.start();
+    tick();
+    return std::nullopt;
+}
+
+template <gateway_codec Codec>
+std::optional<http::listen_error> gateway<Codec>::listen()
+{
+    auto clients = http::listener::create(m_loop, m_settings.listen.clients, m_clients);
+    if (!clients)
+        return std::move(clients).error();
+    auto readiness = http::listener::create(m_loop, m_settings.listen.readiness, m_probes);
+    if (!readiness)
+        return std::move(readiness).error();
+    m_clientListener = std::move(clients).value();
+    m_readinessListener = std::move(readiness).value();
+    return std::nullopt;
+}
+
+template <gateway_codec Codec>
+bool gateway<Codec>::ready() const
+{
+    return m_state.current() && m_state.listed() && !m_stopping;
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::onRequest(const http::inbound_ptr &client, http::request_head &&head,
+                               std::string &&body)
+{
+    std::make_shared<exchange<Codec>>(m_context, client, std::move(head), std::move(body))->start();
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::onReadinessRequest(const http::inbound_ptr &client,
+                                        const http::request_head &head)
+{
+    if (head.target != Codec::readinessPath())
+        client->respond(status::NotFound, {}, {});
+    else
+        client->respond(ready() ? status::Ok : status::Unavailable, {}, {});
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::onConfiguration(const configuration_ptr &configuration)
+{
+    m_context.configuration = configuration;
+    m_stages.setConfiguration(configuration);
+    const auto &limits = configuration->content().limits;
+    m_clients->limits.maxHeadBytes = limits.maxHeaderBytes;
+    m_clients->limits.maxBodyBytes = limits.maxBodyBytes;
+    m_clients->limits.headTimeout = limits.headerTimeout;
+    m_clients->limits.idleTimeout = limits.idleTimeout;
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::onNews(const publication_news &news)
+{
+    const auto level = news.kind == publication_news::what::Unreadable ? wire::log_level::Warning
+                                                                       : wire::log_level::Info;
+    auto line = m_log.line(level, toName(news.kind));
+    line.add("subject", news.subject).add("detail", news.detail);
+    m_log.write(level, std::move(line));
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::tick()
+{
+    for (const auto &each : m_state.tick())
+        onNews(each);
+    if (std::exchange(m_wasReady, ready()) != ready())
+        m_log.write(wire::log_level::Info,
+                    ready() ? wire::node_event::Ready : wire::node_event::NotReady, {});
+    if (m_stopping)
+        checkStopped();
+    m_loop.callAfter(TickInterval, [this] { tick(); });
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::stop()
+{
+    if (std::exchange(m_stopping, true))
+        return;
+    m_stopBegan = m_loop.now();
+    m_clients->closing = true;
+    m_log.write(wire::log_level::Info, wire::node_event::Stopping, {});
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::checkStopped()
+{
+    const auto since = m_loop.now() - m_stopBegan;
+    if (since < StopNotice)
+        return;
+    m_clientListener->closeIdle();
+    const bool idle = m_clients->answering == 0 && m_clients->connections == 0;
+    if (!idle && since < m_settings.bounds.stopGrace - StopMargin)
+        return;
+    m_log.write(wire::log_level::Info, wire::node_event::Stopped, {});
+    m_loop.stop();
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/published_state.cpp
@@ -0,0 +1,136 @@
+#include "gateway/published_state.h"
+
+#include <utility>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+template <class... Handlers>
+struct overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+using what = publication_news::what;
+
+} // namespace
+
+published_state::published_state(const clock_source &clock, server_directory &directory,
+                                 milliseconds removalDelay)
+    : m_clock(clock)
+    , m_directory(directory)
+    , m_removalDelay(removalDelay)
+{ }
+
+std::vector<publication_news> published_state::apply(const std::vector<published_item> &items)
+{
+    std::vector<publication_news> news;
+    for (const auto &item : items)
+        applyOne(item, news);
+    return news;
+}
+
+void published_state::applyOne(const published_item &item, std::vector<publication_news> &news)
+{
+    std::visit(overloaded{
+                   [&](const published_server &each) { takeServer(each.record, news); },
+                   [&](const removed_server &each) { takeRemoval(each.id, news); },
+                   [&](const published_configuration &each) { takeConfiguration(each, news); },
+                   [&](const unreadable_item &each) {
+                       news.push_back({what::Unreadable, each.key, each.what});
+                   },
+               },
+               item);
+}
+
+std::vector<publication_news> published_state::applyList(const std::vector<published_item> &items)
+{
+    auto news = apply(items);
+    std::set<backend_server_id> present;
+    for (const auto &item : items) {
+        if (const auto *each = std::get_if<published_server>(&item))
+            present.insert(each->record.id);
+    }
+    for (const auto &each : m_directory.all()) {
+        if (!present.contains(each->record.id))
+            takeRemoval(each->record.id, news);
+    }
+    m_listed = true;
+    return news;
+}
+
+void published_state::takeServer(const server_record &record, std::vector<publication_news> &news)
+{
+    m_deferred.erase(record.id);
+    const auto known = m_directory.find(record.id);
+    const bool wasLeaving = known && known->record.leaving;
+    m_directory.put(record);
+    if (!known)
+        news.push_back({what::ServerAdded, record.id.value, record.service.value});
+    if (record.leaving && !wasLeaving)
+        news.push_back({what::ServerLeaving, record.id.value, record.service.value});
+}
+
+void published_state::takeRemoval(const backend_server_id &id, std::vector<publication_news> &news)
+{
+    const auto known = m_directory.find(id);
+    if (!known)
+        return;
+    if (m_clock.now() < m_deferUntil) {
+        if (m_deferred.emplace(id, m_deferUntil).second)
+            news.push_back({what::RemovalDeferred, id.value, known->record.service.value});
+        return;
+    }
+    m_deferred.erase(id);
+    m_directory.remove(id);
+    news.push_back({what::ServerRemoved, id.value, known->record.service.value});
+}
+
+void published_state::takeConfiguration(const published_configuration &published,
+                                        std::vector<publication_news> &news)
+{
+    const auto version = published.content.version;
+    if (m_configuration && version <= m_configuration->version()) {
+        if (version < m_configuration->version())
+            news.push_back({what::ConfigurationOlder, std::to_string(version), {}});
+        return;
+    }
+    m_configuration = std::make_shared<const configuration_index>(published.content);
+    m_configurationText = published.text;
+    news.push_back({what::ConfigurationInForce, std::to_string(version),
+                    std::to_string(published.content.routes.size()) + " routes"});
+    if (m_onConfiguration)
+        m_onConfiguration(m_configuration);
+}
+
+void published_state::onStoreLost()
+{
+    m_lost = true;
+}
+
+void published_state::onStoreBack()
+{
+    if (std::exchange(m_lost, false))
+        m_deferUntil = m_clock.now() + m_removalDelay;
+}
+
+std::vector<publication_news> published_state::tick()
+{
+    std::vector<publication_news> news;
+    std::erase_if(m_deferred, [&](const auto &each) {
+        const auto &[id, due] = each;
+        if (m_clock.now() < due)
+            return false;
+        if (const auto known = m_directory.find(id)) {
+            m_directory.remove(id);
+            news.push_back({what::ServerRemoved, id.value, known->record.service.value});
+        }
+        return true;
+    });
+    return news;
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/published_state.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "gateway/codec.h"
+#include "gateway/configuration.h"
+#include "gateway/server_directory.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// What a change of the published state came to, for the log.
+struct publication_news
+{
+    enum class what {
+        ConfigurationInForce,
+        ConfigurationOlder, ///< than the one in force; ignored
+        Unreadable, ///< the state before it stays
+        ServerAdded,
+        ServerLeaving,
+        ServerRemoved,
+        RemovalDeferred, ///< entries lapse while the store is away
+    };
+    what kind = what::Unreadable;
+    std::string subject; ///< a version, a server or a key
+    std::string detail;
+};
+
+/// Keeps what the platform publishes: the newest configuration and the backend servers.
+///
+/// The configuration only goes forward. While the store was away, entries of living servers lapse
+/// and come back shortly after; removals that are read then are believed only later.
+class published_state
+{
+public:
+    published_state(const clock_source &clock, server_directory &directory,
+                    milliseconds removalDelay);
+
+    /// Takes changes. Returns what came of them.
+    std::vector<publication_news> apply(const std::vector<published_item> &items);
+    /// Takes a whole list of servers: those that aren't in it are removed.
+    std::vector<publication_news> applyList(const std::vector<published_item> &items);
+    /// Removes what was deferred and hasn't come back.
+    std::vector<publication_news> tick();
+
+    /// The store didn't answer.
+    void onStoreLost();
+    /// The store answered.
+    void onStoreBack();
+
+    [[nodiscard]] const configuration_ptr &current() const { return m_configuration; }
+    /// The current configuration as it was published.
+    [[nodiscard]] const std::string &configurationText() const { return m_configurationText; }
+    /// Servers are known, be they old.
+    [[nodiscard]] bool listed() const { return m_listed; }
+    void onConfiguration(std::function<void(const configuration_ptr &)> handler)
+    {
+        m_onConfiguration = std::move(handler);
+    }
+
+private:
+    void applyOne(const published_item &item, std::vector<publication_news> &news);
+    void takeServer(const server_record &record, std::vector<publication_news> &news);
+    void takeRemoval(const backend_server_id &id, std::vector<publication_news> &news);
+    void takeConfiguration(const published_configuration &published,
+                           std::vector<publication_news> &news);
+
+    const clock_source &m_clock;
+    server_directory &m_directory;
+    milliseconds m_removalDelay;
+    configuration_ptr m_configuration;
+    std::string m_configurationText;
+    bool m_listed = false;
+    bool m_lost = false;
+    steady_time m_deferUntil{}; ///< removals read before are deferred until then
+    std::map<backend_server_id, steady_time> m_deferred;
+    std::function<void(const configuration_ptr &)> m_onConfiguration;
+};
+
+} // namespace orchidlead::gateway
+
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::publication_news::what>{
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::ConfigurationInForce,
+        "configuration_in_force"},
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::ConfigurationOlder, "configuration_older"},
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::Unreadable, "publication_unreadable"},
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::ServerAdded, "server_added"},
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::ServerLeaving, "server_leaving"},
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::ServerRemoved, "server_removed"},
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::RemovalDeferred, "server_removal_deferred"},
+};
--- /dev/null
+++ b/src/gateway/retry_allowance.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+namespace orchidlead::gateway {
+
+/// How often requests may reach servers beyond the first time, over all nodes.
+struct retry_allowance_options
+{
+    double share = 0.2; ///< of the requests for the service
+    double reserve = 50.0; ///< beside the share, in one window
+    milliseconds window{10'000};
+};
+
+/// This node's part of the second tries of each service.
+///
+/// The nodes don't agree on anything: each takes its share of its own requests, and the reserve
+/// divided by the number of nodes that may be there. So the sum keeps the bound whoever hears whom.
+class retry_allowance
+{
+public:
+    retry_allowance(const clock_source &clock, const retry_allowance_options &options);
+
+    /// The number of nodes among which the reserve is divided.
+    void setNodes(std::size_t nodes) { m_nodes = nodes; }
+
+    void onRequest(const service_id &service);
+    /// Takes the right to `count` second tries, if there is.
+    [[nodiscard]] bool tryTake(const service_id &service, std::uint32_t count = 1);
+    /// Counts second tries that couldn't be avoided.
+    void onForced(const service_id &service, std::uint32_t count);
+
+private:
+    static constexpr std::size_t Buckets = 10;
+    struct bucket
+    {
+        std::int64_t slice = -1;
+        std::uint32_t requests = 0;
+        std::uint32_t extras = 0;
+    };
+    using buckets = std::array<bucket, Buckets>;
+
+    [[nodiscard]] bucket &current(const service_id &service);
+    [[nodiscard]] std::int64_t slice() const;
+
+    const clock_source &m_clock;
+    retry_allowance_options m_options;
+    std::size_t m_nodes = 1;
+    std::unordered_map<service_id, buckets> m_services;
+};
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/server_directory.cpp
@@ -0,0 +1,169 @@
+#include "gateway/server_directory.h"
+
+#include <orchidlead/rendezvous.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// Failures in a row after which a server is avoided. One may be a single lost answer; a server that
+// fails two in five requests shows two in a row soon.
+constexpr std::uint32_t FailuresToAvoid = 2;
+// How long a server is avoided at first, and at most; doubled by each further failure.
+constexpr milliseconds FirstAvoidance{1000};
+constexpr std::uint32_t MaxDoublings = 2;
+// How long a server that refused for want of room is passed over: a few of its requests end by
+// then.
+constexpr milliseconds RefusedAvoidance{60};
+// A load that was told longer ago says little: requests last less than that.
+constexpr milliseconds LoadLifetime{400};
+// Cost of sending to another data centre, in requests outstanding at a server.
+constexpr double RemoteCost = 0.5;
+// Cost of a server that is avoided: any other comes first.
+constexpr double AvoidedCost = 1e6;
+// How much more work the server with the right prompts may have than the least loaded one.
+constexpr double AffinitySlack = 6.0;
+
+} // namespace
+
+server_directory::server_directory(const clock_source &clock)
+    : m_clock(clock)
+{ }
+
+void server_directory::changed(const service_id &service)
+{
+    if (m_onChange)
+        m_onChange(service);
+}
+
+void server_directory::put(const server_record &record)
+{
+    auto &entry = m_servers[record.id];
+    if (!entry) {
+        entry = std::make_shared<server>();
+        entry->record = record;
+        m_byService[record.service].push_back(entry);
+        changed(record.service);
+        return;
+    }
+    const bool differs = entry->record.leaving != record.leaving;
+    entry->record = record;
+    if (differs)
+        changed(record.service);
+}
+
+void server_directory::remove(const backend_server_id &id)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    const auto entry = found->second;
+    entry->gone = true;
+    std::erase(m_byService[entry->record.service], entry);
+    m_servers.erase(found);
+    changed(entry->record.service);
+}
+
+server_ptr server_directory::find(const backend_server_id &id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : found->second;
+}
+
+std::vector<server_ptr> server_directory::all() const
+{
+    std::vector<server_ptr> servers;
+    servers.reserve(m_servers.size());
+    for (const auto &[id, each] : m_servers)
+        servers.push_back(each);
+    return servers;
+}
+
+std::vector<server_ptr> server_directory::usable(const service_id &service) const
+{
+    std::vector<server_ptr> servers;
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return servers;
+    std::ranges::copy_if(found->second, std::back_inserter(servers),
+                         [](const server_ptr &each) { return each->usable(); });
+    return servers;
+}
+
+double server_directory::costOf(const server &which, const server_wish &wish) const
+{
+    const auto now = m_clock.now();
+    double cost = which.outstanding;
+    if (which.load && now - which.loadAt < LoadLifetime) {
+        const double told = which.load->running + which.load->waiting;
+        cost = std::max(cost, told);
+    }
+    cost /= std::max(1U, which.record.slots);
+    if (!wish.near.empty() && which.record.dataCenter != wish.near)
+        cost += RemoteCost / std::max(1U, which.record.slots);
+    if (which.avoidUntil > now)
+        cost += AvoidedCost;
+    return cost;
+}
+
+server_ptr server_directory::choose(const server_wish &wish) const
+{
+    server_ptr best;
+    double bestCost = std::numeric_limits<double>::max();
+    std::vector<std::pair<server_ptr, double>> candidates;
+    for (const auto &each : usable(wish.service)) {
+        if (std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end())
+            continue;
+        const double cost = costOf(*each, wish);
+        candidates.emplace_back(each, cost);
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = each;
+        }
+    }
+    if (wish.affinity.empty() || !best)
+        return best;
+    std::uint64_t bestWeight = 0;
+    for (const auto &[each, cost] : candidates) {
+        const double slack = AffinitySlack / std::max(1U, each->record.slots);
+        if (cost > bestCost + slack)
+            continue;
+        const bool isNear = wish.near.empty() || each->record.dataCenter == wish.near;
+        const auto weight =
+            rendezvousWeight(wish.affinity, each->record.id.value) / (isNear ? 1 : 4);
+        if (weight > bestWeight) {
+            bestWeight = weight;
+            best = each;
+        }
+    }
+    return best;
+}
+
+void server_directory::onAnswer(server &which, const std::optional<server_load> &load)
+{
+    which.failures = 0;
+    which.avoidUntil = {};
+    if (!load)
+        return;
+    which.load = load;
+    which.loadAt = m_clock.now();
+}
+
+void server_directory::onFailure(server &which)
+{
+    ++which.failures;
+    if (which.failures < FailuresToAvoid)
+        return;
+    const auto doublings = std::min(which.failures - FailuresToAvoid, MaxDoublings);
+    which.avoidUntil = m_clock.now() + FirstAvoidance * (1U << doublings);
+}
+
+void server_directory::onRefused(server &which)
+{
+    which.avoidUntil = std::max(which.avoidUntil, m_clock.now() + RefusedAvoidance);
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/server_directory.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// A backend server as the platform publishes it.
+struct server_record
+{
+    backend_server_id id; ///< of this start; a restarted server has another one
+    service_id service;
+    socket_address address;
+    data_center_id dataCenter;
+    std::uint32_t slots = 1;
+    bool leaving = false; ///< gets no new work
+};
+
+/// A server's own account of its work.
+struct server_load
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+};
+
+/// One server with what this node knows of it.
+struct server
+{
+    server_record record;
+    bool gone = false; ///< no longer published, or its address answers for another server
+    std::uint32_t outstanding = 0; ///< requests of this node
+    std::optional<server_load> load;
+    steady_time loadAt{}; ///< when the load was told
+    std::uint32_t failures = 0; ///< in a row
+    steady_time avoidUntil{}; ///< doubted until then
+    double slowness = 1.0; ///< time that its work takes against what is expected, averaged
+
+    [[nodiscard]] bool usable() const { return !gone && !record.leaving; }
+};
+
+using server_ptr = std::shared_ptr<server>;
+
+/// What a choice takes into account.
+struct server_wish
+{
+    service_id service;
+    std::vector<backend_server_id> exclude; ///< tried already
+    data_center_id near; ///< preferred
+    std::string affinity; ///< requests of the same text go to the same server where it has room
+};
+
+/// Knows the backend servers, and chooses among them.
+///
+/// A server that fails several times in a row is avoided for a while; where all are, the choice
+/// falls on them all the same.
+class server_directory
+{
+public:
+    explicit server_directory(const clock_source &clock);
+
+    /// Adds a server, or takes a newer record of it.
+    void put(const server_record &record);
+    void remove(const backend_server_id &id);
+    [[nodiscard]] server_ptr find(const backend_server_id &id) const;
+    /// All servers that are published, by id.
+    [[nodiscard]] std::vector<server_ptr> all() const;
+    /// Servers of a service that may get new work.
+    [[nodiscard]] std::vector<server_ptr> usable(const service_id &service) const;
+
+    /// Chooses the server for a request; null where there is none.
+    [[nodiscard]] server_ptr choose(const server_wish &wish) const;
+
+    void onAnswer(server &which, const std::optional<server_load> &load);
+    /// An answer that didn't come, was broken, or was an error.
+    void onFailure(server &which);
+    /// The server refused for want of room.
+    void onRefused(server &which);
+
+    /// Called when a server appears, changes, or leaves.
+    void onChange(std::function<void(const service_id &)> handler)
+    {
+        m_onChange = std::move(handler);
+    }
+
+private:
+    [[nodiscard]] double costOf(const server &which, const server_wish &wish) const;
+    void changed(const service_id &service);
+
+    const clock_source &m_clock;
+    std::map<backend_server_id, server_ptr> m_servers;
+    std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
+    std::function<void(const service_id &)> m_onChange;
+};
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/settings.cpp
@@ -0,0 +1,94 @@
+#include "gateway/settings.h"
+
+#include "core/yaml_document.h"
+#include "core/yaml_reader.h"
+
+#include <charconv>
+
+/// The keys are described in docs/CONFIGURATION.md.
+namespace orchidlead::gateway {
+
+namespace {
+
+constexpr duration_range WindowRange{milliseconds{100}, std::chrono::minutes{10}};
+constexpr duration_range GraceRange{milliseconds{0}, std::chrono::hours{1}};
+constexpr integer_range QueueRange{1, 1'000'000};
+constexpr std::size_t MaxContacts = 64;
+
+std::optional<double> number(const value_reader &reader)
+{
+    const auto &text = reader.value().scalar;
+    double parsed = 0;
+    const auto end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, parsed);
+    if (reader.value().kind == yaml_kind::Scalar && error == std::errc{} && stop == end
+        && parsed >= 0)
+        return parsed;
+    reader.fail("a number, at least 0");
+    return std::nullopt;
+}
+
+void parseListen(const value_reader &reader, gateway_listen &listen)
+{
+    mapping_reader section(reader);
+    section.read("clients", presence::Required, listen.clients, &value_reader::address);
+    section.read("readiness", presence::Required, listen.readiness, &value_reader::address);
+    section.read("peers", presence::Required, listen.peers, &value_reader::address);
+}
+
+void parseBounds(const value_reader &reader, platform_bounds &bounds)
+{
+    mapping_reader section(reader);
+    section.readDuration("stop_grace", bounds.stopGrace, GraceRange);
+    section.read("retry_share", presence::Optional, bounds.retryShare, number);
+    section.read("retry_reserve", presence::Optional, bounds.retryReserve, number);
+    section.readDuration("retry_window", bounds.retryWindow, WindowRange);
+}
+
+void parseLog(const value_reader &reader, log_settings &log)
+{
+    mapping_reader section(reader);
+    section.read("format", presence::Optional, log.format, &value_reader::enumerator<log_format>);
+    section.read("level", presence::Optional, log.level, &value_reader::enumerator<log_level>);
+    section.readInteger("queue", log.queue, QueueRange);
+}
+
+gateway_settings parseRoot(const value_reader &root)
+{
+    gateway_settings settings;
+    mapping_reader mapping(root);
+    mapping.read("vm", presence::Required, settings.vm, &value_reader::name);
+    mapping.read("data_center", presence::Required, settings.dataCenter, &value_reader::name);
+    mapping.read("region", presence::Required, settings.region, &value_reader::name);
+    mapping.read("store", presence::Required, settings.store, &value_reader::address);
+    if (const auto found = mapping.find("listen", presence::Required))
+        parseListen(*found, settings.listen);
+    if (const auto found = mapping.find("first_contacts")) {
+        found->forEach(0, MaxContacts, [&](const value_reader &each) {
+            if (const auto address = each.address())
+                settings.firstContacts.push_back(*address);
+        });
+    }
+    if (const auto found = mapping.find("bounds"))
+        parseBounds(*found, settings.bounds);
+    if (const auto found = mapping.find("log"))
+        parseLog(*found, settings.log);
+    return settings;
+}
+
+} // namespace
+
+result<gateway_settings, std::vector<configuration_error>>
+parseGatewaySettings(std::string_view yaml, std::string_view fileName)
+{
+    const auto root = parseYaml(yaml, fileName, end_marker::Optional);
+    if (!root)
+        return std::vector{root.error()};
+    error_list errors{std::string(fileName)};
+    gateway_settings settings = parseRoot(value_reader(root.value(), errors));
+    if (!errors.empty())
+        return errors.takeSorted();
+    return settings;
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/stage_host.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "gateway/codec.h"
+#include "gateway/stage_pool.h"
+#include "http/connection_pool.h"
+#include "wire/log.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// Does pieces of stages: forms calls, makes them, tells each submitter the outcome, and frees
+/// results that nobody needs.
+template <gateway_codec Codec>
+class stage_host
+{
+public:
+    using piece_handler = std::function<void(piece_result)>;
+
+    stage_host(http::io_loop &loop, http::connection_pool &pool, server_directory &directory,
+               retry_allowance &allowance, wire::log &log);
+
+    void setConfiguration(const configuration_ptr &configuration);
+
+    /// `handler` is called once, later, unless the piece is withdrawn.
+    piece_token submit(const service_id &service, piece_job job, piece_handler handler);
+    void withdraw(piece_token token);
+    /// Gives results up at the servers that hold them, soon and together.
+    void free(const std::vector<std::string> &handles);
+    /// Servers of a service came, changed or left.
+    void onServersChanged(const service_id &service);
+
+private:
+    struct pending
+    {
+        service_id service;
+        piece_handler handler;
+    };
+    struct call_answer
+    {
+        int status = 0;
+        answer_marks marks;
+        std::string body;
+        http::pool_call call = 0;
+        http::timer_id timer = 0;
+    };
+
+    stage_pool &poolOf(const service_id &service);
+    void pump(const service_id &service);
+    void schedulePump(const service_id &service);
+    void make(const service_id &service, const stage_call &call);
+    void onCallEnd(const service_id &service, const stage_call &call, const call_answer &answer,
+                   http::call_end how);
+    void deliver(const std::vector<piece_outcome> &outcomes);
+    void flushFrees();
+
+    http::io_loop &m_loop;
+    http::connection_pool &m_pool;
+    server_directory &m_directory;
+    retry_allowance &m_allowance;
+    wire::log &m_log;
+    configuration_ptr m_configuration;
+    std::map<service_id, std::unique_ptr<stage_pool>> m_pools;
+    std::map<service_id, http::timer_id> m_wakeups;
+    std::map<service_id, bool> m_scheduled;
+    std::unordered_map<piece_token, pending> m_pending;
+    piece_token m_lastToken = 0;
+    std::map<std::string, std::vector<std::string>> m_frees; ///< by the address of the server
+    http::timer_id m_freeTimer = 0;
+};
+
+} // namespace orchidlead::gateway
+
+#include "gateway/stage_host_impl.h"
--- /dev/null
+++ b/src/gateway/stage_host_impl.h
@@ -0,0 +1,241 @@
+#pragma once
+
+#include "core/socket_address_text.h"
+#include "gateway/stage_host.h"
+
+#include <utility>
+
+namespace orchidlead::gateway {
+
+/// How long freed handles are collected: a call for each would cost more than the room is worth.
+inline constexpr milliseconds FreeDelay{40};
+/// A call that frees is given up after this; the results lapse by themselves.
+inline constexpr milliseconds FreeTimeout{1000};
+
+/// Gives the address of the server that holds a result: what comes before the slash.
+[[nodiscard]] inline std::string holderOf(const std::string &handle)
+{
+    return handle.substr(0, handle.find('/'));
+}
+
+template <gateway_codec Codec>
+stage_host<Codec>::stage_host(http::io_loop &loop, http::connection_pool &pool,
+                              server_directory &directory, retry_allowance &allowance,
+                              wire::log &log)
+    : m_loop(loop)
+    , m_pool(pool)
+    , m_directory(directory)
+    , m_allowance(allowance)
+    , m_log(log)
+{ }
+
+template <gateway_codec Codec>
+void stage_host<Codec>::setConfiguration(const configuration_ptr &configuration)
+{
+    m_configuration = configuration;
+    for (auto &[service, pool] : m_pools) {
+        const auto *spec = configuration->findService(service);
+        if (spec && spec->stage)
+            pool->setCapacity(*spec->stage);
+    }
+}
+
+template <gateway_codec Codec>
+stage_pool &stage_host<Codec>::poolOf(const service_id &service)
+{
+    auto &entry = m_pools[service];
+    if (!entry) {
+        entry = std::make_unique<stage_pool>(m_loop.clock(), service, m_allowance);
+        const auto *spec = m_configuration ? m_configuration->findService(service) : nullptr;
+        if (spec && spec->stage)
+            entry->setCapacity(*spec->stage);
+    }
+    return *entry;
+}
+
+template <gateway_codec Codec>
+piece_token stage_host<Codec>::submit(const service_id &service, piece_job job,
+                                      piece_handler handler)
+{
+    job.token = ++m_lastToken;
+    const auto token = job.token;
+    m_allowance.onRequest(service);
+    m_pending.emplace(token, pending{service, std::move(handler)});
+    poolOf(service).submit(std::move(job));
+    schedulePump(service);
+    return token;
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::withdraw(piece_token token)
+{
+    const auto found = m_pending.find(token);
+    if (found == m_pending.end())
+        return;
+    poolOf(found->second.service).withdraw(token);
+    m_pending.erase(found);
+}
+
+// Posted, so that all pieces of a request are there before a call is formed.
+template <gateway_codec Codec>
+void stage_host<Codec>::schedulePump(const service_id &service)
+{
+    if (std::exchange(m_scheduled[service], true))
+        return;
+    m_loop.post([this, service] {
+        m_scheduled[service] = false;
+        pump(service);
+    });
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::onServersChanged(const service_id &service)
+{
+    if (m_pools.contains(service))
+        schedulePump(service);
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::pump(const service_id &service)
+{
+    auto &pool = poolOf(service);
+    deliver(pool.expire());
+    const auto servers = m_directory.usable(service);
+    while (const auto call = pool.next(servers))
+        make(service, *call);
+    m_loop.cancelTimer(std::exchange(m_wakeups[service], 0));
+    if (const auto wake = pool.wakeAt()) {
+        const auto delay =
+            std::chrono::duration_cast<std::chrono::microseconds>(*wake - m_loop.now());
+        m_wakeups[service] = m_loop.callAfter(delay, [this, service] { pump(service); });
+    }
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::make(const service_id &service, const stage_call &call)
+{
+    const auto answer = std::make_shared<call_answer>();
+    http::outbound_call made;
+    made.body = Codec::writePieces(call.pieces);
+    made.writeHead = [this, call, length = made.body.size()]() -> std::optional<std::string> {
+        // The server may have begun to leave while the connection was opened.
+        if (!call.server->usable())
+            return std::nullopt;
+        http::request_head head;
+        head.method = "POST";
+        head.target = Codec::stagePath();
+        head.fields = Codec::stageFields(call.server->record.id);
+        head.fields.push_back({"Host", toText(call.server->record.address)});
+        head.fields.push_back({"Content-Length", std::to_string(length)});
+        return http::formatHead(head);
+    };
+    made.onHead = [answer](const http::response_head &head) {
+        answer->status = head.status;
+        answer->marks = Codec::readAnswer(head);
+    };
+    made.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
+    made.onEnd = [this, service, call, answer](http::call_end how) {
+        m_loop.cancelTimer(answer->timer);
+        onCallEnd(service, call, *answer, how);
+    };
+    answer->call = m_pool.start(call.server->record.address, std::move(made));
+    answer->timer = m_loop.callAfter(call.timeout, [this, service, call, answer] {
+        m_pool.abandon(answer->call);
+        onCallEnd(service, call, *answer, http::call_end::TimedOut);
+    });
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::onCallEnd(const service_id &service, const stage_call &call,
+                                  const call_answer &answer, http::call_end how)
+{
+    constexpr int Ok = 200;
+    constexpr int Misdirected = 421;
+    auto end = stage_call_end::Broken;
+    std::vector<piece_result> results;
+    if (how == http::call_end::NotSent) {
+        end = stage_call_end::NotSent;
+        m_directory.onFailure(*call.server);
+    } else if (how == http::call_end::Complete && answer.status == Ok) {
+        auto read = Codec::readPieces(answer.body);
+        if (read && read.value().size() == call.pieces.size()) {
+            end = stage_call_end::Answered;
+            results = std::move(read).value();
+        }
+    } else if (how == http::call_end::Complete
+               && (answer.marks.notRun || answer.status == Misdirected)) {
+        end = stage_call_end::NotRun;
+        if (answer.status == Misdirected)
+            call.server->gone = true;
+    }
+    if (end == stage_call_end::Answered)
+        m_directory.onAnswer(*call.server, answer.marks.load);
+    else if (end == stage_call_end::Broken)
+        m_directory.onFailure(*call.server);
+    if (end != stage_call_end::Answered)
+        m_log.write(wire::log_level::Info,
+                    m_log.line(wire::log_level::Info, "stage_call_failed")
+                        .add("service", service.value)
+                        .add("server", call.server->record.id.value)
+                        .add("pieces", call.pieces.size())
+                        .add("status", answer.status)
+                        .add("end", toName(how)));
+    deliver(poolOf(service).onEnd(call.id, end, results));
+    pump(service);
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::deliver(const std::vector<piece_outcome> &outcomes)
+{
+    for (const auto &each : outcomes) {
+        const auto found = m_pending.find(each.token);
+        if (found == m_pending.end()) {
+            if (const auto *handle = std::get_if<std::string>(&each.result))
+                free({*handle});
+            continue;
+        }
+        const auto handler = std::move(found->second.handler);
+        m_pending.erase(found);
+        handler(each.result);
+    }
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::free(const std::vector<std::string> &handles)
+{
+    for (const auto &each : handles)
+        m_frees[holderOf(each)].push_back(each);
+    if (m_freeTimer == 0 && !m_frees.empty())
+        m_freeTimer = m_loop.callAfter(FreeDelay, [this] { flushFrees(); });
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::flushFrees()
+{
+    m_freeTimer = 0;
+    for (auto &[holder, handles] : std::exchange(m_frees, {})) {
+        const auto address = parseSocketAddress(holder);
+        if (!address) {
+            m_log.write(wire::log_level::Warning,
+                        m_log.line(wire::log_level::Warning, "result_handle_unreadable")
+                            .add("handle", handles.front()));
+            continue;
+        }
+        http::outbound_call made;
+        made.body = Codec::writeHandles(handles);
+        made.writeHead = [length = made.body.size(), host = holder] {
+            http::request_head head;
+            head.method = "POST";
+            head.target = Codec::freePath();
+            head.fields = {{"Host", host},
+                           {"Content-Type", "application/json"},
+                           {"Content-Length", std::to_string(length)}};
+            return std::optional(http::formatHead(head));
+        };
+        // A result that isn't freed lapses by itself: the end of the call decides nothing.
+        const auto call = m_pool.start(*address, std::move(made));
+        m_loop.callAfter(FreeTimeout, [this, call] { m_pool.abandon(call); });
+    }
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/stage_pool.cpp
@@ -0,0 +1,205 @@
+#include "gateway/stage_pool.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// How often one piece is tried. Beyond, its request would miss its aim anyway.
+constexpr std::uint32_t MaxTries = 5;
+// A server that refused is asked again after this: a part of the shortest call.
+constexpr milliseconds RefusedPause{60};
+// How long a server without room for results is left alone: results are freed within a second.
+constexpr milliseconds NoRoomPause{150};
+// A call is given up after this many times its expected time, plus the constant part. Servers that
+// are slow for a while take up to five times as long; giving such a call up wastes what is done.
+constexpr int TimeoutFactor = 4;
+constexpr milliseconds TimeoutSlack{500};
+// Weight of the newest call in the average of a server's slowness.
+constexpr double LearnWeight = 0.3;
+
+} // namespace
+
+stage_pool::stage_pool(const clock_source &clock, service_id service, retry_allowance &allowance)
+    : m_clock(clock)
+    , m_service(std::move(service))
+    , m_allowance(allowance)
+{ }
+
+void stage_pool::submit(piece_job job)
+{
+    m_waiting.push_back(std::move(job));
+}
+
+void stage_pool::withdraw(piece_token token)
+{
+    std::erase_if(m_waiting, [&](const piece_job &job) { return job.token == token; });
+    for (auto &[id, call] : m_calls) {
+        for (auto &job : call.jobs) {
+            if (job.token == token)
+                job.token = 0;
+        }
+    }
+}
+
+bool stage_pool::before(const piece_job &a, const piece_job &b) const
+{
+    const auto now = m_clock.now();
+    const bool lateA = a.aim < now;
+    const bool lateB = b.aim < now;
+    if (lateA != lateB)
+        return lateB;
+    if (a.priority != b.priority)
+        return a.priority < b.priority;
+    return a.aim < b.aim;
+}
+
+std::chrono::microseconds stage_pool::expectedTime(std::size_t pieces) const
+{
+    return m_capacity.callTime + m_capacity.pieceTime * static_cast<int>(pieces);
+}
+
+server_ptr stage_pool::pickServer(const std::vector<server_ptr> &servers,
+                                  const data_center_id &near)
+{
+    const auto now = m_clock.now();
+    server_ptr best;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const auto &each : servers) {
+        const auto &state = m_servers[each->record.id];
+        if (state.calls > 0 || state.busyUntil > now)
+            continue;
+        double cost = each->slowness;
+        if (each->avoidUntil > now)
+            cost += 100.0;
+        if (!near.empty() && each->record.dataCenter != near)
+            cost += 0.1;
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = each;
+        }
+    }
+    return best;
+}
+
+std::optional<stage_call> stage_pool::next(const std::vector<server_ptr> &servers)
+{
+    if (m_waiting.empty())
+        return std::nullopt;
+    const auto first = std::ranges::min_element(
+        m_waiting, [this](const piece_job &a, const piece_job &b) { return before(a, b); });
+    const auto chosen = pickServer(servers, first->near);
+    if (!chosen)
+        return std::nullopt;
+    std::ranges::stable_sort(
+        m_waiting, [this](const piece_job &a, const piece_job &b) { return before(a, b); });
+    const auto count = std::min<std::size_t>(m_waiting.size(), std::max(1U, m_capacity.batch));
+    open_call call;
+    call.server = chosen;
+    call.began = m_clock.now();
+    call.expected = expectedTime(count);
+    call.jobs.assign(
+        std::make_move_iterator(m_waiting.begin()),
+        std::make_move_iterator(m_waiting.begin() + static_cast<std::ptrdiff_t>(count)));
+    m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(count));
+
+    stage_call made;
+    made.id = ++m_lastCall;
+    made.server = chosen;
+    for (auto &job : call.jobs) {
+        ++job.tries;
+        made.pieces.push_back(job.request);
+        made.pieces.back().patience =
+            std::chrono::duration_cast<milliseconds>(job.deadline - call.began);
+    }
+    const double slow = std::max(1.0, chosen->slowness);
+    made.timeout = std::chrono::duration_cast<milliseconds>(call.expected * TimeoutFactor * slow)
+        + TimeoutSlack;
+    ++m_servers[chosen->record.id].calls;
+    m_calls.emplace(made.id, std::move(call));
+    return made;
+}
+
+void stage_pool::learn(const open_call &call)
+{
+    const auto took = std::chrono::duration<double>(m_clock.now() - call.began);
+    const auto expected = std::chrono::duration<double>(call.expected);
+    const double ratio = expected.count() > 0 ? took / expected : 1.0;
+    call.server->slowness += LearnWeight * (ratio - call.server->slowness);
+}
+
+void stage_pool::again(piece_job job, stage_call_end how, std::vector<piece_outcome> &out)
+{
+    if (job.token == 0)
+        return;
+    const bool free = how == stage_call_end::NotSent;
+    if (job.tries >= MaxTries || !(free || m_allowance.tryTake(m_service)))
+        out.push_back({job.token, piece_failure::Error});
+    else
+        m_waiting.push_back(std::move(job));
+}
+
+std::vector<piece_outcome> stage_pool::onEnd(stage_call_id id, stage_call_end how,
+                                             const std::vector<piece_result> &results)
+{
+    std::vector<piece_outcome> out;
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return out;
+    auto call = std::move(found->second);
+    m_calls.erase(found);
+    auto &state = m_servers[call.server->record.id];
+    --state.calls;
+    if (how == stage_call_end::NotRun || how == stage_call_end::NotSent)
+        state.busyUntil = m_clock.now() + RefusedPause;
+    if (how != stage_call_end::Answered || results.size() != call.jobs.size()) {
+        for (auto &job : call.jobs)
+            again(std::move(job), how, out);
+        return out;
+    }
+    learn(call);
+    for (std::size_t i = 0; i < call.jobs.size(); ++i) {
+        auto &job = call.jobs[i];
+        const auto *failure = std::get_if<piece_failure>(&results[i]);
+        const bool retry =
+            failure && (*failure == piece_failure::NoRoom || *failure == piece_failure::Error);
+        if (failure && *failure == piece_failure::NoRoom)
+            state.busyUntil = m_clock.now() + NoRoomPause;
+        if (retry)
+            again(std::move(job), how, out);
+        else
+            out.push_back({job.token, results[i]});
+    }
+    return out;
+}
+
+std::vector<piece_outcome> stage_pool::expire()
+{
+    std::vector<piece_outcome> out;
+    const auto now = m_clock.now();
+    std::erase_if(m_waiting, [&](const piece_job &job) {
+        if (job.deadline > now)
+            return false;
+        out.push_back({job.token, piece_failure::Late});
+        return true;
+    });
+    return out;
+}
+
+std::optional<steady_time> stage_pool::wakeAt() const
+{
+    if (m_waiting.empty())
+        return std::nullopt;
+    std::optional<steady_time> earliest;
+    const auto now = m_clock.now();
+    for (const auto &[id, state] : m_servers) {
+        if (state.calls == 0 && state.busyUntil > now && (!earliest || state.busyUntil < *earliest))
+            earliest = state.busyUntil;
+    }
+    return earliest;
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/stage_pool.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "gateway/codec.h"
+#include "gateway/retry_allowance.h"
+#include "gateway/server_directory.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// Names a piece to whoever submitted it.
+using piece_token = std::uint64_t;
+using stage_call_id = std::uint64_t;
+
+/// One piece that waits for a server.
+struct piece_job
+{
+    piece_token token = 0;
+    piece_request request;
+    std::uint32_t priority = 0; ///< 0: the most urgent
+    steady_time aim{}; ///< its request earns full credit until then
+    steady_time deadline{}; ///< and nothing later
+    data_center_id near; ///< where its inputs lie
+    std::uint32_t tries = 0;
+};
+
+/// A call to be made now.
+struct stage_call
+{
+    stage_call_id id = 0;
+    server_ptr server;
+    std::vector<piece_request> pieces;
+    milliseconds timeout{0};
+};
+
+/// What became of a piece.
+struct piece_outcome
+{
+    piece_token token = 0;
+    piece_result result;
+};
+
+/// How a call ended.
+enum class stage_call_end {
+    Answered,
+    NotSent, ///< no server got it
+    NotRun, ///< the server refused it
+    Broken, ///< may have run
+};
+
+/// Forms the calls to the backend servers of one service out of the pieces of many requests.
+///
+/// A call takes its time whatever it holds, so pieces wait for a free server together: by priority,
+/// then those whose aim can still be met, then by aim. One call at a time goes to a server: more
+/// would only wait there, and couldn't take in pieces that come meanwhile.
+class stage_pool
+{
+public:
+    stage_pool(const clock_source &clock, service_id service, retry_allowance &allowance);
+
+    void setCapacity(const stage_capacity &capacity) { m_capacity = capacity; }
+    void submit(piece_job job);
+    /// The piece isn't needed any more; no outcome follows.
+    void withdraw(piece_token token);
+
+    /// Gives the next call to make now, if a server is free for one.
+    [[nodiscard]] std::optional<stage_call> next(const std::vector<server_ptr> &servers);
+    /// Takes the end of a call; `results` in the order of its pieces. Pieces that may be tried
+    /// again wait on. Gives what became of the others.
+    [[nodiscard]] std::vector<piece_outcome> onEnd(stage_call_id call, stage_call_end how,
+                                                   const std::vector<piece_result> &results);
+    /// Drops pieces whose deadline is over.
+    [[nodiscard]] std::vector<piece_outcome> expire();
+
+    /// When `next` may give a call though nothing else happens.
+    [[nodiscard]] std::optional<steady_time> wakeAt() const;
+    [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
+    [[nodiscard]] std::size_t callsOpen() const { return m_calls.size(); }
+
+private:
+    struct open_call
+    {
+        server_ptr server;
+        std::vector<piece_job> jobs;
+        steady_time began;
+        std::chrono::microseconds expected{0};
+    };
+    struct server_state
+    {
+        std::uint32_t calls = 0; ///< open now
+        steady_time busyUntil{}; ///< refused: not asked before
+    };
+
+    [[nodiscard]] bool before(const piece_job &a, const piece_job &b) const;
+    [[nodiscard]] server_ptr pickServer(const std::vector<server_ptr> &servers,
+                                        const data_center_id &near);
+    [[nodiscard]] std::chrono::microseconds expectedTime(std::size_t pieces) const;
+    void learn(const open_call &call);
+    void again(piece_job job, stage_call_end how, std::vector<piece_outcome> &out);
+
+    const clock_source &m_clock;
+    service_id m_service;
+    retry_allowance &m_allowance;
+    stage_capacity m_capacity;
+    std::vector<piece_job> m_waiting;
+    std::map<stage_call_id, open_call> m_calls;
+    std::map<backend_server_id, server_state> m_servers;
+    stage_call_id m_lastCall = 0;
+};
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/stage_work.cpp
@@ -0,0 +1,157 @@
+#include "gateway/stage_work.h"
+
+#include <algorithm>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// Most pieces of one stage of one request; far beyond any that is published.
+constexpr std::uint32_t MaxPieces = 10'000;
+
+} // namespace
+
+std::optional<stage_work> stage_work::create(const route &way, const request_marks &marks)
+{
+    if (marks.pieceCounts.size() != way.stages.size())
+        return std::nullopt;
+    stage_work made;
+    made.m_attempt = marks.attempt;
+    made.m_key = marks.pieceKey;
+    for (std::size_t i = 0; i < way.stages.size(); ++i) {
+        if (marks.pieceCounts[i] > MaxPieces)
+            return std::nullopt;
+        stage_state state;
+        state.spec = way.stages[i];
+        state.handles.resize(marks.pieceCounts[i]);
+        state.missing = marks.pieceCounts[i];
+        made.m_missing += state.missing;
+        made.m_stages.push_back(std::move(state));
+    }
+    for (const auto &each : way.stages) {
+        for (const std::size_t before : each.after) {
+            if (before >= made.m_stages.size())
+                return std::nullopt;
+            made.m_stages[before].followed = true;
+        }
+    }
+    return made;
+}
+
+bool stage_work::inputsReady(const stage_state &stage) const
+{
+    return std::ranges::all_of(stage.spec.after,
+                               [&](std::size_t before) { return m_stages[before].missing == 0; });
+}
+
+std::vector<std::string> stage_work::inputsOf(const stage_state &stage) const
+{
+    std::vector<std::string> inputs;
+    for (const std::size_t before : stage.spec.after) {
+        const auto &handles = m_stages[before].handles;
+        inputs.insert(inputs.end(), handles.begin(), handles.end());
+    }
+    return inputs;
+}
+
+std::vector<stage_work::ready_piece> stage_work::takeReady()
+{
+    std::vector<ready_piece> ready;
+    for (std::uint32_t i = 0; i < m_stages.size(); ++i) {
+        auto &stage = m_stages[i];
+        if (stage.taken || !inputsReady(stage))
+            continue;
+        stage.taken = true;
+        for (std::uint32_t piece = 0; piece < stage.handles.size(); ++piece) {
+            ready_piece made;
+            made.service = stage.spec.service;
+            made.request.attempt = m_attempt;
+            made.request.stage = i;
+            made.request.piece = piece;
+            if (stage.spec.after.empty())
+                made.request.key = m_key;
+            else
+                made.request.inputs = inputsOf(stage);
+            ready.push_back(std::move(made));
+        }
+    }
+    return ready;
+}
+
+void stage_work::onResult(std::uint32_t stage, std::uint32_t piece, std::string handle)
+{
+    auto &state = m_stages[stage];
+    if (handle.empty() || !state.handles[piece].empty())
+        return;
+    state.handles[piece] = std::move(handle);
+    --state.missing;
+    --m_missing;
+}
+
+void stage_work::restart()
+{
+    m_missing = 0;
+    for (auto &stage : m_stages) {
+        std::ranges::fill(stage.handles, std::string{});
+        stage.missing = static_cast<std::uint32_t>(stage.handles.size());
+        stage.taken = false;
+        stage.spent = false;
+        m_missing += stage.missing;
+    }
+}
+
+std::vector<std::string> stage_work::inputs() const
+{
+    std::vector<std::string> handles;
+    for (const auto &stage : m_stages) {
+        if (!stage.followed)
+            handles.insert(handles.end(), stage.handles.begin(), stage.handles.end());
+    }
+    return handles;
+}
+
+std::vector<std::string> stage_work::allHandles() const
+{
+    std::vector<std::string> handles;
+    for (const auto &stage : m_stages) {
+        if (stage.spent)
+            continue;
+        std::ranges::copy_if(stage.handles, std::back_inserter(handles),
+                             [](const std::string &each) { return !each.empty(); });
+    }
+    return handles;
+}
+
+std::optional<std::string> stage_work::largest() const
+{
+    const stage_state *best = nullptr;
+    for (const auto &stage : m_stages) {
+        if (stage.followed || stage.handles.empty() || stage.handles.front().empty())
+            continue;
+        const auto bytes = stage.spec.resultBytes * stage.handles.size();
+        if (!best || bytes > best->spec.resultBytes * best->handles.size())
+            best = &stage;
+    }
+    return best ? std::optional(best->handles.front()) : std::nullopt;
+}
+
+std::vector<std::string> stage_work::takeSpent()
+{
+    std::vector<std::string> spent;
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        auto &stage = m_stages[i];
+        if (!stage.followed || stage.spent || stage.missing > 0)
+            continue;
+        const bool needed = std::ranges::any_of(m_stages, [&](const stage_state &other) {
+            return other.missing > 0
+                && std::ranges::find(other.spec.after, i) != other.spec.after.end();
+        });
+        if (needed)
+            continue;
+        stage.spent = true;
+        spent.insert(spent.end(), stage.handles.begin(), stage.handles.end());
+    }
+    return spent;
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/stage_work.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "gateway/codec.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// Follows the pieces of one request's stages: which can be asked for, and which have results.
+class stage_work
+{
+public:
+    /// Nothing where the counts don't fit the route's stages.
+    [[nodiscard]] static std::optional<stage_work> create(const route &way,
+                                                          const request_marks &marks);
+
+    /// One piece that can be asked for, with its service.
+    struct ready_piece
+    {
+        service_id service;
+        piece_request request;
+    };
+
+    /// Takes the pieces whose inputs are there and that weren't taken before.
+    [[nodiscard]] std::vector<ready_piece> takeReady();
+    void onResult(std::uint32_t stage, std::uint32_t piece, std::string handle);
+    /// Results were lost: all is to be done again.
+    void restart();
+
+    [[nodiscard]] bool done() const { return m_missing == 0; }
+    /// Handles of the stages that no other stage follows: the inputs of the request itself.
+    [[nodiscard]] std::vector<std::string> inputs() const;
+    [[nodiscard]] std::vector<std::string> allHandles() const;
+    /// The handle whose result is the largest, where there is one: the request runs best beside it.
+    [[nodiscard]] std::optional<std::string> largest() const;
+    /// Results that nobody needs any more once `stage` is whole: those of the stages before it
+    /// whose every follower is whole.
+    [[nodiscard]] std::vector<std::string> takeSpent();
+
+private:
+    struct stage_state
+    {
+        stage_spec spec;
+        std::vector<std::string> handles; ///< empty text: not there yet
+        std::uint32_t missing = 0;
+        bool taken = false;
+        bool spent = false; ///< its results were given up
+        bool followed = false; ///< another stage needs its results
+    };
+
+    [[nodiscard]] bool inputsReady(const stage_state &stage) const;
+    [[nodiscard]] std::vector<std::string> inputsOf(const stage_state &stage) const;
+
+    std::vector<stage_state> m_stages;
+    std::string m_attempt;
+    std::string m_key;
+    std::uint32_t m_missing = 0;
+};
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/store_follower_impl.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include "gateway/store_follower.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace orchidlead::gateway {
+
+template <gateway_codec Codec>
+store_follower<Codec>::store_follower(http::io_loop &loop, http::connection_pool &pool,
+                                      const socket_address &store, published_state &state,
+                                      std::function<void(publication_news)> onNews, wire::log &log,
+                                      const store_options &options)
+    : m_loop(loop)
+    , m_pool(pool)
+    , m_store(store)
+    , m_state(state)
+    , m_onNews(std::move(onNews))
+    , m_log(log)
+    , m_options(options)
+{ }
+
+template <gateway_codec Codec>
+void store_follower<Codec>::report(const std::vector<publication_news> &news)
+{
+    for (const auto &each : news)
+        m_onNews(each);
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::readConfiguration()
+{
+    m_whole = false;
+    call(Codec::configurationTarget(), m_options.answerTimeout, &Codec::readItem,
+         [this](published_page &&page) {
+             m_listRevision = page.revision;
+             report(m_state.apply(page.items));
+             m_list.clear();
+             readServers({});
+         });
+}
+
+// Pages aren't read at one moment. So the watch begins at the revision before the first, and sees
+// again what changed meanwhile.
+template <gateway_codec Codec>
+void store_follower<Codec>::readServers(const std::string &after)
+{
+    call(Codec::serversTarget(after), m_options.answerTimeout, &Codec::readPage,
+         [this](published_page &&page) {
+             if (m_listRevision == 0)
+                 m_listRevision = page.revision;
+             std::ranges::move(page.items, std::back_inserter(m_list));
+             if (page.more && !page.lastKey.empty()) {
+                 readServers(page.lastKey);
+                 return;
+             }
+             report(m_state.applyList(m_list));
+             m_list.clear();
+             m_revision = m_listRevision;
+             m_listRevision = 0;
+             m_whole = true;
+             watch();
+         });
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::watch()
+{
+    call(Codec::watchTarget(m_revision, m_options.watchWait),
+         m_options.watchWait + m_options.answerTimeout, &Codec::readChanges,
+         [this](published_page &&page) {
+             m_revision = std::max(m_revision, page.revision);
+             report(m_state.apply(page.items));
+             const auto pause = page.items.empty() ? milliseconds{0} : m_options.watchPause;
+             m_loop.callAfter(pause, [this] { watch(); });
+         });
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::call(const std::string &target, milliseconds timeout, page_reader read,
+                                 std::function<void(published_page &&)> onPage)
+{
+    struct answer
+    {
+        int status = 0;
+        std::string body;
+        http::pool_call call = 0;
+        http::timer_id timer = 0;
+    };
+    const auto answered = std::make_shared<answer>();
+    http::outbound_call made;
+    made.writeHead = [target, host = m_store.ip] {
+        http::request_head head;
+        head.method = "GET";
+        head.target = target;
+        head.fields.push_back({"Host", host});
+        return std::optional(http::formatHead(head));
+    };
+    made.onHead = [answered](const http::response_head &head) { answered->status = head.status; };
+    made.onBody = [answered](std::string_view bytes) { answered->body.append(bytes); };
+    made.onEnd = [this, answered, read, onPage](http::call_end how) {
+        m_loop.cancelTimer(answered->timer);
+        if (how == http::call_end::Complete)
+            onAnswer(answered->status, answered->body, read, onPage);
+        else
+            onFailure("connection");
+    };
+    answered->call = m_pool.start(m_store, std::move(made));
+    answered->timer = m_loop.callAfter(timeout, [this, answered] {
+        m_pool.abandon(answered->call);
+        onFailure("timeout");
+    });
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::onAnswer(int status, const std::string &body, page_reader read,
+                                     const std::function<void(published_page &&)> &onPage)
+{
+    constexpr int Ok = 200;
+    constexpr int Gone = 410;
+    constexpr int NotFound = 404;
+    if (status == Gone) {
+        onHistoryGone();
+        return;
+    }
+    // Nothing was published under that key yet.
+    if (status == NotFound) {
+        onPage({});
+        return;
+    }
+    if (status != Ok) {
+        onFailure(std::to_string(status));
+        return;
+    }
+    auto page = read(body);
+    if (!page) {
+        onFailure(page.error().what);
+        return;
+    }
+    m_backoff = milliseconds{0};
+    if (!std::exchange(m_connected, true))
+        m_log.write(
+            wire::log_level::Info,
+            m_log.line(wire::log_level::Info, "store_regained").add("revision", m_revision));
+    m_state.onStoreBack();
+    onPage(std::move(page).value());
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::onHistoryGone()
+{
+    m_log.write(
+        wire::log_level::Info,
+        m_log.line(wire::log_level::Info, "store_history_gone").add("revision", m_revision));
+    readConfiguration();
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::onFailure(std::string_view why)
+{
+    m_state.onStoreLost();
+    if (std::exchange(m_connected, false))
+        m_log.write(wire::log_level::Warning,
+                    m_log.line(wire::log_level::Warning, "store_lost").add("reason", why));
+    m_backoff = std::clamp(m_backoff * 2, m_options.firstBackoff, m_options.maxBackoff);
+    m_loop.callAfter(m_backoff, [this] {
+        if (m_whole)
+            watch();
+        else
+            readConfiguration();
+    });
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/http/connection_pool.cpp
@@ -0,0 +1,126 @@
+#include "http/connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orchidlead::http {
+
+namespace {
+
+// A healthy server in another data centre answers within 40 ms; a second allows for one lost
+// packet.
+constexpr milliseconds ConnectTimeout{1000};
+// How long a connection is kept free where the server doesn't say how long it keeps it.
+constexpr milliseconds DefaultKeep{3000};
+// A free connection isn't used in the last part of the time that the server keeps it: the server
+// might close it while the request is on its way.
+constexpr milliseconds KeepMargin{700};
+
+} // namespace
+
+connection_pool::connection_pool(io_loop &loop)
+    : m_loop(loop)
+{ }
+
+connection_pool::~connection_pool()
+{
+    *m_alive = false;
+}
+
+pool_call connection_pool::start(const socket_address &to, outbound_call call)
+{
+    const pool_call id = ++m_lastCall;
+    call.onEnd = [this, id, onEnd = std::move(call.onEnd)](call_end how) {
+        m_calls.erase(id);
+        if (onEnd)
+            onEnd(how);
+    };
+    if (const auto kept = takeFree(to)) {
+        m_calls.emplace(id, kept);
+        // Posted, so that a call that fails at once reports it after `start` has returned.
+        m_loop.post([this, id, kept, alive = m_alive, call = std::move(call)]() mutable {
+            if (!*alive || !m_calls.contains(id)) {
+                kept->close();
+                return;
+            }
+            if (kept->free())
+                kept->send(std::move(call));
+            else
+                call.onEnd(call_end::NotSent);
+        });
+        return id;
+    }
+    const auto made = makeConnection(to);
+    m_calls.emplace(id, made);
+    made->open(to, ConnectTimeout, std::move(call));
+    return id;
+}
+
+std::shared_ptr<outbound_connection> connection_pool::makeConnection(const socket_address &to)
+{
+    ++m_opened;
+    outbound_connection::owner_events owner;
+    owner.onFree = [this, to](const std::shared_ptr<outbound_connection> &connection) {
+        const auto keep = connection->keepAlive().value_or(DefaultKeep);
+        m_free[to].push_back({connection, m_loop.now() + keep - KeepMargin});
+    };
+    owner.onClosed = [this, to, alive = m_alive](outbound_connection &closed) {
+        if (*alive)
+            forget(to, closed);
+    };
+    return std::make_shared<outbound_connection>(m_loop, std::move(owner));
+}
+
+// The one that was used last: the others then run out, and their number follows the load.
+std::shared_ptr<outbound_connection> connection_pool::takeFree(const socket_address &to)
+{
+    const auto found = m_free.find(to);
+    if (found == m_free.end())
+        return nullptr;
+    while (!found->second.empty()) {
+        auto last = std::move(found->second.back());
+        found->second.pop_back();
+        if (last.until > m_loop.now())
+            return std::move(last.connection);
+        last.connection->close();
+    }
+    return nullptr;
+}
+
+void connection_pool::forget(const socket_address &to, outbound_connection &closed)
+{
+    const auto found = m_free.find(to);
+    if (found == m_free.end())
+        return;
+    std::erase_if(found->second,
+                  [&](const free_connection &each) { return each.connection.get() == &closed; });
+}
+
+void connection_pool::abandon(pool_call call)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end())
+        return;
+    const auto connection = std::move(found->second);
+    m_calls.erase(found);
+    connection->abandon();
+}
+
+void connection_pool::setReading(pool_call call, bool reading)
+{
+    if (const auto found = m_calls.find(call); found != m_calls.end())
+        found->second->setReading(reading);
+}
+
+void connection_pool::closeFree(const socket_address &to)
+{
+    const auto found = m_free.find(to);
+    if (found == m_free.end())
+        return;
+    const auto connections = std::exchange(found->second, {});
+    for (const auto &each : connections)
+        each.connection->close();
+    m_free.erase(to);
+}
+
+} // namespace orchidlead::http
--- /dev/null
+++ b/src/http/connection_pool.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "http/outbound_connection.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace orchidlead::http {
+
+/// Names a call of a pool, to give it up.
+using pool_call = std::uint64_t;
+
+/// Keeps connections to servers for use by one call after the other.
+class connection_pool
+{
+public:
+    explicit connection_pool(io_loop &loop);
+    ~connection_pool();
+    connection_pool(const connection_pool &) = delete;
+    connection_pool &operator=(const connection_pool &) = delete;
+
+    /// Makes a call on a free connection, or on a new one. No event is reported before it returns.
+    pool_call start(const socket_address &to, outbound_call call);
+    /// Closes the call's connection; none of its events is reported any more.
+    void abandon(pool_call call);
+    /// Stops or goes on reading a call's answer.
+    void setReading(pool_call call, bool reading);
+    /// Closes the free connections to an address.
+    void closeFree(const socket_address &to);
+
+    /// Connections opened since the start.
+    [[nodiscard]] std::uint64_t opened() const { return m_opened; }
+
+private:
+    struct free_connection
+    {
+        std::shared_ptr<outbound_connection> connection;
+        steady_time until;
+    };
+
+    std::shared_ptr<outbound_connection> takeFree(const socket_address &to);
+    std::shared_ptr<outbound_connection> makeConnection(const socket_address &to);
+    void forget(const socket_address &to, outbound_connection &closed);
+
+    io_loop &m_loop;
+    std::map<socket_address, std::vector<free_connection>> m_free;
+    std::unordered_map<pool_call, std::shared_ptr<outbound_connection>> m_calls;
+    pool_call m_lastCall = 0;
+    std::uint64_t m_opened = 0;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace orchidlead::http
--- /dev/null
+++ b/src/http/stream_socket.cpp
@@ -0,0 +1,188 @@
+#include "http/stream_socket.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <netinet/tcp.h>
+
+#include <utility>
+
+namespace orchidlead::http {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// How long sent bytes may stay unacknowledged before the kernel gives the connection up. Behind a
+// network cut nothing answers, and without it such connections would hang for minutes. Longer than
+// the few lost packets in a row that a lossy link shows.
+constexpr int UnacknowledgedTimeoutMs = 4000;
+// A queue that has become this large isn't kept when it is empty again.
+constexpr std::size_t KeptQueueBytes = 64U << 10U;
+
+} // namespace
+
+stream_socket::stream_socket(io_loop &loop, tcp::socket socket)
+    : m_loop(loop)
+    , m_socket(std::move(socket))
+{ }
+
+std::shared_ptr<stream_socket> stream_socket::connect(io_loop &loop, const socket_address &to,
+                                                      stream_events &events)
+{
+    auto made = std::make_shared<stream_socket>(loop, tcp::socket(loop.context()));
+    made->m_events = &events;
+    error_code error;
+    const auto ip = asio::ip::make_address(to.ip, error);
+    if (!error)
+        made->m_socket.open(ip.is_v6() ? tcp::v6() : tcp::v4(), error);
+    if (error) {
+        loop.post([made] { made->fail(false); });
+        return made;
+    }
+    made->m_socket.async_connect({ip, to.port}, [made](const error_code &failed) {
+        if (!made->m_events)
+            return;
+        if (failed) {
+            made->fail(false);
+            return;
+        }
+        made->configure();
+        made->m_events->onConnected();
+        made->read();
+    });
+    return made;
+}
+
+void stream_socket::start(stream_events &events)
+{
+    m_events = &events;
+    configure();
+    read();
+}
+
+// An option that can't be set means that the connection has ended; reading reports that.
+void stream_socket::configure()
+{
+    error_code ignored;
+    m_socket.non_blocking(true, ignored);
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    m_socket.set_option(user_timeout(UnacknowledgedTimeoutMs), ignored);
+}
+
+void stream_socket::read()
+{
+    if (!m_events || !m_reading || m_readPending || m_ended)
+        return;
+    if (!m_buffer)
+        m_buffer = std::make_unique<std::array<char, ReadBytes>>();
+    m_readPending = true;
+    m_socket.async_read_some(
+        asio::buffer(*m_buffer),
+        [self = shared_from_this()](const error_code &error, std::size_t count) {
+            self->m_readPending = false;
+            if (!self->m_events)
+                return;
+            if (error) {
+                self->fail(error == asio::error::eof);
+                return;
+            }
+            self->m_events->onBytes({self->m_buffer->data(), count});
+            self->read();
+        });
+}
+
+bool stream_socket::write(std::string_view bytes)
+{
+    if (!m_events)
+        return false;
+    if (m_writePending || queuedBytes() > 0) {
+        m_out.append(bytes);
+        return true;
+    }
+    error_code error;
+    const std::size_t sent = m_socket.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    if (error && error != asio::error::would_block)
+        return false;
+    m_out.append(bytes.substr(sent));
+    if (queuedBytes() > 0)
+        waitToWrite();
+    return true;
+}
+
+void stream_socket::waitToWrite()
+{
+    if (m_writePending)
+        return;
+    m_writePending = true;
+    m_socket.async_wait(tcp::socket::wait_write,
+                        [self = shared_from_this()](const error_code &error) {
+                            self->m_writePending = false;
+                            if (!self->m_events)
+                                return;
+                            if (error)
+                                self->fail(false);
+                            else
+                                self->flush();
+                        });
+}
+
+void stream_socket::flush()
+{
+    error_code error;
+    while (queuedBytes() > 0 && !error) {
+        m_outBegin +=
+            m_socket.write_some(asio::buffer(m_out.data() + m_outBegin, queuedBytes()), error);
+    }
+    if (error == asio::error::would_block) {
+        waitToWrite();
+        return;
+    }
+    if (error) {
+        fail(false);
+        return;
+    }
+    m_outBegin = 0;
+    m_out.clear();
+    if (m_out.capacity() > KeptQueueBytes)
+        m_out.shrink_to_fit();
+    if (m_finishAfterFlush)
+        finishWriting();
+    if (m_events)
+        m_events->onDrained();
+}
+
+void stream_socket::setReading(bool reading)
+{
+    m_reading = reading;
+    read();
+}
+
+void stream_socket::finishWriting()
+{
+    if (queuedBytes() > 0) {
+        m_finishAfterFlush = true;
+        return;
+    }
+    error_code ignored; // the peer has gone: nothing is left to tell it
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void stream_socket::fail(bool inOrder)
+{
+    if (m_ended || !m_events)
+        return;
+    m_ended = true;
+    m_events->onEnd(inOrder);
+}
+
+void stream_socket::close()
+{
+    m_events = nullptr;
+    error_code ignored; // the descriptor is released whatever the kernel answers
+    m_socket.close(ignored);
+}
+
+} // namespace orchidlead::http
