Send a request to a server beside its largest stage result, and take no long work late in a stop

Ruled out: choosing the zone of the first stage by the node alone (the stage's servers are too few to be picky).

Change: the engine is wished for where the largest result lies, the next stage where its inputs lie; requests that come later than 2.9 s after the signal are refused with a time to come back.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -75,6 +75,7 @@
 
     void attempt();
     [[nodiscard]] server_ptr chooseServer();
+    [[nodiscard]] data_center_id whereResultLies(const std::string &handle) const;
     [[nodiscard]] service_id pickService();
     [[nodiscard]] std::optional<std::string> writeHead();
     void onHead(const http::response_head &head);
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -155,6 +155,8 @@
         job.aim = m_arrival + m_route->objective;
         job.deadline = m_end;
         job.request = std::move(each.request);
+        if (!job.request.inputs.empty())
+            job.near = whereResultLies(job.request.inputs.front());
         auto handler = [self = this->shared_from_this(), stage, piece](piece_result result) {
             self->onPiece(stage, piece, std::move(result));
         };
@@ -208,13 +210,21 @@
     m_context.stages.free(m_work->allHandles());
 }
 
+template <gateway_codec Codec>
+data_center_id exchange<Codec>::whereResultLies(const std::string &handle) const
+{
+    const auto holder = parseSocketAddress(holderOf(handle));
+    return holder ? m_context.directory.dataCenterOf(*holder) : data_center_id{};
+}
+
 template <gateway_codec Codec>
 server_ptr exchange<Codec>::chooseServer()
 {
     server_wish wish;
     wish.service = m_service;
     wish.exclude = m_tried;
-    wish.near = m_context.dataCenter;
+    const auto largest = m_work ? m_work->largest() : std::nullopt;
+    wish.near = largest ? whereResultLies(*largest) : m_context.dataCenter;
     if (m_route->prefixAffinity && m_marks.prompt.size() > 1)
         wish.affinity = m_marks.prompt[m_marks.prompt.size() - 2].id;
     return m_context.directory.choose(wish);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -15,6 +15,9 @@
 /// After the signal to stop, new connections still come until the balancer has asked for readiness
 /// twice, once a second; then idle connections are closed.
 inline constexpr milliseconds StopNotice{2600};
+/// Requests that come later than this after the signal are refused: there would be no time for long
+/// ones, and the client has time to go elsewhere.
+inline constexpr milliseconds StopTaking{2900};
 /// The process ends this long before it would be killed.
 inline constexpr milliseconds StopMargin{500};
 /// Among how many nodes the reserve of second tries is divided while their number isn't known.
@@ -93,6 +96,10 @@
 void gateway<Codec>::onRequest(const http::inbound_ptr &client, http::request_head &&head,
                                std::string &&body)
 {
+    if (m_stopping && m_loop.now() - m_stopBegan > StopTaking) {
+        client->respond(status::Unavailable, {Codec::retryAfter(ComeBack)}, {});
+        return;
+    }
     std::make_shared<exchange<Codec>>(m_context, client, std::move(head), std::move(body))->start();
 }
 
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -82,6 +82,15 @@
     return servers;
 }
 
+data_center_id server_directory::dataCenterOf(const socket_address &address) const
+{
+    for (const auto &[id, each] : m_servers) {
+        if (each->record.address == address)
+            return each->record.dataCenter;
+    }
+    return {};
+}
+
 std::vector<server_ptr> server_directory::usable(const service_id &service) const
 {
     std::vector<server_ptr> servers;
