Let the pieces of all nodes share stage calls, at one host for each service

Cause: a stage call costs 200 ms whatever it holds.

Ruled out: nodes in turn (needs clocks, wastes slots); holding calls until a server's load says it is idle (six nodes then send at once). The host is picked by rendezvous among the nodes believed alive; it is held to nothing: where its link ends or is silent for 0.6 s, the sender submits to the next host and at last to itself.

Change: peer_network (the product's membership, now with first contacts for platforms that list no VMs, and links), peer_frames, stage_router. Peers also hand on the configuration and, to a node that the store turns away, the servers.

--- a/include/orchidlead/membership.h
+++ b/include/orchidlead/membership.h
@@ -205,6 +205,9 @@
     void announce(membership_actions &out);
     /// Probes up to `count` members now, nearest first; answers come as `peer_report`.
     void probeNow(std::size_t count, membership_actions &out);
+    /// Introduces this node to addresses of which nothing else is known, or whose members are taken
+    /// for dead; who is there answers and becomes a member. For platforms that list no VMs.
+    void contact(const std::vector<socket_address> &addresses, membership_actions &out);
     /// Says that this VM is leaving; it goes on answering.
     void announceLeaving(membership_actions &out);
     /// Says that this VM has stopped; the last call.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -307,6 +307,12 @@
     m_implementation->probeNow(count);
 }
 
+void membership::contact(const std::vector<socket_address> &addresses, membership_actions &out)
+{
+    m_implementation->collectInto(out);
+    m_implementation->contact(addresses);
+}
+
 void membership::announceLeaving(membership_actions &out)
 {
     m_implementation->collectInto(out);
--- a/src/core/membership_gossip.cpp
+++ b/src/core/membership_gossip.cpp
@@ -71,12 +71,26 @@
     // A process that has just started may have no list, because the platform can't be reached: it
     // learns from whoever probes it.
     if (record->generation == 0 || record->status == member_status::Dead)
-        message.sender.description = member_description{
-            options.self.dataCenter, options.self.region, options.self.peerAddress};
+        describeSelf(message);
     addNews(message, vm);
     send(record->vm.peerAddress, message);
 }
 
+void membership::implementation::describeSelf(gossip_message &message) const
+{
+    message.sender.description =
+        member_description{options.self.dataCenter, options.self.region, options.self.peerAddress};
+}
+
+void membership::implementation::contact(const std::vector<socket_address> &addresses)
+{
+    for (const auto &address : addresses) {
+        auto message = makeMessage(gossip_kind::Ping, ++m_sequence);
+        describeSelf(message);
+        send(address, message);
+    }
+}
+
 // Between probes, news goes to a few members at once; without news nothing is sent. Every second
 // datagram stays in the data centre.
 void membership::implementation::gossip()
--- a/src/core/membership_implementation.h
+++ b/src/core/membership_implementation.h
@@ -88,6 +88,7 @@
     void noticePause();
     void announce();
     void probeNow(std::size_t count);
+    void contact(const std::vector<socket_address> &addresses);
     void announceLeaving();
     void announceStopped();
 
@@ -142,6 +143,7 @@
     void addNews(gossip_message &message, const vm_id &to);
     std::size_t send(const socket_address &to, const gossip_message &message);
     void sendTo(const vm_id &vm, gossip_message message);
+    void describeSelf(gossip_message &message) const;
 
     void handle(const gossip_message &message);
     void onPing(const gossip_message &message);
--- a/src/core/membership_probes.cpp
+++ b/src/core/membership_probes.cpp
@@ -13,7 +13,11 @@
 
 void membership::implementation::onPing(const gossip_message &message)
 {
-    sendTo(message.sender.vm, makeMessage(gossip_kind::Ack, message.sequence));
+    auto ack = makeMessage(gossip_kind::Ack, message.sequence);
+    // Who introduces itself may know nothing of this node either.
+    if (message.sender.description)
+        describeSelf(ack);
+    sendTo(message.sender.vm, std::move(ack));
     maybeSync(message);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -4,7 +4,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_directory.h"
-#include "gateway/stage_host.h"
+#include "gateway/stage_router.h"
 #include "gateway/stage_work.h"
 #include "http/connection_pool.h"
 #include "http/inbound_connection.h"
@@ -28,7 +28,7 @@
     http::connection_pool &pool;
     server_directory &directory;
     retry_allowance &allowance;
-    stage_host<Codec> &stages;
+    stage_router<Codec> &stages;
     wire::log &log;
     data_center_id dataCenter;
     configuration_ptr configuration; ///< null until one is known
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,7 +3,7 @@
 #include "gateway/exchange.h"
 #include "gateway/published_state.h"
 #include "gateway/settings.h"
-#include "gateway/stage_host.h"
+#include "gateway/stage_router.h"
 #include "gateway/store_follower.h"
 #include "http/listener.h"
 
@@ -32,6 +32,11 @@
     void onReadinessRequest(const http::inbound_ptr &client, const http::request_head &head);
     void onConfiguration(const configuration_ptr &configuration);
     void onNews(const publication_news &news);
+    void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
+    void onPeerVersion(const vm_id &peer, std::uint64_t version);
+    void onPublication(const publication_frame &frame);
+    [[nodiscard]] publication_frame makePublication() const;
+    void askPeers();
     void tick();
     void checkStopped();
 
@@ -42,6 +47,8 @@
     server_directory m_directory;
     retry_allowance m_allowance;
     stage_host<Codec> m_stages;
+    peer_network m_peers;
+    stage_router<Codec> m_router;
     published_state m_state;
     store_follower<Codec> m_follower;
     gateway_context<Codec> m_context;
@@ -50,6 +57,7 @@
     std::unique_ptr<http::listener> m_clientListener;
     std::unique_ptr<http::listener> m_readinessListener;
     bool m_wasReady = false;
+    steady_time m_nextAsk{}; ///< when peers may be asked for what is published
     bool m_stopping = false;
     steady_time m_stopBegan{};
 };
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -11,7 +11,7 @@
 /// living servers are back within about 2 s.
 inline constexpr milliseconds RemovalDelay{2300};
 /// How often deferred removals and readiness are looked at.
-inline constexpr milliseconds TickInterval{200};
+inline constexpr milliseconds TickInterval{100};
 /// After the signal to stop, new connections still come until the balancer has asked for readiness
 /// twice, once a second; then idle connections are closed.
 inline constexpr milliseconds StopNotice{2600};
@@ -20,9 +20,20 @@
 inline constexpr milliseconds StopTaking{2900};
 /// The process ends this long before it would be killed.
 inline constexpr milliseconds StopMargin{500};
-/// Among how many nodes the reserve of second tries is divided while their number isn't known.
+/// Among how many nodes the reserve of second tries is divided at least: some may not be known.
 inline constexpr std::size_t AssumedNodes = 8;
 
+/// Between two questions to peers for what is published.
+inline constexpr milliseconds AskInterval{400};
+
+/// Draws what tells this start from others of the VM: later starts are higher.
+[[nodiscard]] inline std::uint64_t drawIncarnation(const clock_source &clock)
+{
+    const auto sinceEpoch = clock.wallNow().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
 template <gateway_codec Codec>
 gateway<Codec>::gateway(http::io_loop &loop, wire::log &log, gateway_settings settings)
     : m_loop(loop)
@@ -34,6 +45,13 @@
                   {m_settings.bounds.retryShare, m_settings.bounds.retryReserve,
                    m_settings.bounds.retryWindow})
     , m_stages(loop, m_pool, m_directory, m_allowance, log)
+    , m_peers(loop, log, m_settings, drawIncarnation(loop.clock()),
+              {[this](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
+                   onFrame(link, std::move(frame));
+               },
+               [this](const std::shared_ptr<peer_link> &link) { m_router.onLinkClosed(link); },
+               [this](const vm_id &peer, std::uint64_t version) { onPeerVersion(peer, version); }})
+    , m_router(loop, log, m_peers, m_stages, m_allowance)
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
@@ -42,7 +60,7 @@
                 m_pool,
                 m_directory,
                 m_allowance,
-                m_stages,
+                m_router,
                 log,
                 m_settings.dataCenter,
                 nullptr,
@@ -67,6 +85,8 @@
 {
     if (auto error = listen())
         return error;
+    if (auto error = m_peers.start())
+        return error;
     m_follower.start();
     tick();
     return std::nullopt;
@@ -117,6 +137,7 @@
 void gateway<Codec>::onConfiguration(const configuration_ptr &configuration)
 {
     m_context.configuration = configuration;
+    m_peers.setVersion(configuration->version());
     m_stages.setConfiguration(configuration);
     const auto &limits = configuration->content().limits;
     m_clients->limits.maxHeadBytes = limits.maxHeaderBytes;
@@ -135,6 +156,78 @@
     m_log.write(level, std::move(line));
 }
 
+template <gateway_codec Codec>
+void gateway<Codec>::onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame)
+{
+    if (std::holds_alternative<publication_request>(frame))
+        link->send(makePublication());
+    else if (const auto *publication = std::get_if<publication_frame>(&frame))
+        onPublication(*publication);
+    else
+        m_router.onFrame(link, std::move(frame));
+}
+
+template <gateway_codec Codec>
+publication_frame gateway<Codec>::makePublication() const
+{
+    publication_frame frame;
+    frame.configuration = m_state.configurationText();
+    frame.current = m_state.listed() && m_follower.connected();
+    for (const auto &each : m_directory.all())
+        frame.servers.push_back(each->record);
+    return frame;
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::onPublication(const publication_frame &frame)
+{
+    std::vector<published_item> items;
+    if (!frame.configuration.empty()) {
+        auto read = Codec::readConfiguration(frame.configuration);
+        if (read)
+            items.push_back(published_configuration{std::move(read).value(), frame.configuration});
+        else
+            items.push_back(unreadable_item{"configuration of a peer", read.error().what});
+    }
+    // A peer that doesn't read the store may know less than this node.
+    const bool takesList = frame.current && !m_follower.connected();
+    if (takesList) {
+        for (const auto &each : frame.servers)
+            items.push_back(published_server{each});
+    }
+    for (const auto &each : takesList ? m_state.applyList(items) : m_state.apply(items))
+        onNews(each);
+}
+
+// A peer that has a later configuration is asked at once: this node may be turned away by the
+// store.
+template <gateway_codec Codec>
+void gateway<Codec>::onPeerVersion(const vm_id &peer, std::uint64_t version)
+{
+    const auto own = m_state.current() ? m_state.current()->version() : 0;
+    if (version <= own || m_loop.now() < m_nextAsk)
+        return;
+    m_nextAsk = m_loop.now() + AskInterval;
+    if (const auto link = m_peers.linkTo(peer))
+        link->send(publication_request{});
+}
+
+// While the store doesn't answer this node, it may answer others.
+template <gateway_codec Codec>
+void gateway<Codec>::askPeers()
+{
+    if (m_follower.connected() || m_loop.now() < m_nextAsk)
+        return;
+    const auto peers = m_peers.peers();
+    if (peers.empty())
+        return;
+    m_nextAsk = m_loop.now() + AskInterval;
+    const auto drawn =
+        std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(m_context.random);
+    if (const auto link = m_peers.linkTo(peers[drawn]))
+        link->send(publication_request{});
+}
+
 template <gateway_codec Codec>
 void gateway<Codec>::tick()
 {
@@ -143,6 +236,9 @@
     if (std::exchange(m_wasReady, ready()) != ready())
         m_log.write(wire::log_level::Info,
                     ready() ? wire::node_event::Ready : wire::node_event::NotReady, {});
+    m_allowance.setNodes(std::max(AssumedNodes, m_peers.nodes()));
+    m_router.tick();
+    askPeers();
     if (m_stopping)
         checkStopped();
     m_loop.callAfter(TickInterval, [this] { tick(); });
@@ -155,6 +251,7 @@
         return;
     m_stopBegan = m_loop.now();
     m_clients->closing = true;
+    m_peers.announceLeaving();
     m_log.write(wire::log_level::Info, wire::node_event::Stopping, {});
 }
 
@@ -168,6 +265,7 @@
     const bool idle = m_clients->answering == 0 && m_clients->connections == 0;
     if (!idle && since < m_settings.bounds.stopGrace - StopMargin)
         return;
+    m_peers.announceStopped();
     m_log.write(wire::log_level::Info, wire::node_event::Stopped, {});
     m_loop.stop();
 }
--- /dev/null
+++ b/src/gateway/peer_frames.cpp
@@ -0,0 +1,302 @@
+#include "gateway/peer_frames.h"
+
+// The codec needs nothing of Boost.
+#define MSGPACK_NO_BOOST
+#include <msgpack.hpp>
+
+#include <array>
+#include <limits>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+using buffer = msgpack::sbuffer;
+using packer = msgpack::packer<buffer>;
+
+/// What a frame holds; part of the wire format.
+enum class frame_kind : std::uint8_t {
+    Piece = 1,
+    Withdraw = 2,
+    Outcome = 3,
+    Ping = 4,
+    Pong = 5,
+    PublicationRequest = 6,
+    Publication = 7,
+};
+
+constexpr std::uint64_t DoneCode = 0;
+constexpr std::size_t MaxListItems = 100'000;
+constexpr unsigned BitsPerByte = 8;
+
+void packKind(packer &out, frame_kind kind, std::uint32_t fields)
+{
+    out.pack_array(fields + 1);
+    out.pack(static_cast<std::uint64_t>(kind));
+}
+
+void packDuration(packer &out, milliseconds duration)
+{
+    out.pack(static_cast<std::int64_t>(duration.count()));
+}
+
+void packServer(packer &out, const server_record &server)
+{
+    constexpr std::uint32_t Fields = 7;
+    out.pack_array(Fields);
+    out.pack(server.id.value);
+    out.pack(server.service.value);
+    out.pack(server.address.ip);
+    out.pack(server.address.port);
+    out.pack(server.dataCenter.value);
+    out.pack(server.slots);
+    out.pack(server.leaving);
+}
+
+void pack(packer &out, const piece_frame &frame)
+{
+    packKind(out, frame_kind::Piece, 11);
+    out.pack(frame.token);
+    out.pack(frame.service.value);
+    out.pack(frame.request.attempt);
+    out.pack(frame.request.stage);
+    out.pack(frame.request.piece);
+    out.pack(frame.request.key);
+    out.pack(frame.request.inputs);
+    out.pack(frame.priority);
+    packDuration(out, frame.aimLeft);
+    packDuration(out, frame.deadlineLeft);
+    out.pack(frame.near.value);
+}
+
+void pack(packer &out, const withdraw_frame &frame)
+{
+    packKind(out, frame_kind::Withdraw, 1);
+    out.pack(frame.token);
+}
+
+void pack(packer &out, const outcome_frame &frame)
+{
+    packKind(out, frame_kind::Outcome, 3);
+    out.pack(frame.token);
+    if (const auto *handle = std::get_if<std::string>(&frame.result)) {
+        out.pack(DoneCode);
+        out.pack(*handle);
+    } else {
+        out.pack(static_cast<std::uint64_t>(std::get<piece_failure>(frame.result)) + 1);
+        out.pack(std::string());
+    }
+}
+
+void pack(packer &out, const ping_frame & /*frame*/)
+{
+    packKind(out, frame_kind::Ping, 0);
+}
+
+void pack(packer &out, const pong_frame & /*frame*/)
+{
+    packKind(out, frame_kind::Pong, 0);
+}
+
+void pack(packer &out, const publication_request & /*frame*/)
+{
+    packKind(out, frame_kind::PublicationRequest, 0);
+}
+
+void pack(packer &out, const publication_frame &frame)
+{
+    packKind(out, frame_kind::Publication, 3);
+    out.pack(frame.configuration);
+    out.pack(frame.current);
+    out.pack_array(static_cast<std::uint32_t>(frame.servers.size()));
+    for (const auto &each : frame.servers)
+        packServer(out, each);
+}
+
+/// Reads the fields of one array in order; the first wrong one makes all further reads fail.
+class field_reader
+{
+public:
+    explicit field_reader(const msgpack::object &object)
+        : m_good(object.type == msgpack::type::ARRAY)
+    {
+        if (m_good)
+            m_array = object.via.array;
+    }
+
+    [[nodiscard]] bool good() const { return m_good; }
+
+    template <class Value>
+    Value read()
+    {
+        Value value{};
+        if (const auto *object = next()) {
+            try {
+                object->convert(value);
+            } catch (const msgpack::type_error &) {
+                m_good = false;
+            }
+        }
+        return value;
+    }
+    milliseconds duration() { return milliseconds{read<std::int64_t>()}; }
+
+    const msgpack::object *next()
+    {
+        m_good = m_good && m_index < m_array.size;
+        return m_good ? &m_array.ptr[m_index++] : nullptr;
+    }
+    void fail() { m_good = false; }
+
+private:
+    msgpack::object_array m_array{};
+    std::uint32_t m_index = 0;
+    bool m_good;
+};
+
+piece_frame readPiece(field_reader &in)
+{
+    piece_frame frame;
+    frame.token = in.read<piece_token>();
+    frame.service = service_id(in.read<std::string>());
+    frame.request.attempt = in.read<std::string>();
+    frame.request.stage = in.read<std::uint32_t>();
+    frame.request.piece = in.read<std::uint32_t>();
+    frame.request.key = in.read<std::string>();
+    frame.request.inputs = in.read<std::vector<std::string>>();
+    frame.priority = in.read<std::uint32_t>();
+    frame.aimLeft = in.duration();
+    frame.deadlineLeft = in.duration();
+    frame.near = data_center_id(in.read<std::string>());
+    return frame;
+}
+
+outcome_frame readOutcome(field_reader &in)
+{
+    outcome_frame frame;
+    frame.token = in.read<piece_token>();
+    const auto code = in.read<std::uint64_t>();
+    auto handle = in.read<std::string>();
+    if (code == DoneCode)
+        frame.result = std::move(handle);
+    else if (code <= enumNames<piece_failure>.size())
+        frame.result = enumNames<piece_failure>[code - 1].value;
+    else
+        in.fail();
+    return frame;
+}
+
+server_record readServer(const msgpack::object &object, bool &good)
+{
+    field_reader in(object);
+    server_record server;
+    server.id = backend_server_id(in.read<std::string>());
+    server.service = service_id(in.read<std::string>());
+    server.address.ip = in.read<std::string>();
+    server.address.port = in.read<std::uint16_t>();
+    server.dataCenter = data_center_id(in.read<std::string>());
+    server.slots = in.read<std::uint32_t>();
+    server.leaving = in.read<bool>();
+    good = good && in.good();
+    return server;
+}
+
+publication_frame readPublication(field_reader &in)
+{
+    publication_frame frame;
+    frame.configuration = in.read<std::string>();
+    frame.current = in.read<bool>();
+    const auto *list = in.next();
+    bool good = list && list->type == msgpack::type::ARRAY && list->via.array.size <= MaxListItems;
+    if (!good) {
+        in.fail();
+        return frame;
+    }
+    for (std::uint32_t i = 0; i < list->via.array.size; ++i)
+        frame.servers.push_back(readServer(list->via.array.ptr[i], good));
+    if (!good)
+        in.fail();
+    return frame;
+}
+
+peer_frame readFrame(field_reader &in)
+{
+    switch (static_cast<frame_kind>(in.read<std::uint8_t>())) {
+    case frame_kind::Piece:
+        return readPiece(in);
+    case frame_kind::Withdraw:
+        return withdraw_frame{in.read<piece_token>()};
+    case frame_kind::Outcome:
+        return readOutcome(in);
+    case frame_kind::Ping:
+        return ping_frame{};
+    case frame_kind::Pong:
+        return pong_frame{};
+    case frame_kind::PublicationRequest:
+        return publication_request{};
+    case frame_kind::Publication:
+        return readPublication(in);
+    }
+    in.fail();
+    return ping_frame{};
+}
+
+std::size_t readLength(std::string_view bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < FrameHeaderBytes; ++i)
+        length = (length << BitsPerByte) | static_cast<unsigned char>(bytes[i]);
+    return length;
+}
+
+} // namespace
+
+std::string encodeFrame(const peer_frame &frame)
+{
+    buffer body;
+    packer out(body);
+    std::visit([&](const auto &each) { pack(out, each); }, frame);
+    std::string bytes;
+    bytes.reserve(FrameHeaderBytes + body.size());
+    for (std::size_t i = FrameHeaderBytes; i > 0; --i)
+        bytes.push_back(static_cast<char>((body.size() >> (BitsPerByte * (i - 1))) & 0xffU));
+    bytes.append(body.data(), body.size());
+    return bytes;
+}
+
+result<peer_frame, frame_error> decodeFrame(std::string_view bytes)
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        field_reader in(handle.get());
+        auto frame = readFrame(in);
+        if (!in.good())
+            return frame_error{"a frame lacks a field, or has one of another type"};
+        return frame;
+    } catch (const msgpack::unpack_error &error) {
+        return frame_error{error.what()};
+    }
+}
+
+result<std::vector<peer_frame>, frame_error> frame_splitter::feed(std::string_view bytes)
+{
+    m_rest.append(bytes);
+    std::vector<peer_frame> frames;
+    std::size_t begin = 0;
+    while (m_rest.size() - begin >= FrameHeaderBytes) {
+        const auto length = readLength(std::string_view(m_rest).substr(begin));
+        if (length > MaxFrameBytes)
+            return frame_error{"a frame passes the bound"};
+        if (m_rest.size() - begin < FrameHeaderBytes + length)
+            break;
+        auto frame = decodeFrame(std::string_view(m_rest).substr(begin + FrameHeaderBytes, length));
+        if (!frame)
+            return std::move(frame).error();
+        frames.push_back(std::move(frame).value());
+        begin += FrameHeaderBytes + length;
+    }
+    m_rest.erase(0, begin);
+    return frames;
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/peer_frames.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "gateway/codec.h"
+#include "gateway/stage_pool.h"
+
+#include <orchidlead/result.h>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// What gateways say to each other over TCP: typed frames and their MessagePack codec. Times travel
+/// as what is left, since clocks of machines differ.
+namespace orchidlead::gateway {
+
+/// Asks the receiver to have a piece done.
+struct piece_frame
+{
+    piece_token token = 0; ///< of the sender
+    service_id service;
+    piece_request request;
+    std::uint32_t priority = 0;
+    milliseconds aimLeft{0}; ///< negative: it is over
+    milliseconds deadlineLeft{0};
+    data_center_id near;
+};
+
+/// The sender doesn't need the piece any more.
+struct withdraw_frame
+{
+    piece_token token = 0;
+};
+
+/// What became of a piece of the receiver.
+struct outcome_frame
+{
+    piece_token token = 0; ///< of the receiver
+    piece_result result;
+};
+
+/// Asks whether the receiver is there.
+struct ping_frame
+{ };
+struct pong_frame
+{ };
+
+/// Asks for what the receiver knows to be published.
+struct publication_request
+{ };
+struct publication_frame
+{
+    std::string configuration; ///< as published; empty: none is known
+    bool current = false; ///< the sender reads the store right now, so its list of servers counts
+    std::vector<server_record> servers;
+};
+
+using peer_frame = std::variant<piece_frame, withdraw_frame, outcome_frame, ping_frame, pong_frame,
+                                publication_request, publication_frame>;
+
+/// Says why bytes aren't a frame.
+struct frame_error
+{
+    std::string what;
+};
+
+/// Longest frame: a large configuration with its list of servers.
+inline constexpr std::size_t MaxFrameBytes = 16U << 20U;
+/// Bytes before a frame that hold its length.
+inline constexpr std::size_t FrameHeaderBytes = 4;
+
+/// Writes a frame with its length before it.
+[[nodiscard]] std::string encodeFrame(const peer_frame &frame);
+/// Reads a frame without its length.
+[[nodiscard]] result<peer_frame, frame_error> decodeFrame(std::string_view bytes);
+
+/// Takes a stream of bytes apart into frames.
+class frame_splitter
+{
+public:
+    /// Adds bytes. After an error the stream can't be read on.
+    [[nodiscard]] result<std::vector<peer_frame>, frame_error> feed(std::string_view bytes);
+
+private:
+    std::string m_rest;
+};
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/peer_link.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "gateway/peer_frames.h"
+#include "http/stream_socket.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace orchidlead::gateway {
+
+/// A TCP connection between two gateways that carries frames both ways.
+class peer_link final
+    : public std::enable_shared_from_this<peer_link>
+    , private http::stream_events
+{
+public:
+    struct events
+    {
+        std::function<void(const std::shared_ptr<peer_link> &, peer_frame &&)> onFrame;
+        std::function<void(const std::shared_ptr<peer_link> &)> onClosed; ///< once, last
+    };
+
+    peer_link(http::io_loop &loop, events handlers);
+
+    void open(const socket_address &to);
+    void accept(std::shared_ptr<http::stream_socket> socket);
+    /// Sends with what else is sent in the same turn of the loop.
+    void send(const peer_frame &frame);
+    void close();
+    [[nodiscard]] bool isOpen() const { return m_socket != nullptr; }
+    /// When something last came from the peer, or the link was opened.
+    [[nodiscard]] steady_time lastHeard() const { return m_lastHeard; }
+
+private:
+    void onConnected() override;
+    void onBytes(std::string_view bytes) override;
+    void onEnd(bool inOrder) override;
+    void flush();
+    void end();
+
+    http::io_loop &m_loop;
+    events m_events;
+    std::shared_ptr<peer_link> m_self; ///< keeps the link until it is closed
+    std::shared_ptr<http::stream_socket> m_socket;
+    frame_splitter m_frames;
+    std::string m_out;
+    bool m_connected = false;
+    bool m_flushPosted = false;
+    steady_time m_lastHeard{};
+    http::timer_id m_connectTimer = 0;
+};
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/peer_network.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "gateway/peer_link.h"
+#include "gateway/settings.h"
+#include "http/acceptor.h"
+#include "http/datagram_socket.h"
+#include "wire/log.h"
+
+#include <orchidlead/membership.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// What a peer network reports.
+struct peer_events
+{
+    std::function<void(const std::shared_ptr<peer_link> &, peer_frame &&)> onFrame;
+    std::function<void(const std::shared_ptr<peer_link> &)> onLinkClosed;
+    std::function<void(const vm_id &, std::uint64_t version)> onPeerVersion;
+};
+
+/// The other gateways: who is there, and links to them.
+///
+/// Members find each other through first contacts and gossip; nothing lists them. What a node
+/// believes is soft: roles go to whom it believes alive, and moving one loses nothing but time.
+class peer_network
+{
+public:
+    peer_network(http::io_loop &loop, wire::log &log, const gateway_settings &settings,
+                 std::uint64_t incarnation, peer_events events);
+
+    [[nodiscard]] std::optional<http::listen_error> start();
+
+    /// Gives the node that hosts a service's stage pool as this node sees it; may be itself.
+    [[nodiscard]] vm_id hostOf(const service_id &service) const;
+    [[nodiscard]] const vm_id &self() const { return m_self; }
+    /// Gives a link to a peer, opened if there is none; null where nothing is known of the peer.
+    [[nodiscard]] std::shared_ptr<peer_link> linkTo(const vm_id &peer);
+    /// The peer at the other end of a link that this node opened.
+    [[nodiscard]] std::optional<vm_id> peerOf(const std::shared_ptr<peer_link> &link) const;
+    /// A peer didn't answer: it gets no role for a while.
+    void avoid(const vm_id &peer);
+    /// Peers that are believed alive, nearest first.
+    [[nodiscard]] std::vector<vm_id> peers() const;
+    /// How many nodes there may be, this one and those given up lately included.
+    [[nodiscard]] std::size_t nodes() const;
+    void setVersion(std::uint64_t version);
+    void announceLeaving();
+    void announceStopped();
+
+private:
+    void tick();
+    void contactOthers();
+    void carryOut(const membership_actions &actions);
+    void onMemberChanged(const member_changed &change);
+    void accept(std::shared_ptr<http::stream_socket> socket);
+    [[nodiscard]] peer_link::events linkEvents();
+    [[nodiscard]] bool avoided(const vm_id &peer) const;
+
+    http::io_loop &m_loop;
+    wire::log &m_log;
+    vm_id m_self;
+    data_center_id m_dataCenter;
+    socket_address m_address;
+    std::vector<socket_address> m_firstContacts;
+    peer_events m_events;
+    membership m_members;
+    std::unique_ptr<http::datagram_socket> m_datagrams;
+    std::unique_ptr<http::acceptor> m_acceptor;
+    std::map<vm_id, std::shared_ptr<peer_link>> m_links; ///< opened by this node
+    std::map<vm_id, steady_time> m_avoided;
+    steady_time m_nextContact{};
+};
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/stage_router.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "gateway/peer_network.h"
+#include "gateway/stage_host.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// Brings each piece to the node that hosts its service's stage pool, so that the pieces of all
+/// nodes share calls.
+///
+/// A host is held to nothing: when its link ends or falls silent, pieces are submitted again to
+/// whoever is the host then, at last to this node itself. A piece may be done twice so.
+template <gateway_codec Codec>
+class stage_router
+{
+public:
+    using piece_handler = typename stage_host<Codec>::piece_handler;
+
+    stage_router(http::io_loop &loop, wire::log &log, peer_network &peers, stage_host<Codec> &host,
+                 retry_allowance &allowance);
+
+    piece_token submit(const service_id &service, piece_job job, piece_handler handler);
+    void withdraw(piece_token token);
+    void free(const std::vector<std::string> &handles) { m_host.free(handles); }
+
+    /// A frame about pieces; others are ignored.
+    void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
+    void onLinkClosed(const std::shared_ptr<peer_link> &link);
+    /// Looks for hosts that have fallen silent; call every 100 ms or so.
+    void tick();
+
+private:
+    using link_ptr = std::shared_ptr<peer_link>;
+
+    struct submission
+    {
+        service_id service;
+        piece_job job;
+        piece_handler handler;
+        link_ptr link; ///< to the host; null: this node
+        piece_token local = 0; ///< of the own host
+        std::uint32_t moves = 0;
+    };
+
+    void place(piece_token token, submission &entry);
+    void onOutcome(piece_token token, piece_result result);
+    void onPieceFrame(const link_ptr &link, piece_frame &&frame);
+    void onWithdrawFrame(const link_ptr &link, piece_token token);
+
+    http::io_loop &m_loop;
+    wire::log &m_log;
+    peer_network &m_peers;
+    stage_host<Codec> &m_host;
+    retry_allowance &m_allowance;
+    std::unordered_map<piece_token, submission> m_submissions;
+    std::map<link_ptr, std::unordered_map<piece_token, piece_token>> m_hosted; ///< theirs to ours
+    piece_token m_lastToken = 0;
+};
+
+} // namespace orchidlead::gateway
+
+#include "gateway/stage_router_impl.h"
--- /dev/null
+++ b/src/gateway/stage_router_impl.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include "gateway/stage_router.h"
+
+#include <set>
+#include <utility>
+
+namespace orchidlead::gateway {
+
+/// A host that owes outcomes is asked whether it is there after this silence, and given up after
+/// that: a few round trips and a lost packet, against aims of 1.6 s and more.
+inline constexpr milliseconds HostPingAfter{150};
+inline constexpr milliseconds HostSilence{600};
+/// After this many moves a piece stays with this node.
+inline constexpr std::uint32_t MaxMoves = 2;
+
+template <gateway_codec Codec>
+stage_router<Codec>::stage_router(http::io_loop &loop, wire::log &log, peer_network &peers,
+                                  stage_host<Codec> &host, retry_allowance &allowance)
+    : m_loop(loop)
+    , m_log(log)
+    , m_peers(peers)
+    , m_host(host)
+    , m_allowance(allowance)
+{ }
+
+template <gateway_codec Codec>
+piece_token stage_router<Codec>::submit(const service_id &service, piece_job job,
+                                        piece_handler handler)
+{
+    const auto token = ++m_lastToken;
+    auto &entry = m_submissions[token];
+    entry.service = service;
+    entry.job = std::move(job);
+    entry.handler = std::move(handler);
+    place(token, entry);
+    return token;
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::place(piece_token token, submission &entry)
+{
+    const auto host = entry.moves < MaxMoves ? m_peers.hostOf(entry.service) : m_peers.self();
+    entry.link = host == m_peers.self() ? nullptr : m_peers.linkTo(host);
+    if (!entry.link) {
+        entry.local = m_host.submit(entry.service, entry.job, [this, token](piece_result result) {
+            onOutcome(token, std::move(result));
+        });
+        return;
+    }
+    const auto now = m_loop.now();
+    const auto leftUntil = [now](steady_time due) {
+        return std::chrono::duration_cast<milliseconds>(due - now);
+    };
+    entry.link->send(piece_frame{token, entry.service, entry.job.request, entry.job.priority,
+                                 leftUntil(entry.job.aim), leftUntil(entry.job.deadline),
+                                 entry.job.near});
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::onOutcome(piece_token token, piece_result result)
+{
+    const auto found = m_submissions.find(token);
+    if (found == m_submissions.end()) {
+        if (const auto *handle = std::get_if<std::string>(&result))
+            m_host.free({*handle});
+        return;
+    }
+    const auto handler = std::move(found->second.handler);
+    m_submissions.erase(found);
+    handler(std::move(result));
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::withdraw(piece_token token)
+{
+    const auto found = m_submissions.find(token);
+    if (found == m_submissions.end())
+        return;
+    if (found->second.link)
+        found->second.link->send(withdraw_frame{token});
+    else
+        m_host.withdraw(found->second.local);
+    m_submissions.erase(found);
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::onFrame(const link_ptr &link, peer_frame &&frame)
+{
+    if (auto *piece = std::get_if<piece_frame>(&frame))
+        onPieceFrame(link, std::move(*piece));
+    else if (const auto *withdrawn = std::get_if<withdraw_frame>(&frame))
+        onWithdrawFrame(link, withdrawn->token);
+    else if (auto *outcome = std::get_if<outcome_frame>(&frame))
+        onOutcome(outcome->token, std::move(outcome->result));
+    else if (std::holds_alternative<ping_frame>(frame))
+        link->send(pong_frame{});
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::onPieceFrame(const link_ptr &link, piece_frame &&frame)
+{
+    const auto now = m_loop.now();
+    const auto theirs = frame.token;
+    piece_job job;
+    job.request = std::move(frame.request);
+    job.priority = frame.priority;
+    job.aim = now + frame.aimLeft;
+    job.deadline = now + frame.deadlineLeft;
+    job.near = frame.near;
+    auto handler = [this, weak = std::weak_ptr(link), theirs](piece_result result) {
+        const auto target = weak.lock();
+        if (!target)
+            return;
+        m_hosted[target].erase(theirs);
+        target->send(outcome_frame{theirs, std::move(result)});
+    };
+    m_hosted[link][theirs] = m_host.submit(frame.service, std::move(job), std::move(handler));
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::onWithdrawFrame(const link_ptr &link, piece_token token)
+{
+    auto &hosted = m_hosted[link];
+    const auto found = hosted.find(token);
+    if (found == hosted.end())
+        return;
+    m_host.withdraw(found->second);
+    hosted.erase(found);
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::onLinkClosed(const link_ptr &link)
+{
+    if (const auto found = m_hosted.find(link); found != m_hosted.end()) {
+        for (const auto &[theirs, ours] : found->second)
+            m_host.withdraw(ours);
+        m_hosted.erase(found);
+    }
+    std::vector<piece_token> lost;
+    for (const auto &[token, entry] : m_submissions) {
+        if (entry.link == link)
+            lost.push_back(token);
+    }
+    if (lost.empty())
+        return;
+    m_log.write(wire::log_level::Warning,
+                m_log.line(wire::log_level::Warning, "stage_host_lost").add("pieces", lost.size()));
+    for (const auto token : lost) {
+        const auto found = m_submissions.find(token);
+        if (found == m_submissions.end())
+            continue;
+        ++found->second.moves;
+        m_allowance.onForced(found->second.service, 1);
+        place(token, found->second);
+    }
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::tick()
+{
+    std::set<link_ptr> owing;
+    for (const auto &[token, entry] : m_submissions) {
+        if (entry.link)
+            owing.insert(entry.link);
+    }
+    for (const auto &link : owing) {
+        const auto silent = m_loop.now() - link->lastHeard();
+        if (silent > HostSilence)
+            link->close();
+        else if (silent > HostPingAfter)
+            link->send(ping_frame{});
+    }
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/http/datagram_socket.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "http/io_loop.h"
+
+#include <orchidlead/ids.h>
+#include <orchidlead/result.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace orchidlead::http {
+
+/// Says what the operating system refused.
+struct datagram_error
+{
+    std::string what;
+};
+
+/// Sends and receives datagrams on one address.
+class datagram_socket
+{
+public:
+    using receiver = std::function<void(const socket_address &from, std::string_view bytes)>;
+
+    [[nodiscard]] static result<std::unique_ptr<datagram_socket>, datagram_error>
+    create(io_loop &loop, const socket_address &at, receiver onDatagram);
+    ~datagram_socket();
+    datagram_socket(const datagram_socket &) = delete;
+    datagram_socket &operator=(const datagram_socket &) = delete;
+
+    /// Sends at once or drops: datagrams may be lost anyway.
+    void send(const socket_address &to, std::string_view bytes);
+
+private:
+    class implementation;
+    explicit datagram_socket(std::shared_ptr<implementation> made);
+    std::shared_ptr<implementation> m_implementation;
+};
+
+} // namespace orchidlead::http
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -1,40 +1,34 @@
 #pragma once
 
+#include "http/acceptor.h"
 #include "http/inbound_connection.h"
 
-#include <orchidlead/result.h>
-
 #include <memory>
-#include <string>
 #include <vector>
 
 namespace orchidlead::http {
 
-/// Says what the operating system refused.
-struct listen_error
-{
-    std::string what;
-};
-
-/// Accepts client connections on one address.
+/// Accepts client connections on one address and serves HTTP on them.
 class listener
 {
 public:
     /// `shared` holds the limits and the handler; it may be changed while the listener runs.
     [[nodiscard]] static result<std::unique_ptr<listener>, listen_error>
     create(io_loop &loop, const socket_address &at, std::shared_ptr<inbound_shared> shared);
-    ~listener();
 
-    [[nodiscard]] std::uint16_t port() const;
+    [[nodiscard]] std::uint16_t port() const { return m_acceptor->port(); }
     /// Closes the connections that have no request.
     void closeIdle();
-    /// Accepts no more; open connections go on.
-    void stop();
 
 private:
-    class implementation;
-    explicit listener(std::shared_ptr<implementation> made);
-    std::shared_ptr<implementation> m_implementation;
+    listener(io_loop &loop, std::shared_ptr<inbound_shared> shared);
+    void take(std::shared_ptr<stream_socket> socket);
+
+    io_loop &m_loop;
+    std::shared_ptr<inbound_shared> m_shared;
+    std::unique_ptr<acceptor> m_acceptor;
+    std::vector<std::weak_ptr<inbound_connection>> m_connections;
+    std::size_t m_sweepAt;
 };
 
 } // namespace orchidlead::http
