Count the room of stage results at the pool, and free results through its host

Ruled out: asking servers for their free room (each question is priced as a probe).

Change: the pool reserves the published size of a result when a call is made, until the result is freed or lapses; pieces that don't fit let smaller ones pass. Frees go to the host of the service, which sends them on together.

--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -154,6 +154,7 @@
         job.priority = m_priority;
         job.aim = m_arrival + m_route->objective;
         job.deadline = m_end;
+        job.resultBytes = m_route->stages[stage].resultBytes;
         job.request = std::move(each.request);
         if (!job.request.inputs.empty())
             job.near = whereResultLies(job.request.inputs.front());
@@ -214,7 +215,8 @@
 data_center_id exchange<Codec>::whereResultLies(const std::string &handle) const
 {
     const auto holder = parseSocketAddress(holderOf(handle));
-    return holder ? m_context.directory.dataCenterOf(*holder) : data_center_id{};
+    const auto server = holder ? m_context.directory.findAt(*holder) : nullptr;
+    return server ? server->record.dataCenter : data_center_id{};
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -51,7 +51,7 @@
                },
                [this](const std::shared_ptr<peer_link> &link) { m_router.onLinkClosed(link); },
                [this](const vm_id &peer, std::uint64_t version) { onPeerVersion(peer, version); }})
-    , m_router(loop, log, m_peers, m_stages, m_allowance)
+    , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance)
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -23,6 +23,7 @@
     Pong = 5,
     PublicationRequest = 6,
     Publication = 7,
+    Free = 8,
 };
 
 constexpr std::uint64_t DoneCode = 0;
@@ -55,7 +56,7 @@
 
 void pack(packer &out, const piece_frame &frame)
 {
-    packKind(out, frame_kind::Piece, 11);
+    packKind(out, frame_kind::Piece, 12);
     out.pack(frame.token);
     out.pack(frame.service.value);
     out.pack(frame.request.attempt);
@@ -67,6 +68,13 @@
     packDuration(out, frame.aimLeft);
     packDuration(out, frame.deadlineLeft);
     out.pack(frame.near.value);
+    out.pack(frame.resultBytes);
+}
+
+void pack(packer &out, const free_frame &frame)
+{
+    packKind(out, frame_kind::Free, 1);
+    out.pack(frame.handles);
 }
 
 void pack(packer &out, const withdraw_frame &frame)
@@ -168,6 +176,7 @@
     frame.aimLeft = in.duration();
     frame.deadlineLeft = in.duration();
     frame.near = data_center_id(in.read<std::string>());
+    frame.resultBytes = in.read<std::uint64_t>();
     return frame;
 }
 
@@ -236,6 +245,8 @@
         return publication_request{};
     case frame_kind::Publication:
         return readPublication(in);
+    case frame_kind::Free:
+        return free_frame{in.read<std::vector<std::string>>()};
     }
     in.fail();
     return ping_frame{};
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -25,6 +25,7 @@
     milliseconds aimLeft{0}; ///< negative: it is over
     milliseconds deadlineLeft{0};
     data_center_id near;
+    std::uint64_t resultBytes = 0; ///< about
 };
 
 /// The sender doesn't need the piece any more.
@@ -40,6 +41,12 @@
     piece_result result;
 };
 
+/// Gives results up; the receiver hosts their service.
+struct free_frame
+{
+    std::vector<std::string> handles;
+};
+
 /// Asks whether the receiver is there.
 struct ping_frame
 { };
@@ -57,7 +64,7 @@
 };
 
 using peer_frame = std::variant<piece_frame, withdraw_frame, outcome_frame, ping_frame, pong_frame,
-                                publication_request, publication_frame>;
+                                publication_request, publication_frame, free_frame>;
 
 /// Says why bytes aren't a frame.
 struct frame_error
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -82,13 +82,13 @@
     return servers;
 }
 
-data_center_id server_directory::dataCenterOf(const socket_address &address) const
+server_ptr server_directory::findAt(const socket_address &address) const
 {
     for (const auto &[id, each] : m_servers) {
-        if (each->record.address == address)
-            return each->record.dataCenter;
+        if (each->record.address == address && !each->gone)
+            return each;
     }
-    return {};
+    return nullptr;
 }
 
 std::vector<server_ptr> server_directory::usable(const service_id &service) const
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -74,8 +74,8 @@
     [[nodiscard]] server_ptr find(const backend_server_id &id) const;
     /// All servers that are published, by id.
     [[nodiscard]] std::vector<server_ptr> all() const;
-    /// Gives where the server with that address is; empty where none has it.
-    [[nodiscard]] data_center_id dataCenterOf(const socket_address &address) const;
+    /// Finds the server that has that address now.
+    [[nodiscard]] server_ptr findAt(const socket_address &address) const;
     /// Servers of a service that may get new work.
     [[nodiscard]] std::vector<server_ptr> usable(const service_id &service) const;
 
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -203,6 +203,10 @@
 template <gateway_codec Codec>
 void stage_host<Codec>::free(const std::vector<std::string> &handles)
 {
+    for (const auto &each : handles) {
+        for (auto &[service, pool] : m_pools)
+            pool->onFreed(each);
+    }
     for (const auto &each : handles)
         m_frees[holderOf(each)].push_back(each);
     if (m_freeTimer == 0 && !m_frees.empty())
@@ -236,6 +240,10 @@
         const auto call = m_pool.start(*address, std::move(made));
         m_loop.callAfter(FreeTimeout, [this, call] { m_pool.abandon(call); });
     }
+    for (const auto &[service, pool] : m_pools) {
+        if (pool->waiting() > 0)
+            schedulePump(service);
+    }
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -1,7 +1,6 @@
 #include "gateway/stage_pool.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -18,6 +17,9 @@
 // are slow for a while take up to five times as long; giving such a call up wastes what is done.
 constexpr int TimeoutFactor = 4;
 constexpr milliseconds TimeoutSlack{500};
+// Cost of a server that is avoided, and of one elsewhere than the inputs, in slownesses.
+constexpr double AvoidedCost = 100.0;
+constexpr double RemoteCost = 0.1;
 // Weight of the newest call in the average of a server's slowness.
 constexpr double LearnWeight = 0.3;
 
@@ -62,55 +64,79 @@
     return m_capacity.callTime + m_capacity.pieceTime * static_cast<int>(pieces);
 }
 
-server_ptr stage_pool::pickServer(const std::vector<server_ptr> &servers,
-                                  const data_center_id &near)
+std::vector<server_ptr> stage_pool::freeServers(const std::vector<server_ptr> &servers,
+                                                const data_center_id &near)
 {
     const auto now = m_clock.now();
-    server_ptr best;
-    double bestCost = std::numeric_limits<double>::max();
+    std::vector<std::pair<double, server_ptr>> ranked;
     for (const auto &each : servers) {
         const auto &state = m_servers[each->record.id];
         if (state.calls > 0 || state.busyUntil > now)
             continue;
         double cost = each->slowness;
         if (each->avoidUntil > now)
-            cost += 100.0;
+            cost += AvoidedCost;
         if (!near.empty() && each->record.dataCenter != near)
-            cost += 0.1;
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = each;
-        }
+            cost += RemoteCost;
+        ranked.emplace_back(cost, each);
     }
-    return best;
+    std::ranges::stable_sort(ranked, {}, [](const auto &each) { return each.first; });
+    std::vector<server_ptr> free;
+    for (const auto &[cost, each] : ranked)
+        free.push_back(each);
+    return free;
+}
+
+// Pieces that don't fit wait for a server that has room, or for room here; smaller ones pass them.
+std::vector<piece_job> stage_pool::takeFitting(const server_state &state)
+{
+    const auto room = m_capacity.roomBytes > state.held ? m_capacity.roomBytes - state.held : 0;
+    const bool bounded = m_capacity.roomBytes > 0;
+    std::uint64_t bytes = 0;
+    std::vector<piece_job> taken;
+    std::erase_if(m_waiting, [&](piece_job &job) {
+        if (taken.size() >= std::max(1U, m_capacity.batch))
+            return false;
+        if (bounded && bytes + job.resultBytes > room)
+            return false;
+        bytes += job.resultBytes;
+        taken.push_back(std::move(job));
+        return true;
+    });
+    return taken;
 }
 
 std::optional<stage_call> stage_pool::next(const std::vector<server_ptr> &servers)
 {
     if (m_waiting.empty())
         return std::nullopt;
-    const auto first = std::ranges::min_element(
-        m_waiting, [this](const piece_job &a, const piece_job &b) { return before(a, b); });
-    const auto chosen = pickServer(servers, first->near);
-    if (!chosen)
-        return std::nullopt;
+    dropLapsed();
     std::ranges::stable_sort(
         m_waiting, [this](const piece_job &a, const piece_job &b) { return before(a, b); });
-    const auto count = std::min<std::size_t>(m_waiting.size(), std::max(1U, m_capacity.batch));
+    for (const auto &each : freeServers(servers, m_waiting.front().near)) {
+        auto jobs = takeFitting(m_servers[each->record.id]);
+        if (!jobs.empty())
+            return makeCall(each, std::move(jobs));
+    }
+    return std::nullopt;
+}
+
+stage_call stage_pool::makeCall(const server_ptr &chosen, std::vector<piece_job> jobs)
+{
     open_call call;
     call.server = chosen;
     call.began = m_clock.now();
-    call.expected = expectedTime(count);
-    call.jobs.assign(
-        std::make_move_iterator(m_waiting.begin()),
-        std::make_move_iterator(m_waiting.begin() + static_cast<std::ptrdiff_t>(count)));
-    m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(count));
+    call.expected = expectedTime(jobs.size());
+    call.jobs = std::move(jobs);
+    auto &state = m_servers[chosen->record.id];
+    ++state.calls;
 
     stage_call made;
     made.id = ++m_lastCall;
     made.server = chosen;
     for (auto &job : call.jobs) {
         ++job.tries;
+        state.held += job.resultBytes;
         made.pieces.push_back(job.request);
         made.pieces.back().patience =
             std::chrono::duration_cast<milliseconds>(job.deadline - call.began);
@@ -118,11 +144,42 @@
     const double slow = std::max(1.0, chosen->slowness);
     made.timeout = std::chrono::duration_cast<milliseconds>(call.expected * TimeoutFactor * slow)
         + TimeoutSlack;
-    ++m_servers[chosen->record.id].calls;
     m_calls.emplace(made.id, std::move(call));
     return made;
 }
 
+void stage_pool::hold(const backend_server_id &server, const std::string &handle,
+                      std::uint64_t bytes)
+{
+    m_results[handle] = {server, bytes, m_clock.now() + m_capacity.resultLifetime};
+}
+
+void stage_pool::release(const backend_server_id &server, std::uint64_t bytes)
+{
+    auto &state = m_servers[server];
+    state.held -= std::min(state.held, bytes);
+}
+
+void stage_pool::onFreed(const std::string &handle)
+{
+    const auto found = m_results.find(handle);
+    if (found == m_results.end())
+        return;
+    release(found->second.server, found->second.bytes);
+    m_results.erase(found);
+}
+
+void stage_pool::dropLapsed()
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_results, [&](const auto &entry) {
+        if (entry.second.lapses > now)
+            return false;
+        release(entry.second.server, entry.second.bytes);
+        return true;
+    });
+}
+
 void stage_pool::learn(const open_call &call)
 {
     const auto took = std::chrono::duration<double>(m_clock.now() - call.began);
@@ -155,9 +212,16 @@
     --state.calls;
     if (how == stage_call_end::NotRun || how == stage_call_end::NotSent)
         state.busyUntil = m_clock.now() + RefusedPause;
+    const auto &server = call.server->record.id;
     if (how != stage_call_end::Answered || results.size() != call.jobs.size()) {
-        for (auto &job : call.jobs)
+        for (auto &job : call.jobs) {
+            // What a lost answer held may be there all the same.
+            if (how == stage_call_end::Broken)
+                hold(server, "unnamed-" + std::to_string(++m_unnamed), job.resultBytes);
+            else
+                release(server, job.resultBytes);
             again(std::move(job), how, out);
+        }
         return out;
     }
     learn(call);
@@ -166,6 +230,10 @@
         const auto *failure = std::get_if<piece_failure>(&results[i]);
         const bool retry =
             failure && (*failure == piece_failure::NoRoom || *failure == piece_failure::Error);
+        if (failure)
+            release(server, job.resultBytes);
+        else
+            hold(server, std::get<std::string>(results[i]), job.resultBytes);
         if (failure && *failure == piece_failure::NoRoom)
             state.busyUntil = m_clock.now() + NoRoomPause;
         if (retry)
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -8,6 +8,8 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace orchidlead::gateway {
@@ -25,6 +27,7 @@
     steady_time aim{}; ///< its request earns full credit until then
     steady_time deadline{}; ///< and nothing later
     data_center_id near; ///< where its inputs lie
+    std::size_t resultBytes = 0; ///< about
     std::uint32_t tries = 0;
 };
 
@@ -57,6 +60,9 @@
 /// A call takes its time whatever it holds, so pieces wait for a free server together: by priority,
 /// then those whose aim can still be met, then by aim. One call at a time goes to a server: more
 /// would only wait there, and couldn't take in pieces that come meanwhile.
+///
+/// Results take room at their server until they are freed or lapse. The pool counts it, so that a
+/// call isn't made for results that have no room.
 class stage_pool
 {
 public:
@@ -73,6 +79,8 @@
     /// again wait on. Gives what became of the others.
     [[nodiscard]] std::vector<piece_outcome> onEnd(stage_call_id call, stage_call_end how,
                                                    const std::vector<piece_result> &results);
+    /// A result was given up at its server.
+    void onFreed(const std::string &handle);
     /// Drops pieces whose deadline is over.
     [[nodiscard]] std::vector<piece_outcome> expire();
 
@@ -93,11 +101,23 @@
     {
         std::uint32_t calls = 0; ///< open now
         steady_time busyUntil{}; ///< refused: not asked before
+        std::uint64_t held = 0; ///< bytes of results, those being made included
+    };
+    struct held_result
+    {
+        backend_server_id server;
+        std::uint64_t bytes = 0;
+        steady_time lapses;
     };
 
     [[nodiscard]] bool before(const piece_job &a, const piece_job &b) const;
-    [[nodiscard]] server_ptr pickServer(const std::vector<server_ptr> &servers,
-                                        const data_center_id &near);
+    [[nodiscard]] std::vector<server_ptr> freeServers(const std::vector<server_ptr> &servers,
+                                                      const data_center_id &near);
+    [[nodiscard]] std::vector<piece_job> takeFitting(const server_state &state);
+    [[nodiscard]] stage_call makeCall(const server_ptr &chosen, std::vector<piece_job> jobs);
+    void hold(const backend_server_id &server, const std::string &handle, std::uint64_t bytes);
+    void release(const backend_server_id &server, std::uint64_t bytes);
+    void dropLapsed();
     [[nodiscard]] std::chrono::microseconds expectedTime(std::size_t pieces) const;
     void learn(const open_call &call);
     void again(piece_job job, stage_call_end how, std::vector<piece_outcome> &out);
@@ -109,6 +129,8 @@
     std::vector<piece_job> m_waiting;
     std::map<stage_call_id, open_call> m_calls;
     std::map<backend_server_id, server_state> m_servers;
+    std::unordered_map<std::string, held_result> m_results; ///< by handle
+    std::uint64_t m_unnamed = 0; ///< results of calls whose answer was lost
     stage_call_id m_lastCall = 0;
 };
 
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -23,11 +23,12 @@
     using piece_handler = typename stage_host<Codec>::piece_handler;
 
     stage_router(http::io_loop &loop, wire::log &log, peer_network &peers, stage_host<Codec> &host,
-                 retry_allowance &allowance);
+                 server_directory &directory, retry_allowance &allowance);
 
     piece_token submit(const service_id &service, piece_job job, piece_handler handler);
     void withdraw(piece_token token);
-    void free(const std::vector<std::string> &handles) { m_host.free(handles); }
+    /// Gives results up, through the hosts of their services, which count them.
+    void free(const std::vector<std::string> &handles);
 
     /// A frame about pieces; others are ignored.
     void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
@@ -57,6 +58,7 @@
     wire::log &m_log;
     peer_network &m_peers;
     stage_host<Codec> &m_host;
+    server_directory &m_directory;
     retry_allowance &m_allowance;
     std::unordered_map<piece_token, submission> m_submissions;
     std::map<link_ptr, std::unordered_map<piece_token, piece_token>> m_hosted; ///< theirs to ours
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -16,11 +16,13 @@
 
 template <gateway_codec Codec>
 stage_router<Codec>::stage_router(http::io_loop &loop, wire::log &log, peer_network &peers,
-                                  stage_host<Codec> &host, retry_allowance &allowance)
+                                  stage_host<Codec> &host, server_directory &directory,
+                                  retry_allowance &allowance)
     : m_loop(loop)
     , m_log(log)
     , m_peers(peers)
     , m_host(host)
+    , m_directory(directory)
     , m_allowance(allowance)
 { }
 
@@ -54,7 +56,28 @@
     };
     entry.link->send(piece_frame{token, entry.service, entry.job.request, entry.job.priority,
                                  leftUntil(entry.job.aim), leftUntil(entry.job.deadline),
-                                 entry.job.near});
+                                 entry.job.near, entry.job.resultBytes});
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::free(const std::vector<std::string> &handles)
+{
+    std::map<service_id, std::vector<std::string>> byService;
+    for (const auto &each : handles) {
+        const auto address = parseSocketAddress(holderOf(each));
+        const auto holder = address ? m_directory.findAt(*address) : nullptr;
+        // The results of a server that has gone went with it.
+        if (holder)
+            byService[holder->record.service].push_back(each);
+    }
+    for (auto &[service, list] : byService) {
+        const auto host = m_peers.hostOf(service);
+        const auto link = host == m_peers.self() ? nullptr : m_peers.linkTo(host);
+        if (link)
+            link->send(free_frame{std::move(list)});
+        else
+            m_host.free(list);
+    }
 }
 
 template <gateway_codec Codec>
@@ -93,6 +116,8 @@
         onWithdrawFrame(link, withdrawn->token);
     else if (auto *outcome = std::get_if<outcome_frame>(&frame))
         onOutcome(outcome->token, std::move(outcome->result));
+    else if (const auto *freed = std::get_if<free_frame>(&frame))
+        m_host.free(freed->handles);
     else if (std::holds_alternative<ping_frame>(frame))
         link->send(pong_frame{});
 }
@@ -108,6 +133,7 @@
     job.aim = now + frame.aimLeft;
     job.deadline = now + frame.deadlineLeft;
     job.near = frame.near;
+    job.resultBytes = frame.resultBytes;
     auto handler = [this, weak = std::weak_ptr(link), theirs](piece_result result) {
         const auto target = weak.lock();
         if (!target)
