Give a stage host up only when it leaves a question unanswered

Cause: the silence of a host was counted from when its link was last used, so the first piece after a quiet second gave a living host up.

Ruled out: disagreement on who is alive (each node's member lines agree from 10 s before traffic on).

Change: a link that owes an outcome is asked for a sign of life; only an unanswered question counts.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -69,6 +69,7 @@
     void startStages();
     void submitReadyPieces();
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_result result);
+    void restartStages(std::string_view reason);
     void onStagesDone();
     void withdrawPieces();
     void freeResults();
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -179,15 +179,26 @@
     }
     const auto failure = std::get<piece_failure>(result);
     if (failure == piece_failure::InputGone && !std::exchange(m_stagesRestarted, true)) {
-        withdrawPieces();
-        freeResults();
-        m_work->restart();
-        submitReadyPieces();
+        restartStages("input_gone");
         return;
     }
     giveUp(toName(failure));
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::restartStages(std::string_view reason)
+{
+    m_context.log.write(wire::log_level::Info,
+                        m_context.log.line(wire::log_level::Info, "stages_restarted")
+                            .add("request", m_marks.attempt)
+                            .add("reason", reason));
+    withdrawPieces();
+    freeResults();
+    m_needsStages = false;
+    m_work->restart();
+    submitReadyPieces();
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::onStagesDone()
 {
@@ -242,9 +253,7 @@
         return;
     }
     if (m_needsStages) {
-        m_needsStages = false;
-        m_work->restart();
-        submitReadyPieces();
+        restartStages("results_freed");
         return;
     }
     m_server = chooseServer();
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -60,6 +60,14 @@
     });
 }
 
+void peer_link::ask()
+{
+    if (m_askedAt)
+        return;
+    m_askedAt = m_loop.now();
+    send(ping_frame{});
+}
+
 void peer_link::flush()
 {
     if (!m_socket || m_out.empty())
@@ -72,6 +80,7 @@
 {
     const auto self = shared_from_this();
     m_lastHeard = m_loop.now();
+    m_askedAt.reset();
     auto frames = m_frames.feed(bytes);
     if (!frames) {
         end();
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace orchidlead::gateway {
@@ -29,8 +30,12 @@
     void send(const peer_frame &frame);
     void close();
     [[nodiscard]] bool isOpen() const { return m_socket != nullptr; }
+    /// Asks the peer for a sign of life, unless it was asked already and hasn't answered.
+    void ask();
     /// When something last came from the peer, or the link was opened.
     [[nodiscard]] steady_time lastHeard() const { return m_lastHeard; }
+    /// Since when a sign of life is awaited; empty: none is.
+    [[nodiscard]] const std::optional<steady_time> &askedAt() const { return m_askedAt; }
 
 private:
     void onConnected() override;
@@ -48,6 +53,7 @@
     bool m_connected = false;
     bool m_flushPosted = false;
     steady_time m_lastHeard{};
+    std::optional<steady_time> m_askedAt;
     http::timer_id m_connectTimer = 0;
 };
 
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -56,6 +56,8 @@
     void make(const service_id &service, const stage_call &call);
     void onCallEnd(const service_id &service, const stage_call &call, const call_answer &answer,
                    http::call_end how);
+    void logFailedPieces(const service_id &service, const stage_call &call,
+                         const std::vector<piece_result> &results);
     void deliver(const std::vector<piece_outcome> &outcomes);
     void flushFrees();
 
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -180,10 +180,32 @@
                         .add("pieces", call.pieces.size())
                         .add("status", answer.status)
                         .add("end", toName(how)));
+    logFailedPieces(service, call, results);
     deliver(poolOf(service).onEnd(call.id, end, results));
     pump(service);
 }
 
+template <gateway_codec Codec>
+void stage_host<Codec>::logFailedPieces(const service_id &service, const stage_call &call,
+                                        const std::vector<piece_result> &results)
+{
+    std::map<piece_failure, std::size_t> counts;
+    for (const auto &each : results) {
+        if (const auto *failure = std::get_if<piece_failure>(&each))
+            ++counts[*failure];
+    }
+    for (const auto &[failure, count] : counts) {
+        m_log.write(wire::log_level::Info,
+                    m_log.line(wire::log_level::Info, "pieces_failed")
+                        .add("service", service.value)
+                        .add("server", call.server->record.id.value)
+                        .add("reason", toName(failure))
+                        .add("count", count)
+                        .add("of", results.size())
+                        .add("held_bytes", poolOf(service).heldAt(call.server->record.id)));
+    }
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::deliver(const std::vector<piece_outcome> &outcomes)
 {
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -169,6 +169,12 @@
     m_results.erase(found);
 }
 
+std::uint64_t stage_pool::heldAt(const backend_server_id &server) const
+{
+    const auto found = m_servers.find(server);
+    return found == m_servers.end() ? 0 : found->second.held;
+}
+
 void stage_pool::dropLapsed()
 {
     const auto now = m_clock.now();
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -86,6 +86,8 @@
 
     /// When `next` may give a call though nothing else happens.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
+    /// Bytes of results that a server is taken to hold.
+    [[nodiscard]] std::uint64_t heldAt(const backend_server_id &server) const;
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
     [[nodiscard]] std::size_t callsOpen() const { return m_calls.size(); }
 
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -7,8 +7,9 @@
 
 namespace orchidlead::gateway {
 
-/// A host that owes outcomes is asked whether it is there after this silence, and given up after
-/// that: a few round trips and a lost packet, against aims of 1.6 s and more.
+/// A host that owes outcomes is asked whether it is there after this silence, and given up when it
+/// hasn't answered for so long: a few round trips and a lost packet, against aims of 1.6 s and
+/// more.
 inline constexpr milliseconds HostPingAfter{150};
 inline constexpr milliseconds HostSilence{600};
 /// After this many moves a piece stays with this node.
@@ -191,11 +192,11 @@
             owing.insert(entry.link);
     }
     for (const auto &link : owing) {
-        const auto silent = m_loop.now() - link->lastHeard();
-        if (silent > HostSilence)
+        const auto now = m_loop.now();
+        if (link->askedAt() && now - *link->askedAt() > HostSilence)
             link->close();
-        else if (silent > HostPingAfter)
-            link->send(ping_frame{});
+        else if (now - link->lastHeard() > HostPingAfter)
+            link->ask();
     }
 }
 
