--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -156,8 +156,8 @@
         job.deadline = m_end;
         job.resultBytes = m_route->stages[stage].resultBytes;
         job.request = std::move(each.request);
-        if (!job.request.inputs.empty())
-            job.near = whereResultLies(job.request.inputs.front());
+        job.near = job.request.inputs.empty() ? m_context.dataCenter
+                                              : whereResultLies(job.request.inputs.front());
         auto handler = [self = this->shared_from_this(), stage, piece](piece_result result) {
             self->onPiece(stage, piece, std::move(result));
         };
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -20,6 +20,8 @@
 // Cost of a server that is avoided, and of one elsewhere than the inputs, in slownesses.
 constexpr double AvoidedCost = 100.0;
 constexpr double RemoteCost = 0.1;
+// A piece whose inputs lie elsewhere gives way to pieces that are due this much later: about a call.
+constexpr milliseconds AwayPenalty{250};
 // Weight of the newest call in the average of a server's slowness.
 constexpr double LearnWeight = 0.3;
 
@@ -47,8 +49,12 @@
     }
 }
 
-bool stage_pool::before(const piece_job &a, const piece_job &b) const
+bool stage_pool::before(const piece_job &a, const piece_job &b, const data_center_id &at) const
 {
+    const auto rank = [&](const piece_job &job) {
+        const bool away = !at.empty() && !job.near.empty() && job.near != at;
+        return job.aim + (away ? AwayPenalty : milliseconds{0});
+    };
     const auto now = m_clock.now();
     const bool lateA = a.aim < now;
     const bool lateB = b.aim < now;
@@ -56,7 +62,7 @@
         return lateB;
     if (a.priority != b.priority)
         return a.priority < b.priority;
-    return a.aim < b.aim;
+    return rank(a) < rank(b);
 }
 
 std::chrono::microseconds stage_pool::expectedTime(std::size_t pieces) const
@@ -88,8 +94,12 @@
 }
 
 // Pieces that don't fit wait for a server that has room, or for room here; smaller ones pass them.
-std::vector<piece_job> stage_pool::takeFitting(const server_state &state)
+std::vector<piece_job> stage_pool::takeFitting(const server &chosen)
 {
+    const auto &state = m_servers[chosen.record.id];
+    std::ranges::stable_sort(m_waiting, [&](const piece_job &a, const piece_job &b) {
+        return before(a, b, chosen.record.dataCenter);
+    });
     const auto room = m_capacity.roomBytes > state.held ? m_capacity.roomBytes - state.held : 0;
     const bool bounded = m_capacity.roomBytes > 0;
     std::uint64_t bytes = 0;
@@ -111,10 +121,10 @@
     if (m_waiting.empty())
         return std::nullopt;
     dropLapsed();
-    std::ranges::stable_sort(
-        m_waiting, [this](const piece_job &a, const piece_job &b) { return before(a, b); });
-    for (const auto &each : freeServers(servers, m_waiting.front().near)) {
-        auto jobs = takeFitting(m_servers[each->record.id]);
+    const auto first = std::ranges::min_element(
+        m_waiting, [this](const piece_job &a, const piece_job &b) { return before(a, b, {}); });
+    for (const auto &each : freeServers(servers, first->near)) {
+        auto jobs = takeFitting(*each);
         if (!jobs.empty())
             return makeCall(each, std::move(jobs));
     }
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -112,10 +112,12 @@
         steady_time lapses;
     };
 
-    [[nodiscard]] bool before(const piece_job &a, const piece_job &b) const;
+    /// The order of pieces for a server in the data centre `at`; empty: for any.
+    [[nodiscard]] bool before(const piece_job &a, const piece_job &b,
+                              const data_center_id &at) const;
     [[nodiscard]] std::vector<server_ptr> freeServers(const std::vector<server_ptr> &servers,
                                                       const data_center_id &near);
-    [[nodiscard]] std::vector<piece_job> takeFitting(const server_state &state);
+    [[nodiscard]] std::vector<piece_job> takeFitting(const server &chosen);
     [[nodiscard]] stage_call makeCall(const server_ptr &chosen, std::vector<piece_job> jobs);
     void hold(const backend_server_id &server, const std::string &handle, std::uint64_t bytes);
     void release(const backend_server_id &server, std::uint64_t bytes);
