Count room as free only when the server has freed it

Change: the account follows the server's answer to the free; frees are collected for 15 ms in place of 40.

--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -60,6 +60,7 @@
                          const std::vector<piece_result> &results);
     void deliver(const std::vector<piece_outcome> &outcomes);
     void flushFrees();
+    void onFreed(const std::vector<std::string> &handles);
 
     http::io_loop &m_loop;
     http::connection_pool &m_pool;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -8,7 +8,7 @@
 namespace orchidlead::gateway {
 
 /// How long freed handles are collected: a call for each would cost more than the room is worth.
-inline constexpr milliseconds FreeDelay{40};
+inline constexpr milliseconds FreeDelay{15};
 /// A call that frees is given up after this; the results lapse by themselves.
 inline constexpr milliseconds FreeTimeout{1000};
 
@@ -225,10 +225,6 @@
 template <gateway_codec Codec>
 void stage_host<Codec>::free(const std::vector<std::string> &handles)
 {
-    for (const auto &each : handles) {
-        for (auto &[service, pool] : m_pools)
-            pool->onFreed(each);
-    }
     for (const auto &each : handles)
         m_frees[holderOf(each)].push_back(each);
     if (m_freeTimer == 0 && !m_frees.empty())
@@ -258,11 +254,23 @@
                            {"Content-Length", std::to_string(length)}};
             return std::optional(http::formatHead(head));
         };
-        // A result that isn't freed lapses by itself: the end of the call decides nothing.
+        // Until the server has answered, the room isn't free. A result that can't be freed lapses
+        // by itself, there and in the pool's account.
+        made.onEnd = [this, freed = std::move(handles)](http::call_end how) {
+            if (how == http::call_end::Complete)
+                onFreed(freed);
+        };
         const auto call = m_pool.start(*address, std::move(made));
         m_loop.callAfter(FreeTimeout, [this, call] { m_pool.abandon(call); });
     }
-    for (const auto &[service, pool] : m_pools) {
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::onFreed(const std::vector<std::string> &handles)
+{
+    for (auto &[service, pool] : m_pools) {
+        for (const auto &each : handles)
+            pool->onFreed(each);
         if (pool->waiting() > 0)
             schedulePump(service);
     }
