Order stage pieces by the time left for what follows, and let late ones give way

Change: a piece's aim is cut by what follows it (calls of later stages, and the learnt time to a first answer); a piece that a call begun now can't bring in time is late, goes last, and is given up while others keep all servers busy. Stages whose inputs were lost begin again only while the request can be in time.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/server_directory.h"
 #include "gateway/stage_router.h"
 #include "gateway/stage_work.h"
+#include "gateway/time_estimates.h"
 #include "http/connection_pool.h"
 #include "http/inbound_connection.h"
 #include "wire/log.h"
@@ -32,6 +33,7 @@
     wire::log &log;
     data_center_id dataCenter;
     configuration_ptr configuration; ///< null until one is known
+    time_estimates times;
     std::minstd_rand random; ///< for the shares of routes
 };
 
@@ -117,6 +119,7 @@
     bool m_done = false;
 
     std::optional<stage_work> m_work;
+    std::vector<std::chrono::microseconds> m_afterStages; ///< time that follows each stage
     std::vector<piece_token> m_pieces; ///< submitted and open
     bool m_stagesRestarted = false;
     bool m_needsStages = false; ///< results were freed or lost
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -137,6 +137,7 @@
         answerOwn(status::BadRequest, "piece_counts");
         return;
     }
+    m_afterStages = m_context.times.afterStages(*m_configuration, *m_route, m_service);
     submitReadyPieces();
 }
 
@@ -152,8 +153,8 @@
         const auto stage = each.request.stage;
         const auto piece = each.request.piece;
         job.priority = m_priority;
-        job.aim = m_arrival + m_route->objective;
-        job.deadline = m_end;
+        job.aim = m_arrival + m_route->objective - m_afterStages[stage];
+        job.deadline = m_end - m_afterStages[stage];
         job.resultBytes = m_route->stages[stage].resultBytes;
         job.request = std::move(each.request);
         job.near = job.request.inputs.empty() ? m_context.dataCenter
@@ -178,7 +179,9 @@
         return;
     }
     const auto failure = std::get<piece_failure>(result);
-    if (failure == piece_failure::InputGone && !std::exchange(m_stagesRestarted, true)) {
+    // What was lost because it lay too long would only be late again.
+    const bool inTime = m_context.loop.now() < m_arrival + m_route->objective;
+    if (failure == piece_failure::InputGone && inTime && !std::exchange(m_stagesRestarted, true)) {
         restartStages("input_gone");
         return;
     }
@@ -363,8 +366,12 @@
 {
     const auto events = m_splitter.feed(bytes);
     if (!events.empty()) {
-        if (!m_begun)
+        if (!m_begun) {
+            const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
+                m_context.loop.now() - m_sentAt);
+            m_context.times.onFirstAnswer(m_service, took);
             beginAnswer();
+        }
         m_client->write(events);
         passBackpressure();
     }
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -64,6 +64,7 @@
                 log,
                 m_settings.dataCenter,
                 nullptr,
+                {},
                 std::minstd_rand{
                     static_cast<std::uint32_t>(std::hash<std::string>{}(m_settings.vm.value))}}
     , m_clients(std::make_shared<http::inbound_shared>())
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -99,8 +99,8 @@
 void stage_host<Codec>::pump(const service_id &service)
 {
     auto &pool = poolOf(service);
-    deliver(pool.expire());
     const auto servers = m_directory.usable(service);
+    deliver(pool.expire(servers.size()));
     while (const auto call = pool.next(servers))
         make(service, *call);
     m_loop.cancelTimer(std::exchange(m_wakeups[service], 0));
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -20,7 +20,8 @@
 // Cost of a server that is avoided, and of one elsewhere than the inputs, in slownesses.
 constexpr double AvoidedCost = 100.0;
 constexpr double RemoteCost = 0.1;
-// A piece whose inputs lie elsewhere gives way to pieces that are due this much later: about a call.
+// A piece whose inputs lie elsewhere gives way to pieces that are due this much later: about a
+// call.
 constexpr milliseconds AwayPenalty{250};
 // Weight of the newest call in the average of a server's slowness.
 constexpr double LearnWeight = 0.3;
@@ -49,15 +50,20 @@
     }
 }
 
+// A call that begins now ends too late for it.
+bool stage_pool::isLate(const piece_job &job) const
+{
+    return job.aim < m_clock.now() + m_capacity.callTime;
+}
+
 bool stage_pool::before(const piece_job &a, const piece_job &b, const data_center_id &at) const
 {
     const auto rank = [&](const piece_job &job) {
         const bool away = !at.empty() && !job.near.empty() && job.near != at;
         return job.aim + (away ? AwayPenalty : milliseconds{0});
     };
-    const auto now = m_clock.now();
-    const bool lateA = a.aim < now;
-    const bool lateB = b.aim < now;
+    const bool lateA = isLate(a);
+    const bool lateB = isLate(b);
     if (lateA != lateB)
         return lateB;
     if (a.priority != b.priority)
@@ -260,12 +266,15 @@
     return out;
 }
 
-std::vector<piece_outcome> stage_pool::expire()
+std::vector<piece_outcome> stage_pool::expire(std::size_t servers)
 {
     std::vector<piece_outcome> out;
     const auto now = m_clock.now();
+    const auto inTime = static_cast<std::size_t>(
+        std::ranges::count_if(m_waiting, [this](const piece_job &job) { return !isLate(job); }));
+    const bool crowded = inTime > servers * m_capacity.batch;
     std::erase_if(m_waiting, [&](const piece_job &job) {
-        if (job.deadline > now)
+        if (job.deadline > now && !(crowded && isLate(job)))
             return false;
         out.push_back({job.token, piece_failure::Late});
         return true;
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -24,7 +24,7 @@
     piece_token token = 0;
     piece_request request;
     std::uint32_t priority = 0; ///< 0: the most urgent
-    steady_time aim{}; ///< its request earns full credit until then
+    steady_time aim{}; ///< done by then, its request can still earn full credit
     steady_time deadline{}; ///< and nothing later
     data_center_id near; ///< where its inputs lie
     std::size_t resultBytes = 0; ///< about
@@ -81,8 +81,9 @@
                                                    const std::vector<piece_result> &results);
     /// A result was given up at its server.
     void onFreed(const std::string &handle);
-    /// Drops pieces whose deadline is over.
-    [[nodiscard]] std::vector<piece_outcome> expire();
+    /// Drops pieces whose deadline is over, and those that will be late where others, which can
+    /// still be in time, keep all `servers` busy.
+    [[nodiscard]] std::vector<piece_outcome> expire(std::size_t servers);
 
     /// When `next` may give a call though nothing else happens.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
@@ -115,6 +116,7 @@
     /// The order of pieces for a server in the data centre `at`; empty: for any.
     [[nodiscard]] bool before(const piece_job &a, const piece_job &b,
                               const data_center_id &at) const;
+    [[nodiscard]] bool isLate(const piece_job &job) const;
     [[nodiscard]] std::vector<server_ptr> freeServers(const std::vector<server_ptr> &servers,
                                                       const data_center_id &near);
     [[nodiscard]] std::vector<piece_job> takeFitting(const server &chosen);
