Place requests on engines by one board that knows the requests of all nodes

Cause: each node chose engines by its own requests and old loads.

Change: the node that hosts an engine service keeps a board: prompts being read, streams, parts that each engine keeps. A request goes where it costs least, counted in tokens: what is missing, what is read before it, streams that a prompt longer than a chunk would hold up, inputs that would cross.

--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -75,13 +75,20 @@
     milliseconds resultLifetime{0}; ///< from the end of the call
 };
 
+/// How one backend server of a service runs models.
+struct engine_capacity
+{
+    std::uint32_t slots = 1; ///< requests at once
+    std::uint64_t tokenCapacity = 0; ///< of its memory, running requests and kept prompts together
+};
+
 /// A kind of backend servers.
 struct service_spec
 {
     service_id id;
     std::uint32_t maxConnections = 0; ///< to one server, of all callers; 0: not bounded
     std::optional<stage_capacity> stage; ///< where it serves stages
-    std::optional<std::uint32_t> engineSlots; ///< where it runs models: requests at once
+    std::optional<engine_capacity> engine; ///< where it runs models
 };
 
 /// Bounds on what clients may send.
--- /dev/null
+++ b/src/gateway/engine_board.cpp
@@ -0,0 +1,148 @@
+#include "gateway/engine_board.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// Tokens read at a time between the tokens of running streams; a longer prompt makes streams pause.
+// The engines served so far read 4096.
+constexpr std::uint64_t ChunkTokens = 4096;
+// What a running stream costs a new request, in prompt tokens: each step takes a little longer.
+constexpr double StreamCost = 100.0;
+// What each running stream counts for a token beyond the first chunk: it may pause too long.
+constexpr double PauseCost = 0.12;
+// Inputs that cross to another data centre, in tokens for a byte: the price of a megabyte there is
+// about that of 260 tokens read again.
+constexpr double CrossingCost = 260e-6;
+// Any other server comes before one that is avoided.
+constexpr double AvoidedCost = 1e9;
+// Placements whose end was never told: longer than any request lasts.
+constexpr std::chrono::seconds PlacementLifetime{60};
+// Engines keep about as much as they publish, less what running requests take.
+constexpr double KeptShare = 0.7;
+// Where nothing is published.
+constexpr std::uint64_t DefaultCapacity = 200'000;
+
+} // namespace
+
+engine_board::engine_board(const clock_source &clock, const server_directory &directory)
+    : m_clock(clock)
+    , m_directory(directory)
+{ }
+
+void engine_board::setCapacity(const service_id &service, std::uint64_t tokens)
+{
+    m_capacities[service] = tokens;
+}
+
+// A part is of use only where all parts before it are kept, too.
+std::uint64_t engine_board::missingTokens(const engine &state, const engine_wish &wish)
+{
+    std::uint64_t missing = 0;
+    bool kept = true;
+    for (const auto &part : wish.prompt) {
+        kept = kept && state.parts.contains(part.id);
+        if (!kept)
+            missing += part.tokens;
+    }
+    return missing;
+}
+
+double engine_board::costOf(const server &which, const engine_wish &wish)
+{
+    const auto &state = m_engines[which.record.id];
+    const auto missing = missingTokens(state, wish);
+    double cost = static_cast<double>(missing + state.reading) + StreamCost * state.streams;
+    if (missing > ChunkTokens)
+        cost += PauseCost * static_cast<double>(missing - ChunkTokens) * state.streams;
+    if (!wish.near.empty() && which.record.dataCenter != wish.near)
+        cost += CrossingCost * static_cast<double>(wish.nearBytes);
+    if (which.avoidUntil > m_clock.now())
+        cost += AvoidedCost;
+    return cost;
+}
+
+server_ptr engine_board::place(placement_id id, const engine_wish &wish)
+{
+    forgetLapsed();
+    server_ptr best;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const auto &each : m_directory.usable(wish.service)) {
+        if (std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end())
+            continue;
+        const double cost = costOf(*each, wish);
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = each;
+        }
+    }
+    if (!best)
+        return nullptr;
+    auto &state = m_engines[best->record.id];
+    const auto missing = missingTokens(state, wish);
+    state.reading += missing;
+    ++state.streams;
+    m_placements[id] = {best->record.id, missing, m_clock.now()};
+    const auto known = m_capacities.find(wish.service);
+    keep(state, wish, known == m_capacities.end() ? DefaultCapacity : known->second);
+    return best;
+}
+
+// The least recently used parts yield, as they do in the engine.
+void engine_board::keep(engine &state, const engine_wish &wish, std::uint64_t capacity)
+{
+    for (std::size_t i = 0; i + 1 < wish.prompt.size(); ++i) {
+        const auto &part = wish.prompt[i];
+        const auto [entry, isNew] = state.parts.try_emplace(part.id);
+        entry->second = {part.tokens, m_clock.now()};
+        if (isNew)
+            state.keptTokens += part.tokens;
+    }
+    const auto bound = static_cast<std::uint64_t>(KeptShare * static_cast<double>(capacity));
+    while (state.keptTokens > bound && !state.parts.empty()) {
+        const auto oldest = std::ranges::min_element(
+            state.parts, {}, [](const auto &entry) { return entry.second.used; });
+        state.keptTokens -= oldest->second.tokens;
+        state.parts.erase(oldest);
+    }
+}
+
+void engine_board::onFirstAnswer(placement_id id)
+{
+    const auto found = m_placements.find(id);
+    if (found == m_placements.end())
+        return;
+    auto &state = m_engines[found->second.server];
+    state.reading -= std::min(state.reading, found->second.tokens);
+    found->second.tokens = 0;
+}
+
+void engine_board::onEnd(placement_id id)
+{
+    onFirstAnswer(id);
+    const auto found = m_placements.find(id);
+    if (found == m_placements.end())
+        return;
+    auto &state = m_engines[found->second.server];
+    state.streams -= std::min(state.streams, 1U);
+    const auto server = found->second.server;
+    m_placements.erase(found);
+    if (state.streams == 0 && !m_directory.find(server))
+        m_engines.erase(server);
+}
+
+void engine_board::forgetLapsed()
+{
+    std::vector<placement_id> lapsed;
+    for (const auto &[id, each] : m_placements) {
+        if (m_clock.now() - each.began > PlacementLifetime)
+            lapsed.push_back(id);
+    }
+    for (const auto id : lapsed)
+        onEnd(id);
+}
+
+} // namespace orchidlead::gateway
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/engine_placer.h"
 #include "gateway/event_splitter.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_directory.h"
@@ -30,6 +31,7 @@
     server_directory &directory;
     retry_allowance &allowance;
     stage_router<Codec> &stages;
+    engine_placer &engines;
     wire::log &log;
     data_center_id dataCenter;
     configuration_ptr configuration; ///< null until one is known
@@ -77,7 +79,9 @@
     void freeResults();
 
     void attempt();
+    void placeOnEngine();
     [[nodiscard]] server_ptr chooseServer();
+    void sendTo(server_ptr chosen);
     [[nodiscard]] data_center_id whereResultLies(const std::string &handle) const;
     [[nodiscard]] service_id pickService();
     [[nodiscard]] std::optional<std::string> writeHead();
@@ -124,6 +128,7 @@
     bool m_stagesRestarted = false;
     bool m_needsStages = false; ///< results were freed or lost
 
+    placement_id m_placement = 0; ///< of the current attempt, on an engine
     server_ptr m_server; ///< of the current attempt
     std::vector<backend_server_id> m_tried;
     http::pool_call m_call = 0;
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -239,10 +239,9 @@
     server_wish wish;
     wish.service = m_service;
     wish.exclude = m_tried;
-    const auto largest = m_work ? m_work->largest() : std::nullopt;
-    wish.near = largest ? whereResultLies(*largest) : m_context.dataCenter;
-    if (m_route->prefixAffinity && m_marks.prompt.size() > 1)
-        wish.affinity = m_marks.prompt[m_marks.prompt.size() - 2].id;
+    wish.near = m_context.dataCenter;
+    if (const auto largest = m_work ? m_work->largest() : std::nullopt)
+        wish.near = whereResultLies(largest->handle);
     return m_context.directory.choose(wish);
 }
 
@@ -259,7 +258,35 @@
         restartStages("results_freed");
         return;
     }
-    m_server = chooseServer();
+    if (m_route->prefixAffinity && !m_marks.prompt.empty())
+        placeOnEngine();
+    else
+        sendTo(chooseServer());
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::placeOnEngine()
+{
+    engine_wish wish;
+    wish.service = m_service;
+    wish.prompt = m_marks.prompt;
+    wish.exclude = m_tried;
+    wish.near = m_context.dataCenter;
+    if (const auto largest = m_work ? m_work->largest() : std::nullopt) {
+        wish.near = whereResultLies(largest->handle);
+        wish.nearBytes = largest->bytes;
+    }
+    m_placement = m_context.engines.place(std::move(wish),
+                                          [self = this->shared_from_this()](server_ptr chosen) {
+                                              if (!self->m_done)
+                                                  self->sendTo(std::move(chosen));
+                                          });
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::sendTo(server_ptr chosen)
+{
+    m_server = std::move(chosen);
     if (!m_server) {
         giveUp("no_server");
         return;
@@ -370,6 +397,7 @@
             const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
                 m_context.loop.now() - m_sentAt);
             m_context.times.onFirstAnswer(m_service, took);
+            m_context.engines.onFirstAnswer(m_placement);
             beginAnswer();
         }
         m_client->write(events);
@@ -417,6 +445,7 @@
 {
     m_context.loop.cancelTimer(std::exchange(m_silenceTimer, 0));
     m_call = 0;
+    m_context.engines.onEnd(std::exchange(m_placement, 0));
     if (m_server)
         --m_server->outstanding;
 }
@@ -616,6 +645,7 @@
         return;
     m_context.loop.cancelTimer(std::exchange(m_endTimer, 0));
     m_context.loop.cancelTimer(std::exchange(m_silenceTimer, 0));
+    m_context.engines.onEnd(std::exchange(m_placement, 0));
     withdrawPieces();
     freeResults();
     logEnd(outcome);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,6 +49,7 @@
     stage_host<Codec> m_stages;
     peer_network m_peers;
     stage_router<Codec> m_router;
+    engine_placer m_placer;
     published_state m_state;
     store_follower<Codec> m_follower;
     gateway_context<Codec> m_context;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -49,9 +49,13 @@
               {[this](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
                    onFrame(link, std::move(frame));
                },
-               [this](const std::shared_ptr<peer_link> &link) { m_router.onLinkClosed(link); },
+               [this](const std::shared_ptr<peer_link> &link) {
+                   m_router.onLinkClosed(link);
+                   m_placer.onLinkClosed(link);
+               },
                [this](const vm_id &peer, std::uint64_t version) { onPeerVersion(peer, version); }})
     , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance)
+    , m_placer(loop, m_peers, m_directory)
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
@@ -61,6 +65,7 @@
                 m_directory,
                 m_allowance,
                 m_router,
+                m_placer,
                 log,
                 m_settings.dataCenter,
                 nullptr,
@@ -140,6 +145,7 @@
     m_context.configuration = configuration;
     m_peers.setVersion(configuration->version());
     m_stages.setConfiguration(configuration);
+    m_placer.setConfiguration(configuration);
     const auto &limits = configuration->content().limits;
     m_clients->limits.maxHeadBytes = limits.maxHeaderBytes;
     m_clients->limits.maxBodyBytes = limits.maxBodyBytes;
@@ -164,8 +170,10 @@
         link->send(makePublication());
     else if (const auto *publication = std::get_if<publication_frame>(&frame))
         onPublication(*publication);
-    else
+    else {
+        m_placer.onFrame(link, frame);
         m_router.onFrame(link, std::move(frame));
+    }
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -24,6 +24,9 @@
     PublicationRequest = 6,
     Publication = 7,
     Free = 8,
+    Place = 9,
+    Placed = 10,
+    Progress = 11,
 };
 
 constexpr std::uint64_t DoneCode = 0;
@@ -41,10 +44,11 @@
     out.pack(static_cast<std::int64_t>(duration.count()));
 }
 
+/// Fields of a server in a list; they follow each other in one array.
+constexpr std::uint32_t ServerFields = 7;
+
 void packServer(packer &out, const server_record &server)
 {
-    constexpr std::uint32_t Fields = 7;
-    out.pack_array(Fields);
     out.pack(server.id.value);
     out.pack(server.service.value);
     out.pack(server.address.ip);
@@ -96,6 +100,37 @@
     }
 }
 
+void pack(packer &out, const place_frame &frame)
+{
+    packKind(out, frame_kind::Place, 6);
+    out.pack(frame.id);
+    out.pack(frame.wish.service.value);
+    out.pack(frame.wish.near.value);
+    out.pack(frame.wish.nearBytes);
+    out.pack_array(static_cast<std::uint32_t>(2 * frame.wish.prompt.size()));
+    for (const auto &part : frame.wish.prompt) {
+        out.pack(part.id);
+        out.pack(part.tokens);
+    }
+    out.pack_array(static_cast<std::uint32_t>(frame.wish.exclude.size()));
+    for (const auto &server : frame.wish.exclude)
+        out.pack(server.value);
+}
+
+void pack(packer &out, const placed_frame &frame)
+{
+    packKind(out, frame_kind::Placed, 2);
+    out.pack(frame.id);
+    out.pack(frame.server.value);
+}
+
+void pack(packer &out, const progress_frame &frame)
+{
+    packKind(out, frame_kind::Progress, 2);
+    out.pack(frame.id);
+    out.pack(static_cast<std::uint64_t>(frame.kind));
+}
+
 void pack(packer &out, const ping_frame & /*frame*/)
 {
     packKind(out, frame_kind::Ping, 0);
@@ -116,7 +151,7 @@
     packKind(out, frame_kind::Publication, 3);
     out.pack(frame.configuration);
     out.pack(frame.current);
-    out.pack_array(static_cast<std::uint32_t>(frame.servers.size()));
+    out.pack_array(ServerFields * static_cast<std::uint32_t>(frame.servers.size()));
     for (const auto &each : frame.servers)
         packServer(out, each);
 }
@@ -154,6 +189,7 @@
         m_good = m_good && m_index < m_array.size;
         return m_good ? &m_array.ptr[m_index++] : nullptr;
     }
+    [[nodiscard]] bool atEnd() const { return m_index >= m_array.size; }
     void fail() { m_good = false; }
 
 private:
@@ -180,6 +216,58 @@
     return frame;
 }
 
+/// Reads the items of a list with `take`, which reads one or more of them.
+template <class Take>
+void readList(field_reader &in, Take take)
+{
+    const auto *list = in.next();
+    if (!list || list->type != msgpack::type::ARRAY || list->via.array.size > MaxListItems) {
+        in.fail();
+        return;
+    }
+    field_reader items(*list);
+    while (items.good() && !items.atEnd())
+        take(items);
+    if (!items.good())
+        in.fail();
+}
+
+place_frame readPlace(field_reader &in)
+{
+    place_frame frame;
+    frame.id = in.read<placement_id>();
+    frame.wish.service = service_id(in.read<std::string>());
+    frame.wish.near = data_center_id(in.read<std::string>());
+    frame.wish.nearBytes = in.read<std::uint64_t>();
+    readList(in, [&](field_reader &items) {
+        auto id = items.read<std::string>();
+        frame.wish.prompt.push_back({std::move(id), items.read<std::uint32_t>()});
+    });
+    readList(in, [&](field_reader &items) {
+        frame.wish.exclude.emplace_back(items.read<std::string>());
+    });
+    return frame;
+}
+
+placed_frame readPlaced(field_reader &in)
+{
+    placed_frame frame;
+    frame.id = in.read<placement_id>();
+    frame.server = backend_server_id(in.read<std::string>());
+    return frame;
+}
+
+progress_frame readProgress(field_reader &in)
+{
+    progress_frame frame;
+    frame.id = in.read<placement_id>();
+    const auto kind = in.read<std::uint64_t>();
+    if (kind > static_cast<std::uint64_t>(progress_frame::what::Ended))
+        in.fail();
+    frame.kind = static_cast<progress_frame::what>(kind);
+    return frame;
+}
+
 outcome_frame readOutcome(field_reader &in)
 {
     outcome_frame frame;
@@ -195,9 +283,8 @@
     return frame;
 }
 
-server_record readServer(const msgpack::object &object, bool &good)
+server_record readServer(field_reader &in)
 {
-    field_reader in(object);
     server_record server;
     server.id = backend_server_id(in.read<std::string>());
     server.service = service_id(in.read<std::string>());
@@ -206,7 +293,6 @@
     server.dataCenter = data_center_id(in.read<std::string>());
     server.slots = in.read<std::uint32_t>();
     server.leaving = in.read<bool>();
-    good = good && in.good();
     return server;
 }
 
@@ -215,16 +301,7 @@
     publication_frame frame;
     frame.configuration = in.read<std::string>();
     frame.current = in.read<bool>();
-    const auto *list = in.next();
-    bool good = list && list->type == msgpack::type::ARRAY && list->via.array.size <= MaxListItems;
-    if (!good) {
-        in.fail();
-        return frame;
-    }
-    for (std::uint32_t i = 0; i < list->via.array.size; ++i)
-        frame.servers.push_back(readServer(list->via.array.ptr[i], good));
-    if (!good)
-        in.fail();
+    readList(in, [&](field_reader &items) { frame.servers.push_back(readServer(items)); });
     return frame;
 }
 
@@ -245,6 +322,12 @@
         return publication_request{};
     case frame_kind::Publication:
         return readPublication(in);
+    case frame_kind::Place:
+        return readPlace(in);
+    case frame_kind::Placed:
+        return readPlaced(in);
+    case frame_kind::Progress:
+        return readProgress(in);
     case frame_kind::Free:
         return free_frame{in.read<std::vector<std::string>>()};
     }
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/engine_board.h"
 #include "gateway/stage_pool.h"
 
 #include <orchidlead/result.h>
@@ -47,6 +48,27 @@
     std::vector<std::string> handles;
 };
 
+/// Asks the receiver, which hosts the board of a service, to place a request on an engine.
+struct place_frame
+{
+    placement_id id = 0; ///< of the sender
+    engine_wish wish;
+};
+
+struct placed_frame
+{
+    placement_id id = 0; ///< of the receiver
+    backend_server_id server; ///< empty: there is none
+};
+
+/// What has become of a request that the receiver placed.
+struct progress_frame
+{
+    enum class what : std::uint8_t { FirstAnswer, Ended };
+    placement_id id = 0; ///< of the sender
+    what kind = what::Ended;
+};
+
 /// Asks whether the receiver is there.
 struct ping_frame
 { };
@@ -64,7 +86,8 @@
 };
 
 using peer_frame = std::variant<piece_frame, withdraw_frame, outcome_frame, ping_frame, pong_frame,
-                                publication_request, publication_frame, free_frame>;
+                                publication_request, publication_frame, free_frame, place_frame,
+                                placed_frame, progress_frame>;
 
 /// Says why bytes aren't a frame.
 struct frame_error
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -1,7 +1,5 @@
 #include "gateway/server_directory.h"
 
-#include <orchidlead/rendezvous.h>
-
 #include <algorithm>
 #include <limits>
 
@@ -24,8 +22,6 @@
 constexpr double RemoteCost = 0.5;
 // Cost of a server that is avoided: any other comes first.
 constexpr double AvoidedCost = 1e6;
-// How much more work the server with the right prompts may have than the least loaded one.
-constexpr double AffinitySlack = 6.0;
 
 } // namespace
 
@@ -122,32 +118,15 @@
 {
     server_ptr best;
     double bestCost = std::numeric_limits<double>::max();
-    std::vector<std::pair<server_ptr, double>> candidates;
     for (const auto &each : usable(wish.service)) {
         if (std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end())
             continue;
         const double cost = costOf(*each, wish);
-        candidates.emplace_back(each, cost);
         if (cost < bestCost) {
             bestCost = cost;
             best = each;
         }
     }
-    if (wish.affinity.empty() || !best)
-        return best;
-    std::uint64_t bestWeight = 0;
-    for (const auto &[each, cost] : candidates) {
-        const double slack = AffinitySlack / std::max(1U, each->record.slots);
-        if (cost > bestCost + slack)
-            continue;
-        const bool isNear = wish.near.empty() || each->record.dataCenter == wish.near;
-        const auto weight =
-            rendezvousWeight(wish.affinity, each->record.id.value) / (isNear ? 1 : 4);
-        if (weight > bestWeight) {
-            bestWeight = weight;
-            best = each;
-        }
-    }
     return best;
 }
 
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -56,7 +56,6 @@
     service_id service;
     std::vector<backend_server_id> exclude; ///< tried already
     data_center_id near; ///< preferred
-    std::string affinity; ///< requests of the same text go to the same server where it has room
 };
 
 /// Knows the backend servers, and chooses among them.
--- a/src/gateway/stage_work.cpp
+++ b/src/gateway/stage_work.cpp
@@ -122,17 +122,17 @@
     return handles;
 }
 
-std::optional<std::string> stage_work::largest() const
+std::optional<stage_work::stage_results> stage_work::largest() const
 {
-    const stage_state *best = nullptr;
+    std::optional<stage_results> best;
     for (const auto &stage : m_stages) {
         if (stage.followed || stage.handles.empty() || stage.handles.front().empty())
             continue;
-        const auto bytes = stage.spec.resultBytes * stage.handles.size();
-        if (!best || bytes > best->spec.resultBytes * best->handles.size())
-            best = &stage;
+        const std::uint64_t bytes = stage.spec.resultBytes * stage.handles.size();
+        if (!best || bytes > best->bytes)
+            best = stage_results{stage.handles.front(), bytes};
     }
-    return best ? std::optional(best->handles.front()) : std::nullopt;
+    return best;
 }
 
 std::vector<std::string> stage_work::takeSpent()
--- a/src/gateway/stage_work.h
+++ b/src/gateway/stage_work.h
@@ -34,8 +34,14 @@
     /// Handles of the stages that no other stage follows: the inputs of the request itself.
     [[nodiscard]] std::vector<std::string> inputs() const;
     [[nodiscard]] std::vector<std::string> allHandles() const;
-    /// The handle whose result is the largest, where there is one: the request runs best beside it.
-    [[nodiscard]] std::optional<std::string> largest() const;
+    /// A stage's results that the request itself needs.
+    struct stage_results
+    {
+        std::string handle; ///< of the first
+        std::uint64_t bytes = 0; ///< about, of all
+    };
+    /// The largest of them, where there are any: the request runs best beside it.
+    [[nodiscard]] std::optional<stage_results> largest() const;
     /// Results that nobody needs any more once `stage` is whole: those of the stages before it
     /// whose every follower is whole.
     [[nodiscard]] std::vector<std::string> takeSpent();
