Say each second what a stage pool did, and give silent hosts up after 0.3 s

Cause: nothing told where a piece waited; a frozen host cost its services 1.3 s (two picks in a row were frozen).

Change: a line stage_pool for each service and second with calls, pieces, waits and drops by priority; hosts are given up 0.32 s after an unanswered question, links that can't be opened after 0.25 s.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,6 +58,7 @@
     std::unique_ptr<http::listener> m_clientListener;
     std::unique_ptr<http::listener> m_readinessListener;
     bool m_wasReady = false;
+    steady_time m_nextSummary{};
     steady_time m_nextAsk{}; ///< when peers may be asked for what is published
     bool m_stopping = false;
     steady_time m_stopBegan{};
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -23,6 +23,8 @@
 /// Among how many nodes the reserve of second tries is divided at least: some may not be known.
 inline constexpr std::size_t AssumedNodes = 8;
 
+/// Between two lines about what the stage pools did.
+inline constexpr milliseconds SummaryInterval{1000};
 /// Between two questions to peers for what is published.
 inline constexpr milliseconds AskInterval{400};
 
@@ -247,6 +249,10 @@
                     ready() ? wire::node_event::Ready : wire::node_event::NotReady, {});
     m_allowance.setNodes(std::max(AssumedNodes, m_peers.nodes()));
     m_router.tick();
+    if (m_loop.now() >= m_nextSummary) {
+        m_nextSummary = m_loop.now() + SummaryInterval;
+        m_stages.logSummaries();
+    }
     askPeers();
     if (m_stopping)
         checkStopped();
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -8,7 +8,7 @@
 
 // A peer in another data centre answers within 40 ms; one lost packet costs a second, and by then
 // the work is better done elsewhere.
-constexpr milliseconds ConnectTimeout{400};
+constexpr milliseconds ConnectTimeout{250};
 
 } // namespace
 
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -32,6 +32,8 @@
     void withdraw(piece_token token);
     /// Gives results up at the servers that hold them, soon and together.
     void free(const std::vector<std::string> &handles);
+    /// Logs what each pool did since the last call.
+    void logSummaries();
     /// Servers of a service came, changed or left.
     void onServersChanged(const service_id &service);
 
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -206,6 +206,27 @@
     }
 }
 
+template <gateway_codec Codec>
+void stage_host<Codec>::logSummaries()
+{
+    for (auto &[service, pool] : m_pools) {
+        const auto summary = pool->takeSummary();
+        if (summary.calls == 0 && pool->waiting() == 0)
+            continue;
+        auto line = m_log.line(wire::log_level::Info, "stage_pool");
+        line.add("service", service.value).add("calls", summary.calls);
+        line.add("open", pool->callsOpen()).add("waiting", pool->waiting());
+        line.add("without_room", summary.withoutRoom);
+        for (const auto &[priority, rank] : summary.ranks) {
+            const auto suffix = "_" + std::to_string(priority);
+            line.add("pieces" + suffix, rank.pieces);
+            line.add("mean_wait_ms" + suffix, rank.waited.count() / std::max(1U, rank.pieces));
+            line.add("dropped" + suffix, rank.dropped);
+        }
+        m_log.write(wire::log_level::Info, std::move(line));
+    }
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::deliver(const std::vector<piece_outcome> &outcomes)
 {
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -36,6 +36,7 @@
 
 void stage_pool::submit(piece_job job)
 {
+    job.since = m_clock.now();
     m_waiting.push_back(std::move(job));
 }
 
@@ -146,12 +147,16 @@
     call.jobs = std::move(jobs);
     auto &state = m_servers[chosen->record.id];
     ++state.calls;
+    ++m_summary.calls;
 
     stage_call made;
     made.id = ++m_lastCall;
     made.server = chosen;
     for (auto &job : call.jobs) {
         ++job.tries;
+        auto &rank = m_summary.ranks[job.priority];
+        ++rank.pieces;
+        rank.waited += std::chrono::duration_cast<milliseconds>(call.began - job.since);
         state.held += job.resultBytes;
         made.pieces.push_back(job.request);
         made.pieces.back().patience =
@@ -256,8 +261,10 @@
             release(server, job.resultBytes);
         else
             hold(server, std::get<std::string>(results[i]), job.resultBytes);
-        if (failure && *failure == piece_failure::NoRoom)
+        if (failure && *failure == piece_failure::NoRoom) {
+            ++m_summary.withoutRoom;
             state.busyUntil = m_clock.now() + NoRoomPause;
+        }
         if (retry)
             again(std::move(job), how, out);
         else
@@ -276,6 +283,7 @@
     std::erase_if(m_waiting, [&](const piece_job &job) {
         if (job.deadline > now && !(crowded && isLate(job)))
             return false;
+        ++m_summary.ranks[job.priority].dropped;
         out.push_back({job.token, piece_failure::Late});
         return true;
     });
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace orchidlead::gateway {
@@ -28,6 +29,7 @@
     steady_time deadline{}; ///< and nothing later
     data_center_id near; ///< where its inputs lie
     std::size_t resultBytes = 0; ///< about
+    steady_time since{}; ///< when it began to wait
     std::uint32_t tries = 0;
 };
 
@@ -47,6 +49,20 @@
     piece_result result;
 };
 
+/// What a pool did in a span of time, for the log.
+struct stage_pool_summary
+{
+    struct rank
+    {
+        std::uint32_t pieces = 0; ///< that went into calls
+        milliseconds waited{0}; ///< before, all together
+        std::uint32_t dropped = 0; ///< given up because they would be late
+    };
+    std::uint32_t calls = 0;
+    std::uint32_t withoutRoom = 0; ///< pieces that their server had no room for
+    std::map<std::uint32_t, rank> ranks; ///< by priority
+};
+
 /// How a call ended.
 enum class stage_call_end {
     Answered,
@@ -89,6 +105,8 @@
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
     /// Bytes of results that a server is taken to hold.
     [[nodiscard]] std::uint64_t heldAt(const backend_server_id &server) const;
+    /// Gives what was done since the last call.
+    [[nodiscard]] stage_pool_summary takeSummary() { return std::exchange(m_summary, {}); }
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
     [[nodiscard]] std::size_t callsOpen() const { return m_calls.size(); }
 
@@ -138,6 +156,7 @@
     std::unordered_map<std::string, held_result> m_results; ///< by handle
     std::uint64_t m_unnamed = 0; ///< results of calls whose answer was lost
     stage_call_id m_lastCall = 0;
+    stage_pool_summary m_summary;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -10,8 +10,8 @@
 /// A host that owes outcomes is asked whether it is there after this silence, and given up when it
 /// hasn't answered for so long: a few round trips and a lost packet, against aims of 1.6 s and
 /// more.
-inline constexpr milliseconds HostPingAfter{150};
-inline constexpr milliseconds HostSilence{600};
+inline constexpr milliseconds HostPingAfter{100};
+inline constexpr milliseconds HostSilence{320};
 /// After this many moves a piece stays with this node.
 inline constexpr std::uint32_t MaxMoves = 2;
 
