--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -23,6 +23,8 @@
 // A piece whose inputs lie elsewhere gives way to pieces that are due this much later: about a
 // call.
 constexpr milliseconds AwayPenalty{250};
+// How long the pieces of a request wait to go together: about a call.
+constexpr milliseconds GroupPatience{300};
 // Weight of the newest call in the average of a server's slowness.
 constexpr double LearnWeight = 0.3;
 
@@ -100,26 +102,46 @@
     return free;
 }
 
-// Pieces that don't fit wait for a server that has room, or for room here; smaller ones pass them.
+std::size_t stage_pool::groupEnd(std::size_t begin) const
+{
+    const auto &first = m_waiting[begin].request;
+    std::size_t end = begin + 1;
+    while (end < m_waiting.size() && m_waiting[end].request.attempt == first.attempt
+           && m_waiting[end].request.stage == first.stage)
+        ++end;
+    return end;
+}
+
+// The results of a request's pieces lie at their servers until the last piece is done, and room is
+// scarce. So the pieces of a stage of one request go together where they fit; a group that has
+// waited long goes in parts. What doesn't fit is passed by smaller groups.
 std::vector<piece_job> stage_pool::takeFitting(const server &chosen)
 {
-    const auto &state = m_servers[chosen.record.id];
     std::ranges::stable_sort(m_waiting, [&](const piece_job &a, const piece_job &b) {
         return before(a, b, chosen.record.dataCenter);
     });
-    const auto room = m_capacity.roomBytes > state.held ? m_capacity.roomBytes - state.held : 0;
+    const auto held = m_servers[chosen.record.id].held;
     const bool bounded = m_capacity.roomBytes > 0;
-    std::uint64_t bytes = 0;
+    std::uint64_t room = m_capacity.roomBytes > held ? m_capacity.roomBytes - held : 0;
+    std::size_t places = std::max(1U, m_capacity.batch);
     std::vector<piece_job> taken;
-    std::erase_if(m_waiting, [&](piece_job &job) {
-        if (taken.size() >= std::max(1U, m_capacity.batch))
-            return false;
-        if (bounded && bytes + job.resultBytes > room)
-            return false;
-        bytes += job.resultBytes;
-        taken.push_back(std::move(job));
-        return true;
-    });
+    std::vector<piece_job> left;
+    for (std::size_t begin = 0; begin < m_waiting.size();) {
+        const auto end = groupEnd(begin);
+        const auto bytes = m_waiting[begin].resultBytes;
+        std::size_t fitting = std::min(end - begin, places);
+        if (bounded && bytes > 0)
+            fitting = std::min<std::size_t>(fitting, room / bytes);
+        const bool patient = m_clock.now() - m_waiting[begin].since < GroupPatience;
+        if (fitting < end - begin && patient && end - begin <= m_capacity.batch)
+            fitting = 0;
+        places -= fitting;
+        room -= std::min<std::uint64_t>(room, bytes * fitting);
+        for (std::size_t i = begin; i < end; ++i)
+            (i - begin < fitting ? taken : left).push_back(std::move(m_waiting[i]));
+        begin = end;
+    }
+    m_waiting = std::move(left);
     return taken;
 }
 
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -137,6 +137,8 @@
     [[nodiscard]] bool isLate(const piece_job &job) const;
     [[nodiscard]] std::vector<server_ptr> freeServers(const std::vector<server_ptr> &servers,
                                                       const data_center_id &near);
+    /// Where the waiting pieces of the same stage of the same request end.
+    [[nodiscard]] std::size_t groupEnd(std::size_t begin) const;
     [[nodiscard]] std::vector<piece_job> takeFitting(const server &chosen);
     [[nodiscard]] stage_call makeCall(const server_ptr &chosen, std::vector<piece_job> jobs);
     void hold(const backend_server_id &server, const std::string &handle, std::uint64_t bytes);
