--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -153,6 +153,7 @@
         const auto stage = each.request.stage;
         const auto piece = each.request.piece;
         job.priority = m_priority;
+        job.routePriority = m_route->priority;
         job.aim = m_arrival + m_route->objective - m_afterStages[stage];
         job.deadline = m_end - m_afterStages[stage];
         job.resultBytes = m_route->stages[stage].resultBytes;
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -60,7 +60,7 @@
 
 void pack(packer &out, const piece_frame &frame)
 {
-    packKind(out, frame_kind::Piece, 12);
+    packKind(out, frame_kind::Piece, 13);
     out.pack(frame.token);
     out.pack(frame.service.value);
     out.pack(frame.request.attempt);
@@ -69,6 +69,7 @@
     out.pack(frame.request.key);
     out.pack(frame.request.inputs);
     out.pack(frame.priority);
+    out.pack(frame.routePriority);
     packDuration(out, frame.aimLeft);
     packDuration(out, frame.deadlineLeft);
     out.pack(frame.near.value);
@@ -209,6 +210,7 @@
     frame.request.key = in.read<std::string>();
     frame.request.inputs = in.read<std::vector<std::string>>();
     frame.priority = in.read<std::uint32_t>();
+    frame.routePriority = in.read<std::uint32_t>();
     frame.aimLeft = in.duration();
     frame.deadlineLeft = in.duration();
     frame.near = data_center_id(in.read<std::string>());
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -23,6 +23,7 @@
     service_id service;
     piece_request request;
     std::uint32_t priority = 0;
+    std::uint32_t routePriority = 0;
     milliseconds aimLeft{0}; ///< negative: it is over
     milliseconds deadlineLeft{0};
     data_center_id near;
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -71,6 +71,8 @@
         return lateB;
     if (a.priority != b.priority)
         return a.priority < b.priority;
+    if (a.routePriority != b.routePriority)
+        return a.routePriority < b.routePriority;
     return rank(a) < rank(b);
 }
 
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -25,6 +25,7 @@
     piece_token token = 0;
     piece_request request;
     std::uint32_t priority = 0; ///< 0: the most urgent
+    std::uint32_t routePriority = 0; ///< decides between equal priorities
     steady_time aim{}; ///< done by then, its request can still earn full credit
     steady_time deadline{}; ///< and nothing later
     data_center_id near; ///< where its inputs lie
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -56,8 +56,9 @@
         return std::chrono::duration_cast<milliseconds>(due - now);
     };
     entry.link->send(piece_frame{token, entry.service, entry.job.request, entry.job.priority,
-                                 leftUntil(entry.job.aim), leftUntil(entry.job.deadline),
-                                 entry.job.near, entry.job.resultBytes});
+                                 entry.job.routePriority, leftUntil(entry.job.aim),
+                                 leftUntil(entry.job.deadline), entry.job.near,
+                                 entry.job.resultBytes});
 }
 
 template <gateway_codec Codec>
@@ -131,6 +132,7 @@
     piece_job job;
     job.request = std::move(frame.request);
     job.priority = frame.priority;
+    job.routePriority = frame.routePriority;
     job.aim = now + frame.aimLeft;
     job.deadline = now + frame.deadlineLeft;
     job.near = frame.near;
