Leave servers alone that don't answer, and give their calls and connections up sooner

Cause: behind a zone cut a stage call hung for four times its time plus 0.5 s, a new connection for 1 s, and the next call went to the same server at once.

Change: 2.5 times the time that the server is known to take plus 0.3 s; a given-up call counts as an observation of slowness; pauses double from 0.3 s; connections are given up after 0.4 s.

--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -13,10 +13,14 @@
 constexpr milliseconds RefusedPause{60};
 // How long a server without room for results is left alone: results are freed within a second.
 constexpr milliseconds NoRoomPause{150};
-// A call is given up after this many times its expected time, plus the constant part. Servers that
-// are slow for a while take up to five times as long; giving such a call up wastes what is done.
-constexpr int TimeoutFactor = 4;
-constexpr milliseconds TimeoutSlack{500};
+// A call is given up after this many times the time that it should take at this server, plus the
+// constant part. A server behind a network cut holds its pieces up until then; a server that has
+// just turned slow loses one call.
+constexpr double TimeoutFactor = 2.5;
+constexpr milliseconds TimeoutSlack{300};
+// How long a server is left alone whose calls fail: doubled by each further failure.
+constexpr milliseconds FailedPause{300};
+constexpr std::uint32_t MaxFailedDoublings = 3;
 // Cost of a server that is avoided, and of one elsewhere than the inputs, in slownesses.
 constexpr double AvoidedCost = 100.0;
 constexpr double RemoteCost = 0.1;
@@ -187,7 +191,7 @@
             std::chrono::duration_cast<milliseconds>(job.deadline - call.began);
     }
     const double slow = std::max(1.0, chosen->slowness);
-    made.timeout = std::chrono::duration_cast<milliseconds>(call.expected * TimeoutFactor * slow)
+    made.timeout = std::chrono::duration_cast<milliseconds>(call.expected * (TimeoutFactor * slow))
         + TimeoutSlack;
     m_calls.emplace(made.id, std::move(call));
     return made;
@@ -261,8 +265,16 @@
     m_calls.erase(found);
     auto &state = m_servers[call.server->record.id];
     --state.calls;
-    if (how == stage_call_end::NotRun || how == stage_call_end::NotSent)
+    if (how == stage_call_end::NotRun)
         state.busyUntil = m_clock.now() + RefusedPause;
+    if (how == stage_call_end::Answered)
+        state.failures = 0;
+    else if (how != stage_call_end::NotRun)
+        state.busyUntil =
+            m_clock.now() + FailedPause * (1U << std::min(state.failures++, MaxFailedDoublings));
+    // A call that was given up took at least so long: a slow server gets more time for the next.
+    if (how == stage_call_end::Broken)
+        learn(call);
     const auto &server = call.server->record.id;
     if (how != stage_call_end::Answered || results.size() != call.jobs.size()) {
         for (auto &job : call.jobs) {
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -123,6 +123,7 @@
     {
         std::uint32_t calls = 0; ///< open now
         steady_time busyUntil{}; ///< refused: not asked before
+        std::uint32_t failures = 0; ///< calls in a row without an answer
         std::uint64_t held = 0; ///< bytes of results, those being made included
     };
     struct held_result
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-// A healthy server in another data centre answers within 40 ms; a second allows for one lost
-// packet.
-constexpr milliseconds ConnectTimeout{1000};
+// A healthy server in another data centre answers within 40 ms. A lost packet would be sent again
+// only after a second: by then another server has answered.
+constexpr milliseconds ConnectTimeout{400};
 // How long a connection is kept free where the server doesn't say how long it keeps it.
 constexpr milliseconds DefaultKeep{3000};
 // A free connection isn't used in the last part of the time that the server keeps it: the server
