Test the parts of the gateway and the adapter; refuse two inputs that the tests found

The first ones found: 'Content-Length: 3, 3' was taken as 3 (Beast accepts a list whose numbers agree), and a damaged peer frame could ask for any amount of memory (std::bad_alloc ends the process).

--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -196,15 +196,16 @@
     if (!frame.configuration.empty()) {
         auto read = Codec::readConfiguration(frame.configuration);
         if (read)
-            items.push_back(published_configuration{std::move(read).value(), frame.configuration});
+            items.emplace_back(
+                published_configuration{std::move(read).value(), frame.configuration});
         else
-            items.push_back(unreadable_item{"configuration of a peer", read.error().what});
+            items.emplace_back(unreadable_item{"configuration of a peer", read.error().what});
     }
     // A peer that doesn't read the store may know less than this node.
     const bool takesList = frame.current && !m_follower.connected();
     if (takesList) {
         for (const auto &each : frame.servers)
-            items.push_back(published_server{each});
+            items.emplace_back(published_server{each});
     }
     for (const auto &each : takesList ? m_state.applyList(items) : m_state.apply(items))
         onNews(each);
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -31,6 +31,7 @@
 
 constexpr std::uint64_t DoneCode = 0;
 constexpr std::size_t MaxListItems = 100'000;
+constexpr std::size_t MaxNesting = 8;
 constexpr unsigned BitsPerByte = 8;
 
 void packKind(packer &out, frame_kind kind, std::uint32_t fields)
@@ -363,7 +364,10 @@
 result<peer_frame, frame_error> decodeFrame(std::string_view bytes)
 {
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        // No list or text can have more items than the frame has bytes.
+        const auto most = bytes.size();
+        const msgpack::unpack_limit limit(most, most, most, most, most, MaxNesting);
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
         field_reader in(handle.get());
         auto frame = readFrame(in);
         if (!in.good())
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -38,11 +38,14 @@
     int lengths = 0;
     int codings = 0;
     bool foreignCoding = false;
+    bool foreignLength = false; ///< a list, which Beast takes where all its numbers agree
 
     void take(beast::http::field name, beast::string_view value)
     {
-        if (name == beast::http::field::content_length)
+        if (name == beast::http::field::content_length) {
             ++lengths;
+            foreignLength = value.find_first_not_of("0123456789") != beast::string_view::npos;
+        }
         if (name != beast::http::field::transfer_encoding)
             return;
         ++codings;
@@ -50,7 +53,7 @@
     }
     [[nodiscard]] bool ambiguous() const
     {
-        return lengths > 1 || codings > 1 || lengths + codings > 1 || foreignCoding;
+        return lengths + codings > 1 || foreignCoding || foreignLength;
     }
 };
 
--- /dev/null
+++ b/tests/gateway/configuration_test.cpp
@@ -0,0 +1,62 @@
+#include "gateway/configuration.h"
+
+#include <catch2/catch.hpp>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+route makeRoute(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    route made;
+    made.name = name;
+    made.host = host;
+    made.pathPrefix = prefix;
+    return made;
+}
+
+configuration_index makeIndex()
+{
+    configuration content;
+    content.routes = {makeRoute("short", "a.example", "/x/"),
+                      makeRoute("long", "a.example", "/x/y/"),
+                      makeRoute("other", "b.example", "/x/")};
+    customer_spec customer;
+    customer.id = customer_id("c1");
+    customer.keys = {"k1", "k2"};
+    content.customers = {customer};
+    return configuration_index(std::move(content));
+}
+
+} // namespace
+
+TEST_CASE("the route of a host with the longest prefix of the path is found")
+{
+    const auto index = makeIndex();
+    CHECK(index.findRoute("a.example", "/x/y/z")->name == "long");
+    CHECK(index.findRoute("a.example", "/x/yy")->name == "short");
+    CHECK(index.findRoute("A.Example:8080", "/x/q")->name == "short");
+    CHECK(index.findRoute("b.example", "/x/y/z")->name == "other");
+    CHECK(index.findRoute("a.example", "/x") == nullptr);
+    CHECK(index.findRoute("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("a customer is found by each of its keys")
+{
+    const auto index = makeIndex();
+    CHECK(index.findCustomer("k2")->id.value == "c1");
+    CHECK(index.findCustomer("k3") == nullptr);
+    CHECK(index.findCustomer("") == nullptr);
+}
+
+TEST_CASE("a stream may be repeated only where it can be resumed")
+{
+    route way;
+    way.kind = request_kind::Stream;
+    CHECK_FALSE(way.repeatable());
+    way.resumable = true;
+    CHECK(way.repeatable());
+    way.kind = request_kind::Unsafe;
+    CHECK_FALSE(way.repeatable());
+}
--- /dev/null
+++ b/tests/gateway/peer_frames_test.cpp
@@ -0,0 +1,127 @@
+#include "gateway/peer_frames.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+template <class Frame>
+Frame roundTrip(const Frame &frame)
+{
+    frame_splitter splitter;
+    auto read = splitter.feed(encodeFrame(frame));
+    REQUIRE(read);
+    REQUIRE(read.value().size() == 1);
+    return std::get<Frame>(read.value().front());
+}
+
+piece_frame makePiece()
+{
+    piece_frame frame;
+    frame.token = 7;
+    frame.service = service_id("s");
+    frame.request = {"r1", 2, 3, std::nullopt, "key", {"a/1", "b/2"}};
+    frame.priority = 1;
+    frame.routePriority = 2;
+    frame.aimLeft = milliseconds{-50};
+    frame.deadlineLeft = milliseconds{900};
+    frame.near = data_center_id("dc");
+    frame.resultBytes = 1'500'000;
+    return frame;
+}
+
+} // namespace
+
+TEST_CASE("a piece travels with all that its call needs")
+{
+    const auto read = roundTrip(makePiece());
+    CHECK(read.token == 7);
+    CHECK(read.request.inputs == std::vector<std::string>{"a/1", "b/2"});
+    CHECK(read.request.stage == 2);
+    CHECK(read.request.piece == 3);
+    CHECK(read.aimLeft == milliseconds{-50});
+    CHECK(read.routePriority == 2);
+    CHECK(read.resultBytes == 1'500'000);
+}
+
+TEST_CASE("outcomes travel as handles or as reasons")
+{
+    CHECK(std::get<std::string>(roundTrip(outcome_frame{1, std::string("h/1")}).result) == "h/1");
+    for (const auto &row : enumNames<piece_failure>) {
+        INFO("reason " << row.name);
+        const auto read = roundTrip(outcome_frame{1, row.value});
+        CHECK(std::get<piece_failure>(read.result) == row.value);
+    }
+}
+
+TEST_CASE("a publication travels with its servers")
+{
+    publication_frame frame;
+    frame.configuration = "{}";
+    frame.current = true;
+    for (int i = 0; i < 3; ++i) {
+        server_record record;
+        record.id = backend_server_id("s" + std::to_string(i));
+        record.address = {"10.0.0.1", static_cast<std::uint16_t>(80 + i)};
+        record.slots = 4;
+        record.leaving = i == 1;
+        frame.servers.push_back(record);
+    }
+    const auto read = roundTrip(frame);
+    REQUIRE(read.servers.size() == 3);
+    CHECK(read.servers[1].leaving);
+    CHECK(read.servers[2].address.port == 82);
+    CHECK(read.current);
+}
+
+TEST_CASE("a wish for an engine travels with its prompt")
+{
+    place_frame frame;
+    frame.id = 5;
+    frame.wish.prompt = {{"a", 100}, {"b", 200}};
+    frame.wish.exclude = {backend_server_id("s1")};
+    frame.wish.nearBytes = 12;
+    const auto read = roundTrip(frame);
+    REQUIRE(read.wish.prompt.size() == 2);
+    CHECK(read.wish.prompt[1].id == "b");
+    CHECK(read.wish.prompt[1].tokens == 200);
+    CHECK(read.wish.exclude == frame.wish.exclude);
+}
+
+TEST_CASE("frames that come in pieces are put together")
+{
+    const auto bytes = encodeFrame(makePiece()) + encodeFrame(ping_frame{});
+    frame_splitter splitter;
+    std::size_t frames = 0;
+    for (const char each : bytes) {
+        const auto read = splitter.feed(std::string_view(&each, 1));
+        REQUIRE(read);
+        frames += read.value().size();
+    }
+    CHECK(frames == 2);
+}
+
+TEST_CASE("a frame beyond the bound ends the stream")
+{
+    frame_splitter splitter;
+    CHECK_FALSE(splitter.feed(std::string("\x7f\xff\xff\xff", 4)));
+}
+
+TEST_CASE("damaged frames are refused or read as frames, and never more than that")
+{
+    std::mt19937 random(20261202);
+    const auto whole = encodeFrame(makePiece());
+    for (int i = 0; i < 5000; ++i) {
+        auto bytes = whole.substr(FrameHeaderBytes);
+        const auto at = random() % bytes.size();
+        bytes[at] = static_cast<char>(random());
+        if (i % 3 == 0)
+            bytes.resize(random() % bytes.size());
+        (void)decodeFrame(bytes);
+    }
+    SUCCEED();
+}
--- /dev/null
+++ b/tests/gateway/server_directory_test.cpp
@@ -0,0 +1,119 @@
+#include "gateway/server_directory.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+server_record makeRecord(const std::string &id, const std::string &dataCenter = "a")
+{
+    server_record record;
+    record.id = backend_server_id(id);
+    record.service = service_id("s");
+    record.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + id.back())};
+    record.dataCenter = data_center_id(dataCenter);
+    record.slots = 4;
+    return record;
+}
+
+server_wish wishFor(const std::string &dataCenter = "a")
+{
+    server_wish wish;
+    wish.service = service_id("s");
+    wish.near = data_center_id(dataCenter);
+    return wish;
+}
+
+} // namespace
+
+TEST_CASE("the server with the least work is chosen, the near one between equals")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1", "b"));
+    directory.put(makeRecord("s2", "a"));
+    CHECK(directory.choose(wishFor())->record.id.value == "s2");
+    directory.find(backend_server_id("s2"))->outstanding = 2;
+    CHECK(directory.choose(wishFor())->record.id.value == "s1");
+}
+
+TEST_CASE("a server that is leaving or gone gets no new work")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    auto leaving = makeRecord("s1");
+    leaving.leaving = true;
+    directory.put(leaving);
+    CHECK(directory.choose(wishFor()) == nullptr);
+    directory.put(makeRecord("s2"));
+    directory.find(backend_server_id("s2"))->gone = true;
+    CHECK(directory.choose(wishFor()) == nullptr);
+}
+
+TEST_CASE("a server that fails twice in a row is passed over until its time is over")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    directory.put(makeRecord("s2", "b"));
+    const auto failing = directory.find(backend_server_id("s1"));
+    directory.onFailure(*failing);
+    CHECK(directory.choose(wishFor()) == failing);
+    directory.onFailure(*failing);
+    CHECK(directory.choose(wishFor())->record.id.value == "s2");
+    clock.advance(milliseconds{1100});
+    CHECK(directory.choose(wishFor()) == failing);
+}
+
+TEST_CASE("where all servers are avoided, one is chosen all the same")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    const auto only = directory.find(backend_server_id("s1"));
+    directory.onFailure(*only);
+    directory.onFailure(*only);
+    CHECK(directory.choose(wishFor()) == only);
+}
+
+TEST_CASE("a load that was told counts while it is young")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    directory.put(makeRecord("s2", "b"));
+    directory.onAnswer(*directory.find(backend_server_id("s1")), server_load{4, 3, 4});
+    CHECK(directory.choose(wishFor())->record.id.value == "s2");
+    clock.advance(milliseconds{500});
+    CHECK(directory.choose(wishFor())->record.id.value == "s1");
+}
+
+TEST_CASE("servers that were tried aren't chosen again")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    auto wish = wishFor();
+    wish.exclude.push_back(backend_server_id("s1"));
+    CHECK(directory.choose(wish) == nullptr);
+}
+
+TEST_CASE("an address that is used again leads to its new server")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    auto record = makeRecord("s1");
+    directory.put(record);
+    const auto old = directory.findAt(record.address);
+    directory.remove(record.id);
+    record.id = backend_server_id("s9");
+    directory.put(record);
+    REQUIRE(directory.findAt(record.address));
+    CHECK(directory.findAt(record.address)->record.id.value == "s9");
+    CHECK(old->gone);
+}
--- /dev/null
+++ b/tests/gateway/settings_test.cpp
@@ -0,0 +1,61 @@
+#include "gateway/settings.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+const std::string Whole = R"(vm: "edge-1"
+data_center: "dc"
+region: "r"
+listen:
+  clients: "10.0.0.1:1"
+  readiness: "10.0.0.1:2"
+  peers: "10.0.0.1:3"
+store: "10.0.0.9:4"
+first_contacts: ["10.0.0.1:3", "10.0.0.2:3"]
+bounds:
+  stop_grace: 8s
+  retry_share: 0.25
+  retry_reserve: 52
+  retry_window: 10s
+)";
+
+} // namespace
+
+TEST_CASE("settings of a gateway are read")
+{
+    const auto settings = parseGatewaySettings(Whole, "f");
+    REQUIRE(settings);
+    CHECK(settings.value().vm.value == "edge-1");
+    CHECK(settings.value().listen.peers.port == 3);
+    CHECK(settings.value().firstContacts.size() == 2);
+    CHECK(settings.value().bounds.retryShare == 0.25);
+    CHECK(settings.value().bounds.stopGrace == milliseconds{8000});
+}
+
+TEST_CASE("each wrong setting is told with its place, and unknown keys are")
+{
+    auto text = Whole;
+    text.replace(text.find("0.25"), 4, "many");
+    text += "colour: blue\n";
+    const auto settings = parseGatewaySettings(text, "f");
+    REQUIRE_FALSE(settings);
+    const auto &errors = settings.error();
+    REQUIRE(errors.size() == 2);
+    CHECK(errors[0].message().find("retry_share") != std::string::npos);
+    CHECK(errors[1].message().find("colour") != std::string::npos);
+}
+
+TEST_CASE("settings without a store aren't accepted")
+{
+    auto text = Whole;
+    const auto begin = text.find("store:");
+    text.erase(begin, text.find('\n', begin) - begin + 1);
+    CHECK_FALSE(parseGatewaySettings(text, "f"));
+}
--- /dev/null
+++ b/tests/gateway/stage_pool_test.cpp
@@ -0,0 +1,281 @@
+#include "gateway/stage_pool.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+constexpr std::uint64_t PieceBytes = 100;
+
+stage_capacity makeCapacity()
+{
+    stage_capacity capacity;
+    capacity.batch = 4;
+    capacity.callTime = milliseconds{200};
+    capacity.pieceTime = std::chrono::milliseconds{10};
+    capacity.roomBytes = 6 * PieceBytes;
+    capacity.resultLifetime = milliseconds{4000};
+    return capacity;
+}
+
+struct world
+{
+    manual_clock clock;
+    retry_allowance allowance{clock, {0.0, 1000.0, milliseconds{10'000}}};
+    stage_pool pool{clock, service_id("s"), allowance};
+    std::vector<server_ptr> servers;
+    piece_token lastToken = 0;
+
+    explicit world(std::size_t count = 1)
+    {
+        pool.setCapacity(makeCapacity());
+        for (std::size_t i = 0; i < count; ++i) {
+            servers.push_back(std::make_shared<server>());
+            servers.back()->record.id = backend_server_id("s" + std::to_string(i));
+            servers.back()->record.dataCenter = data_center_id(i == 0 ? "a" : "b");
+        }
+    }
+
+    piece_token submit(const std::string &request, std::uint32_t piece, milliseconds aim,
+                       std::uint32_t priority = 1)
+    {
+        piece_job job;
+        job.token = ++lastToken;
+        job.request.attempt = request;
+        job.request.piece = piece;
+        job.priority = priority;
+        job.aim = clock.now() + aim;
+        job.deadline = clock.now() + aim + milliseconds{5000};
+        job.resultBytes = PieceBytes;
+        pool.submit(job);
+        return job.token;
+    }
+    /// Ends a call with a handle for each piece.
+    std::vector<piece_outcome> answer(const stage_call &call)
+    {
+        std::vector<piece_result> results;
+        for (std::size_t i = 0; i < call.pieces.size(); ++i)
+            results.emplace_back("h" + std::to_string(call.id) + "/" + std::to_string(i));
+        return pool.onEnd(call.id, stage_call_end::Answered, results);
+    }
+    std::vector<piece_outcome> fail(const stage_call &call, piece_failure why)
+    {
+        const std::vector<piece_result> results(call.pieces.size(), piece_result{why});
+        return pool.onEnd(call.id, stage_call_end::Answered, results);
+    }
+};
+
+std::vector<std::string> requestsOf(const stage_call &call)
+{
+    std::vector<std::string> names;
+    std::ranges::transform(call.pieces, std::back_inserter(names), &piece_request::attempt);
+    return names;
+}
+
+} // namespace
+
+TEST_CASE("pieces that come while all servers are busy share the next call")
+{
+    world w;
+    w.submit("r1", 0, milliseconds{2000});
+    const auto first = w.pool.next(w.servers);
+    REQUIRE(first);
+    w.submit("r2", 0, milliseconds{2000});
+    w.submit("r3", 0, milliseconds{2000});
+    CHECK_FALSE(w.pool.next(w.servers));
+    CHECK(w.answer(*first).size() == 1);
+    const auto second = w.pool.next(w.servers);
+    REQUIRE(second);
+    CHECK(requestsOf(*second) == std::vector<std::string>{"r2", "r3"});
+}
+
+TEST_CASE("more urgent pieces go first, then those that are due sooner, late ones last")
+{
+    world w;
+    w.submit("late", 0, milliseconds{100}, 0);
+    w.submit("later", 0, milliseconds{3000});
+    w.submit("sooner", 0, milliseconds{2000});
+    w.submit("urgent", 0, milliseconds{4000}, 0);
+    const auto call = w.pool.next(w.servers);
+    REQUIRE(call);
+    CHECK(requestsOf(*call) == std::vector<std::string>{"urgent", "sooner", "later", "late"});
+}
+
+TEST_CASE("equal priorities are decided by the route's")
+{
+    world w;
+    w.submit("minor", 0, milliseconds{1000});
+    piece_job major;
+    major.token = 99;
+    major.request.attempt = "major";
+    major.priority = 1;
+    major.routePriority = 0;
+    major.aim = w.clock.now() + milliseconds{3000};
+    major.deadline = major.aim;
+    piece_job minor = major;
+    minor.token = 98;
+    minor.request.attempt = "third";
+    minor.routePriority = 2;
+    minor.aim = w.clock.now() + milliseconds{900};
+    w.pool.submit(minor);
+    w.pool.submit(major);
+    const auto call = w.pool.next(w.servers);
+    REQUIRE(call);
+    CHECK(requestsOf(*call).back() == "third");
+}
+
+TEST_CASE("the pieces of one request aren't split while they can still go together")
+{
+    world w;
+    w.submit("r1", 0, milliseconds{1000});
+    w.submit("r1", 1, milliseconds{1000});
+    w.submit("r1", 2, milliseconds{1000});
+    for (std::uint32_t i = 0; i < 3; ++i)
+        w.submit("r2", i, milliseconds{2000});
+    const auto call = w.pool.next(w.servers);
+    REQUIRE(call);
+    CHECK(requestsOf(*call) == std::vector<std::string>{"r1", "r1", "r1"});
+}
+
+TEST_CASE("a request that has waited long goes in parts")
+{
+    world w;
+    for (std::uint32_t i = 0; i < 3; ++i)
+        w.submit("r1", i, milliseconds{1000});
+    for (std::uint32_t i = 0; i < 3; ++i)
+        w.submit("r2", i, milliseconds{2000});
+    w.clock.advance(milliseconds{400});
+    const auto call = w.pool.next(w.servers);
+    REQUIRE(call);
+    CHECK(requestsOf(*call) == std::vector<std::string>{"r1", "r1", "r1", "r2"});
+}
+
+TEST_CASE("no call is made for results that have no room, until room is freed")
+{
+    world w;
+    for (std::uint32_t i = 0; i < 4; ++i)
+        w.submit("r1", i, milliseconds{2000});
+    const auto first = w.pool.next(w.servers);
+    const auto outcomes = w.answer(*first);
+    for (std::uint32_t i = 0; i < 3; ++i)
+        w.submit("r2", i, milliseconds{2000});
+    CHECK_FALSE(w.pool.next(w.servers));
+    w.pool.onFreed(std::get<std::string>(outcomes[0].result));
+    const auto second = w.pool.next(w.servers);
+    REQUIRE(second);
+    CHECK(second->pieces.size() == 3);
+}
+
+TEST_CASE("results that nobody frees lapse")
+{
+    world w;
+    for (std::uint32_t i = 0; i < 4; ++i)
+        w.submit("r1", i, milliseconds{2000});
+    (void)w.answer(*w.pool.next(w.servers));
+    for (std::uint32_t i = 0; i < 4; ++i)
+        w.submit("r2", i, milliseconds{9000});
+    CHECK_FALSE(w.pool.next(w.servers));
+    w.clock.advance(milliseconds{4100});
+    CHECK(w.pool.next(w.servers));
+    CHECK(w.pool.heldAt(backend_server_id("s0")) == 4 * PieceBytes);
+}
+
+TEST_CASE("pieces of a call that wasn't run wait on, and the server is left alone for a moment")
+{
+    world w(2);
+    w.submit("r1", 0, milliseconds{2000});
+    const auto first = w.pool.next(w.servers);
+    CHECK(w.pool.onEnd(first->id, stage_call_end::NotRun, {}).empty());
+    const auto second = w.pool.next(w.servers);
+    REQUIRE(second);
+    CHECK(second->server != first->server);
+    CHECK(w.pool.heldAt(first->server->record.id) == 0);
+}
+
+TEST_CASE("a piece without room is tried again, one whose input is gone isn't")
+{
+    world w;
+    w.submit("r1", 0, milliseconds{2000});
+    CHECK(w.fail(*w.pool.next(w.servers), piece_failure::NoRoom).empty());
+    REQUIRE(w.pool.wakeAt());
+    w.clock.advance(milliseconds{200});
+    const auto outcomes = w.fail(*w.pool.next(w.servers), piece_failure::InputGone);
+    REQUIRE(outcomes.size() == 1);
+    CHECK(std::get<piece_failure>(outcomes[0].result) == piece_failure::InputGone);
+}
+
+TEST_CASE("where second tries are used up, a failed piece is given back")
+{
+    world w;
+    while (w.allowance.tryTake(service_id("s")))
+        ;
+    w.submit("r1", 0, milliseconds{2000});
+    const auto call = w.pool.next(w.servers);
+    const auto outcomes = w.pool.onEnd(call->id, stage_call_end::Broken, {});
+    REQUIRE(outcomes.size() == 1);
+    CHECK(std::get<piece_failure>(outcomes[0].result) == piece_failure::Error);
+}
+
+TEST_CASE("calls that no server got cost no second try")
+{
+    world w;
+    while (w.allowance.tryTake(service_id("s")))
+        ;
+    w.submit("r1", 0, milliseconds{2000});
+    const auto call = w.pool.next(w.servers);
+    CHECK(w.pool.onEnd(call->id, stage_call_end::NotSent, {}).empty());
+    CHECK(w.pool.waiting() == 1);
+}
+
+TEST_CASE("late pieces are given up while others keep all servers busy, and stay otherwise")
+{
+    world w;
+    w.submit("late", 0, milliseconds{50});
+    CHECK(w.pool.expire(1).empty());
+    for (std::uint32_t i = 0; i < 5; ++i)
+        w.submit("r" + std::to_string(i), 0, milliseconds{3000});
+    const auto outcomes = w.pool.expire(1);
+    REQUIRE(outcomes.size() == 1);
+    CHECK(std::get<piece_failure>(outcomes[0].result) == piece_failure::Late);
+}
+
+TEST_CASE("a piece that was withdrawn has no outcome but its result can be told")
+{
+    world w;
+    const auto token = w.submit("r1", 0, milliseconds{2000});
+    const auto call = w.pool.next(w.servers);
+    w.pool.withdraw(token);
+    const auto outcomes = w.answer(*call);
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].token == 0);
+    CHECK(std::holds_alternative<std::string>(outcomes[0].result));
+}
+
+TEST_CASE("pieces go to a server where their inputs lie")
+{
+    world w(2);
+    piece_job job;
+    job.token = 1;
+    job.request.attempt = "r1";
+    job.aim = w.clock.now() + milliseconds{2000};
+    job.deadline = job.aim;
+    job.near = data_center_id("b");
+    w.pool.submit(job);
+    CHECK(w.pool.next(w.servers)->server->record.id.value == "s1");
+}
+
+TEST_CASE("what was done is summed up once")
+{
+    world w;
+    w.submit("r1", 0, milliseconds{2000});
+    (void)w.pool.next(w.servers);
+    const auto summary = w.pool.takeSummary();
+    CHECK(summary.calls == 1);
+    CHECK(summary.ranks.at(1).pieces == 1);
+    CHECK(w.pool.takeSummary().calls == 0);
+}
--- /dev/null
+++ b/tests/http/message_reader_test.cpp
@@ -0,0 +1,167 @@
+#include "http/message_reader.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace orchidlead::http;
+
+namespace {
+
+constexpr std::size_t MaxHead = 512;
+constexpr std::size_t MaxBody = 64;
+
+template <class Head>
+class recorder final : public message_sink<Head>
+{
+public:
+    void onHead(Head head) override { heads.push_back(std::move(head)); }
+    void onBody(std::string_view bytes) override { body.append(bytes); }
+    void onComplete() override { ++completed; }
+
+    std::vector<Head> heads;
+    std::string body;
+    int completed = 0;
+};
+
+/// Reads a whole text byte by byte, as the slowest sender would send it.
+template <class Reader>
+std::optional<read_error> readSlowly(Reader &reader, std::string_view text)
+{
+    std::string kept;
+    for (const char each : text) {
+        kept.push_back(each);
+        const auto progress = reader.read(kept);
+        if (progress.error)
+            return progress.error;
+        kept.erase(0, progress.used);
+    }
+    return std::nullopt;
+}
+
+std::optional<read_error> readRequest(std::string_view text)
+{
+    recorder<request_head> sink;
+    request_reader reader(sink, MaxHead, MaxBody);
+    return reader.read(text).error;
+}
+
+} // namespace
+
+TEST_CASE("a request is read with its fields, its body and nothing of the next one")
+{
+    recorder<request_head> sink;
+    request_reader reader(sink, MaxHead, MaxBody);
+    const std::string first = "POST /x?y HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc";
+    const auto progress = reader.read(first + "GET / HTTP/1.1\r\n");
+    CHECK_FALSE(progress.error);
+    CHECK(progress.used == first.size());
+    REQUIRE(sink.heads.size() == 1);
+    CHECK(sink.heads[0].target == "/x?y");
+    CHECK(sink.body == "abc");
+    CHECK(sink.completed == 1);
+}
+
+TEST_CASE("a request that comes byte by byte is the same request")
+{
+    recorder<request_head> sink;
+    request_reader reader(sink, MaxHead, MaxBody);
+    const auto error = readSlowly(
+        reader,
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    CHECK_FALSE(error);
+    CHECK(sink.body == "abc");
+    CHECK(sink.completed == 1);
+}
+
+TEST_CASE("requests whose end two programs could see differently are refused")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+    const std::vector<std::string> texts{
+        head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+        head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        head + "Content-Length: 3, 3\r\n\r\nabc",
+        head + "Content-Length: +3\r\n\r\nabc",
+        head + "Content-Length: 0x3\r\n\r\nabc",
+        head + "Transfer-Encoding: gzip\r\n\r\n",
+        head + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        head + "Content-Length : 3\r\n\r\nabc",
+        head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\nHost: a\nContent-Length: 3\n\nabc",
+        "POST / HTTP/1.1\r\nHost: a\nContent-Length: 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nX-A: b\nGET /smuggled HTTP/1.1\r\n\r\n",
+        "POST /a b HTTP/1.1\r\nHost: a\r\n\r\n",
+        "POST / HTTP/9.9\r\nHost: a\r\n\r\n",
+    };
+    for (const auto &text : texts) {
+        INFO("request: " << text);
+        CHECK(readRequest(text) == read_error::Malformed);
+    }
+}
+
+TEST_CASE("a head and a body beyond their bounds are told apart")
+{
+    const std::string large(MaxHead, 'x');
+    CHECK(readRequest("GET / HTTP/1.1\r\nHost: a\r\nX-A: " + large + "\r\n\r\n")
+          == read_error::HeadTooLarge);
+    CHECK(readRequest("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65\r\n\r\n")
+          == read_error::BodyTooLarge);
+}
+
+TEST_CASE("an answer without a length is whole only when its connection ends in order")
+{
+    recorder<response_head> sink;
+    response_reader reader(sink, false);
+    CHECK_FALSE(reader.read("HTTP/1.1 200 OK\r\n\r\nabc").error);
+    CHECK_FALSE(reader.done());
+    CHECK(reader.finishAtEnd());
+    CHECK(sink.body == "abc");
+    CHECK(sink.completed == 1);
+}
+
+TEST_CASE("an answer that ends early isn't whole")
+{
+    for (const std::string text :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+          "HTTP/1.1 200 OK\r\nContent-", ""}) {
+        INFO("answer: " << text);
+        recorder<response_head> sink;
+        response_reader reader(sink, false);
+        CHECK_FALSE(reader.read(text).error);
+        CHECK_FALSE(reader.finishAtEnd());
+        CHECK(sink.completed == 0);
+    }
+}
+
+TEST_CASE("interim answers are passed over")
+{
+    recorder<response_head> sink;
+    response_reader reader(sink, false);
+    CHECK_FALSE(reader.read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n").error);
+    REQUIRE(sink.heads.size() == 1);
+    CHECK(sink.heads[0].status == 204);
+    CHECK(reader.done());
+}
+
+TEST_CASE("bytes behind a whole answer aren't taken for a part of it")
+{
+    recorder<response_head> sink;
+    response_reader reader(sink, false);
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    CHECK(reader.read(answer + "HTTP/1.1 200 OK\r\n").used == answer.size());
+    CHECK(reader.done());
+}
+
+TEST_CASE("the answer to a HEAD request has no body whatever length it names")
+{
+    recorder<response_head> sink;
+    response_reader reader(sink, true);
+    CHECK_FALSE(reader.read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n").error);
+    CHECK(reader.done());
+}
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,270 @@
+#include "platform/codec.h"
+#include "wire/base64.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+using platform::codec;
+
+namespace {
+
+http::request_head makeRequest()
+{
+    http::request_head head;
+    head.method = "POST";
+    head.target = "/a/b";
+    head.fields = {{"Host", "x.example"},        {"X-Attempt-Id", "9c41"},
+                   {"x-deadline-ms", "8000"},    {"Api-Key", "secret"},
+                   {"X-Token-Count", "1460,80"}, {"X-Prefix-Hash", "5c1e:800,91bd:410,e440:250"},
+                   {"X-Chunk-Count", "2,0,3"},   {"X-Chunk-Key", "7c1e"},
+                   {"Last-Event-Id", "12"},      {"X-Tenant", "forged"},
+                   {"X-Other", "kept"}};
+    return head;
+}
+
+std::optional<std::string> valueOf(const http::field_list &fields, std::string_view name)
+{
+    const auto found = http::findField(fields, name);
+    return found ? std::optional(std::string(*found)) : std::nullopt;
+}
+
+std::size_t countOf(const http::field_list &fields, std::string_view name)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(fields, [&](const http::field &each) {
+        return http::equalsIgnoringCase(each.name, name);
+    }));
+}
+
+std::string item(const std::string &key, const std::string &value)
+{
+    return R"({"key":")" + key + R"(","value":")" + wire::encodeBase64(value)
+        + R"(","revision":4,"created":4,"lease":0})";
+}
+
+const std::string Server = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",
+    "slots":6,"phase":"ready","cold_remaining_ms":0,"sequence":4,"unknown":[1]})";
+
+const std::string Configuration = R"({"version":7,"routes":[
+  {"name":"r1","hostname":"A.example","path_prefix":"/a/","type":"streaming","timeout_ms":8000,
+   "target_latency_ms":3600,"priority":1,"service":"e","max_attempts":2,
+   "stages":[{"service":"p","after":[],"length":8000},{"service":"p","after":[0],"length":60000}],
+   "anonymous":false,"session_affinity":true,"resumable":true,"itl_target_ms":500},
+  {"name":"r2","hostname":"b.example","path_prefix":"/","type":"unsafe","timeout_ms":600,
+   "target_latency_ms":100,"priority":2,"max_attempts":1,"anonymous":true,
+   "traffic_split":[{"service":"w","weight":90},{"service":"v","weight":10}]}],
+  "services":[{"name":"e","max_connections":610,"engine":{"slots":128,"kv_capacity":286093}},
+   {"name":"p","max_connections":610,"segments":{"slots":1,"queue":2,"batch":8,"call_ms":200.0,
+    "item_ms":7.8,"headroom_mb":2.8,"handle_s":4.0,"link_mbps":10000}}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+   "idle_timeout_ms":15000},
+  "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}]})";
+
+} // namespace
+
+TEST_CASE("a request's headers are decoded into what they hold")
+{
+    const auto marks = codec::readRequest(makeRequest());
+    CHECK(marks.attempt == "9c41");
+    CHECK(marks.host == "x.example");
+    CHECK(marks.patience == milliseconds{8000});
+    CHECK(marks.key == "secret");
+    CHECK(marks.promptTokens == 1460);
+    CHECK(marks.answerTokens == 80);
+    REQUIRE(marks.prompt.size() == 3);
+    CHECK(marks.prompt[1].id == "91bd");
+    CHECK(marks.prompt[1].tokens == 410);
+    CHECK(marks.pieceCounts == std::vector<std::uint32_t>{2, 0, 3});
+    CHECK(marks.pieceKey == "7c1e");
+    CHECK(marks.lastEvent == 12);
+}
+
+TEST_CASE("headers that can't be read count as absent")
+{
+    http::request_head head;
+    head.fields = {{"X-Deadline-Ms", "soon"}, {"Last-Event-Id", "-1"}, {"X-Prefix-Hash", "x:y"}};
+    const auto marks = codec::readRequest(head);
+    CHECK_FALSE(marks.patience);
+    CHECK_FALSE(marks.lastEvent);
+    REQUIRE(marks.prompt.size() == 1);
+    CHECK(marks.prompt[0].tokens == 0);
+}
+
+TEST_CASE("a server gets the system's own headers in place of the client's, and never the key")
+{
+    server_marks marks;
+    marks.patience = milliseconds{950};
+    marks.instance = backend_server_id("i-1");
+    marks.customer = customer_id("t1");
+    marks.priority = 3;
+    marks.lastEvent = 20;
+    marks.inputs = {"a/1", "b/2"};
+    const auto fields = codec::writeServerFields(makeRequest(), marks);
+    CHECK(valueOf(fields, "x-deadline-ms") == "950");
+    CHECK(countOf(fields, "x-deadline-ms") == 1);
+    CHECK(valueOf(fields, "x-expected-instance") == "i-1");
+    CHECK(valueOf(fields, "x-tenant") == "t1");
+    CHECK(countOf(fields, "x-tenant") == 1);
+    CHECK(valueOf(fields, "last-event-id") == "20");
+    CHECK(countOf(fields, "last-event-id") == 1);
+    CHECK(valueOf(fields, "x-input-count") == "a/1,b/2");
+    CHECK(valueOf(fields, "x-request-priority") == "3");
+    CHECK(valueOf(fields, "x-attempt-id") == "9c41");
+    CHECK(valueOf(fields, "x-prefix-hash") == "5c1e:800,91bd:410,e440:250");
+    CHECK(valueOf(fields, "x-other") == "kept");
+    CHECK_FALSE(valueOf(fields, "api-key"));
+}
+
+TEST_CASE("a forged customer isn't passed on where the request has none")
+{
+    CHECK_FALSE(valueOf(codec::writeServerFields(makeRequest(), {}), "x-tenant"));
+}
+
+TEST_CASE("an answer's headers are decoded")
+{
+    http::response_head head;
+    head.fields = {{"x-attempt-id", "9c41"},
+                   {"X-Instance-Signature", "3e1b"},
+                   {"X-Not-Executed", "1"},
+                   {"X-Instance-Load", "3,1,8"}};
+    const auto marks = codec::readAnswer(head);
+    CHECK(marks.attempt == "9c41");
+    CHECK(marks.signedByServer);
+    CHECK(marks.notRun);
+    REQUIRE(marks.load);
+    CHECK(marks.load->running == 3);
+    CHECK(marks.load->waiting == 1);
+    CHECK(marks.load->slots == 8);
+    head.fields = {{"X-Instance-Load", "3,1"}};
+    CHECK_FALSE(codec::readAnswer(head).load);
+}
+
+TEST_CASE("the time to come back is written in seconds with a fraction")
+{
+    CHECK(codec::retryAfter(milliseconds{400}).value == "0.400");
+}
+
+TEST_CASE("pieces are written with a key or with inputs")
+{
+    const std::vector<piece_request> pieces{{"r1", 0, 2, milliseconds{900}, "7c\"1e", {}},
+                                            {"r2", 2, 0, std::nullopt, "", {"h/1"}}};
+    CHECK(codec::writePieces(pieces)
+          == R"({"items":[{"id":"r1","stage":0,"segment":2,"remaining_ms":900,"key":"7c\"1e"},)"
+             R"({"id":"r2","stage":2,"segment":0,"inputs":["h/1"]}]})");
+}
+
+TEST_CASE("results of pieces are read as handles or as reasons")
+{
+    const auto read = codec::readPieces(
+        R"({"items":[{"handle":"h/1"},{"reason":"late"},{"reason":"gone"},{"reason":"room"},)"
+        R"({"reason":"error"}]})");
+    REQUIRE(read);
+    REQUIRE(read.value().size() == 5);
+    CHECK(std::get<std::string>(read.value()[0]) == "h/1");
+    CHECK(std::get<piece_failure>(read.value()[1]) == piece_failure::Late);
+    CHECK(std::get<piece_failure>(read.value()[2]) == piece_failure::InputGone);
+    CHECK(std::get<piece_failure>(read.value()[3]) == piece_failure::NoRoom);
+    CHECK(std::get<piece_failure>(read.value()[4]) == piece_failure::Error);
+}
+
+TEST_CASE("answers to calls that aren't what they should be are told as errors")
+{
+    for (const std::string text : {"", "{", "[]", "{}", R"({"items":3})", R"({"items":[{}]})",
+                                   R"({"items":[{"reason":"tired"}]})", R"({"items":["x"]})"}) {
+        INFO("text: " << text);
+        CHECK_FALSE(codec::readPieces(text));
+    }
+}
+
+TEST_CASE("a page of servers is read, and an entry that can't be is named")
+{
+    const auto page = codec::readPage(R"({"items":[)" + item("servers/i-1", Server) + ","
+                                      + item("servers/i-2", "{}") + "," + item("other/x", "{}")
+                                      + R"(],"has_more":true,"store_revision":530})");
+    REQUIRE(page);
+    CHECK(page.value().more);
+    CHECK(page.value().revision == 530);
+    CHECK(page.value().lastKey == "other/x");
+    REQUIRE(page.value().items.size() == 2);
+    const auto &record = std::get<published_server>(page.value().items[0]).record;
+    CHECK(record.id.value == "i-1");
+    CHECK(record.address == socket_address{"10.0.0.9", 8080});
+    CHECK(record.slots == 6);
+    CHECK_FALSE(record.leaving);
+    CHECK(std::get<unreadable_item>(page.value().items[1]).key == "servers/i-2");
+}
+
+TEST_CASE("changes tell of servers that leave and that are removed")
+{
+    auto leaving = Server;
+    leaving.replace(leaving.find("ready"), 5, "draining");
+    const auto page = codec::readChanges(
+        R"({"events":[)" + item("servers/i-1", leaving)
+        + R"(,{"key":"servers/i-2","revision":9,"deleted":true}],"store_revision":9})");
+    REQUIRE(page);
+    REQUIRE(page.value().items.size() == 2);
+    CHECK(std::get<published_server>(page.value().items[0]).record.leaving);
+    CHECK(std::get<removed_server>(page.value().items[1]).id.value == "i-2");
+}
+
+TEST_CASE("a configuration is read with its routes, services, limits and customers")
+{
+    const auto read = codec::readConfiguration(Configuration);
+    REQUIRE(read);
+    const auto &content = read.value();
+    CHECK(content.version == 7);
+    REQUIRE(content.routes.size() == 2);
+    const auto &stream = content.routes[0];
+    CHECK(stream.host == "a.example");
+    CHECK(stream.kind == request_kind::Stream);
+    CHECK(stream.resumable);
+    CHECK(stream.pauseObjective == milliseconds{500});
+    REQUIRE(stream.stages.size() == 2);
+    CHECK(stream.stages[1].after == std::vector<std::size_t>{0});
+    CHECK(stream.stages[1].resultBytes == 60000);
+    CHECK(content.routes[1].services[0].weight == 90);
+    CHECK(content.routes[1].anonymous);
+    REQUIRE(content.services.size() == 2);
+    CHECK(content.services[0].engine->tokenCapacity == 286093);
+    CHECK(content.services[1].stage->pieceTime == std::chrono::microseconds{7800});
+    CHECK(content.services[1].stage->roomBytes == 2'800'000);
+    CHECK(content.services[1].stage->resultLifetime == milliseconds{4000});
+    CHECK(content.limits.idleTimeout == milliseconds{15'000});
+    REQUIRE(content.customers.size() == 1);
+    CHECK(content.customers[0].keys.size() == 2);
+    CHECK(content.customers[0].priority == 1U);
+}
+
+TEST_CASE("a configuration that lacks what routes need is refused whole")
+{
+    for (
+        const std::string text :
+        {"", "{}", R"({"version":"7"})", R"({"version":7,"routes":[{}]})",
+         R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/","type":"odd","service":"s"}]})",
+         R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"x","type":"safe","service":"s"}]})"}) {
+        INFO("text: " << text);
+        CHECK_FALSE(codec::readConfiguration(text));
+    }
+}
+
+TEST_CASE("targets of the store's calls are written")
+{
+    CHECK(codec::configurationTarget() == "/kv-key?key=op/config");
+    CHECK(codec::serversTarget("") == "/kv-range?path_prefix=servers/");
+    CHECK(codec::serversTarget("servers/i 1")
+          == "/kv-range?path_prefix=servers/&after=servers/i%201");
+    CHECK(codec::watchTarget(411, milliseconds{1500})
+          == "/kv-watch?path_prefix=&after=411&wait_ms=1500");
+}
+
+TEST_CASE("pages that aren't pages are told as errors")
+{
+    for (const std::string text : {"", "[]", "{}", R"({"items":[]})", R"({"store_revision":1})"}) {
+        INFO("text: " << text);
+        CHECK_FALSE(codec::readPage(text));
+        CHECK_FALSE(codec::readChanges(text));
+    }
+}
