--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,8 @@
 #include "gateway/codec.h"
 #include "gateway/engine_placer.h"
 #include "gateway/event_splitter.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/request_outcome.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_directory.h"
 #include "gateway/stage_router.h"
@@ -33,6 +35,7 @@
     stage_router<Codec> &stages;
     engine_placer &engines;
     wire::log &log;
+    gateway_metrics &metrics;
     data_center_id dataCenter;
     configuration_ptr configuration; ///< null until one is known
     time_estimates times;
@@ -98,13 +101,13 @@
 
     void beginAnswer();
     void passBackpressure();
-    void answerOwn(int status, std::string_view reason);
-    void refuse(std::string_view reason);
-    void giveUp(std::string_view reason);
+    void answerOwn(int status, request_outcome outcome);
+    void refuse(request_outcome outcome);
+    void giveUp(request_outcome outcome);
     void onClientGone();
     void onTimeout();
-    void finish(std::string_view outcome);
-    void logEnd(std::string_view outcome);
+    void finish(request_outcome outcome);
+    void logEnd(request_outcome outcome);
 
     [[nodiscard]] milliseconds left() const;
 
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -66,7 +66,7 @@
     m_marks = Codec::readRequest(m_head);
     m_client->onClientGone([self = this->shared_from_this()] { self->onClientGone(); });
     if (!m_configuration) {
-        refuse("no_configuration");
+        refuse(request_outcome::NoConfiguration);
         return;
     }
     if (!findRoute())
@@ -75,7 +75,7 @@
     const auto patience = m_marks.patience.value_or(m_route->timeout);
     m_end = m_arrival + std::min(patience, m_route->timeout) - AnswerMargin;
     if (left() <= milliseconds{0}) {
-        refuse("no_time");
+        refuse(request_outcome::NoTime);
         return;
     }
     m_endTimer = m_context.loop.callAfter(left(), [self = this->shared_from_this()] {
@@ -97,14 +97,14 @@
         std::string_view(m_head.target).substr(0, m_head.target.find('?'));
     m_route = m_configuration->findRoute(m_marks.host, path);
     if (!m_route) {
-        answerOwn(status::NotFound, "no_route");
+        answerOwn(status::NotFound, request_outcome::NoRoute);
         return false;
     }
     if (!m_configuration->needsKeys() || m_route->anonymous)
         return true;
     m_customer = m_configuration->findCustomer(m_marks.key);
     if (!m_customer)
-        answerOwn(status::Unauthorized, "unknown_key");
+        answerOwn(status::Unauthorized, request_outcome::UnknownKey);
     return m_customer != nullptr;
 }
 
@@ -134,7 +134,7 @@
 {
     m_work = stage_work::create(*m_route, m_marks);
     if (!m_work) {
-        answerOwn(status::BadRequest, "piece_counts");
+        answerOwn(status::BadRequest, request_outcome::PieceCounts);
         return;
     }
     m_afterStages = m_context.times.afterStages(*m_configuration, *m_route, m_service);
@@ -186,7 +186,7 @@
         restartStages("input_gone");
         return;
     }
-    giveUp(toName(failure));
+    giveUp(outcomeOf(failure));
 }
 
 template <gateway_codec Codec>
@@ -289,7 +289,7 @@
 {
     m_server = std::move(chosen);
     if (!m_server) {
-        giveUp("no_server");
+        giveUp(request_outcome::NoServer);
         return;
     }
     ++m_server->outstanding;
@@ -395,6 +395,8 @@
     const auto events = m_splitter.feed(bytes);
     if (!events.empty()) {
         if (!m_begun) {
+            m_context.metrics.onFirstEvent(
+                std::chrono::duration_cast<milliseconds>(m_context.loop.now() - m_arrival));
             const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
                 m_context.loop.now() - m_sentAt);
             m_context.times.onFirstAnswer(m_service, took);
@@ -480,7 +482,7 @@
     if (!m_begun)
         beginAnswer();
     m_client->finish();
-    finish("answered");
+    finish(request_outcome::Answered);
 }
 
 template <gateway_codec Codec>
@@ -495,11 +497,12 @@
     const bool promises = m_answer.status == status::Unavailable
         || m_answer.status == status::TooMany || m_answer.status == status::Timeout;
     if (promises && !m_route->repeatable()) {
-        answerOwn(status::BadGateway, "server_failed");
+        answerOwn(status::BadGateway, request_outcome::ServerFailed);
         return;
     }
     m_client->respond(m_answer.status, http::forwardedFields(m_answer.fields), m_buffered);
-    finish(m_answer.status < status::FirstServerError ? "answered" : "failed");
+    finish(m_answer.status < status::FirstServerError ? request_outcome::Answered
+                                                      : request_outcome::Failed);
 }
 
 template <gateway_codec Codec>
@@ -534,7 +537,7 @@
     if (mayTryAgain(what))
         attempt();
     else
-        giveUp(what == fate::NotRun ? "servers_full" : "server_failed");
+        giveUp(what == fate::NotRun ? request_outcome::ServersFull : request_outcome::ServerFailed);
 }
 
 // The timer runs on while the answer comes, and looks how long ago the last of it was heard.
@@ -580,30 +583,30 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::answerOwn(int code, std::string_view reason)
+void exchange<Codec>::answerOwn(int code, request_outcome outcome)
 {
     m_client->respond(code, {}, {});
-    finish(reason);
+    finish(outcome);
 }
 
 // Says that no server has run the request, which must be true, and when to come back.
 template <gateway_codec Codec>
-void exchange<Codec>::refuse(std::string_view reason)
+void exchange<Codec>::refuse(request_outcome outcome)
 {
     m_client->respond(status::Unavailable, {Codec::retryAfter(ComeBack)}, {});
-    finish(reason);
+    finish(outcome);
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::giveUp(std::string_view reason)
+void exchange<Codec>::giveUp(request_outcome outcome)
 {
     if (m_begun) {
         m_client->abort();
-        finish(reason);
+        finish(outcome);
     } else if (m_mayHaveRun) {
-        answerOwn(status::BadGateway, reason);
+        answerOwn(status::BadGateway, outcome);
     } else {
-        refuse(reason);
+        refuse(outcome);
     }
 }
 
@@ -619,11 +622,11 @@
     }
     if (m_begun) {
         m_client->abort();
-        finish("timeout");
+        finish(request_outcome::Timeout);
     } else if (sent || m_mayHaveRun) {
-        answerOwn(status::GatewayTimeout, "timeout");
+        answerOwn(status::GatewayTimeout, request_outcome::Timeout);
     } else {
-        refuse("timeout");
+        refuse(request_outcome::Timeout);
     }
 }
 
@@ -636,11 +639,11 @@
         m_context.pool.abandon(m_call);
         endAttempt();
     }
-    finish("client_gone");
+    finish(request_outcome::ClientGone);
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::finish(std::string_view outcome)
+void exchange<Codec>::finish(request_outcome outcome)
 {
     if (std::exchange(m_done, true))
         return;
@@ -650,6 +653,9 @@
     withdrawPieces();
     freeResults();
     logEnd(outcome);
+    m_context.metrics.onRequest(
+        m_route ? std::optional(m_route->kind) : std::nullopt, outcome,
+        std::chrono::duration_cast<milliseconds>(m_context.loop.now() - m_arrival));
     if (m_client) {
         m_client->onClientGone({});
         m_client->onDrained({});
@@ -658,12 +664,12 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::logEnd(std::string_view outcome)
+void exchange<Codec>::logEnd(request_outcome outcome)
 {
     const auto took =
         std::chrono::duration_cast<milliseconds>(m_context.loop.now() - m_arrival).count();
     auto line = m_context.log.line(wire::log_level::Info, "request");
-    line.add("request", m_marks.attempt).add("outcome", outcome);
+    line.add("request", m_marks.attempt).add("outcome", toName(outcome));
     if (m_route)
         line.add("route", m_route->name);
     line.add("status", m_answer.status).add("attempts", m_attempts).add("ms", took);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,12 +37,14 @@
     void onPublication(const publication_frame &frame);
     [[nodiscard]] publication_frame makePublication() const;
     void askPeers();
+    [[nodiscard]] gateway_gauges gauges() const;
     void tick();
     void checkStopped();
 
     http::io_loop &m_loop;
     wire::log &m_log;
     gateway_settings m_settings;
+    gateway_metrics m_metrics;
     http::connection_pool m_pool;
     server_directory m_directory;
     retry_allowance m_allowance;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -26,6 +26,8 @@
 /// Among how many nodes the reserve of second tries is divided at least: some may not be known.
 inline constexpr std::size_t AssumedNodes = 8;
 
+/// Where the readiness address serves metrics.
+inline constexpr std::string_view MetricsPath = "/metrics";
 /// Between two lines about what the stage pools did.
 inline constexpr milliseconds SummaryInterval{1000};
 /// Between two questions to peers for what is published.
@@ -49,7 +51,7 @@
     , m_allowance(loop.clock(),
                   {m_settings.bounds.retryShare, m_settings.bounds.retryReserve,
                    m_settings.bounds.retryWindow})
-    , m_stages(loop, m_pool, m_directory, m_allowance, log)
+    , m_stages(loop, m_pool, m_directory, m_allowance, log, m_metrics)
     , m_peers(loop, log, m_settings, drawIncarnation(loop.clock()),
               {[this](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
                    onFrame(link, std::move(frame));
@@ -72,6 +74,7 @@
                 m_router,
                 m_placer,
                 log,
+                m_metrics,
                 m_settings.dataCenter,
                 nullptr,
                 {},
@@ -138,12 +141,32 @@
 void gateway<Codec>::onReadinessRequest(const http::inbound_ptr &client,
                                         const http::request_head &head)
 {
-    if (head.target != Codec::readinessPath())
+    if (head.target == MetricsPath)
+        client->respond(status::Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                        m_metrics.text(gauges()));
+    else if (head.target != Codec::readinessPath())
         client->respond(status::NotFound, {}, {});
     else
         client->respond(ready() ? status::Ok : status::Unavailable, {}, {});
 }
 
+template <gateway_codec Codec>
+gateway_gauges gateway<Codec>::gauges() const
+{
+    gateway_gauges now;
+    now.ready = ready();
+    now.storeConnected = m_follower.connected();
+    now.configurationVersion = m_state.current() ? m_state.current()->version() : 0;
+    now.connections = m_clients->connections;
+    now.answering = m_clients->answering;
+    for (const auto &each : m_directory.all())
+        now.servers += each->usable() ? 1 : 0;
+    now.peers = m_peers.peers().size();
+    now.serverConnections = m_pool.opened();
+    now.droppedLogLines = m_log.dropped();
+    return now;
+}
+
 template <gateway_codec Codec>
 void gateway<Codec>::onConfiguration(const configuration_ptr &configuration)
 {
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,112 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// Seconds; from a plain request's work to the longest route's timeout.
+const prometheus::Histogram::BucketBoundaries TimeBuckets{0.01, 0.03, 0.1, 0.3,  1.0, 1.6,
+                                                          2.5,  3.6,  6.0, 10.0, 20.0};
+// Pieces; the batches published so far go up to 54.
+const prometheus::Histogram::BucketBoundaries PieceBuckets{1, 2, 4, 8, 16, 32, 64};
+
+double seconds(milliseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+std::string labelOf(std::string_view name)
+{
+    return std::string(name);
+}
+
+} // namespace
+
+class gateway_metrics::families
+{
+public:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &requests =
+        prometheus::BuildCounter()
+            .Name("orchidlead_gateway_requests_total")
+            .Help("Client requests by kind of route and outcome")
+            .Register(registry);
+    prometheus::Family<prometheus::Histogram> &durations =
+        prometheus::BuildHistogram()
+            .Name("orchidlead_gateway_request_seconds")
+            .Help("Time from a request's arrival to the end of its answer, by kind of route")
+            .Register(registry);
+    prometheus::Histogram &firstEvents =
+        prometheus::BuildHistogram()
+            .Name("orchidlead_gateway_first_event_seconds")
+            .Help("Time from a stream's arrival to its first event")
+            .Register(registry)
+            .Add({}, TimeBuckets);
+    prometheus::Family<prometheus::Counter> &stageCalls =
+        prometheus::BuildCounter()
+            .Name("orchidlead_gateway_stage_calls_total")
+            .Help("Calls of the stage pools hosted here, by how they ended")
+            .Register(registry);
+    prometheus::Histogram &stagePieces = prometheus::BuildHistogram()
+                                             .Name("orchidlead_gateway_stage_call_pieces")
+                                             .Help("Pieces in a stage call")
+                                             .Register(registry)
+                                             .Add({}, PieceBuckets);
+    prometheus::Family<prometheus::Gauge> &states = prometheus::BuildGauge()
+                                                        .Name("orchidlead_gateway_state")
+                                                        .Help("What the node is like now")
+                                                        .Register(registry);
+
+    void set(const char *name, double value) { states.Add({{"what", name}}).Set(value); }
+};
+
+gateway_metrics::gateway_metrics()
+    : m_families(std::make_unique<families>())
+{ }
+
+gateway_metrics::~gateway_metrics() = default;
+
+void gateway_metrics::onRequest(std::optional<request_kind> kind, request_outcome outcome,
+                                milliseconds took)
+{
+    const auto name = kind ? labelOf(toName(*kind)) : "none";
+    m_families->requests.Add({{"kind", name}, {"outcome", labelOf(toName(outcome))}}).Increment();
+    m_families->durations.Add({{"kind", name}}, TimeBuckets).Observe(seconds(took));
+}
+
+void gateway_metrics::onFirstEvent(milliseconds took)
+{
+    m_families->firstEvents.Observe(seconds(took));
+}
+
+void gateway_metrics::onStageCall(stage_call_end how, std::size_t pieces)
+{
+    m_families->stageCalls.Add({{"end", labelOf(toName(how))}}).Increment();
+    m_families->stagePieces.Observe(static_cast<double>(pieces));
+}
+
+std::string gateway_metrics::text(const gateway_gauges &gauges)
+{
+    m_families->set("ready", gauges.ready ? 1 : 0);
+    m_families->set("store_connected", gauges.storeConnected ? 1 : 0);
+    m_families->set("configuration_version", static_cast<double>(gauges.configurationVersion));
+    m_families->set("client_connections", static_cast<double>(gauges.connections));
+    m_families->set("open_requests", static_cast<double>(gauges.answering));
+    m_families->set("usable_servers", static_cast<double>(gauges.servers));
+    m_families->set("peers", static_cast<double>(gauges.peers));
+    m_families->set("server_connections_opened", static_cast<double>(gauges.serverConnections));
+    m_families->set("log_lines_dropped", static_cast<double>(gauges.droppedLogLines));
+    std::ostringstream out;
+    prometheus::TextSerializer{}.Serialize(out, m_families->registry.Collect());
+    return out.str();
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/request_outcome.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "gateway/codec.h"
+
+#include <orchidlead/enum_names.h>
+
+#include <array>
+#include <cstdint>
+
+namespace orchidlead::gateway {
+
+/// What became of a client's request.
+enum class request_outcome : std::uint8_t {
+    Answered,
+    Failed, ///< a server's own failure was passed on
+    NoConfiguration, ///< this node knows none yet
+    NoRoute,
+    UnknownKey,
+    PieceCounts, ///< don't fit the route's stages
+    NoTime, ///< the client's patience was over when the request came
+    NoServer,
+    ServersFull, ///< all that may be tried refused it
+    ServerFailed, ///< an answer didn't come, or was broken
+    StageLate, ///< its stages couldn't be done in time
+    StageFailed,
+    Timeout,
+    ClientGone,
+};
+
+/// What a piece that can't be done makes of its request.
+[[nodiscard]] constexpr request_outcome outcomeOf(piece_failure failure)
+{
+    return failure == piece_failure::Late ? request_outcome::StageLate
+                                          : request_outcome::StageFailed;
+}
+
+} // namespace orchidlead::gateway
+
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::request_outcome>{
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::Answered, "answered"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::Failed, "failed"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::NoConfiguration, "no_configuration"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::NoRoute, "no_route"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::UnknownKey, "unknown_key"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::PieceCounts, "piece_counts"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::NoTime, "no_time"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::NoServer, "no_server"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::ServersFull, "servers_full"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::ServerFailed, "server_failed"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::StageLate, "stage_late"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::StageFailed, "stage_failed"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::Timeout, "timeout"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::ClientGone, "client_gone"},
+};
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/stage_pool.h"
 #include "http/connection_pool.h"
 #include "wire/log.h"
@@ -23,7 +24,7 @@
     using piece_handler = std::function<void(piece_result)>;
 
     stage_host(http::io_loop &loop, http::connection_pool &pool, server_directory &directory,
-               retry_allowance &allowance, wire::log &log);
+               retry_allowance &allowance, wire::log &log, gateway_metrics &metrics);
 
     void setConfiguration(const configuration_ptr &configuration);
 
@@ -69,6 +70,7 @@
     server_directory &m_directory;
     retry_allowance &m_allowance;
     wire::log &m_log;
+    gateway_metrics &m_metrics;
     configuration_ptr m_configuration;
     std::map<service_id, std::unique_ptr<stage_pool>> m_pools;
     std::map<service_id, http::timer_id> m_wakeups;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -21,12 +21,13 @@
 template <gateway_codec Codec>
 stage_host<Codec>::stage_host(http::io_loop &loop, http::connection_pool &pool,
                               server_directory &directory, retry_allowance &allowance,
-                              wire::log &log)
+                              wire::log &log, gateway_metrics &metrics)
     : m_loop(loop)
     , m_pool(pool)
     , m_directory(directory)
     , m_allowance(allowance)
     , m_log(log)
+    , m_metrics(metrics)
 { }
 
 template <gateway_codec Codec>
@@ -180,6 +181,7 @@
                         .add("pieces", call.pieces.size())
                         .add("status", answer.status)
                         .add("end", toName(how)));
+    m_metrics.onStageCall(end, call.pieces.size());
     logFailedPieces(service, call, results);
     deliver(poolOf(service).onEnd(call.id, end, results));
     pump(service);
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -164,3 +164,15 @@
 };
 
 } // namespace orchidlead::gateway
+
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::stage_call_end>{
+    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
+        orchidlead::gateway::stage_call_end::Answered, "answered"},
+    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
+        orchidlead::gateway::stage_call_end::NotSent, "not_sent"},
+    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
+        orchidlead::gateway::stage_call_end::NotRun, "not_run"},
+    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
+        orchidlead::gateway::stage_call_end::Broken, "broken"},
+};
