--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -63,7 +63,7 @@
 {
     world w;
     w.state.apply({makeConfiguration(7)});
-    const auto news = w.state.apply({unreadable_item{"op/config", "no version"}});
+    const auto news = w.state.apply({unreadable_item{"configuration", "no version"}});
     CHECK(contains(news, publication_news::what::Unreadable));
     CHECK(w.state.current()->version() == 7);
 }
