Let no timer run twice in one turn of the loop

What the code allows: a task that sets its timer anew with a delay that rounds to 0 us (a pool's wake-up less than 1 us ahead) runs again in the same turn, for ever where the clock stands still while the program computes.

Change: a turn runs the timers due at its begin, and none sooner than 1 us later. The test fails without it (1000 runs in one turn).

--- a/src/http/io_loop.cpp
+++ b/src/http/io_loop.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -12,6 +13,14 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// A task that sets its own timer anew without a delay mustn't run again in the same turn: sockets
+// would never be served where the clock stands still meanwhile.
+constexpr std::chrono::microseconds LeastDelay{1};
+
+} // namespace
+
 // All timers share one of the kernel's, which is set again only for an earlier time: most timers
 // are cancelled before they run, and each setting is a call into the kernel.
 class io_loop::implementation
@@ -25,7 +34,7 @@
 
     timer_id add(std::chrono::microseconds delay, std::function<void()> task)
     {
-        const auto due = m_clock.now() + delay;
+        const auto due = m_clock.now() + std::max(delay, LeastDelay);
         const auto id = m_heap.add(due, std::move(task));
         arm();
         return id;
@@ -58,7 +67,8 @@
     {
         m_armed.reset();
         m_firing = true;
-        while (auto task = m_heap.takeDue(m_clock.now()))
+        const auto now = m_clock.now();
+        while (auto task = m_heap.takeDue(now))
             task();
         m_firing = false;
         arm();
--- /dev/null
+++ b/tests/http/io_loop_test.cpp
@@ -0,0 +1,55 @@
+#include "http/io_loop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+using namespace orchidlead;
+
+namespace {
+
+/// Stands still, as the clock of a simulated machine does while its program computes.
+class frozen_clock final : public clock_source
+{
+public:
+    [[nodiscard]] steady_time now() const override { return m_now; }
+    [[nodiscard]] wall_time wallNow() const override { return {}; }
+    void moveOn() { m_now += std::chrono::microseconds{10}; }
+
+private:
+    steady_time m_now = std::chrono::steady_clock::now();
+};
+
+} // namespace
+
+TEST_CASE("a task that sets its timer anew without a delay doesn't keep others from running")
+{
+    frozen_clock clock;
+    http::io_loop loop(clock);
+    int runs = 0;
+    int runsBeforeOther = 0;
+    std::function<void()> again = [&] {
+        constexpr int Enough = 1000;
+        if (++runs == 1)
+            loop.post([&] { runsBeforeOther = runs; });
+        if (runs < Enough)
+            loop.callAfter(std::chrono::microseconds{0}, again);
+    };
+    loop.callAfter(std::chrono::microseconds{0}, again);
+    clock.moveOn();
+    loop.context().run_for(std::chrono::milliseconds{50});
+    INFO("runs " << runs);
+    CHECK(runsBeforeOther == 1);
+}
+
+TEST_CASE("timers run in the order of their times, and cancelled ones not at all")
+{
+    const system_clock_source clock;
+    http::io_loop loop(clock);
+    std::string order;
+    loop.callAfter(milliseconds{20}, [&] { order += 'b'; });
+    loop.callAfter(milliseconds{5}, [&] { order += 'a'; });
+    const auto cancelled = loop.callAfter(milliseconds{10}, [&] { order += 'x'; });
+    loop.cancelTimer(cancelled);
+    loop.context().run_for(std::chrono::milliseconds{60});
+    CHECK(order == "ab");
+}
