Split src/core by matter

Cause: one flat folder of over 90 files; who looks for 'why was this server chosen' read names of files.

Moves alone, no line of behaviour.

--- a/bench/engine_variants_retry.cpp
+++ b/bench/engine_variants_retry.cpp
@@ -1,4 +1,4 @@
-#include "core/default_engine_policies.h"
+#include "core/requests/default_engine_policies.h"
 #include "engine_variants.h"
 #include "policy_run.h"
 
--- a/bench/node_parts.cpp
+++ b/bench/node_parts.cpp
@@ -1,11 +1,11 @@
 #include "bench/node_parts.h"
 
 #include "bench/allocation_counter.h"
-#include "core/at_most_once.h"
-#include "core/call_records.h"
-#include "core/default_engine_policies.h"
-#include "core/published_configuration.h"
-#include "core/service_pool.h"
+#include "core/configuration/published_configuration.h"
+#include "core/once/at_most_once.h"
+#include "core/requests/call_records.h"
+#include "core/requests/default_engine_policies.h"
+#include "core/servers/service_pool.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/random_source.h>
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/engine_types.h"
-#include "core/published_configuration.h"
+#include "core/configuration/published_configuration.h"
+#include "core/requests/engine_types.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/random_source.h>
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/request_engine_impl.h"
+#include "core/requests/request_engine_impl.h"
 #include "policy_model.h"
 
 #include <cmath>
--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -1,7 +1,7 @@
 // Measures the time of a routing decision and of an engine's whole way with a request, and how
 // both grow with the pool and the customers.
-#include "core/engine_policies.h"
-#include "core/request_engine.h"
+#include "core/requests/engine_policies.h"
+#include "core/requests/request_engine.h"
 
 #include <orchidlead/router.h>
 
--- a/bench/variant_request_engine.cpp
+++ b/bench/variant_request_engine.cpp
@@ -1,8 +1,8 @@
 #include "bench/policy_variants.h"
-#include "core/request_engine_impl.h"
+#include "core/requests/request_engine_impl.h"
 
-// Takes the place of src/core/request_engine.cpp in the programs orchidleadd-<variant>: the linker
-// finds the engine here and leaves the library's out.
+// Takes the place of src/core/requests/request_engine.cpp in the programs orchidleadd-<variant>:
+// the linker finds the engine here and leaves the library's out.
 
 namespace orchidlead {
 
--- a/src/core/parse_parameters.cpp
+++ b/src/core/configuration/parse_parameters.cpp
@@ -1,4 +1,4 @@
-#include "core/parse_parameters.h"
+#include "core/configuration/parse_parameters.h"
 
 #include <algorithm>
 
--- a/src/core/parse_published_configuration.cpp
+++ b/src/core/configuration/parse_published_configuration.cpp
@@ -1,8 +1,8 @@
-#include "core/parse_parameters.h"
-#include "core/parse_template.h"
-#include "core/published_configuration.h"
-#include "core/yaml_document.h"
-#include "core/yaml_reader.h"
+#include "core/configuration/parse_parameters.h"
+#include "core/configuration/parse_template.h"
+#include "core/configuration/published_configuration.h"
+#include "core/settings/yaml_document.h"
+#include "core/settings/yaml_reader.h"
 
 #include <algorithm>
 #include <string>
--- a/src/core/parse_template.cpp
+++ b/src/core/configuration/parse_template.cpp
@@ -1,6 +1,6 @@
-#include "core/parse_template.h"
+#include "core/configuration/parse_template.h"
 
-#include "core/parse_parameters.h"
+#include "core/configuration/parse_parameters.h"
 
 #include <algorithm>
 
--- a/src/core/parse_template.h
+++ b/src/core/configuration/parse_template.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/published_configuration.h"
-#include "core/yaml_reader.h"
+#include "core/configuration/published_configuration.h"
+#include "core/settings/yaml_reader.h"
 
 #include <vector>
 
--- a/src/core/published_configuration.h
+++ b/src/core/configuration/published_configuration.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/configuration_error.h"
-#include "core/pipeline.h"
+#include "core/configuration/pipeline.h"
+#include "core/settings/configuration_error.h"
 
 #include <orchidlead/enum_names.h>
 #include <orchidlead/ids.h>
--- a/src/core/gossip_message.cpp
+++ b/src/core/membership/gossip_message.cpp
@@ -1,4 +1,4 @@
-#include "core/gossip_message.h"
+#include "core/membership/gossip_message.h"
 
 // The codec needs nothing of Boost.
 #define MSGPACK_NO_BOOST
--- a/src/core/gossip_queue.cpp
+++ b/src/core/membership/gossip_queue.cpp
@@ -1,4 +1,4 @@
-#include "core/gossip_queue.h"
+#include "core/membership/gossip_queue.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/core/member_table.cpp
+++ b/src/core/membership/member_table.cpp
@@ -1,4 +1,4 @@
-#include "core/member_table.h"
+#include "core/membership/member_table.h"
 
 #include <xxhash.h>
 
--- a/src/core/member_table.h
+++ b/src/core/membership/member_table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/gossip_message.h"
+#include "core/membership/gossip_message.h"
 
 #include <orchidlead/membership.h>
 
--- a/src/core/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -1,4 +1,4 @@
-#include "core/membership_implementation.h"
+#include "core/membership/membership_implementation.h"
 
 #include <algorithm>
 
--- a/src/core/membership_implementation.h
+++ b/src/core/membership/membership_implementation.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/gossip_message.h"
-#include "core/gossip_queue.h"
-#include "core/member_table.h"
+#include "core/membership/gossip_message.h"
+#include "core/membership/gossip_queue.h"
+#include "core/membership/member_table.h"
 
 #include <orchidlead/membership.h>
 
--- a/src/core/node.cpp
+++ b/src/core/node/node.cpp
@@ -1,4 +1,4 @@
-#include "core/node.h"
+#include "core/node/node.h"
 
 #include <orchidlead/enum_names.h>
 #include <orchidlead/rendezvous.h>
--- a/src/core/node.h
+++ b/src/core/node/node.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "core/at_most_once.h"
-#include "core/attached_callers.h"
-#include "core/caller_request.h"
-#include "core/node_actions.h"
-#include "core/published_configuration.h"
-#include "core/recent_requests.h"
-#include "core/request_engine.h"
+#include "core/configuration/published_configuration.h"
+#include "core/node/node_actions.h"
+#include "core/once/at_most_once.h"
+#include "core/requests/attached_callers.h"
+#include "core/requests/caller_request.h"
+#include "core/requests/recent_requests.h"
+#include "core/requests/request_engine.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
--- a/src/core/node_actions.h
+++ b/src/core/node/node_actions.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/at_most_once.h"
-#include "core/engine_types.h"
+#include "core/once/at_most_once.h"
+#include "core/requests/engine_types.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
--- a/src/core/node_control.cpp
+++ b/src/core/node/node_control.cpp
@@ -1,4 +1,4 @@
-#include "core/node_control.h"
+#include "core/node/node_control.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/node_control.h
+++ b/src/core/node/node_control.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/published_configuration.h"
+#include "core/configuration/published_configuration.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/configuration_keeper.h>
--- a/src/core/at_most_once.cpp
+++ b/src/core/once/at_most_once.cpp
@@ -1,4 +1,4 @@
-#include "core/at_most_once_definitions.h"
+#include "core/once/at_most_once_definitions.h"
 
 namespace orchidlead {
 
--- a/src/core/at_most_once.h
+++ b/src/core/once/at_most_once.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/call_records.h"
-#include "core/engine_types.h"
-#include "core/handover_sender.h"
+#include "core/once/handover_sender.h"
+#include "core/requests/call_records.h"
+#include "core/requests/engine_types.h"
 
 #include <orchidlead/at_most_once_guards.h>
 #include <orchidlead/clock.h>
--- a/src/core/at_most_once_definitions.h
+++ b/src/core/once/at_most_once_definitions.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/answer_codec.h"
-#include "core/at_most_once.h"
-#include "core/key_home_definitions.h"
+#include "core/once/at_most_once.h"
+#include "core/once/key_home_definitions.h"
+#include "core/requests/answer_codec.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/handover_sender.cpp
+++ b/src/core/once/handover_sender.cpp
@@ -1,4 +1,4 @@
-#include "core/handover_sender.h"
+#include "core/once/handover_sender.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/key_home.cpp
+++ b/src/core/once/key_home.cpp
@@ -1,4 +1,4 @@
-#include "core/key_home_definitions.h"
+#include "core/once/key_home_definitions.h"
 
 namespace orchidlead {
 
--- a/src/core/answer_codec.cpp
+++ b/src/core/requests/answer_codec.cpp
@@ -1,4 +1,4 @@
-#include "core/answer_codec.h"
+#include "core/requests/answer_codec.h"
 
 #include <msgpack.hpp>
 
--- a/src/core/attached_callers.cpp
+++ b/src/core/requests/attached_callers.cpp
@@ -1,4 +1,4 @@
-#include "core/attached_callers.h"
+#include "core/requests/attached_callers.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/attached_callers.h
+++ b/src/core/requests/attached_callers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/at_most_once.h"
+#include "core/once/at_most_once.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
--- a/src/core/call_records.cpp
+++ b/src/core/requests/call_records.cpp
@@ -1,4 +1,4 @@
-#include "core/call_records.h"
+#include "core/requests/call_records.h"
 
 #include <utility>
 #include <vector>
--- a/src/core/caller_request.h
+++ b/src/core/requests/caller_request.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/pipeline.h"
+#include "core/configuration/pipeline.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
--- a/src/core/cost_ledger.cpp
+++ b/src/core/requests/cost_ledger.cpp
@@ -1,4 +1,4 @@
-#include "core/cost_ledger.h"
+#include "core/requests/cost_ledger.h"
 
 #include <algorithm>
 
--- a/src/core/cost_ledger.h
+++ b/src/core/requests/cost_ledger.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/engine_stats.h"
-#include "core/pipeline.h"
+#include "core/configuration/pipeline.h"
+#include "core/requests/engine_stats.h"
 
 #include <chrono>
 #include <cstddef>
--- a/src/core/default_engine_policies.h
+++ b/src/core/requests/default_engine_policies.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/engine_policies.h"
+#include "core/requests/engine_policies.h"
 
 namespace orchidlead {
 
--- a/src/core/engine_admission_impl.h
+++ b/src/core/requests/engine_admission_impl.h
@@ -2,8 +2,8 @@
 
 // Definitions of engine_state: whether a request is taken, and how it ends.
 
-#include "core/engine_constants.h"
-#include "core/engine_state.h"
+#include "core/requests/engine_constants.h"
+#include "core/requests/engine_state.h"
 
 #include <xxhash.h>
 
--- a/src/core/engine_attempts_impl.h
+++ b/src/core/requests/engine_attempts_impl.h
@@ -2,8 +2,8 @@
 
 // Definitions of engine_state: attempts, their ends, retries and hedges.
 
-#include "core/engine_constants.h"
-#include "core/engine_state.h"
+#include "core/requests/engine_constants.h"
+#include "core/requests/engine_state.h"
 
 #include <algorithm>
 
--- a/src/core/engine_policies.h
+++ b/src/core/requests/engine_policies.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/admission.h"
-#include "core/guards.h"
-#include "core/hedging.h"
+#include "core/once/guards.h"
+#include "core/requests/admission.h"
+#include "core/requests/hedging.h"
 
 #include <orchidlead/concurrency_limit.h>
 #include <orchidlead/failure_detector.h>
--- a/src/core/engine_stages_impl.h
+++ b/src/core/requests/engine_stages_impl.h
@@ -2,8 +2,8 @@
 
 // Definitions of engine_state: pools, queues, timers and the way through the stages.
 
-#include "core/engine_constants.h"
-#include "core/engine_state.h"
+#include "core/requests/engine_constants.h"
+#include "core/requests/engine_state.h"
 
 #include <algorithm>
 
--- a/src/core/engine_state.h
+++ b/src/core/requests/engine_state.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "core/cost_ledger.h"
-#include "core/engine_policies.h"
-#include "core/engine_stats.h"
-#include "core/engine_timers.h"
-#include "core/engine_types.h"
-#include "core/request_engine.h"
-#include "core/request_state.h"
-#include "core/service_pool.h"
-#include "core/stage_estimates.h"
+#include "core/requests/cost_ledger.h"
+#include "core/requests/engine_policies.h"
+#include "core/requests/engine_stats.h"
+#include "core/requests/engine_timers.h"
+#include "core/requests/engine_types.h"
+#include "core/requests/request_engine.h"
+#include "core/requests/request_state.h"
+#include "core/requests/stage_estimates.h"
+#include "core/servers/service_pool.h"
 
 #include <orchidlead/random_source.h>
 
--- a/src/core/recent_requests.cpp
+++ b/src/core/requests/recent_requests.cpp
@@ -1,4 +1,4 @@
-#include "core/recent_requests.h"
+#include "core/requests/recent_requests.h"
 
 #include <algorithm>
 
--- a/src/core/recent_requests.h
+++ b/src/core/requests/recent_requests.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/engine_types.h"
+#include "core/requests/engine_types.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
--- a/src/core/request_engine.cpp
+++ b/src/core/requests/request_engine.cpp
@@ -1,5 +1,5 @@
-#include "core/default_engine_policies.h"
-#include "core/request_engine_impl.h"
+#include "core/requests/default_engine_policies.h"
+#include "core/requests/request_engine_impl.h"
 
 namespace orchidlead {
 
--- a/src/core/request_engine.h
+++ b/src/core/requests/request_engine.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/engine_stats.h"
-#include "core/engine_types.h"
-#include "core/published_configuration.h"
+#include "core/configuration/published_configuration.h"
+#include "core/requests/engine_stats.h"
+#include "core/requests/engine_types.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/failure_detector.h>
--- a/src/core/request_engine_impl.h
+++ b/src/core/requests/request_engine_impl.h
@@ -2,10 +2,10 @@
 
 // Definitions of the request engine, whose behaviour varies with its policies.
 
-#include "core/engine_admission_impl.h"
-#include "core/engine_attempts_impl.h"
-#include "core/engine_stages_impl.h"
-#include "core/engine_state.h"
+#include "core/requests/engine_admission_impl.h"
+#include "core/requests/engine_attempts_impl.h"
+#include "core/requests/engine_stages_impl.h"
+#include "core/requests/engine_state.h"
 
 namespace orchidlead {
 
--- a/src/core/request_state.cpp
+++ b/src/core/requests/request_state.cpp
@@ -1,4 +1,4 @@
-#include "core/request_state.h"
+#include "core/requests/request_state.h"
 
 #include <algorithm>
 
--- a/src/core/pool_breaker.cpp
+++ b/src/core/servers/pool_breaker.cpp
@@ -1,4 +1,4 @@
-#include "core/pool_breaker.h"
+#include "core/servers/pool_breaker.h"
 
 #include <algorithm>
 
--- a/src/core/service_pool.h
+++ b/src/core/servers/service_pool.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "core/engine_stats.h"
-#include "core/engine_types.h"
-#include "core/pool_breaker.h"
-#include "core/published_configuration.h"
+#include "core/configuration/published_configuration.h"
+#include "core/requests/engine_stats.h"
+#include "core/requests/engine_types.h"
+#include "core/servers/pool_breaker.h"
 
 #include <orchidlead/failure_detector.h>
 #include <orchidlead/latency_histogram.h>
@@ -180,4 +180,4 @@
 
 } // namespace orchidlead
 
-#include "core/service_pool_impl.h"
+#include "core/servers/service_pool_impl.h"
--- a/src/core/service_pool_impl.h
+++ b/src/core/servers/service_pool_impl.h
@@ -2,7 +2,7 @@
 
 // Definitions of service_pool, whose behaviour varies with its policies.
 
-#include "core/service_pool.h"
+#include "core/servers/service_pool.h"
 
 #include <xxhash.h>
 
--- a/src/core/configuration_error.cpp
+++ b/src/core/settings/configuration_error.cpp
@@ -1,4 +1,4 @@
-#include "core/configuration_error.h"
+#include "core/settings/configuration_error.h"
 
 namespace orchidlead {
 
--- a/src/core/settings.cpp
+++ b/src/core/settings/settings.cpp
@@ -1,7 +1,7 @@
-#include "core/settings.h"
+#include "core/settings/settings.h"
 
-#include "core/yaml_document.h"
-#include "core/yaml_reader.h"
+#include "core/settings/yaml_document.h"
+#include "core/settings/yaml_reader.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/core/settings.h
+++ b/src/core/settings/settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/configuration_error.h"
+#include "core/settings/configuration_error.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/enum_names.h>
--- a/src/core/socket_address_text.cpp
+++ b/src/core/settings/socket_address_text.cpp
@@ -1,4 +1,4 @@
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 
 #include <arpa/inet.h>
 
--- a/src/core/utf8.cpp
+++ b/src/core/settings/utf8.cpp
@@ -1,4 +1,4 @@
-#include "core/utf8.h"
+#include "core/settings/utf8.h"
 
 namespace orchidlead {
 
--- a/src/core/yaml_document.cpp
+++ b/src/core/settings/yaml_document.cpp
@@ -1,6 +1,6 @@
-#include "core/yaml_document.h"
+#include "core/settings/yaml_document.h"
 
-#include "core/utf8.h"
+#include "core/settings/utf8.h"
 
 #include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/exceptions.h>
--- a/src/core/yaml_reader.cpp
+++ b/src/core/settings/yaml_reader.cpp
@@ -1,6 +1,6 @@
-#include "core/yaml_reader.h"
+#include "core/settings/yaml_reader.h"
 
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 
 #include <algorithm>
 #include <array>
--- a/src/core/yaml_reader.h
+++ b/src/core/settings/yaml_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/configuration_error.h"
-#include "core/yaml_document.h"
+#include "core/settings/configuration_error.h"
+#include "core/settings/yaml_document.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/enum_names.h>
--- a/src/ctl/check_command.cpp
+++ b/src/ctl/check_command.cpp
@@ -1,8 +1,8 @@
 #include "ctl/check_command.h"
 
-#include "core/published_configuration.h"
-#include "core/settings.h"
-#include "core/yaml_document.h"
+#include "core/configuration/published_configuration.h"
+#include "core/settings/settings.h"
+#include "core/settings/yaml_document.h"
 #include "ctl/document_file.h"
 #include "ctl/table.h"
 #include "wire/json_text.h"
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -1,6 +1,6 @@
 #include "ctl/command_line.h"
 
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/reflection.h>
--- a/src/ctl/document_file.cpp
+++ b/src/ctl/document_file.cpp
@@ -1,6 +1,6 @@
 #include "ctl/document_file.h"
 
-#include "core/yaml_document.h"
+#include "core/settings/yaml_document.h"
 
 #include <algorithm>
 #include <array>
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -1,6 +1,6 @@
 #include "ctl/operator_client.h"
 
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 #include "ctl/table.h"
 #include "wire/json_text.h"
 
--- a/src/ctl/render_command.cpp
+++ b/src/ctl/render_command.cpp
@@ -1,7 +1,7 @@
 #include "ctl/render_command.h"
 
-#include "core/published_configuration.h"
-#include "core/yaml_document.h"
+#include "core/configuration/published_configuration.h"
+#include "core/settings/yaml_document.h"
 #include "ctl/document_file.h"
 #include "ctl/plan_view.h"
 #include "ctl/table.h"
--- a/src/ctl/send_command.cpp
+++ b/src/ctl/send_command.cpp
@@ -1,6 +1,6 @@
 #include "ctl/send_command.h"
 
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 #include "ctl/document_file.h"
 #include "ctl/table.h"
 #include "wire/json_text.h"
--- a/src/daemon/caller_request_json.h
+++ b/src/daemon/caller_request_json.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/caller_request.h"
+#include "core/requests/caller_request.h"
 
 #include <orchidlead/outcome.h>
 #include <orchidlead/result.h>
--- a/src/daemon/configuration_parser.h
+++ b/src/daemon/configuration_parser.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/published_configuration.h"
+#include "core/configuration/published_configuration.h"
 #include "net/event_loop.h"
 
 #include <orchidlead/result.h>
--- a/src/daemon/control_shell.h
+++ b/src/daemon/control_shell.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/node_control.h"
+#include "core/node/node_control.h"
 #include "daemon/configuration_parser.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,6 @@
 #include "daemon/daemon.h"
 
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 #include "daemon/daemon_options.h"
 
 #include <utility>
--- a/src/daemon/daemon_options.h
+++ b/src/daemon/daemon_options.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/planned_stop.h"
-#include "core/settings.h"
+#include "core/node/planned_stop.h"
+#include "core/settings/settings.h"
 #include "daemon/caller_api.h"
 #include "daemon/control_shell.h"
 #include "daemon/node_shell.h"
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,4 +1,4 @@
-#include "core/settings.h"
+#include "core/settings/settings.h"
 #include "daemon/daemon.h"
 #include "daemon/stop_signals.h"
 #include "net/event_loop.h"
--- a/src/daemon/node_shell.h
+++ b/src/daemon/node_shell.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/leaving_news.h"
-#include "core/node.h"
-#include "core/node_control.h"
+#include "core/node/node.h"
+#include "core/node/node_control.h"
+#include "core/servers/leaving_news.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "wire/load_reader.h"
--- a/src/daemon/operator_views.cpp
+++ b/src/daemon/operator_views.cpp
@@ -1,6 +1,6 @@
 #include "daemon/operator_views.h"
 
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 #include "wire/plan_json.h"
 
 #include <orchidlead/enum_names.h>
--- a/src/daemon/operator_views.h
+++ b/src/daemon/operator_views.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/node.h"
-#include "core/node_control.h"
+#include "core/node/node.h"
+#include "core/node/node_control.h"
 #include "daemon/operator_api.h"
 
 #include <json/value.h>
--- a/src/daemon/peer_link.h
+++ b/src/daemon/peer_link.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/node_actions.h"
-#include "core/node_control.h"
+#include "core/node/node_actions.h"
+#include "core/node/node_control.h"
 #include "daemon/caller_request_json.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -1,7 +1,7 @@
 #include "gateway/settings.h"
 
-#include "core/yaml_document.h"
-#include "core/yaml_reader.h"
+#include "core/settings/yaml_document.h"
+#include "core/settings/yaml_reader.h"
 
 #include <charconv>
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/configuration_error.h"
-#include "core/settings.h"
+#include "core/settings/configuration_error.h"
+#include "core/settings/settings.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 #include "gateway/stage_host.h"
 
 #include <utility>
--- a/src/wire/json_text.h
+++ b/src/wire/json_text.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/utf8.h"
+#include "core/settings/utf8.h"
 
 #include <orchidlead/result.h>
 
--- a/src/wire/log_line.h
+++ b/src/wire/log_line.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/settings.h"
+#include "core/settings/settings.h"
 
 #include <orchidlead/clock.h>
 
--- a/src/wire/metrics.h
+++ b/src/wire/metrics.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/engine_stats.h"
-#include "core/engine_types.h"
+#include "core/requests/engine_stats.h"
+#include "core/requests/engine_types.h"
 #include "wire/published_reader.h"
 
 #include <orchidlead/clock.h>
--- a/src/wire/server_news_json.h
+++ b/src/wire/server_news_json.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/leaving_news.h"
+#include "core/servers/leaving_news.h"
 
 #include <cstddef>
 #include <optional>
--- a/src/wire/stage_client.h
+++ b/src/wire/stage_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/engine_types.h"
+#include "core/requests/engine_types.h"
 #include "net/http_client.h"
 #include "wire/completion_wire.h"
 #include "wire/json_stage_wire.h"
--- a/src/wire/vm_list_client.cpp
+++ b/src/wire/vm_list_client.cpp
@@ -1,6 +1,6 @@
 #include "wire/vm_list_client.h"
 
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 
 #include <set>
 
--- a/standins/run_protocol.h
+++ b/standins/run_protocol.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/pipeline.h"
+#include "core/configuration/pipeline.h"
 #include "net/http_server.h"
 
 #include <orchidlead/ids.h>
--- a/tests/core/at_most_once_test.cpp
+++ b/tests/core/at_most_once_test.cpp
@@ -1,5 +1,5 @@
-#include "core/answer_codec.h"
-#include "core/at_most_once.h"
+#include "core/once/at_most_once.h"
+#include "core/requests/answer_codec.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/engine_harness.h
+++ b/tests/core/engine_harness.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/default_engine_policies.h"
-#include "core/request_engine_impl.h"
+#include "core/requests/default_engine_policies.h"
+#include "core/requests/request_engine_impl.h"
 
 #include <memory>
 #include <string>
--- a/tests/core/examples_test.cpp
+++ b/tests/core/examples_test.cpp
@@ -1,5 +1,5 @@
-#include "core/published_configuration.h"
-#include "core/settings.h"
+#include "core/configuration/published_configuration.h"
+#include "core/settings/settings.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/leaving_news_test.cpp
+++ b/tests/core/leaving_news_test.cpp
@@ -1,4 +1,4 @@
-#include "core/leaving_news.h"
+#include "core/servers/leaving_news.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -1,5 +1,5 @@
 #include "core/control_fake_network.h"
-#include "core/gossip_message.h"
+#include "core/membership/gossip_message.h"
 
 #include <orchidlead/membership.h>
 
--- a/tests/core/node_test.cpp
+++ b/tests/core/node_test.cpp
@@ -1,4 +1,4 @@
-#include "core/node.h"
+#include "core/node/node.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/planned_stop_test.cpp
+++ b/tests/core/planned_stop_test.cpp
@@ -1,4 +1,4 @@
-#include "core/planned_stop.h"
+#include "core/node/planned_stop.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/published_configuration_test.cpp
+++ b/tests/core/published_configuration_test.cpp
@@ -1,4 +1,4 @@
-#include "core/published_configuration.h"
+#include "core/configuration/published_configuration.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
--- a/tests/core/settings_test.cpp
+++ b/tests/core/settings_test.cpp
@@ -1,4 +1,4 @@
-#include "core/settings.h"
+#include "core/settings/settings.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/stage_estimates_test.cpp
+++ b/tests/core/stage_estimates_test.cpp
@@ -1,4 +1,4 @@
-#include "core/stage_estimates.h"
+#include "core/requests/stage_estimates.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/daemon/test_fleet.h
+++ b/tests/daemon/test_fleet.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/settings.h"
-#include "core/socket_address_text.h"
+#include "core/settings/settings.h"
+#include "core/settings/socket_address_text.h"
 #include "daemon/daemon.h"
 #include "net/net_test_support.h"
 #include "standins/platform_service.h"
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -1,6 +1,6 @@
 #include "platform_world.h"
 
-#include "core/socket_address_text.h"
+#include "core/settings/socket_address_text.h"
 #include "wire/base64.h"
 #include "wire/json_text.h"
 
--- a/tests/standins/unguarded.cmake
+++ b/tests/standins/unguarded.cmake
@@ -21,21 +21,21 @@
   set_target_properties(orchidleadd-without-${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/unguarded)
 endfunction()
 
-orchidlead_unguarded(answer-guard src/core/default_engine_policies.h
+orchidlead_unguarded(answer-guard src/core/requests/default_engine_policies.h
   "struct default_engine_policies\n{\n    using answers = echo_guard;"
   "struct any_answer\n{\n    static bool accepts(const attempt_key &, const attempt_key &) { return true; }\n};\nstruct default_engine_policies\n{\n    using answers = any_answer;"
-  src/core/request_engine.cpp)
-orchidlead_unguarded(repeat-guard src/core/default_engine_policies.h
+  src/core/requests/request_engine.cpp)
+orchidlead_unguarded(repeat-guard src/core/requests/default_engine_policies.h
   "struct default_engine_policies\n{\n    using answers = echo_guard;\n    using repeats = at_most_once_guard;"
   "struct always_repeat : at_most_once_guard\n{\n    static bool mayTryAgain(const stage_plan &, const attempt_end &) { return true; }\n};\nstruct default_engine_policies\n{\n    using answers = echo_guard;\n    using repeats = always_repeat;"
-  src/core/request_engine.cpp)
-orchidlead_unguarded(not-run-guard src/core/default_engine_policies.h
+  src/core/requests/request_engine.cpp)
+orchidlead_unguarded(not-run-guard src/core/requests/default_engine_policies.h
   "struct default_engine_policies\n{\n    using answers = echo_guard;\n    using repeats = at_most_once_guard;"
   "struct proves_anything : at_most_once_guard\n{\n    static bool mayTryAgain(const stage_plan &, const attempt_end &) { return false; }\n    static bool provesNotRun(const attempt_end &) { return true; }\n};\nstruct default_engine_policies\n{\n    using answers = echo_guard;\n    using repeats = proves_anything;"
-  src/core/request_engine.cpp)
+  src/core/requests/request_engine.cpp)
 orchidlead_unguarded(ticket-guard include/orchidlead/at_most_once_guards.h
   "TicketRunsOnce = true" "TicketRunsOnce = false"
-  src/core/at_most_once.cpp)
+  src/core/once/at_most_once.cpp)
 orchidlead_unguarded(forward-guard include/orchidlead/configuration_keeper.h
   "return offered > current;" "return offered != current;"
-  src/core/node_control.cpp)
+  src/core/node/node_control.cpp)
