--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -157,12 +157,6 @@
     {
         Codec::freePath()
         } -> std::same_as<std::string_view>;
-    {
-        Codec::reportPath()
-        } -> std::same_as<std::string_view>;
-    {
-        Codec::readRoom(text)
-        } -> std::same_as<result<std::uint64_t, codec_error>>;
     {
         Codec::writeHandles(handles)
         } -> std::same_as<std::string>;
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -61,7 +61,6 @@
                    http::call_end how);
     void logFailedPieces(const service_id &service, const stage_call &call,
                          const std::vector<piece_result> &results);
-    void askRoom(const service_id &service, const server_ptr &server);
     void deliver(const std::vector<piece_outcome> &outcomes);
     void flushFrees();
     void onFreed(const std::vector<std::string> &handles);
@@ -78,7 +77,6 @@
     std::map<service_id, bool> m_scheduled;
     std::unordered_map<piece_token, pending> m_pending;
     piece_token m_lastToken = 0;
-    std::map<backend_server_id, steady_time> m_roomAsked;
     std::map<std::string, std::vector<std::string>> m_frees; ///< by the address of the server
     http::timer_id m_freeTimer = 0;
 };
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -9,8 +9,6 @@
 
 /// How long freed handles are collected: a call for each would cost more than the room is worth.
 inline constexpr milliseconds FreeDelay{15};
-/// Between two questions to one server for its room.
-inline constexpr milliseconds RoomInterval{400};
 /// A call that frees is given up after this; the results lapse by themselves.
 inline constexpr milliseconds FreeTimeout{1000};
 
@@ -186,43 +184,9 @@
     m_metrics.onStageCall(end, call.pieces.size());
     logFailedPieces(service, call, results);
     deliver(poolOf(service).onEnd(call.id, end, results));
-    askRoom(service, call.server);
     pump(service);
 }
 
-// Asking is priced as a probe, so it is done only where the count has proved wrong, and not often.
-template <gateway_codec Codec>
-void stage_host<Codec>::askRoom(const service_id &service, const server_ptr &server)
-{
-    const auto &id = server->record.id;
-    if (!poolOf(service).shouldAskRoom(id) || m_roomAsked[id] + RoomInterval > m_loop.now())
-        return;
-    m_roomAsked[id] = m_loop.now();
-    const auto body = std::make_shared<std::string>();
-    http::outbound_call made;
-    made.writeHead = [host = toText(server->record.address)] {
-        http::request_head head;
-        head.method = "GET";
-        head.target = Codec::reportPath();
-        head.fields = {{"Host", host}};
-        return std::optional(http::formatHead(head));
-    };
-    made.onBody = [body](std::string_view bytes) { body->append(bytes); };
-    made.onEnd = [this, service, id, body](http::call_end how) {
-        const auto room = Codec::readRoom(*body);
-        if (how == http::call_end::Complete && room)
-            poolOf(service).onRoom(id, room.value());
-        else
-            m_log.write(wire::log_level::Info,
-                        m_log.line(wire::log_level::Info, "room_unknown")
-                            .add("server", id.value)
-                            .add("end", toName(how)));
-        schedulePump(service);
-    };
-    const auto call = m_pool.start(server->record.address, std::move(made));
-    m_loop.callAfter(FreeTimeout, [this, call] { m_pool.abandon(call); });
-}
-
 template <gateway_codec Codec>
 void stage_host<Codec>::logFailedPieces(const service_id &service, const stage_call &call,
                                         const std::vector<piece_result> &results)
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -29,9 +29,6 @@
 constexpr milliseconds AwayPenalty{250};
 // How long the pieces of a request wait to go together: about a call.
 constexpr milliseconds GroupPatience{300};
-// How long a server's word is believed on what it holds for others. Reports are some 100 ms old and
-// results are freed all the time; a wrong word costs a call's time, a forgotten one a piece's try.
-constexpr milliseconds ForeignBelief{400};
 // Weight of the newest call in the average of a server's slowness.
 constexpr double LearnWeight = 0.3;
 
@@ -130,7 +127,7 @@
     std::ranges::stable_sort(m_waiting, [&](const piece_job &a, const piece_job &b) {
         return before(a, b, chosen.record.dataCenter);
     });
-    const auto held = heldAt(chosen.record.id);
+    const auto held = m_servers[chosen.record.id].held;
     const bool bounded = m_capacity.roomBytes > 0;
     std::uint64_t room = m_capacity.roomBytes > held ? m_capacity.roomBytes - held : 0;
     std::size_t places = std::max(1U, m_capacity.batch);
@@ -225,27 +222,7 @@
 std::uint64_t stage_pool::heldAt(const backend_server_id &server) const
 {
     const auto found = m_servers.find(server);
-    if (found == m_servers.end())
-        return 0;
-    const auto &state = found->second;
-    return state.held + (state.foreignUntil > m_clock.now() ? state.foreign : 0);
-}
-
-void stage_pool::onRoom(const backend_server_id &server, std::uint64_t freeBytes)
-{
-    auto &state = m_servers[server];
-    const auto used = m_capacity.roomBytes - std::min(m_capacity.roomBytes, freeBytes);
-    state.foreign = used - std::min(used, state.held);
-    state.foreignUntil = m_clock.now() + ForeignBelief;
-    state.surprised = false;
-}
-
-bool stage_pool::shouldAskRoom(const backend_server_id &server) const
-{
-    const auto found = m_servers.find(server);
-    if (found == m_servers.end())
-        return false;
-    return found->second.surprised;
+    return found == m_servers.end() ? 0 : found->second.held;
 }
 
 void stage_pool::dropLapsed()
@@ -323,7 +300,6 @@
             hold(server, std::get<std::string>(results[i]), job.resultBytes);
         if (failure && *failure == piece_failure::NoRoom) {
             ++m_summary.withoutRoom;
-            state.surprised = true;
             state.busyUntil = m_clock.now() + NoRoomPause;
         }
         if (retry)
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -98,11 +98,6 @@
                                                    const std::vector<piece_result> &results);
     /// A result was given up at its server.
     void onFreed(const std::string &handle);
-    /// A server told how much room it has. What it holds beyond what this pool knows of was made
-    /// for another host, or for a call whose answer was lost. It is believed for a moment.
-    void onRoom(const backend_server_id &server, std::uint64_t freeBytes);
-    /// Whether a server has less room than this pool knew of, so that it should be asked.
-    [[nodiscard]] bool shouldAskRoom(const backend_server_id &server) const;
     /// Drops pieces whose deadline is over, and those that will be late where others, which can
     /// still be in time, keep all `servers` busy.
     [[nodiscard]] std::vector<piece_outcome> expire(std::size_t servers);
@@ -130,9 +125,6 @@
         steady_time busyUntil{}; ///< refused: not asked before
         std::uint32_t failures = 0; ///< calls in a row without an answer
         std::uint64_t held = 0; ///< bytes of results, those being made included
-        std::uint64_t foreign = 0; ///< bytes beyond, as the server told
-        steady_time foreignUntil{}; ///< when they have lapsed at the latest
-        bool surprised = false; ///< pieces had no room though some was counted on
     };
     struct held_result
     {
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -279,28 +279,3 @@
     CHECK(summary.ranks.at(1).pieces == 1);
     CHECK(w.pool.takeSummary().calls == 0);
 }
-
-TEST_CASE("what a server holds for others counts for a moment")
-{
-    world w;
-    CHECK_FALSE(w.pool.shouldAskRoom(backend_server_id("s0")));
-    w.submit("r1", 0, milliseconds{9000});
-    (void)w.fail(*w.pool.next(w.servers), piece_failure::NoRoom);
-    CHECK(w.pool.shouldAskRoom(backend_server_id("s0")));
-    w.pool.onRoom(backend_server_id("s0"), PieceBytes / 2);
-    w.clock.advance(milliseconds{300});
-    CHECK_FALSE(w.pool.next(w.servers));
-    w.clock.advance(milliseconds{200});
-    CHECK(w.pool.next(w.servers));
-    CHECK(w.pool.heldAt(backend_server_id("s0")) == PieceBytes);
-}
-
-TEST_CASE("a server with as much room as was counted on holds nothing for others")
-{
-    world w;
-    w.submit("r1", 0, milliseconds{2000});
-    (void)w.answer(*w.pool.next(w.servers));
-    w.pool.onRoom(backend_server_id("s0"), 5 * PieceBytes);
-    CHECK(w.pool.heldAt(backend_server_id("s0")) == PieceBytes);
-    CHECK_FALSE(w.pool.shouldAskRoom(backend_server_id("s0")));
-}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -268,12 +268,3 @@
         CHECK_FALSE(codec::readChanges(text));
     }
 }
-
-TEST_CASE("the room for results is read from a server's report")
-{
-    CHECK(codec::readRoom(R"({"queued":1,"busy":false,"free_mb":1.5})").value() == 1'500'000);
-    for (const std::string text : {"", "{}", R"({"free_mb":"much"})", R"({"free_mb":-1})"}) {
-        INFO("text: " << text);
-        CHECK_FALSE(codec::readRoom(text));
-    }
-}
