--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -74,7 +74,6 @@
 
     [[nodiscard]] bool findRoute();
     void startStages();
-    void foreseeEngine();
     void submitReadyPieces();
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_result result);
     void restartStages(std::string_view reason);
@@ -129,7 +128,6 @@
     std::optional<stage_work> m_work;
     std::vector<std::chrono::microseconds> m_afterStages; ///< time that follows each stage
     std::vector<piece_token> m_pieces; ///< submitted and open
-    data_center_id m_stageNear; ///< where the first stages are best done
     bool m_stagesRestarted = false;
     bool m_needsStages = false; ///< results were freed or lost
 
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -138,31 +138,7 @@
         return;
     }
     m_afterStages = m_context.times.afterStages(*m_configuration, *m_route, m_service);
-    m_stageNear = m_context.dataCenter;
-    if (m_route->prefixAffinity && !m_marks.prompt.empty() && !m_work->done())
-        foreseeEngine();
-    else
-        submitReadyPieces();
-}
-
-// The engine that keeps this prompt's parts is likely to run the request: results that are made
-// beside it don't cross to another data centre. The placement is given up again at once, since
-// other requests come first until the stages are done.
-template <gateway_codec Codec>
-void exchange<Codec>::foreseeEngine()
-{
-    engine_wish wish;
-    wish.service = m_service;
-    wish.prompt = m_marks.prompt;
-    m_placement = m_context.engines.place(
-        std::move(wish), [self = this->shared_from_this()](const server_ptr &likely) {
-            if (self->m_done)
-                return;
-            self->m_context.engines.onEnd(std::exchange(self->m_placement, 0));
-            if (likely)
-                self->m_stageNear = likely->record.dataCenter;
-            self->submitReadyPieces();
-        });
+    submitReadyPieces();
 }
 
 template <gateway_codec Codec>
@@ -182,7 +158,7 @@
         job.deadline = m_end - m_afterStages[stage];
         job.resultBytes = m_route->stages[stage].resultBytes;
         job.request = std::move(each.request);
-        job.near = job.request.inputs.empty() ? m_stageNear
+        job.near = job.request.inputs.empty() ? m_context.dataCenter
                                               : whereResultLies(job.request.inputs.front());
         auto handler = [self = this->shared_from_this(), stage, piece](piece_result result) {
             self->onPiece(stage, piece, std::move(result));
