Name the kinds of log lines in a table, and hold the page of log lines to it by a test

Cause: kinds of lines were texts spread over the gateway; docs/LOGS.md could fall behind unseen.

Change: log_event with its table; a test finds each kind of line, publication and outcome in docs/LOGS.md.

--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -4,6 +4,7 @@
 #include "gateway/exchange_attempts_impl.h"
 #include "gateway/exchange_limits.h"
 #include "gateway/exchange_stages_impl.h"
+#include "gateway/log_event.h"
 
 #include <algorithm>
 #include <utility>
@@ -184,7 +185,7 @@
 {
     const auto took =
         std::chrono::duration_cast<milliseconds>(m_context.loop.now() - m_arrival).count();
-    auto line = m_context.log.line(wire::log_level::Info, "request");
+    auto line = m_context.log.line(wire::log_level::Info, toName(log_event::Request));
     line.add("request", m_marks.attempt).add("outcome", toName(outcome));
     if (m_route)
         line.add("route", m_route->name);
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -2,6 +2,7 @@
 
 #include "gateway/exchange.h"
 #include "gateway/exchange_limits.h"
+#include "gateway/log_event.h"
 
 #include <utility>
 
@@ -71,10 +72,11 @@
 template <gateway_codec Codec>
 void exchange<Codec>::restartStages(std::string_view reason)
 {
-    m_context.log.write(wire::log_level::Info,
-                        m_context.log.line(wire::log_level::Info, "stages_restarted")
-                            .add("request", m_marks.attempt)
-                            .add("reason", reason));
+    m_context.log.write(
+        wire::log_level::Info,
+        m_context.log.line(wire::log_level::Info, toName(log_event::StagesRestarted))
+            .add("request", m_marks.attempt)
+            .add("reason", reason));
     withdrawPieces();
     freeResults();
     m_needsStages = false;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/settings/socket_address_text.h"
+#include "gateway/log_event.h"
 #include "gateway/stage_host.h"
 
 #include <utility>
@@ -175,7 +176,7 @@
         m_directory.onFailure(*call.server);
     if (end != stage_call_end::Answered)
         m_log.write(wire::log_level::Info,
-                    m_log.line(wire::log_level::Info, "stage_call_failed")
+                    m_log.line(wire::log_level::Info, toName(log_event::StageCallFailed))
                         .add("service", service.value)
                         .add("server", call.server->record.id.value)
                         .add("pieces", call.pieces.size())
@@ -198,7 +199,7 @@
     }
     for (const auto &[failure, count] : counts) {
         m_log.write(wire::log_level::Info,
-                    m_log.line(wire::log_level::Info, "pieces_failed")
+                    m_log.line(wire::log_level::Info, toName(log_event::PiecesFailed))
                         .add("service", service.value)
                         .add("server", call.server->record.id.value)
                         .add("reason", toName(failure))
@@ -215,7 +216,7 @@
         const auto summary = pool->takeSummary();
         if (summary.calls == 0 && pool->waiting() == 0)
             continue;
-        auto line = m_log.line(wire::log_level::Info, "stage_pool");
+        auto line = m_log.line(wire::log_level::Info, toName(log_event::StagePool));
         line.add("service", service.value).add("calls", summary.calls);
         line.add("open", pool->callsOpen()).add("waiting", pool->waiting());
         line.add("without_room", summary.withoutRoom);
@@ -261,9 +262,10 @@
     for (auto &[holder, handles] : std::exchange(m_frees, {})) {
         const auto address = parseSocketAddress(holder);
         if (!address) {
-            m_log.write(wire::log_level::Warning,
-                        m_log.line(wire::log_level::Warning, "result_handle_unreadable")
-                            .add("handle", handles.front()));
+            m_log.write(
+                wire::log_level::Warning,
+                m_log.line(wire::log_level::Warning, toName(log_event::ResultHandleUnreadable))
+                    .add("handle", handles.front()));
             continue;
         }
         http::outbound_call made;
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/log_event.h"
 #include "gateway/stage_router.h"
 
 #include <set>
@@ -174,7 +175,8 @@
     if (lost.empty())
         return;
     m_log.write(wire::log_level::Warning,
-                m_log.line(wire::log_level::Warning, "stage_host_lost").add("pieces", lost.size()));
+                m_log.line(wire::log_level::Warning, toName(log_event::StageHostLost))
+                    .add("pieces", lost.size()));
     for (const auto token : lost) {
         const auto found = m_submissions.find(token);
         if (found == m_submissions.end())
--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/store_follower_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/log_event.h"
 #include "gateway/store_follower.h"
 
 #include <algorithm>
@@ -141,9 +142,9 @@
     }
     m_backoff = milliseconds{0};
     if (!std::exchange(m_connected, true))
-        m_log.write(
-            wire::log_level::Info,
-            m_log.line(wire::log_level::Info, "store_regained").add("revision", m_revision));
+        m_log.write(wire::log_level::Info,
+                    m_log.line(wire::log_level::Info, toName(log_event::StoreRegained))
+                        .add("revision", m_revision));
     m_state.onStoreBack();
     onPage(std::move(page).value());
 }
@@ -151,9 +152,9 @@
 template <gateway_codec Codec>
 void store_follower<Codec>::onHistoryGone()
 {
-    m_log.write(
-        wire::log_level::Info,
-        m_log.line(wire::log_level::Info, "store_history_gone").add("revision", m_revision));
+    m_log.write(wire::log_level::Info,
+                m_log.line(wire::log_level::Info, toName(log_event::StoreHistoryGone))
+                    .add("revision", m_revision));
     readConfiguration();
 }
 
@@ -162,8 +163,9 @@
 {
     m_state.onStoreLost();
     if (std::exchange(m_connected, false))
-        m_log.write(wire::log_level::Warning,
-                    m_log.line(wire::log_level::Warning, "store_lost").add("reason", why));
+        m_log.write(
+            wire::log_level::Warning,
+            m_log.line(wire::log_level::Warning, toName(log_event::StoreLost)).add("reason", why));
     m_backoff = std::clamp(m_backoff * 2, m_options.firstBackoff, m_options.maxBackoff);
     m_loop.callAfter(m_backoff, [this] {
         if (m_whole)
