Go on reading the store at the page that failed, after a pause of its own for each node

Ruled out: the peers, which hand on within a second what one of them knows, and here know nothing.

Change: the step that failed is done again, after 0.15 s doubled up to 1 s and up to as much again by chance.

--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -41,6 +41,12 @@
         std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
+/// Gives each VM random numbers of its own.
+[[nodiscard]] inline std::uint32_t seedOf(const vm_id &vm)
+{
+    return static_cast<std::uint32_t>(std::hash<std::string>{}(vm.value));
+}
+
 template <gateway_codec Codec>
 gateway<Codec>::gateway(http::io_loop &loop, wire::log &log, gateway_settings settings)
     : m_loop(loop)
@@ -66,20 +72,11 @@
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
-          [this](const publication_news &news) { onNews(news); }, log)
-    , m_context{loop,
-                m_pool,
-                m_directory,
-                m_allowance,
-                m_router,
-                m_placer,
-                log,
-                m_metrics,
-                m_settings.dataCenter,
-                nullptr,
-                {},
-                std::minstd_rand{
-                    static_cast<std::uint32_t>(std::hash<std::string>{}(m_settings.vm.value))}}
+          [this](const publication_news &news) { onNews(news); }, log, seedOf(m_settings.vm))
+    , m_context{loop,        m_pool,    m_directory,
+                m_allowance, m_router,  m_placer,
+                log,         m_metrics, m_settings.dataCenter,
+                nullptr,     {},        std::minstd_rand{seedOf(m_settings.vm)}}
     , m_clients(std::make_shared<http::inbound_shared>())
     , m_probes(std::make_shared<http::inbound_shared>())
 {
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -6,6 +6,7 @@
 #include "wire/log.h"
 
 #include <functional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -20,7 +21,9 @@
     /// A third of the bound for configuration, which is 2 s.
     milliseconds watchPause{600};
     milliseconds answerTimeout{1000}; ///< beyond the wait; the store answers in 4 ms
-    milliseconds firstBackoff{200};
+    /// After a failed call; doubled by each further one, and up to as much again by chance: when
+    /// all nodes start at once they would else ask together again and again.
+    milliseconds firstBackoff{150};
     milliseconds maxBackoff{1000};
 };
 
@@ -31,7 +34,7 @@
 public:
     store_follower(http::io_loop &loop, http::connection_pool &pool, const socket_address &store,
                    published_state &state, std::function<void(publication_news)> onNews,
-                   wire::log &log, const store_options &options = {});
+                   wire::log &log, std::uint32_t seed, const store_options &options = {});
 
     void start() { readConfiguration(); }
     [[nodiscard]] bool connected() const { return m_connected; }
@@ -47,6 +50,7 @@
     void onAnswer(int status, const std::string &body, page_reader read,
                   const std::function<void(published_page &&)> &onPage);
     void onFailure(std::string_view why);
+    [[nodiscard]] milliseconds nextPause();
     void onHistoryGone();
     void report(const std::vector<publication_news> &news);
 
@@ -63,6 +67,8 @@
     bool m_whole = false; ///< has read everything once since the history was lost
     bool m_connected = false;
     milliseconds m_backoff{0};
+    std::function<void()> m_again; ///< the step that is being done
+    std::minstd_rand m_random;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/store_follower_impl.h
@@ -13,7 +13,7 @@
 store_follower<Codec>::store_follower(http::io_loop &loop, http::connection_pool &pool,
                                       const socket_address &store, published_state &state,
                                       std::function<void(publication_news)> onNews, wire::log &log,
-                                      const store_options &options)
+                                      std::uint32_t seed, const store_options &options)
     : m_loop(loop)
     , m_pool(pool)
     , m_store(store)
@@ -21,6 +21,7 @@
     , m_onNews(std::move(onNews))
     , m_log(log)
     , m_options(options)
+    , m_random(seed)
 { }
 
 template <gateway_codec Codec>
@@ -34,6 +35,7 @@
 void store_follower<Codec>::readConfiguration()
 {
     m_whole = false;
+    m_again = [this] { readConfiguration(); };
     call(Codec::configurationTarget(), m_options.answerTimeout, &Codec::readItem,
          [this](published_page &&page) {
              m_listRevision = page.revision;
@@ -48,6 +50,7 @@
 template <gateway_codec Codec>
 void store_follower<Codec>::readServers(const std::string &after)
 {
+    m_again = [this, after] { readServers(after); };
     call(Codec::serversTarget(after), m_options.answerTimeout, &Codec::readPage,
          [this](published_page &&page) {
              if (m_listRevision == 0)
@@ -69,6 +72,7 @@
 template <gateway_codec Codec>
 void store_follower<Codec>::watch()
 {
+    m_again = [this] { watch(); };
     call(Codec::watchTarget(m_revision, m_options.watchWait),
          m_options.watchWait + m_options.answerTimeout, &Codec::readChanges,
          [this](published_page &&page) {
@@ -166,13 +170,20 @@
         m_log.write(
             wire::log_level::Warning,
             m_log.line(wire::log_level::Warning, toName(log_event::StoreLost)).add("reason", why));
-    m_backoff = std::clamp(m_backoff * 2, m_options.firstBackoff, m_options.maxBackoff);
-    m_loop.callAfter(m_backoff, [this] {
-        if (m_whole)
-            watch();
-        else
-            readConfiguration();
+    m_loop.callAfter(nextPause(), [this] {
+        const auto again = m_again;
+        again();
     });
 }
 
+// The step that failed is done again, not those before it: where the store serves only so many
+// calls a second, all nodes that start at once would else never get through the pages.
+template <gateway_codec Codec>
+milliseconds store_follower<Codec>::nextPause()
+{
+    m_backoff = std::clamp(m_backoff * 2, m_options.firstBackoff, m_options.maxBackoff);
+    const auto most = static_cast<std::int64_t>(m_backoff.count());
+    return m_backoff + milliseconds{std::uniform_int_distribution<std::int64_t>(0, most)(m_random)};
+}
+
 } // namespace orchidlead::gateway
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -186,15 +186,35 @@
         + std::to_string(m_revision) + "}";
 }
 
+std::string fake_store::page(const std::string &after) const
+{
+    std::string items;
+    std::size_t count = 0;
+    bool more = false;
+    for (auto it = m_entries.upper_bound(after); it != m_entries.end(); ++it) {
+        const auto &[key, each] = *it;
+        if (!key.starts_with("servers/") || each.deleted)
+            continue;
+        more = count++ == m_pageSize;
+        if (more)
+            break;
+        items += items.empty() ? "" : ",";
+        items += R"({"key":")" + key + R"(","revision":)" + std::to_string(each.revision)
+            + R"(,"value":")" + wire::encodeBase64(each.value) + "\"}";
+    }
+    return R"({"items":[)" + items + R"(],"has_more":)" + (more ? "true" : "false")
+        + R"(,"store_revision":)" + std::to_string(m_revision) + "}";
+}
+
 void fake_store::onRequest(const http::inbound_ptr &client, const http::request_head &head)
 {
     ++m_calls;
-    if (m_failure != 0) {
-        client->respond(m_failure, {}, {});
+    if (m_failure != 0 || (m_refuseEach != 0 && m_calls % m_refuseEach == 0)) {
+        client->respond(m_failure != 0 ? m_failure : 429, {}, {});
         return;
     }
     if (head.target.starts_with("/kv-range")) {
-        client->respond(200, {}, list("items", 0, false));
+        client->respond(200, {}, page(argument(head.target, "after")));
     } else if (head.target.starts_with("/kv-watch")) {
         answerWatch(client, numberArgument(head.target, "after"));
     } else if (const auto found = m_entries.find(argument(head.target, "key"));
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -66,6 +66,10 @@
     void remove(const std::string &key);
     /// Answers everything with this status; 0: as it should.
     void failWith(int status) { m_failure = status; }
+    /// Answers each `nth` call with 429, as where all nodes ask at once; 0: none.
+    void refuseEach(std::size_t nth) { m_refuseEach = nth; }
+    /// Gives a list in pages of so many items.
+    void setPageSize(std::size_t items) { m_pageSize = items; }
     /// Forgets its history: watches from before are answered 410.
     void compact() { m_oldest = m_revision; }
     [[nodiscard]] socket_address address() const;
@@ -82,6 +86,7 @@
 
     void onRequest(const http::inbound_ptr &client, const http::request_head &head);
     void answerWatch(const http::inbound_ptr &client, std::uint64_t after);
+    [[nodiscard]] std::string page(const std::string &after) const;
     [[nodiscard]] std::string list(std::string_view name, std::uint64_t after,
                                    bool withDeleted) const;
 
@@ -93,6 +98,8 @@
     std::uint64_t m_oldest = 0;
     int m_failure = 0;
     std::size_t m_calls = 0;
+    std::size_t m_refuseEach = 0;
+    std::size_t m_pageSize = 500;
 };
 
 /// What a client got.
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -141,3 +141,15 @@
     INFO("status " << late->status << ", " << toName(late->end));
     CHECK((late->status == 503 || late->end == http::call_end::NotSent));
 }
+
+TEST_CASE("a store that refuses a part of the calls is read to the end all the same")
+{
+    world w;
+    for (int i = 0; i < 6; ++i)
+        w.addServer("web", "i-" + std::to_string(i));
+    w.publish(5, plainRoute("safe"));
+    w.store.setPageSize(1);
+    w.store.refuseEach(3);
+    auto &node = w.startGateway("g1", false);
+    CHECK(w.runUntil([&] { return node.ready(); }, milliseconds{4000}));
+}
