Close connections with their owners

Change: listener, connection_pool and peer_network close what they own; the stand-in servers, too.

In a running process nothing changes: these owners live as long as it does.

--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -102,6 +102,12 @@
     end();
 }
 
+void peer_link::drop()
+{
+    m_events = {};
+    end();
+}
+
 void peer_link::end()
 {
     const auto self = shared_from_this();
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -29,6 +29,8 @@
     /// Sends with what else is sent in the same turn of the loop.
     void send(const peer_frame &frame);
     void close();
+    /// Closes without reporting it.
+    void drop();
     [[nodiscard]] bool isOpen() const { return m_socket != nullptr; }
     /// Asks the peer for a sign of life, unless it was asked already and hasn't answered.
     void ask();
--- a/src/gateway/peer_network.cpp
+++ b/src/gateway/peer_network.cpp
@@ -55,6 +55,16 @@
     std::erase(m_firstContacts, m_address);
 }
 
+peer_network::~peer_network()
+{
+    for (const auto &[peer, link] : std::exchange(m_links, {}))
+        link->drop();
+    for (const auto &weak : m_accepted) {
+        if (const auto link = weak.lock())
+            link->drop();
+    }
+}
+
 std::optional<http::listen_error> peer_network::start()
 {
     auto datagrams = http::datagram_socket::create(
@@ -214,7 +224,10 @@
 
 void peer_network::accept(std::shared_ptr<http::stream_socket> socket)
 {
-    std::make_shared<peer_link>(m_loop, linkEvents())->accept(std::move(socket));
+    std::erase_if(m_accepted, [](const auto &weak) { return weak.expired(); });
+    const auto link = std::make_shared<peer_link>(m_loop, linkEvents());
+    m_accepted.push_back(link);
+    link->accept(std::move(socket));
 }
 
 void peer_network::avoid(const vm_id &peer)
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peer_network.h
@@ -33,6 +33,10 @@
 public:
     peer_network(http::io_loop &loop, wire::log &log, const gateway_settings &settings,
                  std::uint64_t incarnation, peer_events events);
+    /// Closes all links; nothing more is reported of them.
+    ~peer_network();
+    peer_network(const peer_network &) = delete;
+    peer_network &operator=(const peer_network &) = delete;
 
     [[nodiscard]] std::optional<http::listen_error> start();
 
@@ -73,6 +77,7 @@
     std::unique_ptr<http::datagram_socket> m_datagrams;
     std::unique_ptr<http::acceptor> m_acceptor;
     std::map<vm_id, std::shared_ptr<peer_link>> m_links; ///< opened by this node
+    std::vector<std::weak_ptr<peer_link>> m_accepted; ///< opened by peers
     std::map<vm_id, steady_time> m_avoided;
     steady_time m_nextContact{};
 };
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -25,6 +25,12 @@
 connection_pool::~connection_pool()
 {
     *m_alive = false;
+    for (const auto &[id, connection] : std::exchange(m_calls, {}))
+        connection->abandon();
+    for (const auto &[address, connections] : std::exchange(m_free, {})) {
+        for (const auto &each : connections)
+            each.connection->close();
+    }
 }
 
 pool_call connection_pool::start(const socket_address &to, outbound_call call)
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -20,6 +20,7 @@
 {
 public:
     explicit connection_pool(io_loop &loop);
+    /// Closes all its connections; nothing more is reported of its calls.
     ~connection_pool();
     connection_pool(const connection_pool &) = delete;
     connection_pool &operator=(const connection_pool &) = delete;
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -18,6 +18,14 @@
     , m_sweepAt(LeastSweep)
 { }
 
+listener::~listener()
+{
+    for (const auto &weak : m_connections) {
+        if (const auto each = weak.lock())
+            each->abort();
+    }
+}
+
 result<std::unique_ptr<listener>, listen_error>
 listener::create(io_loop &loop, const socket_address &at, std::shared_ptr<inbound_shared> shared)
 {
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -16,6 +16,11 @@
     [[nodiscard]] static result<std::unique_ptr<listener>, listen_error>
     create(io_loop &loop, const socket_address &at, std::shared_ptr<inbound_shared> shared);
 
+    /// Closes all its connections; nothing more is reported of them.
+    ~listener();
+    listener(const listener &) = delete;
+    listener &operator=(const listener &) = delete;
+
     [[nodiscard]] std::uint16_t port() const { return m_acceptor->port(); }
     /// Closes the connections that have had no request for so long.
     void closeIdle(milliseconds atLeast);
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -130,7 +130,9 @@
 {
     auto made = http::acceptor::create(
         m_loop, loopback(AnyPort), [this](std::shared_ptr<http::stream_socket> socket) {
-            std::make_shared<connection>(*this, std::move(socket))->start();
+            const auto accepted = std::make_shared<connection>(*this, std::move(socket));
+            m_connections.push_back(accepted);
+            accepted->start();
         });
     REQUIRE(made);
     m_acceptor = std::move(made).value();
@@ -139,6 +141,14 @@
     });
 }
 
+fake_server::~fake_server()
+{
+    for (const auto &weak : m_connections) {
+        if (const auto each = weak.lock())
+            each->reset();
+    }
+}
+
 socket_address fake_server::address() const
 {
     return loopback(m_acceptor->port());
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -37,6 +37,9 @@
 {
 public:
     fake_server(http::io_loop &loop, std::string id);
+    ~fake_server();
+    fake_server(const fake_server &) = delete;
+    fake_server &operator=(const fake_server &) = delete;
 
     [[nodiscard]] const std::string &id() const { return m_id; }
     [[nodiscard]] socket_address address() const;
@@ -53,6 +56,7 @@
     std::unique_ptr<http::acceptor> m_acceptor;
     std::vector<server_request> m_requests;
     server_behaviour m_behaviour;
+    std::vector<std::weak_ptr<connection>> m_connections;
     std::shared_ptr<std::size_t> m_open = std::make_shared<std::size_t>(0);
 };
 
