Sort pieces by one moment

Cause: the order of pieces asked the clock anew in each comparison whether a piece is late. A piece that became late while it was sorted let std::stable_sort's unguarded insertion run past the begin of the list: a heap overflow.

Change: the time is read once for a sort and passed to the comparison.

--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -58,19 +58,20 @@
 }
 
 // A call that begins now ends too late for it.
-bool stage_pool::isLate(const piece_job &job) const
+bool stage_pool::isLate(const piece_job &job, steady_time now) const
 {
-    return job.aim < m_clock.now() + m_capacity.callTime;
+    return job.aim < now + m_capacity.callTime;
 }
 
-bool stage_pool::before(const piece_job &a, const piece_job &b, const data_center_id &at) const
+bool stage_pool::before(const piece_job &a, const piece_job &b, const data_center_id &at,
+                        steady_time now) const
 {
     const auto rank = [&](const piece_job &job) {
         const bool away = !at.empty() && !job.near.empty() && job.near != at;
         return job.aim + (away ? AwayPenalty : milliseconds{0});
     };
-    const bool lateA = isLate(a);
-    const bool lateB = isLate(b);
+    const bool lateA = isLate(a, now);
+    const bool lateB = isLate(b, now);
     if (lateA != lateB)
         return lateB;
     if (a.priority != b.priority)
@@ -124,8 +125,10 @@
 // waited long goes in parts. What doesn't fit is passed by smaller groups.
 std::vector<piece_job> stage_pool::takeFitting(const server &chosen)
 {
+    // One moment for the whole sort: an order that changes meanwhile makes it leave its bounds.
+    const auto now = m_clock.now();
     std::ranges::stable_sort(m_waiting, [&](const piece_job &a, const piece_job &b) {
-        return before(a, b, chosen.record.dataCenter);
+        return before(a, b, chosen.record.dataCenter, now);
     });
     const auto held = m_servers[chosen.record.id].held;
     const bool bounded = m_capacity.roomBytes > 0;
@@ -157,8 +160,9 @@
     if (m_waiting.empty())
         return std::nullopt;
     dropLapsed();
+    const auto now = m_clock.now();
     const auto first = std::ranges::min_element(
-        m_waiting, [this](const piece_job &a, const piece_job &b) { return before(a, b, {}); });
+        m_waiting, [&](const piece_job &a, const piece_job &b) { return before(a, b, {}, now); });
     for (const auto &each : freeServers(servers, first->near)) {
         auto jobs = takeFitting(*each);
         if (!jobs.empty())
@@ -315,10 +319,10 @@
     std::vector<piece_outcome> out;
     const auto now = m_clock.now();
     const auto inTime = static_cast<std::size_t>(
-        std::ranges::count_if(m_waiting, [this](const piece_job &job) { return !isLate(job); }));
+        std::ranges::count_if(m_waiting, [&](const piece_job &job) { return !isLate(job, now); }));
     const bool crowded = inTime > servers * m_capacity.batch;
     std::erase_if(m_waiting, [&](const piece_job &job) {
-        if (job.deadline > now && !(crowded && isLate(job)))
+        if (job.deadline > now && !(crowded && isLate(job, now)))
             return false;
         ++m_summary.ranks[job.priority].dropped;
         out.push_back({job.token, piece_failure::Late});
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -133,10 +133,10 @@
         steady_time lapses;
     };
 
-    /// The order of pieces for a server in the data centre `at`; empty: for any.
-    [[nodiscard]] bool before(const piece_job &a, const piece_job &b,
-                              const data_center_id &at) const;
-    [[nodiscard]] bool isLate(const piece_job &job) const;
+    /// The order of pieces at one moment, for a server in the data centre `at`; empty: for any.
+    [[nodiscard]] bool before(const piece_job &a, const piece_job &b, const data_center_id &at,
+                              steady_time now) const;
+    [[nodiscard]] bool isLate(const piece_job &job, steady_time now) const;
     [[nodiscard]] std::vector<server_ptr> freeServers(const std::vector<server_ptr> &servers,
                                                       const data_center_id &near);
     /// Where the waiting pieces of the same stage of the same request end.
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <string>
 
 using namespace orchidlead;
@@ -279,3 +280,56 @@
     CHECK(summary.ranks.at(1).pieces == 1);
     CHECK(w.pool.takeSummary().calls == 0);
 }
+
+namespace {
+
+/// Moves on with each look at it, as a real clock may.
+class running_clock final : public clock_source
+{
+public:
+    [[nodiscard]] steady_time now() const override
+    {
+        m_now += std::chrono::microseconds{1};
+        return m_now;
+    }
+    [[nodiscard]] wall_time wallNow() const override { return {}; }
+
+private:
+    mutable steady_time m_now{std::chrono::hours{24}};
+};
+
+} // namespace
+
+TEST_CASE("pieces keep one order though one becomes late while they are sorted")
+{
+    const running_clock clock;
+    retry_allowance allowance(clock, {0.0, 1000.0, milliseconds{10'000}});
+    const auto only = std::make_shared<server>();
+    only->record.id = backend_server_id("s0");
+    stage_capacity capacity = makeCapacity();
+    capacity.batch = 100;
+    capacity.roomBytes = 0;
+    // The most urgent piece stands first and becomes late at another moment of the sort each time;
+    // the last one belongs just behind it.
+    constexpr std::array<std::uint32_t, 7> Priorities{0, 5, 5, 5, 5, 5, 1};
+    constexpr int Moments = 150;
+    for (int moment = 0; moment < Moments; ++moment) {
+        stage_pool pool(clock, service_id("s"), allowance);
+        pool.setCapacity(capacity);
+        const auto begin = clock.now();
+        for (std::size_t i = 0; i < Priorities.size(); ++i) {
+            piece_job job;
+            job.token = i + 1;
+            job.request.attempt = "r" + std::to_string(i);
+            job.priority = Priorities[i];
+            job.aim = begin + std::chrono::seconds{1};
+            if (i == 0)
+                job.aim = begin + capacity.callTime + std::chrono::microseconds{moment};
+            job.deadline = begin + std::chrono::seconds{5};
+            pool.submit(job);
+        }
+        const auto call = pool.next({only});
+        REQUIRE(call);
+        CHECK(call->pieces.size() == Priorities.size());
+    }
+}
