Refuse requests that still wait for their stages before a planned stop ends

Change: 5 s after the signal requests that no server has yet are refused, with a time to come back (outcome 'stopping').

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -55,6 +55,8 @@
              std::string body);
 
     void start();
+    /// The process ends soon: a request that no server has yet is refused.
+    void stopWaiting();
 
 private:
     /// How an attempt ended, as far as trying again is concerned.
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -147,6 +147,13 @@
     }
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::stopWaiting()
+{
+    if (!m_done && !m_begun && m_call == 0)
+        giveUp(request_outcome::Stopping);
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::onClientGone()
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,6 +40,7 @@
     [[nodiscard]] gateway_gauges gauges() const;
     void tick();
     void checkStopped();
+    void refuseWaiting();
 
     http::io_loop &m_loop;
     wire::log &m_log;
@@ -59,6 +60,8 @@
     std::shared_ptr<http::inbound_shared> m_probes;
     std::unique_ptr<http::listener> m_clientListener;
     std::unique_ptr<http::listener> m_readinessListener;
+    std::vector<std::weak_ptr<exchange<Codec>>> m_exchanges; ///< open ones, and ended ones
+    std::size_t m_sweepAt = 0;
     bool m_wasReady = false;
     steady_time m_nextSummary{};
     steady_time m_nextAsk{}; ///< when peers may be asked for what is published
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -21,6 +21,11 @@
 /// A connection is closed in a stop only when it has been idle for so long: a new one gets the time
 /// to send its request, which is then answered.
 inline constexpr milliseconds StopIdle{300};
+/// Requests that still wait for their stages are refused so long after the signal: the client then
+/// has time to go elsewhere, and nobody is left without an answer when the process ends.
+inline constexpr milliseconds StopWaiting{5000};
+/// Ended exchanges are forgotten when the list has grown to this, or to twice what was left.
+inline constexpr std::size_t LeastSweep = 64;
 /// The process ends this long before it would be killed.
 inline constexpr milliseconds StopMargin{500};
 /// Among how many nodes the reserve of second tries is divided at least: some may not be known.
@@ -131,7 +136,14 @@
         client->respond(status::Unavailable, {Codec::retryAfter(ComeBack)}, {});
         return;
     }
-    std::make_shared<exchange<Codec>>(m_context, client, std::move(head), std::move(body))->start();
+    const auto made =
+        std::make_shared<exchange<Codec>>(m_context, client, std::move(head), std::move(body));
+    if (m_exchanges.size() >= m_sweepAt) {
+        std::erase_if(m_exchanges, [](const auto &weak) { return weak.expired(); });
+        m_sweepAt = std::max(LeastSweep, 2 * m_exchanges.size());
+    }
+    m_exchanges.push_back(made);
+    made->start();
 }
 
 template <gateway_codec Codec>
@@ -295,6 +307,16 @@
     m_log.write(wire::log_level::Info, wire::node_event::Stopping, {});
 }
 
+template <gateway_codec Codec>
+void gateway<Codec>::refuseWaiting()
+{
+    const auto exchanges = m_exchanges;
+    for (const auto &weak : exchanges) {
+        if (const auto each = weak.lock())
+            each->stopWaiting();
+    }
+}
+
 template <gateway_codec Codec>
 void gateway<Codec>::checkStopped()
 {
@@ -302,6 +324,8 @@
     if (since < StopNotice)
         return;
     m_clientListener->closeIdle(StopIdle);
+    if (since > StopWaiting)
+        refuseWaiting();
     const bool idle = m_clients->answering == 0 && m_clients->connections == 0;
     if (!idle && since < m_settings.bounds.stopGrace - StopMargin)
         return;
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -25,6 +25,7 @@
     StageFailed,
     Timeout,
     ClientGone,
+    Stopping, ///< the process ends before a server could have it
 };
 
 /// What a piece that can't be done makes of its request.
@@ -66,4 +67,6 @@
         orchidlead::gateway::request_outcome::Timeout, "timeout"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::ClientGone, "client_gone"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::Stopping, "stopping"},
 };
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -178,3 +178,23 @@
     CHECK(first->body == event(1));
     CHECK(second->body == event(1));
 }
+
+TEST_CASE("a request that waits for its stages in a planned stop is refused before the end")
+{
+    stage_world w;
+    auto patient = streamRoute(true, Stages);
+    patient.replace(patient.find("4000"), 4, "9000");
+    w.publish(2, patient, Services);
+    w.startGateway("g1");
+    w.stages.mute = true;
+    const auto began = w.clock.now();
+    w.stopGateway("g1");
+    auto head = makeRequest("POST", "/s/x", "a1");
+    head.fields[2].value = "9000";
+    head.fields.push_back({"X-Chunk-Count", "1,0"});
+    head.fields.push_back({"X-Chunk-Key", "key"});
+    const auto answer = w.request("g1", head, "prompt");
+    REQUIRE(w.await(answer, milliseconds{9000}));
+    CHECK(answer->status == 503);
+    CHECK(w.clock.now() - began < milliseconds{6000});
+}
