--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -1,6 +1,7 @@
 #include "ctl/command.h"
 
 #include "ctl/check_command.h"
+#include "ctl/explain_command.h"
 #include "ctl/node_commands.h"
 #include "ctl/render_command.h"
 #include "ctl/send_command.h"
@@ -44,6 +45,13 @@
                        "tartu-alumni --pipeline chat",
             .flags = RenderFlags,
             .run = runRender},
+    command{.name = "explain",
+            .arguments = "REQUEST [FILE…]",
+            .count = {1, AnyNumber},
+            .summary = "tell a request's story from the log lines of any number of gateways",
+            .example = "orchidctl explain f84f9f8a68a38d5c edge-*.log",
+            .flags = {},
+            .run = runExplain},
     command{.name = "status",
             .arguments = "",
             .count = {},
--- a/src/gateway/engine_placer.h
+++ b/src/gateway/engine_placer.h
@@ -32,6 +32,8 @@
     /// A frame about placements; others are ignored.
     void onFrame(const std::shared_ptr<peer_link> &link, const peer_frame &frame);
     void onLinkClosed(const std::shared_ptr<peer_link> &link);
+    /// Requests that this node placed for itself and others, and that haven't ended.
+    [[nodiscard]] std::size_t open() const { return m_board.open(); }
 
 private:
     using link_ptr = std::shared_ptr<peer_link>;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -4,7 +4,10 @@
 #include "gateway/engine_placer.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/log_event.h"
+#include "gateway/published_state.h"
 #include "gateway/request_outcome.h"
+#include "gateway/request_story.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_directory.h"
 #include "gateway/stage_router.h"
@@ -36,6 +39,8 @@
     engine_placer &engines;
     wire::log &log;
     gateway_metrics &metrics;
+    const published_state &published;
+    line_allowance &lines;
     data_center_id dataCenter;
     configuration_ptr configuration; ///< null until one is known
     time_estimates times;
@@ -66,6 +71,7 @@
         Unknown, ///< a server may have run it
         Failed, ///< a server ran it and answered with a failure
     };
+    [[nodiscard]] static std::string_view nameOf(fate what);
     /// How the answer of the attempt is passed on.
     enum class passing {
         Nothing, ///< no head yet, or one that isn't passed on
@@ -109,6 +115,16 @@
     void onClientGone();
     void onTimeout();
     void finish(request_outcome outcome);
+
+    [[nodiscard]] bool tells() const { return m_context.log.writes(wire::log_level::Info); }
+    [[nodiscard]] wire::log_line lineOf(log_event kind) const;
+    [[nodiscard]] milliseconds sinceArrival() const;
+    [[nodiscard]] bool wentWell(request_outcome outcome) const;
+    void logTaken();
+    void logStage(std::uint32_t stage, std::size_t pieces);
+    void logSent();
+    void logAttemptEnd(std::string_view how);
+    void logDenied(std::string_view why);
     void logEnd(request_outcome outcome);
 
     [[nodiscard]] milliseconds left() const;
@@ -126,6 +142,9 @@
     std::uint32_t m_priority = 0;
     service_id m_service;
     bool m_done = false;
+    request_story m_story;
+    int m_told = 0; ///< status that the client got; 0: none
+    std::optional<milliseconds> m_firstEvent; ///< when the client got the first one, from arrival
 
     std::optional<stage_work> m_work;
     std::vector<std::chrono::microseconds> m_afterStages; ///< time that follows each stage
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -113,6 +113,7 @@
         out.fields.push_back({"Content-Length", std::to_string(m_body.size())});
     ++m_attempts;
     m_lastHeard = m_context.loop.now();
+    logSent();
     return http::formatHead(out);
 }
 
@@ -170,8 +171,8 @@
     const auto events = m_splitter.feed(bytes);
     if (!events.empty()) {
         if (!m_begun) {
-            m_context.metrics.onFirstEvent(
-                std::chrono::duration_cast<milliseconds>(m_context.loop.now() - m_arrival));
+            m_firstEvent = sinceArrival();
+            m_context.metrics.onFirstEvent(*m_firstEvent);
             const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
                 m_context.loop.now() - m_sentAt);
             m_context.times.onFirstAnswer(m_service, took);
@@ -198,6 +199,7 @@
     // A stream may go on at another server, and then has another length.
     if (m_passing == passing::Bytes)
         head.length = m_answer.length;
+    m_told = head.status;
     m_client->begin(head);
     if (m_passing == passing::Events) {
         freeResults();
@@ -250,6 +252,7 @@
         return;
     }
     m_context.directory.onAnswer(*m_server, m_answerMarks.load);
+    logAttemptEnd("answered");
     if (m_passing == passing::Buffered) {
         onBufferedEnd();
         return;
@@ -275,6 +278,7 @@
         answerOwn(status::BadGateway, request_outcome::ServerFailed);
         return;
     }
+    m_told = m_answer.status;
     m_client->respond(m_answer.status, http::forwardedFields(m_answer.fields), m_buffered);
     finish(m_answer.status < status::FirstServerError ? request_outcome::Answered
                                                       : request_outcome::Failed);
@@ -284,17 +288,32 @@
 bool exchange<Codec>::mayTryAgain(fate what)
 {
     const bool safe = what == fate::NotSent || what == fate::NotRun || m_route->repeatable();
-    if (!safe || left() <= milliseconds{0} || !m_client->open())
+    if (!safe) {
+        logDenied("may_have_run");
         return false;
+    }
+    if (left() <= milliseconds{0} || !m_client->open()) {
+        logDenied("no_time");
+        return false;
+    }
     if (what == fate::NotSent)
         return ++m_unsent < MaxUnsent;
-    return m_attempts < m_route->maxAttempts && m_context.allowance.tryTake(m_service);
+    if (m_attempts >= m_route->maxAttempts) {
+        logDenied("attempts_used_up");
+        return false;
+    }
+    if (!m_context.allowance.tryTake(m_service)) {
+        logDenied("budget_spent");
+        return false;
+    }
+    return true;
 }
 
 template <gateway_codec Codec>
 void exchange<Codec>::onFate(fate what)
 {
     auto &server = *m_server;
+    logAttemptEnd(nameOf(what));
     if (what == fate::NotRun) {
         if (m_answer.status == status::Misdirected)
             server.gone = true;
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -3,8 +3,8 @@
 #include "gateway/exchange.h"
 #include "gateway/exchange_attempts_impl.h"
 #include "gateway/exchange_limits.h"
+#include "gateway/exchange_log_impl.h"
 #include "gateway/exchange_stages_impl.h"
-#include "gateway/log_event.h"
 
 #include <algorithm>
 #include <utility>
@@ -41,6 +41,7 @@
     }
     if (!findRoute())
         return;
+    logTaken();
     m_priority = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
     const auto patience = m_marks.patience.value_or(m_route->timeout);
     m_end = m_arrival + std::min(patience, m_route->timeout) - AnswerMargin;
@@ -102,6 +103,7 @@
 template <gateway_codec Codec>
 void exchange<Codec>::answerOwn(int code, request_outcome outcome)
 {
+    m_told = code;
     m_client->respond(code, {}, {});
     finish(outcome);
 }
@@ -110,6 +112,7 @@
 template <gateway_codec Codec>
 void exchange<Codec>::refuse(request_outcome outcome)
 {
+    m_told = status::Unavailable;
     m_client->respond(status::Unavailable, {Codec::retryAfter(ComeBack)}, {});
     finish(outcome);
 }
@@ -177,9 +180,7 @@
     withdrawPieces();
     freeResults();
     logEnd(outcome);
-    m_context.metrics.onRequest(
-        m_route ? std::optional(m_route->kind) : std::nullopt, outcome,
-        std::chrono::duration_cast<milliseconds>(m_context.loop.now() - m_arrival));
+    m_context.metrics.onRequest(m_route, outcome, sinceArrival());
     if (m_client) {
         m_client->onClientGone({});
         m_client->onDrained({});
@@ -187,19 +188,4 @@
     m_client.reset();
 }
 
-template <gateway_codec Codec>
-void exchange<Codec>::logEnd(request_outcome outcome)
-{
-    const auto took =
-        std::chrono::duration_cast<milliseconds>(m_context.loop.now() - m_arrival).count();
-    auto line = m_context.log.line(wire::log_level::Info, toName(log_event::Request));
-    line.add("request", m_marks.attempt).add("outcome", toName(outcome));
-    if (m_route)
-        line.add("route", m_route->name);
-    line.add("status", m_answer.status).add("attempts", m_attempts).add("ms", took);
-    if (m_server)
-        line.add("server", m_server->record.id.value);
-    m_context.log.write(wire::log_level::Info, std::move(line));
-}
-
 } // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/exchange_log_impl.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "gateway/exchange.h"
+#include "gateway/exchange_limits.h"
+#include "gateway/log_event.h"
+
+#include <utility>
+
+/// The part of an exchange that tells what was decided, on what, and how old that was.
+namespace orchidlead::gateway {
+
+template <gateway_codec Codec>
+wire::log_line exchange<Codec>::lineOf(log_event kind) const
+{
+    auto line = m_context.log.line(wire::log_level::Info, toName(kind));
+    line.add("request", m_marks.attempt);
+    return line;
+}
+
+template <gateway_codec Codec>
+milliseconds exchange<Codec>::sinceArrival() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_context.loop.now() - m_arrival);
+}
+
+template <gateway_codec Codec>
+std::string_view exchange<Codec>::nameOf(fate what)
+{
+    switch (what) {
+    case fate::NotSent:
+        return "not_sent";
+    case fate::NotRun:
+        return "not_run";
+    case fate::Unknown:
+        return "unknown";
+    case fate::Failed:
+        return "failed";
+    }
+    return {};
+}
+
+// Written at once, unlike the rest of the story: where the process is killed it shows which
+// requests it had.
+template <gateway_codec Codec>
+void exchange<Codec>::logTaken()
+{
+    if (!tells())
+        return;
+    const auto heard = m_context.loop.now() - m_context.published.heardAt();
+    auto line = lineOf(log_event::RequestTaken);
+    line.add("route", m_route->name).add("kind", toName(m_route->kind));
+    if (m_customer)
+        line.add("customer", m_customer->id.value);
+    line.add("patience_ms", m_marks.patience.value_or(milliseconds{0}).count());
+    line.add("objective_ms", m_route->objective.count());
+    line.add("configuration", m_configuration->version());
+    line.add("published_age_ms", std::chrono::duration_cast<milliseconds>(heard).count());
+    m_context.log.write(wire::log_level::Info, std::move(line));
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::logStage(std::uint32_t stage, std::size_t pieces)
+{
+    if (!tells())
+        return;
+    const auto &spec = m_route->stages[stage];
+    const auto due = m_arrival + m_route->objective - m_afterStages[stage];
+    const auto aimLeft = std::chrono::duration_cast<milliseconds>(due - m_context.loop.now());
+    auto line = lineOf(log_event::StageSubmitted);
+    line.add("stage", stage).add("service", spec.service.value).add("pieces", pieces);
+    line.add("host", m_context.stages.hostOf(spec.service).value);
+    line.add("aim_left_ms", aimLeft.count()).add("at_ms", sinceArrival().count());
+    m_story.add(std::move(line));
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::logSent()
+{
+    if (!tells())
+        return;
+    auto line = lineOf(log_event::AttemptSent);
+    line.add("server", m_server->record.id.value).add("service", m_service.value);
+    line.add("usable", m_context.directory.usable(m_service).size());
+    line.add("outstanding", m_server->outstanding).add("failures", m_server->failures);
+    if (m_server->load) {
+        const auto age = m_context.loop.now() - m_server->loadAt;
+        line.add("running", m_server->load->running).add("waiting", m_server->load->waiting);
+        line.add("load_age_ms", std::chrono::duration_cast<milliseconds>(age).count());
+    }
+    line.add("left_ms", left().count()).add("at_ms", sinceArrival().count());
+    m_story.add(std::move(line));
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::logAttemptEnd(std::string_view how)
+{
+    if (!tells() || !m_server)
+        return;
+    const auto took = m_context.loop.now() - m_sentAt;
+    auto line = lineOf(log_event::AttemptEnded);
+    line.add("server", m_server->record.id.value).add("end", how);
+    line.add("status", m_answer.status);
+    if (m_splitter.lastEvent())
+        line.add("last_event", *m_splitter.lastEvent());
+    line.add("took_ms", std::chrono::duration_cast<milliseconds>(took).count());
+    line.add("at_ms", sinceArrival().count());
+    m_story.add(std::move(line));
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::logDenied(std::string_view why)
+{
+    if (tells())
+        m_story.add(lineOf(log_event::RetryDenied).add("reason", why).add("attempts", m_attempts));
+}
+
+template <gateway_codec Codec>
+bool exchange<Codec>::wentWell(request_outcome outcome) const
+{
+    const bool inTime = m_route && m_firstEvent.value_or(sinceArrival()) <= m_route->objective;
+    return outcome == request_outcome::Answered && inTime && m_attempts <= 1 && !m_stagesRestarted;
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::logEnd(request_outcome outcome)
+{
+    if (!tells())
+        return;
+    if (!wentWell(outcome) || m_context.lines.tryTake(m_story.size()))
+        m_story.write(m_context.log);
+    auto line = lineOf(log_event::Request);
+    line.add("outcome", toName(outcome));
+    if (m_route)
+        line.add("route", m_route->name);
+    line.add("told", m_told).add("status", m_answer.status).add("attempts", m_attempts);
+    line.add("ms", sinceArrival().count());
+    if (m_firstEvent)
+        line.add("first_event_ms", m_firstEvent->count());
+    if (m_route)
+        line.add("objective_ms", m_route->objective.count());
+    if (m_server)
+        line.add("server", m_server->record.id.value);
+    m_context.log.write(wire::log_level::Info, std::move(line));
+}
+
+} // namespace orchidlead::gateway
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -4,6 +4,7 @@
 #include "gateway/exchange_limits.h"
 #include "gateway/log_event.h"
 
+#include <map>
 #include <utility>
 
 /// The part of an exchange that has its stages done.
@@ -28,10 +29,12 @@
         onStagesDone();
         return;
     }
+    std::map<std::uint32_t, std::size_t> submitted; // pieces by stage, for the log
     for (auto &each : m_work->takeReady()) {
         piece_job job;
         const auto stage = each.request.stage;
         const auto piece = each.request.piece;
+        ++submitted[stage];
         job.priority = m_priority;
         job.routePriority = m_route->priority;
         job.aim = m_arrival + m_route->objective - m_afterStages[stage];
@@ -46,6 +49,8 @@
         m_pieces.push_back(
             m_context.stages.submit(each.service, std::move(job), std::move(handler)));
     }
+    for (const auto &[stage, pieces] : submitted)
+        logStage(stage, pieces);
 }
 
 template <gateway_codec Codec>
@@ -60,6 +65,12 @@
         return;
     }
     const auto failure = std::get<piece_failure>(result);
+    if (tells())
+        m_story.add(lineOf(log_event::PieceFailed)
+                        .add("stage", stage)
+                        .add("piece", piece)
+                        .add("reason", toName(failure))
+                        .add("at_ms", sinceArrival().count()));
     // What was lost because it lay too long would only be late again.
     const bool inTime = m_context.loop.now() < m_arrival + m_route->objective;
     if (failure == piece_failure::InputGone && inTime && !std::exchange(m_stagesRestarted, true)) {
@@ -72,11 +83,8 @@
 template <gateway_codec Codec>
 void exchange<Codec>::restartStages(std::string_view reason)
 {
-    m_context.log.write(
-        wire::log_level::Info,
-        m_context.log.line(wire::log_level::Info, toName(log_event::StagesRestarted))
-            .add("request", m_marks.attempt)
-            .add("reason", reason));
+    if (tells())
+        m_story.add(lineOf(log_event::StagesRestarted).add("reason", reason));
     withdrawPieces();
     freeResults();
     m_needsStages = false;
@@ -89,6 +97,8 @@
 {
     m_pieces.clear();
     m_needsStages = false;
+    if (tells())
+        m_story.add(lineOf(log_event::StagesDone).add("at_ms", sinceArrival().count()));
     attempt();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,12 +32,14 @@
     void onReadinessRequest(const http::inbound_ptr &client, const http::request_head &head);
     void onConfiguration(const configuration_ptr &configuration);
     void onNews(const publication_news &news);
+    void onDoubt(const server &which, bool avoided);
+    void logEachSecond();
     void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
     void onPeerVersion(const vm_id &peer, std::uint64_t version);
     void onPublication(const publication_frame &frame);
     [[nodiscard]] publication_frame makePublication() const;
     void askPeers();
-    [[nodiscard]] gateway_gauges gauges() const;
+    [[nodiscard]] gateway_gauges gauges();
     void tick();
     void checkStopped();
     void refuseWaiting();
@@ -49,6 +51,7 @@
     http::connection_pool m_pool;
     server_directory m_directory;
     retry_allowance m_allowance;
+    line_allowance m_lines;
     stage_host<Codec> m_stages;
     peer_network m_peers;
     stage_router<Codec> m_router;
@@ -64,6 +67,8 @@
     std::size_t m_sweepAt = 0;
     bool m_wasReady = false;
     steady_time m_nextSummary{};
+    steady_time m_configurationSince{};
+    std::map<service_id, retry_allowance::usage> m_retries; ///< as of the last summary
     steady_time m_nextAsk{}; ///< when peers may be asked for what is published
     bool m_stopping = false;
     steady_time m_stopBegan{};
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -62,6 +62,7 @@
     , m_allowance(loop.clock(),
                   {m_settings.bounds.retryShare, m_settings.bounds.retryReserve,
                    m_settings.bounds.retryWindow})
+    , m_lines(loop.clock(), m_settings.requestLines)
     , m_stages(loop, m_pool, m_directory, m_allowance, log, m_metrics)
     , m_peers(loop, log, m_settings, drawIncarnation(loop.clock()),
               {[this](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
@@ -71,23 +72,40 @@
                    m_router.onLinkClosed(link);
                    m_placer.onLinkClosed(link);
                },
-               [this](const vm_id &peer, std::uint64_t version) { onPeerVersion(peer, version); }})
-    , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance)
+               [this](const vm_id &peer, std::uint64_t version) { onPeerVersion(peer, version); },
+               [&log](const service_id &service, const vm_id &host) {
+                   log.write(wire::log_level::Info,
+                             log.line(wire::log_level::Info, toName(log_event::StageHostChanged))
+                                 .add("service", service.value)
+                                 .add("host", host.value));
+               }})
+    , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance, m_settings.stageCalls)
     , m_placer(loop, m_peers, m_directory)
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
           [this](const publication_news &news) { onNews(news); }, log, seedOf(m_settings.vm))
-    , m_context{loop,        m_pool,    m_directory,
-                m_allowance, m_router,  m_placer,
-                log,         m_metrics, m_settings.dataCenter,
-                nullptr,     {},        std::minstd_rand{seedOf(m_settings.vm)}}
+    , m_context{loop,
+                m_pool,
+                m_directory,
+                m_allowance,
+                m_router,
+                m_placer,
+                log,
+                m_metrics,
+                m_state,
+                m_lines,
+                m_settings.dataCenter,
+                nullptr,
+                {},
+                std::minstd_rand{seedOf(m_settings.vm)}}
     , m_clients(std::make_shared<http::inbound_shared>())
     , m_probes(std::make_shared<http::inbound_shared>())
 {
     m_allowance.setNodes(AssumedNodes);
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
     m_directory.onChange([this](const service_id &service) { m_stages.onServersChanged(service); });
+    m_directory.onDoubt([this](const server &which, bool avoided) { onDoubt(which, avoided); });
     m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
                                   std::string &&body) {
         onRequest(client, std::move(head), std::move(body));
@@ -160,7 +178,7 @@
 }
 
 template <gateway_codec Codec>
-gateway_gauges gateway<Codec>::gauges() const
+gateway_gauges gateway<Codec>::gauges()
 {
     gateway_gauges now;
     now.ready = ready();
@@ -170,7 +188,15 @@
     now.answering = m_clients->answering;
     for (const auto &each : m_directory.all())
         now.servers += each->usable() ? 1 : 0;
-    now.peers = m_peers.peers().size();
+    const auto age = [this](steady_time since) {
+        return std::chrono::duration_cast<milliseconds>(m_loop.now() - since);
+    };
+    now.members = m_peers.countByState();
+    now.waitingPieces = m_stages.waiting();
+    now.retries = m_retries;
+    now.placements = m_placer.open();
+    now.publishedAge = age(m_state.heardAt());
+    now.configurationAge = age(m_configurationSince);
     now.serverConnections = m_pool.opened();
     now.droppedLogLines = m_log.dropped();
     return now;
@@ -180,6 +206,7 @@
 void gateway<Codec>::onConfiguration(const configuration_ptr &configuration)
 {
     m_context.configuration = configuration;
+    m_configurationSince = m_loop.now();
     m_peers.setVersion(configuration->version());
     m_stages.setConfiguration(configuration);
     m_placer.setConfiguration(configuration);
@@ -200,6 +227,36 @@
     m_log.write(level, std::move(line));
 }
 
+template <gateway_codec Codec>
+void gateway<Codec>::onDoubt(const server &which, bool avoided)
+{
+    const auto event = avoided ? log_event::ServerAvoided : log_event::ServerTrusted;
+    auto line = m_log.line(wire::log_level::Info, toName(event));
+    line.add("server", which.record.id.value).add("service", which.record.service.value);
+    line.add("failures", which.failures);
+    m_log.write(wire::log_level::Info, std::move(line));
+}
+
+// What would be too much to say for each request.
+template <gateway_codec Codec>
+void gateway<Codec>::logEachSecond()
+{
+    m_stages.logSummaries();
+    m_retries = m_allowance.takeUsage();
+    for (const auto &[service, usage] : m_retries) {
+        if (usage.denied == 0)
+            continue;
+        auto line = m_log.line(wire::log_level::Info, toName(log_event::RetryBudgetSpent));
+        line.add("service", service.value).add("denied", usage.denied);
+        line.add("taken", usage.taken).add("nodes", m_peers.nodes());
+        m_log.write(wire::log_level::Info, std::move(line));
+    }
+    if (const auto leftOut = m_lines.takeLeftOut(); leftOut > 0)
+        m_log.write(wire::log_level::Info,
+                    m_log.line(wire::log_level::Info, toName(log_event::LinesLeftOut))
+                        .add("count", leftOut));
+}
+
 template <gateway_codec Codec>
 void gateway<Codec>::onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame)
 {
@@ -288,7 +345,7 @@
     m_router.tick();
     if (m_loop.now() >= m_nextSummary) {
         m_nextSummary = m_loop.now() + SummaryInterval;
-        m_stages.logSummaries();
+        logEachSecond();
     }
     askPeers();
     if (m_stopping)
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -1,5 +1,9 @@
 #include "gateway/gateway_metrics.h"
 
+#include "wire/bounded_family.h"
+
+#include <orchidlead/membership.h>
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -18,6 +22,10 @@
 // Pieces; the batches published so far go up to 54.
 const prometheus::Histogram::BucketBoundaries pieceBuckets{1, 2, 4, 8, 16, 32, 64};
 
+// Rows of their own: services of a site so far are 5, routes up to some hundred at times.
+constexpr std::size_t MaxServices = 32;
+constexpr std::size_t MaxRouteRows = 256;
+
 double seconds(milliseconds time)
 {
     return std::chrono::duration<double>(time).count();
@@ -50,6 +58,41 @@
             .Help("Time from a stream's arrival to its first event")
             .Register(registry)
             .Add({}, timeBuckets);
+    wire::counter_family routeOutcomes{registry,
+                                       {"orchidlead_gateway_route_outcomes_total",
+                                        "Client requests by route and outcome",
+                                        {"route", "outcome"},
+                                        MaxRouteRows}};
+    wire::histogram_family stageWaits{registry,
+                                      {"orchidlead_gateway_stage_wait_seconds",
+                                       "Longest wait of a piece before a stage call, by service",
+                                       {"service"},
+                                       MaxServices}};
+    wire::histogram_family stageTimes{registry,
+                                      {"orchidlead_gateway_stage_call_seconds",
+                                       "Time that a stage call took, by service",
+                                       {"service"},
+                                       MaxServices}};
+    wire::gauge_family waitingPieces{registry,
+                                     {"orchidlead_gateway_stage_waiting_pieces",
+                                      "Pieces that wait for a call here, by service",
+                                      {"service"},
+                                      MaxServices}};
+    wire::gauge_family retriesTaken{registry,
+                                    {"orchidlead_gateway_retries_in_window",
+                                     "Second tries taken in the current window, by service",
+                                     {"service"},
+                                     MaxServices}};
+    wire::gauge_family retriesLeft{registry,
+                                   {"orchidlead_gateway_retries_left",
+                                    "Second tries that this node may still take, by service",
+                                    {"service"},
+                                    MaxServices}};
+    wire::gauge_family members{registry,
+                               {"orchidlead_gateway_members",
+                                "Gateways that this node knows, by state",
+                                {"state"},
+                                enumNames<member_state>.size()}};
     prometheus::Family<prometheus::Counter> &stageCalls =
         prometheus::BuildCounter()
             .Name("orchidlead_gateway_stage_calls_total")
@@ -74,10 +117,11 @@
 
 gateway_metrics::~gateway_metrics() = default;
 
-void gateway_metrics::onRequest(std::optional<request_kind> kind, request_outcome outcome,
-                                milliseconds took)
+void gateway_metrics::onRequest(const route *way, request_outcome outcome, milliseconds took)
 {
-    const auto name = kind ? labelOf(toName(*kind)) : "none";
+    const auto name = way ? labelOf(toName(way->kind)) : "none";
+    if (way)
+        m_families->routeOutcomes.at({way->name, labelOf(toName(outcome))}).Increment();
     m_families->requests.Add({{"kind", name}, {"outcome", labelOf(toName(outcome))}}).Increment();
     m_families->durations.Add({{"kind", name}}, timeBuckets).Observe(seconds(took));
 }
@@ -87,10 +131,12 @@
     m_families->firstEvents.Observe(seconds(took));
 }
 
-void gateway_metrics::onStageCall(stage_call_end how, std::size_t pieces)
+void gateway_metrics::onStageCall(const service_id &service, const stage_call_report &call)
 {
-    m_families->stageCalls.Add({{"end", labelOf(toName(how))}}).Increment();
-    m_families->stagePieces.Observe(static_cast<double>(pieces));
+    m_families->stageCalls.Add({{"end", labelOf(toName(call.end))}}).Increment();
+    m_families->stagePieces.Observe(static_cast<double>(call.pieces));
+    m_families->stageWaits.at({service.value}).Observe(seconds(call.longestWait));
+    m_families->stageTimes.at({service.value}).Observe(seconds(call.took));
 }
 
 std::string gateway_metrics::text(const gateway_gauges &gauges)
@@ -101,7 +147,17 @@
     m_families->set("client_connections", static_cast<double>(gauges.connections));
     m_families->set("open_requests", static_cast<double>(gauges.answering));
     m_families->set("usable_servers", static_cast<double>(gauges.servers));
-    m_families->set("peers", static_cast<double>(gauges.peers));
+    m_families->set("engine_placements", static_cast<double>(gauges.placements));
+    m_families->set("published_age_seconds", seconds(gauges.publishedAge));
+    m_families->set("configuration_age_seconds", seconds(gauges.configurationAge));
+    for (const auto &[state, count] : gauges.members)
+        m_families->members.at({state}).Set(static_cast<double>(count));
+    for (const auto &[service, count] : gauges.waitingPieces)
+        m_families->waitingPieces.at({service.value}).Set(static_cast<double>(count));
+    for (const auto &[service, usage] : gauges.retries) {
+        m_families->retriesTaken.at({service.value}).Set(usage.taken);
+        m_families->retriesLeft.at({service.value}).Set(usage.left);
+    }
     m_families->set("server_connections_opened", static_cast<double>(gauges.serverConnections));
     m_families->set("log_lines_dropped", static_cast<double>(gauges.droppedLogLines));
     std::ostringstream out;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,12 +2,14 @@
 
 #include "gateway/configuration.h"
 #include "gateway/request_outcome.h"
+#include "gateway/retry_allowance.h"
 #include "gateway/stage_pool.h"
 
 #include <orchidlead/clock.h>
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,13 +25,27 @@
     std::size_t connections = 0; ///< of clients
     std::size_t answering = 0; ///< requests without a final answer
     std::size_t servers = 0; ///< that may get work
-    std::size_t peers = 0; ///< believed alive
+    std::map<std::string, std::size_t> members; ///< by state, this node included
+    std::map<service_id, std::size_t> waitingPieces; ///< of the pools hosted here
+    std::map<service_id, retry_allowance::usage> retries;
+    std::uint64_t placements = 0; ///< requests on the engine board of this node
+    milliseconds publishedAge{0}; ///< since the store or a peer that reads it last spoke
+    milliseconds configurationAge{0}; ///< since the one in force came into force here
     std::uint64_t serverConnections = 0; ///< opened since the start
     std::uint64_t droppedLogLines = 0;
 };
 
-/// Counts what a gateway does, in the text format of Prometheus. Labels are the names of two
-/// enumerations, so their number is bounded whatever customers and routes there are.
+/// How a call of a stage pool went.
+struct stage_call_report
+{
+    stage_call_end end = stage_call_end::Answered;
+    std::size_t pieces = 0;
+    milliseconds longestWait{0}; ///< of a piece, before the call
+    milliseconds took{0};
+};
+
+/// Counts what a gateway does, in the text format of Prometheus. Labels are names of enumerations,
+/// services and routes; of the last two only the first so many have rows of their own.
 class gateway_metrics
 {
 public:
@@ -38,11 +54,11 @@
     gateway_metrics(const gateway_metrics &) = delete;
     gateway_metrics &operator=(const gateway_metrics &) = delete;
 
-    /// `kind` is empty where no route was found.
-    void onRequest(std::optional<request_kind> kind, request_outcome outcome, milliseconds took);
+    /// `way` is null where no route was found.
+    void onRequest(const route *way, request_outcome outcome, milliseconds took);
     /// The first event of a stream went to its client, so long after the request came.
     void onFirstEvent(milliseconds took);
-    void onStageCall(stage_call_end how, std::size_t pieces);
+    void onStageCall(const service_id &service, const stage_call_report &call);
 
     [[nodiscard]] std::string text(const gateway_gauges &gauges);
 
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -10,16 +10,29 @@
 /// Kinds of log lines that a gateway writes beside those of `wire::node_event` and
 /// `publication_news`. Their fields are described in docs/LOGS.md.
 enum class log_event : std::uint8_t {
+    RequestTaken, ///< a request was read, and has a route
+    StageSubmitted, ///< the pieces of a stage were handed to the host of its service
+    StagesDone, ///< all pieces have results
+    PieceFailed, ///< a piece has no result, and its request ends or begins its stages again
+    AttemptSent, ///< the request went to a server
+    AttemptEnded, ///< and how that ended
+    RetryDenied, ///< why it goes to no other server
     Request, ///< a request has its final answer, or its client left
     StagesRestarted, ///< results were lost or freed and are made again
     StageCallFailed, ///< a call brought no results
     PiecesFailed, ///< pieces of a call that have no result
+    PiecesGivenUp, ///< by a host: pieces of one request's stage, with what crowded them out
     StagePool, ///< what a pool did in a second
+    StageHostChanged, ///< another node hosts a service's pool now
     StageHostLost, ///< a host ended or fell silent
     ResultHandleUnreadable, ///< a handle names no address
     StoreLost,
     StoreRegained,
     StoreHistoryGone, ///< everything is read anew
+    ServerAvoided, ///< it failed several times in a row
+    ServerTrusted, ///< an avoided server answered
+    RetryBudgetSpent, ///< second tries that a service's budget denied in a second
+    LinesLeftOut, ///< about requests that went well, beyond the bound of a second
     ReloadIgnored, ///< settings count at the next start
 };
 
@@ -27,6 +40,20 @@
 
 template <>
 inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::log_event>{
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::RequestTaken, "request_taken"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::StageSubmitted, "stage_submitted"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::StagesDone, "stages_done"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::PieceFailed, "piece_failed"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::AttemptSent, "attempt_sent"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::AttemptEnded, "attempt_ended"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::RetryDenied, "retry_denied"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{orchidlead::gateway::log_event::Request,
                                                           "request"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
@@ -35,8 +62,12 @@
         orchidlead::gateway::log_event::StageCallFailed, "stage_call_failed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::PiecesFailed, "pieces_failed"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::PiecesGivenUp, "pieces_given_up"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{orchidlead::gateway::log_event::StagePool,
                                                           "stage_pool"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::StageHostChanged, "stage_host_changed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StageHostLost, "stage_host_lost"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
@@ -47,6 +78,14 @@
         orchidlead::gateway::log_event::StoreRegained, "store_regained"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StoreHistoryGone, "store_history_gone"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ServerAvoided, "server_avoided"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ServerTrusted, "server_trusted"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::RetryBudgetSpent, "retry_budget_spent"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::LinesLeftOut, "lines_left_out"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ReloadIgnored, "reload_ignored"},
 };
--- a/src/gateway/peer_network.cpp
+++ b/src/gateway/peer_network.cpp
@@ -91,6 +91,7 @@
     membership_actions actions;
     m_members.tick(actions);
     carryOut(actions);
+    forgetHosts();
     if (m_loop.now() >= m_nextContact)
         contactOthers();
     m_loop.callAfter(TickInterval, [this] { tick(); });
@@ -139,6 +140,7 @@
 {
     m_log.write(wire::log_level::Info, wire::node_event::MemberChanged,
                 change.now.vm.vm.value + " " + std::string(toName(change.now.state)));
+    forgetHosts();
     if (change.now.state != member_state::Dead)
         return;
     if (const auto found = m_links.find(change.now.vm.vm); found != m_links.end()) {
@@ -153,7 +155,34 @@
     return found != m_avoided.end() && m_loop.now() < found->second;
 }
 
-vm_id peer_network::hostOf(const service_id &service) const
+// Asked for each piece, and all members are hashed for an answer: so it is kept until something
+// changes that it depends on.
+vm_id peer_network::hostOf(const service_id &service)
+{
+    if (m_loop.now() >= m_hostsUntil)
+        forgetHosts();
+    auto &kept = m_hosts[service];
+    if (kept.current)
+        return kept.vm;
+    const auto before = std::exchange(kept.vm, pickHost(service));
+    kept.current = true;
+    if (kept.vm != before)
+        m_events.onHostChanged(service, kept.vm);
+    return kept.vm;
+}
+
+void peer_network::forgetHosts()
+{
+    for (auto &[service, kept] : m_hosts)
+        kept.current = false;
+    m_hostsUntil = steady_time::max();
+    for (const auto &[peer, until] : m_avoided) {
+        if (until > m_loop.now())
+            m_hostsUntil = std::min(m_hostsUntil, until);
+    }
+}
+
+vm_id peer_network::pickHost(const service_id &service) const
 {
     std::vector<vm_id> candidates;
     for (const auto &each : m_members.members()) {
@@ -179,6 +208,14 @@
     return near;
 }
 
+std::map<std::string, std::size_t> peer_network::countByState() const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto &each : m_members.members())
+        ++counts[std::string(toName(each.state))];
+    return counts;
+}
+
 std::size_t peer_network::nodes() const
 {
     return m_members.members().size();
@@ -233,6 +270,7 @@
 void peer_network::avoid(const vm_id &peer)
 {
     m_avoided[peer] = m_loop.now() + Avoidance;
+    forgetHosts();
 }
 
 void peer_network::setVersion(std::uint64_t version)
@@ -245,6 +283,7 @@
     membership_actions actions;
     m_members.announceLeaving(actions);
     carryOut(actions);
+    forgetHosts();
 }
 
 void peer_network::announceStopped()
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peer_network.h
@@ -12,6 +12,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace orchidlead::gateway {
@@ -22,6 +24,7 @@
     std::function<void(const std::shared_ptr<peer_link> &, peer_frame &&)> onFrame;
     std::function<void(const std::shared_ptr<peer_link> &)> onLinkClosed;
     std::function<void(const vm_id &, std::uint64_t version)> onPeerVersion;
+    std::function<void(const service_id &, const vm_id &host)> onHostChanged;
 };
 
 /// The other gateways: who is there, and links to them.
@@ -41,7 +44,7 @@
     [[nodiscard]] std::optional<http::listen_error> start();
 
     /// Gives the node that hosts a service's stage pool as this node sees it; may be itself.
-    [[nodiscard]] vm_id hostOf(const service_id &service) const;
+    [[nodiscard]] vm_id hostOf(const service_id &service);
     [[nodiscard]] const vm_id &self() const { return m_self; }
     /// Gives a link to a peer, opened if there is none; null where nothing is known of the peer.
     [[nodiscard]] std::shared_ptr<peer_link> linkTo(const vm_id &peer);
@@ -51,6 +54,8 @@
     void avoid(const vm_id &peer);
     /// Peers that are believed alive, nearest first.
     [[nodiscard]] std::vector<vm_id> peers() const;
+    /// How many members are in each state, this node included.
+    [[nodiscard]] std::map<std::string, std::size_t> countByState() const;
     /// How many nodes there may be, this one and those given up lately included.
     [[nodiscard]] std::size_t nodes() const;
     void setVersion(std::uint64_t version);
@@ -65,6 +70,8 @@
     void accept(std::shared_ptr<http::stream_socket> socket);
     [[nodiscard]] peer_link::events linkEvents();
     [[nodiscard]] bool avoided(const vm_id &peer) const;
+    [[nodiscard]] vm_id pickHost(const service_id &service) const;
+    void forgetHosts();
 
     http::io_loop &m_loop;
     wire::log &m_log;
@@ -79,6 +86,14 @@
     std::map<vm_id, std::shared_ptr<peer_link>> m_links; ///< opened by this node
     std::vector<std::weak_ptr<peer_link>> m_accepted; ///< opened by peers
     std::map<vm_id, steady_time> m_avoided;
+    /// A service's host, as picked when members or avoided peers last changed.
+    struct picked_host
+    {
+        vm_id vm;
+        bool current = false;
+    };
+    std::unordered_map<service_id, picked_host> m_hosts;
+    steady_time m_hostsUntil = steady_time::max(); ///< when an avoided peer may be host again
     steady_time m_nextContact{};
 };
 
--- a/src/gateway/published_state.cpp
+++ b/src/gateway/published_state.cpp
@@ -59,6 +59,7 @@
             takeRemoval(each->record.id, news);
     }
     m_listed = true;
+    m_heardAt = m_clock.now();
     return news;
 }
 
@@ -113,6 +114,7 @@
 
 void published_state::onStoreBack()
 {
+    m_heardAt = m_clock.now();
     if (std::exchange(m_lost, false))
         m_deferUntil = m_clock.now() + m_removalDelay;
 }
--- a/src/gateway/published_state.h
+++ b/src/gateway/published_state.h
@@ -56,6 +56,8 @@
     [[nodiscard]] const std::string &configurationText() const { return m_configurationText; }
     /// Servers are known, be they old.
     [[nodiscard]] bool listed() const { return m_listed; }
+    /// When the store or a peer that reads it last spoke: what is known is at least that fresh.
+    [[nodiscard]] steady_time heardAt() const { return m_heardAt; }
     void onConfiguration(std::function<void(const configuration_ptr &)> handler)
     {
         m_onConfiguration = std::move(handler);
@@ -75,6 +77,7 @@
     std::string m_configurationText;
     bool m_listed = false;
     bool m_lost = false;
+    steady_time m_heardAt{};
     steady_time m_deferUntil{}; ///< removals read before are deferred until then
     std::map<backend_server_id, steady_time> m_deferred;
     std::function<void(const configuration_ptr &)> m_onConfiguration;
--- a/src/gateway/retry_allowance.cpp
+++ b/src/gateway/retry_allowance.cpp
@@ -1,6 +1,7 @@
 #include "gateway/retry_allowance.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace orchidlead::gateway {
 
@@ -26,12 +27,32 @@
 retry_allowance::bucket &retry_allowance::current(const service_id &service)
 {
     const auto now = slice();
-    auto &found = m_services[service][static_cast<std::size_t>(now) % Buckets];
+    auto &found = m_services[service].slices[static_cast<std::size_t>(now) % Buckets];
     if (found.slice != now)
         found = {now, 0, 0};
     return found;
 }
 
+retry_allowance::window_sum retry_allowance::sum(const buckets &slices) const
+{
+    const auto oldest = slice() - static_cast<std::int64_t>(Buckets);
+    window_sum counted;
+    for (const auto &each : slices) {
+        if (each.slice <= oldest)
+            continue;
+        counted.requests += each.requests;
+        counted.extras += each.extras;
+    }
+    return counted;
+}
+
+double retry_allowance::bound(const window_sum &counted) const
+{
+    const double reserve =
+        m_options.reserve / static_cast<double>(std::max<std::size_t>(1, m_nodes));
+    return UsedPart * (m_options.share * counted.requests + reserve);
+}
+
 void retry_allowance::onRequest(const service_id &service)
 {
     ++current(service).requests;
@@ -40,23 +61,28 @@
 bool retry_allowance::tryTake(const service_id &service, std::uint32_t count)
 {
     auto &newest = current(service);
-    const auto now = slice();
-    double requests = 0;
-    double extras = 0;
-    for (const auto &each : m_services[service]) {
-        if (each.slice <= now - static_cast<std::int64_t>(Buckets))
-            continue;
-        requests += each.requests;
-        extras += each.extras;
-    }
-    const double reserve =
-        m_options.reserve / static_cast<double>(std::max<std::size_t>(1, m_nodes));
-    if (extras + count > UsedPart * (m_options.share * requests + reserve))
+    auto &state = m_services[service];
+    const auto counted = sum(state.slices);
+    if (counted.extras + count > bound(counted)) {
+        state.denied += count;
         return false;
+    }
     newest.extras += count;
     return true;
 }
 
+std::map<service_id, retry_allowance::usage> retry_allowance::takeUsage()
+{
+    std::map<service_id, usage> all;
+    for (auto &[service, state] : m_services) {
+        const auto counted = sum(state.slices);
+        all[service] = {static_cast<std::uint32_t>(counted.extras),
+                        std::max(0.0, bound(counted) - counted.extras),
+                        std::exchange(state.denied, 0)};
+    }
+    return all;
+}
+
 void retry_allowance::onForced(const service_id &service, std::uint32_t count)
 {
     current(service).extras += count;
--- a/src/gateway/retry_allowance.h
+++ b/src/gateway/retry_allowance.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <unordered_map>
 
 namespace orchidlead::gateway {
@@ -36,6 +37,16 @@
     /// Counts second tries that couldn't be avoided.
     void onForced(const service_id &service, std::uint32_t count);
 
+    /// What a service's second tries came to.
+    struct usage
+    {
+        std::uint32_t taken = 0; ///< in the window
+        double left = 0; ///< that may still be taken now
+        std::uint32_t denied = 0; ///< since they were last told
+    };
+    /// Tells the usage of each service that had requests; what was denied counts anew.
+    [[nodiscard]] std::map<service_id, usage> takeUsage();
+
 private:
     static constexpr std::size_t Buckets = 10;
     struct bucket
@@ -46,13 +57,27 @@
     };
     using buckets = std::array<bucket, Buckets>;
 
+    struct service_state
+    {
+        buckets slices{};
+        std::uint32_t denied = 0;
+    };
+
+    /// What was counted in the window that ends now.
+    struct window_sum
+    {
+        double requests = 0;
+        double extras = 0;
+    };
+    [[nodiscard]] window_sum sum(const buckets &slices) const;
+    [[nodiscard]] double bound(const window_sum &counted) const;
     [[nodiscard]] bucket &current(const service_id &service);
     [[nodiscard]] std::int64_t slice() const;
 
     const clock_source &m_clock;
     retry_allowance_options m_options;
     std::size_t m_nodes = 1;
-    std::unordered_map<service_id, buckets> m_services;
+    std::unordered_map<service_id, service_state> m_services;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -132,8 +132,11 @@
 
 void server_directory::onAnswer(server &which, const std::optional<server_load> &load)
 {
+    const bool wasAvoided = which.failures >= FailuresToAvoid;
     which.failures = 0;
     which.avoidUntil = {};
+    if (wasAvoided && m_onDoubt)
+        m_onDoubt(which, false);
     if (!load)
         return;
     which.load = load;
@@ -147,6 +150,8 @@
         return;
     const auto doublings = std::min(which.failures - FailuresToAvoid, MaxDoublings);
     which.avoidUntil = m_clock.now() + FirstAvoidance * (1U << doublings);
+    if (which.failures == FailuresToAvoid && m_onDoubt)
+        m_onDoubt(which, true);
 }
 
 void server_directory::onRefused(server &which)
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -87,6 +87,11 @@
     /// The server refused for want of room.
     void onRefused(server &which);
 
+    /// Called when a server begins to be avoided, and when it is trusted again.
+    void onDoubt(std::function<void(const server &, bool avoided)> handler)
+    {
+        m_onDoubt = std::move(handler);
+    }
     /// Called when a server appears, changes, or leaves.
     void onChange(std::function<void(const service_id &)> handler)
     {
@@ -101,6 +106,7 @@
     std::map<backend_server_id, server_ptr> m_servers;
     std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
     std::function<void(const service_id &)> m_onChange;
+    std::function<void(const server &, bool avoided)> m_onDoubt;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -13,6 +13,7 @@
 constexpr duration_range WindowRange{milliseconds{100}, std::chrono::minutes{10}};
 constexpr duration_range GraceRange{milliseconds{0}, std::chrono::hours{1}};
 constexpr integer_range QueueRange{1, 1'000'000};
+constexpr integer_range RequestLinesRange{0, 1'000'000};
 constexpr std::size_t MaxContacts = 64;
 
 std::optional<double> number(const value_reader &reader)
@@ -45,12 +46,14 @@
     section.readDuration("retry_window", bounds.retryWindow, WindowRange);
 }
 
-void parseLog(const value_reader &reader, log_settings &log)
+void parseLog(const value_reader &reader, gateway_settings &settings)
 {
+    auto &log = settings.log;
     mapping_reader section(reader);
     section.read("format", presence::Optional, log.format, &value_reader::enumerator<log_format>);
     section.read("level", presence::Optional, log.level, &value_reader::enumerator<log_level>);
     section.readInteger("queue", log.queue, QueueRange);
+    section.readInteger("request_lines", settings.requestLines, RequestLinesRange);
 }
 
 gateway_settings parseRoot(const value_reader &root)
@@ -72,7 +75,9 @@
     if (const auto found = mapping.find("bounds"))
         parseBounds(*found, settings.bounds);
     if (const auto found = mapping.find("log"))
-        parseLog(*found, settings.log);
+        parseLog(*found, settings);
+    mapping.read("stage_calls", presence::Optional, settings.stageCalls,
+                 &value_reader::enumerator<stage_sharing>);
     return settings;
 }
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -4,9 +4,12 @@
 #include "core/settings/settings.h"
 
 #include <orchidlead/clock.h>
+#include <orchidlead/enum_names.h>
 #include <orchidlead/ids.h>
 #include <orchidlead/result.h>
 
+#include <array>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +33,12 @@
     milliseconds retryWindow{10'000};
 };
 
+/// Whose pieces go together into the calls of stage pools.
+enum class stage_sharing {
+    Shared, ///< those of all nodes
+    Alone, ///< each node's own: the baseline that shared calls are measured against
+};
+
 /// Everything that a gateway process reads from its own file.
 struct gateway_settings
 {
@@ -41,6 +50,11 @@
     std::vector<socket_address> firstContacts; ///< peers to ask first; may be away
     platform_bounds bounds;
     log_settings log;
+    /// Log lines in a second about the decisions on requests that went well; those on requests that
+    /// didn't are always written. A request has about ten: 100 show one in a few at the base load
+    /// of the nodes served so far.
+    std::uint32_t requestLines = 100;
+    stage_sharing stageCalls = stage_sharing::Shared;
 };
 
 /// Reads and checks a settings file; gives every error found, up to a bound.
@@ -48,3 +62,11 @@
 parseGatewaySettings(std::string_view yaml, std::string_view fileName);
 
 } // namespace orchidlead::gateway
+
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::stage_sharing>{
+    orchidlead::enum_name<orchidlead::gateway::stage_sharing>{
+        orchidlead::gateway::stage_sharing::Shared, "shared"},
+    orchidlead::enum_name<orchidlead::gateway::stage_sharing>{
+        orchidlead::gateway::stage_sharing::Alone, "alone"},
+};
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -33,6 +33,8 @@
     void withdraw(piece_token token);
     /// Gives results up at the servers that hold them, soon and together.
     void free(const std::vector<std::string> &handles);
+    /// Pieces that wait now, by service.
+    [[nodiscard]] std::map<service_id, std::size_t> waiting() const;
     /// Logs what each pool did since the last call.
     void logSummaries();
     /// Servers of a service came, changed or left.
@@ -43,6 +45,9 @@
     {
         service_id service;
         piece_handler handler;
+        std::string attempt; ///< of the request
+        std::uint32_t stage = 0;
+        steady_time since;
     };
     struct call_answer
     {
@@ -51,6 +56,7 @@
         std::string body;
         http::pool_call call = 0;
         http::timer_id timer = 0;
+        steady_time began;
     };
 
     stage_pool &poolOf(const service_id &service);
@@ -62,6 +68,7 @@
     void logFailedPieces(const service_id &service, const stage_call &call,
                          const std::vector<piece_result> &results);
     void deliver(const std::vector<piece_outcome> &outcomes);
+    void logGivenUp(const std::vector<piece_outcome> &outcomes);
     void flushFrees();
     void onFreed(const std::vector<std::string> &handles);
 
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -4,6 +4,8 @@
 #include "gateway/log_event.h"
 #include "gateway/stage_host.h"
 
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -62,7 +64,9 @@
     job.token = ++m_lastToken;
     const auto token = job.token;
     m_allowance.onRequest(service);
-    m_pending.emplace(token, pending{service, std::move(handler)});
+    m_pending.emplace(
+        token,
+        pending{service, std::move(handler), job.request.attempt, job.request.stage, m_loop.now()});
     poolOf(service).submit(std::move(job));
     schedulePump(service);
     return token;
@@ -117,6 +121,7 @@
 void stage_host<Codec>::make(const service_id &service, const stage_call &call)
 {
     const auto answer = std::make_shared<call_answer>();
+    answer->began = m_loop.now();
     http::outbound_call made;
     made.body = Codec::writePieces(call.pieces);
     made.writeHead = [call, length = made.body.size()]() -> std::optional<std::string> {
@@ -182,7 +187,9 @@
                         .add("pieces", call.pieces.size())
                         .add("status", answer.status)
                         .add("end", toName(how)));
-    m_metrics.onStageCall(end, call.pieces.size());
+    m_metrics.onStageCall(service,
+                          {end, call.pieces.size(), call.longestWait,
+                           std::chrono::duration_cast<milliseconds>(m_loop.now() - answer.began)});
     logFailedPieces(service, call, results);
     deliver(poolOf(service).onEnd(call.id, end, results));
     pump(service);
@@ -209,6 +216,15 @@
     }
 }
 
+template <gateway_codec Codec>
+std::map<service_id, std::size_t> stage_host<Codec>::waiting() const
+{
+    std::map<service_id, std::size_t> counts;
+    for (const auto &[service, pool] : m_pools)
+        counts[service] = pool->waiting();
+    return counts;
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::logSummaries()
 {
@@ -230,9 +246,50 @@
     }
 }
 
+// One line for each stage of a request, with what there was at that moment.
+template <gateway_codec Codec>
+void stage_host<Codec>::logGivenUp(const std::vector<piece_outcome> &outcomes)
+{
+    struct given_up
+    {
+        service_id service;
+        std::size_t count = 0;
+        milliseconds waited{0};
+    };
+    std::map<std::tuple<std::string, std::uint32_t, piece_failure>, given_up> groups;
+    for (const auto &each : outcomes) {
+        const auto *failure = std::get_if<piece_failure>(&each.result);
+        const auto found = m_pending.find(each.token);
+        if (!failure || found == m_pending.end())
+            continue;
+        const auto &piece = found->second;
+        auto &group = groups[{piece.attempt, piece.stage, *failure}];
+        group.service = piece.service;
+        ++group.count;
+        group.waited = std::max(
+            group.waited, std::chrono::duration_cast<milliseconds>(m_loop.now() - piece.since));
+    }
+    for (const auto &[key, group] : groups) {
+        const auto &[attempt, stage, failure] = key;
+        const auto &pool = poolOf(group.service);
+        m_log.write(wire::log_level::Info,
+                    m_log.line(wire::log_level::Info, toName(log_event::PiecesGivenUp))
+                        .add("request", attempt)
+                        .add("stage", stage)
+                        .add("service", group.service.value)
+                        .add("reason", toName(failure))
+                        .add("pieces", group.count)
+                        .add("waited_ms", group.waited.count())
+                        .add("waiting", pool.waiting())
+                        .add("calls_open", pool.callsOpen())
+                        .add("servers", m_directory.usable(group.service).size()));
+    }
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::deliver(const std::vector<piece_outcome> &outcomes)
 {
+    logGivenUp(outcomes);
     for (const auto &each : outcomes) {
         const auto found = m_pending.find(each.token);
         if (found == m_pending.end()) {
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -189,7 +189,9 @@
         ++job.tries;
         auto &rank = m_summary.ranks[job.priority];
         ++rank.pieces;
-        rank.waited += std::chrono::duration_cast<milliseconds>(call.began - job.since);
+        const auto waited = std::chrono::duration_cast<milliseconds>(call.began - job.since);
+        rank.waited += waited;
+        made.longestWait = std::max(made.longestWait, waited);
         state.held += job.resultBytes;
         made.pieces.push_back(job.request);
         made.pieces.back().patience =
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -41,6 +41,7 @@
     server_ptr server;
     std::vector<piece_request> pieces;
     milliseconds timeout{0};
+    milliseconds longestWait{0}; ///< of a piece, before the call
 };
 
 /// What became of a piece.
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -23,8 +23,10 @@
     using piece_handler = typename stage_host<Codec>::piece_handler;
 
     stage_router(http::io_loop &loop, wire::log &log, peer_network &peers, stage_host<Codec> &host,
-                 server_directory &directory, retry_allowance &allowance);
+                 server_directory &directory, retry_allowance &allowance, stage_sharing sharing);
 
+    /// Gives the node that hosts a service's pool for this node.
+    [[nodiscard]] vm_id hostOf(const service_id &service) const;
     piece_token submit(const service_id &service, piece_job &&job, piece_handler &&handler);
     void withdraw(piece_token token);
     /// Gives results up, through the hosts of their services, which count them.
@@ -50,6 +52,8 @@
     };
 
     void place(piece_token token, submission &entry);
+    /// Gives a link to the host of a service; null: this node.
+    [[nodiscard]] link_ptr linkToHost(const service_id &service);
     void onOutcome(piece_token token, piece_result result);
     void onPieceFrame(const link_ptr &link, piece_frame &&frame);
     void onWithdrawFrame(const link_ptr &link, piece_token token);
@@ -60,6 +64,7 @@
     stage_host<Codec> &m_host;
     server_directory &m_directory;
     retry_allowance &m_allowance;
+    stage_sharing m_sharing;
     std::unordered_map<piece_token, submission> m_submissions;
     std::map<link_ptr, std::unordered_map<piece_token, piece_token>> m_hosted; ///< theirs to ours
     piece_token m_lastToken = 0;
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -19,15 +19,29 @@
 template <gateway_codec Codec>
 stage_router<Codec>::stage_router(http::io_loop &loop, wire::log &log, peer_network &peers,
                                   stage_host<Codec> &host, server_directory &directory,
-                                  retry_allowance &allowance)
+                                  retry_allowance &allowance, stage_sharing sharing)
     : m_loop(loop)
     , m_log(log)
     , m_peers(peers)
     , m_host(host)
     , m_directory(directory)
     , m_allowance(allowance)
+    , m_sharing(sharing)
 { }
 
+template <gateway_codec Codec>
+vm_id stage_router<Codec>::hostOf(const service_id &service) const
+{
+    return m_sharing == stage_sharing::Alone ? m_peers.self() : m_peers.hostOf(service);
+}
+
+template <gateway_codec Codec>
+typename stage_router<Codec>::link_ptr stage_router<Codec>::linkToHost(const service_id &service)
+{
+    const auto host = hostOf(service);
+    return host == m_peers.self() ? nullptr : m_peers.linkTo(host);
+}
+
 template <gateway_codec Codec>
 piece_token stage_router<Codec>::submit(const service_id &service, piece_job &&job,
                                         piece_handler &&handler)
@@ -44,8 +58,7 @@
 template <gateway_codec Codec>
 void stage_router<Codec>::place(piece_token token, submission &entry)
 {
-    const auto host = entry.moves < MaxMoves ? m_peers.hostOf(entry.service) : m_peers.self();
-    entry.link = host == m_peers.self() ? nullptr : m_peers.linkTo(host);
+    entry.link = entry.moves < MaxMoves ? linkToHost(entry.service) : nullptr;
     if (!entry.link) {
         entry.local = m_host.submit(entry.service, entry.job, [this, token](piece_result result) {
             onOutcome(token, std::move(result));
@@ -74,9 +87,7 @@
             byService[holder->record.service].push_back(each);
     }
     for (auto &[service, list] : byService) {
-        const auto host = m_peers.hostOf(service);
-        const auto link = host == m_peers.self() ? nullptr : m_peers.linkTo(host);
-        if (link)
+        if (const auto link = linkToHost(service))
             link->send(free_frame{std::move(list)});
         else
             m_host.free(list);
--- a/src/wire/log.h
+++ b/src/wire/log.h
@@ -61,6 +61,9 @@
     void write(log_level level, node_event event, std::string_view detail);
     void write(log_level level, log_line line);
 
+    /// Whether lines of that level are written: others needn't be made.
+    [[nodiscard]] bool writes(log_level level) const { return level >= m_options.level; }
+
     /// Starts a line of another kind, for `write`.
     [[nodiscard]] log_line line(log_level level, std::string_view event) const;
 
--- /dev/null
+++ b/tests/gateway/request_story_test.cpp
@@ -0,0 +1,53 @@
+#include "gateway/request_story.h"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t found = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++found;
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("a story is written in its order, once, and is bounded")
+{
+    manual_clock clock;
+    std::ostringstream out;
+    {
+        wire::log log({vm_id{"a"}}, out, clock);
+        request_story story;
+        for (int i = 0; i < 100; ++i)
+            story.add(log.line(wire::log_level::Info, "attempt_sent").add("number", i));
+        CHECK(story.size() == 40);
+        story.write(log);
+        story.write(log);
+    }
+    CHECK(count(out.str(), "event=attempt_sent") == 40);
+    CHECK(out.str().find("number=0") < out.str().find("number=1"));
+}
+
+TEST_CASE(
+    "lines of requests that went well are bounded in each second, and what is left out counts")
+{
+    manual_clock clock;
+    clock.advance(std::chrono::seconds{5});
+    line_allowance lines(clock, 10);
+    CHECK(lines.tryTake(6));
+    CHECK_FALSE(lines.tryTake(6));
+    CHECK(lines.tryTake(4));
+    CHECK_FALSE(lines.tryTake(1));
+    CHECK(lines.takeLeftOut() == 7);
+    CHECK(lines.takeLeftOut() == 0);
+    clock.advance(std::chrono::seconds{1});
+    CHECK(lines.tryTake(10));
+}
--- a/tests/gateway/retry_allowance_test.cpp
+++ b/tests/gateway/retry_allowance_test.cpp
@@ -63,3 +63,16 @@
     allowance.onForced(Service, 20);
     CHECK_FALSE(allowance.tryTake(Service));
 }
+
+TEST_CASE("what was taken, is left and was denied is told for each service")
+{
+    manual_clock clock;
+    retry_allowance allowance(clock, {0.0, 10.0, milliseconds{10'000}});
+    CHECK(takeAll(allowance) == 8);
+    const auto usage = allowance.takeUsage();
+    REQUIRE(usage.size() == 1);
+    CHECK(usage.at(Service).taken == 8);
+    CHECK(usage.at(Service).left == 0.0);
+    CHECK(usage.at(Service).denied == 1);
+    CHECK(allowance.takeUsage().at(Service).denied == 0);
+}
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -117,3 +117,21 @@
     CHECK(directory.findAt(record.address)->record.id.value == "s9");
     CHECK(old->gone);
 }
+
+TEST_CASE("doubt in a server is told once when it begins and once when it ends")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    std::vector<bool> told;
+    directory.onDoubt([&](const server &, bool avoided) { told.push_back(avoided); });
+    auto &only = *directory.find(backend_server_id("s1"));
+    directory.onFailure(only);
+    CHECK(told.empty());
+    directory.onFailure(only);
+    directory.onFailure(only);
+    CHECK(told == std::vector<bool>{true});
+    directory.onAnswer(only, std::nullopt);
+    directory.onAnswer(only, std::nullopt);
+    CHECK(told == std::vector<bool>{true, false});
+}
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -59,3 +59,19 @@
     text.erase(begin, text.find('\n', begin) - begin + 1);
     CHECK_FALSE(parseGatewaySettings(text, "f"));
 }
+
+TEST_CASE("log bounds and the sharing of stage calls are read, and have defaults")
+{
+    const auto plain = parseGatewaySettings(Whole, "f");
+    REQUIRE(plain);
+    CHECK(plain.value().requestLines == 100);
+    CHECK(plain.value().stageCalls == stage_sharing::Shared);
+    const auto set =
+        parseGatewaySettings(Whole + "log:\n  request_lines: 7\nstage_calls: alone\n", "f");
+    REQUIRE(set);
+    CHECK(set.value().requestLines == 7);
+    CHECK(set.value().stageCalls == stage_sharing::Alone);
+    const auto wrong = parseGatewaySettings(Whole + "stage_calls: some\n", "f");
+    REQUIRE_FALSE(wrong);
+    CHECK(wrong.error().front().message().find("stage_calls") != std::string::npos);
+}
--- /dev/null
+++ b/tests/platform/explain_test.cpp
@@ -0,0 +1,102 @@
+#include "ctl/request_history.h"
+#include "platform_world.h"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+/// Failed requests of whole gateways, told from their log lines alone.
+using namespace orchidlead;
+using namespace orchidlead::platform_world;
+
+namespace {
+
+ctl::request_history explain(world &w, const std::string &request)
+{
+    // The line about the end is written by another thread.
+    const auto ended = [&] {
+        ctl::history_finder finder(request);
+        std::istringstream lines(w.logged.str());
+        for (std::string line; std::getline(lines, line);)
+            finder.add(line);
+        return finder.finish();
+    };
+    REQUIRE(w.runUntil([&] { return !ended().outcome.empty(); }));
+    return ended();
+}
+
+bool tells(const ctl::request_history &history, const std::string &event, const std::string &field,
+           const std::string &value)
+{
+    for (const auto &line : history.lines) {
+        if (line.entry.event == event && line.entry.field(field) == value)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("an unsafe call whose answer is lost is told with its server and why it isn't repeated")
+{
+    world w;
+    w.publish(1, plainRoute("unsafe"));
+    auto &server = w.addServer("web", "s-1");
+    server.behave([](const server_request &, const std::shared_ptr<server_answer> &answer) {
+        answer->reset();
+    });
+    w.startGateway("g1");
+    const auto answer = w.request("g1", makeRequest("POST", "/p/x", "lost"), "x");
+    REQUIRE(w.await(answer));
+    REQUIRE(answer->status == 502);
+    const auto history = explain(w, "lost");
+    CHECK(history.outcome == "server_failed");
+    CHECK(tells(history, "attempt_ended", "end", "unknown"));
+    CHECK(tells(history, "attempt_ended", "server", "s-1"));
+    CHECK(tells(history, "retry_denied", "reason", "may_have_run"));
+}
+
+TEST_CASE("a truthful refusal is told with what no server would take")
+{
+    world w;
+    w.publish(1, plainRoute("unsafe"));
+    auto &server = w.addServer("web", "s-1");
+    server.behave([](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+        const auto id = http::findField(request.head.fields, "x-attempt-id").value_or("");
+        answer->write("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " + std::string(id)
+                      + "\r\nContent-Length: 0\r\n\r\n");
+    });
+    w.startGateway("g1");
+    const auto answer = w.request("g1", makeRequest("POST", "/p/x", "full"), "x");
+    REQUIRE(w.await(answer));
+    REQUIRE(answer->status == 503);
+    const auto history = explain(w, "full");
+    CHECK(tells(history, "attempt_ended", "end", "not_run"));
+    CHECK(tells(history, "request", "told", "503"));
+}
+
+TEST_CASE("a stream that broke off twice is told with each server and how far it came")
+{
+    world w;
+    w.publish(1, streamRoute(true));
+    for (const auto *id : {"e-1", "e-2"}) {
+        auto &engine = w.addServer("engine", id);
+        engine.behave([](const server_request &request,
+                         const std::shared_ptr<server_answer> &answer) {
+            const bool resumed = http::findField(request.head.fields, "last-event-id").has_value();
+            answer->write(streamHead(request) + chunk(event(resumed ? 2 : 1)));
+            answer->reset();
+        });
+    }
+    w.startGateway("g1");
+    auto head = makeRequest("POST", "/s/x", "broken");
+    head.fields.push_back({"X-Prefix-Hash", "a:10"});
+    const auto answer = w.request("g1", head, "prompt");
+    REQUIRE(w.await(answer));
+    const auto history = explain(w, "broken");
+    CHECK(history.outcome != "answered");
+    CHECK(tells(history, "attempt_ended", "server", "e-1"));
+    CHECK(tells(history, "attempt_ended", "server", "e-2"));
+    CHECK(tells(history, "attempt_ended", "last_event", "2"));
+    CHECK(tells(history, "retry_denied", "reason", "attempts_used_up"));
+}
