Let a stale configuration service show its older version to watchers, so that the forward guard is needed surely

A stale stand-in answered watches only with later versions, and since a replaced VM asks its peers before it reads the service: so an older version reached a node only when the VM list came late, by luck. Ruled out: that the guard isn't needed (the random runs of the keeper break without it); a longer schedule (drawn by the same luck). Change: a stale service is one that was set back: what it shows is news to watchers though it is older.

--- a/standins/negative_case.cpp
+++ b/standins/negative_case.cpp
@@ -16,8 +16,9 @@
     return {disruption_kind::Publish, at, milliseconds{0}, {}, fault_kind::Slow};
 }
 
-// A VM that is replaced while the service shows a configuration that is no longer in force.
-std::vector<disruption> replacedWhileStale()
+// The service is set back to a configuration that is no longer in force, and shows it to those that
+// watch it. Two VMs are replaced meanwhile.
+std::vector<disruption> setBack()
 {
     return {publishing(seconds{1}),
             publishing(seconds{2}),
@@ -42,7 +43,7 @@
          breach_kind::RanAfterNotRun,
          {failing("records-1", fault_kind::Close), failing("records-3", fault_kind::Close)}},
         {"ticket-guard", breach_kind::RanTwice, {}},
-        {"forward-guard", breach_kind::WentBack, replacedWhileStale(), seconds{14}},
+        {"forward-guard", breach_kind::WentBack, setBack(), seconds{14}},
     };
 }
 
--- a/standins/versioned_document.cpp
+++ b/standins/versioned_document.cpp
@@ -118,7 +118,7 @@
     const published *shown = visible();
     if (m_faults.draw(fault_kind::Refuse, m_random) || (shown == nullptr && !after))
         respondError(*response, 503, "not available");
-    else if (shown != nullptr && (!after || shown->version > *after))
+    else if (shown != nullptr && (!after || isNews(shown->version, *after)))
         respondJson(*response, 200, shown->body);
     else
         watch(*after, milliseconds{std::min(wait, MaxWaitMillis)}, response);
@@ -147,6 +147,13 @@
         m_loop.cancelTimer(node.mapped().timer);
 }
 
+// A stale service was set back, as from an old copy: what it shows is news to it, though it is
+// older than what the watcher has.
+bool versioned_document::isNews(std::uint64_t shown, std::uint64_t after) const
+{
+    return m_faults.has(fault_kind::Stale) ? shown != after : shown > after;
+}
+
 void versioned_document::wakeWatchers()
 {
     const published *shown = visible();
@@ -154,7 +161,7 @@
         return;
     std::vector<std::uint64_t> woken;
     for (const auto &[id, one] : m_watchers) {
-        if (shown->version > one.after)
+        if (isNews(shown->version, one.after))
             woken.push_back(id);
     }
     for (const std::uint64_t id : woken) {
--- a/standins/versioned_document.h
+++ b/standins/versioned_document.h
@@ -76,6 +76,7 @@
     void wakeWatchers();
     /// The version that readers are shown now; none where nothing was published.
     [[nodiscard]] const published *visible() const;
+    [[nodiscard]] bool isNews(std::uint64_t shown, std::uint64_t after) const;
 
     net::event_loop &m_loop;
     const clock_source &m_clock;
