Read the store from two nodes in each data centre; the others follow them

Ruled out: a longer pause between watches (a third of the calls, for half a second more until a configuration is in force); one reader in each data centre (nobody hears while it fails); stale reads (a watch takes none). Change: the two nodes of a data centre that rendezvous picks among the live members read; the others follow both over their links and take changes by the store's revision. A node that hears of no reader that reads right now reads by itself, as before; where the store doesn't answer it, it asks any peer. Sites with one or two nodes in a data centre work as before. What is published between peers moved out of the gateway into publication_relay.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/exchange.h"
+#include "gateway/publication_relay.h"
 #include "gateway/published_state.h"
 #include "gateway/settings.h"
 #include "gateway/stage_router.h"
@@ -35,10 +36,6 @@
     void onDoubt(const server &which, bool avoided);
     void logEachSecond();
     void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
-    void onPeerVersion(const vm_id &peer, std::uint64_t version);
-    void onPublication(const publication_frame &frame);
-    [[nodiscard]] publication_frame makePublication() const;
-    void askPeers();
     [[nodiscard]] gateway_gauges gauges();
     void tick();
     void checkStopped();
@@ -58,6 +55,7 @@
     engine_placer m_placer;
     published_state m_state;
     store_follower<Codec> m_follower;
+    publication_relay<Codec> m_relay;
     gateway_context<Codec> m_context;
     std::shared_ptr<http::inbound_shared> m_clients;
     std::shared_ptr<http::inbound_shared> m_probes;
@@ -69,7 +67,6 @@
     steady_time m_nextSummary{};
     steady_time m_configurationSince{};
     std::map<service_id, retry_allowance::usage> m_retries; ///< as of the last summary
-    steady_time m_nextAsk{}; ///< when peers may be asked for what is published
     bool m_stopping = false;
     steady_time m_stopBegan{};
 };
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -35,8 +35,6 @@
 inline constexpr std::string_view MetricsPath = "/metrics";
 /// Between two lines about what the stage pools did.
 inline constexpr milliseconds SummaryInterval{1000};
-/// Between two questions to peers for what is published.
-inline constexpr milliseconds AskInterval{400};
 
 /// Draws what tells this start from others of the VM: later starts are higher.
 [[nodiscard]] inline std::uint64_t drawIncarnation(const clock_source &clock)
@@ -71,8 +69,11 @@
                [this](const std::shared_ptr<peer_link> &link) {
                    m_router.onLinkClosed(link);
                    m_placer.onLinkClosed(link);
+                   m_relay.onLinkClosed(link);
+               },
+               [this](const vm_id &peer, std::uint64_t version) {
+                   m_relay.onPeerVersion(peer, version);
                },
-               [this](const vm_id &peer, std::uint64_t version) { onPeerVersion(peer, version); },
                [&log](const service_id &service, const vm_id &host) {
                    log.write(wire::log_level::Info,
                              log.line(wire::log_level::Info, toName(log_event::StageHostChanged))
@@ -85,6 +86,9 @@
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
           [this](const publication_news &news) { onNews(news); }, log, seedOf(m_settings.vm))
+    , m_relay(
+          loop, m_peers, m_directory, m_state, m_follower,
+          [this](const publication_news &news) { onNews(news); }, log, seedOf(m_settings.vm))
     , m_context{loop,
                 m_pool,
                 m_directory,
@@ -105,6 +109,7 @@
     m_allowance.setNodes(AssumedNodes);
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
     m_directory.onChange([this](const service_id &service) { m_stages.onServersChanged(service); });
+    m_follower.onRead([this](const store_news &news) { m_relay.onStoreNews(news); });
     m_directory.onDoubt([this](const server &which, bool avoided) { onDoubt(which, avoided); });
     m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
                                   std::string &&body) {
@@ -182,7 +187,7 @@
 {
     gateway_gauges now;
     now.ready = ready();
-    now.storeConnected = m_follower.connected();
+    now.storeConnected = m_relay.informed();
     now.configurationVersion = m_state.current() ? m_state.current()->version() : 0;
     now.connections = m_clients->connections;
     now.answering = m_clients->answering;
@@ -260,77 +265,9 @@
 template <gateway_codec Codec>
 void gateway<Codec>::onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame)
 {
-    if (std::holds_alternative<publication_request>(frame))
-        link->send(makePublication());
-    else if (const auto *publication = std::get_if<publication_frame>(&frame))
-        onPublication(*publication);
-    else {
-        m_placer.onFrame(link, frame);
-        m_router.onFrame(link, std::move(frame));
-    }
-}
-
-template <gateway_codec Codec>
-publication_frame gateway<Codec>::makePublication() const
-{
-    publication_frame frame;
-    frame.configuration = m_state.configurationText();
-    frame.current = m_state.listed() && m_follower.connected();
-    for (const auto &each : m_directory.all())
-        frame.servers.push_back(each->record);
-    return frame;
-}
-
-template <gateway_codec Codec>
-void gateway<Codec>::onPublication(const publication_frame &frame)
-{
-    std::vector<published_item> items;
-    if (!frame.configuration.empty()) {
-        auto read = Codec::readConfiguration(frame.configuration);
-        if (read)
-            items.emplace_back(
-                published_configuration{std::move(read).value(), frame.configuration});
-        else
-            items.emplace_back(unreadable_item{"configuration of a peer", read.error().what});
-    }
-    // A peer that doesn't read the store may know less than this node, but more than nothing.
-    const bool knowsMore = frame.current || (!m_state.listed() && !frame.servers.empty());
-    const bool takesList = knowsMore && !m_follower.connected();
-    if (takesList) {
-        for (const auto &each : frame.servers)
-            items.emplace_back(published_server{each});
-    }
-    for (const auto &each : takesList ? m_state.applyList(items) : m_state.apply(items))
-        onNews(each);
-}
-
-// A peer that has a later configuration is asked at once: this node may be turned away by the
-// store.
-template <gateway_codec Codec>
-void gateway<Codec>::onPeerVersion(const vm_id &peer, std::uint64_t version)
-{
-    const auto own = m_state.current() ? m_state.current()->version() : 0;
-    if (version <= own || m_loop.now() < m_nextAsk)
-        return;
-    m_nextAsk = m_loop.now() + AskInterval;
-    if (const auto link = m_peers.linkTo(peer))
-        link->send(publication_request{});
-}
-
-// While the store doesn't answer this node, it may answer others.
-template <gateway_codec Codec>
-void gateway<Codec>::askPeers()
-{
-    if (m_follower.connected() || m_loop.now() < m_nextAsk)
-        return;
-    const auto peers = m_peers.peers();
-    if (peers.empty())
-        return;
-    m_nextAsk = m_loop.now() + AskInterval;
-    const auto drawn =
-        std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(m_context.random);
-    if (const auto link = m_peers.linkTo(peers[drawn]))
-        link->send(publication_request{});
+    m_relay.onFrame(link, frame);
+    m_placer.onFrame(link, frame);
+    m_router.onFrame(link, std::move(frame));
 }
 
 template <gateway_codec Codec>
@@ -347,7 +284,7 @@
         m_nextSummary = m_loop.now() + SummaryInterval;
         logEachSecond();
     }
-    askPeers();
+    m_relay.tick();
     if (m_stopping)
         checkStopped();
     m_loop.callAfter(TickInterval, [this] { tick(); });
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -26,6 +26,8 @@
     StageHostChanged, ///< another node hosts a service's pool now
     StageHostLost, ///< a host ended or fell silent
     ResultHandleUnreadable, ///< a handle names no address
+    StoreReadBegun, ///< this node reads the store by itself
+    StoreReadEnded, ///< others read it for this node
     StoreLost,
     StoreRegained,
     StoreHistoryGone, ///< everything is read anew
@@ -72,6 +74,10 @@
         orchidlead::gateway::log_event::StageHostLost, "stage_host_lost"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ResultHandleUnreadable, "result_handle_unreadable"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::StoreReadBegun, "store_read_begun"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::StoreReadEnded, "store_read_ended"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{orchidlead::gateway::log_event::StoreLost,
                                                           "store_lost"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -27,6 +27,7 @@
     Place = 9,
     Placed = 10,
     Progress = 11,
+    Follow = 12,
 };
 
 constexpr std::uint64_t DoneCode = 0;
@@ -150,12 +151,24 @@
 
 void pack(packer &out, const publication_frame &frame)
 {
-    packKind(out, frame_kind::Publication, 3);
+    packKind(out, frame_kind::Publication, 7);
     out.pack(frame.configuration);
     out.pack(frame.current);
+    out.pack(frame.whole);
+    out.pack(frame.revision);
     out.pack_array(ServerFields * static_cast<std::uint32_t>(frame.servers.size()));
     for (const auto &each : frame.servers)
         packServer(out, each);
+    out.pack_array(static_cast<std::uint32_t>(frame.removed.size()));
+    for (const auto &each : frame.removed)
+        out.pack(each.value);
+    packDuration(out, frame.removalsDeferred);
+}
+
+void pack(packer &out, const follow_frame &frame)
+{
+    packKind(out, frame_kind::Follow, 1);
+    out.pack(frame.begins);
 }
 
 /// Reads the fields of one array in order; the first wrong one makes all further reads fail.
@@ -304,7 +317,12 @@
     publication_frame frame;
     frame.configuration = in.read<std::string>();
     frame.current = in.read<bool>();
+    frame.whole = in.read<bool>();
+    frame.revision = in.read<std::uint64_t>();
     readList(in, [&](field_reader &items) { frame.servers.push_back(readServer(items)); });
+    readList(in,
+             [&](field_reader &items) { frame.removed.emplace_back(items.read<std::string>()); });
+    frame.removalsDeferred = in.duration();
     return frame;
 }
 
@@ -331,6 +349,8 @@
         return readPlaced(in);
     case frame_kind::Progress:
         return readProgress(in);
+    case frame_kind::Follow:
+        return follow_frame{in.read<bool>()};
     case frame_kind::Free:
         return free_frame{in.read<std::vector<std::string>>()};
     }
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -79,16 +79,28 @@
 /// Asks for what the receiver knows to be published.
 struct publication_request
 { };
+/// What is published, as the sender knows it: all of it, changes, or, without content, only a sign
+/// that the sender reads the store.
 struct publication_frame
 {
-    std::string configuration; ///< as published; empty: none is known
-    bool current = false; ///< the sender reads the store right now, so its list of servers counts
+    std::string configuration; ///< as published; empty: unchanged, or none is known
+    bool current = false; ///< the sender reads the store right now
+    bool whole = false; ///< all servers, not only changes
+    std::uint64_t revision = 0; ///< of the store, up to which the sender knows everything
     std::vector<server_record> servers;
+    std::vector<backend_server_id> removed;
+    milliseconds removalsDeferred{0}; ///< removals aren't believed for so long
+};
+
+/// Asks the receiver to send what is published, at once and at each change, or to end that.
+struct follow_frame
+{
+    bool begins = false;
 };
 
 using peer_frame = std::variant<piece_frame, withdraw_frame, outcome_frame, ping_frame, pong_frame,
                                 publication_request, publication_frame, free_frame, place_frame,
-                                placed_frame, progress_frame>;
+                                placed_frame, progress_frame, follow_frame>;
 
 /// Says why bytes aren't a frame.
 struct frame_error
--- a/src/gateway/peer_network.cpp
+++ b/src/gateway/peer_network.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds CalmContact{2000};
 // How long a peer that didn't answer gets no role.
 constexpr milliseconds Avoidance{1500};
+// What is hashed with a node to pick the readers of the store.
+constexpr std::string_view ReaderRole = "store reader";
 
 membership_options toOptions(const gateway_settings &settings, std::uint64_t incarnation)
 {
@@ -182,19 +184,30 @@
     }
 }
 
-vm_id peer_network::pickHost(const service_id &service) const
+std::vector<vm_id> peer_network::candidates(bool nearOnly) const
 {
-    std::vector<vm_id> candidates;
+    std::vector<vm_id> found;
     for (const auto &each : m_members.members()) {
         const bool self = each.vm.vm == m_self;
         const bool usable = each.state == member_state::Alive && !avoided(each.vm.vm);
-        if (usable || (self && each.state != member_state::Leaving))
-            candidates.push_back(each.vm.vm);
+        const bool near = each.vm.dataCenter == m_dataCenter;
+        if ((near || !nearOnly) && (usable || (self && each.state != member_state::Leaving)))
+            found.push_back(each.vm.vm);
     }
-    const auto picked = rendezvousPick(service.value, candidates, 1);
+    return found;
+}
+
+vm_id peer_network::pickHost(const service_id &service) const
+{
+    const auto picked = rendezvousPick(service.value, candidates(false), 1);
     return picked.empty() ? m_self : picked.front();
 }
 
+std::vector<vm_id> peer_network::readers(std::size_t count) const
+{
+    return rendezvousPick(ReaderRole, candidates(true), count);
+}
+
 std::vector<vm_id> peer_network::peers() const
 {
     std::vector<vm_id> near;
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peer_network.h
@@ -45,6 +45,8 @@
 
     /// Gives the node that hosts a service's stage pool as this node sees it; may be itself.
     [[nodiscard]] vm_id hostOf(const service_id &service);
+    /// Gives the nodes that read the store for this data centre, as this node sees it.
+    [[nodiscard]] std::vector<vm_id> readers(std::size_t count) const;
     [[nodiscard]] const vm_id &self() const { return m_self; }
     /// Gives a link to a peer, opened if there is none; null where nothing is known of the peer.
     [[nodiscard]] std::shared_ptr<peer_link> linkTo(const vm_id &peer);
@@ -72,6 +74,8 @@
     [[nodiscard]] bool avoided(const vm_id &peer) const;
     [[nodiscard]] vm_id pickHost(const service_id &service) const;
     void forgetHosts();
+    /// Members that may have a role: alive and not avoided; this node unless it leaves.
+    [[nodiscard]] std::vector<vm_id> candidates(bool nearOnly) const;
 
     http::io_loop &m_loop;
     wire::log &m_log;
--- /dev/null
+++ b/src/gateway/publication_relay.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "gateway/peer_network.h"
+#include "gateway/published_state.h"
+#include "gateway/store_follower.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// Hands what the platform publishes from node to node, so that few nodes read the store.
+///
+/// In each data centre two nodes read; who, follows from the members that each node believes alive.
+/// The others follow both and hear of each change as the readers do. Nobody depends on it: a node
+/// that hears of no reader that reads the store right now reads by itself, and where the store
+/// doesn't answer it, it asks any peer.
+template <gateway_codec Codec>
+class publication_relay
+{
+public:
+    publication_relay(http::io_loop &loop, peer_network &peers, server_directory &directory,
+                      published_state &state, store_follower<Codec> &store,
+                      std::function<void(const publication_news &)> onNews, wire::log &log,
+                      std::uint32_t seed);
+
+    /// Decides anew who reads and who follows; call every 100 ms or so.
+    void tick();
+    /// A frame about what is published; others are ignored.
+    void onFrame(const std::shared_ptr<peer_link> &link, const peer_frame &frame);
+    void onLinkClosed(const std::shared_ptr<peer_link> &link);
+    /// This node learnt something from the store.
+    void onStoreNews(const store_news &news);
+    /// A peer has a configuration of that version in force.
+    void onPeerVersion(const vm_id &peer, std::uint64_t version);
+
+    /// Whether this node hears of changes right now, from the store or from a reader.
+    [[nodiscard]] bool informed() const;
+
+private:
+    using link_ptr = std::shared_ptr<peer_link>;
+
+    /// A reader that this node follows.
+    struct source
+    {
+        link_ptr link;
+        steady_time heard; ///< when it last said that it reads the store
+        bool current = false; ///< and whether it did then
+    };
+
+    void followReaders(const std::vector<vm_id> &readers);
+    void tellFollowers();
+    void askPeers();
+    void onPublication(const link_ptr &link, const publication_frame &frame);
+    void apply(const publication_frame &frame);
+    void applyWholeList(const publication_frame &frame);
+    void takeConfiguration(const publication_frame &frame, std::vector<published_item> &items);
+    [[nodiscard]] bool readsNow() const;
+    [[nodiscard]] bool hasCurrentSource() const;
+    [[nodiscard]] publication_frame makeWhole() const;
+    [[nodiscard]] publication_frame makeChanges(const store_news &news) const;
+    [[nodiscard]] publication_frame makeSign() const;
+    void logRole(bool reads);
+
+    http::io_loop &m_loop;
+    peer_network &m_peers;
+    server_directory &m_directory;
+    published_state &m_state;
+    store_follower<Codec> &m_store;
+    std::function<void(const publication_news &)> m_onNews;
+    wire::log &m_log;
+    std::minstd_rand m_random;
+    std::map<vm_id, source> m_sources;
+    std::set<link_ptr> m_followers;
+    steady_time m_nextSign{};
+    bool m_toldCurrent = false; ///< whether this node read the store at the last tick
+    steady_time m_nextAsk{}; ///< when peers may be asked for what is published
+};
+
+} // namespace orchidlead::gateway
+
+#include "gateway/publication_relay_impl.h"
--- /dev/null
+++ b/src/gateway/publication_relay_impl.h
@@ -0,0 +1,305 @@
+#pragma once
+
+#include "gateway/log_event.h"
+#include "gateway/publication_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orchidlead::gateway {
+
+/// Readers in a data centre: while one of them fails the other one is heard.
+inline constexpr std::size_t ReadersPerDataCenter = 2;
+/// How often a node tells its followers that it reads the store.
+inline constexpr milliseconds SignInterval{300};
+/// A reader that hasn't said so for so long isn't relied on: two signs and a lost packet.
+inline constexpr milliseconds SourceSilence{800};
+/// A node counts as reading the store when it heard of it within this time: a watch that brings
+/// nothing, the pause behind it, and an answer of a slow store. With `SourceSilence` it stays below
+/// the least bound for configuration, 2 s.
+inline constexpr milliseconds StoreSilence{1400};
+/// Whether a frame tells more than that its sender reads the store.
+[[nodiscard]] inline bool hasContent(const publication_frame &frame)
+{
+    return !frame.servers.empty() || !frame.removed.empty() || !frame.configuration.empty();
+}
+
+/// Between two questions to peers for what is published.
+inline constexpr milliseconds AskInterval{400};
+
+template <gateway_codec Codec>
+publication_relay<Codec>::publication_relay(http::io_loop &loop, peer_network &peers,
+                                            server_directory &directory, published_state &state,
+                                            store_follower<Codec> &store,
+                                            std::function<void(const publication_news &)> onNews,
+                                            wire::log &log, std::uint32_t seed)
+    : m_loop(loop)
+    , m_peers(peers)
+    , m_directory(directory)
+    , m_state(state)
+    , m_store(store)
+    , m_onNews(std::move(onNews))
+    , m_log(log)
+    , m_random(seed)
+{ }
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::tick()
+{
+    const auto readers = m_peers.readers(ReadersPerDataCenter);
+    const bool reader = std::ranges::find(readers, m_peers.self()) != readers.end();
+    // A reader that the store doesn't answer follows the other one meanwhile.
+    const bool follows = m_store.whole() && (!reader || !readsNow());
+    followReaders(follows ? readers : std::vector<vm_id>{});
+    logRole(reader || !m_store.whole() || !hasCurrentSource());
+    m_store.setWatched(!m_followers.empty());
+    tellFollowers();
+    if (!informed())
+        askPeers();
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::logRole(bool reads)
+{
+    if (reads == m_store.reading())
+        return;
+    const auto event = reads ? log_event::StoreReadBegun : log_event::StoreReadEnded;
+    m_log.write(wire::log_level::Info,
+                m_log.line(wire::log_level::Info, toName(event))
+                    .add("revision", m_store.revision())
+                    .add("readers_followed", m_sources.size()));
+    m_store.setReading(reads);
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::followReaders(const std::vector<vm_id> &readers)
+{
+    std::erase_if(m_sources, [&](const auto &entry) {
+        const auto &[vm, from] = entry;
+        if (std::ranges::find(readers, vm) != readers.end())
+            return false;
+        from.link->send(follow_frame{false});
+        return true;
+    });
+    for (const auto &vm : readers) {
+        if (vm == m_peers.self() || m_sources.contains(vm))
+            continue;
+        if (const auto link = m_peers.linkTo(vm)) {
+            m_sources[vm] = {link, {}, false};
+            link->send(follow_frame{true});
+        }
+    }
+}
+
+template <gateway_codec Codec>
+bool publication_relay<Codec>::readsNow() const
+{
+    return m_store.reading() && m_store.connected()
+        && m_loop.now() - m_store.heardAt() <= StoreSilence;
+}
+
+template <gateway_codec Codec>
+bool publication_relay<Codec>::hasCurrentSource() const
+{
+    return std::ranges::any_of(m_sources, [&](const auto &entry) {
+        const auto &from = entry.second;
+        return from.current && m_loop.now() - from.heard <= SourceSilence;
+    });
+}
+
+template <gateway_codec Codec>
+bool publication_relay<Codec>::informed() const
+{
+    return (m_store.reading() && m_store.connected()) || hasCurrentSource();
+}
+
+template <gateway_codec Codec>
+publication_frame publication_relay<Codec>::makeSign() const
+{
+    publication_frame frame;
+    frame.current = m_state.listed() && readsNow();
+    frame.revision = m_store.revision();
+    frame.removalsDeferred = m_state.removalsDeferred();
+    return frame;
+}
+
+template <gateway_codec Codec>
+publication_frame publication_relay<Codec>::makeWhole() const
+{
+    auto frame = makeSign();
+    frame.whole = true;
+    frame.configuration = m_state.configurationText();
+    for (const auto &each : m_directory.all())
+        frame.servers.push_back(each->record);
+    return frame;
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::tellFollowers()
+{
+    // That the store fell silent is told at once.
+    const bool changed = std::exchange(m_toldCurrent, readsNow()) != readsNow();
+    if (m_followers.empty() || (!changed && m_loop.now() < m_nextSign))
+        return;
+    m_nextSign = m_loop.now() + SignInterval;
+    const peer_frame sign = makeSign();
+    for (const auto &link : m_followers)
+        link->send(sign);
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::onStoreNews(const store_news &news)
+{
+    if (m_followers.empty())
+        return;
+    auto frame = news.whole ? makeWhole() : makeChanges(news);
+    if (!frame.whole && !hasContent(frame))
+        return;
+    const peer_frame told = std::move(frame);
+    for (const auto &link : m_followers)
+        link->send(told);
+}
+
+// Servers write their entries again and again; only what differs is told.
+template <gateway_codec Codec>
+publication_frame publication_relay<Codec>::makeChanges(const store_news &news) const
+{
+    auto frame = makeSign();
+    for (const auto &item : news.items) {
+        if (const auto *server = std::get_if<published_server>(&item)) {
+            const auto known = m_directory.find(server->record.id);
+            // One whose removal was told is told again when it is back, just as it was.
+            if (!known || known->record != server->record || m_state.defers(known->record.id))
+                frame.servers.push_back(server->record);
+        } else if (const auto *removed = std::get_if<removed_server>(&item))
+            frame.removed.push_back(removed->id);
+        else if (const auto *published = std::get_if<published_configuration>(&item))
+            frame.configuration = published->text;
+    }
+    return frame;
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::onFrame(const link_ptr &link, const peer_frame &frame)
+{
+    if (std::holds_alternative<publication_request>(frame))
+        link->send(makeWhole());
+    else if (const auto *publication = std::get_if<publication_frame>(&frame))
+        onPublication(link, *publication);
+    else if (const auto *follow = std::get_if<follow_frame>(&frame)) {
+        if (follow->begins) {
+            m_followers.insert(link);
+            link->send(makeWhole());
+        } else {
+            m_followers.erase(link);
+        }
+    }
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::onLinkClosed(const link_ptr &link)
+{
+    m_followers.erase(link);
+    std::erase_if(m_sources, [&](const auto &entry) { return entry.second.link == link; });
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::onPublication(const link_ptr &link, const publication_frame &frame)
+{
+    const auto from = std::ranges::find_if(
+        m_sources, [&](const auto &entry) { return entry.second.link == link; });
+    const bool asked = from == m_sources.end();
+    // An answer to a question may come from a node that doesn't read the store.
+    if (asked) {
+        applyWholeList(frame);
+        return;
+    }
+    from->second.heard = m_loop.now();
+    from->second.current = frame.current;
+    if (frame.current)
+        m_state.onHeard();
+    apply(frame);
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::takeConfiguration(const publication_frame &frame,
+                                                 std::vector<published_item> &items)
+{
+    if (frame.configuration.empty())
+        return;
+    auto read = Codec::readConfiguration(frame.configuration);
+    if (read)
+        items.emplace_back(published_configuration{std::move(read).value(), frame.configuration});
+    else
+        items.emplace_back(unreadable_item{"configuration of a peer", read.error().what});
+}
+
+// Changes of a reader, in the order in which it learnt them. What this node knows already, from the
+// other reader or from the store, is passed over by its revision: an older change would undo it.
+template <gateway_codec Codec>
+void publication_relay<Codec>::apply(const publication_frame &frame)
+{
+    std::vector<published_item> items;
+    takeConfiguration(frame, items);
+    const bool news = frame.revision > m_store.revision();
+    const bool changes = hasContent(frame);
+    m_state.deferRemovals(frame.removalsDeferred);
+    if (news && (changes || frame.whole)) {
+        for (const auto &each : frame.servers)
+            items.emplace_back(published_server{each});
+        for (const auto &each : frame.removed)
+            items.emplace_back(removed_server{each});
+    }
+    for (const auto &each : news &&frame.whole ? m_state.applyList(items) : m_state.apply(items))
+        m_onNews(each);
+    // A sign without changes tells a revision up to which nothing else happened: but a change may
+    // have been lost with a link between, so only frames with content move this node's revision.
+    if (news && (changes || frame.whole))
+        m_store.advanceTo(frame.revision);
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::applyWholeList(const publication_frame &frame)
+{
+    std::vector<published_item> items;
+    takeConfiguration(frame, items);
+    // A peer that doesn't read the store may know less than this node, but more than nothing.
+    const bool knowsMore = frame.current || (!m_state.listed() && !frame.servers.empty());
+    const bool takesList = knowsMore && frame.whole && !informed();
+    if (takesList) {
+        for (const auto &each : frame.servers)
+            items.emplace_back(published_server{each});
+    }
+    for (const auto &each : takesList ? m_state.applyList(items) : m_state.apply(items))
+        m_onNews(each);
+}
+
+// A peer that has a later configuration is asked at once: this node may be turned away by the
+// store.
+template <gateway_codec Codec>
+void publication_relay<Codec>::onPeerVersion(const vm_id &peer, std::uint64_t version)
+{
+    const auto own = m_state.current() ? m_state.current()->version() : 0;
+    if (version <= own || m_loop.now() < m_nextAsk)
+        return;
+    m_nextAsk = m_loop.now() + AskInterval;
+    if (const auto link = m_peers.linkTo(peer))
+        link->send(publication_request{});
+}
+
+// While the store doesn't answer this node, it may answer others.
+template <gateway_codec Codec>
+void publication_relay<Codec>::askPeers()
+{
+    if (m_loop.now() < m_nextAsk)
+        return;
+    const auto peers = m_peers.peers();
+    if (peers.empty())
+        return;
+    m_nextAsk = m_loop.now() + AskInterval;
+    const auto drawn = std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(m_random);
+    if (const auto link = m_peers.linkTo(peers[drawn]))
+        link->send(publication_request{});
+}
+
+} // namespace orchidlead::gateway
--- a/src/gateway/published_state.cpp
+++ b/src/gateway/published_state.cpp
@@ -1,5 +1,6 @@
 #include "gateway/published_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -119,6 +120,17 @@
         m_deferUntil = m_clock.now() + m_removalDelay;
 }
 
+void published_state::deferRemovals(milliseconds time)
+{
+    m_deferUntil = std::max(m_deferUntil, m_clock.now() + std::min(time, m_removalDelay));
+}
+
+milliseconds published_state::removalsDeferred() const
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(m_deferUntil - m_clock.now());
+    return std::max(milliseconds{0}, left);
+}
+
 std::vector<publication_news> published_state::tick()
 {
     std::vector<publication_news> news;
--- a/src/gateway/published_state.h
+++ b/src/gateway/published_state.h
@@ -50,6 +50,13 @@
     void onStoreLost();
     /// The store answered.
     void onStoreBack();
+    /// A peer that reads the store spoke.
+    void onHeard() { m_heardAt = m_clock.now(); }
+    /// Removals aren't believed for so long, as a peer knows that the store was away.
+    void deferRemovals(milliseconds time);
+    [[nodiscard]] milliseconds removalsDeferred() const;
+    /// Whether the removal of that server was read and isn't believed yet.
+    [[nodiscard]] bool defers(const backend_server_id &id) const { return m_deferred.contains(id); }
 
     [[nodiscard]] const configuration_ptr &current() const { return m_configuration; }
     /// The current configuration as it was published.
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -23,6 +23,8 @@
     data_center_id dataCenter;
     std::uint32_t slots = 1;
     bool leaving = false; ///< gets no new work
+
+    friend bool operator==(const server_record &, const server_record &) = default;
 };
 
 /// A server's own account of its work.
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -17,6 +17,8 @@
 {
     /// Of one watch. Short, so that a silent store is noticed within the bound for configuration.
     milliseconds watchWait{1500};
+    /// The same where other nodes rely on this one: they must hear soon that it hears nothing.
+    milliseconds relayedWait{700};
     /// Between two watches: changes that come meanwhile share an answer, and each call is priced.
     /// A third of the bound for configuration, which is 2 s.
     milliseconds watchPause{600};
@@ -27,7 +29,15 @@
     milliseconds maxBackoff{1000};
 };
 
-/// Reads the store from the start, then watches it, and begins anew when its history is gone.
+/// What was read from the store just now.
+struct store_news
+{
+    const std::vector<published_item> &items;
+    bool whole = false; ///< all servers, not only changes; the state has them already
+};
+
+/// Reads the store from the start, then watches it, and begins anew when its history is gone. While
+/// others do that for this node, it waits, and goes on from what they told.
 template <gateway_codec Codec>
 class store_follower
 {
@@ -37,7 +47,22 @@
                    wire::log &log, std::uint32_t seed, const store_options &options = {});
 
     void start() { readConfiguration(); }
+    /// Begins or ends to read. Reading begins where it ended, or where others have come since.
+    void setReading(bool reading);
+    /// Other nodes rely on what this one reads.
+    void setWatched(bool watched) { m_watched = watched; }
+    /// Everything up to this revision was learnt from others.
+    void advanceTo(std::uint64_t revision) { m_revision = std::max(m_revision, revision); }
+    /// Called with what was read, before the state takes changes and after it took a whole list.
+    void onRead(std::function<void(const store_news &)> handler) { m_onRead = std::move(handler); }
+
     [[nodiscard]] bool connected() const { return m_connected; }
+    [[nodiscard]] bool reading() const { return m_reading; }
+    /// Everything was read once; what comes then are changes.
+    [[nodiscard]] bool whole() const { return m_whole; }
+    [[nodiscard]] std::uint64_t revision() const { return m_revision; }
+    /// When the store last answered.
+    [[nodiscard]] steady_time heardAt() const { return m_heardAt; }
 
 private:
     using page_reader = result<published_page, codec_error> (*)(std::string_view);
@@ -53,6 +78,9 @@
     [[nodiscard]] milliseconds nextPause();
     void onHistoryGone();
     void report(const std::vector<publication_news> &news);
+    void tell(const store_news &news);
+    /// Calls `step` later, unless reading ends or begins meanwhile.
+    void after(milliseconds time, std::function<void()> step);
 
     http::io_loop &m_loop;
     http::connection_pool &m_pool;
@@ -66,6 +94,12 @@
     std::uint64_t m_listRevision = 0; ///< when the first page was read
     bool m_whole = false; ///< has read everything once since the history was lost
     bool m_connected = false;
+    bool m_reading = true;
+    bool m_watched = false;
+    std::uint64_t m_session = 0; ///< counts the times that reading began or ended
+    http::pool_call m_call = 0; ///< that is open
+    steady_time m_heardAt{};
+    std::function<void(const store_news &)> m_onRead;
     milliseconds m_backoff{0};
     std::function<void()> m_again; ///< the step that is being done
     std::minstd_rand m_random;
--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/store_follower_impl.h
@@ -31,6 +31,37 @@
         m_onNews(each);
 }
 
+template <gateway_codec Codec>
+void store_follower<Codec>::tell(const store_news &news)
+{
+    if (m_onRead)
+        m_onRead(news);
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::after(milliseconds time, std::function<void()> step)
+{
+    m_loop.callAfter(time, [this, session = m_session, step = std::move(step)] {
+        if (session == m_session)
+            step();
+    });
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::setReading(bool reading)
+{
+    if (std::exchange(m_reading, reading) == reading)
+        return;
+    ++m_session;
+    m_pool.abandon(std::exchange(m_call, 0));
+    if (!reading)
+        return;
+    if (m_whole)
+        watch();
+    else
+        readConfiguration();
+}
+
 template <gateway_codec Codec>
 void store_follower<Codec>::readConfiguration()
 {
@@ -62,9 +93,9 @@
              }
              report(m_state.applyList(m_list));
              m_list.clear();
-             m_revision = m_listRevision;
-             m_listRevision = 0;
+             m_revision = std::exchange(m_listRevision, 0);
              m_whole = true;
+             tell({{}, true});
              watch();
          });
 }
@@ -73,13 +104,14 @@
 void store_follower<Codec>::watch()
 {
     m_again = [this] { watch(); };
-    call(Codec::watchTarget(m_revision, m_options.watchWait),
-         m_options.watchWait + m_options.answerTimeout, &Codec::readChanges,
+    const auto wait = m_watched ? m_options.relayedWait : m_options.watchWait;
+    call(Codec::watchTarget(m_revision, wait), wait + m_options.answerTimeout, &Codec::readChanges,
          [this](published_page &&page) {
              m_revision = std::max(m_revision, page.revision);
+             tell({page.items, false});
              report(m_state.apply(page.items));
              const auto pause = page.items.empty() ? milliseconds{0} : m_options.watchPause;
-             m_loop.callAfter(pause, [this] { watch(); });
+             after(pause, [this] { watch(); });
          });
 }
 
@@ -91,7 +123,6 @@
     {
         int status = 0;
         std::string body;
-        http::pool_call call = 0;
         http::timer_id timer = 0;
     };
     const auto answered = std::make_shared<answer>();
@@ -105,16 +136,21 @@
     };
     made.onHead = [answered](const http::response_head &head) { answered->status = head.status; };
     made.onBody = [answered](std::string_view bytes) { answered->body.append(bytes); };
-    made.onEnd = [this, answered, read, onPage](http::call_end how) {
+    made.onEnd = [this, answered, read, onPage, session = m_session](http::call_end how) {
         m_loop.cancelTimer(answered->timer);
+        if (session != m_session)
+            return;
+        m_call = 0;
         if (how == http::call_end::Complete)
             onAnswer(answered->status, answered->body, read, onPage);
         else
             onFailure("connection");
     };
-    answered->call = m_pool.start(m_store, std::move(made));
-    answered->timer = m_loop.callAfter(timeout, [this, answered] {
-        m_pool.abandon(answered->call);
+    m_call = m_pool.start(m_store, std::move(made));
+    answered->timer = m_loop.callAfter(timeout, [this, session = m_session] {
+        if (session != m_session)
+            return;
+        m_pool.abandon(std::exchange(m_call, 0));
         onFailure("timeout");
     });
 }
@@ -145,6 +181,7 @@
         return;
     }
     m_backoff = milliseconds{0};
+    m_heardAt = m_loop.now();
     if (!std::exchange(m_connected, true))
         m_log.write(wire::log_level::Info,
                     m_log.line(wire::log_level::Info, toName(log_event::StoreRegained))
@@ -170,7 +207,7 @@
         m_log.write(
             wire::log_level::Warning,
             m_log.line(wire::log_level::Warning, toName(log_event::StoreLost)).add("reason", why));
-    m_loop.callAfter(nextPause(), [this] {
+    after(nextPause(), [this] {
         const auto again = m_again;
         again();
     });
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -63,6 +63,10 @@
     publication_frame frame;
     frame.configuration = "{}";
     frame.current = true;
+    frame.whole = true;
+    frame.revision = 1ULL << 40U;
+    frame.removed = {backend_server_id("gone")};
+    frame.removalsDeferred = milliseconds{2300};
     for (int i = 0; i < 3; ++i) {
         server_record record;
         record.id = backend_server_id("s" + std::to_string(i));
@@ -76,6 +80,16 @@
     CHECK(read.servers[1].leaving);
     CHECK(read.servers[2].address.port == 82);
     CHECK(read.current);
+    CHECK(read.whole);
+    CHECK(read.revision == 1ULL << 40U);
+    CHECK(read.removed == frame.removed);
+    CHECK(read.removalsDeferred == milliseconds{2300});
+}
+
+TEST_CASE("that a node follows, or ends to, travels")
+{
+    CHECK(roundTrip(follow_frame{true}).begins);
+    CHECK_FALSE(roundTrip(follow_frame{false}).begins);
 }
 
 TEST_CASE("a wish for an engine travels with its prompt")
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -126,6 +126,7 @@
     ~world();
 
     fake_server &addServer(const std::string &service, const std::string &id);
+    [[nodiscard]] fake_server &server(const std::string &id) { return *m_servers.at(id); }
     /// Publishes the configuration with the given version and routes (JSON objects with commas).
     void publish(std::uint64_t version, const std::string &routes,
                  const std::string &services = {});
--- /dev/null
+++ b/tests/platform/publication_relay_test.cpp
@@ -0,0 +1,123 @@
+#include "platform_world.h"
+
+#include <catch2/catch.hpp>
+
+/// Nodes that hear from others what the store publishes.
+using namespace orchidlead;
+using namespace orchidlead::platform_world;
+
+namespace {
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t found = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++found;
+    return found;
+}
+
+std::string routeAt(const std::string &prefix)
+{
+    auto text = plainRoute("safe");
+    text.replace(text.find("/p/"), 3, prefix);
+    text.replace(text.find("plain"), 5, "r" + prefix.substr(1, 1));
+    return text;
+}
+
+struct relay_world : world
+{
+    relay_world()
+    {
+        addServer("web", "i-1");
+        publish(5, plainRoute("safe"));
+        for (const auto &name : names)
+            startGateway(name);
+        settled = runUntil([&] { return following() == 2; });
+    }
+    /// Nodes that others read for: each such line was written once where nothing happened since.
+    std::size_t following()
+    {
+        const auto text = logged.str();
+        return count(text, "store_read_ended") - count(text, "store_read_begun");
+    }
+    bool answers(const std::string &name, const std::string &target, int status)
+    {
+        return runUntil(
+            [&] {
+                const auto answer = request(name, makeRequest("GET", target, "a1"));
+                await(answer);
+                return answer->status == status;
+            },
+            milliseconds{2000});
+    }
+
+    const std::vector<std::string> names{"g1", "g2", "g3", "g4"};
+    bool settled = false;
+};
+
+} // namespace
+
+TEST_CASE("two nodes of a data centre read the store, and all hear of changes")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    w.publish(9, plainRoute("safe") + "," + routeAt("/n/"));
+    auto &added = w.addServer("web", "i-2");
+    for (const auto &name : w.names) {
+        INFO(name);
+        CHECK(w.answers(name, "/n/", 200));
+    }
+    CHECK(w.following() == 2);
+    w.announce(added, "web", "draining");
+    w.runFor(milliseconds{1200});
+    const auto before = added.requests().size();
+    for (const auto &name : w.names)
+        CHECK(w.answers(name, "/p/", 200));
+    CHECK(added.requests().size() == before);
+}
+
+TEST_CASE("a node whose readers stop hears of changes all the same")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    w.stopGateway("g1");
+    w.stopGateway("g2");
+    w.publish(9, plainRoute("safe") + "," + routeAt("/n/"));
+    CHECK(w.answers("g3", "/n/", 200));
+    CHECK(w.answers("g4", "/n/", 200));
+}
+
+TEST_CASE("where no reader reads the store each node tries by itself, and goes back to following")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    w.store.failWith(503);
+    CHECK(w.runUntil([&] { return w.following() == 0; }));
+    w.store.failWith(0);
+    w.publish(9, plainRoute("safe") + "," + routeAt("/n/"));
+    for (const auto &name : w.names)
+        CHECK(w.answers(name, "/n/", 200));
+    CHECK(w.runUntil([&] { return w.following() == 2; }));
+}
+
+TEST_CASE("a server that lapsed while the store was away is kept by followers, too")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    w.store.failWith(503);
+    w.runFor(milliseconds{800});
+    w.store.remove("servers/i-1");
+    w.store.failWith(0);
+    w.runFor(milliseconds{1500});
+    for (const auto &name : w.names) {
+        INFO(name);
+        CHECK(w.answers(name, "/p/", 200));
+    }
+    // It comes back just as it was, which is no change to the readers, who had kept it.
+    w.announce(w.server("i-1"), "web");
+    w.runFor(milliseconds{2500});
+    for (const auto &name : w.names) {
+        INFO(name);
+        CHECK(w.answers(name, "/p/", 200));
+    }
+}
