Take the last of a server's changes in one answer of the store, and lists by their revision

Cause: a server's removal and its return in one answer of a watch: the reader, which still had the server, told only the removal. Change: of the changes of a server in one answer the last counts; lists carry the store's revision and are taken only if newer. The stand-in store answers watches with every change, as the platform does. Test: publication_relay_test, failed before.

--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -88,7 +88,7 @@
     bool whole = false; ///< all servers, not only changes
     std::uint64_t revision = 0; ///< of the store, up to which the sender knows everything
     std::vector<server_record> servers;
-    std::vector<backend_server_id> removed;
+    std::vector<backend_server_id> removed; ///< taken after `servers`
     milliseconds removalsDeferred{0}; ///< removals aren't believed for so long
 };
 
--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -58,6 +58,7 @@
     void onPublication(const link_ptr &link, const publication_frame &frame);
     void apply(const publication_frame &frame);
     void applyWholeList(const publication_frame &frame);
+    static void addServers(const publication_frame &frame, std::vector<published_item> &items);
     void takeConfiguration(const publication_frame &frame, std::vector<published_item> &items);
     [[nodiscard]] bool readsNow() const;
     [[nodiscard]] bool hasCurrentSource() const;
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -129,8 +129,11 @@
     auto frame = makeSign();
     frame.whole = true;
     frame.configuration = m_state.configurationText();
-    for (const auto &each : m_directory.all())
+    for (const auto &each : m_directory.all()) {
         frame.servers.push_back(each->record);
+        if (m_state.defers(each->record.id))
+            frame.removed.push_back(each->record.id);
+    }
     return frame;
 }
 
@@ -160,22 +163,32 @@
         link->send(told);
 }
 
-// Servers write their entries again and again; only what differs is told.
+// Of the changes of one server only the last counts. Servers write their entries again and again,
+// so what this node and its followers know already isn't told; but one whose removal was told is
+// told again when it is back, just as it was.
 template <gateway_codec Codec>
 publication_frame publication_relay<Codec>::makeChanges(const store_news &news) const
 {
     auto frame = makeSign();
+    std::map<backend_server_id, const server_record *> last; // null: removed
+    std::set<backend_server_id> removedBetween;
     for (const auto &item : news.items) {
-        if (const auto *server = std::get_if<published_server>(&item)) {
-            const auto known = m_directory.find(server->record.id);
-            // One whose removal was told is told again when it is back, just as it was.
-            if (!known || known->record != server->record || m_state.defers(known->record.id))
-                frame.servers.push_back(server->record);
-        } else if (const auto *removed = std::get_if<removed_server>(&item))
-            frame.removed.push_back(removed->id);
-        else if (const auto *published = std::get_if<published_configuration>(&item))
+        if (const auto *server = std::get_if<published_server>(&item))
+            last[server->record.id] = &server->record;
+        else if (const auto *removed = std::get_if<removed_server>(&item)) {
+            last[removed->id] = nullptr;
+            removedBetween.insert(removed->id);
+        } else if (const auto *published = std::get_if<published_configuration>(&item))
             frame.configuration = published->text;
     }
+    for (const auto &[id, record] : last) {
+        const auto known = m_directory.find(id);
+        const bool told = known && !removedBetween.contains(id) && !m_state.defers(id);
+        if (!record)
+            frame.removed.push_back(id);
+        else if (!told || known->record != *record)
+            frame.servers.push_back(*record);
+    }
     return frame;
 }
 
@@ -234,6 +247,16 @@
         items.emplace_back(unreadable_item{"configuration of a peer", read.error().what});
 }
 
+template <gateway_codec Codec>
+void publication_relay<Codec>::addServers(const publication_frame &frame,
+                                          std::vector<published_item> &items)
+{
+    for (const auto &each : frame.servers)
+        items.emplace_back(published_server{each});
+    for (const auto &each : frame.removed)
+        items.emplace_back(removed_server{each});
+}
+
 // Changes of a reader, in the order in which it learnt them. What this node knows already, from the
 // other reader or from the store, is passed over by its revision: an older change would undo it.
 template <gateway_codec Codec>
@@ -244,12 +267,8 @@
     const bool news = frame.revision > m_store.revision();
     const bool changes = hasContent(frame);
     m_state.deferRemovals(frame.removalsDeferred);
-    if (news && (changes || frame.whole)) {
-        for (const auto &each : frame.servers)
-            items.emplace_back(published_server{each});
-        for (const auto &each : frame.removed)
-            items.emplace_back(removed_server{each});
-    }
+    if (news && (changes || frame.whole))
+        addServers(frame, items);
     for (const auto &each : news &&frame.whole ? m_state.applyList(items) : m_state.apply(items))
         m_onNews(each);
     // A sign without changes tells a revision up to which nothing else happened: but a change may
@@ -263,15 +282,18 @@
 {
     std::vector<published_item> items;
     takeConfiguration(frame, items);
-    // A peer that doesn't read the store may know less than this node, but more than nothing.
-    const bool knowsMore = frame.current || (!m_state.listed() && !frame.servers.empty());
+    // A peer that doesn't read the store may know less than this node, but more than nothing. A
+    // list older than what is known here would bring back servers that have gone, and drop others
+    // for good, since what came between isn't told again.
+    const bool newer = frame.current && frame.revision > m_store.revision();
+    const bool knowsMore = newer || (!m_state.listed() && !frame.servers.empty());
     const bool takesList = knowsMore && frame.whole && !informed();
-    if (takesList) {
-        for (const auto &each : frame.servers)
-            items.emplace_back(published_server{each});
-    }
+    if (takesList)
+        addServers(frame, items);
     for (const auto &each : takesList ? m_state.applyList(items) : m_state.apply(items))
         m_onNews(each);
+    if (takesList && newer)
+        m_store.advanceTo(frame.revision);
 }
 
 // A peer that has a later configuration is asked at once: this node may be turned away by the
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -173,26 +173,28 @@
 void fake_store::put(const std::string &key, const std::string &value)
 {
     m_entries[key] = {key, value, ++m_revision, false};
+    m_history.push_back(m_entries[key]);
 }
 
 void fake_store::remove(const std::string &key)
 {
     m_entries[key] = {key, {}, ++m_revision, true};
+    m_history.push_back(m_entries[key]);
 }
 
-std::string fake_store::list(std::string_view name, std::uint64_t after, bool withDeleted) const
+// As the platform does, each change that was made, also those that others followed.
+std::string fake_store::changes(std::uint64_t after) const
 {
     std::string items;
-    for (const auto &[key, each] : m_entries) {
-        const bool wanted = withDeleted || (key.starts_with("servers/") && !each.deleted);
-        if (each.revision <= after || !wanted)
+    for (const auto &each : m_history) {
+        if (each.revision <= after)
             continue;
         items += items.empty() ? "" : ",";
-        items += R"({"key":")" + key + R"(","revision":)" + std::to_string(each.revision);
+        items += R"({"key":")" + each.key + R"(","revision":)" + std::to_string(each.revision);
         items += each.deleted ? R"(,"deleted":true})"
                               : R"(,"value":")" + wire::encodeBase64(each.value) + "\"}";
     }
-    return R"({")" + std::string(name) + "\":[" + items + R"(],"has_more":false,"store_revision":)"
+    return R"({"events":[)" + items + R"(],"has_more":false,"store_revision":)"
         + std::to_string(m_revision) + "}";
 }
 
@@ -246,11 +248,10 @@
         return;
     }
     if (m_revision > after) {
-        client->respond(200, {}, list("events", after, true));
+        client->respond(200, {}, changes(after));
         return;
     }
-    m_loop.callAfter(
-        Wait, [this, client, after] { client->respond(200, {}, list("events", after, true)); });
+    m_loop.callAfter(Wait, [this, client, after] { client->respond(200, {}, changes(after)); });
 }
 
 std::string client_answer::field(std::string_view name) const
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -91,13 +91,13 @@
     void onRequest(const http::inbound_ptr &client, const http::request_head &head);
     void answerWatch(const http::inbound_ptr &client, std::uint64_t after);
     [[nodiscard]] std::string page(const std::string &after) const;
-    [[nodiscard]] std::string list(std::string_view name, std::uint64_t after,
-                                   bool withDeleted) const;
+    [[nodiscard]] std::string changes(std::uint64_t after) const;
 
     http::io_loop &m_loop;
     std::shared_ptr<http::inbound_shared> m_shared;
     std::unique_ptr<http::listener> m_listener;
     std::map<std::string, entry> m_entries;
+    std::vector<entry> m_history; ///< every change, oldest first
     std::uint64_t m_revision = 10;
     std::uint64_t m_oldest = 0;
     int m_failure = 0;
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -121,3 +121,19 @@
         CHECK(w.answers(name, "/p/", 200));
     }
 }
+
+TEST_CASE("followers keep a server whose removal and return come in one answer of the store")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    w.store.failWith(503);
+    w.runFor(milliseconds{800});
+    w.store.remove("servers/i-1");
+    w.announce(w.server("i-1"), "web");
+    w.store.failWith(0);
+    w.runFor(milliseconds{4000});
+    for (const auto &name : w.names) {
+        INFO(name);
+        CHECK(w.answers(name, "/p/", 200));
+    }
+}
