Let readers of the store tell the version of a configuration, and each node read its text

Change: signs and changes carry the version; a node that lacks it reads that one key from the store; a peer gives the text only when asked, and is asked by an informed node only after 0.7 s.

--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -28,6 +28,7 @@
     ResultHandleUnreadable, ///< a handle names no address
     StoreReadBegun, ///< this node reads the store by itself
     StoreReadEnded, ///< others read it for this node
+    StoreFetchFailed, ///< the configuration alone couldn't be read
     StoreLost,
     StoreRegained,
     StoreHistoryGone, ///< everything is read anew
@@ -78,6 +79,8 @@
         orchidlead::gateway::log_event::StoreReadBegun, "store_read_begun"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StoreReadEnded, "store_read_ended"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::StoreFetchFailed, "store_fetch_failed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{orchidlead::gateway::log_event::StoreLost,
                                                           "store_lost"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -151,8 +151,9 @@
 
 void pack(packer &out, const publication_frame &frame)
 {
-    packKind(out, frame_kind::Publication, 7);
+    packKind(out, frame_kind::Publication, 8);
     out.pack(frame.configuration);
+    out.pack(frame.configurationVersion);
     out.pack(frame.current);
     out.pack(frame.whole);
     out.pack(frame.revision);
@@ -316,6 +317,7 @@
 {
     publication_frame frame;
     frame.configuration = in.read<std::string>();
+    frame.configurationVersion = in.read<std::uint64_t>();
     frame.current = in.read<bool>();
     frame.whole = in.read<bool>();
     frame.revision = in.read<std::uint64_t>();
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -83,7 +83,8 @@
 /// that the sender reads the store.
 struct publication_frame
 {
-    std::string configuration; ///< as published; empty: unchanged, or none is known
+    std::string configuration; ///< as published, where it was asked for; empty: none is known
+    std::uint64_t configurationVersion = 0; ///< that the sender has in force
     bool current = false; ///< the sender reads the store right now
     bool whole = false; ///< all servers, not only changes
     std::uint64_t revision = 0; ///< of the store, up to which the sender knows everything
--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -61,6 +61,7 @@
     static void addServers(const publication_frame &frame, std::vector<published_item> &items);
     void takeConfiguration(const publication_frame &frame, std::vector<published_item> &items);
     [[nodiscard]] bool readsNow() const;
+    [[nodiscard]] std::uint64_t ownVersion() const;
     [[nodiscard]] bool hasCurrentSource() const;
     [[nodiscard]] publication_frame makeWhole() const;
     [[nodiscard]] publication_frame makeChanges(const store_news &news) const;
@@ -79,6 +80,7 @@
     std::set<link_ptr> m_followers;
     steady_time m_nextSign{};
     bool m_toldCurrent = false; ///< whether this node read the store at the last tick
+    std::optional<steady_time> m_behindSince; ///< a peer told of a later configuration
     steady_time m_nextAsk{}; ///< when peers may be asked for what is published
 };
 
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -18,12 +18,15 @@
 /// nothing, the pause behind it, and an answer of a slow store. With `SourceSilence` it stays below
 /// the least bound for configuration, 2 s.
 inline constexpr milliseconds StoreSilence{1400};
-/// Whether a frame tells more than that its sender reads the store.
+/// Whether a frame tells of servers.
 [[nodiscard]] inline bool hasContent(const publication_frame &frame)
 {
-    return !frame.servers.empty() || !frame.removed.empty() || !frame.configuration.empty();
+    return !frame.servers.empty() || !frame.removed.empty();
 }
 
+/// A node that hears of changes asks a peer for a later configuration only after this: the pause
+/// between two watches is about as long, and the least bound for configuration 2 s.
+inline constexpr milliseconds BehindPatience{700};
 /// Between two questions to peers for what is published.
 inline constexpr milliseconds AskInterval{400};
 
@@ -118,6 +121,7 @@
 {
     publication_frame frame;
     frame.current = m_state.listed() && readsNow();
+    frame.configurationVersion = ownVersion();
     frame.revision = m_store.revision();
     frame.removalsDeferred = m_state.removalsDeferred();
     return frame;
@@ -128,7 +132,6 @@
 {
     auto frame = makeSign();
     frame.whole = true;
-    frame.configuration = m_state.configurationText();
     for (const auto &each : m_directory.all()) {
         frame.servers.push_back(each->record);
         if (m_state.defers(each->record.id))
@@ -156,7 +159,8 @@
     if (m_followers.empty())
         return;
     auto frame = news.whole ? makeWhole() : makeChanges(news);
-    if (!frame.whole && !hasContent(frame))
+    const bool newVersion = frame.configurationVersion > ownVersion();
+    if (!frame.whole && !hasContent(frame) && !newVersion)
         return;
     const peer_frame told = std::move(frame);
     for (const auto &link : m_followers)
@@ -179,7 +183,8 @@
             last[removed->id] = nullptr;
             removedBetween.insert(removed->id);
         } else if (const auto *published = std::get_if<published_configuration>(&item))
-            frame.configuration = published->text;
+            frame.configurationVersion =
+                std::max(frame.configurationVersion, published->content.version);
     }
     for (const auto &[id, record] : last) {
         const auto known = m_directory.find(id);
@@ -195,9 +200,12 @@
 template <gateway_codec Codec>
 void publication_relay<Codec>::onFrame(const link_ptr &link, const peer_frame &frame)
 {
-    if (std::holds_alternative<publication_request>(frame))
-        link->send(makeWhole());
-    else if (const auto *publication = std::get_if<publication_frame>(&frame))
+    if (std::holds_alternative<publication_request>(frame)) {
+        auto answer = makeWhole();
+        answer.configuration = m_state.configurationText();
+        link->send(answer);
+    }
+    if (const auto *publication = std::get_if<publication_frame>(&frame))
         onPublication(link, *publication);
     else if (const auto *follow = std::get_if<follow_frame>(&frame)) {
         if (follow->begins) {
@@ -238,7 +246,8 @@
 void publication_relay<Codec>::takeConfiguration(const publication_frame &frame,
                                                  std::vector<published_item> &items)
 {
-    if (frame.configuration.empty())
+    // A large one costs a node as much time as a second of requests.
+    if (frame.configuration.empty() || frame.configurationVersion <= ownVersion())
         return;
     auto read = Codec::readConfiguration(frame.configuration);
     if (read)
@@ -262,8 +271,9 @@
 template <gateway_codec Codec>
 void publication_relay<Codec>::apply(const publication_frame &frame)
 {
+    if (frame.configurationVersion > ownVersion())
+        m_store.fetchConfiguration();
     std::vector<published_item> items;
-    takeConfiguration(frame, items);
     const bool news = frame.revision > m_store.revision();
     const bool changes = hasContent(frame);
     m_state.deferRemovals(frame.removalsDeferred);
@@ -288,6 +298,7 @@
     const bool newer = frame.current && frame.revision > m_store.revision();
     const bool knowsMore = newer || (!m_state.listed() && !frame.servers.empty());
     const bool takesList = knowsMore && frame.whole && !informed();
+    m_state.deferRemovals(frame.removalsDeferred);
     if (takesList)
         addServers(frame, items);
     for (const auto &each : takesList ? m_state.applyList(items) : m_state.apply(items))
@@ -296,13 +307,26 @@
         m_store.advanceTo(frame.revision);
 }
 
-// A peer that has a later configuration is asked at once: this node may be turned away by the
-// store.
+template <gateway_codec Codec>
+std::uint64_t publication_relay<Codec>::ownVersion() const
+{
+    return m_state.current() ? m_state.current()->version() : 0;
+}
+
+// A peer that has a later configuration is asked for it: at once where this node hears of no
+// changes, since the store may turn it away; else only if the change hasn't come by the usual way
+// meanwhile.
 template <gateway_codec Codec>
 void publication_relay<Codec>::onPeerVersion(const vm_id &peer, std::uint64_t version)
 {
-    const auto own = m_state.current() ? m_state.current()->version() : 0;
-    if (version <= own || m_loop.now() < m_nextAsk)
+    if (version <= ownVersion()) {
+        m_behindSince.reset();
+        return;
+    }
+    if (!m_behindSince)
+        m_behindSince = m_loop.now();
+    const bool waits = informed() && m_loop.now() - *m_behindSince < BehindPatience;
+    if (waits || m_loop.now() < m_nextAsk)
         return;
     m_nextAsk = m_loop.now() + AskInterval;
     if (const auto link = m_peers.linkTo(peer))
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -22,6 +22,9 @@
     /// Between two watches: changes that come meanwhile share an answer, and each call is priced.
     /// A third of the bound for configuration, which is 2 s.
     milliseconds watchPause{600};
+    /// Between two readings of the configuration alone: versions that follow each other fast share
+    /// one.
+    milliseconds fetchPause{250};
     milliseconds answerTimeout{1000}; ///< beyond the wait; the store answers in 4 ms
     /// After a failed call; doubled by each further one, and up to as much again by chance: when
     /// all nodes start at once they would else ask together again and again.
@@ -49,6 +52,8 @@
     void start() { readConfiguration(); }
     /// Begins or ends to read. Reading begins where it ended, or where others have come since.
     void setReading(bool reading);
+    /// Reads the configuration alone, whether this node reads or not.
+    void fetchConfiguration();
     /// Other nodes rely on what this one reads.
     void setWatched(bool watched) { m_watched = watched; }
     /// Everything up to this revision was learnt from others.
@@ -65,11 +70,19 @@
     [[nodiscard]] steady_time heardAt() const { return m_heardAt; }
 
 private:
+    struct store_answer
+    {
+        int status = 0;
+        std::string body;
+        std::string failure; ///< empty: the answer is whole
+    };
     using page_reader = result<published_page, codec_error> (*)(std::string_view);
 
     void readConfiguration();
     void readServers(const std::string &after);
     void watch();
+    http::pool_call get(const std::string &target, milliseconds timeout,
+                        std::function<void(const store_answer &)> onAnswer);
     void call(const std::string &target, milliseconds timeout, page_reader read,
               std::function<void(published_page &&)> onPage);
     void onAnswer(int status, const std::string &body, page_reader read,
@@ -96,6 +109,8 @@
     bool m_connected = false;
     bool m_reading = true;
     bool m_watched = false;
+    bool m_fetching = false;
+    steady_time m_nextFetch{};
     std::uint64_t m_session = 0; ///< counts the times that reading began or ended
     http::pool_call m_call = 0; ///< that is open
     steady_time m_heardAt{};
--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/store_follower_impl.h
@@ -116,16 +116,11 @@
 }
 
 template <gateway_codec Codec>
-void store_follower<Codec>::call(const std::string &target, milliseconds timeout, page_reader read,
-                                 std::function<void(published_page &&)> onPage)
+http::pool_call store_follower<Codec>::get(const std::string &target, milliseconds timeout,
+                                           std::function<void(const store_answer &)> onAnswer)
 {
-    struct answer
-    {
-        int status = 0;
-        std::string body;
-        http::timer_id timer = 0;
-    };
-    const auto answered = std::make_shared<answer>();
+    const auto answered = std::make_shared<store_answer>();
+    const auto timer = std::make_shared<http::timer_id>(0);
     http::outbound_call made;
     made.writeHead = [target, host = m_store.ip] {
         http::request_head head;
@@ -136,22 +131,60 @@
     };
     made.onHead = [answered](const http::response_head &head) { answered->status = head.status; };
     made.onBody = [answered](std::string_view bytes) { answered->body.append(bytes); };
-    made.onEnd = [this, answered, read, onPage, session = m_session](http::call_end how) {
-        m_loop.cancelTimer(answered->timer);
-        if (session != m_session)
-            return;
-        m_call = 0;
-        if (how == http::call_end::Complete)
-            onAnswer(answered->status, answered->body, read, onPage);
-        else
-            onFailure("connection");
+    made.onEnd = [this, answered, timer, onAnswer](http::call_end how) {
+        m_loop.cancelTimer(*timer);
+        if (how != http::call_end::Complete)
+            answered->failure = "connection";
+        onAnswer(*answered);
     };
-    m_call = m_pool.start(m_store, std::move(made));
-    answered->timer = m_loop.callAfter(timeout, [this, session = m_session] {
-        if (session != m_session)
-            return;
-        m_pool.abandon(std::exchange(m_call, 0));
-        onFailure("timeout");
+    const auto call = m_pool.start(m_store, std::move(made));
+    *timer = m_loop.callAfter(timeout, [this, call, answered, onAnswer] {
+        m_pool.abandon(call);
+        answered->failure = "timeout";
+        onAnswer(*answered);
+    });
+    return call;
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::call(const std::string &target, milliseconds timeout, page_reader read,
+                                 std::function<void(published_page &&)> onPage)
+{
+    m_call =
+        get(target, timeout, [this, read, onPage, session = m_session](const store_answer &answer) {
+            if (session != m_session)
+                return;
+            m_call = 0;
+            if (answer.failure.empty())
+                onAnswer(answer.status, answer.body, read, onPage);
+            else
+                onFailure(answer.failure);
+        });
+}
+
+// Readers tell the version alone: the text may have some hundred kilobytes, and the link of a
+// reader that sends it to all of its followers is busy for seconds. Where the store doesn't give
+// it, peers are asked (publication_relay).
+template <gateway_codec Codec>
+void store_follower<Codec>::fetchConfiguration()
+{
+    if (m_fetching || m_loop.now() < m_nextFetch)
+        return;
+    m_fetching = true;
+    m_nextFetch = m_loop.now() + m_options.fetchPause;
+    get(Codec::configurationTarget(), m_options.answerTimeout, [this](const store_answer &answer) {
+        m_fetching = false;
+        constexpr int Ok = 200;
+        auto page = answer.failure.empty() && answer.status == Ok
+            ? Codec::readItem(answer.body)
+            : result<published_page, codec_error>(codec_error{
+                answer.failure.empty() ? std::to_string(answer.status) : answer.failure});
+        if (page)
+            report(m_state.apply(page.value().items));
+        else
+            m_log.write(wire::log_level::Info,
+                        m_log.line(wire::log_level::Info, toName(log_event::StoreFetchFailed))
+                            .add("reason", page.error().what));
     });
 }
 
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -62,6 +62,7 @@
 {
     publication_frame frame;
     frame.configuration = "{}";
+    frame.configurationVersion = 17;
     frame.current = true;
     frame.whole = true;
     frame.revision = 1ULL << 40U;
@@ -79,6 +80,7 @@
     REQUIRE(read.servers.size() == 3);
     CHECK(read.servers[1].leaving);
     CHECK(read.servers[2].address.port == 82);
+    CHECK(read.configurationVersion == 17);
     CHECK(read.current);
     CHECK(read.whole);
     CHECK(read.revision == 1ULL << 40U);
