Let pieces with much to fetch wait a little for a server beside their inputs

The choice of a server only weighed the way between free ones, and mostly one is free. Change: a piece with 100 kB or more to fetch leaves a free server elsewhere for up to 120 ms, unless more waits than the servers take at once. Tests: stage_pool_test (failed to compile before: the job has a new field), frames.

--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -39,6 +39,7 @@
         job.routePriority = m_route->priority;
         job.aim = m_arrival + m_route->objective - m_afterStages[stage];
         job.deadline = m_end - m_afterStages[stage];
+        job.inputBytes = each.inputBytes;
         job.resultBytes = m_route->stages[stage].resultBytes;
         job.request = std::move(each.request);
         job.near = job.request.inputs.empty() ? m_context.dataCenter
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -62,7 +62,7 @@
 
 void pack(packer &out, const piece_frame &frame)
 {
-    packKind(out, frame_kind::Piece, 13);
+    packKind(out, frame_kind::Piece, 14);
     out.pack(frame.token);
     out.pack(frame.service.value);
     out.pack(frame.request.attempt);
@@ -75,6 +75,7 @@
     packDuration(out, frame.aimLeft);
     packDuration(out, frame.deadlineLeft);
     out.pack(frame.near.value);
+    out.pack(frame.inputBytes);
     out.pack(frame.resultBytes);
 }
 
@@ -229,6 +230,7 @@
     frame.aimLeft = in.duration();
     frame.deadlineLeft = in.duration();
     frame.near = data_center_id(in.read<std::string>());
+    frame.inputBytes = in.read<std::uint64_t>();
     frame.resultBytes = in.read<std::uint64_t>();
     return frame;
 }
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -27,6 +27,7 @@
     milliseconds aimLeft{0}; ///< negative: it is over
     milliseconds deadlineLeft{0};
     data_center_id near;
+    std::uint64_t inputBytes = 0; ///< about
     std::uint64_t resultBytes = 0; ///< about
 };
 
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -29,6 +29,11 @@
 constexpr milliseconds AwayPenalty{250};
 // How long the pieces of a request wait to go together: about a call.
 constexpr milliseconds GroupPatience{300};
+// How long a piece waits for a server beside its inputs where another one is free: about the time
+// in which one of three or four servers there ends its call. Only pieces that have so much to fetch
+// wait: each piece fetches all results of the stages before it, and what crosses is priced.
+constexpr milliseconds NearPatience{120};
+constexpr std::uint64_t NearBytes = 100'000;
 // Weight of the newest call in the average of a server's slowness.
 constexpr double LearnWeight = 0.3;
 
@@ -123,7 +128,7 @@
 // The results of a request's pieces lie at their servers until the last piece is done, and room is
 // scarce. So the pieces of a stage of one request go together where they fit; a group that has
 // waited long goes in parts. What doesn't fit is passed by smaller groups.
-std::vector<piece_job> stage_pool::takeFitting(const server &chosen)
+std::vector<piece_job> stage_pool::takeFitting(const server &chosen, bool mayWait)
 {
     // One moment for the whole sort: an order that changes meanwhile makes it leave its bounds.
     const auto now = m_clock.now();
@@ -142,6 +147,8 @@
         std::size_t fitting = std::min(end - begin, places);
         if (bounded && bytes > 0)
             fitting = std::min<std::size_t>(fitting, room / bytes);
+        if (mayWait && waitsForNear(m_waiting[begin], chosen, now))
+            fitting = 0;
         const bool patient = m_clock.now() - m_waiting[begin].since < GroupPatience;
         if (fitting < end - begin && patient && end - begin <= m_capacity.batch)
             fitting = 0;
@@ -155,6 +162,12 @@
     return taken;
 }
 
+bool stage_pool::waitsForNear(const piece_job &job, const server &chosen, steady_time now) const
+{
+    return job.inputBytes >= NearBytes && job.near != chosen.record.dataCenter
+        && m_dataCenters.contains(job.near) && now - job.since < NearPatience;
+}
+
 std::optional<stage_call> stage_pool::next(const std::vector<server_ptr> &servers)
 {
     if (m_waiting.empty())
@@ -163,8 +176,13 @@
     const auto now = m_clock.now();
     const auto first = std::ranges::min_element(
         m_waiting, [&](const piece_job &a, const piece_job &b) { return before(a, b, {}, now); });
+    m_dataCenters.clear();
+    for (const auto &each : servers)
+        m_dataCenters.insert(each->record.dataCenter);
+    // Where more waits than the servers take at once none of them is left idle.
+    const bool mayWait = m_waiting.size() <= servers.size() * m_capacity.batch;
     for (const auto &each : freeServers(servers, first->near)) {
-        auto jobs = takeFitting(*each);
+        auto jobs = takeFitting(*each, mayWait);
         if (!jobs.empty())
             return makeCall(each, std::move(jobs));
     }
@@ -343,6 +361,12 @@
         if (state.calls == 0 && state.busyUntil > now && (!earliest || state.busyUntil < *earliest))
             earliest = state.busyUntil;
     }
+    // When those that wait for a server beside their inputs go elsewhere.
+    for (const auto &job : m_waiting) {
+        const auto until = job.since + NearPatience;
+        if (job.inputBytes >= NearBytes && until > now && (!earliest || until < *earliest))
+            earliest = until;
+    }
     return earliest;
 }
 
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -29,6 +30,7 @@
     steady_time aim{}; ///< done by then, its request can still earn full credit
     steady_time deadline{}; ///< and nothing later
     data_center_id near; ///< where its inputs lie
+    std::uint64_t inputBytes = 0; ///< about, of all inputs
     std::size_t resultBytes = 0; ///< about
     steady_time since{}; ///< when it began to wait
     std::uint32_t tries = 0;
@@ -142,7 +144,10 @@
                                                       const data_center_id &near);
     /// Where the waiting pieces of the same stage of the same request end.
     [[nodiscard]] std::size_t groupEnd(std::size_t begin) const;
-    [[nodiscard]] std::vector<piece_job> takeFitting(const server &chosen);
+    [[nodiscard]] std::vector<piece_job> takeFitting(const server &chosen, bool mayWait);
+    /// Whether the piece still waits for a server beside its inputs rather than go to `chosen`.
+    [[nodiscard]] bool waitsForNear(const piece_job &job, const server &chosen,
+                                    steady_time now) const;
     [[nodiscard]] stage_call makeCall(const server_ptr &chosen, std::vector<piece_job> jobs);
     void hold(const backend_server_id &server, const std::string &handle, std::uint64_t bytes);
     void release(const backend_server_id &server, std::uint64_t bytes);
@@ -161,6 +166,7 @@
     std::unordered_map<std::string, held_result> m_results; ///< by handle
     std::uint64_t m_unnamed = 0; ///< results of calls whose answer was lost
     stage_call_id m_lastCall = 0;
+    std::set<data_center_id> m_dataCenters; ///< with a usable server, as of the last call of `next`
     stage_pool_summary m_summary;
 };
 
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -72,7 +72,7 @@
     entry.link->send(piece_frame{token, entry.service, entry.job.request, entry.job.priority,
                                  entry.job.routePriority, leftUntil(entry.job.aim),
                                  leftUntil(entry.job.deadline), entry.job.near,
-                                 entry.job.resultBytes});
+                                 entry.job.inputBytes, entry.job.resultBytes});
 }
 
 template <gateway_codec Codec>
@@ -148,6 +148,7 @@
     job.aim = now + frame.aimLeft;
     job.deadline = now + frame.deadlineLeft;
     job.near = frame.near;
+    job.inputBytes = frame.inputBytes;
     job.resultBytes = frame.resultBytes;
     auto handler = [this, weak = std::weak_ptr(link), theirs](piece_result result) {
         const auto target = weak.lock();
--- a/src/gateway/stage_work.cpp
+++ b/src/gateway/stage_work.cpp
@@ -54,6 +54,14 @@
     return inputs;
 }
 
+std::uint64_t stage_work::inputBytesOf(const stage_state &stage) const
+{
+    std::uint64_t bytes = 0;
+    for (const std::size_t before : stage.spec.after)
+        bytes += m_stages[before].spec.resultBytes * m_stages[before].handles.size();
+    return bytes;
+}
+
 std::vector<stage_work::ready_piece> stage_work::takeReady()
 {
     std::vector<ready_piece> ready;
@@ -70,8 +78,10 @@
             made.request.piece = piece;
             if (stage.spec.after.empty())
                 made.request.key = m_key;
-            else
+            else {
                 made.request.inputs = inputsOf(stage);
+                made.inputBytes = inputBytesOf(stage);
+            }
             ready.push_back(std::move(made));
         }
     }
--- a/src/gateway/stage_work.h
+++ b/src/gateway/stage_work.h
@@ -21,6 +21,7 @@
     struct ready_piece
     {
         service_id service;
+        std::uint64_t inputBytes = 0; ///< about, of all inputs
         piece_request request;
     };
 
@@ -59,6 +60,7 @@
 
     [[nodiscard]] bool inputsReady(const stage_state &stage) const;
     [[nodiscard]] std::vector<std::string> inputsOf(const stage_state &stage) const;
+    [[nodiscard]] std::uint64_t inputBytesOf(const stage_state &stage) const;
 
     std::vector<stage_state> m_stages;
     std::string m_attempt;
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -30,6 +30,7 @@
     frame.aimLeft = milliseconds{-50};
     frame.deadlineLeft = milliseconds{900};
     frame.near = data_center_id("dc");
+    frame.inputBytes = 360'000;
     frame.resultBytes = 1'500'000;
     return frame;
 }
@@ -45,6 +46,7 @@
     CHECK(read.request.piece == 3);
     CHECK(read.aimLeft == milliseconds{-50});
     CHECK(read.routePriority == 2);
+    CHECK(read.inputBytes == 360'000);
     CHECK(read.resultBytes == 1'500'000);
 }
 
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -333,3 +333,62 @@
         CHECK(call->pieces.size() == Priorities.size());
     }
 }
+
+TEST_CASE("a piece with much to fetch waits a little for a server beside its inputs")
+{
+    world w(2);
+    const auto submitAt = [&](const std::string &request, std::uint64_t inputBytes) {
+        piece_job job;
+        job.token = ++w.lastToken;
+        job.request.attempt = request;
+        job.aim = w.clock.now() + milliseconds{3000};
+        job.deadline = job.aim;
+        job.near = data_center_id("b");
+        job.inputBytes = inputBytes;
+        w.pool.submit(job);
+    };
+    submitAt("first", 1'000'000);
+    const auto busy = w.pool.next(w.servers);
+    REQUIRE(busy);
+    REQUIRE(busy->server->record.dataCenter.value == "b");
+
+    submitAt("large", 1'000'000);
+    CHECK_FALSE(w.pool.next(w.servers));
+    const auto wake = w.pool.wakeAt();
+    REQUIRE(wake);
+    CHECK(*wake - w.clock.now() == milliseconds{120});
+
+    SECTION("and takes it when it is free")
+    {
+        w.clock.advance(milliseconds{50});
+        w.answer(*busy);
+        const auto call = w.pool.next(w.servers);
+        REQUIRE(call);
+        CHECK(call->server->record.dataCenter.value == "b");
+    }
+    SECTION("and goes elsewhere when it has waited")
+    {
+        w.clock.advance(milliseconds{120});
+        const auto call = w.pool.next(w.servers);
+        REQUIRE(call);
+        CHECK(call->server->record.dataCenter.value == "a");
+    }
+    SECTION("but not where little is to be fetched")
+    {
+        submitAt("small", 1000);
+        const auto call = w.pool.next(w.servers);
+        REQUIRE(call);
+        CHECK(requestsOf(*call) == std::vector<std::string>{"small"});
+    }
+    SECTION("nor where there is no server at all")
+    {
+        w.servers.pop_back();
+        CHECK(w.pool.next(w.servers));
+    }
+    SECTION("nor where more waits than the servers take at once")
+    {
+        for (int i = 0; i < 8; ++i)
+            submitAt("r" + std::to_string(i), 1'000'000);
+        CHECK(w.pool.next(w.servers));
+    }
+}
