--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -34,6 +34,9 @@
 // wait: each piece fetches all results of the stages before it, and what crosses is priced.
 constexpr milliseconds NearPatience{120};
 constexpr std::uint64_t NearBytes = 100'000;
+// It waits only while fewer pieces wait than this part of what all servers take at once: in a burst
+// no server is left idle.
+constexpr std::size_t CrowdedParts = 2;
 // Weight of the newest call in the average of a server's slowness.
 constexpr double LearnWeight = 0.3;
 
@@ -179,8 +182,7 @@
     m_dataCenters.clear();
     for (const auto &each : servers)
         m_dataCenters.insert(each->record.dataCenter);
-    // Where more waits than the servers take at once none of them is left idle.
-    const bool mayWait = m_waiting.size() <= servers.size() * m_capacity.batch;
+    const bool mayWait = m_waiting.size() <= servers.size() * m_capacity.batch / CrowdedParts;
     for (const auto &each : freeServers(servers, first->near)) {
         auto jobs = takeFitting(*each, mayWait);
         if (!jobs.empty())
