Learn how long stages take with their waits, by rank, and plan requests by that

Cause: what follows a stage was taken to last one call for each further stage, however long the queues there were. In a burst pieces were done in time for a plan that no request kept: stage work was thrown away, and those that could still be in time waited behind. Ruled out: that the order itself is at fault (late pieces go last already). Change: the time from asking for a stage to its last result is learnt by service and rank, forgotten after 1.5 s, and counts for what follows a stage; estimates are made anew at each stage. Tests: time_estimates_test (new; the class had none).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -86,6 +86,7 @@
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_result result);
     void restartStages(std::string_view reason);
     void onStagesDone();
+    [[nodiscard]] stage_rank stageRank() const { return {m_priority, m_route->priority}; }
     void withdrawPieces();
     void freeResults();
 
@@ -148,6 +149,7 @@
 
     std::optional<stage_work> m_work;
     std::vector<std::chrono::microseconds> m_afterStages; ///< time that follows each stage
+    std::vector<steady_time> m_stageSince; ///< when its pieces were asked for
     std::vector<piece_token> m_pieces; ///< submitted and open
     bool m_stagesRestarted = false;
     bool m_needsStages = false; ///< results were freed or lost
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -18,7 +18,7 @@
         answerOwn(status::BadRequest, request_outcome::PieceCounts);
         return;
     }
-    m_afterStages = m_context.times.afterStages(*m_configuration, *m_route, m_service);
+    m_stageSince.resize(m_route->stages.size());
     submitReadyPieces();
 }
 
@@ -29,12 +29,14 @@
         onStagesDone();
         return;
     }
+    m_afterStages = m_context.times.afterStages(*m_configuration, *m_route, m_service, stageRank());
     std::map<std::uint32_t, std::size_t> submitted; // pieces by stage, for the log
     for (auto &each : m_work->takeReady()) {
         piece_job job;
         const auto stage = each.request.stage;
         const auto piece = each.request.piece;
         ++submitted[stage];
+        m_stageSince[stage] = m_context.loop.now();
         job.priority = m_priority;
         job.routePriority = m_route->priority;
         job.aim = m_arrival + m_route->objective - m_afterStages[stage];
@@ -60,7 +62,10 @@
     if (m_done)
         return;
     if (auto *handle = std::get_if<std::string>(&result)) {
-        m_work->onResult(stage, piece, std::move(*handle));
+        if (m_work->onResult(stage, piece, std::move(*handle)))
+            m_context.times.onStage(m_route->stages[stage].service, stageRank(),
+                                    std::chrono::duration_cast<std::chrono::microseconds>(
+                                        m_context.loop.now() - m_stageSince[stage]));
         m_context.stages.free(m_work->takeSpent());
         submitReadyPieces();
         return;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -101,7 +101,7 @@
                 m_lines,
                 m_settings.dataCenter,
                 nullptr,
-                {},
+                time_estimates{loop.clock()},
                 std::minstd_rand{seedOf(m_settings.vm)}}
     , m_clients(std::make_shared<http::inbound_shared>())
     , m_probes(std::make_shared<http::inbound_shared>())
--- a/src/gateway/stage_work.cpp
+++ b/src/gateway/stage_work.cpp
@@ -88,14 +88,14 @@
     return ready;
 }
 
-void stage_work::onResult(std::uint32_t stage, std::uint32_t piece, std::string handle)
+bool stage_work::onResult(std::uint32_t stage, std::uint32_t piece, std::string handle)
 {
     auto &state = m_stages[stage];
     if (handle.empty() || !state.handles[piece].empty())
-        return;
+        return false;
     state.handles[piece] = std::move(handle);
-    --state.missing;
     --m_missing;
+    return --state.missing == 0;
 }
 
 void stage_work::restart()
--- a/src/gateway/stage_work.h
+++ b/src/gateway/stage_work.h
@@ -27,7 +27,8 @@
 
     /// Takes the pieces whose inputs are there and that weren't taken before.
     [[nodiscard]] std::vector<ready_piece> takeReady();
-    void onResult(std::uint32_t stage, std::uint32_t piece, std::string handle);
+    /// Takes a result; tells whether it was the last one that its stage lacked.
+    bool onResult(std::uint32_t stage, std::uint32_t piece, std::string handle);
     /// Results were lost: all is to be done again.
     void restart();
 
--- a/src/gateway/time_estimates.cpp
+++ b/src/gateway/time_estimates.cpp
@@ -10,6 +10,10 @@
 constexpr std::chrono::microseconds FirstGuess{250'000};
 // Weight of the newest request in the average.
 constexpr double LearnWeight = 0.05;
+// Weight of the newest stage: a backlog shows within a few requests, and is forgotten as fast.
+constexpr double LearnStageWeight = 0.15;
+// What was seen longer ago says nothing of now: bursts begin and end within seconds.
+constexpr milliseconds StageMemory{1500};
 // Of one way between nodes and servers, there and back, with what a node's processor takes.
 constexpr std::chrono::microseconds HopTime{5'000};
 
@@ -30,6 +34,29 @@
     return std::chrono::microseconds{static_cast<std::int64_t>(found->second)};
 }
 
+void time_estimates::onStage(const service_id &service, const stage_rank &rank,
+                             std::chrono::microseconds took)
+{
+    auto &seen = m_stages[{service, rank}];
+    const auto newest = static_cast<double>(took.count());
+    const bool old = m_clock.now() - seen.at > StageMemory;
+    seen.average = old ? newest : seen.average + LearnStageWeight * (newest - seen.average);
+    seen.at = m_clock.now();
+}
+
+std::chrono::microseconds time_estimates::stageTime(const service_spec *service,
+                                                    const stage_rank &rank) const
+{
+    const auto least = stageCall(service);
+    if (!service)
+        return least;
+    const auto found = m_stages.find({service->id, rank});
+    if (found == m_stages.end() || m_clock.now() - found->second.at > StageMemory)
+        return least;
+    return std::max(least,
+                    std::chrono::microseconds{static_cast<std::int64_t>(found->second.average)});
+}
+
 std::chrono::microseconds time_estimates::stageCall(const service_spec *service)
 {
     if (!service || !service->stage)
@@ -40,12 +67,13 @@
 
 std::vector<std::chrono::microseconds>
 time_estimates::afterStages(const configuration_index &configuration, const route &way,
-                            const service_id &service) const
+                            const service_id &service, const stage_rank &rank) const
 {
     std::vector<std::chrono::microseconds> after(way.stages.size(), firstAnswer(service));
     // Stages come behind those that they need, so one pass from the end suffices.
     for (std::size_t i = way.stages.size(); i-- > 0;) {
-        const auto through = after[i] + stageCall(configuration.findService(way.stages[i].service));
+        const auto through =
+            after[i] + stageTime(configuration.findService(way.stages[i].service), rank);
         for (const std::size_t before : way.stages[i].after) {
             if (before < after.size())
                 after[before] = std::max(after[before], through);
--- /dev/null
+++ b/tests/gateway/time_estimates_test.cpp
@@ -0,0 +1,75 @@
+#include "gateway/time_estimates.h"
+
+#include <catch2/catch.hpp>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr stage_rank Urgent{0, 0};
+constexpr stage_rank Patient{0, 2};
+
+/// One stage service with a batch of 10: a call of half a batch takes 205 + 50 ms.
+service_spec makeService()
+{
+    service_spec service;
+    service.id = service_id("rerank");
+    service.stage = stage_capacity{};
+    service.stage->batch = 10;
+    service.stage->callTime = milliseconds{200};
+    service.stage->pieceTime = milliseconds{10};
+    return service;
+}
+
+constexpr microseconds OneCall = milliseconds{255};
+
+} // namespace
+
+TEST_CASE("a stage is taken to last one call where nothing was seen, or less")
+{
+    manual_clock clock;
+    time_estimates times(clock);
+    const auto service = makeService();
+    CHECK(times.stageTime(&service, Urgent) == OneCall);
+    times.onStage(service.id, Urgent, milliseconds{100});
+    CHECK(times.stageTime(&service, Urgent) == OneCall);
+}
+
+TEST_CASE("a backlog that requests of a rank met counts for those of that rank, for a while")
+{
+    manual_clock clock;
+    clock.advance(std::chrono::seconds{60});
+    time_estimates times(clock);
+    const auto service = makeService();
+    times.onStage(service.id, Patient, milliseconds{1200});
+    CHECK(times.stageTime(&service, Patient) == milliseconds{1200});
+    CHECK(times.stageTime(&service, Urgent) == OneCall);
+    times.onStage(service.id, Patient, milliseconds{200});
+    CHECK(times.stageTime(&service, Patient) == milliseconds{1050});
+    clock.advance(milliseconds{1600});
+    CHECK(times.stageTime(&service, Patient) == OneCall);
+}
+
+TEST_CASE("what follows a stage are the stages behind it, with their waits, and the request")
+{
+    manual_clock clock;
+    clock.advance(std::chrono::seconds{60});
+    time_estimates times(clock);
+    configuration content;
+    content.services.push_back(makeService());
+    const configuration_index index(content);
+    route way;
+    way.stages = {{service_id("rerank"), {}, 100}, {service_id("rerank"), {0}, 100}};
+    const service_id engine("engine");
+    const auto last = times.firstAnswer(engine);
+    const auto calm = times.afterStages(index, way, engine, Urgent);
+    REQUIRE(calm.size() == 2);
+    CHECK(calm[1] == last);
+    CHECK(calm[0] == last + OneCall);
+    times.onStage(service_id("rerank"), Urgent, milliseconds{900});
+    CHECK(times.afterStages(index, way, engine, Urgent)[0] == last + milliseconds{900});
+    CHECK(times.afterStages(index, way, engine, Patient)[0] == last + OneCall);
+}
