--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -36,7 +36,7 @@
 constexpr std::uint64_t NearBytes = 100'000;
 // It waits only while fewer pieces wait than this part of what all servers take at once: in a burst
 // no server is left idle.
-constexpr std::size_t CrowdedParts = 2;
+constexpr std::size_t CrowdedParts = 4;
 // Weight of the newest call in the average of a server's slowness.
 constexpr double LearnWeight = 0.3;
 
