Remove what nothing uses, refuse in one place, and keep the linter clean

Ruled out: changes of behaviour (http 15, gateway 79, platform 64 cases pass as before). Change: removed; exchange::refuse is the one place; tests share countIn.

--- a/src/ctl/explain_command.cpp
+++ b/src/ctl/explain_command.cpp
@@ -53,7 +53,7 @@
         if (hasColumn(name))
             continue;
         shown += shown.empty() ? "" : " ";
-        shown += name + "=" + value;
+        shown.append(name).append("=").append(value);
     }
     return printable(shown);
 }
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -28,7 +28,6 @@
 
     /// Number of the last event given.
     [[nodiscard]] std::optional<std::uint64_t> lastEvent() const { return m_last; }
-    void setLastEvent(std::optional<std::uint64_t> last) { m_last = last; }
     [[nodiscard]] std::uint64_t events() const { return m_events; }
     /// A half event waits for its rest.
     [[nodiscard]] bool amidEvent() const { return !m_rest.empty(); }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -60,6 +60,8 @@
              std::string body);
 
     void start();
+    /// Says that no server runs the request, and when to come back.
+    static void refuse(http::inbound_connection &client);
     /// The process ends soon: a request that no server has yet is refused.
     void stopWaiting();
 
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -108,12 +108,18 @@
     finish(outcome);
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::refuse(http::inbound_connection &client)
+{
+    client.respond(status::Unavailable, {Codec::retryAfter(ComeBack)}, {});
+}
+
 // Says that no server has run the request, which must be true, and when to come back.
 template <gateway_codec Codec>
 void exchange<Codec>::refuse(request_outcome outcome)
 {
     m_told = status::Unavailable;
-    m_client->respond(status::Unavailable, {Codec::retryAfter(ComeBack)}, {});
+    refuse(*m_client);
     finish(outcome);
 }
 
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -156,7 +156,7 @@
                                std::string &&body)
 {
     if (m_stopping && m_loop.now() - m_stopBegan > StopTaking) {
-        client->respond(status::Unavailable, {Codec::retryAfter(ComeBack)}, {});
+        exchange<Codec>::refuse(*client);
         return;
     }
     const auto made =
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -31,7 +31,6 @@
     void close();
     /// Closes without reporting it.
     void drop();
-    [[nodiscard]] bool isOpen() const { return m_socket != nullptr; }
     /// Asks the peer for a sign of life, unless it was asked already and hasn't answered.
     void ask();
     /// When something last came from the peer, or the link was opened.
--- a/src/gateway/time_estimates.h
+++ b/src/gateway/time_estimates.h
@@ -3,7 +3,6 @@
 #include "gateway/configuration.h"
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -19,7 +18,10 @@
     std::uint32_t priority = 0;
     std::uint32_t routePriority = 0;
 
-    friend auto operator<=>(const stage_rank &, const stage_rank &) = default;
+    friend bool operator<(const stage_rank &a, const stage_rank &b)
+    {
+        return std::pair(a.priority, a.routePriority) < std::pair(b.priority, b.routePriority);
+    }
 };
 
 /// Estimates how long the rest of a request takes, from what requests of its rank took lately.
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -118,15 +118,4 @@
         found->second->setReading(reading);
 }
 
-void connection_pool::closeFree(const socket_address &to)
-{
-    const auto found = m_free.find(to);
-    if (found == m_free.end())
-        return;
-    const auto connections = std::exchange(found->second, {});
-    for (const auto &each : connections)
-        each.connection->close();
-    m_free.erase(to);
-}
-
 } // namespace orchidlead::http
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -31,8 +31,6 @@
     void abandon(pool_call call);
     /// Stops or goes on reading a call's answer.
     void setReading(pool_call call, bool reading);
-    /// Closes the free connections to an address.
-    void closeFree(const socket_address &to);
 
     /// Connections opened since the start.
     [[nodiscard]] std::uint64_t opened() const { return m_opened; }
--- a/src/http/stream_socket.h
+++ b/src/http/stream_socket.h
@@ -50,7 +50,6 @@
     void finishWriting();
     /// Closes at once; nothing is reported any more.
     void close();
-    [[nodiscard]] bool isOpen() const { return m_events != nullptr; }
 
 private:
     static constexpr std::size_t ReadBytes = 16U << 10U;
--- a/tests/gateway/request_story_test.cpp
+++ b/tests/gateway/request_story_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/request_story.h"
+#include "text_count.h"
 
 #include <catch2/catch.hpp>
 
@@ -7,18 +8,6 @@
 using namespace orchidlead;
 using namespace orchidlead::gateway;
 
-namespace {
-
-std::size_t count(const std::string &text, const std::string &part)
-{
-    std::size_t found = 0;
-    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
-        ++found;
-    return found;
-}
-
-} // namespace
-
 TEST_CASE("a story is written in its order, once, and is bounded")
 {
     manual_clock clock;
@@ -32,7 +21,7 @@
         story.write(log);
         story.write(log);
     }
-    CHECK(count(out.str(), "event=attempt_sent") == 40);
+    CHECK(countIn(out.str(), "event=attempt_sent") == 40);
     CHECK(out.str().find("number=0") < out.str().find("number=1"));
 }
 
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -1,4 +1,5 @@
 #include "platform_world.h"
+#include "text_count.h"
 
 #include <catch2/catch.hpp>
 
@@ -8,14 +9,6 @@
 
 namespace {
 
-std::size_t count(const std::string &text, const std::string &part)
-{
-    std::size_t found = 0;
-    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
-        ++found;
-    return found;
-}
-
 std::string routeAt(const std::string &prefix)
 {
     auto text = plainRoute("safe");
@@ -38,7 +31,7 @@
     std::size_t following()
     {
         const auto text = logged.str();
-        return count(text, "store_read_ended") - count(text, "store_read_begun");
+        return countIn(text, "store_read_ended") - countIn(text, "store_read_begun");
     }
     bool answers(const std::string &name, const std::string &target, int status)
     {
