Use the field's words: heartbeat, and the log lines of a request

Cause: read as a newcomer: 'sign' and 'story' were words of our own for a heartbeat and for a request's log lines. Change: names and comments only; request_story is request_log.

--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -48,7 +48,8 @@
     command{.name = "explain",
             .arguments = "REQUEST [FILE…]",
             .count = {1, AnyNumber},
-            .summary = "tell a request's story from the log lines of any number of gateways",
+            .summary =
+                "tell what happened to a request, from the log lines of any number of gateways",
             .example = "orchidctl explain f84f9f8a68a38d5c edge-*.log",
             .flags = {},
             .run = runExplain},
--- a/src/ctl/explain_command.h
+++ b/src/ctl/explain_command.h
@@ -4,7 +4,7 @@
 
 namespace orchidlead::ctl {
 
-/// Tells the story of one request from the log lines of any number of gateways.
+/// Tells what happened to one request, from the log lines of any number of gateways.
 exit_code runExplain(const command_context &context);
 
 } // namespace orchidlead::ctl
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,8 +6,8 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/log_event.h"
 #include "gateway/published_state.h"
+#include "gateway/request_log.h"
 #include "gateway/request_outcome.h"
-#include "gateway/request_story.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_directory.h"
 #include "gateway/stage_router.h"
@@ -119,7 +119,7 @@
     void onTimeout();
     void finish(request_outcome outcome);
 
-    [[nodiscard]] bool tells() const { return m_context.log.writes(wire::log_level::Info); }
+    [[nodiscard]] bool isLogged() const { return m_context.log.writes(wire::log_level::Info); }
     [[nodiscard]] wire::log_line lineOf(log_event kind) const;
     [[nodiscard]] milliseconds sinceArrival() const;
     [[nodiscard]] bool wentWell(request_outcome outcome) const;
@@ -145,7 +145,7 @@
     std::uint32_t m_priority = 0;
     service_id m_service;
     bool m_done = false;
-    request_story m_story;
+    request_log m_decisions;
     int m_told = 0; ///< status that the client got; 0: none
     std::optional<milliseconds> m_firstEvent; ///< when the client got the first one, from arrival
 
--- a/src/gateway/exchange_log_impl.h
+++ b/src/gateway/exchange_log_impl.h
@@ -39,12 +39,12 @@
     return {};
 }
 
-// Written at once, unlike the rest of the story: where the process is killed it shows which
+// Written at once, unlike the other lines of a request: where the process is killed it shows which
 // requests it had.
 template <gateway_codec Codec>
 void exchange<Codec>::logTaken()
 {
-    if (!tells())
+    if (!isLogged())
         return;
     const auto heard = m_context.loop.now() - m_context.published.heardAt();
     auto line = lineOf(log_event::RequestTaken);
@@ -61,7 +61,7 @@
 template <gateway_codec Codec>
 void exchange<Codec>::logStage(std::uint32_t stage, std::size_t pieces)
 {
-    if (!tells())
+    if (!isLogged())
         return;
     const auto &spec = m_route->stages[stage];
     const auto due = m_arrival + m_route->objective - m_afterStages[stage];
@@ -70,13 +70,13 @@
     line.add("stage", stage).add("service", spec.service.value).add("pieces", pieces);
     line.add("host", m_context.stages.hostOf(spec.service).value);
     line.add("aim_left_ms", aimLeft.count()).add("at_ms", sinceArrival().count());
-    m_story.add(std::move(line));
+    m_decisions.add(std::move(line));
 }
 
 template <gateway_codec Codec>
 void exchange<Codec>::logSent()
 {
-    if (!tells())
+    if (!isLogged())
         return;
     auto line = lineOf(log_event::AttemptSent);
     line.add("server", m_server->record.id.value).add("service", m_service.value);
@@ -88,13 +88,13 @@
         line.add("load_age_ms", std::chrono::duration_cast<milliseconds>(age).count());
     }
     line.add("left_ms", left().count()).add("at_ms", sinceArrival().count());
-    m_story.add(std::move(line));
+    m_decisions.add(std::move(line));
 }
 
 template <gateway_codec Codec>
 void exchange<Codec>::logAttemptEnd(std::string_view how)
 {
-    if (!tells() || !m_server)
+    if (!isLogged() || !m_server)
         return;
     const auto took = m_context.loop.now() - m_sentAt;
     auto line = lineOf(log_event::AttemptEnded);
@@ -104,14 +104,15 @@
         line.add("last_event", *m_splitter.lastEvent());
     line.add("took_ms", std::chrono::duration_cast<milliseconds>(took).count());
     line.add("at_ms", sinceArrival().count());
-    m_story.add(std::move(line));
+    m_decisions.add(std::move(line));
 }
 
 template <gateway_codec Codec>
 void exchange<Codec>::logDenied(std::string_view why)
 {
-    if (tells())
-        m_story.add(lineOf(log_event::RetryDenied).add("reason", why).add("attempts", m_attempts));
+    if (isLogged())
+        m_decisions.add(
+            lineOf(log_event::RetryDenied).add("reason", why).add("attempts", m_attempts));
 }
 
 template <gateway_codec Codec>
@@ -124,10 +125,10 @@
 template <gateway_codec Codec>
 void exchange<Codec>::logEnd(request_outcome outcome)
 {
-    if (!tells())
+    if (!isLogged())
         return;
-    if (!wentWell(outcome) || m_context.lines.tryTake(m_story.size()))
-        m_story.write(m_context.log);
+    if (!wentWell(outcome) || m_context.lines.tryTake(m_decisions.size()))
+        m_decisions.write(m_context.log);
     auto line = lineOf(log_event::Request);
     line.add("outcome", toName(outcome));
     if (m_route)
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -71,12 +71,12 @@
         return;
     }
     const auto failure = std::get<piece_failure>(result);
-    if (tells())
-        m_story.add(lineOf(log_event::PieceFailed)
-                        .add("stage", stage)
-                        .add("piece", piece)
-                        .add("reason", toName(failure))
-                        .add("at_ms", sinceArrival().count()));
+    if (isLogged())
+        m_decisions.add(lineOf(log_event::PieceFailed)
+                            .add("stage", stage)
+                            .add("piece", piece)
+                            .add("reason", toName(failure))
+                            .add("at_ms", sinceArrival().count()));
     // What was lost because it lay too long would only be late again.
     const bool inTime = m_context.loop.now() < m_arrival + m_route->objective;
     if (failure == piece_failure::InputGone && inTime && !std::exchange(m_stagesRestarted, true)) {
@@ -89,8 +89,8 @@
 template <gateway_codec Codec>
 void exchange<Codec>::restartStages(std::string_view reason)
 {
-    if (tells())
-        m_story.add(lineOf(log_event::StagesRestarted).add("reason", reason));
+    if (isLogged())
+        m_decisions.add(lineOf(log_event::StagesRestarted).add("reason", reason));
     withdrawPieces();
     freeResults();
     m_needsStages = false;
@@ -103,8 +103,8 @@
 {
     m_pieces.clear();
     m_needsStages = false;
-    if (tells())
-        m_story.add(lineOf(log_event::StagesDone).add("at_ms", sinceArrival().count()));
+    if (isLogged())
+        m_decisions.add(lineOf(log_event::StagesDone).add("at_ms", sinceArrival().count()));
     attempt();
 }
 
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -80,8 +80,8 @@
 /// Asks for what the receiver knows to be published.
 struct publication_request
 { };
-/// What is published, as the sender knows it: all of it, changes, or, without content, only a sign
-/// that the sender reads the store.
+/// What is published, as the sender knows it: all of it, changes, or, without content, a heartbeat
+/// of a reader of the store.
 struct publication_frame
 {
     std::string configuration; ///< as published, where it was asked for; empty: none is known
--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -65,7 +65,7 @@
     [[nodiscard]] bool hasCurrentSource() const;
     [[nodiscard]] publication_frame makeWhole() const;
     [[nodiscard]] publication_frame makeChanges(const store_news &news) const;
-    [[nodiscard]] publication_frame makeSign() const;
+    [[nodiscard]] publication_frame makeHeartbeat() const;
     void logRole(bool reads);
 
     http::io_loop &m_loop;
@@ -78,7 +78,7 @@
     std::minstd_rand m_random;
     std::map<vm_id, source> m_sources;
     std::set<link_ptr> m_followers;
-    steady_time m_nextSign{};
+    steady_time m_nextHeartbeat{};
     bool m_toldCurrent = false; ///< whether this node read the store at the last tick
     std::optional<steady_time> m_behindSince; ///< a peer told of a later configuration
     steady_time m_nextAsk{}; ///< when peers may be asked for what is published
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -10,9 +10,9 @@
 
 /// Readers in a data centre: while one of them fails the other one is heard.
 inline constexpr std::size_t ReadersPerDataCenter = 2;
-/// How often a node tells its followers that it reads the store.
-inline constexpr milliseconds SignInterval{300};
-/// A reader that hasn't said so for so long isn't relied on: two signs and a lost packet.
+/// Between two heartbeats of a reader to its followers.
+inline constexpr milliseconds HeartbeatInterval{300};
+/// A reader that hasn't said so for so long isn't relied on: two heartbeats and a lost packet.
 inline constexpr milliseconds SourceSilence{800};
 /// A node counts as reading the store when it heard of it within this time: a watch that brings
 /// nothing, the pause behind it, and an answer of a slow store. With `SourceSilence` it stays below
@@ -117,7 +117,7 @@
 }
 
 template <gateway_codec Codec>
-publication_frame publication_relay<Codec>::makeSign() const
+publication_frame publication_relay<Codec>::makeHeartbeat() const
 {
     publication_frame frame;
     frame.current = m_state.listed() && readsNow();
@@ -130,7 +130,7 @@
 template <gateway_codec Codec>
 publication_frame publication_relay<Codec>::makeWhole() const
 {
-    auto frame = makeSign();
+    auto frame = makeHeartbeat();
     frame.whole = true;
     for (const auto &each : m_directory.all()) {
         frame.servers.push_back(each->record);
@@ -145,12 +145,12 @@
 {
     // That the store fell silent is told at once.
     const bool changed = std::exchange(m_toldCurrent, readsNow()) != readsNow();
-    if (m_followers.empty() || (!changed && m_loop.now() < m_nextSign))
+    if (m_followers.empty() || (!changed && m_loop.now() < m_nextHeartbeat))
         return;
-    m_nextSign = m_loop.now() + SignInterval;
-    const peer_frame sign = makeSign();
+    m_nextHeartbeat = m_loop.now() + HeartbeatInterval;
+    const peer_frame heartbeat = makeHeartbeat();
     for (const auto &link : m_followers)
-        link->send(sign);
+        link->send(heartbeat);
 }
 
 template <gateway_codec Codec>
@@ -173,7 +173,7 @@
 template <gateway_codec Codec>
 publication_frame publication_relay<Codec>::makeChanges(const store_news &news) const
 {
-    auto frame = makeSign();
+    auto frame = makeHeartbeat();
     std::map<backend_server_id, const server_record *> last; // null: removed
     std::set<backend_server_id> removedBetween;
     for (const auto &item : news.items) {
@@ -281,7 +281,7 @@
         addServers(frame, items);
     for (const auto &each : news &&frame.whole ? m_state.applyList(items) : m_state.apply(items))
         m_onNews(each);
-    // A sign without changes tells a revision up to which nothing else happened: but a change may
+    // A heartbeat tells a revision up to which nothing else happened: but a change may
     // have been lost with a link between, so only frames with content move this node's revision.
     if (news && (changes || frame.whole))
         m_store.advanceTo(frame.revision);
--- a/src/gateway/request_story.cpp
+++ b/src/gateway/request_log.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_story.h"
+#include "gateway/request_log.h"
 
 #include <utility>
 
@@ -8,17 +8,17 @@
 
 // Most lines of one request: a request of four stages that is made again once and goes to two
 // servers has 17. Beyond, only its end is logged.
-constexpr std::size_t MaxStoryLines = 40;
+constexpr std::size_t MaxLines = 40;
 
 } // namespace
 
-void request_story::add(wire::log_line line)
+void request_log::add(wire::log_line line)
 {
-    if (m_lines.size() < MaxStoryLines)
+    if (m_lines.size() < MaxLines)
         m_lines.push_back(std::move(line));
 }
 
-void request_story::write(wire::log &log)
+void request_log::write(wire::log &log)
 {
     for (auto &line : std::exchange(m_lines, {}))
         log.write(wire::log_level::Info, std::move(line));
--- a/src/gateway/request_story.h
+++ b/src/gateway/request_log.h
@@ -12,7 +12,7 @@
 
 /// The log lines about the decisions on one request, each with the time of its decision. They are
 /// kept until the end of the request tells whether they are needed.
-class request_story
+class request_log
 {
 public:
     void add(wire::log_line line);
--- a/tests/gateway/request_story_test.cpp
+++ b/tests/gateway/request_log_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_story.h"
+#include "gateway/request_log.h"
 #include "text_count.h"
 
 #include <catch2/catch.hpp>
@@ -8,18 +8,18 @@
 using namespace orchidlead;
 using namespace orchidlead::gateway;
 
-TEST_CASE("a story is written in its order, once, and is bounded")
+TEST_CASE("the lines of a request are written in their order, once, and is bounded")
 {
     manual_clock clock;
     std::ostringstream out;
     {
         wire::log log({vm_id{"a"}}, out, clock);
-        request_story story;
+        request_log decisions;
         for (int i = 0; i < 100; ++i)
-            story.add(log.line(wire::log_level::Info, "attempt_sent").add("number", i));
-        CHECK(story.size() == 40);
-        story.write(log);
-        story.write(log);
+            decisions.add(log.line(wire::log_level::Info, "attempt_sent").add("number", i));
+        CHECK(decisions.size() == 40);
+        decisions.write(log);
+        decisions.write(log);
     }
     CHECK(countIn(out.str(), "event=attempt_sent") == 40);
     CHECK(out.str().find("number=0") < out.str().find("number=1"));
