Pass on to servers only what a client may say

Cause: fields that reserve, pin, copy or misdirect in the system's name went on as the client sent them. Ruled out: engines that are full; they refused with one stream running. Test of each field.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -35,6 +35,7 @@
     std::uint32_t answerTokens = 0; ///< at most
     std::vector<std::uint32_t> pieceCounts; ///< of each stage
     std::string pieceKey; ///< what the pieces without inputs are made from
+    std::uint32_t forgedFields = 0; ///< that only the system may set; they go to no server
 };
 
 /// What the system says to a server about a request that it sends.
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -34,6 +34,7 @@
 void exchange<Codec>::start()
 {
     m_marks = Codec::readRequest(m_head);
+    m_context.metrics.onForgedFields(m_marks.forgedFields);
     m_client->onClientGone([self = this->shared_from_this()] { self->onClientGone(); });
     if (!m_configuration) {
         refuse(request_outcome::NoConfiguration);
--- a/src/gateway/exchange_log_impl.h
+++ b/src/gateway/exchange_log_impl.h
@@ -55,6 +55,8 @@
     line.add("objective_ms", m_route->objective.count());
     line.add("configuration", m_configuration->version());
     line.add("published_age_ms", std::chrono::duration_cast<milliseconds>(heard).count());
+    if (m_marks.forgedFields > 0)
+        line.add("forged_fields", m_marks.forgedFields);
     m_context.log.write(wire::log_level::Info, std::move(line));
 }
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -58,6 +58,12 @@
             .Help("Time from a stream's arrival to its first event")
             .Register(registry)
             .Add({}, timeBuckets);
+    prometheus::Counter &forgedFields =
+        prometheus::BuildCounter()
+            .Name("orchidlead_gateway_forged_fields_total")
+            .Help("Fields of clients that only the system may set; they were left out")
+            .Register(registry)
+            .Add({});
     wire::counter_family routeOutcomes{registry,
                                        {"orchidlead_gateway_route_outcomes_total",
                                         "Client requests by route and outcome",
@@ -131,6 +137,11 @@
     m_families->firstEvents.Observe(seconds(took));
 }
 
+void gateway_metrics::onForgedFields(std::uint32_t count)
+{
+    m_families->forgedFields.Increment(count);
+}
+
 void gateway_metrics::onStageCall(const service_id &service, const stage_call_report &call)
 {
     m_families->stageCalls.Add({{"end", labelOf(toName(call.end))}}).Increment();
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -58,6 +58,8 @@
     void onRequest(const route *way, request_outcome outcome, milliseconds took);
     /// The first event of a stream went to its client, so long after the request came.
     void onFirstEvent(milliseconds took);
+    /// A client sent so many fields that only the system may set.
+    void onForgedFields(std::uint32_t count);
     void onStageCall(const service_id &service, const stage_call_report &call);
 
     [[nodiscard]] std::string text(const gateway_gauges &gauges);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -82,6 +82,32 @@
     CHECK(marks.lastEvent == 12);
 }
 
+TEST_CASE("what a client sends in a field that only the system may set goes to no server")
+{
+    const std::vector<std::string> systemFields{
+        "X-Retention",        "x-pin-ms",     "X-Kv-Backup",        "Kv-From",
+        "kv-fetch",           "X-Tenant",     "X-Expected-Version", "X-Expected-Instance",
+        "X-Request-Priority", "X-Input-Count"};
+    server_marks marks;
+    marks.instance = backend_server_id("i-1");
+    for (const auto &name : systemFields) {
+        INFO("field: " << name);
+        http::request_head head;
+        head.fields = {{name, "forged"}, {"X-Length-Hint", "80"}};
+        CHECK(codec::readRequest(head).forgedFields == 1);
+        const auto sent = codec::writeServerFields(head, marks);
+        CHECK(valueOf(sent, name).value_or("") != "forged");
+        CHECK(valueOf(sent, "x-length-hint") == "80");
+    }
+}
+
+TEST_CASE("fields that clients may send, known or not, don't count as forged")
+{
+    auto head = makeRequest();
+    std::erase_if(head.fields, [](const http::field &each) { return each.name == "X-Tenant"; });
+    CHECK(codec::readRequest(head).forgedFields == 0);
+}
+
 TEST_CASE("headers that can't be read count as absent")
 {
     http::request_head head;
