Give each data centre a pool of its own where it has servers enough

Cause: one host a service for the fleet sends results across data centres, is on the wrong side of a cut for all but its own, and carries the work of all nodes. Ruled out: splitting always; with one or two servers in a data centre calls aren't full. Change: pool_widths decides by the servers it knows, with hysteresis; work goes to the pool where its inputs lie.

--- a/src/gateway/engine_board.cpp
+++ b/src/gateway/engine_board.cpp
@@ -65,14 +65,29 @@
     return cost;
 }
 
+// Engines of the pool that haven't been tried. Where none is left, or all are in doubt, those of
+// other data centres are as good.
+std::vector<server_ptr> engine_board::candidates(const engine_wish &wish) const
+{
+    const auto untried = [&](std::vector<server_ptr> servers) {
+        std::erase_if(servers, [&](const server_ptr &each) {
+            return std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end();
+        });
+        return servers;
+    };
+    auto inPool = untried(m_directory.usable(wish.pool));
+    const auto now = m_clock.now();
+    if (std::ranges::any_of(inPool, [&](const auto &each) { return each->avoidUntil <= now; }))
+        return inPool;
+    return untried(m_directory.usable(wish.pool.service));
+}
+
 server_ptr engine_board::place(placement_id id, const engine_wish &wish)
 {
     forgetLapsed();
     server_ptr best;
     double bestCost = std::numeric_limits<double>::max();
-    for (const auto &each : m_directory.usable(wish.service)) {
-        if (std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end())
-            continue;
+    for (const auto &each : candidates(wish)) {
         const double cost = costOf(*each, wish);
         if (cost < bestCost) {
             bestCost = cost;
@@ -86,7 +101,7 @@
     state.reading += missing;
     ++state.streams;
     m_placements[id] = {best->record.id, missing, m_clock.now()};
-    const auto known = m_capacities.find(wish.service);
+    const auto known = m_capacities.find(wish.pool.service);
     keep(state, wish, known == m_capacities.end() ? DefaultCapacity : known->second);
     return best;
 }
--- a/src/gateway/engine_board.h
+++ b/src/gateway/engine_board.h
@@ -18,7 +18,7 @@
 /// A request that looks for a model engine.
 struct engine_wish
 {
-    service_id service;
+    pool_key pool;
     std::vector<prompt_part> prompt; ///< parts in order; the last belongs to the request alone
     data_center_id near; ///< where its inputs lie
     std::uint64_t nearBytes = 0; ///< of inputs that would cross to another data centre
@@ -66,6 +66,7 @@
         steady_time began;
     };
 
+    [[nodiscard]] std::vector<server_ptr> candidates(const engine_wish &wish) const;
     [[nodiscard]] double costOf(const server &which, const engine_wish &wish);
     [[nodiscard]] static std::uint64_t missingTokens(const engine &state, const engine_wish &wish);
     void keep(engine &state, const engine_wish &wish, std::uint64_t capacity);
--- a/src/gateway/engine_placer.cpp
+++ b/src/gateway/engine_placer.cpp
@@ -9,6 +9,9 @@
 // A host answers within a round trip, 2 ms between data centres; beyond this it is busy or away,
 // and the request's time matters more than the better choice.
 constexpr milliseconds HostPatience{60};
+// With so many engines a data centre reads the prompts that are shared by itself; with fewer, parts
+// that are read in each of them cost more than inputs that cross.
+constexpr pool_width_limits EnginePoolWidths{8, 6};
 
 } // namespace
 
@@ -17,6 +20,7 @@
     , m_peers(peers)
     , m_directory(directory)
     , m_board(loop.clock(), directory)
+    , m_widths(directory, EnginePoolWidths)
 { }
 
 void engine_placer::setConfiguration(const configuration_ptr &configuration)
@@ -27,13 +31,18 @@
     }
 }
 
+pool_key engine_placer::poolFor(const service_id &service, const data_center_id &near)
+{
+    return m_widths.poolFor(service, near);
+}
+
 placement_id engine_placer::place(engine_wish wish, handler placed)
 {
     const auto id = ++m_lastId;
     auto &entry = m_requests[id];
     entry.wish = std::move(wish);
     entry.placed = std::move(placed);
-    const auto host = m_peers.hostOf(entry.wish.service);
+    const auto host = m_peers.hostOf(entry.wish.pool);
     entry.link = host == m_peers.self() ? nullptr : m_peers.linkTo(host);
     if (!entry.link) {
         m_loop.post([this, id] {
--- a/src/gateway/engine_placer.h
+++ b/src/gateway/engine_placer.h
@@ -2,6 +2,7 @@
 
 #include "gateway/engine_board.h"
 #include "gateway/peer_network.h"
+#include "gateway/pool_widths.h"
 
 #include <functional>
 #include <map>
@@ -24,6 +25,8 @@
 
     void setConfiguration(const configuration_ptr &configuration);
 
+    /// Gives the pool of a service for a request that is best done in `near`.
+    [[nodiscard]] pool_key poolFor(const service_id &service, const data_center_id &near);
     /// `placed` is called once, later, unless `onEnd` comes first.
     placement_id place(engine_wish wish, handler placed);
     void onFirstAnswer(placement_id id);
@@ -55,6 +58,7 @@
     peer_network &m_peers;
     server_directory &m_directory;
     engine_board m_board;
+    pool_widths m_widths;
     placement_id m_lastId = 0;
     std::unordered_map<placement_id, request> m_requests;
     std::map<link_ptr, std::unordered_map<placement_id, placement_id>> m_hosted; ///< theirs to ours
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -152,6 +152,7 @@
     std::optional<stage_work> m_work;
     std::vector<std::chrono::microseconds> m_afterStages; ///< time that follows each stage
     std::vector<steady_time> m_stageSince; ///< when its pieces were asked for
+    std::vector<data_center_id> m_stageNear; ///< where its pieces were asked for
     std::vector<piece_token> m_pieces; ///< submitted and open
     bool m_stagesRestarted = false;
     bool m_needsStages = false; ///< results were freed or lost
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -44,7 +44,6 @@
 void exchange<Codec>::placeOnEngine()
 {
     engine_wish wish;
-    wish.service = m_service;
     wish.prompt = m_marks.prompt;
     wish.exclude = m_tried;
     wish.near = m_context.dataCenter;
@@ -52,6 +51,7 @@
         wish.near = whereResultLies(largest->handle);
         wish.nearBytes = largest->bytes;
     }
+    wish.pool = m_context.engines.poolFor(m_service, wish.near);
     m_placement = m_context.engines.place(std::move(wish),
                                           [self = this->shared_from_this()](server_ptr chosen) {
                                               if (!self->m_done)
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -19,6 +19,7 @@
         return;
     }
     m_stageSince.resize(m_route->stages.size());
+    m_stageNear.resize(m_route->stages.size());
     submitReadyPieces();
 }
 
@@ -46,6 +47,7 @@
         job.request = std::move(each.request);
         job.near = job.request.inputs.empty() ? m_context.dataCenter
                                               : whereResultLies(job.request.inputs.front());
+        m_stageNear[stage] = job.near;
         auto handler = [self = this->shared_from_this(), stage, piece](piece_result result) {
             self->onPiece(stage, piece, std::move(result));
         };
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -74,10 +74,11 @@
                [this](const vm_id &peer, std::uint64_t version) {
                    m_relay.onPeerVersion(peer, version);
                },
-               [&log](const service_id &service, const vm_id &host) {
+               [&log](const pool_key &pool, const vm_id &host) {
                    log.write(wire::log_level::Info,
                              log.line(wire::log_level::Info, toName(log_event::StageHostChanged))
-                                 .add("service", service.value)
+                                 .add("service", pool.service.value)
+                                 .add("data_center", pool.dataCenter.value)
                                  .add("host", host.value));
                }})
     , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance, m_settings.stageCalls)
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -60,11 +60,17 @@
     out.pack(server.leaving);
 }
 
+void packPool(packer &out, const pool_key &pool)
+{
+    out.pack(pool.service.value);
+    out.pack(pool.dataCenter.value);
+}
+
 void pack(packer &out, const piece_frame &frame)
 {
-    packKind(out, frame_kind::Piece, 14);
+    packKind(out, frame_kind::Piece, 15);
     out.pack(frame.token);
-    out.pack(frame.service.value);
+    packPool(out, frame.pool);
     out.pack(frame.request.attempt);
     out.pack(frame.request.stage);
     out.pack(frame.request.piece);
@@ -106,9 +112,9 @@
 
 void pack(packer &out, const place_frame &frame)
 {
-    packKind(out, frame_kind::Place, 6);
+    packKind(out, frame_kind::Place, 7);
     out.pack(frame.id);
-    out.pack(frame.wish.service.value);
+    packPool(out, frame.wish.pool);
     out.pack(frame.wish.near.value);
     out.pack(frame.wish.nearBytes);
     out.pack_array(static_cast<std::uint32_t>(2 * frame.wish.prompt.size()));
@@ -215,11 +221,19 @@
     bool m_good;
 };
 
+pool_key readPool(field_reader &in)
+{
+    pool_key pool;
+    pool.service = service_id(in.read<std::string>());
+    pool.dataCenter = data_center_id(in.read<std::string>());
+    return pool;
+}
+
 piece_frame readPiece(field_reader &in)
 {
     piece_frame frame;
     frame.token = in.read<piece_token>();
-    frame.service = service_id(in.read<std::string>());
+    frame.pool = readPool(in);
     frame.request.attempt = in.read<std::string>();
     frame.request.stage = in.read<std::uint32_t>();
     frame.request.piece = in.read<std::uint32_t>();
@@ -255,7 +269,7 @@
 {
     place_frame frame;
     frame.id = in.read<placement_id>();
-    frame.wish.service = service_id(in.read<std::string>());
+    frame.wish.pool = readPool(in);
     frame.wish.near = data_center_id(in.read<std::string>());
     frame.wish.nearBytes = in.read<std::uint64_t>();
     readList(in, [&](field_reader &items) {
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -20,7 +20,7 @@
 struct piece_frame
 {
     piece_token token = 0; ///< of the sender
-    service_id service;
+    pool_key pool;
     piece_request request;
     std::uint32_t priority = 0;
     std::uint32_t routePriority = 0;
--- a/src/gateway/peer_network.cpp
+++ b/src/gateway/peer_network.cpp
@@ -159,23 +159,23 @@
 
 // Asked for each piece, and all members are hashed for an answer: so it is kept until something
 // changes that it depends on.
-vm_id peer_network::hostOf(const service_id &service)
+vm_id peer_network::hostOf(const pool_key &pool)
 {
     if (m_loop.now() >= m_hostsUntil)
         forgetHosts();
-    auto &kept = m_hosts[service];
+    auto &kept = m_hosts[pool];
     if (kept.current)
         return kept.vm;
-    const auto before = std::exchange(kept.vm, pickHost(service));
+    const auto before = std::exchange(kept.vm, pickHost(pool));
     kept.current = true;
     if (kept.vm != before)
-        m_events.onHostChanged(service, kept.vm);
+        m_events.onHostChanged(pool, kept.vm);
     return kept.vm;
 }
 
 void peer_network::forgetHosts()
 {
-    for (auto &[service, kept] : m_hosts)
+    for (auto &[pool, kept] : m_hosts)
         kept.current = false;
     m_hostsUntil = steady_time::max();
     for (const auto &[peer, until] : m_avoided) {
@@ -184,28 +184,32 @@
     }
 }
 
-std::vector<vm_id> peer_network::candidates(bool nearOnly) const
+std::vector<vm_id> peer_network::candidates(const data_center_id &dataCenter) const
 {
     std::vector<vm_id> found;
     for (const auto &each : m_members.members()) {
         const bool self = each.vm.vm == m_self;
         const bool usable = each.state == member_state::Alive && !avoided(each.vm.vm);
-        const bool near = each.vm.dataCenter == m_dataCenter;
-        if ((near || !nearOnly) && (usable || (self && each.state != member_state::Leaving)))
+        const bool there = dataCenter.empty() || each.vm.dataCenter == dataCenter;
+        if (there && (usable || (self && each.state != member_state::Leaving)))
             found.push_back(each.vm.vm);
     }
     return found;
 }
 
-vm_id peer_network::pickHost(const service_id &service) const
+// The pool of a data centre that has no node left is hosted elsewhere.
+vm_id peer_network::pickHost(const pool_key &pool) const
 {
-    const auto picked = rendezvousPick(service.value, candidates(false), 1);
+    auto hosts = candidates(pool.dataCenter);
+    if (hosts.empty())
+        hosts = candidates({});
+    const auto picked = rendezvousPick(pool.service.value, hosts, 1);
     return picked.empty() ? m_self : picked.front();
 }
 
 std::vector<vm_id> peer_network::readers(std::size_t count) const
 {
-    return rendezvousPick(ReaderRole, candidates(true), count);
+    return rendezvousPick(ReaderRole, candidates(m_dataCenter), count);
 }
 
 std::vector<vm_id> peer_network::peers() const
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peer_network.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/peer_link.h"
+#include "gateway/pool_key.h"
 #include "gateway/settings.h"
 #include "http/acceptor.h"
 #include "http/datagram_socket.h"
@@ -24,7 +25,7 @@
     std::function<void(const std::shared_ptr<peer_link> &, peer_frame &&)> onFrame;
     std::function<void(const std::shared_ptr<peer_link> &)> onLinkClosed;
     std::function<void(const vm_id &, std::uint64_t version)> onPeerVersion;
-    std::function<void(const service_id &, const vm_id &host)> onHostChanged;
+    std::function<void(const pool_key &, const vm_id &host)> onHostChanged;
 };
 
 /// The other gateways: who is there, and links to them.
@@ -43,8 +44,8 @@
 
     [[nodiscard]] std::optional<http::listen_error> start();
 
-    /// Gives the node that hosts a service's stage pool as this node sees it; may be itself.
-    [[nodiscard]] vm_id hostOf(const service_id &service);
+    /// Gives the node that hosts a pool as this node sees it; may be itself.
+    [[nodiscard]] vm_id hostOf(const pool_key &pool);
     /// Gives the nodes that read the store for this data centre, as this node sees it.
     [[nodiscard]] std::vector<vm_id> readers(std::size_t count) const;
     [[nodiscard]] const vm_id &self() const { return m_self; }
@@ -72,10 +73,11 @@
     void accept(std::shared_ptr<http::stream_socket> socket);
     [[nodiscard]] peer_link::events linkEvents();
     [[nodiscard]] bool avoided(const vm_id &peer) const;
-    [[nodiscard]] vm_id pickHost(const service_id &service) const;
+    [[nodiscard]] vm_id pickHost(const pool_key &pool) const;
     void forgetHosts();
-    /// Members that may have a role: alive and not avoided; this node unless it leaves.
-    [[nodiscard]] std::vector<vm_id> candidates(bool nearOnly) const;
+    /// Members that may have a role: alive and not avoided; this node unless it leaves. Of one data
+    /// centre, or, where none is named, of all.
+    [[nodiscard]] std::vector<vm_id> candidates(const data_center_id &dataCenter) const;
 
     http::io_loop &m_loop;
     wire::log &m_log;
@@ -90,13 +92,13 @@
     std::map<vm_id, std::shared_ptr<peer_link>> m_links; ///< opened by this node
     std::vector<std::weak_ptr<peer_link>> m_accepted; ///< opened by peers
     std::map<vm_id, steady_time> m_avoided;
-    /// A service's host, as picked when members or avoided peers last changed.
+    /// A pool's host, as picked when members or avoided peers last changed.
     struct picked_host
     {
         vm_id vm;
         bool current = false;
     };
-    std::unordered_map<service_id, picked_host> m_hosts;
+    std::map<pool_key, picked_host> m_hosts;
     steady_time m_hostsUntil = steady_time::max(); ///< when an avoided peer may be host again
     steady_time m_nextContact{};
 };
--- /dev/null
+++ b/src/gateway/pool_widths.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "gateway/pool_key.h"
+#include "gateway/server_directory.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+
+namespace orchidlead::gateway {
+
+/// From how many servers on a data centre has a pool of its own, in the data centre that has
+/// fewest.
+struct pool_width_limits
+{
+    std::size_t split = 0; ///< at least so many: pools are split
+    std::size_t join = 0; ///< fewer than so many: they are joined again
+};
+
+/// Decides how wide the pools of each service are: one for the fleet, or one for each data centre.
+///
+/// Split pools keep the results of a request in one data centre, stay whole in a cut, and share the
+/// work of hosts; joined ones fill calls where a data centre has few servers. Each node decides by
+/// the servers that it knows; where nodes disagree for a moment a server gets work from two hosts.
+class pool_widths
+{
+public:
+    pool_widths(const server_directory &directory, const pool_width_limits &limits);
+
+    /// Gives the pool for work that is best done in `near`.
+    [[nodiscard]] pool_key poolFor(const service_id &service, const data_center_id &near);
+
+private:
+    struct width
+    {
+        std::uint64_t seen = 0; ///< changes of the directory up to which this holds
+        bool split = false;
+        std::map<data_center_id, std::size_t> servers; ///< usable ones
+    };
+
+    [[nodiscard]] const width &widthOf(const service_id &service);
+
+    const server_directory &m_directory;
+    pool_width_limits m_limits;
+    std::map<service_id, width> m_widths;
+};
+
+} // namespace orchidlead::gateway
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -31,6 +31,7 @@
 
 void server_directory::changed(const service_id &service)
 {
+    ++m_changes;
     if (m_onChange)
         m_onChange(service);
 }
@@ -98,6 +99,16 @@
     return servers;
 }
 
+std::vector<server_ptr> server_directory::usable(const pool_key &pool) const
+{
+    auto servers = usable(pool.service);
+    if (!pool.dataCenter.empty())
+        std::erase_if(servers, [&](const server_ptr &each) {
+            return each->record.dataCenter != pool.dataCenter;
+        });
+    return servers;
+}
+
 double server_directory::costOf(const server &which, const server_wish &wish) const
 {
     const auto now = m_clock.now();
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gateway/pool_key.h"
+
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
 
@@ -79,6 +81,10 @@
     [[nodiscard]] server_ptr findAt(const socket_address &address) const;
     /// Servers of a service that may get new work.
     [[nodiscard]] std::vector<server_ptr> usable(const service_id &service) const;
+    /// Those of them that are in a pool.
+    [[nodiscard]] std::vector<server_ptr> usable(const pool_key &pool) const;
+    /// How often a server appeared, changed or left, with one for the start.
+    [[nodiscard]] std::uint64_t changes() const { return m_changes; }
 
     /// Chooses the server for a request; null where there is none.
     [[nodiscard]] server_ptr choose(const server_wish &wish) const;
@@ -105,6 +111,7 @@
     void changed(const service_id &service);
 
     const clock_source &m_clock;
+    std::uint64_t m_changes = 1;
     std::map<backend_server_id, server_ptr> m_servers;
     std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
     std::function<void(const service_id &)> m_onChange;
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -29,7 +29,7 @@
     void setConfiguration(const configuration_ptr &configuration);
 
     /// `handler` is called once, later, unless the piece is withdrawn.
-    piece_token submit(const service_id &service, piece_job job, piece_handler handler);
+    piece_token submit(const pool_key &key, piece_job job, piece_handler handler);
     void withdraw(piece_token token);
     /// Gives results up at the servers that hold them, soon and together.
     void free(const std::vector<std::string> &handles);
@@ -43,7 +43,7 @@
 private:
     struct pending
     {
-        service_id service;
+        pool_key key;
         piece_handler handler;
         std::string attempt; ///< of the request
         std::uint32_t stage = 0;
@@ -59,13 +59,13 @@
         steady_time began;
     };
 
-    stage_pool &poolOf(const service_id &service);
-    void pump(const service_id &service);
-    void schedulePump(const service_id &service);
-    void make(const service_id &service, const stage_call &call);
-    void onCallEnd(const service_id &service, const stage_call &call, const call_answer &answer,
+    stage_pool &poolOf(const pool_key &key);
+    void pump(const pool_key &key);
+    void schedulePump(const pool_key &key);
+    void make(const pool_key &key, const stage_call &call);
+    void onCallEnd(const pool_key &key, const stage_call &call, const call_answer &answer,
                    http::call_end how);
-    void logFailedPieces(const service_id &service, const stage_call &call,
+    void logFailedPieces(const pool_key &key, const stage_call &call,
                          const std::vector<piece_result> &results);
     void deliver(const std::vector<piece_outcome> &outcomes);
     void logGivenUp(const std::vector<piece_outcome> &outcomes);
@@ -79,9 +79,9 @@
     wire::log &m_log;
     gateway_metrics &m_metrics;
     configuration_ptr m_configuration;
-    std::map<service_id, std::unique_ptr<stage_pool>> m_pools;
-    std::map<service_id, http::timer_id> m_wakeups;
-    std::map<service_id, bool> m_scheduled;
+    std::map<pool_key, std::unique_ptr<stage_pool>> m_pools;
+    std::map<pool_key, http::timer_id> m_wakeups;
+    std::map<pool_key, bool> m_scheduled;
     std::unordered_map<piece_token, pending> m_pending;
     piece_token m_lastToken = 0;
     std::map<std::string, std::vector<std::string>> m_frees; ///< by the address of the server
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -37,20 +37,20 @@
 void stage_host<Codec>::setConfiguration(const configuration_ptr &configuration)
 {
     m_configuration = configuration;
-    for (auto &[service, pool] : m_pools) {
-        const auto *spec = configuration->findService(service);
+    for (auto &[key, pool] : m_pools) {
+        const auto *spec = configuration->findService(key.service);
         if (spec && spec->stage)
             pool->setCapacity(*spec->stage);
     }
 }
 
 template <gateway_codec Codec>
-stage_pool &stage_host<Codec>::poolOf(const service_id &service)
+stage_pool &stage_host<Codec>::poolOf(const pool_key &key)
 {
-    auto &entry = m_pools[service];
+    auto &entry = m_pools[key];
     if (!entry) {
-        entry = std::make_unique<stage_pool>(m_loop.clock(), service, m_allowance);
-        const auto *spec = m_configuration ? m_configuration->findService(service) : nullptr;
+        entry = std::make_unique<stage_pool>(m_loop.clock(), key.service, m_allowance);
+        const auto *spec = m_configuration ? m_configuration->findService(key.service) : nullptr;
         if (spec && spec->stage)
             entry->setCapacity(*spec->stage);
     }
@@ -58,17 +58,16 @@
 }
 
 template <gateway_codec Codec>
-piece_token stage_host<Codec>::submit(const service_id &service, piece_job job,
-                                      piece_handler handler)
+piece_token stage_host<Codec>::submit(const pool_key &key, piece_job job, piece_handler handler)
 {
     job.token = ++m_lastToken;
     const auto token = job.token;
-    m_allowance.onRequest(service);
+    m_allowance.onRequest(key.service);
     m_pending.emplace(
         token,
-        pending{service, std::move(handler), job.request.attempt, job.request.stage, m_loop.now()});
-    poolOf(service).submit(std::move(job));
-    schedulePump(service);
+        pending{key, std::move(handler), job.request.attempt, job.request.stage, m_loop.now()});
+    poolOf(key).submit(std::move(job));
+    schedulePump(key);
     return token;
 }
 
@@ -78,47 +77,49 @@
     const auto found = m_pending.find(token);
     if (found == m_pending.end())
         return;
-    poolOf(found->second.service).withdraw(token);
+    poolOf(found->second.key).withdraw(token);
     m_pending.erase(found);
 }
 
 // Posted, so that all pieces of a request are there before a call is formed.
 template <gateway_codec Codec>
-void stage_host<Codec>::schedulePump(const service_id &service)
+void stage_host<Codec>::schedulePump(const pool_key &key)
 {
-    if (std::exchange(m_scheduled[service], true))
+    if (std::exchange(m_scheduled[key], true))
         return;
-    m_loop.post([this, service] {
-        m_scheduled[service] = false;
-        pump(service);
+    m_loop.post([this, key] {
+        m_scheduled[key] = false;
+        pump(key);
     });
 }
 
 template <gateway_codec Codec>
 void stage_host<Codec>::onServersChanged(const service_id &service)
 {
-    if (m_pools.contains(service))
-        schedulePump(service);
+    for (const auto &[key, pool] : m_pools) {
+        if (key.service == service)
+            schedulePump(key);
+    }
 }
 
 template <gateway_codec Codec>
-void stage_host<Codec>::pump(const service_id &service)
+void stage_host<Codec>::pump(const pool_key &key)
 {
-    auto &pool = poolOf(service);
-    const auto servers = m_directory.usable(service);
+    auto &pool = poolOf(key);
+    const auto servers = m_directory.usable(key);
     deliver(pool.expire(servers.size()));
     while (const auto call = pool.next(servers))
-        make(service, *call);
-    m_loop.cancelTimer(std::exchange(m_wakeups[service], 0));
+        make(key, *call);
+    m_loop.cancelTimer(std::exchange(m_wakeups[key], 0));
     if (const auto wake = pool.wakeAt()) {
         const auto delay =
             std::chrono::duration_cast<std::chrono::microseconds>(*wake - m_loop.now());
-        m_wakeups[service] = m_loop.callAfter(delay, [this, service] { pump(service); });
+        m_wakeups[key] = m_loop.callAfter(delay, [this, key] { pump(key); });
     }
 }
 
 template <gateway_codec Codec>
-void stage_host<Codec>::make(const service_id &service, const stage_call &call)
+void stage_host<Codec>::make(const pool_key &key, const stage_call &call)
 {
     const auto answer = std::make_shared<call_answer>();
     answer->began = m_loop.now();
@@ -141,19 +142,19 @@
         answer->marks = Codec::readAnswer(head);
     };
     made.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
-    made.onEnd = [this, service, call, answer](http::call_end how) {
+    made.onEnd = [this, key, call, answer](http::call_end how) {
         m_loop.cancelTimer(answer->timer);
-        onCallEnd(service, call, *answer, how);
+        onCallEnd(key, call, *answer, how);
     };
     answer->call = m_pool.start(call.server->record.address, std::move(made));
-    answer->timer = m_loop.callAfter(call.timeout, [this, service, call, answer] {
+    answer->timer = m_loop.callAfter(call.timeout, [this, key, call, answer] {
         m_pool.abandon(answer->call);
-        onCallEnd(service, call, *answer, http::call_end::TimedOut);
+        onCallEnd(key, call, *answer, http::call_end::TimedOut);
     });
 }
 
 template <gateway_codec Codec>
-void stage_host<Codec>::onCallEnd(const service_id &service, const stage_call &call,
+void stage_host<Codec>::onCallEnd(const pool_key &key, const stage_call &call,
                                   const call_answer &answer, http::call_end how)
 {
     constexpr int Ok = 200;
@@ -182,21 +183,21 @@
     if (end != stage_call_end::Answered)
         m_log.write(wire::log_level::Info,
                     m_log.line(wire::log_level::Info, toName(log_event::StageCallFailed))
-                        .add("service", service.value)
+                        .add("service", key.service.value)
                         .add("server", call.server->record.id.value)
                         .add("pieces", call.pieces.size())
                         .add("status", answer.status)
                         .add("end", toName(how)));
-    m_metrics.onStageCall(service,
+    m_metrics.onStageCall(key.service,
                           {end, call.pieces.size(), call.longestWait,
                            std::chrono::duration_cast<milliseconds>(m_loop.now() - answer.began)});
-    logFailedPieces(service, call, results);
-    deliver(poolOf(service).onEnd(call.id, end, results));
-    pump(service);
+    logFailedPieces(key, call, results);
+    deliver(poolOf(key).onEnd(call.id, end, results));
+    pump(key);
 }
 
 template <gateway_codec Codec>
-void stage_host<Codec>::logFailedPieces(const service_id &service, const stage_call &call,
+void stage_host<Codec>::logFailedPieces(const pool_key &key, const stage_call &call,
                                         const std::vector<piece_result> &results)
 {
     std::map<piece_failure, std::size_t> counts;
@@ -207,12 +208,12 @@
     for (const auto &[failure, count] : counts) {
         m_log.write(wire::log_level::Info,
                     m_log.line(wire::log_level::Info, toName(log_event::PiecesFailed))
-                        .add("service", service.value)
+                        .add("service", key.service.value)
                         .add("server", call.server->record.id.value)
                         .add("reason", toName(failure))
                         .add("count", count)
                         .add("of", results.size())
-                        .add("held_bytes", poolOf(service).heldAt(call.server->record.id)));
+                        .add("held_bytes", poolOf(key).heldAt(call.server->record.id)));
     }
 }
 
@@ -220,20 +221,22 @@
 std::map<service_id, std::size_t> stage_host<Codec>::waiting() const
 {
     std::map<service_id, std::size_t> counts;
-    for (const auto &[service, pool] : m_pools)
-        counts[service] = pool->waiting();
+    for (const auto &[key, pool] : m_pools)
+        counts[key.service] += pool->waiting();
     return counts;
 }
 
 template <gateway_codec Codec>
 void stage_host<Codec>::logSummaries()
 {
-    for (auto &[service, pool] : m_pools) {
+    for (auto &[key, pool] : m_pools) {
         const auto summary = pool->takeSummary();
         if (summary.calls == 0 && pool->waiting() == 0)
             continue;
         auto line = m_log.line(wire::log_level::Info, toName(log_event::StagePool));
-        line.add("service", service.value).add("calls", summary.calls);
+        line.add("service", key.service.value).add("calls", summary.calls);
+        if (!key.dataCenter.empty())
+            line.add("data_center", key.dataCenter.value);
         line.add("open", pool->callsOpen()).add("waiting", pool->waiting());
         line.add("without_room", summary.withoutRoom);
         for (const auto &[priority, rank] : summary.ranks) {
@@ -252,7 +255,7 @@
 {
     struct given_up
     {
-        service_id service;
+        pool_key key;
         std::size_t count = 0;
         milliseconds waited{0};
     };
@@ -264,25 +267,25 @@
             continue;
         const auto &piece = found->second;
         auto &group = groups[{piece.attempt, piece.stage, *failure}];
-        group.service = piece.service;
+        group.key = piece.key;
         ++group.count;
         group.waited = std::max(
             group.waited, std::chrono::duration_cast<milliseconds>(m_loop.now() - piece.since));
     }
     for (const auto &[key, group] : groups) {
         const auto &[attempt, stage, failure] = key;
-        const auto &pool = poolOf(group.service);
+        const auto &pool = poolOf(group.key);
         m_log.write(wire::log_level::Info,
                     m_log.line(wire::log_level::Info, toName(log_event::PiecesGivenUp))
                         .add("request", attempt)
                         .add("stage", stage)
-                        .add("service", group.service.value)
+                        .add("service", group.key.service.value)
                         .add("reason", toName(failure))
                         .add("pieces", group.count)
                         .add("waited_ms", group.waited.count())
                         .add("waiting", pool.waiting())
                         .add("calls_open", pool.callsOpen())
-                        .add("servers", m_directory.usable(group.service).size()));
+                        .add("servers", m_directory.usable(group.key).size()));
     }
 }
 
@@ -350,11 +353,11 @@
 template <gateway_codec Codec>
 void stage_host<Codec>::onFreed(const std::vector<std::string> &handles)
 {
-    for (auto &[service, pool] : m_pools) {
+    for (auto &[key, pool] : m_pools) {
         for (const auto &each : handles)
             pool->onFreed(each);
         if (pool->waiting() > 0)
-            schedulePump(service);
+            schedulePump(key);
     }
 }
 
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/peer_network.h"
+#include "gateway/pool_widths.h"
 #include "gateway/stage_host.h"
 
 #include <functional>
@@ -11,8 +12,8 @@
 
 namespace orchidlead::gateway {
 
-/// Brings each piece to the node that hosts its service's stage pool, so that the pieces of all
-/// nodes share calls.
+/// Brings each piece to the node that hosts the stage pool of its service and place, so that the
+/// pieces of all nodes share calls.
 ///
 /// A host is held to nothing: when its link ends or falls silent, pieces are submitted again to
 /// whoever is the host then, at last to this node itself. A piece may be done twice so.
@@ -25,8 +26,10 @@
     stage_router(http::io_loop &loop, wire::log &log, peer_network &peers, stage_host<Codec> &host,
                  server_directory &directory, retry_allowance &allowance, stage_sharing sharing);
 
-    /// Gives the node that hosts a service's pool for this node.
-    [[nodiscard]] vm_id hostOf(const service_id &service) const;
+    /// Gives the node that hosts a pool for this node.
+    [[nodiscard]] vm_id hostOf(const pool_key &pool) const;
+    /// Gives the pool of a service for work that is best done in `near`.
+    [[nodiscard]] pool_key poolFor(const service_id &service, const data_center_id &near);
     piece_token submit(const service_id &service, piece_job &&job, piece_handler &&handler);
     void withdraw(piece_token token);
     /// Gives results up, through the hosts of their services, which count them.
@@ -43,7 +46,7 @@
 
     struct submission
     {
-        service_id service;
+        pool_key pool;
         piece_job job;
         piece_handler handler;
         link_ptr link; ///< to the host; null: this node
@@ -52,8 +55,8 @@
     };
 
     void place(piece_token token, submission &entry);
-    /// Gives a link to the host of a service; null: this node.
-    [[nodiscard]] link_ptr linkToHost(const service_id &service);
+    /// Gives a link to the host of a pool; null: this node.
+    [[nodiscard]] link_ptr linkToHost(const pool_key &pool);
     void onOutcome(piece_token token, piece_result result);
     void onPieceFrame(const link_ptr &link, piece_frame &&frame);
     void onWithdrawFrame(const link_ptr &link, piece_token token);
@@ -65,6 +68,7 @@
     server_directory &m_directory;
     retry_allowance &m_allowance;
     stage_sharing m_sharing;
+    pool_widths m_widths;
     std::unordered_map<piece_token, submission> m_submissions;
     std::map<link_ptr, std::unordered_map<piece_token, piece_token>> m_hosted; ///< theirs to ours
     piece_token m_lastToken = 0;
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -13,6 +13,9 @@
 /// more.
 inline constexpr milliseconds HostPingAfter{100};
 inline constexpr milliseconds HostSilence{320};
+/// A data centre with three servers and more fills calls by itself; with one or two, calls that are
+/// less full cost more than results that cross.
+inline constexpr pool_width_limits StagePoolWidths{3, 2};
 /// After this many moves a piece stays with this node.
 inline constexpr std::uint32_t MaxMoves = 2;
 
@@ -27,18 +30,25 @@
     , m_directory(directory)
     , m_allowance(allowance)
     , m_sharing(sharing)
+    , m_widths(directory, StagePoolWidths)
 { }
 
 template <gateway_codec Codec>
-vm_id stage_router<Codec>::hostOf(const service_id &service) const
+vm_id stage_router<Codec>::hostOf(const pool_key &pool) const
 {
-    return m_sharing == stage_sharing::Alone ? m_peers.self() : m_peers.hostOf(service);
+    return m_sharing == stage_sharing::Alone ? m_peers.self() : m_peers.hostOf(pool);
 }
 
 template <gateway_codec Codec>
-typename stage_router<Codec>::link_ptr stage_router<Codec>::linkToHost(const service_id &service)
+pool_key stage_router<Codec>::poolFor(const service_id &service, const data_center_id &near)
 {
-    const auto host = hostOf(service);
+    return m_widths.poolFor(service, near);
+}
+
+template <gateway_codec Codec>
+typename stage_router<Codec>::link_ptr stage_router<Codec>::linkToHost(const pool_key &pool)
+{
+    const auto host = hostOf(pool);
     return host == m_peers.self() ? nullptr : m_peers.linkTo(host);
 }
 
@@ -48,7 +58,7 @@
 {
     const auto token = ++m_lastToken;
     auto &entry = m_submissions[token];
-    entry.service = service;
+    entry.pool = poolFor(service, job.near);
     entry.job = std::move(job);
     entry.handler = std::move(handler);
     place(token, entry);
@@ -58,9 +68,9 @@
 template <gateway_codec Codec>
 void stage_router<Codec>::place(piece_token token, submission &entry)
 {
-    entry.link = entry.moves < MaxMoves ? linkToHost(entry.service) : nullptr;
+    entry.link = entry.moves < MaxMoves ? linkToHost(entry.pool) : nullptr;
     if (!entry.link) {
-        entry.local = m_host.submit(entry.service, entry.job, [this, token](piece_result result) {
+        entry.local = m_host.submit(entry.pool, entry.job, [this, token](piece_result result) {
             onOutcome(token, std::move(result));
         });
         return;
@@ -69,7 +79,7 @@
     const auto leftUntil = [now](steady_time due) {
         return std::chrono::duration_cast<milliseconds>(due - now);
     };
-    entry.link->send(piece_frame{token, entry.service, entry.job.request, entry.job.priority,
+    entry.link->send(piece_frame{token, entry.pool, entry.job.request, entry.job.priority,
                                  entry.job.routePriority, leftUntil(entry.job.aim),
                                  leftUntil(entry.job.deadline), entry.job.near,
                                  entry.job.inputBytes, entry.job.resultBytes});
@@ -78,16 +88,16 @@
 template <gateway_codec Codec>
 void stage_router<Codec>::free(const std::vector<std::string> &handles)
 {
-    std::map<service_id, std::vector<std::string>> byService;
+    std::map<pool_key, std::vector<std::string>> byPool;
     for (const auto &each : handles) {
         const auto address = parseSocketAddress(holderOf(each));
         const auto holder = address ? m_directory.findAt(*address) : nullptr;
         // The results of a server that has gone went with it.
         if (holder)
-            byService[holder->record.service].push_back(each);
+            byPool[poolFor(holder->record.service, holder->record.dataCenter)].push_back(each);
     }
-    for (auto &[service, list] : byService) {
-        if (const auto link = linkToHost(service))
+    for (auto &[pool, list] : byPool) {
+        if (const auto link = linkToHost(pool))
             link->send(free_frame{std::move(list)});
         else
             m_host.free(list);
@@ -157,7 +167,7 @@
         m_hosted[target].erase(theirs);
         target->send(outcome_frame{theirs, std::move(result)});
     };
-    m_hosted[link][theirs] = m_host.submit(frame.service, std::move(job), std::move(handler));
+    m_hosted[link][theirs] = m_host.submit(frame.pool, std::move(job), std::move(handler));
 }
 
 template <gateway_codec Codec>
@@ -194,7 +204,7 @@
         if (found == m_submissions.end())
             continue;
         ++found->second.moves;
-        m_allowance.onForced(found->second.service, 1);
+        m_allowance.onForced(found->second.pool.service, 1);
         place(token, found->second);
     }
 }
--- a/tests/gateway/engine_board_test.cpp
+++ b/tests/gateway/engine_board_test.cpp
@@ -28,7 +28,7 @@
 engine_wish makeWish(std::vector<prompt_part> prompt)
 {
     engine_wish wish;
-    wish.service = service_id("s");
+    wish.pool.service = service_id("s");
     wish.prompt = std::move(prompt);
     return wish;
 }
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -23,7 +23,7 @@
 {
     piece_frame frame;
     frame.token = 7;
-    frame.service = service_id("s");
+    frame.pool = {service_id("s"), data_center_id("dc-1")};
     frame.request = {"r1", 2, 3, std::nullopt, "key", {"a/1", "b/2"}};
     frame.priority = 1;
     frame.routePriority = 2;
@@ -103,8 +103,10 @@
     frame.wish.prompt = {{"a", 100}, {"b", 200}};
     frame.wish.exclude = {backend_server_id("s1")};
     frame.wish.nearBytes = 12;
+    frame.wish.pool = {service_id("e"), data_center_id("dc-2")};
     const auto read = roundTrip(frame);
     REQUIRE(read.wish.prompt.size() == 2);
+    CHECK(read.wish.pool == frame.wish.pool);
     CHECK(read.wish.prompt[1].id == "b");
     CHECK(read.wish.prompt[1].tokens == 200);
     CHECK(read.wish.exclude == frame.wish.exclude);
