Notice a data centre that is cut off as a whole

Cause: in a cut each server, host and link beyond it was found out by a timeout of its own, twice; pieces went on being sent there for 2 s and lost their aim. Ruled out: shorter timeouts of calls, which would hit slow servers. Change: data_center_reach, without network: any sign of life counts for the data centre; it is asked when silent, lost after 0.5 s; what waits there begins again elsewhere at once.

--- /dev/null
+++ b/src/gateway/data_center_reach.cpp
@@ -0,0 +1,83 @@
+#include "gateway/data_center_reach.h"
+
+#include <utility>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// Nodes hear from each data centre about twice a second by membership probes alone. After this
+// silence they ask: a round trip takes a few milliseconds, up to 40 between regions.
+constexpr milliseconds AskPeersAfter{150};
+// All nodes of a data centre may have been killed while its servers live.
+constexpr milliseconds AskServersAfter{250};
+// Four rounds of questions to two nodes each went unanswered by then, and two connections: with one
+// packet in five lost, that happens by chance once in some thousand times.
+constexpr milliseconds LostAfter{500};
+// How often is asked while a data centre is silent, and while it is lost.
+constexpr milliseconds AskEach{100};
+constexpr milliseconds AskLostEach{300};
+// A longer gap between ticks, which come every 100 ms, is a pause of this process.
+constexpr milliseconds PauseThreshold{250};
+
+} // namespace
+
+data_center_reach::data_center_reach(const clock_source &clock, data_center_id own)
+    : m_clock(clock)
+    , m_own(std::move(own))
+    , m_lastTick(clock.now())
+{ }
+
+void data_center_reach::onHeard(const data_center_id &from)
+{
+    if (from == m_own || from.empty())
+        return;
+    auto &known = m_states[from];
+    known.heard = m_clock.now();
+    known.answered = known.lost;
+}
+
+// What came during a pause waits unread, so silence says nothing then.
+void data_center_reach::forgivePause()
+{
+    const auto gap = m_clock.now() - std::exchange(m_lastTick, m_clock.now());
+    if (gap <= PauseThreshold)
+        return;
+    for (auto &[dataCenter, known] : m_states)
+        known.heard += gap;
+}
+
+std::vector<reach_event> data_center_reach::tick()
+{
+    forgivePause();
+    std::vector<reach_event> events;
+    const auto now = m_clock.now();
+    for (auto &[dataCenter, known] : m_states) {
+        if (std::exchange(known.answered, false)) {
+            known.lost = false;
+            events.push_back({dataCenter, reach_step::Regained});
+        }
+        const auto silent = now - known.heard;
+        if (silent < AskPeersAfter)
+            continue;
+        if (!known.lost && silent >= LostAfter) {
+            known.lost = true;
+            events.push_back({dataCenter, reach_step::Lost});
+        }
+        if (now < known.nextAsk)
+            continue;
+        known.nextAsk = now + (known.lost ? AskLostEach : AskEach);
+        events.push_back({dataCenter, reach_step::AskPeers});
+        if (silent >= AskServersAfter)
+            events.push_back({dataCenter, reach_step::AskServers});
+    }
+    return events;
+}
+
+bool data_center_reach::reaches(const data_center_id &which) const
+{
+    const auto found = m_states.find(which);
+    return found == m_states.end() || !found->second.lost;
+}
+
+} // namespace orchidlead::gateway
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -62,6 +62,8 @@
     void start();
     /// Says that no server runs the request, and when to come back.
     static void refuse(http::inbound_connection &client);
+    /// Nothing comes from there any more: what is open there begins again elsewhere, if it may.
+    void onDataCenterLost(const data_center_id &dataCenter);
     /// The process ends soon: a request that no server has yet is refused.
     void stopWaiting();
 
@@ -86,6 +88,8 @@
     void startStages();
     void submitReadyPieces();
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_result result);
+    [[nodiscard]] bool resultsLieIn(const data_center_id &dataCenter) const;
+    [[nodiscard]] bool mayRestartStages();
     void restartStages(std::string_view reason);
     void onStagesDone();
     [[nodiscard]] stage_rank stageRank() const { return {m_priority, m_route->priority}; }
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -334,6 +334,23 @@
         giveUp(what == fate::NotRun ? request_outcome::ServersFull : request_outcome::ServerFailed);
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::onDataCenterLost(const data_center_id &dataCenter)
+{
+    if (m_done)
+        return;
+    const bool sentThere = m_call != 0 && m_server->record.dataCenter == dataCenter;
+    if (sentThere && m_route->repeatable() && m_attempts < m_route->maxAttempts) {
+        m_context.pool.abandon(m_call);
+        onEnd(http::call_end::Broken);
+    } else if (m_call == 0 && !m_begun && m_work && resultsLieIn(dataCenter)) {
+        if (mayRestartStages())
+            restartStages("data_center_lost");
+        else
+            giveUp(request_outcome::StageFailed);
+    }
+}
+
 // The timer runs on while the answer comes, and looks how long ago the last of it was heard.
 template <gateway_codec Codec>
 void exchange<Codec>::watchSilence(milliseconds limit)
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -4,6 +4,7 @@
 #include "gateway/exchange_limits.h"
 #include "gateway/log_event.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -79,15 +80,29 @@
                             .add("piece", piece)
                             .add("reason", toName(failure))
                             .add("at_ms", sinceArrival().count()));
-    // What was lost because it lay too long would only be late again.
-    const bool inTime = m_context.loop.now() < m_arrival + m_route->objective;
-    if (failure == piece_failure::InputGone && inTime && !std::exchange(m_stagesRestarted, true)) {
+    if (failure == piece_failure::InputGone && mayRestartStages()) {
         restartStages("input_gone");
         return;
     }
     giveUp(outcomeOf(failure));
 }
 
+// What was lost because it lay too long would only be late again.
+template <gateway_codec Codec>
+bool exchange<Codec>::mayRestartStages()
+{
+    const bool inTime = m_context.loop.now() < m_arrival + m_route->objective;
+    return inTime && !std::exchange(m_stagesRestarted, true);
+}
+
+template <gateway_codec Codec>
+bool exchange<Codec>::resultsLieIn(const data_center_id &dataCenter) const
+{
+    return std::ranges::any_of(m_work->allHandles(), [&](const std::string &each) {
+        return whereResultLies(each) == dataCenter;
+    });
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::restartStages(std::string_view reason)
 {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,6 +34,8 @@
     void onConfiguration(const configuration_ptr &configuration);
     void onNews(const publication_news &news);
     void onDoubt(const server &which, bool avoided);
+    void onReach(const reach_event &event);
+    void askServerIn(const data_center_id &dataCenter);
     void logEachSecond();
     void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
     [[nodiscard]] gateway_gauges gauges();
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -80,7 +80,8 @@
                                  .add("service", pool.service.value)
                                  .add("data_center", pool.dataCenter.value)
                                  .add("host", host.value));
-               }})
+               },
+               [this](const reach_event &event) { onReach(event); }})
     , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance, m_settings.stageCalls)
     , m_placer(loop, m_peers, m_directory)
     , m_state(loop.clock(), m_directory, RemovalDelay)
@@ -111,6 +112,7 @@
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
     m_directory.onChange([this](const service_id &service) { m_stages.onServersChanged(service); });
     m_follower.onRead([this](const store_news &news) { m_relay.onStoreNews(news); });
+    m_directory.onHeard([this](const data_center_id &from) { m_peers.onServerHeard(from); });
     m_directory.onDoubt([this](const server &which, bool avoided) { onDoubt(which, avoided); });
     m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
                                   std::string &&body) {
@@ -243,6 +245,40 @@
     m_log.write(wire::log_level::Info, std::move(line));
 }
 
+template <gateway_codec Codec>
+void gateway<Codec>::askServerIn(const data_center_id &dataCenter)
+{
+    const auto asked = m_directory.anyIn(dataCenter);
+    if (!asked)
+        return;
+    m_pool.connect(asked->record.address,
+                   [this, dataCenter] { m_peers.onServerHeard(dataCenter); });
+}
+
+// What waits for a lost data centre goes elsewhere at once, where that is allowed.
+template <gateway_codec Codec>
+void gateway<Codec>::onReach(const reach_event &event)
+{
+    if (event.step == reach_step::AskServers) {
+        askServerIn(event.dataCenter);
+        return;
+    }
+    const bool lost = event.step == reach_step::Lost;
+    const auto kind = lost ? log_event::DataCenterLost : log_event::DataCenterRegained;
+    m_log.write(wire::log_level::Warning,
+                m_log.line(wire::log_level::Warning, toName(kind))
+                    .add("data_center", event.dataCenter.value));
+    m_directory.setCutOff(event.dataCenter, lost);
+    if (!lost)
+        return;
+    m_stages.onDataCenterLost(event.dataCenter);
+    const auto exchanges = m_exchanges;
+    for (const auto &weak : exchanges) {
+        if (const auto each = weak.lock())
+            each->onDataCenterLost(event.dataCenter);
+    }
+}
+
 // What would be too much to say for each request.
 template <gateway_codec Codec>
 void gateway<Codec>::logEachSecond()
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -32,6 +32,8 @@
     StoreLost,
     StoreRegained,
     StoreHistoryGone, ///< everything is read anew
+    DataCenterLost, ///< nothing is heard of its nodes and servers
+    DataCenterRegained,
     ServerAvoided, ///< it failed several times in a row
     ServerTrusted, ///< an avoided server answered
     RetryBudgetSpent, ///< second tries that a service's budget denied in a second
@@ -87,6 +89,10 @@
         orchidlead::gateway::log_event::StoreRegained, "store_regained"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StoreHistoryGone, "store_history_gone"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::DataCenterLost, "data_center_lost"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::DataCenterRegained, "data_center_regained"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerAvoided, "server_avoided"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/peer_network.cpp
+++ b/src/gateway/peer_network.cpp
@@ -53,6 +53,7 @@
     , m_firstContacts(settings.firstContacts)
     , m_events(std::move(events))
     , m_members(loop.clock(), toOptions(settings, incarnation))
+    , m_reach(loop.clock(), settings.dataCenter)
 {
     std::erase(m_firstContacts, m_address);
 }
@@ -70,11 +71,8 @@
 std::optional<http::listen_error> peer_network::start()
 {
     auto datagrams = http::datagram_socket::create(
-        m_loop, m_address, [this](const socket_address &from, std::string_view bytes) {
-            membership_actions actions;
-            m_members.onDatagram(from, bytes, actions);
-            carryOut(actions);
-        });
+        m_loop, m_address,
+        [this](const socket_address &from, std::string_view bytes) { onDatagram(from, bytes); });
     if (!datagrams)
         return http::listen_error{datagrams.error().what};
     auto links = http::acceptor::create(
@@ -93,12 +91,66 @@
     membership_actions actions;
     m_members.tick(actions);
     carryOut(actions);
+    followReach();
     forgetHosts();
     if (m_loop.now() >= m_nextContact)
         contactOthers();
     m_loop.callAfter(TickInterval, [this] { tick(); });
 }
 
+void peer_network::onDatagram(const socket_address &from, std::string_view bytes)
+{
+    membership_actions actions;
+    m_members.onDatagram(from, bytes, actions);
+    carryOut(actions);
+    for (const auto &each : m_members.members()) {
+        if (each.vm.peerAddress == from)
+            m_reach.onHeard(each.vm.dataCenter);
+    }
+}
+
+void peer_network::followReach()
+{
+    for (const auto &event : m_reach.tick()) {
+        if (event.step == reach_step::AskPeers)
+            askPeersIn(event.dataCenter);
+        else
+            m_events.onReach(event);
+        if (event.step == reach_step::Lost)
+            closeLinksTo(event.dataCenter);
+    }
+}
+
+// Two at a time, all in turn: one of them may be down.
+void peer_network::askPeersIn(const data_center_id &dataCenter)
+{
+    constexpr std::size_t AskedAtOnce = 2;
+    std::vector<socket_address> there;
+    for (const auto &each : m_members.members()) {
+        if (each.vm.dataCenter == dataCenter)
+            there.push_back(each.vm.peerAddress);
+    }
+    std::vector<socket_address> asked;
+    for (std::size_t i = 0; i < std::min(AskedAtOnce, there.size()); ++i)
+        asked.push_back(there[m_lastAsked++ % there.size()]);
+    membership_actions actions;
+    m_members.contact(asked, actions);
+    carryOut(actions);
+}
+
+// What waits for an answer of theirs goes elsewhere at once.
+void peer_network::closeLinksTo(const data_center_id &dataCenter)
+{
+    std::vector<std::shared_ptr<peer_link>> links;
+    for (const auto &[peer, link] : m_links) {
+        const auto known = m_members.find(peer);
+        if (known && known->vm.dataCenter == dataCenter)
+            links.push_back(link);
+    }
+    for (const auto &link : links)
+        link->close();
+}
+
 // First contacts may be away, and members on the far side of a cut are taken for dead there and
 // here: both are asked again and again, or they would never meet.
 void peer_network::contactOthers()
@@ -189,7 +241,8 @@
     std::vector<vm_id> found;
     for (const auto &each : m_members.members()) {
         const bool self = each.vm.vm == m_self;
-        const bool usable = each.state == member_state::Alive && !avoided(each.vm.vm);
+        const bool usable = each.state == member_state::Alive && !avoided(each.vm.vm)
+            && m_reach.reaches(each.vm.dataCenter);
         const bool there = dataCenter.empty() || each.vm.dataCenter == dataCenter;
         if (there && (usable || (self && each.state != member_state::Leaving)))
             found.push_back(each.vm.vm);
@@ -264,6 +317,10 @@
 {
     peer_link::events handlers;
     handlers.onFrame = [this](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
+        if (const auto peer = peerOf(link)) {
+            if (const auto known = m_members.find(*peer))
+                m_reach.onHeard(known->vm.dataCenter);
+        }
         m_events.onFrame(link, std::move(frame));
     };
     handlers.onClosed = [this](const std::shared_ptr<peer_link> &link) {
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peer_network.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/data_center_reach.h"
 #include "gateway/peer_link.h"
 #include "gateway/pool_key.h"
 #include "gateway/settings.h"
@@ -26,6 +27,8 @@
     std::function<void(const std::shared_ptr<peer_link> &)> onLinkClosed;
     std::function<void(const vm_id &, std::uint64_t version)> onPeerVersion;
     std::function<void(const pool_key &, const vm_id &host)> onHostChanged;
+    /// A data centre was lost or regained, or its servers are to be asked for a sign of life.
+    std::function<void(const reach_event &)> onReach;
 };
 
 /// The other gateways: who is there, and links to them.
@@ -53,6 +56,8 @@
     [[nodiscard]] std::shared_ptr<peer_link> linkTo(const vm_id &peer);
     /// The peer at the other end of a link that this node opened.
     [[nodiscard]] std::optional<vm_id> peerOf(const std::shared_ptr<peer_link> &link) const;
+    /// A server of a data centre answered.
+    void onServerHeard(const data_center_id &dataCenter) { m_reach.onHeard(dataCenter); }
     /// A peer didn't answer: it gets no role for a while.
     void avoid(const vm_id &peer);
     /// Peers that are believed alive, nearest first.
@@ -68,6 +73,10 @@
 private:
     void tick();
     void contactOthers();
+    void onDatagram(const socket_address &from, std::string_view bytes);
+    void followReach();
+    void askPeersIn(const data_center_id &dataCenter);
+    void closeLinksTo(const data_center_id &dataCenter);
     void carryOut(const membership_actions &actions);
     void onMemberChanged(const member_changed &change);
     void accept(std::shared_ptr<http::stream_socket> socket);
@@ -87,6 +96,8 @@
     std::vector<socket_address> m_firstContacts;
     peer_events m_events;
     membership m_members;
+    data_center_reach m_reach;
+    std::size_t m_lastAsked = 0; ///< turns through the members of a silent data centre
     std::unique_ptr<http::datagram_socket> m_datagrams;
     std::unique_ptr<http::acceptor> m_acceptor;
     std::map<vm_id, std::shared_ptr<peer_link>> m_links; ///< opened by this node
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -42,6 +42,7 @@
     if (!entry) {
         entry = std::make_shared<server>();
         entry->record = record;
+        entry->cutOff = m_cutOff.contains(record.dataCenter);
         m_byService[record.service].push_back(entry);
         changed(record.service);
         return;
@@ -64,6 +65,37 @@
     changed(entry->record.service);
 }
 
+void server_directory::setCutOff(const data_center_id &dataCenter, bool cutOff)
+{
+    if (cutOff)
+        m_cutOff.insert(dataCenter);
+    else
+        m_cutOff.erase(dataCenter);
+    std::set<service_id> services;
+    for (const auto &[id, each] : m_servers) {
+        if (each->record.dataCenter != dataCenter)
+            continue;
+        each->cutOff = cutOff;
+        services.insert(each->record.service);
+    }
+    for (const auto &service : services)
+        changed(service);
+}
+
+server_ptr server_directory::anyIn(const data_center_id &dataCenter)
+{
+    const auto isThere = [&](const auto &entry) {
+        return entry.second->record.dataCenter == dataCenter;
+    };
+    auto found = std::find_if(m_servers.upper_bound(m_lastAsked), m_servers.end(), isThere);
+    if (found == m_servers.end())
+        found = std::find_if(m_servers.begin(), m_servers.end(), isThere);
+    if (found == m_servers.end())
+        return nullptr;
+    m_lastAsked = found->first;
+    return found->second;
+}
+
 server_ptr server_directory::find(const backend_server_id &id) const
 {
     const auto found = m_servers.find(id);
@@ -143,6 +175,8 @@
 
 void server_directory::onAnswer(server &which, const std::optional<server_load> &load)
 {
+    if (m_onHeard)
+        m_onHeard(which.record.dataCenter);
     const bool wasAvoided = which.failures >= FailuresToAvoid;
     which.failures = 0;
     which.avoidUntil = {};
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -42,6 +43,7 @@
 {
     server_record record;
     bool gone = false; ///< no longer published, or its address answers for another server
+    bool cutOff = false; ///< nothing is heard of its data centre
     std::uint32_t outstanding = 0; ///< requests of this node
     std::optional<server_load> load;
     steady_time loadAt{}; ///< when the load was told
@@ -49,7 +51,7 @@
     steady_time avoidUntil{}; ///< doubted until then
     double slowness = 1.0; ///< time that its work takes against what is expected, averaged
 
-    [[nodiscard]] bool usable() const { return !gone && !record.leaving; }
+    [[nodiscard]] bool usable() const { return !gone && !cutOff && !record.leaving; }
 };
 
 using server_ptr = std::shared_ptr<server>;
@@ -95,6 +97,17 @@
     /// The server refused for want of room.
     void onRefused(server &which);
 
+    /// All servers of a data centre can or can't be reached from now on.
+    void setCutOff(const data_center_id &dataCenter, bool cutOff);
+    /// Gives one server of a data centre after the other, published ones, whatever their state;
+    /// null where there is none.
+    [[nodiscard]] server_ptr anyIn(const data_center_id &dataCenter);
+
+    /// Called when a server of a data centre has answered.
+    void onHeard(std::function<void(const data_center_id &)> handler)
+    {
+        m_onHeard = std::move(handler);
+    }
     /// Called when a server begins to be avoided, and when it is trusted again.
     void onDoubt(std::function<void(const server &, bool avoided)> handler)
     {
@@ -114,6 +127,9 @@
     std::uint64_t m_changes = 1;
     std::map<backend_server_id, server_ptr> m_servers;
     std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
+    std::set<data_center_id> m_cutOff;
+    backend_server_id m_lastAsked; ///< that `anyIn` gave
+    std::function<void(const data_center_id &)> m_onHeard;
     std::function<void(const service_id &)> m_onChange;
     std::function<void(const server &, bool avoided)> m_onDoubt;
 };
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +40,8 @@
     void logSummaries();
     /// Servers of a service came, changed or left.
     void onServersChanged(const service_id &service);
+    /// No answer comes from there any more, and results that lie there can't be fetched.
+    void onDataCenterLost(const data_center_id &dataCenter);
 
 private:
     struct pending
@@ -51,6 +54,8 @@
     };
     struct call_answer
     {
+        pool_key key;
+        stage_call made;
         int status = 0;
         answer_marks marks;
         std::string body;
@@ -63,8 +68,7 @@
     void pump(const pool_key &key);
     void schedulePump(const pool_key &key);
     void make(const pool_key &key, const stage_call &call);
-    void onCallEnd(const pool_key &key, const stage_call &call, const call_answer &answer,
-                   http::call_end how);
+    void onCallEnd(const std::shared_ptr<call_answer> &answer, http::call_end how);
     void logFailedPieces(const pool_key &key, const stage_call &call,
                          const std::vector<piece_result> &results);
     void deliver(const std::vector<piece_outcome> &outcomes);
@@ -80,6 +84,7 @@
     gateway_metrics &m_metrics;
     configuration_ptr m_configuration;
     std::map<pool_key, std::unique_ptr<stage_pool>> m_pools;
+    std::set<std::shared_ptr<call_answer>> m_open; ///< calls
     std::map<pool_key, http::timer_id> m_wakeups;
     std::map<pool_key, bool> m_scheduled;
     std::unordered_map<piece_token, pending> m_pending;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -122,7 +122,10 @@
 void stage_host<Codec>::make(const pool_key &key, const stage_call &call)
 {
     const auto answer = std::make_shared<call_answer>();
+    answer->key = key;
+    answer->made = call;
     answer->began = m_loop.now();
+    m_open.insert(answer);
     http::outbound_call made;
     made.body = Codec::writePieces(call.pieces);
     made.writeHead = [call, length = made.body.size()]() -> std::optional<std::string> {
@@ -142,21 +145,39 @@
         answer->marks = Codec::readAnswer(head);
     };
     made.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
-    made.onEnd = [this, key, call, answer](http::call_end how) {
-        m_loop.cancelTimer(answer->timer);
-        onCallEnd(key, call, *answer, how);
-    };
+    made.onEnd = [this, answer](http::call_end how) { onCallEnd(answer, how); };
     answer->call = m_pool.start(call.server->record.address, std::move(made));
-    answer->timer = m_loop.callAfter(call.timeout, [this, key, call, answer] {
+    answer->timer = m_loop.callAfter(call.timeout, [this, answer] {
+        answer->timer = 0;
         m_pool.abandon(answer->call);
-        onCallEnd(key, call, *answer, http::call_end::TimedOut);
+        onCallEnd(answer, http::call_end::TimedOut);
     });
 }
 
 template <gateway_codec Codec>
-void stage_host<Codec>::onCallEnd(const pool_key &key, const stage_call &call,
-                                  const call_answer &answer, http::call_end how)
+void stage_host<Codec>::onDataCenterLost(const data_center_id &dataCenter)
+{
+    const auto open = m_open;
+    for (const auto &each : open) {
+        if (each->made.server->record.dataCenter != dataCenter)
+            continue;
+        m_pool.abandon(each->call);
+        onCallEnd(each, http::call_end::TimedOut);
+    }
+    for (auto &[key, pool] : m_pools) {
+        deliver(pool->dropInputsIn(dataCenter));
+        schedulePump(key);
+    }
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::onCallEnd(const std::shared_ptr<call_answer> &ended, http::call_end how)
 {
+    m_loop.cancelTimer(ended->timer);
+    m_open.erase(ended);
+    const auto &key = ended->key;
+    const auto &call = ended->made;
+    const auto &answer = *ended;
     constexpr int Ok = 200;
     constexpr int Misdirected = 421;
     auto end = stage_call_end::Broken;
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -353,6 +353,18 @@
     return out;
 }
 
+std::vector<piece_outcome> stage_pool::dropInputsIn(const data_center_id &dataCenter)
+{
+    std::vector<piece_outcome> out;
+    std::erase_if(m_waiting, [&](const piece_job &job) {
+        if (job.request.inputs.empty() || job.near != dataCenter)
+            return false;
+        out.push_back({job.token, piece_failure::InputGone});
+        return true;
+    });
+    return out;
+}
+
 std::optional<steady_time> stage_pool::wakeAt() const
 {
     if (m_waiting.empty())
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -105,6 +105,8 @@
     /// still be in time, keep all `servers` busy.
     [[nodiscard]] std::vector<piece_outcome> expire(std::size_t servers);
 
+    /// Gives up pieces whose inputs lie in a data centre that can't be reached.
+    [[nodiscard]] std::vector<piece_outcome> dropInputsIn(const data_center_id &dataCenter);
     /// When `next` may give a call though nothing else happens.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
     /// Bytes of results that a server is taken to hold.
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -62,6 +62,16 @@
     return id;
 }
 
+void connection_pool::connect(const socket_address &to, std::function<void()> onConnected)
+{
+    outbound_call nothing;
+    nothing.writeHead = [onConnected = std::move(onConnected)]() -> std::optional<std::string> {
+        onConnected();
+        return std::nullopt;
+    };
+    makeConnection(to)->open(to, ConnectTimeout, std::move(nothing));
+}
+
 std::shared_ptr<outbound_connection> connection_pool::makeConnection(const socket_address &to)
 {
     ++m_opened;
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,6 +28,8 @@
 
     /// Makes a call on a free connection, or on a new one. No event is reported before it returns.
     pool_call start(const socket_address &to, outbound_call call);
+    /// Opens a connection, which is free for calls then. `onConnected` is called if it opens.
+    void connect(const socket_address &to, std::function<void()> onConnected);
     /// Closes the call's connection; none of its events is reported any more.
     void abandon(pool_call call);
     /// Stops or goes on reading a call's answer.
