Begin stages that only the request needs when the others take no longer

Cause: their results lay in scarce room until the stages beside them were done, and were thrown away where the request was refused meanwhile. Ruled out: more room, which is the platform's. Change: takeReady leaves such a stage until what is to come takes no longer, by learnt times.

--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -32,8 +32,9 @@
         return;
     }
     m_afterStages = m_context.times.afterStages(*m_configuration, *m_route, m_service, stageRank());
+    const auto stageTimes = m_context.times.stageTimes(*m_configuration, *m_route, stageRank());
     std::map<std::uint32_t, std::size_t> submitted; // pieces by stage, for the log
-    for (auto &each : m_work->takeReady()) {
+    for (auto &each : m_work->takeReady(stageTimes)) {
         piece_job job;
         const auto stage = each.request.stage;
         const auto piece = each.request.piece;
--- a/src/gateway/stage_work.cpp
+++ b/src/gateway/stage_work.cpp
@@ -62,13 +62,35 @@
     return bytes;
 }
 
-std::vector<stage_work::ready_piece> stage_work::takeReady()
+// Stages come behind those that they need, so one pass suffices.
+std::chrono::microseconds
+stage_work::timeToCome(const std::vector<std::chrono::microseconds> &stageTimes) const
+{
+    std::vector<std::chrono::microseconds> ends(m_stages.size(), std::chrono::microseconds{0});
+    std::chrono::microseconds longest{0};
+    for (std::size_t i = 0; i < m_stages.size(); ++i) {
+        const auto &stage = m_stages[i];
+        if (stage.taken || inputsReady(stage) || stage.missing == 0)
+            continue;
+        for (const std::size_t before : stage.spec.after)
+            ends[i] = std::max(ends[i], ends[before]);
+        ends[i] += stageTimes[i];
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+std::vector<stage_work::ready_piece>
+stage_work::takeReady(const std::vector<std::chrono::microseconds> &stageTimes)
 {
     std::vector<ready_piece> ready;
+    const auto toCome = timeToCome(stageTimes);
     for (std::uint32_t i = 0; i < m_stages.size(); ++i) {
         auto &stage = m_stages[i];
         if (stage.taken || !inputsReady(stage))
             continue;
+        if (!stage.followed && toCome > stageTimes[i])
+            continue;
         stage.taken = true;
         for (std::uint32_t piece = 0; piece < stage.handles.size(); ++piece) {
             ready_piece made;
--- a/src/gateway/stage_work.h
+++ b/src/gateway/stage_work.h
@@ -2,6 +2,7 @@
 
 #include "gateway/codec.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,8 +26,12 @@
         piece_request request;
     };
 
-    /// Takes the pieces whose inputs are there and that weren't taken before.
-    [[nodiscard]] std::vector<ready_piece> takeReady();
+    /// Takes the pieces whose inputs are there and that weren't taken before. `stageTimes`: how
+    /// long each stage takes, about. A stage that only the request itself waits for is left until
+    /// the stages still to come take no longer than it: its results would only occupy room
+    /// meanwhile.
+    [[nodiscard]] std::vector<ready_piece>
+    takeReady(const std::vector<std::chrono::microseconds> &stageTimes);
     /// Takes a result; tells whether it was the last one that its stage lacked.
     bool onResult(std::uint32_t stage, std::uint32_t piece, std::string handle);
     /// Results were lost: all is to be done again.
@@ -59,6 +64,9 @@
         bool followed = false; ///< another stage needs its results
     };
 
+    /// The longest chain of stages that haven't been asked for and whose inputs aren't there.
+    [[nodiscard]] std::chrono::microseconds
+    timeToCome(const std::vector<std::chrono::microseconds> &stageTimes) const;
     [[nodiscard]] bool inputsReady(const stage_state &stage) const;
     [[nodiscard]] std::vector<std::string> inputsOf(const stage_state &stage) const;
     [[nodiscard]] std::uint64_t inputBytesOf(const stage_state &stage) const;
--- a/src/gateway/time_estimates.cpp
+++ b/src/gateway/time_estimates.cpp
@@ -65,15 +65,26 @@
     return HopTime + stage.callTime + stage.pieceTime * static_cast<int>(stage.batch) / 2;
 }
 
+std::vector<std::chrono::microseconds>
+time_estimates::stageTimes(const configuration_index &configuration, const route &way,
+                           const stage_rank &rank) const
+{
+    std::vector<std::chrono::microseconds> times;
+    times.reserve(way.stages.size());
+    for (const auto &stage : way.stages)
+        times.push_back(stageTime(configuration.findService(stage.service), rank));
+    return times;
+}
+
 std::vector<std::chrono::microseconds>
 time_estimates::afterStages(const configuration_index &configuration, const route &way,
                             const service_id &service, const stage_rank &rank) const
 {
+    const auto times = stageTimes(configuration, way, rank);
     std::vector<std::chrono::microseconds> after(way.stages.size(), firstAnswer(service));
     // Stages come behind those that they need, so one pass from the end suffices.
     for (std::size_t i = way.stages.size(); i-- > 0;) {
-        const auto through =
-            after[i] + stageTime(configuration.findService(way.stages[i].service), rank);
+        const auto through = after[i] + times[i];
         for (const std::size_t before : way.stages[i].after) {
             if (before < after.size())
                 after[before] = std::max(after[before], through);
--- a/src/gateway/time_estimates.h
+++ b/src/gateway/time_estimates.h
@@ -44,6 +44,10 @@
     /// One call of a stage's service with half a batch.
     [[nodiscard]] static std::chrono::microseconds stageCall(const service_spec *service);
 
+    /// For each stage of a route, how long it takes.
+    [[nodiscard]] std::vector<std::chrono::microseconds>
+    stageTimes(const configuration_index &configuration, const route &way,
+               const stage_rank &rank) const;
     /// For each stage of a route, how long what follows it takes: later stages, then the request.
     [[nodiscard]] std::vector<std::chrono::microseconds>
     afterStages(const configuration_index &configuration, const route &way,
--- a/tests/gateway/stage_work_test.cpp
+++ b/tests/gateway/stage_work_test.cpp
@@ -32,20 +32,31 @@
     return marks;
 }
 
+/// Stages that take no time: none is left until later.
+const std::vector<std::chrono::microseconds> NoTime(4, std::chrono::microseconds{0});
+
+std::vector<std::chrono::microseconds> makeTimes(std::vector<int> milliseconds)
+{
+    std::vector<std::chrono::microseconds> times;
+    for (const int each : milliseconds)
+        times.emplace_back(std::chrono::milliseconds{each});
+    return times;
+}
+
 } // namespace
 
 TEST_CASE("pieces without inputs are ready first, with the key; others when all inputs are there")
 {
     auto work = stage_work::create(makeRoute(), makeMarks({1, 2, 1}));
     REQUIRE(work);
-    const auto ready = work->takeReady();
+    const auto ready = work->takeReady(NoTime);
     REQUIRE(ready.size() == 3);
     CHECK(ready[0].request.key == "key");
-    CHECK(work->takeReady().empty());
+    CHECK(work->takeReady(NoTime).empty());
     work->onResult(1, 0, "h/0");
-    CHECK(work->takeReady().empty());
+    CHECK(work->takeReady(NoTime).empty());
     work->onResult(1, 1, "h/1");
-    const auto next = work->takeReady();
+    const auto next = work->takeReady(NoTime);
     REQUIRE(next.size() == 1);
     CHECK(next[0].service.value == "second");
     CHECK(next[0].request.inputs == std::vector<std::string>{"h/0", "h/1"});
@@ -55,10 +66,10 @@
 TEST_CASE("the request's inputs are the results of the stages that no other follows")
 {
     auto work = stage_work::create(makeRoute(), makeMarks({1, 1, 1}));
-    (void)work->takeReady();
+    (void)work->takeReady(NoTime);
     work->onResult(0, 0, "b/0");
     work->onResult(1, 0, "f/0");
-    (void)work->takeReady();
+    (void)work->takeReady(NoTime);
     CHECK_FALSE(work->done());
     work->onResult(2, 0, "s/0");
     CHECK(work->done());
@@ -70,7 +81,7 @@
 TEST_CASE("results are spent as soon as every stage that needs them is whole")
 {
     auto work = stage_work::create(makeRoute(), makeMarks({1, 1, 1}));
-    (void)work->takeReady();
+    (void)work->takeReady(NoTime);
     work->onResult(1, 0, "f/0");
     CHECK(work->takeSpent().empty());
     work->onResult(2, 0, "s/0");
@@ -99,10 +110,36 @@
 TEST_CASE("after a loss all pieces are asked for again")
 {
     auto work = stage_work::create(makeRoute(), makeMarks({0, 1, 1}));
-    (void)work->takeReady();
+    (void)work->takeReady(NoTime);
     work->onResult(1, 0, "f/0");
     work->restart();
     CHECK_FALSE(work->done());
-    CHECK(work->takeReady().size() == 1);
+    CHECK(work->takeReady(NoTime).size() == 1);
     CHECK(work->allHandles().empty());
 }
+
+TEST_CASE("a stage that only the request needs is left until what is to come takes no longer")
+{
+    auto work = stage_work::create(makeRoute(), makeMarks({2, 1, 1}));
+    const auto times = makeTimes({300, 100, 400});
+    const auto first = work->takeReady(times);
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].service.value == "first");
+    work->onResult(1, 0, "h/0");
+    const auto rest = work->takeReady(times);
+    REQUIRE(rest.size() == 3);
+    CHECK(rest[0].service.value == "big");
+    CHECK(rest[2].service.value == "second");
+}
+
+TEST_CASE("a stage that takes longer than all that is to come begins at once")
+{
+    auto work = stage_work::create(makeRoute(), makeMarks({1, 1, 1}));
+    CHECK(work->takeReady(makeTimes({500, 100, 400})).size() == 2);
+}
+
+TEST_CASE("a stage that is left out isn't waited for")
+{
+    auto work = stage_work::create(makeRoute(), makeMarks({1, 1, 0}));
+    CHECK(work->takeReady(makeTimes({300, 100, 400})).size() == 2);
+}
