Refuse on arrival what the queues make late, by waits that hosts tell

Cause: requests learnt of a queue by standing in it; the least urgent spent their first stages and were dropped at the next after 1.8 s. Change: outcomes of pieces carry the wait of their rank; nodes reckon with it and refuse on arrival in a crowd; hosts drop first pieces that their queue makes late.

--- a/src/ctl/request_history.cpp
+++ b/src/ctl/request_history.cpp
@@ -48,6 +48,8 @@
     outcome_cause{"servers_full", "every server that could be tried refused it"},
     outcome_cause{"server_failed",
                   "a server took it and its answer didn't come or broke off; it may have run"},
+    outcome_cause{"queue_too_long",
+                  "refused on arrival, not run: what waited before it would have made it late"},
     outcome_cause{"stage_late", "its stages couldn't be done in time; the request itself not run"},
     outcome_cause{"stage_failed", "a piece of a stage failed for good; the request itself not run"},
     outcome_cause{"timeout", "no whole answer came within the route's time"},
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -87,7 +87,8 @@
     [[nodiscard]] bool findRoute();
     void startStages();
     void submitReadyPieces();
-    void onPiece(std::uint32_t stage, std::uint32_t piece, piece_result result);
+    void onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report);
+    [[nodiscard]] bool foreseenLate() const;
     [[nodiscard]] bool resultsLieIn(const data_center_id &dataCenter) const;
     [[nodiscard]] bool mayRestartStages();
     void restartStages(std::string_view reason);
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -19,11 +19,23 @@
         answerOwn(status::BadRequest, request_outcome::PieceCounts);
         return;
     }
+    if (foreseenLate()) {
+        refuse(request_outcome::QueueTooLong);
+        return;
+    }
     m_stageSince.resize(m_route->stages.size());
     m_stageNear.resize(m_route->stages.size());
     submitReadyPieces();
 }
 
+// Told before anything is spent on it; where servers aren't all busy it is served late instead.
+template <gateway_codec Codec>
+bool exchange<Codec>::foreseenLate() const
+{
+    const auto seen = m_context.times.outlookOf(*m_configuration, *m_route, m_service, stageRank());
+    return seen.crowded && seen.toAnswer > m_route->objective;
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::submitReadyPieces()
 {
@@ -40,8 +52,7 @@
         const auto piece = each.request.piece;
         ++submitted[stage];
         m_stageSince[stage] = m_context.loop.now();
-        job.priority = m_priority;
-        job.routePriority = m_route->priority;
+        job.rank = stageRank();
         job.aim = m_arrival + m_route->objective - m_afterStages[stage];
         job.deadline = m_end - m_afterStages[stage];
         job.inputBytes = each.inputBytes;
@@ -50,8 +61,8 @@
         job.near = job.request.inputs.empty() ? m_context.dataCenter
                                               : whereResultLies(job.request.inputs.front());
         m_stageNear[stage] = job.near;
-        auto handler = [self = this->shared_from_this(), stage, piece](piece_result result) {
-            self->onPiece(stage, piece, std::move(result));
+        auto handler = [self = this->shared_from_this(), stage, piece](piece_report report) {
+            self->onPiece(stage, piece, std::move(report));
         };
         m_pieces.push_back(
             m_context.stages.submit(each.service, std::move(job), std::move(handler)));
@@ -61,11 +72,12 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::onPiece(std::uint32_t stage, std::uint32_t piece, piece_result result)
+void exchange<Codec>::onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report)
 {
+    m_context.times.onWait(m_route->stages[stage].service, stageRank(), report.wait);
     if (m_done)
         return;
-    if (auto *handle = std::get_if<std::string>(&result)) {
+    if (auto *handle = std::get_if<std::string>(&report.result)) {
         if (m_work->onResult(stage, piece, std::move(*handle)))
             m_context.times.onStage(m_route->stages[stage].service, stageRank(),
                                     std::chrono::duration_cast<std::chrono::microseconds>(
@@ -74,7 +86,7 @@
         submitReadyPieces();
         return;
     }
-    const auto failure = std::get<piece_failure>(result);
+    const auto failure = std::get<piece_failure>(report.result);
     if (isLogged())
         m_decisions.add(lineOf(log_event::PieceFailed)
                             .add("stage", stage)
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -76,8 +76,8 @@
     out.pack(frame.request.piece);
     out.pack(frame.request.key);
     out.pack(frame.request.inputs);
-    out.pack(frame.priority);
-    out.pack(frame.routePriority);
+    out.pack(frame.rank.priority);
+    out.pack(frame.rank.routePriority);
     packDuration(out, frame.aimLeft);
     packDuration(out, frame.deadlineLeft);
     out.pack(frame.near.value);
@@ -99,15 +99,16 @@
 
 void pack(packer &out, const outcome_frame &frame)
 {
-    packKind(out, frame_kind::Outcome, 3);
+    packKind(out, frame_kind::Outcome, 4);
     out.pack(frame.token);
-    if (const auto *handle = std::get_if<std::string>(&frame.result)) {
+    if (const auto *handle = std::get_if<std::string>(&frame.report.result)) {
         out.pack(DoneCode);
         out.pack(*handle);
     } else {
-        out.pack(static_cast<std::uint64_t>(std::get<piece_failure>(frame.result)) + 1);
+        out.pack(static_cast<std::uint64_t>(std::get<piece_failure>(frame.report.result)) + 1);
         out.pack(std::string());
     }
+    packDuration(out, frame.report.wait);
 }
 
 void pack(packer &out, const place_frame &frame)
@@ -239,8 +240,8 @@
     frame.request.piece = in.read<std::uint32_t>();
     frame.request.key = in.read<std::string>();
     frame.request.inputs = in.read<std::vector<std::string>>();
-    frame.priority = in.read<std::uint32_t>();
-    frame.routePriority = in.read<std::uint32_t>();
+    frame.rank.priority = in.read<std::uint32_t>();
+    frame.rank.routePriority = in.read<std::uint32_t>();
     frame.aimLeft = in.duration();
     frame.deadlineLeft = in.duration();
     frame.near = data_center_id(in.read<std::string>());
@@ -308,11 +309,12 @@
     const auto code = in.read<std::uint64_t>();
     auto handle = in.read<std::string>();
     if (code == DoneCode)
-        frame.result = std::move(handle);
+        frame.report.result = std::move(handle);
     else if (code <= enumNames<piece_failure>.size())
-        frame.result = enumNames<piece_failure>[code - 1].value;
+        frame.report.result = enumNames<piece_failure>[code - 1].value;
     else
         in.fail();
+    frame.report.wait = in.duration();
     return frame;
 }
 
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -22,8 +22,7 @@
     piece_token token = 0; ///< of the sender
     pool_key pool;
     piece_request request;
-    std::uint32_t priority = 0;
-    std::uint32_t routePriority = 0;
+    stage_rank rank;
     milliseconds aimLeft{0}; ///< negative: it is over
     milliseconds deadlineLeft{0};
     data_center_id near;
@@ -41,7 +40,7 @@
 struct outcome_frame
 {
     piece_token token = 0; ///< of the receiver
-    piece_result result;
+    piece_report report;
 };
 
 /// Gives results up; the receiver hosts their service.
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -21,6 +21,7 @@
     NoServer,
     ServersFull, ///< all that may be tried refused it
     ServerFailed, ///< an answer didn't come, or was broken
+    QueueTooLong, ///< what waits before it would make it late, so it was told at once
     StageLate, ///< its stages couldn't be done in time
     StageFailed,
     Timeout,
@@ -59,6 +60,8 @@
         orchidlead::gateway::request_outcome::ServersFull, "servers_full"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::ServerFailed, "server_failed"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::QueueTooLong, "queue_too_long"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::StageLate, "stage_late"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -22,7 +22,7 @@
 class stage_host
 {
 public:
-    using piece_handler = std::function<void(piece_result)>;
+    using piece_handler = std::function<void(piece_report)>;
 
     stage_host(http::io_loop &loop, http::connection_pool &pool, server_directory &directory,
                retry_allowance &allowance, wire::log &log, gateway_metrics &metrics);
@@ -47,6 +47,7 @@
     struct pending
     {
         pool_key key;
+        stage_rank rank;
         piece_handler handler;
         std::string attempt; ///< of the request
         std::uint32_t stage = 0;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -63,9 +63,9 @@
     job.token = ++m_lastToken;
     const auto token = job.token;
     m_allowance.onRequest(key.service);
-    m_pending.emplace(
-        token,
-        pending{key, std::move(handler), job.request.attempt, job.request.stage, m_loop.now()});
+    m_pending.emplace(token,
+                      pending{key, job.rank, std::move(handler), job.request.attempt,
+                              job.request.stage, m_loop.now()});
     poolOf(key).submit(std::move(job));
     schedulePump(key);
     return token;
@@ -321,9 +321,10 @@
                 free({*handle});
             continue;
         }
-        const auto handler = std::move(found->second.handler);
+        const auto piece = std::move(found->second);
         m_pending.erase(found);
-        handler(each.result);
+        const auto servers = m_directory.usable(piece.key).size();
+        piece.handler({each.result, poolOf(piece.key).waitOf(piece.rank, servers)});
     }
 }
 
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -73,7 +73,7 @@
 bool stage_pool::before(const piece_job &a, const piece_job &b, const data_center_id &at,
                         steady_time now) const
 {
-    const auto rank = [&](const piece_job &job) {
+    const auto due = [&](const piece_job &job) {
         const bool away = !at.empty() && !job.near.empty() && job.near != at;
         return job.aim + (away ? AwayPenalty : milliseconds{0});
     };
@@ -81,11 +81,9 @@
     const bool lateB = isLate(b, now);
     if (lateA != lateB)
         return lateB;
-    if (a.priority != b.priority)
-        return a.priority < b.priority;
-    if (a.routePriority != b.routePriority)
-        return a.routePriority < b.routePriority;
-    return rank(a) < rank(b);
+    if (a.rank != b.rank)
+        return a.rank < b.rank;
+    return due(a) < due(b);
 }
 
 std::chrono::microseconds stage_pool::expectedTime(std::size_t pieces) const
@@ -212,7 +210,7 @@
     made.server = chosen;
     for (auto &job : call.jobs) {
         ++job.tries;
-        auto &rank = m_summary.ranks[job.priority];
+        auto &rank = m_summary.ranks[job.rank.priority];
         ++rank.pieces;
         const auto waited = std::chrono::duration_cast<milliseconds>(call.began - job.since);
         rank.waited += waited;
@@ -341,20 +339,60 @@
     return out;
 }
 
+std::chrono::microseconds stage_pool::waitBehind(std::size_t pieces, std::size_t servers) const
+{
+    const auto round =
+        static_cast<std::int64_t>(std::max<std::size_t>(1, servers * m_capacity.batch));
+    return expectedTime(m_capacity.batch) * static_cast<std::int64_t>(pieces) / round;
+}
+
+milliseconds stage_pool::waitOf(const stage_rank &rank, std::size_t servers) const
+{
+    const auto now = m_clock.now();
+    const auto ahead = std::ranges::count_if(
+        m_waiting, [&](const piece_job &job) { return job.rank <= rank && !isLate(job, now); });
+    return std::chrono::duration_cast<milliseconds>(
+        waitBehind(static_cast<std::size_t>(ahead), servers));
+}
+
+// Tells which waiting pieces can't be done in time, each behind those that go first and can be. A
+// request that has had nothing done yet is told so by the queue before it; one whose stages are
+// partly done stays until a call that begins now would be too late.
+std::vector<bool> stage_pool::foreseenLate(std::size_t servers)
+{
+    const auto now = m_clock.now();
+    std::ranges::stable_sort(
+        m_waiting, [&](const piece_job &a, const piece_job &b) { return before(a, b, {}, now); });
+    std::size_t ahead = 0;
+    std::vector<bool> late;
+    late.reserve(m_waiting.size());
+    for (const auto &job : m_waiting) {
+        const bool fresh = job.request.inputs.empty();
+        late.push_back(isLate(job, fresh ? now + waitBehind(ahead, servers) : now));
+        ahead += late.back() ? 0 : 1;
+    }
+    return late;
+}
+
 std::vector<piece_outcome> stage_pool::expire(std::size_t servers)
 {
     std::vector<piece_outcome> out;
     const auto now = m_clock.now();
-    const auto inTime = static_cast<std::size_t>(
-        std::ranges::count_if(m_waiting, [&](const piece_job &job) { return !isLate(job, now); }));
+    const auto late = foreseenLate(servers);
+    const auto inTime = static_cast<std::size_t>(std::ranges::count(late, false));
     const bool crowded = inTime > servers * m_capacity.batch;
-    std::erase_if(m_waiting, [&](const piece_job &job) {
-        if (job.deadline > now && !(crowded && isLate(job, now)))
-            return false;
-        ++m_summary.ranks[job.priority].dropped;
+    std::vector<piece_job> left;
+    left.reserve(m_waiting.size());
+    for (std::size_t i = 0; i < m_waiting.size(); ++i) {
+        auto &job = m_waiting[i];
+        if (job.deadline > now && !(crowded && late[i])) {
+            left.push_back(std::move(job));
+            continue;
+        }
+        ++m_summary.ranks[job.rank.priority].dropped;
         out.push_back({job.token, piece_failure::Late});
-        return true;
-    });
+    }
+    m_waiting = std::move(left);
     return out;
 }
 
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -3,6 +3,7 @@
 #include "gateway/codec.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_directory.h"
+#include "gateway/stage_rank.h"
 
 #include <cstdint>
 #include <list>
@@ -25,8 +26,7 @@
 {
     piece_token token = 0;
     piece_request request;
-    std::uint32_t priority = 0; ///< 0: the most urgent
-    std::uint32_t routePriority = 0; ///< decides between equal priorities
+    stage_rank rank;
     steady_time aim{}; ///< done by then, its request can still earn full credit
     steady_time deadline{}; ///< and nothing later
     data_center_id near; ///< where its inputs lie
@@ -53,6 +53,13 @@
     piece_result result;
 };
 
+/// What its submitter is told of a piece.
+struct piece_report
+{
+    piece_result result;
+    milliseconds wait{0}; ///< of a piece of the same rank that would come now, about
+};
+
 /// What a pool did in a span of time, for the log.
 struct stage_pool_summary
 {
@@ -107,6 +114,8 @@
 
     /// Gives up pieces whose inputs lie in a data centre that can't be reached.
     [[nodiscard]] std::vector<piece_outcome> dropInputsIn(const data_center_id &dataCenter);
+    /// Gives how long a piece that came now would wait behind those that go first, about.
+    [[nodiscard]] milliseconds waitOf(const stage_rank &rank, std::size_t servers) const;
     /// When `next` may give a call though nothing else happens.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
     /// Bytes of results that a server is taken to hold.
@@ -142,6 +151,7 @@
     [[nodiscard]] bool before(const piece_job &a, const piece_job &b, const data_center_id &at,
                               steady_time now) const;
     [[nodiscard]] bool isLate(const piece_job &job, steady_time now) const;
+    [[nodiscard]] std::vector<bool> foreseenLate(std::size_t servers);
     [[nodiscard]] std::vector<server_ptr> freeServers(const std::vector<server_ptr> &servers,
                                                       const data_center_id &near);
     /// Where the waiting pieces of the same stage of the same request end.
@@ -156,6 +166,9 @@
     void release(const backend_server_id &server, std::uint64_t bytes);
     void dropLapsed();
     [[nodiscard]] std::chrono::microseconds expectedTime(std::size_t pieces) const;
+    /// How long it takes to do so many pieces, all servers together.
+    [[nodiscard]] std::chrono::microseconds waitBehind(std::size_t pieces,
+                                                       std::size_t servers) const;
     void learn(const open_call &call);
     void again(piece_job job, stage_call_end how, std::vector<piece_outcome> &out);
 
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -57,7 +57,7 @@
     void place(piece_token token, submission &entry);
     /// Gives a link to the host of a pool; null: this node.
     [[nodiscard]] link_ptr linkToHost(const pool_key &pool);
-    void onOutcome(piece_token token, piece_result result);
+    void onOutcome(piece_token token, piece_report report);
     void onPieceFrame(const link_ptr &link, piece_frame &&frame);
     void onWithdrawFrame(const link_ptr &link, piece_token token);
 
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -70,8 +70,8 @@
 {
     entry.link = entry.moves < MaxMoves ? linkToHost(entry.pool) : nullptr;
     if (!entry.link) {
-        entry.local = m_host.submit(entry.pool, entry.job, [this, token](piece_result result) {
-            onOutcome(token, std::move(result));
+        entry.local = m_host.submit(entry.pool, entry.job, [this, token](piece_report report) {
+            onOutcome(token, std::move(report));
         });
         return;
     }
@@ -79,10 +79,9 @@
     const auto leftUntil = [now](steady_time due) {
         return std::chrono::duration_cast<milliseconds>(due - now);
     };
-    entry.link->send(piece_frame{token, entry.pool, entry.job.request, entry.job.priority,
-                                 entry.job.routePriority, leftUntil(entry.job.aim),
-                                 leftUntil(entry.job.deadline), entry.job.near,
-                                 entry.job.inputBytes, entry.job.resultBytes});
+    entry.link->send(piece_frame{token, entry.pool, entry.job.request, entry.job.rank,
+                                 leftUntil(entry.job.aim), leftUntil(entry.job.deadline),
+                                 entry.job.near, entry.job.inputBytes, entry.job.resultBytes});
 }
 
 template <gateway_codec Codec>
@@ -105,17 +104,17 @@
 }
 
 template <gateway_codec Codec>
-void stage_router<Codec>::onOutcome(piece_token token, piece_result result)
+void stage_router<Codec>::onOutcome(piece_token token, piece_report report)
 {
     const auto found = m_submissions.find(token);
     if (found == m_submissions.end()) {
-        if (const auto *handle = std::get_if<std::string>(&result))
+        if (const auto *handle = std::get_if<std::string>(&report.result))
             m_host.free({*handle});
         return;
     }
     const auto handler = std::move(found->second.handler);
     m_submissions.erase(found);
-    handler(std::move(result));
+    handler(std::move(report));
 }
 
 template <gateway_codec Codec>
@@ -139,7 +138,7 @@
     else if (const auto *withdrawn = std::get_if<withdraw_frame>(&frame))
         onWithdrawFrame(link, withdrawn->token);
     else if (auto *outcome = std::get_if<outcome_frame>(&frame))
-        onOutcome(outcome->token, std::move(outcome->result));
+        onOutcome(outcome->token, std::move(outcome->report));
     else if (const auto *freed = std::get_if<free_frame>(&frame))
         m_host.free(freed->handles);
     else if (std::holds_alternative<ping_frame>(frame))
@@ -153,19 +152,18 @@
     const auto theirs = frame.token;
     piece_job job;
     job.request = std::move(frame.request);
-    job.priority = frame.priority;
-    job.routePriority = frame.routePriority;
+    job.rank = frame.rank;
     job.aim = now + frame.aimLeft;
     job.deadline = now + frame.deadlineLeft;
     job.near = frame.near;
     job.inputBytes = frame.inputBytes;
     job.resultBytes = frame.resultBytes;
-    auto handler = [this, weak = std::weak_ptr(link), theirs](piece_result result) {
+    auto handler = [this, weak = std::weak_ptr(link), theirs](piece_report report) {
         const auto target = weak.lock();
         if (!target)
             return;
         m_hosted[target].erase(theirs);
-        target->send(outcome_frame{theirs, std::move(result)});
+        target->send(outcome_frame{theirs, std::move(report)});
     };
     m_hosted[link][theirs] = m_host.submit(frame.pool, std::move(job), std::move(handler));
 }
--- a/src/gateway/time_estimates.cpp
+++ b/src/gateway/time_estimates.cpp
@@ -17,6 +17,11 @@
 // Of one way between nodes and servers, there and back, with what a node's processor takes.
 constexpr std::chrono::microseconds HopTime{5'000};
 
+std::chrono::microseconds fullCall(const stage_capacity &stage)
+{
+    return stage.callTime + stage.pieceTime * static_cast<int>(stage.batch);
+}
+
 } // namespace
 
 void time_estimates::onFirstAnswer(const service_id &service, std::chrono::microseconds took)
@@ -44,10 +49,27 @@
     seen.at = m_clock.now();
 }
 
+void time_estimates::onWait(const service_id &service, const stage_rank &rank, milliseconds wait)
+{
+    m_waits[{service, rank}] = {wait, m_clock.now()};
+}
+
+std::chrono::microseconds time_estimates::waitOf(const service_id &service,
+                                                 const stage_rank &rank) const
+{
+    const auto found = m_waits.find({service, rank});
+    if (found == m_waits.end())
+        return std::chrono::microseconds{0};
+    const auto passed = m_clock.now() - found->second.at;
+    const auto left = found->second.wait - passed;
+    return std::max(std::chrono::microseconds{0},
+                    std::chrono::duration_cast<std::chrono::microseconds>(left));
+}
+
 std::chrono::microseconds time_estimates::stageTime(const service_spec *service,
                                                     const stage_rank &rank) const
 {
-    const auto least = stageCall(service);
+    const auto least = stageCall(service) + (service ? waitOf(service->id, rank) : HopTime);
     if (!service)
         return least;
     const auto found = m_stages.find({service->id, rank});
@@ -76,6 +98,22 @@
     return times;
 }
 
+time_estimates::outlook time_estimates::outlookOf(const configuration_index &configuration,
+                                                  const route &way, const service_id &service,
+                                                  const stage_rank &rank) const
+{
+    outlook seen;
+    const auto after = afterStages(configuration, way, service, rank);
+    const auto times = stageTimes(configuration, way, rank);
+    for (std::size_t i = 0; i < way.stages.size(); ++i) {
+        seen.toAnswer = std::max(seen.toAnswer, after[i] + times[i]);
+        const auto *stage = configuration.findService(way.stages[i].service);
+        if (stage && stage->stage && waitOf(stage->id, rank) > fullCall(*stage->stage))
+            seen.crowded = true;
+    }
+    return seen;
+}
+
 std::vector<std::chrono::microseconds>
 time_estimates::afterStages(const configuration_index &configuration, const route &way,
                             const service_id &service, const stage_rank &rank) const
--- a/src/gateway/time_estimates.h
+++ b/src/gateway/time_estimates.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/configuration.h"
+#include "gateway/stage_rank.h"
 
 #include <chrono>
 #include <cstddef>
@@ -12,18 +13,6 @@
 
 namespace orchidlead::gateway {
 
-/// Requests that wait in the same order at stage pools.
-struct stage_rank
-{
-    std::uint32_t priority = 0;
-    std::uint32_t routePriority = 0;
-
-    friend bool operator<(const stage_rank &a, const stage_rank &b)
-    {
-        return std::pair(a.priority, a.routePriority) < std::pair(b.priority, b.routePriority);
-    }
-};
-
 /// Estimates how long the rest of a request takes, from what requests of its rank took lately.
 class time_estimates
 {
@@ -38,6 +27,11 @@
     [[nodiscard]] std::chrono::microseconds firstAnswer(const service_id &service) const;
     /// All pieces of a stage have results so long after they were asked for.
     void onStage(const service_id &service, const stage_rank &rank, std::chrono::microseconds took);
+    /// A piece that came to the stage's pool now would wait so long, as its host says.
+    void onWait(const service_id &service, const stage_rank &rank, milliseconds wait);
+    /// That wait, less what has passed since: the queue gets shorter meanwhile.
+    [[nodiscard]] std::chrono::microseconds waitOf(const service_id &service,
+                                                   const stage_rank &rank) const;
     /// A stage, with its wait: as seen lately, and at least one call with half a batch.
     [[nodiscard]] std::chrono::microseconds stageTime(const service_spec *service,
                                                       const stage_rank &rank) const;
@@ -48,6 +42,14 @@
     [[nodiscard]] std::vector<std::chrono::microseconds>
     stageTimes(const configuration_index &configuration, const route &way,
                const stage_rank &rank) const;
+    /// What a request that came now would meet.
+    struct outlook
+    {
+        std::chrono::microseconds toAnswer{0}; ///< until the first answer, its stages included
+        bool crowded = false; ///< at some stage more waits before it than the servers take at once
+    };
+    [[nodiscard]] outlook outlookOf(const configuration_index &configuration, const route &way,
+                                    const service_id &service, const stage_rank &rank) const;
     /// For each stage of a route, how long what follows it takes: later stages, then the request.
     [[nodiscard]] std::vector<std::chrono::microseconds>
     afterStages(const configuration_index &configuration, const route &way,
@@ -60,7 +62,14 @@
         steady_time at;
     };
 
+    struct told_wait
+    {
+        milliseconds wait{0};
+        steady_time at;
+    };
+
     const clock_source &m_clock;
+    std::map<std::pair<service_id, stage_rank>, told_wait> m_waits;
     std::unordered_map<service_id, double> m_firstAnswers; ///< µs
     std::map<std::pair<service_id, stage_rank>, seen_time> m_stages;
 };
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -25,8 +25,7 @@
     frame.token = 7;
     frame.pool = {service_id("s"), data_center_id("dc-1")};
     frame.request = {"r1", 2, 3, std::nullopt, "key", {"a/1", "b/2"}};
-    frame.priority = 1;
-    frame.routePriority = 2;
+    frame.rank = {1, 2};
     frame.aimLeft = milliseconds{-50};
     frame.deadlineLeft = milliseconds{900};
     frame.near = data_center_id("dc");
@@ -45,18 +44,20 @@
     CHECK(read.request.stage == 2);
     CHECK(read.request.piece == 3);
     CHECK(read.aimLeft == milliseconds{-50});
-    CHECK(read.routePriority == 2);
+    CHECK(read.rank == stage_rank{1, 2});
     CHECK(read.inputBytes == 360'000);
     CHECK(read.resultBytes == 1'500'000);
 }
 
 TEST_CASE("outcomes travel as handles or as reasons")
 {
-    CHECK(std::get<std::string>(roundTrip(outcome_frame{1, std::string("h/1")}).result) == "h/1");
+    const outcome_frame made{1, {std::string("h/1"), milliseconds{70}}};
+    CHECK(std::get<std::string>(roundTrip(made).report.result) == "h/1");
+    CHECK(roundTrip(made).report.wait == milliseconds{70});
     for (const auto &row : enumNames<piece_failure>) {
         INFO("reason " << row.name);
-        const auto read = roundTrip(outcome_frame{1, row.value});
-        CHECK(std::get<piece_failure>(read.result) == row.value);
+        const auto read = roundTrip(outcome_frame{1, {row.value, milliseconds{0}}});
+        CHECK(std::get<piece_failure>(read.report.result) == row.value);
     }
 }
 
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -49,7 +49,7 @@
         job.token = ++lastToken;
         job.request.attempt = request;
         job.request.piece = piece;
-        job.priority = priority;
+        job.rank.priority = priority;
         job.aim = clock.now() + aim;
         job.deadline = clock.now() + aim + milliseconds{5000};
         job.resultBytes = PieceBytes;
@@ -114,14 +114,14 @@
     piece_job major;
     major.token = 99;
     major.request.attempt = "major";
-    major.priority = 1;
-    major.routePriority = 0;
+    major.rank.priority = 1;
+    major.rank.routePriority = 0;
     major.aim = w.clock.now() + milliseconds{3000};
     major.deadline = major.aim;
     piece_job minor = major;
     minor.token = 98;
     minor.request.attempt = "third";
-    minor.routePriority = 2;
+    minor.rank.routePriority = 2;
     minor.aim = w.clock.now() + milliseconds{900};
     w.pool.submit(minor);
     w.pool.submit(major);
@@ -321,7 +321,7 @@
             piece_job job;
             job.token = i + 1;
             job.request.attempt = "r" + std::to_string(i);
-            job.priority = Priorities[i];
+            job.rank.priority = Priorities[i];
             job.aim = begin + std::chrono::seconds{1};
             if (i == 0)
                 job.aim = begin + capacity.callTime + std::chrono::microseconds{moment};
@@ -408,3 +408,43 @@
         CHECK(w.pool.next(w.servers));
     }
 }
+
+TEST_CASE("a first piece that the queue before it makes late is dropped at once in a crowd")
+{
+    world w;
+    const auto fullCall = milliseconds{200} + 4 * milliseconds{10};
+    for (int i = 0; i < 8; ++i)
+        w.submit("ahead" + std::to_string(i), 0, milliseconds{5000}, 0);
+    const auto hopeless = w.submit("hopeless", 0, 2 * fullCall, 1);
+    const auto served = w.submit("served", 0, 4 * fullCall, 1);
+    const auto dropped = w.pool.expire(1);
+    REQUIRE(dropped.size() == 1);
+    CHECK(dropped[0].token == hopeless);
+    CHECK(served != hopeless);
+}
+
+TEST_CASE("a piece whose earlier stages are done isn't dropped for the queue before it")
+{
+    world w;
+    for (int i = 0; i < 8; ++i)
+        w.submit("ahead" + std::to_string(i), 0, milliseconds{5000}, 0);
+    piece_job job;
+    job.token = 100;
+    job.request.inputs = {"h/1"};
+    job.rank.priority = 1;
+    job.aim = w.clock.now() + milliseconds{400};
+    job.deadline = w.clock.now() + milliseconds{5000};
+    w.pool.submit(job);
+    CHECK(w.pool.expire(1).empty());
+}
+
+TEST_CASE("the wait of a rank counts what goes before it, and not what is late")
+{
+    world w;
+    w.submit("late", 0, milliseconds{100}, 0);
+    for (int i = 0; i < 8; ++i)
+        w.submit("r" + std::to_string(i), 0, milliseconds{5000}, 1);
+    CHECK(w.pool.waitOf({0, 0}, 1) == milliseconds{0});
+    CHECK(w.pool.waitOf({1, 0}, 1) == milliseconds{480});
+    CHECK(w.pool.waitOf({2, 0}, 2) == milliseconds{240});
+}
--- a/tests/gateway/time_estimates_test.cpp
+++ b/tests/gateway/time_estimates_test.cpp
@@ -73,3 +73,53 @@
     CHECK(times.afterStages(index, way, engine, Urgent)[0] == last + milliseconds{900});
     CHECK(times.afterStages(index, way, engine, Patient)[0] == last + OneCall);
 }
+
+namespace {
+
+/// One service in a configuration, and a route with one stage of it before an engine.
+struct staged_world
+{
+    manual_clock clock;
+    time_estimates times{clock};
+    configuration_ptr configuration;
+    route way;
+
+    staged_world()
+    {
+        clock.advance(std::chrono::seconds{60});
+        way.objective = milliseconds{1000};
+        way.stages = {stage_spec{service_id("rerank"), {}, 100}};
+        orchidlead::gateway::configuration content;
+        content.services = {makeService()};
+        configuration = std::make_shared<const configuration_index>(std::move(content));
+    }
+    [[nodiscard]] time_estimates::outlook seen(const stage_rank &rank) const
+    {
+        return times.outlookOf(*configuration, way, service_id("engine"), rank);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a wait that a host tells counts for its rank, less what has passed since")
+{
+    staged_world world;
+    const auto before = world.seen(Patient).toAnswer;
+    world.times.onWait(service_id("rerank"), Patient, milliseconds{800});
+    CHECK(world.seen(Patient).toAnswer == before + milliseconds{800});
+    CHECK(world.seen(Urgent).toAnswer == before);
+    world.clock.advance(milliseconds{500});
+    CHECK(world.seen(Patient).toAnswer == before + milliseconds{300});
+    world.clock.advance(milliseconds{500});
+    CHECK(world.seen(Patient).toAnswer == before);
+}
+
+TEST_CASE("a stage is crowded where more than a full call of each server waits before a piece")
+{
+    staged_world world;
+    world.times.onWait(service_id("rerank"), Patient, milliseconds{300});
+    CHECK_FALSE(world.seen(Patient).crowded);
+    world.times.onWait(service_id("rerank"), Patient, milliseconds{301});
+    CHECK(world.seen(Patient).crowded);
+    CHECK_FALSE(world.seen(Urgent).crowded);
+}
