Tell refused clients when the queue known now will be short enough

Cause: every refusal said 0.4 s, whatever the queue was. Change: in a crowd Retry-After is the time by which the known queues make a request late, 0.4 s at least.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,7 @@
 #include "gateway/codec.h"
 #include "gateway/engine_placer.h"
 #include "gateway/event_splitter.h"
+#include "gateway/exchange_limits.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/log_event.h"
 #include "gateway/published_state.h"
@@ -61,7 +62,7 @@
 
     void start();
     /// Says that no server runs the request, and when to come back.
-    static void refuse(http::inbound_connection &client);
+    static void refuse(http::inbound_connection &client, milliseconds comeBack = ComeBack);
     /// Nothing comes from there any more: what is open there begins again elsewhere, if it may.
     void onDataCenterLost(const data_center_id &dataCenter);
     /// The process ends soon: a request that no server has yet is refused.
@@ -119,6 +120,7 @@
     void passBackpressure();
     void answerOwn(int status, request_outcome outcome);
     void refuse(request_outcome outcome);
+    [[nodiscard]] milliseconds comeBackAfter() const;
     void giveUp(request_outcome outcome);
     void onClientGone();
     void onTimeout();
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -110,9 +110,24 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::refuse(http::inbound_connection &client)
+void exchange<Codec>::refuse(http::inbound_connection &client, milliseconds comeBack)
 {
-    client.respond(status::Unavailable, {Codec::retryAfter(ComeBack)}, {});
+    client.respond(status::Unavailable, {Codec::retryAfter(comeBack)}, {});
+}
+
+// When the queues that are known now will be short enough for a request to be in time: a client that
+// comes back before is refused again.
+template <gateway_codec Codec>
+milliseconds exchange<Codec>::comeBackAfter() const
+{
+    if (!m_route || m_route->stages.empty())
+        return ComeBack;
+    const auto seen =
+        m_context.times.outlookOf(*m_configuration, *m_route, m_service, stageRank());
+    if (!seen.crowded)
+        return ComeBack;
+    return std::max(ComeBack, std::chrono::duration_cast<milliseconds>(seen.toAnswer)
+                                  - m_route->objective);
 }
 
 // Says that no server has run the request, which must be true, and when to come back.
@@ -120,7 +135,7 @@
 void exchange<Codec>::refuse(request_outcome outcome)
 {
     m_told = status::Unavailable;
-    refuse(*m_client);
+    refuse(*m_client, comeBackAfter());
     finish(outcome);
 }
 
