Give prompts that share much a home data centre where engine pools are split

Change: rendezvous hashing of the deepest shared part over the engines; waits that hosts tell may overrule it.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/exchange_limits.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/log_event.h"
+#include "gateway/prompt_home.h"
 #include "gateway/published_state.h"
 #include "gateway/request_log.h"
 #include "gateway/request_outcome.h"
@@ -89,6 +90,8 @@
     void startStages();
     void submitReadyPieces();
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report);
+    [[nodiscard]] request_outline outline() const;
+    [[nodiscard]] data_center_id chooseHome();
     [[nodiscard]] bool foreseenLate() const;
     [[nodiscard]] bool resultsLieIn(const data_center_id &dataCenter) const;
     [[nodiscard]] bool mayRestartStages();
@@ -147,6 +150,7 @@
     const route *m_route = nullptr;
     const customer_spec *m_customer = nullptr;
     request_marks m_marks;
+    data_center_id m_home; ///< where its work is best done
     steady_time m_arrival;
     steady_time m_end; ///< the final answer is given by then
     std::uint32_t m_priority = 0;
@@ -159,7 +163,7 @@
     std::optional<stage_work> m_work;
     std::vector<std::chrono::microseconds> m_afterStages; ///< time that follows each stage
     std::vector<steady_time> m_stageSince; ///< when its pieces were asked for
-    std::vector<data_center_id> m_stageNear; ///< where its pieces were asked for
+    std::vector<pool_key> m_stagePools; ///< of each stage; before it begins, where it is expected
     std::vector<piece_token> m_pieces; ///< submitted and open
     bool m_stagesRestarted = false;
     bool m_needsStages = false; ///< results were freed or lost
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -46,7 +46,7 @@
     engine_wish wish;
     wish.prompt = m_marks.prompt;
     wish.exclude = m_tried;
-    wish.near = m_context.dataCenter;
+    wish.near = m_home.empty() ? chooseHome() : m_home;
     if (const auto largest = m_work ? m_work->largest() : std::nullopt) {
         wish.near = whereResultLies(largest->handle);
         wish.nearBytes = largest->bytes;
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -115,19 +115,18 @@
     client.respond(status::Unavailable, {Codec::retryAfter(comeBack)}, {});
 }
 
-// When the queues that are known now will be short enough for a request to be in time: a client that
-// comes back before is refused again.
+// When the queues that are known now will be short enough for a request to be in time: a client
+// that comes back before is refused again.
 template <gateway_codec Codec>
 milliseconds exchange<Codec>::comeBackAfter() const
 {
-    if (!m_route || m_route->stages.empty())
+    if (m_stagePools.empty())
         return ComeBack;
-    const auto seen =
-        m_context.times.outlookOf(*m_configuration, *m_route, m_service, stageRank());
+    const auto seen = m_context.times.outlookOf(outline());
     if (!seen.crowded)
         return ComeBack;
-    return std::max(ComeBack, std::chrono::duration_cast<milliseconds>(seen.toAnswer)
-                                  - m_route->objective);
+    return std::max(ComeBack,
+                    std::chrono::duration_cast<milliseconds>(seen.toAnswer) - m_route->objective);
 }
 
 // Says that no server has run the request, which must be true, and when to come back.
--- a/src/gateway/exchange_limits.h
+++ b/src/gateway/exchange_limits.h
@@ -34,6 +34,9 @@
 inline constexpr std::uint32_t MaxUnsent = 4;
 /// When a refused client is asked to come back: a few calls of a stage later.
 inline constexpr milliseconds ComeBack{400};
+/// How much longer a request may wait at a stage where its prompt is kept than in its own data
+/// centre: about the time that reading a prompt of 6,000 shared tokens takes.
+inline constexpr milliseconds LongestDetour{150};
 /// The answer leaves this long before the client stops waiting.
 inline constexpr milliseconds AnswerMargin{20};
 /// Least silence of a stream after which another server goes on with it.
--- a/src/gateway/exchange_log_impl.h
+++ b/src/gateway/exchange_log_impl.h
@@ -68,10 +68,9 @@
     const auto &spec = m_route->stages[stage];
     const auto due = m_arrival + m_route->objective - m_afterStages[stage];
     const auto aimLeft = std::chrono::duration_cast<milliseconds>(due - m_context.loop.now());
-    const auto pool = m_context.stages.poolFor(spec.service, m_stageNear[stage]);
     auto line = lineOf(log_event::StageSubmitted);
     line.add("stage", stage).add("service", spec.service.value).add("pieces", pieces);
-    line.add("host", m_context.stages.hostOf(pool).value);
+    line.add("host", m_context.stages.hostOf(m_stagePools[stage]).value);
     line.add("aim_left_ms", aimLeft.count()).add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
 }
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -19,20 +19,50 @@
         answerOwn(status::BadRequest, request_outcome::PieceCounts);
         return;
     }
+    m_home = chooseHome();
+    for (const auto &stage : m_route->stages)
+        m_stagePools.push_back(m_context.stages.poolFor(stage.service, m_home));
     if (foreseenLate()) {
         refuse(request_outcome::QueueTooLong);
         return;
     }
     m_stageSince.resize(m_route->stages.size());
-    m_stageNear.resize(m_route->stages.size());
     submitReadyPieces();
 }
 
+// Where the engines keep what its prompt shares, unless requests wait there longer than here. Where
+// one pool has the engines of all data centres it chooses by what each keeps.
+template <gateway_codec Codec>
+data_center_id exchange<Codec>::chooseHome()
+{
+    const auto &own = m_context.dataCenter;
+    if (!m_route->prefixAffinity || m_context.engines.poolFor(m_service, own).dataCenter.empty())
+        return own;
+    const auto home = homeOf(m_marks.prompt, m_context.directory.usable(m_service));
+    if (!home || *home == own)
+        return own;
+    for (const auto &stage : m_route->stages) {
+        const auto there = m_context.stages.poolFor(stage.service, *home);
+        const auto here = m_context.stages.poolFor(stage.service, own);
+        const auto longer =
+            m_context.times.waitOf(there, stageRank()) - m_context.times.waitOf(here, stageRank());
+        if (longer > LongestDetour)
+            return own;
+    }
+    return *home;
+}
+
+template <gateway_codec Codec>
+request_outline exchange<Codec>::outline() const
+{
+    return {*m_configuration, *m_route, m_service, stageRank(), m_stagePools};
+}
+
 // Told before anything is spent on it; where servers aren't all busy it is served late instead.
 template <gateway_codec Codec>
 bool exchange<Codec>::foreseenLate() const
 {
-    const auto seen = m_context.times.outlookOf(*m_configuration, *m_route, m_service, stageRank());
+    const auto seen = m_context.times.outlookOf(outline());
     return seen.crowded && seen.toAnswer > m_route->objective;
 }
 
@@ -43,8 +73,8 @@
         onStagesDone();
         return;
     }
-    m_afterStages = m_context.times.afterStages(*m_configuration, *m_route, m_service, stageRank());
-    const auto stageTimes = m_context.times.stageTimes(*m_configuration, *m_route, stageRank());
+    m_afterStages = m_context.times.afterStages(outline());
+    const auto stageTimes = m_context.times.stageTimes(outline());
     std::map<std::uint32_t, std::size_t> submitted; // pieces by stage, for the log
     for (auto &each : m_work->takeReady(stageTimes)) {
         piece_job job;
@@ -58,9 +88,9 @@
         job.inputBytes = each.inputBytes;
         job.resultBytes = m_route->stages[stage].resultBytes;
         job.request = std::move(each.request);
-        job.near = job.request.inputs.empty() ? m_context.dataCenter
-                                              : whereResultLies(job.request.inputs.front());
-        m_stageNear[stage] = job.near;
+        job.near =
+            job.request.inputs.empty() ? m_home : whereResultLies(job.request.inputs.front());
+        m_stagePools[stage] = m_context.stages.poolFor(each.service, job.near);
         auto handler = [self = this->shared_from_this(), stage, piece](piece_report report) {
             self->onPiece(stage, piece, std::move(report));
         };
@@ -74,12 +104,12 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report)
 {
-    m_context.times.onWait(m_route->stages[stage].service, stageRank(), report.wait);
+    m_context.times.onWait(m_stagePools[stage], stageRank(), report.wait);
     if (m_done)
         return;
     if (auto *handle = std::get_if<std::string>(&report.result)) {
         if (m_work->onResult(stage, piece, std::move(*handle)))
-            m_context.times.onStage(m_route->stages[stage].service, stageRank(),
+            m_context.times.onStage(m_stagePools[stage], stageRank(),
                                     std::chrono::duration_cast<std::chrono::microseconds>(
                                         m_context.loop.now() - m_stageSince[stage]));
         m_context.stages.free(m_work->takeSpent());
@@ -124,6 +154,7 @@
     withdrawPieces();
     freeResults();
     m_needsStages = false;
+    m_home = chooseHome();
     m_work->restart();
     submitReadyPieces();
 }
--- /dev/null
+++ b/src/gateway/prompt_home.cpp
@@ -0,0 +1,36 @@
+#include "gateway/prompt_home.h"
+
+#include <orchidlead/rendezvous.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// Shared tokens from which on a prompt has a home: reading fewer takes a few milliseconds, less
+// than the way to another data centre and back.
+constexpr std::uint64_t LeastSharedTokens = 1024;
+
+} // namespace
+
+// The last part belongs to the request alone; the one before it is the deepest that is shared.
+std::optional<data_center_id> homeOf(const std::vector<prompt_part> &prompt,
+                                     const std::vector<server_ptr> &engines)
+{
+    if (prompt.size() < 2 || engines.empty())
+        return std::nullopt;
+    const auto shared = std::accumulate(
+        prompt.begin(), prompt.end() - 1, std::uint64_t{0},
+        [](std::uint64_t sum, const prompt_part &each) { return sum + each.tokens; });
+    if (shared < LeastSharedTokens)
+        return std::nullopt;
+    const auto &key = prompt[prompt.size() - 2].id;
+    const auto picked = std::ranges::max_element(engines, {}, [&](const server_ptr &each) {
+        return rendezvousWeight(key, each->record.id.value);
+    });
+    return (*picked)->record.dataCenter;
+}
+
+} // namespace orchidlead::gateway
--- a/src/gateway/time_estimates.cpp
+++ b/src/gateway/time_estimates.cpp
@@ -39,25 +39,24 @@
     return std::chrono::microseconds{static_cast<std::int64_t>(found->second)};
 }
 
-void time_estimates::onStage(const service_id &service, const stage_rank &rank,
+void time_estimates::onStage(const pool_key &pool, const stage_rank &rank,
                              std::chrono::microseconds took)
 {
-    auto &seen = m_stages[{service, rank}];
+    auto &seen = m_stages[{pool, rank}];
     const auto newest = static_cast<double>(took.count());
     const bool old = m_clock.now() - seen.at > StageMemory;
     seen.average = old ? newest : seen.average + LearnStageWeight * (newest - seen.average);
     seen.at = m_clock.now();
 }
 
-void time_estimates::onWait(const service_id &service, const stage_rank &rank, milliseconds wait)
+void time_estimates::onWait(const pool_key &pool, const stage_rank &rank, milliseconds wait)
 {
-    m_waits[{service, rank}] = {wait, m_clock.now()};
+    m_waits[{pool, rank}] = {wait, m_clock.now()};
 }
 
-std::chrono::microseconds time_estimates::waitOf(const service_id &service,
-                                                 const stage_rank &rank) const
+std::chrono::microseconds time_estimates::waitOf(const pool_key &pool, const stage_rank &rank) const
 {
-    const auto found = m_waits.find({service, rank});
+    const auto found = m_waits.find({pool, rank});
     if (found == m_waits.end())
         return std::chrono::microseconds{0};
     const auto passed = m_clock.now() - found->second.at;
@@ -67,12 +66,11 @@
 }
 
 std::chrono::microseconds time_estimates::stageTime(const service_spec *service,
+                                                    const pool_key &pool,
                                                     const stage_rank &rank) const
 {
-    const auto least = stageCall(service) + (service ? waitOf(service->id, rank) : HopTime);
-    if (!service)
-        return least;
-    const auto found = m_stages.find({service->id, rank});
+    const auto least = stageCall(service) + waitOf(pool, rank);
+    const auto found = m_stages.find({pool, rank});
     if (found == m_stages.end() || m_clock.now() - found->second.at > StageMemory)
         return least;
     return std::max(least,
@@ -88,42 +86,41 @@
 }
 
 std::vector<std::chrono::microseconds>
-time_estimates::stageTimes(const configuration_index &configuration, const route &way,
-                           const stage_rank &rank) const
+time_estimates::stageTimes(const request_outline &request) const
 {
     std::vector<std::chrono::microseconds> times;
-    times.reserve(way.stages.size());
-    for (const auto &stage : way.stages)
-        times.push_back(stageTime(configuration.findService(stage.service), rank));
+    times.reserve(request.pools.size());
+    for (const auto &pool : request.pools)
+        times.push_back(
+            stageTime(request.configuration.findService(pool.service), pool, request.rank));
     return times;
 }
 
-time_estimates::outlook time_estimates::outlookOf(const configuration_index &configuration,
-                                                  const route &way, const service_id &service,
-                                                  const stage_rank &rank) const
+time_estimates::outlook time_estimates::outlookOf(const request_outline &request) const
 {
     outlook seen;
-    const auto after = afterStages(configuration, way, service, rank);
-    const auto times = stageTimes(configuration, way, rank);
-    for (std::size_t i = 0; i < way.stages.size(); ++i) {
+    const auto after = afterStages(request);
+    const auto times = stageTimes(request);
+    for (std::size_t i = 0; i < request.pools.size(); ++i) {
+        const auto &pool = request.pools[i];
         seen.toAnswer = std::max(seen.toAnswer, after[i] + times[i]);
-        const auto *stage = configuration.findService(way.stages[i].service);
-        if (stage && stage->stage && waitOf(stage->id, rank) > fullCall(*stage->stage))
+        const auto *service = request.configuration.findService(pool.service);
+        if (service && service->stage && waitOf(pool, request.rank) > fullCall(*service->stage))
             seen.crowded = true;
     }
     return seen;
 }
 
 std::vector<std::chrono::microseconds>
-time_estimates::afterStages(const configuration_index &configuration, const route &way,
-                            const service_id &service, const stage_rank &rank) const
+time_estimates::afterStages(const request_outline &request) const
 {
-    const auto times = stageTimes(configuration, way, rank);
-    std::vector<std::chrono::microseconds> after(way.stages.size(), firstAnswer(service));
+    const auto times = stageTimes(request);
+    const auto &stages = request.way.stages;
+    std::vector<std::chrono::microseconds> after(stages.size(), firstAnswer(request.service));
     // Stages come behind those that they need, so one pass from the end suffices.
-    for (std::size_t i = way.stages.size(); i-- > 0;) {
+    for (std::size_t i = stages.size(); i-- > 0;) {
         const auto through = after[i] + times[i];
-        for (const std::size_t before : way.stages[i].after) {
+        for (const std::size_t before : stages[i].after) {
             if (before < after.size())
                 after[before] = std::max(after[before], through);
         }
--- a/src/gateway/time_estimates.h
+++ b/src/gateway/time_estimates.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "gateway/configuration.h"
+#include "gateway/pool_key.h"
 #include "gateway/stage_rank.h"
 
+#include <orchidlead/clock.h>
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -13,7 +16,18 @@
 
 namespace orchidlead::gateway {
 
-/// Estimates how long the rest of a request takes, from what requests of its rank took lately.
+/// A request as far as its times depend on it. Lives no longer than what it refers to.
+struct request_outline
+{
+    const configuration_index &configuration;
+    const route &way;
+    const service_id &service; ///< that the request itself goes to
+    stage_rank rank;
+    std::vector<pool_key> pools; ///< of each stage
+};
+
+/// Estimates how long the rest of a request takes, from what requests of its rank took lately and
+/// what the hosts of stage pools tell of their queues.
 class time_estimates
 {
 public:
@@ -26,34 +40,32 @@
     /// Time from sending to the first answer, averaged; a guess where nothing was seen.
     [[nodiscard]] std::chrono::microseconds firstAnswer(const service_id &service) const;
     /// All pieces of a stage have results so long after they were asked for.
-    void onStage(const service_id &service, const stage_rank &rank, std::chrono::microseconds took);
-    /// A piece that came to the stage's pool now would wait so long, as its host says.
-    void onWait(const service_id &service, const stage_rank &rank, milliseconds wait);
+    void onStage(const pool_key &pool, const stage_rank &rank, std::chrono::microseconds took);
+    /// A piece that came to the pool now would wait so long, as its host says.
+    void onWait(const pool_key &pool, const stage_rank &rank, milliseconds wait);
     /// That wait, less what has passed since: the queue gets shorter meanwhile.
-    [[nodiscard]] std::chrono::microseconds waitOf(const service_id &service,
+    [[nodiscard]] std::chrono::microseconds waitOf(const pool_key &pool,
                                                    const stage_rank &rank) const;
-    /// A stage, with its wait: as seen lately, and at least one call with half a batch.
-    [[nodiscard]] std::chrono::microseconds stageTime(const service_spec *service,
-                                                      const stage_rank &rank) const;
+    /// A stage, with its wait: as seen lately, and at least one call with half a batch. `service`
+    /// is the pool's; null: nothing is known of it.
+    [[nodiscard]] std::chrono::microseconds
+    stageTime(const service_spec *service, const pool_key &pool, const stage_rank &rank) const;
     /// One call of a stage's service with half a batch.
     [[nodiscard]] static std::chrono::microseconds stageCall(const service_spec *service);
 
-    /// For each stage of a route, how long it takes.
+    /// How long each stage takes.
     [[nodiscard]] std::vector<std::chrono::microseconds>
-    stageTimes(const configuration_index &configuration, const route &way,
-               const stage_rank &rank) const;
+    stageTimes(const request_outline &request) const;
     /// What a request that came now would meet.
     struct outlook
     {
         std::chrono::microseconds toAnswer{0}; ///< until the first answer, its stages included
         bool crowded = false; ///< at some stage more waits before it than the servers take at once
     };
-    [[nodiscard]] outlook outlookOf(const configuration_index &configuration, const route &way,
-                                    const service_id &service, const stage_rank &rank) const;
-    /// For each stage of a route, how long what follows it takes: later stages, then the request.
+    [[nodiscard]] outlook outlookOf(const request_outline &request) const;
+    /// For each stage, how long what follows it takes: later stages, then the request.
     [[nodiscard]] std::vector<std::chrono::microseconds>
-    afterStages(const configuration_index &configuration, const route &way,
-                const service_id &service, const stage_rank &rank) const;
+    afterStages(const request_outline &request) const;
 
 private:
     struct seen_time
@@ -61,7 +73,6 @@
         double average = 0; ///< µs
         steady_time at;
     };
-
     struct told_wait
     {
         milliseconds wait{0};
@@ -69,9 +80,9 @@
     };
 
     const clock_source &m_clock;
-    std::map<std::pair<service_id, stage_rank>, told_wait> m_waits;
     std::unordered_map<service_id, double> m_firstAnswers; ///< µs
-    std::map<std::pair<service_id, stage_rank>, seen_time> m_stages;
+    std::map<std::pair<pool_key, stage_rank>, seen_time> m_stages;
+    std::map<std::pair<pool_key, stage_rank>, told_wait> m_waits;
 };
 
 } // namespace orchidlead::gateway
--- a/tests/gateway/time_estimates_test.cpp
+++ b/tests/gateway/time_estimates_test.cpp
@@ -11,6 +11,8 @@
 
 constexpr stage_rank Urgent{0, 0};
 constexpr stage_rank Patient{0, 2};
+const pool_key Pool{service_id("rerank"), {}};
+const service_id Engine("engine");
 
 /// One stage service with a batch of 10: a call of half a batch takes 205 + 50 ms.
 service_spec makeService()
@@ -33,9 +35,9 @@
     manual_clock clock;
     time_estimates times(clock);
     const auto service = makeService();
-    CHECK(times.stageTime(&service, Urgent) == OneCall);
-    times.onStage(service.id, Urgent, milliseconds{100});
-    CHECK(times.stageTime(&service, Urgent) == OneCall);
+    CHECK(times.stageTime(&service, Pool, Urgent) == OneCall);
+    times.onStage(Pool, Urgent, milliseconds{100});
+    CHECK(times.stageTime(&service, Pool, Urgent) == OneCall);
 }
 
 TEST_CASE("a backlog that requests of a rank met counts for those of that rank, for a while")
@@ -44,13 +46,13 @@
     clock.advance(std::chrono::seconds{60});
     time_estimates times(clock);
     const auto service = makeService();
-    times.onStage(service.id, Patient, milliseconds{1200});
-    CHECK(times.stageTime(&service, Patient) == milliseconds{1200});
-    CHECK(times.stageTime(&service, Urgent) == OneCall);
-    times.onStage(service.id, Patient, milliseconds{200});
-    CHECK(times.stageTime(&service, Patient) == milliseconds{1050});
+    times.onStage(Pool, Patient, milliseconds{1200});
+    CHECK(times.stageTime(&service, Pool, Patient) == milliseconds{1200});
+    CHECK(times.stageTime(&service, Pool, Urgent) == OneCall);
+    times.onStage(Pool, Patient, milliseconds{200});
+    CHECK(times.stageTime(&service, Pool, Patient) == milliseconds{1050});
     clock.advance(milliseconds{1600});
-    CHECK(times.stageTime(&service, Patient) == OneCall);
+    CHECK(times.stageTime(&service, Pool, Patient) == OneCall);
 }
 
 TEST_CASE("what follows a stage are the stages behind it, with their waits, and the request")
@@ -64,14 +66,15 @@
     route way;
     way.stages = {{service_id("rerank"), {}, 100}, {service_id("rerank"), {0}, 100}};
     const service_id engine("engine");
+    const std::vector<pool_key> pools{Pool, Pool};
     const auto last = times.firstAnswer(engine);
-    const auto calm = times.afterStages(index, way, engine, Urgent);
+    const auto calm = times.afterStages({index, way, engine, Urgent, pools});
     REQUIRE(calm.size() == 2);
     CHECK(calm[1] == last);
     CHECK(calm[0] == last + OneCall);
-    times.onStage(service_id("rerank"), Urgent, milliseconds{900});
-    CHECK(times.afterStages(index, way, engine, Urgent)[0] == last + milliseconds{900});
-    CHECK(times.afterStages(index, way, engine, Patient)[0] == last + OneCall);
+    times.onStage(Pool, Urgent, milliseconds{900});
+    CHECK(times.afterStages({index, way, engine, Urgent, pools})[0] == last + milliseconds{900});
+    CHECK(times.afterStages({index, way, engine, Patient, pools})[0] == last + OneCall);
 }
 
 namespace {
@@ -95,7 +98,7 @@
     }
     [[nodiscard]] time_estimates::outlook seen(const stage_rank &rank) const
     {
-        return times.outlookOf(*configuration, way, service_id("engine"), rank);
+        return times.outlookOf({*configuration, way, Engine, rank, {Pool}});
     }
 };
 
@@ -105,7 +108,7 @@
 {
     staged_world world;
     const auto before = world.seen(Patient).toAnswer;
-    world.times.onWait(service_id("rerank"), Patient, milliseconds{800});
+    world.times.onWait(Pool, Patient, milliseconds{800});
     CHECK(world.seen(Patient).toAnswer == before + milliseconds{800});
     CHECK(world.seen(Urgent).toAnswer == before);
     world.clock.advance(milliseconds{500});
@@ -117,9 +120,9 @@
 TEST_CASE("a stage is crowded where more than a full call of each server waits before a piece")
 {
     staged_world world;
-    world.times.onWait(service_id("rerank"), Patient, milliseconds{300});
+    world.times.onWait(Pool, Patient, milliseconds{300});
     CHECK_FALSE(world.seen(Patient).crowded);
-    world.times.onWait(service_id("rerank"), Patient, milliseconds{301});
+    world.times.onWait(Pool, Patient, milliseconds{301});
     CHECK(world.seen(Patient).crowded);
     CHECK_FALSE(world.seen(Urgent).crowded);
 }
