Let policies be left out by a setting, to measure each alone

Cause: the ablation that the users ask for was possible only by editing. Change: 'without' in the settings names policies that are left out; none by default, so nothing changes. Ruled out: a build for each policy.

--- a/src/gateway/engine_placer.cpp
+++ b/src/gateway/engine_placer.cpp
@@ -15,13 +15,17 @@
 
 } // namespace
 
-engine_placer::engine_placer(http::io_loop &loop, peer_network &peers, server_directory &directory)
+engine_placer::engine_placer(http::io_loop &loop, peer_network &peers, server_directory &directory,
+                             const policies_left_out &without)
     : m_loop(loop)
     , m_peers(peers)
     , m_directory(directory)
     , m_board(loop.clock(), directory)
     , m_widths(directory, EnginePoolWidths)
-{ }
+{
+    if (without.contains(policy::SplitPools))
+        m_widths.keepJoined();
+}
 
 void engine_placer::setConfiguration(const configuration_ptr &configuration)
 {
--- a/src/gateway/engine_placer.h
+++ b/src/gateway/engine_placer.h
@@ -21,7 +21,8 @@
     /// Null: no server of the service may be used.
     using handler = std::function<void(server_ptr)>;
 
-    engine_placer(http::io_loop &loop, peer_network &peers, server_directory &directory);
+    engine_placer(http::io_loop &loop, peer_network &peers, server_directory &directory,
+                  const policies_left_out &without);
 
     void setConfiguration(const configuration_ptr &configuration);
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -6,6 +6,7 @@
 #include "gateway/exchange_limits.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/log_event.h"
+#include "gateway/policy.h"
 #include "gateway/prompt_home.h"
 #include "gateway/published_state.h"
 #include "gateway/request_log.h"
@@ -44,6 +45,7 @@
     const published_state &published;
     line_allowance &lines;
     data_center_id dataCenter;
+    const policies_left_out &without;
     configuration_ptr configuration; ///< null until one is known
     time_estimates times;
     std::minstd_rand random; ///< for the shares of routes
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -36,6 +36,8 @@
 data_center_id exchange<Codec>::chooseHome()
 {
     const auto &own = m_context.dataCenter;
+    if (m_context.without.contains(policy::PromptHomes))
+        return own;
     if (!m_route->prefixAffinity || m_context.engines.poolFor(m_service, own).dataCenter.empty())
         return own;
     const auto home = homeOf(m_marks.prompt, m_context.directory.usable(m_service));
@@ -74,7 +76,9 @@
         return;
     }
     m_afterStages = m_context.times.afterStages(outline());
-    const auto stageTimes = m_context.times.stageTimes(outline());
+    auto stageTimes = m_context.times.stageTimes(outline());
+    if (m_context.without.contains(policy::LateLeafStages))
+        std::ranges::fill(stageTimes, std::chrono::microseconds{0});
     std::map<std::uint32_t, std::size_t> submitted; // pieces by stage, for the log
     for (auto &each : m_work->takeReady(stageTimes)) {
         piece_job job;
@@ -104,7 +108,8 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report)
 {
-    m_context.times.onWait(m_stagePools[stage], stageRank(), report.wait);
+    if (!m_context.without.contains(policy::ToldWaits))
+        m_context.times.onWait(m_stagePools[stage], stageRank(), report.wait);
     if (m_done)
         return;
     if (auto *handle = std::get_if<std::string>(&report.result)) {
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -82,8 +82,8 @@
                                  .add("host", host.value));
                },
                [this](const reach_event &event) { onReach(event); }})
-    , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance, m_settings.stageCalls)
-    , m_placer(loop, m_peers, m_directory)
+    , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance, m_settings)
+    , m_placer(loop, m_peers, m_directory, m_settings.without)
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
@@ -102,6 +102,7 @@
                 m_state,
                 m_lines,
                 m_settings.dataCenter,
+                m_settings.without,
                 nullptr,
                 time_estimates{loop.clock()},
                 std::minstd_rand{seedOf(m_settings.vm)}}
@@ -109,6 +110,7 @@
     , m_probes(std::make_shared<http::inbound_shared>())
 {
     m_allowance.setNodes(AssumedNodes);
+    m_stages.setWaitsForNear(!m_settings.without.contains(policy::WaitForNear));
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
     m_directory.onChange([this](const service_id &service) { m_stages.onServersChanged(service); });
     m_follower.onRead([this](const store_news &news) { m_relay.onStoreNews(news); });
--- a/src/gateway/peer_network.cpp
+++ b/src/gateway/peer_network.cpp
@@ -54,6 +54,7 @@
     , m_events(std::move(events))
     , m_members(loop.clock(), toOptions(settings, incarnation))
     , m_reach(loop.clock(), settings.dataCenter)
+    , m_followsReach(!settings.without.contains(policy::DataCenterReach))
 {
     std::erase(m_firstContacts, m_address);
 }
@@ -111,6 +112,8 @@
 
 void peer_network::followReach()
 {
+    if (!m_followsReach)
+        return;
     for (const auto &event : m_reach.tick()) {
         if (event.step == reach_step::AskPeers)
             askPeersIn(event.dataCenter);
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peer_network.h
@@ -97,6 +97,7 @@
     peer_events m_events;
     membership m_members;
     data_center_reach m_reach;
+    bool m_followsReach;
     std::size_t m_lastAsked = 0; ///< turns through the members of a silent data centre
     std::unique_ptr<http::datagram_socket> m_datagrams;
     std::unique_ptr<http::acceptor> m_acceptor;
--- a/src/gateway/pool_widths.h
+++ b/src/gateway/pool_widths.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 
 namespace orchidlead::gateway {
@@ -27,10 +28,15 @@
 public:
     pool_widths(const server_directory &directory, const pool_width_limits &limits);
 
+    /// All pools are joined from now on.
+    void keepJoined() { m_limits = {NeverSplit, NeverSplit}; }
+
     /// Gives the pool for work that is best done in `near`.
     [[nodiscard]] pool_key poolFor(const service_id &service, const data_center_id &near);
 
 private:
+    static constexpr std::size_t NeverSplit = std::numeric_limits<std::size_t>::max();
+
     struct width
     {
         std::uint64_t seen = 0; ///< changes of the directory up to which this holds
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -76,6 +76,12 @@
         parseBounds(*found, settings.bounds);
     if (const auto found = mapping.find("log"))
         parseLog(*found, settings);
+    if (const auto found = mapping.find("without")) {
+        found->forEach(0, enumNames<policy>.size(), [&](const value_reader &each) {
+            if (const auto left = each.enumerator<policy>())
+                settings.without.insert(*left);
+        });
+    }
     mapping.read("stage_calls", presence::Optional, settings.stageCalls,
                  &value_reader::enumerator<stage_sharing>);
     return settings;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -2,6 +2,7 @@
 
 #include "core/settings/configuration_error.h"
 #include "core/settings/settings.h"
+#include "gateway/policy.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/enum_names.h>
@@ -55,6 +56,7 @@
     /// of the nodes served so far.
     std::uint32_t requestLines = 100;
     stage_sharing stageCalls = stage_sharing::Shared;
+    policies_left_out without;
 };
 
 /// Reads and checks a settings file; gives every error found, up to a bound.
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -28,6 +28,8 @@
                retry_allowance &allowance, wire::log &log, gateway_metrics &metrics);
 
     void setConfiguration(const configuration_ptr &configuration);
+    /// Whether pieces wait for a server beside their inputs; pools made later keep to it.
+    void setWaitsForNear(bool waits) { m_waitsForNear = waits; }
 
     /// `handler` is called once, later, unless the piece is withdrawn.
     piece_token submit(const pool_key &key, piece_job job, piece_handler handler);
@@ -84,6 +86,7 @@
     wire::log &m_log;
     gateway_metrics &m_metrics;
     configuration_ptr m_configuration;
+    bool m_waitsForNear = true;
     std::map<pool_key, std::unique_ptr<stage_pool>> m_pools;
     std::set<std::shared_ptr<call_answer>> m_open; ///< calls
     std::map<pool_key, http::timer_id> m_wakeups;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -50,6 +50,7 @@
     auto &entry = m_pools[key];
     if (!entry) {
         entry = std::make_unique<stage_pool>(m_loop.clock(), key.service, m_allowance);
+        entry->setWaitsForNear(m_waitsForNear);
         const auto *spec = m_configuration ? m_configuration->findService(key.service) : nullptr;
         if (spec && spec->stage)
             entry->setCapacity(*spec->stage);
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -185,7 +185,7 @@
     for (const auto &each : servers)
         m_dataCenters.insert(each->record.dataCenter);
     // In a burst no server is left idle.
-    const bool mayWait = m_waiting.size() <= servers.size() * m_capacity.batch;
+    const bool mayWait = m_waitsForNear && m_waiting.size() <= servers.size() * m_capacity.batch;
     for (const auto &each : freeServers(servers, first->near)) {
         auto jobs = takeFitting(*each, mayWait);
         if (!jobs.empty())
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -96,6 +96,7 @@
     stage_pool(const clock_source &clock, service_id service, retry_allowance &allowance);
 
     void setCapacity(const stage_capacity &capacity) { m_capacity = capacity; }
+    void setWaitsForNear(bool waits) { m_waitsForNear = waits; }
     void submit(piece_job job);
     /// The piece isn't needed any more; no outcome follows.
     void withdraw(piece_token token);
@@ -176,6 +177,7 @@
     service_id m_service;
     retry_allowance &m_allowance;
     stage_capacity m_capacity;
+    bool m_waitsForNear = true;
     std::vector<piece_job> m_waiting;
     std::map<stage_call_id, open_call> m_calls;
     std::map<backend_server_id, server_state> m_servers;
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -24,7 +24,8 @@
     using piece_handler = typename stage_host<Codec>::piece_handler;
 
     stage_router(http::io_loop &loop, wire::log &log, peer_network &peers, stage_host<Codec> &host,
-                 server_directory &directory, retry_allowance &allowance, stage_sharing sharing);
+                 server_directory &directory, retry_allowance &allowance,
+                 const gateway_settings &settings);
 
     /// Gives the node that hosts a pool for this node.
     [[nodiscard]] vm_id hostOf(const pool_key &pool) const;
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -22,16 +22,19 @@
 template <gateway_codec Codec>
 stage_router<Codec>::stage_router(http::io_loop &loop, wire::log &log, peer_network &peers,
                                   stage_host<Codec> &host, server_directory &directory,
-                                  retry_allowance &allowance, stage_sharing sharing)
+                                  retry_allowance &allowance, const gateway_settings &settings)
     : m_loop(loop)
     , m_log(log)
     , m_peers(peers)
     , m_host(host)
     , m_directory(directory)
     , m_allowance(allowance)
-    , m_sharing(sharing)
+    , m_sharing(settings.stageCalls)
     , m_widths(directory, StagePoolWidths)
-{ }
+{
+    if (settings.without.contains(policy::SplitPools))
+        m_widths.keepJoined();
+}
 
 template <gateway_codec Codec>
 vm_id stage_router<Codec>::hostOf(const pool_key &pool) const
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -52,6 +52,16 @@
     CHECK(errors[1].message().find("colour") != std::string::npos);
 }
 
+TEST_CASE("policies are left out by name, and a name that is none is told")
+{
+    const auto set = parseGatewaySettings(Whole + "without: [told_waits, split_pools]\n", "f");
+    REQUIRE(set);
+    CHECK(set.value().without == policies_left_out{policy::SplitPools, policy::ToldWaits});
+    const auto wrong = parseGatewaySettings(Whole + "without: [luck]\n", "f");
+    REQUIRE_FALSE(wrong);
+    CHECK(wrong.error().front().message().find("without") != std::string::npos);
+}
+
 TEST_CASE("settings without a store aren't accepted")
 {
     auto text = Whole;
