Tell pieces of later stages of the queue before them, too

Ruled out: sparing them for the work already done, which is what the code did. Change: they are foreseen late like first pieces, without time to spare.

--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -372,11 +372,9 @@
         waitBehind(static_cast<std::size_t>(ahead), rank, servers));
 }
 
-// Tells which waiting pieces can't be done in time, each behind those that go first and can be. A
-// request that has had nothing done yet is told so by the queue before it; one whose stages are
-// partly done stays until a call that begins now would be too late. A piece that has just come must
-// have a call's time to spare: or those that were let in before would be told later that they are
-// late after all.
+// Tells which waiting pieces can't be done in time, each behind those that go first and can be. The
+// first piece of a request needs some time to spare when it comes: or those that were let in before
+// would be told later that they are late after all.
 std::vector<bool> stage_pool::foreseenLate(std::size_t servers)
 {
     const auto now = m_clock.now();
@@ -386,13 +384,10 @@
     std::vector<bool> late;
     late.reserve(m_waiting.size());
     for (auto &job : m_waiting) {
-        auto begins = now;
-        if (job.request.inputs.empty()) {
-            begins += waitBehind(ahead, job.rank, servers);
-            if (!job.admitted)
-                begins += std::chrono::duration_cast<std::chrono::microseconds>(
-                    expectedTime(m_capacity.batch) * AdmissionCalls);
-        }
+        auto begins = now + waitBehind(ahead, job.rank, servers);
+        if (job.request.inputs.empty() && !job.admitted)
+            begins += std::chrono::duration_cast<std::chrono::microseconds>(
+                expectedTime(m_capacity.batch) * AdmissionCalls);
         late.push_back(isLate(job, begins));
         job.admitted = job.admitted || !late.back();
         ahead += late.back() ? 0 : 1;
