Don't count stages that a request leaves out in its outlook

Cause: a request without pieces for a stage was refused, or sent home, for that stage's queue. Ruled out: the pools; the pieces are counted in the request's own marks. Change: the outline of a request holds its pieces; stages without any take no time and crowd nobody.

--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -43,9 +43,12 @@
     const auto home = homeOf(m_marks.prompt, m_context.directory.usable(m_service));
     if (!home || *home == own)
         return own;
-    for (const auto &stage : m_route->stages) {
-        const auto there = m_context.stages.poolFor(stage.service, *home);
-        const auto here = m_context.stages.poolFor(stage.service, own);
+    for (std::size_t i = 0; i < m_route->stages.size(); ++i) {
+        if (m_marks.pieceCounts[i] == 0)
+            continue;
+        const auto &service = m_route->stages[i].service;
+        const auto there = m_context.stages.poolFor(service, *home);
+        const auto here = m_context.stages.poolFor(service, own);
         const auto longer =
             m_context.times.waitOf(there, stageRank()) - m_context.times.waitOf(here, stageRank());
         if (longer > LongestDetour)
@@ -57,7 +60,7 @@
 template <gateway_codec Codec>
 request_outline exchange<Codec>::outline() const
 {
-    return {*m_configuration, *m_route, m_service, stageRank(), m_stagePools};
+    return {*m_configuration, *m_route, m_service, stageRank(), m_stagePools, m_marks.pieceCounts};
 }
 
 // Told before anything is spent on it; where servers aren't all busy it is served late instead.
--- a/src/gateway/time_estimates.cpp
+++ b/src/gateway/time_estimates.cpp
@@ -90,9 +90,12 @@
 {
     std::vector<std::chrono::microseconds> times;
     times.reserve(request.pools.size());
-    for (const auto &pool : request.pools)
-        times.push_back(
-            stageTime(request.configuration.findService(pool.service), pool, request.rank));
+    for (std::size_t i = 0; i < request.pools.size(); ++i) {
+        const auto &pool = request.pools[i];
+        const auto *service = request.configuration.findService(pool.service);
+        times.push_back(request.pieces[i] > 0 ? stageTime(service, pool, request.rank)
+                                              : std::chrono::microseconds{0});
+    }
     return times;
 }
 
@@ -105,7 +108,8 @@
         const auto &pool = request.pools[i];
         seen.toAnswer = std::max(seen.toAnswer, after[i] + times[i]);
         const auto *service = request.configuration.findService(pool.service);
-        if (service && service->stage && waitOf(pool, request.rank) > fullCall(*service->stage))
+        const bool needed = request.pieces[i] > 0 && service && service->stage;
+        if (needed && waitOf(pool, request.rank) > fullCall(*service->stage))
             seen.crowded = true;
     }
     return seen;
--- a/src/gateway/time_estimates.h
+++ b/src/gateway/time_estimates.h
@@ -24,6 +24,7 @@
     const service_id &service; ///< that the request itself goes to
     stage_rank rank;
     std::vector<pool_key> pools; ///< of each stage
+    const std::vector<std::uint32_t> &pieces; ///< of each stage; 0: the stage is left out
 };
 
 /// Estimates how long the rest of a request takes, from what requests of its rank took lately and
@@ -53,7 +54,7 @@
     /// One call of a stage's service with half a batch.
     [[nodiscard]] static std::chrono::microseconds stageCall(const service_spec *service);
 
-    /// How long each stage takes.
+    /// How long each stage takes; no time where it is left out.
     [[nodiscard]] std::vector<std::chrono::microseconds>
     stageTimes(const request_outline &request) const;
     /// What a request that came now would meet.
--- a/tests/gateway/time_estimates_test.cpp
+++ b/tests/gateway/time_estimates_test.cpp
@@ -67,14 +67,16 @@
     way.stages = {{service_id("rerank"), {}, 100}, {service_id("rerank"), {0}, 100}};
     const service_id engine("engine");
     const std::vector<pool_key> pools{Pool, Pool};
+    const std::vector<std::uint32_t> pieces{1, 1};
     const auto last = times.firstAnswer(engine);
-    const auto calm = times.afterStages({index, way, engine, Urgent, pools});
+    const auto calm = times.afterStages({index, way, engine, Urgent, pools, pieces});
     REQUIRE(calm.size() == 2);
     CHECK(calm[1] == last);
     CHECK(calm[0] == last + OneCall);
     times.onStage(Pool, Urgent, milliseconds{900});
-    CHECK(times.afterStages({index, way, engine, Urgent, pools})[0] == last + milliseconds{900});
-    CHECK(times.afterStages({index, way, engine, Patient, pools})[0] == last + OneCall);
+    CHECK(times.afterStages({index, way, engine, Urgent, pools, pieces})[0]
+          == last + milliseconds{900});
+    CHECK(times.afterStages({index, way, engine, Patient, pools, pieces})[0] == last + OneCall);
 }
 
 namespace {
@@ -86,6 +88,7 @@
     time_estimates times{clock};
     configuration_ptr configuration;
     route way;
+    std::vector<std::uint32_t> pieces{1};
 
     staged_world()
     {
@@ -98,7 +101,7 @@
     }
     [[nodiscard]] time_estimates::outlook seen(const stage_rank &rank) const
     {
-        return times.outlookOf({*configuration, way, Engine, rank, {Pool}});
+        return times.outlookOf({*configuration, way, Engine, rank, {Pool}, pieces});
     }
 };
 
@@ -126,3 +129,12 @@
     CHECK(world.seen(Patient).crowded);
     CHECK_FALSE(world.seen(Urgent).crowded);
 }
+
+TEST_CASE("a stage that a request leaves out makes it neither longer nor late")
+{
+    staged_world world;
+    world.pieces = {0};
+    world.times.onWait(Pool, Patient, milliseconds{800});
+    CHECK_FALSE(world.seen(Patient).crowded);
+    CHECK(world.seen(Patient).toAnswer == world.times.firstAnswer(Engine));
+}
