--- a/tests/platform/forwarding_test.cpp
+++ b/tests/platform/forwarding_test.cpp
@@ -93,6 +93,25 @@
     CHECK(patience > 1500);
 }
 
+TEST_CASE("what a client forges in the system's name reaches no server, and is counted")
+{
+    plain_world w("unsafe", 1);
+    auto head = makeRequest("POST", "/p/", "a1");
+    const std::vector<std::string> forged{"X-Retention", "X-Pin-Ms", "X-Kv-Backup", "Kv-From"};
+    for (const auto &name : forged)
+        head.fields.push_back({name, "forged"});
+    const auto answer = w.request("g1", head, "x");
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == 200);
+    REQUIRE(w.arrivals() == 1);
+    const auto &server = w.first.requests().empty() ? w.second : w.first;
+    for (const auto &name : forged) {
+        INFO("field: " << name);
+        CHECK(fieldOf(server.requests().front(), name).empty());
+    }
+    CHECK(w.logged.str().find("forged_fields=4") != std::string::npos);
+}
+
 TEST_CASE("what no route or key allows is refused, and reaches no server")
 {
     plain_world w("safe");
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -142,6 +142,31 @@
     CHECK((late->status == 503 || late->end == http::call_end::NotSent));
 }
 
+TEST_CASE("a planned stop while the store is away cuts off nothing that was taken")
+{
+    world w;
+    w.addServer("web", "i-1")
+        .behave([&w](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            w.loop.callAfter(milliseconds{1500},
+                             [request, answer] { answer->write(signedAnswer(request, "slow")); });
+        });
+    w.publish(5, plainRoute("unsafe", 1, 4000));
+    w.startGateway("g1");
+    w.store.failWith(503);
+    auto head = makeRequest("POST", "/p/", "a1");
+    for (auto &each : head.fields) {
+        if (each.name == "X-Deadline-Ms")
+            each.value = "4000";
+    }
+    const auto answer = w.request("g1", head, "x");
+    REQUIRE(w.runUntil([&] { return !w.server("i-1").requests().empty(); }));
+    w.stopGateway("g1");
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "slow");
+    CHECK(answer->end == http::call_end::Complete);
+}
+
 TEST_CASE("a store that refuses a part of the calls is read to the end all the same")
 {
     world w;
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -134,6 +134,23 @@
     CHECK(answer->status == 400);
 }
 
+TEST_CASE("a client that leaves takes the stages of its request with it")
+{
+    stage_world w;
+    w.startGateway("g1");
+    auto head = makeRequest("POST", "/s/x", "a1");
+    head.fields.push_back({"X-Chunk-Count", "1,1"});
+    head.fields.push_back({"X-Chunk-Key", "key"});
+    const auto answer = std::make_shared<client_answer>();
+    const auto call = w.begin("g1", head, "prompt", answer);
+    REQUIRE(w.runUntil([&] { return w.stages.calls.size() == 1; }));
+    w.pool.abandon(call);
+    w.runFor(milliseconds{500});
+    CHECK(w.stages.calls.size() == 1);
+    CHECK(w.stages.freed == 1);
+    CHECK(w.engine.requests().empty());
+}
+
 TEST_CASE("stages whose inputs were lost are done again")
 {
     stage_world w;
