Reckon a request's stage times once where they are used twice

Cause: each piece that ended built the outline of its request twice, with its pools copied, and reckoned the times of all stages twice; so did each outlook. Ruled out: reckoning only when a stage is whole; held stages may begin between two pieces, so behaviour would change. Change: afterStages takes the stage times, the outline refers to the pools. The tests call it so, assertions as before.

--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -78,8 +78,9 @@
         onStagesDone();
         return;
     }
-    m_afterStages = m_context.times.afterStages(outline());
-    auto stageTimes = m_context.times.stageTimes(outline());
+    const auto request = outline();
+    auto stageTimes = m_context.times.stageTimes(request);
+    m_afterStages = m_context.times.afterStages(request, stageTimes);
     if (m_context.without.contains(policy::LateLeafStages))
         std::ranges::fill(stageTimes, std::chrono::microseconds{0});
     std::map<std::uint32_t, std::size_t> submitted; // pieces by stage, for the log
--- a/src/gateway/time_estimates.cpp
+++ b/src/gateway/time_estimates.cpp
@@ -102,8 +102,8 @@
 time_estimates::outlook time_estimates::outlookOf(const request_outline &request) const
 {
     outlook seen;
-    const auto after = afterStages(request);
     const auto times = stageTimes(request);
+    const auto after = afterStages(request, times);
     for (std::size_t i = 0; i < request.pools.size(); ++i) {
         const auto &pool = request.pools[i];
         seen.toAnswer = std::max(seen.toAnswer, after[i] + times[i]);
@@ -116,14 +116,14 @@
 }
 
 std::vector<std::chrono::microseconds>
-time_estimates::afterStages(const request_outline &request) const
+time_estimates::afterStages(const request_outline &request,
+                            const std::vector<std::chrono::microseconds> &stageTimes) const
 {
-    const auto times = stageTimes(request);
     const auto &stages = request.way.stages;
     std::vector<std::chrono::microseconds> after(stages.size(), firstAnswer(request.service));
     // Stages come behind those that they need, so one pass from the end suffices.
     for (std::size_t i = stages.size(); i-- > 0;) {
-        const auto through = after[i] + times[i];
+        const auto through = after[i] + stageTimes[i];
         for (const std::size_t before : stages[i].after) {
             if (before < after.size())
                 after[before] = std::max(after[before], through);
--- a/src/gateway/time_estimates.h
+++ b/src/gateway/time_estimates.h
@@ -23,7 +23,7 @@
     const route &way;
     const service_id &service; ///< that the request itself goes to
     stage_rank rank;
-    std::vector<pool_key> pools; ///< of each stage
+    const std::vector<pool_key> &pools; ///< of each stage
     const std::vector<std::uint32_t> &pieces; ///< of each stage; 0: the stage is left out
 };
 
@@ -64,9 +64,11 @@
         bool crowded = false; ///< at some stage more waits before it than the servers take at once
     };
     [[nodiscard]] outlook outlookOf(const request_outline &request) const;
-    /// For each stage, how long what follows it takes: later stages, then the request.
+    /// For each stage, how long what follows it takes: later stages, then the request. `stageTimes`
+    /// are those of this request.
     [[nodiscard]] std::vector<std::chrono::microseconds>
-    afterStages(const request_outline &request) const;
+    afterStages(const request_outline &request,
+                const std::vector<std::chrono::microseconds> &stageTimes) const;
 
 private:
     struct seen_time
--- a/tests/gateway/time_estimates_test.cpp
+++ b/tests/gateway/time_estimates_test.cpp
@@ -69,14 +69,17 @@
     const std::vector<pool_key> pools{Pool, Pool};
     const std::vector<std::uint32_t> pieces{1, 1};
     const auto last = times.firstAnswer(engine);
-    const auto calm = times.afterStages({index, way, engine, Urgent, pools, pieces});
+    const auto after = [&](const stage_rank &rank) {
+        const request_outline request{index, way, engine, rank, pools, pieces};
+        return times.afterStages(request, times.stageTimes(request));
+    };
+    const auto calm = after(Urgent);
     REQUIRE(calm.size() == 2);
     CHECK(calm[1] == last);
     CHECK(calm[0] == last + OneCall);
     times.onStage(Pool, Urgent, milliseconds{900});
-    CHECK(times.afterStages({index, way, engine, Urgent, pools, pieces})[0]
-          == last + milliseconds{900});
-    CHECK(times.afterStages({index, way, engine, Patient, pools, pieces})[0] == last + OneCall);
+    CHECK(after(Urgent)[0] == last + milliseconds{900});
+    CHECK(after(Patient)[0] == last + OneCall);
 }
 
 namespace {
@@ -88,6 +91,7 @@
     time_estimates times{clock};
     configuration_ptr configuration;
     route way;
+    std::vector<pool_key> pools{Pool};
     std::vector<std::uint32_t> pieces{1};
 
     staged_world()
@@ -101,7 +105,7 @@
     }
     [[nodiscard]] time_estimates::outlook seen(const stage_rank &rank) const
     {
-        return times.outlookOf({*configuration, way, Engine, rank, {Pool}, pieces});
+        return times.outlookOf({*configuration, way, Engine, rank, pools, pieces});
     }
 };
 
