Take a link's data centre when it is opened, and derive that a lost one answered

Cause: each frame of a peer searched all links and copied a member to learn its data centre; data_center_reach kept a flag that the time of the last sign of life already tells. Ruled out: an index of members by address for datagrams; some five a second don't need one. Change: the handlers of a link that this node opens hold the peer's data centre; a lost data centre whose last sign is younger than the limit is regained.

--- a/src/gateway/data_center_reach.cpp
+++ b/src/gateway/data_center_reach.cpp
@@ -32,9 +32,7 @@
 {
     if (from == m_own || from.empty())
         return;
-    auto &known = m_states[from];
-    known.heard = m_clock.now();
-    known.answered = known.lost;
+    m_states[from].heard = m_clock.now();
 }
 
 // What came during a pause waits unread, so silence says nothing then.
@@ -53,11 +51,11 @@
     std::vector<reach_event> events;
     const auto now = m_clock.now();
     for (auto &[dataCenter, known] : m_states) {
-        if (std::exchange(known.answered, false)) {
+        const auto silent = now - known.heard;
+        if (known.lost && silent < LostAfter) {
             known.lost = false;
             events.push_back({dataCenter, reach_step::Regained});
         }
-        const auto silent = now - known.heard;
         if (silent < AskPeersAfter)
             continue;
         if (!known.lost && silent >= LostAfter) {
--- a/src/gateway/data_center_reach.h
+++ b/src/gateway/data_center_reach.h
@@ -44,7 +44,6 @@
         steady_time heard;
         steady_time nextAsk;
         bool lost = false;
-        bool answered = false; ///< since it was lost
     };
 
     void forgivePause();
--- a/src/gateway/peer_network.cpp
+++ b/src/gateway/peer_network.cpp
@@ -301,7 +301,7 @@
     const auto known = m_members.find(peer);
     if (!known)
         return nullptr;
-    auto link = std::make_shared<peer_link>(m_loop, linkEvents());
+    auto link = std::make_shared<peer_link>(m_loop, linkEvents(known->vm.dataCenter));
     m_links.emplace(peer, link);
     link->open(known->vm.peerAddress);
     return link;
@@ -316,14 +316,11 @@
     return std::nullopt;
 }
 
-peer_link::events peer_network::linkEvents()
+peer_link::events peer_network::linkEvents(const data_center_id &from)
 {
     peer_link::events handlers;
-    handlers.onFrame = [this](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
-        if (const auto peer = peerOf(link)) {
-            if (const auto known = m_members.find(*peer))
-                m_reach.onHeard(known->vm.dataCenter);
-        }
+    handlers.onFrame = [this, from](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
+        m_reach.onHeard(from);
         m_events.onFrame(link, std::move(frame));
     };
     handlers.onClosed = [this](const std::shared_ptr<peer_link> &link) {
@@ -339,7 +336,7 @@
 void peer_network::accept(std::shared_ptr<http::stream_socket> socket)
 {
     std::erase_if(m_accepted, [](const auto &weak) { return weak.expired(); });
-    const auto link = std::make_shared<peer_link>(m_loop, linkEvents());
+    const auto link = std::make_shared<peer_link>(m_loop, linkEvents({}));
     m_accepted.push_back(link);
     link->accept(std::move(socket));
 }
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peer_network.h
@@ -80,7 +80,8 @@
     void carryOut(const membership_actions &actions);
     void onMemberChanged(const member_changed &change);
     void accept(std::shared_ptr<http::stream_socket> socket);
-    [[nodiscard]] peer_link::events linkEvents();
+    /// `from`: the peer's data centre; empty where the peer opened the link and hasn't said it.
+    [[nodiscard]] peer_link::events linkEvents(const data_center_id &from);
     [[nodiscard]] bool avoided(const vm_id &peer) const;
     [[nodiscard]] vm_id pickHost(const pool_key &pool) const;
     void forgetHosts();
