--- a/include/orchidlead/membership.h
+++ b/include/orchidlead/membership.h
@@ -141,9 +141,13 @@
     milliseconds gossipInterval{250}; ///< while there is news
     std::size_t gossipFanout = 2;
     std::size_t maxUpdates = 8; ///< in a datagram
-    std::size_t gossipBytesPerSecond = 1536; ///< for news and synchronisation; probes are extra
+    std::size_t gossipBytesPerSecond = 1536; ///< for news; probes are extra
     std::size_t gossipBurstBytes = 6144;
-    milliseconds syncInterval{2000}; ///< between pages, while tables differ
+    milliseconds syncInterval{2000}; ///< between questions, while tables differ and bring nothing
+    std::size_t syncBytesPerSecond = 1536;
+    /// When 350 nodes start at once, each sends about the whole table, 25 KB, and a first contact
+    /// ten times that within a second, since it is all that the others know.
+    std::size_t syncBurstBytes = 262144;
     std::size_t maxDatagramBytes = 1200;
     std::size_t maxMembers = 1024;
     std::size_t maxUnlisted = 512; ///< members that aren't on the platform's list
@@ -215,6 +219,8 @@
 
     /// All members, this one included, ordered by VM.
     [[nodiscard]] std::vector<member> members() const;
+    /// How many members there are, this one included.
+    [[nodiscard]] std::size_t size() const;
     [[nodiscard]] std::optional<member> find(const vm_id &vm) const;
     /// Begin of the last pause that was noticed.
     [[nodiscard]] std::optional<steady_time> pausedSince() const;
--- a/src/core/membership/gossip_message.cpp
+++ b/src/core/membership/gossip_message.cpp
@@ -8,12 +8,14 @@
 
 namespace {
 
-constexpr std::uint64_t FormatVersion = 1;
-constexpr std::uint32_t MessageFields = 14;
+constexpr std::uint64_t FormatVersion = 2;
+constexpr std::uint32_t MessageFields = 16;
 constexpr std::uint32_t UpdateFields = 6;
 constexpr std::uint32_t DescribedUpdateFields = 10;
 constexpr std::uint64_t LeavingBit = 4;
 constexpr std::uint64_t StatusMask = 3;
+constexpr std::size_t HashBytes = 4;
+constexpr unsigned BitsPerByte = 8;
 
 using buffer = msgpack::sbuffer;
 using packer = msgpack::packer<buffer>;
@@ -24,6 +26,19 @@
     out.pack_str_body(text.data(), static_cast<std::uint32_t>(text.size()));
 }
 
+/// Writes the hashes as bytes, most significant first: half as long as numbers in an array.
+void packHashes(packer &out, const std::vector<std::uint32_t> &hashes)
+{
+    std::string bytes;
+    bytes.reserve(hashes.size() * HashBytes);
+    for (const auto hash : hashes) {
+        for (std::size_t i = HashBytes; i > 0; --i)
+            bytes.push_back(static_cast<char>((hash >> (BitsPerByte * (i - 1))) & 0xffU));
+    }
+    out.pack_bin(static_cast<std::uint32_t>(bytes.size()));
+    out.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+}
+
 void packUpdate(packer &out, const gossip_update &update)
 {
     out.pack_array(update.description ? DescribedUpdateFields : UpdateFields);
@@ -78,6 +93,28 @@
         return m_good ? std::string(object->via.str.ptr, object->via.str.size) : std::string();
     }
 
+    std::vector<std::uint32_t> hashes()
+    {
+        const auto *object = next();
+        m_good = object && object->type == msgpack::type::BIN
+            && object->via.bin.size % HashBytes == 0
+            && object->via.bin.size <= MaxGossipHashes * HashBytes;
+        if (!m_good)
+            return {};
+        std::vector<std::uint32_t> found(object->via.bin.size / HashBytes);
+        for (std::size_t i = 0; i < object->via.bin.size; ++i)
+            found[i / HashBytes] = (found[i / HashBytes] << BitsPerByte)
+                | static_cast<unsigned char>(object->via.bin.ptr[i]);
+        return found;
+    }
+
+    bool flag()
+    {
+        const auto *object = next();
+        m_good = object && object->type == msgpack::type::BOOLEAN;
+        return m_good && object->via.boolean;
+    }
+
 private:
     msgpack::object_array m_array{};
     std::uint32_t m_index = 0;
@@ -131,7 +168,7 @@
         return fields.good() ? gossip_error::UnknownFormat : gossip_error::Malformed;
     gossip_message message;
     message.kind =
-        static_cast<gossip_kind>(fields.number(static_cast<std::uint64_t>(gossip_kind::SyncReply)));
+        static_cast<gossip_kind>(fields.number(static_cast<std::uint64_t>(gossip_kind::SyncRest)));
     message.sequence =
         static_cast<std::uint32_t>(fields.number(std::numeric_limits<std::uint32_t>::max()));
     const auto *sender = fields.next();
@@ -145,11 +182,15 @@
     message.listAge = milliseconds{fields.number(MaxListAge.count())};
     message.application = fields.text();
     message.target = vm_id{fields.text()};
-    message.after = vm_id{fields.text()};
-    message.through = vm_id{fields.text()};
+    message.slice.index = static_cast<std::uint32_t>(fields.number(MaxTableSlices - 1));
+    message.slice.count = static_cast<std::uint32_t>(fields.number(MaxTableSlices));
+    message.hashes = fields.hashes();
+    message.cutShort = fields.flag();
     const auto *updates = fields.next();
     if (!updates || !readUpdates(*updates, message.updates))
         return gossip_error::Malformed;
+    if (message.slice.index >= message.slice.count)
+        return gossip_error::Malformed;
     return message;
 }
 
@@ -171,8 +212,10 @@
     out.pack(static_cast<std::uint32_t>(message.listAge.count()));
     packText(out, message.application);
     packText(out, message.target.value);
-    packText(out, message.after.value);
-    packText(out, message.through.value);
+    out.pack(message.slice.index);
+    out.pack(message.slice.count);
+    packHashes(out, message.hashes);
+    out.pack(message.cutShort);
     out.pack_array(static_cast<std::uint32_t>(message.updates.size()));
     for (const auto &update : message.updates)
         packUpdate(out, update);
@@ -185,7 +228,8 @@
     if (bytes.size() > MaxGossipBytes)
         return gossip_error::TooLarge;
     constexpr std::size_t MaxDepth = 4;
-    const msgpack::unpack_limit limit(MaxGossipUpdates, 0, MaxGossipText, 0, 0, MaxDepth);
+    const msgpack::unpack_limit limit(MaxGossipUpdates, 0, MaxGossipText,
+                                      MaxGossipHashes * HashBytes, 0, MaxDepth);
     try {
         std::size_t offset = 0;
         const auto handle =
--- a/src/core/membership/gossip_message.h
+++ b/src/core/membership/gossip_message.h
@@ -21,8 +21,9 @@
     IndirectAck, ///< `target` answered the receiver's helper
     Nack, ///< `target` didn't answer the helper; the helper itself is well
     Gossip,
-    Sync, ///< a page of the sender's table
-    SyncReply, ///< what the sender knows better about that page
+    Sync, ///< hashes of the records that the sender has, of one slice of its table
+    SyncReply, ///< records of that slice that the receiver lacks, and hashes that the sender lacks
+    SyncRest, ///< records whose hashes the receiver lacked
 };
 
 template <>
@@ -35,6 +36,7 @@
     enum_name<gossip_kind>{gossip_kind::Gossip, "gossip"},
     enum_name<gossip_kind>{gossip_kind::Sync, "sync"},
     enum_name<gossip_kind>{gossip_kind::SyncReply, "sync_reply"},
+    enum_name<gossip_kind>{gossip_kind::SyncRest, "sync_rest"},
 };
 
 /// What is claimed of a member; of one generation the greater value wins.
@@ -74,6 +76,17 @@
 /// Ages of the VM list are not told apart beyond this.
 inline constexpr milliseconds MaxListAge{600000};
 
+/// The records of a table whose hashes leave the same rest when divided by `count`.
+struct table_slice
+{
+    std::uint32_t index = 0;
+    std::uint32_t count = 1;
+
+    [[nodiscard]] bool holds(std::uint32_t hash) const { return hash % count == index; }
+
+    friend auto operator<=>(const table_slice &, const table_slice &) = default;
+};
+
 /// One datagram.
 struct gossip_message
 {
@@ -87,8 +100,9 @@
         MaxListAge}; ///< since the platform vouched for it; `MaxListAge`: longer or never
     std::string application;
     vm_id target; ///< of indirect probes
-    vm_id after; ///< a page holds the VMs after this one …
-    vm_id through; ///< … up to this one; empty: to the end
+    table_slice slice; ///< of synchronisation
+    std::vector<std::uint32_t> hashes; ///< of records in the slice; see `gossip_kind`
+    bool cutShort = false; ///< a reply: the receiver lacks more records than fitted
     std::vector<gossip_update> updates;
 
     friend bool operator==(const gossip_message &, const gossip_message &) = default;
@@ -108,6 +122,8 @@
 inline constexpr std::size_t MaxGossipBytes = 1400;
 inline constexpr std::size_t MaxGossipUpdates = 64;
 inline constexpr std::size_t MaxGossipText = 64;
+inline constexpr std::size_t MaxGossipHashes = 256;
+inline constexpr std::uint32_t MaxTableSlices = 1024;
 inline constexpr std::uint64_t MaxGeneration = std::uint64_t{1} << 62U;
 
 [[nodiscard]] std::string encodeGossip(const gossip_message &message);
--- a/src/core/membership/member_table.cpp
+++ b/src/core/membership/member_table.cpp
@@ -43,6 +43,15 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
+bool member_table::touch(const vm_id &vm, steady_time heard)
+{
+    const auto found = m_records.find(vm);
+    if (found == m_records.end())
+        return false;
+    found->second.lastHeard = heard;
+    return true;
+}
+
 member_record &member_table::add(member_record record)
 {
     m_digest.reset();
@@ -68,9 +77,10 @@
 
 merge_effect member_table::merge(const gossip_update &update, std::size_t maxAccusers)
 {
-    member_record *record = edit(update.vm);
-    if (!record)
+    const auto found = m_records.find(update.vm);
+    if (found == m_records.end())
         return merge_effect::Older;
+    member_record *record = &found->second;
     const bool suspicion = update.status == member_status::Suspect;
     if (!isNewer(update, *record)) {
         const bool same = suspicion && record->status == member_status::Suspect
@@ -82,6 +92,7 @@
         record->lastAccuser = update.accuser;
         return merge_effect::Confirmed;
     }
+    m_digest.reset();
     const bool sameStart = record->incarnation == update.incarnation;
     record->leaving = update.leaving || (sameStart && record->leaving);
     record->incarnation = update.incarnation;
@@ -116,17 +127,14 @@
 {
     if (m_digest)
         return *m_digest;
-    std::uint64_t sum = 0;
+    std::uint32_t sum = 0;
     for (const auto &[vm, record] : m_records) {
-        const bool dead = record.status == member_status::Dead;
-        if (record.generation == 0 || (dead && !record.listed))
-            continue;
-        const std::array<std::uint64_t, 3> words{record.incarnation, record.generation,
-                                                 dead ? 1ULL : 0ULL};
-        sum ^= XXH64(words.data(), sizeof(words), XXH64(vm.value.data(), vm.value.size(), 0));
+        const bool passing = record.status == member_status::Dead && !record.listed;
+        if (record.generation > 0 && !passing)
+            sum ^= recordHash(record);
     }
-    m_digest = static_cast<std::uint32_t>(sum);
-    return *m_digest;
+    m_digest = sum;
+    return sum;
 }
 
 std::size_t member_table::unlisted() const
@@ -136,6 +144,16 @@
                       [](const auto &entry) { return !entry.second.listed; }));
 }
 
+std::uint32_t recordHash(const member_record &record)
+{
+    const bool dead = record.status == member_status::Dead;
+    const std::array<std::uint64_t, 3> words{record.incarnation, record.generation,
+                                             dead ? 1ULL : 0ULL};
+    const auto &name = record.vm.vm.value;
+    return static_cast<std::uint32_t>(
+        XXH64(words.data(), sizeof(words), XXH64(name.data(), name.size(), 0)));
+}
+
 std::uint32_t accuserHash(const vm_id &vm)
 {
     return static_cast<std::uint32_t>(XXH64(vm.value.data(), vm.value.size(), 0));
--- a/src/core/membership/member_table.h
+++ b/src/core/membership/member_table.h
@@ -57,6 +57,8 @@
     [[nodiscard]] const member_record *find(const vm_id &vm) const;
     /// Gives the record for changing; the digest is computed anew.
     [[nodiscard]] member_record *edit(const vm_id &vm);
+    /// Notes that a member was heard of; false where it isn't in the table.
+    bool touch(const vm_id &vm, steady_time heard);
     member_record &add(member_record record);
     void erase(const vm_id &vm);
 
@@ -78,6 +80,9 @@
     mutable std::optional<std::uint32_t> m_digest;
 };
 
+/// Gives a hash that agrees between nodes that believe the same of a member, suspicion apart.
+[[nodiscard]] std::uint32_t recordHash(const member_record &record);
+
 /// Gives the short hash that names an accuser.
 [[nodiscard]] std::uint32_t accuserHash(const vm_id &vm);
 
--- a/src/core/membership/membership.cpp
+++ b/src/core/membership/membership.cpp
@@ -14,6 +14,7 @@
     , m_nextSync(source.now())
     , m_nextForget(source.now())
     , m_syncInterval(options.syncInterval)
+    , m_syncAllowance(options.syncBytesPerSecond, options.syncBurstBytes, source.now())
 {
     member_record own;
     own.vm = options.self;
@@ -174,13 +175,15 @@
 
 void membership::implementation::handle(const gossip_message &message)
 {
-    apply(message.sender);
-    auto *sender = table.edit(message.sender.vm);
-    if (!sender)
+    apply(message.sender, news_source::Rumour);
+    if (!table.touch(message.sender.vm, clock.now()))
         return;
-    sender->lastHeard = clock.now();
+    const bool synchronises =
+        message.kind == gossip_kind::SyncReply || message.kind == gossip_kind::SyncRest;
+    const auto source = synchronises ? news_source::Synchronisation : news_source::Rumour;
+    const auto changes = m_changes;
     for (const auto &update : message.updates)
-        applyHearsay(update);
+        applyHearsay(update, source);
     reportPeer(message);
     switch (message.kind) {
     case gossip_kind::Ping:
@@ -197,8 +200,9 @@
     case gossip_kind::Sync:
         return onSync(message);
     case gossip_kind::SyncReply:
-        return onSyncReply(message);
+        return onSyncReply(message, m_changes != changes);
     case gossip_kind::Gossip:
+    case gossip_kind::SyncRest:
         return;
     }
 }
@@ -334,6 +338,11 @@
     return all;
 }
 
+std::size_t membership::size() const
+{
+    return m_implementation->table.all().size();
+}
+
 std::optional<member> membership::find(const vm_id &vm) const
 {
     const auto *record = m_implementation->table.find(vm);
--- a/src/core/membership/membership_claims.cpp
+++ b/src/core/membership/membership_claims.cpp
@@ -63,7 +63,9 @@
     return true;
 }
 
-void membership::implementation::apply(const gossip_update &update)
+// In a mass start everything is news to everybody. Told as rumours, each member's record would
+// cross each link ten times; those who lack it ask for it anyway.
+void membership::implementation::apply(const gossip_update &update, news_source source)
 {
     if (isSelf(update.vm))
         return applyToSelf(update);
@@ -79,7 +81,9 @@
             m_news.heard(update.vm, newsLimit());
         return;
     }
-    m_news.add(update.vm);
+    ++m_changes;
+    if (source == news_source::Rumour || update.status != member_status::Alive)
+        m_news.add(update.vm);
     m_syncInterval = options.syncInterval;
     auto &record = *table.edit(update.vm);
     if (record.status == member_status::Suspect) {
@@ -95,13 +99,13 @@
 // A death that comes without the suspicion before it was found elsewhere, such as on the far side
 // of a cut that has just healed. Such a member is probed instead of given up, so that healing
 // doesn't make each side lose members that it can reach.
-void membership::implementation::applyHearsay(const gossip_update &update)
+void membership::implementation::applyHearsay(const gossip_update &update, news_source source)
 {
     const auto *record = table.find(update.vm);
     const bool surprising = record && !isSelf(update.vm) && update.status == member_status::Dead
         && record->state() == member_state::Alive && member_table::isNewer(update, *record);
     if (!surprising)
-        return apply(update);
+        return apply(update, source);
     const bool pending = std::any_of(m_probes.begin(), m_probes.end(), [&](const auto &entry) {
         return entry.second.target == update.vm;
     });
@@ -162,7 +166,7 @@
     update.status = member_status::Suspect;
     update.accuser = accuserHash(options.self.vm);
     update.description.reset();
-    apply(update);
+    apply(update, news_source::Rumour);
 }
 
 // Each node that hears of a suspicion asks the member once by itself. So a refutation doesn't hang
@@ -196,7 +200,7 @@
         gossip_update update = member_table::toUpdate(*record);
         update.status = member_status::Dead;
         update.description.reset();
-        apply(update);
+        apply(update, news_source::Rumour);
     }
 }
 
--- a/src/core/membership/membership_gossip.cpp
+++ b/src/core/membership/membership_gossip.cpp
@@ -1,13 +1,19 @@
 #include "core/membership/membership_implementation.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace orchidlead {
 
 namespace {
 
-/// Records in one page of synchronisation.
-constexpr std::size_t PageRecords = 24;
+/// Hashes in one question of synchronisation, about: 800 bytes.
+constexpr std::size_t SliceRecords = 200;
+/// Records that a reply asks for: as many as fit into two datagrams.
+constexpr std::size_t WantedAtOnce = 32;
+/// One in so many questions that follow each other goes anywhere, the others to the own data centre
+/// if it has members: bytes between data centres are dear.
+constexpr std::size_t RemoteSyncs = 4;
 
 } // namespace
 
@@ -117,93 +123,124 @@
     }
 }
 
-// Tables that differ are walked page by page. A walk that brought nothing new is repeated ever
-// less often: lists that differ make tables differ for good.
 void membership::implementation::maybeSync(const gossip_message &message)
 {
     const auto now = clock.now();
-    const bool due = now >= m_nextSync;
-    if (!due || (message.digest == table.digest() && !m_joining))
+    if (now < m_nextSync || message.digest == table.digest())
         return;
-    if (!m_allowance.open(now)) {
-        counters.heldBack++;
-        return;
-    }
     m_nextSync = now + m_syncInterval;
-    sendPage(message.sender.vm);
+    sync(message.sender.vm);
 }
 
-void membership::implementation::sendPage(const vm_id &to)
+// The hashes of a table are a tenth of it. So tables that differ little cost little, and each
+// record goes over the wire about once for each node that lacks it.
+void membership::implementation::sync(const vm_id &with)
 {
-    auto page = makeMessage(gossip_kind::Sync, 0);
-    page.after = m_syncCursor;
-    auto it = table.all().upper_bound(m_syncCursor);
-    std::size_t bytes = encodeGossip(page).size();
-    while (it != table.all().end() && page.updates.size() < PageRecords) {
-        auto update = member_table::toUpdate(it->second);
-        bytes += encodedSize(update);
-        if (bytes > options.maxDatagramBytes && !page.updates.empty())
-            break;
-        page.through = it->first;
-        page.updates.push_back(std::move(update));
-        ++it;
+    const auto *partner = table.find(with);
+    if (!partner)
+        return;
+    if (!m_syncAllowance.open(clock.now())) {
+        counters.heldBack++;
+        return;
     }
-    if (it == table.all().end())
-        page.through = vm_id{};
-    m_allowance.spend(send(table.find(to)->vm.peerAddress, page));
+    auto message = makeMessage(gossip_kind::Sync, 0);
+    const auto count = 1 + table.all().size() / SliceRecords;
+    message.slice.count = static_cast<std::uint32_t>(std::min<std::size_t>(count, MaxTableSlices));
+    message.slice.index = m_syncSlice % message.slice.count;
+    for (const auto &[vm, record] : table.all()) {
+        if (record.generation == 0 || message.hashes.size() >= MaxGossipHashes)
+            continue;
+        if (const auto hash = recordHash(record); message.slice.holds(hash))
+            message.hashes.push_back(hash);
+    }
+    m_syncAllowance.spend(send(partner->vm.peerAddress, message));
 }
 
+// What is lacked is sent in a drawn order: nodes that start together ask the same few peers, and
+// can then get the rest from each other.
 void membership::implementation::onSync(const gossip_message &message)
 {
-    auto reply = makeMessage(gossip_kind::SyncReply, 0);
-    reply.after = message.after;
-    reply.through = message.through;
-    std::size_t bytes = encodeGossip(reply).size();
-    std::map<vm_id, const gossip_update *> offered;
-    for (const auto &update : message.updates)
-        offered[update.vm] = &update;
-    for (auto it = table.all().upper_bound(message.after); it != table.all().end(); ++it) {
-        const auto &[vm, record] = *it;
-        if (!message.through.empty() && message.through < vm)
-            break;
-        const auto known = offered.find(vm);
-        auto update = member_table::toUpdate(record);
-        const bool better = record.generation > 0
-            && (known == offered.end() || update.generation > known->second->generation
-                || (update.generation == known->second->generation
-                    && update.status > known->second->status));
-        if (!better)
+    if (!m_syncAllowance.open(clock.now())) {
+        counters.heldBack++;
+        return;
+    }
+    std::unordered_set<std::uint32_t> wanted(message.hashes.begin(), message.hashes.end());
+    std::vector<const member_record *> lacked;
+    for (const auto &[vm, record] : table.all()) {
+        const auto hash = recordHash(record);
+        if (record.generation == 0 || !message.slice.holds(hash))
             continue;
-        // The requester's list may lack it.
-        if (known == offered.end())
-            update.description =
-                member_description{record.vm.dataCenter, record.vm.region, record.vm.peerAddress};
+        if (wanted.erase(hash) == 0)
+            lacked.push_back(&record);
+    }
+    std::shuffle(lacked.begin(), lacked.end(), m_random);
+    auto reply = makeMessage(gossip_kind::SyncReply, 0);
+    reply.slice = message.slice;
+    for (const auto hash : wanted) {
+        if (reply.hashes.size() < WantedAtOnce)
+            reply.hashes.push_back(hash);
+    }
+    reply.cutShort = addRecords(reply, lacked) < lacked.size();
+    m_syncAllowance.spend(send(table.find(message.sender.vm)->vm.peerAddress, reply));
+}
+
+// Members that the receiver lacks may not be on its list: each comes with its description.
+std::size_t
+membership::implementation::addRecords(gossip_message &message,
+                                       std::span<const member_record *const> records) const
+{
+    std::size_t bytes = encodeGossip(message).size();
+    for (const auto *record : records) {
+        auto update = member_table::toUpdate(*record);
+        update.description =
+            member_description{record->vm.dataCenter, record->vm.region, record->vm.peerAddress};
         bytes += encodedSize(update);
-        if (bytes > options.maxDatagramBytes || reply.updates.size() >= MaxGossipUpdates)
+        if (bytes > options.maxDatagramBytes || message.updates.size() >= MaxGossipUpdates)
             break;
-        reply.through = vm;
-        reply.updates.push_back(update);
+        message.updates.push_back(std::move(update));
     }
-    // A reply that was cut short covers the page up to its last record only.
-    const bool cutShort = bytes > options.maxDatagramBytes;
-    if (!cutShort)
-        reply.through = message.through;
-    m_allowance.spend(send(table.find(message.sender.vm)->vm.peerAddress, reply));
+    return message.updates.size();
 }
 
-void membership::implementation::onSyncReply(const gossip_message &message)
+void membership::implementation::sendWanted(const gossip_message &message)
 {
-    if (message.after != m_syncCursor)
-        return;
-    m_syncCursor = message.through;
-    if (m_syncCursor.empty()) {
-        constexpr int MaxSlowdown = 16;
-        m_joining = false;
-        m_syncInterval = std::min(m_syncInterval * 2, options.syncInterval * MaxSlowdown);
+    const std::unordered_set<std::uint32_t> wanted(message.hashes.begin(), message.hashes.end());
+    std::vector<const member_record *> records;
+    for (const auto &[vm, record] : table.all()) {
+        if (record.generation > 0 && wanted.contains(recordHash(record)))
+            records.push_back(&record);
+    }
+    std::span<const member_record *const> left = records;
+    while (!left.empty() && m_syncAllowance.open(clock.now())) {
+        auto rest = makeMessage(gossip_kind::SyncRest, 0);
+        const auto sent = addRecords(rest, left);
+        if (sent == 0)
+            return;
+        left = left.subspan(sent);
+        m_syncAllowance.spend(send(table.find(message.sender.vm)->vm.peerAddress, rest));
+    }
+}
+
+// While there is more to learn the next question goes out at once, to another member, so that no
+// one answers them all. A walk through all slices that brought nothing is repeated ever less often:
+// lists that differ make tables differ for good.
+void membership::implementation::onSyncReply(const gossip_message &message, bool learnt)
+{
+    constexpr int MaxSlowdown = 16;
+    if (!message.hashes.empty())
+        sendWanted(message);
+    if (learnt || message.cutShort) {
+        m_syncInterval = options.syncInterval;
+        m_nextSync = clock.now() + m_syncInterval;
+        const auto next = pickMembers(1, random(RemoteSyncs) > 0, vm_id{});
+        sync(next.empty() ? message.sender.vm : next.front());
         return;
     }
-    if (m_joining)
-        sendPage(message.sender.vm);
+    ++m_syncSlice;
+    if (m_syncSlice % message.slice.count != 0 && message.digest != table.digest())
+        sync(message.sender.vm);
+    else
+        m_syncInterval = std::min(m_syncInterval * 2, options.syncInterval * MaxSlowdown);
 }
 
 void membership::implementation::announce()
--- a/src/core/membership/membership_implementation.h
+++ b/src/core/membership/membership_implementation.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -67,6 +68,18 @@
     bool checked = false;
 };
 
+/// Where a claim comes from.
+enum class news_source {
+    Rumour, ///< told to a few members, who tell others
+    Synchronisation, ///< which brings the same to everybody who lacks it
+};
+
+template <>
+inline constexpr std::array enumNames<news_source>{
+    enum_name<news_source>{news_source::Rumour, "rumour"},
+    enum_name<news_source>{news_source::Synchronisation, "synchronisation"},
+};
+
 /// A probe made for another member.
 struct relay
 {
@@ -130,8 +143,8 @@
     [[nodiscard]] bool fromKnownAddress(const gossip_message &message,
                                         const socket_address &from) const;
     bool admit(const gossip_update &update);
-    void apply(const gossip_update &update);
-    void applyHearsay(const gossip_update &update);
+    void apply(const gossip_update &update, news_source source);
+    void applyHearsay(const gossip_update &update, news_source source);
     void applyToSelf(const gossip_update &update);
     void startSuspicion(member_record &record);
     void suspect(const vm_id &vm);
@@ -150,7 +163,7 @@
     void onAck(const gossip_message &message);
     void onIndirectPing(const gossip_message &message);
     void onSync(const gossip_message &message);
-    void onSyncReply(const gossip_message &message);
+    void onSyncReply(const gossip_message &message, bool learnt);
     void reportPeer(const gossip_message &message);
     void vouchForList(const gossip_message &message, steady_time askedAt);
     void relayAnswer(std::uint32_t sequence, gossip_kind kind);
@@ -166,7 +179,11 @@
     [[nodiscard]] std::vector<vm_id> pickMembers(std::size_t count, bool localFirst,
                                                  const vm_id &except);
     void maybeSync(const gossip_message &message);
-    void sendPage(const vm_id &to);
+    void sync(const vm_id &with);
+    /// Adds as many records as fit; gives how many did.
+    std::size_t addRecords(gossip_message &message,
+                           std::span<const member_record *const> records) const;
+    void sendWanted(const gossip_message &message);
 
     membership_actions *m_out = nullptr;
     std::mt19937_64 m_random;
@@ -189,8 +206,9 @@
     steady_time m_nextSync;
     steady_time m_nextForget;
     milliseconds m_syncInterval;
-    vm_id m_syncCursor;
-    bool m_joining = true; ///< until one walk over another member's table
+    byte_allowance m_syncAllowance;
+    std::uint32_t m_syncSlice = 0; ///< that is asked for next
+    std::uint64_t m_changes = 0; ///< counts the claims that changed the table
 };
 
 } // namespace orchidlead
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -201,7 +201,7 @@
     const auto age = [this](steady_time since) {
         return std::chrono::duration_cast<milliseconds>(m_loop.now() - since);
     };
-    now.members = m_peers.countByState();
+    now.members = m_peers.view().countByState();
     now.waitingPieces = m_stages.waiting();
     now.retries = m_retries;
     now.placements = m_placer.open();
@@ -292,7 +292,7 @@
             continue;
         auto line = m_log.line(wire::log_level::Info, toName(log_event::RetryBudgetSpent));
         line.add("service", service.value).add("denied", usage.denied);
-        line.add("taken", usage.taken).add("nodes", m_peers.nodes());
+        line.add("taken", usage.taken).add("nodes", m_peers.view().nodes());
         m_log.write(wire::log_level::Info, std::move(line));
     }
     if (const auto leftOut = m_lines.takeLeftOut(); leftOut > 0)
@@ -317,7 +317,7 @@
     if (std::exchange(m_wasReady, ready()) != ready())
         m_log.write(wire::log_level::Info,
                     ready() ? wire::node_event::Ready : wire::node_event::NotReady, {});
-    m_allowance.setNodes(std::max(AssumedNodes, m_peers.nodes()));
+    m_allowance.setNodes(std::max(AssumedNodes, m_peers.view().nodes()));
     m_router.tick();
     if (m_loop.now() >= m_nextSummary) {
         m_nextSummary = m_loop.now() + SummaryInterval;
--- /dev/null
+++ b/src/gateway/peer_view.cpp
@@ -0,0 +1,238 @@
+#include "gateway/peer_view.h"
+
+#include <orchidlead/rendezvous.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// Probes of peers. A role that its holder can't fill costs all requests of a service their time, so
+// silence is noticed within a second; a probe costs two datagrams of about 150 bytes.
+constexpr milliseconds ProbeInterval{400};
+constexpr milliseconds ProbeTimeout{120};
+constexpr milliseconds SuspicionMin{1200};
+constexpr milliseconds SuspicionMax{2000};
+constexpr milliseconds SyncInterval{250};
+// Nodes that can be told apart: nothing lists them, so all count as unlisted. Ten times those that
+// are expected; a record takes about 500 bytes.
+constexpr std::size_t MostNodes = 4096;
+// How often nodes of which nothing is heard are contacted: at first, and later.
+constexpr milliseconds EagerContact{300};
+constexpr milliseconds CalmContact{2000};
+// How long a peer that didn't answer gets no role.
+constexpr milliseconds Avoidance{1500};
+// What is hashed with a node to order those who read the store or relay what it publishes.
+constexpr std::string_view RelayRole = "store reader";
+
+membership_options toOptions(const peer_identity &identity)
+{
+    membership_options options;
+    options.self = {identity.vm, identity.dataCenter, identity.region, identity.address, false};
+    options.incarnation = identity.incarnation;
+    options.seed = identity.incarnation;
+    options.probeInterval = ProbeInterval;
+    options.remoteProbeInterval = ProbeInterval;
+    options.probeTimeout = ProbeTimeout;
+    options.suspicionMin = SuspicionMin;
+    options.suspicionMax = SuspicionMax;
+    options.syncInterval = SyncInterval;
+    options.maxMembers = MostNodes;
+    options.maxUnlisted = MostNodes;
+    return options;
+}
+
+} // namespace
+
+peer_view::peer_view(const clock_source &clock, const peer_identity &identity,
+                     std::function<void(const pool_key &, const vm_id &)> onHostChanged)
+    : m_clock(clock)
+    , m_identity(identity)
+    , m_onHostChanged(std::move(onHostChanged))
+    , m_members(clock, toOptions(identity))
+{
+    std::erase(m_identity.firstContacts, identity.address);
+}
+
+void peer_view::tick(membership_actions &out)
+{
+    m_members.tick(out);
+    const auto lapsed =
+        std::erase_if(m_avoided, [&](const auto &entry) { return m_clock.now() >= entry.second; });
+    if (lapsed > 0)
+        forgetRoles();
+    if (m_clock.now() >= m_nextContact)
+        contactOthers(out);
+}
+
+// Each message that is taken leaves a report of its sender; one that isn't leaves none.
+data_center_id peer_view::onDatagram(const socket_address &from, std::string_view bytes,
+                                     membership_actions &out)
+{
+    m_members.onDatagram(from, bytes, out);
+    const auto reported = std::ranges::find_if(
+        out, [](const auto &each) { return std::holds_alternative<peer_report>(each); });
+    if (reported == out.end())
+        return {};
+    const auto sender = m_members.find(std::get<peer_report>(*reported).vm);
+    return sender ? sender->vm.dataCenter : data_center_id{};
+}
+
+// First contacts may be away, and members on the far side of a cut are taken for dead there and
+// here: both are asked again and again, or they would never meet.
+void peer_view::contactOthers(membership_actions &out)
+{
+    std::vector<socket_address> silent = m_identity.firstContacts;
+    bool alone = true;
+    for (const auto &each : m_members.members()) {
+        if (each.vm.vm == self())
+            continue;
+        const bool heard = each.state == member_state::Alive || each.state == member_state::Leaving;
+        alone = alone && !heard;
+        if (heard)
+            std::erase(silent, each.vm.peerAddress);
+        else if (std::ranges::find(silent, each.vm.peerAddress) == silent.end())
+            silent.push_back(each.vm.peerAddress);
+    }
+    m_nextContact = m_clock.now() + (alone ? EagerContact : CalmContact);
+    m_members.contact(silent, out);
+}
+
+// Two at a time, all in turn: one of them may be down.
+void peer_view::askIn(const data_center_id &dataCenter, membership_actions &out)
+{
+    constexpr std::size_t AskedAtOnce = 2;
+    std::vector<socket_address> there;
+    for (const auto &each : m_members.members()) {
+        if (each.vm.dataCenter == dataCenter)
+            there.push_back(each.vm.peerAddress);
+    }
+    std::vector<socket_address> asked;
+    for (std::size_t i = 0; i < std::min(AskedAtOnce, there.size()); ++i)
+        asked.push_back(there[m_lastAsked++ % there.size()]);
+    m_members.contact(asked, out);
+}
+
+void peer_view::avoid(const vm_id &peer)
+{
+    m_avoided[peer] = m_clock.now() + Avoidance;
+    forgetRoles();
+}
+
+bool peer_view::avoided(const vm_id &peer) const
+{
+    const auto found = m_avoided.find(peer);
+    return found != m_avoided.end() && m_clock.now() < found->second;
+}
+
+void peer_view::setReached(const data_center_id &which, bool reached)
+{
+    m_reached[which] = reached;
+    forgetRoles();
+}
+
+// Asked for each piece, and all members are hashed for an answer: so it is kept until something
+// changes that it depends on.
+vm_id peer_view::hostOf(const pool_key &pool)
+{
+    auto &kept = m_hosts[pool];
+    if (kept.current)
+        return kept.vm;
+    const auto before = std::exchange(kept.vm, pickHost(pool));
+    kept.current = true;
+    if (kept.vm != before)
+        m_onHostChanged(pool, kept.vm);
+    return kept.vm;
+}
+
+void peer_view::forgetRoles()
+{
+    for (auto &[pool, kept] : m_hosts)
+        kept.current = false;
+    m_relayOrder.clear();
+}
+
+std::vector<vm_id> peer_view::candidates(const data_center_id &dataCenter) const
+{
+    std::vector<vm_id> found;
+    for (const auto &each : m_members.members()) {
+        const bool own = each.vm.vm == self();
+        const auto reach = m_reached.find(each.vm.dataCenter);
+        const bool reached = reach == m_reached.end() || reach->second;
+        const bool usable = each.state == member_state::Alive && !avoided(each.vm.vm) && reached;
+        const bool there = dataCenter.empty() || each.vm.dataCenter == dataCenter;
+        if (there && (usable || (own && each.state != member_state::Leaving)))
+            found.push_back(each.vm.vm);
+    }
+    return found;
+}
+
+// The pool of a data centre that has no node left is hosted elsewhere.
+vm_id peer_view::pickHost(const pool_key &pool) const
+{
+    auto hosts = candidates(pool.dataCenter);
+    if (hosts.empty())
+        hosts = candidates({});
+    const auto picked = rendezvousPick(pool.service.value, hosts, 1);
+    return picked.empty() ? self() : picked.front();
+}
+
+const std::vector<vm_id> &peer_view::relayOrder()
+{
+    if (m_relayOrder.empty()) {
+        const auto nodes = candidates(m_identity.dataCenter);
+        m_relayOrder = rendezvousPick(RelayRole, nodes, nodes.size());
+    }
+    return m_relayOrder;
+}
+
+std::optional<member> peer_view::find(const vm_id &peer) const
+{
+    return m_members.find(peer);
+}
+
+std::vector<vm_id> peer_view::peers() const
+{
+    std::vector<vm_id> near;
+    std::vector<vm_id> far;
+    for (const auto &each : m_members.members()) {
+        if (each.vm.vm == self() || each.state != member_state::Alive)
+            continue;
+        (each.vm.dataCenter == m_identity.dataCenter ? near : far).push_back(each.vm.vm);
+    }
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+std::map<std::string, std::size_t> peer_view::countByState() const
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto &each : m_members.members())
+        ++counts[std::string(toName(each.state))];
+    return counts;
+}
+
+std::size_t peer_view::nodes() const
+{
+    return m_members.size();
+}
+
+void peer_view::setVersion(std::uint64_t version)
+{
+    m_members.setConfiguration({version, 0});
+}
+
+void peer_view::announceLeaving(membership_actions &out)
+{
+    m_members.announceLeaving(out);
+    forgetRoles();
+}
+
+void peer_view::announceStopped(membership_actions &out)
+{
+    m_members.announceStopped(out);
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/peer_view.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "gateway/data_center_reach.h"
+#include "gateway/pool_key.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/membership.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// Who this node is among its peers, and whom it asks first.
+struct peer_identity
+{
+    vm_id vm;
+    data_center_id dataCenter;
+    region_id region;
+    socket_address address;
+    std::uint64_t incarnation = 0;
+    std::vector<socket_address> firstContacts; ///< may be away, and may hold this node itself
+};
+
+/// The other nodes as this node believes them to be, and the roles that follow from it. No I/O.
+///
+/// Members find each other through first contacts and gossip; nothing lists them. What a node
+/// believes is soft: roles go to whom it believes alive, and moving one loses nothing but time.
+class peer_view
+{
+public:
+    /// `onHostChanged`: a pool that this node asks for has another host from now on.
+    peer_view(const clock_source &clock, const peer_identity &identity,
+              std::function<void(const pool_key &, const vm_id &host)> onHostChanged);
+
+    /// Runs timers; call every 100 ms or so. Gives what is to be sent and what changed.
+    void tick(membership_actions &out);
+    /// Gives the data centre that spoke; empty where the sender isn't a member.
+    data_center_id onDatagram(const socket_address &from, std::string_view bytes,
+                              membership_actions &out);
+    /// A member changed its state: roles are picked anew.
+    void onMemberChanged() { forgetRoles(); }
+    /// A peer didn't answer: it gets no role for a while.
+    void avoid(const vm_id &peer);
+    /// What a whole data centre has come to.
+    void setReached(const data_center_id &which, bool reached);
+    /// Asks some nodes of a data centre for a sign of life, others each time.
+    void askIn(const data_center_id &dataCenter, membership_actions &out);
+
+    [[nodiscard]] const vm_id &self() const { return m_identity.vm; }
+    /// Gives the node that hosts a pool as this node sees it; may be itself.
+    [[nodiscard]] vm_id hostOf(const pool_key &pool);
+    /// Gives the nodes of the own data centre in the order in which what is published goes from one
+    /// to the next: the first ones read the store. Nodes that believe the same members alive give
+    /// the same order. Holds this node unless it leaves.
+    [[nodiscard]] const std::vector<vm_id> &relayOrder();
+    [[nodiscard]] std::optional<member> find(const vm_id &peer) const;
+    /// Peers that are believed alive, nearest first.
+    [[nodiscard]] std::vector<vm_id> peers() const;
+    /// How many members are in each state, this node included.
+    [[nodiscard]] std::map<std::string, std::size_t> countByState() const;
+    /// How many nodes there may be, this one and those given up lately included.
+    [[nodiscard]] std::size_t nodes() const;
+
+    void setVersion(std::uint64_t version);
+    void announceLeaving(membership_actions &out);
+    void announceStopped(membership_actions &out);
+
+private:
+    /// A pool's host, as picked when members or avoided peers last changed.
+    struct picked_host
+    {
+        vm_id vm;
+        bool current = false;
+    };
+
+    void contactOthers(membership_actions &out);
+    void forgetRoles();
+    [[nodiscard]] bool avoided(const vm_id &peer) const;
+    [[nodiscard]] vm_id pickHost(const pool_key &pool) const;
+    /// Members that may have a role: alive and not avoided; this node unless it leaves. Of one data
+    /// centre, or, where none is named, of all.
+    [[nodiscard]] std::vector<vm_id> candidates(const data_center_id &dataCenter) const;
+
+    const clock_source &m_clock;
+    peer_identity m_identity;
+    std::function<void(const pool_key &, const vm_id &)> m_onHostChanged;
+    membership m_members;
+    std::map<data_center_id, bool> m_reached; ///< data centres that were lost once
+    std::map<vm_id, steady_time> m_avoided;
+    std::map<pool_key, picked_host> m_hosts;
+    std::vector<vm_id> m_relayOrder; ///< empty: not picked since something changed
+    std::size_t m_lastAsked = 0; ///< turns through the members of a silent data centre
+    steady_time m_nextContact{};
+};
+
+} // namespace orchidlead::gateway
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -49,7 +49,9 @@
 template <gateway_codec Codec>
 void publication_relay<Codec>::tick()
 {
-    const auto readers = m_peers.readers(ReadersPerDataCenter);
+    const auto &order = m_peers.relayOrder();
+    const std::vector<vm_id> readers(order.begin(),
+                                     order.begin() + std::min(ReadersPerDataCenter, order.size()));
     const bool reader = std::ranges::find(readers, m_peers.self()) != readers.end();
     // A reader that the store doesn't answer follows the other one meanwhile.
     const bool follows = m_store.whole() && (!reader || !readsNow());
@@ -339,7 +341,7 @@
 {
     if (m_loop.now() < m_nextAsk)
         return;
-    const auto peers = m_peers.peers();
+    const auto peers = m_peers.view().peers();
     if (peers.empty())
         return;
     m_nextAsk = m_loop.now() + AskInterval;
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -46,7 +46,9 @@
     message.listAge = 17ms;
     message.application = std::string("\0\xff", 2);
     message.target = vm_id{"vm-2"};
-    message.through = vm_id{"vm-9"};
+    message.slice = {1, 3};
+    message.hashes = {7, 0xfffffffe};
+    message.cutShort = true;
     member_description description{data_center_id{"dc"}, region_id{"r"}, {"10.0.0.1", 9}};
     message.updates.push_back(
         {vm_id{"vm-3"}, 21, 22, member_status::Suspect, false, 23, description});
--- /dev/null
+++ b/tests/gateway/peer_fleet.cpp
@@ -0,0 +1,167 @@
+#include "peer_fleet.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace orchidlead::gateway::tests {
+
+namespace {
+
+constexpr std::size_t FirstContacts = 3; ///< that the settings name at most
+constexpr milliseconds TickTime{100};
+constexpr std::size_t DatagramHeaderBytes = 28;
+constexpr std::uint16_t FirstPort = 1000;
+
+} // namespace
+
+peer_fleet::peer_fleet(std::size_t nodes, std::size_t dataCenters, std::uint32_t seed)
+    : m_random(seed)
+    , m_nodes(nodes)
+{
+    std::vector<socket_address> contacts;
+    for (std::size_t i = 0; i < nodes; ++i) {
+        auto &identity = m_nodes[i].identity;
+        identity.dataCenter = data_center_id("dc-" + std::to_string(i % dataCenters));
+        identity.vm = vm_id("edge-" + identity.dataCenter.value + "-" + std::to_string(i));
+        identity.region = region_id("r");
+        identity.address = {"10.0.0.1", static_cast<std::uint16_t>(FirstPort + i)};
+        if (contacts.size() < FirstContacts)
+            contacts.push_back(identity.address);
+    }
+    for (auto &each : m_nodes)
+        each.identity.firstContacts = contacts;
+}
+
+milliseconds peer_fleet::draw(milliseconds least, milliseconds most)
+{
+    return milliseconds{
+        std::uniform_int_distribution<std::int64_t>(least.count(), most.count())(m_random)};
+}
+
+void peer_fleet::push(event each)
+{
+    each.order = ++m_order;
+    m_events.push(std::move(each));
+}
+
+void peer_fleet::start(const std::vector<std::size_t> &nodes, milliseconds within)
+{
+    for (const auto node : nodes) {
+        event begin;
+        begin.at = m_clock.now() + draw(milliseconds{0}, within);
+        begin.node = node;
+        begin.starts = true;
+        push(std::move(begin));
+    }
+}
+
+void peer_fleet::startAll(milliseconds within)
+{
+    std::vector<std::size_t> all(m_nodes.size());
+    std::iota(all.begin(), all.end(), 0);
+    start(all, within);
+}
+
+void peer_fleet::killAll()
+{
+    for (auto &each : m_nodes)
+        each.view.reset();
+}
+
+void peer_fleet::run(milliseconds time)
+{
+    const auto end = m_clock.now() + time;
+    while (!m_events.empty() && m_events.top().at <= end) {
+        const auto each = m_events.top();
+        m_events.pop();
+        m_clock.advance(each.at - m_clock.now());
+        handle(each);
+    }
+    m_clock.advance(end - m_clock.now());
+}
+
+void peer_fleet::handle(const event &each)
+{
+    auto &target = m_nodes[each.node];
+    membership_actions actions;
+    if (each.starts) {
+        target.identity.incarnation = ++target.starts * m_nodes.size() + each.node;
+        target.view = std::make_unique<peer_view>(m_clock, target.identity,
+                                                  [](const pool_key &, const vm_id &) {});
+    }
+    if (!target.view || (each.start != 0 && each.start != target.starts))
+        return;
+    if (!each.bytes.empty()) {
+        target.view->onDatagram(m_nodes[each.from].identity.address, each.bytes, actions);
+    } else {
+        target.view->tick(actions);
+        event next;
+        next.at = m_clock.now() + TickTime;
+        next.node = each.node;
+        next.start = target.starts;
+        push(std::move(next));
+    }
+    carryOut(each.node, actions);
+}
+
+void peer_fleet::carryOut(std::size_t from, const membership_actions &actions)
+{
+    for (const auto &action : actions) {
+        if (std::holds_alternative<member_changed>(action))
+            m_nodes[from].view->onMemberChanged();
+        const auto *datagram = std::get_if<gossip_datagram>(&action);
+        if (!datagram)
+            continue;
+        m_nodes[from].bytesSent += datagram->bytes.size() + DatagramHeaderBytes;
+        event arrival;
+        arrival.at = m_clock.now() + draw(milliseconds{1}, milliseconds{4});
+        arrival.node = static_cast<std::size_t>(datagram->to.port - FirstPort);
+        arrival.from = from;
+        arrival.bytes = datagram->bytes;
+        push(std::move(arrival));
+    }
+}
+
+bool peer_fleet::agreed() const
+{
+    const auto running = static_cast<std::size_t>(
+        std::ranges::count_if(m_nodes, [](const auto &each) { return each.view != nullptr; }));
+    return std::ranges::all_of(m_nodes, [&](const auto &each) {
+        return !each.view || each.view->peers().size() + 1 == running;
+    });
+}
+
+milliseconds peer_fleet::runUntilAgreed(milliseconds limit)
+{
+    constexpr milliseconds Step{100};
+    milliseconds taken{0};
+    while (taken < limit) {
+        run(Step);
+        taken += Step;
+        if (agreed())
+            return taken;
+    }
+    return limit;
+}
+
+std::size_t peer_fleet::mostBytesSent() const
+{
+    return std::ranges::max_element(m_nodes, {}, &fleet_node::bytesSent)->bytesSent;
+}
+
+std::size_t peer_fleet::meanBytesSent() const
+{
+    std::size_t sum = 0;
+    for (const auto &each : m_nodes)
+        sum += each.bytesSent;
+    return sum / m_nodes.size();
+}
+
+void peer_fleet::forgetTraffic()
+{
+    for (auto &each : m_nodes)
+        each.bytesSent = 0;
+}
+
+} // namespace orchidlead::gateway::tests
--- /dev/null
+++ b/tests/gateway/peer_fleet.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "gateway/peer_view.h"
+
+#include <cstddef>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace orchidlead::gateway::tests {
+
+/// Many peer views on a simulated network, one clock: what they send each other arrives 1 to 4 ms
+/// later, and nodes that are down neither send nor hear.
+class peer_fleet
+{
+public:
+    peer_fleet(std::size_t nodes, std::size_t dataCenters, std::uint32_t seed);
+
+    /// Starts a new process of each of these nodes at random within this time.
+    void start(const std::vector<std::size_t> &nodes, milliseconds within);
+    void startAll(milliseconds within);
+    void kill(std::size_t node) { m_nodes[node].view.reset(); }
+    void killAll();
+    /// Lets time pass.
+    void run(milliseconds time);
+    /// Runs until every running node believes all running nodes alive and nobody else; gives the
+    /// time it took, or `limit`.
+    milliseconds runUntilAgreed(milliseconds limit);
+
+    [[nodiscard]] bool agreed() const;
+    [[nodiscard]] std::size_t size() const { return m_nodes.size(); }
+    [[nodiscard]] peer_view &view(std::size_t node) { return *m_nodes[node].view; }
+    /// Most bytes that a node sent since the last call of `forgetTraffic`, headers included.
+    [[nodiscard]] std::size_t mostBytesSent() const;
+    [[nodiscard]] std::size_t meanBytesSent() const;
+    void forgetTraffic();
+
+private:
+    struct fleet_node
+    {
+        peer_identity identity;
+        std::unique_ptr<peer_view> view;
+        std::size_t bytesSent = 0;
+        std::uint64_t starts = 0;
+    };
+    struct event
+    {
+        steady_time at;
+        std::uint64_t order = 0; ///< events of one moment happen in the order they were made
+        std::size_t node = 0;
+        std::uint64_t start = 0; ///< of the process for which it is meant; 0: whichever runs
+        std::size_t from = 0;
+        std::string bytes; ///< empty: a tick
+        bool starts = false;
+        friend bool operator>(const event &left, const event &right)
+        {
+            return std::tie(left.at, left.order) > std::tie(right.at, right.order);
+        }
+    };
+
+    void handle(const event &each);
+    void carryOut(std::size_t from, const membership_actions &actions);
+    void push(event each);
+    [[nodiscard]] milliseconds draw(milliseconds least, milliseconds most);
+
+    manual_clock m_clock;
+    std::mt19937 m_random;
+    std::vector<fleet_node> m_nodes;
+    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    std::uint64_t m_order = 0;
+};
+
+} // namespace orchidlead::gateway::tests
--- /dev/null
+++ b/tests/gateway/peer_view_test.cpp
@@ -0,0 +1,143 @@
+#include "gateway/peer_view.h"
+#include "peer_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+using namespace orchidlead::gateway::tests;
+
+namespace {
+
+constexpr std::size_t DataCenters = 6;
+/// All machines start within this time.
+constexpr milliseconds StartWithin{300};
+
+/// Every host of the pool, and every first reader, that some running node names.
+struct named_roles
+{
+    std::set<std::string> hosts;
+    std::set<std::string> readers;
+};
+
+named_roles rolesSeen(peer_fleet &fleet, const std::string &dataCenter)
+{
+    named_roles seen;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        auto &view = fleet.view(i);
+        seen.hosts.insert(view.hostOf({service_id("stage"), data_center_id(dataCenter)}).value);
+        if (view.self().value.find(dataCenter + "-") != std::string::npos)
+            seen.readers.insert(view.relayOrder().front().value);
+    }
+    return seen;
+}
+
+} // namespace
+
+// Until nodes agree on who is there they name several hosts for one pool, and each of these fills
+// the servers with results of which the others know nothing. So the time until they agree is time
+// without service after a mass start, and it must not grow with the fleet.
+TEST_CASE("hundreds of nodes that start at once agree on who is there within two seconds")
+{
+    const std::size_t nodes = GENERATE(30, 100, 350);
+    peer_fleet fleet(nodes, DataCenters, 7);
+    fleet.startAll(StartWithin);
+    fleet.run(StartWithin);
+    const auto taken = fleet.runUntilAgreed(milliseconds{10'000});
+    INFO(nodes << " nodes agreed after " << taken.count() << " ms");
+    CHECK(taken <= milliseconds{2000});
+    const auto seen = rolesSeen(fleet, "dc-1");
+    CHECK(seen.hosts.size() == 1);
+    CHECK(seen.readers.size() == 1);
+}
+
+TEST_CASE("hundreds of nodes that are killed and start again agree as fast as at first")
+{
+    peer_fleet fleet(350, DataCenters, 11);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{15'000});
+    REQUIRE(fleet.agreed());
+    fleet.killAll();
+    fleet.run(milliseconds{1000});
+    fleet.startAll(StartWithin);
+    fleet.run(StartWithin);
+    const auto taken = fleet.runUntilAgreed(milliseconds{10'000});
+    INFO("agreed after " << taken.count() << " ms");
+    CHECK(taken <= milliseconds{2000});
+}
+
+// What a first contact sends would keep the smallest link, 10 Mbit/s, busy for a quarter of a
+// second: 300 KB.
+TEST_CASE("in a mass start a node sends its table about once, and a first contact some times")
+{
+    peer_fleet fleet(350, DataCenters, 13);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{5000});
+    INFO("most " << fleet.mostBytesSent() << ", mean " << fleet.meanBytesSent() << " bytes in 5 s");
+    CHECK(fleet.mostBytesSent() <= 350'000);
+    CHECK(fleet.meanBytesSent() <= 60'000);
+}
+
+// The budget of a node for all of control is 6 KB a second.
+TEST_CASE("in calm times what a node sends of membership doesn't grow with the fleet")
+{
+    const std::size_t nodes = GENERATE(30, 350);
+    peer_fleet fleet(nodes, DataCenters, 17);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{20'000});
+    fleet.forgetTraffic();
+    constexpr std::size_t Seconds = 5;
+    fleet.run(milliseconds{1000 * Seconds});
+    INFO(nodes << " nodes: " << fleet.meanBytesSent() / Seconds << " bytes a second");
+    CHECK(fleet.meanBytesSent() / Seconds <= 1300);
+}
+
+TEST_CASE("a third of the fleet that restarts is known again within three seconds")
+{
+    peer_fleet fleet(300, DataCenters, 19);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{15'000});
+    REQUIRE(fleet.agreed());
+    std::vector<std::size_t> third;
+    for (std::size_t i = 0; i < fleet.size(); i += 3)
+        third.push_back(i);
+    for (const auto each : third)
+        fleet.kill(each);
+    fleet.run(milliseconds{1000});
+    fleet.start(third, StartWithin);
+    fleet.run(StartWithin);
+    const auto taken = fleet.runUntilAgreed(milliseconds{10'000});
+    INFO("agreed after " << taken.count() << " ms");
+    CHECK(taken <= milliseconds{3000});
+}
+
+TEST_CASE("a peer that didn't answer has no role for a while, and then again")
+{
+    peer_fleet fleet(12, 2, 23);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{5000});
+    REQUIRE(fleet.agreed());
+    auto &view = fleet.view(0);
+    const pool_key pool{service_id("stage"), data_center_id("dc-1")};
+    const auto host = view.hostOf(pool);
+    view.avoid(host);
+    CHECK(view.hostOf(pool) != host);
+    fleet.run(milliseconds{1700});
+    CHECK(view.hostOf(pool) == host);
+}
+
+TEST_CASE("a data centre that was lost hosts nothing until it is reached again")
+{
+    peer_fleet fleet(12, 2, 29);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{5000});
+    REQUIRE(fleet.agreed());
+    auto &view = fleet.view(0);
+    const pool_key pool{service_id("stage"), data_center_id("dc-1")};
+    view.setReached(data_center_id("dc-1"), false);
+    CHECK(view.find(view.hostOf(pool))->vm.dataCenter.value == "dc-0");
+    view.setReached(data_center_id("dc-1"), true);
+    CHECK(view.find(view.hostOf(pool))->vm.dataCenter.value == "dc-1");
+}
