Spare the store: configurations go from node to node, waits follow the bound, old lists at the start

Each node read each version's text from the store by itself, and again where the store refused it; readers asked every 700 ms whatever the bound; each start read the list of servers in full. Change: one matter, who reads what from the store. (3) A start reads the list that may be old, at a tenth, and watches from its earliest revision.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -22,6 +22,12 @@
     std::uint32_t tokens = 0;
 };
 
+/// How old an answer of the store may be.
+enum class read_freshness {
+    Latest,
+    MayBeOld, ///< by seconds; a tenth of the price, and not counted against the store's rate
+};
+
 /// What a client's request says about itself.
 struct request_marks
 {
@@ -165,7 +171,7 @@
         Codec::configurationTarget()
         } -> std::same_as<std::string>;
     {
-        Codec::serversTarget(text)
+        Codec::serversTarget(text, read_freshness::Latest)
         } -> std::same_as<std::string>;
     {
         Codec::watchTarget(revision, wait)
@@ -197,3 +203,10 @@
     orchidlead::enum_name<orchidlead::gateway::piece_failure>{
         orchidlead::gateway::piece_failure::Error, "error"},
 };
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::read_freshness>{
+    orchidlead::enum_name<orchidlead::gateway::read_freshness>{
+        orchidlead::gateway::read_freshness::Latest, "latest"},
+    orchidlead::enum_name<orchidlead::gateway::read_freshness>{
+        orchidlead::gateway::read_freshness::MayBeOld, "may_be_old"},
+};
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -87,7 +87,8 @@
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
-          [this](const publication_news &news) { onNews(news); }, log, seedOf(m_settings.vm))
+          [this](const publication_news &news) { onNews(news); }, log, seedOf(m_settings.vm),
+          storeOptionsFor(m_settings.bounds.publicationApply))
     , m_relay(
           loop, m_peers, m_directory, m_state, m_follower,
           [this](const publication_news &news) { onNews(news); }, log, seedOf(m_settings.vm))
@@ -218,6 +219,7 @@
     m_context.configuration = configuration;
     m_configurationSince = m_loop.now();
     m_peers.setVersion(configuration->version());
+    m_relay.onConfiguration(configuration->version());
     m_stages.setConfiguration(configuration);
     m_placer.setConfiguration(configuration);
     const auto &limits = configuration->content().limits;
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -29,6 +29,7 @@
     StoreReadBegun, ///< this node reads the store by itself
     StoreReadEnded, ///< others read it for this node
     StoreFetchFailed, ///< the configuration alone couldn't be read
+    ConfigurationAsked, ///< of a peer or the store, since a later version is known of
     StoreLost,
     StoreRegained,
     StoreHistoryGone, ///< everything is read anew
@@ -83,6 +84,8 @@
         orchidlead::gateway::log_event::StoreReadEnded, "store_read_ended"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StoreFetchFailed, "store_fetch_failed"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ConfigurationAsked, "configuration_asked"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{orchidlead::gateway::log_event::StoreLost,
                                                           "store_lost"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frames.cpp
@@ -28,6 +28,8 @@
     Placed = 10,
     Progress = 11,
     Follow = 12,
+    ConfigurationRequest = 13,
+    Configuration = 14,
 };
 
 constexpr std::uint64_t DoneCode = 0;
@@ -159,8 +161,7 @@
 
 void pack(packer &out, const publication_frame &frame)
 {
-    packKind(out, frame_kind::Publication, 8);
-    out.pack(frame.configuration);
+    packKind(out, frame_kind::Publication, 7);
     out.pack(frame.configurationVersion);
     out.pack(frame.current);
     out.pack(frame.whole);
@@ -180,6 +181,20 @@
     out.pack(frame.begins);
 }
 
+void pack(packer &out, const configuration_request &frame)
+{
+    packKind(out, frame_kind::ConfigurationRequest, 1);
+    out.pack(frame.version);
+}
+
+void pack(packer &out, const configuration_frame &frame)
+{
+    packKind(out, frame_kind::Configuration, 3);
+    out.pack(frame.version);
+    out.pack(static_cast<std::uint64_t>(frame.text.length));
+    out.pack(frame.text.bytes);
+}
+
 /// Reads the fields of one array in order; the first wrong one makes all further reads fail.
 class field_reader
 {
@@ -334,7 +349,6 @@
 publication_frame readPublication(field_reader &in)
 {
     publication_frame frame;
-    frame.configuration = in.read<std::string>();
     frame.configurationVersion = in.read<std::uint64_t>();
     frame.current = in.read<bool>();
     frame.whole = in.read<bool>();
@@ -346,6 +360,15 @@
     return frame;
 }
 
+configuration_frame readConfiguration(field_reader &in)
+{
+    configuration_frame frame;
+    frame.version = in.read<std::uint64_t>();
+    frame.text.length = in.read<std::uint64_t>();
+    frame.text.bytes = in.read<std::string>();
+    return frame;
+}
+
 peer_frame readFrame(field_reader &in)
 {
     switch (static_cast<frame_kind>(in.read<std::uint8_t>())) {
@@ -371,6 +394,10 @@
         return readProgress(in);
     case frame_kind::Follow:
         return follow_frame{in.read<bool>()};
+    case frame_kind::ConfigurationRequest:
+        return configuration_request{in.read<std::uint64_t>()};
+    case frame_kind::Configuration:
+        return readConfiguration(in);
     case frame_kind::Free:
         return free_frame{in.read<std::vector<std::string>>()};
     }
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -3,6 +3,7 @@
 #include "gateway/codec.h"
 #include "gateway/engine_board.h"
 #include "gateway/stage_pool.h"
+#include "gateway/text_compression.h"
 
 #include <orchidlead/result.h>
 
@@ -83,7 +84,6 @@
 /// of a reader of the store.
 struct publication_frame
 {
-    std::string configuration; ///< as published, where it was asked for; empty: none is known
     std::uint64_t configurationVersion = 0; ///< that the sender has in force
     bool current = false; ///< the sender reads the store right now
     bool whole = false; ///< all servers, not only changes
@@ -99,9 +99,22 @@
     bool begins = false;
 };
 
-using peer_frame = std::variant<piece_frame, withdraw_frame, outcome_frame, ping_frame, pong_frame,
-                                publication_request, publication_frame, free_frame, place_frame,
-                                placed_frame, progress_frame, follow_frame>;
+/// Asks for the configuration in force on the receiver once it has at least this version.
+struct configuration_request
+{
+    std::uint64_t version = 0;
+};
+/// The configuration in force on the sender, as published.
+struct configuration_frame
+{
+    std::uint64_t version = 0;
+    compressed_text text;
+};
+
+using peer_frame =
+    std::variant<piece_frame, withdraw_frame, outcome_frame, ping_frame, pong_frame,
+                 publication_request, publication_frame, free_frame, place_frame, placed_frame,
+                 progress_frame, follow_frame, configuration_request, configuration_frame>;
 
 /// Says why bytes aren't a frame.
 struct frame_error
@@ -109,7 +122,7 @@
     std::string what;
 };
 
-/// Longest frame: a large configuration with its list of servers.
+/// Longest frame, and longest text of a configuration.
 inline constexpr std::size_t MaxFrameBytes = 16U << 20U;
 /// Bytes before a frame that hold its length.
 inline constexpr std::size_t FrameHeaderBytes = 4;
--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/configuration_pull.h"
 #include "gateway/peer_network.h"
 #include "gateway/published_state.h"
 #include "gateway/store_follower.h"
@@ -35,6 +36,8 @@
     void onLinkClosed(const std::shared_ptr<peer_link> &link);
     /// This node learnt something from the store.
     void onStoreNews(const store_news &news);
+    /// This node has that configuration in force now.
+    void onConfiguration(std::uint64_t version);
     /// A peer has a configuration of that version in force.
     void onPeerVersion(const vm_id &peer, std::uint64_t version);
 
@@ -56,11 +59,14 @@
     void tellFollowers();
     void askPeers();
     void onPublication(const link_ptr &link, const publication_frame &frame);
-    void apply(const publication_frame &frame);
+    void onFollow(const link_ptr &link, const follow_frame &frame);
+    void onConfigurationRequest(const link_ptr &link, const configuration_request &frame);
+    void takeConfiguration(const configuration_frame &frame);
+    void sendConfiguration(const link_ptr &link);
+    void pullConfiguration();
+    void apply(const publication_frame &frame, const vm_id &reader);
     void applyWholeList(const publication_frame &frame);
     static void addServers(const publication_frame &frame, std::vector<published_item> &items);
-    void takeConfiguration(const publication_frame &frame, std::vector<published_item> &items);
-    [[nodiscard]] bool readsNow() const;
     [[nodiscard]] std::uint64_t ownVersion() const;
     [[nodiscard]] bool hasCurrentSource() const;
     [[nodiscard]] publication_frame makeWhole() const;
@@ -78,6 +84,11 @@
     std::minstd_rand m_random;
     std::map<vm_id, source> m_sources;
     std::set<link_ptr> m_followers;
+    configuration_pull m_pull;
+    link_ptr m_pulledFrom; ///< of the peer that was asked last for a configuration
+    vm_id m_pulledPeer;
+    std::map<link_ptr, std::uint64_t> m_awaiting; ///< peers, and the least version they asked for
+    configuration_frame m_packed; ///< what was sent or taken last
     steady_time m_nextHeartbeat{};
     bool m_toldCurrent = false; ///< whether this node read the store at the last tick
     std::optional<steady_time> m_behindSince; ///< a peer told of a later configuration
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -13,11 +13,8 @@
 /// Between two heartbeats of a reader to its followers.
 inline constexpr milliseconds HeartbeatInterval{300};
 /// A reader that hasn't said so for so long isn't relied on: two heartbeats and a lost packet.
+/// Shorter than the silence of the store that a reader notices, so it adds nothing to the bound.
 inline constexpr milliseconds SourceSilence{800};
-/// A node counts as reading the store when it heard of it within this time: a watch that brings
-/// nothing, the pause behind it, and an answer of a slow store. With `SourceSilence` it stays below
-/// the least bound for configuration, 2 s.
-inline constexpr milliseconds StoreSilence{1400};
 /// Whether a frame tells of servers.
 [[nodiscard]] inline bool hasContent(const publication_frame &frame)
 {
@@ -44,6 +41,7 @@
     , m_onNews(std::move(onNews))
     , m_log(log)
     , m_random(seed)
+    , m_pull(loop.clock(), peers.self())
 { }
 
 template <gateway_codec Codec>
@@ -54,13 +52,14 @@
                                      order.begin() + std::min(ReadersPerDataCenter, order.size()));
     const bool reader = std::ranges::find(readers, m_peers.self()) != readers.end();
     // A reader that the store doesn't answer follows the other one meanwhile.
-    const bool follows = m_store.whole() && (!reader || !readsNow());
+    const bool follows = m_store.whole() && (!reader || !m_store.current());
     followReaders(follows ? readers : std::vector<vm_id>{});
     logRole(reader || !m_store.whole() || !hasCurrentSource());
     m_store.setWatched(!m_followers.empty());
     tellFollowers();
     if (!informed())
         askPeers();
+    pullConfiguration();
 }
 
 template <gateway_codec Codec>
@@ -96,13 +95,6 @@
     }
 }
 
-template <gateway_codec Codec>
-bool publication_relay<Codec>::readsNow() const
-{
-    return m_store.reading() && m_store.connected()
-        && m_loop.now() - m_store.heardAt() <= StoreSilence;
-}
-
 template <gateway_codec Codec>
 bool publication_relay<Codec>::hasCurrentSource() const
 {
@@ -122,7 +114,7 @@
 publication_frame publication_relay<Codec>::makeHeartbeat() const
 {
     publication_frame frame;
-    frame.current = m_state.listed() && readsNow();
+    frame.current = m_state.listed() && m_store.current();
     frame.configurationVersion = ownVersion();
     frame.revision = m_store.revision();
     frame.removalsDeferred = m_state.removalsDeferred();
@@ -146,7 +138,7 @@
 void publication_relay<Codec>::tellFollowers()
 {
     // That the store fell silent is told at once.
-    const bool changed = std::exchange(m_toldCurrent, readsNow()) != readsNow();
+    const bool changed = std::exchange(m_toldCurrent, m_store.current()) != m_store.current();
     if (m_followers.empty() || (!changed && m_loop.now() < m_nextHeartbeat))
         return;
     m_nextHeartbeat = m_loop.now() + HeartbeatInterval;
@@ -203,19 +195,86 @@
 void publication_relay<Codec>::onFrame(const link_ptr &link, const peer_frame &frame)
 {
     if (std::holds_alternative<publication_request>(frame)) {
-        auto answer = makeWhole();
-        answer.configuration = m_state.configurationText();
-        link->send(answer);
-    }
-    if (const auto *publication = std::get_if<publication_frame>(&frame))
+        link->send(makeWhole());
+        sendConfiguration(link);
+    } else if (const auto *publication = std::get_if<publication_frame>(&frame)) {
         onPublication(link, *publication);
-    else if (const auto *follow = std::get_if<follow_frame>(&frame)) {
-        if (follow->begins) {
-            m_followers.insert(link);
-            link->send(makeWhole());
-        } else {
-            m_followers.erase(link);
+    } else if (const auto *follow = std::get_if<follow_frame>(&frame)) {
+        onFollow(link, *follow);
+    } else if (const auto *request = std::get_if<configuration_request>(&frame)) {
+        onConfigurationRequest(link, *request);
+    } else if (const auto *configuration = std::get_if<configuration_frame>(&frame)) {
+        takeConfiguration(*configuration);
+    }
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::onFollow(const link_ptr &link, const follow_frame &frame)
+{
+    if (!frame.begins) {
+        m_followers.erase(link);
+        return;
+    }
+    m_followers.insert(link);
+    link->send(makeWhole());
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::onConfigurationRequest(const link_ptr &link,
+                                                      const configuration_request &frame)
+{
+    if (frame.version <= ownVersion())
+        sendConfiguration(link);
+    else
+        m_awaiting[link] = frame.version;
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::onConfiguration(std::uint64_t version)
+{
+    m_pull.onInForce(version);
+    std::vector<link_ptr> served;
+    for (const auto &[link, wanted] : m_awaiting) {
+        if (wanted <= version)
+            served.push_back(link);
+    }
+    for (const auto &link : served) {
+        m_awaiting.erase(link);
+        sendConfiguration(link);
+    }
+}
+
+// Compressed once for all who ask; a node that got it from a peer hands on the same bytes.
+template <gateway_codec Codec>
+void publication_relay<Codec>::sendConfiguration(const link_ptr &link)
+{
+    if (ownVersion() == 0)
+        return;
+    if (m_packed.version != ownVersion())
+        m_packed = {ownVersion(), compress(m_state.configurationText())};
+    link->send(m_packed);
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::pullConfiguration()
+{
+    while (const auto step = m_pull.next(m_peers.relayOrder())) {
+        m_log.write(wire::log_level::Info,
+                    m_log.line(wire::log_level::Info, toName(log_event::ConfigurationAsked))
+                        .add("version", step->version)
+                        .add("own_version", ownVersion())
+                        .add("from", toName(step->from))
+                        .add("peer", step->peer.value));
+        if (step->from == configuration_source::Store) {
+            m_store.fetchConfiguration();
+            continue;
         }
+        m_pulledPeer = step->peer;
+        m_pulledFrom = m_peers.linkTo(step->peer);
+        if (m_pulledFrom)
+            m_pulledFrom->send(configuration_request{step->version});
+        else
+            m_pull.onPeerFailed(step->peer);
     }
 }
 
@@ -223,7 +282,12 @@
 void publication_relay<Codec>::onLinkClosed(const link_ptr &link)
 {
     m_followers.erase(link);
+    m_awaiting.erase(link);
     std::erase_if(m_sources, [&](const auto &entry) { return entry.second.link == link; });
+    if (link == m_pulledFrom) {
+        m_pulledFrom.reset();
+        m_pull.onPeerFailed(m_pulledPeer);
+    }
 }
 
 template <gateway_codec Codec>
@@ -241,21 +305,30 @@
     from->second.current = frame.current;
     if (frame.current)
         m_state.onHeard();
-    apply(frame);
+    apply(frame, from->first);
 }
 
+// Read only where it is later: a large one costs a node as much time as a second of requests.
 template <gateway_codec Codec>
-void publication_relay<Codec>::takeConfiguration(const publication_frame &frame,
-                                                 std::vector<published_item> &items)
+void publication_relay<Codec>::takeConfiguration(const configuration_frame &frame)
 {
-    // A large one costs a node as much time as a second of requests.
-    if (frame.configuration.empty() || frame.configurationVersion <= ownVersion())
+    if (frame.version <= ownVersion())
         return;
-    auto read = Codec::readConfiguration(frame.configuration);
-    if (read)
-        items.emplace_back(published_configuration{std::move(read).value(), frame.configuration});
-    else
-        items.emplace_back(unreadable_item{"configuration of a peer", read.error().what});
+    std::vector<published_item> items;
+    const auto unreadable = [&items](const std::string &why) {
+        items.emplace_back(unreadable_item{"configuration of a peer", why});
+    };
+    const auto text = decompress(frame.text, MaxFrameBytes);
+    if (!text) {
+        unreadable(text.error().what);
+    } else if (auto read = Codec::readConfiguration(text.value()); !read) {
+        unreadable(read.error().what);
+    } else {
+        m_packed = frame;
+        items.emplace_back(published_configuration{std::move(read).value(), text.value()});
+    }
+    for (const auto &each : m_state.apply(items))
+        m_onNews(each);
 }
 
 template <gateway_codec Codec>
@@ -271,10 +344,12 @@
 // Changes of a reader, in the order in which it learnt them. What this node knows already, from the
 // other reader or from the store, is passed over by its revision: an older change would undo it.
 template <gateway_codec Codec>
-void publication_relay<Codec>::apply(const publication_frame &frame)
+void publication_relay<Codec>::apply(const publication_frame &frame, const vm_id &reader)
 {
-    if (frame.configurationVersion > ownVersion())
-        m_store.fetchConfiguration();
+    if (frame.configurationVersion > ownVersion()) {
+        m_pull.onTold(frame.configurationVersion, reader);
+        pullConfiguration();
+    }
     std::vector<published_item> items;
     const bool news = frame.revision > m_store.revision();
     const bool changes = hasContent(frame);
@@ -293,7 +368,6 @@
 void publication_relay<Codec>::applyWholeList(const publication_frame &frame)
 {
     std::vector<published_item> items;
-    takeConfiguration(frame, items);
     // A peer that doesn't read the store may know less than this node, but more than nothing. A
     // list older than what is known here would bring back servers that have gone, and drop others
     // for good, since what came between isn't told again.
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -29,6 +29,8 @@
 struct platform_bounds
 {
     milliseconds stopGrace{8000}; ///< from the signal to stop until the process is killed
+    /// From the store's word on a configuration or a leaving server until nodes act on it.
+    milliseconds publicationApply{2000};
     double retryShare = 0.2; ///< of requests, that may reach a server again
     double retryReserve = 50.0; ///< beside the share
     milliseconds retryWindow{10'000};
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -2,6 +2,7 @@
 
 #include "gateway/codec.h"
 #include "gateway/published_state.h"
+#include "gateway/store_options.h"
 #include "http/connection_pool.h"
 #include "wire/log.h"
 
@@ -12,26 +13,6 @@
 
 namespace orchidlead::gateway {
 
-/// How the store is read.
-struct store_options
-{
-    /// Of one watch. Short, so that a silent store is noticed within the bound for configuration.
-    milliseconds watchWait{1500};
-    /// The same where other nodes rely on this one: they must hear soon that it hears nothing.
-    milliseconds relayedWait{700};
-    /// Between two watches: changes that come meanwhile share an answer, and each call is priced.
-    /// A third of the bound for configuration, which is 2 s.
-    milliseconds watchPause{600};
-    /// Between two readings of the configuration alone: versions that follow each other fast share
-    /// one.
-    milliseconds fetchPause{250};
-    milliseconds answerTimeout{1000}; ///< beyond the wait; the store answers in 4 ms
-    /// After a failed call; doubled by each further one, and up to as much again by chance: when
-    /// all nodes start at once they would else ask together again and again.
-    milliseconds firstBackoff{150};
-    milliseconds maxBackoff{1000};
-};
-
 /// What was read from the store just now.
 struct store_news
 {
@@ -49,7 +30,7 @@
                    published_state &state, std::function<void(publication_news)> onNews,
                    wire::log &log, std::uint32_t seed, const store_options &options = {});
 
-    void start() { readConfiguration(); }
+    void start() { readConfiguration(read_freshness::MayBeOld); }
     /// Begins or ends to read. Reading begins where it ended, or where others have come since.
     void setReading(bool reading);
     /// Reads the configuration alone, whether this node reads or not.
@@ -66,8 +47,11 @@
     /// Everything was read once; what comes then are changes.
     [[nodiscard]] bool whole() const { return m_whole; }
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
-    /// When the store last answered.
-    [[nodiscard]] steady_time heardAt() const { return m_heardAt; }
+    /// Whether this node reads the store and heard of it lately.
+    [[nodiscard]] bool current() const
+    {
+        return m_reading && m_connected && m_loop.now() - m_heardAt <= m_options.silence;
+    }
 
 private:
     struct store_answer
@@ -78,8 +62,8 @@
     };
     using page_reader = result<published_page, codec_error> (*)(std::string_view);
 
-    void readConfiguration();
-    void readServers(const std::string &after);
+    void readConfiguration(read_freshness freshness);
+    void readServers(const std::string &after, read_freshness freshness);
     void watch();
     http::pool_call get(const std::string &target, milliseconds timeout,
                         std::function<void(const store_answer &)> onAnswer);
--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/store_follower_impl.h
@@ -59,36 +59,36 @@
     if (m_whole)
         watch();
     else
-        readConfiguration();
+        readConfiguration(read_freshness::MayBeOld);
 }
 
 template <gateway_codec Codec>
-void store_follower<Codec>::readConfiguration()
+void store_follower<Codec>::readConfiguration(read_freshness freshness)
 {
     m_whole = false;
-    m_again = [this] { readConfiguration(); };
+    m_again = [this, freshness] { readConfiguration(freshness); };
     call(Codec::configurationTarget(), m_options.answerTimeout, &Codec::readItem,
-         [this](published_page &&page) {
+         [this, freshness](published_page &&page) {
              m_listRevision = page.revision;
              report(m_state.apply(page.items));
              m_list.clear();
-             readServers({});
+             readServers({}, freshness);
          });
 }
 
-// Pages aren't read at one moment. So the watch begins at the revision before the first, and sees
-// again what changed meanwhile.
+// Pages aren't read at one moment, and may be seconds old where that is allowed. So the watch
+// begins at the earliest revision of them all, and sees again what changed since.
 template <gateway_codec Codec>
-void store_follower<Codec>::readServers(const std::string &after)
+void store_follower<Codec>::readServers(const std::string &after, read_freshness freshness)
 {
-    m_again = [this, after] { readServers(after); };
-    call(Codec::serversTarget(after), m_options.answerTimeout, &Codec::readPage,
-         [this](published_page &&page) {
-             if (m_listRevision == 0)
+    m_again = [this, after, freshness] { readServers(after, freshness); };
+    call(Codec::serversTarget(after, freshness), m_options.answerTimeout, &Codec::readPage,
+         [this, freshness](published_page &&page) {
+             if (m_listRevision == 0 || page.revision < m_listRevision)
                  m_listRevision = page.revision;
              std::ranges::move(page.items, std::back_inserter(m_list));
              if (page.more && !page.lastKey.empty()) {
-                 readServers(page.lastKey);
+                 readServers(page.lastKey, freshness);
                  return;
              }
              report(m_state.applyList(m_list));
@@ -229,7 +229,7 @@
     m_log.write(wire::log_level::Info,
                 m_log.line(wire::log_level::Info, toName(log_event::StoreHistoryGone))
                     .add("revision", m_revision));
-    readConfiguration();
+    readConfiguration(read_freshness::Latest);
 }
 
 template <gateway_codec Codec>
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -64,7 +64,6 @@
 TEST_CASE("a publication travels with its servers")
 {
     publication_frame frame;
-    frame.configuration = "{}";
     frame.configurationVersion = 17;
     frame.current = true;
     frame.whole = true;
@@ -97,6 +96,20 @@
     CHECK_FALSE(roundTrip(follow_frame{false}).begins);
 }
 
+TEST_CASE("a configuration travels as it was published")
+{
+    std::string text;
+    for (int i = 0; i < 2000; ++i)
+        text += R"({"name":"route-)" + std::to_string(i) + R"("},)";
+    CHECK(roundTrip(configuration_request{17}).version == 17);
+    const configuration_frame made{19, compress(text)};
+    const auto read = roundTrip(made);
+    CHECK(read.version == 19);
+    const auto back = decompress(read.text, MaxFrameBytes);
+    REQUIRE(back);
+    CHECK(back.value() == text);
+}
+
 TEST_CASE("a wish for an engine travels with its prompt")
 {
     place_frame frame;
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -21,6 +21,7 @@
 first_contacts: ["10.0.0.1:3", "10.0.0.2:3"]
 bounds:
   stop_grace: 8s
+  publication_apply: 3s
   retry_share: 0.25
   retry_reserve: 52
   retry_window: 10s
@@ -37,6 +38,7 @@
     CHECK(settings.value().firstContacts.size() == 2);
     CHECK(settings.value().bounds.retryShare == 0.25);
     CHECK(settings.value().bounds.stopGrace == milliseconds{8000});
+    CHECK(settings.value().bounds.publicationApply == milliseconds{3000});
 }
 
 TEST_CASE("each wrong setting is told with its place, and unknown keys are")
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -279,9 +279,12 @@
 TEST_CASE("targets of the store's calls are written")
 {
     CHECK(codec::configurationTarget() == "/kv-key?key=op/config");
-    CHECK(codec::serversTarget("") == "/kv-range?path_prefix=servers/");
-    CHECK(codec::serversTarget("servers/i 1")
+    const auto latest = gateway::read_freshness::Latest;
+    CHECK(codec::serversTarget("", latest) == "/kv-range?path_prefix=servers/");
+    CHECK(codec::serversTarget("servers/i 1", latest)
           == "/kv-range?path_prefix=servers/&after=servers/i%201");
+    CHECK(codec::serversTarget("", gateway::read_freshness::MayBeOld)
+          == "/kv-range?path_prefix=servers/&allow_stale=1");
     CHECK(codec::watchTarget(411, milliseconds{1500})
           == "/kv-watch?path_prefix=&after=411&wait_ms=1500");
 }
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -214,12 +214,23 @@
         + std::to_string(m_revision) + "}";
 }
 
-std::string fake_store::page(const std::string &after) const
+std::map<std::string, fake_store::entry> fake_store::entriesAt(std::uint64_t revision) const
 {
+    std::map<std::string, entry> entries;
+    for (const auto &each : m_history) {
+        if (each.revision <= revision)
+            entries[each.key] = each;
+    }
+    return entries;
+}
+
+std::string fake_store::page(const std::string &after, std::uint64_t revision) const
+{
+    const auto entries = entriesAt(revision);
     std::string items;
     std::size_t count = 0;
     bool more = false;
-    for (auto it = m_entries.upper_bound(after); it != m_entries.end(); ++it) {
+    for (auto it = entries.upper_bound(after); it != entries.end(); ++it) {
         const auto &[key, each] = *it;
         if (!key.starts_with("servers/") || each.deleted)
             continue;
@@ -231,7 +242,7 @@
             + R"(,"value":")" + wire::encodeBase64(each.value) + "\"}";
     }
     return R"({"items":[)" + items + R"(],"has_more":)" + (more ? "true" : "false")
-        + R"(,"store_revision":)" + std::to_string(m_revision) + "}";
+        + R"(,"store_revision":)" + std::to_string(revision) + "}";
 }
 
 void fake_store::onRequest(const http::inbound_ptr &client, const http::request_head &head)
@@ -242,11 +253,14 @@
         return;
     }
     if (head.target.starts_with("/kv-range")) {
-        client->respond(200, {}, page(argument(head.target, "after")));
+        const bool old = argument(head.target, "allow_stale") == "1";
+        client->respond(200, {},
+                        page(argument(head.target, "after"), m_revision - (old ? m_lag : 0)));
     } else if (head.target.starts_with("/kv-watch")) {
         answerWatch(client, numberArgument(head.target, "after"));
     } else if (const auto found = m_entries.find(argument(head.target, "key"));
                found != m_entries.end()) {
+        ++m_configurationReads;
         client->respond(200, {},
                         R"({"key":")" + found->first + R"(","value":")"
                             + wire::encodeBase64(found->second.value) + R"(","store_revision":)"
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -74,10 +74,14 @@
     void refuseEach(std::size_t nth) { m_refuseEach = nth; }
     /// Gives a list in pages of so many items.
     void setPageSize(std::size_t items) { m_pageSize = items; }
+    /// Lists that may be old are so many changes behind.
+    void setLag(std::uint64_t changes) { m_lag = changes; }
     /// Forgets its history: watches from before are answered 410.
     void compact() { m_oldest = m_revision; }
     [[nodiscard]] socket_address address() const;
     [[nodiscard]] std::size_t calls() const { return m_calls; }
+    /// Calls that read the configuration alone.
+    [[nodiscard]] std::size_t configurationReads() const { return m_configurationReads; }
 
 private:
     struct entry
@@ -90,7 +94,8 @@
 
     void onRequest(const http::inbound_ptr &client, const http::request_head &head);
     void answerWatch(const http::inbound_ptr &client, std::uint64_t after);
-    [[nodiscard]] std::string page(const std::string &after) const;
+    [[nodiscard]] std::string page(const std::string &after, std::uint64_t revision) const;
+    [[nodiscard]] std::map<std::string, entry> entriesAt(std::uint64_t revision) const;
     [[nodiscard]] std::string changes(std::uint64_t after) const;
 
     http::io_loop &m_loop;
@@ -101,7 +106,9 @@
     std::uint64_t m_revision = 10;
     std::uint64_t m_oldest = 0;
     int m_failure = 0;
+    std::uint64_t m_lag = 0;
     std::size_t m_calls = 0;
+    std::size_t m_configurationReads = 0;
     std::size_t m_refuseEach = 0;
     std::size_t m_pageSize = 500;
 };
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -130,3 +130,18 @@
         CHECK(w.answers(name, "/p/", 200));
     }
 }
+
+// Read by each node, one version costs the store as many calls as there are nodes, all at once, and
+// those that it refuses ask again.
+TEST_CASE("nodes that follow get a new configuration from each other, without a call to the store")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    const auto before = w.store.configurationReads();
+    w.publish(9, plainRoute("safe") + "," + routeAt("/n/"));
+    for (const auto &name : w.names) {
+        INFO(name);
+        CHECK(w.answers(name, "/n/", 200));
+    }
+    CHECK(w.store.configurationReads() == before);
+}
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -178,3 +178,23 @@
     auto &node = w.startGateway("g1", false);
     CHECK(w.runUntil([&] { return node.ready(); }, milliseconds{4000}));
 }
+
+// Lists that may be seconds old cost a tenth and aren't counted against the store's rate, so that
+// hundreds of nodes can start at once; what changed since comes with the first watch.
+TEST_CASE("a node that starts from an old list knows the latest changes all the same")
+{
+    world w;
+    auto &gone = w.addServer("web", "i-1");
+    auto &leaving = w.addServer("web", "i-2");
+    w.publish(5, plainRoute("safe"));
+    w.announce(leaving, "web", "draining");
+    w.store.remove("servers/i-1");
+    w.addServer("web", "i-3");
+    w.store.setLag(3);
+    w.startGateway("g1");
+    w.runFor(milliseconds{300});
+    CHECK(comesTo(w, "g1", "/p/", 200));
+    CHECK_FALSE(w.server("i-3").requests().empty());
+    CHECK(gone.requests().empty());
+    CHECK(leaving.requests().empty());
+}
