Let only readers read the latest list and watch, and nodes that start wait for them

Cause: each start watched the store on from the old list. And each node that had not yet heard of the store asked any peer for everything at its first tick. Ruled out: the list in full by each node: 60 pages each, beyond the store's rate; a shorter first watch: the same backlog. Change: a node serves from the configuration and the old list, and waits 0.7 s to learn who reads; readers then read the latest list and watch, the others follow and get the parts that differ; without a reader after 2 s a node reads by itself. Peers are asked only after the store was silent for 0.3 s, three times of four in the own data centre. Tests: some begin only when the node watches the store, which it does 0.7 s after its start now; what they check is the same.

--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -75,7 +75,8 @@
     [[nodiscard]] const list_digest &ownDigest();
     [[nodiscard]] publication_frame makeChanges(const store_news &news) const;
     [[nodiscard]] publication_frame makeHeartbeat() const;
-    void logRole(bool reads);
+    void setReading(bool reads);
+    [[nodiscard]] std::size_t draw(std::size_t bound);
 
     http::io_loop &m_loop;
     peer_network &m_peers;
@@ -87,6 +88,7 @@
     std::minstd_rand m_random;
     std::map<vm_id, source> m_sources;
     std::set<link_ptr> m_followers;
+    steady_time m_startedAt;
     configuration_pull m_pull;
     link_ptr m_pulledFrom; ///< of the peer that was asked last for a configuration
     vm_id m_pulledPeer;
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -15,6 +15,19 @@
 /// A reader that hasn't said so for so long isn't relied on: two heartbeats and a lost packet.
 /// Shorter than the silence of the store that a reader notices, so it adds nothing to the bound.
 inline constexpr milliseconds SourceSilence{800};
+/// From its start on a node waits so long for others to read the store for it: hundreds of nodes
+/// that start at once agree within a second on who does. It serves from what it read at first
+/// meanwhile.
+inline constexpr milliseconds SettleTime{700};
+/// And so long until it reads the store by itself where nobody does that for it: the readers may have
+/// started a little later, and read thousands of servers first.
+inline constexpr milliseconds FirstSourcePatience{2000};
+/// Peers are asked for what is published only after the store was silent for so long: it answers in
+/// a few milliseconds, and an answer of a peer may have hundreds of kilobytes.
+inline constexpr milliseconds AskAfter{300};
+/// One in so many questions goes to any peer, the others to the own data centre: bytes between data
+/// centres are dear, but all nodes of one may have started together.
+inline constexpr std::size_t FarAsks = 4;
 /// Whether a frame tells of servers.
 [[nodiscard]] inline bool hasContent(const publication_frame &frame)
 {
@@ -41,6 +54,7 @@
     , m_onNews(std::move(onNews))
     , m_log(log)
     , m_random(seed)
+    , m_startedAt(loop.now())
     , m_pull(loop.clock(), peers.self())
 { }
 
@@ -50,28 +64,30 @@
     const auto &order = m_peers.relayOrder();
     const std::vector<vm_id> readers(order.begin(),
                                      order.begin() + std::min(ReadersPerDataCenter, order.size()));
-    const bool reader = std::ranges::find(readers, m_peers.self()) != readers.end();
+    const bool settled = m_loop.now() - m_startedAt >= SettleTime;
+    const bool reader = settled && std::ranges::find(readers, m_peers.self()) != readers.end();
     // A reader that the store doesn't answer follows the other one meanwhile.
     const bool follows = m_store.whole() && (!reader || !m_store.current());
     followReaders(follows ? readers : std::vector<vm_id>{});
-    logRole(reader || !m_store.whole() || !hasCurrentSource());
+    const bool overdue = m_loop.now() - m_startedAt >= FirstSourcePatience;
+    setReading(!m_store.whole() || reader || (overdue && !hasCurrentSource()));
     m_store.setWatched(!m_followers.empty());
     tellFollowers();
-    if (!informed())
+    if (!informed() && m_store.silentFor() > AskAfter)
         askPeers();
     pullConfiguration();
 }
 
 template <gateway_codec Codec>
-void publication_relay<Codec>::logRole(bool reads)
+void publication_relay<Codec>::setReading(bool reads)
 {
-    if (reads == m_store.reading())
-        return;
-    const auto event = reads ? log_event::StoreReadBegun : log_event::StoreReadEnded;
-    m_log.write(wire::log_level::Info,
-                m_log.line(wire::log_level::Info, toName(event))
-                    .add("revision", m_store.revision())
-                    .add("readers_followed", m_sources.size()));
+    if (reads != m_store.reading()) {
+        const auto event = reads ? log_event::StoreReadBegun : log_event::StoreReadEnded;
+        m_log.write(wire::log_level::Info,
+                    m_log.line(wire::log_level::Info, toName(event))
+                        .add("revision", m_store.revision())
+                        .add("readers_followed", m_sources.size()));
+    }
     m_store.setReading(reads);
 }
 
@@ -430,6 +446,12 @@
         link->send(publication_request{ownVersion(), ownDigest()});
 }
 
+template <gateway_codec Codec>
+std::size_t publication_relay<Codec>::draw(std::size_t bound)
+{
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+}
+
 // While the store doesn't answer this node, it may answer others.
 template <gateway_codec Codec>
 void publication_relay<Codec>::askPeers()
@@ -440,7 +462,10 @@
     if (peers.empty())
         return;
     m_nextAsk = m_loop.now() + AskInterval;
-    const auto drawn = std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(m_random);
+    // The first ones are those of the own data centre.
+    const auto near = m_peers.relayOrder().size();
+    const bool far = near < 2 || draw(FarAsks) == 0;
+    const auto drawn = draw(far ? peers.size() : std::min(near, peers.size()));
     if (const auto link = m_peers.linkTo(peers[drawn]))
         link->send(publication_request{ownVersion(), ownDigest()});
 }
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -20,8 +20,10 @@
     bool whole = false; ///< all servers, not only changes; the state has them already
 };
 
-/// Reads the store from the start, then watches it, and begins anew when its history is gone. While
-/// others do that for this node, it waits, and goes on from what they told.
+/// Reads the store: first the configuration and a list of servers that may be old, so that the node
+/// can serve at once. Then it waits until it is told to read on, since others may read for this
+/// node; it goes on from what they told, or else reads the latest list, watches it, and begins anew
+/// when its history is gone.
 template <gateway_codec Codec>
 class store_follower
 {
@@ -31,21 +33,26 @@
                    wire::log &log, std::uint32_t seed, const store_options &options = {});
 
     void start() { readConfiguration(read_freshness::MayBeOld); }
-    /// Begins or ends to read. Reading begins where it ended, or where others have come since.
+    /// Begins or ends to read on. Reading begins where it ended, or where others have come since.
     void setReading(bool reading);
     /// Reads the configuration alone, whether this node reads or not.
     void fetchConfiguration();
     /// Other nodes rely on what this one reads.
     void setWatched(bool watched) { m_watched = watched; }
     /// Everything up to this revision was learnt from others.
-    void advanceTo(std::uint64_t revision) { m_revision = std::max(m_revision, revision); }
+    void advanceTo(std::uint64_t revision);
     /// Called with what was read, before the state takes changes and after it took a whole list.
     void onRead(std::function<void(const store_news &)> handler) { m_onRead = std::move(handler); }
 
     [[nodiscard]] bool connected() const { return m_connected; }
     [[nodiscard]] bool reading() const { return m_reading; }
-    /// Everything was read once; what comes then are changes.
+    /// Everything was read once, be it old; what comes then are changes.
     [[nodiscard]] bool whole() const { return m_whole; }
+    /// How long the store has been silent, or how long this node hasn't tried to read it.
+    [[nodiscard]] milliseconds silentFor() const
+    {
+        return std::chrono::duration_cast<milliseconds>(m_loop.now() - m_heardAt);
+    }
     [[nodiscard]] std::uint64_t revision() const { return m_revision; }
     /// Whether this node reads the store and heard of it lately.
     [[nodiscard]] bool current() const
@@ -90,6 +97,8 @@
     std::uint64_t m_revision = 0; ///< everything up to it is known
     std::uint64_t m_listRevision = 0; ///< when the first page was read
     bool m_whole = false; ///< has read everything once since the history was lost
+    bool m_latest = false; ///< and what was read was the latest: changes can be watched from there
+    bool m_waits = false; ///< has read what may be old, and waits to be told to read on
     bool m_connected = false;
     bool m_reading = true;
     bool m_watched = false;
--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/store_follower_impl.h
@@ -21,6 +21,7 @@
     , m_onNews(std::move(onNews))
     , m_log(log)
     , m_options(options)
+    , m_heardAt(loop.now())
     , m_random(seed)
 { }
 
@@ -50,16 +51,24 @@
 template <gateway_codec Codec>
 void store_follower<Codec>::setReading(bool reading)
 {
-    if (std::exchange(m_reading, reading) == reading)
+    const bool waited = std::exchange(m_waits, false);
+    if (std::exchange(m_reading, reading) == reading && !(waited && reading))
         return;
     ++m_session;
     m_pool.abandon(std::exchange(m_call, 0));
     if (!reading)
         return;
-    if (m_whole)
+    if (m_whole && m_latest)
         watch();
     else
-        readConfiguration(read_freshness::MayBeOld);
+        readConfiguration(read_freshness::Latest);
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::advanceTo(std::uint64_t revision)
+{
+    m_revision = std::max(m_revision, revision);
+    m_latest = true;
 }
 
 template <gateway_codec Codec>
@@ -95,6 +104,10 @@
              m_list.clear();
              m_revision = std::exchange(m_listRevision, 0);
              m_whole = true;
+             m_latest = freshness == read_freshness::Latest;
+             m_waits = !m_latest;
+             if (m_waits)
+                 return;
              tell({{}, true});
              watch();
          });
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -257,6 +257,7 @@
         client->respond(200, {},
                         page(argument(head.target, "after"), m_revision - (old ? m_lag : 0)));
     } else if (head.target.starts_with("/kv-watch")) {
+        ++m_watches;
         answerWatch(client, numberArgument(head.target, "after"));
     } else if (const auto found = m_entries.find(argument(head.target, "key"));
                found != m_entries.end()) {
@@ -349,6 +350,11 @@
     return *entry.gateway;
 }
 
+bool world::untilWatched(std::size_t nodes)
+{
+    return runUntil([&] { return store.watches() >= nodes; });
+}
+
 void world::stopGateway(const std::string &name)
 {
     m_nodes[name].gateway->stop();
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -80,6 +80,8 @@
     void compact() { m_oldest = m_revision; }
     [[nodiscard]] socket_address address() const;
     [[nodiscard]] std::size_t calls() const { return m_calls; }
+    /// Calls that waited for changes.
+    [[nodiscard]] std::size_t watches() const { return m_watches; }
     /// Calls that read the configuration alone.
     [[nodiscard]] std::size_t configurationReads() const { return m_configurationReads; }
 
@@ -109,6 +111,7 @@
     std::uint64_t m_lag = 0;
     std::size_t m_calls = 0;
     std::size_t m_configurationReads = 0;
+    std::size_t m_watches = 0;
     std::size_t m_refuseEach = 0;
     std::size_t m_pageSize = 500;
 };
@@ -142,6 +145,8 @@
     /// Starts a gateway and waits until it is ready, or, where nothing makes it so, doesn't wait.
     gateway::gateway<platform::codec> &startGateway(const std::string &name, bool waitReady = true);
     void stopGateway(const std::string &name);
+    /// Waits until so many nodes watch the store: they do so only some time after their start.
+    bool untilWatched(std::size_t nodes = 1);
 
     /// Sends a request to a gateway.
     std::shared_ptr<client_answer> request(const std::string &gateway, http::request_head head,
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -25,7 +25,7 @@
         publish(5, plainRoute("safe"));
         for (const auto &name : names)
             startGateway(name);
-        settled = runUntil([&] { return following() == 2; });
+        settled = untilWatched(2) && runUntil([&] { return following() == 2; });
     }
     /// Nodes that others read for: each such line was written once where nothing happened since.
     std::size_t following()
@@ -137,6 +137,7 @@
 {
     relay_world w;
     REQUIRE(w.settled);
+    w.runFor(milliseconds{300});
     const auto before = w.store.configurationReads();
     w.publish(9, plainRoute("safe") + "," + routeAt("/n/"));
     for (const auto &name : w.names) {
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -72,6 +72,7 @@
     const auto &server = w.addServer("web", "i-1");
     w.publish(5, plainRoute("safe"));
     w.startGateway("g1");
+    REQUIRE(w.untilWatched());
     w.store.failWith(503);
     w.runFor(milliseconds{500});
     w.store.remove("servers/i-1");
@@ -192,7 +193,7 @@
     w.addServer("web", "i-3");
     w.store.setLag(3);
     w.startGateway("g1");
-    w.runFor(milliseconds{300});
+    REQUIRE(w.untilWatched());
     CHECK(comesTo(w, "g1", "/p/", 200));
     CHECK_FALSE(w.server("i-3").requests().empty());
     CHECK(gone.requests().empty());
