--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -19,8 +19,8 @@
 /// that start at once agree within a second on who does. It serves from what it read at first
 /// meanwhile.
 inline constexpr milliseconds SettleTime{700};
-/// And so long until it reads the store by itself where nobody does that for it: the readers may have
-/// started a little later, and read thousands of servers first.
+/// And so long until it reads the store by itself where nobody does that for it: the readers may
+/// have started a little later, and read thousands of servers first.
 inline constexpr milliseconds FirstSourcePatience{2000};
 /// Peers are asked for what is published only after the store was silent for so long: it answers in
 /// a few milliseconds, and an answer of a peer may have hundreds of kilobytes.
