--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/configuration_pull.h"
+#include "gateway/configuration_relay.h"
 #include "gateway/list_digest.h"
 #include "gateway/peer_network.h"
 #include "gateway/published_state.h"
@@ -38,7 +38,7 @@
     /// This node learnt something from the store.
     void onStoreNews(const store_news &news);
     /// This node has that configuration in force now.
-    void onConfiguration(std::uint64_t version);
+    void onConfiguration(std::uint64_t version) { m_configurations.onConfiguration(version); }
     /// A peer has a configuration of that version in force.
     void onPeerVersion(const vm_id &peer, std::uint64_t version);
 
@@ -61,14 +61,9 @@
     void askPeers();
     void onPublication(const link_ptr &link, const publication_frame &frame);
     void onFollow(const link_ptr &link, const follow_frame &frame);
-    void onConfigurationRequest(const link_ptr &link, const configuration_request &frame);
-    void takeConfiguration(const configuration_frame &frame);
-    void sendConfiguration(const link_ptr &link);
-    void pullConfiguration();
     void apply(const publication_frame &frame, const vm_id &reader);
     void applyAnswer(const publication_frame &frame);
     std::vector<publication_news> applyServers(const publication_frame &frame);
-    [[nodiscard]] std::uint64_t ownVersion() const;
     [[nodiscard]] bool hasCurrentSource() const;
     /// What differs from what a peer knows.
     [[nodiscard]] publication_frame makeDifference(const list_digest &known);
@@ -89,13 +84,9 @@
     std::map<vm_id, source> m_sources;
     std::set<link_ptr> m_followers;
     steady_time m_startedAt;
-    configuration_pull m_pull;
-    link_ptr m_pulledFrom; ///< of the peer that was asked last for a configuration
-    vm_id m_pulledPeer;
-    std::map<link_ptr, std::uint64_t> m_awaiting; ///< peers, and the least version they asked for
+    configuration_relay<Codec> m_configurations;
     list_digest m_digest{}; ///< of the servers that this node knows …
     std::uint64_t m_digestOf = 0; ///< … after so many changes of the directory
-    configuration_frame m_packed; ///< what was sent or taken last
     steady_time m_nextHeartbeat{};
     bool m_toldCurrent = false; ///< whether this node read the store at the last tick
     std::optional<steady_time> m_behindSince; ///< a peer told of a later configuration
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -51,11 +51,11 @@
     , m_directory(directory)
     , m_state(state)
     , m_store(store)
-    , m_onNews(std::move(onNews))
+    , m_onNews(onNews)
     , m_log(log)
     , m_random(seed)
     , m_startedAt(loop.now())
-    , m_pull(loop.clock(), peers.self())
+    , m_configurations(loop, peers, state, store, onNews, log)
 { }
 
 template <gateway_codec Codec>
@@ -75,7 +75,7 @@
     tellFollowers();
     if (!informed() && m_store.silentFor() > AskAfter)
         askPeers();
-    pullConfiguration();
+    m_configurations.tick();
 }
 
 template <gateway_codec Codec>
@@ -131,7 +131,7 @@
 {
     publication_frame frame;
     frame.current = m_state.listed() && m_store.current();
-    frame.configurationVersion = ownVersion();
+    frame.configurationVersion = m_configurations.ownVersion();
     frame.revision = m_store.revision();
     frame.removalsDeferred = m_state.removalsDeferred();
     return frame;
@@ -189,7 +189,7 @@
         return;
     }
     auto frame = makeChanges(news);
-    if (!hasContent(frame) && frame.configurationVersion <= ownVersion())
+    if (!hasContent(frame) && frame.configurationVersion <= m_configurations.ownVersion())
         return;
     const peer_frame told = std::move(frame);
     for (const auto &link : m_followers)
@@ -231,8 +231,8 @@
 {
     if (const auto *wish = std::get_if<publication_request>(&frame)) {
         link->send(makeDifference(wish->known));
-        if (wish->configurationVersion < ownVersion())
-            sendConfiguration(link);
+        if (wish->configurationVersion < m_configurations.ownVersion())
+            m_configurations.sendTo(link);
     } else if (const auto *publication = std::get_if<publication_frame>(&frame)) {
         onPublication(link, *publication);
     } else if (const auto *follow = std::get_if<follow_frame>(&frame)) {
@@ -240,10 +240,8 @@
     } else if (const auto *compare = std::get_if<compare_frame>(&frame)) {
         if (compare->known != ownDigest())
             link->send(follow_frame{true, ownDigest()});
-    } else if (const auto *request = std::get_if<configuration_request>(&frame)) {
-        onConfigurationRequest(link, *request);
-    } else if (const auto *configuration = std::get_if<configuration_frame>(&frame)) {
-        takeConfiguration(*configuration);
+    } else {
+        m_configurations.onFrame(link, frame);
     }
 }
 
@@ -258,75 +256,12 @@
     link->send(makeDifference(frame.known));
 }
 
-template <gateway_codec Codec>
-void publication_relay<Codec>::onConfigurationRequest(const link_ptr &link,
-                                                      const configuration_request &frame)
-{
-    if (frame.version <= ownVersion())
-        sendConfiguration(link);
-    else
-        m_awaiting[link] = frame.version;
-}
-
-template <gateway_codec Codec>
-void publication_relay<Codec>::onConfiguration(std::uint64_t version)
-{
-    m_pull.onInForce(version);
-    std::vector<link_ptr> served;
-    for (const auto &[link, wanted] : m_awaiting) {
-        if (wanted <= version)
-            served.push_back(link);
-    }
-    for (const auto &link : served) {
-        m_awaiting.erase(link);
-        sendConfiguration(link);
-    }
-}
-
-// Compressed once for all who ask; a node that got it from a peer hands on the same bytes.
-template <gateway_codec Codec>
-void publication_relay<Codec>::sendConfiguration(const link_ptr &link)
-{
-    if (ownVersion() == 0)
-        return;
-    if (m_packed.version != ownVersion())
-        m_packed = {ownVersion(), compress(m_state.configurationText())};
-    link->send(m_packed);
-}
-
-template <gateway_codec Codec>
-void publication_relay<Codec>::pullConfiguration()
-{
-    while (const auto step = m_pull.next(m_peers.relayOrder())) {
-        m_log.write(wire::log_level::Info,
-                    m_log.line(wire::log_level::Info, toName(log_event::ConfigurationAsked))
-                        .add("version", step->version)
-                        .add("own_version", ownVersion())
-                        .add("from", toName(step->from))
-                        .add("peer", step->peer.value));
-        if (step->from == configuration_source::Store) {
-            m_store.fetchConfiguration();
-            continue;
-        }
-        m_pulledPeer = step->peer;
-        m_pulledFrom = m_peers.linkTo(step->peer);
-        if (m_pulledFrom)
-            m_pulledFrom->send(configuration_request{step->version});
-        else
-            m_pull.onPeerFailed(step->peer);
-    }
-}
-
 template <gateway_codec Codec>
 void publication_relay<Codec>::onLinkClosed(const link_ptr &link)
 {
     m_followers.erase(link);
-    m_awaiting.erase(link);
     std::erase_if(m_sources, [&](const auto &entry) { return entry.second.link == link; });
-    if (link == m_pulledFrom) {
-        m_pulledFrom.reset();
-        m_pull.onPeerFailed(m_pulledPeer);
-    }
+    m_configurations.onLinkClosed(link);
 }
 
 template <gateway_codec Codec>
@@ -347,29 +282,6 @@
     apply(frame, from->first);
 }
 
-// Read only where it is later: a large one costs a node as much time as a second of requests.
-template <gateway_codec Codec>
-void publication_relay<Codec>::takeConfiguration(const configuration_frame &frame)
-{
-    if (frame.version <= ownVersion())
-        return;
-    std::vector<published_item> items;
-    const auto unreadable = [&items](const std::string &why) {
-        items.emplace_back(unreadable_item{"configuration of a peer", why});
-    };
-    const auto text = decompress(frame.text, MaxFrameBytes);
-    if (!text) {
-        unreadable(text.error().what);
-    } else if (auto read = Codec::readConfiguration(text.value()); !read) {
-        unreadable(read.error().what);
-    } else {
-        m_packed = frame;
-        items.emplace_back(published_configuration{std::move(read).value(), text.value()});
-    }
-    for (const auto &each : m_state.apply(items))
-        m_onNews(each);
-}
-
 template <gateway_codec Codec>
 std::vector<publication_news> publication_relay<Codec>::applyServers(const publication_frame &frame)
 {
@@ -388,10 +300,7 @@
 template <gateway_codec Codec>
 void publication_relay<Codec>::apply(const publication_frame &frame, const vm_id &reader)
 {
-    if (frame.configurationVersion > ownVersion()) {
-        m_pull.onTold(frame.configurationVersion, reader);
-        pullConfiguration();
-    }
+    m_configurations.onTold(frame.configurationVersion, reader);
     m_state.deferRemovals(frame.removalsDeferred);
     // A heartbeat tells a revision up to which nothing else happened: but a change may
     // have been lost with a link between, so only frames with content move this node's revision.
@@ -420,19 +329,13 @@
         m_store.advanceTo(frame.revision);
 }
 
-template <gateway_codec Codec>
-std::uint64_t publication_relay<Codec>::ownVersion() const
-{
-    return m_state.current() ? m_state.current()->version() : 0;
-}
-
 // A peer that has a later configuration is asked for it: at once where this node hears of no
 // changes, since the store may turn it away; else only if the change hasn't come by the usual way
 // meanwhile.
 template <gateway_codec Codec>
 void publication_relay<Codec>::onPeerVersion(const vm_id &peer, std::uint64_t version)
 {
-    if (version <= ownVersion()) {
+    if (version <= m_configurations.ownVersion()) {
         m_behindSince.reset();
         return;
     }
@@ -443,7 +346,7 @@
         return;
     m_nextAsk = m_loop.now() + AskInterval;
     if (const auto link = m_peers.linkTo(peer))
-        link->send(publication_request{ownVersion(), ownDigest()});
+        link->send(publication_request{m_configurations.ownVersion(), ownDigest()});
 }
 
 template <gateway_codec Codec>
@@ -467,7 +370,7 @@
     const bool far = near < 2 || draw(FarAsks) == 0;
     const auto drawn = draw(far ? peers.size() : std::min(near, peers.size()));
     if (const auto link = m_peers.linkTo(peers[drawn]))
-        link->send(publication_request{ownVersion(), ownDigest()});
+        link->send(publication_request{m_configurations.ownVersion(), ownDigest()});
 }
 
 } // namespace orchidlead::gateway
