Wait for a long answer of the store that keeps coming

Cause: a call to the store was given up a fixed time after it began. A watch of thousands of servers brings what they wrote in seconds; over a small link that takes longer, was given up, asked for again and was longer each time, so that a reader could never come to the latest. Ruled out: a longer time for all calls: a silent store would be noticed later. Change: the time begins anew with each part of the answer. Figures: the new test, a list in five parts over 1.4 s, failed before (asked again, not ready), passes now.

--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -7,6 +7,7 @@
 #include "wire/log.h"
 
 #include <functional>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -67,6 +68,14 @@
         std::string body;
         std::string failure; ///< empty: the answer is whole
     };
+    /// A call whose answer is awaited.
+    struct open_read
+    {
+        store_answer answer;
+        http::pool_call call = 0;
+        http::timer_id timer = 0; ///< gives it up
+        std::function<void(const store_answer &)> onAnswer;
+    };
     using page_reader = result<published_page, codec_error> (*)(std::string_view);
 
     void readConfiguration(read_freshness freshness);
@@ -74,6 +83,8 @@
     void watch();
     http::pool_call get(const std::string &target, milliseconds timeout,
                         std::function<void(const store_answer &)> onAnswer);
+    /// From now on the call is given up when nothing of its answer comes for so long.
+    void giveTime(const std::shared_ptr<open_read> &read, milliseconds time);
     void call(const std::string &target, milliseconds timeout, page_reader read,
               std::function<void(published_page &&)> onPage);
     void onAnswer(int status, const std::string &body, page_reader read,
--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/store_follower_impl.h
@@ -132,8 +132,8 @@
 http::pool_call store_follower<Codec>::get(const std::string &target, milliseconds timeout,
                                            std::function<void(const store_answer &)> onAnswer)
 {
-    const auto answered = std::make_shared<store_answer>();
-    const auto timer = std::make_shared<http::timer_id>(0);
+    const auto read = std::make_shared<open_read>();
+    read->onAnswer = std::move(onAnswer);
     http::outbound_call made;
     made.writeHead = [target, host = m_store.ip] {
         http::request_head head;
@@ -142,21 +142,33 @@
         head.fields.push_back({"Host", host});
         return std::optional(http::formatHead(head));
     };
-    made.onHead = [answered](const http::response_head &head) { answered->status = head.status; };
-    made.onBody = [answered](std::string_view bytes) { answered->body.append(bytes); };
-    made.onEnd = [this, answered, timer, onAnswer](http::call_end how) {
-        m_loop.cancelTimer(*timer);
+    made.onHead = [read](const http::response_head &head) { read->answer.status = head.status; };
+    made.onBody = [this, read](std::string_view bytes) {
+        read->answer.body.append(bytes);
+        giveTime(read, m_options.answerTimeout);
+    };
+    made.onEnd = [this, read](http::call_end how) {
+        m_loop.cancelTimer(read->timer);
         if (how != http::call_end::Complete)
-            answered->failure = "connection";
-        onAnswer(*answered);
+            read->answer.failure = "connection";
+        read->onAnswer(read->answer);
     };
-    const auto call = m_pool.start(m_store, std::move(made));
-    *timer = m_loop.callAfter(timeout, [this, call, answered, onAnswer] {
-        m_pool.abandon(call);
-        answered->failure = "timeout";
-        onAnswer(*answered);
+    read->call = m_pool.start(m_store, std::move(made));
+    giveTime(read, timeout);
+    return read->call;
+}
+
+// What thousands of servers wrote in a few seconds takes a small link seconds. Given up and asked
+// for again it is longer each time, and this node would never know the latest.
+template <gateway_codec Codec>
+void store_follower<Codec>::giveTime(const std::shared_ptr<open_read> &read, milliseconds time)
+{
+    m_loop.cancelTimer(read->timer);
+    read->timer = m_loop.callAfter(time, [this, read] {
+        m_pool.abandon(read->call);
+        read->answer.failure = "timeout";
+        read->onAnswer(read->answer);
     });
-    return call;
 }
 
 template <gateway_codec Codec>
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -254,8 +254,15 @@
     }
     if (head.target.starts_with("/kv-range")) {
         const bool old = argument(head.target, "allow_stale") == "1";
-        client->respond(200, {},
-                        page(argument(head.target, "after"), m_revision - (old ? m_lag : 0)));
+        const auto body = page(argument(head.target, "after"), m_revision - (old ? m_lag : 0));
+        if (m_pieces == 0) {
+            client->respond(200, {}, body);
+            return;
+        }
+        http::response_head answer;
+        answer.status = 200;
+        client->begin(answer);
+        sendPieces(client, body, 0);
     } else if (head.target.starts_with("/kv-watch")) {
         ++m_watches;
         answerWatch(client, numberArgument(head.target, "after"));
@@ -271,6 +278,19 @@
     }
 }
 
+void fake_store::sendPieces(const http::inbound_ptr &client, const std::string &body,
+                            std::size_t sent)
+{
+    const auto length = body.size() / m_pieces + 1;
+    client->write(std::string_view(body).substr(sent, length));
+    if (sent + length >= body.size()) {
+        client->finish();
+        return;
+    }
+    m_loop.callAfter(
+        m_pause, [this, client, body, next = sent + length] { sendPieces(client, body, next); });
+}
+
 void fake_store::answerWatch(const http::inbound_ptr &client, std::uint64_t after)
 {
     constexpr milliseconds Wait{100};
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -76,6 +76,12 @@
     void setPageSize(std::size_t items) { m_pageSize = items; }
     /// Lists that may be old are so many changes behind.
     void setLag(std::uint64_t changes) { m_lag = changes; }
+    /// Sends lists in so many pieces, with a pause after each; 0: at once.
+    void sendListsIn(std::size_t pieces, milliseconds pause)
+    {
+        m_pieces = pieces;
+        m_pause = pause;
+    }
     /// Forgets its history: watches from before are answered 410.
     void compact() { m_oldest = m_revision; }
     [[nodiscard]] socket_address address() const;
@@ -95,6 +101,7 @@
     };
 
     void onRequest(const http::inbound_ptr &client, const http::request_head &head);
+    void sendPieces(const http::inbound_ptr &client, const std::string &body, std::size_t sent);
     void answerWatch(const http::inbound_ptr &client, std::uint64_t after);
     [[nodiscard]] std::string page(const std::string &after, std::uint64_t revision) const;
     [[nodiscard]] std::map<std::string, entry> entriesAt(std::uint64_t revision) const;
@@ -109,6 +116,8 @@
     std::uint64_t m_oldest = 0;
     int m_failure = 0;
     std::uint64_t m_lag = 0;
+    std::size_t m_pieces = 0;
+    milliseconds m_pause{0};
     std::size_t m_calls = 0;
     std::size_t m_configurationReads = 0;
     std::size_t m_watches = 0;
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -199,3 +199,16 @@
     CHECK(gone.requests().empty());
     CHECK(leaving.requests().empty());
 }
+
+// What thousands of servers wrote in a few seconds takes a small link longer than the store may be
+// silent. Given up, it would be asked for again and be longer each time.
+TEST_CASE("an answer of the store that takes long but keeps coming isn't given up")
+{
+    world w;
+    w.addServer("web", "i-1");
+    w.publish(5, plainRoute("safe"));
+    w.store.sendListsIn(5, milliseconds{350});
+    auto &node = w.startGateway("g1", false);
+    CHECK(w.runUntil([&] { return node.ready(); }, milliseconds{2500}));
+    CHECK(w.store.calls() == 2);
+}
