Count the wait for a reader from when a node has read all once, with chance

Cause: a node that had no reader 2 s after its start read the whole list again. Where the list itself takes seconds, all nodes did so together while the readers were still reading. Change: the wait begins when everything was read once, and is longer by as much again by chance.

--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
@@ -84,6 +85,7 @@
     std::map<vm_id, source> m_sources;
     std::set<link_ptr> m_followers;
     steady_time m_startedAt;
+    std::optional<steady_time> m_readAloneFrom; ///< from when on it does without readers
     configuration_relay<Codec> m_configurations;
     list_digest m_digest{}; ///< of the servers that this node knows …
     std::uint64_t m_digestOf = 0; ///< … after so many changes of the directory
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -19,8 +19,9 @@
 /// that start at once agree within a second on who does. It serves from what it read at first
 /// meanwhile.
 inline constexpr milliseconds SettleTime{700};
-/// And so long until it reads the store by itself where nobody does that for it: the readers may
-/// have started a little later, and read thousands of servers first.
+/// A node that has read all once waits so long for a reader, and up to as much again by chance,
+/// before it reads on by itself: readers read thousands of servers first, and hundreds of nodes
+/// that read the list again at that moment would delay them.
 inline constexpr milliseconds FirstSourcePatience{2000};
 /// Peers are asked for what is published only after the store was silent for so long: it answers in
 /// a few milliseconds, and an answer of a peer may have hundreds of kilobytes.
@@ -69,7 +70,10 @@
     // A reader that the store doesn't answer follows the other one meanwhile.
     const bool follows = m_store.whole() && (!reader || !m_store.current());
     followReaders(follows ? readers : std::vector<vm_id>{});
-    const bool overdue = m_loop.now() - m_startedAt >= FirstSourcePatience;
+    if (m_store.whole() && !m_readAloneFrom)
+        m_readAloneFrom = m_loop.now() + FirstSourcePatience
+            + milliseconds{draw(static_cast<std::size_t>(FirstSourcePatience.count()))};
+    const bool overdue = m_readAloneFrom && m_loop.now() >= *m_readAloneFrom;
     setReading(!m_store.whole() || reader || (overdue && !hasCurrentSource()));
     m_store.setWatched(!m_followers.empty());
     tellFollowers();
