Tell followers of removals that their reader defers when it has read all anew

Cause: since lists are compared, a reader that had read all anew told only its digest. Servers that were gone from the list but that it still kept (entries may come back after the store was away) count in the digest, so followers with the same list were told nothing and kept them for good. Change: such a reader also tells the removals that it defers.

--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -69,6 +69,8 @@
     /// What differs from what a peer knows.
     [[nodiscard]] publication_frame makeDifference(const list_digest &known);
     [[nodiscard]] const list_digest &ownDigest();
+    /// Removals that aren't believed yet.
+    [[nodiscard]] publication_frame makeDeferred() const;
     [[nodiscard]] publication_frame makeChanges(const store_news &news) const;
     [[nodiscard]] publication_frame makeHeartbeat() const;
     void setReading(bool reads);
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -154,7 +154,7 @@
 template <gateway_codec Codec>
 publication_frame publication_relay<Codec>::makeDifference(const list_digest &known)
 {
-    auto frame = makeHeartbeat();
+    auto frame = makeDeferred();
     frame.compared = true;
     frame.parts = differingParts(known, ownDigest());
     const std::set<std::uint32_t> parts(frame.parts.begin(), frame.parts.end());
@@ -162,8 +162,6 @@
         const auto &id = each->record.id;
         if (parts.contains(static_cast<std::uint32_t>(partOf(id))))
             frame.servers.push_back(each->record);
-        if (m_state.defers(id))
-            frame.removed.push_back(id);
     }
     return frame;
 }
@@ -186,13 +184,12 @@
 {
     if (m_followers.empty())
         return;
+    auto frame = news.whole ? makeDeferred() : makeChanges(news);
     if (news.whole) {
         const peer_frame compare = compare_frame{ownDigest()};
         for (const auto &link : m_followers)
             link->send(compare);
-        return;
     }
-    auto frame = makeChanges(news);
     if (!hasContent(frame) && frame.configurationVersion <= m_configurations.ownVersion())
         return;
     const peer_frame told = std::move(frame);
@@ -200,6 +197,19 @@
         link->send(told);
 }
 
+// Servers that are gone from the list while their removal isn't believed yet are still known here,
+// and count in the digest: followers whose digest is the same have to be told of them.
+template <gateway_codec Codec>
+publication_frame publication_relay<Codec>::makeDeferred() const
+{
+    auto frame = makeHeartbeat();
+    for (const auto &each : m_directory.all()) {
+        if (m_state.defers(each->record.id))
+            frame.removed.push_back(each->record.id);
+    }
+    return frame;
+}
+
 // Of the changes of one server only the last counts. Servers write their entries again and again,
 // so what this node and its followers know already isn't told; but one whose removal was told is
 // told again when it is back, just as it was.
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -146,3 +146,25 @@
     }
     CHECK(w.store.configurationReads() == before);
 }
+
+// The list that a reader reads anew lacks the server, which it keeps for a while: the digests of
+// the lists are the same.
+TEST_CASE("a server that is gone when its reader reads all anew is gone for followers, too")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    auto &gone = w.addServer("web", "i-2");
+    w.runFor(milliseconds{1500});
+    w.store.failWith(503);
+    w.runFor(milliseconds{800});
+    w.store.remove("servers/i-2");
+    w.store.compact();
+    w.store.failWith(0);
+    w.runFor(milliseconds{5000});
+    const auto before = gone.requests().size();
+    for (int i = 0; i < 3; ++i) {
+        for (const auto &name : w.names)
+            CHECK(w.answers(name, "/p/", 200));
+    }
+    CHECK(gone.requests().size() == before);
+}
