Take an old list's revision for nothing, so that readers may correct it

Cause: a node that starts reads a list that may be old, with the store's revision of now. It took that revision for its own and ignored what its readers told as older, so it went on with servers that had gone, and without those that had come. Ruled out: differing revisions of the readers; the new test has one change, and the follower answers 503 for good. Change: an old list counts for revision 0. The stand-in store says the revision of now with an old list, as the users' page does. Figures: the test (nodes that start later than two readers) failed before, passes now.

--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/store_follower_impl.h
@@ -102,7 +102,9 @@
              }
              report(m_state.applyList(m_list));
              m_list.clear();
-             m_revision = std::exchange(m_listRevision, 0);
+             // An old list comes with the revision of now, but lacks what happened before it.
+             const auto read = std::exchange(m_listRevision, 0);
+             m_revision = freshness == read_freshness::Latest ? read : 0;
              m_whole = true;
              m_latest = freshness == read_freshness::Latest;
              m_waits = !m_latest;
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -242,7 +242,7 @@
             + R"(,"value":")" + wire::encodeBase64(each.value) + "\"}";
     }
     return R"({"items":[)" + items + R"(],"has_more":)" + (more ? "true" : "false")
-        + R"(,"store_revision":)" + std::to_string(revision) + "}";
+        + R"(,"store_revision":)" + std::to_string(m_revision) + "}";
 }
 
 void fake_store::onRequest(const http::inbound_ptr &client, const http::request_head &head)
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -168,3 +168,20 @@
     }
     CHECK(gone.requests().size() == before);
 }
+
+// An old list comes with the store's revision of now, which says nothing of what it lacks.
+TEST_CASE("a node that starts from an old list and follows is told what that list lacks")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    w.announce(w.server("i-1"), "web", "draining");
+    w.addServer("web", "i-2");
+    w.store.setLag(1);
+    w.runFor(milliseconds{1500});
+    for (const std::string name : {"g5", "g6", "g7"}) {
+        INFO(name);
+        w.startGateway(name);
+        w.runFor(milliseconds{1500});
+        CHECK(w.answers(name, "/p/", 200));
+    }
+}
