Tell repeats of a request in the log, and servers that ended from connections that did

Cause: the log could not tell the hypotheses of the incident apart: a caller's repeat has a new id, and a connection that breaks off looks the same whether its server ended or not. Ruled out: the caller's id or the prompt's parts as what makes two requests the same: neither covers plain requests, and the body decides. Where a connection breaks off amid an answer one new connection is tried; server_ended or connections_lost tells what became of it. Attempts that this node gives up itself no longer look as if the server had broken off. No request goes elsewhere for it. One more connection to a server for each node and server at which connections break off. Conclusion: enough to tell the hypotheses apart in a test of our own, which is next.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,10 +9,12 @@
 #include "gateway/policy.h"
 #include "gateway/prompt_home.h"
 #include "gateway/published_state.h"
+#include "gateway/request_digest.h"
 #include "gateway/request_log.h"
 #include "gateway/request_outcome.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_directory.h"
+#include "gateway/server_end_observer.h"
 #include "gateway/stage_router.h"
 #include "gateway/stage_work.h"
 #include "gateway/time_estimates.h"
@@ -49,6 +51,8 @@
     configuration_ptr configuration; ///< null until one is known
     time_estimates times;
     std::minstd_rand random; ///< for the shares of routes
+    /// A connection broke off while a request was at the server.
+    std::function<void(const server &, const request_digest &)> onBroken;
 };
 
 /// One client request, from its head to the end of its answer.
@@ -152,6 +156,7 @@
     const route *m_route = nullptr;
     const customer_spec *m_customer = nullptr;
     request_marks m_marks;
+    request_digest m_digest; ///< the same for each repeat of this request
     data_center_id m_home; ///< where its work is best done
     steady_time m_arrival;
     steady_time m_end; ///< the final answer is given by then
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -185,7 +185,7 @@
     if (!m_splitter.broken())
         return;
     m_context.pool.abandon(m_call);
-    onEnd(http::call_end::Broken);
+    onEnd(http::call_end::TooLarge);
 }
 
 template <gateway_codec Codec>
@@ -248,6 +248,8 @@
     }
     m_mayHaveRun = true;
     if (!whole || m_passing == passing::Nothing || m_splitter.amidEvent()) {
+        if (how == http::call_end::Broken && m_server->usable())
+            m_context.onBroken(*m_server, m_digest);
         onFate(fate::Unknown);
         return;
     }
@@ -342,7 +344,7 @@
     const bool sentThere = m_call != 0 && m_server->record.dataCenter == dataCenter;
     if (sentThere && m_route->repeatable() && m_attempts < m_route->maxAttempts) {
         m_context.pool.abandon(m_call);
-        onEnd(http::call_end::Broken);
+        onEnd(http::call_end::TimedOut);
     } else if (m_call == 0 && !m_begun && m_work && resultsLieIn(dataCenter)) {
         if (mayRestartStages())
             restartStages("data_center_lost");
@@ -390,7 +392,7 @@
     if (!m_context.directory.choose(wish))
         return;
     m_context.pool.abandon(m_call);
-    onEnd(http::call_end::Broken);
+    onEnd(http::call_end::TimedOut);
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange_log_impl.h
+++ b/src/gateway/exchange_log_impl.h
@@ -102,6 +102,8 @@
     auto line = lineOf(log_event::AttemptEnded);
     line.add("server", m_server->record.id.value).add("end", how);
     line.add("status", m_answer.status);
+    if (how == nameOf(fate::Unknown))
+        line.add("digest", toText(m_digest));
     if (m_splitter.lastEvent())
         line.add("last_event", *m_splitter.lastEvent());
     line.add("took_ms", std::chrono::duration_cast<milliseconds>(took).count());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "gateway/exchange.h"
 #include "gateway/publication_relay.h"
 #include "gateway/published_state.h"
+#include "gateway/server_end_observer.h"
 #include "gateway/settings.h"
 #include "gateway/stage_router.h"
 #include "gateway/store_follower.h"
@@ -36,6 +37,8 @@
     void onDoubt(const server &which, bool avoided);
     void onReach(const reach_event &event);
     void askServerIn(const data_center_id &dataCenter);
+    void onBroken(const server &which, const request_digest &request);
+    void onConnectOutcome(const server_end &what, http::connect_outcome outcome);
     void logEachSecond();
     void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
     [[nodiscard]] gateway_gauges gauges();
@@ -58,6 +61,7 @@
     published_state m_state;
     store_follower<Codec> m_follower;
     publication_relay<Codec> m_relay;
+    server_end_observer m_serverEnds;
     gateway_context<Codec> m_context;
     std::shared_ptr<http::inbound_shared> m_clients;
     std::shared_ptr<http::inbound_shared> m_probes;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -92,6 +92,7 @@
     , m_relay(
           loop, m_peers, m_directory, m_state, m_follower,
           [this](const publication_news &news) { onNews(news); }, log, seedOf(m_settings.vm))
+    , m_serverEnds(loop.clock())
     , m_context{loop,
                 m_pool,
                 m_directory,
@@ -106,7 +107,10 @@
                 m_settings.without,
                 nullptr,
                 time_estimates{loop.clock()},
-                std::minstd_rand{seedOf(m_settings.vm)}}
+                std::minstd_rand{seedOf(m_settings.vm)},
+                [this](const server &which, const request_digest &request) {
+                    onBroken(which, request);
+                }}
     , m_clients(std::make_shared<http::inbound_shared>())
     , m_probes(std::make_shared<http::inbound_shared>())
 {
@@ -255,8 +259,33 @@
     const auto asked = m_directory.anyIn(dataCenter);
     if (!asked)
         return;
-    m_pool.connect(asked->record.address,
-                   [this, dataCenter] { m_peers.onServerHeard(dataCenter); });
+    m_pool.connect(asked->record.address, [this, dataCenter](http::connect_outcome outcome) {
+        if (outcome == http::connect_outcome::Connected)
+            m_peers.onServerHeard(dataCenter);
+    });
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::onBroken(const server &which, const request_digest &request)
+{
+    const auto id = which.record.id;
+    if (!m_serverEnds.onBroken(id, request))
+        return;
+    m_pool.connect(which.record.address, [this, id](http::connect_outcome outcome) {
+        if (const auto found = m_serverEnds.onConnectOutcome(id))
+            onConnectOutcome(*found, outcome);
+    });
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::onConnectOutcome(const server_end &what, http::connect_outcome outcome)
+{
+    const bool ended = outcome == http::connect_outcome::Refused;
+    auto line = m_log.line(wire::log_level::Info,
+                           toName(ended ? log_event::ServerEnded : log_event::ConnectionsLost));
+    line.add("server", what.server.value).add("requests", what.requests.size());
+    line.add("new_connection", toName(outcome));
+    m_log.write(wire::log_level::Info, std::move(line));
 }
 
 // What waits for a lost data centre goes elsewhere at once, where that is allowed.
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -37,6 +37,8 @@
     DataCenterRegained,
     ServerAvoided, ///< it failed several times in a row
     ServerTrusted, ///< an avoided server answered
+    ServerEnded, ///< under requests of this node: a new connection is refused
+    ConnectionsLost, ///< amid answers, and a new one isn't refused
     RetryBudgetSpent, ///< second tries that a service's budget denied in a second
     LinesLeftOut, ///< about requests that went well, beyond the bound of a second
     ReloadIgnored, ///< settings count at the next start
@@ -100,6 +102,10 @@
         orchidlead::gateway::log_event::ServerAvoided, "server_avoided"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerTrusted, "server_trusted"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ServerEnded, "server_ended"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ConnectionsLost, "connections_lost"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::RetryBudgetSpent, "retry_budget_spent"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- /dev/null
+++ b/src/gateway/server_end_observer.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "gateway/request_digest.h"
+#include "http/connection_pool.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// A server ended while requests were at it.
+struct server_end
+{
+    backend_server_id server;
+    steady_time at; ///< when the first connection broke off
+    std::vector<request_digest> requests;
+};
+
+/// Tells servers that ended from connections that did: where a connection broke off amid an answer,
+/// a new one to the server is refused once nobody listens there. No I/O.
+class server_end_observer
+{
+public:
+    explicit server_end_observer(const clock_source &clock);
+
+    /// A connection broke off while the request was at the server. Tells whether a new connection
+    /// to it is to be tried now, whose outcome is then told by `onConnectOutcome`.
+    [[nodiscard]] bool onBroken(const backend_server_id &server, const request_digest &request);
+    /// Gives what was at the server when its connections broke off; empty where nothing did.
+    [[nodiscard]] std::optional<server_end> onConnectOutcome(const backend_server_id &server);
+
+private:
+    const clock_source &m_clock;
+    std::map<backend_server_id, server_end> m_open; ///< connections being tried
+};
+
+} // namespace orchidlead::gateway
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -62,13 +62,26 @@
     return id;
 }
 
-void connection_pool::connect(const socket_address &to, std::function<void()> onConnected)
+void connection_pool::connect(const socket_address &to,
+                              std::function<void(connect_outcome)> onOutcome)
 {
+    const auto connected = std::make_shared<bool>(false);
     outbound_call nothing;
-    nothing.writeHead = [onConnected = std::move(onConnected)]() -> std::optional<std::string> {
-        onConnected();
+    nothing.writeHead = [connected]() -> std::optional<std::string> {
+        *connected = true;
         return std::nullopt;
     };
+    nothing.onEnd = [this, alive = m_alive, connected, since = m_loop.now(),
+                     onOutcome = std::move(onOutcome)](call_end) {
+        if (!*alive)
+            return;
+        if (*connected)
+            onOutcome(connect_outcome::Connected);
+        else if (m_loop.now() - since < ConnectTimeout)
+            onOutcome(connect_outcome::Refused);
+        else
+            onOutcome(connect_outcome::Silent);
+    };
     makeConnection(to)->open(to, ConnectTimeout, std::move(nothing));
 }
 
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -2,6 +2,9 @@
 
 #include "http/outbound_connection.h"
 
+#include <orchidlead/enum_names.h>
+
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -16,6 +19,13 @@
 /// Names a call of a pool, to give it up.
 using pool_call = std::uint64_t;
 
+/// What became of a new connection.
+enum class connect_outcome : std::uint8_t {
+    Connected,
+    Refused, ///< nobody listens there, or the host says that it can't be reached
+    Silent, ///< nothing came back in time
+};
+
 /// Keeps connections to servers for use by one call after the other.
 class connection_pool
 {
@@ -28,8 +38,8 @@
 
     /// Makes a call on a free connection, or on a new one. No event is reported before it returns.
     pool_call start(const socket_address &to, outbound_call call);
-    /// Opens a connection, which is free for calls then. `onConnected` is called if it opens.
-    void connect(const socket_address &to, std::function<void()> onConnected);
+    /// Opens a connection, which is free for calls then. `onOutcome` is called once, later.
+    void connect(const socket_address &to, std::function<void(connect_outcome)> onOutcome);
     /// Closes the call's connection; none of its events is reported any more.
     void abandon(pool_call call);
     /// Stops or goes on reading a call's answer.
@@ -58,3 +68,13 @@
 };
 
 } // namespace orchidlead::http
+
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::http::connect_outcome>{
+    orchidlead::enum_name<orchidlead::http::connect_outcome>{
+        orchidlead::http::connect_outcome::Connected, "connected"},
+    orchidlead::enum_name<orchidlead::http::connect_outcome>{
+        orchidlead::http::connect_outcome::Refused, "refused"},
+    orchidlead::enum_name<orchidlead::http::connect_outcome>{
+        orchidlead::http::connect_outcome::Silent, "silent"},
+};
--- /dev/null
+++ b/tests/gateway/server_end_observer_test.cpp
@@ -0,0 +1,48 @@
+#include "gateway/server_end_observer.h"
+
+#include <orchidlead/clock.h>
+
+#include <catch2/catch.hpp>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+request_digest digestNumber(std::uint8_t number)
+{
+    request_digest digest;
+    digest.bytes.front() = number;
+    return digest;
+}
+
+} // namespace
+
+TEST_CASE("server_end_observer: one new connection is tried for all that broke off at a server")
+{
+    manual_clock clock;
+    server_end_observer observer(clock);
+    const backend_server_id server("s");
+    const auto began = clock.now();
+    CHECK(observer.onBroken(server, digestNumber(1)));
+    clock.advance(milliseconds{3});
+    CHECK_FALSE(observer.onBroken(server, digestNumber(2)));
+    CHECK(observer.onBroken(backend_server_id("other"), digestNumber(3)));
+    const auto end = observer.onConnectOutcome(server);
+    REQUIRE(end);
+    CHECK(end->server.value == "s");
+    CHECK(end->at == began);
+    REQUIRE(end->requests.size() == 2);
+    CHECK(toText(end->requests[1]) == toText(digestNumber(2)));
+}
+
+TEST_CASE("server_end_observer: what breaks off later is tried anew")
+{
+    manual_clock clock;
+    server_end_observer observer(clock);
+    const backend_server_id server("s");
+    REQUIRE(observer.onBroken(server, digestNumber(1)));
+    REQUIRE(observer.onConnectOutcome(server));
+    CHECK_FALSE(observer.onConnectOutcome(server));
+    CHECK(observer.onBroken(server, digestNumber(1)));
+}
