Keep requests under which servers end from further servers, on all nodes

Cause: a failed attempt counted against its server and against the budget of second tries of its service, never against the request, on no node. A caller that repeats a request that crashes servers emptied a service so, and with each server up to 25 requests of others broke off. Ruled out: a limit on each node (the caller goes to all of them); counting connections that broke off (they do without a server's end: only where a new one is refused has the server ended); counting ends as they come (a rack takes all its servers together, whatever they run). Change: request_quarantine (no I/O) decides from the ends of servers and what was at them: two independent ends make a request suspected: it is tried on one server at a time over all nodes; three keep it from servers for five minutes, doubled each time. Ends that another request explains better don't count, and a request that was served lately by any node isn't blamed. quarantine_relay makes the quarantines of all nodes one: nodes tell a host (rendezvous over the members), which decides and tells all; each node keeps what it knows for the next host. Nothing is sent while no server ends. The caller hears at once: 503 with the time that is left where the attempt has run nowhere, 502 where it may have. The codec of peer frames is divided into writer and reader.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,6 +9,7 @@
 #include "gateway/policy.h"
 #include "gateway/prompt_home.h"
 #include "gateway/published_state.h"
+#include "gateway/quarantine_relay.h"
 #include "gateway/request_digest.h"
 #include "gateway/request_log.h"
 #include "gateway/request_outcome.h"
@@ -42,6 +43,7 @@
     retry_allowance &allowance;
     stage_router<Codec> &stages;
     engine_placer &engines;
+    quarantine_relay &quarantine;
     wire::log &log;
     gateway_metrics &metrics;
     const published_state &published;
@@ -93,6 +95,10 @@
     };
 
     [[nodiscard]] bool findRoute();
+    /// Goes on with `next`, now or later, unless servers may end under the request.
+    void passQuarantine(std::function<void()> next);
+    void onTrialAnswer(bool granted, const std::function<void()> &next);
+    [[nodiscard]] bool mayBeSent() const;
     void startStages();
     void submitReadyPieces();
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report);
@@ -118,6 +124,8 @@
     void onBody(std::string_view bytes);
     void onEvents(std::string_view bytes);
     void onEnd(http::call_end how);
+    /// The current attempt's server may have ended because of the request.
+    [[nodiscard]] bool mayHaveEnded() const;
     void onBufferedEnd();
     void endAttempt();
     void onFate(fate what);
@@ -133,6 +141,7 @@
     void giveUp(request_outcome outcome);
     void onClientGone();
     void onTimeout();
+    void leaveQuarantine(request_outcome outcome);
     void finish(request_outcome outcome);
 
     [[nodiscard]] bool isLogged() const { return m_context.log.writes(wire::log_level::Info); }
@@ -144,6 +153,7 @@
     void logSent();
     void logAttemptEnd(std::string_view how);
     void logDenied(std::string_view why);
+    void logTrial(bool granted);
     void logEnd(request_outcome outcome);
 
     [[nodiscard]] milliseconds left() const;
@@ -181,6 +191,8 @@
     http::pool_call m_call = 0;
     std::uint32_t m_attempts = 0; ///< that reached a server
     std::uint32_t m_unsent = 0;
+    bool m_onTrial = false; ///< is the one repeat of a suspected request that is tried
+    std::optional<steady_time> m_answeredFrom; ///< first bytes of the current attempt's answer
     bool m_mayHaveRun = false;
     passing m_passing = passing::Nothing;
     http::response_head m_answer;
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -34,10 +34,12 @@
         restartStages("results_freed");
         return;
     }
-    if (m_route->prefixAffinity && !m_marks.prompt.empty())
-        placeOnEngine();
-    else
-        sendTo(chooseServer());
+    passQuarantine([self = this->shared_from_this()] {
+        if (self->m_route->prefixAffinity && !self->m_marks.prompt.empty())
+            self->placeOnEngine();
+        else
+            self->sendTo(self->chooseServer());
+    });
 }
 
 template <gateway_codec Codec>
@@ -71,6 +73,7 @@
     m_passing = passing::Nothing;
     m_buffered.clear();
     m_sentAt = m_context.loop.now();
+    m_answeredFrom.reset();
     const auto self = this->shared_from_this();
     http::outbound_call call;
     call.body = m_body;
@@ -91,7 +94,7 @@
 template <gateway_codec Codec>
 std::optional<std::string> exchange<Codec>::writeHead()
 {
-    if (m_done || !m_server->usable() || left() <= milliseconds{0})
+    if (m_done || !m_server->usable() || left() <= milliseconds{0} || !mayBeSent())
         return std::nullopt;
     server_marks marks;
     marks.patience = left() + AnswerMargin;
@@ -143,6 +146,8 @@
     if (m_done)
         return;
     m_lastHeard = m_context.loop.now();
+    if (!m_answeredFrom)
+        m_answeredFrom = m_lastHeard;
     switch (m_passing) {
     case passing::Nothing:
         break;
@@ -236,6 +241,10 @@
     if (m_done)
         return;
     endAttempt();
+    if (how == http::call_end::NotSent && !mayBeSent()) {
+        attempt(); // which finds out what may be done now
+        return;
+    }
     if (how == http::call_end::NotSent) {
         onFate(fate::NotSent);
         return;
@@ -248,7 +257,7 @@
     }
     m_mayHaveRun = true;
     if (!whole || m_passing == passing::Nothing || m_splitter.amidEvent()) {
-        if (how == http::call_end::Broken && m_server->usable())
+        if (how == http::call_end::Broken && mayHaveEnded())
             m_context.onBroken(*m_server, m_digest);
         onFate(fate::Unknown);
         return;
@@ -265,6 +274,15 @@
     finish(request_outcome::Answered);
 }
 
+// A server that is told to leave ends by itself; and a request that had its answer flowing for a
+// while isn't what its server ended of.
+template <gateway_codec Codec>
+bool exchange<Codec>::mayHaveEnded() const
+{
+    const bool flowing = m_answeredFrom && m_context.loop.now() - *m_answeredFrom > ProofOfRunning;
+    return m_server->usable() && !flowing;
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::onBufferedEnd()
 {
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -58,10 +58,60 @@
     });
     m_service = pickService();
     m_context.allowance.onRequest(m_service);
-    if (m_route->stages.empty())
-        attempt();
+    // Before the stages: what is not to be sent needs none.
+    passQuarantine([self = this->shared_from_this()] {
+        if (self->m_route->stages.empty())
+            self->attempt();
+        else
+            self->startStages();
+    });
+}
+
+template <gateway_codec Codec>
+bool exchange<Codec>::mayBeSent() const
+{
+    const auto level = m_context.quarantine.standingOf(m_digest).level;
+    return level == quarantine_level::Free || (level == quarantine_level::Suspected && m_onTrial);
+}
+
+// One repeat of a suspected request is tried at a time, on one server: it costs that server at
+// most.
+template <gateway_codec Codec>
+void exchange<Codec>::passQuarantine(std::function<void()> next)
+{
+    const auto level = m_context.quarantine.standingOf(m_digest).level;
+    if (level == quarantine_level::Free) {
+        next();
+        return;
+    }
+    if (level == quarantine_level::Quarantined || m_mayHaveRun) {
+        giveUp(request_outcome::EndsServers);
+        return;
+    }
+    if (m_onTrial) {
+        next();
+        return;
+    }
+    m_context.quarantine.askTrial(
+        m_digest, [self = this->shared_from_this(), next = std::move(next)](bool granted) {
+            self->onTrialAnswer(granted, next);
+        });
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::onTrialAnswer(bool granted, const std::function<void()> &next)
+{
+    logTrial(granted);
+    if (m_done) {
+        if (granted)
+            m_context.quarantine.endTrial(m_digest);
+        return;
+    }
+    m_onTrial = granted;
+    if (granted)
+        next();
     else
-        startStages();
+        giveUp(request_outcome::EndsServers);
 }
 
 template <gateway_codec Codec>
@@ -122,6 +172,9 @@
 template <gateway_codec Codec>
 milliseconds exchange<Codec>::comeBackAfter() const
 {
+    const auto quarantine = m_context.quarantine.standingOf(m_digest);
+    if (quarantine.level == quarantine_level::Quarantined)
+        return quarantine.left;
     if (m_stagePools.empty())
         return ComeBack;
     const auto seen = m_context.times.outlookOf(outline());
@@ -192,6 +245,17 @@
     finish(request_outcome::ClientGone);
 }
 
+// A server that ran the request to a good end is proof that servers don't end under it.
+template <gateway_codec Codec>
+void exchange<Codec>::leaveQuarantine(request_outcome outcome)
+{
+    const bool success = m_told >= status::Ok && m_told < status::FirstRedirect;
+    if (outcome == request_outcome::Answered && success)
+        m_context.quarantine.onServed(m_digest);
+    if (std::exchange(m_onTrial, false))
+        m_context.quarantine.endTrial(m_digest);
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::finish(request_outcome outcome)
 {
@@ -202,6 +266,7 @@
     m_context.engines.onEnd(std::exchange(m_placement, 0));
     withdrawPieces();
     freeResults();
+    leaveQuarantine(outcome);
     logEnd(outcome);
     m_context.metrics.onRequest(m_route, outcome, sinceArrival());
     if (m_client) {
--- a/src/gateway/exchange_limits.h
+++ b/src/gateway/exchange_limits.h
@@ -39,6 +39,9 @@
 inline constexpr milliseconds LongestDetour{150};
 /// The answer leaves this long before the client stops waiting.
 inline constexpr milliseconds AnswerMargin{20};
+/// A request whose answer has come for so long is running; one that crashes its server does so as
+/// it begins to run, within tenths of a second.
+inline constexpr milliseconds ProofOfRunning{1000};
 /// Least silence of a stream after which another server goes on with it.
 inline constexpr milliseconds MinStreamSilence{1000};
 /// Part of the objective after which an unanswered request that may be repeated goes elsewhere.
--- a/src/gateway/exchange_log_impl.h
+++ b/src/gateway/exchange_log_impl.h
@@ -119,6 +119,16 @@
             lineOf(log_event::RetryDenied).add("reason", why).add("attempts", m_attempts));
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::logTrial(bool granted)
+{
+    if (isLogged())
+        m_decisions.add(lineOf(log_event::TrialAnswered)
+                            .add("digest", toText(m_digest))
+                            .add("granted", granted)
+                            .add("at_ms", sinceArrival().count()));
+}
+
 template <gateway_codec Codec>
 bool exchange<Codec>::wentWell(request_outcome outcome) const
 {
@@ -139,6 +149,8 @@
         line.add("route", m_route->name);
     line.add("told", m_told).add("status", m_answer.status).add("attempts", m_attempts);
     line.add("ms", sinceArrival().count());
+    if (outcome == request_outcome::EndsServers)
+        line.add("digest", toText(m_digest));
     if (m_firstEvent)
         line.add("first_event_ms", m_firstEvent->count());
     if (m_route)
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -69,6 +69,7 @@
                [this](const std::shared_ptr<peer_link> &link) {
                    m_router.onLinkClosed(link);
                    m_placer.onLinkClosed(link);
+                   m_quarantine.onLinkClosed(link);
                    m_relay.onLinkClosed(link);
                },
                [this](const vm_id &peer, std::uint64_t version) {
@@ -84,6 +85,7 @@
                [this](const reach_event &event) { onReach(event); }})
     , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance, m_settings)
     , m_placer(loop, m_peers, m_directory, m_settings.without)
+    , m_quarantine(loop, m_peers, log)
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
@@ -99,6 +101,7 @@
                 m_allowance,
                 m_router,
                 m_placer,
+                m_quarantine,
                 log,
                 m_metrics,
                 m_state,
@@ -286,6 +289,8 @@
     line.add("server", what.server.value).add("requests", what.requests.size());
     line.add("new_connection", toName(outcome));
     m_log.write(wire::log_level::Info, std::move(line));
+    if (ended)
+        m_quarantine.onServerEnd(what);
 }
 
 // What waits for a lost data centre goes elsewhere at once, where that is allowed.
@@ -337,6 +342,7 @@
 {
     m_relay.onFrame(link, frame);
     m_placer.onFrame(link, frame);
+    m_quarantine.onFrame(link, frame);
     m_router.onFrame(link, std::move(frame));
 }
 
@@ -350,6 +356,7 @@
                     ready() ? wire::node_event::Ready : wire::node_event::NotReady, {});
     m_allowance.setNodes(std::max(AssumedNodes, m_peers.view().nodes()));
     m_router.tick();
+    m_quarantine.tick();
     if (m_loop.now() >= m_nextSummary) {
         m_nextSummary = m_loop.now() + SummaryInterval;
         logEachSecond();
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -39,6 +39,8 @@
     ServerTrusted, ///< an avoided server answered
     ServerEnded, ///< under requests of this node: a new connection is refused
     ConnectionsLost, ///< amid answers, and a new one isn't refused
+    QuarantineChanged, ///< how requests under which servers end are treated
+    TrialAnswered, ///< whether a suspected request may be sent to one server
     RetryBudgetSpent, ///< second tries that a service's budget denied in a second
     LinesLeftOut, ///< about requests that went well, beyond the bound of a second
     ReloadIgnored, ///< settings count at the next start
@@ -106,6 +108,10 @@
         orchidlead::gateway::log_event::ServerEnded, "server_ended"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ConnectionsLost, "connections_lost"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::QuarantineChanged, "quarantine_changed"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::TrialAnswered, "trial_answered"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::RetryBudgetSpent, "retry_budget_spent"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- /dev/null
+++ b/src/gateway/peer_frame_kind.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+/// What the writer and the reader of peer frames share; nobody else needs it.
+namespace orchidlead::gateway {
+
+/// What a frame holds; part of the wire format.
+enum class frame_kind : std::uint8_t {
+    Piece = 1,
+    Withdraw = 2,
+    Outcome = 3,
+    Ping = 4,
+    Pong = 5,
+    PublicationRequest = 6,
+    Publication = 7,
+    Free = 8,
+    Place = 9,
+    Placed = 10,
+    Progress = 11,
+    Follow = 12,
+    ConfigurationRequest = 13,
+    Configuration = 14,
+    Compare = 15,
+    ServerEnds = 16,
+    Quarantine = 17,
+    TrialRequest = 18,
+    TrialAnswer = 19,
+    TrialEnd = 20,
+};
+
+/// Stands where an outcome has a result instead of a reason.
+inline constexpr std::uint64_t DoneCode = 0;
+inline constexpr unsigned BitsPerByte = 8;
+
+} // namespace orchidlead::gateway
--- a/src/gateway/peer_frames.cpp
+++ b/src/gateway/peer_frame_reader.cpp
@@ -1,3 +1,4 @@
+#include "gateway/peer_frame_kind.h"
 #include "gateway/peer_frames.h"
 
 // The codec needs nothing of Boost.
@@ -12,200 +13,8 @@
 
 namespace {
 
-using buffer = msgpack::sbuffer;
-using packer = msgpack::packer<buffer>;
-
-/// What a frame holds; part of the wire format.
-enum class frame_kind : std::uint8_t {
-    Piece = 1,
-    Withdraw = 2,
-    Outcome = 3,
-    Ping = 4,
-    Pong = 5,
-    PublicationRequest = 6,
-    Publication = 7,
-    Free = 8,
-    Place = 9,
-    Placed = 10,
-    Progress = 11,
-    Follow = 12,
-    ConfigurationRequest = 13,
-    Configuration = 14,
-    Compare = 15,
-};
-
-constexpr std::uint64_t DoneCode = 0;
 constexpr std::size_t MaxListItems = 100'000;
 constexpr std::size_t MaxNesting = 8;
-constexpr unsigned BitsPerByte = 8;
-
-void packKind(packer &out, frame_kind kind, std::uint32_t fields)
-{
-    out.pack_array(fields + 1);
-    out.pack(static_cast<std::uint64_t>(kind));
-}
-
-void packDuration(packer &out, milliseconds duration)
-{
-    out.pack(static_cast<std::int64_t>(duration.count()));
-}
-
-/// Fields of a server in a list; they follow each other in one array.
-constexpr std::uint32_t ServerFields = 7;
-
-void packServer(packer &out, const server_record &server)
-{
-    out.pack(server.id.value);
-    out.pack(server.service.value);
-    out.pack(server.address.ip);
-    out.pack(server.address.port);
-    out.pack(server.dataCenter.value);
-    out.pack(server.slots);
-    out.pack(server.leaving);
-}
-
-void packPool(packer &out, const pool_key &pool)
-{
-    out.pack(pool.service.value);
-    out.pack(pool.dataCenter.value);
-}
-
-void pack(packer &out, const piece_frame &frame)
-{
-    packKind(out, frame_kind::Piece, 15);
-    out.pack(frame.token);
-    packPool(out, frame.pool);
-    out.pack(frame.request.attempt);
-    out.pack(frame.request.stage);
-    out.pack(frame.request.piece);
-    out.pack(frame.request.key);
-    out.pack(frame.request.inputs);
-    out.pack(frame.rank.priority);
-    out.pack(frame.rank.routePriority);
-    packDuration(out, frame.aimLeft);
-    packDuration(out, frame.deadlineLeft);
-    out.pack(frame.near.value);
-    out.pack(frame.inputBytes);
-    out.pack(frame.resultBytes);
-}
-
-void pack(packer &out, const free_frame &frame)
-{
-    packKind(out, frame_kind::Free, 1);
-    out.pack(frame.handles);
-}
-
-void pack(packer &out, const withdraw_frame &frame)
-{
-    packKind(out, frame_kind::Withdraw, 1);
-    out.pack(frame.token);
-}
-
-void pack(packer &out, const outcome_frame &frame)
-{
-    packKind(out, frame_kind::Outcome, 4);
-    out.pack(frame.token);
-    if (const auto *handle = std::get_if<std::string>(&frame.report.result)) {
-        out.pack(DoneCode);
-        out.pack(*handle);
-    } else {
-        out.pack(static_cast<std::uint64_t>(std::get<piece_failure>(frame.report.result)) + 1);
-        out.pack(std::string());
-    }
-    packDuration(out, frame.report.wait);
-}
-
-void pack(packer &out, const place_frame &frame)
-{
-    packKind(out, frame_kind::Place, 7);
-    out.pack(frame.id);
-    packPool(out, frame.wish.pool);
-    out.pack(frame.wish.near.value);
-    out.pack(frame.wish.nearBytes);
-    out.pack_array(static_cast<std::uint32_t>(2 * frame.wish.prompt.size()));
-    for (const auto &part : frame.wish.prompt) {
-        out.pack(part.id);
-        out.pack(part.tokens);
-    }
-    out.pack_array(static_cast<std::uint32_t>(frame.wish.exclude.size()));
-    for (const auto &server : frame.wish.exclude)
-        out.pack(server.value);
-}
-
-void pack(packer &out, const placed_frame &frame)
-{
-    packKind(out, frame_kind::Placed, 2);
-    out.pack(frame.id);
-    out.pack(frame.server.value);
-}
-
-void pack(packer &out, const progress_frame &frame)
-{
-    packKind(out, frame_kind::Progress, 2);
-    out.pack(frame.id);
-    out.pack(static_cast<std::uint64_t>(frame.kind));
-}
-
-void pack(packer &out, const ping_frame & /*frame*/)
-{
-    packKind(out, frame_kind::Ping, 0);
-}
-
-void pack(packer &out, const pong_frame & /*frame*/)
-{
-    packKind(out, frame_kind::Pong, 0);
-}
-
-void pack(packer &out, const publication_request &frame)
-{
-    packKind(out, frame_kind::PublicationRequest, 2);
-    out.pack(frame.configurationVersion);
-    out.pack(frame.known);
-}
-
-void pack(packer &out, const publication_frame &frame)
-{
-    packKind(out, frame_kind::Publication, 8);
-    out.pack(frame.configurationVersion);
-    out.pack(frame.current);
-    out.pack(frame.compared);
-    out.pack(frame.parts);
-    out.pack(frame.revision);
-    out.pack_array(ServerFields * static_cast<std::uint32_t>(frame.servers.size()));
-    for (const auto &each : frame.servers)
-        packServer(out, each);
-    out.pack_array(static_cast<std::uint32_t>(frame.removed.size()));
-    for (const auto &each : frame.removed)
-        out.pack(each.value);
-    packDuration(out, frame.removalsDeferred);
-}
-
-void pack(packer &out, const follow_frame &frame)
-{
-    packKind(out, frame_kind::Follow, 2);
-    out.pack(frame.begins);
-    out.pack(frame.known);
-}
-
-void pack(packer &out, const compare_frame &frame)
-{
-    packKind(out, frame_kind::Compare, 1);
-    out.pack(frame.known);
-}
-
-void pack(packer &out, const configuration_request &frame)
-{
-    packKind(out, frame_kind::ConfigurationRequest, 1);
-    out.pack(frame.version);
-}
-
-void pack(packer &out, const configuration_frame &frame)
-{
-    packKind(out, frame_kind::Configuration, 3);
-    out.pack(frame.version);
-    out.pack(static_cast<std::uint64_t>(frame.text.length));
-    out.pack(frame.text.bytes);
-}
 
 /// Reads the fields of one array in order; the first wrong one makes all further reads fail.
 class field_reader
@@ -410,6 +219,57 @@
     return frame;
 }
 
+request_digest readRequestDigest(field_reader &in)
+{
+    const auto bytes = in.read<std::vector<char>>();
+    request_digest digest;
+    if (bytes.size() == digest.bytes.size())
+        std::ranges::copy(bytes, digest.bytes.begin());
+    else
+        in.fail();
+    return digest;
+}
+
+server_ends_frame readServerEnds(field_reader &in)
+{
+    server_ends_frame frame;
+    readList(in, [&](field_reader &items) {
+        auto &end = frame.ends.emplace_back();
+        end.server = backend_server_id(items.read<std::string>());
+        end.ago = items.duration();
+        readList(items, [&](field_reader &requests) {
+            end.requests.push_back(readRequestDigest(requests));
+        });
+    });
+    return frame;
+}
+
+quarantine_frame readQuarantine(field_reader &in)
+{
+    quarantine_frame frame;
+    frame.host = vm_id(in.read<std::string>());
+    readList(in, [&](field_reader &items) {
+        auto &entry = frame.entries.emplace_back();
+        entry.request = readRequestDigest(items);
+        const auto level = items.read<std::uint64_t>();
+        if (level >= enumNames<quarantine_level>.size())
+            items.fail();
+        entry.level = static_cast<quarantine_level>(level);
+        entry.version = items.read<std::uint64_t>();
+        entry.left = items.duration();
+        entry.times = items.read<std::uint32_t>();
+    });
+    return frame;
+}
+
+trial_answer readTrialAnswer(field_reader &in)
+{
+    trial_answer frame;
+    frame.request = readRequestDigest(in);
+    frame.granted = in.read<bool>();
+    return frame;
+}
+
 peer_frame readFrame(field_reader &in)
 {
     switch (static_cast<frame_kind>(in.read<std::uint8_t>())) {
@@ -443,6 +303,16 @@
         return readConfiguration(in);
     case frame_kind::Free:
         return free_frame{in.read<std::vector<std::string>>()};
+    case frame_kind::ServerEnds:
+        return readServerEnds(in);
+    case frame_kind::Quarantine:
+        return readQuarantine(in);
+    case frame_kind::TrialRequest:
+        return trial_request{readRequestDigest(in)};
+    case frame_kind::TrialAnswer:
+        return readTrialAnswer(in);
+    case frame_kind::TrialEnd:
+        return trial_end{readRequestDigest(in)};
     }
     in.fail();
     return ping_frame{};
@@ -458,19 +328,6 @@
 
 } // namespace
 
-std::string encodeFrame(const peer_frame &frame)
-{
-    buffer body;
-    packer out(body);
-    std::visit([&](const auto &each) { pack(out, each); }, frame);
-    std::string bytes;
-    bytes.reserve(FrameHeaderBytes + body.size());
-    for (std::size_t i = FrameHeaderBytes; i > 0; --i)
-        bytes.push_back(static_cast<char>((body.size() >> (BitsPerByte * (i - 1))) & 0xffU));
-    bytes.append(body.data(), body.size());
-    return bytes;
-}
-
 result<peer_frame, frame_error> decodeFrame(std::string_view bytes)
 {
     try {
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -3,6 +3,8 @@
 #include "gateway/codec.h"
 #include "gateway/engine_board.h"
 #include "gateway/list_digest.h"
+#include "gateway/request_digest.h"
+#include "gateway/request_quarantine.h"
 #include "gateway/stage_pool.h"
 #include "gateway/text_compression.h"
 
@@ -124,10 +126,54 @@
     compressed_text text;
 };
 
+/// Tells the receiver, which decides on requests under which servers end, what the sender saw.
+struct server_ends_frame
+{
+    struct told_end
+    {
+        backend_server_id server;
+        milliseconds ago{0};
+        std::vector<request_digest> requests;
+    };
+    std::vector<told_end> ends;
+};
+
+/// How requests are treated, by the sender's knowledge.
+struct quarantine_frame
+{
+    struct told_entry
+    {
+        request_digest request;
+        quarantine_level level = quarantine_level::Free;
+        std::uint64_t version = 0;
+        milliseconds left{0}; ///< until the entry ends
+        std::uint32_t times = 0;
+    };
+    vm_id host; ///< the sender, where it decides; empty: it tells what it knows
+    std::vector<told_entry> entries;
+};
+
+/// Asks for the right to send a suspected request to one server.
+struct trial_request
+{
+    request_digest request;
+};
+struct trial_answer
+{
+    request_digest request;
+    bool granted = false;
+};
+/// The sender has ended a trial that the receiver granted.
+struct trial_end
+{
+    request_digest request;
+};
+
 using peer_frame = std::variant<piece_frame, withdraw_frame, outcome_frame, ping_frame, pong_frame,
                                 publication_request, publication_frame, free_frame, place_frame,
                                 placed_frame, progress_frame, follow_frame, compare_frame,
-                                configuration_request, configuration_frame>;
+                                configuration_request, configuration_frame, server_ends_frame,
+                                quarantine_frame, trial_request, trial_answer, trial_end>;
 
 /// Says why bytes aren't a frame.
 struct frame_error
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peer_network.h
@@ -47,6 +47,8 @@
     [[nodiscard]] vm_id hostOf(const pool_key &pool) { return m_view.hostOf(pool); }
     /// As `peer_view::relayOrder`.
     [[nodiscard]] const std::vector<vm_id> &relayOrder() { return m_view.relayOrder(); }
+    /// As `peer_view::quarantineHost`.
+    [[nodiscard]] const vm_id &quarantineHost() { return m_view.quarantineHost(); }
     /// Who is there, and who has which role, as this node believes.
     [[nodiscard]] const peer_view &view() const { return m_view; }
     [[nodiscard]] const vm_id &self() const { return m_view.self(); }
--- a/src/gateway/peer_view.cpp
+++ b/src/gateway/peer_view.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds Avoidance{1500};
 // What is hashed with a node to order those who read the store or relay what it publishes.
 constexpr std::string_view RelayRole = "store reader";
+// And to pick the one that decides on requests under which servers end.
+constexpr std::string_view QuarantineRole = "request quarantine";
 
 membership_options toOptions(const peer_identity &identity)
 {
@@ -152,6 +154,7 @@
     for (auto &[pool, kept] : m_hosts)
         kept.current = false;
     m_relayOrder.clear();
+    m_quarantineHost.reset();
 }
 
 std::vector<vm_id> peer_view::candidates(const data_center_id &dataCenter) const
@@ -188,6 +191,15 @@
     return m_relayOrder;
 }
 
+const vm_id &peer_view::quarantineHost()
+{
+    if (!m_quarantineHost) {
+        const auto picked = rendezvousPick(QuarantineRole, candidates({}), 1);
+        m_quarantineHost = picked.empty() ? self() : picked.front();
+    }
+    return *m_quarantineHost;
+}
+
 std::optional<member> peer_view::find(const vm_id &peer) const
 {
     return m_members.find(peer);
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -59,6 +59,8 @@
     /// to the next: the first ones read the store. Nodes that believe the same members alive give
     /// the same order. Holds this node unless it leaves.
     [[nodiscard]] const std::vector<vm_id> &relayOrder();
+    /// Gives the node that decides on requests under which servers end; may be itself.
+    [[nodiscard]] const vm_id &quarantineHost();
     [[nodiscard]] std::optional<member> find(const vm_id &peer) const;
     /// Peers that are believed alive, nearest first.
     [[nodiscard]] std::vector<vm_id> peers() const;
@@ -95,6 +97,7 @@
     std::map<vm_id, steady_time> m_avoided;
     std::map<pool_key, picked_host> m_hosts;
     std::vector<vm_id> m_relayOrder; ///< empty: not picked since something changed
+    std::optional<vm_id> m_quarantineHost; ///< empty: as above
     std::size_t m_lastAsked = 0; ///< turns through the members of a silent data centre
     steady_time m_nextContact{};
 };
--- /dev/null
+++ b/src/gateway/quarantine_relay.cpp
@@ -0,0 +1,323 @@
+#include "gateway/quarantine_relay.h"
+
+#include "gateway/log_event.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// A host answers within a round trip, 2 ms between data centres. A suspected request isn't sent
+// without its word: the caller comes back, and a server that ends takes others with it.
+constexpr milliseconds HostPatience{100};
+// A peer that was told something and says nothing for so long has a link that is silent.
+constexpr milliseconds LinkSilence{1000};
+// Between two looks for what is too old to count.
+constexpr milliseconds ForgetInterval{1000};
+
+} // namespace
+
+quarantine_relay::quarantine_relay(http::io_loop &loop, peer_network &peers, wire::log &log)
+    : m_loop(loop)
+    , m_peers(peers)
+    , m_log(log)
+    , m_quarantine(loop.clock())
+{ }
+
+quarantine_relay::link_ptr quarantine_relay::linkToHost()
+{
+    return isHost() ? nullptr : m_peers.linkTo(m_peers.quarantineHost());
+}
+
+server_ends_frame quarantine_relay::makeFrame(const std::vector<server_end> &ends) const
+{
+    server_ends_frame frame;
+    for (const auto &each : ends) {
+        const auto ago = std::chrono::duration_cast<milliseconds>(m_loop.now() - each.at);
+        frame.ends.push_back({each.server, ago, each.requests});
+    }
+    return frame;
+}
+
+quarantine_frame quarantine_relay::makeFrame(const std::vector<quarantine_entry> &entries)
+{
+    quarantine_frame frame;
+    if (isHost())
+        frame.host = m_peers.self();
+    for (const auto &each : entries) {
+        const auto left = std::chrono::duration_cast<milliseconds>(each.until - m_loop.now());
+        frame.entries.push_back({each.request, each.level, each.version, left, each.times});
+    }
+    return frame;
+}
+
+void quarantine_relay::logEntry(const quarantine_entry &entry, std::string_view from)
+{
+    const auto found = m_quarantine.evidenceOf(entry.request);
+    auto line = m_log.line(wire::log_level::Warning, toName(log_event::QuarantineChanged));
+    line.add("digest", toText(entry.request)).add("level", toName(entry.level));
+    line.add("from", from).add("ends", found.seen).add("charged", found.charged);
+    const auto left = std::chrono::duration_cast<milliseconds>(entry.until - m_loop.now());
+    line.add("times", entry.times).add("left_ms", left.count());
+    m_log.write(wire::log_level::Warning, std::move(line));
+}
+
+// What this node knows goes to the host, unless it came from there.
+void quarantine_relay::tellHost(const std::vector<server_end> &ends,
+                                const std::vector<quarantine_entry> &entries)
+{
+    const auto link = linkToHost();
+    if (!link)
+        return;
+    if (!ends.empty())
+        link->send(makeFrame(ends));
+    if (!entries.empty())
+        link->send(makeFrame(entries));
+    link->ask();
+    m_hostLink = link;
+}
+
+// A later host knows nothing of what the earlier one was told.
+void quarantine_relay::followHost()
+{
+    if (m_host == m_peers.quarantineHost())
+        return;
+    m_host = m_peers.quarantineHost();
+    m_hostLink.reset();
+    const auto ends = m_quarantine.ends();
+    const auto entries = m_quarantine.entries();
+    if (!ends.empty() || !entries.empty())
+        tellHost(ends, entries);
+}
+
+void quarantine_relay::tellMembers()
+{
+    const auto entries = m_quarantine.entries();
+    if (entries.empty() || !isHost())
+        return;
+    const auto frame = makeFrame(entries);
+    for (const auto &peer : m_peers.view().peers()) {
+        if (m_told.contains(peer))
+            continue;
+        const auto link = m_peers.linkTo(peer);
+        if (!link)
+            continue;
+        link->send(frame);
+        link->ask();
+        m_told[peer] = link;
+    }
+}
+
+// The host tells all; others tell the host what it can't know yet.
+void quarantine_relay::publish(const std::vector<quarantine_entry> &entries, origin from)
+{
+    if (entries.empty())
+        return;
+    if (!isHost()) {
+        if (from != origin::Host)
+            tellHost({}, entries);
+        return;
+    }
+    const auto frame = makeFrame(entries);
+    for (const auto &[peer, link] : m_told) {
+        link->send(frame);
+        link->ask();
+    }
+    tellMembers();
+}
+
+void quarantine_relay::decide()
+{
+    if (!isHost())
+        return;
+    const auto changed = m_quarantine.decide();
+    for (const auto &each : changed)
+        logEntry(each, "ends");
+    publish(changed, origin::Here);
+}
+
+void quarantine_relay::onServerEnd(const server_end &end)
+{
+    if (!m_quarantine.onServerEnd(end))
+        return;
+    tellHost({end}, {});
+    decide();
+}
+
+void quarantine_relay::onServed(const request_digest &request)
+{
+    const auto changed = m_quarantine.onServed(request);
+    if (!changed)
+        return;
+    logEntry(*changed, "served");
+    publish({*changed}, origin::Here);
+}
+
+void quarantine_relay::askTrial(const request_digest &request, trial_handler answer)
+{
+    const auto link = linkToHost();
+    if (!link) {
+        m_loop.post([this, request, answer = std::move(answer)] {
+            answer(m_quarantine.tryTrial(request));
+        });
+        return;
+    }
+    link->send(trial_request{request});
+    open_trial asked{std::move(answer), 0};
+    asked.timer = m_loop.callAfter(HostPatience, [this, request] {
+        onTrialAnswer(nullptr, {request, false});
+    });
+    m_trials[request].push_back(std::move(asked));
+}
+
+// Answers come in the order of the questions, as one host is asked over one link.
+void quarantine_relay::onTrialAnswer(const link_ptr &link, const trial_answer &answer)
+{
+    const auto found = m_trials.find(answer.request);
+    if (found == m_trials.end()) {
+        // It comes too late: the request was refused meanwhile.
+        if (answer.granted)
+            link->send(trial_end{answer.request});
+        return;
+    }
+    auto asked = std::move(found->second.front());
+    found->second.erase(found->second.begin());
+    if (found->second.empty())
+        m_trials.erase(found);
+    m_loop.cancelTimer(asked.timer);
+    if (answer.granted)
+        m_granting[answer.request] = link;
+    asked.answer(answer.granted);
+}
+
+void quarantine_relay::endTrial(const request_digest &request)
+{
+    auto granting = m_granting.extract(request);
+    if (!granting.empty())
+        granting.mapped()->send(trial_end{request});
+    else
+        m_quarantine.endTrial(request);
+}
+
+void quarantine_relay::tick()
+{
+    followHost();
+    tellMembers();
+    closeSilentLinks();
+    decide();
+    if (m_loop.now() < m_nextForget)
+        return;
+    m_nextForget = m_loop.now() + ForgetInterval;
+    m_quarantine.forgetOld();
+}
+
+void quarantine_relay::closeSilentLinks()
+{
+    std::vector<link_ptr> silent;
+    const auto look = [&](const link_ptr &link) {
+        if (link && link->askedAt() && m_loop.now() - *link->askedAt() > LinkSilence)
+            silent.push_back(link);
+    };
+    look(m_hostLink);
+    for (const auto &[peer, link] : m_told)
+        look(link);
+    for (const auto &link : silent)
+        link->close();
+}
+
+void quarantine_relay::onFrame(const link_ptr &link, const peer_frame &frame)
+{
+    if (const auto *ends = std::get_if<server_ends_frame>(&frame))
+        onEnds(*ends);
+    else if (const auto *entries = std::get_if<quarantine_frame>(&frame))
+        onEntries(*entries);
+    else if (const auto *asked = std::get_if<trial_request>(&frame))
+        onTrialRequest(link, asked->request);
+    else if (const auto *answer = std::get_if<trial_answer>(&frame))
+        onTrialAnswer(link, *answer);
+    else if (const auto *end = std::get_if<trial_end>(&frame))
+        onTrialEnd(link, end->request);
+}
+
+void quarantine_relay::onEnds(const server_ends_frame &frame)
+{
+    std::vector<server_end> learnt;
+    for (const auto &each : frame.ends) {
+        const server_end end{each.server, m_loop.now() - each.ago, each.requests};
+        if (m_quarantine.onServerEnd(end))
+            learnt.push_back(end);
+    }
+    if (learnt.empty())
+        return;
+    tellHost(learnt, {});
+    decide();
+}
+
+void quarantine_relay::onEntries(const quarantine_frame &frame)
+{
+    // The host needn't hear back what it has just told.
+    const bool knewNothing = m_quarantine.ends().empty() && m_quarantine.entries().empty();
+    if (knewNothing && frame.host == m_peers.quarantineHost())
+        m_host = frame.host;
+    std::vector<quarantine_entry> taken;
+    for (const auto &each : frame.entries) {
+        const quarantine_entry entry{each.request, each.level, each.version,
+                                     m_loop.now() + each.left, each.times};
+        const auto kept = m_quarantine.merge(entry);
+        if (!kept)
+            continue;
+        const bool contradicted = kept->version != entry.version;
+        logEntry(*kept, contradicted ? "served" : "peer");
+        // The peer that told it must hear that it isn't so.
+        if (contradicted)
+            publish({*kept}, origin::Here);
+        else
+            taken.push_back(*kept);
+    }
+    publish(taken, frame.host.empty() ? origin::Member : origin::Host);
+}
+
+void quarantine_relay::onTrialRequest(const link_ptr &link, const request_digest &request)
+{
+    const bool granted = m_quarantine.tryTrial(request);
+    if (granted)
+        m_granted[link].insert(request);
+    link->send(trial_answer{request, granted});
+}
+
+void quarantine_relay::onTrialEnd(const link_ptr &link, const request_digest &request)
+{
+    const auto found = m_granted.find(link);
+    if (found != m_granted.end() && found->second.erase(request) > 0)
+        m_quarantine.endTrial(request);
+}
+
+// A node whose link ended may have ended, too, and its trials with it.
+void quarantine_relay::onLinkClosed(const link_ptr &link)
+{
+    if (const auto found = m_granted.find(link); found != m_granted.end()) {
+        for (const auto &request : found->second)
+            m_quarantine.endTrial(request);
+        m_granted.erase(found);
+    }
+    std::erase_if(m_told, [&](const auto &each) { return each.second == link; });
+    std::erase_if(m_granting, [&](const auto &each) { return each.second == link; });
+    if (m_hostLink != link)
+        return;
+    // What was on its way to the host may be lost.
+    m_hostLink.reset();
+    m_host = {};
+}
+
+std::size_t quarantine_relay::held() const
+{
+    const auto entries = m_quarantine.entries();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(entries, [this](const quarantine_entry &each) {
+            return standingOf(each.request).level != quarantine_level::Free;
+        }));
+}
+
+} // namespace orchidlead::gateway
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -21,6 +21,7 @@
     NoServer,
     ServersFull, ///< all that may be tried refused it
     ServerFailed, ///< an answer didn't come, or was broken
+    EndsServers, ///< servers ended under it or its repeats
     QueueTooLong, ///< what waits before it would make it late, so it was told at once
     StageLate, ///< its stages couldn't be done in time
     StageFailed,
@@ -60,6 +61,8 @@
         orchidlead::gateway::request_outcome::ServersFull, "servers_full"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::ServerFailed, "server_failed"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::EndsServers, "ends_servers"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::QueueTooLong, "queue_too_long"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
