Count ends that follow each other under one request, also those of stage servers

Cause: the same cause elsewhere: a piece of a stage under which its server ends was sent to four more servers, as each failed call counted against its server alone. Traced by a new test: 9 servers ended, since ends within 100 ms of each other counted as one end although the request had been sent on from one to the next. Ruled out: a shorter time within which ends count as one: nodes under load notice later than that. Change: pieces carry the digest of their request between nodes; a stage host reports them as nodes report requests, and doesn't try a piece of a suspected request again. An end also counts where the request was sent after the end before and ran for 10 ms or more; a server that had ended answers within a round trip.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/configuration.h"
+#include "gateway/request_digest.h"
 #include "gateway/server_directory.h"
 #include "http/head.h"
 
@@ -73,6 +74,7 @@
     std::optional<milliseconds> patience; ///< the server doesn't begin later
     std::string key; ///< for stages without inputs
     std::vector<std::string> inputs; ///< handles
+    request_digest digest{}; ///< of the client's request; stays between the nodes
 };
 
 /// Why a server didn't do a piece.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -54,7 +54,7 @@
     time_estimates times;
     std::minstd_rand random; ///< for the shares of routes
     /// A connection broke off while a request was at the server.
-    std::function<void(const server &, const request_digest &)> onBroken;
+    std::function<void(const server &, const interrupted_request &)> onBroken;
 };
 
 /// One client request, from its head to the end of its answer.
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -258,7 +258,7 @@
     m_mayHaveRun = true;
     if (!whole || m_passing == passing::Nothing || m_splitter.amidEvent()) {
         if (how == http::call_end::Broken && mayHaveEnded())
-            m_context.onBroken(*m_server, m_digest);
+            m_context.onBroken(*m_server, {m_digest, m_sentAt});
         onFate(fate::Unknown);
         return;
     }
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -42,7 +42,7 @@
     }
     if (!findRoute())
         return;
-    m_digest = digestOf(
+    m_digest = requestDigestOf(
         {m_customer ? m_customer->id : customer_id{}, m_marks.host, m_head.target, m_body});
     logTaken();
     m_priority = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -96,6 +96,7 @@
         job.inputBytes = each.inputBytes;
         job.resultBytes = m_route->stages[stage].resultBytes;
         job.request = std::move(each.request);
+        job.request.digest = m_digest;
         job.near =
             job.request.inputs.empty() ? m_home : whereResultLies(job.request.inputs.front());
         m_stagePools[stage] = m_context.stages.poolFor(each.service, job.near);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,7 +37,7 @@
     void onDoubt(const server &which, bool avoided);
     void onReach(const reach_event &event);
     void askServerIn(const data_center_id &dataCenter);
-    void onBroken(const server &which, const request_digest &request);
+    void onBroken(const server &which, const interrupted_request &request);
     void onConnectOutcome(const server_end &what, http::connect_outcome outcome);
     void logEachSecond();
     void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -111,7 +111,7 @@
                 nullptr,
                 time_estimates{loop.clock()},
                 std::minstd_rand{seedOf(m_settings.vm)},
-                [this](const server &which, const request_digest &request) {
+                [this](const server &which, const interrupted_request &request) {
                     onBroken(which, request);
                 }}
     , m_clients(std::make_shared<http::inbound_shared>())
@@ -119,6 +119,9 @@
 {
     m_allowance.setNodes(AssumedNodes);
     m_stages.setWaitsForNear(!m_settings.without.contains(policy::WaitForNear));
+    m_stages.setQuarantine(m_context.onBroken, [this](const request_digest &request) {
+        return m_quarantine.standingOf(request).level == quarantine_level::Free;
+    });
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
     m_directory.onChange([this](const service_id &service) { m_stages.onServersChanged(service); });
     m_follower.onRead([this](const store_news &news) { m_relay.onStoreNews(news); });
@@ -269,7 +272,7 @@
 }
 
 template <gateway_codec Codec>
-void gateway<Codec>::onBroken(const server &which, const request_digest &request)
+void gateway<Codec>::onBroken(const server &which, const interrupted_request &request)
 {
     const auto id = which.record.id;
     if (!m_serverEnds.onBroken(id, request))
--- a/src/gateway/peer_frame_reader.cpp
+++ b/src/gateway/peer_frame_reader.cpp
@@ -66,6 +66,17 @@
     return pool;
 }
 
+request_digest readRequestDigest(field_reader &in)
+{
+    const auto bytes = in.read<std::vector<char>>();
+    request_digest digest;
+    if (bytes.size() == digest.bytes.size())
+        std::ranges::copy(bytes, digest.bytes.begin());
+    else
+        in.fail();
+    return digest;
+}
+
 piece_frame readPiece(field_reader &in)
 {
     piece_frame frame;
@@ -83,6 +94,7 @@
     frame.near = data_center_id(in.read<std::string>());
     frame.inputBytes = in.read<std::uint64_t>();
     frame.resultBytes = in.read<std::uint64_t>();
+    frame.request.digest = readRequestDigest(in);
     return frame;
 }
 
@@ -219,17 +231,6 @@
     return frame;
 }
 
-request_digest readRequestDigest(field_reader &in)
-{
-    const auto bytes = in.read<std::vector<char>>();
-    request_digest digest;
-    if (bytes.size() == digest.bytes.size())
-        std::ranges::copy(bytes, digest.bytes.begin());
-    else
-        in.fail();
-    return digest;
-}
-
 server_ends_frame readServerEnds(field_reader &in)
 {
     server_ends_frame frame;
@@ -238,7 +239,8 @@
         end.server = backend_server_id(items.read<std::string>());
         end.ago = items.duration();
         readList(items, [&](field_reader &requests) {
-            end.requests.push_back(readRequestDigest(requests));
+            auto digest = readRequestDigest(requests);
+            end.requests.push_back({digest, requests.duration()});
         });
     });
     return frame;
--- a/src/gateway/peer_frame_writer.cpp
+++ b/src/gateway/peer_frame_writer.cpp
@@ -37,6 +37,12 @@
     out.pack(server.leaving);
 }
 
+void packDigest(packer &out, const request_digest &digest)
+{
+    out.pack_bin(request_digest::Size);
+    out.pack_bin_body(reinterpret_cast<const char *>(digest.bytes.data()), request_digest::Size);
+}
+
 void packPool(packer &out, const pool_key &pool)
 {
     out.pack(pool.service.value);
@@ -45,7 +51,7 @@
 
 void pack(packer &out, const piece_frame &frame)
 {
-    packKind(out, frame_kind::Piece, 15);
+    packKind(out, frame_kind::Piece, 16);
     out.pack(frame.token);
     packPool(out, frame.pool);
     out.pack(frame.request.attempt);
@@ -60,6 +66,7 @@
     out.pack(frame.near.value);
     out.pack(frame.inputBytes);
     out.pack(frame.resultBytes);
+    packDigest(out, frame.request.digest);
 }
 
 void pack(packer &out, const free_frame &frame)
@@ -180,23 +187,20 @@
     out.pack(frame.text.bytes);
 }
 
-void packDigest(packer &out, const request_digest &digest)
-{
-    out.pack_bin(request_digest::Size);
-    out.pack_bin_body(reinterpret_cast<const char *>(digest.bytes.data()), request_digest::Size);
-}
-
 void pack(packer &out, const server_ends_frame &frame)
 {
     constexpr std::uint32_t EndFields = 3;
+    constexpr std::uint32_t RequestFields = 2;
     packKind(out, frame_kind::ServerEnds, 1);
     out.pack_array(EndFields * static_cast<std::uint32_t>(frame.ends.size()));
     for (const auto &end : frame.ends) {
         out.pack(end.server.value);
         packDuration(out, end.ago);
-        out.pack_array(static_cast<std::uint32_t>(end.requests.size()));
-        for (const auto &request : end.requests)
-            packDigest(out, request);
+        out.pack_array(RequestFields * static_cast<std::uint32_t>(end.requests.size()));
+        for (const auto &request : end.requests) {
+            packDigest(out, request.digest);
+            packDuration(out, request.sentAgo);
+        }
     }
 }
 
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -129,11 +129,16 @@
 /// Tells the receiver, which decides on requests under which servers end, what the sender saw.
 struct server_ends_frame
 {
+    struct told_request
+    {
+        request_digest digest;
+        milliseconds sentAgo{0};
+    };
     struct told_end
     {
         backend_server_id server;
         milliseconds ago{0};
-        std::vector<request_digest> requests;
+        std::vector<told_request> requests;
     };
     std::vector<told_end> ends;
 };
--- a/src/gateway/quarantine_relay.cpp
+++ b/src/gateway/quarantine_relay.cpp
@@ -34,9 +34,15 @@
 server_ends_frame quarantine_relay::makeFrame(const std::vector<server_end> &ends) const
 {
     server_ends_frame frame;
+    const auto ago = [now = m_loop.now()](steady_time since) {
+        return std::chrono::duration_cast<milliseconds>(now - since);
+    };
     for (const auto &each : ends) {
-        const auto ago = std::chrono::duration_cast<milliseconds>(m_loop.now() - each.at);
-        frame.ends.push_back({each.server, ago, each.requests});
+        auto &told = frame.ends.emplace_back();
+        told.server = each.server;
+        told.ago = ago(each.at);
+        for (const auto &request : each.requests)
+            told.requests.push_back({request.digest, ago(request.sentAt)});
     }
     return frame;
 }
@@ -245,7 +251,9 @@
 {
     std::vector<server_end> learnt;
     for (const auto &each : frame.ends) {
-        const server_end end{each.server, m_loop.now() - each.ago, each.requests};
+        server_end end{each.server, m_loop.now() - each.ago, {}};
+        for (const auto &request : each.requests)
+            end.requests.push_back({request.digest, m_loop.now() - request.sentAgo});
         if (m_quarantine.onServerEnd(end))
             learnt.push_back(end);
     }
--- a/src/gateway/request_digest.cpp
+++ b/src/gateway/request_digest.cpp
@@ -28,7 +28,7 @@
 // What is believed of one request decides whether another one with its digest is served. So the
 // customer is the first that is hashed, and the hash is a cryptographic one: no caller can make a
 // request that has the digest of somebody else's.
-request_digest digestOf(const request_identity &identity)
+request_digest requestDigestOf(const request_identity &identity)
 {
     // Kept, as making one costs more than hashing a short request.
     static const std::unique_ptr<EVP_MD_CTX, context_deleter> context(EVP_MD_CTX_new());
--- a/src/gateway/request_digest.h
+++ b/src/gateway/request_digest.h
@@ -31,7 +31,7 @@
     std::string_view body;
 };
 
-[[nodiscard]] request_digest digestOf(const request_identity &identity);
+[[nodiscard]] request_digest requestDigestOf(const request_identity &identity);
 /// Gives the hexadecimal text, for logs.
 [[nodiscard]] std::string toText(const request_digest &digest);
 
--- a/src/gateway/request_quarantine.cpp
+++ b/src/gateway/request_quarantine.cpp
@@ -37,10 +37,9 @@
 constexpr std::size_t MaxEntries = 8192;
 constexpr std::size_t MaxServed = 16'384;
 
-bool isLess(steady_time left, steady_time right, milliseconds by)
-{
-    return left + by < right;
-}
+// A server that had ended already answers a request so within a round trip, 4 ms; one on which it
+// began to run takes longer to end.
+constexpr milliseconds LeastRun{10};
 
 } // namespace
 
@@ -73,39 +72,48 @@
     }
     bool learnt = isNew;
     for (const auto &request : end.requests) {
-        auto &there = known->requests;
-        if (servedLately(request, end.at) || there.size() >= MaxRequestsOfEnd
-            || std::ranges::find(there, request) != there.end())
+        const bool full = known->requests.size() >= MaxRequestsOfEnd;
+        if (full || servedLately(request.digest, end.at) || !addInterrupted(*known, request))
             continue;
-        there.push_back(request);
-        m_byRequest[request].push_back(known);
-        m_undecided.insert(request);
+        m_byRequest[request.digest].push_back(known);
+        m_undecided.insert(request.digest);
         learnt = true;
     }
     return learnt;
 }
 
-std::vector<request_quarantine::end_list::const_iterator>
-request_quarantine::endsOf(const request_digest &request) const
+std::vector<request_quarantine::run> request_quarantine::runsOf(const request_digest &request) const
 {
-    std::vector<end_list::const_iterator> ends;
-    if (const auto found = m_byRequest.find(request); found != m_byRequest.end())
-        ends.assign(found->second.begin(), found->second.end());
-    std::ranges::sort(ends, {}, [](const auto &each) { return each->at; });
-    return ends;
+    std::vector<run> runs;
+    const auto found = m_byRequest.find(request);
+    if (found == m_byRequest.end())
+        return runs;
+    for (const auto &end : found->second) {
+        const auto at = std::ranges::find(end->requests, request, &interrupted_request::digest);
+        runs.push_back({at->sentAt, &*end});
+    }
+    std::ranges::sort(runs, {}, [](const run &each) { return each.end->at; });
+    return runs;
 }
 
-std::uint32_t request_quarantine::seenBy(const request_digest &request) const
+std::uint32_t request_quarantine::countIndependent(const std::vector<run> &runs)
 {
-    std::uint32_t seen = 0;
-    std::optional<steady_time> last;
-    for (const auto &each : endsOf(request)) {
-        if (last && !isLess(*last, each->at, Together))
+    std::uint32_t count = 0;
+    steady_time last;
+    for (const auto &each : runs) {
+        const bool apart = last + Together < each.end->at;
+        const bool ranAfter = each.sentAt > last && each.end->at - each.sentAt >= LeastRun;
+        if (count > 0 && !apart && !ranAfter)
             continue;
-        last = each->at;
-        ++seen;
+        last = each.end->at;
+        ++count;
     }
-    return seen;
+    return count;
+}
+
+std::uint32_t request_quarantine::seenBy(const request_digest &request) const
+{
+    return countIndependent(runsOf(request));
 }
 
 // A request that was at more ends explains them, or one in quarantine that was at no fewer.
@@ -119,8 +127,8 @@
 
 bool request_quarantine::countsAgainst(const server_end &end, const request_digest &request) const
 {
-    return std::ranges::none_of(end.requests, [&](const request_digest &other) {
-        return other != request && explains(other, request);
+    return std::ranges::none_of(end.requests, [&](const interrupted_request &other) {
+        return other.digest != request && explains(other.digest, request);
     });
 }
 
@@ -130,20 +138,16 @@
     found.seen = seenBy(request);
     if (found.seen < EndsToSuspect)
         return found;
-    std::optional<steady_time> last;
-    for (const auto &each : endsOf(request)) {
-        if ((last && !isLess(*last, each->at, Together)) || !countsAgainst(*each, request))
-            continue;
-        last = each->at;
-        ++found.charged;
-    }
+    auto runs = runsOf(request);
+    std::erase_if(runs, [&](const run &each) { return !countsAgainst(*each.end, request); });
+    found.charged = countIndependent(runs);
     return found;
 }
 
 bool request_quarantine::endedSince(const request_digest &request, steady_time since) const
 {
-    return std::ranges::any_of(endsOf(request),
-                               [&](const auto &each) { return each->at >= since; });
+    return std::ranges::any_of(runsOf(request),
+                               [&](const run &each) { return each.end->at >= since; });
 }
 
 // Once it was in quarantine, the first end after that is enough.
@@ -198,8 +202,8 @@
 void request_quarantine::clearOthersAt(const request_digest &request,
                                        std::vector<quarantine_entry> &changed)
 {
-    for (const auto &end : endsOf(request)) {
-        for (const auto &other : end->requests) {
+    for (const auto &each : runsOf(request)) {
+        for (const auto &[other, sentAt] : each.end->requests) {
             const auto found = m_entries.find(other);
             if (other == request || found == m_entries.end())
                 continue;
@@ -230,14 +234,14 @@
     if (found == m_byRequest.end())
         return;
     for (const auto &end : found->second)
-        std::erase(end->requests, request);
+        std::erase_if(end->requests, [&](const auto &each) { return each.digest == request; });
     m_byRequest.erase(found);
 }
 
 void request_quarantine::forgetEnd(end_list::iterator end)
 {
     for (const auto &request : end->requests) {
-        const auto found = m_byRequest.find(request);
+        const auto found = m_byRequest.find(request.digest);
         std::erase(found->second, end);
         if (found->second.empty())
             m_byRequest.erase(found);
--- a/src/gateway/request_quarantine.h
+++ b/src/gateway/request_quarantine.h
@@ -45,8 +45,9 @@
 /// caller can empty a service within seconds.
 ///
 /// Requests that happened to be at the same servers are told from it so: servers that end together
-/// count as one end; an end counts only against those that were at the most ends; and a request
-/// that was served lately, by any node, isn't blamed at all.
+/// count as one end, unless the request came to the later one after the earlier one; an end counts
+/// only against those that were at the most ends; and a request that was served lately, by any
+/// node, isn't blamed at all.
 class request_quarantine
 {
 public:
@@ -92,7 +93,14 @@
 
     [[nodiscard]] end_list::iterator findEnd(const server_end &end);
     [[nodiscard]] bool servedLately(const request_digest &request, steady_time at) const;
-    [[nodiscard]] std::vector<end_list::const_iterator> endsOf(const request_digest &request) const;
+    /// An end that a request was at.
+    struct run
+    {
+        steady_time sentAt;
+        const server_end *end = nullptr;
+    };
+    [[nodiscard]] std::vector<run> runsOf(const request_digest &request) const;
+    [[nodiscard]] static std::uint32_t countIndependent(const std::vector<run> &runs);
     [[nodiscard]] std::uint32_t seenBy(const request_digest &request) const;
     [[nodiscard]] bool explains(const request_digest &other, const request_digest &request) const;
     [[nodiscard]] bool countsAgainst(const server_end &end, const request_digest &request) const;
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -2,6 +2,7 @@
 
 #include "gateway/codec.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/server_end_observer.h"
 #include "gateway/stage_pool.h"
 #include "http/connection_pool.h"
 #include "wire/log.h"
@@ -31,6 +32,15 @@
     /// Whether pieces wait for a server beside their inputs; pools made later keep to it.
     void setWaitsForNear(bool waits) { m_waitsForNear = waits; }
 
+    /// `onBroken`: a connection broke off while a piece of the request was at the server;
+    /// `mayRepeat`: whether such a piece may be tried on another one.
+    void setQuarantine(std::function<void(const server &, const interrupted_request &)> onBroken,
+                       std::function<bool(const request_digest &)> mayRepeat)
+    {
+        m_onBroken = std::move(onBroken);
+        m_mayRepeat = std::move(mayRepeat);
+    }
+
     /// `handler` is called once, later, unless the piece is withdrawn.
     piece_token submit(const pool_key &key, piece_job job, piece_handler handler);
     void withdraw(piece_token token);
@@ -87,6 +97,8 @@
     gateway_metrics &m_metrics;
     configuration_ptr m_configuration;
     bool m_waitsForNear = true;
+    std::function<void(const server &, const interrupted_request &)> m_onBroken;
+    std::function<bool(const request_digest &)> m_mayRepeat;
     std::map<pool_key, std::unique_ptr<stage_pool>> m_pools;
     std::set<std::shared_ptr<call_answer>> m_open; ///< calls
     std::map<pool_key, http::timer_id> m_wakeups;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -51,6 +51,7 @@
     if (!entry) {
         entry = std::make_unique<stage_pool>(m_loop.clock(), key.service, m_allowance);
         entry->setWaitsForNear(m_waitsForNear);
+        entry->setMayRepeat(m_mayRepeat);
         const auto *spec = m_configuration ? m_configuration->findService(key.service) : nullptr;
         if (spec && spec->stage)
             entry->setCapacity(*spec->stage);
@@ -202,6 +203,10 @@
         m_directory.onAnswer(*call.server, answer.marks.load);
     else if (end == stage_call_end::Broken)
         m_directory.onFailure(*call.server);
+    if (how == http::call_end::Broken && call.server->usable() && m_onBroken) {
+        for (const auto &piece : call.pieces)
+            m_onBroken(*call.server, {piece.digest, answer.began});
+    }
     if (end != stage_call_end::Answered)
         m_log.write(wire::log_level::Info,
                     m_log.line(wire::log_level::Info, toName(log_event::StageCallFailed))
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -287,7 +287,9 @@
     if (job.token == 0)
         return;
     const bool free = how == stage_call_end::NotSent;
-    if (job.tries >= MaxTries || !(free || m_allowance.tryTake(m_service)))
+    const bool suspected =
+        how == stage_call_end::Broken && m_mayRepeat && !m_mayRepeat(job.request.digest);
+    if (suspected || job.tries >= MaxTries || !(free || m_allowance.tryTake(m_service)))
         out.push_back({job.token, piece_failure::Error});
     else
         m_waiting.push_back(std::move(job));
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -7,6 +7,7 @@
 #include "gateway/stage_rank.h"
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <optional>
@@ -99,6 +100,12 @@
 
     void setCapacity(const stage_capacity &capacity) { m_capacity = capacity; }
     void setWaitsForNear(bool waits) { m_waitsForNear = waits; }
+    /// Whether a piece of such a request may be tried again where its server may have ended under
+    /// it.
+    void setMayRepeat(std::function<bool(const request_digest &)> mayRepeat)
+    {
+        m_mayRepeat = std::move(mayRepeat);
+    }
     void submit(piece_job job);
     /// The piece isn't needed any more; no outcome follows.
     void withdraw(piece_token token);
@@ -180,6 +187,7 @@
     service_id m_service;
     retry_allowance &m_allowance;
     stage_capacity m_capacity;
+    std::function<bool(const request_digest &)> m_mayRepeat; ///< empty: any
     bool m_waitsForNear = true;
     std::vector<piece_job> m_waiting;
     std::map<stage_rank, decaying_rate> m_arrivals;
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -24,7 +24,13 @@
     piece_frame frame;
     frame.token = 7;
     frame.pool = {service_id("s"), data_center_id("dc-1")};
-    frame.request = {"r1", 2, 3, std::nullopt, "key", {"a/1", "b/2"}};
+    frame.request = {"r1",
+                     2,
+                     3,
+                     std::nullopt,
+                     "key",
+                     {"a/1", "b/2"},
+                     requestDigestOf({customer_id("c"), "h", "/p", "body"})};
     frame.rank = {1, 2};
     frame.aimLeft = milliseconds{-50};
     frame.deadlineLeft = milliseconds{900};
@@ -45,6 +51,7 @@
     CHECK(read.request.piece == 3);
     CHECK(read.aimLeft == milliseconds{-50});
     CHECK(read.rank == stage_rank{1, 2});
+    CHECK(read.request.digest == makePiece().request.digest);
     CHECK(read.inputBytes == 360'000);
     CHECK(read.resultBytes == 1'500'000);
 }
@@ -167,3 +174,48 @@
     }
     SUCCEED();
 }
+
+TEST_CASE("ends of servers travel with the requests that were there")
+{
+    const auto digest = requestDigestOf({customer_id("c"), "h", "/p", "body"});
+    const server_ends_frame told{
+        {{backend_server_id("s-1"), milliseconds{30}, {{digest, milliseconds{70}}, {}}},
+         {backend_server_id("s-2"), milliseconds{0}, {}}}};
+    const auto read = roundTrip(told);
+    REQUIRE(read.ends.size() == 2);
+    CHECK(read.ends[0].server.value == "s-1");
+    CHECK(read.ends[0].ago == milliseconds{30});
+    REQUIRE(read.ends[0].requests.size() == 2);
+    CHECK(read.ends[0].requests[0].digest == digest);
+    CHECK(read.ends[0].requests[0].sentAgo == milliseconds{70});
+    CHECK(read.ends[1].requests.empty());
+}
+
+TEST_CASE("how requests are treated travels with its version")
+{
+    const auto digest = requestDigestOf({customer_id("c"), "h", "/p", "body"});
+    for (const auto &row : enumNames<quarantine_level>) {
+        INFO("level " << row.name);
+        const quarantine_frame told{vm_id("n1"), {{digest, row.value, 17, milliseconds{-5}, 2}}};
+        const auto read = roundTrip(told);
+        CHECK(read.host.value == "n1");
+        REQUIRE(read.entries.size() == 1);
+        CHECK(read.entries[0].request == digest);
+        CHECK(read.entries[0].level == row.value);
+        CHECK(read.entries[0].version == 17);
+        CHECK(read.entries[0].left == milliseconds{-5});
+        CHECK(read.entries[0].times == 2);
+    }
+}
+
+TEST_CASE("a trial is asked for, answered and ended by the request's digest")
+{
+    const auto digest = requestDigestOf({customer_id("c"), "h", "/p", "body"});
+    CHECK(roundTrip(trial_request{digest}).request == digest);
+    CHECK(roundTrip(trial_end{digest}).request == digest);
+    for (const bool granted : {false, true}) {
+        const auto read = roundTrip(trial_answer{digest, granted});
+        CHECK(read.request == digest);
+        CHECK(read.granted == granted);
+    }
+}
--- a/tests/gateway/request_digest_test.cpp
+++ b/tests/gateway/request_digest_test.cpp
@@ -11,8 +11,8 @@
 TEST_CASE("request_digest: repeats of a request have one digest")
 {
     const std::string body(1U << 20U, 'x');
-    const auto first = digestOf({customer_id("c"), "h.example", "/p/x?y=1", body});
-    const auto again = digestOf({customer_id("c"), "h.example", "/p/x?y=1", body});
+    const auto first = requestDigestOf({customer_id("c"), "h.example", "/p/x?y=1", body});
+    const auto again = requestDigestOf({customer_id("c"), "h.example", "/p/x?y=1", body});
     CHECK(toText(first) == toText(again));
     CHECK(std::hash<request_digest>{}(first) == std::hash<request_digest>{}(again));
 }
@@ -35,7 +35,7 @@
     for (std::size_t left = 0; left < others.size(); ++left) {
         for (std::size_t right = left + 1; right < others.size(); ++right) {
             INFO("identities " << left << " and " << right);
-            CHECK(toText(digestOf(others[left])) != toText(digestOf(others[right])));
+            CHECK(toText(requestDigestOf(others[left])) != toText(requestDigestOf(others[right])));
         }
     }
 }
--- a/tests/gateway/request_quarantine_test.cpp
+++ b/tests/gateway/request_quarantine_test.cpp
@@ -13,7 +13,7 @@
 
 request_digest digestNumber(std::size_t number)
 {
-    return digestOf({customer_id("c"), "h", "/p/" + std::to_string(number), {}});
+    return requestDigestOf({customer_id("c"), "h", "/p/" + std::to_string(number), {}});
 }
 
 const request_digest Crashing = digestNumber(0);
@@ -21,11 +21,18 @@
 /// One node's knowledge, and servers that end one after the other.
 struct quarantine_world
 {
+    /// A further server ends now, to which these requests were sent then.
+    server_end makeEnd(const std::vector<request_digest> &requests, steady_time sentAt)
+    {
+        server_end end{backend_server_id("s-" + std::to_string(++ended)), clock.now(), {}};
+        for (const auto &each : requests)
+            end.requests.push_back({each, sentAt});
+        return end;
+    }
     /// A further server ends while these requests are at it.
     std::vector<quarantine_entry> end(const std::vector<request_digest> &requests)
     {
-        quarantine.onServerEnd(
-            {backend_server_id("s-" + std::to_string(++ended)), clock.now(), requests});
+        quarantine.onServerEnd(makeEnd(requests, clock.now() - milliseconds{150}));
         return quarantine.decide();
     }
     [[nodiscard]] quarantine_level levelOf(const request_digest &request) const
@@ -71,10 +78,33 @@
     CHECK(w.levelOf(Crashing) == quarantine_level::Free);
 }
 
+TEST_CASE("request_quarantine: servers that end together count each where it was sent on and ran")
+{
+    quarantine_world w;
+    for (int i = 0; i < 3; ++i) {
+        const auto sentAt = w.clock.now() + milliseconds{1};
+        w.pass(milliseconds{25});
+        w.quarantine.onServerEnd(w.makeEnd({Crashing}, sentAt));
+    }
+    CHECK(w.quarantine.decide().size() == 1);
+    CHECK(w.levelOf(Crashing) == quarantine_level::Quarantined);
+}
+
+TEST_CASE("request_quarantine: a server that had ended before it was sent there counts for nothing")
+{
+    quarantine_world w;
+    for (int i = 0; i < 5; ++i) {
+        const auto sentAt = w.clock.now() + milliseconds{1};
+        w.pass(milliseconds{5});
+        w.quarantine.onServerEnd(w.makeEnd({Crashing}, sentAt));
+    }
+    CHECK(w.quarantine.evidenceOf(Crashing).seen == 1);
+}
+
 TEST_CASE("request_quarantine: one end that several nodes report counts once")
 {
     quarantine_world w;
-    const server_end end{backend_server_id("s"), w.clock.now(), {Crashing}};
+    const server_end end{backend_server_id("s"), w.clock.now(), {{Crashing, w.clock.now()}}};
     CHECK(w.quarantine.onServerEnd(end));
     CHECK_FALSE(w.quarantine.onServerEnd(end));
     auto late = end;
@@ -166,7 +196,9 @@
     // A node's report of the request that did it comes late.
     std::vector<server_end> ends;
     for (int i = 0; i < 3; ++i) {
-        ends.push_back({backend_server_id("s-" + std::to_string(i)), w.clock.now(), {unlucky}});
+        ends.push_back({backend_server_id("s-" + std::to_string(i)),
+                        w.clock.now(),
+                        {{unlucky, w.clock.now()}}});
         w.quarantine.onServerEnd(ends.back());
         CHECK(w.quarantine.decide().size() == (i == 0 ? 0 : 1));
         w.pass(Apart);
@@ -174,7 +206,7 @@
     REQUIRE(w.levelOf(unlucky) == quarantine_level::Quarantined);
     w.end({Crashing});
     for (auto each : ends) {
-        each.requests = {Crashing};
+        each.requests = {{Crashing, each.at}};
         w.quarantine.onServerEnd(each);
     }
     CHECK(w.quarantine.decide().size() == 2);
--- a/tests/gateway/server_end_observer_test.cpp
+++ b/tests/gateway/server_end_observer_test.cpp
@@ -24,16 +24,17 @@
     server_end_observer observer(clock);
     const backend_server_id server("s");
     const auto began = clock.now();
-    CHECK(observer.onBroken(server, digestNumber(1)));
+    CHECK(observer.onBroken(server, {digestNumber(1), clock.now()}));
     clock.advance(milliseconds{3});
-    CHECK_FALSE(observer.onBroken(server, digestNumber(2)));
-    CHECK(observer.onBroken(backend_server_id("other"), digestNumber(3)));
+    CHECK_FALSE(observer.onBroken(server, {digestNumber(2), clock.now()}));
+    CHECK_FALSE(observer.onBroken(server, {digestNumber(2), clock.now()})); // another piece of it
+    CHECK(observer.onBroken(backend_server_id("other"), {digestNumber(3), clock.now()}));
     const auto end = observer.onConnectOutcome(server);
     REQUIRE(end);
     CHECK(end->server.value == "s");
     CHECK(end->at == began);
     REQUIRE(end->requests.size() == 2);
-    CHECK(toText(end->requests[1]) == toText(digestNumber(2)));
+    CHECK(toText(end->requests[1].digest) == toText(digestNumber(2)));
 }
 
 TEST_CASE("server_end_observer: what breaks off later is tried anew")
@@ -41,8 +42,8 @@
     manual_clock clock;
     server_end_observer observer(clock);
     const backend_server_id server("s");
-    REQUIRE(observer.onBroken(server, digestNumber(1)));
+    REQUIRE(observer.onBroken(server, {digestNumber(1), clock.now()}));
     REQUIRE(observer.onConnectOutcome(server));
     CHECK_FALSE(observer.onConnectOutcome(server));
-    CHECK(observer.onBroken(server, digestNumber(1)));
+    CHECK(observer.onBroken(server, {digestNumber(1), clock.now()}));
 }
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -469,3 +469,29 @@
     CHECK(w.pool.waitOf({1, 0}, 1) > milliseconds{480});
     CHECK(w.pool.waitOf({0, 0}, 1) == milliseconds{0});
 }
+
+TEST_CASE("stage_pool: a piece under which servers may have ended isn't tried again")
+{
+    world w(2);
+    const auto crashing = requestDigestOf({customer_id("c"), "h", "/p", "crash"});
+    w.pool.setMayRepeat([&](const request_digest &request) { return request != crashing; });
+    piece_job job;
+    job.token = 7;
+    job.request.digest = crashing;
+    job.deadline = w.clock.now() + milliseconds{5000};
+    w.pool.submit(job);
+    const auto call = w.pool.next(w.servers);
+    REQUIRE(call);
+    SECTION("where the connection broke off")
+    {
+        const auto outcomes = w.pool.onEnd(call->id, stage_call_end::Broken, {});
+        REQUIRE(outcomes.size() == 1);
+        CHECK(std::get<piece_failure>(outcomes.front().result) == piece_failure::Error);
+        CHECK(w.pool.waiting() == 0);
+    }
+    SECTION("but is where no server got it")
+    {
+        CHECK(w.pool.onEnd(call->id, stage_call_end::NotSent, {}).empty());
+        CHECK(w.pool.waiting() == 1);
+    }
+}
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -7,6 +7,7 @@
 // What proved it: repeats told apart by a digest of caller, target and body, and ends of servers
 // told from ends of connections by a new connection that is refused, in the logs of these tests.
 #include "platform_world.h"
+#include "wire/json_text.h"
 
 #include <catch2/catch.hpp>
 
@@ -36,10 +37,11 @@
 /// Four nodes before ten servers, which crash when they begin to run one body.
 struct crashing_world : world
 {
-    explicit crashing_world(const std::string &route, std::string serviceName)
+    explicit crashing_world(const std::string &route, std::string serviceName,
+                            const std::string &services = {})
         : service(std::move(serviceName))
     {
-        publish(1, route);
+        publish(1, route, services);
         for (std::size_t i = 0; i < Servers; ++i)
             start();
         for (const auto *name : {"g1", "g2", "g3", "g4"})
@@ -60,7 +62,7 @@
     void onRequest(const std::string &id, const server_request &request,
                    const std::shared_ptr<server_answer> &answer)
     {
-        if (request.body != CrashingBody) {
+        if (request.body.find(CrashingBody) == std::string::npos) {
             answerWhole(request, answer);
             return;
         }
@@ -70,11 +72,26 @@
 
     void answerWhole(const server_request &request, const std::shared_ptr<server_answer> &answer)
     {
-        if (service == "web") {
+        if (service == "web")
             answer->write(signedAnswer(request, "done"));
-            return;
-        }
-        answer->write(streamHead(request) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
+        else if (service == "p")
+            answerPieces(request, answer);
+        else
+            answer->write(streamHead(request) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n");
+    }
+
+    /// Gives a handle for each piece, and nothing for results that are given up.
+    static void answerPieces(const server_request &request,
+                             const std::shared_ptr<server_answer> &answer)
+    {
+        const auto items = wire::parseJson(request.body).value()["items"];
+        std::string results;
+        for (Json::ArrayIndex i = 0; i < items.size(); ++i)
+            results += std::string(i == 0 ? "" : ",") + R"({"handle":"127.0.0.1:9/)"
+                + std::to_string(i) + R"("})";
+        const auto body = R"({"items":[)" + results + "]}";
+        answer->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                      + "\r\n\r\n" + body);
     }
 
     void crash(const std::string &id)
@@ -93,8 +110,14 @@
     std::shared_ptr<client_answer> send(const std::string &body)
     {
         const auto gateway = "g" + std::to_string(1 + sent % 4);
-        const auto id = "a-" + std::to_string(++sent);
-        return request(gateway, makeRequest("POST", service == "web" ? "/p/x" : "/s/x", id), body);
+        auto head =
+            makeRequest("POST", service == "web" ? "/p/x" : "/s/x", "a-" + std::to_string(++sent));
+        if (service == "p") {
+            head.fields.push_back({"X-Chunk-Count", "1"});
+            head.fields.push_back({"X-Chunk-Key", body});
+            head.fields.push_back({"X-Prefix-Hash", "a:10"});
+        }
+        return request(gateway, std::move(head), body);
     }
 
     /// Lets one caller repeat the request, and others send theirs.
@@ -162,3 +185,78 @@
     crashing_world w(streamRoute(true), "engine");
     checkThatItEndsFewServers(w);
 }
+
+TEST_CASE("a request under whose pieces stage servers end is soon sent to none")
+{
+    const std::string stages = R"([{"service":"p","after":[],"length":100}])";
+    const std::string services =
+        R"({"name":"p","segments":{"slots":1,"queue":2,"batch":1,"call_ms":20,"item_ms":1,)"
+        R"("headroom_mb":1,"handle_s":4}},)"
+        R"({"name":"engine","engine":{"slots":8,"kv_capacity":100000}})";
+    crashing_world w(streamRoute(true, stages), "p", services);
+    auto &engine = w.addServer("engine", "e-1");
+    engine.behave([](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+        answer->write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+    });
+    w.runFor(milliseconds{300});
+    checkThatItEndsFewServers(w);
+    CHECK(w.ends.size() <= 2 * KnownAfterEnds);
+}
+
+// The other way round: what happens to be at servers that end for reasons of their own.
+
+TEST_CASE("a request that many send is served while eight of ten servers end")
+{
+    crashing_world w(plainRoute("safe"), "web");
+    std::vector<std::shared_ptr<client_answer>> answers;
+    const auto send = [&](int times) {
+        for (int i = 0; i < times; ++i) {
+            answers.push_back(w.send({}));
+            w.runFor(milliseconds{10});
+        }
+    };
+    send(40);
+    for (int i = 1; i <= 8; ++i) {
+        w.crash("s-" + std::to_string(i));
+        send(15); // one after the other
+    }
+    send(80);
+    REQUIRE(w.runUntil([&] {
+        return std::ranges::all_of(answers, [](const auto &each) { return each->ended; });
+    }));
+    INFO("served " << w.served(answers) << " of " << answers.size());
+    CHECK(w.served(answers) == answers.size());
+}
+
+TEST_CASE("a request that few send is served after five servers ended together under it")
+{
+    crashing_world w(plainRoute("safe"), "web");
+    std::vector<std::string> holders;
+    for (std::size_t i = 1; i <= Servers; ++i) {
+        const auto id = "s-" + std::to_string(i);
+        w.server(id).behave([&holders, id](const server_request &, const auto &) {
+            holders.push_back(id); // and answers nothing
+        });
+    }
+    std::vector<std::shared_ptr<client_answer>> first;
+    for (int i = 0; i < 5; ++i)
+        first.push_back(w.send("rare"));
+    REQUIRE(w.runUntil([&] { return holders.size() == 5; }));
+    const auto hit = holders;
+    for (std::size_t i = 1; i <= Servers; ++i) {
+        const auto id = "s-" + std::to_string(i);
+        w.server(id).behave(
+            [&w](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+                w.answerWhole(request, answer);
+            });
+    }
+    for (const auto &id : hit)
+        w.crash(id);
+    w.runFor(milliseconds{1500});
+    std::vector<std::shared_ptr<client_answer>> answers;
+    for (int i = 0; i < 20; ++i) {
+        answers.push_back(w.send("rare"));
+        REQUIRE(w.await(answers.back()));
+    }
+    CHECK(w.served(answers) == answers.size());
+}
