Believe a start of a server, not its id, and take no entry that isn't as it should be

Cause: the platform's servers may start again under their id, with another born; what was believed of the start before held on, and one that had answered 421 was never used again. An entry with an unnamed state, missing members or members of another type still named a server, and one that turned unreadable left the server in use. Ruled out: taking such an entry's good members alone: whoever wrote it, nothing of it is known to be true. Change: server_start (id and born) is the key of what is believed (directory, engine board, stage pools, digests of lists, peers); a later start is another server, an earlier record is ignored.

--- a/src/ctl/request_history.cpp
+++ b/src/ctl/request_history.cpp
@@ -20,9 +20,11 @@
 constexpr std::chrono::seconds RestartWithin{60};
 
 // Fields whose values name what a request met.
-constexpr std::array NameFields{"server"sv, "service"sv, "host"sv};
+constexpr std::array NameFields{"server"sv, "service"sv, "host"sv, "digest"sv};
 // Fields of other lines that may hold such a name.
-constexpr std::array ContextFields{"server"sv, "service"sv, "subject"sv};
+constexpr std::array ContextFields{"server"sv, "service"sv, "subject"sv, "digest"sv};
+// Of lines about the request's own content it doesn't matter how long before they were written.
+constexpr std::string_view ContentField = "digest";
 // Events of the nodes that a request met.
 constexpr std::array NodeEvents{
     "starting"sv,       "ready"sv,         "not_ready"sv,       "stopping"sv,
@@ -48,6 +50,8 @@
     outcome_cause{"servers_full", "every server that could be tried refused it"},
     outcome_cause{"server_failed",
                   "a server took it and its answer didn't come or broke off; it may have run"},
+    outcome_cause{"ends_servers",
+                  "servers ended under it or its repeats, so it was sent to no more of them"},
     outcome_cause{"queue_too_long",
                   "refused on arrival, not run: what waited before it would have made it late"},
     outcome_cause{"stage_late", "its stages couldn't be done in time; the request itself not run"},
@@ -159,7 +163,8 @@
         place(each, true);
     for (auto &each : m_others) {
         const bool near = each.time >= begin - ContextBefore && each.time <= end + ContextAfter;
-        if (near && concerns(each, names))
+        const bool sameContent = names.things.contains(each.field(ContentField));
+        if (sameContent || (near && concerns(each, names)))
             place(each, false);
     }
     std::ranges::stable_sort(history.lines, {}, &history_line::at);
--- a/src/gateway/engine_board.cpp
+++ b/src/gateway/engine_board.cpp
@@ -53,7 +53,7 @@
 
 double engine_board::costOf(const server &which, const engine_wish &wish)
 {
-    const auto &state = m_engines[which.record.id];
+    const auto &state = m_engines[which.record.start()];
     const auto missing = missingTokens(state, wish);
     double cost = static_cast<double>(missing + state.reading) + StreamCost * state.streams;
     if (missing > ChunkTokens)
@@ -96,11 +96,11 @@
     }
     if (!best)
         return nullptr;
-    auto &state = m_engines[best->record.id];
+    auto &state = m_engines[best->record.start()];
     const auto missing = missingTokens(state, wish);
     state.reading += missing;
     ++state.streams;
-    m_placements[id] = {best->record.id, missing, m_clock.now()};
+    m_placements[id] = {best->record.start(), missing, m_clock.now()};
     const auto known = m_capacities.find(wish.pool.service);
     keep(state, wish, known == m_capacities.end() ? DefaultCapacity : known->second);
     return best;
@@ -145,7 +145,8 @@
     state.streams -= std::min(state.streams, 1U);
     const auto server = found->second.server;
     m_placements.erase(found);
-    if (state.streams == 0 && !m_directory.find(server))
+    const auto known = m_directory.find(server.id);
+    if (state.streams == 0 && (!known || known->record.start() != server))
         m_engines.erase(server);
 }
 
--- a/src/gateway/engine_board.h
+++ b/src/gateway/engine_board.h
@@ -61,7 +61,7 @@
     };
     struct placement
     {
-        backend_server_id server;
+        server_start server;
         std::uint64_t tokens = 0; ///< to be read; 0 once they are
         steady_time began;
     };
@@ -75,7 +75,7 @@
     const clock_source &m_clock;
     const server_directory &m_directory;
     std::unordered_map<service_id, std::uint64_t> m_capacities;
-    std::map<backend_server_id, engine> m_engines;
+    std::map<server_start, engine> m_engines;
     std::unordered_map<placement_id, placement> m_placements;
 };
 
--- a/src/gateway/list_digest.cpp
+++ b/src/gateway/list_digest.cpp
@@ -16,7 +16,8 @@
     std::string bytes;
     for (const auto &text :
          {record.id.value, record.service.value, record.dataCenter.value, record.address.ip,
-          std::to_string(record.address.port), std::to_string(record.slots)}) {
+          std::to_string(record.address.port), std::to_string(record.slots),
+          record.born ? std::to_string(*record.born) : std::string()}) {
         bytes += text;
         bytes += Separator;
     }
--- a/src/gateway/peer_frame_reader.cpp
+++ b/src/gateway/peer_frame_reader.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <optional>
 
 namespace orchidlead::gateway {
 
@@ -42,6 +43,16 @@
         }
         return value;
     }
+    /// Reads a value, or that there is none.
+    template <class Value>
+    std::optional<Value> optional()
+    {
+        if (m_good && m_index < m_array.size && m_array.ptr[m_index].is_nil()) {
+            ++m_index;
+            return std::nullopt;
+        }
+        return read<Value>();
+    }
     milliseconds duration() { return milliseconds{read<std::int64_t>()}; }
 
     const msgpack::object *next()
@@ -176,6 +187,7 @@
     server.dataCenter = data_center_id(in.read<std::string>());
     server.slots = in.read<std::uint32_t>();
     server.leaving = in.read<bool>();
+    server.born = in.optional<std::uint64_t>();
     return server;
 }
 
--- a/src/gateway/peer_frame_writer.cpp
+++ b/src/gateway/peer_frame_writer.cpp
@@ -24,7 +24,7 @@
 }
 
 /// Fields of a server in a list; they follow each other in one array.
-constexpr std::uint32_t ServerFields = 7;
+constexpr std::uint32_t ServerFields = 8;
 
 void packServer(packer &out, const server_record &server)
 {
@@ -35,6 +35,10 @@
     out.pack(server.dataCenter.value);
     out.pack(server.slots);
     out.pack(server.leaving);
+    if (server.born)
+        out.pack(*server.born);
+    else
+        out.pack_nil();
 }
 
 void packDigest(packer &out, const request_digest &digest)
--- a/src/gateway/quarantine_relay.cpp
+++ b/src/gateway/quarantine_relay.cpp
@@ -3,6 +3,8 @@
 #include "gateway/log_event.h"
 
 #include <algorithm>
+#include <ranges>
+#include <string>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -14,6 +16,8 @@
 constexpr milliseconds HostPatience{100};
 // A peer that was told something and says nothing for so long has a link that is silent.
 constexpr milliseconds LinkSilence{1000};
+// Servers that a log line names; it tells how many there were.
+constexpr std::size_t MostServersNamed = 8;
 // Between two looks for what is too old to count.
 constexpr milliseconds ForgetInterval{1000};
 
@@ -59,12 +63,18 @@
     return frame;
 }
 
-void quarantine_relay::logEntry(const quarantine_entry &entry, std::string_view from)
+void quarantine_relay::logEntry(const quarantine_entry &entry, std::string_view from,
+                                const vm_id &by)
 {
     const auto found = m_quarantine.evidenceOf(entry.request);
     auto line = m_log.line(wire::log_level::Warning, toName(log_event::QuarantineChanged));
     line.add("digest", toText(entry.request)).add("level", toName(entry.level));
-    line.add("from", from).add("ends", found.seen).add("charged", found.charged);
+    line.add("from", from).add("by", by.value);
+    line.add("ends", found.seen).add("charged", found.charged);
+    std::string servers;
+    for (const auto &each : found.servers | std::views::take(MostServersNamed))
+        servers += (servers.empty() ? "" : ",") + each.value;
+    line.add("servers_ended", servers);
     const auto left = std::chrono::duration_cast<milliseconds>(entry.until - m_loop.now());
     line.add("times", entry.times).add("left_ms", left.count());
     m_log.write(wire::log_level::Warning, std::move(line));
@@ -140,7 +150,7 @@
         return;
     const auto changed = m_quarantine.decide();
     for (const auto &each : changed)
-        logEntry(each, "ends");
+        logEntry(each, "ends", m_peers.self());
     publish(changed, origin::Here);
 }
 
@@ -157,7 +167,7 @@
     const auto changed = m_quarantine.onServed(request);
     if (!changed)
         return;
-    logEntry(*changed, "served");
+    logEntry(*changed, "served", m_peers.self());
     publish({*changed}, origin::Here);
 }
 
@@ -277,7 +287,8 @@
         if (!kept)
             continue;
         const bool contradicted = kept->version != entry.version;
-        logEntry(*kept, contradicted ? "served" : "peer");
+        logEntry(*kept, contradicted ? "served" : "peer",
+                 contradicted ? m_peers.self() : frame.host);
         // The peer that told it must hear that it isn't so.
         if (contradicted)
             publish({*kept}, origin::Here);
--- a/src/gateway/quarantine_relay.h
+++ b/src/gateway/quarantine_relay.h
@@ -82,7 +82,8 @@
     void closeSilentLinks();
     [[nodiscard]] server_ends_frame makeFrame(const std::vector<server_end> &ends) const;
     [[nodiscard]] quarantine_frame makeFrame(const std::vector<quarantine_entry> &entries);
-    void logEntry(const quarantine_entry &entry, std::string_view from);
+    /// `by`: who decided that; empty: unknown.
+    void logEntry(const quarantine_entry &entry, std::string_view from, const vm_id &by);
 
     http::io_loop &m_loop;
     peer_network &m_peers;
--- a/src/gateway/request_quarantine.cpp
+++ b/src/gateway/request_quarantine.cpp
@@ -135,10 +135,12 @@
 request_quarantine::evidence request_quarantine::evidenceOf(const request_digest &request) const
 {
     evidence found;
-    found.seen = seenBy(request);
+    auto runs = runsOf(request);
+    found.seen = countIndependent(runs);
+    for (const auto &each : runs)
+        found.servers.push_back(each.end->server);
     if (found.seen < EndsToSuspect)
         return found;
-    auto runs = runsOf(request);
     std::erase_if(runs, [&](const run &each) { return !countsAgainst(*each.end, request); });
     found.charged = countIndependent(runs);
     return found;
--- a/src/gateway/request_quarantine.h
+++ b/src/gateway/request_quarantine.h
@@ -85,6 +85,7 @@
     {
         std::uint32_t seen = 0;
         std::uint32_t charged = 0;
+        std::vector<backend_server_id> servers; ///< that ended, in that order
     };
     [[nodiscard]] evidence evidenceOf(const request_digest &request) const;
 
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -36,8 +36,18 @@
         m_onChange(service);
 }
 
-void server_directory::put(const server_record &record)
+// A record that doesn't tell its start says nothing against the one that is known.
+void server_directory::put(const server_record &told)
 {
+    auto record = told;
+    if (const auto known = find(record.id)) {
+        if (!record.born)
+            record.born = known->record.born;
+        if (record.born < known->record.born)
+            return;
+        if (record.born != known->record.born)
+            remove(record.id);
+    }
     auto &entry = m_servers[record.id];
     if (!entry) {
         entry = std::make_shared<server>();
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -17,16 +17,28 @@
 
 namespace orchidlead::gateway {
 
+/// Names one start of a backend server: it may start again under its id, and then knows and holds
+/// nothing of before.
+struct server_start
+{
+    backend_server_id id;
+    std::optional<std::uint64_t> born; ///< Unix milliseconds; empty: it doesn't say
+
+    friend auto operator<=>(const server_start &, const server_start &) = default;
+};
+
 /// A backend server as the platform publishes it.
 struct server_record
 {
-    backend_server_id id; ///< of this start; a restarted server has another one
+    backend_server_id id;
+    std::optional<std::uint64_t> born; ///< as in `server_start`
     service_id service;
     socket_address address;
     data_center_id dataCenter;
     std::uint32_t slots = 1;
     bool leaving = false; ///< gets no new work
 
+    [[nodiscard]] server_start start() const { return {id, born}; }
     friend bool operator==(const server_record &, const server_record &) = default;
 };
 
@@ -38,7 +50,7 @@
     std::uint32_t slots = 0;
 };
 
-/// One server with what this node knows of it.
+/// One start of a server with what this node knows of it.
 struct server
 {
     server_record record;
@@ -73,7 +85,8 @@
 public:
     explicit server_directory(const clock_source &clock);
 
-    /// Adds a server, or takes a newer record of it.
+    /// Adds a server, or takes a newer record of it. Nothing that was believed of an earlier start
+    /// holds for a later one; a record of an earlier start is ignored.
     void put(const server_record &record);
     void remove(const backend_server_id &id);
     [[nodiscard]] server_ptr find(const backend_server_id &id) const;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -240,7 +240,7 @@
                         .add("reason", toName(failure))
                         .add("count", count)
                         .add("of", results.size())
-                        .add("held_bytes", poolOf(key).heldAt(call.server->record.id)));
+                        .add("held_bytes", poolOf(key).heldAt(call.server->record.start())));
     }
 }
 
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -106,7 +106,7 @@
     const auto now = m_clock.now();
     std::vector<std::pair<double, server_ptr>> ranked;
     for (const auto &each : servers) {
-        const auto &state = m_servers[each->record.id];
+        const auto &state = m_servers[each->record.start()];
         if (state.calls > 0 || state.busyUntil > now)
             continue;
         double cost = each->slowness;
@@ -144,7 +144,7 @@
     std::ranges::stable_sort(m_waiting, [&](const piece_job &a, const piece_job &b) {
         return before(a, b, chosen.record.dataCenter, now);
     });
-    const auto held = m_servers[chosen.record.id].held;
+    const auto held = m_servers[chosen.record.start()].held;
     const bool bounded = m_capacity.roomBytes > 0;
     std::uint64_t room = m_capacity.roomBytes > held ? m_capacity.roomBytes - held : 0;
     std::size_t places = std::max(1U, m_capacity.batch);
@@ -210,7 +210,7 @@
     call.began = m_clock.now();
     call.expected = expectedTime(jobs.size());
     call.jobs = std::move(jobs);
-    auto &state = m_servers[chosen->record.id];
+    auto &state = m_servers[chosen->record.start()];
     ++state.calls;
     ++m_summary.calls;
 
@@ -236,13 +236,12 @@
     return made;
 }
 
-void stage_pool::hold(const backend_server_id &server, const std::string &handle,
-                      std::uint64_t bytes)
+void stage_pool::hold(const server_start &server, const std::string &handle, std::uint64_t bytes)
 {
     m_results[handle] = {server, bytes, m_clock.now() + m_capacity.resultLifetime};
 }
 
-void stage_pool::release(const backend_server_id &server, std::uint64_t bytes)
+void stage_pool::release(const server_start &server, std::uint64_t bytes)
 {
     auto &state = m_servers[server];
     state.held -= std::min(state.held, bytes);
@@ -257,7 +256,7 @@
     m_results.erase(found);
 }
 
-std::uint64_t stage_pool::heldAt(const backend_server_id &server) const
+std::uint64_t stage_pool::heldAt(const server_start &server) const
 {
     const auto found = m_servers.find(server);
     return found == m_servers.end() ? 0 : found->second.held;
@@ -304,7 +303,7 @@
         return out;
     auto call = std::move(found->second);
     m_calls.erase(found);
-    auto &state = m_servers[call.server->record.id];
+    auto &state = m_servers[call.server->record.start()];
     --state.calls;
     if (how == stage_call_end::NotRun)
         state.busyUntil = m_clock.now() + RefusedPause;
@@ -316,7 +315,7 @@
     // A call that was given up took at least so long: a slow server gets more time for the next.
     if (how == stage_call_end::Broken)
         learn(call);
-    const auto &server = call.server->record.id;
+    const auto server = call.server->record.start();
     if (how != stage_call_end::Answered || results.size() != call.jobs.size()) {
         for (auto &job : call.jobs) {
             // What a lost answer held may be there all the same.
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -129,7 +129,7 @@
     /// When `next` may give a call though nothing else happens.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
     /// Bytes of results that a server is taken to hold.
-    [[nodiscard]] std::uint64_t heldAt(const backend_server_id &server) const;
+    [[nodiscard]] std::uint64_t heldAt(const server_start &server) const;
     /// Gives what was done since the last call.
     [[nodiscard]] stage_pool_summary takeSummary() { return std::exchange(m_summary, {}); }
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
@@ -152,7 +152,7 @@
     };
     struct held_result
     {
-        backend_server_id server;
+        server_start server;
         std::uint64_t bytes = 0;
         steady_time lapses;
     };
@@ -172,8 +172,8 @@
                                     steady_time now) const;
     [[nodiscard]] steady_time nearUntil(const piece_job &job) const;
     [[nodiscard]] stage_call makeCall(const server_ptr &chosen, std::vector<piece_job> jobs);
-    void hold(const backend_server_id &server, const std::string &handle, std::uint64_t bytes);
-    void release(const backend_server_id &server, std::uint64_t bytes);
+    void hold(const server_start &server, const std::string &handle, std::uint64_t bytes);
+    void release(const server_start &server, std::uint64_t bytes);
     void dropLapsed();
     [[nodiscard]] std::chrono::microseconds expectedTime(std::size_t pieces) const;
     /// How long so many pieces of a rank take, all servers together, beside the more urgent ones
@@ -192,7 +192,7 @@
     std::vector<piece_job> m_waiting;
     std::map<stage_rank, decaying_rate> m_arrivals;
     std::map<stage_call_id, open_call> m_calls;
-    std::map<backend_server_id, server_state> m_servers;
+    std::map<server_start, server_state> m_servers;
     std::unordered_map<std::string, held_result> m_results; ///< by handle
     std::uint64_t m_unnamed = 0; ///< results of calls whose answer was lost
     stage_call_id m_lastCall = 0;
--- a/tests/gateway/list_digest_test.cpp
+++ b/tests/gateway/list_digest_test.cpp
@@ -54,6 +54,7 @@
         static_cast<std::uint32_t>(partOf(backend_server_id("i-42")))};
     CHECK(differsAfter([](server_record &each) { each.leaving = true; }) == expected);
     CHECK(differsAfter([](server_record &each) { each.slots = 5; }) == expected);
+    CHECK(differsAfter([](server_record &each) { each.born = 1; }) == expected);
     CHECK(differsAfter([](server_record &each) { each.address.port = 9; }) == expected);
     CHECK(differsAfter([](server_record &each) { each.service = service_id("t"); }) == expected);
     CHECK(differsAfter([](server_record &each) { each.dataCenter = data_center_id("d"); })
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -84,11 +84,15 @@
         record.address = {"10.0.0.1", static_cast<std::uint16_t>(80 + i)};
         record.slots = 4;
         record.leaving = i == 1;
+        if (i == 1)
+            record.born = 1'764'000'000'000;
         frame.servers.push_back(record);
     }
     const auto read = roundTrip(frame);
     REQUIRE(read.servers.size() == 3);
     CHECK(read.servers[1].leaving);
+    CHECK_FALSE(read.servers[0].born);
+    CHECK(read.servers[1].born == 1'764'000'000'000);
     CHECK(read.servers[2].address.port == 82);
     CHECK(read.configurationVersion == 17);
     CHECK(read.current);
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -135,3 +135,43 @@
     directory.onAnswer(only, std::nullopt);
     CHECK(told == std::vector<bool>{true, false});
 }
+
+TEST_CASE("server_directory: nothing that was believed of an earlier start holds for a later one")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    auto record = makeRecord("s1");
+    record.born = 1'000;
+    directory.put(record);
+    const auto earlier = directory.find(record.id);
+    earlier->gone = true;
+    earlier->outstanding = 3;
+    earlier->slowness = 5.0;
+    directory.onFailure(*earlier);
+    directory.onFailure(*earlier);
+    REQUIRE(directory.choose(wishFor()) == nullptr);
+    record.born = 2'000;
+    directory.put(record);
+    const auto later = directory.choose(wishFor());
+    REQUIRE(later);
+    CHECK(later != earlier);
+    CHECK(later->outstanding == 0);
+    CHECK(later->failures == 0);
+    CHECK(later->slowness == 1.0);
+    SECTION("and a record of the earlier one that comes late is ignored")
+    {
+        record.born = 1'000;
+        record.leaving = true;
+        directory.put(record);
+        CHECK(directory.choose(wishFor()) == later);
+    }
+    SECTION("and one that doesn't tell its start is the same server's")
+    {
+        record.born.reset();
+        record.leaving = true;
+        directory.put(record);
+        CHECK(directory.find(record.id) == later);
+        CHECK(later->record.leaving);
+        CHECK(later->record.born == 2'000);
+    }
+}
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -183,7 +183,7 @@
     CHECK_FALSE(w.pool.next(w.servers));
     w.clock.advance(milliseconds{4100});
     CHECK(w.pool.next(w.servers));
-    CHECK(w.pool.heldAt(backend_server_id("s0")) == 4 * PieceBytes);
+    CHECK(w.pool.heldAt({backend_server_id("s0"), {}}) == 4 * PieceBytes);
 }
 
 TEST_CASE("pieces of a call that wasn't run wait on, and the server is left alone for a moment")
@@ -195,7 +195,7 @@
     const auto second = w.pool.next(w.servers);
     REQUIRE(second);
     CHECK(second->server != first->server);
-    CHECK(w.pool.heldAt(first->server->record.id) == 0);
+    CHECK(w.pool.heldAt(first->server->record.start()) == 0);
 }
 
 TEST_CASE("a piece without room is tried again, one whose input is gone isn't")
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -4,7 +4,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <random>
 #include <string>
+#include <vector>
 
 using namespace orchidlead;
 using namespace orchidlead::gateway;
@@ -214,13 +216,101 @@
     CHECK(page.value().more);
     CHECK(page.value().revision == 530);
     CHECK(page.value().lastKey == "other/x");
-    REQUIRE(page.value().items.size() == 2);
+    REQUIRE(page.value().items.size() == 3);
     const auto &record = std::get<published_server>(page.value().items[0]).record;
     CHECK(record.id.value == "i-1");
     CHECK(record.address == socket_address{"10.0.0.9", 8080});
     CHECK(record.slots == 6);
     CHECK_FALSE(record.leaving);
     CHECK(std::get<unreadable_item>(page.value().items[1]).key == "servers/i-2");
+    CHECK(std::get<removed_server>(page.value().items[2]).id.value == "i-2");
+}
+
+TEST_CASE("a server's entry that isn't as it should be names no server, and the others hold")
+{
+    struct changed_entry
+    {
+        std::string what;
+        std::string from;
+        std::string to;
+    };
+    const std::vector<changed_entry> entries{
+        {"service missing", R"("service":"s",)", ""},
+        {"service of another type", R"("service":"s")", R"("service":7)"},
+        {"service empty", R"("service":"s")", R"("service":"")"},
+        {"address missing", R"("address":"10.0.0.9:8080",)", ""},
+        {"address of another type", R"("10.0.0.9:8080")", "17"},
+        {"address without a port", R"(10.0.0.9:8080)", "10.0.0.9"},
+        {"data centre missing", R"("zone":"z",)", ""},
+        {"data centre of another type", R"("zone":"z")", R"("zone":["z"])"},
+        {"version missing", R"("version":"v1",)", ""},
+        {"version of another type", R"("version":"v1")", R"("version":1)"},
+        {"slots missing", R"("slots":6,)", ""},
+        {"slots of another type", R"("slots":6)", R"("slots":"6")"},
+        {"slots negative", R"("slots":6)", R"("slots":-6)"},
+        {"no slots", R"("slots":6)", R"("slots":0)"},
+        {"slots beyond all bounds", R"("slots":6)", R"("slots":123456789012)"},
+        {"state missing", R"("phase":"ready",)", ""},
+        {"state of another type", R"("phase":"ready")", R"("phase":true)"},
+        {"state that isn't named", R"("phase":"ready")", R"("phase":"READY")"},
+        {"warm-up missing", R"("cold_remaining_ms":0,)", ""},
+        {"warm-up of another type", R"("cold_remaining_ms":0)", R"("cold_remaining_ms":"0")"},
+        {"sequence missing", R"("sequence":4,)", ""},
+        {"sequence of another type", R"("sequence":4)", R"("sequence":4.5)"},
+        {"start of another type", R"("sequence":4)", R"("sequence":4,"born":"1764000000000")"},
+        {"start with a fraction", R"("sequence":4)", R"("sequence":4,"born":1764000000000.5)"},
+        {"start negative", R"("sequence":4)", R"("sequence":4,"born":-1)"},
+        {"doubled member", R"("sequence":4)", R"("sequence":4,"sequence":4)"},
+        {"not JSON", R"("sequence":4)", R"("sequence":)"},
+        {"deep nesting", R"([1])", std::string(200, '[') + std::string(200, ']')},
+        {"large beyond all bounds", R"([1])", "\"" + std::string(200'000, 'x') + "\""},
+    };
+    for (const auto &each : entries) {
+        INFO(each.what);
+        auto text = Server;
+        const auto at = text.find(each.from);
+        REQUIRE(at != std::string::npos);
+        text.replace(at, each.from.size(), each.to);
+        const auto page = codec::readPage(R"({"items":[)" + item("servers/i-1", text) + ","
+                                          + item("servers/i-2", Server)
+                                          + R"(],"has_more":false,"store_revision":530})");
+        REQUIRE(page);
+        REQUIRE(page.value().items.size() == 3);
+        REQUIRE(std::holds_alternative<unreadable_item>(page.value().items[0]));
+        CHECK(std::get<unreadable_item>(page.value().items[0]).key == "servers/i-1");
+        CHECK(std::get<removed_server>(page.value().items[1]).id.value == "i-1");
+        CHECK(std::get<published_server>(page.value().items[2]).record.id.value == "i-2");
+    }
+}
+
+TEST_CASE("an entry of random bytes names no server, and never more than one")
+{
+    std::mt19937 random(20261203);
+    std::uniform_int_distribution<int> anyByte(0, 255);
+    std::uniform_int_distribution<std::size_t> anyPlace(0, Server.size() - 1);
+    for (int i = 0; i < 3000; ++i) {
+        auto text = Server;
+        for (int changes = 0; changes <= i % 4; ++changes)
+            text[anyPlace(random)] = static_cast<char>(anyByte(random));
+        INFO("text: " << text);
+        const auto page = codec::readPage(R"({"items":[)" + item("servers/i-1", text)
+                                          + R"(],"has_more":false,"store_revision":530})");
+        REQUIRE(page);
+        const auto &items = page.value().items;
+        if (items.size() == 1)
+            CHECK(std::get<published_server>(items[0]).record.id.value == "i-1");
+        else
+            CHECK(std::get<removed_server>(items.at(1)).id.value == "i-1");
+    }
+}
+
+TEST_CASE("a value that can't be decoded names no server")
+{
+    const auto page = codec::readChanges(
+        R"({"events":[{"key":"servers/i-1","value":"%%%","revision":9}],"store_revision":9})");
+    REQUIRE(page);
+    REQUIRE(page.value().items.size() == 2);
+    CHECK(std::get<removed_server>(page.value().items[1]).id.value == "i-1");
 }
 
 TEST_CASE("changes tell of servers that leave and that are removed")
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -161,6 +161,10 @@
     INFO("sent " << w.crashing.size() << " times, servers ended: " << w.ends.size()
                  << ", others served: " << w.served(w.others) << " of " << w.others.size());
     CHECK(w.arrivalsAfter(known) <= TriesAfterwards);
+    // Most of its repeats are told at once, and when to come back: not within their own time.
+    const auto &last = *w.crashing.back();
+    CHECK(last.status == 503);
+    CHECK(std::stod(last.field("retry-after")) > 60.0);
     CHECK(w.served(w.others) * 10 >= w.others.size() * 9);
     for (const auto &each : w.crashing)
         CHECK(each->ended);
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -334,12 +334,28 @@
     return *entry;
 }
 
+namespace {
+
+/// Gives the members of a server's entry.
+std::string entryOf(const fake_server &server, const std::string &service, const std::string &phase)
+{
+    return R"("service":")" + service + R"(","address":")" + toText(server.address())
+        + R"(","zone":"z","version":"v1","slots":8,"phase":")" + phase
+        + R"(","cold_remaining_ms":0,"sequence":1)";
+}
+
+} // namespace
+
 void world::announce(const fake_server &server, const std::string &service,
                      const std::string &phase)
+{
+    store.put("servers/" + server.id(), "{" + entryOf(server, service, phase) + "}");
+}
+
+void world::announceStart(const fake_server &server, const std::string &service, std::uint64_t born)
 {
     store.put("servers/" + server.id(),
-              R"({"service":")" + service + R"(","address":")" + toText(server.address())
-                  + R"(","zone":"z","slots":8,"phase":")" + phase + R"(","sequence":1})");
+              "{" + entryOf(server, service, "ready") + R"(,"born":)" + std::to_string(born) + "}");
 }
 
 void world::publish(std::uint64_t version, const std::string &routes, const std::string &services)
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -154,6 +154,8 @@
                  const std::string &services = {});
     void announce(const fake_server &server, const std::string &service,
                   const std::string &phase = "ready");
+    /// As `announce`; `born` tells the starts of one id apart.
+    void announceStart(const fake_server &server, const std::string &service, std::uint64_t born);
     /// Starts a gateway and waits until it is ready, or, where nothing makes it so, doesn't wait.
     gateway::gateway<platform::codec> &startGateway(const std::string &name, bool waitReady = true);
     void stopGateway(const std::string &name);
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -212,3 +212,69 @@
     CHECK(w.runUntil([&] { return node.ready(); }, milliseconds{2500}));
     CHECK(w.store.calls() == 2);
 }
+
+TEST_CASE("an entry that turns bad names no server to use, and a later good one does again")
+{
+    world w;
+    w.publish(1, plainRoute("safe"));
+    auto &first = w.addServer("web", "i-1");
+    auto &second = w.addServer("web", "i-2");
+    w.startGateway("g1");
+    REQUIRE(w.untilWatched());
+    const auto ask = [&](int times) {
+        for (int i = 0; i < times; ++i) {
+            const auto answer = w.request("g1", makeRequest("GET", "/p/", "a"));
+            REQUIRE(w.await(answer));
+            CHECK(answer->status == 200);
+        }
+    };
+    for (const std::string bad : {"\xff\xfe", "{}", R"({"service":"web"})"}) {
+        INFO("entry: " << bad);
+        w.store.put("servers/i-1", bad);
+        w.runFor(milliseconds{200});
+        const auto before = first.requests().size();
+        ask(6);
+        CHECK(first.requests().size() == before);
+    }
+    w.store.remove("servers/i-2");
+    w.announce(first, "web");
+    w.runFor(milliseconds{200});
+    const auto before = second.requests().size();
+    ask(4);
+    CHECK(second.requests().size() == before);
+}
+
+TEST_CASE("a server that starts again under its id is used again, whatever was believed before")
+{
+    world w;
+    w.publish(1, plainRoute("safe"));
+    auto &server = w.addServer("web", "i-1");
+    w.announceStart(server, "web", 1'000);
+    w.startGateway("g1");
+    REQUIRE(w.untilWatched());
+    server.behave([](const server_request &, const std::shared_ptr<server_answer> &answer) {
+        answer->write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+    });
+    const auto refused = w.request("g1", makeRequest("GET", "/p/", "a1"));
+    REQUIRE(w.await(refused));
+    CHECK(refused->status == 503);
+    server.behave([](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+        answer->write(signedAnswer(request, "done"));
+    });
+    SECTION("when its entry tells a later start")
+    {
+        w.announceStart(server, "web", 2'000);
+        w.runFor(milliseconds{200});
+        const auto answer = w.request("g1", makeRequest("GET", "/p/", "a2"));
+        REQUIRE(w.await(answer));
+        CHECK(answer->status == 200);
+    }
+    SECTION("and an entry of an earlier start changes nothing")
+    {
+        w.announceStart(server, "web", 500);
+        w.runFor(milliseconds{200});
+        const auto answer = w.request("g1", makeRequest("GET", "/p/", "a2"));
+        REQUIRE(w.await(answer));
+        CHECK(answer->status == 503);
+    }
+}
