Let a node's clock go on while its machine is suspended

Cause: the steady clock stops in a suspension. Ages of what a node read and believed, leases and what callers wait for were counted without it: a node that was away for an hour took its configuration, its list of servers and its members for as fresh as before. Ruled out: noticing the time of day's jump alone: it jumps for other reasons. Change: system_clock_source reads the time since boot, suspensions included, so that a suspension is to a node what a pause of its process is, which it has a way with already. The loop's timer is set from now, as its own clock stands behind after a suspension, and anew where it is overdue. No suspension of a real machine was played; what a node asks anew after a pause is unchanged.

--- a/include/orchidlead/clock.h
+++ b/include/orchidlead/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace orchidlead {
 
@@ -18,7 +19,7 @@
 public:
     virtual ~clock_source() = default;
 
-    /// Monotonic time; counts pauses of the process.
+    /// Monotonic time; counts pauses of the process and of the machine.
     [[nodiscard]] virtual steady_time now() const = 0;
 
     /// Time of day.
@@ -29,7 +30,16 @@
 class system_clock_source final : public clock_source
 {
 public:
-    [[nodiscard]] steady_time now() const override { return std::chrono::steady_clock::now(); }
+    // The steady clock stops while a machine is suspended: what a node read, believed and promised
+    // before would seem as fresh after hours as it was then. The time since boot goes on, so that a
+    // suspension is to a node what a pause of its process is.
+    [[nodiscard]] steady_time now() const override
+    {
+        timespec now{};
+        ::clock_gettime(CLOCK_BOOTTIME, &now);
+        return steady_time(std::chrono::seconds{now.tv_sec}
+                           + std::chrono::nanoseconds{now.tv_nsec});
+    }
     [[nodiscard]] wall_time wallNow() const override { return std::chrono::system_clock::now(); }
 };
 
--- a/src/http/io_loop.cpp
+++ b/src/http/io_loop.cpp
@@ -18,6 +18,9 @@
 // A task that sets its own timer anew without a delay mustn't run again in the same turn: sockets
 // would never be served where the clock stands still meanwhile.
 constexpr std::chrono::microseconds LeastDelay{1};
+// The kernel's timer is this late only where the machine was suspended: it stood still meanwhile,
+// and is set anew. A loop that is merely busy is late by less.
+constexpr milliseconds MostOverdue{1000};
 
 } // namespace
 
@@ -53,10 +56,13 @@
     void arm()
     {
         const auto next = m_heap.next();
-        if (!next || m_firing || (m_armed && *m_armed <= *next))
+        const auto now = m_clock.now();
+        const bool overdue = m_armed && *m_armed + MostOverdue < now;
+        if (!next || m_firing || (m_armed && *m_armed <= *next && !overdue))
             return;
         m_armed = next;
-        m_timer.expires_at(*next);
+        // From now: the timer's own clock may be behind the loop's, which counts suspensions.
+        m_timer.expires_after(std::max(*next - now, steady_time::duration::zero()));
         m_timer.async_wait([this](const boost::system::error_code &error) {
             if (!error)
                 fire();
--- a/tests/http/io_loop_test.cpp
+++ b/tests/http/io_loop_test.cpp
@@ -53,3 +53,35 @@
     loop.context().run_for(std::chrono::milliseconds{60});
     CHECK(order == "ab");
 }
+
+namespace {
+
+/// Jumps ahead of the system's steady clock, as the time since boot does in a suspension.
+class suspended_clock final : public clock_source
+{
+public:
+    [[nodiscard]] steady_time now() const override
+    {
+        return std::chrono::steady_clock::now() + m_suspended;
+    }
+    [[nodiscard]] wall_time wallNow() const override { return {}; }
+    void suspend(std::chrono::seconds time) { m_suspended += time; }
+
+private:
+    std::chrono::seconds m_suspended{0};
+};
+
+} // namespace
+
+TEST_CASE("timers set after a suspension run in time, and those that were due in it at once")
+{
+    suspended_clock clock;
+    http::io_loop loop(clock);
+    std::string order;
+    loop.callAfter(std::chrono::seconds{30}, [&] { order += 'a'; });
+    loop.callAfter(std::chrono::seconds{300}, [&] { order += 'x'; });
+    clock.suspend(std::chrono::seconds{60});
+    loop.callAfter(milliseconds{10}, [&] { order += 'b'; });
+    loop.context().run_for(std::chrono::milliseconds{100});
+    CHECK(order == "ab");
+}
