--- a/src/gateway/quarantine_relay.cpp
+++ b/src/gateway/quarantine_relay.cpp
@@ -85,8 +85,10 @@
                                 const std::vector<quarantine_entry> &entries)
 {
     const auto link = linkToHost();
-    if (!link)
+    if (!link) {
+        m_host = {};
         return;
+    }
     if (!ends.empty())
         link->send(makeFrame(ends));
     if (!entries.empty())
@@ -95,13 +97,28 @@
     m_hostLink = link;
 }
 
+incarnation quarantine_relay::incarnationOf(const vm_id &vm) const
+{
+    const auto known = m_peers.view().find(vm);
+    return known ? known->incarnation : 0;
+}
+
+quarantine_relay::node_start quarantine_relay::hostStart()
+{
+    const auto &vm = m_peers.quarantineHost();
+    return {vm, incarnationOf(vm)};
+}
+
 // A later host knows nothing of what the earlier one was told.
 void quarantine_relay::followHost()
 {
-    if (m_host == m_peers.quarantineHost())
+    const auto host = hostStart();
+    if (m_host == host)
         return;
-    m_host = m_peers.quarantineHost();
+    m_host = host;
     m_hostLink.reset();
+    if (isHost())
+        return;
     const auto ends = m_quarantine.ends();
     const auto entries = m_quarantine.entries();
     if (!ends.empty() || !entries.empty())
@@ -115,14 +132,16 @@
         return;
     const auto frame = makeFrame(entries);
     for (const auto &peer : m_peers.view().peers()) {
-        if (m_told.contains(peer))
+        const auto number = incarnationOf(peer);
+        const auto told = m_told.find(peer);
+        if (told != m_told.end() && told->second.number == number)
             continue;
         const auto link = m_peers.linkTo(peer);
         if (!link)
             continue;
         link->send(frame);
         link->ask();
-        m_told[peer] = link;
+        m_told[peer] = {number, link};
     }
 }
 
@@ -137,9 +156,9 @@
         return;
     }
     const auto frame = makeFrame(entries);
-    for (const auto &[peer, link] : m_told) {
-        link->send(frame);
-        link->ask();
+    for (const auto &[peer, told] : m_told) {
+        told.link->send(frame);
+        told.link->ask();
     }
     tellMembers();
 }
@@ -237,8 +256,8 @@
             silent.push_back(link);
     };
     look(m_hostLink);
-    for (const auto &[peer, link] : m_told)
-        look(link);
+    for (const auto &[peer, told] : m_told)
+        look(told.link);
     for (const auto &link : silent)
         link->close();
 }
@@ -278,7 +297,7 @@
     // The host needn't hear back what it has just told.
     const bool knewNothing = m_quarantine.ends().empty() && m_quarantine.entries().empty();
     if (knewNothing && frame.host == m_peers.quarantineHost())
-        m_host = frame.host;
+        m_host = hostStart();
     std::vector<quarantine_entry> taken;
     for (const auto &each : frame.entries) {
         const quarantine_entry entry{each.request, each.level, each.version,
@@ -321,7 +340,7 @@
             m_quarantine.endTrial(request);
         m_granted.erase(found);
     }
-    std::erase_if(m_told, [&](const auto &each) { return each.second == link; });
+    std::erase_if(m_told, [&](const auto &each) { return each.second.link == link; });
     std::erase_if(m_granting, [&](const auto &each) { return each.second == link; });
     if (m_hostLink != link)
         return;
--- a/src/gateway/quarantine_relay.h
+++ b/src/gateway/quarantine_relay.h
@@ -65,6 +65,22 @@
         Host,
     };
 
+    /// One start of a node: a later one knows nothing of what the earlier one was told.
+    struct node_start
+    {
+        vm_id vm;
+        incarnation number = 0; ///< 0: unknown
+
+        friend bool operator==(const node_start &, const node_start &) = default;
+    };
+    struct told_member
+    {
+        incarnation number = 0;
+        link_ptr link;
+    };
+
+    [[nodiscard]] node_start hostStart();
+    [[nodiscard]] incarnation incarnationOf(const vm_id &vm) const;
     [[nodiscard]] bool isHost() { return m_peers.quarantineHost() == m_peers.self(); }
     [[nodiscard]] link_ptr linkToHost();
     void followHost();
@@ -89,9 +105,9 @@
     peer_network &m_peers;
     wire::log &m_log;
     request_quarantine m_quarantine;
-    vm_id m_host; ///< knows everything that this node knows; empty: nobody may
+    node_start m_host; ///< knows everything that this node knows; empty: nobody may
     link_ptr m_hostLink; ///< over which it was told
-    std::map<vm_id, link_ptr> m_told; ///< members that were told all entries
+    std::map<vm_id, told_member> m_told; ///< members that were told all entries
     std::unordered_map<request_digest, std::vector<open_trial>> m_trials; ///< asked for
     std::unordered_map<request_digest, link_ptr> m_granting; ///< who granted a trial of this node
     std::map<link_ptr, std::set<request_digest>> m_granted; ///< trials of other nodes
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -207,6 +207,22 @@
     CHECK(w.ends.size() <= 2 * KnownAfterEnds);
 }
 
+TEST_CASE("a node that starts later is told under which requests servers end")
+{
+    crashing_world w(plainRoute("safe"), "web");
+    w.run(milliseconds{1500});
+    REQUIRE(w.ends.size() >= KnownAfterEnds);
+    const auto before = w.arrivals.size();
+    w.startGateway("g5");
+    w.runFor(milliseconds{1200});
+    const auto answer =
+        w.request("g5", makeRequest("POST", "/p/x", "late"), std::string(CrashingBody));
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == 503);
+    CHECK(std::stod(answer->field("retry-after")) > 60.0);
+    CHECK(w.arrivals.size() == before);
+}
+
 // The other way round: what happens to be at servers that end for reasons of their own.
 
 TEST_CASE("a request that many send is served while eight of ten servers end")
