--- a/tests/ctl/request_history_test.cpp
+++ b/tests/ctl/request_history_test.cpp
@@ -82,6 +82,20 @@
     CHECK(find("r1", killed).outcome.empty());
 }
 
+TEST_CASE("what was decided on a request's content is told with it, however long before")
+{
+    const auto history = find(
+        "r9",
+        {at(1'000, "event=quarantine_changed vm=b digest=aa11 level=quarantined servers_ended=s1"),
+         at(1'100, "event=quarantine_changed vm=b digest=bb22 level=suspected servers_ended=s2"),
+         at(50'000, "event=request_taken vm=a request=r9 route=r"),
+         at(50'001, "event=request vm=a request=r9 outcome=ends_servers told=503 digest=aa11")});
+    CHECK(eventsOf(history)
+          == std::vector<std::string>{"quarantine_changed", "request_taken", "request"});
+    CHECK(history.lines.front().entry.field("digest") == "aa11");
+    CHECK(history.cause.find("servers ended under it") != std::string::npos);
+}
+
 TEST_CASE("stray and cut lines are counted and stop nothing")
 {
     history_finder finder("r1");
