Close connections that are being tried when their pool ends

Cause: a connection that is opened to learn whether a server listens belonged to no call, so that its pool left it behind when it ended while the connection was under way. Ruled out: the tests: any process that ends within milliseconds of a lost connection leaves one. Change: it counts as a call of the pool until its outcome is known.

--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -65,16 +65,16 @@
 void connection_pool::connect(const socket_address &to,
                               std::function<void(connect_outcome)> onOutcome)
 {
+    const pool_call id = ++m_lastCall;
     const auto connected = std::make_shared<bool>(false);
     outbound_call nothing;
     nothing.writeHead = [connected]() -> std::optional<std::string> {
         *connected = true;
         return std::nullopt;
     };
-    nothing.onEnd = [this, alive = m_alive, connected, since = m_loop.now(),
+    nothing.onEnd = [this, id, connected, since = m_loop.now(),
                      onOutcome = std::move(onOutcome)](call_end) {
-        if (!*alive)
-            return;
+        m_calls.erase(id);
         if (*connected)
             onOutcome(connect_outcome::Connected);
         else if (m_loop.now() - since < ConnectTimeout)
@@ -82,7 +82,9 @@
         else
             onOutcome(connect_outcome::Silent);
     };
-    makeConnection(to)->open(to, ConnectTimeout, std::move(nothing));
+    const auto made = makeConnection(to);
+    m_calls.emplace(id, made);
+    made->open(to, ConnectTimeout, std::move(nothing));
 }
 
 std::shared_ptr<outbound_connection> connection_pool::makeConnection(const socket_address &to)
