Ask once whether a request may be sent, and drop what nothing calls

Ruled out: one writer for frames of like shape: they share no meaning. Change: a request without stages asked the quarantine twice before its first attempt, which asks by itself; a request's own count of ends was reckoned anew for each other request that was at an end; quarantine_relay::held had no caller; the host no longer forgets, by telling itself, that it is the host.

--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -58,13 +58,12 @@
     });
     m_service = pickService();
     m_context.allowance.onRequest(m_service);
-    // Before the stages: what is not to be sent needs none.
-    passQuarantine([self = this->shared_from_this()] {
-        if (self->m_route->stages.empty())
-            self->attempt();
-        else
-            self->startStages();
-    });
+    if (m_route->stages.empty()) {
+        attempt();
+        return;
+    }
+    // What is not to be sent needs no stages.
+    passQuarantine([self = this->shared_from_this()] { self->startStages(); });
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/peer_frame_reader.cpp
+++ b/src/gateway/peer_frame_reader.cpp
@@ -6,8 +6,6 @@
 #include <msgpack.hpp>
 
 #include <algorithm>
-#include <array>
-#include <limits>
 #include <optional>
 
 namespace orchidlead::gateway {
--- a/src/gateway/quarantine_relay.cpp
+++ b/src/gateway/quarantine_relay.cpp
@@ -88,9 +88,11 @@
 void quarantine_relay::tellHost(const std::vector<server_end> &ends,
                                 const std::vector<quarantine_entry> &entries)
 {
+    if (isHost())
+        return;
     const auto link = linkToHost();
     if (!link) {
-        m_host = {};
+        m_host = {}; // it is told when it can be reached
         return;
     }
     if (!ends.empty())
@@ -353,13 +355,4 @@
     m_host = {};
 }
 
-std::size_t quarantine_relay::held() const
-{
-    const auto entries = m_quarantine.entries();
-    return static_cast<std::size_t>(
-        std::ranges::count_if(entries, [this](const quarantine_entry &each) {
-            return standingOf(each.request).level != quarantine_level::Free;
-        }));
-}
-
 } // namespace orchidlead::gateway
--- a/src/gateway/quarantine_relay.h
+++ b/src/gateway/quarantine_relay.h
@@ -46,9 +46,6 @@
     void onFrame(const std::shared_ptr<peer_link> &link, const peer_frame &frame);
     void onLinkClosed(const std::shared_ptr<peer_link> &link);
 
-    /// Requests that are suspected or in quarantine, as this node believes.
-    [[nodiscard]] std::size_t held() const;
-
 private:
     using link_ptr = std::shared_ptr<peer_link>;
 
--- a/src/gateway/request_quarantine.cpp
+++ b/src/gateway/request_quarantine.cpp
@@ -117,18 +117,18 @@
 }
 
 // A request that was at more ends explains them, or one in quarantine that was at no fewer.
-bool request_quarantine::explains(const request_digest &other, const request_digest &request) const
+bool request_quarantine::explains(const request_digest &other, std::uint32_t seen) const
 {
     const auto theirs = seenBy(other);
-    const auto ours = seenBy(request);
     const bool quarantined = standingOf(other).level == quarantine_level::Quarantined;
-    return theirs > ours || (quarantined && theirs == ours);
+    return theirs > seen || (quarantined && theirs == seen);
 }
 
-bool request_quarantine::countsAgainst(const server_end &end, const request_digest &request) const
+bool request_quarantine::countsAgainst(const server_end &end, const request_digest &request,
+                                       std::uint32_t seen) const
 {
     return std::ranges::none_of(end.requests, [&](const interrupted_request &other) {
-        return other.digest != request && explains(other.digest, request);
+        return other.digest != request && explains(other.digest, seen);
     });
 }
 
@@ -141,7 +141,8 @@
         found.servers.push_back(each.end->server);
     if (found.seen < EndsToSuspect)
         return found;
-    std::erase_if(runs, [&](const run &each) { return !countsAgainst(*each.end, request); });
+    std::erase_if(runs,
+                  [&](const run &each) { return !countsAgainst(*each.end, request, found.seen); });
     found.charged = countIndependent(runs);
     return found;
 }
--- a/src/gateway/request_quarantine.h
+++ b/src/gateway/request_quarantine.h
@@ -103,8 +103,10 @@
     [[nodiscard]] std::vector<run> runsOf(const request_digest &request) const;
     [[nodiscard]] static std::uint32_t countIndependent(const std::vector<run> &runs);
     [[nodiscard]] std::uint32_t seenBy(const request_digest &request) const;
-    [[nodiscard]] bool explains(const request_digest &other, const request_digest &request) const;
-    [[nodiscard]] bool countsAgainst(const server_end &end, const request_digest &request) const;
+    /// `seen`: ends that the request was at, as in the evidence.
+    [[nodiscard]] bool explains(const request_digest &other, std::uint32_t seen) const;
+    [[nodiscard]] bool countsAgainst(const server_end &end, const request_digest &request,
+                                     std::uint32_t seen) const;
     [[nodiscard]] bool endedSince(const request_digest &request, steady_time since) const;
     [[nodiscard]] quarantine_level judge(const request_digest &request) const;
     quarantine_entry &set(const request_digest &request, quarantine_level level);
