--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -234,7 +234,8 @@
     return entries;
 }
 
-std::string fake_store::page(const std::string &after, std::uint64_t revision) const
+std::string fake_store::page(const std::string &prefix, const std::string &after,
+                             std::uint64_t revision) const
 {
     const auto entries = entriesAt(revision);
     std::string items;
@@ -242,7 +243,7 @@
     bool more = false;
     for (auto it = entries.upper_bound(after); it != entries.end(); ++it) {
         const auto &[key, each] = *it;
-        if (!key.starts_with("servers/") || each.deleted)
+        if (!key.starts_with(prefix) || each.deleted)
             continue;
         more = count++ == m_pageSize;
         if (more)
@@ -264,8 +265,12 @@
     }
     if (head.target.starts_with("/kv-range")) {
         const bool old = argument(head.target, "allow_stale") == "1";
-        const auto body = page(argument(head.target, "after"), m_revision - (old ? m_lag : 0));
-        if (m_pieces == 0) {
+        const auto prefix = argument(head.target, "path_prefix");
+        const auto body =
+            page(prefix, argument(head.target, "after"), m_revision - (old ? m_lag : 0));
+        const bool servers = prefix == "servers/";
+        m_configurationReads += servers ? 0 : 1;
+        if (m_pieces == 0 || !servers) {
             client->respond(200, {}, body);
             return;
         }
@@ -326,30 +331,43 @@
 
 world::~world() = default;
 
-fake_server &world::addServer(const std::string &service, const std::string &id)
+fake_server &world::addServer(const std::string &service, const std::string &id,
+                              const std::string &dataCenter, milliseconds cold)
 {
     auto &entry = m_servers[id];
     entry = std::make_unique<fake_server>(loop, id);
-    announce(*entry, service);
+    announce(*entry, service, "ready", dataCenter, cold);
     return *entry;
 }
 
 namespace {
 
 /// Gives the members of a server's entry.
-std::string entryOf(const fake_server &server, const std::string &service, const std::string &phase)
+std::string entryOf(const fake_server &server, const std::string &service, const std::string &phase,
+                    const std::string &dataCenter = "z", milliseconds cold = {})
 {
     return R"("service":")" + service + R"(","address":")" + toText(server.address())
-        + R"(","zone":"z","version":"v1","slots":8,"phase":")" + phase
-        + R"(","cold_remaining_ms":0,"sequence":1)";
+        + R"(","zone":")" + dataCenter + R"(","version":"v1","slots":8,"phase":")" + phase
+        + R"(","cold_remaining_ms":)" + std::to_string(cold.count()) + R"(,"sequence":1)";
 }
 
 } // namespace
 
 void world::announce(const fake_server &server, const std::string &service,
-                     const std::string &phase)
+                     const std::string &phase, const std::string &dataCenter, milliseconds cold)
 {
-    store.put("servers/" + server.id(), "{" + entryOf(server, service, phase) + "}");
+    store.put("servers/" + server.id(),
+              "{" + entryOf(server, service, phase, dataCenter, cold) + "}");
+}
+
+void world::evacuate(const std::string &dataCenter)
+{
+    store.put("op/evacuate/" + dataCenter, "{}");
+}
+
+void world::giveBack(const std::string &dataCenter)
+{
+    store.remove("op/evacuate/" + dataCenter);
 }
 
 void world::announceStart(const fake_server &server, const std::string &service, std::uint64_t born)
@@ -368,11 +386,12 @@
                     R"("tenants":[{"name":"t1","api_keys":["k1"],"priority":1}]})");
 }
 
-gateway::gateway_settings world::makeSettings(const std::string &name)
+gateway::gateway_settings world::makeSettings(const std::string &name,
+                                              const std::string &dataCenter)
 {
     gateway::gateway_settings settings;
     settings.vm = vm_id(name);
-    settings.dataCenter = data_center_id("z");
+    settings.dataCenter = data_center_id(dataCenter);
     settings.region = region_id("r");
     settings.listen = {loopback(freePort(loop)), loopback(freePort(loop)),
                        loopback(freePort(loop))};
@@ -384,10 +403,11 @@
     return settings;
 }
 
-gateway::gateway<platform::codec> &world::startGateway(const std::string &name, bool waitReady)
+gateway::gateway<platform::codec> &world::startGateway(const std::string &name, bool waitReady,
+                                                       const std::string &dataCenter)
 {
     auto &entry = m_nodes[name];
-    entry.settings = makeSettings(name);
+    entry.settings = makeSettings(name, dataCenter);
     entry.gateway =
         std::make_unique<gateway::gateway<platform::codec>>(loop, *m_log, entry.settings);
     REQUIRE_FALSE(entry.gateway->start());
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -91,7 +91,7 @@
     [[nodiscard]] std::size_t calls() const { return m_calls; }
     /// Calls that waited for changes.
     [[nodiscard]] std::size_t watches() const { return m_watches; }
-    /// Calls that read the configuration alone.
+    /// Calls that read the configuration, alone or with all that operators publish.
     [[nodiscard]] std::size_t configurationReads() const { return m_configurationReads; }
 
 private:
@@ -106,7 +106,8 @@
     void onRequest(const http::inbound_ptr &client, const http::request_head &head);
     void sendPieces(const http::inbound_ptr &client, const std::string &body, std::size_t sent);
     void answerWatch(const http::inbound_ptr &client, std::uint64_t after);
-    [[nodiscard]] std::string page(const std::string &after, std::uint64_t revision) const;
+    [[nodiscard]] std::string page(const std::string &prefix, const std::string &after,
+                                   std::uint64_t revision) const;
     [[nodiscard]] std::map<std::string, entry> entriesAt(std::uint64_t revision) const;
     [[nodiscard]] std::string changes(std::uint64_t after) const;
 
@@ -147,17 +148,24 @@
     world();
     ~world();
 
-    fake_server &addServer(const std::string &service, const std::string &id);
+    /// Adds a server and announces it as one of that data centre, cold for so long.
+    fake_server &addServer(const std::string &service, const std::string &id,
+                           const std::string &dataCenter = "z", milliseconds cold = {});
     [[nodiscard]] fake_server &server(const std::string &id) { return *m_servers.at(id); }
     /// Publishes the configuration with the given version and routes (JSON objects with commas).
     void publish(std::uint64_t version, const std::string &routes,
                  const std::string &services = {});
     void announce(const fake_server &server, const std::string &service,
-                  const std::string &phase = "ready");
+                  const std::string &phase = "ready", const std::string &dataCenter = "z",
+                  milliseconds cold = {});
+    /// Operators evacuate a data centre, or give it back.
+    void evacuate(const std::string &dataCenter);
+    void giveBack(const std::string &dataCenter);
     /// As `announce`; `born` tells the starts of one id apart.
     void announceStart(const fake_server &server, const std::string &service, std::uint64_t born);
     /// Starts a gateway and waits until it is ready, or, where nothing makes it so, doesn't wait.
-    gateway::gateway<platform::codec> &startGateway(const std::string &name, bool waitReady = true);
+    gateway::gateway<platform::codec> &startGateway(const std::string &name, bool waitReady = true,
+                                                    const std::string &dataCenter = "z");
     void stopGateway(const std::string &name);
     /// Waits until so many nodes watch the store: they do so only some time after their start.
     bool untilWatched(std::size_t nodes = 1);
@@ -193,7 +201,8 @@
         std::unique_ptr<gateway::gateway<platform::codec>> gateway;
     };
 
-    [[nodiscard]] gateway::gateway_settings makeSettings(const std::string &name);
+    [[nodiscard]] gateway::gateway_settings makeSettings(const std::string &name,
+                                                         const std::string &dataCenter);
 
     std::unique_ptr<wire::log> m_log;
     std::map<std::string, std::unique_ptr<fake_server>> m_servers;
