Send nothing new to servers of evacuated data centres

Ruled out: a late relay. No node knew of them at all. Change: what operators publish is read whole by one ranged call in place of the one for the configuration alone, watched as before, and handed from node to node as a whole list with the revision of the store up to which it is known; the higher revision holds, so it needs no order and no clock. server::usable() is the one place that every path asks, at last as bytes are sent. Pieces that wait in a pool that was evacuated go to another one without counting as tries. Nodes whose own data centre has no servers draw a home by the engines that are left. Requests that can be served nowhere are refused before their stages begin.

--- a/src/ctl/request_history.cpp
+++ b/src/ctl/request_history.cpp
@@ -47,6 +47,9 @@
     outcome_cause{"piece_counts", "its counts of pieces don't fit the stages of its route"},
     outcome_cause{"no_time", "refused, not run: the client's patience was over when it came"},
     outcome_cause{"no_server", "no server of its service could be used"},
+    outcome_cause{
+        "evacuated",
+        "refused, not run: operators have evacuated all data centres that could serve it"},
     outcome_cause{"servers_full", "every server that could be tried refused it"},
     outcome_cause{"server_failed",
                   "a server took it and its answer didn't come or broke off; it may have run"},
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -83,6 +83,7 @@
     InputGone,
     NoRoom,
     Error,
+    Evacuated, ///< no server gave it up: those of its pool get nothing new
 };
 
 /// A handle of the result, or why there is none.
@@ -108,14 +109,21 @@
     configuration content;
     std::string text; ///< as published, to be handed to peers
 };
+/// Operators evacuate a data centre, or give it back.
+struct published_evacuation
+{
+    data_center_id dataCenter;
+    bool evacuated = true;
+    std::uint64_t revision = 0; ///< of the store, at which that was written
+};
 /// An item that can't be read. The state before it stays.
 struct unreadable_item
 {
     std::string key;
     std::string what;
 };
-using published_item =
-    std::variant<published_server, removed_server, published_configuration, unreadable_item>;
+using published_item = std::variant<published_server, removed_server, published_configuration,
+                                    published_evacuation, unreadable_item>;
 
 /// A page of the store, or the changes that a watch brought.
 struct published_page
@@ -172,6 +180,9 @@
     {
         Codec::configurationTarget()
         } -> std::same_as<std::string>;
+    {
+        Codec::operationsTarget(text)
+        } -> std::same_as<std::string>;
     {
         Codec::serversTarget(text, read_freshness::Latest)
         } -> std::same_as<std::string>;
@@ -204,6 +215,8 @@
         orchidlead::gateway::piece_failure::NoRoom, "no_room"},
     orchidlead::enum_name<orchidlead::gateway::piece_failure>{
         orchidlead::gateway::piece_failure::Error, "error"},
+    orchidlead::enum_name<orchidlead::gateway::piece_failure>{
+        orchidlead::gateway::piece_failure::Evacuated, "evacuated"},
 };
 template <>
 inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::read_freshness>{
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -104,6 +104,14 @@
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report);
     [[nodiscard]] request_outline outline() const;
     [[nodiscard]] data_center_id chooseHome();
+    /// As `chooseHome`, where this node's own data centre has no servers for the request.
+    [[nodiscard]] data_center_id chooseHomeAway(const std::vector<server_ptr> &engines);
+    /// `dataCenter` while its servers of that service may get work, else where the request's home
+    /// is now.
+    [[nodiscard]] data_center_id usableNear(const data_center_id &dataCenter,
+                                            const service_id &service);
+    /// Why the request can't be served now, as far as that is known before anything is spent on it.
+    [[nodiscard]] std::optional<request_outcome> foreseenUnservable() const;
     [[nodiscard]] bool foreseenLate() const;
     [[nodiscard]] bool resultsLieIn(const data_center_id &dataCenter) const;
     [[nodiscard]] bool mayRestartStages();
@@ -137,7 +145,7 @@
     void passBackpressure();
     void answerOwn(int status, request_outcome outcome);
     void refuse(request_outcome outcome);
-    [[nodiscard]] milliseconds comeBackAfter() const;
+    [[nodiscard]] milliseconds comeBackAfter(request_outcome outcome) const;
     void giveUp(request_outcome outcome);
     void onClientGone();
     void onTimeout();
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -53,7 +53,7 @@
         wish.near = whereResultLies(largest->handle);
         wish.nearBytes = largest->bytes;
     }
-    wish.pool = m_context.engines.poolFor(m_service, wish.near);
+    wish.pool = m_context.engines.poolFor(m_service, usableNear(wish.near, m_service));
     m_placement = m_context.engines.place(std::move(wish),
                                           [self = this->shared_from_this()](server_ptr chosen) {
                                               if (!self->m_done)
@@ -66,7 +66,9 @@
 {
     m_server = std::move(chosen);
     if (!m_server) {
-        giveUp(request_outcome::NoServer);
+        const bool evacuated =
+            m_context.directory.absenceOf({m_service, {}}) == server_absence::Evacuated;
+        giveUp(evacuated ? request_outcome::Evacuated : request_outcome::NoServer);
         return;
     }
     ++m_server->outstanding;
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -169,11 +169,13 @@
 // When the queues that are known now will be short enough for a request to be in time: a client
 // that comes back before is refused again.
 template <gateway_codec Codec>
-milliseconds exchange<Codec>::comeBackAfter() const
+milliseconds exchange<Codec>::comeBackAfter(request_outcome outcome) const
 {
     const auto quarantine = m_context.quarantine.standingOf(m_digest);
     if (quarantine.level == quarantine_level::Quarantined)
         return quarantine.left;
+    if (outcome == request_outcome::Evacuated)
+        return ComeBackEvacuated;
     if (m_stagePools.empty())
         return ComeBack;
     const auto seen = m_context.times.outlookOf(outline());
@@ -188,7 +190,7 @@
 void exchange<Codec>::refuse(request_outcome outcome)
 {
     m_told = status::Unavailable;
-    refuse(*m_client, comeBackAfter());
+    refuse(*m_client, comeBackAfter(outcome));
     finish(outcome);
 }
 
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -19,6 +19,10 @@
         answerOwn(status::BadRequest, request_outcome::PieceCounts);
         return;
     }
+    if (const auto why = foreseenUnservable()) {
+        refuse(*why);
+        return;
+    }
     m_home = chooseHome();
     for (const auto &stage : m_route->stages)
         m_stagePools.push_back(m_context.stages.poolFor(stage.service, m_home));
@@ -36,6 +40,8 @@
 data_center_id exchange<Codec>::chooseHome()
 {
     const auto &own = m_context.dataCenter;
+    if (!m_context.directory.usableIn(m_service, own))
+        return chooseHomeAway(m_context.directory.usable(m_service));
     if (m_context.without.contains(policy::PromptHomes))
         return own;
     if (!m_route->prefixAffinity || m_context.engines.poolFor(m_service, own).dataCenter.empty())
@@ -57,6 +63,47 @@
     return *home;
 }
 
+// Nodes whose own data centre was evacuated, or lost its servers, have a fourth of the traffic
+// where there are four. In one other data centre it would crowd out those that belong there, so it
+// goes to all of them, to each as it has engines.
+template <gateway_codec Codec>
+data_center_id exchange<Codec>::chooseHomeAway(const std::vector<server_ptr> &engines)
+{
+    if (engines.empty())
+        return m_context.dataCenter;
+    if (m_route->prefixAffinity && !m_context.without.contains(policy::PromptHomes)) {
+        if (const auto home = homeOf(m_marks.prompt, engines))
+            return *home;
+    }
+    const auto drawn =
+        std::uniform_int_distribution<std::size_t>(0, engines.size() - 1)(m_context.random);
+    return engines[drawn]->record.dataCenter;
+}
+
+template <gateway_codec Codec>
+data_center_id exchange<Codec>::usableNear(const data_center_id &dataCenter,
+                                           const service_id &service)
+{
+    if (m_context.directory.usableIn(service, dataCenter))
+        return dataCenter;
+    if (!m_context.directory.usableIn(service, m_home))
+        m_home = chooseHome();
+    return m_home;
+}
+
+template <gateway_codec Codec>
+std::optional<request_outcome> exchange<Codec>::foreseenUnservable() const
+{
+    const auto evacuated = [&](const service_id &service) {
+        return m_context.directory.absenceOf({service, {}}) == server_absence::Evacuated;
+    };
+    bool anywhere = !evacuated(m_service);
+    for (std::size_t i = 0; i < m_route->stages.size(); ++i)
+        anywhere =
+            anywhere && (m_marks.pieceCounts[i] == 0 || !evacuated(m_route->stages[i].service));
+    return anywhere ? std::nullopt : std::optional(request_outcome::Evacuated);
+}
+
 template <gateway_codec Codec>
 request_outline exchange<Codec>::outline() const
 {
@@ -97,8 +144,9 @@
         job.resultBytes = m_route->stages[stage].resultBytes;
         job.request = std::move(each.request);
         job.request.digest = m_digest;
-        job.near =
+        const auto inputsIn =
             job.request.inputs.empty() ? m_home : whereResultLies(job.request.inputs.front());
+        job.near = usableNear(inputsIn, each.service);
         m_stagePools[stage] = m_context.stages.poolFor(each.service, job.near);
         auto handler = [self = this->shared_from_this(), stage, piece](piece_report report) {
             self->onPiece(stage, piece, std::move(report));
--- a/src/gateway/peer_frame_reader.cpp
+++ b/src/gateway/peer_frame_reader.cpp
@@ -201,6 +201,10 @@
     readList(in,
              [&](field_reader &items) { frame.removed.emplace_back(items.read<std::string>()); });
     frame.removalsDeferred = in.duration();
+    frame.evacuations.revision = in.read<std::uint64_t>();
+    readList(in, [&](field_reader &items) {
+        frame.evacuations.dataCenters.emplace(items.read<std::string>());
+    });
     return frame;
 }
 
--- a/src/gateway/peer_frame_writer.cpp
+++ b/src/gateway/peer_frame_writer.cpp
@@ -149,7 +149,7 @@
 
 void pack(packer &out, const publication_frame &frame)
 {
-    packKind(out, frame_kind::Publication, 8);
+    packKind(out, frame_kind::Publication, 10);
     out.pack(frame.configurationVersion);
     out.pack(frame.current);
     out.pack(frame.compared);
@@ -162,6 +162,10 @@
     for (const auto &each : frame.removed)
         out.pack(each.value);
     packDuration(out, frame.removalsDeferred);
+    out.pack(frame.evacuations.revision);
+    out.pack_array(static_cast<std::uint32_t>(frame.evacuations.dataCenters.size()));
+    for (const auto &each : frame.evacuations.dataCenters)
+        out.pack(each.value);
 }
 
 void pack(packer &out, const follow_frame &frame)
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -2,6 +2,7 @@
 
 #include "gateway/codec.h"
 #include "gateway/engine_board.h"
+#include "gateway/evacuations.h"
 #include "gateway/list_digest.h"
 #include "gateway/request_digest.h"
 #include "gateway/request_quarantine.h"
@@ -98,6 +99,7 @@
     std::vector<server_record> servers;
     std::vector<backend_server_id> removed; ///< taken after `servers`
     milliseconds removalsDeferred{0}; ///< removals aren't believed for so long
+    evacuation_list evacuations; ///< always whole: a few names at most
 };
 
 /// Asks the receiver to send what is published and differs, and then each change, or to end that.
--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication_relay.h
@@ -93,6 +93,7 @@
     std::uint64_t m_digestOf = 0; ///< … after so many changes of the directory
     steady_time m_nextHeartbeat{};
     bool m_toldCurrent = false; ///< whether this node read the store at the last tick
+    std::set<data_center_id> m_toldEvacuated; ///< to followers
     std::optional<steady_time> m_behindSince; ///< a peer told of a later configuration
     steady_time m_nextAsk{}; ///< when peers may be asked for what is published
 };
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -138,6 +138,7 @@
     frame.configurationVersion = m_configurations.ownVersion();
     frame.revision = m_store.revision();
     frame.removalsDeferred = m_state.removalsDeferred();
+    frame.evacuations = m_state.evacuations();
     return frame;
 }
 
@@ -169,8 +170,11 @@
 template <gateway_codec Codec>
 void publication_relay<Codec>::tellFollowers()
 {
-    // That the store fell silent is told at once.
-    const bool changed = std::exchange(m_toldCurrent, m_store.current()) != m_store.current();
+    // That the store fell silent is told at once, and so is what operators evacuate: until all
+    // nodes know, servers there get work from some of them.
+    const auto &evacuated = m_state.evacuations().dataCenters;
+    bool changed = std::exchange(m_toldCurrent, m_store.current()) != m_store.current();
+    changed = std::exchange(m_toldEvacuated, evacuated) != evacuated || changed;
     if (m_followers.empty() || (!changed && m_loop.now() < m_nextHeartbeat))
         return;
     m_nextHeartbeat = m_loop.now() + HeartbeatInterval;
@@ -281,6 +285,8 @@
 template <gateway_codec Codec>
 void publication_relay<Codec>::onPublication(const link_ptr &link, const publication_frame &frame)
 {
+    for (const auto &each : m_state.takeEvacuations(frame.evacuations))
+        m_onNews(each);
     const auto from = std::ranges::find_if(
         m_sources, [&](const auto &entry) { return entry.second.link == link; });
     const bool asked = from == m_sources.end();
--- a/src/gateway/published_state.cpp
+++ b/src/gateway/published_state.cpp
@@ -42,6 +42,7 @@
                    [&](const published_server &each) { takeServer(each.record, news); },
                    [&](const removed_server &each) { takeRemoval(each.id, news); },
                    [&](const published_configuration &each) { takeConfiguration(each, news); },
+                   [&](const published_evacuation &each) { takeEvacuation(each, news); },
                    [&](const unreadable_item &each) {
                        news.push_back({what::Unreadable, each.key, each.what});
                    },
@@ -120,6 +121,57 @@
         m_onConfiguration(m_configuration);
 }
 
+void published_state::takeEvacuation(const published_evacuation &change,
+                                     std::vector<publication_news> &news)
+{
+    const auto before = m_evacuations.list().dataCenters;
+    if (m_evacuations.onChange(change.dataCenter, change.evacuated, change.revision))
+        onEvacuations(before, news);
+}
+
+std::vector<publication_news> published_state::takeEvacuations(const evacuation_list &list)
+{
+    std::vector<publication_news> news;
+    const auto before = m_evacuations.list().dataCenters;
+    if (m_evacuations.take(list))
+        onEvacuations(before, news);
+    return news;
+}
+
+std::vector<publication_news>
+published_state::applyOperations(const std::vector<published_item> &items, std::uint64_t revision)
+{
+    evacuation_list list{revision, {}};
+    std::vector<published_item> others;
+    for (const auto &item : items) {
+        if (const auto *each = std::get_if<published_evacuation>(&item))
+            list.dataCenters.insert(each->dataCenter);
+        else
+            others.push_back(item);
+    }
+    auto news = takeEvacuations(list);
+    std::ranges::move(apply(others), std::back_inserter(news));
+    return news;
+}
+
+void published_state::onEvacuations(const std::set<data_center_id> &before,
+                                    std::vector<publication_news> &news)
+{
+    const auto &list = m_evacuations.list();
+    const auto tell = [&](what kind, const data_center_id &dataCenter) {
+        m_directory.setEvacuated(dataCenter, kind == what::DataCenterEvacuated);
+        news.push_back({kind, dataCenter.value, "revision " + std::to_string(list.revision)});
+    };
+    for (const auto &each : list.dataCenters) {
+        if (!before.contains(each))
+            tell(what::DataCenterEvacuated, each);
+    }
+    for (const auto &each : before) {
+        if (!list.dataCenters.contains(each))
+            tell(what::DataCenterReturned, each);
+    }
+}
+
 void published_state::onStoreLost()
 {
     m_lost = true;
--- a/src/gateway/published_state.h
+++ b/src/gateway/published_state.h
@@ -2,6 +2,7 @@
 
 #include "gateway/codec.h"
 #include "gateway/configuration.h"
+#include "gateway/evacuations.h"
 #include "gateway/server_directory.h"
 
 #include <functional>
@@ -23,6 +24,8 @@
         ServerLeaving,
         ServerRemoved,
         RemovalDeferred, ///< entries lapse while the store is away
+        DataCenterEvacuated, ///< its servers get nothing new
+        DataCenterReturned, ///< and they do again
     };
     what kind = what::Unreadable;
     std::string subject; ///< a version, a server or a key
@@ -46,6 +49,15 @@
     /// Takes some parts of a list (`partOf`) whole: other servers of these parts are removed.
     std::vector<publication_news> applyParts(const std::vector<published_item> &items,
                                              const std::set<std::uint32_t> &parts);
+    /// Takes all that operators published, read from the store at that revision or later: what
+    /// isn't evacuated there isn't any more.
+    std::vector<publication_news> applyOperations(const std::vector<published_item> &items,
+                                                  std::uint64_t revision);
+    /// Every change up to that revision was applied.
+    void knowEvacuationsUpTo(std::uint64_t revision) { m_evacuations.knowUpTo(revision); }
+    /// Takes what a peer knows to be evacuated, where it knows more.
+    std::vector<publication_news> takeEvacuations(const evacuation_list &list);
+    [[nodiscard]] const evacuation_list &evacuations() const { return m_evacuations.list(); }
     /// Removes what was deferred and hasn't come back.
     std::vector<publication_news> tick();
 
@@ -79,12 +91,16 @@
     void takeRemoval(const backend_server_id &id, std::vector<publication_news> &news);
     void takeConfiguration(const published_configuration &published,
                            std::vector<publication_news> &news);
+    void takeEvacuation(const published_evacuation &change, std::vector<publication_news> &news);
+    /// Tells servers and the log what has become of data centres since `before`.
+    void onEvacuations(const std::set<data_center_id> &before, std::vector<publication_news> &news);
 
     const clock_source &m_clock;
     server_directory &m_directory;
     milliseconds m_removalDelay;
     configuration_ptr m_configuration;
     std::string m_configurationText;
+    evacuation_state m_evacuations;
     bool m_listed = false;
     bool m_lost = false;
     steady_time m_heardAt{};
@@ -112,4 +128,8 @@
         orchidlead::gateway::publication_news::what::ServerRemoved, "server_removed"},
     orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
         orchidlead::gateway::publication_news::what::RemovalDeferred, "server_removal_deferred"},
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::DataCenterEvacuated, "data_center_evacuated"},
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::DataCenterReturned, "data_center_returned"},
 };
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -19,6 +19,7 @@
     PieceCounts, ///< don't fit the route's stages
     NoTime, ///< the client's patience was over when the request came
     NoServer,
+    Evacuated, ///< operators have evacuated all data centres where it could be served
     ServersFull, ///< all that may be tried refused it
     ServerFailed, ///< an answer didn't come, or was broken
     EndsServers, ///< servers ended under it or its repeats
@@ -33,8 +34,17 @@
 /// What a piece that can't be done makes of its request.
 [[nodiscard]] constexpr request_outcome outcomeOf(piece_failure failure)
 {
-    return failure == piece_failure::Late ? request_outcome::StageLate
-                                          : request_outcome::StageFailed;
+    switch (failure) {
+    case piece_failure::Late:
+        return request_outcome::StageLate;
+    case piece_failure::Evacuated:
+        return request_outcome::Evacuated;
+    case piece_failure::InputGone:
+    case piece_failure::NoRoom:
+    case piece_failure::Error:
+        break;
+    }
+    return request_outcome::StageFailed;
 }
 
 } // namespace orchidlead::gateway
@@ -57,6 +67,8 @@
         orchidlead::gateway::request_outcome::NoTime, "no_time"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::NoServer, "no_server"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::Evacuated, "evacuated"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::ServersFull, "servers_full"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -53,6 +53,7 @@
         entry = std::make_shared<server>();
         entry->record = record;
         entry->cutOff = m_cutOff.contains(record.dataCenter);
+        entry->evacuated = m_evacuated.contains(record.dataCenter);
         m_byService[record.service].push_back(entry);
         changed(record.service);
         return;
@@ -81,11 +82,25 @@
         m_cutOff.insert(dataCenter);
     else
         m_cutOff.erase(dataCenter);
+    setIn(dataCenter, &server::cutOff, cutOff);
+}
+
+void server_directory::setEvacuated(const data_center_id &dataCenter, bool evacuated)
+{
+    if (evacuated)
+        m_evacuated.insert(dataCenter);
+    else
+        m_evacuated.erase(dataCenter);
+    setIn(dataCenter, &server::evacuated, evacuated);
+}
+
+void server_directory::setIn(const data_center_id &dataCenter, bool server::*property, bool value)
+{
     std::set<service_id> services;
     for (const auto &[id, each] : m_servers) {
         if (each->record.dataCenter != dataCenter)
             continue;
-        each->cutOff = cutOff;
+        (*each).*property = value;
         services.insert(each->record.service);
     }
     for (const auto &service : services)
@@ -151,6 +166,32 @@
     return servers;
 }
 
+bool server_directory::usableIn(const service_id &service, const data_center_id &dataCenter) const
+{
+    const auto found = m_byService.find(service);
+    return found != m_byService.end()
+        && std::ranges::any_of(found->second, [&](const server_ptr &each) {
+               return each->usable() && each->record.dataCenter == dataCenter;
+           });
+}
+
+server_absence server_directory::absenceOf(const pool_key &pool) const
+{
+    const auto found = m_byService.find(pool.service);
+    if (found == m_byService.end())
+        return server_absence::Gone;
+    auto why = server_absence::Gone;
+    for (const auto &each : found->second) {
+        if (!pool.dataCenter.empty() && each->record.dataCenter != pool.dataCenter)
+            continue;
+        if (each->usable())
+            return server_absence::None;
+        if (each->evacuated && !each->record.leaving)
+            why = server_absence::Evacuated;
+    }
+    return why;
+}
+
 double server_directory::costOf(const server &which, const server_wish &wish) const
 {
     const auto now = m_clock.now();
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -57,6 +57,7 @@
     server_record record;
     bool gone = false; ///< no longer published, or its address answers for another server
     bool cutOff = false; ///< nothing is heard of its data centre
+    bool evacuated = false; ///< operators have evacuated its data centre
     std::uint32_t outstanding = 0; ///< requests of this node
     std::optional<server_load> load;
     steady_time loadAt{}; ///< when the load was told
@@ -64,11 +65,19 @@
     steady_time avoidUntil{}; ///< doubted until then
     double slowness = 1.0; ///< time that its work takes against what is expected, averaged
 
-    [[nodiscard]] bool usable() const { return !gone && !cutOff && !record.leaving; }
+    /// Whether it may get new work. Every path to a server asks this, at last as bytes are sent.
+    [[nodiscard]] bool usable() const { return !gone && !cutOff && !evacuated && !record.leaving; }
 };
 
 using server_ptr = std::shared_ptr<server>;
 
+/// Why no server of a service may get new work.
+enum class server_absence : std::uint8_t {
+    None, ///< there is one
+    Gone, ///< none is published, reached, or stays
+    Evacuated, ///< those that there are lie in data centres that operators have evacuated
+};
+
 /// What a choice takes into account.
 struct server_wish
 {
@@ -99,6 +108,8 @@
     [[nodiscard]] std::vector<server_ptr> usable(const service_id &service) const;
     /// Those of them that are in a pool.
     [[nodiscard]] std::vector<server_ptr> usable(const pool_key &pool) const;
+    [[nodiscard]] bool usableIn(const service_id &service, const data_center_id &dataCenter) const;
+    [[nodiscard]] server_absence absenceOf(const pool_key &pool) const;
     /// How often a server appeared, changed or left, with one for the start.
     [[nodiscard]] std::uint64_t changes() const { return m_changes; }
 
@@ -113,6 +124,8 @@
 
     /// All servers of a data centre can or can't be reached from now on.
     void setCutOff(const data_center_id &dataCenter, bool cutOff);
+    /// All servers of a data centre get nothing new from now on, or again.
+    void setEvacuated(const data_center_id &dataCenter, bool evacuated);
     /// Gives one server of a data centre after the other, published ones, whatever their state;
     /// null where there is none.
     [[nodiscard]] server_ptr anyIn(const data_center_id &dataCenter);
@@ -136,12 +149,15 @@
 private:
     [[nodiscard]] double costOf(const server &which, const server_wish &wish) const;
     void changed(const service_id &service);
+    /// Sets a property of all servers of a data centre.
+    void setIn(const data_center_id &dataCenter, bool server::*property, bool value);
 
     const clock_source &m_clock;
     std::uint64_t m_changes = 1;
     std::map<backend_server_id, server_ptr> m_servers;
     std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
     std::set<data_center_id> m_cutOff;
+    std::set<data_center_id> m_evacuated;
     backend_server_id m_lastAsked; ///< that `anyIn` gave
     std::function<void(const data_center_id &)> m_onHeard;
     std::function<void(const service_id &)> m_onChange;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -109,6 +109,8 @@
 {
     auto &pool = poolOf(key);
     const auto servers = m_directory.usable(key);
+    if (servers.empty() && m_directory.absenceOf(key) == server_absence::Evacuated)
+        deliver(pool.evacuate());
     deliver(pool.expire(servers.size()));
     while (const auto call = pool.next(servers))
         make(key, *call);
--- a/src/gateway/stage_pool.cpp
+++ b/src/gateway/stage_pool.cpp
@@ -418,6 +418,14 @@
     return out;
 }
 
+std::vector<piece_outcome> stage_pool::evacuate()
+{
+    std::vector<piece_outcome> out;
+    for (const auto &job : std::exchange(m_waiting, {}))
+        out.push_back({job.token, piece_failure::Evacuated});
+    return out;
+}
+
 std::vector<piece_outcome> stage_pool::dropInputsIn(const data_center_id &dataCenter)
 {
     std::vector<piece_outcome> out;
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -122,6 +122,8 @@
     /// still be in time, keep all `servers` busy.
     [[nodiscard]] std::vector<piece_outcome> expire(std::size_t servers);
 
+    /// Gives up all pieces that wait: the servers of the pool get nothing new.
+    [[nodiscard]] std::vector<piece_outcome> evacuate();
     /// Gives up pieces whose inputs lie in a data centre that can't be reached.
     [[nodiscard]] std::vector<piece_outcome> dropInputsIn(const data_center_id &dataCenter);
     /// Gives how long a piece that came now would wait behind those that go first, about.
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -16,6 +16,9 @@
 /// A data centre with three servers and more fills calls by itself; with one or two, calls that are
 /// less full cost more than results that cross.
 inline constexpr pool_width_limits StagePoolWidths{3, 2};
+/// A host that knows of an evacuation before this node does is asked again after this: readers of
+/// the store tell all nodes within a few ticks.
+inline constexpr milliseconds EvacuationNews{150};
 /// After this many moves a piece stays with this node.
 inline constexpr std::uint32_t MaxMoves = 2;
 
@@ -115,11 +118,32 @@
             m_host.free({*handle});
         return;
     }
+    const auto *failure = std::get_if<piece_failure>(&report.result);
+    if (failure && *failure == piece_failure::Evacuated && moveFromEvacuated(token, found->second))
+        return;
     const auto handler = std::move(found->second.handler);
     m_submissions.erase(found);
     handler(std::move(report));
 }
 
+// No server has begun it, so it is no second try. Where this node sees servers in the pool that its
+// host sees evacuated, one of them will know better soon.
+template <gateway_codec Codec>
+bool stage_router<Codec>::moveFromEvacuated(piece_token token, submission &entry)
+{
+    const auto before = std::exchange(entry.pool, poolFor(entry.pool.service, entry.job.near));
+    if (entry.moves++ >= MaxMoves || m_directory.usable(entry.pool).empty())
+        return false;
+    entry.link = nullptr;
+    entry.local = 0;
+    const auto delay = entry.pool == before ? EvacuationNews : milliseconds{0};
+    m_loop.callAfter(delay, [this, token] {
+        if (const auto found = m_submissions.find(token); found != m_submissions.end())
+            place(token, found->second);
+    });
+    return true;
+}
+
 template <gateway_codec Codec>
 void stage_router<Codec>::withdraw(piece_token token)
 {
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -21,10 +21,10 @@
     bool whole = false; ///< all servers, not only changes; the state has them already
 };
 
-/// Reads the store: first the configuration and a list of servers that may be old, so that the node
-/// can serve at once. Then it waits until it is told to read on, since others may read for this
-/// node; it goes on from what they told, or else reads the latest list, watches it, and begins anew
-/// when its history is gone.
+/// Reads the store: first what operators published and a list of servers that may be old, so that
+/// the node can serve at once. Then it waits until it is told to read on, since others may read for
+/// this node; it goes on from what they told, or else reads the latest list, watches it, and begins
+/// anew when its history is gone.
 template <gateway_codec Codec>
 class store_follower
 {
@@ -33,7 +33,7 @@
                    published_state &state, std::function<void(publication_news)> onNews,
                    wire::log &log, std::uint32_t seed, const store_options &options = {});
 
-    void start() { readConfiguration(read_freshness::MayBeOld); }
+    void start() { readOperations({}, read_freshness::MayBeOld); }
     /// Begins or ends to read on. Reading begins where it ended, or where others have come since.
     void setReading(bool reading);
     /// Reads the configuration alone, whether this node reads or not.
@@ -78,7 +78,8 @@
     };
     using page_reader = result<published_page, codec_error> (*)(std::string_view);
 
-    void readConfiguration(read_freshness freshness);
+    /// Reads all that operators published, from the page after that key on; then the servers.
+    void readOperations(const std::string &after, read_freshness ofServers);
     void readServers(const std::string &after, read_freshness freshness);
     void watch();
     http::pool_call get(const std::string &target, milliseconds timeout,
--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/store_follower_impl.h
@@ -61,7 +61,7 @@
     if (m_whole && m_latest)
         watch();
     else
-        readConfiguration(read_freshness::Latest);
+        readOperations({}, read_freshness::Latest);
 }
 
 template <gateway_codec Codec>
@@ -72,16 +72,24 @@
 }
 
 template <gateway_codec Codec>
-void store_follower<Codec>::readConfiguration(read_freshness freshness)
+void store_follower<Codec>::readOperations(const std::string &after, read_freshness ofServers)
 {
     m_whole = false;
-    m_again = [this, freshness] { readConfiguration(freshness); };
-    call(Codec::configurationTarget(), m_options.answerTimeout, &Codec::readItem,
-         [this, freshness](published_page &&page) {
-             m_listRevision = page.revision;
-             report(m_state.apply(page.items));
+    m_again = [this, after, ofServers] { readOperations(after, ofServers); };
+    call(Codec::operationsTarget(after), m_options.answerTimeout, &Codec::readPage,
+         [this, first = after.empty(), ofServers](published_page &&page) {
+             if (first) {
+                 m_listRevision = page.revision;
+                 m_list.clear();
+             }
+             std::ranges::move(page.items, std::back_inserter(m_list));
+             if (page.more && !page.lastKey.empty()) {
+                 readOperations(page.lastKey, ofServers);
+                 return;
+             }
+             report(m_state.applyOperations(m_list, m_listRevision));
              m_list.clear();
-             readServers({}, freshness);
+             readServers({}, ofServers);
          });
 }
 
@@ -125,6 +133,7 @@
              m_revision = std::max(m_revision, page.revision);
              tell({page.items, false});
              report(m_state.apply(page.items));
+             m_state.knowEvacuationsUpTo(page.revision);
              const auto pause = page.items.empty() ? milliseconds{0} : m_options.watchPause;
              after(pause, [this] { watch(); });
          });
@@ -256,7 +265,7 @@
     m_log.write(wire::log_level::Info,
                 m_log.line(wire::log_level::Info, toName(log_event::StoreHistoryGone))
                     .add("revision", m_revision));
-    readConfiguration(read_freshness::Latest);
+    readOperations({}, read_freshness::Latest);
 }
 
 template <gateway_codec Codec>
