Keep requests, their stages and their repeats in the regions that they are bound to

Ruled out: checking at the last moment alone. Pools span data centres, and a host in one region would form calls out of pieces that may not go there. No pool spans regions, so pieces and placements stay where they were asked for; every choice of a server takes the residency along, also for repeats and for requests that a server holds up. The node's own region goes first. Where no server can be reached, the request is refused at once. Hosts in another region get 140 ms to answer in place of 60. With one region nothing changes: pools name none.

--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -56,6 +56,7 @@
     bool prefixAffinity = false; ///< prompts share parts that servers keep
     bool resumable = false; ///< a broken stream may go on at another server
     std::vector<stage_spec> stages;
+    std::vector<region_id> regions; ///< where it may be worked on; empty: anywhere
 
     [[nodiscard]] bool repeatable() const
     {
@@ -105,6 +106,7 @@
     customer_id id;
     std::vector<std::string> keys;
     std::optional<std::uint32_t> priority; ///< goes before the route's
+    std::vector<region_id> regions; ///< where its requests may be worked on; empty: anywhere
 };
 
 /// One published configuration.
--- a/src/gateway/engine_board.cpp
+++ b/src/gateway/engine_board.cpp
@@ -66,7 +66,7 @@
 }
 
 // Engines of the pool that haven't been tried. Where none is left, or all are in doubt, those of
-// other data centres are as good.
+// other data centres are as good, if the request may go there.
 std::vector<server_ptr> engine_board::candidates(const engine_wish &wish) const
 {
     const auto untried = [&](std::vector<server_ptr> servers) {
@@ -79,7 +79,7 @@
     const auto now = m_clock.now();
     if (std::ranges::any_of(inPool, [&](const auto &each) { return each->avoidUntil <= now; }))
         return inPool;
-    return untried(m_directory.usable(wish.pool.service));
+    return untried(m_directory.usable(wish.pool.service, wish.allowed));
 }
 
 server_ptr engine_board::place(placement_id id, const engine_wish &wish)
--- a/src/gateway/engine_board.h
+++ b/src/gateway/engine_board.h
@@ -23,6 +23,7 @@
     data_center_id near; ///< where its inputs lie
     std::uint64_t nearBytes = 0; ///< of inputs that would cross to another data centre
     std::vector<backend_server_id> exclude; ///< tried already
+    residency allowed;
 };
 
 /// Places requests on model engines.
--- a/src/gateway/engine_placer.cpp
+++ b/src/gateway/engine_placer.cpp
@@ -9,6 +9,8 @@
 // A host answers within a round trip, 2 ms between data centres; beyond this it is busy or away,
 // and the request's time matters more than the better choice.
 constexpr milliseconds HostPatience{60};
+// The same for a host in another region, where a round trip takes 40 ms.
+constexpr milliseconds FarHostPatience{140};
 // With so many engines a data centre reads the prompts that are shared by itself; with fewer, parts
 // that are read in each of them cost more than inputs that cross.
 constexpr pool_width_limits EnginePoolWidths{8, 6};
@@ -35,9 +37,10 @@
     }
 }
 
-pool_key engine_placer::poolFor(const service_id &service, const data_center_id &near)
+pool_key engine_placer::poolFor(const service_id &service, const data_center_id &near,
+                                const residency &allowed)
 {
-    return m_widths.poolFor(service, near);
+    return m_widths.poolFor(service, near, allowed);
 }
 
 placement_id engine_placer::place(engine_wish wish, handler placed)
@@ -56,7 +59,9 @@
         return id;
     }
     entry.link->send(place_frame{id, entry.wish});
-    entry.timer = m_loop.callAfter(HostPatience, [this, id] {
+    const auto known = m_peers.view().find(host);
+    const bool far = known && known->vm.region != m_peers.region();
+    entry.timer = m_loop.callAfter(far ? FarHostPatience : HostPatience, [this, id] {
         const auto found = m_requests.find(id);
         if (found == m_requests.end())
             return;
--- a/src/gateway/engine_placer.h
+++ b/src/gateway/engine_placer.h
@@ -27,7 +27,8 @@
     void setConfiguration(const configuration_ptr &configuration);
 
     /// Gives the pool of a service for a request that is best done in `near`.
-    [[nodiscard]] pool_key poolFor(const service_id &service, const data_center_id &near);
+    [[nodiscard]] pool_key poolFor(const service_id &service, const data_center_id &near,
+                                   const residency &allowed);
     /// `placed` is called once, later, unless `onEnd` comes first.
     placement_id place(engine_wish wish, handler placed);
     void onFirstAnswer(placement_id id);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -104,6 +104,8 @@
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report);
     [[nodiscard]] request_outline outline() const;
     [[nodiscard]] data_center_id chooseHome();
+    /// Leaves out servers of other regions, if there are some in the own one.
+    void keepNear(std::vector<server_ptr> &servers) const;
     /// As `chooseHome`, where this node's own data centre has no servers for the request.
     [[nodiscard]] data_center_id chooseHomeAway(const std::vector<server_ptr> &engines);
     /// `dataCenter` while its servers of that service may get work, else where the request's home
@@ -112,6 +114,9 @@
                                             const service_id &service);
     /// Why the request can't be served now, as far as that is known before anything is spent on it.
     [[nodiscard]] std::optional<request_outcome> foreseenUnservable() const;
+    /// The same of one service.
+    [[nodiscard]] std::optional<request_outcome> whyAbsent(const service_id &service) const;
+    [[nodiscard]] pool_key stagePool(const service_id &service, const data_center_id &near);
     [[nodiscard]] bool foreseenLate() const;
     [[nodiscard]] bool resultsLieIn(const data_center_id &dataCenter) const;
     [[nodiscard]] bool mayRestartStages();
@@ -173,6 +178,7 @@
     configuration_ptr m_configuration;
     const route *m_route = nullptr;
     const customer_spec *m_customer = nullptr;
+    residency m_residency; ///< where it may be worked on
     request_marks m_marks;
     request_digest m_digest; ///< the same for each repeat of this request
     data_center_id m_home; ///< where its work is best done
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -16,6 +16,7 @@
     wish.service = m_service;
     wish.exclude = m_tried;
     wish.near = m_context.dataCenter;
+    wish.allowed = m_residency;
     if (const auto largest = m_work ? m_work->largest() : std::nullopt)
         wish.near = whereResultLies(largest->handle);
     return m_context.directory.choose(wish);
@@ -53,7 +54,8 @@
         wish.near = whereResultLies(largest->handle);
         wish.nearBytes = largest->bytes;
     }
-    wish.pool = m_context.engines.poolFor(m_service, usableNear(wish.near, m_service));
+    wish.allowed = m_residency;
+    wish.pool = m_context.engines.poolFor(m_service, usableNear(wish.near, m_service), m_residency);
     m_placement = m_context.engines.place(std::move(wish),
                                           [self = this->shared_from_this()](server_ptr chosen) {
                                               if (!self->m_done)
@@ -66,9 +68,7 @@
 {
     m_server = std::move(chosen);
     if (!m_server) {
-        const bool evacuated =
-            m_context.directory.absenceOf({m_service, {}}) == server_absence::Evacuated;
-        giveUp(evacuated ? request_outcome::Evacuated : request_outcome::NoServer);
+        giveUp(whyAbsent(m_service).value_or(request_outcome::NoServer));
         return;
     }
     ++m_server->outstanding;
@@ -96,7 +96,8 @@
 template <gateway_codec Codec>
 std::optional<std::string> exchange<Codec>::writeHead()
 {
-    if (m_done || !m_server->usable() || left() <= milliseconds{0} || !mayBeSent())
+    if (m_done || !m_server->usable() || !m_residency.allows(m_server->region)
+        || left() <= milliseconds{0} || !mayBeSent())
         return std::nullopt;
     server_marks marks;
     marks.patience = left() + AnswerMargin;
@@ -409,6 +410,7 @@
     wish.service = m_service;
     wish.exclude = m_tried;
     wish.exclude.push_back(m_server->record.id);
+    wish.allowed = m_residency;
     if (!m_context.directory.choose(wish))
         return;
     m_context.pool.abandon(m_call);
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -44,6 +44,8 @@
         return;
     m_digest = requestDigestOf(
         {m_customer ? m_customer->id : customer_id{}, m_marks.host, m_head.target, m_body});
+    m_residency =
+        residencyOf(m_route->regions, m_customer ? m_customer->regions : std::vector<region_id>{});
     logTaken();
     m_priority = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
     const auto patience = m_marks.patience.value_or(m_route->timeout);
@@ -174,7 +176,7 @@
     const auto quarantine = m_context.quarantine.standingOf(m_digest);
     if (quarantine.level == quarantine_level::Quarantined)
         return quarantine.left;
-    if (outcome == request_outcome::Evacuated)
+    if (outcome == request_outcome::Evacuated || outcome == request_outcome::OutOfRegion)
         return ComeBackEvacuated;
     if (m_stagePools.empty())
         return ComeBack;
--- a/src/gateway/exchange_stages_impl.h
+++ b/src/gateway/exchange_stages_impl.h
@@ -25,7 +25,7 @@
     }
     m_home = chooseHome();
     for (const auto &stage : m_route->stages)
-        m_stagePools.push_back(m_context.stages.poolFor(stage.service, m_home));
+        m_stagePools.push_back(stagePool(stage.service, m_home));
     if (foreseenLate()) {
         refuse(request_outcome::QueueTooLong);
         return;
@@ -40,21 +40,25 @@
 data_center_id exchange<Codec>::chooseHome()
 {
     const auto &own = m_context.dataCenter;
-    if (!m_context.directory.usableIn(m_service, own))
-        return chooseHomeAway(m_context.directory.usable(m_service));
+    auto engines = m_context.directory.usable(m_service, m_residency);
+    keepNear(engines);
+    if (std::ranges::none_of(
+            engines, [&](const server_ptr &each) { return each->record.dataCenter == own; }))
+        return chooseHomeAway(engines);
     if (m_context.without.contains(policy::PromptHomes))
         return own;
-    if (!m_route->prefixAffinity || m_context.engines.poolFor(m_service, own).dataCenter.empty())
+    if (!m_route->prefixAffinity
+        || m_context.engines.poolFor(m_service, own, m_residency).dataCenter.empty())
         return own;
-    const auto home = homeOf(m_marks.prompt, m_context.directory.usable(m_service));
+    const auto home = homeOf(m_marks.prompt, engines);
     if (!home || *home == own)
         return own;
     for (std::size_t i = 0; i < m_route->stages.size(); ++i) {
         if (m_marks.pieceCounts[i] == 0)
             continue;
         const auto &service = m_route->stages[i].service;
-        const auto there = m_context.stages.poolFor(service, *home);
-        const auto here = m_context.stages.poolFor(service, own);
+        const auto there = stagePool(service, *home);
+        const auto here = stagePool(service, own);
         const auto longer =
             m_context.times.waitOf(there, stageRank()) - m_context.times.waitOf(here, stageRank());
         if (longer > LongestDetour)
@@ -80,6 +84,23 @@
     return engines[drawn]->record.dataCenter;
 }
 
+// Engines of the own region go first: a prompt that is read again takes less time than the way to
+// another region and back takes each of its stages.
+template <gateway_codec Codec>
+void exchange<Codec>::keepNear(std::vector<server_ptr> &servers) const
+{
+    const auto region = m_context.directory.regionOf(m_context.dataCenter);
+    const auto isFar = [&](const server_ptr &each) { return each->region != region; };
+    if (m_context.directory.severalRegions() && !std::ranges::all_of(servers, isFar))
+        std::erase_if(servers, isFar);
+}
+
+template <gateway_codec Codec>
+pool_key exchange<Codec>::stagePool(const service_id &service, const data_center_id &near)
+{
+    return m_context.stages.poolFor(service, near, m_residency);
+}
+
 template <gateway_codec Codec>
 data_center_id exchange<Codec>::usableNear(const data_center_id &dataCenter,
                                            const service_id &service)
@@ -91,17 +112,31 @@
     return m_home;
 }
 
+template <gateway_codec Codec>
+std::optional<request_outcome> exchange<Codec>::whyAbsent(const service_id &service) const
+{
+    switch (m_context.directory.absenceOf(service, m_residency)) {
+    case server_absence::Evacuated:
+        return request_outcome::Evacuated;
+    case server_absence::OutOfRegion:
+        return request_outcome::OutOfRegion;
+    case server_absence::Gone:
+    case server_absence::None:
+        break;
+    }
+    return std::nullopt;
+}
+
+// Servers that are merely gone may be back in a moment, or others in their place.
 template <gateway_codec Codec>
 std::optional<request_outcome> exchange<Codec>::foreseenUnservable() const
 {
-    const auto evacuated = [&](const service_id &service) {
-        return m_context.directory.absenceOf({service, {}}) == server_absence::Evacuated;
-    };
-    bool anywhere = !evacuated(m_service);
-    for (std::size_t i = 0; i < m_route->stages.size(); ++i)
-        anywhere =
-            anywhere && (m_marks.pieceCounts[i] == 0 || !evacuated(m_route->stages[i].service));
-    return anywhere ? std::nullopt : std::optional(request_outcome::Evacuated);
+    auto why = whyAbsent(m_service);
+    for (std::size_t i = 0; i < m_route->stages.size() && !why; ++i) {
+        if (m_marks.pieceCounts[i] > 0)
+            why = whyAbsent(m_route->stages[i].service);
+    }
+    return why;
 }
 
 template <gateway_codec Codec>
@@ -147,7 +182,8 @@
         const auto inputsIn =
             job.request.inputs.empty() ? m_home : whereResultLies(job.request.inputs.front());
         job.near = usableNear(inputsIn, each.service);
-        m_stagePools[stage] = m_context.stages.poolFor(each.service, job.near);
+        job.allowed = m_residency;
+        m_stagePools[stage] = stagePool(each.service, job.near);
         auto handler = [self = this->shared_from_this(), stage, piece](piece_report report) {
             self->onPiece(stage, piece, std::move(report));
         };
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -118,6 +118,7 @@
     , m_probes(std::make_shared<http::inbound_shared>())
 {
     m_allowance.setNodes(AssumedNodes);
+    m_directory.setRegions(m_settings.regions);
     m_stages.setWaitsForNear(!m_settings.without.contains(policy::WaitForNear));
     m_stages.setQuarantine(m_context.onBroken, [this](const request_digest &request) {
         return m_quarantine.standingOf(request).level == quarantine_level::Free;
--- a/src/gateway/peer_frame_reader.cpp
+++ b/src/gateway/peer_frame_reader.cpp
@@ -72,6 +72,7 @@
     pool_key pool;
     pool.service = service_id(in.read<std::string>());
     pool.dataCenter = data_center_id(in.read<std::string>());
+    pool.region = region_id(in.read<std::string>());
     return pool;
 }
 
@@ -137,6 +138,11 @@
     readList(in, [&](field_reader &items) {
         frame.wish.exclude.emplace_back(items.read<std::string>());
     });
+    const bool bound = in.read<bool>();
+    std::set<region_id> regions;
+    readList(in, [&](field_reader &items) { regions.emplace(items.read<std::string>()); });
+    if (bound)
+        frame.wish.allowed = residency(std::move(regions));
     return frame;
 }
 
--- a/src/gateway/peer_frame_writer.cpp
+++ b/src/gateway/peer_frame_writer.cpp
@@ -51,11 +51,12 @@
 {
     out.pack(pool.service.value);
     out.pack(pool.dataCenter.value);
+    out.pack(pool.region.value);
 }
 
 void pack(packer &out, const piece_frame &frame)
 {
-    packKind(out, frame_kind::Piece, 16);
+    packKind(out, frame_kind::Piece, 17);
     out.pack(frame.token);
     packPool(out, frame.pool);
     out.pack(frame.request.attempt);
@@ -101,7 +102,7 @@
 
 void pack(packer &out, const place_frame &frame)
 {
-    packKind(out, frame_kind::Place, 7);
+    packKind(out, frame_kind::Place, 10);
     out.pack(frame.id);
     packPool(out, frame.wish.pool);
     out.pack(frame.wish.near.value);
@@ -114,6 +115,11 @@
     out.pack_array(static_cast<std::uint32_t>(frame.wish.exclude.size()));
     for (const auto &server : frame.wish.exclude)
         out.pack(server.value);
+    const auto regions = frame.wish.allowed.regions();
+    out.pack(frame.wish.allowed.bound());
+    out.pack_array(static_cast<std::uint32_t>(regions.size()));
+    for (const auto &region : regions)
+        out.pack(region.value);
 }
 
 void pack(packer &out, const placed_frame &frame)
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peer_network.h
@@ -52,6 +52,7 @@
     /// Who is there, and who has which role, as this node believes.
     [[nodiscard]] const peer_view &view() const { return m_view; }
     [[nodiscard]] const vm_id &self() const { return m_view.self(); }
+    [[nodiscard]] const region_id &region() const { return m_view.region(); }
     /// Gives a link to a peer, opened if there is none; null where nothing is known of the peer.
     [[nodiscard]] std::shared_ptr<peer_link> linkTo(const vm_id &peer);
     /// The peer at the other end of a link that this node opened.
--- a/src/gateway/peer_view.cpp
+++ b/src/gateway/peer_view.cpp
@@ -157,7 +157,8 @@
     m_quarantineHost.reset();
 }
 
-std::vector<vm_id> peer_view::candidates(const data_center_id &dataCenter) const
+std::vector<vm_id> peer_view::candidates(const data_center_id &dataCenter,
+                                         const region_id &region) const
 {
     std::vector<vm_id> found;
     for (const auto &each : m_members.members()) {
@@ -165,7 +166,8 @@
         const auto reach = m_reached.find(each.vm.dataCenter);
         const bool reached = reach == m_reached.end() || reach->second;
         const bool usable = each.state == member_state::Alive && !avoided(each.vm.vm) && reached;
-        const bool there = dataCenter.empty() || each.vm.dataCenter == dataCenter;
+        const bool there = (dataCenter.empty() || each.vm.dataCenter == dataCenter)
+            && (region.empty() || each.vm.region == region);
         if (there && (usable || (own && each.state != member_state::Leaving)))
             found.push_back(each.vm.vm);
     }
@@ -175,7 +177,9 @@
 // The pool of a data centre that has no node left is hosted elsewhere.
 vm_id peer_view::pickHost(const pool_key &pool) const
 {
-    auto hosts = candidates(pool.dataCenter);
+    auto hosts = candidates(pool.dataCenter, pool.region);
+    if (hosts.empty() && !pool.region.empty())
+        hosts = candidates({}, pool.region);
     if (hosts.empty())
         hosts = candidates({});
     const auto picked = rendezvousPick(pool.service.value, hosts, 1);
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -53,6 +53,7 @@
     void askIn(const data_center_id &dataCenter, membership_actions &out);
 
     [[nodiscard]] const vm_id &self() const { return m_identity.vm; }
+    [[nodiscard]] const region_id &region() const { return m_identity.region; }
     /// Gives the node that hosts a pool as this node sees it; may be itself.
     [[nodiscard]] vm_id hostOf(const pool_key &pool);
     /// Gives the nodes of the own data centre in the order in which what is published goes from one
@@ -86,8 +87,9 @@
     [[nodiscard]] bool avoided(const vm_id &peer) const;
     [[nodiscard]] vm_id pickHost(const pool_key &pool) const;
     /// Members that may have a role: alive and not avoided; this node unless it leaves. Of one data
-    /// centre, or, where none is named, of all.
-    [[nodiscard]] std::vector<vm_id> candidates(const data_center_id &dataCenter) const;
+    /// centre, of one region, or, where neither is named, of all.
+    [[nodiscard]] std::vector<vm_id> candidates(const data_center_id &dataCenter,
+                                                const region_id &region = {}) const;
 
     const clock_source &m_clock;
     peer_identity m_identity;
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -19,6 +19,7 @@
     PieceCounts, ///< don't fit the route's stages
     NoTime, ///< the client's patience was over when the request came
     NoServer,
+    OutOfRegion, ///< no server can be reached in the regions where it may be worked on
     Evacuated, ///< operators have evacuated all data centres where it could be served
     ServersFull, ///< all that may be tried refused it
     ServerFailed, ///< an answer didn't come, or was broken
@@ -67,6 +68,8 @@
         orchidlead::gateway::request_outcome::NoTime, "no_time"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::NoServer, "no_server"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::OutOfRegion, "out_of_region"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::Evacuated, "evacuated"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -20,15 +20,37 @@
 constexpr milliseconds LoadLifetime{400};
 // Cost of sending to another data centre, in requests outstanding at a server.
 constexpr double RemoteCost = 0.5;
+// The same to another region: a round trip there takes some 40 ms, longer than a request waits
+// behind one that runs.
+constexpr double FarCost = 2.0;
 // Cost of a server that is avoided: any other comes first.
 constexpr double AvoidedCost = 1e6;
 
+bool isIn(const server &which, const pool_key &pool)
+{
+    return (pool.dataCenter.empty() || which.record.dataCenter == pool.dataCenter)
+        && (pool.region.empty() || which.region == pool.region);
+}
+
 } // namespace
 
 server_directory::server_directory(const clock_source &clock)
     : m_clock(clock)
 { }
 
+void server_directory::setRegions(std::map<data_center_id, region_id> regions)
+{
+    m_regions = std::move(regions);
+    m_severalRegions = std::ranges::any_of(
+        m_regions, [&](const auto &entry) { return entry.second != m_regions.begin()->second; });
+}
+
+region_id server_directory::regionOf(const data_center_id &dataCenter) const
+{
+    const auto found = m_regions.find(dataCenter);
+    return found == m_regions.end() ? region_id{} : found->second;
+}
+
 void server_directory::changed(const service_id &service)
 {
     ++m_changes;
@@ -52,6 +74,7 @@
     if (!entry) {
         entry = std::make_shared<server>();
         entry->record = record;
+        entry->region = regionOf(record.dataCenter);
         entry->cutOff = m_cutOff.contains(record.dataCenter);
         entry->evacuated = m_evacuated.contains(record.dataCenter);
         m_byService[record.service].push_back(entry);
@@ -145,24 +168,23 @@
     return nullptr;
 }
 
-std::vector<server_ptr> server_directory::usable(const service_id &service) const
+std::vector<server_ptr> server_directory::usable(const service_id &service,
+                                                 const residency &allowed) const
 {
     std::vector<server_ptr> servers;
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
         return servers;
-    std::ranges::copy_if(found->second, std::back_inserter(servers),
-                         [](const server_ptr &each) { return each->usable(); });
+    std::ranges::copy_if(found->second, std::back_inserter(servers), [&](const server_ptr &each) {
+        return each->usable() && allowed.allows(each->region);
+    });
     return servers;
 }
 
 std::vector<server_ptr> server_directory::usable(const pool_key &pool) const
 {
     auto servers = usable(pool.service);
-    if (!pool.dataCenter.empty())
-        std::erase_if(servers, [&](const server_ptr &each) {
-            return each->record.dataCenter != pool.dataCenter;
-        });
+    std::erase_if(servers, [&](const server_ptr &each) { return !isIn(*each, pool); });
     return servers;
 }
 
@@ -175,14 +197,16 @@
            });
 }
 
-server_absence server_directory::absenceOf(const pool_key &pool) const
+template <class Counts>
+server_absence server_directory::absenceAmong(const service_id &service, server_absence otherwise,
+                                              Counts counts) const
 {
-    const auto found = m_byService.find(pool.service);
+    const auto found = m_byService.find(service);
     if (found == m_byService.end())
-        return server_absence::Gone;
-    auto why = server_absence::Gone;
+        return otherwise;
+    auto why = otherwise;
     for (const auto &each : found->second) {
-        if (!pool.dataCenter.empty() && each->record.dataCenter != pool.dataCenter)
+        if (!counts(*each))
             continue;
         if (each->usable())
             return server_absence::None;
@@ -192,6 +216,20 @@
     return why;
 }
 
+server_absence server_directory::absenceOf(const service_id &service,
+                                           const residency &allowed) const
+{
+    const auto otherwise = allowed.bound() ? server_absence::OutOfRegion : server_absence::Gone;
+    return absenceAmong(service, otherwise,
+                        [&](const server &each) { return allowed.allows(each.region); });
+}
+
+server_absence server_directory::absenceOf(const pool_key &pool) const
+{
+    return absenceAmong(pool.service, server_absence::Gone,
+                        [&](const server &each) { return isIn(each, pool); });
+}
+
 double server_directory::costOf(const server &which, const server_wish &wish) const
 {
     const auto now = m_clock.now();
@@ -203,6 +241,8 @@
     cost /= std::max(1U, which.record.slots);
     if (!wish.near.empty() && which.record.dataCenter != wish.near)
         cost += RemoteCost / std::max(1U, which.record.slots);
+    if (m_severalRegions && !wish.near.empty() && which.region != regionOf(wish.near))
+        cost += FarCost / std::max(1U, which.record.slots);
     if (which.avoidUntil > now)
         cost += AvoidedCost;
     return cost;
@@ -212,7 +252,7 @@
 {
     server_ptr best;
     double bestCost = std::numeric_limits<double>::max();
-    for (const auto &each : usable(wish.service)) {
+    for (const auto &each : usable(wish.service, wish.allowed)) {
         if (std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end())
             continue;
         const double cost = costOf(*each, wish);
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/pool_key.h"
+#include "gateway/residency.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
@@ -55,6 +56,7 @@
 struct server
 {
     server_record record;
+    region_id region; ///< of its data centre; empty: not known
     bool gone = false; ///< no longer published, or its address answers for another server
     bool cutOff = false; ///< nothing is heard of its data centre
     bool evacuated = false; ///< operators have evacuated its data centre
@@ -76,6 +78,7 @@
     None, ///< there is one
     Gone, ///< none is published, reached, or stays
     Evacuated, ///< those that there are lie in data centres that operators have evacuated
+    OutOfRegion, ///< none can be reached in the regions where the work may be done
 };
 
 /// What a choice takes into account.
@@ -84,6 +87,7 @@
     service_id service;
     std::vector<backend_server_id> exclude; ///< tried already
     data_center_id near; ///< preferred
+    residency allowed;
 };
 
 /// Knows the backend servers, and chooses among them.
@@ -95,6 +99,12 @@
 public:
     explicit server_directory(const clock_source &clock);
 
+    /// Which region each data centre belongs to; call before servers are put.
+    void setRegions(std::map<data_center_id, region_id> regions);
+    /// Whether there is more than one region.
+    [[nodiscard]] bool severalRegions() const { return m_severalRegions; }
+    /// The region of a data centre; empty where it isn't known.
+    [[nodiscard]] region_id regionOf(const data_center_id &dataCenter) const;
     /// Adds a server, or takes a newer record of it. Nothing that was believed of an earlier start
     /// holds for a later one; a record of an earlier start is ignored.
     void put(const server_record &record);
@@ -105,10 +115,15 @@
     /// Finds the server that has that address now.
     [[nodiscard]] server_ptr findAt(const socket_address &address) const;
     /// Servers of a service that may get new work.
-    [[nodiscard]] std::vector<server_ptr> usable(const service_id &service) const;
+    [[nodiscard]] std::vector<server_ptr> usable(const service_id &service,
+                                                 const residency &allowed = {}) const;
     /// Those of them that are in a pool.
     [[nodiscard]] std::vector<server_ptr> usable(const pool_key &pool) const;
     [[nodiscard]] bool usableIn(const service_id &service, const data_center_id &dataCenter) const;
+    /// Why work that is bound to regions finds no server of a service.
+    [[nodiscard]] server_absence absenceOf(const service_id &service,
+                                           const residency &allowed) const;
+    /// Why a pool has no server that may get new work.
     [[nodiscard]] server_absence absenceOf(const pool_key &pool) const;
     /// How often a server appeared, changed or left, with one for the start.
     [[nodiscard]] std::uint64_t changes() const { return m_changes; }
@@ -149,6 +164,11 @@
 private:
     [[nodiscard]] double costOf(const server &which, const server_wish &wish) const;
     void changed(const service_id &service);
+    /// Why none of the servers of a service that count may get new work; `otherwise` where
+    /// operators haven't evacuated one of them.
+    template <class Counts>
+    [[nodiscard]] server_absence absenceAmong(const service_id &service, server_absence otherwise,
+                                              Counts counts) const;
     /// Sets a property of all servers of a data centre.
     void setIn(const data_center_id &dataCenter, bool server::*property, bool value);
 
@@ -156,6 +176,8 @@
     std::uint64_t m_changes = 1;
     std::map<backend_server_id, server_ptr> m_servers;
     std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
+    std::map<data_center_id, region_id> m_regions;
+    bool m_severalRegions = false;
     std::set<data_center_id> m_cutOff;
     std::set<data_center_id> m_evacuated;
     backend_server_id m_lastAsked; ///< that `anyIn` gave
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -48,6 +48,20 @@
     section.readDuration("retry_window", bounds.retryWindow, WindowRange);
 }
 
+// Keys are names of data centres, which this node doesn't know beforehand. A mapping's items are
+// its keys and values by turns.
+void parseRegions(const value_reader &reader, std::map<data_center_id, region_id> &regions)
+{
+    mapping_reader section(reader);
+    const auto &items = reader.value().items;
+    for (std::size_t i = 0; i + 1 < items.size(); i += 2) {
+        const auto found = section.find(items[i].scalar);
+        const auto region = found ? found->name() : std::nullopt;
+        if (region)
+            regions.emplace(data_center_id(items[i].scalar), region_id(*region));
+    }
+}
+
 void parseLog(const value_reader &reader, gateway_settings &settings)
 {
     auto &log = settings.log;
@@ -66,6 +80,8 @@
     mapping.read("data_center", presence::Required, settings.dataCenter, &value_reader::name);
     mapping.read("region", presence::Required, settings.region, &value_reader::name);
     mapping.read("store", presence::Required, settings.store, &value_reader::address);
+    if (const auto found = mapping.find("regions"))
+        parseRegions(*found, settings.regions);
     if (const auto found = mapping.find("listen", presence::Required))
         parseListen(*found, settings.listen);
     if (const auto found = mapping.find("first_contacts")) {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,7 @@
     vm_id vm;
     data_center_id dataCenter;
     region_id region;
+    std::map<data_center_id, region_id> regions; ///< of all data centres
     gateway_listen listen;
     socket_address store;
     std::vector<socket_address> firstContacts; ///< peers to ask first; may be away
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stage_pool.h
@@ -37,6 +37,7 @@
     steady_time since{}; ///< when it began to wait
     std::uint32_t tries = 0;
     bool admitted = false; ///< was foreseen to be in time when it came
+    residency allowed; ///< stays with the node that submits it: the pool is in one region
 };
 
 /// A call to be made now.
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stage_router.h
@@ -30,7 +30,8 @@
     /// Gives the node that hosts a pool for this node.
     [[nodiscard]] vm_id hostOf(const pool_key &pool) const;
     /// Gives the pool of a service for work that is best done in `near`.
-    [[nodiscard]] pool_key poolFor(const service_id &service, const data_center_id &near);
+    [[nodiscard]] pool_key poolFor(const service_id &service, const data_center_id &near,
+                                   const residency &allowed = {});
     piece_token submit(const service_id &service, piece_job &&job, piece_handler &&handler);
     void withdraw(piece_token token);
     /// Gives results up, through the hosts of their services, which count them.
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stage_router_impl.h
@@ -46,9 +46,10 @@
 }
 
 template <gateway_codec Codec>
-pool_key stage_router<Codec>::poolFor(const service_id &service, const data_center_id &near)
+pool_key stage_router<Codec>::poolFor(const service_id &service, const data_center_id &near,
+                                      const residency &allowed)
 {
-    return m_widths.poolFor(service, near);
+    return m_widths.poolFor(service, near, allowed);
 }
 
 template <gateway_codec Codec>
@@ -64,7 +65,7 @@
 {
     const auto token = ++m_lastToken;
     auto &entry = m_submissions[token];
-    entry.pool = poolFor(service, job.near);
+    entry.pool = poolFor(service, job.near, job.allowed);
     entry.job = std::move(job);
     entry.handler = std::move(handler);
     place(token, entry);
@@ -131,7 +132,8 @@
 template <gateway_codec Codec>
 bool stage_router<Codec>::moveFromEvacuated(piece_token token, submission &entry)
 {
-    const auto before = std::exchange(entry.pool, poolFor(entry.pool.service, entry.job.near));
+    const auto before =
+        std::exchange(entry.pool, poolFor(entry.pool.service, entry.job.near, entry.job.allowed));
     if (entry.moves++ >= MaxMoves || m_directory.usable(entry.pool).empty())
         return false;
     entry.link = nullptr;
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -376,14 +376,16 @@
               "{" + entryOf(server, service, "ready") + R"(,"born":)" + std::to_string(born) + "}");
 }
 
-void world::publish(std::uint64_t version, const std::string &routes, const std::string &services)
+void world::publish(std::uint64_t version, const std::string &routes, const std::string &services,
+                    const std::string &customerFields)
 {
     store.put("op/config",
               R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes
                   + R"(],"services":[)" + services
                   + R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":100000,)"
                     R"("header_timeout_ms":400,"idle_timeout_ms":3000},)"
-                    R"("tenants":[{"name":"t1","api_keys":["k1"],"priority":1}]})");
+                    R"("tenants":[{"name":"t1","api_keys":["k1"],"priority":1)"
+                  + customerFields + "}]}");
 }
 
 gateway::gateway_settings world::makeSettings(const std::string &name,
@@ -393,6 +395,9 @@
     settings.vm = vm_id(name);
     settings.dataCenter = data_center_id(dataCenter);
     settings.region = region_id("r");
+    settings.regions = regions;
+    if (const auto found = regions.find(settings.dataCenter); found != regions.end())
+        settings.region = found->second;
     settings.listen = {loopback(freePort(loop)), loopback(freePort(loop)),
                        loopback(freePort(loop))};
     settings.store = store.address();
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -153,8 +153,8 @@
                            const std::string &dataCenter = "z", milliseconds cold = {});
     [[nodiscard]] fake_server &server(const std::string &id) { return *m_servers.at(id); }
     /// Publishes the configuration with the given version and routes (JSON objects with commas).
-    void publish(std::uint64_t version, const std::string &routes,
-                 const std::string &services = {});
+    void publish(std::uint64_t version, const std::string &routes, const std::string &services = {},
+                 const std::string &customerFields = {});
     void announce(const fake_server &server, const std::string &service,
                   const std::string &phase = "ready", const std::string &dataCenter = "z",
                   milliseconds cold = {});
@@ -193,6 +193,7 @@
     http::connection_pool pool{loop};
     fake_store store{loop};
     std::ostringstream logged;
+    std::map<data_center_id, region_id> regions; ///< that nodes started later are told
 
 private:
     struct node
