Let no more requests go to cold servers than they bear, all nodes together

Change: the host of a pool lets go three quarters of what each cold server bears, evenly, times the part of the nodes it knows that it believes alive: cut sides make one whole together. A node that has just started or just become host lets none go. Where no host places requests, two nodes picked for each server share it. Who is cold is told with each server's record, counted down on the way. Servers of a data centre that is given back are taken to be cold for as long as their word may be on its way.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -99,6 +99,7 @@
 struct published_server
 {
     server_record record;
+    milliseconds coldFor{0}; ///< from the moment at which this was told
 };
 struct removed_server
 {
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -90,6 +90,8 @@
     std::uint32_t maxConnections = 0; ///< to one server, of all callers; 0: not bounded
     std::optional<stage_capacity> stage; ///< where it serves stages
     std::optional<engine_capacity> engine; ///< where it runs models
+    milliseconds coldTime{0}; ///< a server is cold for so long after its start
+    double coldRate = 0.0; ///< requests a second that a cold server bears; 0: not bounded
 };
 
 /// Bounds on what clients may send.
--- a/src/gateway/engine_board.cpp
+++ b/src/gateway/engine_board.cpp
@@ -31,6 +31,7 @@
 engine_board::engine_board(const clock_source &clock, const server_directory &directory)
     : m_clock(clock)
     , m_directory(directory)
+    , m_coldPace(clock)
 { }
 
 void engine_board::setCapacity(const service_id &service, std::uint64_t tokens)
@@ -67,27 +68,29 @@
 
 // Engines of the pool that haven't been tried. Where none is left, or all are in doubt, those of
 // other data centres are as good, if the request may go there.
-std::vector<server_ptr> engine_board::candidates(const engine_wish &wish) const
+std::vector<server_ptr> engine_board::candidates(const engine_wish &wish, double coldShare) const
 {
-    const auto untried = [&](std::vector<server_ptr> servers) {
+    const auto untried = [&](std::vector<server_ptr> servers, double share) {
         std::erase_if(servers, [&](const server_ptr &each) {
-            return std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end();
+            return std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end()
+                || !m_coldPace.allows(*each, share);
         });
         return servers;
     };
-    auto inPool = untried(m_directory.usable(wish.pool));
+    auto inPool = untried(m_directory.usable(wish.pool), coldShare);
     const auto now = m_clock.now();
     if (std::ranges::any_of(inPool, [&](const auto &each) { return each->avoidUntil <= now; }))
         return inPool;
-    return untried(m_directory.usable(wish.pool.service, wish.allowed));
+    auto anywhere = untried(m_directory.usable(wish.pool.service, wish.allowed), 0.0);
+    return anywhere.empty() ? inPool : anywhere;
 }
 
-server_ptr engine_board::place(placement_id id, const engine_wish &wish)
+server_ptr engine_board::place(placement_id id, const engine_wish &wish, double coldShare)
 {
     forgetLapsed();
     server_ptr best;
     double bestCost = std::numeric_limits<double>::max();
-    for (const auto &each : candidates(wish)) {
+    for (const auto &each : candidates(wish, coldShare)) {
         const double cost = costOf(*each, wish);
         if (cost < bestCost) {
             bestCost = cost;
@@ -96,6 +99,7 @@
     }
     if (!best)
         return nullptr;
+    m_coldPace.onSent(*best);
     auto &state = m_engines[best->record.start()];
     const auto missing = missingTokens(state, wish);
     state.reading += missing;
--- a/src/gateway/engine_board.h
+++ b/src/gateway/engine_board.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/cold_start_pace.h"
 #include "gateway/server_directory.h"
 
 #include <orchidlead/clock.h>
@@ -39,8 +40,12 @@
 
     /// Tokens that an engine of a service keeps.
     void setCapacity(const service_id &service, std::uint64_t tokens);
-    /// Chooses an engine; null where there is none.
-    [[nodiscard]] server_ptr place(placement_id id, const engine_wish &wish);
+    /// Requests a second that a cold engine of a service bears.
+    void setColdRate(const service_id &service, double rate) { m_coldPace.setRate(service, rate); }
+    /// Chooses an engine; null where there is none. `coldShare`: of what cold engines of the pool
+    /// bear, the part that this board may use; of others it uses nothing.
+    [[nodiscard]] server_ptr place(placement_id id, const engine_wish &wish,
+                                   double coldShare = 0.0);
     /// The request's prompt is read.
     void onFirstAnswer(placement_id id);
     void onEnd(placement_id id);
@@ -67,7 +72,8 @@
         steady_time began;
     };
 
-    [[nodiscard]] std::vector<server_ptr> candidates(const engine_wish &wish) const;
+    [[nodiscard]] std::vector<server_ptr> candidates(const engine_wish &wish,
+                                                     double coldShare) const;
     [[nodiscard]] double costOf(const server &which, const engine_wish &wish);
     [[nodiscard]] static std::uint64_t missingTokens(const engine &state, const engine_wish &wish);
     void keep(engine &state, const engine_wish &wish, std::uint64_t capacity);
@@ -76,6 +82,7 @@
     const clock_source &m_clock;
     const server_directory &m_directory;
     std::unordered_map<service_id, std::uint64_t> m_capacities;
+    cold_start_pace m_coldPace;
     std::map<server_start, engine> m_engines;
     std::unordered_map<placement_id, placement> m_placements;
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/cold_start_pace.h"
 #include "gateway/engine_placer.h"
 #include "gateway/event_splitter.h"
 #include "gateway/exchange_limits.h"
@@ -41,6 +42,8 @@
     http::connection_pool &pool;
     server_directory &directory;
     retry_allowance &allowance;
+    peer_network &peers;
+    cold_start_pace &coldPace; ///< of requests that no host places
     stage_router<Codec> &stages;
     engine_placer &engines;
     quarantine_relay &quarantine;
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange_attempts_impl.h
@@ -17,6 +17,11 @@
     wish.exclude = m_tried;
     wish.near = m_context.dataCenter;
     wish.allowed = m_residency;
+    wish.mayBeCold = [this](const server &which) {
+        const auto share =
+            m_context.peers.view().coldShareAsSender(which.record.id, which.record.dataCenter);
+        return m_context.coldPace.allows(which, share);
+    };
     if (const auto largest = m_work ? m_work->largest() : std::nullopt)
         wish.near = whereResultLies(largest->handle);
     return m_context.directory.choose(wish);
@@ -71,6 +76,8 @@
         giveUp(whyAbsent(m_service).value_or(request_outcome::NoServer));
         return;
     }
+    if (m_placement == 0)
+        m_context.coldPace.onSent(*m_server);
     ++m_server->outstanding;
     m_passing = passing::Nothing;
     m_buffered.clear();
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -62,6 +62,7 @@
                    m_settings.bounds.retryWindow})
     , m_lines(loop.clock(), m_settings.requestLines)
     , m_stages(loop, m_pool, m_directory, m_allowance, log, m_metrics)
+    , m_coldPace(loop.clock())
     , m_peers(loop, log, m_settings, drawIncarnation(loop.clock()),
               {[this](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
                    onFrame(link, std::move(frame));
@@ -99,6 +100,8 @@
                 m_pool,
                 m_directory,
                 m_allowance,
+                m_peers,
+                m_coldPace,
                 m_router,
                 m_placer,
                 m_quarantine,
@@ -119,6 +122,7 @@
 {
     m_allowance.setNodes(AssumedNodes);
     m_directory.setRegions(m_settings.regions);
+    m_stages.setColdShare([this](const pool_key &pool) { return m_peers.coldShareAsHost(pool); });
     m_stages.setWaitsForNear(!m_settings.without.contains(policy::WaitForNear));
     m_stages.setQuarantine(m_context.onBroken, [this](const request_digest &request) {
         return m_quarantine.standingOf(request).level == quarantine_level::Free;
@@ -231,6 +235,10 @@
     m_configurationSince = m_loop.now();
     m_peers.setVersion(configuration->version());
     m_relay.onConfiguration(configuration->version());
+    for (const auto &each : configuration->content().services) {
+        m_directory.setColdTime(each.id, each.coldTime);
+        m_coldPace.setRate(each.id, each.coldRate);
+    }
     m_stages.setConfiguration(configuration);
     m_placer.setConfiguration(configuration);
     const auto &limits = configuration->content().limits;
--- a/src/gateway/peer_frame_reader.cpp
+++ b/src/gateway/peer_frame_reader.cpp
@@ -181,7 +181,7 @@
     return frame;
 }
 
-server_record readServer(field_reader &in)
+published_server readServer(field_reader &in)
 {
     server_record server;
     server.id = backend_server_id(in.read<std::string>());
@@ -192,7 +192,7 @@
     server.slots = in.read<std::uint32_t>();
     server.leaving = in.read<bool>();
     server.born = in.optional<std::uint64_t>();
-    return server;
+    return {server, in.duration()};
 }
 
 publication_frame readPublication(field_reader &in)
--- a/src/gateway/peer_frame_writer.cpp
+++ b/src/gateway/peer_frame_writer.cpp
@@ -24,10 +24,11 @@
 }
 
 /// Fields of a server in a list; they follow each other in one array.
-constexpr std::uint32_t ServerFields = 8;
+constexpr std::uint32_t ServerFields = 9;
 
-void packServer(packer &out, const server_record &server)
+void packServer(packer &out, const published_server &told)
 {
+    const auto &server = told.record;
     out.pack(server.id.value);
     out.pack(server.service.value);
     out.pack(server.address.ip);
@@ -39,6 +40,7 @@
         out.pack(*server.born);
     else
         out.pack_nil();
+    packDuration(out, told.coldFor);
 }
 
 void packDigest(packer &out, const request_digest &digest)
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peer_frames.h
@@ -96,7 +96,7 @@
     bool compared = false; ///< with `parts`, the receiver knows all that the sender does
     std::vector<std::uint32_t> parts; ///< of which all servers are told, not only changes
     std::uint64_t revision = 0; ///< of the store, up to which the sender knows everything
-    std::vector<server_record> servers;
+    std::vector<published_server> servers;
     std::vector<backend_server_id> removed; ///< taken after `servers`
     milliseconds removalsDeferred{0}; ///< removals aren't believed for so long
     evacuation_list evacuations; ///< always whole: a few names at most
--- a/src/gateway/peer_view.cpp
+++ b/src/gateway/peer_view.cpp
@@ -24,6 +24,13 @@
 constexpr milliseconds CalmContact{2000};
 // How long a peer that didn't answer gets no role.
 constexpr milliseconds Avoidance{1500};
+// A node that starts knows all others within this; before, it may take itself for the only one.
+constexpr milliseconds AcquaintanceTime{2000};
+// What the host before it let go to cold servers lies a second back then, and that is the time over
+// which servers count; nodes believe the same within another.
+constexpr milliseconds FormerHostTime{2000};
+// Nodes that send to one cold server where no host places requests: with two, one may be down.
+constexpr std::size_t SendersToCold = 2;
 // What is hashed with a node to order those who read the store or relay what it publishes.
 constexpr std::string_view RelayRole = "store reader";
 // And to pick the one that decides on requests under which servers end.
@@ -54,6 +61,7 @@
     , m_identity(identity)
     , m_onHostChanged(std::move(onHostChanged))
     , m_members(clock, toOptions(identity))
+    , m_startedAt(clock.now())
 {
     std::erase(m_identity.firstContacts, identity.address);
 }
@@ -144,11 +152,41 @@
         return kept.vm;
     const auto before = std::exchange(kept.vm, pickHost(pool));
     kept.current = true;
-    if (kept.vm != before)
+    if (kept.vm != before) {
+        kept.since = m_clock.now();
         m_onHostChanged(pool, kept.vm);
+    }
     return kept.vm;
 }
 
+// Where nodes are cut from each other, each side has a host; together they believe alive no more
+// than all there are, so their parts make one at most. A node that has just started knows few.
+double peer_view::partAlive() const
+{
+    if (m_clock.now() - m_startedAt < AcquaintanceTime)
+        return 0.0;
+    return static_cast<double>(candidates({}).size()) / static_cast<double>(m_members.size());
+}
+
+double peer_view::coldShareAsHost(const pool_key &pool)
+{
+    if (hostOf(pool) != self() || m_clock.now() - m_hosts[pool].since < FormerHostTime)
+        return 0.0;
+    return partAlive();
+}
+
+double peer_view::coldShareAsSender(const backend_server_id &server,
+                                    const data_center_id &dataCenter) const
+{
+    auto nodes = candidates(dataCenter);
+    if (nodes.empty())
+        nodes = candidates({});
+    const auto picked = rendezvousPick(server.value, nodes, SendersToCold);
+    if (std::ranges::find(picked, self()) == picked.end())
+        return 0.0;
+    return partAlive() / static_cast<double>(picked.size());
+}
+
 void peer_view::forgetRoles()
 {
     for (auto &[pool, kept] : m_hosts)
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peer_view.h
@@ -62,6 +62,13 @@
     [[nodiscard]] const std::vector<vm_id> &relayOrder();
     /// Gives the node that decides on requests under which servers end; may be itself.
     [[nodiscard]] const vm_id &quarantineHost();
+    /// Part of what each cold server of a pool bears that this node may let go to it as the pool's
+    /// host: nothing where it isn't the host, or hasn't been for long enough.
+    [[nodiscard]] double coldShareAsHost(const pool_key &pool);
+    /// The same for a server whose requests no host places: each node sends by itself, so a few
+    /// nodes, picked for each server, share what it bears.
+    [[nodiscard]] double coldShareAsSender(const backend_server_id &server,
+                                           const data_center_id &dataCenter) const;
     [[nodiscard]] std::optional<member> find(const vm_id &peer) const;
     /// Peers that are believed alive, nearest first.
     [[nodiscard]] std::vector<vm_id> peers() const;
@@ -80,10 +87,13 @@
     {
         vm_id vm;
         bool current = false;
+        steady_time since; ///< it is the host
     };
 
     void contactOthers(membership_actions &out);
     void forgetRoles();
+    /// The part of the nodes that this node knows which it believes alive.
+    [[nodiscard]] double partAlive() const;
     [[nodiscard]] bool avoided(const vm_id &peer) const;
     [[nodiscard]] vm_id pickHost(const pool_key &pool) const;
     /// Members that may have a role: alive and not avoided; this node unless it leaves. Of one data
@@ -102,6 +112,7 @@
     std::optional<vm_id> m_quarantineHost; ///< empty: as above
     std::size_t m_lastAsked = 0; ///< turns through the members of a silent data centre
     steady_time m_nextContact{};
+    steady_time m_startedAt;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication_relay_impl.h
@@ -38,6 +38,9 @@
 /// A node that hears of changes asks a peer for a later configuration only after this: the pause
 /// between two watches is about as long, and the least bound for configuration 2 s.
 inline constexpr milliseconds BehindPatience{700};
+/// A server that is cold writes again and again how long it will be; followers, which count down as
+/// this node does, are told only if it is this much longer than they know.
+inline constexpr milliseconds ColdSlack{500};
 /// Between two questions to peers for what is published.
 inline constexpr milliseconds AskInterval{400};
 
@@ -159,10 +162,12 @@
     frame.compared = true;
     frame.parts = differingParts(known, ownDigest());
     const std::set<std::uint32_t> parts(frame.parts.begin(), frame.parts.end());
+    // The digest doesn't tell who is cold: that passes by itself.
+    const auto now = m_loop.now();
     for (const auto &each : m_directory.all()) {
         const auto &id = each->record.id;
-        if (parts.contains(static_cast<std::uint32_t>(partOf(id))))
-            frame.servers.push_back(each->record);
+        if (parts.contains(static_cast<std::uint32_t>(partOf(id))) || each->cold(now))
+            frame.servers.push_back({each->record, coldLeft(*each)});
     }
     return frame;
 }
@@ -214,6 +219,13 @@
     return frame;
 }
 
+template <gateway_codec Codec>
+milliseconds publication_relay<Codec>::coldLeft(const server &which) const
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(which.coldUntil - m_loop.now());
+    return std::max(milliseconds{0}, left);
+}
+
 // Of the changes of one server only the last counts. Servers write their entries again and again,
 // so what this node and its followers know already isn't told; but one whose removal was told is
 // told again when it is back, just as it was.
@@ -221,11 +233,11 @@
 publication_frame publication_relay<Codec>::makeChanges(const store_news &news) const
 {
     auto frame = makeHeartbeat();
-    std::map<backend_server_id, const server_record *> last; // null: removed
+    std::map<backend_server_id, const published_server *> last; // null: removed
     std::set<backend_server_id> removedBetween;
     for (const auto &item : news.items) {
         if (const auto *server = std::get_if<published_server>(&item))
-            last[server->record.id] = &server->record;
+            last[server->record.id] = server;
         else if (const auto *removed = std::get_if<removed_server>(&item)) {
             last[removed->id] = nullptr;
             removedBetween.insert(removed->id);
@@ -233,13 +245,14 @@
             frame.configurationVersion =
                 std::max(frame.configurationVersion, published->content.version);
     }
-    for (const auto &[id, record] : last) {
+    for (const auto &[id, server] : last) {
         const auto known = m_directory.find(id);
         const bool told = known && !removedBetween.contains(id) && !m_state.defers(id);
-        if (!record)
+        if (!server)
             frame.removed.push_back(id);
-        else if (!told || known->record != *record)
-            frame.servers.push_back(*record);
+        else if (!told || known->record != server->record
+                 || server->coldFor > coldLeft(*known) + ColdSlack)
+            frame.servers.push_back(*server);
     }
     return frame;
 }
@@ -307,7 +320,7 @@
 {
     std::vector<published_item> items;
     for (const auto &each : frame.servers)
-        items.emplace_back(published_server{each});
+        items.emplace_back(each);
     for (const auto &each : frame.removed)
         items.emplace_back(removed_server{each});
     if (!frame.compared)
--- a/src/gateway/published_state.cpp
+++ b/src/gateway/published_state.cpp
@@ -39,7 +39,7 @@
 void published_state::applyOne(const published_item &item, std::vector<publication_news> &news)
 {
     std::visit(overloaded{
-                   [&](const published_server &each) { takeServer(each.record, news); },
+                   [&](const published_server &each) { takeServer(each, news); },
                    [&](const removed_server &each) { takeRemoval(each.id, news); },
                    [&](const published_configuration &each) { takeConfiguration(each, news); },
                    [&](const published_evacuation &each) { takeEvacuation(each, news); },
@@ -77,14 +77,19 @@
     return news;
 }
 
-void published_state::takeServer(const server_record &record, std::vector<publication_news> &news)
+void published_state::takeServer(const published_server &told, std::vector<publication_news> &news)
 {
+    const auto &record = told.record;
     m_deferred.erase(record.id);
     const auto known = m_directory.find(record.id);
     const bool wasLeaving = known && known->record.leaving;
-    m_directory.put(record);
+    const bool wasCold = known && known->cold(m_clock.now());
+    m_directory.put(record, told.coldFor);
     if (!known)
         news.push_back({what::ServerAdded, record.id.value, record.service.value});
+    if (told.coldFor > milliseconds{0} && !wasCold)
+        news.push_back({what::ServerCold, record.id.value,
+                        "for " + std::to_string(told.coldFor.count()) + " ms"});
     if (record.leaving && !wasLeaving)
         news.push_back({what::ServerLeaving, record.id.value, record.service.value});
 }
--- a/src/gateway/published_state.h
+++ b/src/gateway/published_state.h
@@ -21,6 +21,7 @@
         ConfigurationOlder, ///< than the one in force; ignored
         Unreadable, ///< the state before it stays
         ServerAdded,
+        ServerCold, ///< it says so, and wasn't known to be
         ServerLeaving,
         ServerRemoved,
         RemovalDeferred, ///< entries lapse while the store is away
@@ -87,7 +88,7 @@
 
 private:
     void applyOne(const published_item &item, std::vector<publication_news> &news);
-    void takeServer(const server_record &record, std::vector<publication_news> &news);
+    void takeServer(const published_server &told, std::vector<publication_news> &news);
     void takeRemoval(const backend_server_id &id, std::vector<publication_news> &news);
     void takeConfiguration(const published_configuration &published,
                            std::vector<publication_news> &news);
@@ -122,6 +123,8 @@
         orchidlead::gateway::publication_news::what::Unreadable, "publication_unreadable"},
     orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
         orchidlead::gateway::publication_news::what::ServerAdded, "server_added"},
+    orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
+        orchidlead::gateway::publication_news::what::ServerCold, "server_cold"},
     orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
         orchidlead::gateway::publication_news::what::ServerLeaving, "server_leaving"},
     orchidlead::enum_name<orchidlead::gateway::publication_news::what>{
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace orchidlead::gateway {
 
@@ -20,6 +21,9 @@
 constexpr milliseconds LoadLifetime{400};
 // Cost of sending to another data centre, in requests outstanding at a server.
 constexpr double RemoteCost = 0.5;
+// Servers may have become cold while their data centre was evacuated, and write so with one of
+// their next heartbeats, one or two seconds later; the store and its readers take another.
+constexpr milliseconds ColdNewsDelay{3500};
 // The same to another region: a round trip there takes some 40 ms, longer than a request waits
 // behind one that runs.
 constexpr double FarCost = 2.0;
@@ -59,7 +63,7 @@
 }
 
 // A record that doesn't tell its start says nothing against the one that is known.
-void server_directory::put(const server_record &told)
+void server_directory::put(const server_record &told, milliseconds coldFor)
 {
     auto record = told;
     if (const auto known = find(record.id)) {
@@ -71,9 +75,11 @@
             remove(record.id);
     }
     auto &entry = m_servers[record.id];
+    const auto coldUntil = m_clock.now() + coldFor;
     if (!entry) {
         entry = std::make_shared<server>();
         entry->record = record;
+        entry->coldUntil = coldUntil;
         entry->region = regionOf(record.dataCenter);
         entry->cutOff = m_cutOff.contains(record.dataCenter);
         entry->evacuated = m_evacuated.contains(record.dataCenter);
@@ -81,6 +87,8 @@
         changed(record.service);
         return;
     }
+    if (coldFor > milliseconds{0})
+        entry->coldUntil = coldUntil;
     const bool differs = entry->record.leaving != record.leaving;
     entry->record = record;
     if (differs)
@@ -105,7 +113,7 @@
         m_cutOff.insert(dataCenter);
     else
         m_cutOff.erase(dataCenter);
-    setIn(dataCenter, &server::cutOff, cutOff);
+    changeIn(dataCenter, [&](server &each) { each.cutOff = cutOff; });
 }
 
 void server_directory::setEvacuated(const data_center_id &dataCenter, bool evacuated)
@@ -114,16 +122,23 @@
         m_evacuated.insert(dataCenter);
     else
         m_evacuated.erase(dataCenter);
-    setIn(dataCenter, &server::evacuated, evacuated);
+    const auto now = m_clock.now();
+    changeIn(dataCenter, [&](server &each) {
+        const bool returns = std::exchange(each.evacuated, evacuated) && !evacuated;
+        const auto known = m_coldTimes.find(each.record.service);
+        if (returns && known != m_coldTimes.end())
+            each.coldUntil = std::max(each.coldUntil, now + std::min(known->second, ColdNewsDelay));
+    });
 }
 
-void server_directory::setIn(const data_center_id &dataCenter, bool server::*property, bool value)
+template <class Change>
+void server_directory::changeIn(const data_center_id &dataCenter, Change change)
 {
     std::set<service_id> services;
     for (const auto &[id, each] : m_servers) {
         if (each->record.dataCenter != dataCenter)
             continue;
-        (*each).*property = value;
+        change(*each);
         services.insert(each->record.service);
     }
     for (const auto &service : services)
@@ -255,6 +270,9 @@
     for (const auto &each : usable(wish.service, wish.allowed)) {
         if (std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end())
             continue;
+        const bool mayGo = !each->cold(m_clock.now()) || (wish.mayBeCold && wish.mayBeCold(*each));
+        if (!mayGo)
+            continue;
         const double cost = costOf(*each, wish);
         if (cost < bestCost) {
             bestCost = cost;
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -65,8 +65,11 @@
     steady_time loadAt{}; ///< when the load was told
     std::uint32_t failures = 0; ///< in a row
     steady_time avoidUntil{}; ///< doubted until then
+    steady_time coldUntil{}; ///< bears only few requests until then
     double slowness = 1.0; ///< time that its work takes against what is expected, averaged
 
+    /// Whether it has just started, and crashes under more requests than its service says.
+    [[nodiscard]] bool cold(steady_time now) const { return now < coldUntil; }
     /// Whether it may get new work. Every path to a server asks this, at last as bytes are sent.
     [[nodiscard]] bool usable() const { return !gone && !cutOff && !evacuated && !record.leaving; }
 };
@@ -88,6 +91,8 @@
     std::vector<backend_server_id> exclude; ///< tried already
     data_center_id near; ///< preferred
     residency allowed;
+    /// Whether a server that is cold may get this request from this node; empty: none may.
+    std::function<bool(const server &)> mayBeCold;
 };
 
 /// Knows the backend servers, and chooses among them.
@@ -106,8 +111,11 @@
     /// The region of a data centre; empty where it isn't known.
     [[nodiscard]] region_id regionOf(const data_center_id &dataCenter) const;
     /// Adds a server, or takes a newer record of it. Nothing that was believed of an earlier start
-    /// holds for a later one; a record of an earlier start is ignored.
-    void put(const server_record &record);
+    /// holds for a later one; a record of an earlier start is ignored. `coldFor`: as the server
+    /// says; 0 says nothing new.
+    void put(const server_record &record, milliseconds coldFor = {});
+    /// Servers of a service are cold for so long after their start.
+    void setColdTime(const service_id &service, milliseconds time) { m_coldTimes[service] = time; }
     void remove(const backend_server_id &id);
     [[nodiscard]] server_ptr find(const backend_server_id &id) const;
     /// All servers that are published, by id.
@@ -139,7 +147,8 @@
 
     /// All servers of a data centre can or can't be reached from now on.
     void setCutOff(const data_center_id &dataCenter, bool cutOff);
-    /// All servers of a data centre get nothing new from now on, or again.
+    /// All servers of a data centre get nothing new from now on, or again. Those that do again are
+    /// taken to be cold until they had the time to say so.
     void setEvacuated(const data_center_id &dataCenter, bool evacuated);
     /// Gives one server of a data centre after the other, published ones, whatever their state;
     /// null where there is none.
@@ -169,8 +178,9 @@
     template <class Counts>
     [[nodiscard]] server_absence absenceAmong(const service_id &service, server_absence otherwise,
                                               Counts counts) const;
-    /// Sets a property of all servers of a data centre.
-    void setIn(const data_center_id &dataCenter, bool server::*property, bool value);
+    /// Changes all servers of a data centre.
+    template <class Change>
+    void changeIn(const data_center_id &dataCenter, Change change);
 
     const clock_source &m_clock;
     std::uint64_t m_changes = 1;
@@ -178,6 +188,7 @@
     std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
     std::map<data_center_id, region_id> m_regions;
     bool m_severalRegions = false;
+    std::unordered_map<service_id, milliseconds> m_coldTimes;
     std::set<data_center_id> m_cutOff;
     std::set<data_center_id> m_evacuated;
     backend_server_id m_lastAsked; ///< that `anyIn` gave
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stage_host.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/cold_start_pace.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/server_end_observer.h"
 #include "gateway/stage_pool.h"
@@ -41,6 +42,12 @@
         m_mayRepeat = std::move(mayRepeat);
     }
 
+    /// Gives the part of what cold servers of a pool bear that this node may use.
+    void setColdShare(std::function<double(const pool_key &)> share)
+    {
+        m_coldShare = std::move(share);
+    }
+
     /// `handler` is called once, later, unless the piece is withdrawn.
     piece_token submit(const pool_key &key, piece_job job, piece_handler handler);
     void withdraw(piece_token token);
@@ -80,6 +87,9 @@
     stage_pool &poolOf(const pool_key &key);
     void pump(const pool_key &key);
     void schedulePump(const pool_key &key);
+    /// Servers of a pool that may get a call now; with when one that is cold may, if it can't now.
+    [[nodiscard]] std::vector<server_ptr> callable(const pool_key &key,
+                                                   std::optional<steady_time> &nextCold) const;
     void make(const pool_key &key, const stage_call &call);
     void onCallEnd(const std::shared_ptr<call_answer> &answer, http::call_end how);
     void logFailedPieces(const pool_key &key, const stage_call &call,
@@ -99,6 +109,8 @@
     bool m_waitsForNear = true;
     std::function<void(const server &, const interrupted_request &)> m_onBroken;
     std::function<bool(const request_digest &)> m_mayRepeat;
+    std::function<double(const pool_key &)> m_coldShare;
+    cold_start_pace m_coldPace;
     std::map<pool_key, std::unique_ptr<stage_pool>> m_pools;
     std::set<std::shared_ptr<call_answer>> m_open; ///< calls
     std::map<pool_key, http::timer_id> m_wakeups;
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stage_host_impl.h
@@ -31,12 +31,15 @@
     , m_allowance(allowance)
     , m_log(log)
     , m_metrics(metrics)
+    , m_coldPace(loop.clock())
 { }
 
 template <gateway_codec Codec>
 void stage_host<Codec>::setConfiguration(const configuration_ptr &configuration)
 {
     m_configuration = configuration;
+    for (const auto &each : configuration->content().services)
+        m_coldPace.setRate(each.id, each.coldRate);
     for (auto &[key, pool] : m_pools) {
         const auto *spec = configuration->findService(key.service);
         if (spec && spec->stage)
@@ -104,6 +107,22 @@
     }
 }
 
+template <gateway_codec Codec>
+std::vector<server_ptr> stage_host<Codec>::callable(const pool_key &key,
+                                                    std::optional<steady_time> &nextCold) const
+{
+    auto servers = m_directory.usable(key);
+    const double share = m_coldShare ? m_coldShare(key) : 0.0;
+    std::erase_if(servers, [&](const server_ptr &each) {
+        if (m_coldPace.allows(*each, share))
+            return false;
+        const auto next = share > 0 ? m_coldPace.nextAt(*each, share) : each->coldUntil;
+        nextCold = std::min(nextCold.value_or(next), next);
+        return true;
+    });
+    return servers;
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::pump(const pool_key &key)
 {
@@ -112,10 +131,18 @@
     if (servers.empty() && m_directory.absenceOf(key) == server_absence::Evacuated)
         deliver(pool.evacuate());
     deliver(pool.expire(servers.size()));
-    while (const auto call = pool.next(servers))
+    std::optional<steady_time> wake;
+    const auto forCalls = callable(key, wake);
+    while (const auto call = pool.next(forCalls)) {
+        m_coldPace.onSent(*call->server);
         make(key, *call);
+    }
     m_loop.cancelTimer(std::exchange(m_wakeups[key], 0));
-    if (const auto wake = pool.wakeAt()) {
+    if (pool.waiting() == 0)
+        return;
+    if (const auto next = pool.wakeAt())
+        wake = std::min(wake.value_or(*next), *next);
+    if (wake) {
         const auto delay =
             std::chrono::duration_cast<std::chrono::microseconds>(*wake - m_loop.now());
         m_wakeups[key] = m_loop.callAfter(delay, [this, key] { pump(key); });
--- a/tests/gateway/peer_fleet.cpp
+++ b/tests/gateway/peer_fleet.cpp
@@ -114,9 +114,12 @@
         if (!datagram)
             continue;
         m_nodes[from].bytesSent += datagram->bytes.size() + DatagramHeaderBytes;
+        const auto to = static_cast<std::size_t>(datagram->to.port - FirstPort);
+        if (m_passes && !m_passes(from, to))
+            continue;
         event arrival;
         arrival.at = m_clock.now() + draw(milliseconds{1}, milliseconds{4});
-        arrival.node = static_cast<std::size_t>(datagram->to.port - FirstPort);
+        arrival.node = to;
         arrival.from = from;
         arrival.bytes = datagram->bytes;
         push(std::move(arrival));
--- a/tests/gateway/peer_fleet.h
+++ b/tests/gateway/peer_fleet.h
@@ -3,6 +3,7 @@
 #include "gateway/peer_view.h"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <queue>
 #include <random>
@@ -23,12 +24,24 @@
     void startAll(milliseconds within);
     void kill(std::size_t node) { m_nodes[node].view.reset(); }
     void killAll();
+    /// From now on datagrams pass only where `passes` says so; none: all do.
+    void cut(std::function<bool(std::size_t from, std::size_t to)> passes)
+    {
+        m_passes = std::move(passes);
+    }
     /// Lets time pass.
     void run(milliseconds time);
     /// Runs until every running node believes all running nodes alive and nobody else; gives the
     /// time it took, or `limit`.
     milliseconds runUntilAgreed(milliseconds limit);
 
+    [[nodiscard]] const clock_source &clock() const { return m_clock; }
+    [[nodiscard]] bool runs(std::size_t node) const { return m_nodes[node].view != nullptr; }
+    [[nodiscard]] std::uint64_t starts(std::size_t node) const { return m_nodes[node].starts; }
+    [[nodiscard]] const data_center_id &dataCenterOf(std::size_t node) const
+    {
+        return m_nodes[node].identity.dataCenter;
+    }
     [[nodiscard]] bool agreed() const;
     [[nodiscard]] std::size_t size() const { return m_nodes.size(); }
     [[nodiscard]] peer_view &view(std::size_t node) { return *m_nodes[node].view; }
@@ -70,6 +83,7 @@
     std::vector<fleet_node> m_nodes;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
     std::uint64_t m_order = 0;
+    std::function<bool(std::size_t from, std::size_t to)> m_passes;
 };
 
 } // namespace orchidlead::gateway::tests
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -86,14 +86,15 @@
         record.leaving = i == 1;
         if (i == 1)
             record.born = 1'764'000'000'000;
-        frame.servers.push_back(record);
+        frame.servers.push_back({record, milliseconds{700}});
     }
     const auto read = roundTrip(frame);
     REQUIRE(read.servers.size() == 3);
-    CHECK(read.servers[1].leaving);
-    CHECK_FALSE(read.servers[0].born);
-    CHECK(read.servers[1].born == 1'764'000'000'000);
-    CHECK(read.servers[2].address.port == 82);
+    CHECK(read.servers[1].record.leaving);
+    CHECK(read.servers[1].coldFor == milliseconds{700});
+    CHECK_FALSE(read.servers[0].record.born);
+    CHECK(read.servers[1].record.born == 1'764'000'000'000);
+    CHECK(read.servers[2].record.address.port == 82);
     CHECK(read.configurationVersion == 17);
     CHECK(read.current);
     CHECK(read.compared);
