Give each matter of the gateway a folder of its own

Moved, nothing changed but includes: exchange (a client's request), stages (pools of stage work), engines (placement), servers (who may get what), publication (what the platform publishes), peers (other nodes), quarantine (requests under which servers end).

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/configuration.h"
-#include "gateway/request_digest.h"
-#include "gateway/server_directory.h"
+#include "gateway/publication/configuration.h"
+#include "gateway/quarantine/request_digest.h"
+#include "gateway/servers/server_directory.h"
 #include "http/head.h"
 
 #include <orchidlead/result.h>
--- a/src/gateway/engine_board.h
+++ b/src/gateway/engines/engine_board.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/cold_start_pace.h"
-#include "gateway/server_directory.h"
+#include "gateway/servers/cold_start_pace.h"
+#include "gateway/servers/server_directory.h"
 
 #include <orchidlead/clock.h>
 
--- a/src/gateway/engine_placer.cpp
+++ b/src/gateway/engines/engine_placer.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engine_placer.h"
+#include "gateway/engines/engine_placer.h"
 
 #include <utility>
 
--- a/src/gateway/engine_placer.h
+++ b/src/gateway/engines/engine_placer.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/engine_board.h"
-#include "gateway/peer_network.h"
-#include "gateway/pool_widths.h"
+#include "gateway/engines/engine_board.h"
+#include "gateway/peers/peer_network.h"
+#include "gateway/servers/pool_widths.h"
 
 #include <functional>
 #include <map>
--- a/src/gateway/prompt_home.h
+++ b/src/gateway/engines/prompt_home.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/server_directory.h"
+#include "gateway/servers/server_directory.h"
 
 #include <optional>
 #include <vector>
--- a/src/gateway/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/exchange.h"
-#include "gateway/exchange_limits.h"
+#include "gateway/exchange/exchange.h"
+#include "gateway/exchange/exchange_limits.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "gateway/exchange.h"
-#include "gateway/exchange_attempts_impl.h"
-#include "gateway/exchange_limits.h"
-#include "gateway/exchange_log_impl.h"
-#include "gateway/exchange_stages_impl.h"
+#include "gateway/exchange/exchange.h"
+#include "gateway/exchange/exchange_attempts_impl.h"
+#include "gateway/exchange/exchange_limits.h"
+#include "gateway/exchange/exchange_log_impl.h"
+#include "gateway/exchange/exchange_stages_impl.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/request_log.cpp
+++ b/src/gateway/exchange/request_log.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_log.h"
+#include "gateway/exchange/request_log.h"
 
 #include <utility>
 
--- a/src/gateway/time_estimates.h
+++ b/src/gateway/exchange/time_estimates.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/configuration.h"
-#include "gateway/pool_key.h"
-#include "gateway/stage_rank.h"
+#include "gateway/publication/configuration.h"
+#include "gateway/servers/pool_key.h"
+#include "gateway/stages/stage_rank.h"
 
 #include <orchidlead/clock.h>
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "gateway/exchange.h"
-#include "gateway/publication_relay.h"
-#include "gateway/published_state.h"
-#include "gateway/server_end_observer.h"
+#include "gateway/exchange/exchange.h"
+#include "gateway/publication/publication_relay.h"
+#include "gateway/publication/published_state.h"
+#include "gateway/publication/store_follower.h"
+#include "gateway/quarantine/server_end_observer.h"
 #include "gateway/settings.h"
-#include "gateway/stage_router.h"
-#include "gateway/store_follower.h"
+#include "gateway/stages/stage_router.h"
 #include "http/listener.h"
 
 #include <memory>
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "gateway/configuration.h"
-#include "gateway/request_outcome.h"
-#include "gateway/retry_allowance.h"
-#include "gateway/stage_pool.h"
+#include "gateway/exchange/request_outcome.h"
+#include "gateway/exchange/retry_allowance.h"
+#include "gateway/publication/configuration.h"
+#include "gateway/stages/stage_pool.h"
 
 #include <orchidlead/clock.h>
 
--- a/src/gateway/data_center_reach.cpp
+++ b/src/gateway/peers/data_center_reach.cpp
@@ -1,4 +1,4 @@
-#include "gateway/data_center_reach.h"
+#include "gateway/peers/data_center_reach.h"
 
 #include <utility>
 
--- a/src/gateway/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -1,5 +1,5 @@
-#include "gateway/peer_frame_kind.h"
-#include "gateway/peer_frames.h"
+#include "gateway/peers/peer_frame_kind.h"
+#include "gateway/peers/peer_frames.h"
 
 // The codec needs nothing of Boost.
 #define MSGPACK_NO_BOOST
--- a/src/gateway/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/engine_board.h"
-#include "gateway/evacuations.h"
-#include "gateway/list_digest.h"
-#include "gateway/request_digest.h"
-#include "gateway/request_quarantine.h"
-#include "gateway/stage_pool.h"
-#include "gateway/text_compression.h"
+#include "gateway/engines/engine_board.h"
+#include "gateway/publication/evacuations.h"
+#include "gateway/publication/list_digest.h"
+#include "gateway/publication/text_compression.h"
+#include "gateway/quarantine/request_digest.h"
+#include "gateway/quarantine/request_quarantine.h"
+#include "gateway/stages/stage_pool.h"
 
 #include <orchidlead/result.h>
 
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peers/peer_link.cpp
@@ -1,4 +1,4 @@
-#include "gateway/peer_link.h"
+#include "gateway/peers/peer_link.h"
 
 #include <utility>
 
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peers/peer_link.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/peer_frames.h"
+#include "gateway/peers/peer_frames.h"
 #include "http/stream_socket.h"
 
 #include <functional>
--- a/src/gateway/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -1,4 +1,4 @@
-#include "gateway/peer_network.h"
+#include "gateway/peers/peer_network.h"
 
 #include <utility>
 
--- a/src/gateway/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "gateway/data_center_reach.h"
-#include "gateway/peer_link.h"
-#include "gateway/peer_view.h"
-#include "gateway/pool_key.h"
+#include "gateway/peers/data_center_reach.h"
+#include "gateway/peers/peer_link.h"
+#include "gateway/peers/peer_view.h"
+#include "gateway/servers/pool_key.h"
 #include "gateway/settings.h"
 #include "http/acceptor.h"
 #include "http/datagram_socket.h"
--- a/src/gateway/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -1,4 +1,4 @@
-#include "gateway/peer_view.h"
+#include "gateway/peers/peer_view.h"
 
 #include <orchidlead/rendezvous.h>
 
--- a/src/gateway/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/data_center_reach.h"
-#include "gateway/pool_key.h"
+#include "gateway/peers/data_center_reach.h"
+#include "gateway/servers/pool_key.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/membership.h>
--- a/src/gateway/configuration.cpp
+++ b/src/gateway/publication/configuration.cpp
@@ -1,4 +1,4 @@
-#include "gateway/configuration.h"
+#include "gateway/publication/configuration.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/configuration_relay.h
+++ b/src/gateway/publication/configuration_relay.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "gateway/configuration_pull.h"
-#include "gateway/peer_network.h"
-#include "gateway/published_state.h"
-#include "gateway/store_follower.h"
+#include "gateway/peers/peer_network.h"
+#include "gateway/publication/configuration_pull.h"
+#include "gateway/publication/published_state.h"
+#include "gateway/publication/store_follower.h"
 
 #include <functional>
 #include <map>
@@ -59,4 +59,4 @@
 
 } // namespace orchidlead::gateway
 
-#include "gateway/configuration_relay_impl.h"
+#include "gateway/publication/configuration_relay_impl.h"
--- a/src/gateway/configuration_relay_impl.h
+++ b/src/gateway/publication/configuration_relay_impl.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/configuration_relay.h"
 #include "gateway/log_event.h"
-#include "gateway/text_compression.h"
+#include "gateway/publication/configuration_relay.h"
+#include "gateway/publication/text_compression.h"
 
 #include <utility>
 #include <vector>
--- a/src/gateway/list_digest.cpp
+++ b/src/gateway/publication/list_digest.cpp
@@ -1,4 +1,4 @@
-#include "gateway/list_digest.h"
+#include "gateway/publication/list_digest.h"
 
 #include <xxhash.h>
 
--- a/src/gateway/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "gateway/configuration_relay.h"
-#include "gateway/list_digest.h"
-#include "gateway/peer_network.h"
-#include "gateway/published_state.h"
-#include "gateway/store_follower.h"
+#include "gateway/peers/peer_network.h"
+#include "gateway/publication/configuration_relay.h"
+#include "gateway/publication/list_digest.h"
+#include "gateway/publication/published_state.h"
+#include "gateway/publication/store_follower.h"
 
 #include <functional>
 #include <map>
@@ -102,4 +102,4 @@
 
 } // namespace orchidlead::gateway
 
-#include "gateway/publication_relay_impl.h"
+#include "gateway/publication/publication_relay_impl.h"
--- a/src/gateway/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/log_event.h"
-#include "gateway/publication_relay.h"
+#include "gateway/publication/publication_relay.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -1,6 +1,6 @@
-#include "gateway/published_state.h"
+#include "gateway/publication/published_state.h"
 
-#include "gateway/list_digest.h"
+#include "gateway/publication/list_digest.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/configuration.h"
-#include "gateway/evacuations.h"
-#include "gateway/server_directory.h"
+#include "gateway/publication/configuration.h"
+#include "gateway/publication/evacuations.h"
+#include "gateway/servers/server_directory.h"
 
 #include <functional>
 #include <map>
--- a/src/gateway/store_follower.h
+++ b/src/gateway/publication/store_follower.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/published_state.h"
-#include "gateway/store_options.h"
+#include "gateway/publication/published_state.h"
+#include "gateway/publication/store_options.h"
 #include "http/connection_pool.h"
 #include "wire/log.h"
 
@@ -127,4 +127,4 @@
 
 } // namespace orchidlead::gateway
 
-#include "gateway/store_follower_impl.h"
+#include "gateway/publication/store_follower_impl.h"
--- a/src/gateway/store_follower_impl.h
+++ b/src/gateway/publication/store_follower_impl.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/log_event.h"
-#include "gateway/store_follower.h"
+#include "gateway/publication/store_follower.h"
 
 #include <algorithm>
 #include <memory>
--- a/src/gateway/store_options.cpp
+++ b/src/gateway/publication/store_options.cpp
@@ -1,4 +1,4 @@
-#include "gateway/store_options.h"
+#include "gateway/publication/store_options.h"
 
 #include <algorithm>
 
--- a/src/gateway/text_compression.cpp
+++ b/src/gateway/publication/text_compression.cpp
@@ -1,4 +1,4 @@
-#include "gateway/text_compression.h"
+#include "gateway/publication/text_compression.h"
 
 #include <zlib.h>
 
--- a/src/gateway/quarantine_relay.cpp
+++ b/src/gateway/quarantine/quarantine_relay.cpp
@@ -1,4 +1,4 @@
-#include "gateway/quarantine_relay.h"
+#include "gateway/quarantine/quarantine_relay.h"
 
 #include "gateway/log_event.h"
 
--- a/src/gateway/quarantine_relay.h
+++ b/src/gateway/quarantine/quarantine_relay.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/peer_network.h"
-#include "gateway/request_quarantine.h"
+#include "gateway/peers/peer_network.h"
+#include "gateway/quarantine/request_quarantine.h"
 #include "wire/log.h"
 
 #include <functional>
--- a/src/gateway/request_digest.cpp
+++ b/src/gateway/quarantine/request_digest.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_digest.h"
+#include "gateway/quarantine/request_digest.h"
 
 #include <openssl/evp.h>
 
--- a/src/gateway/request_quarantine.cpp
+++ b/src/gateway/quarantine/request_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_quarantine.h"
+#include "gateway/quarantine/request_quarantine.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/gateway/request_quarantine.h
+++ b/src/gateway/quarantine/request_quarantine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/request_digest.h"
-#include "gateway/server_end_observer.h"
+#include "gateway/quarantine/request_digest.h"
+#include "gateway/quarantine/server_end_observer.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/enum_names.h>
--- a/src/gateway/server_end_observer.cpp
+++ b/src/gateway/quarantine/server_end_observer.cpp
@@ -1,4 +1,4 @@
-#include "gateway/server_end_observer.h"
+#include "gateway/quarantine/server_end_observer.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/server_end_observer.h
+++ b/src/gateway/quarantine/server_end_observer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/request_digest.h"
+#include "gateway/quarantine/request_digest.h"
 #include "http/connection_pool.h"
 
 #include <orchidlead/clock.h>
--- a/src/gateway/cold_start_pace.h
+++ b/src/gateway/servers/cold_start_pace.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/server_directory.h"
+#include "gateway/servers/server_directory.h"
 
 #include <orchidlead/clock.h>
 
--- a/src/gateway/pool_widths.cpp
+++ b/src/gateway/servers/pool_widths.cpp
@@ -1,4 +1,4 @@
-#include "gateway/pool_widths.h"
+#include "gateway/servers/pool_widths.h"
 
 #include <algorithm>
 
--- a/src/gateway/pool_widths.h
+++ b/src/gateway/servers/pool_widths.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/pool_key.h"
-#include "gateway/server_directory.h"
+#include "gateway/servers/pool_key.h"
+#include "gateway/servers/server_directory.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/gateway/residency.cpp
+++ b/src/gateway/servers/residency.cpp
@@ -1,4 +1,4 @@
-#include "gateway/residency.h"
+#include "gateway/servers/residency.h"
 
 #include <algorithm>
 
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -1,4 +1,4 @@
-#include "gateway/server_directory.h"
+#include "gateway/servers/server_directory.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/gateway/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/pool_key.h"
-#include "gateway/residency.h"
+#include "gateway/servers/pool_key.h"
+#include "gateway/servers/residency.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
--- a/src/gateway/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/cold_start_pace.h"
 #include "gateway/gateway_metrics.h"
-#include "gateway/server_end_observer.h"
-#include "gateway/stage_pool.h"
+#include "gateway/quarantine/server_end_observer.h"
+#include "gateway/servers/cold_start_pace.h"
+#include "gateway/stages/stage_pool.h"
 #include "http/connection_pool.h"
 #include "wire/log.h"
 
@@ -123,4 +123,4 @@
 
 } // namespace orchidlead::gateway
 
-#include "gateway/stage_host_impl.h"
+#include "gateway/stages/stage_host_impl.h"
--- a/src/gateway/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -2,7 +2,7 @@
 
 #include "core/settings/socket_address_text.h"
 #include "gateway/log_event.h"
-#include "gateway/stage_host.h"
+#include "gateway/stages/stage_host.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/gateway/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/decaying_rate.h"
-#include "gateway/retry_allowance.h"
-#include "gateway/server_directory.h"
-#include "gateway/stage_rank.h"
+#include "gateway/exchange/retry_allowance.h"
+#include "gateway/servers/server_directory.h"
+#include "gateway/stages/decaying_rate.h"
+#include "gateway/stages/stage_rank.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/gateway/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/peer_network.h"
-#include "gateway/pool_widths.h"
-#include "gateway/stage_host.h"
+#include "gateway/peers/peer_network.h"
+#include "gateway/servers/pool_widths.h"
+#include "gateway/stages/stage_host.h"
 
 #include <functional>
 #include <map>
@@ -80,4 +80,4 @@
 
 } // namespace orchidlead::gateway
 
-#include "gateway/stage_router_impl.h"
+#include "gateway/stages/stage_router_impl.h"
--- a/src/gateway/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/log_event.h"
-#include "gateway/stage_router.h"
+#include "gateway/stages/stage_router.h"
 
 #include <set>
 #include <utility>
--- a/tests/gateway/cold_start_share_test.cpp
+++ b/tests/gateway/cold_start_share_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/cold_start_pace.h"
+#include "gateway/servers/cold_start_pace.h"
 #include "peer_fleet.h"
 
 #include <catch2/catch.hpp>
--- a/tests/gateway/configuration_pull_test.cpp
+++ b/tests/gateway/configuration_pull_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/configuration_pull.h"
+#include "gateway/publication/configuration_pull.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/configuration_test.cpp
+++ b/tests/gateway/configuration_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/configuration.h"
+#include "gateway/publication/configuration.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/decaying_rate_test.cpp
+++ b/tests/gateway/decaying_rate_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/decaying_rate.h"
+#include "gateway/stages/decaying_rate.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/engine_board_test.cpp
+++ b/tests/gateway/engine_board_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engine_board.h"
+#include "gateway/engines/engine_board.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/evacuations_test.cpp
+++ b/tests/gateway/evacuations_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/evacuations.h"
+#include "gateway/publication/evacuations.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/event_splitter_test.cpp
+++ b/tests/gateway/event_splitter_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/event_splitter.h"
+#include "gateway/exchange/event_splitter.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/log_event_test.cpp
+++ b/tests/gateway/log_event_test.cpp
@@ -1,6 +1,6 @@
+#include "gateway/exchange/request_outcome.h"
 #include "gateway/log_event.h"
-#include "gateway/published_state.h"
-#include "gateway/request_outcome.h"
+#include "gateway/publication/published_state.h"
 #include "wire/log.h"
 
 #include <catch2/catch.hpp>
--- a/tests/gateway/peer_fleet.h
+++ b/tests/gateway/peer_fleet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/peer_view.h"
+#include "gateway/peers/peer_view.h"
 
 #include <cstddef>
 #include <functional>
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/peer_frames.h"
+#include "gateway/peers/peer_frames.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -1,5 +1,5 @@
-#include "gateway/list_digest.h"
-#include "gateway/published_state.h"
+#include "gateway/publication/list_digest.h"
+#include "gateway/publication/published_state.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/request_log_test.cpp
+++ b/tests/gateway/request_log_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_log.h"
+#include "gateway/exchange/request_log.h"
 #include "text_count.h"
 
 #include <catch2/catch.hpp>
--- a/tests/gateway/retry_allowance_test.cpp
+++ b/tests/gateway/retry_allowance_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/retry_allowance.h"
+#include "gateway/exchange/retry_allowance.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/stage_pool_load_test.cpp
+++ b/tests/gateway/stage_pool_load_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/stage_pool.h"
+#include "gateway/stages/stage_pool.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/stage_work_test.cpp
+++ b/tests/gateway/stage_work_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/stage_work.h"
+#include "gateway/stages/stage_work.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/time_estimates_test.cpp
+++ b/tests/gateway/time_estimates_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/time_estimates.h"
+#include "gateway/exchange/time_estimates.h"
 
 #include <catch2/catch.hpp>
 
