--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -212,8 +212,11 @@
     now.configurationVersion = m_state.current() ? m_state.current()->version() : 0;
     now.connections = m_clients->connections;
     now.answering = m_clients->answering;
-    for (const auto &each : m_directory.all())
+    for (const auto &each : m_directory.all()) {
         now.servers += each->usable() ? 1 : 0;
+        now.coldServers += each->usable() && each->cold(m_loop.now()) ? 1 : 0;
+    }
+    now.evacuatedDataCenters = m_state.evacuations().dataCenters.size();
     const auto age = [this](steady_time since) {
         return std::chrono::duration_cast<milliseconds>(m_loop.now() - since);
     };
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -25,6 +25,8 @@
     std::size_t connections = 0; ///< of clients
     std::size_t answering = 0; ///< requests without a final answer
     std::size_t servers = 0; ///< that may get work
+    std::size_t coldServers = 0; ///< of these, that bear only few requests yet
+    std::size_t evacuatedDataCenters = 0;
     std::map<std::string, std::size_t> members; ///< by state, this node included
     std::map<service_id, std::size_t> waitingPieces; ///< of the pools hosted here
     std::map<service_id, retry_allowance::usage> retries;
--- a/src/gateway/servers/pool_widths.cpp
+++ b/src/gateway/servers/pool_widths.cpp
@@ -37,7 +37,7 @@
 {
     if (!m_directory.severalRegions())
         return {};
-    const auto preferred = m_directory.regionOf(near);
+    auto preferred = m_directory.regionOf(near);
     std::map<region_id, std::size_t> servers;
     for (const auto &each : m_directory.usable(service, allowed))
         ++servers[each->region];
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -44,11 +44,15 @@
     gateway_gauges gauges;
     gauges.ready = true;
     gauges.configurationVersion = 12;
+    gauges.coldServers = 3;
+    gauges.evacuatedDataCenters = 1;
     gauges.members["alive"] = 5;
     gauges.retries[service_id{"pages"}] = {3, 4.5, 0};
     const auto text = metrics.text(gauges);
     CHECK(text.find("orchidlead_gateway_state{what=\"ready\"} 1") != std::string::npos);
     CHECK(text.find("what=\"configuration_version\"} 12") != std::string::npos);
+    CHECK(text.find("what=\"cold_servers\"} 3") != std::string::npos);
+    CHECK(text.find("what=\"evacuated_data_centers\"} 1") != std::string::npos);
     CHECK(text.find("orchidlead_gateway_members{state=\"alive\"} 5") != std::string::npos);
     CHECK(text.find("retries_left{service=\"pages\"} 4.5") != std::string::npos);
 }
