--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -160,12 +160,15 @@
 }
 
 // Where nodes are cut from each other, each side has a host; together they believe alive no more
-// than all there are, so their parts make one at most. A node that has just started knows few.
+// than all there are, so their parts make one at most. Asked for each placement, so it is kept.
 double peer_view::partAlive() const
 {
     if (m_clock.now() - m_startedAt < AcquaintanceTime)
         return 0.0;
-    return static_cast<double>(candidates({}).size()) / static_cast<double>(m_members.size());
+    if (!m_partAlive)
+        m_partAlive =
+            static_cast<double>(candidates({}).size()) / static_cast<double>(m_members.size());
+    return *m_partAlive;
 }
 
 double peer_view::coldShareAsHost(const pool_key &pool)
@@ -193,6 +196,7 @@
         kept.current = false;
     m_relayOrder.clear();
     m_quarantineHost.reset();
+    m_partAlive.reset();
 }
 
 std::vector<vm_id> peer_view::candidates(const data_center_id &dataCenter,
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -92,7 +92,8 @@
 
     void contactOthers(membership_actions &out);
     void forgetRoles();
-    /// The part of the nodes that this node knows which it believes alive.
+    /// The part of the nodes that this node knows which it believes alive; none while it has just
+    /// started and may not know the others.
     [[nodiscard]] double partAlive() const;
     [[nodiscard]] bool avoided(const vm_id &peer) const;
     [[nodiscard]] vm_id pickHost(const pool_key &pool) const;
@@ -110,6 +111,7 @@
     std::map<pool_key, picked_host> m_hosts;
     std::vector<vm_id> m_relayOrder; ///< empty: not picked since something changed
     std::optional<vm_id> m_quarantineHost; ///< empty: as above
+    mutable std::optional<double> m_partAlive; ///< empty: as above
     std::size_t m_lastAsked = 0; ///< turns through the members of a silent data centre
     steady_time m_nextContact{};
     steady_time m_startedAt;
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -87,9 +87,9 @@
     stage_pool &poolOf(const pool_key &key);
     void pump(const pool_key &key);
     void schedulePump(const pool_key &key);
-    /// Servers of a pool that may get a call now; with when one that is cold may, if it can't now.
-    [[nodiscard]] std::vector<server_ptr> callable(const pool_key &key,
-                                                   std::optional<steady_time> &nextCold) const;
+    /// Leaves out servers that are cold and get no call yet; gives when the next of them may.
+    std::optional<steady_time> leaveOutPaced(const pool_key &key,
+                                             std::vector<server_ptr> &servers) const;
     void make(const pool_key &key, const stage_call &call);
     void onCallEnd(const std::shared_ptr<call_answer> &answer, http::call_end how);
     void logFailedPieces(const pool_key &key, const stage_call &call,
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -108,10 +108,10 @@
 }
 
 template <gateway_codec Codec>
-std::vector<server_ptr> stage_host<Codec>::callable(const pool_key &key,
-                                                    std::optional<steady_time> &nextCold) const
+std::optional<steady_time> stage_host<Codec>::leaveOutPaced(const pool_key &key,
+                                                            std::vector<server_ptr> &servers) const
 {
-    auto servers = m_directory.usable(key);
+    std::optional<steady_time> nextCold;
     const double share = m_coldShare ? m_coldShare(key) : 0.0;
     std::erase_if(servers, [&](const server_ptr &each) {
         if (m_coldPace.allows(*each, share))
@@ -120,20 +120,19 @@
         nextCold = std::min(nextCold.value_or(next), next);
         return true;
     });
-    return servers;
+    return nextCold;
 }
 
 template <gateway_codec Codec>
 void stage_host<Codec>::pump(const pool_key &key)
 {
     auto &pool = poolOf(key);
-    const auto servers = m_directory.usable(key);
+    auto servers = m_directory.usable(key);
     if (servers.empty() && m_directory.absenceOf(key) == server_absence::Evacuated)
         deliver(pool.evacuate());
     deliver(pool.expire(servers.size()));
-    std::optional<steady_time> wake;
-    const auto forCalls = callable(key, wake);
-    while (const auto call = pool.next(forCalls)) {
+    auto wake = leaveOutPaced(key, servers);
+    while (const auto call = pool.next(servers)) {
         m_coldPace.onSent(*call->server);
         make(key, *call);
     }
