--- a/tests/platform/evacuation_test.cpp
+++ b/tests/platform/evacuation_test.cpp
@@ -1,5 +1,4 @@
 #include "platform_world.h"
-#include "wire/json_text.h"
 
 #include <catch2/catch.hpp>
 
@@ -140,7 +139,7 @@
         for (auto *each : {&here, &there}) {
             each->behave([this, each](const server_request &request,
                                       const std::shared_ptr<server_answer> &answer) {
-                onCall(*each, request, answer);
+                answerStages(*this, *each, request, answer, work, m_made);
             });
         }
         engine.behave(
@@ -149,24 +148,6 @@
             });
         startGateway("g1");
     }
-    void onCall(fake_server &server, const server_request &request,
-                const std::shared_ptr<server_answer> &answer)
-    {
-        if (request.head.target == "/stage-free") {
-            answer->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-            return;
-        }
-        const auto count = wire::parseJson(request.body).value()["items"].size();
-        std::string results;
-        for (unsigned i = 0; i < count; ++i)
-            results += std::string(i == 0 ? "" : ",") + R"({"handle":"127.0.0.1:)"
-                + std::to_string(server.address().port) + "/" + std::to_string(++m_made) + R"("})";
-        const auto body = R"({"items":[)" + results + "]}";
-        loop.callAfter(work, [answer, body] {
-            answer->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
-                          + "\r\n\r\n" + body);
-        });
-    }
     std::shared_ptr<client_answer> ask(const std::string &attempt)
     {
         auto head = makeRequest("POST", "/s/x", attempt);
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -554,6 +554,25 @@
     return out.str();
 }
 
+void answerStages(world &w, const fake_server &server, const server_request &request,
+                  const std::shared_ptr<server_answer> &answer, milliseconds work, int &made)
+{
+    if (request.head.target == "/stage-free") {
+        answer->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
+    const auto count = wire::parseJson(request.body).value()["items"].size();
+    std::string results;
+    for (unsigned i = 0; i < count; ++i)
+        results += std::string(i == 0 ? "" : ",") + R"({"handle":")" + toText(server.address())
+            + "/" + std::to_string(++made) + R"("})";
+    const auto body = R"({"items":[)" + results + "]}";
+    w.loop.callAfter(work, [answer, body] {
+        answer->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                      + "\r\n\r\n" + body);
+    });
+}
+
 std::string event(int number)
 {
     return "id: " + std::to_string(number) + "\ndata: token\n\n";
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -220,6 +220,10 @@
 /// The head of a signed stream in chunks, and one chunk.
 [[nodiscard]] std::string streamHead(const server_request &request);
 [[nodiscard]] std::string chunk(const std::string &bytes);
+/// Answers what a server of stages is asked: frees at once, a call after `work` with a handle for
+/// each piece; `made` counts them.
+void answerStages(world &w, const fake_server &server, const server_request &request,
+                  const std::shared_ptr<server_answer> &answer, milliseconds work, int &made);
 /// One event with its number.
 [[nodiscard]] std::string event(int number);
 
--- a/tests/platform/residency_test.cpp
+++ b/tests/platform/residency_test.cpp
@@ -1,5 +1,4 @@
 #include "platform_world.h"
-#include "wire/json_text.h"
 
 #include <catch2/catch.hpp>
 
@@ -155,7 +154,7 @@
         for (auto *each : {&northStage, &southStage}) {
             each->behave([this, each](const server_request &request,
                                       const std::shared_ptr<server_answer> &answer) {
-                onCall(*each, request, answer);
+                answerStages(*this, *each, request, answer, milliseconds{30}, m_made);
             });
         }
         for (auto *each : {&northEngine, &southEngine}) {
@@ -165,20 +164,6 @@
                 });
         }
     }
-    void onCall(fake_server &server, const server_request &request,
-                const std::shared_ptr<server_answer> &answer)
-    {
-        if (request.head.target == "/stage-free") {
-            answer->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-            return;
-        }
-        const auto body = R"({"items":[{"handle":"127.0.0.1:)"
-            + std::to_string(server.address().port) + "/" + std::to_string(++m_made) + R"("}]})";
-        loop.callAfter(milliseconds{30}, [answer, body] {
-            answer->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
-                          + "\r\n\r\n" + body);
-        });
-    }
     /// Sends so many requests at once and waits for them all; gives how many were answered.
     int askStaged(int count)
     {
