Keep what a service says of cold starts once, with its servers

Three paces (engine board, stage host, plain services) and the directory each had a map by service, filled by three loops at each configuration; the relay reckoned from the server's field how long it is cold; two places asked for the host's share and placed. Ruled out: one pace for all three. Each paces servers of its own and is asked by its own owner; sharing it would tie a board to the node that holds it. Change: cold_start (time, rate) goes from the configuration to the directory, which sets it at each server. The pace reads it there and has no table; the server says how long it is cold yet; engine_placer places in one function. A comment that had come to stand above the wrong constant is back at its own. Figures: maps by service 4 to 1, loops over the services 3 to 1 for a configuration.

--- a/src/gateway/engines/engine_board.h
+++ b/src/gateway/engines/engine_board.h
@@ -40,8 +40,6 @@
 
     /// Tokens that an engine of a service keeps.
     void setCapacity(const service_id &service, std::uint64_t tokens);
-    /// Requests a second that a cold engine of a service bears.
-    void setColdRate(const service_id &service, double rate) { m_coldPace.setRate(service, rate); }
     /// Chooses an engine; null where there is none. `coldShare`: of what cold engines of the pool
     /// bear, the part that this board may use; of others it uses nothing.
     [[nodiscard]] server_ptr place(placement_id id, const engine_wish &wish,
--- a/src/gateway/engines/engine_placer.cpp
+++ b/src/gateway/engines/engine_placer.cpp
@@ -32,7 +32,6 @@
 void engine_placer::setConfiguration(const configuration_ptr &configuration)
 {
     for (const auto &each : configuration->content().services) {
-        m_board.setColdRate(each.id, each.coldRate);
         if (each.engine)
             m_board.setCapacity(each.id, each.engine->tokenCapacity);
     }
@@ -79,8 +78,12 @@
         return;
     if (const auto link = std::exchange(entry.link, nullptr))
         link->send(progress_frame{id, progress_frame::what::Ended});
-    const auto coldShare = m_peers.coldShareAsHost(entry.wish.pool);
-    placed(m_board.place(id, entry.wish, coldShare));
+    placed(placeOnBoard(id, entry.wish));
+}
+
+server_ptr engine_placer::placeOnBoard(placement_id id, const engine_wish &wish)
+{
+    return m_board.place(id, wish, m_peers.coldShareAsHost(wish.pool));
 }
 
 // The host may know a server that this node doesn't know yet, or knows to be gone.
@@ -136,8 +139,7 @@
 void engine_placer::onWish(const link_ptr &link, const place_frame &frame)
 {
     const auto id = ++m_lastId;
-    const auto coldShare = m_peers.coldShareAsHost(frame.wish.pool);
-    const auto chosen = m_board.place(id, frame.wish, coldShare);
+    const auto chosen = placeOnBoard(id, frame.wish);
     if (chosen)
         m_hosted[link][frame.id] = id;
     link->send(placed_frame{frame.id, chosen ? chosen->record.id : backend_server_id{}});
--- a/src/gateway/engines/engine_placer.h
+++ b/src/gateway/engines/engine_placer.h
@@ -52,6 +52,7 @@
     };
 
     void placeHere(placement_id id, request &entry);
+    [[nodiscard]] server_ptr placeOnBoard(placement_id id, const engine_wish &wish);
     void onPlaced(placement_id id, const backend_server_id &server);
     void onWish(const link_ptr &link, const place_frame &frame);
     void onProgress(const link_ptr &link, const progress_frame &frame);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -238,10 +238,8 @@
     m_configurationSince = m_loop.now();
     m_peers.setVersion(configuration->version());
     m_relay.onConfiguration(configuration->version());
-    for (const auto &each : configuration->content().services) {
-        m_directory.setColdTime(each.id, each.coldTime);
-        m_coldPace.setRate(each.id, each.coldRate);
-    }
+    for (const auto &each : configuration->content().services)
+        m_directory.setColdStart(each.id, each.coldStart);
     m_stages.setConfiguration(configuration);
     m_placer.setConfiguration(configuration);
     const auto &limits = configuration->content().limits;
--- a/src/gateway/publication/configuration.h
+++ b/src/gateway/publication/configuration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gateway/servers/cold_start.h"
+
 #include <orchidlead/clock.h>
 #include <orchidlead/enum_names.h>
 #include <orchidlead/ids.h>
@@ -90,8 +92,7 @@
     std::uint32_t maxConnections = 0; ///< to one server, of all callers; 0: not bounded
     std::optional<stage_capacity> stage; ///< where it serves stages
     std::optional<engine_capacity> engine; ///< where it runs models
-    milliseconds coldTime{0}; ///< a server is cold for so long after its start
-    double coldRate = 0.0; ///< requests a second that a cold server bears; 0: not bounded
+    cold_start coldStart;
 };
 
 /// Bounds on what clients may send.
--- a/src/gateway/publication/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -73,8 +73,6 @@
     [[nodiscard]] publication_frame makeDeferred() const;
     [[nodiscard]] publication_frame makeChanges(const store_news &news) const;
     [[nodiscard]] publication_frame makeHeartbeat() const;
-    /// How long a server will be cold yet.
-    [[nodiscard]] milliseconds coldLeft(const server &which) const;
     void setReading(bool reads);
     [[nodiscard]] std::size_t draw(std::size_t bound);
 
--- a/src/gateway/publication/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -167,7 +167,7 @@
     for (const auto &each : m_directory.all()) {
         const auto &id = each->record.id;
         if (parts.contains(static_cast<std::uint32_t>(partOf(id))) || each->cold(now))
-            frame.servers.push_back({each->record, coldLeft(*each)});
+            frame.servers.push_back({each->record, each->coldLeft(now)});
     }
     return frame;
 }
@@ -219,13 +219,6 @@
     return frame;
 }
 
-template <gateway_codec Codec>
-milliseconds publication_relay<Codec>::coldLeft(const server &which) const
-{
-    const auto left = std::chrono::duration_cast<milliseconds>(which.coldUntil - m_loop.now());
-    return std::max(milliseconds{0}, left);
-}
-
 // Of the changes of one server only the last counts. Servers write their entries again and again,
 // so what this node and its followers know already isn't told; but one whose removal was told is
 // told again when it is back, just as it was.
@@ -245,13 +238,14 @@
             frame.configurationVersion =
                 std::max(frame.configurationVersion, published->content.version);
     }
+    const auto now = m_loop.now();
     for (const auto &[id, server] : last) {
         const auto known = m_directory.find(id);
         const bool told = known && !removedBetween.contains(id) && !m_state.defers(id);
         if (!server)
             frame.removed.push_back(id);
         else if (!told || known->record != server->record
-                 || server->coldFor > coldLeft(*known) + ColdSlack)
+                 || server->coldFor > known->coldLeft(now) + ColdSlack)
             frame.servers.push_back(*server);
     }
     return frame;
--- a/src/gateway/servers/cold_start_pace.cpp
+++ b/src/gateway/servers/cold_start_pace.cpp
@@ -14,26 +14,19 @@
 
 } // namespace
 
-double cold_start_pace::rateOf(const server &which) const
-{
-    const auto found = m_rates.find(which.record.service);
-    return found == m_rates.end() ? 0.0 : found->second;
-}
-
 steady_time cold_start_pace::nextAt(const server &which, double share) const
 {
     const auto sent = m_sent.find(which.record.start());
-    const double rate = UsedPart * rateOf(which) * share;
     if (sent == m_sent.end())
         return {};
-    const std::chrono::duration<double> distance{1.0 / rate};
+    const std::chrono::duration<double> distance{1.0 / (UsedPart * which.coldStart.rate * share)};
     return sent->second + std::chrono::duration_cast<steady_time::duration>(distance);
 }
 
 bool cold_start_pace::allows(const server &which, double share) const
 {
     const auto now = m_clock.now();
-    if (!which.cold(now) || rateOf(which) <= 0)
+    if (!which.cold(now) || which.coldStart.rate <= 0)
         return true;
     return share > 0 && now >= nextAt(which, share);
 }
--- a/src/gateway/servers/cold_start_pace.h
+++ b/src/gateway/servers/cold_start_pace.h
@@ -5,15 +5,14 @@
 #include <orchidlead/clock.h>
 
 #include <map>
-#include <unordered_map>
 
 namespace orchidlead::gateway {
 
 /// Paces what this node lets go to servers that are cold, each for itself.
 ///
 /// A server that has just started crashes above a rate that its service publishes, and no node sees
-/// what the others send. So only a share of that rate is this node's: `cold_start_share`. Requests
-/// go at even distances, since a server counts what arrives within any second.
+/// what the others send. So only a share of that rate is this node's (`peer_view`). Requests go
+/// at even distances, since a server counts what arrives within any second.
 class cold_start_pace
 {
 public:
@@ -21,9 +20,6 @@
         : m_clock(clock)
     { }
 
-    /// Requests a second that a cold server of the service bears; 0: it doesn't say, and isn't
-    /// bounded.
-    void setRate(const service_id &service, double perSecond) { m_rates[service] = perSecond; }
     /// Whether a request may go to the server now, by a node that has this share of what it bears.
     [[nodiscard]] bool allows(const server &which, double share) const;
     /// A request goes there.
@@ -32,10 +28,7 @@
     [[nodiscard]] steady_time nextAt(const server &which, double share) const;
 
 private:
-    [[nodiscard]] double rateOf(const server &which) const;
-
     const clock_source &m_clock;
-    std::unordered_map<service_id, double> m_rates;
     std::map<server_start, steady_time> m_sent; ///< the last one to each server that is cold
 };
 
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -21,12 +21,12 @@
 constexpr milliseconds LoadLifetime{400};
 // Cost of sending to another data centre, in requests outstanding at a server.
 constexpr double RemoteCost = 0.5;
-// Servers may have become cold while their data centre was evacuated, and write so with one of
-// their next heartbeats, one or two seconds later; the store and its readers take another.
-constexpr milliseconds ColdNewsDelay{3500};
 // The same to another region: a round trip there takes some 40 ms, longer than a request waits
 // behind one that runs.
 constexpr double FarCost = 2.0;
+// Servers may have become cold while their data centre was evacuated, and write so with one of
+// their next heartbeats, one or two seconds later; the store and its readers take another.
+constexpr milliseconds ColdNewsDelay{3500};
 // Cost of a server that is avoided: any other comes first.
 constexpr double AvoidedCost = 1e6;
 
@@ -79,6 +79,7 @@
     if (!entry) {
         entry = std::make_shared<server>();
         entry->record = record;
+        entry->coldStart = m_coldStarts[record.service];
         entry->coldUntil = coldUntil;
         entry->region = regionOf(record.dataCenter);
         entry->cutOff = m_cutOff.contains(record.dataCenter);
@@ -95,6 +96,13 @@
         changed(record.service);
 }
 
+void server_directory::setColdStart(const service_id &service, const cold_start &start)
+{
+    m_coldStarts[service] = start;
+    for (const auto &each : m_byService[service])
+        each->coldStart = start;
+}
+
 void server_directory::remove(const backend_server_id &id)
 {
     const auto found = m_servers.find(id);
@@ -125,9 +133,9 @@
     const auto now = m_clock.now();
     changeIn(dataCenter, [&](server &each) {
         const bool returns = std::exchange(each.evacuated, evacuated) && !evacuated;
-        const auto known = m_coldTimes.find(each.record.service);
-        if (returns && known != m_coldTimes.end())
-            each.coldUntil = std::max(each.coldUntil, now + std::min(known->second, ColdNewsDelay));
+        if (returns)
+            each.coldUntil =
+                std::max(each.coldUntil, now + std::min(each.coldStart.time, ColdNewsDelay));
     });
 }
 
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "gateway/servers/cold_start.h"
 #include "gateway/servers/pool_key.h"
 #include "gateway/servers/residency.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -65,11 +67,18 @@
     steady_time loadAt{}; ///< when the load was told
     std::uint32_t failures = 0; ///< in a row
     steady_time avoidUntil{}; ///< doubted until then
+    cold_start coldStart; ///< as its service says
     steady_time coldUntil{}; ///< bears only few requests until then
     double slowness = 1.0; ///< time that its work takes against what is expected, averaged
 
     /// Whether it has just started, and crashes under more requests than its service says.
     [[nodiscard]] bool cold(steady_time now) const { return now < coldUntil; }
+    /// How long it will be yet.
+    [[nodiscard]] milliseconds coldLeft(steady_time now) const
+    {
+        return std::chrono::duration_cast<milliseconds>(
+            std::max(coldUntil - now, steady_time::duration::zero()));
+    }
     /// Whether it may get new work. Every path to a server asks this, at last as bytes are sent.
     [[nodiscard]] bool usable() const { return !gone && !cutOff && !evacuated && !record.leaving; }
 };
@@ -114,8 +123,8 @@
     /// holds for a later one; a record of an earlier start is ignored. `coldFor`: as the server
     /// says; 0 says nothing new.
     void put(const server_record &record, milliseconds coldFor = {});
-    /// Servers of a service are cold for so long after their start.
-    void setColdTime(const service_id &service, milliseconds time) { m_coldTimes[service] = time; }
+    /// What a service says of its servers' cold starts, those that are known included.
+    void setColdStart(const service_id &service, const cold_start &start);
     void remove(const backend_server_id &id);
     [[nodiscard]] server_ptr find(const backend_server_id &id) const;
     /// All servers that are published, by id.
@@ -188,7 +197,7 @@
     std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
     std::map<data_center_id, region_id> m_regions;
     bool m_severalRegions = false;
-    std::unordered_map<service_id, milliseconds> m_coldTimes;
+    std::unordered_map<service_id, cold_start> m_coldStarts;
     std::set<data_center_id> m_cutOff;
     std::set<data_center_id> m_evacuated;
     backend_server_id m_lastAsked; ///< that `anyIn` gave
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -38,8 +38,6 @@
 void stage_host<Codec>::setConfiguration(const configuration_ptr &configuration)
 {
     m_configuration = configuration;
-    for (const auto &each : configuration->content().services)
-        m_coldPace.setRate(each.id, each.coldRate);
     for (auto &[key, pool] : m_pools) {
         const auto *spec = configuration->findService(key.service);
         if (spec && spec->stage)
--- a/tests/gateway/cold_start_pace_test.cpp
+++ b/tests/gateway/cold_start_pace_test.cpp
@@ -21,7 +21,7 @@
         cold.record.id = backend_server_id("i-1");
         cold.record.service = service_id("s");
         cold.coldUntil = clock.now() + std::chrono::seconds{60};
-        pace.setRate(service_id("s"), RatePerSecond);
+        cold.coldStart.rate = RatePerSecond;
     }
     /// Sends whatever may go, for so long; gives how many went.
     int sendFor(milliseconds time, double share)
@@ -72,7 +72,7 @@
     f.cold.coldUntil = f.clock.now();
     CHECK(f.pace.allows(f.cold, 0.0));
     f.cold.coldUntil = f.clock.now() + std::chrono::seconds{60};
-    f.pace.setRate(service_id("s"), 0.0);
+    f.cold.coldStart.rate = 0.0;
     CHECK(f.pace.allows(f.cold, 0.0));
 }
 
--- a/tests/gateway/cold_start_share_test.cpp
+++ b/tests/gateway/cold_start_share_test.cpp
@@ -75,6 +75,7 @@
             each.record.id = backend_server_id("i-" + std::to_string(i));
             each.record.service = service_id("s");
             each.record.dataCenter = data_center_id("dc-" + std::to_string(i % shape.dataCenters));
+            each.coldStart.rate = load.rate;
             each.coldUntil = m_fleet.clock().now() + 2 * End;
             m_servers.push_back(std::move(each));
         }
@@ -140,7 +141,6 @@
             if (!pace
                 || std::exchange(m_paceOf[node], m_fleet.starts(node)) != m_fleet.starts(node))
                 pace = std::make_unique<cold_start_pace>(m_fleet.clock());
-            pace->setRate(service_id("s"), m_load.rate);
             for (std::size_t i = 0; i < m_servers.size(); ++i)
                 send(node, i);
         }
