List engines for a request's home only where the list is looked at

Ruled out: keeping the list between requests: it would have to be dropped at each change of the directory, a second state for what a look tells. Change: the question is asked of the directory, which stops at the first engine that answers it; the list is made for prompts with homes, and for nodes whose own data centre has none. keepNear, which changed a list in place, became nearEngines, which gives it. Not measured in time. Tests of evacuation and residency pass unchanged.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -107,10 +107,10 @@
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report);
     [[nodiscard]] request_outline outline() const;
     [[nodiscard]] data_center_id chooseHome();
-    /// Leaves out servers of other regions, if there are some in the own one.
-    void keepNear(std::vector<server_ptr> &servers) const;
+    /// Engines that the request may go to: those of the own region, if there are some.
+    [[nodiscard]] std::vector<server_ptr> nearEngines() const;
     /// As `chooseHome`, where this node's own data centre has no servers for the request.
-    [[nodiscard]] data_center_id chooseHomeAway(const std::vector<server_ptr> &engines);
+    [[nodiscard]] data_center_id chooseHomeAway();
     /// `dataCenter` while its servers of that service may get work, else where the request's home
     /// is now.
     [[nodiscard]] data_center_id usableNear(const data_center_id &dataCenter,
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -40,17 +40,15 @@
 data_center_id exchange<Codec>::chooseHome()
 {
     const auto &own = m_context.dataCenter;
-    auto engines = m_context.directory.usable(m_service, m_residency);
-    keepNear(engines);
-    if (std::ranges::none_of(
-            engines, [&](const server_ptr &each) { return each->record.dataCenter == own; }))
-        return chooseHomeAway(engines);
+    const auto &directory = m_context.directory;
+    if (!m_residency.allows(directory.regionOf(own)) || !directory.usableIn(m_service, own))
+        return chooseHomeAway();
     if (m_context.without.contains(policy::PromptHomes))
         return own;
     if (!m_route->prefixAffinity
         || m_context.engines.poolFor(m_service, own, m_residency).dataCenter.empty())
         return own;
-    const auto home = homeOf(m_marks.prompt, engines);
+    const auto home = homeOf(m_marks.prompt, nearEngines());
     if (!home || *home == own)
         return own;
     for (std::size_t i = 0; i < m_route->stages.size(); ++i) {
@@ -71,8 +69,9 @@
 // where there are four. In one other data centre it would crowd out those that belong there, so it
 // goes to all of them, to each as it has engines.
 template <gateway_codec Codec>
-data_center_id exchange<Codec>::chooseHomeAway(const std::vector<server_ptr> &engines)
+data_center_id exchange<Codec>::chooseHomeAway()
 {
+    const auto engines = nearEngines();
     if (engines.empty())
         return m_context.dataCenter;
     if (m_route->prefixAffinity && !m_context.without.contains(policy::PromptHomes)) {
@@ -87,12 +86,14 @@
 // Engines of the own region go first: a prompt that is read again takes less time than the way to
 // another region and back takes each of its stages.
 template <gateway_codec Codec>
-void exchange<Codec>::keepNear(std::vector<server_ptr> &servers) const
+std::vector<server_ptr> exchange<Codec>::nearEngines() const
 {
+    auto engines = m_context.directory.usable(m_service, m_residency);
     const auto region = m_context.directory.regionOf(m_context.dataCenter);
     const auto isFar = [&](const server_ptr &each) { return each->region != region; };
-    if (m_context.directory.severalRegions() && !std::ranges::all_of(servers, isFar))
-        std::erase_if(servers, isFar);
+    if (m_context.directory.severalRegions() && !std::ranges::all_of(engines, isFar))
+        std::erase_if(engines, isFar);
+    return engines;
 }
 
 template <gateway_codec Codec>
