Write and read lists of names in frames in one place

Change: packNames and readNames. Figures: 4 copies to 1 on each side; bytes of the frames are the same (peer_frames_test unchanged, all pass).

--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -124,6 +124,17 @@
         in.fail();
 }
 
+/// Reads a list of names into a container of them.
+template <class Names>
+Names readNames(field_reader &in)
+{
+    Names names;
+    readList(in, [&](field_reader &items) {
+        names.insert(names.end(), typename Names::value_type(items.read<std::string>()));
+    });
+    return names;
+}
+
 place_frame readPlace(field_reader &in)
 {
     place_frame frame;
@@ -135,12 +146,9 @@
         auto id = items.read<std::string>();
         frame.wish.prompt.push_back({std::move(id), items.read<std::uint32_t>()});
     });
-    readList(in, [&](field_reader &items) {
-        frame.wish.exclude.emplace_back(items.read<std::string>());
-    });
+    frame.wish.exclude = readNames<std::vector<backend_server_id>>(in);
     const bool bound = in.read<bool>();
-    std::set<region_id> regions;
-    readList(in, [&](field_reader &items) { regions.emplace(items.read<std::string>()); });
+    auto regions = readNames<std::set<region_id>>(in);
     if (bound)
         frame.wish.allowed = residency(std::move(regions));
     return frame;
@@ -204,13 +212,10 @@
     frame.parts = in.read<std::vector<std::uint32_t>>();
     frame.revision = in.read<std::uint64_t>();
     readList(in, [&](field_reader &items) { frame.servers.push_back(readServer(items)); });
-    readList(in,
-             [&](field_reader &items) { frame.removed.emplace_back(items.read<std::string>()); });
+    frame.removed = readNames<std::vector<backend_server_id>>(in);
     frame.removalsDeferred = in.duration();
     frame.evacuations.revision = in.read<std::uint64_t>();
-    readList(in, [&](field_reader &items) {
-        frame.evacuations.dataCenters.emplace(items.read<std::string>());
-    });
+    frame.evacuations.dataCenters = readNames<std::set<data_center_id>>(in);
     return frame;
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -49,6 +49,15 @@
     out.pack_bin_body(reinterpret_cast<const char *>(digest.bytes.data()), request_digest::Size);
 }
 
+/// Names as they are told: of servers, regions, data centres.
+template <class Names>
+void packNames(packer &out, const Names &names)
+{
+    out.pack_array(static_cast<std::uint32_t>(names.size()));
+    for (const auto &each : names)
+        out.pack(each.value);
+}
+
 void packPool(packer &out, const pool_key &pool)
 {
     out.pack(pool.service.value);
@@ -114,14 +123,9 @@
         out.pack(part.id);
         out.pack(part.tokens);
     }
-    out.pack_array(static_cast<std::uint32_t>(frame.wish.exclude.size()));
-    for (const auto &server : frame.wish.exclude)
-        out.pack(server.value);
-    const auto regions = frame.wish.allowed.regions();
+    packNames(out, frame.wish.exclude);
     out.pack(frame.wish.allowed.bound());
-    out.pack_array(static_cast<std::uint32_t>(regions.size()));
-    for (const auto &region : regions)
-        out.pack(region.value);
+    packNames(out, frame.wish.allowed.regions());
 }
 
 void pack(packer &out, const placed_frame &frame)
@@ -166,14 +170,10 @@
     out.pack_array(ServerFields * static_cast<std::uint32_t>(frame.servers.size()));
     for (const auto &each : frame.servers)
         packServer(out, each);
-    out.pack_array(static_cast<std::uint32_t>(frame.removed.size()));
-    for (const auto &each : frame.removed)
-        out.pack(each.value);
+    packNames(out, frame.removed);
     packDuration(out, frame.removalsDeferred);
     out.pack(frame.evacuations.revision);
-    out.pack_array(static_cast<std::uint32_t>(frame.evacuations.dataCenters.size()));
-    for (const auto &each : frame.evacuations.dataCenters)
-        out.pack(each.value);
+    packNames(out, frame.evacuations.dataCenters);
 }
 
 void pack(packer &out, const follow_frame &frame)
