--- a/tests/platform/cold_start_test.cpp
+++ b/tests/platform/cold_start_test.cpp
@@ -40,9 +40,7 @@
     server_behaviour streamLater()
     {
         return [this](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-            loop.callAfter(Work, [request, answer] {
-                answer->write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
-            });
+            loop.callAfter(Work, [request, answer] { answerOneEvent(request, answer); });
         };
     }
     /// Waits until the node lets requests go to cold servers.
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -199,9 +199,7 @@
         R"({"name":"engine","engine":{"slots":8,"kv_capacity":100000}})";
     crashing_world w(streamRoute(true, stages), "p", services);
     auto &engine = w.addServer("engine", "e-1");
-    engine.behave([](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-        answer->write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
-    });
+    engine.behave(answerOneEvent);
     w.runFor(milliseconds{300});
     checkThatItEndsFewServers(w);
     CHECK(w.ends.size() <= 2 * KnownAfterEnds);
--- a/tests/platform/evacuation_test.cpp
+++ b/tests/platform/evacuation_test.cpp
@@ -142,18 +142,12 @@
                 answerStages(*this, *each, request, answer, work, m_made);
             });
         }
-        engine.behave(
-            [](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-                answer->write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
-            });
+        engine.behave(answerOneEvent);
         startGateway("g1");
     }
     std::shared_ptr<client_answer> ask(const std::string &attempt)
     {
-        auto head = makeRequest("POST", "/s/x", attempt);
-        head.fields.push_back({"X-Chunk-Count", "1"});
-        head.fields.push_back({"X-Chunk-Key", "key"});
-        head.fields.push_back({"X-Prefix-Hash", "a:10"});
+        auto head = makeStagedRequest(attempt, "1");
         return request("g1", head, "prompt");
     }
 
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -527,6 +527,16 @@
     return head;
 }
 
+http::request_head makeStagedRequest(const std::string &attempt, const std::string &pieces,
+                                     const std::string &prompt)
+{
+    auto head = makeRequest("POST", "/s/x", attempt);
+    head.fields.push_back({"X-Chunk-Count", pieces});
+    head.fields.push_back({"X-Chunk-Key", "key"});
+    head.fields.push_back({"X-Prefix-Hash", prompt});
+    return head;
+}
+
 std::string signedAnswer(const server_request &request, const std::string &body, int status)
 {
     http::response_head head;
@@ -554,6 +564,11 @@
     return out.str();
 }
 
+void answerOneEvent(const server_request &request, const std::shared_ptr<server_answer> &answer)
+{
+    answer->write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+}
+
 void answerStages(world &w, const fake_server &server, const server_request &request,
                   const std::shared_ptr<server_answer> &answer, milliseconds work, int &made)
 {
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -213,6 +213,10 @@
 /// A request of a client with the headers that the platform demands.
 [[nodiscard]] http::request_head makeRequest(const std::string &method, const std::string &target,
                                              const std::string &attempt);
+/// One of the stream route, with so many pieces for each stage.
+[[nodiscard]] http::request_head makeStagedRequest(const std::string &attempt,
+                                                   const std::string &pieces,
+                                                   const std::string &prompt = "a:10");
 
 /// A whole signed answer.
 [[nodiscard]] std::string signedAnswer(const server_request &request, const std::string &body,
@@ -224,6 +228,8 @@
 /// each piece; `made` counts them.
 void answerStages(world &w, const fake_server &server, const server_request &request,
                   const std::shared_ptr<server_answer> &answer, milliseconds work, int &made);
+/// Answers with a whole stream of one event.
+void answerOneEvent(const server_request &request, const std::shared_ptr<server_answer> &answer);
 /// One event with its number.
 [[nodiscard]] std::string event(int number);
 
--- a/tests/platform/residency_test.cpp
+++ b/tests/platform/residency_test.cpp
@@ -158,10 +158,7 @@
             });
         }
         for (auto *each : {&northEngine, &southEngine}) {
-            each->behave(
-                [](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-                    answer->write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
-                });
+            each->behave(answerOneEvent);
         }
     }
     /// Sends so many requests at once and waits for them all; gives how many were answered.
@@ -169,10 +166,7 @@
     {
         std::vector<std::shared_ptr<client_answer>> answers;
         for (int i = 0; i < count; ++i) {
-            auto head = makeRequest("POST", "/s/x", "s" + std::to_string(i));
-            head.fields.push_back({"X-Chunk-Count", "1,1"});
-            head.fields.push_back({"X-Chunk-Key", "key"});
-            head.fields.push_back({"X-Prefix-Hash", "a:2000,b:10"});
+            auto head = makeStagedRequest("s" + std::to_string(i), "1,1", "a:2000,b:10");
             answers.push_back(request("g1", head, "prompt"));
         }
         int answered = 0;
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -78,18 +78,12 @@
     stage_world()
     {
         publish(1, streamRoute(true, Stages), Services);
-        engine.behave(
-            [](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-                answer->write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
-            });
+        engine.behave(answerOneEvent);
     }
     std::shared_ptr<client_answer> ask(const std::string &gateway, const std::string &attempt,
                                        const std::string &counts)
     {
-        auto head = makeRequest("POST", "/s/x", attempt);
-        head.fields.push_back({"X-Chunk-Count", counts});
-        head.fields.push_back({"X-Chunk-Key", "key"});
-        head.fields.push_back({"X-Prefix-Hash", "a:10"});
+        auto head = makeStagedRequest(attempt, counts);
         return request(gateway, head, "prompt");
     }
     std::string inputsAt(std::size_t index)
