Log what rate a server says it takes from all nodes

Change: the header is decoded (a number that can't be read, and an answer by another server at the address, say nothing), kept with the server's start, and each change that a node hears is a line server_limit_changed; gauge limited_servers. No decision reads it yet. Conclusion: sight alone.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -63,6 +63,7 @@
     bool signedByServer = false;
     bool notRun = false; ///< the server says that it has not run the request
     std::optional<server_load> load;
+    told_rate_limit rateLimit;
 };
 
 /// One piece of a stage, as a server is asked for it.
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -134,6 +134,7 @@
 void exchange<Codec>::onHead(const http::response_head &head)
 {
     m_answerMarks = Codec::readAnswer(head);
+    m_context.directory.onRateLimit(*m_server, m_answerMarks.rateLimit);
     const bool success = head.status >= status::Ok && head.status < status::FirstRedirect;
     if (m_begun) {
         // A stream that goes on: its head is out already.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,6 +35,7 @@
     void onConfiguration(const configuration_ptr &configuration);
     void onNews(const publication_news &news);
     void onDoubt(const server &which, bool avoided);
+    void onRateLimitChanged(const server &which, std::optional<double> before);
     void onReach(const reach_event &event);
     void askServerIn(const data_center_id &dataCenter);
     void onBroken(const server &which, const interrupted_request &request);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -132,6 +132,9 @@
     m_follower.onRead([this](const store_news &news) { m_relay.onStoreNews(news); });
     m_directory.onHeard([this](const data_center_id &from) { m_peers.onServerHeard(from); });
     m_directory.onDoubt([this](const server &which, bool avoided) { onDoubt(which, avoided); });
+    m_directory.onRateLimitChanged([this](const server &which, std::optional<double> before) {
+        onRateLimitChanged(which, before);
+    });
     m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
                                   std::string &&body) {
         onRequest(client, std::move(head), std::move(body));
@@ -215,6 +218,7 @@
     for (const auto &each : m_directory.all()) {
         now.servers += each->usable() ? 1 : 0;
         now.coldServers += each->usable() && each->cold(m_loop.now()) ? 1 : 0;
+        now.limitedServers += each->usable() && each->rateLimit ? 1 : 0;
     }
     now.evacuatedDataCenters = m_state.evacuations().dataCenters.size();
     const auto age = [this](steady_time since) {
@@ -269,6 +273,23 @@
     m_log.write(wire::log_level::Info, std::move(line));
 }
 
+template <gateway_codec Codec>
+void gateway<Codec>::onRateLimitChanged(const server &which, std::optional<double> before)
+{
+    const auto add = [](wire::log_line &line, std::string_view name, std::optional<double> limit) {
+        if (limit)
+            line.add(name, *limit);
+        else
+            line.add(name, "none");
+    };
+    auto line = m_log.line(wire::log_level::Info, toName(log_event::ServerLimitChanged));
+    line.add("server", which.record.id.value).add("service", which.record.service.value);
+    add(line, "per_second", which.rateLimit);
+    add(line, "before", before);
+    line.add("outstanding", which.outstanding);
+    m_log.write(wire::log_level::Info, std::move(line));
+}
+
 template <gateway_codec Codec>
 void gateway<Codec>::askServerIn(const data_center_id &dataCenter)
 {
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -37,6 +37,7 @@
     DataCenterRegained,
     ServerAvoided, ///< it failed several times in a row
     ServerTrusted, ///< an avoided server answered
+    ServerLimitChanged, ///< it takes another rate of requests from all nodes than before
     ServerEnded, ///< under requests of this node: a new connection is refused
     ConnectionsLost, ///< amid answers, and a new one isn't refused
     QuarantineChanged, ///< how requests under which servers end are treated
@@ -104,6 +105,8 @@
         orchidlead::gateway::log_event::ServerAvoided, "server_avoided"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerTrusted, "server_trusted"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ServerLimitChanged, "server_limit_changed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerEnded, "server_ended"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -321,4 +321,13 @@
     which.avoidUntil = std::max(which.avoidUntil, m_clock.now() + RefusedAvoidance);
 }
 
+void server_directory::onRateLimit(server &which, const told_rate_limit &told)
+{
+    if (!told.readable || told.perSecond == which.rateLimit)
+        return;
+    const auto before = std::exchange(which.rateLimit, told.perSecond);
+    if (m_onRateLimitChanged)
+        m_onRateLimitChanged(which, before);
+}
+
 } // namespace orchidlead::gateway
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -54,6 +54,13 @@
     std::uint32_t slots = 0;
 };
 
+/// What an answer says of the rate that its server bears.
+struct told_rate_limit
+{
+    std::optional<double> perSecond; ///< requests that it takes from all nodes together; empty: any
+    bool readable = true; ///< else the answer says nothing of it
+};
+
 /// One start of a server with what this node knows of it.
 struct server
 {
@@ -69,6 +76,7 @@
     steady_time avoidUntil{}; ///< doubted until then
     cold_start coldStart; ///< as its service says
     steady_time coldUntil{}; ///< bears only few requests until then
+    std::optional<double> rateLimit; ///< as in `told_rate_limit`
     double slowness = 1.0; ///< time that its work takes against what is expected, averaged
 
     /// Whether it has just started, and crashes under more requests than its service says.
@@ -153,6 +161,9 @@
     void onFailure(server &which);
     /// The server refused for want of room.
     void onRefused(server &which);
+    /// An answer of the server began, whatever its status. What it says holds until the next one
+    /// says otherwise.
+    void onRateLimit(server &which, const told_rate_limit &told);
 
     /// All servers of a data centre can or can't be reached from now on.
     void setCutOff(const data_center_id &dataCenter, bool cutOff);
@@ -173,6 +184,12 @@
     {
         m_onDoubt = std::move(handler);
     }
+    /// Called when a server names another limit than before, or none any more.
+    void
+    onRateLimitChanged(std::function<void(const server &, std::optional<double> before)> handler)
+    {
+        m_onRateLimitChanged = std::move(handler);
+    }
     /// Called when a server appears, changes, or leaves.
     void onChange(std::function<void(const service_id &)> handler)
     {
@@ -204,6 +221,7 @@
     std::function<void(const data_center_id &)> m_onHeard;
     std::function<void(const service_id &)> m_onChange;
     std::function<void(const server &, bool avoided)> m_onDoubt;
+    std::function<void(const server &, std::optional<double> before)> m_onRateLimitChanged;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -168,9 +168,10 @@
         head.fields.push_back({"Content-Length", std::to_string(length)});
         return http::formatHead(head);
     };
-    made.onHead = [answer](const http::response_head &head) {
+    made.onHead = [this, answer](const http::response_head &head) {
         answer->status = head.status;
         answer->marks = Codec::readAnswer(head);
+        m_directory.onRateLimit(*answer->made.server, answer->marks.rateLimit);
     };
     made.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
     made.onEnd = [this, answer](http::call_end how) { onCallEnd(answer, how); };
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -45,6 +45,7 @@
     gauges.ready = true;
     gauges.configurationVersion = 12;
     gauges.coldServers = 3;
+    gauges.limitedServers = 2;
     gauges.evacuatedDataCenters = 1;
     gauges.members["alive"] = 5;
     gauges.retries[service_id{"pages"}] = {3, 4.5, 0};
@@ -52,6 +53,7 @@
     CHECK(text.find("orchidlead_gateway_state{what=\"ready\"} 1") != std::string::npos);
     CHECK(text.find("what=\"configuration_version\"} 12") != std::string::npos);
     CHECK(text.find("what=\"cold_servers\"} 3") != std::string::npos);
+    CHECK(text.find("what=\"limited_servers\"} 2") != std::string::npos);
     CHECK(text.find("what=\"evacuated_data_centers\"} 1") != std::string::npos);
     CHECK(text.find("orchidlead_gateway_members{state=\"alive\"} 5") != std::string::npos);
     CHECK(text.find("retries_left{service=\"pages\"} 4.5") != std::string::npos);
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <string>
+#include <vector>
 
 using namespace orchidlead;
 using namespace orchidlead::gateway;
@@ -136,6 +138,28 @@
     CHECK(told == std::vector<bool>{true, false});
 }
 
+TEST_CASE(
+    "a limit that a server names holds until an answer says otherwise, and each change is told")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    std::vector<std::optional<double>> told;
+    directory.onRateLimitChanged([&](const server &which, std::optional<double> before) {
+        told.push_back(before);
+        told.push_back(which.rateLimit);
+    });
+    auto &server = *directory.find(backend_server_id("s1"));
+    directory.onRateLimit(server, {});
+    directory.onRateLimit(server, {2.5});
+    directory.onRateLimit(server, {2.5});
+    directory.onRateLimit(server, {std::nullopt, false});
+    CHECK(server.rateLimit == 2.5);
+    directory.onRateLimit(server, {});
+    CHECK_FALSE(server.rateLimit);
+    CHECK(told == std::vector<std::optional<double>>{std::nullopt, 2.5, 2.5, std::nullopt});
+}
+
 TEST_CASE("server_directory: nothing that was believed of an earlier start holds for a later one")
 {
     manual_clock clock;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -170,6 +170,26 @@
     CHECK_FALSE(codec::readAnswer(head).load);
 }
 
+TEST_CASE("an answer's limit is decoded, and one that is no number says nothing")
+{
+    const auto read = [](const std::string &limit, int status = 200) {
+        http::response_head head;
+        head.status = status;
+        head.fields = {{"server-limit", limit}};
+        return codec::readAnswer(head).rateLimit;
+    };
+    CHECK(read("2.5").perSecond == 2.5);
+    CHECK(read("0").perSecond == 0.0);
+    CHECK(codec::readAnswer({}).rateLimit.readable);
+    CHECK_FALSE(codec::readAnswer({}).rateLimit.perSecond);
+    for (const auto *wrong : {"", "many", "-1", "inf", "nan", "1,5", "1 a second"}) {
+        INFO("limit: " << wrong);
+        CHECK_FALSE(read(wrong).readable);
+    }
+    // Another server at the same address.
+    CHECK_FALSE(read("2.5", 421).readable);
+}
+
 TEST_CASE("the time to come back is written in seconds with a fraction")
 {
     CHECK(codec::retryAfter(milliseconds{400}).value == "0.400");
