Call what places requests by what it does: placement, not engines

Cause: the folder engines, engine_board, engine_placer and engine_wish now place plain requests, too, where servers of theirs are bounded.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/engines/engine_placer.h"
-#include "gateway/engines/prompt_home.h"
 #include "gateway/exchange/event_splitter.h"
 #include "gateway/exchange/exchange_limits.h"
 #include "gateway/exchange/request_log.h"
@@ -11,6 +9,8 @@
 #include "gateway/exchange/time_estimates.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/log_event.h"
+#include "gateway/placement/prompt_home.h"
+#include "gateway/placement/request_placer.h"
 #include "gateway/policy.h"
 #include "gateway/publication/published_state.h"
 #include "gateway/quarantine/quarantine_relay.h"
@@ -43,7 +43,7 @@
     retry_allowance &allowance;
     peer_network &peers;
     stage_router<Codec> &stages;
-    engine_placer &engines;
+    request_placer &placer;
     quarantine_relay &quarantine;
     wire::log &log;
     gateway_metrics &metrics;
@@ -133,7 +133,7 @@
     void attempt();
     /// Whether the node that hosts the service's pool chooses the server.
     [[nodiscard]] bool mustBePlaced() const;
-    [[nodiscard]] engine_wish makeWish();
+    [[nodiscard]] placement_wish makeWish();
     /// How long the request may wait for its turn and still be in its aim.
     [[nodiscard]] milliseconds slack() const;
     void place();
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -62,9 +62,9 @@
 }
 
 template <gateway_codec Codec>
-engine_wish exchange<Codec>::makeWish()
+placement_wish exchange<Codec>::makeWish()
 {
-    engine_wish wish;
+    placement_wish wish;
     wish.exclude = m_tried;
     wish.near = m_home.empty() ? chooseHome() : m_home;
     wish.nearBytes = m_body.size();
@@ -73,7 +73,7 @@
         wish.nearBytes = largest->bytes;
     }
     wish.allowed = m_residency;
-    wish.pool = m_context.engines.poolFor(m_service, usableNear(wish.near, m_service), m_residency);
+    wish.pool = m_context.placer.poolFor(m_service, usableNear(wish.near, m_service), m_residency);
     wish.rank = stageRank();
     wish.patience = slack();
     wish.admitted = m_admitted;
@@ -85,7 +85,7 @@
 {
     auto wish = makeWish();
     wish.prompt = m_marks.prompt;
-    m_placement = m_context.engines.place(
+    m_placement = m_context.placer.place(
         std::move(wish), [self = this->shared_from_this()](const placed_request &placed) {
             if (!self->m_done)
                 self->onPlaced(placed);
@@ -119,7 +119,7 @@
 void exchange<Codec>::leavePlacement()
 {
     m_context.loop.cancelTimer(std::exchange(m_turnTimer, 0));
-    m_context.engines.onEnd(std::exchange(m_placement, 0));
+    m_context.placer.onEnd(std::exchange(m_placement, 0));
 }
 
 template <gateway_codec Codec>
@@ -187,7 +187,7 @@
 {
     m_answerMarks = Codec::readAnswer(head);
     m_context.directory.onRateLimit(*m_server, m_answerMarks.rateLimit);
-    m_context.engines.onRateLimit(m_placement, m_answerMarks.rateLimit);
+    m_context.placer.onRateLimit(m_placement, m_answerMarks.rateLimit);
     const bool success = head.status >= status::Ok && head.status < status::FirstRedirect;
     if (m_begun) {
         // A stream that goes on: its head is out already.
@@ -245,7 +245,7 @@
             const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
                 m_context.loop.now() - m_sentAt);
             m_context.times.onFirstAnswer(m_service, took);
-            m_context.engines.onFirstAnswer(m_placement);
+            m_context.placer.onFirstAnswer(m_placement);
             beginAnswer();
         }
         m_client->write(events);
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -40,11 +40,11 @@
 void exchange<Codec>::passAdmission()
 {
     auto wish = makeWish();
-    if (!m_context.engines.needsAdmission(wish.pool)) {
+    if (!m_context.placer.needsAdmission(wish.pool)) {
         submitReadyPieces();
         return;
     }
-    m_placement = m_context.engines.askAdmission(
+    m_placement = m_context.placer.askAdmission(
         std::move(wish), [self = this->shared_from_this()](const admission &told) {
             if (!self->m_done)
                 self->onAdmission(told);
@@ -76,7 +76,7 @@
     if (m_context.without.contains(policy::PromptHomes))
         return own;
     if (!m_route->prefixAffinity
-        || m_context.engines.poolFor(m_service, own, m_residency).dataCenter.empty())
+        || m_context.placer.poolFor(m_service, own, m_residency).dataCenter.empty())
         return own;
     const auto home = homeOf(m_marks.prompt, nearEngines());
     if (!home || *home == own)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,7 +58,7 @@
     stage_host<Codec> m_stages;
     peer_network m_peers;
     stage_router<Codec> m_router;
-    engine_placer m_placer;
+    request_placer m_placer;
     quarantine_relay m_quarantine;
     published_state m_state;
     store_follower<Codec> m_follower;
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -143,9 +143,9 @@
     return names;
 }
 
-engine_wish readWish(field_reader &in)
+placement_wish readWish(field_reader &in)
 {
-    engine_wish wish;
+    placement_wish wish;
     wish.pool = readPool(in);
     wish.rank = readRank(in);
     wish.patience = in.duration();
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -125,7 +125,7 @@
 /// Fields of a wish; they stand in the array of its frame.
 constexpr std::uint32_t WishFields = 13;
 
-void packWish(packer &out, const engine_wish &wish)
+void packWish(packer &out, const placement_wish &wish)
 {
     packPool(out, wish.pool);
     packRank(out, wish.rank);
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/engines/engine_board.h"
+#include "gateway/placement/placement_board.h"
 #include "gateway/publication/evacuations.h"
 #include "gateway/publication/list_digest.h"
 #include "gateway/publication/text_compression.h"
@@ -58,7 +58,7 @@
 struct place_frame
 {
     placement_id id = 0; ///< of the sender
-    engine_wish wish;
+    placement_wish wish;
 };
 
 struct placed_frame
@@ -82,7 +82,7 @@
 struct admission_request
 {
     placement_id id = 0; ///< of the sender
-    engine_wish wish; ///< without its prompt
+    placement_wish wish; ///< without its prompt
 };
 struct admission_answer
 {
--- a/src/gateway/engines/engine_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engines/engine_board.h"
+#include "gateway/placement/placement_board.h"
 
 #include <algorithm>
 #include <limits>
@@ -28,19 +28,19 @@
 
 } // namespace
 
-engine_board::engine_board(const clock_source &clock, const server_directory &directory)
+placement_board::placement_board(const clock_source &clock, const server_directory &directory)
     : m_clock(clock)
     , m_directory(directory)
     , m_pace(clock)
 { }
 
-void engine_board::setCapacity(const service_id &service, std::uint64_t tokens)
+void placement_board::setCapacity(const service_id &service, std::uint64_t tokens)
 {
     m_capacities[service] = tokens;
 }
 
 // A part is of use only where all parts before it are kept, too.
-std::uint64_t engine_board::missingTokens(const engine &state, const engine_wish &wish)
+std::uint64_t placement_board::missingTokens(const engine &state, const placement_wish &wish)
 {
     std::uint64_t missing = 0;
     bool kept = true;
@@ -52,7 +52,7 @@
     return missing;
 }
 
-double engine_board::costOf(const server &which, const engine_wish &wish)
+double placement_board::costOf(const server &which, const placement_wish &wish)
 {
     const auto &state = m_engines[which.record.start()];
     const auto missing = missingTokens(state, wish);
@@ -66,7 +66,7 @@
     return cost;
 }
 
-std::vector<server_ptr> engine_board::untried(const engine_wish &wish) const
+std::vector<server_ptr> placement_board::untried(const placement_wish &wish) const
 {
     auto servers = m_directory.usable(wish.pool);
     std::erase_if(servers, [&](const server_ptr &each) {
@@ -75,8 +75,8 @@
     return servers;
 }
 
-std::vector<server_ptr> engine_board::candidates(const std::vector<server_ptr> &inPool,
-                                                 const engine_wish &wish, double share) const
+std::vector<server_ptr> placement_board::candidates(const std::vector<server_ptr> &inPool,
+                                                    const placement_wish &wish, double share) const
 {
     auto free = inPool;
     std::erase_if(free, [&](const server_ptr &each) { return !m_pace.allows(*each, share); });
@@ -92,7 +92,8 @@
     return anywhere.empty() ? free : anywhere;
 }
 
-server_ptr engine_board::cheapest(const std::vector<server_ptr> &servers, const engine_wish &wish)
+server_ptr placement_board::cheapest(const std::vector<server_ptr> &servers,
+                                     const placement_wish &wish)
 {
     server_ptr best;
     double bestCost = std::numeric_limits<double>::max();
@@ -106,8 +107,8 @@
     return best;
 }
 
-placed_request engine_board::nextTurn(const std::vector<server_ptr> &inPool,
-                                      const engine_wish &wish, double share) const
+placed_request placement_board::nextTurn(const std::vector<server_ptr> &inPool,
+                                         const placement_wish &wish, double share) const
 {
     placed_request turn;
     if (share <= 0)
@@ -128,7 +129,7 @@
     return turn;
 }
 
-std::optional<double> engine_board::rateOf(const engine_wish &wish, double share) const
+std::optional<double> placement_board::rateOf(const placement_wish &wish, double share) const
 {
     if (!m_directory.allBounded(wish.pool.service, wish.allowed))
         return std::nullopt;
@@ -138,12 +139,12 @@
     return perSecond;
 }
 
-milliseconds engine_board::askAdmission(const engine_wish &wish, double perSecond)
+milliseconds placement_board::askAdmission(const placement_wish &wish, double perSecond)
 {
     return m_admissions.try_emplace(wish.pool, m_clock).first->second.ask(wish.rank, perSecond);
 }
 
-admission engine_board::admit(const engine_wish &wish, double share)
+admission placement_board::admit(const placement_wish &wish, double share)
 {
     const auto perSecond = rateOf(wish, share);
     if (!perSecond)
@@ -154,7 +155,7 @@
     return {comeBack == milliseconds{0}, comeBack, true};
 }
 
-placed_request engine_board::place(placement_id id, const engine_wish &wish, double share)
+placed_request placement_board::place(placement_id id, const placement_wish &wish, double share)
 {
     forgetLapsed();
     const auto perSecond = rateOf(wish, share);
@@ -175,7 +176,7 @@
     return placed;
 }
 
-void engine_board::note(placement_id id, const engine_wish &wish, const server &chosen)
+void placement_board::note(placement_id id, const placement_wish &wish, const server &chosen)
 {
     auto &state = m_engines[chosen.record.start()];
     const auto missing = missingTokens(state, wish);
@@ -187,7 +188,7 @@
 }
 
 // The least recently used parts yield, as they do in the engine.
-void engine_board::keep(engine &state, const engine_wish &wish, std::uint64_t capacity)
+void placement_board::keep(engine &state, const placement_wish &wish, std::uint64_t capacity)
 {
     for (std::size_t i = 0; i + 1 < wish.prompt.size(); ++i) {
         const auto &part = wish.prompt[i];
@@ -205,7 +206,7 @@
     }
 }
 
-void engine_board::onFirstAnswer(placement_id id)
+void placement_board::onFirstAnswer(placement_id id)
 {
     const auto found = m_placements.find(id);
     if (found == m_placements.end())
@@ -215,7 +216,7 @@
     found->second.tokens = 0;
 }
 
-void engine_board::onEnd(placement_id id)
+void placement_board::onEnd(placement_id id)
 {
     onFirstAnswer(id);
     const auto found = m_placements.find(id);
@@ -230,7 +231,7 @@
         m_engines.erase(server);
 }
 
-void engine_board::forgetLapsed()
+void placement_board::forgetLapsed()
 {
     std::vector<placement_id> lapsed;
     for (const auto &[id, each] : m_placements) {
--- a/src/gateway/engines/engine_board.h
+++ b/src/gateway/placement/placement_board.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
-#include "gateway/engines/pool_admission.h"
+#include "gateway/placement/pool_admission.h"
 #include "gateway/servers/rate_pace.h"
 #include "gateway/servers/server_directory.h"
 #include "gateway/stages/stage_rank.h"
@@ -21,7 +21,7 @@
 
 /// A request that looks for a server whose requests are placed in one place: a model engine, or one
 /// of a pool in which some bear only so many.
-struct engine_wish
+struct placement_wish
 {
     pool_key pool;
     stage_rank rank;
@@ -60,20 +60,20 @@
 ///
 /// Servers that bear only so many requests get them evenly, at the pace of their bounds. Where all
 /// are bounded, requests wait their turn, and as many are let in as the bounds allow.
-class engine_board
+class placement_board
 {
 public:
-    engine_board(const clock_source &clock, const server_directory &directory);
+    placement_board(const clock_source &clock, const server_directory &directory);
 
     /// Tokens that an engine of a service keeps.
     void setCapacity(const service_id &service, std::uint64_t tokens);
     /// Chooses a server. `share`: of what bounded servers of the pool bear, the part that this
     /// board may use; of others it uses nothing.
-    [[nodiscard]] placed_request place(placement_id id, const engine_wish &wish,
+    [[nodiscard]] placed_request place(placement_id id, const placement_wish &wish,
                                        double share = 0.0);
     /// Whether a request may go on that is to be placed once its stages are done; without it they
     /// would be done for nothing.
-    [[nodiscard]] admission admit(const engine_wish &wish, double share);
+    [[nodiscard]] admission admit(const placement_wish &wish, double share);
     /// The request's prompt is read.
     void onFirstAnswer(placement_id id);
     void onEnd(placement_id id);
@@ -101,23 +101,25 @@
     };
 
     /// Servers of the pool that haven't been tried.
-    [[nodiscard]] std::vector<server_ptr> untried(const engine_wish &wish) const;
+    [[nodiscard]] std::vector<server_ptr> untried(const placement_wish &wish) const;
     /// Those of `inPool` that may get a request now. Where none is left, or all are in doubt, those
     /// of other pools are as good, if the request may go there.
     [[nodiscard]] std::vector<server_ptr> candidates(const std::vector<server_ptr> &inPool,
-                                                     const engine_wish &wish, double share) const;
+                                                     const placement_wish &wish,
+                                                     double share) const;
     [[nodiscard]] server_ptr cheapest(const std::vector<server_ptr> &servers,
-                                      const engine_wish &wish);
+                                      const placement_wish &wish);
     /// The server whose next turn comes first, where it comes in time.
     [[nodiscard]] placed_request nextTurn(const std::vector<server_ptr> &inPool,
-                                          const engine_wish &wish, double share) const;
+                                          const placement_wish &wish, double share) const;
     /// What the servers take a second, where all that the request may go to are bounded.
-    [[nodiscard]] std::optional<double> rateOf(const engine_wish &wish, double share) const;
-    [[nodiscard]] milliseconds askAdmission(const engine_wish &wish, double perSecond);
-    void note(placement_id id, const engine_wish &wish, const server &chosen);
-    [[nodiscard]] double costOf(const server &which, const engine_wish &wish);
-    [[nodiscard]] static std::uint64_t missingTokens(const engine &state, const engine_wish &wish);
-    void keep(engine &state, const engine_wish &wish, std::uint64_t capacity);
+    [[nodiscard]] std::optional<double> rateOf(const placement_wish &wish, double share) const;
+    [[nodiscard]] milliseconds askAdmission(const placement_wish &wish, double perSecond);
+    void note(placement_id id, const placement_wish &wish, const server &chosen);
+    [[nodiscard]] double costOf(const server &which, const placement_wish &wish);
+    [[nodiscard]] static std::uint64_t missingTokens(const engine &state,
+                                                     const placement_wish &wish);
+    void keep(engine &state, const placement_wish &wish, std::uint64_t capacity);
     void forgetLapsed();
 
     const clock_source &m_clock;
--- a/src/gateway/engines/prompt_home.cpp
+++ b/src/gateway/placement/prompt_home.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engines/prompt_home.h"
+#include "gateway/placement/prompt_home.h"
 
 #include <orchidlead/rendezvous.h>
 
--- a/src/gateway/engines/engine_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engines/engine_placer.h"
+#include "gateway/placement/request_placer.h"
 
 #include <utility>
 
@@ -20,8 +20,8 @@
 
 } // namespace
 
-engine_placer::engine_placer(http::io_loop &loop, peer_network &peers, server_directory &directory,
-                             const policies_left_out &without)
+request_placer::request_placer(http::io_loop &loop, peer_network &peers,
+                               server_directory &directory, const policies_left_out &without)
     : m_loop(loop)
     , m_peers(peers)
     , m_directory(directory)
@@ -32,7 +32,7 @@
         m_widths.keepJoined();
 }
 
-void engine_placer::setConfiguration(const configuration_ptr &configuration)
+void request_placer::setConfiguration(const configuration_ptr &configuration)
 {
     for (const auto &each : configuration->content().services) {
         if (each.engine)
@@ -40,13 +40,13 @@
     }
 }
 
-pool_key engine_placer::poolFor(const service_id &service, const data_center_id &near,
-                                const residency &allowed)
+pool_key request_placer::poolFor(const service_id &service, const data_center_id &near,
+                                 const residency &allowed)
 {
     return m_widths.poolFor(service, near, allowed);
 }
 
-engine_placer::link_ptr engine_placer::linkToHost(const pool_key &pool)
+request_placer::link_ptr request_placer::linkToHost(const pool_key &pool)
 {
     const auto host = m_peers.hostOf(pool);
     const auto link = host == m_peers.self() ? nullptr : m_peers.linkTo(host);
@@ -55,14 +55,14 @@
     return link;
 }
 
-milliseconds engine_placer::patienceWith(const pool_key &pool)
+milliseconds request_placer::patienceWith(const pool_key &pool)
 {
     const auto known = m_peers.view().find(m_peers.hostOf(pool));
     return known && known->vm.region != m_peers.region() ? FarHostPatience : HostPatience;
 }
 
 // Another host than before knows nothing of what answers told this node.
-void engine_placer::tellLimits(const pool_key &pool, const link_ptr &link)
+void request_placer::tellLimits(const pool_key &pool, const link_ptr &link)
 {
     auto &told = m_toldHosts[pool];
     if (told.link == link && told.changes == m_limitChanges)
@@ -80,13 +80,13 @@
         link->send(frame);
 }
 
-bool engine_placer::needsAdmission(const pool_key &pool) const
+bool request_placer::needsAdmission(const pool_key &pool) const
 {
     const auto found = m_allBounded.find(pool);
     return found != m_allBounded.end() && m_loop.now() < found->second;
 }
 
-void engine_placer::note(const pool_key &pool, bool allBounded)
+void request_placer::note(const pool_key &pool, bool allBounded)
 {
     if (allBounded)
         m_allBounded[pool] = m_loop.now() + BoundedMemory;
@@ -94,7 +94,7 @@
         m_allBounded.erase(pool);
 }
 
-placement_id engine_placer::askAdmission(engine_wish wish, admission_handler answer)
+placement_id request_placer::askAdmission(placement_wish wish, admission_handler answer)
 {
     const auto id = ++m_lastId;
     auto &entry = m_admissions[id];
@@ -118,7 +118,7 @@
     return id;
 }
 
-void engine_placer::onAdmission(placement_id id, const admission &told)
+void request_placer::onAdmission(placement_id id, const admission &told)
 {
     auto found = m_admissions.extract(id);
     if (found.empty())
@@ -129,7 +129,7 @@
     entry.answer(told);
 }
 
-placement_id engine_placer::place(engine_wish wish, handler placed)
+placement_id request_placer::place(placement_wish wish, handler placed)
 {
     const auto id = ++m_lastId;
     auto &entry = m_requests[id];
@@ -154,7 +154,7 @@
     return id;
 }
 
-void engine_placer::placeHere(placement_id id, request &entry)
+void request_placer::placeHere(placement_id id, request &entry)
 {
     if (!entry.placed)
         return;
@@ -164,25 +164,25 @@
 }
 
 // The handler may end the request, and with it the entry.
-void engine_placer::hand(request &entry, const placed_request &placed)
+void request_placer::hand(request &entry, const placed_request &placed)
 {
     note(entry.wish.pool, placed.allBounded);
     const auto tell = std::exchange(entry.placed, {});
     tell(placed);
 }
 
-placed_request engine_placer::placeOnBoard(placement_id id, const engine_wish &wish)
+placed_request request_placer::placeOnBoard(placement_id id, const placement_wish &wish)
 {
     return m_board.place(id, wish, m_peers.rateShare(wish.pool));
 }
 
-admission engine_placer::admitOnBoard(const engine_wish &wish)
+admission request_placer::admitOnBoard(const placement_wish &wish)
 {
     return m_board.admit(wish, m_peers.rateShare(wish.pool));
 }
 
 // The host may know a server that this node doesn't know yet, or knows to be gone.
-void engine_placer::onPlaced(const placed_frame &frame)
+void request_placer::onPlaced(const placed_frame &frame)
 {
     const auto found = m_requests.find(frame.id);
     if (found == m_requests.end() || !found->second.placed)
@@ -198,20 +198,20 @@
     hand(entry, {chosen, frame.wait, frame.allBounded});
 }
 
-void engine_placer::onRateLimit(placement_id id, const told_rate_limit &told)
+void request_placer::onRateLimit(placement_id id, const told_rate_limit &told)
 {
     if (const auto found = m_requests.find(id); found != m_requests.end() && told.readable)
         found->second.limit = told;
 }
 
 // What a server told is new to the host once.
-void engine_placer::sendProgress(placement_id id, request &entry, progress_frame::what kind)
+void request_placer::sendProgress(placement_id id, request &entry, progress_frame::what kind)
 {
     const told_rate_limit nothing{std::nullopt, false};
     entry.link->send(progress_frame{id, kind, std::exchange(entry.limit, nothing)});
 }
 
-void engine_placer::onFirstAnswer(placement_id id)
+void request_placer::onFirstAnswer(placement_id id)
 {
     const auto found = m_requests.find(id);
     if (found == m_requests.end())
@@ -222,7 +222,7 @@
         m_board.onFirstAnswer(id);
 }
 
-void engine_placer::onEnd(placement_id id)
+void request_placer::onEnd(placement_id id)
 {
     if (const auto asked = m_admissions.extract(id); !asked.empty())
         m_loop.cancelTimer(asked.mapped().timer);
@@ -237,7 +237,7 @@
     m_requests.erase(found);
 }
 
-void engine_placer::onFrame(const link_ptr &link, const peer_frame &frame)
+void request_placer::onFrame(const link_ptr &link, const peer_frame &frame)
 {
     if (const auto *wish = std::get_if<place_frame>(&frame))
         onWish(link, *wish);
@@ -253,7 +253,7 @@
         onRateLimits(*limits);
 }
 
-void engine_placer::onWish(const link_ptr &link, const place_frame &frame)
+void request_placer::onWish(const link_ptr &link, const place_frame &frame)
 {
     const auto id = ++m_lastId;
     const auto placed = placeOnBoard(id, frame.wish);
@@ -263,12 +263,12 @@
     link->send(placed_frame{frame.id, server, placed.wait, placed.allBounded});
 }
 
-void engine_placer::onAdmissionRequest(const link_ptr &link, const admission_request &frame)
+void request_placer::onAdmissionRequest(const link_ptr &link, const admission_request &frame)
 {
     link->send(admission_answer{frame.id, admitOnBoard(frame.wish)});
 }
 
-void engine_placer::onRateLimits(const rate_limits_frame &frame)
+void request_placer::onRateLimits(const rate_limits_frame &frame)
 {
     for (const auto &each : frame.limits) {
         const auto known = m_directory.find(each.server.id);
@@ -277,7 +277,7 @@
     }
 }
 
-void engine_placer::onProgress(const link_ptr &link, const progress_frame &frame)
+void request_placer::onProgress(const link_ptr &link, const progress_frame &frame)
 {
     const auto hosted = m_hosted.find(link);
     if (hosted == m_hosted.end())
@@ -295,7 +295,7 @@
     hosted->second.erase(found);
 }
 
-void engine_placer::onLinkClosed(const link_ptr &link)
+void request_placer::onLinkClosed(const link_ptr &link)
 {
     std::erase_if(m_toldHosts, [&](const auto &entry) { return entry.second.link == link; });
     if (const auto found = m_hosted.find(link); found != m_hosted.end()) {
@@ -307,7 +307,7 @@
 }
 
 // Those that wait for the host's word go on without it.
-void engine_placer::forgetRequestsOf(const link_ptr &link)
+void request_placer::forgetRequestsOf(const link_ptr &link)
 {
     std::vector<placement_id> waiting;
     for (auto &[id, entry] : m_requests) {
--- a/src/gateway/engines/engine_placer.h
+++ b/src/gateway/placement/request_placer.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/engines/engine_board.h"
 #include "gateway/peers/peer_network.h"
+#include "gateway/placement/placement_board.h"
 #include "gateway/servers/pool_widths.h"
 
 #include <functional>
@@ -18,14 +18,14 @@
 ///
 /// What answers say of servers' limits goes to the host with the progress of what it placed. A host
 /// that may not know what this node heard is told before it is asked.
-class engine_placer
+class request_placer
 {
 public:
     using handler = std::function<void(const placed_request &)>;
     using admission_handler = std::function<void(const admission &)>;
 
-    engine_placer(http::io_loop &loop, peer_network &peers, server_directory &directory,
-                  const policies_left_out &without);
+    request_placer(http::io_loop &loop, peer_network &peers, server_directory &directory,
+                   const policies_left_out &without);
 
     void setConfiguration(const configuration_ptr &configuration);
 
@@ -37,9 +37,9 @@
     [[nodiscard]] bool needsAdmission(const pool_key &pool) const;
     /// Asks the host whether a request may go on to its stages. `answer` is called once, later,
     /// unless `onEnd` comes first. A host that doesn't answer lets it go on.
-    placement_id askAdmission(engine_wish wish, admission_handler answer);
+    placement_id askAdmission(placement_wish wish, admission_handler answer);
     /// `placed` is called once, later, unless `onEnd` comes first.
-    placement_id place(engine_wish wish, handler placed);
+    placement_id place(placement_wish wish, handler placed);
     /// An answer to the request began, and told this.
     void onRateLimit(placement_id id, const told_rate_limit &told);
     /// A server names another limit to this node than before.
@@ -58,7 +58,7 @@
 
     struct request
     {
-        engine_wish wish;
+        placement_wish wish;
         handler placed; ///< empty once it was called
         link_ptr link; ///< to the host; null: this node
         http::timer_id timer = 0;
@@ -66,7 +66,7 @@
     };
     struct asked_admission
     {
-        engine_wish wish;
+        placement_wish wish;
         admission_handler answer;
         link_ptr link; ///< as in `request`
         http::timer_id timer = 0;
@@ -89,8 +89,8 @@
     [[nodiscard]] milliseconds patienceWith(const pool_key &pool);
     void tellLimits(const pool_key &pool, const link_ptr &link);
     void placeHere(placement_id id, request &entry);
-    [[nodiscard]] placed_request placeOnBoard(placement_id id, const engine_wish &wish);
-    [[nodiscard]] admission admitOnBoard(const engine_wish &wish);
+    [[nodiscard]] placed_request placeOnBoard(placement_id id, const placement_wish &wish);
+    [[nodiscard]] admission admitOnBoard(const placement_wish &wish);
     void hand(request &entry, const placed_request &placed);
     void onAdmission(placement_id id, const admission &told);
     void note(const pool_key &pool, bool allBounded);
@@ -105,7 +105,7 @@
     http::io_loop &m_loop;
     peer_network &m_peers;
     server_directory &m_directory;
-    engine_board m_board;
+    placement_board m_board;
     pool_widths m_widths;
     placement_id m_lastId = 0;
     std::unordered_map<placement_id, request> m_requests;
--- a/tests/gateway/engine_board_test.cpp
+++ b/tests/gateway/placement_board_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engines/engine_board.h"
+#include "gateway/placement/placement_board.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,7 +13,7 @@
 {
     manual_clock clock;
     server_directory directory{clock};
-    engine_board board{clock, directory};
+    placement_board board{clock, directory};
 
     world()
     {
@@ -27,9 +27,9 @@
     }
 };
 
-engine_wish makeWish(std::vector<prompt_part> prompt)
+placement_wish makeWish(std::vector<prompt_part> prompt)
 {
-    engine_wish wish;
+    placement_wish wish;
     wish.pool.service = service_id("s");
     wish.prompt = std::move(prompt);
     return wish;
--- a/tests/gateway/pool_admission_test.cpp
+++ b/tests/gateway/pool_admission_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engines/pool_admission.h"
+#include "gateway/placement/pool_admission.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/gateway/prompt_home_test.cpp
+++ b/tests/gateway/prompt_home_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/engines/prompt_home.h"
+#include "gateway/placement/prompt_home.h"
 
 #include <catch2/catch.hpp>
 
