Log the rate that a server takes as a number

Cause: the line server_limit_changed wrote per_second=true: a log line has no field for numbers with fractions, so a limit was taken for a truth value. Change: rateLimitText writes a limit, or none; a case each for the text and for the line itself, which failed before.

--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -275,16 +275,9 @@
 template <gateway_codec Codec>
 void gateway<Codec>::onRateLimitChanged(const server &which, std::optional<double> before)
 {
-    const auto add = [](wire::log_line &line, std::string_view name, std::optional<double> limit) {
-        if (limit)
-            line.add(name, *limit);
-        else
-            line.add(name, "none");
-    };
     auto line = m_log.line(wire::log_level::Info, toName(log_event::ServerLimitChanged));
     line.add("server", which.record.id.value).add("service", which.record.service.value);
-    add(line, "per_second", which.rateLimit);
-    add(line, "before", before);
+    line.add("per_second", rateLimitText(which.rateLimit)).add("before", rateLimitText(before));
     line.add("outstanding", which.outstanding);
     m_log.write(wire::log_level::Info, std::move(line));
 }
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -1,6 +1,8 @@
 #include "gateway/servers/server_directory.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <limits>
 #include <utility>
 
@@ -44,6 +46,15 @@
 
 } // namespace
 
+std::string rateLimitText(const std::optional<double> &perSecond)
+{
+    if (!perSecond)
+        return "none";
+    std::array<char, 32> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), *perSecond).ptr;
+    return {text.data(), end};
+}
+
 std::optional<rate_bound> server::bound(steady_time now) const
 {
     std::optional<rate_bound> found;
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -62,6 +62,9 @@
     bool readable = true; ///< else the answer says nothing of it
 };
 
+/// Writes a limit as operators read it: requests a second, or "none".
+[[nodiscard]] std::string rateLimitText(const std::optional<double> &perSecond);
+
 /// One start of a server with what this node knows of it.
 struct server
 {
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -160,8 +160,14 @@
     CHECK(told == std::vector<std::optional<double>>{std::nullopt, 2.5, 2.5, std::nullopt});
 }
 
-TEST_CASE(
-    "a bounded server isn't chosen by one node alone, and older news of its limit don't count")
+TEST_CASE("a limit is written as a number, and none as such")
+{
+    CHECK(rateLimitText(2.5) == "2.5");
+    CHECK(rateLimitText(1.0) == "1");
+    CHECK(rateLimitText(std::nullopt) == "none");
+}
+
+TEST_CASE("one node alone doesn't choose a bounded server, nor believe older news of limits")
 {
     manual_clock clock;
     server_directory directory(clock);
--- a/tests/platform/limited_server_test.cpp
+++ b/tests/platform/limited_server_test.cpp
@@ -230,6 +230,8 @@
     w.load("/s/x", LoadTime);
     w.checkKept("e-1");
     w.checkUsed("e-1");
+    CHECK(w.logged.str().find("server=e-1 service=engine per_second=1 before=none")
+          != std::string::npos);
     CHECK(w.answeredWith(200) == w.requests.size());
 }
 
