Read the placement's headers as a newcomer: names and comments

Cause: a metaphor (lane) for what is kept of a rank, two functions called note and one called hand without a word on what they do, a name that said the opposite of what it does (forgetRequestsOf goes on with them). Change: rank_account, goOnWithout, comments; no logic.

--- a/src/gateway/placement/placement_board.h
+++ b/src/gateway/placement/placement_board.h
@@ -38,8 +38,8 @@
 struct placed_request
 {
     server_ptr server; ///< null: there is none for it
-    milliseconds wait{
-        0}; ///< until its turn there; without a server until there may be one, 0: unknown
+    /// Until its turn there; without a server until there may be room, 0: unknown.
+    milliseconds wait{0};
     bool allBounded = false; ///< all servers it may go to bear only so many requests
 };
 
@@ -71,8 +71,8 @@
     /// board may use; of others it uses nothing.
     [[nodiscard]] placed_request place(placement_id id, const placement_wish &wish,
                                        double share = 0.0);
-    /// Whether a request may go on that is to be placed once its stages are done; without it they
-    /// would be done for nothing.
+    /// Whether a request may go on to its stages: where it will find no turn, they would be done
+    /// for nothing.
     [[nodiscard]] admission admit(const placement_wish &wish, double share);
     /// The request's prompt is read.
     void onFirstAnswer(placement_id id);
@@ -115,6 +115,7 @@
     /// What the servers take a second, where all that the request may go to are bounded.
     [[nodiscard]] std::optional<double> rateOf(const placement_wish &wish, double share) const;
     [[nodiscard]] milliseconds askAdmission(const placement_wish &wish, double perSecond);
+    /// Takes down what the request costs the server and leaves there.
     void note(placement_id id, const placement_wish &wish, const server &chosen);
     [[nodiscard]] double costOf(const server &which, const placement_wish &wish);
     [[nodiscard]] static std::uint64_t missingTokens(const engine &state,
--- a/src/gateway/placement/pool_admission.cpp
+++ b/src/gateway/placement/pool_admission.cpp
@@ -19,7 +19,7 @@
 double pool_admission::rateOf(const stage_rank &rank, double perSecond) const
 {
     double left = perSecond;
-    for (const auto &[other, each] : m_lanes) {
+    for (const auto &[other, each] : m_ranks) {
         if (other < rank)
             left -= each.arrivals.perSecond(m_clock.now());
     }
@@ -31,7 +31,7 @@
 milliseconds pool_admission::ask(const stage_rank &rank, double perSecond)
 {
     const auto now = m_clock.now();
-    auto &own = m_lanes[rank];
+    auto &own = m_ranks[rank];
     own.arrivals.onEvent(now);
     const double rate = rateOf(rank, perSecond);
     const std::chrono::duration<double> passed = now - own.at;
--- a/src/gateway/placement/pool_admission.h
+++ b/src/gateway/placement/pool_admission.h
@@ -25,7 +25,7 @@
     [[nodiscard]] milliseconds ask(const stage_rank &rank, double perSecond);
 
 private:
-    struct lane
+    struct rank_account
     {
         decaying_rate arrivals;
         decaying_rate refusals;
@@ -36,7 +36,7 @@
     [[nodiscard]] double rateOf(const stage_rank &rank, double perSecond) const;
 
     const clock_source &m_clock;
-    std::map<stage_rank, lane> m_lanes;
+    std::map<stage_rank, rank_account> m_ranks;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/placement/request_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -303,11 +303,10 @@
             m_board.onEnd(each.ours);
         m_hosted.erase(found);
     }
-    forgetRequestsOf(link);
+    goOnWithout(link);
 }
 
-// Those that wait for the host's word go on without it.
-void request_placer::forgetRequestsOf(const link_ptr &link)
+void request_placer::goOnWithout(const link_ptr &link)
 {
     std::vector<placement_id> waiting;
     for (auto &[id, entry] : m_requests) {
--- a/src/gateway/placement/request_placer.h
+++ b/src/gateway/placement/request_placer.h
@@ -91,8 +91,10 @@
     void placeHere(placement_id id, request &entry);
     [[nodiscard]] placed_request placeOnBoard(placement_id id, const placement_wish &wish);
     [[nodiscard]] admission admitOnBoard(const placement_wish &wish);
+    /// Calls the request's handler.
     void hand(request &entry, const placed_request &placed);
     void onAdmission(placement_id id, const admission &told);
+    /// Takes down whether all servers of a pool are bounded, as its host says.
     void note(const pool_key &pool, bool allBounded);
     void sendProgress(placement_id id, request &entry, progress_frame::what kind);
     void onPlaced(const placed_frame &frame);
@@ -100,7 +102,8 @@
     void onAdmissionRequest(const link_ptr &link, const admission_request &frame);
     void onProgress(const link_ptr &link, const progress_frame &frame);
     void onRateLimits(const rate_limits_frame &frame);
-    void forgetRequestsOf(const link_ptr &link);
+    /// Goes on without the word of a host whose link ended.
+    void goOnWithout(const link_ptr &link);
 
     http::io_loop &m_loop;
     peer_network &m_peers;
