Log which answers say that a server leaves, and which ask for time

Cause: the logs couldn't tell whether an answer said either, at which node, and what went to the server afterwards.

Ruled out: a line a request; the first answer that says it is enough, and attempt_sent tells what was known as a request went out.

Change: answers are decoded into server_signals, one value for what a server says of itself whatever the answer is (request, stage call, free, refusal), and server_directory::onSignals takes it down for that start of the server. Lines server_said_leaving and server_asked_for_time, two gauges. Answers 421 come from another server and say nothing. Nothing is decided by it yet. A load told with a refusal is decoded with the rest.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -62,8 +62,7 @@
     std::string attempt; ///< of the request that it answers; empty: it doesn't say
     bool signedByServer = false;
     bool notRun = false; ///< the server says that it has not run the request
-    std::optional<server_load> load;
-    told_rate_limit rateLimit;
+    server_signals server;
 };
 
 /// One piece of a stage, as a server is asked for it.
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -186,8 +186,8 @@
 void exchange<Codec>::onHead(const http::response_head &head)
 {
     m_answerMarks = Codec::readAnswer(head);
-    m_context.directory.onRateLimit(*m_server, m_answerMarks.rateLimit);
-    m_context.placer.onRateLimit(m_placement, m_answerMarks.rateLimit);
+    m_context.directory.onSignals(*m_server, m_answerMarks.server);
+    m_context.placer.onRateLimit(m_placement, m_answerMarks.server.rateLimit);
     const bool success = head.status >= status::Ok && head.status < status::FirstRedirect;
     if (m_begun) {
         // A stream that goes on: its head is out already.
@@ -326,7 +326,7 @@
         onFate(fate::Unknown);
         return;
     }
-    m_context.directory.onAnswer(*m_server, m_answerMarks.load);
+    m_context.directory.onAnswer(*m_server, m_answerMarks.server.load);
     logAttemptEnd("answered");
     if (m_passing == passing::Buffered) {
         onBufferedEnd();
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -89,6 +89,12 @@
         line.add("running", m_server->load->running).add("waiting", m_server->load->waiting);
         line.add("load_age_ms", std::chrono::duration_cast<milliseconds>(age).count());
     }
+    if (m_server->saidLeaving)
+        line.add("said_leaving", "yes");
+    const auto now = m_context.loop.now();
+    if (now < m_server->backoffUntil)
+        line.add("backoff_left_ms",
+                 std::chrono::duration_cast<milliseconds>(m_server->backoffUntil - now).count());
     line.add("left_ms", left().count()).add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,6 +36,8 @@
     void onNews(const publication_news &news);
     void onDoubt(const server &which, bool avoided);
     void onRateLimitChanged(const server &which, std::optional<double> before);
+    void onLeavingSaid(const server &which);
+    void onBackoff(const server &which, milliseconds time);
     void onReach(const reach_event &event);
     void askServerIn(const data_center_id &dataCenter);
     void onBroken(const server &which, const interrupted_request &request);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -134,6 +134,9 @@
         m_placer.onRateLimitChanged();
         onRateLimitChanged(which, before);
     });
+    m_directory.onLeavingSaid([this](const server &which) { onLeavingSaid(which); });
+    m_directory.onBackoff(
+        [this](const server &which, milliseconds time) { onBackoff(which, time); });
     m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
                                   std::string &&body) {
         onRequest(client, std::move(head), std::move(body));
@@ -218,6 +221,8 @@
         now.servers += each->usable() ? 1 : 0;
         now.coldServers += each->usable() && each->cold(m_loop.now()) ? 1 : 0;
         now.limitedServers += each->usable() && each->rateLimit.has_value() ? 1 : 0;
+        now.leavingServers += each->record.leaving || each->saidLeaving ? 1 : 0;
+        now.backedOffServers += each->usable() && m_loop.now() < each->backoffUntil ? 1 : 0;
     }
     now.evacuatedDataCenters = m_state.evacuations().dataCenters.size();
     const auto age = [this](steady_time since) {
@@ -282,6 +287,27 @@
     m_log.write(wire::log_level::Info, std::move(line));
 }
 
+template <gateway_codec Codec>
+void gateway<Codec>::onLeavingSaid(const server &which)
+{
+    const auto heard = m_loop.now() - m_state.heardAt();
+    auto line = m_log.line(wire::log_level::Info, toName(log_event::ServerSaidLeaving));
+    line.add("server", which.record.id.value).add("service", which.record.service.value);
+    line.add("published", which.record.leaving ? "leaving" : "ready");
+    line.add("published_age_ms", std::chrono::duration_cast<milliseconds>(heard).count());
+    line.add("outstanding", which.outstanding);
+    m_log.write(wire::log_level::Info, std::move(line));
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::onBackoff(const server &which, milliseconds time)
+{
+    auto line = m_log.line(wire::log_level::Info, toName(log_event::ServerAskedForTime));
+    line.add("server", which.record.id.value).add("service", which.record.service.value);
+    line.add("for_ms", time.count()).add("outstanding", which.outstanding);
+    m_log.write(wire::log_level::Info, std::move(line));
+}
+
 template <gateway_codec Codec>
 void gateway<Codec>::askServerIn(const data_center_id &dataCenter)
 {
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -160,6 +160,8 @@
     m_families->set("usable_servers", static_cast<double>(gauges.servers));
     m_families->set("cold_servers", static_cast<double>(gauges.coldServers));
     m_families->set("limited_servers", static_cast<double>(gauges.limitedServers));
+    m_families->set("leaving_servers", static_cast<double>(gauges.leavingServers));
+    m_families->set("backed_off_servers", static_cast<double>(gauges.backedOffServers));
     m_families->set("evacuated_data_centers", static_cast<double>(gauges.evacuatedDataCenters));
     m_families->set("engine_placements", static_cast<double>(gauges.placements));
     m_families->set("published_age_seconds", seconds(gauges.publishedAge));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -27,6 +27,8 @@
     std::size_t servers = 0; ///< that may get work
     std::size_t coldServers = 0; ///< of these, that bear only few requests yet
     std::size_t limitedServers = 0; ///< of these, that name a limit to this node
+    std::size_t leavingServers = 0; ///< published or heard to leave
+    std::size_t backedOffServers = 0; ///< usable ones that want nothing of this node now
     std::size_t evacuatedDataCenters = 0;
     std::map<std::string, std::size_t> members; ///< by state, this node included
     std::map<service_id, std::size_t> waitingPieces; ///< of the pools hosted here
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -39,6 +39,8 @@
     ServerAvoided, ///< it failed several times in a row
     ServerTrusted, ///< an avoided server answered
     ServerLimitChanged, ///< it takes another rate of requests from all nodes than before
+    ServerSaidLeaving, ///< in an answer
+    ServerAskedForTime, ///< in a refusal: it wants nothing of this node for a while
     ServerEnded, ///< under requests of this node: a new connection is refused
     ConnectionsLost, ///< amid answers, and a new one isn't refused
     QuarantineChanged, ///< how requests under which servers end are treated
@@ -110,6 +112,10 @@
         orchidlead::gateway::log_event::ServerTrusted, "server_trusted"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerLimitChanged, "server_limit_changed"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ServerSaidLeaving, "server_said_leaving"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ServerAskedForTime, "server_asked_for_time"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerEnded, "server_ended"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -377,6 +377,21 @@
     which.avoidUntil = std::max(which.avoidUntil, m_clock.now() + RefusedAvoidance);
 }
 
+void server_directory::onSignals(server &which, const server_signals &told)
+{
+    onRateLimit(which, told.rateLimit);
+    if (told.leaving && !std::exchange(which.saidLeaving, true) && m_onLeavingSaid)
+        m_onLeavingSaid(which);
+    if (!told.retryAfter)
+        return;
+    const auto until = m_clock.now() + *told.retryAfter;
+    if (until <= which.backoffUntil)
+        return;
+    which.backoffUntil = until;
+    if (m_onBackoff)
+        m_onBackoff(which, *told.retryAfter);
+}
+
 void server_directory::onRateLimit(server &which, const told_rate_limit &told)
 {
     onRateLimit(which, told, m_clock.now());
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -4,6 +4,7 @@
 #include "gateway/servers/pool_key.h"
 #include "gateway/servers/rate_bound.h"
 #include "gateway/servers/residency.h"
+#include "gateway/servers/server_signals.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
@@ -47,21 +48,6 @@
     friend bool operator==(const server_record &, const server_record &) = default;
 };
 
-/// A server's own account of its work.
-struct server_load
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-};
-
-/// What an answer says of the rate that its server bears.
-struct told_rate_limit
-{
-    std::optional<double> perSecond; ///< requests that it takes from all nodes together; empty: any
-    bool readable = true; ///< else the answer says nothing of it
-};
-
 /// Writes a limit as operators read it: requests a second, or "none".
 [[nodiscard]] std::string rateLimitText(const std::optional<double> &perSecond);
 
@@ -82,6 +68,8 @@
     steady_time coldUntil{}; ///< bears only few requests until then
     std::optional<double> rateLimit; ///< as in `told_rate_limit`
     steady_time rateLimitAt{}; ///< when an answer last said so, or that there is none
+    bool saidLeaving = false; ///< in an answer; holds until its next start, whatever is published
+    steady_time backoffUntil{}; ///< it wants nothing of this node until then
     double slowness = 1.0; ///< time that its work takes against what is expected, averaged
 
     /// Whether it has just started, and crashes under more requests than its service says.
@@ -174,8 +162,9 @@
     void onFailure(server &which);
     /// The server refused for want of room.
     void onRefused(server &which);
-    /// An answer of the server began, whatever its status. What it says holds until the next one
-    /// says otherwise.
+    /// An answer of the server began, whatever its status. Every path that gets answers calls this.
+    void onSignals(server &which, const server_signals &told);
+    /// What an answer says of its limit holds until the next one says otherwise.
     void onRateLimit(server &which, const told_rate_limit &told);
     /// The same of an answer that another node had, at `heardAt`.
     void onRateLimit(server &which, const told_rate_limit &told, steady_time heardAt);
@@ -205,6 +194,16 @@
     {
         m_onRateLimitChanged = std::move(handler);
     }
+    /// Called when a server first says that it leaves.
+    void onLeavingSaid(std::function<void(const server &)> handler)
+    {
+        m_onLeavingSaid = std::move(handler);
+    }
+    /// Called when a server wants nothing of this node for longer than it had said.
+    void onBackoff(std::function<void(const server &, milliseconds time)> handler)
+    {
+        m_onBackoff = std::move(handler);
+    }
     /// Called when a server appears, changes, or leaves.
     void onChange(std::function<void(const service_id &)> handler)
     {
@@ -237,6 +236,8 @@
     std::function<void(const service_id &)> m_onChange;
     std::function<void(const server &, bool avoided)> m_onDoubt;
     std::function<void(const server &, std::optional<double> before)> m_onRateLimitChanged;
+    std::function<void(const server &)> m_onLeavingSaid;
+    std::function<void(const server &, milliseconds time)> m_onBackoff;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -198,7 +198,7 @@
     made.onHead = [this, answer](const http::response_head &head) {
         answer->status = head.status;
         answer->marks = Codec::readAnswer(head);
-        m_directory.onRateLimit(*answer->made.server, answer->marks.rateLimit);
+        m_directory.onSignals(*answer->made.server, answer->marks.server);
     };
     made.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
     made.onEnd = [this, answer](http::call_end how) { onCallEnd(answer, how); };
@@ -254,7 +254,7 @@
             call.server->gone = true;
     }
     if (end == stage_call_end::Answered)
-        m_directory.onAnswer(*call.server, answer.marks.load);
+        m_directory.onAnswer(*call.server, answer.marks.server.load);
     else if (end == stage_call_end::Broken)
         m_directory.onFailure(*call.server);
     if (how == http::call_end::Broken && call.server->usable() && m_onBroken) {
@@ -467,7 +467,7 @@
     };
     made.onHead = [this, server = m_directory.findAt(*address)](const http::response_head &head) {
         if (server)
-            m_directory.onRateLimit(*server, Codec::readAnswer(head).rateLimit);
+            m_directory.onSignals(*server, Codec::readAnswer(head).server);
     };
     // Until the server has answered, the room isn't free. A result that can't be freed lapses by
     // itself, there and in the pool's account.
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -46,6 +46,8 @@
     gauges.configurationVersion = 12;
     gauges.coldServers = 3;
     gauges.limitedServers = 2;
+    gauges.leavingServers = 6;
+    gauges.backedOffServers = 7;
     gauges.evacuatedDataCenters = 1;
     gauges.members["alive"] = 5;
     gauges.retries[service_id{"pages"}] = {3, 4.5, 0};
@@ -54,6 +56,8 @@
     CHECK(text.find("what=\"configuration_version\"} 12") != std::string::npos);
     CHECK(text.find("what=\"cold_servers\"} 3") != std::string::npos);
     CHECK(text.find("what=\"limited_servers\"} 2") != std::string::npos);
+    CHECK(text.find("what=\"leaving_servers\"} 6") != std::string::npos);
+    CHECK(text.find("what=\"backed_off_servers\"} 7") != std::string::npos);
     CHECK(text.find("what=\"evacuated_data_centers\"} 1") != std::string::npos);
     CHECK(text.find("orchidlead_gateway_members{state=\"alive\"} 5") != std::string::npos);
     CHECK(text.find("retries_left{service=\"pages\"} 4.5") != std::string::npos);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -162,12 +162,12 @@
     CHECK(marks.attempt == "9c41");
     CHECK(marks.signedByServer);
     CHECK(marks.notRun);
-    REQUIRE(marks.load);
-    CHECK(marks.load->running == 3);
-    CHECK(marks.load->waiting == 1);
-    CHECK(marks.load->slots == 8);
+    REQUIRE(marks.server.load);
+    CHECK(marks.server.load->running == 3);
+    CHECK(marks.server.load->waiting == 1);
+    CHECK(marks.server.load->slots == 8);
     head.fields = {{"X-Instance-Load", "3,1"}};
-    CHECK_FALSE(codec::readAnswer(head).load);
+    CHECK_FALSE(codec::readAnswer(head).server.load);
 }
 
 TEST_CASE("an answer's limit is decoded, and one that is no number says nothing")
@@ -176,12 +176,12 @@
         http::response_head head;
         head.status = status;
         head.fields = {{"server-limit", limit}};
-        return codec::readAnswer(head).rateLimit;
+        return codec::readAnswer(head).server.rateLimit;
     };
     CHECK(read("2.5").perSecond == 2.5);
     CHECK(read("0").perSecond == 0.0);
-    CHECK(codec::readAnswer({}).rateLimit.readable);
-    CHECK_FALSE(codec::readAnswer({}).rateLimit.perSecond);
+    CHECK(codec::readAnswer({}).server.rateLimit.readable);
+    CHECK_FALSE(codec::readAnswer({}).server.rateLimit.perSecond);
     for (const auto *wrong : {"", "many", "-1", "inf", "nan", "1,5", "1 a second"}) {
         INFO("limit: " << wrong);
         CHECK_FALSE(read(wrong).readable);
@@ -190,6 +190,67 @@
     CHECK_FALSE(read("2.5", 421).readable);
 }
 
+TEST_CASE("an answer says that its server leaves with one value alone")
+{
+    const auto read = [](const std::string &value, int status = 200) {
+        http::response_head head;
+        head.status = status;
+        head.fields = {{"server-leaving", value}};
+        return codec::readAnswer(head).server.leaving;
+    };
+    for (const int status : {200, 206, 400, 409, 429, 500, 503, 504}) {
+        INFO("status " << status);
+        CHECK(read("1", status));
+    }
+    for (const auto *other : {"", "0", "true", "1,1"}) {
+        INFO("value: " << other);
+        CHECK_FALSE(read(other));
+    }
+    CHECK_FALSE(codec::readAnswer({}).server.leaving);
+    // Another server at the same address.
+    CHECK_FALSE(read("1", 421));
+}
+
+TEST_CASE("a refusal's time is decoded with its fraction, and nothing of other answers")
+{
+    const auto read = [](const std::string &value, int status = 503) {
+        http::response_head head;
+        head.status = status;
+        head.fields = {{"retry-after", value}};
+        return codec::readAnswer(head).server.retryAfter;
+    };
+    CHECK(read("3") == milliseconds{3000});
+    CHECK(read("0.25") == milliseconds{250});
+    CHECK(read("0.0004") == milliseconds{1});
+    CHECK(read("2.5", 429) == milliseconds{2500});
+    CHECK(read("1e300") == std::chrono::hours{1});
+    for (const auto *wrong :
+         {"", "soon", "-1", "0", "inf", "nan", "Thu, 03 Dec 2026 10:00:00 GMT"}) {
+        INFO("value: " << wrong);
+        CHECK_FALSE(read(wrong));
+    }
+    for (const int status : {200, 404, 408, 421, 500, 502}) {
+        INFO("status " << status);
+        CHECK_FALSE(read("3", status));
+    }
+}
+
+TEST_CASE("an answer tells a refusal from a request that has run")
+{
+    const auto refused = [](int status, bool notRun) {
+        http::response_head head;
+        head.status = status;
+        if (notRun)
+            head.fields = {{"X-Not-Executed", "1"}, {"X-Instance-Load", "8,4,8"}};
+        return codec::readAnswer(head).server.refused;
+    };
+    CHECK(refused(503, true));
+    CHECK(refused(429, true));
+    CHECK_FALSE(refused(503, false));
+    for (const int status : {200, 400, 409, 421})
+        CHECK_FALSE(refused(status, true));
+}
+
 TEST_CASE("the time to come back is written in seconds with a fraction")
 {
     CHECK(codec::retryAfter(milliseconds{400}).value == "0.400");
