--- a/tests/platform/limited_server_test.cpp
+++ b/tests/platform/limited_server_test.cpp
@@ -6,16 +6,12 @@
 // have sent eight times of it: it is a sum over nodes that don't see each other's requests.
 // What proved it: a line for each limit that a node hears. Every node logged it within a second in
 // these tests, and the rate at the server stayed what it was, without a stop of any node.
-#include "platform_world.h"
-#include "wire/json_text.h"
+#include "loaded_fleet.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <array>
 #include <map>
-#include <memory>
-#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -31,164 +27,49 @@
 constexpr double Allowance = 5.0;
 /// From so long after a server first named its limit.
 constexpr milliseconds ContactTime{3000};
-/// How long an answer takes.
-constexpr milliseconds Work{50};
-/// Between two requests of all clients together.
-constexpr milliseconds RequestGap{25};
-/// A refusal for want of room under limits comes within this: nothing is waited for.
-constexpr milliseconds AtOnce{200};
-
-constexpr std::array Nodes{"g1", "g2", "g3", "g4"};
 
 /// Four nodes before servers that may name a limit.
-struct limited_world : world
+struct limited_world : loaded_fleet
 {
-    struct asked
-    {
-        std::shared_ptr<client_answer> answer;
-        steady_time at;
-        std::optional<steady_time> endedAt;
-    };
-
     explicit limited_world(const std::string &routes, const std::string &services = {})
+        : loaded_fleet(routes, services)
     {
-        publish(1, routes, services);
-    }
-
-    void startNodes()
-    {
-        for (const auto *name : Nodes)
-            startGateway(name);
-        runFor(milliseconds{1200}); // they find each other
-    }
-
-    fake_server &addLimited(const std::string &service, const std::string &id)
-    {
-        auto &added = addServer(service, id);
-        added.behave([this, id](const server_request &request,
-                                const std::shared_ptr<server_answer> &answer) {
-            arrivals[id].push_back(clock.now());
-            loop.callAfter(Work, [this, id, request, answer] { answerTo(id, request, answer); });
-        });
-        return added;
+        fieldsOf = [this](const std::string &id) { return limitField(id); };
     }
 
-    void answerTo(const std::string &id, const server_request &request,
-                  const std::shared_ptr<server_answer> &answer)
-    {
-        if (request.head.target.starts_with("/p/"))
-            answer->write(withLimit(id, signedAnswer(request, "done")));
-        else if (request.head.target.starts_with("/s/"))
-            answer->write(withLimit(
-                id, streamHead(request) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"));
-        else
-            answer->write(withLimit(id, stageAnswer(id, request)));
-    }
-
-    std::string stageAnswer(const std::string &id, const server_request &request)
-    {
-        std::string body;
-        if (request.head.target == "/stage-run") {
-            const auto count = wire::parseJson(request.body).value()["items"].size();
-            for (unsigned i = 0; i < count; ++i)
-                body += std::string(i == 0 ? "" : ",") + R"({"handle":")"
-                    + toText(server(id).address()) + "/" + std::to_string(++pieces) + R"("})";
-            body = R"({"items":[)" + body + "]}";
-        }
-        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-            + body;
-    }
-
-    /// Adds the limit that the server names now, if it names one.
-    std::string withLimit(const std::string &id, const std::string &answer)
+    /// The limit that the server names now, if it names one.
+    std::string limitField(const std::string &id)
     {
         const auto limit = limits.find(id);
         if (limit == limits.end())
-            return answer;
+            return {};
         named.try_emplace(id, clock.now());
         std::ostringstream field;
         field << "Server-Limit: " << limit->second << "\r\n";
-        const auto firstLine = answer.find("\r\n") + 2;
-        return answer.substr(0, firstLine) + field.str() + answer.substr(firstLine);
-    }
-
-    void send(const std::string &path, const std::string &pieceCounts = {})
-    {
-        const auto attempt = "a-" + std::to_string(++sent);
-        auto head = makeRequest("POST", path, attempt);
-        if (path.starts_with("/s/"))
-            head.fields.push_back({"X-Prefix-Hash", attempt + ":400"});
-        if (!pieceCounts.empty()) {
-            head.fields.push_back({"X-Chunk-Count", pieceCounts});
-            head.fields.push_back({"X-Chunk-Key", attempt});
-        }
-        requests.push_back(
-            {request(Nodes[sent % Nodes.size()], std::move(head), "body"), clock.now(), {}});
+        return field.str();
     }
 
-    /// Sends requests to one node after the other for so long, and waits for their ends.
-    void load(const std::string &path, milliseconds time, const std::string &pieceCounts = {})
-    {
-        const auto end = clock.now() + time;
-        while (clock.now() < end) {
-            send(path, pieceCounts);
-            runFor(RequestGap);
-            noteEnds();
-        }
-        REQUIRE(runUntil([&] {
-            noteEnds();
-            return std::ranges::all_of(requests,
-                                       [](const asked &each) { return each.endedAt.has_value(); });
-        }));
-    }
-    void noteEnds()
-    {
-        for (auto &each : requests) {
-            if (!each.endedAt && each.answer->ended)
-                each.endedAt = clock.now();
-        }
-    }
-
-    /// How many were refused later than at once.
-    [[nodiscard]] std::size_t refusedLate() const
-    {
-        return static_cast<std::size_t>(std::ranges::count_if(requests, [](const asked &each) {
-            return each.answer->status == 503 && *each.endedAt - each.at > AtOnce;
-        }));
-    }
-    [[nodiscard]] std::size_t answeredWith(int status) const
-    {
-        return static_cast<std::size_t>(std::ranges::count_if(
-            requests, [&](const asked &each) { return each.answer->status == status; }));
-    }
     /// The most that a server got within the window, since its nodes had to know its limit.
     [[nodiscard]] std::size_t mostWithin(const std::string &id) const
     {
         const auto &all = arrivals.at(id);
         const auto from = named.at(id) + ContactTime;
         std::size_t most = 0;
-        for (std::size_t first = 0; first < all.size(); ++first) {
-            if (all[first] < from)
+        for (const auto &first : all) {
+            if (first.at < from)
                 continue;
-            const auto in = std::ranges::count_if(
-                all, [&](steady_time at) { return at >= all[first] && at < all[first] + Window; });
+            const auto in = std::ranges::count_if(all, [&](const arrival &each) {
+                return each.at >= first.at && each.at < first.at + Window;
+            });
             most = std::max(most, static_cast<std::size_t>(in));
         }
         return most;
     }
-    [[nodiscard]] std::size_t arrivalsSince(const std::string &id, steady_time since) const
-    {
-        const auto found = arrivals.find(id);
-        if (found == arrivals.end())
-            return 0;
-        return static_cast<std::size_t>(
-            std::ranges::count_if(found->second, [&](steady_time at) { return at >= since; }));
-    }
     /// That a server got most of what it takes since its nodes know its limit, all the time.
     void checkUsed(const std::string &id) const
     {
         const auto from = named.at(id) + ContactTime;
-        const std::chrono::duration<double> time = arrivals.at(id).back() - from;
+        const std::chrono::duration<double> time = arrivals.at(id).back().at - from;
         const double taken = limits.at(id) * time.count();
         INFO("server " << id << " takes " << taken << " in " << time.count() << " s");
         CHECK(static_cast<double>(arrivalsSince(id, from)) >= 0.7 * taken - 1.0);
@@ -203,18 +84,8 @@
 
     std::map<std::string, double> limits; ///< that servers name now
     std::map<std::string, steady_time> named; ///< when they first did
-    std::map<std::string, std::vector<steady_time>> arrivals;
-    std::vector<asked> requests;
-    std::size_t sent = 0;
-    int pieces = 0;
 };
 
-const std::string EngineService = R"({"name":"engine","engine":{"slots":8,"kv_capacity":100000}})";
-const std::string StageService =
-    R"({"name":"p","segments":{"slots":1,"queue":2,"batch":4,"call_ms":50,"item_ms":1,)"
-    R"("headroom_mb":1,"handle_s":2}})";
-const std::string OneStage = R"([{"service":"p","after":[],"length":100}])";
-
 /// Long enough for a window after the time in which nodes must come to know.
 constexpr milliseconds LoadTime{9000};
 
@@ -224,7 +95,7 @@
 {
     limited_world w(streamRoute(true), EngineService);
     for (const auto *id : {"e-1", "e-2", "e-3"})
-        w.addLimited("engine", id);
+        w.addNoting("engine", id);
     w.limits["e-1"] = 1.0;
     w.startNodes();
     w.load("/s/x", LoadTime);
@@ -239,7 +110,7 @@
 {
     limited_world w(plainRoute("unsafe"));
     for (const auto *id : {"i-1", "i-2", "i-3"})
-        w.addLimited("web", id);
+        w.addNoting("web", id);
     w.limits["i-1"] = 1.0;
     w.startNodes();
     w.load("/p/x", LoadTime);
@@ -252,8 +123,8 @@
 {
     limited_world w(streamRoute(true, OneStage), StageService + "," + EngineService);
     for (const auto *id : {"p-1", "p-2"})
-        w.addLimited("p", id);
-    w.addLimited("engine", "e-1");
+        w.addNoting("p", id);
+    w.addNoting("engine", "e-1");
     w.limits["p-1"] = 1.0;
     w.startNodes();
     w.load("/s/x", LoadTime, "1");
@@ -265,9 +136,9 @@
 TEST_CASE("what limits of engines leave no room for is refused before its stages")
 {
     limited_world w(streamRoute(true, OneStage), StageService + "," + EngineService);
-    w.addLimited("p", "p-1");
+    w.addNoting("p", "p-1");
     for (const auto *id : {"e-1", "e-2"}) {
-        w.addLimited("engine", id);
+        w.addNoting("engine", id);
         w.limits[id] = 3.0;
     }
     w.startNodes();
@@ -295,7 +166,7 @@
 {
     limited_world w(plainRoute("unsafe"));
     for (const auto *id : {"i-1", "i-2"}) {
-        w.addLimited("web", id);
+        w.addNoting("web", id);
         w.limits[id] = 4.0;
     }
     w.startNodes();
@@ -317,10 +188,10 @@
 {
     limited_world w(streamRoute(true, OneStage), StageService + "," + EngineService);
     for (const auto *id : {"p-1", "p-2"}) {
-        w.addLimited("p", id);
+        w.addNoting("p", id);
         w.limits[id] = 3.0;
     }
-    w.addLimited("engine", "e-1");
+    w.addNoting("engine", "e-1");
     w.startNodes();
     w.load("/s/x", milliseconds{3000}, "4"); // a whole call each
     w.requests.clear();
@@ -340,8 +211,8 @@
 TEST_CASE("a server that names no limit any more gets its full share at once")
 {
     limited_world w(streamRoute(true) + "," + plainRoute("safe"), EngineService);
-    w.addLimited("engine", "e-1");
-    w.addLimited("web", "i-1");
+    w.addNoting("engine", "e-1");
+    w.addNoting("web", "i-1");
     w.limits["e-1"] = 4.0;
     w.limits["i-1"] = 4.0;
     w.startNodes();
@@ -360,9 +231,9 @@
 {
     limited_world w(streamRoute(true) + "," + plainRoute("safe"), EngineService);
     for (const auto *id : {"e-1", "e-2", "e-3"})
-        w.addLimited("engine", id);
+        w.addNoting("engine", id);
     for (const auto *id : {"i-1", "i-2", "i-3"})
-        w.addLimited("web", id);
+        w.addNoting("web", id);
     w.limits["e-1"] = 1.0;
     w.limits["i-1"] = 1.0;
     w.startNodes();
