Keep to what answers say of servers that leave, on all nodes

Cause: a server's leaving was read from its published entry alone, and the store was silent. The class: what a server says of itself is read by one path only, or not at all.

Ruled out: news that undo it (a node's rate at the engine never fell), requests that were chosen before (those too late were taken three seconds after), stops of nodes (none in the tests).

Change: an answer that says so holds for that start of the server, whatever is published, and outlives an entry that lapses. server::usable(), which every path asks, covers it, and it is asked again as bytes are sent, frees included; what is withheld there is no fault of the server's and no second try. leaving_relay: two nodes of each data centre pass the news on, a node that starts gets all of it. Where all servers of a service leave, requests are refused before their stages. Frees name the start that they are meant for; what lies at a server that gets nothing new lapses.

--- a/src/ctl/request_history.cpp
+++ b/src/ctl/request_history.cpp
@@ -52,6 +52,9 @@
         "refused, not run: operators have evacuated all data centres that could serve it"},
     outcome_cause{"out_of_region",
                   "refused, not run: no server could be reached in the regions it is bound to"},
+    outcome_cause{"servers_leaving",
+                  "refused, not run: all servers that could run it leave, as published or as they "
+                  "say in answers"},
     outcome_cause{"servers_limited",
                   "refused, not run: all servers that could run it are cold or name limits, and "
                   "these left no room in time"},
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -84,6 +84,7 @@
     NoRoom,
     Error,
     Evacuated, ///< no server gave it up: those of its pool get nothing new
+    ServersLeaving, ///< likewise: those of its pool end soon
 };
 
 /// A handle of the result, or why there is none.
@@ -218,6 +219,8 @@
         orchidlead::gateway::piece_failure::Error, "error"},
     orchidlead::enum_name<orchidlead::gateway::piece_failure>{
         orchidlead::gateway::piece_failure::Evacuated, "evacuated"},
+    orchidlead::enum_name<orchidlead::gateway::piece_failure>{
+        orchidlead::gateway::piece_failure::ServersLeaving, "servers_leaving"},
 };
 template <>
 inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::read_freshness>{
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -143,7 +143,12 @@
     void sendTo(server_ptr chosen);
     [[nodiscard]] data_center_id whereResultLies(const std::string &handle) const;
     [[nodiscard]] service_id pickService();
+    /// Whether the chosen server may still have it: what waited for a turn or a connection was
+    /// chosen by what was known before.
+    [[nodiscard]] bool serverMayHaveIt() const;
     [[nodiscard]] std::optional<std::string> writeHead();
+    /// Takes down what an answer says of the server, though it belongs to another request.
+    void onForeignHead(const answer_marks &marks);
     void onHead(const http::response_head &head);
     void onBody(std::string_view bytes);
     void onEvents(std::string_view bytes);
@@ -220,6 +225,7 @@
     http::pool_call m_call = 0;
     std::uint32_t m_attempts = 0; ///< that reached a server
     std::uint32_t m_unsent = 0;
+    bool m_withheld = false; ///< the chosen server may not have it any more
     bool m_onTrial = false; ///< is the one repeat of a suspected request that is tried
     std::optional<steady_time> m_answeredFrom; ///< first bytes of the current attempt's answer
     bool m_mayHaveRun = false;
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -31,6 +31,10 @@
         onTimeout();
         return;
     }
+    if (const auto why = whyAbsent(m_service)) {
+        giveUp(*why);
+        return;
+    }
     if (m_needsStages) {
         restartStages("results_freed");
         return;
@@ -132,6 +136,7 @@
     }
     ++m_server->outstanding;
     m_passing = passing::Nothing;
+    m_withheld = false;
     m_buffered.clear();
     m_sentAt = m_context.loop.now();
     m_answeredFrom.reset();
@@ -142,7 +147,10 @@
     call.writeHead = [self] { return self->writeHead(); };
     call.isMine = [self](const http::response_head &head) {
         const auto marks = Codec::readAnswer(head);
-        return marks.attempt.empty() || marks.attempt == self->m_marks.attempt;
+        if (marks.attempt.empty() || marks.attempt == self->m_marks.attempt)
+            return true;
+        self->onForeignHead(marks);
+        return false;
     };
     call.onHead = [self](const http::response_head &head) { self->onHead(head); };
     call.onBody = [self](std::string_view bytes) { self->onBody(bytes); };
@@ -152,11 +160,17 @@
         watchSilence(std::chrono::duration_cast<milliseconds>(m_route->objective * SilenceShare));
 }
 
+template <gateway_codec Codec>
+bool exchange<Codec>::serverMayHaveIt() const
+{
+    return m_server->usable() && m_residency.allows(m_server->region);
+}
+
 template <gateway_codec Codec>
 std::optional<std::string> exchange<Codec>::writeHead()
 {
-    if (m_done || !m_server->usable() || !m_residency.allows(m_server->region)
-        || left() <= milliseconds{0} || !mayBeSent())
+    m_withheld = !serverMayHaveIt();
+    if (m_done || m_withheld || left() <= milliseconds{0} || !mayBeSent())
         return std::nullopt;
     server_marks marks;
     marks.patience = left() + AnswerMargin;
@@ -182,6 +196,16 @@
     return http::formatHead(out);
 }
 
+// An answer that comes late may be older than others that this node had: of its limit it says
+// nothing that holds now.
+template <gateway_codec Codec>
+void exchange<Codec>::onForeignHead(const answer_marks &marks)
+{
+    auto told = marks.server;
+    told.rateLimit = NoSignals.rateLimit;
+    m_context.directory.onSignals(*m_server, told);
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::onHead(const http::response_head &head)
 {
@@ -305,6 +329,11 @@
     if (m_done)
         return;
     endAttempt();
+    if (how == http::call_end::NotSent && m_withheld) {
+        m_tried.push_back(m_server->record.id);
+        attempt(); // no fault of the server's, and no second try
+        return;
+    }
     if (how == http::call_end::NotSent && !mayBeSent()) {
         attempt(); // asks again what may be done with it
         return;
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -176,8 +176,9 @@
     const auto quarantine = m_context.quarantine.standingOf(m_digest);
     if (quarantine.level == quarantine_level::Quarantined)
         return quarantine.left;
-    if (outcome == request_outcome::Evacuated || outcome == request_outcome::OutOfRegion)
-        return ComeBackEvacuated;
+    if (outcome == request_outcome::Evacuated || outcome == request_outcome::OutOfRegion
+        || outcome == request_outcome::ServersLeaving)
+        return ComeBackAbsent;
     if (outcome == request_outcome::ServersLimited && m_roomAfter > milliseconds{0})
         return m_roomAfter;
     if (m_stagePools.empty())
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -34,9 +34,9 @@
 inline constexpr std::uint32_t MaxUnsent = 4;
 /// When a refused client is asked to come back: a few calls of a stage later.
 inline constexpr milliseconds ComeBack{400};
-/// The same where everything that could serve it is evacuated or can't be reached: that lasts
-/// seconds at least, and clients come back within a third of the time they have anyway.
-inline constexpr milliseconds ComeBackEvacuated{1500};
+/// The same where everything that could serve it is evacuated, leaves or can't be reached: that
+/// lasts seconds, and clients come back within a third of the time they have anyway.
+inline constexpr milliseconds ComeBackAbsent{1500};
 /// How much longer a request may wait at a stage where its prompt is kept than in its own data
 /// centre: about the time that reading a prompt of 6,000 shared tokens takes.
 inline constexpr milliseconds LongestDetour{150};
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -147,6 +147,8 @@
 std::optional<request_outcome> exchange<Codec>::whyAbsent(const service_id &service) const
 {
     switch (m_context.directory.absenceOf(service, m_residency)) {
+    case server_absence::Leaving:
+        return request_outcome::ServersLeaving;
     case server_absence::Evacuated:
         return request_outcome::Evacuated;
     case server_absence::OutOfRegion:
--- a/src/gateway/exchange/request_outcome.h
+++ b/src/gateway/exchange/request_outcome.h
@@ -21,6 +21,7 @@
     NoServer,
     OutOfRegion, ///< no server can be reached in the regions where it may be worked on
     Evacuated, ///< operators have evacuated all data centres where it could be served
+    ServersLeaving, ///< all servers that could have it end soon
     ServersLimited, ///< all that may be tried bear only so many requests, and have no room for it
     ServersFull, ///< all that may be tried refused it
     ServerFailed, ///< an answer didn't come, or was broken
@@ -41,6 +42,8 @@
         return request_outcome::StageLate;
     case piece_failure::Evacuated:
         return request_outcome::Evacuated;
+    case piece_failure::ServersLeaving:
+        return request_outcome::ServersLeaving;
     case piece_failure::InputGone:
     case piece_failure::NoRoom:
     case piece_failure::Error:
@@ -73,6 +76,8 @@
         orchidlead::gateway::request_outcome::OutOfRegion, "out_of_region"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::Evacuated, "evacuated"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::ServersLeaving, "servers_leaving"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::ServersLimited, "servers_limited"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/publication/published_state.h"
 #include "gateway/publication/store_follower.h"
 #include "gateway/quarantine/server_end_observer.h"
+#include "gateway/servers/leaving_relay.h"
 #include "gateway/settings.h"
 #include "gateway/stages/stage_router.h"
 #include "http/listener.h"
@@ -37,6 +38,7 @@
     void onDoubt(const server &which, bool avoided);
     void onRateLimitChanged(const server &which, std::optional<double> before);
     void onLeavingSaid(const server &which);
+    void onLeavingHeard(const server_start &start, const vm_id &from);
     void onBackoff(const server &which, milliseconds time);
     void onReach(const reach_event &event);
     void askServerIn(const data_center_id &dataCenter);
@@ -62,6 +64,7 @@
     stage_router<Codec> m_router;
     request_placer m_placer;
     quarantine_relay m_quarantine;
+    leaving_relay m_leaving;
     published_state m_state;
     store_follower<Codec> m_follower;
     publication_relay<Codec> m_relay;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -70,6 +70,7 @@
                    m_router.onLinkClosed(link);
                    m_placer.onLinkClosed(link);
                    m_quarantine.onLinkClosed(link);
+                   m_leaving.onLinkClosed(link);
                    m_relay.onLinkClosed(link);
                },
                [this](const vm_id &peer, std::uint64_t version) {
@@ -86,6 +87,9 @@
     , m_router(loop, log, m_peers, m_stages, m_directory, m_allowance, m_settings)
     , m_placer(loop, m_peers, m_directory, m_settings.without)
     , m_quarantine(loop, m_peers, log)
+    , m_leaving(
+          m_peers, m_directory,
+          [this](const server_start &start, const vm_id &from) { onLeavingHeard(start, from); })
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
@@ -134,7 +138,10 @@
         m_placer.onRateLimitChanged();
         onRateLimitChanged(which, before);
     });
-    m_directory.onLeavingSaid([this](const server &which) { onLeavingSaid(which); });
+    m_directory.onLeavingSaid([this](const server &which) {
+        onLeavingSaid(which);
+        m_leaving.onLeavingSaid(which);
+    });
     m_directory.onBackoff(
         [this](const server &which, milliseconds time) { onBackoff(which, time); });
     m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
@@ -221,7 +228,7 @@
         now.servers += each->usable() ? 1 : 0;
         now.coldServers += each->usable() && each->cold(m_loop.now()) ? 1 : 0;
         now.limitedServers += each->usable() && each->rateLimit.has_value() ? 1 : 0;
-        now.leavingServers += each->record.leaving || each->saidLeaving ? 1 : 0;
+        now.leavingServers += each->leaves() ? 1 : 0;
         now.backedOffServers += each->usable() && m_loop.now() < each->backoffUntil ? 1 : 0;
     }
     now.evacuatedDataCenters = m_state.evacuations().dataCenters.size();
@@ -293,12 +300,21 @@
     const auto heard = m_loop.now() - m_state.heardAt();
     auto line = m_log.line(wire::log_level::Info, toName(log_event::ServerSaidLeaving));
     line.add("server", which.record.id.value).add("service", which.record.service.value);
+    line.add("heard", "answer");
     line.add("published", which.record.leaving ? "leaving" : "ready");
     line.add("published_age_ms", std::chrono::duration_cast<milliseconds>(heard).count());
     line.add("outstanding", which.outstanding);
     m_log.write(wire::log_level::Info, std::move(line));
 }
 
+template <gateway_codec Codec>
+void gateway<Codec>::onLeavingHeard(const server_start &start, const vm_id &from)
+{
+    auto line = m_log.line(wire::log_level::Info, toName(log_event::ServerSaidLeaving));
+    line.add("server", start.id.value).add("heard", "peer").add("from", from.value);
+    m_log.write(wire::log_level::Info, std::move(line));
+}
+
 template <gateway_codec Codec>
 void gateway<Codec>::onBackoff(const server &which, milliseconds time)
 {
@@ -395,6 +411,7 @@
     m_relay.onFrame(link, frame);
     m_placer.onFrame(link, frame);
     m_quarantine.onFrame(link, frame);
+    m_leaving.onFrame(link, frame);
     m_router.onFrame(link, std::move(frame));
 }
 
@@ -409,6 +426,7 @@
     m_allowance.setNodes(std::max(AssumedNodes, m_peers.view().nodes()));
     m_router.tick();
     m_quarantine.tick();
+    m_leaving.tick();
     if (m_loop.now() >= m_nextSummary) {
         m_nextSummary = m_loop.now() + SummaryInterval;
         logEachSecond();
--- a/src/gateway/peers/peer_frame_kind.h
+++ b/src/gateway/peers/peer_frame_kind.h
@@ -31,6 +31,7 @@
     AdmissionRequest = 21,
     AdmissionAnswer = 22,
     RateLimits = 23,
+    LeavingServers = 24,
 };
 
 /// Stands where an outcome has a result instead of a reason.
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -199,13 +199,27 @@
     return frame;
 }
 
+server_start readStart(field_reader &in)
+{
+    server_start start;
+    start.id = backend_server_id(in.read<std::string>());
+    start.born = in.optional<std::uint64_t>();
+    return start;
+}
+
+leaving_servers_frame readLeavingServers(field_reader &in)
+{
+    leaving_servers_frame frame;
+    readList(in, [&](field_reader &items) { frame.servers.push_back(readStart(items)); });
+    return frame;
+}
+
 rate_limits_frame readRateLimits(field_reader &in)
 {
     rate_limits_frame frame;
     readList(in, [&](field_reader &items) {
         auto &told = frame.limits.emplace_back();
-        told.server.id = backend_server_id(items.read<std::string>());
-        told.server.born = items.optional<std::uint64_t>();
+        told.server = readStart(items);
         told.perSecond = readLimit(items);
         told.ago = items.duration();
     });
@@ -408,6 +422,8 @@
         return readAdmissionAnswer(in);
     case frame_kind::RateLimits:
         return readRateLimits(in);
+    case frame_kind::LeavingServers:
+        return readLeavingServers(in);
     }
     in.fail();
     return ping_frame{};
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -32,6 +32,12 @@
         out.pack_nil();
 }
 
+void packStart(packer &out, const server_start &start)
+{
+    out.pack(start.id.value);
+    packBorn(out, start.born);
+}
+
 /// Fields of a server in a list; they follow each other in one array.
 constexpr std::uint32_t ServerFields = 9;
 
@@ -198,13 +204,21 @@
     packKind(out, frame_kind::RateLimits, 1);
     out.pack_array(LimitFields * static_cast<std::uint32_t>(frame.limits.size()));
     for (const auto &each : frame.limits) {
-        out.pack(each.server.id.value);
-        packBorn(out, each.server.born);
+        packStart(out, each.server);
         packLimit(out, each.perSecond);
         packDuration(out, each.ago);
     }
 }
 
+void pack(packer &out, const leaving_servers_frame &frame)
+{
+    constexpr std::uint32_t StartFields = 2;
+    packKind(out, frame_kind::LeavingServers, 1);
+    out.pack_array(StartFields * static_cast<std::uint32_t>(frame.servers.size()));
+    for (const auto &each : frame.servers)
+        packStart(out, each);
+}
+
 void pack(packer &out, const ping_frame & /*frame*/)
 {
     packKind(out, frame_kind::Ping, 0);
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -102,6 +102,12 @@
     std::vector<told_limit> limits;
 };
 
+/// Servers that said in answers that they leave, as the sender knows.
+struct leaving_servers_frame
+{
+    std::vector<server_start> servers;
+};
+
 /// Asks whether the receiver is there.
 struct ping_frame
 { };
@@ -208,7 +214,8 @@
                  publication_request, publication_frame, free_frame, place_frame, placed_frame,
                  progress_frame, follow_frame, compare_frame, configuration_request,
                  configuration_frame, server_ends_frame, quarantine_frame, trial_request,
-                 trial_answer, trial_end, admission_request, admission_answer, rate_limits_frame>;
+                 trial_answer, trial_end, admission_request, admission_answer, rate_limits_frame,
+                 leaving_servers_frame>;
 
 /// Says why bytes aren't a frame.
 struct frame_error
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -49,6 +49,8 @@
     [[nodiscard]] double rateShare(const pool_key &pool) { return m_view.rateShare(pool); }
     /// As `peer_view::relayOrder`.
     [[nodiscard]] const std::vector<vm_id> &relayOrder() { return m_view.relayOrder(); }
+    /// As `peer_view::newsReceivers`.
+    [[nodiscard]] const std::vector<vm_id> &newsReceivers() { return m_view.newsReceivers(); }
     /// As `peer_view::quarantineHost`.
     [[nodiscard]] const vm_id &quarantineHost() { return m_view.quarantineHost(); }
     /// Who is there, and who has which role, as this node believes.
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -3,6 +3,8 @@
 #include <orchidlead/rendezvous.h>
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -28,6 +30,9 @@
 constexpr milliseconds AcquaintanceTime{2000};
 // What is hashed with a node to order those who read the store or relay what it publishes.
 constexpr std::string_view RelayRole = "store reader";
+// Nodes of a data centre that relay what others hear: while one of them ends the other one is
+// there.
+constexpr std::size_t NewsRelays = 2;
 // And to pick the one that decides on requests under which servers end.
 constexpr std::string_view QuarantineRole = "request quarantine";
 
@@ -176,6 +181,7 @@
     for (auto &[pool, kept] : m_hosts)
         kept.current = false;
     m_relayOrder.clear();
+    m_newsReceivers.reset();
     m_quarantineHost.reset();
     m_partAlive.reset();
 }
@@ -218,6 +224,29 @@
     return m_relayOrder;
 }
 
+std::vector<vm_id> peer_view::relaysIn(const data_center_id &dataCenter) const
+{
+    return rendezvousPick(RelayRole, candidates(dataCenter), NewsRelays);
+}
+
+const std::vector<vm_id> &peer_view::newsReceivers()
+{
+    if (m_newsReceivers)
+        return *m_newsReceivers;
+    auto receivers = relaysIn(m_identity.dataCenter);
+    if (std::ranges::find(receivers, self()) != receivers.end()) {
+        receivers = candidates(m_identity.dataCenter);
+        std::set<data_center_id> others;
+        for (const auto &each : m_members.members())
+            others.insert(each.vm.dataCenter);
+        others.erase(m_identity.dataCenter);
+        for (const auto &dataCenter : others)
+            std::ranges::copy(relaysIn(dataCenter), std::back_inserter(receivers));
+        std::erase(receivers, self());
+    }
+    return m_newsReceivers.emplace(std::move(receivers));
+}
+
 const vm_id &peer_view::quarantineHost()
 {
     if (!m_quarantineHost) {
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -60,6 +60,10 @@
     /// to the next: the first ones read the store. Nodes that believe the same members alive give
     /// the same order. Holds this node unless it leaves.
     [[nodiscard]] const std::vector<vm_id> &relayOrder();
+    /// Gives the nodes that this node tells what it hears first, so that all hear it in three
+    /// steps: two nodes of each data centre relay it to each other and to all of theirs, the others
+    /// tell the two of their own.
+    [[nodiscard]] const std::vector<vm_id> &newsReceivers();
     /// Gives the node that decides on requests under which servers end; may be itself.
     [[nodiscard]] const vm_id &quarantineHost();
     /// Part of what each server of a pool bears from all nodes that this node may let go to it:
@@ -91,6 +95,7 @@
     /// started and may not know the others.
     [[nodiscard]] double partAlive() const;
     [[nodiscard]] bool avoided(const vm_id &peer) const;
+    [[nodiscard]] std::vector<vm_id> relaysIn(const data_center_id &dataCenter) const;
     [[nodiscard]] vm_id pickHost(const pool_key &pool) const;
     /// Members that may have a role: alive and not avoided; this node unless it leaves. Of one data
     /// centre, of one region, or, where neither is named, of all.
@@ -105,6 +110,7 @@
     std::map<vm_id, steady_time> m_avoided;
     std::map<pool_key, picked_host> m_hosts;
     std::vector<vm_id> m_relayOrder; ///< empty: not picked since something changed
+    std::optional<std::vector<vm_id>> m_newsReceivers; ///< empty: as above
     std::optional<vm_id> m_quarantineHost; ///< empty: as above
     mutable std::optional<double> m_partAlive; ///< empty: as above
     std::size_t m_lastAsked = 0; ///< turns through the members of a silent data centre
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -29,6 +29,9 @@
 // Servers may have become cold while their data centre was evacuated, and write so with one of
 // their next heartbeats, one or two seconds later; the store and its readers take another.
 constexpr milliseconds ColdNewsDelay{3500};
+// How long signals of a start that isn't published are kept: entries lapse and come back while the
+// store is away, and answers tell that a server leaves before a list that is behind names it.
+constexpr std::chrono::seconds SignalMemory{60};
 // Cost of a server that is avoided: any other comes first.
 constexpr double AvoidedCost = 1e6;
 
@@ -115,6 +118,8 @@
     const auto coldUntil = m_clock.now() + coldFor;
     if (!entry) {
         entry = std::make_shared<server>();
+        if (const auto past = m_past.extract(record.start()); !past.empty())
+            static_cast<kept_signals &>(*entry) = past.mapped().signals;
         entry->record = record;
         entry->coldStart = m_coldStarts[record.service];
         entry->coldUntil = coldUntil;
@@ -147,11 +152,53 @@
         return;
     const auto entry = found->second;
     entry->gone = true;
+    keepSignals(*entry);
     std::erase(m_byService[entry->record.service], entry);
     m_servers.erase(found);
     changed(entry->record.service);
 }
 
+void server_directory::keepSignals(const server &which)
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_past, [&](const auto &entry) { return now >= entry.second.until; });
+    m_past[which.record.start()] = {which, now + SignalMemory};
+}
+
+bool server_directory::onLeavingElsewhere(const server_start &start)
+{
+    const auto known = find(start.id);
+    if (known && known->record.start() == start) {
+        if (std::exchange(known->saidLeaving, true))
+            return false;
+        changed(known->record.service);
+        return true;
+    }
+    const bool earlier = known && start.born < known->record.born;
+    if (earlier || m_past.contains(start))
+        return false;
+    server unpublished;
+    unpublished.record.id = start.id;
+    unpublished.record.born = start.born;
+    unpublished.saidLeaving = true;
+    keepSignals(unpublished);
+    return true;
+}
+
+std::vector<server_start> server_directory::startsThatLeave() const
+{
+    std::vector<server_start> starts;
+    for (const auto &[id, each] : m_servers) {
+        if (each->saidLeaving)
+            starts.push_back(each->record.start());
+    }
+    for (const auto &[start, past] : m_past) {
+        if (past.signals.saidLeaving && m_clock.now() < past.until)
+            starts.push_back(start);
+    }
+    return starts;
+}
+
 void server_directory::setCutOff(const data_center_id &dataCenter, bool cutOff)
 {
     if (cutOff)
@@ -290,8 +337,11 @@
             continue;
         if (each->usable())
             return server_absence::None;
-        if (each->evacuated && !each->record.leaving)
+        const bool leaves = !each->gone && !each->cutOff && each->leaves();
+        if (each->evacuated && !each->leaves())
             why = server_absence::Evacuated;
+        else if (leaves && why != server_absence::Evacuated)
+            why = server_absence::Leaving;
     }
     return why;
 }
@@ -380,8 +430,11 @@
 void server_directory::onSignals(server &which, const server_signals &told)
 {
     onRateLimit(which, told.rateLimit);
-    if (told.leaving && !std::exchange(which.saidLeaving, true) && m_onLeavingSaid)
-        m_onLeavingSaid(which);
+    if (told.leaving && !std::exchange(which.saidLeaving, true)) {
+        changed(which.record.service);
+        if (m_onLeavingSaid)
+            m_onLeavingSaid(which);
+    }
     if (!told.retryAfter)
         return;
     const auto until = m_clock.now() + *told.retryAfter;
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -51,8 +51,17 @@
 /// Writes a limit as operators read it: requests a second, or "none".
 [[nodiscard]] std::string rateLimitText(const std::optional<double> &perSecond);
 
+/// What a start of a server said of itself, and what holds until it says otherwise.
+struct kept_signals
+{
+    std::optional<double> rateLimit; ///< as in `told_rate_limit`
+    steady_time rateLimitAt{}; ///< when an answer last said so, or that there is none
+    bool saidLeaving = false; ///< holds for good, whatever is published
+    steady_time backoffUntil{}; ///< it wants nothing of this node until then
+};
+
 /// One start of a server with what this node knows of it.
-struct server
+struct server : kept_signals
 {
     server_record record;
     region_id region; ///< of its data centre; empty: not known
@@ -66,10 +75,6 @@
     steady_time avoidUntil{}; ///< doubted until then
     cold_start coldStart; ///< as its service says
     steady_time coldUntil{}; ///< bears only few requests until then
-    std::optional<double> rateLimit; ///< as in `told_rate_limit`
-    steady_time rateLimitAt{}; ///< when an answer last said so, or that there is none
-    bool saidLeaving = false; ///< in an answer; holds until its next start, whatever is published
-    steady_time backoffUntil{}; ///< it wants nothing of this node until then
     double slowness = 1.0; ///< time that its work takes against what is expected, averaged
 
     /// Whether it has just started, and crashes under more requests than its service says.
@@ -85,8 +90,10 @@
     [[nodiscard]] std::optional<rate_bound> bound(steady_time now) const;
     /// Whether it is one of the servers of a pool.
     [[nodiscard]] bool isIn(const pool_key &pool) const;
+    /// Whether it ends soon, as published or as its answers say.
+    [[nodiscard]] bool leaves() const { return record.leaving || saidLeaving; }
     /// Whether it may get new work. Every path to a server asks this, at last as bytes are sent.
-    [[nodiscard]] bool usable() const { return !gone && !cutOff && !evacuated && !record.leaving; }
+    [[nodiscard]] bool usable() const { return !gone && !cutOff && !evacuated && !leaves(); }
 };
 
 using server_ptr = std::shared_ptr<server>;
@@ -95,6 +102,7 @@
 enum class server_absence : std::uint8_t {
     None, ///< there is one
     Gone, ///< none is published, reached, or stays
+    Leaving, ///< those that there are end soon
     Evacuated, ///< those that there are lie in data centres that operators have evacuated
     OutOfRegion, ///< none can be reached in the regions where the work may be done
 };
@@ -164,6 +172,11 @@
     void onRefused(server &which);
     /// An answer of the server began, whatever its status. Every path that gets answers calls this.
     void onSignals(server &which, const server_signals &told);
+    /// Another node heard that this start leaves; it may not be published here yet. Gives whether
+    /// that is news.
+    bool onLeavingElsewhere(const server_start &start);
+    /// All starts that are known to leave by what their answers said, of late.
+    [[nodiscard]] std::vector<server_start> startsThatLeave() const;
     /// What an answer says of its limit holds until the next one says otherwise.
     void onRateLimit(server &which, const told_rate_limit &told);
     /// The same of an answer that another node had, at `heardAt`.
@@ -194,7 +207,7 @@
     {
         m_onRateLimitChanged = std::move(handler);
     }
-    /// Called when a server first says that it leaves.
+    /// Called when an answer of a server first says that it leaves.
     void onLeavingSaid(std::function<void(const server &)> handler)
     {
         m_onLeavingSaid = std::move(handler);
@@ -218,6 +231,7 @@
     template <class Counts>
     [[nodiscard]] server_absence absenceAmong(const service_id &service, server_absence otherwise,
                                               Counts counts) const;
+    void keepSignals(const server &which);
     /// Changes all servers of a data centre.
     template <class Change>
     void changeIn(const data_center_id &dataCenter, Change change);
@@ -226,6 +240,12 @@
     std::uint64_t m_changes = 1;
     std::map<backend_server_id, server_ptr> m_servers;
     std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
+    struct past_signals
+    {
+        kept_signals signals;
+        steady_time until; ///< forgotten then
+    };
+    std::map<server_start, past_signals> m_past; ///< of starts that aren't published now
     std::map<data_center_id, region_id> m_regions;
     bool m_severalRegions = false;
     std::unordered_map<service_id, cold_start> m_coldStarts;
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -82,6 +82,7 @@
         http::pool_call call = 0;
         http::timer_id timer = 0;
         steady_time began;
+        bool withheld = false; ///< the server was not to have it any more
     };
 
     stage_pool &poolOf(const pool_key &key);
@@ -90,6 +91,10 @@
     [[nodiscard]] double shareOf(const pool_key &key) const;
     /// The same of the pool that a server is in; none where this node has no such pool.
     [[nodiscard]] double shareOf(const server &which) const;
+    /// Why no server of a pool gets what waits there, as far as that is known; `servers`: those
+    /// that may get new work.
+    [[nodiscard]] std::optional<piece_failure>
+    whyClosed(const pool_key &key, const std::vector<server_ptr> &servers) const;
     /// Leaves out bounded servers that get no call yet; gives when the next of them may.
     std::optional<steady_time> leaveOutPaced(const pool_key &key,
                                              std::vector<server_ptr> &servers) const;
@@ -104,9 +109,9 @@
     void logGivenUp(const std::vector<piece_outcome> &outcomes);
     void scheduleFrees(steady_time at);
     void flushFrees();
-    void sendFrees(const std::string &holder, std::vector<std::string> handles);
-    /// Whether a server may be told now of results that are given up. Frees are requests, too: they
-    /// count against its bound. Empty: never by this node, what lies there lapses.
+    void sendFrees(const server_ptr &holder, std::vector<std::string> handles);
+    /// When a server may be told of results that are given up. Frees are requests, too: they count
+    /// against its bound. Empty: never by this node, what lies there lapses.
     [[nodiscard]] std::optional<steady_time> mayBeFreedAt(const server &holder) const;
     void onFreed(const std::vector<std::string> &handles);
 
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -137,6 +137,25 @@
     return next;
 }
 
+template <gateway_codec Codec>
+std::optional<piece_failure>
+stage_host<Codec>::whyClosed(const pool_key &key, const std::vector<server_ptr> &servers) const
+{
+    if (!servers.empty())
+        return std::nullopt;
+    switch (m_directory.absenceOf(key)) {
+    case server_absence::Evacuated:
+        return piece_failure::Evacuated;
+    case server_absence::Leaving:
+        return piece_failure::ServersLeaving;
+    case server_absence::None:
+    case server_absence::Gone:
+    case server_absence::OutOfRegion:
+        break;
+    }
+    return std::nullopt;
+}
+
 template <gateway_codec Codec>
 double stage_host<Codec>::strengthOf(const pool_key &key)
 {
@@ -154,8 +173,8 @@
 {
     auto &pool = poolOf(key);
     auto servers = m_directory.usable(key);
-    if (servers.empty() && m_directory.absenceOf(key) == server_absence::Evacuated)
-        deliver(pool.evacuate());
+    if (const auto why = whyClosed(key, servers))
+        deliver(pool.giveUpAll(*why));
     deliver(pool.expire(strengthOf(key)));
     auto wake = leaveOutPaced(key, servers);
     while (const auto call = pool.next(servers)) {
@@ -183,9 +202,10 @@
     m_open.insert(answer);
     http::outbound_call made;
     made.body = Codec::writePieces(call.pieces);
-    made.writeHead = [call, length = made.body.size()]() -> std::optional<std::string> {
+    made.writeHead = [call, answer, length = made.body.size()]() -> std::optional<std::string> {
         // The server may have begun to leave while the connection was opened.
-        if (!call.server->usable())
+        answer->withheld = !call.server->usable();
+        if (answer->withheld)
             return std::nullopt;
         http::request_head head;
         head.method = "POST";
@@ -238,7 +258,9 @@
     constexpr int Misdirected = 421;
     auto end = stage_call_end::Broken;
     std::vector<piece_result> results;
-    if (how == http::call_end::NotSent) {
+    if (how == http::call_end::NotSent && answer.withheld) {
+        end = stage_call_end::Withheld;
+    } else if (how == http::call_end::NotSent) {
         end = stage_call_end::NotSent;
         m_directory.onFailure(*call.server);
     } else if (how == http::call_end::Complete && answer.status == Ok) {
@@ -412,6 +434,8 @@
 std::optional<steady_time> stage_host<Codec>::mayBeFreedAt(const server &holder) const
 {
     const auto now = m_loop.now();
+    if (!holder.usable())
+        return std::nullopt;
     if (!holder.bound(now))
         return now;
     const double share = shareOf(holder);
@@ -428,46 +452,45 @@
     std::optional<steady_time> next;
     for (auto &[address, handles] : std::exchange(m_frees, {})) {
         const auto parsed = parseSocketAddress(address);
+        if (!parsed)
+            m_log.write(
+                wire::log_level::Warning,
+                m_log.line(wire::log_level::Warning, toName(log_event::ResultHandleUnreadable))
+                    .add("handle", handles.front()));
         const auto holder = parsed ? m_directory.findAt(*parsed) : nullptr;
-        const auto at = holder ? mayBeFreedAt(*holder) : m_loop.now();
-        if (at && *at > m_loop.now()) {
+        const auto at = holder ? mayBeFreedAt(*holder) : std::nullopt;
+        if (!at)
+            continue;
+        if (*at > m_loop.now()) {
             m_frees[address] = std::move(handles);
             next = std::min(next.value_or(*at), *at);
             continue;
         }
-        if (at && holder)
-            m_pace.onSent(*holder, shareOf(*holder));
-        if (at)
-            sendFrees(address, std::move(handles));
+        m_pace.onSent(*holder, shareOf(*holder));
+        sendFrees(holder, std::move(handles));
     }
     if (next)
         scheduleFrees(*next);
 }
 
 template <gateway_codec Codec>
-void stage_host<Codec>::sendFrees(const std::string &holder, std::vector<std::string> handles)
+void stage_host<Codec>::sendFrees(const server_ptr &holder, std::vector<std::string> handles)
 {
-    const auto address = parseSocketAddress(holder);
-    if (!address) {
-        m_log.write(wire::log_level::Warning,
-                    m_log.line(wire::log_level::Warning, toName(log_event::ResultHandleUnreadable))
-                        .add("handle", handles.front()));
-        return;
-    }
     http::outbound_call made;
     made.body = Codec::writeHandles(handles);
-    made.writeHead = [length = made.body.size(), host = holder] {
+    made.writeHead = [holder, length = made.body.size()]() -> std::optional<std::string> {
+        if (!holder->usable())
+            return std::nullopt;
         http::request_head head;
         head.method = "POST";
         head.target = Codec::freePath();
-        head.fields = {{"Host", host},
-                       {"Content-Type", "application/json"},
-                       {"Content-Length", std::to_string(length)}};
-        return std::optional(http::formatHead(head));
+        head.fields = Codec::stageFields(holder->record.id);
+        head.fields.push_back({"Host", toText(holder->record.address)});
+        head.fields.push_back({"Content-Length", std::to_string(length)});
+        return http::formatHead(head);
     };
-    made.onHead = [this, server = m_directory.findAt(*address)](const http::response_head &head) {
-        if (server)
-            m_directory.onSignals(*server, Codec::readAnswer(head).server);
+    made.onHead = [this, holder](const http::response_head &head) {
+        m_directory.onSignals(*holder, Codec::readAnswer(head).server);
     };
     // Until the server has answered, the room isn't free. A result that can't be freed lapses by
     // itself, there and in the pool's account.
@@ -475,7 +498,7 @@
         if (how == http::call_end::Complete)
             onFreed(freed);
     };
-    const auto call = m_pool.start(*address, std::move(made));
+    const auto call = m_pool.start(holder->record.address, std::move(made));
     m_loop.callAfter(FreeTimeout, [this, call] { m_pool.abandon(call); });
 }
 
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -285,7 +285,7 @@
 {
     if (job.token == 0)
         return;
-    const bool free = how == stage_call_end::NotSent;
+    const bool free = how == stage_call_end::NotSent || how == stage_call_end::Withheld;
     const bool suspected =
         how == stage_call_end::Broken && m_mayRepeat && !m_mayRepeat(job.request.digest);
     if (suspected || job.tries >= MaxTries || !(free || m_allowance.tryTake(m_service)))
@@ -309,7 +309,7 @@
         state.busyUntil = m_clock.now() + RefusedPause;
     if (how == stage_call_end::Answered)
         state.failures = 0;
-    else if (how != stage_call_end::NotRun)
+    else if (how != stage_call_end::NotRun && how != stage_call_end::Withheld)
         state.busyUntil =
             m_clock.now() + FailedPause * (1U << std::min(state.failures++, MaxFailedDoublings));
     // A call that was given up took at least so long: a slow server gets more time for the next.
@@ -417,11 +417,11 @@
     return out;
 }
 
-std::vector<piece_outcome> stage_pool::evacuate()
+std::vector<piece_outcome> stage_pool::giveUpAll(piece_failure why)
 {
     std::vector<piece_outcome> out;
     for (const auto &job : std::exchange(m_waiting, {}))
-        out.push_back({job.token, piece_failure::Evacuated});
+        out.push_back({job.token, why});
     return out;
 }
 
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -82,6 +82,7 @@
 enum class stage_call_end {
     Answered,
     NotSent, ///< no server got it
+    Withheld, ///< likewise: the server was not to have it any more
     NotRun, ///< the server refused it
     Broken, ///< may have run
 };
@@ -125,7 +126,7 @@
     [[nodiscard]] std::vector<piece_outcome> expire(double servers);
 
     /// Gives up all pieces that wait: the servers of the pool get nothing new.
-    [[nodiscard]] std::vector<piece_outcome> evacuate();
+    [[nodiscard]] std::vector<piece_outcome> giveUpAll(piece_failure why);
     /// Gives up pieces whose inputs lie in a data centre that can't be reached.
     [[nodiscard]] std::vector<piece_outcome> dropInputsIn(const data_center_id &dataCenter);
     /// Gives how long a piece that came now would wait behind those that go first, about.
@@ -217,6 +218,8 @@
         orchidlead::gateway::stage_call_end::Answered, "answered"},
     orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
         orchidlead::gateway::stage_call_end::NotSent, "not_sent"},
+    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
+        orchidlead::gateway::stage_call_end::Withheld, "withheld"},
     orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
         orchidlead::gateway::stage_call_end::NotRun, "not_run"},
     orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
--- a/src/gateway/stages/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -60,8 +60,8 @@
     /// Gives a link to the host of a pool; null: this node.
     [[nodiscard]] link_ptr linkToHost(const pool_key &pool);
     void onOutcome(piece_token token, piece_report report);
-    /// Brings a piece whose pool was evacuated to another one; false where there is none.
-    bool moveFromEvacuated(piece_token token, submission &entry);
+    /// Brings a piece whose pool gets nothing new to another one; false where there is none.
+    bool moveFromClosed(piece_token token, submission &entry);
     void onPieceFrame(const link_ptr &link, piece_frame &&frame);
     void onWithdrawFrame(const link_ptr &link, piece_token token);
 
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -16,9 +16,9 @@
 /// A data centre with three servers and more fills calls by itself; with one or two, calls that are
 /// less full cost more than results that cross.
 inline constexpr pool_width_limits StagePoolWidths{3, 2};
-/// A host that knows of an evacuation before this node does is asked again after this: readers of
-/// the store tell all nodes within a few ticks.
-inline constexpr milliseconds EvacuationNews{150};
+/// A host that knows that servers leave or are evacuated before this node does is asked again after
+/// this: nodes tell each other within a few ticks.
+inline constexpr milliseconds ServerNews{150};
 /// After this many moves a piece stays with this node.
 inline constexpr std::uint32_t MaxMoves = 2;
 
@@ -120,7 +120,9 @@
         return;
     }
     const auto *failure = std::get_if<piece_failure>(&report.result);
-    if (failure && *failure == piece_failure::Evacuated && moveFromEvacuated(token, found->second))
+    const bool closed = failure
+        && (*failure == piece_failure::Evacuated || *failure == piece_failure::ServersLeaving);
+    if (closed && moveFromClosed(token, found->second))
         return;
     const auto handler = std::move(found->second.handler);
     m_submissions.erase(found);
@@ -128,9 +130,9 @@
 }
 
 // No server has begun it, so it is no second try. Where this node sees servers in the pool that its
-// host sees evacuated, one of them will know better soon.
+// host sees leave or evacuated, one of them will know better soon.
 template <gateway_codec Codec>
-bool stage_router<Codec>::moveFromEvacuated(piece_token token, submission &entry)
+bool stage_router<Codec>::moveFromClosed(piece_token token, submission &entry)
 {
     const auto before =
         std::exchange(entry.pool, poolFor(entry.pool.service, entry.job.near, entry.job.allowed));
@@ -138,7 +140,7 @@
         return false;
     entry.link = nullptr;
     entry.local = 0;
-    const auto delay = entry.pool == before ? EvacuationNews : milliseconds{0};
+    const auto delay = entry.pool == before ? ServerNews : milliseconds{0};
     m_loop.callAfter(delay, [this, token] {
         if (const auto found = m_submissions.find(token); found != m_submissions.end())
             place(token, found->second);
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -274,3 +274,11 @@
         CHECK(read.granted == granted);
     }
 }
+
+TEST_CASE("servers that leave travel with their starts")
+{
+    leaving_servers_frame frame;
+    frame.servers = {{backend_server_id("i-1"), 1000}, {backend_server_id("i-2"), std::nullopt}};
+    const auto got = roundTrip(frame);
+    CHECK(got.servers == frame.servers);
+}
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -3,7 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <map>
 #include <set>
+#include <vector>
 
 using namespace orchidlead;
 using namespace orchidlead::gateway;
@@ -141,3 +144,35 @@
     view.setReached(data_center_id("dc-1"), true);
     CHECK(view.find(view.hostOf(pool))->vm.dataCenter.value == "dc-1");
 }
+
+// Guards against nodes that aren't told what another one heard, and against frames that grow with
+// the square of the fleet.
+TEST_CASE("news of any node reaches all nodes in three steps, by few frames")
+{
+    constexpr std::size_t Nodes = 60;
+    peer_fleet fleet(Nodes, DataCenters, 31);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{5000});
+    REQUIRE(fleet.agreed());
+    std::map<vm_id, std::size_t> places;
+    for (std::size_t i = 0; i < Nodes; ++i)
+        places[fleet.view(i).self()] = i;
+    for (std::size_t origin = 0; origin < Nodes; ++origin) {
+        std::map<std::size_t, int> steps{{origin, 0}};
+        std::size_t frames = 0;
+        std::vector<std::size_t> told{origin};
+        for (std::size_t next = 0; next < told.size(); ++next) {
+            for (const auto &receiver : fleet.view(told[next]).newsReceivers()) {
+                ++frames;
+                if (steps.try_emplace(places.at(receiver), steps.at(told[next]) + 1).second)
+                    told.push_back(places.at(receiver));
+            }
+        }
+        INFO("node " << origin << ", " << frames << " frames");
+        CHECK(told.size() == Nodes);
+        CHECK(std::ranges::all_of(steps, [](const auto &entry) { return entry.second <= 3; }));
+        // The relays' own, and two from each other node.
+        const std::size_t relays = 2 * DataCenters;
+        CHECK(frames <= relays * (Nodes / DataCenters + relays) + 2 * Nodes);
+    }
+}
