Leave servers alone for the time they ask for, and longer the more they refuse

What callers saw: two in five requests for engines refused while 13 of 18 engines turned none away; servers that had asked for rest got none.

Cause: what a refusal says (time, load) was read nowhere, and a refusal kept a server back for 60 ms at the node that got it alone. A server that refuses at once has no work, so it looked the emptiest to whoever chose.

Ruled out: the host choosing for nodes it doesn't hear of alone (plain servers, which each node chooses by itself, got as many); requests chosen before and sent late (five times too many, not two).

Change: server::takes(now) beside usable(): what this node may send now. Asked by choice, stage calls, frees, placements, homes of prompts, and again as bytes go out. A node's wish names the servers that it mustn't be given. Times hold for that start of the server, outlive a lapsed entry, aren't ended by an answer that was under way, and their ends are spread by up to a quarter; then one request goes alone until it is taken. All servers of a service or pool in their time: refused at once, before any stage, with the earliest end; a pool of another data centre is used where there is one. Refusals in a row keep a server back for 60, 240, 960, 3840 ms; hosts of pools hear of them with a request's progress, and stage pools use the same time. Loads that refusals tell are read. What a host is told goes to the start that it placed on, not to a later one of the same id.

--- a/src/ctl/request_history.cpp
+++ b/src/ctl/request_history.cpp
@@ -55,6 +55,9 @@
     outcome_cause{"servers_leaving",
                   "refused, not run: all servers that could run it leave, as published or as they "
                   "say in answers"},
+    outcome_cause{"servers_backed_off",
+                  "refused, not run: all servers that could run it, or a stage of it, asked to be "
+                  "left alone for a while"},
     outcome_cause{"servers_limited",
                   "refused, not run: all servers that could run it are cold or name limits, and "
                   "these left no room in time"},
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -85,6 +85,7 @@
     Error,
     Evacuated, ///< no server gave it up: those of its pool get nothing new
     ServersLeaving, ///< likewise: those of its pool end soon
+    ServersBackedOff, ///< likewise: those of its pool asked the host for time
 };
 
 /// A handle of the result, or why there is none.
@@ -221,6 +222,8 @@
         orchidlead::gateway::piece_failure::Evacuated, "evacuated"},
     orchidlead::enum_name<orchidlead::gateway::piece_failure>{
         orchidlead::gateway::piece_failure::ServersLeaving, "servers_leaving"},
+    orchidlead::enum_name<orchidlead::gateway::piece_failure>{
+        orchidlead::gateway::piece_failure::ServersBackedOff, "servers_backed_off"},
 };
 template <>
 inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::read_freshness>{
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -117,9 +117,13 @@
     [[nodiscard]] data_center_id usableNear(const data_center_id &dataCenter,
                                             const service_id &service);
     /// Why the request can't be served now, as far as that is known before anything is spent on it.
-    [[nodiscard]] std::optional<request_outcome> foreseenUnservable() const;
-    /// The same of one service.
+    [[nodiscard]] std::optional<request_outcome> foreseenUnservable();
+    /// Why no server of a service may get new work.
     [[nodiscard]] std::optional<request_outcome> whyAbsent(const service_id &service) const;
+    /// Why no server can have the request itself now; takes down when one may.
+    [[nodiscard]] std::optional<request_outcome> whyUnservable();
+    /// The same of the pieces of a stage.
+    [[nodiscard]] std::optional<request_outcome> whyUnservable(std::size_t stage);
     [[nodiscard]] pool_key stagePool(const service_id &service, const data_center_id &near);
     [[nodiscard]] bool foreseenLate() const;
     [[nodiscard]] bool resultsLieIn(const data_center_id &dataCenter) const;
@@ -219,7 +223,7 @@
     placement_id m_placement = 0; ///< of the current attempt, or of its admission
     http::timer_id m_turnTimer = 0; ///< until the placement's turn
     bool m_admitted = false; ///< by the pool's host, before its stages
-    milliseconds m_roomAfter{0}; ///< bounded servers may have room then; 0: unknown
+    milliseconds m_roomAfter{0}; ///< servers may take requests again then; 0: unknown
     server_ptr m_server; ///< of the current attempt
     std::vector<backend_server_id> m_tried;
     http::pool_call m_call = 0;
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -4,6 +4,7 @@
 #include "gateway/exchange/exchange_limits.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 /// The part of an exchange that sends the request to servers and passes an answer on.
@@ -31,7 +32,7 @@
         onTimeout();
         return;
     }
-    if (const auto why = whyAbsent(m_service)) {
+    if (const auto why = whyUnservable()) {
         giveUp(*why);
         return;
     }
@@ -69,7 +70,8 @@
 placement_wish exchange<Codec>::makeWish()
 {
     placement_wish wish;
-    wish.exclude = m_tried;
+    wish.exclude = m_context.directory.withheld(m_service, m_residency);
+    std::ranges::copy(m_tried, std::back_inserter(wish.exclude));
     wish.near = m_home.empty() ? chooseHome() : m_home;
     wish.nearBytes = m_body.size();
     if (const auto largest = m_work ? m_work->largest() : std::nullopt) {
@@ -104,7 +106,7 @@
         m_roomAfter = placed.wait;
         const auto otherwise =
             placed.allBounded ? request_outcome::ServersLimited : request_outcome::NoServer;
-        giveUp(whyAbsent(m_service).value_or(otherwise));
+        giveUp(whyUnservable().value_or(otherwise));
         return;
     }
     m_admitted = true; // another try of it needs no more room than this one
@@ -131,7 +133,7 @@
 {
     m_server = std::move(chosen);
     if (!m_server) {
-        giveUp(whyAbsent(m_service).value_or(request_outcome::NoServer));
+        giveUp(whyUnservable().value_or(request_outcome::NoServer));
         return;
     }
     ++m_server->outstanding;
@@ -163,7 +165,7 @@
 template <gateway_codec Codec>
 bool exchange<Codec>::serverMayHaveIt() const
 {
-    return m_server->usable() && m_residency.allows(m_server->region);
+    return m_server->takes(m_context.loop.now()) && m_residency.allows(m_server->region);
 }
 
 template <gateway_codec Codec>
@@ -192,6 +194,7 @@
         out.fields.push_back({"Content-Length", std::to_string(m_body.size())});
     ++m_attempts;
     m_lastHeard = m_context.loop.now();
+    m_context.directory.onSending(*m_server);
     logSent();
     return http::formatHead(out);
 }
@@ -211,7 +214,7 @@
 {
     m_answerMarks = Codec::readAnswer(head);
     m_context.directory.onSignals(*m_server, m_answerMarks.server);
-    m_context.placer.onRateLimit(m_placement, m_answerMarks.server.rateLimit);
+    m_context.placer.onSignals(m_placement, m_answerMarks.server);
     const bool success = head.status >= status::Ok && head.status < status::FirstRedirect;
     if (m_begun) {
         // A stream that goes on: its head is out already.
@@ -355,7 +358,7 @@
         onFate(fate::Unknown);
         return;
     }
-    m_context.directory.onAnswer(*m_server, m_answerMarks.server.load);
+    m_context.directory.onAnswer(*m_server);
     logAttemptEnd("answered");
     if (m_passing == passing::Buffered) {
         onBufferedEnd();
@@ -432,8 +435,6 @@
             server.gone = true;
         else if (m_answer.status == status::Conflict)
             m_needsStages = m_work.has_value() && !std::exchange(m_stagesRestarted, true);
-        else
-            m_context.directory.onRefused(server);
     } else {
         m_context.directory.onFailure(server);
     }
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -179,7 +179,9 @@
     if (outcome == request_outcome::Evacuated || outcome == request_outcome::OutOfRegion
         || outcome == request_outcome::ServersLeaving)
         return ComeBackAbsent;
-    if (outcome == request_outcome::ServersLimited && m_roomAfter > milliseconds{0})
+    const bool roomKnown =
+        outcome == request_outcome::ServersLimited || outcome == request_outcome::ServersBackedOff;
+    if (roomKnown && m_roomAfter > milliseconds{0})
         return m_roomAfter;
     if (m_stagePools.empty())
         return ComeBack;
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -95,6 +95,8 @@
     if (now < m_server->backoffUntil)
         line.add("backoff_left_ms",
                  std::chrono::duration_cast<milliseconds>(m_server->backoffUntil - now).count());
+    if (m_server->refusals > 0)
+        line.add("refusals", m_server->refusals);
     line.add("left_ms", left().count()).add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
 }
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -119,6 +119,10 @@
 std::vector<server_ptr> exchange<Codec>::nearEngines() const
 {
     auto engines = m_context.directory.usable(m_service, m_residency);
+    const auto now = m_context.loop.now();
+    const auto backsOff = [&](const server_ptr &each) { return !each->takes(now); };
+    if (!std::ranges::all_of(engines, backsOff))
+        std::erase_if(engines, backsOff);
     const auto region = m_context.directory.regionOf(m_context.dataCenter);
     const auto isFar = [&](const server_ptr &each) { return each->region != region; };
     if (m_context.directory.severalRegions() && !std::ranges::all_of(engines, isFar))
@@ -160,14 +164,40 @@
     return std::nullopt;
 }
 
+template <gateway_codec Codec>
+std::optional<request_outcome> exchange<Codec>::whyUnservable()
+{
+    if (const auto why = whyAbsent(m_service))
+        return why;
+    const auto wait = m_context.directory.backoffOf(m_service, m_residency);
+    if (!wait)
+        return std::nullopt;
+    m_roomAfter = *wait;
+    return request_outcome::ServersBackedOff;
+}
+
+// Stage servers ask the host of their pool for time, which told this node when it gave pieces up.
+template <gateway_codec Codec>
+std::optional<request_outcome> exchange<Codec>::whyUnservable(std::size_t stage)
+{
+    const auto &service = m_route->stages[stage].service;
+    if (const auto why = whyAbsent(service))
+        return why;
+    const auto wait = m_context.stages.backoffOf(service, m_context.dataCenter, m_residency);
+    if (!wait)
+        return std::nullopt;
+    m_roomAfter = *wait;
+    return request_outcome::ServersBackedOff;
+}
+
 // Servers that are merely gone may be back in a moment, or others in their place.
 template <gateway_codec Codec>
-std::optional<request_outcome> exchange<Codec>::foreseenUnservable() const
+std::optional<request_outcome> exchange<Codec>::foreseenUnservable()
 {
-    auto why = whyAbsent(m_service);
+    auto why = whyUnservable();
     for (std::size_t i = 0; i < m_route->stages.size() && !why; ++i) {
         if (m_marks.pieceCounts[i] > 0)
-            why = whyAbsent(m_route->stages[i].service);
+            why = whyUnservable(i);
     }
     return why;
 }
@@ -230,7 +260,9 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report)
 {
-    if (!m_context.without.contains(policy::ToldWaits))
+    const auto *closed = std::get_if<piece_failure>(&report.result);
+    const bool backedOff = closed && *closed == piece_failure::ServersBackedOff;
+    if (!backedOff && !m_context.without.contains(policy::ToldWaits))
         m_context.times.onWait(m_stagePools[stage], stageRank(), report.wait);
     if (m_done)
         return;
@@ -254,6 +286,8 @@
         restartStages("input_gone");
         return;
     }
+    if (backedOff)
+        m_roomAfter = report.wait;
     giveUp(outcomeOf(failure));
 }
 
--- a/src/gateway/exchange/request_outcome.h
+++ b/src/gateway/exchange/request_outcome.h
@@ -22,6 +22,7 @@
     OutOfRegion, ///< no server can be reached in the regions where it may be worked on
     Evacuated, ///< operators have evacuated all data centres where it could be served
     ServersLeaving, ///< all servers that could have it end soon
+    ServersBackedOff, ///< all that could have it asked this node, or the host of a stage, for time
     ServersLimited, ///< all that may be tried bear only so many requests, and have no room for it
     ServersFull, ///< all that may be tried refused it
     ServerFailed, ///< an answer didn't come, or was broken
@@ -44,6 +45,8 @@
         return request_outcome::Evacuated;
     case piece_failure::ServersLeaving:
         return request_outcome::ServersLeaving;
+    case piece_failure::ServersBackedOff:
+        return request_outcome::ServersBackedOff;
     case piece_failure::InputGone:
     case piece_failure::NoRoom:
     case piece_failure::Error:
@@ -78,6 +81,8 @@
         orchidlead::gateway::request_outcome::Evacuated, "evacuated"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::ServersLeaving, "servers_leaving"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::ServersBackedOff, "servers_backed_off"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::ServersLimited, "servers_limited"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -31,6 +31,9 @@
 /// Among how many nodes the reserve of second tries is divided at least: some may not be known.
 inline constexpr std::size_t AssumedNodes = 8;
 
+/// Servers that ask many nodes for time at once are asked again over this part of it, not at once.
+inline constexpr double MostBackoffSpread = 0.25;
+
 /// Where the readiness address serves metrics.
 inline constexpr std::string_view MetricsPath = "/metrics";
 /// Between two lines about what the stage pools did.
@@ -130,7 +133,13 @@
         return m_quarantine.standingOf(request).level == quarantine_level::Free;
     });
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
-    m_directory.onChange([this](const service_id &service) { m_stages.onServersChanged(service); });
+    m_directory.onChange([this](const service_id &service) {
+        m_stages.onServersChanged(service);
+        m_router.onServersChanged(service);
+    });
+    m_directory.setBackoffSpread([this] {
+        return std::uniform_real_distribution<double>(0.0, MostBackoffSpread)(m_context.random);
+    });
     m_follower.onRead([this](const store_news &news) { m_relay.onStoreNews(news); });
     m_directory.onHeard([this](const data_center_id &from) { m_peers.onServerHeard(from); });
     m_directory.onDoubt([this](const server &which, bool avoided) { onDoubt(which, avoided); });
@@ -229,7 +238,7 @@
         now.coldServers += each->usable() && each->cold(m_loop.now()) ? 1 : 0;
         now.limitedServers += each->usable() && each->rateLimit.has_value() ? 1 : 0;
         now.leavingServers += each->leaves() ? 1 : 0;
-        now.backedOffServers += each->usable() && m_loop.now() < each->backoffUntil ? 1 : 0;
+        now.backedOffServers += each->usable() && !each->takes(m_loop.now()) ? 1 : 0;
     }
     now.evacuatedDataCenters = m_state.evacuations().dataCenters.size();
     const auto age = [this](steady_time since) {
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -244,8 +244,11 @@
     if (kind > static_cast<std::uint64_t>(progress_frame::what::Ended))
         in.fail();
     frame.kind = static_cast<progress_frame::what>(kind);
-    frame.limit.readable = in.read<bool>();
-    frame.limit.perSecond = readLimit(in);
+    frame.signals.rateLimit.readable = in.read<bool>();
+    frame.signals.rateLimit.perSecond = readLimit(in);
+    frame.signals.leaving = in.read<bool>();
+    frame.signals.refused = in.read<bool>();
+    frame.signals.taken = in.read<bool>();
     return frame;
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -175,11 +175,14 @@
 
 void pack(packer &out, const progress_frame &frame)
 {
-    packKind(out, frame_kind::Progress, 4);
+    packKind(out, frame_kind::Progress, 7);
     out.pack(frame.id);
     out.pack(static_cast<std::uint64_t>(frame.kind));
-    out.pack(frame.limit.readable);
-    packLimit(out, frame.limit.perSecond);
+    out.pack(frame.signals.rateLimit.readable);
+    packLimit(out, frame.signals.rateLimit.perSecond);
+    out.pack(frame.signals.leaving);
+    out.pack(frame.signals.refused);
+    out.pack(frame.signals.taken);
 }
 
 void pack(packer &out, const admission_request &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -75,7 +75,8 @@
     enum class what : std::uint8_t { FirstAnswer, Ended };
     placement_id id = 0; ///< of the sender
     what kind = what::Ended;
-    told_rate_limit limit{std::nullopt, false}; ///< that an answer has just told
+    /// Of an answer that has just come, less what binds the node that got it alone.
+    server_signals signals = NoSignals;
 };
 
 /// Asks the receiver whether a request may go on to its stages.
--- a/src/gateway/placement/request_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -191,24 +191,23 @@
     m_loop.cancelTimer(std::exchange(entry.timer, 0));
     const auto chosen = m_directory.find(frame.server);
     const bool refused = frame.server.empty() && frame.allBounded;
-    if (!refused && (!chosen || !chosen->usable())) {
+    if (!refused && (!chosen || !chosen->takes(m_loop.now()))) {
         placeHere(frame.id, entry);
         return;
     }
     hand(entry, {chosen, frame.wait, frame.allBounded});
 }
 
-void request_placer::onRateLimit(placement_id id, const told_rate_limit &told)
+void request_placer::onSignals(placement_id id, const server_signals &told)
 {
-    if (const auto found = m_requests.find(id); found != m_requests.end() && told.readable)
-        found->second.limit = told;
+    if (const auto found = m_requests.find(id); found != m_requests.end())
+        found->second.signals = told;
 }
 
 // What a server told is new to the host once.
 void request_placer::sendProgress(placement_id id, request &entry, progress_frame::what kind)
 {
-    const told_rate_limit nothing{std::nullopt, false};
-    entry.link->send(progress_frame{id, kind, std::exchange(entry.limit, nothing)});
+    entry.link->send(progress_frame{id, kind, std::exchange(entry.signals, NoSignals)});
 }
 
 void request_placer::onFirstAnswer(placement_id id)
@@ -257,10 +256,10 @@
 {
     const auto id = ++m_lastId;
     const auto placed = placeOnBoard(id, frame.wish);
-    const auto server = placed.server ? placed.server->record.id : backend_server_id{};
+    const auto server = placed.server ? placed.server->record.start() : server_start{};
     if (placed.server)
         m_hosted[link][frame.id] = {id, server};
-    link->send(placed_frame{frame.id, server, placed.wait, placed.allBounded});
+    link->send(placed_frame{frame.id, server.id, placed.wait, placed.allBounded});
 }
 
 void request_placer::onAdmissionRequest(const link_ptr &link, const admission_request &frame)
@@ -285,8 +284,9 @@
     const auto found = hosted->second.find(frame.id);
     if (found == hosted->second.end())
         return;
-    if (const auto server = m_directory.find(found->second.server))
-        m_directory.onRateLimit(*server, frame.limit);
+    const auto server = m_directory.find(found->second.server.id);
+    if (server && server->record.start() == found->second.server)
+        m_directory.onSignals(*server, frame.signals);
     if (frame.kind == progress_frame::what::FirstAnswer) {
         m_board.onFirstAnswer(found->second.ours);
         return;
--- a/src/gateway/placement/request_placer.h
+++ b/src/gateway/placement/request_placer.h
@@ -41,7 +41,7 @@
     /// `placed` is called once, later, unless `onEnd` comes first.
     placement_id place(placement_wish wish, handler placed);
     /// An answer to the request began, and told this.
-    void onRateLimit(placement_id id, const told_rate_limit &told);
+    void onSignals(placement_id id, const server_signals &told);
     /// A server names another limit to this node than before.
     void onRateLimitChanged() { ++m_limitChanges; }
     void onFirstAnswer(placement_id id);
@@ -62,7 +62,7 @@
         handler placed; ///< empty once it was called
         link_ptr link; ///< to the host; null: this node
         http::timer_id timer = 0;
-        told_rate_limit limit{std::nullopt, false}; ///< that its host hasn't been told yet
+        server_signals signals = NoSignals; ///< that its host hasn't been told yet
     };
     struct asked_admission
     {
@@ -75,7 +75,7 @@
     struct hosted_request
     {
         placement_id ours = 0;
-        backend_server_id server;
+        server_start server;
     };
     /// Over which link a pool's host was told of limits, and up to which change.
     struct told_host
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -16,9 +17,14 @@
 // How long a server is avoided at first, and at most; doubled by each further failure.
 constexpr milliseconds FirstAvoidance{1000};
 constexpr std::uint32_t MaxDoublings = 2;
-// How long a server that refused for want of room is passed over: a few of its requests end by
-// then.
+// How long a server that refused is passed over, at first a few of its requests' time. Each further
+// refusal in a row makes it longer: a server that refuses at once looks the emptiest, and would be
+// the first choice of every request.
 constexpr milliseconds RefusedAvoidance{60};
+constexpr std::uint32_t RefusedGrowth = 4;
+constexpr std::uint32_t MaxRefusedSteps = 3;
+// A server that had asked for time gets one request alone, until it has taken it or for so long.
+constexpr milliseconds ProbeTime{500};
 // A load that was told longer ago says little: requests last less than that.
 constexpr milliseconds LoadLifetime{400};
 // Cost of sending to another data centre, in requests outstanding at a server.
@@ -324,6 +330,49 @@
     });
 }
 
+std::optional<milliseconds> server_directory::backoffOf(const service_id &service,
+                                                        const residency &allowed) const
+{
+    return backoffAmong(usable(service, allowed));
+}
+
+std::optional<milliseconds> server_directory::backoffOf(const pool_key &pool) const
+{
+    return backoffAmong(usable(pool));
+}
+
+std::optional<milliseconds>
+server_directory::backoffAmong(const std::vector<server_ptr> &servers) const
+{
+    const auto now = m_clock.now();
+    if (servers.empty())
+        return std::nullopt;
+    const auto first = std::ranges::min(servers, {}, &server::takesFrom)->takesFrom();
+    if (first <= now)
+        return std::nullopt;
+    return std::chrono::ceil<milliseconds>(first - now);
+}
+
+// Servers that refuse are passed over like those that asked for time, as long as others are left:
+// who chooses for this node doesn't see its refusals.
+std::vector<backend_server_id> server_directory::withheld(const service_id &service,
+                                                          const residency &allowed) const
+{
+    const auto now = m_clock.now();
+    std::vector<backend_server_id> asked;
+    std::vector<backend_server_id> refusing;
+    const auto servers = usable(service, allowed);
+    for (const auto &each : servers) {
+        if (!each->takes(now))
+            asked.push_back(each->record.id);
+        else if (each->refusals > 0 && now < each->avoidUntil)
+            refusing.push_back(each->record.id);
+    }
+    if (asked.size() + refusing.size() < servers.size())
+        std::ranges::copy(refusing, std::back_inserter(asked));
+    return asked;
+}
+
 template <class Counts>
 server_absence server_directory::absenceAmong(const service_id &service, server_absence otherwise,
                                               Counts counts) const
@@ -385,7 +434,7 @@
     for (const auto &each : usable(wish.service, wish.allowed)) {
         if (std::ranges::find(wish.exclude, each->record.id) != wish.exclude.end())
             continue;
-        if (each->bound(m_clock.now()))
+        if (each->bound(m_clock.now()) || !each->takes(m_clock.now()))
             continue;
         const double cost = costOf(*each, wish);
         if (cost < bestCost) {
@@ -396,7 +445,7 @@
     return best;
 }
 
-void server_directory::onAnswer(server &which, const std::optional<server_load> &load)
+void server_directory::onAnswer(server &which)
 {
     if (m_onHeard)
         m_onHeard(which.record.dataCenter);
@@ -405,10 +454,6 @@
     which.avoidUntil = {};
     if (wasAvoided && m_onDoubt)
         m_onDoubt(which, false);
-    if (!load)
-        return;
-    which.load = load;
-    which.loadAt = m_clock.now();
 }
 
 void server_directory::onFailure(server &which)
@@ -424,7 +469,32 @@
 
 void server_directory::onRefused(server &which)
 {
-    which.avoidUntil = std::max(which.avoidUntil, m_clock.now() + RefusedAvoidance);
+    const auto now = m_clock.now();
+    if (which.refusals > 0 && now < which.avoidUntil)
+        return; // sent before the last refusal was known
+    auto time = RefusedAvoidance;
+    for (std::uint32_t i = 0; i < std::min(which.refusals, MaxRefusedSteps); ++i)
+        time *= RefusedGrowth;
+    ++which.refusals;
+    which.avoidUntil = std::max(which.avoidUntil, now + time);
+}
+
+void server_directory::onRetryAfter(server &which, milliseconds time)
+{
+    const auto now = m_clock.now();
+    if (now + time <= which.backoffUntil)
+        return;
+    const std::chrono::duration<double> spread = time * (m_backoffSpread ? m_backoffSpread() : 0.0);
+    which.backoffUntil = now + time + std::chrono::ceil<milliseconds>(spread);
+    which.proving = true;
+    if (m_onBackoff)
+        m_onBackoff(which, time);
+}
+
+void server_directory::onSending(server &which)
+{
+    if (which.proving)
+        which.probeUntil = m_clock.now() + ProbeTime;
 }
 
 void server_directory::onSignals(server &which, const server_signals &told)
@@ -435,14 +505,20 @@
         if (m_onLeavingSaid)
             m_onLeavingSaid(which);
     }
-    if (!told.retryAfter)
-        return;
-    const auto until = m_clock.now() + *told.retryAfter;
-    if (until <= which.backoffUntil)
-        return;
-    which.backoffUntil = until;
-    if (m_onBackoff)
-        m_onBackoff(which, *told.retryAfter);
+    const auto now = m_clock.now();
+    if (told.load) {
+        which.load = told.load;
+        which.loadAt = now;
+    }
+    if (told.retryAfter)
+        onRetryAfter(which, *told.retryAfter);
+    if (told.refused)
+        onRefused(which);
+    // An answer that was under way says nothing of a time that was asked for since.
+    if (told.taken) {
+        which.refusals = 0;
+        which.proving = which.proving && now < which.backoffUntil;
+    }
 }
 
 void server_directory::onRateLimit(server &which, const told_rate_limit &told)
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -58,6 +58,8 @@
     steady_time rateLimitAt{}; ///< when an answer last said so, or that there is none
     bool saidLeaving = false; ///< holds for good, whatever is published
     steady_time backoffUntil{}; ///< it wants nothing of this node until then
+    bool proving = false; ///< it has taken no request since
+    steady_time probeUntil{}; ///< while it proves itself, one request goes there until then
 };
 
 /// One start of a server with what this node knows of it.
@@ -72,6 +74,7 @@
     std::optional<server_load> load;
     steady_time loadAt{}; ///< when the load was told
     std::uint32_t failures = 0; ///< in a row
+    std::uint32_t refusals = 0; ///< in a row, those of one moment counted once
     steady_time avoidUntil{}; ///< doubted until then
     cold_start coldStart; ///< as its service says
     steady_time coldUntil{}; ///< bears only few requests until then
@@ -94,6 +97,14 @@
     [[nodiscard]] bool leaves() const { return record.leaving || saidLeaving; }
     /// Whether it may get new work. Every path to a server asks this, at last as bytes are sent.
     [[nodiscard]] bool usable() const { return !gone && !cutOff && !evacuated && !leaves(); }
+    /// From when on it takes requests of this node, as far as it asked for time.
+    [[nodiscard]] steady_time takesFrom() const
+    {
+        return proving ? std::max(backoffUntil, probeUntil) : backoffUntil;
+    }
+    /// Whether this node may send it a request now. Asked like `usable()` by every path on which
+    /// this node sends by itself; what it asked of one node doesn't bind the others.
+    [[nodiscard]] bool takes(steady_time now) const { return usable() && now >= takesFrom(); }
 };
 
 using server_ptr = std::shared_ptr<server>;
@@ -107,6 +118,9 @@
     OutOfRegion, ///< none can be reached in the regions where the work may be done
 };
 
+/// Draws by how much longer than asked for a server is left alone, in parts of the time.
+using backoff_spread = std::function<double()>;
+
 /// What a choice takes into account.
 struct server_wish
 {
@@ -154,6 +168,15 @@
     [[nodiscard]] bool anyBounded(const service_id &service, const residency &allowed) const;
     /// Whether there are some, and each of them is.
     [[nodiscard]] bool allBounded(const service_id &service, const residency &allowed) const;
+    /// How long all usable servers of a service want nothing of this node, until the first of them
+    /// takes something again; empty: some take requests, or there are none.
+    [[nodiscard]] std::optional<milliseconds> backoffOf(const service_id &service,
+                                                        const residency &allowed) const;
+    /// The same of a pool.
+    [[nodiscard]] std::optional<milliseconds> backoffOf(const pool_key &pool) const;
+    /// Servers of a service that another node mustn't choose for this one.
+    [[nodiscard]] std::vector<backend_server_id> withheld(const service_id &service,
+                                                          const residency &allowed) const;
     /// Why work that is bound to regions finds no server of a service.
     [[nodiscard]] server_absence absenceOf(const service_id &service,
                                            const residency &allowed) const;
@@ -165,11 +188,14 @@
     /// Chooses the server for a request, none that is bounded; null where there is none.
     [[nodiscard]] server_ptr choose(const server_wish &wish) const;
 
-    void onAnswer(server &which, const std::optional<server_load> &load);
+    void onAnswer(server &which);
     /// An answer that didn't come, was broken, or was an error.
     void onFailure(server &which);
-    /// The server refused for want of room.
-    void onRefused(server &which);
+    /// Spreads the ends of times that servers ask for: many nodes are asked at once. None by
+    /// default.
+    void setBackoffSpread(backoff_spread spread) { m_backoffSpread = std::move(spread); }
+    /// A request's bytes go to the server now, and others may follow at once.
+    void onSending(server &which);
     /// An answer of the server began, whatever its status. Every path that gets answers calls this.
     void onSignals(server &which, const server_signals &told);
     /// Another node heard that this start leaves; it may not be published here yet. Gives whether
@@ -226,11 +252,16 @@
 private:
     [[nodiscard]] double costOf(const server &which, const server_wish &wish) const;
     void changed(const service_id &service);
+    [[nodiscard]] std::optional<milliseconds>
+    backoffAmong(const std::vector<server_ptr> &servers) const;
     /// Why none of the servers of a service that count may get new work; `otherwise` where
     /// operators haven't evacuated one of them.
     template <class Counts>
     [[nodiscard]] server_absence absenceAmong(const service_id &service, server_absence otherwise,
                                               Counts counts) const;
+    /// The server refused a request that it hasn't run.
+    void onRefused(server &which);
+    void onRetryAfter(server &which, milliseconds time);
     void keepSignals(const server &which);
     /// Changes all servers of a data centre.
     template <class Change>
@@ -252,6 +283,7 @@
     std::set<data_center_id> m_cutOff;
     std::set<data_center_id> m_evacuated;
     backend_server_id m_lastAsked; ///< that `anyIn` gave
+    backoff_spread m_backoffSpread;
     std::function<void(const data_center_id &)> m_onHeard;
     std::function<void(const service_id &)> m_onChange;
     std::function<void(const server &, bool avoided)> m_onDoubt;
--- a/src/gateway/servers/server_signals.h
+++ b/src/gateway/servers/server_signals.h
@@ -25,14 +25,16 @@
 /// What an answer says of the server that gave it, beside what it says to the request.
 struct server_signals
 {
-    told_rate_limit rateLimit;
+    told_rate_limit rateLimit{};
     bool leaving = false; ///< it ends soon, and takes nothing new
     bool refused = false; ///< it hasn't run the request, for reasons of its own
-    std::optional<milliseconds> retryAfter; ///< it wants no request of this node for so long
-    std::optional<server_load> load;
+    bool taken = false; ///< it took up the request and hasn't failed it
+    std::optional<milliseconds> retryAfter{}; ///< it wants no request of this node for so long
+    std::optional<server_load> load{};
 };
 
 /// Of an answer that says nothing of the server that was asked.
-inline constexpr server_signals NoSignals{{std::nullopt, false}, false, false, {}, {}};
+inline constexpr server_signals NoSignals{{std::nullopt, false}, false,       false, false,
+                                          std::nullopt,          std::nullopt};
 
 } // namespace orchidlead::gateway
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -106,6 +106,9 @@
     void logFailedPieces(const pool_key &key, const stage_call &call,
                          const std::vector<piece_result> &results);
     void deliver(const std::vector<piece_outcome> &outcomes);
+    /// What the submitter of a piece is told to expect of the next one of its rank.
+    [[nodiscard]] milliseconds waitAfter(const pool_key &key, const stage_rank &rank,
+                                         const piece_result &result);
     void logGivenUp(const std::vector<piece_outcome> &outcomes);
     void scheduleFrees(steady_time at);
     void flushFrees();
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -128,9 +128,11 @@
     std::optional<steady_time> next;
     const double share = shareOf(key);
     std::erase_if(servers, [&](const server_ptr &each) {
-        if (m_pace.allows(*each, share))
+        auto at = each->takesFrom();
+        if (at <= m_loop.now() && m_pace.allows(*each, share))
             return false;
-        const auto at = share > 0 ? m_pace.nextAt(*each, share) : m_loop.now() + NoShareRetry;
+        if (at <= m_loop.now())
+            at = share > 0 ? m_pace.nextAt(*each, share) : m_loop.now() + NoShareRetry;
         next = std::min(next.value_or(at), at);
         return true;
     });
@@ -141,6 +143,8 @@
 std::optional<piece_failure>
 stage_host<Codec>::whyClosed(const pool_key &key, const std::vector<server_ptr> &servers) const
 {
+    if (m_directory.backoffOf(key))
+        return piece_failure::ServersBackedOff;
     if (!servers.empty())
         return std::nullopt;
     switch (m_directory.absenceOf(key)) {
@@ -162,6 +166,8 @@
     const std::chrono::duration<double> call = poolOf(key).fullCall();
     double strength = 0.0;
     for (const auto &each : m_directory.usable(key)) {
+        if (!each->takes(m_loop.now()))
+            continue;
         const auto bound = each->bound(m_loop.now());
         strength += bound ? std::min(1.0, bound->perSecond * shareOf(key) * call.count()) : 1.0;
     }
@@ -202,9 +208,10 @@
     m_open.insert(answer);
     http::outbound_call made;
     made.body = Codec::writePieces(call.pieces);
-    made.writeHead = [call, answer, length = made.body.size()]() -> std::optional<std::string> {
-        // The server may have begun to leave while the connection was opened.
-        answer->withheld = !call.server->usable();
+    made.writeHead = [this, call, answer,
+                      length = made.body.size()]() -> std::optional<std::string> {
+        // The server may have begun to leave while the connection was opened, or asked for time.
+        answer->withheld = !call.server->takes(m_loop.now());
         if (answer->withheld)
             return std::nullopt;
         http::request_head head;
@@ -276,7 +283,7 @@
             call.server->gone = true;
     }
     if (end == stage_call_end::Answered)
-        m_directory.onAnswer(*call.server, answer.marks.server.load);
+        m_directory.onAnswer(*call.server);
     else if (end == stage_call_end::Broken)
         m_directory.onFailure(*call.server);
     if (how == http::call_end::Broken && call.server->usable() && m_onBroken) {
@@ -405,11 +412,20 @@
         }
         const auto piece = std::move(found->second);
         m_pending.erase(found);
-        const auto wait = poolOf(piece.key).waitOf(piece.rank, strengthOf(piece.key));
-        piece.handler({each.result, wait});
+        piece.handler({each.result, waitAfter(piece.key, piece.rank, each.result)});
     }
 }
 
+template <gateway_codec Codec>
+milliseconds stage_host<Codec>::waitAfter(const pool_key &key, const stage_rank &rank,
+                                          const piece_result &result)
+{
+    const auto *failure = std::get_if<piece_failure>(&result);
+    if (failure && *failure == piece_failure::ServersBackedOff)
+        return m_directory.backoffOf(key).value_or(milliseconds{0});
+    return poolOf(key).waitOf(rank, strengthOf(key));
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::free(const std::vector<std::string> &handles)
 {
@@ -436,12 +452,13 @@
     const auto now = m_loop.now();
     if (!holder.usable())
         return std::nullopt;
-    if (!holder.bound(now))
-        return now;
-    const double share = shareOf(holder);
-    if (share <= 0)
-        return std::nullopt;
-    const auto at = m_pace.nextAt(holder, share);
+    auto at = std::max(now, holder.takesFrom());
+    if (holder.bound(now)) {
+        const double share = shareOf(holder);
+        if (share <= 0)
+            return std::nullopt;
+        at = std::max(at, m_pace.nextAt(holder, share));
+    }
     return at > now ? at + FreeDelay : at; // calls that wait go first
 }
 
@@ -478,8 +495,8 @@
 {
     http::outbound_call made;
     made.body = Codec::writeHandles(handles);
-    made.writeHead = [holder, length = made.body.size()]() -> std::optional<std::string> {
-        if (!holder->usable())
+    made.writeHead = [this, holder, length = made.body.size()]() -> std::optional<std::string> {
+        if (!holder->takes(m_loop.now()))
             return std::nullopt;
         http::request_head head;
         head.method = "POST";
@@ -494,9 +511,11 @@
     };
     // Until the server has answered, the room isn't free. A result that can't be freed lapses by
     // itself, there and in the pool's account.
-    made.onEnd = [this, freed = std::move(handles)](http::call_end how) {
+    made.onEnd = [this, holder, freed = std::move(handles)](http::call_end how) {
         if (how == http::call_end::Complete)
             onFreed(freed);
+        else if (how == http::call_end::NotSent && !holder->takes(m_loop.now()))
+            free(freed); // when it takes requests again
     };
     const auto call = m_pool.start(holder->record.address, std::move(made));
     m_loop.callAfter(FreeTimeout, [this, call] { m_pool.abandon(call); });
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -306,7 +306,7 @@
     auto &state = m_servers[call.server->record.start()];
     --state.calls;
     if (how == stage_call_end::NotRun)
-        state.busyUntil = m_clock.now() + RefusedPause;
+        state.busyUntil = std::max(m_clock.now() + RefusedPause, call.server->avoidUntil);
     if (how == stage_call_end::Answered)
         state.failures = 0;
     else if (how != stage_call_end::NotRun && how != stage_call_end::Withheld)
--- a/src/gateway/stages/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -32,6 +33,12 @@
     /// Gives the pool of a service for work that is best done in `near`.
     [[nodiscard]] pool_key poolFor(const service_id &service, const data_center_id &near,
                                    const residency &allowed = {});
+    /// How long no host takes pieces of a service, as they told this node: their servers asked
+    /// them for time. Empty: some do.
+    [[nodiscard]] std::optional<milliseconds>
+    backoffOf(const service_id &service, const data_center_id &near, const residency &allowed);
+    /// Servers of a service came, changed or left.
+    void onServersChanged(const service_id &service);
     piece_token submit(const service_id &service, piece_job &&job, piece_handler &&handler);
     void withdraw(piece_token token);
     /// Gives results up, through the hosts of their services, which count them.
@@ -56,6 +63,17 @@
         std::uint32_t moves = 0;
     };
 
+    /// A pool whose servers asked its host for time.
+    struct backed_off_pool
+    {
+        vm_id host;
+        steady_time until;
+    };
+
+    /// As `poolFor`, or the pool of another data centre where that one's servers asked for time.
+    [[nodiscard]] pool_key openPoolFor(const service_id &service, const data_center_id &near,
+                                       const residency &allowed);
+    [[nodiscard]] std::optional<milliseconds> backoffOf(const pool_key &pool) const;
     void place(piece_token token, submission &entry);
     /// Gives a link to the host of a pool; null: this node.
     [[nodiscard]] link_ptr linkToHost(const pool_key &pool);
@@ -75,6 +93,7 @@
     pool_widths m_widths;
     std::unordered_map<piece_token, submission> m_submissions;
     std::map<link_ptr, std::unordered_map<piece_token, piece_token>> m_hosted; ///< theirs to ours
+    std::map<pool_key, backed_off_pool> m_backedOff;
     piece_token m_lastToken = 0;
 };
 
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -65,13 +65,56 @@
 {
     const auto token = ++m_lastToken;
     auto &entry = m_submissions[token];
-    entry.pool = poolFor(service, job.near, job.allowed);
+    entry.pool = openPoolFor(service, job.near, job.allowed);
     entry.job = std::move(job);
     entry.handler = std::move(handler);
     place(token, entry);
     return token;
 }
 
+template <gateway_codec Codec>
+std::optional<milliseconds> stage_router<Codec>::backoffOf(const pool_key &pool) const
+{
+    const auto found = m_backedOff.find(pool);
+    const auto now = m_loop.now();
+    // Another host wasn't asked for anything.
+    if (found == m_backedOff.end() || found->second.host != hostOf(pool)
+        || found->second.until <= now)
+        return std::nullopt;
+    return std::chrono::ceil<milliseconds>(found->second.until - now);
+}
+
+template <gateway_codec Codec>
+pool_key stage_router<Codec>::openPoolFor(const service_id &service, const data_center_id &near,
+                                          const residency &allowed)
+{
+    const auto nearest = poolFor(service, near, allowed);
+    if (m_backedOff.empty() || !backoffOf(nearest))
+        return nearest;
+    for (const auto &each : m_directory.usable(service, allowed)) {
+        auto other = poolFor(service, each->record.dataCenter, allowed);
+        if (!backoffOf(other))
+            return other;
+    }
+    return nearest;
+}
+
+template <gateway_codec Codec>
+std::optional<milliseconds> stage_router<Codec>::backoffOf(const service_id &service,
+                                                           const data_center_id &near,
+                                                           const residency &allowed)
+{
+    if (m_backedOff.empty())
+        return std::nullopt;
+    return backoffOf(openPoolFor(service, near, allowed));
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::onServersChanged(const service_id &service)
+{
+    std::erase_if(m_backedOff, [&](const auto &entry) { return entry.first.service == service; });
+}
+
 template <gateway_codec Codec>
 void stage_router<Codec>::place(piece_token token, submission &entry)
 {
@@ -120,8 +163,12 @@
         return;
     }
     const auto *failure = std::get_if<piece_failure>(&report.result);
-    const bool closed = failure
-        && (*failure == piece_failure::Evacuated || *failure == piece_failure::ServersLeaving);
+    const bool backedOff = failure && *failure == piece_failure::ServersBackedOff;
+    if (backedOff)
+        m_backedOff[found->second.pool] = {hostOf(found->second.pool), m_loop.now() + report.wait};
+    const bool closed = backedOff
+        || (failure
+            && (*failure == piece_failure::Evacuated || *failure == piece_failure::ServersLeaving));
     if (closed && moveFromClosed(token, found->second))
         return;
     const auto handler = std::move(found->second.handler);
@@ -134,9 +181,10 @@
 template <gateway_codec Codec>
 bool stage_router<Codec>::moveFromClosed(piece_token token, submission &entry)
 {
-    const auto before =
-        std::exchange(entry.pool, poolFor(entry.pool.service, entry.job.near, entry.job.allowed));
-    if (entry.moves++ >= MaxMoves || m_directory.usable(entry.pool).empty())
+    const auto before = std::exchange(
+        entry.pool, openPoolFor(entry.pool.service, entry.job.near, entry.job.allowed));
+    if (entry.moves++ >= MaxMoves || m_directory.usable(entry.pool).empty()
+        || backoffOf(entry.pool))
         return false;
     entry.link = nullptr;
     entry.local = 0;
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -153,11 +153,22 @@
     CHECK(placed.wait == milliseconds{70});
     CHECK(placed.allBounded);
     const auto silent = roundTrip(progress_frame{3, progress_frame::what::Ended});
-    CHECK_FALSE(silent.limit.readable);
-    const auto told = roundTrip(progress_frame{3, progress_frame::what::FirstAnswer, {2.5}});
-    CHECK(told.limit.readable);
-    CHECK(told.limit.perSecond == 2.5);
-    CHECK_FALSE(roundTrip(progress_frame{3, progress_frame::what::Ended, {}}).limit.perSecond);
+    CHECK_FALSE(silent.signals.rateLimit.readable);
+    server_signals signals;
+    signals.rateLimit.perSecond = 2.5;
+    signals.leaving = true;
+    signals.refused = true;
+    signals.retryAfter = milliseconds{300};
+    const auto told = roundTrip(progress_frame{3, progress_frame::what::FirstAnswer, signals});
+    CHECK(told.signals.leaving);
+    CHECK(told.signals.refused);
+    CHECK_FALSE(told.signals.taken);
+    // It binds the node that was asked alone.
+    CHECK_FALSE(told.signals.retryAfter);
+    CHECK(told.signals.rateLimit.readable);
+    CHECK(told.signals.rateLimit.perSecond == 2.5);
+    CHECK_FALSE(
+        roundTrip(progress_frame{3, progress_frame::what::Ended, {}}).signals.rateLimit.perSecond);
 }
 
 TEST_CASE("an admission is asked for by rank, and answered with when to come back")
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -89,7 +89,7 @@
     server_directory directory(clock);
     directory.put(makeRecord("s1"));
     directory.put(makeRecord("s2", "b"));
-    directory.onAnswer(*directory.find(backend_server_id("s1")), server_load{4, 3, 4});
+    directory.onSignals(*directory.find(backend_server_id("s1")), {.load = server_load{4, 3, 4}});
     CHECK(directory.choose(wishFor())->record.id.value == "s2");
     clock.advance(milliseconds{500});
     CHECK(directory.choose(wishFor())->record.id.value == "s1");
@@ -133,8 +133,8 @@
     directory.onFailure(only);
     directory.onFailure(only);
     CHECK(told == std::vector<bool>{true});
-    directory.onAnswer(only, std::nullopt);
-    directory.onAnswer(only, std::nullopt);
+    directory.onAnswer(only);
+    directory.onAnswer(only);
     CHECK(told == std::vector<bool>{true, false});
 }
 
@@ -225,3 +225,145 @@
         CHECK(later->record.born == 2'000);
     }
 }
+
+namespace {
+
+server_signals refusal(milliseconds retryAfter = {})
+{
+    server_signals signals;
+    signals.refused = true;
+    if (retryAfter > milliseconds{0})
+        signals.retryAfter = retryAfter;
+    return signals;
+}
+
+server_signals taken()
+{
+    server_signals signals;
+    signals.taken = true;
+    return signals;
+}
+
+server_signals leaving()
+{
+    server_signals signals;
+    signals.leaving = true;
+    return signals;
+}
+
+} // namespace
+
+TEST_CASE("what a server said holds for its start, also where its entry lapses meanwhile")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    auto record = makeRecord("s1");
+    record.born = 1000;
+    directory.put(record);
+    directory.onSignals(*directory.find(record.id), leaving());
+    directory.put(record);
+    CHECK_FALSE(directory.find(record.id)->usable());
+    directory.remove(record.id);
+    directory.put(record);
+    CHECK_FALSE(directory.find(record.id)->usable());
+    record.born = 2000;
+    directory.put(record);
+    CHECK(directory.find(record.id)->usable());
+}
+
+TEST_CASE("a start that another node heard to leave leaves once it is published")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    auto record = makeRecord("s1");
+    record.born = 1000;
+    CHECK(directory.onLeavingElsewhere(record.start()));
+    CHECK_FALSE(directory.onLeavingElsewhere(record.start()));
+    directory.put(record);
+    CHECK_FALSE(directory.find(record.id)->usable());
+    CHECK(directory.startsThatLeave() == std::vector{record.start()});
+    // An earlier start than the one that is known.
+    CHECK_FALSE(directory.onLeavingElsewhere({record.id, 900}));
+    CHECK(directory.absenceOf(service_id("s"), residency{}) == server_absence::Leaving);
+}
+
+TEST_CASE("a server that asked for time gets nothing until it is over, fractions included")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    const auto only = directory.find(backend_server_id("s1"));
+    directory.onSignals(*only, refusal(milliseconds{1700}));
+    CHECK(directory.backoffOf(service_id("s"), {}) == milliseconds{1700});
+    // An answer that was under way doesn't end it, and a shorter time doesn't either.
+    directory.onSignals(*only, taken());
+    directory.onSignals(*only, refusal(milliseconds{100}));
+    clock.advance(milliseconds{1699});
+    CHECK(directory.choose(wishFor()) == nullptr);
+    CHECK(directory.withheld(service_id("s"), {}) == std::vector{only->record.id});
+    clock.advance(milliseconds{1});
+    CHECK(directory.choose(wishFor()) == only);
+    CHECK_FALSE(directory.backoffOf(service_id("s"), {}));
+}
+
+TEST_CASE("the ends of times that servers ask for are spread")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.setBackoffSpread([] { return 0.25; });
+    directory.put(makeRecord("s1"));
+    directory.onSignals(*directory.find(backend_server_id("s1")), refusal(milliseconds{2000}));
+    CHECK(directory.backoffOf(service_id("s"), {}) == milliseconds{2500});
+}
+
+TEST_CASE("after the time that a server asked for one request goes there alone until it is taken")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    const auto only = directory.find(backend_server_id("s1"));
+    directory.onSignals(*only, refusal(milliseconds{1000}));
+    clock.advance(milliseconds{1000});
+    REQUIRE(only->takes(clock.now()));
+    directory.onSending(*only);
+    CHECK_FALSE(only->takes(clock.now()));
+    SECTION("it is taken")
+    {
+        directory.onSignals(*only, taken());
+        CHECK(only->takes(clock.now()));
+        directory.onSending(*only);
+        CHECK(only->takes(clock.now()));
+    }
+    SECTION("nothing comes back")
+    {
+        clock.advance(milliseconds{500});
+        CHECK(only->takes(clock.now()));
+    }
+}
+
+TEST_CASE("a server that refuses again and again is passed over for longer, until it takes one")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    directory.put(makeRecord("s2", "b"));
+    const auto refusing = directory.find(backend_server_id("s1"));
+    std::vector<milliseconds> passedOver;
+    for (int i = 0; i < 5; ++i) {
+        directory.onSignals(*refusing, refusal());
+        directory.onSignals(*refusing, refusal()); // sent at the same time
+        milliseconds time{0};
+        while (directory.choose(wishFor()) != refusing) {
+            clock.advance(milliseconds{10});
+            time += milliseconds{10};
+        }
+        passedOver.push_back(time);
+    }
+    CHECK(passedOver
+          == std::vector{milliseconds{60}, milliseconds{240}, milliseconds{960}, milliseconds{3840},
+                         milliseconds{3840}});
+    directory.onSignals(*refusing, taken());
+    directory.onSignals(*refusing, refusal());
+    clock.advance(milliseconds{60});
+    CHECK(directory.choose(wishFor()) == refusing);
+}
--- a/tests/platform/backoff_test.cpp
+++ b/tests/platform/backoff_test.cpp
@@ -78,6 +78,8 @@
 };
 
 constexpr milliseconds LoadTime{3500};
+/// How long the end of a time may be put off: a quarter of it.
+constexpr double MostSpread = 1.25;
 
 } // namespace
 
@@ -122,3 +124,115 @@
         CHECK(w.answeredWith(200) == w.requests.size());
     }
 }
+
+// Guards against requests that wait while nobody takes them, and come back too early.
+TEST_CASE("where all servers asked for time, requests are refused at once with its end")
+{
+    const auto checkRefused = [](backoff_world &w) {
+        for (const auto &each : w.requests) {
+            CHECK(each.answer->status == 503);
+            const auto comeBack = std::stod(each.answer->field("retry-after"));
+            CHECK(comeBack > 0.0);
+            CHECK(comeBack <= MostSpread * std::stod(w.seconds));
+        }
+        CHECK(w.refusedLate() == 0);
+    };
+    SECTION("plain servers")
+    {
+        backoff_world w(plainRoute("unsafe"));
+        for (const auto *id : {"i-1", "i-2"})
+            w.addNoting("web", id);
+        w.startNodes();
+        w.refusing = {"i-1", "i-2"};
+        w.load("/p/x", milliseconds{400});
+        w.requests.clear();
+        w.load("/p/x", milliseconds{1000});
+        checkRefused(w);
+        for (const auto *id : {"i-1", "i-2"})
+            w.checkLeftAlone(id);
+    }
+    SECTION("engines: before the stages")
+    {
+        backoff_world w(streamRoute(true, OneStage), StageService + "," + EngineService);
+        w.addNoting("p", "p-1");
+        for (const auto *id : {"e-1", "e-2"})
+            w.addNoting("engine", id);
+        w.startNodes();
+        w.refusing = {"e-1", "e-2"};
+        w.load("/s/x", milliseconds{800}, "1");
+        w.requests.clear();
+        const int piecesBefore = w.pieces;
+        w.load("/s/x", milliseconds{800}, "1");
+        checkRefused(w);
+        CHECK(w.pieces == piecesBefore);
+        for (const auto *id : {"e-1", "e-2"})
+            w.checkLeftAlone(id);
+    }
+    SECTION("stage servers")
+    {
+        backoff_world w(streamRoute(true, OneStage), StageService + "," + EngineService);
+        for (const auto *id : {"p-1", "p-2"})
+            w.addNoting("p", id);
+        w.addNoting("engine", "e-1");
+        w.startNodes();
+        w.refusing = {"p-1", "p-2"};
+        w.load("/s/x", milliseconds{600}, "1");
+        w.requests.clear();
+        w.load("/s/x", milliseconds{1000}, "1");
+        checkRefused(w);
+        for (const auto *id : {"p-1", "p-2"})
+            w.checkLeftAlone(id);
+    }
+}
+
+// Guards against a rush when times that many nodes were asked for end together.
+TEST_CASE("when the time is over, a server gets one request of each node until it takes one")
+{
+    backoff_world w(plainRoute("unsafe"));
+    w.addNoting("web", "i-1");
+    w.startNodes();
+    w.seconds = "1";
+    w.refusing = {"i-1"};
+    w.load("/p/x", milliseconds{400});
+    const auto asked = w.clock.now();
+    w.runFor(milliseconds{1300}); // it is over for all nodes
+    for (int i = 0; i < 40; ++i)
+        w.send("/p/x");
+    w.awaitAll();
+    CHECK(w.arrivalsSince("i-1", asked) <= FleetNodes.size());
+}
+
+// Guards against requests that were chosen before a server asked for time, and go out after.
+TEST_CASE("a request that waits for its turn at a server that then asks for time goes elsewhere")
+{
+    backoff_world w(plainRoute("unsafe"));
+    for (const auto *id : {"i-1", "i-2"})
+        w.addNoting("web", id);
+    const auto refuse = w.fieldsOf;
+    w.fieldsOf = [&](const std::string &id) {
+        return refuse(id) + (id == "i-1" ? "Server-Limit: 2\r\n" : "Server-Limit: 10\r\n");
+    };
+    w.startNodes();
+    w.load("/p/x", milliseconds{1500});
+    w.refusing = {"i-1"};
+    w.load("/p/x", LoadTime);
+    w.checkLeftAlone("i-1");
+}
+
+// Guards against a time that another start of the server had asked for.
+TEST_CASE("a server that starts again under its id has asked for nothing")
+{
+    backoff_world w(plainRoute("unsafe"));
+    w.addNoting("web", "i-1");
+    w.announceStart(w.server("i-1"), "web", 1000);
+    w.startNodes();
+    w.seconds = "60";
+    w.refusing = {"i-1"};
+    w.load("/p/x", milliseconds{300});
+    w.refusing.clear();
+    w.requests.clear();
+    w.announceStart(w.server("i-1"), "web", 2000);
+    w.runFor(milliseconds{1500});
+    w.load("/p/x", milliseconds{500});
+    CHECK(w.answeredWith(200) == w.requests.size());
+}
