--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -158,17 +158,17 @@
         return;
     const auto entry = found->second;
     entry->gone = true;
-    keepSignals(*entry);
+    keepSignals(entry->record.start(), *entry);
     std::erase(m_byService[entry->record.service], entry);
     m_servers.erase(found);
     changed(entry->record.service);
 }
 
-void server_directory::keepSignals(const server &which)
+void server_directory::keepSignals(const server_start &start, const kept_signals &signals)
 {
     const auto now = m_clock.now();
     std::erase_if(m_past, [&](const auto &entry) { return now >= entry.second.until; });
-    m_past[which.record.start()] = {which, now + SignalMemory};
+    m_past[start] = {signals, now + SignalMemory};
 }
 
 bool server_directory::onLeavingElsewhere(const server_start &start)
@@ -180,14 +180,14 @@
         changed(known->record.service);
         return true;
     }
-    const bool earlier = known && start.born < known->record.born;
-    if (earlier || m_past.contains(start))
+    if (known && start.born < known->record.born)
         return false;
-    server unpublished;
-    unpublished.record.id = start.id;
-    unpublished.record.born = start.born;
-    unpublished.saidLeaving = true;
-    keepSignals(unpublished);
+    kept_signals signals;
+    if (const auto past = m_past.find(start); past != m_past.end())
+        signals = past->second.signals;
+    if (std::exchange(signals.saidLeaving, true))
+        return false;
+    keepSignals(start, signals);
     return true;
 }
 
@@ -333,16 +333,16 @@
 std::optional<milliseconds> server_directory::backoffOf(const service_id &service,
                                                         const residency &allowed) const
 {
-    return backoffAmong(usable(service, allowed));
+    return backoffOf(usable(service, allowed));
 }
 
 std::optional<milliseconds> server_directory::backoffOf(const pool_key &pool) const
 {
-    return backoffAmong(usable(pool));
+    return backoffOf(usable(pool));
 }
 
 std::optional<milliseconds>
-server_directory::backoffAmong(const std::vector<server_ptr> &servers) const
+server_directory::backoffOf(const std::vector<server_ptr> &servers) const
 {
     const auto now = m_clock.now();
     if (servers.empty())
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -174,6 +174,9 @@
                                                         const residency &allowed) const;
     /// The same of a pool.
     [[nodiscard]] std::optional<milliseconds> backoffOf(const pool_key &pool) const;
+    /// The same of servers that are usable.
+    [[nodiscard]] std::optional<milliseconds>
+    backoffOf(const std::vector<server_ptr> &servers) const;
     /// Servers of a service that another node mustn't choose for this one.
     [[nodiscard]] std::vector<backend_server_id> withheld(const service_id &service,
                                                           const residency &allowed) const;
@@ -252,8 +255,6 @@
 private:
     [[nodiscard]] double costOf(const server &which, const server_wish &wish) const;
     void changed(const service_id &service);
-    [[nodiscard]] std::optional<milliseconds>
-    backoffAmong(const std::vector<server_ptr> &servers) const;
     /// Why none of the servers of a service that count may get new work; `otherwise` where
     /// operators haven't evacuated one of them.
     template <class Counts>
@@ -262,7 +263,7 @@
     /// The server refused a request that it hasn't run.
     void onRefused(server &which);
     void onRetryAfter(server &which, milliseconds time);
-    void keepSignals(const server &which);
+    void keepSignals(const server_start &start, const kept_signals &signals);
     /// Changes all servers of a data centre.
     template <class Change>
     void changeIn(const data_center_id &dataCenter, Change change);
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -143,7 +143,7 @@
 std::optional<piece_failure>
 stage_host<Codec>::whyClosed(const pool_key &key, const std::vector<server_ptr> &servers) const
 {
-    if (m_directory.backoffOf(key))
+    if (m_directory.backoffOf(servers))
         return piece_failure::ServersBackedOff;
     if (!servers.empty())
         return std::nullopt;
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -88,7 +88,7 @@
 pool_key stage_router<Codec>::openPoolFor(const service_id &service, const data_center_id &near,
                                           const residency &allowed)
 {
-    const auto nearest = poolFor(service, near, allowed);
+    auto nearest = poolFor(service, near, allowed);
     if (m_backedOff.empty() || !backoffOf(nearest))
         return nearest;
     for (const auto &each : m_directory.usable(service, allowed)) {
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -282,11 +282,26 @@
     directory.put(record);
     CHECK_FALSE(directory.find(record.id)->usable());
     CHECK(directory.startsThatLeave() == std::vector{record.start()});
+    directory.remove(record.id);
+    CHECK_FALSE(directory.onLeavingElsewhere(record.start()));
+    directory.put(record);
     // An earlier start than the one that is known.
     CHECK_FALSE(directory.onLeavingElsewhere({record.id, 900}));
     CHECK(directory.absenceOf(service_id("s"), residency{}) == server_absence::Leaving);
 }
 
+TEST_CASE("a start that lapsed before another node heard that it leaves leaves, too")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    const auto record = makeRecord("s1");
+    directory.put(record);
+    directory.remove(record.id);
+    CHECK(directory.onLeavingElsewhere(record.start()));
+    directory.put(record);
+    CHECK_FALSE(directory.find(record.id)->usable());
+}
+
 TEST_CASE("a server that asked for time gets nothing until it is over, fractions included")
 {
     manual_clock clock;
