Wait in a test for the news that it is about, not for a time

Change: the case waits until the node has read each entry and the removal, then checks as before. It is stricter: the second and third bad entry were not read at all before their checks.

Conclusion: a fault of the case's own wait.

--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -1,4 +1,5 @@
 #include "platform_world.h"
+#include "text_count.h"
 
 #include <catch2/catch.hpp>
 
@@ -230,15 +231,18 @@
     };
     for (const std::string bad : {"\xff\xfe", "{}", R"({"service":"web"})"}) {
         INFO("entry: " << bad);
+        const auto read = countIn(w.logged.str(), "event=publication_unreadable");
         w.store.put("servers/i-1", bad);
-        w.runFor(milliseconds{200});
+        REQUIRE(w.runUntil(
+            [&] { return countIn(w.logged.str(), "event=publication_unreadable") > read; }));
         const auto before = first.requests().size();
         ask(6);
         CHECK(first.requests().size() == before);
     }
+    const auto removed = countIn(w.logged.str(), "event=server_removed");
     w.store.remove("servers/i-2");
     w.announce(first, "web");
-    w.runFor(milliseconds{200});
+    REQUIRE(w.runUntil([&] { return countIn(w.logged.str(), "event=server_removed") > removed; }));
     const auto before = second.requests().size();
     ask(4);
     CHECK(second.requests().size() == before);
