Read the change as a newcomer: names, and files with one matter each

Ruled out: changes of logic; blocks are moved as they are.

The tests' fleet keeps one map of what was sent.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -88,6 +88,14 @@
     ServersBackedOff, ///< likewise: those of its pool asked the host for time
 };
 
+/// Whether a host gave the piece up since no server of its pool gets anything new: another pool's
+/// may.
+[[nodiscard]] constexpr bool poolIsClosed(piece_failure failure)
+{
+    return failure == piece_failure::Evacuated || failure == piece_failure::ServersLeaving
+        || failure == piece_failure::ServersBackedOff;
+}
+
 /// A handle of the result, or why there is none.
 using piece_result = std::variant<std::string, piece_failure>;
 
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/exchange/exchange.h"
+#include "gateway/exchange/exchange_answers_impl.h"
 #include "gateway/exchange/exchange_attempts_impl.h"
 #include "gateway/exchange/exchange_limits.h"
 #include "gateway/exchange/exchange_log_impl.h"
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -177,9 +177,10 @@
     /// The same of servers that are usable.
     [[nodiscard]] std::optional<milliseconds>
     backoffOf(const std::vector<server_ptr> &servers) const;
-    /// Servers of a service that another node mustn't choose for this one.
-    [[nodiscard]] std::vector<backend_server_id> withheld(const service_id &service,
-                                                          const residency &allowed) const;
+    /// Servers of a service that nobody may choose for this node now: those that asked it for time,
+    /// and those that refuse, as long as others are left.
+    [[nodiscard]] std::vector<backend_server_id> passedOver(const service_id &service,
+                                                            const residency &allowed) const;
     /// Why work that is bound to regions finds no server of a service.
     [[nodiscard]] server_absence absenceOf(const service_id &service,
                                            const residency &allowed) const;
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -163,13 +163,9 @@
         return;
     }
     const auto *failure = std::get_if<piece_failure>(&report.result);
-    const bool backedOff = failure && *failure == piece_failure::ServersBackedOff;
-    if (backedOff)
+    if (failure && *failure == piece_failure::ServersBackedOff)
         m_backedOff[found->second.pool] = {hostOf(found->second.pool), m_loop.now() + report.wait};
-    const bool closed = backedOff
-        || (failure
-            && (*failure == piece_failure::Evacuated || *failure == piece_failure::ServersLeaving));
-    if (closed && moveFromClosed(token, found->second))
+    if (failure && poolIsClosed(*failure) && moveFromClosed(token, found->second))
         return;
     const auto handler = std::move(found->second.handler);
     m_submissions.erase(found);
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -315,7 +315,7 @@
     directory.onSignals(*only, refusal(milliseconds{100}));
     clock.advance(milliseconds{1699});
     CHECK(directory.choose(wishFor()) == nullptr);
-    CHECK(directory.withheld(service_id("s"), {}) == std::vector{only->record.id});
+    CHECK(directory.passedOver(service_id("s"), {}) == std::vector{only->record.id});
     clock.advance(milliseconds{1});
     CHECK(directory.choose(wishFor()) == only);
     CHECK_FALSE(directory.backoffOf(service_id("s"), {}));
--- a/tests/platform/loaded_fleet.cpp
+++ b/tests/platform/loaded_fleet.cpp
@@ -36,7 +36,7 @@
 {
     const auto attempt = http::findField(request.head.fields, "x-attempt-id").value_or("");
     const auto known = m_byAttempt.find(std::string(attempt));
-    const auto from = known == m_byAttempt.end() ? sent_request{} : m_all[known->second];
+    const auto from = known == m_byAttempt.end() ? sent_request{} : known->second;
     arrivals[id].push_back({clock.now(), from.node, from.at, request.head.target});
     if (refusing.contains(id)) {
         answer->write(
@@ -99,8 +99,7 @@
         head.fields.push_back({"X-Chunk-Count", pieceCounts});
         head.fields.push_back({"X-Chunk-Key", attempt});
     }
-    m_byAttempt[attempt] = m_all.size();
-    m_all.push_back({to, clock.now()});
+    m_byAttempt[attempt] = {to, clock.now()};
     requests.push_back({to, request(to, std::move(head), "body"), clock.now(), {}});
 }
 
--- a/tests/platform/loaded_fleet.h
+++ b/tests/platform/loaded_fleet.h
@@ -77,15 +77,14 @@
     [[nodiscard]] std::string withFields(const std::string &id, const std::string &answer) const;
     void noteEnds();
 
-    std::size_t m_sent = 0;
-    std::size_t m_turn = 0; ///< of the nodes
-    std::map<std::string, std::size_t> m_byAttempt; ///< place among all that were ever sent
     struct sent_request
     {
         std::string node;
         steady_time at;
     };
-    std::vector<sent_request> m_all;
+    std::size_t m_sent = 0;
+    std::size_t m_turn = 0; ///< of the nodes
+    std::map<std::string, sent_request> m_byAttempt; ///< all that were ever sent
 };
 
 inline const std::string EngineService =
