Let the emulated fleet show what looking into data centres costs

Cause of the page's error: docs/CAPACITY.md has 1.0 KB a second for a member, from peer_view_test. The questions to silent data centres were asked by peer_network, which no emulation runs. The view of the peers decides on them now, so the emulation has them.

--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -23,7 +23,6 @@
     , m_address(settings.listen.peers)
     , m_events(std::move(events))
     , m_view(loop.clock(), toIdentity(settings, incarnation), m_events.onHostChanged)
-    , m_reach(loop.clock(), settings.dataCenter)
     , m_followsReach(!settings.without.contains(policy::DataCenterReach))
 { }
 
@@ -67,24 +66,18 @@
 void peer_network::onDatagram(const socket_address &from, std::string_view bytes)
 {
     membership_actions actions;
-    const auto dataCenter = m_view.onDatagram(from, bytes, actions);
+    m_view.onDatagram(from, bytes, actions);
     carryOut(actions);
-    m_reach.onHeard(dataCenter);
 }
 
 void peer_network::followReach()
 {
     if (!m_followsReach)
         return;
-    for (const auto &event : m_reach.tick()) {
-        if (event.step == reach_step::AskPeers) {
-            membership_actions actions;
-            m_view.askIn(event.dataCenter, actions);
-            carryOut(actions);
-            continue;
-        }
-        if (event.step != reach_step::AskServers)
-            m_view.setReached(event.dataCenter, event.step == reach_step::Regained);
+    membership_actions actions;
+    const auto events = m_view.followReach(actions);
+    carryOut(actions);
+    for (const auto &event : events) {
         m_events.onReach(event);
         if (event.step == reach_step::Lost)
             closeLinksTo(event.dataCenter);
@@ -160,7 +153,7 @@
 {
     peer_link::events handlers;
     handlers.onFrame = [this, from](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
-        m_reach.onHeard(from);
+        m_view.onHeardFrom(from);
         m_events.onFrame(link, std::move(frame));
     };
     handlers.onClosed = [this](const std::shared_ptr<peer_link> &link) {
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -62,7 +62,7 @@
     /// The peer at the other end of a link that this node opened.
     [[nodiscard]] std::optional<vm_id> peerOf(const std::shared_ptr<peer_link> &link) const;
     /// A server of a data centre answered.
-    void onServerHeard(const data_center_id &dataCenter) { m_reach.onHeard(dataCenter); }
+    void onServerHeard(const data_center_id &dataCenter) { m_view.onHeardFrom(dataCenter); }
     /// A peer didn't answer: it gets no role for a while.
     void avoid(const vm_id &peer) { m_view.avoid(peer); }
     void setVersion(std::uint64_t version) { m_view.setVersion(version); }
@@ -85,7 +85,6 @@
     socket_address m_address;
     peer_events m_events;
     peer_view m_view;
-    data_center_reach m_reach;
     bool m_followsReach;
     std::unique_ptr<http::datagram_socket> m_datagrams;
     std::unique_ptr<http::acceptor> m_acceptor;
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -61,6 +61,7 @@
     , m_identity(identity)
     , m_onHostChanged(std::move(onHostChanged))
     , m_members(clock, toOptions(identity))
+    , m_reach(clock, identity.dataCenter)
     , m_startedAt(clock.now())
 {
     std::erase(m_identity.firstContacts, identity.address);
@@ -78,16 +79,29 @@
 }
 
 // Each message that is taken leaves a report of its sender; one that isn't leaves none.
-data_center_id peer_view::onDatagram(const socket_address &from, std::string_view bytes,
-                                     membership_actions &out)
+void peer_view::onDatagram(const socket_address &from, std::string_view bytes,
+                           membership_actions &out)
 {
     m_members.onDatagram(from, bytes, out);
     const auto reported = std::ranges::find_if(
         out, [](const auto &each) { return std::holds_alternative<peer_report>(each); });
     if (reported == out.end())
-        return {};
-    const auto sender = m_members.find(std::get<peer_report>(*reported).vm);
-    return sender ? sender->vm.dataCenter : data_center_id{};
+        return;
+    if (const auto sender = m_members.find(std::get<peer_report>(*reported).vm))
+        m_reach.onHeard(sender->vm.dataCenter);
+}
+
+std::vector<reach_event> peer_view::followReach(membership_actions &out)
+{
+    auto events = m_reach.tick();
+    for (const auto &each : events) {
+        if (each.step == reach_step::AskPeers)
+            askIn(each.dataCenter, out);
+        else if (each.step != reach_step::AskServers)
+            forgetRoles();
+    }
+    std::erase_if(events, [](const auto &each) { return each.step == reach_step::AskPeers; });
+    return events;
 }
 
 // First contacts may be away, and members on the far side of a cut are taken for dead there and
@@ -137,12 +151,6 @@
     return found != m_avoided.end() && m_clock.now() < found->second;
 }
 
-void peer_view::setReached(const data_center_id &which, bool reached)
-{
-    m_reached[which] = reached;
-    forgetRoles();
-}
-
 // Asked for each piece, and all members are hashed for an answer: so it is kept until something
 // changes that it depends on.
 vm_id peer_view::hostOf(const pool_key &pool)
@@ -192,9 +200,8 @@
     std::vector<vm_id> found;
     for (const auto &each : m_members.members()) {
         const bool own = each.vm.vm == self();
-        const auto reach = m_reached.find(each.vm.dataCenter);
-        const bool reached = reach == m_reached.end() || reach->second;
-        const bool usable = each.state == member_state::Alive && !avoided(each.vm.vm) && reached;
+        const bool usable = each.state == member_state::Alive && !avoided(each.vm.vm)
+            && m_reach.reaches(each.vm.dataCenter);
         const bool there = (dataCenter.empty() || each.vm.dataCenter == dataCenter)
             && (region.empty() || each.vm.region == region);
         if (there && (usable || (own && each.state != member_state::Leaving)))
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -40,17 +40,16 @@
 
     /// Runs timers; call every 100 ms or so. Gives what is to be sent and what changed.
     void tick(membership_actions &out);
-    /// Gives the data centre that spoke; empty where the sender isn't a member.
-    data_center_id onDatagram(const socket_address &from, std::string_view bytes,
-                              membership_actions &out);
+    void onDatagram(const socket_address &from, std::string_view bytes, membership_actions &out);
+    /// Looks into data centres that are silent; call after `tick`. Gives what is new of them, and
+    /// which of them are to be asked through their servers.
+    [[nodiscard]] std::vector<reach_event> followReach(membership_actions &out);
+    /// A node or server of that data centre gave a sign of life.
+    void onHeardFrom(const data_center_id &which) { m_reach.onHeard(which); }
     /// A member changed its state: roles are picked anew.
     void onMemberChanged() { forgetRoles(); }
     /// A peer didn't answer: it gets no role for a while.
     void avoid(const vm_id &peer);
-    /// What a whole data centre has come to.
-    void setReached(const data_center_id &which, bool reached);
-    /// Asks some nodes of a data centre for a sign of life, others each time.
-    void askIn(const data_center_id &dataCenter, membership_actions &out);
 
     [[nodiscard]] const vm_id &self() const { return m_identity.vm; }
     [[nodiscard]] const region_id &region() const { return m_identity.region; }
@@ -90,6 +89,8 @@
     };
 
     void contactOthers(membership_actions &out);
+    /// Asks some nodes of a data centre for a sign of life, others each time.
+    void askIn(const data_center_id &dataCenter, membership_actions &out);
     void forgetRoles();
     /// The part of the nodes that this node knows which it believes alive; none while it has just
     /// started and may not know the others.
@@ -106,7 +107,7 @@
     peer_identity m_identity;
     std::function<void(const pool_key &, const vm_id &)> m_onHostChanged;
     membership m_members;
-    std::map<data_center_id, bool> m_reached; ///< data centres that were lost once
+    data_center_reach m_reach;
     std::map<vm_id, steady_time> m_avoided;
     std::map<pool_key, picked_host> m_hosts;
     std::vector<vm_id> m_relayOrder; ///< empty: not picked since something changed
--- a/tests/gateway/peer_fleet.cpp
+++ b/tests/gateway/peer_fleet.cpp
@@ -96,6 +96,7 @@
         target.view->onDatagram(m_nodes[each.from].identity.address, each.bytes, actions);
     } else {
         target.view->tick(actions);
+        (void)target.view->followReach(actions);
         event next;
         next.at = m_clock.now() + TickTime;
         next.node = each.node;
@@ -113,8 +114,11 @@
         const auto *datagram = std::get_if<gossip_datagram>(&action);
         if (!datagram)
             continue;
-        m_nodes[from].bytesSent += datagram->bytes.size() + DatagramHeaderBytes;
         const auto to = static_cast<std::size_t>(datagram->to.port - FirstPort);
+        const auto bytes = datagram->bytes.size() + DatagramHeaderBytes;
+        m_nodes[from].bytesSent += bytes;
+        if (dataCenterOf(from) != dataCenterOf(to))
+            m_nodes[from].bytesSentFar += bytes;
         if (m_passes && !m_passes(from, to))
             continue;
         event arrival;
@@ -161,10 +165,20 @@
     return sum / m_nodes.size();
 }
 
+std::size_t peer_fleet::meanBytesSentFar() const
+{
+    std::size_t sum = 0;
+    for (const auto &each : m_nodes)
+        sum += each.bytesSentFar;
+    return sum / m_nodes.size();
+}
+
 void peer_fleet::forgetTraffic()
 {
-    for (auto &each : m_nodes)
+    for (auto &each : m_nodes) {
         each.bytesSent = 0;
+        each.bytesSentFar = 0;
+    }
 }
 
 } // namespace orchidlead::gateway::tests
--- a/tests/gateway/peer_fleet.h
+++ b/tests/gateway/peer_fleet.h
@@ -48,6 +48,8 @@
     /// Most bytes that a node sent since the last call of `forgetTraffic`, headers included.
     [[nodiscard]] std::size_t mostBytesSent() const;
     [[nodiscard]] std::size_t meanBytesSent() const;
+    /// The same of bytes that went to other data centres.
+    [[nodiscard]] std::size_t meanBytesSentFar() const;
     void forgetTraffic();
 
 private:
@@ -56,6 +58,7 @@
         peer_identity identity;
         std::unique_ptr<peer_view> view;
         std::size_t bytesSent = 0;
+        std::size_t bytesSentFar = 0; ///< of these, to other data centres
         std::uint64_t starts = 0;
     };
     struct event
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -93,7 +93,8 @@
     fleet.forgetTraffic();
     constexpr std::size_t Seconds = 5;
     fleet.run(milliseconds{1000 * Seconds});
-    INFO(nodes << " nodes: " << fleet.meanBytesSent() / Seconds << " bytes a second");
+    INFO(nodes << " nodes: " << fleet.meanBytesSent() / Seconds << " bytes a second, "
+               << fleet.meanBytesSentFar() / Seconds << " to other data centres");
     CHECK(fleet.meanBytesSent() / Seconds <= 1300);
 }
 
@@ -139,9 +140,14 @@
     REQUIRE(fleet.agreed());
     auto &view = fleet.view(0);
     const pool_key pool{service_id("stage"), data_center_id("dc-1")};
-    view.setReached(data_center_id("dc-1"), false);
+    REQUIRE(view.find(view.hostOf(pool))->vm.dataCenter.value == "dc-1");
+    fleet.cut([&](std::size_t from, std::size_t to) {
+        return fleet.dataCenterOf(from) == fleet.dataCenterOf(to);
+    });
+    fleet.run(milliseconds{900});
     CHECK(view.find(view.hostOf(pool))->vm.dataCenter.value == "dc-0");
-    view.setReached(data_center_id("dc-1"), true);
+    fleet.cut({});
+    fleet.run(milliseconds{600});
     CHECK(view.find(view.hostOf(pool))->vm.dataCenter.value == "dc-1");
 }
 
