Look only into data centres where a node has work

Ruled out: few observers in each data centre that tell the others: they may be cut themselves, and the time until all know is added. Change: silence counts from the first use of a data centre on (a request, a stage call, a link to a node there), for a while. A lost one is asked until it answers, used or not. Stage calls count as sends at servers that prove themselves, as requests do. Tests of a silent data centre say that it is used, and are otherwise as strict.

--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -141,7 +141,11 @@
         return std::uniform_real_distribution<double>(0.0, MostBackoffSpread)(m_context.random);
     });
     m_follower.onRead([this](const store_news &news) { m_relay.onStoreNews(news); });
-    m_directory.onHeard([this](const data_center_id &from) { m_peers.onServerHeard(from); });
+    m_directory.onHeard([this](const data_center_id &from) {
+        m_peers.onUse(from);
+        m_peers.onServerHeard(from);
+    });
+    m_directory.onSent([this](const data_center_id &to) { m_peers.onUse(to); });
     m_directory.onDoubt([this](const server &which, bool avoided) { onDoubt(which, avoided); });
     m_directory.onRateLimitChanged([this](const server &which, std::optional<double> before) {
         m_placer.onRateLimitChanged();
--- a/src/gateway/peers/data_center_reach.cpp
+++ b/src/gateway/peers/data_center_reach.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Nodes hear from each data centre about twice a second by membership probes alone. After this
-// silence they ask: a round trip takes a few milliseconds, up to 40 between regions.
+// Probes of members leave longer silences than this. Who has work in a data centre therefore asks
+// for signs of life: a round trip takes a few milliseconds, up to 40 between regions.
 constexpr milliseconds AskPeersAfter{150};
 // All nodes of a data centre may have been killed while its servers live.
 constexpr milliseconds AskServersAfter{250};
@@ -17,6 +17,9 @@
 // How often is asked while a data centre is silent, and while it is lost.
 constexpr milliseconds AskEach{100};
 constexpr milliseconds AskLostEach{300};
+// How long after its last use a data centre is looked into: requests are answered, or begin to be,
+// within this.
+constexpr milliseconds UseMemory{5000};
 // A longer gap between ticks, which come every 100 ms, is a pause of this process.
 constexpr milliseconds PauseThreshold{250};
 
@@ -35,6 +38,19 @@
     m_states[from].heard = m_clock.now();
 }
 
+// While it wasn't used its silence meant nothing, so that counts from the first use on.
+void data_center_reach::onUse(const data_center_id &which)
+{
+    const auto found = m_states.find(which);
+    if (found == m_states.end())
+        return;
+    auto &known = found->second;
+    const auto now = m_clock.now();
+    if (!known.lost && now >= known.usedUntil)
+        known.heard = now;
+    known.usedUntil = now + UseMemory;
+}
+
 // What came during a pause waits unread, so silence says nothing then.
 void data_center_reach::forgivePause()
 {
@@ -56,7 +72,8 @@
             known.lost = false;
             events.push_back({dataCenter, reach_step::Regained});
         }
-        if (silent < AskPeersAfter)
+        const bool counts = known.lost || now < known.usedUntil;
+        if (!counts || silent < AskPeersAfter)
             continue;
         if (!known.lost && silent >= LostAfter) {
             known.lost = true;
--- a/src/gateway/peers/data_center_reach.h
+++ b/src/gateway/peers/data_center_reach.h
@@ -27,13 +27,16 @@
 ///
 /// A cut takes all of a data centre at once. Noticed server by server it costs each of them a
 /// timeout, and each request that waits there its aim; noticed as a whole it costs half a second.
-/// A data centre that was never heard of counts as reached.
+/// Only data centres where this node has work are looked into: one that isn't used counts as it did
+/// last, and one that was never heard of as reached.
 class data_center_reach
 {
 public:
     data_center_reach(const clock_source &clock, data_center_id own);
 
     void onHeard(const data_center_id &from);
+    /// This node has work there, or sends some now.
+    void onUse(const data_center_id &which);
     /// Gives what is due now; call every 100 ms or so.
     [[nodiscard]] std::vector<reach_event> tick();
     [[nodiscard]] bool reaches(const data_center_id &which) const;
@@ -42,6 +45,7 @@
     struct state
     {
         steady_time heard;
+        steady_time usedUntil; ///< silence counts until then
         steady_time nextAsk;
         bool lost = false;
     };
--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -129,9 +129,11 @@
 
 std::shared_ptr<peer_link> peer_network::linkTo(const vm_id &peer)
 {
+    const auto known = m_view.find(peer);
+    if (known)
+        onUse(known->vm.dataCenter);
     if (const auto found = m_links.find(peer); found != m_links.end())
         return found->second;
-    const auto known = m_view.find(peer);
     if (!known)
         return nullptr;
     auto link = std::make_shared<peer_link>(m_loop, linkEvents(known->vm.dataCenter));
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -61,8 +61,10 @@
     [[nodiscard]] std::shared_ptr<peer_link> linkTo(const vm_id &peer);
     /// The peer at the other end of a link that this node opened.
     [[nodiscard]] std::optional<vm_id> peerOf(const std::shared_ptr<peer_link> &link) const;
-    /// A server of a data centre answered.
+    /// A server of a data centre answered a question for a sign of life.
     void onServerHeard(const data_center_id &dataCenter) { m_view.onHeardFrom(dataCenter); }
+    /// Work of this node goes to a data centre, or comes back from there.
+    void onUse(const data_center_id &dataCenter) { m_view.onUse(dataCenter); }
     /// A peer didn't answer: it gets no role for a while.
     void avoid(const vm_id &peer) { m_view.avoid(peer); }
     void setVersion(std::uint64_t version) { m_view.setVersion(version); }
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -46,6 +46,8 @@
     [[nodiscard]] std::vector<reach_event> followReach(membership_actions &out);
     /// A node or server of that data centre gave a sign of life.
     void onHeardFrom(const data_center_id &which) { m_reach.onHeard(which); }
+    /// This node has work in that data centre: its silence matters.
+    void onUse(const data_center_id &which) { m_reach.onUse(which); }
     /// A member changed its state: roles are picked anew.
     void onMemberChanged() { forgetRoles(); }
     /// A peer didn't answer: it gets no role for a while.
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -198,7 +198,8 @@
     /// Spreads the ends of times that servers ask for: many nodes are asked at once. None by
     /// default.
     void setBackoffSpread(backoff_spread spread) { m_backoffSpread = std::move(spread); }
-    /// A request's bytes go to the server now, and others may follow at once.
+    /// A request's bytes go to the server now, and others may follow at once. Every path to a server
+    /// calls this.
     void onSending(server &which);
     /// An answer of the server began, whatever its status. Every path that gets answers calls this.
     void onSignals(server &which, const server_signals &told);
@@ -226,6 +227,11 @@
     {
         m_onHeard = std::move(handler);
     }
+    /// Called when bytes of a request go to a server of a data centre.
+    void onSent(std::function<void(const data_center_id &)> handler)
+    {
+        m_onSent = std::move(handler);
+    }
     /// Called when a server begins to be avoided, and when it is trusted again.
     void onDoubt(std::function<void(const server &, bool avoided)> handler)
     {
@@ -287,6 +293,7 @@
     backend_server_id m_lastAsked; ///< that `anyIn` gave
     backoff_spread m_backoffSpread;
     std::function<void(const data_center_id &)> m_onHeard;
+    std::function<void(const data_center_id &)> m_onSent;
     std::function<void(const service_id &)> m_onChange;
     std::function<void(const server &, bool avoided)> m_onDoubt;
     std::function<void(const server &, std::optional<double> before)> m_onRateLimitChanged;
--- a/src/gateway/servers/server_directory_signals.cpp
+++ b/src/gateway/servers/server_directory_signals.cpp
@@ -135,6 +135,8 @@
 {
     if (which.proving)
         which.probeUntil = m_clock.now() + ProbeTime;
+    if (m_onSent)
+        m_onSent(which.record.dataCenter);
 }
 
 void server_directory::onSignals(server &which, const server_signals &told)
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -205,6 +205,7 @@
         answer->withheld = !call.server->takes(m_loop.now());
         if (answer->withheld)
             return std::nullopt;
+        m_directory.onSending(*call.server);
         http::request_head head;
         head.method = "POST";
         head.target = Codec::stagePath();
--- a/tests/gateway/data_center_reach_test.cpp
+++ b/tests/gateway/data_center_reach_test.cpp
@@ -45,6 +45,7 @@
 {
     fixture world;
     world.reach.onHeard(Other);
+    world.reach.onUse(Other);
     CHECK_FALSE(world.seen(reach_step::AskPeers, milliseconds{100}));
     CHECK(world.seen(reach_step::AskPeers, milliseconds{100}));
     CHECK(world.seen(reach_step::AskServers, milliseconds{200}));
@@ -57,6 +58,7 @@
 {
     fixture world;
     world.reach.onHeard(Other);
+    world.reach.onUse(Other);
     CHECK_FALSE(world.seen(reach_step::Lost, milliseconds{400}));
     world.reach.onHeard(Other);
     CHECK_FALSE(world.seen(reach_step::Lost, milliseconds{400}));
@@ -70,6 +72,7 @@
 {
     fixture world;
     world.reach.onHeard(Other);
+    world.reach.onUse(Other);
     CHECK(world.seen(reach_step::Lost, milliseconds{600}));
     CHECK(world.seen(reach_step::AskPeers, milliseconds{400}));
     CHECK(world.seen(reach_step::AskServers, milliseconds{400}));
@@ -79,6 +82,7 @@
 {
     fixture world;
     world.reach.onHeard(Other);
+    world.reach.onUse(Other);
     world.clock.advance(milliseconds{3000});
     CHECK(world.reach.tick().empty());
     CHECK(world.reach.reaches(Other));
@@ -91,3 +95,43 @@
     world.seen(reach_step::Lost, milliseconds{2000});
     CHECK(world.reach.reaches(Own));
 }
+
+// Guards against questions that each node sends to each data centre all the time.
+TEST_CASE("a data centre where this node has no work isn't asked, nor lost")
+{
+    fixture world;
+    world.reach.onHeard(Other);
+    CHECK_FALSE(world.seen(reach_step::AskPeers, milliseconds{10'000}));
+    CHECK(world.reach.reaches(Other));
+}
+
+TEST_CASE("the silence of a data centre counts from its first use on, and is looked into for a while")
+{
+    fixture world;
+    world.reach.onHeard(Other);
+    world.clock.advance(milliseconds{200});
+    (void)world.reach.tick();
+    world.seen(reach_step::Lost, milliseconds{10'000});
+    world.reach.onUse(Other);
+    CHECK_FALSE(world.seen(reach_step::Lost, milliseconds{400}));
+    world.reach.onHeard(Other);
+    CHECK(world.seen(reach_step::AskPeers, milliseconds{300}));
+    world.reach.onHeard(Other);
+    for (int i = 0; i < 60; ++i) {
+        world.reach.onHeard(Other);
+        CHECK_FALSE(world.seen(reach_step::Lost, milliseconds{100}));
+    }
+    CHECK_FALSE(world.seen(reach_step::AskPeers, milliseconds{2000}));
+}
+
+TEST_CASE("a lost data centre is asked until it answers, used or not")
+{
+    fixture world;
+    world.reach.onHeard(Other);
+    world.reach.onUse(Other);
+    CHECK(world.seen(reach_step::Lost, milliseconds{600}));
+    world.seen(reach_step::Lost, milliseconds{20'000});
+    CHECK(world.seen(reach_step::AskPeers, milliseconds{400}));
+    world.reach.onHeard(Other);
+    CHECK(world.seen(reach_step::Regained, milliseconds{100}));
+}
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -144,6 +144,7 @@
     fleet.cut([&](std::size_t from, std::size_t to) {
         return fleet.dataCenterOf(from) == fleet.dataCenterOf(to);
     });
+    view.onUse(data_center_id("dc-1"));
     fleet.run(milliseconds{900});
     CHECK(view.find(view.hostOf(pool))->vm.dataCenter.value == "dc-0");
     fleet.cut({});
