Contact a few at a time of the members of which nothing is heard

Cause: each node contacted all members that it takes for dead every 2 s: with a data centre cut off, nodes x nodes / 6 datagrams. Change: eight at a time, in turn, from a place of their own. Not mended: a death that a node hears of in synchronisation is verified by a probe of its own, which is most of what is left.

--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -24,6 +24,8 @@
 // How often nodes of which nothing is heard are contacted: at first, and later.
 constexpr milliseconds EagerContact{300};
 constexpr milliseconds CalmContact{2000};
+// Of these, so many at a time.
+constexpr std::size_t MostContacts = 8;
 // How long a peer that didn't answer gets no role.
 constexpr milliseconds Avoidance{1500};
 // A node that starts knows all others within this; before, it may take itself for the only one.
@@ -36,6 +38,16 @@
 // And to pick the one that decides on requests under which servers end.
 constexpr std::string_view QuarantineRole = "request quarantine";
 
+/// Gives the next ones of a list that may have changed since `last` was taken.
+std::vector<socket_address> takeInTurn(const std::vector<socket_address> &all, std::size_t count,
+                                       std::size_t &last)
+{
+    std::vector<socket_address> taken;
+    for (std::size_t i = 0; i < std::min(count, all.size()); ++i)
+        taken.push_back(all[last++ % all.size()]);
+    return taken;
+}
+
 membership_options toOptions(const peer_identity &identity)
 {
     membership_options options;
@@ -62,6 +74,7 @@
     , m_onHostChanged(std::move(onHostChanged))
     , m_members(clock, toOptions(identity))
     , m_reach(clock, identity.dataCenter)
+    , m_lastContacted(static_cast<std::size_t>(identity.incarnation))
     , m_startedAt(clock.now())
 {
     std::erase(m_identity.firstContacts, identity.address);
@@ -105,7 +118,8 @@
 }
 
 // First contacts may be away, and members on the far side of a cut are taken for dead there and
-// here: both are asked again and again, or they would never meet.
+// here: some of them are asked again and again, or the two sides would never meet. Who answers
+// tells of all others, and every node asks, so each asks a few, all in turn.
 void peer_view::contactOthers(membership_actions &out)
 {
     std::vector<socket_address> silent = m_identity.firstContacts;
@@ -121,7 +135,7 @@
             silent.push_back(each.vm.peerAddress);
     }
     m_nextContact = m_clock.now() + (alone ? EagerContact : CalmContact);
-    m_members.contact(silent, out);
+    m_members.contact(takeInTurn(silent, MostContacts, m_lastContacted), out);
 }
 
 // Two at a time, all in turn: one of them may be down.
@@ -133,10 +147,7 @@
         if (each.vm.dataCenter == dataCenter)
             there.push_back(each.vm.peerAddress);
     }
-    std::vector<socket_address> asked;
-    for (std::size_t i = 0; i < std::min(AskedAtOnce, there.size()); ++i)
-        asked.push_back(there[m_lastAsked++ % there.size()]);
-    m_members.contact(asked, out);
+    m_members.contact(takeInTurn(there, AskedAtOnce, m_lastAsked), out);
 }
 
 void peer_view::avoid(const vm_id &peer)
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -117,6 +117,7 @@
     std::optional<vm_id> m_quarantineHost; ///< empty: as above
     mutable std::optional<double> m_partAlive; ///< empty: as above
     std::size_t m_lastAsked = 0; ///< turns through the members of a silent data centre
+    std::size_t m_lastContacted; ///< the same through members of which nothing is heard
     steady_time m_nextContact{};
     steady_time m_startedAt;
 };
