Probe members of other data centres less often where there are many

Cause: each node probed a member elsewhere every 0.4 s, whatever their number; each of them was probed by hundreds. Change: beyond 24 members elsewhere the interval grows with them, five times at most. Up to 24 nothing changes.

--- a/include/orchidlead/membership.h
+++ b/include/orchidlead/membership.h
@@ -131,6 +131,10 @@
 
     milliseconds probeInterval{1000}; ///< of members in the own data centre
     milliseconds remoteProbeInterval{2000}; ///< of members elsewhere
+    /// With more members elsewhere than this each node probes them less often in the same measure,
+    /// as each of them is probed by as many others; but at most so much less.
+    std::size_t remoteProbesInFull = 1024;
+    std::uint32_t maxRemoteSlowdown = 5;
     milliseconds probeTimeout{300}; ///< until others are asked to probe
     std::size_t indirectProbes = 3;
     milliseconds suspicionMin{3000}; ///< from suspect to dead, with others confirming
--- a/src/core/membership/membership_implementation.h
+++ b/src/core/membership/membership_implementation.h
@@ -169,6 +169,8 @@
     void relayAnswer(std::uint32_t sequence, gossip_kind kind);
 
     void runRound(probe_round &round);
+    /// By how much more than its interval a round waits between two probes.
+    [[nodiscard]] std::uint32_t slowdownOf(const probe_round &round) const;
     std::optional<vm_id> nextTarget(probe_round &round);
     void startProbe(const vm_id &target, probe_kind kind);
     void checkProbes();
--- a/src/core/membership/membership_probes.cpp
+++ b/src/core/membership/membership_probes.cpp
@@ -93,12 +93,21 @@
     return std::nullopt;
 }
 
+std::uint32_t membership::implementation::slowdownOf(const probe_round &round) const
+{
+    if (round.local)
+        return 1;
+    const auto crowd = round.order.size() / std::max<std::size_t>(1, options.remoteProbesInFull);
+    return std::clamp(static_cast<std::uint32_t>(crowd), 1U,
+                      std::max(1U, options.maxRemoteSlowdown));
+}
+
 void membership::implementation::runRound(probe_round &round)
 {
     const auto now = clock.now();
     if (now < round.next)
         return;
-    round.next = now + scaled(round.interval);
+    round.next = now + scaled(round.interval) * slowdownOf(round);
     if (const auto target = nextTarget(round))
         startProbe(*target, probe_kind::First);
 }
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -15,6 +15,9 @@
 // silence is noticed within a second; a probe costs two datagrams of about 150 bytes.
 constexpr milliseconds ProbeInterval{400};
 constexpr milliseconds ProbeTimeout{120};
+// Of so many members in other data centres each is probed as often as one of the own; of more less
+// often, since each of them is probed by its own data centre and by many from others.
+constexpr std::size_t RemoteProbesInFull = 24;
 constexpr milliseconds SuspicionMin{1200};
 constexpr milliseconds SuspicionMax{2000};
 constexpr milliseconds SyncInterval{250};
@@ -56,6 +59,7 @@
     options.seed = identity.incarnation;
     options.probeInterval = ProbeInterval;
     options.remoteProbeInterval = ProbeInterval;
+    options.remoteProbesInFull = RemoteProbesInFull;
     options.probeTimeout = ProbeTimeout;
     options.suspicionMin = SuspicionMin;
     options.suspicionMax = SuspicionMax;
