--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -2,6 +2,7 @@
 #include "wire/base64.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 #include <algorithm>
 #include <random>
@@ -166,8 +167,39 @@
     CHECK(marks.server.load->running == 3);
     CHECK(marks.server.load->waiting == 1);
     CHECK(marks.server.load->slots == 8);
-    head.fields = {{"X-Instance-Load", "3,1"}};
-    CHECK_FALSE(codec::readAnswer(head).server.load);
+}
+
+// Guards against readings that are dropped whole as soon as servers tell more than is known.
+TEST_CASE("figures of a load that are known are read, whatever follows them")
+{
+    rc::prop("", [] {
+        const auto running = *rc::gen::inRange(0U, 100'000U);
+        const auto waiting = *rc::gen::inRange(0U, 100'000U);
+        const auto slots = *rc::gen::inRange(1U, 100'000U);
+        auto text = std::to_string(running) + "," + std::to_string(waiting) + ", "
+            + std::to_string(slots);
+        const auto further = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::container<std::string>(rc::gen::inRange(' ', '~')));
+        for (const auto &each : further)
+            text.append(",").append(each);
+        http::response_head head;
+        head.fields = {{"X-Instance-Load", text}};
+        const auto load = codec::readAnswer(head).server.load;
+        RC_ASSERT(load.has_value());
+        RC_ASSERT(load->running == running);
+        RC_ASSERT(load->waiting == waiting);
+        RC_ASSERT(load->slots == slots);
+    });
+}
+
+TEST_CASE("a load that lacks a figure, or has one that is no number, says nothing")
+{
+    for (const std::string text : {"", "3", "3,1", "3,,8", "3,one,8", "3,-1,8", "3,1,8x", ",,"}) {
+        INFO(text);
+        http::response_head head;
+        head.fields = {{"X-Instance-Load", text}};
+        CHECK_FALSE(codec::readAnswer(head).server.load);
+    }
 }
 
 TEST_CASE("an answer's limit is decoded, and one that is no number says nothing")
