Hand on what is published along a tree

Cause: two nodes of a data centre read the store, and all others followed both. Work of a reader goes as nodes x changes. Ruled out: longer patience (hides readers that are gone), more readers (calls go with them). Change: each level of the tree is four times as wide as the one before, each node follows two of it, drawn by rendezvous among those before it. Frames are encoded once. A heartbeat carries how old the word of a reader is, so two nodes that follow each other don't keep a lost store alive. Where nobody reads, the levels begin to read one after the other. A follower that knows as much isn't sent the list. An answer of the store with hundreds of changes is followed by the next at once.

--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -287,6 +287,7 @@
     publication_frame frame;
     frame.configurationVersion = in.read<std::uint64_t>();
     frame.current = in.read<bool>();
+    frame.age = in.duration();
     frame.compared = in.read<bool>();
     frame.parts = in.read<std::vector<std::uint32_t>>();
     frame.revision = in.read<std::uint64_t>();
@@ -322,6 +323,15 @@
 {
     follow_frame frame;
     frame.begins = in.read<bool>();
+    frame.revision = in.read<std::uint64_t>();
+    frame.known = readDigest(in);
+    return frame;
+}
+
+compare_frame readCompare(field_reader &in)
+{
+    compare_frame frame;
+    frame.revision = in.read<std::uint64_t>();
     frame.known = readDigest(in);
     return frame;
 }
@@ -402,7 +412,7 @@
     case frame_kind::Follow:
         return readFollow(in);
     case frame_kind::Compare:
-        return compare_frame{readDigest(in)};
+        return readCompare(in);
     case frame_kind::ConfigurationRequest:
         return configuration_request{in.read<std::uint64_t>()};
     case frame_kind::Configuration:
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -241,9 +241,10 @@
 
 void pack(packer &out, const publication_frame &frame)
 {
-    packKind(out, frame_kind::Publication, 10);
+    packKind(out, frame_kind::Publication, 11);
     out.pack(frame.configurationVersion);
     out.pack(frame.current);
+    packDuration(out, frame.age);
     out.pack(frame.compared);
     out.pack(frame.parts);
     out.pack(frame.revision);
@@ -258,14 +259,16 @@
 
 void pack(packer &out, const follow_frame &frame)
 {
-    packKind(out, frame_kind::Follow, 2);
+    packKind(out, frame_kind::Follow, 3);
     out.pack(frame.begins);
+    out.pack(frame.revision);
     out.pack(frame.known);
 }
 
 void pack(packer &out, const compare_frame &frame)
 {
-    packKind(out, frame_kind::Compare, 1);
+    packKind(out, frame_kind::Compare, 2);
+    out.pack(frame.revision);
     out.pack(frame.known);
 }
 
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -125,8 +125,9 @@
 /// content, a heartbeat of a reader of the store.
 struct publication_frame
 {
-    std::uint64_t configurationVersion = 0; ///< that the sender has in force
-    bool current = false; ///< the sender reads the store right now
+    std::uint64_t configurationVersion = 0; ///< the latest that the sender knows of
+    bool current = false; ///< the sender reads the store right now, or follows a node that does
+    milliseconds age{0}; ///< since that was so, as far as the sender knows
     bool compared = false; ///< with `parts`, the receiver knows all that the sender does
     std::vector<std::uint32_t> parts; ///< of which all servers are told, not only changes
     std::uint64_t revision = 0; ///< of the store, up to which the sender knows everything
@@ -136,17 +137,20 @@
     evacuation_list evacuations; ///< always whole: a few names at most
 };
 
-/// Asks the receiver to send what is published and differs, and then each change, or to end that.
+/// Asks the receiver to send what it knows beyond that revision, and then each change, or to end
+/// that.
 struct follow_frame
 {
     bool begins = false;
+    std::uint64_t revision = 0; ///< of the store, up to which the sender knows everything
     list_digest known{}; ///< of the servers that the sender knows
 };
 
-/// The sender, a reader, has read the whole list anew: a follower that knows another one asks for
-/// what differs.
+/// The sender knows another list than it told, up to a revision of the store: a follower that knows
+/// less and another list asks for what differs.
 struct compare_frame
 {
+    std::uint64_t revision = 0;
     list_digest known{};
 };
 
--- a/src/gateway/peers/peer_link.cpp
+++ b/src/gateway/peers/peer_link.cpp
@@ -47,11 +47,11 @@
     flush();
 }
 
-void peer_link::send(const peer_frame &frame)
+void peer_link::sendEncoded(std::string_view frame)
 {
     if (!m_socket)
         return;
-    m_out.append(encodeFrame(frame));
+    m_out.append(frame);
     if (!m_connected || std::exchange(m_flushPosted, true))
         return;
     m_loop.post([self = shared_from_this()] {
--- a/src/gateway/peers/peer_link.h
+++ b/src/gateway/peers/peer_link.h
@@ -27,7 +27,9 @@
     void open(const socket_address &to);
     void accept(std::shared_ptr<http::stream_socket> socket);
     /// Sends with what else is sent in the same turn of the loop.
-    void send(const peer_frame &frame);
+    void send(const peer_frame &frame) { sendEncoded(encodeFrame(frame)); }
+    /// The same of a frame that was encoded once for many links.
+    void sendEncoded(std::string_view frame);
     void close();
     /// Closes without reporting it.
     void drop();
--- a/src/gateway/publication/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -4,6 +4,7 @@
 #include "gateway/publication/configuration_relay.h"
 #include "gateway/publication/list_digest.h"
 #include "gateway/publication/published_state.h"
+#include "gateway/publication/relay_tree.h"
 #include "gateway/publication/store_follower.h"
 
 #include <functional>
@@ -19,9 +20,9 @@
 /// Hands what the platform publishes from node to node, so that few nodes read the store.
 ///
 /// In each data centre two nodes read; who, follows from the members that each node believes alive.
-/// The others follow both and hear of each change as the readers do. Nobody depends on it: a node
-/// that hears of no reader that reads the store right now reads by itself, and where the store
-/// doesn't answer it, it asks any peer.
+/// The others follow them along a tree and hear of each change as the readers do. Nobody depends on
+/// it: nodes that hear of no reader that reads the store right now read by themselves, those near
+/// the readers' places first, and where the store doesn't answer them, they ask any peer.
 template <gateway_codec Codec>
 class publication_relay
 {
@@ -49,23 +50,32 @@
 private:
     using link_ptr = std::shared_ptr<peer_link>;
 
-    /// A reader that this node follows.
+    /// A node that this node follows.
     struct source
     {
         link_ptr link;
-        steady_time heard; ///< when it last said that it reads the store
-        bool current = false; ///< and whether it did then
+        std::optional<steady_time> currentAt; ///< when a reader behind it read the store
     };
 
-    void followReaders(const std::vector<vm_id> &readers);
+    /// Whether this node reads for itself, as nobody has read for it for long enough.
+    [[nodiscard]] bool readsAlone(const relay_place &place);
+    void follow(const std::vector<vm_id> &sources);
     void tellFollowers();
+    void sendHeartbeat();
+    void sendToFollowers(const peer_frame &frame);
+    /// Followers may know another list than this node has now.
+    void sendComparison();
+    void handOn(const publication_frame &frame);
     void askPeers();
     void onPublication(const link_ptr &link, const publication_frame &frame);
     void onFollow(const link_ptr &link, const follow_frame &frame);
     void apply(const publication_frame &frame, const vm_id &reader);
     void applyAnswer(const publication_frame &frame);
     std::vector<publication_news> applyServers(const publication_frame &frame);
-    [[nodiscard]] bool hasCurrentSource() const;
+    /// When a reader that this node follows last read the store; empty: too long ago to count.
+    [[nodiscard]] std::optional<steady_time> sourcesCurrentAt() const;
+    /// The same of any reader, this node included.
+    [[nodiscard]] std::optional<steady_time> currentAt() const;
     /// What differs from what a peer knows.
     [[nodiscard]] publication_frame makeDifference(const list_digest &known);
     [[nodiscard]] const list_digest &ownDigest();
@@ -73,6 +83,7 @@
     [[nodiscard]] publication_frame makeDeferred() const;
     [[nodiscard]] publication_frame makeChanges(const store_news &news) const;
     [[nodiscard]] publication_frame makeHeartbeat() const;
+    [[nodiscard]] follow_frame makeFollow();
     void setReading(bool reads);
     [[nodiscard]] std::size_t draw(std::size_t bound);
 
@@ -88,11 +99,13 @@
     std::set<link_ptr> m_followers;
     steady_time m_startedAt;
     std::optional<steady_time> m_readAloneFrom; ///< from when on it does without readers
+    std::optional<steady_time> m_withoutSourceSince; ///< empty: readers are heard of
     configuration_relay<Codec> m_configurations;
     list_digest m_digest{}; ///< of the servers that this node knows …
     std::uint64_t m_digestOf = 0; ///< … after so many changes of the directory
+    std::uint64_t m_heardVersion = 0; ///< the latest configuration that sources told of
     steady_time m_nextHeartbeat{};
-    bool m_toldCurrent = false; ///< whether this node read the store at the last tick
+    bool m_toldCurrent = false; ///< whether followers heard last that a reader reads the store
     std::set<data_center_id> m_toldEvacuated; ///< to followers
     std::optional<steady_time> m_behindSince; ///< a peer told of a later configuration
     steady_time m_nextAsk{}; ///< when peers may be asked for what is published
--- a/src/gateway/publication/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -8,13 +8,18 @@
 
 namespace orchidlead::gateway {
 
-/// Readers in a data centre: while one of them fails the other one is heard.
-inline constexpr std::size_t ReadersPerDataCenter = 2;
-/// Between two heartbeats of a reader to its followers.
+/// Between two heartbeats to followers.
 inline constexpr milliseconds HeartbeatInterval{300};
-/// A reader that hasn't said so for so long isn't relied on: two heartbeats and a lost packet.
-/// Shorter than the silence of the store that a reader notices, so it adds nothing to the bound.
+/// One that comes from a source this much earlier is handed on at once: waiting at each level of
+/// the tree would add up. One of the other source, between two of the first, isn't.
+inline constexpr milliseconds HeartbeatSlack{100};
+/// Readers that haven't been heard of for so long aren't relied on: two heartbeats and a lost
+/// packet. Shorter than the silence of the store that a reader notices, so it adds nothing to the
+/// bound.
 inline constexpr milliseconds SourceSilence{800};
+/// Of nodes that hear of no reader those next to the readers read the store at once, each further
+/// level so much later: what the first ones read reaches the others before.
+inline constexpr milliseconds LevelPatience{1000};
 /// From its start on a node waits so long for others to read the store for it: hundreds of nodes
 /// that start at once agree within a second on who does. It serves from what it read at first
 /// meanwhile.
@@ -65,19 +70,13 @@
 template <gateway_codec Codec>
 void publication_relay<Codec>::tick()
 {
-    const auto &order = m_peers.relayOrder();
-    const std::vector<vm_id> readers(order.begin(),
-                                     order.begin() + std::min(ReadersPerDataCenter, order.size()));
+    const auto place = placeInTree(m_peers.self(), m_peers.relayOrder());
     const bool settled = m_loop.now() - m_startedAt >= SettleTime;
-    const bool reader = settled && std::ranges::find(readers, m_peers.self()) != readers.end();
+    const bool reader = settled && place.level == 0;
     // A reader that the store doesn't answer follows the other one meanwhile.
     const bool follows = m_store.whole() && (!reader || !m_store.current());
-    followReaders(follows ? readers : std::vector<vm_id>{});
-    if (m_store.whole() && !m_readAloneFrom)
-        m_readAloneFrom = m_loop.now() + FirstSourcePatience
-            + milliseconds{draw(static_cast<std::size_t>(FirstSourcePatience.count()))};
-    const bool overdue = m_readAloneFrom && m_loop.now() >= *m_readAloneFrom;
-    setReading(!m_store.whole() || reader || (overdue && !hasCurrentSource()));
+    follow(follows ? place.sources : std::vector<vm_id>{});
+    setReading(!m_store.whole() || reader || readsAlone(place));
     m_store.setWatched(!m_followers.empty());
     tellFollowers();
     if (!informed() && m_store.silentFor() > AskAfter)
@@ -85,6 +84,25 @@
     m_configurations.tick();
 }
 
+template <gateway_codec Codec>
+bool publication_relay<Codec>::readsAlone(const relay_place &place)
+{
+    const auto now = m_loop.now();
+    if (!m_store.whole() || sourcesCurrentAt())
+        m_withoutSourceSince.reset();
+    else if (!m_withoutSourceSince)
+        m_withoutSourceSince = now;
+    if (!m_store.whole())
+        return false;
+    if (!m_readAloneFrom)
+        m_readAloneFrom = now + FirstSourcePatience
+            + milliseconds{draw(static_cast<std::size_t>(FirstSourcePatience.count()))};
+    const auto furtherLevels = place.level > 1 ? place.level - 1 : 0;
+    const auto patience = LevelPatience * furtherLevels;
+    return m_withoutSourceSince && now >= *m_withoutSourceSince + patience
+        && now >= *m_readAloneFrom + patience;
+}
+
 template <gateway_codec Codec>
 void publication_relay<Codec>::setReading(bool reads)
 {
@@ -99,46 +117,57 @@
 }
 
 template <gateway_codec Codec>
-void publication_relay<Codec>::followReaders(const std::vector<vm_id> &readers)
+void publication_relay<Codec>::follow(const std::vector<vm_id> &sources)
 {
     std::erase_if(m_sources, [&](const auto &entry) {
         const auto &[vm, from] = entry;
-        if (std::ranges::find(readers, vm) != readers.end())
+        if (std::ranges::find(sources, vm) != sources.end())
             return false;
-        from.link->send(follow_frame{false, {}});
+        from.link->send(follow_frame{});
         return true;
     });
-    for (const auto &vm : readers) {
-        if (vm == m_peers.self() || m_sources.contains(vm))
+    for (const auto &vm : sources) {
+        if (m_sources.contains(vm))
             continue;
         if (const auto link = m_peers.linkTo(vm)) {
-            m_sources[vm] = {link, {}, false};
-            link->send(follow_frame{true, ownDigest()});
+            m_sources[vm] = {link, {}};
+            link->send(makeFollow());
         }
     }
 }
 
 template <gateway_codec Codec>
-bool publication_relay<Codec>::hasCurrentSource() const
+std::optional<steady_time> publication_relay<Codec>::sourcesCurrentAt() const
 {
-    return std::ranges::any_of(m_sources, [&](const auto &entry) {
-        const auto &from = entry.second;
-        return from.current && m_loop.now() - from.heard <= SourceSilence;
-    });
+    std::optional<steady_time> latest;
+    for (const auto &[vm, from] : m_sources) {
+        if (from.currentAt && m_loop.now() - *from.currentAt <= SourceSilence)
+            latest = std::max(latest, from.currentAt);
+    }
+    return latest;
+}
+
+template <gateway_codec Codec>
+std::optional<steady_time> publication_relay<Codec>::currentAt() const
+{
+    return m_store.current() ? m_loop.now() : sourcesCurrentAt();
 }
 
 template <gateway_codec Codec>
 bool publication_relay<Codec>::informed() const
 {
-    return (m_store.reading() && m_store.connected()) || hasCurrentSource();
+    return (m_store.reading() && m_store.connected()) || sourcesCurrentAt();
 }
 
 template <gateway_codec Codec>
 publication_frame publication_relay<Codec>::makeHeartbeat() const
 {
     publication_frame frame;
-    frame.current = m_state.listed() && m_store.current();
-    frame.configurationVersion = m_configurations.ownVersion();
+    if (const auto since = currentAt(); since && m_state.listed()) {
+        frame.current = true;
+        frame.age = std::chrono::ceil<milliseconds>(m_loop.now() - *since);
+    }
+    frame.configurationVersion = std::max(m_configurations.ownVersion(), m_heardVersion);
     frame.revision = m_store.revision();
     frame.removalsDeferred = m_state.removalsDeferred();
     frame.evacuations = m_state.evacuations();
@@ -172,38 +201,79 @@
     return frame;
 }
 
+template <gateway_codec Codec>
+follow_frame publication_relay<Codec>::makeFollow()
+{
+    return {true, m_store.revision(), ownDigest()};
+}
+
 template <gateway_codec Codec>
 void publication_relay<Codec>::tellFollowers()
 {
     // That the store fell silent is told at once, and so is what operators evacuate: until all
     // nodes know, servers there get work from some of them.
     const auto &evacuated = m_state.evacuations().dataCenters;
-    bool changed = std::exchange(m_toldCurrent, m_store.current()) != m_store.current();
+    const bool current = currentAt().has_value();
+    bool changed = std::exchange(m_toldCurrent, current) != current;
     changed = std::exchange(m_toldEvacuated, evacuated) != evacuated || changed;
-    if (m_followers.empty() || (!changed && m_loop.now() < m_nextHeartbeat))
-        return;
+    if (changed || m_loop.now() >= m_nextHeartbeat)
+        sendHeartbeat();
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::sendHeartbeat()
+{
     m_nextHeartbeat = m_loop.now() + HeartbeatInterval;
-    const peer_frame heartbeat = makeHeartbeat();
+    sendToFollowers(makeHeartbeat());
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::sendToFollowers(const peer_frame &frame)
+{
+    if (m_followers.empty())
+        return;
+    const auto encoded = encodeFrame(frame);
     for (const auto &link : m_followers)
-        link->send(heartbeat);
+        link->sendEncoded(encoded);
 }
 
 template <gateway_codec Codec>
-void publication_relay<Codec>::onStoreNews(const store_news &news)
+void publication_relay<Codec>::sendComparison()
 {
     if (m_followers.empty())
         return;
-    auto frame = news.whole ? makeDeferred() : makeChanges(news);
+    sendToFollowers(compare_frame{m_store.revision(), ownDigest()});
+    if (auto deferred = makeDeferred(); hasContent(deferred))
+        sendToFollowers(deferred);
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::onStoreNews(const store_news &news)
+{
     if (news.whole) {
-        const peer_frame compare = compare_frame{ownDigest()};
-        for (const auto &link : m_followers)
-            link->send(compare);
+        sendComparison();
+        return;
     }
-    if (!hasContent(frame) && frame.configurationVersion <= m_configurations.ownVersion())
+    if (m_followers.empty())
         return;
-    const peer_frame told = std::move(frame);
-    for (const auto &link : m_followers)
-        link->send(told);
+    const auto frame = makeChanges(news);
+    if (hasContent(frame) || frame.configurationVersion > m_configurations.ownVersion())
+        sendToFollowers(frame);
+}
+
+// What was compared with a source may have changed this node's list anywhere.
+template <gateway_codec Codec>
+void publication_relay<Codec>::handOn(const publication_frame &frame)
+{
+    if (frame.compared) {
+        sendComparison();
+        return;
+    }
+    auto told = makeHeartbeat();
+    told.revision = frame.revision;
+    told.servers = frame.servers;
+    told.removed = frame.removed;
+    sendToFollowers(told);
 }
 
 // Servers that are gone from the list while their removal isn't believed yet are still known here,
@@ -263,8 +333,8 @@
     } else if (const auto *follow = std::get_if<follow_frame>(&frame)) {
         onFollow(link, *follow);
     } else if (const auto *compare = std::get_if<compare_frame>(&frame)) {
-        if (compare->known != ownDigest())
-            link->send(follow_frame{true, ownDigest()});
+        if (compare->revision > m_store.revision() && compare->known != ownDigest())
+            link->send(makeFollow());
     } else {
         m_configurations.onFrame(link, frame);
     }
@@ -278,7 +348,7 @@
         return;
     }
     m_followers.insert(link);
-    link->send(makeDifference(frame.known));
+    link->send(m_store.revision() > frame.revision ? makeDifference(frame.known) : makeHeartbeat());
 }
 
 template <gateway_codec Codec>
@@ -302,11 +372,17 @@
         applyAnswer(frame);
         return;
     }
-    from->second.heard = m_loop.now();
-    from->second.current = frame.current;
+    from->second.currentAt =
+        frame.current ? std::optional(m_loop.now() - frame.age) : std::nullopt;
     if (frame.current)
         m_state.onHeard();
+    const auto versionBefore =
+        std::exchange(m_heardVersion, std::max(m_heardVersion, frame.configurationVersion));
     apply(frame, from->first);
+    // A later configuration is told before its text is here: the tree of texts waits for it.
+    const bool due = frame.current && m_loop.now() + HeartbeatSlack >= m_nextHeartbeat;
+    if (due || m_heardVersion > std::max(versionBefore, m_configurations.ownVersion()))
+        sendHeartbeat();
 }
 
 template <gateway_codec Codec>
@@ -337,6 +413,7 @@
     for (const auto &each : applyServers(frame))
         m_onNews(each);
     m_store.advanceTo(frame.revision);
+    handOn(frame);
 }
 
 // A peer that doesn't read the store may know less than this node, but more than nothing. A list
--- a/src/gateway/publication/store_follower_impl.h
+++ b/src/gateway/publication/store_follower_impl.h
@@ -134,7 +134,8 @@
              tell({page.items, false});
              report(m_state.apply(page.items));
              m_state.knowEvacuationsUpTo(page.revision);
-             const auto pause = page.items.empty() ? milliseconds{0} : m_options.watchPause;
+             const bool shares = !page.items.empty() && page.items.size() < m_options.manyChanges;
+             const auto pause = shares ? m_options.watchPause : milliseconds{0};
              after(pause, [this] { watch(); });
          });
 }
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -108,10 +108,12 @@
 {
     list_digest known{};
     known[3] = 0xfffffffe;
-    CHECK(roundTrip(follow_frame{true, known}).begins);
-    CHECK(roundTrip(follow_frame{true, known}).known == known);
-    CHECK_FALSE(roundTrip(follow_frame{false, {}}).begins);
-    CHECK(roundTrip(compare_frame{known}).known == known);
+    CHECK(roundTrip(follow_frame{true, 7, known}).begins);
+    CHECK(roundTrip(follow_frame{true, 7, known}).revision == 7);
+    CHECK(roundTrip(follow_frame{true, 7, known}).known == known);
+    CHECK_FALSE(roundTrip(follow_frame{}).begins);
+    CHECK(roundTrip(compare_frame{8, known}).revision == 8);
+    CHECK(roundTrip(compare_frame{8, known}).known == known);
     CHECK(roundTrip(publication_request{7, known}).known == known);
     CHECK(roundTrip(publication_request{7, known}).configurationVersion == 7);
 }
