Don't host stages before the list of servers is read

Cause: a node is heard of at once when it starts, and hosts pools by then; it reads 6,000 servers in 2 s. Change: a host that knows no servers says so, and is avoided for a while; nothing was begun, so it is no second try. Test: a node that hosts a pool and reads a slow list: no request is refused.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -86,6 +86,7 @@
     Evacuated, ///< no server gave it up: those of its pool get nothing new
     ServersLeaving, ///< likewise: those of its pool end soon
     ServersBackedOff, ///< likewise: those of its pool asked the host for time
+    HostUnready, ///< likewise: the host has just started and knows no servers yet
 };
 
 /// Whether a host gave the piece up since no server of its pool gets anything new: another pool's
@@ -232,6 +233,8 @@
         orchidlead::gateway::piece_failure::ServersLeaving, "servers_leaving"},
     orchidlead::enum_name<orchidlead::gateway::piece_failure>{
         orchidlead::gateway::piece_failure::ServersBackedOff, "servers_backed_off"},
+    orchidlead::enum_name<orchidlead::gateway::piece_failure>{
+        orchidlead::gateway::piece_failure::HostUnready, "host_unready"},
 };
 template <>
 inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::read_freshness>{
--- a/src/gateway/exchange/request_outcome.h
+++ b/src/gateway/exchange/request_outcome.h
@@ -50,6 +50,7 @@
     case piece_failure::InputGone:
     case piece_failure::NoRoom:
     case piece_failure::Error:
+    case piece_failure::HostUnready:
         break;
     }
     return request_outcome::StageFailed;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -129,6 +129,7 @@
     m_directory.setSelf(m_settings.vm);
     m_directory.setRegions(m_settings.regions);
     m_stages.setRateShare([this](const pool_key &pool) { return m_peers.rateShare(pool); });
+    m_router.setPrepared([this] { return m_state.listed(); });
     m_stages.setWaitsForNear(!m_settings.without.contains(policy::WaitForNear));
     m_stages.setQuarantine(m_context.onBroken, [this](const request_digest &request) {
         return m_quarantine.standingOf(request).level == quarantine_level::Free;
--- a/src/gateway/stages/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -28,6 +28,8 @@
                  server_directory &directory, retry_allowance &allowance,
                  const gateway_settings &settings);
 
+    /// Whether this node knows servers, and can host for others; it does if that is never said.
+    void setPrepared(std::function<bool()> prepared) { m_prepared = std::move(prepared); }
     /// Gives the node that hosts a pool for this node.
     [[nodiscard]] vm_id hostOf(const pool_key &pool) const;
     /// Gives the pool of a service for work that is best done in `near`.
@@ -80,6 +82,8 @@
     void onOutcome(piece_token token, piece_report report);
     /// Brings a piece whose pool gets nothing new to another one; false where there is none.
     bool moveFromClosed(piece_token token, submission &entry);
+    /// Brings a piece to the next node in question, and others that come for a while.
+    void leaveUnreadyHost(piece_token token, submission &entry);
     void onPieceFrame(const link_ptr &link, piece_frame &&frame);
     void onWithdrawFrame(const link_ptr &link, piece_token token);
 
@@ -89,6 +93,7 @@
     stage_host<Codec> &m_host;
     server_directory &m_directory;
     retry_allowance &m_allowance;
+    std::function<bool()> m_prepared;
     stage_sharing m_sharing;
     pool_widths m_widths;
     std::unordered_map<piece_token, submission> m_submissions;
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -163,6 +163,10 @@
         return;
     }
     const auto *failure = std::get_if<piece_failure>(&report.result);
+    if (failure && *failure == piece_failure::HostUnready && found->second.link) {
+        leaveUnreadyHost(token, found->second);
+        return;
+    }
     if (failure && *failure == piece_failure::ServersBackedOff)
         m_backedOff[found->second.pool] = {hostOf(found->second.pool), m_loop.now() + report.wait};
     if (failure && poolIsClosed(*failure) && moveFromClosed(token, found->second))
@@ -192,6 +196,15 @@
     return true;
 }
 
+template <gateway_codec Codec>
+void stage_router<Codec>::leaveUnreadyHost(piece_token token, submission &entry)
+{
+    if (const auto host = m_peers.peerOf(entry.link))
+        m_peers.avoid(*host);
+    ++entry.moves;
+    place(token, entry);
+}
+
 template <gateway_codec Codec>
 void stage_router<Codec>::withdraw(piece_token token)
 {
@@ -223,8 +236,13 @@
 template <gateway_codec Codec>
 void stage_router<Codec>::onPieceFrame(const link_ptr &link, piece_frame &&frame)
 {
-    const auto now = m_loop.now();
     const auto theirs = frame.token;
+    // A node is taken for a host as soon as it is heard of, and reads the list of servers first.
+    if (m_prepared && !m_prepared()) {
+        link->send(outcome_frame{theirs, {piece_failure::HostUnready}});
+        return;
+    }
+    const auto now = m_loop.now();
     piece_job job;
     job.request = std::move(frame.request);
     job.rank = frame.rank;
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -1,6 +1,8 @@
 #include "platform_world.h"
 #include "wire/json_text.h"
 
+#include <orchidlead/rendezvous.h>
+
 #include <catch2/catch.hpp>
 
 using namespace orchidlead;
@@ -176,6 +178,36 @@
         CHECK(each->body == event(1));
 }
 
+// The pattern: a node starts, is heard of at once and hosts a pool by then, and takes seconds to
+// read a long list of servers.
+TEST_CASE("a node that knows no servers yet doesn't host, and no request is refused for it")
+{
+    stage_world w;
+    w.startGateway("g1");
+    w.startGateway("g2");
+    std::string fresh;
+    for (int i = 0; fresh.empty(); ++i) {
+        const std::vector<vm_id> nodes{vm_id("g1"), vm_id("g2"), vm_id("new" + std::to_string(i))};
+        if (rendezvousPick("p", nodes, 1).front() == nodes.back())
+            fresh = nodes.back().value;
+    }
+    w.store.sendListsIn(8, milliseconds{250});
+    w.startGateway(fresh, false);
+    REQUIRE(w.runUntil([&] { return w.logged.str().find(fresh + " alive") != std::string::npos; }));
+    CHECK(w.readiness(fresh) == 503);
+    std::vector<std::shared_ptr<client_answer>> answers;
+    for (int i = 0; i < 6; ++i) {
+        answers.push_back(w.ask("g1", "a" + std::to_string(i), "2,1"));
+        answers.push_back(w.ask("g2", "b" + std::to_string(i), "2,1"));
+        w.runFor(milliseconds{50});
+    }
+    for (const auto &each : answers) {
+        REQUIRE(w.await(each));
+        CHECK(each->status == 200);
+    }
+    CHECK(w.runUntil([&] { return w.readiness(fresh) == 200; }));
+}
+
 TEST_CASE("a call that a silent server holds up is made elsewhere")
 {
     stage_world w;
