--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -276,6 +276,8 @@
     void onRefused(server &which);
     void onRetryAfter(server &which, milliseconds time);
     void keepSignals(const server_start &start, const kept_signals &signals);
+    /// Whether what was heard of that start still counts.
+    [[nodiscard]] bool remembers(const server_start &start) const;
     /// Changes all servers of a data centre.
     template <class Change>
     void changeIn(const data_center_id &dataCenter, Change change);
@@ -291,6 +293,7 @@
         steady_time until; ///< forgotten then
     };
     std::map<server_start, past_signals> m_past; ///< of starts that aren't published now
+    std::set<server_start> m_saidLeaving; ///< published ones and those in `m_past`
     std::map<data_center_id, region_id> m_regions;
     bool m_severalRegions = false;
     std::unordered_map<service_id, cold_start> m_coldStarts;
--- a/src/gateway/servers/server_directory_signals.cpp
+++ b/src/gateway/servers/server_directory_signals.cpp
@@ -28,6 +28,15 @@
     const auto now = m_clock.now();
     std::erase_if(m_past, [&](const auto &entry) { return now >= entry.second.until; });
     m_past[start] = {signals, now + SignalMemory};
+    std::erase_if(m_saidLeaving, [&](const server_start &each) { return !remembers(each); });
+}
+
+bool server_directory::remembers(const server_start &start) const
+{
+    if (const auto known = find(start.id); known && known->record.start() == start)
+        return true;
+    const auto past = m_past.find(start);
+    return past != m_past.end() && m_clock.now() < past->second.until;
 }
 
 bool server_directory::onLeavingElsewhere(const server_start &start)
@@ -36,6 +45,7 @@
     if (known && known->record.start() == start) {
         if (std::exchange(known->saidLeaving, true))
             return false;
+        m_saidLeaving.insert(start);
         changed(known->record.service);
         return true;
     }
@@ -46,6 +56,7 @@
         signals = past->second.signals;
     if (std::exchange(signals.saidLeaving, true))
         return false;
+    m_saidLeaving.insert(start);
     keepSignals(start, signals);
     return true;
 }
@@ -53,14 +64,8 @@
 std::vector<server_start> server_directory::startsThatLeave() const
 {
     std::vector<server_start> starts;
-    for (const auto &[id, each] : m_servers) {
-        if (each->saidLeaving)
-            starts.push_back(each->record.start());
-    }
-    for (const auto &[start, past] : m_past) {
-        if (past.signals.saidLeaving && m_clock.now() < past.until)
-            starts.push_back(start);
-    }
+    std::ranges::copy_if(m_saidLeaving, std::back_inserter(starts),
+                         [&](const server_start &each) { return remembers(each); });
     return starts;
 }
 
@@ -144,6 +149,7 @@
 {
     onRateLimit(which, told.rateLimit);
     if (told.leaving && !std::exchange(which.saidLeaving, true)) {
+        m_saidLeaving.insert(which.record.start());
         changed(which.record.service);
         if (m_onLeavingSaid)
             m_onLeavingSaid(which);
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -339,6 +339,25 @@
     CHECK_FALSE(directory.find(record.id)->usable());
 }
 
+TEST_CASE("a start that leaves is told to others until it is gone and forgotten")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    const auto record = makeRecord("s1");
+    const auto other = makeRecord("s2");
+    directory.put(record);
+    directory.put(other);
+    CHECK(directory.startsThatLeave().empty());
+    directory.onSignals(*directory.find(record.id), leaving());
+    CHECK(directory.startsThatLeave() == std::vector{record.start()});
+    directory.remove(record.id);
+    CHECK(directory.startsThatLeave() == std::vector{record.start()});
+    clock.advance(std::chrono::seconds{61});
+    CHECK(directory.startsThatLeave().empty());
+    directory.remove(other.id);
+    CHECK(directory.startsThatLeave().empty());
+}
+
 TEST_CASE("a server that asked for time gets nothing until it is over, fractions included")
 {
     manual_clock clock;
