--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -3,6 +3,7 @@
 #include "gateway/publication/list_digest.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -19,6 +20,24 @@
 
 using what = publication_news::what;
 
+// Of news of one kind that come together so many are told one by one.
+constexpr std::size_t MostToldSingly = 24;
+
+// The list of thousands of servers that a node reads at its start would be as many log lines.
+std::vector<publication_news> shortened(std::vector<publication_news> news)
+{
+    std::map<what, std::size_t> counts;
+    for (const auto &each : news)
+        ++counts[each.kind];
+    std::erase_if(counts, [](const auto &entry) { return entry.second <= MostToldSingly; });
+    if (counts.empty())
+        return news;
+    std::erase_if(news, [&](const auto &each) { return counts.contains(each.kind); });
+    for (const auto &[kind, count] : counts)
+        news.push_back({kind, std::to_string(count), "at once"});
+    return news;
+}
+
 } // namespace
 
 published_state::published_state(const clock_source &clock, server_directory &directory,
@@ -29,6 +48,11 @@
 { }
 
 std::vector<publication_news> published_state::apply(const std::vector<published_item> &items)
+{
+    return shortened(applyAll(items));
+}
+
+std::vector<publication_news> published_state::applyAll(const std::vector<published_item> &items)
 {
     std::vector<publication_news> news;
     for (const auto &item : items)
@@ -61,7 +85,7 @@
 std::vector<publication_news> published_state::applyParts(const std::vector<published_item> &items,
                                                           const std::set<std::uint32_t> &parts)
 {
-    auto news = apply(items);
+    auto news = applyAll(items);
     std::set<backend_server_id> present;
     for (const auto &item : items) {
         if (const auto *each = std::get_if<published_server>(&item))
@@ -74,7 +98,7 @@
     }
     m_listed = true;
     m_heardAt = m_clock.now();
-    return news;
+    return shortened(std::move(news));
 }
 
 void published_state::takeServer(const published_server &told, std::vector<publication_news> &news)
@@ -155,7 +179,7 @@
             others.push_back(item);
     }
     auto news = takeEvacuations(list);
-    std::ranges::move(apply(others), std::back_inserter(news));
+    std::ranges::move(applyAll(others), std::back_inserter(news));
     return news;
 }
 
@@ -213,7 +237,7 @@
         }
         return true;
     });
-    return news;
+    return shortened(std::move(news));
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -29,7 +29,7 @@
         DataCenterReturned, ///< and they do again
     };
     what kind = what::Unreadable;
-    std::string subject; ///< a version, a server or a key
+    std::string subject; ///< a version, a server or a key; a number where there are many
     std::string detail;
 };
 
@@ -87,6 +87,7 @@
     }
 
 private:
+    [[nodiscard]] std::vector<publication_news> applyAll(const std::vector<published_item> &items);
     void applyOne(const published_item &item, std::vector<publication_news> &news);
     void takeServer(const published_server &told, std::vector<publication_news> &news);
     void takeRemoval(const backend_server_id &id, std::vector<publication_news> &news);
--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -125,3 +125,21 @@
     CHECK(w.directory.find(backend_server_id("s2")));
     CHECK(w.directory.find(backend_server_id("s3")));
 }
+
+// Guards against a start that writes a log line for each of thousands of servers.
+TEST_CASE("news of many servers at once are told by their number, those of few one by one")
+{
+    world w;
+    std::vector<published_item> many;
+    for (int i = 0; i < 500; ++i)
+        many.emplace_back(makeServer("s" + std::to_string(i)));
+    many.emplace_back(makeConfiguration(7));
+    const auto news = w.state.applyList(many);
+    REQUIRE(news.size() == 2);
+    CHECK(contains(news, publication_news::what::ConfigurationInForce));
+    CHECK(std::ranges::any_of(news, [](const auto &each) {
+        return each.kind == publication_news::what::ServerAdded && each.subject == "500";
+    }));
+    CHECK(w.directory.all().size() == 500);
+    CHECK(w.state.apply({makeServer("t1"), makeServer("t2")}).size() == 2);
+}
