Ask one node of a silent data centre first, then two

Most of them answer. Use counts for 2 s, and the begin of an answer is a use, too. Seven questions in place of eight before a data centre counts as lost.

--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -22,6 +22,7 @@
 void exchange<Codec>::onHead(const http::response_head &head)
 {
     m_answerMarks = Codec::readAnswer(head);
+    m_context.directory.onAnswerBegun(*m_server);
     m_context.directory.onSignals(*m_server, m_answerMarks.server);
     m_context.placer.onSignals(m_placement, m_answerMarks.server);
     const bool success = head.status >= status::Ok && head.status < status::FirstRedirect;
--- a/src/gateway/peers/data_center_reach.cpp
+++ b/src/gateway/peers/data_center_reach.cpp
@@ -11,15 +11,18 @@
 constexpr milliseconds AskPeersAfter{150};
 // All nodes of a data centre may have been killed while its servers live.
 constexpr milliseconds AskServersAfter{250};
-// Four rounds of questions to two nodes each went unanswered by then, and two connections: with one
+// Four rounds of questions went unanswered by then, seven in all, and two connections: with one
 // packet in five lost, that happens by chance once in some thousand times.
 constexpr milliseconds LostAfter{500};
 // How often is asked while a data centre is silent, and while it is lost.
 constexpr milliseconds AskEach{100};
 constexpr milliseconds AskLostEach{300};
+// Nodes that are asked at first, as most of them answer, and then.
+constexpr std::size_t FirstAsked = 1;
+constexpr std::size_t ThenAsked = 2;
 // How long after its last use a data centre is looked into: requests are answered, or begin to be,
-// within this.
-constexpr milliseconds UseMemory{5000};
+// within this, and answers that come are uses, too.
+constexpr milliseconds UseMemory{2000};
 // A longer gap between ticks, which come every 100 ms, is a pause of this process.
 constexpr milliseconds PauseThreshold{250};
 
@@ -35,7 +38,9 @@
 {
     if (from == m_own || from.empty())
         return;
-    m_states[from].heard = m_clock.now();
+    auto &known = m_states[from];
+    known.heard = m_clock.now();
+    known.asked = false;
 }
 
 // While it wasn't used its silence meant nothing, so that counts from the first use on.
@@ -82,7 +87,8 @@
         if (now < known.nextAsk)
             continue;
         known.nextAsk = now + (known.lost ? AskLostEach : AskEach);
-        events.push_back({dataCenter, reach_step::AskPeers});
+        const auto count = std::exchange(known.asked, true) ? ThenAsked : FirstAsked;
+        events.push_back({dataCenter, reach_step::AskPeers, count});
         if (silent >= AskServersAfter)
             events.push_back({dataCenter, reach_step::AskServers});
     }
--- a/src/gateway/peers/data_center_reach.h
+++ b/src/gateway/peers/data_center_reach.h
@@ -3,6 +3,7 @@
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -21,6 +22,7 @@
 {
     data_center_id dataCenter;
     reach_step step = reach_step::AskPeers;
+    std::size_t peers = 0; ///< how many nodes to probe
 };
 
 /// Tells which other data centres this node reaches, by any sign of life of their nodes or servers.
@@ -47,6 +49,7 @@
         steady_time heard;
         steady_time usedUntil; ///< silence counts until then
         steady_time nextAsk;
+        bool asked = false; ///< since something was last heard
         bool lost = false;
     };
 
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -113,7 +113,7 @@
     auto events = m_reach.tick();
     for (const auto &each : events) {
         if (each.step == reach_step::AskPeers)
-            askIn(each.dataCenter, out);
+            askIn(each.dataCenter, each.peers, out);
         else if (each.step != reach_step::AskServers)
             forgetRoles();
     }
@@ -142,16 +142,15 @@
     m_members.contact(takeInTurn(silent, MostContacts, m_lastContacted), out);
 }
 
-// Two at a time, all in turn: one of them may be down.
-void peer_view::askIn(const data_center_id &dataCenter, membership_actions &out)
+// All in turn: some of them may be down.
+void peer_view::askIn(const data_center_id &dataCenter, std::size_t count, membership_actions &out)
 {
-    constexpr std::size_t AskedAtOnce = 2;
     std::vector<socket_address> there;
     for (const auto &each : m_members.members()) {
         if (each.vm.dataCenter == dataCenter)
             there.push_back(each.vm.peerAddress);
     }
-    m_members.contact(takeInTurn(there, AskedAtOnce, m_lastAsked), out);
+    m_members.contact(takeInTurn(there, count, m_lastAsked), out);
 }
 
 void peer_view::avoid(const vm_id &peer)
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -92,7 +92,7 @@
 
     void contactOthers(membership_actions &out);
     /// Asks some nodes of a data centre for a sign of life, others each time.
-    void askIn(const data_center_id &dataCenter, membership_actions &out);
+    void askIn(const data_center_id &dataCenter, std::size_t count, membership_actions &out);
     void forgetRoles();
     /// The part of the nodes that this node knows which it believes alive; none while it has just
     /// started and may not know the others.
--- a/src/gateway/publication/store_options.h
+++ b/src/gateway/publication/store_options.h
@@ -20,9 +20,9 @@
     /// Between two watches: changes that come meanwhile share an answer, and each call is priced.
     /// A third of the least bound for configuration, which is 2 s.
     milliseconds watchPause{600};
-    /// An answer with so many changes is followed by the next watch at once: it isn't dear for what
-    /// it brings, and the changes of thousands of servers take many answers.
-    std::size_t manyChanges = 100;
+    /// An answer with so many changes is followed by the next watch at once: more changes wait
+    /// already, as an answer holds some hundreds.
+    std::size_t manyChanges = 300;
     /// Between two readings of the configuration alone: versions that follow each other fast share
     /// one.
     milliseconds fetchPause{250};
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -374,10 +374,15 @@
     return preferred(best);
 }
 
-void server_directory::onAnswer(server &which)
+void server_directory::onAnswerBegun(const server &which) const
 {
     if (m_onHeard)
         m_onHeard(which.record.dataCenter);
+}
+
+void server_directory::onAnswer(server &which)
+{
+    onAnswerBegun(which);
     const bool wasAvoided = which.failures >= FailuresToAvoid;
     which.failures = 0;
     which.avoidUntil = {};
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -195,6 +195,8 @@
     /// Chooses the server for a request, none that is bounded; null where there is none.
     [[nodiscard]] server_ptr choose(const server_wish &wish) const;
 
+    /// An answer to this node began.
+    void onAnswerBegun(const server &which) const;
     void onAnswer(server &which);
     /// An answer that didn't come, was broken, or was an error.
     void onFailure(server &which);
@@ -225,7 +227,7 @@
     /// null where there is none.
     [[nodiscard]] server_ptr anyIn(const data_center_id &dataCenter);
 
-    /// Called when a server of a data centre has answered.
+    /// Called when a server of a data centre answers, or has answered.
     void onHeard(std::function<void(const data_center_id &)> handler)
     {
         m_onHeard = std::move(handler);
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -217,6 +217,7 @@
     made.onHead = [this, answer](const http::response_head &head) {
         answer->status = head.status;
         answer->marks = Codec::readAnswer(head);
+        m_directory.onAnswerBegun(*answer->made.server);
         m_directory.onSignals(*answer->made.server, answer->marks.server);
     };
     made.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
