--- a/src/gateway/placement/prompt_home.cpp
+++ b/src/gateway/placement/prompt_home.cpp
@@ -28,9 +28,15 @@
     if (shared < LeastSharedTokens)
         return std::nullopt;
     const auto &key = prompt[prompt.size() - 2].id;
-    const auto picked = std::ranges::max_element(engines, {}, [&](const server_ptr &each) {
-        return rendezvousWeight(key, each->record.id.value);
-    });
+    const auto *picked = &engines.front();
+    std::uint64_t heaviest = 0;
+    for (const auto &each : engines) {
+        const auto weight = rendezvousWeight(key, each->record.id.value);
+        if (weight < heaviest)
+            continue;
+        heaviest = weight;
+        picked = &each;
+    }
     return (*picked)->record.dataCenter;
 }
 
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -108,7 +108,9 @@
             record.born = known->record.born;
         if (record.born < known->record.born)
             return;
-        if (record.born != known->record.born)
+        const bool moved = record.service != known->record.service
+            || record.dataCenter != known->record.dataCenter;
+        if (moved || record.born != known->record.born)
             remove(record.id);
     }
     auto &entry = m_servers[record.id];
@@ -123,7 +125,9 @@
         entry->region = regionOf(record.dataCenter);
         entry->cutOff = m_cutOff.contains(record.dataCenter);
         entry->evacuated = m_evacuated.contains(record.dataCenter);
-        m_byService[record.service].push_back(entry);
+        auto &servers = m_byService[record.service];
+        servers.all.push_back(entry);
+        servers.byDataCenter[record.dataCenter].push_back(entry);
         changed(record.service);
         return;
     }
@@ -138,7 +142,7 @@
 void server_directory::setColdStart(const service_id &service, const cold_start &start)
 {
     m_coldStarts[service] = start;
-    for (const auto &each : m_byService[service])
+    for (const auto &each : m_byService[service].all)
         each->coldStart = start;
 }
 
@@ -150,7 +154,9 @@
     const auto entry = found->second;
     entry->gone = true;
     keepSignals(entry->record.start(), *entry);
-    std::erase(m_byService[entry->record.service], entry);
+    auto &servers = m_byService[entry->record.service];
+    std::erase(servers.all, entry);
+    std::erase(servers.byDataCenter[entry->record.dataCenter], entry);
     m_servers.erase(found);
     changed(entry->record.service);
 }
@@ -238,26 +244,38 @@
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
         return servers;
-    std::ranges::copy_if(found->second, std::back_inserter(servers), [&](const server_ptr &each) {
-        return each->usable() && allowed.allows(each->region);
-    });
+    std::ranges::copy_if(found->second.all, std::back_inserter(servers),
+                         [&](const server_ptr &each) {
+                             return each->usable() && allowed.allows(each->region);
+                         });
     return servers;
 }
 
+const std::vector<server_ptr> *server_directory::listFor(const pool_key &pool) const
+{
+    const auto found = m_byService.find(pool.service);
+    if (found == m_byService.end())
+        return nullptr;
+    if (pool.dataCenter.empty())
+        return &found->second.all;
+    const auto there = found->second.byDataCenter.find(pool.dataCenter);
+    return there == found->second.byDataCenter.end() ? nullptr : &there->second;
+}
+
 std::vector<server_ptr> server_directory::usable(const pool_key &pool) const
 {
-    auto servers = usable(pool.service);
-    std::erase_if(servers, [&](const server_ptr &each) { return !each->isIn(pool); });
+    std::vector<server_ptr> servers;
+    if (const auto *list = listFor(pool))
+        std::ranges::copy_if(*list, std::back_inserter(servers), [&](const server_ptr &each) {
+            return each->usable() && each->isIn(pool);
+        });
     return servers;
 }
 
 bool server_directory::usableIn(const service_id &service, const data_center_id &dataCenter) const
 {
-    const auto found = m_byService.find(service);
-    return found != m_byService.end()
-        && std::ranges::any_of(found->second, [&](const server_ptr &each) {
-               return each->usable() && each->record.dataCenter == dataCenter;
-           });
+    const auto *list = listFor({service, dataCenter, {}});
+    return list && std::ranges::any_of(*list, [](const server_ptr &each) { return each->usable(); });
 }
 
 bool server_directory::anyBounded(const service_id &service, const residency &allowed) const
@@ -265,7 +283,7 @@
     const auto found = m_byService.find(service);
     const auto now = m_clock.now();
     return found != m_byService.end()
-        && std::ranges::any_of(found->second, [&](const server_ptr &each) {
+        && std::ranges::any_of(found->second.all, [&](const server_ptr &each) {
                return each->usable() && allowed.allows(each->region) && each->bound(now);
            });
 }
@@ -275,7 +293,7 @@
     if (!anyBounded(service, allowed))
         return false;
     const auto now = m_clock.now();
-    return std::ranges::all_of(m_byService.at(service), [&](const server_ptr &each) {
+    return std::ranges::all_of(m_byService.at(service).all, [&](const server_ptr &each) {
         return !each->usable() || !allowed.allows(each->region) || each->bound(now);
     });
 }
@@ -288,7 +306,7 @@
     if (found == m_byService.end())
         return otherwise;
     auto why = otherwise;
-    for (const auto &each : found->second) {
+    for (const auto &each : found->second.all) {
         if (!counts(*each))
             continue;
         if (each->usable())
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -288,7 +288,15 @@
     vm_id m_self;
     std::uint64_t m_changes = 1;
     std::map<backend_server_id, server_ptr> m_servers;
-    std::unordered_map<service_id, std::vector<server_ptr>> m_byService;
+    struct service_servers
+    {
+        std::vector<server_ptr> all;
+        std::map<data_center_id, std::vector<server_ptr>> byDataCenter;
+    };
+    /// Servers of a service that may be in a pool; null where there are none.
+    [[nodiscard]] const std::vector<server_ptr> *listFor(const pool_key &pool) const;
+
+    std::unordered_map<service_id, service_servers> m_byService;
     struct past_signals
     {
         kept_signals signals;
