--- a/tests/gateway/peer_fleet.cpp
+++ b/bench/fleet/peer_fleet.cpp
@@ -1,10 +1,10 @@
-#include "peer_fleet.h"
+#include "bench/fleet/peer_fleet.h"
 
 #include <algorithm>
 #include <numeric>
 #include <tuple>
 
-namespace orchidlead::gateway::tests {
+namespace orchidlead::gateway {
 
 namespace {
 
@@ -173,6 +173,22 @@
     return sum / m_nodes.size();
 }
 
+std::size_t peer_fleet::mostBytesSentFar() const
+{
+    return std::ranges::max_element(m_nodes, {}, &fleet_node::bytesSentFar)->bytesSentFar;
+}
+
+void peer_fleet::cutOff(const std::optional<data_center_id> &dataCenter)
+{
+    if (!dataCenter) {
+        cut({});
+        return;
+    }
+    cut([this, lost = *dataCenter](std::size_t from, std::size_t to) {
+        return (dataCenterOf(from) == lost) == (dataCenterOf(to) == lost);
+    });
+}
+
 void peer_fleet::forgetTraffic()
 {
     for (auto &each : m_nodes) {
@@ -181,4 +197,4 @@
     }
 }
 
-} // namespace orchidlead::gateway::tests
+} // namespace orchidlead::gateway
--- a/tests/gateway/peer_fleet.h
+++ b/bench/fleet/peer_fleet.h
@@ -5,12 +5,13 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
 #include <vector>
 
-namespace orchidlead::gateway::tests {
+namespace orchidlead::gateway {
 
 /// Many peer views on a simulated network, one clock: what they send each other arrives 1 to 4 ms
 /// later, and nodes that are down neither send nor hear.
@@ -50,7 +51,11 @@
     [[nodiscard]] std::size_t meanBytesSent() const;
     /// The same of bytes that went to other data centres.
     [[nodiscard]] std::size_t meanBytesSentFar() const;
+    /// The largest of any node.
+    [[nodiscard]] std::size_t mostBytesSentFar() const;
     void forgetTraffic();
+    /// Cuts a data centre off from all others, or with none ends the cut.
+    void cutOff(const std::optional<data_center_id> &dataCenter);
 
 private:
     struct fleet_node
@@ -89,4 +94,4 @@
     std::function<bool(std::size_t from, std::size_t to)> m_passes;
 };
 
-} // namespace orchidlead::gateway::tests
+} // namespace orchidlead::gateway
