--- a/src/wire/json_text.cpp
+++ b/src/wire/json_text.cpp
@@ -8,18 +8,30 @@
 #include <array>
 #include <exception>
 #include <limits>
+#include <map>
 #include <memory>
 
 namespace orchidlead::wire {
 
 namespace {
 
-Json::CharReaderBuilder strictReader(const json_bounds &bounds)
+std::unique_ptr<Json::CharReader> makeStrictReader(int maxDepth)
 {
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
-    builder["stackLimit"] = bounds.maxDepth;
-    return builder;
+    builder["stackLimit"] = maxDepth;
+    return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+}
+
+// Making a reader takes longer than reading an entry of a list, and it may be used again. A program
+// has a few bounds.
+Json::CharReader &strictReader(const json_bounds &bounds)
+{
+    thread_local std::map<int, std::unique_ptr<Json::CharReader>> readers;
+    auto &reader = readers[bounds.maxDepth];
+    if (!reader)
+        reader = makeStrictReader(bounds.maxDepth);
+    return *reader;
 }
 
 constexpr std::size_t MaxErrorBytes = 200;
@@ -63,12 +75,11 @@
         return failure(json_error{"larger than " + std::to_string(bounds.maxBytes) + " bytes"});
     if (const auto fault = findLenientJson(text))
         return failure(json_error{std::string(*fault)});
-    const std::unique_ptr<Json::CharReader> reader(strictReader(bounds).newCharReader());
     Json::Value value;
     std::string errors;
     // The library throws when its nesting limit is passed; nothing else of it is let through.
     try {
-        if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors))
+        if (!strictReader(bounds).parse(text.data(), text.data() + text.size(), &value, &errors))
             return failure(shortened(std::move(errors)));
     } catch (const std::exception &error) {
         return failure(shortened(error.what()));
