--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -127,7 +127,7 @@
 {
     std::uint64_t configurationVersion = 0; ///< the latest that the sender knows of
     bool current = false; ///< the sender reads the store right now, or follows a node that does
-    milliseconds age{0}; ///< since that was so, as far as the sender knows
+    milliseconds age{0}; ///< since that was so; 0: the sender itself reads it
     bool compared = false; ///< with `parts`, the receiver knows all that the sender does
     std::vector<std::uint32_t> parts; ///< of which all servers are told, not only changes
     std::uint64_t revision = 0; ///< of the store, up to which the sender knows everything
--- a/src/gateway/publication/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -98,6 +98,7 @@
     std::map<vm_id, source> m_sources;
     std::set<link_ptr> m_followers;
     steady_time m_startedAt;
+    std::size_t m_level = 0; ///< in the tree, as of the last tick
     std::optional<steady_time> m_readAloneFrom; ///< from when on it does without readers
     std::optional<steady_time> m_withoutSourceSince; ///< empty: readers are heard of
     configuration_relay<Codec> m_configurations;
--- a/src/gateway/publication/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -17,6 +17,9 @@
 /// packet. Shorter than the silence of the store that a reader notices, so it adds nothing to the
 /// bound.
 inline constexpr milliseconds SourceSilence{800};
+/// Ages of a heartbeat: of a node that reads the store itself, and the least of any other.
+inline constexpr milliseconds ReadsItself{0};
+inline constexpr milliseconds LeastRelayedAge{1};
 /// Of nodes that hear of no reader those next to the readers read the store at once, each further
 /// level so much later: what the first ones read reaches the others before.
 inline constexpr milliseconds LevelPatience{1000};
@@ -71,6 +74,7 @@
 void publication_relay<Codec>::tick()
 {
     const auto place = placeInTree(m_peers.self(), m_peers.relayOrder());
+    m_level = place.level;
     const bool settled = m_loop.now() - m_startedAt >= SettleTime;
     const bool reader = settled && place.level == 0;
     // A reader that the store doesn't answer follows the other one meanwhile.
@@ -165,7 +169,10 @@
     publication_frame frame;
     if (const auto since = currentAt(); since && m_state.listed()) {
         frame.current = true;
-        frame.age = std::chrono::ceil<milliseconds>(m_loop.now() - *since);
+        frame.age = m_store.current() ? ReadsItself
+                                      : std::max(LeastRelayedAge,
+                                                 std::chrono::ceil<milliseconds>(m_loop.now()
+                                                                                 - *since));
     }
     frame.configurationVersion = std::max(m_configurations.ownVersion(), m_heardVersion);
     frame.revision = m_store.revision();
@@ -372,8 +379,9 @@
         applyAnswer(frame);
         return;
     }
-    from->second.currentAt =
-        frame.current ? std::optional(m_loop.now() - frame.age) : std::nullopt;
+    // Of two readers that follow each other neither may believe what the other has from it.
+    const bool counts = frame.current && (m_level > 0 || frame.age == ReadsItself);
+    from->second.currentAt = counts ? std::optional(m_loop.now() - frame.age) : std::nullopt;
     if (frame.current)
         m_state.onHeard();
     const auto versionBefore =
@@ -383,6 +391,8 @@
     const bool due = frame.current && m_loop.now() + HeartbeatSlack >= m_nextHeartbeat;
     if (due || m_heardVersion > std::max(versionBefore, m_configurations.ownVersion()))
         sendHeartbeat();
+    else
+        tellFollowers();
 }
 
 template <gateway_codec Codec>
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -71,6 +71,7 @@
 TEST_CASE("a publication travels with its servers")
 {
     publication_frame frame;
+    frame.age = milliseconds{120};
     frame.configurationVersion = 17;
     frame.current = true;
     frame.compared = true;
@@ -97,6 +98,7 @@
     CHECK(read.servers[2].record.address.port == 82);
     CHECK(read.configurationVersion == 17);
     CHECK(read.current);
+    CHECK(read.age == milliseconds{120});
     CHECK(read.compared);
     CHECK(read.parts == frame.parts);
     CHECK(read.revision == 1ULL << 40U);
