Read a long list in a few nodes, and hand it on compressed

Cause: after all machines lost power each of 584 nodes read the list of 6,000 servers from the store: 1.4 GB over its link of 1 Gbit/s, so that no node was ready for 8 s and most for 11. It grows as nodes x servers. Change: of a list with more than one page a node reads the first one, and has the rest from the nodes that it follows; those that read the store read it whole, and others when nobody has told them for some seconds. Lists travel compressed and are encoded once for followers that start together. The bound of 100,000 items in a frame, which a list of 11,112 servers passed, is gone: the frame's length bounds it.

--- a/src/gateway/peers/peer_frame_kind.h
+++ b/src/gateway/peers/peer_frame_kind.h
@@ -32,6 +32,7 @@
     AdmissionAnswer = 22,
     RateLimits = 23,
     LeavingServers = 24,
+    Compressed = 25, ///< another frame
 };
 
 /// Stands where an outcome has a result instead of a reason.
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::size_t MaxListItems = 100'000;
 constexpr std::size_t MaxNesting = 8;
 
 /// Reads the fields of one array in order; the first wrong one makes all further reads fail.
@@ -121,7 +120,7 @@
 void readList(field_reader &in, Take take)
 {
     const auto *list = in.next();
-    if (!list || list->type != msgpack::type::ARRAY || list->via.array.size > MaxListItems) {
+    if (!list || list->type != msgpack::type::ARRAY) {
         in.fail();
         return;
     }
@@ -386,9 +385,9 @@
     return frame;
 }
 
-peer_frame readFrame(field_reader &in)
+peer_frame readFrame(frame_kind kind, field_reader &in)
 {
-    switch (static_cast<frame_kind>(in.read<std::uint8_t>())) {
+    switch (kind) {
     case frame_kind::Piece:
         return readPiece(in);
     case frame_kind::Withdraw:
@@ -437,6 +436,8 @@
         return readRateLimits(in);
     case frame_kind::LeavingServers:
         return readLeavingServers(in);
+    case frame_kind::Compressed: // within another one
+        break;
     }
     in.fail();
     return ping_frame{};
@@ -450,9 +451,26 @@
     return length;
 }
 
-} // namespace
+/// Whether a frame may hold another one.
+enum class nesting { MayBeCompressed, Plain };
 
-result<peer_frame, frame_error> decodeFrame(std::string_view bytes)
+result<peer_frame, frame_error> decodeFrame(std::string_view bytes, nesting allowed);
+
+result<peer_frame, frame_error> decodeCompressed(field_reader &in)
+{
+    compressed_text text;
+    text.length = in.read<std::uint64_t>();
+    const auto bytes = in.read<std::vector<char>>();
+    text.bytes.assign(bytes.begin(), bytes.end());
+    if (!in.good())
+        return frame_error{"a compressed frame lacks a field, or has one of another type"};
+    const auto plain = decompress(text, MaxFrameBytes);
+    if (!plain)
+        return frame_error{"a compressed frame: " + plain.error().what};
+    return decodeFrame(plain.value(), nesting::Plain);
+}
+
+result<peer_frame, frame_error> decodeFrame(std::string_view bytes, nesting allowed)
 {
     try {
         // No list or text can have more items than the frame has bytes.
@@ -460,7 +478,10 @@
         const msgpack::unpack_limit limit(most, most, most, most, most, MaxNesting);
         const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
         field_reader in(handle.get());
-        auto frame = readFrame(in);
+        const auto kind = static_cast<frame_kind>(in.read<std::uint8_t>());
+        if (kind == frame_kind::Compressed && allowed == nesting::MayBeCompressed)
+            return decodeCompressed(in);
+        auto frame = readFrame(kind, in);
         if (!in.good())
             return frame_error{"a frame lacks a field, or has one of another type"};
         return frame;
@@ -469,6 +490,13 @@
     }
 }
 
+} // namespace
+
+result<peer_frame, frame_error> decodeFrame(std::string_view bytes)
+{
+    return decodeFrame(bytes, nesting::MayBeCompressed);
+}
+
 result<std::vector<peer_frame>, frame_error> frame_splitter::feed(std::string_view bytes)
 {
     m_rest.append(bytes);
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -12,6 +12,9 @@
 using buffer = msgpack::sbuffer;
 using packer = msgpack::packer<buffer>;
 
+// Lists of servers repeat themselves; changes of a few don't.
+constexpr std::size_t LeastCompressed = 4096;
+
 void packKind(packer &out, frame_kind kind, std::uint32_t fields)
 {
     out.pack_array(fields + 1);
@@ -337,6 +340,18 @@
     packDigest(out, frame.request);
 }
 
+/// Puts the frame that a buffer holds into one that travels in fewer bytes.
+void packCompressed(buffer &body)
+{
+    const auto text = compress({body.data(), body.size()});
+    body.clear();
+    packer out(body);
+    packKind(out, frame_kind::Compressed, 2);
+    out.pack(static_cast<std::uint64_t>(text.length));
+    out.pack_bin(static_cast<std::uint32_t>(text.bytes.size()));
+    out.pack_bin_body(text.bytes.data(), static_cast<std::uint32_t>(text.bytes.size()));
+}
+
 } // namespace
 
 std::string encodeFrame(const peer_frame &frame)
@@ -344,6 +359,8 @@
     buffer body;
     packer out(body);
     std::visit([&](const auto &each) { pack(out, each); }, frame);
+    if (std::holds_alternative<publication_frame>(frame) && body.size() >= LeastCompressed)
+        packCompressed(body);
     std::string bytes;
     bytes.reserve(FrameHeaderBytes + body.size());
     for (std::size_t i = FrameHeaderBytes; i > 0; --i)
--- a/src/gateway/publication/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -57,6 +57,8 @@
         std::optional<steady_time> currentAt; ///< when a reader behind it read the store
     };
 
+    /// Whether others haven't told the list of servers for long enough that this node reads it.
+    [[nodiscard]] bool listIsOverdue(const relay_place &place) const;
     /// Whether this node reads for itself, as nobody has read for it for long enough.
     [[nodiscard]] bool readsAlone(const relay_place &place);
     void follow(const std::vector<vm_id> &sources);
@@ -79,6 +81,8 @@
     /// What differs from what a peer knows.
     [[nodiscard]] publication_frame makeDifference(const list_digest &known);
     [[nodiscard]] const list_digest &ownDigest();
+    /// The same, encoded; followers that start together know the same.
+    [[nodiscard]] const std::string &encodedDifference(const list_digest &known);
     /// Removals that aren't believed yet.
     [[nodiscard]] publication_frame makeDeferred() const;
     [[nodiscard]] publication_frame makeChanges(const store_news &news) const;
@@ -98,6 +102,7 @@
     std::map<vm_id, source> m_sources;
     std::set<link_ptr> m_followers;
     steady_time m_startedAt;
+    milliseconds m_listPatience; ///< from then on, until it reads a long list by itself
     std::size_t m_level = 0; ///< in the tree, as of the last tick
     std::optional<steady_time> m_readAloneFrom; ///< from when on it does without readers
     std::optional<steady_time> m_withoutSourceSince; ///< empty: readers are heard of
@@ -105,6 +110,15 @@
     list_digest m_digest{}; ///< of the servers that this node knows …
     std::uint64_t m_digestOf = 0; ///< … after so many changes of the directory
     std::uint64_t m_heardVersion = 0; ///< the latest configuration that sources told of
+    /// A difference that was sent, and what it depended on.
+    struct sent_difference
+    {
+        std::uint64_t changes = 0; ///< of the directory
+        list_digest known{};
+        steady_time at;
+        std::string encoded; ///< empty: none
+    };
+    sent_difference m_sentDifference;
     steady_time m_nextHeartbeat{};
     bool m_toldCurrent = false; ///< whether followers heard last that a reader reads the store
     std::set<data_center_id> m_toldEvacuated; ///< to followers
--- a/src/gateway/publication/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -17,6 +17,8 @@
 /// packet. Shorter than the silence of the store that a reader notices, so it adds nothing to the
 /// bound.
 inline constexpr milliseconds SourceSilence{800};
+/// Times in an encoded list are right for so long.
+inline constexpr milliseconds DifferenceLifetime{200};
 /// Ages of a heartbeat: of a node that reads the store itself, and the least of any other.
 inline constexpr milliseconds ReadsItself{0};
 inline constexpr milliseconds LeastRelayedAge{1};
@@ -67,6 +69,8 @@
     , m_log(log)
     , m_random(seed)
     , m_startedAt(loop.now())
+    , m_listPatience(FirstSourcePatience
+                     + milliseconds{draw(static_cast<std::size_t>(FirstSourcePatience.count()))})
     , m_configurations(loop, peers, state, store, onNews, log)
 { }
 
@@ -77,8 +81,11 @@
     m_level = place.level;
     const bool settled = m_loop.now() - m_startedAt >= SettleTime;
     const bool reader = settled && place.level == 0;
+    if (m_store.waitsForList() && (reader || listIsOverdue(place)))
+        m_store.readOn(reader ? read_freshness::Latest : read_freshness::MayBeOld);
     // A reader that the store doesn't answer follows the other one meanwhile.
-    const bool follows = m_store.whole() && (!reader || !m_store.current());
+    const bool mayFollow = m_store.whole() || m_store.waitsForList();
+    const bool follows = mayFollow && (!reader || !m_store.current());
     follow(follows ? place.sources : std::vector<vm_id>{});
     setReading(!m_store.whole() || reader || readsAlone(place));
     m_store.setWatched(!m_followers.empty());
@@ -88,6 +95,12 @@
     m_configurations.tick();
 }
 
+template <gateway_codec Codec>
+bool publication_relay<Codec>::listIsOverdue(const relay_place &place) const
+{
+    return m_loop.now() >= m_startedAt + SettleTime + m_listPatience + LevelPatience * place.level;
+}
+
 template <gateway_codec Codec>
 bool publication_relay<Codec>::readsAlone(const relay_place &place)
 {
@@ -154,7 +167,8 @@
 template <gateway_codec Codec>
 std::optional<steady_time> publication_relay<Codec>::currentAt() const
 {
-    return m_store.current() ? m_loop.now() : sourcesCurrentAt();
+    const bool reads = m_state.listed() && m_store.current();
+    return reads ? m_loop.now() : sourcesCurrentAt();
 }
 
 template <gateway_codec Codec>
@@ -355,7 +369,21 @@
         return;
     }
     m_followers.insert(link);
-    link->send(m_store.revision() > frame.revision ? makeDifference(frame.known) : makeHeartbeat());
+    if (m_store.revision() > frame.revision)
+        link->sendEncoded(encodedDifference(frame.known));
+    else
+        link->send(makeHeartbeat());
+}
+
+template <gateway_codec Codec>
+const std::string &publication_relay<Codec>::encodedDifference(const list_digest &known)
+{
+    auto &sent = m_sentDifference;
+    const bool same = sent.changes == m_directory.changes() && sent.known == known
+        && m_loop.now() - sent.at <= DifferenceLifetime;
+    if (!same || sent.encoded.empty())
+        sent = {m_directory.changes(), known, m_loop.now(), encodeFrame(makeDifference(known))};
+    return sent.encoded;
 }
 
 template <gateway_codec Codec>
@@ -417,7 +445,8 @@
     m_state.deferRemovals(frame.removalsDeferred);
     // A heartbeat tells a revision up to which nothing else happened: but a change may
     // have been lost with a link between, so only frames with content move this node's revision.
-    const bool tells = frame.compared || hasContent(frame);
+    // Changes are of use only to a node that has the list.
+    const bool tells = frame.compared || (hasContent(frame) && m_state.listed());
     if (!tells || frame.revision <= m_store.revision())
         return;
     for (const auto &each : applyServers(frame))
--- a/src/gateway/publication/store_follower.h
+++ b/src/gateway/publication/store_follower.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -22,9 +23,11 @@
 };
 
 /// Reads the store: first what operators published and a list of servers that may be old, so that
-/// the node can serve at once. Then it waits until it is told to read on, since others may read for
-/// this node; it goes on from what they told, or else reads the latest list, watches it, and begins
-/// anew when its history is gone.
+/// the node can serve at once. Of a list of many pages it reads the first one: were all nodes to
+/// read it whole when they start together, the store's link would take as long as all of them have
+/// servers. Then it waits until it is told to read on, since others may read for this node; it goes
+/// on from what they told, or else reads the latest list, watches it, and begins anew when its
+/// history is gone.
 template <gateway_codec Codec>
 class store_follower
 {
@@ -36,11 +39,15 @@
     void start() { readOperations({}, read_freshness::MayBeOld); }
     /// Begins or ends to read on. Reading begins where it ended, or where others have come since.
     void setReading(bool reading);
+    /// A list of many pages waits until it is read on, or comes from others.
+    [[nodiscard]] bool waitsForList() const { return m_pausedAfter.has_value(); }
+    /// Reads on a list that waits: from its next page where it may be old, else all anew.
+    void readOn(read_freshness freshness);
     /// Reads the configuration alone, whether this node reads or not.
     void fetchConfiguration();
     /// Other nodes rely on what this one reads.
     void setWatched(bool watched) { m_watched = watched; }
-    /// Everything up to this revision was learnt from others.
+    /// Everything up to this revision was learnt from others, a list that waits included.
     void advanceTo(std::uint64_t revision);
     /// Called with what was read, before the state takes changes and after it took a whole list.
     void onRead(std::function<void(const store_news &)> handler) { m_onRead = std::move(handler); }
@@ -110,6 +117,8 @@
     std::uint64_t m_listRevision = 0; ///< when the first page was read
     bool m_whole = false; ///< has read everything once since the history was lost
     bool m_latest = false; ///< and what was read was the latest: changes can be watched from there
+    bool m_readsWhole = false; ///< lists of many pages, too
+    std::optional<std::string> m_pausedAfter; ///< key behind which a list that may be old waits
     bool m_waits = false; ///< has read what may be old, and waits to be told to read on
     bool m_connected = false;
     bool m_reading = true;
--- a/src/gateway/publication/store_follower_impl.h
+++ b/src/gateway/publication/store_follower_impl.h
@@ -69,6 +69,26 @@
 {
     m_revision = std::max(m_revision, revision);
     m_latest = true;
+    if (!m_pausedAfter)
+        return;
+    m_pausedAfter.reset();
+    m_list.clear();
+    m_listRevision = 0;
+    m_whole = true;
+    m_waits = true;
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::readOn(read_freshness freshness)
+{
+    const auto after = std::exchange(m_pausedAfter, std::nullopt);
+    if (!after)
+        return;
+    m_readsWhole = true;
+    if (freshness == read_freshness::MayBeOld)
+        readServers(*after, freshness);
+    else
+        readOperations({}, freshness);
 }
 
 template <gateway_codec Codec>
@@ -104,7 +124,12 @@
              if (m_listRevision == 0 || page.revision < m_listRevision)
                  m_listRevision = page.revision;
              std::ranges::move(page.items, std::back_inserter(m_list));
-             if (page.more && !page.lastKey.empty()) {
+             const bool more = page.more && !page.lastKey.empty();
+             if (more && freshness == read_freshness::MayBeOld && !m_readsWhole) {
+                 m_pausedAfter = page.lastKey;
+                 return;
+             }
+             if (more) {
                  readServers(page.lastKey, freshness);
                  return;
              }
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include <random>
+
 using namespace orchidlead;
 using namespace orchidlead::gateway;
 
@@ -68,6 +70,30 @@
     }
 }
 
+// Guards against bounds that a list of thousands of servers passes, and against its size on links.
+TEST_CASE("a list of twenty thousand servers travels whole, in a third of its bytes")
+{
+    publication_frame frame;
+    frame.compared = true;
+    std::mt19937 random(5);
+    for (std::uint32_t i = 0; i < 20'000; ++i) {
+        server_record record;
+        record.id = backend_server_id("i-" + std::to_string(random()));
+        record.service = service_id("service-" + std::to_string(i % 5));
+        record.dataCenter = data_center_id("data-center-" + std::to_string(i % 6));
+        record.address = {"10.1." + std::to_string(i % 200) + "." + std::to_string(i / 200), 8000};
+        record.slots = 64;
+        record.born = 1'764'000'000'000 + i;
+        frame.servers.push_back({record, {}});
+    }
+    const auto bytes = encodeFrame(frame);
+    INFO(bytes.size() << " bytes");
+    CHECK(bytes.size() <= 20'000 * 25);
+    const auto read = roundTrip(frame);
+    REQUIRE(read.servers.size() == frame.servers.size());
+    CHECK(read.servers.back().record == frame.servers.back().record);
+}
+
 TEST_CASE("a publication travels with its servers")
 {
     publication_frame frame;
