Let nodes that can do more read the store and host pools

Cause: roles were drawn without regard to what a node can bear: of 97 nodes of a data centre six have 0.5 of a core and 200 Mbit/s, the others 0.12 and 20. Change: nodes tell their share of a core with their record; readers and hosts are picked among the strongest, four at least. Where all are equal nothing changes.

--- a/bench/fleet/peer_fleet.cpp
+++ b/bench/fleet/peer_fleet.cpp
@@ -117,6 +117,8 @@
         const auto to = static_cast<std::size_t>(datagram->to.port - FirstPort);
         const auto bytes = datagram->bytes.size() + DatagramHeaderBytes;
         m_nodes[from].bytesSent += bytes;
+        if (const auto message = decodeGossip(datagram->bytes))
+            m_bytesByKind[message.value().kind] += bytes;
         if (dataCenterOf(from) != dataCenterOf(to))
             m_nodes[from].bytesSentFar += bytes;
         if (m_passes && !m_passes(from, to))
@@ -191,6 +193,7 @@
 
 void peer_fleet::forgetTraffic()
 {
+    m_bytesByKind.clear();
     for (auto &each : m_nodes) {
         each.bytesSent = 0;
         each.bytesSentFar = 0;
--- a/bench/fleet/peer_fleet.h
+++ b/bench/fleet/peer_fleet.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "core/membership/gossip_message.h"
 #include "gateway/peers/peer_view.h"
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <queue>
@@ -20,6 +22,11 @@
 public:
     peer_fleet(std::size_t nodes, std::size_t dataCenters, std::uint32_t seed);
 
+    /// What a node can do, in thousandths of a core; counts from its next start on.
+    void setCapacity(std::size_t node, std::uint32_t capacity)
+    {
+        m_nodes[node].identity.capacity = capacity;
+    }
     /// Starts a new process of each of these nodes at random within this time.
     void start(const std::vector<std::size_t> &nodes, milliseconds within);
     void startAll(milliseconds within);
@@ -53,6 +60,11 @@
     [[nodiscard]] std::size_t meanBytesSentFar() const;
     /// The largest of any node.
     [[nodiscard]] std::size_t mostBytesSentFar() const;
+    /// What all nodes sent since then, by kind of datagram.
+    [[nodiscard]] const std::map<gossip_kind, std::size_t> &bytesByKind() const
+    {
+        return m_bytesByKind;
+    }
     void forgetTraffic();
     /// Cuts a data centre off from all others, or with none ends the cut.
     void cutOff(const std::optional<data_center_id> &dataCenter);
@@ -91,6 +103,7 @@
     std::vector<fleet_node> m_nodes;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
     std::uint64_t m_order = 0;
+    std::map<gossip_kind, std::size_t> m_bytesByKind;
     std::function<bool(std::size_t from, std::size_t to)> m_passes;
 };
 
--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -21,6 +21,7 @@
           "sizes of the fleets");
 ABSL_FLAG(std::size_t, data_centers, 6, "that the nodes of a fleet lie in");
 ABSL_FLAG(std::uint32_t, seed, 1, "of all that is drawn");
+ABSL_FLAG(bool, kinds, false, "prints what nodes send by kind of datagram, too");
 ABSL_FLAG(std::string, svg, "", "file for a plot of bytes by size; empty: none");
 
 namespace orchidlead::bench {
@@ -60,6 +61,16 @@
     out.mostStartBytes = fleet.mostBytesSent();
 }
 
+void printKinds(const peer_fleet &fleet, const std::string &when, std::size_t seconds)
+{
+    if (!absl::GetFlag(FLAGS_kinds))
+        return;
+    std::cout << "  " << when << ", bytes a second of a node:";
+    for (const auto &[kind, bytes] : fleet.bytesByKind())
+        std::cout << ' ' << toName(kind) << ' ' << bytes / seconds / fleet.size();
+    std::cout << '\n';
+}
+
 void measureCalm(peer_fleet &fleet, fleet_figures &out)
 {
     fleet.run(milliseconds{10'000});
@@ -67,6 +78,7 @@
     fleet.run(milliseconds{1000 * CalmSeconds});
     out.calmBytes = fleet.meanBytesSent() / CalmSeconds;
     out.calmFarBytes = fleet.meanBytesSentFar() / CalmSeconds;
+    printKinds(fleet, "calm", CalmSeconds);
 }
 
 void measureTree(peer_fleet &fleet, fleet_figures &out)
@@ -88,6 +100,7 @@
     fleet.forgetTraffic();
     fleet.run(milliseconds{1000 * CutSeconds});
     out.cutBytes = fleet.meanBytesSent() / CutSeconds;
+    printKinds(fleet, "a data centre is cut off", CutSeconds);
     fleet.cutOff(std::nullopt);
     out.healed = fleet.runUntilAgreed(Limit);
 }
--- a/src/core/membership/gossip_message.cpp
+++ b/src/core/membership/gossip_message.cpp
@@ -11,7 +11,7 @@
 constexpr std::uint64_t FormatVersion = 2;
 constexpr std::uint32_t MessageFields = 16;
 constexpr std::uint32_t UpdateFields = 6;
-constexpr std::uint32_t DescribedUpdateFields = 10;
+constexpr std::uint32_t DescribedUpdateFields = 11;
 constexpr std::uint64_t LeavingBit = 4;
 constexpr std::uint64_t StatusMask = 3;
 constexpr std::size_t HashBytes = 4;
@@ -55,6 +55,7 @@
     packText(out, update.description->region.value);
     packText(out, update.description->address.ip);
     out.pack(update.description->address.port);
+    out.pack(update.description->capacity);
 }
 
 /// Reads the fields of one array in order; the first wrong one makes all further reads fail.
@@ -143,6 +144,8 @@
         description.address.ip = fields.text();
         description.address.port =
             static_cast<std::uint16_t>(fields.number(std::numeric_limits<std::uint16_t>::max()));
+        description.capacity =
+            static_cast<std::uint32_t>(fields.number(std::numeric_limits<std::uint32_t>::max()));
         update.description = std::move(description);
     }
     return fields.good() && !update.vm.empty();
--- a/src/core/membership/gossip_message.h
+++ b/src/core/membership/gossip_message.h
@@ -55,10 +55,16 @@
     data_center_id dataCenter;
     region_id region;
     socket_address address;
+    std::uint32_t capacity = 0; ///< as in `listed_vm`
 
     friend auto operator<=>(const member_description &, const member_description &) = default;
 };
 
+[[nodiscard]] inline member_description descriptionOf(const listed_vm &vm)
+{
+    return {vm.dataCenter, vm.region, vm.peerAddress, vm.capacity};
+}
+
 /// A claim about one member.
 struct gossip_update
 {
--- a/src/core/membership/member_table.cpp
+++ b/src/core/membership/member_table.cpp
@@ -116,8 +116,7 @@
     update.leaving = record.leaving;
     update.accuser = record.status == member_status::Suspect ? record.lastAccuser : 0;
     if (!record.listed)
-        update.description =
-            member_description{record.vm.dataCenter, record.vm.region, record.vm.peerAddress};
+        update.description = descriptionOf(record.vm);
     return update;
 }
 
--- a/src/core/membership/membership_claims.cpp
+++ b/src/core/membership/membership_claims.cpp
@@ -58,7 +58,7 @@
         return false;
     member_record fresh;
     fresh.vm = {update.vm, update.description->dataCenter, update.description->region,
-                update.description->address, false};
+                update.description->address, false, update.description->capacity};
     table.add(std::move(fresh));
     return true;
 }
--- a/src/core/membership/membership_gossip.cpp
+++ b/src/core/membership/membership_gossip.cpp
@@ -84,8 +84,7 @@
 
 void membership::implementation::describeSelf(gossip_message &message) const
 {
-    message.sender.description =
-        member_description{options.self.dataCenter, options.self.region, options.self.peerAddress};
+    message.sender.description = descriptionOf(options.self);
 }
 
 void membership::implementation::contact(const std::vector<socket_address> &addresses)
@@ -192,8 +191,7 @@
     std::size_t bytes = encodeGossip(message).size();
     for (const auto *record : records) {
         auto update = member_table::toUpdate(*record);
-        update.description =
-            member_description{record->vm.dataCenter, record->vm.region, record->vm.peerAddress};
+        update.description = descriptionOf(record->vm);
         bytes += encodedSize(update);
         if (bytes > options.maxDatagramBytes || message.updates.size() >= MaxGossipUpdates)
             break;
--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -10,8 +10,14 @@
 
 peer_identity toIdentity(const gateway_settings &settings, std::uint64_t incarnation)
 {
-    return {settings.vm,           settings.dataCenter, settings.region,
-            settings.listen.peers, incarnation,         settings.firstContacts};
+    constexpr double ThousandthsOfACore = 1000.0;
+    return {settings.vm,
+            settings.dataCenter,
+            settings.region,
+            settings.listen.peers,
+            incarnation,
+            settings.firstContacts,
+            static_cast<std::uint32_t>(settings.capacity * ThousandthsOfACore)};
 }
 
 } // namespace
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -3,6 +3,7 @@
 #include <orchidlead/rendezvous.h>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -38,7 +39,9 @@
 // Nodes of a data centre that relay what others hear: while one of them ends the other one is
 // there.
 constexpr std::size_t NewsRelays = 2;
-// And to pick the one that decides on requests under which servers end.
+// Nodes from which hosts are picked, at least: those that can do most.
+constexpr std::size_t LeastHosts = 4;
+// What is hashed to pick the one that decides on requests under which servers end.
 constexpr std::string_view QuarantineRole = "request quarantine";
 
 /// Gives the next ones of a list that may have changed since `last` was taken.
@@ -54,7 +57,8 @@
 membership_options toOptions(const peer_identity &identity)
 {
     membership_options options;
-    options.self = {identity.vm, identity.dataCenter, identity.region, identity.address, false};
+    options.self = {identity.vm,      identity.dataCenter, identity.region,
+                    identity.address, false,               identity.capacity};
     options.incarnation = identity.incarnation;
     options.seed = identity.incarnation;
     options.probeInterval = ProbeInterval;
@@ -208,10 +212,10 @@
     m_partAlive.reset();
 }
 
-std::vector<vm_id> peer_view::candidates(const data_center_id &dataCenter,
-                                         const region_id &region) const
+std::vector<peer_view::candidate> peer_view::candidates(const data_center_id &dataCenter,
+                                                        const region_id &region) const
 {
-    std::vector<vm_id> found;
+    std::vector<candidate> found;
     for (const auto &each : m_members.members()) {
         const bool own = each.vm.vm == self();
         const bool usable = each.state == member_state::Alive && !avoided(each.vm.vm)
@@ -219,11 +223,32 @@
         const bool there = (dataCenter.empty() || each.vm.dataCenter == dataCenter)
             && (region.empty() || each.vm.region == region);
         if (there && (usable || (own && each.state != member_state::Leaving)))
-            found.push_back(each.vm.vm);
+            found.push_back({each.vm.vm, each.vm.capacity});
     }
     return found;
 }
 
+std::vector<vm_id> peer_view::namesOf(const std::vector<candidate> &candidates)
+{
+    std::vector<vm_id> names;
+    names.reserve(candidates.size());
+    for (const auto &each : candidates)
+        names.push_back(each.vm);
+    return names;
+}
+
+// A host's work grows with the data centre, and not with what it can do. Among several, hosts of
+// different pools are spread.
+std::vector<vm_id> peer_view::strongestOf(std::vector<candidate> candidates)
+{
+    if (candidates.size() > LeastHosts) {
+        std::ranges::sort(candidates, std::greater{}, &candidate::capacity);
+        const auto least = candidates[LeastHosts - 1].capacity;
+        std::erase_if(candidates, [&](const candidate &each) { return each.capacity < least; });
+    }
+    return namesOf(candidates);
+}
+
 // The pool of a data centre that has no node left is hosted elsewhere.
 vm_id peer_view::pickHost(const pool_key &pool) const
 {
@@ -232,7 +257,7 @@
         hosts = candidates({}, pool.region);
     if (hosts.empty())
         hosts = candidates({});
-    const auto picked = rendezvousPick(pool.service.value, hosts, 1);
+    const auto picked = rendezvousPick(pool.service.value, strongestOf(std::move(hosts)), 1);
     return picked.empty() ? self() : picked.front();
 }
 
@@ -240,14 +265,19 @@
 {
     if (m_relayOrder.empty()) {
         const auto nodes = candidates(m_identity.dataCenter);
-        m_relayOrder = rendezvousPick(RelayRole, nodes, nodes.size());
+        m_relayOrder = rendezvousPick(RelayRole, namesOf(nodes), nodes.size());
+        std::map<vm_id, std::uint32_t> capacities;
+        for (const auto &each : nodes)
+            capacities.emplace(each.vm, each.capacity);
+        std::ranges::stable_sort(m_relayOrder, std::greater{},
+                                 [&](const vm_id &each) { return capacities.at(each); });
     }
     return m_relayOrder;
 }
 
 std::vector<vm_id> peer_view::relaysIn(const data_center_id &dataCenter) const
 {
-    return rendezvousPick(RelayRole, candidates(dataCenter), NewsRelays);
+    return rendezvousPick(RelayRole, strongestOf(candidates(dataCenter)), NewsRelays);
 }
 
 const std::vector<vm_id> &peer_view::newsReceivers()
@@ -256,7 +286,7 @@
         return *m_newsReceivers;
     auto receivers = relaysIn(m_identity.dataCenter);
     if (std::ranges::find(receivers, self()) != receivers.end()) {
-        receivers = candidates(m_identity.dataCenter);
+        receivers = namesOf(candidates(m_identity.dataCenter));
         std::set<data_center_id> others;
         for (const auto &each : m_members.members())
             others.insert(each.vm.dataCenter);
@@ -271,7 +301,7 @@
 const vm_id &peer_view::quarantineHost()
 {
     if (!m_quarantineHost) {
-        const auto picked = rendezvousPick(QuarantineRole, candidates({}), 1);
+        const auto picked = rendezvousPick(QuarantineRole, strongestOf(candidates({})), 1);
         m_quarantineHost = picked.empty() ? self() : picked.front();
     }
     return *m_quarantineHost;
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -25,6 +25,7 @@
     socket_address address;
     std::uint64_t incarnation = 0;
     std::vector<socket_address> firstContacts; ///< may be away, and may hold this node itself
+    std::uint32_t capacity = 0; ///< in thousandths of a core; 0: not known
 };
 
 /// The other nodes as this node believes them to be, and the roles that follow from it. No I/O.
@@ -58,8 +59,8 @@
     /// Gives the node that hosts a pool as this node sees it; may be itself.
     [[nodiscard]] vm_id hostOf(const pool_key &pool);
     /// Gives the nodes of the own data centre in the order in which what is published goes from one
-    /// to the next: the first ones read the store. Nodes that believe the same members alive give
-    /// the same order. Holds this node unless it leaves.
+    /// to the next: the first ones read the store, those that can do more come first. Nodes that
+    /// believe the same members alive give the same order. Holds this node unless it leaves.
     [[nodiscard]] const std::vector<vm_id> &relayOrder();
     /// Gives the nodes that this node tells what it hears first, so that all hear it in three
     /// steps: two nodes of each data centre relay it to each other and to all of theirs, the others
@@ -100,10 +101,20 @@
     [[nodiscard]] bool avoided(const vm_id &peer) const;
     [[nodiscard]] std::vector<vm_id> relaysIn(const data_center_id &dataCenter) const;
     [[nodiscard]] vm_id pickHost(const pool_key &pool) const;
-    /// Members that may have a role: alive and not avoided; this node unless it leaves. Of one data
-    /// centre, of one region, or, where neither is named, of all.
-    [[nodiscard]] std::vector<vm_id> candidates(const data_center_id &dataCenter,
-                                                const region_id &region = {}) const;
+    /// A member that may have a role.
+    struct candidate
+    {
+        vm_id vm;
+        std::uint32_t capacity = 0;
+    };
+
+    /// Members that are alive and not avoided; this node unless it leaves. Of one data centre, of
+    /// one region, or, where neither is named, of all.
+    [[nodiscard]] std::vector<candidate> candidates(const data_center_id &dataCenter,
+                                                    const region_id &region = {}) const;
+    [[nodiscard]] static std::vector<vm_id> namesOf(const std::vector<candidate> &candidates);
+    /// Those that can do most: some at least, and all that can do as much as the last of them.
+    [[nodiscard]] static std::vector<vm_id> strongestOf(std::vector<candidate> candidates);
 
     const clock_source &m_clock;
     peer_identity m_identity;
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -30,6 +30,16 @@
     return std::nullopt;
 }
 
+std::optional<double> coresOf(const value_reader &reader)
+{
+    constexpr double MostCores = 100'000;
+    const auto parsed = number(reader);
+    if (!parsed || *parsed <= MostCores)
+        return parsed;
+    reader.fail("a number of cores, at most 100000");
+    return std::nullopt;
+}
+
 void parseListen(const value_reader &reader, gateway_listen &listen)
 {
     mapping_reader section(reader);
@@ -80,6 +90,7 @@
     mapping.read("data_center", presence::Required, settings.dataCenter, &value_reader::name);
     mapping.read("region", presence::Required, settings.region, &value_reader::name);
     mapping.read("store", presence::Required, settings.store, &value_reader::address);
+    mapping.read("capacity", presence::Optional, settings.capacity, coresOf);
     if (const auto found = mapping.find("regions"))
         parseRegions(*found, settings.regions);
     if (const auto found = mapping.find("listen", presence::Required))
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -50,6 +50,7 @@
     data_center_id dataCenter;
     region_id region;
     std::map<data_center_id, region_id> regions; ///< of all data centres
+    double capacity = 0; ///< cores that the node may use; 0: not known
     gateway_listen listen;
     socket_address store;
     std::vector<socket_address> firstContacts; ///< peers to ask first; may be away
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -4,8 +4,6 @@
 
 #include <random>
 
-#include <random>
-
 using namespace orchidlead;
 using namespace orchidlead::gateway;
 
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -187,6 +187,40 @@
     CHECK(taken <= milliseconds{3000});
 }
 
+// The pattern: a few large nodes among many small ones. A host's work goes with its data centre.
+TEST_CASE("nodes that can do more host pools and read the store, as long as there are some")
+{
+    constexpr std::size_t Large = 6;
+    peer_fleet fleet(60, 2, 47);
+    for (std::size_t node = 0; node < fleet.size(); ++node)
+        fleet.setCapacity(node, node < 2 * Large ? 500 : 120);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{5000});
+    REQUIRE(fleet.agreed());
+    std::set<vm_id> large;
+    for (std::size_t node = 0; node < 2 * Large; ++node)
+        large.insert(fleet.view(node).self());
+    auto &view = fleet.view(40);
+    std::set<vm_id> hosts;
+    for (int i = 0; i < 40; ++i) {
+        const auto host = view.hostOf({service_id("s" + std::to_string(i)), data_center_id("dc-1")});
+        CHECK(large.contains(host));
+        hosts.insert(host);
+    }
+    CHECK(hosts.size() == Large);
+    const auto &order = view.relayOrder();
+    CHECK(std::all_of(order.begin(), order.begin() + Large,
+                      [&](const vm_id &each) { return large.contains(each); }));
+    // Two large ones are too few to bear all: then all count.
+    for (std::size_t node = 0; node < 2 * (Large - 2); ++node)
+        fleet.kill(node);
+    fleet.run(milliseconds{6000});
+    hosts.clear();
+    for (int i = 0; i < 40; ++i)
+        hosts.insert(view.hostOf({service_id("s" + std::to_string(i)), data_center_id("dc-0")}));
+    CHECK(hosts.size() > 2);
+}
+
 TEST_CASE("a peer that didn't answer has no role for a while, and then again")
 {
     peer_fleet fleet(12, 2, 23);
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -41,6 +41,16 @@
     CHECK(settings.value().bounds.publicationApply == milliseconds{3000});
 }
 
+TEST_CASE("what a node can do is read in cores, and isn't known where it isn't told")
+{
+    CHECK(parseGatewaySettings(Whole, "f").value().capacity == 0);
+    CHECK(parseGatewaySettings(Whole + "capacity: 0.12\n", "f").value().capacity == 0.12);
+    for (const std::string wrong : {"-1", "many", "1e300", ""}) {
+        INFO(wrong);
+        CHECK_FALSE(parseGatewaySettings(Whole + "capacity: " + wrong + "\n", "f"));
+    }
+}
+
 TEST_CASE("each wrong setting is told with its place, and unknown keys are")
 {
     auto text = Whole;
