Have the configuration from peers, too, where the list is long

Change: the first page of the list is read first; where it isn't all, the configuration comes along the tree as every later one does. Before an empty list all have just started, and wait for the first ones, too.

--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -169,8 +169,9 @@
 
 int run()
 {
-    std::cout << " nodes agreed ms  start B    most B  calm B/s  far B/s  cut B/s healed ms killed ms"
-                 " followers  steps\n";
+    std::cout
+        << " nodes agreed ms  start B    most B  calm B/s  far B/s  cut B/s healed ms killed ms"
+           " followers  steps\n";
     std::vector<fleet_figures> all;
     for (const auto &text : absl::GetFlag(FLAGS_nodes)) {
         std::size_t nodes = 0;
@@ -194,7 +195,8 @@
 
 int main(int count, char **arguments)
 {
-    absl::SetProgramUsageMessage("bench-fleet [--nodes=100,300] [--data_centers=6] [--seed=1] [--svg=FILE]");
+    absl::SetProgramUsageMessage(
+        "bench-fleet [--nodes=100,300] [--data_centers=6] [--seed=1] [--svg=FILE]");
     absl::ParseCommandLine(count, arguments);
     return orchidlead::bench::run();
 }
--- a/src/core/membership/membership_claims.cpp
+++ b/src/core/membership/membership_claims.cpp
@@ -57,8 +57,12 @@
     if (table.unlisted() >= options.maxUnlisted || table.all().size() >= options.maxMembers)
         return false;
     member_record fresh;
-    fresh.vm = {update.vm, update.description->dataCenter, update.description->region,
-                update.description->address, false, update.description->capacity};
+    fresh.vm = {update.vm,
+                update.description->dataCenter,
+                update.description->region,
+                update.description->address,
+                false,
+                update.description->capacity};
     table.add(std::move(fresh));
     return true;
 }
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -57,8 +57,8 @@
 membership_options toOptions(const peer_identity &identity)
 {
     membership_options options;
-    options.self = {identity.vm,      identity.dataCenter, identity.region,
-                    identity.address, false,               identity.capacity};
+    options.self = {identity.vm, identity.dataCenter, identity.region, identity.address,
+                    false,       identity.capacity};
     options.incarnation = identity.incarnation;
     options.seed = identity.incarnation;
     options.probeInterval = ProbeInterval;
--- a/src/gateway/publication/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -82,7 +82,7 @@
     const bool settled = m_loop.now() - m_startedAt >= SettleTime;
     const bool reader = settled && place.level == 0;
     if (m_store.waitsForList() && (reader || listIsOverdue(place)))
-        m_store.readOn(reader ? read_freshness::Latest : read_freshness::MayBeOld);
+        m_store.readList(reader ? read_freshness::Latest : read_freshness::MayBeOld);
     // A reader that the store doesn't answer follows the other one meanwhile.
     const bool mayFollow = m_store.whole() || m_store.waitsForList();
     const bool follows = mayFollow && (!reader || !m_store.current());
@@ -183,10 +183,9 @@
     publication_frame frame;
     if (const auto since = currentAt(); since && m_state.listed()) {
         frame.current = true;
-        frame.age = m_store.current() ? ReadsItself
-                                      : std::max(LeastRelayedAge,
-                                                 std::chrono::ceil<milliseconds>(m_loop.now()
-                                                                                 - *since));
+        frame.age = m_store.current()
+            ? ReadsItself
+            : std::max(LeastRelayedAge, std::chrono::ceil<milliseconds>(m_loop.now() - *since));
     }
     frame.configurationVersion = std::max(m_configurations.ownVersion(), m_heardVersion);
     frame.revision = m_store.revision();
--- a/src/gateway/publication/store_follower.h
+++ b/src/gateway/publication/store_follower.h
@@ -23,11 +23,11 @@
 };
 
 /// Reads the store: first what operators published and a list of servers that may be old, so that
-/// the node can serve at once. Of a list of many pages it reads the first one: were all nodes to
-/// read it whole when they start together, the store's link would take as long as all of them have
-/// servers. Then it waits until it is told to read on, since others may read for this node; it goes
-/// on from what they told, or else reads the latest list, watches it, and begins anew when its
-/// history is gone.
+/// the node can serve at once. Where the list has many pages it reads no more than the first one:
+/// were all nodes to read it whole when they start together, the store's link would be busy for as
+/// many lists as there are nodes. Then it waits until it is told to read on, since others may read
+/// for this node; it goes on from what they told, or else reads the latest list, watches it, and
+/// begins anew when its history is gone.
 template <gateway_codec Codec>
 class store_follower
 {
@@ -36,13 +36,14 @@
                    published_state &state, std::function<void(publication_news)> onNews,
                    wire::log &log, std::uint32_t seed, const store_options &options = {});
 
-    void start() { readOperations({}, read_freshness::MayBeOld); }
+    void start() { readFirstPage(); }
     /// Begins or ends to read on. Reading begins where it ended, or where others have come since.
     void setReading(bool reading);
-    /// A list of many pages waits until it is read on, or comes from others.
-    [[nodiscard]] bool waitsForList() const { return m_pausedAfter.has_value(); }
-    /// Reads on a list that waits: from its next page where it may be old, else all anew.
-    void readOn(read_freshness freshness);
+    /// A list of many pages waits until it is read, or comes from others; so does what operators
+    /// published.
+    [[nodiscard]] bool waitsForList() const { return m_waitsForList; }
+    /// Reads what waits.
+    void readList(read_freshness ofServers);
     /// Reads the configuration alone, whether this node reads or not.
     void fetchConfiguration();
     /// Other nodes rely on what this one reads.
@@ -85,9 +86,11 @@
     };
     using page_reader = result<published_page, codec_error> (*)(std::string_view);
 
+    void readFirstPage();
     /// Reads all that operators published, from the page after that key on; then the servers.
     void readOperations(const std::string &after, read_freshness ofServers);
     void readServers(const std::string &after, read_freshness freshness);
+    void onServers(published_page &&page, read_freshness freshness);
     void watch();
     http::pool_call get(const std::string &target, milliseconds timeout,
                         std::function<void(const store_answer &)> onAnswer);
@@ -117,8 +120,8 @@
     std::uint64_t m_listRevision = 0; ///< when the first page was read
     bool m_whole = false; ///< has read everything once since the history was lost
     bool m_latest = false; ///< and what was read was the latest: changes can be watched from there
-    bool m_readsWhole = false; ///< lists of many pages, too
-    std::optional<std::string> m_pausedAfter; ///< key behind which a list that may be old waits
+    std::optional<published_page> m_firstPage; ///< that was read before what operators published
+    bool m_waitsForList = false;
     bool m_waits = false; ///< has read what may be old, and waits to be told to read on
     bool m_connected = false;
     bool m_reading = true;
--- a/src/gateway/publication/store_follower_impl.h
+++ b/src/gateway/publication/store_follower_impl.h
@@ -69,26 +69,32 @@
 {
     m_revision = std::max(m_revision, revision);
     m_latest = true;
-    if (!m_pausedAfter)
+    if (!std::exchange(m_waitsForList, false))
         return;
-    m_pausedAfter.reset();
-    m_list.clear();
-    m_listRevision = 0;
     m_whole = true;
     m_waits = true;
 }
 
 template <gateway_codec Codec>
-void store_follower<Codec>::readOn(read_freshness freshness)
+void store_follower<Codec>::readFirstPage()
 {
-    const auto after = std::exchange(m_pausedAfter, std::nullopt);
-    if (!after)
-        return;
-    m_readsWhole = true;
-    if (freshness == read_freshness::MayBeOld)
-        readServers(*after, freshness);
-    else
-        readOperations({}, freshness);
+    m_again = [this] { readFirstPage(); };
+    call(Codec::serversTarget({}, read_freshness::MayBeOld), m_options.answerTimeout,
+         &Codec::readPage, [this](published_page &&page) {
+             // Before an empty one all have just started, and the first ones hear what comes.
+             m_waitsForList = page.more || page.items.empty();
+             if (m_waitsForList)
+                 return;
+             m_firstPage = std::move(page);
+             readOperations({}, read_freshness::MayBeOld);
+         });
+}
+
+template <gateway_codec Codec>
+void store_follower<Codec>::readList(read_freshness ofServers)
+{
+    if (std::exchange(m_waitsForList, false))
+        readOperations({}, ofServers);
 }
 
 template <gateway_codec Codec>
@@ -109,43 +115,45 @@
              }
              report(m_state.applyOperations(m_list, m_listRevision));
              m_list.clear();
-             readServers({}, ofServers);
+             if (auto servers = std::exchange(m_firstPage, std::nullopt))
+                 onServers(std::move(*servers), ofServers);
+             else
+                 readServers({}, ofServers);
          });
 }
 
-// Pages aren't read at one moment, and may be seconds old where that is allowed. So the watch
-// begins at the earliest revision of them all, and sees again what changed since.
 template <gateway_codec Codec>
 void store_follower<Codec>::readServers(const std::string &after, read_freshness freshness)
 {
     m_again = [this, after, freshness] { readServers(after, freshness); };
     call(Codec::serversTarget(after, freshness), m_options.answerTimeout, &Codec::readPage,
-         [this, freshness](published_page &&page) {
-             if (m_listRevision == 0 || page.revision < m_listRevision)
-                 m_listRevision = page.revision;
-             std::ranges::move(page.items, std::back_inserter(m_list));
-             const bool more = page.more && !page.lastKey.empty();
-             if (more && freshness == read_freshness::MayBeOld && !m_readsWhole) {
-                 m_pausedAfter = page.lastKey;
-                 return;
-             }
-             if (more) {
-                 readServers(page.lastKey, freshness);
-                 return;
-             }
-             report(m_state.applyList(m_list));
-             m_list.clear();
-             // An old list comes with the revision of now, but lacks what happened before it.
-             const auto read = std::exchange(m_listRevision, 0);
-             m_revision = freshness == read_freshness::Latest ? read : 0;
-             m_whole = true;
-             m_latest = freshness == read_freshness::Latest;
-             m_waits = !m_latest;
-             if (m_waits)
-                 return;
-             tell({{}, true});
-             watch();
-         });
+         [this, freshness](published_page &&page) { onServers(std::move(page), freshness); });
+}
+
+// Pages aren't read at one moment, and may be seconds old where that is allowed. So the watch
+// begins at the earliest revision of them all, and sees again what changed since.
+template <gateway_codec Codec>
+void store_follower<Codec>::onServers(published_page &&page, read_freshness freshness)
+{
+    if (m_listRevision == 0 || page.revision < m_listRevision)
+        m_listRevision = page.revision;
+    std::ranges::move(page.items, std::back_inserter(m_list));
+    if (page.more && !page.lastKey.empty()) {
+        readServers(page.lastKey, freshness);
+        return;
+    }
+    report(m_state.applyList(m_list));
+    m_list.clear();
+    // An old list comes with the revision of now, but lacks what happened before it.
+    const auto read = std::exchange(m_listRevision, 0);
+    m_revision = freshness == read_freshness::Latest ? read : 0;
+    m_whole = true;
+    m_latest = freshness == read_freshness::Latest;
+    m_waits = !m_latest;
+    if (m_waits)
+        return;
+    tell({{}, true});
+    watch();
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/publication/store_options.h
+++ b/src/gateway/publication/store_options.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
 
 #include <cstddef>
-#include <orchidlead/ids.h>
 
 namespace orchidlead::gateway {
 
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -244,10 +244,9 @@
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
         return servers;
-    std::ranges::copy_if(found->second.all, std::back_inserter(servers),
-                         [&](const server_ptr &each) {
-                             return each->usable() && allowed.allows(each->region);
-                         });
+    std::ranges::copy_if(
+        found->second.all, std::back_inserter(servers),
+        [&](const server_ptr &each) { return each->usable() && allowed.allows(each->region); });
     return servers;
 }
 
@@ -275,7 +274,8 @@
 bool server_directory::usableIn(const service_id &service, const data_center_id &dataCenter) const
 {
     const auto *list = listFor({service, dataCenter, {}});
-    return list && std::ranges::any_of(*list, [](const server_ptr &each) { return each->usable(); });
+    return list
+        && std::ranges::any_of(*list, [](const server_ptr &each) { return each->usable(); });
 }
 
 bool server_directory::anyBounded(const service_id &service, const residency &allowed) const
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -203,8 +203,8 @@
     /// Spreads the ends of times that servers ask for: many nodes are asked at once. None by
     /// default.
     void setBackoffSpread(backoff_spread spread) { m_backoffSpread = std::move(spread); }
-    /// A request's bytes go to the server now, and others may follow at once. Every path to a server
-    /// calls this.
+    /// A request's bytes go to the server now, and others may follow at once. Every path to a
+    /// server calls this.
     void onSending(server &which);
     /// An answer of the server began, whatever its status. Every path that gets answers calls this.
     void onSignals(server &which, const server_signals &told);
--- a/tests/gateway/data_center_reach_test.cpp
+++ b/tests/gateway/data_center_reach_test.cpp
@@ -105,7 +105,8 @@
     CHECK(world.reach.reaches(Other));
 }
 
-TEST_CASE("the silence of a data centre counts from its first use on, and is looked into for a while")
+TEST_CASE(
+    "the silence of a data centre counts from its first use on, and is looked into for a while")
 {
     fixture world;
     world.reach.onHeard(Other);
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -203,7 +203,8 @@
     auto &view = fleet.view(40);
     std::set<vm_id> hosts;
     for (int i = 0; i < 40; ++i) {
-        const auto host = view.hostOf({service_id("s" + std::to_string(i)), data_center_id("dc-1")});
+        const auto host =
+            view.hostOf({service_id("s" + std::to_string(i)), data_center_id("dc-1")});
         CHECK(large.contains(host));
         hosts.insert(host);
     }
--- a/tests/gateway/rate_share_test.cpp
+++ b/tests/gateway/rate_share_test.cpp
@@ -1,5 +1,5 @@
-#include "gateway/servers/rate_pace.h"
 #include "bench/fleet/peer_fleet.h"
+#include "gateway/servers/rate_pace.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -176,8 +176,8 @@
         const auto running = *rc::gen::inRange(0U, 100'000U);
         const auto waiting = *rc::gen::inRange(0U, 100'000U);
         const auto slots = *rc::gen::inRange(1U, 100'000U);
-        auto text = std::to_string(running) + "," + std::to_string(waiting) + ", "
-            + std::to_string(slots);
+        auto text =
+            std::to_string(running) + "," + std::to_string(waiting) + ", " + std::to_string(slots);
         const auto further = *rc::gen::container<std::vector<std::string>>(
             rc::gen::container<std::string>(rc::gen::inRange(' ', '~')));
         for (const auto &each : further)
--- a/tests/platform/forwarding_test.cpp
+++ b/tests/platform/forwarding_test.cpp
@@ -177,12 +177,12 @@
 {
     plain_world w("unsafe", 2);
     const fake_server *gone = nullptr;
-    w.failOnce([&](const server_request & /*request*/,
-                   const std::shared_ptr<server_answer> &answer) {
-        gone = w.first.requests().empty() ? &w.second : &w.first;
-        answer->write("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-9\r\n"
-                      "Content-Length: 0\r\n\r\n");
-    });
+    w.failOnce(
+        [&](const server_request & /*request*/, const std::shared_ptr<server_answer> &answer) {
+            gone = w.first.requests().empty() ? &w.second : &w.first;
+            answer->write("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: i-9\r\n"
+                          "Content-Length: 0\r\n\r\n");
+        });
     CHECK(w.ask()->body == "second");
     REQUIRE(gone);
     for (int i = 2; i < 8; ++i)
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -3,6 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 /// Nodes that hear from others what the store publishes.
 using namespace orchidlead;
 using namespace orchidlead::platform_world;
@@ -185,3 +189,43 @@
         CHECK(w.answers(name, "/p/", 200));
     }
 }
+
+// The pattern: all nodes start at once before thousands of servers. Were each to read the whole
+// list, the store's link would be busy for as many lists as there are nodes.
+TEST_CASE(
+    "of a long list each node reads one page, and has the rest from those that read the store")
+{
+    constexpr std::size_t Servers = 40;
+    constexpr std::size_t PageSize = 4;
+    world w;
+    for (std::size_t i = 0; i < Servers; ++i)
+        w.addServer("web", "i-" + std::to_string(i));
+    w.publish(5, plainRoute("safe"));
+    w.store.setPageSize(PageSize);
+    std::vector<gateway::gateway<platform::codec> *> nodes;
+    for (const std::string name : {"g1", "g2", "g3", "g4", "g5", "g6"})
+        nodes.push_back(&w.startGateway(name, false));
+    REQUIRE(w.runUntil(
+        [&] { return std::ranges::all_of(nodes, [](const auto *each) { return each->ready(); }); },
+        milliseconds{2500}));
+    // Two that read; beside these a page of each node, and a few watches.
+    constexpr std::size_t Pages = Servers / PageSize + 1;
+    CHECK(w.store.calls() <= 2 * Pages + nodes.size() + 8);
+    CHECK(w.store.configurationReads() <= 2);
+    for (const std::string name : {"g1", "g2", "g3", "g4", "g5", "g6"}) {
+        const auto answer = w.request(name, makeRequest("GET", "/p/", "a" + name));
+        REQUIRE(w.await(answer));
+        CHECK(answer->status == 200);
+    }
+}
+
+TEST_CASE("a node that nobody tells a long list reads it by itself")
+{
+    world w;
+    for (std::size_t i = 0; i < 12; ++i)
+        w.addServer("web", "i-" + std::to_string(i));
+    w.publish(5, plainRoute("safe"));
+    w.store.setPageSize(4);
+    auto &alone = w.startGateway("g1", false);
+    CHECK(w.runUntil([&] { return alone.ready(); }, milliseconds{2500}));
+}
