Hold patient requests while a node starts

Ruled out: a later Retry-After alone: clients come back within a third of their time at most, and plain requests have none to wait. Change: a request with 3 s of patience or more waits for a quarter of it, as long as the node has started less than 4 s ago; 256 at most. Its time counts from when it came. Tests: one that failed before (503), and one of a node that is held up for longer.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -67,8 +67,9 @@
 class exchange final : public std::enable_shared_from_this<exchange<Codec>>
 {
 public:
+    /// `arrival`: from when on its time counts.
     exchange(gateway_context<Codec> &context, http::inbound_ptr client, http::request_head head,
-             std::string body);
+             std::string body, steady_time arrival);
 
     void start();
     /// Says that no server runs the request, and when to come back.
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -15,13 +15,13 @@
 
 template <gateway_codec Codec>
 exchange<Codec>::exchange(gateway_context<Codec> &context, http::inbound_ptr client,
-                          http::request_head head, std::string body)
+                          http::request_head head, std::string body, steady_time arrival)
     : m_context(context)
     , m_client(std::move(client))
     , m_head(std::move(head))
     , m_body(std::move(body))
     , m_configuration(context.configuration)
-    , m_arrival(context.loop.now())
+    , m_arrival(arrival)
     , m_splitter(MaxEventBytes)
 { }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/exchange/early_requests.h"
 #include "gateway/exchange/exchange.h"
 #include "gateway/publication/publication_relay.h"
 #include "gateway/publication/published_state.h"
@@ -30,6 +31,11 @@
     [[nodiscard]] bool ready() const;
 
 private:
+    /// Whether the node knows what it needs to serve requests.
+    [[nodiscard]] bool prepared() const { return m_state.current() && m_state.listed(); }
+    void begin(early_request &&request);
+    void releaseEarlyRequests();
+
     [[nodiscard]] std::optional<http::listen_error> listen();
     void onRequest(const http::inbound_ptr &client, http::request_head &&head, std::string &&body);
     void onReadinessRequest(const http::inbound_ptr &client, const http::request_head &head);
@@ -76,6 +82,7 @@
     std::unique_ptr<http::listener> m_readinessListener;
     std::vector<std::weak_ptr<exchange<Codec>>> m_exchanges; ///< open ones, and ended ones
     std::size_t m_sweepAt = 0;
+    early_requests m_early;
     bool m_wasReady = false;
     steady_time m_nextSummary{};
     steady_time m_configurationSince{};
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -124,6 +124,7 @@
                 }}
     , m_clients(std::make_shared<http::inbound_shared>())
     , m_probes(std::make_shared<http::inbound_shared>())
+    , m_early(loop.clock())
 {
     m_allowance.setNodes(AssumedNodes);
     m_directory.setSelf(m_settings.vm);
@@ -196,7 +197,7 @@
 template <gateway_codec Codec>
 bool gateway<Codec>::ready() const
 {
-    return m_state.current() && m_state.listed() && !m_stopping;
+    return prepared() && !m_stopping;
 }
 
 template <gateway_codec Codec>
@@ -207,8 +208,31 @@
         exchange<Codec>::refuse(*client);
         return;
     }
-    const auto made =
-        std::make_shared<exchange<Codec>>(m_context, client, std::move(head), std::move(body));
+    early_request request{client, std::move(head), std::move(body), m_loop.now(), {}};
+    if (!prepared()) {
+        const auto patience = Codec::readRequest(request.head).patience;
+        if (const auto until = m_early.holdUntil(patience.value_or(milliseconds{0}))) {
+            request.until = *until;
+            m_early.hold(std::move(request));
+            return;
+        }
+    }
+    begin(std::move(request));
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::releaseEarlyRequests()
+{
+    for (auto &each : m_early.takeDue(prepared() || m_stopping))
+        begin(std::move(each));
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::begin(early_request &&request)
+{
+    const auto made = std::make_shared<exchange<Codec>>(m_context, std::move(request.client),
+                                                        std::move(request.head),
+                                                        std::move(request.body), request.arrival);
     if (m_exchanges.size() >= m_sweepAt) {
         std::erase_if(m_exchanges, [](const auto &weak) { return weak.expired(); });
         m_sweepAt = std::max(LeastSweep, 2 * m_exchanges.size());
@@ -447,6 +471,7 @@
         logEachSecond();
     }
     m_relay.tick();
+    releaseEarlyRequests();
     if (m_stopping)
         checkStopped();
     m_loop.callAfter(TickInterval, [this] { tick(); });
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -229,3 +229,39 @@
     auto &alone = w.startGateway("g1", false);
     CHECK(w.runUntil([&] { return alone.ready(); }, milliseconds{2500}));
 }
+
+// The pattern: all nodes were ended, and clients come to those that start.
+TEST_CASE("a patient request that comes while a node starts is served when it is prepared")
+{
+    world w;
+    auto &server = w.addServer("web", "i-1");
+    w.publish(5, plainRoute("safe"));
+    w.store.sendListsIn(4, milliseconds{200});
+    w.startGateway("g1", false);
+    auto patient = makeRequest("GET", "/p/", "a1");
+    patient.fields[2].value = "6000";
+    auto hasty = makeRequest("GET", "/p/", "a2");
+    hasty.fields[2].value = "1000";
+    const auto held = w.request("g1", patient);
+    const auto refused = w.request("g1", hasty);
+    REQUIRE(w.await(refused));
+    CHECK(refused->status == 503);
+    CHECK(w.readiness("g1") == 503);
+    REQUIRE(w.await(held));
+    CHECK(held->status == 200);
+    CHECK(server.requests().size() == 1);
+}
+
+TEST_CASE("a request that a node holds in vain is refused long before its time is over")
+{
+    world w;
+    w.store.failWith(503);
+    w.startGateway("g1", false);
+    auto patient = makeRequest("GET", "/p/", "a1");
+    patient.fields[2].value = "6000";
+    const auto began = w.clock.now();
+    const auto held = w.request("g1", patient);
+    REQUIRE(w.await(held));
+    CHECK(held->status == 503);
+    CHECK(w.clock.now() - began < milliseconds{2500});
+}
