Look into data centres without work of this node, too, after a second and a half

Ruled out for now: nodes tell each other what they lost; they would have to look for themselves all the same. Change: a data centre where a node has no work is asked after 1.5 s of silence and lost after 2.3 s; with work after 0.15 and 0.5 s, as before.

--- a/src/gateway/peers/data_center_reach.cpp
+++ b/src/gateway/peers/data_center_reach.cpp
@@ -6,16 +6,26 @@
 
 namespace {
 
-// Probes of members leave longer silences than this. Who has work in a data centre therefore asks
-// for signs of life: a round trip takes a few milliseconds, up to 40 between regions.
-constexpr milliseconds AskPeersAfter{150};
-// All nodes of a data centre may have been killed while its servers live.
-constexpr milliseconds AskServersAfter{250};
-// Four rounds of questions went unanswered by then, seven in all, and two connections: with one
+/// What is done about a silent data centre, and when. All of its nodes may have been killed while
+/// its servers live: these are asked, too.
+struct reach_times
+{
+    milliseconds askPeersAfter;
+    milliseconds askServersAfter;
+    milliseconds lostAfter;
+    milliseconds askEach; ///< while it is silent
+};
+// Probes of members leave longer silences than this. Who has work there therefore asks for signs of
+// life: a round trip takes a few milliseconds, up to 40 between regions. Four rounds of questions,
+// seven in all, and two connections were without an answer before it counts as lost: with one
 // packet in five lost, that happens by chance once in some thousand times.
-constexpr milliseconds LostAfter{500};
-// How often is asked while a data centre is silent, and while it is lost.
-constexpr milliseconds AskEach{100};
+constexpr reach_times WithWorkThere{milliseconds{150}, milliseconds{250}, milliseconds{500},
+                                    milliseconds{100}};
+// Where a node has no work it is in no hurry, but the first request that goes there shouldn't have
+// to find out.
+constexpr reach_times WithoutWork{milliseconds{1500}, milliseconds{1800}, milliseconds{2300},
+                                  milliseconds{250}};
+// How often is asked while a data centre is lost.
 constexpr milliseconds AskLostEach{300};
 // Nodes that are asked at first, as most of them answer, and then.
 constexpr std::size_t FirstAsked = 1;
@@ -73,23 +83,23 @@
     const auto now = m_clock.now();
     for (auto &[dataCenter, known] : m_states) {
         const auto silent = now - known.heard;
-        if (known.lost && silent < LostAfter) {
+        const auto &times = now < known.usedUntil ? WithWorkThere : WithoutWork;
+        if (known.lost && silent < WithWorkThere.lostAfter) {
             known.lost = false;
             events.push_back({dataCenter, reach_step::Regained});
         }
-        const bool counts = known.lost || now < known.usedUntil;
-        if (!counts || silent < AskPeersAfter)
+        if (silent < times.askPeersAfter)
             continue;
-        if (!known.lost && silent >= LostAfter) {
+        if (!known.lost && silent >= times.lostAfter) {
             known.lost = true;
             events.push_back({dataCenter, reach_step::Lost});
         }
         if (now < known.nextAsk)
             continue;
-        known.nextAsk = now + (known.lost ? AskLostEach : AskEach);
+        known.nextAsk = now + (known.lost ? AskLostEach : times.askEach);
         const auto count = std::exchange(known.asked, true) ? ThenAsked : FirstAsked;
         events.push_back({dataCenter, reach_step::AskPeers, count});
-        if (silent >= AskServersAfter)
+        if (silent >= times.askServersAfter)
             events.push_back({dataCenter, reach_step::AskServers});
     }
     return events;
--- a/src/gateway/peers/data_center_reach.h
+++ b/src/gateway/peers/data_center_reach.h
@@ -29,8 +29,8 @@
 ///
 /// A cut takes all of a data centre at once. Noticed server by server it costs each of them a
 /// timeout, and each request that waits there its aim; noticed as a whole it costs half a second.
-/// Only data centres where this node has work are looked into: one that isn't used counts as it did
-/// last, and one that was never heard of as reached.
+/// Data centres where this node has work are looked into at once, others after a second. One that
+/// was never heard of counts as reached.
 class data_center_reach
 {
 public:
@@ -47,7 +47,7 @@
     struct state
     {
         steady_time heard;
-        steady_time usedUntil; ///< silence counts until then
+        steady_time usedUntil; ///< this node has work there until then
         steady_time nextAsk;
         bool asked = false; ///< since something was last heard
         bool lost = false;
