--- a/include/orchidlead/membership.h
+++ b/include/orchidlead/membership.h
@@ -41,8 +41,7 @@
     region_id region;
     socket_address peerAddress; ///< UDP gossip and TCP JSON-RPC share the number
     bool leaving = false;
-    std::uint32_t capacity =
-        0; ///< what it can do beside others, in thousandths of a core; 0: unknown
+    std::uint32_t capacity = 0; ///< thousandths of a core that it may use; 0: unknown
 
     friend auto operator<=>(const listed_vm &, const listed_vm &) = default;
 };
--- a/src/gateway/peers/data_center_reach.cpp
+++ b/src/gateway/peers/data_center_reach.cpp
@@ -30,8 +30,8 @@
 // Nodes that are asked at first, as most of them answer, and then.
 constexpr std::size_t FirstAsked = 1;
 constexpr std::size_t ThenAsked = 2;
-// How long after its last use a data centre is looked into: requests are answered, or begin to be,
-// within this, and answers that come are uses, too.
+// How long after its last use a node counts as having work in a data centre: requests are answered,
+// or begin to be, within this, and answers that come are uses, too.
 constexpr milliseconds UseMemory{2000};
 // A longer gap between ticks, which come every 100 ms, is a pause of this process.
 constexpr milliseconds PauseThreshold{250};
@@ -53,7 +53,7 @@
     known.asked = false;
 }
 
-// While it wasn't used its silence meant nothing, so that counts from the first use on.
+// Before, nothing was asked in time, so silence that counts at once begins with the first use.
 void data_center_reach::onUse(const data_center_id &which)
 {
     const auto found = m_states.find(which);
--- a/src/gateway/publication/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -80,9 +80,9 @@
     [[nodiscard]] std::optional<steady_time> currentAt() const;
     /// What differs from what a peer knows.
     [[nodiscard]] publication_frame makeDifference(const list_digest &known);
-    [[nodiscard]] const list_digest &ownDigest();
     /// The same, encoded; followers that start together know the same.
     [[nodiscard]] const std::string &encodedDifference(const list_digest &known);
+    [[nodiscard]] const list_digest &ownDigest();
     /// Removals that aren't believed yet.
     [[nodiscard]] publication_frame makeDeferred() const;
     [[nodiscard]] publication_frame makeChanges(const store_news &news) const;
