Hold an early request in one step

Cause: reading the change: whether a request may wait was one call and keeping it another, with a field set between them; each request of any time was carried in a record named for early ones; whether its client had left was looked at twice. Ruled out: holding whole exchanges instead: they take the configuration in force when they are made. Change: hold() takes the request or leaves it; the time until which it is held is the holder's own. The same bounds.

--- a/src/gateway/exchange/early_requests.cpp
+++ b/src/gateway/exchange/early_requests.cpp
@@ -1,7 +1,7 @@
 #include "gateway/exchange/early_requests.h"
 
 #include <algorithm>
-#include <iterator>
+#include <cstddef>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -24,27 +24,28 @@
     , m_startedAt(clock.now())
 { }
 
-std::optional<steady_time> early_requests::holdUntil(milliseconds patience) const
+bool early_requests::hold(arrived_request &request, milliseconds patience)
 {
     const auto now = m_clock.now();
-    if (patience < LeastPatience || m_held.size() >= MostHeld || now >= m_startedAt + StartTime)
-        return std::nullopt;
-    return std::min(now + patience / HeldPart, m_startedAt + StartTime);
+    const auto started = m_startedAt + StartTime;
+    if (patience < LeastPatience || m_held.size() >= MostHeld || now >= started)
+        return false;
+    m_held.push_back({std::move(request), std::min(now + patience / HeldPart, started)});
+    return true;
 }
 
-std::vector<early_request> early_requests::takeDue(bool prepared)
+std::vector<arrived_request> early_requests::takeDue(bool prepared)
 {
+    std::erase_if(m_held, [](const auto &each) { return !each.request.client->open(); });
     const auto now = m_clock.now();
-    const auto isDue = [&](const early_request &each) {
-        return prepared || now >= each.until || !each.client->open();
-    };
-    const auto due = std::stable_partition(m_held.begin(), m_held.end(),
-                                           [&](const auto &each) { return !isDue(each); });
-    std::vector<early_request> taken(std::make_move_iterator(due),
-                                     std::make_move_iterator(m_held.end()));
-    m_held.erase(due, m_held.end());
-    std::erase_if(taken, [](const auto &each) { return !each.client->open(); });
-    return taken;
+    const auto firstDue =
+        std::stable_partition(m_held.begin(), m_held.end(),
+                              [&](const auto &each) { return !prepared && now < each.until; });
+    std::vector<arrived_request> due;
+    for (auto each = firstDue; each != m_held.end(); ++each)
+        due.push_back(std::move(each->request));
+    m_held.erase(firstDue, m_held.end());
+    return due;
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/early_requests.h
+++ b/src/gateway/exchange/early_requests.h
@@ -5,21 +5,18 @@
 
 #include <orchidlead/clock.h>
 
-#include <cstddef>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace orchidlead::gateway {
 
-/// A request that came before its node knew what it needs to serve it.
-struct early_request
+/// A request as it came from its client.
+struct arrived_request
 {
     http::inbound_ptr client;
     http::request_head head;
     std::string body;
-    steady_time arrival;
-    steady_time until; ///< is refused then, if the node still isn't prepared
+    steady_time at;
 };
 
 /// Holds requests that come to a node that has just started.
@@ -32,17 +29,22 @@
 public:
     explicit early_requests(const clock_source &clock);
 
-    /// How long a request with that patience may be held from now on; empty: not at all.
-    [[nodiscard]] std::optional<steady_time> holdUntil(milliseconds patience) const;
-    void hold(early_request request) { m_held.push_back(std::move(request)); }
+    /// Takes a request with that patience; false, and `request` as it was, where it can't wait.
+    [[nodiscard]] bool hold(arrived_request &request, milliseconds patience);
     /// Gives the requests that are to be served or refused now: all if the node is `prepared`.
     /// Those whose clients have left aren't among them.
-    [[nodiscard]] std::vector<early_request> takeDue(bool prepared);
+    [[nodiscard]] std::vector<arrived_request> takeDue(bool prepared);
 
 private:
+    struct held_request
+    {
+        arrived_request request;
+        steady_time until; ///< is refused then, if the node still isn't prepared
+    };
+
     const clock_source &m_clock;
     steady_time m_startedAt;
-    std::vector<early_request> m_held;
+    std::vector<held_request> m_held;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,7 +33,7 @@
 private:
     /// Whether the node knows what it needs to serve requests.
     [[nodiscard]] bool prepared() const { return m_state.current() && m_state.listed(); }
-    void begin(early_request &&request);
+    void begin(arrived_request &&request);
     void releaseEarlyRequests();
 
     [[nodiscard]] std::optional<http::listen_error> listen();
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -208,16 +208,13 @@
         exchange<Codec>::refuse(*client);
         return;
     }
-    early_request request{client, std::move(head), std::move(body), m_loop.now(), {}};
-    if (!prepared()) {
+    arrived_request request{client, std::move(head), std::move(body), m_loop.now()};
+    const auto isHeld = [&] {
         const auto patience = Codec::readRequest(request.head).patience;
-        if (const auto until = m_early.holdUntil(patience.value_or(milliseconds{0}))) {
-            request.until = *until;
-            m_early.hold(std::move(request));
-            return;
-        }
-    }
-    begin(std::move(request));
+        return m_early.hold(request, patience.value_or(milliseconds{0}));
+    };
+    if (prepared() || !isHeld())
+        begin(std::move(request));
 }
 
 template <gateway_codec Codec>
@@ -228,11 +225,11 @@
 }
 
 template <gateway_codec Codec>
-void gateway<Codec>::begin(early_request &&request)
+void gateway<Codec>::begin(arrived_request &&request)
 {
     const auto made = std::make_shared<exchange<Codec>>(m_context, std::move(request.client),
                                                         std::move(request.head),
-                                                        std::move(request.body), request.arrival);
+                                                        std::move(request.body), request.at);
     if (m_exchanges.size() >= m_sweepAt) {
         std::erase_if(m_exchanges, [](const auto &weak) { return weak.expired(); });
         m_sweepAt = std::max(LeastSweep, 2 * m_exchanges.size());
