--- a/src/gateway/publication/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -74,6 +74,7 @@
     void apply(const publication_frame &frame, const vm_id &reader);
     void applyAnswer(const publication_frame &frame);
     std::vector<publication_news> applyServers(const publication_frame &frame);
+    [[nodiscard]] bool readsStore() const { return m_state.listed() && m_store.current(); }
     /// When a reader that this node follows last read the store; empty: too long ago to count.
     [[nodiscard]] std::optional<steady_time> sourcesCurrentAt() const;
     /// The same of any reader, this node included.
