Look members up by address in their table

Cause: a contact searched the table by address in its own loop; a comment was broken into a line of one word. Ruled out: giving contact() the members: first contacts have none. Change: member_table::findAt. Conclusion: the loop stands with the records.

--- a/src/core/membership/member_table.cpp
+++ b/src/core/membership/member_table.cpp
@@ -36,6 +36,13 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
+const member_record *member_table::findAt(const socket_address &address) const
+{
+    const auto found = std::ranges::find_if(
+        m_records, [&](const auto &entry) { return entry.second.vm.peerAddress == address; });
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
 member_record *member_table::edit(const vm_id &vm)
 {
     m_digest.reset();
--- a/src/core/membership/member_table.h
+++ b/src/core/membership/member_table.h
@@ -55,6 +55,8 @@
 
     [[nodiscard]] const records &all() const { return m_records; }
     [[nodiscard]] const member_record *find(const vm_id &vm) const;
+    /// Finds who has that address; takes a pass over all.
+    [[nodiscard]] const member_record *findAt(const socket_address &address) const;
     /// Gives the record for changing; the digest is computed anew.
     [[nodiscard]] member_record *edit(const vm_id &vm);
     /// Notes that a member was heard of; false where it isn't in the table.
--- a/src/core/membership/membership_claims.cpp
+++ b/src/core/membership/membership_claims.cpp
@@ -54,8 +54,7 @@
 {
     if (!update.description || update.status != member_status::Alive)
         return false;
-    // Counting takes a pass over all, for each that joins; there are no more unlisted ones than
-    // all.
+    // Counting them takes a pass over all, for each that joins.
     const auto all = table.all().size();
     const bool tooMany = all >= options.maxUnlisted && table.unlisted() >= options.maxUnlisted;
     if (tooMany || all >= options.maxMembers)
--- a/src/core/membership/membership_gossip.cpp
+++ b/src/core/membership/membership_gossip.cpp
@@ -98,10 +98,8 @@
     for (const auto &address : addresses) {
         auto message = makeMessage(gossip_kind::Ping, ++m_sequence);
         describeSelf(message);
-        const auto known = std::ranges::find_if(
-            table.all(), [&](const auto &entry) { return entry.second.vm.peerAddress == address; });
-        if (known != table.all().end())
-            addBelief(message, known->second);
+        if (const auto *known = table.findAt(address))
+            addBelief(message, *known);
         send(address, message);
     }
 }
