--- a/bench/fleet/peer_fleet.cpp
+++ b/bench/fleet/peer_fleet.cpp
@@ -165,25 +165,22 @@
     return std::ranges::max_element(m_nodes, {}, &fleet_node::bytesSent)->bytesSent;
 }
 
-std::size_t peer_fleet::meanBytesSent() const
+std::size_t peer_fleet::meanOf(std::size_t fleet_node::*figure) const
 {
     std::size_t sum = 0;
     for (const auto &each : m_nodes)
-        sum += each.bytesSent;
+        sum += each.*figure;
     return sum / m_nodes.size();
 }
 
-std::size_t peer_fleet::meanBytesSentFar() const
+std::size_t peer_fleet::meanBytesSent() const
 {
-    std::size_t sum = 0;
-    for (const auto &each : m_nodes)
-        sum += each.bytesSentFar;
-    return sum / m_nodes.size();
+    return meanOf(&fleet_node::bytesSent);
 }
 
-std::size_t peer_fleet::mostBytesSentFar() const
+std::size_t peer_fleet::meanBytesSentFar() const
 {
-    return std::ranges::max_element(m_nodes, {}, &fleet_node::bytesSentFar)->bytesSentFar;
+    return meanOf(&fleet_node::bytesSentFar);
 }
 
 void peer_fleet::cutOff(const std::optional<data_center_id> &dataCenter)
--- a/bench/fleet/peer_fleet.h
+++ b/bench/fleet/peer_fleet.h
@@ -59,8 +59,6 @@
     [[nodiscard]] std::size_t meanBytesSent() const;
     /// The same of bytes that went to other data centres.
     [[nodiscard]] std::size_t meanBytesSentFar() const;
-    /// The largest of any node.
-    [[nodiscard]] std::size_t mostBytesSentFar() const;
     /// From now on bytes are counted by kind of datagram, too, which takes reading each of them.
     void countKinds() { m_countsKinds = true; }
     /// What all nodes sent since the last call of `forgetTraffic`, by kind of datagram.
@@ -96,6 +94,7 @@
         }
     };
 
+    [[nodiscard]] std::size_t meanOf(std::size_t fleet_node::*figure) const;
     void handle(const event &each);
     void carryOut(std::size_t from, const membership_actions &actions);
     void countKind(std::string_view datagram, std::size_t bytes);
--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -7,9 +7,9 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/strings/numbers.h>
 
 #include <algorithm>
-#include <charconv>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -137,7 +137,8 @@
               << each.calmBytes << std::setw(9) << each.calmFarBytes << std::setw(9)
               << each.cutBytes << std::setw(9) << each.healed.count() << std::setw(9)
               << each.killedAll.count() << std::setw(11) << each.mostFollowers << std::setw(7)
-              << each.steps << std::endl;
+              << each.steps << '\n'
+              << std::flush;
 }
 
 plot_line lineOf(const std::string &name, const std::vector<fleet_figures> &all,
@@ -177,8 +178,7 @@
     std::vector<fleet_figures> all;
     for (const auto &text : absl::GetFlag(FLAGS_nodes)) {
         std::size_t nodes = 0;
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), nodes);
-        if (error != std::errc{} || end != text.data() + text.size() || nodes == 0) {
+        if (!absl::SimpleAtoi(text, &nodes) || nodes == 0) {
             std::cerr << "bench-fleet: --nodes: \"" << text << "\" is no number of nodes\n";
             return 2;
         }
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -36,6 +36,36 @@
     return seen;
 }
 
+void checkSentToGone(std::size_t nodes)
+{
+    peer_fleet fleet(nodes, DataCenters, 41);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{10'000});
+    REQUIRE(fleet.agreed());
+    for (std::size_t node = 0; node < nodes; node += DataCenters)
+        fleet.kill(node);
+    REQUIRE(fleet.runUntilAgreed(milliseconds{30'000}) < milliseconds{30'000});
+    fleet.run(milliseconds{5000});
+    fleet.forgetTraffic();
+    constexpr std::size_t Seconds = 4;
+    fleet.run(milliseconds{1000 * Seconds});
+    INFO(nodes << " nodes: " << fleet.meanBytesSent() / Seconds << " bytes a second");
+    CHECK(fleet.meanBytesSent() / Seconds <= 2500);
+}
+
+void checkSentFar(std::size_t nodes)
+{
+    peer_fleet fleet(nodes, DataCenters, 37);
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{20'000});
+    fleet.forgetTraffic();
+    constexpr std::size_t Seconds = 5;
+    fleet.run(milliseconds{1000 * Seconds});
+    const auto toEach = fleet.meanBytesSentFar() / Seconds / (DataCenters - 1);
+    INFO(nodes << " nodes: " << toEach << " bytes a second to each");
+    CHECK(toEach <= 600);
+}
+
 } // namespace
 
 // Until nodes agree on who is there they name several hosts for one pool, and each of these fills
@@ -99,19 +129,6 @@
 
 // All of control may take 6 KB a second of a node; what goes to other data centres is a tenth of it
 // for each of these, or less.
-static void checkSentFar(std::size_t nodes)
-{
-    peer_fleet fleet(nodes, DataCenters, 37);
-    fleet.startAll(StartWithin);
-    fleet.run(milliseconds{20'000});
-    fleet.forgetTraffic();
-    constexpr std::size_t Seconds = 5;
-    fleet.run(milliseconds{1000 * Seconds});
-    const auto toEach = fleet.meanBytesSentFar() / Seconds / (DataCenters - 1);
-    INFO(nodes << " nodes: " << toEach << " bytes a second to each");
-    CHECK(toEach <= 600);
-}
-
 TEST_CASE("nodes that have no work in other data centres send little there: 30 and 120 nodes")
 {
     checkSentFar(30);
@@ -146,23 +163,6 @@
 
 // The pattern: all of a data centre is gone. Guards against nodes that each ask all that are gone
 // again and again, which grows with the square of the fleet. All of control may take 6 KB a second.
-static void checkSentToGone(std::size_t nodes)
-{
-    peer_fleet fleet(nodes, DataCenters, 41);
-    fleet.startAll(StartWithin);
-    fleet.run(milliseconds{10'000});
-    REQUIRE(fleet.agreed());
-    for (std::size_t node = 0; node < nodes; node += DataCenters)
-        fleet.kill(node);
-    REQUIRE(fleet.runUntilAgreed(milliseconds{30'000}) < milliseconds{30'000});
-    fleet.run(milliseconds{5000});
-    fleet.forgetTraffic();
-    constexpr std::size_t Seconds = 4;
-    fleet.run(milliseconds{1000 * Seconds});
-    INFO(nodes << " nodes: " << fleet.meanBytesSent() / Seconds << " bytes a second");
-    CHECK(fleet.meanBytesSent() / Seconds <= 2500);
-}
-
 TEST_CASE("what a node sends to those that are gone doesn't grow with the fleet: 60 nodes")
 {
     checkSentToGone(60);
