Restore two bounds that were loosened, and ask less so that they hold

Ruled out: questions after 2 s of silence: 610 at 30 nodes. A data centre where a node has no work is asked after 2.5 s of silence, in place of 1.5 s, and lost after 3.3 s, in place of 2.3 s; with work after 0.15 and 0.5 s, as it was. Conclusion: the first request to a lost data centre where a node had no work finds out in 0.5 s, or is spared it after 3.3 s. What that is worth on the fleet isn't played.

--- a/src/gateway/peers/data_center_reach.cpp
+++ b/src/gateway/peers/data_center_reach.cpp
@@ -23,7 +23,7 @@
                                     milliseconds{100}};
 // Where a node has no work it is in no hurry, but the first request that goes there shouldn't have
 // to find out.
-constexpr reach_times WithoutWork{milliseconds{1500}, milliseconds{1800}, milliseconds{2300},
+constexpr reach_times WithoutWork{milliseconds{2500}, milliseconds{2800}, milliseconds{3300},
                                   milliseconds{250}};
 // How often is asked while a data centre is lost.
 constexpr milliseconds AskLostEach{300};
--- a/src/gateway/peers/data_center_reach.h
+++ b/src/gateway/peers/data_center_reach.h
@@ -29,7 +29,7 @@
 ///
 /// A cut takes all of a data centre at once. Noticed server by server it costs each of them a
 /// timeout, and each request that waits there its aim; noticed as a whole it costs half a second.
-/// Data centres where this node has work are looked into at once, others after a second. One that
+/// Data centres where this node has work are looked into at once, others after seconds. One that
 /// was never heard of counts as reached.
 class data_center_reach
 {
--- a/tests/gateway/data_center_reach_test.cpp
+++ b/tests/gateway/data_center_reach_test.cpp
@@ -101,7 +101,7 @@
 {
     fixture world;
     world.reach.onHeard(Other);
-    CHECK_FALSE(world.seen(reach_step::AskPeers, milliseconds{1400}));
+    CHECK_FALSE(world.seen(reach_step::AskPeers, milliseconds{2400}));
     CHECK(world.seen(reach_step::AskPeers, milliseconds{200}));
     CHECK_FALSE(world.seen(reach_step::Lost, milliseconds{600}));
     CHECK(world.seen(reach_step::Lost, milliseconds{200}));
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -61,9 +61,8 @@
     fleet.forgetTraffic();
     constexpr std::size_t Seconds = 5;
     fleet.run(milliseconds{1000 * Seconds});
-    const auto toEach = fleet.meanBytesSentFar() / Seconds / (DataCenters - 1);
-    INFO(nodes << " nodes: " << toEach << " bytes a second to each");
-    CHECK(toEach <= 600);
+    INFO(nodes << " nodes: " << fleet.meanBytesSentFar() / Seconds << " bytes a second");
+    CHECK(fleet.meanBytesSentFar() / Seconds <= 600);
 }
 
 } // namespace
@@ -127,8 +126,8 @@
     CHECK(fleet.meanBytesSent() / Seconds <= 1300);
 }
 
-// All of control may take 6 KB a second of a node; what goes to other data centres is a tenth of it
-// for each of these, or less.
+// All of control may take 6 KB a second of a node; what goes to all other data centres is a tenth
+// of it or less.
 TEST_CASE("nodes that have no work in other data centres send little there: 30 and 120 nodes")
 {
     checkSentFar(30);
@@ -158,7 +157,7 @@
         fleet.run(milliseconds{1000 / TurnsASecond});
     }
     INFO(fleet.meanBytesSentFar() / Seconds << " bytes a second");
-    CHECK(fleet.meanBytesSentFar() / Seconds / (DataCenters - 1) <= 600);
+    CHECK(fleet.meanBytesSentFar() / Seconds <= 2000);
 }
 
 // The pattern: all of a data centre is gone. Guards against nodes that each ask all that are gone
