Test that damaged compressed frames are refused

Cause: frames that hold another one came in with the list along the tree, and only whole ones had a test. Ruled out: trusting the fuzzer of the wire's texts: it doesn't reach frames of gateways. Change: 300 frames with a byte changed and 300 cut short, seeded; none is read, none throws.

--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -92,6 +92,31 @@
     CHECK(read.servers.back().record == frame.servers.back().record);
 }
 
+TEST_CASE("a compressed frame that is damaged or cut short is no frame, whatever is wrong with it")
+{
+    publication_frame frame;
+    for (int i = 0; i < 400; ++i) {
+        server_record record;
+        record.id = backend_server_id("s" + std::to_string(i * 7919));
+        record.service = service_id("service");
+        frame.servers.push_back({record, {}});
+    }
+    const auto whole = encodeFrame(frame).substr(FrameHeaderBytes);
+    REQUIRE(whole.size() < 400 * 20);
+    REQUIRE(decodeFrame(whole));
+    std::mt19937 random(11);
+    std::uniform_int_distribution<std::size_t> place(0, whole.size() - 1);
+    std::size_t refused = 0;
+    for (int i = 0; i < 300; ++i) {
+        auto damaged = whole;
+        damaged[place(random)] ^= static_cast<char>(1 + random() % 255);
+        refused += decodeFrame(damaged) ? 0 : 1;
+        CHECK_FALSE(decodeFrame(whole.substr(0, place(random))));
+    }
+    // What zlib holds has a checksum.
+    CHECK(refused == 300);
+}
+
 TEST_CASE("a publication travels with its servers")
 {
     publication_frame frame;
