Share the set-up of two sections of a test

Cause: two sections of 'where all servers of a service leave' wrote the same eight lines, but for which server leaves. Ruled out: one section for both: they check different things. Change: one_of_each, as told_by_one stands for others. Checks, times and bounds are the same. Conclusion: eight lines once.

--- a/tests/platform/leaving_server_test.cpp
+++ b/tests/platform/leaving_server_test.cpp
@@ -83,6 +83,23 @@
     }
 };
 
+/// One stage server and one engine behind four nodes, without a store; one of the two leaves, and
+/// all nodes have had requests since.
+struct one_of_each : leaving_world
+{
+    explicit one_of_each(const std::string &leaves)
+        : leaving_world(streamRoute(true, OneStage), StageService + "," + EngineService)
+    {
+        addNoting("p", "p-1");
+        addNoting("engine", "e-1");
+        startNodes();
+        store.failWith(503);
+        leaving = {leaves};
+        load("/s/x", milliseconds{1000}, "1");
+        requests.clear();
+    }
+};
+
 } // namespace
 
 // Guards against requests for a server after its answers said that it leaves.
@@ -233,14 +250,7 @@
     }
     SECTION("engines: before the stages")
     {
-        leaving_world w(streamRoute(true, OneStage), StageService + "," + EngineService);
-        w.addNoting("p", "p-1");
-        w.addNoting("engine", "e-1");
-        w.startNodes();
-        w.store.failWith(503);
-        w.leaving = {"e-1"};
-        w.load("/s/x", milliseconds{1000}, "1");
-        w.requests.clear();
+        one_of_each w("e-1");
         const int piecesBefore = w.pieces;
         w.load("/s/x", milliseconds{500}, "1");
         CHECK(w.answeredWith(503) == w.requests.size());
@@ -249,14 +259,7 @@
     }
     SECTION("stage servers")
     {
-        leaving_world w(streamRoute(true, OneStage), StageService + "," + EngineService);
-        w.addNoting("p", "p-1");
-        w.addNoting("engine", "e-1");
-        w.startNodes();
-        w.store.failWith(503);
-        w.leaving = {"p-1"};
-        w.load("/s/x", milliseconds{1000}, "1");
-        w.requests.clear();
+        one_of_each w("p-1");
         w.load("/s/x", milliseconds{500}, "1");
         CHECK(w.answeredWith(503) == w.requests.size());
         CHECK(w.refusedLate() == 0);
