Have second tries go to servers that answered lately

Servers that cost the same are taken in turn, the one that was sent to longest ago first. A server that ended and is still listed is never sent to, so it is always the next; a request that met one went on to three others like it and was refused after four, while a server that had just answered the same node stood by. Under load it is the same: servers that ended look idle. For a second try a server that hasn't answered this node within 2 s costs as much as one whose slots are all taken.

--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -29,6 +29,11 @@
 // Servers may have become cold while their data centre was evacuated, and write so with one of
 // their next heartbeats, one or two seconds later; the store and its readers take another.
 constexpr milliseconds ColdNewsDelay{3500};
+// An answer that is younger than this shows that a server is there.
+constexpr milliseconds AnswerLifetime{2000};
+// Cost, for a second try, of a server that didn't answer lately: as much as of one whose slots are
+// all taken. Servers that ended look idle until the list says otherwise.
+constexpr double SilentCost = 1.0;
 // Cost of a server that is avoided: any other comes first.
 constexpr double AvoidedCost = 1e6;
 
@@ -347,11 +352,18 @@
         cost += RemoteCost / std::max(1U, which.record.slots);
     if (m_severalRegions && !wish.near.empty() && which.region != regionOf(wish.near))
         cost += FarCost / std::max(1U, which.record.slots);
+    if (!wish.exclude.empty() && !answeredLately(which))
+        cost += SilentCost;
     if (which.avoidUntil > now)
         cost += AvoidedCost;
     return cost;
 }
 
+bool server_directory::answeredLately(const server &which) const
+{
+    return which.answeredAt && m_clock.now() - *which.answeredAt < AnswerLifetime;
+}
+
 // With many nodes and little traffic most servers cost the same most of the time. Were all nodes to
 // take the first of them, it would get the requests of all. Each takes two of its own in turn, so
 // that all servers are some nodes' choice, and connections are used again.
@@ -404,6 +416,7 @@
 void server_directory::onAnswer(server &which)
 {
     onAnswerBegun(which);
+    which.answeredAt = m_clock.now();
     const bool wasAvoided = which.failures >= FailuresToAvoid;
     which.failures = 0;
     which.avoidUntil = {};
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -74,6 +74,7 @@
     std::optional<server_load> load;
     steady_time loadAt{}; ///< when the load was told
     steady_time sentAt{}; ///< when this node last sent it a request
+    std::optional<steady_time> answeredAt; ///< when it last answered this node
     std::uint32_t failures = 0; ///< in a row
     std::uint32_t refusals = 0; ///< in a row, those of one moment counted once
     steady_time avoidUntil{}; ///< doubted until then
@@ -126,7 +127,8 @@
 struct server_wish
 {
     service_id service;
-    std::vector<backend_server_id> exclude; ///< tried already
+    std::vector<backend_server_id> exclude; ///< tried already; where there are some, others that
+                                            ///< answered lately go first
     data_center_id near; ///< preferred
     residency allowed;
 };
@@ -266,6 +268,8 @@
 
 private:
     [[nodiscard]] double costOf(const server &which, const server_wish &wish) const;
+    /// Whether this node had an answer of it lately.
+    [[nodiscard]] bool answeredLately(const server &which) const;
     /// Chooses among servers that cost the same; null where there are none.
     [[nodiscard]] server_ptr preferred(const std::vector<server_ptr> &equals) const;
     void changed(const service_id &service);
--- /dev/null
+++ b/tests/gateway/second_try_test.cpp
@@ -0,0 +1,155 @@
+// Choices of several nodes while servers end: no network, seeded by the names of nodes and servers.
+#include "gateway/exchange/exchange_limits.h"
+#include "gateway/servers/server_directory.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+constexpr std::size_t Nodes = 4;
+constexpr std::size_t Servers = 10;
+/// When a server that ended is back, under another id; until then it is still published.
+constexpr milliseconds Downtime{1000};
+
+/// Nodes before servers of one service, which are all idle and refuse connections once they ended.
+class choosing_nodes
+{
+public:
+    choosing_nodes()
+    {
+        for (std::size_t i = 1; i <= Nodes; ++i) {
+            m_nodes.push_back(std::make_unique<server_directory>(m_clock));
+            m_nodes.back()->setSelf(vm_id("g" + std::to_string(i)));
+        }
+        for (std::size_t i = 1; i <= Servers; ++i)
+            start();
+    }
+
+    void end(const std::string &id)
+    {
+        m_ended.insert(id);
+        m_removals.push_back({id, m_clock.now() + Downtime});
+    }
+
+    /// Has one node after the other send a request.
+    void request(milliseconds every)
+    {
+        m_clock.advance(every);
+        removeEnded();
+        auto &node = *m_nodes[m_requests++ % Nodes];
+        server_wish wish;
+        wish.service = service_id("s");
+        for (std::uint32_t unsent = 0; unsent < MaxUnsent; ++unsent) {
+            const auto chosen = node.choose(wish);
+            if (!chosen)
+                break;
+            if (!m_ended.contains(chosen->record.id.value)) {
+                node.onSending(*chosen);
+                node.onAnswer(*chosen);
+                ++m_served;
+                return;
+            }
+            node.onFailure(*chosen);
+            wish.exclude.push_back(chosen->record.id);
+        }
+    }
+
+    [[nodiscard]] std::size_t requests() const { return m_requests; }
+    [[nodiscard]] std::size_t served() const { return m_served; }
+
+private:
+    struct removal
+    {
+        std::string id;
+        steady_time at;
+    };
+
+    void start()
+    {
+        server_record record;
+        record.id = backend_server_id("s-" + std::to_string(++m_starts));
+        record.service = service_id("s");
+        record.slots = 8;
+        for (const auto &node : m_nodes)
+            node->put(record);
+    }
+
+    void removeEnded()
+    {
+        while (!m_removals.empty() && m_removals.front().at <= m_clock.now()) {
+            for (const auto &node : m_nodes)
+                node->remove(backend_server_id(m_removals.front().id));
+            m_removals.pop_front();
+            start();
+        }
+    }
+
+    manual_clock m_clock;
+    std::vector<std::unique_ptr<server_directory>> m_nodes;
+    std::set<std::string> m_ended;
+    std::deque<removal> m_removals;
+    std::size_t m_starts = 0;
+    std::size_t m_requests = 0;
+    std::size_t m_served = 0;
+};
+
+} // namespace
+
+// The pattern: servers of an idle service end one after the other, and the list names them for a
+// while. Guards against second tries that prefer servers of which this node has heard nothing.
+TEST_CASE("no request is refused while eight of ten servers end one after the other")
+{
+    const auto every = milliseconds{GENERATE(2, 5, 10, 15, 20, 40)};
+    choosing_nodes nodes;
+    for (int i = 0; i < 40; ++i)
+        nodes.request(every);
+    for (int i = 1; i <= 8; ++i) {
+        nodes.end("s-" + std::to_string(i));
+        for (int j = 0; j < 15; ++j)
+            nodes.request(every);
+    }
+    for (int i = 0; i < 80; ++i)
+        nodes.request(every);
+    INFO("a request each " << every.count() << " ms");
+    CHECK(nodes.served() == nodes.requests());
+}
+
+// The pattern: a service with work to do, where servers that ended look idle.
+TEST_CASE("a second try goes to a busy server that answers rather than to an idle silent one")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    server_wish wish;
+    wish.service = service_id("s");
+    for (const auto *id : {"ended", "silent", "busy"}) {
+        server_record record;
+        record.id = backend_server_id(id);
+        record.service = wish.service;
+        record.slots = 4;
+        directory.put(record);
+    }
+    const auto busy = directory.find(backend_server_id("busy"));
+    directory.onAnswer(*busy);
+    busy->outstanding = 3;
+    wish.exclude = {backend_server_id("ended")};
+    CHECK(directory.choose(wish)->record.id.value == "busy");
+    SECTION("unless it is full")
+    {
+        busy->outstanding = 5;
+        CHECK(directory.choose(wish)->record.id.value == "silent");
+    }
+    SECTION("unless its answer is old")
+    {
+        clock.advance(milliseconds{5000});
+        CHECK(directory.choose(wish)->record.id.value == "silent");
+    }
+}
