Have nodes take turns at a reserve of less than one second try each

Each node takes the reserve of second tries divided by the number of nodes, rounded down. What grows faster than the reserve is the number of nodes: from about 640 on (reserve 640, one request of a service in ten seconds) a node's part is less than one, and no request is tried a second time on any node. The part is rounded up on as many nodes as it says, and on others as time goes on: each node adds a place between 0 and 1, drawn once and moving through all places in 64 windows, before it rounds down. The sum over all nodes is what it was meant to be, without agreement. Ways weighed: a host that lends from the reserve of its data centre (exact, but a new host doesn't know what the last one lent, and a round trip and two frames a try); drawing anew each window (a node may win in two windows that overlap). Fixed places would leave some nodes without for ever. Kept: worth nothing at today's size, needed at twice it.

--- a/src/gateway/exchange/retry_allowance.cpp
+++ b/src/gateway/exchange/retry_allowance.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange/retry_allowance.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -9,6 +10,9 @@
 
 // Part of the bound that is used: windows slide, and these buckets don't.
 constexpr double UsedPart = 0.8;
+// In so many windows each node has had all places in the turns. Nodes whose turn begins and nodes
+// whose turn ends may both use it in one window, which adds one in so many of the nodes.
+constexpr double WindowsOfATurn = 64.0;
 
 } // namespace
 
@@ -50,7 +54,17 @@
 {
     const double reserve =
         m_options.reserve / static_cast<double>(std::max<std::size_t>(1, m_nodes));
-    return UsedPart * (m_options.share * counted.requests + reserve);
+    return std::floor(UsedPart * (m_options.share * counted.requests + reserve) + rounding());
+}
+
+// Rounded down alone, nothing would be left of a reserve that is divided among more nodes than it
+// has tries.
+double retry_allowance::rounding() const
+{
+    const std::chrono::duration<double> now = m_clock.now().time_since_epoch();
+    const std::chrono::duration<double> window = m_options.window;
+    const double place = m_options.turn + now / (window * WindowsOfATurn);
+    return place - std::floor(place);
 }
 
 void retry_allowance::onRequest(const service_id &service)
--- a/src/gateway/exchange/retry_allowance.h
+++ b/src/gateway/exchange/retry_allowance.h
@@ -17,12 +17,16 @@
     double share = 0.2; ///< of the requests for the service
     double reserve = 50.0; ///< beside the share, in one window
     milliseconds window{10'000};
+    /// This node's place in the turns in which nodes get a whole try for their parts of one: from 0
+    /// to 1, drawn evenly by each node.
+    double turn = 0.0;
 };
 
 /// This node's part of the second tries of each service.
 ///
 /// The nodes don't agree on anything: each takes its share of its own requests, and the reserve
 /// divided by the number of nodes that may be there. So the sum keeps the bound whoever hears whom.
+/// A part of one try is a whole try for so many of the nodes, and for others as time goes on.
 class retry_allowance
 {
 public:
@@ -71,6 +75,8 @@
     };
     [[nodiscard]] window_sum sum(const buckets &slices) const;
     [[nodiscard]] double bound(const window_sum &counted) const;
+    /// What is added before the bound is rounded down: from 0 to 1, over all nodes evenly spread.
+    [[nodiscard]] double rounding() const;
     [[nodiscard]] bucket &current(const service_id &service);
     [[nodiscard]] std::int64_t slice() const;
 
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -53,6 +53,13 @@
     return static_cast<std::uint32_t>(std::hash<std::string>{}(vm.value));
 }
 
+/// Draws the place of a VM in the turns of `retry_allowance`.
+[[nodiscard]] inline double drawTurn(const vm_id &vm)
+{
+    std::mt19937 random(seedOf(vm));
+    return std::uniform_real_distribution<double>(0.0, 1.0)(random);
+}
+
 template <gateway_codec Codec>
 gateway<Codec>::gateway(http::io_loop &loop, wire::log &log, gateway_settings settings)
     : m_loop(loop)
@@ -62,7 +69,7 @@
     , m_directory(loop.clock())
     , m_allowance(loop.clock(),
                   {m_settings.bounds.retryShare, m_settings.bounds.retryReserve,
-                   m_settings.bounds.retryWindow})
+                   m_settings.bounds.retryWindow, drawTurn(m_settings.vm)})
     , m_lines(loop.clock(), m_settings.requestLines)
     , m_stages(loop, m_pool, m_directory, m_allowance, log, m_metrics)
     , m_peers(loop, log, m_settings, drawIncarnation(loop.clock()),
