Tell other nodes of a lost data centre, so that they look for themselves

A node looks into a silent data centre within half a second where it has work there, and after seconds elsewhere. Believing the news: what one node loses may be its own link. Who loses a data centre tells the two relays of news of its own data centre, which tell all; each looks into it as if it had work there, which takes half a second. Nothing is sent while nothing is lost. One node that alone can't reach a data centre stays alone.

--- a/bench/fleet/peer_fleet.cpp
+++ b/bench/fleet/peer_fleet.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t FirstContacts = 3; ///< that the settings name at most
 constexpr milliseconds TickTime{100};
 constexpr std::size_t DatagramHeaderBytes = 28;
+constexpr std::size_t LinkHeaderBytes = 40;
 constexpr std::uint16_t FirstPort = 1000;
 
 } // namespace
@@ -89,14 +90,21 @@
         target.identity.incarnation = ++target.starts * m_nodes.size() + each.node;
         target.view = std::make_unique<peer_view>(m_clock, target.identity,
                                                   [](const pool_key &, const vm_id &) {});
+        target.port = std::make_unique<news_port>(news_port{*this, each.node});
+        target.news = std::make_unique<reach_relay<news_port>>(*target.port, m_clock);
+        target.lost.clear();
     }
     if (!target.view || (each.start != 0 && each.start != target.starts))
         return;
+    if (each.news) {
+        target.news->onFrame(*each.news);
+        return;
+    }
     if (!each.bytes.empty()) {
         target.view->onDatagram(m_nodes[each.from].identity.address, each.bytes, actions);
     } else {
         target.view->tick(actions);
-        (void)target.view->followReach(actions);
+        followReach(target, actions);
         event next;
         next.at = m_clock.now() + TickTime;
         next.node = each.node;
@@ -122,22 +130,57 @@
             continue;
         const auto to = static_cast<std::size_t>(datagram->to.port - FirstPort);
         const auto bytes = datagram->bytes.size() + DatagramHeaderBytes;
-        m_nodes[from].bytesSent += bytes;
         if (m_countsKinds)
             countKind(datagram->bytes, bytes);
-        if (dataCenterOf(from) != dataCenterOf(to))
-            m_nodes[from].bytesSentFar += bytes;
-        if (m_passes && !m_passes(from, to))
-            continue;
         event arrival;
-        arrival.at = m_clock.now() + draw(milliseconds{1}, milliseconds{4});
-        arrival.node = to;
-        arrival.from = from;
         arrival.bytes = datagram->bytes;
-        push(std::move(arrival));
+        deliver(from, to, bytes, std::move(arrival));
     }
 }
 
+void peer_fleet::deliver(std::size_t from, std::size_t to, std::size_t bytes, event arrival)
+{
+    m_nodes[from].bytesSent += bytes;
+    if (dataCenterOf(from) != dataCenterOf(to))
+        m_nodes[from].bytesSentFar += bytes;
+    if (m_passes && !m_passes(from, to))
+        return;
+    arrival.at = m_clock.now() + draw(milliseconds{1}, milliseconds{4});
+    arrival.node = to;
+    arrival.from = from;
+    push(std::move(arrival));
+}
+
+void peer_fleet::sendNews(std::size_t from, const vm_id &to, const peer_frame &frame)
+{
+    const auto known = m_nodes[from].view->find(to);
+    if (!known)
+        return;
+    event arrival;
+    arrival.news = frame;
+    deliver(from, static_cast<std::size_t>(known->vm.peerAddress.port - FirstPort),
+            encodeFrame(frame).size() + LinkHeaderBytes, std::move(arrival));
+}
+
+void peer_fleet::followReach(fleet_node &node, membership_actions &actions)
+{
+    for (const auto &each : node.view->followReach(actions)) {
+        if (each.step == reach_step::Regained)
+            node.lost.erase(each.dataCenter);
+        if (each.step != reach_step::Lost)
+            continue;
+        node.lost.insert(each.dataCenter);
+        node.news->onLost(each.dataCenter);
+    }
+}
+
+std::size_t peer_fleet::nodesThatLost(const data_center_id &dataCenter) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_nodes, [&](const fleet_node &each) {
+        return each.view && each.lost.contains(dataCenter);
+    }));
+}
+
 bool peer_fleet::agreed() const
 {
     const auto running = static_cast<std::size_t>(
--- a/bench/fleet/peer_fleet.h
+++ b/bench/fleet/peer_fleet.h
@@ -2,6 +2,7 @@
 
 #include "core/membership/gossip_message.h"
 #include "gateway/peers/peer_view.h"
+#include "gateway/peers/reach_relay.h"
 
 #include <cstddef>
 #include <functional>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,7 +19,7 @@
 namespace orchidlead::gateway {
 
 /// Many peer views on a simulated network, one clock: what they send each other arrives 1 to 4 ms
-/// later, and nodes that are down neither send nor hear.
+/// later, and nodes that are down neither send nor hear. News of lost data centres travel, too.
 class peer_fleet
 {
 public:
@@ -69,12 +71,31 @@
     void forgetTraffic();
     /// Cuts a data centre off from all others, or with none ends the cut.
     void cutOff(const std::optional<data_center_id> &dataCenter);
+    /// How many of the running nodes elsewhere have lost a data centre.
+    [[nodiscard]] std::size_t nodesThatLost(const data_center_id &dataCenter) const;
 
 private:
+    /// A node's way to the others for news.
+    struct news_port
+    {
+        peer_fleet &fleet;
+        std::size_t node;
+
+        [[nodiscard]] const std::vector<vm_id> &newsReceivers()
+        {
+            return fleet.view(node).newsReceivers();
+        }
+        [[nodiscard]] bool relaysNews() { return fleet.view(node).relaysNews(); }
+        void onUse(const data_center_id &which) { fleet.view(node).onUse(which); }
+        void send(const vm_id &to, const peer_frame &frame) { fleet.sendNews(node, to, frame); }
+    };
     struct fleet_node
     {
         peer_identity identity;
         std::unique_ptr<peer_view> view;
+        std::unique_ptr<news_port> port;
+        std::unique_ptr<reach_relay<news_port>> news;
+        std::set<data_center_id> lost;
         std::size_t bytesSent = 0;
         std::size_t bytesSentFar = 0; ///< of these, to other data centres
         std::uint64_t starts = 0;
@@ -86,7 +107,8 @@
         std::size_t node = 0;
         std::uint64_t start = 0; ///< of the process for which it is meant; 0: whichever runs
         std::size_t from = 0;
-        std::string bytes; ///< empty: a tick
+        std::string bytes; ///< empty: a tick, or news
+        std::optional<peer_frame> news;
         bool starts = false;
         friend bool operator>(const event &left, const event &right)
         {
@@ -97,6 +119,10 @@
     [[nodiscard]] std::size_t meanOf(std::size_t fleet_node::*figure) const;
     void handle(const event &each);
     void carryOut(std::size_t from, const membership_actions &actions);
+    void sendNews(std::size_t from, const vm_id &to, const peer_frame &frame);
+    void followReach(fleet_node &node, membership_actions &actions);
+    /// Counts what a node sends and has it arrive, where nothing is cut.
+    void deliver(std::size_t from, std::size_t to, std::size_t bytes, event arrival);
     void countKind(std::string_view datagram, std::size_t bytes);
     void push(event each);
     [[nodiscard]] milliseconds draw(milliseconds least, milliseconds most);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "gateway/exchange/early_requests.h"
 #include "gateway/exchange/exchange.h"
+#include "gateway/peers/reach_relay.h"
 #include "gateway/publication/publication_relay.h"
 #include "gateway/publication/published_state.h"
 #include "gateway/publication/store_follower.h"
@@ -71,6 +72,7 @@
     request_placer m_placer;
     quarantine_relay m_quarantine;
     leaving_relay m_leaving;
+    reach_relay<peer_network> m_reachNews;
     published_state m_state;
     store_follower<Codec> m_follower;
     publication_relay<Codec> m_relay;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -100,6 +100,7 @@
     , m_leaving(
           m_peers, m_directory,
           [this](const server_start &start, const vm_id &from) { onLeavingHeard(start, from); })
+    , m_reachNews(m_peers, loop.clock())
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
           loop, m_pool, m_settings.store, m_state,
@@ -420,6 +421,7 @@
     m_directory.setCutOff(event.dataCenter, lost);
     if (!lost)
         return;
+    m_reachNews.onLost(event.dataCenter);
     m_stages.onDataCenterLost(event.dataCenter);
     const auto exchanges = m_exchanges;
     for (const auto &weak : exchanges) {
@@ -455,6 +457,7 @@
     m_placer.onFrame(link, frame);
     m_quarantine.onFrame(link, frame);
     m_leaving.onFrame(link, frame);
+    m_reachNews.onFrame(frame);
     m_router.onFrame(link, std::move(frame));
 }
 
--- a/src/gateway/peers/peer_frame_kind.h
+++ b/src/gateway/peers/peer_frame_kind.h
@@ -33,6 +33,7 @@
     RateLimits = 23,
     LeavingServers = 24,
     Compressed = 25, ///< another frame
+    LostDataCenter = 26,
 };
 
 /// Stands where an outcome has a result instead of a reason.
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -436,6 +436,8 @@
         return readRateLimits(in);
     case frame_kind::LeavingServers:
         return readLeavingServers(in);
+    case frame_kind::LostDataCenter:
+        return lost_data_center_frame{data_center_id(in.read<std::string>())};
     case frame_kind::Compressed: // within another one
         break;
     }
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -225,6 +225,12 @@
         packStart(out, each);
 }
 
+void pack(packer &out, const lost_data_center_frame &frame)
+{
+    packKind(out, frame_kind::LostDataCenter, 1);
+    out.pack(frame.dataCenter.value);
+}
+
 void pack(packer &out, const ping_frame & /*frame*/)
 {
     packKind(out, frame_kind::Ping, 0);
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -109,6 +109,13 @@
     std::vector<server_start> servers;
 };
 
+/// The sender, or a node that told it, reaches a data centre no longer: the receiver is to look for
+/// itself.
+struct lost_data_center_frame
+{
+    data_center_id dataCenter;
+};
+
 /// Asks whether the receiver is there.
 struct ping_frame
 { };
@@ -220,7 +227,7 @@
                  progress_frame, follow_frame, compare_frame, configuration_request,
                  configuration_frame, server_ends_frame, quarantine_frame, trial_request,
                  trial_answer, trial_end, admission_request, admission_answer, rate_limits_frame,
-                 leaving_servers_frame>;
+                 leaving_servers_frame, lost_data_center_frame>;
 
 /// Says why bytes aren't a frame.
 struct frame_error
--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -149,6 +149,12 @@
     return link;
 }
 
+void peer_network::send(const vm_id &peer, const peer_frame &frame)
+{
+    if (const auto link = linkTo(peer))
+        link->send(frame);
+}
+
 std::optional<vm_id> peer_network::peerOf(const std::shared_ptr<peer_link> &link) const
 {
     for (const auto &[peer, each] : m_links) {
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -51,6 +51,8 @@
     [[nodiscard]] const std::vector<vm_id> &relayOrder() { return m_view.relayOrder(); }
     /// As `peer_view::newsReceivers`.
     [[nodiscard]] const std::vector<vm_id> &newsReceivers() { return m_view.newsReceivers(); }
+    /// As `peer_view::relaysNews`.
+    [[nodiscard]] bool relaysNews() { return m_view.relaysNews(); }
     /// As `peer_view::quarantineHost`.
     [[nodiscard]] const vm_id &quarantineHost() { return m_view.quarantineHost(); }
     /// Who is there, and who has which role, as this node believes.
@@ -59,6 +61,9 @@
     [[nodiscard]] const region_id &region() const { return m_view.region(); }
     /// Gives a link to a peer, opened if there is none; null where nothing is known of the peer.
     [[nodiscard]] std::shared_ptr<peer_link> linkTo(const vm_id &peer);
+    /// Sends a frame to a peer, over a link that is opened if there is none; a peer of which
+    /// nothing is known gets none.
+    void send(const vm_id &peer, const peer_frame &frame);
     /// The peer at the other end of a link that this node opened.
     [[nodiscard]] std::optional<vm_id> peerOf(const std::shared_ptr<peer_link> &link) const;
     /// A server of a data centre answered a question for a sign of life.
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <iterator>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -285,7 +286,8 @@
     if (m_newsReceivers)
         return *m_newsReceivers;
     auto receivers = relaysIn(m_identity.dataCenter);
-    if (std::ranges::find(receivers, self()) != receivers.end()) {
+    m_relaysNews = std::ranges::find(receivers, self()) != receivers.end();
+    if (m_relaysNews) {
         receivers = namesOf(candidates(m_identity.dataCenter));
         std::set<data_center_id> others;
         for (const auto &each : m_members.members())
@@ -298,6 +300,12 @@
     return m_newsReceivers.emplace(std::move(receivers));
 }
 
+bool peer_view::relaysNews()
+{
+    std::ignore = newsReceivers();
+    return m_relaysNews;
+}
+
 const vm_id &peer_view::quarantineHost()
 {
     if (!m_quarantineHost) {
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -66,6 +66,8 @@
     /// steps: two nodes of each data centre relay it to each other and to all of theirs, the others
     /// tell the two of their own.
     [[nodiscard]] const std::vector<vm_id> &newsReceivers();
+    /// Whether this node is one of those two of its data centre.
+    [[nodiscard]] bool relaysNews();
     /// Gives the node that decides on requests under which servers end; may be itself.
     [[nodiscard]] const vm_id &quarantineHost();
     /// Part of what each server of a pool bears from all nodes that this node may let go to it:
@@ -125,6 +127,7 @@
     std::map<pool_key, picked_host> m_hosts;
     std::vector<vm_id> m_relayOrder; ///< empty: not picked since something changed
     std::optional<std::vector<vm_id>> m_newsReceivers; ///< empty: as above
+    bool m_relaysNews = false; ///< as `m_newsReceivers` was picked
     std::optional<vm_id> m_quarantineHost; ///< empty: as above
     mutable std::optional<double> m_partAlive; ///< empty: as above
     std::size_t m_lastAsked = 0; ///< turns through the members of a silent data centre
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -346,3 +346,8 @@
     const auto got = roundTrip(frame);
     CHECK(got.servers == frame.servers);
 }
+
+TEST_CASE("a lost data centre travels by its name")
+{
+    CHECK(roundTrip(lost_data_center_frame{data_center_id("dc-1")}).dataCenter.value == "dc-1");
+}
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -306,3 +306,36 @@
         CHECK(frames <= relays * (Nodes / DataCenters + relays) + 2 * Nodes);
     }
 }
+
+// The pattern: hundreds of nodes with little work, of which few have some in a data centre that is
+// cut off. Each of the others would find the cut with its next requests.
+TEST_CASE("all nodes lose a data centre soon after the first of them that has work there")
+{
+    const std::size_t nodes = GENERATE(60, 300, 600);
+    peer_fleet fleet(nodes, DataCenters, 43);
+    const data_center_id cut("dc-1");
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{10'000});
+    fleet.view(0).onUse(cut);
+    fleet.cutOff(cut);
+    fleet.run(milliseconds{1500});
+    INFO(nodes << " nodes, lost by " << fleet.nodesThatLost(cut));
+    CHECK(fleet.nodesThatLost(cut) == nodes - nodes / DataCenters);
+}
+
+// What one node loses may be its own link.
+TEST_CASE("a data centre that one node alone can't reach is lost by that node alone")
+{
+    constexpr std::size_t Nodes = 60;
+    peer_fleet fleet(Nodes, DataCenters, 47);
+    const data_center_id unreached("dc-1");
+    fleet.startAll(StartWithin);
+    fleet.run(milliseconds{10'000});
+    fleet.view(0).onUse(unreached);
+    fleet.cut([&](std::size_t from, std::size_t to) {
+        return (from != 0 || fleet.dataCenterOf(to) != unreached)
+            && (to != 0 || fleet.dataCenterOf(from) != unreached);
+    });
+    fleet.run(milliseconds{3000});
+    CHECK(fleet.nodesThatLost(unreached) == 1);
+}
