Serve at home what can't be reached where its prompt has its home

The work of a request goes to the data centre where engines keep what its prompt shares. Cut off with resets, that data centre refuses each connection at once. That servers were missing: stages found none full. A piece that two servers of another data centre couldn't be offered to, or that would wait while all of them pause after failures, goes to the pool of the own data centre, and others of that pool do for half a second. An engine request leaves a data centre after two engines that can't be reached; results that lie there are made anew once. Nothing that was sent is sent again by this, so it takes nothing from the allowance of second tries.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -87,6 +87,7 @@
     ServersLeaving, ///< likewise: those of its pool end soon
     ServersBackedOff, ///< likewise: those of its pool asked the host for time
     HostUnready, ///< likewise: the host has just started and knows no servers yet
+    Unreached, ///< none of the servers that were tried last could be reached
 };
 
 /// Whether a host gave the piece up since no server of its pool gets anything new: another pool's
@@ -235,6 +236,8 @@
         orchidlead::gateway::piece_failure::ServersBackedOff, "servers_backed_off"},
     orchidlead::enum_name<orchidlead::gateway::piece_failure>{
         orchidlead::gateway::piece_failure::HostUnready, "host_unready"},
+    orchidlead::enum_name<orchidlead::gateway::piece_failure>{
+        orchidlead::gateway::piece_failure::Unreached, "unreached"},
 };
 template <>
 inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::read_freshness>{
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -163,6 +163,8 @@
     void onBufferedEnd();
     void endAttempt();
     void onFate(fate what);
+    /// A server there couldn't be reached; after some of them the request goes elsewhere.
+    void leaveUnreached(const data_center_id &where);
     [[nodiscard]] bool mayTryAgain(fate what);
     void watchSilence(milliseconds limit);
     void onSilence();
@@ -204,6 +206,7 @@
     request_marks m_marks;
     request_digest m_digest; ///< the same for each repeat of this request
     data_center_id m_home; ///< where its work is best done
+    data_center_id m_unreached; ///< where its servers couldn't be reached; empty: nowhere
     steady_time m_arrival;
     steady_time m_end; ///< the final answer is given by then
     std::uint32_t m_priority = 0;
@@ -230,6 +233,7 @@
     http::pool_call m_call = 0;
     std::uint32_t m_attempts = 0; ///< that reached a server
     std::uint32_t m_unsent = 0;
+    std::uint32_t m_unsentAway = 0; ///< of these, to servers of other data centres
     bool m_withheld = false; ///< the chosen server may not have it any more
     bool m_onTrial = false; ///< is the one repeat of a suspected request that is tried
     std::optional<steady_time> m_answeredFrom; ///< first bytes of the current attempt's answer
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -308,6 +308,20 @@
     return true;
 }
 
+// A data centre that is cut off refuses connections at once, and is lost only after a while.
+template <gateway_codec Codec>
+void exchange<Codec>::leaveUnreached(const data_center_id &where)
+{
+    const auto &own = m_context.dataCenter;
+    if (where == own || ++m_unsentAway < MaxUnsentAway
+        || !m_context.directory.usableIn(m_service, own))
+        return;
+    m_unreached = where;
+    m_home = chooseHome();
+    if (m_work && resultsLieIn(where))
+        m_needsStages = mayRestartStages();
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::onFate(fate what)
 {
@@ -325,6 +339,8 @@
     m_answer.status = 0;
     m_answerMarks = {};
     m_splitter.restart();
+    if (what == fate::NotSent)
+        leaveUnreached(server.record.dataCenter);
     if (mayTryAgain(what))
         attempt();
     else
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -32,6 +32,8 @@
 inline constexpr std::size_t MaxQueuedBytes = 256U << 10U;
 /// Tries that never reached a server: each is another server, or a connection that had ended.
 inline constexpr std::uint32_t MaxUnsent = 4;
+/// So many of them to servers of another data centre show that it may be cut off.
+inline constexpr std::uint32_t MaxUnsentAway = 2;
 /// When a refused client is asked to come back: a few calls of a stage later.
 inline constexpr milliseconds ComeBack{400};
 /// The same where everything that could serve it is evacuated, leaves or can't be reached: that
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -79,7 +79,7 @@
         || m_context.placer.poolFor(m_service, own, m_residency).dataCenter.empty())
         return own;
     const auto home = homeOf(m_marks.prompt, nearEngines());
-    if (!home || *home == own)
+    if (!home || *home == own || *home == m_unreached)
         return own;
     for (std::size_t i = 0; i < m_route->stages.size(); ++i) {
         if (m_marks.pieceCounts[i] == 0)
--- a/src/gateway/exchange/request_outcome.h
+++ b/src/gateway/exchange/request_outcome.h
@@ -51,6 +51,7 @@
     case piece_failure::NoRoom:
     case piece_failure::Error:
     case piece_failure::HostUnready:
+    case piece_failure::Unreached:
         break;
     }
     return request_outcome::StageFailed;
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -178,6 +178,7 @@
         m_pace.onSent(*call->server, shareOf(key));
         make(key, *call);
     }
+    deliver(pool.giveUpUnreached(servers));
     m_loop.cancelTimer(std::exchange(m_wakeups[key], 0));
     if (pool.waiting() == 0)
         return;
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -9,6 +9,8 @@
 
 // How often one piece is tried. Beyond, its request would miss its aim anyway.
 constexpr std::uint32_t MaxTries = 5;
+// So many servers that can't be reached show that their data centre may be cut off.
+constexpr std::uint32_t TriesBeforeMove = 2;
 // A server that refused is asked again after this: a part of the shortest call.
 constexpr milliseconds RefusedPause{60};
 // How long a server without room for results is left alone: results are freed within a second.
@@ -288,7 +290,10 @@
     const bool free = how == stage_call_end::NotSent || how == stage_call_end::Withheld;
     const bool suspected =
         how == stage_call_end::Broken && m_mayRepeat && !m_mayRepeat(job.request.digest);
-    if (suspected || job.tries >= MaxTries || !(free || m_allowance.tryTake(m_service)))
+    const auto tries = job.mayMove ? TriesBeforeMove : MaxTries;
+    if (how == stage_call_end::NotSent && job.tries >= tries)
+        out.push_back({job.token, piece_failure::Unreached});
+    else if (suspected || job.tries >= MaxTries || !(free || m_allowance.tryTake(m_service)))
         out.push_back({job.token, piece_failure::Error});
     else
         m_waiting.push_back(std::move(job));
@@ -425,6 +430,25 @@
     return out;
 }
 
+std::vector<piece_outcome> stage_pool::giveUpUnreached(const std::vector<server_ptr> &servers)
+{
+    std::vector<piece_outcome> out;
+    const auto pausesAfterFailure = [&](const server_ptr &each) {
+        const auto found = m_servers.find(each->record.start());
+        return found != m_servers.end() && found->second.failures > 0
+            && found->second.busyUntil > m_clock.now();
+    };
+    if (!std::ranges::all_of(servers, pausesAfterFailure))
+        return out;
+    std::erase_if(m_waiting, [&](const piece_job &job) {
+        if (!job.mayMove)
+            return false;
+        out.push_back({job.token, piece_failure::Unreached});
+        return true;
+    });
+    return out;
+}
+
 std::vector<piece_outcome> stage_pool::dropInputsIn(const data_center_id &dataCenter)
 {
     std::vector<piece_outcome> out;
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -38,6 +38,7 @@
     std::uint32_t tries = 0;
     bool admitted = false; ///< was foreseen to be in time when it came
     residency allowed; ///< stays with the node that submits it: the pool is in one region
+    bool mayMove = false; ///< likewise: another pool takes it where no server can be reached
 };
 
 /// A call to be made now.
@@ -127,6 +128,9 @@
 
     /// Gives up all pieces that wait: the servers of the pool get nothing new.
     [[nodiscard]] std::vector<piece_outcome> giveUpAll(piece_failure why);
+    /// Gives up pieces that may move, where each of these servers has failed a moment ago.
+    [[nodiscard]] std::vector<piece_outcome>
+    giveUpUnreached(const std::vector<server_ptr> &servers);
     /// Gives up pieces whose inputs lie in a data centre that can't be reached.
     [[nodiscard]] std::vector<piece_outcome> dropInputsIn(const data_center_id &dataCenter);
     /// Gives how long a piece that came now would wait behind those that go first, about.
--- a/src/gateway/stages/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -65,14 +65,15 @@
         std::uint32_t moves = 0;
     };
 
-    /// A pool whose servers asked its host for time.
+    /// A pool whose servers asked its host for time, or couldn't be reached.
     struct backed_off_pool
     {
         vm_id host;
         steady_time until;
     };
 
-    /// As `poolFor`, or the pool of another data centre where that one's servers asked for time.
+    /// As `poolFor`, or the pool of another data centre, the own one first, where that one's
+    /// servers asked for time or couldn't be reached.
     [[nodiscard]] pool_key openPoolFor(const service_id &service, const data_center_id &near,
                                        const residency &allowed);
     [[nodiscard]] std::optional<milliseconds> backoffOf(const pool_key &pool) const;
@@ -84,6 +85,12 @@
     bool moveFromClosed(piece_token token, submission &entry);
     /// Brings a piece to the next node in question, and others that come for a while.
     void leaveUnreadyHost(piece_token token, submission &entry);
+    /// The pool of the own data centre, where it isn't the piece's and may get it.
+    [[nodiscard]] std::optional<pool_key> ownPoolFor(const submission &entry);
+    /// Moves a piece there; false where that can't be.
+    [[nodiscard]] bool moveHome(piece_token token, submission &entry);
+    /// Places a piece anew, not within the handler of its outcome.
+    void placeLater(piece_token token, submission &entry, milliseconds delay);
     void onPieceFrame(const link_ptr &link, piece_frame &&frame);
     void onWithdrawFrame(const link_ptr &link, piece_token token);
 
@@ -93,6 +100,7 @@
     stage_host<Codec> &m_host;
     server_directory &m_directory;
     retry_allowance &m_allowance;
+    data_center_id m_dataCenter; ///< of this node
     std::function<bool()> m_prepared;
     stage_sharing m_sharing;
     pool_widths m_widths;
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -19,6 +19,9 @@
 /// A host that knows that servers leave or are evacuated before this node does is asked again after
 /// this: nodes tell each other within a few ticks.
 inline constexpr milliseconds ServerNews{150};
+/// How long pieces don't go to a pool whose servers couldn't be reached: by then it is known
+/// whether their data centre is cut off.
+inline constexpr milliseconds UnreachedPause{500};
 /// After this many moves a piece stays with this node.
 inline constexpr std::uint32_t MaxMoves = 2;
 
@@ -32,6 +35,7 @@
     , m_host(host)
     , m_directory(directory)
     , m_allowance(allowance)
+    , m_dataCenter(settings.dataCenter)
     , m_sharing(settings.stageCalls)
     , m_widths(directory, StagePoolWidths)
 {
@@ -91,6 +95,9 @@
     auto nearest = poolFor(service, near, allowed);
     if (m_backedOff.empty() || !backoffOf(nearest))
         return nearest;
+    if (auto own = poolFor(service, m_dataCenter, allowed);
+        own != nearest && !m_directory.usable(own).empty() && !backoffOf(own))
+        return own;
     for (const auto &each : m_directory.usable(service, allowed)) {
         auto other = poolFor(service, each->record.dataCenter, allowed);
         if (!backoffOf(other))
@@ -120,6 +127,7 @@
 {
     entry.link = entry.moves < MaxMoves ? linkToHost(entry.pool) : nullptr;
     if (!entry.link) {
+        entry.job.mayMove = ownPoolFor(entry).has_value();
         entry.local = m_host.submit(entry.pool, entry.job, [this, token](piece_report report) {
             onOutcome(token, std::move(report));
         });
@@ -171,6 +179,8 @@
         m_backedOff[found->second.pool] = {hostOf(found->second.pool), m_loop.now() + report.wait};
     if (failure && poolIsClosed(*failure) && moveFromClosed(token, found->second))
         return;
+    if (failure && *failure == piece_failure::Unreached && moveHome(token, found->second))
+        return;
     const auto handler = std::move(found->second.handler);
     m_submissions.erase(found);
     handler(std::move(report));
@@ -186,13 +196,44 @@
     if (entry.moves++ >= MaxMoves || m_directory.usable(entry.pool).empty()
         || backoffOf(entry.pool))
         return false;
+    placeLater(token, entry, entry.pool == before ? ServerNews : milliseconds{0});
+    return true;
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::placeLater(piece_token token, submission &entry, milliseconds delay)
+{
     entry.link = nullptr;
     entry.local = 0;
-    const auto delay = entry.pool == before ? ServerNews : milliseconds{0};
     m_loop.callAfter(delay, [this, token] {
         if (const auto found = m_submissions.find(token); found != m_submissions.end())
             place(token, found->second);
     });
+}
+
+template <gateway_codec Codec>
+std::optional<pool_key> stage_router<Codec>::ownPoolFor(const submission &entry)
+{
+    auto own = poolFor(entry.pool.service, m_dataCenter, entry.job.allowed);
+    if (own == entry.pool || own.dataCenter != m_dataCenter
+        || !entry.job.allowed.allows(m_directory.regionOf(m_dataCenter))
+        || m_directory.usable(own).empty())
+        return std::nullopt;
+    return own;
+}
+
+// A data centre that is cut off refuses connections at once, and is lost only after a while.
+template <gateway_codec Codec>
+bool stage_router<Codec>::moveHome(piece_token token, submission &entry)
+{
+    auto own = ownPoolFor(entry);
+    if (!own)
+        return false;
+    m_backedOff[entry.pool] = {hostOf(entry.pool), m_loop.now() + UnreachedPause};
+    entry.pool = std::move(*own);
+    entry.job.near = m_dataCenter;
+    entry.moves = 0;
+    placeLater(token, entry, milliseconds{0});
     return true;
 }
 
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -497,3 +497,44 @@
         CHECK(w.pool.waiting() == 1);
     }
 }
+
+// The pattern: servers of a data centre that is cut off refuse connections at once.
+TEST_CASE("stage_pool: a piece that may move is given up where servers can't be reached")
+{
+    world w(3);
+    piece_job job;
+    job.token = 7;
+    job.deadline = w.clock.now() + milliseconds{5000};
+    job.mayMove = true;
+    const auto miss = [&] {
+        return w.pool.onEnd(w.pool.next(w.servers)->id, stage_call_end::NotSent, {});
+    };
+    w.pool.submit(job);
+    SECTION("by the second of many")
+    {
+        CHECK(miss().empty());
+        const auto outcomes = miss();
+        REQUIRE(outcomes.size() == 1);
+        CHECK(std::get<piece_failure>(outcomes.front().result) == piece_failure::Unreached);
+    }
+    SECTION("at once while all of them pause, and not afterwards")
+    {
+        w.servers.resize(1);
+        CHECK(miss().empty());
+        REQUIRE_FALSE(w.pool.next(w.servers));
+        CHECK(w.pool.giveUpUnreached(w.servers).size() == 1);
+        w.clock.advance(milliseconds{5000});
+        w.pool.submit(job);
+        CHECK(w.pool.giveUpUnreached(w.servers).empty());
+        CHECK(w.pool.next(w.servers));
+    }
+    SECTION("but waits where it may not move")
+    {
+        w.pool.withdraw(job.token);
+        job.mayMove = false;
+        w.pool.submit(job);
+        CHECK(miss().empty());
+        CHECK(miss().empty());
+        CHECK(w.pool.giveUpUnreached(w.servers).empty());
+    }
+}
