--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -45,6 +45,7 @@
     std::size_t calmBytes = 0; ///< a second, mean
     std::size_t calmFarBytes = 0; ///< of these, to other data centres
     std::size_t cutBytes = 0; ///< a second, mean, while a data centre is cut off
+    milliseconds lost{0}; ///< until all nodes elsewhere lost it, one of which had work there
     milliseconds healed{0}; ///< until all know each other after that
     milliseconds killedAll{0}; ///< until all know each other after all were killed
     std::size_t mostFollowers = 0; ///< of a node that hands on what is published
@@ -93,10 +94,28 @@
     }
 }
 
+milliseconds runUntilLost(peer_fleet &fleet, const data_center_id &dataCenter)
+{
+    constexpr milliseconds Step{100};
+    std::size_t others = 0;
+    for (std::size_t node = 0; node < fleet.size(); ++node)
+        others += fleet.dataCenterOf(node) == dataCenter ? 0 : 1;
+    milliseconds taken{0};
+    while (taken < Limit && fleet.nodesThatLost(dataCenter) < others) {
+        fleet.run(Step);
+        taken += Step;
+    }
+    return taken;
+}
+
 void measureCut(peer_fleet &fleet, fleet_figures &out)
 {
-    fleet.cutOff(fleet.dataCenterOf(0));
-    fleet.run(milliseconds{6000});
+    constexpr milliseconds Settled{6000};
+    const auto cut = fleet.dataCenterOf(0);
+    fleet.view(1).onUse(cut);
+    fleet.cutOff(cut);
+    out.lost = runUntilLost(fleet, cut);
+    fleet.run(std::max(milliseconds{0}, Settled - out.lost));
     fleet.forgetTraffic();
     fleet.run(milliseconds{1000 * CutSeconds});
     out.cutBytes = fleet.meanBytesSent() / CutSeconds;
@@ -135,9 +154,9 @@
     std::cout << std::setw(6) << each.nodes << std::setw(9) << each.agreed.count() << std::setw(10)
               << each.startBytes << std::setw(10) << each.mostStartBytes << std::setw(9)
               << each.calmBytes << std::setw(9) << each.calmFarBytes << std::setw(9)
-              << each.cutBytes << std::setw(9) << each.healed.count() << std::setw(9)
-              << each.killedAll.count() << std::setw(11) << each.mostFollowers << std::setw(7)
-              << each.steps << '\n'
+              << each.cutBytes << std::setw(8) << each.lost.count() << std::setw(10)
+              << each.healed.count() << std::setw(10) << each.killedAll.count() << std::setw(11)
+              << each.mostFollowers << std::setw(7) << each.steps << '\n'
               << std::flush;
 }
 
@@ -172,9 +191,9 @@
 
 int run()
 {
-    std::cout
-        << " nodes agreed ms  start B    most B  calm B/s  far B/s  cut B/s healed ms killed ms"
-           " followers  steps\n";
+    std::cout << " nodes agreed ms  start B    most B  calm B/s  far B/s  cut B/s lost ms healed "
+                 "ms killed ms"
+                 " followers  steps\n";
     std::vector<fleet_figures> all;
     for (const auto &text : absl::GetFlag(FLAGS_nodes)) {
         std::size_t nodes = 0;
