Let pieces wait whose servers are merely paced

Read in the change before: a pool gave up pieces that may move where all servers that it was shown had failed, and it was shown none that are cold, limited or asked for time. Where all of a pool are, none were left, and the pieces left for the own data centre at once. The host shows all servers that may get new work. Tests: pieces stay with the data centre of their request's prompt while it can be reached, and wait while a server merely works. The pacing itself has no test of its own here.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -87,7 +87,7 @@
     ServersLeaving, ///< likewise: those of its pool end soon
     ServersBackedOff, ///< likewise: those of its pool asked the host for time
     HostUnready, ///< likewise: the host has just started and knows no servers yet
-    Unreached, ///< none of the servers that were tried last could be reached
+    Unreached, ///< the servers of its pool that were tried couldn't be reached
 };
 
 /// Whether a host gave the piece up since no server of its pool gets anything new: another pool's
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -178,7 +178,8 @@
         m_pace.onSent(*call->server, shareOf(key));
         make(key, *call);
     }
-    deliver(pool.giveUpUnreached(servers));
+    if (pool.waiting() > 0)
+        deliver(pool.giveUpUnreached(m_directory.usable(key)));
     m_loop.cancelTimer(std::exchange(m_wakeups[key], 0));
     if (pool.waiting() == 0)
         return;
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -128,7 +128,8 @@
 
     /// Gives up all pieces that wait: the servers of the pool get nothing new.
     [[nodiscard]] std::vector<piece_outcome> giveUpAll(piece_failure why);
-    /// Gives up pieces that may move, where each of these servers has failed a moment ago.
+    /// Gives up pieces that may move, where each of these servers, all that may get new work, has
+    /// failed a moment ago, or there are none.
     [[nodiscard]] std::vector<piece_outcome>
     giveUpUnreached(const std::vector<server_ptr> &servers);
     /// Gives up pieces whose inputs lie in a data centre that can't be reached.
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -528,6 +528,15 @@
         CHECK(w.pool.giveUpUnreached(w.servers).empty());
         CHECK(w.pool.next(w.servers));
     }
+    SECTION("but waits while one of them merely works")
+    {
+        w.servers.resize(1);
+        piece_job first = job;
+        first.token = 6;
+        w.pool.submit(first);
+        REQUIRE(w.pool.next(w.servers));
+        CHECK(w.pool.giveUpUnreached(w.servers).empty());
+    }
     SECTION("but waits where it may not move")
     {
         w.pool.withdraw(job.token);
--- a/tests/platform/unreached_data_center_test.cpp
+++ b/tests/platform/unreached_data_center_test.cpp
@@ -52,6 +52,15 @@
         return server;
     }
 
+    /// Requests that servers of a service elsewhere got.
+    [[nodiscard]] std::size_t arrivedElsewhere(const std::string &service) const
+    {
+        std::size_t arrived = 0;
+        for (const auto *each : m_elsewhere)
+            arrived += each->id().starts_with(service + "-") ? each->requests().size() : 0;
+        return arrived;
+    }
+
     void resetElsewhere()
     {
         for (auto *each : m_elsewhere)
@@ -92,3 +101,10 @@
     w.resetElsewhere();
     CHECK(w.countServed("") == Requests);
 }
+
+TEST_CASE("pieces stay with the data centre of their request's prompt while it can be reached")
+{
+    two_data_centers w(Stages);
+    CHECK(w.countServed("2") == Requests);
+    CHECK(w.arrivedElsewhere("p") >= Requests / 4);
+}
