Detect and log that a node can open no connection to any backend server

The logs of gateways that were cut off from all servers couldn't be told from those of servers that are down: a node knew its reach of a data centre, of one server and of one request only. All calls to servers now go through server_transport, which reports failed connections to server_access. A failure opens a round of connections to servers of other services and data centres; where all fail, the node is cut off (server_access_changed, servers_cut_off). Nothing acts on it. Tests can cut a gateway's links to servers with a loopback proxy (cut_link): connections that are reset, that hang, or that live on while new ones are refused.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -17,9 +17,9 @@
 #include "gateway/quarantine/request_digest.h"
 #include "gateway/quarantine/server_crash_detector.h"
 #include "gateway/servers/server_directory.h"
+#include "gateway/servers/server_transport.h"
 #include "gateway/stages/stage_progress.h"
 #include "gateway/stages/stage_router.h"
-#include "http/connection_pool.h"
 #include "http/inbound_connection.h"
 #include "wire/log.h"
 
@@ -38,7 +38,7 @@
 struct gateway_context
 {
     http::io_loop &loop;
-    http::connection_pool &pool;
+    server_transport &transport;
     server_directory &directory;
     service_retry_budget &retryBudget;
     peer_network &peers;
@@ -239,7 +239,7 @@
     milliseconds m_capacityDelay{0}; ///< delay until servers may take requests again; 0: unknown
     server_ptr m_server; ///< of the current attempt
     std::vector<backend_server_id> m_triedServers;
-    http::pool_call m_call = 0;
+    server_transport::call_id m_call = 0;
     std::uint32_t m_attempts = 0; ///< that reached a server
     std::uint32_t m_unsentAttempts = 0;
     std::uint32_t m_unsentRemoteAttempts = 0; ///< unsent attempts to servers of other data centres
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -90,7 +90,7 @@
     }
     if (!m_splitter.isUnusable())
         return;
-    m_context.pool.abandon(m_call);
+    m_context.transport.abandon(m_call);
     onEnd(http::call_end::TooLarge);
 }
 
@@ -119,10 +119,10 @@
 {
     if (m_client->queuedBytes() <= MaxQueuedBytes)
         return;
-    m_context.pool.setReading(m_call, false);
+    m_context.transport.setReading(m_call, false);
     m_client->onDrained([self = this->shared_from_this()] {
         self->m_lastActivity = self->m_context.loop.now();
-        self->m_context.pool.setReading(self->m_call, true);
+        self->m_context.transport.setReading(self->m_call, true);
     });
 }
 
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -160,7 +160,7 @@
     call.onHead = [self](const http::response_head &head) { self->onHead(head); };
     call.onBody = [self](std::string_view bytes) { self->onBody(bytes); };
     call.onEnd = [self](http::call_end how) { self->onEnd(how); };
-    m_call = m_context.pool.start(m_server->record.address, std::move(call));
+    m_call = m_context.transport.start({m_server, std::move(call)});
     if (m_route->repeatable())
         startIdleTimer(
             std::chrono::duration_cast<milliseconds>(m_route->latencyObjective * UnansweredShare));
@@ -363,7 +363,7 @@
         return;
     const bool sentThere = m_call != 0 && m_server->record.dataCenter == dataCenter;
     if (sentThere && m_route->repeatable() && m_attempts < m_route->maxAttempts) {
-        m_context.pool.abandon(m_call);
+        m_context.transport.abandon(m_call);
         onEnd(http::call_end::TimedOut);
     } else if (m_call == 0 && !m_headSent && m_stageProgress && hasResultsIn(dataCenter)) {
         if (mayRestartStages())
@@ -413,7 +413,7 @@
     query.allowed = m_residency;
     if (!m_context.directory.choose(query))
         return;
-    m_context.pool.abandon(m_call);
+    m_context.transport.abandon(m_call);
     onEnd(http::call_end::TimedOut);
 }
 
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -225,7 +225,7 @@
         return;
     const bool sent = m_call != 0 && m_attempts > 0;
     if (m_call != 0) {
-        m_context.pool.abandon(m_call);
+        m_context.transport.abandon(m_call);
         endAttempt();
     }
     if (m_headSent) {
@@ -251,7 +251,7 @@
     if (m_done)
         return;
     if (m_call != 0) {
-        m_context.pool.abandon(m_call);
+        m_context.transport.abandon(m_call);
         endAttempt();
     }
     finish(request_outcome::ClientGone);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/publication/store_reader.h"
 #include "gateway/quarantine/server_crash_detector.h"
 #include "gateway/servers/leaving_server_relay.h"
+#include "gateway/servers/server_transport.h"
 #include "gateway/settings.h"
 #include "gateway/stages/stage_router.h"
 #include "http/listener.h"
@@ -22,7 +23,9 @@
 class gateway
 {
 public:
-    gateway(http::io_loop &loop, wire::log &log, gateway_settings settings);
+    /// `open` opens the TCP connections to servers and the store.
+    gateway(http::io_loop &loop, wire::log &log, gateway_settings settings,
+            http::connect_function open = &http::stream_socket::connect);
 
     /// Starts listening and reading the store. Returns an error if an address cannot be bound.
     [[nodiscard]] std::optional<http::listen_error> start();
@@ -67,6 +70,7 @@
     gateway_metrics m_metrics;
     http::connection_pool m_pool;
     server_directory m_directory;
+    server_transport m_transport;
     service_retry_budget m_retryBudget;
     log_rate_limiter m_logLimiter;
     stage_host<Codec> m_stages;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -64,17 +64,19 @@
 }
 
 template <gateway_codec Codec>
-gateway<Codec>::gateway(http::io_loop &loop, wire::log &log, gateway_settings settings)
+gateway<Codec>::gateway(http::io_loop &loop, wire::log &log, gateway_settings settings,
+                        http::connect_function open)
     : m_loop(loop)
     , m_log(log)
     , m_settings(std::move(settings))
-    , m_pool(loop)
+    , m_pool(loop, std::move(open))
     , m_directory(loop.clock())
+    , m_transport(loop, m_pool, m_directory, m_settings.dataCenter, log)
     , m_retryBudget(loop.clock(),
                     {m_settings.bounds.retryShare, m_settings.bounds.retryReserve,
                      m_settings.bounds.retryWindow, drawRotationOffset(m_settings.vm)})
     , m_logLimiter(loop.clock(), m_settings.requestLines)
-    , m_stages(loop, m_pool, m_directory, m_retryBudget, log, m_metrics)
+    , m_stages(loop, m_transport, m_directory, m_retryBudget, log, m_metrics)
     , m_peers(loop, log, m_settings, drawIncarnation(loop.clock()),
               {[this](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
                    onFrame(link, std::move(frame));
@@ -119,7 +121,7 @@
           log, seedOf(m_settings.vm))
     , m_crashDetector(loop.clock())
     , m_context{loop,
-                m_pool,
+                m_transport,
                 m_directory,
                 m_retryBudget,
                 m_peers,
@@ -287,6 +289,7 @@
         now.leavingServers += each->isLeaving() ? 1 : 0;
         now.backedOffServers += each->usable() && !each->accepts(m_loop.now()) ? 1 : 0;
     }
+    now.serversCutOff = m_transport.access() == server_access_state::CutOff;
     now.evacuatedDataCenters = m_state.evacuations().dataCenters.size();
     const auto age = [this](steady_time since) {
         return std::chrono::duration_cast<milliseconds>(m_loop.now() - since);
@@ -387,7 +390,7 @@
     const auto asked = m_directory.nextServerIn(dataCenter);
     if (!asked)
         return;
-    m_pool.connect(asked->record.address, [this, dataCenter](http::connect_outcome outcome) {
+    m_transport.probe(asked->record, [this, dataCenter](http::connect_outcome outcome) {
         if (outcome == http::connect_outcome::Connected)
             m_peers.onServerResponse(dataCenter);
     });
@@ -399,7 +402,7 @@
     const auto id = which.record.id;
     if (!m_crashDetector.onConnectionBroken(id, request))
         return;
-    m_pool.connect(which.record.address, [this, id](http::connect_outcome outcome) {
+    m_transport.probe(which.record, [this, id](http::connect_outcome outcome) {
         if (const auto found = m_crashDetector.onProbeResult(id))
             onProbeResult(*found, outcome);
     });
@@ -486,6 +489,7 @@
     m_router.tick();
     m_quarantine.tick();
     m_leaving.tick();
+    m_transport.tick();
     if (m_loop.now() >= m_nextSummary) {
         m_nextSummary = m_loop.now() + SummaryInterval;
         logPeriodicSummary();
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -36,6 +36,7 @@
     StoreHistoryGone, ///< the store's change history is gone; everything is read anew
     DataCenterLost, ///< no signal arrives from the data centre's nodes and servers
     DataCenterRegained,
+    ServerAccessChanged, ///< this node lost all connections to servers, or opened one again
     ServerAvoided, ///< a server failed several times in a row
     ServerTrusted, ///< an avoided server answered
     ServerLimitChanged, ///< a server's rate limit for all nodes together changed
@@ -106,6 +107,8 @@
         orchidlead::gateway::log_event::DataCenterLost, "data_center_lost"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::DataCenterRegained, "data_center_regained"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ServerAccessChanged, "server_access_changed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerAvoided, "server_avoided"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -220,6 +220,64 @@
     return found->second;
 }
 
+server_ptr server_directory::nextUsableServer()
+{
+    const auto isUsable = [](const auto &entry) { return entry.second->usable(); };
+    auto found = std::find_if(m_servers.upper_bound(m_lastUsable), m_servers.end(), isUsable);
+    if (found == m_servers.end())
+        found = std::find_if(m_servers.begin(), m_servers.end(), isUsable);
+    if (found == m_servers.end())
+        return nullptr;
+    m_lastUsable = found->first;
+    return found->second;
+}
+
+template <class Predicate>
+server_ptr server_directory::pickInTurn(const std::vector<server_ptr> &servers, std::size_t turn,
+                                        Predicate fits)
+{
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const auto &each = servers[(turn + i) % servers.size()];
+        if (fits(each))
+            return each;
+    }
+    return nullptr;
+}
+
+std::vector<server_ptr> server_directory::diverseServers(const server_record &from,
+                                                         const data_center_id &preferredDataCenter,
+                                                         std::size_t count)
+{
+    const auto turn = m_diverseTurn++;
+    std::vector<server_ptr> chosen;
+    const auto isNew = [&](const server_ptr &each) {
+        return each->usable() && each->record.id != from.id
+            && std::ranges::find(chosen, each) == chosen.end();
+    };
+    for (const auto &[service, servers] : m_byService) {
+        if (chosen.size() == count)
+            return chosen;
+        if (service == from.service)
+            continue;
+        server_ptr found;
+        if (const auto near = servers.byDataCenter.find(preferredDataCenter);
+            near != servers.byDataCenter.end())
+            found = pickInTurn(near->second, turn, isNew);
+        if (!found)
+            found = pickInTurn(servers.all, turn, isNew);
+        if (found)
+            chosen.push_back(found);
+    }
+    const auto same = m_byService.find(from.service);
+    while (same != m_byService.end() && chosen.size() < count) {
+        const auto found = pickInTurn(same->second.all, turn, isNew);
+        if (!found)
+            break;
+        chosen.push_back(found);
+    }
+    return chosen;
+}
+
 server_ptr server_directory::find(const backend_server_id &id) const
 {
     const auto found = m_servers.find(id);
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -247,6 +247,14 @@
     /// Returns the published servers of a data centre in turn, whatever their state; null if there
     /// is none.
     [[nodiscard]] server_ptr nextServerIn(const data_center_id &dataCenter);
+    /// Returns the usable servers in turn; null if there is none.
+    [[nodiscard]] server_ptr nextUsableServer();
+    /// Returns up to `count` usable servers that share as little as possible with the given one:
+    /// first a server of each other service, in `preferredDataCenter` where there is one, then
+    /// others of the same service.
+    [[nodiscard]] std::vector<server_ptr> diverseServers(const server_record &from,
+                                                         const data_center_id &preferredDataCenter,
+                                                         std::size_t count);
 
     /// Called when a response of a server of the data centre begins or is complete.
     void onDataCenterAnswered(std::function<void(const data_center_id &)> handler)
@@ -289,6 +297,10 @@
     [[nodiscard]] double costOf(const server &backend, const server_query &query) const;
     /// Returns whether this node recently got a response of the server.
     [[nodiscard]] bool answeredRecently(const server &backend) const;
+    /// Returns the first server from a turn's position on that fits; null if there is none.
+    template <class Predicate>
+    [[nodiscard]] static server_ptr pickInTurn(const std::vector<server_ptr> &servers,
+                                               std::size_t turn, Predicate fits);
     /// Chooses among servers of equal cost; null if the list is empty.
     [[nodiscard]] server_ptr chooseAmongEqual(const std::vector<server_ptr> &equalServers) const;
     void notifyChange(const service_id &service);
@@ -335,6 +347,8 @@
     std::set<data_center_id> m_unreachable;
     std::set<data_center_id> m_evacuated;
     backend_server_id m_lastReturned; ///< last result of `nextServerIn`
+    backend_server_id m_lastUsable; ///< last result of `nextUsableServer`
+    std::size_t m_diverseTurn = 0; ///< increases with each call of `diverseServers`
     backoff_jitter m_backoffJitter;
     std::function<void(const data_center_id &)> m_onDataCenterAnswered;
     std::function<void(const data_center_id &)> m_onSent;
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -4,8 +4,8 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/quarantine/server_crash_detector.h"
 #include "gateway/servers/rate_pacer.h"
+#include "gateway/servers/server_transport.h"
 #include "gateway/stages/stage_pool.h"
-#include "http/connection_pool.h"
 #include "wire/log.h"
 
 #include <functional>
@@ -26,7 +26,7 @@
 public:
     using piece_handler = std::function<void(piece_report)>;
 
-    stage_host(http::io_loop &loop, http::connection_pool &pool, server_directory &directory,
+    stage_host(http::io_loop &loop, server_transport &transport, server_directory &directory,
                service_retry_budget &retryBudget, wire::log &log, gateway_metrics &metrics);
 
     void setConfiguration(const configuration_ptr &configuration);
@@ -84,7 +84,7 @@
         int status = 0;
         response_metadata metadata;
         std::string body;
-        http::pool_call call = 0;
+        server_transport::call_id call = 0;
         http::timer_id timer = 0;
         steady_time startedAt;
         bool withheld = false; ///< the server stopped accepting calls before the call was sent
@@ -125,7 +125,7 @@
     void onFreed(const std::vector<std::string> &handles);
 
     http::io_loop &m_loop;
-    http::connection_pool &m_pool;
+    server_transport &m_transport;
     server_directory &m_directory;
     service_retry_budget &m_retryBudget;
     wire::log &m_log;
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -15,11 +15,11 @@
 inline constexpr milliseconds NoShareRetryInterval{200};
 
 template <gateway_codec Codec>
-stage_host<Codec>::stage_host(http::io_loop &loop, http::connection_pool &pool,
+stage_host<Codec>::stage_host(http::io_loop &loop, server_transport &transport,
                               server_directory &directory, service_retry_budget &retryBudget,
                               wire::log &log, gateway_metrics &metrics)
     : m_loop(loop)
-    , m_pool(pool)
+    , m_transport(transport)
     , m_directory(directory)
     , m_retryBudget(retryBudget)
     , m_log(log)
@@ -227,10 +227,10 @@
     };
     outbound.onBody = [active](std::string_view bytes) { active->body.append(bytes); };
     outbound.onEnd = [this, active](http::call_end httpEnd) { onCallEnd(active, httpEnd); };
-    active->call = m_pool.start(call.server->record.address, std::move(outbound));
+    active->call = m_transport.start({call.server, std::move(outbound)});
     active->timer = m_loop.callAfter(call.timeout, [this, active] {
         active->timer = 0;
-        m_pool.abandon(active->call);
+        m_transport.abandon(active->call);
         onCallEnd(active, http::call_end::TimedOut);
     });
 }
@@ -242,7 +242,7 @@
     for (const auto &each : open) {
         if (each->stageCall.server->record.dataCenter != dataCenter)
             continue;
-        m_pool.abandon(each->call);
+        m_transport.abandon(each->call);
         onCallEnd(each, http::call_end::TimedOut);
     }
     for (auto &[key, pool] : m_pools) {
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -18,8 +18,9 @@
 
 } // namespace
 
-connection_pool::connection_pool(io_loop &loop)
+connection_pool::connection_pool(io_loop &loop, connect_function open)
     : m_loop(loop)
+    , m_open(std::move(open))
 { }
 
 connection_pool::~connection_pool()
@@ -67,21 +68,13 @@
                               std::function<void(connect_outcome)> onOutcome)
 {
     const pool_call id = ++m_lastCall;
-    const auto connected = std::make_shared<bool>(false);
+    const auto result = std::make_shared<connect_outcome>(connect_outcome::Refused);
     outbound_call nothing;
-    nothing.writeHead = [connected]() -> std::optional<std::string> {
-        *connected = true;
-        return std::nullopt;
-    };
-    nothing.onEnd = [this, id, connected, since = m_loop.now(),
-                     onOutcome = std::move(onOutcome)](call_end) {
+    nothing.onConnect = [result](connect_outcome outcome) { *result = outcome; };
+    nothing.writeHead = []() -> std::optional<std::string> { return std::nullopt; };
+    nothing.onEnd = [this, id, result, onOutcome = std::move(onOutcome)](call_end) {
         m_calls.erase(id);
-        if (*connected)
-            onOutcome(connect_outcome::Connected);
-        else if (m_loop.now() - since < ConnectTimeout)
-            onOutcome(connect_outcome::Refused);
-        else
-            onOutcome(connect_outcome::TimedOut);
+        onOutcome(*result);
     };
     const auto created = makeConnection(to);
     m_calls.emplace(id, created);
@@ -100,7 +93,7 @@
         if (*alive)
             removeIdle(to, closed);
     };
-    return std::make_shared<outbound_connection>(m_loop, std::move(owner));
+    return std::make_shared<outbound_connection>(m_loop, std::move(owner), m_open);
 }
 
 // Returns the most recently used connection: surplus ones then expire, so the size of the pool
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -2,9 +2,6 @@
 
 #include "http/outbound_connection.h"
 
-#include <orchidlead/enum_names.h>
-
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -19,18 +16,12 @@
 /// Identifies a call of a pool.
 using pool_call = std::uint64_t;
 
-/// Result of opening a connection.
-enum class connect_outcome : std::uint8_t {
-    Connected,
-    Refused, ///< no listener, or host unreachable
-    TimedOut, ///< no answer within the connect timeout
-};
-
 /// Pool of connections to servers, each reused by successive calls.
 class connection_pool
 {
 public:
-    explicit connection_pool(io_loop &loop);
+    /// `open` opens the TCP connections.
+    explicit connection_pool(io_loop &loop, connect_function open = &stream_socket::connect);
     /// Closes all connections; reports no further events of its calls.
     ~connection_pool();
     connection_pool(const connection_pool &) = delete;
@@ -62,6 +53,7 @@
     void removeIdle(const socket_address &to, outbound_connection &closed);
 
     io_loop &m_loop;
+    connect_function m_open;
     std::map<socket_address, std::vector<idle_connection>> m_idle;
     std::unordered_map<pool_call, std::shared_ptr<outbound_connection>> m_calls;
     pool_call m_lastCall = 0;
@@ -70,13 +62,3 @@
 };
 
 } // namespace orchidlead::http
-
-template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::http::connect_outcome>{
-    orchidlead::enum_name<orchidlead::http::connect_outcome>{
-        orchidlead::http::connect_outcome::Connected, "connected"},
-    orchidlead::enum_name<orchidlead::http::connect_outcome>{
-        orchidlead::http::connect_outcome::Refused, "refused"},
-    orchidlead::enum_name<orchidlead::http::connect_outcome>{
-        orchidlead::http::connect_outcome::TimedOut, "silent"},
-};
--- a/src/http/outbound_connection.cpp
+++ b/src/http/outbound_connection.cpp
@@ -24,9 +24,10 @@
 
 } // namespace
 
-outbound_connection::outbound_connection(io_loop &loop, owner_events owner)
+outbound_connection::outbound_connection(io_loop &loop, owner_events owner, connect_function open)
     : m_loop(loop)
     , m_owner(std::move(owner))
+    , m_open(std::move(open))
 { }
 
 void outbound_connection::open(const socket_address &to, milliseconds connectTimeout,
@@ -34,19 +35,30 @@
 {
     m_self = shared_from_this();
     m_call = std::move(call);
+    m_connecting = true;
     m_connectTimer = m_loop.callAfter(connectTimeout, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->m_connectTimer = 0;
+            self->reportConnect(connect_outcome::TimedOut);
             self->onEnd(false);
         }
     });
-    m_socket = stream_socket::connect(m_loop, to, *this);
+    m_socket = m_open(m_loop, to, *this);
+}
+
+void outbound_connection::reportConnect(connect_outcome outcome)
+{
+    if (std::exchange(m_connecting, false) && m_call && m_call->onConnect)
+        m_call->onConnect(outcome);
 }
 
 void outbound_connection::onConnected()
 {
+    const auto self = shared_from_this();
     m_loop.cancelTimer(std::exchange(m_connectTimer, 0));
-    transmit();
+    reportConnect(connect_outcome::Connected);
+    if (m_call)
+        transmit();
 }
 
 void outbound_connection::send(outbound_call call)
@@ -145,6 +157,7 @@
 void outbound_connection::onEnd(bool orderly)
 {
     const auto self = shared_from_this();
+    reportConnect(connect_outcome::Refused);
     if (!m_call) {
         tearDown();
         return;
--- a/src/http/outbound_connection.h
+++ b/src/http/outbound_connection.h
@@ -4,6 +4,10 @@
 #include "http/stream_socket.h"
 #include "net/http_client.h"
 
+#include <orchidlead/enum_names.h>
+
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -13,12 +17,21 @@
 
 using net::call_end;
 
+/// Result of opening a connection.
+enum class connect_outcome : std::uint8_t {
+    Connected,
+    Refused, ///< no listener, or host unreachable
+    TimedOut, ///< no answer within the connect timeout
+};
+
 /// Request to a server, with the handlers of its answer.
 struct outbound_call
 {
     /// Returns the head, immediately before it is sent. If empty, the call ends with `NotSent`.
     std::function<std::optional<std::string>()> writeHead;
     std::string body;
+    /// Called before `writeHead` or `onEnd` if a connection was opened for this call.
+    std::function<void(connect_outcome)> onConnect;
     bool toHead = false; ///< HEAD request: no body in the answer
     /// Whether an answer belongs to this call. Other answers are dropped, and the connection is not
     /// reused.
@@ -44,7 +57,7 @@
         std::function<void(outbound_connection &)> onClosed;
     };
 
-    outbound_connection(io_loop &loop, owner_events owner);
+    outbound_connection(io_loop &loop, owner_events owner, connect_function open);
 
     /// Opens the connection and sends its first call.
     void open(const socket_address &to, milliseconds connectTimeout, outbound_call call);
@@ -68,6 +81,7 @@
     void onBody(std::string_view bytes) override;
     void onComplete() override { }
 
+    void reportConnect(connect_outcome outcome);
     void transmit();
     void createReader();
     void onAnswerComplete(std::string_view rest);
@@ -76,11 +90,13 @@
 
     io_loop &m_loop;
     owner_events m_owner;
+    connect_function m_open;
     std::shared_ptr<outbound_connection> m_self; ///< keeps this object alive until closed
     std::shared_ptr<stream_socket> m_socket;
     std::optional<outbound_call> m_call;
     std::unique_ptr<response_reader> m_reader;
     std::string m_unparsed; ///< received bytes that are not parsed yet
+    bool m_connecting = false;
     bool m_sent = false; ///< bytes of the call may have been sent
     bool m_skippingAnswer = false; ///< answer of another call
     bool m_reusable = true;
@@ -89,3 +105,13 @@
 };
 
 } // namespace orchidlead::http
+
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::http::connect_outcome>{
+    orchidlead::enum_name<orchidlead::http::connect_outcome>{
+        orchidlead::http::connect_outcome::Connected, "connected"},
+    orchidlead::enum_name<orchidlead::http::connect_outcome>{
+        orchidlead::http::connect_outcome::Refused, "refused"},
+    orchidlead::enum_name<orchidlead::http::connect_outcome>{
+        orchidlead::http::connect_outcome::TimedOut, "silent"},
+};
--- a/src/http/stream_socket.h
+++ b/src/http/stream_socket.h
@@ -72,4 +72,8 @@
     bool m_endReported = false; ///< `onEnd` was called
 };
 
+/// Opens a TCP connection like `stream_socket::connect`.
+using connect_function = std::function<std::shared_ptr<stream_socket>(
+    io_loop &, const socket_address &, stream_events &)>;
+
 } // namespace orchidlead::http
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -49,6 +49,7 @@
     gauges.leavingServers = 6;
     gauges.backedOffServers = 7;
     gauges.evacuatedDataCenters = 1;
+    gauges.serversCutOff = true;
     gauges.members["alive"] = 5;
     gauges.retries[service_id{"pages"}] = {3, 4.5, 0};
     const auto text = metrics.text(gauges);
@@ -59,6 +60,7 @@
     CHECK(text.find("what=\"leaving_servers\"} 6") != std::string::npos);
     CHECK(text.find("what=\"backed_off_servers\"} 7") != std::string::npos);
     CHECK(text.find("what=\"evacuated_data_centers\"} 1") != std::string::npos);
+    CHECK(text.find("what=\"servers_cut_off\"} 1") != std::string::npos);
     CHECK(text.find("orchidlead_gateway_members{state=\"alive\"} 5") != std::string::npos);
     CHECK(text.find("retries_left{service=\"pages\"} 4.5") != std::string::npos);
 }
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -416,8 +416,11 @@
 {
     auto &entry = m_nodes[name];
     entry.settings = makeSettings(name, dataCenter);
-    entry.gateway =
-        std::make_unique<gateway::gateway<platform::codec>>(loop, *m_log, entry.settings);
+    entry.gateway.reset();
+    entry.links = std::make_unique<cut_link>(loop);
+    entry.links->except(store.address());
+    entry.gateway = std::make_unique<gateway::gateway<platform::codec>>(
+        loop, *m_log, entry.settings, entry.links->opener());
     REQUIRE_FALSE(entry.gateway->start());
     if (waitReady)
         REQUIRE(runUntil([&] { return entry.gateway->ready(); }));
@@ -434,6 +437,26 @@
     m_nodes[name].gateway->stop();
 }
 
+void world::cutFromServers(const std::string &gateway, cut_kind kind)
+{
+    m_nodes.at(gateway).links->cut(kind);
+}
+
+void world::healServers(const std::string &gateway)
+{
+    m_nodes.at(gateway).links->heal();
+}
+
+bool world::knowsMembers(std::size_t count)
+{
+    const auto wanted = "state=\"alive\"} " + std::to_string(count);
+    for (const auto &[name, each] : m_nodes) {
+        if (metrics(name).find(wanted) == std::string::npos)
+            return false;
+    }
+    return true;
+}
+
 http::pool_call world::startRequest(const std::string &gateway, http::request_head head,
                                     std::string body, const std::shared_ptr<client_answer> &answer)
 {
@@ -484,17 +507,28 @@
 }
 
 int world::readiness(const std::string &gateway)
+{
+    return readOperations(gateway, "/readyz").status;
+}
+
+std::string world::metrics(const std::string &gateway)
+{
+    return readOperations(gateway, "/metrics").body;
+}
+
+client_answer world::readOperations(const std::string &gateway, const std::string &path)
 {
     auto answer = std::make_shared<client_answer>();
     http::outbound_call call;
-    call.writeHead = [] {
-        return std::optional(http::formatHead(makeRequest("GET", "/readyz", "probe")));
+    call.writeHead = [path] {
+        return std::optional(http::formatHead(makeRequest("GET", path, "probe")));
     };
     call.onHead = [answer](const http::response_head &got) { answer->status = got.status; };
+    call.onBody = [answer](std::string_view bytes) { answer->body.append(bytes); };
     call.onEnd = [answer](http::call_end) { answer->ended = true; };
     pool.start(m_nodes[gateway].settings.listen.readiness, std::move(call));
     runUntil([&] { return answer->ended; });
-    return answer->status;
+    return *answer;
 }
 
 bool world::runUntil(const std::function<bool()> &done, milliseconds limit)
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cut_link.h"
 #include "gateway/gateway.h"
 #include "platform/codec.h"
 
@@ -168,6 +169,11 @@
     gateway::gateway<platform::codec> &startGateway(const std::string &name, bool waitReady = true,
                                                     const std::string &dataCenter = "z");
     void stopGateway(const std::string &name);
+    /// Cuts a gateway off from all backend servers; clients, the store and peers still reach it.
+    void cutFromServers(const std::string &gateway, cut_kind kind);
+    void healServers(const std::string &gateway);
+    /// Whether each gateway considers this number of gateways alive, itself included.
+    bool knowsMembers(std::size_t count);
     /// Waits until this number of nodes watch the store, which takes some time after their start.
     bool waitForStoreWatch(std::size_t nodes = 1);
 
@@ -181,6 +187,8 @@
     std::string sendRaw(const std::string &gateway, const std::string &bytes);
     /// Returns the HTTP status of the readiness check.
     int readiness(const std::string &gateway);
+    /// Returns the metrics of a gateway in the Prometheus text format.
+    std::string metrics(const std::string &gateway);
 
     /// Runs the loop until `done` returns true; returns false if it does not within `limit`.
     bool runUntil(const std::function<bool()> &done, milliseconds limit = milliseconds{5000});
@@ -200,9 +208,11 @@
     struct node
     {
         gateway::gateway_settings settings;
+        std::unique_ptr<cut_link> links; ///< to backend servers
         std::unique_ptr<gateway::gateway<platform::codec>> gateway;
     };
 
+    [[nodiscard]] client_answer readOperations(const std::string &gateway, const std::string &path);
     [[nodiscard]] gateway::gateway_settings makeSettings(const std::string &name,
                                                          const std::string &dataCenter);
 
