--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -417,10 +417,14 @@
     auto &entry = m_nodes[name];
     entry.settings = makeSettings(name, dataCenter);
     entry.gateway.reset();
-    entry.links = std::make_unique<cut_link>(loop);
-    entry.links->except(store.address());
+    http::connect_function open = &http::stream_socket::connect;
+    if (canBeCut) {
+        entry.links = std::make_unique<cut_link>(loop);
+        entry.links->except(store.address());
+        open = entry.links->opener();
+    }
     entry.gateway = std::make_unique<gateway::gateway<platform::codec>>(
-        loop, *m_log, entry.settings, entry.links->opener());
+        loop, *m_log, entry.settings, std::move(open));
     REQUIRE_FALSE(entry.gateway->start());
     if (waitReady)
         REQUIRE(runUntil([&] { return entry.gateway->ready(); }));
