Relay calls to servers through a peer while this node is cut off from all of them

What callers saw: a gateway that had lost its links to all backend servers refused its callers (0 of 122 first tries), and, as the host of a stage pool, failed those of all others (66 of 199), while its peers reached every server. A call had one way only, the node's own connections.

Ruled out: that the node isn't in touch (its peers and the store answered); that servers were full (none turned anything away).

Change: while a node is cut off (server_access), server_transport sends each call, whatever path it comes from, through one peer in the server's region: near ones first, the less used of two drawn. The peer (call_relay) sends it only if the server may get a call from that peer, takes down what the answer says of the server, shortens the timeout by the time spent, and never relays it again. A refusal says whether another peer may be asked; a call that was written and got no answer may have run, as with a server. Calls that wait on dead connections are repeated where allowed. Pool hosts stay where they are, as their calls are relayed too. A broken connection counts as the end of a server only after a round of connections has shown that this node reaches others.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -169,6 +169,9 @@
     {
         Codec::readAnswer(answer)
         } -> std::same_as<response_metadata>;
+    {
+        Codec::reduceTimeout(fields, wait)
+        } -> std::same_as<bool>;
     {
         Codec::retryAfter(wait)
         } -> std::same_as<http::field>;
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -78,6 +78,8 @@
     /// Handles the loss of a data centre: work in progress there is restarted in another data
     /// centre if that is allowed.
     void onDataCenterLost(const data_center_id &dataCenter);
+    /// Repeats a call that was lost as this node was cut off from all servers, if that is allowed.
+    void onServersCutOff();
     /// Refuses the request if it has not been sent to a server yet, because this process is about
     /// to stop.
     void refuseIfWaiting();
@@ -241,6 +243,7 @@
     std::vector<backend_server_id> m_triedServers;
     server_transport::call_id m_call = 0;
     std::uint32_t m_attempts = 0; ///< that reached a server
+    std::uint32_t m_attemptsBefore = 0; ///< `m_attempts` before the current one
     std::uint32_t m_unsentAttempts = 0;
     std::uint32_t m_unsentRemoteAttempts = 0; ///< unsent attempts to servers of other data centres
     bool m_serverIneligible = false; ///< the chosen server may no longer get the request
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -160,7 +160,8 @@
     call.onHead = [self](const http::response_head &head) { self->onHead(head); };
     call.onBody = [self](std::string_view bytes) { self->onBody(bytes); };
     call.onEnd = [self](http::call_end how) { self->onEnd(how); };
-    m_call = m_context.transport.start({m_server, std::move(call)});
+    m_attemptsBefore = m_attempts;
+    m_call = m_context.transport.start({m_server, std::move(call), m_metadata.attempt});
     if (m_route->repeatable())
         startIdleTimer(
             std::chrono::duration_cast<milliseconds>(m_route->latencyObjective * UnansweredShare));
@@ -219,6 +220,8 @@
     if (m_done)
         return;
     endAttempt();
+    if (how == http::call_end::NotSent)
+        m_attempts = m_attemptsBefore;
     if (how == http::call_end::NotSent && m_serverIneligible) {
         m_triedServers.push_back(m_server->record.id);
         attempt(); // neither a failure of the server nor a retry
@@ -373,6 +376,18 @@
     }
 }
 
+// The lost attempt is not counted: its server was cut off, and the retry budget bounds the repeats.
+// A request that must not be repeated keeps waiting, since the cut may end before its timeout.
+template <gateway_codec Codec>
+void exchange<Codec>::onServersCutOff()
+{
+    if (m_done || m_call == 0 || !m_route->repeatable() || !m_context.transport.isLost(m_call))
+        return;
+    m_context.transport.abandon(m_call);
+    m_attempts = m_attemptsBefore;
+    onEnd(http::call_end::TimedOut);
+}
+
 // The timer keeps running while the answer arrives, and checks the time since its last bytes.
 template <gateway_codec Codec>
 void exchange<Codec>::startIdleTimer(milliseconds limit)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/publication/published_state.h"
 #include "gateway/publication/store_reader.h"
 #include "gateway/quarantine/server_crash_detector.h"
+#include "gateway/relay/call_relay.h"
 #include "gateway/servers/leaving_server_relay.h"
 #include "gateway/servers/server_transport.h"
 #include "gateway/settings.h"
@@ -57,6 +58,9 @@
     void probeServerIn(const data_center_id &dataCenter);
     void onConnectionBroken(const server &which, const in_flight_request &request);
     void onProbeResult(const server_crash &what, http::connect_outcome outcome);
+    void logBrokenConnections(const server_crash &what, http::connect_outcome outcome,
+                              bool serverEnded);
+    void onServerAccess(server_access_state state);
     void logPeriodicSummary();
     void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
     [[nodiscard]] gateway_gauges gauges();
@@ -84,6 +88,9 @@
     store_reader<Codec> m_follower;
     publication_relay<Codec> m_relay;
     server_crash_detector m_crashDetector;
+    /// Crashes to be confirmed once it is known that this node is not cut off from all servers.
+    std::vector<server_crash> m_unconfirmedCrashes;
+    call_relay<Codec> m_callRelay;
     gateway_context<Codec> m_context;
     std::shared_ptr<http::inbound_shared> m_clients;
     std::shared_ptr<http::inbound_shared> m_probes;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -71,7 +71,7 @@
     , m_settings(std::move(settings))
     , m_pool(loop, std::move(open))
     , m_directory(loop.clock())
-    , m_transport(loop, m_pool, m_directory, m_settings.dataCenter, log)
+    , m_transport(loop, m_pool, m_directory, m_settings.dataCenter, log, seedOf(m_settings.vm))
     , m_retryBudget(loop.clock(),
                     {m_settings.bounds.retryShare, m_settings.bounds.retryReserve,
                      m_settings.bounds.retryWindow, drawRotationOffset(m_settings.vm)})
@@ -120,6 +120,7 @@
           },
           log, seedOf(m_settings.vm))
     , m_crashDetector(loop.clock())
+    , m_callRelay(loop, m_transport, m_directory, log)
     , m_context{loop,
                 m_transport,
                 m_directory,
@@ -147,6 +148,14 @@
     m_retryBudget.setNodes(MinAssumedNodes);
     m_directory.setSelf(m_settings.vm);
     m_directory.setRegions(m_settings.regions);
+    m_transport.onAccessChanged([this](server_access_state state) { onServerAccess(state); });
+    if (m_settings.listen.relay)
+        m_transport.setRelays([this] {
+            auto candidates = m_peers.relayCandidates(m_settings.listen.relay->port);
+            for (auto &each : candidates)
+                each.region = m_directory.regionOf(each.dataCenter);
+            return candidates;
+        });
     m_stages.setRateShare([this](const pool_key &pool) { return m_peers.rateShare(pool); });
     m_router.setHostReadyCheck([this] { return m_state.hasServerList(); });
     m_stages.setWaitsForLocalServer(
@@ -210,6 +219,10 @@
     auto readiness = http::listener::create(m_loop, m_settings.listen.readiness, m_probes);
     if (!readiness)
         return std::move(readiness).error();
+    if (m_settings.listen.relay) {
+        if (auto error = m_callRelay.start(*m_settings.listen.relay))
+            return error;
+    }
     m_clientListener = std::move(clients).value();
     m_readinessListener = std::move(readiness).value();
     return std::nullopt;
@@ -289,6 +302,8 @@
         now.leavingServers += each->isLeaving() ? 1 : 0;
         now.backedOffServers += each->usable() && !each->accepts(m_loop.now()) ? 1 : 0;
     }
+    now.callsSentByRelay = m_transport.relayedCalls();
+    now.callsRelayed = m_callRelay.relayed();
     now.serversCutOff = m_transport.access() == server_access_state::CutOff;
     now.evacuatedDataCenters = m_state.evacuations().dataCenters.size();
     const auto age = [this](steady_time since) {
@@ -400,6 +415,8 @@
 void gateway<Codec>::onConnectionBroken(const server &which, const in_flight_request &request)
 {
     const auto id = which.record.id;
+    if (m_transport.access() == server_access_state::CutOff)
+        return;
     if (!m_crashDetector.onConnectionBroken(id, request))
         return;
     m_transport.probe(which.record, [this, id](http::connect_outcome outcome) {
@@ -408,17 +425,49 @@
     });
 }
 
+// A server that this node alone can't reach has not ended. While a round of connections shows which
+// of the two it is, the conclusion waits.
 template <gateway_codec Codec>
 void gateway<Codec>::onProbeResult(const server_crash &what, http::connect_outcome outcome)
 {
-    const bool ended = outcome == http::connect_outcome::Refused;
-    auto line = m_log.line(wire::log_level::Info,
-                           toName(ended ? log_event::ServerEnded : log_event::ConnectionsLost));
+    const bool refused = outcome == http::connect_outcome::Refused;
+    if (refused && m_transport.access() == server_access_state::Checking) {
+        m_unconfirmedCrashes.push_back(what);
+        return;
+    }
+    const bool ended = refused && m_transport.access() == server_access_state::Reachable;
+    logBrokenConnections(what, outcome, ended);
+    if (ended)
+        m_quarantine.onServerCrash(what);
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::logBrokenConnections(const server_crash &what, http::connect_outcome outcome,
+                                          bool serverEnded)
+{
+    auto line =
+        m_log.line(wire::log_level::Info,
+                   toName(serverEnded ? log_event::ServerEnded : log_event::ConnectionsLost));
     line.add("server", what.server.value).add("requests", what.requests.size());
     line.add("new_connection", toName(outcome));
     m_log.write(wire::log_level::Info, std::move(line));
-    if (ended)
-        m_quarantine.onServerCrash(what);
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::onServerAccess(server_access_state state)
+{
+    if (state == server_access_state::Checking)
+        return;
+    for (const auto &each : std::exchange(m_unconfirmedCrashes, {}))
+        onProbeResult(each, http::connect_outcome::Refused);
+    if (state != server_access_state::CutOff)
+        return;
+    m_stages.onServersCutOff();
+    const auto exchanges = m_exchanges;
+    for (const auto &weak : exchanges) {
+        if (const auto each = weak.lock())
+            each->onServersCutOff();
+    }
 }
 
 // Requests that wait for a lost data centre fail over to another one at once, where allowed.
@@ -508,6 +557,7 @@
         return;
     m_stopBegan = m_loop.now();
     m_clients->closing = true;
+    m_callRelay.stop();
     m_peers.announceLeaving();
     m_log.write(wire::log_level::Info, wire::node_event::Stopping, {});
 }
@@ -529,9 +579,11 @@
     if (since < StopNoticeTime)
         return;
     m_clientListener->closeIdle(StopIdleTimeout);
+    m_callRelay.closeIdle(StopIdleTimeout);
     if (since > StopWaitLimit)
         refuseWaiting();
-    const bool idle = m_clients->answering == 0 && m_clients->connections == 0;
+    const bool idle =
+        m_clients->answering == 0 && m_clients->connections == 0 && m_callRelay.active() == 0;
     if (!idle && since < m_settings.bounds.stopGrace - StopMargin)
         return;
     m_peers.announceStopped();
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -30,6 +30,8 @@
     std::size_t leavingServers = 0; ///< published as leaving, or announced in an answer
     std::size_t backedOffServers = 0; ///< usable servers that this node must not send to now
     std::size_t evacuatedDataCenters = 0;
+    std::uint64_t callsSentByRelay = 0; ///< calls of this node that peers relayed, since the start
+    std::uint64_t callsRelayed = 0; ///< calls that this node relayed for peers, since the start
     bool serversCutOff = false; ///< this node can open no connection to any server
     std::map<std::string, std::size_t> members; ///< by state, this node included
     std::map<service_id, std::size_t> waitingPieces; ///< in the pools hosted by this node
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -37,6 +37,8 @@
     DataCenterLost, ///< no signal arrives from the data centre's nodes and servers
     DataCenterRegained,
     ServerAccessChanged, ///< this node lost all connections to servers, or opened one again
+    CallRelayed, ///< a peer sends a call of this node, which is cut off from all servers
+    RelayedCallEnded, ///< outcome of a call that this node relayed for a peer
     ServerAvoided, ///< a server failed several times in a row
     ServerTrusted, ///< an avoided server answered
     ServerLimitChanged, ///< a server's rate limit for all nodes together changed
@@ -109,6 +111,10 @@
         orchidlead::gateway::log_event::DataCenterRegained, "data_center_regained"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerAccessChanged, "server_access_changed"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::CallRelayed, "call_relayed"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::RelayedCallEnded, "relayed_call_ended"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerAvoided, "server_avoided"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peers/peer_network.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -7,6 +8,9 @@
 namespace {
 
 constexpr milliseconds TickInterval{100};
+// Peers that are offered as relays at a time. Other ones take turns, so the load of a cut-off node
+// spreads over all.
+constexpr std::size_t MaxRelayCandidates = 48;
 
 peer_identity toIdentity(const gateway_settings &settings, std::uint64_t incarnation)
 {
@@ -155,6 +159,35 @@
         link->send(frame);
 }
 
+std::vector<relay_candidate> peer_network::relayCandidates(std::uint16_t port)
+{
+    std::vector<relay_candidate> found;
+    const auto peers = m_view.peers();
+    const auto add = [&](const vm_id &peer) {
+        if (const auto known = m_view.find(peer); known && !known->vm.leaving)
+            found.push_back(
+                {peer, {known->vm.peerAddress.ip, port}, known->vm.dataCenter, known->vm.region});
+        return found.size() < MaxRelayCandidates;
+    };
+    const auto isNear = [&](const vm_id &peer) {
+        const auto known = m_view.find(peer);
+        return known && known->vm.dataCenter == m_view.dataCenter();
+    };
+    const auto far = std::ranges::find_if_not(peers, isNear);
+    for (auto each = peers.begin(); each != far; ++each) {
+        if (!add(*each))
+            return found;
+    }
+    const auto count = static_cast<std::size_t>(peers.end() - far);
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto index = static_cast<std::ptrdiff_t>((m_nextRelay + i) % count);
+        if (!add(*(far + index)))
+            break;
+    }
+    m_nextRelay += MaxRelayCandidates;
+    return found;
+}
+
 std::optional<vm_id> peer_network::peerOf(const std::shared_ptr<peer_link> &link) const
 {
     for (const auto &[peer, each] : m_links) {
--- /dev/null
+++ b/src/gateway/relay/relay_fields.cpp
@@ -0,0 +1,87 @@
+#include "gateway/relay/relay_fields.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+constexpr std::string_view ServerField = "Orchidlead-Relay-To";
+constexpr std::string_view AgeField = "Orchidlead-Relay-Age-Ms";
+constexpr std::string_view RequestField = "Orchidlead-Relay-Request";
+constexpr std::string_view ResultField = "Orchidlead-Relay-Result";
+constexpr std::string_view EndOfLine = "\r\n";
+
+void append(std::string &text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append(EndOfLine);
+}
+
+milliseconds readAge(std::string_view text)
+{
+    std::int64_t number = 0;
+    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    return milliseconds{error == std::errc{} ? std::max<std::int64_t>(0, number) : 0};
+}
+
+} // namespace
+
+void insertOrder(std::string &head, const relay_order &order)
+{
+    std::string fields;
+    append(fields, ServerField, order.server.value);
+    append(fields, AgeField, std::to_string(order.age.count()));
+    if (!order.request.empty())
+        append(fields, RequestField, order.request);
+    // Before the empty line. Of several fields of a name, the last one counts.
+    const auto end = head.find("\r\n\r\n");
+    if (end != std::string::npos)
+        head.insert(end + EndOfLine.size(), fields);
+}
+
+std::optional<relay_order> takeOrder(http::field_list &fields)
+{
+    std::optional<relay_order> order;
+    std::string request;
+    milliseconds age{0};
+    std::erase_if(fields, [&](const http::field &each) {
+        if (http::equalsIgnoringCase(each.name, ServerField))
+            order = relay_order{backend_server_id(each.value), {}, {}};
+        else if (http::equalsIgnoringCase(each.name, AgeField))
+            age = readAge(each.value);
+        else if (http::equalsIgnoringCase(each.name, RequestField))
+            request = each.value;
+        else
+            return false;
+        return true;
+    });
+    if (order) {
+        order->age = age;
+        order->request = std::move(request);
+    }
+    return order;
+}
+
+http::field toField(relay_result what)
+{
+    return {std::string(ResultField), std::string(toName(what))};
+}
+
+std::optional<relay_result> findResult(const http::field_list &fields)
+{
+    const auto value = http::findField(fields, ResultField);
+    return value ? fromName<relay_result>(*value) : std::nullopt;
+}
+
+std::optional<relay_result> takeResult(http::field_list &fields)
+{
+    const auto found = findResult(fields);
+    std::erase_if(fields, [](const http::field &each) {
+        return http::equalsIgnoringCase(each.name, ResultField);
+    });
+    return found;
+}
+
+} // namespace orchidlead::gateway
--- /dev/null
+++ b/src/gateway/relay/relay_selector.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "gateway/relay/relay_fields.h"
+
+#include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace orchidlead::gateway {
+
+/// A peer that may relay calls.
+struct relay_candidate
+{
+    vm_id vm;
+    socket_address address; ///< of its relay listener
+    data_center_id dataCenter;
+    region_id region;
+};
+
+/// Chooses the peers that relay this node's calls: near ones first, and of two drawn at random the
+/// one with fewer calls of this node. Peers that refused are passed over for a while.
+class relay_selector
+{
+public:
+    relay_selector(const clock_source &clock, data_center_id own, std::uint32_t seed);
+
+    /// Replaces the peers that may be chosen.
+    void setCandidates(std::vector<relay_candidate> candidates);
+    /// Returns a peer in the region; empty if there is none, or all have refused lately.
+    [[nodiscard]] std::optional<relay_candidate> choose(const region_id &region);
+    void onStarted(const vm_id &relay);
+    void onEnded(const vm_id &relay);
+    /// Records that the relay refused a call for a reason of its own, or didn't answer (empty).
+    void onRefused(const vm_id &relay, std::optional<relay_result> why);
+
+private:
+    struct relay_state
+    {
+        std::uint32_t calls = 0; ///< of this node, in progress
+        steady_time avoidUntil{};
+    };
+
+    [[nodiscard]] std::vector<const relay_candidate *> available(const region_id &region,
+                                                                 bool near) const;
+
+    const clock_source &m_clock;
+    data_center_id m_own;
+    std::minstd_rand m_random;
+    std::vector<relay_candidate> m_candidates;
+    std::map<vm_id, relay_state> m_states;
+};
+
+} // namespace orchidlead::gateway
--- a/src/gateway/servers/server_access.cpp
+++ b/src/gateway/servers/server_access.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds CutOffProbeInterval{250};
 // Silence of all servers, while answers are awaited, after which one connection is opened. Idle
 // connections hang without an error when the network drops packets.
-constexpr milliseconds SilenceBeforeProbe{400};
+constexpr milliseconds SilenceBeforeProbe{300};
 // Answers of engines take seconds, so the probes of a silent but healthy node are limited.
 constexpr milliseconds SilenceProbeInterval{1000};
 
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -46,6 +46,8 @@
     section.read("clients", presence::Required, listen.clients, &value_reader::address);
     section.read("readiness", presence::Required, listen.readiness, &value_reader::address);
     section.read("peers", presence::Required, listen.peers, &value_reader::address);
+    if (const auto relay = section.find("relay"))
+        listen.relay = relay->address();
 }
 
 void parseBounds(const value_reader &reader, platform_bounds &bounds)
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,8 @@
     socket_address clients;
     socket_address readiness; ///< readiness and metrics
     socket_address peers;
+    /// Where peers send calls that this node relays to servers; the port is the same on all nodes.
+    std::optional<socket_address> relay;
 };
 
 /// Guarantees and requirements of the platform, named as in its documentation.
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -66,6 +66,8 @@
     /// Ends the calls to an unreachable data centre, and fails waiting pieces whose inputs are
     /// stored there and can't be fetched.
     void onDataCenterLost(const data_center_id &dataCenter);
+    /// Ends the calls that were lost as this node was cut off from all servers.
+    void onServersCutOff();
 
 private:
     struct pending_piece
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -227,7 +227,7 @@
     };
     outbound.onBody = [active](std::string_view bytes) { active->body.append(bytes); };
     outbound.onEnd = [this, active](http::call_end httpEnd) { onCallEnd(active, httpEnd); };
-    active->call = m_transport.start({call.server, std::move(outbound)});
+    active->call = m_transport.start({call.server, std::move(outbound), {}});
     active->timer = m_loop.callAfter(call.timeout, [this, active] {
         active->timer = 0;
         m_transport.abandon(active->call);
@@ -251,6 +251,18 @@
     }
 }
 
+template <gateway_codec Codec>
+void stage_host<Codec>::onServersCutOff()
+{
+    const auto open = m_activeCalls;
+    for (const auto &each : open) {
+        if (!m_transport.isLost(each->call))
+            continue;
+        m_transport.abandon(each->call);
+        onCallEnd(each, http::call_end::TimedOut);
+    }
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::onCallEnd(const std::shared_ptr<active_call> &ended, http::call_end httpEnd)
 {
--- a/tests/platform/cut_off_gateway_test.cpp
+++ b/tests/platform/cut_off_gateway_test.cpp
@@ -91,6 +91,24 @@
         return arrived;
     }
 
+    /// Returns the number of connections that the servers of a service have open.
+    [[nodiscard]] std::size_t countOpenConnections(const std::string &service) const
+    {
+        std::size_t open = 0;
+        for (const auto *each : m_servers)
+            open += each->id().starts_with(service + "-") ? each->openConnections() : 0;
+        return open;
+    }
+
+    /// Returns a figure of the state of a gateway from its metrics; -1 if there is none.
+    double gauge(const std::string &gateway, const std::string &what)
+    {
+        const auto text = metrics(gateway);
+        const auto name = "orchidlead_gateway_state{what=\"" + what + "\"} ";
+        const auto at = text.find(name);
+        return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size()));
+    }
+
     [[nodiscard]] std::string nextAttempt() { return "a-" + std::to_string(++m_attempts); }
 
     int isServed(const std::shared_ptr<client_answer> &answer)
@@ -153,3 +171,155 @@
     CHECK(w.logOutput.str().find("event=server_ended") == std::string::npos);
     CHECK(w.logOutput.str().find("event=quarantine_changed") == std::string::npos);
 }
+
+// Guards against late or missing service after a cut, and against a cut that is noticed only once.
+TEST_CASE(
+    "a gateway sends to servers directly within a second after a cut, and notices the next one")
+{
+    const auto kind = GENERATE(cut_kind::Reset, cut_kind::Hang);
+    cut_off_world w;
+    for (int cut = 0; cut < 2; ++cut) {
+        w.cutFromServers("g1", kind);
+        CHECK(w.countServed("g1") == Requests);
+        CHECK(w.gauge("g1", "servers_cut_off") == 1);
+        w.healServers("g1");
+        CHECK(
+            w.runUntil([&] { return w.gauge("g1", "servers_cut_off") == 0; }, milliseconds{1000}));
+        const auto relayed = w.gauge("g1", "calls_sent_by_relay");
+        CHECK(w.countServed("g1") == Requests);
+        CHECK(w.gauge("g1", "calls_sent_by_relay") == relayed);
+    }
+}
+
+// Guards against waiting and against loops where no gateway reaches a server.
+TEST_CASE("gateways that are all cut off refuse at once and send nothing in circles")
+{
+    cut_off_world w;
+    for (const auto *each : {"g1", "g2", "g3"})
+        w.cutFromServers(each, cut_kind::Hang);
+    w.countServed("g1");
+    w.countServed("g2");
+    w.countServed("g3");
+    const auto before = w.gauge("g2", "calls_relayed") + w.gauge("g3", "calls_relayed");
+    const auto began = w.clock.now();
+    CHECK(w.countServed("g1") == 0);
+    CHECK(w.clock.now() - began < milliseconds{1000});
+    CHECK(w.gauge("g2", "calls_relayed") + w.gauge("g3", "calls_relayed") == before);
+}
+
+// Guards against taking the failure of one service for a cut, and trying it through every peer.
+TEST_CASE("a service without servers is refused without relays while another one is reachable")
+{
+    cut_off_world w;
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("web-" + std::to_string(i)).crash();
+    CHECK(w.countServed("g1") == 0);
+    CHECK(w.gauge("g1", "servers_cut_off") == 0);
+    CHECK(w.gauge("g1", "calls_sent_by_relay") == 0);
+}
+
+// Guards against running a request twice that lost its connection in the cut.
+TEST_CASE("a request that must not be repeated runs at most once across a cut")
+{
+    cut_off_world w(plainRoute("unsafe"));
+    REQUIRE(w.countServed("g1", "POST") == Requests);
+    const auto kind = GENERATE(cut_kind::Reset, cut_kind::Hang, cut_kind::Silent);
+    w.cutFromServers("g1", kind);
+    const auto before = w.countArrived();
+    const int served = w.countServed("g1", "POST");
+    w.healServers("g1");
+    w.runFor(milliseconds{300});
+    INFO("kind of cut " << static_cast<int>(kind) << ", served " << served);
+    CHECK(w.countArrived() - before <= static_cast<std::size_t>(Requests));
+    CHECK(served >= Requests - static_cast<int>(ServersPerService)); // those on idle connections
+}
+
+// Guards against an answer that a relay changes or cuts short unnoticed, and a key that travels on.
+TEST_CASE("a relayed answer reaches the client as the server sent it")
+{
+    cut_off_world w;
+    w.cutFromServers("g1", cut_kind::Reset);
+    REQUIRE(w.countServed("g1") == Requests);
+    const std::string body(300'000, 'b');
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("web-" + std::to_string(i))
+            .setBehaviour(
+                [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+                    CHECK_FALSE(http::findField(request.head.fields, "api-key"));
+                    CHECK_FALSE(http::findField(request.head.fields, "orchidlead-relay-to"));
+                    const auto left = http::findField(request.head.fields, "x-deadline-ms");
+                    REQUIRE(left);
+                    CHECK(std::stoi(std::string(*left)) <= 2000);
+                    answer->write(signedAnswer(request, body, 404));
+                });
+    const auto answer = w.request("g1", makeRequest("POST", "/p/x", "long"), "x");
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == 404);
+    CHECK((answer->body == body)); // not expanded in a failure
+    CHECK(answer->end == http::call_end::Complete);
+    CHECK_FALSE(answer->field("x-instance-signature").empty());
+    CHECK(answer->field("orchidlead-relay-result").empty());
+}
+
+// Guards against work for a client that has left, behind a relay.
+TEST_CASE("the cancellation of a relayed request reaches its server")
+{
+    cut_off_world w;
+    w.cutFromServers("g1", cut_kind::Reset);
+    REQUIRE(w.countServed("g1") == Requests);
+    std::size_t arrived = 0;
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("web-" + std::to_string(i)).setBehaviour([&](const auto &, const auto &) {
+            ++arrived;
+        });
+    const auto answer = std::make_shared<client_answer>();
+    const auto call = w.startRequest("g1", makeRequest("GET", "/p/x", "gone"), {}, answer);
+    REQUIRE(w.runUntil([&] { return arrived == 1; }));
+    const auto open = w.countOpenConnections("web");
+    w.pool.abandon(call);
+    CHECK(w.runUntil([&] { return w.countOpenConnections("web") < open; }, milliseconds{500}));
+}
+
+// Guards against relays that send to servers which they may not use.
+TEST_CASE("a relay sends nothing to a server that asked it to back off")
+{
+    cut_off_world w;
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("web-" + std::to_string(i))
+            .setBehaviour([](const server_request &request,
+                             const std::shared_ptr<server_answer> &answer) {
+                answer->write("HTTP/1.1 503 Full\r\nX-Attempt-Id: "
+                              + std::string(*http::findField(request.head.fields, "x-attempt-id"))
+                              + "\r\nX-Not-Executed: 1\r\nRetry-After: 30\r\n"
+                                "Content-Length: 0\r\n\r\n");
+            });
+    for (const auto *each : {"g2", "g3"})
+        CHECK(w.countServed(each) == 0);
+    w.cutFromServers("g1", cut_kind::Reset);
+    const auto before = w.countArrived();
+    CHECK(w.countServed("g1") == 0);
+    CHECK(w.countArrived() == before);
+}
+
+// Guards against ending the answers of a server that pauses, or avoiding it afterwards.
+TEST_CASE("a server that is silent for a second keeps its requests and gets new ones")
+{
+    cut_off_world w(streamRoute(true));
+    std::vector<std::shared_ptr<server_answer>> open;
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("engine-" + std::to_string(i))
+            .setBehaviour(
+                [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+                    answer->write(streamHead(request) + chunk(event(1)));
+                    open.push_back(answer);
+                });
+    const auto answer = w.request("g1", makeStagedRequest("quiet", ""), "x");
+    REQUIRE(w.runUntil([&] { return !answer->body.empty(); }));
+    w.runFor(milliseconds{950});
+    REQUIRE(open.size() == 1);
+    open.front()->write(chunk(event(2)) + chunk({}));
+    REQUIRE(w.await(answer));
+    CHECK(answer->end == http::call_end::Complete);
+    CHECK(w.gauge("g1", "calls_sent_by_relay") == 0);
+    CHECK(w.logOutput.str().find("event=server_avoided") == std::string::npos);
+}
