Spread relayed calls over peers by their load, and test the parts of the relay

A near peer is now chosen while it has at most eight calls more than the one drawn elsewhere: bytes between data centres are paid for, but one node can't bear the load of another alone.

--- a/src/gateway/relay/relay_selector.cpp
+++ b/src/gateway/relay/relay_selector.cpp
@@ -12,6 +12,9 @@
 constexpr milliseconds BusyAvoidance{100};
 // A relay that is stopping or doesn't answer leaves the list of members within about this time.
 constexpr milliseconds AbsentAvoidance{1000};
+// Calls that a peer of the own data centre may have more than one elsewhere and is still chosen:
+// the traffic between data centres is paid for, but a single near peer can't bear all calls.
+constexpr std::uint32_t MaxExtraNearCalls = 8;
 
 milliseconds avoidanceFor(std::optional<relay_result> why)
 {
@@ -50,18 +53,26 @@
     return found;
 }
 
-// The traffic between data centres is paid for, so peers of the own one come first.
+const relay_candidate *
+relay_selector::drawLessUsed(const std::vector<const relay_candidate *> &from)
+{
+    if (from.empty())
+        return nullptr;
+    std::uniform_int_distribution<std::size_t> draw(0, from.size() - 1);
+    const auto *first = from[draw(m_random)];
+    const auto *second = from[draw(m_random)];
+    return m_states[second->vm].calls < m_states[first->vm].calls ? second : first;
+}
+
 std::optional<relay_candidate> relay_selector::choose(const region_id &region)
 {
-    auto found = available(region, true);
-    if (found.empty())
-        found = available(region, false);
-    if (found.empty())
+    const auto *near = drawLessUsed(available(region, true));
+    const auto *any = drawLessUsed(available(region, false));
+    if (!any)
         return std::nullopt;
-    std::uniform_int_distribution<std::size_t> draw(0, found.size() - 1);
-    const auto *first = found[draw(m_random)];
-    const auto *second = found[draw(m_random)];
-    return m_states[second->vm].calls < m_states[first->vm].calls ? *second : *first;
+    if (near && m_states[near->vm].calls <= m_states[any->vm].calls + MaxExtraNearCalls)
+        return *near;
+    return *any;
 }
 
 void relay_selector::onStarted(const vm_id &relay)
--- a/src/gateway/relay/relay_selector.h
+++ b/src/gateway/relay/relay_selector.h
@@ -22,8 +22,9 @@
     region_id region;
 };
 
-/// Chooses the peers that relay this node's calls: near ones first, and of two drawn at random the
-/// one with fewer calls of this node. Peers that refused are passed over for a while.
+/// Chooses the peers that relay this node's calls: near ones unless they have many more calls than
+/// others, and of two drawn at random the one with fewer calls of this node. Peers that refused are
+/// passed over for a while.
 class relay_selector
 {
 public:
@@ -45,6 +46,9 @@
         steady_time avoidUntil{};
     };
 
+    /// Draws two at random and returns the one with fewer calls; null if the list is empty.
+    [[nodiscard]] const relay_candidate *
+    drawLessUsed(const std::vector<const relay_candidate *> &from);
     [[nodiscard]] std::vector<const relay_candidate *> available(const region_id &region,
                                                                  bool near) const;
 
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -41,6 +41,20 @@
     CHECK(settings.value().bounds.publicationApply == milliseconds{3000});
 }
 
+TEST_CASE("the relay address is optional, and must be an address where it is set")
+{
+    CHECK_FALSE(parseGatewaySettings(CompleteSettings, "f").value().listen.relay);
+    auto text = CompleteSettings;
+    const std::string after = "  peers: \"10.0.0.1:3\"\n";
+    text.insert(text.find(after) + after.size(), "  relay: \"10.0.0.1:7740\"\n");
+    const auto settings = parseGatewaySettings(text, "f");
+    REQUIRE(settings);
+    REQUIRE(settings.value().listen.relay);
+    CHECK(settings.value().listen.relay->port == 7740);
+    text.replace(text.find("10.0.0.1:7740"), 13, "somewhere");
+    CHECK_FALSE(parseGatewaySettings(text, "f"));
+}
+
 TEST_CASE("the capacity of a node is parsed in cores and is 0 where it is not set")
 {
     CHECK(parseGatewaySettings(CompleteSettings, "f").value().capacity == 0);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -502,3 +502,15 @@
         CHECK_FALSE(codec::readChanges(text));
     }
 }
+
+TEST_CASE("the client's timeout is reduced by the time that a hop took, and never below zero")
+{
+    http::field_list fields{{"Host", "h"}, {"x-deadline-ms", "500"}};
+    CHECK(codec::reduceTimeout(fields, milliseconds{120}));
+    CHECK(fields[1].value == "380");
+    CHECK_FALSE(codec::reduceTimeout(fields, milliseconds{380}));
+    http::field_list without{{"Host", "h"}};
+    CHECK(codec::reduceTimeout(without, milliseconds{120}));
+    http::field_list unreadable{{"X-Deadline-Ms", "soon"}};
+    CHECK_FALSE(codec::reduceTimeout(unreadable, milliseconds{1}));
+}
