Bound the requests of brittle servers at the host of their pool

Servers may say that they fall over if they must refuse more than some requests a second (Server-Brittle). The word was read past, and all gateways together overran such servers: four gateways, three servers of eight slots, twice the load for 3 s: 6 falls, 48 of 360 requests served.

While a server of a service has said it, the host of the pool places the requests of all nodes, at most as many at a time at each server as it runs; the rest is refused at once. A server that isn't known to be brittle beside others that are, as after a fall, gets one request until it has answered. Ruled out: a share for each gateway, which is less than one request at 350 gateways. Not measured at 86 and 350 gateways.

--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -14,6 +14,7 @@
 void exchange<Codec>::onMismatchedHead(const response_metadata &metadata)
 {
     auto signals = metadata.server;
+    signals.brittleness = NoSignals.brittleness;
     signals.rateLimit = NoSignals.rateLimit;
     m_context.directory.onSignals(*m_server, signals);
 }
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -50,12 +50,13 @@
 
 // The choice of an engine depends on the requests of all nodes. A server with a rate limit
 // receives the sum of the requests of all nodes, so requests to rate-limited servers of any service
-// are paced by one node.
+// are paced by one node. The same holds for the requests that a brittle server has at a time.
 template <gateway_codec Codec>
 bool exchange<Codec>::needsPlacement() const
 {
     const bool onEngine = m_route->prefixAffinity && !m_metadata.prompt.empty();
-    return onEngine || m_context.directory.anyRateLimited(m_service, m_residency);
+    return onEngine || m_context.directory.anyRateLimited(m_service, m_residency)
+        || m_context.directory.anyBrittle(m_service, m_residency);
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <optional>
 
 namespace orchidlead::gateway {
@@ -235,6 +236,18 @@
     return frame;
 }
 
+reported_brittleness readBrittleness(field_reader &in)
+{
+    reported_brittleness reported;
+    reported.valid = in.read<bool>();
+    const auto refusals = in.read<std::uint64_t>();
+    if (refusals > std::numeric_limits<std::uint32_t>::max())
+        in.fail();
+    else if (refusals > 0)
+        reported.refusalsPerSecond = static_cast<std::uint32_t>(refusals - 1);
+    return reported;
+}
+
 placement_progress_frame readProgress(field_reader &in)
 {
     placement_progress_frame frame;
@@ -248,6 +261,7 @@
     frame.signals.leaving = in.read<bool>();
     frame.signals.refused = in.read<bool>();
     frame.signals.accepted = in.read<bool>();
+    frame.signals.brittleness = in.atEnd() ? NoSignals.brittleness : readBrittleness(in);
     return frame;
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -179,7 +179,7 @@
 
 void pack(packer &out, const placement_progress_frame &frame)
 {
-    packKind(out, frame_kind::PlacementProgress, 7);
+    packKind(out, frame_kind::PlacementProgress, 9);
     out.pack(frame.id);
     out.pack(static_cast<std::uint64_t>(frame.kind));
     out.pack(frame.signals.rateLimit.valid);
@@ -187,6 +187,9 @@
     out.pack(frame.signals.leaving);
     out.pack(frame.signals.refused);
     out.pack(frame.signals.accepted);
+    out.pack(frame.signals.brittleness.valid);
+    const auto &brittle = frame.signals.brittleness.refusalsPerSecond;
+    out.pack(brittle ? std::uint64_t{*brittle} + 1 : std::uint64_t{0}); // 0: not brittle
 }
 
 void pack(packer &out, const admission_request &frame)
--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -81,6 +81,22 @@
     return servers;
 }
 
+// The requests of brittle servers are counted by the host of their pool. A server that has come
+// back is not known to be brittle yet, so while others of its service are, it is bounded as they
+// are, and gets a single request until it has answered.
+void placement_board::removeFullServers(std::vector<server_ptr> &servers,
+                                        const service_id &service) const
+{
+    if (!m_directory.anyBrittle(service))
+        return;
+    std::erase_if(servers, [&](const server_ptr &each) {
+        const auto known = m_engines.find(each->record.start());
+        const auto running = known == m_engines.end() ? 0U : known->second.streams;
+        const bool isNew = !each->brittleRefusals || each->avoidUntil > m_clock.now();
+        return running >= (isNew ? 1U : each->brittleConcurrency());
+    });
+}
+
 std::vector<server_ptr> placement_board::candidates(const std::vector<server_ptr> &poolServers,
                                                     const placement_query &query,
                                                     double share) const
@@ -94,7 +110,8 @@
     serviceWide.pool = {query.pool.service};
     auto otherServers = untriedServers(serviceWide);
     std::erase_if(otherServers, [&](const server_ptr &each) {
-        return !query.allowed.allows(each->region) || !m_pacer.allows(*each, 0.0);
+        return !query.allowed.allows(each->region) || !m_pacer.allows(*each, 0.0)
+            || each->brittleRefusals; // counted by the host of another pool
     });
     return otherServers.empty() ? sendable : otherServers;
 }
@@ -170,15 +187,21 @@
     expirePlacements();
     const auto perSecond = poolRateLimit(query, share);
     placement_result placed;
+    bool allFull = false;
     if (perSecond && share > 0 && !query.admitted)
         placed.wait = tryPoolAdmission(query, *perSecond);
     if (placed.wait == milliseconds{0}) {
-        const auto poolServers = untriedServers(query);
+        auto poolServers = untriedServers(query);
+        const bool isEmpty = poolServers.empty();
+        removeFullServers(poolServers, query.pool.service);
+        allFull = !isEmpty && poolServers.empty();
         placed.server = cheapest(candidates(poolServers, query, share), query);
         if (!placed.server)
             placed = earliestAllowed(poolServers, query, share);
     }
-    placed.allRateLimited = perSecond.has_value();
+    if (allFull)
+        placed.server = nullptr;
+    placed.allRateLimited = perSecond.has_value() || allFull;
     if (placed.server) {
         m_pacer.onSent(*placed.server, share);
         recordPlacement(id, query, *placed.server);
--- a/src/gateway/placement/placement_board.h
+++ b/src/gateway/placement/placement_board.h
@@ -42,7 +42,8 @@
     /// Time until the request may be sent to the server. Without a server: time until there may be
     /// room, 0 if unknown.
     milliseconds wait{0};
-    bool allRateLimited = false; ///< all servers that the request may use are rate-limited
+    bool allRateLimited = false; ///< all servers that the request may use are rate-limited, or are
+                                 ///< brittle and have as many requests as they may
 };
 
 /// Whether a request may start its stages.
@@ -106,6 +107,8 @@
 
     /// Returns the servers of the pool that have not been tried.
     [[nodiscard]] std::vector<server_ptr> untriedServers(const placement_query &query) const;
+    /// Removes the servers of a brittle service that have as many requests as they may.
+    void removeFullServers(std::vector<server_ptr> &servers, const service_id &service) const;
     /// Returns the servers of `poolServers` that may get a request now. If there are none, or if
     /// all of them are avoided, returns servers of other pools that the request may use.
     [[nodiscard]] std::vector<server_ptr> candidates(const std::vector<server_ptr> &poolServers,
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -158,6 +158,7 @@
     if (metadata.attempt.empty() || metadata.attempt == relayed.attempt)
         return true;
     auto signals = metadata.server;
+    signals.brittleness = NoSignals.brittleness;
     signals.rateLimit = NoSignals.rateLimit; // outdated, as for any late answer
     m_directory.onSignals(*relayed.server, signals);
     return false;
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -354,6 +354,15 @@
            });
 }
 
+bool server_directory::anyBrittle(const service_id &service, const residency &allowed) const
+{
+    const auto found = m_byService.find(service);
+    return found != m_byService.end()
+        && std::ranges::any_of(found->second.all, [&](const server_ptr &each) {
+               return each->brittleRefusals && each->usable() && allowed.allows(each->region);
+           });
+}
+
 bool server_directory::allRateLimited(const service_id &service, const residency &allowed) const
 {
     if (!anyRateLimited(service, allowed))
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -58,6 +58,8 @@
 {
     std::optional<double> rateLimit; ///< as in `reported_rate_limit`
     steady_time rateLimitReportedAt{}; ///< time of the last report, also of one of no limit
+    /// Refusals in a second beyond which the server falls over; empty: it isn't brittle.
+    std::optional<std::uint32_t> brittleRefusals;
     bool announcedLeaving = false; ///< permanent, whatever the published record says
     steady_time backoffUntil{}; ///< end of the backoff that the server requested from this node
     bool probing = false; ///< the server has accepted no request since the end of the backoff
@@ -100,6 +102,9 @@
     /// Returns the limit on the requests of all nodes together; empty if there is none. Every path
     /// that chooses servers must check this: it combines cold starts and announced rate limits.
     [[nodiscard]] std::optional<effective_rate_limit> effectiveRateLimit(steady_time now) const;
+    /// Returns how many requests of all nodes together the server may have at a time while it, or
+    /// its service, is brittle: as many as it runs, since it may let none wait.
+    [[nodiscard]] std::uint32_t brittleConcurrency() const { return std::max(1U, record.slots); }
     /// Returns whether the server belongs to a pool.
     [[nodiscard]] bool isIn(const pool_key &pool) const;
     /// Returns whether the server shuts down soon, according to its published record or its
@@ -185,6 +190,9 @@
     /// Returns whether any usable server of a service is rate-limited. The requests of all nodes
     /// must then be placed by a single node.
     [[nodiscard]] bool anyRateLimited(const service_id &service, const residency &allowed) const;
+    /// Returns whether any usable server of a service has said that it is brittle. The requests of
+    /// all nodes must then be placed by a single node.
+    [[nodiscard]] bool anyBrittle(const service_id &service, const residency &allowed = {}) const;
     /// Returns whether the service has usable servers and all of them are rate-limited.
     [[nodiscard]] bool allRateLimited(const service_id &service, const residency &allowed) const;
     /// Returns the time until the first usable server of a service accepts requests of this node
--- a/src/gateway/servers/server_directory_signals.cpp
+++ b/src/gateway/servers/server_directory_signals.cpp
@@ -157,6 +157,8 @@
         if (m_onLeavingAnnounced)
             m_onLeavingAnnounced(backend);
     }
+    if (reported.brittleness.valid)
+        backend.brittleRefusals = reported.brittleness.refusalsPerSecond;
     const auto now = m_clock.now();
     if (reported.load) {
         backend.load = reported.load;
--- a/src/gateway/servers/server_signals.h
+++ b/src/gateway/servers/server_signals.h
@@ -23,6 +23,14 @@
     bool valid = true; ///< false: the response has no valid report of the limit
 };
 
+/// Whether a response reports that its server is brittle: one that has to refuse more requests in a
+/// second than it reports, for want of room, falls over.
+struct reported_brittleness
+{
+    std::optional<std::uint32_t> refusalsPerSecond; ///< empty: not brittle
+    bool valid = true; ///< false: the response has no valid report
+};
+
 /// What a response reports about its server, apart from the result of the request.
 struct server_signals
 {
@@ -33,10 +41,11 @@
     /// Requested backoff: the server wants no request from this node for this time.
     std::optional<milliseconds> retryAfter{};
     std::optional<server_load> load{};
+    reported_brittleness brittleness{};
 };
 
 /// Signals of a response that reports nothing about its server.
-inline constexpr server_signals NoSignals{{std::nullopt, false}, false,       false, false,
-                                          std::nullopt,          std::nullopt};
+inline constexpr server_signals NoSignals{
+    {std::nullopt, false}, false, false, false, std::nullopt, std::nullopt, {std::nullopt, false}};
 
 } // namespace orchidlead::gateway
