--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,8 @@
     void begin(received_request &&request);
     void releaseEarlyRequests();
 
+    /// Sets the handlers of events of servers and of the transport to them.
+    void setServerHandlers();
     [[nodiscard]] std::optional<http::listen_error> listen();
     void onRequest(const http::inbound_ptr &client, http::request_head &&head, std::string &&body);
     void onReadinessRequest(const http::inbound_ptr &client, const http::request_head &head);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -148,14 +148,6 @@
     m_retryBudget.setNodes(MinAssumedNodes);
     m_directory.setSelf(m_settings.vm);
     m_directory.setRegions(m_settings.regions);
-    m_transport.onAccessChanged([this](server_access_state state) { onServerAccess(state); });
-    if (m_settings.listen.relay)
-        m_transport.setRelays([this] {
-            auto candidates = m_peers.relayCandidates(m_settings.listen.relay->port);
-            for (auto &each : candidates)
-                each.region = m_directory.regionOf(each.dataCenter);
-            return candidates;
-        });
     m_stages.setRateShare([this](const pool_key &pool) { return m_peers.rateShare(pool); });
     m_router.setHostReadyCheck([this] { return m_state.hasServerList(); });
     m_stages.setWaitsForLocalServer(
@@ -165,6 +157,27 @@
             return m_quarantine.statusOf(request).level == quarantine_level::Unrestricted;
         });
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
+    m_follower.onRead([this](const store_update &update) { m_relay.onStoreUpdate(update); });
+    setServerHandlers();
+    m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
+                                  std::string &&body) {
+        onRequest(client, std::move(head), std::move(body));
+    };
+    m_probes->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
+                                 std::string && /*body*/) { onReadinessRequest(client, head); };
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::setServerHandlers()
+{
+    m_transport.onAccessChanged([this](server_access_state state) { onServerAccess(state); });
+    if (m_settings.listen.relay)
+        m_transport.setRelays([this] {
+            auto candidates = m_peers.relayCandidates(m_settings.listen.relay->port);
+            for (auto &each : candidates)
+                each.region = m_directory.regionOf(each.dataCenter);
+            return candidates;
+        });
     m_directory.onChange([this](const service_id &service) {
         m_stages.onServersChanged(service);
         m_router.onServersChanged(service);
@@ -172,7 +185,6 @@
     m_directory.setBackoffJitter([this] {
         return std::uniform_real_distribution<double>(0.0, MaxBackoffSpread)(m_context.random);
     });
-    m_follower.onRead([this](const store_update &update) { m_relay.onStoreUpdate(update); });
     m_directory.onDataCenterAnswered([this](const data_center_id &from) {
         m_peers.onTraffic(from);
         m_peers.onServerResponse(from);
@@ -190,12 +202,6 @@
     });
     m_directory.onBackoffRequested(
         [this](const server &which, milliseconds time) { onBackoffRequested(which, time); });
-    m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
-                                  std::string &&body) {
-        onRequest(client, std::move(head), std::move(body));
-    };
-    m_probes->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
-                                 std::string && /*body*/) { onReadinessRequest(client, head); };
 }
 
 template <gateway_codec Codec>
