Test a cut-off gateway whose living connections have run out

The case RefuseNew of the test of cut-off gateways passed on the old code, too: the requests found idle connections that lived on. The new case waits until idle connections are closed.

--- a/tests/platform/cut_off_gateway_test.cpp
+++ b/tests/platform/cut_off_gateway_test.cpp
@@ -138,6 +138,18 @@
     CHECK(w.countServed("g2") == Requests);
 }
 
+// Guards against refusing callers once the connections that live on through a cut have been closed.
+TEST_CASE("a gateway that can open no new connection serves its callers when the old ones are gone")
+{
+    constexpr milliseconds IdleTime{2500}; // idle connections are kept for less than this
+    cut_off_world w;
+    REQUIRE(w.countServed("g1") == Requests);
+    w.cutFromServers("g1", cut_kind::RefuseNew);
+    CHECK(w.countServed("g1") == Requests);
+    w.runFor(IdleTime);
+    CHECK(w.countServed("g1") == Requests);
+}
+
 // Guards against failing the callers of all gateways because one that hosts a pool is cut off.
 TEST_CASE("pieces of all gateways are computed while the host of their pool is cut off")
 {
