Search the server directory in one way for each question, and place without a second scan

Two functions walked the servers in turn with the same two searches (nextAfter now); three asked whether any usable server of a service fits (anyUsable). Whether a request must be placed by one node scanned a service's servers twice, for rate limits and for brittle ones: once now (needsSharedCount), on the path of every plain request. What a late answer says of limits was left out in two places (onLateSignals). A board whose brittle servers are all full returns at once instead of choosing a server and dropping it.

--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -8,15 +8,10 @@
 /// The part of `exchange` that reads the answer of a server and forwards it to the client.
 namespace orchidlead::gateway {
 
-// A late answer may be older than answers that this node already received, so its rate limit may be
-// outdated and is ignored.
 template <gateway_codec Codec>
 void exchange<Codec>::onMismatchedHead(const response_metadata &metadata)
 {
-    auto signals = metadata.server;
-    signals.brittleness = NoSignals.brittleness;
-    signals.rateLimit = NoSignals.rateLimit;
-    m_context.directory.onSignals(*m_server, signals);
+    m_context.directory.onLateSignals(*m_server, metadata.server);
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -55,8 +55,7 @@
 bool exchange<Codec>::needsPlacement() const
 {
     const bool onEngine = m_route->prefixAffinity && !m_metadata.prompt.empty();
-    return onEngine || m_context.directory.anyRateLimited(m_service, m_residency)
-        || m_context.directory.anyBrittle(m_service, m_residency);
+    return onEngine || m_context.directory.needsSharedCount(m_service, m_residency);
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -187,21 +187,19 @@
     expirePlacements();
     const auto perSecond = poolRateLimit(query, share);
     placement_result placed;
-    bool allFull = false;
     if (perSecond && share > 0 && !query.admitted)
         placed.wait = tryPoolAdmission(query, *perSecond);
     if (placed.wait == milliseconds{0}) {
         auto poolServers = untriedServers(query);
-        const bool isEmpty = poolServers.empty();
+        const bool anyUntried = !poolServers.empty();
         removeFullServers(poolServers, query.pool.service);
-        allFull = !isEmpty && poolServers.empty();
+        if (anyUntried && poolServers.empty())
+            return {nullptr, milliseconds{0}, true};
         placed.server = cheapest(candidates(poolServers, query, share), query);
         if (!placed.server)
             placed = earliestAllowed(poolServers, query, share);
     }
-    if (allFull)
-        placed.server = nullptr;
-    placed.allRateLimited = perSecond.has_value() || allFull;
+    placed.allRateLimited = perSecond.has_value();
     if (placed.server) {
         m_pacer.onSent(*placed.server, share);
         recordPlacement(id, query, *placed.server);
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -157,10 +157,7 @@
     const auto metadata = Codec::readAnswer(head);
     if (metadata.attempt.empty() || metadata.attempt == relayed.attempt)
         return true;
-    auto signals = metadata.server;
-    signals.brittleness = NoSignals.brittleness;
-    signals.rateLimit = NoSignals.rateLimit; // outdated, as for any late answer
-    m_directory.onSignals(*relayed.server, signals);
+    m_directory.onLateSignals(*relayed.server, metadata.server);
     return false;
 }
 
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -205,31 +205,28 @@
         notifyChange(service);
 }
 
-server_ptr server_directory::nextServerIn(const data_center_id &dataCenter)
+template <class Predicate>
+server_ptr server_directory::nextAfter(backend_server_id &last, Predicate fits)
 {
-    const auto isInDataCenter = [&](const auto &entry) {
-        return entry.second->record.dataCenter == dataCenter;
-    };
-    auto found =
-        std::find_if(m_servers.upper_bound(m_lastReturned), m_servers.end(), isInDataCenter);
+    const auto entryFits = [&](const auto &entry) { return fits(*entry.second); };
+    auto found = std::find_if(m_servers.upper_bound(last), m_servers.end(), entryFits);
     if (found == m_servers.end())
-        found = std::find_if(m_servers.begin(), m_servers.end(), isInDataCenter);
+        found = std::find_if(m_servers.begin(), m_servers.end(), entryFits);
     if (found == m_servers.end())
         return nullptr;
-    m_lastReturned = found->first;
+    last = found->first;
     return found->second;
 }
 
+server_ptr server_directory::nextServerIn(const data_center_id &dataCenter)
+{
+    return nextAfter(m_lastReturned,
+                     [&](const server &each) { return each.record.dataCenter == dataCenter; });
+}
+
 server_ptr server_directory::nextUsableServer()
 {
-    const auto isUsable = [](const auto &entry) { return entry.second->usable(); };
-    auto found = std::find_if(m_servers.upper_bound(m_lastUsable), m_servers.end(), isUsable);
-    if (found == m_servers.end())
-        found = std::find_if(m_servers.begin(), m_servers.end(), isUsable);
-    if (found == m_servers.end())
-        return nullptr;
-    m_lastUsable = found->first;
-    return found->second;
+    return nextAfter(m_lastUsable, [](const server &each) { return each.usable(); });
 }
 
 template <class Predicate>
@@ -343,36 +340,46 @@
         && std::ranges::any_of(*list, [](const server_ptr &each) { return each->usable(); });
 }
 
-bool server_directory::anyRateLimited(const service_id &service, const residency &allowed) const
+template <class Predicate>
+bool server_directory::anyUsable(const service_id &service, const residency &allowed,
+                                 Predicate fits) const
 {
     const auto found = m_byService.find(service);
-    const auto now = m_clock.now();
     return found != m_byService.end()
         && std::ranges::any_of(found->second.all, [&](const server_ptr &each) {
-               return each->usable() && allowed.allows(each->region)
-                   && each->effectiveRateLimit(now);
+               return each->usable() && allowed.allows(each->region) && fits(*each);
            });
 }
 
 bool server_directory::anyBrittle(const service_id &service, const residency &allowed) const
 {
-    const auto found = m_byService.find(service);
-    return found != m_byService.end()
-        && std::ranges::any_of(found->second.all, [&](const server_ptr &each) {
-               return each->brittleRefusals && each->usable() && allowed.allows(each->region);
-           });
+    return anyUsable(service, allowed,
+                     [](const server &each) { return each.brittleRefusals.has_value(); });
 }
 
-bool server_directory::allRateLimited(const service_id &service, const residency &allowed) const
+bool server_directory::needsSharedCount(const service_id &service, const residency &allowed) const
 {
-    if (!anyRateLimited(service, allowed))
-        return false;
     const auto now = m_clock.now();
-    return std::ranges::all_of(m_byService.at(service).all, [&](const server_ptr &each) {
-        return !each->usable() || !allowed.allows(each->region) || each->effectiveRateLimit(now);
+    return anyUsable(service, allowed, [now](const server &each) {
+        return each.brittleRefusals || each.effectiveRateLimit(now);
+    });
+}
+
+bool server_directory::anyRateLimited(const service_id &service, const residency &allowed) const
+{
+    return anyUsable(service, allowed, [now = m_clock.now()](const server &each) {
+        return each.effectiveRateLimit(now).has_value();
     });
 }
 
+bool server_directory::allRateLimited(const service_id &service, const residency &allowed) const
+{
+    return anyRateLimited(service, allowed)
+        && !anyUsable(service, allowed, [now = m_clock.now()](const server &each) {
+               return !each.effectiveRateLimit(now);
+           });
+}
+
 template <class Predicate>
 unavailability server_directory::unavailabilityAmong(const service_id &service,
                                                      unavailability defaultReason,
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -187,12 +187,13 @@
     /// Returns the usable servers of a pool.
     [[nodiscard]] std::vector<server_ptr> usable(const pool_key &pool) const;
     [[nodiscard]] bool usableIn(const service_id &service, const data_center_id &dataCenter) const;
-    /// Returns whether any usable server of a service is rate-limited. The requests of all nodes
-    /// must then be placed by a single node.
+    /// Returns whether any usable server of a service is rate-limited.
     [[nodiscard]] bool anyRateLimited(const service_id &service, const residency &allowed) const;
-    /// Returns whether any usable server of a service has said that it is brittle. The requests of
-    /// all nodes must then be placed by a single node.
+    /// Returns whether any usable server of a service has said that it is brittle.
     [[nodiscard]] bool anyBrittle(const service_id &service, const residency &allowed = {}) const;
+    /// Returns whether the requests of all nodes to a service must be placed by a single node,
+    /// which counts them: some server is rate-limited or brittle.
+    [[nodiscard]] bool needsSharedCount(const service_id &service, const residency &allowed) const;
     /// Returns whether the service has usable servers and all of them are rate-limited.
     [[nodiscard]] bool allRateLimited(const service_id &service, const residency &allowed) const;
     /// Returns the time until the first usable server of a service accepts requests of this node
@@ -234,6 +235,9 @@
     void onSending(server &backend);
     /// Called by every path that receives responses when a response begins, whatever its status.
     void onSignals(server &backend, const server_signals &reported);
+    /// Called instead of `onSignals` for an answer to a call that had been given up. It may be
+    /// older than other answers, so what it says of limits may be outdated and is ignored.
+    void onLateSignals(server &backend, server_signals reported);
     /// Called when another node reports that this start is leaving; the start may not be published
     /// here yet. Returns whether this is new to this node.
     bool onPeerReportedLeaving(const server_start &start);
@@ -305,6 +309,14 @@
     [[nodiscard]] double costOf(const server &backend, const server_query &query) const;
     /// Returns whether this node recently got a response of the server.
     [[nodiscard]] bool answeredRecently(const server &backend) const;
+    /// Returns the server with the next id after `last` that fits, and records it there; null if
+    /// there is none.
+    template <class Predicate>
+    [[nodiscard]] server_ptr nextAfter(backend_server_id &last, Predicate fits);
+    /// Returns whether any usable server of a service fits.
+    template <class Predicate>
+    [[nodiscard]] bool anyUsable(const service_id &service, const residency &allowed,
+                                 Predicate fits) const;
     /// Returns the first server from a turn's position on that fits; null if there is none.
     template <class Predicate>
     [[nodiscard]] static server_ptr pickInTurn(const std::vector<server_ptr> &servers,
--- a/src/gateway/servers/server_directory_signals.cpp
+++ b/src/gateway/servers/server_directory_signals.cpp
@@ -175,6 +175,13 @@
     }
 }
 
+void server_directory::onLateSignals(server &backend, server_signals reported)
+{
+    reported.rateLimit = NoSignals.rateLimit;
+    reported.brittleness = NoSignals.brittleness;
+    onSignals(backend, reported);
+}
+
 void server_directory::onRateLimit(server &backend, const reported_rate_limit &reported)
 {
     onRateLimit(backend, reported, m_clock.now());
