Find a relay for nodes that are cut off together with the peers beside them

What callers saw: while all gateways of a data centre were cut off from the servers at once, the first requests at each were refused (17 of 20 served at the first gateway, where 20 were due). After a planned stop or a kill of the relay that served a cut-off gateway, 0 of 20 were served although another peer had its servers back.

Cause, three times the same: the choice of a relay assumed that peers fail one at a time. - A call was tried at three peers, near ones first, so all three could be cut off like the node itself. With 48 or more near peers no other peer was offered at all (by reading; the spread had been emulated with all peers offered). All nodes began with the same 48, as the turn began at 0 on each. - A peer that hadn't noticed its own cut yet answered `unreachable`, which ended the call instead of asking another peer. - A peer that had refused was passed over for 400 ms, longer than its servers were gone.

Ruled out: the detection of the cut (logged as cut_off before the first refusal) and the exchange's second attempt (it asked the same three kinds of peers).

Change: after a relay that is cut off or silent, a call asks one of another data centre. The selector draws the 48 peers that it considers at random, at most half of them near where there are others. A relayed call whose connection fails waits for the relay's own round of connections, and is answered `cut_off` unless that shows that servers are reachable. A cut-off peer is asked again after 100 ms; it refuses without delay.

Tests, on the sources of: "... from the first while its whole data centre is cut off" 17 of 20 and less (fails), "a relay that is stopped ..." 0 of 20 (fails), "... when a relay is killed" 0 of 20 (fails); now 20 of 20 each. Emulated with 8, 86, 350 and 1,000 nodes in four data centres of which one or two are cut off whole: each call finds a relay within three tries. Seven further tests of work under a cut (streams new, under way and broken off, a body of the published limit, cuts at start, with a silent store, with a new configuration) pass on both.

--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -8,9 +8,6 @@
 namespace {
 
 constexpr milliseconds TickInterval{100};
-// Peers that are offered as relays at a time. Other ones take turns, so the load of a cut-off node
-// spreads over all.
-constexpr std::size_t MaxRelayCandidates = 48;
 
 peer_identity toIdentity(const gateway_settings &settings, std::uint64_t incarnation)
 {
@@ -159,32 +156,14 @@
         link->send(frame);
 }
 
-std::vector<relay_candidate> peer_network::relayCandidates(std::uint16_t port)
+std::vector<relay_candidate> peer_network::relayCandidates(std::uint16_t port) const
 {
     std::vector<relay_candidate> found;
-    const auto peers = m_view.peers();
-    const auto add = [&](const vm_id &peer) {
+    for (const auto &peer : m_view.peers()) {
         if (const auto known = m_view.find(peer); known && !known->vm.leaving)
             found.push_back(
                 {peer, {known->vm.peerAddress.ip, port}, known->vm.dataCenter, known->vm.region});
-        return found.size() < MaxRelayCandidates;
-    };
-    const auto isNear = [&](const vm_id &peer) {
-        const auto known = m_view.find(peer);
-        return known && known->vm.dataCenter == m_view.dataCenter();
-    };
-    const auto far = std::ranges::find_if_not(peers, isNear);
-    for (auto each = peers.begin(); each != far; ++each) {
-        if (!add(*each))
-            return found;
-    }
-    const auto count = static_cast<std::size_t>(peers.end() - far);
-    for (std::size_t i = 0; i < count; ++i) {
-        const auto index = static_cast<std::ptrdiff_t>((m_nextRelay + i) % count);
-        if (!add(*(far + index)))
-            break;
     }
-    m_nextRelay += MaxRelayCandidates;
     return found;
 }
 
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -58,8 +58,8 @@
     /// As `peer_view::quarantineHost`.
     [[nodiscard]] const vm_id &quarantineHost() { return m_view.quarantineHost(); }
     /// Returns the peers considered alive that may relay calls, with the address of their relay
-    /// listeners at this port: those of this data centre first, and not more than a bounded number.
-    [[nodiscard]] std::vector<relay_candidate> relayCandidates(std::uint16_t port);
+    /// listeners at this port.
+    [[nodiscard]] std::vector<relay_candidate> relayCandidates(std::uint16_t port) const;
     /// Returns this node's view of members and roles.
     [[nodiscard]] const peer_view &view() const { return m_view; }
     [[nodiscard]] const vm_id &self() const { return m_view.self(); }
@@ -112,7 +112,6 @@
     };
     std::map<vm_id, opened_link> m_links; ///< links opened by this node
     std::vector<std::weak_ptr<peer_link>> m_accepted; ///< links opened by peers
-    std::size_t m_nextRelay = 0; ///< round robin over the peers that may relay calls
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -200,7 +200,7 @@
         auto why = relay_result::Unreachable;
         if (relayed->withheld)
             why = relay_result::Ineligible;
-        else if (m_transport.access() == server_access_state::CutOff)
+        else if (m_transport.access() != server_access_state::Reachable)
             why = relay_result::CutOff;
         else
             m_directory.onFailure(*relayed->server);
--- a/src/gateway/relay/relay_selector.cpp
+++ b/src/gateway/relay/relay_selector.cpp
@@ -1,13 +1,22 @@
 #include "gateway/relay/relay_selector.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace orchidlead::gateway {
 
 namespace {
 
-// A relay that is cut off itself finds its own way back within this time.
-constexpr milliseconds CutOffAvoidance{400};
+// Peers that are considered at a time. Each list is drawn anew, so the load of a cut-off node
+// spreads over all.
+constexpr std::size_t MaxCandidates = 48;
+// Near peers among them where there are others: all nodes of a data centre may be cut off at once.
+constexpr std::size_t MaxNearCandidates = MaxCandidates / 2;
+
+// A relay that is cut off refuses without delay, so asking it again soon costs little. It may be
+// the first to have its servers back.
+constexpr milliseconds CutOffAvoidance{100};
 // A full relay has room again when a few short calls have ended.
 constexpr milliseconds BusyAvoidance{100};
 // A relay that is stopping or doesn't answer leaves the list of members within about this time.
@@ -33,18 +42,30 @@
 
 void relay_selector::setCandidates(std::vector<relay_candidate> candidates)
 {
-    m_candidates = std::move(candidates);
+    const auto far = std::ranges::stable_partition(
+        candidates, [this](const auto &each) { return each.dataCenter == m_own; });
+    const auto nearCount = candidates.size() - far.size();
+    const auto sampledNear =
+        std::min(nearCount,
+                 std::max(MaxNearCandidates, MaxCandidates - std::min(MaxCandidates, far.size())));
+    m_candidates.clear();
+    std::sample(candidates.begin(), far.begin(), std::back_inserter(m_candidates), sampledNear,
+                m_random);
+    std::sample(far.begin(), far.end(), std::back_inserter(m_candidates),
+                MaxCandidates - sampledNear, m_random);
     std::erase_if(m_states, [this](const auto &entry) {
         return entry.second.calls == 0 && entry.second.avoidUntil <= m_clock.now();
     });
 }
 
-std::vector<const relay_candidate *> relay_selector::available(const region_id &region,
-                                                               bool near) const
+std::vector<const relay_candidate *>
+relay_selector::available(const region_id &region,
+                          const std::vector<data_center_id> &excluded) const
 {
     std::vector<const relay_candidate *> found;
     for (const auto &each : m_candidates) {
-        if (each.region != region || (near && each.dataCenter != m_own))
+        const bool isExcluded = std::ranges::find(excluded, each.dataCenter) != excluded.end();
+        if (each.region != region || isExcluded)
             continue;
         const auto state = m_states.find(each.vm);
         if (state == m_states.end() || state->second.avoidUntil <= m_clock.now())
@@ -64,12 +85,17 @@
     return m_states[second->vm].calls < m_states[first->vm].calls ? second : first;
 }
 
-std::optional<relay_candidate> relay_selector::choose(const region_id &region)
+std::optional<relay_candidate> relay_selector::choose(const region_id &region,
+                                                      const std::vector<data_center_id> &lastResort)
 {
-    const auto *near = drawLessUsed(available(region, true));
-    const auto *any = drawLessUsed(available(region, false));
+    auto peers = available(region, lastResort);
+    if (peers.empty())
+        peers = available(region, {});
+    const auto *any = drawLessUsed(peers);
     if (!any)
         return std::nullopt;
+    std::erase_if(peers, [this](const auto *each) { return each->dataCenter != m_own; });
+    const auto *near = drawLessUsed(peers);
     if (near && m_states[near->vm].calls <= m_states[any->vm].calls + MaxExtraNearCalls)
         return *near;
     return *any;
--- a/src/gateway/relay/relay_selector.h
+++ b/src/gateway/relay/relay_selector.h
@@ -13,6 +13,9 @@
 
 namespace orchidlead::gateway {
 
+/// Most relays that a call is sent to in turn; one that can't help refuses within milliseconds.
+inline constexpr std::uint32_t MaxRelaysTried = 3;
+
 /// A peer that may relay calls.
 struct relay_candidate
 {
@@ -24,7 +27,7 @@
 
 /// Chooses the peers that relay this node's calls: near ones unless they have many more calls than
 /// others, and of two drawn at random the one with fewer calls of this node. Peers that refused are
-/// passed over for a while.
+/// passed over for a while. In a large fleet a random part of the peers is considered at a time.
 class relay_selector
 {
 public:
@@ -32,8 +35,10 @@
 
     /// Replaces the peers that may be chosen.
     void setCandidates(std::vector<relay_candidate> candidates);
-    /// Returns a peer in the region; empty if there is none, or all have refused lately.
-    [[nodiscard]] std::optional<relay_candidate> choose(const region_id &region);
+    /// Returns a peer in the region, of the given data centres only if there is no other one; empty
+    /// if there is none, or all have refused lately.
+    [[nodiscard]] std::optional<relay_candidate>
+    choose(const region_id &region, const std::vector<data_center_id> &lastResort = {});
     void onStarted(const vm_id &relay);
     void onEnded(const vm_id &relay);
     /// Records that the relay refused a call for a reason of its own, or didn't answer (empty).
@@ -49,8 +54,8 @@
     /// Draws two at random and returns the one with fewer calls; null if the list is empty.
     [[nodiscard]] const relay_candidate *
     drawLessUsed(const std::vector<const relay_candidate *> &from);
-    [[nodiscard]] std::vector<const relay_candidate *> available(const region_id &region,
-                                                                 bool near) const;
+    [[nodiscard]] std::vector<const relay_candidate *>
+    available(const region_id &region, const std::vector<data_center_id> &excluded) const;
 
     const clock_source &m_clock;
     data_center_id m_own;
--- a/src/gateway/servers/server_transport.cpp
+++ b/src/gateway/servers/server_transport.cpp
@@ -17,8 +17,6 @@
 // How long a call waits for the result of a round. The nearest server of a round answers within
 // this time, if this node is not cut off.
 constexpr milliseconds VerdictTimeout{60};
-// Relays asked in turn for one call. Each refuses within milliseconds if it can't help.
-constexpr std::uint32_t MaxRelaysTried = 3;
 // How long a list of peers that may relay is used.
 constexpr milliseconds RelayListLifetime{250};
 
@@ -96,19 +94,18 @@
     };
     call.onEnd = [this, open](http::call_end how) { onDirectEnd(open, how); };
     open->call = m_pool.start(open->wanted.server->record.address, std::move(call));
-    if (open->mayBeRelayed)
-        open->slowTimer = m_loop.callAfter(SlowConnect, [this, open] {
-            open->slowTimer = 0;
-            if (m_calls.contains(open->id))
-                onConnectTrouble(open);
-        });
+    open->slowTimer = m_loop.callAfter(SlowConnect, [this, open] {
+        open->slowTimer = 0;
+        if (m_calls.contains(open->id))
+            onConnectTrouble(open);
+    });
 }
 
 void server_transport::onDirectEnd(const open_call_ptr &open, http::call_end how)
 {
     const bool notConnected =
         open->connectOutcome && *open->connectOutcome != http::connect_outcome::Connected;
-    if (!open->mayBeRelayed || !notConnected || how != http::call_end::NotSent) {
+    if (!notConnected || how != http::call_end::NotSent) {
         finish(open, how);
         return;
     }
@@ -127,7 +124,7 @@
         open->verdictTimer = m_loop.callAfter(VerdictTimeout, [this, open] {
             open->verdictTimer = 0;
             if (m_calls.contains(open->id))
-                sendByRelay(open);
+                sendElsewhere(open);
         });
     } else if (open->call == 0 && open->verdictTimer == 0) {
         finish(open, http::call_end::NotSent);
@@ -145,7 +142,7 @@
             continue;
         m_loop.cancelTimer(std::exchange(open->verdictTimer, 0));
         if (cutOff)
-            sendByRelay(open);
+            sendElsewhere(open);
         else if (open->call == 0)
             finish(open, http::call_end::NotSent);
     }
@@ -160,11 +157,22 @@
     m_relays.setCandidates(m_findRelays());
 }
 
+void server_transport::sendElsewhere(const open_call_ptr &open)
+{
+    if (open->mayBeRelayed) {
+        sendByRelay(open);
+        return;
+    }
+    if (open->call != 0)
+        m_pool.abandon(std::exchange(open->call, 0));
+    finish(open, http::call_end::NotSent);
+}
+
 void server_transport::sendByRelay(const open_call_ptr &open)
 {
     refreshRelays();
     const auto relay = open->relaysTried < MaxRelaysTried
-        ? m_relays.choose(open->wanted.server->region)
+        ? m_relays.choose(open->wanted.server->region, open->failedRelays)
         : std::nullopt;
     if (!relay) {
         if (open->call != 0)
@@ -184,7 +192,7 @@
     open->relay = relay->vm;
     open->relayResult.reset();
     m_relays.onStarted(relay->vm);
-    open->call = m_pool.start(relay->address, relayCall(open, relay->vm));
+    open->call = m_pool.start(relay->address, relayCall(open, *relay));
 }
 
 // A relay may refuse the call and another one may get it, so the text is kept until then.
@@ -208,7 +216,8 @@
     return text;
 }
 
-http::outbound_call server_transport::relayCall(const open_call_ptr &open, const vm_id &relay)
+http::outbound_call server_transport::relayCall(const open_call_ptr &open,
+                                                const relay_candidate &relay)
 {
     const auto &wanted = open->wanted.call;
     http::outbound_call call;
@@ -220,7 +229,7 @@
                         m_log.line(wire::log_level::Info, toName(log_event::CallRelayed))
                             .add("request", open->wanted.request)
                             .add("server", open->wanted.server->record.id.value)
-                            .add("by", relay.value));
+                            .add("by", relay.vm.value));
         return text;
     };
     call.isMine = [open](const http::response_head &head) {
@@ -240,16 +249,16 @@
         if (open->relayResult == relay_result::Forwarded && open->wanted.call.onBody)
             open->wanted.call.onBody(bytes);
     };
-    call.onEnd = [this, open](http::call_end how) { onRelayEnd(open, how); };
+    call.onEnd = [this, open, relay](http::call_end how) { onRelayEnd(open, relay, how); };
     return call;
 }
 
-void server_transport::onRelayEnd(const open_call_ptr &open, http::call_end how)
+void server_transport::onRelayEnd(const open_call_ptr &open, const relay_candidate &relay,
+                                  http::call_end how)
 {
     open->call = 0;
-    const auto relay = std::exchange(open->relay, std::nullopt);
-    if (relay)
-        m_relays.onEnded(*relay);
+    open->relay.reset();
+    m_relays.onEnded(relay.vm);
     const bool refused = how == http::call_end::Complete && open->relayResult
         && *open->relayResult != relay_result::Forwarded;
     const bool withheld = how == http::call_end::NotSent && open->written && open->text.empty();
@@ -262,8 +271,11 @@
         finish(open, http::call_end::NotSent);
         return;
     }
-    if (relay)
-        m_relays.onRefused(*relay, refused ? open->relayResult : std::nullopt);
+    const auto why = refused ? open->relayResult : std::nullopt;
+    m_relays.onRefused(relay.vm, why);
+    // The peers beside this one may be cut off like it.
+    if (!why || why == relay_result::CutOff)
+        open->failedRelays.push_back(relay.dataCenter);
     sendByRelay(open);
 }
 
--- a/src/gateway/servers/server_transport.h
+++ b/src/gateway/servers/server_transport.h
@@ -81,6 +81,7 @@
         std::optional<vm_id> relay; ///< that has the call
         std::optional<relay_result> relayResult;
         std::uint32_t relaysTried = 0;
+        std::vector<data_center_id> failedRelays; ///< where a relay was cut off or didn't answer
         bool awaitsAnswer = false; ///< sent, and nothing of its answer has arrived
     };
     using open_call_ptr = std::shared_ptr<open_call>;
@@ -92,10 +93,13 @@
     /// the call relayed.
     void onConnectTrouble(const open_call_ptr &open);
     void decideWaitingCalls();
+    /// Has the call relayed, or ends it as not sent if that isn't allowed.
+    void sendElsewhere(const open_call_ptr &open);
     void sendByRelay(const open_call_ptr &open);
-    [[nodiscard]] http::outbound_call relayCall(const open_call_ptr &open, const vm_id &relay);
+    [[nodiscard]] http::outbound_call relayCall(const open_call_ptr &open,
+                                                const relay_candidate &relay);
     [[nodiscard]] std::optional<std::string> writeRelayedHead(open_call &open);
-    void onRelayEnd(const open_call_ptr &open, http::call_end how);
+    void onRelayEnd(const open_call_ptr &open, const relay_candidate &relay, http::call_end how);
     void refreshRelays();
     void cancelTimers(open_call &open);
     void onAnswerBytes(open_call &open);
--- a/tests/gateway/relay_selector_test.cpp
+++ b/tests/gateway/relay_selector_test.cpp
@@ -64,9 +64,71 @@
     CHECK(t.selector.choose(Region));
 }
 
+// Guards against trying only peers that lost their servers together with this node.
+TEST_CASE("relay_selector: a data centre where a relay failed is chosen as a last resort")
+{
+    selector_test t;
+    t.selector.setCandidates({candidate("a", "own"), candidate("b", "own"), candidate("c", "x")});
+    const data_center_id own("own");
+    for (int i = 0; i < 20; ++i)
+        CHECK(t.selector.choose(Region, {own})->vm.value == "c");
+    CHECK(t.selector.choose(Region, {own, data_center_id("x")}));
+}
+
+// Guards against offering a node of a large data centre no peer but those beside it.
+TEST_CASE("relay_selector: peers of other data centres are considered however many near ones are")
+{
+    selector_test t;
+    std::vector<relay_candidate> all;
+    for (int i = 0; i < 500; ++i)
+        all.push_back(candidate("near" + std::to_string(i), "own"));
+    for (int i = 0; i < 3; ++i)
+        all.push_back(candidate("far" + std::to_string(i), "x"));
+    t.selector.setCandidates(all);
+    CHECK(t.selector.choose(Region)->dataCenter.value == "own");
+    CHECK(t.selector.choose(Region, {data_center_id("own")})->dataCenter.value == "x");
+}
+
 namespace {
 
 constexpr int CallsPerNode = 40;
+constexpr int DataCenters = 4;
+
+/// Returns the calls of the nodes of whole data centres for which no relay was found.
+int countUnrelayed(int nodes, int cutDataCenters)
+{
+    manual_clock clock;
+    std::vector<relay_candidate> all;
+    for (int i = 0; i < nodes; ++i)
+        all.push_back(candidate(std::to_string(i), "dc" + std::to_string(i % DataCenters)));
+    const auto isCutOff = [&](int node) { return node % DataCenters < cutDataCenters; };
+    int unrelayed = 0;
+    for (int node = 0; node < nodes; ++node) {
+        if (!isCutOff(node))
+            continue;
+        const auto &own = all[static_cast<std::size_t>(node)].dataCenter;
+        relay_selector selector(clock, own, static_cast<std::uint32_t>(node));
+        selector.setCandidates(all);
+        for (int call = 0; call < CallsPerNode; ++call) {
+            std::vector<data_center_id> failed;
+            bool relayed = false;
+            for (std::uint32_t i = 0; i < MaxRelaysTried && !relayed; ++i) {
+                const auto chosen = selector.choose(Region, failed);
+                if (!chosen)
+                    break;
+                relayed = !isCutOff(std::stoi(chosen->vm.value));
+                if (relayed) {
+                    selector.onStarted(chosen->vm);
+                } else {
+                    selector.onRefused(chosen->vm, relay_result::CutOff);
+                    failed.push_back(chosen->dataCenter);
+                }
+            }
+            unrelayed += relayed ? 0 : 1;
+        }
+    }
+    return unrelayed;
+}
 
 /// How the calls of the cut-off part of a fleet in four data centres spread over the rest.
 struct relay_spread
@@ -83,12 +145,12 @@
     manual_clock clock;
     std::vector<relay_candidate> all;
     for (int i = 0; i < nodes; ++i)
-        all.push_back(candidate(std::to_string(i), "dc" + std::to_string(i % 4)));
+        all.push_back(candidate(std::to_string(i), "dc" + std::to_string(i % DataCenters)));
     std::map<std::string, int> calls;
     relay_spread spread;
     spread.cutOff = cutOff;
     for (int node = 0; node < cutOff; ++node) {
-        relay_selector selector(clock, data_center_id("dc" + std::to_string(node % 4)),
+        relay_selector selector(clock, data_center_id("dc" + std::to_string(node % DataCenters)),
                                 static_cast<std::uint32_t>(node));
         selector.setCandidates(all);
         for (int i = 0; i < CallsPerNode; ++i) {
@@ -120,6 +182,15 @@
     CHECK(spread.largest <= 2 * spread.mean + 4);
 }
 
+// Guards against refusing the first callers of data centres that are cut off whole.
+TEST_CASE("relay_selector: each call of data centres that are cut off whole finds a relay")
+{
+    const auto nodes = GENERATE(8, 86, 350, 1000);
+    const auto cutDataCenters = GENERATE(1, 2);
+    INFO(nodes << " nodes, data centres cut off " << cutDataCenters << " of " << DataCenters);
+    CHECK(countUnrelayed(nodes, cutDataCenters) == 0);
+}
+
 TEST_CASE("figures of the spread of relayed calls", "[.figures]")
 {
     for (const int nodes : {8, 86, 350, 700}) {
--- a/tests/platform/cut_off_gateway_test.cpp
+++ b/tests/platform/cut_off_gateway_test.cpp
@@ -1,7 +1,6 @@
 // Gateways that lose their own links to all backend servers, while clients, the store and the other
 // gateways still reach them, and the other gateways reach the servers.
-#include "cut_link.h"
-#include "platform_world.h"
+#include "cut_off_world.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,119 +13,6 @@
 using namespace orchidlead;
 using namespace orchidlead::platform_world;
 
-namespace {
-
-constexpr int Requests = 20;
-constexpr std::size_t ServersPerService = 3;
-
-const std::string Stages = R"([{"service":"q","after":[],"length":100}])";
-const std::string Services =
-    R"({"name":"q","segments":{"slots":1,"queue":2,"batch":8,"call_ms":20,"item_ms":1,)"
-    R"("headroom_mb":1,"handle_s":4}},)"
-    R"({"name":"engine","engine":{"slots":8,"kv_capacity":100000}})";
-
-void answerAtOnce(const server_request &request, const std::shared_ptr<server_answer> &answer)
-{
-    answer->write(signedAnswer(request, "ok"));
-}
-
-/// Three gateways before two plain services, model engines and stage servers.
-struct cut_off_world : world
-{
-    explicit cut_off_world(const std::string &routes = plainRoute("safe"))
-    {
-        canBeCut = true;
-        publish(1, routes, Services);
-        for (std::size_t i = 0; i < ServersPerService; ++i) {
-            const auto number = std::to_string(i);
-            add("web", number).setBehaviour(answerAtOnce);
-            add("other", number).setBehaviour(answerAtOnce);
-            add("engine", number).setBehaviour(answerOneEvent);
-            auto &stage = add("q", number);
-            stage.setBehaviour([this, &stage](const server_request &request,
-                                              const std::shared_ptr<server_answer> &answer) {
-                answerStages(*this, stage, request, answer, milliseconds{20}, m_resultCount);
-            });
-        }
-        for (const auto *each : {"g1", "g2", "g3"})
-            startGateway(each);
-        REQUIRE(runUntil([&] { return knowsMembers(3); }));
-    }
-
-    fake_server &add(const std::string &service, const std::string &number)
-    {
-        auto &server = addServer(service, service + "-" + number);
-        m_servers.push_back(&server);
-        return server;
-    }
-
-    /// Sends plain requests one after the other and returns how many succeeded.
-    int countServed(const std::string &gateway, const std::string &method = "GET")
-    {
-        int served = 0;
-        for (int i = 0; i < Requests; ++i)
-            served += isServed(startPlain(gateway, method));
-        return served;
-    }
-
-    std::shared_ptr<client_answer> startPlain(const std::string &gateway, const std::string &method)
-    {
-        const std::string body = method == "POST" ? "x" : "";
-        return request(gateway, makeRequest(method, "/p/x", nextAttempt()), body);
-    }
-
-    /// Sends requests with one stage one after the other and returns how many succeeded.
-    int countStagedServed(const std::string &gateway)
-    {
-        int served = 0;
-        for (int i = 0; i < Requests; ++i)
-            served += isServed(request(gateway, makeStagedRequest(nextAttempt(), "2"), "x"));
-        return served;
-    }
-
-    /// Returns the number of requests that all servers received.
-    [[nodiscard]] std::size_t countArrived() const
-    {
-        std::size_t arrived = 0;
-        for (const auto *each : m_servers)
-            arrived += each->requests().size();
-        return arrived;
-    }
-
-    /// Returns the number of connections that the servers of a service have open.
-    [[nodiscard]] std::size_t countOpenConnections(const std::string &service) const
-    {
-        std::size_t open = 0;
-        for (const auto *each : m_servers)
-            open += each->id().starts_with(service + "-") ? each->openConnections() : 0;
-        return open;
-    }
-
-    /// Returns a figure of the state of a gateway from its metrics; -1 if there is none.
-    double gauge(const std::string &gateway, const std::string &what)
-    {
-        const auto text = metrics(gateway);
-        const auto name = "orchidlead_gateway_state{what=\"" + what + "\"} ";
-        const auto at = text.find(name);
-        return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size()));
-    }
-
-    [[nodiscard]] std::string nextAttempt() { return "a-" + std::to_string(++m_attempts); }
-
-    int isServed(const std::shared_ptr<client_answer> &answer)
-    {
-        REQUIRE(await(answer));
-        return answer->status == 200 && answer->end == http::call_end::Complete ? 1 : 0;
-    }
-
-private:
-    std::vector<fake_server *> m_servers;
-    int m_attempts = 0;
-    int m_resultCount = 0;
-};
-
-} // namespace
-
 // Guards against refusing the callers of a gateway whose own links to all servers are lost while
 // its peers reach them.
 TEST_CASE("a gateway that is cut off from all servers serves its callers through its peers")
@@ -152,6 +38,81 @@
     CHECK(w.countServed("g1") == Requests);
 }
 
+// Guards against asking only the peers beside a gateway, which lost their servers with it.
+TEST_CASE("a gateway serves its callers from the first while its whole data centre is cut off")
+{
+    constexpr int CutOff = 9;
+    const auto kind = GENERATE(cut_kind::Reset, cut_kind::Hang, cut_kind::RefuseNew);
+    cut_off_world w;
+    std::vector<std::string> cutOff;
+    for (int i = 0; i < CutOff; ++i) {
+        cutOff.push_back("c" + std::to_string(i));
+        w.startGateway(cutOff.back(), true, "cut");
+    }
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(3 + CutOff); }));
+    for (const auto &each : cutOff)
+        w.cutFromServers(each, kind);
+    INFO("kind of cut " << static_cast<int>(kind));
+    for (const auto &each : cutOff)
+        CHECK(w.countServed(each) == Requests);
+}
+
+// Guards against cutting off the calls that a relay has when it is stopped as planned.
+TEST_CASE("a relay that is stopped completes its calls, and another one takes over")
+{
+    cut_off_world w;
+    w.cutFromServers("g1", cut_kind::Reset);
+    w.cutFromServers("g3", cut_kind::Reset);
+    REQUIRE(w.countServed("g1") == Requests);
+    std::vector<std::shared_ptr<server_answer>> open;
+    std::vector<server_request> received;
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("web-" + std::to_string(i))
+            .setBehaviour(
+                [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+                    open.push_back(answer);
+                    received.push_back(request);
+                });
+    const auto answer = w.startPlain("g1", "GET");
+    REQUIRE(w.runUntil([&] { return open.size() == 1; }));
+    w.healServers("g3");
+    REQUIRE(w.runUntil([&] { return w.gauge("g3", "servers_cut_off") == 0; }));
+    w.stopGateway("g2");
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("web-" + std::to_string(i)).setBehaviour(answerAtOnce);
+    CHECK(w.countServed("g1") == Requests);
+    CHECK(w.gauge("g3", "calls_relayed") >= Requests);
+    CHECK_FALSE(answer->ended);
+    open.front()->write(signedAnswer(received.front(), "late"));
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "late");
+    CHECK(answer->end == http::call_end::Complete);
+}
+
+// Guards against losing the requests of a cut-off gateway together with the relay that sends them.
+TEST_CASE("a gateway that is cut off goes on through another peer when a relay is killed")
+{
+    cut_off_world w;
+    w.cutFromServers("g1", cut_kind::Reset);
+    w.cutFromServers("g3", cut_kind::Reset);
+    REQUIRE(w.countServed("g1") == Requests);
+    std::size_t arrived = 0;
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("web-" + std::to_string(i)).setBehaviour([&](const auto &, const auto &) {
+            ++arrived;
+        });
+    const auto underWay = w.startPlain("g1", "GET");
+    REQUIRE(w.runUntil([&] { return arrived == 1; }));
+    w.healServers("g3");
+    REQUIRE(w.runUntil([&] { return w.gauge("g3", "servers_cut_off") == 0; }));
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("web-" + std::to_string(i)).setBehaviour(answerAtOnce);
+    w.killGateway("g2");
+    CHECK(w.isServed(underWay));
+    CHECK(w.countServed("g1") == Requests);
+}
+
 // Guards against failing the callers of all gateways because one that hosts a pool is cut off.
 TEST_CASE("pieces of all gateways are computed while the host of their pool is cut off")
 {
--- /dev/null
+++ b/tests/platform/cut_off_work_test.cpp
@@ -0,0 +1,151 @@
+// What a gateway does for its callers while it is cut off from all backend servers: streams,
+// bodies, and cuts that coincide with other changes.
+#include "cut_off_world.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+
+using namespace orchidlead;
+using namespace orchidlead::platform_world;
+
+namespace {
+
+std::shared_ptr<client_answer> startStream(cut_off_world &w, const std::string &gateway)
+{
+    return w.request(gateway, makeStagedRequest(w.nextAttempt(), ""), "prompt");
+}
+
+void setEngines(cut_off_world &w, const server_behaviour &behaviour)
+{
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("engine-" + std::to_string(i)).setBehaviour(behaviour);
+}
+
+} // namespace
+
+// Guards against streams that are refused, or lose or repeat events behind a relay.
+TEST_CASE("a stream that begins during a cut reaches its client whole")
+{
+    const auto kind = GENERATE(cut_kind::Reset, cut_kind::Hang, cut_kind::RefuseNew);
+    cut_off_world w(streamRoute(true));
+    REQUIRE(w.isServed(startStream(w, "g1")));
+    w.cutFromServers("g1", kind);
+    INFO("kind of cut " << static_cast<int>(kind));
+    for (int i = 0; i < Requests; ++i) {
+        const auto answer = startStream(w, "g1");
+        CHECK(w.isServed(answer));
+        CHECK(answer->body == event(1));
+    }
+}
+
+// Guards against ending the clients' streams because their connections end in a cut.
+TEST_CASE("a stream that is under way when a cut begins continues through a relay")
+{
+    const auto kind = GENERATE(cut_kind::Reset, cut_kind::Hang);
+    cut_off_world w(streamRoute(true));
+    int arrivals = 0;
+    setEngines(w, [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+        if (++arrivals == 1) {
+            answer->write(streamHead(request) + chunk(event(1) + event(2) + "id: 3\nda"));
+            return;
+        }
+        CHECK(http::findField(request.head.fields, "last-event-id") == "2");
+        answer->write(streamHead(request) + chunk(event(3) + event(4)) + "0\r\n\r\n");
+    });
+    const auto answer = startStream(w, "g1");
+    REQUIRE(w.runUntil([&] { return answer->body == event(1) + event(2); }));
+    w.cutFromServers("g1", kind);
+    REQUIRE(w.await(answer));
+    INFO("kind of cut " << static_cast<int>(kind));
+    CHECK(answer->end == http::call_end::Complete);
+    CHECK(answer->body == event(1) + event(2) + event(3) + event(4));
+    CHECK(arrivals == 2);
+}
+
+// Guards against a stream that loses or repeats events when its server ends behind a relay.
+TEST_CASE("a relayed stream that breaks off continues on another server")
+{
+    cut_off_world w(streamRoute(true));
+    w.cutFromServers("g1", cut_kind::Reset);
+    REQUIRE(w.isServed(startStream(w, "g1")));
+    int arrivals = 0;
+    setEngines(w, [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+        if (++arrivals == 1) {
+            answer->write(streamHead(request) + chunk(event(1) + event(2) + "id: 3\nda"));
+            answer->reset();
+            return;
+        }
+        CHECK(http::findField(request.head.fields, "last-event-id") == "2");
+        answer->write(streamHead(request) + chunk(event(3)) + "0\r\n\r\n");
+    });
+    const auto answer = startStream(w, "g1");
+    REQUIRE(w.await(answer));
+    CHECK(answer->end == http::call_end::Complete);
+    CHECK(answer->body == event(1) + event(2) + event(3));
+    CHECK(arrivals == 2);
+}
+
+// Guards against long bodies that are cut short, or refused, by a relay.
+TEST_CASE("a long body reaches its server unchanged through a relay")
+{
+    constexpr std::size_t Length = 100'000; // the published limit
+    cut_off_world w;
+    w.cutFromServers("g1", cut_kind::Reset);
+    REQUIRE(w.countServed("g1") == Requests);
+    std::string body(Length, 'a');
+    for (std::size_t i = 0; i < Length; i += 1000)
+        body[i] = static_cast<char>('a' + i / 1000 % 26);
+    std::string received;
+    for (std::size_t i = 0; i < ServersPerService; ++i)
+        w.server("web-" + std::to_string(i))
+            .setBehaviour(
+                [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+                    received = request.body;
+                    answerAtOnce(request, answer);
+                });
+    const auto answer = w.request("g1", makeRequest("POST", "/p/x", "long"), body);
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == 200);
+    CHECK((received == body)); // not expanded in a failure
+}
+
+// Guards against a gateway that needs to have reached a server once before it uses relays.
+TEST_CASE("a gateway that starts cut off becomes ready and serves its callers")
+{
+    const auto kind = GENERATE(cut_kind::Reset, cut_kind::Hang);
+    cut_off_world w;
+    w.startGateway("late", false);
+    w.cutFromServers("late", kind);
+    INFO("kind of cut " << static_cast<int>(kind));
+    REQUIRE(w.runUntil([&] { return w.readiness("late") == 200; }));
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(4); }));
+    CHECK(w.countServed("late") == Requests);
+}
+
+// Guards against relays that work only while the store answers.
+TEST_CASE("a gateway that is cut off serves its callers while the store is silent")
+{
+    cut_off_world w;
+    REQUIRE(w.waitForStoreWatch());
+    w.store.failWith(503);
+    w.cutFromServers("g1", cut_kind::Reset);
+    CHECK(w.countServed("g1") == Requests);
+}
+
+// Guards against a cut-off gateway that keeps to an old configuration.
+TEST_CASE("a configuration that is published during a cut is in force on the cut-off gateway")
+{
+    cut_off_world w;
+    w.cutFromServers("g1", cut_kind::Hang);
+    REQUIRE(w.countServed("g1") == Requests);
+    std::string routes = plainRoute("safe");
+    routes.replace(routes.find("/p/"), 3, "/q/");
+    w.publish(2, routes, Services);
+    const auto servesNewRoute = [&] {
+        return w.isServed(w.request("g1", makeRequest("GET", "/q/x", w.nextAttempt()))) == 1;
+    };
+    CHECK(w.runUntil(servesNewRoute));
+    CHECK(w.isServed(w.request("g1", makeRequest("GET", "/p/x", w.nextAttempt()))) == 0);
+}
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -447,6 +447,11 @@
     m_nodes[name].gateway->stop();
 }
 
+void world::killGateway(const std::string &name)
+{
+    m_nodes.erase(name);
+}
+
 void world::cutFromServers(const std::string &gateway, cut_kind kind)
 {
     m_nodes.at(gateway).links->cut(kind);
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -169,6 +169,8 @@
     gateway::gateway<platform::codec> &startGateway(const std::string &name, bool waitReady = true,
                                                     const std::string &dataCenter = "z");
     void stopGateway(const std::string &name);
+    /// Ends a gateway like a killed process: resets its connections and drops its state.
+    void killGateway(const std::string &name);
     /// Cuts a gateway off from all backend servers; clients, the store and peers still reach it.
     void cutFromServers(const std::string &gateway, cut_kind kind);
     void healServers(const std::string &gateway);
