End the calls of a relay that is cut off itself, and prefer others to a silent one

Cause: what a gateway does with its own calls when it finds itself cut off (repeatable ones on dead connections are ended and sent elsewhere) wasn't done with the calls that it relays. The sender, in turn, chose the same relay again after it had left a call without a byte.

Ruled out: the choice between data centres (the relay was near, and not known to be cut off by anyone).

Change: an order says whether its call may be repeated. A relay that becomes cut off ends such calls on connections that are dead, and the sender repeats them as after a server that broke off; others wait as before, since the answer may still come. A peer that left a call without a byte for 250 ms counts as having 16 more calls for a second: others are chosen, and it still is where all are slow. This also takes new calls away from a relay that is suspended.

A relay that is suspended was not played with whole processes.

--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -161,7 +161,8 @@
     call.onBody = [self](std::string_view bytes) { self->onBody(bytes); };
     call.onEnd = [self](http::call_end how) { self->onEnd(how); };
     m_attemptsBefore = m_attempts;
-    m_call = m_context.transport.start({m_server, std::move(call), m_metadata.attempt});
+    m_call = m_context.transport.start(
+        {m_server, std::move(call), m_metadata.attempt, m_route->repeatable()});
     if (m_route->repeatable())
         startIdleTimer(
             std::chrono::duration_cast<milliseconds>(m_route->latencyObjective * UnansweredShare));
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -469,6 +469,7 @@
     if (state != server_access_state::CutOff)
         return;
     m_stages.onServersCutOff();
+    m_callRelay.onServersCutOff();
     const auto exchanges = m_exchanges;
     for (const auto &weak : exchanges) {
         if (const auto each = weak.lock())
--- a/src/gateway/relay/call_relay.h
+++ b/src/gateway/relay/call_relay.h
@@ -8,6 +8,7 @@
 #include "wire/log.h"
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace orchidlead::gateway {
@@ -31,6 +32,9 @@
     [[nodiscard]] std::optional<http::listen_error> start(const socket_address &at);
     /// Refuses further calls, and closes connections after their present answers.
     void stop();
+    /// Ends the calls on connections that are dead since this node was cut off from all servers, so
+    /// that the peers may send them again. Those that must not be repeated keep waiting.
+    void onServersCutOff();
     /// Closes idle connections of peers.
     void closeIdle(milliseconds minIdleTime);
     /// Returns the number of relayed calls without a complete answer.
@@ -62,6 +66,7 @@
     void onHead(const relayed_call_ptr &relayed, const http::response_head &head);
     void onBody(const relayed_call_ptr &relayed, std::string_view bytes);
     void onEnd(const relayed_call_ptr &relayed, http::call_end how);
+    void abandon(const relayed_call_ptr &relayed);
     void logEnd(const relayed_call &relayed, std::string_view how);
 
     http::io_loop &m_loop;
@@ -70,6 +75,7 @@
     wire::log &m_log;
     std::shared_ptr<http::inbound_shared> m_shared;
     std::unique_ptr<http::listener> m_listener;
+    std::set<relayed_call_ptr> m_open;
     std::uint64_t m_relayed = 0;
     bool m_stopping = false;
 };
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -122,11 +122,11 @@
     call.onBody = [this, relayed](std::string_view bytes) { onBody(relayed, bytes); };
     call.onEnd = [this, relayed](http::call_end how) { onEnd(relayed, how); };
     ++relayed->server->outstanding;
-    relayed->call =
-        m_transport.startDirect({relayed->server, std::move(call), relayed->order.request});
+    relayed->call = m_transport.startDirect(
+        {relayed->server, std::move(call), relayed->order.request, relayed->order.repeatable});
+    m_open.insert(relayed);
     relayed->peer->onClientGone([this, relayed] {
-        m_transport.abandon(relayed->call);
-        --relayed->server->outstanding;
+        abandon(relayed);
         logEnd(*relayed, "peer_gone");
     });
 }
@@ -191,6 +191,7 @@
 template <gateway_codec Codec>
 void call_relay<Codec>::onEnd(const relayed_call_ptr &relayed, http::call_end how)
 {
+    m_open.erase(relayed);
     --relayed->server->outstanding;
     relayed->peer->onClientGone({});
     if (how == http::call_end::Complete) {
@@ -214,6 +215,28 @@
     logEnd(*relayed, toName(how));
 }
 
+template <gateway_codec Codec>
+void call_relay<Codec>::abandon(const relayed_call_ptr &relayed)
+{
+    m_transport.abandon(relayed->call);
+    m_open.erase(relayed);
+    --relayed->server->outstanding;
+    relayed->peer->onClientGone({});
+}
+
+template <gateway_codec Codec>
+void call_relay<Codec>::onServersCutOff()
+{
+    const auto open = m_open;
+    for (const auto &each : open) {
+        if (!each->order.repeatable || !m_transport.isLost(each->call))
+            continue;
+        abandon(each);
+        each->peer->abort();
+        logEnd(*each, "lost");
+    }
+}
+
 template <gateway_codec Codec>
 void call_relay<Codec>::logEnd(const relayed_call &relayed, std::string_view how)
 {
--- a/src/gateway/relay/relay_fields.cpp
+++ b/src/gateway/relay/relay_fields.cpp
@@ -11,7 +11,9 @@
 constexpr std::string_view ServerField = "Orchidlead-Relay-To";
 constexpr std::string_view AgeField = "Orchidlead-Relay-Age-Ms";
 constexpr std::string_view RequestField = "Orchidlead-Relay-Request";
+constexpr std::string_view RepeatableField = "Orchidlead-Relay-Repeatable";
 constexpr std::string_view ResultField = "Orchidlead-Relay-Result";
+constexpr std::string_view Yes = "1";
 constexpr std::string_view EndOfLine = "\r\n";
 
 void append(std::string &text, std::string_view name, std::string_view value)
@@ -35,6 +37,8 @@
     append(fields, AgeField, std::to_string(order.age.count()));
     if (!order.request.empty())
         append(fields, RequestField, order.request);
+    if (order.repeatable)
+        append(fields, RepeatableField, Yes);
     // Before the empty line. Of several fields of a name, the last one counts.
     const auto end = head.find("\r\n\r\n");
     if (end != std::string::npos)
@@ -43,25 +47,25 @@
 
 std::optional<relay_order> takeOrder(http::field_list &fields)
 {
-    std::optional<relay_order> order;
-    std::string request;
-    milliseconds age{0};
+    std::optional<std::string> server;
+    relay_order read;
     std::erase_if(fields, [&](const http::field &each) {
         if (http::equalsIgnoringCase(each.name, ServerField))
-            order = relay_order{backend_server_id(each.value), {}, {}};
+            server = each.value;
         else if (http::equalsIgnoringCase(each.name, AgeField))
-            age = readAge(each.value);
+            read.age = readAge(each.value);
         else if (http::equalsIgnoringCase(each.name, RequestField))
-            request = each.value;
+            read.request = each.value;
+        else if (http::equalsIgnoringCase(each.name, RepeatableField))
+            read.repeatable = each.value == Yes;
         else
             return false;
         return true;
     });
-    if (order) {
-        order->age = age;
-        order->request = std::move(request);
-    }
-    return order;
+    if (!server)
+        return std::nullopt;
+    read.server = backend_server_id(*server);
+    return read;
 }
 
 http::field toField(relay_result what)
--- a/src/gateway/relay/relay_fields.h
+++ b/src/gateway/relay/relay_fields.h
@@ -39,6 +39,7 @@
     backend_server_id server;
     milliseconds age{0}; ///< time since the call's head, with its timeout, was written
     std::string request; ///< attempt of the client's request, for the relay's log; may be empty
+    bool repeatable = false; ///< whether the call may be sent again if it is left without answer
 };
 
 /// Inserts the fields of an order into a serialized request head.
--- a/src/gateway/relay/relay_selector.cpp
+++ b/src/gateway/relay/relay_selector.cpp
@@ -25,6 +25,11 @@
 // the traffic between data centres is paid for, but a single near peer can't bear all calls.
 constexpr std::uint32_t MaxExtraNearCalls = 8;
 
+// A relay that left a call unanswered counts as having this many more calls, so that others are
+// preferred, far ones included. It is still chosen where all are slow.
+constexpr std::uint32_t UnansweredLoad = 2 * MaxExtraNearCalls;
+constexpr milliseconds UnansweredTime{1000};
+
 milliseconds avoidanceFor(std::optional<relay_result> why)
 {
     if (why == relay_result::CutOff)
@@ -54,7 +59,9 @@
     std::sample(far.begin(), far.end(), std::back_inserter(m_candidates),
                 MaxCandidates - sampledNear, m_random);
     std::erase_if(m_states, [this](const auto &entry) {
-        return entry.second.calls == 0 && entry.second.avoidUntil <= m_clock.now();
+        const auto &state = entry.second;
+        return state.calls == 0
+            && std::max(state.avoidUntil, state.unansweredUntil) <= m_clock.now();
     });
 }
 
@@ -82,7 +89,7 @@
     std::uniform_int_distribution<std::size_t> draw(0, from.size() - 1);
     const auto *first = from[draw(m_random)];
     const auto *second = from[draw(m_random)];
-    return m_states[second->vm].calls < m_states[first->vm].calls ? second : first;
+    return load(second->vm) < load(first->vm) ? second : first;
 }
 
 std::optional<relay_candidate> relay_selector::choose(const region_id &region,
@@ -96,7 +103,7 @@
         return std::nullopt;
     std::erase_if(peers, [this](const auto *each) { return each->dataCenter != m_own; });
     const auto *near = drawLessUsed(peers);
-    if (near && m_states[near->vm].calls <= m_states[any->vm].calls + MaxExtraNearCalls)
+    if (near && load(near->vm) <= load(any->vm) + MaxExtraNearCalls)
         return *near;
     return *any;
 }
@@ -117,4 +124,18 @@
     m_states[relay].avoidUntil = m_clock.now() + avoidanceFor(why);
 }
 
+void relay_selector::onUnanswered(const vm_id &relay)
+{
+    m_states[relay].unansweredUntil = m_clock.now() + UnansweredTime;
+}
+
+std::uint32_t relay_selector::load(const vm_id &relay) const
+{
+    const auto found = m_states.find(relay);
+    if (found == m_states.end())
+        return 0;
+    const auto &state = found->second;
+    return state.calls + (m_clock.now() < state.unansweredUntil ? UnansweredLoad : 0);
+}
+
 } // namespace orchidlead::gateway
--- a/src/gateway/relay/relay_selector.h
+++ b/src/gateway/relay/relay_selector.h
@@ -27,7 +27,8 @@
 
 /// Chooses the peers that relay this node's calls: near ones unless they have many more calls than
 /// others, and of two drawn at random the one with fewer calls of this node. Peers that refused are
-/// passed over for a while. In a large fleet a random part of the peers is considered at a time.
+/// passed over for a while, and ones that left a call unanswered are chosen less often. In a large
+/// fleet a random part of the peers is considered at a time.
 class relay_selector
 {
 public:
@@ -43,14 +44,20 @@
     void onEnded(const vm_id &relay);
     /// Records that the relay refused a call for a reason of its own, or didn't answer (empty).
     void onRefused(const vm_id &relay, std::optional<relay_result> why);
+    /// Records that a call was given up without a byte from the relay. It may be suspended, or the
+    /// server may be slow.
+    void onUnanswered(const vm_id &relay);
 
 private:
     struct relay_state
     {
         std::uint32_t calls = 0; ///< of this node, in progress
         steady_time avoidUntil{};
+        steady_time unansweredUntil{}; ///< counts as having more calls
     };
 
+    [[nodiscard]] std::uint32_t load(const vm_id &relay) const;
+
     /// Draws two at random and returns the one with fewer calls; null if the list is empty.
     [[nodiscard]] const relay_candidate *
     drawLessUsed(const std::vector<const relay_candidate *> &from);
--- a/src/gateway/servers/server_transport.cpp
+++ b/src/gateway/servers/server_transport.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds VerdictTimeout{60};
 // How long a list of peers that may relay is used.
 constexpr milliseconds RelayListLifetime{250};
+// A relay that has sent nothing for a call in this time may be suspended.
+constexpr milliseconds SilentRelay{250};
 
 } // namespace
 
@@ -190,6 +192,7 @@
     ++open->relaysTried;
     ++m_relayedCalls;
     open->relay = relay->vm;
+    open->relayedAt = m_loop.now();
     open->relayResult.reset();
     m_relays.onStarted(relay->vm);
     open->call = m_pool.start(relay->address, relayCall(open, *relay));
@@ -211,6 +214,7 @@
     order.server = open.wanted.server->record.id;
     order.age = std::chrono::duration_cast<milliseconds>(m_loop.now() - open.writtenAt);
     order.request = open.wanted.request;
+    order.repeatable = open.wanted.repeatable;
     auto text = open.text;
     insertOrder(text, order);
     return text;
@@ -315,8 +319,11 @@
     auto &open = *node.mapped();
     cancelTimers(open);
     stopAwaiting(open);
-    if (open.relay)
+    if (open.relay) {
         m_relays.onEnded(*open.relay);
+        if (!open.relayResult && m_loop.now() - open.relayedAt >= SilentRelay)
+            m_relays.onUnanswered(*open.relay);
+    }
     m_pool.abandon(open.call);
 }
 
--- a/src/gateway/servers/server_transport.h
+++ b/src/gateway/servers/server_transport.h
@@ -19,6 +19,7 @@
     server_ptr server;
     http::outbound_call call;
     std::string request; ///< attempt of the client's request, for logs; empty: no single request
+    bool repeatable = false; ///< may be sent again if it is left without answer
 };
 
 /// Sends the calls of this node to backend servers.
@@ -79,6 +80,7 @@
         std::string text; ///< head and body, until a relay has accepted them
         steady_time writtenAt{};
         std::optional<vm_id> relay; ///< that has the call
+        steady_time relayedAt{};
         std::optional<relay_result> relayResult;
         std::uint32_t relaysTried = 0;
         std::vector<data_center_id> failedRelays; ///< where a relay was cut off or didn't answer
--- a/src/gateway/stages/stage_host_frees_impl.h
+++ b/src/gateway/stages/stage_host_frees_impl.h
@@ -114,7 +114,7 @@
         else if (httpEnd == http::call_end::NotSent && !holder->accepts(m_loop.now()))
             freeResults(freed); // retried when the server accepts requests again
     };
-    const auto call = m_transport.start({holder, std::move(outbound), {}});
+    const auto call = m_transport.start({holder, std::move(outbound), {}, true});
     m_loop.callAfter(FreeTimeout, [this, call] { m_transport.abandon(call); });
 }
 
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -227,7 +227,7 @@
     };
     outbound.onBody = [active](std::string_view bytes) { active->body.append(bytes); };
     outbound.onEnd = [this, active](http::call_end httpEnd) { onCallEnd(active, httpEnd); };
-    active->call = m_transport.start({call.server, std::move(outbound), {}});
+    active->call = m_transport.start({call.server, std::move(outbound), {}, true});
     active->timer = m_loop.callAfter(call.timeout, [this, active] {
         active->timer = 0;
         m_transport.abandon(active->call);
--- a/tests/gateway/relay_selector_test.cpp
+++ b/tests/gateway/relay_selector_test.cpp
@@ -75,6 +75,23 @@
     CHECK(t.selector.choose(Region, {own, data_center_id("x")}));
 }
 
+// Guards against sending half of all calls to a relay that is suspended.
+TEST_CASE("relay_selector: a peer that left a call unanswered is chosen if others are slow as well")
+{
+    selector_test t;
+    t.selector.setCandidates({candidate("a", "own"), candidate("b", "x")});
+    REQUIRE(t.selector.choose(Region)->vm.value == "a");
+    t.selector.onUnanswered(vm_id("a"));
+    int chosen = 0;
+    for (int i = 0; i < 40; ++i)
+        chosen += t.selector.choose(Region)->vm.value == "a" ? 1 : 0;
+    CHECK(chosen < 20); // both draws have to be of this peer
+    t.selector.onUnanswered(vm_id("b"));
+    CHECK(t.selector.choose(Region)->vm.value == "a");
+    t.clock.advance(milliseconds{1000});
+    CHECK(t.selector.choose(Region)->vm.value == "a");
+}
+
 // Guards against offering a node of a large data centre no peer but those beside it.
 TEST_CASE("relay_selector: peers of other data centres are considered however many near ones are")
 {
--- a/tests/platform/cut_off_work_test.cpp
+++ b/tests/platform/cut_off_work_test.cpp
@@ -149,3 +149,21 @@
     CHECK(w.runUntil(servesNewRoute));
     CHECK(w.isServed(w.request("g1", makeRequest("GET", "/p/x", w.nextAttempt()))) == 0);
 }
+
+// Guards against a relay that goes on being chosen after it was cut off itself.
+TEST_CASE("cuts of several gateways that overlap leave all of them with a way to the servers")
+{
+    const auto kind = GENERATE(cut_kind::Reset, cut_kind::Hang);
+    cut_off_world w;
+    w.cutFromServers("g1", kind);
+    REQUIRE(w.countServed("g1") == Requests);
+    w.cutFromServers("g2", kind);
+    INFO("kind of cut " << static_cast<int>(kind));
+    CHECK(w.countServed("g2") == Requests);
+    CHECK(w.countServed("g1") == Requests);
+    w.healServers("g1");
+    w.cutFromServers("g3", kind);
+    w.runFor(milliseconds{1000});
+    for (const auto *each : {"g1", "g2", "g3"})
+        CHECK(w.countServed(each) == Requests);
+}
