Consider more peers for relayed calls, drawn independently on each node

In the emulation of relayed calls, with the 48 peers that a node considers at a time, the busiest relay of 700 nodes, half of them cut off, got 124 calls where the mean was 40 (350 nodes: 77).

Cause: too few usable peers in a list that holds for 250 ms, and first draws of std::minstd_rand that go with the seed (nodes 0, 1, 2 ... in the emulation; the product's seeds are hashes of names).

Ruled out by a figure: the generator alone, 72 and 79 with std::mt19937 and 48 peers.

Change: 96 peers, std::mt19937. Largest now 61 of 700 and 57 of 350, mean 40 each; 36 and 30 at a third, mean 20; 8 nodes 41, 86 nodes 47, mean 40. Cost of a choice 4.8 us at 700 nodes (all peers considered: 75.7), no growth with nodes beyond 96.

--- a/src/gateway/relay/relay_selector.cpp
+++ b/src/gateway/relay/relay_selector.cpp
@@ -10,7 +10,7 @@
 
 // Peers that are considered at a time. Each list is drawn anew, so the load of a cut-off node
 // spreads over all.
-constexpr std::size_t MaxCandidates = 48;
+constexpr std::size_t MaxCandidates = 96;
 // Near peers among them where there are others: all nodes of a data centre may be cut off at once.
 constexpr std::size_t MaxNearCandidates = MaxCandidates / 2;
 
--- a/src/gateway/relay/relay_selector.h
+++ b/src/gateway/relay/relay_selector.h
@@ -66,7 +66,7 @@
 
     const clock_source &m_clock;
     data_center_id m_own;
-    std::minstd_rand m_random;
+    std::mt19937 m_random; ///< its first values differ for seeds in sequence, too
     std::vector<relay_candidate> m_candidates;
     std::map<vm_id, relay_state> m_states;
 };
