Add a failing test of brittle servers behind gateways that have not used them yet

Cause: a gateway learns of Server-Brittle from answers to itself alone. Until then it sends without asking the host of the pool, which counts the requests of the gateways that know. In a fleet of hundreds, or for a service that is asked for rarely, many don't know.

Ruled out: hosts that disagree (186 of 200 gateways named the same host, after all knew each other), a busy loop (1.8 s of processor time in 19.7 s).

Not fixed: the word has to go from gateway to gateway as Server-Leaving does, with its own frame.

Gateways of a world now have addresses of their own, as 86 need more ports than one has.

--- a/tests/platform/brittle_server_test.cpp
+++ b/tests/platform/brittle_server_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <iostream>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +21,7 @@
 constexpr std::size_t MaxRefusals = 2;
 constexpr milliseconds WorkTime{200};
 constexpr milliseconds DownTime{2000};
+constexpr double Room = Slots * Servers * 5.0; // requests a second
 
 /// Gateways before brittle servers that let no request wait.
 struct brittle_fleet : world
@@ -88,21 +90,34 @@
             + "Content-Length: 0\r\n\r\n";
     }
 
-    /// Sends requests to the gateways in turn, at an even rate.
-    void load(milliseconds time, double perSecond)
+    /// Sends requests to the first gateways, or all, in turn at an even rate.
+    void load(milliseconds time, double perSecond, std::size_t gateways = 0)
     {
+        const auto used = gateways == 0 ? m_gateways.size() : gateways;
         const auto began = clock.now();
         const auto total =
             static_cast<std::size_t>(perSecond * static_cast<double>(time.count()) / 1000);
         for (std::size_t i = 0; i < total; ++i) {
             const auto due = std::chrono::duration<double>(static_cast<double>(i) / perSecond);
             runUntil([&] { return clock.now() - began >= due; }, time);
-            request(m_gateways[i % m_gateways.size()],
+            request(m_gateways[i % used],
                     makeRequest("GET", "/p/x", "a-" + std::to_string(++m_attempts)));
         }
         runFor(WorkTime);
     }
 
+    /// Loads the servers with half of what they have room for through the first gateways, or all,
+    /// then for three seconds with twice as much through all. Counts falls and answers of the
+    /// latter time.
+    void playBurst(std::size_t gatewaysBefore = 0)
+    {
+        constexpr milliseconds Time{3000};
+        load(Time, Room / 2, gatewaysBefore);
+        countsFalls = true;
+        served = 0;
+        load(Time, 2 * Room);
+    }
+
     std::map<std::string, state> states;
     bool countsFalls = false;
     std::size_t falls = 0;
@@ -119,14 +134,33 @@
 // much.
 TEST_CASE("brittle servers don't fall over in a burst of twice the load, and their room is used")
 {
-    constexpr double Room = Slots * Servers * 5.0; // requests a second
-    constexpr milliseconds Burst{3000};
     brittle_fleet w(4);
-    w.load(milliseconds{3000}, Room / 2); // the servers say that they are brittle for three seconds
-    w.countsFalls = true;
-    w.served = 0;
-    w.load(Burst, 2 * Room);
+    w.playBurst();
     INFO("falls " << w.falls << ", served " << w.served);
     CHECK(w.falls <= 2 + Servers / 10);
     CHECK(static_cast<double>(w.served) >= 0.8 * Room * 3);
 }
+
+// Guards against bursts through gateways that have had no answer that says that servers are
+// brittle.
+TEST_CASE("brittle servers don't fall over in a burst through gateways that have not used them yet")
+{
+    constexpr std::size_t Gateways = 24;
+    constexpr std::size_t GatewaysBefore = 4;
+    brittle_fleet w(Gateways);
+    w.playBurst(GatewaysBefore);
+    INFO("falls " << w.falls << ", served " << w.served);
+    CHECK(w.falls <= 2 + Servers / 10);
+    CHECK(static_cast<double>(w.served) >= 0.8 * Room * 3);
+}
+
+// Hidden, since the loop that all gateways share is too slow for this many with sanitizers.
+TEST_CASE("figures of a burst on brittle servers from many gateways", "[.figures]")
+{
+    for (const std::size_t gateways : {4, 86, 200}) {
+        brittle_fleet w(gateways);
+        w.playBurst();
+        std::cout << gateways << " gateways: falls " << w.falls << ", served " << w.served << " of "
+                  << Room * 3 << '\n';
+    }
+}
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -23,26 +23,37 @@
     return {"127.0.0.1", port};
 }
 
-/// Returns a port that is free for TCP and UDP. A port from the ephemeral range (from 32768 on)
-/// could be assigned to a connection before the caller listens, so lower ports are tried in turn,
-/// in a range that depends on the process id.
-std::uint16_t freePort(http::io_loop &loop)
+constexpr std::uint16_t PortsPerProcess = 100;
+
+/// Returns the first of the ports of this process. A port from the ephemeral range (from 32768 on)
+/// could be assigned to a connection before the caller listens, so lower ports are used, in a range
+/// that depends on the process id.
+std::uint16_t firstPort()
 {
     constexpr std::uint16_t First = 10'000;
     constexpr std::uint16_t Ranges = 220;
-    constexpr std::uint16_t PortsPerRange = 100;
-    static const auto base =
-        static_cast<std::uint16_t>(First + PortsPerRange * (::getpid() % Ranges));
+    return static_cast<std::uint16_t>(First + PortsPerProcess * (::getpid() % Ranges));
+}
+
+/// Returns the port at which all gateways relay, each at an address of its own.
+std::uint16_t relayPort()
+{
+    return firstPort() + PortsPerProcess - 1;
+}
+
+/// Returns a port of the address that is free for TCP and UDP, and isn't the relay port.
+std::uint16_t freePort(http::io_loop &loop, const std::string &ip)
+{
+    constexpr std::uint16_t Count = PortsPerProcess - 1;
     static std::uint16_t turn = 0;
-    for (std::uint16_t tried = 0; tried < PortsPerRange; ++tried) {
-        const auto port = static_cast<std::uint16_t>(base + turn++ % PortsPerRange);
-        const auto stream = http::acceptor::create(loop, loopback(port), [](auto) {});
-        const auto datagrams =
-            http::datagram_socket::create(loop, loopback(port), [](auto &&...) {});
+    for (std::uint16_t tried = 0; tried < Count; ++tried) {
+        const auto port = static_cast<std::uint16_t>(firstPort() + turn++ % Count);
+        const auto stream = http::acceptor::create(loop, {ip, port}, [](auto) {});
+        const auto datagrams = http::datagram_socket::create(loop, {ip, port}, [](auto &&...) {});
         if (stream && datagrams)
             return port;
     }
-    FAIL("no free port between " << base << " and " << base + PortsPerRange);
+    FAIL("no free port of " << ip << " between " << firstPort() << " and " << firstPort() + Count);
     return AnyPort;
 }
 
@@ -328,7 +339,7 @@
 
 world::world()
     : m_log(std::make_unique<wire::log>(wire::log_options{vm_id("test")}, logOutput, clock))
-    , m_relayPort(freePort(loop))
+    , m_relayPort(relayPort())
 { }
 
 world::~world() = default;
@@ -404,9 +415,9 @@
         settings.region = found->second;
     // All nodes have the same relay port, so each one has an address of its own.
     const auto ip = "127.0.1." + std::to_string(++m_startedNodes);
-    settings.listen = {loopback(freePort(loop)),
-                       loopback(freePort(loop)),
-                       {ip, freePort(loop)},
+    settings.listen = {{ip, freePort(loop, ip)},
+                       {ip, freePort(loop, ip)},
+                       {ip, freePort(loop, ip)},
                        socket_address{ip, m_relayPort}};
     settings.store = store.address();
     for (const auto &[other, each] : m_nodes) {
