Let gateways tell each other which servers are brittle

Cause: a gateway learned of Server-Brittle from answers to itself alone. One that had none sent without asking the host of the pool, which counts the requests of those that know. The class: what a server says to one node concerns all nodes; it was passed on for servers that leave, not for this word.

Change: the relay of leaving servers becomes `server_word_relay`, one template for both words, over the same targets. A node that first hears the word, from an answer or a peer, forwards it with the start of the server that it belongs to; a new receiver gets the list. An answer without the word ends it on the node that gets it. `server_said_brittle` is logged.

A node of an older version ends a link on which it gets the new kind of frame.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,8 +8,8 @@
 #include "gateway/publication/store_reader.h"
 #include "gateway/quarantine/server_crash_detector.h"
 #include "gateway/relay/call_relay.h"
-#include "gateway/servers/leaving_server_relay.h"
 #include "gateway/servers/server_transport.h"
+#include "gateway/servers/server_word_relay.h"
 #include "gateway/settings.h"
 #include "gateway/stages/stage_router.h"
 #include "http/listener.h"
@@ -55,6 +55,7 @@
     void onRateLimitChanged(const server &which, std::optional<double> before);
     void onLeavingAnnounced(const server &which);
     void onLeavingReported(const server_start &start, const vm_id &from);
+    void onBrittleReported(const brittle_server &reported, const vm_id &from);
     void onBackoffRequested(const server &which, milliseconds time);
     void onReachability(const reachability_event &event);
     void probeServerIn(const data_center_id &dataCenter);
@@ -84,7 +85,8 @@
     stage_router<Codec> m_router;
     request_placer m_placer;
     quarantine_relay m_quarantine;
-    leaving_server_relay m_leaving;
+    server_word_relay<leaving_word> m_leaving;
+    server_word_relay<brittle_word> m_brittle;
     lost_data_center_relay<peer_network> m_lostDataCenterRelay;
     published_state m_state;
     store_reader<Codec> m_follower;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -86,6 +86,7 @@
                    m_placer.onLinkClosed(link);
                    m_quarantine.onLinkClosed(link);
                    m_leaving.onLinkClosed(link);
+                   m_brittle.onLinkClosed(link);
                    m_relay.onLinkClosed(link);
                },
                [this](const vm_id &peer, std::uint64_t version) {
@@ -105,6 +106,10 @@
     , m_leaving(
           m_peers, m_directory,
           [this](const server_start &start, const vm_id &from) { onLeavingReported(start, from); })
+    , m_brittle(m_peers, m_directory,
+                [this](const brittle_server &reported, const vm_id &from) {
+                    onBrittleReported(reported, from);
+                })
     , m_lostDataCenterRelay(m_peers, loop.clock())
     , m_state(loop.clock(), m_directory, RemovalDelay)
     , m_follower(
@@ -196,9 +201,13 @@
         m_placer.onRateLimitChanged();
         onRateLimitChanged(which, before);
     });
+    m_directory.onBrittleReported([this](const brittle_server &reported) {
+        onBrittleReported(reported, m_settings.vm);
+        m_brittle.onReported(reported);
+    });
     m_directory.onLeavingAnnounced([this](const server &which) {
         onLeavingAnnounced(which);
-        m_leaving.onLeavingAnnounced(which);
+        m_leaving.onReported(which.record.start());
     });
     m_directory.onBackoffRequested(
         [this](const server &which, milliseconds time) { onBackoffRequested(which, time); });
@@ -396,6 +405,15 @@
     m_log.write(wire::log_level::Info, std::move(line));
 }
 
+template <gateway_codec Codec>
+void gateway<Codec>::onBrittleReported(const brittle_server &reported, const vm_id &from)
+{
+    auto line = m_log.line(wire::log_level::Info, toName(log_event::ServerSaidBrittle));
+    line.add("server", reported.server.id.value);
+    line.add("refusals_per_second", reported.refusalsPerSecond).add("from", from.value);
+    m_log.write(wire::log_level::Info, std::move(line));
+}
+
 template <gateway_codec Codec>
 void gateway<Codec>::onBackoffRequested(const server &which, milliseconds time)
 {
@@ -529,6 +547,7 @@
     m_placer.onFrame(link, frame);
     m_quarantine.onFrame(link, frame);
     m_leaving.onFrame(link, frame);
+    m_brittle.onFrame(link, frame);
     m_lostDataCenterRelay.onFrame(frame);
     m_router.onFrame(link, std::move(frame));
 }
@@ -545,6 +564,7 @@
     m_router.tick();
     m_quarantine.tick();
     m_leaving.tick();
+    m_brittle.tick();
     m_transport.tick();
     if (m_loop.now() >= m_nextSummary) {
         m_nextSummary = m_loop.now() + SummaryInterval;
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -43,6 +43,7 @@
     ServerTrusted, ///< an avoided server answered
     ServerLimitChanged, ///< a server's rate limit for all nodes together changed
     ServerSaidLeaving, ///< a server announced in an answer that it is leaving
+    ServerSaidBrittle, ///< a server reported that it falls over if it refuses too much
     ServerAskedForTime, ///< a server refused and asked this node to back off
     ServerEnded, ///< connections broke during requests, and a new connection is refused
     ConnectionsLost, ///< connections broke during answers, and a new connection is not refused
@@ -123,6 +124,8 @@
         orchidlead::gateway::log_event::ServerLimitChanged, "server_limit_changed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerSaidLeaving, "server_said_leaving"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::ServerSaidBrittle, "server_said_brittle"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ServerAskedForTime, "server_asked_for_time"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/peers/peer_frame_kind.h
+++ b/src/gateway/peers/peer_frame_kind.h
@@ -34,6 +34,7 @@
     LeavingServers = 24,
     Compressed = 25, ///< wraps another frame
     LostDataCenter = 26,
+    BrittleServers = 27,
 };
 
 /// Code of an outcome that has a result; other codes are failures.
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -214,6 +214,17 @@
     return frame;
 }
 
+brittle_servers_frame readBrittleServers(field_reader &in)
+{
+    brittle_servers_frame frame;
+    readList(in, [&](field_reader &items) {
+        auto &reported = frame.servers.emplace_back();
+        reported.server = readStart(items);
+        reported.refusalsPerSecond = items.read<std::uint32_t>();
+    });
+    return frame;
+}
+
 rate_limits_frame readRateLimits(field_reader &in)
 {
     rate_limits_frame frame;
@@ -452,6 +463,8 @@
         return readLeavingServers(in);
     case frame_kind::LostDataCenter:
         return lost_data_center_frame{data_center_id(in.read<std::string>())};
+    case frame_kind::BrittleServers:
+        return readBrittleServers(in);
     case frame_kind::Compressed: // not allowed inside a compressed frame
         break;
     }
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -229,6 +229,17 @@
         packStart(out, each);
 }
 
+void pack(packer &out, const brittle_servers_frame &frame)
+{
+    constexpr std::uint32_t BrittleFields = 3;
+    packKind(out, frame_kind::BrittleServers, 1);
+    out.pack_array(BrittleFields * static_cast<std::uint32_t>(frame.servers.size()));
+    for (const auto &each : frame.servers) {
+        packStart(out, each.server);
+        out.pack(each.refusalsPerSecond);
+    }
+}
+
 void pack(packer &out, const lost_data_center_frame &frame)
 {
     packKind(out, frame_kind::LostDataCenter, 1);
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -113,6 +113,13 @@
     std::vector<server_start> servers;
 };
 
+/// Servers that reported to the sender, or to a node that notified the sender, that they are
+/// brittle.
+struct brittle_servers_frame
+{
+    std::vector<brittle_server> servers;
+};
+
 /// Reports that the sender, or a node that notified the sender, cannot reach a data centre. The
 /// receiver is to probe the data centre itself.
 struct lost_data_center_frame
@@ -234,7 +241,7 @@
                  list_digest_frame, configuration_request, configuration_frame,
                  server_crashes_frame, quarantine_frame, trial_request, trial_answer, trial_end,
                  admission_request, admission_answer, rate_limits_frame, leaving_servers_frame,
-                 lost_data_center_frame>;
+                 lost_data_center_frame, brittle_servers_frame>;
 
 /// Reason why bytes could not be decoded as a frame.
 struct frame_error
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -34,6 +34,15 @@
     friend auto operator<=>(const server_start &, const server_start &) = default;
 };
 
+/// A start of a server that has reported that it is brittle.
+struct brittle_server
+{
+    server_start server;
+    std::uint32_t refusalsPerSecond = 0; ///< beyond which it falls over
+
+    bool operator==(const brittle_server &) const = default;
+};
+
 /// A backend server as published by the platform.
 struct server_record
 {
@@ -241,6 +250,11 @@
     /// Called when another node reports that this start is leaving; the start may not be published
     /// here yet. Returns whether this is new to this node.
     bool onPeerReportedLeaving(const server_start &start);
+    /// Called when another node reports that this start is brittle. Returns whether this is new to
+    /// this node; a start that isn't published here is ignored.
+    bool onPeerReportedBrittle(const brittle_server &reported);
+    /// Returns the published servers that are known to be brittle.
+    [[nodiscard]] std::vector<brittle_server> brittleServers() const;
     /// Returns all starts that are known to be leaving from responses, including those that were
     /// published until recently.
     [[nodiscard]] std::vector<server_start> leavingStarts() const;
@@ -289,6 +303,11 @@
     {
         m_onRateLimitChanged = std::move(handler);
     }
+    /// Called when a response reports that a server is brittle that wasn't known to be so.
+    void onBrittleReported(std::function<void(const brittle_server &)> handler)
+    {
+        m_onBrittleReported = std::move(handler);
+    }
     /// Called when a response of a server first announces that it is leaving.
     void onLeavingAnnounced(std::function<void(const server &)> handler)
     {
@@ -306,6 +325,7 @@
     }
 
 private:
+    void onBrittleness(server &backend, std::optional<std::uint32_t> refusals);
     [[nodiscard]] double costOf(const server &backend, const server_query &query) const;
     /// Returns whether this node recently got a response of the server.
     [[nodiscard]] bool answeredRecently(const server &backend) const;
@@ -376,6 +396,8 @@
     std::function<void(const server &, bool avoided)> m_onAvoidanceChanged;
     std::function<void(const server &, std::optional<double> before)> m_onRateLimitChanged;
     std::function<void(const server &)> m_onLeavingAnnounced;
+    std::set<backend_server_id> m_brittle; ///< some of which may be brittle no more
+    std::function<void(const brittle_server &)> m_onBrittleReported;
     std::function<void(const server &, milliseconds time)> m_onBackoff;
 };
 
--- a/src/gateway/servers/server_directory_signals.cpp
+++ b/src/gateway/servers/server_directory_signals.cpp
@@ -158,7 +158,7 @@
             m_onLeavingAnnounced(backend);
     }
     if (reported.brittleness.valid)
-        backend.brittleRefusals = reported.brittleness.refusalsPerSecond;
+        onBrittleness(backend, reported.brittleness.refusalsPerSecond);
     const auto now = m_clock.now();
     if (reported.load) {
         backend.load = reported.load;
@@ -175,6 +175,40 @@
     }
 }
 
+void server_directory::onBrittleness(server &backend, std::optional<std::uint32_t> refusals)
+{
+    const bool wasBrittle = std::exchange(backend.brittleRefusals, refusals).has_value();
+    if (!refusals || wasBrittle)
+        return;
+    std::erase_if(m_brittle, [&](const backend_server_id &each) {
+        const auto known = find(each);
+        return !known || !known->brittleRefusals;
+    });
+    m_brittle.insert(backend.record.id);
+    if (m_onBrittleReported)
+        m_onBrittleReported({backend.record.start(), *refusals});
+}
+
+bool server_directory::onPeerReportedBrittle(const brittle_server &reported)
+{
+    const auto known = find(reported.server.id);
+    if (!known || known->record.start() != reported.server || known->brittleRefusals)
+        return false;
+    known->brittleRefusals = reported.refusalsPerSecond;
+    m_brittle.insert(reported.server.id);
+    return true;
+}
+
+std::vector<brittle_server> server_directory::brittleServers() const
+{
+    std::vector<brittle_server> found;
+    for (const auto &id : m_brittle) {
+        if (const auto known = find(id); known && known->brittleRefusals)
+            found.push_back({known->record.start(), *known->brittleRefusals});
+    }
+    return found;
+}
+
 void server_directory::onLateSignals(server &backend, server_signals reported)
 {
     reported.rateLimit = NoSignals.rateLimit;
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -351,6 +351,15 @@
     CHECK(got.servers == frame.servers);
 }
 
+TEST_CASE("a brittle servers frame keeps the start and the limit of each server")
+{
+    brittle_servers_frame frame;
+    frame.servers = {{{backend_server_id("i-1"), 1000}, 2},
+                     {{backend_server_id("i-2"), std::nullopt}, 0}};
+    const auto got = roundTrip(frame);
+    CHECK(got.servers == frame.servers);
+}
+
 TEST_CASE("a lost data centre frame keeps the name of the data centre")
 {
     CHECK(roundTrip(lost_data_center_frame{data_center_id("dc-1")}).dataCenter.value == "dc-1");
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -439,3 +439,45 @@
     clock.advance(milliseconds{60});
     CHECK(directory.choose(wishFor()) == refusing);
 }
+
+TEST_CASE("a start that another node reported as brittle is so until a response says otherwise")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    auto record = makeRecord("s1");
+    record.startedAt = 1000;
+    const brittle_server reported{record.start(), 3};
+    CHECK_FALSE(directory.onPeerReportedBrittle(reported)); // not published
+    directory.put(record);
+    CHECK_FALSE(directory.onPeerReportedBrittle({{record.id, 900}, 3}));
+    CHECK_FALSE(directory.anyBrittle(record.service));
+    CHECK(directory.onPeerReportedBrittle(reported));
+    CHECK_FALSE(directory.onPeerReportedBrittle(reported));
+    CHECK(directory.anyBrittle(record.service));
+    CHECK(directory.brittleServers() == std::vector{reported});
+    server_signals signals = NoSignals;
+    signals.brittleness = {std::nullopt, true};
+    directory.onSignals(*directory.find(record.id), signals);
+    CHECK_FALSE(directory.anyBrittle(record.service));
+    CHECK(directory.brittleServers().empty());
+}
+
+TEST_CASE("the first response that says that a server is brittle is reported")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    auto record = makeRecord("s1");
+    directory.put(record);
+    std::vector<brittle_server> heard;
+    directory.onBrittleReported([&](const brittle_server &each) { heard.push_back(each); });
+    server_signals signals = NoSignals;
+    signals.brittleness = {2, true};
+    directory.onSignals(*directory.find(record.id), signals);
+    directory.onSignals(*directory.find(record.id), signals);
+    CHECK(heard == std::vector{brittle_server{record.start(), 2}});
+    record.startedAt = 2000;
+    directory.put(record);
+    CHECK_FALSE(directory.anyBrittle(record.service));
+    directory.onSignals(*directory.find(record.id), signals);
+    CHECK(heard.size() == 2);
+}
