--- a/src/gateway/relay/relay_selector.cpp
+++ b/src/gateway/relay/relay_selector.cpp
@@ -47,16 +47,16 @@
 
 void relay_selector::setCandidates(std::vector<relay_candidate> candidates)
 {
-    const auto far = std::ranges::stable_partition(
-        candidates, [this](const auto &each) { return each.dataCenter == m_own; });
-    const auto nearCount = candidates.size() - far.size();
-    const auto sampledNear =
-        std::min(nearCount,
-                 std::max(MaxNearCandidates, MaxCandidates - std::min(MaxCandidates, far.size())));
+    const auto far = std::stable_partition(
+        candidates.begin(), candidates.end(),
+        [this](const relay_candidate &each) { return each.dataCenter == m_own; });
+    const auto nearCount = static_cast<std::size_t>(far - candidates.begin());
+    const auto farCount = candidates.size() - nearCount;
+    const auto sampledNear = std::min(
+        nearCount, std::max(MaxNearCandidates, MaxCandidates - std::min(MaxCandidates, farCount)));
     m_candidates.clear();
-    std::sample(candidates.begin(), far.begin(), std::back_inserter(m_candidates), sampledNear,
-                m_random);
-    std::sample(far.begin(), far.end(), std::back_inserter(m_candidates),
+    std::sample(candidates.begin(), far, std::back_inserter(m_candidates), sampledNear, m_random);
+    std::sample(far, candidates.end(), std::back_inserter(m_candidates),
                 MaxCandidates - sampledNear, m_random);
     std::erase_if(m_states, [this](const auto &entry) {
         const auto &state = entry.second;
--- a/src/gateway/servers/server_transport.cpp
+++ b/src/gateway/servers/server_transport.cpp
@@ -352,7 +352,7 @@
                                std::function<void()> onFailure)
 {
     const auto failed = std::make_shared<bool>(false);
-    const auto fail = [this, failed, onFailure = std::move(onFailure)] {
+    const auto fail = [failed, onFailure = std::move(onFailure)] {
         if (!std::exchange(*failed, true))
             onFailure();
     };
