Give the gateways of each test process addresses of their own

Cause: ports went by the process id modulo 220, and the relay port, alike on all gateways, was taken without a look whether it is free. Two tests that run at once with ids 220 apart then wanted the same address and port.

Evidence: beside one long test, short ones run in a row failed 18 times of 2,650 (release build), each at the same place.

Change: an address of 127/8 that belongs to the process; ports need no share of their own any more.

--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -23,37 +23,37 @@
     return {"127.0.0.1", port};
 }
 
-constexpr std::uint16_t PortsPerProcess = 100;
+// Ports of gateways. Those from the ephemeral range (from 32768 on) could be assigned to a
+// connection before the gateway listens.
+constexpr std::uint16_t FirstPort = 10'000;
+constexpr std::uint16_t LastPort = 10'099;
+/// The port at which all gateways relay, each at an address of its own.
+constexpr std::uint16_t RelayPort = LastPort + 1;
 
-/// Returns the first of the ports of this process. A port from the ephemeral range (from 32768 on)
-/// could be assigned to a connection before the caller listens, so lower ports are used, in a range
-/// that depends on the process id.
-std::uint16_t firstPort()
+/// Returns the loopback address of a gateway of this process. Processes that run at the same time
+/// have different addresses, unless their ids are 50,000 apart.
+std::string addressOf(int gateway)
 {
-    constexpr std::uint16_t First = 10'000;
-    constexpr std::uint16_t Ranges = 220;
-    return static_cast<std::uint16_t>(First + PortsPerProcess * (::getpid() % Ranges));
+    constexpr int SecondBytes = 200;
+    constexpr int ThirdBytes = 250;
+    const auto process = ::getpid();
+    return "127." + std::to_string(1 + process % SecondBytes) + '.'
+        + std::to_string(process / SecondBytes % ThirdBytes) + '.' + std::to_string(gateway);
 }
 
-/// Returns the port at which all gateways relay, each at an address of its own.
-std::uint16_t relayPort()
-{
-    return firstPort() + PortsPerProcess - 1;
-}
-
-/// Returns a port of the address that is free for TCP and UDP, and isn't the relay port.
+/// Returns a port of the address that is free for TCP and UDP.
 std::uint16_t freePort(http::io_loop &loop, const std::string &ip)
 {
-    constexpr std::uint16_t Count = PortsPerProcess - 1;
+    constexpr std::uint16_t Count = LastPort - FirstPort + 1;
     static std::uint16_t turn = 0;
     for (std::uint16_t tried = 0; tried < Count; ++tried) {
-        const auto port = static_cast<std::uint16_t>(firstPort() + turn++ % Count);
+        const auto port = static_cast<std::uint16_t>(FirstPort + turn++ % Count);
         const auto stream = http::acceptor::create(loop, {ip, port}, [](auto) {});
         const auto datagrams = http::datagram_socket::create(loop, {ip, port}, [](auto &&...) {});
         if (stream && datagrams)
             return port;
     }
-    FAIL("no free port of " << ip << " between " << firstPort() << " and " << firstPort() + Count);
+    FAIL("no free port of " << ip << " between " << FirstPort << " and " << LastPort);
     return AnyPort;
 }
 
@@ -339,7 +339,6 @@
 
 world::world()
     : m_log(std::make_unique<wire::log>(wire::log_options{vm_id("test")}, logOutput, clock))
-    , m_relayPort(relayPort())
 { }
 
 world::~world() = default;
@@ -414,11 +413,11 @@
     if (const auto found = regions.find(settings.dataCenter); found != regions.end())
         settings.region = found->second;
     // All nodes have the same relay port, so each one has an address of its own.
-    const auto ip = "127.0.1." + std::to_string(++m_startedNodes);
+    const auto ip = addressOf(++m_startedNodes);
     settings.listen = {{ip, freePort(loop, ip)},
                        {ip, freePort(loop, ip)},
                        {ip, freePort(loop, ip)},
-                       socket_address{ip, m_relayPort}};
+                       socket_address{ip, RelayPort}};
     settings.store = store.address();
     for (const auto &[other, each] : m_nodes) {
         if (other != name)
@@ -437,7 +436,7 @@
     if (canBeCut) {
         entry.links = std::make_unique<cut_link>(loop);
         entry.links->except(store.address().port);
-        entry.links->except(m_relayPort);
+        entry.links->except(RelayPort);
         open = entry.links->opener();
     }
     entry.gateway = std::make_unique<gateway::gateway<platform::codec>>(
