Give the gateways of all worlds of a test process addresses of their own

Cause: these two have two worlds at a time, and each world numbered its gateways from one, so that two had the same address and relay port.

Change: addresses are numbered in the process, not in the world.

--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -30,15 +30,19 @@
 /// The port at which all gateways relay, each at an address of its own.
 constexpr std::uint16_t RelayPort = LastPort + 1;
 
-/// Returns the loopback address of a gateway of this process. Processes that run at the same time
-/// have different addresses, unless their ids are 50,000 apart.
-std::string addressOf(int gateway)
+/// Returns a loopback address for a gateway, in turn. Gateways that run at the same time have
+/// different addresses, also those of several worlds or processes, unless there are more than 250
+/// in a process or the ids of the processes are 50,000 apart.
+std::string nextAddress()
 {
+    constexpr int Count = 250;
+    static int turn = 0;
     constexpr int SecondBytes = 200;
     constexpr int ThirdBytes = 250;
     const auto process = ::getpid();
     return "127." + std::to_string(1 + process % SecondBytes) + '.'
-        + std::to_string(process / SecondBytes % ThirdBytes) + '.' + std::to_string(gateway);
+        + std::to_string(process / SecondBytes % ThirdBytes) + '.'
+        + std::to_string(1 + turn++ % Count);
 }
 
 /// Returns a port of the address that is free for TCP and UDP.
@@ -413,7 +417,7 @@
     if (const auto found = regions.find(settings.dataCenter); found != regions.end())
         settings.region = found->second;
     // All nodes have the same relay port, so each one has an address of its own.
-    const auto ip = addressOf(++m_startedNodes);
+    const auto ip = nextAddress();
     settings.listen = {{ip, freePort(loop, ip)},
                        {ip, freePort(loop, ip)},
                        {ip, freePort(loop, ip)},
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -222,7 +222,6 @@
                                                          const std::string &dataCenter);
 
     std::unique_ptr<wire::log> m_log;
-    int m_startedNodes = 0;
     std::map<std::string, std::unique_ptr<fake_server>> m_servers;
     std::map<std::string, node> m_nodes;
 };
