Keep the list of brittle servers exact when their entries expire and return

What callers saw: nothing yet. A node that joins gets the list of brittle servers from its peers. A server whose entry expired, as while the store is away, and was published again was missing from that list, so that the node would have sent to it unasked until its first answer.

Cause: the word is kept with the start and restored with it, but the set of ids beside it was pruned of unpublished servers at the next report of any other one, and not filled again. State that was kept twice.

Change: the set holds the published brittle servers and nothing else; it changes where a server is put, removed, or its word changes. The scan of the whole set at each report is gone, and an answer that changes nothing costs a comparison.

--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -126,6 +126,8 @@
         if (const auto unpublished = m_unpublished.extract(record.start()); !unpublished.empty())
             static_cast<retained_signals &>(*entry) = unpublished.mapped().signals;
         entry->record = record;
+        if (entry->brittleRefusals)
+            m_brittle.insert(record.id);
         entry->coldStart = m_coldStarts[record.service];
         entry->coldUntil = coldUntil;
         entry->region = regionOf(record.dataCenter);
@@ -164,6 +166,7 @@
     std::erase(servers.all, entry);
     std::erase(servers.byDataCenter[entry->record.dataCenter], entry);
     m_servers.erase(found);
+    m_brittle.erase(entry->record.id);
     notifyChange(entry->record.service);
 }
 
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -325,7 +325,8 @@
     }
 
 private:
-    void onBrittleness(server &backend, std::optional<std::uint32_t> refusals);
+    /// Records whether a server is brittle. Returns whether a published one has become so.
+    bool setBrittle(server &backend, std::optional<std::uint32_t> refusals);
     [[nodiscard]] double costOf(const server &backend, const server_query &query) const;
     /// Returns whether this node recently got a response of the server.
     [[nodiscard]] bool answeredRecently(const server &backend) const;
@@ -396,7 +397,7 @@
     std::function<void(const server &, bool avoided)> m_onAvoidanceChanged;
     std::function<void(const server &, std::optional<double> before)> m_onRateLimitChanged;
     std::function<void(const server &)> m_onLeavingAnnounced;
-    std::set<backend_server_id> m_brittle; ///< some of which may be brittle no more
+    std::set<backend_server_id> m_brittle; ///< published servers that are known to be brittle
     std::function<void(const brittle_server &)> m_onBrittleReported;
     std::function<void(const server &, milliseconds time)> m_onBackoff;
 };
--- a/src/gateway/servers/server_directory_signals.cpp
+++ b/src/gateway/servers/server_directory_signals.cpp
@@ -157,8 +157,9 @@
         if (m_onLeavingAnnounced)
             m_onLeavingAnnounced(backend);
     }
-    if (reported.brittleness.valid)
-        onBrittleness(backend, reported.brittleness.refusalsPerSecond);
+    const auto refusals = reported.brittleness.refusalsPerSecond;
+    if (reported.brittleness.valid && setBrittle(backend, refusals) && m_onBrittleReported)
+        m_onBrittleReported({backend.record.start(), *refusals});
     const auto now = m_clock.now();
     if (reported.load) {
         backend.load = reported.load;
@@ -175,18 +176,15 @@
     }
 }
 
-void server_directory::onBrittleness(server &backend, std::optional<std::uint32_t> refusals)
+bool server_directory::setBrittle(server &backend, std::optional<std::uint32_t> refusals)
 {
-    const bool wasBrittle = std::exchange(backend.brittleRefusals, refusals).has_value();
-    if (!refusals || wasBrittle)
-        return;
-    std::erase_if(m_brittle, [&](const backend_server_id &each) {
-        const auto known = find(each);
-        return !known || !known->brittleRefusals;
-    });
-    m_brittle.insert(backend.record.id);
-    if (m_onBrittleReported)
-        m_onBrittleReported({backend.record.start(), *refusals});
+    const auto before = std::exchange(backend.brittleRefusals, refusals);
+    if (before == refusals || find(backend.record.id).get() != &backend)
+        return false;
+    if (refusals)
+        return m_brittle.insert(backend.record.id).second;
+    m_brittle.erase(backend.record.id);
+    return false;
 }
 
 bool server_directory::onPeerReportedBrittle(const brittle_server &reported)
@@ -194,17 +192,15 @@
     const auto known = find(reported.server.id);
     if (!known || known->record.start() != reported.server || known->brittleRefusals)
         return false;
-    known->brittleRefusals = reported.refusalsPerSecond;
-    m_brittle.insert(reported.server.id);
-    return true;
+    return setBrittle(*known, reported.refusalsPerSecond);
 }
 
 std::vector<brittle_server> server_directory::brittleServers() const
 {
     std::vector<brittle_server> found;
     for (const auto &id : m_brittle) {
-        if (const auto known = find(id); known && known->brittleRefusals)
-            found.push_back({known->record.start(), *known->brittleRefusals});
+        const auto &known = *m_servers.at(id);
+        found.push_back({known.record.start(), known.brittleRefusals.value_or(0)});
     }
     return found;
 }
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -481,3 +481,22 @@
     directory.onSignals(*directory.find(record.id), signals);
     CHECK(heard.size() == 2);
 }
+
+TEST_CASE("a brittle start that expires is listed again when it is published again")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    const auto record = makeRecord("s1");
+    const auto other = makeRecord("s2");
+    directory.put(record);
+    directory.put(other);
+    server_signals signals = NoSignals;
+    signals.brittleness = {2, true};
+    directory.onSignals(*directory.find(record.id), signals);
+    directory.remove(record.id);
+    CHECK(directory.brittleServers().empty());
+    directory.onSignals(*directory.find(other.id), signals);
+    directory.put(record);
+    CHECK(directory.brittleServers()
+          == std::vector{brittle_server{record.start(), 2}, brittle_server{other.start(), 2}});
+}
