Make the full list of servers' words only for a receiver that lacks it

What callers saw: nothing. Ten times a second, and at each new item, each node copied the list of leaving and of brittle servers into a frame, also when every receiver had it.

Cause: the list was made before it was known whether anybody needs it; so it was in the relay of leaving servers before.

Change: made at the first receiver that lacks it. What is sent, and when, stays. The saving wasn't measured.

--- a/src/gateway/servers/server_word_relay.h
+++ b/src/gateway/servers/server_word_relay.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -128,18 +129,21 @@
     std::erase_if(m_notified, [&](const auto &entry) {
         return std::ranges::find(receivers, entry.first) == receivers.end();
     });
-    const auto all = Word::all(m_directory);
-    if (all.empty())
-        return;
-    const peer_frame frame = typename Word::frame{all};
+    std::optional<peer_frame> full;
     for (const auto &vm : receivers) {
         const auto member = m_peers.view().find(vm);
         const auto memberIncarnation = member ? member->incarnation : 0;
         const auto notified = m_notified.find(vm);
         if (notified != m_notified.end() && notified->second.memberIncarnation == memberIncarnation)
             continue;
+        if (!full) {
+            auto all = Word::all(m_directory);
+            if (all.empty())
+                return;
+            full = typename Word::frame{std::move(all)};
+        }
         if (const auto link = m_peers.linkTo(vm)) {
-            link->send(frame);
+            link->send(*full);
             m_notified[vm] = {memberIncarnation, link};
         }
     }
