Match answers to attempts in one function, and end a relayed call in one place

Why: the exchange and the relay each had the check whether an answer belongs to an attempt, with what is recorded of one that doesn't; the relay had the three steps that remove a call twice; the exchange had "abandon, then handle the end" four times.

Change: isAnswerTo serves both, release the ends of a relayed call, abandonCall the exchange. Dead in the change and removed: relayed_call::answered, which nothing read, and a test for a Content-Length that forwardedFields has always taken out. Behaviour stays.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -161,8 +161,8 @@
     /// ineligible while the request waited for its dispatch or a connection.
     [[nodiscard]] bool isServerEligible() const;
     [[nodiscard]] std::optional<std::string> writeHead();
-    /// Records the server signals of an answer that belongs to another request.
-    void onMismatchedHead(const response_metadata &metadata);
+    /// Ends the current call and handles its end as if the connection had reported it.
+    void abandonCall(http::call_end reportedAs);
     void onHead(const http::response_head &head);
     void onBody(std::string_view bytes);
     void onEvents(std::string_view bytes);
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -8,12 +8,6 @@
 /// The part of `exchange` that reads the answer of a server and forwards it to the client.
 namespace orchidlead::gateway {
 
-template <gateway_codec Codec>
-void exchange<Codec>::onMismatchedHead(const response_metadata &metadata)
-{
-    m_context.directory.onLateSignals(*m_server, metadata.server);
-}
-
 template <gateway_codec Codec>
 void exchange<Codec>::onHead(const http::response_head &head)
 {
@@ -86,8 +80,7 @@
     }
     if (!m_splitter.isUnusable())
         return;
-    m_context.transport.abandon(m_call);
-    onEnd(http::call_end::TooLarge);
+    abandonCall(http::call_end::TooLarge);
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/answer_match.h"
 #include "gateway/exchange/exchange.h"
 #include "gateway/exchange/exchange_limits.h"
 
@@ -151,11 +152,8 @@
     call.toHead = m_head.method == "HEAD";
     call.writeHead = [self] { return self->writeHead(); };
     call.isMine = [self](const http::response_head &head) {
-        const auto metadata = Codec::readAnswer(head);
-        if (metadata.attempt.empty() || metadata.attempt == self->m_metadata.attempt)
-            return true;
-        self->onMismatchedHead(metadata);
-        return false;
+        return isAnswerTo<Codec>(self->m_metadata.attempt, head, *self->m_server,
+                                 self->m_context.directory);
     };
     call.onHead = [self](const http::response_head &head) { self->onHead(head); };
     call.onBody = [self](std::string_view bytes) { self->onBody(bytes); };
@@ -360,6 +358,13 @@
                                                    : request_outcome::ServerFailed);
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::abandonCall(http::call_end reportedAs)
+{
+    m_context.transport.abandon(m_call);
+    onEnd(reportedAs);
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::onDataCenterLost(const data_center_id &dataCenter)
 {
@@ -367,8 +372,7 @@
         return;
     const bool sentThere = m_call != 0 && m_server->record.dataCenter == dataCenter;
     if (sentThere && m_route->repeatable() && m_attempts < m_route->maxAttempts) {
-        m_context.transport.abandon(m_call);
-        onEnd(http::call_end::TimedOut);
+        abandonCall(http::call_end::TimedOut);
     } else if (m_call == 0 && !m_headSent && m_stageProgress && hasResultsIn(dataCenter)) {
         if (mayRestartStages())
             restartStages("data_center_lost");
@@ -384,9 +388,8 @@
 {
     if (m_done || m_call == 0 || !m_route->repeatable() || !m_context.transport.isLost(m_call))
         return;
-    m_context.transport.abandon(m_call);
     m_attempts = m_attemptsBefore;
-    onEnd(http::call_end::TimedOut);
+    abandonCall(http::call_end::TimedOut);
 }
 
 // The timer keeps running while the answer arrives, and checks the time since its last bytes.
@@ -429,8 +432,7 @@
     query.allowed = m_residency;
     if (!m_context.directory.choose(query))
         return;
-    m_context.transport.abandon(m_call);
-    onEnd(http::call_end::TimedOut);
+    abandonCall(http::call_end::TimedOut);
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/relay/call_relay.h
+++ b/src/gateway/relay/call_relay.h
@@ -52,7 +52,6 @@
         server_ptr server;
         server_transport::call_id call = 0;
         steady_time arrivedAt;
-        bool answered = false; ///< the head of the server's answer was passed on
         bool withheld = false; ///< the server may no longer get the call
         int status = 0;
     };
@@ -62,11 +61,12 @@
     [[nodiscard]] std::optional<relay_result> refusalFor(const server_ptr &to) const;
     void send(const relayed_call_ptr &relayed, std::string &&body);
     [[nodiscard]] std::optional<std::string> writeHead(relayed_call &relayed) const;
-    [[nodiscard]] bool isOwnAnswer(relayed_call &relayed, const http::response_head &head);
     void onHead(const relayed_call_ptr &relayed, const http::response_head &head);
     void onBody(const relayed_call_ptr &relayed, std::string_view bytes);
     void onEnd(const relayed_call_ptr &relayed, http::call_end how);
     void abandon(const relayed_call_ptr &relayed);
+    /// Removes a call that has ended from the calls in progress.
+    void release(const relayed_call_ptr &relayed);
     void logEnd(const relayed_call &relayed, std::string_view how);
 
     http::io_loop &m_loop;
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/answer_match.h"
 #include "gateway/exchange/exchange_limits.h"
 #include "gateway/log_event.h"
 #include "gateway/relay/call_relay.h"
@@ -116,7 +117,7 @@
     call.toHead = relayed->head.method == "HEAD";
     call.writeHead = [this, relayed] { return writeHead(*relayed); };
     call.isMine = [this, relayed](const http::response_head &head) {
-        return isOwnAnswer(*relayed, head);
+        return isAnswerTo<Codec>(relayed->attempt, head, *relayed->server, m_directory);
     };
     call.onHead = [this, relayed](const http::response_head &head) { onHead(relayed, head); };
     call.onBody = [this, relayed](std::string_view bytes) { onBody(relayed, bytes); };
@@ -145,22 +146,11 @@
     out.method = relayed.head.method;
     out.target = relayed.head.target;
     out.fields = std::move(fields);
-    if (const auto length = http::findField(relayed.head.fields, "content-length");
-        length && !http::findField(out.fields, "content-length"))
+    if (const auto length = http::findField(relayed.head.fields, "content-length"))
         out.fields.push_back({"Content-Length", std::string(*length)});
     return http::formatHead(out);
 }
 
-template <gateway_codec Codec>
-bool call_relay<Codec>::isOwnAnswer(relayed_call &relayed, const http::response_head &head)
-{
-    const auto metadata = Codec::readAnswer(head);
-    if (metadata.attempt.empty() || metadata.attempt == relayed.attempt)
-        return true;
-    m_directory.onLateSignals(*relayed.server, metadata.server);
-    return false;
-}
-
 template <gateway_codec Codec>
 void call_relay<Codec>::onHead(const relayed_call_ptr &relayed, const http::response_head &head)
 {
@@ -173,7 +163,6 @@
     [[maybe_unused]] const auto forged = takeResult(out.fields);
     out.fields.push_back(toField(relay_result::Forwarded));
     out.length = head.length;
-    relayed->answered = true;
     relayed->status = head.status;
     relayed->peer->begin(out);
 }
@@ -191,9 +180,7 @@
 template <gateway_codec Codec>
 void call_relay<Codec>::onEnd(const relayed_call_ptr &relayed, http::call_end how)
 {
-    m_open.erase(relayed);
-    --relayed->server->outstanding;
-    relayed->peer->onClientGone({});
+    release(relayed);
     if (how == http::call_end::Complete) {
         m_directory.onAnswer(*relayed->server);
         relayed->peer->finish();
@@ -219,6 +206,12 @@
 void call_relay<Codec>::abandon(const relayed_call_ptr &relayed)
 {
     m_transport.abandon(relayed->call);
+    release(relayed);
+}
+
+template <gateway_codec Codec>
+void call_relay<Codec>::release(const relayed_call_ptr &relayed)
+{
     m_open.erase(relayed);
     --relayed->server->outstanding;
     relayed->peer->onClientGone({});
