Pack each optional value of a frame in the same way

Why: brittleness was packed as a number plus one, with a range check of its own, beside two functions that each pack an optional value or nil, and a reader that has optional().

Change: packOptional serves start times, limits and brittleness.

--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <optional>
 
 namespace orchidlead::gateway {
@@ -251,11 +250,7 @@
 {
     reported_brittleness reported;
     reported.valid = in.read<bool>();
-    const auto refusals = in.read<std::uint64_t>();
-    if (refusals > std::numeric_limits<std::uint32_t>::max())
-        in.fail();
-    else if (refusals > 0)
-        reported.refusalsPerSecond = static_cast<std::uint32_t>(refusals - 1);
+    reported.refusalsPerSecond = in.optional<std::uint32_t>();
     return reported;
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -28,10 +28,12 @@
 }
 
 /// Packs the start time of a server, or nil where the server does not publish one.
-void packStartTime(packer &out, const std::optional<std::uint64_t> &startedAt)
+/// Packs a value, or nil if there is none.
+template <class Value>
+void packOptional(packer &out, const std::optional<Value> &value)
 {
-    if (startedAt)
-        out.pack(*startedAt);
+    if (value)
+        out.pack(*value);
     else
         out.pack_nil();
 }
@@ -39,7 +41,7 @@
 void packStart(packer &out, const server_start &start)
 {
     out.pack(start.id.value);
-    packStartTime(out, start.startedAt);
+    packOptional(out, start.startedAt);
 }
 
 /// Number of fields per server. The fields of all servers form one flat array.
@@ -55,7 +57,7 @@
     out.pack(server.dataCenter.value);
     out.pack(server.slots);
     out.pack(server.leaving);
-    packStartTime(out, server.startedAt);
+    packOptional(out, server.startedAt);
     packDuration(out, announced.coldTimeLeft);
 }
 
@@ -153,14 +155,6 @@
     packNames(out, query.allowed.regions());
 }
 
-void packLimit(packer &out, const std::optional<double> &perSecond)
-{
-    if (perSecond)
-        out.pack(*perSecond);
-    else
-        out.pack_nil();
-}
-
 void pack(packer &out, const place_frame &frame)
 {
     packKind(out, frame_kind::Place, 1 + QueryFields);
@@ -183,13 +177,12 @@
     out.pack(frame.id);
     out.pack(static_cast<std::uint64_t>(frame.kind));
     out.pack(frame.signals.rateLimit.valid);
-    packLimit(out, frame.signals.rateLimit.perSecond);
+    packOptional(out, frame.signals.rateLimit.perSecond);
     out.pack(frame.signals.leaving);
     out.pack(frame.signals.refused);
     out.pack(frame.signals.accepted);
     out.pack(frame.signals.brittleness.valid);
-    const auto &brittle = frame.signals.brittleness.refusalsPerSecond;
-    out.pack(brittle ? std::uint64_t{*brittle} + 1 : std::uint64_t{0}); // 0: not brittle
+    packOptional(out, frame.signals.brittleness.refusalsPerSecond);
 }
 
 void pack(packer &out, const admission_request &frame)
@@ -215,7 +208,7 @@
     out.pack_array(LimitFields * static_cast<std::uint32_t>(frame.limits.size()));
     for (const auto &each : frame.limits) {
         packStart(out, each.server);
-        packLimit(out, each.perSecond);
+        packOptional(out, each.perSecond);
         packDuration(out, each.ago);
     }
 }
