End the lost calls of a stage host in one loop

Why: the loss of a data centre and the cut of this node from all servers ended calls in two copies of one loop.

Change: endCalls takes the condition. Behaviour stays.

--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -111,6 +111,9 @@
     [[nodiscard]] double effectiveServerCount(const pool_key &key);
     void startCall(const pool_key &key, const stage_call &call);
     void onCallEnd(const std::shared_ptr<active_call> &active, http::call_end httpEnd);
+    /// Ends the calls for which the predicate is true, as if they had timed out.
+    template <class Predicate>
+    void endCalls(Predicate isLost);
     void logFailedPieces(const pool_key &key, const stage_call &call,
                          const std::vector<piece_result> &results);
     void deliver(const std::vector<piece_outcome> &outcomes);
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -238,13 +238,9 @@
 template <gateway_codec Codec>
 void stage_host<Codec>::onDataCenterLost(const data_center_id &dataCenter)
 {
-    const auto open = m_activeCalls;
-    for (const auto &each : open) {
-        if (each->stageCall.server->record.dataCenter != dataCenter)
-            continue;
-        m_transport.abandon(each->call);
-        onCallEnd(each, http::call_end::TimedOut);
-    }
+    endCalls([&](const active_call &each) {
+        return each.stageCall.server->record.dataCenter == dataCenter;
+    });
     for (auto &[key, pool] : m_pools) {
         deliver(pool->failWithInputsIn(dataCenter));
         scheduleDispatch(key);
@@ -253,10 +249,17 @@
 
 template <gateway_codec Codec>
 void stage_host<Codec>::onServersCutOff()
+{
+    endCalls([this](const active_call &each) { return m_transport.isLost(each.call); });
+}
+
+template <gateway_codec Codec>
+template <class Predicate>
+void stage_host<Codec>::endCalls(Predicate isLost)
 {
     const auto open = m_activeCalls;
     for (const auto &each : open) {
-        if (!m_transport.isLost(each->call))
+        if (!isLost(*each))
             continue;
         m_transport.abandon(each->call);
         onCallEnd(each, http::call_end::TimedOut);
