Give the peers that may relay their regions once

Why: relayCandidates set the region of each peer from what the peer says of itself, and its only caller replaced it with the region of the peer's data centre, by which servers are judged as well.

Change: the caller passes the function that names the region. peer_view::dataCenter and an include, left over from the earlier choice of peers, are removed. Behaviour stays.

--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -178,10 +178,9 @@
     m_transport.onAccessChanged([this](server_access_state state) { onServerAccess(state); });
     if (m_settings.listen.relay)
         m_transport.setRelays([this] {
-            auto candidates = m_peers.relayCandidates(m_settings.listen.relay->port);
-            for (auto &each : candidates)
-                each.region = m_directory.regionOf(each.dataCenter);
-            return candidates;
+            return m_peers.relayCandidates(
+                m_settings.listen.relay->port,
+                [this](const data_center_id &each) { return m_directory.regionOf(each); });
         });
     m_directory.onChange([this](const service_id &service) {
         m_stages.onServersChanged(service);
--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -1,6 +1,5 @@
 #include "gateway/peers/peer_network.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -156,13 +155,16 @@
         link->send(frame);
 }
 
-std::vector<relay_candidate> peer_network::relayCandidates(std::uint16_t port) const
+std::vector<relay_candidate> peer_network::relayCandidates(
+    std::uint16_t port, const std::function<region_id(const data_center_id &)> &regionOf) const
 {
     std::vector<relay_candidate> found;
     for (const auto &peer : m_view.peers()) {
         if (const auto known = m_view.find(peer); known && !known->vm.leaving)
-            found.push_back(
-                {peer, {known->vm.peerAddress.ip, port}, known->vm.dataCenter, known->vm.region});
+            found.push_back({peer,
+                             {known->vm.peerAddress.ip, port},
+                             known->vm.dataCenter,
+                             regionOf(known->vm.dataCenter)});
     }
     return found;
 }
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -58,8 +58,10 @@
     /// As `peer_view::quarantineHost`.
     [[nodiscard]] const vm_id &quarantineHost() { return m_view.quarantineHost(); }
     /// Returns the peers considered alive that may relay calls, with the address of their relay
-    /// listeners at this port.
-    [[nodiscard]] std::vector<relay_candidate> relayCandidates(std::uint16_t port) const;
+    /// listeners at this port, and the regions of their data centres.
+    [[nodiscard]] std::vector<relay_candidate>
+    relayCandidates(std::uint16_t port,
+                    const std::function<region_id(const data_center_id &)> &regionOf) const;
     /// Returns this node's view of members and roles.
     [[nodiscard]] const peer_view &view() const { return m_view; }
     [[nodiscard]] const vm_id &self() const { return m_view.self(); }
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -60,7 +60,6 @@
 
     [[nodiscard]] const vm_id &self() const { return m_identity.vm; }
     [[nodiscard]] const region_id &region() const { return m_identity.region; }
-    [[nodiscard]] const data_center_id &dataCenter() const { return m_identity.dataCenter; }
     /// Returns the node that hosts a pool in this node's view; may be this node.
     [[nodiscard]] vm_id hostOf(const pool_key &pool);
     /// Returns the nodes of this data centre in the order in which they pass on publications, those
