Set the answers of all servers of a service, and start a round, in one place of the tests

Why: nine tests of cut-off gateways had the loop over the servers of a service, one file a copy of it as a function, and four tests of server_access the two calls that start a round, beside a function that does so.

Change: cut_off_world::setBehaviour and startRound.

--- a/tests/gateway/server_access_test.cpp
+++ b/tests/gateway/server_access_test.cpp
@@ -14,11 +14,17 @@
     return backend_server_id("s" + std::to_string(number));
 }
 
-/// Fails a connection to a server and all connections of the round that it starts.
-void failRound(server_access &access, int server, std::size_t connections = 3)
+/// Fails a connection to a server and starts the round for it.
+void startRound(server_access &access, int server, std::size_t connections = 3)
 {
     REQUIRE(access.onConnectFailure(serverNumber(server)));
     access.onRoundStarted(connections);
+}
+
+/// Fails a connection to a server and all connections of the round that it starts.
+void failRound(server_access &access, int server, std::size_t connections = 3)
+{
+    startRound(access, server, connections);
     for (std::size_t i = 0; i < connections; ++i)
         access.onRoundFailure();
 }
@@ -29,8 +35,7 @@
 {
     manual_clock clock;
     server_access access(clock);
-    REQUIRE(access.onConnectFailure(serverNumber(1)));
-    access.onRoundStarted(3);
+    startRound(access, 1);
     CHECK(access.state() == server_access_state::Checking);
     access.onRoundFailure();
     access.onRoundFailure();
@@ -43,8 +48,7 @@
 {
     manual_clock clock;
     server_access access(clock);
-    REQUIRE(access.onConnectFailure(serverNumber(1)));
-    access.onRoundStarted(3);
+    startRound(access, 1);
     access.onRoundFailure();
     access.onRoundFailure();
     access.onConnected();
@@ -57,8 +61,7 @@
 {
     manual_clock clock;
     server_access access(clock);
-    REQUIRE(access.onConnectFailure(serverNumber(1)));
-    access.onRoundStarted(0);
+    startRound(access, 1, 0);
     CHECK(access.state() == server_access_state::Reachable);
 }
 
@@ -83,8 +86,7 @@
 {
     manual_clock clock;
     server_access access(clock);
-    REQUIRE(access.onConnectFailure(serverNumber(1)));
-    access.onRoundStarted(3);
+    startRound(access, 1);
     access.onConnected();
     clock.advance(milliseconds{10});
     CHECK_FALSE(access.onConnectFailure(serverNumber(1)));
--- a/tests/platform/cut_off_gateway_test.cpp
+++ b/tests/platform/cut_off_gateway_test.cpp
@@ -66,20 +66,17 @@
     REQUIRE(w.countServed("g1") == Requests);
     std::vector<std::shared_ptr<server_answer>> open;
     std::vector<server_request> received;
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("web-" + std::to_string(i))
-            .setBehaviour(
-                [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-                    open.push_back(answer);
-                    received.push_back(request);
-                });
+    w.setBehaviour(
+        "web", [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            open.push_back(answer);
+            received.push_back(request);
+        });
     const auto answer = w.startPlain("g1", "GET");
     REQUIRE(w.runUntil([&] { return open.size() == 1; }));
     w.healServers("g3");
     REQUIRE(w.runUntil([&] { return w.gauge("g3", "servers_cut_off") == 0; }));
     w.stopGateway("g2");
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("web-" + std::to_string(i)).setBehaviour(answerAtOnce);
+    w.setBehaviour("web", answerAtOnce);
     CHECK(w.countServed("g1") == Requests);
     CHECK(w.gauge("g3", "calls_relayed") >= Requests);
     CHECK_FALSE(answer->ended);
@@ -98,16 +95,12 @@
     w.cutFromServers("g3", cut_kind::Reset);
     REQUIRE(w.countServed("g1") == Requests);
     std::size_t arrived = 0;
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("web-" + std::to_string(i)).setBehaviour([&](const auto &, const auto &) {
-            ++arrived;
-        });
+    w.setBehaviour("web", [&](const auto &, const auto &) { ++arrived; });
     const auto underWay = w.startPlain("g1", "GET");
     REQUIRE(w.runUntil([&] { return arrived == 1; }));
     w.healServers("g3");
     REQUIRE(w.runUntil([&] { return w.gauge("g3", "servers_cut_off") == 0; }));
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("web-" + std::to_string(i)).setBehaviour(answerAtOnce);
+    w.setBehaviour("web", answerAtOnce);
     w.killGateway("g2");
     CHECK(w.isServed(underWay));
     CHECK(w.countServed("g1") == Requests);
@@ -133,8 +126,7 @@
 {
     cut_off_world w(plainRoute("unsafe"));
     REQUIRE(w.countServed("g1", "POST") == Requests);
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("web-" + std::to_string(i)).setBehaviour([](const auto &, const auto &) {});
+    w.setBehaviour("web", [](const auto &, const auto &) {});
     std::vector<std::shared_ptr<client_answer>> open;
     for (int i = 0; i < 6; ++i)
         open.push_back(w.startPlain("g1", "POST"));
@@ -216,17 +208,15 @@
     w.cutFromServers("g1", cut_kind::Reset);
     REQUIRE(w.countServed("g1") == Requests);
     const std::string body(300'000, 'b');
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("web-" + std::to_string(i))
-            .setBehaviour(
-                [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-                    CHECK_FALSE(http::findField(request.head.fields, "api-key"));
-                    CHECK_FALSE(http::findField(request.head.fields, "orchidlead-relay-to"));
-                    const auto left = http::findField(request.head.fields, "x-deadline-ms");
-                    REQUIRE(left);
-                    CHECK(std::stoi(std::string(*left)) <= 2000);
-                    answer->write(signedAnswer(request, body, 404));
-                });
+    w.setBehaviour(
+        "web", [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            CHECK_FALSE(http::findField(request.head.fields, "api-key"));
+            CHECK_FALSE(http::findField(request.head.fields, "orchidlead-relay-to"));
+            const auto left = http::findField(request.head.fields, "x-deadline-ms");
+            REQUIRE(left);
+            CHECK(std::stoi(std::string(*left)) <= 2000);
+            answer->write(signedAnswer(request, body, 404));
+        });
     const auto answer = w.request("g1", makeRequest("POST", "/p/x", "long"), "x");
     REQUIRE(w.await(answer));
     CHECK(answer->status == 404);
@@ -243,10 +233,7 @@
     w.cutFromServers("g1", cut_kind::Reset);
     REQUIRE(w.countServed("g1") == Requests);
     std::size_t arrived = 0;
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("web-" + std::to_string(i)).setBehaviour([&](const auto &, const auto &) {
-            ++arrived;
-        });
+    w.setBehaviour("web", [&](const auto &, const auto &) { ++arrived; });
     const auto answer = std::make_shared<client_answer>();
     const auto call = w.startRequest("g1", makeRequest("GET", "/p/x", "gone"), {}, answer);
     REQUIRE(w.runUntil([&] { return arrived == 1; }));
@@ -259,15 +246,13 @@
 TEST_CASE("a relay sends nothing to a server that asked it to back off")
 {
     cut_off_world w;
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("web-" + std::to_string(i))
-            .setBehaviour([](const server_request &request,
-                             const std::shared_ptr<server_answer> &answer) {
-                answer->write("HTTP/1.1 503 Full\r\nX-Attempt-Id: "
-                              + std::string(*http::findField(request.head.fields, "x-attempt-id"))
-                              + "\r\nX-Not-Executed: 1\r\nRetry-After: 30\r\n"
-                                "Content-Length: 0\r\n\r\n");
-            });
+    w.setBehaviour(
+        "web", [](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            answer->write("HTTP/1.1 503 Full\r\nX-Attempt-Id: "
+                          + std::string(*http::findField(request.head.fields, "x-attempt-id"))
+                          + "\r\nX-Not-Executed: 1\r\nRetry-After: 30\r\n"
+                            "Content-Length: 0\r\n\r\n");
+        });
     for (const auto *each : {"g2", "g3"})
         CHECK(w.countServed(each) == 0);
     w.cutFromServers("g1", cut_kind::Reset);
@@ -281,13 +266,11 @@
 {
     cut_off_world w(streamRoute(true));
     std::vector<std::shared_ptr<server_answer>> open;
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("engine-" + std::to_string(i))
-            .setBehaviour(
-                [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-                    answer->write(streamHead(request) + chunk(event(1)));
-                    open.push_back(answer);
-                });
+    w.setBehaviour(
+        "engine", [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            answer->write(streamHead(request) + chunk(event(1)));
+            open.push_back(answer);
+        });
     const auto answer = w.request("g1", makeStagedRequest("quiet", ""), "x");
     REQUIRE(w.runUntil([&] { return !answer->body.empty(); }));
     w.runFor(milliseconds{950});
--- a/tests/platform/cut_off_work_test.cpp
+++ b/tests/platform/cut_off_work_test.cpp
@@ -17,12 +17,6 @@
     return w.request(gateway, makeStagedRequest(w.nextAttempt(), ""), "prompt");
 }
 
-void setEngines(cut_off_world &w, const server_behaviour &behaviour)
-{
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("engine-" + std::to_string(i)).setBehaviour(behaviour);
-}
-
 } // namespace
 
 // Guards against streams that are refused, or lose or repeat events behind a relay.
@@ -46,14 +40,15 @@
     const auto kind = GENERATE(cut_kind::Reset, cut_kind::Hang);
     cut_off_world w(streamRoute(true));
     int arrivals = 0;
-    setEngines(w, [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-        if (++arrivals == 1) {
-            answer->write(streamHead(request) + chunk(event(1) + event(2) + "id: 3\nda"));
-            return;
-        }
-        CHECK(http::findField(request.head.fields, "last-event-id") == "2");
-        answer->write(streamHead(request) + chunk(event(3) + event(4)) + "0\r\n\r\n");
-    });
+    w.setBehaviour(
+        "engine", [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            if (++arrivals == 1) {
+                answer->write(streamHead(request) + chunk(event(1) + event(2) + "id: 3\nda"));
+                return;
+            }
+            CHECK(http::findField(request.head.fields, "last-event-id") == "2");
+            answer->write(streamHead(request) + chunk(event(3) + event(4)) + "0\r\n\r\n");
+        });
     const auto answer = startStream(w, "g1");
     REQUIRE(w.runUntil([&] { return answer->body == event(1) + event(2); }));
     w.cutFromServers("g1", kind);
@@ -71,15 +66,16 @@
     w.cutFromServers("g1", cut_kind::Reset);
     REQUIRE(w.isServed(startStream(w, "g1")));
     int arrivals = 0;
-    setEngines(w, [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-        if (++arrivals == 1) {
-            answer->write(streamHead(request) + chunk(event(1) + event(2) + "id: 3\nda"));
-            answer->reset();
-            return;
-        }
-        CHECK(http::findField(request.head.fields, "last-event-id") == "2");
-        answer->write(streamHead(request) + chunk(event(3)) + "0\r\n\r\n");
-    });
+    w.setBehaviour(
+        "engine", [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            if (++arrivals == 1) {
+                answer->write(streamHead(request) + chunk(event(1) + event(2) + "id: 3\nda"));
+                answer->reset();
+                return;
+            }
+            CHECK(http::findField(request.head.fields, "last-event-id") == "2");
+            answer->write(streamHead(request) + chunk(event(3)) + "0\r\n\r\n");
+        });
     const auto answer = startStream(w, "g1");
     REQUIRE(w.await(answer));
     CHECK(answer->end == http::call_end::Complete);
@@ -98,13 +94,11 @@
     for (std::size_t i = 0; i < Length; i += 1000)
         body[i] = static_cast<char>('a' + i / 1000 % 26);
     std::string received;
-    for (std::size_t i = 0; i < ServersPerService; ++i)
-        w.server("web-" + std::to_string(i))
-            .setBehaviour(
-                [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
-                    received = request.body;
-                    answerAtOnce(request, answer);
-                });
+    w.setBehaviour(
+        "web", [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            received = request.body;
+            answerAtOnce(request, answer);
+        });
     const auto answer = w.request("g1", makeRequest("POST", "/p/x", "long"), body);
     REQUIRE(w.await(answer));
     CHECK(answer->status == 200);
--- a/tests/platform/cut_off_world.h
+++ b/tests/platform/cut_off_world.h
@@ -55,6 +55,15 @@
         return server;
     }
 
+    /// Sets how all servers of a service answer.
+    void setBehaviour(const std::string &service, const server_behaviour &behaviour)
+    {
+        for (auto *each : m_servers) {
+            if (each->id().starts_with(service + "-"))
+                each->setBehaviour(behaviour);
+        }
+    }
+
     /// Sends plain requests one after the other and returns how many succeeded.
     int countServed(const std::string &gateway, const std::string &method = "GET")
     {
