--- a/tests/gateway/relay_selector_test.cpp
+++ b/tests/gateway/relay_selector_test.cpp
@@ -208,6 +208,23 @@
     CHECK(countUnrelayed(nodes, cutDataCenters) == 0);
 }
 
+TEST_CASE("figures of the time that a new list of relays takes", "[.figures]")
+{
+    constexpr int Lists = 1000;
+    for (const int nodes : {8, 86, 350, 700}) {
+        selector_test t;
+        std::vector<relay_candidate> all;
+        for (int i = 0; i < nodes; ++i)
+            all.push_back(candidate(std::to_string(i), "dc" + std::to_string(i % DataCenters)));
+        const auto began = std::chrono::steady_clock::now();
+        for (int i = 0; i < Lists; ++i)
+            t.selector.setCandidates(all);
+        const std::chrono::duration<double, std::micro> took =
+            std::chrono::steady_clock::now() - began;
+        std::cout << nodes << " nodes: us for each list " << took.count() / Lists << '\n';
+    }
+}
+
 TEST_CASE("figures of the spread of relayed calls", "[.figures]")
 {
     for (const int nodes : {8, 86, 350, 700}) {
--- a/tests/platform/cut_off_work_test.cpp
+++ b/tests/platform/cut_off_work_test.cpp
@@ -4,8 +4,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace orchidlead;
 using namespace orchidlead::platform_world;
@@ -105,6 +108,37 @@
     CHECK((received == body)); // not expanded in a failure
 }
 
+// Guards against relays that hold calls, and their bodies, without bound.
+TEST_CASE("a relay that has as many calls as it may refuses further ones at once")
+{
+    constexpr std::size_t MaxRelayed = 128; // as documented
+    constexpr std::size_t Calls = 150;
+    cut_off_world w(plainRoute("unsafe", 1));
+    w.cutFromServers("g1", cut_kind::Reset);
+    w.cutFromServers("g2", cut_kind::Reset);
+    REQUIRE(w.countServed("g1") == Requests);
+    std::vector<std::pair<server_request, std::shared_ptr<server_answer>>> open;
+    w.setBehaviour(
+        "web", [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            open.emplace_back(request, answer);
+        });
+    std::vector<std::shared_ptr<client_answer>> answers;
+    for (std::size_t i = 0; i < Calls; ++i)
+        answers.push_back(w.startPlain("g1", "POST"));
+    const auto countEnded = [&] {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(answers, [](const auto &each) { return each->ended; }));
+    };
+    CHECK(w.runUntil([&] { return countEnded() == Calls - MaxRelayed; }, milliseconds{1000}));
+    CHECK(open.size() == MaxRelayed);
+    for (const auto &[request, answer] : open)
+        answerAtOnce(request, answer);
+    REQUIRE(w.runUntil([&] { return countEnded() == Calls; }));
+    const auto served =
+        std::ranges::count_if(answers, [](const auto &each) { return each->status == 200; });
+    CHECK(served == static_cast<std::ptrdiff_t>(MaxRelayed));
+}
+
 // Guards against a gateway that needs to have reached a server once before it uses relays.
 TEST_CASE("a gateway that starts cut off becomes ready and serves its callers")
 {
