End the timers and tasks of a gateway with it

What callers saw: nothing; the process ends with its gateway. Tests that kill one of several gateways on a loop crashed or could read freed memory, as timers (the tick of the peer network, among others) ran on in the destroyed one.

Cause: timers and posted tasks belonged to the loop of the process, and only some objects cancelled theirs.

Change: a loop may be made within another one: it shares events and thread and owns its timers and tasks, which end with it. Each gateway has one. Tasks are dropped before the parts of the gateway that they refer to.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,6 +27,10 @@
     /// `open` opens the TCP connections to servers and the store.
     gateway(http::io_loop &loop, wire::log &log, gateway_settings settings,
             http::connect_function open = &http::stream_socket::connect);
+    /// Leaves no timer, task or connection behind. The loop may go on running.
+    ~gateway();
+    gateway(const gateway &) = delete;
+    gateway &operator=(const gateway &) = delete;
 
     /// Starts listening and reading the store. Returns an error if an address cannot be bound.
     [[nodiscard]] std::optional<http::listen_error> start();
@@ -71,7 +75,7 @@
     void checkStopped();
     void refuseWaiting();
 
-    http::io_loop &m_loop;
+    http::io_loop m_loop; ///< owns the timers and tasks of all parts of the node
     wire::log &m_log;
     gateway_settings m_settings;
     gateway_metrics m_metrics;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -65,15 +65,15 @@
     : m_loop(loop)
     , m_log(log)
     , m_settings(std::move(settings))
-    , m_pool(loop, std::move(open))
-    , m_directory(loop.clock())
-    , m_transport(loop, m_pool, m_directory, m_settings.dataCenter, log, seedOf(m_settings.vm))
-    , m_retryBudget(loop.clock(),
+    , m_pool(m_loop, std::move(open))
+    , m_directory(m_loop.clock())
+    , m_transport(m_loop, m_pool, m_directory, m_settings.dataCenter, log, seedOf(m_settings.vm))
+    , m_retryBudget(m_loop.clock(),
                     {m_settings.bounds.retryShare, m_settings.bounds.retryReserve,
                      m_settings.bounds.retryWindow, drawRotationOffset(m_settings.vm)})
-    , m_logLimiter(loop.clock(), m_settings.requestLines)
-    , m_stages(loop, m_transport, m_directory, m_retryBudget, log, m_metrics)
-    , m_peers(loop, log, m_settings, drawIncarnation(loop.clock()),
+    , m_logLimiter(m_loop.clock(), m_settings.requestLines)
+    , m_stages(m_loop, m_transport, m_directory, m_retryBudget, log, m_metrics)
+    , m_peers(m_loop, log, m_settings, drawIncarnation(m_loop.clock()),
               {[this](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
                    onFrame(link, std::move(frame));
                },
@@ -96,9 +96,9 @@
                                  .add("host", host.value));
                },
                [this](const reachability_event &event) { onReachability(event); }})
-    , m_router(loop, log, m_peers, m_stages, m_directory, m_retryBudget, m_settings)
-    , m_placer(loop, m_peers, m_directory, m_settings.disabledPolicies)
-    , m_quarantine(loop, m_peers, log)
+    , m_router(m_loop, log, m_peers, m_stages, m_directory, m_retryBudget, m_settings)
+    , m_placer(m_loop, m_peers, m_directory, m_settings.disabledPolicies)
+    , m_quarantine(m_loop, m_peers, log)
     , m_leaving(
           m_peers, m_directory,
           [this](const server_start &start, const vm_id &from) { onLeavingReported(start, from); })
@@ -106,23 +106,23 @@
                 [this](const brittle_server &reported, const vm_id &from) {
                     onBrittleReported(reported, from);
                 })
-    , m_lostDataCenterRelay(m_peers, loop.clock())
-    , m_state(loop.clock(), m_directory, RemovalDelay)
+    , m_lostDataCenterRelay(m_peers, m_loop.clock())
+    , m_state(m_loop.clock(), m_directory, RemovalDelay)
     , m_follower(
-          loop, m_pool, m_settings.store, m_state,
+          m_loop, m_pool, m_settings.store, m_state,
           [this](const publication_event &publicationEvent) {
               onPublicationEvent(publicationEvent);
           },
           log, seedOf(m_settings.vm), storeOptionsFor(m_settings.bounds.publicationApply))
     , m_relay(
-          loop, m_peers, m_directory, m_state, m_follower,
+          m_loop, m_peers, m_directory, m_state, m_follower,
           [this](const publication_event &publicationEvent) {
               onPublicationEvent(publicationEvent);
           },
           log, seedOf(m_settings.vm))
-    , m_crashDetector(loop.clock())
-    , m_callRelay(loop, m_transport, m_directory, log)
-    , m_context{loop,
+    , m_crashDetector(m_loop.clock())
+    , m_callRelay(m_loop, m_transport, m_directory, log)
+    , m_context{m_loop,
                 m_transport,
                 m_directory,
                 m_retryBudget,
@@ -137,14 +137,14 @@
                 m_settings.dataCenter,
                 m_settings.disabledPolicies,
                 nullptr,
-                latency_estimator{loop.clock()},
+                latency_estimator{m_loop.clock()},
                 std::minstd_rand{seedOf(m_settings.vm)},
                 [this](const server &which, const in_flight_request &request) {
                     onConnectionBroken(which, request);
                 }}
     , m_clients(std::make_shared<http::inbound_shared>())
     , m_probes(std::make_shared<http::inbound_shared>())
-    , m_startupQueue(loop.clock())
+    , m_startupQueue(m_loop.clock())
 {
     m_retryBudget.setNodes(MinAssumedNodes);
     m_directory.setSelf(m_settings.vm);
@@ -168,6 +168,13 @@
                                  std::string && /*body*/) { onReadinessRequest(client, head); };
 }
 
+// Tasks hold exchanges, which refer to the other parts of the node.
+template <gateway_codec Codec>
+gateway<Codec>::~gateway()
+{
+    m_loop.discardTasks();
+}
+
 template <gateway_codec Codec>
 std::optional<http::listen_error> gateway<Codec>::start()
 {
--- a/src/http/io_loop.cpp
+++ b/src/http/io_loop.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <deque>
 #include <utility>
 #include <vector>
 
@@ -26,13 +27,14 @@
 
 // All timers share one kernel timer, which is rearmed only for an earlier time: most timers are
 // cancelled before they expire, and each rearming is a system call.
-class io_loop::implementation
+// Handlers that wait in the context hold weak references, because the context may outlive the loop.
+class io_loop::implementation : public std::enable_shared_from_this<implementation>
 {
 public:
-    explicit implementation(const clock_source &clock)
+    implementation(const clock_source &clock, std::shared_ptr<asio::io_context> context)
         : m_clock(clock)
-        , m_context(1)
-        , m_timer(m_context)
+        , m_context(std::move(context))
+        , m_timer(*m_context)
     { }
 
     timer_id add(std::chrono::microseconds delay, std::function<void()> task)
@@ -44,13 +46,32 @@
     }
     void cancel(timer_id timer) { m_heap.cancel(timer); }
 
+    void post(std::function<void()> task)
+    {
+        m_posted.push_back(std::move(task));
+        asio::post(*m_context, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->runPosted();
+        });
+    }
+
+    // Tasks may own objects that use this loop when they are destroyed, so they are moved out
+    // first. Some of these objects add tasks.
+    void discardTasks()
+    {
+        while (m_heap.size() > 0 || !m_posted.empty()) {
+            const auto timers = m_heap.takeAll();
+            const auto posted = std::exchange(m_posted, {});
+        }
+    }
+
     void addSignalHandler(int signalNumber, std::function<void()> handler)
     {
-        m_signals.push_back(std::make_unique<asio::signal_set>(m_context, signalNumber));
+        m_signals.push_back(std::make_unique<asio::signal_set>(*m_context, signalNumber));
         waitForSignal(*m_signals.back(), std::move(handler));
     }
 
-    asio::io_context &context() { return m_context; }
+    [[nodiscard]] const std::shared_ptr<asio::io_context> &context() const { return m_context; }
 
 private:
     void armTimer()
@@ -64,12 +85,23 @@
         // Relative to now: the timer's own clock may be behind the loop's clock, which includes
         // suspensions.
         m_timer.expires_after(std::max(*next - now, steady_time::duration::zero()));
-        m_timer.async_wait([this](const boost::system::error_code &error) {
-            if (!error)
-                runDueTasks();
+        m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto self = weak.lock();
+            if (!error && self)
+                self->runDueTasks();
         });
     }
 
+    // Each call was posted for one task; there are fewer tasks after `discardTasks`.
+    void runPosted()
+    {
+        if (m_posted.empty())
+            return;
+        const auto task = std::move(m_posted.front());
+        m_posted.pop_front();
+        task();
+    }
+
     void runDueTasks()
     {
         m_armedFor.reset();
@@ -93,9 +125,10 @@
     }
 
     const clock_source &m_clock;
-    asio::io_context m_context;
+    std::shared_ptr<asio::io_context> m_context;
     asio::steady_timer m_timer;
     net::timer_heap m_heap;
+    std::deque<std::function<void()>> m_posted;
     std::optional<steady_time> m_armedFor;
     bool m_runningTasks = false;
     std::vector<std::unique_ptr<asio::signal_set>> m_signals;
@@ -103,10 +136,20 @@
 
 io_loop::io_loop(const clock_source &clock)
     : m_clock(clock)
-    , m_implementation(std::make_unique<implementation>(clock))
+    , m_implementation(
+          std::make_shared<implementation>(clock, std::make_shared<asio::io_context>(1)))
 { }
 
-io_loop::~io_loop() = default;
+io_loop::io_loop(io_loop &parent)
+    : m_clock(parent.m_clock)
+    , m_implementation(
+          std::make_shared<implementation>(m_clock, parent.m_implementation->context()))
+{ }
+
+io_loop::~io_loop()
+{
+    discardTasks();
+}
 
 void io_loop::run()
 {
@@ -121,7 +164,7 @@
 
 void io_loop::post(std::function<void()> task)
 {
-    asio::post(context(), std::move(task));
+    m_implementation->post(std::move(task));
 }
 
 timer_id io_loop::callAfter(std::chrono::microseconds delay, std::function<void()> task)
@@ -134,6 +177,11 @@
     m_implementation->cancel(timer);
 }
 
+void io_loop::discardTasks()
+{
+    m_implementation->discardTasks();
+}
+
 void io_loop::onSignal(int signalNumber, std::function<void()> handler)
 {
     m_implementation->addSignalHandler(signalNumber, std::move(handler));
@@ -141,7 +189,7 @@
 
 asio::io_context &io_loop::context()
 {
-    return m_implementation->context();
+    return *m_implementation->context();
 }
 
 } // namespace orchidlead::http
--- a/src/http/io_loop.h
+++ b/src/http/io_loop.h
@@ -21,6 +21,9 @@
 {
 public:
     explicit io_loop(const clock_source &clock);
+    /// Creates a loop that shares the events and the thread of `parent`, and owns its own timers
+    /// and tasks: those that are left when it is destroyed never run.
+    explicit io_loop(io_loop &parent);
     ~io_loop();
     io_loop(const io_loop &) = delete;
     io_loop &operator=(const io_loop &) = delete;
@@ -36,6 +39,8 @@
     timer_id callAfter(std::chrono::microseconds delay, std::function<void()> task);
     /// Has no effect if the timer has already expired.
     void cancelTimer(timer_id timer);
+    /// Drops all timers and posted tasks of this loop. Objects that the tasks hold are destroyed.
+    void discardTasks();
     /// Calls `handler` on the loop at each signal with this number.
     void onSignal(int signalNumber, std::function<void()> handler);
 
@@ -46,7 +51,7 @@
 private:
     class implementation;
     const clock_source &m_clock;
-    std::unique_ptr<implementation> m_implementation;
+    std::shared_ptr<implementation> m_implementation;
 };
 
 } // namespace orchidlead::http
--- a/src/net/timer_heap.cpp
+++ b/src/net/timer_heap.cpp
@@ -72,4 +72,10 @@
     std::make_heap(m_heap.begin(), m_heap.end(), later);
 }
 
+std::unordered_map<timer_id, std::function<void()>> timer_heap::takeAll()
+{
+    m_heap.clear();
+    return std::exchange(m_tasks, {});
+}
+
 } // namespace orchidlead::net
--- a/src/net/timer_heap.h
+++ b/src/net/timer_heap.h
@@ -23,6 +23,9 @@
     /// Removes and returns one task that is due by `now`; empty if there is none.
     [[nodiscard]] std::function<void()> takeDue(steady_time now);
 
+    /// Removes and returns all tasks, in no order. Their ids are not used again.
+    [[nodiscard]] std::unordered_map<timer_id, std::function<void()>> takeAll();
+
     /// Number of timers that have neither run nor been cancelled.
     [[nodiscard]] std::size_t size() const { return m_tasks.size(); }
     /// Number of heap entries, including those of cancelled timers.
--- a/tests/http/io_loop_test.cpp
+++ b/tests/http/io_loop_test.cpp
@@ -55,6 +55,36 @@
     CHECK(order == "ab");
 }
 
+TEST_CASE("a loop within another one leaves no timer or task behind when it is destroyed")
+{
+    const system_clock_source clock;
+    http::io_loop parent(clock);
+    int runs = 0;
+    const auto held = std::make_shared<int>(0);
+    auto inner = std::make_unique<http::io_loop>(parent);
+    inner->callAfter(milliseconds{2}, [&runs, held] { ++runs; });
+    inner->post([&runs, held] { ++runs; });
+    parent.callAfter(milliseconds{10}, [&] { runs += 10; });
+    CHECK(held.use_count() == 3);
+    inner.reset();
+    CHECK(held.use_count() == 1);
+    parent.context().run_for(std::chrono::milliseconds{40});
+    CHECK(runs == 10);
+}
+
+TEST_CASE("a loop within another one runs its timers and tasks with those of the other one")
+{
+    const system_clock_source clock;
+    http::io_loop parent(clock);
+    http::io_loop inner(parent);
+    std::string order;
+    inner.callAfter(milliseconds{15}, [&] { order += 'c'; });
+    parent.callAfter(milliseconds{5}, [&] { order += 'b'; });
+    inner.post([&] { order += 'a'; });
+    parent.context().run_for(std::chrono::milliseconds{50});
+    CHECK(order == "abc");
+}
+
 namespace {
 
 /// Clock that jumps ahead of the system's steady clock, as the time since boot does during a
