Log which software version a server has and which stream a client continues

What callers saw: streams with events of two software versions.

Change: the version of a server's entry is kept in its record, passed on between gateways and part of the digest of the list; the header of a client that names the first attempt of its stream is read. request_taken has first_attempt and last_event, attempt_sent version and started_at. Nothing acts on them yet.

--- a/include/orchidlead/ids.h
+++ b/include/orchidlead/ids.h
@@ -32,6 +32,9 @@
 using customer_id = strong_id<struct customer_id_tag>;
 using backend_server_id = strong_id<struct backend_server_id_tag>;
 using service_id = strong_id<struct service_id_tag>;
+/// Version of the software that a backend server runs. Versions are equal or different; they have
+/// no order.
+using software_version = strong_id<struct software_version_tag>;
 using template_id = strong_id<struct template_id_tag>;
 using pipeline_id = strong_id<struct pipeline_id_tag>;
 using stage_id = strong_id<struct stage_id_tag>;
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -37,7 +37,10 @@
     std::string host;
     std::optional<milliseconds> clientTimeout; ///< how long the client waits
     std::string key; ///< the customer's API key
+    bool continuesStream = false; ///< the client names the last event that it has, readable or not
     std::optional<std::uint64_t> lastEvent; ///< the stream resumes after this event
+    /// Attempt that brought the stream's first event to the client; empty: not stated.
+    std::string firstAttempt;
     std::vector<prompt_part> prompt; ///< parts in order
     std::uint32_t promptTokens = 0;
     std::uint32_t answerTokens = 0; ///< upper limit
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -56,6 +56,10 @@
     line.add("objective_ms", m_route->latencyObjective.count());
     line.add("configuration", m_configuration->version());
     line.add("published_age_ms", std::chrono::duration_cast<milliseconds>(sinceUpdate).count());
+    if (m_metadata.continuesStream || !m_metadata.firstAttempt.empty())
+        line.add("first_attempt", m_metadata.firstAttempt);
+    if (m_metadata.lastEvent)
+        line.add("last_event", *m_metadata.lastEvent);
     if (m_metadata.reservedFields > 0)
         line.add("forged_fields", m_metadata.reservedFields);
     m_context.log.write(wire::log_level::Info, std::move(line));
@@ -84,6 +88,9 @@
         return;
     auto line = lineOf(log_event::AttemptSent);
     line.add("server", m_server->record.id.value).add("service", m_service.value);
+    line.add("version", m_server->record.version.value);
+    if (m_server->record.startedAt)
+        line.add("started_at", *m_server->record.startedAt);
     line.add("usable", m_context.directory.usable(m_service).size());
     line.add("outstanding", m_server->outstanding).add("failures", m_server->consecutiveFailures);
     if (m_server->load) {
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -298,6 +298,7 @@
     server.slots = in.read<std::uint32_t>();
     server.leaving = in.read<bool>();
     server.startedAt = in.optional<std::uint64_t>();
+    server.version = software_version(in.read<std::string>());
     return {server, in.duration()};
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -27,7 +27,6 @@
     out.pack(static_cast<std::int64_t>(duration.count()));
 }
 
-/// Packs the start time of a server, or nil where the server does not publish one.
 /// Packs a value, or nil if there is none.
 template <class Value>
 void packOptional(packer &out, const std::optional<Value> &value)
@@ -38,6 +37,7 @@
         out.pack_nil();
 }
 
+/// Packs the start of a server, with nil where the server does not publish its start time.
 void packStart(packer &out, const server_start &start)
 {
     out.pack(start.id.value);
@@ -45,7 +45,7 @@
 }
 
 /// Number of fields per server. The fields of all servers form one flat array.
-constexpr std::uint32_t ServerFields = 9;
+constexpr std::uint32_t ServerFields = 10;
 
 void packServer(packer &out, const published_server &announced)
 {
@@ -58,6 +58,7 @@
     out.pack(server.slots);
     out.pack(server.leaving);
     packOptional(out, server.startedAt);
+    out.pack(server.version.value);
     packDuration(out, announced.coldTimeLeft);
 }
 
--- a/src/gateway/publication/list_digest.cpp
+++ b/src/gateway/publication/list_digest.cpp
@@ -17,7 +17,8 @@
     for (const auto &text :
          {record.id.value, record.service.value, record.dataCenter.value, record.address.ip,
           std::to_string(record.address.port), std::to_string(record.slots),
-          record.startedAt ? std::to_string(*record.startedAt) : std::string()}) {
+          record.startedAt ? std::to_string(*record.startedAt) : std::string(),
+          record.version.value}) {
         bytes += text;
         bytes += Separator;
     }
--- a/src/gateway/quarantine/request_digest.cpp
+++ b/src/gateway/quarantine/request_digest.cpp
@@ -29,13 +29,17 @@
 // is therefore hashed first, and the hash is cryptographic: no caller can construct a request with
 // the digest of another customer's request.
 request_digest requestDigestOf(const request_identity &identity)
+{
+    return digestOfTexts({identity.customer.value, identity.host, identity.target, identity.body});
+}
+
+request_digest digestOfTexts(std::initializer_list<std::string_view> texts)
 {
     // Reused, because creating a context costs more than hashing a short request.
     static const std::unique_ptr<EVP_MD_CTX, digest_context_deleter> context(EVP_MD_CTX_new());
     EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
-    for (const std::string_view part :
-         {std::string_view(identity.customer.value), identity.host, identity.target, identity.body})
-        updateWithField(context.get(), part);
+    for (const auto &text : texts)
+        updateWithField(context.get(), text);
     std::array<std::uint8_t, EVP_MAX_MD_SIZE> fullHash{};
     EVP_DigestFinal_ex(context.get(), fullHash.data(), nullptr);
     request_digest digest;
--- a/src/gateway/quarantine/request_digest.h
+++ b/src/gateway/quarantine/request_digest.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,8 @@
 };
 
 [[nodiscard]] request_digest requestDigestOf(const request_identity &identity);
+/// Returns a cryptographic hash of a list of texts; different lists have different ones.
+[[nodiscard]] request_digest digestOfTexts(std::initializer_list<std::string_view> texts);
 /// Returns the hexadecimal form, for logs.
 [[nodiscard]] std::string toText(const request_digest &digest);
 
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -53,6 +53,7 @@
     data_center_id dataCenter;
     std::uint32_t slots = 1;
     bool leaving = false; ///< gets no new work
+    software_version version; ///< of this start
 
     [[nodiscard]] server_start start() const { return {id, startedAt}; }
     friend bool operator==(const server_record &, const server_record &) = default;
--- a/tests/gateway/list_digest_test.cpp
+++ b/tests/gateway/list_digest_test.cpp
@@ -56,6 +56,8 @@
     CHECK(differsAfter([](server_record &each) { each.slots = 5; }) == expected);
     CHECK(differsAfter([](server_record &each) { each.startedAt = 1; }) == expected);
     CHECK(differsAfter([](server_record &each) { each.address.port = 9; }) == expected);
+    CHECK(differsAfter([](server_record &each) { each.version = software_version("v2"); })
+          == expected);
     CHECK(differsAfter([](server_record &each) { each.service = service_id("t"); }) == expected);
     CHECK(differsAfter([](server_record &each) { each.dataCenter = data_center_id("d"); })
           == expected);
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -137,6 +137,7 @@
         record.leaving = i == 1;
         if (i == 1)
             record.startedAt = 1'764'000'000'000;
+        record.version = software_version("v1." + std::to_string(i));
         frame.servers.push_back({record, milliseconds{700}});
     }
     const auto read = roundTrip(frame);
@@ -146,6 +147,7 @@
     CHECK_FALSE(read.servers[0].record.startedAt);
     CHECK(read.servers[1].record.startedAt == 1'764'000'000'000);
     CHECK(read.servers[2].record.address.port == 82);
+    CHECK(read.servers[2].record.version == software_version("v1.2"));
     CHECK(read.configurationVersion == 17);
     CHECK(read.current);
     CHECK(read.age == milliseconds{120});
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -83,6 +83,18 @@
     CHECK(metadata.pieceCounts == std::vector<std::uint32_t>{2, 0, 3});
     CHECK(metadata.pieceKey == "7c1e");
     CHECK(metadata.lastEvent == 12);
+    CHECK(metadata.continuesStream);
+    CHECK(metadata.firstAttempt.empty());
+}
+
+TEST_CASE("the attempt that a stream resumes is read and forwarded")
+{
+    http::request_head head;
+    head.fields = {{"resumes", "8b30"}};
+    const auto metadata = codec::readRequest(head);
+    CHECK(metadata.firstAttempt == "8b30");
+    CHECK_FALSE(metadata.continuesStream);
+    CHECK(valueOf(codec::writeServerFields(head, {}), "Resumes") == "8b30");
 }
 
 TEST_CASE("client values of system-only header fields are not forwarded to a server")
@@ -118,6 +130,7 @@
     const auto metadata = codec::readRequest(head);
     CHECK_FALSE(metadata.clientTimeout);
     CHECK_FALSE(metadata.lastEvent);
+    CHECK(metadata.continuesStream);
     REQUIRE(metadata.prompt.size() == 1);
     CHECK(metadata.prompt[0].tokens == 0);
 }
@@ -336,6 +349,7 @@
     CHECK(record.id.value == "i-1");
     CHECK(record.address == socket_address{"10.0.0.9", 8080});
     CHECK(record.slots == 6);
+    CHECK(record.version == software_version("v1"));
     CHECK_FALSE(record.leaving);
     CHECK(std::get<unreadable_item>(page.value().items[1]).key == "servers/i-2");
     CHECK(std::get<removed_server>(page.value().items[2]).id.value == "i-2");
