Add failing tests of streams that change their software version

Four gateways in two data centres before four engines of each of two versions, 24 streams each: taken up again at the same gateway 19 hold events of both, at another one 24, at one that started later 24, after their gateway was killed 24, after all were 24, after ids started again with the other version 5 to 24, a third try 24; with none left of their version 12, none refused. Streams of unknown attempts, and of another customer's, are sent on.

--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -360,11 +360,12 @@
 
 /// Returns the members of the JSON object that publishes a server.
 std::string entryOf(const fake_server &server, const std::string &service, const std::string &phase,
-                    const std::string &dataCenter = "z", milliseconds cold = {})
+                    const std::string &dataCenter = "z", milliseconds cold = {},
+                    const std::string &version = "v1")
 {
     return R"("service":")" + service + R"(","address":")" + toText(server.address())
-        + R"(","zone":")" + dataCenter + R"(","version":"v1","slots":8,"phase":")" + phase
-        + R"(","cold_remaining_ms":)" + std::to_string(cold.count()) + R"(,"sequence":1)";
+        + R"(","zone":")" + dataCenter + R"(","version":")" + version + R"(","slots":8,"phase":")"
+        + phase + R"(","cold_remaining_ms":)" + std::to_string(cold.count()) + R"(,"sequence":1)";
 }
 
 } // namespace
@@ -376,6 +377,25 @@
               "{" + entryOf(server, service, phase, dataCenter, cold) + "}");
 }
 
+fake_server &world::addServerOfVersion(const std::string &service, const std::string &id,
+                                       const std::string &version, std::uint64_t startedAt,
+                                       const std::string &dataCenter)
+{
+    auto &entry = m_servers[id];
+    entry = std::make_unique<fake_server>(loop, id);
+    announceVersion(*entry, service, version, startedAt, dataCenter);
+    return *entry;
+}
+
+void world::announceVersion(const fake_server &server, const std::string &service,
+                            const std::string &version, std::uint64_t startedAt,
+                            const std::string &dataCenter, const std::string &phase)
+{
+    store.put("servers/" + server.id(),
+              "{" + entryOf(server, service, phase, dataCenter, {}, version) + R"(,"born":)"
+                  + std::to_string(startedAt) + "}");
+}
+
 void world::evacuate(const std::string &dataCenter)
 {
     store.put("op/evacuate/" + dataCenter, "{}");
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -162,6 +162,14 @@
     /// Evacuates a data centre as operators do; `endEvacuation` ends the evacuation.
     void evacuate(const std::string &dataCenter);
     void endEvacuation(const std::string &dataCenter);
+    /// As `addServer`, for a server whose software has this version and that started at this time.
+    fake_server &addServerOfVersion(const std::string &service, const std::string &id,
+                                    const std::string &version, std::uint64_t startedAt,
+                                    const std::string &dataCenter = "z");
+    /// Publishes a start of a server with the version of its software.
+    void announceVersion(const fake_server &server, const std::string &service,
+                         const std::string &version, std::uint64_t startedAt,
+                         const std::string &dataCenter = "z", const std::string &phase = "ready");
     /// As `announce`; `startedAt` distinguishes several starts of one server id.
     void announceStart(const fake_server &server, const std::string &service,
                        std::uint64_t startedAt);
--- /dev/null
+++ b/tests/platform/software_version_test.cpp
@@ -0,0 +1,416 @@
+// Guards against streams that hold events of two software versions of a service: servers of two
+// versions serve side by side, their events don't fit together, and servers don't check it.
+#include "platform_world.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace orchidlead;
+using namespace orchidlead::platform_world;
+
+namespace {
+
+constexpr int ServersPerVersion = 4;
+constexpr int Streams = 24;
+/// At least this many of `Streams` must go on: nine in ten.
+constexpr int MinContinued = 22;
+/// Events that a server writes before the stream ends or is left open.
+constexpr int EventsPerTry = 2;
+constexpr std::uint64_t FirstStart = 1'764'000'000'000;
+/// A refusal without any work takes less time than this.
+constexpr milliseconds AtOnce{400};
+
+std::string eventOf(int number, const std::string &version)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + version + "\n\n";
+}
+
+/// Returns the versions that wrote the events of an answer.
+std::set<std::string> versionsIn(const std::string &body)
+{
+    constexpr std::string_view Data = "data: ";
+    std::set<std::string> versions;
+    for (auto at = body.find(Data); at != std::string::npos; at = body.find(Data, at + 1))
+        versions.insert(body.substr(at + Data.size(), 2));
+    return versions;
+}
+
+enum class first_try { StaysOpen, BreaksOff };
+
+/// Four gateways in two data centres before engines of two versions.
+struct version_world : world
+{
+    explicit version_world(std::vector<std::string> versions = {"v1", "v2"})
+    {
+        publish(1, streamRoute(true), {}, R"(},{"name":"t2","api_keys":["k2"],"priority":1)");
+        for (const auto &version : versions) {
+            for (int i = 0; i < ServersPerVersion; ++i) {
+                const auto id = version + "-" + std::to_string(i);
+                setVersion(
+                    addServerOfVersion("engine", id, version, FirstStart, i % 2 == 0 ? "z" : "y"),
+                    version);
+            }
+        }
+        startGateway("g1", true, "z");
+        startGateway("g2", true, "z");
+        startGateway("g3", true, "y");
+        startGateway("g4", true, "y");
+        REQUIRE(runUntil([&] { return knowsMembers(4); }));
+        runFor(milliseconds{300});
+    }
+
+    /// Has a server write events of this version.
+    void setVersion(fake_server &server, const std::string &version)
+    {
+        server.setBehaviour([this, version](const server_request &request,
+                                            const std::shared_ptr<server_answer> &answer) {
+            const auto last = http::findField(request.head.fields, "last-event-id");
+            const int begin = last ? std::stoi(std::string(*last)) : 0;
+            std::string events;
+            for (int i = 1; i <= EventsPerTry; ++i)
+                events += eventOf(begin + i, version);
+            answer->write(streamHead(request) + chunk(events));
+            if (last)
+                answer->write("0\r\n\r\n");
+            else if (mode == first_try::BreaksOff)
+                answer->reset();
+        });
+    }
+
+    /// Restarts all servers of one version with another one, under their ids and addresses.
+    void restartAs(const std::string &idPrefix, const std::string &version)
+    {
+        for (int i = 0; i < ServersPerVersion; ++i) {
+            auto &each = server(idPrefix + "-" + std::to_string(i));
+            setVersion(each, version);
+            announceVersion(each, "engine", version, FirstStart + 60'000, i % 2 == 0 ? "z" : "y");
+        }
+    }
+
+    void removeServers(const std::string &idPrefix)
+    {
+        for (int i = 0; i < ServersPerVersion; ++i)
+            store.remove("servers/" + idPrefix + "-" + std::to_string(i));
+        runFor(milliseconds{500});
+    }
+
+    struct stream
+    {
+        std::string attempt;
+        std::shared_ptr<client_answer> answer;
+        http::pool_call call = 0;
+        std::string received; ///< over all attempts
+    };
+
+    /// Begins streams at a gateway and waits for their first events.
+    std::vector<stream> begin(const std::string &gateway, int count = Streams)
+    {
+        std::vector<stream> streams;
+        for (int i = 0; i < count; ++i) {
+            stream next{nextAttempt(), std::make_shared<client_answer>(), 0, {}};
+            auto head = makeRequest("POST", "/s/x", next.attempt);
+            head.fields.push_back({"X-Prefix-Hash", next.attempt + ":50"});
+            next.call = startRequest(gateway, std::move(head), "prompt", next.answer);
+            streams.push_back(next);
+        }
+        REQUIRE(runUntil([&] {
+            return std::ranges::all_of(
+                streams, [](const stream &each) { return !versionsIn(each.answer->body).empty(); });
+        }));
+        return streams;
+    }
+
+    /// Breaks off the client's connections.
+    void breakOff(std::vector<stream> &streams)
+    {
+        for (auto &each : streams) {
+            pool.abandon(each.call);
+            each.received = each.answer->body;
+        }
+    }
+
+    std::shared_ptr<client_answer> resume(const std::string &gateway, const std::string &first,
+                                          const std::optional<std::string> &lastEvent,
+                                          const std::string &key = "k1")
+    {
+        auto head = makeRequest("POST", "/s/x", nextAttempt());
+        for (auto &each : head.fields) {
+            if (each.name == "Api-Key")
+                each.value = key;
+        }
+        head.fields.push_back({"X-Prefix-Hash", first + ":50"});
+        if (!first.empty())
+            head.fields.push_back({"Resumes", first});
+        if (lastEvent)
+            head.fields.push_back({"Last-Event-Id", *lastEvent});
+        return request(gateway, std::move(head), "prompt");
+    }
+
+    struct counts
+    {
+        int continued = 0;
+        int joined = 0; ///< of `continued`, those with events of two versions
+        int refused = 0; ///< with a status that promises that the request has not run
+    };
+
+    /// Continues streams at a gateway, naming the attempt of their first event. The order is the
+    /// reverse of that in which they began, so that by load alone they go to other servers.
+    counts resumeAll(std::vector<stream> &streams, const std::string &gateway)
+    {
+        std::ranges::reverse(streams);
+        std::vector<std::shared_ptr<client_answer>> answers;
+        for (const auto &each : streams) {
+            const auto last = std::ranges::count(each.received, ':') / 2;
+            answers.push_back(resume(gateway, each.attempt, std::to_string(last)));
+        }
+        counts total;
+        for (std::size_t i = 0; i < streams.size(); ++i) {
+            REQUIRE(await(answers[i]));
+            const bool continued = answers[i]->status == 200;
+            streams[i].received += continued ? answers[i]->body : "";
+            total.continued += continued ? 1 : 0;
+            total.refused += answers[i]->status == 503 ? 1 : 0;
+            total.joined += versionsIn(streams[i].received).size() > 1 ? 1 : 0;
+        }
+        return total;
+    }
+
+    [[nodiscard]] std::string nextAttempt() { return "a-" + std::to_string(++m_attempts); }
+
+    first_try mode = first_try::StaysOpen;
+
+private:
+    int m_attempts = 0;
+};
+
+void checkContinued(const version_world::counts &counts)
+{
+    INFO("continued " << counts.continued << ", refused " << counts.refused);
+    CHECK(counts.joined == 0);
+    CHECK(counts.continued >= MinContinued);
+}
+
+} // namespace
+
+TEST_CASE("a stream that breaks off continues only at its software version within one answer")
+{
+    version_world w;
+    w.mode = first_try::BreaksOff;
+    // No more than the retry budget allows.
+    constexpr int Count = 6;
+    auto streams = w.begin("g1", Count);
+    int joined = 0;
+    int complete = 0;
+    for (const auto &each : streams) {
+        REQUIRE(w.await(each.answer));
+        joined += versionsIn(each.answer->body).size() > 1 ? 1 : 0;
+        complete += each.answer->end == http::call_end::Complete ? 1 : 0;
+    }
+    CHECK(joined == 0);
+    CHECK(complete == Count);
+}
+
+TEST_CASE("a stream that breaks off at the only server of its software version ends broken off")
+{
+    version_world w;
+    for (int i = 1; i < ServersPerVersion; ++i)
+        w.store.remove("servers/v2-" + std::to_string(i));
+    w.runFor(milliseconds{500});
+    w.mode = first_try::BreaksOff;
+    auto streams = w.begin("g1", 2 * ServersPerVersion);
+    int brokenOff = 0;
+    for (const auto &each : streams) {
+        REQUIRE(w.await(each.answer));
+        const auto versions = versionsIn(each.answer->body);
+        CHECK(versions.size() == 1);
+        if (versions != std::set<std::string>{"v2"})
+            continue;
+        ++brokenOff;
+        CHECK(each.answer->end != http::call_end::Complete);
+    }
+    CHECK(brokenOff > 0);
+}
+
+TEST_CASE("a client's stream continues at its software version on the same gateway")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    checkContinued(w.resumeAll(streams, "g1"));
+}
+
+TEST_CASE("a client's stream continues at its software version on another gateway")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    checkContinued(w.resumeAll(streams, GENERATE("g2", "g3")));
+}
+
+TEST_CASE("a client's stream continues at its software version on a gateway that started later")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.startGateway("g5");
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(5); }));
+    w.breakOff(streams);
+    checkContinued(w.resumeAll(streams, "g5"));
+}
+
+TEST_CASE("a client's stream continues at its software version after its gateway was killed")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    w.killGateway("g1");
+    checkContinued(w.resumeAll(streams, GENERATE("g2", "g4")));
+}
+
+TEST_CASE("a client's stream continues at its software version after its data centre lost all "
+          "gateways")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    w.killGateway("g1");
+    w.killGateway("g2");
+    checkContinued(w.resumeAll(streams, "g3"));
+}
+
+TEST_CASE("a stream that began before the second software version appeared continues at its own")
+{
+    version_world w({"v1"});
+    auto streams = w.begin("g1");
+    for (int i = 0; i < ServersPerVersion; ++i)
+        w.setVersion(w.addServerOfVersion("engine", "v2-" + std::to_string(i), "v2", FirstStart),
+                     "v2");
+    w.runFor(milliseconds{500});
+    w.breakOff(streams);
+    w.killGateway("g1");
+    checkContinued(w.resumeAll(streams, "g3"));
+}
+
+TEST_CASE("a stream continues at its software version after its servers' ids started again with "
+          "another one")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.restartAs("v1", "v2");
+    w.restartAs("v2", "v1");
+    w.runFor(milliseconds{500});
+    w.breakOff(streams);
+    checkContinued(w.resumeAll(streams, GENERATE("g1", "g3")));
+}
+
+TEST_CASE("a third try that names the attempt of the first event stays at its software version")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    checkContinued(w.resumeAll(streams, "g3"));
+    checkContinued(w.resumeAll(streams, "g2"));
+}
+
+TEST_CASE("two tries at once to continue a stream both stay at its software version")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    auto others = streams;
+    const auto first = w.resume("g2", streams[0].attempt, "2");
+    checkContinued(w.resumeAll(others, "g3"));
+    REQUIRE(w.await(first));
+    CHECK(versionsIn(first->body) == versionsIn(streams[0].received));
+}
+
+TEST_CASE("a stream of which no software version is left is refused at once, without a time to "
+          "retry")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    w.removeServers("v1");
+    const auto begun = w.clock.now();
+    const auto counts = w.resumeAll(streams, GENERATE("g1", "g3"));
+    CHECK(w.clock.now() - begun < AtOnce);
+    CHECK(counts.joined == 0);
+    const auto lost = std::ranges::count_if(streams, [](const auto &each) {
+        return versionsIn(each.received) == std::set<std::string>{"v1"};
+    });
+    CHECK(counts.refused == lost);
+    CHECK(counts.continued == Streams - lost);
+    const auto refused = w.resume("g1", streams[0].attempt, "2");
+    REQUIRE(w.await(refused));
+    if (refused->status == 503)
+        CHECK(refused->field("retry-after").empty());
+}
+
+TEST_CASE("a stream of an unknown attempt is refused while two software versions serve")
+{
+    version_world w;
+    const auto attempt = GENERATE(std::string(), std::string("never-seen"), std::string("\"; x"));
+    const auto answer = w.resume("g1", attempt, "2");
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == 503);
+}
+
+TEST_CASE("an unreadable last event does not let a stream change its software version")
+{
+    version_world w;
+    const auto answer = w.resume("g1", "never-seen", "x");
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == 503);
+}
+
+TEST_CASE("a stream without a last event begins anew although its first attempt is unknown")
+{
+    version_world w;
+    const auto answer = w.resume("g1", "never-seen", std::nullopt);
+    REQUIRE(w.runUntil([&] { return !answer->body.empty(); }));
+    CHECK(answer->status == 200);
+}
+
+TEST_CASE("a customer learns nothing about the streams of another customer")
+{
+    version_world w;
+    auto streams = w.begin("g1", 1);
+    const auto known = w.resume("g1", streams[0].attempt, "2", "k2");
+    const auto unknown = w.resume("g1", "never-seen", "2", "k2");
+    REQUIRE(w.await(known));
+    REQUIRE(w.await(unknown));
+    CHECK(known->status == unknown->status);
+    CHECK(known->status == 503);
+    CHECK(known->field("retry-after") == unknown->field("retry-after"));
+}
+
+TEST_CASE("no stream is refused while only one software version has served")
+{
+    version_world w({"v1"});
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    w.killGateway("g1");
+    checkContinued(w.resumeAll(streams, "g3"));
+    for (const auto *each : {"g2", "g3", "g4"})
+        w.killGateway(each);
+    w.startGateway("g5");
+    checkContinued(w.resumeAll(streams, "g5"));
+}
+
+TEST_CASE("streams are never joined after all gateways started again")
+{
+    version_world w;
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    for (const auto *each : {"g1", "g2", "g3", "g4"})
+        w.killGateway(each);
+    w.startGateway("g5");
+    const auto counts = w.resumeAll(streams, "g5");
+    CHECK(counts.joined == 0);
+    CHECK(counts.continued + counts.refused == Streams);
+}
