Continue a stream only at the software version that began it

Cause: the version of a server was read and dropped, no node kept which version began a stream, and the client's name of the stream's first attempt was not read. Class: a fact kept by whoever met it, under that one's own name for it.

Change: the record of a server holds the version of that start; a record of another version is another start. The first event of a stream records the version of the server that wrote it. While several versions of a service serve, three or four nodes drawn from customer and attempt keep the record too; a node that continues a stream asks them. Each path that chooses a server respects the version. Where it can't be known and there is a choice, and where none is left, the request is refused at once, with no time where none makes sense.

--- a/src/ctl/request_history.cpp
+++ b/src/ctl/request_history.cpp
@@ -52,6 +52,12 @@
         "refused, not run: operators have evacuated all data centres that could serve it"},
     outcome_cause{"out_of_region",
                   "refused, not run: no server could be reached in the regions it is bound to"},
+    outcome_cause{"no_server_of_version",
+                  "no server that may get work has the software version that began the stream; "
+                  "events of another one don't fit"},
+    outcome_cause{"origin_unknown",
+                  "refused, not run: the client continues a stream, several software versions "
+                  "serve, and no node that answered knows which one began it"},
     outcome_cause{"servers_leaving",
                   "refused, not run: all servers that could run it leave, as published or as they "
                   "say in answers"},
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -20,6 +20,7 @@
 #include "gateway/servers/server_transport.h"
 #include "gateway/stages/stage_progress.h"
 #include "gateway/stages/stage_router.h"
+#include "gateway/streams/stream_origin_relay.h"
 #include "http/inbound_connection.h"
 #include "wire/log.h"
 
@@ -45,6 +46,7 @@
     stage_router<Codec> &stages;
     request_placer &placer;
     quarantine_relay &quarantine;
+    stream_origin_relay &streamOrigins;
     wire::log &log;
     gateway_metrics &metrics;
     const published_state &published;
@@ -102,6 +104,16 @@
     };
 
     [[nodiscard]] bool findRoute();
+    /// Restricts a stream that the client continues to the version that began it, then calls
+    /// `begin`.
+    void findStreamOrigin();
+    void onStreamOrigin(const origin_lookup &found);
+    /// Returns the longest time for which a stream that the client continues may have existed.
+    [[nodiscard]] milliseconds maxStreamAge() const;
+    /// Records that the current server wrote the first event of the stream.
+    void recordStreamOrigin();
+    /// Starts the work on a request that is valid.
+    void begin();
     /// Calls `next`, now or later, unless the quarantine stops the request because it may crash
     /// servers.
     void checkQuarantine(std::function<void()> next);
@@ -117,6 +129,8 @@
     [[nodiscard]] data_center_id choosePreferredDataCenter();
     /// Returns the engines that the request may use: those of the own region if there are any.
     [[nodiscard]] std::vector<server_ptr> preferredEngines() const;
+    /// Returns the usable servers of the required version.
+    [[nodiscard]] std::vector<server_ptr> usableServers() const;
     /// The part of `choosePreferredDataCenter` for requests that have no usable servers in this
     /// node's data centre.
     [[nodiscard]] data_center_id chooseRemoteDataCenter();
@@ -148,6 +162,8 @@
     /// Returns whether the node that hosts the pool of the service chooses the server.
     [[nodiscard]] bool needsPlacement() const;
     [[nodiscard]] placement_query makeQuery();
+    /// Returns `dataCenter` if it has usable servers of the required version, else one that has.
+    [[nodiscard]] data_center_id dataCenterOfVersion(const data_center_id &dataCenter);
     /// Returns how long the request may wait for its dispatch and still meet its latency objective.
     [[nodiscard]] milliseconds slack() const;
     void place();
@@ -183,6 +199,7 @@
     void applyBackpressure();
     void respondWithStatus(int status, request_outcome outcome);
     void refuse(request_outcome outcome);
+    [[nodiscard]] bool isFinal(request_outcome outcome) const;
     [[nodiscard]] milliseconds retryDelayFor(request_outcome outcome) const;
     void failRequest(request_outcome outcome);
     void onClientGone();
@@ -200,6 +217,7 @@
     void logAttemptEnd(std::string_view how);
     void logRetryDenied(std::string_view why);
     void logTrial(bool granted);
+    void logStreamOrigin(const origin_lookup &found);
     void logPlaced(const placement_result &placed);
     void logEnd(request_outcome outcome);
 
@@ -221,6 +239,8 @@
     steady_time m_deadline; ///< deadline of the final answer
     std::uint32_t m_priority = 0;
     service_id m_service;
+    /// Version that wrote the first event of the stream; empty: there was none yet.
+    std::optional<software_version> m_version;
     bool m_done = false;
     request_log m_decisions;
     int m_clientStatus = 0; ///< status sent to the client; 0: none
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -73,6 +73,7 @@
                 m_context.loop.now() - m_attemptStartedAt);
             m_context.latencyEstimator.onFirstToken(m_service, took);
             m_context.placer.onFirstToken(m_placement);
+            recordStreamOrigin();
             beginAnswer();
         }
         m_client->write(events);
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -18,6 +18,7 @@
     query.service = m_service;
     query.exclude = m_triedServers;
     query.preferredDataCenter = m_context.dataCenter;
+    query.version = m_version;
     query.allowed = m_residency;
     if (const auto largest = m_stageProgress ? m_stageProgress->largest() : std::nullopt)
         query.preferredDataCenter = resultLocation(largest->handle);
@@ -68,6 +69,21 @@
                     std::chrono::duration_cast<milliseconds>(due - m_context.loop.now()));
 }
 
+template <gateway_codec Codec>
+data_center_id exchange<Codec>::dataCenterOfVersion(const data_center_id &dataCenter)
+{
+    if (!m_version)
+        return dataCenter;
+    const auto servers = usableServers();
+    const bool hasOne = std::ranges::any_of(
+        servers, [&](const server_ptr &each) { return each->record.dataCenter == dataCenter; });
+    if (hasOne || servers.empty())
+        return dataCenter;
+    const auto drawn =
+        std::uniform_int_distribution<std::size_t>(0, servers.size() - 1)(m_context.random);
+    return servers[drawn]->record.dataCenter;
+}
+
 template <gateway_codec Codec>
 placement_query exchange<Codec>::makeQuery()
 {
@@ -81,9 +97,11 @@
         query.preferredDataCenter = resultLocation(largest->handle);
         query.transferBytes = largest->bytes;
     }
+    query.version = m_version;
     query.allowed = m_residency;
     query.pool = m_context.placer.poolFor(
-        m_service, usableDataCenter(query.preferredDataCenter, m_service), m_residency);
+        m_service, dataCenterOfVersion(usableDataCenter(query.preferredDataCenter, m_service)),
+        m_residency);
     query.rank = stageRank();
     query.clientTimeout = slack();
     query.admitted = m_admitted;
@@ -169,7 +187,8 @@
 template <gateway_codec Codec>
 bool exchange<Codec>::isServerEligible() const
 {
-    return m_server->accepts(m_context.loop.now()) && m_residency.allows(m_server->region);
+    return m_server->accepts(m_context.loop.now()) && m_residency.allows(m_server->region)
+        && m_server->hasVersion(m_version);
 }
 
 template <gateway_codec Codec>
@@ -429,6 +448,7 @@
     query.service = m_service;
     query.exclude = m_triedServers;
     query.exclude.push_back(m_server->record.id);
+    query.version = m_version;
     query.allowed = m_residency;
     if (!m_context.directory.choose(query))
         return;
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -60,6 +60,16 @@
         self->onTimeout();
     });
     m_service = pickService();
+    const bool continues = m_metadata.continuesStream || !m_metadata.firstAttempt.empty();
+    if (m_route->kind == request_kind::Stream && continues)
+        findStreamOrigin();
+    else
+        begin();
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::begin()
+{
     m_context.retryBudget.onRequest(m_service);
     if (m_route->stages.empty()) {
         attempt();
@@ -69,6 +79,63 @@
     checkQuarantine([self = this->shared_from_this()] { self->startStages(); });
 }
 
+template <gateway_codec Codec>
+milliseconds exchange<Codec>::maxStreamAge() const
+{
+    return 2 * std::max(m_route->timeout, m_metadata.clientTimeout.value_or(m_route->timeout));
+}
+
+// Without the name of the first attempt the lookup finds no record, but whether there is a choice
+// of versions at all.
+template <gateway_codec Codec>
+void exchange<Codec>::findStreamOrigin()
+{
+    const auto customer = m_customer ? m_customer->id : customer_id{};
+    m_context.streamOrigins.find(streamDigestOf(customer, m_metadata.firstAttempt), m_service,
+                                 maxStreamAge(),
+                                 [self = this->shared_from_this()](const origin_lookup &found) {
+                                     if (!self->m_done)
+                                         self->onStreamOrigin(found);
+                                 });
+}
+
+// A stream whose version isn't known is refused: servers don't check whether the events before fit
+// theirs, and the client can't tell either. A client that names no last event gets the stream from
+// its first event on, which any version may write.
+template <gateway_codec Codec>
+void exchange<Codec>::onStreamOrigin(const origin_lookup &found)
+{
+    logStreamOrigin(found);
+    if (!found.origin && m_metadata.continuesStream) {
+        refuse(request_outcome::OriginUnknown);
+        return;
+    }
+    if (found.origin) {
+        m_version = found.origin->version;
+        const auto &service = found.origin->service;
+        if (std::ranges::find(m_route->services, service, &weighted_service::service)
+            != m_route->services.end())
+            m_service = service;
+    }
+    begin();
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::recordStreamOrigin()
+{
+    if (!m_version)
+        m_version = m_server->record.version;
+    if (m_route->kind != request_kind::Stream || !m_route->repeatable())
+        return;
+    const auto customer = m_customer ? m_customer->id : customer_id{};
+    const auto clientTimeout = m_metadata.clientTimeout.value_or(m_route->timeout);
+    const auto lifetime =
+        std::chrono::duration_cast<milliseconds>(m_arrival + clientTimeout - m_context.loop.now());
+    m_context.streamOrigins.onStreamBegan({streamDigestOf(customer, m_metadata.attempt),
+                                           {m_service, *m_version},
+                                           lifetime + StreamOriginMargin});
+}
+
 template <gateway_codec Codec>
 bool exchange<Codec>::isSendingAllowed() const
 {
@@ -179,7 +246,8 @@
     if (quarantine.level == quarantine_level::Quarantined)
         return quarantine.remaining;
     if (outcome == request_outcome::Evacuated || outcome == request_outcome::NoServerInRegion
-        || outcome == request_outcome::ServersLeaving)
+        || outcome == request_outcome::ServersLeaving
+        || outcome == request_outcome::NoServerOfVersion)
         return UnavailableRetryDelay;
     const bool roomKnown =
         outcome == request_outcome::ServersLimited || outcome == request_outcome::ServersBackingOff;
@@ -195,13 +263,26 @@
                         - m_route->latencyObjective);
 }
 
+// A retry helps neither if the version of a stream isn't known, nor if none of its servers may get
+// work again, so the client is given no time for one.
+template <gateway_codec Codec>
+bool exchange<Codec>::isFinal(request_outcome outcome) const
+{
+    const bool noneLeft = outcome == request_outcome::NoServerOfVersion
+        && !m_context.directory.mayReturn(m_service, *m_version);
+    return noneLeft || outcome == request_outcome::OriginUnknown;
+}
+
 // Answers that no server has run the request and when to retry. Must not be called if a server may
 // have run it.
 template <gateway_codec Codec>
 void exchange<Codec>::refuse(request_outcome outcome)
 {
     m_clientStatus = status::Unavailable;
-    refuse(*m_client, retryDelayFor(outcome));
+    if (isFinal(outcome))
+        m_client->respond(status::Unavailable, {}, {});
+    else
+        refuse(*m_client, retryDelayFor(outcome));
     finish(outcome);
 }
 
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -50,6 +50,9 @@
 /// A request whose answer has been arriving for this long is not the cause of a crash. A request
 /// that crashes its server does so within tenths of a second of starting to run.
 inline constexpr milliseconds StableAnswerTime{1000};
+/// How much longer than its client waits it is kept where a stream began: requests of the client
+/// that continues it may be under way.
+inline constexpr milliseconds StreamOriginMargin{1000};
 /// Shortest idle time of a stream after which it is continued on another server.
 inline constexpr milliseconds MinStreamIdleTime{1000};
 /// Fraction of the latency objective after which an unanswered repeatable request is sent to
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -146,6 +146,21 @@
                             .add("at_ms", sinceArrival().count()));
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::logStreamOrigin(const origin_lookup &found)
+{
+    if (!logsDecisions())
+        return;
+    auto line = lineOf(log_event::StreamOrigin);
+    line.add("first_attempt", m_metadata.firstAttempt).add("source", toName(found.source));
+    if (found.origin)
+        line.add("service", found.origin->service.value)
+            .add("version", found.origin->version.value);
+    line.add("asked", found.asked).add("answered", found.answered);
+    line.add("at_ms", sinceArrival().count());
+    m_decisions.add(std::move(line));
+}
+
 // Logged only if a limit affected the placement. Otherwise the line about the attempt is enough.
 template <gateway_codec Codec>
 void exchange<Codec>::logPlaced(const placement_result &placed)
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -119,7 +119,7 @@
 template <gateway_codec Codec>
 std::vector<server_ptr> exchange<Codec>::preferredEngines() const
 {
-    auto engines = m_context.directory.usable(m_service, m_residency);
+    auto engines = usableServers();
     const auto now = m_context.loop.now();
     const auto backsOff = [&](const server_ptr &each) { return !each->accepts(now); };
     if (!std::ranges::all_of(engines, backsOff))
@@ -131,6 +131,14 @@
     return engines;
 }
 
+template <gateway_codec Codec>
+std::vector<server_ptr> exchange<Codec>::usableServers() const
+{
+    auto servers = m_context.directory.usable(m_service, m_residency);
+    std::erase_if(servers, [&](const server_ptr &each) { return !each->hasVersion(m_version); });
+    return servers;
+}
+
 template <gateway_codec Codec>
 pool_key exchange<Codec>::stagePool(const service_id &service,
                                     const data_center_id &preferredDataCenter)
@@ -171,7 +179,10 @@
 {
     if (const auto why = absenceReason(m_service))
         return why;
-    const auto wait = m_context.directory.backoffOf(m_service, m_residency);
+    const auto servers = usableServers();
+    if (m_version && servers.empty())
+        return request_outcome::NoServerOfVersion;
+    const auto wait = m_context.directory.backoffOf(servers);
     if (!wait)
         return std::nullopt;
     m_capacityDelay = *wait;
--- a/src/gateway/exchange/request_outcome.h
+++ b/src/gateway/exchange/request_outcome.h
@@ -21,6 +21,8 @@
     NoServer,
     NoServerInRegion, ///< no reachable server in the regions where the request may be processed
     Evacuated, ///< operators have evacuated all data centres that could serve the request
+    NoServerOfVersion, ///< no server is left of the software version that began the stream
+    OriginUnknown, ///< it isn't known which of several versions began the stream
     ServersLeaving, ///< all eligible servers are about to shut down
     ServersBackingOff, ///< all eligible servers asked this node or a stage's host to back off
     ServersLimited, ///< all servers that may be tried are at their rate limit
@@ -81,6 +83,10 @@
         orchidlead::gateway::request_outcome::NoServerInRegion, "out_of_region"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::Evacuated, "evacuated"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::NoServerOfVersion, "no_server_of_version"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::OriginUnknown, "origin_unknown"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::ServersLeaving, "servers_leaving"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/servers/server_word_relay.h"
 #include "gateway/settings.h"
 #include "gateway/stages/stage_router.h"
+#include "gateway/streams/stream_origin_relay.h"
 #include "http/listener.h"
 
 #include <memory>
@@ -93,6 +94,7 @@
     server_word_relay<brittle_word> m_brittle;
     lost_data_center_relay<peer_network> m_lostDataCenterRelay;
     published_state m_state;
+    stream_origin_relay m_streamOrigins;
     store_reader<Codec> m_follower;
     publication_relay<Codec> m_relay;
     server_crash_detector m_crashDetector;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -83,6 +83,7 @@
                    m_quarantine.onLinkClosed(link);
                    m_leaving.onLinkClosed(link);
                    m_brittle.onLinkClosed(link);
+                   m_streamOrigins.onLinkClosed(link);
                    m_relay.onLinkClosed(link);
                },
                [this](const vm_id &peer, std::uint64_t version) {
@@ -108,6 +109,7 @@
                 })
     , m_lostDataCenterRelay(m_peers, m_loop.clock())
     , m_state(m_loop.clock(), m_directory, RemovalDelay)
+    , m_streamOrigins(m_loop, m_peers, m_directory, m_state)
     , m_follower(
           m_loop, m_pool, m_settings.store, m_state,
           [this](const publication_event &publicationEvent) {
@@ -130,6 +132,7 @@
                 m_router,
                 m_placer,
                 m_quarantine,
+                m_streamOrigins,
                 log,
                 m_metrics,
                 m_state,
@@ -281,6 +284,7 @@
     }
     now.callsSentByRelay = m_transport.relayedCalls();
     now.callsRelayed = m_callRelay.relayed();
+    now.streamOrigins = m_streamOrigins.records();
     now.serversCutOff = m_transport.access() == server_access_state::CutOff;
     now.evacuatedDataCenters = m_state.evacuations().dataCenters.size();
     const auto age = [this](steady_time since) {
@@ -379,6 +383,7 @@
     m_quarantine.onFrame(link, frame);
     m_leaving.onFrame(link, frame);
     m_brittle.onFrame(link, frame);
+    m_streamOrigins.onFrame(link, frame);
     m_lostDataCenterRelay.onFrame(frame);
     m_router.onFrame(link, std::move(frame));
 }
@@ -396,6 +401,7 @@
     m_quarantine.tick();
     m_leaving.tick();
     m_brittle.tick();
+    m_streamOrigins.tick();
     m_transport.tick();
     if (m_loop.now() >= m_nextSummary) {
         m_nextSummary = m_loop.now() + SummaryInterval;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -168,6 +168,7 @@
     m_families->set("engine_placements", static_cast<double>(gauges.placements));
     m_families->set("calls_sent_by_relay", static_cast<double>(gauges.callsSentByRelay));
     m_families->set("calls_relayed", static_cast<double>(gauges.callsRelayed));
+    m_families->set("stream_origins", static_cast<double>(gauges.streamOrigins));
     m_families->set("servers_cut_off", gauges.serversCutOff ? 1 : 0);
     m_families->set("published_age_seconds", seconds(gauges.publishedAge));
     m_families->set("configuration_age_seconds", seconds(gauges.configurationAge));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -32,6 +32,7 @@
     std::size_t evacuatedDataCenters = 0;
     std::uint64_t callsSentByRelay = 0; ///< calls of this node that peers relayed, since the start
     std::uint64_t callsRelayed = 0; ///< calls that this node relayed for peers, since the start
+    std::size_t streamOrigins = 0; ///< streams of which this node keeps the version that began them
     bool serversCutOff = false; ///< this node can open no connection to any server
     std::map<std::string, std::size_t> members; ///< by state, this node included
     std::map<service_id, std::size_t> waitingPieces; ///< in the pools hosted by this node
--- a/src/gateway/gateway_servers_impl.h
+++ b/src/gateway/gateway_servers_impl.h
@@ -25,6 +25,7 @@
     m_directory.onChange([this](const service_id &service) {
         m_stages.onServersChanged(service);
         m_router.onServersChanged(service);
+        m_streamOrigins.onServersChanged(service);
     });
     m_directory.setBackoffJitter([this] {
         return std::uniform_real_distribution<double>(0.0, MaxBackoffSpread)(m_context.random);
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -19,6 +19,7 @@
     AttemptEnded, ///< outcome of an attempt
     RetryDenied, ///< why a request is not retried at another server
     Request, ///< a request has its final answer, or its client disconnected
+    StreamOrigin, ///< which version began a stream that a client continues, and how that is known
     StagesRestarted, ///< results were lost or freed and are computed again
     StageCallFailed, ///< a stage call returned no results
     PiecesFailed, ///< pieces of a stage call that have no result
@@ -76,6 +77,8 @@
         orchidlead::gateway::log_event::RetryDenied, "retry_denied"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{orchidlead::gateway::log_event::Request,
                                                           "request"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::StreamOrigin, "stream_origin"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StagesRestarted, "stages_restarted"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/peers/peer_frame_kind.h
+++ b/src/gateway/peers/peer_frame_kind.h
@@ -35,6 +35,9 @@
     Compressed = 25, ///< wraps another frame
     LostDataCenter = 26,
     BrittleServers = 27,
+    StreamOrigins = 28,
+    StreamOriginQuery = 29,
+    StreamOriginAnswer = 30,
 };
 
 /// Code of an outcome that has a result; other codes are failures.
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -156,6 +156,8 @@
         query.prompt.push_back({std::move(id), items.read<std::uint32_t>()});
     });
     query.exclude = readNames<std::vector<backend_server_id>>(in);
+    if (auto version = in.optional<std::string>())
+        query.version = software_version(std::move(*version));
     const bool isRestricted = in.read<bool>(); // to some regions
     auto regions = readNames<std::set<region_id>>(in);
     if (isRestricted)
@@ -406,6 +408,46 @@
     return frame;
 }
 
+stream_origin readOrigin(field_reader &in)
+{
+    stream_origin origin;
+    origin.service = service_id(in.read<std::string>());
+    origin.version = software_version(in.read<std::string>());
+    return origin;
+}
+
+stream_origin_frame readStreamOrigins(field_reader &in)
+{
+    stream_origin_frame frame;
+    readList(in, [&](field_reader &items) {
+        auto &record = frame.records.emplace_back();
+        record.stream = readRequestDigest(items);
+        record.origin = readOrigin(items);
+        record.lifetime = items.duration();
+    });
+    return frame;
+}
+
+stream_origin_query readStreamOriginQuery(field_reader &in)
+{
+    stream_origin_query frame;
+    frame.id = in.read<std::uint64_t>();
+    frame.stream = readRequestDigest(in);
+    frame.service = service_id(in.read<std::string>());
+    frame.maxAge = in.duration();
+    return frame;
+}
+
+stream_origin_answer readStreamOriginAnswer(field_reader &in)
+{
+    stream_origin_answer frame;
+    frame.id = in.read<std::uint64_t>();
+    frame.severalVersions = in.read<bool>();
+    frame.covered = in.read<bool>();
+    readList(in, [&](field_reader &items) { frame.origin = readOrigin(items); });
+    return frame;
+}
+
 peer_frame readFrame(frame_kind kind, field_reader &in)
 {
     switch (kind) {
@@ -461,6 +503,12 @@
         return lost_data_center_frame{data_center_id(in.read<std::string>())};
     case frame_kind::BrittleServers:
         return readBrittleServers(in);
+    case frame_kind::StreamOrigins:
+        return readStreamOrigins(in);
+    case frame_kind::StreamOriginQuery:
+        return readStreamOriginQuery(in);
+    case frame_kind::StreamOriginAnswer:
+        return readStreamOriginAnswer(in);
     case frame_kind::Compressed: // not allowed inside a compressed frame
         break;
     }
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -136,7 +136,7 @@
 }
 
 /// Number of fields of a `placement_query`, which are packed into the array of its frame.
-constexpr std::uint32_t QueryFields = 13;
+constexpr std::uint32_t QueryFields = 14;
 
 void packQuery(packer &out, const placement_query &query)
 {
@@ -152,6 +152,7 @@
         out.pack(part.tokens);
     }
     packNames(out, query.exclude);
+    packOptional(out, query.version ? std::optional(query.version->value) : std::nullopt);
     out.pack(query.allowed.restricted());
     packNames(out, query.allowed.regions());
 }
@@ -234,6 +235,45 @@
     }
 }
 
+void packOrigin(packer &out, const stream_origin &origin)
+{
+    out.pack(origin.service.value);
+    out.pack(origin.version.value);
+}
+
+void pack(packer &out, const stream_origin_frame &frame)
+{
+    constexpr std::uint32_t RecordFields = 4;
+    packKind(out, frame_kind::StreamOrigins, 1);
+    out.pack_array(RecordFields * static_cast<std::uint32_t>(frame.records.size()));
+    for (const auto &each : frame.records) {
+        packDigest(out, each.stream);
+        packOrigin(out, each.origin);
+        packDuration(out, each.lifetime);
+    }
+}
+
+void pack(packer &out, const stream_origin_query &frame)
+{
+    packKind(out, frame_kind::StreamOriginQuery, 4);
+    out.pack(frame.id);
+    packDigest(out, frame.stream);
+    out.pack(frame.service.value);
+    packDuration(out, frame.maxAge);
+}
+
+void pack(packer &out, const stream_origin_answer &frame)
+{
+    constexpr std::uint32_t OriginFields = 2;
+    packKind(out, frame_kind::StreamOriginAnswer, 4);
+    out.pack(frame.id);
+    out.pack(frame.severalVersions);
+    out.pack(frame.covered);
+    out.pack_array(frame.origin ? OriginFields : 0);
+    if (frame.origin)
+        packOrigin(out, *frame.origin);
+}
+
 void pack(packer &out, const lost_data_center_frame &frame)
 {
     packKind(out, frame_kind::LostDataCenter, 1);
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -8,10 +8,12 @@
 #include "gateway/quarantine/request_digest.h"
 #include "gateway/quarantine/request_quarantine.h"
 #include "gateway/stages/stage_pool.h"
+#include "gateway/streams/stream_origin.h"
 
 #include <orchidlead/result.h>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -120,6 +122,27 @@
     std::vector<brittle_server> servers;
 };
 
+/// Where streams began, for the receiver to keep.
+struct stream_origin_frame
+{
+    std::vector<stream_origin_record> records;
+};
+/// Asks where a stream began.
+struct stream_origin_query
+{
+    std::uint64_t id = 0; ///< chosen by the sender
+    request_digest stream;
+    service_id service; ///< service of the request that continues the stream
+    milliseconds maxAge{0}; ///< longest time for which the stream may have existed
+};
+struct stream_origin_answer
+{
+    std::uint64_t id = 0; ///< chosen by the receiver
+    std::optional<stream_origin> origin; ///< empty: unknown to the sender
+    bool severalVersions = false; ///< servers of several versions have served within `maxAge`
+    bool covered = false; ///< the sender knows that a single version has served since `maxAge`
+};
+
 /// Reports that the sender, or a node that notified the sender, cannot reach a data centre. The
 /// receiver is to probe the data centre itself.
 struct lost_data_center_frame
@@ -241,7 +264,8 @@
                  list_digest_frame, configuration_request, configuration_frame,
                  server_crashes_frame, quarantine_frame, trial_request, trial_answer, trial_end,
                  admission_request, admission_answer, rate_limits_frame, leaving_servers_frame,
-                 lost_data_center_frame, brittle_servers_frame>;
+                 lost_data_center_frame, brittle_servers_frame, stream_origin_frame,
+                 stream_origin_query, stream_origin_answer>;
 
 /// Reason why bytes could not be decoded as a frame.
 struct frame_error
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -57,6 +57,16 @@
     [[nodiscard]] bool isBroadcastRelay() { return m_view.isBroadcastRelay(); }
     /// As `peer_view::quarantineHost`.
     [[nodiscard]] const vm_id &quarantineHost() { return m_view.quarantineHost(); }
+    /// As `peer_view::originKeepers`.
+    [[nodiscard]] std::vector<vm_id> originKeepers(const request_digest &stream)
+    {
+        return m_view.originKeepers(stream);
+    }
+    /// As `peer_view::originCandidates`.
+    [[nodiscard]] std::vector<vm_id> originCandidates(const request_digest &stream)
+    {
+        return m_view.originCandidates(stream);
+    }
     /// Returns the peers considered alive that may relay calls, with the address of their relay
     /// listeners at this port, and the regions of their data centres.
     [[nodiscard]] std::vector<relay_candidate>
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -43,6 +43,18 @@
 constexpr std::size_t BroadcastRelays = 2;
 // Smallest number of high-capacity nodes that hosts are picked from.
 constexpr std::size_t MinHostCandidates = 4;
+// Rendezvous hash key for the nodes among which the keepers of streams are drawn.
+constexpr std::string_view OriginKeeperRoleKey = "stream origin";
+// Nodes per data centre among which the keepers of streams are drawn. It bounds the links of a
+// node.
+constexpr std::size_t MaxOriginKeepers = 16;
+// Keepers of one stream in the data centre of the node that it goes through.
+constexpr std::size_t LocalOriginKeepers = 2;
+// Other data centres with a keeper of the stream.
+constexpr std::size_t RemoteOriginDataCenters = 2;
+// Nodes that are asked in each data centre. A node more than there are keepers finds a record whose
+// keepers were drawn before a member appeared or ended.
+constexpr std::size_t AskedOriginKeepers = LocalOriginKeepers + 1;
 // Rendezvous hash key for the node that decides on the quarantine of requests.
 constexpr std::string_view QuarantineRoleKey = "request quarantine";
 
@@ -214,6 +226,8 @@
     m_relayOrder.clear();
     m_broadcastTargets.reset();
     m_quarantineHost.reset();
+    m_dataCenters.clear();
+    m_originKeeperPools.clear();
     m_aliveFraction.reset();
 }
 
@@ -321,6 +335,56 @@
     return *m_quarantineHost;
 }
 
+const std::vector<data_center_id> &peer_view::dataCenters()
+{
+    if (m_dataCenters.empty()) {
+        std::set<data_center_id> found{m_identity.dataCenter};
+        for (const auto &each : m_members.members())
+            found.insert(each.vm.dataCenter);
+        m_dataCenters.assign(found.begin(), found.end());
+    }
+    return m_dataCenters;
+}
+
+const std::vector<vm_id> &peer_view::originKeeperPool(const data_center_id &dataCenter)
+{
+    const auto [entry, isNew] = m_originKeeperPools.try_emplace(dataCenter);
+    if (isNew)
+        entry->second =
+            rendezvousPick(OriginKeeperRoleKey, idsOf(candidates(dataCenter)), MaxOriginKeepers);
+    return entry->second;
+}
+
+std::vector<vm_id> peer_view::originKeepers(const request_digest &stream)
+{
+    const auto key = toText(stream);
+    auto keepers = rendezvousPick(key, originKeeperPool(m_identity.dataCenter), LocalOriginKeepers);
+    auto others = dataCenters();
+    std::erase_if(others, [&](const data_center_id &each) {
+        return each == m_identity.dataCenter || originKeeperPool(each).empty();
+    });
+    std::ranges::sort(others, std::greater{}, [&](const data_center_id &each) {
+        return rendezvousWeight(key, each.value);
+    });
+    others.resize(std::min(others.size(), RemoteOriginDataCenters));
+    for (const auto &each : others)
+        std::ranges::copy(rendezvousPick(key, originKeeperPool(each), 1),
+                          std::back_inserter(keepers));
+    std::erase(keepers, self());
+    return keepers;
+}
+
+std::vector<vm_id> peer_view::originCandidates(const request_digest &stream)
+{
+    const auto key = toText(stream);
+    std::vector<vm_id> found;
+    for (const auto &each : dataCenters())
+        std::ranges::copy(rendezvousPick(key, originKeeperPool(each), AskedOriginKeepers),
+                          std::back_inserter(found));
+    std::erase(found, self());
+    return found;
+}
+
 std::optional<member> peer_view::find(const vm_id &peer) const
 {
     return m_members.find(peer);
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/peers/data_center_reachability.h"
+#include "gateway/quarantine/request_digest.h"
 #include "gateway/servers/pool_key.h"
 
 #include <orchidlead/clock.h>
@@ -75,6 +76,11 @@
     /// Returns the node that decides on the quarantine of requests suspected of crashing servers;
     /// may be this node.
     [[nodiscard]] const vm_id &quarantineHost();
+    /// Returns the nodes that keep where a stream began: two of this data centre and one each of
+    /// two others, so that a record outlives nodes and data centres.
+    [[nodiscard]] std::vector<vm_id> originKeepers(const request_digest &stream);
+    /// Returns the nodes of all data centres that may keep where a stream began, without this one.
+    [[nodiscard]] std::vector<vm_id> originCandidates(const request_digest &stream);
     /// Returns the share of the total request rate limit of a pool's servers that this node may
     /// use; 0 where this node is not the pool's host or has just started.
     [[nodiscard]] double rateShare(const pool_key &pool);
@@ -116,6 +122,9 @@
         std::uint32_t capacity = 0;
     };
 
+    /// Returns the nodes of a data centre among which the keepers of streams are drawn.
+    [[nodiscard]] const std::vector<vm_id> &originKeeperPool(const data_center_id &dataCenter);
+    [[nodiscard]] const std::vector<data_center_id> &dataCenters();
     /// Returns members that are alive, reachable and not avoided, and this node unless it is
     /// leaving. An empty data centre or region matches all.
     [[nodiscard]] std::vector<candidate> candidates(const data_center_id &dataCenter,
@@ -136,6 +145,8 @@
     std::optional<std::vector<vm_id>> m_broadcastTargets; ///< cache
     bool m_isBroadcastRelay = false; ///< computed with `m_broadcastTargets`
     std::optional<vm_id> m_quarantineHost; ///< cache
+    std::vector<data_center_id> m_dataCenters; ///< cache; empty: to be computed
+    std::map<data_center_id, std::vector<vm_id>> m_originKeeperPools; ///< cache
     mutable std::optional<double> m_aliveFraction; ///< cache
     std::size_t m_nextProbeIndex = 0; ///< round robin over members of a silent data centre
     std::size_t m_nextContactIndex; ///< round robin over silent members and first contacts
--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -76,7 +76,8 @@
 {
     auto servers = m_directory.usable(query.pool);
     std::erase_if(servers, [&](const server_ptr &each) {
-        return std::ranges::find(query.exclude, each->record.id) != query.exclude.end();
+        return !each->hasVersion(query.version)
+            || std::ranges::find(query.exclude, each->record.id) != query.exclude.end();
     });
     return servers;
 }
--- a/src/gateway/placement/placement_board.h
+++ b/src/gateway/placement/placement_board.h
@@ -32,6 +32,7 @@
     /// Size of the inputs that would have to be moved to another data centre.
     std::uint64_t transferBytes = 0;
     std::vector<backend_server_id> exclude; ///< servers already tried
+    std::optional<software_version> version; ///< required version; empty: any
     residency allowed;
 };
 
@@ -105,7 +106,7 @@
         steady_time startedAt;
     };
 
-    /// Returns the servers of the pool that have not been tried.
+    /// Returns the servers of the pool that have the required version and have not been tried.
     [[nodiscard]] std::vector<server_ptr> untriedServers(const placement_query &query) const;
     /// Removes the servers of a brittle service that have as many requests as they may.
     void removeFullServers(std::vector<server_ptr> &servers, const service_id &service) const;
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -46,6 +46,8 @@
 // Only the server's responses show that its limit has ended, so even a server with a limit of 0
 // gets one request every four seconds.
 constexpr double MinRateLimit = 0.25;
+// How long the version of a removed server is kept; longer than clients continue streams.
+constexpr std::chrono::minutes RemovedVersionLifetime{10};
 // A rate-limited server may get at once the requests that it did not get in this time. Requests
 // arrive unevenly; without the burst they would be refused while the server is idle.
 constexpr std::chrono::duration<double> BurstWindow{0.2};
@@ -115,7 +117,8 @@
         if (record.startedAt < known->record.startedAt)
             return;
         const bool moved = record.service != known->record.service
-            || record.dataCenter != known->record.dataCenter;
+            || record.dataCenter != known->record.dataCenter
+            || record.version != known->record.version;
         if (moved || record.startedAt != known->record.startedAt)
             remove(record.id);
     }
@@ -136,6 +139,7 @@
         auto &servers = m_byService[record.service];
         servers.all.push_back(entry);
         servers.byDataCenter[record.dataCenter].push_back(entry);
+        ++servers.versions[record.version];
         notifyChange(record.service);
         return;
     }
@@ -167,9 +171,49 @@
     std::erase(servers.byDataCenter[entry->record.dataCenter], entry);
     m_servers.erase(found);
     m_brittle.erase(entry->record.id);
+    if (const auto version = servers.versions.find(entry->record.version); --version->second == 0)
+        servers.versions.erase(version);
+    recordRemovedVersion(entry->record);
     notifyChange(entry->record.service);
 }
 
+// Versions that were removed long ago are dropped, so that their number is bounded by the rate of
+// releases.
+void server_directory::recordRemovedVersion(const server_record &record)
+{
+    auto &removed = m_removedVersions[record.service];
+    const auto now = m_clock.now();
+    removed[record.version] = now;
+    std::erase_if(removed,
+                  [&](const auto &entry) { return entry.second + RemovedVersionLifetime < now; });
+}
+
+std::set<software_version> server_directory::versionsSince(const service_id &service,
+                                                           steady_time since) const
+{
+    std::set<software_version> versions;
+    if (const auto found = m_byService.find(service); found != m_byService.end()) {
+        for (const auto &[version, count] : found->second.versions)
+            versions.insert(version);
+    }
+    if (const auto found = m_removedVersions.find(service); found != m_removedVersions.end()) {
+        for (const auto &[version, removedAt] : found->second) {
+            if (removedAt >= since)
+                versions.insert(version);
+        }
+    }
+    return versions;
+}
+
+bool server_directory::mayReturn(const service_id &service, const software_version &version) const
+{
+    const auto found = m_byService.find(service);
+    return found != m_byService.end()
+        && std::ranges::any_of(found->second.all, [&](const server_ptr &each) {
+               return each->hasVersion(version) && !each->isLeaving();
+           });
+}
+
 void server_directory::setUnreachable(const data_center_id &dataCenter, bool unreachable)
 {
     if (unreachable)
@@ -479,7 +523,8 @@
     for (const auto &each : usable(query.service, query.allowed)) {
         if (std::ranges::find(query.exclude, each->record.id) != query.exclude.end())
             continue;
-        if (each->effectiveRateLimit(m_clock.now()) || !each->accepts(m_clock.now()))
+        if (each->effectiveRateLimit(m_clock.now()) || !each->accepts(m_clock.now())
+            || !each->hasVersion(query.version))
             continue;
         const double cost = costOf(*each, query);
         if (cost > bestCost)
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -115,6 +115,11 @@
     /// Returns how many requests of all nodes together the server may have at a time while it, or
     /// its service, is brittle: as many as it runs, since it may let none wait.
     [[nodiscard]] std::uint32_t brittleConcurrency() const { return std::max(1U, record.slots); }
+    /// Returns whether the server has the required version, if one is required.
+    [[nodiscard]] bool hasVersion(const std::optional<software_version> &required) const
+    {
+        return !required || record.version == *required;
+    }
     /// Returns whether the server belongs to a pool.
     [[nodiscard]] bool isIn(const pool_key &pool) const;
     /// Returns whether the server shuts down soon, according to its published record or its
@@ -159,6 +164,7 @@
     std::vector<backend_server_id> exclude; ///< servers already tried; if there are any, servers
                                             ///< with a recent response are preferred
     data_center_id preferredDataCenter; ///< preferred data centre
+    std::optional<software_version> version; ///< required version; empty: any
     residency allowed;
 };
 
@@ -179,9 +185,9 @@
     [[nodiscard]] bool severalRegions() const { return m_severalRegions; }
     /// Returns the region of a data centre; empty if unknown.
     [[nodiscard]] region_id regionOf(const data_center_id &dataCenter) const;
-    /// Adds a server or updates its record. A later start of the server gets fresh state; a record
-    /// of an earlier start is ignored. `coldTimeLeft` is the remaining cold time that the server
-    /// published; 0 leaves the known value unchanged.
+    /// Adds a server or updates its record. A later start of the server, or one with another
+    /// version, gets fresh state; a record of an earlier start is ignored. `coldTimeLeft` is the
+    /// remaining cold time that the server published; 0 leaves the known value unchanged.
     void put(const server_record &record, milliseconds coldTimeLeft = {});
     /// Sets the cold-start settings of a service, for known servers as well.
     void setColdStart(const service_id &service, const cold_start_settings &start);
@@ -196,6 +202,13 @@
                                                  const residency &allowed = {}) const;
     /// Returns the usable servers of a pool.
     [[nodiscard]] std::vector<server_ptr> usable(const pool_key &pool) const;
+    /// Returns whether a version of a service is published by servers that may get new work again
+    /// although none of them may get any now.
+    [[nodiscard]] bool mayReturn(const service_id &service, const software_version &version) const;
+    /// Returns the versions of a service's servers that are published, or were so at some time
+    /// since `since`.
+    [[nodiscard]] std::set<software_version> versionsSince(const service_id &service,
+                                                           steady_time since) const;
     [[nodiscard]] bool usableIn(const service_id &service, const data_center_id &dataCenter) const;
     /// Returns whether any usable server of a service is rate-limited.
     [[nodiscard]] bool anyRateLimited(const service_id &service, const residency &allowed) const;
@@ -326,6 +339,7 @@
     }
 
 private:
+    void recordRemovedVersion(const server_record &record);
     /// Records whether a server is brittle. Returns whether a published one has become so.
     bool setBrittle(server &backend, std::optional<std::uint32_t> refusals);
     [[nodiscard]] double costOf(const server &backend, const server_query &query) const;
@@ -371,11 +385,14 @@
     {
         std::vector<server_ptr> all;
         std::map<data_center_id, std::vector<server_ptr>> byDataCenter;
+        std::map<software_version, std::size_t> versions; ///< number of servers of each
     };
     /// Returns the servers of a service that may belong to a pool; null if there are none.
     [[nodiscard]] const std::vector<server_ptr> *findServerList(const pool_key &pool) const;
 
     std::unordered_map<service_id, service_servers> m_byService;
+    /// When the last server of each version was removed, or replaced by one of another version.
+    std::unordered_map<service_id, std::map<software_version, steady_time>> m_removedVersions;
     struct unpublished_signals
     {
         retained_signals signals;
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -56,6 +56,31 @@
     CHECK(read.resultBytes == 1'500'000);
 }
 
+TEST_CASE("frames about origins of streams keep their fields")
+{
+    const auto stream = digestOfTexts({"customer", "attempt"});
+    const stream_origin origin{service_id("engine"), software_version("v1.2")};
+    const auto records = roundTrip(stream_origin_frame{{{stream, origin, milliseconds{900}}}});
+    REQUIRE(records.records.size() == 1);
+    CHECK(records.records[0].stream == stream);
+    CHECK(records.records[0].origin == origin);
+    CHECK(records.records[0].lifetime == milliseconds{900});
+    const auto query =
+        roundTrip(stream_origin_query{7, stream, service_id("engine"), milliseconds{30'000}});
+    CHECK(query.id == 7);
+    CHECK(query.stream == stream);
+    CHECK(query.service == service_id("engine"));
+    CHECK(query.maxAge == milliseconds{30'000});
+    const auto found = roundTrip(stream_origin_answer{7, origin, true, false});
+    CHECK(found.id == 7);
+    CHECK(found.origin == origin);
+    CHECK(found.severalVersions);
+    const auto unknown = roundTrip(stream_origin_answer{8, std::nullopt, false, true});
+    CHECK_FALSE(unknown.origin);
+    CHECK_FALSE(unknown.severalVersions);
+    CHECK(unknown.covered);
+}
+
 TEST_CASE("an outcome frame keeps a result handle or a failure reason")
 {
     const piece_outcome_frame original{1, {std::string("h/1"), milliseconds{70}}};
--- a/tests/gateway/placement_board_test.cpp
+++ b/tests/gateway/placement_board_test.cpp
@@ -45,6 +45,25 @@
     CHECK(w.board.place(2, makeQuery({{"shared", 2000}, {"own2", 500}})).server == first);
 }
 
+TEST_CASE("a request that needs a software version goes to engines of that version in any pool")
+{
+    world w;
+    server_record record;
+    record.id = backend_server_id("e3");
+    record.service = service_id("s");
+    record.dataCenter = data_center_id("b");
+    record.version = software_version("v2");
+    w.directory.put(record);
+    auto query = makeQuery({{"shared", 2000}, {"own", 500}});
+    query.pool.dataCenter = data_center_id("a");
+    query.version = software_version("v2");
+    const auto placed = w.board.place(1, query);
+    REQUIRE(placed.server);
+    CHECK(placed.server->record.id.value == "e3");
+    query.version = software_version("v3");
+    CHECK_FALSE(w.board.place(2, query).server);
+}
+
 TEST_CASE("a part counts as cached only if all parts before it are cached")
 {
     world w;
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -264,6 +264,62 @@
     }
 }
 
+TEST_CASE("server_directory: a record with another software version is another start")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    auto record = makeRecord("s1");
+    record.version = software_version("v1");
+    directory.put(record);
+    const auto earlier = directory.find(record.id);
+    record.version = software_version("v2");
+    directory.put(record);
+    CHECK(earlier->removed);
+    CHECK(earlier->record.version == software_version("v1"));
+    CHECK(directory.find(record.id)->record.version == software_version("v2"));
+}
+
+TEST_CASE("server_directory: only servers of the required software version are chosen")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    for (const std::string id : {"s1", "s2", "s3"}) {
+        auto record = makeRecord(id);
+        record.version = software_version(id == "s2" ? "v2" : "v1");
+        directory.put(record);
+    }
+    auto query = wishFor();
+    query.version = software_version("v2");
+    for (int i = 0; i < 4; ++i) {
+        const auto chosen = directory.choose(query);
+        REQUIRE(chosen);
+        CHECK(chosen->record.id.value == "s2");
+        directory.onSending(*chosen);
+    }
+    query.exclude = {backend_server_id("s2")};
+    CHECK_FALSE(directory.choose(query));
+}
+
+TEST_CASE("server_directory: versions count as serving until their last server is long gone")
+{
+    manual_clock clock;
+    server_directory directory(clock);
+    auto record = makeRecord("s1");
+    record.version = software_version("v1");
+    directory.put(record);
+    record.version = software_version("v2");
+    directory.put(record);
+    const auto removed = clock.now();
+    clock.advance(std::chrono::seconds{30});
+    CHECK(directory.versionsSince(record.service, removed).size() == 2);
+    CHECK(directory.versionsSince(record.service, removed + milliseconds{1}).size() == 1);
+    CHECK(directory.mayReturn(record.service, software_version("v2")));
+    CHECK_FALSE(directory.mayReturn(record.service, software_version("v1")));
+    record.leaving = true;
+    directory.put(record);
+    CHECK_FALSE(directory.mayReturn(record.service, software_version("v2")));
+}
+
 namespace {
 
 server_signals refusal(milliseconds retryAfter = {})
--- a/tests/platform/explain_test.cpp
+++ b/tests/platform/explain_test.cpp
@@ -56,6 +56,31 @@
     CHECK(hasEntry(history, "retry_denied", "reason", "may_have_run"));
 }
 
+TEST_CASE("the history of a continued stream tells how its software version is known")
+{
+    world w;
+    w.publish(1, streamRoute(true));
+    auto &first = w.addServerOfVersion("engine", "e-1", "v1", 1'764'000'000'000);
+    auto &second = w.addServerOfVersion("engine", "e-2", "v2", 1'764'000'000'000);
+    for (auto *each : {&first, &second})
+        each->setBehaviour(answerOneEvent);
+    w.startGateway("g1");
+    auto begun = makeRequest("POST", "/s/x", "begun");
+    begun.fields.push_back({"X-Prefix-Hash", "a:10"});
+    REQUIRE(w.await(w.request("g1", begun, "x")));
+    for (const std::string named : {"begun", "never-seen"}) {
+        auto head = makeRequest("POST", "/s/x", "continues-" + named);
+        head.fields.push_back({"X-Prefix-Hash", "a:10"});
+        head.fields.push_back({"Last-Event-Id", "1"});
+        head.fields.push_back({"Resumes", named});
+        REQUIRE(w.await(w.request("g1", head, "x")));
+        const auto history = explain(w, "continues-" + named);
+        CHECK(hasEntry(history, "stream_origin", "first_attempt", named));
+        CHECK(hasEntry(history, "stream_origin", "source", named == "begun" ? "own" : "unknown"));
+        CHECK((history.outcome == "origin_unknown") == (named != "begun"));
+    }
+}
+
 TEST_CASE("the history of a refused request contains the refusal and the status sent to the client")
 {
     world w;
