Log the shared parts of prompts of requests under which a connection broke

What callers saw: requests with one part in their prompts that crash engines one after the other.

Change: attempt_ended with the end unknown has the parts. No logic changes.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -216,6 +216,8 @@
     void logSent();
     void logAttemptEnd(std::string_view how);
     void logRetryDenied(std::string_view why);
+    /// Returns the first shared parts of the prompt, for the log.
+    [[nodiscard]] std::string sharedPartsText() const;
     void logTrial(bool granted);
     void logStreamOrigin(const origin_lookup &found);
     void logPlaced(const placement_result &placed);
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -120,7 +120,7 @@
     line.add("server", m_server->record.id.value).add("end", how);
     line.add("status", m_answer.status);
     if (how == nameOf(attempt_result::Unknown))
-        line.add("digest", toText(m_digest));
+        line.add("digest", toText(m_digest)).add("parts", sharedPartsText());
     if (m_splitter.lastEvent())
         line.add("last_event", *m_splitter.lastEvent());
     line.add("took_ms", std::chrono::duration_cast<milliseconds>(took).count());
@@ -128,6 +128,18 @@
     m_decisions.add(std::move(line));
 }
 
+// The last part belongs to the request alone.
+template <gateway_codec Codec>
+std::string exchange<Codec>::sharedPartsText() const
+{
+    constexpr std::size_t MaxLoggedParts = 8;
+    const auto &prompt = m_metadata.prompt;
+    std::string text;
+    for (std::size_t i = 0; i + 1 < prompt.size() && i < MaxLoggedParts; ++i)
+        text += (i == 0 ? "" : ",") + prompt[i].id;
+    return text;
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::logRetryDenied(std::string_view why)
 {
