Quarantine parts of prompts that crash servers, not only whole requests

Cause: the quarantine knew a whole request, by customer, host, target and body. Of these requests no two are alike, so none collected more than the crashes of its own attempts. Class: blame kept under the name of the one that was met.

Ruled out: a deciding node that is missing; the tests that kill it fail likewise before, with or without it.

A part that two customers' quarantines name is tried one at a time for all others, at three it is withheld, so no customer can have another's requests refused alone. Requests under way that no server has begun to answer are given up when a subject of theirs is quarantined.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -15,6 +15,7 @@
 #include "gateway/publication/published_state.h"
 #include "gateway/quarantine/quarantine_relay.h"
 #include "gateway/quarantine/request_digest.h"
+#include "gateway/quarantine/request_subjects.h"
 #include "gateway/quarantine/server_crash_detector.h"
 #include "gateway/servers/server_directory.h"
 #include "gateway/servers/server_transport.h"
@@ -57,7 +58,7 @@
     latency_estimator latencyEstimator;
     std::minstd_rand random; ///< for the service weights of routes
     /// Called when a connection breaks while a request is in flight to the server.
-    std::function<void(const server &, const in_flight_request &)> onConnectionBroken;
+    std::function<void(const server &, const std::vector<crash_subject> &)> onConnectionBroken;
 };
 
 /// Handles one client request, from its head to the end of its answer.
@@ -82,6 +83,9 @@
     void onDataCenterLost(const data_center_id &dataCenter);
     /// Repeats a call that was lost as this node was cut off from all servers, if that is allowed.
     void onServersCutOff();
+    /// Gives the request up if a server has not begun to answer it and the subject, now
+    /// quarantined, is one of its own: it would crash the server.
+    void onQuarantined(const request_digest &subject);
     /// Refuses the request if it has not been sent to a server yet, because this process is about
     /// to stop.
     void refuseIfWaiting();
@@ -117,8 +121,15 @@
     /// Calls `next`, now or later, unless the quarantine stops the request because it may crash
     /// servers.
     void checkQuarantine(std::function<void()> next);
-    void onTrialAnswer(bool granted, const std::function<void()> &next);
+    void onTrialAnswer(const request_digest &subject, bool granted,
+                       const std::function<void()> &next);
     [[nodiscard]] bool isSendingAllowed() const;
+    /// Returns the strictest status of the request and the parts of its prompt.
+    [[nodiscard]] request_quarantine::quarantine_status quarantineStatus() const;
+    /// Returns the broadest of them that is suspected.
+    [[nodiscard]] request_digest suspectedSubject() const;
+    /// Records that a server answered the request, so that neither it nor its parts crash servers.
+    void reportPartsServed();
     void startStages();
     /// Calls `submitReadyPieces`, after the request is admitted if it needs admission.
     void requestAdmission();
@@ -183,6 +194,7 @@
     void onBody(std::string_view bytes);
     void onEvents(std::string_view bytes);
     void onEnd(http::call_end how);
+    void reportConnectionBroken();
     /// Returns whether the request may be the cause if the server of the current attempt crashed.
     [[nodiscard]] bool mayHaveCrashedServer() const;
     void onBufferedEnd();
@@ -218,7 +230,7 @@
     void logRetryDenied(std::string_view why);
     /// Returns the first shared parts of the prompt, for the log.
     [[nodiscard]] std::string sharedPartsText() const;
-    void logTrial(bool granted);
+    void logTrial(const request_digest &subject, bool granted);
     void logStreamOrigin(const origin_lookup &found);
     void logPlaced(const placement_result &placed);
     void logEnd(request_outcome outcome);
@@ -235,6 +247,7 @@
     residency m_residency; ///< regions where the request may be processed
     request_metadata m_metadata;
     request_digest m_digest; ///< equal for all repeats of this request
+    std::vector<crash_subject> m_subjects; ///< this request and the shared parts of its prompt
     data_center_id m_preferredDataCenter; ///< preferred data centre for the work
     data_center_id m_unreachableDataCenter; ///< where servers could not be reached; empty: none
     steady_time m_arrival;
@@ -269,7 +282,9 @@
     std::uint32_t m_unsentAttempts = 0;
     std::uint32_t m_unsentRemoteAttempts = 0; ///< unsent attempts to servers of other data centres
     bool m_serverIneligible = false; ///< the chosen server may no longer get the request
-    bool m_hasTrial = false; ///< this repeat of a suspected request has the trial
+    /// The suspected request or part that this request may try on one server.
+    std::optional<request_digest> m_trial;
+    bool m_partsReported = false; ///< `reportPartsServed` was called for the current answer
     std::optional<steady_time> m_answerStartedAt; ///< when the current attempt's answer started
     bool m_mayHaveRun = false;
     forwarding_mode m_forwarding = forwarding_mode::Nothing;
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -39,6 +39,8 @@
     m_lastActivity = m_context.loop.now();
     if (!m_answerStartedAt)
         m_answerStartedAt = m_lastActivity;
+    else if (m_headSent && m_lastActivity - *m_answerStartedAt > StablePartTime)
+        reportPartsServed();
     switch (m_forwarding) {
     case forwarding_mode::Nothing:
         break;
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -164,6 +164,7 @@
     m_bufferedAnswer.clear();
     m_attemptStartedAt = m_context.loop.now();
     m_answerStartedAt.reset();
+    m_partsReported = false;
     const auto self = this->shared_from_this();
     http::outbound_call call;
     call.body = m_body;
@@ -262,7 +263,7 @@
     m_mayHaveRun = true;
     if (!whole || m_forwarding == forwarding_mode::Nothing || m_splitter.hasPartialEvent()) {
         if (how == http::call_end::Broken && mayHaveCrashedServer())
-            m_context.onConnectionBroken(*m_server, {m_digest, m_attemptStartedAt});
+            reportConnectionBroken();
         onAttemptResult(attempt_result::Unknown);
         return;
     }
@@ -278,6 +279,15 @@
     finish(request_outcome::Answered);
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::reportConnectionBroken()
+{
+    auto subjects = m_subjects;
+    for (auto &each : subjects)
+        each.sentAt = m_attemptStartedAt;
+    m_context.onConnectionBroken(*m_server, subjects);
+}
+
 // A server that shuts down as planned stops regardless of the request, and a server that has been
 // answering for a while did not crash from starting the request.
 template <gateway_codec Codec>
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -43,8 +43,10 @@
     }
     if (!findRoute())
         return;
-    m_digest = requestDigestOf(
-        {m_customer ? m_customer->id : customer_id{}, m_metadata.host, m_head.target, m_body});
+    m_subjects = subjectsOf(
+        {m_customer ? m_customer->id : customer_id{}, m_metadata.host, m_head.target, m_body},
+        m_metadata.prompt);
+    m_digest = m_subjects.front().digest;
     m_residency =
         residencyOf(m_route->regions, m_customer ? m_customer->regions : std::vector<region_id>{});
     logAccepted();
@@ -139,9 +141,75 @@
 template <gateway_codec Codec>
 bool exchange<Codec>::isSendingAllowed() const
 {
-    const auto level = m_context.quarantine.statusOf(m_digest).level;
+    const auto level = quarantineStatus().level;
     return level == quarantine_level::Unrestricted
-        || (level == quarantine_level::Suspected && m_hasTrial);
+        || (level == quarantine_level::Suspected && m_trial);
+}
+
+template <gateway_codec Codec>
+request_quarantine::quarantine_status exchange<Codec>::quarantineStatus() const
+{
+    request_quarantine::quarantine_status strictest;
+    const auto include = [&](const request_digest &digest) {
+        const auto status = m_context.quarantine.statusOf(digest);
+        strictest = std::max(strictest, status, [](const auto &a, const auto &b) {
+            return std::pair(a.level, a.remaining) < std::pair(b.level, b.remaining);
+        });
+    };
+    for (const auto &each : m_subjects) {
+        include(each.digest);
+        if (each.isPart())
+            include(each.shared);
+    }
+    return strictest;
+}
+
+// With the broadest one, all requests that may crash a server for the same reason wait for the same
+// trial.
+template <gateway_codec Codec>
+request_digest exchange<Codec>::suspectedSubject() const
+{
+    const auto isSuspected = [&](const request_digest &digest) {
+        return m_context.quarantine.statusOf(digest).level == quarantine_level::Suspected;
+    };
+    request_digest broadest = m_digest;
+    for (const auto &each : m_subjects) {
+        if (isSuspected(each.digest))
+            broadest = each.digest;
+    }
+    for (const auto &each : m_subjects) {
+        if (each.isPart() && isSuspected(each.shared))
+            broadest = each.shared;
+    }
+    return broadest;
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::reportPartsServed()
+{
+    if (!m_answerStartedAt || std::exchange(m_partsReported, true))
+        return;
+    for (const auto &each : m_subjects) {
+        if (!each.isPart())
+            continue;
+        m_context.quarantine.onPartServed(each.digest, *m_answerStartedAt);
+        m_context.quarantine.onPartServed(each.shared, *m_answerStartedAt);
+    }
+}
+
+// Sent requests wait at the server until it begins to run them, and crash it only then.
+template <gateway_codec Codec>
+void exchange<Codec>::onQuarantined(const request_digest &subject)
+{
+    const bool isOwn = std::ranges::any_of(m_subjects, [&](const crash_subject &each) {
+        return each.digest == subject || (each.isPart() && each.shared == subject);
+    });
+    if (m_done || m_call == 0 || m_answerStartedAt || !isOwn || !m_route->repeatable())
+        return;
+    m_mayHaveRun = m_mayHaveRun || m_attempts > m_attemptsBefore;
+    m_context.transport.abandon(m_call);
+    endAttempt();
+    failRequest(request_outcome::CrashesServers);
 }
 
 // Only one repeat of a suspected request is tried at a time, on one server, so that at most this
@@ -149,7 +217,7 @@
 template <gateway_codec Codec>
 void exchange<Codec>::checkQuarantine(std::function<void()> next)
 {
-    const auto level = m_context.quarantine.statusOf(m_digest).level;
+    const auto level = quarantineStatus().level;
     if (level == quarantine_level::Unrestricted) {
         next();
         return;
@@ -158,26 +226,29 @@
         failRequest(request_outcome::CrashesServers);
         return;
     }
-    if (m_hasTrial) {
+    if (m_trial) {
         next();
         return;
     }
+    const auto subject = suspectedSubject();
     m_context.quarantine.requestTrial(
-        m_digest, [self = this->shared_from_this(), next = std::move(next)](bool granted) {
-            self->onTrialAnswer(granted, next);
+        subject, [self = this->shared_from_this(), subject, next = std::move(next)](bool granted) {
+            self->onTrialAnswer(subject, granted, next);
         });
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::onTrialAnswer(bool granted, const std::function<void()> &next)
+void exchange<Codec>::onTrialAnswer(const request_digest &subject, bool granted,
+                                    const std::function<void()> &next)
 {
-    logTrial(granted);
+    logTrial(subject, granted);
     if (m_done) {
         if (granted)
-            m_context.quarantine.endTrial(m_digest);
+            m_context.quarantine.endTrial(subject);
         return;
     }
-    m_hasTrial = granted;
+    if (granted)
+        m_trial = subject;
     if (granted)
         next();
     else
@@ -242,7 +313,7 @@
 template <gateway_codec Codec>
 milliseconds exchange<Codec>::retryDelayFor(request_outcome outcome) const
 {
-    const auto quarantine = m_context.quarantine.statusOf(m_digest);
+    const auto quarantine = quarantineStatus();
     if (quarantine.level == quarantine_level::Quarantined)
         return quarantine.remaining;
     if (outcome == request_outcome::Evacuated || outcome == request_outcome::NoServerInRegion
@@ -343,10 +414,12 @@
 void exchange<Codec>::updateQuarantine(request_outcome outcome)
 {
     const bool success = m_clientStatus >= status::Ok && m_clientStatus < status::FirstRedirect;
-    if (outcome == request_outcome::Answered && success)
+    if (outcome == request_outcome::Answered && success) {
         m_context.quarantine.onRequestServed(m_digest);
-    if (std::exchange(m_hasTrial, false))
-        m_context.quarantine.endTrial(m_digest);
+        reportPartsServed();
+    }
+    if (const auto trial = std::exchange(m_trial, std::nullopt))
+        m_context.quarantine.endTrial(*trial);
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -50,6 +50,10 @@
 /// A request whose answer has been arriving for this long is not the cause of a crash. A request
 /// that crashes its server does so within tenths of a second of starting to run.
 inline constexpr milliseconds StableAnswerTime{1000};
+/// A part of a prompt does not crash servers if an answer to a request with it has been arriving
+/// for this long: shorter than the time above, so that parts which many requests share are cleared
+/// while servers crash one after the other.
+inline constexpr milliseconds StablePartTime{500};
 /// How much longer than its client waits it is kept where a stream began: requests of the client
 /// that continues it may be under way.
 inline constexpr milliseconds StreamOriginMargin{1000};
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -149,11 +149,11 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::logTrial(bool granted)
+void exchange<Codec>::logTrial(const request_digest &subject, bool granted)
 {
     if (logsDecisions())
         m_decisions.add(lineOf(log_event::TrialAnswered)
-                            .add("digest", toText(m_digest))
+                            .add("digest", toText(subject))
                             .add("granted", granted)
                             .add("at_ms", sinceArrival().count()));
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,7 +64,7 @@
     void onBackoffRequested(const server &which, milliseconds time);
     void onReachability(const reachability_event &event);
     void probeServerIn(const data_center_id &dataCenter);
-    void onConnectionBroken(const server &which, const in_flight_request &request);
+    void onConnectionBroken(const server &which, const std::vector<crash_subject> &subjects);
     void onProbeResult(const server_crash &what, http::connect_outcome outcome);
     void logBrokenConnections(const server_crash &what, http::connect_outcome outcome,
                               bool serverEnded);
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -142,8 +142,8 @@
                 nullptr,
                 latency_estimator{m_loop.clock()},
                 std::minstd_rand{seedOf(m_settings.vm)},
-                [this](const server &which, const in_flight_request &request) {
-                    onConnectionBroken(which, request);
+                [this](const server &which, const std::vector<crash_subject> &subjects) {
+                    onConnectionBroken(which, subjects);
                 }}
     , m_clients(std::make_shared<http::inbound_shared>())
     , m_probes(std::make_shared<http::inbound_shared>())
@@ -160,6 +160,13 @@
         m_context.onConnectionBroken, [this](const request_digest &request) {
             return m_quarantine.statusOf(request).level == quarantine_level::Unrestricted;
         });
+    m_quarantine.onQuarantined([this](const request_digest &subject) {
+        const auto exchanges = m_exchanges;
+        for (const auto &weak : exchanges) {
+            if (const auto each = weak.lock())
+                each->onQuarantined(subject);
+        }
+    });
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
     m_follower.onRead([this](const store_update &update) { m_relay.onStoreUpdate(update); });
     setServerHandlers();
--- a/src/gateway/gateway_servers_impl.h
+++ b/src/gateway/gateway_servers_impl.h
@@ -125,12 +125,13 @@
 }
 
 template <gateway_codec Codec>
-void gateway<Codec>::onConnectionBroken(const server &which, const in_flight_request &request)
+void gateway<Codec>::onConnectionBroken(const server &which,
+                                        const std::vector<crash_subject> &subjects)
 {
     const auto id = which.record.id;
     if (m_transport.access() == server_access_state::CutOff)
         return;
-    if (!m_crashDetector.onConnectionBroken(id, request))
+    if (!m_crashDetector.onConnectionBroken(id, subjects))
         return;
     m_transport.probe(which.record, [this, id](http::connect_outcome outcome) {
         if (const auto found = m_crashDetector.onProbeResult(id))
@@ -158,10 +159,13 @@
 void gateway<Codec>::logBrokenConnections(const server_crash &what, http::connect_outcome outcome,
                                           bool serverEnded)
 {
+    const auto requests = std::ranges::count_if(
+        what.subjects, [](const crash_subject &each) { return !each.isPart(); });
     auto line =
         m_log.line(wire::log_level::Info,
                    toName(serverEnded ? log_event::ServerEnded : log_event::ConnectionsLost));
-    line.add("server", what.server.value).add("requests", what.requests.size());
+    line.add("server", what.server.value).add("requests", requests);
+    line.add("subjects", what.subjects.size());
     line.add("new_connection", toName(outcome));
     m_log.write(wire::log_level::Info, std::move(line));
 }
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -374,9 +374,12 @@
         auto &crash = frame.serverCrashes.emplace_back();
         crash.server = backend_server_id(items.read<std::string>());
         crash.ago = items.duration();
-        readList(items, [&](field_reader &requests) {
-            auto digest = readRequestDigest(requests);
-            crash.requests.push_back({digest, requests.duration()});
+        readList(items, [&](field_reader &subjects) {
+            auto &subject = crash.subjects.emplace_back();
+            subject.digest = readRequestDigest(subjects);
+            subject.sentAgo = subjects.duration();
+            subject.breadth = subjects.read<std::uint8_t>();
+            subject.shared = readRequestDigest(subjects);
         });
     });
     return frame;
@@ -396,6 +399,8 @@
         entry.version = items.read<std::uint64_t>();
         entry.remaining = items.duration();
         entry.quarantineCount = items.read<std::uint32_t>();
+        entry.isPart = items.read<bool>();
+        entry.disputableAgo = items.duration();
     });
     return frame;
 }
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -347,23 +347,25 @@
 void pack(packer &out, const server_crashes_frame &frame)
 {
     constexpr std::uint32_t CrashFields = 3;
-    constexpr std::uint32_t RequestFields = 2;
+    constexpr std::uint32_t SubjectFields = 4;
     packKind(out, frame_kind::ServerCrashes, 1);
     out.pack_array(CrashFields * static_cast<std::uint32_t>(frame.serverCrashes.size()));
     for (const auto &crash : frame.serverCrashes) {
         out.pack(crash.server.value);
         packDuration(out, crash.ago);
-        out.pack_array(RequestFields * static_cast<std::uint32_t>(crash.requests.size()));
-        for (const auto &request : crash.requests) {
-            packDigest(out, request.digest);
-            packDuration(out, request.sentAgo);
+        out.pack_array(SubjectFields * static_cast<std::uint32_t>(crash.subjects.size()));
+        for (const auto &subject : crash.subjects) {
+            packDigest(out, subject.digest);
+            packDuration(out, subject.sentAgo);
+            out.pack(subject.breadth);
+            packDigest(out, subject.shared);
         }
     }
 }
 
 void pack(packer &out, const quarantine_frame &frame)
 {
-    constexpr std::uint32_t EntryFields = 5;
+    constexpr std::uint32_t EntryFields = 7;
     packKind(out, frame_kind::Quarantine, 2);
     out.pack(frame.host.value);
     out.pack_array(EntryFields * static_cast<std::uint32_t>(frame.entries.size()));
@@ -373,6 +375,8 @@
         out.pack(entry.version);
         packDuration(out, entry.remaining);
         out.pack(entry.quarantineCount);
+        out.pack(entry.isPart);
+        packDuration(out, entry.disputableAgo);
     }
 }
 
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -209,19 +209,22 @@
     compressed_text text;
 };
 
-/// Reports crashed servers and their in-flight requests to the quarantine host.
+/// Reports crashed servers, and what was in flight to them, to the quarantine host.
 struct server_crashes_frame
 {
-    struct sent_request
+    /// As `crash_subject`.
+    struct sent_subject
     {
         request_digest digest;
         milliseconds sentAgo{0};
+        std::uint8_t breadth = 0;
+        request_digest shared{};
     };
     struct crashed_server
     {
         backend_server_id server;
         milliseconds ago{0};
-        std::vector<sent_request> requests;
+        std::vector<sent_subject> subjects;
     };
     std::vector<crashed_server> serverCrashes;
 };
@@ -236,6 +239,8 @@
         std::uint64_t version = 0;
         milliseconds remaining{0}; ///< until the entry expires
         std::uint32_t quarantineCount = 0; ///< quarantines since the request was last served
+        bool isPart = false;
+        milliseconds disputableAgo{0}; ///< since `quarantine_entry::disputableSince`
     };
     vm_id host; ///< the sender, if it is the quarantine host; empty: forwarded entries
     std::vector<entry_update> entries;
--- a/src/gateway/quarantine/quarantine_relay.cpp
+++ b/src/gateway/quarantine/quarantine_relay.cpp
@@ -53,8 +53,9 @@
         auto &outgoing = frame.serverCrashes.emplace_back();
         outgoing.server = each.server;
         outgoing.ago = ago(each.at);
-        for (const auto &request : each.requests)
-            outgoing.requests.push_back({request.digest, ago(request.sentAt)});
+        for (const auto &request : each.subjects)
+            outgoing.subjects.push_back(
+                {request.digest, ago(request.sentAt), request.breadth, request.shared});
     }
     return frame;
 }
@@ -68,7 +69,8 @@
         const auto remaining =
             std::chrono::duration_cast<milliseconds>(each.expiresAt - m_loop.now());
         frame.entries.push_back(
-            {each.request, each.level, each.version, remaining, each.quarantineCount});
+            {each.request, each.level, each.version, remaining, each.quarantineCount, each.isPart,
+             std::chrono::duration_cast<milliseconds>(m_loop.now() - each.disputableSince)});
     }
     return frame;
 }
@@ -78,7 +80,8 @@
 {
     const auto found = m_quarantine.evidenceOf(entry.request);
     auto line = m_log.line(wire::log_level::Warning, toName(log_event::QuarantineChanged));
-    line.add("digest", toText(entry.request)).add("level", toName(entry.level));
+    line.add("digest", toText(entry.request)).add("subject", entry.isPart ? "part" : "request");
+    line.add("level", toName(entry.level));
     line.add("from", from).add("by", by.value);
     line.add("ends", found.crashCount).add("charged", found.attributedCrashCount);
     line.add("servers_ended", joinFirstIds(found.servers));
@@ -183,6 +186,15 @@
     for (const auto &each : changed)
         logEntry(each, "ends", m_peers.self());
     publish(changed, origin::Local);
+    reportQuarantined(changed);
+}
+
+void quarantine_relay::reportQuarantined(const std::vector<quarantine_entry> &entries)
+{
+    for (const auto &each : entries) {
+        if (each.level == quarantine_level::Quarantined && m_onQuarantined)
+            m_onQuarantined(each.request);
+    }
 }
 
 void quarantine_relay::onServerCrash(const server_crash &crash)
@@ -195,7 +207,16 @@
 
 void quarantine_relay::onRequestServed(const request_digest &request)
 {
-    const auto changed = m_quarantine.onRequestServed(request);
+    onServed(m_quarantine.onRequestServed(request));
+}
+
+void quarantine_relay::onPartServed(const request_digest &part, steady_time at)
+{
+    onServed(m_quarantine.onPartServed(part, at));
+}
+
+void quarantine_relay::onServed(const std::optional<quarantine_entry> &changed)
+{
     if (!changed)
         return;
     logEntry(*changed, "served", m_peers.self());
@@ -293,8 +314,9 @@
     std::vector<server_crash> newCrashes;
     for (const auto &each : frame.serverCrashes) {
         server_crash crash{each.server, m_loop.now() - each.ago, {}};
-        for (const auto &request : each.requests)
-            crash.requests.push_back({request.digest, m_loop.now() - request.sentAgo});
+        for (const auto &request : each.subjects)
+            crash.subjects.push_back(
+                {request.digest, m_loop.now() - request.sentAgo, request.breadth, request.shared});
         if (m_quarantine.onServerCrash(crash))
             newCrashes.push_back(crash);
     }
@@ -313,8 +335,13 @@
         m_syncedHost = currentHost();
     std::vector<quarantine_entry> accepted;
     for (const auto &each : frame.entries) {
-        const quarantine_entry entry{each.request, each.level, each.version,
-                                     m_loop.now() + each.remaining, each.quarantineCount};
+        const quarantine_entry entry{each.request,
+                                     each.level,
+                                     each.version,
+                                     m_loop.now() + each.remaining,
+                                     each.quarantineCount,
+                                     each.isPart,
+                                     m_loop.now() - each.disputableAgo};
         const auto kept = m_quarantine.merge(entry);
         if (!kept)
             continue;
@@ -327,6 +354,7 @@
             accepted.push_back(*kept);
     }
     publish(accepted, frame.host.empty() ? origin::Member : origin::Host);
+    reportQuarantined(accepted);
 }
 
 void quarantine_relay::onTrialRequest(const link_ptr &link, const request_digest &request)
--- a/src/gateway/quarantine/quarantine_relay.h
+++ b/src/gateway/quarantine/quarantine_relay.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <unordered_map>
@@ -36,6 +37,13 @@
     void onServerCrash(const server_crash &crash);
     /// Records that a request through this node was served.
     void onRequestServed(const request_digest &request);
+    /// Records that a server answered a request with the part of a prompt, beginning at `at`.
+    void onPartServed(const request_digest &part, steady_time at);
+    /// Sets the function that is called when a request or part is quarantined, here or elsewhere.
+    void onQuarantined(std::function<void(const request_digest &)> handler)
+    {
+        m_onQuarantined = std::move(handler);
+    }
     /// Asks the host whether a suspected request may be sent to one server. Calls `answer` exactly
     /// once, and not before this call returns.
     void requestTrial(const request_digest &request, trial_handler answer);
@@ -88,6 +96,8 @@
                     const std::vector<quarantine_entry> &entries);
     void publish(const std::vector<quarantine_entry> &entries, origin from);
     void decide();
+    void onServed(const std::optional<quarantine_entry> &changed);
+    void reportQuarantined(const std::vector<quarantine_entry> &entries);
     void onServerEndsFrame(const server_crashes_frame &frame);
     void onQuarantineFrame(const quarantine_frame &frame);
     void onTrialRequest(const link_ptr &link, const request_digest &request);
@@ -114,6 +124,7 @@
     std::unordered_map<request_digest, link_ptr> m_ownTrialLinks;
     std::map<link_ptr, std::set<request_digest>> m_remoteTrials; ///< trials granted to other nodes
     steady_time m_nextExpiry{};
+    std::function<void(const request_digest &)> m_onQuarantined;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/quarantine/request_quarantine.cpp
+++ b/src/gateway/quarantine/request_quarantine.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -13,6 +16,10 @@
 // flight during two unrelated crashes; a quarantine after four would cost one more server.
 constexpr std::uint32_t CrashesToSuspect = 2;
 constexpr std::uint32_t CrashesToQuarantine = 3;
+// Customers for which a part must be quarantined before it is suspected, and quarantined, for all
+// others. A single customer must not be able to have the requests of others refused.
+constexpr std::ptrdiff_t CustomersToSuspectForAll = 2;
+constexpr std::ptrdiff_t CustomersToQuarantineForAll = 3;
 // Servers that crash within this time of each other count as one crash: a rack that loses power
 // stops all its servers, whatever they run. Nodes detect a crash within a few milliseconds.
 constexpr milliseconds SimultaneousWindow{100};
@@ -29,12 +36,18 @@
 // How long crashes are not attributed to a request after it was served. Of many requests with one
 // digest, some are in flight to each server that crashes while others are served elsewhere.
 constexpr std::chrono::seconds ServedRetention{30};
+// A part is quarantined only after it has been suspected for this time. Other nodes may have served
+// requests with it since the crashes; they object within a round trip, 40 ms between regions.
+constexpr milliseconds ObjectionTime{100};
+// Answers of requests that were sent before a part began to crash servers may begin until this time
+// after its first crash; they don't clear it of later ones.
+constexpr milliseconds ServedGrace{2000};
 // How long a trial whose end is not reported blocks other trials: longer than any request runs.
 constexpr std::chrono::seconds MaxTrialDuration{30};
-// Memory bounds: a crash takes about 100 bytes plus 50 bytes per request, an entry 150 bytes. More
+// Memory bounds: a crash takes about 100 bytes plus 100 bytes per subject, an entry 200 bytes. More
 // crashes than this within ten minutes mean that all servers have crashed several times over.
 constexpr std::size_t MaxCrashes = 1024;
-constexpr std::size_t MaxRequestsPerCrash = 512;
+constexpr std::size_t MaxSubjectsPerCrash = 512;
 constexpr std::size_t MaxEntries = 8192;
 constexpr std::size_t MaxServed = 16'384;
 
@@ -62,6 +75,35 @@
     return found != m_served.end() && found->second + ServedRetention > at;
 }
 
+bool request_quarantine::isCleared(const crash_subject &subject, steady_time crashedAt) const
+{
+    if (!subject.isPart())
+        return servedRecently(subject.digest, crashedAt);
+    const auto found = m_served.find(subject.digest);
+    return found != m_served.end() && found->second + ServedGrace > crashedAt;
+}
+
+void request_quarantine::recordServed(const request_digest &subject, steady_time at)
+{
+    if (m_served.size() >= MaxServed && !m_served.contains(subject))
+        return;
+    auto &last = m_served[subject];
+    last = std::max(last, at);
+}
+
+const request_quarantine::subject_record *
+request_quarantine::recordOf(const request_digest &subject) const
+{
+    const auto found = m_subjects.find(subject);
+    return found == m_subjects.end() ? nullptr : &found->second;
+}
+
+bool request_quarantine::isPart(const request_digest &subject) const
+{
+    const auto *record = recordOf(subject);
+    return record && record->breadth > 0;
+}
+
 bool request_quarantine::onServerCrash(const server_crash &crash)
 {
     auto known = findCrash(crash);
@@ -72,13 +114,17 @@
         known = m_crashes.insert(m_crashes.end(), server_crash{crash.server, crash.at, {}});
     }
     bool addsInformation = isNew;
-    for (const auto &request : crash.requests) {
-        const bool full = known->requests.size() >= MaxRequestsPerCrash;
-        if (full || servedRecently(request.digest, crash.at)
-            || !addInterruptedRequest(*known, request))
+    for (const auto &subject : crash.subjects) {
+        const bool full = known->subjects.size() >= MaxSubjectsPerCrash;
+        if (full || isCleared(subject, crash.at) || !addSubject(*known, subject))
             continue;
-        m_crashesByRequest[request.digest].push_back(known);
-        m_pending.insert(request.digest);
+        auto &record = m_subjects[subject.digest];
+        record.crashes.push_back(known);
+        record.breadth = subject.breadth;
+        record.shared = subject.shared;
+        if (subject.isPart())
+            m_customerParts[subject.shared].insert(subject.digest);
+        m_pending.insert(subject.digest);
         addsInformation = true;
     }
     return addsInformation;
@@ -88,12 +134,12 @@
 request_quarantine::exposuresOf(const request_digest &request) const
 {
     std::vector<exposure> exposures;
-    const auto found = m_crashesByRequest.find(request);
-    if (found == m_crashesByRequest.end())
+    const auto *record = recordOf(request);
+    if (!record)
         return exposures;
-    for (const auto &crash : found->second) {
-        const auto at = std::ranges::find(crash->requests, request, &in_flight_request::digest);
-        exposures.push_back({at->sentAt, &*crash});
+    for (const auto &crash : record->crashes) {
+        const auto at = std::ranges::find(crash->subjects, request, &crash_subject::digest);
+        exposures.push_back({at->sentAt, &*crash, at->breadth});
     }
     std::ranges::sort(exposures, {}, [](const exposure &each) { return each.crash->at; });
     return exposures;
@@ -119,21 +165,46 @@
     return countIndependent(exposuresOf(request));
 }
 
-// Another request is the likelier cause if it was in flight during more crashes, or if it is in
-// quarantine and was in flight during as many.
-bool request_quarantine::isLikelierCause(const request_digest &other,
-                                         std::uint32_t crashCount) const
+// Another subject is the likelier cause if it was in flight during more crashes, of all customers
+// and then of its own one, or if it was in flight during as many and is in quarantine or narrower.
+bool request_quarantine::isLikelierCause(const crash_subject &other,
+                                         const subject_weight &weight) const
 {
-    const auto otherCrashCount = crashCountOf(other);
-    const bool quarantined = statusOf(other).level == quarantine_level::Quarantined;
-    return otherCrashCount > crashCount || (quarantined && otherCrashCount == crashCount);
+    const auto otherWeight = weightOf(other.digest);
+    const auto crashes = std::pair(weight.crashes, weight.ownCrashes);
+    const auto otherCrashes = std::pair(otherWeight.crashes, otherWeight.ownCrashes);
+    const bool quarantined = statusOf(other.digest).level == quarantine_level::Quarantined;
+    return otherCrashes > crashes
+        || (otherCrashes == crashes && (quarantined || other.breadth < weight.breadth));
+}
+
+request_quarantine::subject_weight request_quarantine::weightOf(const request_digest &subject) const
+{
+    const auto *record = recordOf(subject);
+    if (!record)
+        return {};
+    auto exposures = exposuresOf(subject);
+    subject_weight weight;
+    weight.breadth = record->breadth;
+    weight.ownCrashes = countIndependent(exposures);
+    weight.crashes = weight.ownCrashes;
+    const auto parts = m_customerParts.find(record->shared);
+    if (parts == m_customerParts.end() || parts->second.size() == 1)
+        return weight;
+    for (const auto &each : parts->second) {
+        if (each != subject)
+            std::ranges::copy(exposuresOf(each), std::back_inserter(exposures));
+    }
+    std::ranges::sort(exposures, {}, [](const exposure &each) { return each.crash->at; });
+    weight.crashes = countIndependent(exposures);
+    return weight;
 }
 
 bool request_quarantine::isAttributedTo(const server_crash &crash, const request_digest &request,
-                                        std::uint32_t crashCount) const
+                                        const subject_weight &weight) const
 {
-    return std::ranges::none_of(crash.requests, [&](const in_flight_request &other) {
-        return other.digest != request && isLikelierCause(other.digest, crashCount);
+    return std::ranges::none_of(crash.subjects, [&](const crash_subject &other) {
+        return other.digest != request && isLikelierCause(other, weight);
     });
 }
 
@@ -146,8 +217,9 @@
         found.servers.push_back(each.crash->server);
     if (found.crashCount < CrashesToSuspect)
         return found;
+    const auto weight = weightOf(request);
     std::erase_if(exposures, [&](const exposure &each) {
-        return !isAttributedTo(*each.crash, request, found.crashCount);
+        return !isAttributedTo(*each.crash, request, weight);
     });
     found.attributedCrashCount = countIndependent(exposures);
     return found;
@@ -159,7 +231,24 @@
                                [&](const exposure &each) { return each.crash->at >= since; });
 }
 
-// After a first quarantine, a single further crash starts the next quarantine.
+bool request_quarantine::objectionsPassed(const request_digest &part) const
+{
+    const auto suspected = m_suspectedAt.find(part);
+    const bool byOther =
+        suspected == m_suspectedAt.end() && statusOf(part).level == quarantine_level::Suspected;
+    return byOther
+        || (suspected != m_suspectedAt.end() && m_clock.now() - suspected->second >= ObjectionTime);
+}
+
+bool request_quarantine::isSuspectedForAll(const request_digest &part) const
+{
+    const auto *record = recordOf(part);
+    return record && record->breadth > 0
+        && statusOf(record->shared).level != quarantine_level::Unrestricted;
+}
+
+// After a first quarantine, a single further crash starts the next quarantine. So does a crash
+// under a part that crashed servers for other customers.
 quarantine_level request_quarantine::evaluateLevel(const request_digest &request) const
 {
     const auto known = m_entries.find(request);
@@ -167,11 +256,17 @@
         const bool again = crashedSince(request, known->second.expiresAt);
         return again ? quarantine_level::Quarantined : statusOf(request).level;
     }
+    if (isSuspectedForAll(request))
+        return quarantine_level::Quarantined;
     const auto found = evidenceOf(request);
-    if (found.attributedCrashCount >= CrashesToQuarantine)
+    const bool ofPart = isPart(request);
+    const bool mayQuarantine = !ofPart || objectionsPassed(request);
+    if (found.attributedCrashCount >= CrashesToQuarantine && mayQuarantine)
         return quarantine_level::Quarantined;
-    return found.crashCount >= CrashesToSuspect ? quarantine_level::Suspected
-                                                : quarantine_level::Unrestricted;
+    // Most parts that were in flight during crashes are shared by many requests that are served.
+    const auto crashCount = ofPart ? found.attributedCrashCount : found.crashCount;
+    return crashCount >= CrashesToSuspect ? quarantine_level::Suspected
+                                          : quarantine_level::Unrestricted;
 }
 
 quarantine_entry &request_quarantine::setLevel(const request_digest &request,
@@ -193,6 +288,14 @@
         entry.expiresAt = m_clock.now() + CrashRetention;
         entry.quarantineCount = 0;
     }
+    const auto exposures = exposuresOf(request);
+    entry.isPart = entry.isPart || isPart(request);
+    if (exposures.size() > 1)
+        entry.disputableSince = exposures[exposures.size() - 2].crash->at;
+    if (level == quarantine_level::Suspected && entry.isPart)
+        m_suspectedAt.try_emplace(request, m_clock.now());
+    else
+        m_suspectedAt.erase(request);
     return entry;
 }
 
@@ -206,8 +309,35 @@
     if (level <= statusOf(request).level || full)
         return;
     changed.push_back(setLevel(request, level));
-    if (level == quarantine_level::Quarantined)
-        lowerMisattributed(request, changed);
+    if (level != quarantine_level::Quarantined)
+        return;
+    lowerMisattributed(request, changed);
+    raiseSharedLevel(request, changed);
+}
+
+void request_quarantine::raiseSharedLevel(const request_digest &part,
+                                          std::vector<quarantine_entry> &changed)
+{
+    const auto *record = recordOf(part);
+    if (!record || record->breadth == 0)
+        return;
+    const auto &parts = m_customerParts.at(record->shared);
+    const auto customers = std::ranges::count_if(parts, [&](const request_digest &each) {
+        return statusOf(each).level == quarantine_level::Quarantined;
+    });
+    auto level = quarantine_level::Unrestricted;
+    if (customers >= CustomersToQuarantineForAll)
+        level = quarantine_level::Quarantined;
+    else if (customers >= CustomersToSuspectForAll)
+        level = quarantine_level::Suspected;
+    if (level <= statusOf(record->shared).level)
+        return;
+    auto &entry = setLevel(record->shared, level);
+    entry.isPart = true;
+    entry.disputableSince = m_clock.now();
+    changed.push_back(entry);
+    // One crash is enough from now on for each of the customers that send the part.
+    m_pending.insert(parts.begin(), parts.end());
 }
 
 // Crashes that were attributed to other requests may now be attributed to this one. Requests that
@@ -216,7 +346,8 @@
                                             std::vector<quarantine_entry> &changed)
 {
     for (const auto &each : exposuresOf(request)) {
-        for (const auto &[other, sentAt] : each.crash->requests) {
+        for (const auto &subject : each.crash->subjects) {
+            const auto &other = subject.digest;
             const auto found = m_entries.find(other);
             if (other == request || found == m_entries.end())
                 continue;
@@ -233,41 +364,60 @@
     std::vector<quarantine_entry> changed;
     std::vector<request_digest> pending(m_pending.begin(), m_pending.end());
     m_pending.clear();
-    // In descending order of crashes, because a request with more crashes may account for the
-    // crashes of the others.
+    // In descending order of crashes, because a subject with more crashes may account for the
+    // crashes of the others; of several with as many the narrowest first.
     std::ranges::sort(pending, std::greater<>{}, [this](const request_digest &each) {
-        return std::pair(crashCountOf(each), each);
+        const auto weight = weightOf(each);
+        return std::tuple(weight.crashes, weight.ownCrashes, -int{weight.breadth}, each);
     });
-    for (const auto &each : pending)
+    for (const auto &each : pending) {
         raiseLevel(each, changed);
+        if (m_suspectedAt.contains(each) && !objectionsPassed(each))
+            m_pending.insert(each);
+    }
     return changed;
 }
 
-void request_quarantine::removeExposuresOf(const request_digest &request)
+void request_quarantine::removeSubject(subject_map::iterator subject)
+{
+    if (const auto parts = m_customerParts.find(subject->second.shared);
+        parts != m_customerParts.end()) {
+        parts->second.erase(subject->first);
+        if (parts->second.empty())
+            m_customerParts.erase(parts);
+    }
+    m_subjects.erase(subject);
+}
+
+void request_quarantine::removeExposuresOf(const request_digest &request, steady_time before)
 {
-    const auto found = m_crashesByRequest.find(request);
-    if (found == m_crashesByRequest.end())
+    const auto found = m_subjects.find(request);
+    if (found == m_subjects.end())
         return;
-    for (const auto &crash : found->second)
-        std::erase_if(crash->requests, [&](const auto &each) { return each.digest == request; });
-    m_crashesByRequest.erase(found);
+    std::erase_if(found->second.crashes, [&](const auto &crash) {
+        if (crash->at >= before)
+            return false;
+        std::erase_if(crash->subjects, [&](const auto &each) { return each.digest == request; });
+        return true;
+    });
+    if (found->second.crashes.empty())
+        removeSubject(found);
 }
 
 void request_quarantine::removeCrash(crash_list::iterator crash)
 {
-    for (const auto &request : crash->requests) {
-        const auto found = m_crashesByRequest.find(request.digest);
-        std::erase(found->second, crash);
-        if (found->second.empty())
-            m_crashesByRequest.erase(found);
+    for (const auto &subject : crash->subjects) {
+        const auto found = m_subjects.find(subject.digest);
+        std::erase(found->second.crashes, crash);
+        if (found->second.crashes.empty())
+            removeSubject(found);
     }
     m_crashes.erase(crash);
 }
 
 std::optional<quarantine_entry> request_quarantine::onRequestServed(const request_digest &request)
 {
-    if (m_served.size() < MaxServed || m_served.contains(request))
-        m_served[request] = m_clock.now();
+    recordServed(request, m_clock.now());
     m_trialExpiry.erase(request);
     removeExposuresOf(request);
     const auto found = m_entries.find(request);
@@ -276,6 +426,20 @@
     return setLevel(request, quarantine_level::Unrestricted);
 }
 
+// Exposures to crashes after the answer began remain: the part may have begun to crash servers.
+std::optional<quarantine_entry> request_quarantine::onPartServed(const request_digest &part,
+                                                                 steady_time at)
+{
+    recordServed(part, at);
+    removeExposuresOf(part, at + ServedGrace);
+    const auto found = m_entries.find(part);
+    if (found == m_entries.end() || found->second.level == quarantine_level::Unrestricted
+        || at + ServedGrace <= found->second.disputableSince)
+        return std::nullopt;
+    m_trialExpiry.erase(part);
+    return setLevel(part, quarantine_level::Unrestricted);
+}
+
 std::optional<quarantine_entry> request_quarantine::merge(const quarantine_entry &entry)
 {
     const auto found = m_entries.find(entry.request);
@@ -286,8 +450,10 @@
     auto &kept = m_entries[entry.request];
     kept = entry;
     // The node that decided this entry did not know that the request has been served here.
-    if (kept.level != quarantine_level::Unrestricted
-        && servedRecently(entry.request, m_clock.now()))
+    const crash_subject subject{
+        entry.request, {}, entry.isPart ? std::uint8_t{1} : std::uint8_t{0}};
+    const auto evidenceAt = entry.isPart ? entry.disputableSince : m_clock.now();
+    if (kept.level != quarantine_level::Unrestricted && isCleared(subject, evidenceAt))
         kept = setLevel(entry.request, quarantine_level::Unrestricted);
     if (kept.level == quarantine_level::Unrestricted)
         removeExposuresOf(entry.request);
@@ -346,7 +512,7 @@
         crash = next;
     }
     std::erase_if(m_served, [&](const auto &each) { return each.second + ServedRetention < now; });
-    std::erase_if(m_pending, [&](const auto &each) { return !m_crashesByRequest.contains(each); });
+    std::erase_if(m_pending, [&](const auto &each) { return !m_subjects.contains(each); });
     std::erase_if(m_trialExpiry, [&](const auto &each) { return each.second < now; });
     std::erase_if(m_entries, [&](const auto &each) {
         const auto &entry = each.second;
--- a/src/gateway/quarantine/server_crash_detector.cpp
+++ b/src/gateway/quarantine/server_crash_detector.cpp
@@ -5,15 +5,14 @@
 
 namespace orchidlead::gateway {
 
-bool addInterruptedRequest(server_crash &crash, const in_flight_request &request)
+bool addSubject(server_crash &crash, const crash_subject &subject)
 {
-    const auto known =
-        std::ranges::find(crash.requests, request.digest, &in_flight_request::digest);
-    if (known == crash.requests.end()) {
-        crash.requests.push_back(request);
+    const auto known = std::ranges::find(crash.subjects, subject.digest, &crash_subject::digest);
+    if (known == crash.subjects.end()) {
+        crash.subjects.push_back(subject);
         return true;
     }
-    known->sentAt = std::min(known->sentAt, request.sentAt);
+    known->sentAt = std::min(known->sentAt, subject.sentAt);
     return false;
 }
 
@@ -24,14 +23,15 @@
 // All connections to a crashed server break within milliseconds of each other, so one probe
 // connection is enough for all of them.
 bool server_crash_detector::onConnectionBroken(const backend_server_id &server,
-                                               const in_flight_request &request)
+                                               const std::vector<crash_subject> &subjects)
 {
     const auto [probed, isFirst] = m_probed.try_emplace(server);
     if (isFirst) {
         probed->second.server = server;
         probed->second.at = m_clock.now();
     }
-    addInterruptedRequest(probed->second, request);
+    for (const auto &each : subjects)
+        addSubject(probed->second, each);
     return isFirst;
 }
 
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -38,7 +38,7 @@
     /// connection broke while a server had a piece of the request; `mayRetry` returns whether such
     /// a piece may be tried on another server.
     void setQuarantineCallbacks(
-        std::function<void(const server &, const in_flight_request &)> onConnectionBroken,
+        std::function<void(const server &, const std::vector<crash_subject> &)> onConnectionBroken,
         std::function<bool(const request_digest &)> mayRetry)
     {
         m_onBroken = std::move(onConnectionBroken);
@@ -137,7 +137,7 @@
     gateway_metrics &m_metrics;
     configuration_ptr m_configuration;
     bool m_waitsForLocalServer = true;
-    std::function<void(const server &, const in_flight_request &)> m_onBroken;
+    std::function<void(const server &, const std::vector<crash_subject> &)> m_onBroken;
     std::function<bool(const request_digest &)> m_mayRetry;
     std::function<double(const pool_key &)> m_rateShare;
     rate_pacer m_pacer;
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -301,7 +301,7 @@
         m_directory.onFailure(*call.server);
     if (httpEnd == http::call_end::Broken && call.server->usable() && m_onBroken) {
         for (const auto &piece : call.pieces)
-            m_onBroken(*call.server, {piece.digest, active.startedAt});
+            m_onBroken(*call.server, {crash_subject{piece.digest, active.startedAt}});
     }
     if (end != stage_call_end::Answered)
         m_log.write(wire::log_level::Info,
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -328,17 +328,20 @@
 TEST_CASE("a server crashes frame keeps the in-flight requests of each server")
 {
     const auto digest = requestDigestOf({customer_id("c"), "h", "/p", "body"});
-    const server_crashes_frame sent{
-        {{backend_server_id("s-1"), milliseconds{30}, {{digest, milliseconds{70}}, {}}},
-         {backend_server_id("s-2"), milliseconds{0}, {}}}};
+    const server_crashes_frame sent{{{backend_server_id("s-1"),
+                                      milliseconds{30},
+                                      {{digest, milliseconds{70}, 2, digestOfTexts({"part"})}, {}}},
+                                     {backend_server_id("s-2"), milliseconds{0}, {}}}};
     const auto read = roundTrip(sent);
     REQUIRE(read.serverCrashes.size() == 2);
     CHECK(read.serverCrashes[0].server.value == "s-1");
     CHECK(read.serverCrashes[0].ago == milliseconds{30});
-    REQUIRE(read.serverCrashes[0].requests.size() == 2);
-    CHECK(read.serverCrashes[0].requests[0].digest == digest);
-    CHECK(read.serverCrashes[0].requests[0].sentAgo == milliseconds{70});
-    CHECK(read.serverCrashes[1].requests.empty());
+    REQUIRE(read.serverCrashes[0].subjects.size() == 2);
+    CHECK(read.serverCrashes[0].subjects[0].digest == digest);
+    CHECK(read.serverCrashes[0].subjects[0].sentAgo == milliseconds{70});
+    CHECK(read.serverCrashes[0].subjects[0].breadth == 2);
+    CHECK(read.serverCrashes[0].subjects[0].shared == digestOfTexts({"part"}));
+    CHECK(read.serverCrashes[1].subjects.empty());
 }
 
 TEST_CASE("a quarantine frame keeps level, version and remaining time of each request")
@@ -346,7 +349,8 @@
     const auto digest = requestDigestOf({customer_id("c"), "h", "/p", "body"});
     for (const auto &row : enumNames<quarantine_level>) {
         INFO("level " << row.name);
-        const quarantine_frame sent{vm_id("n1"), {{digest, row.value, 17, milliseconds{-5}, 2}}};
+        const quarantine_frame sent{
+            vm_id("n1"), {{digest, row.value, 17, milliseconds{-5}, 2, true, milliseconds{90}}}};
         const auto read = roundTrip(sent);
         CHECK(read.host.value == "n1");
         REQUIRE(read.entries.size() == 1);
@@ -355,6 +359,8 @@
         CHECK(read.entries[0].version == 17);
         CHECK(read.entries[0].remaining == milliseconds{-5});
         CHECK(read.entries[0].quarantineCount == 2);
+        CHECK(read.entries[0].isPart);
+        CHECK(read.entries[0].disputableAgo == milliseconds{90});
     }
 }
 
--- a/tests/gateway/request_quarantine_test.cpp
+++ b/tests/gateway/request_quarantine_test.cpp
@@ -27,7 +27,7 @@
         server_crash crash{
             backend_server_id("s-" + std::to_string(++crashedServers)), clock.now(), {}};
         for (const auto &each : requests)
-            crash.requests.push_back({each, sentAt});
+            crash.subjects.push_back({each, sentAt});
         return crash;
     }
     /// Crashes another server while these requests are in flight to it.
@@ -212,7 +212,7 @@
     REQUIRE(w.levelOf(unlucky) == quarantine_level::Quarantined);
     w.crashServer({Crashing});
     for (auto each : crashes) {
-        each.requests = {{Crashing, each.at}};
+        each.subjects = {{Crashing, each.at}};
         w.quarantine.onServerCrash(each);
     }
     CHECK(w.quarantine.decide().size() == 2);
--- a/tests/gateway/server_crash_detector_test.cpp
+++ b/tests/gateway/server_crash_detector_test.cpp
@@ -25,18 +25,19 @@
     server_crash_detector observer(clock);
     const backend_server_id server("s");
     const auto began = clock.now();
-    CHECK(observer.onConnectionBroken(server, {digestNumber(1), clock.now()}));
+    CHECK(observer.onConnectionBroken(server, {{digestNumber(1), clock.now()}}));
     clock.advance(milliseconds{3});
-    CHECK_FALSE(observer.onConnectionBroken(server, {digestNumber(2), clock.now()}));
+    CHECK_FALSE(observer.onConnectionBroken(server, {{digestNumber(2), clock.now()}}));
     CHECK_FALSE(observer.onConnectionBroken(
-        server, {digestNumber(2), clock.now()})); // another piece of the same request
-    CHECK(observer.onConnectionBroken(backend_server_id("other"), {digestNumber(3), clock.now()}));
+        server, {{digestNumber(2), clock.now()}})); // another piece of the same request
+    CHECK(
+        observer.onConnectionBroken(backend_server_id("other"), {{digestNumber(3), clock.now()}}));
     const auto end = observer.onProbeResult(server);
     REQUIRE(end);
     CHECK(end->server.value == "s");
     CHECK(end->at == began);
-    REQUIRE(end->requests.size() == 2);
-    CHECK(toText(end->requests[1].digest) == toText(digestNumber(2)));
+    REQUIRE(end->subjects.size() == 2);
+    CHECK(toText(end->subjects[1].digest) == toText(digestNumber(2)));
 }
 
 TEST_CASE("server_crash_detector: a connection that breaks after a probe starts another probe")
@@ -44,8 +45,8 @@
     manual_clock clock;
     server_crash_detector observer(clock);
     const backend_server_id server("s");
-    REQUIRE(observer.onConnectionBroken(server, {digestNumber(1), clock.now()}));
+    REQUIRE(observer.onConnectionBroken(server, {{digestNumber(1), clock.now()}}));
     REQUIRE(observer.onProbeResult(server));
     CHECK_FALSE(observer.onProbeResult(server));
-    CHECK(observer.onConnectionBroken(server, {digestNumber(1), clock.now()}));
+    CHECK(observer.onConnectionBroken(server, {{digestNumber(1), clock.now()}}));
 }
