Tell the end of an answer without a length from a reset and from another answer behind it

What callers saw: nothing on record. On stand-ins: bytes of a second answer behind one that ends with its connection were forwarded as its body, or as events of its stream; a client of HTTP/1.0 saw an orderly end where an answer broke off.

Cause: such an answer has no end but the close, so a second one in front of the close looks like more of it; and this node closed the connection to a client that reads up to the close in order.

Change: a buffered body without a length that contains the head of an answer which names its attempt counts as broken off; an event that begins like an answer makes a stream unusable, so it continues elsewhere; a client that reads up to the close sees a reset.

Also in tests: the stand-ins' reset was an orderly close, so no test had seen a reset; it is one now, also through the proxy.

Not covered: a second answer behind more than 128 KiB, or behind an answer that a peer relays.

--- a/src/gateway/answer_match.h
+++ b/src/gateway/answer_match.h
@@ -2,8 +2,11 @@
 
 #include "gateway/codec.h"
 #include "gateway/servers/server_directory.h"
+#include "http/message_reader.h"
 
 #include <string>
+#include <string_view>
+#include <tuple>
 
 namespace orchidlead::gateway {
 
@@ -21,4 +24,31 @@
     return false;
 }
 
+/// Whether the body of an answer that ends with its connection contains the head of an answer that
+/// names its attempt: the server sent a second answer behind the first, and nothing separates them.
+template <gateway_codec Codec>
+[[nodiscard]] bool isFollowedByAnswer(std::string_view body)
+{
+    struct head_sink final : http::response_sink
+    {
+        void onHead(http::response_head head) override
+        {
+            namesAttempt = !Codec::readAnswer(head).attempt.empty();
+        }
+        void onBody(std::string_view /*bytes*/) override { }
+        void onComplete() override { }
+        bool namesAttempt = false;
+    };
+    constexpr std::string_view Protocol = "HTTP/1.";
+    for (auto at = body.find(Protocol); at != std::string_view::npos;
+         at = body.find(Protocol, at + 1)) {
+        head_sink sink;
+        http::response_reader reader(sink, false);
+        std::ignore = reader.read(body.substr(at));
+        if (sink.namesAttempt)
+            return true;
+    }
+    return false;
+}
+
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/event_splitter.cpp
+++ b/src/gateway/exchange/event_splitter.cpp
@@ -33,6 +33,14 @@
     return std::nullopt;
 }
 
+// A server may send another answer behind a stream that ends with its connection. Its head would
+// become the beginning of an event.
+bool beginsWithAnswer(std::string_view event)
+{
+    constexpr std::string_view Protocol = "HTTP/";
+    return event.starts_with(Protocol);
+}
+
 } // namespace
 
 std::string_view event_splitter::feed(std::string_view bytes)
@@ -56,6 +64,7 @@
 // A stream that continues on another server may repeat events that were already returned.
 void event_splitter::processEvent(std::string_view event)
 {
+    m_unusable = m_unusable || beginsWithAnswer(event);
     const auto eventId = parseEventId(event);
     if (eventId && m_lastEvent && *eventId <= *m_lastEvent)
         return;
--- a/src/gateway/exchange/event_splitter.h
+++ b/src/gateway/exchange/event_splitter.h
@@ -33,8 +33,8 @@
     [[nodiscard]] std::uint64_t events() const { return m_eventCount; }
     /// Returns whether the bytes so far end in a partial event.
     [[nodiscard]] bool hasPartialEvent() const { return !m_partial.empty(); }
-    /// Returns whether an event exceeded the size limit or event numbers had a gap, so that the
-    /// stream can't be used.
+    /// Returns whether an event exceeded the size limit, event numbers had a gap, or another answer
+    /// follows, so that the stream can't be used any further.
     [[nodiscard]] bool isUnusable() const { return m_unusable; }
 
 private:
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -194,6 +194,8 @@
     void onBody(std::string_view bytes);
     void onEvents(std::string_view bytes);
     void onEnd(http::call_end how);
+    /// Returns whether the complete answer contains bytes of another one.
+    [[nodiscard]] bool isAnswerMixed() const;
     void reportConnectionBroken();
     /// Returns whether the request may be the cause if the server of the current attempt crashed.
     [[nodiscard]] bool mayHaveCrashedServer() const;
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -254,7 +254,7 @@
         onAttemptResult(attempt_result::NotSent);
         return;
     }
-    const bool whole = how == http::call_end::Complete;
+    const bool whole = how == http::call_end::Complete && !isAnswerMixed();
     const bool refused = m_responseMetadata.notExecuted || m_answer.status == status::Misdirected;
     if (whole && m_forwarding == forwarding_mode::Nothing && !m_headSent && refused) {
         onAttemptResult(attempt_result::NotRun);
@@ -279,6 +279,14 @@
     finish(request_outcome::Answered);
 }
 
+// Only an answer without a length can contain a second one.
+template <gateway_codec Codec>
+bool exchange<Codec>::isAnswerMixed() const
+{
+    return m_forwarding == forwarding_mode::Buffered && !m_answer.length && !m_answer.chunked
+        && isFollowedByAnswer<Codec>(m_bufferedAnswer);
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::reportConnectionBroken()
 {
--- a/src/http/inbound_connection.cpp
+++ b/src/http/inbound_connection.cpp
@@ -199,6 +199,7 @@
         m_closeAfterAnswer = true;
     m_noBody = out.status == 204 || out.status == 304;
     m_chunked = !out.length && !m_http10 && !m_noBody;
+    m_endsWithConnection = !out.length && m_http10 && !m_noBody;
     if (out.length && out.status != 204)
         out.fields.push_back({"Content-Length", std::to_string(*out.length)});
     else if (m_chunked)
@@ -277,10 +278,15 @@
     });
 }
 
+// To a client that reads the body up to the close of the connection, an orderly close would look
+// like the end of the answer.
 void inbound_connection::abort()
 {
-    if (m_phase == phase::Answering)
+    if (m_phase == phase::Answering) {
         --m_shared->answering;
+        if (m_answerStarted && m_endsWithConnection && m_socket)
+            m_socket->reset();
+    }
     close();
 }
 
--- a/src/http/inbound_connection.h
+++ b/src/http/inbound_connection.h
@@ -125,6 +125,7 @@
     std::string m_unparsed; ///< received bytes that are not parsed yet
     bool m_answerStarted = false;
     bool m_chunked = false;
+    bool m_endsWithConnection = false; ///< the answer's body ends where the connection is closed
     bool m_isHeadRequest = false; ///< the answer has no body
     bool m_noBody = false; ///< the status allows no body
     bool m_closeAfterAnswer = false;
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -178,6 +178,13 @@
     m_events->onEnd(orderly);
 }
 
+void stream_socket::reset()
+{
+    error_code ignored; // without the option the peer sees an orderly end
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void stream_socket::close()
 {
     m_events = nullptr;
--- a/src/http/stream_socket.h
+++ b/src/http/stream_socket.h
@@ -50,6 +50,8 @@
     void finishWriting();
     /// Closes immediately; reports no further events.
     void close();
+    /// As `close`, but the peer sees a reset instead of an orderly end.
+    void reset();
 
 private:
     static constexpr std::size_t ReadBytes = 16U << 10U;
--- a/tests/gateway/event_splitter_test.cpp
+++ b/tests/gateway/event_splitter_test.cpp
@@ -50,3 +50,14 @@
     CHECK(splitter.feed(std::string(Bound + 1, 'x')).empty());
     CHECK(splitter.isUnusable());
 }
+
+TEST_CASE("an answer that follows a stream is no event of it")
+{
+    event_splitter splitter(1000);
+    const std::string own = "id: 1\ndata: a\n\n";
+    CHECK(splitter.feed(own + "HTTP/1.1 200 OK\r\nX: y\r\n\r\nid: 2\ndata: b\n\n") == own);
+    CHECK(splitter.isUnusable());
+    CHECK(splitter.lastEvent() == 1);
+    splitter.restart();
+    CHECK_FALSE(splitter.isUnusable());
+}
--- a/tests/platform/cut_link.cpp
+++ b/tests/platform/cut_link.cpp
@@ -48,14 +48,7 @@
         m_requestsHeld = held;
         flush();
     }
-    void reset()
-    {
-        const auto self = std::exchange(m_self, nullptr);
-        for (auto &each : m_sides) {
-            if (const auto socket = std::exchange(each.socket, nullptr))
-                socket->close();
-        }
-    }
+    void reset() { end(false); }
 
 private:
     struct side final : http::stream_events
@@ -75,9 +68,10 @@
             owner->other(index).pending.append(bytes);
             owner->flush();
         }
-        void onEnd(bool /*orderly*/) override
+        void onEnd(bool orderly) override
         {
             ended = true;
+            endedInOrder = orderly;
             owner->flush();
         }
 
@@ -87,8 +81,23 @@
         std::string pending; ///< bytes to be written to this side
         bool connected = false;
         bool ended = false;
+        bool endedInOrder = false;
     };
 
+    void end(bool inOrder)
+    {
+        const auto self = std::exchange(m_self, nullptr);
+        for (auto &each : m_sides) {
+            const auto socket = std::exchange(each.socket, nullptr);
+            if (!socket)
+                continue;
+            if (inOrder)
+                socket->close();
+            else
+                socket->reset();
+        }
+    }
+
     side &other(std::size_t index) { return m_sides[1 - index]; }
 
     void flush()
@@ -103,7 +112,7 @@
         for (auto &each : m_sides) {
             if (!each.ended || m_requestsHeld)
                 continue;
-            reset();
+            end(each.endedInOrder);
             return;
         }
     }
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -113,7 +113,12 @@
         if (m_socket)
             m_socket->finishWriting();
     }
-    void reset() override { end(); }
+    void reset() override
+    {
+        if (const auto socket = m_socket)
+            socket->reset();
+        end();
+    }
 
 private:
     void expect()
@@ -534,27 +539,51 @@
     return answer;
 }
 
-std::string world::sendRaw(const std::string &gateway, const std::string &bytes)
+namespace {
+
+/// A connection of a client that sends raw bytes and collects what it gets.
+struct raw_client final : http::stream_events
 {
-    struct raw_client final : http::stream_events
+    void onConnected() override { socket->write(bytes); }
+    void onBytes(std::string_view got) override { received.append(got); }
+    void onEnd(bool inOrder) override
     {
-        void onConnected() override { socket->write(bytes); }
-        void onBytes(std::string_view got) override { received.append(got); }
-        void onEnd(bool /*inOrder*/) override { ended = true; }
-        std::shared_ptr<http::stream_socket> socket;
-        std::string bytes;
-        std::string received;
-        bool ended = false;
-    };
+        ended = true;
+        endedInOrder = inOrder;
+    }
+    std::shared_ptr<http::stream_socket> socket;
+    std::string bytes;
+    std::string received;
+    bool ended = false;
+    bool endedInOrder = false;
+};
+
+/// Sends bytes to an address and waits until the connection ends.
+void exchangeRaw(world &w, const socket_address &to, raw_client &client)
+{
+    client.socket = http::stream_socket::connect(w.loop, to, client);
+    w.runUntil([&] { return client.ended; }, milliseconds{1500});
+    client.socket->close();
+}
+
+} // namespace
+
+std::string world::sendRaw(const std::string &gateway, const std::string &bytes)
+{
     raw_client client;
     client.bytes = bytes;
-    client.socket =
-        http::stream_socket::connect(loop, m_nodes[gateway].settings.listen.clients, client);
-    runUntil([&] { return client.ended; }, milliseconds{1500});
-    client.socket->close();
+    exchangeRaw(*this, m_nodes[gateway].settings.listen.clients, client);
     return client.received;
 }
 
+bool world::endsInOrder(const std::string &gateway, const std::string &bytes)
+{
+    raw_client client;
+    client.bytes = bytes;
+    exchangeRaw(*this, m_nodes[gateway].settings.listen.clients, client);
+    return client.ended && client.endedInOrder;
+}
+
 int world::readiness(const std::string &gateway)
 {
     return readOperations(gateway, "/readyz").status;
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -195,6 +195,8 @@
                                  std::string body, const std::shared_ptr<client_answer> &answer);
     /// Sends raw bytes and returns all bytes received until the connection ends.
     std::string sendRaw(const std::string &gateway, const std::string &bytes);
+    /// Sends raw bytes and returns whether the gateway's bytes end with an orderly close.
+    bool endsInOrder(const std::string &gateway, const std::string &bytes);
     /// Returns the HTTP status of the readiness check.
     int readiness(const std::string &gateway);
     /// Returns the metrics of a gateway in the Prometheus text format.
