--- a/src/gateway/quarantine/request_digest.h
+++ b/src/gateway/quarantine/request_digest.h
@@ -13,8 +13,8 @@
 
 namespace orchidlead::gateway {
 
-/// Identifies repeats of the same request: equal on every node for the same customer, host, target
-/// and body, whatever the attempt id.
+/// A digest of texts, equal on every node. As `requestDigestOf` it identifies repeats of the same
+/// request, whatever the attempt id; it also identifies parts of prompts and streams.
 struct request_digest
 {
     static constexpr std::size_t Size = 16;
