Let nodes object anew each time that a part is suspected

A part that was suspected, freed by a node that had served it, and suspected again was quarantined without the time in which other nodes may object, as the time of its first suspicion was kept; nor were such times ever removed.

Evidence: read in review; part_quarantine_test and request_quarantine_test pass (no test fails without it).

--- a/src/gateway/quarantine/request_quarantine.cpp
+++ b/src/gateway/quarantine/request_quarantine.cpp
@@ -139,7 +139,7 @@
         return exposures;
     for (const auto &crash : record->crashes) {
         const auto at = std::ranges::find(crash->subjects, request, &crash_subject::digest);
-        exposures.push_back({at->sentAt, &*crash, at->breadth});
+        exposures.push_back({at->sentAt, &*crash});
     }
     std::ranges::sort(exposures, {}, [](const exposure &each) { return each.crash->at; });
     return exposures;
@@ -293,7 +293,7 @@
     if (exposures.size() > 1)
         entry.disputableSince = exposures[exposures.size() - 2].crash->at;
     if (level == quarantine_level::Suspected && entry.isPart)
-        m_suspectedAt.try_emplace(request, m_clock.now());
+        m_suspectedAt[request] = m_clock.now();
     else
         m_suspectedAt.erase(request);
     return entry;
@@ -449,6 +449,7 @@
         return std::nullopt;
     auto &kept = m_entries[entry.request];
     kept = entry;
+    m_suspectedAt.erase(entry.request);
     // The node that decided this entry did not know that the request has been served here.
     const crash_subject subject{
         entry.request, {}, entry.isPart ? std::uint8_t{1} : std::uint8_t{0}};
@@ -513,6 +514,7 @@
     }
     std::erase_if(m_served, [&](const auto &each) { return each.second + ServedRetention < now; });
     std::erase_if(m_pending, [&](const auto &each) { return !m_subjects.contains(each); });
+    std::erase_if(m_suspectedAt, [&](const auto &each) { return !m_entries.contains(each.first); });
     std::erase_if(m_trialExpiry, [&](const auto &each) { return each.second < now; });
     std::erase_if(m_entries, [&](const auto &each) {
         const auto &entry = each.second;
--- a/src/gateway/quarantine/request_quarantine.h
+++ b/src/gateway/quarantine/request_quarantine.h
@@ -125,7 +125,6 @@
     {
         steady_time sentAt;
         const server_crash *crash = nullptr;
-        std::uint8_t breadth = 0;
     };
     /// What is known of a request or part that was in flight during crashes.
     struct subject_record
