Keep results when engines of a reachable data centre crash

Two engines of another data centre that refused connections were taken for a data centre that can't be reached. The request left it and computed its results again, in the stage whose storage is scarce. A data centre from which a node or server was heard of up to 100 ms before the first refusal is reachable: the request goes on to its next engine. Without such a signal it leaves, as before (unreached_data_center_test). Leaving without computing again: an engine at home then waits for inputs of a data centre that is cut off.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -282,6 +282,7 @@
     std::uint32_t m_attempts = 0; ///< that reached a server
     std::uint32_t m_attemptsBefore = 0; ///< `m_attempts` before the current one
     std::uint32_t m_unsentAttempts = 0;
+    steady_time m_firstUnsentRemoteAt{}; ///< time of the first of `m_unsentRemoteAttempts`
     std::uint32_t m_unsentRemoteAttempts = 0; ///< unsent attempts to servers of other data centres
     bool m_serverIneligible = false; ///< the chosen server may no longer get the request
     /// The suspected request or part that this request may try on one server.
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -355,12 +355,20 @@
 }
 
 // Connections to an unreachable data centre fail at once, but the data centre is declared lost only
-// after a while.
+// after a while. Engines that have crashed refuse connections as well. Their data centre still
+// sends signals then, and the results stored there stay usable: computing them again would load
+// stages that may be short of room.
 template <gateway_codec Codec>
 void exchange<Codec>::avoidUnreachable(const data_center_id &where)
 {
     const auto &own = m_context.dataCenter;
-    if (where == own || ++m_unsentRemoteAttempts < MaxUnsentRemoteAttempts
+    if (where == own)
+        return;
+    if (++m_unsentRemoteAttempts == 1)
+        m_firstUnsentRemoteAt = m_attemptStartedAt;
+    const auto signal = m_context.peers.view().lastSignalFrom(where);
+    const bool sendsSignals = signal && *signal >= m_firstUnsentRemoteAt - RecentSignalAge;
+    if (m_unsentRemoteAttempts < MaxUnsentRemoteAttempts || sendsSignals
         || !m_context.directory.usableIn(m_service, own))
         return;
     m_unreachableDataCenter = where;
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -37,6 +37,9 @@
 /// Number of such attempts to servers of another data centre after which that data centre is
 /// treated as unreachable.
 inline constexpr std::uint32_t MaxUnsentRemoteAttempts = 2;
+/// A data centre from which a signal arrived this shortly before servers there refused connections
+/// is reachable: the servers have crashed. A data centre that is cut off is silent at once.
+inline constexpr milliseconds RecentSignalAge{100};
 /// Retry delay sent with a refusal: the duration of a few calls of a stage.
 inline constexpr milliseconds RetryDelay{400};
 /// Retry delay if all servers for the request are evacuated, shutting down or unreachable, which
--- a/src/gateway/peers/data_center_reachability.cpp
+++ b/src/gateway/peers/data_center_reachability.cpp
@@ -51,6 +51,7 @@
         return;
     auto &known = m_states[from];
     known.lastSeen = m_clock.now();
+    known.lastSignalAt = known.lastSeen;
     known.probed = false;
 }
 
@@ -109,6 +110,13 @@
     return events;
 }
 
+std::optional<steady_time>
+data_center_reachability::lastSignalFrom(const data_center_id &which) const
+{
+    const auto found = m_states.find(which);
+    return found == m_states.end() ? std::nullopt : std::optional(found->second.lastSignalAt);
+}
+
 bool data_center_reachability::isReachable(const data_center_id &which) const
 {
     const auto found = m_states.find(which);
--- a/src/gateway/peers/data_center_reachability.h
+++ b/src/gateway/peers/data_center_reachability.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace orchidlead::gateway {
@@ -43,11 +44,14 @@
     /// Returns the probes and state changes that are due; call about every 100 ms.
     [[nodiscard]] std::vector<reachability_event> tick();
     [[nodiscard]] bool isReachable(const data_center_id &which) const;
+    /// Returns when a node or server of another data centre was last heard from; empty: never.
+    [[nodiscard]] std::optional<steady_time> lastSignalFrom(const data_center_id &which) const;
 
 private:
     struct state
     {
-        steady_time lastSeen;
+        steady_time lastSeen; ///< start of the silence; not before this node had work there
+        steady_time lastSignalAt; ///< time of the last liveness signal
         steady_time activeUntil; ///< until then this node counts as having work there
         steady_time nextProbe;
         bool probed = false; ///< since the last liveness signal
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -52,6 +52,11 @@
     {
         m_reachability.onLivenessSignal(which);
     }
+    /// As `data_center_reachability::lastSignalFrom`.
+    [[nodiscard]] std::optional<steady_time> lastSignalFrom(const data_center_id &which) const
+    {
+        return m_reachability.lastSignalFrom(which);
+    }
     /// Records that this node has work in the data centre, so that its silence is noticed sooner.
     void onTraffic(const data_center_id &which) { m_reachability.onTraffic(which); }
     /// Reassigns roles after a member changed its state.
--- a/tests/platform/unreached_data_center_test.cpp
+++ b/tests/platform/unreached_data_center_test.cpp
@@ -68,6 +68,19 @@
             each->crash();
     }
 
+    /// Crashes the remote engines that the gateway tries first.
+    void crashSomeRemoteEngines(std::size_t count)
+    {
+        for (auto *each : m_remoteServers) {
+            if (count > 0 && each->id().starts_with("engine-")) {
+                each->crash();
+                --count;
+            }
+        }
+    }
+
+    [[nodiscard]] int resultCount() const { return m_resultCount; }
+
     /// Sends requests, each with a long prompt part of its own, and returns how many succeeded.
     std::size_t countServed(const std::string &pieces)
     {
@@ -110,3 +123,17 @@
     CHECK(w.countServed("2") == Requests);
     CHECK(w.countRemoteRequests("p") >= Requests / 4);
 }
+
+// Guards against computing results again, in stages that may be short of room, because engines
+// refuse connections: two of them were taken for a data centre that can't be reached.
+TEST_CASE(
+    "crashed engines of a reachable data centre don't make a request compute its stages again")
+{
+    constexpr std::size_t CrashedEngines = 3; // an attempt on the fourth engine is still allowed
+    constexpr int PiecesPerRequest = 2;
+    two_data_centers w(Stages);
+    w.crashSomeRemoteEngines(CrashedEngines);
+    CHECK(w.countServed(std::to_string(PiecesPerRequest)) == Requests);
+    CHECK(w.countRemoteRequests("p") >= Requests / 4);
+    CHECK(w.resultCount() == Requests * PiecesPerRequest);
+}
