Move the account of result storage out of the stage pool

Cause: stage_pool kept held bytes by server, results by handle and their expiry among the decisions about pieces; the decisions that follow need this account on its own. Change: class result_room, behaviour unchanged. An unlimited server has the maximum of free bytes. Measured: the tests of stage_pool and its load, and the new ones of result_room, pass, unchanged.

--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -65,8 +65,15 @@
     : m_clock(clock)
     , m_service(std::move(service))
     , m_retryBudget(retryBudget)
+    , m_room(clock)
 { }
 
+void stage_pool::setCapacity(const stage_capacity &capacity)
+{
+    m_capacity = capacity;
+    m_room.setLimits(capacity.resultMemoryBytes, capacity.resultLifetime);
+}
+
 void stage_pool::submit(piece_task job)
 {
     job.submittedAt = m_clock.now();
@@ -160,10 +167,7 @@
     std::ranges::stable_sort(m_waiting, [&](const piece_task &a, const piece_task &b) {
         return precedes(a, b, chosen.record.dataCenter, now);
     });
-    const auto heldBytes = m_servers[chosen.record.start()].heldBytes;
-    const bool bounded = m_capacity.resultMemoryBytes > 0;
-    std::uint64_t room =
-        m_capacity.resultMemoryBytes > heldBytes ? m_capacity.resultMemoryBytes - heldBytes : 0;
+    std::uint64_t room = m_room.freeBytesAt(chosen.record.start());
     std::size_t freePlaces = std::max(1U, m_capacity.maxPiecesPerCall);
     std::vector<piece_task> taken;
     std::vector<piece_task> left;
@@ -171,7 +175,7 @@
         const auto end = groupEnd(begin);
         const auto bytes = m_waiting[begin].resultBytes;
         std::size_t fitting = std::min(end - begin, freePlaces);
-        if (bounded && bytes > 0)
+        if (bytes > 0)
             fitting = std::min<std::size_t>(fitting, room / bytes);
         if (mayWait && waitsForLocalServer(m_waiting[begin], chosen, now))
             fitting = 0;
@@ -206,7 +210,7 @@
 {
     if (m_waiting.empty())
         return std::nullopt;
-    dropExpiredResults();
+    m_room.dropExpired();
     const auto now = m_clock.now();
     const auto first =
         std::ranges::min_element(m_waiting, [&](const piece_task &a, const piece_task &b) {
@@ -249,7 +253,7 @@
             std::chrono::duration_cast<milliseconds>(call.startedAt - job.submittedAt);
         rank.totalWait += waited;
         stageCall.longestWait = std::max(stageCall.longestWait, waited);
-        state.heldBytes += job.resultBytes;
+        m_room.reserve(chosen->record.start(), job.resultBytes);
         stageCall.pieces.push_back(job.request);
         stageCall.pieces.back().clientTimeout =
             std::chrono::duration_cast<milliseconds>(job.deadline - call.startedAt);
@@ -262,44 +266,6 @@
     return stageCall;
 }
 
-void stage_pool::recordResult(const server_start &server, const std::string &handle,
-                              std::uint64_t bytes)
-{
-    m_results[handle] = {server, bytes, m_clock.now() + m_capacity.resultLifetime};
-}
-
-void stage_pool::releaseBytes(const server_start &server, std::uint64_t bytes)
-{
-    auto &state = m_servers[server];
-    state.heldBytes -= std::min(state.heldBytes, bytes);
-}
-
-void stage_pool::onFreed(const std::string &handle)
-{
-    const auto found = m_results.find(handle);
-    if (found == m_results.end())
-        return;
-    releaseBytes(found->second.server, found->second.bytes);
-    m_results.erase(found);
-}
-
-std::uint64_t stage_pool::heldBytesAt(const server_start &server) const
-{
-    const auto found = m_servers.find(server);
-    return found == m_servers.end() ? 0 : found->second.heldBytes;
-}
-
-void stage_pool::dropExpiredResults()
-{
-    const auto now = m_clock.now();
-    std::erase_if(m_results, [&](const auto &entry) {
-        if (entry.second.expiresAt > now)
-            return false;
-        releaseBytes(entry.second.server, entry.second.bytes);
-        return true;
-    });
-}
-
 void stage_pool::updateSlowness(const active_call &call)
 {
     const auto took = std::chrono::duration<double>(m_clock.now() - call.startedAt);
@@ -352,10 +318,9 @@
         for (auto &job : call.jobs) {
             // The server may hold the results although its answer was lost.
             if (callEnd == stage_call_end::Broken)
-                recordResult(server, "unnamed-" + std::to_string(++m_unnamedResults),
-                             job.resultBytes);
+                m_room.recordUnnamed(server, job.resultBytes);
             else
-                releaseBytes(server, job.resultBytes);
+                m_room.release(server, job.resultBytes);
             retryOrFail(std::move(job), callEnd, out);
         }
         return out;
@@ -367,9 +332,9 @@
         const bool retry =
             failure && (*failure == piece_failure::NoRoom || *failure == piece_failure::Error);
         if (failure)
-            releaseBytes(server, job.resultBytes);
+            m_room.release(server, job.resultBytes);
         else
-            recordResult(server, std::get<std::string>(results[i]), job.resultBytes);
+            m_room.record(server, std::get<std::string>(results[i]), job.resultBytes);
         if (failure && *failure == piece_failure::NoRoom) {
             ++m_summary.withoutRoom;
             state.pausedUntil = m_clock.now() + NoRoomPause;
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -4,6 +4,7 @@
 #include "gateway/exchange/service_retry_budget.h"
 #include "gateway/servers/server_directory.h"
 #include "gateway/stages/decaying_rate.h"
+#include "gateway/stages/result_room.h"
 #include "gateway/stages/stage_rank.h"
 
 #include <cstdint>
@@ -13,7 +14,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -103,7 +103,7 @@
 public:
     stage_pool(const clock_source &clock, service_id service, service_retry_budget &retryBudget);
 
-    void setCapacity(const stage_capacity &capacity) { m_capacity = capacity; }
+    void setCapacity(const stage_capacity &capacity);
     void setWaitsForLocalServer(bool waits) { m_waitsForLocalServer = waits; }
     /// Sets the function that returns whether a piece of a request may be retried after a call that
     /// may have crashed its server.
@@ -123,7 +123,7 @@
     [[nodiscard]] std::vector<piece_outcome> onEnd(stage_call_id call, stage_call_end callEnd,
                                                    const std::vector<piece_result> &results);
     /// Releases the room of a result that its server has freed.
-    void onFreed(const std::string &handle);
+    void onFreed(const std::string &handle) { m_room.onFreed(handle); }
     /// Drops pieces past their deadline, and late pieces if the pieces that can still be in time
     /// need more than one call of each server. `servers` is the number of servers; a rate-limited
     /// one counts as a fraction.
@@ -146,7 +146,10 @@
     /// Returns when `nextCall` may return a call without another event in between.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
     /// Returns the bytes of results accounted to a server.
-    [[nodiscard]] std::uint64_t heldBytesAt(const server_start &server) const;
+    [[nodiscard]] std::uint64_t heldBytesAt(const server_start &server) const
+    {
+        return m_room.heldBytesAt(server);
+    }
     /// Returns the activity since the last call of this function.
     [[nodiscard]] stage_pool_summary takeSummary() { return std::exchange(m_summary, {}); }
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
@@ -165,13 +168,6 @@
         std::uint32_t calls = 0; ///< in progress
         steady_time pausedUntil{}; ///< gets no call before this
         std::uint32_t consecutiveFailures = 0; ///< calls without an answer
-        std::uint64_t heldBytes = 0; ///< results, including expected ones of calls in progress
-    };
-    struct held_result
-    {
-        server_start server;
-        std::uint64_t bytes = 0;
-        steady_time expiresAt;
     };
 
     /// Returns whether `a` precedes `b` at time `now`, for a server in the data centre `at`; if
@@ -191,9 +187,6 @@
                                            steady_time now) const;
     [[nodiscard]] steady_time localWaitEnd(const piece_task &job) const;
     [[nodiscard]] stage_call makeCall(const server_ptr &chosen, std::vector<piece_task> jobs);
-    void recordResult(const server_start &server, const std::string &handle, std::uint64_t bytes);
-    void releaseBytes(const server_start &server, std::uint64_t bytes);
-    void dropExpiredResults();
     [[nodiscard]] std::chrono::microseconds expectedTime(std::size_t pieces) const;
     /// Estimates how long all servers together take for `pieces` of a rank, given the arrival rate
     /// of more urgent pieces.
@@ -212,8 +205,7 @@
     std::map<stage_rank, decaying_rate> m_arrivals;
     std::map<stage_call_id, active_call> m_calls;
     std::map<server_start, server_state> m_servers;
-    std::unordered_map<std::string, held_result> m_results; ///< by handle
-    std::uint64_t m_unnamedResults = 0; ///< count of results of calls whose answer was lost
+    result_room m_room;
     stage_call_id m_lastCall = 0;
     std::set<data_center_id> m_dataCenters; ///< with a usable server at the last `nextCall`
     stage_pool_summary m_summary;
--- /dev/null
+++ b/tests/gateway/result_room_test.cpp
@@ -0,0 +1,81 @@
+#include "gateway/stages/result_room.h"
+
+#include <catch2/catch.hpp>
+
+#include <limits>
+#include <string>
+
+using namespace orchidlead;
+using namespace orchidlead::gateway;
+
+namespace {
+
+constexpr std::uint64_t Room = 600;
+constexpr std::uint64_t ResultBytes = 100;
+constexpr milliseconds Lifetime{4000};
+const server_start First{backend_server_id("s0"), {}};
+const server_start Second{backend_server_id("s1"), {}};
+
+struct room_fixture
+{
+    manual_clock clock;
+    result_room room{clock};
+
+    room_fixture() { room.setLimits(Room, Lifetime); }
+
+    /// Stores results that a server has computed.
+    void store(const server_start &at, int count, const std::string &prefix)
+    {
+        for (int i = 0; i < count; ++i) {
+            room.reserve(at, ResultBytes);
+            room.record(at, prefix + std::to_string(i), ResultBytes);
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("result_room: storage is held from the reservation until the free")
+{
+    room_fixture w;
+    w.room.reserve(First, ResultBytes);
+    CHECK(w.room.heldBytesAt(First) == ResultBytes);
+    w.room.record(First, "a", ResultBytes);
+    CHECK(w.room.freeBytesAt(First) == Room - ResultBytes);
+    CHECK(w.room.freeBytesAt(Second) == Room);
+    w.room.onFreed("a");
+    w.room.onFreed("a");
+    CHECK(w.room.heldBytesAt(First) == 0);
+}
+
+TEST_CASE("result_room: a reservation without a result is released")
+{
+    room_fixture w;
+    w.room.reserve(First, ResultBytes);
+    w.room.release(First, ResultBytes);
+    CHECK(w.room.freeBytesAt(First) == Room);
+}
+
+// Guards against storage that stays counted as held when requests that free results are lost.
+TEST_CASE("result_room: results that aren't freed expire, named or not")
+{
+    room_fixture w;
+    w.store(First, 4, "a");
+    w.room.reserve(First, ResultBytes);
+    w.room.recordUnnamed(First, ResultBytes);
+    w.clock.advance(Lifetime - milliseconds{1});
+    w.room.dropExpired();
+    CHECK(w.room.heldBytesAt(First) == 5 * ResultBytes);
+    w.clock.advance(milliseconds{1});
+    w.room.dropExpired();
+    CHECK(w.room.heldBytesAt(First) == 0);
+}
+
+TEST_CASE("result_room: more than the storage of a server leaves none free")
+{
+    room_fixture w;
+    w.store(First, 7, "a");
+    CHECK(w.room.freeBytesAt(First) == 0);
+    w.room.setLimits(0, Lifetime);
+    CHECK(w.room.freeBytesAt(First) == std::numeric_limits<std::uint64_t>::max());
+}
