Correct the account of a server that refuses a result instead of pausing it

Cause: a server without storage for one result got no call for 150 ms, although smaller results and those after a free fit. Sizes of results differ from the published ones, so the account is often wrong. Change: after a refusal the server counts as having no storage for a result of that size, until results there are freed, for 150 ms at most. The pool learns from refusals by how much results are larger than published. Where no sizes are published the pause remains. The pool also wakes when a result expires. Policy result_room (setting without) restores the pause. Ruled out: counting all storage as held after a refusal; small results would find none.

--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -156,6 +156,7 @@
     m_router.setHostReadyCheck([this] { return m_state.hasServerList(); });
     m_stages.setWaitsForLocalServer(
         !m_settings.disabledPolicies.contains(policy::WaitForLocalServer));
+    m_stages.setUsesResultRoom(!m_settings.disabledPolicies.contains(policy::ResultRoom));
     m_stages.setQuarantineCallbacks(
         m_context.onConnectionBroken, [this](const request_digest &request) {
             return m_quarantine.statusOf(request).level == quarantine_level::Unrestricted;
--- a/src/gateway/stages/result_room.h
+++ b/src/gateway/stages/result_room.h
@@ -5,17 +5,25 @@
 #include <orchidlead/clock.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace orchidlead::gateway {
 
 /// Accounts for the storage in which the backend servers of a pool keep results until they are
-/// freed or expire. Sizes are in bytes, as published.
+/// freed or expire. Sizes are in bytes, as published. Actual sizes differ from them, so a server
+/// may refuse a result for which the account has storage; such refusals correct the account.
 class result_room
 {
 public:
+    /// How long a refusal corrects the account of a server. Results are freed within a second; a
+    /// longer time would leave storage unused after frees that the pool doesn't see.
+    static constexpr milliseconds CorrectionTime{150};
+
     explicit result_room(const clock_source &clock)
         : m_clock(clock)
     { }
@@ -24,6 +32,9 @@
     /// result that isn't freed.
     void setLimits(std::uint64_t bytesPerServer, milliseconds lifetime);
 
+    /// Sets whether refusals teach by how much actual sizes differ from the published ones.
+    void setLearnsSizes(bool learns) { m_learnsSizes = learns; }
+
     /// Reserves storage for a result that a call is to compute.
     void reserve(const server_start &server, std::uint64_t bytes);
     /// Releases a reservation whose call produced no result.
@@ -37,6 +48,18 @@
     /// Releases the results that their servers no longer keep.
     void dropExpired();
 
+    /// Corrects the account of a server that had no storage for a result. Call after the other
+    /// results of the call were recorded. The server counts as having no storage for another result
+    /// of this size until results there are freed, at most for `CorrectionTime`.
+    void onRefused(const server_start &server, std::uint64_t bytes);
+    /// Records that a server stored all results of a call.
+    void onAllStored();
+    /// Returns when storage may become free without a free: at the end of a correction, or when a
+    /// result expires.
+    [[nodiscard]] std::optional<steady_time> nextChangeAt() const;
+    /// Returns the learnt ratio of actual sizes to published ones, 1 if nothing was learnt.
+    [[nodiscard]] double sizeRatio() const { return m_sizeRatio; }
+
     /// Returns the bytes of results at a server, including reservations.
     [[nodiscard]] std::uint64_t heldBytesAt(const server_start &server) const;
     /// Returns the free storage of a server; the maximum of the type if it is unlimited.
@@ -49,12 +72,26 @@
         std::uint64_t bytes = 0;
         steady_time expiresAt;
     };
+    struct correction
+    {
+        std::uint64_t bytes = 0; ///< counted as held
+        steady_time until;
+    };
+
+    /// Returns the storage of a server in published sizes.
+    [[nodiscard]] std::uint64_t usableBytes() const;
+    void forgetFreed();
 
     const clock_source &m_clock;
     std::uint64_t m_bytesPerServer = 0;
     milliseconds m_lifetime{0};
     std::map<server_start, std::uint64_t> m_heldBytes;
+    std::map<server_start, correction> m_corrections;
     std::unordered_map<std::string, held_result> m_results; ///< by handle
+    std::deque<std::pair<steady_time, std::string>>
+        m_expiries; ///< in order; may include freed ones
+    bool m_learnsSizes = true;
+    double m_sizeRatio = 1.0;
     std::uint64_t m_unnamedResults = 0; ///< count of results of calls whose answer was lost
 };
 
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -34,6 +34,10 @@
     /// that are created later.
     void setWaitsForLocalServer(bool waits) { m_waitsForLocalServer = waits; }
 
+    /// Sets whether pools consider the storage for results (policy `ResultRoom`). Affects only
+    /// pools that are created later.
+    void setUsesResultRoom(bool uses) { m_usesResultRoom = uses; }
+
     /// Sets the callbacks of the request quarantine. `onConnectionBroken` is called when a
     /// connection broke while a server had a piece of the request; `mayRetry` returns whether such
     /// a piece may be tried on another server.
@@ -137,6 +141,7 @@
     gateway_metrics &m_metrics;
     configuration_ptr m_configuration;
     bool m_waitsForLocalServer = true;
+    bool m_usesResultRoom = true;
     std::function<void(const server &, const std::vector<crash_subject> &)> m_onBroken;
     std::function<bool(const request_digest &)> m_mayRetry;
     std::function<double(const pool_key &)> m_rateShare;
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -45,6 +45,7 @@
     if (!entry) {
         entry = std::make_unique<stage_pool>(m_loop.clock(), key.service, m_retryBudget);
         entry->setWaitsForLocalServer(m_waitsForLocalServer);
+        entry->setUsesResultRoom(m_usesResultRoom);
         entry->setMayRetry(m_mayRetry);
         const auto *spec = m_configuration ? m_configuration->findService(key.service) : nullptr;
         if (spec && spec->stage)
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -15,7 +15,8 @@
 constexpr std::uint32_t TriesBeforePoolChange = 2;
 // How long a server that refused a call gets no other: a fraction of the shortest call.
 constexpr milliseconds RefusedPause{60};
-// How long a server without room for results gets no call. Results are freed within a second.
+// How long a server without room for results gets no call while `policy::ResultRoom` is disabled.
+// Results are freed within a second.
 constexpr milliseconds NoRoomPause{150};
 // A call times out after `TimeoutFactor` times its expected duration at this server, plus
 // `TimeoutSlack`. A server behind a network partition delays its pieces until then; a server that
@@ -74,6 +75,12 @@
     m_room.setLimits(capacity.resultMemoryBytes, capacity.resultLifetime);
 }
 
+void stage_pool::setUsesResultRoom(bool uses)
+{
+    m_usesResultRoom = uses;
+    m_room.setLearnsSizes(uses);
+}
+
 void stage_pool::submit(piece_task job)
 {
     job.submittedAt = m_clock.now();
@@ -326,6 +333,7 @@
         return out;
     }
     updateSlowness(call);
+    std::vector<std::uint64_t> refused; // bytes of results for which the server had no room
     for (std::size_t i = 0; i < call.jobs.size(); ++i) {
         auto &job = call.jobs[i];
         const auto *failure = std::get_if<piece_failure>(&results[i]);
@@ -337,16 +345,34 @@
             m_room.record(server, std::get<std::string>(results[i]), job.resultBytes);
         if (failure && *failure == piece_failure::NoRoom) {
             ++m_summary.withoutRoom;
-            state.pausedUntil = m_clock.now() + NoRoomPause;
+            refused.push_back(job.resultBytes);
         }
         if (retry)
             retryOrFail(std::move(job), callEnd, out);
         else
             out.push_back({job.token, results[i]});
     }
+    accountRefusals(server, refused);
     return out;
 }
 
+void stage_pool::accountRefusals(const server_start &server,
+                                 const std::vector<std::uint64_t> &refused)
+{
+    if (refused.empty()) {
+        m_room.onAllStored();
+        return;
+    }
+    // Without published sizes there is no account to correct.
+    const bool sized =
+        m_capacity.resultMemoryBytes > 0 && std::ranges::find(refused, 0U) == refused.end();
+    if (!m_usesResultRoom || !sized)
+        m_servers[server].pausedUntil = m_clock.now() + NoRoomPause;
+    else
+        for (const auto bytes : refused)
+            m_room.onRefused(server, bytes);
+}
+
 std::chrono::microseconds stage_pool::estimateWait(std::size_t pieces, const stage_rank &rank,
                                                    double servers) const
 {
@@ -467,6 +493,8 @@
             && (!earliest || state.pausedUntil < *earliest))
             earliest = state.pausedUntil;
     }
+    if (const auto change = m_room.nextChangeAt(); m_usesResultRoom && change && *change > now)
+        earliest = std::min(earliest.value_or(*change), *change);
     // When pieces that wait for a server in their inputs' data centre may go to another one.
     for (const auto &job : m_waiting) {
         const auto until = localWaitEnd(job);
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -105,6 +105,11 @@
 
     void setCapacity(const stage_capacity &capacity);
     void setWaitsForLocalServer(bool waits) { m_waitsForLocalServer = waits; }
+    /// Sets whether decisions consider the storage for results beyond the published sizes (policy
+    /// `ResultRoom`).
+    void setUsesResultRoom(bool uses);
+    /// Sets whether sizes are learnt from refusals; for comparisons.
+    void setLearnsResultSizes(bool learns) { m_room.setLearnsSizes(learns); }
     /// Sets the function that returns whether a piece of a request may be retried after a call that
     /// may have crashed its server.
     void setMayRetry(std::function<bool(const request_digest &)> mayRetry)
@@ -193,6 +198,9 @@
     [[nodiscard]] std::chrono::microseconds estimateWait(std::size_t pieces, const stage_rank &rank,
                                                          double servers) const;
     void updateSlowness(const active_call &call);
+    /// Corrects the account of a server that answered a call, by the sizes of the results for which
+    /// it had no storage.
+    void accountRefusals(const server_start &server, const std::vector<std::uint64_t> &refused);
     void retryOrFail(piece_task job, stage_call_end callEnd, std::vector<piece_outcome> &out);
 
     const clock_source &m_clock;
@@ -201,6 +209,7 @@
     stage_capacity m_capacity;
     std::function<bool(const request_digest &)> m_mayRetry; ///< if empty, retries are allowed
     bool m_waitsForLocalServer = true;
+    bool m_usesResultRoom = true;
     std::vector<piece_task> m_waiting;
     std::map<stage_rank, decaying_rate> m_arrivals;
     std::map<stage_call_id, active_call> m_calls;
--- a/tests/gateway/result_room_test.cpp
+++ b/tests/gateway/result_room_test.cpp
@@ -79,3 +79,53 @@
     w.room.setLimits(0, Lifetime);
     CHECK(w.room.freeBytesAt(First) == std::numeric_limits<std::uint64_t>::max());
 }
+
+// Guards against a server that is sent further results although it has no storage for them, and
+// against one that gets none although small results fit.
+TEST_CASE("result_room: a refusal counts a server as full for results of that size")
+{
+    room_fixture w;
+    w.room.setLearnsSizes(false);
+    w.store(First, 3, "a");
+    w.room.onRefused(First, ResultBytes);
+    CHECK(w.room.freeBytesAt(First) == ResultBytes - 1);
+    CHECK(w.room.freeBytesAt(Second) == Room);
+    REQUIRE(w.room.nextChangeAt());
+    CHECK(*w.room.nextChangeAt() == w.clock.now() + result_room::CorrectionTime);
+    SECTION("until a result there is freed")
+    {
+        w.room.onFreed("a0");
+        CHECK(w.room.freeBytesAt(First) >= ResultBytes);
+        CHECK(w.room.freeBytesAt(First) < 2 * ResultBytes);
+    }
+    SECTION("for a limited time without a free")
+    {
+        w.clock.advance(result_room::CorrectionTime);
+        w.room.dropExpired();
+        CHECK(w.room.freeBytesAt(First) == 3 * ResultBytes);
+    }
+    SECTION("also after further refusals")
+    {
+        w.room.onRefused(First, ResultBytes);
+        w.room.onRefused(First, ResultBytes);
+        CHECK(w.room.freeBytesAt(First) == ResultBytes - 1);
+        w.clock.advance(result_room::CorrectionTime);
+        w.room.onRefused(First, ResultBytes / 10);
+        CHECK(w.room.freeBytesAt(First) == ResultBytes / 10 - 1);
+    }
+}
+
+TEST_CASE("result_room: refusals teach larger sizes, and calls without them teach published ones")
+{
+    room_fixture w;
+    w.store(First, 3, "a");
+    for (int i = 0; i < 20; ++i)
+        w.room.onRefused(First, ResultBytes);
+    // Four results did not fit where six of the published size would.
+    CHECK(w.room.sizeRatio() > 1.4);
+    CHECK(w.room.sizeRatio() <= 1.5);
+    CHECK(w.room.freeBytesAt(Second) < Room);
+    for (int i = 0; i < 200; ++i)
+        w.room.onAllStored();
+    CHECK(w.room.sizeRatio() < 1.02);
+}
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -210,6 +210,48 @@
     CHECK(std::get<piece_failure>(outcomes[0].result) == piece_failure::InputGone);
 }
 
+// Guards against the loss of a server's whole capacity after one result didn't fit.
+TEST_CASE("stage_pool: a server refuses a result for lack of storage")
+{
+    pool_fixture w;
+    const auto submitSmall = [&] {
+        piece_task job;
+        job.token = ++w.lastToken;
+        job.request.attempt = "small";
+        job.softDeadline = w.clock.now() + milliseconds{2000};
+        job.deadline = job.softDeadline;
+        job.resultBytes = PieceBytes / 10;
+        w.pool.submit(job);
+    };
+    const bool usesRoom = GENERATE(true, false);
+    w.pool.setUsesResultRoom(usesRoom);
+    w.submit("large", 0, milliseconds{2000});
+    CHECK(w.fail(*w.pool.nextCall(w.servers), piece_failure::NoRoom).empty());
+    submitSmall();
+    const auto next = w.pool.nextCall(w.servers);
+    if (usesRoom) {
+        REQUIRE(next);
+        CHECK(requestsOf(*next) == std::vector<std::string>{"small"});
+    } else {
+        CHECK_FALSE(next);
+        w.clock.advance(milliseconds{150});
+        CHECK(w.pool.nextCall(w.servers));
+    }
+}
+
+TEST_CASE("stage_pool: the pool wakes when a result expires that was never freed")
+{
+    pool_fixture w;
+    for (std::uint32_t i = 0; i < 4; ++i)
+        w.submit("r1", i, milliseconds{2000});
+    (void)w.answer(*w.pool.nextCall(w.servers));
+    for (std::uint32_t i = 0; i < 4; ++i)
+        w.submit("r2", i, milliseconds{9000});
+    CHECK_FALSE(w.pool.nextCall(w.servers));
+    REQUIRE(w.pool.wakeAt());
+    CHECK(*w.pool.wakeAt() == w.clock.now() + makeCapacity().resultLifetime);
+}
+
 TEST_CASE("a failed piece is reported when the retry budget is used up")
 {
     pool_fixture w;
