Measure how long results occupy storage, by phase

Cause: no metric showed for how long the storage of servers is held, nor in which phase, and no decision could use it. Change: moving averages of hold times in the pool's account (small results apart from others), from the start of the call: call, needed (until the free is requested at the host), freeing (until it is confirmed). Histograms by service and phase, a gauge of held bytes, both also in the log line stage_pool. Results that expire count with the time until then. Ruled out: the phases between the request's last piece and the engine's first event; the host only sees requests to free.

--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -300,6 +300,7 @@
     };
     now.members = m_peers.view().countByState();
     now.waitingPieces = m_stages.waiting();
+    now.heldResultBytes = m_stages.heldResultBytes();
     now.retries = m_retries;
     now.placements = m_placer.activeCount();
     now.publishedAge = age(m_state.lastContactAt());
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -26,6 +26,7 @@
 // times.
 constexpr std::size_t MaxServices = 32;
 constexpr std::size_t MaxRouteRows = 256;
+constexpr std::size_t HoldPhases = 3; // fields of `hold_times`
 
 double seconds(milliseconds time)
 {
@@ -80,6 +81,17 @@
                                        "Time that a stage call took, by service",
                                        {"service"},
                                        MaxServices}};
+    wire::histogram_family resultHolds{registry,
+                                       {"orchidlead_gateway_result_hold_seconds",
+                                        "Time that a result occupied storage of its server, by "
+                                        "service and phase",
+                                        {"service", "phase"},
+                                        MaxServices *HoldPhases}};
+    wire::gauge_family heldResultBytes{registry,
+                                       {"orchidlead_gateway_result_held_bytes",
+                                        "Results that servers hold for the pools here, by service",
+                                        {"service"},
+                                        MaxServices}};
     wire::gauge_family waitingPieces{registry,
                                      {"orchidlead_gateway_stage_waiting_pieces",
                                       "Pieces that wait for a call here, by service",
@@ -144,6 +156,17 @@
     m_families->reservedFields.Increment(count);
 }
 
+void gateway_metrics::onResultFreed(const service_id &service, const hold_times &held)
+{
+    const auto observe = [&](const char *phase, std::chrono::microseconds took) {
+        m_families->resultHolds.at({service.value, phase})
+            .Observe(std::chrono::duration<double>(took).count());
+    };
+    observe("call", held.call);
+    observe("needed", held.needed);
+    observe("freeing", held.freeing);
+}
+
 void gateway_metrics::onStageCall(const service_id &service, const stage_call_report &call)
 {
     m_families->stageCalls.Add({{"end", toLabel(toName(call.end))}}).Increment();
@@ -176,6 +199,8 @@
         m_families->members.at({state}).Set(static_cast<double>(count));
     for (const auto &[service, count] : gauges.waitingPieces)
         m_families->waitingPieces.at({service.value}).Set(static_cast<double>(count));
+    for (const auto &[service, bytes] : gauges.heldResultBytes)
+        m_families->heldResultBytes.at({service.value}).Set(static_cast<double>(bytes));
     for (const auto &[service, usage] : gauges.retries) {
         m_families->retriesTaken.at({service.value}).Set(usage.taken);
         m_families->retriesLeft.at({service.value}).Set(usage.left);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -36,6 +36,8 @@
     bool serversCutOff = false; ///< this node can open no connection to any server
     std::map<std::string, std::size_t> members; ///< by state, this node included
     std::map<service_id, std::size_t> waitingPieces; ///< in the pools hosted by this node
+    /// Bytes of results that backend servers hold for the pools hosted by this node.
+    std::map<service_id, std::uint64_t> heldResultBytes;
     std::map<service_id, service_retry_budget::usage> retries;
     std::uint64_t placements = 0; ///< requests that this node placed on servers, for itself or
                                   ///< other nodes, and that have not ended
@@ -71,6 +73,8 @@
     void onFirstEvent(milliseconds took);
     /// Records the number of header fields in a client's request that only the system may set.
     void onReservedFields(std::uint32_t count);
+    /// Records how long a freed result was held at its server.
+    void onResultFreed(const service_id &service, const hold_times &held);
     void onStageCall(const service_id &service, const stage_call_report &call);
 
     [[nodiscard]] std::string text(const gateway_gauges &gauges);
--- a/src/gateway/stages/result_room.cpp
+++ b/src/gateway/stages/result_room.cpp
@@ -15,8 +15,31 @@
 // occupies, and would leave too much of it unused later.
 constexpr double MaxSizeRatio = 1.5;
 
+// Results of at most this fraction of a server's storage are small.
+constexpr std::uint64_t SmallResultDivisor = 64;
+// Weight of a result in the moving averages of hold times: they follow a change within about 20
+// results, a fifth of a second where storage is scarce.
+constexpr double HoldWeight = 0.05;
+
+std::chrono::microseconds toMicroseconds(double count)
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(count));
+}
+
 } // namespace
 
+void result_room::hold_average::add(const hold_times &times)
+{
+    const auto update = [this](double &average, std::chrono::microseconds value) {
+        const auto latest = static_cast<double>(value.count());
+        average = measured ? average + HoldWeight * (latest - average) : latest;
+    };
+    update(call, times.call);
+    update(needed, times.needed);
+    update(freeing, times.freeing);
+    measured = true;
+}
+
 void result_room::setLimits(std::uint64_t bytesPerServer, milliseconds lifetime)
 {
     m_bytesPerServer = bytesPerServer;
@@ -26,6 +49,7 @@
 void result_room::reserve(const server_start &server, std::uint64_t bytes)
 {
     m_heldBytes[server] += bytes;
+    m_callStarts[server] = m_clock.now();
 }
 
 void result_room::release(const server_start &server, std::uint64_t bytes)
@@ -34,14 +58,19 @@
     if (found == m_heldBytes.end())
         return;
     found->second -= std::min(found->second, bytes);
-    if (found->second == 0)
-        m_heldBytes.erase(found);
+    if (found->second > 0)
+        return;
+    m_heldBytes.erase(found);
+    m_callStarts.erase(server);
 }
 
 void result_room::record(const server_start &server, const std::string &handle, std::uint64_t bytes)
 {
-    const auto expiresAt = m_clock.now() + m_lifetime;
-    m_results[handle] = {server, bytes, expiresAt};
+    const auto now = m_clock.now();
+    const auto expiresAt = now + m_lifetime;
+    const auto start = m_callStarts.find(server);
+    m_results[handle] = {
+        server, bytes, expiresAt, start == m_callStarts.end() ? now : start->second, now, {}};
     m_expiries.emplace_back(expiresAt, handle);
 }
 
@@ -50,13 +79,60 @@
     record(server, "unnamed-" + std::to_string(++m_unnamedResults), bytes);
 }
 
-void result_room::onFreed(const std::string &handle)
+void result_room::onFreeRequested(const std::string &handle)
+{
+    const auto found = m_results.find(handle);
+    if (found != m_results.end() && !found->second.freeRequestedAt)
+        found->second.freeRequestedAt = m_clock.now();
+}
+
+hold_times result_room::timesOf(const held_result &result, steady_time end)
+{
+    const auto requested = result.freeRequestedAt.value_or(end);
+    const auto between = [](steady_time from, steady_time to) {
+        return std::chrono::duration_cast<std::chrono::microseconds>(to - from);
+    };
+    return {between(result.callStartedAt, result.recordedAt), between(result.recordedAt, requested),
+            between(requested, end)};
+}
+
+std::optional<hold_times> result_room::onFreed(const std::string &handle)
 {
     const auto found = m_results.find(handle);
     if (found == m_results.end())
-        return;
+        return std::nullopt;
+    const auto times = timesOf(found->second, m_clock.now());
+    (isSmall(found->second.bytes) ? m_smallHold : m_largeHold).add(times);
     release(found->second.server, found->second.bytes);
     m_results.erase(found);
+    forgetFreed();
+    return times;
+}
+
+bool result_room::isSmall(std::uint64_t bytes) const
+{
+    return bytes <= m_bytesPerServer / SmallResultDivisor;
+}
+
+hold_times result_room::holdTimes(std::uint64_t bytes) const
+{
+    const auto &average = isSmall(bytes) ? m_smallHold : m_largeHold;
+    return {toMicroseconds(average.call), toMicroseconds(average.needed),
+            toMicroseconds(average.freeing)};
+}
+
+std::chrono::microseconds result_room::holdTime(std::uint64_t bytes) const
+{
+    const auto &average = isSmall(bytes) ? m_smallHold : m_largeHold;
+    return average.measured ? holdTimes(bytes).total() : m_initialHold;
+}
+
+std::uint64_t result_room::totalHeldBytes() const
+{
+    std::uint64_t total = 0;
+    for (const auto &[server, bytes] : m_heldBytes)
+        total += bytes;
+    return total;
 }
 
 void result_room::dropExpired()
@@ -67,6 +143,8 @@
         // A result that was recorded again under the same handle expires later.
         const auto found = m_results.find(m_expiries.front().second);
         if (found != m_results.end() && found->second.expiresAt <= now) {
+            (isSmall(found->second.bytes) ? m_smallHold : m_largeHold)
+                .add(timesOf(found->second, now));
             release(found->second.server, found->second.bytes);
             m_results.erase(found);
         }
--- a/src/gateway/stages/result_room.h
+++ b/src/gateway/stages/result_room.h
@@ -4,6 +4,7 @@
 
 #include <orchidlead/clock.h>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -14,6 +15,16 @@
 
 namespace orchidlead::gateway {
 
+/// How long a result was held, by phase.
+struct hold_times
+{
+    std::chrono::microseconds call{0}; ///< from the start of its call to the end
+    std::chrono::microseconds needed{0}; ///< until its free was requested at this host
+    std::chrono::microseconds freeing{0}; ///< until its server confirmed the free
+
+    [[nodiscard]] std::chrono::microseconds total() const { return call + needed + freeing; }
+};
+
 /// Accounts for the storage in which the backend servers of a pool keep results until they are
 /// freed or expire. Sizes are in bytes, as published. Actual sizes differ from them, so a server
 /// may refuse a result for which the account has storage; such refusals correct the account.
@@ -43,8 +54,11 @@
     void record(const server_start &server, const std::string &handle, std::uint64_t bytes);
     /// Turns a reservation into a result that the server may hold although its answer was lost.
     void recordUnnamed(const server_start &server, std::uint64_t bytes);
-    /// Releases a result that its server has freed.
-    void onFreed(const std::string &handle);
+    /// Records that a result is to be freed.
+    void onFreeRequested(const std::string &handle);
+    /// Releases a result that its server has freed. Returns how long it was held; empty for an
+    /// unknown result.
+    std::optional<hold_times> onFreed(const std::string &handle);
     /// Releases the results that their servers no longer keep.
     void dropExpired();
 
@@ -57,6 +71,17 @@
     /// Returns when storage may become free without a free: at the end of a correction, or when a
     /// result expires.
     [[nodiscard]] std::optional<steady_time> nextChangeAt() const;
+    /// Sets the hold time that is assumed before the first result was freed.
+    void setInitialHold(std::chrono::microseconds hold) { m_initialHold = hold; }
+    /// Returns how long results are held from the start of their call, as a moving average over
+    /// results of the same size class: small, or not.
+    [[nodiscard]] std::chrono::microseconds holdTime(std::uint64_t bytes) const;
+    /// Returns the moving average of each phase of the results that were freed.
+    [[nodiscard]] hold_times holdTimes(std::uint64_t bytes) const;
+    /// Returns whether a result is too small to be limited by the storage of servers.
+    [[nodiscard]] bool isSmall(std::uint64_t bytes) const;
+    /// Returns the bytes of results at all servers, including reservations.
+    [[nodiscard]] std::uint64_t totalHeldBytes() const;
     /// Returns the learnt ratio of actual sizes to published ones, 1 if nothing was learnt.
     [[nodiscard]] double sizeRatio() const { return m_sizeRatio; }
 
@@ -71,6 +96,19 @@
         server_start server;
         std::uint64_t bytes = 0;
         steady_time expiresAt;
+        steady_time callStartedAt;
+        steady_time recordedAt;
+        std::optional<steady_time> freeRequestedAt;
+    };
+    /// Moving averages of a size class, in microseconds.
+    struct hold_average
+    {
+        bool measured = false;
+        double call = 0;
+        double needed = 0;
+        double freeing = 0;
+
+        void add(const hold_times &times);
     };
     struct correction
     {
@@ -81,12 +119,17 @@
     /// Returns the storage of a server in published sizes.
     [[nodiscard]] std::uint64_t usableBytes() const;
     void forgetFreed();
+    [[nodiscard]] static hold_times timesOf(const held_result &result, steady_time end);
 
     const clock_source &m_clock;
     std::uint64_t m_bytesPerServer = 0;
     milliseconds m_lifetime{0};
     std::map<server_start, std::uint64_t> m_heldBytes;
     std::map<server_start, correction> m_corrections;
+    std::map<server_start, steady_time> m_callStarts; ///< of the latest reservations
+    std::chrono::microseconds m_initialHold{0};
+    hold_average m_largeHold;
+    hold_average m_smallHold;
     std::unordered_map<std::string, held_result> m_results; ///< by handle
     std::deque<std::pair<steady_time, std::string>>
         m_expiries; ///< in order; may include freed ones
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -63,6 +63,8 @@
     void freeResults(const std::vector<std::string> &handles);
     /// Returns the number of waiting pieces by service.
     [[nodiscard]] std::map<service_id, std::size_t> waiting() const;
+    /// Returns the bytes of results that servers hold, by service.
+    [[nodiscard]] std::map<service_id, std::uint64_t> heldResultBytes() const;
     /// Logs the activity of each pool since the last call.
     void logSummaries();
     /// Handles added, changed or removed servers of a service.
--- a/src/gateway/stages/stage_host_frees_impl.h
+++ b/src/gateway/stages/stage_host_frees_impl.h
@@ -25,8 +25,11 @@
 template <gateway_codec Codec>
 void stage_host<Codec>::freeResults(const std::vector<std::string> &handles)
 {
-    for (const auto &each : handles)
+    for (const auto &each : handles) {
+        for (auto &[key, pool] : m_pools)
+            pool->onFreeRequested(each);
         m_pendingFrees[resultServerAddress(each)].push_back(each);
+    }
     if (!m_pendingFrees.empty())
         scheduleFrees(m_loop.now() + FreeBatchDelay);
 }
@@ -122,8 +125,10 @@
 void stage_host<Codec>::onFreed(const std::vector<std::string> &handles)
 {
     for (auto &[key, pool] : m_pools) {
-        for (const auto &each : handles)
-            pool->onFreed(each);
+        for (const auto &each : handles) {
+            if (const auto held = pool->onFreed(each))
+                m_metrics.onResultFreed(key.service, *held);
+        }
         if (pool->waiting() > 0)
             scheduleDispatch(key);
     }
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -351,6 +351,15 @@
     return counts;
 }
 
+template <gateway_codec Codec>
+std::map<service_id, std::uint64_t> stage_host<Codec>::heldResultBytes() const
+{
+    std::map<service_id, std::uint64_t> bytes;
+    for (const auto &[key, pool] : m_pools)
+        bytes[key.service] += pool->room().totalHeldBytes();
+    return bytes;
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::logSummaries()
 {
@@ -364,6 +373,8 @@
             line.add("data_center", key.dataCenter.value);
         line.add("open", pool->activeCallCount()).add("waiting", pool->waiting());
         line.add("without_room", summary.withoutRoom);
+        line.add("held_bytes", pool->room().totalHeldBytes());
+        line.add("hold_ms", std::chrono::duration_cast<milliseconds>(pool->holdTime()).count());
         for (const auto &[priority, rank] : summary.ranks) {
             const auto suffix = "_" + std::to_string(priority);
             line.add("pieces" + suffix, rank.pieces);
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -18,6 +18,9 @@
 // How long a server without room for results gets no call while `policy::ResultRoom` is disabled.
 // Results are freed within a second.
 constexpr milliseconds NoRoomPause{150};
+// Fixed cost of an answer: how long results are assumed to be held after their call before the
+// first one was freed.
+constexpr milliseconds InitialAnswerTime{300};
 // A call times out after `TimeoutFactor` times its expected duration at this server, plus
 // `TimeoutSlack`. A server behind a network partition delays its pieces until then; a server that
 // has just become slow loses one call.
@@ -73,6 +76,7 @@
 {
     m_capacity = capacity;
     m_room.setLimits(capacity.resultMemoryBytes, capacity.resultLifetime);
+    m_room.setInitialHold(fullCallTime() + InitialAnswerTime);
 }
 
 void stage_pool::setUsesResultRoom(bool uses)
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -128,7 +128,17 @@
     [[nodiscard]] std::vector<piece_outcome> onEnd(stage_call_id call, stage_call_end callEnd,
                                                    const std::vector<piece_result> &results);
     /// Releases the room of a result that its server has freed.
-    void onFreed(const std::string &handle) { m_room.onFreed(handle); }
+    /// Returns how long the result was held; empty if it isn't known.
+    std::optional<hold_times> onFreed(const std::string &handle) { return m_room.onFreed(handle); }
+    /// Records that a result is to be freed.
+    void onFreeRequested(const std::string &handle) { m_room.onFreeRequested(handle); }
+    /// Returns how long large results are held, from the start of their call.
+    [[nodiscard]] std::chrono::microseconds holdTime() const
+    {
+        return m_room.holdTime(m_capacity.resultMemoryBytes);
+    }
+    /// Returns the account of the pool's results.
+    [[nodiscard]] const result_room &room() const { return m_room; }
     /// Drops pieces past their deadline, and late pieces if the pieces that can still be in time
     /// need more than one call of each server. `servers` is the number of servers; a rate-limited
     /// one counts as a fraction.
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -38,6 +38,23 @@
     CHECK(text.find("stage_call_seconds_sum{service=\"rerank\"} 0.251") != std::string::npos);
 }
 
+TEST_CASE("held results are shown by service, and hold times by phase")
+{
+    gateway_metrics metrics;
+    const service_id service{"pages"};
+    metrics.onResultFreed(service, {milliseconds{200}, milliseconds{700}, milliseconds{20}});
+    gateway_gauges gauges;
+    gauges.heldResultBytes[service] = 3'000'000;
+    const auto text = metrics.text(gauges);
+    CHECK(text.find("result_hold_seconds_sum{phase=\"call\",service=\"pages\"} 0.2")
+          != std::string::npos);
+    CHECK(text.find("result_hold_seconds_sum{phase=\"needed\",service=\"pages\"} 0.7")
+          != std::string::npos);
+    CHECK(text.find("result_hold_seconds_sum{phase=\"freeing\",service=\"pages\"} 0.02")
+          != std::string::npos);
+    CHECK(text.find("result_held_bytes{service=\"pages\"} 3000000") != std::string::npos);
+}
+
 TEST_CASE("gauges show the state of the node at the time of the read")
 {
     gateway_metrics metrics;
--- a/tests/gateway/result_room_test.cpp
+++ b/tests/gateway/result_room_test.cpp
@@ -129,3 +129,31 @@
         w.room.onAllStored();
     CHECK(w.room.sizeRatio() < 1.02);
 }
+
+// Guards against wait estimates that use a hold time of results of another size, or none.
+TEST_CASE("result_room: hold times are averages by size class and phase")
+{
+    room_fixture w;
+    constexpr std::uint64_t Small = Room / 64;
+    w.room.setInitialHold(milliseconds{300});
+    CHECK(w.room.isSmall(Small));
+    CHECK_FALSE(w.room.isSmall(Small + 1));
+    CHECK(w.room.holdTime(ResultBytes) == milliseconds{300});
+    w.room.reserve(First, ResultBytes);
+    w.room.reserve(First, Small);
+    w.clock.advance(milliseconds{200});
+    w.room.record(First, "large", ResultBytes);
+    w.room.record(First, "small", Small);
+    w.clock.advance(milliseconds{500});
+    w.room.onFreeRequested("large");
+    w.clock.advance(milliseconds{20});
+    const auto held = w.room.onFreed("large");
+    REQUIRE(held);
+    CHECK(held->call == milliseconds{200});
+    CHECK(held->needed == milliseconds{500});
+    CHECK(held->freeing == milliseconds{20});
+    CHECK(w.room.holdTime(ResultBytes) == milliseconds{720});
+    CHECK(w.room.holdTime(Small) == milliseconds{300});
+    CHECK(w.room.totalHeldBytes() == Small);
+    CHECK_FALSE(w.room.onFreed("large"));
+}
