Estimate the time until an engine's first event by the size of the prompt

Cause: one moving average for all requests of a service. Urgent requests with 17,000 prompt tokens need 566 ms, short ones of 1,500 need 64 ms, so the results of stages of long requests were due 300 ms too late.

Requests without a prompt keep one average. The policy first_answer_by_size switches it off.

Ruled out: averages by power of two of the size, as a node that sees one or two requests a second learns each class too slowly.

--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -73,7 +73,7 @@
             m_context.metrics.onFirstEvent(*m_timeToFirstEvent);
             const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
                 m_context.loop.now() - m_attemptStartedAt);
-            m_context.latencyEstimator.onFirstToken(m_service, took);
+            m_context.latencyEstimator.onFirstToken(m_service, m_metadata.promptTokens, took);
             m_context.placer.onFirstToken(m_placement);
             recordStreamOrigin();
             beginAnswer();
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -219,8 +219,13 @@
 template <gateway_codec Codec>
 request_outline exchange<Codec>::outline() const
 {
-    return {*m_configuration, *m_route,     m_service,
-            stageRank(),      m_stagePools, m_metadata.pieceCounts};
+    return {*m_configuration,
+            *m_route,
+            m_service,
+            stageRank(),
+            m_stagePools,
+            m_metadata.pieceCounts,
+            m_metadata.promptTokens};
 }
 
 // Checked before any work is done. If the servers have no backlog, the request is served late
--- a/src/gateway/exchange/latency_estimator.cpp
+++ b/src/gateway/exchange/latency_estimator.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-// Used before the first measurement: about the prefill time of a medium-sized prompt.
-constexpr std::chrono::microseconds DefaultFirstAnswerTime{250'000};
-// Weight of the newest request in the moving average.
-constexpr double FirstAnswerWeight = 0.05;
 // Weight of the newest stage in the moving average. A backlog shows, and disappears, within a few
 // requests.
 constexpr double StageWeight = 0.15;
@@ -25,19 +21,19 @@
 
 } // namespace
 
-void latency_estimator::onFirstToken(const service_id &service, std::chrono::microseconds took)
+void latency_estimator::onFirstToken(const service_id &service, std::uint32_t promptTokens,
+                                     std::chrono::microseconds took)
 {
-    const auto [entry, isNew] = m_firstAnswerTimes.try_emplace(
-        service, static_cast<double>(DefaultFirstAnswerTime.count()));
-    entry->second += FirstAnswerWeight * (static_cast<double>(took.count()) - entry->second);
+    m_firstAnswerTimes[service].onFirstAnswer(modelledTokens(promptTokens), took);
 }
 
-std::chrono::microseconds latency_estimator::firstAnswerTime(const service_id &service) const
+std::chrono::microseconds latency_estimator::firstAnswerTime(const service_id &service,
+                                                             std::uint32_t promptTokens) const
 {
     const auto found = m_firstAnswerTimes.find(service);
-    if (found == m_firstAnswerTimes.end())
-        return DefaultFirstAnswerTime;
-    return std::chrono::microseconds{static_cast<std::int64_t>(found->second)};
+    const auto tokens = modelledTokens(promptTokens);
+    return found == m_firstAnswerTimes.end() ? first_answer_model{}.expected(tokens)
+                                             : found->second.expected(tokens);
 }
 
 void latency_estimator::onStage(const pool_key &pool, const stage_rank &rank,
@@ -125,7 +121,8 @@
                                     const std::vector<std::chrono::microseconds> &stageTimes) const
 {
     const auto &stages = request.routeSpec.stages;
-    std::vector<std::chrono::microseconds> after(stages.size(), firstAnswerTime(request.service));
+    std::vector<std::chrono::microseconds> after(
+        stages.size(), firstAnswerTime(request.service, request.promptTokens));
     // Each stage comes after the stages that it depends on, so one pass from the end is enough.
     for (std::size_t i = stages.size(); i-- > 0;) {
         const auto throughStage = after[i] + stageTimes[i];
--- a/src/gateway/exchange/latency_estimator.h
+++ b/src/gateway/exchange/latency_estimator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/exchange/first_answer_model.h"
 #include "gateway/publication/configuration.h"
 #include "gateway/servers/pool_key.h"
 #include "gateway/stages/stage_rank.h"
@@ -26,6 +27,13 @@
     stage_rank rank;
     const std::vector<pool_key> &pools; ///< of each stage
     const std::vector<std::uint32_t> &pieces; ///< number for each stage; 0: the stage is skipped
+    std::uint32_t promptTokens = 0; ///< 0: no prompt
+};
+
+/// How the time to the first answer is estimated.
+enum class first_answer_kind : std::uint8_t {
+    ByPromptSize,
+    SingleAverage, ///< one average for all requests of a service
 };
 
 /// Estimates the remaining time of a request from the recent times of requests with the same rank
@@ -33,15 +41,20 @@
 class latency_estimator
 {
 public:
-    explicit latency_estimator(const clock_source &clock)
+    explicit latency_estimator(const clock_source &clock,
+                               first_answer_kind firstAnswers = first_answer_kind::ByPromptSize)
         : m_clock(clock)
+        , m_firstAnswerKind(firstAnswers)
     { }
 
-    /// Records the time from sending a request to its first answer.
-    void onFirstToken(const service_id &service, std::chrono::microseconds took);
-    /// Returns the average time from sending to the first answer, or a default if none was
+    /// Records the time from sending a request to its first answer. `promptTokens` is 0 if the
+    /// request has no prompt.
+    void onFirstToken(const service_id &service, std::uint32_t promptTokens,
+                      std::chrono::microseconds took);
+    /// Returns the expected time from sending to the first answer, or a default if none was
     /// recorded.
-    [[nodiscard]] std::chrono::microseconds firstAnswerTime(const service_id &service) const;
+    [[nodiscard]] std::chrono::microseconds firstAnswerTime(const service_id &service,
+                                                            std::uint32_t promptTokens) const;
     /// Records the time from submitting the pieces of a stage until all of them had results.
     void onStage(const pool_key &pool, const stage_rank &rank, std::chrono::microseconds took);
     /// Records the wait for a new piece that the host of the pool reports.
@@ -87,8 +100,15 @@
         steady_time at;
     };
 
+    /// Returns the prompt size that the time to the first answer is looked up with.
+    [[nodiscard]] std::uint32_t modelledTokens(std::uint32_t promptTokens) const
+    {
+        return m_firstAnswerKind == first_answer_kind::ByPromptSize ? promptTokens : 0;
+    }
+
     const clock_source &m_clock;
-    std::unordered_map<service_id, double> m_firstAnswerTimes; ///< µs
+    first_answer_kind m_firstAnswerKind;
+    std::unordered_map<service_id, first_answer_model> m_firstAnswerTimes;
     std::map<std::pair<pool_key, stage_rank>, stage_average> m_stageAverages;
     std::map<std::pair<pool_key, stage_rank>, reported_wait> m_reportedWaits;
 };
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -140,7 +140,10 @@
                 m_settings.dataCenter,
                 m_settings.disabledPolicies,
                 nullptr,
-                latency_estimator{m_loop.clock()},
+                latency_estimator{m_loop.clock(),
+                                  m_settings.disabledPolicies.contains(policy::FirstAnswerBySize)
+                                      ? first_answer_kind::SingleAverage
+                                      : first_answer_kind::ByPromptSize},
                 std::minstd_rand{seedOf(m_settings.vm)},
                 [this](const server &which, const std::vector<crash_subject> &subjects) {
                     onConnectionBroken(which, subjects);
--- a/tests/gateway/latency_estimator_test.cpp
+++ b/tests/gateway/latency_estimator_test.cpp
@@ -70,7 +70,7 @@
     const service_id engine("engine");
     const std::vector<pool_key> pools{Pool, Pool};
     const std::vector<std::uint32_t> pieces{1, 1};
-    const auto last = times.firstAnswerTime(engine);
+    const auto last = times.firstAnswerTime(engine, 0);
     const auto after = [&](const stage_rank &rank) {
         const request_outline request{index, routeSpec, engine, rank, pools, pieces};
         return times.timesAfterStages(request, times.stageTimes(request));
@@ -142,5 +142,5 @@
     world.pieces = {0};
     world.times.onReportedWait(Pool, Patient, milliseconds{800});
     CHECK_FALSE(world.forecastFor(Patient).hasBacklog);
-    CHECK(world.forecastFor(Patient).timeToAnswer == world.times.firstAnswerTime(Engine));
+    CHECK(world.forecastFor(Patient).timeToAnswer == world.times.firstAnswerTime(Engine, 0));
 }
