Count the costs of engines as times at the speed of each engine

Cause: costs were prompt tokens, the same for an engine that takes 1.6 times the nominal time as for one that takes 0.6 times.

Change: placement_board learns the time from sending to the first token by the tokens to be read until then (first_answer_model for each service) and, for each start of an engine, the ratio of actual to expected time (server_speed: moving average, back at 1 after 5 s). The cost of reading and of delayed streams is multiplied by it; moving inputs isn't. A request that ends without a first token teaches nothing.

--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -28,12 +28,17 @@
 constexpr double CacheShareOfCapacity = 0.7;
 // Prompt tokens that an engine is assumed to hold if its service publishes no capacity.
 constexpr std::uint64_t DefaultCapacityTokens = 200'000;
+// Fewest prompt tokens until the first token from which the speed of an engine is learnt. With
+// fewer, the time consists mainly of round trips.
+constexpr std::uint64_t MinTokensToLearn = 512;
 
 } // namespace
 
-placement_board::placement_board(const clock_source &clock, const server_directory &directory)
+placement_board::placement_board(const clock_source &clock, const server_directory &directory,
+                                 const disabled_policies &disabledPolicies)
     : m_clock(clock)
     , m_directory(directory)
+    , m_learnsSpeeds(!disabledPolicies.contains(policy::ServerSpeeds))
     , m_pacer(clock)
 { }
 
@@ -64,6 +69,7 @@
     if (uncached > PrefillChunkTokens)
         cost += StreamPauseCostPerToken * static_cast<double>(uncached - PrefillChunkTokens)
             * state.streams;
+    cost *= timeFactorOf(backend, state);
     if (!query.preferredDataCenter.empty()
         && backend.record.dataCenter != query.preferredDataCenter)
         cost += TransferCostPerByte * static_cast<double>(query.transferBytes);
@@ -203,19 +209,26 @@
     placed.allRateLimited = perSecond.has_value();
     if (placed.server) {
         m_pacer.onSent(*placed.server, share);
-        recordPlacement(id, query, *placed.server);
+        recordPlacement(id, query, placed);
     }
     return placed;
 }
 
 void placement_board::recordPlacement(placement_id id, const placement_query &query,
-                                      const server &chosen)
+                                      const placement_result &placed)
 {
-    auto &state = m_engines[chosen.record.start()];
+    const auto start = placed.server->record.start();
+    auto &state = m_engines[start];
     const auto uncached = uncachedTokens(state, query);
+    const auto now = m_clock.now();
+    m_placements[id] = {.server = start,
+                        .tokens = uncached,
+                        .startedAt = now,
+                        .service = placed.server->record.service,
+                        .tokensToFirstToken = state.prefillTokens + uncached,
+                        .sentAt = now + placed.wait};
     state.prefillTokens += uncached;
     ++state.streams;
-    m_placements[id] = {chosen.record.start(), uncached, m_clock.now()};
     const auto known = m_capacities.find(query.pool.service);
     cacheParts(state, query, known == m_capacities.end() ? DefaultCapacityTokens : known->second);
 }
@@ -247,17 +260,47 @@
     if (found == m_placements.end())
         return;
     auto &state = m_engines[found->second.server];
-    state.prefillTokens -= std::min(state.prefillTokens, found->second.tokens);
-    found->second.tokens = 0;
+    if (m_learnsSpeeds)
+        learnSpeed(found->second, state);
+    markRead(found->second, state);
+}
+
+void placement_board::markRead(placement &finished, engine &state)
+{
+    state.prefillTokens -= std::min(state.prefillTokens, finished.tokens);
+    finished.tokens = 0;
+}
+
+// The expected time is that of an average engine of the service, so that the speeds are relative to
+// it whatever its model.
+void placement_board::learnSpeed(const placement &finished, engine &state)
+{
+    const auto now = m_clock.now();
+    const auto took = std::chrono::duration_cast<std::chrono::microseconds>(now - finished.sentAt);
+    if (finished.tokens == 0 || finished.tokensToFirstToken < MinTokensToLearn
+        || took <= std::chrono::microseconds{0})
+        return;
+    const auto tokens = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        finished.tokensToFirstToken, std::numeric_limits<std::uint32_t>::max()));
+    auto &readTime = m_readTimes[finished.service];
+    const auto expected = readTime.expected(tokens);
+    readTime.onFirstAnswer(tokens, took);
+    state.speed.onCall(static_cast<double>(took.count()) / static_cast<double>(expected.count()),
+                       now);
+}
+
+double placement_board::timeFactorOf(const server &, const engine &state) const
+{
+    return m_learnsSpeeds ? state.speed.timeFactor(m_clock.now()) : 1.0;
 }
 
 void placement_board::onEnd(placement_id id)
 {
-    onFirstToken(id);
     const auto found = m_placements.find(id);
     if (found == m_placements.end())
         return;
     auto &state = m_engines[found->second.server];
+    markRead(found->second, state);
     state.streams -= std::min(state.streams, 1U);
     const auto server = found->second.server;
     m_placements.erase(found);
--- a/src/gateway/placement/placement_board.h
+++ b/src/gateway/placement/placement_board.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/exchange/first_answer_model.h"
 #include "gateway/placement/pool_admission.h"
+#include "gateway/policy.h"
 #include "gateway/servers/rate_pacer.h"
 #include "gateway/servers/server_directory.h"
+#include "gateway/servers/server_speed.h"
 #include "gateway/stages/stage_rank.h"
 
 #include <orchidlead/clock.h>
@@ -59,16 +62,19 @@
 ///
 /// For the requests placed by this node, the board tracks the prompts that each engine still has to
 /// read, the streams running on each engine, and the prompt parts cached there. A request goes to
-/// the engine with the lowest cost, in prompt tokens: the uncached tokens of its prompt, the tokens
-/// to be read before them, the streams delayed by reading the prompt, and the inputs that would
-/// have to be moved to another data centre.
+/// the engine with the lowest cost, in the time that an engine of usual speed takes to read a
+/// prompt token: the uncached tokens of its prompt, the tokens to be read before them and the
+/// streams delayed by reading the prompt, at the engine's own speed, and the inputs that would have
+/// to be moved to another data centre. The speed of each engine is learnt from the time until the
+/// first token of its requests.
 ///
 /// Rate-limited servers get requests evenly at the rate of their limits. If all servers are
 /// rate-limited, requests wait for their turn, and only as many are admitted as the limits allow.
 class placement_board
 {
 public:
-    placement_board(const clock_source &clock, const server_directory &directory);
+    placement_board(const clock_source &clock, const server_directory &directory,
+                    const disabled_policies &disabledPolicies = {});
 
     /// Sets the number of tokens that an engine of a service can cache.
     void setCapacity(const service_id &service, std::uint64_t tokens);
@@ -98,12 +104,18 @@
         std::uint64_t cachedTokens = 0;
         std::uint64_t prefillTokens = 0; ///< prompt tokens that are still to be read
         std::uint32_t streams = 0; ///< requests placed and not ended
+        server_speed speed;
     };
     struct placement
     {
         server_start server;
         std::uint64_t tokens = 0; ///< prompt tokens still to be read; 0 once they have been read
         steady_time startedAt;
+        service_id service;
+        /// Prompt tokens that the engine reads until the first token: those of the request, and
+        /// those of other requests before them.
+        std::uint64_t tokensToFirstToken = 0;
+        steady_time sentAt; ///< when the request may be sent
     };
 
     /// Returns the servers of the pool that have the required version and have not been tried.
@@ -128,7 +140,14 @@
                                                       double share) const;
     [[nodiscard]] milliseconds tryPoolAdmission(const placement_query &query, double perSecond);
     /// Records the load that the request adds to the server, and the prompt parts cached there.
-    void recordPlacement(placement_id id, const placement_query &query, const server &chosen);
+    void recordPlacement(placement_id id, const placement_query &query,
+                         const placement_result &placed);
+    /// Records that the prompt of a request is no longer to be read.
+    static void markRead(placement &finished, engine &state);
+    /// Learns the speed of an engine from a request whose first token has arrived.
+    void learnSpeed(const placement &finished, engine &state);
+    /// Returns the factor by which reading a prompt takes longer on an engine than usual.
+    [[nodiscard]] double timeFactorOf(const server &backend, const engine &state) const;
     [[nodiscard]] double costOf(const server &backend, const placement_query &query);
     [[nodiscard]] static std::uint64_t uncachedTokens(const engine &state,
                                                       const placement_query &query);
@@ -137,7 +156,10 @@
 
     const clock_source &m_clock;
     const server_directory &m_directory;
+    bool m_learnsSpeeds;
     std::unordered_map<service_id, std::uint64_t> m_capacities;
+    std::unordered_map<service_id, first_answer_model>
+        m_readTimes; ///< by tokens until the first one
     rate_pacer m_pacer;
     std::map<pool_key, pool_admission> m_admissions;
     std::map<server_start, engine> m_engines;
--- a/src/gateway/placement/request_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -26,7 +26,7 @@
     : m_loop(loop)
     , m_peers(peers)
     , m_directory(directory)
-    , m_board(loop.clock(), directory)
+    , m_board(loop.clock(), directory, disabledPolicies)
     , m_splitter(directory, EnginePoolSplitLimits)
 {
     if (disabledPolicies.contains(policy::SplitPools))
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -17,6 +17,7 @@
     ReportedWaits, ///< hosts report waits; requests that would be late are refused on arrival
     PromptAffinity, ///< prompts that share long parts have a preferred data centre
     FirstAnswerBySize, ///< the time to the first answer is estimated by the size of the prompt
+    ServerSpeeds, ///< costs of engines are times at the rate at which each one reads prompts
 };
 
 /// The disabled policies.
@@ -40,4 +41,6 @@
                                                        "prompt_homes"},
     orchidlead::enum_name<orchidlead::gateway::policy>{
         orchidlead::gateway::policy::FirstAnswerBySize, "first_answer_by_size"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::ServerSpeeds,
+                                                       "server_speeds"},
 };
