Use the time that servers report for their machine in the costs of engines

Cause: the fourth figure of a server's load (percent of the usual time) was dropped, so a VM that noisy neighbours slow down by 2.5 got as many prompts as before.

The directory keeps the latest report of any node; a progress frame carries it to the host of the pool with its age (versions without these fields are read as before). Part of the policy server_speeds. Health answers aren't concerned: this node reads none, its probes only connect.

Tests: rapidcheck property of load texts with unreadable and further figures.

--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -270,6 +270,10 @@
     frame.signals.refused = in.read<bool>();
     frame.signals.accepted = in.read<bool>();
     frame.signals.brittleness = in.atEnd() ? NoSignals.brittleness : readBrittleness(in);
+    if (in.atEnd())
+        return frame; // sent by a version that doesn't report the time
+    frame.timePercent = in.optional<std::uint32_t>();
+    frame.timePercentAge = in.duration();
     return frame;
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -175,7 +175,7 @@
 
 void pack(packer &out, const placement_progress_frame &frame)
 {
-    packKind(out, frame_kind::PlacementProgress, 9);
+    packKind(out, frame_kind::PlacementProgress, 11);
     out.pack(frame.id);
     out.pack(static_cast<std::uint64_t>(frame.kind));
     out.pack(frame.signals.rateLimit.valid);
@@ -185,6 +185,8 @@
     out.pack(frame.signals.accepted);
     out.pack(frame.signals.brittleness.valid);
     packOptional(out, frame.signals.brittleness.refusalsPerSecond);
+    packOptional(out, frame.timePercent);
+    packDuration(out, frame.timePercentAge);
 }
 
 void pack(packer &out, const admission_request &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -82,6 +82,9 @@
     event_type kind = event_type::Ended;
     /// Signals of the answer that has just arrived, without those meant for its receiver alone.
     server_signals signals = NoSignals;
+    /// As in `server_load`, if the answer reported it.
+    std::optional<std::uint32_t> timePercent{};
+    milliseconds timePercentAge{0}; ///< since the sender received `timePercent`
 };
 
 /// Asks the receiver whether a request may start its stages.
--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -289,9 +289,13 @@
                        now);
 }
 
-double placement_board::timeFactorOf(const server &, const engine &state) const
+// Reports describe the machine at present, learnt speeds the engine over some seconds.
+double placement_board::timeFactorOf(const server &backend, const engine &state) const
 {
-    return m_learnsSpeeds ? state.speed.timeFactor(m_clock.now()) : 1.0;
+    if (!m_learnsSpeeds)
+        return 1.0;
+    const auto now = m_clock.now();
+    return state.speed.timeFactor(now) * reportedTimeFactor(backend.reportedTime, now);
 }
 
 void placement_board::onEnd(placement_id id)
--- a/src/gateway/placement/request_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -1,5 +1,6 @@
 #include "gateway/placement/request_placer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -202,15 +203,23 @@
 
 void request_placer::onSignals(placement_id id, const server_signals &reported)
 {
-    if (const auto found = m_pending.find(id); found != m_pending.end())
+    if (const auto found = m_pending.find(id); found != m_pending.end()) {
         found->second.signals = reported;
+        found->second.signalsAt = m_loop.now();
+    }
 }
 
 // The signals that a server reported are sent to the host only once, with the next progress report.
 void request_placer::sendProgress(placement_id id, pending_placement &entry,
                                   placement_progress_frame::event_type kind)
 {
-    entry.link->send(placement_progress_frame{id, kind, std::exchange(entry.signals, NoSignals)});
+    placement_progress_frame frame{id, kind, std::exchange(entry.signals, NoSignals)};
+    if (frame.signals.load) {
+        frame.timePercent = frame.signals.load->timePercent;
+        frame.timePercentAge =
+            std::chrono::duration_cast<milliseconds>(m_loop.now() - entry.signalsAt);
+    }
+    entry.link->send(frame);
 }
 
 void request_placer::onFirstToken(placement_id id)
@@ -288,8 +297,13 @@
     if (found == hosted->second.end())
         return;
     const auto server = m_directory.find(found->second.server.id);
-    if (server && server->record.start() == found->second.server)
+    if (server && server->record.start() == found->second.server) {
         m_directory.onSignals(*server, frame.signals);
+        if (frame.timePercent)
+            server_directory::onReportedTime(*server, *frame.timePercent,
+                                             m_loop.now()
+                                                 - std::max(milliseconds{0}, frame.timePercentAge));
+    }
     if (frame.kind == placement_progress_frame::event_type::FirstToken) {
         m_board.onFirstToken(found->second.localId);
         return;
--- a/src/gateway/placement/request_placer.h
+++ b/src/gateway/placement/request_placer.h
@@ -66,6 +66,7 @@
         link_ptr link; ///< to the host; null: placed by this node
         http::timer_id timer = 0;
         server_signals signals = NoSignals; ///< not sent to the host yet
+        steady_time signalsAt{}; ///< when `signals` arrived
     };
     struct pending_admission
     {
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -5,6 +5,7 @@
 #include "gateway/servers/pool_key.h"
 #include "gateway/servers/residency.h"
 #include "gateway/servers/server_signals.h"
+#include "gateway/servers/server_speed.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
@@ -87,6 +88,7 @@
     std::uint32_t outstanding = 0; ///< requests of this node in progress
     std::optional<server_load> load;
     steady_time loadReportedAt{}; ///< time of the load report
+    std::optional<reported_time> reportedTime; ///< last one, of this node or another
     steady_time sentAt{}; ///< time of the last request from this node
     std::optional<steady_time> lastAnswerAt; ///< time of the last response to this node
     std::uint32_t consecutiveFailures = 0;
@@ -275,6 +277,9 @@
     /// Sets the server's rate limit to the one reported in a response that this node received. The
     /// limit is valid until a later response changes it.
     void onRateLimit(server &backend, const reported_rate_limit &reported);
+    /// Records the time that work takes on the server's machine according to a response that this
+    /// node or another one got at `receivedAt`; ignored if a later one is known.
+    static void onReportedTime(server &backend, std::uint32_t percent, steady_time receivedAt);
     /// Applies the rate limit of a response that another node got at `receivedAt`.
     void onRateLimit(server &backend, const reported_rate_limit &reported, steady_time receivedAt);
 
--- a/src/gateway/servers/server_directory_signals.cpp
+++ b/src/gateway/servers/server_directory_signals.cpp
@@ -164,6 +164,8 @@
     if (reported.load) {
         backend.load = reported.load;
         backend.loadReportedAt = now;
+        if (reported.load->timePercent)
+            onReportedTime(backend, *reported.load->timePercent, now);
     }
     if (reported.retryAfter)
         onRetryAfter(backend, *reported.retryAfter);
@@ -212,6 +214,13 @@
     onSignals(backend, reported);
 }
 
+void server_directory::onReportedTime(server &backend, std::uint32_t percent,
+                                      steady_time receivedAt)
+{
+    if (!backend.reportedTime || backend.reportedTime->at <= receivedAt)
+        backend.reportedTime = {percent, receivedAt};
+}
+
 void server_directory::onRateLimit(server &backend, const reported_rate_limit &reported)
 {
     onRateLimit(backend, reported, m_clock.now());
--- a/src/gateway/servers/server_signals.h
+++ b/src/gateway/servers/server_signals.h
@@ -13,6 +13,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Time that work takes on the server's machine now, in percent of the usual time; empty: not
+    /// reported, or unreadable.
+    std::optional<std::uint32_t> timePercent{};
 };
 
 /// The rate limit reported in a response.
--- a/tests/gateway/engine_emulation.h
+++ b/tests/gateway/engine_emulation.h
@@ -317,6 +317,10 @@
             return;
         request->answered = true;
         auto &engine = m_engines[request->engine];
+        const auto known = m_directory.find(idOf(request->engine));
+        if (known && m_shape.noisyNeighbours)
+            known->reportedTime = reported_time{
+                static_cast<std::uint32_t>(100 * noiseAt(engine, m_now)), m_clock.now()};
         request->board->onFirstToken(request->id);
         m_outcome.firstTokens.push_back(m_now - request->what.at);
         schedule(m_now + request->what.answerTime, [this, request] {
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -253,6 +253,11 @@
     CHECK_FALSE(
         roundTrip(placement_progress_frame{3, placement_progress_frame::event_type::Ended, {}})
             .signals.rateLimit.perSecond);
+    const auto timed = roundTrip(placement_progress_frame{
+        3, placement_progress_frame::event_type::FirstToken, NoSignals, 250, milliseconds{12}});
+    CHECK(timed.timePercent == 250U);
+    CHECK(timed.timePercentAge == milliseconds{12});
+    CHECK_FALSE(progress.timePercent);
 }
 
 TEST_CASE("admission frames keep the rank of the request and the retry time of the answer")
--- a/tests/gateway/server_directory_test.cpp
+++ b/tests/gateway/server_directory_test.cpp
@@ -133,6 +133,23 @@
     CHECK(directory.choose(wishFor())->record.id.value == "s1");
 }
 
+TEST_CASE("the reported time of a server is that of the latest response of any node")
+{
+    manual_clock clock;
+    clock.advance(std::chrono::seconds{60});
+    server_directory directory(clock);
+    directory.put(makeRecord("s1"));
+    const auto server = directory.find(backend_server_id("s1"));
+    directory.onSignals(*server, {.load = server_load{4, 3, 4}});
+    CHECK_FALSE(server->reportedTime);
+    directory.onSignals(*server, {.load = server_load{4, 3, 4, 250}});
+    server_directory::onReportedTime(*server, 100, clock.now() - milliseconds{10});
+    REQUIRE(server->reportedTime);
+    CHECK(server->reportedTime->percent == 250);
+    server_directory::onReportedTime(*server, 100, clock.now());
+    CHECK(server->reportedTime->percent == 100);
+}
+
 TEST_CASE("servers already tried are not chosen again")
 {
     manual_clock clock;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -207,6 +207,28 @@
     });
 }
 
+// Guards against losing the first three figures when the fourth, or what follows it, can't be read.
+TEST_CASE("the fourth figure of a load header is read if it is a number, whatever follows it")
+{
+    rc::prop("", [] {
+        const auto percent = *rc::gen::inRange(0U, 100'000U);
+        const auto readable = *rc::gen::arbitrary<bool>();
+        auto text = "3,1,8," + (readable ? std::to_string(percent) : "slow");
+        const auto further = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::container<std::string>(rc::gen::inRange(' ', '~')));
+        for (const auto &each : further)
+            text.append(",").append(each);
+        http::response_head head;
+        head.fields = {{"X-Instance-Load", text}};
+        const auto load = codec::readAnswer(head).server.load;
+        RC_ASSERT(load.has_value());
+        RC_ASSERT(load->running == 3U);
+        RC_ASSERT(load->waiting == 1U);
+        RC_ASSERT(load->slots == 8U);
+        RC_ASSERT(load->timePercent == (readable ? std::optional(percent) : std::nullopt));
+    });
+}
+
 TEST_CASE("a load header with a missing or non-numeric figure is ignored")
 {
     for (const std::string text : {"", "3", "3,1", "3,,8", "3,one,8", "3,-1,8", "3,1,8x", ",,"}) {
