--- a/src/gateway/exchange/latency_estimator.cpp
+++ b/src/gateway/exchange/latency_estimator.cpp
@@ -18,11 +18,6 @@
 // Round-trip time between nodes and servers, including the processing time of a node.
 constexpr std::chrono::microseconds RoundTripTime{5'000};
 
-std::chrono::microseconds fullBatchCallTime(const stage_capacity &stage)
-{
-    return stage.callOverhead + stage.timePerPiece * static_cast<int>(stage.maxPiecesPerCall);
-}
-
 } // namespace
 
 void latency_estimator::onFirstToken(const service_id &service, std::chrono::microseconds took)
@@ -90,6 +85,14 @@
         + stage.timePerPiece * static_cast<int>(stage.maxPiecesPerCall) / 2;
 }
 
+std::chrono::microseconds latency_estimator::fullBatchCallTime(const service_spec *service)
+{
+    if (!service || !service->stage)
+        return RoundTripTime;
+    const auto &stage = *service->stage;
+    return stage.callOverhead + stage.timePerPiece * static_cast<int>(stage.maxPiecesPerCall);
+}
+
 std::vector<std::chrono::microseconds>
 latency_estimator::stageTimes(const request_outline &request) const
 {
@@ -114,7 +117,7 @@
         estimate.timeToAnswer = std::max(estimate.timeToAnswer, after[i] + times[i]);
         const auto *service = request.configuration.findService(pool.service);
         const bool needed = request.pieces[i] > 0 && service && service->stage;
-        if (needed && remainingWait(pool, request.rank) > fullBatchCallTime(*service->stage))
+        if (needed && remainingWait(pool, request.rank) > fullBatchCallTime(service))
             estimate.hasBacklog = true;
     }
     return estimate;
@@ -137,4 +140,33 @@
     return after;
 }
 
+std::vector<std::chrono::microseconds>
+latency_estimator::timesUntilStages(const route &routeSpec,
+                                    const std::vector<std::chrono::microseconds> &stageTimes,
+                                    bool defersLeafStages)
+{
+    const auto &stages = routeSpec.stages;
+    std::vector<std::chrono::microseconds> until(stages.size(), std::chrono::microseconds{0});
+    std::vector<bool> hasDependents(stages.size(), false);
+    for (std::size_t i = 0; i < stages.size(); ++i) {
+        for (const std::size_t before : stages[i].after) {
+            if (before >= i)
+                continue;
+            hasDependents[before] = true;
+            until[i] = std::max(until[i], until[before] + stageTimes[before]);
+        }
+    }
+    if (!defersLeafStages)
+        return until;
+    // A stage without dependents waits until all longer ones have been submitted.
+    const auto earliest = until;
+    for (std::size_t i = 0; i < stages.size(); ++i) {
+        for (std::size_t other = 0; other < stages.size() && !hasDependents[i]; ++other) {
+            if (stageTimes[other] > stageTimes[i])
+                until[i] = std::max(until[i], earliest[other]);
+        }
+    }
+    return until;
+}
+
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/latency_estimator.h
+++ b/src/gateway/exchange/latency_estimator.h
@@ -58,6 +58,9 @@
     /// Returns the time of one call of a stage's service with half a batch.
     [[nodiscard]] static std::chrono::microseconds halfBatchCallTime(const service_spec *service);
 
+    /// Returns the time of one call of a stage's service with a full batch.
+    [[nodiscard]] static std::chrono::microseconds fullBatchCallTime(const service_spec *service);
+
     /// Returns the time of each stage; zero for stages that are skipped.
     [[nodiscard]] std::vector<std::chrono::microseconds>
     stageTimes(const request_outline &request) const;
@@ -74,6 +77,13 @@
     [[nodiscard]] std::vector<std::chrono::microseconds>
     timesAfterStages(const request_outline &request,
                      const std::vector<std::chrono::microseconds> &stageTimes) const;
+    /// Returns for each stage the time until its pieces are submitted, if the first ones are
+    /// submitted now. `defersLeafStages`: stages without dependents start late, as in
+    /// `stage_progress::takeReadyPieces`.
+    [[nodiscard]] static std::vector<std::chrono::microseconds>
+    timesUntilStages(const route &routeSpec,
+                     const std::vector<std::chrono::microseconds> &stageTimes,
+                     bool defersLeafStages);
 
 private:
     struct stage_average
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -57,6 +57,11 @@
 constexpr double MinCapacityShare = 0.05;
 // Weight of the latest call in the moving average of a server's slowness.
 constexpr double SlownessWeight = 0.3;
+// Weight of the latest result in the moving average of the time that results are held: a few calls
+// decide, as bursts last seconds.
+constexpr double HoldTimeWeight = 0.02;
+// Results of at most this fraction of a server's room never fill it before its calls are full.
+constexpr std::uint64_t SmallResultDivisor = 64;
 
 } // namespace
 
@@ -280,6 +285,8 @@
     if (found == m_results.end())
         return;
     releaseBytes(found->second.server, found->second.bytes);
+    const auto since = found->second.expiresAt - m_capacity.resultLifetime - fullCallTime();
+    m_holdTime += HoldTimeWeight * ((m_clock.now() - since) - m_holdTime);
     m_results.erase(found);
 }
 
@@ -406,6 +413,21 @@
         estimateWait(static_cast<std::size_t>(ahead), rank, servers));
 }
 
+double stage_pool::piecesPerSecond(const stage_rank &rank, double servers) const
+{
+    constexpr std::size_t Pieces = 1000; // many, as the estimate is in whole microseconds
+    const std::chrono::duration<double> time = estimateWait(Pieces, rank, servers);
+    return servers > 0 && time.count() > 0 ? Pieces / time.count() : 0.0;
+}
+
+double stage_pool::resultBytesPerSecond(double servers, std::uint64_t resultBytes) const
+{
+    const auto room = m_capacity.resultMemoryBytes;
+    if (room == 0 || resultBytes <= room / SmallResultDivisor)
+        return 0.0;
+    return servers * static_cast<double>(room) / m_holdTime.count();
+}
+
 // Sorts the waiting pieces and returns for each whether it would be late, counting only pieces in
 // time as ahead of it. A new piece without inputs, as in the first stages of a request, needs spare
 // time: otherwise pieces that were admitted earlier would be dropped as late after all.
@@ -441,7 +463,8 @@
     left.reserve(m_waiting.size());
     for (std::size_t i = 0; i < m_waiting.size(); ++i) {
         auto &job = m_waiting[i];
-        if (job.deadline > now && !(crowded && late[i])) {
+        const bool isPromised = job.reserved && !isLate(job, now);
+        if (job.deadline > now && (isPromised || !(crowded && late[i]))) {
             left.push_back(std::move(job));
             continue;
         }
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -2,6 +2,7 @@
 
 #include "gateway/codec.h"
 #include "gateway/exchange/service_retry_budget.h"
+#include "gateway/servers/pool_key.h"
 #include "gateway/servers/server_directory.h"
 #include "gateway/stages/decaying_rate.h"
 #include "gateway/stages/stage_rank.h"
@@ -36,6 +37,9 @@
     std::size_t resultBytes = 0; ///< approximate
     steady_time submittedAt{};
     std::uint32_t tries = 0; ///< calls that included the piece
+    bool reserved = false; ///< the host had reserved a place for the piece
+    /// The pool where a place is reserved. Not sent to the host.
+    std::optional<pool_key> reservedPool;
     bool admitted = false; ///< the piece was predicted to meet its `softDeadline`
     residency allowed; ///< regions; not sent to the host, as each pool is in one region
     /// The piece may move to another pool if no server is reachable. Not sent to the host.
@@ -125,8 +129,9 @@
     /// Releases the room of a result that its server has freed.
     void onFreed(const std::string &handle);
     /// Drops pieces past their deadline, and late pieces if the pieces that can still be in time
-    /// need more than one call of each server. `servers` is the number of servers; a rate-limited
-    /// one counts as a fraction.
+    /// need more than one call of each server. Pieces with a reservation count as late only when
+    /// they can't begin in time any more, the others when they are predicted to. `servers` is the
+    /// number of servers; a rate-limited one counts as a fraction.
     [[nodiscard]] std::vector<piece_outcome> expire(double servers);
 
     /// Fails all waiting pieces, as the pool's servers accept no new work.
@@ -143,6 +148,12 @@
     {
         return expectedTime(m_capacity.maxPiecesPerCall);
     }
+    /// Returns how many pieces of a rank all servers together take in full calls, given the arrival
+    /// rate of more urgent pieces; 0 if there are no servers.
+    [[nodiscard]] double piecesPerSecond(const stage_rank &rank, double servers) const;
+    /// Returns how many bytes of results the servers have room for per second, given how long
+    /// results were held recently; 0 if room doesn't limit results of this size.
+    [[nodiscard]] double resultBytesPerSecond(double servers, std::uint64_t resultBytes) const;
     /// Returns when `nextCall` may return a call without another event in between.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
     /// Returns the bytes of results accounted to a server.
@@ -213,6 +224,8 @@
     std::map<stage_call_id, active_call> m_calls;
     std::map<server_start, server_state> m_servers;
     std::unordered_map<std::string, held_result> m_results; ///< by handle
+    /// Average time that a result occupies room, from the start of its call until it is freed.
+    std::chrono::duration<double> m_holdTime{1.0};
     std::uint64_t m_unnamedResults = 0; ///< count of results of calls whose answer was lost
     stage_call_id m_lastCall = 0;
     std::set<data_center_id> m_dataCenters; ///< with a usable server at the last `nextCall`
--- a/tests/gateway/latency_estimator_test.cpp
+++ b/tests/gateway/latency_estimator_test.cpp
@@ -144,3 +144,16 @@
     CHECK_FALSE(world.forecastFor(Patient).hasBacklog);
     CHECK(world.forecastFor(Patient).timeToAnswer == world.times.firstAnswerTime(Engine));
 }
+
+// Guards against reservations that lapse before the pieces of a deferred stage arrive.
+TEST_CASE("latency_estimator: stages start after their inputs, and deferred ones after longer ones")
+{
+    const service_id service("rerank");
+    route routeSpec;
+    routeSpec.stages = {{service, {}, 100}, {service, {0}, 100}, {service, {}, 100}};
+    const std::vector<microseconds> times{milliseconds{300}, milliseconds{200}, milliseconds{100}};
+    CHECK(latency_estimator::timesUntilStages(routeSpec, times, false)
+          == std::vector<microseconds>{milliseconds{0}, milliseconds{300}, milliseconds{0}});
+    CHECK(latency_estimator::timesUntilStages(routeSpec, times, true)
+          == std::vector<microseconds>{milliseconds{0}, milliseconds{300}, milliseconds{300}});
+}
