Add frames that reserve places for the pieces of a request

reserve_stage (31), stage_reserved (32) and release_reservation (33). Times beyond an hour are rejected, since their sum with the current time could overflow.

Tests: round trips, rejected times, truncated and damaged frames.

--- a/src/gateway/peers/peer_frame_kind.h
+++ b/src/gateway/peers/peer_frame_kind.h
@@ -38,6 +38,9 @@
     StreamOrigins = 28,
     StreamOriginQuery = 29,
     StreamOriginAnswer = 30,
+    ReserveStage = 31,
+    StageReserved = 32,
+    ReleaseReservation = 33,
 };
 
 /// Code of an outcome that has a result; other codes are failures.
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr std::size_t MaxNesting = 8;
+// Longest time that a query for a reservation may name. Adding longer ones to the time of now could
+// overflow.
+constexpr milliseconds MaxReservationTime{std::chrono::hours{1}};
 
 /// Reads the fields of one array in order. After the first invalid field all further reads fail.
 class field_reader
@@ -453,6 +456,47 @@
     return frame;
 }
 
+milliseconds readReservationTime(field_reader &in)
+{
+    const auto time = in.duration();
+    if (time > MaxReservationTime || time < -MaxReservationTime)
+        in.fail();
+    return time;
+}
+
+reserve_stage_frame readReserveStage(field_reader &in)
+{
+    reserve_stage_frame frame;
+    auto &query = frame.query;
+    query.id = in.read<reservation_id>();
+    frame.pool = readPool(in);
+    query.attempt = in.read<std::string>();
+    query.digest = readRequestDigest(in);
+    query.customer = customer_id(in.read<std::string>());
+    query.rank = readRank(in);
+    readList(in, [&](field_reader &items) {
+        auto &wanted = query.stages.emplace_back();
+        wanted.stage = items.read<std::uint32_t>();
+        wanted.pieces = items.read<std::uint32_t>();
+        wanted.resultBytes = items.read<std::uint64_t>();
+        wanted.startsIn = readReservationTime(items);
+        wanted.latestStart = readReservationTime(items);
+    });
+    return frame;
+}
+
+stage_reserved_frame readStageReserved(field_reader &in)
+{
+    stage_reserved_frame frame;
+    frame.id = in.read<reservation_id>();
+    frame.answer.granted = in.read<bool>();
+    frame.answer.wait = readReservationTime(in);
+    frame.answer.retryAfter = readReservationTime(in);
+    frame.answer.waitingAhead = in.read<std::uint32_t>();
+    frame.answer.reservedAhead = in.read<std::uint32_t>();
+    return frame;
+}
+
 peer_frame readFrame(frame_kind kind, field_reader &in)
 {
     switch (kind) {
@@ -514,6 +558,12 @@
         return readStreamOriginQuery(in);
     case frame_kind::StreamOriginAnswer:
         return readStreamOriginAnswer(in);
+    case frame_kind::ReserveStage:
+        return readReserveStage(in);
+    case frame_kind::StageReserved:
+        return readStageReserved(in);
+    case frame_kind::ReleaseReservation:
+        return release_reservation_frame{in.read<reservation_id>()};
     case frame_kind::Compressed: // not allowed inside a compressed frame
         break;
     }
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -274,6 +274,44 @@
         packOrigin(out, *frame.origin);
 }
 
+void pack(packer &out, const reserve_stage_frame &frame)
+{
+    constexpr std::uint32_t StageFields = 5;
+    packKind(out, frame_kind::ReserveStage, 10);
+    const auto &query = frame.query;
+    out.pack(query.id);
+    packPool(out, frame.pool);
+    out.pack(query.attempt);
+    packDigest(out, query.digest);
+    out.pack(query.customer.value);
+    packRank(out, query.rank);
+    out.pack_array(StageFields * static_cast<std::uint32_t>(query.stages.size()));
+    for (const auto &each : query.stages) {
+        out.pack(each.stage);
+        out.pack(each.pieces);
+        out.pack(each.resultBytes);
+        packDuration(out, each.startsIn);
+        packDuration(out, each.latestStart);
+    }
+}
+
+void pack(packer &out, const stage_reserved_frame &frame)
+{
+    packKind(out, frame_kind::StageReserved, 6);
+    out.pack(frame.id);
+    out.pack(frame.answer.granted);
+    packDuration(out, frame.answer.wait);
+    packDuration(out, frame.answer.retryAfter);
+    out.pack(frame.answer.waitingAhead);
+    out.pack(frame.answer.reservedAhead);
+}
+
+void pack(packer &out, const release_reservation_frame &frame)
+{
+    packKind(out, frame_kind::ReleaseReservation, 1);
+    out.pack(frame.id);
+}
+
 void pack(packer &out, const lost_data_center_frame &frame)
 {
     packKind(out, frame_kind::LostDataCenter, 1);
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/peers/admission_frames.h"
 #include "gateway/placement/placement_board.h"
 #include "gateway/publication/evacuations.h"
 #include "gateway/publication/list_digest.h"
@@ -262,15 +263,14 @@
     request_digest request;
 };
 
-using peer_frame =
-    std::variant<submit_piece_frame, cancel_piece_frame, piece_outcome_frame, ping_frame,
-                 pong_frame, publication_request, publication_frame, free_results_frame,
-                 place_frame, placed_frame, placement_progress_frame, follow_frame,
-                 list_digest_frame, configuration_request, configuration_frame,
-                 server_crashes_frame, quarantine_frame, trial_request, trial_answer, trial_end,
-                 admission_request, admission_answer, rate_limits_frame, leaving_servers_frame,
-                 lost_data_center_frame, brittle_servers_frame, stream_origin_frame,
-                 stream_origin_query, stream_origin_answer>;
+using peer_frame = std::variant<
+    submit_piece_frame, cancel_piece_frame, piece_outcome_frame, ping_frame, pong_frame,
+    publication_request, publication_frame, free_results_frame, place_frame, placed_frame,
+    placement_progress_frame, follow_frame, list_digest_frame, configuration_request,
+    configuration_frame, server_crashes_frame, quarantine_frame, trial_request, trial_answer,
+    trial_end, admission_request, admission_answer, rate_limits_frame, leaving_servers_frame,
+    lost_data_center_frame, brittle_servers_frame, stream_origin_frame, stream_origin_query,
+    stream_origin_answer, reserve_stage_frame, stage_reserved_frame, release_reservation_frame>;
 
 /// Reason why bytes could not be decoded as a frame.
 struct frame_error
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -81,6 +81,83 @@
     CHECK(unknown.covered);
 }
 
+namespace {
+
+reserve_stage_frame makeReservation()
+{
+    reserve_stage_frame frame;
+    frame.pool = {service_id("s"), data_center_id("dc-1"), region_id("r")};
+    frame.query.id = 9;
+    frame.query.attempt = "a1";
+    frame.query.digest = requestDigestOf({customer_id("c"), "h", "/p", "body"});
+    frame.query.customer = customer_id("c");
+    frame.query.rank = {1, 2};
+    frame.query.stages = {{0, 3, 2'900'000, milliseconds{0}, milliseconds{-20}},
+                          {2, 5, 6'000, milliseconds{300}, milliseconds{650}}};
+    return frame;
+}
+
+} // namespace
+
+TEST_CASE("a reserve stage frame keeps the request and the places of each stage")
+{
+    const auto sent = makeReservation();
+    const auto read = roundTrip(sent);
+    CHECK(read.pool == sent.pool);
+    CHECK(read.query.id == 9);
+    CHECK(read.query.attempt == "a1");
+    CHECK(read.query.digest == sent.query.digest);
+    CHECK(read.query.customer == customer_id("c"));
+    CHECK(read.query.rank == stage_rank{1, 2});
+    REQUIRE(read.query.stages.size() == 2);
+    CHECK(read.query.stages[0].pieces == 3);
+    CHECK(read.query.stages[0].resultBytes == 2'900'000);
+    CHECK(read.query.stages[0].latestStart == milliseconds{-20});
+    CHECK(read.query.stages[1].stage == 2);
+    CHECK(read.query.stages[1].startsIn == milliseconds{300});
+}
+
+TEST_CASE("a stage reserved frame keeps the answer, and a release frame the id")
+{
+    const auto read =
+        roundTrip(stage_reserved_frame{9, {false, milliseconds{700}, milliseconds{250}, 40, 30}});
+    CHECK(read.id == 9);
+    CHECK_FALSE(read.answer.granted);
+    CHECK(read.answer.wait == milliseconds{700});
+    CHECK(read.answer.retryAfter == milliseconds{250});
+    CHECK(read.answer.waitingAhead == 40);
+    CHECK(read.answer.reservedAhead == 30);
+    CHECK(roundTrip(release_reservation_frame{9}).id == 9);
+}
+
+// Guards against times whose sum with the current time overflows.
+TEST_CASE("a reserve stage frame with a time beyond an hour is rejected")
+{
+    for (const auto time : {milliseconds{3'600'001}, milliseconds::max(), milliseconds::min()}) {
+        auto frame = makeReservation();
+        frame.query.stages[1].startsIn = time;
+        CHECK_FALSE(decodeFrame(std::string_view(encodeFrame(frame)).substr(FrameHeaderBytes)));
+    }
+}
+
+TEST_CASE("truncated or damaged frames about reservations are rejected or read without a crash")
+{
+    const std::vector<peer_frame> frames{makeReservation(),
+                                         stage_reserved_frame{9, {true, milliseconds{7}}},
+                                         release_reservation_frame{9}};
+    std::minstd_rand random(7);
+    for (const auto &frame : frames) {
+        const auto bytes = encodeFrame(frame).substr(FrameHeaderBytes);
+        for (std::size_t length = 0; length < bytes.size(); ++length)
+            CHECK_FALSE(decodeFrame(std::string_view(bytes).substr(0, length)));
+        for (int i = 0; i < 2000; ++i) {
+            auto damaged = bytes;
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+            static_cast<void>(decodeFrame(damaged));
+        }
+    }
+}
+
 TEST_CASE("an outcome frame keeps a result handle or a failure reason")
 {
     const piece_outcome_frame original{1, {std::string("h/1"), milliseconds{70}}};
