--- a/src/ctl/request_history.cpp
+++ b/src/ctl/request_history.cpp
@@ -74,6 +74,8 @@
                   "servers ended under it or its repeats, so it was sent to no more of them"},
     outcome_cause{"queue_too_long",
                   "refused on arrival, not run: what waited before it would have made it late"},
+    outcome_cause{"not_admitted",
+                  "refused on arrival, not run: a stage had no place for its pieces in time"},
     outcome_cause{"stage_late", "its stages couldn't be done in time; the request itself not run"},
     outcome_cause{"stage_failed", "a piece of a stage failed for good; the request itself not run"},
     outcome_cause{"timeout", "no whole answer came within the route's time"},
@@ -143,6 +145,21 @@
     return "no line tells its end: it was still open, or the process was gone, when the log ends";
 }
 
+/// Returns what was ahead of a refused request at the pools that refused it; empty if unknown.
+std::string aheadOf(const std::vector<wire::log_entry> &lines)
+{
+    std::string text;
+    for (const auto &each : lines) {
+        if (each.event != "admission_refused")
+            continue;
+        text += text.empty() ? "; ahead of it: " : ", ";
+        text.append(each.field("waiting_ahead")).append(" waiting and ");
+        text.append(each.field("reserved_ahead")).append(" reserved pieces of ");
+        text.append(each.field("service")).append(" at ").append(each.field("host"));
+    }
+    return text;
+}
+
 } // namespace
 
 history_finder::history_finder(std::string request)
@@ -174,7 +191,7 @@
     if (ended != m_own.end())
         history.outcome = ended->field("outcome");
     history.cause = history.outcome.empty() ? causeWithoutEnd(m_own.back(), m_others)
-                                            : causeOf(history.outcome);
+                                            : causeOf(history.outcome) + aheadOf(m_own);
     const auto place = [&](wire::log_entry &entry, bool own) {
         const auto at = std::chrono::duration_cast<milliseconds>(entry.time - begin);
         history.lines.push_back({std::move(entry), own, at});
--- a/tests/ctl/request_history_test.cpp
+++ b/tests/ctl/request_history_test.cpp
@@ -53,6 +53,24 @@
     CHECK(history.lines.back().at == milliseconds{800});
 }
 
+TEST_CASE("the cause of a request that wasn't admitted names what was ahead at each pool")
+{
+    const auto history =
+        find("r1",
+             {at(100, "event=request_taken vm=a request=r1"),
+              at(105,
+                 "event=admission_refused vm=a request=r1 service=s host=b waiting_ahead=12 "
+                 "reserved_ahead=30 retry_after_ms=700"),
+              at(105,
+                 "event=admission_refused vm=a request=r1 service=t host=c waiting_ahead=0 "
+                 "reserved_ahead=8 retry_after_ms=90"),
+              at(106, "event=request vm=a request=r1 outcome=not_admitted told=503")});
+    CHECK(history.cause
+          == "refused on arrival, not run: a stage had no place for its pieces in time; ahead of "
+             "it: 12 waiting and 30 reserved pieces of s at b, 0 waiting and 8 reserved pieces of "
+             "t at c");
+}
+
 TEST_CASE("what a request met is told beside it, and what it didn't meet is not")
 {
     const auto history =
