Ask the hosts of all stages for places before a request starts

Cause: a request with several stages starts although a later stage has no place for its pieces; the work of the stages before is discarded.

Change: admission_client asks the hosts of all pools that a request needs in parallel, with a timeout of 60 ms (140 ms for another region). A host that is silent or lost counts as having granted. If one refuses, the others are released and the request ends at once as not_admitted, with 503 and the longest time after which a repeat would get a place. Pieces go to the pool that was reserved. Restarted stages ask again. A node doesn't ask a pool whose last reported wait is shorter than a call: up to the pieces of a call until the next report, or one request if the last report is older than 300 ms. On by default; the policy whole_request_admission switches it off, also as a host. Metrics of reservations by service, a log line for each pool that refuses.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "gateway/admission/admission_client.h"
+#include "gateway/admission/reserved_stages.h"
+#include "gateway/admission/unasked_allowance.h"
 #include "gateway/codec.h"
 #include "gateway/exchange/event_splitter.h"
 #include "gateway/exchange/exchange_limits.h"
@@ -29,6 +32,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +50,7 @@
     peer_network &peers;
     stage_router<Codec> &stages;
     request_placer &placer;
+    admission_client &admission;
     quarantine_relay &quarantine;
     stream_origin_relay &streamOrigins;
     wire::log &log;
@@ -56,6 +61,7 @@
     const disabled_policies &disabledPolicies;
     configuration_ptr configuration; ///< null until one was received
     latency_estimator latencyEstimator;
+    unasked_allowance unaskedAllowance;
     std::minstd_rand random; ///< for the service weights of routes
     /// Called when a connection breaks while a request is in flight to the server.
     std::function<void(const server &, const std::vector<crash_subject> &)> onConnectionBroken;
@@ -134,6 +140,12 @@
     /// Calls `submitReadyPieces`, after the request is admitted if it needs admission.
     void requestAdmission();
     void onAdmission(const admission &answer);
+    /// Calls `submitReadyPieces`, after the hosts of the stages have reserved places for all
+    /// pieces.
+    void reserveStages();
+    [[nodiscard]] admission_query makeAdmissionQuery();
+    void onStagesReserved(const admission_result &result);
+    void releaseStages();
     void submitReadyPieces();
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report);
     [[nodiscard]] request_outline outline() const;
@@ -227,6 +239,7 @@
     [[nodiscard]] bool succeededInTime(request_outcome outcome) const;
     void logAccepted();
     void logStage(std::uint32_t stage, std::size_t pieces);
+    void logAdmissionRefused(const admission_result &result);
     void logSent();
     void logAttemptEnd(std::string_view how);
     void logRetryDenied(std::string_view why);
@@ -268,6 +281,8 @@
     std::vector<std::chrono::microseconds> m_timesAfterStages; ///< estimated time after each stage
     std::vector<steady_time> m_stageSubmittedAt; ///< when the pieces of each stage were submitted
     std::vector<pool_key> m_stagePools; ///< of each stage; expected pool until the stage starts
+    admission_id m_stageAdmission = 0; ///< asked or granted for the stages
+    std::set<pool_key> m_reservedPools; ///< whose hosts have reserved places for the stages
     std::vector<piece_token> m_pieces; ///< submitted and not completed
     bool m_stagesRestarted = false;
     bool m_needsStages = false; ///< results were freed or lost
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -320,8 +320,8 @@
         || outcome == request_outcome::ServersLeaving
         || outcome == request_outcome::NoServerOfVersion)
         return UnavailableRetryDelay;
-    const bool roomKnown =
-        outcome == request_outcome::ServersLimited || outcome == request_outcome::ServersBackingOff;
+    const bool roomKnown = outcome == request_outcome::ServersLimited
+        || outcome == request_outcome::ServersBackingOff || outcome == request_outcome::NotAdmitted;
     if (roomKnown && m_capacityDelay > milliseconds{0})
         return m_capacityDelay;
     if (m_stagePools.empty())
@@ -430,6 +430,7 @@
     m_context.loop.cancelTimer(std::exchange(m_deadlineTimer, 0));
     m_context.loop.cancelTimer(std::exchange(m_idleTimer, 0));
     endPlacement();
+    releaseStages();
     cancelPieces();
     freeStageResults();
     updateQuarantine(outcome);
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -81,6 +81,29 @@
     m_decisions.add(std::move(line));
 }
 
+// One line for each pool whose host refused.
+template <gateway_codec Codec>
+void exchange<Codec>::logAdmissionRefused(const admission_result &result)
+{
+    if (!logsDecisions())
+        return;
+    for (const auto &each : result.pools) {
+        if (!each.answer || each.answer->granted)
+            continue;
+        auto line = lineOf(log_event::AdmissionRefused);
+        line.add("service", each.pool.service.value);
+        if (!each.pool.dataCenter.empty())
+            line.add("data_center", each.pool.dataCenter.value);
+        line.add("host", m_context.stages.hostOf(each.pool).value);
+        line.add("waiting_ahead", each.answer->waitingAhead);
+        line.add("reserved_ahead", each.answer->reservedAhead);
+        line.add("wait_ms", each.answer->wait.count());
+        line.add("retry_after_ms", each.answer->retryAfter.count());
+        line.add("at_ms", sinceArrival().count());
+        m_decisions.add(std::move(line));
+    }
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::logSent()
 {
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -41,7 +41,7 @@
 {
     auto query = makeQuery();
     if (!m_context.placer.needsAdmission(query.pool)) {
-        submitReadyPieces();
+        reserveStages();
         return;
     }
     m_placement = m_context.placer.askAdmission(
@@ -57,13 +57,85 @@
     m_placement = 0;
     m_admitted = answer.granted;
     if (answer.granted) {
-        submitReadyPieces();
+        reserveStages();
         return;
     }
     m_capacityDelay = answer.retryDelay;
     refuse(request_outcome::ServersLimited);
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::reserveStages()
+{
+    auto query = makeAdmissionQuery();
+    if (query.pools.empty()) {
+        submitReadyPieces();
+        return;
+    }
+    m_stageAdmission = m_context.admission.ask(
+        std::move(query), [self = this->shared_from_this()](const admission_result &result) {
+            if (!self->m_done)
+                self->onStagesReserved(result);
+        });
+}
+
+template <gateway_codec Codec>
+admission_query exchange<Codec>::makeAdmissionQuery()
+{
+    admission_query query;
+    if (m_context.disabledPolicies.contains(policy::WholeRequestAdmission))
+        return query;
+    query.attempt = m_metadata.attempt;
+    query.digest = m_digest;
+    if (m_customer)
+        query.customer = m_customer->id;
+    query.rank = stageRank();
+    const auto objectiveLeft = std::chrono::duration_cast<std::chrono::microseconds>(
+        m_arrival + m_route->latencyObjective - m_context.loop.now());
+    const bool defersLeafStages = !m_context.disabledPolicies.contains(policy::LateLeafStages);
+    for (auto &[pool, stages] :
+         reservedStagesOf(outline(), m_context.latencyEstimator, objectiveLeft, defersLeafStages)) {
+        const auto *service = m_configuration->findService(pool.service);
+        unasked_allowance::demand wanted;
+        for (const auto &each : stages)
+            wanted.pieces += each.pieces;
+        wanted.callTime =
+            std::chrono::duration_cast<milliseconds>(latency_estimator::fullBatchCallTime(service));
+        wanted.maxPiecesPerCall = service->stage->maxPiecesPerCall;
+        if (!m_context.unaskedAllowance.tryUse(pool, query.rank, wanted))
+            query.pools.push_back({pool, std::move(stages)});
+    }
+    return query;
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::onStagesReserved(const admission_result &result)
+{
+    for (const auto &each : result.pools) {
+        if (!each.answer)
+            continue;
+        m_reservedPools.insert(each.pool);
+        m_context.unaskedAllowance.onReportedWait(each.pool, stageRank(), each.answer->wait);
+        if (!m_context.disabledPolicies.contains(policy::ReportedWaits))
+            m_context.latencyEstimator.onReportedWait(each.pool, stageRank(), each.answer->wait);
+    }
+    if (result.granted) {
+        submitReadyPieces();
+        return;
+    }
+    logAdmissionRefused(result);
+    m_stageAdmission = 0;
+    m_capacityDelay = std::max(RetryDelay, result.retryAfter);
+    failRequest(request_outcome::NotAdmitted);
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::releaseStages()
+{
+    m_context.admission.release(std::exchange(m_stageAdmission, 0));
+    m_reservedPools.clear();
+}
+
 // Prefers the data centre whose engines cache the shared prefix of the prompt, unless the stages
 // have longer queues there. If one pool has the engines of all data centres, the pool chooses by
 // the cached prefixes.
@@ -263,15 +335,20 @@
             : resultLocation(job.request.inputs.front());
         job.preferredDataCenter = usableDataCenter(inputsIn, each.service);
         job.allowed = m_residency;
-        m_stagePools[stage] = stagePool(each.service, job.preferredDataCenter);
+        if (m_reservedPools.contains(m_stagePools[stage]))
+            job.reservedPool = m_stagePools[stage];
+        else
+            m_stagePools[stage] = stagePool(each.service, job.preferredDataCenter);
         auto handler = [self = this->shared_from_this(), stage, piece](piece_report report) {
             self->onPiece(stage, piece, std::move(report));
         };
         m_pieces.push_back(
             m_context.stages.submit(each.service, std::move(job), std::move(handler)));
     }
-    for (const auto &[stage, pieces] : submitted)
+    for (const auto &[stage, pieces] : submitted) {
+        m_context.admission.onStageSubmitted(m_stageAdmission, stage);
         logStage(stage, pieces);
+    }
 }
 
 template <gateway_codec Codec>
@@ -281,6 +358,8 @@
     const bool backedOff = failed && *failed == piece_failure::ServersBackingOff;
     if (!backedOff && !m_context.disabledPolicies.contains(policy::ReportedWaits))
         m_context.latencyEstimator.onReportedWait(m_stagePools[stage], stageRank(), report.wait);
+    if (!backedOff)
+        m_context.unaskedAllowance.onReportedWait(m_stagePools[stage], stageRank(), report.wait);
     if (m_done)
         return;
     if (auto *handle = std::get_if<std::string>(&report.result)) {
@@ -331,12 +410,15 @@
     if (logsDecisions())
         m_decisions.add(lineOf(log_event::StagesRestarted).add("reason", reason));
     endPlacement();
+    releaseStages();
     cancelPieces();
     freeStageResults();
     m_needsStages = false;
     m_preferredDataCenter = choosePreferredDataCenter();
+    for (std::size_t i = 0; i < m_stagePools.size(); ++i)
+        m_stagePools[i] = stagePool(m_route->stages[i].service, m_preferredDataCenter);
     m_stageProgress->restart();
-    submitReadyPieces();
+    reserveStages();
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/exchange/request_outcome.h
+++ b/src/gateway/exchange/request_outcome.h
@@ -30,6 +30,7 @@
     ServerFailed, ///< the answer was missing or broken
     CrashesServers, ///< servers crashed during the request or its repeats
     QueueTooLong, ///< refused at once, because queued requests ahead of it would make it late
+    NotAdmitted, ///< the hosts of its stages refused to reserve places for its pieces
     StageLate, ///< the stages could not be completed in time
     StageFailed,
     Timeout,
@@ -101,6 +102,8 @@
         orchidlead::gateway::request_outcome::CrashesServers, "ends_servers"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::QueueTooLong, "queue_too_long"},
+    orchidlead::enum_name<orchidlead::gateway::request_outcome>{
+        orchidlead::gateway::request_outcome::NotAdmitted, "not_admitted"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
         orchidlead::gateway::request_outcome::StageLate, "stage_late"},
     orchidlead::enum_name<orchidlead::gateway::request_outcome>{
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -89,6 +89,8 @@
     peer_network m_peers;
     stage_router<Codec> m_router;
     request_placer m_placer;
+    stage_admission m_stageAdmission;
+    admission_client m_admissionClient;
     quarantine_relay m_quarantine;
     server_word_relay<leaving_word> m_leaving;
     server_word_relay<brittle_word> m_brittle;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -80,6 +80,7 @@
                [this](const std::shared_ptr<peer_link> &link) {
                    m_router.onLinkClosed(link);
                    m_placer.onLinkClosed(link);
+                   m_admissionClient.onLinkClosed(link);
                    m_quarantine.onLinkClosed(link);
                    m_leaving.onLinkClosed(link);
                    m_brittle.onLinkClosed(link);
@@ -99,6 +100,9 @@
                [this](const reachability_event &event) { onReachability(event); }})
     , m_router(m_loop, log, m_peers, m_stages, m_directory, m_retryBudget, m_settings)
     , m_placer(m_loop, m_peers, m_directory, m_settings.disabledPolicies)
+    , m_stageAdmission(m_loop.clock())
+    , m_admissionClient(m_loop, m_peers, m_stageAdmission,
+                        [this](const pool_key &pool) { return m_router.hostOf(pool); })
     , m_quarantine(m_loop, m_peers, log)
     , m_leaving(
           m_peers, m_directory,
@@ -131,6 +135,7 @@
                 m_peers,
                 m_router,
                 m_placer,
+                m_admissionClient,
                 m_quarantine,
                 m_streamOrigins,
                 log,
@@ -141,6 +146,7 @@
                 m_settings.disabledPolicies,
                 nullptr,
                 latency_estimator{m_loop.clock()},
+                unasked_allowance{m_loop.clock()},
                 std::minstd_rand{seedOf(m_settings.vm)},
                 [this](const server &which, const std::vector<crash_subject> &subjects) {
                     onConnectionBroken(which, subjects);
@@ -154,6 +160,15 @@
     m_directory.setRegions(m_settings.regions);
     m_stages.setRateShare([this](const pool_key &pool) { return m_peers.rateShare(pool); });
     m_router.setHostReadyCheck([this] { return m_state.hasServerList(); });
+    m_stageAdmission.setEstimate(
+        [this](const pool_key &pool, const stage_rank &rank, std::uint64_t resultBytes) {
+            return m_stages.estimateFor(pool, rank, resultBytes);
+        });
+    m_stages.setAdmission(m_stageAdmission);
+    m_admissionClient.setHostReadyCheck([this] {
+        return m_state.hasServerList()
+            && !m_settings.disabledPolicies.contains(policy::WholeRequestAdmission);
+    });
     m_stages.setWaitsForLocalServer(
         !m_settings.disabledPolicies.contains(policy::WaitForLocalServer));
     m_stages.setQuarantineCallbacks(
@@ -299,6 +314,7 @@
     };
     now.members = m_peers.view().countByState();
     now.waitingPieces = m_stages.waiting();
+    now.admissions = m_stageAdmission.counts();
     now.retries = m_retries;
     now.placements = m_placer.activeCount();
     now.publishedAge = age(m_state.lastContactAt());
@@ -387,6 +403,7 @@
 {
     m_relay.onFrame(link, frame);
     m_placer.onFrame(link, frame);
+    m_admissionClient.onFrame(link, frame);
     m_quarantine.onFrame(link, frame);
     m_leaving.onFrame(link, frame);
     m_brittle.onFrame(link, frame);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -85,6 +85,23 @@
                                       "Pieces that wait for a call here, by service",
                                       {"service"},
                                       MaxServices}};
+    wire::gauge_family reservedPieces{registry,
+                                      {"orchidlead_gateway_reserved_pieces",
+                                       "Pieces that are reserved here and have not arrived",
+                                       {"service"},
+                                       MaxServices}};
+    wire::gauge_family reservationsGranted{
+        registry,
+        {"orchidlead_gateway_reservations_granted",
+         "Requests that were admitted to the service's pools here, since the start",
+         {"service"},
+         MaxServices}};
+    wire::gauge_family reservationsRefused{
+        registry,
+        {"orchidlead_gateway_reservations_refused",
+         "Requests that were refused at the service's pools here, since the start",
+         {"service"},
+         MaxServices}};
     wire::gauge_family retriesTaken{registry,
                                     {"orchidlead_gateway_retries_in_window",
                                      "Second tries taken in the current window, by service",
@@ -176,6 +193,13 @@
         m_families->members.at({state}).Set(static_cast<double>(count));
     for (const auto &[service, count] : gauges.waitingPieces)
         m_families->waitingPieces.at({service.value}).Set(static_cast<double>(count));
+    for (const auto &[service, counts] : gauges.admissions) {
+        m_families->reservedPieces.at({service.value}).Set(static_cast<double>(counts.held));
+        m_families->reservationsGranted.at({service.value})
+            .Set(static_cast<double>(counts.granted));
+        m_families->reservationsRefused.at({service.value})
+            .Set(static_cast<double>(counts.refused));
+    }
     for (const auto &[service, usage] : gauges.retries) {
         m_families->retriesTaken.at({service.value}).Set(usage.taken);
         m_families->retriesLeft.at({service.value}).Set(usage.left);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/admission/stage_admission.h"
 #include "gateway/exchange/request_outcome.h"
 #include "gateway/exchange/service_retry_budget.h"
 #include "gateway/publication/configuration.h"
@@ -36,6 +37,7 @@
     bool serversCutOff = false; ///< this node can open no connection to any server
     std::map<std::string, std::size_t> members; ///< by state, this node included
     std::map<service_id, std::size_t> waitingPieces; ///< in the pools hosted by this node
+    std::map<service_id, admission_counts> admissions; ///< to the pools hosted by this node
     std::map<service_id, service_retry_budget::usage> retries;
     std::uint64_t placements = 0; ///< requests that this node placed on servers, for itself or
                                   ///< other nodes, and that have not ended
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -11,6 +11,7 @@
 /// Their fields are described in docs/LOGS.md.
 enum class log_event : std::uint8_t {
     RequestTaken, ///< a request was read and matches a route
+    AdmissionRefused, ///< a host refused to reserve places for a request, and what was ahead
     StageSubmitted, ///< the pieces of a stage were submitted to the host of its service
     StagesDone, ///< all pieces have results
     PieceFailed, ///< a piece has no result; its request fails or restarts its stages
@@ -61,6 +62,8 @@
 inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::log_event>{
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::RequestTaken, "request_taken"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::AdmissionRefused, "admission_refused"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StageSubmitted, "stage_submitted"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -15,6 +15,7 @@
     LateLeafStages, ///< stages whose results no other stage needs start last
     WaitForLocalServer, ///< pieces with large inputs wait for a server close to them
     ReportedWaits, ///< hosts report waits; requests that would be late are refused on arrival
+    WholeRequestAdmission, ///< requests reserve a place at all their stages before they start
     PromptAffinity, ///< prompts that share long parts have a preferred data centre
 };
 
@@ -35,6 +36,8 @@
         orchidlead::gateway::policy::WaitForLocalServer, "wait_for_near"},
     orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::ReportedWaits,
                                                        "told_waits"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{
+        orchidlead::gateway::policy::WholeRequestAdmission, "whole_request_admission"},
     orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::PromptAffinity,
                                                        "prompt_homes"},
 };
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/admission/stage_admission.h"
 #include "gateway/codec.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/quarantine/server_crash_detector.h"
@@ -51,6 +52,12 @@
         m_rateShare = std::move(share);
     }
 
+    /// Sets where pieces that arrive find their reservations; without, no piece has one.
+    void setAdmission(stage_admission &admission) { m_admission = &admission; }
+    /// Returns the load of a pool for pieces of a rank with results of this size.
+    [[nodiscard]] pool_estimate estimateFor(const pool_key &key, const stage_rank &rank,
+                                            std::uint64_t resultBytes);
+
     /// Submits a piece. `handler` is called once, never within this call, unless the piece is
     /// withdrawn.
     piece_token submit(const pool_key &key, piece_task job, piece_handler handler);
@@ -140,6 +147,7 @@
     std::function<void(const server &, const std::vector<crash_subject> &)> m_onBroken;
     std::function<bool(const request_digest &)> m_mayRetry;
     std::function<double(const pool_key &)> m_rateShare;
+    stage_admission *m_admission = nullptr;
     rate_pacer m_pacer;
     std::map<pool_key, std::unique_ptr<stage_pool>> m_pools;
     std::set<std::shared_ptr<active_call>> m_activeCalls;
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -59,6 +59,8 @@
     job.token = ++m_lastToken;
     const auto token = job.token;
     m_retryBudget.onRequest(key.service);
+    job.reserved =
+        m_admission && m_admission->onPieceArrived(key, job.request.attempt, job.request.stage);
     m_pending.emplace(token,
                       pending_piece{key, job.rank, std::move(handler), job.request.attempt,
                                     job.request.stage, m_loop.now()});
@@ -67,6 +69,17 @@
     return token;
 }
 
+template <gateway_codec Codec>
+pool_estimate stage_host<Codec>::estimateFor(const pool_key &key, const stage_rank &rank,
+                                             std::uint64_t resultBytes)
+{
+    const auto &pool = poolOf(key);
+    const double servers = effectiveServerCount(key);
+    return {pool.expectedWait(rank, servers), pool.waiting(), pool.piecesPerSecond(rank, servers),
+            pool.resultBytesPerSecond(servers, resultBytes),
+            std::chrono::duration_cast<milliseconds>(pool.fullCallTime())};
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::withdraw(piece_token token)
 {
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -72,7 +72,10 @@
 {
     const auto token = ++m_lastToken;
     auto &entry = m_submissions[token];
-    entry.pool = availablePoolFor(service, job.preferredDataCenter, job.allowed);
+    const bool isReserved = job.reservedPool && !m_directory.usable(*job.reservedPool).empty()
+        && !backoffOf(*job.reservedPool);
+    entry.pool = isReserved ? *job.reservedPool
+                            : availablePoolFor(service, job.preferredDataCenter, job.allowed);
     entry.job = std::move(job);
     entry.handler = std::move(handler);
     routePiece(token, entry);
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -486,6 +486,18 @@
     m_nodes[name].gateway->stop();
 }
 
+void world::startSilentPeer(const std::string &name)
+{
+    gateway::peer_events ignored;
+    ignored.onFrame = [](const std::shared_ptr<gateway::peer_link> &, gateway::peer_frame &&) {};
+    ignored.onLinkClosed = [](const std::shared_ptr<gateway::peer_link> &) {};
+    ignored.onPeerVersion = [](const vm_id &, std::uint64_t) {};
+    ignored.onHostChanged = [](const gateway::pool_key &, const vm_id &) {};
+    ignored.onReachability = [](const gateway::reachability_event &) {};
+    m_silentPeers.push_back(std::make_unique<gateway::peer_network>(
+        loop, *m_log, makeSettings(name, "z"), 1, std::move(ignored)));
+    REQUIRE_FALSE(m_silentPeers.back()->start());
+}
 void world::killGateway(const std::string &name)
 {
     m_nodes.erase(name);
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -179,6 +179,8 @@
     void stopGateway(const std::string &name);
     /// Ends a gateway like a killed process: resets its connections and drops its state.
     void killGateway(const std::string &name);
+    /// Starts a member of the fleet that accepts links and reads their frames, but answers none.
+    void startSilentPeer(const std::string &name);
     /// Cuts a gateway off from all backend servers; clients, the store and peers still reach it.
     void cutFromServers(const std::string &gateway, cut_kind kind);
     void healServers(const std::string &gateway);
@@ -234,6 +236,7 @@
     std::unique_ptr<wire::log> m_log;
     std::map<std::string, std::unique_ptr<fake_server>> m_servers;
     std::map<std::string, node> m_nodes;
+    std::vector<std::unique_ptr<gateway::peer_network>> m_silentPeers;
 };
 
 /// Returns a client request with the headers that the platform requires.
