--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -494,6 +494,18 @@
     return std::chrono::duration_cast<milliseconds>(wait);
 }
 
+double stage_pool::piecesPerSecond(const stage_rank &rank, double servers) const
+{
+    constexpr std::size_t Pieces = 1000; // many, as the estimate is in whole microseconds
+    const std::chrono::duration<double> time = estimateWait(Pieces, rank, servers);
+    return servers > 0 && time.count() > 0 ? Pieces / time.count() : 0.0;
+}
+
+double stage_pool::resultBytesPerSecond(double servers, std::uint64_t resultBytes) const
+{
+    return needsRoom(resultBytes) ? m_room.forecast(servers, resultBytes).bytesPerSecond() : 0.0;
+}
+
 // Sorts the waiting pieces and returns for each whether it would be late, counting only pieces in
 // time as ahead of it. The pieces of one stage of a request are late if the last of them is. A new
 // piece without inputs, as in the first stages of a request, needs spare time: otherwise pieces
@@ -565,8 +577,10 @@
     std::set<group_key> droppedGroups;
     for (std::size_t i = 0; i < m_waiting.size(); ++i) {
         const auto &job = m_waiting[i];
-        drops.push_back(job.deadline <= now || (m_crowded && forecasts[i].late)
-                        || forecasts[i].lacksRoom);
+        const bool isPromised = job.reserved && !isLate(job, now);
+        drops.push_back(job.deadline <= now
+                        || (!isPromised
+                            && ((m_crowded && forecasts[i].late) || forecasts[i].lacksRoom)));
         if (drops.back() && m_usesResultRoom)
             droppedGroups.insert(groupOf(job));
     }
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -2,6 +2,7 @@
 
 #include "gateway/codec.h"
 #include "gateway/exchange/service_retry_budget.h"
+#include "gateway/servers/pool_key.h"
 #include "gateway/servers/server_directory.h"
 #include "gateway/stages/decaying_rate.h"
 #include "gateway/stages/result_room.h"
@@ -36,6 +37,9 @@
     std::size_t resultBytes = 0; ///< approximate
     steady_time submittedAt{};
     std::uint32_t tries = 0; ///< calls that included the piece
+    bool reserved = false; ///< the host had reserved a place for the piece
+    /// The pool where a place is reserved. Not sent to the host.
+    std::optional<pool_key> reservedPool;
     bool admitted = false; ///< the piece was predicted to meet its `softDeadline`
     residency allowed; ///< regions; not sent to the host, as each pool is in one region
     /// The piece may move to another pool if no server is reachable. Not sent to the host.
@@ -140,8 +144,9 @@
     /// Returns the account of the pool's results.
     [[nodiscard]] const result_room &room() const { return m_room; }
     /// Drops pieces past their deadline, and late pieces if the pieces that can still be in time
-    /// need more than one call of each server. `servers` is the number of servers; a rate-limited
-    /// one counts as a fraction.
+    /// need more than one call of each server. Pieces with a reservation count as late only when
+    /// they can't begin in time any more, the others when they are predicted to. `servers` is the
+    /// number of servers; a rate-limited one counts as a fraction.
     [[nodiscard]] std::vector<piece_outcome> expire(double servers);
 
     /// Fails all waiting pieces, as the pool's servers accept no new work.
@@ -160,6 +165,12 @@
     {
         return expectedTime(m_capacity.maxPiecesPerCall);
     }
+    /// Returns how many pieces of a rank all servers together take in full calls, given the arrival
+    /// rate of more urgent pieces; 0 if there are no servers.
+    [[nodiscard]] double piecesPerSecond(const stage_rank &rank, double servers) const;
+    /// Returns how many bytes of results the servers have room for per second, given how long
+    /// results were held recently; 0 if room doesn't limit results of this size.
+    [[nodiscard]] double resultBytesPerSecond(double servers, std::uint64_t resultBytes) const;
     /// Returns when `nextCall` may return a call without another event in between.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
     /// Returns the bytes of results accounted to a server.
