--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -76,8 +76,8 @@
 {
     const auto &pool = poolOf(key);
     const double servers = effectiveServerCount(key);
-    return {pool.expectedWait(rank, servers), pool.waiting(), pool.piecesPerSecond(rank, servers),
-            pool.resultBytesPerSecond(servers, resultBytes),
+    return {pool.expectedWait(rank, servers, resultBytes), pool.waiting(),
+            pool.piecesPerSecond(rank, servers), pool.resultBytesPerSecond(servers, resultBytes),
             std::chrono::duration_cast<milliseconds>(pool.fullCallTime())};
 }
 
