Free the results of a node whose link closed

Cause: results that a host had reported to a node that then failed stayed at their servers for their lifetime of 4 s. A node that only closed the link to a slow host sends its outstanding pieces again; if a piece of a request that was outstanding at the closed link arrives, the results belong to the new link and are kept. Off with result_room left out. Ruled out: to identify the peer of an accepted link by its address; several nodes may share one.

--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -27,6 +27,7 @@
     StagePool, ///< summary of a pool over one second
     StageHostChanged, ///< another node now hosts a service's pool
     StageHostLost, ///< a host ended or stopped responding
+    LostPeerResultsFreed, ///< results of a node whose link closed were freed
     ResultHandleUnreadable, ///< a result handle contains no address
     StoreReadBegun, ///< this node starts reading the store itself
     StoreReadEnded, ///< this node gets published state from peers again
@@ -93,6 +94,8 @@
         orchidlead::gateway::log_event::StageHostChanged, "stage_host_changed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StageHostLost, "stage_host_lost"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::LostPeerResultsFreed, "lost_peer_results_freed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::ResultHandleUnreadable, "result_handle_unreadable"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/stages/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -2,12 +2,15 @@
 
 #include "gateway/peers/peer_network.h"
 #include "gateway/servers/pool_splitter.h"
+#include "gateway/stages/reported_results.h"
 #include "gateway/stages/stage_host.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -103,6 +106,8 @@
     void routePieceLater(piece_token token, submission &entry, milliseconds delay);
     void onPieceFrame(const link_ptr &link, submit_piece_frame &&frame);
     void onWithdrawFrame(const link_ptr &link, piece_token token);
+    /// Frees the results that were reported over a closed link, unless the peer is found alive.
+    void freeResultsOf(const link_ptr &closed, std::set<std::string> outstandingRequests);
 
     http::io_loop &m_loop;
     wire::log &m_log;
@@ -115,8 +120,15 @@
     stage_sharing m_sharing;
     pool_splitter m_splitter;
     std::unordered_map<piece_token, submission> m_submissions;
-    /// By link, from the peer's token to that of `m_host`.
-    std::map<link_ptr, std::unordered_map<piece_token, piece_token>> m_hostedPieces;
+    struct hosted_piece
+    {
+        piece_token local = 0; ///< of `m_host`
+        std::string attempt; ///< ID of the request's attempt
+    };
+    /// By link and the peer's token.
+    std::map<link_ptr, std::unordered_map<piece_token, hosted_piece>> m_hostedPieces;
+    reported_results<link_ptr> m_reportedResults;
+    bool m_freesResultsOfLostPeers;
     std::map<pool_key, backed_off_pool> m_backedOffPools;
     piece_token m_lastToken = 0;
 };
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -26,6 +26,11 @@
 /// After this many moves a piece stays with this node's `stage_host`.
 inline constexpr std::uint32_t MaxMoves = 2;
 
+/// How long after its link closed a peer's results are kept. A peer that only closed the link sends
+/// its pieces again within a round trip; the results of a failed one are to be freed within a
+/// second.
+inline constexpr milliseconds LostPeerDelay{400};
+
 template <gateway_codec Codec>
 stage_router<Codec>::stage_router(http::io_loop &loop, wire::log &log, peer_network &peers,
                                   stage_host<Codec> &host, server_directory &directory,
@@ -40,6 +45,7 @@
     , m_dataCenter(settings.dataCenter)
     , m_sharing(settings.stageCallSharing)
     , m_splitter(directory, StagePoolSplitLimits)
+    , m_freesResultsOfLostPeers(!settings.disabledPolicies.contains(policy::ResultRoom))
 {
     if (settings.disabledPolicies.contains(policy::SplitPools))
         m_splitter.disableSplitting();
@@ -281,9 +287,11 @@
         onWithdrawFrame(link, withdrawn->token);
     else if (auto *outcome = std::get_if<piece_outcome_frame>(&frame))
         onOutcome(outcome->token, std::move(outcome->report));
-    else if (const auto *freed = std::get_if<free_results_frame>(&frame))
+    else if (const auto *freed = std::get_if<free_results_frame>(&frame)) {
+        for (const auto &handle : freed->handles)
+            m_reportedResults.onFreed(handle);
         m_host.freeResults(freed->handles);
-    else if (std::holds_alternative<ping_frame>(frame))
+    } else if (std::holds_alternative<ping_frame>(frame))
         link->send(pong_frame{});
 }
 
@@ -311,9 +319,14 @@
         if (!target)
             return;
         m_hostedPieces[target].erase(peerToken);
+        if (const auto *handle = std::get_if<std::string>(&report.result))
+            m_reportedResults.onReported(target, *handle);
         target->send(piece_outcome_frame{peerToken, std::move(report)});
     };
-    m_hostedPieces[link][peerToken] = m_host.submit(frame.pool, std::move(job), std::move(handler));
+    const auto attempt = job.request.attempt;
+    m_reportedResults.onSubmitted(link, attempt);
+    m_hostedPieces[link][peerToken] = {
+        m_host.submit(frame.pool, std::move(job), std::move(handler)), attempt};
 }
 
 template <gateway_codec Codec>
@@ -323,7 +336,7 @@
     const auto found = hosted.find(token);
     if (found == hosted.end())
         return;
-    m_host.withdraw(found->second);
+    m_host.withdraw(found->second.local);
     hosted.erase(found);
 }
 
@@ -331,9 +344,13 @@
 void stage_router<Codec>::onLinkClosed(const link_ptr &link)
 {
     if (const auto found = m_hostedPieces.find(link); found != m_hostedPieces.end()) {
-        for (const auto &[peerToken, localToken] : found->second)
-            m_host.withdraw(localToken);
+        std::set<std::string> requests;
+        for (const auto &[peerToken, piece] : found->second) {
+            m_host.withdraw(piece.local);
+            requests.insert(piece.attempt);
+        }
         m_hostedPieces.erase(found);
+        freeResultsOf(link, std::move(requests));
     }
     std::vector<piece_token> lost;
     for (const auto &[token, entry] : m_submissions) {
@@ -355,6 +372,26 @@
     }
 }
 
+template <gateway_codec Codec>
+void stage_router<Codec>::freeResultsOf(const link_ptr &closed,
+                                        std::set<std::string> outstandingRequests)
+{
+    if (!m_freesResultsOfLostPeers) {
+        (void)m_reportedResults.takeAll(closed);
+        return;
+    }
+    m_reportedResults.onClosed(closed, std::move(outstandingRequests));
+    m_loop.callAfter(LostPeerDelay, [this, closed] {
+        const auto handles = m_reportedResults.takeAll(closed);
+        if (handles.empty())
+            return;
+        m_log.write(wire::log_level::Info,
+                    m_log.line(wire::log_level::Info, toName(log_event::LostPeerResultsFreed))
+                        .add("results", handles.size()));
+        m_host.freeResults(handles);
+    });
+}
+
 template <gateway_codec Codec>
 void stage_router<Codec>::tick()
 {
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -178,6 +178,34 @@
         CHECK(each->body == event(1));
 }
 
+// Guards against results of a failed node that occupy the storage of servers until they expire
+// after 4 s.
+TEST_CASE("the results of a killed node's requests are freed by the pool's host within a second")
+{
+    stage_world w;
+    w.startGateway("g1");
+    w.startGateway("g2");
+    REQUIRE(w.runUntil([&] { return w.logOutput.str().find("g2 alive") != std::string::npos; }));
+    w.runFor(milliseconds{300});
+    const std::vector<vm_id> nodes{vm_id("g1"), vm_id("g2")};
+    const std::string submitter =
+        rendezvousPick("p", nodes, 1).front() == nodes.front() ? "g2" : "g1";
+    std::vector<std::shared_ptr<server_answer>> unanswered;
+    w.engine.setBehaviour(
+        [&](const server_request &, const std::shared_ptr<server_answer> &answer) {
+            unanswered.push_back(answer);
+        });
+    (void)w.ask(submitter, "a1", "2,1");
+    REQUIRE(w.runUntil([&] { return !unanswered.empty(); }));
+    w.runFor(milliseconds{100});
+    const auto freedBefore = w.stages.freed;
+    REQUIRE(freedBefore < 3);
+    w.killGateway(submitter);
+    CHECK(w.runUntil([&] { return w.stages.freed == 3; }, milliseconds{1000}));
+    CHECK(w.runUntil(
+        [&] { return w.logOutput.str().find("lost_peer_results_freed") != std::string::npos; }));
+}
+
 // Guards against requests refused by a starting node: other nodes choose it as the host of a pool
 // at once, but reading a long list of servers takes it seconds.
 TEST_CASE("a node without the list of servers hosts no pool, and no request is refused")
