--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -362,20 +362,33 @@
     // slow server a longer timeout for its next call.
     if (callEnd == stage_call_end::Broken)
         updateSlowness(call);
+    if (callEnd == stage_call_end::Answered && results.size() == call.jobs.size())
+        handleResults(std::move(call), results, out);
+    else
+        handleNoResults(std::move(call), callEnd, out);
+    failRestOfGroups(groups, out);
+    return out;
+}
+
+void stage_pool::handleNoResults(active_call call, stage_call_end callEnd,
+                                 std::vector<piece_outcome> &out)
+{
     const auto server = call.server->record.start();
-    if (callEnd != stage_call_end::Answered || results.size() != call.jobs.size()) {
-        for (auto &job : call.jobs) {
-            // The server may hold the results although its answer was lost.
-            if (callEnd == stage_call_end::Broken)
-                m_room.recordUnnamed(server, job.resultBytes);
-            else
-                m_room.release(server, job.resultBytes);
-            retryOrFail(std::move(job), callEnd, out);
-        }
-        failRestOfGroups(groups, out);
-        return out;
+    for (auto &job : call.jobs) {
+        // The server may hold the results although its answer was lost.
+        if (callEnd == stage_call_end::Broken)
+            m_room.recordUnnamed(server, job.resultBytes);
+        else
+            m_room.release(server, job.resultBytes);
+        retryOrFail(std::move(job), callEnd, out);
     }
+}
+
+void stage_pool::handleResults(active_call call, const std::vector<piece_result> &results,
+                               std::vector<piece_outcome> &out)
+{
     updateSlowness(call);
+    const auto server = call.server->record.start();
     std::vector<std::uint64_t> refused; // bytes of results for which the server had no room
     for (std::size_t i = 0; i < call.jobs.size(); ++i) {
         auto &job = call.jobs[i];
@@ -391,13 +404,11 @@
             refused.push_back(job.resultBytes);
         }
         if (retry)
-            retryOrFail(std::move(job), callEnd, out);
+            retryOrFail(std::move(job), stage_call_end::Answered, out);
         else
             out.push_back({job.token, results[i]});
     }
     accountRefusals(server, refused);
-    failRestOfGroups(groups, out);
-    return out;
 }
 
 void stage_pool::failRestOfGroups(const std::map<piece_token, group_key> &jobs,
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -239,6 +239,9 @@
                                                              std::uint64_t bytes,
                                                              const stage_rank &rank) const;
     void updateSlowness(const active_call &call);
+    void handleNoResults(active_call call, stage_call_end callEnd, std::vector<piece_outcome> &out);
+    void handleResults(active_call call, const std::vector<piece_result> &results,
+                       std::vector<piece_outcome> &out);
     /// Corrects the account of a server that answered a call, by the sizes of the results for which
     /// it had no storage.
     void accountRefusals(const server_start &server, const std::vector<std::uint64_t> &refused);
