--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -16,6 +16,8 @@
     WaitForLocalServer, ///< pieces with large inputs wait for a server close to them
     ReportedWaits, ///< hosts report waits; requests that would be late are refused on arrival
     PromptAffinity, ///< prompts that share long parts have a preferred data centre
+    CustomerShares, ///< customers share the capacity of overloaded pools
+    RetryTurns, ///< capacity is reserved for the return of refused requests
 };
 
 /// The disabled policies.
@@ -37,4 +39,8 @@
                                                        "told_waits"},
     orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::PromptAffinity,
                                                        "prompt_homes"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::CustomerShares,
+                                                       "customer_shares"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::RetryTurns,
+                                                       "retry_turns"},
 };
