Count retry turns and the pool time of customers in the metrics

Cause: an operator has to see who was granted or refused how much of an overloaded pool, and whether refused clients return at their turns.

The pools don't report yet.

Tests: gateway_tests, the two tests of these metrics pass.

--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_metrics.h"
 
 #include "wire/bounded_family.h"
+#include "wire/customer_labels.h"
 
 #include <orchidlead/membership.h>
 
@@ -26,6 +27,10 @@
 // times.
 constexpr std::size_t MaxServices = 32;
 constexpr std::size_t MaxRouteRows = 256;
+constexpr std::size_t TurnStates = 5;
+// Services times the labelled customers and the rest, times the outcomes of a decision.
+constexpr std::size_t MaxCustomerRows =
+    MaxServices * (wire::customer_label_options{}.maxLabels + 1) * enumNames<refusal_cause>.size();
 
 double seconds(milliseconds time)
 {
@@ -95,6 +100,19 @@
                                     "Second tries that this node may still take, by service",
                                     {"service"},
                                     MaxServices}};
+    wire::gauge_family turns{registry,
+                             {"orchidlead_gateway_retry_turns",
+                              "Retry turns of the pools hosted here, by service: held now; the "
+                              "other states since the start",
+                              {"service", "state"},
+                              MaxServices *TurnStates}};
+    wire::counter_family customerTime{registry,
+                                      {"orchidlead_gateway_customer_pool_seconds_total",
+                                       "Pool time that customers requested of the pools hosted "
+                                       "here, by service, customer and outcome",
+                                       {"service", "customer", "outcome"},
+                                       MaxCustomerRows}};
+    wire::customer_labels customers;
     wire::gauge_family members{registry,
                                {"orchidlead_gateway_members",
                                 "Gateways that this node knows, by state",
@@ -115,6 +133,18 @@
                                                         .Help("What the node is like now")
                                                         .Register(registry);
 
+    void setTurns(const service_id &service, const turn_gauges &gauges)
+    {
+        const auto setState = [&](const char *state, std::uint64_t value) {
+            turns.at({service.value, state}).Set(static_cast<double>(value));
+        };
+        setState("held", gauges.held);
+        setState("given", gauges.counts.given);
+        setState("redeemed", gauges.counts.redeemed);
+        setState("lapsed", gauges.counts.lapsed);
+        setState("evicted", gauges.counts.evicted);
+    }
+
     void set(const char *name, double value) { states.Add({{"what", name}}).Set(value); }
 };
 
@@ -152,6 +182,15 @@
     m_families->stageTimes.at({service.value}).Observe(seconds(call.took));
 }
 
+void gateway_metrics::onPoolDecision(const service_id &service, const customer_id &customer,
+                                     pool_time cost, refusal_cause cause)
+{
+    const auto outcome = cause == refusal_cause::None ? "granted" : toName(cause);
+    m_families->customerTime
+        .at({service.value, toLabel(m_families->customers.labelFor(customer)), toLabel(outcome)})
+        .Increment(cost.count());
+}
+
 std::string gateway_metrics::text(const gateway_gauges &gauges)
 {
     m_families->set("ready", gauges.ready ? 1 : 0);
@@ -176,6 +215,8 @@
         m_families->members.at({state}).Set(static_cast<double>(count));
     for (const auto &[service, count] : gauges.waitingPieces)
         m_families->waitingPieces.at({service.value}).Set(static_cast<double>(count));
+    for (const auto &[service, each] : gauges.turns)
+        m_families->setTurns(service, each);
     for (const auto &[service, usage] : gauges.retries) {
         m_families->retriesTaken.at({service.value}).Set(usage.taken);
         m_families->retriesLeft.at({service.value}).Set(usage.left);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/admission/overload_order.h"
 #include "gateway/exchange/request_outcome.h"
 #include "gateway/exchange/service_retry_budget.h"
 #include "gateway/publication/configuration.h"
@@ -16,6 +17,13 @@
 
 namespace orchidlead::gateway {
 
+/// Turns of refused requests at the pools of a service that this node hosts.
+struct turn_gauges
+{
+    std::size_t held = 0;
+    turn_counts counts;
+};
+
 /// Current state of the node, sampled when metrics are read.
 struct gateway_gauges
 {
@@ -36,6 +44,7 @@
     bool serversCutOff = false; ///< this node can open no connection to any server
     std::map<std::string, std::size_t> members; ///< by state, this node included
     std::map<service_id, std::size_t> waitingPieces; ///< in the pools hosted by this node
+    std::map<service_id, turn_gauges> turns;
     std::map<service_id, service_retry_budget::usage> retries;
     std::uint64_t placements = 0; ///< requests that this node placed on servers, for itself or
                                   ///< other nodes, and that have not ended
@@ -55,8 +64,8 @@
 };
 
 /// Collects the metrics of a gateway and writes them in the Prometheus text format. Labels are
-/// names of enumerators, services and routes. Only a limited number of services and of routes get
-/// series of their own.
+/// names of enumerators, services, routes and customers. Only a limited number of services, of
+/// routes and of customers get series of their own.
 class gateway_metrics
 {
 public:
@@ -72,6 +81,9 @@
     /// Records the number of header fields in a client's request that only the system may set.
     void onReservedFields(std::uint32_t count);
     void onStageCall(const service_id &service, const stage_call_report &call);
+    /// Records a decision of a pool on a request of this cost.
+    void onPoolDecision(const service_id &service, const customer_id &customer, pool_time cost,
+                        refusal_cause cause);
 
     [[nodiscard]] std::string text(const gateway_gauges &gauges);
 
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -38,6 +38,25 @@
     CHECK(text.find("stage_call_seconds_sum{service=\"rerank\"} 0.251") != std::string::npos);
 }
 
+TEST_CASE("pool time is counted by customer and outcome, with a bounded number of customers")
+{
+    gateway_metrics metrics;
+    const service_id service{"rerank"};
+    for (int i = 0; i < 100; ++i) {
+        metrics.onPoolDecision(service, customer_id("large"), pool_time{0.5}, refusal_cause::None);
+        metrics.onPoolDecision(service, customer_id("large"), pool_time{0.5},
+                               refusal_cause::OverShare);
+        metrics.onPoolDecision(service, customer_id("c" + std::to_string(i)), pool_time{0.5},
+                               refusal_cause::None);
+    }
+    const auto text = metrics.text({});
+    INFO(text);
+    CHECK(text.find("customer=\"large\",outcome=\"over_share\",service=\"rerank\"")
+          != std::string::npos);
+    CHECK(text.find("customer=\"other\",outcome=\"granted\"") != std::string::npos);
+    CHECK(text.find("customer=\"c50\"") == std::string::npos);
+}
+
 TEST_CASE("gauges show the state of the node at the time of the read")
 {
     gateway_metrics metrics;
@@ -51,8 +70,12 @@
     gauges.evacuatedDataCenters = 1;
     gauges.serversCutOff = true;
     gauges.members["alive"] = 5;
+    gauges.turns[service_id{"pages"}] = {5, {20, 12, 3, 0}};
     gauges.retries[service_id{"pages"}] = {3, 4.5, 0};
     const auto text = metrics.text(gauges);
+    CHECK(text.find("orchidlead_gateway_retry_turns{service=\"pages\",state=\"held\"} 5")
+          != std::string::npos);
+    CHECK(text.find("service=\"pages\",state=\"lapsed\"} 3") != std::string::npos);
     CHECK(text.find("orchidlead_gateway_state{what=\"ready\"} 1") != std::string::npos);
     CHECK(text.find("what=\"configuration_version\"} 12") != std::string::npos);
     CHECK(text.find("what=\"cold_servers\"} 3") != std::string::npos);
