Decide on admission by customer shares and retry turns

Cause: a pool's host granted places to whoever asks first, and a refused request found the same queue when it returned.

Change: stage_admission passes each query, with the decision of the reservations, to the overload_order of the pool. The cost of a request is its share of the pool's server time or of its result storage, whichever is greater. A grant that is released within 500 ms, before its pieces arrived, is taken back: another pool refused the request. The answer carries the cause of a refusal and whether a turn is held; the query carries the longest Retry-After that the client follows. With both policies off the answer is that of the reservations alone.

A turn is now ended only by a grant, or by a refusal at its time. Its window opens after half of the told wait, if that is later than 300 ms before its time: a test of the host showed that a request which returned at once redeemed a turn 248 ms ahead.

--- a/src/gateway/admission/overload_order.cpp
+++ b/src/gateway/admission/overload_order.cpp
@@ -29,11 +29,11 @@
 overload_answer overload_order::decide(const overload_query &query)
 {
     m_shares.onRequested(query.customer, query.rank, query.cost);
-    const bool redeemed = m_enabled.retryTurns && m_turns.redeem(query.request);
-    const auto cause = check(query, redeemed);
+    const auto cause = check(query);
     if (cause != refusal_cause::None)
-        return refuse(query, cause, redeemed);
-    m_turns.drop(query.request);
+        return refuse(query, cause);
+    if (!m_turns.redeem(query.request))
+        m_turns.drop(query.request);
     m_shares.onGranted(query.customer, query.rank, query.cost);
     m_turns.onGranted(query.rank, query.cost);
     return {};
@@ -54,11 +54,11 @@
 }
 
 // A turn within its window is a promise: neither the share of its customer nor other turns count.
-refusal_cause overload_order::check(const overload_query &query, bool redeemed)
+refusal_cause overload_order::check(const overload_query &query)
 {
     if (query.wait > query.latestStart)
         return refusal_cause::Late;
-    if (redeemed)
+    if (m_turns.isInWindow(query.request))
         return refusal_cause::None;
     const bool queueIsShort =
         query.wait <= std::min(query.latestStart / ReservedDivisor, MaxQueueOfYielding);
@@ -71,8 +71,7 @@
     return refusal_cause::None;
 }
 
-overload_answer overload_order::refuse(const overload_query &query, refusal_cause cause,
-                                       bool redeemed)
+overload_answer overload_order::refuse(const overload_query &query, refusal_cause cause)
 {
     auto wait = std::max(milliseconds{0}, query.wait + reservedTime(query) - query.latestStart);
     if (cause != refusal_cause::OverShare)
@@ -93,7 +92,6 @@
     turn.cost = query.cost;
     turn.wait = wait;
     turn.maxWait = query.maxRetryAfter;
-    turn.redeemed = redeemed;
     const auto given = m_turns.grant(turn);
     return {cause, given.retryAfter, given.held};
 }
--- a/src/gateway/admission/overload_order.h
+++ b/src/gateway/admission/overload_order.h
@@ -1,26 +1,15 @@
 #pragma once
 
 #include "gateway/admission/customer_shares.h"
+#include "gateway/admission/refusal_cause.h"
 #include "gateway/admission/retry_turns.h"
 #include "gateway/quarantine/request_digest.h"
 #include "gateway/stages/stage_rank.h"
 
 #include <orchidlead/clock.h>
-#include <orchidlead/enum_names.h>
-
-#include <array>
-#include <cstdint>
 
 namespace orchidlead::gateway {
 
-/// Why a pool refused a request.
-enum class refusal_cause : std::uint8_t {
-    None, ///< not refused
-    Late, ///< its pieces can't begin in time
-    OverShare, ///< its customer was granted more than its share
-    Turn, ///< capacity is reserved for turns, or the request came before its own turn
-};
-
 /// A request about which a pool decides.
 struct overload_query
 {
@@ -51,6 +40,8 @@
     {
         bool customerShares = true;
         bool retryTurns = true;
+
+        [[nodiscard]] bool any() const { return customerShares || retryTurns; }
     };
 
     overload_order(const clock_source &clock, options enabled,
@@ -59,15 +50,15 @@
     [[nodiscard]] overload_answer decide(const overload_query &query);
     /// Takes back a grant whose pieces will not arrive, as another pool refused the request.
     void onReleased(const customer_id &customer, const stage_rank &rank, pool_time cost);
+    void removeLapsed() { m_turns.removeLapsed(); }
 
     [[nodiscard]] const customer_shares &shares() const { return m_shares; }
     [[nodiscard]] const retry_turns &turns() const { return m_turns; }
 
 private:
     [[nodiscard]] milliseconds reservedTime(const overload_query &query) const;
-    [[nodiscard]] refusal_cause check(const overload_query &query, bool redeemed);
-    [[nodiscard]] overload_answer refuse(const overload_query &query, refusal_cause cause,
-                                         bool redeemed);
+    [[nodiscard]] refusal_cause check(const overload_query &query);
+    [[nodiscard]] overload_answer refuse(const overload_query &query, refusal_cause cause);
 
     const clock_source &m_clock;
     options m_enabled;
@@ -76,15 +67,3 @@
 };
 
 } // namespace orchidlead::gateway
-
-template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::refusal_cause>{
-    orchidlead::enum_name<orchidlead::gateway::refusal_cause>{
-        orchidlead::gateway::refusal_cause::None, "none"},
-    orchidlead::enum_name<orchidlead::gateway::refusal_cause>{
-        orchidlead::gateway::refusal_cause::Late, "late"},
-    orchidlead::enum_name<orchidlead::gateway::refusal_cause>{
-        orchidlead::gateway::refusal_cause::OverShare, "over_share"},
-    orchidlead::enum_name<orchidlead::gateway::refusal_cause>{
-        orchidlead::gateway::refusal_cause::Turn, "turn"},
-};
--- a/src/gateway/admission/retry_turns.cpp
+++ b/src/gateway/admission/retry_turns.cpp
@@ -49,13 +49,14 @@
 {
     removeLapsed();
     const auto now = m_clock.now();
+    bool returned = false;
     if (const auto known = m_byRequest.find(query.request); known != m_byRequest.end()) {
         if (known->second->at > now)
             return {std::chrono::ceil<milliseconds>(known->second->at - now), true};
-        remove(known->second);
+        returned = redeem(query.request);
     }
     auto &state = m_ranks[query.rank];
-    const auto at = timeFor(state, query);
+    const auto at = timeFor(state, query, returned);
     const auto retryAfter = std::chrono::ceil<milliseconds>(at - now);
     if (retryAfter > std::min(query.maxWait, MaxRetryAfter))
         return {std::min(retryAfter, MaxRetryAfter), false};
@@ -64,21 +65,26 @@
     return {retryAfter, true};
 }
 
-bool retry_turns::redeem(const request_digest &request)
+bool retry_turns::isEarly(const request_digest &request) const
 {
-    removeLapsed();
     const auto known = m_byRequest.find(request);
-    if (known == m_byRequest.end() || m_clock.now() < known->second->at - MaxEarly)
-        return false;
-    ++m_counts.redeemed;
-    remove(known->second);
-    return true;
+    return known != m_byRequest.end() && m_clock.now() < known->second->opensAt;
 }
 
-bool retry_turns::isEarly(const request_digest &request) const
+bool retry_turns::isInWindow(const request_digest &request) const
 {
     const auto known = m_byRequest.find(request);
-    return known != m_byRequest.end() && m_clock.now() < known->second->at - MaxEarly;
+    return known != m_byRequest.end() && m_clock.now() >= known->second->opensAt
+        && m_clock.now() <= known->second->at + MaxLate;
+}
+
+bool retry_turns::redeem(const request_digest &request)
+{
+    if (!isInWindow(request))
+        return false;
+    ++m_counts.redeemed;
+    remove(m_byRequest.at(request));
+    return true;
 }
 
 void retry_turns::drop(const request_digest &request)
@@ -132,10 +138,10 @@
     return TurnShare * std::max(state.served.perSecond(m_clock.now()), MinServedRate);
 }
 
-steady_time retry_turns::timeFor(rank_state &state, const turn_query &query) const
+steady_time retry_turns::timeFor(rank_state &state, const turn_query &query, bool returned) const
 {
     auto earliest = m_clock.now() + std::clamp(query.wait, MinRetryAfter, MaxRetryAfter);
-    if (query.redeemed)
+    if (returned)
         return earliest;
     if (const auto next = state.nextOfCustomer.find(query.customer);
         next != state.nextOfCustomer.end())
@@ -188,7 +194,9 @@
         ++m_counts.evicted;
         remove(m_turns.begin());
     }
-    m_turns.push_back({query.request, query.rank, at, query.cost});
+    const auto wait = at - m_clock.now();
+    const auto opensAt = at - std::min<steady_time::duration>(MaxEarly, wait / 2);
+    m_turns.push_back({query.request, query.rank, opensAt, at, query.cost});
     m_byRequest[query.request] = std::prev(m_turns.end());
     m_byTime.insert({at, query.request});
     m_ranks[query.rank].due[{at, query.request}] = query.cost;
--- a/src/gateway/admission/retry_turns.h
+++ b/src/gateway/admission/retry_turns.h
@@ -29,8 +29,6 @@
     double customerShare = customer_shares::NoLimit;
     /// Longest `Retry-After` that the client follows.
     milliseconds maxWait = milliseconds::max();
-    /// The request returned within the window of its turn and was refused nevertheless.
-    bool redeemed = false;
 };
 
 /// The answer to a refused request.
@@ -47,6 +45,22 @@
     std::uint64_t redeemed = 0; ///< the request came within the window of its turn
     std::uint64_t lapsed = 0; ///< the request didn't come
     std::uint64_t evicted = 0; ///< removed for a newer turn
+
+    turn_counts &operator+=(const turn_counts &other)
+    {
+        given += other.given;
+        redeemed += other.redeemed;
+        lapsed += other.lapsed;
+        evicted += other.evicted;
+        return *this;
+    }
+};
+
+/// Turns of the pools of one service.
+struct turn_summary
+{
+    std::size_t held = 0;
+    turn_counts counts;
 };
 
 /// Gives refused requests a time at which to return, and reserves capacity for them then. Does no
@@ -64,7 +78,8 @@
     static constexpr milliseconds MaxRetryAfter{5000};
     /// Lower bound for that time. A request that returns sooner finds the same queue.
     static constexpr milliseconds MinRetryAfter{50};
-    /// A turn is redeemed this long before its time at the earliest. Clients round their timers.
+    /// A turn is redeemed this long before its time at the earliest, and not before half of the
+    /// wait has passed, so that a return at once is never in time. Clients round their timers.
     static constexpr milliseconds MaxEarly{300};
     /// A turn is redeemed this long after its time at the latest. Clients add a random delay, and
     /// may have to connect again.
@@ -76,12 +91,16 @@
     void onGranted(const stage_rank &rank, pool_time cost);
     /// Gives a turn to a refused request. A request that has one whose time is ahead keeps it. If
     /// no turn is free that its client would follow, none is given, and `retryAfter` is the time
-    /// until there may be one. A request that redeemed a turn in vain goes ahead of other turns.
+    /// until there may be one. A request that returned at its turn and is refused nevertheless gets
+    /// a new turn ahead of others.
     [[nodiscard]] retry_turn grant(const turn_query &query);
-    /// Ends the turn of a request that returned within its window. Returns whether it did.
-    [[nodiscard]] bool redeem(const request_digest &request);
     /// Returns whether a request has a turn whose window has not begun.
     [[nodiscard]] bool isEarly(const request_digest &request) const;
+    /// Returns whether a request has a turn and the current time is in its window.
+    [[nodiscard]] bool isInWindow(const request_digest &request) const;
+    /// Ends the turn of a request that returned within its window and was granted, or refused after
+    /// the time of its turn. Returns whether there was one.
+    bool redeem(const request_digest &request);
     /// Ends the turn of a request that needs none any more.
     void drop(const request_digest &request);
     /// Returns the cost of turns of this or a more urgent rank that fall due before a given time.
@@ -97,6 +116,7 @@
     {
         request_digest request;
         stage_rank rank;
+        steady_time opensAt; ///< begin of its window
         steady_time at;
         pool_time cost;
     };
@@ -112,7 +132,8 @@
     };
 
     [[nodiscard]] double turnRate(const rank_state &state) const;
-    [[nodiscard]] steady_time timeFor(rank_state &state, const turn_query &query) const;
+    [[nodiscard]] steady_time timeFor(rank_state &state, const turn_query &query,
+                                      bool returned) const;
     [[nodiscard]] steady_time findTime(rank_state &state, steady_time earliest) const;
     void reserve(rank_state &state, const turn_query &query, steady_time at);
     void add(const turn_query &query, steady_time at);
--- a/src/gateway/admission/stage_admission.cpp
+++ b/src/gateway/admission/stage_admission.cpp
@@ -1,28 +1,71 @@
 #include "gateway/admission/stage_admission.h"
 
+#include "gateway/admission/pool_share.h"
+
+#include <algorithm>
+
 namespace orchidlead::gateway {
 
+namespace {
+
+// A grant that is released after this time counts as used. A node has the answers of all hosts
+// within tens of milliseconds, and what is released after that belongs to a request that ended.
+constexpr milliseconds RecentGrantTime{500};
+
+} // namespace
+
 // All grounds for a refusal are joined here; each has what the query names: digest, customer, rank,
-// pieces and bytes.
-reservation_answer stage_admission::decide(stage_reservations &reservations, const pool_key &pool,
+// pieces and bytes. A pool that gets no work now grants everything: its pieces end with its reason.
+reservation_answer stage_admission::decide(pool_state &state, const pool_key &pool,
+                                           reservation_sender sender,
                                            const reservation_query &query)
 {
     std::vector<pool_estimate> estimates;
     estimates.reserve(query.stages.size());
     for (const auto &each : query.stages)
         estimates.push_back(m_estimate(pool, query.rank, each.resultBytes));
-    return reservations.evaluate(query, estimates);
+    auto answer = state.reservations.evaluate(query, estimates);
+    if (!answer.granted)
+        answer.cause = refusal_cause::Late;
+    const auto request = overloadQueryOf(query, estimates, answer);
+    if (!request)
+        return answer;
+    if (m_orderOptions.any()) {
+        const auto ordered = state.order.decide(*request);
+        answer.granted = ordered.granted();
+        answer.cause = ordered.cause;
+        answer.turnHeld = ordered.turnHeld;
+        if (!answer.granted)
+            answer.retryAfter = ordered.retryAfter;
+    }
+    if (answer.granted)
+        recordGrant(state, sender, query, request->cost);
+    if (m_onDecision)
+        m_onDecision(pool.service, query.customer, request->cost, answer.cause);
+    return answer;
+}
+
+void stage_admission::recordGrant(pool_state &state, reservation_sender sender,
+                                  const reservation_query &query, pool_time cost) const
+{
+    const auto now = m_clock.now();
+    while (!state.grants.empty() && now - state.grants.front().at > RecentGrantTime)
+        state.grants.pop_front();
+    std::uint32_t pieces = 0;
+    for (const auto &each : query.stages)
+        pieces += each.pieces;
+    state.grants.push_back({sender, query.id, query.customer, query.rank, pieces, cost, now});
 }
 
 reservation_answer stage_admission::onQuery(reservation_sender sender, const pool_key &pool,
                                             const reservation_query &query)
 {
-    auto &reservations = m_pools.try_emplace(pool, m_clock).first->second;
-    const auto answer = decide(reservations, pool, query);
+    auto &state = m_pools.try_emplace(pool, m_clock, m_orderOptions).first->second;
+    const auto answer = decide(state, pool, sender, query);
     auto &counts = m_counts[pool.service];
     ++(answer.granted ? counts.granted : counts.refused);
     if (answer.granted)
-        reservations.reserve(sender, query);
+        state.reservations.reserve(sender, query);
     return answer;
 }
 
@@ -30,27 +73,53 @@
                                      std::uint32_t stage)
 {
     const auto found = m_pools.find(pool);
-    return found != m_pools.end() && found->second.onPieceArrived(attempt, stage);
+    return found != m_pools.end() && found->second.reservations.onPieceArrived(attempt, stage);
 }
 
 void stage_admission::release(reservation_sender sender, reservation_id id)
 {
-    for (auto &[pool, reservations] : m_pools)
-        reservations.release(sender, id);
+    for (auto &[pool, state] : m_pools)
+        release(state, sender, id);
+}
+
+// Pieces that have not arrived took nothing of the pool, so their customer wasn't granted it.
+void stage_admission::release(pool_state &state, reservation_sender sender, reservation_id id) const
+{
+    const auto left = state.reservations.release(sender, id);
+    const auto found = std::ranges::find_if(state.grants, [&](const recent_grant &each) {
+        return each.sender == sender && each.id == id;
+    });
+    if (left == 0 || found == state.grants.end() || m_clock.now() - found->at > RecentGrantTime)
+        return;
+    const double part = std::min(1.0, static_cast<double>(left) / found->pieces);
+    state.order.onReleased(found->customer, found->rank, found->cost * part);
+    state.grants.erase(found);
 }
 
 void stage_admission::releaseAll(reservation_sender sender)
 {
-    for (auto &[pool, reservations] : m_pools)
-        reservations.releaseAll(sender);
+    for (auto &[pool, state] : m_pools)
+        state.reservations.releaseAll(sender);
 }
 
 std::map<service_id, admission_counts> stage_admission::counts()
 {
     auto counts = m_counts;
-    for (auto &[pool, reservations] : m_pools)
-        counts[pool.service].held += reservations.reservedPieces();
+    for (auto &[pool, state] : m_pools)
+        counts[pool.service].held += state.reservations.reservedPieces();
     return counts;
 }
 
+std::map<service_id, turn_summary> stage_admission::turns()
+{
+    std::map<service_id, turn_summary> turns;
+    for (auto &[pool, state] : m_pools) {
+        state.order.removeLapsed();
+        auto &sum = turns[pool.service];
+        sum.held += state.order.turns().size();
+        sum.counts += state.order.turns().counts();
+    }
+    return turns;
+}
+
 } // namespace orchidlead::gateway
--- a/src/gateway/admission/stage_admission.h
+++ b/src/gateway/admission/stage_admission.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "gateway/admission/overload_order.h"
 #include "gateway/admission/stage_reservations.h"
 #include "gateway/servers/pool_key.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -27,11 +29,19 @@
     using estimate_function =
         std::function<pool_estimate(const pool_key &, const stage_rank &, std::uint64_t)>;
 
-    explicit stage_admission(const clock_source &clock)
+    /// Handles a decision on a request of a customer.
+    using decision_function =
+        std::function<void(const service_id &, const customer_id &, pool_time cost, refusal_cause)>;
+
+    explicit stage_admission(const clock_source &clock,
+                             overload_order::options order = {.customerShares = false,
+                                                              .retryTurns = false})
         : m_clock(clock)
+        , m_orderOptions(order)
     { }
 
     void setEstimate(estimate_function estimate) { m_estimate = std::move(estimate); }
+    void setDecisionHandler(decision_function handler) { m_onDecision = std::move(handler); }
 
     /// Decides on a query, and reserves its places if they are granted.
     [[nodiscard]] reservation_answer onQuery(reservation_sender sender, const pool_key &pool,
@@ -42,14 +52,45 @@
     /// Releases all reservations of a sender, which ended.
     void releaseAll(reservation_sender sender);
     [[nodiscard]] std::map<service_id, admission_counts> counts();
+    /// Returns the retry turns by service.
+    [[nodiscard]] std::map<service_id, turn_summary> turns();
 
 private:
-    [[nodiscard]] reservation_answer decide(stage_reservations &reservations, const pool_key &pool,
+    /// A grant that may still be released because another pool refused the request.
+    struct recent_grant
+    {
+        reservation_sender sender = nullptr;
+        reservation_id id = 0;
+        customer_id customer;
+        stage_rank rank;
+        std::uint32_t pieces = 0;
+        pool_time cost{0};
+        steady_time at;
+    };
+    struct pool_state
+    {
+        pool_state(const clock_source &clock, overload_order::options options)
+            : reservations(clock)
+            , order(clock, options)
+        { }
+
+        stage_reservations reservations;
+        overload_order order;
+        std::deque<recent_grant> grants; ///< the oldest first
+    };
+
+    [[nodiscard]] reservation_answer decide(pool_state &state, const pool_key &pool,
+                                            reservation_sender sender,
                                             const reservation_query &query);
+    void recordGrant(pool_state &state, reservation_sender sender, const reservation_query &query,
+                     pool_time cost) const;
+    void release(pool_state &state, reservation_sender sender, reservation_id id) const;
 
     const clock_source &m_clock;
     estimate_function m_estimate;
-    std::map<pool_key, stage_reservations> m_pools;
+    overload_order::options m_orderOptions;
+    decision_function m_onDecision;
+    std::map<pool_key, pool_state> m_pools;
     std::map<service_id, admission_counts> m_counts; ///< without `held`
 };
 
--- a/src/gateway/admission/stage_reservations.cpp
+++ b/src/gateway/admission/stage_reservations.cpp
@@ -143,10 +143,15 @@
     return true;
 }
 
-void stage_reservations::release(reservation_sender sender, reservation_id id)
+std::uint32_t stage_reservations::release(reservation_sender sender, reservation_id id)
 {
-    std::erase_if(m_reservations,
-                  [&](const reservation &each) { return each.sender == sender && each.id == id; });
+    std::uint32_t pieces = 0;
+    std::erase_if(m_reservations, [&](const reservation &each) {
+        const bool isReleased = each.sender == sender && each.id == id;
+        pieces += isReleased ? each.pieces : 0;
+        return isReleased;
+    });
+    return pieces;
 }
 
 void stage_reservations::releaseAll(reservation_sender sender)
--- a/src/gateway/admission/stage_reservations.h
+++ b/src/gateway/admission/stage_reservations.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/admission/refusal_cause.h"
 #include "gateway/quarantine/request_digest.h"
 #include "gateway/stages/stage_rank.h"
 
@@ -37,6 +38,8 @@
     customer_id customer; ///< empty: none
     stage_rank rank;
     std::vector<reserved_stage> stages; ///< several if one service runs several stages
+    /// Longest `Retry-After` that the client follows.
+    milliseconds maxRetryAfter{std::chrono::seconds{5}};
 };
 
 /// The load and the speed of a pool, as its reservations are decided by.
@@ -57,6 +60,8 @@
     milliseconds retryAfter{0}; ///< if refused: when a repeat of the query would get a place
     std::uint32_t waitingAhead = 0; ///< pieces that waited in the pool's queue
     std::uint32_t reservedAhead = 0; ///< pieces that were reserved, had not arrived and go first
+    refusal_cause cause = refusal_cause::None;
+    bool turnHeld = false; ///< if refused: capacity is reserved for the request at `retryAfter`
 };
 
 /// The places that requests have reserved in the queue of one pool for pieces that have not arrived
@@ -80,8 +85,8 @@
     void reserve(reservation_sender sender, const reservation_query &query);
     /// Consumes the reservation of a piece that arrived; returns whether there was one.
     bool onPieceArrived(const std::string &attempt, std::uint32_t stage);
-    /// Releases what is left of a reservation.
-    void release(reservation_sender sender, reservation_id id);
+    /// Releases what is left of a reservation. Returns how many pieces that were.
+    std::uint32_t release(reservation_sender sender, reservation_id id);
     /// Releases all reservations of a sender.
     void releaseAll(reservation_sender sender);
     /// Returns the number of pieces that are reserved and have not arrived.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -133,7 +133,7 @@
                                                         .Help("What the node is like now")
                                                         .Register(registry);
 
-    void setTurns(const service_id &service, const turn_gauges &gauges)
+    void setTurns(const service_id &service, const turn_summary &gauges)
     {
         const auto setState = [&](const char *state, std::uint64_t value) {
             turns.at({service.value, state}).Set(static_cast<double>(value));
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -17,13 +17,6 @@
 
 namespace orchidlead::gateway {
 
-/// Turns of refused requests at the pools of a service that this node hosts.
-struct turn_gauges
-{
-    std::size_t held = 0;
-    turn_counts counts;
-};
-
 /// Current state of the node, sampled when metrics are read.
 struct gateway_gauges
 {
@@ -44,7 +37,7 @@
     bool serversCutOff = false; ///< this node can open no connection to any server
     std::map<std::string, std::size_t> members; ///< by state, this node included
     std::map<service_id, std::size_t> waitingPieces; ///< in the pools hosted by this node
-    std::map<service_id, turn_gauges> turns;
+    std::map<service_id, turn_summary> turns; ///< at the pools hosted by this node
     std::map<service_id, service_retry_budget::usage> retries;
     std::uint64_t placements = 0; ///< requests that this node placed on servers, for itself or
                                   ///< other nodes, and that have not ended
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -482,6 +482,7 @@
         wanted.startsIn = readReservationTime(items);
         wanted.latestStart = readReservationTime(items);
     });
+    query.maxRetryAfter = readReservationTime(in);
     return frame;
 }
 
@@ -494,6 +495,11 @@
     frame.answer.retryAfter = readReservationTime(in);
     frame.answer.waitingAhead = in.read<std::uint32_t>();
     frame.answer.reservedAhead = in.read<std::uint32_t>();
+    const auto cause = in.read<std::uint64_t>();
+    if (cause >= enumNames<refusal_cause>.size())
+        in.fail();
+    frame.answer.cause = static_cast<refusal_cause>(cause);
+    frame.answer.turnHeld = in.read<bool>();
     return frame;
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -277,7 +277,7 @@
 void pack(packer &out, const reserve_stage_frame &frame)
 {
     constexpr std::uint32_t StageFields = 5;
-    packKind(out, frame_kind::ReserveStage, 10);
+    packKind(out, frame_kind::ReserveStage, 11);
     const auto &query = frame.query;
     out.pack(query.id);
     packPool(out, frame.pool);
@@ -293,17 +293,20 @@
         packDuration(out, each.startsIn);
         packDuration(out, each.latestStart);
     }
+    packDuration(out, query.maxRetryAfter);
 }
 
 void pack(packer &out, const stage_reserved_frame &frame)
 {
-    packKind(out, frame_kind::StageReserved, 6);
+    packKind(out, frame_kind::StageReserved, 8);
     out.pack(frame.id);
     out.pack(frame.answer.granted);
     packDuration(out, frame.answer.wait);
     packDuration(out, frame.answer.retryAfter);
     out.pack(frame.answer.waitingAhead);
     out.pack(frame.answer.reservedAhead);
+    out.pack(static_cast<std::uint64_t>(frame.answer.cause));
+    out.pack(frame.answer.turnHeld);
 }
 
 void pack(packer &out, const release_reservation_frame &frame)
