--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/admission/overload_order.h"
 #include "gateway/admission/stage_admission.h"
 #include "gateway/exchange/request_outcome.h"
 #include "gateway/exchange/service_retry_budget.h"
@@ -40,6 +41,7 @@
     /// Bytes of results that backend servers hold for the pools hosted by this node.
     std::map<service_id, std::uint64_t> heldResultBytes;
     std::map<service_id, admission_counts> admissions; ///< to the pools hosted by this node
+    std::map<service_id, turn_summary> turns; ///< at the pools hosted by this node
     std::map<service_id, service_retry_budget::usage> retries;
     std::uint64_t placements = 0; ///< requests that this node placed on servers, for itself or
                                   ///< other nodes, and that have not ended
@@ -59,8 +61,8 @@
 };
 
 /// Collects the metrics of a gateway and writes them in the Prometheus text format. Labels are
-/// names of enumerators, services and routes. Only a limited number of services and of routes get
-/// series of their own.
+/// names of enumerators, services, routes and customers. Only a limited number of services, of
+/// routes and of customers get series of their own.
 class gateway_metrics
 {
 public:
@@ -78,6 +80,9 @@
     /// Records how long a freed result was held at its server.
     void onResultFreed(const service_id &service, const hold_times &held);
     void onStageCall(const service_id &service, const stage_call_report &call);
+    /// Records a decision of a pool on a request of this cost.
+    void onPoolDecision(const service_id &service, const customer_id &customer, pool_time cost,
+                        refusal_cause cause);
 
     [[nodiscard]] std::string text(const gateway_gauges &gauges);
 
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -20,6 +20,8 @@
     ResultRoom, ///< stage pools consider the storage of results: refusals, waits, whole groups
     FirstAnswerBySize, ///< the time to the first answer is estimated by the size of the prompt
     ServerSpeeds, ///< costs of engines are times at the rate at which each one reads prompts
+    CustomerShares, ///< customers share the capacity of overloaded pools
+    RetryTurns, ///< capacity is reserved for the return of refused requests
 };
 
 /// The disabled policies.
@@ -49,4 +51,8 @@
         orchidlead::gateway::policy::FirstAnswerBySize, "first_answer_by_size"},
     orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::ServerSpeeds,
                                                        "server_speeds"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::CustomerShares,
+                                                       "customer_shares"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::RetryTurns,
+                                                       "retry_turns"},
 };
