Count the prompt tokens that are read again by cause

Change: the board compares what the chosen engine isn't known to keep with what other engines of the service are known to keep: spread_by_load, excluded, engine_gone; lost_parts remembers for 60 s (at most 1,024 parts) what was evicted or went with its engine. A part that is known nowhere counts as new_board while the board has placed requests of the pool for less than 10 s; that includes first reads. The result goes to the node of the request with the placement (older versions are read as before), which adds other_data_center with its reason and counts orchidlead_repeated_prefill_tokens_total by service and cause; turn_answered has read_again and read_again_cause. Engines that ended without requests are forgotten when the directory changes; before, they stayed.

The parts of an engine are a class of their own now (engine_parts).

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -179,6 +179,9 @@
     [[nodiscard]] milliseconds slack() const;
     void place();
     void onPlaced(const placement_result &placed);
+    /// Returns the placement's repeated parts with the cause that this node knows, if it sent the
+    /// request to another data centre than the preferred one.
+    [[nodiscard]] repeated_prefill repeatedPrefill(const placement_result &placed) const;
     void endPlacement();
     [[nodiscard]] server_ptr chooseServer();
     void sendTo(server_ptr chosen);
@@ -234,7 +237,7 @@
     [[nodiscard]] std::string sharedPartsText() const;
     void logTrial(const request_digest &subject, bool granted);
     void logStreamOrigin(const origin_lookup &found);
-    void logPlaced(const placement_result &placed);
+    void logPlaced(const placement_result &placed, const repeated_prefill &repeated);
     void logEnd(request_outcome outcome);
 
     [[nodiscard]] milliseconds timeLeft() const;
@@ -251,6 +254,9 @@
     request_digest m_digest; ///< equal for all repeats of this request
     std::vector<crash_subject> m_subjects; ///< this request and the shared parts of its prompt
     data_center_id m_preferredDataCenter; ///< preferred data centre for the work
+    /// Why the request isn't processed in the data centre whose engines keep its prompt; empty: it
+    /// is, or there is none.
+    std::optional<prefill_cause> m_otherDataCenter;
     data_center_id m_unreachableDataCenter; ///< where servers could not be reached; empty: none
     steady_time m_arrival;
     steady_time m_deadline; ///< deadline of the final answer
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -124,7 +124,10 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onPlaced(const placement_result &placed)
 {
-    logPlaced(placed);
+    const auto repeated = repeatedPrefill(placed);
+    if (repeated.cause)
+        m_context.metrics.onRepeatedPrefill(m_service, *repeated.cause, repeated.tokens);
+    logPlaced(placed, repeated);
     if (!placed.server) {
         m_capacityDelay = placed.wait;
         const auto fallback =
@@ -144,6 +147,19 @@
         });
 }
 
+// The board of a data centre knows nothing of the engines of others, so it can't know this cause.
+template <gateway_codec Codec>
+repeated_prefill exchange<Codec>::repeatedPrefill(const placement_result &placed) const
+{
+    auto repeated = placed.repeated;
+    const bool unknownToBoard = !repeated.cause || *repeated.cause == prefill_cause::NewBoard;
+    if (m_otherDataCenter && unknownToBoard && repeated.unkeptTokens > 0) {
+        repeated.cause = m_otherDataCenter;
+        repeated.tokens = repeated.unkeptTokens;
+    }
+    return repeated;
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::endPlacement()
 {
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -173,16 +173,20 @@
     m_decisions.add(std::move(line));
 }
 
-// Logged only if a limit affected the placement. Otherwise the line about the attempt is enough.
+// Logged only if a limit affected the placement or if parts of the prompt are read again. Otherwise
+// the line about the attempt is enough.
 template <gateway_codec Codec>
-void exchange<Codec>::logPlaced(const placement_result &placed)
+void exchange<Codec>::logPlaced(const placement_result &placed, const repeated_prefill &repeated)
 {
-    if (!logsDecisions() || (!placed.allRateLimited && placed.wait == milliseconds{0}))
+    const bool limited = placed.allRateLimited || placed.wait != milliseconds{0};
+    if (!logsDecisions() || (!limited && !repeated.cause))
         return;
     auto line = lineOf(log_event::TurnAnswered);
     line.add("service", m_service.value);
     line.add("server", placed.server ? placed.server->record.id.value : "none");
     line.add("wait_ms", placed.wait.count()).add("admitted", m_admitted);
+    if (repeated.cause)
+        line.add("read_again", repeated.tokens).add("read_again_cause", toName(*repeated.cause));
     line.add("slack_ms", slack().count()).add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
 }
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -70,6 +70,7 @@
 template <gateway_codec Codec>
 data_center_id exchange<Codec>::choosePreferredDataCenter()
 {
+    m_otherDataCenter.reset();
     const auto &own = m_context.dataCenter;
     const auto &directory = m_context.directory;
     if (!m_residency.allows(directory.regionOf(own)) || !directory.usableIn(m_service, own))
@@ -80,8 +81,12 @@
         || m_context.placer.poolFor(m_service, own, m_residency).dataCenter.empty())
         return own;
     const auto preferred = preferredDataCenterOf(m_metadata.prompt, preferredEngines());
-    if (!preferred || *preferred == own || *preferred == m_unreachableDataCenter)
+    if (!preferred || *preferred == own)
         return own;
+    if (*preferred == m_unreachableDataCenter) {
+        m_otherDataCenter = prefill_cause::Unreachable;
+        return own;
+    }
     for (std::size_t i = 0; i < m_route->stages.size(); ++i) {
         if (m_metadata.pieceCounts[i] == 0)
             continue;
@@ -90,8 +95,10 @@
         const auto here = stagePool(service, own);
         const auto longer = m_context.latencyEstimator.remainingWait(there, stageRank())
             - m_context.latencyEstimator.remainingWait(here, stageRank());
-        if (longer > MaxExtraStageWait)
+        if (longer > MaxExtraStageWait) {
+            m_otherDataCenter = prefill_cause::LongerStageWait;
             return own;
+        }
     }
     return *preferred;
 }
@@ -154,6 +161,8 @@
         return dataCenter;
     if (!m_context.directory.usableIn(service, m_preferredDataCenter))
         m_preferredDataCenter = choosePreferredDataCenter();
+    if (service == m_service)
+        m_otherDataCenter = prefill_cause::NoEngineThere;
     return m_preferredDataCenter;
 }
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -80,6 +80,12 @@
                                        "Time that a stage call took, by service",
                                        {"service"},
                                        MaxServices}};
+    wire::counter_family repeatedPrefills{
+        registry,
+        {"orchidlead_repeated_prefill_tokens_total",
+         "Prompt tokens that an engine read although another one keeps them, by service and cause",
+         {"service", "cause"},
+         MaxServices *enumNames<prefill_cause>.size()}};
     wire::gauge_family waitingPieces{registry,
                                      {"orchidlead_gateway_stage_waiting_pieces",
                                       "Pieces that wait for a call here, by service",
@@ -144,6 +150,13 @@
     m_families->reservedFields.Increment(count);
 }
 
+void gateway_metrics::onRepeatedPrefill(const service_id &service, prefill_cause cause,
+                                        std::uint32_t tokens)
+{
+    m_families->repeatedPrefills.at({service.value, toLabel(toName(cause))})
+        .Increment(static_cast<double>(tokens));
+}
+
 void gateway_metrics::onStageCall(const service_id &service, const stage_call_report &call)
 {
     m_families->stageCalls.Add({{"end", toLabel(toName(call.end))}}).Increment();
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -2,6 +2,7 @@
 
 #include "gateway/exchange/request_outcome.h"
 #include "gateway/exchange/service_retry_budget.h"
+#include "gateway/placement/repeated_prefill.h"
 #include "gateway/publication/configuration.h"
 #include "gateway/stages/stage_pool.h"
 
@@ -71,6 +72,8 @@
     void onFirstEvent(milliseconds took);
     /// Records the number of header fields in a client's request that only the system may set.
     void onReservedFields(std::uint32_t count);
+    /// Records shared parts of a prompt that an engine reads although another one keeps them.
+    void onRepeatedPrefill(const service_id &service, prefill_cause cause, std::uint32_t tokens);
     void onStageCall(const service_id &service, const stage_call_report &call);
 
     [[nodiscard]] std::string text(const gateway_gauges &gauges);
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -245,6 +245,13 @@
     frame.server = backend_server_id(in.read<std::string>());
     frame.wait = in.duration();
     frame.allRateLimited = in.read<bool>();
+    if (in.atEnd())
+        return frame; // sent by a version that doesn't report repeated parts
+    const auto cause = in.read<std::uint64_t>();
+    if (cause > 0 && cause <= enumNames<prefill_cause>.size())
+        frame.repeated.cause = enumNames<prefill_cause>[cause - 1].value;
+    frame.repeated.tokens = in.read<std::uint32_t>();
+    frame.repeated.unkeptTokens = in.read<std::uint32_t>();
     return frame;
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -166,11 +166,16 @@
 
 void pack(packer &out, const placed_frame &frame)
 {
-    packKind(out, frame_kind::Placed, 4);
+    packKind(out, frame_kind::Placed, 7);
     out.pack(frame.id);
     out.pack(frame.server.value);
     packDuration(out, frame.wait);
     out.pack(frame.allRateLimited);
+    // The position in the table of names + 1, as names may be added.
+    const auto &repeated = frame.repeated;
+    out.pack(repeated.cause ? static_cast<std::uint64_t>(*repeated.cause) + 1 : std::uint64_t{0});
+    out.pack(repeated.tokens);
+    out.pack(repeated.unkeptTokens);
 }
 
 void pack(packer &out, const placement_progress_frame &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -72,6 +72,7 @@
     backend_server_id server; ///< empty: no server was found
     milliseconds wait{0}; ///< as in `placement_result`
     bool allRateLimited = false;
+    repeated_prefill repeated{}; ///< as in `placement_result`
 };
 
 /// Reports the progress of a request that the receiver placed.
--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace orchidlead::gateway {
 
@@ -31,6 +32,9 @@
 // Fewest prompt tokens until the first token from which the speed of an engine is learnt. With
 // fewer, the time consists mainly of round trips.
 constexpr std::uint64_t MinTokensToLearn = 512;
+// How long a board that knows no engine for a part is considered the cause: the parts of most
+// prompts return within this time.
+constexpr std::chrono::seconds NewBoardTime{10};
 
 } // namespace
 
@@ -40,6 +44,7 @@
     , m_directory(directory)
     , m_learnsSpeeds(!disabledPolicies.contains(policy::ServerSpeeds))
     , m_pacer(clock)
+    , m_lostParts(clock)
 { }
 
 void placement_board::setCapacity(const service_id &service, std::uint64_t tokens)
@@ -47,22 +52,21 @@
     m_capacities[service] = tokens;
 }
 
-// A cached part is usable only if all parts before it are cached as well.
 std::uint64_t placement_board::uncachedTokens(const engine &state, const placement_query &query)
 {
-    std::uint64_t uncached = 0;
-    bool cached = true;
-    for (const auto &part : query.prompt) {
-        cached = cached && state.parts.contains(part.id);
-        if (!cached)
-            uncached += part.tokens;
-    }
-    return uncached;
+    return tokensOf(query.prompt) - state.parts.keptTokens(query.prompt);
+}
+
+placement_board::engine &placement_board::engineOf(const server &backend)
+{
+    auto &state = m_engines[backend.record.start()];
+    state.service = backend.record.service;
+    return state;
 }
 
 double placement_board::costOf(const server &backend, const placement_query &query)
 {
-    const auto &state = m_engines[backend.record.start()];
+    const auto &state = engineOf(backend);
     const auto uncached = uncachedTokens(state, query);
     double cost =
         static_cast<double>(uncached + state.prefillTokens) + RunningStreamCost * state.streams;
@@ -192,6 +196,7 @@
 placement_result placement_board::place(placement_id id, const placement_query &query, double share)
 {
     expirePlacements();
+    forgetGoneEngines();
     const auto perSecond = poolRateLimit(query, share);
     placement_result placed;
     if (perSecond && share > 0 && !query.admitted)
@@ -209,6 +214,8 @@
     placed.allRateLimited = perSecond.has_value();
     if (placed.server) {
         m_pacer.onSent(*placed.server, share);
+        m_firstPlacements.try_emplace(query.pool, m_clock.now());
+        placed.repeated = findRepeated(*placed.server, query);
         recordPlacement(id, query, placed);
     }
     return placed;
@@ -218,7 +225,7 @@
                                       const placement_result &placed)
 {
     const auto start = placed.server->record.start();
-    auto &state = m_engines[start];
+    auto &state = engineOf(*placed.server);
     const auto uncached = uncachedTokens(state, query);
     const auto now = m_clock.now();
     m_placements[id] = {.server = start,
@@ -229,29 +236,77 @@
                         .sentAt = now + placed.wait};
     state.prefillTokens += uncached;
     ++state.streams;
-    const auto known = m_capacities.find(query.pool.service);
-    cacheParts(state, query, known == m_capacities.end() ? DefaultCapacityTokens : known->second);
+    keepParts(state, query);
+}
+
+std::uint64_t placement_board::keptLimit(const service_id &service) const
+{
+    const auto known = m_capacities.find(service);
+    const auto capacity = known == m_capacities.end() ? DefaultCapacityTokens : known->second;
+    return static_cast<std::uint64_t>(CacheShareOfCapacity * static_cast<double>(capacity));
+}
+
+void placement_board::keepParts(engine &state, const placement_query &query)
+{
+    const auto shared = sharedParts(query.prompt);
+    for (const auto &each : shared)
+        m_lostParts.remove(state.service, each.id);
+    for (const auto &evicted : state.parts.keep(shared, keptLimit(state.service), m_clock.now()))
+        m_lostParts.add(state.service, evicted, prefill_cause::Evicted);
+}
+
+bool placement_board::isNew(const pool_key &pool) const
+{
+    const auto found = m_firstPlacements.find(pool);
+    return found == m_firstPlacements.end() || m_clock.now() - found->second < NewBoardTime;
 }
 
-// Evicts the least recently used parts, as the engine does.
-void placement_board::cacheParts(engine &state, const placement_query &query,
-                                 std::uint64_t capacity)
+prefill_cause placement_board::causeOf(const server_start &holder,
+                                       const placement_query &query) const
 {
-    for (std::size_t i = 0; i + 1 < query.prompt.size(); ++i) {
-        const auto &part = query.prompt[i];
-        const auto [entry, isNew] = state.parts.try_emplace(part.id);
-        entry->second = {part.tokens, m_clock.now()};
-        if (isNew)
-            state.cachedTokens += part.tokens;
+    const auto known = m_directory.find(holder.id);
+    if (!known || known->record.start() != holder)
+        return prefill_cause::EngineGone;
+    const bool excluded = std::ranges::find(query.exclude, holder.id) != query.exclude.end();
+    if (excluded || !known->usable() || known->avoidUntil > m_clock.now())
+        return prefill_cause::Excluded;
+    return prefill_cause::SpreadByLoad;
+}
+
+// Of several engines that keep the parts, the one whose load alone prevented its choice counts:
+// the declaration order of the causes.
+repeated_prefill placement_board::findRepeated(const server &chosen, const placement_query &query)
+{
+    const auto shared = sharedParts(query.prompt);
+    const auto kept = engineOf(chosen).parts.keptTokens(shared);
+    const auto total = tokensOf(shared);
+    repeated_prefill repeated;
+    repeated.unkeptTokens = static_cast<std::uint32_t>(total - kept);
+    if (kept == total)
+        return repeated;
+    std::uint64_t most = kept;
+    for (const auto &[start, each] : m_engines) {
+        const auto there =
+            each.service == chosen.record.service ? each.parts.keptTokens(shared) : 0;
+        if (there <= kept || there < most)
+            continue;
+        const auto why = causeOf(start, query);
+        repeated.cause = there > most || !repeated.cause ? why : std::min(*repeated.cause, why);
+        most = there;
+    }
+    repeated.tokens = static_cast<std::uint32_t>(most - kept);
+    if (repeated.cause)
+        return repeated;
+    for (const auto &each : shared) {
+        const auto why = m_lostParts.causeOf(chosen.record.service, each.id);
+        repeated.tokens += why ? each.tokens : 0;
+        repeated.cause = why ? why : repeated.cause;
     }
-    const auto limit =
-        static_cast<std::uint64_t>(CacheShareOfCapacity * static_cast<double>(capacity));
-    while (state.cachedTokens > limit && !state.parts.empty()) {
-        const auto oldest = std::ranges::min_element(
-            state.parts, {}, [](const auto &entry) { return entry.second.lastUsed; });
-        state.cachedTokens -= oldest->second.tokens;
-        state.parts.erase(oldest);
+    if (!repeated.cause && isNew(query.pool)) {
+        repeated.cause = prefill_cause::NewBoard;
+        repeated.tokens = repeated.unkeptTokens;
     }
+    return repeated;
 }
 
 void placement_board::onFirstToken(placement_id id)
@@ -310,7 +365,30 @@
     m_placements.erase(found);
     const auto known = m_directory.find(server.id);
     if (state.streams == 0 && (!known || known->record.start() != server))
-        m_engines.erase(server);
+        forget(server);
+}
+
+void placement_board::forget(const server_start &gone)
+{
+    const auto found = m_engines.find(gone);
+    found->second.parts.forEach([&](const std::string &part) {
+        m_lostParts.add(found->second.service, part, prefill_cause::EngineGone);
+    });
+    m_engines.erase(found);
+}
+
+void placement_board::forgetGoneEngines()
+{
+    if (std::exchange(m_knownChanges, m_directory.changes()) == m_directory.changes())
+        return;
+    std::vector<server_start> gone;
+    for (const auto &[start, each] : m_engines) {
+        const auto known = m_directory.find(start.id);
+        if (each.streams == 0 && (!known || known->record.start() != start))
+            gone.push_back(start);
+    }
+    for (const auto &each : gone)
+        forget(each);
 }
 
 void placement_board::expirePlacements()
--- a/src/gateway/placement/placement_board.h
+++ b/src/gateway/placement/placement_board.h
@@ -2,7 +2,9 @@
 
 #include "gateway/codec.h"
 #include "gateway/exchange/first_answer_model.h"
+#include "gateway/placement/engine_parts.h"
 #include "gateway/placement/pool_admission.h"
+#include "gateway/placement/repeated_prefill.h"
 #include "gateway/policy.h"
 #include "gateway/servers/rate_pacer.h"
 #include "gateway/servers/server_directory.h"
@@ -48,6 +50,7 @@
     milliseconds wait{0};
     bool allRateLimited = false; ///< all servers that the request may use are rate-limited, or are
                                  ///< brittle and have as many requests as they may
+    repeated_prefill repeated{}; ///< what the server reads although another one keeps it
 };
 
 /// Whether a request may start its stages.
@@ -93,15 +96,10 @@
     [[nodiscard]] std::size_t activeCount() const { return m_placements.size(); }
 
 private:
-    struct cached_part
-    {
-        std::uint32_t tokens = 0;
-        steady_time lastUsed;
-    };
     struct engine
     {
-        std::unordered_map<std::string, cached_part> parts;
-        std::uint64_t cachedTokens = 0;
+        service_id service;
+        engine_parts parts;
         std::uint64_t prefillTokens = 0; ///< prompt tokens that are still to be read
         std::uint32_t streams = 0; ///< requests placed and not ended
         server_speed speed;
@@ -149,10 +147,21 @@
     /// Returns the factor by which reading a prompt takes longer on an engine than usual.
     [[nodiscard]] double timeFactorOf(const server &backend, const engine &state) const;
     [[nodiscard]] double costOf(const server &backend, const placement_query &query);
+    [[nodiscard]] engine &engineOf(const server &backend);
+    /// Returns which shared parts the chosen server reads although another one keeps them.
+    [[nodiscard]] repeated_prefill findRepeated(const server &chosen, const placement_query &query);
+    /// Returns why a server that keeps parts of the prompt didn't get the request.
+    [[nodiscard]] prefill_cause causeOf(const server_start &holder,
+                                        const placement_query &query) const;
+    [[nodiscard]] bool isNew(const pool_key &pool) const;
+    void forget(const server_start &gone);
+    [[nodiscard]] std::uint64_t keptLimit(const service_id &service) const;
     [[nodiscard]] static std::uint64_t uncachedTokens(const engine &state,
                                                       const placement_query &query);
-    void cacheParts(engine &state, const placement_query &query, std::uint64_t capacity);
+    void keepParts(engine &state, const placement_query &query);
     void expirePlacements();
+    /// Forgets the engines that have ended and have no requests left.
+    void forgetGoneEngines();
 
     const clock_source &m_clock;
     const server_directory &m_directory;
@@ -163,7 +172,10 @@
     rate_pacer m_pacer;
     std::map<pool_key, pool_admission> m_admissions;
     std::map<server_start, engine> m_engines;
+    std::uint64_t m_knownChanges = 0; ///< of the directory, when ended engines were forgotten last
     std::unordered_map<placement_id, placement> m_placements;
+    lost_parts m_lostParts;
+    std::map<pool_key, steady_time> m_firstPlacements; ///< by this board
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/placement/request_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -198,7 +198,7 @@
         placeLocally(frame.id, entry);
         return;
     }
-    complete(entry, {chosen, frame.wait, frame.allRateLimited});
+    complete(entry, {chosen, frame.wait, frame.allRateLimited, frame.repeated});
 }
 
 void request_placer::onSignals(placement_id id, const server_signals &reported)
@@ -271,7 +271,8 @@
     const auto server = placed.server ? placed.server->record.start() : server_start{};
     if (placed.server)
         m_hosted[link][frame.id] = {id, server};
-    link->send(placed_frame{frame.id, server.id, placed.wait, placed.allRateLimited});
+    link->send(
+        placed_frame{frame.id, server.id, placed.wait, placed.allRateLimited, placed.repeated});
 }
 
 void request_placer::onAdmissionRequest(const link_ptr &link, const admission_request &frame)
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -38,6 +38,21 @@
     CHECK(text.find("stage_call_seconds_sum{service=\"rerank\"} 0.251") != std::string::npos);
 }
 
+TEST_CASE("tokens that are read again are counted by service and cause")
+{
+    gateway_metrics metrics;
+    metrics.onRepeatedPrefill(service_id("e"), prefill_cause::Evicted, 13'000);
+    metrics.onRepeatedPrefill(service_id("e"), prefill_cause::Evicted, 300);
+    metrics.onRepeatedPrefill(service_id("e"), prefill_cause::LongerStageWait, 100);
+    const auto text = metrics.text({});
+    INFO(text);
+    CHECK(
+        text.find("orchidlead_repeated_prefill_tokens_total{cause=\"evicted\",service=\"e\"} 13300")
+        != std::string::npos);
+    CHECK(text.find("cause=\"other_data_center_longer_wait\",service=\"e\"} 100")
+          != std::string::npos);
+}
+
 TEST_CASE("gauges show the state of the node at the time of the read")
 {
     gateway_metrics metrics;
