--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -4,6 +4,7 @@
 #include "gateway/admission/stage_admission.h"
 #include "gateway/exchange/request_outcome.h"
 #include "gateway/exchange/service_retry_budget.h"
+#include "gateway/placement/repeated_prefill.h"
 #include "gateway/publication/configuration.h"
 #include "gateway/stages/stage_pool.h"
 
@@ -79,6 +80,8 @@
     void onReservedFields(std::uint32_t count);
     /// Records how long a freed result was held at its server.
     void onResultFreed(const service_id &service, const hold_times &held);
+    /// Records shared parts of a prompt that an engine reads although another one keeps them.
+    void onRepeatedPrefill(const service_id &service, prefill_cause cause, std::uint32_t tokens);
     void onStageCall(const service_id &service, const stage_call_report &call);
     /// Records a decision of a pool on a request of this cost.
     void onPoolDecision(const service_id &service, const customer_id &customer, pool_time cost,
