Let pools report their load and give up waiting pieces to another pool

Hosts need messages and pool functions to redirect pieces (docs/OVERLOAD.md, part D); nothing uses them yet. `piece_failure::Redirected` with the target pool in the outcome; the submit frame says whether a piece may be redirected and from where it was, both read as absent from older versions. `stage_pool` lists the groups that may move, takes them out, and states its load; these are in a file of their own. A piece that was in a call stays, as it may have run.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -94,6 +94,7 @@
     ServersBackingOff, ///< the servers of the pool asked the host to back off
     HostNotReady, ///< the host has just started and knows no servers yet
     ServersUnreachable, ///< the servers of the pool that were tried could not be reached
+    Redirected, ///< the piece waits for less time in another pool; no server has started it
 };
 
 /// Whether a host rejected the piece because no server of its pool gets new work. Servers of
@@ -247,6 +248,8 @@
         orchidlead::gateway::piece_failure::HostNotReady, "host_unready"},
     orchidlead::enum_name<orchidlead::gateway::piece_failure>{
         orchidlead::gateway::piece_failure::ServersUnreachable, "unreached"},
+    orchidlead::enum_name<orchidlead::gateway::piece_failure>{
+        orchidlead::gateway::piece_failure::Redirected, "redirected"},
 };
 template <>
 inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::read_consistency>{
--- a/src/gateway/exchange/request_outcome.h
+++ b/src/gateway/exchange/request_outcome.h
@@ -54,6 +54,7 @@
     case piece_failure::Error:
     case piece_failure::HostNotReady:
     case piece_failure::ServersUnreachable:
+    case piece_failure::Redirected:
         break;
     }
     return request_outcome::StageFailed;
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -112,6 +112,10 @@
     frame.inputBytes = in.read<std::uint64_t>();
     frame.resultBytes = in.read<std::uint64_t>();
     frame.request.digest = readRequestDigest(in);
+    if (in.atEnd()) // from an older version, which doesn't know redirection
+        return frame;
+    frame.mayBeRedirected = in.read<bool>();
+    frame.redirectedFrom = data_center_id(in.read<std::string>());
     return frame;
 }
 
@@ -286,6 +290,11 @@
     else
         in.fail();
     frame.report.wait = in.duration();
+    if (!in.atEnd())
+        frame.report.pool = readPool(in);
+    const auto *failure = std::get_if<piece_failure>(&frame.report.result);
+    if (failure && *failure == piece_failure::Redirected && !frame.report.pool)
+        in.fail();
     return frame;
 }
 
@@ -453,6 +462,23 @@
     return frame;
 }
 
+pool_load_frame readPoolLoad(field_reader &in)
+{
+    const auto *object = in.next();
+    // The conversion itself accepts an array that ends early.
+    if (object && object->type == msgpack::type::ARRAY
+        && object->via.array.size >= std::tuple_size_v<pool_load_fields>) {
+        try {
+            if (auto frame = poolLoadFrameOf(object->as<pool_load_fields>()))
+                return *std::move(frame);
+        } catch (const msgpack::type_error &) {
+            in.fail();
+        }
+    }
+    in.fail();
+    return {};
+}
+
 peer_frame readFrame(frame_kind kind, field_reader &in)
 {
     switch (kind) {
@@ -514,6 +540,8 @@
         return readStreamOriginQuery(in);
     case frame_kind::StreamOriginAnswer:
         return readStreamOriginAnswer(in);
+    case frame_kind::PoolLoad:
+        return readPoolLoad(in);
     case frame_kind::Compressed: // not allowed inside a compressed frame
         break;
     }
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -92,7 +92,7 @@
 
 void pack(packer &out, const submit_piece_frame &frame)
 {
-    packKind(out, frame_kind::SubmitPiece, 17);
+    packKind(out, frame_kind::SubmitPiece, 19);
     out.pack(frame.token);
     packPool(out, frame.pool);
     out.pack(frame.request.attempt);
@@ -107,6 +107,8 @@
     out.pack(frame.inputBytes);
     out.pack(frame.resultBytes);
     packDigest(out, frame.request.digest);
+    out.pack(frame.mayBeRedirected);
+    out.pack(frame.redirectedFrom.value);
 }
 
 void pack(packer &out, const free_results_frame &frame)
@@ -123,7 +125,9 @@
 
 void pack(packer &out, const piece_outcome_frame &frame)
 {
-    packKind(out, frame_kind::PieceOutcome, 4);
+    constexpr std::uint32_t Fields = 4;
+    constexpr std::uint32_t FieldsOfRedirected = 7;
+    packKind(out, frame_kind::PieceOutcome, frame.report.pool ? FieldsOfRedirected : Fields);
     out.pack(frame.token);
     if (const auto *handle = std::get_if<std::string>(&frame.report.result)) {
         out.pack(SuccessCode);
@@ -133,6 +137,8 @@
         out.pack(std::string());
     }
     packDuration(out, frame.report.wait);
+    if (frame.report.pool)
+        packPool(out, *frame.report.pool);
 }
 
 /// Number of fields of a `placement_query`, which are packed into the array of its frame.
@@ -399,6 +405,12 @@
     packDigest(out, frame.request);
 }
 
+void pack(packer &out, const pool_load_frame &frame)
+{
+    packKind(out, frame_kind::PoolLoad, 1);
+    out.pack(toFields(frame));
+}
+
 /// Replaces the frame in the buffer by a compressed frame that wraps it.
 void packCompressed(buffer &body)
 {
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/peers/pool_load_frame.h"
 #include "gateway/placement/placement_board.h"
 #include "gateway/publication/evacuations.h"
 #include "gateway/publication/list_digest.h"
@@ -35,6 +36,8 @@
     data_center_id preferredDataCenter;
     std::uint64_t inputBytes = 0; ///< estimate
     std::uint64_t resultBytes = 0; ///< estimate
+    bool mayBeRedirected = false; ///< the receiver may answer `piece_failure::Redirected`
+    data_center_id redirectedFrom; ///< of the pool that redirected the piece; empty: none did
 };
 
 /// Cancels a piece that the sender no longer needs.
@@ -270,7 +273,7 @@
                  server_crashes_frame, quarantine_frame, trial_request, trial_answer, trial_end,
                  admission_request, admission_answer, rate_limits_frame, leaving_servers_frame,
                  lost_data_center_frame, brittle_servers_frame, stream_origin_frame,
-                 stream_origin_query, stream_origin_answer>;
+                 stream_origin_query, stream_origin_answer, pool_load_frame>;
 
 /// Reason why bytes could not be decoded as a frame.
 struct frame_error
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -4,6 +4,7 @@
 #include "gateway/exchange/service_retry_budget.h"
 #include "gateway/servers/server_directory.h"
 #include "gateway/stages/decaying_rate.h"
+#include "gateway/stages/piece_redirection.h"
 #include "gateway/stages/stage_rank.h"
 
 #include <cstdint>
@@ -40,6 +41,8 @@
     residency allowed; ///< regions; not sent to the host, as each pool is in one region
     /// The piece may move to another pool if no server is reachable. Not sent to the host.
     bool mayChangePool = false;
+    bool mayBeRedirected = false; ///< to another pool of the service, while it waits
+    data_center_id redirectedFrom; ///< of the pool that redirected it; empty: none did
 };
 
 /// A call to be started now.
@@ -57,6 +60,7 @@
 {
     piece_token token = 0;
     piece_result result;
+    std::optional<pool_key> redirectedTo = std::nullopt;
 };
 
 /// Outcome of a piece as reported to its submitter.
@@ -64,6 +68,9 @@
 {
     piece_result result;
     milliseconds wait{0}; ///< estimated, of a new piece of the same rank
+    /// The pool to send a redirected piece to. In the report to the submitter's request: the pool
+    /// that reports the wait, if it isn't the one that was chosen at submission.
+    std::optional<pool_key> pool = std::nullopt;
 };
 
 /// Activity of a pool in a period, for the log.
@@ -136,6 +143,16 @@
     [[nodiscard]] std::vector<piece_outcome> failUnreached(const std::vector<server_ptr> &servers);
     /// Fails pieces whose inputs are in an unreachable data centre.
     [[nodiscard]] std::vector<piece_outcome> failWithInputsIn(const data_center_id &dataCenter);
+    /// Returns the waiting pieces that may be redirected, by group. Pieces that were in a call
+    /// aren't among them. `servers` is as for `expire`.
+    [[nodiscard]] std::vector<waiting_group> redirectableGroups(double servers);
+    /// Removes the waiting pieces of these groups, and returns them as redirected.
+    [[nodiscard]] std::vector<piece_outcome>
+    takeGroups(const std::vector<piece_redirection> &redirections);
+    /// Returns the load for the hosts of other pools. `accepting` are the servers that may get a
+    /// call now; `servers` is as for `expire`.
+    [[nodiscard]] pool_load loadOf(const pool_key &pool, const std::vector<server_ptr> &accepting,
+                                   double servers) const;
     /// Estimates how long a piece submitted now would wait behind the pieces that precede it.
     [[nodiscard]] milliseconds expectedWait(const stage_rank &rank, double servers) const;
     /// Returns the expected duration of a full call.
@@ -150,6 +167,7 @@
     /// Returns the activity since the last call of this function.
     [[nodiscard]] stage_pool_summary takeSummary() { return std::exchange(m_summary, {}); }
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
+    [[nodiscard]] const stage_capacity &capacity() const { return m_capacity; }
     [[nodiscard]] std::size_t activeCallCount() const { return m_calls.size(); }
 
 private:
--- /dev/null
+++ b/src/gateway/stages/stage_pool_redirection.cpp
@@ -0,0 +1,87 @@
+#include "gateway/stages/stage_pool.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace orchidlead::gateway {
+
+std::vector<waiting_group> stage_pool::redirectableGroups(double servers)
+{
+    const auto now = m_clock.now();
+    std::ranges::stable_sort(m_waiting, [&](const piece_task &a, const piece_task &b) {
+        return precedes(a, b, {}, now);
+    });
+    std::vector<waiting_group> groups;
+    for (std::size_t begin = 0; begin < m_waiting.size();) {
+        const auto end = groupEnd(begin);
+        waiting_group group;
+        for (; begin < end; ++begin) {
+            const auto &job = m_waiting[begin];
+            // A piece that was in a call may have run.
+            if (!job.mayBeRedirected || job.tries > 0)
+                continue;
+            group.tokens.push_back(job.token);
+            group.inputBytes += job.inputBytes;
+            group.resultBytes += job.resultBytes;
+        }
+        if (group.tokens.empty())
+            continue;
+        const auto &last = m_waiting[end - 1];
+        group.rank = last.rank;
+        group.inputsIn = last.preferredDataCenter;
+        group.softDeadlineLeft = std::chrono::duration_cast<milliseconds>(last.softDeadline - now);
+        group.wait =
+            std::chrono::duration_cast<milliseconds>(estimateWait(end, last.rank, servers));
+        groups.push_back(std::move(group));
+    }
+    return groups;
+}
+
+std::vector<piece_outcome>
+stage_pool::takeGroups(const std::vector<piece_redirection> &redirections)
+{
+    std::unordered_map<piece_token, const pool_key *> targets;
+    for (const auto &each : redirections) {
+        for (const auto token : each.tokens)
+            targets.emplace(token, &each.to);
+    }
+    std::vector<piece_outcome> out;
+    std::erase_if(m_waiting, [&](const piece_task &job) {
+        const auto found = targets.find(job.token);
+        if (found == targets.end())
+            return false;
+        out.push_back({job.token, piece_failure::Redirected, *found->second});
+        return true;
+    });
+    return out;
+}
+
+pool_load stage_pool::loadOf(const pool_key &pool, const std::vector<server_ptr> &accepting,
+                             double servers) const
+{
+    const auto now = m_clock.now();
+    pool_load load;
+    load.pool = pool;
+    load.waiting = static_cast<std::uint32_t>(m_waiting.size());
+    load.piecesPerSecond = servers * m_capacity.maxPiecesPerCall
+        / std::max(std::chrono::duration<double>(fullCallTime()).count(), 1e-6);
+    if (m_capacity.resultMemoryBytes > 0)
+        load.freeResultBytes = 0;
+    for (const auto &each : accepting) {
+        const auto found = m_servers.find(each->record.start());
+        const bool known = found != m_servers.end();
+        const bool idle = !known || (found->second.calls == 0 && found->second.pausedUntil <= now);
+        load.idleServers += idle && !each->cold(now) && each->avoidUntil <= now ? 1 : 0;
+        const auto held = known ? found->second.heldBytes : 0;
+        if (m_capacity.resultMemoryBytes > held)
+            load.freeResultBytes += m_capacity.resultMemoryBytes - held;
+    }
+    std::map<stage_rank, milliseconds> waits;
+    for (const auto &job : m_waiting)
+        waits.try_emplace(job.rank);
+    for (const auto &[rank, unused] : waits)
+        load.waits.push_back({rank, expectedWait(rank, servers)});
+    return load;
+}
+
+} // namespace orchidlead::gateway
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -37,6 +37,8 @@
     frame.preferredDataCenter = data_center_id("dc");
     frame.inputBytes = 360'000;
     frame.resultBytes = 1'500'000;
+    frame.mayBeRedirected = true;
+    frame.redirectedFrom = data_center_id("dc-2");
     return frame;
 }
 
@@ -54,6 +56,8 @@
     CHECK(read.request.digest == makePiece().request.digest);
     CHECK(read.inputBytes == 360'000);
     CHECK(read.resultBytes == 1'500'000);
+    CHECK(read.mayBeRedirected);
+    CHECK(read.redirectedFrom == data_center_id("dc-2"));
 }
 
 TEST_CASE("frames about origins of streams keep their fields")
@@ -88,11 +92,22 @@
     CHECK(roundTrip(original).report.wait == milliseconds{70});
     for (const auto &row : enumNames<piece_failure>) {
         INFO("reason " << row.name);
-        const auto read = roundTrip(piece_outcome_frame{1, {row.value, milliseconds{0}}});
+        const std::optional<pool_key> target =
+            row.value == piece_failure::Redirected ? std::optional(makePiece().pool) : std::nullopt;
+        const auto read = roundTrip(piece_outcome_frame{1, {row.value, milliseconds{0}, target}});
         CHECK(std::get<piece_failure>(read.report.result) == row.value);
+        CHECK(read.report.pool == target);
     }
 }
 
+// Guards against a piece that is sent to the pool with an empty name.
+TEST_CASE("an outcome frame of a redirected piece without its target is rejected")
+{
+    const auto bytes =
+        encodeFrame(piece_outcome_frame{1, {piece_failure::Redirected, milliseconds{0}}});
+    CHECK_FALSE(decodeFrame(std::string_view(bytes).substr(FrameHeaderBytes)));
+}
+
 // Guards against limits that a list of thousands of servers exceeds, and against the bandwidth it
 // takes uncompressed.
 TEST_CASE("a list of twenty thousand servers is decoded whole from a third of its bytes")
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -550,3 +550,65 @@
         CHECK(w.pool.failUnreached(w.servers).empty());
     }
 }
+
+// Guards against a piece that runs in two pools: one in a call may have run, and one that was
+// redirected is withdrawn from this pool.
+TEST_CASE("waiting pieces that may be redirected are taken out by group, and those of calls aren't")
+{
+    pool_fixture w;
+    const auto submitGroup = [&](const std::string &request, bool mayBeRedirected) {
+        for (std::uint32_t i = 0; i < 2; ++i) {
+            piece_task job;
+            job.token = ++w.lastToken;
+            job.request.attempt = request;
+            job.request.piece = i;
+            job.softDeadline = w.clock.now() + milliseconds{2000};
+            job.deadline = job.softDeadline;
+            job.resultBytes = PieceBytes;
+            job.mayBeRedirected = mayBeRedirected;
+            w.pool.submit(job);
+        }
+    };
+    submitGroup("running", true);
+    const auto call = w.pool.nextCall(w.servers);
+    REQUIRE(call);
+    submitGroup("fixed", false);
+    submitGroup("movable", true);
+    auto groups = w.pool.redirectableGroups(1);
+    REQUIRE(groups.size() == 1);
+    CHECK(groups[0].tokens == std::vector<std::uint64_t>{5, 6});
+    CHECK(groups[0].resultBytes == 2 * PieceBytes);
+    CHECK(groups[0].wait >= milliseconds{200}); // behind a full call
+    const pool_key other{service_id("s"), data_center_id("b")};
+    const auto out = w.pool.takeGroups({{other, groups[0].tokens, 1}});
+    REQUIRE(out.size() == 2);
+    CHECK(out[0].result == piece_result{piece_failure::Redirected});
+    CHECK(out[0].redirectedTo == other);
+    CHECK(w.pool.waiting() == 2);
+    // A piece that waits again after a call that may have run it stays.
+    CHECK(w.pool.onEnd(call->id, stage_call_end::Broken, {}).empty());
+    CHECK(w.pool.waiting() == 4);
+    CHECK(w.pool.redirectableGroups(1).empty());
+}
+
+TEST_CASE("the load of a pool has its idle servers, free result storage and waits by rank")
+{
+    pool_fixture w(3);
+    w.submit("r1", 0, milliseconds{2000});
+    REQUIRE(w.pool.nextCall(w.servers));
+    w.servers[2]->coldUntil = w.clock.now() + milliseconds{1000};
+    const pool_key key{service_id("s"), data_center_id("a")};
+    const auto idle = w.pool.loadOf(key, w.servers, 3);
+    CHECK(idle.waiting == 0);
+    CHECK(idle.idleServers == 1);
+    CHECK(idle.freeResultBytes == 17 * PieceBytes);
+    CHECK(idle.piecesPerSecond == Approx(3 * 4 / 0.24));
+    CHECK(idle.waits.empty());
+    for (std::uint32_t i = 0; i < 12; ++i)
+        w.submit("r2", i, milliseconds{2000}, 1 + i % 2);
+    const auto loaded = w.pool.loadOf(key, w.servers, 3);
+    CHECK(loaded.waiting == 12);
+    REQUIRE(loaded.waits.size() == 2);
+    CHECK(loaded.waits[0].rank.priority == 1);
+    CHECK(loaded.waits[0].wait < loaded.waits[1].wait);
+}
