Let tests cut the links between gateways, and disable policies

A link between two hosts that is cut while datagrams still pass couldn't be played: peer links opened their connections themselves, and `cut_link` covers connections to servers alone. `peer_network` opens links with a function that can be replaced before the start. `platform_world` cuts the links that one gateway opens, and starts gateways without given policies. Without a replacement nothing changes.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,6 +33,9 @@
     gateway(const gateway &) = delete;
     gateway &operator=(const gateway &) = delete;
 
+    /// Sets the function that opens links to peers, so that tests can cut them. Call before
+    /// `start`.
+    void setPeerConnect(http::connect_function connect) { m_peers.setConnect(std::move(connect)); }
     /// Starts listening and reading the store. Returns an error if an address cannot be bound.
     [[nodiscard]] std::optional<http::listen_error> start();
     /// Begins a graceful stop. The node is not ready from now on. The loop ends when no request and
--- a/src/gateway/peers/peer_link.cpp
+++ b/src/gateway/peers/peer_link.cpp
@@ -17,7 +17,7 @@
     , m_events(std::move(handlers))
 { }
 
-void peer_link::open(const socket_address &to)
+void peer_link::open(const socket_address &to, const http::connect_function &connect)
 {
     m_self = shared_from_this();
     m_lastHeard = m_loop.now();
@@ -27,7 +27,7 @@
             self->end();
         }
     });
-    m_socket = http::stream_socket::connect(m_loop, to, *this);
+    m_socket = connect(m_loop, to, *this);
 }
 
 void peer_link::accept(std::shared_ptr<http::stream_socket> socket)
--- a/src/gateway/peers/peer_link.h
+++ b/src/gateway/peers/peer_link.h
@@ -24,7 +24,8 @@
 
     peer_link(http::io_loop &loop, events handlers);
 
-    void open(const socket_address &to);
+    /// Opens a connection with `connect`.
+    void open(const socket_address &to, const http::connect_function &connect);
     void accept(std::shared_ptr<http::stream_socket> socket);
     /// Sends a frame. All frames sent in one iteration of the loop go out in one write.
     void send(const peer_frame &frame) { sendEncoded(encodeFrame(frame)); }
--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -145,7 +145,7 @@
     onTraffic(dataCenter);
     auto link = std::make_shared<peer_link>(m_loop, linkEvents(dataCenter));
     m_links[peer] = {link, dataCenter};
-    link->open(known->vm.peerAddress);
+    link->open(known->vm.peerAddress, m_connect);
     return link;
 }
 
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -43,6 +43,9 @@
     peer_network(const peer_network &) = delete;
     peer_network &operator=(const peer_network &) = delete;
 
+    /// Sets the function that opens links to peers, so that tests can cut them. Call before
+    /// `start`.
+    void setConnect(http::connect_function connect) { m_connect = std::move(connect); }
     [[nodiscard]] std::optional<http::listen_error> start();
 
     /// As `peer_view::hostOf`.
@@ -113,6 +116,7 @@
     wire::log &m_log;
     socket_address m_address;
     peer_events m_events;
+    http::connect_function m_connect = &http::stream_socket::connect;
     peer_view m_view;
     bool m_checksReachability;
     std::unique_ptr<http::datagram_socket> m_datagrams;
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -439,6 +439,7 @@
     settings.dataCenter = data_center_id(dataCenter);
     settings.region = region_id("r");
     settings.regions = regions;
+    settings.disabledPolicies = disabledPolicies;
     if (const auto found = regions.find(settings.dataCenter); found != regions.end())
         settings.region = found->second;
     // All nodes have the same relay port, so each one has an address of its own.
@@ -470,6 +471,10 @@
     }
     entry.gateway = std::make_unique<gateway::gateway<platform::codec>>(
         loop, *m_log, entry.settings, std::move(open));
+    if (peersCanBeCut) {
+        entry.peerLinks = std::make_unique<cut_link>(loop);
+        entry.gateway->setPeerConnect(entry.peerLinks->opener());
+    }
     REQUIRE_FALSE(entry.gateway->start());
     if (waitReady)
         REQUIRE(runUntil([&] { return entry.gateway->ready(); }));
@@ -501,6 +506,11 @@
     m_nodes.at(gateway).links->heal();
 }
 
+void world::cutFromPeers(const std::string &gateway, cut_kind kind)
+{
+    m_nodes.at(gateway).peerLinks->cut(kind);
+}
+
 bool world::knowsMembers(std::size_t count)
 {
     const auto wanted = "state=\"alive\"} " + std::to_string(count);
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -182,6 +182,9 @@
     /// Cuts a gateway off from all backend servers; clients, the store and peers still reach it.
     void cutFromServers(const std::string &gateway, cut_kind kind);
     void healServers(const std::string &gateway);
+    /// Cuts the links that a gateway has opened to its peers, or opens later; the links that peers
+    /// open to it, and its datagrams, aren't affected. Needs `peersCanBeCut`.
+    void cutFromPeers(const std::string &gateway, cut_kind kind);
     /// Whether each gateway considers this number of gateways alive, itself included.
     bool knowsMembers(std::size_t count);
     /// Waits until this number of nodes watch the store, which takes some time after their start.
@@ -215,15 +218,18 @@
     fake_store store{loop};
     std::ostringstream logOutput;
     std::map<data_center_id, region_id> regions; ///< in the settings of nodes started later
+    gateway::disabled_policies disabledPolicies; ///< in the settings of nodes started later
     /// Whether nodes started later reach servers through a proxy that can be cut. Connections to a
     /// crashed server are then accepted and closed, not refused.
     bool canBeCut = false;
+    bool peersCanBeCut = false; ///< the same for links to peers
 
 private:
     struct node
     {
         gateway::gateway_settings settings;
         std::unique_ptr<cut_link> links; ///< to backend servers
+        std::unique_ptr<cut_link> peerLinks;
         std::unique_ptr<gateway::gateway<platform::codec>> gateway;
     };
 
