Redirect waiting pieces to less loaded pools of their service

`pool_redirector` exchanges loads between the hosts of a service's pools in a region; `stage_host` redirects before it drops late pieces, which may be in time elsewhere; `stage_router` sends a redirected piece to the named pool, or back to its own pool once if it may not go there. The wait in an outcome counts for the pool that reports it. Choosing another data centre at submission: a node knows only waits of pools that it used lately, and takes others for idle, so all nodes would leave a loaded pool together. Hosts know fresh loads and what they have sent.

--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -280,7 +280,8 @@
     const auto *failed = std::get_if<piece_failure>(&report.result);
     const bool backedOff = failed && *failed == piece_failure::ServersBackingOff;
     if (!backedOff && !m_context.disabledPolicies.contains(policy::ReportedWaits))
-        m_context.latencyEstimator.onReportedWait(m_stagePools[stage], stageRank(), report.wait);
+        m_context.latencyEstimator.onReportedWait(report.pool.value_or(m_stagePools[stage]),
+                                                  stageRank(), report.wait);
     if (m_done)
         return;
     if (auto *handle = std::get_if<std::string>(&report.result)) {
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -97,7 +97,7 @@
                                  .add("host", host.value));
                },
                [this](const reachability_event &event) { onReachability(event); }})
-    , m_router(m_loop, log, m_peers, m_stages, m_directory, m_retryBudget, m_settings)
+    , m_router(m_loop, log, m_peers, m_stages, m_directory, m_retryBudget, m_metrics, m_settings)
     , m_placer(m_loop, m_peers, m_directory, m_settings.disabledPolicies)
     , m_quarantine(m_loop, m_peers, log)
     , m_leaving(
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -80,6 +80,12 @@
                                        "Time that a stage call took, by service",
                                        {"service"},
                                        MaxServices}};
+    wire::counter_family redirections{
+        registry,
+        {"orchidlead_gateway_redirected_pieces_total",
+         "Pieces redirected between the pools of a service, by service and event",
+         {"service", "event"},
+         MaxServices *enumNames<redirection_event>.size()}};
     wire::gauge_family waitingPieces{registry,
                                      {"orchidlead_gateway_stage_waiting_pieces",
                                       "Pieces that wait for a call here, by service",
@@ -152,6 +158,12 @@
     m_families->stageTimes.at({service.value}).Observe(seconds(call.took));
 }
 
+void gateway_metrics::onRedirected(const service_id &service, redirection_event kind,
+                                   std::uint32_t pieces)
+{
+    m_families->redirections.at({service.value, toLabel(toName(kind))}).Increment(pieces);
+}
+
 std::string gateway_metrics::text(const gateway_gauges &gauges)
 {
     m_families->set("ready", gauges.ready ? 1 : 0);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -6,7 +6,9 @@
 #include "gateway/stages/stage_pool.h"
 
 #include <orchidlead/clock.h>
+#include <orchidlead/enum_names.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -54,6 +56,13 @@
     milliseconds took{0};
 };
 
+/// What happened to a redirected piece at this node.
+enum class redirection_event : std::uint8_t {
+    Away, ///< a pool hosted here redirected it
+    Received, ///< it arrived at a pool hosted here
+    Returned, ///< this node sent it back to its pool, as the other one couldn't take it
+};
+
 /// Collects the metrics of a gateway and writes them in the Prometheus text format. Labels are
 /// names of enumerators, services and routes. Only a limited number of services and of routes get
 /// series of their own.
@@ -72,6 +81,7 @@
     /// Records the number of header fields in a client's request that only the system may set.
     void onReservedFields(std::uint32_t count);
     void onStageCall(const service_id &service, const stage_call_report &call);
+    void onRedirected(const service_id &service, redirection_event kind, std::uint32_t pieces);
 
     [[nodiscard]] std::string text(const gateway_gauges &gauges);
 
@@ -81,3 +91,13 @@
 };
 
 } // namespace orchidlead::gateway
+
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::redirection_event>{
+    orchidlead::enum_name<orchidlead::gateway::redirection_event>{
+        orchidlead::gateway::redirection_event::Away, "away"},
+    orchidlead::enum_name<orchidlead::gateway::redirection_event>{
+        orchidlead::gateway::redirection_event::Received, "received"},
+    orchidlead::enum_name<orchidlead::gateway::redirection_event>{
+        orchidlead::gateway::redirection_event::Returned, "returned"},
+};
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -24,6 +24,7 @@
     StageCallFailed, ///< a stage call returned no results
     PiecesFailed, ///< pieces of a stage call that have no result
     PiecesGivenUp, ///< pieces of one request's stage that a host dropped, and what displaced them
+    PiecesRedirected, ///< waiting pieces were sent to a less loaded pool of their service
     StagePool, ///< summary of a pool over one second
     StageHostChanged, ///< another node now hosts a service's pool
     StageHostLost, ///< a host ended or stopped responding
@@ -87,6 +88,8 @@
         orchidlead::gateway::log_event::PiecesFailed, "pieces_failed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::PiecesGivenUp, "pieces_given_up"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::PiecesRedirected, "pieces_redirected"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{orchidlead::gateway::log_event::StagePool,
                                                           "stage_pool"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -16,6 +16,7 @@
     WaitForLocalServer, ///< pieces with large inputs wait for a server close to them
     ReportedWaits, ///< hosts report waits; requests that would be late are refused on arrival
     PromptAffinity, ///< prompts that share long parts have a preferred data centre
+    PieceRedirection, ///< waiting pieces move to less loaded pools of their service
 };
 
 /// The disabled policies.
@@ -37,4 +38,6 @@
                                                        "told_waits"},
     orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::PromptAffinity,
                                                        "prompt_homes"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{
+        orchidlead::gateway::policy::PieceRedirection, "piece_redirection"},
 };
--- a/src/gateway/servers/pool_splitter.cpp
+++ b/src/gateway/servers/pool_splitter.cpp
@@ -64,4 +64,17 @@
     return {service, largest->first, region};
 }
 
+std::vector<pool_key> pool_splitter::otherPools(const pool_key &pool)
+{
+    const auto &cached = splitStateOf(pool.service, pool.region);
+    std::vector<pool_key> others;
+    if (!cached.isSplit || pool.dataCenter.empty())
+        return others;
+    for (const auto &[dataCenter, servers] : cached.servers) {
+        if (dataCenter != pool.dataCenter)
+            others.push_back({pool.service, dataCenter, pool.region});
+    }
+    return others;
+}
+
 } // namespace orchidlead::gateway
--- a/src/gateway/servers/pool_splitter.h
+++ b/src/gateway/servers/pool_splitter.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace orchidlead::gateway {
 
@@ -41,6 +42,9 @@
     [[nodiscard]] pool_key poolFor(const service_id &service,
                                    const data_center_id &preferredDataCenter,
                                    const residency &allowed = {});
+    /// Returns the pools of the other data centres of a split service in the region of `pool`;
+    /// empty if its pools aren't split.
+    [[nodiscard]] std::vector<pool_key> otherPools(const pool_key &pool);
 
 private:
     static constexpr std::size_t NeverSplit = std::numeric_limits<std::size_t>::max();
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -51,6 +52,22 @@
         m_rateShare = std::move(share);
     }
 
+    /// Functions with which waiting pieces are redirected to other pools.
+    struct redirection_callbacks
+    {
+        std::function<std::vector<redirection_target>(const pool_key &)> targetsOf;
+        std::function<void(const pool_key &, const std::vector<piece_redirection> &)> onRedirected;
+        /// Called after each dispatch, with the numbers of waiting pieces and those of a full call.
+        std::function<void(const pool_key &, std::size_t, std::uint32_t)> onDispatched;
+    };
+    /// Enables the redirection of pieces.
+    void setRedirection(redirection_callbacks callbacks) { m_redirection = std::move(callbacks); }
+    /// Returns the load of a pool, which is created if this node hasn't hosted it yet.
+    [[nodiscard]] pool_load loadOf(const pool_key &key);
+    /// Reports the load of each pool where a report is due, and redirects pieces. Call about every
+    /// 100 ms.
+    void tick();
+
     /// Submits a piece. `handler` is called once, never within this call, unless the piece is
     /// withdrawn.
     piece_token submit(const pool_key &key, piece_task job, piece_handler handler);
@@ -95,6 +112,8 @@
     stage_pool &poolOf(const pool_key &key);
     void dispatch(const pool_key &key);
     void scheduleDispatch(const pool_key &key);
+    /// Redirects waiting pieces that begin sooner in another pool.
+    void redirectPieces(const pool_key &key);
     [[nodiscard]] double rateShareOf(const pool_key &key) const;
     /// Returns the rate share for the pool that contains a server; 0 if this node has no such pool.
     [[nodiscard]] double rateShareOf(const server &poolServer) const;
@@ -140,6 +159,7 @@
     std::function<void(const server &, const std::vector<crash_subject> &)> m_onBroken;
     std::function<bool(const request_digest &)> m_mayRetry;
     std::function<double(const pool_key &)> m_rateShare;
+    std::optional<redirection_callbacks> m_redirection; ///< empty: disabled
     rate_pacer m_pacer;
     std::map<pool_key, std::unique_ptr<stage_pool>> m_pools;
     std::set<std::shared_ptr<active_call>> m_activeCalls;
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -175,6 +175,7 @@
     auto servers = m_directory.usable(key);
     if (const auto reason = closedReason(key, servers))
         deliver(pool.failAll(*reason));
+    redirectPieces(key);
     deliver(pool.expire(effectiveServerCount(key)));
     auto wake = removePacedServers(key, servers);
     while (const auto call = pool.nextCall(servers)) {
@@ -184,6 +185,8 @@
     if (pool.waiting() > 0)
         deliver(pool.failUnreached(m_directory.usable(key)));
     m_loop.cancelTimer(std::exchange(m_wakeupTimers[key], 0));
+    if (m_redirection)
+        m_redirection->onDispatched(key, pool.waiting(), pool.capacity().maxPiecesPerCall);
     if (pool.waiting() == 0)
         return;
     if (const auto next = pool.wakeAt())
@@ -194,6 +197,43 @@
     }
 }
 
+// Called before late pieces are dropped: in another pool they may be in time.
+template <gateway_codec Codec>
+void stage_host<Codec>::redirectPieces(const pool_key &key)
+{
+    auto &pool = poolOf(key);
+    if (!m_redirection || pool.waiting() == 0)
+        return;
+    const auto targets = m_redirection->targetsOf(key);
+    if (targets.empty())
+        return;
+    const auto redirections = chooseRedirections(pool.redirectableGroups(effectiveServerCount(key)),
+                                                 targets, pool.capacity());
+    if (redirections.empty())
+        return;
+    deliver(pool.takeGroups(redirections));
+    m_redirection->onRedirected(key, redirections);
+}
+
+template <gateway_codec Codec>
+pool_load stage_host<Codec>::loadOf(const pool_key &key)
+{
+    auto servers = m_directory.usable(key);
+    static_cast<void>(removePacedServers(key, servers));
+    return poolOf(key).loadOf(key, servers, effectiveServerCount(key));
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::tick()
+{
+    if (!m_redirection)
+        return;
+    for (const auto &[key, pool] : m_pools) {
+        if (pool->waiting() > 0 && !key.dataCenter.empty())
+            scheduleDispatch(key);
+    }
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::startCall(const pool_key &key, const stage_call &call)
 {
@@ -387,7 +427,8 @@
     for (const auto &each : outcomes) {
         const auto *failure = std::get_if<piece_failure>(&each.result);
         const auto found = m_pending.find(each.token);
-        if (!failure || found == m_pending.end())
+        // The redirector logs redirected pieces.
+        if (!failure || *failure == piece_failure::Redirected || found == m_pending.end())
             continue;
         const auto &piece = found->second;
         auto &group = groups[{piece.attempt, piece.stage, *failure}];
@@ -427,7 +468,8 @@
         }
         const auto piece = std::move(found->second);
         m_pending.erase(found);
-        piece.handler({each.result, expectedWaitAfter(piece.key, piece.rank, each.result)});
+        piece.handler({each.result, expectedWaitAfter(piece.key, piece.rank, each.result),
+                       each.redirectedTo});
     }
 }
 
--- a/src/gateway/stages/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -2,6 +2,7 @@
 
 #include "gateway/peers/peer_network.h"
 #include "gateway/servers/pool_splitter.h"
+#include "gateway/stages/pool_redirector.h"
 #include "gateway/stages/stage_host.h"
 
 #include <functional>
@@ -27,7 +28,7 @@
 
     stage_router(http::io_loop &loop, wire::log &log, peer_network &peers, stage_host<Codec> &host,
                  server_directory &directory, service_retry_budget &retryBudget,
-                 const gateway_settings &settings);
+                 gateway_metrics &metrics, const gateway_settings &settings);
 
     /// Sets the function that returns whether this node has the list of servers, so that it can
     /// host pools for other nodes. If unset, the node always hosts.
@@ -55,7 +56,8 @@
     /// Handles frames about pieces, and pings; ignores others.
     void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
     void onLinkClosed(const std::shared_ptr<peer_link> &link);
-    /// Pings silent hosts and closes the links to those that don't answer. Call about every 100 ms.
+    /// Pings silent hosts and closes the links to those that don't answer, and reports the load of
+    /// pools. Call about every 100 ms.
     void tick();
 
 private:
@@ -89,6 +91,12 @@
     /// Returns a link to the host of a pool; null if this node is the host.
     [[nodiscard]] link_ptr linkToHost(const pool_key &pool);
     void onOutcome(piece_token token, piece_report report);
+    /// Sends a redirected piece to the target, or back to its pool if the target can't take it.
+    void followRedirection(piece_token token, submission &entry,
+                           const std::optional<pool_key> &target);
+    [[nodiscard]] bool mayFollow(const submission &entry, const pool_key &target) const;
+    /// Submits a piece to this node's `stage_host`.
+    piece_token submitHere(const pool_key &pool, piece_task job, piece_handler handler);
     /// Moves a piece from a pool that accepts no new work; returns false if no pool can take it.
     bool moveFromClosedPool(piece_token token, submission &entry);
     /// Avoids the piece's host for a while, and sends the piece to the next candidate.
@@ -114,6 +122,7 @@
     std::function<bool()> m_isHostReady;
     stage_sharing m_sharing;
     pool_splitter m_splitter;
+    std::unique_ptr<pool_redirector> m_redirector; ///< null: redirection is disabled
     std::unordered_map<piece_token, submission> m_submissions;
     /// By link, from the peer's token to that of `m_host`.
     std::map<link_ptr, std::unordered_map<piece_token, piece_token>> m_hostedPieces;
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -29,7 +29,7 @@
 template <gateway_codec Codec>
 stage_router<Codec>::stage_router(http::io_loop &loop, wire::log &log, peer_network &peers,
                                   stage_host<Codec> &host, server_directory &directory,
-                                  service_retry_budget &retryBudget,
+                                  service_retry_budget &retryBudget, gateway_metrics &metrics,
                                   const gateway_settings &settings)
     : m_loop(loop)
     , m_log(log)
@@ -43,6 +43,21 @@
 {
     if (settings.disabledPolicies.contains(policy::SplitPools))
         m_splitter.disableSplitting();
+    if (settings.disabledPolicies.contains(policy::PieceRedirection)
+        || m_sharing == stage_sharing::Alone)
+        return;
+    m_redirector = std::make_unique<pool_redirector>(
+        loop.clock(), log, metrics, peers, directory, m_splitter,
+        pool_redirector::callbacks{[this](const pool_key &pool) { return hostOf(pool); },
+                                   [this](const pool_key &pool) { return m_host.loadOf(pool); }});
+    m_host.setRedirection(
+        {[this](const pool_key &pool) { return m_redirector->targetsOf(pool); },
+         [this](const pool_key &from, const std::vector<piece_redirection> &redirections) {
+             m_redirector->onRedirected(from, redirections);
+         },
+         [this](const pool_key &pool, std::size_t waiting, std::uint32_t fullCall) {
+             m_redirector->report(pool, waiting, fullCall);
+         }});
 }
 
 template <gateway_codec Codec>
@@ -74,6 +89,7 @@
     auto &entry = m_submissions[token];
     entry.pool = availablePoolFor(service, job.preferredDataCenter, job.allowed);
     entry.job = std::move(job);
+    entry.job.mayBeRedirected = m_redirector && !entry.job.allowed.restricted();
     entry.handler = std::move(handler);
     routePiece(token, entry);
     return token;
@@ -133,7 +149,7 @@
     entry.link = entry.moves < MaxMoves ? linkToHost(entry.pool) : nullptr;
     if (!entry.link) {
         entry.job.mayChangePool = ownDataCenterPool(entry).has_value();
-        entry.local = m_host.submit(entry.pool, entry.job, [this, token](piece_report report) {
+        entry.local = submitHere(entry.pool, entry.job, [this, token](piece_report report) {
             onOutcome(token, std::move(report));
         });
         return;
@@ -145,7 +161,16 @@
     entry.link->send(submit_piece_frame{
         token, entry.pool, entry.job.request, entry.job.rank, timeUntil(entry.job.softDeadline),
         timeUntil(entry.job.deadline), entry.job.preferredDataCenter, entry.job.inputBytes,
-        entry.job.resultBytes});
+        entry.job.resultBytes, entry.job.mayBeRedirected, entry.job.redirectedFrom});
+}
+
+template <gateway_codec Codec>
+piece_token stage_router<Codec>::submitHere(const pool_key &pool, piece_task job,
+                                            piece_handler handler)
+{
+    if (m_redirector && !job.redirectedFrom.empty())
+        m_redirector->onReceived(pool, job.redirectedFrom);
+    return m_host.submit(pool, std::move(job), std::move(handler));
 }
 
 template <gateway_codec Codec>
@@ -182,6 +207,10 @@
         avoidUnreadyHost(token, found->second);
         return;
     }
+    if (failure && *failure == piece_failure::Redirected) {
+        followRedirection(token, found->second, report.pool);
+        return;
+    }
     if (failure && *failure == piece_failure::ServersBackingOff)
         m_backedOffPools[found->second.pool] = {hostOf(found->second.pool),
                                                 m_loop.now() + report.wait};
@@ -190,11 +219,39 @@
     if (failure && *failure == piece_failure::ServersUnreachable
         && moveToOwnDataCenter(token, found->second))
         return;
+    if (!found->second.job.redirectedFrom.empty())
+        report.pool = found->second.pool;
     const auto handler = std::move(found->second.handler);
     m_submissions.erase(found);
     handler(std::move(report));
 }
 
+template <gateway_codec Codec>
+bool stage_router<Codec>::mayFollow(const submission &entry, const pool_key &target) const
+{
+    return m_redirector && entry.job.mayBeRedirected && !target.dataCenter.empty()
+        && target.service == entry.pool.service && target.region == entry.pool.region
+        && target != entry.pool && entry.job.allowed.allows(m_directory.regionOf(target.dataCenter))
+        && !backoffOf(target) && m_redirector->isOpen(target);
+}
+
+// No server has started the piece, so sending it again doesn't count as a retry. It is redirected
+// only once: the next host may not redirect it.
+template <gateway_codec Codec>
+void stage_router<Codec>::followRedirection(piece_token token, submission &entry,
+                                            const std::optional<pool_key> &target)
+{
+    const auto from = entry.pool;
+    if (target && mayFollow(entry, *target)) {
+        entry.job.redirectedFrom = from.dataCenter;
+        entry.pool = *target;
+    } else if (m_redirector) {
+        m_redirector->onReturned(from);
+    }
+    entry.job.mayBeRedirected = false;
+    routePieceLater(token, entry, milliseconds{0});
+}
+
 // No server has started the piece, so sending it again doesn't count as a retry. The host may
 // report that the servers of a pool get no new work while this node still sees usable servers
 // there. The views of the two nodes differ only for a short time, so the piece is sent to the same
@@ -283,6 +340,8 @@
         onOutcome(outcome->token, std::move(outcome->report));
     else if (const auto *freed = std::get_if<free_results_frame>(&frame))
         m_host.freeResults(freed->handles);
+    else if (const auto *load = std::get_if<pool_load_frame>(&frame); load && m_redirector)
+        m_redirector->onFrame(link, *load);
     else if (std::holds_alternative<ping_frame>(frame))
         link->send(pong_frame{});
 }
@@ -306,6 +365,8 @@
     job.preferredDataCenter = frame.preferredDataCenter;
     job.inputBytes = frame.inputBytes;
     job.resultBytes = frame.resultBytes;
+    job.mayBeRedirected = frame.mayBeRedirected;
+    job.redirectedFrom = std::move(frame.redirectedFrom);
     auto handler = [this, weak = std::weak_ptr(link), peerToken](piece_report report) {
         const auto target = weak.lock();
         if (!target)
@@ -313,7 +374,7 @@
         m_hostedPieces[target].erase(peerToken);
         target->send(piece_outcome_frame{peerToken, std::move(report)});
     };
-    m_hostedPieces[link][peerToken] = m_host.submit(frame.pool, std::move(job), std::move(handler));
+    m_hostedPieces[link][peerToken] = submitHere(frame.pool, std::move(job), std::move(handler));
 }
 
 template <gateway_codec Codec>
@@ -358,6 +419,7 @@
 template <gateway_codec Codec>
 void stage_router<Codec>::tick()
 {
+    m_host.tick();
     std::set<link_ptr> awaitedLinks;
     for (const auto &[token, entry] : m_submissions) {
         if (entry.link)
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -64,3 +64,15 @@
     CHECK(text.find("orchidlead_gateway_members{state=\"alive\"} 5") != std::string::npos);
     CHECK(text.find("retries_left{service=\"pages\"} 4.5") != std::string::npos);
 }
+
+TEST_CASE("redirected pieces are counted by service and event")
+{
+    gateway_metrics metrics;
+    metrics.onRedirected(service_id{"rerank"}, redirection_event::Away, 16);
+    metrics.onRedirected(service_id{"rerank"}, redirection_event::Away, 2);
+    metrics.onRedirected(service_id{"rerank"}, redirection_event::Returned, 1);
+    const auto text = metrics.text({});
+    CHECK(text.find("redirected_pieces_total{event=\"away\",service=\"rerank\"} 18")
+          != std::string::npos);
+    CHECK(text.find("event=\"returned\",service=\"rerank\"} 1") != std::string::npos);
+}
--- a/tests/gateway/pool_splitter_test.cpp
+++ b/tests/gateway/pool_splitter_test.cpp
@@ -88,3 +88,16 @@
     world.put("b", 0, 5);
     CHECK(world.poolIn("c") == "b");
 }
+
+TEST_CASE("the other pools of a split service are those of the other data centres with servers")
+{
+    fixture world;
+    world.put("a", 0, 3);
+    world.put("b", 0, 3);
+    world.put("c", 0, 3, true);
+    const pool_key own{Service, data_center_id("a")};
+    CHECK(world.widths.otherPools(own) == std::vector<pool_key>{{Service, data_center_id("b")}});
+    world.remove("b", 0);
+    world.remove("b", 1);
+    CHECK(world.widths.otherPools(own).empty());
+}
