--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -371,7 +371,8 @@
     const auto *failed = std::get_if<piece_failure>(&report.result);
     const bool backedOff = failed && *failed == piece_failure::ServersBackingOff;
     if (!backedOff && !m_context.disabledPolicies.contains(policy::ReportedWaits))
-        m_context.latencyEstimator.onReportedWait(m_stagePools[stage], stageRank(), report.wait);
+        m_context.latencyEstimator.onReportedWait(report.pool.value_or(m_stagePools[stage]),
+                                                  stageRank(), report.wait);
     if (!backedOff)
         m_context.unaskedAllowance.onReportedWait(m_stagePools[stage], stageRank(), report.wait);
     if (m_done)
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -103,6 +103,12 @@
          "Prompt tokens that an engine read although another one keeps them, by service and cause",
          {"service", "cause"},
          MaxServices *enumNames<prefill_cause>.size()}};
+    wire::counter_family redirections{
+        registry,
+        {"orchidlead_gateway_redirected_pieces_total",
+         "Pieces redirected between the pools of a service, by service and event",
+         {"service", "event"},
+         MaxServices *enumNames<redirection_event>.size()}};
     wire::gauge_family waitingPieces{registry,
                                      {"orchidlead_gateway_stage_waiting_pieces",
                                       "Pieces that wait for a call here, by service",
@@ -244,6 +250,12 @@
         .Increment(cost.count());
 }
 
+void gateway_metrics::onRedirected(const service_id &service, redirection_event kind,
+                                   std::uint32_t pieces)
+{
+    m_families->redirections.at({service.value, toLabel(toName(kind))}).Increment(pieces);
+}
+
 std::string gateway_metrics::text(const gateway_gauges &gauges)
 {
     m_families->set("ready", gauges.ready ? 1 : 0);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -9,7 +9,9 @@
 #include "gateway/stages/stage_pool.h"
 
 #include <orchidlead/clock.h>
+#include <orchidlead/enum_names.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -61,6 +63,13 @@
     milliseconds took{0};
 };
 
+/// What happened to a redirected piece at this node.
+enum class redirection_event : std::uint8_t {
+    Away, ///< a pool hosted here redirected it
+    Received, ///< it arrived at a pool hosted here
+    Returned, ///< this node sent it back to its pool, as the other one couldn't take it
+};
+
 /// Collects the metrics of a gateway and writes them in the Prometheus text format. Labels are
 /// names of enumerators, services, routes and customers. Only a limited number of services, of
 /// routes and of customers get series of their own.
@@ -86,6 +95,7 @@
     /// Records a decision of a pool on a request of this cost.
     void onPoolDecision(const service_id &service, const customer_id &customer, pool_time cost,
                         refusal_cause cause);
+    void onRedirected(const service_id &service, redirection_event kind, std::uint32_t pieces);
 
     [[nodiscard]] std::string text(const gateway_gauges &gauges);
 
@@ -95,3 +105,13 @@
 };
 
 } // namespace orchidlead::gateway
+
+template <>
+inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::redirection_event>{
+    orchidlead::enum_name<orchidlead::gateway::redirection_event>{
+        orchidlead::gateway::redirection_event::Away, "away"},
+    orchidlead::enum_name<orchidlead::gateway::redirection_event>{
+        orchidlead::gateway::redirection_event::Received, "received"},
+    orchidlead::enum_name<orchidlead::gateway::redirection_event>{
+        orchidlead::gateway::redirection_event::Returned, "returned"},
+};
--- a/src/gateway/peers/peer_frame_kind.h
+++ b/src/gateway/peers/peer_frame_kind.h
@@ -41,6 +41,7 @@
     ReserveStage = 31,
     StageReserved = 32,
     ReleaseReservation = 33,
+    PoolLoad = 34,
 };
 
 /// Code of an outcome that has a result; other codes are failures.
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -22,6 +22,7 @@
     ServerSpeeds, ///< costs of engines are times at the rate at which each one reads prompts
     CustomerShares, ///< customers share the capacity of overloaded pools
     RetryTurns, ///< capacity is reserved for the return of refused requests
+    PieceRedirection, ///< waiting pieces move to less loaded pools of their service
 };
 
 /// The disabled policies.
@@ -55,4 +56,6 @@
                                                        "customer_shares"},
     orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::RetryTurns,
                                                        "retry_turns"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{
+        orchidlead::gateway::policy::PieceRedirection, "piece_redirection"},
 };
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -61,6 +62,21 @@
     /// Returns the load of a pool for pieces of a rank with results of this size.
     [[nodiscard]] pool_estimate estimateFor(const pool_key &key, const stage_rank &rank,
                                             std::uint64_t resultBytes);
+    /// Functions with which waiting pieces are redirected to other pools.
+    struct redirection_callbacks
+    {
+        std::function<std::vector<redirection_target>(const pool_key &)> targetsOf;
+        std::function<void(const pool_key &, const std::vector<piece_redirection> &)> onRedirected;
+        /// Called after each dispatch, with the numbers of waiting pieces and those of a full call.
+        std::function<void(const pool_key &, std::size_t, std::uint32_t)> onDispatched;
+    };
+    /// Enables the redirection of pieces.
+    void setRedirection(redirection_callbacks callbacks) { m_redirection = std::move(callbacks); }
+    /// Returns the load of a pool, which is created if this node hasn't hosted it yet.
+    [[nodiscard]] pool_load loadOf(const pool_key &key);
+    /// Reports the load of each pool where a report is due, and redirects pieces. Call about every
+    /// 100 ms.
+    void tick();
 
     /// Submits a piece. `handler` is called once, never within this call, unless the piece is
     /// withdrawn.
@@ -109,6 +125,8 @@
     stage_pool &poolOf(const pool_key &key);
     void dispatch(const pool_key &key);
     void scheduleDispatch(const pool_key &key);
+    /// Redirects waiting pieces that begin sooner in another pool.
+    void redirectPieces(const pool_key &key);
     [[nodiscard]] double rateShareOf(const pool_key &key) const;
     /// Returns the rate share for the pool that contains a server; 0 if this node has no such pool.
     [[nodiscard]] double rateShareOf(const server &poolServer) const;
@@ -157,6 +175,7 @@
     std::function<bool(const request_digest &)> m_mayRetry;
     std::function<double(const pool_key &)> m_rateShare;
     stage_admission *m_admission = nullptr;
+    std::optional<redirection_callbacks> m_redirection; ///< empty: disabled
     rate_pacer m_pacer;
     std::map<pool_key, std::unique_ptr<stage_pool>> m_pools;
     std::set<std::shared_ptr<active_call>> m_activeCalls;
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -471,6 +471,14 @@
     return m_usesResultRoom && m_capacity.resultMemoryBytes > 0 && !m_room.isSmall(resultBytes);
 }
 
+std::uint64_t stage_pool::bytesWithRoom(std::size_t pieces) const
+{
+    std::uint64_t bytes = 0;
+    for (std::size_t i = 0; i < pieces; ++i)
+        bytes += needsRoom(m_waiting[i].resultBytes) ? m_waiting[i].resultBytes : 0;
+    return bytes;
+}
+
 std::chrono::microseconds stage_pool::estimateRoomWait(const room_forecast &forecast,
                                                        std::uint64_t bytes,
                                                        const stage_rank &rank) const
@@ -589,9 +597,9 @@
     for (std::size_t i = 0; i < m_waiting.size(); ++i) {
         const auto &job = m_waiting[i];
         const bool isPromised = job.reserved && !isLate(job, now);
-        drops.push_back(job.deadline <= now
-                        || (!isPromised
-                            && ((m_crowded && forecasts[i].late) || forecasts[i].lacksRoom)));
+        drops.push_back(
+            job.deadline <= now
+            || (!isPromised && ((m_crowded && forecasts[i].late) || forecasts[i].lacksRoom)));
         if (drops.back() && m_usesResultRoom)
             droppedGroups.insert(groupOf(job));
     }
