Test promised pieces, reserved stages, the disabled policy and a silent host

Change: these tests. Retry-After of a request that wasn't admitted is the reported time without a minimum of 400 ms, as it is when a place is free. With the policy disabled a restart of stages leaves the pools as before.

Ruled out: reporting waits without the margin of a call.

--- a/src/gateway/admission/stage_reservations.h
+++ b/src/gateway/admission/stage_reservations.h
@@ -53,7 +53,9 @@
 struct reservation_answer
 {
     bool granted = true;
-    milliseconds wait{0}; ///< expected, of the pieces after their arrival
+    /// Expected, of the pieces after their arrival; with the margin if anything is ahead, so that
+    /// its receivers ask before they send more pieces.
+    milliseconds wait{0};
     milliseconds retryAfter{0}; ///< if refused: when a repeat of the query would get a place
     std::uint32_t waitingAhead = 0; ///< pieces that waited in the pool's queue
     std::uint32_t reservedAhead = 0; ///< pieces that were reserved, had not arrived and go first
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -125,7 +125,7 @@
     }
     logAdmissionRefused(result);
     m_stageAdmission = 0;
-    m_capacityDelay = std::max(RetryDelay, result.retryAfter);
+    m_capacityDelay = result.retryAfter;
     failRequest(request_outcome::NotAdmitted);
 }
 
@@ -415,7 +415,8 @@
     freeStageResults();
     m_needsStages = false;
     m_preferredDataCenter = choosePreferredDataCenter();
-    for (std::size_t i = 0; i < m_stagePools.size(); ++i)
+    const bool reserves = !m_context.disabledPolicies.contains(policy::WholeRequestAdmission);
+    for (std::size_t i = 0; reserves && i < m_stagePools.size(); ++i)
         m_stagePools[i] = stagePool(m_route->stages[i].service, m_preferredDataCenter);
     m_stageProgress->restart();
     reserveStages();
--- a/tests/gateway/settings_test.cpp
+++ b/tests/gateway/settings_test.cpp
@@ -81,11 +81,12 @@
 
 TEST_CASE("policies are disabled by name, and an unknown name is an error")
 {
-    const auto set =
-        parseGatewaySettings(CompleteSettings + "without: [told_waits, split_pools]\n", "f");
+    const auto set = parseGatewaySettings(
+        CompleteSettings + "without: [told_waits, split_pools, whole_request_admission]\n", "f");
     REQUIRE(set);
     CHECK(set.value().disabledPolicies
-          == disabled_policies{policy::SplitPools, policy::ReportedWaits});
+          == disabled_policies{policy::SplitPools, policy::ReportedWaits,
+                               policy::WholeRequestAdmission});
     const auto wrong = parseGatewaySettings(CompleteSettings + "without: [luck]\n", "f");
     REQUIRE_FALSE(wrong);
     CHECK(wrong.error().front().message().find("without") != std::string::npos);
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -424,6 +424,34 @@
     CHECK(served != hopeless);
 }
 
+// Guards against a broken promise: the host had reserved a place for the piece.
+TEST_CASE("a piece with a reservation is dropped only when it can't begin in time any more")
+{
+    pool_fixture w;
+    for (std::uint32_t i = 0; i < 12; ++i)
+        w.submit("ahead", i, milliseconds{5000}, 0);
+    const auto unreserved = w.submit("unreserved", 0, milliseconds{600});
+    const auto reserved = ++w.lastToken;
+    piece_task job;
+    job.token = reserved;
+    job.request.attempt = "reserved";
+    job.rank.priority = 1;
+    job.softDeadline = w.clock.now() + milliseconds{600};
+    job.deadline = w.clock.now() + milliseconds{5000};
+    job.resultBytes = PieceBytes;
+    job.reserved = true;
+    w.pool.submit(job);
+    const auto first = w.pool.expire(1);
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].token == unreserved);
+    w.clock.advance(milliseconds{400}); // a call that starts now ends at the soft deadline
+    CHECK(w.pool.expire(1).empty());
+    w.clock.advance(milliseconds{1});
+    const auto second = w.pool.expire(1);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].token == reserved);
+}
+
 TEST_CASE("a later-stage piece is dropped when the queue makes it late, but needs no spare time")
 {
     // Eight urgent pieces take 0.63 s, including the expected arrivals of more. A new piece must
--- a/tests/platform/admission_test.cpp
+++ b/tests/platform/admission_test.cpp
@@ -136,6 +136,18 @@
     CHECK(w.metricOf("g1", std::string(Granted)) == 0);
 }
 
+TEST_CASE("with the policy disabled no request asks for admission")
+{
+    scarce_world w;
+    w.disabledPolicies = {gateway::policy::WholeRequestAdmission};
+    w.startGateway("g1");
+    w.ask({"g1"}, 20);
+    REQUIRE(w.awaitAll());
+    CHECK(w.countOf(200) + w.countOf(503) == w.answers.size());
+    CHECK(w.metricOf("g1", std::string(Granted)) + w.metricOf("g1", std::string(Refused)) == 0);
+    CHECK(w.logOutput.str().find("outcome=not_admitted") == std::string::npos);
+}
+
 TEST_CASE("requests are served or refused when the host of their stages is killed")
 {
     scarce_world w;
@@ -190,4 +202,7 @@
     w.ask({"g1"}, 4);
     REQUIRE(w.awaitAll());
     CHECK(w.countOf(200) == 4);
+    const auto hosted = "host=" + host;
+    CHECK(w.runUntil([&] { return w.logOutput.str().find(hosted) != std::string::npos; }));
+    CHECK(w.logOutput.str().find("event=stage_host_lost") != std::string::npos);
 }
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -448,6 +448,7 @@
                        {ip, freePort(loop, ip)},
                        socket_address{ip, RelayPort}};
     settings.store = store.address();
+    settings.disabledPolicies = disabledPolicies;
     for (const auto &[other, each] : m_nodes) {
         if (other != name)
             settings.firstContacts.push_back(each.settings.listen.peers);
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -217,6 +217,7 @@
     fake_store store{loop};
     std::ostringstream logOutput;
     std::map<data_center_id, region_id> regions; ///< in the settings of nodes started later
+    gateway::disabled_policies disabledPolicies; ///< in the settings of nodes started later
     /// Whether nodes started later reach servers through a proxy that can be cut. Connections to a
     /// crashed server are then accepted and closed, not refused.
     bool canBeCut = false;
