--- a/tests/gateway/result_room_load_test.cpp
+++ b/tests/gateway/result_room_load_test.cpp
@@ -403,6 +403,8 @@
         int learnt = 0;
         std::size_t correctedRefusals = 0;
         std::size_t learntRefusals = 0;
+        std::size_t correctedWaste = 0;
+        std::size_t learntWaste = 0;
         for (const unsigned seed : {1U, 2U, 3U}) {
             const auto first = runBurst({.learnsSizes = false, .sizeBias = bias, .seed = seed});
             const auto second = runBurst({.sizeBias = bias, .seed = seed});
@@ -410,10 +412,13 @@
             learnt += second->large.inTime;
             correctedRefusals += first->refusedForRoom;
             learntRefusals += second->refusedForRoom;
+            correctedWaste += first->large.wasted;
+            learntWaste += second->large.wasted;
         }
         INFO("bias " << bias);
         // Each refused result was computed for nothing, and counts as a try of its piece.
         CHECK(learntRefusals * 4 < correctedRefusals * 3);
+        CHECK(learntWaste < correctedWaste);
         CHECK(learnt * 20 >= corrected * 19);
     }
 }
