--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/admission/overload_order.h"
+#include "gateway/admission/stage_admission.h"
 #include "gateway/exchange/request_outcome.h"
 #include "gateway/exchange/service_retry_budget.h"
 #include "gateway/publication/configuration.h"
@@ -38,6 +38,7 @@
     std::map<std::string, std::size_t> members; ///< by state, this node included
     std::map<service_id, std::size_t> waitingPieces; ///< in the pools hosted by this node
     std::map<service_id, turn_summary> turns; ///< at the pools hosted by this node
+    std::map<service_id, admission_counts> admissions; ///< to the pools hosted by this node
     std::map<service_id, service_retry_budget::usage> retries;
     std::uint64_t placements = 0; ///< requests that this node placed on servers, for itself or
                                   ///< other nodes, and that have not ended
