Use customer shares and retry turns in the gateway

Cause: the classes that decide on shares and turns weren't connected.

Change: the host's stage_admission gets both policies from the settings and reports its decisions to the metrics. An entry node names the longest Retry-After that its client follows, a third of the time it has left. With retry_turns and whole_request_admission on, a node's own estimate refuses a request only if a host was silent: before, it refused requests whose turn only the host knows. admission_refused lines have the cause and whether a turn is held.

--- a/src/gateway/admission/admission_client.cpp
+++ b/src/gateway/admission/admission_client.cpp
@@ -53,8 +53,9 @@
         m_unanswered[asked.id] = id;
         const auto host = m_hostOf(demand.pool);
         asked.link = host == m_peers.self() ? nullptr : m_peers.linkTo(host);
-        reservation_query sent{asked.id,       query.attempt, query.digest,
-                               query.customer, query.rank,    std::move(demand.stages)};
+        reservation_query sent{asked.id,           query.attempt, query.digest,
+                               query.customer,     query.rank,    std::move(demand.stages),
+                               query.maxRetryAfter};
         if (asked.link) {
             timeout = std::max(timeout, hostTimeout(host));
             asked.link->send(reserve_stage_frame{demand.pool, std::move(sent)});
@@ -107,6 +108,8 @@
         result.pools.push_back({each.pool, each.answer});
         if (!each.answer || each.answer->granted)
             continue;
+        if (result.granted || each.answer->retryAfter > result.retryAfter)
+            result.turnHeld = each.answer->turnHeld;
         result.granted = false;
         result.retryAfter = std::max(result.retryAfter, each.answer->retryAfter);
     }
--- a/src/gateway/admission/admission_client.h
+++ b/src/gateway/admission/admission_client.h
@@ -29,6 +29,7 @@
     customer_id customer;
     stage_rank rank;
     std::vector<pool_demand> pools; ///< different ones
+    milliseconds maxRetryAfter{0}; ///< longest `Retry-After` that the client follows
 };
 
 /// The answers of the hosts of all pools.
@@ -41,6 +42,7 @@
     };
     bool granted = true; ///< no host refused
     milliseconds retryAfter{0}; ///< the longest one of the refusals
+    bool turnHeld = false; ///< the host of that refusal reserves capacity at that time
     std::vector<pool_answer> pools;
 };
 
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -173,6 +173,9 @@
     [[nodiscard]] pool_key stagePool(const service_id &service,
                                      const data_center_id &preferredDataCenter);
     [[nodiscard]] bool isPredictedLate() const;
+    /// Returns whether the hosts of stage pools decide on the admission of requests, with turns.
+    [[nodiscard]] bool hostsKnowTurns() const;
+    [[nodiscard]] milliseconds maxRetryAfter() const;
     [[nodiscard]] bool hasResultsIn(const data_center_id &dataCenter) const;
     [[nodiscard]] bool mayRestartStages();
     void restartStages(std::string_view reason);
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -99,6 +99,9 @@
         line.add("reserved_ahead", each.answer->reservedAhead);
         line.add("wait_ms", each.answer->wait.count());
         line.add("retry_after_ms", each.answer->retryAfter.count());
+        line.add("cause", toName(each.answer->cause));
+        if (each.answer->turnHeld)
+            line.add("turn_held", "yes");
         line.add("at_ms", sinceArrival().count());
         m_decisions.add(std::move(line));
     }
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -26,7 +26,7 @@
     m_preferredDataCenter = choosePreferredDataCenter();
     for (const auto &stage : m_route->stages)
         m_stagePools.push_back(stagePool(stage.service, m_preferredDataCenter));
-    if (isPredictedLate()) {
+    if (!hostsKnowTurns() && isPredictedLate()) {
         refuse(request_outcome::QueueTooLong);
         return;
     }
@@ -90,6 +90,7 @@
     if (m_customer)
         query.customer = m_customer->id;
     query.rank = stageRank();
+    query.maxRetryAfter = maxRetryAfter();
     const auto objectiveLeft = std::chrono::duration_cast<std::chrono::microseconds>(
         m_arrival + m_route->latencyObjective - m_context.loop.now());
     const bool defersLeafStages = !m_context.disabledPolicies.contains(policy::LateLeafStages);
@@ -108,6 +109,26 @@
     return query;
 }
 
+// Only the hosts of the pools know whether a request has a turn, so the estimate of this node must
+// not refuse it before them.
+template <gateway_codec Codec>
+bool exchange<Codec>::hostsKnowTurns() const
+{
+    return !m_context.disabledPolicies.contains(policy::WholeRequestAdmission)
+        && !m_context.disabledPolicies.contains(policy::RetryTurns);
+}
+
+// A client follows a `Retry-After` of up to a third of the time that it has left.
+template <gateway_codec Codec>
+milliseconds exchange<Codec>::maxRetryAfter() const
+{
+    constexpr int FollowedPart = 3;
+    const auto clientTimeout = m_metadata.clientTimeout.value_or(m_route->timeout);
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(m_arrival + clientTimeout - m_context.loop.now());
+    return std::clamp(left / FollowedPart, milliseconds{0}, retry_turns::MaxRetryAfter);
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::onStagesReserved(const admission_result &result)
 {
@@ -119,13 +140,20 @@
         if (!m_context.disabledPolicies.contains(policy::ReportedWaits))
             m_context.latencyEstimator.onReportedWait(each.pool, stageRank(), each.answer->wait);
     }
+    const bool allAnswered =
+        std::ranges::all_of(result.pools, [](const auto &each) { return each.answer.has_value(); });
+    if (result.granted && !allAnswered && hostsKnowTurns() && isPredictedLate()) {
+        releaseStages();
+        failRequest(request_outcome::QueueTooLong);
+        return;
+    }
     if (result.granted) {
         submitReadyPieces();
         return;
     }
     logAdmissionRefused(result);
     m_stageAdmission = 0;
-    m_capacityDelay = std::max(RetryDelay, result.retryAfter);
+    m_capacityDelay = result.turnHeld ? result.retryAfter : std::max(RetryDelay, result.retryAfter);
     failRequest(request_outcome::NotAdmitted);
 }
 
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -100,7 +100,10 @@
                [this](const reachability_event &event) { onReachability(event); }})
     , m_router(m_loop, log, m_peers, m_stages, m_directory, m_retryBudget, m_settings)
     , m_placer(m_loop, m_peers, m_directory, m_settings.disabledPolicies)
-    , m_stageAdmission(m_loop.clock())
+    , m_stageAdmission(
+          m_loop.clock(),
+          {.customerShares = !m_settings.disabledPolicies.contains(policy::CustomerShares),
+           .retryTurns = !m_settings.disabledPolicies.contains(policy::RetryTurns)})
     , m_admissionClient(m_loop, m_peers, m_stageAdmission,
                         [this](const pool_key &pool) { return m_router.hostOf(pool); })
     , m_quarantine(m_loop, m_peers, log)
@@ -164,6 +167,9 @@
         [this](const pool_key &pool, const stage_rank &rank, std::uint64_t resultBytes) {
             return m_stages.estimateFor(pool, rank, resultBytes);
         });
+    m_stageAdmission.setDecisionHandler(
+        [this](const service_id &service, const customer_id &customer, pool_time cost,
+               refusal_cause cause) { m_metrics.onPoolDecision(service, customer, cost, cause); });
     m_stages.setAdmission(m_stageAdmission);
     m_admissionClient.setHostReadyCheck([this] {
         return m_state.hasServerList()
@@ -315,6 +321,7 @@
     now.members = m_peers.view().countByState();
     now.waitingPieces = m_stages.waiting();
     now.admissions = m_stageAdmission.counts();
+    now.turns = m_stageAdmission.turns();
     now.retries = m_retries;
     now.placements = m_placer.activeCount();
     now.publishedAge = age(m_state.lastContactAt());
