Send shared parts of prompts to home engines, and inform new hosts of boards

Cause: boards place parts that they don't know by load alone, so two boards, or a new one, have the same part read by different engines; a new host assumed that engines keep nothing; and an engine that keeps a part was passed over while it read one other prompt.

Change: (a) a part of at least 1,024 tokens, most of which no engine is known to keep, goes to the first engine in the order of its rendezvous hash that is not avoided, slow (over 1.25 times the average), full or reading a long prompt, and evicts nothing for it. (b) Tokens that another engine keeps cost half as much again, so that a request waits behind one other prompt at that engine and not behind two; unless it has more than 3 requests without a first token, as a hot part needs several engines. (c) With the first question to a new host a node sends the parts it placed in the last 10 s, at most 64 (frame 35, board_state); a node that becomes the host itself uses them too. Policy prompt_homes_by_hash.

--- a/src/gateway/peers/peer_frame_kind.h
+++ b/src/gateway/peers/peer_frame_kind.h
@@ -38,6 +38,7 @@
     StreamOrigins = 28,
     StreamOriginQuery = 29,
     StreamOriginAnswer = 30,
+    BoardState = 35,
 };
 
 /// Code of an outcome that has a result; other codes are failures.
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -1,3 +1,4 @@
+#include "gateway/peers/board_state_codec.h"
 #include "gateway/peers/peer_frame_kind.h"
 #include "gateway/peers/peer_frames.h"
 
@@ -525,6 +526,9 @@
         return readStreamOriginQuery(in);
     case frame_kind::StreamOriginAnswer:
         return readStreamOriginAnswer(in);
+    case frame_kind::BoardState:
+        return readBoardState(in, readPool,
+                              [](field_reader &list, auto readItem) { readList(list, readItem); });
     case frame_kind::Compressed: // not allowed inside a compressed frame
         break;
     }
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -1,3 +1,4 @@
+#include "gateway/peers/board_state_codec.h"
 #include "gateway/peers/peer_frame_kind.h"
 #include "gateway/peers/peer_frames.h"
 
@@ -194,6 +195,12 @@
     packDuration(out, frame.timePercentAge);
 }
 
+void pack(packer &out, const board_state_frame &frame)
+{
+    packKind(out, frame_kind::BoardState, BoardStateFields);
+    packBoardState(out, frame);
+}
+
 void pack(packer &out, const admission_request &frame)
 {
     packKind(out, frame_kind::AdmissionRequest, 1 + QueryFields);
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/codec.h"
+#include "gateway/peers/board_state_frame.h"
 #include "gateway/placement/placement_board.h"
 #include "gateway/publication/evacuations.h"
 #include "gateway/publication/list_digest.h"
@@ -274,7 +275,7 @@
                  server_crashes_frame, quarantine_frame, trial_request, trial_answer, trial_end,
                  admission_request, admission_answer, rate_limits_frame, leaving_servers_frame,
                  lost_data_center_frame, brittle_servers_frame, stream_origin_frame,
-                 stream_origin_query, stream_origin_answer>;
+                 stream_origin_query, stream_origin_answer, board_state_frame>;
 
 /// Reason why bytes could not be decoded as a frame.
 struct frame_error
--- a/src/gateway/placement/engine_parts.h
+++ b/src/gateway/placement/engine_parts.h
@@ -31,6 +31,8 @@
     /// Records that the engine read a part at `lastUsed`.
     void keep(const prompt_part &part, steady_time lastUsed);
 
+    /// Returns the tokens of all parts that the engine keeps.
+    [[nodiscard]] std::uint64_t totalTokens() const { return m_tokens; }
     /// Calls `visit` for the id of each part.
     template <class Visitor>
     void forEach(Visitor visit) const
--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -1,5 +1,7 @@
 #include "gateway/placement/placement_board.h"
 
+#include "gateway/placement/prompt_homes.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -32,6 +34,23 @@
 // Fewest prompt tokens until the first token from which the speed of an engine is learnt. With
 // fewer, the time consists mainly of round trips.
 constexpr std::uint64_t MinTokensToLearn = 512;
+// Cost of each token that an engine reads although another one keeps it, beside the time to read
+// it: the results of the request wait meanwhile and occupy result storage. With 0.5, a request
+// waits behind one other prompt of the same size at the engine that keeps its parts, but not behind
+// two.
+constexpr double RepeatedReadCost = 0.5;
+// Fewest tokens for which a home engine is chosen. Fewer are read in about 30 ms, less than the
+// wait for one engine in particular.
+constexpr std::uint64_t MinHomeTokens = 1024;
+// Slowest engine, in relation to the average of its service, that may be a home. With engines at
+// 0.6 to 1.6 times the nominal time, homes at the slow ones made the time to the first token longer
+// than by cost alone.
+constexpr double MaxHomeTimeFactor = 1.25;
+// Most requests without a first token at an engine that keeps shared parts for reading them again
+// elsewhere to cost more than its time. An engine with more of them keeps a part whose rate needs
+// several engines. With 2, 1.8 times as many tokens were read again in the burst of a hot prompt,
+// with 4 the time to the first token was longer than by cost alone.
+constexpr std::uint32_t MaxUnreadAtKeeper = 3;
 // How long a board that knows no engine for a part is considered the cause: the parts of most
 // prompts return within this time.
 constexpr std::chrono::seconds NewBoardTime{10};
@@ -43,6 +62,7 @@
     : m_clock(clock)
     , m_directory(directory)
     , m_learnsSpeeds(!disabledPolicies.contains(policy::ServerSpeeds))
+    , m_usesHomes(!disabledPolicies.contains(policy::PromptHomesByHash))
     , m_pacer(clock)
     , m_lostParts(clock)
 { }
@@ -64,7 +84,8 @@
     return state;
 }
 
-double placement_board::costOf(const server &backend, const placement_query &query)
+double placement_board::costOf(const server &backend, const placement_query &query,
+                               std::uint64_t keptElsewhere)
 {
     const auto &state = engineOf(backend);
     const auto uncached = uncachedTokens(state, query);
@@ -73,6 +94,9 @@
     if (uncached > PrefillChunkTokens)
         cost += StreamPauseCostPerToken * static_cast<double>(uncached - PrefillChunkTokens)
             * state.streams;
+    const auto kept = state.parts.keptTokens(sharedParts(query.prompt));
+    if (kept < keptElsewhere)
+        cost += RepeatedReadCost * static_cast<double>(keptElsewhere - kept);
     cost *= timeFactorOf(backend, state);
     if (!query.preferredDataCenter.empty()
         && backend.record.dataCenter != query.preferredDataCenter)
@@ -127,13 +151,62 @@
     return otherServers.empty() ? sendable : otherServers;
 }
 
+server_ptr placement_board::chooseEngine(const std::vector<server_ptr> &servers,
+                                         const placement_query &query)
+{
+    if (!m_usesHomes)
+        return cheapest(servers, query, 0);
+    const auto shared = tokensOf(sharedParts(query.prompt));
+    const auto kept = mostKept(servers, query, std::numeric_limits<std::uint32_t>::max());
+    // Where most of the shared parts is kept, the engine that keeps it is the better start.
+    if (shared - kept >= MinHomeTokens && shared - kept > kept) {
+        if (auto home = homeFor(servers, query))
+            return home;
+    }
+    return cheapest(servers, query, mostKept(servers, query, MaxUnreadAtKeeper));
+}
+
+std::uint64_t placement_board::mostKept(const std::vector<server_ptr> &servers,
+                                        const placement_query &query, std::uint32_t maxUnread)
+{
+    const auto shared = sharedParts(query.prompt);
+    std::uint64_t most = 0;
+    for (const auto &each : servers) {
+        const auto &state = engineOf(*each);
+        if (state.unread <= maxUnread)
+            most = std::max(most, state.parts.keptTokens(shared));
+    }
+    return most;
+}
+
+// With one long prompt ahead, the time to the first token was a fifth longer in a burst than by
+// cost alone.
+server_ptr placement_board::homeFor(const std::vector<server_ptr> &servers,
+                                    const placement_query &query)
+{
+    const auto order = homeOrder(sharedParts(query.prompt).back().id, servers);
+    const auto found = std::ranges::find_if(
+        order, [&](const server_ptr &each) { return mayBeHome(*each, query); });
+    return found == order.end() ? nullptr : *found;
+}
+
+bool placement_board::mayBeHome(const server &backend, const placement_query &query)
+{
+    const auto &state = engineOf(backend);
+    const bool busy = state.longPrompts > 0 || state.streams >= backend.record.slots;
+    const bool wouldEvict =
+        state.parts.totalTokens() + tokensOf(sharedParts(query.prompt)) > keptLimit(state.service);
+    return backend.avoidUntil <= m_clock.now() && !busy && !wouldEvict
+        && timeFactorOf(backend, state) <= MaxHomeTimeFactor;
+}
+
 server_ptr placement_board::cheapest(const std::vector<server_ptr> &servers,
-                                     const placement_query &query)
+                                     const placement_query &query, std::uint64_t keptElsewhere)
 {
     server_ptr best;
     double bestCost = std::numeric_limits<double>::max();
     for (const auto &each : servers) {
-        const double cost = costOf(*each, query);
+        const double cost = costOf(*each, query, keptElsewhere);
         if (cost < bestCost) {
             bestCost = cost;
             best = each;
@@ -207,7 +280,7 @@
         removeFullServers(poolServers, query.pool.service);
         if (anyUntried && poolServers.empty())
             return {nullptr, milliseconds{0}, true};
-        placed.server = cheapest(candidates(poolServers, query, share), query);
+        placed.server = chooseEngine(candidates(poolServers, query, share), query);
         if (!placed.server)
             placed = earliestAllowed(poolServers, query, share);
     }
@@ -236,6 +309,8 @@
                         .sentAt = now + placed.wait};
     state.prefillTokens += uncached;
     ++state.streams;
+    ++state.unread;
+    state.longPrompts += uncached > PrefillChunkTokens ? 1 : 0;
     keepParts(state, query);
 }
 
@@ -255,6 +330,17 @@
         m_lostParts.add(state.service, evicted, prefill_cause::Evicted);
 }
 
+void placement_board::learnParts(const service_id &service, const std::vector<placed_part> &parts)
+{
+    for (const auto &each : parts) {
+        const auto known = m_directory.find(each.engine.id);
+        if (!known || known->record.start() != each.engine || known->record.service != service
+            || each.ago > recent_prompt_parts::Lifetime)
+            continue;
+        engineOf(*known).parts.keep({each.id, each.tokens}, m_clock.now() - each.ago);
+    }
+}
+
 bool placement_board::isNew(const pool_key &pool) const
 {
     const auto found = m_firstPlacements.find(pool);
@@ -323,7 +409,10 @@
 void placement_board::markRead(placement &finished, engine &state)
 {
     state.prefillTokens -= std::min(state.prefillTokens, finished.tokens);
+    state.longPrompts -= finished.tokens > PrefillChunkTokens ? std::min(state.longPrompts, 1U) : 0;
     finished.tokens = 0;
+    if (!std::exchange(finished.isRead, true))
+        state.unread -= std::min(state.unread, 1U);
 }
 
 // The expected time is that of an average engine of the service, so that the speeds are relative to
--- a/src/gateway/placement/placement_board.h
+++ b/src/gateway/placement/placement_board.h
@@ -4,6 +4,7 @@
 #include "gateway/exchange/first_answer_model.h"
 #include "gateway/placement/engine_parts.h"
 #include "gateway/placement/pool_admission.h"
+#include "gateway/placement/recent_prompt_parts.h"
 #include "gateway/placement/repeated_prefill.h"
 #include "gateway/policy.h"
 #include "gateway/servers/rate_pacer.h"
@@ -71,6 +72,9 @@
 /// to be moved to another data centre. The speed of each engine is learnt from the time until the
 /// first token of its requests.
 ///
+/// Shared parts of prompts that no engine is known to keep go to their home engine, on which all
+/// boards agree. A part that an engine keeps is read again elsewhere only if that engine is busy.
+///
 /// Rate-limited servers get requests evenly at the rate of their limits. If all servers are
 /// rate-limited, requests wait for their turn, and only as many are admitted as the limits allow.
 class placement_board
@@ -91,6 +95,8 @@
     /// Called when the prompt of the request has been read.
     void onFirstToken(placement_id id);
     void onEnd(placement_id id);
+    /// Records which engines keep which parts, as reported by a node that sent them there.
+    void learnParts(const service_id &service, const std::vector<placed_part> &parts);
 
     /// Returns the number of placements whose requests have not ended.
     [[nodiscard]] std::size_t activeCount() const { return m_placements.size(); }
@@ -102,6 +108,8 @@
         engine_parts parts;
         std::uint64_t prefillTokens = 0; ///< prompt tokens that are still to be read
         std::uint32_t streams = 0; ///< requests placed and not ended
+        std::uint32_t unread = 0; ///< requests without a first token
+        std::uint32_t longPrompts = 0; ///< prompts longer than a chunk that are still to be read
         server_speed speed;
     };
     struct placement
@@ -113,6 +121,7 @@
         /// Prompt tokens that the engine reads until the first token: those of the request, and
         /// those of other requests before them.
         std::uint64_t tokensToFirstToken = 0;
+        bool isRead = false; ///< the first token has arrived
         steady_time sentAt; ///< when the request may be sent
     };
 
@@ -125,8 +134,22 @@
     [[nodiscard]] std::vector<server_ptr> candidates(const std::vector<server_ptr> &poolServers,
                                                      const placement_query &query,
                                                      double share) const;
+    /// Chooses an engine by cost and by which ones keep shared parts of the prompt.
+    [[nodiscard]] server_ptr chooseEngine(const std::vector<server_ptr> &servers,
+                                          const placement_query &query);
+    /// Returns whether a home engine may read the prompt: it isn't avoided, slow, reading a long
+    /// prompt or full, and evicts no other parts for it.
+    [[nodiscard]] bool mayBeHome(const server &backend, const placement_query &query);
+    /// Returns the first home engine of the prompt's shared part that may read it. Null if the
+    /// part is small or if all engines are busy.
+    [[nodiscard]] server_ptr homeFor(const std::vector<server_ptr> &servers,
+                                     const placement_query &query);
+    /// Returns the most tokens of the shared parts that one of the servers keeps, of those with at
+    /// most `maxUnread` requests without a first token.
+    [[nodiscard]] std::uint64_t mostKept(const std::vector<server_ptr> &servers,
+                                         const placement_query &query, std::uint32_t maxUnread);
     [[nodiscard]] server_ptr cheapest(const std::vector<server_ptr> &servers,
-                                      const placement_query &query);
+                                      const placement_query &query, std::uint64_t keptElsewhere);
     /// Returns the server that may get a request first, if the wait is within
     /// `query.clientTimeout`.
     [[nodiscard]] placement_result earliestAllowed(const std::vector<server_ptr> &poolServers,
@@ -146,7 +169,9 @@
     void learnSpeed(const placement &finished, engine &state);
     /// Returns the factor by which reading a prompt takes longer on an engine than usual.
     [[nodiscard]] double timeFactorOf(const server &backend, const engine &state) const;
-    [[nodiscard]] double costOf(const server &backend, const placement_query &query);
+    /// `keptElsewhere` are the tokens of the shared parts that some engine keeps.
+    [[nodiscard]] double costOf(const server &backend, const placement_query &query,
+                                std::uint64_t keptElsewhere);
     [[nodiscard]] engine &engineOf(const server &backend);
     /// Returns which shared parts the chosen server reads although another one keeps them.
     [[nodiscard]] repeated_prefill findRepeated(const server &chosen, const placement_query &query);
@@ -166,6 +191,7 @@
     const clock_source &m_clock;
     const server_directory &m_directory;
     bool m_learnsSpeeds;
+    bool m_usesHomes;
     std::unordered_map<service_id, std::uint64_t> m_capacities;
     std::unordered_map<service_id, first_answer_model>
         m_readTimes; ///< by tokens until the first one
--- a/src/gateway/placement/request_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -18,6 +18,8 @@
 // How long a host's report that all servers of a pool are rate-limited is valid. While there are
 // requests, each reply of the host renews or clears it.
 constexpr milliseconds AllRateLimitedLifetime{2000};
+// Older reports of the time on a server's machine count as this old: they have no weight any more.
+constexpr milliseconds MaxReportAge{10'000};
 
 } // namespace
 
@@ -29,6 +31,8 @@
     , m_directory(directory)
     , m_board(loop.clock(), directory, disabledPolicies)
     , m_splitter(directory, EnginePoolSplitLimits)
+    , m_reportsParts(!disabledPolicies.contains(policy::PromptHomesByHash))
+    , m_recentParts(loop.clock())
 {
     if (disabledPolicies.contains(policy::SplitPools))
         m_splitter.disableSplitting();
@@ -55,9 +59,28 @@
     auto link = host == m_peers.self() ? nullptr : m_peers.linkTo(host);
     if (link)
         sendRateLimits(pool, link);
+    sendRecentParts(pool, link);
     return link;
 }
 
+// A new host doesn't know which engines keep which parts, and would have them read again. This node
+// may be the new host itself.
+void request_placer::sendRecentParts(const pool_key &pool, const link_ptr &link)
+{
+    if (!m_reportsParts)
+        return;
+    const auto [last, isFirst] = m_lastHosts.try_emplace(pool, link);
+    if (!isFirst && std::exchange(last->second, link) == link)
+        return;
+    auto parts = m_recentParts.partsOf(pool);
+    if (parts.empty())
+        return;
+    if (link)
+        link->send(board_state_frame{pool, std::move(parts)});
+    else
+        m_board.learnParts(pool.service, parts);
+}
+
 milliseconds request_placer::hostTimeout(const pool_key &pool)
 {
     const auto known = m_peers.view().find(m_peers.hostOf(pool));
@@ -170,6 +193,8 @@
 void request_placer::complete(pending_placement &entry, const placement_result &placed)
 {
     recordAllRateLimited(entry.query.pool, placed.allRateLimited);
+    if (m_reportsParts && placed.server)
+        m_recentParts.onPlaced(entry.query.pool, placed.server->record.start(), entry.query.prompt);
     const auto callback = std::exchange(entry.placed, {});
     callback(placed);
 }
@@ -262,6 +287,8 @@
         onAdmission(answer->id, answer->admissionDecision);
     else if (const auto *limits = std::get_if<rate_limits_frame>(&frame))
         onRateLimits(*limits);
+    else if (const auto *state = std::get_if<board_state_frame>(&frame))
+        m_board.learnParts(state->pool.service, state->parts);
 }
 
 void request_placer::onPlaceRequest(const link_ptr &link, const place_frame &frame)
@@ -301,9 +328,9 @@
     if (server && server->record.start() == found->second.server) {
         m_directory.onSignals(*server, frame.signals);
         if (frame.timePercent)
-            server_directory::onReportedTime(*server, *frame.timePercent,
-                                             m_loop.now()
-                                                 - std::max(milliseconds{0}, frame.timePercentAge));
+            server_directory::onReportedTime(
+                *server, *frame.timePercent,
+                m_loop.now() - std::clamp(frame.timePercentAge, milliseconds{0}, MaxReportAge));
     }
     if (frame.kind == placement_progress_frame::event_type::FirstToken) {
         m_board.onFirstToken(found->second.localId);
@@ -315,6 +342,7 @@
 
 void request_placer::onLinkClosed(const link_ptr &link)
 {
+    std::erase_if(m_lastHosts, [&](const auto &entry) { return entry.second == link; });
     std::erase_if(m_limitsSentTo, [&](const auto &entry) { return entry.second.link == link; });
     if (const auto found = m_hosted.find(link); found != m_hosted.end()) {
         for (const auto &[remoteId, each] : found->second)
--- a/src/gateway/placement/request_placer.h
+++ b/src/gateway/placement/request_placer.h
@@ -2,6 +2,7 @@
 
 #include "gateway/peers/peer_network.h"
 #include "gateway/placement/placement_board.h"
+#include "gateway/placement/recent_prompt_parts.h"
 #include "gateway/servers/pool_splitter.h"
 
 #include <functional>
@@ -93,6 +94,8 @@
     /// Returns how long to wait for an answer of the pool's host.
     [[nodiscard]] milliseconds hostTimeout(const pool_key &pool);
     void sendRateLimits(const pool_key &pool, const link_ptr &link);
+    /// Reports the parts of recent prompts to a host that may not know them.
+    void sendRecentParts(const pool_key &pool, const link_ptr &link);
     void placeLocally(placement_id id, pending_placement &entry);
     [[nodiscard]] placement_result placeOnBoard(placement_id id, const placement_query &query);
     /// Admits or refuses a request as the host of its pool.
@@ -123,6 +126,10 @@
     std::map<pool_key, steady_time> m_allRateLimited; ///< when the host's report expires
     std::uint64_t m_limitChanges = 0; ///< number of rate limit changes reported to this node
     std::map<pool_key, limits_recipient> m_limitsSentTo;
+    bool m_reportsParts; ///< to new hosts of boards
+    recent_prompt_parts m_recentParts;
+    /// The link to the host of each pool at the last request; null: this node.
+    std::map<pool_key, link_ptr> m_lastHosts;
     /// By link and id of the other node.
     std::map<link_ptr, std::unordered_map<placement_id, hosted_placement>> m_hosted;
 };
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -18,6 +18,7 @@
     PromptAffinity, ///< prompts that share long parts have a preferred data centre
     FirstAnswerBySize, ///< the time to the first answer is estimated by the size of the prompt
     ServerSpeeds, ///< costs of engines are times at the rate at which each one reads prompts
+    PromptHomesByHash, ///< a shared part of prompts has engines that all boards agree on
 };
 
 /// The disabled policies.
@@ -43,4 +44,6 @@
         orchidlead::gateway::policy::FirstAnswerBySize, "first_answer_by_size"},
     orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::ServerSpeeds,
                                                        "server_speeds"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{
+        orchidlead::gateway::policy::PromptHomesByHash, "prompt_homes_by_hash"},
 };
