--- a/src/gateway/peers/peer_frame_kind.h
+++ b/src/gateway/peers/peer_frame_kind.h
@@ -42,6 +42,7 @@
     StageReserved = 32,
     ReleaseReservation = 33,
     PoolLoad = 34,
+    BoardState = 35,
 };
 
 /// Code of an outcome that has a result; other codes are failures.
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -1,3 +1,4 @@
+#include "gateway/peers/board_state_codec.h"
 #include "gateway/peers/peer_frame_kind.h"
 #include "gateway/peers/peer_frames.h"
 
@@ -609,6 +610,9 @@
         return release_reservation_frame{in.read<reservation_id>()};
     case frame_kind::PoolLoad:
         return readPoolLoad(in);
+    case frame_kind::BoardState:
+        return readBoardState(in, readPool,
+                              [](field_reader &list, auto readItem) { readList(list, readItem); });
     case frame_kind::Compressed: // not allowed inside a compressed frame
         break;
     }
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -23,6 +23,7 @@
     CustomerShares, ///< customers share the capacity of overloaded pools
     RetryTurns, ///< capacity is reserved for the return of refused requests
     PieceRedirection, ///< waiting pieces move to less loaded pools of their service
+    PromptHomesByHash, ///< a shared part of prompts has engines that all boards agree on
 };
 
 /// The disabled policies.
@@ -58,4 +59,6 @@
                                                        "retry_turns"},
     orchidlead::enum_name<orchidlead::gateway::policy>{
         orchidlead::gateway::policy::PieceRedirection, "piece_redirection"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{
+        orchidlead::gateway::policy::PromptHomesByHash, "prompt_homes_by_hash"},
 };
