Tell a request that isn't admitted the time that its hosts reported

The reported time without a minimum, as its test expects; the fastest return is to a place that is free by then.

--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -153,7 +153,7 @@
     }
     logAdmissionRefused(result);
     m_stageAdmission = 0;
-    m_capacityDelay = result.turnHeld ? result.retryAfter : std::max(RetryDelay, result.retryAfter);
+    m_capacityDelay = result.retryAfter;
     failRequest(request_outcome::NotAdmitted);
 }
 
