--- a/tests/gateway/request_admission_load_test.cpp
+++ b/tests/gateway/request_admission_load_test.cpp
@@ -23,6 +23,7 @@
 /// nodes, each of which knows the waits that the hosts reported to it.
 namespace {
 
+constexpr std::uint32_t PromptTokens = 8000; // an engine answers after about 250 ms
 constexpr milliseconds Step{5};
 constexpr milliseconds Objective{2200};
 constexpr std::uint32_t PiecesPerStage = 2;
@@ -165,7 +166,7 @@
             const auto count = static_cast<double>(Servers[stage]);
             const auto &each = *m_pools[stage];
             if (pool == m_poolKeys[stage])
-                return {each.expectedWait(rank, count), each.waiting(),
+                return {each.expectedWait(rank, count, 0), each.waiting(),
                         each.piecesPerSecond(rank, count), 0.0,
                         std::chrono::duration_cast<milliseconds>(each.fullCallTime())};
         }
@@ -174,7 +175,7 @@
 
     request_outline outlineOf(const request &each) const
     {
-        return {*m_configuration, m_route, Engine, each.rank, m_poolKeys, m_counts};
+        return {*m_configuration, m_route, Engine, each.rank, m_poolKeys, m_counts, PromptTokens};
     }
 
     void begin()
@@ -296,7 +297,7 @@
         std::erase(each.pieces, outcome.token);
         report(each, m_poolKeys[piece.stage],
                m_pools[piece.stage]->expectedWait(each.rank,
-                                                  static_cast<double>(Servers[piece.stage])));
+                                                  static_cast<double>(Servers[piece.stage]), 0));
         if (each.abandoned || std::holds_alternative<piece_failure>(outcome.result)) {
             end(piece.request, false);
             return;
@@ -316,7 +317,7 @@
     {
         const auto each = m_requests.extract(id).mapped();
         const auto took = std::chrono::duration_cast<milliseconds>(m_clock.now() - each.at);
-        const auto engineTime = m_estimators[each.node]->firstAnswerTime(Engine);
+        const auto engineTime = m_estimators[each.node]->firstAnswerTime(Engine, PromptTokens);
         const bool inTime = isComplete && took + engineTime <= Objective;
         result.inTime += inTime ? 1 : 0;
         result.urgentInTime += inTime && each.rank == Urgent ? 1 : 0;
