--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -540,6 +540,23 @@
     return {};
 }
 
+/// Reads a frame about the origins of streams.
+peer_frame readOriginFrame(frame_kind kind, field_reader &in)
+{
+    switch (kind) {
+    case frame_kind::StreamOrigins:
+        return readStreamOrigins(in);
+    case frame_kind::StreamOriginQuery:
+        return readStreamOriginQuery(in);
+    case frame_kind::StreamOriginAnswer:
+        return readStreamOriginAnswer(in);
+    default:
+        break;
+    }
+    in.fail();
+    return ping_frame{};
+}
+
 /// Reads a frame about admission or load.
 peer_frame readLoadFrame(frame_kind kind, field_reader &in)
 {
@@ -618,11 +635,9 @@
     case frame_kind::BrittleServers:
         return readBrittleServers(in);
     case frame_kind::StreamOrigins:
-        return readStreamOrigins(in);
     case frame_kind::StreamOriginQuery:
-        return readStreamOriginQuery(in);
     case frame_kind::StreamOriginAnswer:
-        return readStreamOriginAnswer(in);
+        return readOriginFrame(kind, in);
     case frame_kind::ReserveStage:
     case frame_kind::StageReserved:
     case frame_kind::ReleaseReservation:
