Sort the waiting pieces of a pool only if they are out of order

A profile shows 60 % of the time in moving pieces: each dispatch sorted all waiting pieces up to three times, and copied the list though none was dropped. Redirection made a forecast of storage, and a sum over all pieces before, for each group. One function sorts, and only if the order isn't right yet; a list without drops is kept; one forecast for each size. No decision changes.

--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -135,6 +135,18 @@
     return due(a) < due(b);
 }
 
+// The whole sort uses one timestamp: an order that changes during the sort could make it access
+// elements out of bounds. Pieces mostly are in order already, and moving them costs more than all
+// other decisions of a pool with hundreds of waiting pieces.
+void stage_pool::sortWaiting(const data_center_id &at, steady_time now)
+{
+    const auto isBefore = [&](const piece_task &a, const piece_task &b) {
+        return precedes(a, b, at, now);
+    };
+    if (!std::ranges::is_sorted(m_waiting, isBefore))
+        std::ranges::stable_sort(m_waiting, isBefore);
+}
+
 std::chrono::microseconds stage_pool::expectedTime(std::size_t pieces) const
 {
     return m_capacity.callOverhead + m_capacity.timePerPiece * static_cast<int>(pieces);
@@ -180,12 +192,8 @@
 // doesn't fit.
 std::vector<piece_task> stage_pool::takeBatch(const server &chosen, bool mayWait, bool othersIdle)
 {
-    // The whole sort uses one timestamp: an order that changes during the sort could make it access
-    // elements out of bounds.
     const auto now = m_clock.now();
-    std::ranges::stable_sort(m_waiting, [&](const piece_task &a, const piece_task &b) {
-        return precedes(a, b, chosen.record.dataCenter, now);
-    });
+    sortWaiting(chosen.record.dataCenter, now);
     std::uint64_t room = m_room.freeBytesAt(chosen.record.start());
     std::uint64_t roomForSmall = m_room.freeBytesForSmallAt(chosen.record.start());
     std::size_t freePlaces = std::max(1U, m_capacity.maxPiecesPerCall);
@@ -476,14 +484,6 @@
     return m_usesResultRoom && m_capacity.resultMemoryBytes > 0 && !m_room.isSmall(resultBytes);
 }
 
-std::uint64_t stage_pool::bytesWithRoom(std::size_t pieces) const
-{
-    std::uint64_t bytes = 0;
-    for (std::size_t i = 0; i < pieces; ++i)
-        bytes += needsRoom(m_waiting[i].resultBytes) ? m_waiting[i].resultBytes : 0;
-    return bytes;
-}
-
 std::chrono::microseconds stage_pool::estimateRoomWait(const room_forecast &forecast,
                                                        std::uint64_t bytes,
                                                        const stage_rank &rank) const
@@ -537,9 +537,7 @@
 std::vector<stage_pool::piece_forecast> stage_pool::findLatePieces(double servers)
 {
     const auto now = m_clock.now();
-    std::ranges::stable_sort(m_waiting, [&](const piece_task &a, const piece_task &b) {
-        return precedes(a, b, {}, now);
-    });
+    sortWaiting({}, now);
     std::size_t ahead = 0;
     std::uint64_t bytesAhead = 0;
     std::map<std::uint64_t, room_forecast> forecasts; // by size of a result
@@ -608,6 +606,8 @@
         if (drops.back() && m_usesResultRoom)
             droppedGroups.insert(groupOf(job));
     }
+    if (std::ranges::find(drops, true) == drops.end())
+        return out;
     std::vector<piece_task> left;
     left.reserve(m_waiting.size());
     for (std::size_t i = 0; i < m_waiting.size(); ++i) {
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -232,6 +232,8 @@
     /// `at` is empty, for a server anywhere.
     [[nodiscard]] bool precedes(const piece_task &a, const piece_task &b, const data_center_id &at,
                                 steady_time now) const;
+    /// Sorts the waiting pieces by `precedes`.
+    void sortWaiting(const data_center_id &at, steady_time now);
     [[nodiscard]] bool isLate(const piece_task &job, steady_time now) const;
     struct piece_forecast
     {
@@ -265,8 +267,6 @@
     /// of more urgent pieces.
     [[nodiscard]] std::chrono::microseconds estimateWait(std::size_t pieces, const stage_rank &rank,
                                                          double servers) const;
-    /// Returns the total size of the results that need room, of the first `pieces` waiting pieces.
-    [[nodiscard]] std::uint64_t bytesWithRoom(std::size_t pieces) const;
     /// Returns whether the storage of servers limits a result.
     [[nodiscard]] bool needsRoom(std::uint64_t resultBytes) const;
     /// Estimates how long pieces of a rank wait for storage, given the arrival rate of more urgent
--- a/src/gateway/stages/stage_pool_redirection.cpp
+++ b/src/gateway/stages/stage_pool_redirection.cpp
@@ -8,15 +8,22 @@
 std::vector<waiting_group> stage_pool::redirectableGroups(double servers)
 {
     const auto now = m_clock.now();
-    std::ranges::stable_sort(m_waiting, [&](const piece_task &a, const piece_task &b) {
-        return precedes(a, b, {}, now);
-    });
+    sortWaiting({}, now);
+    std::map<std::uint64_t, room_forecast> forecasts; // by size of a result
+    std::uint64_t bytesWithRoom = 0; // of the pieces up to the group
+    const auto forecastOf = [&](std::uint64_t bytes) -> const room_forecast & {
+        const auto known = forecasts.find(bytes);
+        return known != forecasts.end()
+            ? known->second
+            : forecasts.emplace(bytes, m_room.forecast(servers, bytes)).first->second;
+    };
     std::vector<waiting_group> groups;
     for (std::size_t begin = 0; begin < m_waiting.size();) {
         const auto end = groupEnd(begin);
         waiting_group group;
         for (; begin < end; ++begin) {
             const auto &job = m_waiting[begin];
+            bytesWithRoom += needsRoom(job.resultBytes) ? job.resultBytes : 0;
             // A piece that was in a call may have run.
             if (!job.mayBeRedirected || job.tries > 0)
                 continue;
@@ -32,9 +39,8 @@
         group.softDeadlineLeft = std::chrono::duration_cast<milliseconds>(last.softDeadline - now);
         auto wait = estimateWait(end, last.rank, servers);
         if (needsRoom(last.resultBytes))
-            wait = std::max(wait,
-                            estimateRoomWait(m_room.forecast(servers, last.resultBytes),
-                                             bytesWithRoom(end), last.rank));
+            wait = std::max(
+                wait, estimateRoomWait(forecastOf(last.resultBytes), bytesWithRoom, last.rank));
         group.wait = std::chrono::duration_cast<milliseconds>(wait);
         groups.push_back(std::move(group));
     }
