Measure brittle servers on slow processes against sound ones

The new test demanded 192 answers, whatever time the processes got: with sanitizers 131 and 163 were served, with 2 and 1 falls of at most 2. The number that can be served follows from the processor, not from the product; 192 was a guess. The same burst is played on servers that don't fall over, and 0.8 of what these serve is due, as the users ask. The bound of falls stays.

--- a/tests/platform/brittle_server_test.cpp
+++ b/tests/platform/brittle_server_test.cpp
@@ -63,14 +63,14 @@
             while (!server.refusals.empty() && now - server.refusals.front() > milliseconds{1000})
                 server.refusals.pop_front();
             server.refusals.push_back(now);
-            if (countsFalls && server.refusals.size() > MaxRefusals) {
+            if (isBrittle && countsFalls && server.refusals.size() > MaxRefusals) {
                 ++falls;
                 server = {};
                 server.downUntil = now + DownTime;
                 answer->reset();
                 return;
             }
-            answer->write(brittleAnswer(request, 503, "X-Not-Executed: 1\r\n"));
+            answer->write(answerTo(request, 503, "X-Not-Executed: 1\r\n"));
             return;
         }
         ++server.running;
@@ -78,17 +78,18 @@
             if (server.running > 0)
                 --server.running;
             ++served;
-            answer->write(brittleAnswer(request, 200, "X-Instance-Signature: s\r\n"));
+            answer->write(answerTo(request, 200, "X-Instance-Signature: s\r\n"));
         });
     }
 
-    static std::string brittleAnswer(const server_request &request, int status,
-                                     const std::string &fields)
+    [[nodiscard]] std::string answerTo(const server_request &request, int status,
+                                       const std::string &fields) const
     {
+        const auto brittle =
+            isBrittle ? "\r\nServer-Brittle: " + std::to_string(MaxRefusals) : std::string{};
         return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Attempt-Id: "
-            + std::string(*http::findField(request.head.fields, "x-attempt-id"))
-            + "\r\nServer-Brittle: " + std::to_string(MaxRefusals) + "\r\n" + fields
-            + "Content-Length: 0\r\n\r\n";
+            + std::string(*http::findField(request.head.fields, "x-attempt-id")) + brittle + "\r\n"
+            + fields + "Content-Length: 0\r\n\r\n";
     }
 
     /// Sends requests to the first gateways, or all, in turn at an even rate.
@@ -129,6 +130,7 @@
     }
 
     std::map<std::string, state> states;
+    bool isBrittle = true; ///< servers fall over, and say so
     bool countsFalls = false;
     std::size_t falls = 0;
     std::size_t served = 0;
@@ -168,13 +170,19 @@
 // pool takes longer than a round trip to answer. All servers then get several times their room.
 TEST_CASE("brittle servers don't fall over in a burst while processes get a tenth of their time")
 {
+    const auto play = [](brittle_fleet &w) {
+        w.pauseEvery(milliseconds{5}, milliseconds{80});
+        w.playBurst();
+    };
+    brittle_fleet sound(4);
+    sound.isBrittle = false;
+    play(sound);
     brittle_fleet w(4);
-    w.pauseEvery(milliseconds{5}, milliseconds{80});
-    w.playBurst();
-    INFO("falls " << w.falls << ", served " << w.served);
+    play(w);
+    INFO("falls " << w.falls << ", served " << w.served << ", by sound servers " << sound.served);
     CHECK(w.falls <= 2 + Servers / 10);
-    // Less than the room of servers that get all of their time.
-    CHECK(static_cast<double>(w.served) >= 0.8 * Room * 3 * 2 / 3);
+    // How many can be served follows from the processor, so sound servers are the measure.
+    CHECK(static_cast<double>(w.served) >= 0.8 * static_cast<double>(sound.served));
 }
 
 // Hidden, since the loop that all gateways share is too slow for this many with sanitizers.
