Free the results of a killed node's requests within a second

A host freed the results that it had reported over a closed link only when the membership no longer took the submitter for alive, 1.2 to 2 s after a kill. It also freed them when the submitter was merely suspected or leaving: such a node still runs. After a link with unfreed results has closed, process_end_detector decides whether the submitter's process has ended: it refuses a connection at its address and doesn't answer a datagram within 150 ms, or the membership knows it as dead, or knows a later start of the node. An attempt that opens or gets no clear answer proves nothing. At most 4 attempts follow a closed link, 150 ms apart, at most 256 run at a time. Only ECONNREFUSED counts as a refusal (stream_socket::wasRefused), not an unreachable host. submit_piece_frame carries the start of the submitter as a new last field (9 bytes), because the membership may still know an earlier start; its address is used only if the starts are the same. lost_peer_results_freed names the peer. An orderly close as the sign of a live node: the kernel closes the connections of a killed process in order too. A refusal alone: a firewall, or a cut of both nodes' links, refuses connections on behalf of a live process. Not covered: a VM that fails without closing its links (the membership decides once they close), and another node at the address of the ended one.

--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -29,7 +29,7 @@
     StagePool, ///< summary of a pool over one second
     StageHostChanged, ///< another node now hosts a service's pool
     StageHostLost, ///< a host ended or stopped responding
-    LostPeerResultsFreed, ///< results of a node whose link closed were freed
+    LostPeerResultsFreed, ///< results of a node whose process ended were freed
     ResultHandleUnreadable, ///< a result handle contains no address
     StoreReadBegun, ///< this node starts reading the store itself
     StoreReadEnded, ///< this node gets published state from peers again
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -118,7 +118,9 @@
     frame.mayBeRedirected = in.read<bool>();
     frame.redirectedFrom = data_center_id(in.read<std::string>());
     if (!in.atEnd())
-        frame.submitter = vm_id(in.read<std::string>());
+        frame.submitter.vm = vm_id(in.read<std::string>());
+    if (!in.atEnd()) // an older version doesn't state its start
+        frame.submitter.start = in.read<incarnation>();
     return frame;
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -93,7 +93,7 @@
 
 void pack(packer &out, const submit_piece_frame &frame)
 {
-    packKind(out, frame_kind::SubmitPiece, 20);
+    packKind(out, frame_kind::SubmitPiece, 21);
     out.pack(frame.token);
     packPool(out, frame.pool);
     out.pack(frame.request.attempt);
@@ -110,7 +110,8 @@
     packDigest(out, frame.request.digest);
     out.pack(frame.mayBeRedirected);
     out.pack(frame.redirectedFrom.value);
-    out.pack(frame.submitter.value);
+    out.pack(frame.submitter.vm.value);
+    out.pack(frame.submitter.start);
 }
 
 void pack(packer &out, const free_results_frame &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -3,6 +3,7 @@
 #include "gateway/codec.h"
 #include "gateway/peers/admission_frames.h"
 #include "gateway/peers/board_state_frame.h"
+#include "gateway/peers/peer_process.h"
 #include "gateway/peers/pool_load_frame.h"
 #include "gateway/placement/placement_board.h"
 #include "gateway/publication/evacuations.h"
@@ -40,7 +41,7 @@
     std::uint64_t resultBytes = 0; ///< estimate
     bool mayBeRedirected = false; ///< the receiver may answer `piece_failure::Redirected`
     data_center_id redirectedFrom; ///< of the pool that redirected the piece; empty: none did
-    vm_id submitter; ///< the sender; empty: not stated by an older version
+    peer_process submitter; ///< the sender
 };
 
 /// Cancels a piece that the sender no longer needs.
--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -155,6 +155,20 @@
         link->send(frame);
 }
 
+void peer_network::ping(const socket_address &address)
+{
+    membership_actions actions;
+    m_view.ping(address, actions);
+    carryOut(actions);
+}
+
+std::unique_ptr<connection_trial>
+peer_network::tryConnect(const socket_address &address,
+                         std::function<void(connect_result)> onResult)
+{
+    return std::make_unique<connection_trial>(m_loop, address, m_connect, std::move(onResult));
+}
+
 std::vector<relay_candidate> peer_network::relayCandidates(
     std::uint16_t port, const std::function<region_id(const data_center_id &)> &regionOf) const
 {
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/peers/connection_trial.h"
 #include "gateway/peers/data_center_reachability.h"
 #include "gateway/peers/peer_link.h"
 #include "gateway/peers/peer_view.h"
@@ -79,6 +80,18 @@
     [[nodiscard]] const peer_view &view() const { return m_view; }
     [[nodiscard]] const vm_id &self() const { return m_view.self(); }
     [[nodiscard]] const region_id &region() const { return m_view.region(); }
+    /// As `peer_view::process`.
+    [[nodiscard]] peer_process process() const { return m_view.process(); }
+    /// As `peer_view::knowledgeOf`.
+    [[nodiscard]] process_knowledge knowledgeOf(const peer_process &process) const
+    {
+        return m_view.knowledgeOf(process);
+    }
+    /// As `peer_view::ping`.
+    void ping(const socket_address &address);
+    /// Finds out whether a process listens at the address of a peer.
+    [[nodiscard]] std::unique_ptr<connection_trial>
+    tryConnect(const socket_address &address, std::function<void(connect_result)> onResult);
     /// Returns the link to a peer, and opens one if there is none; null for an unknown peer.
     [[nodiscard]] std::shared_ptr<peer_link> linkTo(const vm_id &peer);
     /// Sends a frame to a peer, and opens a link if there is none; does nothing for an unknown
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -390,6 +390,26 @@
     return m_members.find(peer);
 }
 
+// A suspected or leaving member still runs. The record of another start says nothing of the
+// process: this node may not know yet that the node has started again. The address of an earlier
+// start can be another one.
+process_knowledge peer_view::knowledgeOf(const peer_process &process) const
+{
+    const auto known = find(process.vm);
+    if (!known)
+        return {};
+    process_knowledge knowledge;
+    const bool isSameStart = known->incarnation == process.start;
+    const bool isStartKnown = process.start != 0;
+    const bool hasRestarted = isStartKnown && known->incarnation > process.start;
+    const bool isDead = known->state == member_state::Dead && (isSameStart || !isStartKnown);
+    knowledge.hasEnded = hasRestarted || isDead;
+    knowledge.lastReceivedAt = known->lastReceivedAt;
+    if (isSameStart)
+        knowledge.address = known->vm.peerAddress;
+    return knowledge;
+}
+
 std::vector<vm_id> peer_view::peers() const
 {
     std::vector<vm_id> near;
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/peers/data_center_reachability.h"
+#include "gateway/peers/process_end_detector.h"
 #include "gateway/quarantine/request_digest.h"
 #include "gateway/servers/pool_key.h"
 
@@ -65,6 +66,8 @@
     void avoidPeer(const vm_id &peer);
 
     [[nodiscard]] const vm_id &self() const { return m_identity.vm; }
+    /// Returns this process of this node.
+    [[nodiscard]] peer_process process() const { return {self(), m_identity.incarnation}; }
     [[nodiscard]] const region_id &region() const { return m_identity.region; }
     /// Returns the node that hosts a pool in this node's view; may be this node.
     [[nodiscard]] vm_id hostOf(const pool_key &pool);
@@ -90,6 +93,13 @@
     /// use; 0 where this node is not the pool's host or has just started.
     [[nodiscard]] double rateShare(const pool_key &pool);
     [[nodiscard]] std::optional<member> find(const vm_id &peer) const;
+    /// Returns what the membership knows of a process of another node.
+    [[nodiscard]] process_knowledge knowledgeOf(const peer_process &process) const;
+    /// Sends a probe to the address of a node. Its answer is recorded in `member::lastReceivedAt`.
+    void ping(const socket_address &address, membership_actions &out)
+    {
+        m_members.contact({address}, out);
+    }
     /// Returns the peers considered alive, those of this data centre first.
     [[nodiscard]] std::vector<vm_id> peers() const;
     /// Returns whether a peer in the data centre is considered alive, even if it is avoided.
--- a/src/gateway/stages/reported_results.h
+++ b/src/gateway/stages/reported_results.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -72,6 +73,15 @@
         m_submitters.erase(found);
         return handles;
     }
+    /// Returns whether a submitter has results that were not freed.
+    [[nodiscard]] bool hasResults(const Submitter &submitter) const
+    {
+        const auto found = m_submitters.find(submitter);
+        return found != m_submitters.end()
+            && std::ranges::any_of(found->second.handles, [&](const std::string &each) {
+                   return isOwner(submitter, each);
+               });
+    }
     [[nodiscard]] std::size_t size() const { return m_owners.size(); }
 
 private:
--- a/src/gateway/stages/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/peers/peer_network.h"
+#include "gateway/peers/process_end_watcher.h"
 #include "gateway/servers/pool_splitter.h"
 #include "gateway/stages/pool_redirector.h"
 #include "gateway/stages/reported_results.h"
@@ -114,9 +115,10 @@
     void routePieceLater(piece_token token, submission &entry, milliseconds delay);
     void onPieceFrame(const link_ptr &link, submit_piece_frame &&frame);
     void onWithdrawFrame(const link_ptr &link, piece_token token);
-    /// Frees the results that were reported over a closed link, unless the peer is found alive.
+    /// Frees the results that were reported over a closed link if the process of the submitter has
+    /// ended.
     void freeResultsOf(const link_ptr &closed, const std::set<std::string> &outstandingRequests);
-    void freeResultsLater(const link_ptr &closed, const vm_id &submitter, steady_time until);
+    void onSubmitterDecided(const peer_process &submitter, bool hasEnded);
 
     http::io_loop &m_loop;
     wire::log &m_log;
@@ -138,7 +140,9 @@
     /// By link and the peer's token.
     std::map<link_ptr, std::unordered_map<piece_token, hosted_piece>> m_hostedPieces;
     reported_results<link_ptr> m_reportedResults;
-    std::map<link_ptr, vm_id> m_submitters; ///< of the links in `m_hostedPieces`
+    std::map<link_ptr, peer_process> m_submitters; ///< of the links in `m_hostedPieces`
+    std::map<peer_process, std::vector<link_ptr>> m_closedLinks; ///< while the submitter is watched
+    process_end_watcher m_endedSubmitters;
     bool m_freesResultsOfLostPeers;
     std::map<pool_key, backed_off_pool> m_backedOffPools;
     piece_token m_lastToken = 0;
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -3,6 +3,8 @@
 #include "gateway/log_event.h"
 #include "gateway/stages/stage_router.h"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -25,14 +27,6 @@
 inline constexpr milliseconds UnreachablePoolPause{500};
 /// After this many moves a piece stays with this node's `stage_host`.
 inline constexpr std::uint32_t MaxMoves = 2;
-
-/// Interval at which the membership is asked whether a peer whose link closed has failed. The
-/// results of a failed one are to be freed within a second.
-inline constexpr milliseconds LostPeerDelay{400};
-/// Time after which the results of a closed link need not be freed any more: servers have dropped
-/// them.
-inline constexpr milliseconds MaxResultLifetime{10'000};
-
 template <gateway_codec Codec>
 stage_router<Codec>::stage_router(http::io_loop &loop, wire::log &log, peer_network &peers,
                                   stage_host<Codec> &host, server_directory &directory,
@@ -47,6 +41,10 @@
     , m_dataCenter(settings.dataCenter)
     , m_sharing(settings.stageCallSharing)
     , m_splitter(directory, StagePoolSplitLimits)
+    , m_endedSubmitters(loop, peers,
+                        [this](const peer_process &submitter, bool hasEnded) {
+                            onSubmitterDecided(submitter, hasEnded);
+                        })
     , m_freesResultsOfLostPeers(!settings.disabledPolicies.contains(policy::ResultRoom))
 {
     if (settings.disabledPolicies.contains(policy::SplitPools))
@@ -173,7 +171,7 @@
         token, entry.pool, entry.job.request, entry.job.rank, timeUntil(entry.job.softDeadline),
         timeUntil(entry.job.deadline), entry.job.preferredDataCenter, entry.job.inputBytes,
         entry.job.resultBytes, entry.job.mayBeRedirected, entry.job.redirectedFrom,
-        m_peers.self()});
+        m_peers.process()});
 }
 
 template <gateway_codec Codec>
@@ -444,43 +442,41 @@
 void stage_router<Codec>::freeResultsOf(const link_ptr &closed,
                                         const std::set<std::string> &outstandingRequests)
 {
-    if (!m_freesResultsOfLostPeers) {
+    const auto submitter = m_submitters.extract(closed);
+    if (!m_freesResultsOfLostPeers || submitter.empty() || !m_reportedResults.hasResults(closed)) {
         (void)m_reportedResults.takeAll(closed);
         return;
     }
     m_reportedResults.onClosed(closed, outstandingRequests);
-    const auto submitter = m_submitters.extract(closed);
-    freeResultsLater(closed, submitter.empty() ? vm_id{} : submitter.mapped(),
-                     m_loop.now() + MaxResultLifetime);
+    m_closedLinks[submitter.mapped()].push_back(closed);
+    m_endedSubmitters.watch(submitter.mapped());
 }
 
 // A node also closes its link to a host that was slow, and sends its pieces to another one then.
-// Its results are still needed, so they are freed only if the membership agrees that it failed.
+// Its results are still needed, so they are freed only if its process has ended.
 template <gateway_codec Codec>
-void stage_router<Codec>::freeResultsLater(const link_ptr &closed, const vm_id &submitter,
-                                           steady_time until)
+void stage_router<Codec>::onSubmitterDecided(const peer_process &submitter, bool hasEnded)
 {
-    m_loop.callAfter(LostPeerDelay, [this, closed, submitter, until] {
-        const auto known = m_peers.view().find(submitter);
-        const bool alive = known && known->state == member_state::Alive;
-        if (alive && m_loop.now() < until) {
-            freeResultsLater(closed, submitter, until);
-            return;
-        }
-        const auto handles = m_reportedResults.takeAll(closed);
-        if (handles.empty() || alive)
-            return;
-        m_log.write(wire::log_level::Info,
-                    m_log.line(wire::log_level::Info, toName(log_event::LostPeerResultsFreed))
-                        .add("results", handles.size()));
-        m_host.freeResults(handles);
-    });
+    const auto closed = m_closedLinks.extract(submitter);
+    if (closed.empty())
+        return;
+    std::vector<std::string> handles;
+    for (const auto &link : closed.mapped())
+        std::ranges::move(m_reportedResults.takeAll(link), std::back_inserter(handles));
+    if (handles.empty() || !hasEnded)
+        return;
+    m_log.write(wire::log_level::Info,
+                m_log.line(wire::log_level::Info, toName(log_event::LostPeerResultsFreed))
+                    .add("peer", submitter.vm.value)
+                    .add("results", handles.size()));
+    m_host.freeResults(handles);
 }
 
 template <gateway_codec Codec>
 void stage_router<Codec>::tick()
 {
     m_host.tick();
+    m_endedSubmitters.tick();
     std::set<link_ptr> awaitedLinks;
     for (const auto &[token, entry] : m_submissions) {
         if (entry.link)
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -44,6 +44,7 @@
         if (!created->m_events)
             return;
         if (failed) {
+            created->m_wasRefused = failed == asio::error::connection_refused;
             created->reportEnd(false);
             return;
         }
--- a/src/http/stream_socket.h
+++ b/src/http/stream_socket.h
@@ -42,6 +42,8 @@
     /// Sends or queues bytes. Returns false if the connection has ended and none of `bytes` was
     /// sent.
     bool write(std::string_view bytes);
+    /// Whether the attempt to connect was refused: no process listens at the address.
+    [[nodiscard]] bool wasRefused() const { return m_wasRefused; }
     /// Number of bytes not yet passed to the kernel.
     [[nodiscard]] std::size_t queuedBytes() const { return m_out.size() - m_outBegin; }
     /// Pauses or resumes reading, for backpressure.
@@ -72,6 +74,7 @@
     bool m_writePending = false;
     bool m_shutdownAfterFlush = false;
     bool m_endReported = false; ///< `onEnd` was called
+    bool m_wasRefused = false;
 };
 
 /// Opens a TCP connection like `stream_socket::connect`.
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -60,6 +60,13 @@
     CHECK(read.redirectedFrom == data_center_id("dc-2"));
 }
 
+TEST_CASE("a piece frame keeps the process of its submitter")
+{
+    auto piece = makePiece();
+    piece.submitter = {vm_id("g2"), 1'765'000'000'000'000};
+    CHECK(roundTrip(piece).submitter == piece.submitter);
+}
+
 TEST_CASE("frames about origins of streams keep their fields")
 {
     const auto stream = digestOfTexts({"customer", "attempt"});
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -100,6 +100,36 @@
     CHECK(taken <= milliseconds{2000});
 }
 
+// Guards against freeing results of a live process: of a suspected node, or of a start of a node
+// that this node does not know yet.
+TEST_CASE("a process has ended if its node is dead or has started again")
+{
+    peer_fleet fleet(3, 1, 5);
+    fleet.startAll(StartWindow);
+    fleet.run(milliseconds{5000});
+    const auto &view = fleet.view(0);
+    const auto first = fleet.view(1).process();
+    CHECK_FALSE(view.knowledgeOf(first).hasEnded);
+    CHECK(view.knowledgeOf(first).address);
+    const auto unknownStart = view.knowledgeOf({first.vm, first.start + 1});
+    CHECK_FALSE(unknownStart.hasEnded);
+    CHECK_FALSE(unknownStart.address);
+    fleet.kill(1);
+    fleet.start({1}, StartWindow);
+    fleet.run(milliseconds{1000});
+    const auto second = fleet.view(1).process();
+    CHECK(view.knowledgeOf(first).hasEnded);
+    CHECK_FALSE(view.knowledgeOf(second).hasEnded);
+    fleet.kill(1);
+    for (int i = 0; i < 100 && view.find(second.vm)->state == member_state::Alive; ++i)
+        fleet.run(milliseconds{50});
+    REQUIRE(view.find(second.vm)->state == member_state::Suspect);
+    CHECK_FALSE(view.knowledgeOf(second).hasEnded);
+    fleet.run(milliseconds{5000});
+    CHECK(view.knowledgeOf(second).hasEnded);
+    CHECK_FALSE(view.knowledgeOf({second.vm, second.start + 1}).hasEnded);
+}
+
 // The 300 KB that a first contact sends would occupy the slowest link, 10 Mbit/s, for a quarter of
 // a second.
 TEST_CASE("in a mass start a node sends its member table about once, a first contact a few times")
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -206,6 +206,38 @@
         [&] { return w.logOutput.str().find("lost_peer_results_freed") != std::string::npos; }));
 }
 
+// Guards against freeing results of live requests because a link was cut: by one side, or so that
+// the host's own attempts to connect are refused as well.
+TEST_CASE("the results of a request stay when the links of its node are cut while both nodes live")
+{
+    const auto cutsHost = GENERATE(false, true);
+    INFO("links of the host are cut: " << cutsHost);
+    stage_world w;
+    w.peersCanBeCut = true;
+    w.startGateway("g1");
+    w.startGateway("g2");
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(2); }));
+    w.runFor(milliseconds{300});
+    const std::vector<vm_id> nodes{vm_id("g1"), vm_id("g2")};
+    const auto host = rendezvousPick("p", nodes, 1).front().value;
+    std::vector<std::shared_ptr<server_answer>> unanswered;
+    w.engine.setBehaviour(
+        [&](const server_request &, const std::shared_ptr<server_answer> &answer) {
+            unanswered.push_back(answer);
+        });
+    (void)w.ask(host == "g1" ? "g2" : "g1", "a1", "2,1");
+    REQUIRE(w.runUntil([&] { return !unanswered.empty(); }));
+    w.runFor(milliseconds{100});
+    const auto freedBefore = w.stages.freed;
+    REQUIRE(freedBefore < 3);
+    w.cutFromPeers(host == "g1" ? "g2" : "g1", cut_kind::Reset);
+    if (cutsHost)
+        w.cutFromPeers(host, cut_kind::Reset);
+    w.runFor(milliseconds{2000});
+    CHECK(w.stages.freed == freedBefore);
+    CHECK(w.logOutput.str().find("lost_peer_results_freed") == std::string::npos);
+}
+
 // Guards against requests refused by a starting node: other nodes choose it as the host of a pool
 // at once, but reading a long list of servers takes it seconds.
 TEST_CASE("a node without the list of servers hosts no pool, and no request is refused")
