Move wait estimates, piece selection and server pauses out of the stage pool

- wait_estimator: waits for the time of servers and for result storage
- piece_order and piece_selector: the order of waiting pieces, and which of them go in a call
- call_servers: which servers may get a call, and their pauses
- piece_task.h: the types of pieces and calls, without the pool

--- /dev/null
+++ b/src/gateway/stages/piece_order.cpp
@@ -0,0 +1,62 @@
+#include "gateway/stages/piece_order.h"
+
+#include <algorithm>
+
+namespace orchidlead::gateway {
+
+namespace {
+
+// A piece whose inputs are in another data centre is ordered as if due this much later: about the
+// duration of a call.
+constexpr milliseconds RemoteInputPenalty{250};
+
+} // namespace
+
+// Returns whether a call that starts now would end after the piece's `softDeadline`, by the fixed
+// time of a call alone.
+bool piece_order::isLate(const piece_task &job, steady_time now) const
+{
+    return job.softDeadline < now + m_callOverhead;
+}
+
+bool piece_order::precedes(const piece_task &a, const piece_task &b, const data_center_id &at,
+                           steady_time now) const
+{
+    const auto due = [&](const piece_task &job) {
+        const bool remote =
+            !at.empty() && !job.preferredDataCenter.empty() && job.preferredDataCenter != at;
+        return job.softDeadline + (remote ? RemoteInputPenalty : milliseconds{0});
+    };
+    const bool lateA = isLate(a, now);
+    const bool lateB = isLate(b, now);
+    if (lateA != lateB)
+        return lateB;
+    if (a.rank != b.rank)
+        return a.rank < b.rank;
+    return due(a) < due(b);
+}
+
+// The whole sort uses one timestamp: an order that changes during the sort could make it access
+// elements out of bounds. Pieces mostly are in order already, and moving them costs more than all
+// other decisions of a pool with hundreds of waiting pieces.
+void piece_order::sort(std::vector<piece_task> &waiting, const data_center_id &at,
+                       steady_time now) const
+{
+    const auto isBefore = [&](const piece_task &a, const piece_task &b) {
+        return precedes(a, b, at, now);
+    };
+    if (!std::ranges::is_sorted(waiting, isBefore))
+        std::ranges::stable_sort(waiting, isBefore);
+}
+
+std::size_t groupEnd(const std::vector<piece_task> &waiting, std::size_t begin)
+{
+    const auto &first = waiting[begin].request;
+    std::size_t end = begin + 1;
+    while (end < waiting.size() && waiting[end].request.attempt == first.attempt
+           && waiting[end].request.stage == first.stage)
+        ++end;
+    return end;
+}
+
+} // namespace orchidlead::gateway
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "gateway/codec.h"
 #include "gateway/exchange/service_retry_budget.h"
-#include "gateway/servers/pool_key.h"
-#include "gateway/servers/server_directory.h"
-#include "gateway/stages/decaying_rate.h"
+#include "gateway/stages/call_servers.h"
+#include "gateway/stages/piece_order.h"
 #include "gateway/stages/piece_redirection.h"
+#include "gateway/stages/piece_selector.h"
+#include "gateway/stages/piece_task.h"
 #include "gateway/stages/result_room.h"
-#include "gateway/stages/stage_rank.h"
+#include "gateway/stages/wait_estimator.h"
 
 #include <cstdint>
 #include <functional>
@@ -21,62 +21,6 @@
 
 namespace orchidlead::gateway {
 
-/// Identifies a piece to its submitter; 0 for a withdrawn piece.
-using piece_token = std::uint64_t;
-using stage_call_id = std::uint64_t;
-
-/// A piece that waits for a server.
-struct piece_task
-{
-    piece_token token = 0;
-    piece_request request;
-    stage_rank rank;
-    steady_time softDeadline{}; ///< end by which its request can still meet its latency objective
-    steady_time deadline{}; ///< the piece is dropped after this
-    data_center_id preferredDataCenter; ///< data centre of its inputs
-    std::uint64_t inputBytes = 0; ///< approximate total of all inputs
-    std::size_t resultBytes = 0; ///< approximate
-    steady_time submittedAt{};
-    std::uint32_t tries = 0; ///< calls that included the piece
-    bool reserved = false; ///< the host had reserved a place for the piece
-    /// The pool where a place is reserved. Not sent to the host.
-    std::optional<pool_key> reservedPool;
-    bool admitted = false; ///< the piece was predicted to meet its `softDeadline`
-    residency allowed; ///< regions; not sent to the host, as each pool is in one region
-    /// The piece may move to another pool if no server is reachable. Not sent to the host.
-    bool mayChangePool = false;
-    bool mayBeRedirected = false; ///< to another pool of the service, while it waits
-    data_center_id redirectedFrom; ///< of the pool that redirected it; empty: none did
-};
-
-/// A call to be started now.
-struct stage_call
-{
-    stage_call_id id = 0;
-    server_ptr server;
-    std::vector<piece_request> pieces;
-    milliseconds timeout{0};
-    milliseconds longestWait{0}; ///< of its pieces, before the call
-};
-
-/// Final result of a piece.
-struct piece_outcome
-{
-    piece_token token = 0;
-    piece_result result;
-    std::optional<pool_key> redirectedTo = std::nullopt;
-};
-
-/// Outcome of a piece as reported to its submitter.
-struct piece_report
-{
-    piece_result result;
-    milliseconds wait{0}; ///< estimated, of a new piece of the same rank
-    /// The pool to send a redirected piece to. In the report to the submitter's request: the pool
-    /// that reports the wait, if it isn't the one that was chosen at submission.
-    std::optional<pool_key> pool = std::nullopt;
-};
-
 /// Activity of a pool in a period, for the log.
 struct stage_pool_summary
 {
@@ -91,15 +35,6 @@
     std::map<std::uint32_t, rank> ranks; ///< by priority
 };
 
-/// How a call ended.
-enum class stage_call_end {
-    Answered,
-    NotSent, ///< not received by any server
-    Withheld, ///< not sent, as the server stopped accepting calls
-    NotRun, ///< refused by the server without running
-    Broken, ///< timed out or without a valid answer; may have run
-};
-
 /// Batches the pieces of many requests into calls to the backend servers of one service.
 ///
 /// Each call has a fixed cost, so pieces wait for an idle server and share calls. Pieces whose
@@ -113,6 +48,9 @@
 {
 public:
     stage_pool(const clock_source &clock, service_id service, service_retry_budget &retryBudget);
+    ~stage_pool() = default;
+    stage_pool(const stage_pool &) = delete;
+    stage_pool &operator=(const stage_pool &) = delete;
 
     void setCapacity(const stage_capacity &capacity);
     void setWaitsForLocalServer(bool waits) { m_waitsForLocalServer = waits; }
@@ -183,16 +121,19 @@
     [[nodiscard]] milliseconds expectedWait(const stage_rank &rank, double servers,
                                             std::uint64_t resultBytes) const;
     /// Returns the expected duration of a full call.
-    [[nodiscard]] std::chrono::microseconds fullCallTime() const
-    {
-        return expectedTime(m_capacity.maxPiecesPerCall);
-    }
+    [[nodiscard]] std::chrono::microseconds fullCallTime() const { return m_waits.fullCallTime(); }
     /// Returns how many pieces of a rank all servers together take in full calls, given the arrival
     /// rate of more urgent pieces; 0 if there are no servers.
-    [[nodiscard]] double piecesPerSecond(const stage_rank &rank, double servers) const;
+    [[nodiscard]] double piecesPerSecond(const stage_rank &rank, double servers) const
+    {
+        return m_waits.piecesPerSecond(rank, servers);
+    }
     /// Returns how many bytes of results the servers have room for per second, given how long
     /// results were held recently; 0 if room doesn't limit results of this size.
-    [[nodiscard]] double resultBytesPerSecond(double servers, std::uint64_t resultBytes) const;
+    [[nodiscard]] double resultBytesPerSecond(double servers, std::uint64_t resultBytes) const
+    {
+        return m_waits.resultBytesPerSecond(servers, resultBytes);
+    }
     /// Returns when `nextCall` may return a call without another event in between.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
     /// Returns the bytes of results accounted to a server.
@@ -214,12 +155,6 @@
         steady_time startedAt;
         std::chrono::microseconds expected{0};
     };
-    struct server_state
-    {
-        std::uint32_t calls = 0; ///< in progress
-        steady_time pausedUntil{}; ///< gets no call before this
-        std::uint32_t consecutiveFailures = 0; ///< calls without an answer
-    };
 
     /// A request's attempt and stage. Its pieces are of use only together.
     using group_key = std::pair<std::string, std::uint32_t>;
@@ -228,52 +163,16 @@
         return {job.request.attempt, job.request.stage};
     }
 
-    /// Returns whether `a` precedes `b` at time `now`, for a server in the data centre `at`; if
-    /// `at` is empty, for a server anywhere.
-    [[nodiscard]] bool precedes(const piece_task &a, const piece_task &b, const data_center_id &at,
-                                steady_time now) const;
-    /// Sorts the waiting pieces by `precedes`.
-    void sortWaiting(const data_center_id &at, steady_time now);
-    [[nodiscard]] bool isLate(const piece_task &job, steady_time now) const;
     struct piece_forecast
     {
         bool late = false;
         bool lacksRoom = false; ///< late because of the storage for its result
     };
     [[nodiscard]] std::vector<piece_forecast> findLatePieces(double servers);
-    [[nodiscard]] std::vector<server_ptr> idleServers(const std::vector<server_ptr> &servers,
-                                                      const data_center_id &preferredDataCenter);
-    /// Returns the end of the run of waiting pieces of the same request and stage from `begin` on.
-    [[nodiscard]] std::size_t groupEnd(std::size_t begin) const;
-    /// Takes the pieces of a call to `chosen`. `othersIdle` is whether another server is idle.
-    [[nodiscard]] std::vector<piece_task> takeBatch(const server &chosen, bool mayWait,
-                                                    bool othersIdle);
-    /// Returns whether the whole group of waiting pieces `[begin, end)` can begin in time, if only
-    /// some of them are in the next call. `takenBytes` are those of results of other pieces of the
-    /// call.
-    [[nodiscard]] bool restBeginsInTime(std::size_t begin, std::size_t end,
-                                        std::uint64_t takenBytes, bool othersIdle) const;
     /// Fails the waiting pieces of the same request and stage as those of `jobs` that failed.
     void failRestOfGroups(const std::map<piece_token, group_key> &jobs,
                           std::vector<piece_outcome> &out);
-    /// Returns whether a piece still waits for a server in its inputs' data centre instead of going
-    /// to `chosen`.
-    [[nodiscard]] bool waitsForLocalServer(const piece_task &job, const server &chosen,
-                                           steady_time now) const;
-    [[nodiscard]] steady_time localWaitEnd(const piece_task &job) const;
     [[nodiscard]] stage_call makeCall(const server_ptr &chosen, std::vector<piece_task> jobs);
-    [[nodiscard]] std::chrono::microseconds expectedTime(std::size_t pieces) const;
-    /// Estimates how long all servers together take for `pieces` of a rank, given the arrival rate
-    /// of more urgent pieces.
-    [[nodiscard]] std::chrono::microseconds estimateWait(std::size_t pieces, const stage_rank &rank,
-                                                         double servers) const;
-    /// Returns whether the storage of servers limits a result.
-    [[nodiscard]] bool needsRoom(std::uint64_t resultBytes) const;
-    /// Estimates how long pieces of a rank wait for storage, given the arrival rate of more urgent
-    /// ones. `bytes` are those of their results and of all that wait ahead of them.
-    [[nodiscard]] std::chrono::microseconds estimateRoomWait(const room_forecast &forecast,
-                                                             std::uint64_t bytes,
-                                                             const stage_rank &rank) const;
     void updateSlowness(const active_call &call);
     void handleNoResults(active_call call, stage_call_end callEnd, std::vector<piece_outcome> &out);
     void handleResults(active_call call, const std::vector<piece_result> &results,
@@ -291,11 +190,12 @@
     bool m_waitsForLocalServer = true;
     bool m_usesResultRoom = true;
     std::vector<piece_task> m_waiting;
-    std::map<stage_rank, decaying_rate> m_arrivals;
-    std::map<stage_rank, decaying_rate> m_arrivingBytes; ///< of results that need room
     std::map<stage_call_id, active_call> m_calls;
-    std::map<server_start, server_state> m_servers;
+    call_servers m_servers;
     result_room m_room;
+    wait_estimator m_waits;
+    piece_order m_order;
+    piece_selector m_selector;
     stage_call_id m_lastCall = 0;
     double m_serverCount = 0; ///< of the last `expire`
     bool m_crowded = false; ///< pieces in time need more than one call of each server
@@ -304,17 +204,3 @@
 };
 
 } // namespace orchidlead::gateway
-
-template <>
-inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::stage_call_end>{
-    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
-        orchidlead::gateway::stage_call_end::Answered, "answered"},
-    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
-        orchidlead::gateway::stage_call_end::NotSent, "not_sent"},
-    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
-        orchidlead::gateway::stage_call_end::Withheld, "withheld"},
-    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
-        orchidlead::gateway::stage_call_end::NotRun, "not_run"},
-    orchidlead::enum_name<orchidlead::gateway::stage_call_end>{
-        orchidlead::gateway::stage_call_end::Broken, "broken"},
-};
--- a/src/gateway/stages/stage_pool_redirection.cpp
+++ b/src/gateway/stages/stage_pool_redirection.cpp
@@ -8,7 +8,7 @@
 std::vector<waiting_group> stage_pool::redirectableGroups(double servers)
 {
     const auto now = m_clock.now();
-    sortWaiting({}, now);
+    m_order.sort(m_waiting, {}, now);
     std::map<std::uint64_t, room_forecast> forecasts; // by size of a result
     std::uint64_t bytesWithRoom = 0; // of the pieces up to the group
     const auto forecastOf = [&](std::uint64_t bytes) -> const room_forecast & {
@@ -19,11 +19,11 @@
     };
     std::vector<waiting_group> groups;
     for (std::size_t begin = 0; begin < m_waiting.size();) {
-        const auto end = groupEnd(begin);
+        const auto end = groupEnd(m_waiting, begin);
         waiting_group group;
         for (; begin < end; ++begin) {
             const auto &job = m_waiting[begin];
-            bytesWithRoom += needsRoom(job.resultBytes) ? job.resultBytes : 0;
+            bytesWithRoom += m_waits.needsRoom(job.resultBytes) ? job.resultBytes : 0;
             // A piece that was in a call may have run.
             if (!job.mayBeRedirected || job.tries > 0)
                 continue;
@@ -37,10 +37,10 @@
         group.rank = last.rank;
         group.inputsIn = last.preferredDataCenter;
         group.softDeadlineLeft = std::chrono::duration_cast<milliseconds>(last.softDeadline - now);
-        auto wait = estimateWait(end, last.rank, servers);
-        if (needsRoom(last.resultBytes))
+        auto wait = m_waits.serverWait(end, last.rank, servers);
+        if (m_waits.needsRoom(last.resultBytes))
             wait = std::max(
-                wait, estimateRoomWait(forecastOf(last.resultBytes), bytesWithRoom, last.rank));
+                wait, m_waits.roomWait(forecastOf(last.resultBytes), bytesWithRoom, last.rank));
         group.wait = std::chrono::duration_cast<milliseconds>(wait);
         groups.push_back(std::move(group));
     }
@@ -78,9 +78,7 @@
     if (m_capacity.resultMemoryBytes > 0)
         load.freeResultBytes = 0;
     for (const auto &each : accepting) {
-        const auto found = m_servers.find(each->record.start());
-        const bool known = found != m_servers.end();
-        const bool idle = !known || (found->second.calls == 0 && found->second.pausedUntil <= now);
+        const bool idle = m_servers.isIdle(each->record.start());
         load.idleServers += idle && !each->cold(now) && each->avoidUntil <= now ? 1 : 0;
         if (m_capacity.resultMemoryBytes > 0)
             load.freeResultBytes += m_room.freeBytesAt(each->record.start());
