Bound the state that a new host of a placement board gets

Cause: each node sent `board_state` (64 parts) with its first request to a new host, so the cost of a change of hosts grew with the number of nodes.

Change: a node offers its report with its first request (`place_frame`, number of parts); the host asks for it in its answer (`placed_frame`) until the offers of the last 10 s contain 2,048 parts. `board_state_intake` decides, in the order of the first requests.

Open: nodes with few requests ask late, so the host learns slowly at 1,000 nodes with 240 requests per second in all, as before.

--- a/src/gateway/peers/board_state_frame.h
+++ b/src/gateway/peers/board_state_frame.h
@@ -8,7 +8,7 @@
 namespace orchidlead::gateway {
 
 /// Reports to a new host of a pool which engines the sender sent the shared parts of its recent
-/// prompts to. Sent before the first request of the pool.
+/// prompts to. Sent if the host asks for it in the answer to the first request of the pool.
 struct board_state_frame
 {
     pool_key pool;
--- a/src/gateway/peers/peer_frame_reader.cpp
+++ b/src/gateway/peers/peer_frame_reader.cpp
@@ -188,6 +188,8 @@
     place_frame frame;
     frame.id = in.read<placement_id>();
     frame.query = readQuery(in);
+    if (!in.atEnd()) // an older version doesn't offer its parts
+        frame.offeredParts = in.read<std::uint32_t>();
     return frame;
 }
 
@@ -261,6 +263,8 @@
         frame.repeated.cause = enumNames<prefill_cause>[cause - 1].value;
     frame.repeated.tokens = in.read<std::uint32_t>();
     frame.repeated.unkeptTokens = in.read<std::uint32_t>();
+    if (!in.atEnd())
+        frame.wantsParts = in.read<bool>();
     return frame;
 }
 
--- a/src/gateway/peers/peer_frame_writer.cpp
+++ b/src/gateway/peers/peer_frame_writer.cpp
@@ -168,14 +168,15 @@
 
 void pack(packer &out, const place_frame &frame)
 {
-    packKind(out, frame_kind::Place, 1 + QueryFields);
+    packKind(out, frame_kind::Place, 2 + QueryFields);
     out.pack(frame.id);
     packQuery(out, frame.query);
+    out.pack(frame.offeredParts);
 }
 
 void pack(packer &out, const placed_frame &frame)
 {
-    packKind(out, frame_kind::Placed, 7);
+    packKind(out, frame_kind::Placed, 8);
     out.pack(frame.id);
     out.pack(frame.server.value);
     packDuration(out, frame.wait);
@@ -185,6 +186,7 @@
     out.pack(repeated.cause ? static_cast<std::uint64_t>(*repeated.cause) + 1 : std::uint64_t{0});
     out.pack(repeated.tokens);
     out.pack(repeated.unkeptTokens);
+    out.pack(frame.wantsParts);
 }
 
 void pack(packer &out, const placement_progress_frame &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -70,6 +70,9 @@
 {
     placement_id id = 0; ///< chosen by the sender
     placement_query query;
+    /// Parts that the sender can report in a `board_state_frame`; 0 unless this is its first
+    /// request to the receiver for the pool.
+    std::uint32_t offeredParts = 0;
 };
 
 /// Answers a `place_frame`.
@@ -80,6 +83,7 @@
     milliseconds wait{0}; ///< as in `placement_result`
     bool allRateLimited = false;
     repeated_prefill repeated{}; ///< as in `placement_result`
+    bool wantsParts = false; ///< the receiver is to send the `board_state_frame` that it offered
 };
 
 /// Reports the progress of a request that the receiver placed.
--- a/src/gateway/placement/request_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -36,6 +36,7 @@
     , m_splitter(directory, EnginePoolSplitLimits)
     , m_reportsParts(!disabledPolicies.contains(policy::PromptHomesByHash))
     , m_recentParts(loop.clock())
+    , m_reportIntake(loop.clock())
 {
     if (disabledPolicies.contains(policy::SplitPools))
         m_splitter.disableSplitting();
@@ -62,26 +63,24 @@
     auto link = host == m_peers.self() ? nullptr : m_peers.linkTo(host);
     if (link)
         sendRateLimits(pool, link);
-    sendRecentParts(pool, link);
     return link;
 }
 
 // A new host doesn't know which engines keep which parts, and would have them read again. This node
-// may be the new host itself.
-void request_placer::sendRecentParts(const pool_key &pool, const link_ptr &link)
+// may be the new host itself. Another host asks for the parts if it needs them: if all nodes sent
+// them, a new host would get 4 MB from 1,000 nodes.
+std::uint32_t request_placer::partsToOffer(const pool_key &pool, const link_ptr &link)
 {
     if (!m_reportsParts)
-        return;
+        return 0;
     const auto [last, isFirst] = m_lastHosts.try_emplace(pool, link);
     if (!isFirst && std::exchange(last->second, link) == link)
-        return;
-    auto parts = m_recentParts.partsOf(pool);
-    if (parts.empty())
-        return;
+        return 0;
+    const auto parts = m_recentParts.partsOf(pool);
     if (link)
-        link->send(board_state_frame{pool, std::move(parts)});
-    else
-        m_board.learnParts(pool.service, parts);
+        return static_cast<std::uint32_t>(parts.size());
+    m_board.learnParts(pool.service, parts);
+    return 0;
 }
 
 milliseconds request_placer::hostTimeout(const pool_key &pool)
@@ -167,6 +166,7 @@
     entry.link = linkToHost(query.pool);
     entry.query = std::move(query);
     entry.placed = std::move(placed);
+    const auto offeredParts = partsToOffer(entry.query.pool, entry.link);
     if (!entry.link) {
         m_loop.post([this, id] {
             if (const auto found = m_pending.find(id); found != m_pending.end())
@@ -174,7 +174,7 @@
         });
         return id;
     }
-    entry.link->send(place_frame{id, entry.query});
+    entry.link->send(place_frame{id, entry.query, offeredParts});
     entry.timer = m_loop.callAfter(hostTimeout(entry.query.pool), [this, id] {
         const auto found = m_pending.find(id);
         if (found == m_pending.end())
@@ -230,9 +230,13 @@
 }
 
 // The host may choose a server that this node does not know yet, or that this node has removed.
-void request_placer::onPlaced(const placed_frame &frame)
+void request_placer::onPlaced(const link_ptr &link, const placed_frame &frame)
 {
     const auto found = m_pending.find(frame.id);
+    if (found != m_pending.end() && frame.wantsParts) {
+        const auto &pool = found->second.query.pool;
+        link->send(board_state_frame{pool, m_recentParts.partsOf(pool)});
+    }
     if (found == m_pending.end() || !found->second.placed)
         return;
     auto &entry = found->second;
@@ -298,7 +302,7 @@
     if (const auto *query = std::get_if<place_frame>(&frame))
         onPlaceRequest(link, *query);
     else if (const auto *placed = std::get_if<placed_frame>(&frame))
-        onPlaced(*placed);
+        onPlaced(link, *placed);
     else if (const auto *progress = std::get_if<placement_progress_frame>(&frame))
         onProgress(link, *progress);
     else if (const auto *asked = std::get_if<admission_request>(&frame))
@@ -318,8 +322,10 @@
     const auto server = placed.server ? placed.server->record.start() : server_start{};
     if (placed.server)
         m_hosted[link][frame.id] = {id, server};
-    link->send(
-        placed_frame{frame.id, server.id, placed.wait, placed.allRateLimited, placed.repeated});
+    const bool wantsParts =
+        m_reportsParts && m_reportIntake.accept(frame.query.pool, frame.offeredParts);
+    link->send(placed_frame{frame.id, server.id, placed.wait, placed.allRateLimited,
+                            placed.repeated, wantsParts});
 }
 
 void request_placer::onAdmissionRequest(const link_ptr &link, const admission_request &frame)
--- a/src/gateway/placement/request_placer.h
+++ b/src/gateway/placement/request_placer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/peers/peer_network.h"
+#include "gateway/placement/board_state_intake.h"
 #include "gateway/placement/placement_board.h"
 #include "gateway/placement/recent_prompt_parts.h"
 #include "gateway/servers/pool_splitter.h"
@@ -96,8 +97,9 @@
     void sendRateLimits(const pool_key &pool, const link_ptr &link);
     /// Continues without the host's answer; refuses a request for brittle servers.
     void onHostTimeout(placement_id id, pending_placement &entry);
-    /// Reports the parts of recent prompts to a host that may not know them.
-    void sendRecentParts(const pool_key &pool, const link_ptr &link);
+    /// Returns the number of recent parts to offer with a request to a host that may not know them;
+    /// 0 if the last request of the pool went to the same host.
+    [[nodiscard]] std::uint32_t partsToOffer(const pool_key &pool, const link_ptr &link);
     void placeLocally(placement_id id, pending_placement &entry);
     [[nodiscard]] placement_result placeOnBoard(placement_id id, const placement_query &query);
     /// Admits or refuses a request as the host of its pool.
@@ -109,7 +111,7 @@
     void recordAllRateLimited(const pool_key &pool, bool allRateLimited);
     void sendProgress(placement_id id, pending_placement &entry,
                       placement_progress_frame::event_type kind);
-    void onPlaced(const placed_frame &frame);
+    void onPlaced(const link_ptr &link, const placed_frame &frame);
     void onPlaceRequest(const link_ptr &link, const place_frame &frame);
     void onAdmissionRequest(const link_ptr &link, const admission_request &frame);
     void onProgress(const link_ptr &link, const placement_progress_frame &frame);
@@ -130,7 +132,8 @@
     std::map<pool_key, limits_recipient> m_limitsSentTo;
     bool m_reportsParts; ///< to new hosts of boards
     recent_prompt_parts m_recentParts;
-    /// The link to the host of each pool at the last request; null: this node.
+    board_state_intake m_reportIntake; ///< of the pools that this node hosts
+    /// The link to the host of each pool at the last placement; null: this node.
     std::map<pool_key, link_ptr> m_lastHosts;
     /// By link and id of the other node.
     std::map<link_ptr, std::unordered_map<placement_id, hosted_placement>> m_hosted;
--- a/tests/gateway/board_state_frame_test.cpp
+++ b/tests/gateway/board_state_frame_test.cpp
@@ -61,3 +61,16 @@
     REQUIRE(read);
     CHECK(std::get<placed_frame>(read.value()).repeated == frame.repeated);
 }
+
+// Guards against an offer that a host doesn't see, and against a host that never asks.
+TEST_CASE("a place frame keeps the offered parts, and a placed frame the request for them")
+{
+    const auto offer = decodeFrame(encodeFrame(place_frame{3, {}, 17}).substr(FrameHeaderBytes));
+    REQUIRE(offer);
+    CHECK(std::get<place_frame>(offer.value()).offeredParts == 17);
+    placed_frame frame{3, backend_server_id("e1")};
+    frame.wantsParts = true;
+    const auto answer = decodeFrame(encodeFrame(frame).substr(FrameHeaderBytes));
+    REQUIRE(answer);
+    CHECK(std::get<placed_frame>(answer.value()).wantsParts);
+}
