Have a hot part of prompts read by as many engines as its load needs

Cause: a part had one home engine. Others read it only when more than three requests waited at each engine that kept it, which in a burst is too late.

Change: `part_loads` averages, over 3 s, the time for which the requests with a part occupy an engine that keeps it (the learnt time of their own tokens). When it exceeds 0.16 of each engine that keeps the part and none of these is idle, the next engine in the rendezvous order that may be a home reads it. Policy `prompt_copies_by_rate`.

--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -51,6 +51,10 @@
 // several engines. With 2, 1.8 times as many tokens were read again in the burst of a hot prompt,
 // with 4 the time to the first token was longer than by cost alone.
 constexpr std::uint32_t MaxUnreadAtKeeper = 3;
+// Share of an engine's time that the requests with one shared part may take before another engine
+// reads the part too; the rest is left to other parts and to bursts. In the load of a hot prompt,
+// 0.12 and 0.25 led to more repeated tokens or later first tokens in a burst with crashes.
+constexpr double MaxPartLoadPerEngine = 0.16;
 // How long a board that knows no engine for a part is considered the cause: the parts of most
 // prompts return within this time.
 constexpr std::chrono::seconds NewBoardTime{10};
@@ -63,8 +67,10 @@
     , m_directory(directory)
     , m_learnsSpeeds(!disabledPolicies.contains(policy::ServerSpeeds))
     , m_usesHomes(!disabledPolicies.contains(policy::PromptHomesByHash))
+    , m_usesCopies(m_usesHomes && !disabledPolicies.contains(policy::PromptCopiesByRate))
     , m_pacer(clock)
     , m_lostParts(clock)
+    , m_partLoads(clock)
 { }
 
 void placement_board::setCapacity(const service_id &service, std::uint64_t tokens)
@@ -156,6 +162,8 @@
 {
     if (!m_usesHomes)
         return cheapest(servers, query, 0);
+    if (auto copy = copyFor(servers, query))
+        return copy;
     const auto shared = tokensOf(sharedParts(query.prompt));
     const auto kept = mostKept(servers, query, std::numeric_limits<std::uint32_t>::max());
     // Where most of the shared parts is kept, the engine that keeps it is the better start.
@@ -179,6 +187,37 @@
     return most;
 }
 
+// The request that has the part read again gets its first token later than those after it. It would
+// have waited at the engines that keep the part, as none of them is idle. Requests aren't withheld
+// from copies when the load decreases: the queues at the others cost more than the memory, and an
+// engine evicts a copy that isn't used.
+server_ptr placement_board::copyFor(const std::vector<server_ptr> &servers,
+                                    const placement_query &query)
+{
+    const auto shared = sharedParts(query.prompt);
+    const auto sharedTokens = tokensOf(shared);
+    if (!m_usesCopies || sharedTokens < MinHomeTokens)
+        return nullptr;
+    const auto ownTokens = static_cast<std::uint32_t>(
+        std::max<std::uint64_t>(1, tokensOf(query.prompt) - sharedTokens));
+    const auto load = m_partLoads.onRequest(query.pool.service, shared.back().id,
+                                            m_readTimes[query.pool.service].expected(ownTokens));
+    std::vector<server_ptr> others;
+    bool anyIdleKeeper = false;
+    for (const auto &each : servers) {
+        const auto &state = engineOf(*each);
+        if (state.parts.keptTokens(shared) < sharedTokens)
+            others.push_back(each);
+        else
+            anyIdleKeeper = anyIdleKeeper || state.unread == 0;
+    }
+    const auto keepers = servers.size() - others.size();
+    if (keepers == 0 || anyIdleKeeper
+        || load <= MaxPartLoadPerEngine * static_cast<double>(keepers))
+        return nullptr;
+    return homeFor(others, query);
+}
+
 // With one long prompt ahead, the time to the first token was a fifth longer in a burst than by
 // cost alone.
 server_ptr placement_board::homeFor(const std::vector<server_ptr> &servers,
--- a/src/gateway/placement/placement_board.h
+++ b/src/gateway/placement/placement_board.h
@@ -3,6 +3,7 @@
 #include "gateway/codec.h"
 #include "gateway/exchange/first_answer_model.h"
 #include "gateway/placement/engine_parts.h"
+#include "gateway/placement/part_loads.h"
 #include "gateway/placement/pool_admission.h"
 #include "gateway/placement/recent_prompt_parts.h"
 #include "gateway/placement/repeated_prefill.h"
@@ -73,7 +74,8 @@
 /// first token of its requests.
 ///
 /// Shared parts of prompts that no engine is known to keep go to their home engine, on which all
-/// boards agree. A part that an engine keeps is read again elsewhere only if that engine is busy.
+/// boards agree. A part that an engine keeps is read again elsewhere only if that engine is busy,
+/// earlier if the load of the part needs more engines.
 ///
 /// Rate-limited servers get requests evenly at the rate of their limits. If all servers are
 /// rate-limited, requests wait for their turn, and only as many are admitted as the limits allow.
@@ -144,6 +146,11 @@
     /// part is small or if all engines are busy.
     [[nodiscard]] server_ptr homeFor(const std::vector<server_ptr> &servers,
                                      const placement_query &query);
+    /// Returns the next home engine of the prompt's shared part if the load of the part needs more
+    /// engines than those that keep it, and all of these have requests without a first token. Null
+    /// otherwise, or if all other engines are busy.
+    [[nodiscard]] server_ptr copyFor(const std::vector<server_ptr> &servers,
+                                     const placement_query &query);
     /// Returns the most tokens of the shared parts that one of the servers keeps, of those with at
     /// most `maxUnread` requests without a first token.
     [[nodiscard]] std::uint64_t mostKept(const std::vector<server_ptr> &servers,
@@ -192,6 +199,7 @@
     const server_directory &m_directory;
     bool m_learnsSpeeds;
     bool m_usesHomes;
+    bool m_usesCopies;
     std::unordered_map<service_id, std::uint64_t> m_capacities;
     std::unordered_map<service_id, first_answer_model>
         m_readTimes; ///< by tokens until the first one
@@ -201,6 +209,7 @@
     std::uint64_t m_knownChanges = 0; ///< of the directory, when ended engines were forgotten last
     std::unordered_map<placement_id, placement> m_placements;
     lost_parts m_lostParts;
+    part_loads m_partLoads;
     std::map<pool_key, steady_time> m_firstPlacements; ///< by this board
 };
 
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -24,6 +24,7 @@
     RetryTurns, ///< capacity is reserved for the return of refused requests
     PieceRedirection, ///< waiting pieces move to less loaded pools of their service
     PromptHomesByHash, ///< a shared part of prompts has engines that all boards agree on
+    PromptCopiesByRate, ///< a shared part is read by as many engines as its rate needs
 };
 
 /// The disabled policies.
@@ -61,4 +62,6 @@
         orchidlead::gateway::policy::PieceRedirection, "piece_redirection"},
     orchidlead::enum_name<orchidlead::gateway::policy>{
         orchidlead::gateway::policy::PromptHomesByHash, "prompt_homes_by_hash"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{
+        orchidlead::gateway::policy::PromptCopiesByRate, "prompt_copies_by_rate"},
 };
