State the traced reason for the limit on requests at an engine

Cause: attributes repeated reads in a burst with crashes to requests that wait for a lost part at its new home.

Change: comments only.

--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -37,8 +37,8 @@
 // Cost of each token that an engine reads although another one keeps it, beside the time to read
 // it: the results of the request wait meanwhile and occupy result storage, and the engine reads the
 // prompts of others later. With 1.0, a request waits behind one other prompt of the same size at
-// the engine that keeps its parts, but not behind two. With 0.5, four times as many of the tokens
-// that another engine kept were read again in a burst, and first tokens came later.
+// the engine that keeps its parts, but not behind two. With 0.5, three to seven times as many of
+// the tokens that another engine kept were read again in a burst, and first tokens came later.
 constexpr double RepeatedReadCost = 1.0;
 // Fewest tokens for which a home engine is chosen. Fewer are read in about 30 ms, less than the
 // wait for one engine in particular.
@@ -49,8 +49,8 @@
 constexpr double MaxHomeTimeFactor = 1.25;
 // Most requests without a first token at an engine that keeps shared parts for reading them again
 // elsewhere to cost more than its time. An engine with more of them keeps a part whose rate needs
-// several engines. With 3, the requests that wait for a crashed engine's parts at their new home
-// had these parts read a third time.
+// several engines. With 3, engines with requests for several parts of moderate rates had more of
+// them in a burst: three times as many of the tokens that another engine kept were read again.
 constexpr std::uint32_t MaxUnreadAtKeeper = 6;
 // Share of an engine's time that the requests with one shared part may take before another engine
 // reads the part too; the rest is left to other parts and to bursts. In the load of a hot prompt,
