Choose home engines in the data centre of large inputs

Cause: in a pool that spans data centres, the home engine of a part was drawn among all engines, so that each request with the part had its inputs moved.

Change: if moving the inputs costs as much as a running stream (100 prompt tokens, 0.4 MB), the home engine is the first in the rendezvous order of the data centre of the inputs. If no engine there may be the home, the request is placed by cost, which contains the inputs; if the data centre has no engine, the home is drawn among all. A part that an engine keeps stays there.

--- a/src/gateway/placement/placement_board.cpp
+++ b/src/gateway/placement/placement_board.cpp
@@ -21,6 +21,10 @@
 // Cost of moving inputs to another data centre, in prompt tokens per byte: moving a megabyte costs
 // about as much as reading 260 tokens again.
 constexpr double TransferCostPerByte = 260e-6;
+// Least cost of moving the inputs of a request, in prompt tokens, for its home engine to be in
+// their data centre: that of a running stream, reached at 0.4 MB. Results of later stages have 6 to
+// 60 kB, those of first stages 3 MB.
+constexpr double MinLocalHomeCost = RunningStreamCost;
 // Any other server is preferred to an avoided one.
 constexpr double AvoidedCost = 1e9;
 // Placements whose end was never reported are dropped after this time, longer than any request
@@ -60,6 +64,11 @@
 // prompts return within this time.
 constexpr std::chrono::seconds NewBoardTime{10};
 
+double transferCost(const placement_query &query)
+{
+    return TransferCostPerByte * static_cast<double>(query.transferBytes);
+}
+
 } // namespace
 
 placement_board::placement_board(const clock_source &clock, const server_directory &directory,
@@ -107,7 +116,7 @@
     cost *= timeFactorOf(backend, state);
     if (!query.preferredDataCenter.empty()
         && backend.record.dataCenter != query.preferredDataCenter)
-        cost += TransferCostPerByte * static_cast<double>(query.transferBytes);
+        cost += transferCost(query);
     if (backend.avoidUntil > m_clock.now())
         cost += AvoidedCost;
     return cost;
@@ -224,12 +233,26 @@
 server_ptr placement_board::homeFor(const std::vector<server_ptr> &servers,
                                     const placement_query &query)
 {
-    const auto order = homeOrder(sharedParts(query.prompt).back().id, servers);
+    const auto order = homeOrder(sharedParts(query.prompt).back().id, nearInputs(servers, query));
     const auto found = std::ranges::find_if(
         order, [&](const server_ptr &each) { return mayBeHome(*each, query); });
     return found == order.end() ? nullptr : *found;
 }
 
+// A part whose requests have inputs in several data centres is read in one of them alone while its
+// engine there isn't busy: the engine that keeps the part has the lower cost.
+std::vector<server_ptr> placement_board::nearInputs(const std::vector<server_ptr> &servers,
+                                                    const placement_query &query)
+{
+    if (query.preferredDataCenter.empty() || transferCost(query) < MinLocalHomeCost)
+        return servers;
+    auto local = servers;
+    std::erase_if(local, [&](const server_ptr &each) {
+        return each->record.dataCenter != query.preferredDataCenter;
+    });
+    return local.empty() ? servers : local;
+}
+
 bool placement_board::mayBeHome(const server &backend, const placement_query &query)
 {
     const auto &state = engineOf(backend);
--- a/src/gateway/placement/placement_board.h
+++ b/src/gateway/placement/placement_board.h
@@ -142,6 +142,10 @@
     /// Returns whether a home engine may read the prompt: it isn't avoided, slow, reading a long
     /// prompt or full, and evicts no other parts for it.
     [[nodiscard]] bool mayBeHome(const server &backend, const placement_query &query);
+    /// Returns the servers in the data centre of the request's inputs if the inputs are large and
+    /// the data centre has any; otherwise all.
+    [[nodiscard]] static std::vector<server_ptr> nearInputs(const std::vector<server_ptr> &servers,
+                                                            const placement_query &query);
     /// Returns the first home engine of the prompt's shared part that may read it. Null if the
     /// part is small or if all engines are busy.
     [[nodiscard]] server_ptr homeFor(const std::vector<server_ptr> &servers,
