Serve granted pieces that would end late after those in time

The pool considered a piece in time by the fixed time of a call (200 ms), where a place is granted for a begin that leaves time for a full call (368 ms): a piece that would end late went ahead of others and made them late too. Second, each report of a wait let a node send the pieces of another full call unasked, though the pieces sent before had not reached the pool yet; most discarded work was of the first second of the burst. A reserved piece that would end late in the next call is served after those in time; it is dropped as before. Unasked pieces count beyond a report while they are younger than 700 ms, as it can't include them.

--- a/src/gateway/admission/unasked_allowance.cpp
+++ b/src/gateway/admission/unasked_allowance.cpp
@@ -1,5 +1,7 @@
 #include "gateway/admission/unasked_allowance.h"
 
+#include <algorithm>
+
 namespace orchidlead::gateway {
 
 namespace {
@@ -8,12 +10,24 @@
 // that much meanwhile.
 constexpr milliseconds RecentReport{300};
 
+// Age of pieces from which on a report includes them: they have arrived at the pool, after two
+// calls of 280 ms in the stages before and a short wait. Younger ones count beyond the report.
+// Otherwise each report of a burst would let in the pieces of another full call before the pool
+// knows of the former ones.
+constexpr milliseconds TransitTime{700};
+
 } // namespace
 
 void unasked_allowance::onReportedWait(const pool_key &pool, const stage_rank &rank,
                                        milliseconds wait)
 {
-    m_reports[{pool, rank}] = {wait, m_clock.now()};
+    auto &report = m_reports[{pool, rank}];
+    report.wait = wait;
+    report.at = m_clock.now();
+    std::erase_if(report.unasked,
+                  [&](const unasked_request &each) { return report.at - each.at > TransitTime; });
+    for (auto &each : report.unasked)
+        each.reported = true;
 }
 
 // A recent report allows the pieces of a full call. After an older one, or none at all, the pieces
@@ -26,11 +40,22 @@
     if (report.wait >= wanted.callTime && !isNew)
         return false;
     const bool isRecent = !isNew && m_clock.now() - report.at <= RecentReport;
-    const bool fits = report.unaskedPieces + wanted.pieces <= wanted.maxPiecesPerCall;
-    if (report.unaskedPieces > 0 && !(isRecent && fits))
+    const auto unasked = countUnasked(report, wanted);
+    const bool fits = unasked + wanted.pieces <= wanted.maxPiecesPerCall;
+    if (unasked > 0 && !(isRecent && fits))
         return false;
-    report.unaskedPieces += wanted.pieces;
+    report.unasked.push_back({wanted.pieces, m_clock.now()});
     return true;
 }
 
+// Each report lets at least one piece go unasked, whatever is in transit.
+std::uint32_t unasked_allowance::countUnasked(const pool_report &report, const demand &wanted)
+{
+    std::uint32_t inTransit = 0;
+    std::uint32_t sinceReport = 0;
+    for (const auto &each : report.unasked)
+        (each.reported ? inTransit : sinceReport) += each.pieces;
+    return sinceReport + std::min(inTransit, std::max(1U, wanted.maxPiecesPerCall) - 1);
+}
+
 } // namespace orchidlead::gateway
--- a/src/gateway/admission/unasked_allowance.h
+++ b/src/gateway/admission/unasked_allowance.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace orchidlead::gateway {
 
@@ -16,7 +17,8 @@
 ///
 /// The host reports the wait of the pool with each outcome of a piece. A pool whose last reported
 /// wait is shorter than a call needs no admission, but only a limited number of pieces goes there
-/// unasked until the next report: in a burst the wait grows before a report says so.
+/// unasked until the next report: in a burst the wait grows before a report says so. Pieces that
+/// have not arrived at the pool yet, as the stages before take time, count beyond a report.
 class unasked_allowance
 {
 public:
@@ -38,13 +40,23 @@
     [[nodiscard]] bool tryUse(const pool_key &pool, const stage_rank &rank, const demand &wanted);
 
 private:
+    struct unasked_request
+    {
+        std::uint32_t pieces = 0;
+        steady_time at;
+        bool reported = false; ///< a report came since, which may not include them
+    };
     struct pool_report
     {
         milliseconds wait{0};
         steady_time at;
-        std::uint32_t unaskedPieces = 0; ///< since the report
+        std::vector<unasked_request> unasked; ///< that the last report may not include
     };
 
+    /// Returns how many unasked pieces count beside the last report.
+    [[nodiscard]] static std::uint32_t countUnasked(const pool_report &report,
+                                                    const demand &wanted);
+
     const clock_source &m_clock;
     std::map<std::pair<pool_key, stage_rank>, pool_report> m_reports;
 };
--- a/src/gateway/stages/piece_order.cpp
+++ b/src/gateway/stages/piece_order.cpp
@@ -16,19 +16,33 @@
 // time of a call alone.
 bool piece_order::isLate(const piece_task &job, steady_time now) const
 {
-    return job.softDeadline < now + m_callOverhead;
+    return job.softDeadline < now + m_capacity.callOverhead;
+}
+
+steady_time piece_order::nextCallEnd(std::size_t waiting, steady_time now) const
+{
+    const auto pieces = std::min<std::size_t>(waiting, m_capacity.maxPiecesPerCall);
+    return now + m_capacity.callOverhead + m_capacity.timePerPiece * static_cast<int>(pieces);
+}
+
+// The place was granted for a begin that leaves time for a full call. A piece that misses it by a
+// part of a call isn't dropped, but served after the pieces that can be in time: ahead of these, it
+// would end late and make some of them late too.
+bool piece_order::missesPlace(const piece_task &job, steady_time callEnd)
+{
+    return job.reserved && job.softDeadline < callEnd;
 }
 
 bool piece_order::precedes(const piece_task &a, const piece_task &b, const data_center_id &at,
-                           steady_time now) const
+                           steady_time now, steady_time callEnd) const
 {
     const auto due = [&](const piece_task &job) {
         const bool remote =
             !at.empty() && !job.preferredDataCenter.empty() && job.preferredDataCenter != at;
         return job.softDeadline + (remote ? RemoteInputPenalty : milliseconds{0});
     };
-    const bool lateA = isLate(a, now);
-    const bool lateB = isLate(b, now);
+    const bool lateA = isLate(a, now) || missesPlace(a, callEnd);
+    const bool lateB = isLate(b, now) || missesPlace(b, callEnd);
     if (lateA != lateB)
         return lateB;
     if (a.rank != b.rank)
@@ -42,8 +56,9 @@
 void piece_order::sort(std::vector<piece_task> &waiting, const data_center_id &at,
                        steady_time now) const
 {
+    const auto callEnd = nextCallEnd(waiting.size(), now);
     const auto isBefore = [&](const piece_task &a, const piece_task &b) {
-        return precedes(a, b, at, now);
+        return precedes(a, b, at, now, callEnd);
     };
     if (!std::ranges::is_sorted(waiting, isBefore))
         std::ranges::stable_sort(waiting, isBefore);
--- a/src/gateway/stages/piece_order.h
+++ b/src/gateway/stages/piece_order.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/publication/configuration.h"
 #include "gateway/stages/piece_task.h"
 
 #include <cstddef>
@@ -12,18 +13,21 @@
 class piece_order
 {
 public:
-    /// Sets the fixed time of a call.
-    void setCallOverhead(milliseconds overhead) { m_callOverhead = overhead; }
+    void setCapacity(const stage_capacity &capacity) { m_capacity = capacity; }
     [[nodiscard]] bool isLate(const piece_task &job, steady_time now) const;
+    /// Returns when a call that starts now ends if this number of pieces waits for it.
+    [[nodiscard]] steady_time nextCallEnd(std::size_t waiting, steady_time now) const;
+    /// Returns whether a piece with a reservation would be late if its call ended at `callEnd`.
+    [[nodiscard]] static bool missesPlace(const piece_task &job, steady_time callEnd);
     /// Returns whether `a` precedes `b` at time `now`, for a server in the data centre `at`; if
-    /// `at` is empty, for a server anywhere.
+    /// `at` is empty, for a server anywhere. `callEnd` is the end of the next call.
     [[nodiscard]] bool precedes(const piece_task &a, const piece_task &b, const data_center_id &at,
-                                steady_time now) const;
+                                steady_time now, steady_time callEnd) const;
     /// Sorts waiting pieces by `precedes`.
     void sort(std::vector<piece_task> &waiting, const data_center_id &at, steady_time now) const;
 
 private:
-    milliseconds m_callOverhead{0};
+    stage_capacity m_capacity;
 };
 
 /// Returns the end of the run of waiting pieces of the same request and stage from `begin` on.
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -50,7 +50,7 @@
 {
     m_capacity = capacity;
     m_waits.setCapacity(capacity);
-    m_order.setCallOverhead(capacity.callOverhead);
+    m_order.setCapacity(capacity);
     m_selector.setMaxPieces(capacity.maxPiecesPerCall);
     m_room.setLimits(capacity.resultMemoryBytes, capacity.resultLifetime);
     m_room.setInitialHold(fullCallTime() + InitialAnswerTime);
@@ -88,9 +88,10 @@
         return std::nullopt;
     m_room.dropExpired();
     const auto now = m_clock.now();
+    const auto callEnd = m_order.nextCallEnd(m_waiting.size(), now);
     const auto first =
         std::ranges::min_element(m_waiting, [&](const piece_task &a, const piece_task &b) {
-            return m_order.precedes(a, b, {}, now);
+            return m_order.precedes(a, b, {}, now, callEnd);
         });
     m_dataCenters.clear();
     for (const auto &each : servers)
@@ -287,8 +288,9 @@
     const auto now = m_clock.now();
     std::size_t ahead = 0;
     std::uint64_t bytes = resultBytes;
+    const auto callEnd = m_order.nextCallEnd(m_waiting.size(), now);
     for (const auto &job : m_waiting) {
-        if (rank < job.rank || m_order.isLate(job, now))
+        if (rank < job.rank || m_order.isLate(job, now) || piece_order::missesPlace(job, callEnd))
             continue;
         ++ahead;
         bytes += m_waits.needsRoom(job.resultBytes) ? job.resultBytes : 0;
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -626,6 +626,28 @@
     CHECK(second[0].token == reserved);
 }
 
+// Guards against a granted piece that ends late and makes the pieces behind it late too.
+TEST_CASE("a reserved piece that would end late in the next call gives way to pieces in time")
+{
+    const auto fullCall = milliseconds{200} + 4 * milliseconds{10};
+    const auto firstCallAfter = [&](milliseconds missed) {
+        pool_fixture w;
+        piece_task job;
+        job.request.attempt = "reserved";
+        job.rank.priority = 1;
+        job.softDeadline = w.clock.now() + fullCall - missed;
+        job.deadline = w.clock.now() + milliseconds{5000};
+        job.reserved = true;
+        w.pool.submit(job);
+        for (std::uint32_t i = 0; i < 4; ++i)
+            w.submit("in time" + std::to_string(i), 0, 2 * fullCall);
+        CHECK(w.pool.expire(1).empty());
+        return requestsOf(*w.pool.nextCall(w.servers)).front();
+    };
+    CHECK(firstCallAfter(milliseconds{0}) == "reserved");
+    CHECK(firstCallAfter(milliseconds{1}) == "in time0");
+}
+
 TEST_CASE("a later-stage piece is dropped when the queue makes it late, but needs no spare time")
 {
     // Eight urgent pieces take 0.63 s, including the expected arrivals of more. A new piece must
--- a/tests/gateway/unasked_allowance_test.cpp
+++ b/tests/gateway/unasked_allowance_test.cpp
@@ -46,6 +46,23 @@
     CHECK(f.tryUse(1));
 }
 
+// Guards against a burst in which each report lets in a full call, although the pieces that went
+// before are still in the stages ahead and no report can include them.
+TEST_CASE("pieces that have not arrived yet count beyond the next report")
+{
+    allowance_fixture f;
+    f.report(milliseconds{0});
+    CHECK(f.tryUse(4));
+    f.clock.advance(milliseconds{100});
+    f.report(milliseconds{0});
+    CHECK(f.tryUse(4));
+    f.report(milliseconds{0});
+    CHECK_FALSE(f.tryUse(4));
+    f.clock.advance(milliseconds{601}); // the first ones have arrived
+    f.report(milliseconds{0});
+    CHECK(f.tryUse(4));
+}
+
 TEST_CASE("only one request goes unasked after the last report has become old")
 {
     allowance_fixture f;
