Compute the pieces of overdue stage calls a second time

A server that hangs keeps the pieces of its call until the call times out, 2.5 times the expected time and 300 ms after its start.

Policy `second_calls`, on by default. A call is overdue at 1.5 times its nominal time at the usual speed of its server: the median of that server's last 9 calls, at least 1. The moving average isn't used, as one slow call raises it by almost half and hides the next one. A hedged call is made only while no piece waits, to an idle server with storage that isn't avoided, cold, rate-limited or brittle; at most one for each call, 5 % of the calls of 10 s, charged to the retry budget; only for pieces that it ends in time and whose route may be repeated (new last field of `submit_piece_frame`; absent: not repeated). The first result counts, the other one is returned without a token and freed. When one of the two calls fails, the other is the piece's only call. Log events `hedged_call` and `hedged_call_ended`, counter `orchidlead_gateway_hedged_pieces_total`.

A call isn't hedged while its pieces have more than a quarter of a call to spare.

Ruled out: an expected time by the moving average; hedging at the overdue time without regard to the time left; reserves of 0, 0.5 and 1 calls.

--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -370,6 +370,7 @@
         job.deadline = m_deadline - m_timesAfterStages[stage];
         job.inputBytes = each.inputBytes;
         job.resultBytes = m_route->stages[stage].resultBytes;
+        job.mayBeHedged = m_route->repeatable();
         job.request = std::move(each.request);
         job.request.digest = m_digest;
         const auto inputsIn = job.request.inputs.empty()
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -181,6 +181,7 @@
     m_stages.setWaitsForLocalServer(
         !m_settings.disabledPolicies.contains(policy::WaitForLocalServer));
     m_stages.setUsesResultRoom(!m_settings.disabledPolicies.contains(policy::ResultRoom));
+    m_stages.setHedgesCalls(!m_settings.disabledPolicies.contains(policy::SecondCalls));
     m_stages.setQuarantineCallbacks(
         m_context.onConnectionBroken, [this](const request_digest &request) {
             return m_quarantine.statusOf(request).level == quarantine_level::Unrestricted;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -109,6 +109,12 @@
          "Pieces redirected between the pools of a service, by service and event",
          {"service", "event"},
          MaxServices *enumNames<redirection_event>.size()}};
+    wire::counter_family hedgedPieces{
+        registry,
+        {"orchidlead_gateway_hedged_pieces_total",
+         "Pieces of overdue stage calls that were computed a second time, by service and event",
+         {"service", "event"},
+         MaxServices *enumNames<hedge_event>.size()}};
     wire::gauge_family waitingPieces{registry,
                                      {"orchidlead_gateway_stage_waiting_pieces",
                                       "Pieces that wait for a call here, by service",
@@ -256,6 +262,13 @@
     m_families->redirections.at({service.value, toLabel(toName(kind))}).Increment(pieces);
 }
 
+void gateway_metrics::onHedgedPieces(const service_id &service, hedge_event event,
+                                     std::size_t pieces)
+{
+    m_families->hedgedPieces.at({service.value, toLabel(toName(event))})
+        .Increment(static_cast<double>(pieces));
+}
+
 std::string gateway_metrics::text(const gateway_gauges &gauges)
 {
     m_families->set("ready", gauges.ready ? 1 : 0);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -96,6 +96,8 @@
     void onPoolDecision(const service_id &service, const customer_id &customer, pool_time cost,
                         refusal_cause cause);
     void onRedirected(const service_id &service, redirection_event kind, std::uint32_t pieces);
+    /// Records pieces of hedged calls.
+    void onHedgedPieces(const service_id &service, hedge_event event, std::size_t pieces);
 
     [[nodiscard]] std::string text(const gateway_gauges &gauges);
 
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -26,6 +26,8 @@
     PiecesFailed, ///< pieces of a stage call that have no result
     PiecesGivenUp, ///< pieces of one request's stage that a host dropped, and what displaced them
     PiecesRedirected, ///< waiting pieces were sent to a less loaded pool of their service
+    HedgedCall, ///< pieces of an overdue stage call were sent to a second server
+    HedgedCallEnded, ///< what became of these pieces
     StagePool, ///< summary of a pool over one second
     StageHostChanged, ///< another node now hosts a service's pool
     StageHostLost, ///< a host ended or stopped responding
@@ -94,6 +96,10 @@
         orchidlead::gateway::log_event::PiecesGivenUp, "pieces_given_up"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::PiecesRedirected, "pieces_redirected"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::HedgedCall, "hedged_call"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::HedgedCallEnded, "hedged_call_ended"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{orchidlead::gateway::log_event::StagePool,
                                                           "stage_pool"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/peers/frames/piece_codec.cpp
+++ b/src/gateway/peers/frames/piece_codec.cpp
@@ -11,7 +11,7 @@
 
 void pack(packer &out, const submit_piece_frame &frame)
 {
-    packKind(out, frame_kind::SubmitPiece, 21);
+    packKind(out, frame_kind::SubmitPiece, 22);
     out.pack(frame.token);
     packPool(out, frame.pool);
     out.pack(frame.request.attempt);
@@ -30,6 +30,7 @@
     out.pack(frame.redirectedFrom.value);
     out.pack(frame.submitter.vm.value);
     out.pack(frame.submitter.start);
+    out.pack(frame.mayBeHedged);
 }
 
 void read(field_reader &in, submit_piece_frame &frame)
@@ -56,6 +57,8 @@
         frame.submitter.vm = in.id<vm_id>();
     if (!in.atEnd()) // an older version doesn't state its start
         frame.submitter.start = in.read<incarnation>();
+    if (!in.atEnd())
+        frame.mayBeHedged = in.read<bool>();
 }
 
 void pack(packer &out, const cancel_piece_frame &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -42,6 +42,7 @@
     bool mayBeRedirected = false; ///< the receiver may answer `piece_failure::Redirected`
     data_center_id redirectedFrom; ///< of the pool that redirected the piece; empty: none did
     peer_process submitter; ///< the sender
+    bool mayBeHedged = false; ///< the receiver may have the piece computed twice
 };
 
 /// Cancels a piece that the sender no longer needs.
--- a/src/gateway/stages/piece_task.h
+++ b/src/gateway/stages/piece_task.h
@@ -43,6 +43,7 @@
     /// The piece may move to another pool if no server is reachable. Not sent to the host.
     bool mayChangePool = false;
     bool mayBeRedirected = false; ///< to another pool of the service, while it waits
+    bool mayBeHedged = false; ///< its request may be repeated
     data_center_id redirectedFrom; ///< of the pool that redirected it; empty: none did
 };
 
@@ -54,6 +55,8 @@
     std::vector<piece_request> pieces;
     milliseconds timeout{0};
     milliseconds longestWait{0}; ///< of its pieces, before the call
+    server_ptr overdueServer; ///< of a hedged call: the server whose call is overdue
+    milliseconds overdueAge{0}; ///< of a hedged call: the time since the overdue one began
 };
 
 /// Final result of a piece.
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -40,6 +40,10 @@
     /// pools that are created later.
     void setUsesResultRoom(bool uses) { m_usesResultRoom = uses; }
 
+    /// Sets whether pools make hedged calls (policy `SecondCalls`). Affects only pools that are
+    /// created later.
+    void setHedgesCalls(bool hedges) { m_hedgesCalls = hedges; }
+
     /// Sets the callbacks of the request quarantine. `onConnectionBroken` is called when a
     /// connection broke while a server had a piece of the request; `mayRetry` returns whether such
     /// a piece may be tried on another server.
@@ -142,6 +146,9 @@
     /// its time for which this node may send it calls.
     [[nodiscard]] double effectiveServerCount(const pool_key &key);
     void startCall(const pool_key &key, const stage_call &call);
+    /// Logs and counts the start of a hedged call, and what became of its pieces at the end.
+    void recordHedgeStart(const pool_key &key, const stage_call &call);
+    void recordHedgeEnd(const pool_key &key, const stage_call &call, const hedge_counts &counts);
     void onCallEnd(const std::shared_ptr<active_call> &active, http::call_end httpEnd);
     /// Ends the calls for which the predicate is true, as if they had timed out.
     template <class Predicate>
@@ -171,6 +178,7 @@
     configuration_ptr m_configuration;
     bool m_waitsForLocalServer = true;
     bool m_usesResultRoom = true;
+    bool m_hedgesCalls = true;
     std::function<void(const server &, const std::vector<crash_subject> &)> m_onBroken;
     std::function<bool(const request_digest &)> m_mayRetry;
     std::function<double(const pool_key &)> m_rateShare;
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -46,6 +46,7 @@
         entry = std::make_unique<stage_pool>(m_loop.clock(), key.service, m_retryBudget);
         entry->setWaitsForLocalServer(m_waitsForLocalServer);
         entry->setUsesResultRoom(m_usesResultRoom);
+        entry->setHedgesCalls(m_hedgesCalls);
         entry->setMayRetry(m_mayRetry);
         const auto *spec = m_configuration ? m_configuration->findService(key.service) : nullptr;
         if (spec && spec->stage)
@@ -199,7 +200,7 @@
         deliver(pool.failAll(*reason));
     redirectPieces(key);
     deliver(pool.expire(effectiveServerCount(key)));
-    auto wake = removePacedServers(key, servers);
+    const auto paced = removePacedServers(key, servers);
     while (const auto call = pool.nextCall(servers)) {
         m_pacer.onSent(*call->server, rateShareOf(key));
         startCall(key, *call);
@@ -209,10 +210,9 @@
     m_loop.cancelTimer(std::exchange(m_wakeupTimers[key], 0));
     if (m_redirection)
         m_redirection->onDispatched(key, pool.waiting(), pool.capacity().maxPiecesPerCall);
-    if (pool.waiting() == 0)
-        return;
-    if (const auto next = pool.wakeAt())
-        wake = std::min(wake.value_or(*next), *next);
+    auto wake = pool.wakeAt();
+    if (paced && pool.waiting() > 0 && (!wake || *paced < *wake))
+        wake = paced;
     if (wake) {
         const auto delay = std::chrono::ceil<std::chrono::microseconds>(*wake - m_loop.now());
         m_wakeupTimers[key] = m_loop.callAfter(delay, [this, key] { dispatch(key); });
@@ -264,6 +264,8 @@
     active->stageCall = call;
     active->startedAt = m_loop.now();
     m_activeCalls.insert(active);
+    if (call.overdueServer)
+        recordHedgeStart(key, call);
     http::outbound_call outbound;
     outbound.body = Codec::writePieces(call.pieces);
     outbound.writeHead = [this, call, active,
@@ -379,9 +381,41 @@
          std::chrono::duration_cast<milliseconds>(m_loop.now() - active.startedAt)});
     logFailedPieces(key, call, results);
     deliver(poolOf(key).onEnd(call.id, end, results));
+    if (call.overdueServer)
+        recordHedgeEnd(key, call, poolOf(key).takeHedgeCounts());
     dispatch(key);
 }
 
+template <gateway_codec Codec>
+void stage_host<Codec>::recordHedgeStart(const pool_key &key, const stage_call &call)
+{
+    m_metrics.onHedgedPieces(key.service, hedge_event::Started, call.pieces.size());
+    m_log.write(wire::log_level::Info,
+                m_log.line(wire::log_level::Info, toName(log_event::HedgedCall))
+                    .add("service", key.service.value)
+                    .add("server", call.server->record.id.value)
+                    .add("overdue_server", call.overdueServer->record.id.value)
+                    .add("overdue_age_ms", call.overdueAge.count())
+                    .add("pieces", call.pieces.size()));
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::recordHedgeEnd(const pool_key &key, const stage_call &call,
+                                       const hedge_counts &counts)
+{
+    m_metrics.onHedgedPieces(key.service, hedge_event::Used, counts.used);
+    m_metrics.onHedgedPieces(key.service, hedge_event::Freed, counts.freed);
+    m_metrics.onHedgedPieces(key.service, hedge_event::Failed, counts.failed);
+    m_log.write(wire::log_level::Info,
+                m_log.line(wire::log_level::Info, toName(log_event::HedgedCallEnded))
+                    .add("service", key.service.value)
+                    .add("server", call.server->record.id.value)
+                    .add("overdue_server", call.overdueServer->record.id.value)
+                    .add("used", counts.used)
+                    .add("freed", counts.freed)
+                    .add("failed", counts.failed));
+}
+
 template <gateway_codec Codec>
 void stage_host<Codec>::logFailedPieces(const pool_key &key, const stage_call &call,
                                         const std::vector<piece_result> &results)
@@ -433,6 +467,7 @@
         if (!key.dataCenter.empty())
             line.add("data_center", key.dataCenter.value);
         line.add("open", pool->activeCallCount()).add("waiting", pool->waiting());
+        line.add("hedged", summary.hedgedCalls);
         line.add("without_room", summary.withoutRoom);
         line.add("held_bytes", pool->room().totalHeldBytes());
         line.add("hold_ms", std::chrono::duration_cast<milliseconds>(pool->holdTime()).count());
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -40,6 +40,7 @@
     : m_clock(clock)
     , m_service(std::move(service))
     , m_retryBudget(retryBudget)
+    , m_hedges(clock)
     , m_servers(clock)
     , m_room(clock)
     , m_waits(clock, m_room)
@@ -74,15 +75,16 @@
 void stage_pool::withdraw(piece_token token)
 {
     std::erase_if(m_waiting, [&](const piece_task &job) { return job.token == token; });
-    for (auto &[id, call] : m_calls) {
-        for (auto &job : call.jobs) {
-            if (job.token == token)
-                job.token = 0;
-        }
-    }
+    m_calls.withdraw(token);
 }
 
 std::optional<stage_call> stage_pool::nextCall(const std::vector<server_ptr> &servers)
+{
+    auto call = nextWaitingCall(servers);
+    return call ? std::move(call) : nextHedgedCall(servers);
+}
+
+std::optional<stage_call> stage_pool::nextWaitingCall(const std::vector<server_ptr> &servers)
 {
     if (m_waiting.empty())
         return std::nullopt;
@@ -113,6 +115,19 @@
 }
 
 stage_call stage_pool::makeCall(const server_ptr &chosen, std::vector<piece_task> jobs)
+{
+    const auto now = m_clock.now();
+    m_hedges.onCall();
+    for (const auto &job : jobs) {
+        auto &rank = m_summary.ranks[job.rank.priority];
+        ++rank.pieces;
+        rank.totalWait += std::chrono::duration_cast<milliseconds>(now - job.submittedAt);
+    }
+    return startCall(chosen, std::move(jobs), now);
+}
+
+stage_call stage_pool::startCall(const server_ptr &chosen, std::vector<piece_task> jobs,
+                                 steady_time waitEnd)
 {
     active_call call;
     call.server = chosen;
@@ -123,16 +138,12 @@
     ++m_summary.calls;
 
     stage_call stageCall;
-    stageCall.id = ++m_lastCall;
     stageCall.server = chosen;
     for (auto &job : call.jobs) {
         ++job.tries;
-        auto &rank = m_summary.ranks[job.rank.priority];
-        ++rank.pieces;
-        const auto waited =
-            std::chrono::duration_cast<milliseconds>(call.startedAt - job.submittedAt);
-        rank.totalWait += waited;
-        stageCall.longestWait = std::max(stageCall.longestWait, waited);
+        stageCall.longestWait =
+            std::max(stageCall.longestWait,
+                     std::chrono::duration_cast<milliseconds>(waitEnd - job.submittedAt));
         m_room.reserve(chosen->record.start(), job.resultBytes);
         stageCall.pieces.push_back(job.request);
         stageCall.pieces.back().clientTimeout =
@@ -142,15 +153,21 @@
     stageCall.timeout =
         std::chrono::duration_cast<milliseconds>(call.expected * (TimeoutFactor * slow))
         + TimeoutSlack;
-    m_calls.emplace(stageCall.id, std::move(call));
+    call.overdueAt = m_hedges.overdueAt(chosen->record.start(), call.expected);
+    setHedgeTime(call);
+    stageCall.id = m_calls.add(std::move(call));
     return stageCall;
 }
 
-void stage_pool::updateSlowness(const active_call &call)
+double stage_pool::ratioOf(const active_call &call) const
 {
     const auto took = std::chrono::duration<double>(m_clock.now() - call.startedAt);
     const auto expected = std::chrono::duration<double>(call.expected);
-    const double ratio = expected.count() > 0 ? took / expected : 1.0;
+    return expected.count() > 0 ? took / expected : 1.0;
+}
+
+void stage_pool::updateSlowness(const active_call &call, double ratio)
+{
     call.server->latencyRatio += SlownessWeight * (ratio - call.server->latencyRatio);
 }
 
@@ -175,11 +192,10 @@
                                              const std::vector<piece_result> &results)
 {
     std::vector<piece_outcome> out;
-    const auto found = m_calls.find(id);
-    if (found == m_calls.end())
+    auto taken = m_calls.take(id);
+    if (!taken)
         return out;
-    auto call = std::move(found->second);
-    m_calls.erase(found);
+    auto &call = *taken;
     std::map<piece_token, group_key> groups;
     for (const auto &job : call.jobs)
         groups.emplace(job.token, groupOf(job));
@@ -187,7 +203,7 @@
     // The time until a broken call ended is a lower bound of its duration. Including it gives a
     // slow server a longer timeout for its next call.
     if (callEnd == stage_call_end::Broken)
-        updateSlowness(call);
+        updateSlowness(call, ratioOf(call));
     if (callEnd == stage_call_end::Answered && results.size() == call.jobs.size())
         handleResults(std::move(call), results, out);
     else
@@ -206,15 +222,20 @@
             m_room.recordUnnamed(server, job.resultBytes);
         else
             m_room.release(server, job.resultBytes);
-        retryOrFail(std::move(job), callEnd, out);
+        countHedge(call, job, piece_failure::Error);
+        // The other call is the piece's only one now.
+        if (!m_calls.copyOf(call, job.token))
+            retryOrFail(std::move(job), callEnd, out);
     }
 }
 
 void stage_pool::handleResults(active_call call, const std::vector<piece_result> &results,
                                std::vector<piece_outcome> &out)
 {
-    updateSlowness(call);
+    const double ratio = ratioOf(call);
+    updateSlowness(call, ratio);
     const auto server = call.server->record.start();
+    m_hedges.onAnswered(server, ratio);
     std::vector<std::uint64_t> refused; // bytes of results for which the server had no room
     for (std::size_t i = 0; i < call.jobs.size(); ++i) {
         auto &job = call.jobs[i];
@@ -229,6 +250,16 @@
             ++m_summary.withoutRoom;
             refused.push_back(job.resultBytes);
         }
+        countHedge(call, job, results[i]);
+        if (auto *copy = m_calls.copyOf(call, job.token)) {
+            // The first result counts; the other one is freed when it arrives. After a failure the
+            // other call is the piece's only one.
+            if (!failure) {
+                copy->token = 0;
+                out.push_back({job.token, results[i]});
+            }
+            continue;
+        }
         // A piece without room hasn't run. It waits for room, until it is late.
         const bool waitsForRoom =
             m_usesResultRoom && failure && *failure == piece_failure::NoRoom && job.token != 0;
@@ -434,7 +465,7 @@
 std::optional<steady_time> stage_pool::wakeAt() const
 {
     if (m_waiting.empty())
-        return std::nullopt;
+        return m_hedges.enabled() ? m_calls.nextHedgeAt(m_clock.now()) : std::nullopt;
     auto earliest = m_servers.firstPauseEnd();
     const auto now = m_clock.now();
     if (const auto change = m_room.nextChangeAt(); m_usesResultRoom && change && *change > now)
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "gateway/exchange/service_retry_budget.h"
+#include "gateway/stages/active_calls.h"
 #include "gateway/stages/call_servers.h"
+#include "gateway/stages/hedged_calls.h"
 #include "gateway/stages/piece_order.h"
 #include "gateway/stages/piece_redirection.h"
 #include "gateway/stages/piece_selector.h"
@@ -31,6 +33,7 @@
         std::uint32_t dropped = 0; ///< expired, or dropped because they would be late
     };
     std::uint32_t calls = 0;
+    std::uint32_t hedgedCalls = 0; ///< of `calls`
     std::uint32_t withoutRoom = 0; ///< pieces refused because their server had no room
     std::map<std::uint32_t, rank> ranks; ///< by priority
 };
@@ -57,6 +60,8 @@
     /// Sets whether decisions consider the storage for results beyond the published sizes (policy
     /// `ResultRoom`).
     void setUsesResultRoom(bool uses);
+    /// Sets whether pieces of overdue calls are computed a second time (policy `SecondCalls`).
+    void setHedgesCalls(bool hedges) { m_hedges.setEnabled(hedges); }
     /// Sets whether sizes are learnt from refusals; for comparisons.
     void setLearnsResultSizes(bool learns) { m_room.setLearnsSizes(learns); }
     /// Sets the function that returns whether a piece of a request may be retried after a call that
@@ -70,10 +75,13 @@
     /// return its result, with token 0, so that the result can be freed.
     void withdraw(piece_token token);
 
-    /// Returns the next call to make now, if there is an idle server for one.
+    /// Returns the next call to make now, if there is an idle server for one: a call of waiting
+    /// pieces, or a hedged call.
     [[nodiscard]] std::optional<stage_call> nextCall(const std::vector<server_ptr> &servers);
     /// Handles the end of a call; `results` are in the order of its pieces. Pieces that may be
-    /// retried wait again; returns the outcomes of the others.
+    /// retried wait again; returns the outcomes of the others. Of two results of a piece the second
+    /// one is returned with token 0, and a failure isn't reported while the piece is in another
+    /// call.
     [[nodiscard]] std::vector<piece_outcome> onEnd(stage_call_id call, stage_call_end callEnd,
                                                    const std::vector<piece_result> &results);
     /// Releases the room of a result that its server has freed.
@@ -90,6 +98,7 @@
     void forgetServers(const std::function<bool(const server_start &)> &exists)
     {
         m_room.forgetServers(exists);
+        m_hedges.forgetServers(exists);
     }
     /// Returns the account of the pool's results.
     [[nodiscard]] const result_room &room() const { return m_room; }
@@ -143,19 +152,14 @@
     }
     /// Returns the activity since the last call of this function.
     [[nodiscard]] stage_pool_summary takeSummary() { return std::exchange(m_summary, {}); }
+    /// Returns what became of the pieces of hedged calls that ended since the last call of this
+    /// function.
+    [[nodiscard]] hedge_counts takeHedgeCounts() { return std::exchange(m_hedgeCounts, {}); }
     [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
     [[nodiscard]] const stage_capacity &capacity() const { return m_capacity; }
     [[nodiscard]] std::size_t activeCallCount() const { return m_calls.size(); }
 
 private:
-    struct active_call
-    {
-        server_ptr server;
-        std::vector<piece_task> jobs;
-        steady_time startedAt;
-        std::chrono::microseconds expected{0};
-    };
-
     /// A request's attempt and stage. Its pieces are of use only together.
     using group_key = std::pair<std::string, std::uint32_t>;
     [[nodiscard]] static group_key groupOf(const piece_task &job)
@@ -172,8 +176,26 @@
     /// Fails the waiting pieces of the same request and stage as those of `jobs` that failed.
     void failRestOfGroups(const std::map<piece_token, group_key> &jobs,
                           std::vector<piece_outcome> &out);
+    [[nodiscard]] std::optional<stage_call> nextWaitingCall(const std::vector<server_ptr> &servers);
     [[nodiscard]] stage_call makeCall(const server_ptr &chosen, std::vector<piece_task> jobs);
-    void updateSlowness(const active_call &call);
+    /// Starts a call whose pieces waited until `waitEnd`.
+    [[nodiscard]] stage_call startCall(const server_ptr &chosen, std::vector<piece_task> jobs,
+                                       steady_time waitEnd);
+    /// Sets when the pieces of a call may be computed a second time.
+    static void setHedgeTime(active_call &call);
+    [[nodiscard]] std::optional<stage_call> nextHedgedCall(const std::vector<server_ptr> &servers);
+    /// Returns the pieces of an overdue call that a second call can compute in time.
+    [[nodiscard]] std::vector<piece_task> piecesToHedge(const active_call &first) const;
+    /// Returns an idle server for these pieces of an overdue call; null if there is none.
+    [[nodiscard]] server_ptr serverForHedge(const active_call &first,
+                                            const std::vector<piece_task> &jobs,
+                                            const std::vector<server_ptr> &servers);
+    [[nodiscard]] stage_call makeHedgedCall(stage_call_id firstId, const server_ptr &chosen,
+                                            std::vector<piece_task> jobs);
+    void countHedge(const active_call &call, const piece_task &job, const piece_result &result);
+    /// Returns the duration of a call divided by its duration at nominal speed.
+    [[nodiscard]] double ratioOf(const active_call &call) const;
+    static void updateSlowness(const active_call &call, double ratio);
     void handleNoResults(active_call call, stage_call_end callEnd, std::vector<piece_outcome> &out);
     void handleResults(active_call call, const std::vector<piece_result> &results,
                        std::vector<piece_outcome> &out);
@@ -190,13 +212,14 @@
     bool m_waitsForLocalServer = true;
     bool m_usesResultRoom = true;
     std::vector<piece_task> m_waiting;
-    std::map<stage_call_id, active_call> m_calls;
+    active_calls m_calls;
+    hedged_calls m_hedges;
+    hedge_counts m_hedgeCounts;
     call_servers m_servers;
     result_room m_room;
     wait_estimator m_waits;
     piece_order m_order;
     piece_selector m_selector;
-    stage_call_id m_lastCall = 0;
     double m_serverCount = 0; ///< of the last `expire`
     bool m_crowded = false; ///< pieces in time need more than one call of each server
     std::set<data_center_id> m_dataCenters; ///< with a usable server at the last `nextCall`
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -171,7 +171,7 @@
         token, entry.pool, entry.job.request, entry.job.rank, timeUntil(entry.job.softDeadline),
         timeUntil(entry.job.deadline), entry.job.preferredDataCenter, entry.job.inputBytes,
         entry.job.resultBytes, entry.job.mayBeRedirected, entry.job.redirectedFrom,
-        m_peers.process()});
+        m_peers.process(), entry.job.mayBeHedged});
 }
 
 template <gateway_codec Codec>
@@ -378,6 +378,7 @@
     job.inputBytes = frame.inputBytes;
     job.resultBytes = frame.resultBytes;
     job.mayBeRedirected = frame.mayBeRedirected;
+    job.mayBeHedged = frame.mayBeHedged;
     job.redirectedFrom = std::move(frame.redirectedFrom);
     auto handler = [this, weak = std::weak_ptr(link), peerToken](piece_report report) {
         const auto target = weak.lock();
