Move the choice of a server and removed versions out of server_directory

Cause. server_directory.cpp (569 lines) kept the records of servers, chose among them, and remembered versions of removed servers. Change. chooseServer (server_choice) decides among usable servers from a query and a context with the time passed in; removed_versions keeps when the last server of a version was removed. No behaviour changes; the region of the preferred data centre is looked up once a choice instead of once for each server.

--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -1,12 +1,11 @@
 #include "gateway/servers/server_directory.h"
 
-#include <orchidlead/rendezvous.h>
+#include "gateway/servers/server_choice.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <iterator>
-#include <limits>
 #include <utility>
 
 namespace orchidlead::gateway {
@@ -19,25 +18,10 @@
 // Initial avoidance time, and how often it may be doubled; each further failure doubles it.
 constexpr milliseconds InitialAvoidance{1000};
 constexpr std::uint32_t MaxAvoidanceDoublings = 2;
-// A load report older than this is ignored: requests take less time than this.
-constexpr milliseconds LoadReportLifetime{400};
-// Cost of sending to another data centre, in outstanding requests at a server.
-constexpr double OtherDataCenterCost = 0.5;
-// Additional cost of sending to another region, in the same unit: a round trip there takes about 40
-// ms, longer than a request waits behind one that is running.
-constexpr double OtherRegionCost = 2.0;
 // How long servers are treated as cold after the evacuation of their data centre, in which they may
 // have become cold. They publish their cold phase with one of their next heartbeats, one to two
 // seconds later; the store and its readers take another second.
 constexpr milliseconds ColdReportDelay{3500};
-// A response younger than this shows that a server is running.
-constexpr milliseconds RecentAnswerWindow{2000};
-// Cost, for a retry, of a server without a recent response: the same as of a server whose slots are
-// all taken. A server that has terminated looks idle until the published list is updated.
-constexpr double NoRecentAnswerCost = 1.0;
-// Cost of an avoided server: any other server is preferred.
-constexpr double AvoidedCost = 1e6;
-
 // Share of a cold server's rate that all nodes together send. The server may count more requests in
 // a second than were sent in one, since connections and busy nodes bunch requests. The platform
 // allows one and a half times the rate plus a few requests, so two nodes that each use the whole
@@ -46,8 +30,6 @@
 // Only the server's responses show that its limit has ended, so even a server with a limit of 0
 // gets one request every four seconds.
 constexpr double MinRateLimit = 0.25;
-// How long the version of a removed server is kept; longer than clients continue streams.
-constexpr std::chrono::minutes RemovedVersionLifetime{10};
 // A rate-limited server may get at once the requests that it did not get in this time. Requests
 // arrive unevenly; without the burst they would be refused while the server is idle.
 constexpr std::chrono::duration<double> BurstWindow{0.2};
@@ -85,6 +67,7 @@
 
 server_directory::server_directory(const clock_source &clock)
     : m_clock(clock)
+    , m_removedVersions(clock)
 { }
 
 void server_directory::setRegions(std::map<data_center_id, region_id> regions)
@@ -173,21 +156,10 @@
     m_brittle.erase(entry->record.id);
     if (const auto version = servers.versions.find(entry->record.version); --version->second == 0)
         servers.versions.erase(version);
-    recordRemovedVersion(entry->record);
+    m_removedVersions.onRemoved(entry->record.service, entry->record.version);
     notifyChange(entry->record.service);
 }
 
-// Versions that were removed long ago are dropped, so that their number is bounded by the rate of
-// releases.
-void server_directory::recordRemovedVersion(const server_record &record)
-{
-    auto &removed = m_removedVersions[record.service];
-    const auto now = m_clock.now();
-    removed[record.version] = now;
-    std::erase_if(removed,
-                  [&](const auto &entry) { return entry.second + RemovedVersionLifetime < now; });
-}
-
 std::set<software_version> server_directory::versionsSince(const service_id &service,
                                                            steady_time since) const
 {
@@ -196,12 +168,7 @@
         for (const auto &[version, count] : found->second.versions)
             versions.insert(version);
     }
-    if (const auto found = m_removedVersions.find(service); found != m_removedVersions.end()) {
-        for (const auto &[version, removedAt] : found->second) {
-            if (removedAt >= since)
-                versions.insert(version);
-        }
-    }
+    versions.merge(m_removedVersions.removedSince(service, since));
     return versions;
 }
 
@@ -465,76 +432,11 @@
                                [&](const server &each) { return each.isIn(pool); });
 }
 
-double server_directory::costOf(const server &backend, const server_query &query) const
-{
-    const auto now = m_clock.now();
-    double cost = backend.outstanding;
-    if (backend.load && now - backend.loadReportedAt < LoadReportLifetime) {
-        const double reported = backend.load->running + backend.load->waiting;
-        cost = std::max(cost, reported);
-    }
-    cost /= std::max(1U, backend.record.slots);
-    if (!query.preferredDataCenter.empty()
-        && backend.record.dataCenter != query.preferredDataCenter)
-        cost += OtherDataCenterCost / std::max(1U, backend.record.slots);
-    if (m_severalRegions && !query.preferredDataCenter.empty()
-        && backend.region != regionOf(query.preferredDataCenter))
-        cost += OtherRegionCost / std::max(1U, backend.record.slots);
-    if (!query.exclude.empty() && !answeredRecently(backend))
-        cost += NoRecentAnswerCost;
-    if (backend.avoidUntil > now)
-        cost += AvoidedCost;
-    return cost;
-}
-
-bool server_directory::answeredRecently(const server &backend) const
-{
-    return backend.lastAnswerAt && m_clock.now() - *backend.lastAnswerAt < RecentAnswerWindow;
-}
-
-// With many nodes and little traffic, most servers have equal cost most of the time. If all nodes
-// took the first of them, it would get the requests of all nodes. Each node therefore alternates
-// between its own two servers by rendezvous hash, which spreads the nodes over all servers and
-// reuses connections.
-server_ptr server_directory::chooseAmongEqual(const std::vector<server_ptr> &equalServers) const
-{
-    struct ranked
-    {
-        server_ptr server;
-        std::uint64_t weight = 0;
-    };
-    ranked first;
-    ranked second;
-    for (const auto &each : equalServers) {
-        ranked next{each, rendezvousWeight(m_self.value, each->record.id.value)};
-        if (!first.server || next.weight > first.weight)
-            std::swap(first, next);
-        if (!second.server || next.weight > second.weight)
-            second = std::move(next);
-    }
-    const bool useSecond = second.server && second.server->sentAt < first.server->sentAt;
-    return useSecond ? second.server : first.server;
-}
-
 server_ptr server_directory::choose(const server_query &query) const
 {
-    std::vector<server_ptr> best;
-    double bestCost = std::numeric_limits<double>::max();
-    for (const auto &each : usable(query.service, query.allowed)) {
-        if (std::ranges::find(query.exclude, each->record.id) != query.exclude.end())
-            continue;
-        if (each->effectiveRateLimit(m_clock.now()) || !each->accepts(m_clock.now())
-            || !each->hasVersion(query.version))
-            continue;
-        const double cost = costOf(*each, query);
-        if (cost > bestCost)
-            continue;
-        if (cost < bestCost)
-            best.clear();
-        bestCost = cost;
-        best.push_back(each);
-    }
-    return chooseAmongEqual(best);
+    return chooseServer(
+        usable(query.service, query.allowed), query,
+        {m_clock.now(), m_self, m_severalRegions, regionOf(query.preferredDataCenter)});
 }
 
 void server_directory::onResponseBegin(const server &backend) const
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -3,6 +3,7 @@
 #include "gateway/servers/cold_start_settings.h"
 #include "gateway/servers/effective_rate_limit.h"
 #include "gateway/servers/pool_key.h"
+#include "gateway/servers/removed_versions.h"
 #include "gateway/servers/residency.h"
 #include "gateway/servers/server_signals.h"
 #include "gateway/servers/server_speed.h"
@@ -344,12 +345,8 @@
     }
 
 private:
-    void recordRemovedVersion(const server_record &record);
     /// Records whether a server is brittle. Returns whether a published one has become so.
     bool setBrittle(server &backend, std::optional<std::uint32_t> refusals);
-    [[nodiscard]] double costOf(const server &backend, const server_query &query) const;
-    /// Returns whether this node recently got a response of the server.
-    [[nodiscard]] bool answeredRecently(const server &backend) const;
     /// Returns the server with the next id after `last` that fits, and records it there; null if
     /// there is none.
     template <class Predicate>
@@ -362,8 +359,6 @@
     template <class Predicate>
     [[nodiscard]] static server_ptr pickInTurn(const std::vector<server_ptr> &servers,
                                                std::size_t turn, Predicate fits);
-    /// Chooses among servers of equal cost; null if the list is empty.
-    [[nodiscard]] server_ptr chooseAmongEqual(const std::vector<server_ptr> &equalServers) const;
     void notifyChange(const service_id &service);
     /// Returns why none of the servers of a service that match `isRelevant` may get new work.
     /// Returns `defaultReason` if none of them is evacuated or leaving.
@@ -396,8 +391,7 @@
     [[nodiscard]] const std::vector<server_ptr> *findServerList(const pool_key &pool) const;
 
     std::unordered_map<service_id, service_servers> m_byService;
-    /// When the last server of each version was removed, or replaced by one of another version.
-    std::unordered_map<service_id, std::map<software_version, steady_time>> m_removedVersions;
+    removed_versions m_removedVersions;
     struct unpublished_signals
     {
         retained_signals signals;
