Let a host say that it can't decide on an admission

A host without a list of servers, or with the policy disabled, answered a query as granted with a wait of 0. Its receivers took that for a measured wait: they sent more pieces unasked and never decided by their own estimate. A pool that gets no work now answered alike, and kept places for pieces that it can't serve. The answer has a field `decided`, the last and optional one of the frame: an older reader ignores it, and an answer without it was decided. An undecided answer reserves nothing, counts as neither granted nor refused, and is handled as that of a silent host: the node decides by its own estimate, and reports no wait. Ruled out: a wait of -1 as a sign, as older receivers would use it.

--- a/src/gateway/admission/admission_client.cpp
+++ b/src/gateway/admission/admission_client.cpp
@@ -33,8 +33,11 @@
 reservation_answer admission_client::answerAsHost(reservation_sender sender, const pool_key &pool,
                                                   const reservation_query &query)
 {
-    if (m_isHostReady && !m_isHostReady())
-        return {};
+    if (m_isHostReady && !m_isHostReady()) {
+        reservation_answer undecided;
+        undecided.decided = false;
+        return undecided;
+    }
     return m_host.onQuery(sender, pool, query);
 }
 
@@ -105,8 +108,9 @@
     admission_result result;
     for (const auto &each : entry.queries) {
         m_unanswered.erase(each.id);
-        result.pools.push_back({each.pool, each.answer});
-        if (!each.answer || each.answer->granted)
+        const bool decided = each.answer && each.answer->decided;
+        result.pools.push_back({each.pool, decided ? each.answer : std::nullopt});
+        if (!decided || each.answer->granted)
             continue;
         if (result.granted || each.answer->retryAfter > result.retryAfter)
             result.turnHeld = each.answer->turnHeld;
@@ -147,8 +151,8 @@
 // A host that didn't answer in time may have reserved the places.
 void admission_client::releaseQuery(const pool_query &query)
 {
-    const bool refused = query.answer && !query.answer->granted;
-    if (refused || query.lost)
+    const bool holdsNothing = query.answer && !(query.answer->granted && query.answer->decided);
+    if (holdsNothing || query.lost)
         return;
     if (query.link)
         query.link->send(release_reservation_frame{query.id});
--- a/src/gateway/admission/admission_client.h
+++ b/src/gateway/admission/admission_client.h
@@ -38,7 +38,8 @@
     struct pool_answer
     {
         pool_key pool;
-        std::optional<reservation_answer> answer; ///< empty: the host did not answer in time
+        /// Empty: the host did not answer in time, or can't decide.
+        std::optional<reservation_answer> answer;
     };
     bool granted = true; ///< no host refused
     milliseconds retryAfter{0}; ///< the longest one of the refusals
@@ -49,9 +50,9 @@
 /// Asks the hosts of all pools that a request needs, in parallel, to reserve places for its pieces,
 /// and answers such queries of other nodes.
 ///
-/// A host that doesn't answer in time, or whose link closes, counts as having granted: the entry
-/// node has checked its own estimate before. If a host refuses, the reservations at the others are
-/// released.
+/// A host that doesn't answer in time, that can't decide, or whose link closes, counts as having
+/// granted: the entry node decides by its own estimate. If a host refuses, the reservations at the
+/// others are released.
 class admission_client
 {
 public:
@@ -62,8 +63,7 @@
     admission_client(http::io_loop &loop, peer_network &peers, stage_admission &host,
                      host_function hostOf);
 
-    /// Sets whether this node decides as a host; otherwise it grants all queries without a
-    /// reservation, as it knows nothing of its pools.
+    /// Sets whether this node decides as a host. If not, its answers say that it can't decide.
     void setHostReadyCheck(std::function<bool()> isReady) { m_isHostReady = std::move(isReady); }
     /// Asks the hosts. `handler` is called once, never within this call, unless `release` is called
     /// first.
--- a/src/gateway/admission/stage_admission.cpp
+++ b/src/gateway/admission/stage_admission.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 // All grounds for a refusal are joined here; each has what the query names: digest, customer, rank,
-// pieces and bytes. A pool that gets no work now grants everything: its pieces end with its reason.
+// pieces and bytes. A pool that gets no work now decides nothing: its pieces end with its reason.
 reservation_answer stage_admission::decide(pool_state &state, const pool_key &pool,
                                            reservation_sender sender,
                                            const reservation_query &query)
@@ -65,6 +65,8 @@
 {
     auto &state = m_pools.try_emplace(pool, m_clock, m_orderOptions).first->second;
     const auto answer = decide(state, pool, sender, query);
+    if (!answer.decided)
+        return answer;
     auto &counts = m_counts[pool.service];
     ++(answer.granted ? counts.granted : counts.refused);
     if (answer.granted)
--- a/src/gateway/admission/stage_reservations.cpp
+++ b/src/gateway/admission/stage_reservations.cpp
@@ -43,8 +43,10 @@
 {
     reservation_answer answer;
     answer.waitingAhead = static_cast<std::uint32_t>(pool.waiting);
-    if (pool.piecesPerSecond <= 0)
-        return answer; // the pieces end with the pool's reason
+    if (pool.piecesPerSecond <= 0) { // the pieces end with the pool's reason
+        answer.decided = false;
+        return answer;
+    }
     const auto now = m_clock.now();
     const fractional_ms startsIn = wanted.startsIn;
     fractional_ms idleAt = pool.wait; // when the work that is ahead is done
@@ -95,6 +97,7 @@
     for (std::size_t i = 0; i < query.stages.size() && i < pool.size(); ++i) {
         const auto stage = evaluateStage(query.stages[i], query.rank, pool[i]);
         answer.granted = answer.granted && stage.granted;
+        answer.decided = answer.decided && stage.decided;
         answer.wait = std::max(answer.wait, stage.wait);
         answer.retryAfter = std::max(answer.retryAfter, stage.retryAfter);
         answer.waitingAhead = std::max(answer.waitingAhead, stage.waitingAhead);
--- a/src/gateway/admission/stage_reservations.h
+++ b/src/gateway/admission/stage_reservations.h
@@ -71,6 +71,9 @@
     std::uint32_t reservedAhead = 0; ///< pieces that were reserved, had not arrived and go first
     refusal_cause cause = refusal_cause::None;
     bool turnHeld = false; ///< if refused: capacity is reserved for the request at `retryAfter`
+    /// The host knows the load of the pool. If not, nothing is reserved and all other fields are
+    /// without meaning; the sender decides by its own estimate.
+    bool decided = true;
 };
 
 /// The places that requests have reserved in the queue of one pool for pieces that have not arrived
--- a/src/gateway/peers/frames/admission_codec.cpp
+++ b/src/gateway/peers/frames/admission_codec.cpp
@@ -57,7 +57,7 @@
 
 void pack(packer &out, const stage_reserved_frame &frame)
 {
-    packKind(out, frame_kind::StageReserved, 8);
+    packKind(out, frame_kind::StageReserved, 9);
     out.pack(frame.id);
     out.pack(frame.answer.granted);
     packDuration(out, frame.answer.wait);
@@ -66,6 +66,7 @@
     out.pack(frame.answer.reservedAhead);
     out.pack(static_cast<std::uint64_t>(frame.answer.cause));
     out.pack(frame.answer.turnHeld);
+    out.pack(frame.answer.decided);
 }
 
 void read(field_reader &in, stage_reserved_frame &frame)
@@ -78,6 +79,8 @@
     frame.answer.reservedAhead = in.read<std::uint32_t>();
     frame.answer.cause = readEnum<refusal_cause>(in);
     frame.answer.turnHeld = in.read<bool>();
+    if (!in.atEnd()) // an older version doesn't send it
+        frame.answer.decided = in.read<bool>();
 }
 
 void pack(packer &out, const release_reservation_frame &frame)
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -145,6 +145,21 @@
     CHECK(roundTrip(release_reservation_frame{9}).id == 9);
 }
 
+// Guards against an answer without a decision that is read as a measured wait of 0.
+TEST_CASE("a stage reserved frame says whether the host decided; one of an older version did")
+{
+    stage_reserved_frame undecided;
+    undecided.answer.decided = false;
+    CHECK_FALSE(roundTrip(undecided).answer.decided);
+    // Without the last field, as an older version sends it.
+    auto bytes = encodeFrame(undecided).substr(FrameHeaderBytes);
+    bytes.pop_back();
+    --bytes.front();
+    const auto old = decodeFrame(bytes);
+    REQUIRE(old);
+    CHECK(std::get<stage_reserved_frame>(old.value()).answer.decided);
+}
+
 // Guards against times whose sum with the current time overflows.
 TEST_CASE("a reserve stage frame with a time beyond an hour is rejected")
 {
--- a/tests/gateway/stage_admission_test.cpp
+++ b/tests/gateway/stage_admission_test.cpp
@@ -185,3 +185,14 @@
     CHECK(host.ask("c", 1).granted);
     CHECK(host.decisions.empty());
 }
+
+// Guards against a wait of 0 that no pool measured, and places that are reserved without servers.
+TEST_CASE("a host says that it can't decide for a pool that gets no work, and reserves nothing")
+{
+    admission_harness host({});
+    host.hasServers = false;
+    CHECK_FALSE(host.ask("c", 1).decided);
+    CHECK(host.admission.counts()[encodePool.service].held == 0);
+    host.hasServers = true;
+    CHECK(host.ask("c", 2).decided);
+}
--- a/tests/platform/admission_test.cpp
+++ b/tests/platform/admission_test.cpp
@@ -148,6 +148,28 @@
     CHECK(w.logOutput.str().find("outcome=not_admitted") == std::string::npos);
 }
 
+// Guards against a wait of 0 that a host without the policy answers and its receivers take for a
+// measured one: their requests would start although the pool has a backlog.
+TEST_CASE("a node decides by its own estimate if the host of a pool doesn't decide")
+{
+    scarce_world w;
+    const auto host = scarce_world::hostName({"g1"});
+    w.disabledPolicies = {gateway::policy::WholeRequestAdmission};
+    w.startGateway(host);
+    w.disabledPolicies = {};
+    w.startGateway("g1");
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(2); }));
+    w.runFor(milliseconds{300});
+    for (int i = 0; i < 10; ++i) { // 60 requests in a second, for a pool that takes 10
+        w.ask({"g1"}, 6);
+        w.runFor(milliseconds{100});
+    }
+    REQUIRE(w.awaitAll());
+    CHECK(w.countOf(200) + w.countOf(503) == w.answers.size());
+    CHECK(w.logOutput.str().find("outcome=queue_too_long") != std::string::npos);
+    CHECK(w.metricOf(host, std::string(Granted)) + w.metricOf(host, std::string(Refused)) == 0);
+}
+
 TEST_CASE("requests are served or refused when the host of their stages is killed")
 {
     scarce_world w;
