Restore the turn of a request that another pool refuses

A grant ended the turn of its request. If the host of another pool refused the request, the grant was released and the turn was lost, although the request had come at its time and returns. A grant keeps the turn that it used. A turn whose window has passed, that of a request with a newer one, and one beyond the 4,096 turns isn't restored: the oldest are evicted first. Closing a link also gives the shares of its unused grants back. A restored turn no longer counts as redeemed. Ruled out: moving the turn to the time of the other pool's refusal, as its capacity would have to be found again and nothing was promised for that time here.

--- a/src/gateway/admission/overload_order.cpp
+++ b/src/gateway/admission/overload_order.cpp
@@ -32,11 +32,11 @@
     const auto cause = check(query);
     if (cause != refusal_cause::None)
         return refuse(query, cause);
-    if (!m_turns.redeem(query.request))
-        m_turns.drop(query.request);
+    overload_answer granted;
+    granted.usedTurn = m_turns.take(query.request);
     m_shares.onGranted(query.customer, query.rank, query.cost);
     m_turns.onGranted(query.rank, query.cost);
-    return {};
+    return granted;
 }
 
 void overload_order::onReleased(const customer_id &customer, const stage_rank &rank, pool_time cost)
@@ -85,7 +85,7 @@
     }
     if (!m_enabled.retryTurns)
         return {cause, std::clamp(wait, retry_turns::MinRetryAfter, retry_turns::MaxRetryAfter),
-                false};
+                false, std::nullopt};
     turn.request = query.request;
     turn.customer = query.customer;
     turn.rank = query.rank;
@@ -93,7 +93,7 @@
     turn.wait = wait;
     turn.maxWait = query.maxRetryAfter;
     const auto given = m_turns.grant(turn);
-    return {cause, given.retryAfter, given.held};
+    return {cause, given.retryAfter, given.held, std::nullopt};
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/admission/overload_order.h
+++ b/src/gateway/admission/overload_order.h
@@ -8,6 +8,8 @@
 
 #include <orchidlead/clock.h>
 
+#include <optional>
+
 namespace orchidlead::gateway {
 
 /// A request about which a pool decides.
@@ -27,6 +29,7 @@
     refusal_cause cause = refusal_cause::None;
     milliseconds retryAfter{0}; ///< of a refused request
     bool turnHeld = false; ///< capacity is reserved for a refused request at that time
+    std::optional<used_turn> usedTurn; ///< of a granted request
 
     [[nodiscard]] bool granted() const { return cause == refusal_cause::None; }
 };
@@ -48,8 +51,10 @@
                    customer_shares::weight_function weightOf = {});
 
     [[nodiscard]] overload_answer decide(const overload_query &query);
-    /// Takes back a grant whose pieces will not arrive, as another pool refused the request.
+    /// Takes back a grant, or the part of it whose pieces will not arrive.
     void onReleased(const customer_id &customer, const stage_rank &rank, pool_time cost);
+    /// Gives back the turn that a grant used.
+    void restoreTurn(const used_turn &turn) { m_turns.restore(turn); }
     void removeLapsed() { m_turns.removeLapsed(); }
 
     [[nodiscard]] const customer_shares &shares() const { return m_shares; }
--- a/src/gateway/admission/retry_turns.cpp
+++ b/src/gateway/admission/retry_turns.cpp
@@ -87,10 +87,34 @@
     return true;
 }
 
-void retry_turns::drop(const request_digest &request)
+std::optional<used_turn> retry_turns::take(const request_digest &request)
 {
-    if (const auto known = m_byRequest.find(request); known != m_byRequest.end())
-        remove(known->second);
+    const auto known = m_byRequest.find(request);
+    if (known == m_byRequest.end())
+        return std::nullopt;
+    used_turn used{*known->second, isInWindow(request)};
+    m_counts.redeemed += used.redeemed ? 1 : 0;
+    remove(known->second);
+    return used;
+}
+
+// The periods of a turn stay reserved when it is taken, so restoring it takes nothing of turns that
+// were given since.
+void retry_turns::restore(const used_turn &used)
+{
+    const auto &each = used.turn;
+    if (m_byRequest.contains(each.request))
+        return;
+    m_counts.redeemed -= used.redeemed ? 1 : 0;
+    if (each.at + MaxLate < m_clock.now()) {
+        ++m_counts.lapsed;
+        return;
+    }
+    if (m_turns.size() >= MaxTurns) {
+        ++m_counts.evicted;
+        return;
+    }
+    insert(m_turns.begin(), each);
 }
 
 // The rate of a rank falls when servers are lost or more urgent requests arrive; turns given out at
@@ -198,13 +222,17 @@
     }
     const auto wait = at - m_clock.now();
     const auto opensAt = at - std::min<steady_time::duration>(MaxEarly, wait / 2);
-    m_turns.push_back({query.request, query.rank, opensAt, at, query.cost});
-    m_byRequest[query.request] = std::prev(m_turns.end());
-    m_byTime.insert({at, query.request});
-    m_ranks[query.rank].due[{at, query.request}] = query.cost;
+    insert(m_turns.end(), {query.request, query.rank, opensAt, at, query.cost});
     ++m_counts.given;
 }
 
+void retry_turns::insert(turn_list::const_iterator before, const held_turn &each)
+{
+    m_byRequest[each.request] = m_turns.insert(before, each);
+    m_byTime.insert({each.at, each.request});
+    m_ranks[each.rank].due[{each.at, each.request}] = each.cost;
+}
+
 void retry_turns::remove(turn_list::iterator each)
 {
     m_byTime.erase({each->at, each->request});
--- a/src/gateway/admission/retry_turns.h
+++ b/src/gateway/admission/retry_turns.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -38,6 +39,23 @@
     bool held = false; ///< capacity is reserved for the request at that time
 };
 
+/// The turn of a refused request.
+struct held_turn
+{
+    request_digest request;
+    stage_rank rank;
+    steady_time opensAt; ///< begin of its window
+    steady_time at;
+    pool_time cost;
+};
+
+/// A turn that ended as its request was granted.
+struct used_turn
+{
+    held_turn turn;
+    bool redeemed = false; ///< the request came within the window
+};
+
 /// Counts since the start.
 struct turn_counts
 {
@@ -101,8 +119,13 @@
     /// Ends the turn of a request that returned within its window and was granted, or refused after
     /// the time of its turn. Returns whether there was one.
     bool redeem(const request_digest &request);
-    /// Ends the turn of a request that needs none any more.
-    void drop(const request_digest &request);
+    /// Ends the turn of a request that is granted, whether it came early or within its window.
+    /// Returns the turn if there was one.
+    std::optional<used_turn> take(const request_digest &request);
+    /// Gives back a turn, with its time and its capacity, as the grant was not used. Not restored:
+    /// a turn whose window has passed, that of a request with a newer one, and one for which there
+    /// is no space, as the oldest turns are evicted first.
+    void restore(const used_turn &used);
     /// Returns the cost of turns of this or a more urgent rank that fall due before a given time.
     [[nodiscard]] pool_time costDueBefore(const stage_rank &rank, steady_time before) const;
     /// Removes turns whose window has passed.
@@ -112,15 +135,7 @@
     [[nodiscard]] const turn_counts &counts() const { return m_counts; }
 
 private:
-    struct turn
-    {
-        request_digest request;
-        stage_rank rank;
-        steady_time opensAt; ///< begin of its window
-        steady_time at;
-        pool_time cost;
-    };
-    using turn_list = std::list<turn>;
+    using turn_list = std::list<held_turn>;
     using due_key = std::pair<steady_time, request_digest>;
     using bucket = std::int64_t; ///< a period of the steady clock
     struct rank_state
@@ -137,6 +152,7 @@
     [[nodiscard]] steady_time findTime(rank_state &state, steady_time earliest) const;
     void reserve(rank_state &state, const turn_query &query, steady_time at);
     void add(const turn_query &query, steady_time at);
+    void insert(turn_list::const_iterator before, const held_turn &each);
     void remove(turn_list::iterator each);
     void forgetCustomers();
 
--- a/src/gateway/admission/stage_admission.cpp
+++ b/src/gateway/admission/stage_admission.cpp
@@ -33,23 +33,26 @@
     const auto request = overloadQueryOf(query, estimates, answer);
     if (!request)
         return answer;
+    std::optional<used_turn> turn;
     if (m_orderOptions.any()) {
         const auto ordered = state.order.decide(*request);
         answer.granted = ordered.granted();
         answer.cause = ordered.cause;
         answer.turnHeld = ordered.turnHeld;
+        turn = ordered.usedTurn;
         if (!answer.granted)
             answer.retryAfter = ordered.retryAfter;
     }
     if (answer.granted)
-        recordGrant(state, sender, query, request->cost);
+        recordGrant(state, sender, query, request->cost, turn);
     if (m_onDecision)
         m_onDecision(pool.service, query.customer, request->cost, answer.cause);
     return answer;
 }
 
 void stage_admission::recordGrant(pool_state &state, reservation_sender sender,
-                                  const reservation_query &query, pool_time cost) const
+                                  const reservation_query &query, pool_time cost,
+                                  const std::optional<used_turn> &turn) const
 {
     const auto now = m_clock.now();
     while (!state.grants.empty() && now - state.grants.front().at > RecentGrantTime)
@@ -57,7 +60,7 @@
     std::uint32_t pieces = 0;
     for (const auto &each : query.stages)
         pieces += each.pieces;
-    state.grants.push_back({sender, query.id, query.customer, query.rank, pieces, cost, now});
+    state.grants.push_back({sender, query.id, query.customer, query.rank, pieces, cost, now, turn});
 }
 
 reservation_answer stage_admission::onQuery(reservation_sender sender, const pool_key &pool,
@@ -87,7 +90,8 @@
         release(state, sender, id);
 }
 
-// Pieces that have not arrived took nothing of the pool, so their customer wasn't granted it.
+// Pieces that have not arrived took nothing of the pool, so their customer wasn't granted it. If
+// none arrived, another pool refused the request, which returns: it keeps its turn here.
 void stage_admission::release(pool_state &state, reservation_sender sender, reservation_id id) const
 {
     const auto left = state.reservations.release(sender, id);
@@ -98,13 +102,23 @@
         return;
     const double part = std::min(1.0, static_cast<double>(left) / found->pieces);
     state.order.onReleased(found->customer, found->rank, found->cost * part);
+    if (found->turn && left == found->pieces)
+        state.order.restoreTurn(*found->turn);
     state.grants.erase(found);
 }
 
 void stage_admission::releaseAll(reservation_sender sender)
 {
-    for (auto &[pool, state] : m_pools)
+    for (auto &[pool, state] : m_pools) {
+        std::vector<reservation_id> recent;
+        for (const auto &each : state.grants) {
+            if (each.sender == sender)
+                recent.push_back(each.id);
+        }
+        for (const auto id : recent)
+            release(state, sender, id);
         state.reservations.releaseAll(sender);
+    }
 }
 
 std::map<service_id, admission_counts> stage_admission::counts()
--- a/src/gateway/admission/stage_admission.h
+++ b/src/gateway/admission/stage_admission.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,7 @@
         std::uint32_t pieces = 0;
         pool_time cost{0};
         steady_time at;
+        std::optional<used_turn> turn; ///< that the request redeemed
     };
     struct pool_state
     {
@@ -83,7 +85,7 @@
                                             reservation_sender sender,
                                             const reservation_query &query);
     void recordGrant(pool_state &state, reservation_sender sender, const reservation_query &query,
-                     pool_time cost) const;
+                     pool_time cost, const std::optional<used_turn> &turn) const;
     void release(pool_state &state, reservation_sender sender, reservation_id id) const;
 
     const clock_source &m_clock;
--- a/tests/gateway/retry_turns_test.cpp
+++ b/tests/gateway/retry_turns_test.cpp
@@ -170,6 +170,36 @@
     CHECK(pool.turns.grant(makeQuery(1000, milliseconds{200})).retryAfter >= milliseconds{1800});
 }
 
+// Guards against a promise that isn't honoured: neither a turn beside a newer one of its request,
+// nor one that has lapsed or exceeds the number of turns, is restored.
+TEST_CASE("a restored turn takes the capacity that it had, and only where that is still free")
+{
+    busy_pool pool;
+    const auto first = pool.turns.grant(makeQuery(1));
+    pool.clock.advance(first.retryAfter);
+    const auto used = pool.turns.take(makeDigest(1));
+    REQUIRE(used);
+    CHECK(pool.turns.costDueBefore(Urgent, pool.clock.now() + milliseconds{1}) == pool_time{0});
+    pool.turns.restore(*used);
+    pool.turns.restore(*used);
+    CHECK(pool.turns.size() == 1);
+    CHECK(pool.turns.isInWindow(makeDigest(1)));
+    CHECK(pool.turns.costDueBefore(Urgent, pool.clock.now() + milliseconds{1}) == Cost);
+    const auto again = pool.turns.take(makeDigest(1));
+    pool.clock.advance(retry_turns::MaxLate + milliseconds{1});
+    pool.turns.restore(*again);
+    CHECK(pool.turns.size() == 0);
+    std::uint32_t number = 1;
+    while (pool.turns.size() < retry_turns::MaxTurns) {
+        auto query = makeQuery(++number);
+        query.cost = pool_time{1e-6};
+        REQUIRE(pool.turns.grant(query).held);
+    }
+    pool.turns.restore({{makeDigest(0), Urgent, pool.clock.now(), pool.clock.now(), Cost}, false});
+    CHECK(pool.turns.size() == retry_turns::MaxTurns);
+    CHECK_FALSE(pool.turns.isInWindow(makeDigest(0)));
+}
+
 TEST_CASE("the number of turns is bounded, and the oldest are evicted first")
 {
     manual_clock clock;
--- a/tests/gateway/stage_admission_test.cpp
+++ b/tests/gateway/stage_admission_test.cpp
@@ -142,6 +142,33 @@
     CHECK(host.admission.turns().at(encodePool.service).held == 0);
 }
 
+// Guards against a turn that is lost because the host of another pool refuses the request: the
+// client returned at its time, and would find no capacity held when it returns again.
+TEST_CASE("a turn is restored with its time if its grant is released before the pieces arrive")
+{
+    admission_harness host({});
+    host.waiting = 200;
+    const auto refused = host.ask("c", 1);
+    REQUIRE(refused.turnHeld);
+    host.clock.advance(refused.retryAfter);
+    host.waiting = 0;
+    const auto counts = [&] { return host.admission.turns().at(encodePool.service); };
+    REQUIRE(host.ask("c", 1).granted);
+    CHECK(counts().held == 0);
+    host.admission.release(&host, 1);
+    host.admission.release(&host, 1); // gives nothing back a second time
+    CHECK(counts().held == 1);
+    CHECK(counts().counts.redeemed == 0);
+    REQUIRE(host.ask("c", 1).granted);
+    host.admission.releaseAll(&host); // its link closes
+    CHECK(counts().held == 1);
+    REQUIRE(host.ask("c", 1).granted);
+    host.admission.onPieceArrived(encodePool, "1", 0);
+    host.admission.release(&host, 1); // a piece came, so the turn has been used
+    CHECK(counts().held == 0);
+    CHECK(counts().counts.redeemed == 1);
+}
+
 TEST_CASE("without both policies a refusal is that of the reservations alone")
 {
     admission_harness host(FirstCome);
