Release a reservation when its pieces go to another pool

The entry node took a stage's reservation for used as soon as the pieces were submitted, also if the router chose another pool because the reserved one had no usable server or backed off, or if the pool had another host by then. The places stayed reserved until they lapsed, 500 ms after the pieces were due, and the customer paid for them. The waits that the other pool reported were booked on the reserved one. The entry node compares where the pieces of a stage went with the host that it asked, and releases the stage's places there at once. `release_reservation` has an optional field for the stage; an older host ignores it and releases all stages of that request. The host gives the cost of these pieces back once; the request goes on, so its turn isn't restored. Waits are booked on the pool that got the pieces. A redirected piece counts once as a request for retry budgets, at the pool that redirected it, not again at the other. Ruled out: giving back the cost of pieces that arrived and were redirected afterwards. The other pool doesn't know their customer, so nobody would pay for them; it stays with the pool that granted them.

--- a/src/gateway/admission/admission_client.cpp
+++ b/src/gateway/admission/admission_client.cpp
@@ -123,19 +123,30 @@
     handler(result);
 }
 
-void admission_client::onStageSubmitted(admission_id id, std::uint32_t stage)
+void admission_client::onStageSubmitted(admission_id id, std::uint32_t stage,
+                                        const std::vector<pool_key> &pools)
 {
     const auto found = m_admissions.find(id);
     if (found == m_admissions.end())
         return;
     auto &queries = found->second.queries;
-    for (auto &each : queries)
-        std::erase(each.unusedStages, stage);
+    for (auto &each : queries) {
+        if (std::erase(each.unusedStages, stage) > 0 && !wentToHost(each, pools))
+            releaseStage(each, stage);
+    }
     std::erase_if(queries, [](const pool_query &each) { return each.unusedStages.empty(); });
     if (queries.empty())
         m_admissions.erase(found);
 }
 
+bool admission_client::wentToHost(const pool_query &query, const std::vector<pool_key> &pools) const
+{
+    if (!std::ranges::all_of(pools, [&](const pool_key &each) { return each == query.pool; }))
+        return false;
+    const auto host = m_hostOf(query.pool);
+    return query.link == (host == m_peers.self() ? nullptr : m_peers.linkTo(host));
+}
+
 void admission_client::release(admission_id id)
 {
     const auto ended = m_admissions.extract(id);
@@ -149,10 +160,14 @@
 }
 
 // A host that didn't answer in time may have reserved the places.
+bool admission_client::mayHold(const pool_query &query)
+{
+    return !query.lost && (!query.answer || (query.answer->granted && query.answer->decided));
+}
+
 void admission_client::releaseQuery(const pool_query &query)
 {
-    const bool holdsNothing = query.answer && !(query.answer->granted && query.answer->decided);
-    if (holdsNothing || query.lost)
+    if (!mayHold(query))
         return;
     if (query.link)
         query.link->send(release_reservation_frame{query.id});
@@ -160,6 +175,17 @@
         m_host.release(nullptr, query.id);
 }
 
+// Sent after the pieces of the stage: those that went to this host have consumed their places.
+void admission_client::releaseStage(const pool_query &query, std::uint32_t stage)
+{
+    if (!mayHold(query))
+        return;
+    if (query.link)
+        query.link->send(release_reservation_frame{query.id, stage});
+    else
+        m_host.releaseStage(nullptr, query.id, stage);
+}
+
 void admission_client::onFrame(const link_ptr &link, const peer_frame &frame)
 {
     if (const auto *asked = std::get_if<reserve_stage_frame>(&frame))
@@ -168,7 +194,15 @@
     else if (const auto *answered = std::get_if<stage_reserved_frame>(&frame))
         onAnswer(link, answered->id, answered->answer);
     else if (const auto *released = std::get_if<release_reservation_frame>(&frame))
-        m_host.release(link.get(), released->id);
+        onReleased(link, *released);
+}
+
+void admission_client::onReleased(const link_ptr &link, const release_reservation_frame &frame)
+{
+    if (frame.stage)
+        m_host.releaseStage(link.get(), frame.id, *frame.stage);
+    else
+        m_host.release(link.get(), frame.id);
 }
 
 void admission_client::onLinkClosed(const link_ptr &link)
--- a/src/gateway/admission/admission_client.h
+++ b/src/gateway/admission/admission_client.h
@@ -68,8 +68,9 @@
     /// Asks the hosts. `handler` is called once, never within this call, unless `release` is called
     /// first.
     admission_id ask(admission_query query, result_handler handler);
-    /// Records that all pieces of a stage were sent to the pool that was reserved for them.
-    void onStageSubmitted(admission_id id, std::uint32_t stage);
+    /// Records that all pieces of a stage were sent, and to which pools. If some went elsewhere
+    /// than to the host that reserved places for them, what is left of these is released.
+    void onStageSubmitted(admission_id id, std::uint32_t stage, const std::vector<pool_key> &pools);
     /// Ends a query without an answer, and releases the reservations that weren't used.
     void release(admission_id id);
 
@@ -101,10 +102,17 @@
     [[nodiscard]] reservation_answer answerAsHost(reservation_sender sender, const pool_key &pool,
                                                   const reservation_query &query);
     void onAnswer(const link_ptr &link, reservation_id id, const reservation_answer &answer);
+    void onReleased(const link_ptr &link, const release_reservation_frame &frame);
     /// Calls the handler if all hosts have answered.
     void completeIfAnswered(admission_id id);
     void complete(admission_id id);
     void releaseQuery(const pool_query &query);
+    void releaseStage(const pool_query &query, std::uint32_t stage);
+    /// Returns whether all pieces sent to `pools` went to the host that answered a query.
+    [[nodiscard]] bool wentToHost(const pool_query &query,
+                                  const std::vector<pool_key> &pools) const;
+    /// Returns whether a host has, or may have, reserved places.
+    [[nodiscard]] static bool mayHold(const pool_query &query);
 
     http::io_loop &m_loop;
     peer_network &m_peers;
--- a/src/gateway/admission/stage_admission.cpp
+++ b/src/gateway/admission/stage_admission.cpp
@@ -90,19 +90,49 @@
         release(state, sender, id);
 }
 
-// Pieces that have not arrived took nothing of the pool, so their customer wasn't granted it. If
-// none arrived, another pool refused the request, which returns: it keeps its turn here.
-void stage_admission::release(pool_state &state, reservation_sender sender, reservation_id id) const
+void stage_admission::releaseStage(reservation_sender sender, reservation_id id,
+                                   std::uint32_t stage)
+{
+    for (auto &[pool, state] : m_pools) {
+        const auto left = state.reservations.release(sender, id, stage);
+        const auto found = findGrant(state, sender, id);
+        if (left == 0 || found == state.grants.end())
+            continue;
+        takeBack(state, *found, left);
+        found->turn.reset(); // the request goes on
+    }
+}
+
+std::deque<stage_admission::recent_grant>::iterator
+stage_admission::findGrant(pool_state &state, reservation_sender sender, reservation_id id) const
 {
-    const auto left = state.reservations.release(sender, id);
     const auto found = std::ranges::find_if(state.grants, [&](const recent_grant &each) {
         return each.sender == sender && each.id == id;
     });
-    if (left == 0 || found == state.grants.end() || m_clock.now() - found->at > RecentGrantTime)
+    const bool isRecent =
+        found != state.grants.end() && m_clock.now() - found->at <= RecentGrantTime;
+    return isRecent ? found : state.grants.end();
+}
+
+// Pieces that have not arrived took nothing of the pool, so their customer wasn't granted it.
+void stage_admission::takeBack(pool_state &state, recent_grant &grant, std::uint32_t pieces)
+{
+    const auto back = std::min(pieces, grant.pieces);
+    const auto cost = grant.cost * (static_cast<double>(back) / std::max(1U, grant.pieces));
+    state.order.onReleased(grant.customer, grant.rank, cost);
+    grant.pieces -= back;
+    grant.cost -= cost;
+}
+
+// If no piece arrived, another pool refused the request, which returns: it keeps its turn here.
+void stage_admission::release(pool_state &state, reservation_sender sender, reservation_id id) const
+{
+    const auto left = state.reservations.release(sender, id);
+    const auto found = findGrant(state, sender, id);
+    if (left == 0 || found == state.grants.end())
         return;
-    const double part = std::min(1.0, static_cast<double>(left) / found->pieces);
-    state.order.onReleased(found->customer, found->rank, found->cost * part);
-    if (found->turn && left == found->pieces)
+    takeBack(state, *found, left);
+    if (found->turn && found->pieces == 0)
         state.order.restoreTurn(*found->turn);
     state.grants.erase(found);
 }
--- a/src/gateway/admission/stage_admission.h
+++ b/src/gateway/admission/stage_admission.h
@@ -49,7 +49,10 @@
                                              const reservation_query &query);
     /// Returns whether a piece that arrived at a pool had a reservation, and consumes it.
     bool onPieceArrived(const pool_key &pool, const std::string &attempt, std::uint32_t stage);
+    /// Releases what is left of a reservation, as its request doesn't go on.
     void release(reservation_sender sender, reservation_id id);
+    /// Releases what is left of one stage of a reservation, as its pieces went to another pool.
+    void releaseStage(reservation_sender sender, reservation_id id, std::uint32_t stage);
     /// Releases all reservations of a sender, which ended.
     void releaseAll(reservation_sender sender);
     [[nodiscard]] std::map<service_id, admission_counts> counts();
@@ -87,6 +90,11 @@
     void recordGrant(pool_state &state, reservation_sender sender, const reservation_query &query,
                      pool_time cost, const std::optional<used_turn> &turn) const;
     void release(pool_state &state, reservation_sender sender, reservation_id id) const;
+    /// Returns the grant of a reservation if it is recent enough to be taken back.
+    [[nodiscard]] std::deque<recent_grant>::iterator
+    findGrant(pool_state &state, reservation_sender sender, reservation_id id) const;
+    /// Gives back to its customer the part of a grant whose pieces will not arrive.
+    static void takeBack(pool_state &state, recent_grant &grant, std::uint32_t pieces);
 
     const clock_source &m_clock;
     estimate_function m_estimate;
--- a/src/gateway/admission/stage_reservations.cpp
+++ b/src/gateway/admission/stage_reservations.cpp
@@ -141,11 +141,13 @@
     return true;
 }
 
-std::uint32_t stage_reservations::release(reservation_sender sender, reservation_id id)
+std::uint32_t stage_reservations::release(reservation_sender sender, reservation_id id,
+                                          std::optional<std::uint32_t> stage)
 {
     std::uint32_t pieces = 0;
     std::erase_if(m_reservations, [&](const reservation &each) {
-        const bool isReleased = each.sender == sender && each.id == id;
+        const bool isReleased =
+            each.sender == sender && each.id == id && each.stage == stage.value_or(each.stage);
         pieces += isReleased ? each.pieces : 0;
         return isReleased;
     });
--- a/src/gateway/admission/stage_reservations.h
+++ b/src/gateway/admission/stage_reservations.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -97,8 +98,10 @@
     void reserve(reservation_sender sender, const reservation_query &query);
     /// Consumes the reservation of a piece that arrived; returns whether there was one.
     bool onPieceArrived(const std::string &attempt, std::uint32_t stage);
-    /// Releases what is left of a reservation. Returns how many pieces that were.
-    std::uint32_t release(reservation_sender sender, reservation_id id);
+    /// Releases what is left of a reservation, or of one stage of it. Returns how many pieces that
+    /// were.
+    std::uint32_t release(reservation_sender sender, reservation_id id,
+                          std::optional<std::uint32_t> stage = std::nullopt);
     /// Releases all reservations of a sender.
     void releaseAll(reservation_sender sender);
     /// Returns the number of pieces that are reserved and have not arrived.
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -358,12 +358,11 @@
     m_timesAfterStages = m_context.latencyEstimator.timesAfterStages(request, stageTimes);
     if (m_context.disabledPolicies.contains(policy::LateLeafStages))
         std::ranges::fill(stageTimes, std::chrono::microseconds{0});
-    std::map<std::uint32_t, std::size_t> submitted; // pieces by stage, for the log
+    std::map<std::uint32_t, std::vector<pool_key>> submitted; // of each piece, by stage
     for (auto &each : m_stageProgress->takeReadyPieces(stageTimes)) {
         piece_task job;
         const auto stage = each.request.stage;
         const auto piece = each.request.piece;
-        ++submitted[stage];
         m_stageSubmittedAt[stage] = m_context.loop.now();
         job.rank = stageRank();
         job.softDeadline = m_arrival + m_route->latencyObjective - m_timesAfterStages[stage];
@@ -380,17 +379,17 @@
         job.allowed = m_residency;
         if (m_reservedPools.contains(m_stagePools[stage]))
             job.reservedPool = m_stagePools[stage];
-        else
-            m_stagePools[stage] = stagePool(each.service, job.preferredDataCenter);
         auto handler = [self = this->shared_from_this(), stage, piece](piece_report report) {
             self->onPiece(stage, piece, std::move(report));
         };
         m_pieces.push_back(
             m_context.stages.submit(each.service, std::move(job), std::move(handler)));
+        submitted[stage].push_back(m_context.stages.poolOf(m_pieces.back()));
     }
-    for (const auto &[stage, pieces] : submitted) {
-        m_context.admission.onStageSubmitted(m_stageAdmission, stage);
-        logStage(stage, pieces);
+    for (const auto &[stage, pools] : submitted) {
+        m_stagePools[stage] = pools.back();
+        m_context.admission.onStageSubmitted(m_stageAdmission, stage, pools);
+        logStage(stage, pools.size());
     }
 }
 
--- a/src/gateway/peers/admission_frames.h
+++ b/src/gateway/peers/admission_frames.h
@@ -3,6 +3,9 @@
 #include "gateway/admission/stage_reservations.h"
 #include "gateway/servers/pool_key.h"
 
+#include <cstdint>
+#include <optional>
+
 /// Frames about the admission of requests to stage pools.
 namespace orchidlead::gateway {
 
@@ -24,6 +27,8 @@
 struct release_reservation_frame
 {
     reservation_id id = 0; ///< chosen by the sender
+    /// Whose pieces go to another pool; empty: all stages, as the request doesn't go on.
+    std::optional<std::uint32_t> stage = std::nullopt;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/peers/frames/admission_codec.cpp
+++ b/src/gateway/peers/frames/admission_codec.cpp
@@ -85,13 +85,17 @@
 
 void pack(packer &out, const release_reservation_frame &frame)
 {
-    packKind(out, frame_kind::ReleaseReservation, 1);
+    packKind(out, frame_kind::ReleaseReservation, frame.stage ? 2 : 1);
     out.pack(frame.id);
+    if (frame.stage)
+        out.pack(*frame.stage);
 }
 
 void read(field_reader &in, release_reservation_frame &frame)
 {
     frame.id = in.read<reservation_id>();
+    if (!in.atEnd())
+        frame.stage = in.read<std::uint32_t>();
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -60,7 +60,9 @@
 {
     job.token = ++m_lastToken;
     const auto token = job.token;
-    m_retryBudget.onRequest(key.service);
+    // A redirected piece was counted as a request when it arrived at the pool that redirected it.
+    if (job.redirectedFrom.empty())
+        m_retryBudget.onRequest(key.service);
     const bool arrivesReserved =
         m_admission && m_admission->onPieceArrived(key, job.request.attempt, job.request.stage);
     // The pool that redirected a piece had admitted it.
--- a/src/gateway/stages/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -52,6 +52,8 @@
     /// Forgets the backoffs of a service whose servers were added, changed or removed.
     void onServersChanged(const service_id &service);
     piece_token submit(const service_id &service, piece_task &&job, piece_handler &&handler);
+    /// Returns the pool to which a submitted piece was sent.
+    [[nodiscard]] pool_key poolOf(piece_token token) const;
     void withdraw(piece_token token);
     /// Frees results through the hosts of their pools, which track the room that the results
     /// occupy.
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -104,6 +104,13 @@
     return token;
 }
 
+template <gateway_codec Codec>
+pool_key stage_router<Codec>::poolOf(piece_token token) const
+{
+    const auto found = m_submissions.find(token);
+    return found == m_submissions.end() ? pool_key{} : found->second.pool;
+}
+
 template <gateway_codec Codec>
 std::optional<milliseconds> stage_router<Codec>::backoffOf(const pool_key &pool) const
 {
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -143,6 +143,8 @@
     CHECK(read.answer.cause == refusal_cause::OverShare);
     CHECK(read.answer.turnHeld);
     CHECK(roundTrip(release_reservation_frame{9}).id == 9);
+    CHECK_FALSE(roundTrip(release_reservation_frame{9}).stage);
+    CHECK(roundTrip(release_reservation_frame{9, 3}).stage == 3U);
 }
 
 // Guards against an answer without a decision that is read as a measured wait of 0.
--- a/tests/gateway/stage_admission_test.cpp
+++ b/tests/gateway/stage_admission_test.cpp
@@ -213,6 +213,27 @@
     CHECK(host.decisions.empty());
 }
 
+// Guards against capacity that is held for pieces which went to another pool.
+TEST_CASE("the places of a stage whose pieces went elsewhere are released, those of others kept")
+{
+    admission_harness host({});
+    reservation_query query;
+    query.id = 1;
+    query.attempt = "1";
+    query.customer = customer_id("c");
+    query.stages = {{0, 3, 0, milliseconds{0}, milliseconds{900}},
+                    {2, 1, 0, milliseconds{300}, milliseconds{1200}}};
+    REQUIRE(host.admission.onQuery(&host, encodePool, query).granted);
+    const auto held = [&] { return host.admission.counts()[encodePool.service].held; };
+    host.admission.onPieceArrived(encodePool, "1", 0);
+    host.admission.releaseStage(&host, 1, 0);
+    CHECK(held() == 1);
+    host.admission.releaseStage(&host, 1, 0);
+    CHECK(held() == 1);
+    host.admission.release(&host, 1);
+    CHECK(held() == 0);
+}
+
 // Guards against a wait of 0 that no pool measured, and places that are reserved without servers.
 TEST_CASE("a host says that it can't decide for a pool that gets no work, and reserves nothing")
 {
--- a/tests/platform/admission_test.cpp
+++ b/tests/platform/admission_test.cpp
@@ -212,6 +212,54 @@
     CHECK(w.countOf(200) == 1);
 }
 
+// Guards against capacity that stays reserved, until it lapses, for pieces which go to another
+// pool.
+TEST_CASE("a reservation is released at once when its pieces go to another data centre")
+{
+    world w;
+    w.regions = {{data_center_id("y"), region_id("r")}, {data_center_id("z"), region_id("r")}};
+    w.publish(1, streamRoute(true, TwoStages),
+              stageService("p", 16, 400) + "," + stageService("q", 2, 60)
+                  + R"(,{"name":"engine","engine":{"slots":8,"kv_capacity":100000}})");
+    int handles = 0;
+    int piecesInY = 0;
+    const auto addStage = [&](const std::string &service, const std::string &id, bool inY, int ms) {
+        auto &added = w.addServer(service, id, inY ? "y" : "z");
+        added.setBehaviour(
+            [&, ms, counts = inY && service == "q"](const server_request &request,
+                                                    const std::shared_ptr<server_answer> &answer) {
+                piecesInY += counts ? 1 : 0;
+                answerStages(w, added, request, answer, milliseconds{ms}, handles);
+            });
+    };
+    // Its two calls are shorter than published, so that the places lapse long after the pieces.
+    addStage("p", "p-1", true, 150);
+    for (const bool inY : {true, false}) {
+        const std::string dataCenter = inY ? "y" : "z";
+        w.addServer("engine", "engine-" + dataCenter, dataCenter).setBehaviour(answerOneEvent);
+        for (int i = 0; i < 3; ++i) // from three servers on, a data centre has a pool of its own
+            addStage("q", "q-" + dataCenter + std::to_string(i), inY, 60);
+    }
+    w.startGateway("y1", true, "y");
+    w.startGateway("z1");
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(2); }));
+    std::vector<std::shared_ptr<client_answer>> answers;
+    for (int i = 0; i < 6; ++i)
+        answers.push_back(w.request("z1", makeStagedRequest(std::to_string(i), "1,1"), "prompt"));
+    const auto reserved = [&] {
+        const auto text = w.metrics("z1");
+        const auto row = std::string(Reserved) + "{service=\"q\"} ";
+        const auto at = text.find(row);
+        return at == std::string::npos ? 0 : std::stoi(text.substr(at + row.size()));
+    };
+    REQUIRE(w.runUntil([&] { return reserved() > 0; }, milliseconds{300}));
+    w.evacuate("z");
+    REQUIRE(w.runUntil([&] { return piecesInY > 0; }));
+    CHECK(w.runUntil([&] { return reserved() == 0; }, milliseconds{300}));
+    for (const auto &each : answers)
+        CHECK(w.await(each));
+}
+
 // Guards against requests that wait for the answer of a host that has stopped responding.
 TEST_CASE("requests don't wait for a host that is a member but answers nothing")
 {
