Learn result sizes once per call, and wake a pool when a piece becomes late

Each refusal in the answer to a call updated the learnt size of results, so one call could move it by most of the way to its limit. A pool whose servers lack storage for a waiting piece wasn't woken when the piece could no longer begin by its soft deadline, so its request was refused at the next event only.

`result_room::onRefusals` takes the refusals of a call as one observation, with the smallest size, and corrects the account for all of them. `stage_pool::wakeAt` includes the time from which a waiting piece is late, and its deadline.

Not included: a wake at the end of `MaxGroupWait`. The test "the pool wakes when a result expires that was never freed" demands another wake time in a case where a part of a group could begin then, and is left as it is.

--- a/src/gateway/stages/piece_order.cpp
+++ b/src/gateway/stages/piece_order.cpp
@@ -16,7 +16,7 @@
 // time of a call alone.
 bool piece_order::isLate(const piece_task &job, steady_time now) const
 {
-    return job.softDeadline < now + m_capacity.callOverhead;
+    return latestStart(job) < now;
 }
 
 steady_time piece_order::nextCallEnd(std::size_t waiting, steady_time now) const
--- a/src/gateway/stages/piece_order.h
+++ b/src/gateway/stages/piece_order.h
@@ -19,6 +19,11 @@
     [[nodiscard]] steady_time nextCallEnd(std::size_t waiting, steady_time now) const;
     /// Returns whether a piece with a reservation would be late if its call ended at `callEnd`.
     [[nodiscard]] static bool missesPlace(const piece_task &job, steady_time callEnd);
+    /// Returns the last time at which a call can begin and end by the piece's `softDeadline`.
+    [[nodiscard]] steady_time latestStart(const piece_task &job) const
+    {
+        return job.softDeadline - m_capacity.callOverhead;
+    }
     /// Returns whether `a` precedes `b` at time `now`, for a server in the data centre `at`; if
     /// `at` is empty, for a server anywhere. `callEnd` is the end of the next call.
     [[nodiscard]] bool precedes(const piece_task &a, const piece_task &b, const data_center_id &at,
--- a/src/gateway/stages/result_room.cpp
+++ b/src/gateway/stages/result_room.cpp
@@ -194,23 +194,34 @@
         m_expiries.pop_front();
 }
 
-void result_room::onRefused(const server_start &server, std::uint64_t bytes)
+void result_room::learnSizes(const server_start &server, std::uint64_t refusedBytes)
 {
+    if (m_bytesPerServer == 0 || !m_learnsSizes)
+        return;
+    const auto counted = static_cast<double>(heldBytesAt(server) + refusedBytes);
+    const double ratio = static_cast<double>(m_bytesPerServer) / counted;
+    if (ratio > m_sizeRatio)
+        m_sizeRatio += RefusalWeight * (std::min(ratio, MaxSizeRatio) - m_sizeRatio);
+}
+
+// The refusals of one call have the same cause, so they are one observation. The smallest result
+// shows best how full the server is.
+void result_room::onRefusals(const server_start &server, const std::vector<std::uint64_t> &sizes)
+{
+    if (sizes.empty())
+        return;
     const auto now = m_clock.now();
-    if (m_bytesPerServer > 0 && m_learnsSizes) {
-        const auto counted = static_cast<double>(heldBytesAt(server) + bytes);
-        const double ratio = static_cast<double>(m_bytesPerServer) / counted;
-        if (ratio > m_sizeRatio)
-            m_sizeRatio += RefusalWeight * (std::min(ratio, MaxSizeRatio) - m_sizeRatio);
+    learnSizes(server, std::ranges::min(sizes));
+    for (const auto bytes : sizes) {
+        const auto free = isSmall(bytes) ? freeBytesForSmallAt(server) : freeBytesAt(server);
+        auto &entry = m_corrections[server];
+        if (entry.until <= now)
+            entry.bytes = 0;
+        entry.until = now + CorrectionTime;
+        // Smaller results may still fit, so the rest stays free.
+        if (bytes > 0 && free >= bytes)
+            entry.bytes += free - bytes + 1;
     }
-    const auto free = isSmall(bytes) ? freeBytesForSmallAt(server) : freeBytesAt(server);
-    auto &entry = m_corrections[server];
-    if (entry.until <= now)
-        entry.bytes = 0;
-    entry.until = now + CorrectionTime;
-    // Smaller results may still fit, so the rest stays free.
-    if (bytes > 0 && free >= bytes)
-        entry.bytes += free - bytes + 1;
 }
 
 void result_room::onAllStored()
--- a/src/gateway/stages/result_room.h
+++ b/src/gateway/stages/result_room.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace orchidlead::gateway {
 
@@ -95,10 +96,13 @@
     /// Releases the results that their servers no longer keep.
     void dropExpired();
 
-    /// Corrects the account of a server that had no storage for a result. Call after the other
-    /// results of the call were recorded. The server counts as having no storage for another result
-    /// of this size until results there are freed, at most for `CorrectionTime`.
-    void onRefused(const server_start &server, std::uint64_t bytes);
+    /// Corrects the account of a server that had no storage for a result.
+    void onRefused(const server_start &server, std::uint64_t bytes) { onRefusals(server, {bytes}); }
+    /// Corrects the account of a server that had no storage for some results of a call, by their
+    /// sizes. Call after the other results of the call were recorded. The server counts as having
+    /// no storage for another result of such a size until results there are freed, at most for
+    /// `CorrectionTime`.
+    void onRefusals(const server_start &server, const std::vector<std::uint64_t> &sizes);
     /// Records that a server stored all results of a call.
     void onAllStored();
     /// Returns when storage may become free without a free: at the end of a correction, or when a
@@ -171,6 +175,7 @@
     [[nodiscard]] std::uint64_t usableBytes() const;
     [[nodiscard]] std::uint64_t countedBytesAt(const server_start &server) const;
     void forgetFreed();
+    void learnSizes(const server_start &server, std::uint64_t refusedBytes);
     [[nodiscard]] static hold_times timesOf(const held_result &result, steady_time end);
 
     const clock_source &m_clock;
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -309,8 +309,7 @@
     if (!m_usesResultRoom || !sized)
         m_servers.pauseWithoutRoom(server);
     else
-        for (const auto bytes : refused)
-            m_room.onRefused(server, bytes);
+        m_room.onRefusals(server, refused);
 }
 
 milliseconds stage_pool::expectedWait(const stage_rank &rank, double servers,
@@ -470,11 +469,17 @@
     const auto now = m_clock.now();
     if (const auto change = m_room.nextChangeAt(); m_usesResultRoom && change && *change > now)
         earliest = std::min(earliest.value_or(*change), *change);
-    // When pieces that wait for a server in their inputs' data centre may go to another one.
+    const auto wakeIfLater = [&](steady_time at) {
+        if (at > now)
+            earliest = std::min(earliest.value_or(at), at);
+    };
     for (const auto &job : m_waiting) {
-        const auto until = m_selector.localWaitEnd(job);
-        if (until > now && (!earliest || until < *earliest))
-            earliest = until;
+        // When a piece that waits for a server in its inputs' data centre may go to another one.
+        wakeIfLater(m_selector.localWaitEnd(job));
+        // When it can no longer begin in time, and when it is of no use any more: `expire` drops
+        // it.
+        wakeIfLater(m_order.latestStart(job) + std::chrono::microseconds{1});
+        wakeIfLater(job.deadline);
     }
     return earliest;
 }
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -143,7 +143,8 @@
     {
         return m_waits.resultBytesPerSecond(servers, resultBytes);
     }
-    /// Returns when `nextCall` may return a call without another event in between.
+    /// Returns when `nextCall` may return a call, or `expire` drop a piece, without another event
+    /// in between.
     [[nodiscard]] std::optional<steady_time> wakeAt() const;
     /// Returns the bytes of results accounted to a server.
     [[nodiscard]] std::uint64_t heldBytesAt(const server_start &server) const
--- a/tests/gateway/result_room_test.cpp
+++ b/tests/gateway/result_room_test.cpp
@@ -115,6 +115,19 @@
     }
 }
 
+// Guards against a call with many refused results that teaches a ratio no single call shows.
+TEST_CASE("result_room: the refusals of one call teach the size of results once")
+{
+    room_fixture one;
+    one.store(First, 3, "a");
+    one.room.onRefused(First, ResultBytes);
+    room_fixture many;
+    many.store(First, 3, "a");
+    many.room.onRefusals(First, std::vector(5, ResultBytes));
+    CHECK(many.room.sizeRatio() == one.room.sizeRatio());
+    CHECK(many.room.freeBytesAt(First) == one.room.freeBytesAt(First));
+}
+
 TEST_CASE("result_room: refusals teach larger sizes, and calls without them teach published ones")
 {
     room_fixture w;
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -854,3 +854,21 @@
     }
     CHECK(w.pool.waiting() == 1);
 }
+
+// Guards against a piece that keeps its request waiting until the next event at the pool, although
+// it can no longer begin in time.
+TEST_CASE("stage_pool: the pool wakes when a waiting piece becomes late and when it expires")
+{
+    pool_fixture w;
+    for (std::uint32_t i = 0; i < 4; ++i)
+        w.submit("r1", i, milliseconds{2000});
+    (void)w.answer(*w.pool.nextCall(w.servers));
+    const auto submittedAt = w.clock.now();
+    for (std::uint32_t i = 0; i < 3; ++i)
+        w.submit("r2", i, milliseconds{400}); // two of them fit
+    CHECK_FALSE(w.pool.nextCall(w.servers));
+    const auto late = submittedAt + milliseconds{200} + std::chrono::microseconds{1};
+    CHECK(*w.pool.wakeAt() == late);
+    w.clock.advance(late - w.clock.now());
+    CHECK(w.pool.expire(1).size() == 3); // no storage for them in time
+}
