Keep one host for the pools of brittle servers while processes are slow

Traced in the build with sanitizers at load 18: nodes suspect the host of the pool, g3, at 2.4, 2.7 and 3.4 s, as its answers to probes come too late, and each moves the pool at once: g0, g1 and g3 then placed 172, 293 and 419 requests, each from its own count, and all three servers failed within 0.1 s. Before, 104 to 106 answers of a link's other end had shown that g3 runs. A node whose link to the host closed, or that the host sent to a server it can't use, placed on its own board as well, and a node placed for others though it wasn't the host in its view. A member that misses probes keeps its pools while frames arrive over the link to it, at most 1 s old; its link stays open as long. Its other roles follow the membership as before, and a member that has announced its stop isn't kept. Requests for brittle servers are placed by the node alone that considers itself the host; a sender that lost the host asks the next one. A node passes on the place of an answered request to one that waits for the host, for 3 s at most, as the round trip to the host took about 0.2 s of the 0.5 s of a place.

--- a/bench/fleet/peer_fleet.cpp
+++ b/bench/fleet/peer_fleet.cpp
@@ -124,8 +124,8 @@
 void peer_fleet::carryOut(std::size_t from, const membership_actions &actions)
 {
     for (const auto &action : actions) {
-        if (std::holds_alternative<member_changed>(action))
-            m_nodes[from].view->onMemberChanged();
+        if (const auto *change = std::get_if<member_changed>(&action))
+            m_nodes[from].view->onMemberChanged(*change);
         const auto *datagram = std::get_if<gossip_datagram>(&action);
         if (!datagram)
             continue;
--- a/src/gateway/peers/peer_network.cpp
+++ b/src/gateway/peers/peer_network.cpp
@@ -65,6 +65,7 @@
     membership_actions actions;
     m_view.tick(actions);
     carryOut(actions);
+    closeDeadLinks();
     updateReachability();
     m_loop.callAfter(TickInterval, [this] { tick(); });
 }
@@ -123,13 +124,28 @@
 {
     m_log.write(wire::log_level::Info, wire::node_event::MemberChanged,
                 change.now.vm.vm.value + " " + std::string(toName(change.now.state)));
-    m_view.onMemberChanged();
+    m_view.onMemberChanged(change);
     if (change.now.state != member_state::Dead)
         return;
-    if (const auto found = m_links.find(change.now.vm.vm); found != m_links.end()) {
-        const auto link = found->second.link;
+    m_deadMembers.insert(change.now.vm.vm);
+    closeDeadLinks();
+}
+
+// Requests that wait for an answer of the member fail over when its link is closed.
+void peer_network::closeDeadLinks()
+{
+    std::vector<std::shared_ptr<peer_link>> links;
+    std::erase_if(m_deadMembers, [&](const vm_id &vm) {
+        if (m_view.answersOnLink(vm))
+            return false;
+        const auto known = m_view.find(vm);
+        const auto found = m_links.find(vm);
+        if (found != m_links.end() && (!known || known->state == member_state::Dead))
+            links.push_back(found->second.link);
+        return true;
+    });
+    for (const auto &link : links)
         link->close();
-    }
 }
 
 std::shared_ptr<peer_link> peer_network::linkTo(const vm_id &peer)
@@ -143,7 +159,7 @@
         return nullptr;
     const auto &dataCenter = known->vm.dataCenter;
     onTraffic(dataCenter);
-    auto link = std::make_shared<peer_link>(m_loop, linkEvents(dataCenter));
+    auto link = std::make_shared<peer_link>(m_loop, linkEvents(peer, dataCenter));
     m_links[peer] = {link, dataCenter};
     link->open(known->vm.peerAddress, m_connect);
     return link;
@@ -192,17 +208,21 @@
     return std::nullopt;
 }
 
-peer_link::events peer_network::linkEvents(const data_center_id &from)
+peer_link::events peer_network::linkEvents(const vm_id &peer, const data_center_id &from)
 {
     peer_link::events handlers;
-    handlers.onFrame = [this, from](const std::shared_ptr<peer_link> &link, peer_frame &&frame) {
+    handlers.onFrame = [this, peer, from](const std::shared_ptr<peer_link> &link,
+                                          peer_frame &&frame) {
         m_view.onLivenessSignalFrom(from);
+        if (!peer.empty())
+            m_view.onFrameFrom(peer);
         m_events.onFrame(link, std::move(frame));
     };
     handlers.onClosed = [this](const std::shared_ptr<peer_link> &link) {
-        if (const auto peer = peerOf(link)) {
-            avoidPeer(*peer);
-            m_links.erase(*peer);
+        if (const auto closed = peerOf(link)) {
+            avoidPeer(*closed);
+            m_view.onLinkClosed(*closed);
+            m_links.erase(*closed);
         }
         m_events.onLinkClosed(link);
     };
@@ -212,7 +232,7 @@
 void peer_network::accept(std::shared_ptr<http::stream_socket> socket)
 {
     std::erase_if(m_accepted, [](const auto &weak) { return weak.expired(); });
-    const auto link = std::make_shared<peer_link>(m_loop, linkEvents({}));
+    const auto link = std::make_shared<peer_link>(m_loop, linkEvents({}, {}));
     m_accepted.push_back(link);
     link->accept(std::move(socket));
 }
--- a/src/gateway/peers/peer_network.h
+++ b/src/gateway/peers/peer_network.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -121,9 +122,10 @@
     void carryOut(const membership_actions &actions);
     void onMemberChanged(const member_changed &change);
     void accept(std::shared_ptr<http::stream_socket> socket);
-    /// `from` is the peer's data centre; empty for a link that the peer opened, where the data
-    /// centre is unknown.
-    [[nodiscard]] peer_link::events linkEvents(const data_center_id &from);
+    /// Returns the handlers of a link to this peer. Both are empty for a link that the peer opened.
+    [[nodiscard]] peer_link::events linkEvents(const vm_id &peer, const data_center_id &from);
+    /// Closes the links to dead members from which no frames arrive.
+    void closeDeadLinks();
 
     http::io_loop &m_loop;
     wire::log &m_log;
@@ -140,6 +142,7 @@
         data_center_id dataCenter; ///< of the peer
     };
     std::map<vm_id, opened_link> m_links; ///< links opened by this node
+    std::set<vm_id> m_deadMembers; ///< those whose links may be open, as frames arrived recently
     std::vector<std::weak_ptr<peer_link>> m_accepted; ///< links opened by peers
 };
 
--- a/src/gateway/peers/peer_view.cpp
+++ b/src/gateway/peers/peer_view.cpp
@@ -32,6 +32,10 @@
 constexpr milliseconds ContactInterval{2000};
 // Silent nodes contacted per round.
 constexpr std::size_t MaxContactsPerRound = 8;
+// How long a frame shows that its sender runs. A member becomes suspected after 0.8 s without
+// answers to probes and dead after 1.2 s more, so a process that has ended or hangs keeps its pools
+// no longer than by these probes alone.
+constexpr milliseconds FrameLifetime{1000};
 // How long a peer that did not answer gets no role.
 constexpr milliseconds AvoidanceTime{1500};
 // A node knows all others within this time of its start. Before, it may consider itself the only
@@ -109,6 +113,7 @@
         std::erase_if(m_avoided, [&](const auto &entry) { return m_clock.now() >= entry.second; });
     if (lapsed > 0)
         invalidateRoles();
+    updateAnsweringMembers();
     if (m_clock.now() >= m_nextContact)
         contactSilentMembers(out);
 }
@@ -231,13 +236,50 @@
     m_aliveFraction.reset();
 }
 
-std::vector<peer_view::candidate> peer_view::candidates(const data_center_id &dataCenter,
-                                                        const region_id &region) const
+// A member that has announced its stop becomes dead without having been suspected.
+void peer_view::onMemberChanged(const member_changed &change)
+{
+    const auto &vm = change.now.vm.vm;
+    const bool isPresumedDead = change.now.state == member_state::Dead
+        && (change.before == member_state::Suspect || m_unresponsive.contains(vm));
+    if (change.now.state == member_state::Suspect || isPresumedDead)
+        m_unresponsive.insert(vm);
+    else
+        m_unresponsive.erase(vm);
+    m_answering.erase(vm);
+    if (answersOnLink(vm))
+        m_answering.insert(vm);
+    invalidateRoles();
+}
+
+bool peer_view::answersOnLink(const vm_id &peer) const
+{
+    const auto found = m_lastFrames.find(peer);
+    return found != m_lastFrames.end() && m_clock.now() - found->second < FrameLifetime
+        && m_unresponsive.contains(peer);
+}
+
+void peer_view::updateAnsweringMembers()
+{
+    std::erase_if(m_unresponsive, [&](const vm_id &each) { return !m_members.find(each); });
+    std::set<vm_id> answering;
+    for (const auto &each : m_unresponsive) {
+        if (answersOnLink(each))
+            answering.insert(each);
+    }
+    if (std::exchange(m_answering, answering) != answering)
+        invalidateRoles();
+}
+
+template <class Predicate>
+std::vector<peer_view::candidate> peer_view::candidatesAmong(const data_center_id &dataCenter,
+                                                             const region_id &region,
+                                                             Predicate isRunning) const
 {
     std::vector<candidate> found;
     for (const auto &each : m_members.members()) {
         const bool own = each.vm.vm == self();
-        const bool usable = each.state == member_state::Alive && !isAvoided(each.vm.vm)
+        const bool usable = isRunning(each) && !isAvoided(each.vm.vm)
             && m_reachability.isReachable(each.vm.dataCenter);
         const bool there = (dataCenter.empty() || each.vm.dataCenter == dataCenter)
             && (region.empty() || each.vm.region == region);
@@ -247,6 +289,23 @@
     return found;
 }
 
+std::vector<peer_view::candidate> peer_view::candidates(const data_center_id &dataCenter,
+                                                        const region_id &region) const
+{
+    return candidatesAmong(dataCenter, region,
+                           [](const member &each) { return each.state == member_state::Alive; });
+}
+
+// Nodes take different times to suspect a slow host. If each of them moved the pool as soon as it
+// does, several hosts would count the requests of the same servers.
+std::vector<peer_view::candidate> peer_view::hostCandidates(const data_center_id &dataCenter,
+                                                            const region_id &region) const
+{
+    return candidatesAmong(dataCenter, region, [&](const member &each) {
+        return each.state == member_state::Alive || m_answering.contains(each.vm.vm);
+    });
+}
+
 std::vector<vm_id> peer_view::idsOf(const std::vector<candidate> &candidates)
 {
     std::vector<vm_id> names;
@@ -272,11 +331,11 @@
 // has one, else anywhere.
 vm_id peer_view::pickHost(const pool_key &pool) const
 {
-    auto hosts = candidates(pool.dataCenter, pool.region);
+    auto hosts = hostCandidates(pool.dataCenter, pool.region);
     if (hosts.empty() && !pool.region.empty())
-        hosts = candidates({}, pool.region);
+        hosts = hostCandidates({}, pool.region);
     if (hosts.empty())
-        hosts = candidates({});
+        hosts = hostCandidates({});
     const auto picked = rendezvousPick(pool.service.value, highestCapacityOf(std::move(hosts)), 1);
     return picked.empty() ? self() : picked.front();
 }
--- a/src/gateway/peers/peer_view.h
+++ b/src/gateway/peers/peer_view.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,7 +62,14 @@
     /// Records that this node has work in the data centre, so that its silence is noticed sooner.
     void onTraffic(const data_center_id &which) { m_reachability.onTraffic(which); }
     /// Reassigns roles after a member changed its state.
-    void onMemberChanged() { invalidateRoles(); }
+    void onMemberChanged(const member_changed &change);
+    /// Records that a frame of a peer arrived over a link that this node opened: the process runs,
+    /// although its answers to probes may arrive too late while it gets little processor time.
+    void onFrameFrom(const vm_id &peer) { m_lastFrames[peer] = m_clock.now(); }
+    /// Called when the link to a peer that this node opened was closed.
+    void onLinkClosed(const vm_id &peer) { m_lastFrames.erase(peer); }
+    /// Returns whether frames of a peer arrive although probes of it failed.
+    [[nodiscard]] bool answersOnLink(const vm_id &peer) const;
     /// Assigns no role to a peer for a while, since it did not answer.
     void avoidPeer(const vm_id &peer);
 
@@ -127,6 +135,8 @@
     void probeDataCenter(const data_center_id &dataCenter, std::size_t count,
                          membership_actions &out);
     void invalidateRoles();
+    /// Reassigns roles if other members than before answer on their links only.
+    void updateAnsweringMembers();
     /// Returns the fraction of known nodes that may hold a role; 0 shortly after the start, when
     /// this node may not know the others yet.
     [[nodiscard]] double aliveFraction() const;
@@ -147,6 +157,15 @@
     /// leaving. An empty data centre or region matches all.
     [[nodiscard]] std::vector<candidate> candidates(const data_center_id &dataCenter,
                                                     const region_id &region = {}) const;
+    /// As `candidates`, with the members that answer on their links only.
+    [[nodiscard]] std::vector<candidate> hostCandidates(const data_center_id &dataCenter,
+                                                        const region_id &region = {}) const;
+    /// Returns the reachable members that match and aren't avoided, if `isRunning` returns true for
+    /// them, and this node unless it is leaving.
+    template <class Predicate>
+    [[nodiscard]] std::vector<candidate> candidatesAmong(const data_center_id &dataCenter,
+                                                         const region_id &region,
+                                                         Predicate isRunning) const;
     [[nodiscard]] static std::vector<vm_id> idsOf(const std::vector<candidate> &candidates);
     /// Returns the candidates of highest capacity: at least `MinHostCandidates` where there are so
     /// many, and all others of the same capacity as the last of these.
@@ -158,6 +177,11 @@
     membership m_members;
     data_center_reachability m_reachability;
     std::map<vm_id, steady_time> m_avoided;
+    std::map<vm_id, steady_time> m_lastFrames; ///< of peers that this node has opened a link to
+    /// Members that didn't answer probes and announced no stop: suspected, or dead since.
+    std::set<vm_id> m_unresponsive;
+    /// Those of them that kept their pools when this was last checked, as frames arrived.
+    std::set<vm_id> m_answering;
     std::map<pool_key, cached_host> m_hosts;
     std::vector<vm_id> m_relayOrder; ///< cache; empty: to be computed
     std::optional<std::vector<vm_id>> m_broadcastTargets; ///< cache
--- a/src/gateway/placement/request_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -18,6 +18,10 @@
 // A data centre with at least this many engines reads shared prompts by itself. With fewer engines,
 // reading the parts in each data centre costs more than moving inputs.
 constexpr pool_split_limits EnginePoolSplitLimits{8, 6};
+// How long a node may pass on a place at a brittle server from one of its requests to the next.
+// Then the host decides again, so that all nodes get places, and before it drops the placement as
+// one whose end was never reported.
+constexpr milliseconds MaxPlaceAge{3000};
 // How long a host's report that all servers of a pool are rate-limited is valid. While there are
 // requests, each reply of the host renews or clears it.
 constexpr milliseconds AllRateLimitedLifetime{2000};
@@ -175,19 +179,20 @@
         return id;
     }
     entry.link->send(place_frame{id, entry.query, offeredParts});
+    m_awaitingHost.insert(id);
     entry.timer = m_loop.callAfter(hostTimeout(entry.query.pool), [this, id] {
         const auto found = m_pending.find(id);
         if (found == m_pending.end())
             return;
         found->second.timer = 0;
-        onHostTimeout(id, found->second);
+        continueWithoutHost(id, found->second);
     });
     return id;
 }
 
 // If each node counted the requests of brittle servers by itself, the servers would get several
 // times what they can run and fall over.
-void request_placer::onHostTimeout(placement_id id, pending_placement &entry)
+void request_placer::continueWithoutHost(placement_id id, pending_placement &entry)
 {
     if (!m_directory.anyBrittle(entry.query.pool.service)) {
         placeLocally(id, entry);
@@ -197,11 +202,27 @@
         return;
     if (const auto link = std::exchange(entry.link, nullptr))
         link->send(placement_progress_frame{id, placement_progress_frame::event_type::Ended});
+    m_awaitingHost.erase(id);
     complete(entry, {nullptr, milliseconds{0}, true});
 }
 
+// The new host counts the requests of brittle servers of all nodes, so this node asks it. The time
+// for the answer goes on.
+void request_placer::onHostLost(placement_id id, pending_placement &entry)
+{
+    if (m_directory.anyBrittle(entry.query.pool.service)) {
+        entry.link = linkToHost(entry.query.pool);
+        if (entry.link) {
+            entry.link->send(place_frame{id, entry.query});
+            return;
+        }
+    }
+    placeLocally(id, entry);
+}
+
 void request_placer::placeLocally(placement_id id, pending_placement &entry)
 {
+    m_awaitingHost.erase(id);
     if (!entry.placed)
         return;
     if (const auto link = std::exchange(entry.link, nullptr))
@@ -237,19 +258,70 @@
         const auto &pool = found->second.query.pool;
         link->send(board_state_frame{pool, m_recentParts.partsOf(pool)});
     }
-    if (found == m_pending.end() || !found->second.placed)
+    if (found == m_pending.end() || !found->second.placed || found->second.hostId != 0)
         return;
     auto &entry = found->second;
     m_loop.cancelTimer(std::exchange(entry.timer, 0));
+    m_awaitingHost.erase(frame.id);
     const auto chosen = m_directory.find(frame.server);
     const bool refused = frame.server.empty() && frame.allRateLimited;
     if (!refused && (!chosen || !chosen->accepts(m_loop.now()))) {
-        placeLocally(frame.id, entry);
+        continueWithoutHost(frame.id, entry);
         return;
     }
+    if (chosen) {
+        entry.hostId = frame.id;
+        entry.hostedAt = m_loop.now();
+        entry.server = chosen;
+    }
     complete(entry, {chosen, frame.wait, frame.allRateLimited, frame.repeated});
 }
 
+bool request_placer::mayTakePlace(const pending_placement &entry,
+                                  const pending_placement &ended) const
+{
+    const auto &query = entry.query;
+    const auto &server = *ended.server;
+    return entry.link == ended.link && query.pool == ended.query.pool && query.prompt.empty()
+        && server.hasVersion(query.version) && query.allowed.allows(server.region)
+        && std::ranges::find(query.exclude, server.record.id) == query.exclude.end();
+}
+
+// While processes are slow, the host learns of a free place, and the next request of its answer,
+// later than the server takes for a whole request. The places would then be empty most of the time.
+bool request_placer::passOnPlace(const pending_placement &ended)
+{
+    const auto now = m_loop.now();
+    if (!ended.server || !ended.server->brittleRefusals || !ended.signals.accepted
+        || !ended.query.prompt.empty() || now - ended.hostedAt >= MaxPlaceAge
+        || !ended.server->accepts(now) || ended.server->effectiveRateLimit(now))
+        return false;
+    pending_placement *next = nullptr;
+    placement_id nextId = 0;
+    for (const auto id : m_awaitingHost) {
+        auto &each = m_pending.at(id);
+        if (mayTakePlace(each, ended) && (!next || each.query.rank < next->query.rank)) {
+            next = &each;
+            nextId = id;
+        }
+    }
+    if (!next)
+        return false;
+    // The host may place the request as well, so that place is freed at once.
+    next->link->send(placement_progress_frame{nextId, placement_progress_frame::event_type::Ended});
+    m_awaitingHost.erase(nextId);
+    m_loop.cancelTimer(std::exchange(next->timer, 0));
+    next->hostId = ended.hostId;
+    next->hostedAt = ended.hostedAt;
+    next->server = ended.server;
+    m_loop.post([this, nextId] {
+        const auto found = m_pending.find(nextId);
+        if (found != m_pending.end() && found->second.placed)
+            complete(found->second, {found->second.server, milliseconds{0}, false});
+    });
+    return true;
+}
+
 void request_placer::onSignals(placement_id id, const server_signals &reported)
 {
     if (const auto found = m_pending.find(id); found != m_pending.end()) {
@@ -276,8 +348,10 @@
     const auto found = m_pending.find(id);
     if (found == m_pending.end())
         return;
-    if (found->second.link)
-        sendProgress(id, found->second, placement_progress_frame::event_type::FirstToken);
+    auto &entry = found->second;
+    if (entry.link)
+        sendProgress(entry.hostId != 0 ? entry.hostId : id, entry,
+                     placement_progress_frame::event_type::FirstToken);
     else
         m_board.onFirstToken(id);
 }
@@ -289,11 +363,14 @@
     const auto found = m_pending.find(id);
     if (found == m_pending.end())
         return;
-    m_loop.cancelTimer(found->second.timer);
-    if (found->second.link)
-        sendProgress(id, found->second, placement_progress_frame::event_type::Ended);
-    else
+    auto &entry = found->second;
+    m_loop.cancelTimer(entry.timer);
+    m_awaitingHost.erase(id);
+    if (!entry.link)
         m_board.onEnd(id);
+    else if (!passOnPlace(entry))
+        sendProgress(entry.hostId != 0 ? entry.hostId : id, entry,
+                     placement_progress_frame::event_type::Ended);
     m_pending.erase(found);
 }
 
@@ -318,7 +395,12 @@
 void request_placer::onPlaceRequest(const link_ptr &link, const place_frame &frame)
 {
     const auto id = ++m_lastId;
-    const auto placed = placeOnBoard(id, frame.query);
+    // The node that this one considers the host counts the requests of brittle servers. The sender
+    // may have lost it; if it has ended, the link to it fails and this node takes its place.
+    const bool isOther =
+        m_directory.anyBrittle(frame.query.pool.service) && linkToHost(frame.query.pool) != nullptr;
+    const auto placed =
+        isOther ? placement_result{nullptr, milliseconds{0}, true} : placeOnBoard(id, frame.query);
     const auto server = placed.server ? placed.server->record.start() : server_start{};
     if (placed.server)
         m_hosted[link][frame.id] = {id, server};
@@ -385,12 +467,12 @@
         if (entry.link != link)
             continue;
         entry.link = nullptr;
-        if (entry.placed)
+        if (entry.placed && entry.hostId == 0)
             waiting.push_back(id);
     }
     for (const auto id : waiting) {
         if (const auto found = m_pending.find(id); found != m_pending.end())
-            placeLocally(id, found->second);
+            onHostLost(id, found->second);
     }
     std::vector<placement_id> admissionIds;
     for (const auto &[id, entry] : m_admissions) {
--- a/src/gateway/placement/request_placer.h
+++ b/src/gateway/placement/request_placer.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace orchidlead::gateway {
@@ -67,6 +68,11 @@
         placement_handler placed; ///< empty once it has been called
         link_ptr link; ///< to the host; null: placed by this node
         http::timer_id timer = 0;
+        /// The id under which the host counts the request: its own, or that of an earlier request
+        /// whose place at the server it took over. 0: the host has not placed it.
+        placement_id hostId = 0;
+        steady_time hostedAt{}; ///< when the host answered that it had placed `hostId`
+        server_ptr server; ///< that the host has chosen
         server_signals signals = NoSignals; ///< not sent to the host yet
         steady_time signalsAt{}; ///< when `signals` arrived
     };
@@ -95,12 +101,20 @@
     /// Returns how long to wait for an answer of the pool's host.
     [[nodiscard]] milliseconds hostTimeout(const pool_key &pool);
     void sendRateLimits(const pool_key &pool, const link_ptr &link);
-    /// Continues without the host's answer; refuses a request for brittle servers.
-    void onHostTimeout(placement_id id, pending_placement &entry);
+    /// Continues without a usable answer of the host; refuses a request for brittle servers.
+    void continueWithoutHost(placement_id id, pending_placement &entry);
+    /// Continues after the link to the host was closed.
+    void onHostLost(placement_id id, pending_placement &entry);
     /// Returns the number of recent parts to offer with a request to a host that may not know them;
     /// 0 if the last request of the pool went to the same host.
     [[nodiscard]] std::uint32_t partsToOffer(const pool_key &pool, const link_ptr &link);
     void placeLocally(placement_id id, pending_placement &entry);
+    /// Gives the place of an answered request at a brittle server to a request that waits for the
+    /// host's answer. Returns false if there is none; the host must then free the place.
+    [[nodiscard]] bool passOnPlace(const pending_placement &ended);
+    /// Returns whether a request may use the place of another one.
+    [[nodiscard]] bool mayTakePlace(const pending_placement &entry,
+                                    const pending_placement &ended) const;
     [[nodiscard]] placement_result placeOnBoard(placement_id id, const placement_query &query);
     /// Admits or refuses a request as the host of its pool.
     [[nodiscard]] admission admitOnBoard(const placement_query &query);
@@ -126,6 +140,7 @@
     pool_splitter m_splitter;
     placement_id m_lastId = 0;
     std::unordered_map<placement_id, pending_placement> m_pending;
+    std::set<placement_id> m_awaitingHost; ///< of `m_pending`, those without an answer of the host
     std::unordered_map<placement_id, pending_admission> m_admissions;
     std::map<pool_key, steady_time> m_allRateLimited; ///< when the host's report expires
     std::uint64_t m_limitChanges = 0; ///< number of rate limit changes reported to this node
--- a/tests/gateway/peer_view_test.cpp
+++ b/tests/gateway/peer_view_test.cpp
@@ -290,6 +290,31 @@
     CHECK(view.hostOf(pool) == host);
 }
 
+// Guards against a second host of a pool that counts the requests of its servers anew, because a
+// slow process answered probes too late.
+TEST_CASE("a host that misses probes keeps its pools while its frames arrive")
+{
+    peer_fleet fleet(12, 2, 23);
+    fleet.startAll(StartWindow);
+    fleet.run(milliseconds{5000});
+    REQUIRE(fleet.agreed());
+    auto &view = fleet.view(0);
+    const pool_key pool{service_id("stage"), data_center_id("dc-1")};
+    const auto host = view.hostOf(pool);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (fleet.runs(i) && fleet.view(i).self() == host)
+            fleet.kill(i); // answers no probes
+    }
+    for (int i = 0; i < 60; ++i) {
+        view.onFrameFrom(host);
+        fleet.run(milliseconds{100});
+        REQUIRE(view.hostOf(pool) == host);
+    }
+    CHECK(view.find(host)->state == member_state::Dead);
+    fleet.run(milliseconds{1200});
+    CHECK(view.hostOf(pool) != host);
+}
+
 TEST_CASE("nodes of a lost data centre host no pool until the data centre is reachable again")
 {
     peer_fleet fleet(12, 2, 29);
