Report failed engines to the host of their pool

A crashed engine has no requests, so the placement board takes it for the one with the least load and offers it first, to each request of each node until that node itself has failed to reach it twice. The end of a placement tells the host whether the engine refused the connection or broke off its answer (one byte of the progress frame; an older reader ignores it). The host counts that as a failure of its own, and a first token reported by another node as an answer. Policy shared_server_failures.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -217,6 +217,11 @@
     void reportConnectionBroken();
     /// Returns whether the request may be the cause if the server of the current attempt crashed.
     [[nodiscard]] bool mayHaveCrashedServer() const;
+    /// Returns whether the end of an attempt shows that its server fails for all nodes.
+    [[nodiscard]] bool hasServerFailed(http::call_end how) const;
+    /// Returns whether the data centre is this one or has sent signals since shortly before
+    /// `since`.
+    [[nodiscard]] bool sendsSignals(const data_center_id &where, steady_time since) const;
     void onBufferedEnd();
     void endAttempt();
     void onAttemptResult(attempt_result what);
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -255,6 +255,8 @@
 {
     if (m_done)
         return;
+    if (hasServerFailed(how))
+        m_context.placer.onServerFailed(m_placement);
     endAttempt();
     if (how == http::call_end::NotSent)
         m_attempts = m_attemptsBefore;
@@ -296,6 +298,27 @@
     finish(request_outcome::Answered);
 }
 
+// A connection that is refused or breaks proves a failure of the server only if the network between
+// the data centres isn't the cause.
+template <gateway_codec Codec>
+bool exchange<Codec>::hasServerFailed(http::call_end how) const
+{
+    const bool refused =
+        how == http::call_end::NotSent && !m_serverIneligible && isSendingAllowed();
+    if (!refused && (how != http::call_end::Broken || !m_server->usable()))
+        return false;
+    return sendsSignals(m_server->record.dataCenter, m_attemptStartedAt);
+}
+
+template <gateway_codec Codec>
+bool exchange<Codec>::sendsSignals(const data_center_id &where, steady_time since) const
+{
+    if (where == m_context.dataCenter)
+        return true;
+    const auto signal = m_context.peers.view().lastSignalFrom(where);
+    return signal && *signal >= since - RecentSignalAge;
+}
+
 // Only an answer without a length can contain a second one.
 template <gateway_codec Codec>
 bool exchange<Codec>::isAnswerMixed() const
@@ -383,9 +406,8 @@
         return;
     if (++m_unsentRemoteAttempts == 1)
         m_firstUnsentRemoteAt = m_attemptStartedAt;
-    const auto signal = m_context.peers.view().lastSignalFrom(where);
-    const bool sendsSignals = signal && *signal >= m_firstUnsentRemoteAt - RecentSignalAge;
-    if (m_unsentRemoteAttempts < MaxUnsentRemoteAttempts || sendsSignals
+    if (m_unsentRemoteAttempts < MaxUnsentRemoteAttempts
+        || sendsSignals(where, m_firstUnsentRemoteAt)
         || !m_context.directory.usableIn(m_service, own))
         return;
     m_unreachableDataCenter = where;
--- a/src/gateway/peers/frames/placement_codec.cpp
+++ b/src/gateway/peers/frames/placement_codec.cpp
@@ -126,7 +126,7 @@
 
 void pack(packer &out, const placement_progress_frame &frame)
 {
-    packKind(out, frame_kind::PlacementProgress, 11);
+    packKind(out, frame_kind::PlacementProgress, 12);
     out.pack(frame.id);
     out.pack(static_cast<std::uint64_t>(frame.kind));
     out.pack(frame.signals.rateLimit.valid);
@@ -138,6 +138,7 @@
     packOptional(out, frame.signals.brittleness.refusalsPerSecond);
     packOptional(out, frame.timePercent);
     packDuration(out, frame.timePercentAge);
+    out.pack(frame.serverFailed);
 }
 
 void read(field_reader &in, placement_progress_frame &frame)
@@ -157,6 +158,7 @@
         return; // sent by a version that doesn't report the time
     frame.timePercent = in.optional<std::uint32_t>();
     frame.timePercentAge = in.duration();
+    frame.serverFailed = !in.atEnd() && in.read<bool>();
 }
 
 void pack(packer &out, const admission_request &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -98,6 +98,8 @@
     /// As in `server_load`, if the answer reported it.
     std::optional<std::uint32_t> timePercent{};
     milliseconds timePercentAge{0}; ///< since the sender received `timePercent`
+    /// The server refused the connection or broke off its answer.
+    bool serverFailed = false;
 };
 
 /// Asks the receiver whether a request may start its stages.
--- a/src/gateway/placement/request_placer.cpp
+++ b/src/gateway/placement/request_placer.cpp
@@ -39,6 +39,7 @@
     , m_board(loop.clock(), directory, disabledPolicies)
     , m_splitter(directory, EnginePoolSplitLimits)
     , m_reportsParts(!disabledPolicies.contains(policy::PromptHomesByHash))
+    , m_sharesFailures(!disabledPolicies.contains(policy::SharedServerFailures))
     , m_recentParts(loop.clock())
     , m_reportIntake(loop.clock())
 {
@@ -340,6 +341,7 @@
         frame.timePercentAge =
             std::chrono::duration_cast<milliseconds>(m_loop.now() - entry.signalsAt);
     }
+    frame.serverFailed = entry.serverFailed;
     entry.link->send(frame);
 }
 
@@ -356,6 +358,12 @@
         m_board.onFirstToken(id);
 }
 
+void request_placer::onServerFailed(placement_id id)
+{
+    if (const auto found = m_pending.find(id); found != m_pending.end())
+        found->second.serverFailed = m_sharesFailures;
+}
+
 void request_placer::onEnd(placement_id id)
 {
     if (const auto unanswered = m_admissions.extract(id); !unanswered.empty())
@@ -424,6 +432,8 @@
     }
 }
 
+// A crashed engine has no requests, so the board would take it for the one with the least load and
+// offer it to each request in turn until this node itself fails to reach it.
 void request_placer::onProgress(const link_ptr &link, const placement_progress_frame &frame)
 {
     const auto hosted = m_hosted.find(link);
@@ -439,6 +449,10 @@
             server_directory::onReportedTime(
                 *server, *frame.timePercent,
                 m_loop.now() - std::clamp(frame.timePercentAge, milliseconds{0}, MaxReportAge));
+        if (m_sharesFailures && frame.serverFailed)
+            m_directory.onFailure(*server);
+        else if (m_sharesFailures && frame.kind == placement_progress_frame::event_type::FirstToken)
+            m_directory.onReportedAnswer(*server);
     }
     if (frame.kind == placement_progress_frame::event_type::FirstToken) {
         m_board.onFirstToken(found->second.localId);
--- a/src/gateway/placement/request_placer.h
+++ b/src/gateway/placement/request_placer.h
@@ -50,6 +50,9 @@
     /// Called when a server announces a different rate limit to this node.
     void onRateLimitChanged() { ++m_limitChanges; }
     void onFirstToken(placement_id id);
+    /// Called before `onEnd` if the server refused the connection or broke off its answer. The
+    /// caller makes sure that the network is not the cause.
+    void onServerFailed(placement_id id);
     void onEnd(placement_id id);
 
     /// Handles frames about placements; other frames are ignored.
@@ -75,6 +78,7 @@
         server_ptr server; ///< that the host has chosen
         server_signals signals = NoSignals; ///< not sent to the host yet
         steady_time signalsAt{}; ///< when `signals` arrived
+        bool serverFailed = false;
     };
     struct pending_admission
     {
@@ -146,6 +150,7 @@
     std::uint64_t m_limitChanges = 0; ///< number of rate limit changes reported to this node
     std::map<pool_key, limits_recipient> m_limitsSentTo;
     bool m_reportsParts; ///< to new hosts of boards
+    bool m_sharesFailures; ///< of servers, with the hosts of their pools
     recent_prompt_parts m_recentParts;
     board_state_intake m_reportIntake; ///< of the pools that this node hosts
     /// The link to the host of each pool at the last placement; null: this node.
--- a/src/gateway/policy.h
+++ b/src/gateway/policy.h
@@ -24,6 +24,7 @@
     RetryTurns, ///< capacity is reserved for the return of refused requests
     PieceRedirection, ///< waiting pieces move to less loaded pools of their service
     SecondCalls, ///< pieces of overdue calls are computed a second time at another server
+    SharedServerFailures, ///< nodes report failed servers to the hosts of their pools
     PromptHomesByHash, ///< a shared part of prompts has engines that all boards agree on
     PromptCopiesByRate, ///< a shared part is read by as many engines as its rate needs
 };
@@ -63,6 +64,8 @@
         orchidlead::gateway::policy::PieceRedirection, "piece_redirection"},
     orchidlead::enum_name<orchidlead::gateway::policy>{orchidlead::gateway::policy::SecondCalls,
                                                        "second_calls"},
+    orchidlead::enum_name<orchidlead::gateway::policy>{
+        orchidlead::gateway::policy::SharedServerFailures, "shared_server_failures"},
     orchidlead::enum_name<orchidlead::gateway::policy>{
         orchidlead::gateway::policy::PromptHomesByHash, "prompt_homes_by_hash"},
     orchidlead::enum_name<orchidlead::gateway::policy>{
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -456,6 +456,18 @@
         m_onAvoidanceChanged(backend, false);
 }
 
+// Says nothing about whether this node can reach the server's data centre.
+void server_directory::onReportedAnswer(server &backend)
+{
+    const bool wasAvoided = backend.consecutiveFailures >= FailuresBeforeAvoidance;
+    backend.consecutiveFailures = 0;
+    if (!wasAvoided)
+        return;
+    backend.avoidUntil = {};
+    if (m_onAvoidanceChanged)
+        m_onAvoidanceChanged(backend, false);
+}
+
 void server_directory::onFailure(server &backend)
 {
     ++backend.consecutiveFailures;
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -253,6 +253,8 @@
     void onAnswer(server &backend);
     /// Called when a request got no response, a broken one, or an error.
     void onFailure(server &backend);
+    /// Called when another node has got an answer from the server.
+    void onReportedAnswer(server &backend);
     /// Sets the function that extends requested backoffs at random, so that the backoffs of many
     /// nodes don't end together. By default they are not extended.
     void setBackoffJitter(backoff_jitter jitter) { m_backoffJitter = std::move(jitter); }
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -378,6 +378,10 @@
     CHECK(timed.timePercent == 250U);
     CHECK(timed.timePercentAge == milliseconds{12});
     CHECK_FALSE(progress.timePercent);
+    CHECK_FALSE(progress.serverFailed);
+    placement_progress_frame failed{3};
+    failed.serverFailed = true;
+    CHECK(roundTrip(failed).serverFailed);
 }
 
 TEST_CASE("admission frames keep the rank of the request and the retry time of the answer")
