Give an engine the time that a long prompt takes before another one gets the request

A request without an answer went to a second engine after its latency objective, 1.5 s. The time is the latency objective, or twice the expected time to the first event for this size of prompt if that is longer. No second try for long prompts: an answer can be lost.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -229,6 +229,10 @@
     /// goes to this node's own.
     void avoidUnreachable(const data_center_id &where);
     [[nodiscard]] bool mayRetry(attempt_result what);
+    /// Returns the time without an answer after which another server gets the request.
+    [[nodiscard]] milliseconds unansweredLimit() const;
+    /// The same by the latency objective alone.
+    [[nodiscard]] milliseconds objectiveLimit() const;
     void startIdleTimer(milliseconds limit);
     void onIdleTimer();
 
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -198,8 +198,7 @@
     m_call = m_context.transport.start(
         {m_server, std::move(call), m_metadata.attempt, m_route->repeatable()});
     if (m_route->repeatable())
-        startIdleTimer(
-            std::chrono::duration_cast<milliseconds>(m_route->latencyObjective * UnansweredShare));
+        startIdleTimer(unansweredLimit());
 }
 
 template <gateway_codec Codec>
@@ -476,6 +475,25 @@
     abandonCall(http::call_end::TimedOut);
 }
 
+template <gateway_codec Codec>
+milliseconds exchange<Codec>::objectiveLimit() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_route->latencyObjective * UnansweredShare);
+}
+
+// A server that is still reading a long prompt isn't failing: another one would begin to read it
+// anew, and answer later than the first.
+template <gateway_codec Codec>
+milliseconds exchange<Codec>::unansweredLimit() const
+{
+    if (m_metadata.promptTokens == 0)
+        return objectiveLimit();
+    const auto expected =
+        m_context.latencyEstimator.firstAnswerTime(m_service, m_metadata.promptTokens);
+    return std::max(objectiveLimit(),
+                    std::chrono::duration_cast<milliseconds>(expected * UnansweredFactor));
+}
+
 // The timer keeps running while the answer arrives, and checks the time since its last bytes.
 template <gateway_codec Codec>
 void exchange<Codec>::startIdleTimer(milliseconds limit)
@@ -494,10 +512,9 @@
     if (m_done || m_call == 0)
         return;
     const auto silent = m_context.loop.now() - m_lastActivity;
-    auto limit =
-        std::chrono::duration_cast<milliseconds>(m_route->latencyObjective * UnansweredShare);
+    auto limit = unansweredLimit();
     if (m_headSent)
-        limit = std::max(MinStreamIdleTime, 2 * m_route->pauseObjective.value_or(limit));
+        limit = std::max(MinStreamIdleTime, 2 * m_route->pauseObjective.value_or(objectiveLimit()));
     if (silent < limit) {
         const auto rest = std::chrono::duration_cast<std::chrono::microseconds>(limit - silent);
         m_idleTimer = m_context.loop.callAfter(rest, [self = this->shared_from_this()] {
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -65,6 +65,9 @@
 /// Fraction of the latency objective after which an unanswered repeatable request is sent to
 /// another server.
 inline constexpr double UnansweredShare = 1.0;
+/// Multiple of the expected time to the first event before which no request is sent to another
+/// server as unanswered: long prompts are read for longer than the latency objective.
+inline constexpr double UnansweredFactor = 2.0;
 /// Lowest priority that servers accept.
 inline constexpr std::uint32_t LowestPriority = 9;
 
--- a/tests/platform/crashed_engines_test.cpp
+++ b/tests/platform/crashed_engines_test.cpp
@@ -64,3 +64,27 @@
     // Two failures make the host avoid an engine, and a request that is refused reports four.
     CHECK(w.countUnserved() <= CrashedEngines * 2 / 4 + 1);
 }
+
+// Guards against reading a long prompt at a second engine because the first one takes longer than
+// the latency objective, as it does for any engine.
+TEST_CASE("a long prompt isn't sent to a second engine while the first one may still read it")
+{
+    engine_fleet w;
+    const milliseconds readTime{1800}; // the latency objective is 1500 ms
+    std::size_t arrivals = 0;
+    for (int i = 0; i < Engines; ++i) {
+        w.server("e" + std::to_string(i))
+            .setBehaviour([&](const server_request &request,
+                              const std::shared_ptr<server_answer> &answer) {
+                ++arrivals;
+                w.loop.callAfter(readTime, [request, answer] { answerOneEvent(request, answer); });
+            });
+    }
+    auto head = makeStagedRequest("a", "", "c:40000,d:10");
+    head.fields.push_back({"X-Token-Count", "40010,100"});
+    const auto answer = w.request("g0", head, "x");
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == 200);
+    CHECK(answer->body == event(1));
+    CHECK(arrivals == 1);
+}
