Measure the pieces of a stream that has begun from the restart of its stages

When the engine of a stream under way ends and its stage results have been freed, the stages run again. The latency objective counts from the restart if the answer has begun, for pieces, reservations and the engine.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -284,6 +284,9 @@
     std::optional<prefill_cause> m_otherDataCenter;
     data_center_id m_unreachableDataCenter; ///< where servers could not be reached; empty: none
     steady_time m_arrival;
+    /// From when the latency objective counts: the arrival, or the restart of the stages of a
+    /// stream that had begun in its objective.
+    steady_time m_objectiveFrom;
     steady_time m_deadline; ///< deadline of the final answer
     std::uint32_t m_priority = 0;
     service_id m_service;
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -65,7 +65,7 @@
 {
     const auto expected =
         m_context.latencyEstimator.firstAnswerTime(m_service, m_metadata.promptTokens);
-    const auto due = m_arrival + m_route->latencyObjective - expected;
+    const auto due = m_objectiveFrom + m_route->latencyObjective - expected;
     return std::max(milliseconds{0},
                     std::chrono::duration_cast<milliseconds>(due - m_context.loop.now()));
 }
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -22,6 +22,7 @@
     , m_body(std::move(body))
     , m_configuration(context.configuration)
     , m_arrival(arrival)
+    , m_objectiveFrom(arrival)
     , m_splitter(MaxEventBytes)
 { }
 
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -71,7 +71,7 @@
     if (!logsDecisions())
         return;
     const auto &spec = m_route->stages[stage];
-    const auto due = m_arrival + m_route->latencyObjective - m_timesAfterStages[stage];
+    const auto due = m_objectiveFrom + m_route->latencyObjective - m_timesAfterStages[stage];
     const auto softDeadlineLeft =
         std::chrono::duration_cast<milliseconds>(due - m_context.loop.now());
     auto line = lineOf(log_event::StageSubmitted);
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -92,7 +92,7 @@
     query.rank = stageRank();
     query.maxRetryAfter = maxRetryAfter();
     const auto objectiveLeft = std::chrono::duration_cast<std::chrono::microseconds>(
-        m_arrival + m_route->latencyObjective - m_context.loop.now());
+        m_objectiveFrom + m_route->latencyObjective - m_context.loop.now());
     const bool defersLeafStages = !m_context.disabledPolicies.contains(policy::LateLeafStages);
     for (auto &[pool, stages] :
          reservedStagesOf(outline(), m_context.latencyEstimator, objectiveLeft, defersLeafStages)) {
@@ -365,7 +365,7 @@
         const auto piece = each.request.piece;
         m_stageSubmittedAt[stage] = m_context.loop.now();
         job.rank = stageRank();
-        job.softDeadline = m_arrival + m_route->latencyObjective - m_timesAfterStages[stage];
+        job.softDeadline = m_objectiveFrom + m_route->latencyObjective - m_timesAfterStages[stage];
         job.deadline = m_deadline - m_timesAfterStages[stage];
         job.inputBytes = each.inputBytes;
         job.resultBytes = m_route->stages[stage].resultBytes;
@@ -448,9 +448,13 @@
     });
 }
 
+// A stream that has begun met its objective. Measured from its arrival its pieces would be dropped
+// as late at once, and the client would lose the rest of an answer that was on time.
 template <gateway_codec Codec>
 void exchange<Codec>::restartStages(std::string_view reason)
 {
+    if (m_headSent)
+        m_objectiveFrom = m_context.loop.now();
     if (logsDecisions())
         m_decisions.add(lineOf(log_event::StagesRestarted).add("reason", reason));
     endPlacement();
--- a/tests/platform/stages_test.cpp
+++ b/tests/platform/stages_test.cpp
@@ -178,6 +178,42 @@
         CHECK(each->body == event(1));
 }
 
+// Guards against pieces of a stream under way that are dropped as late in a loaded pool: after the
+// loss of its engine they were due within the objective of a request that had arrived long before.
+TEST_CASE("the stages of a stream that has begun run again with an objective of their own")
+{
+    stage_world w;
+    constexpr milliseconds EventInterval{800}; // shorter than an idle stream is continued after
+    const auto behaviour = [&](const server_request &request,
+                               const std::shared_ptr<server_answer> &answer) {
+        if (w.engine.requests().size() + w.server("e-2").requests().size() > 1) {
+            answer->write(streamHead(request) + chunk(event(3)) + "0\r\n\r\n");
+            return;
+        }
+        answer->write(streamHead(request) + chunk(event(1)));
+        w.loop.callAfter(EventInterval, [answer] { answer->write(chunk(event(2))); });
+        w.loop.callAfter(2 * EventInterval, [answer] { answer->reset(); });
+    };
+    w.engine.setBehaviour(behaviour);
+    w.addServer("engine", "e-2").setBehaviour(behaviour);
+    w.startGateway("g1");
+    auto head = makeStagedRequest("a1", "2,1");
+    for (auto &each : head.fields) {
+        if (each.name == "X-Deadline-Ms")
+            each.value = "4000";
+    }
+    const auto answer = w.request("g1", head, "prompt");
+    REQUIRE(w.await(answer));
+    CHECK(answer->body == event(1) + event(2) + event(3));
+    w.runFor(milliseconds{100});
+    const auto log = w.logOutput.str();
+    const auto restarted = log.find("reason=results_freed");
+    REQUIRE(restarted != std::string::npos);
+    const auto timeLeft = log.find("aim_left_ms=", restarted);
+    REQUIRE(timeLeft != std::string::npos);
+    CHECK(log.substr(timeLeft, 13) != "aim_left_ms=-");
+}
+
 // Guards against results of a failed node that occupy the storage of servers until they expire
 // after 4 s.
 TEST_CASE("the results of a killed node's requests are freed by the pool's host within a second")
