Log why a node stops waiting for a call

Change. attempt_ended names the cause where this node ended the call (silent, data_center_lost, servers_cut_off, unusable) and the time since its last bytes. No change of behaviour.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -4,6 +4,7 @@
 #include "gateway/admission/reserved_stages.h"
 #include "gateway/admission/unasked_allowance.h"
 #include "gateway/codec.h"
+#include "gateway/exchange/abandon_cause.h"
 #include "gateway/exchange/event_splitter.h"
 #include "gateway/exchange/exchange_limits.h"
 #include "gateway/exchange/latency_estimator.h"
@@ -207,7 +208,7 @@
     [[nodiscard]] bool isServerEligible() const;
     [[nodiscard]] std::optional<std::string> writeHead();
     /// Ends the current call and handles its end as if the connection had reported it.
-    void abandonCall(http::call_end reportedAs);
+    void abandonCall(abandon_cause why);
     void onHead(const http::response_head &head);
     void onBody(std::string_view bytes);
     void onEvents(std::string_view bytes);
@@ -324,6 +325,7 @@
     /// The suspected request or part that this request may try on one server.
     std::optional<request_digest> m_trial;
     bool m_partsReported = false; ///< `reportPartsServed` was called for the current answer
+    std::optional<abandon_cause> m_abandonedFor; ///< if this node ended the current attempt
     std::optional<steady_time> m_answerStartedAt; ///< when the current attempt's answer started
     bool m_mayHaveRun = false;
     forwarding_mode m_forwarding = forwarding_mode::Nothing;
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -83,7 +83,7 @@
     }
     if (!m_splitter.isUnusable())
         return;
-    abandonCall(http::call_end::TooLarge);
+    abandonCall(abandon_cause::Unusable);
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -181,6 +181,7 @@
     m_bufferedAnswer.clear();
     m_attemptStartedAt = m_context.loop.now();
     m_answerStartedAt.reset();
+    m_abandonedFor.reset();
     m_partsReported = false;
     const auto self = this->shared_from_this();
     http::outbound_call call;
@@ -442,10 +443,11 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::abandonCall(http::call_end reportedAs)
+void exchange<Codec>::abandonCall(abandon_cause why)
 {
+    m_abandonedFor = why;
     m_context.transport.abandon(m_call);
-    onEnd(reportedAs);
+    onEnd(why == abandon_cause::Unusable ? http::call_end::TooLarge : http::call_end::TimedOut);
 }
 
 template <gateway_codec Codec>
@@ -455,7 +457,7 @@
         return;
     const bool sentThere = m_call != 0 && m_server->record.dataCenter == dataCenter;
     if (sentThere && m_route->repeatable() && m_attempts < m_route->maxAttempts) {
-        abandonCall(http::call_end::TimedOut);
+        abandonCall(abandon_cause::DataCenterLost);
     } else if (m_call == 0 && !m_headSent && m_stageProgress && hasResultsIn(dataCenter)) {
         if (mayRestartStages())
             restartStages("data_center_lost");
@@ -472,7 +474,7 @@
     if (m_done || m_call == 0 || !m_route->repeatable() || !m_context.transport.isLost(m_call))
         return;
     m_attempts = m_attemptsBefore;
-    abandonCall(http::call_end::TimedOut);
+    abandonCall(abandon_cause::ServersCutOff);
 }
 
 template <gateway_codec Codec>
@@ -534,7 +536,7 @@
     query.allowed = m_residency;
     if (!m_context.directory.choose(query))
         return;
-    abandonCall(http::call_end::TimedOut);
+    abandonCall(abandon_cause::Silent);
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -147,6 +147,11 @@
     line.add("status", m_answer.status);
     if (how == nameOf(attempt_result::Unknown))
         line.add("digest", toText(m_digest)).add("parts", sharedPartsText());
+    if (m_abandonedFor) {
+        const auto idle = m_context.loop.now() - m_lastActivity;
+        line.add("abandoned", toName(*m_abandonedFor));
+        line.add("idle_ms", std::chrono::duration_cast<milliseconds>(idle).count());
+    }
     if (m_splitter.lastEvent())
         line.add("last_event", *m_splitter.lastEvent());
     line.add("took_ms", std::chrono::duration_cast<milliseconds>(took).count());
