Keep the call of a silent server open while another one is tried

At its idle limit an exchange ended the call first, and only then asked whether the retry budget, the stages and the placement allowed an attempt elsewhere. Each refusal ended the answer. Class: a guess (the server is gone) is acted on irrevocably before the alternative is there. The silent call stays open (server_attempt, exchange_silence_impl.h): the retry is taken from the budget first, only a server that isn't silent itself is tried, the first attempt that has bytes for the client ends the others, and a replacement that fails leads back to the open call. The same path serves a lost data centre and a node that is cut off from all servers. Why it works. No refusal can end an answer any more, as the call that may bring it is still there.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -4,12 +4,11 @@
 #include "gateway/admission/reserved_stages.h"
 #include "gateway/admission/unasked_allowance.h"
 #include "gateway/codec.h"
-#include "gateway/exchange/abandon_cause.h"
-#include "gateway/exchange/event_splitter.h"
 #include "gateway/exchange/exchange_limits.h"
 #include "gateway/exchange/latency_estimator.h"
 #include "gateway/exchange/request_log.h"
 #include "gateway/exchange/request_outcome.h"
+#include "gateway/exchange/server_attempt.h"
 #include "gateway/exchange/service_retry_budget.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/log_event.h"
@@ -106,13 +105,6 @@
         Failed, ///< a server ran the request and answered with an error
     };
     [[nodiscard]] static std::string_view nameOf(attempt_result what);
-    /// How the answer of the attempt is forwarded.
-    enum class forwarding_mode {
-        Nothing, ///< no head yet, or one that is not forwarded
-        Buffered, ///< held until complete
-        Bytes, ///< as they arrive
-        Events, ///< complete events, as they arrive
-    };
 
     [[nodiscard]] bool findRoute();
     /// Restricts a stream that the client continues to the version that began it, then calls
@@ -207,19 +199,20 @@
     /// ineligible while the request waited for its dispatch or a connection.
     [[nodiscard]] bool isServerEligible() const;
     [[nodiscard]] std::optional<std::string> writeHead();
-    /// Ends the current call and handles its end as if the connection had reported it.
-    void abandonCall(abandon_cause why);
+    /// Ends the current call, whose answer can't be used, and handles its end as if the connection
+    /// had reported it.
+    void abandonUnusableCall();
     void onHead(const http::response_head &head);
     void onBody(std::string_view bytes);
     void onEvents(std::string_view bytes);
     void onEnd(http::call_end how);
     /// Returns whether the complete answer contains bytes of another one.
     [[nodiscard]] bool isAnswerMixed() const;
-    void reportConnectionBroken();
-    /// Returns whether the request may be the cause if the server of the current attempt crashed.
-    [[nodiscard]] bool mayHaveCrashedServer() const;
+    void reportConnectionBroken(const server_attempt &broken);
+    /// Returns whether the request may be the cause if the server of an attempt crashed.
+    [[nodiscard]] bool mayHaveCrashedServer(const server_attempt &broken) const;
     /// Returns whether the end of an attempt shows that its server fails for all nodes.
-    [[nodiscard]] bool hasServerFailed(http::call_end how) const;
+    [[nodiscard]] bool hasServerFailed(const server_attempt &ended, http::call_end how) const;
     /// Returns whether the data centre is this one or has sent signals since shortly before
     /// `since`.
     [[nodiscard]] bool sendsSignals(const data_center_id &where, steady_time since) const;
@@ -236,6 +229,36 @@
     [[nodiscard]] milliseconds objectiveLimit() const;
     void startIdleTimer(milliseconds limit);
     void onIdleTimer();
+    /// Returns how long the current answer may be idle before another server is tried.
+    [[nodiscard]] milliseconds idleLimit() const;
+
+    /// Tries another server while the current call, which is silent or was lost, stays open. Does
+    /// nothing unless another server responds and the retry budget has an attempt left.
+    void tryElsewhere(abandon_cause why);
+    /// Returns whether a server that isn't silent itself may get the request.
+    [[nodiscard]] bool otherServerResponds() const;
+    /// Returns servers that must not get the request: those tried, and silent ones if it is sent
+    /// elsewhere because of a silence.
+    [[nodiscard]] std::vector<backend_server_id> excludedServers() const;
+    void holdCurrent(abandon_cause why);
+    /// Makes the attempt with this id the current one; called when bytes of its answer arrive.
+    /// Returns false if the bytes must be ignored.
+    [[nodiscard]] bool selectForHead(std::uint64_t id, const http::response_head &head);
+    [[nodiscard]] bool selectForBody(std::uint64_t id);
+    /// Continues with a held attempt; ends what replaced it.
+    void resume(std::uint64_t id);
+    /// Waits for the last held attempt again, as another one isn't possible or has failed. Returns
+    /// false if there is none.
+    [[nodiscard]] bool resumeHeld(std::string_view why);
+    /// Ends the current attempt and the stages that were restarted for it.
+    void stopReplacement();
+    void onHeldEnd(std::uint64_t id, http::call_end how);
+    /// Removes an attempt from the held ones and ends its placement. Its call has ended, or is
+    /// abandoned by the caller.
+    [[nodiscard]] server_attempt takeHeld(std::uint64_t id);
+    [[nodiscard]] bool isHeld(std::uint64_t id) const;
+    /// Ends the calls of all held attempts: another one answers the request, or it has ended.
+    void endHeld();
 
     void beginAnswer();
     void applyBackpressure();
@@ -257,7 +280,9 @@
     void logStage(std::uint32_t stage, std::size_t pieces);
     void logAdmissionRefused(const admission_result &result);
     void logSent();
-    void logAttemptEnd(std::string_view how);
+    void logAttemptEnd(const server_attempt &ended, std::string_view how);
+    void logHeld(const server_attempt &held);
+    void logResumed(std::string_view why);
     void logRetryDenied(std::string_view why);
     /// Returns the first shared parts of the prompt, for the log.
     [[nodiscard]] std::string sharedPartsText() const;
@@ -309,35 +334,30 @@
     bool m_stagesRestarted = false;
     bool m_needsStages = false; ///< results were freed or lost
 
-    placement_id m_placement = 0; ///< of the current attempt, or of its admission
+    server_attempt m_current;
+    std::uint64_t m_lastAttemptId = 0;
+    /// Attempts whose servers are silent and whose calls stay open while others are tried. All of
+    /// them are before the same event, as the first one that has bytes for the client ends the
+    /// others.
+    std::vector<server_attempt> m_held;
+    bool m_retryUnused = false; ///< a retry was taken from the budget and nothing was sent since
+    std::uint32_t m_fruitlessTries = 0; ///< replacements of silent calls that failed
+    bool m_waitLogged = false; ///< why the current silent call isn't replaced was logged
     http::timer_id m_dispatchTimer = 0; ///< until the assigned dispatch time
     bool m_admitted = false; ///< by the pool's host, before its stages
     milliseconds m_capacityDelay{0}; ///< delay until servers may take requests again; 0: unknown
-    server_ptr m_server; ///< of the current attempt
     std::vector<backend_server_id> m_triedServers;
-    server_transport::call_id m_call = 0;
     std::uint32_t m_attempts = 0; ///< that reached a server
-    std::uint32_t m_attemptsBefore = 0; ///< `m_attempts` before the current one
     std::uint32_t m_unsentAttempts = 0;
     steady_time m_firstUnsentRemoteAt{}; ///< time of the first of `m_unsentRemoteAttempts`
     std::uint32_t m_unsentRemoteAttempts = 0; ///< unsent attempts to servers of other data centres
     bool m_serverIneligible = false; ///< the chosen server may no longer get the request
     /// The suspected request or part that this request may try on one server.
     std::optional<request_digest> m_trial;
-    bool m_partsReported = false; ///< `reportPartsServed` was called for the current answer
-    std::optional<abandon_cause> m_abandonedFor; ///< if this node ended the current attempt
-    std::optional<steady_time> m_answerStartedAt; ///< when the current attempt's answer started
     bool m_mayHaveRun = false;
-    forwarding_mode m_forwarding = forwarding_mode::Nothing;
-    http::response_head m_answer;
-    response_metadata m_responseMetadata;
-    std::string m_bufferedAnswer;
-    event_splitter m_splitter;
     bool m_headSent = false; ///< a response head was sent to the client
-    steady_time m_attemptStartedAt{};
     http::timer_id m_deadlineTimer = 0;
     http::timer_id m_idleTimer = 0;
-    steady_time m_lastActivity{};
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -11,24 +11,25 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onHead(const http::response_head &head)
 {
-    m_responseMetadata = Codec::readAnswer(head);
-    m_context.directory.onResponseBegin(*m_server);
-    m_context.directory.onSignals(*m_server, m_responseMetadata.server);
-    m_context.placer.onSignals(m_placement, m_responseMetadata.server);
+    m_current.metadata = Codec::readAnswer(head);
+    m_context.directory.onResponseBegin(*m_current.server);
+    m_context.directory.onBytes(*m_current.server);
+    m_context.directory.onSignals(*m_current.server, m_current.metadata.server);
+    m_context.placer.onSignals(m_current.placement, m_current.metadata.server);
     const bool success = head.status >= status::Ok && head.status < status::FirstRedirect;
     if (m_headSent) {
         // The continuation of a stream, whose head was already sent to the client.
-        m_forwarding = success ? forwarding_mode::Events : forwarding_mode::Nothing;
+        m_current.forwarding = success ? forwarding_mode::Events : forwarding_mode::Nothing;
         return;
     }
-    m_answer = head;
-    const bool refused = m_responseMetadata.notExecuted || head.status == status::Misdirected;
-    if (refused || (success && !m_responseMetadata.signedByServer)) {
-        m_forwarding = forwarding_mode::Nothing;
+    m_current.answer = head;
+    const bool refused = m_current.metadata.notExecuted || head.status == status::Misdirected;
+    if (refused || (success && !m_current.metadata.signedByServer)) {
+        m_current.forwarding = forwarding_mode::Nothing;
         return;
     }
     const bool events = success && m_route->kind == request_kind::Stream;
-    m_forwarding = events ? forwarding_mode::Events : forwarding_mode::Buffered;
+    m_current.forwarding = events ? forwarding_mode::Events : forwarding_mode::Buffered;
 }
 
 template <gateway_codec Codec>
@@ -36,20 +37,22 @@
 {
     if (m_done)
         return;
-    m_lastActivity = m_context.loop.now();
-    if (!m_answerStartedAt)
-        m_answerStartedAt = m_lastActivity;
-    else if (m_headSent && m_lastActivity - *m_answerStartedAt > StablePartTime)
+    m_current.lastBytesAt = m_context.loop.now();
+    m_context.directory.onBytes(*m_current.server);
+    if (!m_current.answerStartedAt)
+        m_current.answerStartedAt = m_current.lastBytesAt;
+    else if (m_headSent && m_current.lastBytesAt - *m_current.answerStartedAt > StablePartTime)
         reportPartsServed();
-    switch (m_forwarding) {
+    switch (m_current.forwarding) {
     case forwarding_mode::Nothing:
         break;
     case forwarding_mode::Buffered:
-        m_bufferedAnswer.append(bytes);
-        if (m_bufferedAnswer.size() > MaxBufferedAnswer) {
-            m_forwarding = forwarding_mode::Bytes;
+        m_current.bufferedAnswer.append(bytes);
+        if (m_current.bufferedAnswer.size() > MaxBufferedAnswer) {
+            m_current.forwarding = forwarding_mode::Bytes;
+            endHeld();
             beginAnswer();
-            m_client->write(std::exchange(m_bufferedAnswer, {}));
+            m_client->write(std::exchange(m_current.bufferedAnswer, {}));
             applyBackpressure();
         }
         break;
@@ -66,24 +69,25 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onEvents(std::string_view bytes)
 {
-    const auto events = m_splitter.feed(bytes);
+    const auto events = m_current.splitter.feed(bytes);
     if (!events.empty()) {
         if (!m_headSent) {
             m_timeToFirstEvent = sinceArrival();
             m_context.metrics.onFirstEvent(*m_timeToFirstEvent);
             const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
-                m_context.loop.now() - m_attemptStartedAt);
+                m_context.loop.now() - m_current.startedAt);
             m_context.latencyEstimator.onFirstToken(m_service, m_metadata.promptTokens, took);
-            m_context.placer.onFirstToken(m_placement);
+            m_context.placer.onFirstToken(m_current.placement);
             recordStreamOrigin();
             beginAnswer();
         }
+        endHeld();
         m_client->write(events);
         applyBackpressure();
     }
-    if (!m_splitter.isUnusable())
+    if (!m_current.splitter.isUnusable())
         return;
-    abandonCall(abandon_cause::Unusable);
+    abandonUnusableCall();
 }
 
 template <gateway_codec Codec>
@@ -91,15 +95,15 @@
 {
     m_headSent = true;
     http::response_head head;
-    head.status = m_answer.status;
-    head.reason = m_answer.reason;
-    head.fields = http::forwardedFields(m_answer.fields);
+    head.status = m_current.answer.status;
+    head.reason = m_current.answer.reason;
+    head.fields = http::forwardedFields(m_current.answer.fields);
     // A stream may be continued by another server and then has a different length.
-    if (m_forwarding == forwarding_mode::Bytes)
-        head.length = m_answer.length;
+    if (m_current.forwarding == forwarding_mode::Bytes)
+        head.length = m_current.answer.length;
     m_clientStatus = head.status;
     m_client->begin(head);
-    if (m_forwarding == forwarding_mode::Events) {
+    if (m_current.forwarding == forwarding_mode::Events) {
         freeStageResults();
         m_needsStages = m_stageProgress.has_value();
     }
@@ -111,10 +115,10 @@
 {
     if (m_client->queuedBytes() <= MaxQueuedBytes)
         return;
-    m_context.transport.setReading(m_call, false);
+    m_context.transport.setReading(m_current.call, false);
     m_client->onDrained([self = this->shared_from_this()] {
-        self->m_lastActivity = self->m_context.loop.now();
-        self->m_context.transport.setReading(self->m_call, true);
+        self->m_current.lastBytesAt = self->m_context.loop.now();
+        self->m_context.transport.setReading(self->m_current.call, true);
     });
 }
 
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -16,7 +16,7 @@
 {
     server_query query;
     query.service = m_service;
-    query.exclude = m_triedServers;
+    query.exclude = excludedServers();
     query.preferredDataCenter = m_context.dataCenter;
     query.version = m_version;
     query.allowed = m_residency;
@@ -42,7 +42,10 @@
         restartStages("results_freed");
         return;
     }
-    checkQuarantine([self = this->shared_from_this()] {
+    checkQuarantine([self = this->shared_from_this(), lastId = m_lastAttemptId] {
+        // A held attempt may have been resumed while the quarantine was asked.
+        if (self->m_current.call != 0 || self->m_lastAttemptId != lastId)
+            return;
         if (self->needsPlacement())
             self->place();
         else
@@ -90,7 +93,7 @@
 {
     placement_query query;
     query.exclude = m_context.directory.excludedServers(m_service, m_residency);
-    std::ranges::copy(m_triedServers, std::back_inserter(query.exclude));
+    std::ranges::copy(excludedServers(), std::back_inserter(query.exclude));
     query.preferredDataCenter =
         m_preferredDataCenter.empty() ? choosePreferredDataCenter() : m_preferredDataCenter;
     query.transferBytes = m_body.size();
@@ -114,7 +117,7 @@
 {
     auto query = makeQuery();
     query.prompt = m_metadata.prompt;
-    m_placement = m_context.placer.place(
+    m_current.placement = m_context.placer.place(
         std::move(query), [self = this->shared_from_this()](const placement_result &placed) {
             if (!self->m_done)
                 self->onPlaced(placed);
@@ -164,49 +167,66 @@
 void exchange<Codec>::endPlacement()
 {
     m_context.loop.cancelTimer(std::exchange(m_dispatchTimer, 0));
-    m_context.placer.onEnd(std::exchange(m_placement, 0));
+    m_context.placer.onEnd(std::exchange(m_current.placement, 0));
 }
 
 template <gateway_codec Codec>
 void exchange<Codec>::sendTo(server_ptr chosen)
 {
-    m_server = std::move(chosen);
-    if (!m_server) {
+    m_current.server = std::move(chosen);
+    if (!m_current.server) {
         failRequest(unservableReason().value_or(request_outcome::NoServer));
         return;
     }
-    ++m_server->outstanding;
-    m_forwarding = forwarding_mode::Nothing;
+    ++m_current.server->outstanding;
+    m_current.id = ++m_lastAttemptId;
+    m_current.sent = false;
+    m_current.forwarding = forwarding_mode::Nothing;
     m_serverIneligible = false;
-    m_bufferedAnswer.clear();
-    m_attemptStartedAt = m_context.loop.now();
-    m_answerStartedAt.reset();
-    m_abandonedFor.reset();
-    m_partsReported = false;
+    m_current.bufferedAnswer.clear();
+    m_current.startedAt = m_context.loop.now();
+    m_current.answerStartedAt.reset();
+    m_current.abandonedFor.reset();
+    m_current.partsReported = false;
+    m_waitLogged = false;
     const auto self = this->shared_from_this();
+    const auto id = m_current.id;
     http::outbound_call call;
     call.body = m_body;
     call.toHead = m_head.method == "HEAD";
-    call.writeHead = [self] { return self->writeHead(); };
-    call.isMine = [self](const http::response_head &head) {
-        return isAnswerTo<Codec>(self->m_metadata.attempt, head, *self->m_server,
-                                 self->m_context.directory);
+    call.writeHead = [self, id]() -> std::optional<std::string> {
+        return self->m_current.id == id ? self->writeHead() : std::nullopt;
     };
-    call.onHead = [self](const http::response_head &head) { self->onHead(head); };
-    call.onBody = [self](std::string_view bytes) { self->onBody(bytes); };
-    call.onEnd = [self](http::call_end how) { self->onEnd(how); };
-    m_attemptsBefore = m_attempts;
-    m_call = m_context.transport.start(
-        {m_server, std::move(call), m_metadata.attempt, m_route->repeatable()});
+    call.isMine = [self, to = m_current.server](const http::response_head &head) {
+        return isAnswerTo<Codec>(self->m_metadata.attempt, head, *to, self->m_context.directory);
+    };
+    call.onHead = [self, id](const http::response_head &head) {
+        if (self->selectForHead(id, head))
+            self->onHead(head);
+    };
+    call.onBody = [self, id](std::string_view bytes) {
+        if (self->selectForBody(id))
+            self->onBody(bytes);
+    };
+    call.onEnd = [self, id](http::call_end how) {
+        if (self->m_current.id == id)
+            self->onEnd(how);
+        else
+            self->onHeldEnd(id, how);
+    };
+    m_current.attemptsBefore = m_attempts;
+    m_current.call = m_context.transport.start(
+        {m_current.server, std::move(call), m_metadata.attempt, m_route->repeatable()});
     if (m_route->repeatable())
         startIdleTimer(unansweredLimit());
+    m_current.lastBytesAt = m_context.loop.now();
 }
 
 template <gateway_codec Codec>
 bool exchange<Codec>::isServerEligible() const
 {
-    return m_server->accepts(m_context.loop.now()) && m_residency.allows(m_server->region)
-        && m_server->hasVersion(m_version);
+    return m_current.server->accepts(m_context.loop.now())
+        && m_residency.allows(m_current.server->region) && m_current.server->hasVersion(m_version);
 }
 
 template <gateway_codec Codec>
@@ -217,12 +237,13 @@
         return std::nullopt;
     forwarded_metadata metadata;
     metadata.clientTimeout = timeLeft() + AnswerMargin;
-    metadata.instance = m_server->record.id;
+    metadata.instance = m_current.server->record.id;
     if (m_customer)
         metadata.customer = m_customer->id;
     if (m_route->kind == request_kind::Stream)
         metadata.priority = std::min(m_priority, LowestPriority);
-    metadata.lastEvent = m_splitter.lastEvent() ? m_splitter.lastEvent() : m_metadata.lastEvent;
+    metadata.lastEvent =
+        m_current.splitter.lastEvent() ? m_current.splitter.lastEvent() : m_metadata.lastEvent;
     if (m_stageProgress)
         metadata.inputs = m_stageProgress->inputs();
     http::request_head out;
@@ -234,8 +255,10 @@
     if (!m_body.empty() || hadFraming)
         out.fields.push_back({"Content-Length", std::to_string(m_body.size())});
     ++m_attempts;
-    m_lastActivity = m_context.loop.now();
-    m_context.directory.onSending(*m_server);
+    m_current.sent = true;
+    m_retryUnused = false;
+    m_current.lastBytesAt = m_context.loop.now();
+    m_context.directory.onSending(*m_current.server);
     logSent();
     return http::formatHead(out);
 }
@@ -244,10 +267,10 @@
 void exchange<Codec>::endAttempt()
 {
     m_context.loop.cancelTimer(std::exchange(m_idleTimer, 0));
-    m_call = 0;
+    m_current.call = 0;
     endPlacement();
-    if (m_server)
-        --m_server->outstanding;
+    if (m_current.server)
+        --m_current.server->outstanding;
 }
 
 template <gateway_codec Codec>
@@ -255,13 +278,13 @@
 {
     if (m_done)
         return;
-    if (hasServerFailed(how))
-        m_context.placer.onServerFailed(m_placement);
+    if (hasServerFailed(m_current, how))
+        m_context.placer.onServerFailed(m_current.placement);
     endAttempt();
     if (how == http::call_end::NotSent)
-        m_attempts = m_attemptsBefore;
+        m_attempts = m_current.attemptsBefore;
     if (how == http::call_end::NotSent && m_serverIneligible) {
-        m_triedServers.push_back(m_server->record.id);
+        m_triedServers.push_back(m_current.server->record.id);
         attempt(); // neither a failure of the server nor a retry
         return;
     }
@@ -274,21 +297,23 @@
         return;
     }
     const bool whole = how == http::call_end::Complete && !isAnswerMixed();
-    const bool refused = m_responseMetadata.notExecuted || m_answer.status == status::Misdirected;
-    if (whole && m_forwarding == forwarding_mode::Nothing && !m_headSent && refused) {
+    const bool refused =
+        m_current.metadata.notExecuted || m_current.answer.status == status::Misdirected;
+    if (whole && m_current.forwarding == forwarding_mode::Nothing && !m_headSent && refused) {
         onAttemptResult(attempt_result::NotRun);
         return;
     }
     m_mayHaveRun = true;
-    if (!whole || m_forwarding == forwarding_mode::Nothing || m_splitter.hasPartialEvent()) {
-        if (how == http::call_end::Broken && mayHaveCrashedServer())
-            reportConnectionBroken();
+    if (!whole || m_current.forwarding == forwarding_mode::Nothing
+        || m_current.splitter.hasPartialEvent()) {
+        if (how == http::call_end::Broken && mayHaveCrashedServer(m_current))
+            reportConnectionBroken(m_current);
         onAttemptResult(attempt_result::Unknown);
         return;
     }
-    m_context.directory.onAnswer(*m_server);
-    logAttemptEnd("answered");
-    if (m_forwarding == forwarding_mode::Buffered) {
+    m_context.directory.onAnswer(*m_current.server);
+    logAttemptEnd(m_current, "answered");
+    if (m_current.forwarding == forwarding_mode::Buffered) {
         onBufferedEnd();
         return;
     }
@@ -301,13 +326,13 @@
 // A connection that is refused or breaks proves a failure of the server only if the network between
 // the data centres isn't the cause.
 template <gateway_codec Codec>
-bool exchange<Codec>::hasServerFailed(http::call_end how) const
+bool exchange<Codec>::hasServerFailed(const server_attempt &ended, http::call_end how) const
 {
     const bool refused =
         how == http::call_end::NotSent && !m_serverIneligible && isSendingAllowed();
-    if (!refused && (how != http::call_end::Broken || !m_server->usable()))
+    if (!refused && (how != http::call_end::Broken || !ended.server->usable()))
         return false;
-    return sendsSignals(m_server->record.dataCenter, m_attemptStartedAt);
+    return sendsSignals(ended.server->record.dataCenter, ended.startedAt);
 }
 
 template <gateway_codec Codec>
@@ -323,49 +348,53 @@
 template <gateway_codec Codec>
 bool exchange<Codec>::isAnswerMixed() const
 {
-    return m_forwarding == forwarding_mode::Buffered && !m_answer.length && !m_answer.chunked
-        && isFollowedByAnswer<Codec>(m_bufferedAnswer);
+    return m_current.forwarding == forwarding_mode::Buffered && !m_current.answer.length
+        && !m_current.answer.chunked && isFollowedByAnswer<Codec>(m_current.bufferedAnswer);
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::reportConnectionBroken()
+void exchange<Codec>::reportConnectionBroken(const server_attempt &broken)
 {
     auto subjects = m_subjects;
     for (auto &each : subjects)
-        each.sentAt = m_attemptStartedAt;
-    m_context.onConnectionBroken(*m_server, subjects);
+        each.sentAt = broken.startedAt;
+    m_context.onConnectionBroken(*broken.server, subjects);
 }
 
 // A server that shuts down as planned stops regardless of the request, and a server that has been
 // answering for a while did not crash from starting the request.
 template <gateway_codec Codec>
-bool exchange<Codec>::mayHaveCrashedServer() const
+bool exchange<Codec>::mayHaveCrashedServer(const server_attempt &broken) const
 {
     const bool isAnswering =
-        m_answerStartedAt && m_context.loop.now() - *m_answerStartedAt > StableAnswerTime;
-    return m_server->usable() && !isAnswering;
+        broken.answerStartedAt && m_context.loop.now() - *broken.answerStartedAt > StableAnswerTime;
+    return broken.server->usable() && !isAnswering;
 }
 
 template <gateway_codec Codec>
 void exchange<Codec>::onBufferedEnd()
 {
-    if (m_answer.status >= status::FirstServerError && mayRetry(attempt_result::Failed)) {
-        m_triedServers.push_back(m_server->record.id);
+    if (m_current.answer.status >= status::FirstServerError && mayRetry(attempt_result::Failed)) {
+        m_triedServers.push_back(m_current.server->record.id);
         attempt();
         return;
     }
+    if (m_current.answer.status >= status::FirstServerError
+        && resumeHeld(nameOf(attempt_result::Failed)))
+        return;
     // These statuses would promise the client that the request hasn't run, which the server did not
     // state.
-    const bool claimsNotRun = m_answer.status == status::Unavailable
-        || m_answer.status == status::TooMany || m_answer.status == status::Timeout;
+    const bool claimsNotRun = m_current.answer.status == status::Unavailable
+        || m_current.answer.status == status::TooMany || m_current.answer.status == status::Timeout;
     if (claimsNotRun && !m_route->repeatable()) {
         respondWithStatus(status::BadGateway, request_outcome::ServerFailed);
         return;
     }
-    m_clientStatus = m_answer.status;
-    m_client->respond(m_answer.status, http::forwardedFields(m_answer.fields), m_bufferedAnswer);
-    finish(m_answer.status < status::FirstServerError ? request_outcome::Answered
-                                                      : request_outcome::Failed);
+    m_clientStatus = m_current.answer.status;
+    m_client->respond(m_current.answer.status, http::forwardedFields(m_current.answer.fields),
+                      m_current.bufferedAnswer);
+    finish(m_current.answer.status < status::FirstServerError ? request_outcome::Answered
+                                                              : request_outcome::Failed);
 }
 
 template <gateway_codec Codec>
@@ -391,6 +420,7 @@
         logRetryDenied("budget_spent");
         return false;
     }
+    m_retryUnused = true;
     return true;
 }
 
@@ -405,7 +435,7 @@
     if (where == own)
         return;
     if (++m_unsentRemoteAttempts == 1)
-        m_firstUnsentRemoteAt = m_attemptStartedAt;
+        m_firstUnsentRemoteAt = m_current.startedAt;
     if (m_unsentRemoteAttempts < MaxUnsentRemoteAttempts
         || sendsSignals(where, m_firstUnsentRemoteAt)
         || !m_context.directory.usableIn(m_service, own))
@@ -419,20 +449,20 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onAttemptResult(attempt_result what)
 {
-    auto &server = *m_server;
-    logAttemptEnd(nameOf(what));
+    auto &server = *m_current.server;
+    logAttemptEnd(m_current, nameOf(what));
     if (what == attempt_result::NotRun) {
-        if (m_answer.status == status::Misdirected)
+        if (m_current.answer.status == status::Misdirected)
             server.removed = true;
-        else if (m_answer.status == status::Conflict)
+        else if (m_current.answer.status == status::Conflict)
             m_needsStages = m_stageProgress.has_value() && !std::exchange(m_stagesRestarted, true);
     } else {
         m_context.directory.onFailure(server);
     }
     m_triedServers.push_back(server.record.id);
-    m_answer.status = 0;
-    m_responseMetadata = {};
-    m_splitter.restart();
+    m_current.answer.status = 0;
+    m_current.metadata = {};
+    m_current.splitter.restart();
     if (what == attempt_result::NotSent)
         avoidUnreachable(server.record.dataCenter);
     if (mayRetry(what))
@@ -443,11 +473,11 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::abandonCall(abandon_cause why)
+void exchange<Codec>::abandonUnusableCall()
 {
-    m_abandonedFor = why;
-    m_context.transport.abandon(m_call);
-    onEnd(why == abandon_cause::Unusable ? http::call_end::TooLarge : http::call_end::TimedOut);
+    m_current.abandonedFor = abandon_cause::Unusable;
+    m_context.transport.abandon(m_current.call);
+    onEnd(http::call_end::TooLarge);
 }
 
 template <gateway_codec Codec>
@@ -455,10 +485,10 @@
 {
     if (m_done)
         return;
-    const bool sentThere = m_call != 0 && m_server->record.dataCenter == dataCenter;
-    if (sentThere && m_route->repeatable() && m_attempts < m_route->maxAttempts) {
-        abandonCall(abandon_cause::DataCenterLost);
-    } else if (m_call == 0 && !m_headSent && m_stageProgress && hasResultsIn(dataCenter)) {
+    const bool sentThere = m_current.call != 0 && m_current.server->record.dataCenter == dataCenter;
+    if (sentThere && m_route->repeatable()) {
+        tryElsewhere(abandon_cause::DataCenterLost);
+    } else if (m_current.call == 0 && !m_headSent && m_stageProgress && hasResultsIn(dataCenter)) {
         if (mayRestartStages())
             restartStages("data_center_lost");
         else
@@ -471,10 +501,10 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onServersCutOff()
 {
-    if (m_done || m_call == 0 || !m_route->repeatable() || !m_context.transport.isLost(m_call))
+    if (m_done || m_current.call == 0 || !m_route->repeatable()
+        || !m_context.transport.isLost(m_current.call))
         return;
-    m_attempts = m_attemptsBefore;
-    abandonCall(abandon_cause::ServersCutOff);
+    tryElsewhere(abandon_cause::ServersCutOff);
 }
 
 template <gateway_codec Codec>
@@ -496,47 +526,4 @@
                     std::chrono::duration_cast<milliseconds>(expected * UnansweredFactor));
 }
 
-// The timer keeps running while the answer arrives, and checks the time since its last bytes.
-template <gateway_codec Codec>
-void exchange<Codec>::startIdleTimer(milliseconds limit)
-{
-    m_context.loop.cancelTimer(m_idleTimer);
-    m_lastActivity = m_context.loop.now();
-    m_idleTimer = m_context.loop.callAfter(limit, [self = this->shared_from_this()] {
-        self->m_idleTimer = 0;
-        self->onIdleTimer();
-    });
-}
-
-template <gateway_codec Codec>
-void exchange<Codec>::onIdleTimer()
-{
-    if (m_done || m_call == 0)
-        return;
-    const auto silent = m_context.loop.now() - m_lastActivity;
-    auto limit = unansweredLimit();
-    if (m_headSent)
-        limit = std::max(MinStreamIdleTime, 2 * m_route->pauseObjective.value_or(objectiveLimit()));
-    if (silent < limit) {
-        const auto rest = std::chrono::duration_cast<std::chrono::microseconds>(limit - silent);
-        m_idleTimer = m_context.loop.callAfter(rest, [self = this->shared_from_this()] {
-            self->m_idleTimer = 0;
-            self->onIdleTimer();
-        });
-        return;
-    }
-    if (m_forwarding == forwarding_mode::Bytes || m_attempts >= m_route->maxAttempts)
-        return;
-    // Keeps waiting if no other server can be chosen.
-    server_query query;
-    query.service = m_service;
-    query.exclude = m_triedServers;
-    query.exclude.push_back(m_server->record.id);
-    query.version = m_version;
-    query.allowed = m_residency;
-    if (!m_context.directory.choose(query))
-        return;
-    abandonCall(abandon_cause::Silent);
-}
-
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -5,6 +5,7 @@
 #include "gateway/exchange/exchange_attempts_impl.h"
 #include "gateway/exchange/exchange_limits.h"
 #include "gateway/exchange/exchange_log_impl.h"
+#include "gateway/exchange/exchange_silence_impl.h"
 #include "gateway/exchange/exchange_stages_impl.h"
 
 #include <algorithm>
@@ -23,7 +24,6 @@
     , m_configuration(context.configuration)
     , m_arrival(arrival)
     , m_objectiveFrom(arrival)
-    , m_splitter(MaxEventBytes)
 { }
 
 template <gateway_codec Codec>
@@ -127,7 +127,7 @@
 void exchange<Codec>::recordStreamOrigin()
 {
     if (!m_version)
-        m_version = m_server->record.version;
+        m_version = m_current.server->record.version;
     if (m_route->kind != request_kind::Stream || !m_route->repeatable())
         return;
     const auto customer = m_customer ? m_customer->id : customer_id{};
@@ -188,13 +188,13 @@
 template <gateway_codec Codec>
 void exchange<Codec>::reportPartsServed()
 {
-    if (!m_answerStartedAt || std::exchange(m_partsReported, true))
+    if (!m_current.answerStartedAt || std::exchange(m_current.partsReported, true))
         return;
     for (const auto &each : m_subjects) {
         if (!each.isPart())
             continue;
-        m_context.quarantine.onPartServed(each.digest, *m_answerStartedAt);
-        m_context.quarantine.onPartServed(each.shared, *m_answerStartedAt);
+        m_context.quarantine.onPartServed(each.digest, *m_current.answerStartedAt);
+        m_context.quarantine.onPartServed(each.shared, *m_current.answerStartedAt);
     }
 }
 
@@ -205,11 +205,15 @@
     const bool isOwn = std::ranges::any_of(m_subjects, [&](const crash_subject &each) {
         return each.digest == subject || (each.isPart() && each.shared == subject);
     });
-    if (m_done || m_call == 0 || m_answerStartedAt || !isOwn || !m_route->repeatable())
+    if (m_done || m_current.call == 0 || m_current.answerStartedAt || !isOwn
+        || !m_route->repeatable())
         return;
-    m_mayHaveRun = m_mayHaveRun || m_attempts > m_attemptsBefore;
-    m_context.transport.abandon(m_call);
+    m_mayHaveRun = m_mayHaveRun || m_current.sent;
+    m_context.transport.abandon(m_current.call);
     endAttempt();
+    // A server that has not begun to answer a silent call may still run the request and crash.
+    if (!m_headSent)
+        endHeld();
     failRequest(request_outcome::CrashesServers);
 }
 
@@ -361,6 +365,8 @@
 template <gateway_codec Codec>
 void exchange<Codec>::failRequest(request_outcome outcome)
 {
+    if (resumeHeld(toName(outcome)))
+        return;
     if (m_headSent) {
         m_client->abort();
         finish(outcome);
@@ -376,9 +382,9 @@
 {
     if (m_done)
         return;
-    const bool sent = m_call != 0 && m_attempts > 0;
-    if (m_call != 0) {
-        m_context.transport.abandon(m_call);
+    const bool sent = (m_current.call != 0 && m_attempts > 0) || !m_held.empty();
+    if (m_current.call != 0) {
+        m_context.transport.abandon(m_current.call);
         endAttempt();
     }
     if (m_headSent) {
@@ -394,7 +400,7 @@
 template <gateway_codec Codec>
 void exchange<Codec>::refuseIfWaiting()
 {
-    if (!m_done && !m_headSent && m_call == 0)
+    if (!m_done && !m_headSent && m_current.call == 0)
         failRequest(request_outcome::Stopping);
 }
 
@@ -403,8 +409,8 @@
 {
     if (m_done)
         return;
-    if (m_call != 0) {
-        m_context.transport.abandon(m_call);
+    if (m_current.call != 0) {
+        m_context.transport.abandon(m_current.call);
         endAttempt();
     }
     finish(request_outcome::ClientGone);
@@ -431,6 +437,7 @@
     m_context.loop.cancelTimer(std::exchange(m_deadlineTimer, 0));
     m_context.loop.cancelTimer(std::exchange(m_idleTimer, 0));
     endPlacement();
+    endHeld();
     releaseStages();
     cancelPieces();
     freeStageResults();
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -62,6 +62,11 @@
 inline constexpr milliseconds StreamOriginMargin{1000};
 /// Shortest idle time of a stream after which it is continued on another server.
 inline constexpr milliseconds MinStreamIdleTime{1000};
+/// How often a request whose server is silent checks whether another one may get it.
+inline constexpr milliseconds SilenceCheckInterval{250};
+/// The interval doubles this often at most, each time that another server could not take over, so
+/// that a request whose replacements fail doesn't use up the retry budget.
+inline constexpr std::uint32_t MaxSilenceCheckDoublings = 3;
 /// Fraction of the latency objective after which an unanswered repeatable request is sent to
 /// another server.
 inline constexpr double UnansweredShare = 1.0;
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -113,48 +113,77 @@
     if (!logsDecisions())
         return;
     auto line = lineOf(log_event::AttemptSent);
-    line.add("server", m_server->record.id.value).add("service", m_service.value);
-    line.add("version", m_server->record.version.value);
-    if (m_server->record.startedAt)
-        line.add("started_at", *m_server->record.startedAt);
+    line.add("server", m_current.server->record.id.value).add("service", m_service.value);
+    line.add("version", m_current.server->record.version.value);
+    if (m_current.server->record.startedAt)
+        line.add("started_at", *m_current.server->record.startedAt);
     line.add("usable", m_context.directory.usable(m_service).size());
-    line.add("outstanding", m_server->outstanding).add("failures", m_server->consecutiveFailures);
-    if (m_server->load) {
-        const auto age = m_context.loop.now() - m_server->loadReportedAt;
-        line.add("running", m_server->load->running).add("waiting", m_server->load->waiting);
+    line.add("outstanding", m_current.server->outstanding)
+        .add("failures", m_current.server->consecutiveFailures);
+    if (m_current.server->load) {
+        const auto age = m_context.loop.now() - m_current.server->loadReportedAt;
+        line.add("running", m_current.server->load->running)
+            .add("waiting", m_current.server->load->waiting);
         line.add("load_age_ms", std::chrono::duration_cast<milliseconds>(age).count());
     }
-    if (m_server->announcedLeaving)
+    if (m_current.server->announcedLeaving)
         line.add("said_leaving", "yes");
     const auto now = m_context.loop.now();
-    if (now < m_server->backoffUntil)
-        line.add("backoff_left_ms",
-                 std::chrono::duration_cast<milliseconds>(m_server->backoffUntil - now).count());
-    if (m_server->consecutiveRefusals > 0)
-        line.add("refusals", m_server->consecutiveRefusals);
+    if (now < m_current.server->backoffUntil)
+        line.add(
+            "backoff_left_ms",
+            std::chrono::duration_cast<milliseconds>(m_current.server->backoffUntil - now).count());
+    if (m_current.server->consecutiveRefusals > 0)
+        line.add("refusals", m_current.server->consecutiveRefusals);
     line.add("left_ms", timeLeft().count()).add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::logAttemptEnd(std::string_view how)
+void exchange<Codec>::logAttemptEnd(const server_attempt &ended, std::string_view how)
 {
-    if (!logsDecisions() || !m_server)
+    if (!logsDecisions() || !ended.server)
         return;
-    const auto took = m_context.loop.now() - m_attemptStartedAt;
+    const auto now = m_context.loop.now();
     auto line = lineOf(log_event::AttemptEnded);
-    line.add("server", m_server->record.id.value).add("end", how);
-    line.add("status", m_answer.status);
+    line.add("server", ended.server->record.id.value).add("end", how);
+    line.add("status", ended.answer.status);
     if (how == nameOf(attempt_result::Unknown))
         line.add("digest", toText(m_digest)).add("parts", sharedPartsText());
-    if (m_abandonedFor) {
-        const auto idle = m_context.loop.now() - m_lastActivity;
-        line.add("abandoned", toName(*m_abandonedFor));
-        line.add("idle_ms", std::chrono::duration_cast<milliseconds>(idle).count());
+    if (ended.abandonedFor) {
+        line.add("abandoned", toName(*ended.abandonedFor));
+        line.add("idle_ms",
+                 std::chrono::duration_cast<milliseconds>(now - ended.lastBytesAt).count());
     }
-    if (m_splitter.lastEvent())
-        line.add("last_event", *m_splitter.lastEvent());
-    line.add("took_ms", std::chrono::duration_cast<milliseconds>(took).count());
+    if (ended.splitter.lastEvent())
+        line.add("last_event", *ended.splitter.lastEvent());
+    line.add("took_ms", std::chrono::duration_cast<milliseconds>(now - ended.startedAt).count());
+    line.add("at_ms", sinceArrival().count());
+    m_decisions.add(std::move(line));
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::logHeld(const server_attempt &held)
+{
+    if (!logsDecisions())
+        return;
+    const auto idle = m_context.loop.now() - held.lastBytesAt;
+    auto line = lineOf(log_event::AttemptHeld);
+    line.add("server", held.server->record.id.value).add("cause", toName(*held.abandonedFor));
+    line.add("idle_ms", std::chrono::duration_cast<milliseconds>(idle).count());
+    line.add("at_ms", sinceArrival().count());
+    m_decisions.add(std::move(line));
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::logResumed(std::string_view why)
+{
+    if (!logsDecisions())
+        return;
+    const auto idle = m_context.loop.now() - m_current.lastBytesAt;
+    auto line = lineOf(log_event::AttemptResumed);
+    line.add("server", m_current.server->record.id.value).add("reason", why);
+    line.add("idle_ms", std::chrono::duration_cast<milliseconds>(idle).count());
     line.add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
 }
@@ -241,7 +270,9 @@
     line.add("outcome", toName(outcome));
     if (m_route)
         line.add("route", m_route->name);
-    line.add("told", m_clientStatus).add("status", m_answer.status).add("attempts", m_attempts);
+    line.add("told", m_clientStatus)
+        .add("status", m_current.answer.status)
+        .add("attempts", m_attempts);
     line.add("ms", sinceArrival().count());
     if (outcome == request_outcome::CrashesServers)
         line.add("digest", toText(m_digest));
@@ -249,8 +280,8 @@
         line.add("first_event_ms", m_timeToFirstEvent->count());
     if (m_route)
         line.add("objective_ms", m_route->latencyObjective.count());
-    if (m_server)
-        line.add("server", m_server->record.id.value);
+    if (m_current.server)
+        line.add("server", m_current.server->record.id.value);
     m_context.log.write(wire::log_level::Info, std::move(line));
 }
 
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -44,7 +44,7 @@
         reserveStages();
         return;
     }
-    m_placement = m_context.placer.askAdmission(
+    m_current.placement = m_context.placer.askAdmission(
         std::move(query), [self = this->shared_from_this()](const admission &answer) {
             if (!self->m_done)
                 self->onAdmission(answer);
@@ -54,7 +54,7 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onAdmission(const admission &answer)
 {
-    m_placement = 0;
+    m_current.placement = 0;
     m_admitted = answer.granted;
     if (answer.granted) {
         reserveStages();
--- a/src/gateway/exchange/service_retry_budget.cpp
+++ b/src/gateway/exchange/service_retry_budget.cpp
@@ -89,6 +89,22 @@
     return true;
 }
 
+// The bucket in which it was taken may have expired since.
+void service_retry_budget::giveBack(const service_id &service)
+{
+    auto &newest = currentBucket(service);
+    if (newest.retries > 0) {
+        --newest.retries;
+        return;
+    }
+    for (auto &each : m_services[service].ring) {
+        if (each.retries > 0) {
+            --each.retries;
+            return;
+        }
+    }
+}
+
 std::map<service_id, service_retry_budget::usage> service_retry_budget::takeUsage()
 {
     std::map<service_id, usage> all;
--- a/src/gateway/exchange/service_retry_budget.h
+++ b/src/gateway/exchange/service_retry_budget.h
@@ -39,6 +39,8 @@
     void onRequest(const service_id &service);
     /// Takes `count` retries from the budget. Returns false and takes none if fewer are left.
     [[nodiscard]] bool tryAcquire(const service_id &service, std::uint32_t count = 1);
+    /// Returns a retry that was taken and not made.
+    void giveBack(const service_id &service);
     /// Counts retries that are made regardless of the limit.
     void onForcedRetry(const service_id &service, std::uint32_t count);
 
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -18,6 +18,8 @@
     TurnAnswered, ///< where, and after which wait, a request is sent because of rate limits
     AttemptSent, ///< a request was sent to a server
     AttemptEnded, ///< outcome of an attempt
+    AttemptHeld, ///< a call whose server is silent stays open while another server is tried
+    AttemptResumed, ///< such a call goes on, or is waited for again, and why
     RetryDenied, ///< why a request is not retried at another server
     Request, ///< a request has its final answer, or its client disconnected
     StreamOrigin, ///< which version began a stream that a client continues, and how that is known
@@ -80,6 +82,10 @@
         orchidlead::gateway::log_event::AttemptSent, "attempt_sent"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::AttemptEnded, "attempt_ended"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::AttemptHeld, "attempt_held"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::AttemptResumed, "attempt_resumed"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::RetryDenied, "retry_denied"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{orchidlead::gateway::log_event::Request,
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -155,6 +155,7 @@
 void call_relay<Codec>::onHead(const relayed_call_ptr &relayed, const http::response_head &head)
 {
     m_directory.onResponseBegin(*relayed->server);
+    m_directory.onBytes(*relayed->server);
     m_directory.onSignals(*relayed->server, Codec::readAnswer(head).server);
     http::response_head out;
     out.status = head.status;
@@ -170,6 +171,7 @@
 template <gateway_codec Codec>
 void call_relay<Codec>::onBody(const relayed_call_ptr &relayed, std::string_view bytes)
 {
+    m_directory.onBytes(*relayed->server);
     relayed->peer->write(bytes);
     if (relayed->peer->queuedBytes() <= MaxQueuedBytes)
         return;
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -91,6 +91,8 @@
     steady_time loadReportedAt{}; ///< time of the load report
     std::optional<reported_time> reportedTime; ///< last one, of this node or another
     steady_time sentAt{}; ///< time of the last request from this node
+    /// Time of the last bytes from the server, or of the request that was sent while it had none.
+    steady_time heardAt{};
     std::optional<steady_time> lastAnswerAt; ///< time of the last response to this node
     std::uint32_t consecutiveFailures = 0;
     /// Refusals that arrive while the server is already avoided count once.
@@ -236,6 +238,9 @@
     /// servers are left.
     [[nodiscard]] std::vector<backend_server_id> excludedServers(const service_id &service,
                                                                  const residency &allowed) const;
+    /// Returns the usable servers of a service that have requests of this node and have sent no
+    /// bytes for a while: a request that waits for one of them gains nothing at another.
+    [[nodiscard]] std::vector<backend_server_id> silentServers(const service_id &service) const;
     /// Returns why no server of a service is available in the allowed regions.
     [[nodiscard]] unavailability unavailabilityOf(const service_id &service,
                                                   const residency &allowed) const;
@@ -250,6 +255,8 @@
 
     /// Called when a response to this node begins.
     void onResponseBegin(const server &backend) const;
+    /// Called when bytes of a response to a request of this node arrive.
+    void onBytes(server &backend) { backend.heardAt = m_clock.now(); }
     void onAnswer(server &backend);
     /// Called when a request got no response, a broken one, or an error.
     void onFailure(server &backend);
--- a/src/gateway/servers/server_directory_signals.cpp
+++ b/src/gateway/servers/server_directory_signals.cpp
@@ -18,6 +18,9 @@
 // After a requested backoff, a server gets one request at a time until it accepts one or this time
 // has passed.
 constexpr milliseconds ProbeTimeout{500};
+// Longest time in which a server that has requests of a node sends it nothing: an engine reads the
+// longest prompts in less.
+constexpr milliseconds MaxPause{500};
 // How long the signals of a start that is not published are kept. Published entries expire and
 // reappear while the store is unavailable, and a response may report that a server is leaving
 // before this node's list of published servers, which lags behind, contains the server.
@@ -114,6 +117,17 @@
     return excluded;
 }
 
+std::vector<backend_server_id> server_directory::silentServers(const service_id &service) const
+{
+    const auto now = m_clock.now();
+    std::vector<backend_server_id> silent;
+    for (const auto &each : usable(service)) {
+        if (each->outstanding > 0 && now - each->heardAt > MaxPause)
+            silent.push_back(each->record.id);
+    }
+    return silent;
+}
+
 void server_directory::onRefused(server &backend)
 {
     const auto now = m_clock.now();
@@ -142,6 +156,8 @@
 void server_directory::onSending(server &backend)
 {
     backend.sentAt = m_clock.now();
+    if (backend.outstanding <= 1)
+        backend.heardAt = backend.sentAt;
     if (backend.probing)
         backend.probeUntil = m_clock.now() + ProbeTimeout;
     if (m_onSent)
