Mend what an independent review of held calls found

Findings by reading, of a reviewer who hadn't seen the work: a held answer that ends without further bytes was dropped; while a node is cut off, all busy servers count as silent and sent calls weren't moved; a plain answer of which the client has a part could be continued by another server's; a paused reading was lost; a quarantined request went on in a held call; signals of a refusing held call were not read; an unusable answer could end the replacement; attempts could be counted too low; failures of one silence were counted again and again; a returned retry didn't bound the work of stages; the first request of a server could leave it marked silent. Each of these in exchange_silence_impl.h and the parts that call it. Streams of silent_server_test now run for 0.6 s before the silence: with less, the idle timer first fires after it and the cases of one silence passed on the old code.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -240,11 +240,14 @@
     /// Returns servers that must not get the request: those tried, and silent ones if it is sent
     /// elsewhere because of a silence.
     [[nodiscard]] std::vector<backend_server_id> excludedServers() const;
+    [[nodiscard]] std::vector<backend_server_id> silentServers() const;
     void holdCurrent(abandon_cause why);
     /// Makes the attempt with this id the current one; called when bytes of its answer arrive.
     /// Returns false if the bytes must be ignored.
     [[nodiscard]] bool selectForHead(std::uint64_t id, const http::response_head &head);
     [[nodiscard]] bool selectForBody(std::uint64_t id);
+    /// The same when the answer ends: a held one may be complete without further bytes.
+    [[nodiscard]] bool selectForEnd(std::uint64_t id, http::call_end how);
     /// Continues with a held attempt; ends what replaced it.
     void resume(std::uint64_t id);
     /// Waits for the last held attempt again, as another one isn't possible or has failed. Returns
@@ -257,8 +260,17 @@
     /// abandoned by the caller.
     [[nodiscard]] server_attempt takeHeld(std::uint64_t id);
     [[nodiscard]] bool isHeld(std::uint64_t id) const;
+    /// Returns whether a held attempt has begun an answer that can be forwarded.
+    [[nodiscard]] bool isHeldAnswer(std::uint64_t id) const;
     /// Ends the calls of all held attempts: another one answers the request, or it has ended.
     void endHeld();
+    /// Ends the calls of the held attempts that fit.
+    template <class Predicate>
+    void endHeld(Predicate fits);
+    /// Records that the server of the current attempt is no longer silent.
+    void onHeardAgain();
+    /// Reads the answer of the current attempt again, if that was paused for a slow client.
+    void resumeReading();
 
     void beginAnswer();
     void applyBackpressure();
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -115,11 +115,18 @@
 {
     if (m_client->queuedBytes() <= MaxQueuedBytes)
         return;
+    m_current.readingPaused = true;
     m_context.transport.setReading(m_current.call, false);
-    m_client->onDrained([self = this->shared_from_this()] {
-        self->m_current.lastBytesAt = self->m_context.loop.now();
-        self->m_context.transport.setReading(self->m_current.call, true);
-    });
+    m_client->onDrained([self = this->shared_from_this()] { self->resumeReading(); });
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::resumeReading()
+{
+    if (m_current.call == 0 || !std::exchange(m_current.readingPaused, false))
+        return;
+    m_current.lastBytesAt = m_context.loop.now();
+    m_context.transport.setReading(m_current.call, true);
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -178,9 +178,11 @@
         failRequest(unservableReason().value_or(request_outcome::NoServer));
         return;
     }
-    ++m_current.server->outstanding;
+    if (m_current.server->outstanding++ == 0)
+        m_context.directory.onBytes(*m_current.server);
     m_current.id = ++m_lastAttemptId;
     m_current.sent = false;
+    m_current.readingPaused = false;
     m_current.forwarding = forwarding_mode::Nothing;
     m_serverIneligible = false;
     m_current.bufferedAnswer.clear();
@@ -209,12 +211,9 @@
             self->onBody(bytes);
     };
     call.onEnd = [self, id](http::call_end how) {
-        if (self->m_current.id == id)
+        if (self->selectForEnd(id, how))
             self->onEnd(how);
-        else
-            self->onHeldEnd(id, how);
     };
-    m_current.attemptsBefore = m_attempts;
     m_current.call = m_context.transport.start(
         {m_current.server, std::move(call), m_metadata.attempt, m_route->repeatable()});
     if (m_route->repeatable())
@@ -281,8 +280,8 @@
     if (hasServerFailed(m_current, how))
         m_context.placer.onServerFailed(m_current.placement);
     endAttempt();
-    if (how == http::call_end::NotSent)
-        m_attempts = m_current.attemptsBefore;
+    if (how == http::call_end::NotSent && std::exchange(m_current.sent, false))
+        --m_attempts;
     if (how == http::call_end::NotSent && m_serverIneligible) {
         m_triedServers.push_back(m_current.server->record.id);
         attempt(); // neither a failure of the server nor a retry
@@ -379,13 +378,14 @@
         attempt();
         return;
     }
-    if (m_current.answer.status >= status::FirstServerError
-        && resumeHeld(nameOf(attempt_result::Failed)))
-        return;
     // These statuses would promise the client that the request hasn't run, which the server did not
     // state.
     const bool claimsNotRun = m_current.answer.status == status::Unavailable
         || m_current.answer.status == status::TooMany || m_current.answer.status == status::Timeout;
+    const bool failed = m_current.answer.status >= status::FirstServerError || claimsNotRun
+        || m_current.answer.status == status::Conflict;
+    if (failed && resumeHeld(nameOf(attempt_result::Failed)))
+        return;
     if (claimsNotRun && !m_route->repeatable()) {
         respondWithStatus(status::BadGateway, request_outcome::ServerFailed);
         return;
@@ -410,6 +410,10 @@
         logRetryDenied("no_time");
         return false;
     }
+    if (m_headSent && m_route->kind != request_kind::Stream) {
+        logRetryDenied("answer_begun");
+        return false;
+    }
     if (what == attempt_result::NotSent)
         return ++m_unsentAttempts < MaxUnsentAttempts;
     if (m_attempts >= m_route->maxAttempts) {
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -205,15 +205,14 @@
     const bool isOwn = std::ranges::any_of(m_subjects, [&](const crash_subject &each) {
         return each.digest == subject || (each.isPart() && each.shared == subject);
     });
-    if (m_done || m_current.call == 0 || m_current.answerStartedAt || !isOwn
-        || !m_route->repeatable())
+    if (m_done || !isOwn || !m_route->repeatable())
+        return;
+    endHeld([](const server_attempt &each) { return !each.answerStartedAt; });
+    if (m_current.call == 0 || m_current.answerStartedAt)
         return;
     m_mayHaveRun = m_mayHaveRun || m_current.sent;
     m_context.transport.abandon(m_current.call);
     endAttempt();
-    // A server that has not begun to answer a silent call may still run the request and crash.
-    if (!m_headSent)
-        endHeld();
     failRequest(request_outcome::CrashesServers);
 }
 
--- a/src/gateway/exchange/exchange_silence_impl.h
+++ b/src/gateway/exchange/exchange_silence_impl.h
@@ -38,8 +38,7 @@
 {
     if (m_done || m_current.call == 0 || m_current.forwarding == forwarding_mode::Bytes)
         return;
-    // While the client reads slowly, the server isn't read at all.
-    if (m_client->queuedBytes() > MaxQueuedBytes)
+    if (m_current.readingPaused)
         m_current.lastBytesAt = m_context.loop.now();
     const auto silent = m_context.loop.now() - m_current.lastBytesAt;
     const auto limit = idleLimit();
@@ -51,13 +50,21 @@
     tryElsewhere(abandon_cause::Silent);
 }
 
+// While this node is cut off, all servers with requests are silent, and peers reach them.
+template <gateway_codec Codec>
+std::vector<backend_server_id> exchange<Codec>::silentServers() const
+{
+    if (m_context.transport.access() == server_access_state::CutOff)
+        return {};
+    return m_context.directory.silentServers(m_service);
+}
+
 template <gateway_codec Codec>
 std::vector<backend_server_id> exchange<Codec>::excludedServers() const
 {
     auto excluded = m_triedServers;
     if (!m_held.empty())
-        std::ranges::copy(m_context.directory.silentServers(m_service),
-                          std::back_inserter(excluded));
+        std::ranges::copy(silentServers(), std::back_inserter(excluded));
     return excluded;
 }
 
@@ -68,17 +75,17 @@
     query.service = m_service;
     query.exclude = m_triedServers;
     query.exclude.push_back(m_current.server->record.id);
-    std::ranges::copy(m_context.directory.silentServers(m_service),
-                      std::back_inserter(query.exclude));
+    std::ranges::copy(silentServers(), std::back_inserter(query.exclude));
     query.version = m_version;
     query.allowed = m_residency;
     return m_context.directory.choose(query) != nullptr;
 }
 
+// A plain answer of which the client has a part can't go on at another server.
 template <gateway_codec Codec>
 void exchange<Codec>::tryElsewhere(abandon_cause why)
 {
-    if (!otherServerResponds())
+    if (m_current.forwarding == forwarding_mode::Bytes || !otherServerResponds())
         return;
     if (!m_current.sent) {
         m_context.transport.abandon(m_current.call);
@@ -86,8 +93,7 @@
         return;
     }
     // A call that was lost with all others isn't counted: the retry budget bounds the repeats.
-    const auto attempts =
-        why == abandon_cause::ServersCutOff ? m_current.attemptsBefore : m_attempts;
+    const auto attempts = why == abandon_cause::ServersCutOff ? m_attempts - 1 : m_attempts;
     if (attempts >= m_route->maxAttempts)
         return;
     if (!m_context.retryBudget.tryAcquire(m_service)) {
@@ -101,13 +107,16 @@
     attempt();
 }
 
-// The failure is counted at once, so that other requests avoid the server.
+// The failure is counted at once, so that other requests avoid the server, and once a silence.
 template <gateway_codec Codec>
 void exchange<Codec>::holdCurrent(abandon_cause why)
 {
     m_context.loop.cancelTimer(std::exchange(m_idleTimer, 0));
-    m_context.directory.onFailure(*m_current.server);
-    m_triedServers.push_back(m_current.server->record.id);
+    if (!m_current.abandonedFor) {
+        m_context.directory.onFailure(*m_current.server);
+        m_triedServers.push_back(m_current.server->record.id);
+        m_current.triedServers = m_triedServers.size();
+    }
     m_mayHaveRun = true;
     m_current.abandonedFor = why;
     logHeld(m_current);
@@ -138,15 +147,27 @@
 template <gateway_codec Codec>
 bool exchange<Codec>::selectForHead(std::uint64_t id, const http::response_head &head)
 {
-    if (m_done || m_current.id == id)
-        return !m_done;
-    if (!isHeld(id))
+    if (m_done)
+        return false;
+    if (m_current.id == id) {
+        onHeardAgain();
+        return true;
+    }
+    const auto found = std::ranges::find(m_held, id, &server_attempt::id);
+    if (found == m_held.end())
         return false;
-    if (head.status >= status::Ok && head.status < status::FirstRedirect) {
+    const auto metadata = Codec::readAnswer(head);
+    const bool success = head.status >= status::Ok && head.status < status::FirstRedirect;
+    const bool refused = metadata.notExecuted || head.status == status::Misdirected;
+    if (!refused && head.status < status::FirstServerError
+        && (!success || metadata.signedByServer)) {
         resume(id);
         return true;
     }
     // The replacement goes on: the server has refused the request after all, or failed it.
+    m_context.directory.onResponseBegin(*found->server);
+    m_context.directory.onSignals(*found->server, metadata.server);
+    m_context.placer.onSignals(found->placement, metadata.server);
     const auto failed = takeHeld(id);
     m_context.transport.abandon(failed.call);
     logAttemptEnd(failed, nameOf(attempt_result::Failed));
@@ -156,9 +177,43 @@
 template <gateway_codec Codec>
 bool exchange<Codec>::selectForBody(std::uint64_t id)
 {
-    if (!m_done && m_current.id != id && isHeld(id))
+    if (m_done)
+        return false;
+    if (m_current.id == id)
+        onHeardAgain();
+    else if (isHeldAnswer(id))
         resume(id);
-    return !m_done && m_current.id == id;
+    return m_current.id == id;
+}
+
+template <gateway_codec Codec>
+bool exchange<Codec>::selectForEnd(std::uint64_t id, http::call_end how)
+{
+    if (m_current.id != id && how == http::call_end::Complete && !m_done && isHeldAnswer(id))
+        resume(id);
+    if (m_current.id == id)
+        return true;
+    onHeldEnd(id, how);
+    return false;
+}
+
+template <gateway_codec Codec>
+bool exchange<Codec>::isHeldAnswer(std::uint64_t id) const
+{
+    const auto found = std::ranges::find(m_held, id, &server_attempt::id);
+    return found != m_held.end() && found->forwarding != forwarding_mode::Nothing
+        && found->answer.status < status::FirstServerError;
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::onHeardAgain()
+{
+    if (!m_current.abandonedFor)
+        return;
+    m_current.abandonedFor.reset();
+    m_fruitlessTries = 0;
+    std::erase(m_triedServers, m_current.server->record.id);
+    m_context.directory.onAnswer(*m_current.server);
 }
 
 template <gateway_codec Codec>
@@ -188,8 +243,8 @@
     const auto found = std::ranges::find(m_held, id, &server_attempt::id);
     m_current = std::move(*found);
     m_held.erase(found);
-    m_current.abandonedFor.reset();
-    m_context.directory.onAnswer(*m_current.server);
+    onHeardAgain();
+    resumeReading();
     logResumed("bytes");
     startIdleTimer(idleLimit());
 }
@@ -202,6 +257,9 @@
     stopReplacement();
     m_current = std::move(m_held.back());
     m_held.pop_back();
+    m_triedServers.resize(std::min(m_triedServers.size(), m_current.triedServers));
+    m_unsentAttempts = 0;
+    resumeReading();
     logResumed(why);
     m_fruitlessTries = std::min(m_fruitlessTries + 1, MaxSilenceCheckDoublings);
     startIdleTimer(SilenceCheckInterval * (1U << m_fruitlessTries));
@@ -226,8 +284,20 @@
 template <gateway_codec Codec>
 void exchange<Codec>::endHeld()
 {
-    while (!m_held.empty()) {
-        const auto ended = takeHeld(m_held.back().id);
+    endHeld([](const server_attempt &) { return true; });
+}
+
+template <gateway_codec Codec>
+template <class Predicate>
+void exchange<Codec>::endHeld(Predicate fits)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto &each : m_held) {
+        if (fits(each))
+            ids.push_back(each.id);
+    }
+    for (const auto id : ids) {
+        const auto ended = takeHeld(id);
         m_context.transport.abandon(ended.call);
         logAttemptEnd(ended, nameOf(attempt_result::Unknown));
     }
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -386,6 +386,8 @@
             m_context.stages.submit(each.service, std::move(job), std::move(handler)));
         submitted[stage].push_back(m_context.stages.poolOf(m_pieces.back()));
     }
+    if (!submitted.empty())
+        m_retryUnused = false;
     for (const auto &[stage, pools] : submitted) {
         m_stagePools[stage] = pools.back();
         m_context.admission.onStageSubmitted(m_stageAdmission, stage, pools);
--- a/src/gateway/exchange/server_attempt.h
+++ b/src/gateway/exchange/server_attempt.h
@@ -11,6 +11,7 @@
 
 #include <orchidlead/clock.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,7 +34,8 @@
     server_transport::call_id call = 0; ///< 0: none
     placement_id placement = 0; ///< of this attempt, or of its admission
     bool sent = false; ///< bytes of the request were sent
-    std::uint32_t attemptsBefore = 0; ///< of its request that reached a server
+    std::size_t triedServers = 0; ///< of its request when the server was found to be silent
+    bool readingPaused = false; ///< its bytes aren't read, since the client reads slowly
     steady_time startedAt{};
     steady_time lastBytesAt{}; ///< of the answer; before these, when the request was sent
     std::optional<steady_time> answerStartedAt;
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -122,7 +122,8 @@
     call.onHead = [this, relayed](const http::response_head &head) { onHead(relayed, head); };
     call.onBody = [this, relayed](std::string_view bytes) { onBody(relayed, bytes); };
     call.onEnd = [this, relayed](http::call_end how) { onEnd(relayed, how); };
-    ++relayed->server->outstanding;
+    if (relayed->server->outstanding++ == 0)
+        m_directory.onBytes(*relayed->server);
     relayed->call = m_transport.startDirect(
         {relayed->server, std::move(call), relayed->order.request, relayed->order.repeatable});
     m_open.insert(relayed);
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -255,7 +255,8 @@
 
     /// Called when a response to this node begins.
     void onResponseBegin(const server &backend) const;
-    /// Called when bytes of a response to a request of this node arrive.
+    /// Called when bytes of a response to a request of this node arrive, and when a server that
+    /// has no requests of this node gets one.
     void onBytes(server &backend) { backend.heardAt = m_clock.now(); }
     void onAnswer(server &backend);
     /// Called when a request got no response, a broken one, or an error.
--- a/src/gateway/servers/server_directory_signals.cpp
+++ b/src/gateway/servers/server_directory_signals.cpp
@@ -156,8 +156,6 @@
 void server_directory::onSending(server &backend)
 {
     backend.sentAt = m_clock.now();
-    if (backend.outstanding <= 1)
-        backend.heardAt = backend.sentAt;
     if (backend.probing)
         backend.probeUntil = m_clock.now() + ProbeTimeout;
     if (m_onSent)
--- a/tests/platform/silent_server_test.cpp
+++ b/tests/platform/silent_server_test.cpp
@@ -22,6 +22,9 @@
 constexpr int Streams = 40;
 /// Longer than a stream may be idle before it is sent to another server.
 constexpr milliseconds Silence{1250};
+/// How long streams run before their servers fall silent, so that the silence lasts beyond the
+/// latency objective of their route.
+constexpr milliseconds StreamAge{600};
 /// Longer than the latency objective of a stream, after which it counts as unanswered.
 constexpr milliseconds LongSilence{1800};
 
@@ -210,6 +213,7 @@
     silent_world w(resumable, staged);
     const auto streams = w.startStreams(Streams);
     REQUIRE(w.waitForEvents(streams));
+    w.runFor(StreamAge);
     w.suspend("engine", silent, Silence);
     CHECK(w.countWhole(streams) == Streams);
     for (const auto &each : streams)
@@ -263,6 +267,7 @@
     silent_world w;
     const auto streams = w.startStreams(Streams);
     REQUIRE(w.waitForEvents(streams));
+    w.runFor(StreamAge);
     w.changeConfiguration(kind);
     w.suspend("engine", Engines, Silence);
     CHECK(w.countWhole(streams) == Streams);
@@ -274,6 +279,7 @@
     silent_world w;
     const auto streams = w.startStreams(Streams);
     REQUIRE(w.waitForEvents(streams));
+    w.runFor(StreamAge);
     w.stopGateway("g1");
     w.suspend("engine", Engines, Silence);
     CHECK(w.countWhole(streams) == Streams);
