Limit the head of a chunk and the trailers of a message

Callers saw: a server or client that sent a chunk size, chunk extension or trailers without end was read until the request's timeout, and all of it was kept. An unsafe request ended with 504 after 1979 ms, a client's request with 408 after 1500 ms.

Cause: Beast limits the head only. Of the head of a chunk and of the trailers it consumes nothing until they are complete, so the unread rest grew.

The reader now rejects a message as soon as its unread rest exceeds the limit of the head. Bodies are consumed as they arrive and have no limit there.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -14,8 +14,6 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 
-// Limit for the head of a server's answer. Backend servers send less than a tenth of it.
-constexpr std::uint32_t MaxResponseHeadBytes = 64U << 10U;
 constexpr int FirstFinalStatus = 200;
 
 std::string toString(beast::string_view text)
@@ -64,10 +62,12 @@
 class sink_parser : public beast::http::basic_parser<IsRequest>
 {
 public:
-    explicit sink_parser(message_sink<Head> &target)
+    sink_parser(message_sink<Head> &target, std::size_t limit)
         : sink(target)
+        , maxHeadBytes(limit)
     {
         this->eager(true);
+        this->header_limit(static_cast<std::uint32_t>(limit));
     }
 
     read_progress feed(std::string_view bytes)
@@ -77,6 +77,10 @@
         read_progress progress{used, std::nullopt};
         if (error && error != beast::http::error::need_more)
             progress.error = toReadError(error);
+        // Beast doesn't limit the head of a chunk or the trailers, of which it consumes nothing
+        // until they are complete.
+        else if (!m_complete && bytes.size() - used > maxHeadBytes)
+            progress.error = read_error::HeadTooLarge;
         return progress;
     }
 
@@ -122,6 +126,7 @@
     virtual void finishHead() = 0;
 
     message_sink<Head> &sink;
+    std::size_t maxHeadBytes;
     Head head;
     framing_check framing;
 
@@ -162,9 +167,8 @@
 request_reader::request_reader(request_sink &sink, std::size_t maxHeadBytes,
                                std::size_t maxBodyBytes)
     : m_sink(sink)
-    , m_parser(std::make_unique<parser>(sink))
+    , m_parser(std::make_unique<parser>(sink, maxHeadBytes))
 {
-    m_parser->header_limit(static_cast<std::uint32_t>(maxHeadBytes));
     m_parser->body_limit(maxBodyBytes);
 }
 
@@ -234,8 +238,7 @@
 
 void response_reader::restart()
 {
-    m_parser = std::make_unique<parser>(m_sink);
-    m_parser->header_limit(MaxResponseHeadBytes);
+    m_parser = std::make_unique<parser>(m_sink, MaxResponseHeadBytes);
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->skip(m_toHeadRequest);
 }
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -13,6 +13,9 @@
 
 namespace orchidlead::http {
 
+/// Limit for the head of a server's answer. Backend servers send less than a tenth of it.
+inline constexpr std::uint32_t MaxResponseHeadBytes = 64U << 10U;
+
 /// Why a message was rejected.
 enum class read_error {
     Malformed,
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -165,3 +165,96 @@
     CHECK_FALSE(reader.read("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n").error);
     CHECK(reader.done());
 }
+
+namespace {
+
+/// Passes a text, then the same piece again and again, until the reader rejects the message.
+/// Returns the number of bytes passed; `limit` if all were accepted.
+template <class Reader>
+std::size_t readUntilRejected(Reader &reader, const std::string &begin, const std::string &piece,
+                              std::size_t limit)
+{
+    std::string unread = begin;
+    std::size_t passed = begin.size();
+    while (passed < limit) {
+        const auto progress = reader.read(unread);
+        if (progress.error)
+            return passed;
+        unread.erase(0, progress.used);
+        unread.append(piece);
+        passed += piece.size();
+    }
+    return limit;
+}
+
+constexpr std::size_t EndlessBytes = 8U << 20U;
+constexpr std::size_t PieceBytes = 1000;
+
+struct endless_message
+{
+    std::string name;
+    std::string begin;
+    std::string piece;
+};
+
+std::vector<endless_message> endlessParts(const std::string &startLine, const std::string &chunked)
+{
+    const std::string filler(PieceBytes, 'a');
+    return {{"start line", startLine, filler},
+            {"field", startLine + "\r\nX-A: ", filler},
+            {"fields", startLine + "\r\n", "X-A: " + filler + "\r\n"},
+            {"chunk size", chunked, std::string(PieceBytes, '0')},
+            {"chunk extension", chunked + "5;", filler},
+            {"trailer", chunked + "0\r\nX-A: ", filler},
+            {"trailers", chunked + "0\r\n", "X-A: " + filler + "\r\n"}};
+}
+
+} // namespace
+
+// Guards against a server that makes the head, a chunk's head or the trailers of an answer grow
+// until memory is used up.
+TEST_CASE("parts of an answer other than its body have a limit")
+{
+    for (const auto &each :
+         endlessParts("HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+        INFO("part: " << each.name);
+        recording_sink<response_head> sink;
+        response_reader reader(sink, false);
+        const auto passed = readUntilRejected(reader, each.begin, each.piece, EndlessBytes);
+        INFO("bytes passed: " << passed);
+        CHECK(passed <= MaxResponseHeadBytes + 2 * PieceBytes);
+    }
+}
+
+// Guards against a client that makes the same parts of a request grow.
+TEST_CASE("parts of a request other than its body have a limit")
+{
+    for (const auto &each :
+         endlessParts("POST / HTTP/1.1",
+                      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+        INFO("part: " << each.name);
+        recording_sink<request_head> sink;
+        request_reader reader(sink, MaxHeadBytes, MaxBodyBytes);
+        const auto passed = readUntilRejected(reader, each.begin, each.piece, EndlessBytes);
+        INFO("bytes passed: " << passed);
+        CHECK(passed <= MaxHeadBytes + 2 * PieceBytes);
+    }
+}
+
+// Guards against a limit that counts the bytes of a body, or of its chunks together.
+TEST_CASE("a body of any length in small chunks with extensions is read")
+{
+    recording_sink<response_head> sink;
+    response_reader reader(sink, false);
+    REQUIRE_FALSE(reader.read("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").error);
+    constexpr std::size_t Chunks = 100000;
+    std::string unread;
+    for (std::size_t i = 0; i <= Chunks; ++i) {
+        unread.append(i < Chunks ? "1;name=value\r\na\r\n" : "0\r\nX-A: b\r\n\r\n");
+        const auto progress = reader.read(unread);
+        REQUIRE_FALSE(progress.error);
+        unread.erase(0, progress.used);
+    }
+    CHECK(sink.body.size() == Chunks);
+    CHECK(reader.done());
+}
