Limit the bytes that are not part of a call's answer, and some bodies

Callers saw: with interim heads or answers of other attempts without end, an unsafe request ended with 504 at its timeout (1979 ms). Stage calls, calls that free results and reads of the store kept reading bodies without end.

Cause: interim heads and answers to other calls were skipped without a limit; the bodies of stage calls and of the store were collected without one.

A connection now ends its call as TooLarge after MaxUnusableBytes in succession of which none belongs to the call's answer; the head or body bytes of that answer start the count anew. maxBodyBytes does the same for bodies of stage calls, frees and the store. Such connections are closed, not reused.

--- a/src/gateway/publication/store_options.h
+++ b/src/gateway/publication/store_options.h
@@ -27,6 +27,9 @@
     /// Minimum interval between two fetches of the configuration alone: versions published in quick
     /// succession share one fetch.
     milliseconds fetchPause{250};
+    /// Largest answer of the store: several times the changes that thousands of servers write while
+    /// a node doesn't watch.
+    std::size_t maxAnswerBytes = 32U << 20U;
     milliseconds answerTimeout{1000}; ///< beyond the wait time; the store answers in 4 ms
     /// Delay after a failed call, doubled by each further failure, plus a random time up to the
     /// same length: otherwise nodes that start at the same time would keep retrying at the same
--- a/src/gateway/publication/store_reader_impl.h
+++ b/src/gateway/publication/store_reader_impl.h
@@ -181,6 +181,7 @@
     const auto read = std::make_shared<open_read>();
     read->onAnswer = std::move(onAnswer);
     http::outbound_call made;
+    made.maxBodyBytes = m_options.maxAnswerBytes;
     made.writeHead = [target, host = m_store.ip] {
         http::request_head head;
         head.method = "GET";
--- a/src/gateway/servers/server_transport.cpp
+++ b/src/gateway/servers/server_transport.cpp
@@ -65,6 +65,7 @@
     const auto &wanted = open->wanted.call;
     http::outbound_call call;
     call.toHead = wanted.toHead;
+    call.maxBodyBytes = wanted.maxBodyBytes;
     call.isMine = wanted.isMine;
     call.onConnect = [this, open](http::connect_outcome outcome) {
         open->connectOutcome = outcome;
@@ -226,6 +227,7 @@
     const auto &wanted = open->wanted.call;
     http::outbound_call call;
     call.toHead = wanted.toHead;
+    call.maxBodyBytes = wanted.maxBodyBytes;
     call.writeHead = [this, open, relay]() -> std::optional<std::string> {
         auto text = writeRelayedHead(*open);
         if (text && !open->wanted.request.empty())
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -20,6 +20,9 @@
 
 namespace orchidlead::gateway {
 
+/// Largest answer to a stage call. A call has tens of pieces, with less than 200 bytes each.
+inline constexpr std::size_t MaxStageAnswerBytes = 256U << 10U;
+
 /// Runs the pieces of stages: batches them into calls to backend servers, reports each outcome to
 /// its submitter, and frees results that are no longer needed.
 template <gateway_codec Codec>
--- a/src/gateway/stages/stage_host_frees_impl.h
+++ b/src/gateway/stages/stage_host_frees_impl.h
@@ -15,6 +15,8 @@
 inline constexpr milliseconds FreeBatchDelay{15};
 /// Timeout of a request that frees results. Results that aren't freed expire.
 inline constexpr milliseconds FreeTimeout{1000};
+/// Largest answer to a call that frees results; it is not read.
+inline constexpr std::size_t MaxFreeAnswerBytes = 64U << 10U;
 
 /// Returns the address of the server that holds a result: the part of the handle before the slash.
 [[nodiscard]] inline std::string resultServerAddress(const std::string &handle)
@@ -94,6 +96,7 @@
 {
     http::outbound_call outbound;
     outbound.body = Codec::writeHandles(handles);
+    outbound.maxBodyBytes = MaxFreeAnswerBytes;
     outbound.writeHead = [this, holder,
                           length = outbound.body.size()]() -> std::optional<std::string> {
         if (!holder->accepts(m_loop.now()))
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -270,6 +270,7 @@
         recordHedgeStart(key, call);
     http::outbound_call outbound;
     outbound.body = Codec::writePieces(call.pieces);
+    outbound.maxBodyBytes = MaxStageAnswerBytes;
     outbound.writeHead = [this, call, active,
                           length = outbound.body.size()]() -> std::optional<std::string> {
         // The server may have started to leave or asked for a backoff while the connection opened.
--- a/src/http/outbound_connection.cpp
+++ b/src/http/outbound_connection.cpp
@@ -78,6 +78,8 @@
     const auto self = shared_from_this();
     m_sent = false;
     m_skippingAnswer = false;
+    m_unusableBytes = 0;
+    m_bodyBytes = 0;
     m_unparsed.clear();
     createReader();
     auto bytes = m_call->writeHead();
@@ -100,37 +102,42 @@
         tearDown();
         return;
     }
+    m_unusableBytes += bytes.size();
     std::string joined;
     if (!m_unparsed.empty()) {
         joined = std::exchange(m_unparsed, {});
         joined.append(bytes);
         bytes = joined;
     }
-    const auto progress = m_reader->read(bytes);
-    if (!m_call || !m_socket)
-        return;
-    if (progress.error) {
-        endCall(call_end::Broken, false);
-        return;
-    }
-    bytes.remove_prefix(progress.used);
-    if (m_reader->done())
-        onAnswerComplete(bytes);
-    else
-        m_unparsed.assign(bytes);
+    if (read(bytes) && m_unusableBytes > MaxUnusableBytes)
+        endCall(call_end::TooLarge, false);
 }
 
-void outbound_connection::onAnswerComplete(std::string_view rest)
+bool outbound_connection::read(std::string_view bytes)
 {
-    if (!m_skippingAnswer) {
-        const bool bodySent = m_socket->queuedBytes() == 0;
-        endCall(call_end::Complete, m_reusable && bodySent && rest.empty());
-        return;
+    for (;;) {
+        const auto progress = m_reader->read(bytes);
+        if (!m_call || !m_socket)
+            return false;
+        if (progress.error) {
+            endCall(call_end::Broken, false);
+            return false;
+        }
+        bytes.remove_prefix(progress.used);
+        if (!m_reader->done()) {
+            m_unparsed.assign(bytes);
+            return true;
+        }
+        if (!m_skippingAnswer) {
+            const bool bodySent = m_socket->queuedBytes() == 0;
+            endCall(call_end::Complete, m_reusable && bodySent && bytes.empty());
+            return false;
+        }
+        m_skippingAnswer = false;
+        createReader();
+        if (bytes.empty())
+            return true;
     }
-    m_skippingAnswer = false;
-    createReader();
-    if (!rest.empty())
-        onBytes(std::string(rest));
 }
 
 void outbound_connection::onHead(response_head head)
@@ -140,9 +147,12 @@
     m_reusable = m_reusable && head.keepAlive;
     m_keepAlive = readKeepAlive(head.fields);
     m_skippingAnswer = m_call->isMine && !m_call->isMine(head);
-    if (m_skippingAnswer)
+    if (m_skippingAnswer) {
         m_reusable = false;
-    else if (const auto onHeadEvent = m_call->onHead)
+        return;
+    }
+    m_unusableBytes = 0;
+    if (const auto onHeadEvent = m_call->onHead)
         onHeadEvent(head);
 }
 
@@ -150,7 +160,11 @@
 {
     if (!m_call || m_skippingAnswer)
         return;
-    if (const auto onBodyEvent = m_call->onBody)
+    m_unusableBytes = 0;
+    m_bodyBytes += bytes.size();
+    if (m_bodyBytes > m_call->maxBodyBytes)
+        endCall(call_end::TooLarge, false);
+    else if (const auto onBodyEvent = m_call->onBody)
         onBodyEvent(bytes);
 }
 
--- a/src/http/outbound_connection.h
+++ b/src/http/outbound_connection.h
@@ -7,8 +7,10 @@
 #include <orchidlead/enum_names.h>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,6 +19,10 @@
 
 using net::call_end;
 
+/// Most bytes in succession of which none belongs to the answer of the call: interim heads,
+/// framing, and answers to earlier calls, which are seldom longer.
+inline constexpr std::size_t MaxUnusableBytes = 1U << 20U;
+
 /// Result of opening a connection.
 enum class connect_outcome : std::uint8_t {
     Connected,
@@ -33,6 +39,8 @@
     /// Called before `writeHead` or `onEnd` if a connection was opened for this call.
     std::function<void(connect_outcome)> onConnect;
     bool toHead = false; ///< HEAD request: no body in the answer
+    /// Longest body of the answer; the call ends with `TooLarge` if it is longer.
+    std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max();
     /// Whether an answer belongs to this call. Other answers are dropped, and the connection is not
     /// reused.
     std::function<bool(const response_head &)> isMine;
@@ -84,7 +92,8 @@
     void reportConnect(connect_outcome outcome);
     void transmit();
     void createReader();
-    void onAnswerComplete(std::string_view rest);
+    /// Reads the answer and skips those of other calls. Returns false if the call has ended.
+    [[nodiscard]] bool read(std::string_view bytes);
     void endCall(call_end outcome, bool reuse);
     void tearDown();
 
@@ -99,6 +108,8 @@
     bool m_connecting = false;
     bool m_sent = false; ///< bytes of the call may have been sent
     bool m_skippingAnswer = false; ///< answer of another call
+    std::size_t m_unusableBytes = 0; ///< since the last bytes of the call's answer
+    std::size_t m_bodyBytes = 0;
     bool m_reusable = true;
     std::optional<milliseconds> m_keepAlive;
     timer_id m_connectTimer = 0;
