Reject streams that repeat their own events without end

Callers saw: a stream whose server repeated an event for ever ended with its timeout (1979 ms), although another server could have continued it.

Cause: events up to the last forwarded one are left out, as often as they arrive.

Evidence (endless_answer_test.cpp): 30.6 MB of one repeated event were read.

A server that continues a stream repeats each earlier event once, in order. More than MaxRepeatedEvents that don't rise within one stream make it unusable.

--- a/src/gateway/exchange/event_splitter.cpp
+++ b/src/gateway/exchange/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace orchidlead::gateway {
@@ -66,6 +67,12 @@
 {
     m_unusable = m_unusable || beginsWithAnswer(event);
     const auto eventId = parseEventId(event);
+    const bool repeated = eventId && m_lastOfStream && *eventId <= *m_lastOfStream;
+    m_repeatedEvents += repeated ? 1 : 0;
+    m_eventsInOrder += repeated ? 0 : 1;
+    m_unusable = m_unusable || m_repeatedEvents > MaxRepeatedEvents;
+    if (eventId)
+        m_lastOfStream = std::max(m_lastOfStream.value_or(0), *eventId);
     if (eventId && m_lastEvent && *eventId <= *m_lastEvent)
         return;
     if (eventId && m_lastEvent && *eventId != *m_lastEvent + 1)
@@ -81,6 +88,8 @@
 void event_splitter::restart()
 {
     m_partial.clear();
+    m_lastOfStream.reset();
+    m_repeatedEvents = 0;
     m_unusable = false;
 }
 
