Leave endless refusals, failures and partial events for another server

Callers saw: a safe request whose server sent a refusal or an unsigned success without end ended with 504 after 1979 ms, fast or slow; a slow endless event ended its stream at the timeout. A long 500 to a safe request was forwarded. An unsafe request got a long 503, 429 or 408 that its server had not stated to be without effect.

Cause: bodies that are not forwarded were read without a limit and counted as progress, as did bytes that complete no event. A buffered answer was forwarded from 128 KiB on, whatever its status.

Discarded bodies are limited to MaxDiscardedAnswer, and neither they nor partial or repeated events restart the idle time. A long failure is left while another attempt is allowed, and a long status that promises too much becomes 502.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -238,6 +238,10 @@
     void onIdleTimer();
 
     void beginAnswer();
+    /// Whether an answer that is too long to be buffered may be forwarded while it arrives.
+    [[nodiscard]] bool mayForwardUnfinished() const;
+    /// Whether the status of the answer says that the request hasn't run.
+    [[nodiscard]] bool claimsNotRun() const;
     void applyBackpressure();
     void respondWithStatus(int status, request_outcome outcome);
     void refuse(request_outcome outcome);
@@ -332,6 +336,7 @@
     http::response_head m_answer;
     response_metadata m_responseMetadata;
     std::string m_bufferedAnswer;
+    std::size_t m_discardedBytes = 0; ///< of an answer that is not forwarded
     event_splitter m_splitter;
     bool m_headSent = false; ///< a response head was sent to the client
     steady_time m_attemptStartedAt{};
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -36,17 +36,24 @@
 {
     if (m_done)
         return;
-    m_lastActivity = m_context.loop.now();
+    const auto now = m_context.loop.now();
+    if (m_forwarding == forwarding_mode::Buffered || m_forwarding == forwarding_mode::Bytes)
+        m_lastActivity = now;
     if (!m_answerStartedAt)
-        m_answerStartedAt = m_lastActivity;
-    else if (m_headSent && m_lastActivity - *m_answerStartedAt > StablePartTime)
+        m_answerStartedAt = now;
+    else if (m_headSent && now - *m_answerStartedAt > StablePartTime)
         reportPartsServed();
     switch (m_forwarding) {
     case forwarding_mode::Nothing:
+        m_discardedBytes += bytes.size();
+        if (m_discardedBytes > MaxDiscardedAnswer)
+            abandonCall(abandon_cause::Unusable);
         break;
     case forwarding_mode::Buffered:
         m_bufferedAnswer.append(bytes);
-        if (m_bufferedAnswer.size() > MaxBufferedAnswer) {
+        if (m_bufferedAnswer.size() > MaxBufferedAnswer && !mayForwardUnfinished()) {
+            abandonCall(abandon_cause::Unusable);
+        } else if (m_bufferedAnswer.size() > MaxBufferedAnswer) {
             m_forwarding = forwarding_mode::Bytes;
             beginAnswer();
             m_client->write(std::exchange(m_bufferedAnswer, {}));
@@ -63,10 +70,31 @@
     }
 }
 
+// A long failure is not forwarded while another server may answer, nor a status that would promise
+// the client that the request hasn't run.
+template <gateway_codec Codec>
+bool exchange<Codec>::mayForwardUnfinished() const
+{
+    if (!m_route->repeatable())
+        return !claimsNotRun();
+    return m_answer.status < status::FirstServerError || m_attempts >= m_route->maxAttempts;
+}
+
+template <gateway_codec Codec>
+bool exchange<Codec>::claimsNotRun() const
+{
+    return m_answer.status == status::Unavailable || m_answer.status == status::TooMany
+        || m_answer.status == status::Timeout;
+}
+
+// Bytes that complete no event are no sign that the stream continues.
 template <gateway_codec Codec>
 void exchange<Codec>::onEvents(std::string_view bytes)
 {
+    const auto read = m_splitter.eventsInOrder();
     const auto events = m_splitter.feed(bytes);
+    if (m_splitter.eventsInOrder() != read)
+        m_lastActivity = m_context.loop.now();
     if (!events.empty()) {
         if (!m_headSent) {
             m_timeToFirstEvent = sinceArrival();
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -179,6 +179,7 @@
     m_forwarding = forwarding_mode::Nothing;
     m_serverIneligible = false;
     m_bufferedAnswer.clear();
+    m_discardedBytes = 0;
     m_attemptStartedAt = m_context.loop.now();
     m_answerStartedAt.reset();
     m_abandonedFor.reset();
@@ -354,11 +355,9 @@
         attempt();
         return;
     }
-    // These statuses would promise the client that the request hasn't run, which the server did not
+    // The status would promise the client that the request hasn't run, which the server did not
     // state.
-    const bool claimsNotRun = m_answer.status == status::Unavailable
-        || m_answer.status == status::TooMany || m_answer.status == status::Timeout;
-    if (claimsNotRun && !m_route->repeatable()) {
+    if (claimsNotRun() && !m_route->repeatable()) {
         respondWithStatus(status::BadGateway, request_outcome::ServerFailed);
         return;
     }
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -27,6 +27,9 @@
 /// Answers up to this size are buffered until complete, so that the request can be retried if the
 /// answer breaks off.
 inline constexpr std::size_t MaxBufferedAnswer = 128U << 10U;
+/// Most bytes of the body of an answer that is not forwarded, such as a refusal. The body has to be
+/// read to its end before the connection can be reused; a refusal has a few hundred bytes.
+inline constexpr std::size_t MaxDiscardedAnswer = 64U << 10U;
 /// Maximum size of an event of a stream.
 inline constexpr std::size_t MaxEventBytes = 256U << 10U;
 /// Bytes queued for a slow client beyond which reading from the server is paused.
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -119,6 +119,11 @@
             socket->reset();
         end();
     }
+    [[nodiscard]] bool isOpen() const override { return m_socket != nullptr; }
+    [[nodiscard]] std::size_t queuedBytes() const override
+    {
+        return m_socket ? m_socket->queuedBytes() : 0;
+    }
 
 private:
     void expect()
@@ -284,6 +289,13 @@
         client->respond(m_failure != 0 ? m_failure : 429, {}, {});
         return;
     }
+    if (m_endless) {
+        http::response_head answer;
+        answer.status = 200;
+        client->begin(answer);
+        sendEndless(client, 0);
+        return;
+    }
     if (head.target.starts_with("/kv-range")) {
         const bool old = queryArgument(head.target, "allow_stale") == "1";
         const auto prefix = queryArgument(head.target, "path_prefix");
@@ -327,6 +339,19 @@
         m_pause, [this, client, body, next = sent + length] { sendPieces(client, body, next); });
 }
 
+void fake_store::sendEndless(const http::inbound_ptr &client, std::size_t sent)
+{
+    constexpr std::size_t PieceBytes = 128U << 10U;
+    if (!client->open())
+        return;
+    if (client->queuedBytes() == 0) {
+        client->write(std::string(PieceBytes, 'a'));
+        sent += PieceBytes;
+        m_longestBody = std::max(m_longestBody, sent);
+    }
+    m_loop.callAfter(milliseconds{1}, [this, client, sent] { sendEndless(client, sent); });
+}
+
 void fake_store::answerWatch(const http::inbound_ptr &client, std::uint64_t after)
 {
     constexpr milliseconds Wait{100};
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -22,6 +22,9 @@
     virtual void write(std::string_view bytes) = 0;
     virtual void close() = 0; ///< orderly, after all bytes are sent
     virtual void reset() = 0; ///< abruptly
+    [[nodiscard]] virtual bool isOpen() const = 0;
+    /// Returns the number of written bytes that the system has not accepted yet.
+    [[nodiscard]] virtual std::size_t queuedBytes() const = 0;
 };
 
 struct server_request
@@ -86,6 +89,10 @@
         m_pieces = pieces;
         m_pause = pause;
     }
+    /// Answers all calls with bodies without end, or no longer does.
+    void setEndless(bool endless) { m_endless = endless; }
+    /// Returns the number of bytes of the longest of these bodies so far.
+    [[nodiscard]] std::size_t longestBody() const { return m_longestBody; }
     /// Drops the history: watches from earlier revisions are answered with 410.
     void compact() { m_oldest = m_revision; }
     [[nodiscard]] socket_address address() const;
@@ -106,6 +113,7 @@
 
     void onRequest(const http::inbound_ptr &client, const http::request_head &head);
     void sendPieces(const http::inbound_ptr &client, const std::string &body, std::size_t sent);
+    void sendEndless(const http::inbound_ptr &client, std::size_t sent);
     void answerWatch(const http::inbound_ptr &client, std::uint64_t after);
     [[nodiscard]] std::string page(const std::string &prefix, const std::string &after,
                                    std::uint64_t revision) const;
@@ -128,6 +136,8 @@
     std::size_t m_watches = 0;
     std::size_t m_refuseEach = 0;
     std::size_t m_pageSize = 500;
+    bool m_endless = false;
+    std::size_t m_longestBody = 0;
 };
 
 /// The answer that a client received.
