--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -205,6 +205,7 @@
     void onHead(const http::response_head &head);
     void onBody(std::string_view bytes);
     void onEvents(std::string_view bytes);
+    void forwardEvents(std::string_view events);
     void onEnd(http::call_end how);
     /// Returns whether the complete answer contains bytes of another one.
     [[nodiscard]] bool isAnswerMixed() const;
@@ -245,7 +246,7 @@
     /// Makes the attempt with this id the current one; called when bytes of its answer arrive.
     /// Returns false if the bytes must be ignored.
     [[nodiscard]] bool selectForHead(std::uint64_t id, const http::response_head &head);
-    [[nodiscard]] bool selectForBody(std::uint64_t id);
+    [[nodiscard]] bool selectForBody(std::uint64_t id, std::string_view bytes);
     /// The same when the answer ends: a held one may be complete without further bytes.
     [[nodiscard]] bool selectForEnd(std::uint64_t id, http::call_end how);
     /// Continues with a held attempt; ends what replaced it.
@@ -273,6 +274,10 @@
     void resumeReading();
 
     void beginAnswer();
+    /// Whether an answer that is too long to be buffered may be forwarded while it arrives.
+    [[nodiscard]] bool mayForwardUnfinished() const;
+    /// Whether the status of the answer says that the request hasn't run.
+    [[nodiscard]] bool claimsNotRun() const;
     void applyBackpressure();
     void respondWithStatus(int status, request_outcome outcome);
     void refuse(request_outcome outcome);
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -37,18 +37,26 @@
 {
     if (m_done)
         return;
-    m_current.lastBytesAt = m_context.loop.now();
+    const auto now = m_context.loop.now();
     m_context.directory.onBytes(*m_current.server);
+    if (m_current.forwarding == forwarding_mode::Buffered
+        || m_current.forwarding == forwarding_mode::Bytes)
+        m_current.lastBytesAt = now;
     if (!m_current.answerStartedAt)
-        m_current.answerStartedAt = m_current.lastBytesAt;
-    else if (m_headSent && m_current.lastBytesAt - *m_current.answerStartedAt > StablePartTime)
+        m_current.answerStartedAt = now;
+    else if (m_headSent && now - *m_current.answerStartedAt > StablePartTime)
         reportPartsServed();
     switch (m_current.forwarding) {
     case forwarding_mode::Nothing:
+        m_current.discardedBytes += bytes.size();
+        if (m_current.discardedBytes > MaxDiscardedAnswer)
+            abandonUnusableCall();
         break;
     case forwarding_mode::Buffered:
         m_current.bufferedAnswer.append(bytes);
-        if (m_current.bufferedAnswer.size() > MaxBufferedAnswer) {
+        if (m_current.bufferedAnswer.size() > MaxBufferedAnswer && !mayForwardUnfinished()) {
+            abandonUnusableCall();
+        } else if (m_current.bufferedAnswer.size() > MaxBufferedAnswer) {
             m_current.forwarding = forwarding_mode::Bytes;
             endHeld();
             beginAnswer();
@@ -66,28 +74,54 @@
     }
 }
 
+// A long failure is not forwarded while another server may answer, nor a status that would promise
+// the client that the request hasn't run.
+template <gateway_codec Codec>
+bool exchange<Codec>::mayForwardUnfinished() const
+{
+    if (!m_route->repeatable())
+        return !claimsNotRun();
+    return m_current.answer.status < status::FirstServerError || m_attempts >= m_route->maxAttempts;
+}
+
+template <gateway_codec Codec>
+bool exchange<Codec>::claimsNotRun() const
+{
+    return m_current.answer.status == status::Unavailable
+        || m_current.answer.status == status::TooMany || m_current.answer.status == status::Timeout;
+}
+
+// Bytes that complete no event are no sign that the stream continues.
 template <gateway_codec Codec>
 void exchange<Codec>::onEvents(std::string_view bytes)
 {
+    const auto read = m_current.splitter.eventsInOrder();
     const auto events = m_current.splitter.feed(bytes);
-    if (!events.empty()) {
-        if (!m_headSent) {
-            m_timeToFirstEvent = sinceArrival();
-            m_context.metrics.onFirstEvent(*m_timeToFirstEvent);
-            const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
-                m_context.loop.now() - m_current.startedAt);
-            m_context.latencyEstimator.onFirstToken(m_service, m_metadata.promptTokens, took);
-            m_context.placer.onFirstToken(m_current.placement);
-            recordStreamOrigin();
-            beginAnswer();
-        }
-        endHeld();
-        m_client->write(events);
-        applyBackpressure();
-    }
-    if (!m_current.splitter.isUnusable())
+    if (m_current.splitter.eventsInOrder() != read)
+        m_current.lastBytesAt = m_context.loop.now();
+    forwardEvents(events);
+    if (m_current.splitter.isUnusable())
+        abandonUnusableCall();
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::forwardEvents(std::string_view events)
+{
+    if (events.empty())
         return;
-    abandonUnusableCall();
+    if (!m_headSent) {
+        m_timeToFirstEvent = sinceArrival();
+        m_context.metrics.onFirstEvent(*m_timeToFirstEvent);
+        const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
+            m_context.loop.now() - m_current.startedAt);
+        m_context.latencyEstimator.onFirstToken(m_service, m_metadata.promptTokens, took);
+        m_context.placer.onFirstToken(m_current.placement);
+        recordStreamOrigin();
+        beginAnswer();
+    }
+    endHeld();
+    m_client->write(events);
+    applyBackpressure();
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -186,6 +186,7 @@
     m_current.forwarding = forwarding_mode::Nothing;
     m_serverIneligible = false;
     m_current.bufferedAnswer.clear();
+    m_current.discardedBytes = 0;
     m_current.startedAt = m_context.loop.now();
     m_current.answerStartedAt.reset();
     m_current.abandonedFor.reset();
@@ -207,7 +208,7 @@
             self->onHead(head);
     };
     call.onBody = [self, id](std::string_view bytes) {
-        if (self->selectForBody(id))
+        if (self->selectForBody(id, bytes))
             self->onBody(bytes);
     };
     call.onEnd = [self, id](http::call_end how) {
@@ -378,15 +379,13 @@
         attempt();
         return;
     }
-    // These statuses would promise the client that the request hasn't run, which the server did not
+    // The status would promise the client that the request hasn't run, which the server did not
     // state.
-    const bool claimsNotRun = m_current.answer.status == status::Unavailable
-        || m_current.answer.status == status::TooMany || m_current.answer.status == status::Timeout;
-    const bool failed = m_current.answer.status >= status::FirstServerError || claimsNotRun
+    const bool failed = m_current.answer.status >= status::FirstServerError || claimsNotRun()
         || m_current.answer.status == status::Conflict;
     if (failed && resumeHeld(nameOf(attempt_result::Failed)))
         return;
-    if (claimsNotRun && !m_route->repeatable()) {
+    if (claimsNotRun() && !m_route->repeatable()) {
         respondWithStatus(status::BadGateway, request_outcome::ServerFailed);
         return;
     }
--- a/src/gateway/exchange/exchange_silence_impl.h
+++ b/src/gateway/exchange/exchange_silence_impl.h
@@ -175,15 +175,29 @@
 }
 
 template <gateway_codec Codec>
-bool exchange<Codec>::selectForBody(std::uint64_t id)
+bool exchange<Codec>::selectForBody(std::uint64_t id, std::string_view bytes)
 {
     if (m_done)
         return false;
-    if (m_current.id == id)
+    if (m_current.id == id) {
         onHeardAgain();
-    else if (isHeldAnswer(id))
+        return true;
+    }
+    if (!isHeldAnswer(id))
+        return false;
+    const auto held = std::ranges::find(m_held, id, &server_attempt::id);
+    if (held->forwarding != forwarding_mode::Events) {
         resume(id);
-    return m_current.id == id;
+        return true;
+    }
+    // Bytes that complete no event are no sign that the stream goes on.
+    const std::string events(held->splitter.feed(bytes));
+    if (events.empty())
+        return false;
+    resume(id);
+    m_current.lastBytesAt = m_context.loop.now();
+    forwardEvents(events);
+    return false;
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/exchange/server_attempt.h
+++ b/src/gateway/exchange/server_attempt.h
@@ -45,6 +45,7 @@
     http::response_head answer;
     response_metadata metadata;
     std::string bufferedAnswer;
+    std::size_t discardedBytes = 0; ///< of an answer that is not forwarded
     event_splitter splitter{MaxEventBytes};
 };
 
