--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -226,6 +226,11 @@
     bool canBeCut = false;
     bool peersCanBeCut = false; ///< the same for links to peers
 
+protected:
+    /// Returns the settings of a gateway, with free addresses of its own.
+    [[nodiscard]] gateway::gateway_settings makeSettings(const std::string &name,
+                                                         const std::string &dataCenter);
+
 private:
     struct node
     {
@@ -236,8 +241,6 @@
     };
 
     [[nodiscard]] client_answer readOperations(const std::string &gateway, const std::string &path);
-    [[nodiscard]] gateway::gateway_settings makeSettings(const std::string &name,
-                                                         const std::string &dataCenter);
 
     std::unique_ptr<wire::log> m_log;
     std::map<std::string, std::unique_ptr<fake_server>> m_servers;
