Keep the call of a silent stage server open while it can't be replaced

What callers saw: requests failed although all stage servers went on after 1.4 s of silence.

Cause: a stage call was abandoned at its timeout (2.5 times its expected duration and 300 ms), and only then was the retry budget asked for its pieces. Where it refused, or the pieces had used up their calls, they failed, and their requests with them.

Now the timeout leaves the call open. Its pieces are sent in a second call, as a hedged one, if another server is idle and isn't avoided, has room for the results, and the retry budget allows all of them; else this is asked again each 100 ms. The first result counts and the other one is freed. A piece is in at most two calls: if both are past their timeout, the first one ends when a third starts. A call ends when no piece is waited for any more (withdrawn, or past its deadline), 2 s after its start at the earliest, so that its results can be freed. Pieces past their deadline fail as late and take no retry.

--- a/src/gateway/stages/active_calls.cpp
+++ b/src/gateway/stages/active_calls.cpp
@@ -20,6 +20,12 @@
     return std::move(node.mapped());
 }
 
+const active_call *active_calls::find(stage_call_id id) const
+{
+    const auto found = m_calls.find(id);
+    return found == m_calls.end() ? nullptr : &found->second;
+}
+
 void active_calls::withdraw(piece_token token)
 {
     for (auto &[id, call] : m_calls) {
--- a/src/gateway/stages/active_calls.h
+++ b/src/gateway/stages/active_calls.h
@@ -18,6 +18,7 @@
     steady_time startedAt;
     std::chrono::microseconds expected{0}; ///< duration at nominal speed
     steady_time overdueAt;
+    steady_time timeoutAt;
     steady_time hedgeAt; ///< from here on, its pieces may be computed elsewhere as well
     bool mayBeHedged = false; ///< some pieces may be, and no decision was made yet
     bool isHedged = false; ///< computes pieces of an overdue call
@@ -34,6 +35,8 @@
     /// Removes a call that ended; empty if it is unknown.
     [[nodiscard]] std::optional<active_call> take(stage_call_id id);
     [[nodiscard]] active_call &at(stage_call_id id) { return m_calls.at(id); }
+    /// Returns a call that is in progress; else null.
+    [[nodiscard]] const active_call *find(stage_call_id id) const;
     /// Marks a piece as withdrawn: its results will be freed.
     void withdraw(piece_token token);
     /// Returns the same piece in the other call, if that is in progress and the piece wasn't
--- a/src/gateway/stages/piece_task.h
+++ b/src/gateway/stages/piece_task.h
@@ -59,6 +59,15 @@
     milliseconds overdueAge{0}; ///< of a hedged call: the time since the overdue one began
 };
 
+/// What follows when a call has had no answer within its timeout.
+struct timeout_action
+{
+    bool ends = false; ///< the call is to be ended
+    std::optional<stage_call> second; ///< a call of the same pieces, to be started now
+    /// An older call of the same pieces, to be ended when `second` starts; 0: none.
+    stage_call_id replaced = 0;
+};
+
 /// Final result of a piece.
 struct piece_outcome
 {
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -150,6 +150,10 @@
     void recordHedgeStart(const pool_key &key, const stage_call &call);
     void recordHedgeEnd(const pool_key &key, const stage_call &call, const hedge_counts &counts);
     void onCallEnd(const std::shared_ptr<active_call> &active, http::call_end httpEnd);
+    /// Repeats the pieces of a call without an answer, or ends it, as the pool decides.
+    void onCallTimeout(const std::shared_ptr<active_call> &active);
+    /// Ends a call as timed out.
+    void endCall(const std::shared_ptr<active_call> &active);
     /// Ends the calls for which the predicate is true, as if they had timed out.
     template <class Predicate>
     void endCalls(Predicate isLost);
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -14,6 +14,9 @@
 /// How often a node checks for a rate share while its share of a pool's limits is 0.
 inline constexpr milliseconds NoShareRetryInterval{200};
 
+/// How often a call is checked that has had no answer within its timeout.
+inline constexpr milliseconds TimeoutCheckInterval{100};
+
 template <gateway_codec Codec>
 stage_host<Codec>::stage_host(http::io_loop &loop, server_transport &transport,
                               server_directory &directory, service_retry_budget &retryBudget,
@@ -294,11 +297,39 @@
     outbound.onBody = [active](std::string_view bytes) { active->body.append(bytes); };
     outbound.onEnd = [this, active](http::call_end httpEnd) { onCallEnd(active, httpEnd); };
     active->call = m_transport.start({call.server, std::move(outbound), {}, true});
-    active->timer = m_loop.callAfter(call.timeout, [this, active] {
-        active->timer = 0;
-        m_transport.abandon(active->call);
-        onCallEnd(active, http::call_end::TimedOut);
+    active->timer = m_loop.callAfter(call.timeout, [this, active] { onCallTimeout(active); });
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::onCallTimeout(const std::shared_ptr<active_call> &active)
+{
+    const auto key = active->key;
+    auto servers = m_directory.usable(key);
+    static_cast<void>(removePacedServers(key, servers));
+    const auto action = poolOf(key).onTimeout(active->stageCall.id, servers);
+    active->timer = 0;
+    if (action.ends) {
+        endCall(active);
+        return;
+    }
+    active->timer =
+        m_loop.callAfter(TimeoutCheckInterval, [this, active] { onCallTimeout(active); });
+    if (!action.second)
+        return;
+    m_pacer.onSent(*action.second->server, rateShareOf(key));
+    startCall(key, *action.second);
+    const auto replaced = std::ranges::find_if(m_activeCalls, [&](const auto &each) {
+        return each->key == key && each->stageCall.id == action.replaced;
     });
+    if (replaced != m_activeCalls.end())
+        endCall(std::shared_ptr(*replaced));
+}
+
+template <gateway_codec Codec>
+void stage_host<Codec>::endCall(const std::shared_ptr<active_call> &active)
+{
+    m_transport.abandon(active->call);
+    onCallEnd(active, http::call_end::TimedOut);
 }
 
 template <gateway_codec Codec>
@@ -327,8 +358,7 @@
     for (const auto &each : open) {
         if (!isLost(*each))
             continue;
-        m_transport.abandon(each->call);
-        onCallEnd(each, http::call_end::TimedOut);
+        endCall(each);
     }
 }
 
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// Maximum number of calls for one piece. With more, its request would miss its `softDeadline`
-// anyway.
-constexpr std::uint32_t MaxTries = 5;
 // Number of calls to unreachable servers after which a piece may change to another pool: the data
 // centre of this pool may be cut off.
 constexpr std::uint32_t TriesBeforePoolChange = 2;
@@ -18,8 +15,7 @@
 // first one was freed.
 constexpr milliseconds InitialAnswerTime{300};
 // A call times out after `TimeoutFactor` times its expected duration at this server, plus
-// `TimeoutSlack`. A server behind a network partition delays its pieces until then; a server that
-// has just become slow loses one call.
+// `TimeoutSlack`. A server behind a network partition delays its pieces until then.
 constexpr double TimeoutFactor = 2.5;
 constexpr milliseconds TimeoutSlack{300};
 // Spare time, in full calls, that a new piece must have before its `softDeadline`. The figures for
@@ -153,6 +149,7 @@
     stageCall.timeout =
         std::chrono::duration_cast<milliseconds>(call.expected * (TimeoutFactor * slow))
         + TimeoutSlack;
+    call.timeoutAt = call.startedAt + stageCall.timeout;
     call.overdueAt = m_hedges.overdueAt(chosen->record.start(), call.expected);
     setHedgeTime(call);
     stageCall.id = m_calls.add(std::move(call));
@@ -180,7 +177,9 @@
     const bool suspected =
         callEnd == stage_call_end::Broken && m_mayRetry && !m_mayRetry(job.request.digest);
     const auto tries = job.mayChangePool ? TriesBeforePoolChange : MaxTries;
-    if (callEnd == stage_call_end::NotSent && job.tries >= tries)
+    if (job.deadline <= m_clock.now())
+        out.push_back({job.token, piece_failure::Late});
+    else if (callEnd == stage_call_end::NotSent && job.tries >= tries)
         out.push_back({job.token, piece_failure::ServersUnreachable});
     else if (suspected || job.tries >= MaxTries || !(unsent || m_retryBudget.tryAcquire(m_service)))
         out.push_back({job.token, piece_failure::Error});
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -84,6 +84,11 @@
     /// call.
     [[nodiscard]] std::vector<piece_outcome> onEnd(stage_call_id call, stage_call_end callEnd,
                                                    const std::vector<piece_result> &results);
+    /// Handles a call without an answer for its timeout or longer. It stays open, so that its
+    /// results are used if its server goes on, while its pieces may be in a second call as well.
+    /// Call again about every 100 ms while the call is in progress.
+    [[nodiscard]] timeout_action onTimeout(stage_call_id call,
+                                           const std::vector<server_ptr> &servers);
     /// Releases the room of a result that its server has freed.
     /// Returns how long the result was held; empty if it isn't known.
     std::optional<hold_times> onFreed(const std::string &handle) { return m_room.onFreed(handle); }
@@ -161,6 +166,10 @@
     [[nodiscard]] std::size_t activeCallCount() const { return m_calls.size(); }
 
 private:
+    /// Maximum number of calls for one piece. With more, its request would miss its `softDeadline`
+    /// anyway.
+    static constexpr std::uint32_t MaxTries = 5;
+
     /// A request's attempt and stage. Its pieces are of use only together.
     using group_key = std::pair<std::string, std::uint32_t>;
     [[nodiscard]] static group_key groupOf(const piece_task &job)
@@ -191,6 +200,10 @@
     [[nodiscard]] server_ptr serverForHedge(const active_call &first,
                                             const std::vector<piece_task> &jobs,
                                             const std::vector<server_ptr> &servers);
+    /// Returns whether a call may be ended once the pieces of `later` are in a third one.
+    [[nodiscard]] bool mayBeReplaced(const active_call &earlier, const active_call &later) const;
+    /// Returns whether a server has room for the results of these pieces.
+    [[nodiscard]] bool hasRoomFor(const server &holder, const std::vector<piece_task> &jobs) const;
     [[nodiscard]] stage_call makeHedgedCall(stage_call_id firstId, const server_ptr &chosen,
                                             std::vector<piece_task> jobs);
     void countHedge(const active_call &call, const piece_task &job, const piece_result &result);
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -872,3 +872,74 @@
     w.clock.advance(late - w.clock.now());
     CHECK(w.pool.expire(1).size() == 3); // no storage for them in time
 }
+
+// Guards against a call that is ended, and its request with it, before it can be replaced.
+TEST_CASE("stage_pool: a call past its timeout stays open if the retry budget is used up")
+{
+    pool_fixture w(2);
+    service_retry_budget none{w.clock, {0.0, 0.0, milliseconds{10'000}}};
+    stage_pool pool{w.clock, service_id("s"), none};
+    pool.setCapacity(makeCapacity());
+    piece_task job;
+    job.token = 1;
+    job.softDeadline = w.clock.now() + milliseconds{1000};
+    job.deadline = w.clock.now() + milliseconds{5000};
+    pool.submit(job);
+    const auto call = pool.nextCall(w.servers);
+    REQUIRE(call);
+    w.clock.advance(call->timeout);
+    const auto action = pool.onTimeout(call->id, w.servers);
+    CHECK_FALSE(action.ends);
+    CHECK_FALSE(action.second);
+    const auto outcomes = pool.onEnd(call->id, stage_call_end::Answered, {std::string("h1")});
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].token == 1);
+    CHECK(std::holds_alternative<std::string>(outcomes[0].result));
+}
+
+// Guards against pieces that wait for silent servers for good, and against a call that is ended
+// although its pieces are in no other one.
+TEST_CASE("stage_pool: pieces of two silent servers are sent to a third, and the first call ends")
+{
+    pool_fixture w(3);
+    const auto token = w.submit("r1", 0, milliseconds{2000});
+    const auto first = w.pool.nextCall(w.servers);
+    REQUIRE(first);
+    w.clock.advance(first->timeout);
+    const auto second = w.pool.onTimeout(first->id, w.servers);
+    REQUIRE(second.second);
+    CHECK(second.replaced == 0);
+    CHECK(second.second->overdueServer == first->server);
+    CHECK_FALSE(w.pool.onTimeout(first->id, w.servers).second);
+    w.clock.advance(second.second->timeout);
+    const auto third = w.pool.onTimeout(second.second->id, w.servers);
+    REQUIRE(third.second);
+    CHECK(third.replaced == first->id);
+    CHECK(w.pool.onEnd(first->id, stage_call_end::Broken, {}).empty());
+    // A failure of the third call leaves the second one, whose result is used.
+    CHECK(w.pool.onEnd(third.second->id, stage_call_end::Broken, {}).empty());
+    const auto outcomes = w.answer(*second.second);
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].token == token);
+    CHECK(w.pool.waiting() == 0);
+}
+
+// Guards against a connection that is held for a server that hangs for good.
+TEST_CASE("stage_pool: a call whose pieces are withdrawn or past their deadline is ended")
+{
+    const bool withdrawn = GENERATE(true, false);
+    pool_fixture w;
+    const auto token = w.submit("r1", 0, milliseconds{2000});
+    const auto call = w.pool.nextCall(w.servers);
+    REQUIRE(call);
+    if (withdrawn)
+        w.pool.withdraw(token);
+    w.clock.advance(call->timeout);
+    CHECK_FALSE(w.pool.onTimeout(call->id, w.servers).ends);
+    w.clock.advance(withdrawn ? milliseconds{2000} : milliseconds{7000});
+    CHECK(w.pool.onTimeout(call->id, w.servers).ends);
+    const auto outcomes = w.pool.onEnd(call->id, stage_call_end::Broken, {});
+    CHECK(outcomes.size() == (withdrawn ? 0 : 1));
+    for (const auto &each : outcomes)
+        CHECK(std::get<piece_failure>(each.result) == piece_failure::Late);
+}
