--- a/tests/platform/silent_stage_server_test.cpp
+++ b/tests/platform/silent_stage_server_test.cpp
@@ -31,8 +31,9 @@
 /// A gateway and stage servers that answer nothing while they are silent, and then all calls.
 struct silent_world : world
 {
-    explicit silent_world(int servers)
+    explicit silent_world(int servers, bool mayBeCut = false)
     {
+        canBeCut = mayBeCut;
         publish(1, streamRoute(true, Stages), Services);
         addServer("engine", "e-1").setBehaviour(answerOneEvent);
         for (int i = 0; i < servers; ++i)
@@ -181,3 +182,18 @@
     w.answers.push_back(w.ask("c", "1"));
     CHECK(w.countLost() == 0);
 }
+
+// Guards against requests that end because this node takes the silence for a cut, in which no
+// connection is accepted either.
+TEST_CASE("no request ends because silent stage servers accept no connections for a while")
+{
+    constexpr int Servers = 10;
+    silent_world w(Servers, true);
+    w.silence(Servers, milliseconds{1000});
+    w.askMany("a");
+    w.cutFromServers("g1", cut_kind::Hang);
+    REQUIRE(w.runUntil([&] { return w.logOutput.str().find("cut_off") != std::string::npos; }));
+    w.runFor(milliseconds{50});
+    w.healServers("g1");
+    CHECK(w.countLost() == 0);
+}
