Use one lookup and one judgement of heads for current and held attempts

Cause. exchange_silence_impl.h searched the held attempts twice in four places, and repeated the checks of onHead and onEnd for refusals, successes and unsigned answers. Change. findHeld and extractHeld; isRefusal, mayForward, recordResponse and status::isSuccess serve both; reportConnectionBroken holds its own condition. A held attempt that fails now also records that its server was heard, as every other response does.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -202,6 +202,10 @@
     /// Ends the current call, whose answer can't be used, and handles its end as if the connection
     /// had reported it.
     void abandonUnusableCall();
+    /// Returns whether an answer says that its server has not run the request.
+    [[nodiscard]] static bool isRefusal(int code, const response_metadata &metadata);
+    /// Returns whether an answer is one for the client: no refusal, and no unsigned success.
+    [[nodiscard]] static bool mayForward(int code, const response_metadata &metadata);
     void onHead(const http::response_head &head);
     void onBody(std::string_view bytes);
     void onEvents(std::string_view bytes);
@@ -209,7 +213,8 @@
     void onEnd(http::call_end how);
     /// Returns whether the complete answer contains bytes of another one.
     [[nodiscard]] bool isAnswerMixed() const;
-    void reportConnectionBroken(const server_attempt &broken);
+    /// Reports that the connection of an attempt broke, if the request may be the cause.
+    void reportConnectionBroken(const server_attempt &broken, http::call_end how);
     /// Returns whether the request may be the cause if the server of an attempt crashed.
     [[nodiscard]] bool mayHaveCrashedServer(const server_attempt &broken) const;
     /// Returns whether the end of an attempt shows that its server fails for all nodes.
@@ -260,9 +265,14 @@
     /// Removes an attempt from the held ones and ends its placement. Its call has ended, or is
     /// abandoned by the caller.
     [[nodiscard]] server_attempt takeHeld(std::uint64_t id);
-    [[nodiscard]] bool isHeld(std::uint64_t id) const;
-    /// Returns whether a held attempt has begun an answer that can be forwarded.
-    [[nodiscard]] bool isHeldAnswer(std::uint64_t id) const;
+    /// Returns the held attempt with this id; null if there is none.
+    [[nodiscard]] server_attempt *findHeld(std::uint64_t id);
+    /// Removes an attempt from the held ones, with its placement and its call.
+    [[nodiscard]] server_attempt extractHeld(std::uint64_t id);
+    /// Returns whether an attempt has begun an answer that can be forwarded.
+    [[nodiscard]] static bool isAnswering(const server_attempt &each);
+    /// Records the start of a response and what its server reports in it.
+    void recordResponse(const server_attempt &to, const response_metadata &metadata);
     /// Ends the calls of all held attempts: another one answers the request, or it has ended.
     void endHeld();
     /// Ends the calls of the held attempts that fit.
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -8,23 +8,40 @@
 /// The part of `exchange` that reads the answer of a server and forwards it to the client.
 namespace orchidlead::gateway {
 
+template <gateway_codec Codec>
+bool exchange<Codec>::isRefusal(int code, const response_metadata &metadata)
+{
+    return metadata.notExecuted || code == status::Misdirected;
+}
+
+template <gateway_codec Codec>
+bool exchange<Codec>::mayForward(int code, const response_metadata &metadata)
+{
+    return !isRefusal(code, metadata) && (!status::isSuccess(code) || metadata.signedByServer);
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::recordResponse(const server_attempt &to, const response_metadata &metadata)
+{
+    m_context.directory.onResponseBegin(*to.server);
+    m_context.directory.onBytes(*to.server);
+    m_context.directory.onSignals(*to.server, metadata.server);
+    m_context.placer.onSignals(to.placement, metadata.server);
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::onHead(const http::response_head &head)
 {
     m_current.metadata = Codec::readAnswer(head);
-    m_context.directory.onResponseBegin(*m_current.server);
-    m_context.directory.onBytes(*m_current.server);
-    m_context.directory.onSignals(*m_current.server, m_current.metadata.server);
-    m_context.placer.onSignals(m_current.placement, m_current.metadata.server);
-    const bool success = head.status >= status::Ok && head.status < status::FirstRedirect;
+    recordResponse(m_current, m_current.metadata);
+    const bool success = status::isSuccess(head.status);
     if (m_headSent) {
         // The continuation of a stream, whose head was already sent to the client.
         m_current.forwarding = success ? forwarding_mode::Events : forwarding_mode::Nothing;
         return;
     }
     m_current.answer = head;
-    const bool refused = m_current.metadata.notExecuted || head.status == status::Misdirected;
-    if (refused || (success && !m_current.metadata.signedByServer)) {
+    if (!mayForward(head.status, m_current.metadata)) {
         m_current.forwarding = forwarding_mode::Nothing;
         return;
     }
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -297,8 +297,7 @@
         return;
     }
     const bool whole = how == http::call_end::Complete && !isAnswerMixed();
-    const bool refused =
-        m_current.metadata.notExecuted || m_current.answer.status == status::Misdirected;
+    const bool refused = isRefusal(m_current.answer.status, m_current.metadata);
     if (whole && m_current.forwarding == forwarding_mode::Nothing && !m_headSent && refused) {
         onAttemptResult(attempt_result::NotRun);
         return;
@@ -306,8 +305,7 @@
     m_mayHaveRun = true;
     if (!whole || m_current.forwarding == forwarding_mode::Nothing
         || m_current.splitter.hasPartialEvent()) {
-        if (how == http::call_end::Broken && mayHaveCrashedServer(m_current))
-            reportConnectionBroken(m_current);
+        reportConnectionBroken(m_current, how);
         onAttemptResult(attempt_result::Unknown);
         return;
     }
@@ -353,8 +351,10 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::reportConnectionBroken(const server_attempt &broken)
+void exchange<Codec>::reportConnectionBroken(const server_attempt &broken, http::call_end how)
 {
+    if (how != http::call_end::Broken || !mayHaveCrashedServer(broken))
+        return;
     auto subjects = m_subjects;
     for (auto &each : subjects)
         each.sentAt = broken.startedAt;
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -419,8 +419,7 @@
 template <gateway_codec Codec>
 void exchange<Codec>::updateQuarantine(request_outcome outcome)
 {
-    const bool success = m_clientStatus >= status::Ok && m_clientStatus < status::FirstRedirect;
-    if (outcome == request_outcome::Answered && success) {
+    if (outcome == request_outcome::Answered && status::isSuccess(m_clientStatus)) {
         m_context.quarantine.onRequestServed(m_digest);
         reportPartsServed();
     }
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -22,6 +22,11 @@
 inline constexpr int BadGateway = 502;
 inline constexpr int Unavailable = 503;
 inline constexpr int GatewayTimeout = 504;
+
+[[nodiscard]] constexpr bool isSuccess(int code)
+{
+    return code >= Ok && code < FirstRedirect;
+}
 } // namespace status
 
 /// Answers up to this size are buffered until complete, so that the request can be retried if the
--- a/src/gateway/exchange/exchange_silence_impl.h
+++ b/src/gateway/exchange/exchange_silence_impl.h
@@ -128,22 +128,37 @@
 }
 
 template <gateway_codec Codec>
-bool exchange<Codec>::isHeld(std::uint64_t id) const
+server_attempt *exchange<Codec>::findHeld(std::uint64_t id)
 {
-    return std::ranges::find(m_held, id, &server_attempt::id) != m_held.end();
+    const auto found = std::ranges::find(m_held, id, &server_attempt::id);
+    return found == m_held.end() ? nullptr : &*found;
 }
 
 template <gateway_codec Codec>
-server_attempt exchange<Codec>::takeHeld(std::uint64_t id)
+server_attempt exchange<Codec>::extractHeld(std::uint64_t id)
 {
     const auto found = std::ranges::find(m_held, id, &server_attempt::id);
-    auto taken = std::move(*found);
+    auto extracted = std::move(*found);
     m_held.erase(found);
+    return extracted;
+}
+
+template <gateway_codec Codec>
+server_attempt exchange<Codec>::takeHeld(std::uint64_t id)
+{
+    auto taken = extractHeld(id);
     m_context.placer.onEnd(std::exchange(taken.placement, 0));
     --taken.server->outstanding;
     return taken;
 }
 
+template <gateway_codec Codec>
+bool exchange<Codec>::isAnswering(const server_attempt &each)
+{
+    return each.forwarding != forwarding_mode::Nothing
+        && each.answer.status < status::FirstServerError;
+}
+
 template <gateway_codec Codec>
 bool exchange<Codec>::selectForHead(std::uint64_t id, const http::response_head &head)
 {
@@ -153,21 +168,16 @@
         onHeardAgain();
         return true;
     }
-    const auto found = std::ranges::find(m_held, id, &server_attempt::id);
-    if (found == m_held.end())
+    const auto *held = findHeld(id);
+    if (!held)
         return false;
     const auto metadata = Codec::readAnswer(head);
-    const bool success = head.status >= status::Ok && head.status < status::FirstRedirect;
-    const bool refused = metadata.notExecuted || head.status == status::Misdirected;
-    if (!refused && head.status < status::FirstServerError
-        && (!success || metadata.signedByServer)) {
+    if (mayForward(head.status, metadata) && head.status < status::FirstServerError) {
         resume(id);
         return true;
     }
     // The replacement goes on: the server has refused the request after all, or failed it.
-    m_context.directory.onResponseBegin(*found->server);
-    m_context.directory.onSignals(*found->server, metadata.server);
-    m_context.placer.onSignals(found->placement, metadata.server);
+    recordResponse(*held, metadata);
     const auto failed = takeHeld(id);
     m_context.transport.abandon(failed.call);
     logAttemptEnd(failed, nameOf(attempt_result::Failed));
@@ -183,9 +193,9 @@
         onHeardAgain();
         return true;
     }
-    if (!isHeldAnswer(id))
+    auto *held = findHeld(id);
+    if (!held || !isAnswering(*held))
         return false;
-    const auto held = std::ranges::find(m_held, id, &server_attempt::id);
     if (held->forwarding != forwarding_mode::Events) {
         resume(id);
         return true;
@@ -203,7 +213,8 @@
 template <gateway_codec Codec>
 bool exchange<Codec>::selectForEnd(std::uint64_t id, http::call_end how)
 {
-    if (m_current.id != id && how == http::call_end::Complete && !m_done && isHeldAnswer(id))
+    const auto *held = m_done ? nullptr : findHeld(id);
+    if (held && how == http::call_end::Complete && isAnswering(*held))
         resume(id);
     if (m_current.id == id)
         return true;
@@ -211,14 +222,6 @@
     return false;
 }
 
-template <gateway_codec Codec>
-bool exchange<Codec>::isHeldAnswer(std::uint64_t id) const
-{
-    const auto found = std::ranges::find(m_held, id, &server_attempt::id);
-    return found != m_held.end() && found->forwarding != forwarding_mode::Nothing
-        && found->answer.status < status::FirstServerError;
-}
-
 template <gateway_codec Codec>
 void exchange<Codec>::onHeardAgain()
 {
@@ -254,9 +257,7 @@
 {
     const auto self = this->shared_from_this();
     stopReplacement();
-    const auto found = std::ranges::find(m_held, id, &server_attempt::id);
-    m_current = std::move(*found);
-    m_held.erase(found);
+    m_current = extractHeld(id);
     onHeardAgain();
     resumeReading();
     logResumed("bytes");
@@ -269,8 +270,7 @@
     if (m_held.empty())
         return false;
     stopReplacement();
-    m_current = std::move(m_held.back());
-    m_held.pop_back();
+    m_current = extractHeld(m_held.back().id);
     m_triedServers.resize(std::min(m_triedServers.size(), m_current.triedServers));
     m_unsentAttempts = 0;
     resumeReading();
@@ -283,15 +283,14 @@
 template <gateway_codec Codec>
 void exchange<Codec>::onHeldEnd(std::uint64_t id, http::call_end how)
 {
-    if (m_done || !isHeld(id))
+    const auto *held = m_done ? nullptr : findHeld(id);
+    if (!held)
         return;
-    const auto found = std::ranges::find(m_held, id, &server_attempt::id);
-    if (hasServerFailed(*found, how))
-        m_context.placer.onServerFailed(found->placement);
+    if (hasServerFailed(*held, how))
+        m_context.placer.onServerFailed(held->placement);
     const auto ended = takeHeld(id);
     m_context.directory.onFailure(*ended.server);
-    if (how == http::call_end::Broken && mayHaveCrashedServer(ended))
-        reportConnectionBroken(ended);
+    reportConnectionBroken(ended, how);
     logAttemptEnd(ended, nameOf(attempt_result::Unknown));
 }
 
