Share the recorded stage servers of two tests

Cause. hedged_calls_test and silent_stage_server_test had the same stage server, and silent_server_test began its streams alike six times. Change. recorded_stages.h, beginStreams. The tests keep their assertions and bounds.

--- a/tests/platform/hedged_calls_test.cpp
+++ b/tests/platform/hedged_calls_test.cpp
@@ -1,12 +1,9 @@
 // Hedged calls with a whole gateway: which requests get them, and what happens to both results.
-#include "platform_world.h"
-#include "wire/json_text.h"
+#include "recorded_stages.h"
 
 #include <catch2/catch.hpp>
 
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 using namespace orchidlead;
@@ -24,7 +21,9 @@
 constexpr int UsualCalls = 30;
 
 /// A gateway and two stage servers, of which one can delay its answers.
-struct hedge_world : world
+struct hedge_world
+    : world
+    , recorded_stages
 {
     explicit hedge_world(bool repeatable, gateway::disabled_policies without = {})
     {
@@ -60,40 +59,13 @@
         return logOutput.str().find(text) != std::string::npos;
     }
 
-    std::map<std::string, int> computed; ///< times, by the request's attempt
-    std::map<std::string, std::string> made; ///< handle to attempt
-    std::multiset<std::string> freed; ///< attempts of freed results
-    fake_server *lastCalled = nullptr;
-
 private:
     void addStageServer(const std::string &id)
     {
-        auto &added = addServer("p", id);
-        added.setBehaviour([this, &added](const server_request &request,
-                                          const std::shared_ptr<server_answer> &answer) {
-            const auto body = wire::parseJson(request.body);
-            if (request.head.target == "/stage-free") {
-                for (const auto &handle : body.value()["handles"])
-                    freed.insert(made[handle.asString()]);
-                answer->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-                return;
-            }
-            lastCalled = &added;
-            std::string results;
-            for (const auto &item : body.value()["items"]) {
-                const auto handle = "127.0.0.1:" + std::to_string(added.address().port) + "/"
-                    + std::to_string(made.size());
-                made[handle] = item["id"].asString();
-                ++computed[item["id"].asString()];
-                results +=
-                    (results.empty() ? R"({"handle":")" : R"(,{"handle":")") + handle + "\"}";
-            }
-            const auto text = R"({"items":[)" + results + "]}";
-            loop.callAfter(m_delay, [answer, text] {
-                answer->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size())
-                              + "\r\n\r\n" + text);
-            });
-        });
+        serve(addServer("p", id),
+              [this](const std::shared_ptr<server_answer> &answer, const std::string &bytes) {
+                  loop.callAfter(m_delay, [answer, bytes] { answer->write(bytes); });
+              });
     }
 
     milliseconds m_delay = UsualTime;
--- a/tests/platform/silent_server_test.cpp
+++ b/tests/platform/silent_server_test.cpp
@@ -75,11 +75,15 @@
         return answers;
     }
 
-    /// Waits until each stream has begun.
-    bool waitForEvents(const std::vector<std::shared_ptr<client_answer>> &answers)
+    /// Starts streams, waits until each has begun, and lets them run for a time.
+    std::vector<std::shared_ptr<client_answer>> beginStreams(int count, milliseconds age = {})
     {
-        return runUntil(
-            [&] { return std::ranges::none_of(answers, [](auto &a) { return a->body.empty(); }); });
+        auto answers = startStreams(count);
+        REQUIRE(runUntil([&] {
+            return std::ranges::none_of(answers, [](auto &each) { return each->body.empty(); });
+        }));
+        runFor(age);
+        return answers;
     }
 
     /// Returns how many answers arrived whole.
@@ -211,9 +215,7 @@
     const bool staged = GENERATE(false, true);
     CAPTURE(silent, resumable, staged);
     silent_world w(resumable, staged);
-    const auto streams = w.startStreams(Streams);
-    REQUIRE(w.waitForEvents(streams));
-    w.runFor(StreamAge);
+    const auto streams = w.beginStreams(Streams, StreamAge);
     w.suspend("engine", silent, Silence);
     CHECK(w.countWhole(streams) == Streams);
     for (const auto &each : streams)
@@ -226,8 +228,7 @@
     const int silent = GENERATE(as<int>{}, Engines, Engines - 1);
     CAPTURE(silent);
     silent_world w;
-    const auto streams = w.startStreams(Streams);
-    REQUIRE(w.waitForEvents(streams));
+    const auto streams = w.beginStreams(Streams);
     w.suspend("engine", silent, Silence);
     w.runFor(Silence + 2 * EventInterval);
     w.suspend("engine", silent, Silence);
@@ -265,9 +266,7 @@
         GENERATE(as<std::string>{}, "idle", "timeout", "route", "weights", "tenant");
     CAPTURE(kind);
     silent_world w;
-    const auto streams = w.startStreams(Streams);
-    REQUIRE(w.waitForEvents(streams));
-    w.runFor(StreamAge);
+    const auto streams = w.beginStreams(Streams, StreamAge);
     w.changeConfiguration(kind);
     w.suspend("engine", Engines, Silence);
     CHECK(w.countWhole(streams) == Streams);
@@ -277,9 +276,7 @@
 TEST_CASE("streams whose servers fall silent beside a stop of the gateway stay whole")
 {
     silent_world w;
-    const auto streams = w.startStreams(Streams);
-    REQUIRE(w.waitForEvents(streams));
-    w.runFor(StreamAge);
+    const auto streams = w.beginStreams(Streams, StreamAge);
     w.stopGateway("g1");
     w.suspend("engine", Engines, Silence);
     CHECK(w.countWhole(streams) == Streams);
@@ -289,8 +286,7 @@
 TEST_CASE("a stream whose server hangs for good continues on another one")
 {
     silent_world w;
-    const auto streams = w.startStreams(Engines);
-    REQUIRE(w.waitForEvents(streams));
+    const auto streams = w.beginStreams(Engines);
     w.suspend("engine", 1, milliseconds{60'000});
     CHECK(w.countWhole(streams) == Engines);
 }
@@ -299,8 +295,7 @@
 TEST_CASE("silent servers cause no more repeats than the retry budget allows")
 {
     silent_world w;
-    const auto streams = w.startStreams(Streams);
-    REQUIRE(w.waitForEvents(streams));
+    const auto streams = w.beginStreams(Streams);
     w.suspend("engine", Engines - 1, milliseconds{60'000});
     w.runFor(milliseconds{3000});
     const gateway::platform_bounds bounds;
--- a/tests/platform/silent_stage_server_test.cpp
+++ b/tests/platform/silent_stage_server_test.cpp
@@ -1,13 +1,11 @@
 // Stage servers that fall silent for more than the timeout of a call, and go on or hang.
-#include "platform_world.h"
-#include "wire/json_text.h"
+#include "recorded_stages.h"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +27,9 @@
 constexpr int Requests = 40;
 
 /// A gateway and stage servers that answer nothing while they are silent, and then all calls.
-struct silent_world : world
+struct silent_world
+    : world
+    , recorded_stages
 {
     explicit silent_world(int servers, bool mayBeCut = false)
     {
@@ -73,50 +73,26 @@
     }
 
     std::vector<std::shared_ptr<client_answer>> answers;
-    std::map<std::string, int> computed; ///< pieces, by the request's attempt
-    std::map<std::string, std::string> made; ///< handle to attempt
-    std::multiset<std::string> freed; ///< attempts of freed results
-    std::string lastCalled; ///< ID of a stage server
 
 private:
     void addStageServer(const std::string &id)
     {
-        auto &added = addServer("p", id);
-        added.setBehaviour([this, &added](const server_request &request,
-                                          const std::shared_ptr<server_answer> &answer) {
-            const auto body = wire::parseJson(request.body);
-            if (request.head.target == "/stage-free") {
-                for (const auto &handle : body.value()["handles"])
-                    freed.insert(made[handle.asString()]);
-                answer->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-                return;
-            }
-            lastCalled = added.id();
-            std::string results;
-            for (const auto &item : body.value()["items"]) {
-                const auto handle = "127.0.0.1:" + std::to_string(added.address().port) + "/"
-                    + std::to_string(made.size());
-                made[handle] = item["id"].asString();
-                ++computed[item["id"].asString()];
-                results +=
-                    (results.empty() ? R"({"handle":")" : R"(,{"handle":")") + handle + "\"}";
-            }
-            answerAfter(std::max(loop.now(), m_silentUntil[added.id()]) + UsualTime, added.id(),
-                        answer, R"({"items":[)" + results + "]}");
-        });
+        serve(addServer("p", id),
+              [this, id](const std::shared_ptr<server_answer> &answer, const std::string &bytes) {
+                  answerAfter(std::max(loop.now(), m_silentUntil[id]) + UsualTime, id, answer,
+                              bytes);
+              });
     }
     // The server may have fallen silent since it received the call.
     void answerAfter(steady_time at, const std::string &id,
-                     const std::shared_ptr<server_answer> &answer, const std::string &text)
+                     const std::shared_ptr<server_answer> &answer, const std::string &bytes)
     {
         const auto delay = std::chrono::ceil<milliseconds>(at - loop.now());
-        loop.callAfter(std::max(delay, milliseconds{0}), [this, id, answer, text] {
-            if (m_silentUntil[id] > loop.now()) {
-                answerAfter(m_silentUntil[id], id, answer, text);
-                return;
-            }
-            answer->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size())
-                          + "\r\n\r\n" + text);
+        loop.callAfter(std::max(delay, milliseconds{0}), [this, id, answer, bytes] {
+            if (m_silentUntil[id] > loop.now())
+                answerAfter(m_silentUntil[id], id, answer, bytes);
+            else
+                answer->write(bytes);
         });
     }
 
@@ -166,7 +142,7 @@
     w.silence(2);
     w.answers.push_back(w.ask("a", "1"));
     REQUIRE(w.runUntil([&] { return w.computed["a"] == 1; }));
-    w.endSilenceOfOthers(w.lastCalled);
+    w.endSilenceOfOthers(w.lastCalled->id());
     CHECK(w.countLost() == 0);
     CHECK(w.computed["a"] == 2);
     CHECK(w.runUntil([&] { return w.freed.count("a") == 2; }));
