End the call of a slow server once its replacement has the request

Cause: exchange::holdCurrent keeps the call of a silent server open until another answer has bytes, without a limit of time. A server that has only become slow goes on working. Ending the call at once would lose streams of sound servers again, as the replacement may refuse, be full, or be silent as well.

Now a server that replaces a silent one has to respond first: it has sent bytes within 100 ms, or answers a health check within 200 ms. From the moment at which the request is written to it the first call stays open for 200 ms, in which a refusal arrives and leads back, and then ends.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -248,6 +248,17 @@
     [[nodiscard]] std::vector<backend_server_id> excludedServers() const;
     [[nodiscard]] std::vector<backend_server_id> silentServers() const;
     void holdCurrent(abandon_cause why);
+    /// Sends the request to a server that replaces a held attempt, after the server has shown that
+    /// it responds; else another one is tried.
+    void sendReplacement(server_ptr chosen);
+    /// Returns whether it is unknown if the server responds now, and it may be asked.
+    [[nodiscard]] bool needsHealthCheck(const server &chosen) const;
+    void startHealthCheck(const server_ptr &chosen);
+    void onHealthCheckEnd(const server_ptr &chosen, bool healthy);
+    void cancelHealthCheck();
+    /// Ends the held attempts once a replacement has had the request for `MaxHandoverTime`.
+    void startHandoverTimer();
+    void onHandoverEnd();
     /// Makes the attempt with this id the current one; called when bytes of its answer arrive.
     /// Returns false if the bytes must be ignored.
     [[nodiscard]] bool selectForHead(std::uint64_t id, const http::response_head &head);
@@ -310,6 +321,7 @@
     void logAttemptEnd(const server_attempt &ended, std::string_view how);
     void logHeld(const server_attempt &held);
     void logResumed(std::string_view why);
+    void logHealthCheck(const server &checked, bool healthy);
     void logRetryDenied(std::string_view why);
     /// Returns the first shared parts of the prompt, for the log.
     [[nodiscard]] std::string sharedPartsText() const;
@@ -363,12 +375,16 @@
 
     server_attempt m_current;
     std::uint64_t m_lastAttemptId = 0;
-    /// Attempts whose servers are silent and whose calls stay open while others are tried. All of
-    /// them are before the same event, as the first one that has bytes for the client ends the
-    /// others.
+    /// Attempts whose servers are silent and whose calls stay open while others are tried, until
+    /// another one has had the request for `MaxHandoverTime`. All of them are before the same
+    /// event, as the first one that has bytes for the client ends the others.
     std::vector<server_attempt> m_held;
     bool m_retryUnused = false; ///< a retry was taken from the budget and nothing was sent since
     std::uint32_t m_fruitlessTries = 0; ///< replacements of silent calls that failed
+    http::timer_id m_handoverTimer = 0; ///< until the held attempts end
+    server_transport::call_id m_healthCheck =
+        0; ///< of the server that is to replace a held attempt
+    http::timer_id m_healthCheckTimer = 0;
     bool m_waitLogged = false; ///< why the current silent call isn't replaced was logged
     http::timer_id m_dispatchTimer = 0; ///< until the assigned dispatch time
     bool m_admitted = false; ///< by the pool's host, before its stages
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -49,7 +49,7 @@
         if (self->needsPlacement())
             self->place();
         else
-            self->sendTo(self->chooseServer());
+            self->sendReplacement(self->chooseServer());
     });
 }
 
@@ -140,13 +140,13 @@
     }
     m_admitted = true; // a retry takes no more capacity than this attempt
     if (placed.wait == milliseconds{0}) {
-        sendTo(placed.server);
+        sendReplacement(placed.server);
         return;
     }
     m_dispatchTimer = m_context.loop.callAfter(
         placed.wait, [self = this->shared_from_this(), server = placed.server] {
             self->m_dispatchTimer = 0;
-            self->sendTo(server);
+            self->sendReplacement(server);
         });
 }
 
@@ -167,6 +167,7 @@
 void exchange<Codec>::endPlacement()
 {
     m_context.loop.cancelTimer(std::exchange(m_dispatchTimer, 0));
+    cancelHealthCheck();
     m_context.placer.onEnd(std::exchange(m_current.placement, 0));
 }
 
@@ -179,7 +180,7 @@
         return;
     }
     if (m_current.server->outstanding++ == 0)
-        m_context.directory.onBytes(*m_current.server);
+        m_context.directory.onFirstRequest(*m_current.server);
     m_current.id = ++m_lastAttemptId;
     m_current.sent = false;
     m_current.readingPaused = false;
@@ -260,6 +261,8 @@
     m_current.lastBytesAt = m_context.loop.now();
     m_context.directory.onSending(*m_current.server);
     logSent();
+    if (!m_held.empty())
+        startHandoverTimer();
     return http::formatHead(out);
 }
 
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -434,6 +434,7 @@
         return;
     m_context.loop.cancelTimer(std::exchange(m_deadlineTimer, 0));
     m_context.loop.cancelTimer(std::exchange(m_idleTimer, 0));
+    m_context.loop.cancelTimer(std::exchange(m_handoverTimer, 0));
     endPlacement();
     endHeld();
     releaseStages();
--- a/src/gateway/exchange/exchange_limits.h
+++ b/src/gateway/exchange/exchange_limits.h
@@ -75,6 +75,14 @@
 /// The interval doubles this often at most, each time that another server could not take over, so
 /// that a request whose replacements fail doesn't use up the retry budget.
 inline constexpr std::uint32_t MaxSilenceCheckDoublings = 3;
+/// How long the call of a silent server stays open after its replacement was sent. A server that
+/// refuses the request does so within milliseconds; beyond that, both would work on the request.
+inline constexpr milliseconds MaxHandoverTime{200};
+/// A server that sent bytes this shortly before responds, and gets no health check.
+inline constexpr milliseconds RecentResponseAge{100};
+/// Longest wait for the answer to a health check. A server that responds answers within
+/// milliseconds.
+inline constexpr milliseconds HealthCheckTimeout{200};
 /// Fraction of the latency objective after which an unanswered repeatable request is sent to
 /// another server.
 inline constexpr double UnansweredShare = 1.0;
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -188,6 +188,17 @@
     m_decisions.add(std::move(line));
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::logHealthCheck(const server &checked, bool healthy)
+{
+    if (!logsDecisions())
+        return;
+    auto line = lineOf(log_event::ServerChecked);
+    line.add("server", checked.record.id.value).add("healthy", healthy ? "yes" : "no");
+    line.add("at_ms", sinceArrival().count());
+    m_decisions.add(std::move(line));
+}
+
 // The last part belongs to the request alone.
 template <gateway_codec Codec>
 std::string exchange<Codec>::sharedPartsText() const
--- a/src/gateway/exchange/exchange_silence_impl.h
+++ b/src/gateway/exchange/exchange_silence_impl.h
@@ -9,9 +9,10 @@
 
 /// The part of `exchange` that tries other servers while the one that has the request is silent.
 ///
-/// A silent server may go on at any time, and another one may be silent, full or unreachable, so
-/// the call to the silent one stays open until another answer has bytes for the client. Until then
-/// each failure of the replacement leads back to it.
+/// A silent server may go on at any time, and another one may be silent, full or unreachable. So
+/// the call to the silent one stays open until another server that responds has taken the request,
+/// and each failure of the replacement until then leads back to it. The two calls overlap only for
+/// the time in which a server refuses a request: a server that has become slow goes on working.
 namespace orchidlead::gateway {
 
 // The timer keeps running while the answer arrives, and checks the time since its last bytes.
@@ -127,6 +128,115 @@
     m_held.push_back(std::exchange(m_current, std::move(next)));
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::sendReplacement(server_ptr chosen)
+{
+    if (chosen && needsHealthCheck(*chosen))
+        startHealthCheck(chosen);
+    else
+        sendTo(std::move(chosen));
+}
+
+// A server with a limit on its requests counts a health check as one of them.
+template <gateway_codec Codec>
+bool exchange<Codec>::needsHealthCheck(const server &chosen) const
+{
+    if (m_held.empty())
+        return false;
+    const auto now = m_context.loop.now();
+    const bool responds = chosen.lastBytesAt && now - *chosen.lastBytesAt <= RecentResponseAge;
+    const bool limited =
+        chosen.effectiveRateLimit(now) || chosen.brittleRefusals || chosen.acceptsFrom() > now;
+    const auto *service = m_configuration->findService(m_service);
+    return !responds && !limited && service && !service->healthPath.empty();
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::startHealthCheck(const server_ptr &chosen)
+{
+    const auto self = this->shared_from_this();
+    const auto answer = std::make_shared<bool>(false);
+    http::outbound_call call;
+    call.maxBodyBytes = MaxDiscardedAnswer;
+    call.writeHead = [self, chosen]() -> std::optional<std::string> {
+        if (!chosen->accepts(self->m_context.loop.now()))
+            return std::nullopt;
+        self->m_context.directory.onSending(*chosen);
+        http::request_head head;
+        head.method = "GET";
+        head.target = self->m_configuration->findService(self->m_service)->healthPath;
+        head.fields = Codec::stageFields(chosen->record.id);
+        head.fields.push_back({"Host", toText(chosen->record.address)});
+        return http::formatHead(head);
+    };
+    call.onHead = [self, chosen, answer](const http::response_head &head) {
+        const auto metadata = Codec::readAnswer(head);
+        self->m_context.directory.onResponseBegin(*chosen);
+        self->m_context.directory.onBytes(*chosen);
+        self->m_context.directory.onSignals(*chosen, metadata.server);
+        *answer = !isRefusal(head.status, metadata);
+    };
+    call.onEnd = [self, chosen, answer](http::call_end how) {
+        self->m_healthCheck = 0;
+        self->onHealthCheckEnd(chosen, how == http::call_end::Complete && *answer);
+    };
+    m_healthCheck = m_context.transport.start({chosen, std::move(call), {}, true});
+    m_healthCheckTimer = m_context.loop.callAfter(HealthCheckTimeout, [self, chosen] {
+        self->m_healthCheckTimer = 0;
+        self->onHealthCheckEnd(chosen, false);
+    });
+}
+
+// A server that doesn't respond is handled like one that can't be reached.
+template <gateway_codec Codec>
+void exchange<Codec>::onHealthCheckEnd(const server_ptr &chosen, bool healthy)
+{
+    cancelHealthCheck();
+    if (m_done)
+        return;
+    logHealthCheck(*chosen, healthy);
+    if (healthy) {
+        sendTo(chosen);
+        return;
+    }
+    endPlacement();
+    m_context.directory.onFailure(*chosen);
+    m_triedServers.push_back(chosen->record.id);
+    if (++m_unsentAttempts < MaxUnsentAttempts)
+        attempt();
+    else
+        failRequest(request_outcome::NoServer);
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::cancelHealthCheck()
+{
+    m_context.loop.cancelTimer(std::exchange(m_healthCheckTimer, 0));
+    if (const auto call = std::exchange(m_healthCheck, 0))
+        m_context.transport.abandon(call);
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::startHandoverTimer()
+{
+    m_context.loop.cancelTimer(m_handoverTimer);
+    m_handoverTimer = m_context.loop.callAfter(MaxHandoverTime, [self = this->shared_from_this()] {
+        self->m_handoverTimer = 0;
+        self->onHandoverEnd();
+    });
+}
+
+// The last replacement may itself be held by now, while a further one is chosen.
+template <gateway_codec Codec>
+void exchange<Codec>::onHandoverEnd()
+{
+    if (m_current.call != 0 && m_current.sent) {
+        endHeld();
+    } else if (!m_held.empty()) {
+        endHeld([last = m_held.back().id](const server_attempt &each) { return each.id != last; });
+    }
+}
+
 template <gateway_codec Codec>
 server_attempt *exchange<Codec>::findHeld(std::uint64_t id)
 {
--- a/src/gateway/publication/configuration.h
+++ b/src/gateway/publication/configuration.h
@@ -93,6 +93,7 @@
 {
     service_id id;
     std::uint32_t maxConnections = 0; ///< to one server, from all callers together; 0: unlimited
+    std::string healthPath; ///< of the health check of its servers; empty: they have none
     std::optional<stage_capacity> stage; ///< set if the servers process stages
     std::optional<engine_capacity> engine; ///< set if the servers run models
     cold_start_settings coldStart;
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -123,7 +123,7 @@
     call.onBody = [this, relayed](std::string_view bytes) { onBody(relayed, bytes); };
     call.onEnd = [this, relayed](http::call_end how) { onEnd(relayed, how); };
     if (relayed->server->outstanding++ == 0)
-        m_directory.onBytes(*relayed->server);
+        m_directory.onFirstRequest(*relayed->server);
     relayed->call = m_transport.startDirect(
         {relayed->server, std::move(call), relayed->order.request, relayed->order.repeatable});
     m_open.insert(relayed);
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -93,6 +93,7 @@
     steady_time sentAt{}; ///< time of the last request from this node
     /// Time of the last bytes from the server, or of the request that was sent while it had none.
     steady_time heardAt{};
+    std::optional<steady_time> lastBytesAt; ///< time of the last bytes of a response to this node
     std::optional<steady_time> lastAnswerAt; ///< time of the last response to this node
     std::uint32_t consecutiveFailures = 0;
     /// Refusals that arrive while the server is already avoided count once.
@@ -255,9 +256,14 @@
 
     /// Called when a response to this node begins.
     void onResponseBegin(const server &backend) const;
-    /// Called when bytes of a response to a request of this node arrive, and when a server that
-    /// has no requests of this node gets one.
-    void onBytes(server &backend) { backend.heardAt = m_clock.now(); }
+    /// Called when bytes of a response to a request of this node arrive.
+    void onBytes(server &backend)
+    {
+        backend.heardAt = m_clock.now();
+        backend.lastBytesAt = backend.heardAt;
+    }
+    /// Called when a server that has no requests of this node gets one.
+    void onFirstRequest(server &backend) { backend.heardAt = m_clock.now(); }
     void onAnswer(server &backend);
     /// Called when a request got no response, a broken one, or an error.
     void onFailure(server &backend);
