Ignore entries that are older than what is known of their server

Cause: while its watch was held up the node followed another reader and had `draining` from it; then the older answer was applied whole, since nothing compared the revision of an entry with what was known of its server, and the newer change was never sent again.

Each entry and removal now carries the store revision of its change, from the store and between nodes, and is applied only if it isn't older than what is known of its server. A list removes only servers that have not changed since it was read. Frames keep their fields; the revisions follow them, so nodes of an earlier version can read them.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -119,10 +119,14 @@
 {
     server_record record;
     milliseconds coldTimeLeft{0}; ///< remaining cold time when this was sent
+    std::uint64_t revision = 0; ///< store revision of the change; 0: unknown
 };
 struct removed_server
 {
     backend_server_id id;
+    std::uint64_t revision = 0; ///< store revision of the removal or a later one; 0: unknown
+
+    friend bool operator==(const removed_server &, const removed_server &) = default;
 };
 struct published_configuration
 {
--- a/src/gateway/peers/frames/publication_codec.cpp
+++ b/src/gateway/peers/frames/publication_codec.cpp
@@ -1,6 +1,8 @@
 #include "gateway/peers/frames/frame_codecs.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <vector>
 
 namespace orchidlead::gateway {
 
@@ -39,6 +41,27 @@
     return {server, in.duration()};
 }
 
+/// Packs the revisions of a list of changes.
+template <class Changes>
+void packRevisions(packer &out, const Changes &changes)
+{
+    out.pack_array(static_cast<std::uint32_t>(changes.size()));
+    for (const auto &each : changes)
+        out.pack(each.revision);
+}
+
+template <class Changes>
+void readRevisions(field_reader &in, Changes &changes)
+{
+    const auto revisions = in.read<std::vector<std::uint64_t>>();
+    if (revisions.size() != changes.size()) {
+        in.fail();
+        return;
+    }
+    for (std::size_t i = 0; i < changes.size(); ++i)
+        changes[i].revision = revisions[i];
+}
+
 // msgpack's own conversion to std::array also accepts arrays that are too short.
 list_digest readListDigest(field_reader &in)
 {
@@ -68,7 +91,7 @@
 
 void pack(packer &out, const publication_frame &frame)
 {
-    packKind(out, frame_kind::Publication, 11);
+    packKind(out, frame_kind::Publication, 13);
     out.pack(frame.configurationVersion);
     out.pack(frame.current);
     packDuration(out, frame.age);
@@ -77,10 +100,12 @@
     out.pack(frame.revision);
     packList(out, ServerFields, frame.servers,
              [&](const published_server &each) { packServer(out, each); });
-    packNames(out, frame.removed);
+    packList(out, 1, frame.removed, [&](const removed_server &each) { out.pack(each.id.value); });
     packDuration(out, frame.removalsDeferred);
     out.pack(frame.evacuations.revision);
     packNames(out, frame.evacuations.dataCenters);
+    packRevisions(out, frame.servers);
+    packRevisions(out, frame.removed);
 }
 
 void read(field_reader &in, publication_frame &frame)
@@ -92,10 +117,15 @@
     frame.listedParts = in.read<std::vector<std::uint32_t>>();
     frame.revision = in.read<std::uint64_t>();
     readList(in, [&](field_reader &items) { frame.servers.push_back(readServer(items)); });
-    readNames(in, frame.removed);
+    readList(
+        in, [&](field_reader &items) { frame.removed.push_back({items.id<backend_server_id>()}); });
     frame.removalsDeferred = in.duration();
     frame.evacuations.revision = in.read<std::uint64_t>();
     readNames(in, frame.evacuations.dataCenters);
+    if (in.atEnd()) // an older version doesn't state the revisions
+        return;
+    readRevisions(in, frame.servers);
+    readRevisions(in, frame.removed);
 }
 
 void pack(packer &out, const follow_frame &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -193,7 +193,7 @@
     std::vector<std::uint32_t> listedParts;
     std::uint64_t revision = 0; ///< store revision up to which the sender knows all changes
     std::vector<published_server> servers;
-    std::vector<backend_server_id> removed; ///< applied after `servers`
+    std::vector<removed_server> removed; ///< applied after `servers`
     milliseconds removalsDeferred{0}; ///< removals take effect only after this time
     evacuation_list evacuations; ///< always complete: a few names at most
 };
--- a/src/gateway/publication/publication_relay_followers_impl.h
+++ b/src/gateway/publication/publication_relay_followers_impl.h
@@ -64,7 +64,8 @@
     for (const auto &each : m_directory.all()) {
         const auto &id = each->record.id;
         if (parts.contains(static_cast<std::uint32_t>(digestPartOf(id))) || each->cold(now))
-            frame.servers.push_back({each->record, each->remainingColdTime(now)});
+            frame.servers.push_back(
+                {each->record, each->remainingColdTime(now), m_state.serverRevision(id)});
     }
     return frame;
 }
@@ -153,7 +154,7 @@
     auto frame = makeHeartbeat();
     for (const auto &each : m_directory.all()) {
         if (m_state.defersRemoval(each->record.id))
-            frame.removed.push_back(each->record.id);
+            frame.removed.push_back({each->record.id, m_state.removalRevision(each->record.id)});
     }
     return frame;
 }
@@ -166,13 +167,13 @@
 {
     auto frame = makeHeartbeat();
     std::map<backend_server_id, const published_server *> last; // null if removed
-    std::set<backend_server_id> removedBetween;
+    std::map<backend_server_id, std::uint64_t> removedBetween; // with the revision
     for (const auto &item : update.items) {
         if (const auto *server = std::get_if<published_server>(&item))
             last[server->record.id] = server;
         else if (const auto *removed = std::get_if<removed_server>(&item)) {
             last[removed->id] = nullptr;
-            removedBetween.insert(removed->id);
+            removedBetween[removed->id] = removed->revision;
         } else if (const auto *published = std::get_if<published_configuration>(&item))
             frame.configurationVersion =
                 std::max(frame.configurationVersion, published->content.version);
@@ -183,7 +184,7 @@
         const bool alreadySent =
             known && !removedBetween.contains(id) && !m_state.defersRemoval(id);
         if (!server)
-            frame.removed.push_back(id);
+            frame.removed.push_back({id, removedBetween.at(id)});
         else if (!alreadySent || known->record != server->record
                  || server->coldTimeLeft > known->remainingColdTime(now) + ColdTimeTolerance)
             frame.servers.push_back(*server);
--- a/src/gateway/publication/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -232,10 +232,11 @@
     for (const auto &each : frame.servers)
         items.emplace_back(each);
     for (const auto &each : frame.removed)
-        items.emplace_back(removed_server{each});
+        items.emplace_back(each);
     if (!frame.fullSync)
         return m_state.apply(items);
-    return m_state.applyParts(items, {frame.listedParts.begin(), frame.listedParts.end()});
+    return m_state.applyParts(items, {frame.listedParts.begin(), frame.listedParts.end()},
+                              frame.revision);
 }
 
 // Changes arrive in the order in which the reader received them. A change that this node already
--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -23,6 +23,10 @@
 // Up to this many events of one kind in an update are reported one by one.
 constexpr std::size_t MaxSeparateEvents = 24;
 
+// Number of removals whose revisions are kept, so that older entries of the servers are ignored:
+// more servers than are replaced on an ordinary day, and about 1 MB.
+constexpr std::size_t MaxKeptRemovals = 8192;
+
 // Replaces many events of one kind by one with their count: otherwise the list of thousands of
 // servers that a node reads at its start would cause as many log lines.
 std::vector<publication_event> summarized(std::vector<publication_event> events)
@@ -65,7 +69,7 @@
 {
     std::visit(overloaded{
                    [&](const published_server &each) { applyServer(each, events); },
-                   [&](const removed_server &each) { applyRemoval(each.id, events); },
+                   [&](const removed_server &each) { applyRemoval(each, events); },
                    [&](const published_configuration &each) { applyConfiguration(each, events); },
                    [&](const published_evacuation &each) { applyEvacuation(each, events); },
                    [&](const unreadable_item &each) {
@@ -75,16 +79,18 @@
                item);
 }
 
-std::vector<publication_event> published_state::applyList(const std::vector<published_item> &items)
+std::vector<publication_event> published_state::applyList(const std::vector<published_item> &items,
+                                                          std::uint64_t revision)
 {
     std::set<std::uint32_t> all;
     for (std::uint32_t part = 0; part < DigestParts; ++part)
         all.insert(part);
-    return applyParts(items, all);
+    return applyParts(items, all, revision);
 }
 
 std::vector<publication_event> published_state::applyParts(const std::vector<published_item> &items,
-                                                           const std::set<std::uint32_t> &parts)
+                                                           const std::set<std::uint32_t> &parts,
+                                                           std::uint64_t revision)
 {
     auto events = applyAll(items);
     std::set<backend_server_id> present;
@@ -95,18 +101,72 @@
     for (const auto &each : m_directory.all()) {
         const auto &id = each->record.id;
         if (!present.contains(id) && parts.contains(static_cast<std::uint32_t>(digestPartOf(id))))
-            applyRemoval(id, events);
+            applyRemoval({id, revision}, events);
     }
     m_listed = true;
     m_lastContactAt = m_clock.now();
     return summarized(std::move(events));
 }
 
+std::uint64_t published_state::serverRevision(const backend_server_id &id) const
+{
+    const auto found = m_revisions.find(id);
+    return found == m_revisions.end() ? 0 : found->second;
+}
+
+std::uint64_t published_state::removalRevision(const backend_server_id &id) const
+{
+    const auto found = m_removals.find(id);
+    return found == m_removals.end() ? 0 : found->second;
+}
+
+bool published_state::isOutdated(const published_server &announced) const
+{
+    if (announced.revision == 0)
+        return false;
+    const auto &id = announced.record.id;
+    return announced.revision < serverRevision(id) || announced.revision <= removalRevision(id);
+}
+
+bool published_state::isOutdated(const removed_server &removal) const
+{
+    return removal.revision != 0 && removal.revision < serverRevision(removal.id);
+}
+
+bool published_state::isOutdated(const published_item &item) const
+{
+    if (const auto *announced = std::get_if<published_server>(&item))
+        return isOutdated(*announced);
+    const auto *removal = std::get_if<removed_server>(&item);
+    return removal && isOutdated(*removal);
+}
+
+void published_state::recordRemoval(const removed_server &removal)
+{
+    if (removal.revision <= removalRevision(removal.id))
+        return;
+    m_removals[removal.id] = removal.revision;
+    m_removalOrder.push_back(removal);
+    if (m_removalOrder.size() <= MaxKeptRemovals)
+        return;
+    const auto oldest = std::move(m_removalOrder.front());
+    m_removalOrder.pop_front();
+    if (removalRevision(oldest.id) == oldest.revision)
+        m_removals.erase(oldest.id);
+}
+
 void published_state::applyServer(const published_server &announced,
                                   std::vector<publication_event> &events)
 {
     const auto &record = announced.record;
+    if (isOutdated(announced)) {
+        events.push_back({event_type::ServerOutdated, record.id.value,
+                          "revision " + std::to_string(announced.revision)});
+        return;
+    }
     m_deferred.erase(record.id);
+    m_removals.erase(record.id);
+    m_revisions[record.id] = std::max(serverRevision(record.id), announced.revision);
     const auto known = m_directory.find(record.id);
     const bool wasLeaving = known && known->record.leaving;
     const bool wasCold = known && known->cold(m_clock.now());
@@ -120,9 +180,16 @@
         events.push_back({event_type::ServerLeaving, record.id.value, record.service.value});
 }
 
-void published_state::applyRemoval(const backend_server_id &id,
+void published_state::applyRemoval(const removed_server &removal,
                                    std::vector<publication_event> &events)
 {
+    const auto &id = removal.id;
+    if (isOutdated(removal)) {
+        events.push_back({event_type::ServerOutdated, id.value,
+                          "removal, revision " + std::to_string(removal.revision)});
+        return;
+    }
+    recordRemoval(removal);
     const auto known = m_directory.find(id);
     if (!known)
         return;
@@ -132,6 +199,7 @@
         return;
     }
     m_deferred.erase(id);
+    m_revisions.erase(id);
     m_directory.remove(id);
     events.push_back({event_type::ServerRemoved, id.value, known->record.service.value});
 }
@@ -236,6 +304,7 @@
         if (m_clock.now() < due)
             return false;
         if (const auto known = m_directory.find(id)) {
+            m_revisions.erase(id);
             m_directory.remove(id);
             events.push_back({event_type::ServerRemoved, id.value, known->record.service.value});
         }
--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -5,6 +5,8 @@
 #include "gateway/publication/evacuations.h"
 #include "gateway/servers/server_directory.h"
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -19,6 +21,7 @@
     enum class event_type {
         ConfigurationInForce,
         ConfigurationOlder, ///< older than the version in force; ignored
+        ServerOutdated, ///< older than what is known of the server; ignored
         Unreadable, ///< the previous state is kept
         ServerAdded,
         ServerCold, ///< reported as cold and not known to be cold before
@@ -36,9 +39,11 @@
 /// Holds the state published by the platform: the latest configuration, the backend servers and the
 /// evacuated data centres.
 ///
-/// The configuration version never decreases. While the store is unreachable, the entries of live
-/// servers expire, and they return shortly after the store does. Removals read in that period are
-/// therefore applied only after a delay.
+/// The configuration version never decreases, and an item is applied only if it isn't older than
+/// what is known of its server: answers of the store and messages of peers overtake each other,
+/// also those that one reader sends. While the store is unreachable, the entries of live servers
+/// expire, and they return shortly after the store does. Removals read in that period are therefore
+/// applied only after a delay.
 class published_state
 {
 public:
@@ -47,12 +52,21 @@
 
     /// Applies changes. Returns their effects.
     std::vector<publication_event> apply(const std::vector<published_item> &items);
-    /// Applies a complete list of servers; servers that are not in it are removed.
-    std::vector<publication_event> applyList(const std::vector<published_item> &items);
-    /// Applies the complete content of some parts (`digestPartOf`) of a list of servers; other
-    /// servers of these parts are removed.
+    /// Applies a complete list of servers as of a store revision; servers that are not in it and
+    /// have not changed since are removed.
+    std::vector<publication_event> applyList(const std::vector<published_item> &items,
+                                             std::uint64_t revision);
+    /// Applies the complete content of some parts (`digestPartOf`) of a list of servers as of a
+    /// store revision; other servers of these parts that have not changed since are removed.
     std::vector<publication_event> applyParts(const std::vector<published_item> &items,
-                                              const std::set<std::uint32_t> &parts);
+                                              const std::set<std::uint32_t> &parts,
+                                              std::uint64_t revision);
+    /// Returns whether an item is older than what is known of its server.
+    [[nodiscard]] bool isOutdated(const published_item &item) const;
+    /// Returns the store revision up to which a server is known to be removed; 0: it isn't.
+    [[nodiscard]] std::uint64_t removalRevision(const backend_server_id &id) const;
+    /// Returns the store revision of the last known change of a server; 0: unknown.
+    [[nodiscard]] std::uint64_t serverRevision(const backend_server_id &id) const;
     /// Applies everything that operators have published, read from the store at `revision` or
     /// later; data centres not evacuated there are no longer evacuated.
     std::vector<publication_event> applyOperatorItems(const std::vector<published_item> &items,
@@ -97,7 +111,10 @@
     [[nodiscard]] std::vector<publication_event> applyAll(const std::vector<published_item> &items);
     void applyOne(const published_item &item, std::vector<publication_event> &events);
     void applyServer(const published_server &announced, std::vector<publication_event> &events);
-    void applyRemoval(const backend_server_id &id, std::vector<publication_event> &events);
+    void applyRemoval(const removed_server &removal, std::vector<publication_event> &events);
+    void recordRemoval(const removed_server &removal);
+    [[nodiscard]] bool isOutdated(const published_server &announced) const;
+    [[nodiscard]] bool isOutdated(const removed_server &removal) const;
     void applyConfiguration(const published_configuration &published,
                             std::vector<publication_event> &events);
     void applyEvacuation(const published_evacuation &change,
@@ -117,6 +134,10 @@
     steady_time m_lastContactAt{};
     steady_time m_deferUntil{}; ///< removals read before this time are deferred until it
     std::map<backend_server_id, steady_time> m_deferred;
+    std::map<backend_server_id, std::uint64_t> m_revisions; ///< of the last change of each server
+    /// Revisions up to which servers are known to be removed, also while the removal is deferred.
+    std::map<backend_server_id, std::uint64_t> m_removals;
+    std::deque<removed_server> m_removalOrder; ///< oldest first
     std::function<void(const configuration_ptr &)> m_onConfiguration;
 };
 
@@ -131,6 +152,8 @@
         orchidlead::enum_name<orchidlead::gateway::publication_event::event_type>{
             orchidlead::gateway::publication_event::event_type::ConfigurationOlder,
             "configuration_older"},
+        orchidlead::enum_name<orchidlead::gateway::publication_event::event_type>{
+            orchidlead::gateway::publication_event::event_type::ServerOutdated, "server_outdated"},
         orchidlead::enum_name<orchidlead::gateway::publication_event::event_type>{
             orchidlead::gateway::publication_event::event_type::Unreadable,
             "publication_unreadable"},
--- a/src/gateway/publication/store_reader_impl.h
+++ b/src/gateway/publication/store_reader_impl.h
@@ -131,6 +131,17 @@
          [this, freshness](published_page &&page) { onServers(std::move(page), freshness); });
 }
 
+/// Returns the latest revision of any server of a list, which the whole list includes.
+[[nodiscard]] inline std::uint64_t latestRevision(const std::vector<published_item> &list)
+{
+    std::uint64_t latest = 0;
+    for (const auto &item : list) {
+        if (const auto *each = std::get_if<published_server>(&item))
+            latest = std::max(latest, each->revision);
+    }
+    return latest;
+}
+
 // The pages are read at different times and may be seconds old if that is allowed. So the watch
 // begins at the lowest revision of all pages and repeats later changes.
 template <gateway_codec Codec>
@@ -143,10 +154,11 @@
         readServers(page.lastKey, freshness);
         return;
     }
-    reportEvents(m_state.applyList(m_list));
-    m_list.clear();
     // An old list has the current revision of the store but lacks earlier changes.
     const auto read = std::exchange(m_listRevision, 0);
+    reportEvents(m_state.applyList(
+        m_list, freshness == read_consistency::Latest ? read : latestRevision(m_list)));
+    m_list.clear();
     m_revision = freshness == read_consistency::Latest ? read : 0;
     m_complete = true;
     m_latest = freshness == read_consistency::Latest;
@@ -165,7 +177,10 @@
     call(Codec::watchTarget(m_revision, wait), wait + m_options.answerTimeout, &Codec::readChanges,
          [this](published_page &&page) {
              m_revision = std::max(m_revision, page.revision);
-             notifyReadHandler({page.items, false});
+             // While the call waited, this node may have followed a reader that has later changes.
+             auto current = page.items;
+             std::erase_if(current, [this](const auto &each) { return m_state.isOutdated(each); });
+             notifyReadHandler({current, false});
              reportEvents(m_state.apply(page.items));
              m_state.advanceEvacuations(page.revision);
              const bool pauses = !page.items.empty() && page.items.size() < m_options.largeAnswer;
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -495,6 +495,14 @@
         entry.links->except(RelayPort);
         open = entry.links->opener();
     }
+    if (storeCanBeCut) {
+        entry.storeLink = std::make_unique<cut_link>(loop);
+        open = [address = store.address(), toStore = entry.storeLink->opener(),
+                toOthers = std::move(open)](http::io_loop &on, const socket_address &to,
+                                            http::stream_events &events) {
+            return to == address ? toStore(on, to, events) : toOthers(on, to, events);
+        };
+    }
     entry.gateway = std::make_unique<gateway::gateway<platform::codec>>(
         loop, *m_log, entry.settings, std::move(open));
     if (peersCanBeCut) {
@@ -549,6 +557,16 @@
     m_nodes.at(gateway).peerLinks->cut(kind);
 }
 
+void world::cutFromStore(const std::string &gateway)
+{
+    m_nodes.at(gateway).storeLink->cut(cut_kind::Hang);
+}
+
+void world::healStore(const std::string &gateway)
+{
+    m_nodes.at(gateway).storeLink->heal();
+}
+
 bool world::knowsMembers(std::size_t count)
 {
     const auto wanted = "state=\"alive\"} " + std::to_string(count);
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -197,6 +197,10 @@
     /// Cuts the links that a gateway has opened to its peers, or opens later; the links that peers
     /// open to it, and its datagrams, aren't affected. Needs `peersCanBeCut`.
     void cutFromPeers(const std::string &gateway, cut_kind kind);
+    /// Cuts a gateway off from the store, silently, or ends the cut: what was held up then arrives.
+    /// Needs `storeCanBeCut`.
+    void cutFromStore(const std::string &gateway);
+    void healStore(const std::string &gateway);
     /// Whether each gateway considers this number of gateways alive, itself included.
     bool knowsMembers(std::size_t count);
     /// Waits until this number of nodes watch the store, which takes some time after their start.
@@ -235,6 +239,7 @@
     /// crashed server are then accepted and closed, not refused.
     bool canBeCut = false;
     bool peersCanBeCut = false; ///< the same for links to peers
+    bool storeCanBeCut = false; ///< the same for the store
 
 protected:
     /// Returns the settings of a gateway, with free addresses of its own.
@@ -247,6 +252,7 @@
         gateway::gateway_settings settings;
         std::unique_ptr<cut_link> links; ///< to backend servers
         std::unique_ptr<cut_link> peerLinks;
+        std::unique_ptr<cut_link> storeLink;
         std::unique_ptr<gateway::gateway<platform::codec>> gateway;
     };
 
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
 {
     relay_world()
     {
+        storeCanBeCut = true;
         addServer("web", "i-1");
         publish(5, plainRoute("safe"));
         for (const auto &name : names)
@@ -49,6 +51,16 @@
             milliseconds{2000});
     }
 
+    /// Sends requests to a node and returns how many of them a server got.
+    std::size_t countAt(const std::string &serverId, const std::string &name)
+    {
+        constexpr int Requests = 12;
+        const auto before = server(serverId).requests().size();
+        for (int i = 0; i < Requests; ++i)
+            await(request(name, makeRequest("GET", "/p/", "a" + std::to_string(i))));
+        return server(serverId).requests().size() - before;
+    }
+
     const std::vector<std::string> names{"g1", "g2", "g3", "g4"};
     bool settled = false;
 };
@@ -267,3 +279,29 @@
     CHECK(held->status == 503);
     CHECK(w.clock.now() - began < milliseconds{2500});
 }
+
+// Guards against an answer of the store that was held up and overwrites what came from the other
+// reader meanwhile: a leaving server would get requests until it exits.
+TEST_CASE("a held-up answer of the store does not set a leaving server back to ready")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    // Two of the nodes read the store. The answer arrives after the node has followed the other
+    // reader and before its call times out, a span that a busy machine may miss.
+    for (const auto &cut : w.names) {
+        const auto id = "late-" + cut;
+        auto &server = w.addServer("web", id);
+        w.runFor(milliseconds{1200});
+        w.cutFromStore(cut);
+        w.announce(server, "web", "ready", "z", milliseconds{100});
+        w.runFor(milliseconds{200});
+        w.announce(server, "web", "draining");
+        w.runFor(milliseconds{1320});
+        w.healStore(cut);
+        w.runFor(milliseconds{400});
+        for (const auto &name : w.names) {
+            CAPTURE(name, cut);
+            CHECK(w.countAt(id, name) == 0);
+        }
+    }
+}
