Defer removals by a node's own time without contact

Cause: a node whose calls failed defers removals for 2.3 s, as entries of sound servers may have expired, and its followers took the deferral over, though another reader had the state all the while. The node itself had followed that reader, too.

Now every node knows when the store last answered any reader of its state, and defers removals itself if that is longer ago than an entry lasts. A deferral of a source counts only if each source with the current state has one. A node without sources asks peers of other data centres if those of its own have no current state.

Entries that expired while the store was away for all are still kept by all nodes (tests before and new).

--- a/src/gateway/peers/frames/publication_codec.cpp
+++ b/src/gateway/peers/frames/publication_codec.cpp
@@ -91,7 +91,7 @@
 
 void pack(packer &out, const publication_frame &frame)
 {
-    packKind(out, frame_kind::Publication, 13);
+    packKind(out, frame_kind::Publication, 14);
     out.pack(frame.configurationVersion);
     out.pack(frame.current);
     packDuration(out, frame.age);
@@ -106,6 +106,7 @@
     packNames(out, frame.evacuations.dataCenters);
     packRevisions(out, frame.servers);
     packRevisions(out, frame.removed);
+    packDuration(out, frame.contactAge);
 }
 
 void read(field_reader &in, publication_frame &frame)
@@ -126,6 +127,8 @@
         return;
     readRevisions(in, frame.servers);
     readRevisions(in, frame.removed);
+    if (!in.atEnd())
+        frame.contactAge = in.duration();
 }
 
 void pack(packer &out, const follow_frame &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -187,6 +187,7 @@
     std::uint64_t configurationVersion = 0; ///< latest version known to the sender
     bool current = false; ///< the sender reads the store now, or follows a node that does
     milliseconds age{0}; ///< since the state was current; 0: the sender itself reads the store
+    milliseconds contactAge{0}; ///< since the store last answered the reader of this state
     /// With `listedParts` applied, the receiver knows all that the sender knows.
     bool fullSync = false;
     /// Parts of the server list (`digestPartOf`) of which all servers are listed, not only changes.
--- a/src/gateway/publication/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -58,6 +58,7 @@
     {
         link_ptr link;
         std::optional<steady_time> currentAt; ///< when an upstream reader last read the store
+        steady_time deferredUntil{}; ///< end of its deferral of removals, as of its last frame
     };
 
     /// Returns whether the list of servers has not arrived from other nodes in time, so that this
@@ -84,6 +85,9 @@
     /// Returns when a reader that this node follows last read the store; empty if that is longer
     /// ago than `SourceTimeout`.
     [[nodiscard]] std::optional<steady_time> sourcesCurrentAt() const;
+    /// Returns for how much longer removals are deferred by each source with the current state,
+    /// asked peers included; empty if there is no such source.
+    [[nodiscard]] std::optional<milliseconds> sourceDeferral() const;
     /// Like `sourcesCurrentAt`, with this node included if it reads the store.
     [[nodiscard]] std::optional<steady_time> currentAt() const;
     /// Returns the parts of the server list that differ from the list with the digest `known`.
@@ -134,6 +138,8 @@
     std::set<data_center_id> m_sentEvacuated; ///< evacuated data centres in the last heartbeat
     std::optional<steady_time> m_behindSince; ///< since when a peer has had a later configuration
     steady_time m_nextPeerRequest{}; ///< earliest time of the next request to a peer
+    source m_askedPeer; ///< the last peer that answered a request with the current state
+    bool m_asksAnyDataCenter = false; ///< the last peer asked did not have the current state
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/publication/publication_relay_followers_impl.h
+++ b/src/gateway/publication/publication_relay_followers_impl.h
@@ -34,6 +34,7 @@
             ? DirectReaderAge
             : std::max(MinRelayedAge, std::chrono::ceil<milliseconds>(m_loop.now() - *since));
     }
+    frame.contactAge = std::chrono::ceil<milliseconds>(m_loop.now() - m_state.lastContactAt());
     frame.configurationVersion = std::max(m_configurations.ownVersion(), m_announcedVersion);
     frame.revision = m_store.revision();
     frame.removalsDeferred = m_state.removalsDeferred();
--- a/src/gateway/publication/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -42,6 +42,8 @@
 inline constexpr milliseconds LaterVersionDelay{700};
 /// Interval between two requests to peers for the published state.
 inline constexpr milliseconds PeerRequestInterval{400};
+/// An answer with the current state counts as current for this long: two requests and a lost one.
+inline constexpr milliseconds PeerAnswerLifetime{1200};
 
 template <gateway_codec Codec>
 publication_relay<Codec>::publication_relay(http::io_loop &loop, peer_network &peers,
@@ -61,7 +63,9 @@
     , m_listTimeout(ReaderWaitTime
                     + milliseconds{randomBelow(static_cast<std::size_t>(ReaderWaitTime.count()))})
     , m_configurations(loop, peers, state, store, onEvent, log)
-{ }
+{
+    m_state.setSourceDeferral([this] { return sourceDeferral(); });
+}
 
 template <gateway_codec Codec>
 void publication_relay<Codec>::tick()
@@ -154,6 +158,26 @@
     return latest;
 }
 
+// A source that was cut off from the store by itself defers removals that the others have seen
+// happen, so the shortest deferral applies.
+template <gateway_codec Codec>
+std::optional<milliseconds> publication_relay<Codec>::sourceDeferral() const
+{
+    std::optional<milliseconds> shortest;
+    const auto consider = [&](const source &from, milliseconds lifetime) {
+        if (!from.currentAt || m_loop.now() - *from.currentAt > lifetime)
+            return;
+        const auto left =
+            std::max(steady_time::duration::zero(), from.deferredUntil - m_loop.now());
+        const auto rounded = std::chrono::ceil<milliseconds>(left);
+        shortest = std::min(shortest.value_or(rounded), rounded);
+    };
+    for (const auto &[vm, from] : m_sources)
+        consider(from, SourceTimeout);
+    consider(m_askedPeer, PeerAnswerLifetime);
+    return shortest;
+}
+
 template <gateway_codec Codec>
 std::optional<steady_time> publication_relay<Codec>::currentAt() const
 {
@@ -210,8 +234,8 @@
     // them.
     const bool accepted = frame.current && (m_treeLevel > 0 || frame.age == DirectReaderAge);
     from->second.currentAt = accepted ? std::optional(m_loop.now() - frame.age) : std::nullopt;
-    if (frame.current)
-        m_state.onReaderContact();
+    from->second.deferredUntil = m_loop.now() + frame.removalsDeferred;
+    m_state.onReaderContact(frame.contactAge);
     const auto versionBefore =
         std::exchange(m_announcedVersion, std::max(m_announcedVersion, frame.configurationVersion));
     apply(frame, from->first);
@@ -246,7 +270,10 @@
 void publication_relay<Codec>::apply(const publication_frame &frame, const vm_id &reader)
 {
     m_configurations.onVersionAnnounced(frame.configurationVersion, reader);
-    m_state.deferRemovals(frame.removalsDeferred);
+    // A node that reads the store judges by its own calls.
+    const auto ofSources = sourceDeferral().value_or(frame.removalsDeferred);
+    if (!m_store.isCurrent())
+        m_state.deferRemovals(std::min(frame.removalsDeferred, ofSources));
     // A heartbeat contains a revision up to which nothing else happened. But a change may have been
     // lost with a closed link, so only frames with content advance the revision of this node.
     // Changes are useful only to a node that has the list.
@@ -260,15 +287,25 @@
 }
 
 // A peer that does not read the store may have older state than this node; any state is better than
-// none. A list older than the state here would restore removed servers, and drop others
-// permanently, since the changes in between are not sent again.
+// none. The peers that were cut off together with this node have missed the same removals, and the
+// first one that was not has applied those of servers that are about to return. A list older than
+// the state here would restore removed servers, and drop others permanently, since the changes in
+// between are not sent again.
 template <gateway_codec Codec>
 void publication_relay<Codec>::applyAnswer(const publication_frame &frame)
 {
     const bool newer = frame.current && frame.revision > m_store.revision();
     const bool hasMore = newer || (!m_state.hasServerList() && !frame.servers.empty());
-    m_state.deferRemovals(frame.removalsDeferred);
-    if (!hasMore || !frame.fullSync || receivesChanges())
+    m_asksAnyDataCenter = !frame.current;
+    if (receivesChanges())
+        return;
+    if (frame.current) {
+        m_state.deferRemovals(frame.removalsDeferred);
+        m_state.onReaderContact(frame.contactAge);
+        m_askedPeer.currentAt = m_loop.now() - frame.age;
+        m_askedPeer.deferredUntil = m_loop.now() + m_state.removalsDeferred();
+    }
+    if (!hasMore || !frame.fullSync)
         return;
     for (const auto &each : applyServers(frame))
         m_onEvent(each);
@@ -314,7 +351,8 @@
     m_nextPeerRequest = m_loop.now() + PeerRequestInterval;
     // The peers of the own data centre come first.
     const auto localNodes = m_peers.relayOrder().size();
-    const bool anyDataCenter = localNodes < 2 || randomBelow(RemoteRequestRatio) == 0;
+    const bool anyDataCenter =
+        localNodes < 2 || m_asksAnyDataCenter || randomBelow(RemoteRequestRatio) == 0;
     const auto randomIndex =
         randomBelow(anyDataCenter ? peers.size() : std::min(localNodes, peers.size()));
     if (const auto link = m_peers.linkTo(peers[randomIndex]))
--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -104,7 +104,6 @@
             applyRemoval({id, revision}, events);
     }
     m_listed = true;
-    m_lastContactAt = m_clock.now();
     return summarized(std::move(events));
 }
 
@@ -278,11 +277,29 @@
     m_storeFailed = true;
 }
 
+// Entries expire while their servers can't reach the store. If the store kept answering the nodes
+// that this node follows, it was this node alone that was cut off, and removals are real.
 void published_state::onStoreAnswered()
 {
-    m_lastContactAt = m_clock.now();
-    if (std::exchange(m_storeFailed, false))
-        m_deferUntil = m_clock.now() + m_removalDelay;
+    const bool failed = std::exchange(m_storeFailed, false);
+    if (recordContact(m_clock.now()))
+        deferRemovals(m_removalDelay);
+    else if (failed)
+        deferRemovals(
+            (m_sourceDeferral ? m_sourceDeferral() : std::nullopt).value_or(m_removalDelay));
+}
+
+void published_state::onReaderContact(milliseconds age)
+{
+    if (recordContact(m_clock.now() - age))
+        deferRemovals(m_removalDelay);
+}
+
+bool published_state::recordContact(steady_time at)
+{
+    const bool missedChanges = m_listed && at - m_lastContactAt > MaxContactGap;
+    m_lastContactAt = std::max(m_lastContactAt, at);
+    return missedChanges;
 }
 
 void published_state::deferRemovals(milliseconds time)
--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -5,12 +5,15 @@
 #include "gateway/publication/evacuations.h"
 #include "gateway/servers/server_directory.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace orchidlead::gateway {
@@ -36,6 +39,10 @@
     std::string detail;
 };
 
+/// Longest time without contact in which no entry of a sound server expires: an entry expires after
+/// three heartbeats of its server, of which the first was due when the contact ended.
+inline constexpr milliseconds MaxContactGap{2400};
+
 /// Holds the state published by the platform: the latest configuration, the backend servers and the
 /// evacuated data centres.
 ///
@@ -81,11 +88,20 @@
 
     /// Records that a call to the store failed.
     void onStoreFailed();
-    /// Records that the store answered.
+    /// Records that the store answered. Removals are deferred if this node had no contact for
+    /// longer than `MaxContactGap`, and if its calls failed before, unless the nodes that it
+    /// follows have the current state and don't defer removals.
     void onStoreAnswered();
-    /// Records a message with current state from a source of this node.
-    void onReaderContact() { m_lastContactAt = m_clock.now(); }
-    /// Defers removals for `time`, since a peer knows that the store was unreachable.
+    /// Sets the function that returns for how much longer the nodes that this node follows defer
+    /// removals; empty if none of them has the current state.
+    void setSourceDeferral(std::function<std::optional<milliseconds>()> deferral)
+    {
+        m_sourceDeferral = std::move(deferral);
+    }
+    /// Records a message with current state and the time since the store answered its reader.
+    /// Removals are deferred if this node had no contact for longer than `MaxContactGap` before.
+    void onReaderContact(milliseconds age);
+    /// Defers removals for `time`, but not for longer than after a failure of the store.
     void deferRemovals(milliseconds time);
     [[nodiscard]] milliseconds removalsDeferred() const;
     /// Returns whether the removal of that server has been read and is still deferred.
@@ -113,6 +129,9 @@
     void applyServer(const published_server &announced, std::vector<publication_event> &events);
     void applyRemoval(const removed_server &removal, std::vector<publication_event> &events);
     void recordRemoval(const removed_server &removal);
+    /// Records that the state was current at a time. Returns whether entries may have expired and
+    /// returned unnoticed since the contact before.
+    bool recordContact(steady_time at);
     [[nodiscard]] bool isOutdated(const published_server &announced) const;
     [[nodiscard]] bool isOutdated(const removed_server &removal) const;
     void applyConfiguration(const published_configuration &published,
@@ -139,6 +158,7 @@
     std::map<backend_server_id, std::uint64_t> m_removals;
     std::deque<removed_server> m_removalOrder; ///< oldest first
     std::function<void(const configuration_ptr &)> m_onConfiguration;
+    std::function<std::optional<milliseconds>()> m_sourceDeferral;
 };
 
 } // namespace orchidlead::gateway
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -279,6 +279,7 @@
     frame.revision = 1ULL << 40U;
     frame.removed = {{backend_server_id("gone"), 41}};
     frame.removalsDeferred = milliseconds{2300};
+    frame.contactAge = milliseconds{310};
     for (int i = 0; i < 3; ++i) {
         server_record record;
         record.id = backend_server_id("s" + std::to_string(i));
@@ -307,6 +308,7 @@
     CHECK(read.revision == 1ULL << 40U);
     CHECK(read.removed == frame.removed);
     CHECK(read.removalsDeferred == milliseconds{2300});
+    CHECK(read.contactAge == milliseconds{310});
 }
 
 TEST_CASE("follow, compare and publication request frames keep their fields")
--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -255,3 +256,39 @@
         }
     }));
 }
+
+// Guards against deferring the removals that other nodes have seen happen while this one was cut
+// off, and against dropping servers that none of them could know to be sound.
+TEST_CASE(
+    "after a failure of the store removals are deferred for as long as the sources defer them")
+{
+    const auto ofSources = GENERATE(as<std::optional<milliseconds>>{}, std::nullopt,
+                                    milliseconds{0}, milliseconds{700});
+    CAPTURE(ofSources);
+    world w;
+    w.state.setSourceDeferral([&] { return ofSources; });
+    w.state.apply({makeServer("s1", false, 10)});
+    w.state.onStoreFailed();
+    w.state.onStoreAnswered();
+    w.state.apply({makeRemoval("s1", 12)});
+    const auto deferred = ofSources.value_or(RemovalDelay);
+    CHECK(w.isKnown("s1") == (deferred > milliseconds{0}));
+    w.clock.advance(deferred);
+    w.state.tick();
+    CHECK_FALSE(w.isKnown("s1"));
+}
+
+// Guards against dropping sound servers on a node that began to read the store during an outage, so
+// that no call of its own failed.
+TEST_CASE("removals are deferred after a long time without contact")
+{
+    const auto gap = GENERATE(MaxContactGap, MaxContactGap + milliseconds{1});
+    CAPTURE(gap.count());
+    world w;
+    w.state.applyList({makeServer("s1", false, 10)}, 10);
+    w.state.onReaderContact(milliseconds{0});
+    w.clock.advance(gap);
+    w.state.onStoreAnswered();
+    w.state.apply({makeRemoval("s1", 12)});
+    CHECK(w.isKnown("s1") == (gap > MaxContactGap));
+}
--- a/tests/platform/publication_relay_test.cpp
+++ b/tests/platform/publication_relay_test.cpp
@@ -51,6 +51,25 @@
             milliseconds{2000});
     }
 
+    [[nodiscard]] std::size_t countEvents(const std::string &event) const
+    {
+        return countIn(logOutput.str(), "event=" + event + " ");
+    }
+    /// Cuts a node that reads the store off from the store for a time, after which it has noticed
+    /// this; returns its name.
+    std::string cutReaderFromStore(milliseconds time)
+    {
+        const auto before = countEvents("store_lost");
+        for (const auto &name : names) {
+            cutFromStore(name);
+            runFor(time);
+            if (countEvents("store_lost") > before)
+                return name;
+            healStore(name);
+        }
+        FAIL("no node reads the store");
+        return {};
+    }
     /// Sends requests to a node and returns how many of them a server got.
     std::size_t countAt(const std::string &serverId, const std::string &name)
     {
@@ -305,3 +324,47 @@
         }
     }
 }
+
+// Guards against nodes that keep a server that has left since another node, which was cut off from
+// the store by itself, waits for entries that may have expired.
+TEST_CASE("a removal takes effect at once though a reader was cut off from the store before")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    w.addServer("web", "i-2");
+    w.runFor(milliseconds{1200});
+    const auto regained = w.countEvents("store_regained");
+    const auto cut = w.cutReaderFromStore(milliseconds{3000});
+    w.healStore(cut);
+    REQUIRE(w.runUntil([&] { return w.countEvents("store_regained") > regained; }));
+    w.store.remove("servers/i-2");
+    w.runFor(milliseconds{900});
+    for (const auto &name : w.names) {
+        CAPTURE(name, cut);
+        CHECK(w.countAt("i-2", name) == 0);
+    }
+}
+
+// Guards against dropping sound servers whose entries expired while the store was away for all.
+TEST_CASE("all nodes keep a server whose entry expired while none of them reached the store")
+{
+    relay_world w;
+    REQUIRE(w.settled);
+    for (const auto &name : w.names)
+        w.cutFromStore(name);
+    w.runFor(milliseconds{3500});
+    w.store.remove("servers/i-1");
+    for (const auto &name : w.names)
+        w.healStore(name);
+    w.runFor(milliseconds{1500});
+    for (const auto &name : w.names) {
+        CAPTURE(name);
+        CHECK(w.answers(name, "/p/", 200));
+    }
+    w.announce(w.server("i-1"), "web");
+    w.runFor(milliseconds{3000});
+    for (const auto &name : w.names) {
+        CAPTURE(name);
+        CHECK(w.answers(name, "/p/", 200));
+    }
+}
