Ask for pieces behind an omitted stage without a key

Cause: the writer chose between key and inputs by whether there are inputs. The key is now optional and set only for stages without others before them; all other pieces are written with their inputs, of which there may be none.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -78,8 +78,10 @@
     std::uint32_t piece = 0; ///< index from 0
     /// The server does not start the piece after this time.
     std::optional<milliseconds> clientTimeout;
-    std::string key; ///< `pieceKey`, for first stages only
-    std::vector<std::string> inputs; ///< result handles; empty for first stages
+    /// `pieceKey`, for first stages only; all others are computed from their inputs.
+    std::optional<std::string> key;
+    /// Result handles; empty for first stages, and if the request omits the stages before.
+    std::vector<std::string> inputs;
     request_digest digest{}; ///< of the client's request; sent between nodes only, not to servers
 };
 
--- a/src/gateway/peers/frames/piece_codec.cpp
+++ b/src/gateway/peers/frames/piece_codec.cpp
@@ -17,7 +17,7 @@
     out.pack(frame.request.attempt);
     out.pack(frame.request.stage);
     out.pack(frame.request.piece);
-    out.pack(frame.request.key);
+    packOptional(out, frame.request.key);
     out.pack(frame.request.inputs);
     packRank(out, frame.rank);
     packDuration(out, frame.softDeadlineLeft);
@@ -40,8 +40,11 @@
     frame.request.attempt = in.read<std::string>();
     frame.request.stage = in.read<std::uint32_t>();
     frame.request.piece = in.read<std::uint32_t>();
-    frame.request.key = in.read<std::string>();
+    frame.request.key = in.optional<std::string>();
     frame.request.inputs = in.read<std::vector<std::string>>();
+    // An older version sends an empty key with the inputs.
+    if (frame.request.key == "" && !frame.request.inputs.empty())
+        frame.request.key.reset();
     frame.rank = readRank(in);
     frame.softDeadlineLeft = in.duration();
     frame.deadlineLeft = in.duration();
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -44,6 +44,16 @@
 
 } // namespace
 
+// Guards against a key that appears on the way to the host of a pool.
+TEST_CASE("a piece frame without a key stays without one")
+{
+    auto frame = makePiece();
+    frame.request.key.reset();
+    CHECK_FALSE(roundTrip(frame).request.key);
+    frame.request.inputs.clear();
+    CHECK_FALSE(roundTrip(frame).request.key);
+}
+
 TEST_CASE("a piece frame keeps all fields that the stage call needs")
 {
     const auto read = roundTrip(makePiece());
--- a/tests/gateway/stage_progress_test.cpp
+++ b/tests/gateway/stage_progress_test.cpp
@@ -60,7 +60,7 @@
     REQUIRE(next.size() == 1);
     CHECK(next[0].service.value == "second");
     CHECK(next[0].request.inputs == std::vector<std::string>{"h/0", "h/1"});
-    CHECK(next[0].request.key.empty());
+    CHECK_FALSE(next[0].request.key);
 }
 
 TEST_CASE("the request's inputs are the results of the stages without dependents")
@@ -143,3 +143,48 @@
     auto progress = stage_progress::create(makeRoute(), makeMetadata({1, 1, 0}));
     CHECK(progress->takeReadyPieces(makeTimes({300, 100, 400})).size() == 2);
 }
+
+// Guards against pieces that are computed from an empty key as the stages before them are omitted.
+TEST_CASE("pieces behind an omitted stage have no key, and the inputs of the other stages before")
+{
+    route stagedRoute;
+    stagedRoute.stages = {makeStage("a", {}, 10), makeStage("b", {}, 10), makeStage("c", {0}, 10),
+                          makeStage("d", {0, 1}, 10)};
+    auto progress = stage_progress::create(stagedRoute, makeMetadata({0, 1, 1, 1}));
+    REQUIRE(progress);
+    const auto first = progress->takeReadyPieces(NoTime);
+    REQUIRE(first.size() == 2);
+    CHECK(first[0].service.value == "b");
+    CHECK(first[0].request.key == "key");
+    CHECK(first[1].service.value == "c");
+    CHECK_FALSE(first[1].request.key);
+    CHECK(first[1].request.inputs.empty());
+    progress->onResult(1, 0, "b/0");
+    const auto last = progress->takeReadyPieces(NoTime);
+    REQUIRE(last.size() == 1);
+    CHECK_FALSE(last[0].request.key);
+    CHECK(last[0].request.inputs == std::vector<std::string>{"b/0"});
+}
+
+// Guards against a request that is given the results of stages that others follow, or only some of
+// the others, where stages are omitted.
+TEST_CASE("the request's inputs are those of the last stages, whichever stage is omitted")
+{
+    const std::size_t omitted = GENERATE(as<std::size_t>{}, 0, 1, 2);
+    CAPTURE(omitted);
+    route stagedRoute;
+    stagedRoute.stages = {makeStage("a", {}, 10), makeStage("b", {0}, 10), makeStage("c", {1}, 10)};
+    std::vector<std::uint32_t> counts(3, 1);
+    counts[omitted] = 0;
+    auto progress = stage_progress::create(stagedRoute, makeMetadata(counts));
+    REQUIRE(progress);
+    while (!progress->done()) {
+        const auto ready = progress->takeReadyPieces(NoTime);
+        REQUIRE_FALSE(ready.empty());
+        for (const auto &each : ready)
+            progress->onResult(each.request.stage, each.request.piece, each.service.value + "/0");
+    }
+    const auto expected =
+        omitted == 2 ? std::vector<std::string>{} : std::vector<std::string>{"c/0"};
+    CHECK(progress->inputs() == expected);
+}
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -328,12 +328,19 @@
 TEST_CASE("pieces of a stage call are written with a key or with inputs")
 {
     const std::vector<piece_request> pieces{{"r1", 0, 2, milliseconds{900}, "7c\"1e", {}},
-                                            {"r2", 2, 0, std::nullopt, "", {"h/1"}}};
+                                            {"r2", 2, 0, std::nullopt, std::nullopt, {"h/1"}}};
     CHECK(codec::writePieces(pieces)
           == R"({"items":[{"id":"r1","stage":0,"segment":2,"remaining_ms":900,"key":"7c\"1e"},)"
              R"({"id":"r2","stage":2,"segment":0,"inputs":["h/1"]}]})");
 }
 
+// Guards against an empty key for pieces whose stages before are omitted: no client has sent it.
+TEST_CASE("a piece without a key and without inputs is written with an empty list of inputs")
+{
+    CHECK(codec::writePieces({{"r1", 1, 0, std::nullopt, std::nullopt, {}}})
+          == R"({"items":[{"id":"r1","stage":1,"segment":0,"inputs":[]}]})");
+}
+
 TEST_CASE("results of pieces are read as handles or as failure reasons")
 {
     const auto read = codec::readPieces(
