Generate the gaps of a test by value

GENERATE deduced a reference from the constant and read what was left of a temporary. The values are now taken as milliseconds; what the test demands is the same. It passes in both builds.

--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -282,7 +282,7 @@
 // that no call of its own failed.
 TEST_CASE("removals are deferred after a long time without contact")
 {
-    const auto gap = GENERATE(MaxContactGap, MaxContactGap + milliseconds{1});
+    const auto gap = GENERATE(as<milliseconds>{}, MaxContactGap, MaxContactGap + milliseconds{1});
     CAPTURE(gap.count());
     world w;
     w.state.applyList({makeServer("s1", false, 10)}, 10);
