Skip outdated entries where the changes for followers are made

Cause: to keep old entries from its followers, a reader copied every answer of the store, texts of configurations included, and compared each entry, also without followers; then the state compared each entry again.

Change: the frame of changes leaves out outdated entries itself, as it is made only if there are followers, and nothing is copied. Behaviour is the same.

--- a/src/gateway/publication/publication_relay_followers_impl.h
+++ b/src/gateway/publication/publication_relay_followers_impl.h
@@ -160,9 +160,11 @@
     return frame;
 }
 
-// Only the last change of each server is sent. Servers rewrite their entries repeatedly, so an
-// entry that this node and its followers already have is not sent. A server whose removal was sent
-// is sent again when its entry returns, even if the entry is unchanged.
+// Only the last change of each server is sent, and none that is outdated: while the call to the
+// store waited, this node may have followed a reader that has later changes. Servers rewrite their
+// entries repeatedly, so an entry that this node and its followers already have is not sent. A
+// server whose removal was sent is sent again when its entry returns, even if the entry is
+// unchanged.
 template <gateway_codec Codec>
 publication_frame publication_relay<Codec>::makeChanges(const store_update &update) const
 {
@@ -170,6 +172,8 @@
     std::map<backend_server_id, const published_server *> last; // null if removed
     std::map<backend_server_id, std::uint64_t> removedBetween; // with the revision
     for (const auto &item : update.items) {
+        if (m_state.isOutdated(item))
+            continue;
         if (const auto *server = std::get_if<published_server>(&item))
             last[server->record.id] = server;
         else if (const auto *removed = std::get_if<removed_server>(&item)) {
--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t MaxSeparateEvents = 24;
 
 // Number of removals whose revisions are kept, so that older entries of the servers are ignored:
-// more servers than are replaced on an ordinary day, and about 1 MB.
+// more servers than are replaced on an ordinary day.
 constexpr std::size_t MaxKeptRemovals = 8192;
 
 // Replaces many events of one kind by one with their count: otherwise the list of thousands of
--- a/src/gateway/publication/store_reader_impl.h
+++ b/src/gateway/publication/store_reader_impl.h
@@ -177,10 +177,7 @@
     call(Codec::watchTarget(m_revision, wait), wait + m_options.answerTimeout, &Codec::readChanges,
          [this](published_page &&page) {
              m_revision = std::max(m_revision, page.revision);
-             // While the call waited, this node may have followed a reader that has later changes.
-             auto current = page.items;
-             std::erase_if(current, [this](const auto &each) { return m_state.isOutdated(each); });
-             notifyReadHandler({current, false});
+             notifyReadHandler({page.items, false});
              reportEvents(m_state.apply(page.items));
              m_state.advanceEvacuations(page.revision);
              const bool pauses = !page.items.empty() && page.items.size() < m_options.largeAnswer;
