Compute the version of a stream from the first attempt and the published servers

Callers whose streams broke off when all gateways were killed got either answers joined from two software versions (the old version had left before a gateway read its list), or refusals although servers of their version served.

A gateway without a record of a stream continued it if its list showed a single version. That list had just been read, so that it says nothing of the time at which the stream began.

The version on which a stream begins is now a function of customer, attempt and the published ready servers, each version by its share. A gateway without a record computes it for all lists that were published while the stream may have begun, and continues the stream only if all give the same version. It knows these lists from its own memory, from a gateway that has one, or from the history of the store, which it reads when no gateway answers. Servers that left and whose version the history doesn't show count as unknown: only streams that they can't have begun go on. If the store dropped its history, the service must have no server that is younger than the stream.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -122,6 +122,7 @@
     server_record record;
     milliseconds coldTimeLeft{0}; ///< remaining cold time when this was sent
     std::uint64_t revision = 0; ///< store revision of the change; 0: unknown
+    std::uint64_t created = 0; ///< store revision at which the entry was created; 0: unknown
 };
 struct removed_server
 {
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -355,7 +355,8 @@
     steady_time m_deadline; ///< deadline of the final answer
     std::uint32_t m_priority = 0;
     service_id m_service;
-    /// Version that wrote the first event of the stream; empty: there was none yet.
+    std::optional<request_digest> m_stream; ///< on streaming routes
+    /// Version on which the stream began or must begin; empty: any.
     std::optional<software_version> m_version;
     bool m_done = false;
     request_log m_decisions;
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -62,12 +62,18 @@
         self->m_deadlineTimer = 0;
         self->onTimeout();
     });
+    if (m_route->kind == request_kind::Stream)
+        m_stream = streamDigestOf(m_customer ? m_customer->id : customer_id{},
+                                  m_metadata.continuesStream ? m_metadata.firstAttempt
+                                                             : m_metadata.attempt);
     m_service = pickService();
-    const bool continues = m_metadata.continuesStream || !m_metadata.firstAttempt.empty();
-    if (m_route->kind == request_kind::Stream && continues)
+    if (m_stream && m_metadata.continuesStream) {
         findStreamOrigin();
-    else
-        begin();
+        return;
+    }
+    if (m_stream && m_route->repeatable())
+        m_version = m_context.streamOrigins.versionForNew(*m_stream, m_service);
+    begin();
 }
 
 template <gateway_codec Codec>
@@ -82,20 +88,22 @@
     checkQuarantine([self = this->shared_from_this()] { self->startStages(); });
 }
 
+// A client waits for as long as the route allows. One that still waits for longer than that has
+// spent at most one attempt of the longest time.
 template <gateway_codec Codec>
 milliseconds exchange<Codec>::maxStreamAge() const
 {
-    return 2 * std::max(m_route->timeout, m_metadata.clientTimeout.value_or(m_route->timeout));
+    const auto left = m_metadata.clientTimeout.value_or(milliseconds{0});
+    return left > m_route->timeout ? m_route->timeout : m_route->timeout - left;
 }
 
-// Without the name of the first attempt the lookup finds no record, but whether there is a choice
-// of versions at all.
+// Without the attempt or a readable event the request doesn't say which stream it continues.
 template <gateway_codec Codec>
 void exchange<Codec>::findStreamOrigin()
 {
-    const auto customer = m_customer ? m_customer->id : customer_id{};
-    m_context.streamOrigins.find(streamDigestOf(customer, m_metadata.firstAttempt), m_service,
-                                 maxStreamAge(),
+    const bool isNamed = !m_metadata.firstAttempt.empty() && m_metadata.lastEvent;
+    const auto named = isNamed ? m_stream : std::nullopt;
+    m_context.streamOrigins.find(named, m_service, maxStreamAge(),
                                  [self = this->shared_from_this()](const origin_lookup &found) {
                                      if (!self->m_done)
                                          self->onStreamOrigin(found);
@@ -103,23 +111,20 @@
 }
 
 // A stream whose version isn't known is refused: servers don't check whether the events before fit
-// theirs, and the client can't tell either. A client that names no last event gets the stream from
-// its first event on, which any version may write.
+// theirs, and the client can't tell either.
 template <gateway_codec Codec>
 void exchange<Codec>::onStreamOrigin(const origin_lookup &found)
 {
     logStreamOrigin(found);
-    if (!found.origin && m_metadata.continuesStream) {
+    if (!found.origin) {
         refuse(request_outcome::OriginUnknown);
         return;
     }
-    if (found.origin) {
-        m_version = found.origin->version;
-        const auto &service = found.origin->service;
-        if (std::ranges::find(m_route->services, service, &weighted_service::service)
-            != m_route->services.end())
-            m_service = service;
-    }
+    m_version = found.origin->version;
+    const auto &service = found.origin->service;
+    if (std::ranges::find(m_route->services, service, &weighted_service::service)
+        != m_route->services.end())
+        m_service = service;
     begin();
 }
 
@@ -288,8 +293,10 @@
         total += each.weight;
     if (total == 0)
         return services.front().service;
-    std::uint32_t drawn =
-        std::uniform_int_distribution<std::uint32_t>(0, total - 1)(m_context.random);
+    // Each node that continues a stream picks the same service, also without a record of it.
+    std::uint32_t drawn = m_stream
+        ? shareOf(*m_stream, digest_part::Service, total)
+        : std::uniform_int_distribution<std::uint32_t>(0, total - 1)(m_context.random);
     for (const auto &each : services) {
         if (drawn < each.weight)
             return each.service;
@@ -322,7 +329,7 @@
         return quarantine.remaining;
     if (outcome == request_outcome::Evacuated || outcome == request_outcome::NoServerInRegion
         || outcome == request_outcome::ServersLeaving
-        || outcome == request_outcome::NoServerOfVersion)
+        || (outcome == request_outcome::NoServerOfVersion && m_metadata.continuesStream))
         return UnavailableRetryDelay;
     const bool roomKnown = outcome == request_outcome::ServersLimited
         || outcome == request_outcome::ServersBackingOff || outcome == request_outcome::NotAdmitted;
@@ -339,12 +346,12 @@
 }
 
 // A retry helps neither if the version of a stream isn't known, nor if none of its servers may get
-// work again, so the client is given no time for one.
+// work again, so the client is given no time for one. A new stream may begin on another version.
 template <gateway_codec Codec>
 bool exchange<Codec>::isFinal(request_outcome outcome) const
 {
     const bool noneLeft = outcome == request_outcome::NoServerOfVersion
-        && !m_context.directory.mayReturn(m_service, *m_version);
+        && m_metadata.continuesStream && !m_context.directory.mayReturn(m_service, *m_version);
     return noneLeft || outcome == request_outcome::OriginUnknown;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/exchange/startup_queue.h"
 #include "gateway/peers/lost_data_center_relay.h"
 #include "gateway/publication/publication_relay.h"
+#include "gateway/publication/store_history_reader.h"
 #include "gateway/publication/published_state.h"
 #include "gateway/publication/store_reader.h"
 #include "gateway/quarantine/server_crash_detector.h"
@@ -101,6 +102,7 @@
     published_state m_state;
     stream_origin_relay m_streamOrigins;
     store_reader<Codec> m_follower;
+    store_history_reader<Codec> m_historyReader;
     publication_relay<Codec> m_relay;
     server_crash_detector m_crashDetector;
     /// Crashes to be confirmed once it is known that this node is not cut off from all servers.
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -10,6 +10,9 @@
 /// Time after the return of the store during which removals of servers are deferred: entries of
 /// running servers reappear within about 2 s.
 inline constexpr milliseconds RemovalDelay{2300};
+/// How much later than `platform_bounds::publicationApply` a node may still have an old list: one
+/// that it read at its start may be a second old.
+inline constexpr milliseconds MaxListDelay{1000};
 /// How often deferred removals and readiness are checked.
 inline constexpr milliseconds TickInterval{100};
 /// Time after the stop signal when idle connections are closed. New connections arrive until the
@@ -123,6 +126,7 @@
               onPublicationEvent(publicationEvent);
           },
           log, seedOf(m_settings.vm), storeOptionsFor(m_settings.bounds.publicationApply))
+    , m_historyReader(m_loop, m_follower)
     , m_relay(
           m_loop, m_peers, m_directory, m_state, m_follower,
           [this](const publication_event &publicationEvent) {
@@ -195,6 +199,11 @@
     });
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
     m_follower.onRead([this](const store_update &update) { m_relay.onStoreUpdate(update); });
+    m_streamOrigins.setHistory(
+        [this](stream_origin_relay::history_handler handler) {
+            m_historyReader.read(std::move(handler));
+        },
+        m_settings.bounds.historyKept, m_settings.bounds.publicationApply + MaxListDelay);
     setServerHandlers();
     m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
                                   std::string &&body) {
--- a/src/gateway/peers/frames/stream_origin_codec.cpp
+++ b/src/gateway/peers/frames/stream_origin_codec.cpp
@@ -61,13 +61,14 @@
 void pack(packer &out, const stream_origin_answer &frame)
 {
     constexpr std::uint32_t OriginFields = 2;
-    packKind(out, frame_kind::StreamOriginAnswer, 4);
+    packKind(out, frame_kind::StreamOriginAnswer, 5);
     out.pack(frame.id);
     out.pack(frame.severalVersions);
     out.pack(frame.covered);
     out.pack_array(frame.origin ? OriginFields : 0);
     if (frame.origin)
         packOrigin(out, *frame.origin);
+    packOptional(out, frame.computed ? std::optional(frame.computed->value) : std::nullopt);
 }
 
 void read(field_reader &in, stream_origin_answer &frame)
@@ -76,6 +77,10 @@
     frame.severalVersions = in.read<bool>();
     frame.covered = in.read<bool>();
     readList(in, [&](field_reader &items) { frame.origin = readOrigin(items); });
+    if (in.atEnd())
+        return; // from a node that computes no versions
+    if (auto computed = in.optional<std::string>())
+        frame.computed = software_version(std::move(*computed));
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -158,7 +158,9 @@
     std::uint64_t id = 0; ///< chosen by the receiver
     std::optional<stream_origin> origin; ///< empty: unknown to the sender
     bool severalVersions = false; ///< servers of several versions have served within `maxAge`
-    bool covered = false; ///< the sender knows that a single version has served since `maxAge`
+    bool covered = false; ///< the sender knows all versions that have served within `maxAge`
+    /// Computed version of the stream; empty: not certain, or the sender knows too little.
+    std::optional<software_version> computed;
 };
 
 /// Reports that the sender, or a node that notified the sender, cannot reach a data centre. The
--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -50,11 +50,22 @@
     : m_clock(clock)
     , m_directory(directory)
     , m_removalDelay(removalDelay)
+    , m_versions(clock)
 { }
 
 std::vector<publication_event> published_state::apply(const std::vector<published_item> &items)
 {
-    return summarized(applyAll(items));
+    auto events = applyAll(items);
+    recordShares();
+    return summarized(std::move(events));
+}
+
+void published_state::recordShares()
+{
+    if (!m_listed)
+        return;
+    for (const auto &[service, shares] : m_directory.takeChangedShares())
+        m_versions.record(service, shares);
 }
 
 std::vector<publication_event> published_state::applyAll(const std::vector<published_item> &items)
@@ -104,6 +115,7 @@
             applyRemoval({id, revision}, events);
     }
     m_listed = true;
+    recordShares();
     return summarized(std::move(events));
 }
 
@@ -298,6 +310,8 @@
 bool published_state::recordContact(steady_time at)
 {
     const bool missedChanges = m_listed && at - m_lastContactAt > MaxContactGap;
+    if (missedChanges)
+        m_versions.forgetBeforeNow();
     m_lastContactAt = std::max(m_lastContactAt, at);
     return missedChanges;
 }
@@ -327,6 +341,7 @@
         }
         return true;
     });
+    recordShares();
     return summarized(std::move(events));
 }
 
--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -4,6 +4,7 @@
 #include "gateway/publication/configuration.h"
 #include "gateway/publication/evacuations.h"
 #include "gateway/servers/server_directory.h"
+#include "gateway/servers/version_history.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -118,6 +119,13 @@
     /// Returns when the store, or a source with current state, last sent something. The state is at
     /// least that recent.
     [[nodiscard]] steady_time lastContactAt() const { return m_lastContactAt; }
+    /// Returns the software versions that have been published as ready.
+    [[nodiscard]] const version_history &versions() const { return m_versions; }
+    /// Adds what was published before this node read a list.
+    void addEarlierVersions(const earlier_shares &earlier, steady_time since)
+    {
+        m_versions.addEarlier(earlier, since);
+    }
     void onConfiguration(std::function<void(const configuration_ptr &)> handler)
     {
         m_onConfiguration = std::move(handler);
@@ -125,6 +133,8 @@
 
 private:
     [[nodiscard]] std::vector<publication_event> applyAll(const std::vector<published_item> &items);
+    /// Records the shares that an update has changed. While no list is known they are incomplete.
+    void recordShares();
     void applyOne(const published_item &item, std::vector<publication_event> &events);
     void applyServer(const published_server &announced, std::vector<publication_event> &events);
     void applyRemoval(const removed_server &removal, std::vector<publication_event> &events);
@@ -148,6 +158,7 @@
     configuration_ptr m_configuration;
     std::string m_configurationText;
     evacuation_state m_evacuations;
+    version_history m_versions;
     bool m_listed = false;
     bool m_storeFailed = false;
     steady_time m_lastContactAt{};
--- a/src/gateway/publication/store_reader.h
+++ b/src/gateway/publication/store_reader.h
@@ -22,6 +22,14 @@
     bool complete = false; ///< a complete list, already applied to the state, instead of changes
 };
 
+/// The answer to a call to the store.
+struct store_answer
+{
+    int status = 0;
+    std::string body;
+    std::string failure; ///< empty if the answer is complete
+};
+
 /// Reads the store. At the start it reads what operators published and a list of servers that may
 /// be old, so that the node can serve at once. If the list has several pages, it reads only the
 /// first one: if all nodes that start at the same time read the complete list, the link of the
@@ -62,6 +70,11 @@
         m_onRead = std::move(handler);
     }
 
+    /// Makes a single call, independently of what this reader does. The call is abandoned if no part
+    /// of its answer arrives within `timeout`.
+    http::pool_call get(const std::string &target, milliseconds timeout,
+                        std::function<void(const store_answer &)> onAnswer);
+
     [[nodiscard]] bool connected() const { return m_connected; }
     [[nodiscard]] bool reading() const { return m_reading; }
     /// Returns whether the complete state, possibly an old one, has been read once; only changes
@@ -82,12 +95,6 @@
     }
 
 private:
-    struct store_answer
-    {
-        int status = 0;
-        std::string body;
-        std::string failure; ///< empty if the answer is complete
-    };
     /// A call without an answer yet.
     struct open_read
     {
@@ -105,8 +112,6 @@
     void readServers(const std::string &after, read_consistency freshness);
     void onServers(published_page &&page, read_consistency freshness);
     void watch();
-    http::pool_call get(const std::string &target, milliseconds timeout,
-                        std::function<void(const store_answer &)> onAnswer);
     /// Restarts the timer that abandons the call if no part of its answer arrives within `time`.
     void restartTimeout(const std::shared_ptr<open_read> &read, milliseconds time);
     void call(const std::string &target, milliseconds timeout, page_reader read,
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -123,12 +123,16 @@
         servers.all.push_back(entry);
         servers.byDataCenter[record.dataCenter].push_back(entry);
         ++servers.versions[record.version];
+        if (!record.leaving)
+            countReady(record, true);
         notifyChange(record.service);
         return;
     }
     if (coldTimeLeft > milliseconds{0})
         entry->coldUntil = coldUntil;
     const bool differs = entry->record.leaving != record.leaving;
+    if (differs)
+        countReady(record, !record.leaving);
     entry->record = record;
     if (differs)
         notifyChange(record.service);
@@ -156,6 +160,8 @@
     m_brittle.erase(entry->record.id);
     if (const auto version = servers.versions.find(entry->record.version); --version->second == 0)
         servers.versions.erase(version);
+    if (!entry->record.leaving)
+        countReady(entry->record, false);
     m_removedVersions.onRemoved(entry->record.service, entry->record.version);
     notifyChange(entry->record.service);
 }
@@ -172,6 +178,35 @@
     return versions;
 }
 
+void server_directory::countReady(const server_record &record, bool ready)
+{
+    auto &servers = m_byService[record.service].ready.servers;
+    auto &count = servers[record.version];
+    if (ready)
+        ++count;
+    else if (--count == 0)
+        servers.erase(record.version);
+    m_changedShares.insert(record.service);
+}
+
+std::vector<std::pair<service_id, version_shares>> server_directory::takeChangedShares()
+{
+    std::vector<std::pair<service_id, version_shares>> changed;
+    for (const auto &service : std::exchange(m_changedShares, {}))
+        changed.emplace_back(service, m_byService[service].ready);
+    return changed;
+}
+
+bool server_directory::startedBefore(const service_id &service, wall_time time) const
+{
+    const auto found = m_byService.find(service);
+    return found != m_byService.end() && !found->second.all.empty()
+        && std::ranges::all_of(found->second.all, [&](const server_ptr &each) {
+               const auto &startedAt = each->record.startedAt;
+               return startedAt && wall_time(milliseconds(*startedAt)) < time;
+           });
+}
+
 bool server_directory::mayReturn(const service_id &service, const software_version &version) const
 {
     const auto found = m_byService.find(service);
--- a/src/gateway/settings.cpp
+++ b/src/gateway/settings.cpp
@@ -12,6 +12,7 @@
 
 constexpr duration_range WindowRange{milliseconds{100}, std::chrono::minutes{10}};
 constexpr duration_range ApplyRange{std::chrono::seconds{1}, std::chrono::minutes{10}};
+constexpr duration_range HistoryRange{milliseconds{0}, std::chrono::hours{1}};
 constexpr duration_range GraceRange{milliseconds{0}, std::chrono::hours{1}};
 constexpr integer_range QueueRange{1, 1'000'000};
 constexpr integer_range RequestLinesRange{0, 1'000'000};
@@ -55,6 +56,7 @@
     mapping_reader section(reader);
     section.readDuration("stop_grace", bounds.stopGrace, GraceRange);
     section.readDuration("publication_apply", bounds.publicationApply, ApplyRange);
+    section.readDuration("history_kept", bounds.historyKept, HistoryRange);
     section.read("retry_share", presence::Optional, bounds.retryShare, readNumber);
     section.read("retry_reserve", presence::Optional, bounds.retryReserve, readNumber);
     section.readDuration("retry_window", bounds.retryWindow, WindowRange);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -36,6 +36,8 @@
     /// Longest time from the publication of a configuration or a leaving server in the store until
     /// nodes act on it.
     milliseconds publicationApply{2000};
+    /// How long the store keeps the history of its changes, unless it drops them earlier.
+    milliseconds historyKept{20'000};
     double retryShare = 0.2; ///< share of requests that may be sent to a server again
     double retryReserve = 50.0; ///< number of retries allowed in addition to the share
     milliseconds retryWindow{10'000};
--- a/src/gateway/streams/stream_origin_relay.cpp
+++ b/src/gateway/streams/stream_origin_relay.cpp
@@ -14,12 +14,16 @@
 constexpr std::chrono::minutes VersionMemory{5};
 // A list of servers older than this may lack a version that other nodes already know.
 constexpr milliseconds MaxListAge{2000};
+// The times of day of the VMs differ by less than this.
+constexpr std::chrono::seconds MaxClockError{3};
+// Minimum time between two readings of the store's history; each takes several calls.
+constexpr milliseconds HistoryPause{500};
 
 } // namespace
 
 stream_origin_relay::stream_origin_relay(http::io_loop &loop, peer_network &peers,
                                          const server_directory &directory,
-                                         const published_state &published)
+                                         published_state &published)
     : m_loop(loop)
     , m_peers(peers)
     , m_directory(directory)
@@ -69,44 +73,78 @@
 
 void stream_origin_relay::tick()
 {
-    if (!m_listKnownSince && m_published.hasServerList())
-        m_listKnownSince = m_loop.now();
     m_table.removeExpired();
     std::erase_if(m_unshared, [&](const request_digest &each) { return !m_table.recordOf(each); });
 }
 
+std::optional<software_version> stream_origin_relay::versionForNew(const request_digest &stream,
+                                                                   const service_id &service) const
+{
+    const auto *ready = m_published.versions().current(service);
+    return ready && ready->servers.size() > 1 ? assignedVersion(stream, *ready) : std::nullopt;
+}
+
+bool stream_origin_relay::isCurrent() const
+{
+    return m_loop.now() - m_published.lastContactAt() <= MaxListAge;
+}
+
+bool stream_origin_relay::hasNoYoungServer(const pending_lookup &asked) const
+{
+    return m_directory.startedBefore(asked.service,
+                                     m_loop.clock().wallNow() - asked.maxAge - MaxClockError);
+}
+
+stream_origin_relay::computed_version
+stream_origin_relay::compute(const pending_lookup &asked) const
+{
+    const auto &versions = m_published.versions();
+    const auto since = m_loop.now() - asked.maxAge;
+    return {versions.covers(asked.service, since),
+            versions.hadOneVersionSince(asked.service, since),
+            versions.assignedSince(asked.stream.value_or(request_digest{}), asked.service, since)};
+}
+
 stream_origin_answer stream_origin_relay::answerTo(const stream_origin_query &query) const
 {
+    pending_lookup asked;
+    asked.stream = query.stream;
+    asked.service = query.service;
+    asked.maxAge = query.maxAge;
+    const auto computed = compute(asked);
     stream_origin_answer answer;
     answer.id = query.id;
     answer.origin = m_table.find(query.stream);
-    const auto now = m_loop.now();
-    const auto versions = m_directory.versionsSince(query.service, now - query.maxAge);
-    answer.severalVersions = versions.size() > 1;
-    const bool current = now - m_published.lastContactAt() <= MaxListAge;
-    answer.covered = versions.size() == 1 && current && m_listKnownSince
-        && now - *m_listKnownSince >= query.maxAge;
+    answer.severalVersions = !computed.isOnly;
+    answer.covered = computed.covered && isCurrent();
+    if (answer.covered)
+        answer.computed = computed.version;
     return answer;
 }
 
 // Asks nobody if this node has known for long enough that there is only one version.
-void stream_origin_relay::find(const request_digest &stream, const service_id &service,
-                               milliseconds maxAge, lookup_handler handler)
+void stream_origin_relay::find(const std::optional<request_digest> &stream,
+                               const service_id &service, milliseconds maxAge,
+                               lookup_handler handler)
 {
-    const auto id = ++m_lastLookup;
-    const auto own = answerTo({id, stream, service, maxAge});
-    if (own.origin) {
-        handler({own.origin, origin_source::Own});
+    if (const auto own = stream ? m_table.find(*stream) : std::nullopt) {
+        handler({own, origin_source::Own});
         return;
     }
+    const auto id = ++m_lastLookup;
     auto &pending = m_pending[id];
+    pending.stream = stream;
     pending.service = service;
+    pending.maxAge = maxAge + m_listDelay;
     pending.handler = std::move(handler);
-    pending.severalVersions = own.severalVersions;
-    if (!own.covered) {
-        for (const auto &vm : m_peers.originCandidates(stream)) {
+    const auto own = compute(pending);
+    if (!own.covered || !own.isOnly || !isCurrent()) {
+        const auto asked = stream.value_or(request_digest{});
+        const auto candidates = m_peers.originCandidates(asked);
+        pending.candidates = candidates.size();
+        for (const auto &vm : candidates) {
             if (const auto link = m_peers.linkTo(vm)) {
-                link->send(stream_origin_query{id, stream, service, maxAge});
+                link->send(stream_origin_query{id, asked, service, pending.maxAge});
                 pending.unanswered.push_back(link);
             }
         }
@@ -137,23 +175,86 @@
         complete(answer.id, {answer.origin, origin_source::Peer});
         return;
     }
+    pending.covered = pending.covered || answer.covered;
     pending.severalVersions = pending.severalVersions || answer.severalVersions;
-    const bool isOnlyVersion = answer.covered && !pending.severalVersions;
+    if (answer.computed)
+        pending.computed.insert(*answer.computed);
+    const bool isOnlyVersion = answer.computed && !pending.severalVersions;
     if (isOnlyVersion || pending.unanswered.empty())
         giveUp(answer.id);
 }
 
-// Without a record the stream may continue if no node that answered knows of a second version: in
-// the usual case a service has one version, and the nodes that kept the record have ended.
+// A version that is not in a list that was just read may have served a moment ago. Without a
+// record the stream may continue only on a version that a node which knows all versions since then
+// has computed. Without such a node:
+// - If no node has current knowledge, all nodes asked have answered and so are not cut off from
+//   each other: then the store is down, and nothing has been published that this node doesn't know.
+// - If no server has started since, no release was in progress.
+std::optional<origin_lookup> stream_origin_relay::conclude(const pending_lookup &asked) const
+{
+    const auto own = compute(asked);
+    const bool current = isCurrent();
+    auto computed = asked.computed;
+    if (own.covered && current && own.version)
+        computed.insert(*own.version);
+    bool covered = asked.covered || (own.covered && current);
+    const bool storeDown = own.covered && !current && asked.answered == asked.candidates;
+    if (!covered && (storeDown || hasNoYoungServer(asked))) {
+        covered = true;
+        if (own.version)
+            computed.insert(*own.version);
+    }
+    if (!covered)
+        return std::nullopt;
+    const bool isOnly = own.isOnly && !asked.severalVersions;
+    if (computed.size() != 1 || (!asked.stream && !isOnly))
+        return origin_lookup{};
+    return origin_lookup{stream_origin{asked.service, *computed.begin()},
+                         isOnly ? origin_source::OnlyVersion : origin_source::Computed};
+}
+
 void stream_origin_relay::giveUp(std::uint64_t id)
 {
-    const auto &pending = m_pending.at(id);
-    const auto versions = m_directory.versionsSince(pending.service, m_loop.now() - VersionMemory);
-    if (!pending.severalVersions && versions.size() == 1)
-        complete(id,
-                 {stream_origin{pending.service, *versions.begin()}, origin_source::OnlyVersion});
-    else
-        complete(id, {});
+    auto &pending = m_pending.at(id);
+    m_loop.cancelTimer(std::exchange(pending.timer, 0));
+    pending.unanswered.clear();
+    const bool covered = pending.covered || (compute(pending).covered && isCurrent());
+    if (!covered && m_readHistory && (m_loop.now() >= m_nextHistoryRead || isReadingHistory())) {
+        m_awaitingHistory.push_back(id);
+        if (m_awaitingHistory.size() == 1)
+            readHistory();
+        return;
+    }
+    complete(id, conclude(pending).value_or(origin_lookup{}));
+}
+
+void stream_origin_relay::setHistory(history_reader reader, milliseconds keptFor,
+                                     milliseconds listDelay)
+{
+    m_readHistory = std::move(reader);
+    m_historyKeptFor = keptFor;
+    m_listDelay = listDelay;
+}
+
+void stream_origin_relay::readHistory()
+{
+    m_nextHistoryRead = m_loop.now() + HistoryPause;
+    m_readHistory([this, at = m_loop.now(),
+                   wall = m_loop.clock().wallNow()](std::optional<store_history> history) {
+        if (history)
+            addHistory(*history, at, wall);
+        for (const auto id : std::exchange(m_awaitingHistory, {}))
+            complete(id, conclude(m_pending.at(id)).value_or(origin_lookup{}));
+    });
+}
+
+void stream_origin_relay::addHistory(const store_history &history, steady_time readAt,
+                                     wall_time readAtWall)
+{
+    const auto earlier = sharesSince(history, readAtWall - m_historyKeptFor);
+    if (earlier)
+        m_published.addEarlierVersions(
+            *earlier, history.isWhole ? steady_time::min() : readAt - m_historyKeptFor);
 }
 
 // The handler may start another lookup.
--- a/src/gateway/streams/stream_origin_relay.h
+++ b/src/gateway/streams/stream_origin_relay.h
@@ -2,6 +2,7 @@
 
 #include "gateway/peers/peer_network.h"
 #include "gateway/publication/published_state.h"
+#include "gateway/publication/store_history.h"
 #include "gateway/streams/stream_origin_table.h"
 
 #include <orchidlead/enum_names.h>
@@ -12,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -21,8 +23,9 @@
 enum class origin_source : std::uint8_t {
     Own, ///< the node itself keeps the record
     Peer, ///< another node keeps it
-    OnlyVersion, ///< no other version has served as far as the nodes asked know
-    Unknown, ///< several versions have served, and no node that answered keeps the record
+    OnlyVersion, ///< no other version can have served while the stream existed
+    Computed, ///< by the versions that served at that time; no node that answered keeps a record
+    Unknown, ///< no node keeps the record, and the version can't be computed with certainty
 };
 
 /// The result of a lookup; without an origin the source is `Unknown`.
@@ -40,20 +43,37 @@
 /// versions serve, it also sends the record to a few nodes drawn from the stream's identifier, so
 /// that the record outlives the node. A node that continues a stream of another node asks these
 /// nodes. While all servers of a service have one version, nothing is sent.
+///
+/// Records end with the nodes. The version on which a stream begins is therefore a function of the
+/// stream and of the published servers (`assignedVersion`). A node without a record computes it
+/// again. It is certain if it was the same for all lists that were published while the stream may
+/// have begun. A node that has just started learns these lists from other nodes, or from the
+/// history of the store.
 class stream_origin_relay
 {
 public:
     using lookup_handler = std::function<void(const origin_lookup &)>;
+    using history_handler = std::function<void(std::optional<store_history>)>;
+    /// Reads the history of the store; the handler gets nothing if it could not be read.
+    using history_reader = std::function<void(history_handler)>;
 
     stream_origin_relay(http::io_loop &loop, peer_network &peers, const server_directory &directory,
-                        const published_state &published);
-
+                        published_state &published);
+
+    /// Sets how the history of the store is read, how long the store keeps it, and how much later
+    /// than the store a node may have a list.
+    void setHistory(history_reader reader, milliseconds keptFor, milliseconds listDelay);
+    /// Returns the version on which a new stream must begin; empty if all ready servers of the
+    /// service have the same version.
+    [[nodiscard]] std::optional<software_version> versionForNew(const request_digest &stream,
+                                                                const service_id &service) const;
     /// Records where a stream through this node began.
     void onStreamBegan(const stream_origin_record &record);
     /// Looks up where a stream began. `maxAge` is the longest time for which it may have existed.
-    /// Calls `handler` once, possibly before this function returns.
-    void find(const request_digest &stream, const service_id &service, milliseconds maxAge,
-              lookup_handler handler);
+    /// Without a stream the result has an origin only if there was no choice of versions. Calls
+    /// `handler` once, possibly before this function returns.
+    void find(const std::optional<request_digest> &stream, const service_id &service,
+              milliseconds maxAge, lookup_handler handler);
 
     /// Sends the records of a service of which a second version has appeared.
     void onServersChanged(const service_id &service);
@@ -68,34 +88,63 @@
 private:
     using link_ptr = std::shared_ptr<peer_link>;
 
+    /// What a node knows of the version of a stream without a record.
+    struct computed_version
+    {
+        bool covered = false; ///< all versions since the stream may have begun are known
+        bool isOnly = false; ///< there was no other one
+        std::optional<software_version> version; ///< empty: not certain
+    };
     struct pending_lookup
     {
+        std::optional<request_digest> stream; ///< empty: the client does not name it
         service_id service;
+        milliseconds maxAge{0}; ///< includes the delay of lists
         lookup_handler handler;
         std::vector<link_ptr> unanswered;
+        std::size_t candidates = 0; ///< nodes that may keep the record
         std::size_t asked = 0;
         std::size_t answered = 0;
-        bool severalVersions = false; ///< as far as this node and those that answered know
+        bool covered = false; ///< a node that answered knows all versions
+        bool severalVersions = false; ///< as far as the nodes that answered know
+        std::set<software_version> computed; ///< by nodes that answered
         http::timer_id timer = 0;
     };
 
     [[nodiscard]] bool hasSeveralVersions(const service_id &service) const;
     [[nodiscard]] stream_origin_answer answerTo(const stream_origin_query &query) const;
+    /// Computes the version of a stream from the published servers that this node knows of.
+    [[nodiscard]] computed_version compute(const pending_lookup &asked) const;
+    /// Returns whether this node's list is recent.
+    [[nodiscard]] bool isCurrent() const;
+    /// Returns whether no server of the service is younger than the stream may be.
+    [[nodiscard]] bool hasNoYoungServer(const pending_lookup &asked) const;
+    /// Returns the result of a lookup whose nodes have answered; empty if this node's knowledge
+    /// covers too little time.
+    [[nodiscard]] std::optional<origin_lookup> conclude(const pending_lookup &asked) const;
+    void readHistory();
+    [[nodiscard]] bool isReadingHistory() const { return !m_awaitingHistory.empty(); }
+    /// Adds the versions of a history that was read at these times.
+    void addHistory(const store_history &history, steady_time readAt, wall_time readAtWall);
     void share(const std::vector<stream_origin_record> &records);
     void onAnswer(const link_ptr &link, const stream_origin_answer &answer);
-    /// Ends a lookup without a record.
+    /// Ends a lookup without a record, after reading the history of the store if that may help.
     void giveUp(std::uint64_t id);
     void complete(std::uint64_t id, origin_lookup found);
 
     http::io_loop &m_loop;
     peer_network &m_peers;
     const server_directory &m_directory;
-    const published_state &m_published;
+    published_state &m_published;
     stream_origin_table m_table;
     std::vector<request_digest> m_unshared; ///< streams of this node whose records were not sent
     std::unordered_map<std::uint64_t, pending_lookup> m_pending;
     std::uint64_t m_lastLookup = 0;
-    std::optional<steady_time> m_listKnownSince;
+    history_reader m_readHistory;
+    milliseconds m_historyKeptFor{0};
+    milliseconds m_listDelay{0};
+    std::vector<std::uint64_t> m_awaitingHistory; ///< lookups, while the history is being read
+    steady_time m_nextHistoryRead{};
 };
 
 } // namespace orchidlead::gateway
@@ -108,6 +157,8 @@
         orchidlead::gateway::origin_source::Peer, "peer"},
     orchidlead::enum_name<orchidlead::gateway::origin_source>{
         orchidlead::gateway::origin_source::OnlyVersion, "only_version"},
+    orchidlead::enum_name<orchidlead::gateway::origin_source>{
+        orchidlead::gateway::origin_source::Computed, "computed"},
     orchidlead::enum_name<orchidlead::gateway::origin_source>{
         orchidlead::gateway::origin_source::Unknown, "unknown"},
 };
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -95,6 +96,8 @@
     [[nodiscard]] std::size_t longestBody() const { return m_longestBody; }
     /// Drops the history: watches from earlier revisions are answered with 410.
     void compact() { m_oldest = m_revision; }
+    /// Drops each change after this time.
+    void setHistory(milliseconds keptFor) { m_historyKeptFor = keptFor; }
     [[nodiscard]] socket_address address() const;
     [[nodiscard]] std::size_t calls() const { return m_calls; }
     /// Returns the number of watch calls.
@@ -109,8 +112,12 @@
         std::string value;
         std::uint64_t revision = 0;
         bool deleted = false;
+        std::uint64_t created = 0; ///< revision
+        steady_time at{};
     };
 
+    void write(const std::string &key, const std::string &value, bool deleted);
+    void dropOldHistory();
     void onRequest(const http::inbound_ptr &client, const http::request_head &head);
     void sendPieces(const http::inbound_ptr &client, const std::string &body, std::size_t sent);
     void sendEndless(const http::inbound_ptr &client, std::size_t sent);
@@ -127,6 +134,7 @@
     std::vector<entry> m_history; ///< every change, oldest first
     std::uint64_t m_revision = 10;
     std::uint64_t m_oldest = 0;
+    std::optional<milliseconds> m_historyKeptFor; ///< empty: for ever
     int m_failure = 0;
     std::uint64_t m_lag = 0;
     std::size_t m_pieces = 0;
