Begin streams on the version of the highest ranking server

With shares of versions in a row, a third version moved the streams of the second one, and one server that had left without a trace made twice its share of streams uncertain.

A stream now begins on the version of the ready server that ranks highest for it. A server that comes or goes moves only the streams that it wins, and the id of a server that has left is known from its removal even where its version isn't.

--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -295,7 +295,7 @@
         return services.front().service;
     // Each node that continues a stream picks the same service, also without a record of it.
     std::uint32_t drawn = m_stream
-        ? shareOf(*m_stream, digest_part::Service, total)
+        ? drawFrom(*m_stream, total)
         : std::uniform_int_distribution<std::uint32_t>(0, total - 1)(m_context.random);
     for (const auto &each : services) {
         if (drawn < each.weight)
--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -56,16 +56,16 @@
 std::vector<publication_event> published_state::apply(const std::vector<published_item> &items)
 {
     auto events = applyAll(items);
-    recordShares();
+    recordReadyChanges();
     return summarized(std::move(events));
 }
 
-void published_state::recordShares()
+void published_state::recordReadyChanges()
 {
     if (!m_listed)
         return;
-    for (const auto &[service, shares] : m_directory.takeChangedShares())
-        m_versions.record(service, shares);
+    for (const auto &each : m_directory.takeReadyChanges())
+        m_versions.record(each);
 }
 
 std::vector<publication_event> published_state::applyAll(const std::vector<published_item> &items)
@@ -115,7 +115,7 @@
             applyRemoval({id, revision}, events);
     }
     m_listed = true;
-    recordShares();
+    recordReadyChanges();
     return summarized(std::move(events));
 }
 
@@ -341,7 +341,7 @@
         }
         return true;
     });
-    recordShares();
+    recordReadyChanges();
     return summarized(std::move(events));
 }
 
--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -122,7 +122,7 @@
     /// Returns the software versions that have been published as ready.
     [[nodiscard]] const version_history &versions() const { return m_versions; }
     /// Adds what was published before this node read a list.
-    void addEarlierVersions(const earlier_shares &earlier, steady_time since)
+    void addEarlierVersions(const std::vector<earlier_ready_time> &earlier, steady_time since)
     {
         m_versions.addEarlier(earlier, since);
     }
@@ -133,8 +133,8 @@
 
 private:
     [[nodiscard]] std::vector<publication_event> applyAll(const std::vector<published_item> &items);
-    /// Records the shares that an update has changed. While no list is known they are incomplete.
-    void recordShares();
+    /// Records which servers an update has made ready. While no list is known they are incomplete.
+    void recordReadyChanges();
     void applyOne(const published_item &item, std::vector<publication_event> &events);
     void applyServer(const published_server &announced, std::vector<publication_event> &events);
     void applyRemoval(const removed_server &removal, std::vector<publication_event> &events);
--- a/src/gateway/publication/store_history.cpp
+++ b/src/gateway/publication/store_history.cpp
@@ -19,85 +19,47 @@
 {
     std::optional<service_id> service; ///< empty: may be any
     std::optional<software_version> version; ///< empty: may be any
-
-    bool operator==(const entry_state &) const = default;
 };
 
-wall_time startTimeOf(std::uint64_t startedAt)
-{
-    return wall_time(milliseconds(startedAt));
-}
-
-/// Replays changes and collects the shares of each service after each of them.
-class share_replay
+/// Replays changes and collects the times in which servers were ready.
+class ready_replay
 {
 public:
-    /// Changes an entry by a certain time; without a state, removes it.
+    /// Changes an entry by a certain time; without a state, its server is no longer ready.
     void put(const backend_server_id &id, const std::optional<entry_state> &state,
-             const std::optional<wall_time> &appliedBy = std::nullopt)
+             const std::optional<wall_time> &by)
     {
-        std::optional<entry_state> before;
-        if (const auto found = m_entries.find(id); found != m_entries.end())
-            before = found->second;
-        if (before == state)
-            return;
-        if (before)
-            count(*before, -1);
-        if (state)
-            count(*state, 1);
+        const auto found = m_open.find(id);
+        if (found != m_open.end()) {
+            if (state && found->second.service == state->service
+                && found->second.version == state->version)
+                return;
+            found->second.ended = true;
+            found->second.to = by;
+            m_collected.push_back(std::move(found->second));
+            m_open.erase(found);
+        }
         if (state)
-            m_entries[id] = *state;
-        else
-            m_entries.erase(id);
-        if (m_collecting)
-            collectChanged(appliedBy);
+            m_open[id] = {state->service, id, state->version, by, std::nullopt, false};
     }
-    /// Collects the shares from now on, beginning with the present ones.
-    void beginCollecting()
+    [[nodiscard]] std::vector<earlier_ready_time> take()
     {
-        m_collecting = true;
-        collectChanged(wall_time{});
+        for (auto &[id, each] : m_open)
+            m_collected.push_back(std::move(each));
+        m_open.clear();
+        return std::move(m_collected);
     }
-    [[nodiscard]] bool isFull() const { return m_full; }
-    [[nodiscard]] earlier_shares take() { return std::move(m_collected); }
 
 private:
-    void count(const entry_state &state, int by)
-    {
-        if (!state.service) {
-            m_unknownOfAny += static_cast<std::uint32_t>(by);
-            for (const auto &[service, shares] : m_shares)
-                m_changed.insert(service);
-            return;
-        }
-        auto &shares = m_shares[*state.service];
-        auto &counter = state.version ? shares.servers[*state.version] : shares.unknown;
-        counter += static_cast<std::uint32_t>(by);
-        if (state.version && counter == 0)
-            shares.servers.erase(*state.version);
-        m_changed.insert(*state.service);
-    }
-    void collectChanged(const std::optional<wall_time> &appliedBy)
-    {
-        for (const auto &service : m_changed) {
-            auto shares = m_shares[service];
-            shares.unknown += m_unknownOfAny;
-            auto &collected = m_collected[service];
-            collected.push_back({std::move(shares), appliedBy});
-            m_full = m_full || collected.size() > MaxReconstructedChanges;
-        }
-        m_changed.clear();
-    }
-
-    std::map<backend_server_id, entry_state> m_entries;
-    std::map<service_id, version_shares> m_shares;
-    std::uint32_t m_unknownOfAny = 0;
-    std::set<service_id> m_changed; ///< services whose shares were not collected since they changed
-    bool m_collecting = false;
-    bool m_full = false;
-    earlier_shares m_collected;
+    std::map<backend_server_id, earlier_ready_time> m_open;
+    std::vector<earlier_ready_time> m_collected;
 };
 
+wall_time startTimeOf(std::uint64_t startedAt)
+{
+    return wall_time(milliseconds(startedAt));
+}
+
 /// Returns the state of an entry whose server takes new requests; empty if it takes none.
 std::optional<entry_state> readyStateOf(const published_server &written)
 {
@@ -107,7 +69,7 @@
 }
 
 /// Returns what is known of an entry before the first of its changes that the history shows; empty
-/// if the entry didn't exist.
+/// if the entry didn't exist. A server publishes that it leaves only after it was ready.
 std::optional<entry_state> stateBefore(const published_item &first, const store_history &history,
                                        wall_time since)
 {
@@ -117,8 +79,8 @@
     if (!written)
         return entry_state{};
     const auto &record = written->record;
-    const bool isSameStart =
-        record.startedAt && startTimeOf(*record.startedAt) < since - MaxClockError;
+    const bool isSameStart = record.leaving
+        || (record.startedAt && startTimeOf(*record.startedAt) < since - MaxClockError);
     return entry_state{record.service, isSameStart ? std::optional(record.version) : std::nullopt};
 }
 
@@ -166,23 +128,24 @@
 
 } // namespace
 
-std::optional<earlier_shares> sharesSince(const store_history &history, wall_time since)
+std::optional<std::vector<earlier_ready_time>> readyTimesOf(const store_history &history,
+                                                            wall_time since)
 {
     if (wasDropped(history, since))
         return std::nullopt;
-    share_replay replay;
+    constexpr wall_time BeforeHistory{};
+    ready_replay replay;
     std::set<backend_server_id> changed;
     for (const auto &item : history.changes) {
         const auto id = subjectOf(item);
         if (id && changed.insert(*id).second)
-            replay.put(*id, stateBefore(item, history, since));
+            replay.put(*id, stateBefore(item, history, since), BeforeHistory);
     }
     for (const auto &item : history.present) {
         const auto *each = std::get_if<published_server>(&item);
         if (each && !changed.contains(each->record.id))
-            replay.put(each->record.id, readyStateOf(*each));
+            replay.put(each->record.id, readyStateOf(*each), BeforeHistory);
     }
-    replay.beginCollecting();
     const auto times = latestTimes(history.changes);
     for (std::size_t i = 0; i < history.changes.size(); ++i) {
         const auto id = subjectOf(history.changes[i]);
@@ -190,8 +153,6 @@
             continue;
         const auto *written = std::get_if<published_server>(&history.changes[i]);
         replay.put(*id, written ? readyStateOf(*written) : std::nullopt, times[i]);
-        if (replay.isFull())
-            return std::nullopt;
     }
     return replay.take();
 }
--- a/src/gateway/publication/store_history.h
+++ b/src/gateway/publication/store_history.h
@@ -20,15 +20,12 @@
     bool isWhole = false; ///< nothing happened before
 };
 
-/// Changes of each service beyond this number are not reconstructed.
-inline constexpr std::size_t MaxReconstructedChanges = 2048;
-
-/// Returns the shares that were published at some time since `since`, if the history reaches back
-/// so far. Servers that have left and whose version the history doesn't show count as unknown.
+/// Returns when each server was ready, from the time at which the history begins. A server that has
+/// left and whose entry the history doesn't show may have been of any service and version.
 ///
-/// Empty if the store has dropped the changes of that time, which is known if an entry is younger
-/// than `since` and its creation isn't among the changes, or if there are too many changes.
-[[nodiscard]] std::optional<earlier_shares> sharesSince(const store_history &history,
-                                                        wall_time since);
+/// Empty if the store has dropped changes since `since`: an entry is younger than that, and its
+/// creation isn't among the changes.
+[[nodiscard]] std::optional<std::vector<earlier_ready_time>>
+readyTimesOf(const store_history &history, wall_time since);
 
 } // namespace orchidlead::gateway
--- a/src/gateway/quarantine/request_digest.cpp
+++ b/src/gateway/quarantine/request_digest.cpp
@@ -47,15 +47,14 @@
     return digest;
 }
 
-std::uint32_t shareOf(const request_digest &digest, digest_part part, std::uint32_t total)
+std::uint32_t drawFrom(const request_digest &digest, std::uint32_t total)
 {
     constexpr std::size_t Bytes = 4;
     constexpr unsigned BitsPerByte = 8;
     constexpr unsigned Bits = 32;
-    const auto begin = Bytes * static_cast<std::size_t>(part);
     std::uint64_t bits = 0;
     for (std::size_t i = 0; i < Bytes; ++i)
-        bits = bits << BitsPerByte | digest.bytes.at(begin + i);
+        bits = bits << BitsPerByte | digest.bytes.at(i);
     return static_cast<std::uint32_t>((bits * total) >> Bits);
 }
 
--- a/src/gateway/quarantine/request_digest.h
+++ b/src/gateway/quarantine/request_digest.h
@@ -36,14 +36,8 @@
 [[nodiscard]] request_digest requestDigestOf(const request_identity &identity);
 /// Returns a cryptographic hash of a list of texts; different lists have different ones.
 [[nodiscard]] request_digest digestOfTexts(std::initializer_list<std::string_view> texts);
-/// A part of the bits of a digest. Choices that use different parts are independent of each other.
-enum class digest_part : std::uint8_t {
-    Version,
-    Service,
-};
-/// Returns a number below `total` that is drawn from a part of the digest, alike on every node.
-[[nodiscard]] std::uint32_t shareOf(const request_digest &digest, digest_part part,
-                                    std::uint32_t total);
+/// Returns a number below `total` that is drawn from the digest, alike on every node.
+[[nodiscard]] std::uint32_t drawFrom(const request_digest &digest, std::uint32_t total);
 /// Returns the hexadecimal form, for logs.
 [[nodiscard]] std::string toText(const request_digest &digest);
 
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -124,7 +124,7 @@
         servers.byDataCenter[record.dataCenter].push_back(entry);
         ++servers.versions[record.version];
         if (!record.leaving)
-            countReady(record, true);
+            onReady(record, true);
         notifyChange(record.service);
         return;
     }
@@ -132,7 +132,7 @@
         entry->coldUntil = coldUntil;
     const bool differs = entry->record.leaving != record.leaving;
     if (differs)
-        countReady(record, !record.leaving);
+        onReady(record, !record.leaving);
     entry->record = record;
     if (differs)
         notifyChange(record.service);
@@ -161,7 +161,7 @@
     if (const auto version = servers.versions.find(entry->record.version); --version->second == 0)
         servers.versions.erase(version);
     if (!entry->record.leaving)
-        countReady(entry->record, false);
+        onReady(entry->record, false);
     m_removedVersions.onRemoved(entry->record.service, entry->record.version);
     notifyChange(entry->record.service);
 }
@@ -178,23 +178,14 @@
     return versions;
 }
 
-void server_directory::countReady(const server_record &record, bool ready)
+void server_directory::onReady(const server_record &record, bool ready)
 {
-    auto &servers = m_byService[record.service].ready.servers;
-    auto &count = servers[record.version];
-    if (ready)
-        ++count;
-    else if (--count == 0)
-        servers.erase(record.version);
-    m_changedShares.insert(record.service);
+    m_readyChanges.push_back({record.service, record.id, record.version, ready});
 }
 
-std::vector<std::pair<service_id, version_shares>> server_directory::takeChangedShares()
+std::vector<ready_change> server_directory::takeReadyChanges()
 {
-    std::vector<std::pair<service_id, version_shares>> changed;
-    for (const auto &service : std::exchange(m_changedShares, {}))
-        changed.emplace_back(service, m_byService[service].ready);
-    return changed;
+    return std::exchange(m_readyChanges, {});
 }
 
 bool server_directory::startedBefore(const service_id &service, wall_time time) const
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -4,10 +4,10 @@
 #include "gateway/servers/effective_rate_limit.h"
 #include "gateway/servers/pool_key.h"
 #include "gateway/servers/removed_versions.h"
-#include "gateway/servers/version_assignment.h"
 #include "gateway/servers/residency.h"
 #include "gateway/servers/server_signals.h"
 #include "gateway/servers/server_speed.h"
+#include "gateway/servers/version_history.h"
 
 #include <orchidlead/clock.h>
 #include <orchidlead/ids.h>
@@ -216,8 +216,8 @@
     /// since `since`.
     [[nodiscard]] std::set<software_version> versionsSince(const service_id &service,
                                                            steady_time since) const;
-    /// Returns the shares of the services in which they changed since the last call.
-    [[nodiscard]] std::vector<std::pair<service_id, version_shares>> takeChangedShares();
+    /// Returns which servers have become ready or have ceased to be since the last call.
+    [[nodiscard]] std::vector<ready_change> takeReadyChanges();
     /// Returns whether all published servers of a service started before then; false if it has
     /// none, or if one doesn't publish its start time.
     [[nodiscard]] bool startedBefore(const service_id &service, wall_time time) const;
@@ -408,16 +408,15 @@
         std::vector<server_ptr> all;
         std::map<data_center_id, std::vector<server_ptr>> byDataCenter;
         std::map<software_version, std::size_t> versions; ///< number of servers of each
-        version_shares ready; ///< of the servers that are published as ready
     };
-    /// Counts a server that is published as ready, or no longer is.
-    void countReady(const server_record &record, bool ready);
+    /// Records that a server is published as ready for new requests, or no longer is.
+    void onReady(const server_record &record, bool ready);
     /// Returns the servers of a service that may belong to a pool; null if there are none.
     [[nodiscard]] const std::vector<server_ptr> *findServerList(const pool_key &pool) const;
 
     std::unordered_map<service_id, service_servers> m_byService;
     removed_versions m_removedVersions;
-    std::set<service_id> m_changedShares; ///< services, since `takeChangedShares`
+    std::vector<ready_change> m_readyChanges; ///< since `takeReadyChanges`
     struct unpublished_signals
     {
         retained_signals signals;
--- a/src/gateway/servers/version_history.cpp
+++ b/src/gateway/servers/version_history.cpp
@@ -1,34 +1,60 @@
 #include "gateway/servers/version_history.h"
 
+#include <orchidlead/rendezvous.h>
+
 #include <algorithm>
-#include <iterator>
+#include <set>
+#include <string>
+#include <utility>
 
 namespace orchidlead::gateway {
 
+namespace {
+
+std::uint64_t rankOf(const backend_server_id &server, const std::string &subject)
+{
+    return rendezvousWeight(subject, server.value);
+}
+
+} // namespace
+
 version_history::version_history(const clock_source &clock)
     : m_clock(clock)
 { }
 
-void version_history::record(const service_id &service, const version_shares &shares)
+void version_history::record(const ready_change &change)
 {
     const auto now = m_clock.now();
     if (!m_knownSince)
         m_knownSince = now;
-    auto &kept = m_services[service];
-    if (!kept.changes.empty() && kept.changes.back().shares == shares)
+    auto &servers = m_services[change.service];
+    end(servers, change.server);
+    if (!change.ready)
         return;
-    kept.changes.push_back({now, shares});
-    dropOld(kept);
+    servers.ready[change.server] = {change.server, change.version, now, std::nullopt};
+    ++servers.versions[change.version];
 }
 
-// The latest change of those that are too old still applies at the beginning of the kept time.
-void version_history::dropOld(service_changes &kept)
+void version_history::end(service_servers &servers, const backend_server_id &id)
 {
+    auto ended = servers.ready.extract(id);
+    if (ended.empty())
+        return;
+    const auto version = servers.versions.find(*ended.mapped().version);
+    if (--version->second == 0)
+        servers.versions.erase(version);
+    ended.mapped().to = m_clock.now();
+    addEnded(servers, std::move(ended.mapped()));
+}
+
+void version_history::addEnded(service_servers &servers, ready_time ended)
+{
+    servers.ended.push_back(std::move(ended));
     const auto oldest = m_clock.now() - Memory;
-    while (kept.changes.size() > 1
-           && (kept.changes[1].at <= oldest || kept.changes.size() > MaxChanges)) {
-        kept.changes.pop_front();
-        kept.droppedUntil = kept.changes.front().at;
+    while (servers.ended.size() > MaxEnded || servers.ended.front().to <= oldest) {
+        servers.droppedUntil =
+            std::max(servers.droppedUntil.value_or(oldest), *servers.ended.front().to);
+        servers.ended.pop_front();
     }
 }
 
@@ -37,88 +63,106 @@
     m_knownSince = m_clock.now();
 }
 
-// A change whose time isn't known counts as having happened immediately before the first one that
-// was recorded, so that the shares before it count as having applied until then.
-void version_history::addEarlier(const earlier_shares &earlier, steady_time since)
+steady_time version_history::steadyTimeOf(const std::optional<wall_time> &time) const
+{
+    if (!time)
+        return m_clock.now();
+    const auto age = std::max(m_clock.wallNow() - *time, wall_time::duration::zero());
+    return m_clock.now() - std::chrono::duration_cast<steady_time::duration>(age);
+}
+
+void version_history::addEarlier(const std::vector<earlier_ready_time> &earlier, steady_time since)
 {
     if (!m_knownSince || since >= *m_knownSince)
         return;
-    for (const auto &[service, shares] : earlier) {
-        auto &kept = m_services[service];
-        const auto until = std::ranges::find_if(
-            kept.changes, [&](const change &each) { return each.at >= *m_knownSince; });
-        std::vector<change> added;
-        for (const auto &each : shares) {
-            const auto age =
-                each.appliedBy ? m_clock.wallNow() - *each.appliedBy : wall_time::duration::zero();
-            const auto at = m_clock.now() - std::chrono::duration_cast<steady_time::duration>(age);
-            added.push_back({std::min(at, *m_knownSince), each.shares});
-        }
-        kept.changes.insert(until, added.begin(), added.end());
+    for (const auto &each : earlier) {
+        auto &servers = each.service ? m_services[*each.service] : m_unknown;
+        const auto from = steadyTimeOf(each.from);
+        const auto known = servers.ready.find(each.server);
+        const bool isReady = known != servers.ready.end() && known->second.version == each.version;
+        if (!each.ended && isReady)
+            known->second.from = std::min(known->second.from, from);
+        else
+            addEnded(servers, {each.server, each.version, from, steadyTimeOf(each.to)});
     }
     m_knownSince = since;
 }
 
-const version_shares *version_history::current(const service_id &service) const
+bool version_history::hasSeveralVersions(const service_id &service) const
 {
     const auto found = m_services.find(service);
-    return found == m_services.end() ? nullptr : &found->second.changes.back().shares;
+    return found != m_services.end() && found->second.versions.size() > 1;
+}
+
+std::optional<software_version> version_history::assigned(const request_digest &subject,
+                                                          const service_id &service) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || found->second.ready.empty())
+        return std::nullopt;
+    const auto key = toText(subject);
+    const auto &ready = found->second.ready;
+    return std::ranges::max_element(ready, {},
+                                    [&](const auto &entry) { return rankOf(entry.first, key); })
+        ->second.version;
 }
 
 bool version_history::covers(const service_id &service, steady_time since) const
 {
     if (!m_knownSince || *m_knownSince > since)
         return false;
+    const auto isDropped = [&](const service_servers &servers) {
+        return servers.droppedUntil && *servers.droppedUntil > since;
+    };
     const auto found = m_services.find(service);
-    return found == m_services.end() || !found->second.droppedUntil
-        || *found->second.droppedUntil <= since;
+    return !isDropped(m_unknown) && (found == m_services.end() || !isDropped(found->second));
 }
 
 template <class Visitor>
 void version_history::visitSince(const service_id &service, steady_time since, Visitor visit) const
 {
+    const auto visitEnded = [&](const service_servers &servers) {
+        for (const auto &each : servers.ended) {
+            if (*each.to > since)
+                visit(each);
+        }
+    };
+    visitEnded(m_unknown);
     const auto found = m_services.find(service);
     if (found == m_services.end())
         return;
-    const auto &changes = found->second.changes;
-    auto each = std::ranges::find_if(changes, [&](const change &one) { return one.at > since; });
-    if (each != changes.begin())
-        --each;
-    while (each != changes.end() && visit(each->shares))
-        ++each;
+    visitEnded(found->second);
+    for (const auto &[id, each] : found->second.ready)
+        visit(each);
 }
 
 bool version_history::hadOneVersionSince(const service_id &service, steady_time since) const
 {
-    std::optional<software_version> only;
-    bool one = true;
-    visitSince(service, since, [&](const version_shares &shares) {
-        for (const auto &[version, count] : shares.servers) {
-            one = one && (!only || *only == version);
-            only = version;
-        }
-        one = one && shares.unknown == 0;
-        return one;
-    });
-    return one;
+    std::set<std::optional<software_version>> versions;
+    visitSince(service, since, [&](const ready_time &each) { versions.insert(each.version); });
+    return versions.size() <= 1 && !versions.contains(std::nullopt);
 }
 
-// While no server is ready, nothing begins.
+// A server that has been ready all the time hides the servers that rank lower.
 std::optional<software_version> version_history::assignedSince(const request_digest &subject,
                                                                const service_id &service,
                                                                steady_time since) const
 {
-    std::optional<software_version> assigned;
-    bool certain = true;
-    visitSince(service, since, [&](const version_shares &shares) {
-        if (shares.total() == 0)
-            return true;
-        const auto version = assignedVersion(subject, shares);
-        certain = version && (!assigned || *assigned == *version);
-        assigned = version;
-        return certain;
+    const auto key = toText(subject);
+    std::uint64_t lowest = 0;
+    std::vector<std::pair<std::uint64_t, const ready_time *>> ranked;
+    visitSince(service, since, [&](const ready_time &each) {
+        const auto rank = rankOf(each.server, key);
+        ranked.emplace_back(rank, &each);
+        if (!each.to && each.from <= since)
+            lowest = std::max(lowest, rank);
     });
-    return certain ? assigned : std::nullopt;
+    std::set<std::optional<software_version>> versions;
+    for (const auto &[rank, each] : ranked) {
+        if (rank >= lowest)
+            versions.insert(each->version);
+    }
+    return versions.size() == 1 ? *versions.begin() : std::nullopt;
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/servers/version_history.h
+++ b/src/gateway/servers/version_history.h
@@ -1,79 +1,108 @@
 #pragma once
 
-#include "gateway/servers/version_assignment.h"
+#include "gateway/quarantine/request_digest.h"
 
 #include <orchidlead/clock.h>
+#include <orchidlead/ids.h>
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace orchidlead::gateway {
 
-/// Shares that applied before a node knew any.
-struct earlier_share
+/// A server was published as ready for new requests, or no longer is.
+struct ready_change
 {
-    version_shares shares;
-    /// Latest time at which they can have begun to apply; empty: the present.
-    std::optional<wall_time> appliedBy;
+    service_id service;
+    backend_server_id server;
+    software_version version;
+    bool ready = false;
 };
-/// Earlier shares of each service, oldest first.
-using earlier_shares = std::unordered_map<service_id, std::vector<earlier_share>>;
 
-/// The software versions that have been ready in each service over the last minutes. Answers on
-/// which version a stream began only for times of which all changes are known: a version that is
-/// not published now may have served a moment ago. Does no I/O.
+/// A time in which a server was ready, learned after the fact.
+struct earlier_ready_time
+{
+    std::optional<service_id> service; ///< empty: may be any
+    backend_server_id server;
+    std::optional<software_version> version; ///< empty: may be any
+    std::optional<wall_time> from; ///< latest possible begin; empty: unknown
+    std::optional<wall_time> to; ///< latest possible end; empty: unknown
+    bool ended = false; ///< else the server is still ready
+};
+
+/// The servers that have been ready in each service over the last minutes, and their software
+/// versions.
+///
+/// Work that must stay at one version begins on the version of one server: the ready one that ranks
+/// highest for the subject of the work. This depends on nothing but the subject and the published
+/// servers, so each node computes it again, also after it has lost its memory. A server that comes
+/// or goes changes the version only of subjects for which it ranks highest.
+///
+/// A server that is not published now may have been ready a moment ago. So the version on which
+/// earlier work began is given only if all servers that can have been the highest ranking one since
+/// then have the same version. Does no I/O.
 class version_history
 {
 public:
-    /// How long shares are kept; longer than clients continue streams.
+    /// How long a server is kept that is no longer ready; longer than clients continue streams.
     static constexpr std::chrono::minutes Memory{2};
-    /// Changes kept at most for a service; one takes about 200 bytes.
-    static constexpr std::size_t MaxChanges = 512;
+    /// Servers that are no longer ready kept at most for a service; one takes about 150 bytes.
+    static constexpr std::size_t MaxEnded = 4096;
 
     explicit version_history(const clock_source &clock);
 
-    /// Records the shares of a service from now on.
-    void record(const service_id &service, const version_shares &shares);
+    /// Records a change that was just published.
+    void record(const ready_change &change);
     /// Begins anew: changes may have been missed until now.
     void forgetBeforeNow();
-    /// Adds what was ready between `since` and the first recorded change.
-    void addEarlier(const earlier_shares &earlier, steady_time since);
+    /// Adds what happened between `since` and now.
+    void addEarlier(const std::vector<earlier_ready_time> &earlier, steady_time since);
 
-    /// Returns the shares of a service at present; null if it never had servers.
-    [[nodiscard]] const version_shares *current(const service_id &service) const;
+    /// Returns whether ready servers of a service have different versions now.
+    [[nodiscard]] bool hasSeveralVersions(const service_id &service) const;
+    /// Returns the version on which work begins now; empty if no server is ready.
+    [[nodiscard]] std::optional<software_version> assigned(const request_digest &subject,
+                                                           const service_id &service) const;
     /// Returns whether all changes since then are known.
     [[nodiscard]] bool covers(const service_id &service, steady_time since) const;
     /// Returns whether at most one version was ready since then, as far as is known.
     [[nodiscard]] bool hadOneVersionSince(const service_id &service, steady_time since) const;
-    /// Returns the version that is assigned to a subject by the shares at each time since `since`
-    /// that are known; empty if they differ.
+    /// Returns the version on which work began at some time since then, as far as is known; empty
+    /// if it isn't certain.
     [[nodiscard]] std::optional<software_version> assignedSince(const request_digest &subject,
                                                                 const service_id &service,
                                                                 steady_time since) const;
 
 private:
-    struct change
+    struct ready_time
     {
-        steady_time at;
-        version_shares shares;
+        backend_server_id server;
+        std::optional<software_version> version; ///< empty: may be any
+        steady_time from; ///< latest possible begin
+        std::optional<steady_time> to; ///< latest possible end; empty: still ready
     };
-    struct service_changes
+    struct service_servers
     {
-        std::deque<change> changes; ///< oldest first
-        std::optional<steady_time> droppedUntil; ///< changes before this time were dropped
+        std::map<backend_server_id, ready_time> ready;
+        std::map<software_version, std::size_t> versions; ///< number of ready servers of each
+        std::deque<ready_time> ended; ///< in the order in which they were recorded
+        std::optional<steady_time> droppedUntil; ///< some that ended before were dropped
     };
 
-    void dropOld(service_changes &kept);
-    /// Calls `visit` with each of the shares that applied at some time since then, until it returns
-    /// false.
+    void end(service_servers &servers, const backend_server_id &id);
+    void addEnded(service_servers &servers, ready_time ended);
+    [[nodiscard]] steady_time steadyTimeOf(const std::optional<wall_time> &time) const;
+    /// Calls `visit` with each server that was ready at some time since then.
     template <class Visitor>
     void visitSince(const service_id &service, steady_time since, Visitor visit) const;
 
     const clock_source &m_clock;
-    std::unordered_map<service_id, service_changes> m_services;
+    std::unordered_map<service_id, service_servers> m_services;
+    service_servers m_unknown; ///< servers that may belong to any service
     std::optional<steady_time> m_knownSince;
 };
 
--- a/src/gateway/streams/stream_origin_relay.cpp
+++ b/src/gateway/streams/stream_origin_relay.cpp
@@ -80,8 +80,8 @@
 std::optional<software_version> stream_origin_relay::versionForNew(const request_digest &stream,
                                                                    const service_id &service) const
 {
-    const auto *ready = m_published.versions().current(service);
-    return ready && ready->servers.size() > 1 ? assignedVersion(stream, *ready) : std::nullopt;
+    const auto &versions = m_published.versions();
+    return versions.hasSeveralVersions(service) ? versions.assigned(stream, service) : std::nullopt;
 }
 
 bool stream_origin_relay::isCurrent() const
@@ -251,7 +251,7 @@
 void stream_origin_relay::addHistory(const store_history &history, steady_time readAt,
                                      wall_time readAtWall)
 {
-    const auto earlier = sharesSince(history, readAtWall - m_historyKeptFor);
+    const auto earlier = readyTimesOf(history, readAtWall - m_historyKeptFor);
     if (earlier)
         m_published.addEarlierVersions(
             *earlier, history.isWhole ? steady_time::min() : readAt - m_historyKeptFor);
--- a/src/gateway/streams/stream_origin_relay.h
+++ b/src/gateway/streams/stream_origin_relay.h
@@ -45,7 +45,7 @@
 /// nodes. While all servers of a service have one version, nothing is sent.
 ///
 /// Records end with the nodes. The version on which a stream begins is therefore a function of the
-/// stream and of the published servers (`assignedVersion`). A node without a record computes it
+/// stream and of the published servers (`version_history`). A node without a record computes it
 /// again. It is certain if it was the same for all lists that were published while the stream may
 /// have begun. A node that has just started learns these lists from other nodes, or from the
 /// history of the store.
