--- a/src/gateway/publication/store_history.cpp
+++ b/src/gateway/publication/store_history.cpp
@@ -120,8 +120,7 @@
 {
     return !history.isWhole && std::ranges::any_of(history.present, [&](const auto &item) {
         const auto *each = std::get_if<published_server>(&item);
-        return each && each->created != 0 && each->created <= history.after
-            && each->record.startedAt
+        return each && each->revision <= history.after && each->record.startedAt
             && startTimeOf(*each->record.startedAt) > since + MaxClockError;
     });
 }
--- a/src/gateway/publication/store_history.h
+++ b/src/gateway/publication/store_history.h
@@ -23,8 +23,8 @@
 /// Returns when each server was ready, from the time at which the history begins. A server that has
 /// left and whose entry the history doesn't show may have been of any service and version.
 ///
-/// Empty if the store has dropped changes since `since`: an entry is younger than that, and its
-/// creation isn't among the changes.
+/// Empty if the store has dropped changes since `since`: a server is younger than that, and its
+/// entry isn't among the changes.
 [[nodiscard]] std::optional<std::vector<earlier_ready_time>>
 readyTimesOf(const store_history &history, wall_time since);
 
