Date changes of the store's history before the first list of a node

Changes without a time of their own counted as having happened when the history was read, possibly seconds after the node had its first list. What the node hasn't recorded since that list happened before it, so that streams which begin later are not made uncertain by it.

--- a/src/gateway/servers/version_history.cpp
+++ b/src/gateway/servers/version_history.cpp
@@ -63,27 +63,40 @@
     m_knownSince = m_clock.now();
 }
 
-steady_time version_history::steadyTimeOf(const std::optional<wall_time> &time) const
+steady_time version_history::earlierTime(const std::optional<wall_time> &time) const
 {
     if (!time)
-        return m_clock.now();
+        return *m_knownSince;
     const auto age = std::max(m_clock.wallNow() - *time, wall_time::duration::zero());
-    return m_clock.now() - std::chrono::duration_cast<steady_time::duration>(age);
+    const auto at = m_clock.now() - std::chrono::duration_cast<steady_time::duration>(age);
+    return std::min(at, *m_knownSince);
 }
 
+version_history::ready_time *version_history::findRecorded(service_servers &servers,
+                                                           const earlier_ready_time &earlier)
+{
+    const auto isSame = [&](const ready_time &each) {
+        return each.server == earlier.server && each.version == earlier.version;
+    };
+    const auto ready = servers.ready.find(earlier.server);
+    if (ready != servers.ready.end() && isSame(ready->second))
+        return &ready->second;
+    const auto ended = std::ranges::find_if(servers.ended, isSame);
+    return ended == servers.ended.end() ? nullptr : &*ended;
+}
+
+// What has happened since the first list is recorded, so what isn't recorded happened before it.
 void version_history::addEarlier(const std::vector<earlier_ready_time> &earlier, steady_time since)
 {
     if (!m_knownSince || since >= *m_knownSince)
         return;
     for (const auto &each : earlier) {
         auto &servers = each.service ? m_services[*each.service] : m_unknown;
-        const auto from = steadyTimeOf(each.from);
-        const auto known = servers.ready.find(each.server);
-        const bool isReady = known != servers.ready.end() && known->second.version == each.version;
-        if (!each.ended && isReady)
-            known->second.from = std::min(known->second.from, from);
+        const auto from = earlierTime(each.from);
+        if (auto *recorded = findRecorded(servers, each))
+            recorded->from = std::min(recorded->from, from);
         else
-            addEnded(servers, {each.server, each.version, from, steadyTimeOf(each.to)});
+            addEnded(servers, {each.server, each.version, from, earlierTime(each.to)});
     }
     m_knownSince = since;
 }
--- a/src/gateway/servers/version_history.h
+++ b/src/gateway/servers/version_history.h
@@ -95,7 +95,11 @@
 
     void end(service_servers &servers, const backend_server_id &id);
     void addEnded(service_servers &servers, ready_time ended);
-    [[nodiscard]] steady_time steadyTimeOf(const std::optional<wall_time> &time) const;
+    /// Returns the latest time of something that happened before the recorded changes.
+    [[nodiscard]] steady_time earlierTime(const std::optional<wall_time> &time) const;
+    /// Returns the recorded time in which the same server was ready; null if there is none.
+    [[nodiscard]] static ready_time *findRecorded(service_servers &servers,
+                                                  const earlier_ready_time &earlier);
     /// Calls `visit` with each server that was ready at some time since then.
     template <class Visitor>
     void visitSince(const service_id &service, steady_time since, Visitor visit) const;
