Log where a server's stream began, what was left out and its defect

The log could not tell its hypotheses apart: `attempt_ended` had the last event of a stream, but not the first one that a server wrote, and `abandoned=unusable` didn't say whether events were missing, repeated or too large.

`attempt_ended` now has `first_event`, `left_out_events` and `defect`. No behaviour changes. The lines are bounded as before.

Tests: event_splitter_test (the three values), stream_test (the log of a stream with a gap that goes on elsewhere).

--- a/src/gateway/exchange/event_splitter.cpp
+++ b/src/gateway/exchange/event_splitter.cpp
@@ -58,26 +58,39 @@
         begin = end + EventDelimiter.size();
     }
     m_partial.erase(0, begin);
-    m_unusable = m_unusable || m_partial.size() > m_maxEventBytes;
+    if (m_partial.size() > m_maxEventBytes)
+        setDefect(stream_defect::EventTooLarge);
     return m_completed;
 }
 
+void event_splitter::setDefect(stream_defect found)
+{
+    if (!m_defect)
+        m_defect = found;
+}
+
 // A stream that continues on another server may repeat events that were already returned.
 void event_splitter::processEvent(std::string_view event)
 {
-    m_unusable = m_unusable || beginsWithAnswer(event);
+    if (beginsWithAnswer(event))
+        setDefect(stream_defect::OtherAnswer);
     const auto eventId = parseEventId(event);
     const bool repeated = eventId && m_lastOfStream && *eventId <= *m_lastOfStream;
     m_repeatedEvents += repeated ? 1 : 0;
     m_eventsInOrder += repeated ? 0 : 1;
-    m_unusable = m_unusable || m_repeatedEvents > MaxRepeatedEvents;
+    if (m_repeatedEvents > MaxRepeatedEvents)
+        setDefect(stream_defect::RepeatedEvents);
+    if (eventId && !m_firstOfStream)
+        m_firstOfStream = eventId;
     if (eventId)
         m_lastOfStream = std::max(m_lastOfStream.value_or(0), *eventId);
-    if (eventId && m_lastEvent && *eventId <= *m_lastEvent)
+    if (eventId && m_lastEvent && *eventId <= *m_lastEvent) {
+        ++m_leftOut;
         return;
+    }
     if (eventId && m_lastEvent && *eventId != *m_lastEvent + 1)
-        m_unusable = true;
-    if (m_unusable)
+        setDefect(stream_defect::MissingEvents);
+    if (m_defect)
         return;
     if (eventId)
         m_lastEvent = eventId;
@@ -88,9 +101,11 @@
 void event_splitter::restart()
 {
     m_partial.clear();
+    m_firstOfStream.reset();
     m_lastOfStream.reset();
     m_repeatedEvents = 0;
-    m_unusable = false;
+    m_leftOut = 0;
+    m_defect.reset();
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/event_splitter.h
+++ b/src/gateway/exchange/event_splitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gateway/exchange/stream_defect.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -40,22 +42,30 @@
     [[nodiscard]] std::uint64_t eventsInOrder() const { return m_eventsInOrder; }
     /// Returns whether the bytes so far end in a partial event.
     [[nodiscard]] bool hasPartialEvent() const { return !m_partial.empty(); }
-    /// Returns whether an event exceeded the size limit, event numbers had a gap, events were
-    /// repeated too often, or another answer follows, so that the stream can't be used any further.
-    [[nodiscard]] bool isUnusable() const { return m_unusable; }
+    /// Returns the number of the first event of this stream that has one, returned or left out.
+    [[nodiscard]] std::optional<std::uint64_t> firstOfStream() const { return m_firstOfStream; }
+    /// Returns the number of events of this stream that were left out.
+    [[nodiscard]] std::uint64_t leftOut() const { return m_leftOut; }
+    /// Returns why the stream can't be used any further; empty: it can.
+    [[nodiscard]] std::optional<stream_defect> defect() const { return m_defect; }
+    [[nodiscard]] bool isUnusable() const { return m_defect.has_value(); }
 
 private:
     void processEvent(std::string_view event);
+    /// Records a defect, unless there was one before.
+    void setDefect(stream_defect found);
 
     std::size_t m_maxEventBytes;
     std::string m_partial;
     std::string m_completed;
     std::optional<std::uint64_t> m_lastEvent;
+    std::optional<std::uint64_t> m_firstOfStream;
     std::optional<std::uint64_t> m_lastOfStream; ///< number of the last event of this stream
     std::size_t m_repeatedEvents = 0; ///< in this stream, or out of order
     std::uint64_t m_eventsInOrder = 0;
     std::uint64_t m_eventCount = 0;
-    bool m_unusable = false;
+    std::uint64_t m_leftOut = 0; ///< in this stream
+    std::optional<stream_defect> m_defect;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -155,8 +155,14 @@
         line.add("idle_ms",
                  std::chrono::duration_cast<milliseconds>(now - ended.lastBytesAt).count());
     }
+    if (ended.splitter.firstOfStream())
+        line.add("first_event", *ended.splitter.firstOfStream());
     if (ended.splitter.lastEvent())
         line.add("last_event", *ended.splitter.lastEvent());
+    if (ended.splitter.leftOut() > 0)
+        line.add("left_out_events", ended.splitter.leftOut());
+    if (ended.splitter.defect())
+        line.add("defect", toName(*ended.splitter.defect()));
     line.add("took_ms", std::chrono::duration_cast<milliseconds>(now - ended.startedAt).count());
     line.add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
--- a/tests/gateway/event_splitter_test.cpp
+++ b/tests/gateway/event_splitter_test.cpp
@@ -5,6 +5,8 @@
 #include <string>
 
 using orchidlead::gateway::event_splitter;
+using orchidlead::gateway::MaxRepeatedEvents;
+using orchidlead::gateway::stream_defect;
 
 namespace {
 constexpr std::size_t Bound = 100;
@@ -61,3 +63,30 @@
     splitter.restart();
     CHECK_FALSE(splitter.isUnusable());
 }
+
+// Guards against logs that don't tell a server that begins at another event from one that repeats
+// or leaves out events.
+TEST_CASE("event_splitter: where a stream began, what was left out and its defect are known")
+{
+    event_splitter splitter(Bound);
+    CHECK(splitter.feed("id: 4\n\nid: 5\n\n") == "id: 4\n\nid: 5\n\n");
+    CHECK(splitter.firstOfStream() == 4);
+    CHECK(splitter.leftOut() == 0);
+    splitter.restart();
+    CHECK_FALSE(splitter.firstOfStream());
+    CHECK(splitter.feed("id: 2\n\nid: 3\n\nid: 8\n\n").empty());
+    CHECK(splitter.firstOfStream() == 2);
+    CHECK(splitter.leftOut() == 2);
+    CHECK(splitter.defect() == stream_defect::MissingEvents);
+    splitter.restart();
+    CHECK_FALSE(splitter.defect());
+    for (std::size_t i = 0; i <= MaxRepeatedEvents + 1; ++i)
+        CHECK(splitter.feed("id: 5\n\n").empty());
+    CHECK(splitter.defect() == stream_defect::RepeatedEvents);
+    splitter.restart();
+    CHECK(splitter.feed(std::string(Bound + 1, 'x')).empty());
+    CHECK(splitter.defect() == stream_defect::EventTooLarge);
+    splitter.restart();
+    CHECK(splitter.feed("HTTP/1.1 200 OK\n\n").empty());
+    CHECK(splitter.defect() == stream_defect::OtherAnswer);
+}
--- a/tests/platform/stream_test.cpp
+++ b/tests/platform/stream_test.cpp
@@ -104,3 +104,28 @@
     CHECK(answer->end == http::call_end::Complete);
     CHECK(answer->body == event(1) + event(2));
 }
+
+// Guards against logs from which a gap in the events of a server can't be told from a broken
+// connection.
+TEST_CASE("the log names the events of each attempt of a stream and the defect of its answer")
+{
+    stream_world w(true);
+    const auto behaviour = [&](const server_request &request,
+                               const std::shared_ptr<server_answer> &answer) {
+        if (w.arrivals() == 1)
+            answer->write(streamHead(request) + chunk(event(1) + event(2) + event(4)));
+        else
+            answer->write(streamHead(request) + chunk(event(2) + event(3)) + "0\r\n\r\n");
+    };
+    w.first.setBehaviour(behaviour);
+    w.second.setBehaviour(behaviour);
+    const auto answer = w.ask();
+    REQUIRE(w.await(answer));
+    CHECK(answer->body == event(1) + event(2) + event(3));
+    const auto isLogged = [&](const std::string &fields) {
+        return w.runUntil([&] { return w.logOutput.str().find(fields) != std::string::npos; });
+    };
+    CHECK(isLogged("abandoned=unusable"));
+    CHECK(isLogged("first_event=1 last_event=2 defect=missing_events"));
+    CHECK(isLogged("first_event=2 last_event=3 left_out_events=1"));
+}
