Continue a resumed stream behind the last event of its client

What callers saw: a client that resumed behind event N got whatever event the server began with. If the server began at an earlier one, numbers went back over the client's tries; if it began at a later one, pieces were missing; both in a success.

Cause: within one answer the splitter compares each event with the last one forwarded, but the splitter of a new request knew no last event. The number that the client named was only passed on to the server.

Change: on routes that may be resumed the splitter begins behind the event that the client names. Earlier events are left out, a later one than the next is a gap, after which another server is tried as within an answer.

Open: a last event that is no number is passed on as it is, and the first event of the answer isn't checked.

--- a/src/gateway/exchange/event_splitter.h
+++ b/src/gateway/exchange/event_splitter.h
@@ -26,15 +26,19 @@
     { }
 
     /// Adds bytes and returns the events that are complete now. Leaves out events whose number is
-    /// not above that of the last returned event, since the stream of another server may repeat
-    /// them. The text is valid until the next call.
+    /// not above that of the last event that the client has, since the stream of another server
+    /// may repeat them. The text is valid until the next call.
     [[nodiscard]] std::string_view feed(std::string_view bytes);
 
+    /// Makes the stream go on behind an event that the client has: events up to this number are
+    /// left out, and one with a later number than the next is a gap. Call before `feed`.
+    void continueAfter(std::uint64_t lastEvent) { m_lastEvent = lastEvent; }
+
     /// Prepares for the stream of another server: drops a partial event. Events up to the last one
     /// returned are skipped in the new stream.
     void restart();
 
-    /// Returns the number of the last event returned.
+    /// Returns the number of the last event that the client has or was sent.
     [[nodiscard]] std::optional<std::uint64_t> lastEvent() const { return m_lastEvent; }
     [[nodiscard]] std::uint64_t events() const { return m_eventCount; }
     /// Returns the number of complete events so far, including those left out, that have no number
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -51,6 +51,9 @@
     m_residency =
         residencyOf(m_route->regions, m_customer ? m_customer->regions : std::vector<region_id>{});
     logAccepted();
+    // The server of a stream that may not be resumed writes it from its first event on.
+    if (m_route->kind == request_kind::Stream && m_route->repeatable() && m_metadata.lastEvent)
+        m_current.splitter.continueAfter(*m_metadata.lastEvent);
     m_priority = m_customer && m_customer->priority ? *m_customer->priority : m_route->priority;
     const auto clientTimeout = m_metadata.clientTimeout.value_or(m_route->timeout);
     m_deadline = m_arrival + std::min(clientTimeout, m_route->timeout) - AnswerMargin;
--- a/tests/gateway/event_splitter_test.cpp
+++ b/tests/gateway/event_splitter_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdint>
+#include <limits>
 #include <string>
 
 using orchidlead::gateway::event_splitter;
@@ -90,3 +92,20 @@
     CHECK(splitter.feed("HTTP/1.1 200 OK\n\n").empty());
     CHECK(splitter.defect() == stream_defect::OtherAnswer);
 }
+
+// Guards against numbers that go back, or a gap, behind the last event of a client that resumes.
+TEST_CASE("event_splitter: a stream goes on behind the last event of its client")
+{
+    event_splitter splitter(Bound);
+    splitter.continueAfter(2);
+    CHECK(splitter.lastEvent() == 2);
+    CHECK(splitter.feed("id: 1\n\nid: 2\n\nid: 3\n\n") == "id: 3\n\n");
+    CHECK_FALSE(splitter.isUnusable());
+    event_splitter gap(Bound);
+    gap.continueAfter(2);
+    CHECK(gap.feed("id: 4\n\n").empty());
+    CHECK(gap.defect() == stream_defect::MissingEvents);
+    event_splitter highest(Bound);
+    highest.continueAfter(std::numeric_limits<std::uint64_t>::max());
+    CHECK(highest.feed("id: 0\n\nid: 1\n\n").empty());
+}
