--- a/tests/platform/stream_test.cpp
+++ b/tests/platform/stream_test.cpp
@@ -129,3 +129,40 @@
     CHECK(isLogged("first_event=1 last_event=2 defect=missing_events"));
     CHECK(isLogged("first_event=2 last_event=3 left_out_events=1"));
 }
+
+// Guards against a stream that looks complete though its client's deadline ended it, or its gateway
+// did.
+TEST_CASE("a stream that its gateway ends doesn't look complete")
+{
+    stream_world w(true);
+    const auto behaviour = [](const server_request &request,
+                              const std::shared_ptr<server_answer> &answer) {
+        answer->write(streamHead(request) + chunk(event(1) + event(2)));
+    };
+    w.first.setBehaviour(behaviour);
+    w.second.setBehaviour(behaviour);
+    const bool killed = GENERATE(false, true);
+    const auto answer = w.ask();
+    REQUIRE(w.runUntil([&] { return answer->body == event(1) + event(2); }));
+    if (killed)
+        w.killGateway("g1");
+    REQUIRE(w.await(answer));
+    CHECK(answer->end != http::call_end::Complete);
+    CHECK(answer->body == event(1) + event(2));
+}
+
+// Guards against the same for a client that reads up to the end of the connection.
+TEST_CASE("a stream that reaches its deadline is reset for a client that reads up to the close")
+{
+    stream_world w(true);
+    const auto behaviour = [](const server_request &request,
+                              const std::shared_ptr<server_answer> &answer) {
+        answer->write(streamHead(request) + chunk(event(1)));
+    };
+    w.first.setBehaviour(behaviour);
+    w.second.setBehaviour(behaviour);
+    CHECK_FALSE(w.endsInOrder("g1",
+                              "POST /s/x HTTP/1.0\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n"
+                              "X-Deadline-Ms: 900\r\nApi-Key: k1\r\nX-Prefix-Hash: a:9\r\n"
+                              "Content-Length: 1\r\n\r\nx"));
+}
