End a held call whose events have a gap

What callers saw: a stream of which pieces are missing, and which looks complete.

Cause: the events of a held call (its server was silent, and a replacement is open) went through its splitter, but nobody asked whether the splitter found the stream unusable. A call with a gap stayed among the held ones, its orderly end made it the current one, and the answer was completed. The same where the events before the gap were forwarded.

Change: a held call that turns out to be unusable is ended, and its replacement goes on; if events before the defect were forwarded, it ends as any current call with a defect.

Evidence: stream_continuation_test, "a held call with a gap ...", on the code before: complete with event 1 alone of 4 (both ways of ending), and with events 1 and 2. Both cases failed, both pass now.

--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -282,6 +282,8 @@
     [[nodiscard]] server_attempt extractHeld(std::uint64_t id);
     /// Returns whether an attempt has begun an answer that can be forwarded.
     [[nodiscard]] static bool isAnswering(const server_attempt &each);
+    /// Ends the call of a held attempt, whose answer can't be used.
+    void abandonHeld(std::uint64_t id, abandon_cause why);
     /// Records the start of a response and what its server reports in it.
     void recordResponse(const server_attempt &to, const response_metadata &metadata);
     /// Ends the calls of all held attempts: another one answers the request, or it has ended.
--- a/src/gateway/exchange/exchange_silence_impl.h
+++ b/src/gateway/exchange/exchange_silence_impl.h
@@ -294,6 +294,16 @@
     return false;
 }
 
+// Left among the held calls, its end would look like the end of the stream.
+template <gateway_codec Codec>
+void exchange<Codec>::abandonHeld(std::uint64_t id, abandon_cause why)
+{
+    auto abandoned = takeHeld(id);
+    abandoned.abandonedFor = why;
+    m_context.transport.abandon(abandoned.call);
+    logAttemptEnd(abandoned, nameOf(attempt_result::Unknown));
+}
+
 template <gateway_codec Codec>
 bool exchange<Codec>::selectForBody(std::uint64_t id, std::string_view bytes)
 {
@@ -312,11 +322,15 @@
     }
     // Bytes that complete no event are no sign that the stream goes on.
     const std::string events(held->splitter.feed(bytes));
-    if (events.empty())
-        return false;
-    resume(id);
-    m_current.lastBytesAt = m_context.loop.now();
-    forwardEvents(events);
+    if (!events.empty()) {
+        resume(id);
+        m_current.lastBytesAt = m_context.loop.now();
+        forwardEvents(events);
+        if (m_current.splitter.isUnusable())
+            abandonUnusableCall();
+    } else if (held->splitter.isUnusable()) {
+        abandonHeld(id, abandon_cause::Unusable);
+    }
     return false;
 }
 
--- a/tests/platform/stream_continuation_test.cpp
+++ b/tests/platform/stream_continuation_test.cpp
@@ -49,6 +49,31 @@
 
 } // namespace
 
+// Guards against a stream that looks complete though the call that is held beside its replacement
+// left out an event.
+TEST_CASE("a held call with a gap doesn't end its stream")
+{
+    const std::string after =
+        GENERATE(as<std::string>(), chunk(event(3)), chunk(event(3)) + EndOfStream,
+                 chunk(event(3) + event(4)) + EndOfStream);
+    held_world w(event(1), after, 4);
+    const auto answer = w.ask();
+    REQUIRE(w.await(answer));
+    CHECK(w.arrived.size() == 2);
+    CHECK(answer->end == http::call_end::Complete);
+    CHECK(answer->body == events(1, 4));
+}
+
+// Guards against the same where events before the gap were forwarded.
+TEST_CASE("a held call with a gap behind its next event doesn't look complete")
+{
+    held_world w(event(1), chunk(event(2) + event(4)) + EndOfStream, 4);
+    const auto answer = w.ask();
+    REQUIRE(w.await(answer));
+    CHECK(answer->body == events(1, 2));
+    CHECK(answer->end != http::call_end::Complete);
+}
+
 // Guards against events of both calls in one answer, and against joining the parts of an event that
 // two servers wrote.
 TEST_CASE("a held call and its replacement never both bring events")
