Don't continue a stream behind events that have no number

What callers saw: if the last events of a broken or silent stream had no number that could be read, another server was asked from the last number, or from the beginning, and its events were appended: pieces came twice. "7x" was read as 7; a number over 64 bits as none.

Cause: the splitter returned such events without keeping in mind that no number tells where the stream goes on.

Change: a stream goes on elsewhere only if no event with content and without a number follows the last numbered one; comments don't count. Else a broken stream is broken off for the client, and a silent one waits for its server. A number counts only if the whole field is one, and the last `id` line of an event counts, as in the standard. Events without a number behind one that is left out are left out with it.

The numbers: event_splitter_test.

--- a/src/gateway/exchange/event_splitter.cpp
+++ b/src/gateway/exchange/event_splitter.cpp
@@ -9,29 +9,52 @@
 
 constexpr std::string_view EventDelimiter = "\n\n";
 
-/// Returns the number in the `id` line of an event.
+/// Calls `visit` with each line of an event, without its end.
+template <class Visitor>
+void forEachLine(std::string_view event, Visitor visit)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        visit(event.substr(0, end));
+        event = end == std::string_view::npos ? std::string_view{} : event.substr(end + 1);
+    }
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    while (text.starts_with(' '))
+        text.remove_prefix(1);
+    while (text.ends_with(' ') || text.ends_with('\r'))
+        text.remove_suffix(1);
+    std::uint64_t number = 0;
+    const auto end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number);
+    if (error != std::errc{} || stop != end)
+        return std::nullopt;
+    return number;
+}
+
+/// Returns the number in the `id` line of an event. As in the standard on server-sent events, the
+/// last one counts.
 std::optional<std::uint64_t> parseEventId(std::string_view event)
 {
     constexpr std::string_view Key = "id:";
-    std::size_t line = 0;
-    while (line < event.size()) {
-        const auto end = event.find('\n', line);
-        auto text = event.substr(line, end - line);
-        if (text.starts_with(Key)) {
-            text.remove_prefix(Key.size());
-            while (text.starts_with(' '))
-                text.remove_prefix(1);
-            std::uint64_t eventId = 0;
-            const auto parsed = std::from_chars(text.data(), text.data() + text.size(), eventId);
-            if (parsed.ec == std::errc{})
-                return eventId;
-            return std::nullopt;
-        }
-        if (end == std::string_view::npos)
-            break;
-        line = end + 1;
-    }
-    return std::nullopt;
+    std::optional<std::uint64_t> eventId;
+    forEachLine(event, [&](std::string_view line) {
+        if (line.starts_with(Key))
+            eventId = parseNumber(line.substr(Key.size()));
+    });
+    return eventId;
+}
+
+/// Returns whether an event has other lines than comments.
+bool hasContent(std::string_view event)
+{
+    bool found = false;
+    forEachLine(event, [&](std::string_view line) {
+        found = found || (!line.empty() && !line.starts_with(':'));
+    });
+    return found;
 }
 
 // A server may send another answer behind a stream that ends with its connection. Its head would
@@ -84,7 +107,10 @@
         m_firstOfStream = eventId;
     if (eventId)
         m_lastOfStream = std::max(m_lastOfStream.value_or(0), *eventId);
-    if (eventId && m_lastEvent && *eventId <= *m_lastEvent) {
+    // Events without a number belong to the one before them.
+    const bool known = eventId ? m_lastEvent && *eventId <= *m_lastEvent
+                               : m_lastOfStream && m_lastEvent && *m_lastOfStream < *m_lastEvent;
+    if (known) {
         ++m_leftOut;
         return;
     }
@@ -94,6 +120,7 @@
         return;
     if (eventId)
         m_lastEvent = eventId;
+    m_continuable = eventId || (m_continuable && !hasContent(event));
     ++m_eventCount;
     m_completed.append(event);
 }
--- a/src/gateway/exchange/event_splitter.h
+++ b/src/gateway/exchange/event_splitter.h
@@ -40,6 +40,9 @@
 
     /// Returns the number of the last event that the client has or was sent.
     [[nodiscard]] std::optional<std::uint64_t> lastEvent() const { return m_lastEvent; }
+    /// Returns whether the stream of another server can go on exactly behind the events returned:
+    /// none with content and without a number follows the last numbered one.
+    [[nodiscard]] bool isContinuable() const { return m_continuable; }
     [[nodiscard]] std::uint64_t events() const { return m_eventCount; }
     /// Returns the number of complete events so far, including those left out, that have no number
     /// or a higher one than the events before them in their stream.
@@ -70,6 +73,7 @@
     std::uint64_t m_eventCount = 0;
     std::uint64_t m_leftOut = 0; ///< in this stream
     std::optional<stream_defect> m_defect;
+    bool m_continuable = true;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -229,6 +229,8 @@
     /// goes to this node's own.
     void avoidUnreachable(const data_center_id &where);
     [[nodiscard]] bool mayRetry(attempt_result what);
+    /// Returns whether an answer of which the client has a part can go on at another server.
+    [[nodiscard]] bool isContinuable() const;
     /// Returns the time without an answer after which another server gets the request.
     [[nodiscard]] milliseconds unansweredLimit() const;
     /// The same by the latency objective alone.
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -412,7 +412,7 @@
         logRetryDenied("no_time");
         return false;
     }
-    if (m_headSent && m_route->kind != request_kind::Stream) {
+    if (m_headSent && !isContinuable()) {
         logRetryDenied("answer_begun");
         return false;
     }
@@ -430,6 +430,12 @@
     return true;
 }
 
+template <gateway_codec Codec>
+bool exchange<Codec>::isContinuable() const
+{
+    return m_route->kind == request_kind::Stream && m_current.splitter.isContinuable();
+}
+
 // Connections to an unreachable data centre fail at once, but the data centre is declared lost only
 // after a while. Engines that have crashed refuse connections as well. Their data centre still
 // sends signals then, and the results stored there stay usable: computing them again would load
--- a/src/gateway/exchange/exchange_silence_impl.h
+++ b/src/gateway/exchange/exchange_silence_impl.h
@@ -82,11 +82,10 @@
     return m_context.directory.choose(query) != nullptr;
 }
 
-// A plain answer of which the client has a part can't go on at another server.
 template <gateway_codec Codec>
 void exchange<Codec>::tryElsewhere(abandon_cause why)
 {
-    if (m_current.forwarding == forwarding_mode::Bytes || !otherServerResponds())
+    if ((m_headSent && !isContinuable()) || !otherServerResponds())
         return;
     if (!m_current.sent) {
         m_context.transport.abandon(m_current.call);
--- a/tests/gateway/event_splitter_test.cpp
+++ b/tests/gateway/event_splitter_test.cpp
@@ -48,6 +48,38 @@
     CHECK_FALSE(splitter.lastEvent());
 }
 
+// Guards against numbers that are misread, so that events are repeated or left out.
+TEST_CASE("event_splitter: the number of an event is that of its last id line alone")
+{
+    event_splitter splitter(Bound);
+    std::uint64_t expected = 0;
+    for (const std::string event :
+         {"data: id: 7\nid: 1\n\n", "x-weight-versions: 9\nid: 2\ndata: a\n\n",
+          "data: a\nid:3 \n\n", "id: 9\nid: 4\n\n"}) {
+        CHECK(splitter.feed(event) == event);
+        CHECK(splitter.lastEvent() == ++expected);
+    }
+    CHECK(splitter.isContinuable());
+    for (const auto *unreadable : {"id: 5x\n\n", "id: -1\n\n", "id: 99999999999999999999\n\n",
+                                   "ID: 5\n\n", "id\n\n", "id:\n\n", "data: a\n\n"}) {
+        CHECK(splitter.feed(unreadable) == unreadable);
+        CHECK(splitter.lastEvent() == 4);
+        CHECK_FALSE(splitter.isContinuable());
+    }
+    CHECK_FALSE(splitter.feed("id: 5\n\n: comment\n\n").empty());
+    CHECK(splitter.isContinuable());
+}
+
+// Guards against events without a number that a continued stream brings again.
+TEST_CASE("event_splitter: events without a number behind a repeated one are left out")
+{
+    event_splitter splitter(Bound);
+    CHECK(splitter.feed("id: 1\n\ndata: a\n\nid: 2\n\n").size() == 23);
+    splitter.restart();
+    CHECK(splitter.feed("id: 1\n\ndata: a\n\nid: 2\n\ndata: b\n\n") == "data: b\n\n");
+    CHECK(splitter.leftOut() == 3);
+}
+
 TEST_CASE("event_splitter: an event over the size limit makes the stream unusable")
 {
     event_splitter splitter(Bound);
--- a/tests/platform/stream_continuation_test.cpp
+++ b/tests/platform/stream_continuation_test.cpp
@@ -104,6 +104,66 @@
     CHECK(answer->body == events(1, 5));
 }
 
+// Guards against a stream that is appended from its beginning to what its client has, as no number
+// tells where it goes on.
+TEST_CASE("a broken stream whose last events have no number isn't continued")
+{
+    const std::string events = GENERATE(
+        as<std::string>(), "data: a\n\ndata: b\n\n", "id: one\ndata: a\n\n", "id: 7x\ndata: a\n\n",
+        "id: 99999999999999999999999\ndata: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n");
+    two_engines_world w;
+    const auto write = [&](const server_request &request, const auto &answer) {
+        answer->write(streamHead(request) + chunk(events));
+        answer->reset();
+    };
+    w.scripts = {write, write};
+    const auto answer = w.ask();
+    REQUIRE(w.await(answer));
+    CHECK(answer->end != http::call_end::Complete);
+    CHECK(answer->body == events);
+    CHECK(w.arrived.size() == 1);
+}
+
+// Guards against the same for a server that falls silent.
+TEST_CASE("a silent stream whose last events have no number waits for its server")
+{
+    const std::string begin = "data: a\n\n";
+    two_engines_world w;
+    std::shared_ptr<server_answer> open;
+    w.scripts = {[&](const server_request &request, const auto &answer) {
+                     open = answer;
+                     answer->write(streamHead(request) + chunk(begin));
+                 },
+                 [&](const server_request &request, const auto &answer) {
+                     answer->write(streamHead(request) + chunk(begin) + EndOfStream);
+                 }};
+    const auto answer = w.ask();
+    w.runFor(milliseconds{2200}); // longer than a stream may be silent
+    REQUIRE(open);
+    open->write(chunk("data: b\n\n") + EndOfStream);
+    REQUIRE(w.await(answer));
+    CHECK(answer->body == begin + "data: b\n\n");
+    CHECK(w.arrived.size() == 1);
+}
+
+// Guards against giving up streams whose comments or empty events have no number.
+TEST_CASE("a broken stream with comments between its events goes on at another server")
+{
+    two_engines_world w;
+    w.scripts = {[](const server_request &request, const auto &answer) {
+                     answer->write(streamHead(request) + chunk(events(1, 2) + ": ping\n\n"));
+                     answer->reset();
+                 },
+                 [](const server_request &request, const auto &answer) {
+                     answer->write(streamHead(request) + chunk(events(3, 4)) + EndOfStream);
+                 }};
+    const auto answer = w.ask();
+    REQUIRE(w.await(answer));
+    CHECK(w.lastEventOf(1) == "2");
+    CHECK(answer->end == http::call_end::Complete);
+    CHECK(answer->body == events(1, 2) + ": ping\n\n" + events(3, 4));
+}
+
 namespace {
 
 struct relayed_world : cut_off_world
