Don't continue a stream with an answer that has no signature

What callers saw: events of an answer without a server's signature, behind those of a server, in one success.

Cause: the check of the signature (`mayForward`) was made for the first answer only. For a continuation the status alone counted.

Change: the answer that continues a stream needs the signature, and must not be a refusal, as the first one.

Evidence: stream_continuation_test, "a stream isn't continued with an answer that has no signature": events 3 and 4 were forwarded on the code before and the stream was complete; now it is broken off.

--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -35,13 +35,15 @@
     m_current.metadata = Codec::readAnswer(head);
     recordResponse(m_current, m_current.metadata);
     const bool success = status::isSuccess(head.status);
+    const bool forwarded = mayForward(head.status, m_current.metadata);
     if (m_headSent) {
         // The continuation of a stream, whose head was already sent to the client.
-        m_current.forwarding = success ? forwarding_mode::Events : forwarding_mode::Nothing;
+        m_current.forwarding =
+            success && forwarded ? forwarding_mode::Events : forwarding_mode::Nothing;
         return;
     }
     m_current.answer = head;
-    if (!mayForward(head.status, m_current.metadata)) {
+    if (!forwarded) {
         m_current.forwarding = forwarding_mode::Nothing;
         return;
     }
--- a/tests/platform/stream_continuation_test.cpp
+++ b/tests/platform/stream_continuation_test.cpp
@@ -164,6 +164,26 @@
     CHECK(answer->body == events(1, 2) + ": ping\n\n" + events(3, 4));
 }
 
+// Guards against events of a program that isn't the server, which has no signature, behind those of
+// a server.
+TEST_CASE("a stream isn't continued with an answer that has no signature")
+{
+    two_engines_world w;
+    w.scripts = {[](const server_request &request, const auto &answer) {
+                     answer->write(streamHead(request) + chunk(events(1, 2)));
+                     answer->reset();
+                 },
+                 [](const server_request &, const auto &answer) {
+                     answer->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                   + chunk(events(3, 4)) + EndOfStream);
+                 }};
+    const auto answer = w.ask();
+    REQUIRE(w.await(answer));
+    CHECK(w.arrived.size() == 2);
+    CHECK(answer->body == events(1, 2));
+    CHECK(answer->end != http::call_end::Complete);
+}
+
 namespace {
 
 struct relayed_world : cut_off_world
