Read a connection again for its next call

What callers saw: a request without answer until its timeout, or until another server was tried, after a long answer to a client that read slowly.

Cause: reading a server's connection is paused while much waits for a slow client. If the answer ended in the bytes that were read last before the pause, the connection went back to the pool and stayed paused. Neither the next answer on it nor its end was read.

Change: the connection is read again when it becomes idle.

Evidence: connection_pool_test: without the change the second call has no answer within 1 s; with it, it has.

--- a/src/http/outbound_connection.cpp
+++ b/src/http/outbound_connection.cpp
@@ -190,10 +190,14 @@
 {
     const auto self = shared_from_this();
     const auto call = std::exchange(m_call, std::nullopt);
-    if (!reuse)
+    if (!reuse) {
         tearDown();
-    else if (m_owner.onIdle)
-        m_owner.onIdle(self);
+    } else {
+        // The answer may have ended while its reading was paused.
+        m_socket->setReading(true);
+        if (m_owner.onIdle)
+            m_owner.onIdle(self);
+    }
     if (call && call->onEnd)
         call->onEnd(outcome);
 }
