Relay no call to a later start of its server

What callers could see: a stream joined from two software versions, if a gateway that is cut off from the servers had a call relayed by a peer that already knew a later start under the server's id.

Cause: the order to a relay named the server by its id alone. A direct call belongs to one start: it isn't sent once a later one is known. The relay looked the id up in its own list and sent to the later start.

Change: the order names the start that the peer has chosen. A relay that knows a later one refuses it, and the peer chooses again.

Not reproduced with whole gateways: their lists differ for some tenths of a second only. A relay of the code before passes the new field on to the server.

--- a/src/gateway/relay/call_relay.h
+++ b/src/gateway/relay/call_relay.h
@@ -58,7 +58,8 @@
     using relayed_call_ptr = std::shared_ptr<relayed_call>;
 
     void onRequest(const http::inbound_ptr &peer, http::request_head &&head, std::string &&body);
-    [[nodiscard]] std::optional<relay_result> refusalFor(const server_ptr &to) const;
+    [[nodiscard]] std::optional<relay_result> refusalFor(const server_ptr &to,
+                                                         const relay_order &order) const;
     void send(const relayed_call_ptr &relayed, std::string &&body);
     [[nodiscard]] std::optional<std::string> writeHead(relayed_call &relayed) const;
     void onHead(const relayed_call_ptr &relayed, const http::response_head &head);
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -67,9 +67,12 @@
         m_listener->closeIdle(minIdleTime);
 }
 
-// A node that is being checked for a cut itself still tries: its connection shows the result.
+// A node that is being checked for a cut itself still tries: its connection shows the result. A
+// later start under the same id may have another software version, or lack what the call depends
+// on.
 template <gateway_codec Codec>
-std::optional<relay_result> call_relay<Codec>::refusalFor(const server_ptr &to) const
+std::optional<relay_result> call_relay<Codec>::refusalFor(const server_ptr &to,
+                                                          const relay_order &order) const
 {
     if (m_stopping)
         return relay_result::Stopping;
@@ -79,7 +82,9 @@
         return relay_result::Busy;
     if (!to)
         return relay_result::Unreachable;
-    if (!to->accepts(m_loop.now()))
+    const auto &known = to->record.startedAt;
+    const bool restarted = order.startedAt && known && *known > *order.startedAt;
+    if (restarted || !to->accepts(m_loop.now()))
         return relay_result::Ineligible;
     return std::nullopt;
 }
@@ -100,7 +105,7 @@
     relayed->attempt = Codec::readRequest(head).attempt;
     relayed->head = std::move(head);
     relayed->server = m_directory.find(relayed->order.server);
-    if (const auto why = refusalFor(relayed->server)) {
+    if (const auto why = refusalFor(relayed->server, relayed->order)) {
         peer->respond(status::Unavailable, {toField(*why)}, {});
         logEnd(*relayed, toName(*why));
         return;
--- a/src/gateway/relay/relay_fields.cpp
+++ b/src/gateway/relay/relay_fields.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::string_view ServerField = "Orchidlead-Relay-To";
+constexpr std::string_view StartField = "Orchidlead-Relay-Server-Start";
 constexpr std::string_view AgeField = "Orchidlead-Relay-Age-Ms";
 constexpr std::string_view RequestField = "Orchidlead-Relay-Request";
 constexpr std::string_view RepeatableField = "Orchidlead-Relay-Repeatable";
@@ -21,6 +22,14 @@
     text.append(name).append(": ").append(value).append(EndOfLine);
 }
 
+std::optional<std::uint64_t> readStart(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc{} && stop == end ? std::optional(number) : std::nullopt;
+}
+
 milliseconds readAge(std::string_view text)
 {
     std::int64_t number = 0;
@@ -34,6 +43,8 @@
 {
     std::string fields;
     append(fields, ServerField, order.server.value);
+    if (order.startedAt)
+        append(fields, StartField, std::to_string(*order.startedAt));
     append(fields, AgeField, std::to_string(order.age.count()));
     if (!order.request.empty())
         append(fields, RequestField, order.request);
@@ -52,6 +63,8 @@
     std::erase_if(fields, [&](const http::field &each) {
         if (http::equalsIgnoringCase(each.name, ServerField))
             server = each.value;
+        else if (http::equalsIgnoringCase(each.name, StartField))
+            read.startedAt = readStart(each.value);
         else if (http::equalsIgnoringCase(each.name, AgeField))
             read.age = readAge(each.value);
         else if (http::equalsIgnoringCase(each.name, RequestField))
--- a/src/gateway/relay/relay_fields.h
+++ b/src/gateway/relay/relay_fields.h
@@ -37,6 +37,8 @@
 struct relay_order
 {
     backend_server_id server;
+    /// Start of the server that the peer has chosen, as in `server_start`.
+    std::optional<std::uint64_t> startedAt;
     milliseconds age{0}; ///< time since the call's head, with its timeout, was written
     std::string request; ///< attempt of the client's request, for the relay's log; may be empty
     bool repeatable = false; ///< whether the call may be sent again if it is left without answer
--- a/src/gateway/servers/server_transport.cpp
+++ b/src/gateway/servers/server_transport.cpp
@@ -213,6 +213,7 @@
     }
     relay_order order;
     order.server = open.wanted.server->record.id;
+    order.startedAt = open.wanted.server->record.startedAt;
     order.age = std::chrono::duration_cast<milliseconds>(m_loop.now() - open.writtenAt);
     order.request = open.wanted.request;
     order.repeatable = open.wanted.repeatable;
--- a/tests/gateway/relay_fields_test.cpp
+++ b/tests/gateway/relay_fields_test.cpp
@@ -8,19 +8,22 @@
 TEST_CASE("relay_fields: an order is read as it was written, and leaves no field behind")
 {
     std::string head = "GET / HTTP/1.1\r\nHost: h\r\n\r\nbody\r\n\r\n";
-    insertOrder(head, {backend_server_id("s-1"), milliseconds{12}, "a-1", true});
+    insertOrder(head, {backend_server_id("s-1"), 77, milliseconds{12}, "a-1", true});
     CHECK(head
           == "GET / HTTP/1.1\r\nHost: h\r\nOrchidlead-Relay-To: s-1\r\n"
+             "Orchidlead-Relay-Server-Start: 77\r\n"
              "Orchidlead-Relay-Age-Ms: 12\r\nOrchidlead-Relay-Request: a-1\r\n"
              "Orchidlead-Relay-Repeatable: 1\r\n\r\nbody\r\n\r\n");
     http::field_list fields{{"Host", "h"},
                             {"orchidlead-relay-to", "s-1"},
+                            {"Orchidlead-Relay-Server-Start", "77"},
                             {"Orchidlead-Relay-Age-Ms", "12"},
                             {"Orchidlead-Relay-Request", "a-1"},
                             {"Orchidlead-Relay-Repeatable", "1"}};
     const auto order = takeOrder(fields);
     REQUIRE(order);
     CHECK(order->server.value == "s-1");
+    CHECK(order->startedAt == 77);
     CHECK(order->age == milliseconds{12});
     CHECK(order->request == "a-1");
     CHECK(order->repeatable);
@@ -39,8 +42,9 @@
 TEST_CASE("relay_fields: a call that must not be repeated has no field for it")
 {
     std::string head = "POST / HTTP/1.1\r\n\r\n";
-    insertOrder(head, {backend_server_id("s-1"), {}, {}, false});
+    insertOrder(head, {backend_server_id("s-1"), {}, {}, {}, false});
     CHECK(head.find("Repeatable") == std::string::npos);
+    CHECK(head.find("Start") == std::string::npos);
     http::field_list fields{{"Orchidlead-Relay-To", "s-1"}};
     const auto order = takeOrder(fields);
     REQUIRE(order);
