Find a second answer behind a relayed one without a length

What callers saw: the bytes of another answer at the end of a body, in a success, from a gateway that is cut off from the servers.

Cause: an answer that ends with its connection is searched for a second one behind it. A relay passes it on in chunks, which were taken for the server's.

Change: the relay marks such an answer, so that the peer searches it as if it had come directly.

Streams aren't affected: their events are checked one by one.

--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -168,7 +168,10 @@
     out.reason = head.reason;
     out.fields = http::forwardedFields(head.fields);
     [[maybe_unused]] const auto forged = takeResult(out.fields);
+    [[maybe_unused]] const auto forgedMark = takeEndsWithConnection(out.fields);
     out.fields.push_back(toField(relay_result::Forwarded));
+    if (!head.length && !head.chunked)
+        out.fields.push_back(endsWithConnectionField());
     out.length = head.length;
     relayed->status = head.status;
     relayed->peer->begin(out);
--- a/src/gateway/relay/relay_fields.cpp
+++ b/src/gateway/relay/relay_fields.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view RequestField = "Orchidlead-Relay-Request";
 constexpr std::string_view RepeatableField = "Orchidlead-Relay-Repeatable";
 constexpr std::string_view ResultField = "Orchidlead-Relay-Result";
+constexpr std::string_view EndsWithConnectionField = "Orchidlead-Relay-Ends-With-Connection";
 constexpr std::string_view Yes = "1";
 constexpr std::string_view EndOfLine = "\r\n";
 
@@ -101,4 +102,18 @@
     return found;
 }
 
+http::field endsWithConnectionField()
+{
+    return {std::string(EndsWithConnectionField), std::string(Yes)};
+}
+
+bool takeEndsWithConnection(http::field_list &fields)
+{
+    return std::erase_if(fields,
+                         [](const http::field &each) {
+                             return http::equalsIgnoringCase(each.name, EndsWithConnectionField);
+                         })
+        > 0;
+}
+
 } // namespace orchidlead::gateway
--- a/src/gateway/relay/relay_fields.h
+++ b/src/gateway/relay/relay_fields.h
@@ -51,6 +51,11 @@
 [[nodiscard]] http::field toField(relay_result what);
 /// Removes the result from the fields; empty: none, or one that isn't known.
 [[nodiscard]] std::optional<relay_result> takeResult(http::field_list &fields);
+/// Marks a forwarded answer whose body ended with the server's connection. The relay sends it to
+/// its peer in chunks, in which such an answer could not be told from others.
+[[nodiscard]] http::field endsWithConnectionField();
+/// Removes the mark; returns whether there was one.
+[[nodiscard]] bool takeEndsWithConnection(http::field_list &fields);
 /// Returns the result without removing it.
 [[nodiscard]] std::optional<relay_result> findResult(const http::field_list &fields);
 
--- a/src/gateway/servers/server_transport.cpp
+++ b/src/gateway/servers/server_transport.cpp
@@ -246,6 +246,8 @@
     call.onHead = [open](const http::response_head &head) {
         auto answer = head;
         open->relayResult = takeResult(answer.fields).value_or(relay_result::Busy);
+        if (takeEndsWithConnection(answer.fields))
+            answer.chunked = false;
         if (open->relayResult != relay_result::Forwarded)
             return;
         open->text = {};
--- a/tests/gateway/relay_fields_test.cpp
+++ b/tests/gateway/relay_fields_test.cpp
@@ -67,3 +67,11 @@
     }
     CHECK_FALSE(findResult({{"Orchidlead-Relay-Result", "maybe"}}));
 }
+
+TEST_CASE("relay_fields: the mark of an answer that ends with its connection is taken out")
+{
+    http::field_list fields{{"Host", "h"}, endsWithConnectionField()};
+    CHECK(takeEndsWithConnection(fields));
+    CHECK_FALSE(takeEndsWithConnection(fields));
+    CHECK(fields.size() == 1);
+}
--- a/tests/platform/close_delimited_answer_test.cpp
+++ b/tests/platform/close_delimited_answer_test.cpp
@@ -259,3 +259,16 @@
     REQUIRE(w.await(answer));
     CHECK(answer->status == 502);
 }
+
+// Guards against bytes of a second answer in the body of a relayed one, which nothing separates.
+TEST_CASE("bytes of another answer behind a relayed one without a length are not forwarded")
+{
+    cut_off_world w(plainRoute("unsafe"));
+    w.setBehaviour("web", unframed("mine" + unframedHead("of-another") + "theirs", ending::Close));
+    w.cutFromServers("g1", cut_kind::Reset);
+    w.runFor(milliseconds{300});
+    const auto answer = w.startPlain("g1", "POST");
+    REQUIRE(w.await(answer));
+    CHECK(answer->body.find("theirs") == std::string::npos);
+    CHECK(answer->status == 502);
+}
