--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -229,6 +229,8 @@
     /// goes to this node's own.
     void avoidUnreachable(const data_center_id &where);
     [[nodiscard]] bool mayRetry(attempt_result what);
+    /// Returns whether an answer of which the client has a part can go on at another server.
+    [[nodiscard]] bool isContinuable() const;
     /// Returns the time without an answer after which another server gets the request.
     [[nodiscard]] milliseconds unansweredLimit() const;
     /// The same by the latency objective alone.
@@ -282,6 +284,8 @@
     [[nodiscard]] server_attempt extractHeld(std::uint64_t id);
     /// Returns whether an attempt has begun an answer that can be forwarded.
     [[nodiscard]] static bool isAnswering(const server_attempt &each);
+    /// Ends the call of a held attempt, whose answer can't be used.
+    void abandonHeld(std::uint64_t id, abandon_cause why);
     /// Records the start of a response and what its server reports in it.
     void recordResponse(const server_attempt &to, const response_metadata &metadata);
     /// Ends the calls of all held attempts: another one answers the request, or it has ended.
--- a/src/gateway/relay/relay_fields.h
+++ b/src/gateway/relay/relay_fields.h
@@ -37,6 +37,8 @@
 struct relay_order
 {
     backend_server_id server;
+    /// Start of the server that the peer has chosen, as in `server_start`.
+    std::optional<std::uint64_t> startedAt;
     milliseconds age{0}; ///< time since the call's head, with its timeout, was written
     std::string request; ///< attempt of the client's request, for the relay's log; may be empty
     bool repeatable = false; ///< whether the call may be sent again if it is left without answer
@@ -49,6 +51,11 @@
 [[nodiscard]] http::field toField(relay_result what);
 /// Removes the result from the fields; empty: none, or one that isn't known.
 [[nodiscard]] std::optional<relay_result> takeResult(http::field_list &fields);
+/// Marks a forwarded answer whose body ended with the server's connection. The relay sends it to
+/// its peer in chunks, in which such an answer could not be told from others.
+[[nodiscard]] http::field endsWithConnectionField();
+/// Removes the mark; returns whether there was one.
+[[nodiscard]] bool takeEndsWithConnection(http::field_list &fields);
 /// Returns the result without removing it.
 [[nodiscard]] std::optional<relay_result> findResult(const http::field_list &fields);
 
--- a/src/gateway/servers/server_transport.cpp
+++ b/src/gateway/servers/server_transport.cpp
@@ -213,6 +213,7 @@
     }
     relay_order order;
     order.server = open.wanted.server->record.id;
+    order.startedAt = open.wanted.server->record.startedAt;
     order.age = std::chrono::duration_cast<milliseconds>(m_loop.now() - open.writtenAt);
     order.request = open.wanted.request;
     order.repeatable = open.wanted.repeatable;
@@ -245,6 +246,8 @@
     call.onHead = [open](const http::response_head &head) {
         auto answer = head;
         open->relayResult = takeResult(answer.fields).value_or(relay_result::Busy);
+        if (takeEndsWithConnection(answer.fields))
+            answer.chunked = false;
         if (open->relayResult != relay_result::Forwarded)
             return;
         open->text = {};
