Start gateway processes from a file that tests share

Tests of killed gateways need what the test of silent servers had for itself: the gateway program in a process of its own, its settings file and the wait for its readiness. The budgets that the test of silent servers relies on are now set in its settings.

--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -594,6 +594,14 @@
 
 http::pool_call world::startRequest(const std::string &gateway, http::request_head head,
                                     std::string body, const std::shared_ptr<client_answer> &answer)
+{
+    return startRequestAt(m_nodes[gateway].settings.listen.clients, std::move(head),
+                          std::move(body), answer);
+}
+
+http::pool_call world::startRequestAt(const socket_address &to, http::request_head head,
+                                      std::string body,
+                                      const std::shared_ptr<client_answer> &answer)
 {
     http::outbound_call call;
     if (!body.empty())
@@ -609,7 +617,7 @@
         answer->ended = true;
         answer->end = how;
     };
-    return pool.start(m_nodes[gateway].settings.listen.clients, std::move(call));
+    return pool.start(to, std::move(call));
 }
 
 std::shared_ptr<client_answer> world::request(const std::string &gateway, http::request_head head,
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -213,12 +213,20 @@
     /// Waits until this number of nodes watch the store, which takes some time after their start.
     bool waitForStoreWatch(std::size_t nodes = 1);
 
+    /// Returns the address at which a gateway takes clients' requests.
+    [[nodiscard]] socket_address clientAddress(const std::string &gateway) const
+    {
+        return m_nodes.at(gateway).settings.listen.clients;
+    }
     /// Sends a request to a gateway.
     std::shared_ptr<client_answer> request(const std::string &gateway, http::request_head head,
                                            std::string body = {});
     /// As `request`; returns the call so that it can be cancelled.
     http::pool_call startRequest(const std::string &gateway, http::request_head head,
                                  std::string body, const std::shared_ptr<client_answer> &answer);
+    /// As `startRequest`, to any address.
+    http::pool_call startRequestAt(const socket_address &to, http::request_head head,
+                                   std::string body, const std::shared_ptr<client_answer> &answer);
     /// Sends raw bytes and returns all bytes received until the connection ends.
     std::string sendRaw(const std::string &gateway, const std::string &bytes);
     /// Sends raw bytes and returns whether the gateway's bytes end with an orderly close.
--- a/tests/platform/silent_process_test.cpp
+++ b/tests/platform/silent_process_test.cpp
@@ -2,22 +2,18 @@
 // about a second, while gateway processes are restarted and the configuration changes. Each failure
 // names its seed.
 #include "engine_process.h"
+#include "gateway_process.h"
 #include "platform_world.h"
 
 #include <catch2/catch.hpp>
-#include <fcntl.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <cstdlib>
-#include <filesystem>
 #include <fstream>
 #include <map>
 #include <memory>
 #include <random>
-#include <sstream>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,52 +41,6 @@
 constexpr double RetryReserve = 50;
 constexpr milliseconds RetryWindow{10'000};
 
-/// A directory that is removed with this object.
-class temporary_directory
-{
-public:
-    temporary_directory()
-    {
-        std::string name = std::filesystem::temp_directory_path() / "silent-process-XXXXXX";
-        REQUIRE(::mkdtemp(name.data()));
-        m_path = name;
-    }
-    ~temporary_directory()
-    {
-        std::error_code ignored;
-        std::filesystem::remove_all(m_path, ignored);
-    }
-    temporary_directory(const temporary_directory &) = delete;
-    temporary_directory &operator=(const temporary_directory &) = delete;
-
-    [[nodiscard]] const std::filesystem::path &path() const { return m_path; }
-
-private:
-    std::filesystem::path m_path;
-};
-
-/// Makes the settings of gateways available that run in processes of their own.
-class process_world : public world
-{
-public:
-    using world::makeSettings;
-};
-
-std::string settingsText(const gateway::gateway_settings &settings)
-{
-    std::ostringstream text;
-    text << "vm: \"" << settings.vm.value << "\"\ndata_center: \"z\"\nregion: \"r\"\n"
-         << "regions: {\"z\": \"r\"}\nlisten:\n  clients: \"" << toText(settings.listen.clients)
-         << "\"\n  readiness: \"" << toText(settings.listen.readiness) << "\"\n  peers: \""
-         << toText(settings.listen.peers) << "\"\n  relay: \"" << toText(*settings.listen.relay)
-         << "\"\nstore: \"" << toText(settings.store) << "\"\nfirst_contacts: [";
-    for (const auto &each : settings.firstContacts)
-        text << '"' << toText(each) << "\", ";
-    text << "]\nbounds:\n  stop_grace: 8s\n  publication_apply: 2s\n  retry_share: " << RetryShare
-         << "\n  retry_reserve: " << RetryReserve << "\n  retry_window: 10s\n";
-    return text.str();
-}
-
 std::string routeText(const std::string &name, route_kind kind, int timeoutMs)
 {
     const std::string type = isStream(kind) ? "streaming" : mayRepeat(kind) ? "safe" : "unsafe";
@@ -246,42 +196,20 @@
         auto added = std::make_unique<gateway_process>();
         const auto name = "g" + std::to_string(index);
         added->settings = m_world->makeSettings(name, "z");
+        added->settings.bounds.retryShare = RetryShare;
+        added->settings.bounds.retryReserve = RetryReserve;
+        added->settings.bounds.retryWindow = RetryWindow;
         for (const auto &each : m_gateways) {
             if (!each->stopping)
                 added->settings.firstContacts.push_back(each->settings.listen.peers);
         }
-        const auto file = (m_directory.path() / (name + ".yaml")).string();
-        const auto log = (m_directory.path() / (name + ".log")).string();
-        std::ofstream(file) << settingsText(added->settings);
-        const char *build = std::getenv("ORCHIDLEAD_BUILD");
-        REQUIRE(build);
-        const auto program = std::string(build) + "/orchidlead-gateway";
-        added->process = std::make_unique<child_process>([&] {
-            const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-            ::dup2(output, STDOUT_FILENO);
-            ::setenv("ORCHIDLEAD_NODE_FILE", file.c_str(), 1);
-            ::execl(program.c_str(), program.c_str(), nullptr);
-        });
+        added->process = startGatewayProcess(added->settings, m_directory.path() / (name + ".yaml"),
+                                             m_directory.path() / (name + ".log"));
+        const auto readiness = added->settings.listen.readiness;
         m_gateways.push_back(std::move(added));
-        askReadiness(index);
-    }
-
-    void askReadiness(std::size_t index)
-    {
-        static constexpr milliseconds Interval{100};
-        const auto status = std::make_shared<int>(0);
-        http::outbound_call call;
-        call.writeHead = [] {
-            return std::optional(http::formatHead(makeRequest("GET", "/readyz", "probe")));
-        };
-        call.onHead = [status](const http::response_head &got) { *status = got.status; };
-        call.onBody = [](std::string_view) {};
-        call.onEnd = [this, index, status](http::call_end) {
-            m_gateways[index]->ready = *status == 200;
-            if (*status != 200)
-                m_world->loop.callAfter(Interval, [this, index] { askReadiness(index); });
-        };
-        m_world->pool.start(m_gateways[index]->settings.listen.readiness, std::move(call));
+        askUntilReady(
+            *m_world, readiness, [] { return true; },
+            [this, index] { m_gateways[index]->ready = true; });
     }
 
     [[nodiscard]] std::vector<std::size_t> servingGateways() const
