Compute the stages of a request at one software version of each service

What callers saw: nothing told them. While two software versions of a stage's service served, pieces of one request were computed by servers of both, and the results were handed together to the next stage or the engine.

Cause: no one kept the version at which a result was made. The host of a pool gives a piece to any idle server of the service.

The fix: the request's node assigns one version of each service to the request, in proportion to the servers of its pool that work at full speed, by the attempt that began the stream or request. While several versions are published, or were in the last minute, pieces require that version: the pool gives them, and their second calls, only to its servers, and redirections and other pools are chosen by it. Where a node knew one version when it submitted a piece, the host names the version of the result, and the piece is computed again if it doesn't fit. A host of an earlier release ignores the required version; the submitter then computes the piece itself. Where no usable server of the version is left, all stages are computed again at another one, once and only while in time, as after lost inputs.

With one version in service, frames have the same fields as before: the version is a trailing field, which earlier releases skip when they read.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -97,6 +97,7 @@
     HostNotReady, ///< the host has just started and knows no servers yet
     ServersUnreachable, ///< the servers of the pool that were tried could not be reached
     Redirected, ///< the piece waits for less time in another pool; no server has started it
+    NoServerOfVersion, ///< no server of the pool with the required version gets new work
 };
 
 /// Whether a host rejected the piece because no server of its pool gets new work. Servers of
@@ -104,7 +105,8 @@
 [[nodiscard]] constexpr bool poolRefusesWork(piece_failure failure)
 {
     return failure == piece_failure::Evacuated || failure == piece_failure::ServersLeaving
-        || failure == piece_failure::ServersBackingOff;
+        || failure == piece_failure::ServersBackingOff
+        || failure == piece_failure::NoServerOfVersion;
 }
 
 /// The handle of a result, or the reason why there is none.
@@ -256,6 +258,8 @@
         orchidlead::gateway::piece_failure::ServersUnreachable, "unreached"},
     orchidlead::enum_name<orchidlead::gateway::piece_failure>{
         orchidlead::gateway::piece_failure::Redirected, "redirected"},
+    orchidlead::enum_name<orchidlead::gateway::piece_failure>{
+        orchidlead::gateway::piece_failure::NoServerOfVersion, "no_server_of_version"},
 };
 template <>
 inline constexpr std::array orchidlead::enumNames<orchidlead::gateway::read_consistency>{
--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -24,6 +24,7 @@
 #include "gateway/servers/server_transport.h"
 #include "gateway/stages/stage_progress.h"
 #include "gateway/stages/stage_router.h"
+#include "gateway/stages/stage_versions.h"
 #include "gateway/streams/stream_origin_relay.h"
 #include "http/inbound_connection.h"
 #include "wire/log.h"
@@ -140,7 +141,17 @@
     void onStagesReserved(const admission_result &result);
     void releaseStages();
     void submitReadyPieces();
+    /// Submits a piece and returns the pool that it was sent to.
+    pool_key submitPiece(stage_progress::ready_piece ready,
+                         const std::optional<software_version> &version);
+    /// Returns the software version at which a stage must be computed; empty: its service has had
+    /// a single one.
+    [[nodiscard]] std::optional<software_version> requiredStageVersion(std::uint32_t stage);
     void onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report);
+    /// Records the software version of a result; returns whether it fits those in use.
+    [[nodiscard]] bool acceptStageVersion(std::uint32_t stage, const piece_report &report);
+    /// Frees a result that doesn't fit those in use, and submits its piece again.
+    void repeatPiece(std::uint32_t stage, std::uint32_t piece, const std::string &handle);
     [[nodiscard]] request_outline outline() const;
     [[nodiscard]] data_center_id choosePreferredDataCenter();
     /// Returns the engines that the request may use: those of the own region if there are any.
@@ -370,6 +381,7 @@
     admission_id m_stageAdmission = 0; ///< asked or granted for the stages
     std::set<pool_key> m_reservedPools; ///< whose hosts have reserved places for the stages
     std::vector<piece_token> m_pieces; ///< submitted and not completed
+    stage_versions m_stageVersions;
     bool m_stagesRestarted = false;
     bool m_needsStages = false; ///< results were freed or lost
 
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -77,6 +77,8 @@
     auto line = lineOf(log_event::StageSubmitted);
     line.add("stage", stage).add("service", spec.service.value).add("pieces", pieces);
     line.add("host", m_context.stages.hostOf(m_stagePools[stage]).value);
+    if (const auto version = m_stageVersions.of(spec.service))
+        line.add("version", version->value);
     line.add("aim_left_ms", softDeadlineLeft.count()).add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
 }
--- a/src/gateway/exchange/exchange_stages_impl.h
+++ b/src/gateway/exchange/exchange_stages_impl.h
@@ -359,32 +359,13 @@
     if (m_context.disabledPolicies.contains(policy::LateLeafStages))
         std::ranges::fill(stageTimes, std::chrono::microseconds{0});
     std::map<std::uint32_t, std::vector<pool_key>> submitted; // of each piece, by stage
+    std::map<std::uint32_t, std::optional<software_version>> versions; // by stage
     for (auto &each : m_stageProgress->takeReadyPieces(stageTimes)) {
-        piece_task job;
         const auto stage = each.request.stage;
-        const auto piece = each.request.piece;
+        if (!versions.contains(stage))
+            versions[stage] = requiredStageVersion(stage);
         m_stageSubmittedAt[stage] = m_context.loop.now();
-        job.rank = stageRank();
-        job.softDeadline = m_objectiveFrom + m_route->latencyObjective - m_timesAfterStages[stage];
-        job.deadline = m_deadline - m_timesAfterStages[stage];
-        job.inputBytes = each.inputBytes;
-        job.resultBytes = m_route->stages[stage].resultBytes;
-        job.mayBeHedged = m_route->repeatable();
-        job.request = std::move(each.request);
-        job.request.digest = m_digest;
-        const auto inputsIn = job.request.inputs.empty()
-            ? m_preferredDataCenter
-            : resultLocation(job.request.inputs.front());
-        job.preferredDataCenter = usableDataCenter(inputsIn, each.service);
-        job.allowed = m_residency;
-        if (m_reservedPools.contains(m_stagePools[stage]))
-            job.reservedPool = m_stagePools[stage];
-        auto handler = [self = this->shared_from_this(), stage, piece](piece_report report) {
-            self->onPiece(stage, piece, std::move(report));
-        };
-        m_pieces.push_back(
-            m_context.stages.submit(each.service, std::move(job), std::move(handler)));
-        submitted[stage].push_back(m_context.stages.poolOf(m_pieces.back()));
+        submitted[stage].push_back(submitPiece(std::move(each), versions[stage]));
     }
     if (!submitted.empty())
         m_retryUnused = false;
@@ -395,6 +376,59 @@
     }
 }
 
+template <gateway_codec Codec>
+pool_key exchange<Codec>::submitPiece(stage_progress::ready_piece ready,
+                                      const std::optional<software_version> &version)
+{
+    piece_task job;
+    const auto stage = ready.request.stage;
+    const auto piece = ready.request.piece;
+    job.rank = stageRank();
+    job.softDeadline = m_objectiveFrom + m_route->latencyObjective - m_timesAfterStages[stage];
+    job.deadline = m_deadline - m_timesAfterStages[stage];
+    job.inputBytes = ready.inputBytes;
+    job.resultBytes = m_route->stages[stage].resultBytes;
+    job.mayBeHedged = m_route->repeatable();
+    job.request = std::move(ready.request);
+    job.request.digest = m_digest;
+    const auto inputsIn = job.request.inputs.empty() ? m_preferredDataCenter
+                                                     : resultLocation(job.request.inputs.front());
+    job.preferredDataCenter = usableDataCenter(inputsIn, ready.service);
+    job.allowed = m_residency;
+    job.version = version;
+    if (m_reservedPools.contains(m_stagePools[stage]))
+        job.reservedPool = m_stagePools[stage];
+    auto handler = [self = this->shared_from_this(), stage, piece](piece_report report) {
+        self->onPiece(stage, piece, std::move(report));
+    };
+    m_pieces.push_back(m_context.stages.submit(ready.service, std::move(job), std::move(handler)));
+    return m_context.stages.poolOf(m_pieces.back());
+}
+
+// A version without usable servers is given up only while no results of it are in use. With them,
+// the pieces fail, and all stages are computed again.
+template <gateway_codec Codec>
+std::optional<software_version> exchange<Codec>::requiredStageVersion(std::uint32_t stage)
+{
+    const auto &service = m_route->stages[stage].service;
+    const auto now = m_context.loop.now();
+    const auto &directory = m_context.directory;
+    const bool several = hadSeveralVersions(directory, service, now);
+    const auto assigned = m_stageVersions.of(service);
+    const auto isOfAssigned = [&](const server_ptr &each) { return each->hasVersion(assigned); };
+    if (!assigned
+        || (several
+            && std::ranges::none_of(directory.usable(service, m_residency), isOfAssigned))) {
+        const auto customer = m_customer ? m_customer->id : customer_id{};
+        const auto &first =
+            m_metadata.firstAttempt.empty() ? m_metadata.attempt : m_metadata.firstAttempt;
+        m_stageVersions.assign(service,
+                               assignStageVersion(directory, m_stagePools[stage],
+                                                  streamDigestOf(customer, first), now));
+    }
+    return several ? m_stageVersions.of(service) : std::nullopt;
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::onPiece(std::uint32_t stage, std::uint32_t piece, piece_report report)
 {
@@ -409,6 +443,10 @@
     if (m_done)
         return;
     if (auto *handle = std::get_if<std::string>(&report.result)) {
+        if (!acceptStageVersion(stage, report)) {
+            repeatPiece(stage, piece, *handle);
+            return;
+        }
         if (m_stageProgress->onResult(stage, piece, std::move(*handle)))
             m_context.latencyEstimator.onStage(
                 pool, stageRank(),
@@ -425,8 +463,10 @@
                             .add("piece", piece)
                             .add("reason", toName(failure))
                             .add("at_ms", sinceArrival().count()));
-    if (failure == piece_failure::InputGone && mayRestartStages()) {
-        restartStages("input_gone");
+    const bool mayRestart =
+        failure == piece_failure::InputGone || failure == piece_failure::NoServerOfVersion;
+    if (mayRestart && mayRestartStages()) {
+        restartStages(toName(failure));
         return;
     }
     if (backedOff)
@@ -434,6 +474,32 @@
     failRequest(outcomeOf(failure));
 }
 
+// Without a version, the host of the pool knows only that of the request.
+template <gateway_codec Codec>
+bool exchange<Codec>::acceptStageVersion(std::uint32_t stage, const piece_report &report)
+{
+    const auto &service = m_route->stages[stage].service;
+    const auto version = report.version ? report.version : m_stageVersions.of(service);
+    return !version || m_stageVersions.accept(service, *version);
+}
+
+// The piece was submitted while this node knew a single version of the service, so it required
+// none. Now it requires the one of the results in use.
+template <gateway_codec Codec>
+void exchange<Codec>::repeatPiece(std::uint32_t stage, std::uint32_t piece,
+                                  const std::string &handle)
+{
+    const auto version = m_stageVersions.of(m_route->stages[stage].service);
+    if (logsDecisions())
+        m_decisions.add(lineOf(log_event::PieceFailed)
+                            .add("stage", stage)
+                            .add("piece", piece)
+                            .add("reason", "other_version")
+                            .add("at_ms", sinceArrival().count()));
+    m_context.stages.freeResults({handle});
+    submitPiece(m_stageProgress->makePiece(stage, piece), version);
+}
+
 // Results that expired because the request is late would only be late again.
 template <gateway_codec Codec>
 bool exchange<Codec>::mayRestartStages()
@@ -469,6 +535,7 @@
     for (std::size_t i = 0; reserves && i < m_stagePools.size(); ++i)
         m_stagePools[i] = stagePool(m_route->stages[i].service, m_preferredDataCenter);
     m_stageProgress->restart();
+    m_stageVersions.onRestart();
     reserveStages();
 }
 
--- a/src/gateway/exchange/request_outcome.h
+++ b/src/gateway/exchange/request_outcome.h
@@ -47,6 +47,7 @@
     case piece_failure::Evacuated:
         return request_outcome::Evacuated;
     case piece_failure::ServersLeaving:
+    case piece_failure::NoServerOfVersion:
         return request_outcome::ServersLeaving;
     case piece_failure::ServersBackingOff:
         return request_outcome::ServersBackingOff;
--- a/src/gateway/peers/frames/piece_codec.cpp
+++ b/src/gateway/peers/frames/piece_codec.cpp
@@ -11,7 +11,8 @@
 
 void pack(packer &out, const submit_piece_frame &frame)
 {
-    packKind(out, frame_kind::SubmitPiece, 22);
+    constexpr std::uint32_t Fields = 22;
+    packKind(out, frame_kind::SubmitPiece, frame.version ? Fields + 1 : Fields);
     out.pack(frame.token);
     packPool(out, frame.pool);
     out.pack(frame.request.attempt);
@@ -31,6 +32,8 @@
     out.pack(frame.submitter.vm.value);
     out.pack(frame.submitter.start);
     out.pack(frame.mayBeHedged);
+    if (frame.version)
+        out.pack(frame.version->value);
 }
 
 void read(field_reader &in, submit_piece_frame &frame)
@@ -62,6 +65,8 @@
         frame.submitter.start = in.read<incarnation>();
     if (!in.atEnd())
         frame.mayBeHedged = in.read<bool>();
+    if (!in.atEnd())
+        frame.version = in.id<software_version>();
 }
 
 void pack(packer &out, const cancel_piece_frame &frame)
@@ -78,8 +83,10 @@
 void pack(packer &out, const piece_outcome_frame &frame)
 {
     constexpr std::uint32_t Fields = 4;
-    constexpr std::uint32_t FieldsOfRedirected = 7;
-    packKind(out, frame_kind::PieceOutcome, frame.report.pool ? FieldsOfRedirected : Fields);
+    constexpr std::uint32_t FieldsWithPool = 7;
+    const bool hasVersion = frame.report.pool && frame.report.version;
+    packKind(out, frame_kind::PieceOutcome,
+             (frame.report.pool ? FieldsWithPool : Fields) + (hasVersion ? 1 : 0));
     out.pack(frame.token);
     if (const auto *handle = std::get_if<std::string>(&frame.report.result)) {
         out.pack(SuccessCode);
@@ -91,6 +98,8 @@
     packDuration(out, frame.report.wait);
     if (frame.report.pool)
         packPool(out, *frame.report.pool);
+    if (hasVersion)
+        out.pack(frame.report.version->value);
 }
 
 void read(field_reader &in, piece_outcome_frame &frame)
@@ -107,6 +116,8 @@
     frame.report.wait = in.duration();
     if (!in.atEnd())
         frame.report.pool = readPool(in);
+    if (!in.atEnd())
+        frame.report.version = in.id<software_version>();
     const auto *failure = std::get_if<piece_failure>(&frame.report.result);
     if (failure && *failure == piece_failure::Redirected && !frame.report.pool)
         in.fail();
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -43,6 +43,7 @@
     data_center_id redirectedFrom; ///< of the pool that redirected the piece; empty: none did
     peer_process submitter; ///< the sender
     bool mayBeHedged = false; ///< the receiver may have the piece computed twice
+    std::optional<software_version> version; ///< as in `piece_task`
 };
 
 /// Cancels a piece that the sender no longer needs.
--- a/src/gateway/stages/piece_order.cpp
+++ b/src/gateway/stages/piece_order.cpp
@@ -66,10 +66,11 @@
 
 std::size_t groupEnd(const std::vector<piece_task> &waiting, std::size_t begin)
 {
-    const auto &first = waiting[begin].request;
+    const auto &first = waiting[begin];
     std::size_t end = begin + 1;
-    while (end < waiting.size() && waiting[end].request.attempt == first.attempt
-           && waiting[end].request.stage == first.stage)
+    while (end < waiting.size() && waiting[end].request.attempt == first.request.attempt
+           && waiting[end].request.stage == first.request.stage
+           && waiting[end].version == first.version)
         ++end;
     return end;
 }
--- a/src/gateway/stages/piece_order.h
+++ b/src/gateway/stages/piece_order.h
@@ -35,7 +35,8 @@
     stage_capacity m_capacity;
 };
 
-/// Returns the end of the run of waiting pieces of the same request and stage from `begin` on.
+/// Returns the end of the run of waiting pieces of the same request, stage and required version
+/// from `begin` on.
 [[nodiscard]] std::size_t groupEnd(const std::vector<piece_task> &waiting, std::size_t begin);
 
 } // namespace orchidlead::gateway
--- a/src/gateway/stages/piece_selector.cpp
+++ b/src/gateway/stages/piece_selector.cpp
@@ -53,7 +53,8 @@
         const bool isSmall = m_usesResultRoom && m_room.isSmall(bytes);
         if (bytes > 0)
             fitting = std::min<std::size_t>(fitting, (isSmall ? roomForSmall : room) / bytes);
-        if (conditions.mayWait && waitsForLocalServer(first, chosen, conditions, now))
+        if (!chosen.hasVersion(first.version)
+            || (conditions.mayWait && waitsForLocalServer(first, chosen, conditions, now)))
             fitting = 0;
         const bool keepsTogether = m_clock.now() - first.submittedAt < MaxGroupWait;
         if (fitting < end - begin && keepsTogether && end - begin <= m_maxPieces)
@@ -101,8 +102,11 @@
 bool piece_selector::waitsForLocalServer(const piece_task &job, const server &chosen,
                                          const call_conditions &conditions, steady_time now) const
 {
-    return job.preferredDataCenter != chosen.record.dataCenter
-        && conditions.dataCenters.contains(job.preferredDataCenter) && now < localWaitEnd(job);
+    const auto isLocal = [&](const server_ptr &each) {
+        return each->record.dataCenter == job.preferredDataCenter && each->hasVersion(job.version);
+    };
+    return job.preferredDataCenter != chosen.record.dataCenter && now < localWaitEnd(job)
+        && std::ranges::any_of(conditions.usable, isLocal);
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/stages/piece_selector.h
+++ b/src/gateway/stages/piece_selector.h
@@ -19,7 +19,7 @@
     bool othersIdle = false; ///< another server is idle
     bool crowded = false; ///< pieces in time need more than one call of each server
     double servers = 0; ///< as for `stage_pool::expire`
-    const std::set<data_center_id> &dataCenters; ///< with a usable server
+    const std::vector<server_ptr> &usable; ///< servers
 };
 
 /// Selects the waiting pieces of a call.
--- a/src/gateway/stages/piece_task.h
+++ b/src/gateway/stages/piece_task.h
@@ -45,6 +45,8 @@
     bool mayBeRedirected = false; ///< to another pool of the service, while it waits
     bool mayBeHedged = false; ///< its request may be repeated
     data_center_id redirectedFrom; ///< of the pool that redirected it; empty: none did
+    /// Software version of the server that must compute it; empty: any.
+    std::optional<software_version> version;
 };
 
 /// A call to be started now.
@@ -74,6 +76,7 @@
     piece_token token = 0;
     piece_result result;
     std::optional<pool_key> redirectedTo = std::nullopt;
+    software_version version = {}; ///< of the server that computed the result
 };
 
 /// Outcome of a piece as reported to its submitter.
@@ -84,6 +87,9 @@
     /// The pool to send a redirected piece to. In the report to the submitter's request: the pool
     /// that reports the wait, if it isn't the one that was chosen at submission.
     std::optional<pool_key> pool = std::nullopt;
+    /// Software version of the server that computed the result; empty: not stated, as the host of
+    /// the pool knows a single one. Sent between nodes only together with `pool`.
+    std::optional<software_version> version = std::nullopt;
 };
 
 /// How a call ended.
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -4,6 +4,7 @@
 #include "gateway/log_event.h"
 #include "gateway/stages/stage_host.h"
 #include "gateway/stages/stage_host_frees_impl.h"
+#include "gateway/stages/stage_versions.h"
 
 #include <algorithm>
 #include <tuple>
@@ -203,6 +204,7 @@
     auto servers = m_directory.usable(key);
     if (const auto reason = closedReason(key, servers))
         deliver(pool.failAll(*reason));
+    deliver(pool.failWithoutVersion(servers));
     redirectPieces(key);
     deliver(pool.expire(effectiveServerCount(key)));
     const auto paced = removePacedServers(key, servers);
@@ -569,7 +571,13 @@
         }
         const auto piece = std::move(found->second);
         m_pending.erase(found);
-        piece.handler({each.result, expectedWaitAfter(piece, each.result), each.redirectedTo});
+        piece_report report{each.result, expectedWaitAfter(piece, each.result), each.redirectedTo};
+        if (std::holds_alternative<std::string>(each.result)
+            && hadSeveralVersions(m_directory, piece.key.service, m_loop.now())) {
+            report.pool = piece.key;
+            report.version = each.version;
+        }
+        piece.handler(std::move(report));
     }
 }
 
--- a/src/gateway/stages/stage_pool.cpp
+++ b/src/gateway/stages/stage_pool.cpp
@@ -91,17 +91,13 @@
         std::ranges::min_element(m_waiting, [&](const piece_task &a, const piece_task &b) {
             return m_order.precedes(a, b, {}, now, callEnd);
         });
-    m_dataCenters.clear();
-    for (const auto &each : servers)
-        m_dataCenters.insert(each->record.dataCenter);
     // When more pieces wait than all servers take at once, none waits for a local server, so that
     // no server is idle in a burst.
     const bool mayWait =
         m_waitsForLocalServer && m_waiting.size() <= servers.size() * m_capacity.maxPiecesPerCall;
     m_serverCount = std::max(m_serverCount, static_cast<double>(servers.size()));
     const auto idle = m_servers.idle(servers, first->preferredDataCenter);
-    const call_conditions conditions{mayWait, idle.size() > 1, m_crowded, m_serverCount,
-                                     m_dataCenters};
+    const call_conditions conditions{mayWait, idle.size() > 1, m_crowded, m_serverCount, servers};
     for (const auto &each : idle) {
         auto jobs = m_selector.take(m_waiting, *each, conditions);
         if (!jobs.empty())
@@ -203,10 +199,13 @@
     // slow server a longer timeout for its next call.
     if (callEnd == stage_call_end::Broken)
         updateSlowness(call, ratioOf(call));
+    const auto version = call.server->record.version;
     if (callEnd == stage_call_end::Answered && results.size() == call.jobs.size())
         handleResults(std::move(call), results, out);
     else
         handleNoResults(std::move(call), callEnd, out);
+    for (auto &each : out)
+        each.version = version;
     failRestOfGroups(groups, out);
     return out;
 }
@@ -448,6 +447,19 @@
     return out;
 }
 
+std::vector<piece_outcome> stage_pool::failWithoutVersion(const std::vector<server_ptr> &servers)
+{
+    std::vector<piece_outcome> out;
+    std::erase_if(m_waiting, [&](const piece_task &job) {
+        const auto fits = [&](const server_ptr &each) { return each->hasVersion(job.version); };
+        if (!job.version || std::ranges::any_of(servers, fits))
+            return false;
+        out.push_back({job.token, piece_failure::NoServerOfVersion});
+        return true;
+    });
+    return out;
+}
+
 std::vector<piece_outcome> stage_pool::failWithInputsIn(const data_center_id &dataCenter)
 {
     std::vector<piece_outcome> out;
--- a/src/gateway/stages/stage_pool.h
+++ b/src/gateway/stages/stage_pool.h
@@ -118,6 +118,10 @@
     /// Fails pieces that may change to another pool, if all `servers` are paused after a failure or
     /// `servers` is empty. `servers` are all usable servers of the pool.
     [[nodiscard]] std::vector<piece_outcome> failUnreached(const std::vector<server_ptr> &servers);
+    /// Fails pieces whose required version none of `servers` has, which are all usable servers of
+    /// the pool.
+    [[nodiscard]] std::vector<piece_outcome>
+    failWithoutVersion(const std::vector<server_ptr> &servers);
     /// Fails pieces whose inputs are in an unreachable data centre.
     [[nodiscard]] std::vector<piece_outcome> failWithInputsIn(const data_center_id &dataCenter);
     /// Returns the waiting pieces that may be redirected, by group. Pieces that were in a call
@@ -236,7 +240,6 @@
     piece_selector m_selector;
     double m_serverCount = 0; ///< of the last `expire`
     bool m_crowded = false; ///< pieces in time need more than one call of each server
-    std::set<data_center_id> m_dataCenters; ///< with a usable server at the last `nextCall`
     stage_pool_summary m_summary;
 };
 
--- a/src/gateway/stages/stage_pool_hedging.cpp
+++ b/src/gateway/stages/stage_pool_hedging.cpp
@@ -13,6 +13,13 @@
 // goes on before, and the results that it names can be freed.
 constexpr milliseconds MinAbandonAge{2000};
 
+/// Returns whether a server has the version that each of these pieces requires.
+bool hasVersionFor(const server &backend, const std::vector<piece_task> &jobs)
+{
+    return std::ranges::all_of(
+        jobs, [&](const piece_task &job) { return backend.hasVersion(job.version); });
+}
+
 } // namespace
 
 // While its pieces have time to spare, an overdue call is waited for: in the emulated slowdowns by
@@ -80,7 +87,8 @@
         / std::chrono::duration<double>(first.expected);
     const auto isSuitable = [&](const server_ptr &each) {
         return each->avoidUntil <= now && !each->cold(now) && !each->effectiveRateLimit(now)
-            && !each->brittleRefusals && each->latencyRatio < elapsed && hasRoomFor(*each, jobs);
+            && !each->brittleRefusals && each->latencyRatio < elapsed && hasVersionFor(*each, jobs)
+            && hasRoomFor(*each, jobs);
     };
     const auto idle = m_servers.idle(servers, jobs.front().preferredDataCenter);
     const auto found = std::ranges::find_if(idle, isSuitable);
@@ -125,7 +133,7 @@
     m_room.dropExpired();
     const auto idle = m_servers.idle(servers, jobs.front().preferredDataCenter);
     const auto chosen = std::ranges::find_if(idle, [&](const server_ptr &each) {
-        return each->avoidUntil <= now && hasRoomFor(*each, jobs);
+        return each->avoidUntil <= now && hasVersionFor(*each, jobs) && hasRoomFor(*each, jobs);
     });
     if (chosen == idle.end()
         || !m_retryBudget.tryAcquire(m_service, static_cast<std::uint32_t>(jobs.size())))
--- a/src/gateway/stages/stage_progress.cpp
+++ b/src/gateway/stages/stage_progress.cpp
@@ -94,24 +94,30 @@
         if (!stage.hasDependents && remainingTime > stageTimes[i])
             continue;
         stage.submitted = true;
-        for (std::uint32_t piece = 0; piece < stage.handles.size(); ++piece) {
-            ready_piece created;
-            created.service = stage.spec.service;
-            created.request.attempt = m_attempt;
-            created.request.stage = i;
-            created.request.piece = piece;
-            if (stage.spec.after.empty())
-                created.request.key = m_key;
-            else {
-                created.request.inputs = inputsOf(stage);
-                created.inputBytes = inputBytesOf(stage);
-            }
-            ready.push_back(std::move(created));
-        }
+        for (std::uint32_t piece = 0; piece < stage.handles.size(); ++piece)
+            ready.push_back(makePiece(i, piece));
     }
     return ready;
 }
 
+stage_progress::ready_piece stage_progress::makePiece(std::uint32_t stage,
+                                                      std::uint32_t piece) const
+{
+    const auto &state = m_stages[stage];
+    ready_piece created;
+    created.service = state.spec.service;
+    created.request.attempt = m_attempt;
+    created.request.stage = stage;
+    created.request.piece = piece;
+    if (state.spec.after.empty())
+        created.request.key = m_key;
+    else {
+        created.request.inputs = inputsOf(state);
+        created.inputBytes = inputBytesOf(state);
+    }
+    return created;
+}
+
 bool stage_progress::onResult(std::uint32_t stage, std::uint32_t piece, std::string handle)
 {
     auto &state = m_stages[stage];
--- a/src/gateway/stages/stage_progress.h
+++ b/src/gateway/stages/stage_progress.h
@@ -33,6 +33,8 @@
     /// remaining stages take no longer than itself: until then its results would only occupy room.
     [[nodiscard]] std::vector<ready_piece>
     takeReadyPieces(const std::vector<std::chrono::microseconds> &stageTimes);
+    /// Returns one piece of a stage whose pieces were returned before, to be submitted again.
+    [[nodiscard]] ready_piece makePiece(std::uint32_t stage, std::uint32_t piece) const;
     /// Records a result; returns whether it completes its stage.
     bool onResult(std::uint32_t stage, std::uint32_t piece, std::string handle);
     /// Resets all stages after results were lost.
--- a/src/gateway/stages/stage_router.h
+++ b/src/gateway/stages/stage_router.h
@@ -6,6 +6,7 @@
 #include "gateway/stages/pool_redirector.h"
 #include "gateway/stages/reported_results.h"
 #include "gateway/stages/stage_host.h"
+#include "gateway/stages/stage_versions.h"
 
 #include <functional>
 #include <map>
@@ -86,12 +87,22 @@
         steady_time until;
     };
 
-    /// Returns the result of `poolFor` unless that pool is backing off. Otherwise returns a pool
-    /// that is not backing off, preferably the one of this node's data centre; if all are, returns
-    /// the result of `poolFor`.
+    /// Returns the result of `poolFor` unless that pool is backing off or has no usable server of
+    /// the version. Otherwise returns a pool that can take a piece, preferably the one of this
+    /// node's data centre; if none can, returns the result of `poolFor`.
     [[nodiscard]] pool_key availablePoolFor(const service_id &service,
                                             const data_center_id &preferredDataCenter,
-                                            const residency &allowed);
+                                            const residency &allowed,
+                                            const std::optional<software_version> &version = {});
+    /// Returns whether a pool has a usable server of the version, if one is required.
+    [[nodiscard]] bool hasServer(const pool_key &pool,
+                                 const std::optional<software_version> &version) const;
+    /// Returns whether a pool, as far as is known, gives a piece of the version to a server.
+    [[nodiscard]] bool takesPieces(const pool_key &pool,
+                                   const std::optional<software_version> &version) const
+    {
+        return !backoffOf(pool) && hasServer(pool, version);
+    }
     [[nodiscard]] std::optional<milliseconds> backoffOf(const pool_key &pool) const;
     void routePiece(piece_token token, submission &entry);
     /// Returns a link to the host of a pool; null if this node is the host.
@@ -100,6 +111,13 @@
     /// Sends a redirected piece to the target, or back to its pool if the target can't take it.
     void followRedirection(piece_token token, submission &entry,
                            const std::optional<pool_key> &target);
+    /// Returns the software version of the server that holds a result; empty if it isn't known, or
+    /// if the service has had a single version.
+    [[nodiscard]] std::optional<software_version> findVersion(const service_id &service,
+                                                              const std::string &handle) const;
+    /// Computes a piece with this node as the host, after a host that doesn't know of required
+    /// versions has returned a result of another one.
+    void computeHere(piece_token token, submission &entry, const std::string &handle);
     [[nodiscard]] bool mayFollow(const submission &entry, const pool_key &target) const;
     /// Submits a piece to this node's `stage_host`.
     piece_token submitHere(const pool_key &pool, piece_task job, piece_handler handler);
--- a/src/gateway/stages/stage_router_impl.h
+++ b/src/gateway/stages/stage_router_impl.h
@@ -93,10 +93,10 @@
 {
     const auto token = ++m_lastToken;
     auto &entry = m_submissions[token];
-    const bool isReserved = job.reservedPool && !m_directory.usable(*job.reservedPool).empty()
-        && !backoffOf(*job.reservedPool);
-    entry.pool = isReserved ? *job.reservedPool
-                            : availablePoolFor(service, job.preferredDataCenter, job.allowed);
+    const bool isReserved = job.reservedPool && takesPieces(*job.reservedPool, job.version);
+    entry.pool = isReserved
+        ? *job.reservedPool
+        : availablePoolFor(service, job.preferredDataCenter, job.allowed, job.version);
     entry.job = std::move(job);
     entry.job.mayBeRedirected = m_redirector && !entry.job.allowed.restricted();
     entry.handler = std::move(handler);
@@ -126,15 +126,19 @@
 template <gateway_codec Codec>
 pool_key stage_router<Codec>::availablePoolFor(const service_id &service,
                                                const data_center_id &preferredDataCenter,
-                                               const residency &allowed)
+                                               const residency &allowed,
+                                               const std::optional<software_version> &version)
 {
     auto nearest = poolFor(service, preferredDataCenter, allowed);
-    if (m_backedOffPools.empty() || !backoffOf(nearest))
+    const bool backsOff = !m_backedOffPools.empty() && backoffOf(nearest);
+    if (!backsOff && (!version || hasServer(nearest, version)))
         return nearest;
     if (auto own = poolFor(service, m_dataCenter, allowed);
-        own != nearest && !m_directory.usable(own).empty() && !backoffOf(own))
+        own != nearest && takesPieces(own, version))
         return own;
     for (const auto &each : m_directory.usable(service, allowed)) {
+        if (!each->hasVersion(version))
+            continue;
         auto other = poolFor(service, each->record.dataCenter, allowed);
         if (!backoffOf(other))
             return other;
@@ -159,6 +163,14 @@
                   [&](const auto &entry) { return entry.first.service == service; });
 }
 
+template <gateway_codec Codec>
+bool stage_router<Codec>::hasServer(const pool_key &pool,
+                                    const std::optional<software_version> &version) const
+{
+    return std::ranges::any_of(m_directory.usable(pool),
+                               [&](const server_ptr &each) { return each->hasVersion(version); });
+}
+
 template <gateway_codec Codec>
 void stage_router<Codec>::routePiece(piece_token token, submission &entry)
 {
@@ -178,7 +190,7 @@
         token, entry.pool, entry.job.request, entry.job.rank, timeUntil(entry.job.softDeadline),
         timeUntil(entry.job.deadline), entry.job.preferredDataCenter, entry.job.inputBytes,
         entry.job.resultBytes, entry.job.mayBeRedirected, entry.job.redirectedFrom,
-        m_peers.process(), entry.job.mayBeHedged});
+        m_peers.process(), entry.job.mayBeHedged, entry.job.version});
 }
 
 template <gateway_codec Codec>
@@ -219,6 +231,15 @@
             m_host.freeResults({*handle});
         return;
     }
+    if (const auto *handle = std::get_if<std::string>(&report.result)) {
+        if (!report.version)
+            report.version = findVersion(found->second.pool.service, *handle);
+        if (report.version && report.version != found->second.job.version.value_or(*report.version)
+            && found->second.link) {
+            computeHere(token, found->second, *handle);
+            return;
+        }
+    }
     const auto *failure = std::get_if<piece_failure>(&report.result);
     if (failure && *failure == piece_failure::HostNotReady && found->second.link) {
         avoidUnreadyHost(token, found->second);
@@ -243,13 +264,34 @@
     handler(std::move(report));
 }
 
+template <gateway_codec Codec>
+std::optional<software_version> stage_router<Codec>::findVersion(const service_id &service,
+                                                                 const std::string &handle) const
+{
+    if (!hadSeveralVersions(m_directory, service, m_loop.now()))
+        return std::nullopt;
+    const auto address = parseSocketAddress(resultServerAddress(handle));
+    const auto holder = address ? m_directory.findAt(*address) : nullptr;
+    return holder ? std::optional(holder->record.version) : std::nullopt;
+}
+
+template <gateway_codec Codec>
+void stage_router<Codec>::computeHere(piece_token token, submission &entry,
+                                      const std::string &handle)
+{
+    freeResults({handle});
+    m_retryBudget.onForcedRetry(entry.pool.service, 1);
+    entry.moves = MaxMoves;
+    routePieceLater(token, entry, milliseconds{0});
+}
+
 template <gateway_codec Codec>
 bool stage_router<Codec>::mayFollow(const submission &entry, const pool_key &target) const
 {
     return m_redirector && entry.job.mayBeRedirected && !target.dataCenter.empty()
         && target.service == entry.pool.service && target.region == entry.pool.region
         && target != entry.pool && entry.job.allowed.allows(m_directory.regionOf(target.dataCenter))
-        && !backoffOf(target) && m_redirector->isOpen(target);
+        && takesPieces(target, entry.job.version) && m_redirector->isOpen(target);
 }
 
 // No server has started the piece, so sending it again doesn't count as a retry. It is redirected
@@ -276,11 +318,11 @@
 template <gateway_codec Codec>
 bool stage_router<Codec>::moveFromClosedPool(piece_token token, submission &entry)
 {
-    const auto previousPool = std::exchange(
-        entry.pool,
-        availablePoolFor(entry.pool.service, entry.job.preferredDataCenter, entry.job.allowed));
-    if (entry.moves++ >= MaxMoves || m_directory.usable(entry.pool).empty()
-        || backoffOf(entry.pool))
+    const auto previousPool =
+        std::exchange(entry.pool,
+                      availablePoolFor(entry.pool.service, entry.job.preferredDataCenter,
+                                       entry.job.allowed, entry.job.version));
+    if (entry.moves++ >= MaxMoves || !takesPieces(entry.pool, entry.job.version))
         return false;
     routePieceLater(token, entry, entry.pool == previousPool ? ServerUpdateDelay : milliseconds{0});
     return true;
@@ -303,7 +345,7 @@
     auto own = poolFor(entry.pool.service, m_dataCenter, entry.job.allowed);
     if (own == entry.pool || own.dataCenter != m_dataCenter
         || !entry.job.allowed.allows(m_directory.regionOf(m_dataCenter))
-        || m_directory.usable(own).empty())
+        || !hasServer(own, entry.job.version))
         return std::nullopt;
     return own;
 }
@@ -387,6 +429,7 @@
     job.mayBeRedirected = frame.mayBeRedirected;
     job.mayBeHedged = frame.mayBeHedged;
     job.redirectedFrom = std::move(frame.redirectedFrom);
+    job.version = std::move(frame.version);
     auto handler = [this, weak = std::weak_ptr(link), peerToken](piece_report report) {
         const auto target = weak.lock();
         if (!target)
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -70,6 +70,28 @@
     CHECK(read.redirectedFrom == data_center_id("dc-2"));
 }
 
+// Guards against pieces that a host computes at another software version than the request's others.
+TEST_CASE("a piece frame keeps the required software version and has no field for it without one")
+{
+    auto piece = makePiece();
+    CHECK_FALSE(roundTrip(piece).version);
+    const auto bytes = encodeFrame(piece).size();
+    piece.version = software_version("v1.2");
+    CHECK(roundTrip(piece).version == software_version("v1.2"));
+    CHECK(encodeFrame(piece).size() > bytes);
+}
+
+TEST_CASE("an outcome frame keeps the software version of a result")
+{
+    const auto pool = makePiece().pool;
+    const piece_outcome_frame plain{1, {std::string("h/1"), milliseconds{70}}};
+    CHECK_FALSE(roundTrip(plain).report.version);
+    const piece_outcome_frame original{
+        1, {std::string("h/1"), milliseconds{70}, pool, software_version("v1.2")}};
+    CHECK(roundTrip(original).report.version == software_version("v1.2"));
+    CHECK(roundTrip(original).report.pool == pool);
+}
+
 TEST_CASE("a piece frame keeps the process of its submitter")
 {
     auto piece = makePiece();
--- a/tests/gateway/stage_pool_load_test.cpp
+++ b/tests/gateway/stage_pool_load_test.cpp
@@ -71,6 +71,14 @@
             m_servers.push_back(added);
         }
     }
+    /// Gives the first `count` servers another software version than the rest. From now on each
+    /// piece requires one of the two, with the probability of its share of the servers.
+    void setVersions(std::size_t count)
+    {
+        for (std::size_t i = 0; i < m_servers.size(); ++i)
+            m_servers[i]->record.version = software_version(i < count ? "v2" : "v1");
+        m_requiresVersion = true;
+    }
 
     void run(const std::vector<piece_stream> &streams, milliseconds span)
     {
@@ -110,6 +118,11 @@
             job.rank = stream.rank;
             job.softDeadline = m_clock.now() + stream.softDeadline;
             job.deadline = job.softDeadline + milliseconds{4000};
+            if (m_requiresVersion) {
+                const auto drawn =
+                    std::uniform_int_distribution<std::size_t>(0, m_servers.size() - 1)(m_random);
+                job.version = m_servers[drawn]->record.version;
+            }
             m_submitted[job.token] = {job.rank, m_clock.now(), job.softDeadline};
             ++m_rankCounts[job.rank].submitted;
             m_pool.submit(std::move(job));
@@ -165,6 +178,7 @@
     std::map<piece_token, submitted_piece> m_submitted;
     std::map<stage_rank, rank_counts> m_rankCounts;
     piece_token m_lastToken = 0;
+    bool m_requiresVersion = false;
 };
 
 /// A quarter of the pieces is urgent. At `load` 1, 87 pieces per second are submitted.
@@ -227,3 +241,33 @@
     emulator.finish();
     CHECK(emulator.of(NonUrgent).shareInTime() > 0.97);
 }
+
+// During a release, with two versions on four servers: the bounds are those of a single version.
+TEST_CASE("a pool with servers of two software versions completes nearly all pieces in time")
+{
+    for (const unsigned seed : {1U, 2U, 3U}) {
+        for (const std::size_t newServers : {1U, 2U, 3U}) {
+            pool_emulator emulator(4, seed);
+            emulator.setVersions(newServers);
+            emulator.run(mixedLoad(0.8), milliseconds{20'000});
+            emulator.finish();
+            INFO("seed " << seed << ", new servers " << newServers);
+            CHECK(emulator.of(Urgent).shareInTime() > 0.99);
+            CHECK(emulator.of(NonUrgent).shareInTime() > 0.97);
+        }
+    }
+}
+
+TEST_CASE("in a burst a pool with servers of two software versions serves urgent pieces first")
+{
+    for (const unsigned seed : {1U, 2U, 3U}) {
+        pool_emulator emulator(4, seed);
+        emulator.setVersions(2);
+        emulator.run(mixedLoad(1.8), milliseconds{8000});
+        emulator.finish();
+        INFO("seed " << seed);
+        CHECK(emulator.of(Urgent).shareInTime() > 0.99);
+        CHECK(emulator.of(NonUrgent).shareInTime() > 0.35);
+        CHECK(emulator.of(NonUrgent).medianRefusal() <= milliseconds{368});
+    }
+}
--- a/tests/gateway/stage_pool_test.cpp
+++ b/tests/gateway/stage_pool_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <string>
 
 using namespace orchidlead;
@@ -943,3 +944,87 @@
     for (const auto &each : outcomes)
         CHECK(std::get<piece_failure>(each.result) == piece_failure::Late);
 }
+
+namespace {
+
+/// Submits a piece that requires a version; empty: any.
+piece_token submitAt(pool_fixture &w, const std::optional<software_version> &version)
+{
+    piece_task job;
+    job.token = ++w.lastToken;
+    job.request.attempt = "r" + std::to_string(job.token);
+    job.softDeadline = w.clock.now() + milliseconds{600};
+    job.deadline = job.softDeadline + milliseconds{5000};
+    job.mayBeHedged = true;
+    job.version = version;
+    w.pool.submit(job);
+    return job.token;
+}
+
+} // namespace
+
+// Guards against pieces of requests with different versions that share a call.
+TEST_CASE("stage_pool: a call has only pieces that its server's software version may compute")
+{
+    pool_fixture w(2);
+    w.servers[0]->record.version = software_version("v1");
+    w.servers[1]->record.version = software_version("v2");
+    submitAt(w, software_version("v1"));
+    submitAt(w, software_version("v2"));
+    submitAt(w, software_version("v1"));
+    submitAt(w, software_version("v2"));
+    const std::vector<std::vector<std::string>> expected{{"r1", "r3"}, {"r2", "r4"}};
+    for (const auto &requests : expected) {
+        const auto call = w.pool.nextCall(w.servers);
+        REQUIRE(call);
+        CHECK(requestsOf(*call) == requests);
+        const auto outcomes = w.answer(*call);
+        REQUIRE(outcomes.size() == 2);
+        CHECK(outcomes.front().version == call->server->record.version);
+        w.servers.erase(w.servers.begin());
+    }
+}
+
+TEST_CASE("stage_pool: a piece waits for a busy server of its software version")
+{
+    pool_fixture w(2);
+    w.servers[0]->record.version = software_version("v1");
+    w.servers[1]->record.version = software_version("v2");
+    submitAt(w, software_version("v1"));
+    const auto call = w.pool.nextCall(w.servers);
+    REQUIRE(call);
+    submitAt(w, software_version("v1"));
+    CHECK_FALSE(w.pool.nextCall(w.servers));
+    CHECK(w.pool.failWithoutVersion(w.servers).empty());
+    w.answer(*call);
+    CHECK(w.pool.nextCall(w.servers));
+}
+
+// Guards against a piece that waits for a server of a version that has left until it is late.
+TEST_CASE("stage_pool: a piece whose software version has no server any more fails")
+{
+    pool_fixture w;
+    w.servers[0]->record.version = software_version("v2");
+    const auto token = submitAt(w, software_version("v1"));
+    submitAt(w, std::nullopt);
+    submitAt(w, software_version("v2"));
+    const auto outcomes = w.pool.failWithoutVersion(w.servers);
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes.front().token == token);
+    CHECK(std::get<piece_failure>(outcomes.front().result) == piece_failure::NoServerOfVersion);
+    CHECK(w.pool.waiting() == 2);
+}
+
+// Guards against a second call that computes a piece at another version than the first one.
+TEST_CASE("stage_pool: second calls go to servers of the software version that pieces require")
+{
+    const bool sameVersion = GENERATE(true, false);
+    pool_fixture w(2);
+    w.servers[0]->record.version = software_version("v1");
+    w.servers[1]->record.version = software_version(sameVersion ? "v1" : "v2");
+    submitAt(w, software_version("v1"));
+    const auto call = w.pool.nextCall(w.servers);
+    REQUIRE(call);
+    w.clock.advance(call->timeout);
+    CHECK(w.pool.onTimeout(call->id, w.servers).second.has_value() == sameVersion);
+}
