--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -175,7 +175,8 @@
                           "revision " + std::to_string(announced.revision)});
         return;
     }
-    m_deferred.erase(record.id);
+    if (m_deferred.erase(record.id) > 0 && !record.leaving)
+        m_versions.record({record.service, record.id, record.version, true});
     m_removals.erase(record.id);
     m_revisions[record.id] = std::max(serverRevision(record.id), announced.revision);
     const auto known = m_directory.find(record.id);
@@ -205,8 +206,12 @@
     if (!known)
         return;
     if (m_clock.now() < m_deferUntil) {
-        if (m_deferred.emplace(id, m_deferUntil).second)
+        if (m_deferred.emplace(id, m_deferUntil).second) {
             events.push_back({event_type::RemovalDeferred, id.value, known->record.service.value});
+            // Other nodes may have removed the server, so nothing new may begin on its version.
+            const auto &record = known->record;
+            m_versions.record({record.service, id, record.version, false});
+        }
         return;
     }
     m_deferred.erase(id);
