--- a/src/gateway/publication/store_reader.h
+++ b/src/gateway/publication/store_reader.h
@@ -70,8 +70,8 @@
         m_onRead = std::move(handler);
     }
 
-    /// Makes a single call, independently of what this reader does. The call is abandoned if no part
-    /// of its answer arrives within `timeout`.
+    /// Makes a single call, independently of what this reader does. The call is abandoned if no
+    /// part of its answer arrives within `timeout`.
     http::pool_call get(const std::string &target, milliseconds timeout,
                         std::function<void(const store_answer &)> onAnswer);
 
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -119,7 +119,8 @@
     CHECK(found.origin == origin);
     CHECK(found.severalVersions);
     CHECK(found.computed == origin.version);
-    const auto unknown = roundTrip(stream_origin_answer{8, std::nullopt, false, true, std::nullopt});
+    const auto unknown =
+        roundTrip(stream_origin_answer{8, std::nullopt, false, true, std::nullopt});
     CHECK_FALSE(unknown.origin);
     CHECK_FALSE(unknown.severalVersions);
     CHECK(unknown.covered);
