--- a/tests/gateway/version_history_review_test.cpp
+++ b/tests/gateway/version_history_review_test.cpp
@@ -127,3 +127,22 @@
                         clock.now() - 20s);
     CHECK(versions.covers(Service, clock.now() - 15s));
 }
+
+// Guards against a crash of each node that reads the history after one entry expired and returned.
+TEST_CASE("review: one entry that expired and returned is added to an empty history")
+{
+    manual_clock clock;
+    clock.advance(2h);
+    const auto wall = clock.wallNow();
+    store_history history;
+    history.after = 10;
+    const auto b = entry("b", V1, wall - 1h, 13, 13);
+    history.changes = {removed_server{backend_server_id("b"), 12}, b};
+    history.present = {b};
+    const auto times = readyTimesOf(history, wall - 20s);
+    REQUIRE(times);
+    version_history versions(clock);
+    versions.record({Service, backend_server_id("b"), V1, true});
+    versions.addEarlier(*times, clock.now() - 20s);
+    CHECK(versions.covers(Service, clock.now() - 15s));
+}
