Close what the review of the computed versions found

By reading: the first answer of a peer won over a record or over a peer that knows that it isn't certain; a stale list counted as a list without young servers; a lone gateway, or one that reaches no other data centre, took its own state for that of a store that is down; a reading that failed counted as a dropped history; knowledge from the store's history was passed to peers as observed; the watch that finds its history gone kept what it knew; a new stream had no version while the list showed one only. All are closed here.

Still red: a history that was dropped early, with no server young.

--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -87,6 +87,8 @@
     /// Applies the deferred removals that are due.
     std::vector<publication_event> tick();
 
+    /// Records that changes may have been missed because the store has dropped its history.
+    void onHistoryGone() { m_versions.forgetBeforeNow(); }
     /// Records that a call to the store failed.
     void onStoreFailed();
     /// Records that the store answered. Removals are deferred if this node had no contact for
--- a/src/gateway/publication/store_history.cpp
+++ b/src/gateway/publication/store_history.cpp
@@ -94,17 +94,24 @@
 }
 
 /// Returns the latest time at which each of the changes can have happened. Only the start of a
-/// server that has just been published dates a change, and those before it. A server that started
-/// before others that were published earlier was published late, so its start dates nothing.
-std::vector<std::optional<wall_time>> latestTimes(const std::vector<published_item> &changes)
+/// server that is published for the first time dates a change, and those before it. An entry that
+/// expired and returned has an old start, and so may one that was published late.
+std::vector<std::optional<wall_time>> latestTimes(const store_history &history, wall_time since)
 {
+    const auto &changes = history.changes;
     std::vector<std::optional<wall_time>> times(changes.size());
+    std::set<backend_server_id> seen;
     std::optional<wall_time> latestStart;
     for (std::size_t i = 0; i < changes.size(); ++i) {
         const auto *written = std::get_if<published_server>(&changes[i]);
-        if (!written || !written->record.startedAt || written->created != written->revision)
+        const auto id = subjectOf(changes[i]);
+        const bool isFirst = id && seen.insert(*id).second;
+        if (!written || !isFirst || !written->record.startedAt
+            || written->created != written->revision)
             continue;
         const auto start = startTimeOf(*written->record.startedAt);
+        if (!history.isWhole && start < since)
+            continue;
         latestStart = std::max(latestStart.value_or(start), start);
         if (start + MaxRegistrationDelay >= *latestStart)
             times[i] = *latestStart + MaxRegistrationDelay + MaxClockError;
@@ -145,7 +152,7 @@
         if (each && !changed.contains(each->record.id))
             replay.put(each->record.id, readyStateOf(*each), BeforeHistory);
     }
-    const auto times = latestTimes(history.changes);
+    const auto times = latestTimes(history, since);
     for (std::size_t i = 0; i < history.changes.size(); ++i) {
         const auto id = subjectOf(history.changes[i]);
         if (!id)
--- a/src/gateway/publication/store_history_reader_impl.h
+++ b/src/gateway/publication/store_history_reader_impl.h
@@ -11,6 +11,8 @@
 inline constexpr milliseconds HistoryTimeout{500};
 /// Calls to the store for one reading at most; each takes about 4 ms.
 inline constexpr std::size_t MaxHistoryCalls = 60;
+/// Time until a call is repeated that the store refused because of too many calls.
+inline constexpr milliseconds HistoryRetryDelay{50};
 /// First distance of the search from the latest revision, and its growth until a revision is gone.
 inline constexpr std::uint64_t FirstSearchDistance = 64;
 inline constexpr std::uint64_t SearchGrowth = 8;
@@ -47,15 +49,23 @@
 {
     constexpr int Ok = 200;
     constexpr int Gone = 410;
+    constexpr int TooMany = 429;
     if (++m_calls > MaxHistoryCalls) {
         finish(false);
         return;
     }
     m_store.get(target, HistoryTimeout,
-                [this, parse, onPage = std::move(onPage), onGone = std::move(onGone),
+                [this, target, parse, onPage = std::move(onPage), onGone = std::move(onGone),
                  generation = m_generation](const store_answer &answer) {
                     if (generation != m_generation)
                         return;
+                    if (answer.failure.empty() && answer.status == TooMany) {
+                        m_loop.callAfter(HistoryRetryDelay, [=, this] {
+                            if (generation == m_generation)
+                                call(target, parse, onPage, onGone);
+                        });
+                        return;
+                    }
                     if (answer.failure.empty() && answer.status == Gone && onGone) {
                         onGone();
                         return;
--- a/src/gateway/publication/store_reader.h
+++ b/src/gateway/publication/store_reader.h
@@ -73,7 +73,7 @@
     /// Makes a single call, independently of what this reader does. The call is abandoned if no
     /// part of its answer arrives within `timeout`.
     http::pool_call get(const std::string &target, milliseconds timeout,
-                        std::function<void(const store_answer &)> onAnswer);
+                        const std::function<void(const store_answer &)> &onAnswer);
 
     [[nodiscard]] bool connected() const { return m_connected; }
     [[nodiscard]] bool reading() const { return m_reading; }
--- a/src/gateway/publication/store_reader_impl.h
+++ b/src/gateway/publication/store_reader_impl.h
@@ -188,10 +188,10 @@
 
 template <gateway_codec Codec>
 http::pool_call store_reader<Codec>::get(const std::string &target, milliseconds timeout,
-                                         std::function<void(const store_answer &)> onAnswer)
+                                         const std::function<void(const store_answer &)> &onAnswer)
 {
     const auto read = std::make_shared<open_read>();
-    read->onAnswer = std::move(onAnswer);
+    read->onAnswer = onAnswer;
     http::outbound_call made;
     made.maxBodyBytes = m_options.maxAnswerBytes;
     made.writeHead = [target, host = m_store.ip] {
@@ -314,6 +314,7 @@
     m_log.write(wire::log_level::Info,
                 m_log.line(wire::log_level::Info, toName(log_event::StoreHistoryGone))
                     .add("revision", m_revision));
+    m_state.onHistoryGone();
     readOperations({}, read_consistency::Latest);
 }
 
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -307,6 +307,7 @@
     void onRateLimit(server &backend, const reported_rate_limit &reported, steady_time receivedAt);
 
     /// Marks all servers of a data centre as unreachable or reachable.
+    [[nodiscard]] bool isAnyUnreachable() const { return !m_unreachable.empty(); }
     void setUnreachable(const data_center_id &dataCenter, bool unreachable);
     /// Marks all servers of a data centre as evacuated, so that they get no new work, or ends the
     /// evacuation. After the evacuation the servers are treated as cold until they have had time to
--- a/src/gateway/servers/version_history.cpp
+++ b/src/gateway/servers/version_history.cpp
@@ -26,7 +26,7 @@
 {
     const auto now = m_clock.now();
     if (!m_knownSince)
-        m_knownSince = now;
+        forgetBeforeNow();
     auto &servers = m_services[change.service];
     end(servers, change.server);
     if (!change.ready)
@@ -51,7 +51,8 @@
 {
     servers.ended.push_back(std::move(ended));
     const auto oldest = m_clock.now() - Memory;
-    while (servers.ended.size() > MaxEnded || servers.ended.front().to <= oldest) {
+    while (!servers.ended.empty()
+           && (servers.ended.size() > MaxEnded || servers.ended.front().to <= oldest)) {
         servers.droppedUntil =
             std::max(servers.droppedUntil.value_or(oldest), *servers.ended.front().to);
         servers.ended.pop_front();
@@ -61,6 +62,7 @@
 void version_history::forgetBeforeNow()
 {
     m_knownSince = m_clock.now();
+    m_observedSince = m_knownSince;
 }
 
 steady_time version_history::earlierTime(const std::optional<wall_time> &time) const
@@ -79,7 +81,7 @@
         return each.server == earlier.server && each.version == earlier.version;
     };
     const auto ready = servers.ready.find(earlier.server);
-    if (ready != servers.ready.end() && isSame(ready->second))
+    if (!earlier.ended && ready != servers.ready.end() && isSame(ready->second))
         return &ready->second;
     const auto ended = std::ranges::find_if(servers.ended, isSame);
     return ended == servers.ended.end() ? nullptr : &*ended;
@@ -101,18 +103,14 @@
     m_knownSince = since;
 }
 
-bool version_history::hasSeveralVersions(const service_id &service) const
-{
-    const auto found = m_services.find(service);
-    return found != m_services.end() && found->second.versions.size() > 1;
-}
-
 std::optional<software_version> version_history::assigned(const request_digest &subject,
                                                           const service_id &service) const
 {
     const auto found = m_services.find(service);
     if (found == m_services.end() || found->second.ready.empty())
         return std::nullopt;
+    if (found->second.versions.size() == 1)
+        return found->second.versions.begin()->first;
     const auto key = toText(subject);
     const auto &ready = found->second.ready;
     return std::ranges::max_element(ready, {},
@@ -120,6 +118,11 @@
         ->second.version;
 }
 
+bool version_history::observed(const service_id &service, steady_time since) const
+{
+    return m_observedSince && *m_observedSince <= since && covers(service, since);
+}
+
 bool version_history::covers(const service_id &service, steady_time since) const
 {
     if (!m_knownSince || *m_knownSince > since)
--- a/src/gateway/servers/version_history.h
+++ b/src/gateway/servers/version_history.h
@@ -62,13 +62,13 @@
     /// Adds what happened between `since` and now.
     void addEarlier(const std::vector<earlier_ready_time> &earlier, steady_time since);
 
-    /// Returns whether ready servers of a service have different versions now.
-    [[nodiscard]] bool hasSeveralVersions(const service_id &service) const;
     /// Returns the version on which work begins now; empty if no server is ready.
     [[nodiscard]] std::optional<software_version> assigned(const request_digest &subject,
                                                            const service_id &service) const;
     /// Returns whether all changes since then are known.
     [[nodiscard]] bool covers(const service_id &service, steady_time since) const;
+    /// As `covers`, but not counting what `addEarlier` has added.
+    [[nodiscard]] bool observed(const service_id &service, steady_time since) const;
     /// Returns whether at most one version was ready since then, as far as is known.
     [[nodiscard]] bool hadOneVersionSince(const service_id &service, steady_time since) const;
     /// Returns the version on which work began at some time since then, as far as is known; empty
@@ -108,6 +108,7 @@
     std::unordered_map<service_id, service_servers> m_services;
     service_servers m_unknown; ///< servers that may belong to any service
     std::optional<steady_time> m_knownSince;
+    std::optional<steady_time> m_observedSince;
 };
 
 } // namespace orchidlead::gateway
--- a/src/gateway/streams/stream_origin_relay.cpp
+++ b/src/gateway/streams/stream_origin_relay.cpp
@@ -80,8 +80,7 @@
 std::optional<software_version> stream_origin_relay::versionForNew(const request_digest &stream,
                                                                    const service_id &service) const
 {
-    const auto &versions = m_published.versions();
-    return versions.hasSeveralVersions(service) ? versions.assigned(stream, service) : std::nullopt;
+    return m_published.versions().assigned(stream, service);
 }
 
 bool stream_origin_relay::isCurrent() const
@@ -116,13 +115,15 @@
     answer.id = query.id;
     answer.origin = m_table.find(query.stream);
     answer.severalVersions = !computed.isOnly;
-    answer.covered = computed.covered && isCurrent();
+    answer.covered =
+        isCurrent() && m_published.versions().observed(query.service, m_loop.now() - query.maxAge);
     if (answer.covered)
         answer.computed = computed.version;
     return answer;
 }
 
-// Asks nobody if this node has known for long enough that there is only one version.
+// Other nodes are asked even if this node knows of one version only: a node whose list is more
+// recent may have begun the stream on another one.
 void stream_origin_relay::find(const std::optional<request_digest> &stream,
                                const service_id &service, milliseconds maxAge,
                                lookup_handler handler)
@@ -137,16 +138,13 @@
     pending.service = service;
     pending.maxAge = maxAge + m_listDelay;
     pending.handler = std::move(handler);
-    const auto own = compute(pending);
-    if (!own.covered || !own.isOnly || !isCurrent()) {
-        const auto asked = stream.value_or(request_digest{});
-        const auto candidates = m_peers.originCandidates(asked);
-        pending.candidates = candidates.size();
-        for (const auto &vm : candidates) {
-            if (const auto link = m_peers.linkTo(vm)) {
-                link->send(stream_origin_query{id, asked, service, pending.maxAge});
-                pending.unanswered.push_back(link);
-            }
+    const auto asked = stream.value_or(request_digest{});
+    const auto candidates = m_peers.originCandidates(asked);
+    pending.candidates = candidates.size();
+    for (const auto &vm : candidates) {
+        if (const auto link = m_peers.linkTo(vm)) {
+            link->send(stream_origin_query{id, asked, service, pending.maxAge});
+            pending.unanswered.push_back(link);
         }
     }
     pending.asked = pending.unanswered.size();
@@ -177,35 +175,36 @@
     }
     pending.covered = pending.covered || answer.covered;
     pending.severalVersions = pending.severalVersions || answer.severalVersions;
+    pending.uncertain = pending.uncertain || (answer.covered && !answer.computed);
     if (answer.computed)
         pending.computed.insert(*answer.computed);
-    const bool isOnlyVersion = answer.computed && !pending.severalVersions;
-    if (isOnlyVersion || pending.unanswered.empty())
+    if (pending.unanswered.empty())
         giveUp(answer.id);
 }
 
 // A version that is not in a list that was just read may have served a moment ago. Without a
-// record the stream may continue only on a version that a node which knows all versions since then
-// has computed. Without such a node:
-// - If no node has current knowledge, all nodes asked have answered and so are not cut off from
-//   each other: then the store is down, and nothing has been published that this node doesn't know.
-// - If no server has started since, no release was in progress.
+// record the stream may continue only on a version that all nodes which know all versions since
+// then have computed alike. Without such a node:
+// - If no node has current knowledge although all nodes asked in all data centres have answered,
+//   the store is down, and nothing has been published that this node doesn't know.
+// - If the store has dropped its history and no server has started since, no release was in
+//   progress.
 std::optional<origin_lookup> stream_origin_relay::conclude(const pending_lookup &asked) const
 {
     const auto own = compute(asked);
     const bool current = isCurrent();
     auto computed = asked.computed;
-    if (own.covered && current && own.version)
-        computed.insert(*own.version);
-    bool covered = asked.covered || (own.covered && current);
-    const bool storeDown = own.covered && !current && asked.answered == asked.candidates;
-    if (!covered && (storeDown || hasNoYoungServer(asked))) {
-        covered = true;
-        if (own.version)
-            computed.insert(*own.version);
-    }
-    if (!covered)
+    const bool covered = asked.covered || (own.covered && current);
+    const bool storeDown = own.covered && !current && asked.candidates > 0
+        && asked.answered == asked.candidates && !m_directory.isAnyUnreachable();
+    const bool noRelease = current && m_historyDropped && hasNoYoungServer(asked);
+    if (!covered && !storeDown && !noRelease)
         return std::nullopt;
+    const bool usesOwn = !covered || (own.covered && current);
+    if (asked.uncertain || (usesOwn && !own.version))
+        return origin_lookup{};
+    if (usesOwn)
+        computed.insert(*own.version);
     const bool isOnly = own.isOnly && !asked.severalVersions;
     if (computed.size() != 1 || (!asked.stream && !isOnly))
         return origin_lookup{};
@@ -252,6 +251,7 @@
                                      wall_time readAtWall)
 {
     const auto earlier = readyTimesOf(history, readAtWall - m_historyKeptFor);
+    m_historyDropped = !earlier;
     if (earlier)
         m_published.addEarlierVersions(
             *earlier, history.isWhole ? steady_time::min() : readAt - m_historyKeptFor);
--- a/src/gateway/streams/stream_origin_relay.h
+++ b/src/gateway/streams/stream_origin_relay.h
@@ -63,8 +63,7 @@
     /// Sets how the history of the store is read, how long the store keeps it, and how much later
     /// than the store a node may have a list.
     void setHistory(history_reader reader, milliseconds keptFor, milliseconds listDelay);
-    /// Returns the version on which a new stream must begin; empty if all ready servers of the
-    /// service have the same version.
+    /// Returns the version on which a new stream must begin; empty if no server is ready.
     [[nodiscard]] std::optional<software_version> versionForNew(const request_digest &stream,
                                                                 const service_id &service) const;
     /// Records where a stream through this node began.
@@ -106,6 +105,7 @@
         std::size_t asked = 0;
         std::size_t answered = 0;
         bool covered = false; ///< a node that answered knows all versions
+        bool uncertain = false; ///< a node that knows all versions can't tell which one
         bool severalVersions = false; ///< as far as the nodes that answered know
         std::set<software_version> computed; ///< by nodes that answered
         http::timer_id timer = 0;
@@ -143,6 +143,7 @@
     history_reader m_readHistory;
     milliseconds m_historyKeptFor{0};
     milliseconds m_listDelay{0};
+    bool m_historyDropped = false; ///< as of the last reading
     std::vector<std::uint64_t> m_awaitingHistory; ///< lookups, while the history is being read
     steady_time m_nextHistoryRead{};
 };
--- a/tests/gateway/version_history_review_test.cpp
+++ b/tests/gateway/store_history_test.cpp
@@ -1,4 +1,4 @@
-// Review: events that make a node certain of the wrong version.
+// Guards against a history of the store that makes a gateway certain of the wrong version.
 #include "gateway/publication/store_history.h"
 #include "gateway/servers/version_history.h"
 
@@ -36,7 +36,7 @@
 } // namespace
 
 // Guards against a server that was away for a while counting as ready all the time.
-TEST_CASE("review: a server that left and came back with its id hides nobody meanwhile")
+TEST_CASE("a server that left and came back with its id hides nobody meanwhile")
 {
     manual_clock clock;
     clock.advance(1h);
@@ -57,7 +57,7 @@
 }
 
 // Guards against a removal dated by a server that was published again, long after its start.
-TEST_CASE("review: an entry that is created again does not date the changes before it")
+TEST_CASE("an entry that is created again does not date the changes before it")
 {
     manual_clock clock;
     clock.advance(2h);
@@ -80,7 +80,7 @@
 }
 
 // Guards against reading an empty queue when such an entry started minutes ago.
-TEST_CASE("review: an entry that is created again minutes after its start ends nothing long ago")
+TEST_CASE("an entry that is created again minutes after its start ends nothing long ago")
 {
     manual_clock clock;
     clock.advance(2h);
@@ -103,7 +103,7 @@
 }
 
 // Guards against changes that the store has dropped being taken for none.
-TEST_CASE("review: a dropped history without a young server is no evidence")
+TEST_CASE("a dropped history without a young server is no evidence")
 {
     manual_clock clock;
     clock.advance(2h);
@@ -116,7 +116,7 @@
 }
 
 // Guards against reading an empty queue.
-TEST_CASE("review: a server that left long ago is added to an empty history")
+TEST_CASE("a server that left long ago is added to an empty history")
 {
     manual_clock clock;
     clock.advance(2h);
@@ -129,7 +129,7 @@
 }
 
 // Guards against a crash of each node that reads the history after one entry expired and returned.
-TEST_CASE("review: one entry that expired and returned is added to an empty history")
+TEST_CASE("one entry that expired and returned is added to an empty history")
 {
     manual_clock clock;
     clock.advance(2h);
