Ignore what gateways of an earlier version know of a service's versions

In a mixed fleet they answer that one version served, without a computed version, which counted as knowledge that the version is uncertain: streams without a record would have been refused there (by reading; not run).

--- a/src/gateway/peers/frames/stream_origin_codec.cpp
+++ b/src/gateway/peers/frames/stream_origin_codec.cpp
@@ -77,8 +77,12 @@
     frame.severalVersions = in.read<bool>();
     frame.covered = in.read<bool>();
     readList(in, [&](field_reader &items) { frame.origin = readOrigin(items); });
-    if (in.atEnd())
-        return; // from a node that computes no versions
+    // A node of an earlier version computes nothing, so what it knows can't show that the version
+    // is uncertain.
+    if (in.atEnd()) {
+        frame.covered = false;
+        return;
+    }
     if (auto computed = in.optional<std::string>())
         frame.computed = software_version(std::move(*computed));
 }
