Test answers that end inside their head, at each reader

Another operator reported a backend server that stopped inside the head of an answer and closed; clients got a 200 with an empty body, framed as whole.

--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -139,6 +139,68 @@
     }
 }
 
+// Guards against a head that breaks off and is taken for a whole one, of an answer without a body
+// or with a body that ends with the connection.
+TEST_CASE("a head that is cut at any byte is neither reported nor complete")
+{
+    for (const std::string head :
+         {"HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 12\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX-Signature: s\r\nConnection: close\r\n\r\n",
+          "HTTP/1.0 200 OK\r\nX-Signature: s\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n",
+          "HTTP/1.1 503 Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"}) {
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            INFO("head: " << head.substr(0, cut));
+            for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+                recording_sink<response_head> sink;
+                response_reader reader(sink, cut % 2 == 0);
+                CHECK_FALSE(readByteByByte(reader, before + head.substr(0, cut)));
+                CHECK_FALSE(reader.headDone());
+                CHECK_FALSE(reader.finishAtEndOfStream());
+                CHECK(sink.heads.empty());
+                CHECK(sink.completed == 0);
+            }
+        }
+    }
+}
+
+// Guards against an interim head that is taken for the answer.
+TEST_CASE("an interim head that is cut or is the last one is no answer")
+{
+    const std::string head = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    for (std::size_t cut = 0; cut <= head.size(); ++cut) {
+        INFO("head: " << head.substr(0, cut));
+        recording_sink<response_head> sink;
+        response_reader reader(sink, false);
+        CHECK_FALSE(readByteByByte(reader, head.substr(0, cut)));
+        CHECK_FALSE(reader.headDone());
+        CHECK_FALSE(reader.finishAtEndOfStream());
+        CHECK(sink.heads.empty());
+        CHECK(sink.completed == 0);
+    }
+}
+
+// Guards against a body of chunks that looks whole where its connection ends inside it, inside the
+// size of a chunk or inside the trailers.
+TEST_CASE("a chunked body that is cut at any byte is not complete")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string body = "3;x=y\r\nabc\r\n10\r\n0123456789abcdef\r\n0\r\nTrailer: t\r\n\r\n";
+    for (std::size_t cut = 0; cut < body.size(); ++cut) {
+        INFO("body: " << body.substr(0, cut));
+        recording_sink<response_head> sink;
+        response_reader reader(sink, false);
+        CHECK_FALSE(readByteByByte(reader, head + body.substr(0, cut)));
+        CHECK_FALSE(reader.done());
+        CHECK_FALSE(reader.finishAtEndOfStream());
+        CHECK(sink.completed == 0);
+    }
+    recording_sink<response_head> sink;
+    response_reader reader(sink, false);
+    CHECK_FALSE(readByteByByte(reader, head + body));
+    CHECK(sink.completed == 1);
+}
+
 TEST_CASE("interim answers are skipped")
 {
     recording_sink<response_head> sink;
