--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -408,6 +408,8 @@
         {"slots negative", R"("slots":6)", R"("slots":-6)"},
         {"no slots", R"("slots":6)", R"("slots":0)"},
         {"slots beyond all bounds", R"("slots":6)", R"("slots":123456789012)"},
+        {"more slots than a server has", R"("slots":6)", R"("slots":65537)"},
+        {"slots of two to the power of 31", R"("slots":6)", R"("slots":2147483648)"},
         {"state missing", R"("phase":"ready",)", ""},
         {"state of another type", R"("phase":"ready")", R"("phase":true)"},
         {"state that isn't named", R"("phase":"ready")", R"("phase":"READY")"},
