Detect a dropped history by changes that were recent at the start of the node

Cause: what the store still had looked like 20 s without changes; only a published start showed that something was missing. Class: absence from what was read is taken for evidence. An entry that was leaving or cold in a node's first list had changed a moment before, so a history that doesn't show that change was dropped.

Reports of servers are read with the first list, not at the next tick.

--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -371,6 +371,8 @@
 template <gateway_codec Codec>
 void gateway<Codec>::onPublicationEvent(const publication_event &publicationEvent)
 {
+    if (m_readsOpenRuns && hasPublishedState())
+        readOpenRuns();
     const auto level = publicationEvent.kind == publication_event::event_type::Unreadable
         ? wire::log_level::Warning
         : wire::log_level::Info;
--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -114,11 +114,24 @@
         if (!present.contains(id) && parts.contains(static_cast<std::uint32_t>(digestPartOf(id))))
             applyRemoval({id, revision}, events);
     }
-    m_listed = true;
+    if (!std::exchange(m_listed, true))
+        recordRecentChange(items);
     recordReadyChanges();
     return summarized(std::move(events));
 }
 
+// Servers that publish no start don't show when they changed, but one that is leaving or cold did
+// so a short time ago.
+void published_state::recordRecentChange(const std::vector<published_item> &firstList)
+{
+    m_recentAtStart.readAt = m_clock.wallNow();
+    for (const auto &item : firstList) {
+        const auto *each = std::get_if<published_server>(&item);
+        if (each && (each->record.leaving || each->coldTimeLeft > milliseconds{0}))
+            m_recentAtStart.revision = std::max(m_recentAtStart.revision, each->revision);
+    }
+}
+
 std::uint64_t published_state::serverRevision(const backend_server_id &id) const
 {
     const auto found = m_revisions.find(id);
--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -3,6 +3,7 @@
 #include "gateway/codec.h"
 #include "gateway/publication/configuration.h"
 #include "gateway/publication/evacuations.h"
+#include "gateway/publication/store_history.h"
 #include "gateway/servers/server_directory.h"
 #include "gateway/servers/version_history.h"
 
@@ -123,6 +124,8 @@
     [[nodiscard]] steady_time lastContactAt() const { return m_lastContactAt; }
     /// Returns the software versions that have been published as ready.
     [[nodiscard]] const version_history &versions() const { return m_versions; }
+    /// Returns the last change that was recent when this node read its first list.
+    [[nodiscard]] const recent_change &recentAtStart() const { return m_recentAtStart; }
     /// Adds what was published before this node read a list.
     void addEarlierVersions(const std::vector<earlier_ready_time> &earlier, steady_time since)
     {
@@ -137,6 +140,7 @@
     [[nodiscard]] std::vector<publication_event> applyAll(const std::vector<published_item> &items);
     /// Records which servers an update has made ready. While no list is known they are incomplete.
     void recordReadyChanges();
+    void recordRecentChange(const std::vector<published_item> &firstList);
     void applyOne(const published_item &item, std::vector<publication_event> &events);
     void applyServer(const published_server &announced, std::vector<publication_event> &events);
     void applyRemoval(const removed_server &removal, std::vector<publication_event> &events);
@@ -163,6 +167,7 @@
     version_history m_versions;
     bool m_listed = false;
     bool m_storeFailed = false;
+    recent_change m_recentAtStart;
     steady_time m_lastContactAt{};
     steady_time m_contactBefore{}; ///< the one before the last
     steady_time m_deferUntil{}; ///< removals read before this time are deferred until it
--- a/src/gateway/publication/store_history.cpp
+++ b/src/gateway/publication/store_history.cpp
@@ -123,9 +123,13 @@
     return times;
 }
 
-bool wasDropped(const store_history &history, wall_time since)
+bool wasDropped(const store_history &history, wall_time since, const recent_change &recent)
 {
-    return !history.isWhole && std::ranges::any_of(history.present, [&](const auto &item) {
+    if (history.isWhole)
+        return false;
+    if (recent.revision != 0 && recent.revision <= history.after && recent.readAt > since)
+        return true;
+    return std::ranges::any_of(history.present, [&](const auto &item) {
         const auto *each = std::get_if<published_server>(&item);
         return each && each->revision <= history.after && each->record.startedAt
             && startTimeOf(*each->record.startedAt) > since + MaxClockError;
@@ -134,10 +138,10 @@
 
 } // namespace
 
-std::optional<std::vector<earlier_ready_time>> readyTimesOf(const store_history &history,
-                                                            wall_time since)
+std::optional<std::vector<earlier_ready_time>>
+readyTimesOf(const store_history &history, wall_time since, const recent_change &recent)
 {
-    if (wasDropped(history, since))
+    if (wasDropped(history, since, recent))
         return std::nullopt;
     constexpr wall_time BeforeHistory{};
     ready_replay replay;
--- a/src/gateway/streams/stream_origin_relay.cpp
+++ b/src/gateway/streams/stream_origin_relay.cpp
@@ -351,7 +351,8 @@
 void stream_origin_relay::addHistory(const store_history &history, steady_time readAt,
                                      wall_time readAtWall)
 {
-    const auto earlier = readyTimesOf(history, readAtWall - m_historyKeptFor);
+    const auto earlier =
+        readyTimesOf(history, readAtWall - m_historyKeptFor, m_published.recentAtStart());
     m_historyDropped = !earlier;
     if (earlier)
         m_published.addEarlierVersions(
--- a/tests/gateway/store_history_test.cpp
+++ b/tests/gateway/store_history_test.cpp
@@ -115,6 +115,25 @@
     CHECK_FALSE(readyTimesOf(history, wall - 20s));
 }
 
+// Guards against streams that are joined after a release whose servers publish no start, a kill of
+// all nodes and a store that dropped its history: what it shows looks like a time without changes.
+TEST_CASE("a history without a change that was recent at the start of the node was dropped")
+{
+    manual_clock clock;
+    clock.advance(2h);
+    const auto wall = clock.wallNow();
+    auto b = entry("b", V2, wall, 5, 5);
+    b.record.startedAt.reset();
+    store_history history;
+    history.after = 20;
+    history.present = {b};
+    CHECK_FALSE(readyTimesOf(history, wall - 20s, {20, wall - 9s}));
+    CHECK(readyTimesOf(history, wall - 20s));
+    // The change is in the history, or all of the history is later than the start of the node.
+    CHECK(readyTimesOf(history, wall - 20s, {21, wall - 9s}));
+    CHECK(readyTimesOf(history, wall - 20s, {20, wall - 20s}));
+}
+
 // Guards against reading an empty queue.
 TEST_CASE("a server that left long ago is added to an empty history")
 {
