--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -376,7 +376,7 @@
     std::optional<request_digest> m_stream; ///< on streaming routes
     /// Version on which the stream began or must begin; empty: any.
     std::optional<software_version> m_version;
-    bool m_originFound = false; ///< the request continues a stream whose version is known
+    bool m_originFound = false; ///< the request continues a stream that is known to have begun
     bool m_done = false;
     request_log m_decisions;
     int m_clientStatus = 0; ///< status sent to the client; 0: none
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -125,7 +125,8 @@
         refuse(request_outcome::OriginUnknown);
         return;
     }
-    m_originFound = true;
+    // A client of a service with one version may name any stream, so it gains no precedence.
+    m_originFound = found.source != origin_source::OnlyVersion && m_metadata.lastEvent > 0U;
     m_version = found.origin->version;
     const auto &service = found.origin->service;
     if (std::ranges::find(m_route->services, service, &weighted_service::service)
--- a/src/gateway/peers/frames/stream_origin_codec.cpp
+++ b/src/gateway/peers/frames/stream_origin_codec.cpp
@@ -64,7 +64,7 @@
 void pack(packer &out, const stream_origin_answer &frame)
 {
     constexpr std::uint32_t OriginFields = 2;
-    packKind(out, frame_kind::StreamOriginAnswer, 6);
+    packKind(out, frame_kind::StreamOriginAnswer, 5);
     out.pack(frame.id);
     out.pack(frame.severalVersions);
     out.pack(frame.covered);
@@ -72,7 +72,6 @@
     if (frame.origin)
         packOrigin(out, *frame.origin);
     packOptional(out, frame.computed ? std::optional(frame.computed->value) : std::nullopt);
-    packDuration(out, frame.age);
 }
 
 void read(field_reader &in, stream_origin_answer &frame)
@@ -89,8 +88,6 @@
     }
     if (auto computed = in.optional<std::string>())
         frame.computed = software_version(std::move(*computed));
-    if (!in.atEnd())
-        frame.age = in.duration();
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -163,7 +163,6 @@
     bool covered = false; ///< the sender knows all versions that have served within `maxAge`
     /// Computed version of the stream; empty: not certain, or the sender knows too little.
     std::optional<software_version> computed;
-    milliseconds age{0}; ///< for how long the sender has kept records
 };
 
 /// Reports that the sender, or a node that notified the sender, cannot reach a data centre. The
--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -65,7 +65,7 @@
     if (!m_listed)
         return;
     for (const auto &each : m_directory.takeReadyChanges())
-        m_versions.record(each, m_contactBefore);
+        m_versions.record(each);
 }
 
 std::vector<publication_event> published_state::applyAll(const std::vector<published_item> &items)
@@ -189,7 +189,7 @@
         return;
     }
     if (m_deferred.erase(record.id) > 0 && !record.leaving)
-        m_versions.record({record.service, record.id, record.version, true}, m_contactBefore);
+        m_versions.record({record.service, record.id, record.version, true});
     m_removals.erase(record.id);
     m_revisions[record.id] = std::max(serverRevision(record.id), announced.revision);
     const auto known = m_directory.find(record.id);
@@ -223,7 +223,7 @@
             events.push_back({event_type::RemovalDeferred, id.value, known->record.service.value});
             // Other nodes may have removed the server, so nothing new may begin on its version.
             const auto &record = known->record;
-            m_versions.record({record.service, id, record.version, false}, m_contactBefore);
+            m_versions.record({record.service, id, record.version, false});
         }
         return;
     }
@@ -330,8 +330,7 @@
     const bool missedChanges = m_listed && at - m_lastContactAt > MaxContactGap;
     if (missedChanges)
         m_versions.forgetBeforeNow();
-    if (at > m_lastContactAt)
-        m_contactBefore = std::exchange(m_lastContactAt, at);
+    m_lastContactAt = std::max(m_lastContactAt, at);
     return missedChanges;
 }
 
--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -169,7 +169,6 @@
     bool m_storeFailed = false;
     recent_change m_recentAtStart;
     steady_time m_lastContactAt{};
-    steady_time m_contactBefore{}; ///< the one before the last
     steady_time m_deferUntil{}; ///< removals read before this time are deferred until it
     std::map<backend_server_id, steady_time> m_deferred;
     std::map<backend_server_id, std::uint64_t> m_revisions; ///< of the last change of each server
--- a/src/gateway/stages/stage_rank.h
+++ b/src/gateway/stages/stage_rank.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
+#include <limits>
 
 namespace orchidlead::gateway {
 
@@ -10,7 +12,7 @@
 struct stage_rank
 {
     std::uint32_t priority = 0; ///< 0 is the most urgent
-    std::uint32_t routePriority = 0; ///< breaks ties between equal priorities; see `rankOf`
+    std::uint32_t routePriority = 0; ///< breaks ties between equal priorities, as `rankOf` sets it
 
     // NOLINTNEXTLINE(modernize-use-nullptr): taken for a comparison with a null pointer
     friend auto operator<=>(const stage_rank &, const stage_rank &) = default;
@@ -21,7 +23,8 @@
 [[nodiscard]] constexpr stage_rank rankOf(std::uint32_t priority, std::uint32_t routePriority,
                                           bool continuesStream)
 {
-    return {priority, 2 * routePriority + (continuesStream ? 0 : 1)};
+    constexpr auto MaxRoutePriority = std::numeric_limits<std::uint32_t>::max() / 2;
+    return {priority, 2 * std::min(routePriority, MaxRoutePriority) + (continuesStream ? 0 : 1)};
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/streams/open_run_reader.cpp
+++ b/src/gateway/streams/open_run_reader.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-// Servers that a node asks for reports at most. Where 50 nodes of a data centre start at the same
-// time beside 90 servers, each server is asked 18 times.
+// Servers that a node asks for reports at most, as all nodes may start at the same time.
 constexpr std::size_t MaxReportsRead = 32;
 
 } // namespace
--- a/src/gateway/streams/open_run_reader_impl.h
+++ b/src/gateway/streams/open_run_reader_impl.h
@@ -9,7 +9,7 @@
 /// Longest time for reading the reports. A server keeps a run for as long as it takes to detect
 /// that the connection is gone.
 inline constexpr milliseconds ReportsTimeout{500};
-/// Largest report of a server: 128 runs take about 8 KB.
+/// Largest report of a server.
 inline constexpr std::size_t MaxReportBytes = 1U << 20U;
 
 template <gateway_codec Codec>
@@ -44,10 +44,11 @@
     made.server = server;
     made.repeatable = true;
     made.call.maxBodyBytes = MaxReportBytes;
-    made.call.writeHead = [host = server->record.address.ip] {
+    made.call.writeHead = [host = server->record.address.ip, id = server->record.id] {
         http::request_head head;
         head.method = "GET";
         head.target = Codec::reportPath();
+        head.fields = Codec::stageFields(id);
         head.fields.push_back({"Host", host});
         return std::optional(http::formatHead(head));
     };
--- a/src/gateway/streams/stream_origin_relay.cpp
+++ b/src/gateway/streams/stream_origin_relay.cpp
@@ -40,6 +40,7 @@
     , m_published(published)
     , m_startedAt(loop.now())
     , m_table(loop.clock())
+    , m_runs(loop.clock())
 { }
 
 bool stream_origin_relay::hasSeveralVersions(const service_id &service) const
@@ -85,6 +86,7 @@
 void stream_origin_relay::tick()
 {
     m_table.removeExpired();
+    m_runs.removeExpired();
     if (m_readsReports && age() > MaxReportsWait)
         endReports();
     shareReports();
@@ -96,14 +98,14 @@
 void stream_origin_relay::onRunReported(std::string_view attempt, const stream_origin &origin)
 {
     const auto run = runDigestOf(attempt);
-    const auto known = m_table.find(run);
+    const auto known = m_runs.find(run);
     if (known && *known != origin) {
         m_conflictingRuns.insert(run);
         return;
     }
     if (known)
         return;
-    m_table.add({run, origin, ReportedRunLifetime});
+    m_runs.add({run, origin, ReportedRunLifetime});
     m_unsharedRuns.push_back(run);
 }
 
@@ -124,7 +126,7 @@
     m_shareRunsAt.reset();
     std::vector<stream_origin_record> records;
     for (const auto &run : std::exchange(m_unsharedRuns, {})) {
-        const auto record = m_table.recordOf(run);
+        const auto record = m_runs.recordOf(run);
         if (record && !m_conflictingRuns.contains(run))
             records.push_back(*record);
     }
@@ -133,7 +135,10 @@
 
 std::optional<stream_origin> stream_origin_relay::reportedOrigin(const request_digest &run) const
 {
-    return m_conflictingRuns.contains(run) ? std::nullopt : m_table.find(run);
+    if (m_conflictingRuns.contains(run))
+        return std::nullopt;
+    const auto own = m_runs.find(run);
+    return own ? own : m_table.find(run); // sent by a node that read the report
 }
 
 std::vector<vm_id>
@@ -170,11 +175,11 @@
 stream_origin_relay::compute(const pending_lookup &asked) const
 {
     const auto &versions = m_published.versions();
-    const auto span = spanOf(asked);
-    return {versions.covers(asked.service, span.since),
-            versions.hadOneVersionIn(asked.service, span),
-            versions.assignedIn(asked.stream ? asked.stream->stream : request_digest{},
-                                asked.service, span)};
+    const auto since = m_loop.now() - asked.maxAge;
+    return {versions.covers(asked.service, since),
+            versions.hadOneVersionSince(asked.service, since),
+            versions.assignedSince(asked.stream ? asked.stream->stream : request_digest{},
+                                   asked.service, since)};
 }
 
 milliseconds stream_origin_relay::age() const
@@ -182,17 +187,6 @@
     return std::chrono::floor<milliseconds>(m_loop.now() - m_startedAt);
 }
 
-// A node that runs would have the record of a stream that began after it knew the others. So
-// without a record the stream began before that, at a node that has ended since.
-begin_span stream_origin_relay::spanOf(const pending_lookup &asked) const
-{
-    const auto now = m_loop.now();
-    begin_span span{now - asked.maxAge};
-    if (asked.stream && asked.candidates > 0 && asked.answered == asked.candidates)
-        span.until = std::max(span.since, now - asked.youngest) + PeersSettleTime + m_listDelay;
-    return span;
-}
-
 stream_origin_answer stream_origin_relay::answerTo(const stream_origin_query &query) const
 {
     pending_lookup asked;
@@ -202,7 +196,6 @@
     const auto computed = compute(asked);
     stream_origin_answer answer;
     answer.id = query.id;
-    answer.age = age();
     answer.origin = m_table.find(query.stream);
     if (!answer.origin)
         answer.origin = reportedOrigin(query.run);
@@ -240,7 +233,6 @@
     const auto asked = stream.value_or(stream_name{});
     const auto candidates = candidatesFor(stream);
     pending.candidates = candidates.size();
-    pending.youngest = age();
     for (const auto &vm : candidates) {
         if (const auto link = m_peers.linkTo(vm)) {
             link->send(stream_origin_query{id, asked.stream, service, pending.maxAge, asked.run});
@@ -269,7 +261,6 @@
         return;
     pending.unanswered.erase(asked);
     ++pending.answered;
-    pending.youngest = std::min(pending.youngest, answer.age);
     if (answer.origin) {
         complete(answer.id, {answer.origin, origin_source::Peer});
         return;
--- a/src/gateway/streams/stream_origin_relay.h
+++ b/src/gateway/streams/stream_origin_relay.h
@@ -77,7 +77,7 @@
     void onStreamBegan(const stream_origin_record &record);
     /// Begins to collect what servers report; lookups wait until `endReports`.
     void beginReports() { m_readsReports = true; }
-    /// Records that a server was running an attempt and has made events.
+    /// Records that a server was running an attempt and had made events for it.
     void onRunReported(std::string_view attempt, const stream_origin &origin);
     void endReports();
     /// Looks up where a stream began. `maxAge` is the longest time for which it may have existed.
@@ -116,7 +116,6 @@
         std::size_t candidates = 0; ///< nodes that may keep the record
         std::size_t asked = 0;
         std::size_t answered = 0;
-        milliseconds youngest{0}; ///< shortest time for which this node and those have kept records
         bool covered = false; ///< a node that answered knows all versions
         bool uncertain = false; ///< a node that knows all versions can't tell which one
         bool severalVersions = false; ///< as far as the nodes that answered know
@@ -142,10 +141,8 @@
     /// Sends the nodes that keep records what servers reported, once these nodes are known.
     void shareReports();
     [[nodiscard]] stream_origin_answer answerTo(const stream_origin_query &query) const;
-    /// Returns how long this node has kept records.
+    /// Returns how long this node has run.
     [[nodiscard]] milliseconds age() const;
-    /// Returns the time within which a stream of which no node has a record can have begun.
-    [[nodiscard]] begin_span spanOf(const pending_lookup &asked) const;
     /// Computes the version of a stream from the published servers that this node knows of.
     [[nodiscard]] computed_version compute(const pending_lookup &asked) const;
     /// Returns whether this node's list is recent.
@@ -171,6 +168,7 @@
     published_state &m_published;
     steady_time m_startedAt;
     stream_origin_table m_table;
+    stream_origin_table m_runs; ///< reported by servers
     std::vector<request_digest> m_unshared; ///< streams of this node whose records were not sent
     std::set<request_digest> m_conflictingRuns; ///< reported at several versions
     std::vector<request_digest> m_unsharedRuns;
--- a/tests/platform/continued_stream_order_test.cpp
+++ b/tests/platform/continued_stream_order_test.cpp
@@ -77,3 +77,27 @@
     const auto at = std::ranges::find(w.pieces, "again") - w.pieces.begin();
     CHECK(at <= 3);
 }
+
+// Guards against clients that gain precedence by naming a last event although they have no stream.
+TEST_CASE("a request that continues no known stream does not run before new requests")
+{
+    busy_stage_world w;
+    for (int i = 0; i < NewRequests; ++i)
+        w.startRequest("g1", makeStagedRequest("new-" + std::to_string(i), "1"), "x",
+                       std::make_shared<client_answer>());
+    w.runFor(milliseconds{50});
+    auto head = makeStagedRequest("again", "1");
+    SECTION("it names no event") { }
+    SECTION("it names no attempt")
+    {
+        head.fields.push_back({"Last-Event-Id", "0"});
+    }
+    SECTION("it names an attempt that never began")
+    {
+        head.fields.push_back({"Resumes", "never-begun"});
+        head.fields.push_back({"Last-Event-Id", "0"});
+    }
+    w.request("g1", std::move(head), "x");
+    REQUIRE(w.runUntil([&] { return w.pieces.size() == NewRequests + 1; }));
+    CHECK(w.pieces.back() == "again");
+}
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -141,8 +141,12 @@
         if (!m_reader->done())
             return;
         const auto request = m_request;
-        m_owner.m_requests.push_back(request);
         expect();
+        if (request.head.target == "/report") {
+            m_owner.m_report(request, shared_from_this());
+            return;
+        }
+        m_owner.m_requests.push_back(request);
         if (m_owner.m_behaviour)
             m_owner.m_behaviour(request, shared_from_this());
     }
@@ -181,6 +185,11 @@
     setBehaviour([](const server_request &request, const std::shared_ptr<server_answer> &answer) {
         answer->write(signedAnswer(request, "done"));
     });
+    setReport([](const server_request & /*request*/, const std::shared_ptr<server_answer> &answer) {
+        constexpr std::string_view NoRuns = R"({"runs":[]})";
+        answer->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(NoRuns.size())
+                      + "\r\n\r\n" + std::string(NoRuns));
+    });
 }
 
 fake_server::~fake_server()
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -52,6 +52,9 @@
     [[nodiscard]] const std::vector<server_request> &requests() const { return m_requests; }
     [[nodiscard]] std::size_t openConnections() const { return *m_open; }
     void setBehaviour(server_behaviour behaviour) { m_behaviour = std::move(behaviour); }
+    /// Sets how the server reports what it is running; at first it reports nothing. These requests
+    /// are not among `requests`.
+    void setReport(server_behaviour behaviour) { m_report = std::move(behaviour); }
     void stop() { m_acceptor.reset(); }
     /// Ends like a crashed process: stops listening and resets all connections.
     void crash();
@@ -64,6 +67,7 @@
     std::unique_ptr<http::acceptor> m_acceptor;
     std::vector<server_request> m_requests;
     server_behaviour m_behaviour;
+    server_behaviour m_report;
     std::vector<std::weak_ptr<connection>> m_connections;
     std::shared_ptr<std::size_t> m_open = std::make_shared<std::size_t>(0);
 };
--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -70,13 +70,13 @@
     /// Has a server write events of this version.
     void setVersion(fake_server &server, const std::string &version)
     {
+        server.setReport([this, id = server.id()](const server_request & /*request*/,
+                                                  const std::shared_ptr<server_answer> &answer) {
+            answerReport(id, answer);
+        });
         server.setBehaviour([this, version,
                              id = server.id()](const server_request &request,
                                                const std::shared_ptr<server_answer> &answer) {
-            if (request.head.target == "/report") {
-                answerReport(id, answer);
-                return;
-            }
             const auto last = http::findField(request.head.fields, "last-event-id");
             if (!last)
                 runs[id].push_back(
@@ -153,6 +153,8 @@
         for (auto &each : head.fields) {
             if (each.name == "Api-Key")
                 each.value = key;
+            if (each.name == "X-Deadline-Ms")
+                each.value = std::to_string(timeLeft.count());
         }
         head.fields.push_back({"X-Prefix-Hash", first + ":50"});
         if (!first.empty())
@@ -243,6 +245,7 @@
                       + "\r\n\r\n" + body);
     }
 
+    milliseconds timeLeft{2000}; ///< that clients name when they continue a stream
     first_try mode = first_try::StaysOpen;
     report_kind reports = report_kind::Runs;
     std::map<std::string, std::vector<std::string>> runs; ///< attempts, by server
@@ -668,3 +671,122 @@
     CHECK(counts.joined == 0);
     CHECK(counts.refused > 0);
 }
+
+// Guards against a stream that is taken for an old one because no node that was asked has its
+// record, although the node that began it could send none and has ended since.
+TEST_CASE("no stream is joined whose gateway couldn't send its record and ended, after a kill of "
+          "all gateways")
+{
+    version_world w({"v1"});
+    auto route = streamRoute(true);
+    const std::string timeout = R"("timeout_ms":4000)";
+    route.replace(route.find(timeout), timeout.size(), R"("timeout_ms":15000)");
+    w.publish(2, route, {}, R"(},{"name":"t2","api_keys":["k2"],"priority":1)");
+    auto early = w.begin("g1", 1);
+    w.breakOff(early);
+    w.killAll();
+    w.peersCanBeCut = true;
+    w.startGateway("g1");
+    w.startGateway("g2");
+    w.startGateway("g3", true, "y");
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(3); }));
+    // The history is read before the release.
+    REQUIRE(w.resumeAll(early, "g3").continued == 1);
+    w.runFor(milliseconds{7000});
+    w.cutFromPeers("g1", cut_kind::Hang);
+    w.addVersion("v2", w.unixTime());
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    w.killGateway("g1");
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(2); }, milliseconds{10'000}));
+    const auto counts = w.resumeAll(streams, "g3");
+    INFO("continued " << counts.continued << ", refused " << counts.refused);
+    CHECK(counts.joined == 0);
+}
+
+// Guards against a report with more runs than a server can have, whose records replace those of the
+// streams of the gateway.
+TEST_CASE("a report of very many runs doesn't end the records of streams")
+{
+    constexpr int ReportedRuns = 40'000;
+    version_world w({"v1"});
+    w.publish(2, streamRoute(true),
+              R"({"name":"engine","engine":{"slots":8,"kv_capacity":100000}})",
+              R"(},{"name":"t2","api_keys":["k2"],"priority":1)");
+    w.runFor(milliseconds{500});
+    w.killAll();
+    for (int i = 0; i < ReportedRuns; ++i)
+        w.runs["v1-0"].push_back("x" + std::to_string(i));
+    w.startAgain("g1");
+    w.runFor(milliseconds{1000});
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    w.logOutput.str({});
+    (void)w.resumeAll(streams, "g1");
+    const auto log = w.logOutput.str();
+    int own = 0;
+    const std::string source = " source=own ";
+    for (auto at = log.find(source); at != std::string::npos; at = log.find(source, at + 1))
+        ++own;
+    CHECK(own == Streams);
+}
+
+// Guards against records that a node has sent to nobody, because it began streams before it knew
+// its peers.
+TEST_CASE("no stream is joined whose gateway ended a moment after its start")
+{
+    version_world w({"v1"});
+    auto route = streamRoute(true);
+    const std::string timeout = R"("timeout_ms":4000)";
+    route.replace(route.find(timeout), timeout.size(), R"("timeout_ms":15000)");
+    w.publish(2, route, {}, R"(},{"name":"t2","api_keys":["k2"],"priority":1)");
+    auto early = w.begin("g1", 1);
+    w.breakOff(early);
+    w.killAll();
+    w.startGateway("g2");
+    w.startGateway("g3", true, "y");
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(2); }));
+    // The history is read before the release.
+    REQUIRE(w.resumeAll(early, "g3").continued == 1);
+    w.runFor(milliseconds{7000});
+    w.addVersion("v2", w.unixTime());
+    w.startGateway("g1");
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    w.killGateway("g1");
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(2); }, milliseconds{10'000}));
+    const auto counts = w.resumeAll(streams, "g3");
+    INFO("continued " << counts.continued << ", refused " << counts.refused);
+    CHECK(counts.joined == 0);
+}
+
+// Guards against servers of a later version that are taken for ready since the start of the gateway
+// once it has read the history of the store.
+TEST_CASE("no stream is joined whose gateway ended before a release that the history shows")
+{
+    version_world w({"v1"});
+    auto route = streamRoute(true);
+    const std::string timeout = R"("timeout_ms":4000)";
+    route.replace(route.find(timeout), timeout.size(), R"("timeout_ms":15000)");
+    w.publish(2, route, {}, R"(},{"name":"t2","api_keys":["k2"],"priority":1)");
+    auto early = w.begin("g1", 1);
+    w.breakOff(early);
+    w.killAll();
+    w.peersCanBeCut = true;
+    w.startGateway("g1");
+    w.startGateway("g3", true, "y");
+    REQUIRE(w.runUntil([&] { return w.knowsMembers(2); }));
+    w.runFor(milliseconds{4000});
+    w.cutFromPeers("g1", cut_kind::Hang);
+    auto streams = w.begin("g1");
+    w.breakOff(streams);
+    w.killGateway("g1");
+    w.runFor(milliseconds{1000});
+    w.addVersion("v2", w.unixTime());
+    (void)w.resumeAll(early, "g3");
+    w.runFor(milliseconds{1500});
+    w.timeLeft = milliseconds{12'000};
+    const auto counts = w.resumeAll(streams, "g3");
+    INFO("continued " << counts.continued << ", refused " << counts.refused);
+    CHECK(counts.joined == 0);
+}
