--- a/src/gateway/peers/frames/stream_origin_codec.cpp
+++ b/src/gateway/peers/frames/stream_origin_codec.cpp
@@ -43,11 +43,12 @@
 
 void pack(packer &out, const stream_origin_query &frame)
 {
-    packKind(out, frame_kind::StreamOriginQuery, 4);
+    packKind(out, frame_kind::StreamOriginQuery, 5);
     out.pack(frame.id);
     packDigest(out, frame.stream);
     out.pack(frame.service.value);
     packDuration(out, frame.maxAge);
+    packDigest(out, frame.run);
 }
 
 void read(field_reader &in, stream_origin_query &frame)
@@ -56,6 +57,8 @@
     frame.stream = readDigest(in);
     frame.service = in.id<service_id>();
     frame.maxAge = in.duration();
+    if (!in.atEnd())
+        frame.run = readDigest(in);
 }
 
 void pack(packer &out, const stream_origin_answer &frame)
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -153,6 +153,7 @@
     request_digest stream;
     service_id service; ///< service of the request that continues the stream
     milliseconds maxAge{0}; ///< longest time for which the stream may have existed
+    request_digest run{}; ///< of the attempt that brought its first event
 };
 struct stream_origin_answer
 {
--- a/src/gateway/servers/version_history.cpp
+++ b/src/gateway/servers/version_history.cpp
@@ -88,6 +88,8 @@
 }
 
 // What has happened since the first list is recorded, so what isn't recorded happened before it.
+// The history also shows servers that came after the first list: only a time before that dates
+// them.
 void version_history::addEarlier(const std::vector<earlier_ready_time> &earlier, steady_time since)
 {
     if (!m_knownSince || since >= *m_knownSince)
@@ -95,9 +97,10 @@
     for (const auto &each : earlier) {
         auto &servers = each.service ? m_services[*each.service] : m_unknown;
         const auto from = earlierTime(each.from);
-        if (auto *recorded = findRecorded(servers, each))
-            recorded->from = std::min(recorded->from, from);
-        else
+        if (auto *recorded = findRecorded(servers, each)) {
+            if (each.from && from < *m_knownSince)
+                recorded->from = std::min(recorded->from, from);
+        } else
             addEnded(servers, {each.server, each.version, from, earlierTime(each.to)});
     }
     m_knownSince = since;
--- a/tests/gateway/version_history_test.cpp
+++ b/tests/gateway/version_history_test.cpp
@@ -238,3 +238,31 @@
     history.isWhole = true;
     CHECK(readyTimesOf(history, clock.wallNow() - 20s));
 }
+
+// Guards against servers that are taken for ready since the first list, although they were added
+// later, once the history of the store shows them too: a stream that began before them would be
+// joined.
+TEST_CASE("a server that was added after the first list hides nobody before it, whatever the "
+          "history shows")
+{
+    fixture f;
+    f.add(V1, 4);
+    f.clock.advance(30s);
+    store_history history;
+    history.after = 100;
+    const auto born = unixTime(f.clock.wallNow());
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        const auto number = std::to_string(i);
+        const auto entry = published("v2-" + number, V2, 101 + i, 101 + i, born);
+        history.changes.emplace_back(entry);
+        history.present.emplace_back(entry);
+        history.present.emplace_back(published("v1-" + number, V1, 1 + i, 1 + i));
+    }
+    f.add(V2, 4);
+    f.clock.advance(4s);
+    REQUIRE(f.countSince(V2, 8s) == 0);
+    const auto times = readyTimesOf(history, f.clock.wallNow() - 60s);
+    REQUIRE(times);
+    f.history.addEarlier(*times, f.clock.now() - 60s);
+    CHECK(f.countSince(V2, 8s) == 0);
+}
