Keep no connection of the reports that a node reads at its start

Cause: the idle connections of the reports lead the next calls into the cut, so that no new connection fails, by which a node finds out that it is cut off. A node that has idle connections to all servers from its traffic has the same fault (by reading; open).

--- a/src/gateway/streams/open_run_reader_impl.h
+++ b/src/gateway/streams/open_run_reader_impl.h
@@ -53,7 +53,14 @@
         return std::optional(http::formatHead(head));
     };
     made.call.onHead = [read](const http::response_head &head) { read->status = head.status; };
-    made.call.onBody = [read](std::string_view bytes) { read->body.append(bytes); };
+    // The connection isn't kept: an idle one hides from this node that it can't open others.
+    made.call.onBody = [this, read, id](std::string_view bytes) {
+        read->body.append(bytes);
+        if (!read->body.ends_with('}') || !Codec::readReport(read->body))
+            return;
+        m_transport.abandon(*id);
+        onEnd(*id, http::call_end::Complete);
+    };
     made.call.onEnd = [this, id](http::call_end how) { onEnd(*id, how); };
     *id = m_transport.startDirect(std::move(made));
     m_reads.emplace(*id, read);
