Parse each report of a server once and state its conditions once

Nothing that callers see changes. Found by reading the change as a whole: - the text of a report was parsed when its last byte arrived and again when the call ended; it is now handled where it is parsed; - two places checked whether the reports are still to be read; readOpenRuns checks it itself, and filters the services in the loop that collects them; - the digest of a stream was computed a second time for its lookup; - three tests set up the same world of patient clients (patient_world).

--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -105,9 +105,9 @@
 void exchange<Codec>::findStreamOrigin()
 {
     const bool isNamed = !m_metadata.firstAttempt.empty() && m_metadata.lastEvent;
-    const auto named = isNamed ? std::optional(streamNameOf(
-                           m_customer ? m_customer->id : customer_id{}, m_metadata.firstAttempt))
-                               : std::nullopt;
+    const auto named = isNamed
+        ? std::optional(stream_name{*m_stream, runDigestOf(m_metadata.firstAttempt)})
+        : std::nullopt;
     m_context.streamOrigins.find(named, m_service, maxStreamAge(),
                                  [self = this->shared_from_this()](const origin_lookup &found) {
                                      if (!self->m_done)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -76,7 +76,7 @@
     void onServerAccess(server_access_state state);
     void logPeriodicSummary();
     void onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame);
-    /// Asks the servers of streams what they are running, and logs the result.
+    /// Asks the servers of streams what they are running, once, as soon as they are known.
     void readOpenRuns();
     [[nodiscard]] gateway_gauges gauges();
     void tick();
@@ -105,7 +105,7 @@
     published_state m_state;
     stream_origin_relay m_streamOrigins;
     open_run_reader<Codec> m_openRuns;
-    bool m_readsOpenRuns = false; ///< once the servers are known
+    bool m_readsOpenRuns = false; ///< they are still to be read
     store_reader<Codec> m_follower;
     store_history_reader<Codec> m_historyReader;
     publication_relay<Codec> m_relay;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -371,8 +371,7 @@
 template <gateway_codec Codec>
 void gateway<Codec>::onPublicationEvent(const publication_event &publicationEvent)
 {
-    if (m_readsOpenRuns && hasPublishedState())
-        readOpenRuns();
+    readOpenRuns();
     const auto level = publicationEvent.kind == publication_event::event_type::Unreadable
         ? wire::log_level::Warning
         : wire::log_level::Info;
@@ -460,8 +459,7 @@
         logPeriodicSummary();
     }
     m_relay.tick();
-    if (m_readsOpenRuns && hasPublishedState())
-        readOpenRuns();
+    readOpenRuns();
     releaseEarlyRequests();
     if (m_stopping)
         checkStopped();
@@ -471,19 +469,19 @@
 template <gateway_codec Codec>
 void gateway<Codec>::readOpenRuns()
 {
-    m_readsOpenRuns = false;
-    const auto &content = m_state.currentConfiguration()->content();
+    if (!hasPublishedState() || !std::exchange(m_readsOpenRuns, false))
+        return;
+    const auto &configuration = *m_state.currentConfiguration();
     std::set<service_id> services;
-    for (const auto &route : content.routes) {
+    for (const auto &route : configuration.content().routes) {
         if (route.kind != request_kind::Stream || !route.repeatable())
             continue;
-        for (const auto &each : route.services)
-            services.insert(each.service);
+        for (const auto &each : route.services) {
+            const auto *spec = configuration.findService(each.service);
+            if (spec && spec->engine)
+                services.insert(each.service);
+        }
     }
-    std::erase_if(services, [&](const service_id &each) {
-        const auto *spec = m_state.currentConfiguration()->findService(each);
-        return !spec || !spec->engine;
-    });
     auto servers = m_directory.all();
     std::erase_if(servers, [&](const server_ptr &each) {
         return each->removed || !services.contains(each->record.service);
--- a/src/gateway/streams/open_run_reader.h
+++ b/src/gateway/streams/open_run_reader.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -43,7 +44,9 @@
     };
 
     void ask(const server_ptr &server);
-    void onEnd(server_transport::call_id call, http::call_end how);
+    void onBody(server_transport::call_id call, std::string_view bytes);
+    void onEnd(server_transport::call_id call);
+    void handleReport(const open_read &read, const server_report &report);
     void finish();
 
     http::io_loop &m_loop;
--- a/src/gateway/streams/open_run_reader_impl.h
+++ b/src/gateway/streams/open_run_reader_impl.h
@@ -53,41 +53,52 @@
         return std::optional(http::formatHead(head));
     };
     made.call.onHead = [read](const http::response_head &head) { read->status = head.status; };
-    // The connection isn't kept: an idle one hides from this node that it can't open others.
-    made.call.onBody = [this, read, id](std::string_view bytes) {
-        read->body.append(bytes);
-        if (!read->body.ends_with('}') || !Codec::readReport(read->body))
-            return;
-        m_transport.abandon(*id);
-        onEnd(*id, http::call_end::Complete);
-    };
-    made.call.onEnd = [this, id](http::call_end how) { onEnd(*id, how); };
+    made.call.onBody = [this, id](std::string_view bytes) { onBody(*id, bytes); };
+    made.call.onEnd = [this, id](http::call_end /*how*/) { onEnd(*id); };
     *id = m_transport.startDirect(std::move(made));
     m_reads.emplace(*id, read);
 }
 
+// The connection isn't kept: an idle one hides from this node that it can't open others.
+template <gateway_codec Codec>
+void open_run_reader<Codec>::onBody(server_transport::call_id call, std::string_view bytes)
+{
+    constexpr int Ok = 200;
+    const auto found = m_reads.find(call);
+    if (found == m_reads.end())
+        return;
+    const auto read = found->second;
+    read->body.append(bytes);
+    const auto last = read->body.find_last_not_of(" \t\r\n");
+    if (read->status != Ok || last == std::string::npos || read->body[last] != '}')
+        return;
+    const auto report = Codec::readReport(read->body);
+    if (!report)
+        return;
+    m_transport.abandon(call);
+    handleReport(*read, report.value());
+    onEnd(call);
+}
+
 // The address of a server that has ended may belong to another one, or to another start of it. A
 // report that states its start must be of the start that was published.
 template <gateway_codec Codec>
-void open_run_reader<Codec>::onEnd(server_transport::call_id call, http::call_end how)
+void open_run_reader<Codec>::handleReport(const open_read &read, const server_report &report)
 {
-    constexpr int Ok = 200;
-    const auto ended = m_reads.extract(call);
-    if (ended.empty())
+    const auto &published = read.server.startedAt;
+    if (published && report.startedAt != published)
         return;
-    const auto &read = *ended.mapped();
-    if (how == http::call_end::Complete && read.status == Ok) {
-        const auto report = Codec::readReport(read.body);
-        const auto &published = read.server.startedAt;
-        if (report && (!published || report.value().startedAt == published)) {
-            ++m_answered;
-            for (const auto &each : report.value().runs) {
-                if (each.events > 0)
-                    m_onRun(read.server, each);
-            }
-        }
+    ++m_answered;
+    for (const auto &each : report.runs) {
+        if (each.events > 0)
+            m_onRun(read.server, each);
     }
-    if (m_reads.empty())
+}
+
+template <gateway_codec Codec>
+void open_run_reader<Codec>::onEnd(server_transport::call_id call)
+{
+    if (m_reads.erase(call) > 0 && m_reads.empty())
         finish();
 }
 
--- a/src/gateway/streams/stream_origin.h
+++ b/src/gateway/streams/stream_origin.h
@@ -48,10 +48,4 @@
     request_digest run;
 };
 
-[[nodiscard]] inline stream_name streamNameOf(const customer_id &customer,
-                                              std::string_view firstAttempt)
-{
-    return {streamDigestOf(customer, firstAttempt), runDigestOf(firstAttempt)};
-}
-
 } // namespace orchidlead::gateway
--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -272,6 +272,25 @@
     std::vector<stream> streams;
 };
 
+/// Servers of one version and clients that wait for long. All gateways were killed after a stream
+/// had begun.
+struct patient_world : version_world
+{
+    patient_world()
+        : version_world({"v1"})
+    {
+        auto route = streamRoute(true);
+        const std::string timeout = R"("timeout_ms":4000)";
+        route.replace(route.find(timeout), timeout.size(), R"("timeout_ms":15000)");
+        publish(2, route, {}, R"(},{"name":"t2","api_keys":["k2"],"priority":1)");
+        early = begin("g1", 1);
+        breakOff(early);
+        killAll();
+    }
+
+    std::vector<stream> early;
+};
+
 void checkContinued(const version_world::counts &counts)
 {
     INFO("continued " << counts.continued << ", refused " << counts.refused);
@@ -677,21 +696,14 @@
 TEST_CASE("no stream is joined whose gateway couldn't send its record and ended, after a kill of "
           "all gateways")
 {
-    version_world w({"v1"});
-    auto route = streamRoute(true);
-    const std::string timeout = R"("timeout_ms":4000)";
-    route.replace(route.find(timeout), timeout.size(), R"("timeout_ms":15000)");
-    w.publish(2, route, {}, R"(},{"name":"t2","api_keys":["k2"],"priority":1)");
-    auto early = w.begin("g1", 1);
-    w.breakOff(early);
-    w.killAll();
+    patient_world w;
     w.peersCanBeCut = true;
     w.startGateway("g1");
     w.startGateway("g2");
     w.startGateway("g3", true, "y");
     REQUIRE(w.runUntil([&] { return w.knowsMembers(3); }));
     // The history is read before the release.
-    REQUIRE(w.resumeAll(early, "g3").continued == 1);
+    REQUIRE(w.resumeAll(w.early, "g3").continued == 1);
     w.runFor(milliseconds{7000});
     w.cutFromPeers("g1", cut_kind::Hang);
     w.addVersion("v2", w.unixTime());
@@ -735,19 +747,12 @@
 // its peers.
 TEST_CASE("no stream is joined whose gateway ended a moment after its start")
 {
-    version_world w({"v1"});
-    auto route = streamRoute(true);
-    const std::string timeout = R"("timeout_ms":4000)";
-    route.replace(route.find(timeout), timeout.size(), R"("timeout_ms":15000)");
-    w.publish(2, route, {}, R"(},{"name":"t2","api_keys":["k2"],"priority":1)");
-    auto early = w.begin("g1", 1);
-    w.breakOff(early);
-    w.killAll();
+    patient_world w;
     w.startGateway("g2");
     w.startGateway("g3", true, "y");
     REQUIRE(w.runUntil([&] { return w.knowsMembers(2); }));
     // The history is read before the release.
-    REQUIRE(w.resumeAll(early, "g3").continued == 1);
+    REQUIRE(w.resumeAll(w.early, "g3").continued == 1);
     w.runFor(milliseconds{7000});
     w.addVersion("v2", w.unixTime());
     w.startGateway("g1");
@@ -764,14 +769,7 @@
 // once it has read the history of the store.
 TEST_CASE("no stream is joined whose gateway ended before a release that the history shows")
 {
-    version_world w({"v1"});
-    auto route = streamRoute(true);
-    const std::string timeout = R"("timeout_ms":4000)";
-    route.replace(route.find(timeout), timeout.size(), R"("timeout_ms":15000)");
-    w.publish(2, route, {}, R"(},{"name":"t2","api_keys":["k2"],"priority":1)");
-    auto early = w.begin("g1", 1);
-    w.breakOff(early);
-    w.killAll();
+    patient_world w;
     w.peersCanBeCut = true;
     w.startGateway("g1");
     w.startGateway("g3", true, "y");
@@ -783,7 +781,7 @@
     w.killGateway("g1");
     w.runFor(milliseconds{1000});
     w.addVersion("v2", w.unixTime());
-    (void)w.resumeAll(early, "g3");
+    (void)w.resumeAll(w.early, "g3");
     w.runFor(milliseconds{1500});
     w.timeLeft = milliseconds{12'000};
     const auto counts = w.resumeAll(streams, "g3");
