--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -443,6 +443,27 @@
     }
 }
 
+// Guards against a key of another writer that is used as the identifier of a server: it would end
+// up in the head of each request to that server.
+TEST_CASE("an entry whose key is no identifier of a server names no server")
+{
+    for (const std::string key :
+         {"servers/", "servers/a b", "servers/a\\r\\nX-Tenant: t", "servers/a\\u0000",
+          "servers/\\u00e9", "servers/a\\u007f", "servers/a\\tb"}) {
+        INFO("key: " << key);
+        const auto page =
+            codec::readPage(R"({"items":[)" + item(key, Server) + "," + item("servers/i-2", Server)
+                            + R"(],"has_more":false,"store_revision":530})");
+        REQUIRE(page);
+        std::vector<std::string> used;
+        for (const auto &each : page.value().items) {
+            if (const auto *published = std::get_if<published_server>(&each))
+                used.push_back(published->record.id.value);
+        }
+        CHECK(used == std::vector<std::string>{"i-2"});
+    }
+}
+
 TEST_CASE("a randomly altered server entry results in its server or in the removal of that server")
 {
     std::mt19937 random(20261203);
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -66,9 +66,11 @@
                                            "null"};
     for (const auto &each : numbers) {
         values.push_back(altered(R"("slots":8)", R"("slots":)" + each));
-        values.push_back(altered(R"("sequence":1)", R"("sequence":1,"born":)" + each));
-        if (each != "4294967296")
+        // A whole number of that size is a valid count and a valid time.
+        if (each != "4294967296") {
+            values.push_back(altered(R"("sequence":1)", R"("sequence":1,"born":)" + each));
             values.push_back(altered(R"("sequence":1)", R"("sequence":)" + each));
+        }
         if (each != "1.5")
             values.push_back(altered(R"("cold_remaining_ms":0)", R"("cold_remaining_ms":)" + each));
     }
@@ -88,6 +90,8 @@
     return values;
 }
 
+constexpr int PublishedServers = 3;
+
 /// Gateways that read the store and gateways that follow them, before plain servers, model engines
 /// and stage servers.
 struct odd_world : world
@@ -137,6 +141,16 @@
         }
     }
 
+    /// Returns how many servers a gateway uses.
+    double usableServers(const std::string &gateway)
+    {
+        const std::string name = R"(orchidlead_gateway_state{what="usable_servers"} )";
+        const auto text = metrics(gateway);
+        const auto at = text.find(name);
+        REQUIRE(at != std::string::npos);
+        return std::stod(text.substr(at + name.size()));
+    }
+
     /// Checks that each gateway follows the list: a server that is added is used, and one that is
     /// removed no longer.
     void checkFollowed()
@@ -155,8 +169,10 @@
         store.remove("servers/" + id);
         runFor(gateway::platform_bounds{}.publicationApply);
         const auto before = added.requests().size();
-        for (const std::string gateway : {"g1", "g2", "g3", "g4"})
+        for (const std::string gateway : {"g1", "g2", "g3", "g4"}) {
             checkServed(gateway);
+            CHECK(usableServers(gateway) == PublishedServers);
+        }
         CHECK(added.requests().size() == before);
     }
 
