--- a/tests/platform/cut_link.cpp
+++ b/tests/platform/cut_link.cpp
@@ -137,6 +137,9 @@
                 const auto opened = std::make_shared<pipe>(owner.m_loop, std::move(socket), server);
                 owner.m_pipes.push_back(opened);
                 opened->start();
+                // A program in another process opens its connections itself, also during a cut.
+                if (owner.m_cut)
+                    applyCut(*opened, *owner.m_cut);
             });
         REQUIRE(made);
         m_acceptor = std::move(made).value();
@@ -175,10 +178,30 @@
         return http::stream_socket::connect(loop, ClosedAddress, events);
     if (m_cut) // a socket that never connects
         return std::make_shared<http::stream_socket>(boost::asio::ip::tcp::socket(loop.context()));
+    return http::stream_socket::connect(loop, addressFor(to), events);
+}
+
+socket_address cut_link::addressFor(const socket_address &to)
+{
+    return proxyFor(to).address();
+}
+
+cut_link::proxy &cut_link::proxyFor(const socket_address &to)
+{
     auto &there = m_proxies[to];
     if (!there)
         there = std::make_unique<proxy>(*this, to);
-    return http::stream_socket::connect(loop, there->address(), events);
+    return *there;
+}
+
+void cut_link::applyCut(pipe &cutOff, cut_kind kind)
+{
+    if (kind == cut_kind::Reset || kind == cut_kind::RefuseNew)
+        cutOff.reset();
+    else if (kind == cut_kind::Hang)
+        cutOff.hold(true);
+    else
+        cutOff.holdRequests(true);
 }
 
 void cut_link::cut(cut_kind kind)
@@ -187,14 +210,8 @@
     const auto pipes = m_pipes;
     for (const auto &weak : pipes) {
         const auto each = weak.lock();
-        if (!each)
-            continue;
-        if (kind == cut_kind::Reset)
-            each->reset();
-        else if (kind == cut_kind::Hang)
-            each->hold(true);
-        else if (kind == cut_kind::Silent)
-            each->holdRequests(true);
+        if (each && kind != cut_kind::RefuseNew)
+            applyCut(*each, kind);
     }
 }
 
--- a/tests/platform/cut_link.h
+++ b/tests/platform/cut_link.h
@@ -31,6 +31,9 @@
     /// Returns the function with which the gateway opens connections.
     [[nodiscard]] http::connect_function opener();
 
+    /// Returns the address at which programs in other processes reach `to` through this link.
+    [[nodiscard]] socket_address addressFor(const socket_address &to);
+
     void cut(cut_kind kind);
     /// Ends the cut; bytes that were held up are delivered.
     void heal();
@@ -42,6 +45,9 @@
     [[nodiscard]] std::shared_ptr<http::stream_socket>
     open(http::io_loop &loop, const socket_address &to, http::stream_events &events);
 
+    [[nodiscard]] proxy &proxyFor(const socket_address &to);
+    static void applyCut(pipe &cutOff, cut_kind kind);
+
     http::io_loop &m_loop;
     std::set<std::uint16_t> m_excepted; ///< ports
     std::map<socket_address, std::unique_ptr<proxy>> m_proxies; ///< by the server's address
--- a/tests/platform/gateway_process.cpp
+++ b/tests/platform/gateway_process.cpp
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <optional>
@@ -101,8 +102,10 @@
     : m_world(w)
 {
     for (std::size_t i = 0; i < dataCenters.size(); ++i) {
-        m_nodes.push_back(std::make_unique<node>());
-        m_nodes[i]->settings = w.makeSettings("g" + std::to_string(i + 1), dataCenters[i]);
+        m_nodes.push_back(std::make_unique<node>(w.loop));
+        auto &settings = m_nodes[i]->settings;
+        settings = w.makeSettings("g" + std::to_string(i + 1), dataCenters[i]);
+        settings.store = m_nodes[i]->storeLink.addressFor(settings.store);
     }
     for (const auto &each : m_nodes) {
         for (const auto &other : m_nodes) {
@@ -131,6 +134,26 @@
     m_nodes.at(index)->ready = false;
 }
 
+void gateway_processes::pause(std::size_t index)
+{
+    m_nodes.at(index)->process->signal(SIGSTOP);
+}
+
+void gateway_processes::resume(std::size_t index)
+{
+    m_nodes.at(index)->process->signal(SIGCONT);
+}
+
+void gateway_processes::cutFromStore(std::size_t index)
+{
+    m_nodes.at(index)->storeLink.cut(cut_kind::Hang);
+}
+
+void gateway_processes::healStore(std::size_t index)
+{
+    m_nodes.at(index)->storeLink.heal();
+}
+
 bool gateway_processes::isRunning(std::size_t index) const
 {
     const auto &each = *m_nodes.at(index);
--- a/tests/platform/gateway_process.h
+++ b/tests/platform/gateway_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cut_link.h"
 #include "engine_process.h"
 #include "platform_world.h"
 
@@ -61,6 +62,13 @@
     [[nodiscard]] std::size_t count() const { return m_nodes.size(); }
     void start(std::size_t index);
     void kill(std::size_t index);
+    /// Stops a process without its knowledge, and lets it go on: what arrives meanwhile waits in
+    /// its sockets.
+    void pause(std::size_t index);
+    void resume(std::size_t index);
+    /// Cuts a gateway off from the store, silently, or ends the cut: what was held up then arrives.
+    void cutFromStore(std::size_t index);
+    void healStore(std::size_t index);
     [[nodiscard]] bool isRunning(std::size_t index) const;
     /// Whether the gateway has reported since its start that it is ready.
     [[nodiscard]] bool isReady(std::size_t index) const;
@@ -71,7 +79,12 @@
 private:
     struct node
     {
+        explicit node(http::io_loop &loop)
+            : storeLink(loop)
+        { }
+
         gateway::gateway_settings settings;
+        cut_link storeLink;
         std::unique_ptr<child_process> process;
         int starts = 0;
         bool ready = false;
--- a/tests/platform/rejoined_process_test.cpp
+++ b/tests/platform/rejoined_process_test.cpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -75,15 +76,18 @@
         startGateways();
     }
 
-    /// Begins streams at all gateways and waits for their first events.
-    void beginStreams()
+    /// Begins streams at all gateways, or at all but one, and waits for their first events.
+    void beginStreams(std::optional<std::size_t> except = std::nullopt)
     {
         for (int i = 0; i < Streams; ++i) {
+            auto gateway = static_cast<std::size_t>(i) % m_gateways.count();
+            if (gateway == except)
+                gateway = (gateway + 1) % m_gateways.count();
             stream next;
             next.first = nextAttempt();
             next.begunAt = clock.now();
             next.answer = std::make_shared<client_answer>();
-            send(next, static_cast<std::size_t>(i) % m_gateways.count(), next.first);
+            next.call = send(next, gateway, next.first);
             m_streams.push_back(std::move(next));
         }
         REQUIRE(runUntil([this] {
@@ -167,6 +171,37 @@
         }
     }
 
+    /// Starts the servers of a further version.
+    void joinServers(const std::string &version)
+    {
+        for (int i = 0; i < ServersPerVersion; ++i)
+            startServer(version + "-" + std::to_string(i), version, milliseconds{0});
+    }
+
+    /// Has all clients give up their connections and continue their streams at one gateway.
+    void resumeAt(std::size_t gateway)
+    {
+        for (auto &each : m_streams) {
+            pool.abandon(each.call);
+            each.received = completeEvents(each.answer->body);
+            each.answer = std::make_shared<client_answer>();
+            each.call = send(each, gateway, nextAttempt());
+        }
+    }
+
+    /// Waits for the ends of the streams that were continued.
+    rejoin_counts awaitEnds()
+    {
+        rejoin_counts counts;
+        for (const auto &each : m_streams) {
+            REQUIRE(await(each.answer, milliseconds{10'000}));
+            count(counts, each);
+        }
+        return counts;
+    }
+
+    [[nodiscard]] gateway_processes &gateways() { return m_gateways; }
+
     /// Has all clients continue their streams and waits for the ends.
     rejoin_counts resumeStreams()
     {
@@ -237,6 +272,7 @@
         std::string first; ///< attempt that brought the first event
         steady_time begunAt;
         std::shared_ptr<client_answer> answer;
+        http::pool_call call = 0;
         std::string received; ///< by the first attempt
     };
 
@@ -257,7 +293,7 @@
             .setBehaviour(versionStreams(loop, version, EventsPerStream, EventInterval));
     }
 
-    void send(const stream &sent, std::size_t gateway, const std::string &attempt)
+    http::pool_call send(const stream &sent, std::size_t gateway, const std::string &attempt)
     {
         auto head = makeRequest("POST", "/s/x", attempt);
         const auto left =
@@ -272,7 +308,8 @@
             head.fields.push_back(
                 {"Last-Event-Id", std::to_string(parseVersionEvents(sent.received).last)});
         }
-        startRequestAt(m_gateways.clientAddress(gateway), std::move(head), "prompt", sent.answer);
+        return startRequestAt(m_gateways.clientAddress(gateway), std::move(head), "prompt",
+                              sent.answer);
     }
 
     void count(rejoin_counts &counts, const stream &each) const
@@ -331,6 +368,32 @@
     }
 };
 
+/// One version whose gateways have known it for longer than a stream may last.
+struct late_list_fleet : rejoin_fleet
+{
+    /// The gateway whose list is late.
+    static constexpr std::size_t Late = 3;
+    /// The longest time for which a stream may have existed, and the delay of lists.
+    static constexpr milliseconds KnownTime{7500};
+    /// Until the other gateways know the servers that have joined.
+    static constexpr milliseconds PublicationTime{900};
+
+    late_list_fleet()
+        : rejoin_fleet({"v1"})
+    {
+        runFor(KnownTime);
+    }
+
+    void beginAmidRelease()
+    {
+        joinServers("v2");
+        runFor(PublicationTime);
+        beginStreams(Late);
+        REQUIRE(streamsOf("v1") > 0);
+        REQUIRE(streamsOf("v2") > 0);
+    }
+};
+
 } // namespace
 
 TEST_CASE("streams of two versions continue after all gateways were killed")
@@ -435,3 +498,54 @@
     checkOrder(counts);
     checkContinued(counts);
 }
+
+// A gateway took a list that it had read a moment ago for the list at the time of the request when
+// its peers were slow: processes that get no time for a while are enough.
+TEST_CASE("streams aren't joined at a gateway process whose list is late while its peers stand "
+          "still")
+{
+    constexpr milliseconds Pause{600};
+    late_list_fleet w;
+    w.gateways().cutFromStore(late_list_fleet::Late);
+    w.runFor(milliseconds{200});
+    w.beginAmidRelease();
+    const bool ended = GENERATE(false, true);
+    for (std::size_t i = 0; i < late_list_fleet::Late; ++i) {
+        if (ended)
+            w.gateways().kill(i);
+        else
+            w.gateways().pause(i);
+    }
+    w.resumeAt(late_list_fleet::Late);
+    w.runFor(Pause);
+    for (std::size_t i = 0; i < late_list_fleet::Late && !ended; ++i)
+        w.gateways().resume(i);
+    w.gateways().healStore(late_list_fleet::Late);
+    const auto counts = w.awaitEnds();
+    INFO("others ended: " << ended << "; " << counts << "; " << w.lookups());
+    CHECK(counts.joined == 0);
+    CHECK(counts.disordered == 0);
+}
+
+// A process that was stopped reads the requests that waited in its sockets beside old answers of
+// the store, and its list is as old as its pause.
+TEST_CASE("streams aren't joined at a gateway process that stood still while their version joined")
+{
+    const milliseconds pause{GENERATE(800, 1200, 1500, 3500)};
+    late_list_fleet w;
+    const auto begunAt = w.clock.now();
+    w.gateways().pause(late_list_fleet::Late);
+    w.beginAmidRelease();
+    w.runFor(std::chrono::duration_cast<milliseconds>(begunAt + pause - w.clock.now()));
+    w.resumeAt(late_list_fleet::Late);
+    w.runFor(milliseconds{50});
+    for (std::size_t i = 0; i < late_list_fleet::Late; ++i)
+        w.gateways().kill(i);
+    w.gateways().resume(late_list_fleet::Late);
+    const auto counts = w.awaitEnds();
+    INFO("stopped for " << pause.count() << " ms; " << counts << "; " << w.lookups());
+    CHECK(counts.joined == 0);
+    CHECK(counts.disordered == 0);
+    // The store answers.
+    CHECK(2 * counts.continuedResumable >= counts.resumable);
+}
