--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -74,9 +74,17 @@
         findStreamOrigin();
         return;
     }
-    if (m_stream && m_route->repeatable())
-        m_version = m_context.streamOrigins.versionForNew(*m_stream, m_service);
-    begin();
+    if (!m_stream || !m_route->repeatable()) {
+        begin();
+        return;
+    }
+    m_context.streamOrigins.beginNew([self = this->shared_from_this()] {
+        if (self->m_done)
+            return;
+        self->m_version =
+            self->m_context.streamOrigins.versionForNew(*self->m_stream, self->m_service);
+        self->begin();
+    });
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -250,6 +250,7 @@
     line.add("asked", found.asked).add("answered", found.answered);
     const auto listAge = m_context.loop.now() - m_context.published.lastContactAt();
     line.add("list_age_ms", std::chrono::duration_cast<milliseconds>(listAge).count());
+    line.add("list_revision", found.listRevision).add("confirmed", found.confirmed);
     line.add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "gateway/exchange/exchange.h"
 #include "gateway/exchange/startup_queue.h"
 #include "gateway/peers/lost_data_center_relay.h"
+#include "gateway/publication/list_confirmer.h"
 #include "gateway/publication/publication_relay.h"
 #include "gateway/publication/published_state.h"
 #include "gateway/publication/store_history_reader.h"
@@ -109,6 +110,7 @@
     store_reader<Codec> m_follower;
     store_history_reader<Codec> m_historyReader;
     publication_relay<Codec> m_relay;
+    list_confirmer<Codec> m_listConfirmer;
     server_crash_detector m_crashDetector;
     /// Crashes to be confirmed once it is known that this node is not cut off from all servers.
     std::vector<server_crash> m_unconfirmedCrashes;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -89,6 +89,7 @@
                    m_brittle.onLinkClosed(link);
                    m_streamOrigins.onLinkClosed(link);
                    m_relay.onLinkClosed(link);
+                   m_listConfirmer.onLinkClosed(link);
                },
                [this](const vm_id &peer, std::uint64_t version) {
                    m_relay.onPeerVersion(peer, version);
@@ -135,6 +136,7 @@
               onPublicationEvent(publicationEvent);
           },
           log, seedOf(m_settings.vm))
+    , m_listConfirmer(m_loop, m_peers, m_follower, m_relay, seedOf(m_settings.vm))
     , m_crashDetector(m_loop.clock())
     , m_callRelay(m_loop, m_transport, m_directory, log)
     , m_context{m_loop,
@@ -203,6 +205,9 @@
     });
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
     m_follower.onRead([this](const store_update &update) { m_relay.onStoreUpdate(update); });
+    m_streamOrigins.setList(
+        [this](std::function<void(bool)> done) { m_listConfirmer.confirm(std::move(done)); },
+        [this] { return m_follower.revision(); });
     m_streamOrigins.setHistory(
         [this](stream_origin_relay::history_handler handler) {
             m_historyReader.read(std::move(handler));
@@ -429,6 +434,7 @@
 void gateway<Codec>::onFrame(const std::shared_ptr<peer_link> &link, peer_frame &&frame)
 {
     m_relay.onFrame(link, frame);
+    m_listConfirmer.onFrame(link, frame);
     m_placer.onFrame(link, frame);
     m_admissionClient.onFrame(link, frame);
     m_quarantine.onFrame(link, frame);
--- a/src/gateway/peers/frames/publication_codec.cpp
+++ b/src/gateway/peers/frames/publication_codec.cpp
@@ -78,20 +78,23 @@
 
 void pack(packer &out, const publication_request &frame)
 {
-    packKind(out, frame_kind::PublicationRequest, 2);
+    packKind(out, frame_kind::PublicationRequest, 3);
     out.pack(frame.configurationVersion);
     out.pack(frame.known);
+    out.pack(frame.confirmation);
 }
 
 void read(field_reader &in, publication_request &frame)
 {
     frame.configurationVersion = in.read<std::uint64_t>();
     frame.known = readListDigest(in);
+    if (!in.atEnd())
+        frame.confirmation = in.read<std::uint64_t>();
 }
 
 void pack(packer &out, const publication_frame &frame)
 {
-    packKind(out, frame_kind::Publication, 14);
+    packKind(out, frame_kind::Publication, 17);
     out.pack(frame.configurationVersion);
     out.pack(frame.current);
     packDuration(out, frame.age);
@@ -107,6 +110,9 @@
     packRevisions(out, frame.servers);
     packRevisions(out, frame.removed);
     packDuration(out, frame.contactAge);
+    out.pack(frame.confirmation);
+    out.pack(frame.confirmed);
+    out.pack(frame.gapUntil);
 }
 
 void read(field_reader &in, publication_frame &frame)
@@ -129,6 +135,11 @@
     readRevisions(in, frame.removed);
     if (!in.atEnd())
         frame.contactAge = in.duration();
+    if (in.atEnd()) // an older version confirms nothing
+        return;
+    frame.confirmation = in.read<std::uint64_t>();
+    frame.confirmed = in.read<bool>();
+    frame.gapUntil = in.read<std::uint64_t>();
 }
 
 void pack(packer &out, const follow_frame &frame)
--- a/src/gateway/peers/frames/stream_origin_codec.cpp
+++ b/src/gateway/peers/frames/stream_origin_codec.cpp
@@ -64,7 +64,7 @@
 void pack(packer &out, const stream_origin_answer &frame)
 {
     constexpr std::uint32_t OriginFields = 2;
-    packKind(out, frame_kind::StreamOriginAnswer, 5);
+    packKind(out, frame_kind::StreamOriginAnswer, 8);
     out.pack(frame.id);
     out.pack(frame.severalVersions);
     out.pack(frame.covered);
@@ -72,6 +72,9 @@
     if (frame.origin)
         packOrigin(out, *frame.origin);
     packOptional(out, frame.computed ? std::optional(frame.computed->value) : std::nullopt);
+    out.pack(frame.revision);
+    out.pack(frame.readyRevision);
+    out.pack(frame.inContact);
 }
 
 void read(field_reader &in, stream_origin_answer &frame)
@@ -84,10 +87,20 @@
     // is uncertain.
     if (in.atEnd()) {
         frame.covered = false;
+        frame.inContact = true;
         return;
     }
     if (auto computed = in.optional<std::string>())
         frame.computed = software_version(std::move(*computed));
+    // A node of an earlier version doesn't state how late its list may be, nor what it knows.
+    if (in.atEnd()) {
+        frame.covered = false;
+        frame.inContact = true;
+        return;
+    }
+    frame.revision = in.read<std::uint64_t>();
+    frame.readyRevision = in.read<std::uint64_t>();
+    frame.inContact = in.read<bool>();
 }
 
 } // namespace orchidlead::gateway
--- a/src/gateway/peers/peer_frames.h
+++ b/src/gateway/peers/peer_frames.h
@@ -163,6 +163,9 @@
     bool covered = false; ///< the sender knows all versions that have served within `maxAge`
     /// Computed version of the stream; empty: not certain, or the sender knows too little.
     std::optional<software_version> computed;
+    std::uint64_t revision = 0; ///< store revision up to which the sender knows all changes
+    std::uint64_t readyRevision = 0; ///< of the last change of ready servers that it knows
+    bool inContact = false; ///< the store has answered the sender, or its reader, a moment ago
 };
 
 /// Reports that the sender, or a node that notified the sender, cannot reach a data centre. The
@@ -183,6 +186,9 @@
 {
     std::uint64_t configurationVersion = 0; ///< in force on the sender
     list_digest known{}; ///< digest of the servers that the sender knows
+    /// Chosen by the sender, which asks what has been published until now: the receiver is to read
+    /// the latest changes from the store before it answers. 0: what it knows is enough.
+    std::uint64_t confirmation = 0;
 };
 /// Published state as known to the sender: parts of the server list, changes, or, without content,
 /// a heartbeat of a node that reads the store.
@@ -201,6 +207,11 @@
     std::vector<removed_server> removed; ///< applied after `servers`
     milliseconds removalsDeferred{0}; ///< removals take effect only after this time
     evacuation_list evacuations; ///< always complete: a few names at most
+    std::uint64_t confirmation = 0; ///< of the request that this answers; 0: of none
+    bool confirmed = false; ///< the store has answered the sender since that request arrived
+    /// Changes up to this revision may be missing in the changes that the sender has sent. A
+    /// follower that knows less asks for the difference between the lists.
+    std::uint64_t gapUntil = 0;
 };
 
 /// Subscribes the sender to the receiver's published state: first to what the receiver knows beyond
--- a/src/gateway/publication/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -47,6 +47,12 @@
     /// Handles the version of the configuration that is in force on a peer.
     void onPeerVersion(const vm_id &peer, std::uint64_t version);
 
+    /// Returns the request with which a peer is asked what has been published until now.
+    [[nodiscard]] publication_request makeConfirmationRequest(std::uint64_t confirmation);
+    /// Answers such a request of a peer, once the list is confirmed or can't be.
+    void answerConfirmation(const std::shared_ptr<peer_link> &link,
+                            const publication_request &request, bool confirmed);
+
     /// Returns whether this node currently receives changes, from the store or from a reader.
     [[nodiscard]] bool receivesChanges() const;
 
@@ -59,6 +65,7 @@
         link_ptr link;
         std::optional<steady_time> currentAt; ///< when an upstream reader last read the store
         steady_time deferredUntil{}; ///< end of its deferral of removals, as of its last frame
+        bool awaitsDifference = false; ///< changes are ignored until it has arrived
     };
 
     /// Returns whether the list of servers has not arrived from other nodes in time, so that this
@@ -80,6 +87,8 @@
     void onFollow(const link_ptr &link, const follow_frame &frame);
     void apply(const publication_frame &frame, const vm_id &reader);
     void applyAnswer(const publication_frame &frame);
+    /// Applies a frame whose revision is later than that of this node.
+    void applyNewer(const publication_frame &frame);
     std::vector<publication_event> applyServers(const publication_frame &frame);
     [[nodiscard]] bool readsStore() const { return m_state.hasServerList() && m_store.isCurrent(); }
     /// Returns when a reader that this node follows last read the store; empty if that is longer
@@ -113,6 +122,8 @@
     wire::log &m_log;
     std::minstd_rand m_random;
     std::map<vm_id, source> m_sources;
+    std::uint64_t m_gapUntil = 0; ///< as `publication_frame::gapUntil`
+    list_digest m_confirmationDigest{}; ///< of this node when it last asked for a confirmation
     std::set<link_ptr> m_followers;
     steady_time m_startedAt;
     milliseconds m_listTimeout; ///< after settling; then this node reads a long list itself
--- a/src/gateway/publication/publication_relay_followers_impl.h
+++ b/src/gateway/publication/publication_relay_followers_impl.h
@@ -39,6 +39,7 @@
     frame.revision = m_store.revision();
     frame.removalsDeferred = m_state.removalsDeferred();
     frame.evacuations = m_state.evacuations();
+    frame.gapUntil = m_gapUntil;
     return frame;
 }
 
@@ -71,6 +72,24 @@
     return frame;
 }
 
+template <gateway_codec Codec>
+publication_request publication_relay<Codec>::makeConfirmationRequest(std::uint64_t confirmation)
+{
+    m_confirmationDigest = ownDigest();
+    return {m_configurations.ownVersion(), m_confirmationDigest, confirmation};
+}
+
+template <gateway_codec Codec>
+void publication_relay<Codec>::answerConfirmation(const link_ptr &link,
+                                                  const publication_request &request,
+                                                  bool confirmed)
+{
+    auto frame = confirmed ? makeDifference(request.known) : makeHeartbeat();
+    frame.confirmation = request.confirmation;
+    frame.confirmed = confirmed;
+    link->send(frame);
+}
+
 template <gateway_codec Codec>
 follow_frame publication_relay<Codec>::makeFollow()
 {
@@ -122,6 +141,7 @@
 void publication_relay<Codec>::onStoreUpdate(const store_update &update)
 {
     if (update.complete) {
+        m_gapUntil = m_store.revision();
         sendDigest();
         return;
     }
@@ -144,6 +164,7 @@
     forwarded.revision = frame.revision;
     forwarded.servers = frame.servers;
     forwarded.removed = frame.removed;
+    forwarded.gapUntil = std::max(m_gapUntil, frame.gapUntil);
     sendToFollowers(forwarded);
 }
 
@@ -160,7 +181,7 @@
     return frame;
 }
 
-// Only the last change of each server is sent, and none that is outdated: while the call to the
+// Of each server the changes that differ are sent, and none that is outdated: while the call to the
 // store waited, this node may have followed a reader that has later changes. Servers rewrite their
 // entries repeatedly, so an entry that this node and its followers already have is not sent. A
 // server whose removal was sent is sent again when its entry returns, even if the entry is
@@ -171,13 +192,19 @@
     auto frame = makeHeartbeat();
     std::map<backend_server_id, const published_server *> last; // null if removed
     std::map<backend_server_id, std::uint64_t> removedBetween; // with the revision
+    // Streams may have begun on a version that was ready for a moment only.
+    const auto replace = [&](const backend_server_id &id, const published_server *next) {
+        const auto *before = std::exchange(last[id], next);
+        if (before && (!next || before->record != next->record))
+            frame.servers.push_back(*before);
+    };
     for (const auto &item : update.items) {
         if (m_state.isOutdated(item))
             continue;
         if (const auto *server = std::get_if<published_server>(&item))
-            last[server->record.id] = server;
+            replace(server->record.id, server);
         else if (const auto *removed = std::get_if<removed_server>(&item)) {
-            last[removed->id] = nullptr;
+            replace(removed->id, nullptr);
             removedBetween[removed->id] = removed->revision;
         } else if (const auto *published = std::get_if<published_configuration>(&item))
             frame.configurationVersion =
--- a/src/gateway/publication/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -194,6 +194,8 @@
 void publication_relay<Codec>::onFrame(const link_ptr &link, const peer_frame &frame)
 {
     if (const auto *request = std::get_if<publication_request>(&frame)) {
+        if (request->confirmation != 0) // answered by `answerConfirmation`
+            return;
         link->send(makeDifference(request->known));
         if (request->configurationVersion < m_configurations.ownVersion())
             m_configurations.sendTo(link);
@@ -222,6 +224,9 @@
 {
     for (const auto &each : m_state.mergeEvacuations(frame.evacuations))
         m_onEvent(each);
+    // A difference to another list than the present one isn't complete.
+    if (frame.confirmation != 0 && ownDigest() != m_confirmationDigest)
+        return;
     const auto from = std::ranges::find_if(
         m_sources, [&](const auto &entry) { return entry.second.link == link; });
     const bool asked = from == m_sources.end();
@@ -278,28 +283,49 @@
     // lost with a closed link, so only frames with content advance the revision of this node.
     // Changes are useful only to a node that has the list.
     const bool carriesChanges = frame.fullSync || (hasContent(frame) && m_state.hasServerList());
+    auto &from = m_sources.at(reader);
+    if (frame.fullSync)
+        from.awaitsDifference = false;
     if (!carriesChanges || frame.revision <= m_store.revision())
         return;
+    if (!frame.fullSync && m_store.revision() < frame.gapUntil) {
+        if (!std::exchange(from.awaitsDifference, true))
+            from.link->send(makeFollow());
+        return;
+    }
+    applyNewer(frame);
+    forwardChanges(frame);
+}
+
+// The differences between two lists don't show which servers came and left in between.
+template <gateway_codec Codec>
+void publication_relay<Codec>::applyNewer(const publication_frame &frame)
+{
+    if (frame.fullSync && m_state.hasServerList())
+        m_state.onChangesMissed();
     for (const auto &each : applyServers(frame))
         m_onEvent(each);
     m_store.advanceTo(frame.revision);
-    forwardChanges(frame);
+    if (frame.fullSync)
+        m_gapUntil = m_store.revision();
 }
 
 // A peer that does not read the store may have older state than this node; any state is better than
-// none. The peers that were cut off together with this node have missed the same removals, and the
-// first one that was not has applied those of servers that are about to return. A list older than
-// the state here would restore removed servers, and drop others permanently, since the changes in
-// between are not sent again.
+// none. A node that receives changes has asked since it may not have all of them yet. The peers
+// that were cut off together with this node have missed the same removals, and the first one that
+// was not has applied those of servers that are about to return. A list older than the state here
+// would restore removed servers, and drop others permanently, since the changes in between are not
+// sent again.
 template <gateway_codec Codec>
 void publication_relay<Codec>::applyAnswer(const publication_frame &frame)
 {
     const bool newer = frame.current && frame.revision > m_store.revision();
     const bool hasMore = newer || (!m_state.hasServerList() && !frame.servers.empty());
     m_asksAnyDataCenter = !frame.current;
-    if (receivesChanges())
+    const bool receives = receivesChanges();
+    if (receives && !newer)
         return;
-    if (frame.current) {
+    if (frame.current && !receives) {
         m_state.deferRemovals(frame.removalsDeferred);
         m_state.onReaderContact(frame.contactAge);
         m_askedPeer.currentAt = m_loop.now() - frame.age;
@@ -307,10 +333,13 @@
     }
     if (!hasMore || !frame.fullSync)
         return;
+    if (newer) {
+        applyNewer(frame);
+        forwardChanges(frame);
+        return;
+    }
     for (const auto &each : applyServers(frame))
         m_onEvent(each);
-    if (newer)
-        m_store.advanceTo(frame.revision);
 }
 
 // A later configuration of a peer is requested at once if this node receives no changes, since the
@@ -330,7 +359,7 @@
         return;
     m_nextPeerRequest = m_loop.now() + PeerRequestInterval;
     if (const auto link = m_peers.linkTo(peer))
-        link->send(publication_request{m_configurations.ownVersion(), ownDigest()});
+        link->send(publication_request{m_configurations.ownVersion(), ownDigest(), 0});
 }
 
 template <gateway_codec Codec>
@@ -356,6 +385,6 @@
     const auto randomIndex =
         randomBelow(anyDataCenter ? peers.size() : std::min(localNodes, peers.size()));
     if (const auto link = m_peers.linkTo(peers[randomIndex]))
-        link->send(publication_request{m_configurations.ownVersion(), ownDigest()});
+        link->send(publication_request{m_configurations.ownVersion(), ownDigest(), 0});
 }
 } // namespace orchidlead::gateway
--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -43,6 +43,18 @@
     return events;
 }
 
+std::uint64_t latestRevisionOf(const std::vector<published_item> &items)
+{
+    std::uint64_t latest = 0;
+    for (const auto &item : items) {
+        if (const auto *written = std::get_if<published_server>(&item))
+            latest = std::max(latest, written->revision);
+        else if (const auto *removed = std::get_if<removed_server>(&item))
+            latest = std::max(latest, removed->revision);
+    }
+    return latest;
+}
+
 } // namespace
 
 published_state::published_state(const clock_source &clock, server_directory &directory,
@@ -56,16 +68,27 @@
 std::vector<publication_event> published_state::apply(const std::vector<published_item> &items)
 {
     auto events = applyAll(items);
-    recordReadyChanges();
+    recordReadyChanges(latestRevisionOf(items));
     return summarized(std::move(events));
 }
 
-void published_state::recordReadyChanges()
+void published_state::recordReadyChanges(std::uint64_t revision)
 {
     if (!m_listed)
         return;
+    const auto changes = m_directory.takeReadyChanges();
+    for (const auto &each : changes)
+        m_versions.record(each);
+    if (std::exchange(m_readyDiffers, false) || !changes.empty())
+        m_readyRevision = std::max(m_readyRevision, revision);
+}
+
+void published_state::recordReady(const ready_change &change)
+{
     for (const auto &each : m_directory.takeReadyChanges())
         m_versions.record(each);
+    m_versions.record(change);
+    m_readyDiffers = true;
 }
 
 std::vector<publication_event> published_state::applyAll(const std::vector<published_item> &items)
@@ -116,7 +139,7 @@
     }
     if (!std::exchange(m_listed, true))
         recordRecentChange(items);
-    recordReadyChanges();
+    recordReadyChanges(std::max(revision, latestRevisionOf(items)));
     return summarized(std::move(events));
 }
 
@@ -189,7 +212,7 @@
         return;
     }
     if (m_deferred.erase(record.id) > 0 && !record.leaving)
-        m_versions.record({record.service, record.id, record.version, true});
+        recordReady({record.service, record.id, record.version, true});
     m_removals.erase(record.id);
     m_revisions[record.id] = std::max(serverRevision(record.id), announced.revision);
     const auto known = m_directory.find(record.id);
@@ -223,7 +246,7 @@
             events.push_back({event_type::RemovalDeferred, id.value, known->record.service.value});
             // Other nodes may have removed the server, so nothing new may begin on its version.
             const auto &record = known->record;
-            m_versions.record({record.service, id, record.version, false});
+            recordReady({record.service, id, record.version, false});
         }
         return;
     }
@@ -359,7 +382,7 @@
         }
         return true;
     });
-    recordReadyChanges();
+    recordReadyChanges(0); // of removals that were read before
     return summarized(std::move(events));
 }
 
--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -88,8 +88,9 @@
     /// Applies the deferred removals that are due.
     std::vector<publication_event> tick();
 
-    /// Records that changes may have been missed because the store has dropped its history.
-    void onHistoryGone() { m_versions.forgetBeforeNow(); }
+    /// Records that changes may have been missed: servers that came and left before the list that
+    /// is applied next.
+    void onChangesMissed() { m_versions.forgetBeforeNow(); }
     /// Records that a call to the store failed.
     void onStoreFailed();
     /// Records that the store answered. Removals are deferred if this node had no contact for
@@ -124,6 +125,8 @@
     [[nodiscard]] steady_time lastContactAt() const { return m_lastContactAt; }
     /// Returns the software versions that have been published as ready.
     [[nodiscard]] const version_history &versions() const { return m_versions; }
+    /// Returns the store revision of the last known change of the servers that are ready.
+    [[nodiscard]] std::uint64_t readyRevision() const { return m_readyRevision; }
     /// Returns the last change that was recent when this node read its first list.
     [[nodiscard]] const recent_change &recentAtStart() const { return m_recentAtStart; }
     /// Adds what was published before this node read a list.
@@ -139,7 +142,10 @@
 private:
     [[nodiscard]] std::vector<publication_event> applyAll(const std::vector<published_item> &items);
     /// Records which servers an update has made ready. While no list is known they are incomplete.
-    void recordReadyChanges();
+    /// `revision` is the latest one of the update.
+    void recordReadyChanges(std::uint64_t revision);
+    /// Records a change that the directory doesn't show: the removal of a server is deferred.
+    void recordReady(const ready_change &change);
     void recordRecentChange(const std::vector<published_item> &firstList);
     void applyOne(const published_item &item, std::vector<publication_event> &events);
     void applyServer(const published_server &announced, std::vector<publication_event> &events);
@@ -165,6 +171,8 @@
     std::string m_configurationText;
     evacuation_state m_evacuations;
     version_history m_versions;
+    std::uint64_t m_readyRevision = 0;
+    bool m_readyDiffers = false; ///< `recordReady` was called in this update
     bool m_listed = false;
     bool m_storeFailed = false;
     recent_change m_recentAtStart;
--- a/src/gateway/publication/store_reader.h
+++ b/src/gateway/publication/store_reader.h
@@ -30,6 +30,14 @@
     std::string failure; ///< empty if the answer is complete
 };
 
+/// What a single reading of the latest changes shows.
+enum class changes_read {
+    All, ///< the list includes everything that was published before the call
+    More, ///< further changes follow
+    Refused, ///< too many calls to the store
+    Failed,
+};
+
 /// Reads the store. At the start it reads what operators published and a list of servers that may
 /// be old, so that the node can serve at once. If the list has several pages, it reads only the
 /// first one: if all nodes that start at the same time read the complete list, the link of the
@@ -75,6 +83,12 @@
     http::pool_call get(const std::string &target, milliseconds timeout,
                         const std::function<void(const store_answer &)> &onAnswer);
 
+    /// Returns the call that reads the changes after the known revision, without waiting for any;
+    /// empty if no latest list is known. The answer is to be given to `onChangesRead`.
+    [[nodiscard]] std::optional<std::string> changesTarget() const;
+    /// Applies the answer to the call of `changesTarget`. Returns what it shows.
+    changes_read onChangesRead(const store_answer &answer);
+
     [[nodiscard]] bool connected() const { return m_connected; }
     [[nodiscard]] bool reading() const { return m_reading; }
     /// Returns whether the complete state, possibly an old one, has been read once; only changes
@@ -112,6 +126,8 @@
     void readServers(const std::string &after, read_consistency freshness);
     void onServers(published_page &&page, read_consistency freshness);
     void watch();
+    /// Applies the changes after the known revision, and sends them to the followers.
+    void applyChanges(const published_page &page);
     /// Restarts the timer that abandons the call if no part of its answer arrives within `time`.
     void restartTimeout(const std::shared_ptr<open_read> &read, milliseconds time);
     void call(const std::string &target, milliseconds timeout, page_reader read,
--- a/src/gateway/publication/store_reader_impl.h
+++ b/src/gateway/publication/store_reader_impl.h
@@ -156,6 +156,8 @@
     }
     // An old list has the current revision of the store but lacks earlier changes.
     const auto read = std::exchange(m_listRevision, 0);
+    if (m_state.hasServerList())
+        m_state.onChangesMissed();
     reportEvents(m_state.applyList(
         m_list, freshness == read_consistency::Latest ? read : latestRevision(m_list)));
     m_list.clear();
@@ -176,16 +178,48 @@
     const auto wait = m_hasFollowers ? m_options.watchWaitWithFollowers : m_options.watchWait;
     call(Codec::watchTarget(m_revision, wait), wait + m_options.answerTimeout, &Codec::readChanges,
          [this](published_page &&page) {
-             m_revision = std::max(m_revision, page.revision);
-             notifyReadHandler({page.items, false});
-             reportEvents(m_state.apply(page.items));
-             m_state.advanceEvacuations(page.revision);
+             applyChanges(page);
              const bool pauses = !page.items.empty() && page.items.size() < m_options.largeAnswer;
              const auto pause = pauses ? m_options.watchPause : milliseconds{0};
              after(pause, [this] { watch(); });
          });
 }
 
+template <gateway_codec Codec>
+void store_reader<Codec>::applyChanges(const published_page &page)
+{
+    m_revision = std::max(m_revision, page.revision);
+    notifyReadHandler({page.items, false});
+    reportEvents(m_state.apply(page.items));
+    m_state.advanceEvacuations(page.revision);
+}
+
+template <gateway_codec Codec>
+std::optional<std::string> store_reader<Codec>::changesTarget() const
+{
+    constexpr milliseconds ShortestWait{1};
+    if (!m_latest || !m_state.hasServerList() || m_revision == 0)
+        return std::nullopt;
+    return Codec::watchTarget(m_revision, ShortestWait);
+}
+
+template <gateway_codec Codec>
+changes_read store_reader<Codec>::onChangesRead(const store_answer &answer)
+{
+    constexpr int Ok = 200;
+    constexpr int TooMany = 429;
+    if (!answer.failure.empty() || answer.status != Ok)
+        return answer.failure.empty() && answer.status == TooMany ? changes_read::Refused
+                                                                  : changes_read::Failed;
+    const auto page = Codec::readChanges(answer.body);
+    if (!page)
+        return changes_read::Failed;
+    m_state.onStoreAnswered();
+    applyChanges(page.value());
+    return page.value().items.size() < m_options.largeAnswer ? changes_read::All
+                                                             : changes_read::More;
+}
+
 template <gateway_codec Codec>
 http::pool_call store_reader<Codec>::get(const std::string &target, milliseconds timeout,
                                          const std::function<void(const store_answer &)> &onAnswer)
@@ -314,7 +348,7 @@
     m_log.write(wire::log_level::Info,
                 m_log.line(wire::log_level::Info, toName(log_event::StoreHistoryGone))
                     .add("revision", m_revision));
-    m_state.onHistoryGone();
+    m_state.onChangesMissed();
     readOperations({}, read_consistency::Latest);
 }
 
--- a/src/gateway/servers/server_directory.h
+++ b/src/gateway/servers/server_directory.h
@@ -212,6 +212,8 @@
     /// Returns whether a version of a service is published by servers that may get new work again
     /// although none of them may get any now.
     [[nodiscard]] bool mayReturn(const service_id &service, const software_version &version) const;
+    /// Returns whether a server of this version may get new work.
+    [[nodiscard]] bool hasUsable(const service_id &service, const software_version &version) const;
     /// Returns the versions of a service's servers that are published, or were so at some time
     /// since `since`.
     [[nodiscard]] std::set<software_version> versionsSince(const service_id &service,
--- a/src/gateway/servers/version_history.h
+++ b/src/gateway/servers/version_history.h
@@ -65,6 +65,8 @@
     /// Returns the version on which work begins now; empty if no server is ready.
     [[nodiscard]] std::optional<software_version> assigned(const request_digest &subject,
                                                            const service_id &service) const;
+    /// Returns the time since which all changes are known; empty before the first list.
+    [[nodiscard]] std::optional<steady_time> knownSince() const { return m_knownSince; }
     /// Returns whether all changes since then are known.
     [[nodiscard]] bool covers(const service_id &service, steady_time since) const;
     /// As `covers`, but not counting what `addEarlier` has added.
--- a/src/gateway/streams/stream_origin_relay.cpp
+++ b/src/gateway/streams/stream_origin_relay.cpp
@@ -12,8 +12,14 @@
 // A version counts as serving for this long after its last server is gone, since streams that it
 // began may still be continued.
 constexpr std::chrono::minutes VersionMemory{5};
-// A list of servers older than this may lack a version that other nodes already know.
-constexpr milliseconds MaxListAge{2000};
+// A store that has answered a node within this time isn't down. Only then a lookup may conclude
+// without an answer of the store.
+constexpr milliseconds MinOutage{2000};
+// A tick that is later than this shows that the process stood still. Its list is then as old as
+// the pause, whatever it reads afterwards from its sockets.
+constexpr milliseconds MaxTickGap{1000};
+// Time after a failed confirmation in which new streams begin without another one.
+constexpr milliseconds FailedConfirmationPause{10'000};
 // The times of day of the VMs differ by less than this.
 constexpr std::chrono::seconds MaxClockError{3};
 // How long clients continue a stream that a server was running; the longest lifetime of records.
@@ -41,6 +47,7 @@
     , m_startedAt(loop.now())
     , m_table(loop.clock())
     , m_runs(loop.clock())
+    , m_lastTickAt(loop.now())
 { }
 
 bool stream_origin_relay::hasSeveralVersions(const service_id &service) const
@@ -51,7 +58,7 @@
 void stream_origin_relay::onStreamBegan(const stream_origin_record &record)
 {
     m_table.add(record);
-    if (hasSeveralVersions(record.origin.service) || age() < YoungNodeTime)
+    if (hasSeveralVersions(record.origin.service) || age() < YoungNodeTime || mayListBeOld())
         share({record});
     else
         m_unshared.push_back(record.stream);
@@ -85,6 +92,9 @@
 
 void stream_origin_relay::tick()
 {
+    const auto now = m_loop.now();
+    if (now - std::exchange(m_lastTickAt, now) > MaxTickGap)
+        m_stoodStillAt = now;
     m_table.removeExpired();
     m_runs.removeExpired();
     if (m_readsReports && age() > MaxReportsWait)
@@ -160,9 +170,49 @@
     return m_published.versions().assigned(stream, service);
 }
 
-bool stream_origin_relay::isCurrent() const
+bool stream_origin_relay::mayListBeOld() const
 {
-    return m_loop.now() - m_published.lastContactAt() <= MaxListAge;
+    const auto now = m_loop.now();
+    return m_stoodStillAt || now - m_lastTickAt > MaxTickGap
+        || now - m_published.lastContactAt() > MaxContactGap;
+}
+
+bool stream_origin_relay::isInContact() const
+{
+    return m_loop.now() - m_published.lastContactAt() <= MinOutage;
+}
+
+void stream_origin_relay::confirmList(std::function<void(bool)> done)
+{
+    if (!m_confirmList) {
+        done(false);
+        return;
+    }
+    m_confirmList([this, askedAt = m_loop.now(), done = std::move(done)](bool confirmed) {
+        if (confirmed && m_stoodStillAt && *m_stoodStillAt <= askedAt)
+            m_stoodStillAt.reset();
+        done(confirmed);
+    });
+}
+
+// A node that begins streams by an old list gives them versions that no other node computes for
+// them. One that is cut off goes on, and sends its records to the nodes that it reaches.
+void stream_origin_relay::beginNew(std::function<void()> begin)
+{
+    if (!mayListBeOld() || m_loop.now() < m_nextConfirmation) {
+        begin();
+        return;
+    }
+    confirmList([this, begin = std::move(begin)](bool confirmed) {
+        if (!confirmed)
+            m_nextConfirmation = m_loop.now() + FailedConfirmationPause;
+        begin();
+    });
+}
+
+std::uint64_t stream_origin_relay::listRevision() const
+{
+    return std::max(m_listRevision ? m_listRevision() : 0, m_published.readyRevision());
 }
 
 bool stream_origin_relay::hasNoYoungServer(const pending_lookup &asked) const
@@ -171,15 +221,20 @@
                                      m_loop.clock().wallNow() - asked.maxAge - MaxClockError);
 }
 
+stream_origin_relay::computed_version stream_origin_relay::compute(const request_digest &stream,
+                                                                   const service_id &service,
+                                                                   steady_time since) const
+{
+    const auto &versions = m_published.versions();
+    return {versions.covers(service, since), versions.hadOneVersionSince(service, since),
+            versions.assignedSince(stream, service, since)};
+}
+
 stream_origin_relay::computed_version
 stream_origin_relay::compute(const pending_lookup &asked) const
 {
-    const auto &versions = m_published.versions();
-    const auto since = m_loop.now() - asked.maxAge;
-    return {versions.covers(asked.service, since),
-            versions.hadOneVersionSince(asked.service, since),
-            versions.assignedSince(asked.stream ? asked.stream->stream : request_digest{},
-                                   asked.service, since)};
+    return compute(asked.stream ? asked.stream->stream : request_digest{}, asked.service,
+                   asked.askedAt - asked.maxAge);
 }
 
 milliseconds stream_origin_relay::age() const
@@ -189,21 +244,20 @@
 
 stream_origin_answer stream_origin_relay::answerTo(const stream_origin_query &query) const
 {
-    pending_lookup asked;
-    asked.stream = stream_name{query.stream, query.run};
-    asked.service = query.service;
-    asked.maxAge = query.maxAge;
-    const auto computed = compute(asked);
+    const auto since = m_loop.now() - query.maxAge;
+    const auto computed = compute(query.stream, query.service, since);
     stream_origin_answer answer;
     answer.id = query.id;
     answer.origin = m_table.find(query.stream);
     if (!answer.origin)
         answer.origin = reportedOrigin(query.run);
     answer.severalVersions = !computed.isOnly;
-    answer.covered =
-        isCurrent() && m_published.versions().observed(query.service, m_loop.now() - query.maxAge);
+    answer.covered = m_published.versions().observed(query.service, since);
     if (answer.covered)
         answer.computed = computed.version;
+    answer.revision = listRevision();
+    answer.readyRevision = m_published.readyRevision();
+    answer.inContact = isInContact();
     return answer;
 }
 
@@ -212,15 +266,17 @@
 void stream_origin_relay::find(const std::optional<stream_name> &stream, const service_id &service,
                                milliseconds maxAge, lookup_handler handler)
 {
-    if (const auto own = stream ? m_table.find(stream->stream) : std::nullopt) {
-        handler({own, origin_source::Own});
-        return;
+    auto known = stream ? m_table.find(stream->stream) : std::nullopt;
+    auto source = origin_source::Own;
+    if (!known && stream) {
+        known = reportedOrigin(stream->run);
+        source = origin_source::Server;
     }
-    if (const auto reported = stream ? reportedOrigin(stream->run) : std::nullopt) {
-        handler({reported, origin_source::Server});
+    if (known && m_directory.hasUsable(known->service, known->version)) {
+        handler({known, source});
         return;
     }
-    if (m_readsReports) {
+    if (!known && m_readsReports) {
         m_awaitingReports.push_back({stream, service, maxAge, m_loop.now(), std::move(handler)});
         return;
     }
@@ -228,26 +284,31 @@
     auto &pending = m_pending[id];
     pending.stream = stream;
     pending.service = service;
+    pending.askedAt = m_loop.now();
     pending.maxAge = maxAge + m_listDelay;
     pending.handler = std::move(handler);
+    pending.found = known;
+    pending.foundBy = source;
+    if (known) {
+        confirmList([this, id](bool confirmed) { onListConfirmed(id, confirmed); });
+        return;
+    }
     const auto asked = stream.value_or(stream_name{});
     const auto candidates = candidatesFor(stream);
     pending.candidates = candidates.size();
+    // A peer counts back from the time at which the query arrives.
+    const auto ageAtPeer = pending.maxAge + AnswerTimeout;
     for (const auto &vm : candidates) {
         if (const auto link = m_peers.linkTo(vm)) {
-            link->send(stream_origin_query{id, asked.stream, service, pending.maxAge, asked.run});
+            link->send(stream_origin_query{id, asked.stream, service, ageAtPeer, asked.run});
             pending.unanswered.push_back(link);
         }
     }
     pending.asked = pending.unanswered.size();
-    if (pending.unanswered.empty()) {
-        giveUp(id);
-        return;
-    }
-    pending.timer = m_loop.callAfter(AnswerTimeout, [this, id] {
-        m_pending.at(id).timer = 0;
-        giveUp(id);
-    });
+    pending.peersDone = pending.unanswered.empty();
+    if (!pending.peersDone)
+        pending.timer = m_loop.callAfter(AnswerTimeout, [this, id] { onPeersDone(id); });
+    confirmList([this, id](bool confirmed) { onListConfirmed(id, confirmed); });
 }
 
 void stream_origin_relay::onAnswer(const link_ptr &link, const stream_origin_answer &answer)
@@ -262,61 +323,126 @@
     pending.unanswered.erase(asked);
     ++pending.answered;
     if (answer.origin) {
-        complete(answer.id, {answer.origin, origin_source::Peer});
+        pending.found = answer.origin;
+        pending.foundBy = origin_source::Peer;
+        proceed(answer.id);
         return;
     }
-    pending.covered = pending.covered || answer.covered;
     pending.severalVersions = pending.severalVersions || answer.severalVersions;
-    pending.uncertain = pending.uncertain || (answer.covered && !answer.computed);
-    if (answer.computed)
-        pending.computed.insert(*answer.computed);
+    pending.latestChange = std::max(pending.latestChange, answer.readyRevision);
+    pending.inContact = pending.inContact || answer.inContact;
+    // The processes of both nodes may have been stopped meanwhile.
+    const bool isInTime = m_loop.now() - pending.askedAt <= AnswerTimeout;
+    if (answer.covered && isInTime)
+        pending.covering.push_back({answer.revision, answer.computed});
     if (pending.unanswered.empty())
-        giveUp(answer.id);
+        onPeersDone(answer.id);
+}
+
+void stream_origin_relay::onPeersDone(std::uint64_t id)
+{
+    auto &pending = m_pending.at(id);
+    m_loop.cancelTimer(std::exchange(pending.timer, 0));
+    pending.unanswered.clear();
+    pending.peersDone = true;
+    proceed(id);
+}
+
+void stream_origin_relay::onListConfirmed(std::uint64_t id, bool confirmed)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end())
+        return;
+    found->second.confirmed = confirmed;
+    proceed(id);
+}
+
+// A record may name a version that joined after this node's list was read; the confirmed list has
+// its servers.
+void stream_origin_relay::proceed(std::uint64_t id)
+{
+    const auto &pending = m_pending.at(id);
+    if (pending.found) {
+        const auto &[service, version] = *pending.found;
+        if (pending.confirmed || m_directory.hasUsable(service, version))
+            complete(id, {pending.found, pending.foundBy});
+        return;
+    }
+    if (!pending.peersDone || !pending.confirmed)
+        return;
+    if (*pending.confirmed && !isCovered(pending) && m_readHistory) {
+        m_awaitingHistory.push_back(id);
+        if (m_awaitingHistory.size() > 1)
+            return;
+        const auto wait = std::max(m_nextHistoryRead - m_loop.now(), steady_time::duration{});
+        m_loop.callAfter(std::chrono::ceil<milliseconds>(wait), [this] { readHistory(); });
+        return;
+    }
+    complete(id, conclude(pending));
+}
+
+// The lists that the other node knows have to reach those that this node knows.
+bool stream_origin_relay::isCovered(const pending_lookup &asked) const
+{
+    const auto isComplete = [&](const covering_answer &each) {
+        return each.revision >= m_published.readyRevision();
+    };
+    return compute(asked).covered || std::ranges::any_of(asked.covering, isComplete);
+}
+
+std::set<software_version> stream_origin_relay::computedVersions(const pending_lookup &asked) const
+{
+    const auto knownSince = m_published.versions().knownSince();
+    if (!knownSince)
+        return {};
+    std::set<std::optional<software_version>> versions;
+    const auto since = std::max(asked.askedAt - asked.maxAge, *knownSince);
+    versions.insert(
+        compute(asked.stream ? asked.stream->stream : request_digest{}, asked.service, since)
+            .version);
+    for (const auto &each : asked.covering) {
+        if (each.revision >= m_published.readyRevision())
+            versions.insert(each.version);
+    }
+    std::set<software_version> certain;
+    if (versions.contains(std::nullopt))
+        return certain;
+    for (const auto &each : versions)
+        certain.insert(*each);
+    return certain;
 }
 
-// A version that is not in a list that was just read may have served a moment ago. Without a
-// record the stream may continue only on a version that all nodes which know all versions since
-// then have computed alike. Without such a node:
-// - If no node has current knowledge although all nodes asked in all data centres have answered,
-//   the store is down, and nothing has been published that this node doesn't know.
+// A version that is not in a list may have served a moment ago, and one that joined a moment ago is
+// not in it. Without a record the stream may continue only on a version that was certain for all
+// lists from its possible beginning to the request. Without such knowledge:
+// - If the store has answered neither this node nor the nodes that may keep the record for some
+//   time, and none of these knows a change that this node doesn't know, the store is down and
+//   nothing has been published since.
 // - If the store has dropped its history and no server has started since, no release was in
 //   progress.
-std::optional<origin_lookup> stream_origin_relay::conclude(const pending_lookup &asked) const
+origin_lookup stream_origin_relay::conclude(const pending_lookup &asked) const
 {
     const auto own = compute(asked);
-    const bool current = isCurrent();
-    auto computed = asked.computed;
-    const bool covered = asked.covered || (own.covered && current);
-    const bool storeDown = own.covered && !current && asked.candidates > 0
-        && asked.answered == asked.candidates && !m_directory.isAnyUnreachable();
-    const bool noRelease = current && m_historyDropped && hasNoYoungServer(asked);
+    const bool storeDown = !*asked.confirmed && own.covered && !isInContact() && !asked.inContact
+        && asked.candidates > 0 && asked.answered == asked.candidates
+        && asked.latestChange <= listRevision() && !m_directory.isAnyUnreachable();
+    const bool covered = *asked.confirmed && isCovered(asked);
+    const bool noRelease = *asked.confirmed && m_historyDropped && hasNoYoungServer(asked);
     if (!covered && !storeDown && !noRelease)
-        return std::nullopt;
-    const bool usesOwn = !covered || (own.covered && current);
-    if (asked.uncertain || (usesOwn && !own.version))
-        return origin_lookup{};
-    if (usesOwn)
-        computed.insert(*own.version);
+        return {};
+    const auto computed = computedVersions(asked);
     const bool isOnly = own.isOnly && !asked.severalVersions;
     if (computed.size() != 1 || (!asked.stream && !isOnly))
-        return origin_lookup{};
-    return origin_lookup{stream_origin{asked.service, *computed.begin()},
-                         isOnly ? origin_source::OnlyVersion : origin_source::Computed};
+        return {};
+    return {stream_origin{asked.service, *computed.begin()},
+            isOnly ? origin_source::OnlyVersion : origin_source::Computed};
 }
 
-void stream_origin_relay::giveUp(std::uint64_t id)
+void stream_origin_relay::setList(list_confirmation confirm,
+                                  std::function<std::uint64_t()> revision)
 {
-    auto &pending = m_pending.at(id);
-    m_loop.cancelTimer(std::exchange(pending.timer, 0));
-    pending.unanswered.clear();
-    const bool covered = pending.covered || (compute(pending).covered && isCurrent());
-    if (!covered && m_readHistory && (m_loop.now() >= m_nextHistoryRead || isReadingHistory())) {
-        m_awaitingHistory.push_back(id);
-        if (m_awaitingHistory.size() == 1)
-            readHistory();
-        return;
-    }
-    complete(id, conclude(pending).value_or(origin_lookup{}));
+    m_confirmList = std::move(confirm);
+    m_listRevision = std::move(revision);
 }
 
 void stream_origin_relay::setHistory(history_reader reader, milliseconds keptFor,
@@ -332,16 +458,21 @@
     m_nextHistoryRead = m_loop.now() + HistoryPause;
     m_readHistory([this, at = m_loop.now(),
                    wall = m_loop.clock().wallNow()](std::optional<store_history> history) {
+        m_historyDropped = false;
         if (history)
             addHistory(*history, at, wall);
         for (const auto id : std::exchange(m_awaitingHistory, {}))
-            complete(id, conclude(m_pending.at(id)).value_or(origin_lookup{}));
+            complete(id, conclude(m_pending.at(id)));
     });
 }
 
+// If changes were missed while the history was read, it ends before what this node knows.
 void stream_origin_relay::addHistory(const store_history &history, steady_time readAt,
                                      wall_time readAtWall)
 {
+    const auto knownSince = m_published.versions().knownSince();
+    if (!knownSince || *knownSince > readAt)
+        return;
     const auto earlier =
         readyTimesOf(history, readAtWall - m_historyKeptFor, m_published.recentAtStart());
     m_historyDropped = !earlier;
@@ -358,6 +489,8 @@
     m_loop.cancelTimer(pending.timer);
     found.asked = pending.asked;
     found.answered = pending.answered;
+    found.confirmed = pending.confirmed.value_or(false);
+    found.listRevision = listRevision();
     pending.handler(found);
 }
 
@@ -382,7 +515,7 @@
     }
     for (const auto id : unanswerable) {
         if (m_pending.contains(id))
-            giveUp(id);
+            onPeersDone(id);
     }
 }
 
--- a/src/gateway/streams/stream_origin_relay.h
+++ b/src/gateway/streams/stream_origin_relay.h
@@ -37,6 +37,8 @@
     origin_source source = origin_source::Unknown;
     std::size_t asked = 0; ///< number of nodes that were asked
     std::size_t answered = 0; ///< of these
+    bool confirmed = false; ///< the list of servers was confirmed after the request
+    std::uint64_t listRevision = 0; ///< store revision up to which this node knows all changes
 };
 
 /// Finds out, on any node, which software version began a stream.
@@ -56,6 +58,11 @@
 /// again. It is certain if it was the same for all lists that were published while the stream may
 /// have begun. A node that has just started learns these lists from other nodes, or from the
 /// history of the store.
+///
+/// The stream may have begun a moment before its client continues it, on a server that this node
+/// doesn't know yet, however recent its list is. So a computed version counts only if the list was
+/// confirmed after the request arrived (`list_confirmer`). What another node has computed counts
+/// only if its list has all that the confirmed list shows.
 class stream_origin_relay
 {
 public:
@@ -63,6 +70,9 @@
     using history_handler = std::function<void(std::optional<store_history>)>;
     /// Reads the history of the store; the handler gets nothing if it could not be read.
     using history_reader = std::function<void(history_handler)>;
+    /// Confirms that the list of servers includes everything that was published before the call;
+    /// the handler gets whether it does.
+    using list_confirmation = std::function<void(std::function<void(bool)>)>;
 
     stream_origin_relay(http::io_loop &loop, peer_network &peers, const server_directory &directory,
                         published_state &published);
@@ -70,9 +80,15 @@
     /// Sets how the history of the store is read, how long the store keeps it, and how much later
     /// than the store a node may have a list.
     void setHistory(history_reader reader, milliseconds keptFor, milliseconds listDelay);
+    /// Sets how the list of servers is confirmed, and the function that returns the store revision
+    /// up to which this node knows all changes.
+    void setList(list_confirmation confirm, std::function<std::uint64_t()> revision);
     /// Returns the version on which a new stream must begin; empty if no server is ready.
     [[nodiscard]] std::optional<software_version> versionForNew(const request_digest &stream,
                                                                 const service_id &service) const;
+    /// Calls `begin` when a new stream may begin: at once or, if the list of servers may be old,
+    /// after it was confirmed or could not be.
+    void beginNew(std::function<void()> begin);
     /// Records where a stream through this node began.
     void onStreamBegan(const stream_origin_record &record);
     /// Begins to collect what servers report; lookups wait until `endReports`.
@@ -106,20 +122,31 @@
         bool isOnly = false; ///< there was no other one
         std::optional<software_version> version; ///< empty: not certain
     };
+    /// What a node that knows all versions since a stream may have begun has computed.
+    struct covering_answer
+    {
+        std::uint64_t revision = 0; ///< of its list
+        std::optional<software_version> version; ///< empty: not certain
+    };
     struct pending_lookup
     {
         std::optional<stream_name> stream; ///< empty: the client does not name it
         service_id service;
-        milliseconds maxAge{0}; ///< includes the delay of lists
+        steady_time askedAt;
+        milliseconds maxAge{0}; ///< at `askedAt`; includes the delay of lists
         lookup_handler handler;
         std::vector<link_ptr> unanswered;
         std::size_t candidates = 0; ///< nodes that may keep the record
         std::size_t asked = 0;
         std::size_t answered = 0;
-        bool covered = false; ///< a node that answered knows all versions
-        bool uncertain = false; ///< a node that knows all versions can't tell which one
+        bool peersDone = false; ///< all have answered, or too late
+        std::optional<bool> confirmed; ///< empty: the list is being confirmed
+        std::optional<stream_origin> found; ///< a record, of a version without a known server
+        origin_source foundBy = origin_source::Peer;
+        std::vector<covering_answer> covering;
         bool severalVersions = false; ///< as far as the nodes that answered know
-        std::set<software_version> computed; ///< by nodes that answered
+        std::uint64_t latestChange = 0; ///< revision of the last change of ready servers they know
+        bool inContact = false; ///< the store has answered one of them a moment ago
         http::timer_id timer = 0;
     };
 
@@ -144,22 +171,37 @@
     /// Returns how long this node has run.
     [[nodiscard]] milliseconds age() const;
     /// Computes the version of a stream from the published servers that this node knows of.
+    [[nodiscard]] computed_version compute(const request_digest &stream, const service_id &service,
+                                           steady_time since) const;
     [[nodiscard]] computed_version compute(const pending_lookup &asked) const;
-    /// Returns whether this node's list is recent.
-    [[nodiscard]] bool isCurrent() const;
+    /// Asks for a confirmation of the list of servers.
+    void confirmList(std::function<void(bool)> done);
+    /// Returns whether the list may lack what others have known for some time: this node had no
+    /// contact with the store, own or relayed, or its process stood still.
+    [[nodiscard]] bool mayListBeOld() const;
+    /// Returns whether the store has answered this node, or its reader, a moment ago.
+    [[nodiscard]] bool isInContact() const;
+    [[nodiscard]] std::uint64_t listRevision() const;
     /// Returns whether no server of the service is younger than the stream may be.
     [[nodiscard]] bool hasNoYoungServer(const pending_lookup &asked) const;
-    /// Returns the result of a lookup whose nodes have answered; empty if this node's knowledge
-    /// covers too little time.
-    [[nodiscard]] std::optional<origin_lookup> conclude(const pending_lookup &asked) const;
+    /// Returns whether this node, with the nodes that have answered, knows all versions since the
+    /// stream may have begun.
+    [[nodiscard]] bool isCovered(const pending_lookup &asked) const;
+    /// Returns the result of a lookup without a record.
+    [[nodiscard]] origin_lookup conclude(const pending_lookup &asked) const;
+    /// Returns the versions that this node and the covering nodes have computed; empty if one of
+    /// them isn't certain or they know too little.
+    [[nodiscard]] std::set<software_version> computedVersions(const pending_lookup &asked) const;
+    void onListConfirmed(std::uint64_t id, bool confirmed);
+    /// Ends a lookup if enough is known.
+    void proceed(std::uint64_t id);
     void readHistory();
-    [[nodiscard]] bool isReadingHistory() const { return !m_awaitingHistory.empty(); }
     /// Adds the versions of a history that was read at these times.
     void addHistory(const store_history &history, steady_time readAt, wall_time readAtWall);
     void share(const std::vector<stream_origin_record> &records);
     void onAnswer(const link_ptr &link, const stream_origin_answer &answer);
-    /// Ends a lookup without a record, after reading the history of the store if that may help.
-    void giveUp(std::uint64_t id);
+    /// Records that no peer answers any more.
+    void onPeersDone(std::uint64_t id);
     void complete(std::uint64_t id, origin_lookup found);
 
     http::io_loop &m_loop;
@@ -177,6 +219,11 @@
     std::vector<waiting_lookup> m_awaitingReports;
     std::unordered_map<std::uint64_t, pending_lookup> m_pending;
     std::uint64_t m_lastLookup = 0;
+    list_confirmation m_confirmList;
+    steady_time m_lastTickAt;
+    std::optional<steady_time> m_stoodStillAt; ///< the process, until the list is confirmed
+    steady_time m_nextConfirmation{}; ///< for a new stream, after one that failed
+    std::function<std::uint64_t()> m_listRevision;
     history_reader m_readHistory;
     milliseconds m_historyKeptFor{0};
     milliseconds m_listDelay{0};
--- a/tests/gateway/peer_frames_test.cpp
+++ b/tests/gateway/peer_frames_test.cpp
@@ -119,6 +119,11 @@
     CHECK(found.origin == origin);
     CHECK(found.severalVersions);
     CHECK(found.computed == origin.version);
+    const auto dated =
+        roundTrip(stream_origin_answer{9, std::nullopt, false, true, origin.version, 41, 40, true});
+    CHECK(dated.revision == 41);
+    CHECK(dated.readyRevision == 40);
+    CHECK(dated.inContact);
     const auto unknown =
         roundTrip(stream_origin_answer{8, std::nullopt, false, true, std::nullopt});
     CHECK_FALSE(unknown.origin);
@@ -358,6 +363,16 @@
     CHECK(roundTrip(list_digest_frame{8, known}).known == known);
     CHECK(roundTrip(publication_request{7, known}).known == known);
     CHECK(roundTrip(publication_request{7, known}).configurationVersion == 7);
+    CHECK(roundTrip(publication_request{7, known}).confirmation == 0);
+    CHECK(roundTrip(publication_request{7, known, 5}).confirmation == 5);
+    publication_frame confirming;
+    confirming.confirmation = 5;
+    confirming.confirmed = true;
+    confirming.gapUntil = 40;
+    const auto confirmed = roundTrip(confirming);
+    CHECK(confirmed.confirmation == 5);
+    CHECK(confirmed.confirmed);
+    CHECK(confirmed.gapUntil == 40);
 }
 
 TEST_CASE("a configuration frame keeps the text as published")
