--- a/src/gateway/publication/list_confirmer_impl.h
+++ b/src/gateway/publication/list_confirmer_impl.h
@@ -10,6 +10,9 @@
 
 /// Longest time of a round; a client waits meanwhile.
 inline constexpr milliseconds ConfirmTimeout{600};
+/// Longest time of a round at a node that has no latest list yet: it reads the list, or receives it
+/// from other nodes, about a second after its start.
+inline constexpr milliseconds FirstListTimeout{2000};
 /// Longest time for the store's answer on behalf of a peer, whose own round has begun before.
 inline constexpr milliseconds ConfirmForPeerTimeout{350};
 /// The store answers in 4 ms. After this time it is asked again, on another connection: a kept one
@@ -63,7 +66,7 @@
     m_storeFailures = 0;
     m_askedPeers = false;
     m_unanswered.clear();
-    after(ConfirmTimeout, [this] { end(false); });
+    after(m_store.changesTarget() ? ConfirmTimeout : FirstListTimeout, [this] { end(false); });
     after(ConfirmForPeerTimeout, [this] { failCallsOfPeers(); });
     after(SecondQuestionDelay, [this] {
         askStore();
@@ -76,9 +79,8 @@
 void list_confirmer<Codec>::askStore()
 {
     const auto target = m_store.changesTarget();
-    if (!target) {
-        m_storeFailures = MinStoreFailures;
-        onStoreFailed();
+    if (!target) { // the node has just started
+        after(QuestionRetryDelay, [this] { askStore(); });
         return;
     }
     m_store.get(*target, ConfirmTimeout, [this, round = m_round](const store_answer &answer) {
