--- a/src/gateway/streams/stream_origin_relay.cpp
+++ b/src/gateway/streams/stream_origin_relay.cpp
@@ -32,6 +32,9 @@
 // Lookups wait no longer than this for the reports of servers: the first list of servers may be
 // late, and a report takes up to 500 ms.
 constexpr milliseconds MaxReportsWait{1500};
+// A list that arrives while the history is being read leaves a gap behind the history, which is
+// then read again this often at most: a node that starts gets two lists.
+constexpr std::size_t MaxHistoryRereads = 2;
 // Minimum time between two readings of the store's history; each takes several calls.
 constexpr milliseconds HistoryPause{500};
 
@@ -458,6 +461,14 @@
     m_nextHistoryRead = m_loop.now() + HistoryPause;
     m_readHistory([this, at = m_loop.now(),
                    wall = m_loop.clock().wallNow()](std::optional<store_history> history) {
+        const auto knownSince = m_published.versions().knownSince();
+        const bool hasGap = history && knownSince && *knownSince > at;
+        if (hasGap && m_historyRereads < MaxHistoryRereads) {
+            ++m_historyRereads;
+            m_loop.callAfter(milliseconds{1}, [this] { readHistory(); });
+            return;
+        }
+        m_historyRereads = 0;
         m_historyDropped = false;
         if (history)
             addHistory(*history, at, wall);
--- a/src/gateway/streams/stream_origin_relay.h
+++ b/src/gateway/streams/stream_origin_relay.h
@@ -230,6 +230,7 @@
     bool m_historyDropped = false; ///< as of the last reading
     std::vector<std::uint64_t> m_awaitingHistory; ///< lookups, while the history is being read
     steady_time m_nextHistoryRead{};
+    std::size_t m_historyRereads = 0;
 };
 
 } // namespace orchidlead::gateway
