--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,6 +55,8 @@
     void begin(received_request &&request);
     void releaseEarlyRequests();
 
+    /// Sets where `stream_origin_relay` finds what was published before.
+    void setStreamOriginSources();
     /// Sets the handlers of events of servers and of the transport to them.
     void setServerHandlers();
     [[nodiscard]] std::optional<http::listen_error> listen();
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -205,6 +205,19 @@
     });
     m_state.onConfiguration([this](const configuration_ptr &each) { onConfiguration(each); });
     m_follower.onRead([this](const store_update &update) { m_relay.onStoreUpdate(update); });
+    setStreamOriginSources();
+    setServerHandlers();
+    m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
+                                  std::string &&body) {
+        onRequest(client, std::move(head), std::move(body));
+    };
+    m_probes->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
+                                 std::string && /*body*/) { onReadinessRequest(client, head); };
+}
+
+template <gateway_codec Codec>
+void gateway<Codec>::setStreamOriginSources()
+{
     m_streamOrigins.setList(
         [this](std::function<void(bool)> done) { m_listConfirmer.confirm(std::move(done)); },
         [this] { return m_follower.revision(); });
@@ -213,13 +226,6 @@
             m_historyReader.read(std::move(handler));
         },
         m_settings.bounds.historyKept, m_settings.bounds.publicationApply + MaxListDelay);
-    setServerHandlers();
-    m_clients->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
-                                  std::string &&body) {
-        onRequest(client, std::move(head), std::move(body));
-    };
-    m_probes->onRequest = [this](const http::inbound_ptr &client, http::request_head &&head,
-                                 std::string && /*body*/) { onReadinessRequest(client, head); };
 }
 
 // Tasks hold exchanges, which refer to the other parts of the node.
