Refuse requests for another server at the stand-in of servers

A server that isn't the one named in X-Expected-Instance answers 421. The stand-in ran such requests, so that a port which the system gave to another server joined streams that a real server would have refused.

--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -146,6 +146,14 @@
             m_owner.m_report(request, shared_from_this());
             return;
         }
+        // The port of a server that has ended may be given to another one.
+        const auto expected = http::findField(request.head.fields, "x-expected-instance");
+        if (expected && *expected != m_owner.m_id) {
+            ++m_owner.m_misdirected;
+            write("HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n"
+                  "Content-Length: 0\r\n\r\n");
+            return;
+        }
         m_owner.m_requests.push_back(request);
         if (m_owner.m_behaviour)
             m_owner.m_behaviour(request, shared_from_this());
@@ -203,6 +211,11 @@
 void fake_server::crash()
 {
     stop();
+    resetConnections();
+}
+
+void fake_server::resetConnections()
+{
     const auto connections = m_connections;
     for (const auto &weak : connections) {
         if (const auto each = weak.lock())
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -51,6 +51,8 @@
     /// Returns the requests received completely, oldest first.
     [[nodiscard]] const std::vector<server_request> &requests() const { return m_requests; }
     [[nodiscard]] std::size_t openConnections() const { return *m_open; }
+    /// Returns the number of requests for another server, which this one has refused with 421.
+    [[nodiscard]] std::size_t misdirected() const { return m_misdirected; }
     void setBehaviour(server_behaviour behaviour) { m_behaviour = std::move(behaviour); }
     /// Sets how the server reports what it is running; at first it reports nothing. These requests
     /// are not among `requests`.
@@ -58,6 +60,8 @@
     void stop() { m_acceptor.reset(); }
     /// Ends like a crashed process: stops listening and resets all connections.
     void crash();
+    /// Resets all connections, like a process that ends and starts again at its address at once.
+    void resetConnections();
     [[nodiscard]] bool listens() const { return m_acceptor != nullptr; }
 
 private:
@@ -66,6 +70,7 @@
     std::string m_id;
     std::unique_ptr<http::acceptor> m_acceptor;
     std::vector<server_request> m_requests;
+    std::size_t m_misdirected = 0;
     server_behaviour m_behaviour;
     server_behaviour m_report;
     std::vector<std::weak_ptr<connection>> m_connections;
