--- a/tests/platform/version_world.h
+++ b/tests/platform/version_world.h
@@ -94,12 +94,25 @@
         });
     }
 
-    /// Restarts all servers of one version with another one, under their ids and addresses.
+    /// Ends a server and starts it again with another version, under its id and at its address.
+    void restartServer(const std::string &id, const std::string &version)
+    {
+        auto &restarted = server(id);
+        restarted.resetConnections();
+        setVersion(restarted, version);
+        runs.erase(id);
+        starts[id] = FirstStart + 60'000;
+        announceVersion(restarted, "engine", version, starts[id]);
+    }
+
+    /// Announces all servers of one version again with another one and a later start.
     void restartAs(const std::string &idPrefix, const std::string &version)
     {
         for (int i = 0; i < ServersPerVersion; ++i) {
             auto &each = server(idPrefix + "-" + std::to_string(i));
             setVersion(each, version);
+            runs.erase(each.id());
+            starts[each.id()] = FirstStart + 60'000;
             announceVersion(each, "engine", version, FirstStart + 60'000, i % 2 == 0 ? "z" : "y");
         }
     }
@@ -238,7 +251,7 @@
                 .append(reports == report_kind::NoEvents ? "0" : std::to_string(EventsPerTry))
                 .append(",5]");
         body.append(R"(],"born":)")
-            .append(std::to_string(FirstStart + (reports == report_kind::OtherStart ? 1 : 0)))
+            .append(std::to_string(startOf(id) + (reports == report_kind::OtherStart ? 1 : 0)))
             .append("}");
         if (reports == report_kind::Unreadable)
             body.pop_back();
@@ -250,8 +263,15 @@
     first_try mode = first_try::StaysOpen;
     report_kind reports = report_kind::Runs;
     std::map<std::string, std::vector<std::string>> runs; ///< attempts, by server
+    std::map<std::string, std::uint64_t> starts; ///< of servers that started again
 
 private:
+    [[nodiscard]] std::uint64_t startOf(const std::string &id) const
+    {
+        const auto found = starts.find(id);
+        return found == starts.end() ? FirstStart : found->second;
+    }
+
     int m_attempts = 0;
 };
 
