--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -21,6 +21,7 @@
 #include "gateway/quarantine/request_subjects.h"
 #include "gateway/quarantine/server_crash_detector.h"
 #include "gateway/servers/server_directory.h"
+#include "gateway/servers/server_start_reader.h"
 #include "gateway/servers/server_transport.h"
 #include "gateway/stages/stage_progress.h"
 #include "gateway/stages/stage_router.h"
@@ -46,6 +47,7 @@
 {
     http::io_loop &loop;
     server_transport &transport;
+    server_start_reader<Codec> &starts;
     server_directory &directory;
     service_retry_budget &retryBudget;
     peer_network &peers;
@@ -272,6 +274,16 @@
     void startHealthCheck(const server_ptr &chosen);
     void onHealthCheckEnd(const server_ptr &chosen, bool healthy);
     void cancelHealthCheck();
+    /// Tries another server than one that doesn't respond.
+    void onNoResponse(const server_ptr &chosen);
+    /// Sends the request to a server. If a stream of which the client has a part goes on there, the
+    /// server is first asked for its start.
+    void sendChecked(server_ptr chosen);
+    [[nodiscard]] bool needsStartCheck(const server &chosen) const;
+    /// Sends the request, or tries another server if the version of this one is unknown.
+    void onServerStart(const server_ptr &chosen, const start_answer &shown);
+    /// Does so by the list of servers, if the server doesn't say.
+    void sendIfListed(const server_ptr &chosen);
     /// Ends the held attempts once a replacement has had the request for `MaxHandoverTime`.
     void startHandoverTimer();
     void onHandoverEnd();
@@ -340,6 +352,7 @@
     void logHeld(const server_attempt &held);
     void logResumed(std::string_view why);
     void logHealthCheck(const server &checked, bool healthy);
+    void logServerStart(const server &asked, const start_answer &shown);
     void logRetryDenied(std::string_view why);
     /// Returns the first shared parts of the prompt, for the log.
     [[nodiscard]] std::string sharedPartsText() const;
@@ -406,6 +419,8 @@
     server_transport::call_id m_healthCheck =
         0; ///< of the server that is to replace a held attempt
     http::timer_id m_healthCheckTimer = 0;
+    /// To the server at which the stream is to go on.
+    typename server_start_reader<Codec>::question_id m_startQuestion = 0;
     bool m_waitLogged = false; ///< why the current silent call isn't replaced was logged
     http::timer_id m_dispatchTimer = 0; ///< until the assigned dispatch time
     bool m_admitted = false; ///< by the pool's host, before its stages
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -7,6 +7,7 @@
 #include "gateway/exchange/exchange_log_impl.h"
 #include "gateway/exchange/exchange_silence_impl.h"
 #include "gateway/exchange/exchange_stages_impl.h"
+#include "gateway/exchange/exchange_start_check_impl.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -207,6 +207,17 @@
     m_decisions.add(std::move(line));
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::logServerStart(const server &asked, const start_answer &shown)
+{
+    if (!logsDecisions())
+        return;
+    auto line = lineOf(log_event::ServerStartChecked);
+    line.add("server", asked.record.id.value).add("start", toName(shown.evidence));
+    line.add("at_ms", sinceArrival().count());
+    m_decisions.add(std::move(line));
+}
+
 // The last part belongs to the request alone.
 template <gateway_codec Codec>
 std::string exchange<Codec>::sharedPartsText() const
--- a/src/gateway/exchange/exchange_silence_impl.h
+++ b/src/gateway/exchange/exchange_silence_impl.h
@@ -133,7 +133,7 @@
     if (chosen && needsHealthCheck(*chosen))
         startHealthCheck(chosen);
     else
-        sendTo(std::move(chosen));
+        sendChecked(std::move(chosen));
 }
 
 // A server with a limit on its requests counts a health check as one of them.
@@ -194,10 +194,15 @@
     if (m_done)
         return;
     logHealthCheck(*chosen, healthy);
-    if (healthy) {
-        sendTo(chosen);
-        return;
-    }
+    if (healthy)
+        sendChecked(chosen);
+    else
+        onNoResponse(chosen);
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::onNoResponse(const server_ptr &chosen)
+{
     endPlacement();
     m_context.directory.onFailure(*chosen);
     m_triedServers.push_back(chosen->record.id);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -108,6 +108,7 @@
     published_state m_state;
     stream_origin_relay m_streamOrigins;
     open_run_reader<Codec> m_openRuns;
+    server_start_reader<Codec> m_starts;
     bool m_readsOpenRuns = false; ///< they are still to be read
     store_reader<Codec> m_follower;
     store_history_reader<Codec> m_historyReader;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -122,6 +122,7 @@
     , m_state(m_loop.clock(), m_directory, RemovalDelay)
     , m_streamOrigins(m_loop, m_peers, m_directory, m_state)
     , m_openRuns(m_loop, m_transport)
+    , m_starts(m_loop, m_transport)
     , m_readsOpenRuns(!m_settings.firstStart)
     , m_follower(
           m_loop, m_pool, m_settings.store, m_state,
@@ -141,6 +142,7 @@
     , m_callRelay(m_loop, m_transport, m_directory, log)
     , m_context{m_loop,
                 m_transport,
+                m_starts,
                 m_directory,
                 m_retryBudget,
                 m_peers,
--- a/src/gateway/streams/stream_origin_relay.h
+++ b/src/gateway/streams/stream_origin_relay.h
@@ -86,6 +86,8 @@
     /// Returns the version on which a new stream must begin; empty if no server is ready.
     [[nodiscard]] std::optional<software_version> versionForNew(const request_digest &stream,
                                                                 const service_id &service) const;
+    /// Asks for a confirmation of the list of servers; `done` gets whether it succeeded.
+    void confirmList(std::function<void(bool)> done);
     /// Calls `begin` when a new stream may begin: at once or, if the list of servers may be old,
     /// after it was confirmed or could not be.
     void beginNew(std::function<void()> begin);
@@ -174,8 +176,6 @@
     [[nodiscard]] computed_version compute(const request_digest &stream, const service_id &service,
                                            steady_time since) const;
     [[nodiscard]] computed_version compute(const pending_lookup &asked) const;
-    /// Asks for a confirmation of the list of servers.
-    void confirmList(std::function<void(bool)> done);
     /// Returns whether the list may lack what others have known for some time: this node had no
     /// contact with the store, own or relayed, or its process stood still.
     [[nodiscard]] bool mayListBeOld() const;
