Give the stand-in at the address of a server that left the id of the later one

The stand-in refuses requests for another server since, so that "a new server at the address of one that left gets requests" failed: the later server had kept the id of the first.

--- a/tests/platform/leaving_server_test.cpp
+++ b/tests/platform/leaving_server_test.cpp
@@ -220,6 +220,7 @@
     w.leaving.clear();
     w.requests.clear();
     w.store.remove("servers/i-1");
+    first.setId("i-9");
     w.store.put(
         "servers/i-9",
         R"({"service":"web","address":")" + toText(first.address())
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Fakes of the users' platform on loopback, for tests of whole gateways without a bench.
@@ -47,6 +48,8 @@
     fake_server &operator=(const fake_server &) = delete;
 
     [[nodiscard]] const std::string &id() const { return m_id; }
+    /// Sets the id, as of a later server at the same address.
+    void setId(std::string id) { m_id = std::move(id); }
     [[nodiscard]] socket_address address() const;
     /// Returns the requests received completely, oldest first.
     [[nodiscard]] const std::vector<server_request> &requests() const { return m_requests; }
