--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -214,13 +214,8 @@
     if (m_deferred.erase(record.id) > 0 && !record.leaving)
         recordReady({record.service, record.id, record.version, true});
     m_removals.erase(record.id);
-    const auto known = m_directory.find(record.id);
-    // Where the store tells the order, clocks of servers don't: one may have been set back.
-    const bool startsBefore =
-        known && record.startedAt && record.startedAt < known->record.startedAt;
-    if (startsBefore && announced.revision > serverRevision(record.id))
-        m_directory.remove(record.id);
     m_revisions[record.id] = std::max(serverRevision(record.id), announced.revision);
+    const auto known = m_directory.find(record.id);
     const bool wasLeaving = known && known->record.leaving;
     const bool wasCold = known && known->cold(m_clock.now());
     m_directory.put(record, announced.coldTimeLeft);
