--- a/tests/platform/software_version_test.cpp
+++ b/tests/platform/software_version_test.cpp
@@ -502,11 +502,11 @@
         w.breakOff(streams);
         w.logOutput.str({});
         (void)w.resumeAll(streams, "g1");
+        w.runFor(milliseconds{1000}); // another thread writes the log
         const auto log = w.logOutput.str();
         const std::string source = " source=own ";
         for (auto at = log.find(source); at != std::string::npos; at = log.find(source, at + 1))
             ++own;
-        w.runFor(milliseconds{1000});
     }
     CHECK(own == Streams);
 }
