--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -421,6 +421,7 @@
     http::timer_id m_healthCheckTimer = 0;
     /// To the server at which the stream is to go on.
     typename server_start_reader<Codec>::question_id m_startQuestion = 0;
+    server_ptr m_startUnstated; ///< that server, while the list is to show its start
     bool m_waitLogged = false; ///< why the current silent call isn't replaced was logged
     http::timer_id m_dispatchTimer = 0; ///< until the assigned dispatch time
     bool m_admitted = false; ///< by the pool's host, before its stages
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -169,6 +169,7 @@
     m_context.loop.cancelTimer(std::exchange(m_dispatchTimer, 0));
     cancelHealthCheck();
     m_context.starts.cancel(std::exchange(m_startQuestion, 0));
+    m_startUnstated.reset();
     m_context.placer.onEnd(std::exchange(m_current.placement, 0));
 }
 
--- a/src/gateway/exchange/exchange_start_check_impl.h
+++ b/src/gateway/exchange/exchange_start_check_impl.h
@@ -65,15 +65,16 @@
 template <gateway_codec Codec>
 void exchange<Codec>::sendIfListed(const server_ptr &chosen)
 {
-    m_context.streamOrigins.confirmList(
-        [self = this->shared_from_this(), chosen, lastId = m_lastAttemptId](bool confirmed) {
-            if (self->m_done || self->m_current.call != 0 || self->m_lastAttemptId != lastId)
-                return;
-            if (confirmed && !chosen->removed)
-                self->sendTo(chosen);
-            else
-                self->onNoResponse(chosen);
-        });
+    m_startUnstated = chosen;
+    m_context.streamOrigins.confirmList([self = this->shared_from_this(), chosen](bool confirmed) {
+        if (self->m_done || self->m_startUnstated != chosen)
+            return;
+        self->m_startUnstated.reset();
+        if (confirmed && !chosen->removed)
+            self->sendTo(chosen);
+        else
+            self->onNoResponse(chosen);
+    });
 }
 
 } // namespace orchidlead::gateway
