--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -281,7 +281,7 @@
     void sendChecked(server_ptr chosen);
     [[nodiscard]] bool needsStartCheck(const server &chosen) const;
     /// Sends the request, or tries another server if the version of this one is unknown.
-    void onServerStart(const server_ptr &chosen, const start_answer &shown);
+    void onServerStart(const server_ptr &chosen, start_evidence shown);
     /// Does so by the list of servers, if the server doesn't say.
     void sendIfListed(const server_ptr &chosen);
     /// Ends the held attempts once a replacement has had the request for `MaxHandoverTime`.
@@ -352,7 +352,7 @@
     void logHeld(const server_attempt &held);
     void logResumed(std::string_view why);
     void logHealthCheck(const server &checked, bool healthy);
-    void logServerStart(const server &asked, const start_answer &shown);
+    void logServerStart(const server &asked, start_evidence shown);
     void logRetryDenied(std::string_view why);
     /// Returns the first shared parts of the prompt, for the log.
     [[nodiscard]] std::string sharedPartsText() const;
--- a/src/gateway/exchange/exchange_log_impl.h
+++ b/src/gateway/exchange/exchange_log_impl.h
@@ -208,12 +208,12 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::logServerStart(const server &asked, const start_answer &shown)
+void exchange<Codec>::logServerStart(const server &asked, start_evidence shown)
 {
     if (!logsDecisions())
         return;
     auto line = lineOf(log_event::ServerStartChecked);
-    line.add("server", asked.record.id.value).add("start", toName(shown.evidence));
+    line.add("server", asked.record.id.value).add("start", toName(shown));
     line.add("at_ms", sinceArrival().count());
     m_decisions.add(std::move(line));
 }
--- a/src/gateway/exchange/exchange_start_check_impl.h
+++ b/src/gateway/exchange/exchange_start_check_impl.h
@@ -27,7 +27,7 @@
         return;
     }
     m_startQuestion = m_context.starts.ask(
-        chosen, [self = this->shared_from_this(), chosen](const start_answer &shown) {
+        chosen, [self = this->shared_from_this(), chosen](start_evidence shown) {
             self->m_startQuestion = 0;
             self->onServerStart(chosen, shown);
         });
@@ -35,12 +35,12 @@
 
 // The published start of a server that states another one has ended.
 template <gateway_codec Codec>
-void exchange<Codec>::onServerStart(const server_ptr &chosen, const start_answer &shown)
+void exchange<Codec>::onServerStart(const server_ptr &chosen, start_evidence shown)
 {
     if (m_done)
         return;
     logServerStart(*chosen, shown);
-    switch (shown.evidence) {
+    switch (shown) {
     case start_evidence::Published:
     case start_evidence::NotStated:
         sendTo(chosen);
--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -21,7 +21,7 @@
     AttemptHeld, ///< a call whose server is silent stays open while another server is tried
     AttemptResumed, ///< such a call goes on, or is waited for again, and why
     ServerChecked, ///< whether a server that is to replace a silent one responds
-    ServerStartChecked, ///< whether a server that writes a stream is of the published start
+    ServerStartChecked, ///< whether a server at which a stream is to go on is of the known start
     RetryDenied, ///< why a request is not retried at another server
     Request, ///< a request has its final answer, or its client disconnected
     StreamOrigin, ///< which version began a stream that a client continues, and how that is known
--- a/src/gateway/servers/server_start_reader.h
+++ b/src/gateway/servers/server_start_reader.h
@@ -25,13 +25,6 @@
     None, ///< the call failed
 };
 
-/// Answer to the question for a server's start.
-struct start_answer
-{
-    start_evidence evidence = start_evidence::None;
-    std::optional<std::uint64_t> startedAt; ///< Unix time in ms, as the server states it
-};
-
 /// Asks servers whether they are the processes that are published under their ids.
 ///
 /// A server may start again with another version, under its id and at its address, and this node's
@@ -42,7 +35,7 @@
 {
 public:
     using question_id = std::uint64_t;
-    using handler = std::function<void(const start_answer &)>;
+    using handler = std::function<void(start_evidence)>;
 
     server_start_reader(http::io_loop &loop, server_transport &transport);
 
@@ -63,8 +56,8 @@
         std::string body;
     };
 
-    void end(question_id question, const start_answer &shown);
-    [[nodiscard]] static start_answer read(const open_question &answered);
+    void end(question_id question, start_evidence shown);
+    [[nodiscard]] static start_evidence read(const open_question &answered);
 
     http::io_loop &m_loop;
     server_transport &m_transport;
--- a/src/gateway/servers/server_start_reader_impl.h
+++ b/src/gateway/servers/server_start_reader_impl.h
@@ -27,9 +27,7 @@
     m_questions.emplace(id, open);
     open->server = server;
     open->done = done;
-    open->timer = m_loop.callAfter(StartTimeout, [this, id] {
-        end(id, {start_evidence::Silent, {}});
-    });
+    open->timer = m_loop.callAfter(StartTimeout, [this, id] { end(id, start_evidence::Silent); });
     http::outbound_call call;
     call.maxBodyBytes = MaxStartReportBytes;
     call.writeHead = [open]() -> std::optional<std::string> {
@@ -47,7 +45,7 @@
     call.onBody = [open](std::string_view bytes) { open->body.append(bytes); };
     call.onEnd = [this, id, open](http::call_end how) {
         open->call.reset();
-        end(id, how == http::call_end::Complete ? read(*open) : start_answer{});
+        end(id, how == http::call_end::Complete ? read(*open) : start_evidence::None);
     };
     open->call = m_transport.start({server, std::move(call), {}, true});
     return id;
@@ -65,7 +63,7 @@
 }
 
 template <gateway_codec Codec>
-void server_start_reader<Codec>::end(question_id question, const start_answer &shown)
+void server_start_reader<Codec>::end(question_id question, start_evidence shown)
 {
     const auto found = m_questions.find(question);
     if (found == m_questions.end())
@@ -76,21 +74,19 @@
 }
 
 template <gateway_codec Codec>
-start_answer server_start_reader<Codec>::read(const open_question &answered)
+start_evidence server_start_reader<Codec>::read(const open_question &answered)
 {
     constexpr int Ok = 200;
     constexpr int Misdirected = 421;
     if (answered.status == Misdirected)
-        return {start_evidence::Other, {}};
+        return start_evidence::Other;
     if (answered.status != Ok)
-        return {start_evidence::NotStated, {}};
+        return start_evidence::NotStated;
     const auto report = Codec::readReport(answered.body);
     if (!report || !report.value().startedAt)
-        return {start_evidence::NotStated, {}};
-    const auto startedAt = report.value().startedAt;
-    return {startedAt == answered.server->record.startedAt ? start_evidence::Published
-                                                           : start_evidence::Other,
-            startedAt};
+        return start_evidence::NotStated;
+    return report.value().startedAt == answered.server->record.startedAt ? start_evidence::Published
+                                                                         : start_evidence::Other;
 }
 
 } // namespace orchidlead::gateway
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -149,7 +149,6 @@
         // The port of a server that has ended may be given to another one.
         const auto expected = http::findField(request.head.fields, "x-expected-instance");
         if (expected && *expected != m_owner.m_id) {
-            ++m_owner.m_misdirected;
             write("HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n"
                   "Content-Length: 0\r\n\r\n");
             return;
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -54,8 +54,6 @@
     /// Returns the requests received completely, oldest first.
     [[nodiscard]] const std::vector<server_request> &requests() const { return m_requests; }
     [[nodiscard]] std::size_t openConnections() const { return *m_open; }
-    /// Returns the number of requests for another server, which this one has refused with 421.
-    [[nodiscard]] std::size_t misdirected() const { return m_misdirected; }
     void setBehaviour(server_behaviour behaviour) { m_behaviour = std::move(behaviour); }
     /// Sets how the server reports what it is running; at first it reports nothing. These requests
     /// are not among `requests`.
@@ -73,7 +71,6 @@
     std::string m_id;
     std::unique_ptr<http::acceptor> m_acceptor;
     std::vector<server_request> m_requests;
-    std::size_t m_misdirected = 0;
     server_behaviour m_behaviour;
     server_behaviour m_report;
     std::vector<std::weak_ptr<connection>> m_connections;
--- a/tests/platform/version_world.h
+++ b/tests/platform/version_world.h
@@ -22,6 +22,7 @@
 /// Events that a server writes before the stream ends or is left open.
 constexpr int EventsPerTry = 2;
 constexpr std::uint64_t FirstStart = 1'764'000'000'000;
+constexpr std::uint64_t SecondStart = FirstStart + 60'000;
 /// A refusal without any work takes less time than this.
 constexpr milliseconds AtOnce{400};
 
@@ -101,7 +102,7 @@
         restarted.resetConnections();
         setVersion(restarted, version);
         runs.erase(id);
-        starts[id] = FirstStart + 60'000;
+        starts[id] = SecondStart;
         announceVersion(restarted, "engine", version, starts[id]);
     }
 
@@ -112,8 +113,8 @@
             auto &each = server(idPrefix + "-" + std::to_string(i));
             setVersion(each, version);
             runs.erase(each.id());
-            starts[each.id()] = FirstStart + 60'000;
-            announceVersion(each, "engine", version, FirstStart + 60'000, i % 2 == 0 ? "z" : "y");
+            starts[each.id()] = SecondStart;
+            announceVersion(each, "engine", version, SecondStart, i % 2 == 0 ? "z" : "y");
         }
     }
 
@@ -264,7 +265,8 @@
     first_try mode = first_try::StaysOpen;
     report_kind reports = report_kind::Runs;
     std::map<std::string, std::vector<std::string>> runs; ///< attempts, by server
-    std::map<std::string, std::uint64_t> starts; ///< of servers that started again
+    std::map<std::string, std::uint64_t>
+        starts; ///< of servers that started later than `FirstStart`
 
 private:
     [[nodiscard]] std::uint64_t startOf(const std::string &id) const
