Build the head of a request to a server in one place; reuse two more pieces

Cause: the question for a server's start wrote again what health checks, calls of stages and frees write (path, the server's id, Host), a limit that the reader of reports has, and a search that the directory has (hasUsable copied all usable servers for each continued stream). Change: makeServerHead serves all four, one MaxReportBytes, anyUsable. The reader of reports keeps its own head: its Host has no port. The bytes that are sent are the same.

--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -119,6 +119,9 @@
     std::uint64_t events = 0; ///< made so far
 };
 
+/// Largest report of a server.
+inline constexpr std::size_t MaxReportBytes = 1U << 20U;
+
 /// What a server reports of itself, some hundred milliseconds old.
 struct server_report
 {
--- a/src/gateway/exchange/exchange_silence_impl.h
+++ b/src/gateway/exchange/exchange_silence_impl.h
@@ -2,6 +2,7 @@
 
 #include "gateway/exchange/exchange.h"
 #include "gateway/exchange/exchange_limits.h"
+#include "gateway/servers/server_head.h"
 
 #include <algorithm>
 #include <iterator>
@@ -161,12 +162,8 @@
         if (!chosen->accepts(self->m_context.loop.now()))
             return std::nullopt;
         self->m_context.directory.onSending(*chosen);
-        http::request_head head;
-        head.method = "GET";
-        head.target = self->m_configuration->findService(self->m_service)->healthPath;
-        head.fields = Codec::stageFields(chosen->record.id);
-        head.fields.push_back({"Host", toText(chosen->record.address)});
-        return http::formatHead(head);
+        const auto &path = self->m_configuration->findService(self->m_service)->healthPath;
+        return http::formatHead(makeServerHead<Codec>("GET", path, chosen->record));
     };
     call.onHead = [self, chosen, answer](const http::response_head &head) {
         const auto metadata = Codec::readAnswer(head);
--- a/src/gateway/servers/server_directory.cpp
+++ b/src/gateway/servers/server_directory.cpp
@@ -168,8 +168,8 @@
 
 bool server_directory::hasUsable(const service_id &service, const software_version &version) const
 {
-    return std::ranges::any_of(
-        usable(service), [&](const server_ptr &each) { return each->record.version == version; });
+    return anyUsable(service, {},
+                     [&](const server &each) { return each.record.version == version; });
 }
 
 std::set<software_version> server_directory::versionsSince(const service_id &service,
--- a/src/gateway/servers/server_start_reader_impl.h
+++ b/src/gateway/servers/server_start_reader_impl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/servers/server_head.h"
 #include "gateway/servers/server_start_reader.h"
 
 #include <utility>
@@ -9,8 +10,6 @@
 /// Longest wait for an answer; a client may wait meanwhile. A server that responds answers within
 /// milliseconds.
 inline constexpr milliseconds StartTimeout{200};
-/// Largest report of a server.
-inline constexpr std::size_t MaxStartReportBytes = 1U << 20U;
 
 template <gateway_codec Codec>
 server_start_reader<Codec>::server_start_reader(http::io_loop &loop, server_transport &transport)
@@ -29,14 +28,10 @@
     open->done = done;
     open->timer = m_loop.callAfter(StartTimeout, [this, id] { end(id, start_evidence::Silent); });
     http::outbound_call call;
-    call.maxBodyBytes = MaxStartReportBytes;
+    call.maxBodyBytes = MaxReportBytes;
     call.writeHead = [open]() -> std::optional<std::string> {
-        http::request_head head;
-        head.method = "GET";
-        head.target = Codec::reportPath();
-        head.fields = Codec::stageFields(open->server->record.id);
-        head.fields.push_back({"Host", toText(open->server->record.address)});
-        return http::formatHead(head);
+        return http::formatHead(
+            makeServerHead<Codec>("GET", Codec::reportPath(), open->server->record));
     };
     call.isMine = [](const http::response_head &head) {
         return Codec::readAnswer(head).attempt.empty();
--- a/src/gateway/stages/stage_host_frees_impl.h
+++ b/src/gateway/stages/stage_host_frees_impl.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/settings/socket_address_text.h"
 #include "gateway/log_event.h"
+#include "gateway/servers/server_head.h"
 #include "gateway/stages/stage_host.h"
 
 #include <algorithm>
@@ -101,11 +101,7 @@
                           length = outbound.body.size()]() -> std::optional<std::string> {
         if (!holder->accepts(m_loop.now()))
             return std::nullopt;
-        http::request_head head;
-        head.method = "POST";
-        head.target = Codec::freeResultsPath();
-        head.fields = Codec::stageFields(holder->record.id);
-        head.fields.push_back({"Host", toText(holder->record.address)});
+        auto head = makeServerHead<Codec>("POST", Codec::freeResultsPath(), holder->record);
         head.fields.push_back({"Content-Length", std::to_string(length)});
         return http::formatHead(head);
     };
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/settings/socket_address_text.h"
 #include "gateway/log_event.h"
+#include "gateway/servers/server_head.h"
 #include "gateway/stages/stage_host.h"
 #include "gateway/stages/stage_host_frees_impl.h"
 #include "gateway/stages/stage_versions.h"
@@ -283,11 +283,7 @@
         if (active->withheld)
             return std::nullopt;
         m_directory.onSending(*call.server);
-        http::request_head head;
-        head.method = "POST";
-        head.target = Codec::stagePath();
-        head.fields = Codec::stageFields(call.server->record.id);
-        head.fields.push_back({"Host", toText(call.server->record.address)});
+        auto head = makeServerHead<Codec>("POST", Codec::stagePath(), call.server->record);
         head.fields.push_back({"Content-Length", std::to_string(length)});
         return http::formatHead(head);
     };
--- a/src/gateway/streams/open_run_reader_impl.h
+++ b/src/gateway/streams/open_run_reader_impl.h
@@ -9,8 +9,6 @@
 /// Longest time for reading the reports. A server keeps a run for as long as it takes to detect
 /// that the connection is gone.
 inline constexpr milliseconds ReportsTimeout{500};
-/// Largest report of a server.
-inline constexpr std::size_t MaxReportBytes = 1U << 20U;
 
 template <gateway_codec Codec>
 open_run_reader<Codec>::open_run_reader(http::io_loop &loop, server_transport &transport)
