--- a/src/gateway/peers/frames/stream_origin_codec.cpp
+++ b/src/gateway/peers/frames/stream_origin_codec.cpp
@@ -83,16 +83,12 @@
     frame.severalVersions = in.read<bool>();
     frame.covered = in.read<bool>();
     readList(in, [&](field_reader &items) { frame.origin = readOrigin(items); });
-    // A node of an earlier version computes nothing, so what it knows can't show that the version
-    // is uncertain.
-    if (in.atEnd()) {
-        frame.covered = false;
-        frame.inContact = true;
-        return;
+    if (!in.atEnd()) {
+        if (auto computed = in.optional<std::string>())
+            frame.computed = software_version(std::move(*computed));
     }
-    if (auto computed = in.optional<std::string>())
-        frame.computed = software_version(std::move(*computed));
-    // A node of an earlier version doesn't state how late its list may be, nor what it knows.
+    // A node of an earlier version computes nothing, or doesn't state how late its list may be, so
+    // what it knows can't show that the version is uncertain.
     if (in.atEnd()) {
         frame.covered = false;
         frame.inContact = true;
--- a/src/gateway/publication/publication_relay.h
+++ b/src/gateway/publication/publication_relay.h
@@ -87,7 +87,7 @@
     void onFollow(const link_ptr &link, const follow_frame &frame);
     void apply(const publication_frame &frame, const vm_id &reader);
     void applyAnswer(const publication_frame &frame);
-    /// Applies a frame whose revision is later than that of this node.
+    /// Applies a frame whose revision is later than that of this node, and sends it to followers.
     void applyNewer(const publication_frame &frame);
     std::vector<publication_event> applyServers(const publication_frame &frame);
     [[nodiscard]] bool readsStore() const { return m_state.hasServerList() && m_store.isCurrent(); }
--- a/src/gateway/publication/publication_relay_impl.h
+++ b/src/gateway/publication/publication_relay_impl.h
@@ -294,7 +294,6 @@
         return;
     }
     applyNewer(frame);
-    forwardChanges(frame);
 }
 
 // The differences between two lists don't show which servers came and left in between.
@@ -308,6 +307,7 @@
     m_store.advanceTo(frame.revision);
     if (frame.fullSync)
         m_gapUntil = m_store.revision();
+    forwardChanges(frame);
 }
 
 // A peer that does not read the store may have older state than this node; any state is better than
@@ -335,7 +335,6 @@
         return;
     if (newer) {
         applyNewer(frame);
-        forwardChanges(frame);
         return;
     }
     for (const auto &each : applyServers(frame))
--- a/src/gateway/streams/stream_origin_relay.cpp
+++ b/src/gateway/streams/stream_origin_relay.cpp
@@ -233,11 +233,10 @@
             versions.assignedSince(stream, service, since)};
 }
 
-stream_origin_relay::computed_version
-stream_origin_relay::compute(const pending_lookup &asked) const
+stream_origin_relay::computed_version stream_origin_relay::compute(const pending_lookup &asked,
+                                                                   steady_time since) const
 {
-    return compute(asked.stream ? asked.stream->stream : request_digest{}, asked.service,
-                   asked.askedAt - asked.maxAge);
+    return compute(asked.stream ? asked.stream->stream : request_digest{}, asked.service, since);
 }
 
 milliseconds stream_origin_relay::age() const
@@ -385,12 +384,16 @@
 }
 
 // The lists that the other node knows have to reach those that this node knows.
+bool stream_origin_relay::isComplete(const covering_answer &answer) const
+{
+    return answer.revision >= m_published.readyRevision();
+}
+
 bool stream_origin_relay::isCovered(const pending_lookup &asked) const
 {
-    const auto isComplete = [&](const covering_answer &each) {
-        return each.revision >= m_published.readyRevision();
-    };
-    return compute(asked).covered || std::ranges::any_of(asked.covering, isComplete);
+    return compute(asked, asked.earliestBegin()).covered
+        || std::ranges::any_of(asked.covering,
+                               [&](const covering_answer &each) { return isComplete(each); });
 }
 
 std::set<software_version> stream_origin_relay::computedVersions(const pending_lookup &asked) const
@@ -399,12 +402,9 @@
     if (!knownSince)
         return {};
     std::set<std::optional<software_version>> versions;
-    const auto since = std::max(asked.askedAt - asked.maxAge, *knownSince);
-    versions.insert(
-        compute(asked.stream ? asked.stream->stream : request_digest{}, asked.service, since)
-            .version);
+    versions.insert(compute(asked, std::max(asked.earliestBegin(), *knownSince)).version);
     for (const auto &each : asked.covering) {
-        if (each.revision >= m_published.readyRevision())
+        if (isComplete(each))
             versions.insert(each.version);
     }
     std::set<software_version> certain;
@@ -425,7 +425,7 @@
 //   progress.
 origin_lookup stream_origin_relay::conclude(const pending_lookup &asked) const
 {
-    const auto own = compute(asked);
+    const auto own = compute(asked, asked.earliestBegin());
     const bool storeDown = !*asked.confirmed && own.covered && !isInContact() && !asked.inContact
         && asked.candidates > 0 && asked.answered == asked.candidates
         && asked.latestChange <= listRevision() && !m_directory.isAnyUnreachable();
--- a/src/gateway/streams/stream_origin_relay.h
+++ b/src/gateway/streams/stream_origin_relay.h
@@ -150,6 +150,8 @@
         std::uint64_t latestChange = 0; ///< revision of the last change of ready servers they know
         bool inContact = false; ///< the store has answered one of them a moment ago
         http::timer_id timer = 0;
+
+        [[nodiscard]] steady_time earliestBegin() const { return askedAt - maxAge; }
     };
 
     /// A lookup that waits for the reports of the servers.
@@ -175,7 +177,7 @@
     /// Computes the version of a stream from the published servers that this node knows of.
     [[nodiscard]] computed_version compute(const request_digest &stream, const service_id &service,
                                            steady_time since) const;
-    [[nodiscard]] computed_version compute(const pending_lookup &asked) const;
+    [[nodiscard]] computed_version compute(const pending_lookup &asked, steady_time since) const;
     /// Returns whether the list may lack what others have known for some time: this node had no
     /// contact with the store, own or relayed, or its process stood still.
     [[nodiscard]] bool mayListBeOld() const;
@@ -184,6 +186,8 @@
     [[nodiscard]] std::uint64_t listRevision() const;
     /// Returns whether no server of the service is younger than the stream may be.
     [[nodiscard]] bool hasNoYoungServer(const pending_lookup &asked) const;
+    /// Returns whether another node's answer accounts for all changes that this node knows.
+    [[nodiscard]] bool isComplete(const covering_answer &answer) const;
     /// Returns whether this node, with the nodes that have answered, knows all versions since the
     /// stream may have begun.
     [[nodiscard]] bool isCovered(const pending_lookup &asked) const;
