--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,7 +3,7 @@
 # disruption out. Needs target/orchidlead-gateway (build of deploy/system.toml) and review/build-2.sh.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program=$root/build-review-2/shed_extra
+program=$root/build-review-2/stop_queued
 if [ ! -x "$program" ] || [ ! -x "$root/target/orchidlead-gateway" ]; then
     echo "run.sh: build the gateway and run review/build-2.sh first" >&2
     exit 2
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10 into build-review-2/ at the root. Needs a C++20 compiler alone.
+# Builds the stand-ins of the cases of the second review into build-review-2/ at the root. Needs a C++20 compiler alone.
 set -euo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 out=$here/../build-review-2
