--- a/review/lib2/lab.h
+++ b/review/lib2/lab.h
@@ -1,5 +1,6 @@
-// Stand-ins for the cases of the second review: a store, servers, clients and a starter of gateways,
-// on one event loop and the real clock. Loopback addresses only. Needs the C++ library alone.
+// Stand-ins for the cases of the second review: a store, servers, clients and a starter of
+// gateways, on one event loop and the real clock. Loopback addresses only. Needs the C++ library
+// alone.
 #pragma once
 
 #include <arpa/inet.h>
@@ -85,7 +86,9 @@
 class loop
 {
 public:
-    loop() : m_epoll(::epoll_create1(EPOLL_CLOEXEC)) { }
+    loop()
+        : m_epoll(::epoll_create1(EPOLL_CLOEXEC))
+    { }
 
     void watch(int fd, std::uint32_t events, std::function<void(std::uint32_t)> handler)
     {
@@ -188,7 +191,10 @@
 class conn : public std::enable_shared_from_this<conn>
 {
 public:
-    conn(loop &l, int fd) : m_loop(l), m_fd(fd) { }
+    conn(loop &l, int fd)
+        : m_loop(l)
+        , m_fd(fd)
+    { }
     ~conn() { close(); }
 
     std::function<void()> onData; ///< bytes were appended to `in`
@@ -335,7 +341,8 @@
     });
 }
 
-/// Connects; writes wait in the kernel until the connection is open. `receiveBuffer` 0: the default.
+/// Connects; writes wait in the kernel until the connection is open. `receiveBuffer` 0: the
+/// default.
 inline conn_ptr connectTo(loop &l, const endpoint &to, int receiveBuffer = 0)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -435,10 +442,12 @@
     return true;
 }
 
-inline std::string answerText(int status, const std::vector<std::pair<std::string, std::string>> &fields,
+inline std::string answerText(int status,
+                              const std::vector<std::pair<std::string, std::string>> &fields,
                               std::string_view body)
 {
-    std::string text = "HTTP/1.1 " + std::to_string(status) + (status < 300 ? " OK" : " Error") + "\r\n";
+    std::string text =
+        "HTTP/1.1 " + std::to_string(status) + (status < 300 ? " OK" : " Error") + "\r\n";
     for (const auto &[name, value] : fields)
         text += name + ": " + value + "\r\n";
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
@@ -452,7 +461,8 @@
     using handler = std::function<void(const message &, const conn_ptr &)>;
 
     http_server(loop &l, std::string ip, handler onRequest)
-        : m_loop(l), m_onRequest(std::move(onRequest))
+        : m_loop(l)
+        , m_onRequest(std::move(onRequest))
     {
         m_at.ip = std::move(ip);
         m_fd = listenAt(m_at);
@@ -470,6 +480,15 @@
         });
     }
     [[nodiscard]] const endpoint &at() const { return m_at; }
+    [[nodiscard]] std::vector<conn_ptr> connections() const
+    {
+        std::vector<conn_ptr> open;
+        for (const auto &weak : m_conns) {
+            if (auto each = weak.lock(); each && each->open())
+                open.push_back(std::move(each));
+        }
+        return open;
+    }
     /// Ends like a process that exits: refuses connections and resets those that are open.
     void end()
     {
@@ -498,7 +517,8 @@
     for (std::size_t i = 0; i < text.size(); i += 3) {
         std::uint32_t bits = 0;
         for (std::size_t k = 0; k < 3; ++k)
-            bits = bits << 8U | (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0U);
+            bits =
+                bits << 8U | (i + k < text.size() ? static_cast<unsigned char>(text[i + k]) : 0U);
         for (std::size_t k = 0; k < 4; ++k)
             out += i + k > text.size() ? '=' : Digits[bits >> (18 - 6 * k) & 63U];
     }
@@ -524,9 +544,9 @@
 {
 public:
     explicit store(loop &l)
-        : m_loop(l), m_server(l, "127.0.0.1", [this](const message &request, const conn_ptr &to) {
-              onRequest(request, to);
-          })
+        : m_loop(l)
+        , m_server(l, "127.0.0.1",
+                   [this](const message &request, const conn_ptr &to) { onRequest(request, to); })
     { }
 
     [[nodiscard]] const endpoint &at() const { return m_server.at(); }
@@ -545,6 +565,15 @@
             each.to->close();
         return cut.size();
     }
+    /// From now on nothing comes on the connections that are open, without a reset; new ones work.
+    std::size_t goSilent()
+    {
+        m_watchers.clear();
+        const auto open = m_server.connections();
+        for (const auto &each : open)
+            m_silent.insert(each);
+        return open.size();
+    }
     void remove(const std::string &key)
     {
         m_items.erase(key);
@@ -609,6 +638,8 @@
     }
     void onRequest(const message &request, const conn_ptr &to)
     {
+        if (m_silent.contains(to))
+            return;
         const auto target = request.target();
         const auto prefix = queryField(target, "path_prefix");
         const auto after = queryField(target, "after");
@@ -629,15 +660,17 @@
             }
             to->write(json(R"({"items":[)" + items + R"(],"has_more":false,)" + revisionText()));
         } else if (target.starts_with("/kv-watch")) {
-            const watcher made{to, prefix, std::strtoull(after.c_str(), nullptr, 10), ++m_lastWatch};
+            const watcher made{to, prefix, std::strtoull(after.c_str(), nullptr, 10),
+                               ++m_lastWatch};
             if (answerWatch(made, false))
                 return;
             m_watchers.push_back(made);
-            m_loop.after(ms{std::atoi(queryField(target, "wait_ms").c_str())}, [this, id = made.id] {
-                std::erase_if(m_watchers, [&](const watcher &each) {
-                    return each.id == id && answerWatch(each, true);
-                });
-            });
+            m_loop.after(ms{std::atoi(queryField(target, "wait_ms").c_str())},
+                         [this, id = made.id] {
+                             std::erase_if(m_watchers, [&](const watcher &each) {
+                                 return each.id == id && answerWatch(each, true);
+                             });
+                         });
         } else {
             to->write(answerText(404, {}, ""));
         }
@@ -649,6 +682,7 @@
     std::vector<watcher> m_watchers;
     std::uint64_t m_revision = 100;
     std::uint64_t m_lastWatch = 0;
+    std::set<conn_ptr> m_silent;
     http_server m_server;
 };
 
@@ -692,7 +726,8 @@
             } else if (present) {
                 const auto &list = found->second.entries;
                 for (std::size_t i = 0; i < list.size(); ++i)
-                    out += render(inner, fields, list[i].second, list[i].first, i + 1 == list.size());
+                    out +=
+                        render(inner, fields, list[i].second, list[i].first, i + 1 == list.size());
             }
         } else if (name == ".") {
             out += current;
@@ -812,15 +847,17 @@
         for (const auto *each : {"ulemiste-a", "ulemiste-b", "lasnamae", "mustamae"})
             fields["zones"].entries.emplace_back(each, "tallinn");
         for (std::size_t i = 0; i < std::min<std::size_t>(3, m_gateways.size()); ++i)
-            fields["seed_nodes"].entries.emplace_back(std::to_string(i), m_gateways[i]->peers.text());
+            fields["seed_nodes"].entries.emplace_back(std::to_string(i),
+                                                      m_gateways[i]->peers.text());
         std::ifstream file(repository + "/deploy/settings.yaml");
         const std::string pattern{std::istreambuf_iterator<char>(file), {}};
         if (pattern.empty())
             cannotRun("no deploy/settings.yaml");
         const auto settings = folder + "/" + which.name + ".yaml";
         std::ofstream(settings) << render(pattern, fields);
-        const auto log = std::getenv("KEEP_LOG") ? std::string(std::getenv("KEEP_LOG")) + "." + which.name
-                                                 : folder + "/" + which.name + ".log";
+        const auto log = std::getenv("KEEP_LOG")
+            ? std::string(std::getenv("KEEP_LOG")) + "." + which.name
+            : folder + "/" + which.name + ".log";
         const auto pid = ::fork();
         if (pid == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -873,11 +910,12 @@
                   const std::string &zone, int slots, const std::string &phase = "ready")
     {
         platform.put("servers/" + id,
-                     R"({"service":")" + service + R"(","address":")" + at.text() + R"(","zone":")" + zone
-                         + R"(","version":"v1","slots":)" + std::to_string(slots) + R"(,"phase":")" + phase
-                         + R"(","cold_remaining_ms":0,"sequence":)" + std::to_string(++m_sequence) + "}");
-        record("store: server %s of %s at %s in %s, %s", id.c_str(), service.c_str(), at.text().c_str(),
-               zone.c_str(), phase.c_str());
+                     R"({"service":")" + service + R"(","address":")" + at.text() + R"(","zone":")"
+                         + zone + R"(","version":"v1","slots":)" + std::to_string(slots)
+                         + R"(,"phase":")" + phase + R"(","cold_remaining_ms":0,"sequence":)"
+                         + std::to_string(++m_sequence) + "}");
+        record("store: server %s of %s at %s in %s, %s", id.c_str(), service.c_str(),
+               at.text().c_str(), zone.c_str(), phase.c_str());
     }
     /// Whether the process has ended by itself.
     static bool hasEnded(gateway &which)
@@ -919,7 +957,10 @@
 class client
 {
 public:
-    client(loop &l, endpoint to) : m_loop(l), m_to(std::move(to)) { }
+    client(loop &l, endpoint to)
+        : m_loop(l)
+        , m_to(std::move(to))
+    { }
     ~client()
     {
         if (m_conn) {
@@ -929,7 +970,8 @@
         }
     }
 
-    answer_ptr send(const std::string &text, const std::function<void(const answer_ptr &)> &onEnd = {})
+    answer_ptr send(const std::string &text,
+                    const std::function<void(const answer_ptr &)> &onEnd = {})
     {
         const auto answer = std::make_shared<client_answer>();
         if (!m_conn || !m_conn->open()) {
@@ -974,13 +1016,13 @@
     conn_ptr m_conn;
 };
 
-inline std::string requestText(const std::string &method, const std::string &target, const std::string &host,
-                               const std::string &attempt, int deadlineMs,
+inline std::string requestText(const std::string &method, const std::string &target,
+                               const std::string &host, const std::string &attempt, int deadlineMs,
                                const std::vector<std::pair<std::string, std::string>> &more = {},
                                const std::string &body = {})
 {
-    std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: " + attempt
-        + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
+    std::string text = method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nX-Attempt-Id: "
+        + attempt + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
     for (const auto &[name, value] : more)
         text += name + ": " + value + "\r\n";
     if (!body.empty())
--- a/review/lib2/shed_extra.cpp
+++ b/review/lib2/shed_extra.cpp
@@ -3,10 +3,10 @@
 // run once at most, runs there; the gateway takes the copy for its answer and sends it to another
 // server, where it runs again.
 //
-// Servers: 4 of a plain service with 6 places. Each of them is full with the work of other nodes for
-// 60 ms of each second and rejects then, as the example "a server sheds" of the platform's messages
-// shows it. Two of them send at most one in 40 of their answers a second time, in spans of 5 s with
-// 5 s between them.
+// Servers: 4 of a plain service with 6 places. Each of them is full with the work of other nodes
+// for 60 ms of each second and rejects then, as the example "a server sheds" of the platform's
+// messages shows it. Two of them send at most one in 40 of their answers a second time, in spans of
+// 5 s with 5 s between them.
 #include "lab.h"
 
 #include <random>
@@ -36,7 +36,8 @@
         , m_number(number)
         , m_copies(number < CopyingServers && w.hasTrouble)
         , m_random(static_cast<unsigned>(number + 1))
-        , server(w.l, "127.0.0.1", [this](const message &request, const conn_ptr &to) { onRequest(request, to); })
+        , server(w.l, "127.0.0.1",
+                 [this](const message &request, const conn_ptr &to) { onRequest(request, to); })
     { }
 
     std::string id;
@@ -57,7 +58,8 @@
             return;
         }
         ++answers;
-        const auto inPeriod = (clock::now() - startTime() + FullPeriod - ms{250} * m_number) % FullPeriod;
+        const auto inPeriod =
+            (clock::now() - startTime() + FullPeriod - ms{250} * m_number) % FullPeriod;
         if (m_places >= Places || inPeriod < FullTime) {
             ++rejections;
             record("%s rejects %s", id.c_str(), request.field("X-Attempt-Id").c_str());
@@ -71,17 +73,18 @@
             return;
         }
         ++m_places;
-        m_world.l.after(ms{std::uniform_int_distribution<int>(8, 25)(m_random)}, [this, request, to] {
-            --m_places;
-            const auto attempt = request.field("X-Attempt-Id");
-            m_runs[attempt].push_back(id);
-            record("%s has run %s", id.c_str(), attempt.c_str());
-            to->write(answerText(200,
-                                 {{"X-Attempt-Id", attempt},
-                                  {"X-Instance-Signature", id + "." + attempt},
-                                  {"X-Instance-Load", std::to_string(m_places) + ",0,6"}},
-                                 "done " + attempt));
-        });
+        m_world.l.after(
+            ms{std::uniform_int_distribution<int>(8, 25)(m_random)}, [this, request, to] {
+                --m_places;
+                const auto attempt = request.field("X-Attempt-Id");
+                m_runs[attempt].push_back(id);
+                record("%s has run %s", id.c_str(), attempt.c_str());
+                to->write(answerText(200,
+                                     {{"X-Attempt-Id", attempt},
+                                      {"X-Instance-Signature", id + "." + attempt},
+                                      {"X-Instance-Load", std::to_string(m_places) + ",0,6"}},
+                                     "done " + attempt));
+            });
     }
 
     world &m_world;
@@ -134,13 +137,14 @@
         }
         const auto attempt = "a" + std::to_string(who) + "r" + std::to_string(1000 + number);
         record("client sends %s", attempt.c_str());
-        clients[who]->send(requestText("POST", "/bobo563/lo7/2f", "jepu9.example", attempt, 600, {{"Api-Key", "k1"}},
-                                       "sign up " + attempt),
+        clients[who]->send(requestText("POST", "/bobo563/lo7/2f", "jepu9.example", attempt, 600,
+                                       {{"Api-Key", "k1"}}, "sign up " + attempt),
                            [&, who, number, attempt](const answer_ptr &answer) {
                                record("client gets %d for %s", answer->status, attempt.c_str());
                                ++answered[answer->status];
                                statusOf[attempt] = answer->status;
-                               w.l.after(ms{answer->status == 200 ? 20 + 7 * who : 400}, [&, who, number] { next(who, number + 1); });
+                               w.l.after(ms{answer->status == 200 ? 20 + 7 * who : 400},
+                                         [&, who, number] { next(who, number + 1); });
                            });
     };
     for (int i = 0; i < Clients; ++i) {
@@ -163,7 +167,8 @@
     for (const auto &[attempt, where] : runs) {
         if (where.size() > 1) {
             ++twice;
-            record("request %s ran %zu times, at %s and %s", attempt.c_str(), where.size(), where[0].c_str(), where[1].c_str());
+            record("request %s ran %zu times, at %s and %s", attempt.c_str(), where.size(),
+                   where[0].c_str(), where[1].c_str());
         }
         const int status = statusOf[attempt];
         if (status == 503 || status == 429) {
@@ -173,12 +178,14 @@
     }
     for (const auto &[status, count] : answered)
         record("answers with %d: %d", status, count);
-    record("%d answers of servers, %d of them rejections, %d sent again; %zu requests ran", answers, rejections,
-           copies, runs.size());
+    record("%d answers of servers, %d of them rejections, %d sent again; %zu requests ran", answers,
+           rejections, copies, runs.size());
     if (answered[200] < 300)
         cannotRun("too few requests were served");
     if (w.hasTrouble && copies == 0)
         cannotRun("no answer was sent again");
-    return verdict(twice + promised > 0, "TWICE, " + std::to_string(twice) + " of " + std::to_string(runs.size())
-                       + " requests ran twice; REFUSED, " + std::to_string(promised) + " were answered 503 and have run");
+    return verdict(twice + promised > 0,
+                   "TWICE, " + std::to_string(twice) + " of " + std::to_string(runs.size())
+                       + " requests ran twice; REFUSED, " + std::to_string(promised)
+                       + " were answered 503 and have run");
 }
--- a/review/lib2/stop_queued.cpp
+++ b/review/lib2/stop_queued.cpp
@@ -1,11 +1,11 @@
 // Case: SIGTERM comes while requests wait in the queues of model runners. The gateway has read the
-// requests and passed them on; 7.5 s after the SIGTERM it ends, and closes their connections without
-// an answer.
+// requests and passed them on; 7.5 s after the SIGTERM it ends, and closes their connections
+// without an answer.
 //
 // Two gateways, 2 model runners that run 4 requests at once and queue the others, 38 clients. A run
-// takes 2.5 s, and a request waits about 9 s for its turn; deadline and timeout are 20 s. One gateway
-// gets SIGTERM. The balancer asks each gateway once a second whether it is ready, and gives it new
-// connections until it has missed twice.
+// takes 2.5 s, and a request waits about 9 s for its turn; deadline and timeout are 20 s. One
+// gateway gets SIGTERM. The balancer asks each gateway once a second whether it is ready, and gives
+// it new connections until it has missed twice.
 #include "lab.h"
 
 #include <deque>
@@ -46,7 +46,8 @@
         : id("i-runner-" + std::to_string(number))
         , m_world(w)
         , m_requests(requests)
-        , server(w.l, "127.0.0.1", [this](const message &request, const conn_ptr &to) { onRequest(request, to); })
+        , server(w.l, "127.0.0.1",
+                 [this](const message &request, const conn_ptr &to) { onRequest(request, to); })
     { }
 
     std::string id;
@@ -61,10 +62,11 @@
     void onRequest(const message &request, const conn_ptr &to)
     {
         if (request.target() == "/report") {
-            to->write(answerText(200, {{"Content-Type", "application/json"}},
-                                 R"({"stage":"mixed","models":[],"busy":false,"sequence":1,"queued":)"
-                                     + std::to_string(m_queue.size()) + R"(,"active":)" + std::to_string(m_running)
-                                     + R"(,"kv_used":0,"kv_total":286093,"handles":0,"runs":[]})"));
+            to->write(answerText(
+                200, {{"Content-Type", "application/json"}},
+                R"({"stage":"mixed","models":[],"busy":false,"sequence":1,"queued":)"
+                    + std::to_string(m_queue.size()) + R"(,"active":)" + std::to_string(m_running)
+                    + R"(,"kv_used":0,"kv_total":286093,"handles":0,"runs":[]})"));
             return;
         }
         if (request.target() == "/healthz") {
@@ -91,7 +93,8 @@
             const auto first = m_queue.front();
             m_queue.pop_front();
             if (!first.to->open()) {
-                record("%s drops %s, whose connection has closed", id.c_str(), first.attempt.c_str());
+                record("%s drops %s, whose connection has closed", id.c_str(),
+                       first.attempt.c_str());
                 continue;
             }
             ++m_running;
@@ -99,8 +102,10 @@
             state.begun = true;
             state.begunAt = clock::now();
             record("%s begins to run %s", id.c_str(), first.attempt.c_str());
-            first.to->write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + first.attempt + "\r\nX-Instance-Signature: " + id + "."
-                            + first.attempt + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            first.to->write(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + first.attempt
+                + "\r\nX-Instance-Signature: " + id + "." + first.attempt
+                + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
             event(first, 1);
         }
     }
@@ -152,8 +157,10 @@
         R"("idle_timeout_ms":15000},"tenants":[{"name":"t","api_keys":["k1"]}]})");
     const char *zones[] = {"ulemiste-a", "ulemiste-b"};
     for (int i = 0; i < Runners; ++i)
-        w.announce(runners[i]->id, "pool", runners[i]->server.at(), zones[i], static_cast<int>(Slots));
-    std::vector<gateway *> gateways{&w.add("edge-ulemiste-a-1", "ulemiste-a"), &w.add("edge-ulemiste-b-1", "ulemiste-b")};
+        w.announce(runners[i]->id, "pool", runners[i]->server.at(), zones[i],
+                   static_cast<int>(Slots));
+    std::vector<gateway *> gateways{&w.add("edge-ulemiste-a-1", "ulemiste-a"),
+                                    &w.add("edge-ulemiste-b-1", "ulemiste-b")};
     for (auto *each : gateways)
         w.start(*each);
     for (auto *each : gateways)
@@ -166,7 +173,9 @@
         for (std::size_t i = 0; i < gateways.size(); ++i) {
             const auto asked = std::make_shared<client>(w.l, gateways[i]->readiness);
             const auto answer = asked->send("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
-            w.l.after(ms{500}, [&, i, asked, answer] { misses[i] = answer->status == 200 ? 0 : misses[i] + 1; });
+            w.l.after(ms{500}, [&, i, asked, answer] {
+                misses[i] = answer->status == 200 ? 0 : misses[i] + 1;
+            });
         }
         w.l.after(ms{1000}, probe);
     };
@@ -189,12 +198,13 @@
         record("client sends %s to %s", attempt.c_str(), gateways[chosen]->name.c_str());
         clients[who] = std::make_unique<client>(w.l, gateways[chosen]->clients);
         const auto sent = clients[who]->send(
-            requestText("POST", "/puxa400/2f", "pule25.example", attempt, Deadline,
-                        {{"X-Model", "m"},
-                         {"X-Token-Count", "500,30"},
-                         {"X-Prefix-Hash", "5c1e:172,ab" + std::to_string(1000 * who + number) + ":328"},
-                         {"Api-Key", "k1"}},
-                        "question of " + attempt),
+            requestText(
+                "POST", "/puxa400/2f", "pule25.example", attempt, Deadline,
+                {{"X-Model", "m"},
+                 {"X-Token-Count", "500,30"},
+                 {"X-Prefix-Hash", "5c1e:172,ab" + std::to_string(1000 * who + number) + ":328"},
+                 {"Api-Key", "k1"}},
+                "question of " + attempt),
             [&, who, number, attempt](const answer_ptr &answer) {
                 auto &known = requests[attempt];
                 known.ended = true;
@@ -203,7 +213,8 @@
                 known.endedAt = clock::now();
                 record("client gets %d for %s, %s", answer->status, attempt.c_str(),
                        answer->whole ? "complete" : "connection closed");
-                w.l.after(ms{answer->status == 200 ? 20 : 400}, [&, who, number] { next(who, number + 1); });
+                w.l.after(ms{answer->status == 200 ? 20 : 400},
+                          [&, who, number] { next(who, number + 1); });
             });
         if (sent->ended)
             w.l.after(ms{400}, [&, who, number] { next(who, number + 1); });
@@ -225,24 +236,30 @@
     int excused = 0;
     for (const auto &[attempt, each] : requests) {
         served += each.whole && each.status == 200 ? 1 : 0;
-        const bool concerned = each.gateway == 0 && each.ended && !each.whole && each.endedAt >= stopAt
-            && each.endedAt <= stopAt + Grace + ms{1000} && each.reachedRunner;
+        const bool concerned = each.gateway == 0 && each.ended && !each.whole
+            && each.endedAt >= stopAt && each.endedAt <= stopAt + Grace + ms{1000}
+            && each.reachedRunner;
         if (!concerned)
             continue;
-        const bool atWork = each.begun && each.begunAt <= stopAt + Grace && each.runEndedAt >= stopAt + LastSixth;
+        const bool atWork =
+            each.begun && each.begunAt <= stopAt + Grace && each.runEndedAt >= stopAt + LastSixth;
         const bool isExcused = (atWork && each.sentAt <= stopAt + ExcusedUntil)
             || each.endedAt - each.sentAt >= ms{Deadline};
         (isExcused ? excused : lost) += 1;
-        record("%s was sent %lld ms after the SIGTERM and cut at %lld ms, %s%s", attempt.c_str(),
-               static_cast<long long>(std::chrono::duration_cast<ms>(each.sentAt - stopAt).count()),
-               static_cast<long long>(std::chrono::duration_cast<ms>(each.endedAt - stopAt).count()),
-               each.begun ? "while it ran" : "while it waited in the queue of its runner",
-               isExcused ? ": not counted" : "");
+        record(
+            "%s was sent %lld ms after the SIGTERM and cut at %lld ms, %s%s", attempt.c_str(),
+            static_cast<long long>(std::chrono::duration_cast<ms>(each.sentAt - stopAt).count()),
+            static_cast<long long>(std::chrono::duration_cast<ms>(each.endedAt - stopAt).count()),
+            each.begun ? "while it ran" : "while it waited in the queue of its runner",
+            isExcused ? ": not counted" : "");
     }
-    record("%d requests served, %d cut around the stop, %d more not counted", served, lost, excused);
+    record("%d requests served, %d cut around the stop, %d more not counted", served, lost,
+           excused);
     if (served < 40)
         cannotRun("too few requests were served");
-    return verdict(lost > 0, "LOST, " + std::to_string(lost)
-                       + " requests that waited at a runner ended without an answer around a SIGTERM ("
-                       + std::to_string(excused) + " more not counted)");
+    return verdict(
+        lost > 0,
+        "LOST, " + std::to_string(lost)
+            + " requests that waited at a runner ended without an answer around a SIGTERM ("
+            + std::to_string(excused) + " more not counted)");
 }
--- a/review/lib2/unframed_extra.cpp
+++ b/review/lib2/unframed_extra.cpp
@@ -48,16 +48,19 @@
                 }
                 const auto attempt = request.field("X-Attempt-Id");
                 w.l.after(ms{15}, [&, id, i, attempt, to] {
+                    record("%s runs %s", id.c_str(), attempt.c_str());
                     ++answers;
                     ++countOf[i];
-                    const auto text = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\nX-Instance-Signature: " + id + "."
-                        + attempt + "\r\n\r\n" + bodyOf(attempt);
+                    const auto text = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt
+                        + "\r\nX-Instance-Signature: " + id + "." + attempt + "\r\n\r\n"
+                        + bodyOf(attempt);
                     to->write(text);
                     const bool due = (clock::now() - startTime()) % ExtraPeriod < ExtraTime;
                     if (w.hasTrouble && i < ExtraServers && due && countOf[i] >= nextExtra[i]) {
                         nextExtra[i] = countOf[i] + AnswersPerExtra;
                         ++extras;
-                        record("%s sends its answer to %s a second time behind the first", id.c_str(), attempt.c_str());
+                        record("%s sends its answer to %s a second time behind the first",
+                               id.c_str(), attempt.c_str());
                         to->write(text);
                     }
                     to->closeAfterWrite();
@@ -89,18 +92,21 @@
             return;
         }
         const auto attempt = "a" + std::to_string(who) + "r" + std::to_string(1000 + number);
-        clients[who]->send(requestText("GET", "/bobo563/lo7/2f", "jepu9.example", attempt, 3000, {{"Api-Key", "k1"}}),
-                           [&, who, number, attempt](const answer_ptr &answer) {
-                               const auto &body = answer->content.body;
-                               const bool complete = answer->whole && answer->status == 200;
-                               const bool own = body == bodyOf(attempt);
-                               whole += complete ? 1 : 0;
-                               mixed += complete && !own ? 1 : 0;
-                               record("client gets %d for %s, %s, %zu bytes%s", answer->status, attempt.c_str(),
-                                      answer->whole ? "complete" : "cut", body.size(),
-                                      complete && !own ? ", not the server's body" : "");
-                               w.l.after(ms{10 + 7 * who}, [&, who, number] { next(who, number + 1); });
-                           });
+        record("client sends %s", attempt.c_str());
+        clients[who]->send(
+            requestText("GET", "/bobo563/lo7/2f", "jepu9.example", attempt, 3000,
+                        {{"Api-Key", "k1"}}),
+            [&, who, number, attempt](const answer_ptr &answer) {
+                const auto &body = answer->content.body;
+                const bool complete = answer->whole && answer->status == 200;
+                const bool own = body == bodyOf(attempt);
+                whole += complete ? 1 : 0;
+                mixed += complete && !own ? 1 : 0;
+                record("client gets %d for %s, %s, %zu bytes%s", answer->status, attempt.c_str(),
+                       answer->whole ? "complete" : "cut", body.size(),
+                       complete && !own ? ", not the server's body" : "");
+                w.l.after(ms{10 + 7 * who}, [&, who, number] { next(who, number + 1); });
+            });
     };
     for (int i = 0; i < Clients; ++i) {
         clients.push_back(std::make_unique<client>(w.l, node.clients));
@@ -108,12 +114,15 @@
         w.l.after(ms{20 * i}, [&, i] { next(i, 0); });
     }
     w.l.runUntil(TrafficTime + ms{10000}, [&] { return open == 0; });
-    record("%d answers of servers, %d of them with a second one behind; %d whole successes, %d with another body", answers,
-           extras, whole, mixed);
+    record("%d answers of servers, %d of them with a second one behind; %d whole successes, %d "
+           "with another body",
+           answers, extras, whole, mixed);
     if (whole < 300)
         cannotRun("too few requests were served");
     if (w.hasTrouble && extras == 0)
         cannotRun("no second answer was sent");
-    return verdict(mixed > 0, "MIXED, " + std::to_string(mixed) + " of " + std::to_string(whole)
-                       + " successes had a body that isn't the server's, of " + std::to_string(extras) + " second answers");
+    return verdict(mixed > 0,
+                   "MIXED, " + std::to_string(mixed) + " of " + std::to_string(whole)
+                       + " successes had a body that isn't the server's, of "
+                       + std::to_string(extras) + " second answers");
 }
--- a/review/lib2/watch_cut.cpp
+++ b/review/lib2/watch_cut.cpp
@@ -24,7 +24,8 @@
     plain_server(world &w, int number)
         : id("i-portal-" + std::to_string(number))
         , m_world(w)
-        , server(w.l, "127.0.0.1", [this](const message &request, const conn_ptr &to) { onRequest(request, to); })
+        , server(w.l, "127.0.0.1",
+                 [this](const message &request, const conn_ptr &to) { onRequest(request, to); })
     { }
 
     std::string id;
@@ -54,10 +55,11 @@
                 ++late;
                 lateRequests.insert(attempt);
             }
-            record("%s gets %s %lld ms after the store accepted its removal", id.c_str(), attempt.c_str(),
-                   static_cast<long long>(since.count()));
+            record("%s gets %s %lld ms after the store accepted its removal", id.c_str(),
+                   attempt.c_str(), static_cast<long long>(since.count()));
         }
         running.insert(attempt);
+        record("%s runs %s", id.c_str(), attempt.c_str());
         m_world.l.after(WorkTime, [this, attempt, to] {
             running.erase(attempt);
             to->write(answerText(200,
@@ -91,7 +93,8 @@
     const auto addServer = [&] {
         const int number = static_cast<int>(servers.size());
         servers.push_back(std::make_unique<plain_server>(w, number));
-        w.announce(servers.back()->id, "portal-web", servers.back()->server.at(), zones[number % 4], 6);
+        w.announce(servers.back()->id, "portal-web", servers.back()->server.at(), zones[number % 4],
+                   6);
     };
     for (int i = 0; i < FirstServers; ++i)
         addServer();
@@ -111,13 +114,14 @@
         if (stopped)
             return;
         const auto attempt = "a" + std::to_string(who) + "r" + std::to_string(1000 + number);
-        clients[who]->send(requestText("POST", "/bobo563/lo7/2f", "jepu9.example", attempt, 600, {{"Api-Key", "k1"}},
-                                       "sign up " + attempt),
+        record("client sends %s", attempt.c_str());
+        clients[who]->send(requestText("POST", "/bobo563/lo7/2f", "jepu9.example", attempt, 600,
+                                       {{"Api-Key", "k1"}}, "sign up " + attempt),
                            [&, who, number, attempt](const answer_ptr &answer) {
                                ++answered[answer->status];
-                               if (answer->status != 200)
-                                   record("client gets %d for %s", answer->status, attempt.c_str());
-                               w.l.after(ms{60 + 7 * who}, [&, who, number] { next(who, number + 1); });
+                               record("client gets %d for %s", answer->status, attempt.c_str());
+                               w.l.after(ms{60 + 7 * who},
+                                         [&, who, number] { next(who, number + 1); });
                            });
     };
     for (int i = 0; i < Clients; ++i) {
@@ -145,7 +149,9 @@
             w.l.after(ServesAfterRemoval, [&] {
                 for (const auto &attempt : leaving.running)
                     record("%s exits while it runs %s%s", leaving.id.c_str(), attempt.c_str(),
-                           leaving.lateRequests.contains(attempt) ? ", which came later than drain_ms" : "");
+                           leaving.lateRequests.contains(attempt)
+                               ? ", which came later than drain_ms"
+                               : "");
                 leaving.server.end();
             });
         });
@@ -161,13 +167,15 @@
             continue;
         late += each->late;
         broken += each->late > 0 ? 1 : 0;
-        record("%s got its last request %lld ms after its removal, %d requests later than drain_ms", each->id.c_str(),
-               static_cast<long long>(each->latest.count()), each->late);
+        record("%s got its last request %lld ms after its removal, %d requests later than drain_ms",
+               each->id.c_str(), static_cast<long long>(each->latest.count()), each->late);
     }
     for (const auto &[status, count] : answered)
         record("answers with %d: %d", status, count);
     if (answered[200] < 1000)
         cannotRun("too few requests were served");
-    return verdict(late > 0, "DRAIN, " + std::to_string(late) + " requests reached " + std::to_string(broken) + " of "
-                       + std::to_string(Rounds) + " leaving servers later than drain_ms after their removal");
+    return verdict(late > 0,
+                   "DRAIN, " + std::to_string(late) + " requests reached " + std::to_string(broken)
+                       + " of " + std::to_string(Rounds)
+                       + " leaving servers later than drain_ms after their removal");
 }
