Let the fakes of the platform cut watches, fall silent and answer early

The store can cut waiting watches and make open connections silent, and answers a watch that doesn't wait at once, as the platform's does. A server can answer a request before it reads its body. Worlds can set the grace of a stop and the size of bodies, and processes can be sent SIGTERM.

--- a/tests/platform/gateway_process.cpp
+++ b/tests/platform/gateway_process.cpp
@@ -134,6 +134,11 @@
     m_nodes.at(index)->ready = false;
 }
 
+void gateway_processes::terminate(std::size_t index)
+{
+    m_nodes.at(index)->process->signal(SIGTERM);
+}
+
 void gateway_processes::pause(std::size_t index)
 {
     m_nodes.at(index)->process->signal(SIGSTOP);
--- a/tests/platform/gateway_process.h
+++ b/tests/platform/gateway_process.h
@@ -62,6 +62,8 @@
     [[nodiscard]] std::size_t count() const { return m_nodes.size(); }
     void start(std::size_t index);
     void kill(std::size_t index);
+    /// Sends SIGTERM.
+    void terminate(std::size_t index);
     /// Stops a process without its knowledge, and lets it go on: what arrives meanwhile waits in
     /// its sockets.
     void pause(std::size_t index);
--- a/tests/platform/platform_world.cpp
+++ b/tests/platform/platform_world.cpp
@@ -158,7 +158,17 @@
             m_owner.m_behaviour(request, shared_from_this());
     }
     void onEnd(bool /*inOrder*/) override { end(); }
-    void onHead(http::request_head head) override { m_request.head = std::move(head); }
+    void onHead(http::request_head head) override
+    {
+        m_request.head = std::move(head);
+        if (!m_owner.m_earlyBehaviour || m_request.head.target == "/report")
+            return;
+        m_socket->setReading(false);
+        m_owner.m_requests.push_back(m_request);
+        m_owner.m_loop.post([self = shared_from_this(), request = m_request] {
+            self->m_owner.m_earlyBehaviour(request, self);
+        });
+    }
     void onBody(std::string_view bytes) override { m_request.body.append(bytes); }
     void onComplete() override { }
     void end()
@@ -324,6 +334,9 @@
 void fake_store::onRequest(const http::inbound_ptr &client, const http::request_head &head)
 {
     ++m_calls;
+    m_callers.push_back(client);
+    if (isSilent(client))
+        return;
     if (m_failure != 0 || (m_refuseEach != 0 && m_calls % m_refuseEach == 0)) {
         client->respond(m_failure != 0 ? m_failure : 429, {}, {});
         return;
@@ -352,7 +365,8 @@
         sendPieces(client, body, 0);
     } else if (head.target.starts_with("/kv-watch")) {
         ++m_watches;
-        answerWatch(client, queryNumber(head.target, "after"));
+        answerWatch(client, queryNumber(head.target, "after"),
+                    milliseconds{queryNumber(head.target, "wait_ms")});
     } else if (const auto found = m_entries.find(queryArgument(head.target, "key"));
                found != m_entries.end()) {
         ++m_configurationReads;
@@ -391,19 +405,41 @@
     m_loop.callAfter(milliseconds{1}, [this, client, sent] { sendEndless(client, sent); });
 }
 
-void fake_store::answerWatch(const http::inbound_ptr &client, std::uint64_t after)
+void fake_store::answerWatch(const http::inbound_ptr &client, std::uint64_t after,
+                             milliseconds wanted)
 {
-    constexpr milliseconds Wait{100};
+    constexpr milliseconds LongestWait{100};
+    constexpr milliseconds NoWait{1};
     dropOldHistory();
     if (after < m_oldest) {
         client->respond(410, {}, {});
         return;
     }
-    if (m_revision > after) {
+    if (m_revision > after || wanted <= NoWait) {
         client->respond(200, {}, changes(after));
         return;
     }
-    m_loop.callAfter(Wait, [this, client, after] { client->respond(200, {}, changes(after)); });
+    m_waiting.push_back(client);
+    m_loop.callAfter(std::min(wanted, LongestWait), [this, client, after] {
+        if (std::erase(m_waiting, client) > 0 && !isSilent(client))
+            client->respond(200, {}, changes(after));
+    });
+}
+
+void fake_store::cutWatches()
+{
+    for (const auto &each : std::exchange(m_waiting, {}))
+        each->abort();
+}
+
+void fake_store::silenceConnections()
+{
+    m_silent = std::exchange(m_callers, {});
+}
+
+bool fake_store::isSilent(const http::inbound_ptr &client) const
+{
+    return std::ranges::any_of(m_silent, [&](const auto &each) { return each.lock() == client; });
 }
 
 std::string client_answer::field(std::string_view name) const
@@ -490,8 +526,9 @@
     store.put("op/config",
               R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes
                   + R"(],"services":[)" + services
-                  + R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":100000,)"
-                    R"("header_timeout_ms":400,"idle_timeout_ms":3000},)"
+                  + R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":)"
+                  + std::to_string(maxBodyBytes)
+                  + R"(,"header_timeout_ms":400,"idle_timeout_ms":3000},)"
                     R"("tenants":[{"name":"t1","api_keys":["k1"],"priority":1)"
                   + customerFields + "}]}");
 }
@@ -504,7 +541,7 @@
     settings.dataCenter = data_center_id(dataCenter);
     settings.region = region_id("r");
     settings.regions = regions;
-    settings.disabledPolicies = disabledPolicies;
+    settings.bounds.stopGrace = stopGrace;
     if (const auto found = regions.find(settings.dataCenter); found != regions.end())
         settings.region = found->second;
     // All nodes have the same relay port, so each one has an address of its own.
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -55,6 +55,8 @@
     [[nodiscard]] const std::vector<server_request> &requests() const { return m_requests; }
     [[nodiscard]] std::size_t openConnections() const { return *m_open; }
     void setBehaviour(server_behaviour behaviour) { m_behaviour = std::move(behaviour); }
+    /// Makes the server answer each request when it has read the head, and read nothing more.
+    void answerBeforeBody(server_behaviour behaviour) { m_earlyBehaviour = std::move(behaviour); }
     /// Sets how the server reports what it is running; at first it reports nothing. These requests
     /// are not among `requests`.
     void setReport(server_behaviour behaviour) { m_report = std::move(behaviour); }
@@ -73,6 +75,7 @@
     std::vector<server_request> m_requests;
     server_behaviour m_behaviour;
     server_behaviour m_report;
+    server_behaviour m_earlyBehaviour; ///< empty: requests are read to their end
     std::vector<std::weak_ptr<connection>> m_connections;
     std::shared_ptr<std::size_t> m_open = std::make_shared<std::size_t>(0);
 };
@@ -103,6 +106,11 @@
     void setEndless(bool endless) { m_endless = endless; }
     /// Returns the number of bytes of the longest of these bodies so far.
     [[nodiscard]] std::size_t longestBody() const { return m_longestBody; }
+    [[nodiscard]] bool hasWaitingWatch() const { return !m_waiting.empty(); }
+    /// Closes the connections of the watches that wait for changes.
+    void cutWatches();
+    /// Makes the connections of all calls so far silent; the store answers on new ones.
+    void silenceConnections();
     /// Drops the history: watches from earlier revisions are answered with 410.
     void compact() { m_oldest = m_revision; }
     /// Drops each change after this time.
@@ -130,7 +138,9 @@
     void onRequest(const http::inbound_ptr &client, const http::request_head &head);
     void sendPieces(const http::inbound_ptr &client, const std::string &body, std::size_t sent);
     void sendEndless(const http::inbound_ptr &client, std::size_t sent);
-    void answerWatch(const http::inbound_ptr &client, std::uint64_t after);
+    /// `wanted` is the time that the caller waits for changes.
+    void answerWatch(const http::inbound_ptr &client, std::uint64_t after, milliseconds wanted);
+    [[nodiscard]] bool isSilent(const http::inbound_ptr &client) const;
     [[nodiscard]] std::string page(const std::string &prefix, const std::string &after,
                                    std::uint64_t revision) const;
     [[nodiscard]] std::map<std::string, entry> entriesAt(std::uint64_t revision) const;
@@ -155,6 +165,9 @@
     std::size_t m_pageSize = 500;
     bool m_endless = false;
     std::size_t m_longestBody = 0;
+    std::vector<http::inbound_ptr> m_waiting; ///< connections of watches
+    std::vector<std::weak_ptr<http::inbound_connection>> m_callers; ///< connections of all calls
+    std::vector<std::weak_ptr<http::inbound_connection>> m_silent;
 };
 
 /// The answer that a client received.
@@ -260,6 +273,8 @@
     std::ostringstream logOutput;
     std::map<data_center_id, region_id> regions; ///< in the settings of nodes started later
     gateway::disabled_policies disabledPolicies; ///< in the settings of nodes started later
+    milliseconds stopGrace{8000}; ///< in the settings of nodes started later
+    std::size_t maxBodyBytes = 100'000; ///< of clients' requests, in what is published later
     /// Whether nodes started later reach servers through a proxy that can be cut. Connections to a
     /// crashed server are then accepted and closed, not refused.
     bool canBeCut = false;
