--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -98,6 +98,8 @@
     /// Refuses the request if it has not been sent to a server yet, because this process is about
     /// to stop.
     void refuseIfWaiting();
+    /// Answers the request now, whatever it waits for, because this process ends.
+    void onStopTimeout();
 
 private:
     /// How an attempt ended; determines whether it may be retried.
@@ -337,6 +339,9 @@
     void failRequest(request_outcome outcome);
     void onClientGone();
     void onTimeout();
+    /// Ends all calls and answers with 504 if a server may have run the request, else refuses it.
+    /// An answer of which the client has a part is broken off.
+    void endUnanswered(request_outcome outcome);
     void updateQuarantine(request_outcome outcome);
     void finish(request_outcome outcome);
 
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -400,7 +400,7 @@
 }
 
 template <gateway_codec Codec>
-void exchange<Codec>::onTimeout()
+void exchange<Codec>::endUnanswered(request_outcome outcome)
 {
     if (m_done)
         return;
@@ -411,14 +411,26 @@
     }
     if (m_headSent) {
         m_client->abort();
-        finish(request_outcome::Timeout);
+        finish(outcome);
     } else if (sent || m_mayHaveRun) {
-        respondWithStatus(status::GatewayTimeout, request_outcome::Timeout);
+        respondWithStatus(status::GatewayTimeout, outcome);
     } else {
-        refuse(request_outcome::Timeout);
+        refuse(outcome);
     }
 }
 
+template <gateway_codec Codec>
+void exchange<Codec>::onTimeout()
+{
+    endUnanswered(request_outcome::Timeout);
+}
+
+template <gateway_codec Codec>
+void exchange<Codec>::onStopTimeout()
+{
+    endUnanswered(request_outcome::Stopping);
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::refuseIfWaiting()
 {
--- a/src/gateway/exchange/request_outcome.h
+++ b/src/gateway/exchange/request_outcome.h
@@ -35,7 +35,7 @@
     StageFailed,
     Timeout,
     ClientGone,
-    Stopping, ///< this process stops before the request was sent to a server
+    Stopping, ///< this process stops before the request can be answered
 };
 
 /// Returns the outcome of a request with a piece that failed.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,6 +85,10 @@
     void tick();
     void checkStopped();
     void refuseWaiting();
+    /// Answers all requests that have no answer yet, because the process ends.
+    void answerAll();
+    /// Returns the time after the stop signal when they are answered.
+    [[nodiscard]] milliseconds stopAnswerTime() const;
 
     http::io_loop m_loop; ///< owns the timers and tasks of all parts of the node
     wire::log &m_log;
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -31,8 +31,11 @@
 /// Ended exchanges are removed from the list when it reaches this size, or twice its size after the
 /// last removal.
 inline constexpr std::size_t MinSweepSize = 64;
-/// The process ends this long before the platform would kill it.
+/// Requests without an answer get one this long before the platform would kill the process.
 inline constexpr milliseconds StopMargin{500};
+/// How long the process then waits for clients to read their answers. The rest of the margin is for
+/// the end of the process itself.
+inline constexpr milliseconds StopFlushTime{250};
 /// Smallest number of nodes that the retry reserve is divided among: some may not be known yet.
 inline constexpr std::size_t MinAssumedNodes = 8;
 
@@ -540,19 +543,40 @@
     }
 }
 
+template <gateway_codec Codec>
+milliseconds gateway<Codec>::stopAnswerTime() const
+{
+    return m_settings.bounds.stopGrace - StopMargin;
+}
+
+// Without an answer a client can't tell whether its request has run.
+template <gateway_codec Codec>
+void gateway<Codec>::answerAll()
+{
+    const auto exchanges = m_exchanges;
+    for (const auto &weak : exchanges) {
+        if (const auto each = weak.lock())
+            each->onStopTimeout();
+    }
+    m_clientListener->refuseUnread();
+}
+
 template <gateway_codec Codec>
 void gateway<Codec>::checkStopped()
 {
     const auto since = m_loop.now() - m_stopBegan;
-    if (since < StopNoticeTime)
+    const auto answerTime = stopAnswerTime();
+    if (since < std::min(StopNoticeTime, answerTime))
         return;
     m_clientListener->closeIdle(StopIdleTimeout);
     m_callRelay.closeIdle(StopIdleTimeout);
     if (since > StopWaitLimit)
         refuseWaiting();
+    if (since >= answerTime)
+        answerAll();
     const bool idle =
         m_clients->answering == 0 && m_clients->connections == 0 && m_callRelay.active() == 0;
-    if (!idle && since < m_settings.bounds.stopGrace - StopMargin)
+    if (!idle && since < answerTime + StopFlushTime)
         return;
     m_peers.announceStopped();
     m_log.write(wire::log_level::Info, wire::node_event::Stopped, {});
--- a/src/http/inbound_connection.cpp
+++ b/src/http/inbound_connection.cpp
@@ -350,12 +350,21 @@
     });
 }
 
+bool inbound_connection::isRequestUnread() const
+{
+    return m_phase == phase::Reading && (!m_unparsed.empty() || m_reader->headDone());
+}
+
+void inbound_connection::refuseUnread()
+{
+    if (isRequestUnread())
+        refuse(503);
+}
+
 void inbound_connection::onTimer()
 {
     m_timer = 0;
-    const bool requestStarted =
-        m_phase == phase::Reading && (!m_unparsed.empty() || m_reader->headDone());
-    if (requestStarted)
+    if (isRequestUnread())
         refuse(408);
     else
         close();
--- a/src/http/inbound_connection.h
+++ b/src/http/inbound_connection.h
@@ -79,6 +79,8 @@
     void onDrained(std::function<void()> handler) { m_onDrained = std::move(handler); }
     /// Closes the connection if it has been idle for at least this long.
     void closeIfIdle(milliseconds minIdleTime);
+    /// Answers a request that has not arrived completely with 503.
+    void refuseUnread();
 
 private:
     enum class phase {
@@ -103,6 +105,8 @@
     void sendContinue();
     void dispatch();
     void refuse(int status);
+    /// Returns whether a part of a request has arrived.
+    [[nodiscard]] bool isRequestUnread() const;
     void writeHead(const response_head &head);
     void endAnswer();
     void linger();
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -63,4 +63,13 @@
     }
 }
 
+void listener::refuseUnread()
+{
+    const auto connections = m_connections;
+    for (const auto &weak : connections) {
+        if (const auto each = weak.lock())
+            each->refuseUnread();
+    }
+}
+
 } // namespace orchidlead::http
