--- a/src/gateway/publication/published_state.cpp
+++ b/src/gateway/publication/published_state.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+// Number of successive failed calls after which the store counts as away: the one after a failed
+// call follows soon and doesn't wait for changes.
+constexpr std::uint32_t MinFailedCalls = 2;
+
 template <class... Handlers>
 struct overloaded : Handlers...
 {
@@ -325,19 +329,21 @@
     }
 }
 
+// A sound store may cut a watch or lose an answer at any time, so a single failed call is no sign
+// that entries expire.
 void published_state::onStoreFailed()
 {
-    m_storeFailed = true;
+    ++m_failedCalls;
 }
 
 // Entries expire while their servers can't reach the store. If the store kept answering the nodes
 // that this node follows, it was this node alone that was cut off, and removals are real.
 void published_state::onStoreAnswered()
 {
-    const bool failed = std::exchange(m_storeFailed, false);
+    const bool wasAway = std::exchange(m_failedCalls, 0) >= MinFailedCalls;
     if (recordContact(m_clock.now()))
         deferRemovals(m_removalDelay);
-    else if (failed)
+    else if (wasAway)
         deferRemovals(
             (m_sourceDeferral ? m_sourceDeferral() : std::nullopt).value_or(m_removalDelay));
 }
--- a/src/gateway/publication/published_state.h
+++ b/src/gateway/publication/published_state.h
@@ -91,11 +91,12 @@
     /// Records that changes may have been missed: servers that came and left before the list that
     /// is applied next.
     void onChangesMissed() { m_versions.forgetBeforeNow(); }
-    /// Records that a call to the store failed.
+    /// Records that a call to the store failed. The next call has to follow soon and must not wait
+    /// for changes, so that its outcome shows whether the store answers.
     void onStoreFailed();
     /// Records that the store answered. Removals are deferred if this node had no contact for
-    /// longer than `MaxContactGap`, and if its calls failed before, unless the nodes that it
-    /// follows have the current state and don't defer removals.
+    /// longer than `MaxContactGap`, and if several calls in a row failed before, unless the nodes
+    /// that it follows have the current state and don't defer removals.
     void onStoreAnswered();
     /// Sets the function that returns for how much longer the nodes that this node follows defer
     /// removals; empty if none of them has the current state.
@@ -174,7 +175,7 @@
     std::uint64_t m_readyRevision = 0;
     bool m_readyDiffers = false; ///< `recordReady` was called in this update
     bool m_listed = false;
-    bool m_storeFailed = false;
+    std::uint32_t m_failedCalls = 0; ///< to the store, since its last answer
     recent_change m_recentAtStart;
     steady_time m_lastContactAt{};
     steady_time m_deferUntil{}; ///< removals read before this time are deferred until it
--- a/tests/gateway/published_state_test.cpp
+++ b/tests/gateway/published_state_test.cpp
@@ -257,6 +257,24 @@
     }));
 }
 
+// Guards against a removed server that gets requests for longer than its entry allows because a
+// watch was cut or an answer was lost, once or many times.
+TEST_CASE("single failed calls don't defer removals")
+{
+    const auto failures = GENERATE(1, 8);
+    CAPTURE(failures);
+    world w;
+    w.state.apply({makeServer("s1", false, 10)});
+    for (int i = 0; i < failures; ++i) {
+        w.clock.advance(milliseconds{250});
+        w.state.onStoreFailed();
+        w.clock.advance(milliseconds{250});
+        w.state.onStoreAnswered();
+    }
+    w.state.apply({makeRemoval("s1", 12)});
+    CHECK_FALSE(w.isKnown("s1"));
+}
+
 // Guards against deferring the removals that other nodes have seen happen while this one was cut
 // off, and against dropping servers that none of them could know to be sound.
 TEST_CASE(
@@ -269,6 +287,7 @@
     w.state.setSourceDeferral([&] { return ofSources; });
     w.state.apply({makeServer("s1", false, 10)});
     w.state.onStoreFailed();
+    w.state.onStoreFailed();
     w.state.onStoreAnswered();
     w.state.apply({makeRemoval("s1", 12)});
     const auto deferred = ofSources.value_or(RemovalDelay);
