--- a/src/gateway/log_event.h
+++ b/src/gateway/log_event.h
@@ -44,6 +44,7 @@
     ConfigurationAsked, ///< a peer or the store is asked for a later configuration version
     StoreLost,
     StoreRegained,
+    StoreAnswerOverdue, ///< a watch has no answer in time and is repeated on a new connection
     StoreHistoryGone, ///< the store's change history is gone; everything is read anew
     DataCenterLost, ///< no signal arrives from the data centre's nodes and servers
     DataCenterRegained,
@@ -137,6 +138,8 @@
                                                           "store_lost"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StoreRegained, "store_regained"},
+    orchidlead::enum_name<orchidlead::gateway::log_event>{
+        orchidlead::gateway::log_event::StoreAnswerOverdue, "store_answer_overdue"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
         orchidlead::gateway::log_event::StoreHistoryGone, "store_history_gone"},
     orchidlead::enum_name<orchidlead::gateway::log_event>{
--- a/src/gateway/publication/store_options.h
+++ b/src/gateway/publication/store_options.h
@@ -31,6 +31,9 @@
     /// a node doesn't watch.
     std::size_t maxAnswerBytes = 32U << 20U;
     milliseconds answerTimeout{1000}; ///< beyond the wait time; the store answers in 4 ms
+    /// Time beyond the wait time after which a watch is repeated on a new connection. The two
+    /// together are shorter than `MaxContactGap` by a further call to a slow store.
+    milliseconds overdueTime{300};
     /// Delay after a failed call, doubled by each further failure, plus a random time up to the
     /// same length: otherwise nodes that start at the same time would keep retrying at the same
     /// time.
--- a/src/gateway/publication/store_reader.h
+++ b/src/gateway/publication/store_reader.h
@@ -115,8 +115,12 @@
         store_answer answer;
         http::pool_call call = 0;
         http::timer_id timer = 0; ///< abandons the call
+        bool begun = false; ///< a part of the answer has arrived
         std::function<void(const store_answer &)> onAnswer;
     };
+    /// Makes a call. It is abandoned if no part of its answer arrives within `timeout`.
+    std::shared_ptr<open_read> startRead(const std::string &target, milliseconds timeout,
+                                         const std::function<void(const store_answer &)> &onAnswer);
     using page_reader = result<published_page, codec_error> (*)(std::string_view);
 
     void readFirstPage();
@@ -125,7 +129,12 @@
     void readOperations(const std::string &after, read_consistency serverFreshness);
     void readServers(const std::string &after, read_consistency freshness);
     void onServers(published_page &&page, read_consistency freshness);
+    /// Returns how long the next watch may wait for changes.
+    [[nodiscard]] milliseconds watchWait() const;
     void watch();
+    void onWatched(const published_page &page);
+    /// Reads the changes on a new connection if no part of the answer to this watch has arrived.
+    void replaceOverdueWatch(http::pool_call overdue);
     /// Applies the changes after the known revision, and sends them to the followers.
     void applyChanges(const published_page &page);
     /// Restarts the timer that abandons the call if no part of its answer arrives within `time`.
@@ -165,6 +174,7 @@
     steady_time m_nextFetch{};
     std::uint64_t m_readGeneration = 0; ///< incremented when reading starts or stops
     http::pool_call m_call = 0; ///< the open call
+    std::shared_ptr<open_read> m_read; ///< of the last call
     steady_time m_lastAnswerAt{};
     std::function<void(const store_update &)> m_onRead;
     milliseconds m_backoff{0};
--- a/src/gateway/publication/store_reader_impl.h
+++ b/src/gateway/publication/store_reader_impl.h
@@ -9,6 +9,14 @@
 
 namespace orchidlead::gateway {
 
+/// HTTP statuses of the store.
+inline constexpr int StoreStatusOk = 200;
+inline constexpr int StoreStatusNotFound = 404;
+inline constexpr int StoreStatusGone = 410;
+inline constexpr int StoreStatusTooMany = 429;
+/// Wait time of a watch that is answered at once.
+inline constexpr milliseconds ShortestWatchWait{1};
+
 template <gateway_codec Codec>
 store_reader<Codec>::store_reader(http::io_loop &loop, http::connection_pool &pool,
                                   const socket_address &store, published_state &state,
@@ -171,18 +179,57 @@
     watch();
 }
 
+// The state may have missed changes for as long as the store hasn't answered, so an answer is due a
+// fixed time after the last one, and at once after a failed call.
+template <gateway_codec Codec>
+milliseconds store_reader<Codec>::watchWait() const
+{
+    if (m_backoff > milliseconds{0})
+        return ShortestWatchWait;
+    const auto most = m_hasFollowers ? m_options.watchWaitWithFollowers : m_options.watchWait;
+    return std::clamp(most - silentFor(), ShortestWatchWait, most);
+}
+
 template <gateway_codec Codec>
 void store_reader<Codec>::watch()
 {
     m_currentStep = [this] { watch(); };
-    const auto wait = m_hasFollowers ? m_options.watchWaitWithFollowers : m_options.watchWait;
+    const auto wait = watchWait();
     call(Codec::watchTarget(m_revision, wait), wait + m_options.answerTimeout, &Codec::readChanges,
-         [this](published_page &&page) {
-             applyChanges(page);
-             const bool pauses = !page.items.empty() && page.items.size() < m_options.largeAnswer;
-             const auto pause = pauses ? m_options.watchPause : milliseconds{0};
-             after(pause, [this] { watch(); });
-         });
+         [this](published_page &&page) { onWatched(page); });
+    after(wait + m_options.overdueTime, [this, overdue = m_call] { replaceOverdueWatch(overdue); });
+}
+
+template <gateway_codec Codec>
+void store_reader<Codec>::onWatched(const published_page &page)
+{
+    applyChanges(page);
+    const bool pauses = !page.items.empty() && page.items.size() < m_options.largeAnswer;
+    after(pauses ? m_options.watchPause : milliseconds{0}, [this] { watch(); });
+}
+
+// Connections may go silent while new ones work. The overdue call stays open: if the store is slow,
+// its answer comes first.
+template <gateway_codec Codec>
+void store_reader<Codec>::replaceOverdueWatch(http::pool_call overdue)
+{
+    if (m_call != overdue || m_read->begun || !m_connected)
+        return;
+    m_log.write(wire::log_level::Info,
+                m_log.line(wire::log_level::Info, toName(log_event::StoreAnswerOverdue))
+                    .add("silent_ms", silentFor().count()));
+    m_pool.closeIdle(m_store);
+    get(Codec::watchTarget(m_revision, ShortestWatchWait), m_options.answerTimeout,
+        [this, overdue, generation = m_readGeneration](const store_answer &answer) {
+            const bool read = answer.failure.empty()
+                && (answer.status == StoreStatusOk || answer.status == StoreStatusGone);
+            if (generation != m_readGeneration || m_call != overdue || !read)
+                return;
+            m_loop.cancelTimer(m_read->timer);
+            m_pool.abandon(std::exchange(m_call, 0));
+            onAnswer(answer.status, answer.body, &Codec::readChanges,
+                     [this](published_page &&page) { onWatched(page); });
+        });
 }
 
 template <gateway_codec Codec>
@@ -197,20 +244,17 @@
 template <gateway_codec Codec>
 std::optional<std::string> store_reader<Codec>::changesTarget() const
 {
-    constexpr milliseconds ShortestWait{1};
     if (!m_latest || !m_state.hasServerList() || m_revision == 0)
         return std::nullopt;
-    return Codec::watchTarget(m_revision, ShortestWait);
+    return Codec::watchTarget(m_revision, ShortestWatchWait);
 }
 
 template <gateway_codec Codec>
 changes_read store_reader<Codec>::onChangesRead(const store_answer &answer)
 {
-    constexpr int Ok = 200;
-    constexpr int TooMany = 429;
-    if (!answer.failure.empty() || answer.status != Ok)
-        return answer.failure.empty() && answer.status == TooMany ? changes_read::Refused
-                                                                  : changes_read::Failed;
+    if (!answer.failure.empty() || answer.status != StoreStatusOk)
+        return answer.failure.empty() && answer.status == StoreStatusTooMany ? changes_read::Refused
+                                                                             : changes_read::Failed;
     const auto page = Codec::readChanges(answer.body);
     if (!page)
         return changes_read::Failed;
@@ -223,6 +267,14 @@
 template <gateway_codec Codec>
 http::pool_call store_reader<Codec>::get(const std::string &target, milliseconds timeout,
                                          const std::function<void(const store_answer &)> &onAnswer)
+{
+    return startRead(target, timeout, onAnswer)->call;
+}
+
+template <gateway_codec Codec>
+auto store_reader<Codec>::startRead(const std::string &target, milliseconds timeout,
+                                    const std::function<void(const store_answer &)> &onAnswer)
+    -> std::shared_ptr<open_read>
 {
     const auto read = std::make_shared<open_read>();
     read->onAnswer = onAnswer;
@@ -235,7 +287,10 @@
         head.fields.push_back({"Host", host});
         return std::optional(http::formatHead(head));
     };
-    made.onHead = [read](const http::response_head &head) { read->answer.status = head.status; };
+    made.onHead = [read](const http::response_head &head) {
+        read->begun = true;
+        read->answer.status = head.status;
+    };
     made.onBody = [this, read](std::string_view bytes) {
         read->answer.body.append(bytes);
         restartTimeout(read, m_options.answerTimeout);
@@ -248,7 +303,7 @@
     };
     read->call = m_pool.start(m_store, std::move(made));
     restartTimeout(read, timeout);
-    return read->call;
+    return read;
 }
 
 // The changes that thousands of servers write in a few seconds take seconds to transfer over a
@@ -260,6 +315,7 @@
     m_loop.cancelTimer(read->timer);
     read->timer = m_loop.callAfter(time, [this, read] {
         m_pool.abandon(read->call);
+        m_pool.closeIdle(m_store); // they may be silent, too
         read->answer.failure = "timeout";
         read->onAnswer(read->answer);
     });
@@ -269,16 +325,18 @@
 void store_reader<Codec>::call(const std::string &target, milliseconds timeout, page_reader read,
                                std::function<void(published_page &&)> onPage)
 {
-    m_call = get(target, timeout,
-                 [this, read, onPage, generation = m_readGeneration](const store_answer &answer) {
-                     if (generation != m_readGeneration)
-                         return;
-                     m_call = 0;
-                     if (answer.failure.empty())
-                         onAnswer(answer.status, answer.body, read, onPage);
-                     else
-                         onFailure(answer.failure);
-                 });
+    m_read =
+        startRead(target, timeout,
+                  [this, read, onPage, generation = m_readGeneration](const store_answer &answer) {
+                      if (generation != m_readGeneration)
+                          return;
+                      m_call = 0;
+                      if (answer.failure.empty())
+                          onAnswer(answer.status, answer.body, read, onPage);
+                      else
+                          onFailure(answer.failure);
+                  });
+    m_call = m_read->call;
 }
 
 // Readers announce only the version: the text may have several hundred kilobytes, and sending it to
@@ -293,8 +351,7 @@
     m_nextFetch = m_loop.now() + m_options.fetchPause;
     get(Codec::configurationTarget(), m_options.answerTimeout, [this](const store_answer &answer) {
         m_fetchingConfiguration = false;
-        constexpr int Ok = 200;
-        auto page = answer.failure.empty() && answer.status == Ok
+        auto page = answer.failure.empty() && answer.status == StoreStatusOk
             ? Codec::readItem(answer.body)
             : result<published_page, codec_error>(codec_error{
                 answer.failure.empty() ? std::to_string(answer.status) : answer.failure});
@@ -311,19 +368,16 @@
 void store_reader<Codec>::onAnswer(int status, const std::string &body, page_reader read,
                                    const std::function<void(published_page &&)> &onPage)
 {
-    constexpr int Ok = 200;
-    constexpr int Gone = 410;
-    constexpr int NotFound = 404;
-    if (status == Gone) {
+    if (status == StoreStatusGone) {
         onHistoryGone();
         return;
     }
     // No value has been published under this key yet.
-    if (status == NotFound) {
+    if (status == StoreStatusNotFound) {
         onPage({});
         return;
     }
-    if (status != Ok) {
+    if (status != StoreStatusOk) {
         onFailure(std::to_string(status));
         return;
     }
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -113,6 +113,15 @@
     return nullptr;
 }
 
+void connection_pool::closeIdle(const socket_address &to)
+{
+    const auto found = m_idle.find(to);
+    if (found == m_idle.end())
+        return;
+    for (const auto &each : std::exchange(found->second, {}))
+        each.connection->close();
+}
+
 void connection_pool::removeIdle(const socket_address &to, outbound_connection &closed)
 {
     const auto found = m_idle.find(to);
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -33,6 +33,8 @@
     /// Opens a connection and keeps it for later calls. Calls `onOutcome` once, after `connect`
     /// returns.
     void connect(const socket_address &to, std::function<void(connect_outcome)> onOutcome);
+    /// Closes the idle connections to a server, so that the next call opens a new one.
+    void closeIdle(const socket_address &to);
     /// Closes the call's connection; reports no further events of the call.
     void abandon(pool_call call);
     /// Pauses or resumes reading a call's answer.
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -85,6 +85,40 @@
     CHECK(eventuallyAnswers(w, "g1", "/p/", 200));
 }
 
+// Guards against a removed server that gets requests for as long as entries that expired would be
+// kept, because a watch was cut or connections went silent before.
+TEST_CASE("a removal takes effect at once although calls to the store failed before")
+{
+    enum class failure { CutWatch, ManyCutWatches, SilentConnections };
+    const auto kind =
+        GENERATE(failure::CutWatch, failure::ManyCutWatches, failure::SilentConnections);
+    CAPTURE(static_cast<int>(kind));
+    world w;
+    w.addServer("web", "i-1");
+    w.addServer("web", "i-2");
+    w.publish(5, plainRoute("safe"));
+    w.startGateway("g1");
+    REQUIRE(w.waitForStoreWatch());
+    w.runFor(milliseconds{1000});
+    if (kind == failure::SilentConnections) {
+        w.store.silenceConnections();
+        w.runFor(milliseconds{2200});
+    }
+    const int cuts = kind == failure::ManyCutWatches ? 8 : 1;
+    for (int i = 0; i < cuts && kind != failure::SilentConnections; ++i) {
+        w.runUntil([&] { return w.store.hasWaitingWatch(); });
+        w.store.cutWatches();
+        w.runFor(milliseconds{cuts == 1 ? 50 : 250});
+    }
+    w.store.remove("servers/i-2");
+    w.runFor(milliseconds{1000});
+    const auto before = w.server("i-2").requests().size();
+    for (int i = 0; i < 8; ++i)
+        w.await(w.request("g1", makeRequest("GET", "/p/", "a" + std::to_string(i))));
+    CHECK(w.server("i-2").requests().size() == before);
+    CHECK(w.server("i-1").requests().size() >= 8);
+}
+
 TEST_CASE("the complete state is read again after the store has compacted its history")
 {
     world w;
