--- a/src/http/outbound_connection.cpp
+++ b/src/http/outbound_connection.cpp
@@ -176,8 +176,9 @@
         tearDown();
         return;
     }
+    // An answer without a length that ends before its request was sent is one that was broken off.
     const bool whole = m_sent && orderly && !m_skippingAnswer && m_unparsed.empty()
-        && m_reader->finishAtEndOfStream();
+        && m_socket->allAcknowledged() && m_reader->finishAtEndOfStream();
     if (!m_call)
         return;
     if (whole)
--- a/src/http/stream_socket.cpp
+++ b/src/http/stream_socket.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <utility>
 
@@ -87,7 +89,7 @@
             if (!self->m_events)
                 return;
             if (error) {
-                self->reportEnd(error == asio::error::eof);
+                self->reportEnd(error == asio::error::eof && !self->m_writeFailed);
                 return;
             }
             self->m_events->onBytes({self->m_buffer->data(), count});
@@ -97,7 +99,7 @@
 
 bool stream_socket::write(std::string_view bytes)
 {
-    if (!m_events)
+    if (!m_events || m_writeFailed)
         return false;
     if (m_writePending || queuedBytes() > 0) {
         m_out.append(bytes);
@@ -124,7 +126,7 @@
                             if (!self->m_events)
                                 return;
                             if (error)
-                                self->reportEnd(false);
+                                self->onWriteFailed();
                             else
                                 self->flush();
                         });
@@ -142,7 +144,7 @@
         return;
     }
     if (error) {
-        reportEnd(false);
+        onWriteFailed();
         return;
     }
     m_outBegin = 0;
@@ -155,6 +157,23 @@
         m_events->onDrained();
 }
 
+// A server may answer and end the connection before it has read the request. What it sent is still
+// read, up to the end of the connection, which then counts as a failure: the kernel reports an
+// error once, so the next read may look like an orderly end.
+void stream_socket::onWriteFailed()
+{
+    m_writeFailed = true;
+    if (!m_reading)
+        reportEnd(false);
+}
+
+bool stream_socket::allAcknowledged()
+{
+    int unacknowledged = 0;
+    const bool known = ::ioctl(m_socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+    return !m_writeFailed && queuedBytes() == 0 && known && unacknowledged == 0;
+}
+
 void stream_socket::setReading(bool reading)
 {
     m_reading = reading;
--- a/src/http/stream_socket.h
+++ b/src/http/stream_socket.h
@@ -46,6 +46,8 @@
     [[nodiscard]] bool wasRefused() const { return m_wasRefused; }
     /// Number of bytes not yet passed to the kernel.
     [[nodiscard]] std::size_t queuedBytes() const { return m_out.size() - m_outBegin; }
+    /// Whether all written bytes have been received by the system of the peer.
+    [[nodiscard]] bool allAcknowledged();
     /// Pauses or resumes reading, for backpressure.
     void setReading(bool reading);
     /// Shuts down the sending side once the queue is empty.
@@ -62,6 +64,7 @@
     void read();
     void flush();
     void waitToWrite();
+    void onWriteFailed();
     void reportEnd(bool orderly);
 
     boost::asio::ip::tcp::socket m_socket;
@@ -73,6 +76,7 @@
     bool m_readPending = false;
     bool m_writePending = false;
     bool m_shutdownAfterFlush = false;
+    bool m_writeFailed = false;
     bool m_endReported = false; ///< `onEnd` was called
     bool m_wasRefused = false;
 };
