--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -14,7 +14,9 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 
+constexpr int FirstStatus = 100;
 constexpr int FirstFinalStatus = 200;
+constexpr int LastStatus = 599;
 
 std::string toString(beast::string_view text)
 {
@@ -206,8 +208,12 @@
                          error_code & /*error*/) override
     { }
     void on_response_impl(int status, beast::string_view reason, int /*version*/,
-                          error_code & /*error*/) override
+                          error_code &error) override
     {
+        if (status < FirstStatus || status > LastStatus) {
+            error = beast::http::error::bad_status;
+            return;
+        }
         head.status = status;
         head.reason = toString(reason);
         m_interim = status < FirstFinalStatus;
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -65,7 +65,7 @@
     std::unique_ptr<parser> m_parser;
 };
 
-/// Parses one answer; skips interim answers (1xx).
+/// Parses one answer; skips interim answers (1xx) and rejects statuses outside 100 to 599.
 class response_reader
 {
 public:
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -211,6 +211,34 @@
     CHECK(reader.done());
 }
 
+// Guards against a status that HTTP doesn't define: taken for an interim answer, it makes the
+// request wait until its timeout, else the client gets it as an answer.
+TEST_CASE("statuses outside 100 to 599 are no answer")
+{
+    const auto text = GENERATE(as<std::string>{}, "000", "001", "099", "99", "600", "999", "2000",
+                               "20", "2x0", "abc", "-20", "+20", " 200", "");
+    CAPTURE(text);
+    recording_sink<response_head> sink;
+    response_reader reader(sink, false);
+    const auto answer = "HTTP/1.1 " + text + " X\r\nContent-Length: 1\r\n\r\na";
+    CHECK(reader.read(answer).error);
+    CHECK(sink.heads.empty());
+    CHECK(sink.completed == 0);
+}
+
+// Guards against a check of statuses that rejects the ones few servers use.
+TEST_CASE("unusual statuses from 200 to 599 are read as they are")
+{
+    const int status = GENERATE(200, 299, 418, 451, 599);
+    recording_sink<response_head> sink;
+    response_reader reader(sink, false);
+    const auto answer = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: 1\r\n\r\na";
+    CHECK_FALSE(reader.read(answer).error);
+    REQUIRE(sink.heads.size() == 1);
+    CHECK(sink.heads.front().status == status);
+    CHECK(sink.completed == 1);
+}
+
 TEST_CASE("bytes after a complete answer are not consumed as part of it")
 {
     recording_sink<response_head> sink;
--- a/tests/platform/early_answer_test.cpp
+++ b/tests/platform/early_answer_test.cpp
@@ -111,3 +111,31 @@
     CHECK(answer->body == Body);
     CHECK(answer->end == http::call_end::Complete);
 }
+
+// Guards against a final answer with an undefined status: forwarded, or waited for until the
+// timeout of the request.
+TEST_CASE("an answer with an undefined status is none, and another server is tried where allowed")
+{
+    const auto status = GENERATE(as<std::string>{}, "000", "099", "600", "999", "2x0");
+    const auto kind = GENERATE(as<std::string>{}, "unsafe", "safe");
+    CAPTURE(status, kind);
+    world w;
+    w.addServer("web", "s-1");
+    w.addServer("web", "s-2");
+    w.publish(1, plainRoute(kind));
+    w.startGateway("g1");
+    int arrived = 0;
+    for (const auto *id : {"s-1", "s-2"})
+        w.server(id).setBehaviour([&](const server_request &request, const auto &answer) {
+            auto text = signedAnswer(request, "done");
+            if (++arrived == 1)
+                text.replace(text.find("200"), 3, status);
+            answer->write(text);
+        });
+    const auto began = w.clock.now();
+    const auto answer = w.request("g1", makeRequest("POST", "/p/x", "a1"), "x");
+    REQUIRE(w.await(answer));
+    CHECK(answer->status == (kind == "safe" ? 200 : 502));
+    CHECK(arrived == (kind == "safe" ? 2 : 1));
+    CHECK(w.clock.now() - began < milliseconds{1000});
+}
