--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -4,6 +4,7 @@
 #include "gateway/admission/reserved_stages.h"
 #include "gateway/admission/unasked_allowance.h"
 #include "gateway/codec.h"
+#include "gateway/exchange/answer_time_model.h"
 #include "gateway/exchange/exchange_limits.h"
 #include "gateway/exchange/latency_estimator.h"
 #include "gateway/exchange/request_log.h"
@@ -41,6 +42,14 @@
 
 namespace orchidlead::gateway {
 
+/// Times of a planned stop of this process.
+struct stop_schedule
+{
+    /// Requests that arrive later are refused unless they are known to end in time.
+    steady_time lateFrom;
+    steady_time answerBy; ///< all requests have an answer then
+};
+
 /// State shared by all requests of a node.
 template <gateway_codec Codec>
 struct gateway_context
@@ -64,6 +73,8 @@
     const disabled_policies &disabledPolicies;
     configuration_ptr configuration; ///< null until one was received
     latency_estimator latencyEstimator;
+    answer_time_model answerTimes;
+    std::optional<stop_schedule> stop; ///< set once the process stops
     unasked_allowance unaskedAllowance;
     std::minstd_rand random; ///< for the service weights of routes
     /// Called when a connection breaks while a request is in flight to the server.
@@ -95,8 +106,8 @@
     /// Gives the request up if a server has not begun to answer it and the subject, now
     /// quarantined, is one of its own: it would crash the server.
     void onQuarantined(const request_digest &subject);
-    /// Refuses the request if it has not been sent to a server yet, because this process is about
-    /// to stop.
+    /// Refuses the request if it has not been sent to a server yet and isn't expected to end before
+    /// this process stops.
     void refuseIfWaiting();
     /// Answers the request now, whatever it waits for, because this process ends.
     void onStopTimeout();
@@ -112,6 +123,10 @@
     [[nodiscard]] static std::string_view nameOf(attempt_result what);
 
     [[nodiscard]] bool findRoute();
+    /// Returns whether the request, which has just arrived, may begin although this process stops.
+    [[nodiscard]] bool mayBeginInStop() const;
+    /// Returns whether the request is known to have its answer by then.
+    [[nodiscard]] bool endsBy(steady_time time) const;
     /// Restricts a stream that the client continues to the version that began it, then calls
     /// `begin`.
     void findStreamOrigin();
--- a/src/gateway/exchange/exchange_impl.h
+++ b/src/gateway/exchange/exchange_impl.h
@@ -62,6 +62,10 @@
         refuse(request_outcome::DeadlineExpired);
         return;
     }
+    if (!mayBeginInStop()) {
+        refuse(request_outcome::Stopping);
+        return;
+    }
     m_deadlineTimer = m_context.loop.callAfter(timeLeft(), [self = this->shared_from_this()] {
         self->m_deadlineTimer = 0;
         self->onTimeout();
@@ -88,6 +92,33 @@
     });
 }
 
+// A refused client goes to another node at once. Early in a stop that is worth it only if the
+// request would be cut here; later, few requests arrive, and each must be known to end in time.
+template <gateway_codec Codec>
+bool exchange<Codec>::mayBeginInStop() const
+{
+    if (!m_context.stop)
+        return true;
+    const auto now = m_context.loop.now();
+    if (now > m_context.stop->lateFrom)
+        return endsBy(m_context.stop->answerBy);
+    const auto expected = m_context.answerTimes.estimateFor(m_route->name);
+    return !expected || now + expected->average <= m_context.stop->answerBy
+        || m_deadline <= m_context.stop->answerBy;
+}
+
+// One that has taken longer than expected may take as long again.
+template <gateway_codec Codec>
+bool exchange<Codec>::endsBy(steady_time time) const
+{
+    if (m_deadline <= time)
+        return true;
+    const auto expected = m_context.answerTimes.estimateFor(m_route->name);
+    return expected
+        && std::max(m_arrival + expected->longest, m_context.loop.now() + expected->average)
+        <= time;
+}
+
 template <gateway_codec Codec>
 void exchange<Codec>::begin()
 {
@@ -434,7 +465,7 @@
 template <gateway_codec Codec>
 void exchange<Codec>::refuseIfWaiting()
 {
-    if (!m_done && !m_headSent && m_current.call == 0)
+    if (!m_done && !m_headSent && m_current.call == 0 && !endsBy(m_context.stop->answerBy))
         failRequest(request_outcome::Stopping);
 }
 
@@ -476,6 +507,8 @@
     cancelPieces();
     freeStageResults();
     updateQuarantine(outcome);
+    if (m_attempts > 0 && outcome != request_outcome::ClientGone)
+        m_context.answerTimes.onEnd(m_route->name, sinceArrival());
     logEnd(outcome);
     m_context.metrics.onRequest(m_route, outcome, sinceArrival());
     if (m_client) {
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -18,15 +18,14 @@
 /// Time after the stop signal when idle connections are closed. New connections arrive until the
 /// load balancer has checked readiness twice, once a second.
 inline constexpr milliseconds StopNoticeTime{2600};
-/// Requests that arrive later than this after the stop signal are refused: the time left would be
-/// too short for long requests, and the client still has time to try another gateway.
+/// Requests that arrive later than this after the stop signal are refused unless they are known to
+/// end in time: the client still has time to try another gateway.
 inline constexpr milliseconds StopAcceptTime{2900};
 /// Idle time after which a connection is closed during a stop, so that a new connection has time to
 /// send its request and get an answer.
 inline constexpr milliseconds StopIdleTimeout{300};
-/// Requests that still wait for their stages this long after the stop signal are refused: the
-/// client has time to try another gateway, and no request is without an answer when the process
-/// ends.
+/// Requests that still wait for their stages this long after the stop signal are refused unless
+/// they are expected to end in time: the client has time to try another gateway.
 inline constexpr milliseconds StopWaitLimit{5000};
 /// Ended exchanges are removed from the list when it reaches this size, or twice its size after the
 /// last removal.
@@ -165,6 +164,8 @@
                                   m_settings.disabledPolicies.contains(policy::FirstAnswerBySize)
                                       ? first_answer_kind::SingleAverage
                                       : first_answer_kind::ByPromptSize},
+                answer_time_model{},
+                std::nullopt,
                 unasked_allowance{m_loop.clock()},
                 std::minstd_rand{seedOf(m_settings.vm)},
                 [this](const server &which, const std::vector<crash_subject> &subjects) {
@@ -280,10 +281,6 @@
 void gateway<Codec>::onRequest(const http::inbound_ptr &client, http::request_head &&head,
                                std::string &&body)
 {
-    if (m_stopping && m_loop.now() - m_stopBegan > StopAcceptTime) {
-        exchange<Codec>::refuse(*client);
-        return;
-    }
     received_request request{client, std::move(head), std::move(body), m_loop.now()};
     const auto tryHold = [&] {
         const auto clientTimeout = Codec::readRequest(request.head).clientTimeout;
@@ -527,6 +524,8 @@
     if (std::exchange(m_stopping, true))
         return;
     m_stopBegan = m_loop.now();
+    m_context.stop = {m_stopBegan + std::min(StopAcceptTime, stopAnswerTime()),
+                      m_stopBegan + stopAnswerTime()};
     m_clients->closing = true;
     m_callRelay.stop();
     m_peers.announceLeaving();
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -242,3 +242,74 @@
     w.stop();
     CHECK(w.endsInGrace());
 }
+
+namespace {
+
+/// A process that stops while one stream keeps it from ending, and a server whose time of work was
+/// seen before.
+struct late_world : stop_world
+{
+    explicit late_world(milliseconds work)
+    {
+        server("web-1").setBehaviour([this, work](const server_request &request,
+                                                  const std::shared_ptr<server_answer> &answer) {
+            loop.callAfter(work, [request, answer] { answer->write(signedAnswer(request, "x")); });
+        });
+        constexpr int Earlier = 6;
+        std::vector<std::shared_ptr<client_answer>> answers;
+        for (int i = 0; i < Earlier; ++i)
+            answers.push_back(ask("unsafe", "e" + std::to_string(i)));
+        for (const auto &each : answers) {
+            REQUIRE(await(each));
+            REQUIRE(each->status == 200);
+        }
+        open = ask("single", "open");
+        REQUIRE(runUntil([&] { return !server("engine-1").requests().empty(); }));
+        stop();
+    }
+    /// Sends a request this long after the stop signal, and waits until it ends.
+    std::shared_ptr<client_answer> askAt(milliseconds time)
+    {
+        runFor(time - sinceStop());
+        const auto answer = ask("unsafe", "late");
+        const auto began = clock.now();
+        REQUIRE(await(answer, Grace));
+        took = std::chrono::duration_cast<milliseconds>(clock.now() - began);
+        return answer;
+    }
+    [[nodiscard]] bool lateArrived()
+    {
+        return std::ranges::any_of(server("web-1").requests(), [](const server_request &each) {
+            return http::findField(each.head.fields, "x-attempt-id") == "late";
+        });
+    }
+
+    std::shared_ptr<client_answer> open;
+    milliseconds took{0};
+};
+
+} // namespace
+
+// Guards against refusing requests late in the grace that would be served in time.
+TEST_CASE("a request late in a planned stop is served if it is known to end in time")
+{
+    late_world w(milliseconds{50});
+    const auto answer = w.askAt(milliseconds{3050});
+    CHECK(answer->status == 200);
+    CHECK(answer->field("connection") == "close");
+}
+
+// Guards against requests that are taken although their answer can't come before the process ends.
+TEST_CASE("a request in a planned stop that can't end in time is refused at once as not run")
+{
+    const auto [work, time] = GENERATE(std::pair{milliseconds{900}, milliseconds{3050}},
+                                       std::pair{milliseconds{2200}, milliseconds{1800}});
+    CAPTURE(work.count(), time.count());
+    late_world w(work);
+    const auto answer = w.askAt(time);
+    CHECK(answer->status == 503);
+    CHECK_FALSE(answer->field("retry-after").empty());
+    CHECK(answer->field("connection") == "close");
+    CHECK(w.took < milliseconds{300});
+    CHECK_FALSE(w.lateArrived());
+}
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -163,7 +163,7 @@
 {
     world w;
     w.addServer("web", "i-1");
-    w.publish(5, plainRoute("safe"));
+    w.publish(5, plainRoute("safe", 2, 9000));
     w.startGateway("g1");
     w.stopGateway("g1");
     CHECK(w.readiness("g1") == 503);
@@ -171,11 +171,17 @@
     REQUIRE(w.await(answer));
     CHECK(answer->status == 200);
     CHECK(answer->field("connection") == "close");
+    // The one that can outlast the grace is refused, the other one isn't.
     w.runFor(milliseconds{3000});
-    const auto late = w.request("g1", makeRequest("GET", "/p/", "a2"));
-    REQUIRE(w.await(late));
-    INFO("status " << late->status << ", " << toName(late->end));
-    CHECK((late->status == 503 || late->end == http::call_end::NotSent));
+    for (const auto &[timeout, status] : {std::pair{"9000", 503}, std::pair{"2000", 200}}) {
+        auto head = makeRequest("GET", "/p/", "a2");
+        head.fields[2].value = timeout;
+        const auto late = w.request("g1", head);
+        REQUIRE(w.await(late));
+        INFO("status " << late->status << ", " << toName(late->end));
+        CHECK(late->status == status);
+        CHECK(late->field("connection") == "close");
+    }
 }
 
 TEST_CASE("a planned stop during a store outage completes accepted requests")
