--- a/src/gateway/exchange/exchange.h
+++ b/src/gateway/exchange/exchange.h
@@ -9,6 +9,7 @@
 #include "gateway/exchange/latency_estimator.h"
 #include "gateway/exchange/request_log.h"
 #include "gateway/exchange/request_outcome.h"
+#include "gateway/exchange/second_answer_scanner.h"
 #include "gateway/exchange/server_attempt.h"
 #include "gateway/exchange/service_retry_budget.h"
 #include "gateway/gateway_metrics.h"
@@ -244,6 +245,10 @@
     void onEvents(std::string_view bytes);
     void forwardEvents(std::string_view events);
     void onEnd(http::call_end how);
+    /// Returns whether the current answer has no length and no chunks.
+    [[nodiscard]] bool endsWithConnection() const;
+    /// Forwards bytes of an answer that is too long to be buffered.
+    void forwardBytes(std::string_view bytes);
     /// Returns whether the complete answer contains bytes of another one.
     [[nodiscard]] bool isAnswerMixed() const;
     /// Reports that the connection of an attempt broke, if the request may be the cause.
@@ -428,6 +433,7 @@
     bool m_needsStages = false; ///< results were freed or lost
 
     server_attempt m_current;
+    second_answer_scanner<Codec> m_scanner; ///< of the answer that is forwarded as it arrives
     std::uint64_t m_lastAttemptId = 0;
     /// Attempts whose servers are silent and whose calls stay open while others are tried, until
     /// another one has had the request for `MaxHandoverTime`. All of them are before the same
--- a/src/gateway/exchange/exchange_answers_impl.h
+++ b/src/gateway/exchange/exchange_answers_impl.h
@@ -79,13 +79,11 @@
             m_current.forwarding = forwarding_mode::Bytes;
             endHeld();
             beginAnswer();
-            m_client->write(std::exchange(m_current.bufferedAnswer, {}));
-            applyBackpressure();
+            forwardBytes(std::exchange(m_current.bufferedAnswer, {}));
         }
         break;
     case forwarding_mode::Bytes:
-        m_client->write(bytes);
-        applyBackpressure();
+        forwardBytes(bytes);
         break;
     case forwarding_mode::Events:
         onEvents(bytes);
@@ -93,6 +91,22 @@
     }
 }
 
+// The client's answer is broken off where a second one begins.
+template <gateway_codec Codec>
+void exchange<Codec>::forwardBytes(std::string_view bytes)
+{
+    if (!endsWithConnection()) {
+        m_client->write(bytes);
+        applyBackpressure();
+        return;
+    }
+    m_client->write(m_scanner.feed(bytes));
+    if (m_scanner.found())
+        abandonUnusableCall();
+    else
+        applyBackpressure();
+}
+
 // A long failure is not forwarded while another server may answer, nor a status that would promise
 // the client that the request hasn't run.
 template <gateway_codec Codec>
--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -322,6 +322,8 @@
     }
     if (!m_headSent)
         beginAnswer();
+    if (m_current.forwarding == forwarding_mode::Bytes)
+        m_client->write(m_scanner.finish());
     m_client->finish();
     finish(request_outcome::Answered);
 }
@@ -347,12 +349,22 @@
     return signal && *signal >= since - RecentSignalAge;
 }
 
-// Only an answer without a length can contain a second one.
+template <gateway_codec Codec>
+bool exchange<Codec>::endsWithConnection() const
+{
+    return !m_current.answer.length && !m_current.answer.chunked;
+}
+
+// Only an answer without a length can contain a second one. While it is forwarded, that is noticed
+// as its bytes arrive.
 template <gateway_codec Codec>
 bool exchange<Codec>::isAnswerMixed() const
 {
-    return m_current.forwarding == forwarding_mode::Buffered && !m_current.answer.length
-        && !m_current.answer.chunked && isFollowedByAnswer<Codec>(m_current.bufferedAnswer);
+    if (m_current.forwarding != forwarding_mode::Buffered || !endsWithConnection())
+        return false;
+    second_answer_scanner<Codec> scanner;
+    static_cast<void>(scanner.feed(m_current.bufferedAnswer));
+    return scanner.found();
 }
 
 template <gateway_codec Codec>
--- a/tests/platform/close_delimited_answer_test.cpp
+++ b/tests/platform/close_delimited_answer_test.cpp
@@ -89,6 +89,27 @@
     CHECK(answer->status == 502);
 }
 
+// Guards against a second answer that is forwarded as the end of the first one, if both are too
+// long to be buffered.
+TEST_CASE("a long answer without a length does not look complete if another one follows it")
+{
+    const auto kind = GENERATE(as<std::string>{}, "safe", "unsafe");
+    const std::size_t bytes = GENERATE(70U << 10U, 200U << 10U, 1U << 20U);
+    CAPTURE(kind, bytes);
+    plain_world w(kind);
+    w.server.setBehaviour(
+        [&](const server_request &request, const std::shared_ptr<server_answer> &answer) {
+            const auto whole = unframedHead(attemptOf(request)) + std::string(bytes, 'x');
+            answer->write(whole + unframedHead(attemptOf(request)) + "theirs"
+                          + std::string(bytes, 'y'));
+            answer->close();
+        });
+    const auto answer = w.request("g1", makeRequest("POST", "/p/x", "a1"), "x");
+    REQUIRE(w.await(answer));
+    CHECK((answer->status != 200 || answer->end != http::call_end::Complete));
+    CHECK(answer->body.find("theirs") == std::string::npos);
+}
+
 TEST_CASE("a large answer without a length is bounded in memory and complete at the close")
 {
     plain_world w("safe");
