--- a/src/gateway/exchange/exchange_attempts_impl.h
+++ b/src/gateway/exchange/exchange_attempts_impl.h
@@ -203,8 +203,8 @@
     call.writeHead = [self, id]() -> std::optional<std::string> {
         return self->m_current.id == id ? self->writeHead() : std::nullopt;
     };
-    call.isMine = [self, to = m_current.server](const http::response_head &head) {
-        return isAnswerTo<Codec>(self->m_metadata.attempt, head, *to, self->m_context.directory);
+    call.ownerOf = [self, to = m_current.server](const http::response_head &head) {
+        return ownerOf<Codec>(self->m_metadata.attempt, head, *to, self->m_context.directory);
     };
     call.onHead = [self, id](const http::response_head &head) {
         if (self->selectForHead(id, head))
--- a/src/gateway/relay/call_relay_impl.h
+++ b/src/gateway/relay/call_relay_impl.h
@@ -121,8 +121,8 @@
     call.body = std::move(body);
     call.toHead = relayed->head.method == "HEAD";
     call.writeHead = [this, relayed] { return writeHead(*relayed); };
-    call.isMine = [this, relayed](const http::response_head &head) {
-        return isAnswerTo<Codec>(relayed->attempt, head, *relayed->server, m_directory);
+    call.ownerOf = [this, relayed](const http::response_head &head) {
+        return ownerOf<Codec>(relayed->attempt, head, *relayed->server, m_directory);
     };
     call.onHead = [this, relayed](const http::response_head &head) { onHead(relayed, head); };
     call.onBody = [this, relayed](std::string_view bytes) { onBody(relayed, bytes); };
--- a/src/gateway/servers/server_start_reader_impl.h
+++ b/src/gateway/servers/server_start_reader_impl.h
@@ -33,8 +33,9 @@
         return http::formatHead(
             makeServerHead<Codec>("GET", Codec::reportPath(), open->server->record));
     };
-    call.isMine = [](const http::response_head &head) {
-        return Codec::readAnswer(head).attempt.empty();
+    call.ownerOf = [](const http::response_head &head) {
+        return Codec::readAnswer(head).attempt.empty() ? http::answer_owner::Unnamed
+                                                       : http::answer_owner::OtherCall;
     };
     call.onHead = [open](const http::response_head &head) { open->status = head.status; };
     call.onBody = [open](std::string_view bytes) { open->body.append(bytes); };
--- a/src/gateway/servers/server_transport.cpp
+++ b/src/gateway/servers/server_transport.cpp
@@ -66,7 +66,11 @@
     http::outbound_call call;
     call.toHead = wanted.toHead;
     call.maxBodyBytes = wanted.maxBodyBytes;
-    call.isMine = wanted.isMine;
+    call.answerDigest = wanted.answerDigest;
+    call.ownerOf = wanted.ownerOf;
+    // Answers to the node's own calls, such as health checks, name no call.
+    if (!wanted.ownerOf && !wanted.answerDigest)
+        call.ownerOf = [](const http::response_head &) { return http::answer_owner::Unnamed; };
     call.onConnect = [this, open](http::connect_outcome outcome) {
         open->connectOutcome = outcome;
         if (outcome == http::connect_outcome::Connected)
@@ -239,9 +243,12 @@
                             .add("by", relay.vm.value));
         return text;
     };
-    call.isMine = [open](const http::response_head &head) {
+    call.ownerOf = [open](const http::response_head &head) {
+        const auto &ownerOfAnswer = open->wanted.call.ownerOf;
         const bool forwarded = findResult(head.fields) == relay_result::Forwarded;
-        return !forwarded || !open->wanted.call.isMine || open->wanted.call.isMine(head);
+        const bool other =
+            forwarded && ownerOfAnswer && ownerOfAnswer(head) == http::answer_owner::OtherCall;
+        return other ? http::answer_owner::OtherCall : http::answer_owner::ThisCall;
     };
     call.onHead = [open](const http::response_head &head) {
         auto answer = head;
