Test that endless answers to relayed calls and reports are bounded

Reported from another operator: a node kept all bytes of a faulty server until its memory was used up. Not seen here: heads, bodies, chunk sizes, trailers and interim answers have limits at each caller of servers. Tests existed for requests, streams, stage calls, frees and the store; relayed calls and reports are added, and pass without a change of the product.

--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -369,6 +369,55 @@
     CHECK(writer.written <= what.limit + BufferedBytes);
 }
 
+// Guards against a node that collects what a server sends to a peer whose call it relays.
+TEST_CASE("an endless unusable answer to a relayed call is closed at its limit")
+{
+    for (std::size_t i = 0; i < unusableAnswers("a1").size(); ++i) {
+        cut_off_world w(plainRoute("unsafe"));
+        endless_writer writer(w);
+        w.setBehaviour("web", [&](const server_request &request, const auto &answer) {
+            writer.start(answer, unusableAnswers(attemptOf(request))[i], pace::Fast);
+        });
+        w.cutFromServers("g1", cut_kind::Reset);
+        w.runFor(milliseconds{300});
+        const auto answer = w.request("g1", makeRequest("POST", "/p/x", "a1"), "x");
+        REQUIRE(w.await(answer));
+        const auto what = unusableAnswers("a1")[i];
+        INFO("answer: " << what.name << ", bytes written " << writer.written);
+        CHECK(writer.written > 0);
+        CHECK(w.runUntil([&] { return writer.closed; }, milliseconds{500}));
+        // Both nodes buffer.
+        CHECK(writer.written <= what.limit + 2 * BufferedBytes);
+        CHECK(answer->status >= 500);
+    }
+}
+
+// Guards against a node that collects the report of a server at its start.
+TEST_CASE("an endless report of a server is closed at its limit")
+{
+    const auto what =
+        GENERATE(endless_answer{"body", chunkedHead("", "200 OK", {}), chunk("some bytes"),
+                                2 * gateway::MaxReportBytes},
+                 endless_answer{"no length", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                                "{\"runs\":[", 2 * gateway::MaxReportBytes},
+                 endless_answer{"header fields", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n",
+                                http::MaxResponseHeadBytes},
+                 endless_answer{"interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n",
+                                http::MaxUnusableBytes});
+    CAPTURE(what.name);
+    world w;
+    endless_writer writer(w);
+    w.addServer("engine", "e-1").setReport([&](const auto & /*request*/, const auto &answer) {
+        writer.start(answer, what, pace::Fast);
+    });
+    w.publish(1, streamRoute(true), Services);
+    w.startGateway("g1");
+    CHECK(w.runUntil([&] { return writer.closed; }, milliseconds{3000}));
+    INFO("bytes written " << writer.written);
+    CHECK(writer.written > 0);
+    CHECK(writer.written <= what.limit + BufferedBytes);
+}
+
 // Guards against a node that collects an answer of the store until its memory is used up.
 TEST_CASE("an endless answer of the store is read up to its limit, and the store is read again")
 {
