--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -557,7 +557,7 @@
         if (const auto each = weak.lock())
             each->onStopTimeout();
     }
-    m_clientListener->refuseUnread();
+    m_clientListener->refuseUnread({Codec::retryAfter(RetryDelay)});
 }
 
 template <gateway_codec Codec>
--- a/src/gateway/publication/store_reader_impl.h
+++ b/src/gateway/publication/store_reader_impl.h
@@ -276,7 +276,7 @@
                                     const std::function<void(const store_answer &)> &onAnswer)
     -> std::shared_ptr<open_read>
 {
-    const auto read = std::make_shared<open_read>();
+    auto read = std::make_shared<open_read>();
     read->onAnswer = onAnswer;
     http::outbound_call made;
     made.maxBodyBytes = m_options.maxAnswerBytes;
--- a/src/http/inbound_connection.cpp
+++ b/src/http/inbound_connection.cpp
@@ -180,13 +180,13 @@
     m_shared->onRequest(shared_from_this(), std::move(m_head), std::move(m_body));
 }
 
-void inbound_connection::refuse(int status)
+void inbound_connection::refuse(int status, const field_list &fields)
 {
     m_phase = phase::Answering;
     ++m_shared->answering;
     m_closeAfterAnswer = true;
     m_unparsed.clear();
-    respond(status, {}, {});
+    respond(status, fields, {});
 }
 
 void inbound_connection::writeHead(const response_head &head)
@@ -355,10 +355,10 @@
     return m_phase == phase::Reading && (!m_unparsed.empty() || m_reader->headDone());
 }
 
-void inbound_connection::refuseUnread()
+void inbound_connection::refuseUnread(const field_list &fields)
 {
     if (isRequestUnread())
-        refuse(503);
+        refuse(503, fields);
 }
 
 void inbound_connection::onTimer()
--- a/src/http/inbound_connection.h
+++ b/src/http/inbound_connection.h
@@ -79,8 +79,8 @@
     void onDrained(std::function<void()> handler) { m_onDrained = std::move(handler); }
     /// Closes the connection if it has been idle for at least this long.
     void closeIfIdle(milliseconds minIdleTime);
-    /// Answers a request that has not arrived completely with 503.
-    void refuseUnread();
+    /// Answers a request that has not arrived completely with 503 and these fields.
+    void refuseUnread(const field_list &fields);
 
 private:
     enum class phase {
@@ -104,7 +104,7 @@
     void waitForRequest();
     void sendContinue();
     void dispatch();
-    void refuse(int status);
+    void refuse(int status, const field_list &fields = {});
     /// Returns whether a part of a request has arrived.
     [[nodiscard]] bool isRequestUnread() const;
     void writeHead(const response_head &head);
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -63,12 +63,12 @@
     }
 }
 
-void listener::refuseUnread()
+void listener::refuseUnread(const field_list &fields)
 {
     const auto connections = m_connections;
     for (const auto &weak : connections) {
         if (const auto each = weak.lock())
-            each->refuseUnread();
+            each->refuseUnread(fields);
     }
 }
 
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -24,8 +24,8 @@
     [[nodiscard]] std::uint16_t port() const { return m_acceptor->port(); }
     /// Closes the connections that have been idle for at least this long.
     void closeIdle(milliseconds minIdleTime);
-    /// Answers the requests that have not arrived completely with 503.
-    void refuseUnread();
+    /// Answers the requests that have not arrived completely with 503 and these fields.
+    void refuseUnread(const field_list &fields);
 
 private:
     listener(io_loop &loop, std::shared_ptr<inbound_shared> shared);
--- a/tests/platform/planned_stop_test.cpp
+++ b/tests/platform/planned_stop_test.cpp
@@ -170,6 +170,7 @@
     CHECK(w.endsInGrace());
     CHECK(w.runUntil([&] { return uploading.ended; }));
     CHECK(uploading.received.starts_with("HTTP/1.1 503"));
+    CHECK(uploading.received.find("Retry-After") != std::string::npos);
     CHECK(uploading.endedInOrder);
     CHECK(w.server("web-1").requests().empty());
     CHECK(w.server("engine-1").requests().empty());
