--- a/src/gateway/servers/server_transport.cpp
+++ b/src/gateway/servers/server_transport.cpp
@@ -66,10 +66,9 @@
     http::outbound_call call;
     call.toHead = wanted.toHead;
     call.maxBodyBytes = wanted.maxBodyBytes;
-    call.answerDigest = wanted.answerDigest;
     call.ownerOf = wanted.ownerOf;
-    // Answers to the node's own calls, such as health checks, name no call.
-    if (!wanted.ownerOf && !wanted.answerDigest)
+    // Answers to the node's own calls, such as stage calls, name no call.
+    if (!wanted.ownerOf)
         call.ownerOf = [](const http::response_head &) { return http::answer_owner::Unnamed; };
     call.onConnect = [this, open](http::connect_outcome outcome) {
         open->connectOutcome = outcome;
--- a/src/gateway/stages/stage_host.h
+++ b/src/gateway/stages/stage_host.h
@@ -20,8 +20,6 @@
 
 namespace orchidlead::gateway {
 
-/// HTTP status of an answer to a stage call or a free.
-inline constexpr int StageCallOk = 200;
 /// Largest answer to a stage call. A call has tens of pieces, with less than 200 bytes each.
 inline constexpr std::size_t MaxStageAnswerBytes = 256U << 10U;
 
--- a/src/gateway/stages/stage_host_frees_impl.h
+++ b/src/gateway/stages/stage_host_frees_impl.h
@@ -105,11 +105,6 @@
         head.fields.push_back({"Content-Length", std::to_string(length)});
         return http::formatHead(head);
     };
-    // An answer that frees results is empty, so no other call takes a copy of it for its own.
-    outbound.ownerOf = [](const http::response_head &head) {
-        return head.status == StageCallOk ? http::answer_owner::ThisCall
-                                          : http::answer_owner::Unnamed;
-    };
     outbound.onHead = [this, holder](const http::response_head &head) {
         m_directory.onSignals(*holder, Codec::readAnswer(head).server);
     };
--- a/src/gateway/stages/stage_host_impl.h
+++ b/src/gateway/stages/stage_host_impl.h
@@ -6,14 +6,9 @@
 #include "gateway/stages/stage_host_frees_impl.h"
 #include "gateway/stages/stage_versions.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cstdint>
-#include <optional>
 #include <tuple>
 #include <utility>
-#include <variant>
 
 namespace orchidlead::gateway {
 
@@ -292,19 +287,7 @@
         head.fields.push_back({"Content-Length", std::to_string(length)});
         return http::formatHead(head);
     };
-    // A server gives each handle once, so an answer with one is unique.
-    outbound.answerDigest = [active]() -> std::optional<std::uint64_t> {
-        const auto read = Codec::readPieces(active->body);
-        const bool unique = active->status == StageCallOk && read
-            && std::ranges::any_of(read.value(), [](const piece_result &each) {
-                                return std::holds_alternative<std::string>(each);
-                            });
-        if (!unique)
-            return std::nullopt;
-        return XXH3_64bits(active->body.data(), active->body.size());
-    };
     outbound.onHead = [this, active](const http::response_head &head) {
-        active->body.clear();
         active->status = head.status;
         active->metadata = Codec::readAnswer(head);
         m_directory.onResponseBegin(*active->stageCall.server);
@@ -386,6 +369,7 @@
     const auto &key = ended->key;
     const auto &call = ended->stageCall;
     const auto &active = *ended;
+    constexpr int Ok = 200;
     constexpr int Misdirected = 421;
     auto end = stage_call_end::Broken;
     std::vector<piece_result> results;
@@ -394,7 +378,7 @@
     } else if (httpEnd == http::call_end::NotSent) {
         end = stage_call_end::NotSent;
         m_directory.onFailure(*call.server);
-    } else if (httpEnd == http::call_end::Complete && active.status == StageCallOk) {
+    } else if (httpEnd == http::call_end::Complete && active.status == Ok) {
         auto read = Codec::readPieces(active.body);
         if (read && read.value().size() == call.pieces.size()) {
             end = stage_call_end::Answered;
--- a/src/http/outbound_connection.cpp
+++ b/src/http/outbound_connection.cpp
@@ -1,6 +1,5 @@
 #include "http/outbound_connection.h"
 
-#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -8,9 +7,6 @@
 
 namespace {
 
-// Number of answers of which digests are kept: more than are between an answer and its late copy.
-constexpr std::size_t MaxDigests = 16;
-
 /// Parses the `timeout` parameter of a `Keep-Alive` field, which is in whole seconds.
 std::optional<milliseconds> readKeepAlive(const field_list &fields)
 {
@@ -132,41 +128,18 @@
             m_unparsed.assign(bytes);
             return true;
         }
-        if (!m_skippingAnswer && !isCopy()) {
+        if (!m_skippingAnswer) {
             const bool bodySent = m_socket->queuedBytes() == 0;
             endCall(call_end::Complete, m_reusable && bodySent && bytes.empty());
             return false;
         }
         m_skippingAnswer = false;
-        m_bodyBytes = 0;
         createReader();
         if (bytes.empty())
             return true;
     }
 }
 
-// Whether the bytes of an answer with a digest are usable is known only at its end.
-void outbound_connection::countUsable()
-{
-    if (!m_call->answerDigest)
-        m_unusableBytes = 0;
-}
-
-bool outbound_connection::isCopy()
-{
-    if (!m_call->answerDigest)
-        return false;
-    const auto digest = m_call->answerDigest();
-    const bool copy = digest && std::ranges::find(m_digests, *digest) != m_digests.end();
-    m_reusable = m_reusable && digest && !copy;
-    if (!digest || copy)
-        return copy;
-    if (m_digests.size() == MaxDigests)
-        m_digests.erase(m_digests.begin());
-    m_digests.push_back(*digest);
-    return false;
-}
-
 void outbound_connection::onHead(response_head head)
 {
     if (!m_call)
@@ -178,7 +151,7 @@
     m_skippingAnswer = owner == answer_owner::OtherCall;
     if (m_skippingAnswer)
         return;
-    countUsable();
+    m_unusableBytes = 0;
     if (const auto onHeadEvent = m_call->onHead)
         onHeadEvent(head);
 }
@@ -187,7 +160,7 @@
 {
     if (!m_call || m_skippingAnswer)
         return;
-    countUsable();
+    m_unusableBytes = 0;
     m_bodyBytes += bytes.size();
     if (m_bodyBytes > m_call->maxBodyBytes)
         endCall(call_end::TooLarge, false);
@@ -205,7 +178,7 @@
     }
     // An answer without a length that ends before its request was sent is one that was broken off.
     const bool whole = m_sent && orderly && !m_skippingAnswer && m_unparsed.empty()
-        && m_socket->allAcknowledged() && m_reader->finishAtEndOfStream() && m_call && !isCopy();
+        && m_socket->allAcknowledged() && m_reader->finishAtEndOfStream();
     if (!m_call)
         return;
     if (whole)
--- a/src/http/outbound_connection.h
+++ b/src/http/outbound_connection.h
@@ -14,7 +14,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace orchidlead::http {
 
@@ -53,11 +52,6 @@
     std::size_t maxBodyBytes = std::numeric_limits<std::size_t>::max();
     /// Returns which call an answer belongs to; if empty, all belong to this one.
     std::function<answer_owner(const response_head &)> ownerOf;
-    /// Returns a digest of the complete answer if no other answer of the server has the same one.
-    /// An answer with the digest of an earlier one on the connection is a copy: `onHead` is called
-    /// again for the next answer. After an answer without a digest the connection is not reused. If
-    /// the function is empty, answers aren't compared.
-    std::function<std::optional<std::uint64_t>()> answerDigest;
     std::function<void(const response_head &)> onHead;
     std::function<void(std::string_view)> onBody;
     /// Called exactly once, as the last event; never after `abandon`.
@@ -108,10 +102,6 @@
     void createReader();
     /// Reads the answer and skips those of other calls. Returns false if the call has ended.
     [[nodiscard]] bool read(std::string_view bytes);
-    /// Records that bytes of the call's answer have arrived.
-    void countUsable();
-    /// Returns whether the complete answer is a copy of an earlier one, and records its digest.
-    [[nodiscard]] bool isCopy();
     void endCall(call_end outcome, bool reuse);
     void tearDown();
 
@@ -129,7 +119,6 @@
     std::size_t m_unusableBytes = 0; ///< since the last bytes of the call's answer
     std::size_t m_bodyBytes = 0;
     bool m_reusable = true;
-    std::vector<std::uint64_t> m_digests; ///< of the last answers, oldest first
     std::optional<milliseconds> m_keepAlive;
     timer_id m_connectTimer = 0;
 };
