--- a/tests/gateway/second_answer_scanner_test.cpp
+++ b/tests/gateway/second_answer_scanner_test.cpp
@@ -3,8 +3,9 @@
 
 #include <catch2/catch.hpp>
 
-#include <chrono>
+#include <cstddef>
 #include <string>
+#include <string_view>
 
 using namespace orchidlead;
 
@@ -17,8 +18,10 @@
 
 struct attempt_codec
 {
+    static inline std::size_t reads = 0;
     static scanned_metadata readAnswer(const http::response_head &head)
     {
+        ++reads;
         return {std::string(http::findField(head.fields, "x-attempt").value_or(""))};
     }
 };
@@ -94,16 +97,17 @@
     CHECK_FALSE(scanned.found());
 }
 
-// Guards against a body that occupies the event loop for seconds.
-TEST_CASE("a body of many status lines is scanned in linear time")
+// Guards against a body that occupies the event loop for seconds, as each of its lines may begin a
+// head of all lines behind it.
+TEST_CASE("each line of a body is read as a field once")
 {
+    constexpr std::size_t Lines = 50'000;
     std::string body;
-    while (body.size() < (4U << 20U))
+    for (std::size_t i = 0; i < Lines; ++i)
         body += "A: HTTP/1.1 200 OK\r\n";
-    const auto began = std::chrono::steady_clock::now();
+    attempt_codec::reads = 0;
     const auto result = scan(body, 16U << 10U);
-    const auto took = std::chrono::steady_clock::now() - began;
     CHECK_FALSE(result.found);
     CHECK(result.forwarded.size() == body.size());
-    CHECK(took < std::chrono::seconds{5});
+    CHECK(attempt_codec::reads < Lines);
 }
